--- /dev/null
+++ b/ident/ident.go
@@ -0,0 +1,123 @@
+// Package ident defines the identifiers that wardspool's processes share:
+// instances, availability zones, upstreams, workspaces, requests and attempts.
+package ident
+
+import (
+	"fmt"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// InstanceID names one entry instance of the system, as written in its settings.
+type InstanceID string
+
+// Zone names an availability zone, for example "hall-a".
+type Zone string
+
+// Region names a group of availability zones, for example "bc-lower".
+type Region string
+
+// UpstreamID names one back end: a model engine or a plain service process.
+type UpstreamID string
+
+// Workspace names the customer on whose behalf a request is made.
+type Workspace string
+
+// RequestID names one caller's request. It is unique per request.
+type RequestID string
+
+// Incarnation numbers the lives of one instance or upstream. A restarted
+// process has a higher incarnation than the one it replaces; it is taken from
+// the wall clock in milliseconds at start, since instances keep nothing on disk.
+type Incarnation uint64
+
+// NewIncarnation returns the incarnation of a process started at the given time.
+func NewIncarnation(start time.Time) Incarnation {
+	return Incarnation(start.UnixMilli())
+}
+
+// maxNameLength bounds every configured name, in bytes.
+const maxNameLength = 63
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?$`)
+
+// ValidName reports whether s may be used as an instance, zone, region,
+// upstream or workspace name: lower-case letters, digits and inner hyphens,
+// at most 63 bytes.
+func ValidName(s string) bool {
+	return len(s) <= maxNameLength && namePattern.MatchString(s)
+}
+
+// AttemptID names one attempt to run a request, or a stage of it, on an
+// upstream. It carries its owner's incarnation and the request's deadline, so
+// that a peer that finds it on an engine can tell whether it is still wanted.
+type AttemptID struct {
+	Instance    InstanceID
+	Incarnation Incarnation
+	Sequence    uint64
+	// Deadline is the time after which no caller waits for the attempt.
+	// It has millisecond resolution.
+	Deadline time.Time
+}
+
+// attemptParts is the number of dot-separated parts of an encoded AttemptID.
+const attemptParts = 4
+
+// String encodes the attempt as "instance.incarnation.sequence.deadline", the
+// numbers in base 36 and the deadline in Unix milliseconds.
+func (a AttemptID) String() string {
+	return strings.Join([]string{
+		string(a.Instance),
+		strconv.FormatUint(uint64(a.Incarnation), 36),
+		strconv.FormatUint(a.Sequence, 36),
+		strconv.FormatInt(a.Deadline.UnixMilli(), 36),
+	}, ".")
+}
+
+// IsZero reports whether a is the zero AttemptID.
+func (a AttemptID) IsZero() bool { return a.Instance == "" }
+
+// AttemptSyntaxError reports text that is not an encoded AttemptID.
+type AttemptSyntaxError struct {
+	// Text is the text that could not be parsed.
+	Text string
+	// Part names the part at fault.
+	Part string
+}
+
+// Error implements error.
+func (e *AttemptSyntaxError) Error() string {
+	return fmt.Sprintf("attempt ID %q: bad %s", e.Text, e.Part)
+}
+
+// ParseAttemptID decodes the form that AttemptID.String writes.
+// It returns an *AttemptSyntaxError if s is malformed.
+func ParseAttemptID(s string) (AttemptID, error) {
+	parts := strings.Split(s, ".")
+	if len(parts) != attemptParts {
+		return AttemptID{}, &AttemptSyntaxError{Text: s, Part: "shape"}
+	}
+	if !ValidName(parts[0]) {
+		return AttemptID{}, &AttemptSyntaxError{Text: s, Part: "instance"}
+	}
+	inc, err := strconv.ParseUint(parts[1], 36, 64)
+	if err != nil {
+		return AttemptID{}, &AttemptSyntaxError{Text: s, Part: "incarnation"}
+	}
+	seq, err := strconv.ParseUint(parts[2], 36, 64)
+	if err != nil {
+		return AttemptID{}, &AttemptSyntaxError{Text: s, Part: "sequence"}
+	}
+	ms, err := strconv.ParseInt(parts[3], 36, 64)
+	if err != nil {
+		return AttemptID{}, &AttemptSyntaxError{Text: s, Part: "deadline"}
+	}
+	return AttemptID{
+		Instance:    InstanceID(parts[0]),
+		Incarnation: Incarnation(inc),
+		Sequence:    seq,
+		Deadline:    time.UnixMilli(ms),
+	}, nil
+}
