--- a/config/config.go
+++ b/config/config.go
@@ -134,6 +134,8 @@
 	Slots plugin.ID `yaml:"slots" json:"slots"`
 	// Order is the waiting-queue order, in namespace "order".
 	Order plugin.ID `yaml:"order" json:"order"`
+	// Admission lists the checks of arriving requests, in namespace "admission".
+	Admission []plugin.ID `yaml:"admission" json:"admission"`
 	// Filters drop upstreams, in namespace "filter".
 	Filters []plugin.ID `yaml:"filters" json:"filters"`
 	// Scorers rate placements, in namespace "scorer".
