--- /dev/null
+++ b/report/format.go
@@ -0,0 +1,28 @@
+package report
+
+import (
+	"strconv"
+	"time"
+)
+
+// Share formats n of total as a fraction with four decimals, "0.0000" if total
+// is 0.
+func Share(n, total float64) string {
+	if total == 0 {
+		return Fixed(0, shareDecimals)
+	}
+	return Fixed(n/total, shareDecimals)
+}
+
+// shareDecimals is the precision of fractions.
+const shareDecimals = 4
+
+// Fixed formats a number with the given decimals.
+func Fixed(v float64, decimals int) string {
+	return strconv.FormatFloat(v, 'f', decimals, 64)
+}
+
+// Millis formats a duration in milliseconds with one decimal.
+func Millis(d time.Duration) string {
+	return Fixed(float64(d)/float64(time.Millisecond), 1)
+}
