--- /dev/null
+++ b/bundle/check.go
@@ -0,0 +1,149 @@
+package bundle
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+)
+
+// Bounds of a bundle's content. They leave room above the sizes that
+// docs/CAPACITY.md plans for, and keep a decoder's work bounded.
+const (
+	maxKinds      = 256
+	maxModels     = 256
+	maxServices   = 256
+	maxWorkspaces = 20_000
+	maxUpstreams  = 10_000
+	// maxPerEntry bounds the lists inside one entry.
+	maxPerEntry = 256
+
+	maxTokens   = 16 << 20
+	maxCount    = 1 << 20
+	maxPriority = 1000
+	maxRate     = 1e15
+	maxDuration = 24 * time.Hour
+	maxVersion  = 63
+)
+
+// Check checks content as a whole: names, references, bounds, and limits that
+// must hold together. Its findings carry paths but no positions.
+func Check(c *config.Content) Findings {
+	k := &checker{content: c}
+	k.index()
+	k.name("deployment", c.Deployment)
+	k.kinds()
+	k.modelList()
+	k.serviceList()
+	k.workspaces()
+	k.upstreams()
+	k.policy()
+	k.sums()
+	return k.findings
+}
+
+// checker holds the content, its entries by name, and what was found.
+type checker struct {
+	content  *config.Content
+	models   map[string]config.Model
+	services map[string]config.Service
+	findings Findings
+}
+
+func (k *checker) index() {
+	k.models = map[string]config.Model{}
+	for _, m := range k.content.Models {
+		k.models[m.Name] = m
+	}
+	k.services = map[string]config.Service{}
+	for _, s := range k.content.Services {
+		k.services[s.Name] = s
+	}
+}
+
+func (k *checker) add(path string, rule Rule, wrong, right string) {
+	k.findings = append(k.findings, Finding{Path: path, Rule: rule, Wrong: wrong, Right: right})
+}
+
+// name checks one name.
+func (k *checker) name(path, name string) {
+	switch {
+	case name == "":
+		k.add(path, RuleMissing, "there is no name", "give one of lower-case letters, digits and inner hyphens")
+	case !ident.ValidName(name):
+		k.add(path, RuleName, fmt.Sprintf("%q is not a valid name", clip(name)), "use lower-case letters, digits and inner hyphens, at most 63 bytes")
+	}
+}
+
+// names checks the names of a list's entries: each valid, none twice, and not
+// more entries than limit.
+func (k *checker) names(list, field string, limit int, names []string) {
+	if len(names) > limit {
+		k.add(list, RuleSize, fmt.Sprintf("the list has %d entries", len(names)), fmt.Sprintf("at most %d", limit))
+	}
+	first := map[string]int{}
+	for i, name := range names {
+		path := fmt.Sprintf("%s[%d]%s", list, i, field)
+		k.name(path, name)
+		if j, taken := first[name]; taken && name != "" {
+			k.add(path, RuleDuplicate, fmt.Sprintf("%q is the name of entry %d already", clip(name), j), "give each entry a name of its own")
+			continue
+		}
+		first[name] = i
+	}
+}
+
+// reference checks that a name is one of those declared.
+func reference[T any](k *checker, path, what, name string, declared map[string]T) {
+	if _, ok := declared[name]; ok {
+		return
+	}
+	k.add(path, RuleReference, fmt.Sprintf("no %s is named %q", what, clip(name)), "declared: "+sortedKeys(declared))
+}
+
+// between checks that a number is from low to high.
+func between[N cmp.Ordered](k *checker, path string, n, low, high N) {
+	// NaN compares false with everything, so the test is for being inside.
+	if n >= low && n <= high {
+		return
+	}
+	k.add(path, RuleRange, fmt.Sprintf("%v is out of bounds", n), fmt.Sprintf("from %v to %v", low, high))
+}
+
+// positive checks a number that must be above 0.
+func positive[N cmp.Ordered](k *checker, path string, n, high N) {
+	var zero N
+	if n > zero && n <= high {
+		return
+	}
+	k.add(path, RuleRange, fmt.Sprintf("%v is out of bounds", n), fmt.Sprintf("above %v, at most %v", zero, high))
+}
+
+// sortedKeys lists a map's keys for a finding.
+func sortedKeys[T any](m map[string]T) string {
+	if len(m) == 0 {
+		return "none"
+	}
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, clip(key))
+	}
+	slices.Sort(keys)
+	const most = 20
+	if len(keys) > most {
+		return strings.Join(keys[:most], ", ") + ", ..."
+	}
+	return strings.Join(keys, ", ")
+}
+
+// clip shortens text that a finding repeats.
+func clip(s string) string {
+	if len(s) > maxDescribed {
+		return s[:maxDescribed] + "..."
+	}
+	return s
+}
--- /dev/null
+++ b/bundle/checkpolicy.go
@@ -0,0 +1,84 @@
+package bundle
+
+import (
+	"fmt"
+	"regexp"
+
+	"github.com/wardspool/wardspool/plugin"
+)
+
+// Namespaces of the decision plug-ins that a policy names.
+const (
+	slotsNamespace  = "slots"
+	orderNamespace  = "order"
+	filterNamespace = "filter"
+	scorerNamespace = "scorer"
+)
+
+// maxAttempts bounds a policy's attempts for one request.
+const maxAttempts = 100
+
+// pluginName is the form of the part of a plug-in ID after its namespace.
+var pluginName = regexp.MustCompile(`^[a-z][a-z0-9_]{0,62}$`)
+
+func (k *checker) policy() {
+	p := k.content.Policy
+	k.plugin("policy.slots", slotsNamespace, p.Slots)
+	k.plugin("policy.order", orderNamespace, p.Order)
+	k.filters()
+	k.scorers()
+	positive(k, "policy.queue_limit", p.QueueLimit, maxCount)
+	between(k, "policy.retry_budget", p.RetryBudget, 0, 1)
+	between(k, "policy.max_attempts", p.MaxAttempts, 1, maxAttempts)
+	positive(k, "policy.retry_backoff", p.RetryBackoff, maxDuration)
+	positive(k, "policy.view_stale", p.ViewStale, maxDuration)
+	positive(k, "policy.kv_lifetime", p.KVLifetime, maxDuration)
+	positive(k, "policy.transfer_stall", p.TransferStall, maxDuration)
+}
+
+// plugin checks the form of a plug-in ID. Whether a binary links the plug-in is
+// the binary's to say when it loads the policy.
+func (k *checker) plugin(path, namespace string, id plugin.ID) {
+	right := fmt.Sprintf("use %q followed by a plug-in's name", namespace+".")
+	switch {
+	case id == "":
+		k.add(path, RuleMissing, "no plug-in is named", right)
+	case id.Namespace() != namespace || !pluginName.MatchString(id.Name()):
+		k.add(path, RulePlugin, fmt.Sprintf("%q is no plug-in ID for this place", clip(string(id))), right)
+	}
+}
+
+func (k *checker) filters() {
+	first := map[plugin.ID]bool{}
+	for i, id := range k.content.Policy.Filters {
+		path := fmt.Sprintf("policy.filters[%d]", i)
+		k.plugin(path, filterNamespace, id)
+		k.once(path, id, first)
+	}
+	k.pluginCount("policy.filters", len(k.content.Policy.Filters))
+}
+
+func (k *checker) scorers() {
+	first := map[plugin.ID]bool{}
+	for i, s := range k.content.Policy.Scorers {
+		path := fmt.Sprintf("policy.scorers[%d]", i)
+		k.plugin(path+".id", scorerNamespace, s.ID)
+		k.once(path+".id", s.ID, first)
+		positive(k, path+".weight", s.Weight, maxCount)
+	}
+	k.pluginCount("policy.scorers", len(k.content.Policy.Scorers))
+}
+
+// once reports a plug-in that is listed a second time.
+func (k *checker) once(path string, id plugin.ID, first map[plugin.ID]bool) {
+	if first[id] && id != "" {
+		k.add(path, RuleDuplicate, fmt.Sprintf("%q is listed twice", clip(string(id))), "list it once")
+	}
+	first[id] = true
+}
+
+func (k *checker) pluginCount(path string, n int) {
+	if n > maxPerEntry {
+		k.add(path, RuleSize, fmt.Sprintf("the list has %d entries", n), fmt.Sprintf("at most %d", maxPerEntry))
+	}
+}
