--- /dev/null
+++ b/plugins/admission/queue/queue.go
@@ -0,0 +1,50 @@
+// Package queue bounds the requests that wait at one instance.
+package queue
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+// defaultLimit is used where the bundle sets no queue_limit.
+const defaultLimit = 256
+
+// comeBack is when a refused caller is told to come back.
+const comeBack = time.Second
+
+// Check implements kernel.Admission.
+type Check struct {
+	host  kernel.Host
+	limit int
+}
+
+// Attach implements kernel.Attacher.
+func (c *Check) Attach(h kernel.Host) { c.host = h }
+
+// Configure implements kernel.Configurer.
+func (c *Check) Configure(content *config.Content) { c.limit = content.Policy.QueueLimit }
+
+// Admit implements kernel.Admission.
+func (c *Check) Admit(*kernel.Request) *kernel.Refusal {
+	limit := c.limit
+	if limit <= 0 {
+		limit = defaultLimit
+	}
+	waiting := c.host.QueueLength()
+	if waiting < limit {
+		return nil
+	}
+	return &kernel.Refusal{
+		Reason:     kernel.ReasonQueueFull,
+		Problem:    api.ProblemOverloaded,
+		Detail:     fmt.Sprintf("%d requests wait here, the limit is %d", waiting, limit),
+		RetryAfter: comeBack,
+	}
+}
+
+// Finished implements kernel.Admission; there is nothing to give back.
+func (*Check) Finished(*kernel.Request, api.Outcome) {}
--- /dev/null
+++ b/plugins/filter/model/model.go
@@ -0,0 +1,19 @@
+// Package model keeps only upstreams that serve a request's model, or run its
+// plain service.
+package model
+
+import (
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+// Filter implements kernel.Filter.
+type Filter struct{}
+
+// Keep implements kernel.Filter.
+func (*Filter) Keep(d *kernel.Decision, u *kernel.Upstream, role config.Role) bool {
+	if role == config.RoleService {
+		return u.Spec.Service == d.Request.Service
+	}
+	return u.Serves(d.Request.Model)
+}
--- /dev/null
+++ b/plugins/filter/role/role.go
@@ -0,0 +1,15 @@
+// Package role keeps only upstreams that run in the role a placement needs.
+package role
+
+import (
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+// Filter implements kernel.Filter.
+type Filter struct{}
+
+// Keep implements kernel.Filter.
+func (*Filter) Keep(_ *kernel.Decision, u *kernel.Upstream, role config.Role) bool {
+	return u.Spec.Role == role
+}
--- /dev/null
+++ b/plugins/filter/role/setup.go
@@ -0,0 +1,18 @@
+package role
+
+import (
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/plugin"
+)
+
+// ID is the name under which bundles select the plug-in.
+const ID plugin.ID = "filter.role"
+
+var _ kernel.Filter = (*Filter)(nil)
+
+func init() { plugin.Register(new(Filter)) }
+
+// PluginInfo implements plugin.Plugin.
+func (*Filter) PluginInfo() plugin.Info {
+	return plugin.Info{ID: ID, New: func() plugin.Plugin { return new(Filter) }}
+}
--- /dev/null
+++ b/plugins/order/fifo/fifo.go
@@ -0,0 +1,38 @@
+// Package fifo serves waiting requests in the order in which they came. It is
+// the naive policy that others are compared with.
+package fifo
+
+import (
+	"iter"
+	"slices"
+
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+// Order implements kernel.QueueOrder.
+type Order struct {
+	waiting []*kernel.Waiting
+}
+
+// Attach implements kernel.Attacher.
+func (*Order) Attach(kernel.Host) {}
+
+// Add implements kernel.QueueOrder.
+func (o *Order) Add(w *kernel.Waiting) { o.waiting = append(o.waiting, w) }
+
+// Remove implements kernel.QueueOrder.
+func (o *Order) Remove(id ident.RequestID) {
+	o.waiting = slices.DeleteFunc(o.waiting, func(w *kernel.Waiting) bool {
+		return w.Request.ID == id
+	})
+}
+
+// All implements kernel.QueueOrder.
+func (o *Order) All() iter.Seq[*kernel.Waiting] { return slices.Values(o.waiting) }
+
+// Len implements kernel.QueueOrder.
+func (o *Order) Len() int { return len(o.waiting) }
+
+// Served implements kernel.QueueOrder; it changes nothing.
+func (*Order) Served(*kernel.Request, float64) {}
