Add package peer: calls between the system's processes

Cause: entries and agents need typed, bounded calls whose failures say whether the remote can have run them (the not-run promise rests on it). Ruled out: the library's own VSCode codec, which bounds neither header nor body; writing from the caller's goroutine, which lets a slow peer block every caller and cannot withdraw a frame that has not left. Change: jsonrpc2 over a stream with a write queue that tracks each frame's progress, hello with version and identity, error registry, backoff per address. Not yet: tests of limits, TLS and faults; fuzzing; benchmarks.

--- /dev/null
+++ b/peer/frame.go
@@ -0,0 +1,115 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+)
+
+// Frames have the form of the language server protocol's base protocol:
+// "Content-Length: N\r\n\r\n" and N bytes of JSON. The library's codec for it
+// has no bounds on header or body, so frames are read here.
+const (
+	headerName = "Content-Length: "
+	headerEnd  = "\r\n"
+	// maxHeaderLine is the longest header line, in bytes.
+	maxHeaderLine = 128
+	// maxHeaderLines is the most header lines of one frame.
+	maxHeaderLines = 4
+	// firstChunk is what is allocated for a body before any of it has come.
+	firstChunk = 16 << 10
+)
+
+// appendFrame appends a frame with the given body to dst.
+func appendFrame(dst, body []byte) []byte {
+	dst = append(dst, headerName...)
+	dst = strconv.AppendInt(dst, int64(len(body)), 10)
+	dst = append(dst, headerEnd+headerEnd...)
+	return append(dst, body...)
+}
+
+// readFrame reads one frame and returns its body. Errors are *FrameError,
+// *TooLargeError and the reader's own.
+func readFrame(r *bufio.Reader, limit int) ([]byte, error) {
+	n, err := readHeader(r)
+	if err != nil {
+		return nil, err
+	}
+	if n > limit {
+		return nil, &TooLargeError{Bytes: n, Limit: limit}
+	}
+	return readBody(r, n)
+}
+
+// readHeader reads the header lines and returns the body's length.
+func readHeader(r *bufio.Reader) (int, error) {
+	length := 0
+	for range maxHeaderLines {
+		line, err := readLine(r)
+		if err != nil {
+			return 0, err
+		}
+		if len(line) == 0 {
+			if length == 0 {
+				return 0, &FrameError{Part: "length"}
+			}
+			return length, nil
+		}
+		digits, ok := bytes.CutPrefix(line, []byte(headerName))
+		if !ok {
+			continue
+		}
+		length, err = parseLength(digits)
+		if err != nil {
+			return 0, err
+		}
+	}
+	return 0, &FrameError{Part: "header"}
+}
+
+// readLine reads one header line without its end.
+func readLine(r *bufio.Reader) ([]byte, error) {
+	line := make([]byte, 0, len(headerName)+len(headerEnd)+10)
+	for len(line) < maxHeaderLine {
+		b, err := r.ReadByte()
+		if err != nil {
+			return nil, err
+		}
+		line = append(line, b)
+		if b != '\n' {
+			continue
+		}
+		body, ok := bytes.CutSuffix(line, []byte(headerEnd))
+		if !ok {
+			return nil, &FrameError{Part: "header"}
+		}
+		return body, nil
+	}
+	return nil, &FrameError{Part: "header"}
+}
+
+// parseLength parses a body length: decimal digits, greater than 0.
+func parseLength(digits []byte) (int, error) {
+	n, err := strconv.ParseUint(string(digits), 10, 31)
+	if err != nil || n == 0 {
+		return 0, &FrameError{Part: "length"}
+	}
+	return int(n), nil
+}
+
+// readBody reads n bytes. Memory grows with what arrives, not with what the
+// header promises.
+func readBody(r *bufio.Reader, n int) ([]byte, error) {
+	if n <= firstChunk {
+		body := make([]byte, n)
+		_, err := io.ReadFull(r, body)
+		return body, err
+	}
+	var buf bytes.Buffer
+	buf.Grow(firstChunk)
+	if _, err := io.CopyN(&buf, r, int64(n)); err != nil {
+		return nil, err
+	}
+	return buf.Bytes(), nil
+}
--- /dev/null
+++ b/peer/pool.go
@@ -0,0 +1,156 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Pool keeps one connection for each peer address. It is safe for concurrent
+// use.
+type Pool struct {
+	cfg    Config
+	ctx    context.Context
+	cancel context.CancelFunc
+	dials  sync.WaitGroup
+
+	mu    sync.Mutex
+	peers map[string]*endpoint
+	shut  bool
+
+	// past is the traffic of dropped connections. It has its own lock, since
+	// endpoints add to it while they hold theirs.
+	past struct {
+		sync.Mutex
+		traffic Traffic
+	}
+}
+
+// NewPool returns a pool without connections.
+func NewPool(cfg Config) *Pool {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Pool{cfg: cfg.withDefaults(), ctx: ctx, cancel: cancel, peers: map[string]*endpoint{}}
+}
+
+// Close closes all connections; calls in progress fail. It waits for attempts
+// to connect.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.shut = true
+	peers := p.peers
+	p.peers = map[string]*endpoint{}
+	p.mu.Unlock()
+	// No attempt starts at a retired endpoint, so that there is an end to wait
+	// for.
+	for _, e := range peers {
+		p.retire(e)
+	}
+	p.cancel()
+	p.dials.Wait()
+}
+
+// Forget closes the connection to an address and forgets its backoff. It is for
+// addresses that no longer belong to a peer.
+func (p *Pool) Forget(addr string) {
+	p.mu.Lock()
+	e := p.peers[addr]
+	delete(p.peers, addr)
+	p.mu.Unlock()
+	if e != nil {
+		p.retire(e)
+	}
+}
+
+// retire closes what an endpoint has.
+func (p *Pool) retire(e *endpoint) {
+	if c := e.discard(); c != nil {
+		c.close(nil)
+		p.account(c)
+	}
+}
+
+// account keeps the traffic of a connection that is dropped.
+func (p *Pool) account(c *clientConn) {
+	p.past.Lock()
+	defer p.past.Unlock()
+	p.past.traffic = p.past.traffic.add(c.counted.traffic())
+}
+
+// Stats returns the connections and their traffic.
+func (p *Pool) Stats() Stats {
+	p.past.Lock()
+	out := Stats{Total: p.past.traffic}
+	p.past.Unlock()
+	p.mu.Lock()
+	peers := make([]*endpoint, 0, len(p.peers))
+	for _, e := range p.peers {
+		peers = append(peers, e)
+	}
+	p.mu.Unlock()
+	for _, e := range peers {
+		c := e.current()
+		if c == nil {
+			continue
+		}
+		cs := c.stats()
+		out.Conns = append(out.Conns, cs)
+		out.Total = out.Total.add(cs.Traffic)
+	}
+	return out
+}
+
+// Identity returns who answers at an address, if a connection is open.
+func (p *Pool) Identity(addr string) (Identity, bool) {
+	p.mu.Lock()
+	e := p.peers[addr]
+	p.mu.Unlock()
+	if e == nil {
+		return Identity{}, false
+	}
+	c := e.current()
+	if c == nil || !c.alive() {
+		return Identity{}, false
+	}
+	return c.remote, true
+}
+
+// conn returns a connection to an address, dialling it if needed. Errors are
+// *ClosedError, *BusyError, *BackoffError, *DialError, those of the hello and
+// the context's.
+func (p *Pool) conn(ctx context.Context, addr string) (*clientConn, error) {
+	e, err := p.endpoint(addr)
+	if err != nil {
+		return nil, err
+	}
+	return e.conn(ctx, p)
+}
+
+// endpoint returns the endpoint of an address, making room where needed.
+func (p *Pool) endpoint(addr string) (*endpoint, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.shut {
+		return nil, &ClosedError{}
+	}
+	if e, ok := p.peers[addr]; ok {
+		return e, nil
+	}
+	if len(p.peers) >= p.cfg.Limits.Connections {
+		p.prune(time.Now())
+	}
+	if len(p.peers) >= p.cfg.Limits.Connections {
+		return nil, &BusyError{What: "peer connections", Limit: p.cfg.Limits.Connections}
+	}
+	e := newEndpoint(addr, p.cfg.Limits)
+	p.peers[addr] = e
+	return e, nil
+}
+
+// prune drops endpoints that hold nothing worth keeping. The caller holds mu.
+func (p *Pool) prune(now time.Time) {
+	for addr, e := range p.peers {
+		if e.droppable(now) {
+			delete(p.peers, addr)
+		}
+	}
+}
--- /dev/null
+++ b/peer/registry.go
@@ -0,0 +1,132 @@
+package peer
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"sync"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// errorEntry ties an error type to its code.
+type errorEntry struct {
+	code   Code
+	decode func(json.RawMessage) (error, bool)
+}
+
+// errorTypes is the registry of error types, by type and by code.
+var errorTypes = struct {
+	sync.RWMutex
+	byType map[reflect.Type]errorEntry
+	byCode map[Code]errorEntry
+}{
+	byType: map[reflect.Type]errorEntry{},
+	byCode: map[Code]errorEntry{},
+}
+
+// RegisterError makes the error type T survive the wire under the given code:
+// a handler that returns a T (or wraps one) makes Call return a *CallError that
+// wraps an equal T. T travels as JSON. It is meant for init functions and
+// panics when the type or the code is taken: that is a fault of the build.
+func RegisterError[T error](code Code) {
+	t := reflect.TypeFor[T]()
+	e := errorEntry{code: code, decode: decodeError[T]}
+	errorTypes.Lock()
+	defer errorTypes.Unlock()
+	if _, taken := errorTypes.byCode[code]; taken {
+		panic(fmt.Sprintf("peer: error code %d registered twice", code))
+	}
+	if _, taken := errorTypes.byType[t]; taken {
+		panic(fmt.Sprintf("peer: error type %v registered twice", t))
+	}
+	errorTypes.byCode[code] = e
+	errorTypes.byType[t] = e
+}
+
+// decodeError decodes a T. It reports false when data is no T.
+func decodeError[T error](data json.RawMessage) (error, bool) {
+	var v T
+	if err := json.Unmarshal(data, &v); err != nil || reflect.ValueOf(&v).Elem().IsZero() && string(data) == "null" {
+		return nil, false
+	}
+	return v, true
+}
+
+func init() {
+	RegisterError[*HelloError](CodeHello)
+	RegisterError[*VersionError](CodeVersion)
+	RegisterError[*IdentityError](CodeIdentity)
+	RegisterError[*NotAllowedError](CodeNotAllowed)
+	RegisterError[*HelloRequiredError](CodeHelloRequired)
+	RegisterError[*MethodError](CodeMethod)
+	RegisterError[*ParamsError](CodeParams)
+	RegisterError[*BusyError](CodeBusy)
+	RegisterError[*StoppingError](CodeStopping)
+	RegisterError[*TimeoutError](CodeTimeout)
+	RegisterError[*TooLargeError](CodeTooLarge)
+}
+
+// errorData is the data member of a JSON-RPC error.
+type errorData struct {
+	// Refused attests that nothing of the call ran.
+	Refused bool `json:"refused,omitempty"`
+	// Error is the JSON form of the error type registered for the code.
+	Error json.RawMessage `json:"error,omitempty"`
+}
+
+// encodeError turns a handler's error into its wire form.
+func encodeError(err error) *jsonrpc2.Error {
+	out := &jsonrpc2.Error{Code: int64(CodeInternal), Message: err.Error()}
+	var data errorData
+	var refusal *RefusalError
+	data.Refused = errors.As(err, &refusal)
+	if code, body, ok := registered(err); ok {
+		out.Code = int64(code)
+		data.Error = body
+	}
+	out.SetError(data)
+	return out
+}
+
+// registered finds the first error in err's chain whose type is registered.
+func registered(err error) (Code, json.RawMessage, bool) {
+	errorTypes.RLock()
+	defer errorTypes.RUnlock()
+	for e := err; e != nil; e = errors.Unwrap(e) {
+		entry, ok := errorTypes.byType[reflect.TypeOf(e)]
+		if !ok {
+			continue
+		}
+		body, jerr := json.Marshal(e)
+		if jerr != nil {
+			return 0, nil, false
+		}
+		return entry.code, body, true
+	}
+	return 0, nil, false
+}
+
+// decodeRemote turns a wire error back into its type, and says whether the
+// remote attested a refusal.
+func decodeRemote(e *jsonrpc2.Error) (error, Delivery) {
+	var data errorData
+	if e.Data != nil {
+		// Data of another shape leaves the zero value: no attestation.
+		_ = json.Unmarshal(*e.Data, &data)
+	}
+	delivery := Unknown
+	if data.Refused {
+		delivery = Refused
+	}
+	errorTypes.RLock()
+	entry, ok := errorTypes.byCode[Code(e.Code)]
+	errorTypes.RUnlock()
+	if ok {
+		if v, ok := entry.decode(data.Error); ok {
+			return v, delivery
+		}
+	}
+	return &RemoteError{Code: Code(e.Code), Message: e.Message, Data: data.Error}, delivery
+}
