--- /dev/null
+++ b/load/workload/arrival.go
@@ -0,0 +1,175 @@
+package workload
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/wardspool/wardspool/ident"
+)
+
+// Arrival is one request as its caller means it.
+type Arrival struct {
+	// Number counts the arrivals from 0.
+	Number int
+	// At is the time since the start of the run.
+	At        time.Duration
+	Kind      *Kind
+	Workspace ident.Workspace
+	// PromptTokens and OutputTokens are the lengths, for model requests.
+	PromptTokens int
+	OutputTokens int
+	// Family is the prefix family, NoFamily if the prompt shares nothing.
+	Family int
+	// CancelAfter is when the caller leaves, 0 if it stays.
+	CancelAfter time.Duration
+	// Retries says whether the caller comes back after a refusal.
+	Retries bool
+	// Seed is for the caller's further choices, such as its targets.
+	Seed uint64
+}
+
+// NoFamily is the family of prompts that share nothing.
+const NoFamily = -1
+
+// Generator draws the arrivals of one run.
+type Generator struct {
+	spec *Spec
+	rate float64
+	rng  *rand.Rand
+
+	now   time.Duration
+	count int
+	// burst says whether the rate is raised, until phaseEnd.
+	burst    bool
+	phaseEnd time.Duration
+}
+
+// streamArrivals tells the generator's random stream from others of one seed.
+const streamArrivals = 0x6172726976616c73
+
+// NewGenerator returns a generator of arrivals at a mean rate a second. The
+// same spec, rate and seed give the same arrivals.
+func NewGenerator(spec *Spec, rate float64, seed uint64) *Generator {
+	g := &Generator{spec: spec, rate: rate, rng: rand.New(rand.NewPCG(seed, streamArrivals))}
+	if spec.Bursts.Factor > 1 {
+		g.phaseEnd = g.exponential(spec.Bursts.Off)
+	}
+	return g
+}
+
+// Next returns the next arrival.
+func (g *Generator) Next() Arrival {
+	g.advance()
+	kind := &g.spec.Kinds[g.pick(len(g.spec.Kinds), func(i int) float64 { return g.spec.Kinds[i].Share })]
+	space := g.pick(len(g.spec.Workspaces), func(i int) float64 { return g.spec.Workspaces[i].Share })
+	a := Arrival{
+		Number:    g.count,
+		At:        g.now,
+		Kind:      kind,
+		Workspace: g.spec.Workspaces[space].Name,
+		Family:    NoFamily,
+	}
+	g.count++
+	g.drawPrompt(&a)
+	g.drawCaller(&a)
+	return a
+}
+
+// drawPrompt draws the lengths and the family of a model request.
+func (g *Generator) drawPrompt(a *Arrival) {
+	k := a.Kind
+	if k.Model == "" {
+		return
+	}
+	a.PromptTokens = g.length(k.Prompt)
+	a.OutputTokens = g.length(k.Output)
+	if k.Families.Count > 0 && g.rng.Float64() < k.Families.Share {
+		a.Family = g.rng.IntN(k.Families.Count)
+	}
+}
+
+// drawCaller draws what the caller will do.
+func (g *Generator) drawCaller(a *Arrival) {
+	leaves := g.rng.Float64() < a.Kind.CancelShare
+	when := g.rng.Float64()
+	if leaves {
+		a.CancelAfter = 1 + time.Duration(when*float64(a.Kind.expected(a.OutputTokens)))
+	}
+	a.Retries = g.rng.Float64() < g.spec.Caller.RetryShare
+	a.Seed = g.rng.Uint64()
+}
+
+// expected is about how long an answer takes that just meets its targets.
+func (k *Kind) expected(outputTokens int) time.Duration {
+	return k.FirstOutput + time.Duration(outputTokens)*k.Pace
+}
+
+// advance moves to the time of the next arrival.
+func (g *Generator) advance() {
+	b := g.spec.Bursts
+	if b.Factor <= 1 {
+		g.now += g.gap(1)
+		return
+	}
+	for {
+		factor := b.quietFactor()
+		if g.burst {
+			factor = b.Factor
+		}
+		next := g.now + g.gap(factor)
+		if next < g.phaseEnd {
+			g.now = next
+			return
+		}
+		// Gaps are memoryless, so that the draw may start anew at the change.
+		g.now = g.phaseEnd
+		g.burst = !g.burst
+		length := b.Off
+		if g.burst {
+			length = b.On
+		}
+		g.phaseEnd += g.exponential(length)
+	}
+}
+
+// quietFactor is the rate between bursts that keeps the mean rate.
+func (b Bursts) quietFactor() float64 {
+	on, off := b.On.Seconds(), b.Off.Seconds()
+	return (on + off - b.Factor*on) / off
+}
+
+// gap draws the time to the next arrival at a multiple of the mean rate.
+func (g *Generator) gap(factor float64) time.Duration {
+	if factor <= 0 {
+		return math.MaxInt64 / 4
+	}
+	return g.exponential(time.Duration(float64(time.Second) / (g.rate * factor)))
+}
+
+// exponential draws a duration with the given mean.
+func (g *Generator) exponential(mean time.Duration) time.Duration {
+	return time.Duration(g.rng.ExpFloat64() * float64(mean))
+}
+
+// length draws a length in tokens.
+func (g *Generator) length(l Lengths) int {
+	n := float64(l.Median) * math.Exp(g.rng.NormFloat64()*l.Sigma)
+	return min(max(int(n), l.Min), l.Max)
+}
+
+// pick draws an index by weight.
+func (g *Generator) pick(n int, weight func(int) float64) int {
+	total := 0.0
+	for i := range n {
+		total += weight(i)
+	}
+	at := g.rng.Float64() * total
+	for i := range n {
+		at -= weight(i)
+		if at < 0 {
+			return i
+		}
+	}
+	return n - 1
+}
--- /dev/null
+++ b/load/workload/prompt.go
@@ -0,0 +1,71 @@
+package workload
+
+import (
+	"encoding/binary"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// PrefixTokens is how many leading tokens of the prompt its family shares.
+func (a *Arrival) PrefixTokens() int {
+	if a.Family == NoFamily {
+		return 0
+	}
+	return min(a.Kind.Families.Prefix, a.PromptTokens)
+}
+
+// Prompt returns the prompt's text: words of a few letters, one a token. All
+// prompts of a family start with the same words; what follows is the arrival's
+// own.
+func (a *Arrival) Prompt() string {
+	shared := a.PrefixTokens()
+	b := make([]byte, 0, a.PromptTokens*wordBytes)
+	family := a.Kind.Name + "-" + strconv.Itoa(a.Family)
+	b = appendWords(b, xxhash.Sum64String(family), shared)
+	own := a.Seed ^ uint64(a.Number)
+	b = appendWords(b, own, a.PromptTokens-shared)
+	return string(b)
+}
+
+// wordBytes is the usual length of a word and its blank.
+const wordBytes = 5
+
+// wordRange bounds the numbers that words are made of: up to four letters.
+const wordRange = 36 * 36 * 36 * 36
+
+// appendWords appends n words that follow from seed.
+func appendWords(b []byte, seed uint64, n int) []byte {
+	state := seed
+	for range n {
+		state = state*6364136223846793005 + 1442695040888963407
+		b = strconv.AppendUint(b, (state>>33)%wordRange, 36)
+		b = append(b, ' ')
+	}
+	return b
+}
+
+// Blocks returns stand-ins for the hashes of the prompt's whole pieces: equal
+// in two prompts exactly where their text is equal from the start. They take
+// the place of tokens.BlockHashes where no text is made.
+func (a *Arrival) Blocks(pieceTokens int) []uint64 {
+	shared := a.PrefixTokens() / pieceTokens
+	blocks := make([]uint64, a.PromptTokens/pieceTokens)
+	for i := range blocks {
+		if i < shared {
+			blocks[i] = blockHash(xxhash.Sum64String(a.Kind.Name), uint64(a.Family), uint64(i))
+		} else {
+			blocks[i] = blockHash(a.Seed, uint64(a.Number), uint64(i))
+		}
+	}
+	return blocks
+}
+
+// blockHash hashes three numbers.
+func blockHash(x, y, z uint64) uint64 {
+	var b [24]byte
+	binary.LittleEndian.PutUint64(b[0:], x)
+	binary.LittleEndian.PutUint64(b[8:], y)
+	binary.LittleEndian.PutUint64(b[16:], z)
+	return xxhash.Sum64(b[:])
+}
--- /dev/null
+++ b/load/workload/spec.go
@@ -0,0 +1,177 @@
+// Package workload describes what callers ask for, in YAML, and draws seeded
+// arrivals from the description. It does no I/O beyond decoding and reads no
+// clock, so that the load generator and the virtual-time experiment offer the
+// same work.
+package workload
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+)
+
+// Spec describes the callers of one deployment.
+type Spec struct {
+	// Deployment names the user, for example "coastline".
+	Deployment string `yaml:"deployment"`
+	// Workspaces lists who asks, by share of the requests.
+	Workspaces []Workspace `yaml:"workspaces"`
+	// Kinds lists what is asked, by share of the requests.
+	Kinds []Kind `yaml:"kinds"`
+	// Bursts says how arrivals clump.
+	Bursts Bursts `yaml:"bursts"`
+	Caller Caller `yaml:"caller"`
+}
+
+// Workspace is one customer's part of the requests.
+type Workspace struct {
+	Name ident.Workspace `yaml:"name"`
+	// Share is relative to the other workspaces' shares.
+	Share float64 `yaml:"share"`
+}
+
+// Kind is one kind of request's part of the load.
+type Kind struct {
+	// Name is the kind's name in the bundle.
+	Name string `yaml:"name"`
+	// Share is relative to the other kinds' shares.
+	Share float64 `yaml:"share"`
+	// Model or Service is asked for; the other one is empty.
+	Model   string `yaml:"model"`
+	Service string `yaml:"service"`
+	// Repeatable is false for requests that must run at most once. It must
+	// agree with the bundle.
+	Repeatable bool `yaml:"repeatable"`
+	// FirstOutput, Pace and Deadline are the targets by which answers are
+	// judged. They must agree with the bundle. Services may leave out
+	// FirstOutput; their answers are then due at the deadline.
+	FirstOutput time.Duration `yaml:"first_output"`
+	Pace        time.Duration `yaml:"pace"`
+	Deadline    time.Duration `yaml:"deadline"`
+	Prompt      Lengths       `yaml:"prompt"`
+	Output      Lengths       `yaml:"output"`
+	// Families are prompts that share a prefix.
+	Families Families `yaml:"families"`
+	// CancelShare is the share of requests whose caller leaves early.
+	CancelShare float64 `yaml:"cancel_share"`
+}
+
+// Route returns the path that requests of the kind take.
+func (k *Kind) Route() config.Route {
+	if k.Service != "" {
+		return config.RouteService
+	}
+	return config.RouteModel
+}
+
+// Lengths is a log-normal distribution of lengths in tokens, cut at both ends.
+type Lengths struct {
+	Median int     `yaml:"median"`
+	Sigma  float64 `yaml:"sigma"`
+	Min    int     `yaml:"min"`
+	Max    int     `yaml:"max"`
+}
+
+// Families describes the shared prefixes of a kind's prompts.
+type Families struct {
+	// Count is the number of families; 0 is no shared prefixes.
+	Count int `yaml:"count"`
+	// Prefix is the shared length in tokens. A prompt that is no longer than
+	// the prefix has the leading part of it.
+	Prefix int `yaml:"prefix"`
+	// Share is the share of requests that belong to a family.
+	Share float64 `yaml:"share"`
+}
+
+// Bursts modulates the rate of arrivals between two levels with the same mean.
+type Bursts struct {
+	// Factor is the rate within a burst, as a multiple of the mean rate; 0 and
+	// 1 are no bursts.
+	Factor float64 `yaml:"factor"`
+	// On and Off are the mean lengths of bursts and of the times between.
+	On  time.Duration `yaml:"on"`
+	Off time.Duration `yaml:"off"`
+}
+
+// Caller describes how callers react to refusals and lost connections.
+type Caller struct {
+	// RetryShare is the share of refused requests that the caller sends again
+	// when it was told to, at another instance.
+	RetryShare float64 `yaml:"retry_share"`
+	// MaxRetries bounds the retries of one request.
+	MaxRetries int `yaml:"max_retries"`
+}
+
+// SpecError reports a workload file that makes no sense.
+type SpecError struct {
+	// Field names the field at fault.
+	Field string
+	// Wrong says what is wrong with it.
+	Wrong string
+}
+
+// Error implements error.
+func (e *SpecError) Error() string { return fmt.Sprintf("workload: %s %s", e.Field, e.Wrong) }
+
+// Parse decodes and checks a workload file. Errors are those of the YAML
+// decoder or a *SpecError.
+func Parse(source []byte) (*Spec, error) {
+	var s Spec
+	if err := yaml.UnmarshalWithOptions(source, &s, yaml.Strict()); err != nil {
+		return nil, err
+	}
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+// check returns the first *SpecError and fills in defaults.
+func (s *Spec) check() error {
+	if len(s.Workspaces) == 0 {
+		return &SpecError{Field: "workspaces", Wrong: "is empty"}
+	}
+	if len(s.Kinds) == 0 {
+		return &SpecError{Field: "kinds", Wrong: "is empty"}
+	}
+	for i := range s.Kinds {
+		if err := s.Kinds[i].check(); err != nil {
+			return err
+		}
+		if s.Kinds[i].FirstOutput == 0 {
+			s.Kinds[i].FirstOutput = s.Kinds[i].Deadline
+		}
+	}
+	b := s.Bursts
+	if b.Factor > 1 && (b.On <= 0 || b.Off <= 0 || b.quietFactor() < 0) {
+		return &SpecError{Field: "bursts", Wrong: "need on and off, and factor*on at most on+off"}
+	}
+	return nil
+}
+
+// check returns the first *SpecError.
+func (k *Kind) check() error {
+	field := "kind " + k.Name
+	if (k.Model == "") == (k.Service == "") {
+		return &SpecError{Field: field, Wrong: "must name either a model or a service"}
+	}
+	if k.Share <= 0 || k.Deadline <= 0 {
+		return &SpecError{Field: field, Wrong: "needs a share and a deadline above 0"}
+	}
+	if k.Model == "" {
+		return nil
+	}
+	if k.FirstOutput <= 0 || k.Pace <= 0 {
+		return &SpecError{Field: field, Wrong: "needs first_output and pace above 0"}
+	}
+	for _, l := range []Lengths{k.Prompt, k.Output} {
+		if l.Min < 1 || l.Median < l.Min || l.Max < l.Median {
+			return &SpecError{Field: field, Wrong: "needs lengths with 1 <= min <= median <= max"}
+		}
+	}
+	return nil
+}
