Decision kernel: admission, joint placement, retries, resume, cancel, outcomes

Cause: the whole path needs one place that decides. Ruled out: tokens passing through the kernel (cost at 1.7 M tokens/s), timers removed from the heap (checked when due instead), acting on slot grants inside the plug-in's own call (a release may grant another request's ask; they are settled after it returns). A prefill alone rules out not-run but not another attempt: it has no effect.

--- /dev/null
+++ b/kernel/finish.go
@@ -0,0 +1,106 @@
+package kernel
+
+import (
+	"time"
+
+	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/ident"
+)
+
+// complete gives a call its whole answer.
+func (k *Kernel) complete(c *call) {
+	k.finish(c, Answer{Request: c.request.ID, Outcome: api.Complete},
+		Record{Step: StepCompleted, Reason: ReasonWhole})
+}
+
+// refuseCall gives up a call for which nothing is in flight.
+func (k *Kernel) refuseCall(c *call, r *Refusal) {
+	k.end(c, StepRefused, r)
+}
+
+// fail gives up a call after failures.
+func (k *Kernel) fail(c *call, reason Reason, problem api.ProblemType, detail string) {
+	k.end(c, StepFailed, &Refusal{
+		Reason:     reason,
+		Problem:    problem,
+		Detail:     detail,
+		RetryAfter: retryAfterFailure,
+	})
+}
+
+// callerGone ends a call whose caller no longer waits.
+func (k *Kernel) callerGone(id ident.RequestID) {
+	c, ok := k.calls[id]
+	if !ok {
+		return
+	}
+	k.end(c, StepCancelled, &Refusal{
+		Reason:  ReasonCallerGone,
+		Problem: api.ProblemCallerGone,
+		Detail:  "the caller closed the connection",
+	})
+}
+
+// deadlinePassed ends a call whose caller stops waiting now.
+func (k *Kernel) deadlinePassed(id ident.RequestID) {
+	c, ok := k.calls[id]
+	if !ok || k.now.Before(c.request.Deadline) {
+		return
+	}
+	k.end(c, StepFailed, &Refusal{
+		Reason:     ReasonDeadlinePassed,
+		Problem:    api.ProblemDeadline,
+		Detail:     "the deadline passed before the whole answer was there",
+		RetryAfter: k.comeBack(c.request),
+	})
+}
+
+// end gives a call its final answer other than a whole one.
+func (k *Kernel) end(c *call, step Step, r *Refusal) {
+	outcome := api.NotRun
+	if c.touched || c.started() || c.prefill != nil {
+		outcome = api.Unknown
+	}
+	problem := api.NewProblem(r.Problem, outcome, r.Detail).RetryAfter(r.RetryAfter)
+	problem.RequestID = string(c.request.ID)
+	problem.BundleVersion = k.catalog.version
+	k.finish(c, Answer{Request: c.request.ID, Outcome: outcome, Problem: problem},
+		Record{Step: step, Reason: r.Reason, RetryAfter: r.RetryAfter})
+}
+
+// finish releases all that a call holds and emits its one answer.
+func (k *Kernel) finish(c *call, a Answer, rec Record) {
+	k.dequeue(c)
+	k.release(c.active)
+	k.release(c.prefill)
+	k.giveSlotBack(c)
+	delete(k.calls, c.request.ID)
+	for _, check := range c.admitted {
+		check.Finished(c.request, a.Outcome)
+	}
+	k.dirty = true
+	k.emit(a)
+	rec.Outcome = a.Outcome
+	rec.Offset = c.delivered
+	k.log(c, rec)
+}
+
+// log completes a decision record, tells the observers and emits it.
+func (k *Kernel) log(c *call, rec Record) {
+	r := c.request
+	rec.Time = k.now
+	rec.Request = r.ID
+	rec.Workspace = r.Workspace
+	rec.Kind = r.Kind
+	rec.Waited = max(k.now.Sub(r.Arrived), 0)
+	rec.QueueLength = k.queueLength()
+	rec.BundleVersion = k.catalog.version
+	rec.ViewAge = min(rec.ViewAge, maxViewAge)
+	for _, o := range k.policy.observers {
+		o.Observe(r, rec)
+	}
+	k.emit(Log{Record: rec})
+}
+
+// maxViewAge is reported where no load was ever seen.
+const maxViewAge = time.Hour
--- /dev/null
+++ b/kernel/fleet.go
@@ -0,0 +1,186 @@
+package kernel
+
+import (
+	"time"
+
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+)
+
+// fleet is the kernel's own copy of the view, with what only this instance
+// knows: its requests in flight, failures it saw, load reports it read.
+type fleet struct {
+	view View
+	byID map[ident.UpstreamID]int
+	// prefills, decodes and services index the view's upstreams by the model
+	// or service they are declared to run.
+	prefills map[string][]int
+	decodes  map[string][]int
+	services map[string][]int
+	// left remembers the incarnation in which an upstream said that it is
+	// leaving: leaving is sticky, whatever an older view says.
+	left map[ident.UpstreamID]ident.Incarnation
+}
+
+func (f *fleet) init() {
+	f.byID = map[ident.UpstreamID]int{}
+	f.left = map[ident.UpstreamID]ident.Incarnation{}
+}
+
+// upstream finds an upstream by ID, nil if the view has none.
+func (f *fleet) upstream(id ident.UpstreamID) *Upstream {
+	i, ok := f.byID[id]
+	if !ok {
+		return nil
+	}
+	return &f.view.Upstreams[i]
+}
+
+// replace takes over a new view and keeps this instance's own knowledge of the
+// upstreams that are still the same process.
+func (f *fleet) replace(v *View, now time.Time) {
+	old := f.view.Upstreams
+	next := *v
+	next.Upstreams = append([]Upstream(nil), v.Upstreams...)
+	next.Instances = append([]Instance(nil), v.Instances...)
+	index := make(map[ident.UpstreamID]int, len(next.Upstreams))
+	for i := range next.Upstreams {
+		u := &next.Upstreams[i]
+		u.Index = i
+		index[u.ID] = i
+		f.carryOver(u, old, now)
+	}
+	f.view = next
+	f.byID = index
+}
+
+// carryOver copies what is kept from the upstream's previous entry.
+func (f *fleet) carryOver(u *Upstream, old []Upstream, now time.Time) {
+	u.Own = Own{}
+	u.Health = Health{BackSince: now}
+	i, ok := f.byID[u.ID]
+	if !ok {
+		return
+	}
+	prev := &old[i]
+	if u.Incarnation < prev.Incarnation {
+		// An older life than one already seen: the view lags.
+		u.Incarnation = prev.Incarnation
+		u.Life = prev.Life
+	}
+	if u.Incarnation != prev.Incarnation {
+		return
+	}
+	u.Own = prev.Own
+	u.Health = prev.Health
+	if prev.Load.At.After(u.Load.At) {
+		u.Load = prev.Load
+	}
+	if f.left[u.ID] == u.Incarnation && u.Life < Leaving {
+		u.Life = Leaving
+	}
+}
+
+// describe joins the bundle's declarations to the view's upstreams and rebuilds
+// the indexes.
+func (f *fleet) describe(c *config.Content) {
+	specs := make(map[ident.UpstreamID]*config.Upstream, len(c.Upstreams))
+	for i := range c.Upstreams {
+		specs[c.Upstreams[i].ID] = &c.Upstreams[i]
+	}
+	f.prefills = map[string][]int{}
+	f.decodes = map[string][]int{}
+	f.services = map[string][]int{}
+	for i := range f.view.Upstreams {
+		u := &f.view.Upstreams[i]
+		spec, ok := specs[u.ID]
+		if !ok {
+			continue
+		}
+		u.Spec = *spec
+		f.file(i, spec)
+	}
+}
+
+// file puts the upstream at index i under what it is declared to run.
+func (f *fleet) file(i int, spec *config.Upstream) {
+	switch spec.Role {
+	case config.RolePrefill:
+		for _, m := range spec.Models {
+			f.prefills[m] = append(f.prefills[m], i)
+		}
+	case config.RoleDecode:
+		for _, m := range spec.Models {
+			f.decodes[m] = append(f.decodes[m], i)
+		}
+	case config.RoleService:
+		f.services[spec.Service] = append(f.services[spec.Service], i)
+	}
+}
+
+// markLeaving notes an upstream's own word that it is leaving.
+func (f *fleet) markLeaving(u *Upstream) {
+	f.left[u.ID] = u.Incarnation
+	if u.Life < Leaving {
+		u.Life = Leaving
+	}
+}
+
+func (k *Kernel) viewChanged(v *View) {
+	k.fleet.replace(v, k.now)
+	if k.catalog.content != nil {
+		k.fleet.describe(k.catalog.content)
+	}
+	if v.Trusted {
+		k.distrustUntil = time.Time{}
+	}
+	k.dirty = true
+	k.dropLostWork()
+}
+
+// dropLostWork ends attempts and cancels on upstreams that are dead for
+// certain: their memory is gone with them.
+func (k *Kernel) dropLostWork() {
+	for _, a := range k.attemptsInOrder() {
+		if !k.gone(a.upstream, a.incarnation) {
+			continue
+		}
+		k.attemptFailed(AttemptFailed{
+			Attempt:  a.id,
+			Evidence: Ambiguous,
+			Code:     FailureBroken,
+			Offset:   a.call.delivered,
+		})
+	}
+	for id, c := range k.cancels {
+		if k.gone(c.upstream, c.incarnation) {
+			delete(k.cancels, id)
+		}
+	}
+}
+
+// gone reports whether an upstream's incarnation is known to have ended.
+func (k *Kernel) gone(id ident.UpstreamID, inc ident.Incarnation) bool {
+	u := k.fleet.upstream(id)
+	if u == nil {
+		return false
+	}
+	return u.Life == Dead || u.Incarnation != inc
+}
+
+func (k *Kernel) loadSeen(e LoadSeen) {
+	u := k.fleet.upstream(e.Upstream)
+	if u == nil || e.Load.At.Before(u.Load.At) {
+		return
+	}
+	u.Load = e.Load
+	k.dirty = true
+}
+
+func (k *Kernel) cacheChanged(e CacheChanged) {
+	u := k.fleet.upstream(e.Upstream)
+	if u == nil || k.prefix == nil {
+		return
+	}
+	k.prefix.Apply(u, e)
+}
--- /dev/null
+++ b/kernel/health.go
@@ -0,0 +1,50 @@
+package kernel
+
+import "time"
+
+const (
+	// ejectAfter is how many consecutive failures eject an upstream.
+	ejectAfter = 3
+	// ejectBase is the length of the first ejection; each further one in a row
+	// doubles it.
+	ejectBase = 2 * time.Second
+	// maxEjectDoublings bounds the ejections' length.
+	maxEjectDoublings = 4
+)
+
+// succeeded notes a success of an attempt on u.
+func (k *Kernel) succeeded(u *Upstream) {
+	if u == nil {
+		return
+	}
+	u.Health.Failures = 0
+	u.Health.Ejections = 0
+}
+
+// failed notes a failure that is the upstream's own fault, and ejects the
+// upstream after several in a row.
+func (k *Kernel) failed(u *Upstream) {
+	if u == nil {
+		return
+	}
+	u.Health.Failures++
+	if u.Health.Failures < ejectAfter || k.now.Before(u.Health.EjectedUntil) {
+		return
+	}
+	length := ejectBase << min(u.Health.Ejections, maxEjectDoublings)
+	u.Health.Ejections++
+	u.Health.Failures = 0
+	u.Health.EjectedUntil = k.now.Add(length)
+	u.Health.BackSince = u.Health.EjectedUntil
+	k.kick(u.Health.EjectedUntil)
+}
+
+// upstreamFault reports whether a failure speaks against the upstream's health.
+func upstreamFault(code FailureCode) bool {
+	switch code {
+	case FailureConnect, FailureBroken, FailureStalled, FailureUpstream, FailureTimeout:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/kernel/host.go
@@ -0,0 +1,72 @@
+package kernel
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+)
+
+// host is the kernel as its plug-ins see it.
+type host struct{ k *Kernel }
+
+var _ Host = host{}
+
+func (h host) Now() time.Time           { return h.k.now }
+func (h host) Self() Self               { return h.k.self }
+func (h host) View() *View              { return &h.k.fleet.view }
+func (h host) Content() *config.Content { return h.k.catalog.content }
+func (h host) Rand() *rand.Rand         { return h.k.rand }
+func (h host) QueueLength() int         { return h.k.queueLength() }
+
+func (h host) Upstream(id ident.UpstreamID) *Upstream { return h.k.fleet.upstream(id) }
+func (h host) Model(name string) *config.Model        { return h.k.catalog.models[name] }
+func (h host) Estimate(r *Request) Estimate           { return h.k.estimate(r) }
+
+func (h host) Send(to ident.InstanceID, m PeerMessage) {
+	h.k.emit(SendPeer{To: to, Message: m})
+}
+
+func (h host) SlotGranted(id ident.AttemptID) {
+	h.k.verdicts = append(h.k.verdicts, slotVerdict{id: id, granted: true})
+}
+
+func (h host) SlotDenied(id ident.AttemptID, retryAt time.Time) {
+	h.k.verdicts = append(h.k.verdicts, slotVerdict{id: id, retryAt: retryAt})
+}
+
+// slotVerdict is a slot policy's late answer to a reservation. It is acted upon
+// after the call that brought it has returned, since a policy may answer one
+// request while another one's slot is being released.
+type slotVerdict struct {
+	id      ident.AttemptID
+	granted bool
+	retryAt time.Time
+}
+
+func (k *Kernel) settleSlots() {
+	for i := 0; i < len(k.verdicts); i++ {
+		v := k.verdicts[i]
+		if v.granted {
+			k.slotGranted(v.id)
+		} else {
+			k.slotDenied(v.id, v.retryAt)
+		}
+	}
+	k.verdicts = k.verdicts[:0]
+}
+
+func (k *Kernel) peerReceived(e PeerReceived) {
+	if p, ok := k.policy.handlers[e.Message.MessageKind()]; ok {
+		p.Receive(e.From, e.Message)
+		k.dirty = true
+	}
+}
+
+func (k *Kernel) peerUndelivered(e PeerUndelivered) {
+	if p, ok := k.policy.handlers[e.Message.MessageKind()]; ok {
+		p.Undelivered(e.To, e.Message)
+		k.dirty = true
+	}
+}
--- /dev/null
+++ b/kernel/place.go
@@ -0,0 +1,187 @@
+package kernel
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+)
+
+// placement is a choice of upstreams for a request and what spoke for it.
+type placement struct {
+	prefill, decode ident.UpstreamID
+	cost            float64
+	runnersUp       []Alternative
+	// predicted is the expected time to first output from the decision on.
+	predicted time.Duration
+	viewAge   time.Duration
+	// choices is how many pairs, or services, were compared.
+	choices int
+}
+
+// maxRunnersUp bounds the alternatives in a decision record.
+const maxRunnersUp = 3
+
+// tieBreakSeconds is the most that chance adds to a cost, so that instances
+// with the same view do not all choose the same upstream.
+const tieBreakSeconds = 0.002
+
+// pair is a prefill and a decode engine, by index, and their joint cost.
+type pair struct {
+	prefill, decode int
+	cost            float64
+}
+
+// placer holds the scratch space of placement decisions.
+type placer struct {
+	decision Decision
+	prefills shortlist
+	decodes  shortlist
+	pairs    [shortlistSize * shortlistSize]pair
+	// reserving counts the calls in state callReserving.
+	reserving int
+}
+
+// decide prepares the decision context for a call.
+func (k *Kernel) decide(c *call) *Decision {
+	d := &k.placer.decision
+	*d = Decision{
+		Now:          k.now,
+		Self:         k.self,
+		Request:      c.request,
+		Model:        k.catalog.models[c.request.Model],
+		View:         &k.fleet.view,
+		Slots:        k.policy.slots,
+		PromptTokens: c.request.PromptTokens + c.delivered,
+	}
+	if k.prefix != nil {
+		d.Prefix = k.prefix
+	}
+	return d
+}
+
+// keep reports whether all filters let the upstream serve in the role.
+func (k *Kernel) keep(d *Decision, c *call, u *Upstream, role config.Role) bool {
+	if c.avoids(u.ID) {
+		return false
+	}
+	for _, f := range k.policy.filters {
+		if !f.Keep(d, u, role) {
+			return false
+		}
+	}
+	return true
+}
+
+func (k *Kernel) tieBreak() float64 { return k.rand.Float64() * tieBreakSeconds }
+
+func (k *Kernel) shortlistPrefills(d *Decision, c *call) {
+	list := &k.placer.prefills
+	list.reset()
+	for _, i := range k.fleet.prefills[c.request.Model] {
+		u := &k.fleet.view.Upstreams[i]
+		if !k.keep(d, c, u, config.RolePrefill) {
+			continue
+		}
+		cost := k.tieBreak()
+		for _, s := range k.policy.scorers {
+			cost += s.weight * s.scorer.Prefill(d, u)
+		}
+		list.offer(i, cost)
+	}
+}
+
+// shortlistDecodes ranks the upstreams at the given indexes as decode engines,
+// or as plain services.
+func (k *Kernel) shortlistDecodes(d *Decision, c *call, at []int, role config.Role) {
+	list := &k.placer.decodes
+	list.reset()
+	for _, i := range at {
+		u := &k.fleet.view.Upstreams[i]
+		if !k.keep(d, c, u, role) {
+			continue
+		}
+		cost := k.tieBreak()
+		for _, s := range k.policy.scorers {
+			cost += s.weight * s.scorer.Decode(d, u)
+		}
+		list.offer(i, cost)
+	}
+}
+
+// rankPairs joins the shortlists and returns the pairs, cheapest first.
+func (k *Kernel) rankPairs(d *Decision) []pair {
+	pairs := k.placer.pairs[:0]
+	for _, p := range k.placer.prefills.all() {
+		for _, q := range k.placer.decodes.all() {
+			pairs = append(pairs, pair{
+				prefill: p.index,
+				decode:  q.index,
+				cost:    p.cost + q.cost + k.pairCost(d, p.index, q.index),
+			})
+		}
+	}
+	slices.SortStableFunc(pairs, func(a, b pair) int { return cmp.Compare(a.cost, b.cost) })
+	return pairs
+}
+
+func (k *Kernel) pairCost(d *Decision, prefill, decode int) float64 {
+	p := &k.fleet.view.Upstreams[prefill]
+	q := &k.fleet.view.Upstreams[decode]
+	cost := 0.0
+	for _, s := range k.policy.scorers {
+		cost += s.weight * s.scorer.Pair(d, p, q)
+	}
+	return cost
+}
+
+// plan describes the pair at index chosen of the ranked pairs.
+func (k *Kernel) plan(d *Decision, pairs []pair, chosen int) placement {
+	p := &k.fleet.view.Upstreams[pairs[chosen].prefill]
+	q := &k.fleet.view.Upstreams[pairs[chosen].decode]
+	return placement{
+		prefill:   p.ID,
+		decode:    q.ID,
+		cost:      pairs[chosen].cost,
+		runnersUp: k.runnersUp(pairs, chosen),
+		predicted: k.predict(d, p, q),
+		viewAge:   k.now.Sub(oldest(p.Load.At, q.Load.At)),
+		choices:   len(pairs),
+	}
+}
+
+func (k *Kernel) runnersUp(pairs []pair, chosen int) []Alternative {
+	alternatives := make([]Alternative, 0, maxRunnersUp)
+	for i := range pairs {
+		if len(alternatives) == maxRunnersUp {
+			break
+		}
+		if i == chosen {
+			continue
+		}
+		alternatives = append(alternatives, Alternative{
+			Prefill: k.fleet.view.Upstreams[pairs[i].prefill].ID,
+			Decode:  k.fleet.view.Upstreams[pairs[i].decode].ID,
+			Cost:    pairs[i].cost,
+		})
+	}
+	return alternatives
+}
+
+// predict is the expected time to first output once the slot is reserved.
+func (k *Kernel) predict(d *Decision, p, q *Upstream) time.Duration {
+	uncached := UncachedTokens(d, p)
+	return PrefillWait(p, k.now) +
+		PrefillTime(p, uncached) +
+		TransferTime(d.Model, d.PromptTokens, p, q) +
+		DecodePace(q, q.Load.Running+1)
+}
+
+func oldest(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/kernel/policy.go
@@ -0,0 +1,227 @@
+package kernel
+
+import (
+	"fmt"
+
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/plugin"
+)
+
+// PolicyTypeError reports a plug-in that is not what its place in the policy
+// needs, for example a scorer named as a filter.
+type PolicyTypeError struct {
+	ID   plugin.ID
+	Want string
+}
+
+// Error implements error.
+func (e *PolicyTypeError) Error() string {
+	return fmt.Sprintf("plug-in %s is not a %s", e.ID, e.Want)
+}
+
+// ConfigRejected reports that a bundle version names a policy this binary
+// cannot run. The version before it stays in force.
+type ConfigRejected struct {
+	Version uint64
+	Err     error
+}
+
+func (ConfigRejected) action() {}
+
+// policy is the set of plug-ins in force.
+type policy struct {
+	loaded    map[plugin.ID]plugin.Plugin
+	slots     SlotPolicy
+	order     QueueOrder
+	admission []Admission
+	filters   []Filter
+	scorers   []weighted
+	// handlers finds the plug-in that takes a kind of peer message. Plug-ins
+	// that a newer bundle no longer names stay, until their requests are over.
+	handlers  map[string]PeerHandler
+	wakers    []Waker
+	observers []Observer
+}
+
+// weighted is a scorer and its weight.
+type weighted struct {
+	scorer Scorer
+	weight float64
+}
+
+// CheckPolicy reports whether this binary can run the policy: every plug-in is
+// linked, is of the kind its place needs, and accepts its settings. Errors are
+// *plugin.UnknownError, *plugin.LifecycleError or *PolicyTypeError.
+func CheckPolicy(c *config.Content) error {
+	_, err := loadPolicy(policy{}, c)
+	return err
+}
+
+// configured brings a bundle version into force.
+func (k *Kernel) configured(e Configured) {
+	if e.Version <= k.catalog.version {
+		return
+	}
+	next, err := loadPolicy(k.policy, e.Content)
+	if err != nil {
+		k.emit(ConfigRejected{Version: e.Version, Err: err})
+		return
+	}
+	previous := k.policy
+	k.catalog = newCatalog(e.Version, e.Content)
+	k.fleet.describe(e.Content)
+	k.policy = next
+	k.attachNew(previous)
+	k.moveQueue(previous.order)
+	k.dirty = true
+}
+
+// attachNew introduces the kernel to the plug-ins that previous did not have,
+// and tells all of them of the new content.
+func (k *Kernel) attachNew(previous policy) {
+	for _, id := range policyIDs(k.catalog.content) {
+		p := k.policy.loaded[id]
+		_, known := previous.loaded[id]
+		if a, ok := p.(Attacher); ok && !known {
+			a.Attach(host{k})
+		}
+		if c, ok := p.(Configurer); ok {
+			c.Configure(k.catalog.content)
+		}
+	}
+}
+
+// moveQueue hands the waiting requests to the order now in force.
+func (k *Kernel) moveQueue(previous QueueOrder) {
+	if previous == nil || previous == k.policy.order {
+		return
+	}
+	var waiting []*Waiting
+	for w := range previous.All() {
+		waiting = append(waiting, w)
+	}
+	for _, w := range waiting {
+		previous.Remove(w.Request.ID)
+		k.policy.order.Add(w)
+	}
+}
+
+// policyIDs lists the plug-ins a bundle names, each once, in a fixed order.
+func policyIDs(c *config.Content) []plugin.ID {
+	ids := []plugin.ID{c.Policy.Slots, c.Policy.Order}
+	ids = append(ids, c.Policy.Admission...)
+	ids = append(ids, c.Policy.Filters...)
+	for _, s := range c.Policy.Scorers {
+		ids = append(ids, s.ID)
+	}
+	seen := map[plugin.ID]bool{}
+	unique := ids[:0]
+	for _, id := range ids {
+		if seen[id] {
+			continue
+		}
+		seen[id] = true
+		unique = append(unique, id)
+	}
+	return unique
+}
+
+// loadPolicy loads the plug-ins a bundle names, keeping those that previous
+// already runs.
+func loadPolicy(previous policy, c *config.Content) (policy, error) {
+	next := policy{
+		loaded:    map[plugin.ID]plugin.Plugin{},
+		handlers:  map[string]PeerHandler{},
+		wakers:    nil,
+		observers: nil,
+	}
+	for id, p := range previous.loaded {
+		next.loaded[id] = p
+	}
+	for _, id := range policyIDs(c) {
+		if _, ok := next.loaded[id]; ok {
+			continue
+		}
+		p, err := plugin.Load(id, nil)
+		if err != nil {
+			return policy{}, err
+		}
+		next.loaded[id] = p
+	}
+	for kind, p := range previous.handlers {
+		next.handlers[kind] = p
+	}
+	next.wakers = append(next.wakers, previous.wakers...)
+	next.observers = append(next.observers, previous.observers...)
+	next.registerRoles(previous, c)
+	if err := next.assign(c); err != nil {
+		return policy{}, err
+	}
+	return next, nil
+}
+
+// registerRoles files the new plug-ins under the optional interfaces they have.
+func (p *policy) registerRoles(previous policy, c *config.Content) {
+	for _, id := range policyIDs(c) {
+		if _, known := previous.loaded[id]; known {
+			continue
+		}
+		pl := p.loaded[id]
+		if w, ok := pl.(Waker); ok {
+			p.wakers = append(p.wakers, w)
+		}
+		if o, ok := pl.(Observer); ok {
+			p.observers = append(p.observers, o)
+		}
+		h, ok := pl.(PeerHandler)
+		if !ok {
+			continue
+		}
+		for _, kind := range h.MessageKinds() {
+			p.handlers[kind] = h
+		}
+	}
+}
+
+// assign puts the loaded plug-ins in the places the bundle names them for.
+func (p *policy) assign(c *config.Content) error {
+	var err error
+	if p.slots, err = as[SlotPolicy](p.loaded, c.Policy.Slots, "slot policy"); err != nil {
+		return err
+	}
+	if p.order, err = as[QueueOrder](p.loaded, c.Policy.Order, "queue order"); err != nil {
+		return err
+	}
+	for _, id := range c.Policy.Admission {
+		a, err := as[Admission](p.loaded, id, "admission check")
+		if err != nil {
+			return err
+		}
+		p.admission = append(p.admission, a)
+	}
+	for _, id := range c.Policy.Filters {
+		f, err := as[Filter](p.loaded, id, "filter")
+		if err != nil {
+			return err
+		}
+		p.filters = append(p.filters, f)
+	}
+	for _, s := range c.Policy.Scorers {
+		sc, err := as[Scorer](p.loaded, s.ID, "scorer")
+		if err != nil {
+			return err
+		}
+		p.scorers = append(p.scorers, weighted{scorer: sc, weight: s.Weight})
+	}
+	return nil
+}
+
+// as returns the loaded plug-in as the interface its place needs.
+func as[T any](loaded map[plugin.ID]plugin.Plugin, id plugin.ID, want string) (T, error) {
+	t, ok := loaded[id].(T)
+	if !ok {
+		var zero T
+		return zero, &PolicyTypeError{ID: id, Want: want}
+	}
+	return t, nil
+}
--- /dev/null
+++ b/kernel/timer.go
@@ -0,0 +1,117 @@
+package kernel
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/wardspool/wardspool/ident"
+)
+
+// timerKind says what a timer is for.
+type timerKind int
+
+const (
+	// timerDeadline ends a request whose caller stops waiting.
+	timerDeadline timerKind = iota + 1
+	// timerCancel repeats an unacknowledged cancel.
+	timerCancel
+	// timerKick runs the scheduler again.
+	timerKick
+)
+
+// timer is one entry of the timer heap. Timers are never removed early: the
+// one who handles a timer checks whether it still matters.
+type timer struct {
+	at      time.Time
+	kind    timerKind
+	request ident.RequestID
+	attempt ident.AttemptID
+	// order breaks ties, so that runs repeat exactly.
+	order uint64
+}
+
+// timers is a min-heap of timers by time.
+type timers struct {
+	entries []timer
+	order   uint64
+}
+
+func (t *timers) Len() int { return len(t.entries) }
+
+func (t *timers) Less(i, j int) bool {
+	a, b := t.entries[i], t.entries[j]
+	if !a.at.Equal(b.at) {
+		return a.at.Before(b.at)
+	}
+	return a.order < b.order
+}
+
+func (t *timers) Swap(i, j int) { t.entries[i], t.entries[j] = t.entries[j], t.entries[i] }
+
+// Push implements heap.Interface; use add.
+func (t *timers) Push(x any) { t.entries = append(t.entries, x.(timer)) }
+
+// Pop implements heap.Interface; use due.
+func (t *timers) Pop() any {
+	last := t.entries[len(t.entries)-1]
+	t.entries = t.entries[:len(t.entries)-1]
+	return last
+}
+
+func (t *timers) add(at time.Time, kind timerKind, id ident.RequestID) {
+	t.push(timer{at: at, kind: kind, request: id})
+}
+
+func (t *timers) addCancel(at time.Time, id ident.AttemptID) {
+	t.push(timer{at: at, kind: timerCancel, attempt: id})
+}
+
+func (t *timers) push(e timer) {
+	t.order++
+	e.order = t.order
+	heap.Push(t, e)
+}
+
+// next returns the time of the earliest timer.
+func (t *timers) next() (time.Time, bool) {
+	if len(t.entries) == 0 {
+		return time.Time{}, false
+	}
+	return t.entries[0].at, true
+}
+
+// due removes and returns the earliest timer that is due.
+func (t *timers) due(now time.Time) (timer, bool) {
+	if len(t.entries) == 0 || t.entries[0].at.After(now) {
+		return timer{}, false
+	}
+	return heap.Pop(t).(timer), true
+}
+
+// kick makes the scheduler run again at the given time. When an earlier run is
+// due anyway, that run will ask again if it still needs to.
+func (k *Kernel) kick(at time.Time) {
+	if !k.kickAt.IsZero() && !at.Before(k.kickAt) {
+		return
+	}
+	k.kickAt = at
+	k.timers.add(at, timerKick, "")
+}
+
+func (k *Kernel) runTimers() {
+	for {
+		t, ok := k.timers.due(k.now)
+		if !ok {
+			return
+		}
+		switch t.kind {
+		case timerDeadline:
+			k.deadlinePassed(t.request)
+		case timerCancel:
+			k.cancelDue(t.attempt)
+		case timerKick:
+			k.dirty = true
+			k.kickAt = time.Time{}
+		}
+	}
+}
