Add stand-ins: model engine, plain service, platform

Cause: the system needs outside systems to run against, which also judge its promises by counting what really ran. Change: packages tokens, platform (documents only), standin/{perf,answer, control,judge,engine,service,platform} and the binary wardspool-standin.

--- /dev/null
+++ b/cmd/wardspool-standin/main.go
@@ -0,0 +1,55 @@
+// Command wardspool-standin plays the outside systems on a bench: a model
+// engine, a plain service or the platform's configuration service, each as one
+// process. It counts what really happened and so judges the router.
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+// version is set by the build.
+var version = "devel"
+
+// description opens the help text.
+const description = `Stand-ins for the systems around wardspool, for tests, demos and measurements.
+
+Each subcommand serves HTTP on --listen until SIGINT or SIGTERM, and writes the
+log line "listening" with its address when it is ready. With port 0 the system
+picks a port. Every stand-in reports at GET /judge what really ran, was wasted
+and is still held; the failures it can show are set under /control/.
+
+  wardspool-standin platform --listen 127.0.0.1:7000 --seed-dir ./seed
+  wardspool-standin engine --listen 127.0.0.1:7101 --id pf-1 --role prefill --model m
+  wardspool-standin engine --listen 127.0.0.1:7201 --id dc-1 --role decode --model m
+  wardspool-standin service --listen 127.0.0.1:7301 --id sv-1 --service billing
+
+Protocols: docs/protocols/engine.md, service.md and platform.md.`
+
+// cli is the command line.
+type cli struct {
+	Engine   engineCmd        `cmd:"" help:"A model engine: prefill, KV transfer and decode by a performance model."`
+	Service  serviceCmd       `cmd:"" help:"A plain service: answers any call after a delay, and counts the runs."`
+	Platform platformCmd      `cmd:"" help:"The configuration service: keys that can be read and watched."`
+	Version  kong.VersionFlag `help:"Print the version and exit."`
+}
+
+func main() {
+	var c cli
+	parsed := kong.Parse(&c,
+		kong.Name("wardspool-standin"),
+		kong.Description(description),
+		kong.Vars{"version": version},
+		kong.UsageOnError(),
+	)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	parsed.BindTo(ctx, (*context.Context)(nil))
+	parsed.FatalIfErrorf(parsed.Run(log))
+}
--- /dev/null
+++ b/cmd/wardspool-standin/serve.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// Bounds of serving.
+const (
+	// headerTimeout bounds how long a client may take to send a request's head.
+	headerTimeout = 10 * time.Second
+	// shutdownTimeout bounds how long requests in flight may take at the end.
+	shutdownTimeout = time.Second
+)
+
+// listen opens the address that a stand-in serves on.
+func listen(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, oops.With("address", address).Wrapf(err, "listening")
+	}
+	return l, nil
+}
+
+// serve answers HTTP on l until ctx is done. Requests that are still in flight
+// a little later are cut off.
+func serve(ctx context.Context, log *slog.Logger, l net.Listener, h http.Handler) error {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	log.Info("listening", "address", l.Addr().String())
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(l) }()
+	select {
+	case err := <-failed:
+		return oops.Wrapf(err, "serving HTTP")
+	case <-ctx.Done():
+	}
+	log.Info("stopping")
+	bounded, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	err := server.Shutdown(bounded)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return server.Close()
+	}
+	return err
+}
--- /dev/null
+++ b/standin/answer/answer.go
@@ -0,0 +1,94 @@
+// Package answer defines the text that stand-in engines generate. Every token
+// is a function of the prompt and of its offset alone, so that a caller can
+// check that it got the whole answer to its own request, also when the
+// generation was resumed on another engine.
+package answer
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// checkBits is how many bits of the hash a token shows, as four hex digits.
+const checkBits = 16
+
+// Prompt is the hash of a prompt, from which its answer follows.
+type Prompt uint64
+
+// Of returns the Prompt of a prompt's text. The text of a chat is
+// tokens.FlattenChat of its messages.
+func Of(prompt string) Prompt { return Prompt(xxhash.Sum64String(prompt)) }
+
+// Token returns the token at an offset, counted from 0: "t<offset>-<4 hex> ".
+func (p Prompt) Token(offset int) string {
+	return string(p.AppendToken(nil, offset))
+}
+
+// AppendToken appends the token at an offset to b.
+func (p Prompt) AppendToken(b []byte, offset int) []byte {
+	const digits = "0123456789abcdef"
+	check := mix(uint64(p)+uint64(offset)*goldenRatio) >> (64 - checkBits)
+	b = append(b, 't')
+	b = strconv.AppendInt(b, int64(offset), 10)
+	b = append(b, '-')
+	for shift := checkBits - 4; shift >= 0; shift -= 4 {
+		b = append(b, digits[check>>shift&0xf])
+	}
+	return append(b, ' ')
+}
+
+// goldenRatio is the increment of the SplitMix64 generator.
+const goldenRatio = 0x9e3779b97f4a7c15
+
+// mix is the output function of the SplitMix64 generator.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// Expected returns the whole answer of n tokens to a prompt.
+func Expected(prompt string, n int) string {
+	p := Of(prompt)
+	var b []byte
+	for i := range n {
+		b = p.AppendToken(b, i)
+	}
+	return string(b)
+}
+
+// MismatchError reports an answer that is not the whole answer to its prompt.
+type MismatchError struct {
+	// Offset is the first token that is wrong or missing.
+	Offset int
+	// Want is the token expected there; empty if the answer is too long.
+	Want string
+	// Got is what stands there, cut to the length of a token.
+	Got string
+}
+
+// Error implements error.
+func (e *MismatchError) Error() string {
+	return fmt.Sprintf("answer differs at token %d: want %q, got %q", e.Offset, e.Want, e.Got)
+}
+
+// Check reports whether got is the whole answer of n tokens to prompt. It
+// returns nil or a *MismatchError.
+func Check(prompt, got string, n int) error {
+	p := Of(prompt)
+	for i := range n {
+		want := p.Token(i)
+		rest, ok := strings.CutPrefix(got, want)
+		if !ok {
+			return &MismatchError{Offset: i, Want: want, Got: got[:min(len(got), len(want))]}
+		}
+		got = rest
+	}
+	if got != "" {
+		return &MismatchError{Offset: n, Got: got[:min(len(got), len(p.Token(n)))]}
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/engine/batch.go
@@ -0,0 +1,181 @@
+package engine
+
+import "time"
+
+// maxCatchUp is how far the step loop may lag behind its timetable and still
+// catch up; after a longer pause it goes on from the present.
+const maxCatchUp = 50 * time.Millisecond
+
+// step is one step of the engine.
+type step struct {
+	batch    []*attempt
+	prefill  *attempt // nil if the step has no prefill
+	chunk    int      // prompt tokens of prefill computed in the step
+	duration time.Duration
+}
+
+// runSteps runs the engine's steps until the engine is closed.
+func (e *Engine) runSteps() {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	due := time.Now()
+	for {
+		s, ok := e.plan()
+		if !ok {
+			select {
+			case <-e.ctx.Done():
+				return
+			case <-e.wake:
+			}
+			due = time.Now()
+			continue
+		}
+		// Counting from the planned end of the last step keeps the lateness
+		// of timers from adding up.
+		if now := time.Now(); now.Sub(due) > maxCatchUp {
+			due = now
+		}
+		due = due.Add(s.duration)
+		timer.Reset(time.Until(due))
+		select {
+		case <-e.ctx.Done():
+			return
+		case <-timer.C:
+		}
+		e.apply(s)
+	}
+}
+
+// plan returns the next step; it returns false if there is nothing to do.
+func (e *Engine) plan() (step, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l := e.life
+	l.batch = keepRunning(append(l.batch, l.joining...))
+	l.joining = l.joining[:0]
+	s := step{batch: l.batch, prefill: e.nextPrefill()}
+	if s.prefill != nil {
+		s.chunk = min(s.prefill.left, e.cfg.Perf.PrefillChunk)
+	}
+	if len(s.batch) == 0 && s.prefill == nil {
+		return step{}, false
+	}
+	s.duration = e.cfg.Perf.StepTime(len(s.batch)) + e.cfg.Perf.PrefillDuration(s.chunk)
+	if e.faults.SlowFactor > 0 {
+		s.duration = time.Duration(float64(s.duration) * e.faults.SlowFactor)
+	}
+	return s, true
+}
+
+// keepRunning drops the ended attempts from batch, in place.
+func keepRunning(batch []*attempt) []*attempt {
+	kept := batch[:0]
+	for _, a := range batch {
+		if a.running() {
+			kept = append(kept, a)
+		}
+	}
+	clear(batch[len(kept):])
+	return kept
+}
+
+// nextPrefill returns the prefill to compute, starting the next one from the
+// queue if its memory is free. Of two with one priority, the earlier one goes
+// first, and nobody overtakes one that waits for memory.
+func (e *Engine) nextPrefill() *attempt {
+	l := e.life
+	if l.current != nil {
+		return l.current
+	}
+	a := l.queue.head()
+	if a == nil {
+		return nil
+	}
+	need := e.cfg.Perf.PiecesFor(a.promptTokens)
+	if a.prefillOnly && l.piecesUsed+need > e.cfg.Perf.Pieces {
+		return nil
+	}
+	l.queue.remove(a)
+	if a.prefillOnly {
+		e.reserve(a, need)
+	}
+	e.startPrefill(a)
+	return a
+}
+
+// startPrefill makes a the prefill that is being computed.
+func (e *Engine) startPrefill(a *attempt) {
+	matched := e.life.cache.Match(a.hashes)
+	a.left = e.cfg.Perf.Uncached(a.promptTokens, matched)
+	a.cached = a.promptTokens - a.left
+	a.stage = StagePrefill
+	e.life.current = a
+	e.ledger.prefillStarted(a)
+}
+
+// reserve takes memory for an attempt.
+func (e *Engine) reserve(a *attempt, pieces int) {
+	a.pieces = pieces
+	e.life.piecesUsed += pieces
+}
+
+// apply carries out what happens at the end of a step.
+func (e *Engine) apply(s step) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, a := range s.batch {
+		if a.running() {
+			e.generate(a)
+		}
+	}
+	if s.prefill != nil {
+		e.computed(s.prefill, s.chunk)
+	}
+}
+
+// generate adds a token to a running generation.
+func (e *Engine) generate(a *attempt) {
+	a.next++
+	e.ledger.generated(a)
+	if limit := e.faults.FailAfterTokens; limit > 0 && a.next-a.from >= limit && !a.finished() {
+		e.end(a, &failureInjected)
+		return
+	}
+	if a.finished() {
+		e.end(a, nil)
+		return
+	}
+	if a.reader != nil {
+		a.reader.poke()
+	}
+}
+
+// computed adds a computed chunk to a prefill. A chunk of a prefill that has
+// ended meanwhile was computed in vain.
+func (e *Engine) computed(a *attempt, chunk int) {
+	e.ledger.computed(a, chunk)
+	if !a.running() {
+		return
+	}
+	a.computed += chunk
+	a.left -= chunk
+	if a.left > 0 {
+		return
+	}
+	e.life.current = nil
+	e.storeBlocks(a)
+	if a.prefillOnly {
+		e.hold(a)
+		return
+	}
+	e.join(a)
+}
+
+// join adds an attempt to the running generations.
+func (e *Engine) join(a *attempt) {
+	a.stage = StageDecode
+	e.life.joining = append(e.life.joining, a)
+	e.ledger.decodeStarted(a)
+	close(a.ready)
+	e.poke()
+}
--- /dev/null
+++ b/standin/engine/completion.go
@@ -0,0 +1,148 @@
+package engine
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/wardspool/wardspool/standin/control"
+	"github.com/wardspool/wardspool/tokens"
+)
+
+// format is the shape of an answer: of a completion or of a chat.
+type format int
+
+const (
+	formatCompletion format = iota
+	formatChat
+)
+
+// Values of OpenAI's "object" and "finish_reason" members.
+const (
+	objectCompletion = "text_completion"
+	objectChat       = "chat.completion"
+	objectChunk      = "chat.completion.chunk"
+	finishLength     = "length"
+	roleAssistant    = "assistant"
+)
+
+// serveCompletion answers POST /v1/completions.
+func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	var req CompletionRequest
+	if control.ReadJSON(w, r, &req) {
+		e.serveModel(w, r, req, req.Prompt, formatCompletion)
+	}
+}
+
+// serveChat answers POST /v1/chat/completions.
+func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
+	var req CompletionRequest
+	if control.ReadJSON(w, r, &req) {
+		e.serveModel(w, r, req, tokens.FlattenChat(req.Messages), formatChat)
+	}
+}
+
+// serveModel takes in a request for the model and answers it. The request goes
+// on if its caller leaves.
+func (e *Engine) serveModel(w http.ResponseWriter, r *http.Request, req CompletionRequest, prompt string, form format) {
+	a, f := e.newAttempt(r, req, prompt)
+	if f == nil {
+		a.form = form
+		f = e.admit(a)
+	}
+	if f != nil {
+		f.write(w)
+		return
+	}
+	select {
+	case <-a.ready:
+	case <-r.Context().Done():
+		return
+	}
+	switch {
+	case a.prefillOnly:
+		e.answerPrefill(w, a)
+	case req.Stream:
+		e.stream(w, r, a, a.from)
+	default:
+		e.answerWhole(w, r, a)
+	}
+}
+
+// answerPrefill answers a prefill with the parameters of its KV transfer.
+func (e *Engine) answerPrefill(w http.ResponseWriter, a *attempt) {
+	e.mu.Lock()
+	failed := a.failure
+	params := e.transferParams(a)
+	e.mu.Unlock()
+	if failed != nil {
+		failed.write(w)
+		return
+	}
+	out := a.response(a.prompt.Token(a.from), 1)
+	out.KVTransferParams = params
+	control.WriteJSON(w, http.StatusOK, out)
+}
+
+// answerWhole waits for the end of a generation and answers with all of it.
+func (e *Engine) answerWhole(w http.ResponseWriter, r *http.Request, a *attempt) {
+	rd := e.attach(a)
+	defer e.detach(a, rd)
+	for {
+		p := e.progress(a, rd)
+		if p.over {
+			if p.failure != nil {
+				p.failure.write(w)
+				return
+			}
+			control.WriteJSON(w, http.StatusOK, a.response(a.text(a.from, a.to), a.to-a.from))
+			return
+		}
+		select {
+		case <-rd.changed:
+		case <-rd.replaced:
+			control.Drop()
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// text returns the tokens [from, to) of the answer.
+func (a *attempt) text(from, to int) string {
+	var b strings.Builder
+	for i := from; i < to; i++ {
+		b.WriteString(a.prompt.Token(i))
+	}
+	return b.String()
+}
+
+// response returns a whole answer with the given text of n tokens.
+func (a *attempt) response(text string, n int) CompletionResponse {
+	out := CompletionResponse{
+		ID:      a.id,
+		Object:  objectCompletion,
+		Created: a.since.Unix(),
+		Model:   a.model,
+		Usage:   a.usage(n),
+	}
+	finish := finishLength
+	choice := Choice{FinishReason: &finish}
+	if a.form == formatChat {
+		out.Object = objectChat
+		choice.Message = &tokens.Message{Role: roleAssistant, Content: text}
+	} else {
+		choice.Text = &text
+	}
+	out.Choices = []Choice{choice}
+	return out
+}
+
+// usage counts the prompt and n tokens of the answer.
+func (a *attempt) usage(n int) *Usage {
+	return &Usage{
+		PromptTokens:        a.promptTokens,
+		CompletionTokens:    n,
+		TotalTokens:         a.promptTokens + n,
+		PromptTokensDetails: &UsageDetails{CachedTokens: a.cached},
+	}
+}
--- /dev/null
+++ b/standin/engine/engine.go
@@ -0,0 +1,135 @@
+package engine
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/standin/control"
+	"github.com/wardspool/wardspool/standin/perf"
+)
+
+// Engine is one stand-in engine. Make it with New and serve its Handler.
+type Engine struct {
+	cfg Config
+	// started is the origin of the link's time offsets.
+	started time.Time
+	wake    chan struct{}
+	ctx     context.Context
+	stop    context.CancelFunc
+	workers sync.WaitGroup
+
+	mu     sync.Mutex
+	life   *life
+	faults control.EngineFaults
+	ledger *ledger
+	// down is true while the engine plays a killed process.
+	down bool
+	// connected is done while connections are dropped.
+	connected  context.Context
+	disconnect context.CancelFunc
+	cacheLoss  *lossy
+}
+
+// life is everything that a killed process loses.
+type life struct {
+	incarnation ident.Incarnation
+	attempts    map[string]*attempt
+	// ended lists the attempts that are over but still remembered, oldest first.
+	ended      []*attempt
+	tombstones *tombstones
+
+	queue prefillQueue
+	// current is the prefill that is being computed, nil if none.
+	current *attempt
+	// batch lists the running generations; joining those of the next step.
+	batch   []*attempt
+	joining []*attempt
+
+	slotsUsed  int
+	piecesUsed int
+	nextBlock  int64
+	nextOrder  uint64
+	// results finds prefill results by their first block.
+	results map[int64]*attempt
+
+	cache     *perf.Cache
+	events    *eventLog
+	transfers *transfers
+	loads     loadHistory
+	placement placement
+}
+
+// New starts a stand-in engine. Close stops it.
+func New(cfg Config) *Engine {
+	cfg = cfg.withDefaults()
+	e := &Engine{
+		cfg:       cfg,
+		started:   time.Now(),
+		wake:      make(chan struct{}, 1),
+		ledger:    newLedger(cfg.JudgeCap),
+		cacheLoss: newLossy(cfg.Seed, cfg.CacheLoss),
+	}
+	e.ctx, e.stop = context.WithCancel(context.Background())
+	e.connected, e.disconnect = context.WithCancel(e.ctx)
+	e.life = e.newLife(0)
+	e.workers.Go(e.runSteps)
+	e.workers.Go(e.sampleLoads)
+	return e
+}
+
+// newLife returns the state of a process that has just started. Its
+// incarnation is higher than previous.
+func (e *Engine) newLife(previous ident.Incarnation) *life {
+	l := &life{
+		incarnation: max(ident.NewIncarnation(time.Now()), previous+1),
+		attempts:    make(map[string]*attempt),
+		tombstones:  newTombstones(),
+		results:     make(map[int64]*attempt),
+		nextBlock:   1,
+		cache:       perf.NewCache(e.cfg.Perf.CachePieces),
+		events:      newEventLog(e.cfg.CacheDelay, e.cacheLoss),
+	}
+	l.transfers = newTransfers(e, l)
+	l.placement = placement{
+		role:     e.cfg.Role,
+		models:   e.cfg.Models,
+		adapters: e.cfg.Adapters,
+		version:  e.cfg.Version,
+	}
+	return l
+}
+
+// Close stops the engine's work and waits for its goroutines. Requests being
+// served end without an answer.
+func (e *Engine) Close() {
+	e.stop()
+	e.mu.Lock()
+	e.endLife()
+	e.mu.Unlock()
+	e.workers.Wait()
+	e.cfg.Client.CloseIdleConnections()
+}
+
+// endLife ends all attempts and timers of the present life.
+func (e *Engine) endLife() {
+	for _, a := range e.life.attempts {
+		e.end(a, &failureCrashed)
+	}
+	e.life.transfers.close()
+	e.life.events.close()
+	e.life.placement.close()
+}
+
+// poke makes the step loop look for work.
+func (e *Engine) poke() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// role returns the role in force. The caller holds the mutex.
+func (e *Engine) role() config.Role { return e.life.placement.role }
--- /dev/null
+++ b/standin/engine/judge.go
@@ -0,0 +1,73 @@
+package engine
+
+import (
+	"net/http"
+	"slices"
+	"sort"
+
+	"github.com/wardspool/wardspool/standin/control"
+	"github.com/wardspool/wardspool/standin/judge"
+)
+
+// serveJudge answers GET /judge. With ?correlation=ID it reports that request
+// alone, with ?summary=1 none.
+func (e *Engine) serveJudge(w http.ResponseWriter, r *http.Request) {
+	report := e.Judge()
+	query := r.URL.Query()
+	if query.Get("summary") != "" {
+		report.Requests = []judge.Request{}
+	}
+	if id := query.Get("correlation"); id != "" {
+		report.Requests = slices.DeleteFunc(report.Requests, func(q judge.Request) bool {
+			return q.CorrelationID != id
+		})
+	}
+	control.WriteJSON(w, http.StatusOK, report)
+}
+
+// Judge reports what the engine really did and what it holds now.
+func (e *Engine) Judge() judge.Engine {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	held := e.held()
+	report := judge.Engine{
+		ID:          e.cfg.ID,
+		Incarnation: e.life.incarnation,
+		Totals:      e.ledger.totals,
+		Held:        judge.Held{Attempts: len(held), Pieces: e.life.piecesUsed},
+		Requests:    e.ledger.report(held),
+		Dropped:     e.ledger.overflow,
+	}
+	return report
+}
+
+// held returns the attempts that have not ended, in order of arrival.
+func (e *Engine) held() []*attempt {
+	var out []*attempt
+	for _, a := range e.life.attempts {
+		if a.running() {
+			out = append(out, a)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].order < out[j].order })
+	return out
+}
+
+// report returns the records with what the running generations did so far.
+func (l *ledger) report(running []*attempt) []judge.Request {
+	soFar := make(map[string][]judge.Range)
+	for _, a := range running {
+		if a.next > a.from {
+			r := judge.Range{From: a.from, To: a.next}
+			soFar[a.correlation] = append(soFar[a.correlation], r)
+		}
+	}
+	out := make([]judge.Request, 0, len(l.requests))
+	for id, r := range l.requests {
+		record := *r
+		record.Ranges = slices.Concat(r.Ranges, soFar[id])
+		out = append(out, record)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].CorrelationID < out[j].CorrelationID })
+	return out
+}
--- /dev/null
+++ b/standin/engine/load.go
@@ -0,0 +1,125 @@
+package engine
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/wardspool/wardspool/standin/control"
+)
+
+// Sampling of load reports.
+const (
+	// samplesPerLag is how many reports are made within the lag.
+	samplesPerLag = 5
+	// minSampleInterval bounds the cost of sampling.
+	minSampleInterval = 20 * time.Millisecond
+)
+
+// loadHistory is the load reports younger than the lag, and one that is older,
+// in order. seq counts all reports ever made.
+type loadHistory struct {
+	seq     uint64
+	reports []LoadReport
+}
+
+// sampleLoads makes load reports until the engine is closed.
+func (e *Engine) sampleLoads() {
+	ticker := time.NewTicker(max(e.cfg.LoadLag/samplesPerLag, minSampleInterval))
+	defer ticker.Stop()
+	for {
+		e.sampleLoad()
+		select {
+		case <-ticker.C:
+		case <-e.ctx.Done():
+			return
+		}
+	}
+}
+
+// sampleLoad adds a load report to the history.
+func (e *Engine) sampleLoad() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	h := &e.life.loads
+	h.reports = append(h.reports, e.loadReport())
+	limit := time.Now().Add(-e.cfg.LoadLag).UnixMilli()
+	for len(h.reports) > 1 && h.reports[1].AtMS <= limit {
+		h.reports = h.reports[1:]
+	}
+}
+
+// loadReport makes a report of the present load.
+func (e *Engine) loadReport() LoadReport {
+	l := e.life
+	l.loads.seq++
+	return LoadReport{
+		Seq:           l.loads.seq,
+		AtMS:          time.Now().UnixMilli(),
+		Incarnation:   l.incarnation,
+		Role:          e.role(),
+		Models:        l.placement.servedModels(),
+		Running:       e.runningCount(),
+		Waiting:       l.queue.len(),
+		Slots:         e.cfg.Perf.Slots,
+		WaitingTokens: l.queue.tokens,
+		PiecesUsed:    l.piecesUsed,
+		PiecesTotal:   e.cfg.Perf.Pieces,
+		Draining:      e.faults.Draining,
+	}
+}
+
+// runningCount is the number of attempts with a slot, or on a prefill engine
+// of those being computed.
+func (e *Engine) runningCount() int {
+	if e.life.current != nil && e.life.current.prefillOnly {
+		return e.life.slotsUsed + 1
+	}
+	return e.life.slotsUsed
+}
+
+// serveLoad answers GET /load with a report as old as the lag. The first
+// reports of a life are younger, for want of older ones.
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	control.WriteJSON(w, http.StatusOK, e.laggingLoad())
+}
+
+// laggingLoad returns the report to publish now.
+func (e *Engine) laggingLoad() LoadReport {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	h := &e.life.loads
+	if e.cfg.LoadLag <= 0 || len(h.reports) == 0 {
+		return e.loadReport()
+	}
+	limit := time.Now().Add(-e.cfg.LoadLag).UnixMilli()
+	out := h.reports[0]
+	for _, r := range h.reports[1:] {
+		if r.AtMS <= limit {
+			out = r
+		}
+	}
+	return out
+}
+
+// loadMetrics returns the fresh values for the ORCA header.
+func (e *Engine) loadMetrics() LoadMetrics {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := e.loadReport()
+	m := NamedMetrics{
+		KVCacheUsage:    float64(r.PiecesUsed) / float64(max(r.PiecesTotal, 1)),
+		RequestsWaiting: r.Waiting,
+		RequestsRunning: r.Running,
+		Slots:           r.Slots,
+		WaitingTokens:   r.WaitingTokens,
+		PiecesUsed:      r.PiecesUsed,
+		PiecesTotal:     r.PiecesTotal,
+		Seq:             r.Seq,
+		AtMS:            r.AtMS,
+		Incarnation:     r.Incarnation,
+	}
+	if r.Draining {
+		m.Draining = 1
+	}
+	return LoadMetrics{NamedMetrics: m}
+}
--- /dev/null
+++ b/standin/platform/watch.go
@@ -0,0 +1,154 @@
+package platform
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/wardspool/wardspool/standin/control"
+)
+
+// watch is a read of one key that may wait for a newer value.
+type watch struct {
+	key    string
+	reader string
+	// blocking is true if the reader gave an index: then the watch waits until
+	// the key's index is above it.
+	blocking bool
+	index    uint64
+	wait     time.Duration
+}
+
+// readWatch reads the query of a read. It returns false if it is malformed.
+func readWatch(r *http.Request) (watch, bool) {
+	out := watch{key: mux.Vars(r)["key"], reader: r.Header.Get(HeaderReader)}
+	query := r.URL.Query()
+	var err error
+	if s := query.Get("index"); s != "" {
+		out.blocking = true
+		if out.index, err = strconv.ParseUint(s, 10, 64); err != nil {
+			return watch{}, false
+		}
+	}
+	if s := query.Get("wait"); s != "" {
+		if out.wait, err = time.ParseDuration(s); err != nil {
+			return watch{}, false
+		}
+	}
+	out.wait = min(out.wait, maxWait)
+	return out, true
+}
+
+// sight is what a watch sees at one time.
+type sight struct {
+	version version
+	down    bool
+	// next is when the sight may change by time alone, zero if it won't.
+	next time.Time
+	// changed is closed when something is written or the mode changes.
+	changed chan struct{}
+}
+
+// look returns what a key's reader sees now.
+func (p *Platform) look(key string) sight {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	var s sight
+	var flaps time.Time
+	s.down, flaps = p.down(now)
+	s.version, s.next = p.store.get(key, p.view(now))
+	if s.next.IsZero() || !flaps.IsZero() && flaps.Before(s.next) {
+		s.next = flaps
+	}
+	s.changed = p.changed
+	return s
+}
+
+// serveGet answers GET /v1/keys/{key}.
+func (p *Platform) serveGet(w http.ResponseWriter, r *http.Request) {
+	if !p.enter(w, r) {
+		return
+	}
+	q, ok := readWatch(r)
+	if !ok {
+		control.WriteError(w, http.StatusBadRequest, control.CodeInvalid, "index must be a number and wait a duration")
+		return
+	}
+	s, ok := p.await(r, q)
+	switch {
+	case !ok:
+		control.Drop()
+	case s.down:
+		p.playDown(w, r)
+	case q.blocking && s.version.index <= q.index && s.version.index > 0:
+		w.Header().Set(HeaderIndex, strconv.FormatUint(s.version.index, 10))
+		w.WriteHeader(http.StatusNotModified)
+	default:
+		p.answer(w, q, s.version)
+	}
+}
+
+// await waits until the watch has something to tell, or its time is over. It
+// returns false if the reader has left or the platform is closed.
+func (p *Platform) await(r *http.Request, q watch) (sight, bool) {
+	deadline := time.NewTimer(q.wait)
+	defer deadline.Stop()
+	p.count(1)
+	defer p.count(-1)
+	for {
+		s := p.look(q.key)
+		if !q.blocking || s.down || s.version.index > q.index || q.wait <= 0 {
+			return s, true
+		}
+		turn := time.NewTimer(untilOr(s.next, maxWait))
+		select {
+		case <-s.changed:
+		case <-turn.C:
+		case <-deadline.C:
+			q.wait = 0
+		case <-r.Context().Done():
+			turn.Stop()
+			return sight{}, false
+		case <-p.ctx.Done():
+			turn.Stop()
+			return sight{}, false
+		}
+		turn.Stop()
+	}
+}
+
+// untilOr returns the time until t, or otherwise if t is zero.
+func untilOr(t time.Time, otherwise time.Duration) time.Duration {
+	if t.IsZero() {
+		return otherwise
+	}
+	return time.Until(t)
+}
+
+// count adds to the number of reads and watches being served.
+func (p *Platform) count(n int) {
+	p.mu.Lock()
+	p.waiting += n
+	p.mu.Unlock()
+}
+
+// answer sends a value, or 404 if the key has none.
+func (p *Platform) answer(w http.ResponseWriter, q watch, v version) {
+	if v.index > 0 {
+		w.Header().Set(HeaderIndex, strconv.FormatUint(v.index, 10))
+	}
+	if v.deleted {
+		control.WriteError(w, http.StatusNotFound, control.CodeNotFound, "no such key")
+		return
+	}
+	p.mu.Lock()
+	p.meter.sent(q.reader, len(v.value))
+	p.mu.Unlock()
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(len(v.value)))
+	// A reader that has left is not the stand-in's concern.
+	_, _ = w.Write(v.value)
+}
