--- a/peer/clientconn.go
+++ b/peer/clientconn.go
@@ -226,7 +226,7 @@
 	var remote *jsonrpc2.Error
 	switch {
 	case errors.As(err, &remote):
-		cause, delivery := decodeRemote(remote)
+		delivery, cause := decodeRemote(remote)
 		return c.fault(method, delivery, cause)
 	case errors.Is(err, jsonrpc2.ErrClosed):
 		// The writer must have ended before the frame's progress is final.
--- /dev/null
+++ b/peer/limits_test.go
@@ -0,0 +1,275 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// pipePair returns a server and a pool that reaches it by pipes.
+func pipePair(server, client Limits, add func(*Server)) (*Server, *Pool, *pipeDialer) {
+	s := NewServer(Config{Self: entryB, Allow: allowAll, Limits: server})
+	add(s)
+	d := &pipeDialer{srv: s}
+	return s, NewPool(Config{Self: entryA, Allow: allowAll, Dialer: d, Limits: client}), d
+}
+
+// stop ends both sides.
+func stop(t *testing.T, s *Server, p *Pool) {
+	t.Helper()
+	p.Close()
+	assert.NilError(t, s.Shutdown(context.Background()))
+}
+
+// blocking registers a method that runs until release closes or its caller goes.
+func blocking(s *Server, release <-chan struct{}, ended chan<- error) {
+	Handle(s, "block", func(ctx context.Context, _ Identity, _ echoRequest) (echoResponse, error) {
+		select {
+		case <-release:
+			return echoResponse{Text: "done"}, nil
+		case <-ctx.Done():
+			ended <- ctx.Err()
+			return echoResponse{}, ctx.Err()
+		}
+	})
+}
+
+func TestCallsPerConnectionAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		s, p, _ := pipePair(Limits{Calls: 2}, Limits{}, func(s *Server) { blocking(s, release, nil) })
+		defer stop(t, s, p)
+		results := make(chan error, 2)
+		for range 2 {
+			go func() {
+				_, err := Call[echoResponse](context.Background(), p, "b", "block", echoRequest{})
+				results <- err
+			}()
+		}
+		synctest.Wait()
+		_, err := Call[echoResponse](context.Background(), p, "b", "block", echoRequest{})
+		var busy *BusyError
+		assert.Assert(t, errors.As(err, &busy))
+		assert.Equal(t, DeliveryOf(err), Refused)
+		close(release)
+		assert.NilError(t, <-results)
+		assert.NilError(t, <-results)
+	})
+}
+
+func TestCancelReachesTheHandler(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ended := make(chan error, 1)
+		s, p, _ := pipePair(Limits{}, Limits{}, func(s *Server) { blocking(s, nil, ended) })
+		defer stop(t, s, p)
+		ctx, cancel := context.WithCancel(context.Background())
+		result := make(chan error, 1)
+		go func() {
+			_, err := Call[echoResponse](ctx, p, "b", "block", echoRequest{})
+			result <- err
+		}()
+		synctest.Wait()
+		cancel()
+		assert.Assert(t, errors.Is(<-result, context.Canceled))
+		assert.Equal(t, <-ended, context.Canceled)
+	})
+}
+
+func TestHandlerEndsWithTheCallersTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ended := make(chan error, 1)
+		s, p, _ := pipePair(Limits{}, Limits{}, func(s *Server) { blocking(s, nil, ended) })
+		defer stop(t, s, p)
+		_, err := Call[echoResponse](context.Background(), p, "b", "echo", echoRequest{})
+		var unknown *MethodError
+		assert.Assert(t, errors.As(err, &unknown))
+		assert.Equal(t, DeliveryOf(err), Refused)
+		start := time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		_, err = Call[echoResponse](ctx, p, "b", "block", echoRequest{})
+		assert.Assert(t, err != nil)
+		assert.Assert(t, <-ended != nil)
+		assert.Equal(t, time.Since(start), 50*time.Millisecond)
+	})
+}
+
+func TestIdleConnectionsClose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, d := pipePair(Limits{}, Limits{}, func(s *Server) { Handle(s, "echo", echo) })
+		defer stop(t, s, p)
+		call := func() {
+			_, err := Call[echoResponse](context.Background(), p, "b", "echo", echoRequest{})
+			assert.NilError(t, err)
+		}
+		call()
+		time.Sleep(DefaultIdle/2 - time.Second)
+		call()
+		time.Sleep(DefaultIdle/2 - time.Second)
+		call()
+		assert.Equal(t, d.count(), 1)
+		time.Sleep(DefaultIdle)
+		synctest.Wait()
+		assert.Equal(t, len(s.Stats().Conns), 0)
+		call()
+		assert.Equal(t, d.count(), 2)
+	})
+}
+
+// TestServerDropsSilentClient holds a connection open without frames.
+func TestServerDropsSilentClient(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := NewServer(Config{Self: entryB, Allow: allowAll})
+		near, far := net.Pipe()
+		go s.ServeConn(far)
+		r := newRemote(t, near)
+		r.send(goodHello)
+		r.receive()
+		start := time.Now()
+		r.closed()
+		assert.Equal(t, time.Since(start), DefaultIdle)
+		assert.NilError(t, s.Shutdown(context.Background()))
+	})
+}
+
+// TestSlowSenderIsDropped sends one byte of a frame and stops.
+func TestSlowSenderIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := NewServer(Config{Self: entryB, Allow: allowAll})
+		near, far := net.Pipe()
+		go s.ServeConn(far)
+		r := newRemote(t, near)
+		r.send(goodHello)
+		r.receive()
+		_, err := near.Write([]byte("C"))
+		assert.NilError(t, err)
+		start := time.Now()
+		r.closed()
+		assert.Equal(t, time.Since(start), DefaultRead)
+		assert.NilError(t, s.Shutdown(context.Background()))
+	})
+}
+
+func TestFrameSizeIsBounded(t *testing.T) {
+	s, p, _ := pipePair(Limits{Frame: 1000}, Limits{Frame: 2000}, func(s *Server) {
+		Handle(s, "grow", func(context.Context, Identity, echoRequest) (echoResponse, error) {
+			return echoResponse{Text: string(make([]byte, 900))}, nil
+		})
+	})
+	defer stop(t, s, p)
+	var large *TooLargeError
+	_, err := Call[echoResponse](context.Background(), p, "b", "grow", echoRequest{Text: string(make([]byte, 2000))})
+	assert.Assert(t, errors.As(err, &large))
+	assert.Equal(t, DeliveryOf(err), NotSent)
+	// The result does not fit: the handler has run.
+	_, err = Call[echoResponse](context.Background(), p, "b", "grow", echoRequest{})
+	assert.Assert(t, errors.As(err, &large))
+	assert.Equal(t, DeliveryOf(err), Unknown)
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	s := NewServer(Config{Self: entryB, Allow: allowAll, Limits: Limits{Connections: 1}})
+	first, far := net.Pipe()
+	go s.ServeConn(far)
+	r := newRemote(t, first)
+	r.send(goodHello)
+	r.receive()
+	second, far := net.Pipe()
+	s.ServeConn(far)
+	newRemote(t, second).closed()
+	assert.NilError(t, s.Shutdown(context.Background()))
+}
+
+func TestPanicIsAnswered(t *testing.T) {
+	s, p, _ := pipePair(Limits{}, Limits{}, func(s *Server) {
+		Handle(s, "panic", func(context.Context, Identity, echoRequest) (echoResponse, error) { panic("boom") })
+		Handle(s, "echo", echo)
+	})
+	defer stop(t, s, p)
+	_, err := Call[echoResponse](context.Background(), p, "b", "panic", echoRequest{})
+	var re *RemoteError
+	assert.Assert(t, errors.As(err, &re))
+	assert.Equal(t, re.Code, CodeInternal)
+	assert.Equal(t, DeliveryOf(err), Unknown)
+	_, err = Call[echoResponse](context.Background(), p, "b", "echo", echoRequest{})
+	assert.NilError(t, err)
+}
+
+func TestShutdownFinishesCallsInProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		s, p, _ := pipePair(Limits{}, Limits{}, func(s *Server) { blocking(s, release, nil) })
+		defer p.Close()
+		inFlight := make(chan error, 1)
+		go func() {
+			_, err := Call[echoResponse](context.Background(), p, "b", "block", echoRequest{})
+			inFlight <- err
+		}()
+		synctest.Wait()
+		stopped := make(chan error, 1)
+		go func() { stopped <- s.Shutdown(context.Background()) }()
+		synctest.Wait()
+		_, err := Call[echoResponse](context.Background(), p, "b", "block", echoRequest{})
+		var stopping *StoppingError
+		assert.Assert(t, errors.As(err, &stopping), "%v", err)
+		assert.Equal(t, DeliveryOf(err), Refused)
+		close(release)
+		assert.NilError(t, <-inFlight)
+		assert.NilError(t, <-stopped)
+	})
+}
+
+func TestShutdownIsBoundedByItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ended := make(chan error, 1)
+		s, p, _ := pipePair(Limits{}, Limits{}, func(s *Server) { blocking(s, nil, ended) })
+		defer p.Close()
+		inFlight := make(chan error, 1)
+		go func() {
+			_, err := Call[echoResponse](context.Background(), p, "b", "block", echoRequest{})
+			inFlight <- err
+		}()
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		assert.Equal(t, s.Shutdown(ctx), context.DeadlineExceeded)
+		assert.Equal(t, DeliveryOf(<-inFlight), Unknown)
+	})
+}
+
+func TestNotifyReachesTheHandler(t *testing.T) {
+	got := make(chan string, 1)
+	s, p, _ := pipePair(Limits{}, Limits{}, func(s *Server) {
+		Handle(s, "note", func(_ context.Context, _ Identity, r echoRequest) (echoResponse, error) {
+			got <- r.Text
+			return echoResponse{}, nil
+		})
+	})
+	defer stop(t, s, p)
+	assert.NilError(t, Notify(context.Background(), p, "b", "note", echoRequest{Text: "hi"}))
+	assert.Equal(t, <-got, "hi")
+}
+
+func TestTrafficIsCountedOnBothSides(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, _ := pipePair(Limits{}, Limits{}, func(s *Server) { Handle(s, "echo", echo) })
+		defer stop(t, s, p)
+		_, err := Call[echoResponse](context.Background(), p, "b", "echo", echoRequest{Text: "hi"})
+		assert.NilError(t, err)
+		// A write is counted when it returns, which can be after the answer
+		// was read.
+		synctest.Wait()
+		client, server := p.Stats(), s.Stats()
+		assert.Assert(t, client.Total.Sent > 0 && client.Total.Received > 0)
+		assert.Equal(t, client.Total, Traffic{Sent: server.Total.Received, Received: server.Total.Sent})
+		assert.Equal(t, server.Conns[0].Remote.Instance, entryA.Instance)
+		p.Forget("b")
+		assert.Equal(t, p.Stats().Total, client.Total)
+		assert.Equal(t, len(p.Stats().Conns), 0)
+	})
+}
--- a/peer/registry.go
+++ b/peer/registry.go
@@ -108,9 +108,9 @@
 	return 0, nil, false
 }
 
-// decodeRemote turns a wire error back into its type, and says whether the
-// remote attested a refusal.
-func decodeRemote(e *jsonrpc2.Error) (error, Delivery) {
+// decodeRemote turns a wire error back into its type, which it returns, and says
+// whether the remote attested a refusal.
+func decodeRemote(e *jsonrpc2.Error) (Delivery, error) {
 	var data errorData
 	if e.Data != nil {
 		// Data of another shape leaves the zero value: no attestation.
@@ -125,8 +125,8 @@
 	errorTypes.RUnlock()
 	if ok {
 		if v, ok := entry.decode(data.Error); ok {
-			return v, delivery
+			return delivery, v
 		}
 	}
-	return &RemoteError{Code: Code(e.Code), Message: e.Message, Data: data.Error}, delivery
+	return delivery, &RemoteError{Code: Code(e.Code), Message: e.Message, Data: data.Error}
 }
