Add ticket: calls that are not repeatable run at most once

Cause: a caller's retry may reach another instance after the first one died, and no instance remembers for another.

Change: a ticket names its only executor; the executor holds each ticket from issue until after expiry, so that using one is a single step of a pure state machine. Only the executor says not-run.

--- /dev/null
+++ b/ticket/codec.go
@@ -0,0 +1,194 @@
+package ticket
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/wardspool/wardspool/ident"
+)
+
+// Bounds of the text form.
+const (
+	// formatVersion is the first part of every ticket.
+	formatVersion = "1"
+	// numberBase is the base of the numbers in a ticket.
+	numberBase = 36
+	// payloadParts is the number of parts before the authentication code.
+	payloadParts = 8
+	// codeSize is the size of the truncated HMAC-SHA256, in bytes.
+	codeSize = 16
+	// maxLength bounds a ticket's text, in bytes.
+	maxLength = 256
+	// minSecret is the size of the shortest accepted secret, in bytes.
+	minSecret = 32
+)
+
+// codeContext separates ticket authentication from other uses of a secret.
+const codeContext = "wardspool ticket\x00"
+
+// Key is a secret shared by all instances.
+type Key struct {
+	// ID is a valid name (ident.ValidName). It travels in the ticket.
+	ID string
+	// Secret is at least 32 bytes.
+	Secret []byte
+}
+
+// Codec converts tickets from and to their authenticated text form. It must
+// not be changed and may be used from several goroutines.
+type Codec struct {
+	keys []Key
+}
+
+// NewCodec returns a codec that seals with the first key and accepts all. To
+// rotate: add the new key as the last on every instance, then make it the
+// first, and drop the old one once its last ticket has expired.
+// It returns a *KeyError if the keys are unusable.
+func NewCodec(keys ...Key) (*Codec, error) {
+	if len(keys) == 0 {
+		return nil, &KeyError{Fault: KeyFaultNone}
+	}
+	c := &Codec{}
+	for _, k := range keys {
+		if fault := c.faultOf(k); fault != "" {
+			return nil, &KeyError{ID: k.ID, Fault: fault}
+		}
+		c.keys = append(c.keys, k)
+	}
+	return c, nil
+}
+
+// faultOf returns why the key can't be added, empty if it can.
+func (c *Codec) faultOf(k Key) KeyFault {
+	switch {
+	case !ident.ValidName(k.ID):
+		return KeyFaultID
+	case c.find(k.ID) != nil:
+		return KeyFaultDuplicate
+	case len(k.Secret) < minSecret:
+		return KeyFaultShort
+	default:
+		return ""
+	}
+}
+
+// find returns the key with the ID, nil if there is none.
+func (c *Codec) find(id string) *Key {
+	for i := range c.keys {
+		if c.keys[i].ID == id {
+			return &c.keys[i]
+		}
+	}
+	return nil
+}
+
+// Seal returns the ticket's text: parts joined by dots, safe in URLs and
+// header fields, the last an HMAC over the others.
+func (c *Codec) Seal(t Ticket) string {
+	key := &c.keys[0]
+	payload := strings.Join([]string{
+		formatVersion,
+		key.ID,
+		string(t.Executor.Instance),
+		strconv.FormatUint(uint64(t.Executor.Incarnation), numberBase),
+		strconv.FormatUint(t.Executor.Nonce, numberBase),
+		strconv.FormatUint(t.Sequence, numberBase),
+		strconv.FormatInt(t.Issued.UnixMilli(), numberBase),
+		strconv.FormatInt(t.Expires.UnixMilli(), numberBase),
+	}, ".")
+	return payload + "." + base64.RawURLEncoding.EncodeToString(key.code(payload))
+}
+
+// code returns the payload's authentication code.
+func (k *Key) code(payload string) []byte {
+	mac := hmac.New(sha256.New, k.Secret)
+	mac.Write([]byte(codeContext))
+	mac.Write([]byte(payload))
+	return mac.Sum(nil)[:codeSize]
+}
+
+// Open returns the ticket that Seal wrote.
+// Errors are *SyntaxError, *UnknownKeyError and *ForgedError.
+func (c *Codec) Open(text string) (Ticket, error) {
+	payload, err := c.authenticate(text)
+	if err != nil {
+		return Ticket{}, err
+	}
+	return parsePayload(payload)
+}
+
+// authenticate returns the text without its authentication code, once that is
+// known to be right.
+func (c *Codec) authenticate(text string) (string, error) {
+	if len(text) > maxLength {
+		return "", &SyntaxError{Part: "length"}
+	}
+	parts := strings.Split(text, ".")
+	if len(parts) != payloadParts+1 {
+		return "", &SyntaxError{Part: "shape"}
+	}
+	if parts[0] != formatVersion {
+		return "", &SyntaxError{Part: "version"}
+	}
+	key := c.find(parts[1])
+	if key == nil {
+		return "", &UnknownKeyError{ID: parts[1]}
+	}
+	code, err := base64.RawURLEncoding.Strict().DecodeString(parts[payloadParts])
+	if err != nil {
+		return "", &SyntaxError{Part: "authentication code"}
+	}
+	payload := text[:strings.LastIndexByte(text, '.')]
+	if !hmac.Equal(code, key.code(payload)) {
+		return "", &ForgedError{KeyID: key.ID}
+	}
+	return payload, nil
+}
+
+// parsePayload reads the parts of an authenticated payload.
+func parsePayload(payload string) (Ticket, error) {
+	parts := strings.Split(payload, ".")
+	if !ident.ValidName(parts[2]) {
+		return Ticket{}, &SyntaxError{Part: "instance"}
+	}
+	r := numberReader{}
+	t := Ticket{
+		Executor: Life{
+			Instance:    ident.InstanceID(parts[2]),
+			Incarnation: ident.Incarnation(r.unsigned("incarnation", parts[3])),
+			Nonce:       r.unsigned("nonce", parts[4]),
+		},
+		Sequence: r.unsigned("sequence", parts[5]),
+		Issued:   r.milliseconds("issue time", parts[6]),
+		Expires:  r.milliseconds("expiry", parts[7]),
+	}
+	if r.err != nil {
+		return Ticket{}, r.err
+	}
+	return t, nil
+}
+
+// numberReader reads numbers and keeps the first error.
+type numberReader struct{ err error }
+
+// unsigned reads an unsigned number.
+func (r *numberReader) unsigned(part, text string) uint64 {
+	n, err := strconv.ParseUint(text, numberBase, 64)
+	if err != nil && r.err == nil {
+		r.err = &SyntaxError{Part: part}
+	}
+	return n
+}
+
+// milliseconds reads a time in Unix milliseconds.
+func (r *numberReader) milliseconds(part, text string) time.Time {
+	n, err := strconv.ParseInt(text, numberBase, 64)
+	if err != nil && r.err == nil {
+		r.err = &SyntaxError{Part: part}
+	}
+	return time.UnixMilli(n)
+}
--- /dev/null
+++ b/ticket/digest.go
@@ -0,0 +1,41 @@
+package ticket
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+
+	"github.com/wardspool/wardspool/ident"
+)
+
+// Digest identifies what a call asks for. A ticket is bound to the digest of
+// the first call that it is presented with.
+type Digest [sha256.Size]byte
+
+// Call is what a digest covers. A retry must repeat all of it.
+type Call struct {
+	Method    string
+	Path      string
+	Workspace ident.Workspace
+	Kind      string
+	Body      []byte
+}
+
+// Digest returns the call's digest. It covers the workspace, so that nobody
+// is given the answer to another customer's call.
+func (c *Call) Digest() Digest {
+	h := sha256.New()
+	var length [8]byte
+	for _, part := range [][]byte{
+		[]byte(c.Method),
+		[]byte(c.Path),
+		[]byte(c.Workspace),
+		[]byte(c.Kind),
+		c.Body,
+	} {
+		// The length keeps "ab"+"c" apart from "a"+"bc".
+		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+		h.Write(length[:])
+		h.Write(part)
+	}
+	return Digest(h.Sum(nil))
+}
--- /dev/null
+++ b/ticket/fifo.go
@@ -0,0 +1,34 @@
+package ticket
+
+// fifo is a first-in, first-out queue. Its zero value is empty.
+type fifo[T any] struct {
+	items []T
+	head  int
+}
+
+// push adds an item at the end.
+func (q *fifo[T]) push(item T) { q.items = append(q.items, item) }
+
+// first returns the oldest item, false if there is none.
+func (q *fifo[T]) first() (T, bool) {
+	if q.head == len(q.items) {
+		var none T
+		return none, false
+	}
+	return q.items[q.head], true
+}
+
+// pop removes the oldest item, which must exist.
+func (q *fifo[T]) pop() {
+	var none T
+	q.items[q.head] = none // let the collector have what it points to
+	q.head++
+	// Moving the rest only when it is the smaller half makes a pop cost
+	// constant time on average.
+	if 2*q.head >= len(q.items) {
+		n := copy(q.items, q.items[q.head:])
+		clear(q.items[n:])
+		q.items = q.items[:n]
+		q.head = 0
+	}
+}
--- /dev/null
+++ b/ticket/fleet_test.go
@@ -0,0 +1,290 @@
+package ticket
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+const fleetSize = 3
+
+// node is one entry instance of the simulated fleet.
+type node struct {
+	exec        *Executor
+	skew        time.Duration
+	frozen      bool
+	down        bool
+	frozenSince time.Time
+}
+
+// message is a presentation under way, to an entry instance or, forwarded, to
+// the executor.
+type message struct {
+	at        int
+	call      call
+	forwarded bool
+}
+
+// call is one body presented with one ticket.
+type call struct {
+	ticket Ticket
+	digest Digest
+}
+
+// fleet simulates entry instances as their drivers run them. Messages may be
+// delayed, lost and duplicated, and views are as old as can be.
+type fleet struct {
+	t        *rapid.T
+	now      time.Time
+	nodes    []*node
+	cut      map[[2]int]bool
+	messages []message
+	tickets  []Ticket
+	running  []call
+	// runs counts runs that happened or may have, by ticket and by call.
+	runs      map[Ticket]int
+	callRuns  map[call]int
+	toldUnrun map[call]bool
+}
+
+func instanceID(i int) ident.InstanceID { return ident.InstanceID(fmt.Sprintf("n%d", i)) }
+
+func newFleet(t *rapid.T) *fleet {
+	f := &fleet{
+		t: t, now: testStart, cut: map[[2]int]bool{},
+		runs: map[Ticket]int{}, callRuns: map[call]int{}, toldUnrun: map[call]bool{},
+	}
+	for i := range fleetSize {
+		life := Life{Instance: instanceID(i), Incarnation: 1}
+		f.nodes = append(f.nodes, &node{exec: NewExecutor(life, testLimits())})
+	}
+	return f
+}
+
+func (f *fleet) clock(i int) time.Time { return f.now.Add(f.nodes[i].skew) }
+
+func (f *fleet) draw(n int, what string) int {
+	if n == 0 {
+		f.t.Skip("nothing to choose from")
+	}
+	return rapid.IntRange(0, n-1).Draw(f.t, what)
+}
+
+// drawNode draws an instance that runs.
+func (f *fleet) drawNode() int {
+	i := f.draw(fleetSize, "node")
+	if f.nodes[i].frozen || f.nodes[i].down {
+		f.t.Skip("the instance does not run")
+	}
+	return i
+}
+
+func (f *fleet) issue() {
+	i := f.drawNode()
+	if tk, p := f.nodes[i].exec.Issue(f.clock(i), "w"); p == nil {
+		f.tickets = append(f.tickets, tk)
+	}
+}
+
+func (f *fleet) present() {
+	tk := f.tickets[f.draw(len(f.tickets), "ticket")]
+	d := []Digest{orderOne, orderTwo}[f.draw(2, "body")]
+	f.messages = append(f.messages, message{at: f.draw(fleetSize, "at"), call: call{tk, d}})
+}
+
+// deliver hands a message over; a duplicate of it may stay under way.
+func (f *fleet) deliver() {
+	k := f.draw(len(f.messages), "message")
+	m := f.messages[k]
+	n := f.nodes[m.at]
+	if n.frozen {
+		f.t.Skip("the instance is frozen")
+	}
+	if f.draw(4, "duplicate") > 0 {
+		f.messages = append(f.messages[:k], f.messages[k+1:]...)
+	}
+	if n.down {
+		f.tell(m.call, UnreachableProblem().Outcome)
+		return
+	}
+	if m.forwarded {
+		f.presentAt(m.at, m.call)
+		return
+	}
+	f.route(m)
+}
+
+func (f *fleet) route(m message) {
+	d := Route(m.call.ticket, f.nodes[m.at].exec.Life(), f.view())
+	switch d.Destination {
+	case Here:
+		f.presentAt(m.at, m.call)
+	case Nowhere:
+		f.tell(m.call, d.Problem.Outcome)
+	case Forward:
+		to := f.nodeOf(d.To)
+		if f.cut[[2]int{m.at, to}] {
+			f.tell(m.call, UnreachableProblem().Outcome)
+			return
+		}
+		f.messages = append(f.messages, message{at: to, call: m.call, forwarded: true})
+	}
+}
+
+// view returns a view that may be wrong in every point.
+func (f *fleet) view() *kernel.View {
+	v := &kernel.View{}
+	for i := range f.nodes {
+		if f.draw(8, "listed") == 7 {
+			continue
+		}
+		v.Instances = append(v.Instances, kernel.Instance{
+			ID:          instanceID(i),
+			Incarnation: ident.Incarnation(f.draw(3, "incarnation")),
+			Life:        kernel.Life(f.draw(5, "life") + 1),
+		})
+	}
+	return v
+}
+
+func (f *fleet) nodeOf(id ident.InstanceID) int {
+	for i := range f.nodes {
+		if instanceID(i) == id {
+			return i
+		}
+	}
+	f.t.Fatalf("no instance %s", id)
+	return 0
+}
+
+func (f *fleet) presentAt(i int, c call) {
+	v := f.nodes[i].exec.Present(f.clock(i), c.ticket, c.digest)
+	switch v.Action {
+	case Run:
+		f.running = append(f.running, c)
+		f.runs[c.ticket]++
+		f.callRuns[c]++
+	case Replay:
+		assert.Equal(f.t, string(v.Result.Body), fmt.Sprint(c.digest[0]))
+		f.tell(c, v.Result.Outcome)
+	case Refuse:
+		f.tell(c, v.Problem.Outcome)
+	}
+}
+
+func (f *fleet) tell(c call, o api.Outcome) {
+	if o == api.NotRun {
+		f.toldUnrun[c] = true
+	}
+}
+
+// finish ends a running call, at its executor if that still lives.
+func (f *fleet) finish() {
+	k := f.draw(len(f.running), "running")
+	c := f.running[k]
+	i := f.nodeOf(c.ticket.Executor.Instance)
+	f.running = append(f.running[:k], f.running[k+1:]...)
+	if n := f.nodes[i]; n.down || n.exec.Life() != c.ticket.Executor {
+		return
+	}
+	o := []api.Outcome{api.Complete, api.NotRun, api.Unknown}[f.draw(3, "outcome")]
+	if o == api.NotRun {
+		f.runs[c.ticket]--
+		f.callRuns[c]--
+		f.tell(c, o)
+	}
+	r := Result{Outcome: o, Body: fmt.Append(nil, c.digest[0])}
+	assert.NilError(f.t, f.nodes[i].exec.Finish(f.clock(i), c.ticket, r))
+}
+
+func (f *fleet) kill() {
+	if f.draw(3, "kill") == 0 {
+		f.nodes[f.draw(fleetSize, "node")].down = true
+	}
+}
+
+// restart begins a new life, whose incarnation may be that of the last one.
+func (f *fleet) restart() {
+	n := f.nodes[f.draw(fleetSize, "node")]
+	if !n.down && f.draw(3, "at once") > 0 {
+		f.t.Skip("it runs")
+	}
+	life := n.exec.Life()
+	life.Nonce++
+	life.Incarnation += ident.Incarnation(f.draw(2, "step"))
+	*n = node{exec: NewExecutor(life, testLimits()), skew: n.skew}
+}
+
+func (f *fleet) freeze() {
+	n := f.nodes[f.drawNode()]
+	n.frozen, n.frozenSince = true, f.now
+}
+
+func (f *fleet) thaw() {
+	i := f.draw(fleetSize, "node")
+	n := f.nodes[i]
+	if !n.frozen {
+		f.t.Skip("not frozen")
+	}
+	n.frozen = false
+	n.exec.Paused(f.clock(i), f.now.Sub(n.frozenSince))
+}
+
+func (f *fleet) wait() { f.now = f.now.Add(time.Duration(f.draw(30, "seconds")) * time.Second) }
+
+func (f *fleet) stepClock() {
+	f.nodes[f.draw(fleetSize, "node")].skew = time.Duration(f.draw(400, "skew")-200) * time.Second
+}
+
+func (f *fleet) sweep() {
+	i := f.drawNode()
+	f.nodes[i].exec.Sweep(f.clock(i))
+}
+
+func (f *fleet) toggleCut() {
+	link := [2]int{f.draw(fleetSize, "from"), f.draw(fleetSize, "to")}
+	f.cut[link] = !f.cut[link]
+}
+
+func (f *fleet) check(t *rapid.T) {
+	for tk, n := range f.runs {
+		assert.Assert(t, n <= 1, "ticket %v ran %d times", tk, n)
+	}
+	for c := range f.toldUnrun {
+		assert.Equal(t, f.callRuns[c], 0, "told not-run, but ran: %v", c.ticket)
+	}
+}
+
+// TestFleet lets callers retry anywhere while instances die, freeze, restart
+// and are cut off and clocks jump.
+func TestFleet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t)
+		steps := map[string]func(*rapid.T){"": f.check}
+		add := func(name string, weight int, do func()) {
+			for k := range weight {
+				steps[fmt.Sprint(name, k)] = func(t *rapid.T) { f.t = t; do() }
+			}
+		}
+		add("issue", 3, f.issue)
+		add("present", 6, f.present)
+		add("deliver", 12, f.deliver)
+		add("finish", 3, f.finish)
+		add("restart", 1, f.restart)
+		add("kill", 1, f.kill)
+		add("freeze", 1, f.freeze)
+		add("thaw", 2, f.thaw)
+		add("wait", 1, f.wait)
+		add("step clock", 1, f.stepClock)
+		add("sweep", 1, f.sweep)
+		add("cut", 1, f.toggleCut)
+		t.Repeat(steps)
+	})
+}
