--- /dev/null
+++ b/plugins/slots/lease/holder.go
@@ -0,0 +1,181 @@
+package lease
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/plugins/slots/slotkit"
+)
+
+// state is how far a reservation has come.
+type state int
+
+const (
+	// stateAsked: the grantor has not answered.
+	stateAsked state = iota + 1
+	// stateQueued: the grantor will answer when a slot falls free.
+	stateQueued
+	// stateHeld: the slot is this instance's.
+	stateHeld
+)
+
+// hold is one reservation of this instance.
+type hold struct {
+	key      slotkit.Key
+	id       ident.AttemptID
+	upstream ident.UpstreamID
+	ask      Ask
+	state    state
+	// grantor is the instance that may know of the reservation, empty if none.
+	grantor ident.InstanceID
+	seq     uint64
+	askedAt time.Time
+	// until is when an unanswered ask is given up.
+	until time.Time
+	// usedAt is when the slot was, or is expected to be, put to use.
+	usedAt  time.Time
+	started bool
+}
+
+// contact is what a holder remembers of a grantor.
+type contact struct {
+	incarnation ident.Incarnation
+	// failures counts asks in a row that were not answered.
+	failures int
+	// downUntil is when the grantor may be asked again.
+	downUntil time.Time
+	// trying is set while one ask finds out whether it is back.
+	trying bool
+	// owed counts the Renews that must still be sent after the last ask, so
+	// that a grantor hears that nothing is held, even if one is lost.
+	owed int
+}
+
+// renewsOwed is the number of Renews that follow the last ask at least.
+const renewsOwed = 2
+
+// word is what a grantor last said of an engine's free slots.
+type word struct {
+	at       time.Time
+	free     int
+	nextFree time.Duration
+}
+
+// answer is a reservation's answer that the kernel was not told yet.
+type answer struct {
+	id      ident.AttemptID
+	granted bool
+	retryAt time.Time
+}
+
+// holder is the part of a Policy that keeps this instance's reservations.
+type holder struct {
+	holds map[slotkit.Key]*hold
+	// open are the holds that are not answered yet, in the order asked.
+	open []*hold
+	// held counts the slots held by upstream.
+	held     map[ident.UpstreamID]int
+	contacts map[ident.InstanceID]*contact
+	words    map[ident.UpstreamID]word
+	// refused is until when the engine's last refusal is heeded.
+	refused   map[ident.UpstreamID]time.Time
+	answers   []answer
+	flushing  bool
+	seq       uint64
+	nextRenew time.Time
+}
+
+func (o *holder) init() {
+	o.holds = map[slotkit.Key]*hold{}
+	o.held = map[ident.UpstreamID]int{}
+	o.contacts = map[ident.InstanceID]*contact{}
+	o.words = map[ident.UpstreamID]word{}
+	o.refused = map[ident.UpstreamID]time.Time{}
+}
+
+// nextSeq numbers the next message.
+func (o *holder) nextSeq() uint64 {
+	o.seq++
+	return o.seq
+}
+
+// contact returns what is remembered of a grantor.
+func (o *holder) contact(id ident.InstanceID) *contact {
+	c := o.contacts[id]
+	if c == nil {
+		c = &contact{}
+		o.contacts[id] = c
+	}
+	return c
+}
+
+// answered notes that a grantor answers.
+func (o *holder) answered(id ident.InstanceID) {
+	if c := o.contacts[id]; c != nil {
+		c.failures = 0
+		c.trying = false
+		c.downUntil = time.Time{}
+	}
+}
+
+// heard takes a grantor's word unless a newer one is known.
+func (o *holder) heard(id ident.UpstreamID, w word) {
+	if !w.at.Before(o.words[id].at) {
+		o.words[id] = w
+	}
+}
+
+// add enters a new reservation.
+func (o *holder) add(h *hold) {
+	o.holds[h.key] = h
+	if h.state == stateHeld {
+		o.held[h.upstream]++
+		return
+	}
+	o.open = append(o.open, h)
+}
+
+// keep makes an open reservation a held one.
+func (o *holder) keep(h *hold) {
+	if h.state == stateHeld {
+		return
+	}
+	o.close(h)
+	h.state = stateHeld
+	o.held[h.upstream]++
+}
+
+// drop removes a reservation.
+func (o *holder) drop(h *hold) {
+	delete(o.holds, h.key)
+	if h.state != stateHeld {
+		o.close(h)
+		return
+	}
+	if o.held[h.upstream]--; o.held[h.upstream] == 0 {
+		delete(o.held, h.upstream)
+	}
+}
+
+// close takes a reservation out of the open ones.
+func (o *holder) close(h *hold) {
+	if i := slices.Index(o.open, h); i >= 0 {
+		o.open = slices.Delete(o.open, i, i+1)
+	}
+}
+
+// sorted returns the reservations in the order of their keys.
+func (o *holder) sorted() []*hold {
+	all := make([]*hold, 0, len(o.holds))
+	for _, h := range o.holds {
+		all = append(all, h)
+	}
+	slices.SortFunc(all, func(a, b *hold) int {
+		if a.key.Before(b.key) {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
--- /dev/null
+++ b/plugins/slots/lease/message.go
@@ -0,0 +1,145 @@
+package lease
+
+import (
+	"time"
+
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/plugins/slots/slotkit"
+)
+
+// The kinds of message.
+const (
+	KindAsk     = "slots.ask"
+	KindGrant   = "slots.grant"
+	KindQueued  = "slots.queued"
+	KindDeny    = "slots.deny"
+	KindRelease = "slots.release"
+	KindRenew   = "slots.renew"
+	KindRefused = "slots.refused"
+)
+
+// Milliseconds is a duration as messages carry it.
+type Milliseconds int64
+
+// Duration returns m as a time.Duration.
+func (m Milliseconds) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
+
+// millis rounds a duration up, so that a wait is never told too short.
+func millis(d time.Duration) Milliseconds {
+	return Milliseconds((d + time.Millisecond - 1) / time.Millisecond)
+}
+
+// Ask asks the grantor for a lease. Seq rises with every message a holder
+// sends, so that the grantor can tell in which order they were sent.
+type Ask struct {
+	Reservation   slotkit.Reservation `json:"r"`
+	Upstream      ident.UpstreamID    `json:"u"`
+	Seq           uint64              `json:"s"`
+	Pieces        int                 `json:"p,omitempty"`
+	Lead          Milliseconds        `json:"l,omitempty"`
+	Output        int                 `json:"o,omitempty"`
+	FirstOutputBy int64               `json:"b,omitempty"` // Unix milliseconds
+}
+
+// Grant answers an Ask: the slot is leased until the reservation's deadline.
+type Grant struct {
+	Reservation slotkit.Reservation `json:"r"`
+	Upstream    ident.UpstreamID    `json:"u"`
+	Free        int                 `json:"f,omitempty"`
+}
+
+// Queued answers an Ask that waits for a slot; a Grant or Deny will follow.
+type Queued struct {
+	Reservation slotkit.Reservation `json:"r"`
+	Upstream    ident.UpstreamID    `json:"u"`
+	Seq         uint64              `json:"s"`
+	NextFree    Milliseconds        `json:"n,omitempty"`
+}
+
+// Deny answers an Ask that gets no slot.
+type Deny struct {
+	Reservation slotkit.Reservation `json:"r"`
+	Upstream    ident.UpstreamID    `json:"u"`
+	Seq         uint64              `json:"s"`
+	RetryIn     Milliseconds        `json:"t,omitempty"`
+	Free        int                 `json:"f,omitempty"`
+	NextFree    Milliseconds        `json:"n,omitempty"`
+	// NotGrantor says that the receiver does not grant this upstream's slots,
+	// by its own view.
+	NotGrantor bool `json:"x,omitempty"`
+}
+
+// Release gives a lease back or withdraws an ask.
+type Release struct {
+	Reservation slotkit.Reservation `json:"r"`
+	Upstream    ident.UpstreamID    `json:"u"`
+	Seq         uint64              `json:"s"`
+	// Held is how long the slot was in use, 0 if it never was.
+	Held Milliseconds `json:"h,omitempty"`
+}
+
+// Renew lists all leases and open asks that a holder has at one grantor. What
+// it does not list, and was asked for before it was sent, is over.
+type Renew struct {
+	Incarnation ident.Incarnation `json:"i"`
+	Seq         uint64            `json:"s"`
+	Engines     []RenewEngine     `json:"e,omitempty"`
+}
+
+// RenewEngine is the part of a Renew that concerns one engine.
+type RenewEngine struct {
+	Upstream ident.UpstreamID `json:"u"`
+	Leases   []RenewLease     `json:"l"`
+}
+
+// RenewLease is one lease or open ask. Its reservation's instance and
+// incarnation are the sender's.
+type RenewLease struct {
+	Sequence uint64 `json:"q"`
+	Deadline int64  `json:"d"` // Unix milliseconds
+	Pieces   int    `json:"p,omitempty"`
+	Output   int    `json:"o,omitempty"`
+	// Used is how long the slot has been in use; when negative, how long it
+	// is until it is expected to be.
+	Used Milliseconds `json:"t,omitempty"`
+	// Open marks an ask that was not answered yet.
+	Open bool `json:"w,omitempty"`
+}
+
+// Refused tells the grantor that the engine itself refused a holder's request
+// for want of a slot.
+type Refused struct {
+	Upstream ident.UpstreamID `json:"u"`
+}
+
+// MessageKind implements kernel.PeerMessage.
+func (*Ask) MessageKind() string { return KindAsk }
+
+// MessageKind implements kernel.PeerMessage.
+func (*Grant) MessageKind() string { return KindGrant }
+
+// MessageKind implements kernel.PeerMessage.
+func (*Queued) MessageKind() string { return KindQueued }
+
+// MessageKind implements kernel.PeerMessage.
+func (*Deny) MessageKind() string { return KindDeny }
+
+// MessageKind implements kernel.PeerMessage.
+func (*Release) MessageKind() string { return KindRelease }
+
+// MessageKind implements kernel.PeerMessage.
+func (*Renew) MessageKind() string { return KindRenew }
+
+// MessageKind implements kernel.PeerMessage.
+func (*Refused) MessageKind() string { return KindRefused }
+
+func init() {
+	kernel.RegisterMessage(func() kernel.PeerMessage { return &Ask{} })
+	kernel.RegisterMessage(func() kernel.PeerMessage { return &Grant{} })
+	kernel.RegisterMessage(func() kernel.PeerMessage { return &Queued{} })
+	kernel.RegisterMessage(func() kernel.PeerMessage { return &Deny{} })
+	kernel.RegisterMessage(func() kernel.PeerMessage { return &Release{} })
+	kernel.RegisterMessage(func() kernel.PeerMessage { return &Renew{} })
+	kernel.RegisterMessage(func() kernel.PeerMessage { return &Refused{} })
+}
--- /dev/null
+++ b/plugins/slots/lease/receive.go
@@ -0,0 +1,128 @@
+package lease
+
+import (
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+// MessageKinds implements kernel.PeerHandler.
+func (p *Policy) MessageKinds() []string {
+	return []string{KindAsk, KindGrant, KindQueued, KindDeny, KindRelease, KindRenew, KindRefused}
+}
+
+// Receive implements kernel.PeerHandler.
+func (p *Policy) Receive(from ident.InstanceID, m kernel.PeerMessage) {
+	p.followView()
+	switch m := m.(type) {
+	case *Ask:
+		p.receiveAsk(from, *m)
+	case *Grant:
+		p.receiveGrant(from, m)
+	case *Queued:
+		p.receiveQueued(from, m)
+	case *Deny:
+		p.receiveDeny(from, m)
+	case *Release:
+		p.receiveRelease(from, m)
+	case *Renew:
+		p.receiveRenew(from, m)
+	case *Refused:
+		p.receiveRefused(m)
+	}
+	p.flush()
+}
+
+// Undelivered implements kernel.PeerHandler. Only a lost ask needs an answer at
+// once; Renew makes up for whatever else was lost.
+func (p *Policy) Undelivered(to ident.InstanceID, m kernel.PeerMessage) {
+	p.followView()
+	if ask, ok := m.(*Ask); ok {
+		p.askLost(to, ask)
+	}
+	p.flush()
+}
+
+// receiveAsk answers a holder's ask.
+func (p *Policy) receiveAsk(from ident.InstanceID, ask Ask) {
+	sender := p.grantor.peer(from, ask.Reservation.Incarnation)
+	if sender == nil || ask.Reservation.Instance != from || ask.Seq < sender.renewed {
+		// From an earlier life, or overtaken by a Renew that does not list it.
+		return
+	}
+	u := p.host.Upstream(ask.Upstream)
+	l := p.grantor.ledger(ask.Upstream)
+	if u == nil || l == nil {
+		p.host.Send(from, &Deny{Reservation: ask.Reservation, Upstream: ask.Upstream, Seq: ask.Seq, NotGrantor: true})
+		return
+	}
+	switch p.decide(l, u, from, ask) {
+	case verdictGranted:
+		p.host.Send(from, &Grant{Reservation: ask.Reservation, Upstream: ask.Upstream, Free: p.free(l, u)})
+	case verdictQueued:
+		p.host.Send(from, &Queued{Reservation: ask.Reservation, Upstream: ask.Upstream, Seq: ask.Seq, NextFree: millis(l.nextFree())})
+	case verdictDenied:
+		p.host.Send(from, p.denial(l, ask, p.retryIn(l)))
+	}
+}
+
+func (p *Policy) receiveRelease(from ident.InstanceID, m *Release) {
+	sender := p.grantor.peer(from, m.Reservation.Incarnation)
+	if sender == nil {
+		return
+	}
+	sender.released = max(sender.released, m.Seq)
+	u := p.host.Upstream(m.Upstream)
+	l := p.grantor.ledger(m.Upstream)
+	if u != nil && l != nil {
+		p.release(l, u, m.Reservation.Key(), m.Seq, m.Held.Duration())
+	}
+}
+
+func (p *Policy) receiveRefused(m *Refused) {
+	u := p.host.Upstream(m.Upstream)
+	l := p.grantor.ledger(m.Upstream)
+	if u != nil && l != nil {
+		p.refusedAt(l, u)
+	}
+}
+
+// receiveGrant takes a lease that was asked for. One that is no longer wanted
+// is given back.
+func (p *Policy) receiveGrant(from ident.InstanceID, m *Grant) {
+	p.holder.answered(from)
+	p.holder.heard(m.Upstream, word{at: p.host.Now(), free: m.Free})
+	h := p.holder.holds[m.Reservation.Key()]
+	if h == nil || h.upstream != m.Upstream {
+		p.sendRelease(from, m.Reservation.ID(), m.Upstream, 0)
+		return
+	}
+	h.grantor = from
+	p.granted(h.key)
+}
+
+func (p *Policy) receiveQueued(from ident.InstanceID, m *Queued) {
+	p.holder.answered(from)
+	p.holder.heard(m.Upstream, word{at: p.host.Now(), nextFree: m.NextFree.Duration()})
+	h := p.holder.holds[m.Reservation.Key()]
+	if h == nil || h.seq != m.Seq || h.state != stateAsked {
+		return
+	}
+	h.state = stateQueued
+	h.until = h.askedAt.Add(p.QueueWait + p.AskTimeout)
+}
+
+func (p *Policy) receiveDeny(from ident.InstanceID, m *Deny) {
+	p.holder.answered(from)
+	h := p.holder.holds[m.Reservation.Key()]
+	wanted := h != nil && h.seq == m.Seq && h.state != stateHeld
+	if m.NotGrantor {
+		if wanted {
+			p.fallBack(h)
+		}
+		return
+	}
+	p.holder.heard(m.Upstream, word{at: p.host.Now(), free: m.Free, nextFree: m.NextFree.Duration()})
+	if wanted {
+		p.denied(h.key, p.host.Now().Add(m.RetryIn.Duration()))
+	}
+}
--- /dev/null
+++ b/plugins/slots/lease/renew.go
@@ -0,0 +1,173 @@
+package lease
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/plugins/slots/slotkit"
+)
+
+// renewAll sends each grantor the list of what is held of it. It forgets
+// reservations whose deadline has passed: their leases have lapsed.
+func (p *Policy) renewAll() {
+	lists := p.renewLists()
+	for _, id := range p.renewDue(lists) {
+		p.sendRenew(id, lists[id])
+	}
+}
+
+// renewLists lists the reservations by the grantor of their engine.
+func (p *Policy) renewLists() map[ident.InstanceID][]*hold {
+	lists := map[ident.InstanceID][]*hold{}
+	now := p.host.Now()
+	for _, h := range p.holder.sorted() {
+		u := p.host.Upstream(h.upstream)
+		if u == nil || !h.id.Deadline.After(now) {
+			continue
+		}
+		id := p.roster.Grantor(u)
+		if id == "" || id == p.self() {
+			continue
+		}
+		lists[id] = append(lists[id], h)
+	}
+	return lists
+}
+
+// renewDue returns the grantors that must hear of this holder, sorted.
+func (p *Policy) renewDue(lists map[ident.InstanceID][]*hold) []ident.InstanceID {
+	var due []ident.InstanceID
+	for id := range lists {
+		p.holder.contact(id).owed = renewsOwed
+	}
+	for id, c := range p.holder.contacts {
+		if c.owed > 0 {
+			due = append(due, id)
+		}
+	}
+	slices.Sort(due)
+	return due
+}
+
+// sendRenew lists the holds to a grantor.
+func (p *Policy) sendRenew(to ident.InstanceID, holds []*hold) {
+	p.holder.contact(to).owed--
+	m := &Renew{Incarnation: p.host.Self().Incarnation, Seq: p.holder.nextSeq()}
+	now := p.host.Now()
+	for _, h := range holds {
+		h.grantor = to
+		m.add(h, now)
+	}
+	p.host.Send(to, m)
+}
+
+// add lists one reservation.
+func (m *Renew) add(h *hold, now time.Time) {
+	i := slices.IndexFunc(m.Engines, func(e RenewEngine) bool { return e.Upstream == h.upstream })
+	if i < 0 {
+		i = len(m.Engines)
+		m.Engines = append(m.Engines, RenewEngine{Upstream: h.upstream})
+	}
+	m.Engines[i].Leases = append(m.Engines[i].Leases, RenewLease{
+		Sequence: h.key.Sequence,
+		Deadline: h.id.Deadline.UnixMilli(),
+		Pieces:   h.ask.Pieces,
+		Output:   h.ask.Output,
+		Used:     Milliseconds(now.Sub(h.usedAt) / time.Millisecond),
+		Open:     h.state != stateHeld,
+	})
+}
+
+// receiveRenew makes this grantor's ledgers agree with a holder's list.
+func (p *Policy) receiveRenew(from ident.InstanceID, m *Renew) {
+	sender := p.grantor.peer(from, m.Incarnation)
+	if sender == nil || m.Seq <= sender.renewed {
+		return
+	}
+	sender.renewed = m.Seq
+	overtaken := m.Seq < sender.released
+	for _, l := range p.grantor.ledgers {
+		u := p.host.Upstream(l.upstream)
+		if u == nil {
+			continue
+		}
+		var listed []RenewLease
+		if i := slices.IndexFunc(m.Engines, func(e RenewEngine) bool { return e.Upstream == l.upstream }); i >= 0 {
+			listed = m.Engines[i].Leases
+		}
+		l.heard[from] = struct{}{}
+		p.reconcile(l, u, from, m, listed, overtaken)
+		p.settle(l)
+		p.drain(l, u)
+	}
+}
+
+// reconcile ends the leases that the holder does not list and enters those that
+// this grantor does not know, unless a later release has overtaken the list.
+func (p *Policy) reconcile(l *ledger, u *kernel.Upstream, from ident.InstanceID, m *Renew, listed []RenewLease, overtaken bool) {
+	slots := slotkit.Slots(u)
+	now := p.host.Now()
+	gone := func(key slotkit.Key, seq uint64) bool {
+		return key.Instance == from && key.Incarnation == m.Incarnation && seq < m.Seq &&
+			!slices.ContainsFunc(listed, func(r RenewLease) bool { return r.Sequence == key.Sequence })
+	}
+	for i := len(l.leases) - 1; i >= 0; i-- {
+		if gone(l.leases[i].key, l.leases[i].seq) {
+			l.end(i, now, slots)
+		}
+	}
+	l.queue = slices.DeleteFunc(l.queue, func(w waitingAsk) bool { return gone(w.key, w.ask.Seq) })
+	for _, r := range listed {
+		p.reconcileOne(l, u, from, m, r, overtaken)
+	}
+}
+
+// reconcileOne takes over one listed lease.
+func (p *Policy) reconcileOne(l *ledger, u *kernel.Upstream, from ident.InstanceID, m *Renew, r RenewLease, overtaken bool) {
+	key := slotkit.Key{Instance: from, Incarnation: m.Incarnation, Sequence: r.Sequence}
+	usedAt := p.host.Now().Add(-r.Used.Duration())
+	i := l.find(key)
+	switch {
+	case i >= 0 && r.Open:
+		p.grantAgain(l, u, &l.leases[i], from)
+	case i >= 0:
+		l.leases[i].usedAt = usedAt
+	case !r.Open && !overtaken:
+		p.learn(l, u, key, m.Seq, r, usedAt)
+	}
+}
+
+// grantAgain repeats a grant that the holder has not received.
+func (p *Policy) grantAgain(l *ledger, u *kernel.Upstream, x *lease, to ident.InstanceID) {
+	id := ident.AttemptID{
+		Instance:    x.key.Instance,
+		Incarnation: x.key.Incarnation,
+		Sequence:    x.key.Sequence,
+		Deadline:    x.expires,
+	}
+	p.host.Send(to, &Grant{Reservation: slotkit.Reservation(id), Upstream: l.upstream, Free: p.free(l, u)})
+}
+
+// learn enters a lease that another grantor, or a static share, gave out.
+func (p *Policy) learn(l *ledger, u *kernel.Upstream, key slotkit.Key, seq uint64, r RenewLease, usedAt time.Time) {
+	now := p.host.Now()
+	granted := now
+	if usedAt.Before(now) {
+		granted = usedAt
+	}
+	expires := time.UnixMilli(r.Deadline)
+	if !expires.After(now) {
+		return
+	}
+	l.add(lease{
+		key:     key,
+		expires: expires,
+		pieces:  r.Pieces,
+		output:  r.Output,
+		seq:     seq,
+		granted: granted,
+		usedAt:  usedAt,
+	}, slotkit.Slots(u))
+}
--- /dev/null
+++ b/plugins/slots/lease/reserve.go
@@ -0,0 +1,227 @@
+package lease
+
+import (
+	"time"
+
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/plugins/slots/slotkit"
+)
+
+// retryUnusable is when to ask again for a slot of an engine that is gone.
+const retryUnusable = 500 * time.Millisecond
+
+// Reserve implements kernel.SlotPolicy.
+func (p *Policy) Reserve(ask kernel.SlotAsk) kernel.SlotAnswer {
+	p.followView()
+	if h := p.holder.holds[slotkit.KeyOf(ask.Reservation)]; h != nil {
+		return answerFor(h)
+	}
+	now := p.host.Now()
+	u := p.host.Upstream(ask.Upstream)
+	if !slotkit.Usable(u) {
+		return none(now.Add(retryUnusable))
+	}
+	h := p.newHold(ask, now)
+	grantor := p.roster.Grantor(u)
+	switch {
+	case slotkit.Slots(u) == 0:
+		// The engine's size is not known; only it can tell.
+		h.state = stateHeld
+		p.holder.add(h)
+		return kernel.SlotAnswer{Verdict: kernel.SlotHeld}
+	case grantor == p.self():
+		return p.reserveHere(h, u)
+	case grantor == "" || p.down(grantor):
+		return p.reserveShare(h, u)
+	}
+	p.holder.add(h)
+	p.sendAsk(h, grantor)
+	return kernel.SlotAnswer{Verdict: kernel.SlotWaits}
+}
+
+func answerFor(h *hold) kernel.SlotAnswer {
+	if h.state == stateHeld {
+		return kernel.SlotAnswer{Verdict: kernel.SlotHeld}
+	}
+	return kernel.SlotAnswer{Verdict: kernel.SlotWaits}
+}
+
+func none(retryAt time.Time) kernel.SlotAnswer {
+	return kernel.SlotAnswer{Verdict: kernel.SlotNone, RetryAt: retryAt}
+}
+
+func (p *Policy) newHold(ask kernel.SlotAsk, now time.Time) *hold {
+	wire := Ask{
+		Reservation: slotkit.Reservation(ask.Reservation),
+		Upstream:    ask.Upstream,
+		Pieces:      ask.Pieces,
+		Lead:        millis(ask.Lead),
+		Output:      ask.OutputTokens,
+	}
+	if !ask.FirstOutputBy.IsZero() {
+		wire.FirstOutputBy = ask.FirstOutputBy.UnixMilli()
+	}
+	return &hold{
+		key:      slotkit.KeyOf(ask.Reservation),
+		id:       ask.Reservation,
+		upstream: ask.Upstream,
+		ask:      wire,
+		state:    stateAsked,
+		askedAt:  now,
+		usedAt:   now.Add(ask.Lead),
+	}
+}
+
+// reserveHere asks this instance itself as the grantor.
+func (p *Policy) reserveHere(h *hold, u *kernel.Upstream) kernel.SlotAnswer {
+	l := p.ledgerOf(u)
+	h.grantor = p.self()
+	h.seq = p.holder.nextSeq()
+	h.ask.Seq = h.seq
+	h.until = h.askedAt.Add(p.QueueWait + p.AskTimeout)
+	switch p.decide(l, u, p.self(), h.ask) {
+	case verdictGranted:
+		h.state = stateHeld
+		p.holder.add(h)
+	case verdictQueued:
+		h.state = stateQueued
+		p.holder.add(h)
+	case verdictDenied:
+		return none(p.host.Now().Add(p.retryIn(l)))
+	}
+	return answerFor(h)
+}
+
+// sendAsk asks a grantor on another instance.
+func (p *Policy) sendAsk(h *hold, grantor ident.InstanceID) {
+	h.state = stateAsked
+	h.grantor = grantor
+	h.seq = p.holder.nextSeq()
+	h.ask.Seq = h.seq
+	h.askedAt = p.host.Now()
+	h.until = h.askedAt.Add(p.AskTimeout)
+	c := p.holder.contact(grantor)
+	c.owed = renewsOwed
+	c.trying = c.failures > 0
+	ask := h.ask
+	p.host.Send(grantor, &ask)
+}
+
+// Release implements kernel.SlotPolicy.
+func (p *Policy) Release(id ident.AttemptID) {
+	p.followView()
+	h := p.holder.holds[slotkit.KeyOf(id)]
+	if h == nil {
+		return
+	}
+	var held time.Duration
+	if h.started {
+		held = max(p.host.Now().Sub(h.usedAt), time.Millisecond)
+	}
+	p.holder.drop(h)
+	p.tellReleased(h, held)
+}
+
+// tellReleased tells the grantor that a reservation is over.
+func (p *Policy) tellReleased(h *hold, held time.Duration) {
+	switch h.grantor {
+	case "":
+	case p.self():
+		u := p.host.Upstream(h.upstream)
+		l := p.grantor.ledger(h.upstream)
+		if u != nil && l != nil {
+			p.release(l, u, h.key, p.holder.nextSeq(), held)
+		}
+	default:
+		p.sendRelease(h.grantor, h.id, h.upstream, held)
+	}
+}
+
+func (p *Policy) sendRelease(to ident.InstanceID, id ident.AttemptID, u ident.UpstreamID, held time.Duration) {
+	p.host.Send(to, &Release{
+		Reservation: slotkit.Reservation(id),
+		Upstream:    u,
+		Seq:         p.holder.nextSeq(),
+		Held:        millis(held),
+	})
+}
+
+// Started implements kernel.SlotPolicy.
+func (p *Policy) Started(id ident.AttemptID) {
+	h := p.holder.holds[slotkit.KeyOf(id)]
+	if h == nil {
+		return
+	}
+	h.started = true
+	h.usedAt = p.host.Now()
+	if l := p.grantor.ledger(h.upstream); l != nil {
+		if i := l.find(h.key); i >= 0 {
+			l.leases[i].usedAt = h.usedAt
+		}
+	}
+}
+
+// Refused implements kernel.SlotPolicy.
+func (p *Policy) Refused(id ident.UpstreamID) {
+	p.followView()
+	u := p.host.Upstream(id)
+	if u == nil {
+		return
+	}
+	p.holder.refused[id] = p.host.Now().Add(penaltyTime)
+	grantor := p.roster.Grantor(u)
+	if grantor != "" && grantor != p.self() {
+		p.host.Send(grantor, &Refused{Upstream: id})
+		return
+	}
+	if l := p.grantor.ledger(id); l != nil {
+		p.refusedAt(l, u)
+	}
+}
+
+// refusedAt lowers the grantor's belief in an engine's free slots.
+func (p *Policy) refusedAt(l *ledger, u *kernel.Upstream) {
+	l.refused(p.host.Now(), slotkit.Slots(u))
+}
+
+// granted marks a reservation as held and tells the kernel if it waits.
+func (p *Policy) granted(key slotkit.Key) {
+	h := p.holder.holds[key]
+	if h == nil || h.state == stateHeld {
+		return
+	}
+	p.holder.keep(h)
+	p.holder.answers = append(p.holder.answers, answer{id: h.id, granted: true})
+}
+
+// denied drops a reservation and tells the kernel, which waits for it.
+func (p *Policy) denied(key slotkit.Key, retryAt time.Time) {
+	h := p.holder.holds[key]
+	if h == nil || h.state == stateHeld {
+		return
+	}
+	p.holder.drop(h)
+	p.holder.answers = append(p.holder.answers, answer{id: h.id, retryAt: retryAt})
+}
+
+// flush tells the kernel the answers that are due. The kernel may release or
+// reserve meanwhile, so that more may come in. It must not be called while the
+// kernel walks its queue: only from Wake, Receive and Undelivered.
+func (p *Policy) flush() {
+	o := &p.holder
+	if o.flushing {
+		return
+	}
+	o.flushing = true
+	for i := 0; i < len(o.answers); i++ {
+		a := o.answers[i]
+		if a.granted {
+			p.host.SlotGranted(a.id)
+			continue
+		}
+		p.host.SlotDenied(a.id, a.retryAt)
+	}
+	o.answers = o.answers[:0]
+	o.flushing = false
+}
--- /dev/null
+++ b/plugins/slots/lease/wake.go
@@ -0,0 +1,146 @@
+package lease
+
+import (
+	"time"
+
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/plugins/slots/slotkit"
+)
+
+// aheadPoll is how often a queue is looked at anew because the forecast of free
+// slots improves as time passes.
+const aheadPoll = 20 * time.Millisecond
+
+// NextWake implements kernel.Waker.
+func (p *Policy) NextWake() (time.Time, bool) {
+	now := p.host.Now()
+	if !p.roster.Current(p.host.View()) || len(p.holder.answers) > 0 {
+		return now, true
+	}
+	next := p.holder.nextRenew
+	if next.IsZero() {
+		next = now.Add(p.RenewInterval)
+		p.holder.nextRenew = next
+	}
+	for _, h := range p.holder.open {
+		next = earlier(next, h.until)
+	}
+	for _, l := range p.grantor.ledgers {
+		next = earlier(next, p.ledgerWake(l, now))
+	}
+	return next, true
+}
+
+// ledgerWake returns when a ledger needs attention, at the latest one interval
+// from now.
+func (p *Policy) ledgerWake(l *ledger, now time.Time) time.Time {
+	next := now.Add(p.RenewInterval)
+	if !l.settled {
+		next = earlier(next, l.since.Add(p.TakeOver))
+	}
+	if len(l.queue) == 0 {
+		return next
+	}
+	if p.AheadRisk >= 0 && l.holds.ready() {
+		next = earlier(next, l.polled.Add(aheadPoll))
+	}
+	for i := range l.queue {
+		next = earlier(next, l.queue[i].lastCall())
+	}
+	return next
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// Wake implements kernel.Waker.
+func (p *Policy) Wake() {
+	p.followView()
+	now := p.host.Now()
+	late := now.Sub(p.holder.nextRenew)
+	if !p.holder.nextRenew.IsZero() && late > pauseGap {
+		p.unsettle()
+	}
+	p.timeOut(now)
+	if late >= 0 {
+		p.renewAll()
+		p.tidy(now)
+		p.holder.nextRenew = now.Add(p.RenewInterval)
+	}
+	for _, l := range p.grantor.ledgers {
+		p.wakeLedger(l, now)
+	}
+	p.flush()
+}
+
+// timeOut gives up asks that were not answered in time.
+func (p *Policy) timeOut(now time.Time) {
+	for i := 0; i < len(p.holder.open); {
+		h := p.holder.open[i]
+		switch {
+		case h.until.After(now):
+			i++
+		case h.grantor == p.self():
+			p.denied(h.key, p.shareRetryAt())
+			p.tellReleased(h, 0)
+		default:
+			p.unanswered(h.grantor)
+			i = 0
+		}
+	}
+}
+
+// wakeLedger lets leases lapse and answers what can be answered by now.
+func (p *Policy) wakeLedger(l *ledger, now time.Time) {
+	u := p.host.Upstream(l.upstream)
+	if u == nil {
+		return
+	}
+	l.polled = now
+	l.expire(now, slotkit.Slots(u))
+	p.settle(l)
+	p.drain(l, u)
+}
+
+// tidy drops the leases of instances that are dead once the engine shows that
+// their slots are free.
+func (p *Policy) tidy(now time.Time) {
+	var dead map[ident.InstanceID]ident.Incarnation
+	for i := range p.host.View().Instances {
+		in := &p.host.View().Instances[i]
+		if dead == nil {
+			dead = map[ident.InstanceID]ident.Incarnation{}
+		}
+		dead[in.ID] = in.Incarnation
+		if in.Life == kernel.Dead {
+			dead[in.ID]++
+		}
+	}
+	for _, l := range p.grantor.ledgers {
+		if u := p.host.Upstream(l.upstream); u != nil {
+			l.dropOrphans(u, dead, now)
+		}
+	}
+}
+
+// dropOrphans ends leases of earlier lives than the given first possible ones,
+// as many as the engine's load shows to be unused.
+func (l *ledger) dropOrphans(u *kernel.Upstream, alive map[ident.InstanceID]ident.Incarnation, now time.Time) {
+	if u.Load.At.IsZero() {
+		return
+	}
+	unused := l.usedBefore(u.Load.At) - u.Load.Running - u.Load.Waiting
+	for i := len(l.leases) - 1; i >= 0 && unused > 0; i-- {
+		x := &l.leases[i]
+		if x.usedAt.After(u.Load.At) || x.key.Incarnation >= alive[x.key.Instance] {
+			continue
+		}
+		l.end(i, now, slotkit.Slots(u))
+		unused--
+	}
+}
