Stand-in engine: session, abort and quiescence tests; judge.Merge

Cause: the judge must count truly before others rely on it. Change: whole sessions in a synctest bubble with an in-process transport, aborts in each stage, 20 seeded random interleavings of requests, aborts and faults; judge.Merge joins the reports of several engines.

--- /dev/null
+++ b/standin/engine/abort_test.go
@@ -0,0 +1,209 @@
+package engine
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/standin/answer"
+	"github.com/wardspool/wardspool/standin/control"
+)
+
+func TestAbortBeforeArrival(t *testing.T) {
+	inBench(t, nil, func(t *testing.T, b *bench) {
+		assert.Equal(t, b.abort(prefillA, "a1"), false)
+		assert.Equal(t, b.abort(prefillA, "a1"), false)
+		for range 2 {
+			resp := b.post(b.t.Context(), prefillAsk(prefillA, "a1", "r1", words("p", 10)))
+			got := read[control.ErrorBody](t, resp, http.StatusConflict)
+			assert.Equal(t, got.Error.Code, control.CodeAbortedEarly)
+			assert.Assert(t, got.Error.Code.Attested())
+		}
+		totals := b.engines[prefillA].Judge().Totals
+		assert.Equal(t, totals.Accepted, 0)
+		assert.Equal(t, totals.AbortedEarly, 2)
+	})
+}
+
+// TestAbortInEachStage aborts an attempt after a time at which it is in the
+// stage, and asserts that nothing is held and what was computed is waste.
+func TestAbortInEachStage(t *testing.T) {
+	tests := []struct {
+		stage  Stage
+		engine string
+		after  time.Duration
+		wasted int
+	}{
+		{StagePrefill, prefillA, 12 * time.Millisecond, 15}, // the chunk in progress is computed
+		{StageHeld, prefillA, 50 * time.Millisecond, 40},
+	}
+	for _, tt := range tests {
+		t.Run(string(tt.stage), func(t *testing.T) {
+			inBench(t, nil, func(t *testing.T, b *bench) {
+				b.begin(prefillAsk(prefillA, "a1", "r1", words("p", 40)))
+				time.Sleep(tt.after)
+				assertAborted(t, b, tt.engine, "a1", tt.stage)
+				assert.Equal(t, b.engines[prefillA].Judge().Totals.PromptWasted, tt.wasted)
+			})
+		})
+	}
+}
+
+func TestAbortQueued(t *testing.T) {
+	inBench(t, nil, func(t *testing.T, b *bench) {
+		b.begin(prefillAsk(prefillA, "a1", "r1", words("p", 40)))
+		synctest.Wait()
+		refused := make(chan control.ErrorBody)
+		go func() {
+			resp := b.post(b.t.Context(), prefillAsk(prefillA, "a2", "r2", words("q", 40)))
+			refused <- read[control.ErrorBody](t, resp, http.StatusConflict)
+		}()
+		synctest.Wait()
+		assert.Equal(t, b.engines[prefillA].requests().Requests[1].Stage, StageQueued)
+		assert.Assert(t, b.abort(prefillA, "a2"))
+		assert.Equal(t, (<-refused).Error.Code, control.CodeAborted)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, b.engines[prefillA].Judge().Totals.PromptComputed, 40)
+	})
+}
+
+func TestAbortDuringTransfer(t *testing.T) {
+	for _, side := range []string{prefillA, decodeA} {
+		t.Run(side, func(t *testing.T) {
+			inBench(t, nil, func(t *testing.T, b *bench) {
+				kv := b.prefill(prefillA, "a1", "r1", words("p", 40))
+				b.begin(decodeAsk(decodeA, "a1", "r1", words("p", 40), 5, kv))
+				time.Sleep(20 * time.Millisecond)
+				stage := StageSending
+				if side == decodeA {
+					stage = StageReceiving
+				}
+				assertAborted(t, b, side, "a1", stage)
+				b.held(decodeA, 0, 0)
+				time.Sleep(time.Second) // the sender's result expires by itself
+				synctest.Wait()
+				b.held(prefillA, 0, 0)
+				assert.Equal(t, b.engines[prefillA].Judge().Totals.PromptWasted, 40)
+				assert.Equal(t, b.engines[decodeA].Judge().Totals.DecodeRuns, 0)
+			})
+		})
+	}
+}
+
+func TestAbortWhileGenerating(t *testing.T) {
+	inBench(t, nil, func(t *testing.T, b *bench) {
+		prompt := words("p", 40)
+		kv := b.prefill(prefillA, "a1", "r1", prompt)
+		resp := b.post(b.t.Context(), decodeAsk(decodeA, "a2", "r1", prompt, 50, kv))
+		done := make(chan streamed)
+		go func() { done <- collect(t, resp, 0) }()
+		time.Sleep(35 * time.Millisecond)
+		assertAborted(t, b, decodeA, "a2", StageDecode)
+		got := <-done
+		assert.Equal(t, got.whole, false)
+		assert.Equal(t, got.code, control.CodeAborted)
+		assert.NilError(t, answer.Check(prompt, got.text, 3))
+		time.Sleep(time.Second)
+		assert.Equal(t, b.engines[decodeA].Judge().Totals.Generated, 3)
+	})
+}
+
+// assertAborted aborts an attempt in a stage, twice, and asserts that its
+// engine holds nothing afterwards.
+func assertAborted(t *testing.T, b *bench, engine, attempt string, stage Stage) {
+	t.Helper()
+	synctest.Wait()
+	held := b.engines[engine].requests().Requests
+	assert.Equal(t, len(held), 1)
+	assert.Equal(t, held[0].Stage, stage)
+	assert.Assert(t, b.abort(engine, attempt))
+	assert.Equal(t, b.abort(engine, attempt), false)
+	synctest.Wait()
+	b.held(engine, 0, 0)
+	time.Sleep(10 * time.Millisecond)
+	synctest.Wait()
+	b.held(engine, 0, 0)
+}
+
+func TestDisconnectDoesNotAbort(t *testing.T) {
+	inBench(t, nil, func(t *testing.T, b *bench) {
+		prompt := words("p", 10)
+		ctx, cancel := context.WithCancel(b.t.Context())
+		resp := b.post(ctx, decodeAsk(decodeA, "a1", "r1", prompt, 20, nil))
+		assert.Assert(t, collect(t, resp, 3).text != "")
+		cancel()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		assert.Equal(t, b.engines[decodeA].Judge().Totals.Completed, 1)
+	})
+}
+
+// TestNothingHeldAtQuiescence runs random requests, aborts and faults, and
+// asserts that the engines hold nothing in the end and that the accounts of
+// computed prompt tokens add up.
+func TestNothingHeldAtQuiescence(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			inBench(t, nil, func(t *testing.T, b *bench) {
+				random := rand.New(rand.NewPCG(seed, seed))
+				for i := range 60 {
+					disturb(b, random, i)
+					time.Sleep(time.Duration(random.IntN(20)) * time.Millisecond)
+				}
+				for _, e := range b.engines {
+					e.SetFaults(control.EngineFaults{})
+				}
+				time.Sleep(time.Minute)
+				synctest.Wait()
+				for id := range b.engines {
+					b.held(id, 0, 0)
+				}
+			})
+		})
+	}
+}
+
+// disturb does one random thing.
+func disturb(b *bench, random *rand.Rand, i int) {
+	id := strconv.Itoa(i)
+	prefill := []string{prefillA, prefillB}[random.IntN(2)]
+	decode := []string{decodeA, decodeB}[random.IntN(2)]
+	victim := strconv.Itoa(random.IntN(i + 3))
+	switch random.IntN(8) {
+	case 0:
+		b.engines[prefill].abort(victim)
+	case 1:
+		b.engines[decode].abort(victim)
+	case 2:
+		b.engines[prefill].SetFaults(control.EngineFaults{StallTransfers: random.IntN(2) == 0})
+	case 3:
+		if random.IntN(4) == 0 {
+			b.engines[decode].Crash(30 * time.Millisecond)
+		}
+	case 4:
+		b.engines[decode].SetFaults(control.EngineFaults{FailAfterTokens: random.IntN(4)})
+	default:
+		prompt := words(id, 1+random.IntN(60))
+		go pair(b, prefill, decode, id, prompt)
+	}
+}
+
+// pair runs a prefill and its decode, whatever comes of them.
+func pair(b *bench, prefill, decode, id, prompt string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	resp := b.post(ctx, prefillAsk(prefill, id, id, prompt))
+	if resp == nil || resp.StatusCode != http.StatusOK {
+		b.drain(resp)
+		return
+	}
+	kv := read[CompletionResponse](b.t, resp, http.StatusOK).KVTransferParams
+	resp = b.post(ctx, decodeAsk(decode, id, id, prompt, 20, kv))
+	b.drain(resp)
+}
--- /dev/null
+++ b/standin/engine/bench_test.go
@@ -0,0 +1,276 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/standin/control"
+	"github.com/wardspool/wardspool/standin/perf"
+)
+
+// Names of the engines of a bench.
+const (
+	prefillA = "pf-a"
+	prefillB = "pf-b"
+	decodeA  = "dc-a"
+	decodeB  = "dc-b"
+)
+
+// bench is two prefill and two decode engines that reach each other in process.
+type bench struct {
+	t       *testing.T
+	engines map[string]*Engine
+	client  *http.Client
+}
+
+// testPerf are round numbers: 10 tokens a piece, 1 ms a prefill token, 1 ms of
+// transfer a token, and steps of 10 ms plus 1 ms for each further request.
+func testPerf() perf.Params {
+	return perf.Params{
+		Slots:                  2,
+		Pieces:                 20,
+		PieceTokens:            10,
+		PrefillTokensPerSecond: 1000,
+		PrefillChunk:           5,
+		KVBytesPerToken:        1000,
+		LinkBytesPerSecond:     1e6,
+		DecodeStep:             10 * time.Millisecond,
+		DecodeStepPerRequest:   time.Millisecond,
+		KVLifetime:             900 * time.Millisecond,
+		CachePieces:            6,
+	}
+}
+
+// inBench runs a test in a bubble with a fake clock.
+func inBench(t *testing.T, change func(*Config), test func(t *testing.T, b *bench)) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, change)
+		defer func() {
+			for _, e := range b.engines {
+				e.Close()
+			}
+		}()
+		test(t, b)
+	})
+}
+
+func newBench(t *testing.T, change func(*Config)) *bench {
+	transport := &inproc{byHost: map[string]http.Handler{}}
+	b := &bench{t: t, engines: map[string]*Engine{}, client: &http.Client{Transport: transport}}
+	for _, id := range []string{prefillA, prefillB, decodeA, decodeB} {
+		cfg := Config{
+			ID: ident.UpstreamID(id), Role: config.RoleDecode, Models: []string{"m"}, Version: "v1",
+			Address: id + ":80", Perf: testPerf(), QueueLimit: 4, LoadLag: 500 * time.Millisecond,
+			CacheDelay: 200 * time.Millisecond, LoadWeights: time.Second, Client: b.client,
+		}
+		if strings.HasPrefix(id, "pf") {
+			cfg.Role = config.RolePrefill
+		}
+		if change != nil {
+			change(&cfg)
+		}
+		e := New(cfg)
+		b.engines[id] = e
+		transport.byHost[id+":80"] = e.Handler()
+	}
+	return b
+}
+
+// ask is a request to an engine.
+type ask struct {
+	engine, attempt, correlation string
+	path                         string // default: /v1/completions
+	body                         CompletionRequest
+	header                       http.Header
+}
+
+// send sends a request and returns the response, nil if the connection closed.
+func (b *bench) send(ctx context.Context, method, host, path string, header http.Header, body any) *http.Response {
+	b.t.Helper()
+	text, err := json.Marshal(body)
+	assert.NilError(b.t, err)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+host+":80"+path, bytes.NewReader(text))
+	assert.NilError(b.t, err)
+	for k, v := range header {
+		req.Header[k] = v
+	}
+	resp, err := b.client.Do(req)
+	if err != nil {
+		return nil
+	}
+	return resp
+}
+
+// post asks an engine for a completion.
+func (b *bench) post(ctx context.Context, a ask) *http.Response {
+	b.t.Helper()
+	if a.path == "" {
+		a.path = "/v1/completions"
+	}
+	if a.body.Model == "" {
+		a.body.Model = "m"
+	}
+	if a.header == nil {
+		a.header = http.Header{}
+	}
+	a.header.Set(HeaderAttempt, a.attempt)
+	a.header.Set(HeaderCorrelation, a.correlation)
+	return b.send(ctx, http.MethodPost, a.engine, a.path, a.header, a.body)
+}
+
+// drain reads a response to its end, whatever it is.
+func (b *bench) drain(resp *http.Response) {
+	if resp != nil {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+}
+
+// begin asks an engine for a completion without waiting for it.
+func (b *bench) begin(a ask) {
+	go func() { b.drain(b.post(b.t.Context(), a)) }()
+}
+
+// read decodes a JSON response with the given status and closes it.
+func read[T any](t *testing.T, resp *http.Response, status int) T {
+	t.Helper()
+	assert.Assert(t, resp != nil, "connection closed")
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, status, "%s", text)
+	var out T
+	assert.NilError(t, json.Unmarshal(text, &out), "%s", text)
+	return out
+}
+
+// prefill runs a prefill and returns its KV-transfer parameters.
+func (b *bench) prefill(engine, attempt, correlation, prompt string) *KVTransferParams {
+	b.t.Helper()
+	resp := b.post(b.t.Context(), prefillAsk(engine, attempt, correlation, prompt))
+	return read[CompletionResponse](b.t, resp, http.StatusOK).KVTransferParams
+}
+
+func prefillAsk(engine, attempt, correlation, prompt string) ask {
+	return ask{engine: engine, attempt: attempt, correlation: correlation, body: CompletionRequest{
+		Prompt: prompt, MaxTokens: 1, KVTransferParams: &KVTransferParams{DoRemoteDecode: true},
+	}}
+}
+
+func decodeAsk(engine, attempt, correlation, prompt string, n int, kv *KVTransferParams) ask {
+	return ask{engine: engine, attempt: attempt, correlation: correlation, body: CompletionRequest{
+		Prompt: prompt, MaxTokens: n, Stream: true, KVTransferParams: kv,
+	}}
+}
+
+// abort aborts an attempt and returns whether something was released.
+func (b *bench) abort(engine, attempt string) bool {
+	b.t.Helper()
+	resp := b.send(b.t.Context(), http.MethodPost, engine, "/abort_request", nil, AbortRequest{RID: attempt})
+	return read[AbortResponse](b.t, resp, http.StatusOK).Released
+}
+
+// held asserts what an engine holds.
+func (b *bench) held(engine string, attempts, pieces int) {
+	b.t.Helper()
+	report := b.engines[engine].Judge()
+	assert.Equal(b.t, report.Held.Attempts, attempts, engine)
+	assert.Equal(b.t, report.Held.Pieces, pieces, engine)
+}
+
+// event is one server-sent event.
+type event struct{ id, data string }
+
+// nextEvent reads one event; it returns false at the end of the stream.
+func nextEvent(r *bufio.Reader) (event, bool) {
+	var out event
+	for {
+		line, err := r.ReadString('\n')
+		line = strings.TrimSuffix(line, "\n")
+		switch {
+		case err != nil:
+			return out, false
+		case line == "":
+			return out, true
+		case strings.HasPrefix(line, "id: "):
+			out.id = strings.TrimPrefix(line, "id: ")
+		case strings.HasPrefix(line, "data: "):
+			out.data = strings.TrimPrefix(line, "data: ")
+		}
+	}
+}
+
+// streamed is what a stream gave.
+type streamed struct {
+	text  string
+	last  string // ID of the last event with one
+	whole bool
+	usage *Usage
+	code  control.Code
+}
+
+// collect reads a stream up to its end, or up to limit tokens if positive.
+func collect(t *testing.T, resp *http.Response, limit int) streamed {
+	t.Helper()
+	assert.Assert(t, resp != nil, "connection closed")
+	defer func() { _ = resp.Body.Close() }()
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	var out streamed
+	r := bufio.NewReader(resp.Body)
+	for n := 0; limit == 0 || n < limit; {
+		e, ok := nextEvent(r)
+		if !ok {
+			return out
+		}
+		if e.data == "[DONE]" {
+			out.whole = true
+			return out
+		}
+		n += out.add(t, e)
+	}
+	return out
+}
+
+// add takes in one event and returns how many tokens it had.
+func (s *streamed) add(t *testing.T, e event) int {
+	t.Helper()
+	var failed control.ErrorBody
+	assert.NilError(t, json.Unmarshal([]byte(e.data), &failed))
+	if failed.Error.Code != "" {
+		s.code = failed.Error.Code
+		return 0
+	}
+	var c CompletionResponse
+	assert.NilError(t, json.Unmarshal([]byte(e.data), &c))
+	if c.Usage != nil {
+		s.usage = c.Usage
+	}
+	for _, choice := range c.Choices {
+		if choice.Delta != nil {
+			s.text += choice.Delta.Content
+		} else {
+			s.text += *choice.Text
+		}
+	}
+	if e.id != "" {
+		s.last = e.id
+	}
+	return len(c.Choices)
+}
+
+// words makes a prompt of n tokens that begins with the given word.
+func words(first string, n int) string {
+	return first + strings.Repeat(" w", n-1)
+}
--- /dev/null
+++ b/standin/engine/session_test.go
@@ -0,0 +1,169 @@
+package engine
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/standin/answer"
+	"github.com/wardspool/wardspool/standin/control"
+	"github.com/wardspool/wardspool/standin/judge"
+	"github.com/wardspool/wardspool/tokens"
+)
+
+func TestWholeSession(t *testing.T) {
+	inBench(t, nil, func(t *testing.T, b *bench) {
+		prompt := words("p", 40)
+		start := time.Now()
+		kv := b.prefill(prefillA, "a1", "r1", prompt)
+		assert.Equal(t, time.Since(start), 40*time.Millisecond)
+		assert.DeepEqual(t, kv.RemoteBlockIDs, []int64{1, 2, 3, 4})
+		b.held(prefillA, 1, 4)
+
+		start = time.Now()
+		got := collect(t, b.post(b.t.Context(), decodeAsk(decodeA, "a2", "r1", prompt, 5, kv)), 0)
+		assert.Equal(t, time.Since(start), 40*time.Millisecond+5*10*time.Millisecond)
+		assert.Assert(t, got.whole)
+		assert.NilError(t, answer.Check(prompt, got.text, 5))
+		assert.Equal(t, got.last, "a2:4")
+		assert.Equal(t, got.usage.TotalTokens, 45)
+
+		b.held(prefillA, 0, 0)
+		b.held(decodeA, 0, 0)
+		both := judge.Merge([]judge.Engine{b.engines[prefillA].Judge(), b.engines[decodeA].Judge()})
+		assert.DeepEqual(t, both, judge.Summary{
+			Requests: 1, Completed: 1, PromptComputed: 40, Generated: 5,
+		})
+	})
+}
+
+func TestChatAndWholeAnswer(t *testing.T) {
+	inBench(t, nil, func(t *testing.T, b *bench) {
+		messages := []tokens.Message{{Role: "user", Content: "how much"}}
+		prompt := tokens.FlattenChat(messages)
+		a := ask{engine: decodeA, attempt: "a1", path: "/v1/chat/completions",
+			body: CompletionRequest{Messages: messages, MaxCompletionTokens: 3}}
+		whole := read[CompletionResponse](t, b.post(b.t.Context(), a), http.StatusOK)
+		assert.NilError(t, answer.Check(prompt, whole.Choices[0].Message.Content, 3))
+		assert.Equal(t, whole.Usage.PromptTokens, 3)
+
+		a.attempt, a.body.Stream = "a2", true
+		got := collect(t, b.post(b.t.Context(), a), 0)
+		assert.NilError(t, answer.Check(prompt, got.text, 3))
+	})
+}
+
+func TestBatchSharesSteps(t *testing.T) {
+	inBench(t, nil, func(t *testing.T, b *bench) {
+		kv1 := b.prefill(prefillA, "a1", "r1", words("p", 10))
+		kv2 := b.prefill(prefillB, "a2", "r2", words("q", 12))
+		start := time.Now()
+		one := b.post(b.t.Context(), decodeAsk(decodeA, "d1", "r1", words("p", 10), 10, kv1))
+		two := b.post(b.t.Context(), decodeAsk(decodeA, "d2", "r2", words("q", 12), 10, kv2))
+		done := make(chan streamed, 1)
+		go func() { done <- collect(t, one, 0) }()
+		assert.Assert(t, collect(t, two, 0).whole)
+		assert.Assert(t, (<-done).whole)
+		// The first begins at 10 ms. The second has its KV at 22 ms and joins the
+		// step that begins at 30 ms. Eight steps are shared; each has two alone.
+		assert.Equal(t, time.Since(start), 30*time.Millisecond+8*11*time.Millisecond+2*10*time.Millisecond)
+	})
+}
+
+func TestPriorityOrder(t *testing.T) {
+	inBench(t, nil, func(t *testing.T, b *bench) {
+		order := make(chan string, 3)
+		for _, p := range []struct {
+			id       string
+			priority int
+		}{{"first", 5}, {"low", 9}, {"high", 1}} {
+			go func() {
+				a := prefillAsk(prefillA, p.id, p.id, words(p.id, 20))
+				a.body.Priority = p.priority
+				read[CompletionResponse](t, b.post(b.t.Context(), a), http.StatusOK)
+				order <- p.id
+			}()
+			synctest.Wait()
+		}
+		assert.Equal(t, <-order, "first")
+		assert.Equal(t, <-order, "high")
+		assert.Equal(t, <-order, "low")
+	})
+}
+
+func TestPrefixCacheSavesPrefill(t *testing.T) {
+	inBench(t, nil, func(t *testing.T, b *bench) {
+		b.prefill(prefillA, "a1", "r1", words("p", 45))
+		start := time.Now()
+		resp := b.post(b.t.Context(), prefillAsk(prefillA, "a2", "r2", words("p", 45)))
+		got := read[CompletionResponse](t, resp, http.StatusOK)
+		assert.Equal(t, time.Since(start), 5*time.Millisecond)
+		assert.Equal(t, got.Usage.PromptTokensDetails.CachedTokens, 40)
+		totals := b.engines[prefillA].Judge().Totals
+		assert.Equal(t, totals.PromptComputed, 50)
+		assert.Equal(t, totals.PromptCached, 40)
+	})
+}
+
+func TestEvictionAfterLifetime(t *testing.T) {
+	inBench(t, nil, func(t *testing.T, b *bench) {
+		prompt := words("p", 40)
+		kv := b.prefill(prefillA, "a1", "r1", prompt)
+		time.Sleep(900*time.Millisecond - time.Nanosecond)
+		synctest.Wait()
+		b.held(prefillA, 1, 4)
+		time.Sleep(time.Nanosecond)
+		synctest.Wait()
+		b.held(prefillA, 0, 0)
+
+		resp := b.post(b.t.Context(), decodeAsk(decodeA, "a2", "r1", prompt, 5, kv))
+		got := read[control.ErrorBody](t, resp, http.StatusConflict)
+		assert.Equal(t, got.Error.Code, control.CodeKVMissing)
+		b.held(decodeA, 0, 0)
+		totals := b.engines[prefillA].Judge().Totals
+		assert.Equal(t, totals.Evicted, 1)
+		assert.Equal(t, totals.PromptWasted, 40)
+		assert.Equal(t, b.engines[decodeA].Judge().Totals.DecodeRuns, 0)
+	})
+}
+
+func TestLinkIsShared(t *testing.T) {
+	inBench(t, nil, func(t *testing.T, b *bench) {
+		p, q := words("p", 40), words("q", 40)
+		kvP := b.prefill(prefillA, "a1", "r1", p)
+		kvQ := b.prefill(prefillA, "a2", "r2", q)
+		start := time.Now()
+		done := make(chan time.Duration, 2)
+		for _, a := range []ask{decodeAsk(decodeA, "d1", "r1", p, 1, kvP), decodeAsk(decodeB, "d2", "r2", q, 1, kvQ)} {
+			go func() {
+				resp := b.post(b.t.Context(), a)
+				done <- time.Since(start)
+				collect(t, resp, 0)
+			}()
+		}
+		assert.Equal(t, <-done, 80*time.Millisecond)
+		assert.Equal(t, <-done, 80*time.Millisecond)
+	})
+}
+
+func TestStalledTransfer(t *testing.T) {
+	inBench(t, nil, func(t *testing.T, b *bench) {
+		prompt := words("p", 40)
+		kv := b.prefill(prefillA, "a1", "r1", prompt)
+		b.engines[prefillA].SetFaults(control.EngineFaults{StallTransfers: true})
+		done := make(chan streamed, 1)
+		go func() {
+			done <- collect(t, b.post(b.t.Context(), decodeAsk(decodeA, "d1", "r1", prompt, 2, kv)), 0)
+		}()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		b.held(prefillA, 1, 4) // on its way, so it doesn't expire
+		b.held(decodeA, 1, 5)
+		b.engines[prefillA].SetFaults(control.EngineFaults{})
+		got := <-done
+		assert.NilError(t, answer.Check(prompt, got.text, 2))
+	})
+}
