Filters and scorers by predicted seconds; bounded prefix index

Cause: placements need the queue, the uncached prompt, the links and the slot wait in one unit, and a prefix needs a home that instances agree on without messages. Ruled out: exact rendezvous ranks (need a sort per decision; the expected rank orders the same), one holder set per engine in the prefix index (a map lookup per engine and block), dropping upstreams with old reports (no response could then bring a newer one).

--- /dev/null
+++ b/kernel/prefix/holding.go
@@ -0,0 +1,153 @@
+package prefix
+
+// ref refers to a holding in the slab. The zero ref, none, refers to nothing.
+type ref int32
+
+// none is the ref that refers to nothing.
+const none ref = 0
+
+// confirmed is the until of a holding that an event of the engine attests.
+const confirmed int64 = 0
+
+// holding is one block at one engine. It has no pointers, so that the garbage
+// collector need not look at the slab's hundreds of thousands.
+type holding struct {
+	block  uint64
+	engine int32
+	// newer and older link the engine's holdings by last use.
+	newer, older ref
+	// next links the block's holdings.
+	next ref
+	// until is when the holding is no longer believed without an event from the
+	// engine, in Unix nanoseconds, or confirmed.
+	until int64
+}
+
+// slab stores holdings and reuses those that were freed.
+type slab struct {
+	all  []holding
+	free []ref
+	used int
+}
+
+// at returns the holding that r refers to. The pointer is valid until the next
+// call of take.
+func (s *slab) at(r ref) *holding { return &s.all[r-1] }
+
+// take returns a new holding.
+func (s *slab) take() ref {
+	s.used++
+	if last := len(s.free) - 1; last >= 0 {
+		r := s.free[last]
+		s.free = s.free[:last]
+		return r
+	}
+	s.all = append(s.all, holding{})
+	return ref(len(s.all))
+}
+
+// give takes a holding back.
+func (s *slab) give(r ref) {
+	s.used--
+	*s.at(r) = holding{}
+	s.free = append(s.free, r)
+}
+
+// hold notes that engine n has a block, and makes it the engine's newest.
+func (x *Index) hold(n int32, block uint64, until int64, limit int) {
+	if r := x.find(block, n); r != none {
+		x.refresh(r, until)
+		return
+	}
+	for x.byNumber[n].holdings >= limit {
+		x.remove(x.byNumber[n].oldest)
+	}
+	r := x.slab.take()
+	*x.slab.at(r) = holding{block: block, engine: n, next: x.first[block], until: until}
+	x.first[block] = r
+	x.byNumber[n].holdings++
+	x.link(r)
+}
+
+// refresh makes a holding its engine's newest. One that an event confirmed
+// stays confirmed.
+func (x *Index) refresh(r ref, until int64) {
+	h := x.slab.at(r)
+	if h.until != confirmed {
+		h.until = until
+	}
+	x.unlink(r)
+	x.link(r)
+}
+
+// find returns engine n's holding of a block.
+func (x *Index) find(block uint64, n int32) ref {
+	for r := x.first[block]; r != none; {
+		h := x.slab.at(r)
+		if h.engine == n {
+			return r
+		}
+		r = h.next
+	}
+	return none
+}
+
+// remove drops a holding, if there is one.
+func (x *Index) remove(r ref) {
+	if r == none {
+		return
+	}
+	h := x.slab.at(r)
+	x.unlink(r)
+	x.unchain(r, h)
+	x.byNumber[h.engine].holdings--
+	x.slab.give(r)
+}
+
+// unchain takes a holding out of its block's chain.
+func (x *Index) unchain(r ref, h *holding) {
+	at := x.first[h.block]
+	if at == r {
+		if h.next == none {
+			delete(x.first, h.block)
+			return
+		}
+		x.first[h.block] = h.next
+		return
+	}
+	for x.slab.at(at).next != r {
+		at = x.slab.at(at).next
+	}
+	x.slab.at(at).next = h.next
+}
+
+// link makes a holding its engine's newest.
+func (x *Index) link(r ref) {
+	h := x.slab.at(r)
+	e := &x.byNumber[h.engine]
+	h.older = e.newest
+	h.newer = none
+	if e.newest != none {
+		x.slab.at(e.newest).newer = r
+	}
+	e.newest = r
+	if e.oldest == none {
+		e.oldest = r
+	}
+}
+
+// unlink takes a holding out of its engine's list.
+func (x *Index) unlink(r ref) {
+	h := x.slab.at(r)
+	e := &x.byNumber[h.engine]
+	if h.older != none {
+		x.slab.at(h.older).newer = h.newer
+	} else {
+		e.oldest = h.newer
+	}
+	if h.newer != none {
+		x.slab.at(h.newer).older = h.older
+	} else {
+		e.newest = h.older
+	}
+}
--- /dev/null
+++ b/kernel/prefix/index_test.go
@@ -0,0 +1,211 @@
+package prefix
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// engineAt returns an engine with room for the given number of pieces.
+func engineAt(i, pieces int) *kernel.Upstream {
+	u := &kernel.Upstream{ID: ident.UpstreamID(fmt.Sprint("e", i)), Index: i}
+	u.Spec.Pieces = pieces
+	return u
+}
+
+// plain is the naive index: lists, no memo, one engine after another.
+type plain struct {
+	engines map[ident.UpstreamID]*plainEngine
+	now     time.Time
+}
+
+type plainEngine struct {
+	// blocks is ordered by last use, the oldest first.
+	blocks    []plainBlock
+	publishes bool
+}
+
+type plainBlock struct {
+	hash  uint64
+	until time.Time
+}
+
+func (p *plain) at(u *kernel.Upstream) *plainEngine {
+	if p.engines[u.ID] == nil {
+		p.engines[u.ID] = &plainEngine{}
+	}
+	return p.engines[u.ID]
+}
+
+func (e *plainEngine) hold(hash uint64, until time.Time, limit int) {
+	i := slices.IndexFunc(e.blocks, func(b plainBlock) bool { return b.hash == hash })
+	if i >= 0 {
+		if e.blocks[i].until.IsZero() {
+			until = time.Time{}
+		}
+		e.blocks = slices.Delete(e.blocks, i, i+1)
+	}
+	for len(e.blocks) >= limit {
+		e.blocks = e.blocks[1:]
+	}
+	e.blocks = append(e.blocks, plainBlock{hash, until})
+}
+
+func (p *plain) apply(u *kernel.Upstream, c kernel.CacheChanged) {
+	e := p.at(u)
+	e.publishes = true
+	if c.Cleared {
+		e.blocks = slices.DeleteFunc(e.blocks, func(b plainBlock) bool { return !b.until.After(p.now) })
+	}
+	for _, r := range c.Removed {
+		e.blocks = slices.DeleteFunc(e.blocks, func(b plainBlock) bool { return b.hash == r })
+	}
+	for _, s := range c.Stored {
+		e.hold(s, time.Time{}, u.Spec.Pieces)
+	}
+}
+
+func (p *plain) placed(u *kernel.Upstream, blocks []uint64, now time.Time) {
+	p.now = now
+	for _, b := range slices.Backward(blocks) {
+		p.at(u).hold(b, now.Add(confirmWithin), u.Spec.Pieces)
+	}
+}
+
+func (p *plain) cached(u *kernel.Upstream, blocks []uint64) int {
+	e := p.at(u)
+	for i, want := range blocks {
+		held := slices.ContainsFunc(e.blocks, func(b plainBlock) bool {
+			believed := b.until.IsZero() || !e.publishes || b.until.After(p.now)
+			return b.hash == want && believed
+		})
+		if !held {
+			return i
+		}
+	}
+	return len(blocks)
+}
+
+// prompt draws a prompt of up to 4 blocks, 1 to 9 being possible hashes.
+func prompt(t *rapid.T) []uint64 {
+	return rapid.SliceOfNDistinct(rapid.Uint64Range(1, 9), 0, 4, rapid.ID[uint64]).Draw(t, "prompt")
+}
+
+// TestAgainstPlain drives the index and the naive one with the same events.
+func TestAgainstPlain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		x := New()
+		p := &plain{engines: map[ident.UpstreamID]*plainEngine{}}
+		now := start
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			u := engineAt(rapid.IntRange(0, 3).Draw(t, "engine"), 5)
+			now = now.Add(time.Duration(rapid.IntRange(0, 6).Draw(t, "seconds")) * time.Second)
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				c := kernel.CacheChanged{Upstream: u.ID, Stored: prompt(t), Removed: prompt(t)}
+				c.Cleared = rapid.Bool().Draw(t, "cleared")
+				x.Apply(u, c)
+				p.apply(u, c)
+			case 1:
+				x.Forget(u.ID)
+				delete(p.engines, u.ID)
+			default:
+				blocks := prompt(t)
+				x.Placed(u, blocks, now)
+				p.placed(u, blocks, now)
+			}
+			blocks := prompt(t)
+			for i := range 4 {
+				u := engineAt(i, 5)
+				assert.Equal(t, x.CachedBlocks(u, blocks), p.cached(u, blocks))
+			}
+		}
+		held := 0
+		for _, e := range p.engines {
+			held += len(e.blocks)
+		}
+		assert.Equal(t, x.Holdings(), held)
+	})
+}
+
+func TestGapIsAnsweredBySnapshot(t *testing.T) {
+	x := New()
+	u := engineAt(0, 10)
+	x.Apply(u, kernel.CacheChanged{Stored: []uint64{1, 2, 3}})
+	x.Placed(u, []uint64{7, 8}, start)
+	// Events were lost, among them the removal of 2 and 3. The snapshot is from
+	// before the placement.
+	x.Apply(u, kernel.CacheChanged{Cleared: true, Stored: []uint64{1}})
+	assert.Equal(t, x.CachedBlocks(u, []uint64{1, 2, 3}), 1)
+	assert.Equal(t, x.CachedBlocks(u, []uint64{7, 8}), 2)
+	// No event ever confirms the placement.
+	x.Placed(u, []uint64{5}, start.Add(confirmWithin))
+	assert.Equal(t, x.CachedBlocks(u, []uint64{7, 8}), 0)
+}
+
+func TestHistoryAloneServesEnginesWithoutEvents(t *testing.T) {
+	x := New()
+	u := engineAt(0, 10)
+	x.Placed(u, []uint64{1}, start)
+	x.Placed(u, []uint64{2}, start.Add(time.Hour))
+	assert.Equal(t, x.CachedBlocks(u, []uint64{1}), 1)
+}
+
+// TestMemoryIsBounded uses far more engines, blocks and engine lives than the
+// bounds.
+func TestMemoryIsBounded(t *testing.T) {
+	const capacity = 4096
+	x := newIndex(capacity)
+	for i := range 3 * maxEngines {
+		u := engineAt(i, 0)
+		u.Index = i % 10
+		x.Apply(u, kernel.CacheChanged{Stored: []uint64{uint64(i), uint64(i) + 1<<32}})
+		assert.Assert(t, len(x.byNumber) <= maxEngines)
+	}
+	x = newIndex(capacity)
+	for i := range 10 * capacity {
+		x.Apply(engineAt(i%8, 0), kernel.CacheChanged{Stored: []uint64{uint64(i)}})
+	}
+	assert.Assert(t, x.Holdings() <= capacity)
+	assert.Assert(t, len(x.slab.all) <= capacity)
+	assert.Equal(t, len(x.first), x.Holdings())
+}
+
+func BenchmarkCachedBlocks(b *testing.B) {
+	for _, n := range []int{9, 100, 600} {
+		b.Run(fmt.Sprintf("engines=%d", n), func(b *testing.B) {
+			x := New()
+			engines := make([]*kernel.Upstream, n)
+			prompts := make([][]uint64, 64)
+			for i := range prompts {
+				// The first two of eight blocks are common to all.
+				prompts[i] = []uint64{1, 2, 0, 0, 0, 0, 0, 0}
+				for j := 2; j < 8; j++ {
+					prompts[i][j] = uint64(i*100 + j)
+				}
+			}
+			for i := range engines {
+				engines[i] = engineAt(i, 0)
+				x.Placed(engines[i], prompts[i%len(prompts)], start)
+			}
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				for _, u := range engines {
+					x.CachedBlocks(u, prompts[i%len(prompts)])
+				}
+				i++
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*n), "ns/engine")
+		})
+	}
+}
--- /dev/null
+++ b/plugins/internal/plugintest/plugintest.go
@@ -0,0 +1,214 @@
+// Package plugintest builds views, decisions and hosts for the tests of plug-ins.
+package plugintest
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+// Start is the time at which tests begin.
+var Start = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+
+// Model is the model that the fixture's engines serve.
+var Model = config.Model{
+	Name:            "reader",
+	MaxContext:      32000,
+	KVBytesPerToken: 100_000,
+	PieceTokens:     2000,
+}
+
+// Service is the plain service that the fixture's service upstreams run.
+const Service = "billing"
+
+// zones are those that upstreams and instances are spread over.
+var zones = []ident.Zone{"hall-a", "hall-b", "hall-c"}
+
+// Prefill returns a prefill engine.
+func Prefill(index int) kernel.Upstream {
+	u := upstream(index, config.RolePrefill)
+	u.Spec.PrefillTokensPerSecond = 20_000
+	u.Spec.LinkBytesPerSecond = 5e9
+	u.Spec.Pieces = 60
+	return u
+}
+
+// Decode returns a decode engine.
+func Decode(index int) kernel.Upstream {
+	u := upstream(index, config.RoleDecode)
+	u.Spec.Slots = 20
+	u.Spec.Pieces = 120
+	u.Spec.LinkBytesPerSecond = 5e9
+	u.Spec.DecodeStep = 20 * time.Millisecond
+	u.Spec.DecodeStepPerRequest = 500 * time.Microsecond
+	return u
+}
+
+// Runner returns a plain service's upstream.
+func Runner(index int) kernel.Upstream {
+	u := upstream(index, config.RoleService)
+	u.Spec.Service = Service
+	u.Spec.Models = nil
+	return u
+}
+
+// upstream returns a live upstream with a fresh report of an empty load.
+func upstream(index int, role config.Role) kernel.Upstream {
+	id := ident.UpstreamID(fmt.Sprintf("%s-%d", role, index))
+	return kernel.Upstream{
+		Index:       index,
+		ID:          id,
+		Zone:        zones[index%len(zones)],
+		Incarnation: 1,
+		Life:        kernel.Live,
+		Spec:        config.Upstream{ID: id, Role: role, Models: []string{Model.Name}},
+		Load:        kernel.Load{At: Start},
+	}
+}
+
+// View returns a view of n engines, a third of them prefill engines, and of
+// the given number of live instances.
+func View(n, instances int) *kernel.View {
+	v := &kernel.View{Version: 1, Trusted: true}
+	for i := range n {
+		u := Decode(i)
+		if i%3 == 0 {
+			u = Prefill(i)
+		}
+		// Zones must not follow the roles.
+		u.Zone = zones[i/3%len(zones)]
+		v.Upstreams = append(v.Upstreams, u)
+	}
+	for i := range instances {
+		v.Instances = append(v.Instances, kernel.Instance{
+			ID:          ident.InstanceID(fmt.Sprintf("entry-%d", i)),
+			Zone:        zones[i%len(zones)],
+			Incarnation: 1,
+			Life:        kernel.Live,
+		})
+	}
+	return v
+}
+
+// Request returns a request to the model.
+func Request(id string) *kernel.Request {
+	return &kernel.Request{
+		ID:              ident.RequestID(id),
+		Workspace:       "north",
+		Kind:            "review",
+		Route:           config.RouteModel,
+		Model:           Model.Name,
+		PromptTokens:    5000,
+		MaxOutputTokens: 400,
+		Repeatable:      true,
+		Arrived:         Start,
+		FirstOutputBy:   Start.Add(2 * time.Second),
+		Pace:            54 * time.Millisecond,
+		Deadline:        Start.Add(time.Minute),
+	}
+}
+
+// Decision returns a decision about the request over the view.
+func Decision(r *kernel.Request, v *kernel.View) *kernel.Decision {
+	return &kernel.Decision{
+		Now:          Start,
+		Self:         kernel.Self{Instance: "entry-0", Incarnation: 1, Zone: zones[0]},
+		Request:      r,
+		Model:        &Model,
+		View:         v,
+		PromptTokens: r.PromptTokens,
+	}
+}
+
+// Sent is a message that a plug-in sent.
+type Sent struct {
+	To      ident.InstanceID
+	Message kernel.PeerMessage
+}
+
+// Host implements kernel.Host over settable fields.
+type Host struct {
+	Time   time.Time
+	Is     kernel.Self
+	Fleet  *kernel.View
+	Bundle *config.Content
+	Queue  int
+	// Predict gives Estimate's answer; nil gives an immediate first output.
+	Predict func(*kernel.Request) kernel.Estimate
+	Outbox  []Sent
+	random  *rand.Rand
+}
+
+var _ kernel.Host = (*Host)(nil)
+
+// NewHost returns a host at Start with the given view.
+func NewHost(v *kernel.View) *Host {
+	return &Host{
+		Time:   Start,
+		Is:     kernel.Self{Instance: "entry-0", Incarnation: 1, Zone: zones[0]},
+		Fleet:  v,
+		Bundle: &config.Content{Models: []config.Model{Model}},
+		random: rand.New(rand.NewPCG(1, 2)),
+	}
+}
+
+// Now implements kernel.Host.
+func (h *Host) Now() time.Time { return h.Time }
+
+// Self implements kernel.Host.
+func (h *Host) Self() kernel.Self { return h.Is }
+
+// View implements kernel.Host.
+func (h *Host) View() *kernel.View { return h.Fleet }
+
+// Content implements kernel.Host.
+func (h *Host) Content() *config.Content { return h.Bundle }
+
+// Upstream implements kernel.Host.
+func (h *Host) Upstream(id ident.UpstreamID) *kernel.Upstream {
+	for i := range h.Fleet.Upstreams {
+		if h.Fleet.Upstreams[i].ID == id {
+			return &h.Fleet.Upstreams[i]
+		}
+	}
+	return nil
+}
+
+// Model implements kernel.Host.
+func (h *Host) Model(name string) *config.Model {
+	for i := range h.Bundle.Models {
+		if h.Bundle.Models[i].Name == name {
+			return &h.Bundle.Models[i]
+		}
+	}
+	return nil
+}
+
+// Rand implements kernel.Host.
+func (h *Host) Rand() *rand.Rand { return h.random }
+
+// Send implements kernel.Host.
+func (h *Host) Send(to ident.InstanceID, m kernel.PeerMessage) {
+	h.Outbox = append(h.Outbox, Sent{To: to, Message: m})
+}
+
+// QueueLength implements kernel.Host.
+func (h *Host) QueueLength() int { return h.Queue }
+
+// Estimate implements kernel.Host.
+func (h *Host) Estimate(r *kernel.Request) kernel.Estimate {
+	if h.Predict == nil {
+		return kernel.Estimate{Possible: true}
+	}
+	return h.Predict(r)
+}
+
+// SlotGranted implements kernel.Host.
+func (*Host) SlotGranted(ident.AttemptID) {}
+
+// SlotDenied implements kernel.Host.
+func (*Host) SlotDenied(ident.AttemptID, time.Time) {}
--- /dev/null
+++ b/plugins/scorer/prefix/prefix_test.go
@@ -0,0 +1,112 @@
+package prefix
+
+import (
+	"math"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/plugins/internal/plugintest"
+)
+
+// best returns the cheapest prefill engine of the decision's view.
+func best(s *Scorer, d *kernel.Decision) *kernel.Upstream {
+	var found *kernel.Upstream
+	least := math.Inf(1)
+	for i := range d.View.Upstreams {
+		u := &d.View.Upstreams[i]
+		if u.Spec.Role != config.RolePrefill {
+			continue
+		}
+		if c := s.Prefill(d, u); c < least {
+			found, least = u, c
+		}
+	}
+	return found
+}
+
+// decision returns a decision about a prompt with the given blocks.
+func decision(v *kernel.View, blocks ...uint64) *kernel.Decision {
+	r := plugintest.Request("r")
+	r.Blocks = blocks
+	return plugintest.Decision(r, v)
+}
+
+// TestInstancesAgree: two instances whose views list the engines in different
+// order send equal beginnings to the same engine.
+func TestInstancesAgree(t *testing.T) {
+	a := plugintest.View(60, 2)
+	b := plugintest.View(60, 2)
+	n := len(b.Upstreams)
+	for i := range n / 2 {
+		b.Upstreams[i], b.Upstreams[n-1-i] = b.Upstreams[n-1-i], b.Upstreams[i]
+	}
+	for i := range b.Upstreams {
+		b.Upstreams[i].Index = i
+	}
+	homes := map[string]int{}
+	for key := uint64(1); key <= 1000; key++ {
+		home := best(&Scorer{}, decision(a, 77, key, 1))
+		assert.Equal(t, home.ID, best(&Scorer{}, decision(b, 77, key, 2, 3)).ID)
+		homes[string(home.ID)]++
+	}
+	// 1,000 prefixes over 20 engines: 50 each, with a spread of about 7.
+	assert.Equal(t, len(homes), 20)
+	for id, count := range homes {
+		assert.Assert(t, count > 15 && count < 85, "%s has %d", id, count)
+	}
+}
+
+// TestFewMove: when one engine of twenty leaves, only its prefixes move.
+func TestFewMove(t *testing.T) {
+	before := plugintest.View(60, 2)
+	after := plugintest.View(60, 2)
+	after.Version = 2
+	gone := after.Upstreams[0].ID
+	after.Upstreams = after.Upstreams[1:]
+	s := &Scorer{}
+	for key := uint64(1); key <= 200; key++ {
+		old := best(s, decision(before, key)).ID
+		now := best(s, decision(after, key)).ID
+		assert.Assert(t, old == gone || old == now)
+	}
+}
+
+type cachedAt struct{ u *kernel.Upstream }
+
+func (c cachedAt) CachedBlocks(u *kernel.Upstream, blocks []uint64) int {
+	if u == c.u {
+		return len(blocks)
+	}
+	return 0
+}
+
+func TestCost(t *testing.T) {
+	v := plugintest.View(60, 2)
+	s := &Scorer{}
+	d := decision(v, 1, 2, 3)
+	bound := worth * keyBlocks * 2000 / 20_000.0
+	for i := range v.Upstreams {
+		u := &v.Upstreams[i]
+		c := s.Prefill(d, u)
+		assert.Assert(t, c >= 0 && c < bound)
+		d.Prefix = cachedAt{u}
+		assert.Equal(t, s.Prefill(d, u), 0.0)
+		d.Prefix = nil
+	}
+	assert.Equal(t, s.Prefill(decision(v), &v.Upstreams[0]), 0.0)
+}
+
+func TestBundleChangesCount(t *testing.T) {
+	v := plugintest.View(60, 2)
+	s := &Scorer{}
+	d := decision(v, 1)
+	assert.Equal(t, s.count.of(d), 20)
+	v.Upstreams[0].Spec.Models = []string{"other"}
+	v.Upstreams[3].Life = kernel.Leaving
+	assert.Equal(t, s.count.of(d), 20)
+	s.Configure(&config.Content{})
+	assert.Equal(t, s.count.of(d), 18)
+}
--- /dev/null
+++ b/plugins/scorer/zone/zone_test.go
@@ -0,0 +1,26 @@
+package zone
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/plugins/internal/plugintest"
+)
+
+func TestBordersCrossed(t *testing.T) {
+	own := plugintest.Prefill(0)
+	own.Zone = "hall-a"
+	other := plugintest.Prefill(1)
+	other.Zone = "hall-b"
+	d := plugintest.Decision(plugintest.Request("r"), &kernel.View{})
+	total := func(p, q *kernel.Upstream) float64 {
+		s := &Scorer{}
+		return s.Prefill(d, p) + s.Decode(d, q) + s.Pair(d, p, q)
+	}
+	assert.Equal(t, total(&own, &own), 0.0)
+	assert.Equal(t, total(&own, &other), 2*crossing)
+	assert.Equal(t, total(&other, &own), 2*crossing)
+	assert.Equal(t, total(&other, &other), 2*crossing)
+}
