--- a/api/problem.go
+++ b/api/problem.go
@@ -91,6 +91,27 @@
 	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
 	// BundleVersion is the bundle version in force, 0 if none.
 	BundleVersion uint64 `json:"bundle_version,omitempty"`
+	// OpenAI repeats the problem in the form of OpenAI's API, so that its client
+	// libraries recognise it, also inside a stream. It is set on answers to
+	// callers only.
+	OpenAI *OpenAIError `json:"error,omitempty"`
+}
+
+// OpenAIError is the error member of OpenAI's API.
+type OpenAIError struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+}
+
+// WithOpenAI fills in the OpenAI member and returns p.
+func (p *Problem) WithOpenAI() *Problem {
+	message := p.Detail
+	if message == "" {
+		message = p.Title
+	}
+	p.OpenAI = &OpenAIError{Message: message, Type: string(p.Type), Code: string(p.Outcome)}
+	return p
 }
 
 // NewProblem returns a problem of the given type and outcome.
--- /dev/null
+++ b/entry/driver/actions.go
@@ -0,0 +1,183 @@
+package driver
+
+import (
+	"time"
+
+	"github.com/wardspool/wardspool/adapter"
+	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+// do carries out one action. It never blocks and never calls the kernel.
+func (d *Driver) do(a kernel.Action) {
+	switch a := a.(type) {
+	case kernel.StartPrefill:
+		d.startPrefill(a)
+	case kernel.StartDecode:
+		d.startDecode(a)
+	case kernel.ReattachDecode:
+		d.reattachDecode(a)
+	case kernel.CallService:
+		d.callService(a)
+	case kernel.CancelAttempt:
+		d.cancelAttempt(a)
+	case kernel.Answer:
+		d.answer(a)
+	case kernel.SendPeer:
+		d.sendPeer(a)
+	case kernel.Log:
+		d.opts.Observer.Decided(a.Record)
+	}
+}
+
+// admit hands a new request to the kernel.
+func (d *Driver) admit(ex *Exchange) {
+	id := ex.Request.ID
+	if _, taken := d.exchanges[id]; taken {
+		version := d.opts.Kernel.Version()
+		ex.finish(duplicateResult(version))
+		d.opts.Observer.Decided(duplicateRecord(ex.Request, version))
+		return
+	}
+	d.exchanges[id] = ex
+	d.step(kernel.Arrive{Request: ex.Request})
+}
+
+// ReasonDuplicateID is the one reason for a refusal that is not the kernel's: a
+// request came with the ID of another one in flight.
+const ReasonDuplicateID kernel.Reason = "duplicate_request_id"
+
+// duplicateRecord is the decision record of a request whose ID is in use, which
+// the kernel never sees.
+func duplicateRecord(r *kernel.Request, version uint64) kernel.Record {
+	return kernel.Record{
+		Time:          time.Now(),
+		Request:       r.ID,
+		Workspace:     r.Workspace,
+		Kind:          r.Kind,
+		Step:          kernel.StepRefused,
+		Reason:        ReasonDuplicateID,
+		BundleVersion: version,
+		Outcome:       api.NotRun,
+	}
+}
+
+// answer ends an exchange.
+func (d *Driver) answer(a kernel.Answer) {
+	ex, ok := d.exchanges[a.Request]
+	if !ok {
+		return
+	}
+	delete(d.exchanges, a.Request)
+	for live := range ex.live {
+		// The kernel cancels upstream what it must; nobody reads on here.
+		d.forget(live)
+		live.cancel(&CancelledError{})
+	}
+	r := Result{
+		Outcome:       a.Outcome,
+		Problem:       a.Problem,
+		BundleVersion: d.opts.Kernel.Version(),
+		Decoded:       ex.decoded,
+		Service:       ex.served,
+	}
+	ex.finish(r)
+	d.opts.Observer.Ended(ex.summary(r, time.Now()))
+}
+
+func (d *Driver) startPrefill(s kernel.StartPrefill) {
+	a := d.begin(s.Attempt, s.Request, s.Upstream, config.RolePrefill)
+	if a == nil {
+		return
+	}
+	call := &adapter.PrefillCall{
+		Target:       a.target,
+		Model:        a.exchange.Model,
+		ContinueFrom: s.ContinueFrom,
+	}
+	d.run(a, func() (kernel.Event, error) {
+		got, err := d.opts.Engine.Prefill(a.ctx, call)
+		if err != nil {
+			return nil, err
+		}
+		return kernel.PrefillDone{
+			Attempt:      a.id,
+			KV:           kernel.KVHandle{Engine: call.Upstream, Params: got.Params},
+			CachedTokens: got.CachedTokens,
+		}, nil
+	})
+}
+
+func (d *Driver) startDecode(s kernel.StartDecode) {
+	a := d.begin(s.Attempt, s.Request, s.Upstream, config.RoleDecode)
+	if a == nil {
+		return
+	}
+	a.exchange.delivery.choose(a.id)
+	call := &adapter.DecodeCall{
+		Target:       a.target,
+		Model:        a.exchange.Model,
+		Params:       s.KV.Params,
+		ContinueFrom: s.ContinueFrom,
+	}
+	patience := d.patience(a, s.KV.Engine)
+	d.run(a, func() (kernel.Event, error) {
+		sink := d.newSink(a, patience)
+		defer sink.watch.stop()
+		got, err := d.opts.Engine.Decode(a.ctx, call, sink)
+		return a.decodedWhole(got, err)
+	})
+}
+
+func (d *Driver) reattachDecode(s kernel.ReattachDecode) {
+	a := d.begin(s.Attempt, s.Request, s.Upstream, config.RoleDecode)
+	if a == nil {
+		return
+	}
+	a.exchange.delivery.choose(a.id)
+	call := &adapter.ReattachCall{
+		Target:   a.target,
+		Endpoint: a.exchange.Model.Endpoint,
+		Offset:   s.Offset,
+	}
+	patience := d.patience(a, "")
+	d.run(a, func() (kernel.Event, error) {
+		sink := d.newSink(a, patience)
+		defer sink.watch.stop()
+		got, err := d.opts.Engine.Reattach(a.ctx, call, sink)
+		return a.decodedWhole(got, err)
+	})
+}
+
+// decodedWhole checks that the caller has all tokens of an output.
+func (a *attempt) decodedWhole(got adapter.Decoded, err error) (kernel.Event, error) {
+	if err != nil {
+		return nil, err
+	}
+	if have := a.exchange.delivery.offset(); have != got.Tokens {
+		return nil, &GapError{Want: have, Got: got.Tokens}
+	}
+	a.decoded = got
+	return kernel.AttemptDone{Attempt: a.id, Tokens: got.Tokens}, nil
+}
+
+func (d *Driver) callService(s kernel.CallService) {
+	a := d.begin(s.Attempt, s.Request, s.Upstream, config.RoleService)
+	if a == nil {
+		return
+	}
+	call := *a.exchange.Service
+	call.Target = a.target
+	if service := d.services[a.exchange.Request.Service]; service != nil {
+		call.Timeout = service.Timeout
+	}
+	d.run(a, func() (kernel.Event, error) {
+		got, err := d.opts.Service.Call(a.ctx, &call)
+		if err != nil {
+			return nil, err
+		}
+		a.served = got
+		return kernel.AttemptDone{Attempt: a.id}, nil
+	})
+}
--- /dev/null
+++ b/entry/driver/driver.go
@@ -0,0 +1,314 @@
+// Package driver runs the decision kernel of an entry instance. One goroutine
+// owns the kernel: it hands in events and carries out actions. Each attempt at
+// an upstream has a goroutine of its own, which sends the output tokens
+// straight to the caller and reports to the kernel only what it must decide on.
+package driver
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/wardspool/wardspool/adapter"
+	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+// Decider is the kernel as the driver uses it.
+type Decider interface {
+	Step(now time.Time, ev kernel.Event) []kernel.Action
+	NextWake() (time.Time, bool)
+	InFlight() int
+	Unreleased() int
+	Version() uint64
+}
+
+// PeerSender sends a message to another instance's kernel. It may block.
+type PeerSender interface {
+	Send(ctx context.Context, to ident.InstanceID, m kernel.PeerMessage) error
+}
+
+// Observer follows what happens at the driver. Its methods are called from
+// several goroutines and must not block.
+type Observer interface {
+	// Decided receives each decision record.
+	Decided(r kernel.Record)
+	// Ended receives the summary of each request that ended.
+	Ended(s Summary)
+	// Late counts a token that came for an attempt that is no longer current,
+	// or twice.
+	Late()
+	// Contact receives how each attempt at an upstream went; err is nil for
+	// one that succeeded.
+	Contact(upstream ident.UpstreamID, err *adapter.CallError)
+	// Observed receives what an upstream said of itself.
+	Observed(upstream ident.UpstreamID, o adapter.Observation)
+	// Undelivered receives a message to a peer that failed.
+	Undelivered(to ident.InstanceID, err error)
+}
+
+// Options are the parameters of New.
+type Options struct {
+	Kernel  Decider
+	Engine  adapter.Engine
+	Service adapter.Service
+	// Peers may be nil, if there are none.
+	Peers    PeerSender
+	Observer Observer
+	Log      *slog.Logger
+	// Inbox bounds the events that wait for the kernel.
+	Inbox int
+	// PauseAfter is how long the process must not have run to count as paused.
+	PauseAfter time.Duration
+	// PeerQueue bounds the messages that wait for one peer.
+	PeerQueue int
+	// OnPause is called after a pause was handled; it may be nil.
+	OnPause func(gap time.Duration)
+}
+
+// Defaults of Options.
+const (
+	DefaultInbox      = 4096
+	DefaultPauseAfter = 500 * time.Millisecond
+	DefaultPeerQueue  = 256
+)
+
+// beatsPerPause is how often the driver looks at the clock while a pause of the
+// shortest length passes.
+const beatsPerPause = 5
+
+// message is one item of the inbox.
+type message struct {
+	event kernel.Event
+	// attempt is set for events of an attempt's goroutine.
+	attempt *attempt
+	// exchange is set for kernel.Arrive.
+	exchange *Exchange
+	// quiet is closed when nothing is in flight any more.
+	quiet chan struct{}
+}
+
+// Driver runs one kernel. See the package comment.
+type Driver struct {
+	opts    Options
+	inbox   chan message
+	stopped chan struct{}
+	gate    *pauseGate
+	// ctx ends all attempts when Run returns; workers counts their goroutines.
+	ctx     context.Context
+	cancel  context.CancelFunc
+	workers sync.WaitGroup
+
+	// The rest is owned by the goroutine of Run.
+	backlog   []kernel.Event
+	exchanges map[ident.RequestID]*Exchange
+	attempts  map[ident.AttemptID]*attempt
+	upstreams map[ident.UpstreamID]*kernel.Upstream
+	content   *config.Content
+	specs     map[ident.UpstreamID]*config.Upstream
+	models    map[string]*config.Model
+	services  map[string]*config.Service
+	peers     map[ident.InstanceID]chan kernel.PeerMessage
+	quiet     []chan struct{}
+}
+
+// New returns a driver; Run starts it.
+func New(o Options) *Driver {
+	if o.Inbox <= 0 {
+		o.Inbox = DefaultInbox
+	}
+	if o.PauseAfter <= 0 {
+		o.PauseAfter = DefaultPauseAfter
+	}
+	if o.PeerQueue <= 0 {
+		o.PeerQueue = DefaultPeerQueue
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Driver{
+		opts:      o,
+		inbox:     make(chan message, o.Inbox),
+		stopped:   make(chan struct{}),
+		gate:      newPauseGate(o.PauseAfter),
+		ctx:       ctx,
+		cancel:    cancel,
+		exchanges: map[ident.RequestID]*Exchange{},
+		attempts:  map[ident.AttemptID]*attempt{},
+		upstreams: map[ident.UpstreamID]*kernel.Upstream{},
+		peers:     map[ident.InstanceID]chan kernel.PeerMessage{},
+	}
+}
+
+// Run owns the kernel until ctx ends. It then ends all attempts, answers the
+// requests that remain, and returns when no goroutine of the driver is left.
+func (d *Driver) Run(ctx context.Context) {
+	defer d.shutDown()
+	beat := time.NewTicker(d.opts.PauseAfter / beatsPerPause)
+	defer beat.Stop()
+	wake := time.NewTimer(time.Hour)
+	defer wake.Stop()
+	d.gate.beat(time.Now())
+	for {
+		d.arm(wake)
+		select {
+		case m := <-d.inbox:
+			d.receive(m)
+		case <-wake.C:
+			d.step(kernel.Tick{})
+		case <-beat.C:
+			d.checkPause()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// arm sets the timer to the kernel's next wake-up.
+func (d *Driver) arm(wake *time.Timer) {
+	at, ok := d.opts.Kernel.NextWake()
+	if !ok {
+		wake.Stop()
+		return
+	}
+	wake.Reset(max(time.Until(at), 0))
+}
+
+// shutDown ends what is left when Run returns.
+func (d *Driver) shutDown() {
+	d.cancel()
+	for _, ex := range d.exchanges {
+		// Whether it ran was the kernel's to say.
+		ex.finish(stoppedResult(api.Unknown))
+	}
+	close(d.stopped)
+	d.workers.Wait()
+}
+
+// Post hands an event to the kernel. It blocks while the inbox is full and
+// returns false once the driver has stopped.
+func (d *Driver) Post(ev kernel.Event) bool { return d.send(message{event: ev}) }
+
+// offer hands an event to the kernel unless the inbox is full.
+func (d *Driver) offer(ev kernel.Event) {
+	select {
+	case d.inbox <- message{event: ev}:
+	default:
+	}
+}
+
+func (d *Driver) send(m message) bool {
+	select {
+	case d.inbox <- m:
+		return true
+	case <-d.stopped:
+		return false
+	}
+}
+
+// Quiesce waits until no request is in flight and all cancels are
+// acknowledged. It returns the context's error if that ends first.
+func (d *Driver) Quiesce(ctx context.Context) error {
+	quiet := make(chan struct{})
+	d.send(message{quiet: quiet})
+	select {
+	case <-quiet:
+		return nil
+	case <-d.stopped:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// receive handles one message of the inbox.
+func (d *Driver) receive(m message) {
+	switch {
+	case m.quiet != nil:
+		d.quiet = append(d.quiet, m.quiet)
+		d.checkQuiet()
+	case m.exchange != nil:
+		d.admit(m.exchange)
+	case m.attempt != nil:
+		d.report(m)
+	default:
+		d.note(m.event)
+		d.step(m.event)
+	}
+}
+
+// note keeps what the driver itself needs of an event.
+func (d *Driver) note(ev kernel.Event) {
+	switch e := ev.(type) {
+	case kernel.ViewChanged:
+		clear(d.upstreams)
+		for i := range e.View.Upstreams {
+			u := &e.View.Upstreams[i]
+			d.upstreams[u.ID] = u
+		}
+	case kernel.Configured:
+		d.configure(e.Content)
+	}
+}
+
+// configure indexes the bundle content in force.
+func (d *Driver) configure(c *config.Content) {
+	d.content = c
+	d.specs = make(map[ident.UpstreamID]*config.Upstream, len(c.Upstreams))
+	for i := range c.Upstreams {
+		d.specs[c.Upstreams[i].ID] = &c.Upstreams[i]
+	}
+	d.models = make(map[string]*config.Model, len(c.Models))
+	for i := range c.Models {
+		d.models[c.Models[i].Name] = &c.Models[i]
+	}
+	d.services = make(map[string]*config.Service, len(c.Services))
+	for i := range c.Services {
+		d.services[c.Services[i].Name] = &c.Services[i]
+	}
+}
+
+// step hands an event to the kernel and carries out what follows from it.
+func (d *Driver) step(ev kernel.Event) {
+	d.checkPause()
+	d.stepOnce(ev)
+	for len(d.backlog) > 0 {
+		next := d.backlog[0]
+		d.backlog = slices.Delete(d.backlog, 0, 1)
+		d.stepOnce(next)
+	}
+	d.checkQuiet()
+}
+
+func (d *Driver) stepOnce(ev kernel.Event) {
+	for _, a := range d.opts.Kernel.Step(time.Now(), ev) {
+		d.do(a)
+	}
+}
+
+// checkPause tells the kernel about a pause of the process before it decides
+// anything else, and lets attempts that waited for this go on.
+func (d *Driver) checkPause() {
+	gap := d.gate.gap(time.Now())
+	if gap > 0 {
+		d.opts.Log.Warn("process was paused", "gap", gap)
+		d.stepOnce(kernel.Paused{Gap: gap})
+		if d.opts.OnPause != nil {
+			d.opts.OnPause(gap)
+		}
+	}
+	d.gate.beat(time.Now())
+}
+
+// checkQuiet wakes those that wait for quiet.
+func (d *Driver) checkQuiet() {
+	if len(d.quiet) == 0 || len(d.exchanges) > 0 || d.opts.Kernel.Unreleased() > 0 {
+		return
+	}
+	for _, q := range d.quiet {
+		close(q)
+	}
+	d.quiet = nil
+}
--- /dev/null
+++ b/entry/front/answer.go
@@ -0,0 +1,132 @@
+package front
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/wardspool/wardspool/adapter"
+	"github.com/wardspool/wardspool/entry/driver"
+)
+
+// Values of OpenAI's "object" member.
+const (
+	objectCompletion = "text_completion"
+	objectChat       = "chat.completion"
+	objectChunk      = "chat.completion.chunk"
+)
+
+// roleAssistant is the role of a model's chat messages.
+const roleAssistant = "assistant"
+
+// identity is what all chunks of an answer have in common.
+type identity struct {
+	id       string
+	endpoint adapter.Endpoint
+	model    string
+	created  int64
+}
+
+func newIdentity(ex *driver.Exchange) identity {
+	prefix := "cmpl-"
+	if ex.Model.Endpoint == adapter.Chat {
+		prefix = "chatcmpl-"
+	}
+	return identity{
+		id:       prefix + string(ex.Request.ID),
+		endpoint: ex.Model.Endpoint,
+		model:    ex.Model.Model,
+		created:  ex.Request.Arrived.Unix(),
+	}
+}
+
+// completion is a whole answer in OpenAI's form.
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   usage    `json:"usage"`
+}
+
+// choice is the only choice of a whole answer.
+type choice struct {
+	Index        int      `json:"index"`
+	Text         *string  `json:"text,omitempty"`
+	Message      *message `json:"message,omitempty"`
+	FinishReason string   `json:"finish_reason"`
+}
+
+// message is the message of a whole chat answer.
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// usage counts tokens.
+type usage struct {
+	PromptTokens     int           `json:"prompt_tokens"`
+	CompletionTokens int           `json:"completion_tokens"`
+	TotalTokens      int           `json:"total_tokens"`
+	Details          *usageDetails `json:"prompt_tokens_details,omitempty"`
+}
+
+// usageDetails counts prompt tokens that were reused.
+type usageDetails struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+// answerUsage returns the usage of the whole answer. An engine that resumed an
+// answer counts the part before its own as prompt, which is corrected here.
+func answerUsage(ex *driver.Exchange, d adapter.Decoded) usage {
+	u := usage{PromptTokens: ex.Request.PromptTokens}
+	var reported usage
+	if json.Unmarshal(d.Usage, &reported) == nil && reported.TotalTokens >= d.Tokens {
+		u.PromptTokens = reported.TotalTokens - d.Tokens
+		u.Details = reported.Details
+	}
+	u.CompletionTokens = d.Tokens
+	u.TotalTokens = u.PromptTokens + d.Tokens
+	return u
+}
+
+// wholeOutput collects an answer that is not streamed.
+type wholeOutput struct{ text strings.Builder }
+
+// Token implements driver.Output.
+func (o *wholeOutput) Token(c adapter.Chunk) error {
+	o.text.WriteString(c.Text)
+	return nil
+}
+
+// writeWhole answers a request that is not streamed.
+func (f *Front) writeWhole(w http.ResponseWriter, ex *driver.Exchange, id identity, out *wholeOutput, res driver.Result) {
+	if res.Problem != nil {
+		f.writeProblem(w, ex.Request.ID, res)
+		return
+	}
+	text := out.text.String()
+	c := choice{FinishReason: res.Decoded.FinishReason}
+	object := objectCompletion
+	if id.endpoint == adapter.Chat {
+		object = objectChat
+		c.Message = &message{Role: roleAssistant, Content: text}
+	} else {
+		c.Text = &text
+	}
+	writeResult(w.Header(), ex.Request.ID, res)
+	w.Header().Set("Content-Type", "application/json")
+	f.extendWrite(w)
+	err := json.NewEncoder(w).Encode(completion{
+		ID:      id.id,
+		Object:  object,
+		Created: id.created,
+		Model:   id.model,
+		Choices: []choice{c},
+		Usage:   answerUsage(ex, res.Decoded),
+	})
+	if err != nil {
+		f.opts.Log.Debug("answer not delivered", "request", ex.Request.ID, "error", err)
+	}
+}
--- /dev/null
+++ b/entry/front/body.go
@@ -0,0 +1,89 @@
+package front
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/wardspool/wardspool/api"
+)
+
+// readStep is how much of a body of unknown length is reserved at a time.
+const readStep = 64 << 10
+
+// readBody reads a whole body within the limits on its size, its time and the
+// memory of all bodies. release gives the memory back.
+func (f *Front) readBody(w http.ResponseWriter, r *http.Request) (body []byte, release func(), problem *api.Problem) {
+	limit := f.opts.Limits.BodyBytes
+	if r.ContentLength > limit {
+		return nil, nil, tooLarge()
+	}
+	rc := http.NewResponseController(w)
+	// Writers of tests have no deadlines.
+	_ = rc.SetReadDeadline(time.Now().Add(f.opts.Limits.BodyTimeout))
+	body, taken, problem := f.readWithin(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	_ = rc.SetReadDeadline(time.Time{})
+	if problem != nil {
+		f.memory.give(taken)
+		return nil, nil, problem
+	}
+	return body, func() { f.memory.give(taken) }, nil
+}
+
+// readWithin reads to the end and returns how much memory it took.
+func (f *Front) readWithin(r io.Reader, length int64) (body []byte, taken int64, problem *api.Problem) {
+	step := length
+	if length < 0 {
+		step = readStep
+	}
+	for {
+		if !f.memory.take(step) {
+			return nil, taken, overloaded("the requests in flight take all memory for bodies")
+		}
+		taken += step
+		// One byte more than expected lets the end show without growing.
+		grown := make([]byte, len(body), taken+1)
+		copy(grown, body)
+		var err error
+		body, err = fill(grown, r)
+		switch {
+		case err == nil:
+			step = max(taken, readStep)
+		case errors.Is(err, io.EOF):
+			return body, taken, nil
+		default:
+			return nil, taken, bodyProblem(err)
+		}
+	}
+}
+
+// fill reads until b is full, which is no error, or until r ends.
+func fill(b []byte, r io.Reader) ([]byte, error) {
+	for len(b) < cap(b) {
+		n, err := r.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		if err != nil {
+			return b, err
+		}
+	}
+	return b, nil
+}
+
+func tooLarge() *api.Problem {
+	return api.NewProblem(api.ProblemTooLarge, api.NotRun, "the body is larger than this instance takes")
+}
+
+// bodyProblem names what went wrong while a body was read.
+func bodyProblem(err error) *api.Problem {
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return tooLarge()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return api.NewProblem(api.ProblemSlowSender, api.NotRun, "the body did not arrive in time")
+	default:
+		return api.NewProblem(api.ProblemMalformed, api.NotRun, "the body broke off")
+	}
+}
--- /dev/null
+++ b/entry/front/operate.go
@@ -0,0 +1,76 @@
+package front
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/wardspool/wardspool/api"
+)
+
+// modelList is OpenAI's list of models.
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+// modelEntry is one model of the list.
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// models lists the models that the bundle in force declares.
+func (f *Front) models(w http.ResponseWriter, r *http.Request) {
+	a, problem := f.arrive(r)
+	if problem != nil {
+		f.fail(w, r, a, problem)
+		return
+	}
+	content := a.catalog.Content
+	list := modelList{Object: "list", Data: make([]modelEntry, 0, len(content.Models))}
+	for _, m := range content.Models {
+		list.Data = append(list.Data, modelEntry{ID: m.Name, Object: "model", OwnedBy: content.Deployment})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(api.HeaderRequestID, string(a.headers.RequestID))
+	w.Header().Set(api.HeaderOutcome, string(api.Complete))
+	f.extendWrite(w)
+	if err := json.NewEncoder(w).Encode(list); err != nil {
+		f.opts.Log.Debug("answer not delivered", "error", err)
+	}
+}
+
+// tickets hands out tickets for calls that are not repeatable.
+func (f *Front) tickets(w http.ResponseWriter, r *http.Request) {
+	if f.opts.Tickets == nil {
+		p := api.NewProblem(api.ProblemNotReady, api.NotRun, "tickets are not configured on this instance")
+		f.refuse(w, r, p)
+		return
+	}
+	f.opts.Tickets.ServeHTTP(w, r)
+}
+
+// healthz says that the process runs.
+func (f *Front) healthz(w http.ResponseWriter, _ *http.Request) { f.plain(w, http.StatusOK, "ok\n") }
+
+// readyz says whether the platform's balancer should send requests here.
+func (f *Front) readyz(w http.ResponseWriter, _ *http.Request) {
+	if why := f.opts.Ready(); why != IsReady {
+		f.plain(w, http.StatusServiceUnavailable, string(why)+"\n")
+		return
+	}
+	f.plain(w, http.StatusOK, "ready\n")
+}
+
+// plain answers with a line of text.
+func (f *Front) plain(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	f.extendWrite(w)
+	w.WriteHeader(status)
+	if _, err := io.WriteString(w, text); err != nil {
+		f.opts.Log.Debug("answer not delivered", "error", err)
+	}
+}
--- /dev/null
+++ b/entry/front/server.go
@@ -0,0 +1,102 @@
+package front
+
+import (
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/gorilla/mux"
+
+	"github.com/wardspool/wardspool/adapter"
+	"github.com/wardspool/wardspool/api"
+)
+
+// Front is the HTTP interface.
+type Front struct {
+	opts     Options
+	memory   *budget
+	requests *budget
+	closing  atomic.Bool
+}
+
+// New returns a front.
+func New(o Options) *Front {
+	return &Front{
+		opts:     o,
+		memory:   newBudget(o.Limits.MemoryBytes),
+		requests: newBudget(o.Limits.Requests),
+	}
+}
+
+// Close makes connections close after their present request, so that callers
+// reconnect elsewhere.
+func (f *Front) Close() { f.closing.Store(true) }
+
+// Server returns an HTTP server for the front; the caller gives it a listener.
+func (f *Front) Server() *http.Server {
+	l := f.opts.Limits
+	return &http.Server{
+		Handler:           f.Handler(),
+		ReadHeaderTimeout: l.HeaderTimeout,
+		IdleTimeout:       l.IdleTimeout,
+		MaxHeaderBytes:    l.HeaderBytes,
+		ErrorLog:          slog.NewLogLogger(f.opts.Log.Handler(), slog.LevelDebug),
+	}
+}
+
+// Handler returns the routes.
+func (f *Front) Handler() http.Handler {
+	r := mux.NewRouter().SkipClean(true).UseEncodedPath()
+	r.HandleFunc("/v1/completions", f.model(adapter.Completions)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/chat/completions", f.model(adapter.Chat)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/models", f.models).Methods(http.MethodGet)
+	r.HandleFunc("/v1/tickets", f.tickets).Methods(http.MethodPost)
+	r.HandleFunc("/services/{service}/{path:.*}", f.service)
+	r.HandleFunc("/healthz", f.healthz).Methods(http.MethodGet)
+	r.HandleFunc("/readyz", f.readyz).Methods(http.MethodGet)
+	r.Handle("/metrics", f.opts.Metrics).Methods(http.MethodGet)
+	r.NotFoundHandler = f.noRoute(http.StatusNotFound, "no such path")
+	r.MethodNotAllowedHandler = f.noRoute(http.StatusMethodNotAllowed, "the path does not take this method")
+	return f.common(r)
+}
+
+// common sets the headers of all answers.
+func (f *Front) common(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(api.HeaderInstance, string(f.opts.Instance))
+		if f.closing.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// noRoute answers requests that no route takes.
+func (f *Front) noRoute(status int, detail string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p := api.NewProblem(api.ProblemMalformed, api.NotRun, detail)
+		p.Status = status
+		p.Title = http.StatusText(status)
+		f.refuse(w, r, p)
+	})
+}
+
+// budget is an amount that requests in flight share.
+type budget struct {
+	limit int64
+	used  atomic.Int64
+}
+
+func newBudget(limit int64) *budget { return &budget{limit: limit} }
+
+// take reserves n and reports whether that much was left.
+func (b *budget) take(n int64) bool {
+	if b.used.Add(n) <= b.limit {
+		return true
+	}
+	b.used.Add(-n)
+	return false
+}
+
+// give returns n.
+func (b *budget) give(n int64) { b.used.Add(-n) }
--- /dev/null
+++ b/entry/front/stream.go
@@ -0,0 +1,149 @@
+package front
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/wardspool/wardspool/adapter"
+	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/entry/driver"
+)
+
+// streamOutput writes an answer as server-sent events. The last token is held
+// back until the kernel has ended the request, so that a caller that has seen a
+// finish_reason has a whole answer.
+type streamOutput struct {
+	front *Front
+	w     http.ResponseWriter
+	rc    *http.ResponseController
+	ex    *driver.Exchange
+	id    identity
+
+	// head is the event up to the chunk's choices.
+	head  []byte
+	buf   []byte
+	begun bool
+	last  []byte
+}
+
+func newStreamOutput(f *Front, w http.ResponseWriter, ex *driver.Exchange, id identity) *streamOutput {
+	return &streamOutput{
+		front: f,
+		w:     w,
+		rc:    http.NewResponseController(w),
+		ex:    ex,
+		id:    id,
+		head:  id.chunkHead(),
+	}
+}
+
+// chunkHead returns the part that all events share.
+func (id identity) chunkHead() []byte {
+	object := objectCompletion
+	if id.endpoint == adapter.Chat {
+		object = objectChunk
+	}
+	head, _ := json.Marshal(struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		Created int64  `json:"created"`
+		Model   string `json:"model"`
+	}{id.id, object, id.created, id.model})
+	out := append([]byte("data: "), head[:len(head)-1]...)
+	return append(out, `,"choices":`...)
+}
+
+// Token implements driver.Output.
+func (o *streamOutput) Token(c adapter.Chunk) error {
+	o.begin()
+	if c.FinishReason != "" {
+		o.last = bytes.Clone(c.Choices)
+		return nil
+	}
+	o.addChunk(c.Choices, nil)
+	return o.flush()
+}
+
+// begin sends the head of the response.
+func (o *streamOutput) begin() {
+	if o.begun {
+		return
+	}
+	o.begun = true
+	h := o.w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-store")
+	h.Set("Trailer", api.HeaderOutcome)
+	h.Set(api.HeaderRequestID, string(o.ex.Request.ID))
+	if c := o.front.opts.Catalog(); c != nil {
+		h.Set(api.HeaderBundleVersion, strconv.FormatUint(c.Version, 10))
+	}
+	o.w.WriteHeader(http.StatusOK)
+}
+
+// addChunk adds an event to the buffer.
+func (o *streamOutput) addChunk(choices, usage []byte) {
+	o.buf = append(o.buf, o.head...)
+	o.buf = append(o.buf, choices...)
+	if usage != nil {
+		o.buf = append(o.buf, `,"usage":`...)
+		o.buf = append(o.buf, usage...)
+	}
+	o.buf = append(o.buf, "}\n\n"...)
+}
+
+// flush sends the buffer to the caller.
+func (o *streamOutput) flush() error {
+	// Writers of tests have no deadlines.
+	_ = o.rc.SetWriteDeadline(time.Now().Add(o.front.opts.Limits.WriteTimeout))
+	_, err := o.w.Write(o.buf)
+	o.buf = o.buf[:0]
+	if err != nil {
+		return err
+	}
+	return o.rc.Flush()
+}
+
+// finish ends the stream as the request ended.
+func (o *streamOutput) finish(res driver.Result, usage bool) {
+	if res.Problem != nil && !o.begun {
+		o.front.writeProblem(o.w, o.ex.Request.ID, res)
+		return
+	}
+	o.begin()
+	if res.Problem != nil {
+		o.addProblem(res)
+	} else {
+		o.addEnd(res, usage)
+	}
+	o.w.Header().Set(api.HeaderOutcome, string(res.Outcome))
+	if err := o.flush(); err != nil {
+		o.front.opts.Log.Debug("end of stream not delivered", "request", o.ex.Request.ID, "error", err)
+	}
+}
+
+// addEnd adds the last token, the usage if asked for, and the end mark. The
+// outcome is a comment on the end mark's event: a comment that stands alone is
+// an empty event to some client libraries.
+func (o *streamOutput) addEnd(res driver.Result, usage bool) {
+	o.addChunk(o.last, nil)
+	if usage {
+		text, _ := json.Marshal(answerUsage(o.ex, res.Decoded))
+		o.addChunk([]byte("[]"), text)
+	}
+	o.buf = append(o.buf, ": "+api.HeaderOutcome+": "+string(res.Outcome)+"\ndata: [DONE]\n\n"...)
+}
+
+// addProblem adds the event of a stream that failed. No end mark follows.
+func (o *streamOutput) addProblem(res driver.Result) {
+	p := *res.Problem
+	p.RequestID = string(o.ex.Request.ID)
+	p.BundleVersion = res.BundleVersion
+	text, _ := json.Marshal(p.WithOpenAI())
+	o.buf = append(o.buf, "event: error\ndata: "...)
+	o.buf = append(o.buf, text...)
+	o.buf = append(o.buf, "\n\n"...)
+}
--- /dev/null
+++ b/entry/intake/body.go
@@ -0,0 +1,305 @@
+package intake
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+
+	"github.com/wardspool/wardspool/adapter"
+	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/tokens"
+)
+
+// maxFields bounds the top-level members of a body.
+const maxFields = 128
+
+// ModelBody is the checked body of a request to a model.
+type ModelBody struct {
+	Model string
+	// Prompt is the text to count and hash.
+	Prompt string
+	// MaxTokens is 0 if the caller set no bound.
+	MaxTokens int
+	Stream    bool
+	// IncludeUsage asks for a usage chunk at the end of a stream.
+	IncludeUsage bool
+	// Fields are the members to pass on.
+	Fields []adapter.Field
+}
+
+// malformed returns the problem of a bad body.
+func malformed(format string, args ...any) *api.Problem {
+	return api.NewProblem(api.ProblemMalformed, api.NotRun, fmt.Sprintf(format, args...))
+}
+
+// ReadModelBody checks the JSON body of a request to an endpoint.
+func ReadModelBody(endpoint adapter.Endpoint, data []byte) (*ModelBody, *api.Problem) {
+	members, problem := splitMembers(data)
+	if problem != nil {
+		return nil, problem
+	}
+	b := &ModelBody{}
+	r := bodyReader{members: members}
+	b.Model = r.text("model")
+	b.MaxTokens = r.maxTokens(endpoint)
+	b.Stream = r.flag("stream")
+	b.IncludeUsage = r.includeUsage(b.Stream)
+	r.refuseUnsupported(b.Stream)
+	if endpoint == adapter.Chat {
+		b.Prompt = r.messages()
+	} else {
+		b.Prompt = r.prompt()
+	}
+	if b.Model == "" {
+		r.fail("model", "is missing")
+	}
+	if r.problem != nil {
+		return nil, r.problem
+	}
+	b.Fields = r.passOn()
+	return b, nil
+}
+
+// splitMembers reads the top level of a JSON object. Of a member that comes
+// twice the last one counts.
+func splitMembers(data []byte) (map[string]json.RawMessage, *api.Problem) {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	if t, err := dec.Token(); err != nil || t != json.Delim('{') {
+		return nil, malformed("the body is not a JSON object")
+	}
+	members := map[string]json.RawMessage{}
+	for dec.More() {
+		t, err := dec.Token()
+		name, ok := t.(string)
+		if err != nil || !ok {
+			return nil, malformed("the body is not valid JSON, at byte %d", dec.InputOffset())
+		}
+		var raw json.RawMessage
+		if err := dec.Decode(&raw); err != nil {
+			return nil, malformed("the body is not valid JSON, at byte %d", dec.InputOffset())
+		}
+		members[name] = raw
+		if len(members) > maxFields {
+			return nil, malformed("the body has more than %d members", maxFields)
+		}
+	}
+	if _, err := dec.Token(); err != nil {
+		return nil, malformed("the body is not valid JSON, at byte %d", dec.InputOffset())
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return nil, malformed("something follows the JSON object")
+	}
+	return members, nil
+}
+
+// bodyReader reads members and keeps the first problem.
+type bodyReader struct {
+	members map[string]json.RawMessage
+	problem *api.Problem
+}
+
+func (r *bodyReader) fail(name, fault string) {
+	if r.problem == nil {
+		r.problem = malformed("member %q %s", name, fault)
+	}
+}
+
+// read decodes a member if it is there and not null.
+func (r *bodyReader) read(name string, into any, want string) bool {
+	raw, ok := r.members[name]
+	if !ok || string(raw) == "null" {
+		return false
+	}
+	if err := json.Unmarshal(raw, into); err != nil {
+		r.fail(name, "is not "+want)
+		return false
+	}
+	return true
+}
+
+func (r *bodyReader) text(name string) string {
+	var s string
+	r.read(name, &s, "a string")
+	return s
+}
+
+func (r *bodyReader) flag(name string) bool {
+	var b bool
+	r.read(name, &b, "true or false")
+	return b
+}
+
+// count reads a number that must not be negative.
+func (r *bodyReader) count(name string) int {
+	var n int
+	if r.read(name, &n, "a whole number") && n < 0 {
+		r.fail(name, "is negative")
+		return 0
+	}
+	return n
+}
+
+// maxTokens reads the bound on the output under either of its names.
+func (r *bodyReader) maxTokens(endpoint adapter.Endpoint) int {
+	n := r.count("max_tokens")
+	if endpoint == adapter.Chat {
+		if newer := r.count("max_completion_tokens"); newer > 0 {
+			return newer
+		}
+	}
+	return n
+}
+
+// includeUsage reads stream_options.
+func (r *bodyReader) includeUsage(stream bool) bool {
+	var o struct {
+		IncludeUsage bool `json:"include_usage"`
+	}
+	if r.read("stream_options", &o, "an object") && !stream {
+		r.fail("stream_options", "is for streamed answers")
+	}
+	return o.IncludeUsage
+}
+
+// refuseUnsupported refuses what could not be answered whole: several choices,
+// and parts of an unstreamed answer that are not text.
+func (r *bodyReader) refuseUnsupported(stream bool) {
+	for _, name := range []string{"n", "best_of"} {
+		if r.count(name) > 1 {
+			r.fail(name, "is more than 1, which is not supported")
+		}
+	}
+	if r.flag("echo") {
+		r.fail("echo", "is not supported")
+	}
+	if stream {
+		return
+	}
+	for _, name := range []string{"tools", "functions", "logprobs"} {
+		raw, ok := r.members[name]
+		if ok && string(raw) != "null" && string(raw) != "false" {
+			r.fail(name, "is supported in streamed answers only")
+		}
+	}
+}
+
+// prompt reads the prompt of a completion: a string, or an array of one.
+func (r *bodyReader) prompt() string {
+	raw := r.members["prompt"]
+	if len(raw) > 0 && raw[0] == '[' {
+		var list []string
+		if json.Unmarshal(raw, &list) != nil || len(list) != 1 {
+			r.fail("prompt", "is neither a string nor an array of one string")
+			return ""
+		}
+		r.set("prompt", list[0])
+		return list[0]
+	}
+	var s string
+	if !r.read("prompt", &s, "a string") {
+		r.fail("prompt", "is missing")
+	}
+	return s
+}
+
+// message is a chat message whose content is a string or a list of text parts.
+type message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// part is a part of a message's content.
+type part struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
+}
+
+// partText is the type of part that is supported.
+const partText = "text"
+
+// messages reads the messages of a chat and returns their prompt text.
+func (r *bodyReader) messages() string {
+	var list []message
+	if !r.read("messages", &list, "an array of messages") {
+		r.fail("messages", "is missing")
+		return ""
+	}
+	if len(list) == 0 {
+		r.fail("messages", "is empty")
+		return ""
+	}
+	flat := make([]tokens.Message, len(list))
+	parts := false
+	for i, m := range list {
+		text, split, ok := m.text()
+		if !ok {
+			r.fail("messages", fmt.Sprintf("has content that is not text, at index %d", i))
+			return ""
+		}
+		parts = parts || split
+		flat[i] = tokens.Message{Role: m.Role, Content: text}
+	}
+	if parts {
+		r.joinParts(list, flat)
+	}
+	return tokens.FlattenChat(flat)
+}
+
+// text returns a message's text, and whether it came in parts.
+func (m *message) text() (text string, split, ok bool) {
+	if len(m.Content) == 0 || string(m.Content) == "null" {
+		return "", false, true
+	}
+	if json.Unmarshal(m.Content, &text) == nil {
+		return text, false, true
+	}
+	var list []part
+	if json.Unmarshal(m.Content, &list) != nil {
+		return "", false, false
+	}
+	var b strings.Builder
+	for _, p := range list {
+		if p.Type != partText {
+			return "", false, false
+		}
+		b.WriteString(p.Text)
+	}
+	return b.String(), true, true
+}
+
+// joinParts replaces the messages' parts by their text, for engines that take
+// strings only. It keeps the other members of each message.
+func (r *bodyReader) joinParts(list []message, flat []tokens.Message) {
+	var whole []map[string]json.RawMessage
+	// The member was decoded before.
+	_ = json.Unmarshal(r.members["messages"], &whole)
+	for i := range list {
+		content, _ := json.Marshal(flat[i].Content)
+		whole[i]["content"] = content
+	}
+	r.set("messages", whole)
+}
+
+// set replaces a member.
+func (r *bodyReader) set(name string, v any) {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		r.fail(name, "cannot be encoded")
+		return
+	}
+	r.members[name] = raw
+}
+
+// passOn lists the members in the order of their names.
+func (r *bodyReader) passOn() []adapter.Field {
+	fields := make([]adapter.Field, 0, len(r.members))
+	for name, raw := range r.members {
+		fields = append(fields, adapter.Field{Name: name, Raw: raw})
+	}
+	sort.Slice(fields, func(i, j int) bool { return fields[i].Name < fields[j].Name })
+	return fields
+}
--- /dev/null
+++ b/entry/intake/catalog.go
@@ -0,0 +1,48 @@
+// Package intake turns what callers send into requests the kernel can decide
+// on: it checks headers and bodies and fills in the defaults of the bundle in
+// force. Its failures are *api.Problem with the outcome "not-run".
+package intake
+
+import (
+	"github.com/wardspool/wardspool/config"
+)
+
+// Catalog is a bundle version's declarations as the intake needs them. It is
+// not changed after NewCatalog.
+type Catalog struct {
+	Version uint64
+	Content *config.Content
+
+	kinds  map[string]*config.Kind
+	first  map[config.Route]*config.Kind
+	models map[string]*config.Model
+	// deduplicates says of each service whether its upstreams run an
+	// idempotency key at most once.
+	deduplicates map[string]bool
+}
+
+// NewCatalog indexes the content of a bundle version.
+func NewCatalog(version uint64, c *config.Content) *Catalog {
+	cat := &Catalog{
+		Version:      version,
+		Content:      c,
+		kinds:        make(map[string]*config.Kind, len(c.Kinds)),
+		first:        map[config.Route]*config.Kind{},
+		models:       make(map[string]*config.Model, len(c.Models)),
+		deduplicates: make(map[string]bool, len(c.Services)),
+	}
+	for i := range c.Kinds {
+		k := &c.Kinds[i]
+		cat.kinds[k.Name] = k
+		if cat.first[k.Route] == nil {
+			cat.first[k.Route] = k
+		}
+	}
+	for i := range c.Models {
+		cat.models[c.Models[i].Name] = &c.Models[i]
+	}
+	for i := range c.Services {
+		cat.deduplicates[c.Services[i].Name] = c.Services[i].Deduplicates
+	}
+	return cat
+}
--- /dev/null
+++ b/plugins/engine/openai/engine.go
@@ -0,0 +1,210 @@
+package openai
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/wardspool/wardspool/adapter"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+// Request headers of the engines' protocol.
+const (
+	headerAttempt     = "X-Request-Id"
+	headerCorrelation = "X-Correlation-Id"
+	headerLastEvent   = "Last-Event-ID"
+)
+
+// Paths of the engines' protocol.
+const (
+	pathCompletions = "/v1/completions"
+	pathChat        = "/v1/chat/completions"
+	pathStreams     = "/v1/streams/"
+	pathAbort       = "/abort_request"
+)
+
+// maxAnswerBytes bounds the answers that are read whole: prefills, aborts and
+// errors.
+const maxAnswerBytes = 1 << 20
+
+// path returns the path of an endpoint.
+func path(e adapter.Endpoint) string {
+	if e == adapter.Chat {
+		return pathChat
+	}
+	return pathCompletions
+}
+
+// prefillAnswer is what the adapter reads of a prefill's answer.
+type prefillAnswer struct {
+	KVTransferParams json.RawMessage `json:"kv_transfer_params"`
+	Usage            *struct {
+		PromptTokensDetails *struct {
+			CachedTokens int `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+}
+
+// Prefill implements adapter.Engine.
+func (e *Engine) Prefill(ctx context.Context, c *adapter.PrefillCall) (adapter.Prefilled, error) {
+	body, length, err := compose(&overrides{
+		Model: c.Model.Model,
+		// vLLM's prefill engines make one token and throw it away.
+		MaxTokens:        1,
+		Priority:         c.Model.Priority,
+		ContinueFrom:     c.ContinueFrom,
+		KVTransferParams: prefillParams,
+	}, c.Model.Fields)
+	if err != nil {
+		return adapter.Prefilled{}, unsent(err)
+	}
+	resp, err := e.post(ctx, &c.Target, path(c.Model.Endpoint), body, length)
+	if err != nil {
+		return adapter.Prefilled{}, err
+	}
+	defer drain(resp.Body)
+	var a prefillAnswer
+	if err := decode(resp.Body, &a); err != nil {
+		return adapter.Prefilled{}, err
+	}
+	if len(a.KVTransferParams) == 0 || bytes.Equal(a.KVTransferParams, []byte("null")) {
+		return adapter.Prefilled{}, broken(&adapter.ProtocolError{Part: "no kv_transfer_params"})
+	}
+	out := adapter.Prefilled{Params: a.KVTransferParams}
+	if a.Usage != nil && a.Usage.PromptTokensDetails != nil {
+		out.CachedTokens = a.Usage.PromptTokensDetails.CachedTokens
+	}
+	return out, nil
+}
+
+// Decode implements adapter.Engine.
+func (e *Engine) Decode(ctx context.Context, c *adapter.DecodeCall, sink adapter.Sink) (adapter.Decoded, error) {
+	body, length, err := compose(&overrides{
+		Model:            c.Model.Model,
+		MaxTokens:        c.Model.MaxTokens,
+		Stream:           true,
+		StreamOptions:    &streamOptions{IncludeUsage: true},
+		Priority:         c.Model.Priority,
+		ContinueFrom:     c.ContinueFrom,
+		KVTransferParams: c.Params,
+	}, c.Model.Fields)
+	if err != nil {
+		return adapter.Decoded{}, unsent(err)
+	}
+	resp, err := e.post(ctx, &c.Target, path(c.Model.Endpoint), body, length)
+	if err != nil {
+		return adapter.Decoded{}, err
+	}
+	defer resp.Body.Close()
+	return readStream(resp.Body, c.Attempt.String(), c.ContinueFrom, sink)
+}
+
+// Reattach implements adapter.Engine.
+func (e *Engine) Reattach(ctx context.Context, c *adapter.ReattachCall, sink adapter.Sink) (adapter.Decoded, error) {
+	attempt := c.Attempt.String()
+	req, err := e.request(ctx, http.MethodGet, &c.Target, pathStreams+url.PathEscape(attempt))
+	if err != nil {
+		return adapter.Decoded{}, unsent(err)
+	}
+	if c.Offset > 0 {
+		req.Header.Set(headerLastEvent, attempt+":"+strconv.Itoa(c.Offset-1))
+	}
+	resp, err := e.do(req, &c.Target, http.NoBody, 0)
+	if err != nil {
+		return adapter.Decoded{}, ran(err)
+	}
+	defer resp.Body.Close()
+	return readStream(resp.Body, attempt, c.Offset, sink)
+}
+
+// ran corrects the evidence of a failed reattachment: the attempt itself was
+// sent before, whatever became of this call.
+func ran(err error) error {
+	e := *adapter.AsCallError(err)
+	e.Evidence = kernel.Ambiguous
+	return &e
+}
+
+// abortRequest is the body of POST /abort_request.
+type abortRequest struct {
+	RID string `json:"rid"`
+}
+
+// Cancel implements adapter.Engine.
+func (e *Engine) Cancel(ctx context.Context, t *adapter.Target) error {
+	body, err := json.Marshal(abortRequest{RID: t.Attempt.String()})
+	if err != nil {
+		return unsent(err)
+	}
+	resp, err := e.post(ctx, t, pathAbort, bytes.NewReader(body), int64(len(body)))
+	if err != nil {
+		return err
+	}
+	drain(resp.Body)
+	return nil
+}
+
+// post sends a JSON body and returns a successful response.
+func (e *Engine) post(ctx context.Context, t *adapter.Target, path string, body io.Reader, length int64) (*http.Response, error) {
+	req, err := e.request(ctx, http.MethodPost, t, path)
+	if err != nil {
+		return nil, unsent(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	return e.do(req, t, body, length)
+}
+
+// request returns a request without body.
+func (e *Engine) request(ctx context.Context, method string, t *adapter.Target, path string) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+t.Address+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set(headerAttempt, t.Attempt.String())
+	req.Header.Set(headerCorrelation, string(t.Request))
+	return req, nil
+}
+
+// do sends a request, reports the load in the response and turns refusals into
+// errors.
+func (e *Engine) do(req *http.Request, t *adapter.Target, body io.Reader, length int64) (*http.Response, error) {
+	resp, err := e.client.Do(req, body, length)
+	if err != nil {
+		return nil, err
+	}
+	if o, ok := parseLoad(resp.Header); ok {
+		t.Report(o)
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer drain(resp.Body)
+		return nil, refusal(resp)
+	}
+	return resp, nil
+}
+
+// decode reads a bounded JSON answer.
+func decode(r io.Reader, into any) error {
+	data, err := io.ReadAll(io.LimitReader(r, maxAnswerBytes+1))
+	if err != nil {
+		return broken(err)
+	}
+	if len(data) > maxAnswerBytes {
+		return broken(&adapter.TooLargeError{Limit: maxAnswerBytes})
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return broken(&adapter.ProtocolError{Part: "body", Err: err})
+	}
+	return nil
+}
+
+// drain reads the rest of a small answer, so that its connection can be used
+// again, and closes it.
+func drain(body io.ReadCloser) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxAnswerBytes))
+	_ = body.Close()
+}
--- /dev/null
+++ b/plugins/engine/openai/events.go
@@ -0,0 +1,113 @@
+package openai
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+
+	"github.com/wardspool/wardspool/adapter"
+)
+
+// streamBufferBytes is the size of the buffers of an engine connection. Tokens
+// come one by one, so that small ones do.
+const streamBufferBytes = 2 << 10
+
+// maxLineBytes bounds one line of a stream.
+const maxLineBytes = 1 << 20
+
+// event is one server-sent event. Its slices are valid until the next one is
+// read.
+type event struct {
+	id   []byte
+	data []byte
+}
+
+// eventReader reads server-sent events, as far as engines use them.
+type eventReader struct {
+	r *bufio.Reader
+	// long collects a line that does not fit the reader's buffer.
+	long []byte
+	id   []byte
+	data []byte
+}
+
+// newEventReader returns a reader of r.
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{r: bufio.NewReaderSize(r, streamBufferBytes)}
+}
+
+// next reads one event. It returns io.EOF at a clean end between events, and
+// io.ErrUnexpectedEOF at an end inside one.
+func (e *eventReader) next() (event, error) {
+	e.id = e.id[:0]
+	e.data = e.data[:0]
+	begun := false
+	for {
+		line, err := e.line()
+		if err != nil {
+			if begun && errors.Is(err, io.EOF) {
+				return event{}, io.ErrUnexpectedEOF
+			}
+			return event{}, err
+		}
+		if len(line) == 0 {
+			if begun {
+				return event{id: e.id, data: e.data}, nil
+			}
+			continue
+		}
+		begun = e.field(line) || begun
+		if len(e.data) > maxLineBytes {
+			return event{}, &adapter.TooLargeError{Limit: maxLineBytes}
+		}
+	}
+}
+
+// field takes one line of an event. It reports false for comments and for
+// fields that engines do not use.
+func (e *eventReader) field(line []byte) bool {
+	name, value, _ := bytes.Cut(line, []byte{':'})
+	value = bytes.TrimPrefix(value, []byte{' '})
+	switch string(name) {
+	case "id":
+		e.id = append(e.id[:0], value...)
+	case "data":
+		if len(e.data) > 0 {
+			e.data = append(e.data, '\n')
+		}
+		e.data = append(e.data, value...)
+	default:
+		return false
+	}
+	return true
+}
+
+// line reads one line without its end, valid until the next call.
+func (e *eventReader) line() ([]byte, error) {
+	e.long = e.long[:0]
+	for {
+		part, err := e.r.ReadSlice('\n')
+		if err == nil && len(e.long) == 0 {
+			return trimEnd(part), nil
+		}
+		e.long = append(e.long, part...)
+		switch {
+		case err == nil:
+			return trimEnd(e.long), nil
+		case !errors.Is(err, bufio.ErrBufferFull):
+			if len(e.long) > 0 && errors.Is(err, io.EOF) {
+				return nil, io.ErrUnexpectedEOF
+			}
+			return nil, err
+		case len(e.long) > maxLineBytes:
+			return nil, &adapter.TooLargeError{Limit: maxLineBytes}
+		}
+	}
+}
+
+// trimEnd cuts the line end off.
+func trimEnd(line []byte) []byte {
+	line = bytes.TrimSuffix(line, []byte{'\n'})
+	return bytes.TrimSuffix(line, []byte{'\r'})
+}
--- /dev/null
+++ b/settings/section.go
@@ -0,0 +1,24 @@
+package settings
+
+import (
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+)
+
+// Section is a part of a settings file that is decoded later, when its type is
+// known: the settings of a plug-in.
+type Section struct{ node ast.Node }
+
+// UnmarshalYAML implements yaml.NodeUnmarshaler.
+func (s *Section) UnmarshalYAML(n ast.Node) error {
+	s.node = n
+	return nil
+}
+
+// Decode decodes the section, strictly. An empty section decodes to nothing.
+func (s Section) Decode(into any) error {
+	if s.node == nil || s.node.Type() == ast.NullType {
+		return nil
+	}
+	return yaml.NodeToValue(s.node, into, yaml.Strict())
+}
