--- a/kernel/action.go
+++ b/kernel/action.go
@@ -52,6 +52,11 @@
 	Upstream ident.UpstreamID
 }
 
+// AbandonAttempt tells the driver that an attempt's upstream is dead. The
+// driver closes the attempt's connection and reports AttemptFailed with code
+// FailureBroken and the offset that the caller's stream has reached.
+type AbandonAttempt struct{ Attempt ident.AttemptID }
+
 // Answer is a request's final answer. Exactly one is given for each request,
 // also when its caller is gone. Problem is nil when Outcome is api.Complete.
 type Answer struct {
@@ -75,6 +80,7 @@
 func (ReattachDecode) action() {}
 func (CallService) action()    {}
 func (CancelAttempt) action()  {}
+func (AbandonAttempt) action() {}
 func (Answer) action()         {}
 func (SendPeer) action()       {}
 func (Log) action()            {}
--- a/kernel/call.go
+++ b/kernel/call.go
@@ -109,6 +109,8 @@
 	// pieces is the KV memory reserved, for decodes.
 	pieces int
 	sentAt time.Time
+	// abandoned is set once the driver was told that the upstream is dead.
+	abandoned bool
 }
 
 // newAttemptID names the next attempt for a request.
--- a/kernel/event.go
+++ b/kernel/event.go
@@ -78,7 +78,10 @@
 
 // AttemptFailed reports an attempt that ended without its answer.
 type AttemptFailed struct {
-	Attempt  ident.AttemptID
+	Attempt ident.AttemptID
+	// Upstream is where the attempt was sent. What the failure says of the
+	// upstream counts even when the attempt itself was given up before.
+	Upstream ident.UpstreamID
 	Evidence Evidence
 	Code     FailureCode
 	// Offset is how many output tokens have reached the caller's stream over
--- a/kernel/failure.go
+++ b/kernel/failure.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/ident"
 )
 
 // maxReattach is how often one decode's stream is read on after its
@@ -12,6 +13,9 @@
 
 // attemptFailed decides what follows on a failed attempt.
 func (k *Kernel) attemptFailed(e AttemptFailed) {
+	if e.Code == FailureDraining {
+		k.upstreamLeaving(e.Upstream)
+	}
 	a, ok := k.attempts[e.Attempt]
 	if !ok {
 		return
@@ -31,33 +35,43 @@
 	} else {
 		k.untrack(a)
 	}
-	switch a.stage {
-	case stagePrefill:
+	switch {
+	case a == c.prefill && c.state != callPrefilling:
+		// The prefill had finished; the decode that imports its result goes on
+		// or fails by itself.
+		c.prefill = nil
+	case a.stage == stagePrefill:
 		k.prefillFailed(c, e)
-	case stageDecode:
+	case a.stage == stageDecode:
 		k.decodeFailed(c, e)
-	case stageService:
+	case a.stage == stageService:
 		c.active = nil
 		k.retry(c, e)
 	}
 }
 
+// upstreamLeaving takes an upstream's own word that it is leaving.
+func (k *Kernel) upstreamLeaving(id ident.UpstreamID) {
+	if u := k.fleet.upstream(id); u != nil {
+		k.fleet.markLeaving(u)
+	}
+}
+
 // noteFailure records what the failure says of the upstream.
 func (k *Kernel) noteFailure(a *attempt, e AttemptFailed) {
 	u := k.fleet.upstream(a.upstream)
 	if u == nil || u.Incarnation != a.incarnation {
 		return
 	}
-	if e.Code == FailureDraining {
-		k.fleet.markLeaving(u)
-	}
 	if upstreamFault(e.Code) {
 		k.failed(u)
 	}
 	if a.stage == stageDecode && e.Code == FailureCapacity && a.call.slot.policy != nil {
 		a.call.slot.policy.Refused(u.ID)
 	}
-	a.call.avoid = append(a.call.avoid, a.upstream)
+	if e.Code != FailureKVGone {
+		a.call.avoid = append(a.call.avoid, a.upstream)
+	}
 }
 
 // tryReattach reads on in the same decode when only the connection broke.
--- a/kernel/fleet.go
+++ b/kernel/fleet.go
@@ -138,19 +138,18 @@
 	k.dropLostWork()
 }
 
-// dropLostWork ends attempts and cancels on upstreams that are dead for
+// dropLostWork abandons attempts and cancels on upstreams that are dead for
 // certain: their memory is gone with them.
 func (k *Kernel) dropLostWork() {
 	for _, a := range k.attemptsInOrder() {
 		if !k.gone(a.upstream, a.incarnation) {
 			continue
 		}
-		k.attemptFailed(AttemptFailed{
-			Attempt:  a.id,
-			Evidence: Ambiguous,
-			Code:     FailureBroken,
-			Offset:   a.call.delivered,
-		})
+		if a.abandoned {
+			continue
+		}
+		a.abandoned = true
+		k.emit(AbandonAttempt{Attempt: a.id})
 	}
 	for id, c := range k.cancels {
 		if k.gone(c.upstream, c.incarnation) {
--- /dev/null
+++ b/kernel/session_test.go
@@ -0,0 +1,167 @@
+package kernel_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"github.com/wardspool/wardspool/kernel"
+)
+
+// script is one whole session: what happens, and the golden file with what the
+// kernel must do.
+type script struct {
+	name string
+	run  func(s *session)
+}
+
+var scripts = []script{
+	{"review_complete", func(s *session) {
+		s.step(kernel.Arrive{Request: s.review("r1")})
+		s.after(400 * time.Millisecond)
+		s.step(kernel.PrefillDone{Attempt: s.prefill, KV: kvFrom("p1")})
+		s.after(50 * time.Millisecond)
+		s.step(kernel.FirstOutput{Attempt: s.decode})
+		s.after(2 * time.Second)
+		s.step(kernel.AttemptDone{Attempt: s.decode, Tokens: 100})
+	}},
+	{"decode_refuses_then_other_engine", func(s *session) {
+		s.step(kernel.Arrive{Request: s.review("r1")})
+		s.after(400 * time.Millisecond)
+		s.step(kernel.PrefillDone{Attempt: s.prefill, KV: kvFrom("p1")})
+		s.step(kernel.AttemptFailed{Attempt: s.decode, Evidence: kernel.Refused, Code: kernel.FailureCapacity})
+		s.step(kernel.FirstOutput{Attempt: s.decode})
+		s.step(kernel.AttemptDone{Attempt: s.decode})
+	}},
+	{"kv_evicted_prefills_again", func(s *session) {
+		s.step(kernel.Arrive{Request: s.review("r1")})
+		s.step(kernel.PrefillDone{Attempt: s.prefill, KV: kvFrom("p1")})
+		s.step(kernel.AttemptFailed{Attempt: s.decode, Evidence: kernel.Refused, Code: kernel.FailureKVGone})
+		s.after(100 * time.Millisecond)
+		s.step(kernel.PrefillDone{Attempt: s.prefill, KV: kvFrom("p2")})
+		s.step(kernel.FirstOutput{Attempt: s.decode})
+		s.step(kernel.AttemptDone{Attempt: s.decode})
+	}},
+	{"stream_breaks_reattach_then_resume", func(s *session) {
+		s.step(kernel.Arrive{Request: s.review("r1")})
+		s.step(kernel.PrefillDone{Attempt: s.prefill, KV: kvFrom("p1")})
+		s.step(kernel.FirstOutput{Attempt: s.decode})
+		s.step(kernel.AttemptFailed{Attempt: s.decode, Evidence: kernel.Ambiguous, Code: kernel.FailureBroken, Offset: 40})
+		s.step(kernel.AttemptFailed{Attempt: s.decode, Evidence: kernel.NotSent, Code: kernel.FailureConnect, Offset: 40})
+		s.after(200 * time.Millisecond)
+		s.step(kernel.PrefillDone{Attempt: s.prefill, KV: kvFrom("p1")})
+		s.step(kernel.FirstOutput{Attempt: s.decode})
+		s.step(kernel.AttemptDone{Attempt: s.decode})
+	}},
+	{"caller_gone_while_prefilling", func(s *session) {
+		s.step(kernel.Arrive{Request: s.review("r1")})
+		s.step(kernel.CallerGone{Request: "r1"})
+		s.step(kernel.CancelFailed{Attempt: s.prefill})
+		s.after(200 * time.Millisecond)
+		s.step(kernel.CancelAcked{Attempt: s.prefill})
+		s.step(kernel.PrefillDone{Attempt: s.prefill, KV: kvFrom("p1")})
+		s.step(kernel.CancelAcked{Attempt: s.prefill})
+	}},
+	{"confirm_may_have_run", func(s *session) {
+		s.step(kernel.Arrive{Request: s.confirm("c1")})
+		s.step(kernel.AttemptFailed{Attempt: s.service, Evidence: kernel.Ambiguous, Code: kernel.FailureBroken})
+		s.step(kernel.CancelAcked{Attempt: s.service})
+	}},
+	{"confirm_not_sent_goes_elsewhere", func(s *session) {
+		s.step(kernel.Arrive{Request: s.confirm("c1")})
+		s.step(kernel.AttemptFailed{Attempt: s.service, Evidence: kernel.NotSent, Code: kernel.FailureConnect})
+		s.step(kernel.AttemptDone{Attempt: s.service})
+	}},
+	{"deadline_while_decoding", func(s *session) {
+		s.step(kernel.Arrive{Request: s.review("r1")})
+		s.step(kernel.PrefillDone{Attempt: s.prefill, KV: kvFrom("p1")})
+		s.step(kernel.FirstOutput{Attempt: s.decode})
+		s.after(21 * time.Second)
+	}},
+	{"no_upstream_then_refused_late", func(s *session) {
+		s.upstreamLife("d1", kernel.Dead)
+		s.upstreamLife("d2", kernel.Leaving)
+		s.step(kernel.Arrive{Request: s.review("r1")})
+		s.after(3 * time.Second)
+	}},
+	{"stop_refuses_waiting_finishes_running", func(s *session) {
+		s.step(kernel.Arrive{Request: s.review("running")})
+		s.upstreamLife("d1", kernel.Leaving)
+		s.upstreamLife("d2", kernel.Leaving)
+		s.step(kernel.Arrive{Request: s.review("waiting")})
+		s.step(kernel.Stop{})
+		s.step(kernel.Arrive{Request: s.confirm("late")})
+		s.upstreamLife("d2", kernel.Live)
+		s.step(kernel.PrefillDone{Attempt: s.prefill, KV: kvFrom("p1")})
+		s.step(kernel.FirstOutput{Attempt: s.decode})
+		s.step(kernel.AttemptDone{Attempt: s.decode})
+	}},
+	{"paused_holds_new_work", func(s *session) {
+		s.step(kernel.Paused{Gap: 10 * time.Second})
+		s.step(kernel.Arrive{Request: s.confirm("c1")})
+		s.after(100 * time.Millisecond)
+		s.upstreamLife("s1", kernel.Dead)
+		s.step(kernel.AttemptDone{Attempt: s.service})
+	}},
+	{"prefill_engine_dies_while_decoding", func(s *session) {
+		s.step(kernel.Arrive{Request: s.review("r1")})
+		used := s.prefill
+		s.step(kernel.PrefillDone{Attempt: s.prefill, KV: kvFrom("p1")})
+		s.upstreamLife("p1", kernel.Dead)
+		s.step(kernel.AttemptFailed{Attempt: used, Upstream: "p1", Evidence: kernel.Ambiguous, Code: kernel.FailureBroken})
+		s.step(kernel.FirstOutput{Attempt: s.decode})
+		s.step(kernel.AttemptDone{Attempt: s.decode})
+	}},
+	{"engine_dies_midstream", func(s *session) {
+		s.step(kernel.Arrive{Request: s.review("r1")})
+		s.step(kernel.PrefillDone{Attempt: s.prefill, KV: kvFrom("p1")})
+		s.step(kernel.FirstOutput{Attempt: s.decode})
+		s.upstreamLife("d1", kernel.Dead)
+		s.upstreamLife("d2", kernel.Dead)
+		s.upstreamLife("d1", kernel.Live)
+		s.step(kernel.AttemptFailed{Attempt: s.decode, Evidence: kernel.Ambiguous, Code: kernel.FailureBroken, Offset: 12})
+		s.after(time.Second)
+	}},
+}
+
+func TestSessions(t *testing.T) {
+	for _, sc := range scripts {
+		t.Run(sc.name, func(t *testing.T) {
+			s := newSession(t)
+			sc.run(s)
+			golden.Assert(t, s.transcript(), sc.name+".golden")
+		})
+	}
+}
+
+// TestSessionsRepeat checks that the same events give the same actions.
+func TestSessionsRepeat(t *testing.T) {
+	for _, sc := range scripts {
+		t.Run(sc.name, func(t *testing.T) {
+			first, second := newSession(t), newSession(t)
+			sc.run(first)
+			sc.run(second)
+			assert.Equal(t, first.transcript(), second.transcript())
+		})
+	}
+}
+
+func TestBundleNeverGoesBack(t *testing.T) {
+	s := newSession(t)
+	s.step(kernel.Configured{Version: 5, Content: s.content})
+	s.step(kernel.Configured{Version: 4, Content: s.content})
+	assert.Equal(t, s.k.Version(), uint64(5))
+}
+
+func TestUnknownPolicyKeepsVersionInForce(t *testing.T) {
+	s := newSession(t)
+	broken := *s.content
+	broken.Policy.Slots = "slots.absent"
+	actions := s.step(kernel.Configured{Version: 2, Content: &broken})
+	assert.Equal(t, s.k.Version(), uint64(1))
+	rejected, ok := actions[0].(kernel.ConfigRejected)
+	assert.Assert(t, ok)
+	assert.Equal(t, rejected.Version, uint64(2))
+}
