Sign bundles and rolls; send bundles as content-addressed parts

A manifest names its sections' parts, the version before and the approvers; a quorum of keys signs it. A rotation needs the quorums of the old and the new set, and a head carries the rotations before it, so that an instance far behind needs none of the versions between. Ruled out: every manifest since the oldest instance (grows with versions, and one lost value blocks all).

Parts form a tree cut at boundary entries. Flat lists of digests in the manifest were ruled out: 200 digests are 13 KB on every change.

--- /dev/null
+++ b/bundle/approvers.go
@@ -0,0 +1,117 @@
+package bundle
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/wardspool/wardspool/ident"
+)
+
+// PublicKey is an approver's ed25519 public key. Its text form is hexadecimal.
+type PublicKey [ed25519.PublicKeySize]byte
+
+// String returns the key in hexadecimal.
+func (k PublicKey) String() string { return hex.EncodeToString(k[:]) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (k PublicKey) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (k *PublicKey) UnmarshalText(text []byte) error {
+	return unmarshalHex(k[:], "public key", text)
+}
+
+// Approver is one person or system that may sign bundles and rolls.
+type Approver struct {
+	// Name is for people; it has the form that ident.ValidName wants.
+	Name string    `json:"name" yaml:"name"`
+	Key  PublicKey `json:"key" yaml:"key"`
+}
+
+// Approvers is the set of keys whose quorum signs. Bundles replace it: the
+// version that names a new set is signed by a quorum of the old and of the new.
+type Approvers struct {
+	// Epoch numbers the sets of one deployment from 1, rising by 1.
+	Epoch uint64 `json:"epoch" yaml:"epoch"`
+	// Quorum is how many of Keys must sign: more than half, so that any two
+	// quorums have an approver in common.
+	Quorum int `json:"quorum" yaml:"quorum"`
+	// Keys is sorted by name.
+	Keys []Approver `json:"keys" yaml:"keys"`
+}
+
+// ApproversError reports an approver set that cannot be used.
+type ApproversError struct {
+	// Epoch is the set's.
+	Epoch uint64
+	// Reason says what is wrong with it.
+	Reason string
+}
+
+// Error implements error.
+func (e *ApproversError) Error() string {
+	return fmt.Sprintf("approvers of epoch %d: %s", e.Epoch, e.Reason)
+}
+
+// Check checks the set: an epoch, a majority quorum, and valid names and keys
+// in order, none twice. It returns an *ApproversError.
+func (a Approvers) Check() error {
+	bad := func(format string, args ...any) error {
+		return &ApproversError{Epoch: a.Epoch, Reason: fmt.Sprintf(format, args...)}
+	}
+	switch {
+	case a.Epoch == 0:
+		return bad("epochs count from 1")
+	case len(a.Keys) == 0 || len(a.Keys) > MaxApprovers:
+		return bad("%d keys; from 1 to %d", len(a.Keys), MaxApprovers)
+	case a.Quorum > len(a.Keys):
+		return bad("a quorum of %d among %d keys can never sign", a.Quorum, len(a.Keys))
+	case 2*a.Quorum <= len(a.Keys):
+		return bad("a quorum of %d among %d keys is no majority: two groups could each sign", a.Quorum, len(a.Keys))
+	}
+	keys := map[PublicKey]string{}
+	for i, k := range a.Keys {
+		if !ident.ValidName(k.Name) {
+			return bad("name %q is not valid", clip(k.Name))
+		}
+		if i > 0 && a.Keys[i-1].Name >= k.Name {
+			return bad("names must be sorted and differ: %q", k.Name)
+		}
+		if other, taken := keys[k.Key]; taken {
+			return bad("%q and %q have one key", other, k.Name)
+		}
+		keys[k.Key] = k.Name
+	}
+	return nil
+}
+
+// Sorted returns a copy of the set with its keys sorted by name.
+func (a Approvers) Sorted() Approvers {
+	a.Keys = slices.Clone(a.Keys)
+	slices.SortFunc(a.Keys, func(x, y Approver) int { return strings.Compare(x.Name, y.Name) })
+	return a
+}
+
+// Digest returns the digest of the set.
+func (a Approvers) Digest() Digest { return DigestOf(encode(a)) }
+
+// SameKeys reports whether both sets have the same keys, names and quorum,
+// whatever their epochs.
+func (a Approvers) SameKeys(b Approvers) bool {
+	a.Epoch, b.Epoch = 0, 0
+	return bytes.Equal(encode(a.Sorted()), encode(b.Sorted()))
+}
+
+// name returns the name of the approver with a key.
+func (a Approvers) name(key PublicKey) (string, bool) {
+	for _, k := range a.Keys {
+		if k.Key == key {
+			return k.Name, true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/bundle/build.go
@@ -0,0 +1,119 @@
+package bundle
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/wardspool/wardspool/config"
+)
+
+// Draft is what a new bundle is built from.
+type Draft struct {
+	// Previous is the bundle before, nil for the first.
+	Previous *Head
+	// Supersedes names further signed manifests of Previous's version.
+	Supersedes []Digest
+	Content    *config.Content
+	// Approvers is the set that signs the next version. Its epoch is set by
+	// Build: that of Previous where the keys are the same, one more otherwise.
+	Approvers Approvers
+	// Note says for people what the version changes.
+	Note string
+}
+
+// Build makes the next bundle: its head, not yet signed, and its parts. The same
+// draft always gives the same bytes. It returns a *FindingsError for content
+// that fails its checks, an *ApproversError, a *SizeError or a *StructureError.
+func Build(d Draft) (*Head, *PartSet, error) {
+	if err := Check(d.Content).Err(); err != nil {
+		return nil, nil, err
+	}
+	h := &Head{Signed: Signed{Manifest: Manifest{
+		Format: Format, Version: 1, Supersedes: d.Supersedes, Note: d.Note,
+		Approvers: d.Approvers.Sorted(),
+	}}}
+	h.succeed(d.Previous)
+	parts := &PartSet{}
+	for _, name := range sectionOrder {
+		items, err := sectionItems(d.Content, name)
+		if err != nil {
+			return nil, nil, err
+		}
+		root, err := buildTree(items, parts)
+		if err != nil {
+			return nil, nil, err
+		}
+		h.Manifest.Sections = append(h.Manifest.Sections, Section{Name: name, Root: root})
+	}
+	if err := checkBuilt(h, parts); err != nil {
+		return nil, nil, err
+	}
+	return h, parts, nil
+}
+
+// succeed fills in what follows from the bundle before.
+func (h *Head) succeed(previous *Head) {
+	m := &h.Manifest
+	if previous == nil {
+		m.Approvers.Epoch = max(m.Approvers.Epoch, 1)
+		m.Signers = m.Approvers.Digest()
+		return
+	}
+	before := previous.Manifest.Approvers
+	m.Version = previous.Manifest.Version + 1
+	m.Previous = previous.Ref()
+	m.Signers = before.Digest()
+	m.Approvers.Epoch = before.Epoch
+	if !m.Approvers.SameKeys(before) {
+		m.Approvers.Epoch++
+	}
+	h.Rotations = previous.nextRotations()
+}
+
+// checkBuilt checks that what was built stays within the limits.
+func checkBuilt(h *Head, parts *PartSet) error {
+	if err := h.check(); err != nil {
+		return err
+	}
+	if size := parts.Bytes(); size > MaxContentBytes {
+		return &SizeError{What: "bytes of content", Size: size, Limit: MaxContentBytes}
+	}
+	// Leave room for the signatures that are still to come.
+	if size := len(h.Encode()); size > MaxValueBytes/2 {
+		return &SizeError{What: "bytes of the head", Size: size, Limit: MaxValueBytes / 2}
+	}
+	return nil
+}
+
+// sectionItems lists one section's entries with their keys.
+func sectionItems(c *config.Content, name SectionName) ([]item, error) {
+	switch name {
+	case SectionDeployment:
+		return items([]string{c.Deployment}, func(s string) string { return s })
+	case SectionKinds:
+		return items(c.Kinds, func(k config.Kind) string { return k.Name })
+	case SectionModels:
+		return items(c.Models, func(m config.Model) string { return m.Name })
+	case SectionServices:
+		return items(c.Services, func(s config.Service) string { return s.Name })
+	case SectionWorkspaces:
+		return items(c.Workspaces, func(w config.Workspace) string { return string(w.Name) })
+	case SectionUpstreams:
+		return items(c.Upstreams, func(u config.Upstream) string { return string(u.ID) })
+	case SectionPolicy:
+		return items([]config.Policy{c.Policy}, func(config.Policy) string { return string(SectionPolicy) })
+	}
+	return nil, &StructureError{What: "content", Reason: fmt.Sprintf("no section %q", name)}
+}
+
+func items[T any](entries []T, key func(T) string) ([]item, error) {
+	list := make([]item, len(entries))
+	for i, e := range entries {
+		b, err := json.Marshal(e)
+		if err != nil {
+			return nil, &StructureError{What: "entry " + clip(key(e)), Reason: err.Error()}
+		}
+		list[i] = item{key: key(e), json: b}
+	}
+	return list, nil
+}
--- a/bundle/checkpolicy.go
+++ b/bundle/checkpolicy.go
@@ -9,10 +9,11 @@
 
 // Namespaces of the decision plug-ins that a policy names.
 const (
-	slotsNamespace  = "slots"
-	orderNamespace  = "order"
-	filterNamespace = "filter"
-	scorerNamespace = "scorer"
+	slotsNamespace     = "slots"
+	orderNamespace     = "order"
+	admissionNamespace = "admission"
+	filterNamespace    = "filter"
+	scorerNamespace    = "scorer"
 )
 
 // maxAttempts bounds a policy's attempts for one request.
@@ -25,7 +26,8 @@
 	p := k.content.Policy
 	k.plugin("policy.slots", slotsNamespace, p.Slots)
 	k.plugin("policy.order", orderNamespace, p.Order)
-	k.filters()
+	k.plugins("policy.admission", admissionNamespace, p.Admission)
+	k.plugins("policy.filters", filterNamespace, p.Filters)
 	k.scorers()
 	positive(k, "policy.queue_limit", p.QueueLimit, maxCount)
 	between(k, "policy.retry_budget", p.RetryBudget, 0, 1)
@@ -48,14 +50,15 @@
 	}
 }
 
-func (k *checker) filters() {
+// plugins checks a list of plug-in IDs of one namespace.
+func (k *checker) plugins(list, namespace string, ids []plugin.ID) {
 	first := map[plugin.ID]bool{}
-	for i, id := range k.content.Policy.Filters {
-		path := fmt.Sprintf("policy.filters[%d]", i)
-		k.plugin(path, filterNamespace, id)
+	for i, id := range ids {
+		path := fmt.Sprintf("%s[%d]", list, i)
+		k.plugin(path, namespace, id)
 		k.once(path, id, first)
 	}
-	k.pluginCount("policy.filters", len(k.content.Policy.Filters))
+	k.pluginCount(list, len(ids))
 }
 
 func (k *checker) scorers() {
--- /dev/null
+++ b/bundle/partset.go
@@ -0,0 +1,78 @@
+package bundle
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// PartSource gives parts by digest.
+type PartSource interface {
+	// Part returns a part's bytes, and whether the source has it.
+	Part(Digest) ([]byte, bool)
+}
+
+// PartSet holds parts by digest. The zero value is an empty set, ready for use.
+type PartSet struct{ parts map[Digest][]byte }
+
+// PartDigestError reports a part whose bytes do not have its digest: it was
+// truncated, damaged or forged on its way.
+type PartDigestError struct{ Want, Have Digest }
+
+// Error implements error.
+func (e *PartDigestError) Error() string {
+	return fmt.Sprintf("part %s: the bytes have digest %s", e.Want.Short(), e.Have.Short())
+}
+
+// Add adds a part. It returns a *PartDigestError or *SizeError, and adds
+// nothing, if the part is not what its digest says or too large.
+func (s *PartSet) Add(p Part) error {
+	if len(p.Bytes) > MaxPartBytes {
+		return &SizeError{What: "bytes in a part", Size: len(p.Bytes), Limit: MaxPartBytes}
+	}
+	if have := DigestOf(p.Bytes); have != p.Digest {
+		return &PartDigestError{Want: p.Digest, Have: have}
+	}
+	s.put(p.Bytes)
+	return nil
+}
+
+func (s *PartSet) put(b []byte) Digest {
+	if s.parts == nil {
+		s.parts = map[Digest][]byte{}
+	}
+	d := DigestOf(b)
+	s.parts[d] = b
+	return d
+}
+
+// Part implements PartSource.
+func (s *PartSet) Part(d Digest) ([]byte, bool) {
+	b, ok := s.parts[d]
+	return b, ok
+}
+
+// Len returns the number of parts.
+func (s *PartSet) Len() int { return len(s.parts) }
+
+// Bytes returns the size of all parts together.
+func (s *PartSet) Bytes() int {
+	total := 0
+	for _, b := range s.parts {
+		total += len(b)
+	}
+	return total
+}
+
+// Digests lists the parts' digests in order.
+func (s *PartSet) Digests() []Digest {
+	return slices.SortedFunc(maps.Keys(s.parts), func(a, b Digest) int { return slices.Compare(a[:], b[:]) })
+}
+
+// Keep drops every part that keep does not hold.
+func (s *PartSet) Keep(keep func(Digest) bool) {
+	maps.DeleteFunc(s.parts, func(d Digest, _ []byte) bool { return !keep(d) })
+}
+
+// Clone returns a copy of the set. Parts' bytes are shared; they never change.
+func (s *PartSet) Clone() *PartSet { return &PartSet{parts: maps.Clone(s.parts)} }
--- /dev/null
+++ b/bundle/signedroll.go
@@ -0,0 +1,87 @@
+package bundle
+
+import (
+	"fmt"
+)
+
+// Encode returns the signed roll's canonical form.
+func (s *SignedRoll) Encode() []byte { return encode(s) }
+
+// DecodeRoll decodes what SignedRoll.Encode wrote. It checks structure and
+// limits and returns a *DecodeError; it does not verify signatures.
+func DecodeRoll(b []byte) (*SignedRoll, error) {
+	var s SignedRoll
+	if err := decodeDocument("roll", b, &s); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+// Head returns the head of the bundle that ref names, if the roll carries it.
+func (s *SignedRoll) Head(ref Ref) (*Head, bool) {
+	switch {
+	case ref.IsZero():
+		return nil, false
+	case ref == s.Roll.Target:
+		return &s.Target, true
+	case ref == s.Roll.Base:
+		return s.Base, true
+	}
+	return nil, false
+}
+
+// AddSignature adds a signature to the roll, in place of an earlier one by the
+// same key.
+func (s *SignedRoll) AddSignature(sig Signature) {
+	s.Signatures = addSignature(s.Signatures, sig)
+}
+
+// Tally counts the signatures on the roll against an approver set.
+func (s *SignedRoll) Tally(a Approvers) Tally {
+	return tally(a, purposeRoll, s.Roll.Digest(), s.Signatures)
+}
+
+// VerifyRoll verifies a signed roll: its target descends from the trusted
+// approvers, and a quorum of the approvers that the target names signed the
+// roll. The base is vouched for by the roll's signatures; its own may be those
+// of approvers that this instance never knew.
+func VerifyRoll(s *SignedRoll, trusted Approvers) error {
+	if err := Verify(&s.Target, trusted); err != nil {
+		return err
+	}
+	what := fmt.Sprintf("roll %d", s.Roll.Sequence)
+	return quorum(what, s.Target.Manifest.Approvers, purposeRoll, s.Roll.Digest(), s.Signatures)
+}
+
+// check checks structure and limits, and that the heads are those that the roll
+// names.
+func (s *SignedRoll) check() error {
+	if err := s.Roll.check(); err != nil {
+		return err
+	}
+	if len(s.Signatures) > MaxSignatures {
+		return &SizeError{What: "signatures", Size: len(s.Signatures), Limit: MaxSignatures}
+	}
+	if err := s.Target.check(); err != nil {
+		return err
+	}
+	bad := func(reason string) error {
+		return &StructureError{What: fmt.Sprintf("roll %d", s.Roll.Sequence), Reason: reason}
+	}
+	if s.Target.Ref() != s.Roll.Target {
+		return bad("the head of the target is another")
+	}
+	if s.Roll.Base.IsZero() != (s.Base == nil) {
+		return bad("the base and its head must be there together")
+	}
+	if s.Base == nil {
+		return nil
+	}
+	if err := s.Base.check(); err != nil {
+		return err
+	}
+	if s.Base.Ref() != s.Roll.Base {
+		return bad("the head of the base is another")
+	}
+	return nil
+}
--- a/bundle/source.go
+++ b/bundle/source.go
@@ -20,9 +20,10 @@
 // MaxSourceBytes bounds a YAML source file.
 const MaxSourceBytes = 4 << 20
 
-// maxSourceDepth bounds how deep a source may nest. The schema needs four
-// levels; the parser recurses, so the depth is bounded before it runs.
-const maxSourceDepth = 16
+// maxSourceDepth bounds how deep a source may nest, in brackets and block
+// indicators. The schema needs seven; the parser recurses, so the depth is
+// bounded before it runs.
+const maxSourceDepth = 32
 
 // ParseSource reads a bundle's YAML source and checks it as a whole. It returns
 // every fault it finds, with the position of each; the content is nil if there
@@ -50,6 +51,7 @@
 	if !ok {
 		return nil
 	}
+	w.positions[""] = position{line: 1, column: 1}
 	var content config.Content
 	w.value("", root, reflect.ValueOf(&content).Elem())
 	return &content
@@ -102,7 +104,7 @@
 		case token.SequenceEntryType, token.MappingValueType, token.MappingKeyType:
 			columns = pushColumn(columns, t.Position.Column)
 		}
-		if flow+len(columns) > maxSourceDepth*2 {
+		if flow+len(columns) > maxSourceDepth {
 			return tokenPosition(t), true
 		}
 	}
@@ -144,13 +146,10 @@
 
 // underReported reports whether path or a field that holds it is in reported.
 func underReported(reported map[string]bool, path string) bool {
-	for path != "" {
-		if reported[path] {
-			return true
-		}
+	for path != "" && !reported[path] {
 		path = parentPath(path)
 	}
-	return false
+	return reported[path]
 }
 
 // parentPath drops the last field or index of a path.
--- a/bundle/source_test.go
+++ b/bundle/source_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"os"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
 
 	"github.com/wardspool/wardspool/config"
 )
@@ -41,3 +43,50 @@
 		})
 	}
 }
+
+// faulty.golden holds every finding for a source with faults of each kind.
+func TestFaultySource(t *testing.T) {
+	b, err := os.ReadFile("testdata/faulty.yaml")
+	assert.NilError(t, err)
+	content, findings := ParseSource("faulty.yaml", b)
+	assert.Assert(t, content == nil)
+	golden.Assert(t, findings.Err().Error()+"\n", "faulty.golden")
+	seen := map[Rule]bool{}
+	for _, f := range findings {
+		seen[f.Rule] = true
+		assert.Assert(t, f.Line > 0 && f.Column > 0, "%s has no position", f)
+	}
+	for _, rule := range []Rule{
+		RuleSyntax, RuleUnknownField, RuleDuplicateKey, RuleType, RuleName, RuleDuplicate,
+		RuleReference, RuleMissing, RuleMisplaced, RuleRange, RuleSum, RulePlugin,
+	} {
+		assert.Assert(t, seen[rule], "no finding of rule %s", rule)
+	}
+}
+
+func TestSourcesThatAreNotRead(t *testing.T) {
+	tests := []struct {
+		name, source string
+		rule         Rule
+	}{
+		{"empty", "", RuleSyntax},
+		{"comment only", "# nothing\n", RuleSyntax},
+		{"text", "wardspool", RuleType},
+		{"list", "- a\n- b\n", RuleType},
+		{"two documents", "deployment: a\n---\ndeployment: b\n", RuleSyntax},
+		{"open bracket", "kinds: [\n", RuleSyntax},
+		{"deep brackets", strings.Repeat("[", 1<<16), RuleSize},
+		{"deep dashes", strings.Repeat("- ", 1<<16), RuleSize},
+		{"deep mappings", strings.Repeat("a: ", 1<<10), RuleSize},
+		{"large", strings.Repeat("# wardspool\n", MaxSourceBytes/12+1), RuleSize},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			content, findings := ParseSource("x.yaml", []byte(tc.source))
+			assert.Assert(t, content == nil)
+			assert.Equal(t, len(findings), 1)
+			assert.Equal(t, findings[0].Rule, tc.rule)
+			assert.Assert(t, findings[0].Line > 0)
+		})
+	}
+}
