Tell queue orders how much of an answer the caller has

Cause: a resumed request's first-output time has passed, so a deadline order would put it last while its caller's stream stands still. Ruled out: an order that follows the records itself (each would keep its own set of IDs).

--- a/kernel/arrive.go
+++ b/kernel/arrive.go
@@ -99,7 +99,12 @@
 // enqueue puts a call in the queue, to be placed from the given time on.
 func (k *Kernel) enqueue(c *call, notBefore time.Time) {
 	c.state = callQueued
-	c.waiting = &Waiting{Request: c.request, Since: k.now, NotBefore: notBefore}
+	c.waiting = &Waiting{
+		Request:   c.request,
+		Since:     k.now,
+		NotBefore: notBefore,
+		Delivered: c.delivered,
+	}
 	k.policy.order.Add(c.waiting)
 	k.dirty = true
 	if c.request.Route == config.RouteModel {
--- a/kernel/plugins.go
+++ b/kernel/plugins.go
@@ -196,6 +196,9 @@
 	Since time.Time
 	// NotBefore is the earliest time to try a placement.
 	NotBefore time.Time
+	// Delivered is how many output tokens the caller already has; it is above 0
+	// when a lost decode waits to be resumed.
+	Delivered int
 }
 
 // QueueOrder holds the waiting requests and says who goes first.
