--- a/standin/engine/abort_test.go
+++ b/standin/engine/abort_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/wardspool/wardspool/standin/answer"
 	"github.com/wardspool/wardspool/standin/control"
+	"github.com/wardspool/wardspool/standin/judge"
 )
 
 func TestAbortBeforeArrival(t *testing.T) {
@@ -161,14 +162,32 @@
 				}
 				time.Sleep(time.Minute)
 				synctest.Wait()
-				for id := range b.engines {
-					b.held(id, 0, 0)
-				}
+				assertAccounts(t, b)
 			})
 		})
 	}
 }
 
+// assertAccounts asserts that nothing is held and that every computed prompt
+// token was either used or counted as waste, once. Each request of the test has
+// one prefill, so that both ways of counting must agree.
+func assertAccounts(t *testing.T, b *bench) {
+	t.Helper()
+	var reports []judge.Engine
+	wasted, computed := 0, 0
+	for id, e := range b.engines {
+		b.held(id, 0, 0)
+		report := e.Judge()
+		reports = append(reports, report)
+		wasted += report.Totals.PromptWasted
+		computed += report.Totals.PromptComputed
+	}
+	both := judge.Merge(reports)
+	assert.Equal(t, both.PromptComputed, computed)
+	assert.Equal(t, both.PromptWasted, wasted)
+	assert.Equal(t, both.CompletedTwice, 0)
+}
+
 // disturb does one random thing.
 func disturb(b *bench, random *rand.Rand, i int) {
 	id := strconv.Itoa(i)
--- a/standin/engine/admit.go
+++ b/standin/engine/admit.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -17,6 +18,9 @@
 // defaultMaxTokens is the length of an answer whose request doesn't say.
 const defaultMaxTokens = 16
 
+// maxAnswer bounds the length of an answer, in tokens.
+const maxAnswer = 1 << 20
+
 // maxIDLength bounds attempt and correlation IDs, in bytes.
 const maxIDLength = 256
 
@@ -32,12 +36,9 @@
 		prompt:      answer.Of(prompt),
 		from:        req.ContinueFrom,
 		next:        req.ContinueFrom,
-		to:          max(req.MaxTokens, req.MaxCompletionTokens),
+		to:          cmp.Or(req.MaxTokens, req.MaxCompletionTokens, defaultMaxTokens),
 		ready:       make(chan struct{}),
 	}
-	if a.to == 0 {
-		a.to = defaultMaxTokens
-	}
 	if p := req.KVTransferParams; p != nil {
 		a.prefillOnly = p.DoRemoteDecode
 		if p.DoRemotePrefill {
@@ -61,8 +62,8 @@
 	switch {
 	case len(a.id) > maxIDLength || len(a.correlation) > maxIDLength:
 		return invalid("an ID is longer than %d bytes", maxIDLength)
-	case a.to < 0 || a.from < 0:
-		return invalid("max_tokens and continue_from can't be negative")
+	case a.to < 0 || a.to > maxAnswer || a.from < 0 || a.from > maxAnswer:
+		return invalid("max_tokens and continue_from must be within 0 and %d", maxAnswer)
 	case !a.prefillOnly && a.from >= a.to:
 		return invalid("continue_from %d leaves nothing of max_tokens %d", a.from, a.to)
 	case a.prefillOnly && a.pull != nil:
--- /dev/null
+++ b/standin/engine/resume_test.go
@@ -0,0 +1,117 @@
+package engine
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/standin/answer"
+	"github.com/wardspool/wardspool/standin/control"
+	"github.com/wardspool/wardspool/standin/judge"
+)
+
+// resume goes on with a stream after an event.
+func (b *bench) resume(engine, attempt, lastEvent string) *http.Response {
+	b.t.Helper()
+	header := http.Header{}
+	if lastEvent != "" {
+		header.Set(HeaderLastEvent, lastEvent)
+	}
+	return b.send(b.t.Context(), http.MethodGet, engine, "/v1/streams/"+attempt, header, nil)
+}
+
+func TestResumeAfterDisconnect(t *testing.T) {
+	inBench(t, nil, func(t *testing.T, b *bench) {
+		prompt := words("p", 10)
+		first := collect(t, b.post(b.t.Context(), decodeAsk(decodeA, "a1", "r1", prompt, 20, nil)), 3)
+		assert.Equal(t, first.last, "a1:2")
+		time.Sleep(40 * time.Millisecond)
+		second := collect(t, b.resume(decodeA, "a1", first.last), 0)
+		assert.Assert(t, second.whole)
+		assert.NilError(t, answer.Check(prompt, first.text+second.text, 20))
+
+		// Also when it is over, and from the start.
+		again := collect(t, b.resume(decodeA, "a1", ""), 0)
+		assert.Assert(t, again.whole)
+		assert.NilError(t, answer.Check(prompt, again.text, 20))
+		last := collect(t, b.resume(decodeA, "a1", "a1:19"), 0)
+		assert.Assert(t, last.whole)
+		assert.Equal(t, last.text, "")
+		assert.Equal(t, b.engines[decodeA].Judge().Totals.Generated, 20)
+
+		time.Sleep(DefaultRetention)
+		b.drain(b.post(b.t.Context(), decodeAsk(decodeA, "a2", "r2", prompt, 1, nil))) // lets it forget
+		read[control.ErrorBody](t, b.resume(decodeA, "a1", ""), http.StatusNotFound)
+	})
+}
+
+func TestLastReaderWins(t *testing.T) {
+	inBench(t, nil, func(t *testing.T, b *bench) {
+		prompt := words("p", 10)
+		resp := b.post(b.t.Context(), decodeAsk(decodeA, "a1", "r1", prompt, 20, nil))
+		done := make(chan streamed)
+		go func() { done <- collect(t, resp, 0) }()
+		time.Sleep(35 * time.Millisecond)
+		second := collect(t, b.resume(decodeA, "a1", ""), 0)
+		first := <-done
+		assert.Equal(t, first.whole, false)
+		assert.NilError(t, answer.Check(prompt, first.text, 3))
+		assert.NilError(t, answer.Check(prompt, second.text, 20))
+	})
+}
+
+func TestResumeRefusesForeignEvents(t *testing.T) {
+	inBench(t, nil, func(t *testing.T, b *bench) {
+		b.begin(decodeAsk(decodeA, "a1", "r1", words("p", 10), 5, nil))
+		synctest.Wait()
+		for _, event := range []string{"a2:1", "a1:5", "a1:-1", "a1:x", "a1"} {
+			got := read[control.ErrorBody](t, b.resume(decodeA, "a1", event), http.StatusBadRequest)
+			assert.Equal(t, got.Error.Code, control.CodeInvalid, event)
+		}
+		read[control.ErrorBody](t, b.resume(decodeA, "unknown", ""), http.StatusNotFound)
+	})
+}
+
+// TestContinueElsewhere loses an engine in mid-answer and goes on with another,
+// by itself or with the KV of a new prefill.
+func TestContinueElsewhere(t *testing.T) {
+	for name, withPrefill := range map[string]bool{"alone": false, "with prefill": true} {
+		t.Run(name, func(t *testing.T) {
+			inBench(t, nil, func(t *testing.T, b *bench) {
+				prompt := words("p", 40)
+				kv := b.prefill(prefillA, "a1", "r1", prompt)
+				resp := b.post(b.t.Context(), decodeAsk(decodeA, "a2", "r1", prompt, 8, kv))
+				time.AfterFunc(35*time.Millisecond, func() { b.engines[decodeA].Crash(time.Minute) })
+				first := collect(t, resp, 0)
+				assert.Equal(t, first.whole, false)
+				assert.NilError(t, answer.Check(prompt, first.text, 3))
+
+				kv = nil
+				if withPrefill {
+					a := prefillAsk(prefillB, "a3", "r1", prompt)
+					a.body.ContinueFrom = 3
+					kv = read[CompletionResponse](t, b.post(b.t.Context(), a), http.StatusOK).KVTransferParams
+				}
+				next := decodeAsk(decodeB, "a4", "r1", prompt, 8, kv)
+				next.body.ContinueFrom = 3
+				second := collect(t, b.post(b.t.Context(), next), 0)
+				assert.Assert(t, second.whole)
+				assert.Equal(t, second.last, "a4:7")
+				assert.Equal(t, second.usage.PromptTokens, 43)
+				assert.NilError(t, answer.Check(prompt, first.text+second.text, 8))
+
+				synctest.Wait()
+				var reports []judge.Engine
+				for _, e := range b.engines {
+					reports = append(reports, e.Judge())
+				}
+				assert.DeepEqual(t, judge.Merge(reports), judge.Summary{
+					Requests: 1, Completed: 1, PromptComputed: 83, PromptWasted: 40, Generated: 8,
+				})
+			})
+		})
+	}
+}
