Experiment: kernels in virtual time under small fakes, first version

Cause: the policy under load and faults needs a judge that runs in seconds. Ruled out: real processes for the whole matrix; they take wall-clock time. Change: package experiment: clock, fakes for engines, services, network, feeds, views, callers and faults, a judge, an ideal scheduler, the matrix and tables.

--- /dev/null
+++ b/experiment/cell.go
@@ -0,0 +1,148 @@
+package experiment
+
+import (
+	"time"
+
+	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/report"
+)
+
+// Cell is one run of the experiment.
+type Cell struct {
+	Deployment string
+	// Instances is the number of entry instances.
+	Instances int
+	Policy    PolicyName
+	// Load is the rate of requests as a share of Capacity.
+	Load  float64
+	Fault Fault
+	Seed  uint64
+	// Warmup is the time before the measured arrivals, Duration theirs.
+	Warmup, Duration time.Duration
+	// Jitter is the most that is added to a message's delay.
+	Jitter time.Duration
+}
+
+// blind reports whether the cell's callers send again without tickets, and at
+// once.
+func (c Cell) blind() bool { return c.Policy == PolicyNaive }
+
+// Result is what came of a cell. Requests are counted if they were offered in
+// the measured time; one that was sent again counts once.
+type Result struct {
+	Cell Cell
+	// Models counts the model requests, which are those with both targets.
+	Models Count
+	// ByKind counts the requests of each kind, plain services too.
+	ByKind map[string]*Count
+	// PromptComputed and PromptWasted are in tokens over the whole run.
+	PromptComputed, PromptWasted int
+	// WastedCancelled, WastedEvicted and WastedKilled are parts of it; the rest
+	// was computed again for a decode that was lost.
+	WastedCancelled, WastedEvicted, WastedKilled int
+	FirstOutputP95, PaceP95                      time.Duration
+	// Sent counts submissions, retries included.
+	Sent         int
+	PeerMessages int
+	// Broken counts violations by kind.
+	Broken     map[ViolationKind]int
+	Violations []Violation
+}
+
+// Count counts requests by what came of them.
+type Count struct {
+	Offered int
+	// Good counts those answered whole and within their targets, Complete those
+	// answered whole.
+	Good, Complete int
+	// Refused counts those whose last answer was "not-run", Unknown those of
+	// which the caller doesn't know, Cancelled those whose caller left.
+	Refused, Unknown, Cancelled int
+}
+
+// Duplicates counts the requests that ran twice and must not.
+func (r *Result) Duplicates() int { return r.Broken[RanTwice] }
+
+// Leaks counts the attempts whose memory was held for nobody.
+func (r *Result) Leaks() int { return r.Broken[Leaked] }
+
+// Run runs one cell of a deployment. Errors are of type *PolicyError or those
+// of kernel.New.
+func Run(cell Cell, d *Deployment) (*Result, error) { return run(cell, d, nil) }
+
+// RunTraced is Run; it also passes each event, action and violation to trace.
+func RunTraced(cell Cell, d *Deployment, trace func(line string)) (*Result, error) {
+	return run(cell, d, trace)
+}
+
+func run(cell Cell, d *Deployment, trace func(string)) (*Result, error) {
+	w, err := newWorld(cell, d)
+	if err != nil {
+		return nil, err
+	}
+	w.judge.trace = trace
+	w.run()
+	return w.result(), nil
+}
+
+// result sums up a finished run.
+func (w *world) result() *Result {
+	r := &Result{
+		Cell: w.cell, ByKind: map[string]*Count{},
+		PromptComputed:  w.judge.prompt,
+		WastedCancelled: w.judge.byCause[wasteCancelled],
+		WastedEvicted:   w.judge.byCause[wasteEvicted],
+		WastedKilled:    w.judge.byCause[wasteKilled],
+		Sent:            w.callers.sent,
+		PeerMessages:    w.judge.peerMessages,
+		Broken:          w.judge.counts,
+		Violations:      w.judge.violations,
+	}
+	first, pace := report.NewHist(), report.NewHist()
+	for _, l := range w.callers.logicals {
+		r.PromptWasted += l.computed - l.largestUsed
+		if l.at < w.cell.Warmup {
+			continue
+		}
+		r.count(l)
+		if l.complete() && l.arrival.Kind.Route() == config.RouteModel {
+			first.Record(l.last().first - l.at)
+			pace.Record(l.pace())
+		}
+	}
+	r.FirstOutputP95 = first.Quantile(95)
+	r.PaceP95 = pace.Quantile(95)
+	return r
+}
+
+// count adds one measured request.
+func (r *Result) count(l *logical) {
+	kind := r.ByKind[l.arrival.Kind.Name]
+	if kind == nil {
+		kind = &Count{}
+		r.ByKind[l.arrival.Kind.Name] = kind
+	}
+	kind.add(l)
+	if l.arrival.Kind.Route() == config.RouteModel {
+		r.Models.add(l)
+	}
+}
+
+// add counts one request.
+func (c *Count) add(l *logical) {
+	c.Offered++
+	switch {
+	case l.cancelled:
+		c.Cancelled++
+	case l.complete():
+		c.Complete++
+	case l.finished && !l.gone && l.last().outcome == api.NotRun:
+		c.Refused++
+	default:
+		c.Unknown++
+	}
+	if l.good() {
+		c.Good++
+	}
+}
--- /dev/null
+++ b/experiment/decode.go
@@ -0,0 +1,186 @@
+package experiment
+
+import (
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/standin/perf"
+)
+
+// decodeEngine imports prefill results into slots and generates one token for
+// each of its running attempts a step.
+type decodeEngine struct {
+	upstream
+	w      *world
+	params perf.Params
+
+	// held lists the attempts with a slot, in order of arrival; running marks
+	// those whose KV cache has arrived.
+	held       []*attempt
+	running    map[ident.AttemptID]bool
+	piecesUsed int
+	stepping   bool
+}
+
+func newDecodeEngine(w *world, u upstream, p perf.Params) *decodeEngine {
+	return &decodeEngine{upstream: u, w: w, params: p, running: map[ident.AttemptID]bool{}}
+}
+
+// pieces is the memory an attempt takes when its answer is as long as it may be.
+func (a *attempt) pieces(p perf.Params) int {
+	return p.PiecesFor(a.sub.request.PromptTokens + a.sub.request.MaxOutputTokens)
+}
+
+// refusal is an attested refusal.
+func refusal(a *attempt, code kernel.FailureCode) *kernel.AttemptFailed {
+	return &kernel.AttemptFailed{
+		Attempt:  a.id,
+		Evidence: kernel.Refused,
+		Code:     code,
+		Offset:   a.from,
+	}
+}
+
+func (e *decodeEngine) accept(a *attempt) *kernel.AttemptFailed {
+	if a.role != config.RoleDecode {
+		return refusal(a, kernel.FailureModel)
+	}
+	full := len(e.held) >= e.params.Slots
+	if full || e.piecesUsed+a.pieces(e.params) > e.params.Pieces {
+		return refusal(a, kernel.FailureCapacity)
+	}
+	source, ok := e.source(a)
+	if !ok {
+		return refusal(a, kernel.FailureKVGone)
+	}
+	e.held = append(e.held, a)
+	e.piecesUsed += a.pieces(e.params)
+	life := e.incarnation
+	pulled := source.pull(a.kv, a, func(sent bool) {
+		if e.incarnation == life && !a.over {
+			e.imported(a, sent)
+		}
+	})
+	if !pulled {
+		e.release(a)
+		return refusal(a, kernel.FailureKVGone)
+	}
+	return nil
+}
+
+// source finds the prefill engine that holds an attempt's KV cache.
+func (e *decodeEngine) source(a *attempt) (*prefillEngine, bool) {
+	if a.kv == nil {
+		return nil, false
+	}
+	p, ok := a.kv.upstream.(*prefillEngine)
+	return p, ok
+}
+
+// imported starts the generation, or fails the attempt if its KV cache was
+// lost on the way.
+func (e *decodeEngine) imported(a *attempt, sent bool) {
+	if !sent {
+		e.release(a)
+		e.w.report(a, *refusal(a, kernel.FailureKVGone))
+		return
+	}
+	a.ran = true
+	a.generated = a.from
+	e.running[a.id] = true
+	e.startStep()
+}
+
+// startStep begins the next step if there is anything to generate.
+func (e *decodeEngine) startStep() {
+	if e.stepping || len(e.running) == 0 {
+		return
+	}
+	e.stepping = true
+	var batch []*attempt
+	for _, a := range e.held {
+		if e.running[a.id] {
+			batch = append(batch, a)
+		}
+	}
+	life := e.incarnation
+	e.w.clock.after(e.params.StepTime(len(batch)), func() {
+		if e.incarnation != life || !e.alive {
+			return
+		}
+		e.stepping = false
+		for _, a := range batch {
+			e.token(a)
+		}
+		e.startStep()
+	})
+}
+
+// token adds one token to an attempt's answer.
+func (e *decodeEngine) token(a *attempt) {
+	if a.over {
+		return
+	}
+	a.generated++
+	if a.generated == a.from+1 {
+		e.w.report(a, kernel.FirstOutput{Attempt: a.id})
+	}
+	if a.generated >= a.sub.logical.arrival.OutputTokens {
+		e.release(a)
+		e.w.report(a, kernel.AttemptDone{Attempt: a.id, Tokens: a.generated})
+	}
+}
+
+// release frees an attempt's slot and memory.
+func (e *decodeEngine) release(a *attempt) {
+	for i, h := range e.held {
+		if h != a {
+			continue
+		}
+		e.held = append(e.held[:i:i], e.held[i+1:]...)
+		e.piecesUsed -= a.pieces(e.params)
+		break
+	}
+	delete(e.running, a.id)
+	a.over = true
+}
+
+func (e *decodeEngine) cancel(id ident.AttemptID) {
+	for _, a := range e.held {
+		if a.id != id {
+			continue
+		}
+		importing := !e.running[id]
+		e.release(a)
+		if p, ok := e.source(a); ok && importing {
+			p.giveUp(a)
+		}
+		return
+	}
+}
+
+func (e *decodeEngine) kill() {
+	lost := e.held
+	e.held, e.piecesUsed, e.stepping = nil, 0, false
+	clear(e.running)
+	e.markDead(e.w.clock.now)
+	for _, a := range lost {
+		a.over = true
+		if p, ok := e.source(a); ok {
+			p.giveUp(a)
+		}
+		e.w.reportBroken(a)
+	}
+}
+
+func (e *decodeEngine) load() kernel.Load {
+	return kernel.Load{
+		At:          e.w.clock.time(),
+		Running:     len(e.held),
+		Slots:       e.params.Slots,
+		PiecesUsed:  e.piecesUsed,
+		PiecesTotal: e.params.Pieces,
+	}
+}
+
+func (e *decodeEngine) heldAttempts() []*attempt { return append([]*attempt(nil), e.held...) }
--- /dev/null
+++ b/experiment/ideal.go
@@ -0,0 +1,346 @@
+package experiment
+
+import (
+	"sort"
+	"time"
+
+	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+// ideal takes the place of all entry instances: it sees the true state of every
+// upstream without delay, keeps one queue in deadline order, knows how long
+// each answer will be, and hands a prompt to a prefill engine only when the
+// engine is idle and a decode slot will be free for the result. It shares no
+// code with the kernel, so that it does not move when the kernel does.
+type ideal struct {
+	w        *world
+	sequence uint64
+	queue    []*submission
+	subs     map[ident.RequestID]*submission
+	attempts map[ident.AttemptID]*attempt
+	// planned lists prompts in prefill or waiting for their slot, by decode
+	// engine.
+	planned map[ident.UpstreamID][]*attempt
+	target  map[*attempt]ident.UpstreamID
+	// ready lists finished prefills whose slot is not free yet.
+	ready []*attempt
+	// ticking is true while a look at the queue is due.
+	ticking bool
+}
+
+// idealTick is how often the queue is looked at when nothing else happens.
+const idealTick = 5 * time.Millisecond
+
+func newIdeal(w *world) *ideal {
+	return &ideal{
+		w:        w,
+		subs:     map[ident.RequestID]*submission{},
+		attempts: map[ident.AttemptID]*attempt{},
+		planned:  map[ident.UpstreamID][]*attempt{},
+		target:   map[*attempt]ident.UpstreamID{},
+	}
+}
+
+func (i *ideal) place() ident.Zone { return "" }
+
+// arrive takes a submission in.
+func (i *ideal) arrive(sub *submission) {
+	i.subs[sub.request.ID] = sub
+	i.enqueue(sub)
+	i.schedule()
+}
+
+func (i *ideal) enqueue(sub *submission) {
+	i.queue = append(i.queue, sub)
+	sort.SliceStable(i.queue, func(a, b int) bool { return i.due(i.queue[a]).Before(i.due(i.queue[b])) })
+}
+
+// due orders the queue.
+func (i *ideal) due(sub *submission) time.Time {
+	if sub.request.Route == config.RouteService {
+		return sub.request.Arrived
+	}
+	return sub.request.FirstOutputBy
+}
+
+// receive implements owner.
+func (i *ideal) receive(ev kernel.Event) {
+	switch e := ev.(type) {
+	case kernel.CallerGone:
+		i.gone(i.subs[e.Request])
+	case kernel.PrefillDone:
+		i.ready = append(i.ready, i.attempts[e.Attempt])
+	case kernel.FirstOutput:
+		i.attempts[e.Attempt].sub.sawFirst(i.w.clock.now)
+	case kernel.AttemptDone:
+		i.answer(i.attempts[e.Attempt].sub, api.Complete)
+	case kernel.AttemptFailed:
+		i.failed(i.attempts[e.Attempt], e)
+	}
+	i.schedule()
+}
+
+// gone releases all of a caller that left.
+func (i *ideal) gone(sub *submission) {
+	for n, q := range i.queue {
+		if q == sub {
+			i.queue = append(i.queue[:n:n], i.queue[n+1:]...)
+			break
+		}
+	}
+	for _, a := range sub.attempts {
+		i.unplan(a)
+		if !a.over {
+			a.upstream.cancel(a.id)
+		}
+	}
+	i.answer(sub, api.Unknown)
+}
+
+// answer gives the final answer, once.
+func (i *ideal) answer(sub *submission, outcome api.Outcome) {
+	if sub.answered {
+		return
+	}
+	sub.answered = true
+	sub.outcome = outcome
+	sub.end(i.w.clock.now)
+	a := kernel.Answer{Request: sub.request.ID, Outcome: outcome}
+	if outcome != api.Complete {
+		// A second try cannot help when the best choice was to refuse.
+		a.Problem = api.NewProblem(api.ProblemInfeasible, outcome, "")
+	}
+	i.w.callers.answered(sub, a)
+}
+
+// failed starts again with what was lost.
+func (i *ideal) failed(a *attempt, e kernel.AttemptFailed) {
+	sub := a.sub
+	i.unplan(a)
+	a.over = true
+	if sub.answered {
+		return
+	}
+	if a.role == config.RoleService && e.Evidence == kernel.Ambiguous && !sub.request.Repeatable {
+		i.answer(sub, api.Unknown)
+		return
+	}
+	sub.delivered = max(sub.delivered, e.Offset)
+	i.enqueue(sub)
+}
+
+// schedule starts all that can be started now.
+func (i *ideal) schedule() {
+	i.startReady()
+	waiting := i.queue
+	i.queue = nil
+	for n, sub := range waiting {
+		if sub.answered {
+			continue
+		}
+		if !i.start(sub) {
+			i.queue = append(i.queue, waiting[n])
+		}
+	}
+	i.tick()
+}
+
+// tick looks at the queue again soon if something waits.
+func (i *ideal) tick() {
+	if i.ticking || len(i.queue)+len(i.ready) == 0 {
+		return
+	}
+	i.ticking = true
+	i.w.clock.after(idealTick, func() {
+		i.ticking = false
+		i.schedule()
+	})
+}
+
+// startReady starts the decodes of finished prefills whose slot is free.
+func (i *ideal) startReady() {
+	waiting := i.ready
+	i.ready = nil
+	for _, a := range waiting {
+		to := i.target[a]
+		if a.over || a.sub.answered {
+			i.unplan(a)
+			continue
+		}
+		d := i.w.backends[to].(*decodeEngine)
+		if !d.alive {
+			to = i.otherDecode(a, to)
+			d = i.w.backends[to].(*decodeEngine)
+		}
+		if !i.fits(d, a) {
+			i.ready = append(i.ready, a)
+			continue
+		}
+		i.unplan(a)
+		i.send(&attempt{sub: a.sub, role: config.RoleDecode, kv: a, from: a.from, generated: a.from}, to)
+	}
+}
+
+// fits reports whether a decode engine has room now.
+func (i *ideal) fits(d *decodeEngine, a *attempt) bool {
+	return d.alive && len(d.held) < d.params.Slots &&
+		d.piecesUsed+a.pieces(d.params) <= d.params.Pieces
+}
+
+// otherDecode finds a decode engine with room in place of a dead one.
+func (i *ideal) otherDecode(a *attempt, dead ident.UpstreamID) ident.UpstreamID {
+	for _, id := range i.w.order {
+		if d, ok := i.w.backends[id].(*decodeEngine); ok && i.fits(d, a) {
+			return id
+		}
+	}
+	return dead
+}
+
+// start starts a waiting submission, or refuses it if it is too late. It
+// returns false if the submission has to wait.
+func (i *ideal) start(sub *submission) bool {
+	if sub.request.Route == config.RouteService {
+		return i.startService(sub)
+	}
+	a := &attempt{sub: sub, role: config.RolePrefill, from: sub.delivered}
+	best, took := i.bestPrefill(a)
+	if best == nil {
+		return i.refuseLate(sub, took)
+	}
+	transfer := best.params.TransferDuration(a.promptTokens(), len(best.flows)+1)
+	free := i.freeDecode(a, took)
+	if free == nil {
+		return i.refuseLate(sub, took+transfer)
+	}
+	if i.refuseLate(sub, took+transfer+free.params.DecodeStep) {
+		return true
+	}
+	i.send(a, best.spec.ID)
+	i.target[a] = free.spec.ID
+	i.planned[free.spec.ID] = append(i.planned[free.spec.ID], a)
+	return true
+}
+
+// refuseLate refuses a submission that would not meet its target if it took
+// that long from now; output already delivered is not given up.
+func (i *ideal) refuseLate(sub *submission, need time.Duration) bool {
+	if sub.delivered > 0 || !i.w.clock.time().Add(need).After(sub.request.FirstOutputBy) {
+		return false
+	}
+	i.answer(sub, api.NotRun)
+	return true
+}
+
+// bestPrefill is the idle prefill engine that computes the prompt soonest, and
+// the least time that any living engine would need.
+func (i *ideal) bestPrefill(a *attempt) (*prefillEngine, time.Duration) {
+	var best *prefillEngine
+	least := time.Duration(-1)
+	bestTook := time.Duration(0)
+	for _, id := range i.w.order {
+		e, ok := i.w.backends[id].(*prefillEngine)
+		if !ok || !e.alive || e.stalled {
+			continue
+		}
+		took := e.params.PrefillDuration(e.params.Uncached(a.promptTokens(), e.cache.Match(a.blocks())))
+		if least < 0 || took < least {
+			least = took
+		}
+		idle := e.current == nil && len(e.queue) == 0
+		if idle && (best == nil || took < bestTook) {
+			best, bestTook = e, took
+		}
+	}
+	if best == nil {
+		return nil, max(least, 0)
+	}
+	return best, bestTook
+}
+
+// freeDecode is the decode engine that will have most room after a time.
+func (i *ideal) freeDecode(a *attempt, after time.Duration) *decodeEngine {
+	var best *decodeEngine
+	most := 0
+	for _, id := range i.w.order {
+		d, ok := i.w.backends[id].(*decodeEngine)
+		if !ok || !d.alive {
+			continue
+		}
+		if room := i.roomAfter(d, a, after); room > most {
+			best, most = d, room
+		}
+	}
+	return best
+}
+
+// roomAfter is how many slots an engine will have after a time, 0 if there will
+// be no memory.
+func (i *ideal) roomAfter(d *decodeEngine, a *attempt, after time.Duration) int {
+	slots, pieces := d.params.Slots, d.params.Pieces
+	step := d.params.StepTime(len(d.held))
+	for _, h := range d.held {
+		left := time.Duration(h.sub.logical.arrival.OutputTokens-h.generated+1) * step
+		if left > after {
+			slots--
+			pieces -= h.pieces(d.params)
+		}
+	}
+	for _, p := range i.planned[d.spec.ID] {
+		slots--
+		pieces -= p.pieces(d.params)
+	}
+	if pieces < a.pieces(d.params) {
+		return 0
+	}
+	return max(slots, 0)
+}
+
+// startService calls the least loaded runner that lives.
+func (i *ideal) startService(sub *submission) bool {
+	var best *serviceRunner
+	for _, id := range i.w.order {
+		s, ok := i.w.backends[id].(*serviceRunner)
+		if !ok || !s.alive || s.spec.Service != sub.request.Service {
+			continue
+		}
+		if best == nil || len(s.running) < len(best.running) {
+			best = s
+		}
+	}
+	if best == nil {
+		return false
+	}
+	i.send(&attempt{sub: sub, role: config.RoleService}, best.spec.ID)
+	return true
+}
+
+// send hands an attempt to its upstream.
+func (i *ideal) send(a *attempt, to ident.UpstreamID) {
+	i.sequence++
+	a.id = ident.AttemptID{Instance: "ideal", Sequence: i.sequence, Deadline: a.sub.request.Deadline}
+	a.owner = i
+	a.upstream = i.w.backends[to]
+	a.sub.attempts = append(a.sub.attempts, a)
+	i.attempts[a.id] = a
+	i.w.arrive(a)
+}
+
+// unplan forgets the slot that was planned for a prefill.
+func (i *ideal) unplan(a *attempt) {
+	id, ok := i.target[a]
+	if !ok {
+		return
+	}
+	delete(i.target, a)
+	list := i.planned[id]
+	for n, p := range list {
+		if p == a {
+			i.planned[id] = append(list[:n:n], list[n+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/experiment/judge.go
@@ -0,0 +1,213 @@
+package experiment
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+)
+
+// ViolationKind names a broken promise.
+type ViolationKind string
+
+// The kinds of violation.
+const (
+	// RanTwice: a request that is not repeatable ran twice.
+	RanTwice ViolationKind = "ran_twice"
+	// FalseNotRun: a request answered "not-run" did run.
+	FalseNotRun ViolationKind = "false_not_run"
+	// AnsweredTwice: a second final answer, or one that nobody asked for.
+	AnsweredTwice ViolationKind = "answered_twice"
+	// Unanswered: no final answer by the deadline.
+	Unanswered ViolationKind = "unanswered"
+	// NotWhole: an answer said to be complete that is not.
+	NotWhole ViolationKind = "not_whole"
+	// BrokenStream: a decode that repeats or skips output.
+	BrokenStream ViolationKind = "broken_stream"
+	// Leaked: engine memory held for nobody.
+	Leaked ViolationKind = "leaked"
+	// BadPolicy: a policy that the kernel doesn't take.
+	BadPolicy ViolationKind = "bad_policy"
+)
+
+// Violation is one broken promise.
+type Violation struct {
+	// At is the virtual time since the start of the run.
+	At      time.Duration
+	Kind    ViolationKind
+	Request ident.RequestID
+	Detail  string
+}
+
+// String implements fmt.Stringer.
+func (v Violation) String() string {
+	return fmt.Sprintf("%s %s %s: %s", v.At, v.Kind, v.Request, v.Detail)
+}
+
+// wasteCause says why prompt work was thrown away.
+type wasteCause int
+
+const (
+	wasteCancelled wasteCause = iota
+	wasteEvicted
+	wasteKilled
+	wasteCauses
+)
+
+// Times the judge allows.
+const (
+	// leakGrace is how long memory may be held for a request that is over.
+	leakGrace = 10 * time.Second
+	// leakCheckPeriod is the time between two looks at the engines.
+	leakCheckPeriod = time.Second
+	// answerGrace is how late a final answer may come after its deadline.
+	answerGrace = time.Second
+)
+
+// maxViolations bounds the violations that are kept.
+const maxViolations = 100
+
+// judge counts what really happened.
+type judge struct {
+	w          *world
+	violations []Violation
+	counts     map[ViolationKind]int
+	// prompt is all prompt work, in tokens; byCause the part of it that was
+	// thrown away by what ended it. Work done again is only in the judgement
+	// by request.
+	prompt       int
+	byCause      [wasteCauses]int
+	peerMessages int
+	leaked       map[*attempt]bool
+	trace        func(line string)
+}
+
+func (j *judge) start() {
+	j.leaked = map[*attempt]bool{}
+	j.w.clock.after(leakCheckPeriod, j.checkLeaks)
+}
+
+// note passes on an event or an action of an instance to the trace.
+func (j *judge) note(id ident.InstanceID, what any) {
+	if j.trace != nil {
+		j.trace(fmt.Sprintf("%s %s %T%+v", j.w.clock.now, id, what, what))
+	}
+}
+
+// violate notes a broken promise.
+func (j *judge) violate(kind ViolationKind, id ident.RequestID, detail string) {
+	if j.counts == nil {
+		j.counts = map[ViolationKind]int{}
+	}
+	j.counts[kind]++
+	if len(j.violations) < maxViolations {
+		j.violations = append(j.violations, Violation{At: j.w.clock.now, Kind: kind, Request: id, Detail: detail})
+	}
+	if j.trace != nil {
+		j.trace(fmt.Sprintf("%s VIOLATION %s %s: %s", j.w.clock.now, kind, id, detail))
+	}
+}
+
+// computed notes prompt work.
+func (j *judge) computed(a *attempt, tokens int) {
+	j.prompt += tokens
+	a.sub.logical.computed += tokens
+}
+
+// used notes that a decode imported a prefill result.
+func (j *judge) used(a *attempt) {
+	l := a.sub.logical
+	l.largestUsed = max(l.largestUsed, a.computed)
+}
+
+// wasted notes prompt work that no decode used.
+func (j *judge) wasted(a *attempt, cause wasteCause) { j.byCause[cause] += a.computed }
+
+// serviceRan notes that a plain service call ran.
+func (j *judge) serviceRan(a *attempt) {
+	l := a.sub.logical
+	l.runs++
+	if l.runs > 1 && !l.arrival.Kind.Repeatable {
+		j.violate(RanTwice, a.sub.request.ID, "")
+	}
+}
+
+// checkLeaks looks for memory held for requests that are over.
+func (j *judge) checkLeaks() {
+	j.w.clock.after(leakCheckPeriod, j.checkLeaks)
+	settled := j.w.clock.now - leakGrace
+	if j.w.disturbedAt > settled {
+		return
+	}
+	for _, id := range j.w.order {
+		b := j.w.backends[id]
+		for _, a := range b.heldAttempts() {
+			if a.sub.over && a.sub.overAt < settled && !j.leaked[a] && j.reachable(a) {
+				j.leaked[a] = true
+				j.violate(Leaked, a.sub.request.ID, fmt.Sprintf("%s holds %s attempt %s", id, a.role, a.id))
+			}
+		}
+	}
+}
+
+// reachable reports whether the owner could have released the attempt.
+func (j *judge) reachable(a *attempt) bool {
+	l, ok := a.owner.(*life)
+	if !ok {
+		return true
+	}
+	return !l.frozen && j.w.net.connected(l.inst.zone, a.upstream.base().zone)
+}
+
+// finish judges what can only be judged at the end.
+func (j *judge) finish() {
+	for _, l := range j.w.callers.logicals {
+		for _, sub := range l.subs {
+			j.judgeSubmission(sub)
+		}
+	}
+}
+
+func (j *judge) judgeSubmission(sub *submission) {
+	if sub.answered && sub.outcome == api.NotRun {
+		for _, a := range sub.attempts {
+			if a.ran {
+				j.violate(FalseNotRun, sub.request.ID, fmt.Sprintf("%s attempt %s ran", a.role, a.id))
+				break
+			}
+		}
+	}
+	if sub.to != nil && !sub.to.dead && !sub.answered {
+		j.violate(Unanswered, sub.request.ID, "")
+	}
+}
+
+// good reports whether a request was answered whole and within its targets.
+func (l *logical) good() bool {
+	sub := l.last()
+	if !l.complete() {
+		return false
+	}
+	k := l.arrival.Kind
+	if k.Route() == config.RouteService {
+		return l.doneAt-l.at <= k.FirstOutput
+	}
+	return sub.first-l.at <= k.FirstOutput && l.pace() <= k.Pace
+}
+
+// complete reports whether the caller got a whole answer.
+func (l *logical) complete() bool {
+	return l.finished && !l.gone && l.last().outcome == api.Complete
+}
+
+// pace is the mean time between the output tokens that the caller got.
+func (l *logical) pace() time.Duration {
+	sub := l.last()
+	gaps := l.arrival.OutputTokens - 1
+	if gaps < 1 {
+		return 0
+	}
+	return (l.doneAt - sub.first) / time.Duration(gaps)
+}
--- /dev/null
+++ b/experiment/matrix.go
@@ -0,0 +1,150 @@
+package experiment
+
+import (
+	"sync"
+	"time"
+)
+
+// Times of the matrix's cells.
+const (
+	matrixWarmup   = 10 * time.Second
+	matrixDuration = 60 * time.Second
+	quickDuration  = 40 * time.Second
+)
+
+// usualInstances is the number of entry instances that each user has today.
+const usualInstances = 8
+
+// Loads are the loads of the matrix, as shares of capacity.
+var Loads = []float64{0.5, 0.8, 1.0, 1.2, 1.5}
+
+// slotPolicies are compared with each other at slotInstances.
+var slotPolicies = []PolicyName{"slots.lease", "slots.shares", "slots.probe", "slots.none"}
+
+var slotInstances = []int{2, 8, 24}
+
+// slotFaults are those that hit the instance which grants most.
+var slotFaults = []Fault{FaultNone, FaultInstanceKill, FaultInstanceFreeze, FaultPeerCut}
+
+// QuickCells is a small matrix for tuning: one seed, three loads, no faults.
+func QuickCells(deployments []*Deployment) []Cell {
+	var cells []Cell
+	for _, d := range deployments {
+		for _, p := range []PolicyName{PolicyNaive, PolicyCurrent, PolicyIdeal} {
+			for _, load := range []float64{0.8, 1.0, 1.5} {
+				c := newCell(d, p, load, FaultNone, 1)
+				c.Duration = quickDuration
+				cells = append(cells, c)
+			}
+		}
+	}
+	return cells
+}
+
+// FullCells is the whole matrix with the given number of seeds: each policy at
+// each load, each policy with each fault at capacity, and each slot policy at
+// each number of instances.
+func FullCells(deployments []*Deployment, seeds int) []Cell {
+	var cells []Cell
+	for seed := uint64(1); seed <= uint64(seeds); seed++ {
+		for _, d := range deployments {
+			cells = append(cells, loadCells(d, seed)...)
+			cells = append(cells, faultCells(d, seed)...)
+			cells = append(cells, slotCells(d, seed)...)
+		}
+	}
+	return cells
+}
+
+// policies lists the policies of the matrix, the weakest first.
+func policies() []PolicyName {
+	list := append([]PolicyName{PolicyNaive}, PolicyVersions()...)
+	return append(list, PolicyCurrent, PolicyIdeal)
+}
+
+func loadCells(d *Deployment, seed uint64) []Cell {
+	var cells []Cell
+	for _, p := range policies() {
+		for _, load := range Loads {
+			cells = append(cells, newCell(d, p, load, FaultNone, seed))
+		}
+	}
+	return cells
+}
+
+func faultCells(d *Deployment, seed uint64) []Cell {
+	var cells []Cell
+	for _, p := range policies() {
+		for _, f := range append(append([]Fault{}, SingleFaults...), DoubleFaults...) {
+			cells = append(cells, newCell(d, p, 1.0, f, seed))
+		}
+	}
+	return cells
+}
+
+func slotCells(d *Deployment, seed uint64) []Cell {
+	var cells []Cell
+	for _, n := range slotInstances {
+		for _, p := range slotPolicies {
+			for _, f := range slotFaults {
+				c := newCell(d, p, 1.0, f, seed)
+				c.Instances = n
+				cells = append(cells, c)
+			}
+		}
+	}
+	return cells
+}
+
+func newCell(d *Deployment, p PolicyName, load float64, f Fault, seed uint64) Cell {
+	return Cell{
+		Deployment: d.Name,
+		Instances:  usualInstances,
+		Policy:     p,
+		Load:       load,
+		Fault:      f,
+		Seed:       seed,
+		Warmup:     matrixWarmup,
+		Duration:   matrixDuration,
+	}
+}
+
+// RunAll runs cells in parallel by the given number of workers and returns the
+// results in the cells' order. After each cell it calls progress, from one
+// goroutine at a time. It returns the first error of Run in the cells' order.
+func RunAll(cells []Cell, deployments []*Deployment, workers int, progress func(done int, r *Result)) ([]*Result, error) {
+	byName := map[string]*Deployment{}
+	for _, d := range deployments {
+		byName[d.Name] = d
+	}
+	results := make([]*Result, len(cells))
+	errs := make([]error, len(cells))
+	todo := make(chan int)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	done := 0
+	for range workers {
+		wg.Go(func() {
+			for i := range todo {
+				results[i], errs[i] = Run(cells[i], byName[cells[i].Deployment])
+				mu.Lock()
+				done++
+				if progress != nil && errs[i] == nil {
+					progress(done, results[i])
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for i := range cells {
+		todo <- i
+	}
+	close(todo)
+	wg.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return nil, err
+		}
+	}
+	return results, nil
+}
--- /dev/null
+++ b/experiment/prefill.go
@@ -0,0 +1,352 @@
+package experiment
+
+import (
+	"sort"
+	"time"
+
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/standin/perf"
+	"github.com/wardspool/wardspool/tokens"
+)
+
+// prefillEngine computes one prompt at a time, by priority and then in order of
+// arrival, holds each result for a while and sends it over its link.
+type prefillEngine struct {
+	upstream
+	w      *world
+	params perf.Params
+	cache  *perf.Cache
+
+	queue   []*attempt
+	current *attempt
+	// startedAt and todo describe the prompt being computed.
+	startedAt time.Duration
+	todo      int
+	held      map[ident.AttemptID]*attempt
+
+	link     *perf.Link
+	stalled  bool
+	nextFlow perf.FlowID
+	flows    map[perf.FlowID]*transfer
+}
+
+// transfer is a KV cache on its way to a decode engine.
+type transfer struct {
+	a *attempt
+	// to is the receiving decode attempt; done tells it whether all was sent.
+	to   *attempt
+	done func(sent bool)
+}
+
+// cachePieces is the size of a prefill engine's prefix cache, in pieces.
+const cachePieces = 100
+
+func newPrefillEngine(w *world, u upstream, p perf.Params) *prefillEngine {
+	e := &prefillEngine{upstream: u, w: w, params: p, cache: perf.NewCache(cachePieces)}
+	e.reset()
+	return e
+}
+
+// reset empties everything but the prefix cache.
+func (e *prefillEngine) reset() {
+	e.queue, e.current = nil, nil
+	e.held = map[ident.AttemptID]*attempt{}
+	e.flows = map[perf.FlowID]*transfer{}
+	e.link = perf.NewLink(e.params.LinkBytesPerSecond)
+}
+
+func (e *prefillEngine) accept(a *attempt) *kernel.AttemptFailed {
+	if a.role != config.RolePrefill {
+		return refusal(a, kernel.FailureModel)
+	}
+	e.queue = append(e.queue, a)
+	sort.SliceStable(e.queue, func(i, j int) bool {
+		return e.queue[i].sub.request.Priority < e.queue[j].sub.request.Priority
+	})
+	e.startNext()
+	return nil
+}
+
+// startNext begins to compute the first prompt of the queue.
+func (e *prefillEngine) startNext() {
+	if e.current != nil || len(e.queue) == 0 {
+		return
+	}
+	a := e.queue[0]
+	e.queue = e.queue[1:]
+	a.ran = true
+	e.current = a
+	e.startedAt = e.w.clock.now
+	length := a.promptTokens()
+	e.todo = e.params.Uncached(length, e.cache.Match(a.blocks()))
+	life := e.incarnation
+	e.w.clock.after(e.params.PrefillDuration(e.todo), func() {
+		if e.current == a && e.incarnation == life {
+			e.finish(a)
+		}
+	})
+}
+
+// promptTokens is the length of the prompt with the output to continue from.
+func (a *attempt) promptTokens() int { return a.sub.request.PromptTokens + a.from }
+
+// blocks are the hashes of the prompt's pieces. Output to continue from is
+// never found in a cache.
+func (a *attempt) blocks() []tokens.BlockHash {
+	blocks := make([]tokens.BlockHash, len(a.sub.request.Blocks))
+	for i, b := range a.sub.request.Blocks {
+		blocks[i] = tokens.BlockHash(b)
+	}
+	return blocks
+}
+
+// finish holds the result of a prompt and reports it.
+func (e *prefillEngine) finish(a *attempt) {
+	now := e.w.clock.now
+	e.current = nil
+	a.computed = e.todo
+	a.prefilled = now
+	e.w.judge.computed(a, e.todo)
+	e.held[a.id] = a
+	added, evicted := e.cache.Insert(a.blocks())
+	e.w.feeds.cacheChanged(e, added, evicted)
+	cached := a.promptTokens() - e.todo
+	e.w.report(a, kernel.PrefillDone{
+		Attempt:      a.id,
+		KV:           kernel.KVHandle{Engine: e.spec.ID, Params: []byte(a.id.String())},
+		CachedTokens: cached,
+	})
+	life := e.incarnation
+	e.w.clock.after(e.params.KVLifetime, func() {
+		if e.incarnation == life && e.held[a.id] == a {
+			e.drop(a, wasteEvicted)
+		}
+	})
+	e.startNext()
+}
+
+// drop ends an attempt whose result was not used.
+func (e *prefillEngine) drop(a *attempt, cause wasteCause) {
+	delete(e.held, a.id)
+	a.over = true
+	e.w.judge.wasted(a, cause)
+}
+
+// pull sends a held result to a decode engine; done is called at the end. It
+// returns false if there is no such result.
+func (e *prefillEngine) pull(a, to *attempt, done func(sent bool)) bool {
+	if !e.alive || e.held[a.id] != a {
+		return false
+	}
+	delete(e.held, a.id)
+	e.nextFlow++
+	id := e.nextFlow
+	t := &transfer{a: a, to: to, done: done}
+	e.flows[id] = t
+	if !e.w.net.connected(e.zone, to.upstream.base().zone) {
+		e.watchStall(id)
+		return true
+	}
+	e.link.Add(e.w.clock.now, id, e.params.TransferBytes(a.promptTokens()))
+	if e.stalled {
+		e.watchStall(id)
+	}
+	e.settle()
+	return true
+}
+
+// settle completes the transfers that are done and comes back for the next.
+func (e *prefillEngine) settle() {
+	for _, id := range e.link.Finished(e.w.clock.now) {
+		t := e.flows[id]
+		delete(e.flows, id)
+		t.a.over = true
+		t.a.used = true
+		e.w.judge.used(t.a)
+		t.done(true)
+	}
+	next, ok := e.link.Next()
+	if !ok {
+		return
+	}
+	link := e.link
+	e.w.clock.at(next, func() {
+		if e.link == link {
+			e.settle()
+		}
+	})
+}
+
+// setStalled stops or resumes the progress of all transfers.
+func (e *prefillEngine) setStalled(stalled bool) {
+	e.stalled = stalled
+	rate := e.params.LinkBytesPerSecond
+	if stalled {
+		rate = 0
+	}
+	e.link.SetRate(e.w.clock.now, rate)
+	for _, id := range sortedKeys(e.flows) {
+		if stalled {
+			e.watchStall(id)
+		}
+	}
+	e.settle()
+}
+
+// stallCut stops the transfers into zones that are now cut off.
+func (e *prefillEngine) stallCut() {
+	for _, id := range sortedKeys(e.flows) {
+		if e.w.net.connected(e.zone, e.flows[id].to.upstream.base().zone) {
+			continue
+		}
+		e.link.Remove(e.w.clock.now, id)
+		e.watchStall(id)
+	}
+	e.settle()
+}
+
+// watchStall reports a transfer that made no progress for too long to the
+// instance that waits for its output. Both engines go on holding it.
+func (e *prefillEngine) watchStall(id perf.FlowID) {
+	t := e.flows[id]
+	e.w.clock.after(e.w.content.Policy.TransferStall, func() {
+		cut := !e.w.net.connected(e.zone, t.to.upstream.base().zone)
+		if e.flows[id] != t || t.to.over || !(e.stalled || cut) {
+			return
+		}
+		e.w.report(t.to, kernel.AttemptFailed{
+			Attempt:  t.to.id,
+			Evidence: kernel.Ambiguous,
+			Code:     kernel.FailureStalled,
+			Offset:   t.to.offset(),
+		})
+	})
+}
+
+// giveUp ends a transfer whose receiver is gone; the result is held again until
+// its lifetime ends.
+func (e *prefillEngine) giveUp(to *attempt) {
+	for _, id := range sortedKeys(e.flows) {
+		t := e.flows[id]
+		if t.to != to {
+			continue
+		}
+		e.removeFlow(id)
+		if e.w.clock.now-t.a.prefilled >= e.params.KVLifetime {
+			e.drop(t.a, wasteEvicted)
+			continue
+		}
+		e.held[t.a.id] = t.a
+		life := e.incarnation
+		left := t.a.prefilled + e.params.KVLifetime - e.w.clock.now
+		e.w.clock.after(left, func() {
+			if e.incarnation == life && e.held[t.a.id] == t.a {
+				e.drop(t.a, wasteEvicted)
+			}
+		})
+	}
+	e.settle()
+}
+
+func (e *prefillEngine) removeFlow(id perf.FlowID) {
+	e.link.Remove(e.w.clock.now, id)
+	delete(e.flows, id)
+}
+
+func (e *prefillEngine) cancel(id ident.AttemptID) {
+	for i, a := range e.queue {
+		if a.id == id {
+			e.queue = append(e.queue[:i:i], e.queue[i+1:]...)
+			a.over = true
+			return
+		}
+	}
+	if e.current != nil && e.current.id == id {
+		e.abandonCurrent(wasteCancelled)
+		e.startNext()
+		return
+	}
+	if a, ok := e.held[id]; ok {
+		e.drop(a, wasteCancelled)
+		return
+	}
+	for _, flow := range sortedKeys(e.flows) {
+		t := e.flows[flow]
+		if t.a.id != id {
+			continue
+		}
+		e.removeFlow(flow)
+		e.drop(t.a, wasteCancelled)
+		t.done(false)
+		e.settle()
+	}
+}
+
+// abandonCurrent stops computing; what was computed is wasted.
+func (e *prefillEngine) abandonCurrent(cause wasteCause) {
+	a := e.current
+	e.current = nil
+	spent := (e.w.clock.now - e.startedAt).Seconds() * e.params.PrefillTokensPerSecond
+	a.computed = min(int(spent), e.todo)
+	a.over = true
+	e.w.judge.computed(a, a.computed)
+	e.w.judge.wasted(a, cause)
+}
+
+func (e *prefillEngine) kill() {
+	lost := e.queue
+	if e.current != nil {
+		lost = append(lost, e.current)
+		e.abandonCurrent(wasteKilled)
+	}
+	for _, id := range sortedAttempts(e.held) {
+		e.drop(e.held[id], wasteKilled)
+	}
+	flows := e.flows
+	e.reset()
+	e.cache.Clear()
+	e.markDead(e.w.clock.now)
+	for _, id := range sortedKeys(flows) {
+		t := flows[id]
+		t.a.over = true
+		e.w.judge.wasted(t.a, wasteKilled)
+		t.done(false)
+	}
+	for _, a := range lost {
+		a.over = true
+		e.w.reportBroken(a)
+	}
+}
+
+func (e *prefillEngine) load() kernel.Load {
+	l := kernel.Load{At: e.w.clock.time(), Slots: 1, Waiting: len(e.queue), PiecesTotal: e.spec.Pieces}
+	for _, a := range e.queue {
+		l.QueuedTokens += e.params.Uncached(a.promptTokens(), e.cache.Match(a.blocks()))
+	}
+	if e.current != nil {
+		l.Running = 1
+		spent := (e.w.clock.now - e.startedAt).Seconds() * e.params.PrefillTokensPerSecond
+		l.QueuedTokens += max(e.todo-int(spent), 0)
+	}
+	for _, a := range e.heldAttempts() {
+		l.PiecesUsed += e.params.PiecesFor(a.promptTokens())
+	}
+	return l
+}
+
+func (e *prefillEngine) heldAttempts() []*attempt {
+	var list []*attempt
+	list = append(list, e.queue...)
+	if e.current != nil {
+		list = append(list, e.current)
+	}
+	for _, id := range sortedAttempts(e.held) {
+		list = append(list, e.held[id])
+	}
+	for _, id := range sortedKeys(e.flows) {
+		list = append(list, e.flows[id].a)
+	}
+	return list
+}
--- /dev/null
+++ b/experiment/service.go
@@ -0,0 +1,67 @@
+package experiment
+
+import (
+	"time"
+
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+// Durations of a plain service call, drawn evenly.
+const (
+	serviceTimeMin = 20 * time.Millisecond
+	serviceTimeMax = 80 * time.Millisecond
+)
+
+// serviceRunner runs plain service calls. Like the services of both examples
+// it neither deduplicates calls nor can it stop one.
+type serviceRunner struct {
+	upstream
+	w       *world
+	running map[ident.AttemptID]*attempt
+}
+
+func newServiceRunner(w *world, u upstream) *serviceRunner {
+	return &serviceRunner{upstream: u, w: w, running: map[ident.AttemptID]*attempt{}}
+}
+
+func (s *serviceRunner) accept(a *attempt) *kernel.AttemptFailed {
+	if a.role != config.RoleService {
+		return refusal(a, kernel.FailureModel)
+	}
+	a.ran = true
+	s.running[a.id] = a
+	s.w.judge.serviceRan(a)
+	spread := s.w.rng.Int64N(int64(serviceTimeMax - serviceTimeMin))
+	life := s.incarnation
+	s.w.clock.after(serviceTimeMin+time.Duration(spread), func() {
+		if s.incarnation != life || s.running[a.id] != a {
+			return
+		}
+		delete(s.running, a.id)
+		a.over = true
+		s.w.report(a, kernel.AttemptDone{Attempt: a.id})
+	})
+	return nil
+}
+
+// cancel does nothing: a call that runs cannot be undone.
+func (s *serviceRunner) cancel(ident.AttemptID) {}
+
+func (s *serviceRunner) kill() {
+	lost := s.running
+	s.running = map[ident.AttemptID]*attempt{}
+	s.markDead(s.w.clock.now)
+	for _, id := range sortedAttempts(lost) {
+		lost[id].over = true
+		s.w.reportBroken(lost[id])
+	}
+}
+
+func (s *serviceRunner) load() kernel.Load {
+	return kernel.Load{At: s.w.clock.time(), Running: len(s.running)}
+}
+
+// heldAttempts is empty: services hold no engine memory.
+func (s *serviceRunner) heldAttempts() []*attempt { return nil }
--- /dev/null
+++ b/experiment/world.go
@@ -0,0 +1,284 @@
+package experiment
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/load/workload"
+	"github.com/wardspool/wardspool/standin/perf"
+)
+
+// world is everything that one run consists of.
+type world struct {
+	cell    Cell
+	clock   clock
+	rng     *rand.Rand
+	content *config.Content
+	spec    *workload.Spec
+	net     *network
+	judge   *judge
+	feeds   *feeds
+	callers *callers
+	// ideal is set where it takes the place of the instances.
+	ideal     *ideal
+	instances []*instance
+	backends  map[ident.UpstreamID]backend
+	// order lists the back ends as the bundle does.
+	order []ident.UpstreamID
+	// prefills finds prefill attempts by the handle of their result.
+	prefills map[string]*attempt
+	// tombstones are the attempts whose cancel came before them.
+	tombstones map[ident.AttemptID]bool
+	// platformDown says that the platform's list is not updated.
+	platformDown bool
+	// disturbedAt is when a partition or freeze last ended.
+	disturbedAt time.Duration
+	viewVersion uint64
+}
+
+// streamWorld tells the world's random stream from others of one seed.
+const streamWorld = 0x776f726c64
+
+// newWorld builds a run from its cell.
+func newWorld(cell Cell, d *Deployment) (*world, error) {
+	content, err := d.policyContent(cell.Policy)
+	if err != nil {
+		return nil, err
+	}
+	w := &world{
+		cell:       cell,
+		rng:        rand.New(rand.NewPCG(cell.Seed, streamWorld)),
+		content:    content,
+		spec:       d.Spec,
+		net:        newNetwork(d.CrossZone),
+		backends:   map[ident.UpstreamID]backend{},
+		prefills:   map[string]*attempt{},
+		tombstones: map[ident.AttemptID]bool{},
+	}
+	w.judge = &judge{w: w}
+	w.feeds = &feeds{w: w}
+	w.callers = newCallers(w, d.capacity()*cell.Load)
+	for _, spec := range content.Upstreams {
+		w.addBackend(d, spec)
+	}
+	if cell.Policy == PolicyIdeal {
+		w.ideal = newIdeal(w)
+		return w, nil
+	}
+	return w, w.addInstances(d)
+}
+
+// addBackend adds the fake of one upstream.
+func (w *world) addBackend(d *Deployment, spec config.Upstream) {
+	u := upstream{spec: spec, zone: d.zoneOf(spec.ID), incarnation: 1, alive: true}
+	params := engineParams(w.content, spec)
+	var b backend
+	switch spec.Role {
+	case config.RolePrefill:
+		b = newPrefillEngine(w, u, params)
+	case config.RoleDecode:
+		b = newDecodeEngine(w, u, params)
+	default:
+		b = newServiceRunner(w, u)
+	}
+	w.backends[spec.ID] = b
+	w.order = append(w.order, spec.ID)
+}
+
+// engineParams describes an engine to the performance model.
+func engineParams(c *config.Content, spec config.Upstream) perf.Params {
+	p := perf.Params{
+		Slots:                  spec.Slots,
+		Pieces:                 spec.Pieces,
+		PieceTokens:            1,
+		PrefillTokensPerSecond: spec.PrefillTokensPerSecond,
+		LinkBytesPerSecond:     spec.LinkBytesPerSecond,
+		DecodeStep:             spec.DecodeStep,
+		DecodeStepPerRequest:   spec.DecodeStepPerRequest,
+		KVLifetime:             c.Policy.KVLifetime,
+	}
+	for _, m := range c.Models {
+		if len(spec.Models) > 0 && m.Name == spec.Models[0] {
+			p.PieceTokens = m.PieceTokens
+			p.KVBytesPerToken = m.KVBytesPerToken
+		}
+	}
+	return p
+}
+
+// addInstances starts the entry instances, spread over the zones.
+func (w *world) addInstances(d *Deployment) error {
+	for i := range w.cell.Instances {
+		zone := d.Zones[i%len(d.Zones)]
+		id := ident.InstanceID(string(zone) + "-entry-" + string(rune('a'+i)))
+		w.instances = append(w.instances, &instance{id: id, zone: zone})
+	}
+	for _, inst := range w.instances {
+		if err := w.start(inst); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *world) instance(id ident.InstanceID) *instance {
+	for _, inst := range w.instances {
+		if inst.id == id {
+			return inst
+		}
+	}
+	return nil
+}
+
+// delay is the one-way time between two zones; the ideal has none.
+func (w *world) delay(a, b ident.Zone) time.Duration {
+	if w.ideal != nil {
+		return 0
+	}
+	return w.net.delay(a, b)
+}
+
+// clientDelay is the one-way time to a caller; the ideal has none.
+func (w *world) clientDelay() time.Duration {
+	if w.ideal != nil {
+		return 0
+	}
+	return clientDelay
+}
+
+// jitter draws what is added to a message's delay, so that messages cross.
+func (w *world) jitter() time.Duration {
+	if w.cell.Jitter == 0 {
+		return 0
+	}
+	return time.Duration(w.rng.Int64N(int64(w.cell.Jitter)))
+}
+
+// send brings an attempt to its upstream.
+func (w *world) send(a *attempt) {
+	if a.role == config.RolePrefill {
+		w.prefills[a.id.String()] = a
+	}
+	up := a.upstream.base()
+	from := a.owner.place()
+	notSent := kernel.AttemptFailed{
+		Attempt: a.id, Evidence: kernel.NotSent, Code: kernel.FailureConnect, Offset: a.from,
+	}
+	if !w.net.connected(from, up.zone) {
+		w.clock.after(dialTimeout, func() { a.owner.receive(notSent) })
+		return
+	}
+	delay := w.delay(from, up.zone)
+	w.clock.after(delay+w.jitter(), func() {
+		switch {
+		case a.unread:
+			// A cut came between; the owner learns of it by its timeout.
+		case !up.alive:
+			w.clock.after(delay, func() { a.owner.receive(notSent) })
+		default:
+			w.arrive(a)
+		}
+	})
+}
+
+// arrive hands an attempt to its upstream.
+func (w *world) arrive(a *attempt) {
+	a.incarnation = a.upstream.base().incarnation
+	if w.tombstones[a.id] {
+		w.report(a, *refusal(a, kernel.FailureRejected))
+		return
+	}
+	if failure := a.upstream.accept(a); failure != nil {
+		w.report(a, *failure)
+	}
+}
+
+// report brings news of an attempt to its owner, with the upstream's load
+// where the response has headers for it.
+func (w *world) report(a *attempt, ev kernel.Event) {
+	up := a.upstream.base()
+	load := kernel.LoadSeen{Upstream: up.spec.ID, Load: a.upstream.load()}
+	_, done := ev.(kernel.AttemptDone)
+	inBand := !done || a.role == config.RoleService
+	w.clock.after(w.delay(up.zone, a.owner.place()), func() {
+		if a.unread {
+			return
+		}
+		if inBand {
+			a.owner.receive(load)
+		}
+		a.note(ev)
+		a.owner.receive(ev)
+	})
+}
+
+// note keeps how much of its answer the submission has.
+func (a *attempt) note(ev kernel.Event) {
+	switch e := ev.(type) {
+	case kernel.AttemptDone:
+		a.sub.delivered = e.Tokens
+	case kernel.AttemptFailed:
+		a.sub.delivered = max(a.sub.delivered, e.Offset)
+	}
+}
+
+// reportBroken tells an attempt's owner that the connection broke.
+func (w *world) reportBroken(a *attempt) {
+	w.breakOff(a, w.delay(a.upstream.base().zone, a.owner.place()))
+}
+
+// breakOff breaks the connection of an attempt; its owner notices after a time.
+func (w *world) breakOff(a *attempt, noticed time.Duration) {
+	if a.unread {
+		return
+	}
+	a.breakOff()
+	failed := kernel.AttemptFailed{
+		Attempt:  a.id,
+		Evidence: kernel.Ambiguous,
+		Code:     kernel.FailureBroken,
+		Offset:   a.received,
+	}
+	w.clock.after(noticed, func() {
+		a.sub.delivered = max(a.sub.delivered, a.received)
+		a.owner.receive(failed)
+	})
+}
+
+// cancel brings a cancel to an upstream and its answer back.
+func (w *world) cancel(from *life, id ident.AttemptID, to ident.UpstreamID) {
+	b := w.backends[to]
+	up := b.base()
+	failed := func() { from.receive(kernel.CancelFailed{Attempt: id}) }
+	if !w.net.connected(from.inst.zone, up.zone) {
+		w.clock.after(dialTimeout, failed)
+		return
+	}
+	delay := w.delay(from.inst.zone, up.zone)
+	w.clock.after(delay+w.jitter(), func() {
+		if !up.alive {
+			w.clock.after(delay, failed)
+			return
+		}
+		w.tombstones[id] = true
+		b.cancel(id)
+		w.clock.after(delay, func() { from.receive(kernel.CancelAcked{Attempt: id}) })
+	})
+}
+
+// run runs the whole cell.
+func (w *world) run() {
+	w.feeds.start()
+	w.callers.start()
+	w.scheduleFaults()
+	w.judge.start()
+	w.clock.run(w.cell.Warmup + w.cell.Duration + drainTime)
+	w.judge.finish()
+}
+
+// drainTime is how long a run goes on after the last arrival: the longest
+// deadline and the time in which everything held must be released.
+const drainTime = 60*time.Second + leakGrace + 5*time.Second
