--- /dev/null
+++ b/standin/engine/cacheevents_test.go
@@ -0,0 +1,160 @@
+package engine
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/tokens"
+)
+
+// events reads the cache events after a number.
+func (b *bench) events(engine string, after uint64, wait time.Duration) CacheEventsResponse {
+	b.t.Helper()
+	path := fmt.Sprintf("/v1/cache_events?after=%d&wait=%s", after, wait)
+	return read[CacheEventsResponse](b.t, b.send(b.t.Context(), http.MethodGet, engine, path, nil, nil), 200)
+}
+
+// blocks reads the snapshot of the prefix cache.
+func (b *bench) blocks(engine string) CacheBlocksResponse {
+	b.t.Helper()
+	return read[CacheBlocksResponse](b.t, b.send(b.t.Context(), http.MethodGet, engine, "/v1/cache_blocks", nil, nil), 200)
+}
+
+func TestCacheEvents(t *testing.T) {
+	inBench(t, nil, func(t *testing.T, b *bench) {
+		p, q := words("p", 40), words("q", 40)
+		b.prefill(prefillA, "a1", "r1", p)
+		assert.Equal(t, b.blocks(prefillA).Seq, uint64(1))
+		assert.Equal(t, b.events(prefillA, 0, 0).LastSeq, uint64(0)) // not yet published
+
+		start := time.Now()
+		got := b.events(prefillA, 0, 10*time.Second)
+		assert.Equal(t, time.Since(start), 200*time.Millisecond)
+		stored := tokens.BlockHashes(p, 10)
+		assert.DeepEqual(t, got.Batches[0].Events, []CacheEvent{
+			{Type: BlockStored, BlockHashes: stored, BlockSize: 10},
+		})
+
+		// The cache holds six blocks, so two of the first prompt go.
+		b.prefill(prefillA, "a2", "r2", q)
+		got = b.events(prefillA, got.LastSeq, 10*time.Second)
+		assert.DeepEqual(t, got.Batches[0].Events, []CacheEvent{
+			{Type: BlockStored, BlockHashes: tokens.BlockHashes(q, 10), BlockSize: 10},
+			{Type: BlockRemoved, BlockHashes: []tokens.BlockHash{stored[3], stored[2]}},
+		})
+
+		// The lost tail of the first prompt is stored again, after its parent.
+		b.prefill(prefillA, "a3", "r3", p)
+		got = b.events(prefillA, got.LastSeq, 10*time.Second)
+		assert.Equal(t, *got.Batches[0].Events[0].ParentBlockHash, stored[1])
+		assert.Equal(t, len(b.blocks(prefillA).Hashes), 6)
+	})
+}
+
+func TestCacheEventsWaitEnds(t *testing.T) {
+	inBench(t, nil, func(t *testing.T, b *bench) {
+		start := time.Now()
+		got := b.events(prefillA, 0, 10*time.Second)
+		assert.Equal(t, time.Since(start), 10*time.Second)
+		assert.Equal(t, len(got.Batches), 0)
+	})
+}
+
+// TestLostBatchesLeaveGaps replays events with losses and asserts that a reader
+// who reads a snapshot at each gap knows the cache in the end.
+func TestLostBatchesLeaveGaps(t *testing.T) {
+	lose := func(c *Config) { c.CacheLoss, c.Seed = 0.4, 7 }
+	inBench(t, lose, func(t *testing.T, b *bench) {
+		known := map[tokens.BlockHash]bool{}
+		var seq uint64
+		gaps := 0
+		for i := range 30 {
+			id := fmt.Sprint(i)
+			b.prefill(prefillA, id, id, words(fmt.Sprint("p", i%5), 10+i%3*10))
+			time.Sleep(time.Second)
+			got := b.events(prefillA, seq, 0)
+			next := seq
+			for _, batch := range got.Batches {
+				gaps += int(batch.Seq - next - 1)
+				next = batch.Seq
+				follow(known, batch.Events)
+			}
+			if got.LastSeq != seq+uint64(len(got.Batches)) {
+				snapshot := b.blocks(prefillA)
+				clear(known)
+				follow(known, []CacheEvent{{Type: BlockStored, BlockHashes: snapshot.Hashes}})
+				seq = snapshot.Seq
+				gaps++
+				continue
+			}
+			seq = got.LastSeq
+		}
+		want := b.blocks(prefillA).Hashes
+		assert.Equal(t, len(known), len(want))
+		for _, h := range want {
+			assert.Assert(t, known[h])
+		}
+		assert.Assert(t, gaps > 0)
+	})
+}
+
+// follow applies events to a reader's view of the cache.
+func follow(known map[tokens.BlockHash]bool, events []CacheEvent) {
+	for _, e := range events {
+		for _, h := range e.BlockHashes {
+			if e.Type == BlockStored {
+				known[h] = true
+			} else {
+				delete(known, h)
+			}
+		}
+		if e.Type == AllBlocksCleared {
+			clear(known)
+		}
+	}
+}
+
+func TestReaderMeetsNewIncarnation(t *testing.T) {
+	inBench(t, nil, func(t *testing.T, b *bench) {
+		b.prefill(prefillA, "a1", "r1", words("p", 40))
+		before := b.events(prefillA, 0, 10*time.Second)
+		b.engines[prefillA].Crash(0)
+		time.Sleep(time.Millisecond)
+		synctest.Wait()
+		after := b.events(prefillA, before.LastSeq, 10*time.Second)
+		assert.Assert(t, after.Incarnation > before.Incarnation)
+		assert.Assert(t, after.LastSeq < before.LastSeq)
+		assert.Equal(t, len(b.blocks(prefillA).Hashes), 0)
+	})
+}
+
+func TestLogIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newEventLog(0, newLossy(0, 0))
+		for range maxBatches + 10 {
+			l.add([]CacheEvent{{Type: AllBlocksCleared}})
+		}
+		got, last, _ := l.read(0, time.Now())
+		assert.Equal(t, len(got), maxBatches)
+		assert.Equal(t, got[0].Seq, uint64(11))
+		assert.Equal(t, last, uint64(maxBatches+10))
+	})
+}
+
+// TestDecodeEngineCachesPulledBlocks shows that a resumed generation finds the
+// blocks that were pulled before.
+func TestDecodeEngineCachesPulledBlocks(t *testing.T) {
+	inBench(t, func(c *Config) { c.Perf = testPerf(); c.Perf.CachePieces = 10 }, func(t *testing.T, b *bench) {
+		prompt := words("p", 40)
+		kv := b.prefill(prefillA, "a1", "r1", prompt)
+		collect(t, b.post(b.t.Context(), decodeAsk(decodeA, "a2", "r1", prompt, 5, kv)), 0)
+		assert.Equal(t, testPerf().PiecesFor(40), len(b.blocks(decodeA).Hashes))
+		got := collect(t, b.post(b.t.Context(), decodeAsk(decodeA, "a3", "r2", prompt, 5, nil)), 0)
+		assert.Equal(t, got.usage.PromptTokensDetails.CachedTokens, 39)
+	})
+}
--- /dev/null
+++ b/standin/engine/orders_test.go
@@ -0,0 +1,116 @@
+package engine
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/standin/control"
+)
+
+// order gives an engine an order.
+func (b *bench) order(engine string, o Order) *http.Response {
+	b.t.Helper()
+	return b.send(b.t.Context(), http.MethodPost, engine, "/v1/orders", nil, o)
+}
+
+// orders reads an engine's placement.
+func (b *bench) orders(engine string) OrdersResponse {
+	b.t.Helper()
+	return read[OrdersResponse](b.t, b.send(b.t.Context(), http.MethodGet, engine, "/v1/orders", nil, nil), 200)
+}
+
+func decodeOrder(fence uint64, models ...string) Order {
+	return Order{Fence: fence, Role: config.RoleDecode, Models: models, Version: "v1"}
+}
+
+func TestFencing(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		inBench(t, func(c *Config) { c.ChecksFencing = checks }, func(t *testing.T, b *bench) {
+			read[OrdersResponse](t, b.order(decodeA, decodeOrder(7, "m", "n")), 200)
+			old := b.order(decodeA, decodeOrder(6, "m"))
+			if checks {
+				got := read[control.ErrorBody](t, old, http.StatusConflict)
+				assert.Equal(t, got.Error.Code, control.CodeStaleFence)
+				assert.Equal(t, got.Highest, uint64(7))
+			} else {
+				read[OrdersResponse](t, old, 200)
+			}
+			read[OrdersResponse](t, b.order(decodeA, decodeOrder(7, "m", "o")), 200)
+			time.Sleep(time.Second)
+			synctest.Wait()
+			got := b.orders(decodeA)
+			assert.Equal(t, got.Highest, uint64(7))
+			assert.DeepEqual(t, got.Models, []string{"m", "o"})
+			assert.Equal(t, got.ChecksFencing, checks)
+		})
+	}
+}
+
+func TestOrderTakesTime(t *testing.T) {
+	inBench(t, nil, func(t *testing.T, b *bench) {
+		running := b.post(b.t.Context(), decodeAsk(decodeA, "a0", "r0", words("p", 10), 150, nil))
+		code := func(attempt, model string) control.Code {
+			a := decodeAsk(decodeA, attempt, attempt, "p", 1, nil)
+			a.body.Model, a.body.Stream = model, false
+			resp := b.post(b.t.Context(), a)
+			if resp.StatusCode == http.StatusOK {
+				b.drain(resp)
+				return ""
+			}
+			return read[control.ErrorBody](t, resp, resp.StatusCode).Error.Code
+		}
+		read[OrdersResponse](t, b.order(decodeA, decodeOrder(1, "m", "n")), 200)
+		assert.Assert(t, b.orders(decodeA).Loading != nil)
+		assert.Equal(t, code("a1", "m"), control.Code("")) // it stays
+		assert.Equal(t, code("a2", "n"), control.CodeModelNotFound)
+		time.Sleep(time.Second)
+		assert.Equal(t, code("a3", "n"), control.Code(""))
+
+		// The same order again changes nothing.
+		got := read[OrdersResponse](t, b.order(decodeA, decodeOrder(2, "m", "n")), 200)
+		assert.Assert(t, got.Loading == nil)
+		assert.Equal(t, got.Applied, 2)
+		assert.Equal(t, got.History[1].Changed, false)
+
+		// A change of role serves nothing until it is done; what runs goes on.
+		role := Order{Fence: 3, Role: config.RolePrefill, Models: []string{"m"}, Version: "v1"}
+		read[OrdersResponse](t, b.order(decodeA, role), 200)
+		assert.Equal(t, code("a4", "m"), control.CodeModelNotFound)
+		time.Sleep(time.Second)
+		assert.Equal(t, code("a5", "m"), control.CodeWrongRole)
+		b.prefill(decodeA, "a6", "r6", "p")
+		assert.Assert(t, collect(t, running, 0).whole)
+	})
+}
+
+func TestNewerOrderReplacesOneOnItsWay(t *testing.T) {
+	inBench(t, nil, func(t *testing.T, b *bench) {
+		b.drain(b.order(decodeA, decodeOrder(1, "n")))
+		time.Sleep(900 * time.Millisecond)
+		b.drain(b.order(decodeA, decodeOrder(2, "o")))
+		time.Sleep(900 * time.Millisecond)
+		assert.DeepEqual(t, b.orders(decodeA).Models, []string{"m"})
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
+		assert.DeepEqual(t, b.orders(decodeA).Models, []string{"o"})
+	})
+}
+
+// TestOrderBack gives an order and then, before it is done, one that asks for
+// what is in force.
+func TestOrderBack(t *testing.T) {
+	inBench(t, nil, func(t *testing.T, b *bench) {
+		b.drain(b.order(decodeA, decodeOrder(1, "n")))
+		b.drain(b.order(decodeA, decodeOrder(2, "m")))
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		got := b.orders(decodeA)
+		assert.DeepEqual(t, got.Models, []string{"m"})
+		assert.Assert(t, got.Loading == nil)
+	})
+}
--- a/standin/judge/merge.go
+++ b/standin/judge/merge.go
@@ -77,7 +77,9 @@
 	s.Generated += generated
 	s.RepeatedTokens += generated - distinct
 	s.PromptComputed += c.computed
-	s.PromptWasted += c.computed - c.used
+	// Without the report of the engine that prefilled, less is known to have
+	// been computed than was used.
+	s.PromptWasted += max(c.computed-c.used, 0)
 	switch {
 	case c.completed == 0:
 		s.PromptAbandoned += c.used
