--- /dev/null
+++ b/cmd/wardspool-load/experiment.go
@@ -0,0 +1,229 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/wardspool/wardspool/bundle"
+	"github.com/wardspool/wardspool/experiment"
+	"github.com/wardspool/wardspool/load/workload"
+	"github.com/wardspool/wardspool/report"
+)
+
+// experimentCmd runs the matrix, a quick part of it or one cell.
+type experimentCmd struct {
+	Out      string   `help:"Directory of the CSV files and plots." default:"out"`
+	Examples string   `help:"Directory of the deployments: a folder each with bundle.yaml and workload.yaml." default:"examples"`
+	Seeds    int      `help:"Number of seeds." default:"3"`
+	Workers  int      `help:"Cells that run at the same time." default:"6"`
+	Quick    bool     `help:"One seed, loads 0.8, 1.0 and 1.5, no faults, nothing written."`
+	Only     []string `help:"Deployments to run." default:"coastline,lagos"`
+
+	Policy []string      `help:"Run these policies only: naive, current, ideal, v1, slots.lease and so on." placeholder:"NAME"`
+	Load   []float64     `help:"Run these loads only, as shares of capacity." placeholder:"SHARE"`
+	Fault  []string      `help:"Run these faults only; none is no fault." placeholder:"NAME"`
+	Seed   uint64        `help:"First seed." default:"1"`
+	Length time.Duration `help:"Measured time of each cell, in virtual time." placeholder:"DURATION"`
+	Count  int           `help:"Number of entry instances, with --policy, --load or --fault." default:"8" name:"instances"`
+	Trace  string        `help:"Write every event and action of the only cell chosen to this file." placeholder:"FILE"`
+}
+
+// Run implements the subcommand.
+func (c *experimentCmd) Run() error {
+	deployments, err := c.deployments()
+	if err != nil {
+		return err
+	}
+	cells := c.cells(deployments)
+	if c.Trace != "" {
+		return c.trace(cells, deployments)
+	}
+	printCapacity(deployments)
+	fmt.Printf("%d cells, %d at a time\n", len(cells), c.Workers)
+	started := time.Now()
+	results, err := experiment.RunAll(cells, deployments, c.Workers, func(done int, r *experiment.Result) {
+		c.progress(done, len(cells), started, r)
+	})
+	if err != nil {
+		return oops.In("experiment").Wrap(err)
+	}
+	fmt.Printf("%d cells in %s\n\n", len(cells), time.Since(started).Round(time.Second/10))
+	return c.write(results)
+}
+
+// deployments loads the examples.
+func (c *experimentCmd) deployments() ([]*experiment.Deployment, error) {
+	var list []*experiment.Deployment
+	for _, name := range c.Only {
+		d, err := loadDeployment(filepath.Join(c.Examples, name))
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, d)
+	}
+	return list, nil
+}
+
+// loadDeployment reads one folder.
+func loadDeployment(dir string) (*experiment.Deployment, error) {
+	path := filepath.Join(dir, "bundle.yaml")
+	source, err := os.ReadFile(path)
+	if err != nil {
+		return nil, oops.In("experiment").Wrap(err)
+	}
+	content, findings := bundle.ParseSource(path, source)
+	if len(findings) > 0 {
+		return nil, oops.In("experiment").Wrap(findings.Err())
+	}
+	path = filepath.Join(dir, "workload.yaml")
+	spec, err := loadWorkload(path)
+	if err != nil {
+		return nil, err
+	}
+	d, err := experiment.NewDeployment(content, spec)
+	return d, oops.In("experiment").Wrap(err)
+}
+
+// loadWorkload reads a workload file.
+func loadWorkload(path string) (*workload.Spec, error) {
+	source, err := os.ReadFile(path)
+	if err != nil {
+		return nil, oops.In("workload").Wrap(err)
+	}
+	spec, err := workload.Parse(source)
+	return spec, oops.In("workload").With("file", path).Wrap(err)
+}
+
+// cells chooses what to run.
+func (c *experimentCmd) cells(deployments []*experiment.Deployment) []experiment.Cell {
+	chosen := len(c.Policy)+len(c.Load)+len(c.Fault) > 0
+	var cells []experiment.Cell
+	switch {
+	case chosen:
+		cells = c.chosenCells(deployments)
+	case c.Quick:
+		cells = experiment.QuickCells(deployments)
+	default:
+		cells = experiment.FullCells(deployments, c.Seeds)
+	}
+	for i := range cells {
+		if c.Length > 0 {
+			cells[i].Duration = c.Length
+		}
+	}
+	return cells
+}
+
+// chosenCells crosses what the flags name.
+func (c *experimentCmd) chosenCells(deployments []*experiment.Deployment) []experiment.Cell {
+	policies := orDefault(c.Policy, []string{string(experiment.PolicyCurrent)})
+	loads := orDefault(c.Load, []float64{1.0})
+	faults := orDefault(c.Fault, []string{string(experiment.FaultNone)})
+	var cells []experiment.Cell
+	for _, d := range deployments {
+		for _, p := range policies {
+			for _, load := range loads {
+				for _, f := range faults {
+					for n := range c.Seeds {
+						cell := experiment.NewCell(d, experiment.PolicyName(p), load, experiment.Fault(f), c.Seed+uint64(n))
+						cell.Instances = c.Count
+						cells = append(cells, cell)
+					}
+				}
+			}
+		}
+	}
+	return cells
+}
+
+// orDefault returns list, or what stands for an empty one.
+func orDefault[T any](list, otherwise []T) []T {
+	if len(list) == 0 {
+		return otherwise
+	}
+	return list
+}
+
+func printCapacity(deployments []*experiment.Deployment) {
+	for _, d := range deployments {
+		k := d.Capacity()
+		fmt.Printf("%s: capacity %.1f requests/s, of these %.0f%% model requests;"+
+			" bounds in model requests/s: prefill %.1f, decode %.1f (batch %.1f), link %.1f\n",
+			d.Name, k.Requests, k.ModelShare*100, k.Prefill, k.Decode, k.Batch, k.Link)
+	}
+}
+
+// progressEvery is the number of cells between two progress lines.
+const progressEvery = 25
+
+// progress prints violations at once and a line now and then.
+func (c *experimentCmd) progress(done, total int, started time.Time, r *experiment.Result) {
+	if len(r.Violations) > 0 && r.Cell.Policy != experiment.PolicyNaive {
+		fmt.Printf("broken: %s %s load %.1f fault %s seed %d instances %d: %v; first: %s\n",
+			r.Cell.Deployment, r.Cell.Policy, r.Cell.Load, r.Cell.Fault, r.Cell.Seed,
+			r.Cell.Instances, r.Broken, r.Violations[0])
+	}
+	if done%progressEvery == 0 || done == total {
+		fmt.Printf("%4d of %d cells, %s\n", done, total, time.Since(started).Round(time.Second))
+	}
+}
+
+// trace runs one cell with a trace.
+func (c *experimentCmd) trace(cells []experiment.Cell, deployments []*experiment.Deployment) error {
+	f, err := os.Create(c.Trace)
+	if err != nil {
+		return oops.In("experiment").Wrap(err)
+	}
+	defer func() { _ = f.Close() }()
+	cell := cells[0]
+	for _, d := range deployments {
+		if d.Name != cell.Deployment {
+			continue
+		}
+		r, err := experiment.RunTraced(cell, d, func(line string) { _, _ = fmt.Fprintln(f, line) })
+		if err != nil {
+			return oops.In("experiment").Wrap(err)
+		}
+		for _, v := range r.Violations {
+			fmt.Println(v)
+		}
+		return c.print([]*experiment.Result{r})
+	}
+	return nil
+}
+
+// print writes the table of means to standard output.
+func (c *experimentCmd) print(results []*experiment.Result) error {
+	table, err := experiment.Table(experiment.Summarize(results))
+	if err != nil {
+		return oops.In("experiment").Wrap(err)
+	}
+	return table.WriteText(os.Stdout)
+}
+
+// write prints the table and writes the files of a full run.
+func (c *experimentCmd) write(results []*experiment.Result) error {
+	if err := c.print(results); err != nil || c.Quick {
+		return err
+	}
+	list := experiment.Summarize(results)
+	tables := map[string]func() (*report.Table, error){
+		"experiment.csv":        func() (*report.Table, error) { return experiment.Table(list) },
+		"experiment-spread.csv": func() (*report.Table, error) { return experiment.SpreadTable(list) },
+		"experiment-kinds.csv":  func() (*report.Table, error) { return experiment.KindTable(results) },
+	}
+	for name, make := range tables {
+		table, err := make()
+		if err != nil {
+			return oops.In("experiment").Wrap(err)
+		}
+		if err := table.SaveCSV(filepath.Join(c.Out, name)); err != nil {
+			return oops.In("experiment").Wrap(err)
+		}
+	}
+	return experiment.SavePlots(filepath.Join(c.Out, "experiment"), list)
+}
--- /dev/null
+++ b/cmd/wardspool-load/main.go
@@ -0,0 +1,44 @@
+// Command wardspool-load offers load to wardspool and measures what comes of
+// it: over HTTP against running processes, or in virtual time against the
+// decision kernel alone.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+// version is set by the build.
+var version = "devel"
+
+// description opens the help text.
+const description = `Load generator and experiments.
+
+  wardspool-load experiment --quick
+  wardspool-load experiment --out out/ --seeds 3 --workers 6
+
+docs/measurements.md explains the figures.`
+
+// cli is the command line.
+type cli struct {
+	Experiment experimentCmd    `cmd:"" help:"Run the policies in virtual time: a table, CSV files and plots."`
+	Version    kong.VersionFlag `help:"Print the version and exit."`
+}
+
+func main() {
+	var c cli
+	parsed := kong.Parse(&c,
+		kong.Name("wardspool-load"),
+		kong.Description(description),
+		kong.Vars{"version": version},
+		kong.UsageOnError(),
+	)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	parsed.BindTo(ctx, (*context.Context)(nil))
+	parsed.FatalIfErrorf(parsed.Run())
+}
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -49,7 +49,7 @@
 		d := deployment(t, name)
 		assert.Equal(t, len(d.Zones), 3)
 		assert.Equal(t, string(d.Zones[0]), want)
-		t.Logf("%s: capacity %+v, means %+v", name, d.Capacity(), d.means())
+		t.Logf("%s: capacity %+v", name, d.Capacity())
 	}
 }
 
--- a/experiment/matrix.go
+++ b/experiment/matrix.go
@@ -1,15 +1,18 @@
 package experiment
 
 import (
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/wardspool/wardspool/plugin"
 )
 
 // Times of the matrix's cells.
 const (
 	matrixWarmup   = 10 * time.Second
-	matrixDuration = 60 * time.Second
-	quickDuration  = 40 * time.Second
+	matrixDuration = 120 * time.Second
+	quickDuration  = 60 * time.Second
 )
 
 // usualInstances is the number of entry instances that each user has today.
@@ -32,7 +35,7 @@
 	for _, d := range deployments {
 		for _, p := range []PolicyName{PolicyNaive, PolicyCurrent, PolicyIdeal} {
 			for _, load := range []float64{0.8, 1.0, 1.5} {
-				c := newCell(d, p, load, FaultNone, 1)
+				c := NewCell(d, p, load, FaultNone, 1)
 				c.Duration = quickDuration
 				cells = append(cells, c)
 			}
@@ -66,7 +69,7 @@
 	var cells []Cell
 	for _, p := range policies() {
 		for _, load := range Loads {
-			cells = append(cells, newCell(d, p, load, FaultNone, seed))
+			cells = append(cells, NewCell(d, p, load, FaultNone, seed))
 		}
 	}
 	return cells
@@ -76,7 +79,7 @@
 	var cells []Cell
 	for _, p := range policies() {
 		for _, f := range append(append([]Fault{}, SingleFaults...), DoubleFaults...) {
-			cells = append(cells, newCell(d, p, 1.0, f, seed))
+			cells = append(cells, NewCell(d, p, 1.0, f, seed))
 		}
 	}
 	return cells
@@ -85,9 +88,9 @@
 func slotCells(d *Deployment, seed uint64) []Cell {
 	var cells []Cell
 	for _, n := range slotInstances {
-		for _, p := range slotPolicies {
+		for _, p := range linked(slotPolicies) {
 			for _, f := range slotFaults {
-				c := newCell(d, p, 1.0, f, seed)
+				c := NewCell(d, p, 1.0, f, seed)
 				c.Instances = n
 				cells = append(cells, c)
 			}
@@ -96,7 +99,19 @@
 	return cells
 }
 
-func newCell(d *Deployment, p PolicyName, load float64, f Fault, seed uint64) Cell {
+// linked keeps the slot policies that this binary has.
+func linked(names []PolicyName) []PolicyName {
+	var have []PolicyName
+	for _, id := range plugin.InNamespace("slots") {
+		if name := PolicyName(id); slices.Contains(names, name) {
+			have = append(have, name)
+		}
+	}
+	return have
+}
+
+// NewCell returns a cell with the usual number of instances and times.
+func NewCell(d *Deployment, p PolicyName, load float64, f Fault, seed uint64) Cell {
 	return Cell{
 		Deployment: d.Name,
 		Instances:  usualInstances,
