Mutation runner; leaving is sticky against older views

The stale-view interleavings also showed that a view older than a Leaving one undid it when the agent had restarted; the kernel now keeps leaving per incarnation itself. Ruled out: making Dead sticky as well (a misjudged death would last for ever).

--- /dev/null
+++ b/internal/mutate/table.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+)
+
+// pageHead opens the Markdown page that --write makes.
+const pageHead = `# Safeguards taken out
+
+Written by ` + "`make mutations`" + `. Each row takes one safeguard out of a copy of the
+code; "noticed" means that the named test then fails.
+
+`
+
+// maxCell bounds a cell's width, in bytes.
+const maxCell = 110
+
+func markdown(results []Result) string {
+	var b strings.Builder
+	b.WriteString("| safeguard taken out | promise | test | result | first failure |\n|---|---|---|---|---|\n")
+	for _, r := range results {
+		fmt.Fprintf(&b, "| %s | %s | %s %s | %s | %s |\n", r.Mutation.Name, r.Mutation.Promise,
+			r.Mutation.Package, cell(r.Mutation.Run), verdict(r), cell(r.Line))
+	}
+	return b.String()
+}
+
+func cell(s string) string {
+	s = strings.ReplaceAll(s, "|", "\\|")
+	if len(s) > maxCell {
+		s = s[:maxCell] + "…"
+	}
+	return s
+}
+
+func verdict(r Result) string {
+	switch {
+	case !r.Built:
+		return "not built"
+	case r.Noticed:
+		return "noticed"
+	default:
+		return "SURVIVED"
+	}
+}
+
+// survivors returns a *SurvivorError if a mutation was not noticed.
+func survivors(results []Result) error {
+	var names []string
+	for _, r := range results {
+		if !r.Noticed || !r.Built {
+			names = append(names, r.Mutation.Name)
+		}
+	}
+	if len(names) == 0 {
+		return nil
+	}
+	return &SurvivorError{Names: names}
+}
--- a/kernel/fleet.go
+++ b/kernel/fleet.go
@@ -17,8 +17,8 @@
 	prefills map[string][]int
 	decodes  map[string][]int
 	services map[string][]int
-	// left remembers the incarnation in which an upstream said that it is
-	// leaving: leaving is sticky, whatever an older view says.
+	// left remembers the incarnation in which an upstream was said to be
+	// leaving, by itself or by a view.
 	left map[ident.UpstreamID]ident.Incarnation
 }
 
@@ -49,6 +49,7 @@
 		u.Index = i
 		index[u.ID] = i
 		f.carryOver(u, old, now)
+		f.keepLeaving(u)
 	}
 	f.view = next
 	f.byID = index
@@ -76,6 +77,15 @@
 	if prev.Load.At.After(u.Load.At) {
 		u.Load = prev.Load
 	}
+}
+
+// keepLeaving makes leaving sticky: once any source has said that an
+// incarnation is leaving, no older news can undo it.
+func (f *fleet) keepLeaving(u *Upstream) {
+	if u.Life == Leaving {
+		f.left[u.ID] = u.Incarnation
+		return
+	}
 	if f.left[u.ID] == u.Incarnation && u.Life < Leaving {
 		u.Life = Leaving
 	}
--- a/kernel/interleaving_test.go
+++ b/kernel/interleaving_test.go
@@ -42,7 +42,11 @@
 	now     time.Time
 	view    *kernel.View
 	content *config.Content
-	stale   []*kernel.View
+	// given is the view that the kernel was last given; stale are older ones.
+	given *kernel.View
+	stale []*kernel.View
+	// left is the incarnation in which an upstream was said to be leaving.
+	left map[ident.UpstreamID]ident.Incarnation
 
 	flights  []flight
 	attaches []flight
@@ -73,11 +77,12 @@
 		held:      map[ident.AttemptID]ident.UpstreamID{},
 		cancelled: map[ident.AttemptID]bool{},
 		requests:  map[ident.RequestID]*truth{},
+		left:      map[ident.UpstreamID]ident.Incarnation{},
 		kvOf:      map[ident.AttemptID]ident.AttemptID{},
 		prefillOf: map[ident.RequestID]ident.AttemptID{},
 	}
 	w.step(kernel.Configured{Version: 1, Content: c})
-	w.step(kernel.ViewChanged{View: w.view})
+	w.give(w.view)
 	return w
 }
 
@@ -109,9 +114,18 @@
 }
 
 func (w *fakeWorld) start(f flight) {
-	if life := w.upstream(f.upstream).Life; life >= kernel.Leaving {
-		w.t.Fatalf("new work for %s, which is known to be in state %d", f.upstream, life)
+	for _, u := range w.given.Upstreams {
+		if u.ID != f.upstream {
+			continue
+		}
+		if u.Life >= kernel.Leaving && u.Incarnation >= w.upstream(u.ID).Incarnation {
+			w.t.Fatalf("new work for %s, which is known to be in state %d", u.ID, u.Life)
+		}
+		if w.left[u.ID] != 0 && w.left[u.ID] == w.upstream(u.ID).Incarnation {
+			w.t.Fatalf("new work for %s, which said that it is leaving", u.ID)
+		}
 	}
+	f.dead = w.upstream(f.upstream).Life == kernel.Dead
 	w.flights = append(w.flights, f)
 }
 
@@ -204,7 +218,7 @@
 		fail.Evidence, fail.Code = kernel.NotSent, kernel.FailureConnect
 	case "draining":
 		fail.Code = kernel.FailureDraining
-		w.upstream(f.upstream).Life = max(w.upstream(f.upstream).Life, kernel.Leaving)
+		w.left[f.upstream] = w.upstream(f.upstream).Incarnation
 	case "kv":
 		if f.model && !f.prefill {
 			fail.Code = kernel.FailureKVGone
@@ -339,7 +353,26 @@
 	change(&v.Upstreams[i])
 	w.stale = append(w.stale, w.view)
 	w.view = &v
-	w.step(kernel.ViewChanged{View: w.view})
+	w.give(w.view)
+}
+
+// give hands the kernel a view.
+func (w *fakeWorld) give(v *kernel.View) {
+	w.given = v
+	for _, u := range v.Upstreams {
+		if u.Life == kernel.Leaving {
+			w.left[u.ID] = max(w.left[u.ID], u.Incarnation)
+		}
+	}
+	w.step(kernel.ViewChanged{View: v})
+}
+
+// staleView hands the kernel an older view than it has seen.
+func (w *fakeWorld) staleView(t *rapid.T) {
+	if len(w.stale) == 0 {
+		return
+	}
+	w.give(w.stale[rapid.IntRange(0, len(w.stale)-1).Draw(t, "stale view")])
 }
 
 // leave has an upstream announce that it is leaving.
@@ -441,6 +474,7 @@
 			"leave":    w.leave,
 			"die":      w.die,
 			"restart":  w.restart,
+			"stale":    w.staleView,
 			"pause":    w.pause,
 		})
 		w.settle(t)
