--- a/cmd/wardspool-standin/engine.go
+++ b/cmd/wardspool-standin/engine.go
@@ -62,6 +62,9 @@
 
 // Run serves the engine until ctx is done.
 func (c *engineCmd) Run(ctx context.Context, log *slog.Logger) error {
+	if err := c.Perf.params().Validate(); err != nil {
+		return err
+	}
 	l, err := listen(c.Listen)
 	if err != nil {
 		return err
--- a/standin/judge/merge_test.go
+++ b/standin/judge/merge_test.go
@@ -46,3 +46,21 @@
 		})
 	}
 }
+
+func TestIndex(t *testing.T) {
+	x := NewIndex(
+		[]Engine{
+			{Requests: []Request{{CorrelationID: "m", Accepted: 1, PrefillRuns: 1}, {CorrelationID: "queued", Accepted: 1}}},
+			{Requests: []Request{{CorrelationID: "m", Accepted: 2, DecodeRuns: 1, Completed: 1}}},
+		},
+		[]Service{
+			{ByCorrelation: []Count{{"s", 1}}, ByKey: []Count{{"k", 1}}},
+			{ByCorrelation: []Count{{"s", 1}}, ByKey: []Count{{"k", 2}}},
+		},
+	)
+	assert.Equal(t, x.Request("m"), Runs{Accepted: 3, PrefillRuns: 1, DecodeRuns: 1, Completed: 1})
+	assert.Equal(t, x.Request("s"), Runs{ServiceRuns: 2})
+	assert.Assert(t, x.Request("m").Ran() && x.Request("s").Ran())
+	assert.Assert(t, !x.Request("queued").Ran() && !x.Request("unknown").Ran())
+	assert.Equal(t, x.KeyRuns("k"), 3)
+}
--- a/standin/perf/perf_test.go
+++ b/standin/perf/perf_test.go
@@ -1,6 +1,8 @@
 package perf
 
 import (
+	"errors"
+	"math"
 	"testing"
 	"time"
 
@@ -105,3 +107,20 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, got.Round(time.Microsecond), want)
 }
+
+func TestValidate(t *testing.T) {
+	assert.NilError(t, Defaults().Validate())
+	tests := map[string]func(*Params){
+		"slots":                     func(p *Params) { p.Slots = 0 },
+		"prefill_tokens_per_second": func(p *Params) { p.PrefillTokensPerSecond = math.NaN() },
+		"decode_step_ns":            func(p *Params) { p.DecodeStep = -1 },
+		"cache_pieces":              func(p *Params) { p.CachePieces = -1 },
+	}
+	for name, change := range tests {
+		p := Defaults()
+		change(&p)
+		var bad *ParamError
+		assert.Assert(t, errors.As(p.Validate(), &bad), name)
+		assert.Equal(t, bad.Name, name)
+	}
+}
