peer: Drain keeps accepting connections; a silent process is told apart

Cause: peers take a refused connection for proof of death. A process that closes its listener while it finishes requests would be robbed of them; and a paused process, whose kernel still accepts, must not look like a cut network. Change: Server.Drain; DialError kind DialSilent for a hello or a TLS handshake without an answer. Measured: go test -race -count=20 ./peer passes.

--- a/peer/clientconn.go
+++ b/peer/clientconn.go
@@ -68,7 +68,7 @@
 func (c *clientConn) greet(ctx context.Context) error {
 	conn, err := c.secure(ctx)
 	if err != nil {
-		return newDialError(c.addr, err)
+		return c.helloFailed(err)
 	}
 	c.stream = newStream(conn, c.cfg.Limits, c.wanted)
 	// The answer to the hello is the first frame; the server was chosen by its
@@ -88,16 +88,19 @@
 	return err
 }
 
-// helloFailed gives the failure of a hello call its type: the remote's own
-// refusal, or a *DialError. A process that does not run any more still has its
-// connections accepted by its kernel, and then the hello times out.
+// helloFailed gives the failure of a handshake or a hello its type: the remote's
+// own refusal, or a *DialError.
 func (c *clientConn) helloFailed(err error) error {
 	cause := plainCause(err)
 	var closed *ClosedError
-	if errors.Is(cause, context.DeadlineExceeded) || errors.As(cause, &closed) {
+	switch {
+	case errors.Is(cause, context.DeadlineExceeded):
+		return &DialError{Addr: c.addr, Kind: DialSilent, Err: cause}
+	case errors.As(cause, &closed), c.cfg.TLS != nil && c.stream == nil:
 		return newDialError(c.addr, cause)
+	default:
+		return cause
 	}
-	return cause
 }
 
 // secure performs the TLS handshake where TLS is configured.
--- a/peer/dialerror.go
+++ b/peer/dialerror.go
@@ -21,6 +21,9 @@
 	DialTimeout
 	// DialUnreachable means that the network knows no way there.
 	DialUnreachable
+	// DialSilent means that the remote kernel accepted the connection and the
+	// process did not answer the hello in time: it may be paused.
+	DialSilent
 )
 
 // String returns the name used in logs.
@@ -32,6 +35,8 @@
 		return "timeout"
 	case DialUnreachable:
 		return "unreachable"
+	case DialSilent:
+		return "silent"
 	default:
 		return "other"
 	}
--- a/peer/hello_test.go
+++ b/peer/hello_test.go
@@ -139,3 +139,21 @@
 		assert.Equal(t, DeliveryOf(err), NotSent)
 	}
 }
+
+// TestSilentServerIsToldApart meets a process whose kernel accepts connections
+// and that does not run.
+func TestSilentServerIsToldApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		defer far.Close()
+		p := NewPool(Config{Self: entryA, Dialer: fixedDialer{near}, Allow: allowAll})
+		defer p.Close()
+		start := time.Now()
+		_, err := Call[echoResponse](context.Background(), p, "b", "echo", echoRequest{})
+		var de *DialError
+		assert.Assert(t, errors.As(err, &de), "%v", err)
+		assert.Equal(t, de.Kind, DialSilent)
+		assert.Equal(t, DeliveryOf(err), NotSent)
+		assert.Equal(t, time.Since(start), DefaultHello)
+	})
+}
--- a/peer/limits_test.go
+++ b/peer/limits_test.go
@@ -224,6 +224,27 @@
 	})
 }
 
+func TestDrainKeepsAccepting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		s, p, d := pipePair(Limits{}, Limits{}, func(s *Server) { blocking(s, release, nil) })
+		defer stop(t, s, p)
+		inFlight := make(chan error, 1)
+		go func() {
+			_, err := Call[echoResponse](context.Background(), p, "b", "block", echoRequest{})
+			inFlight <- err
+		}()
+		synctest.Wait()
+		s.Drain()
+		_, err := Call[echoResponse](context.Background(), p, "c", "block", echoRequest{})
+		var stopping *StoppingError
+		assert.Assert(t, errors.As(err, &stopping), "%v", err)
+		assert.Equal(t, d.count(), 2)
+		close(release)
+		assert.NilError(t, <-inFlight)
+	})
+}
+
 func TestShutdownIsBoundedByItsContext(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ended := make(chan error, 1)
--- a/peer/server.go
+++ b/peer/server.go
@@ -20,6 +20,7 @@
 	listeners map[net.Listener]struct{}
 	conns     map[*serverConn]struct{}
 	closed    Traffic
+	draining  bool
 	stopping  bool
 	wg        sync.WaitGroup
 }
@@ -59,6 +60,23 @@
 	return s.stopping
 }
 
+// Drain refuses new calls with a *StoppingError and goes on with those in
+// progress. Connections are still accepted: peers take a refused connection for
+// proof that the process is gone, so that a process which still has requests in
+// flight must drain first and call Shutdown last.
+func (s *Server) Drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+}
+
+// refuses reports whether new calls are refused.
+func (s *Server) refuses() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining || s.stopping
+}
+
 // Serve accepts connections until Shutdown or until the listener fails, and
 // returns nil in the first case. It closes the listener.
 func (s *Server) Serve(l net.Listener) error {
--- a/peer/serverconn.go
+++ b/peer/serverconn.go
@@ -225,7 +225,7 @@
 // begin counts a call in. Errors are *BusyError, *StoppingError and, for an ID
 // in use, *ParamsError.
 func (c *serverConn) begin(req *jsonrpc2.Request, cancel context.CancelFunc) error {
-	stopping := c.srv.isStopping()
+	stopping := c.srv.refuses()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	limit := c.srv.cfg.Limits.Calls
