--- a/kernel/arrive.go
+++ b/kernel/arrive.go
@@ -109,7 +109,7 @@
 	k.dirty = true
 	if c.request.Route == config.RouteModel {
 		c.need = k.leastFirstOutput(c.request)
-		k.kick(c.request.FirstOutputBy.Add(lateMargin - c.need))
+		k.timers.add(c.request.FirstOutputBy.Add(lateMargin-c.need+1), timerLate, c.request.ID)
 	}
 	if notBefore.After(k.now) {
 		k.kick(notBefore)
--- a/kernel/schedule.go
+++ b/kernel/schedule.go
@@ -5,6 +5,7 @@
 
 	"github.com/wardspool/wardspool/api"
 	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
 )
 
 const (
@@ -180,6 +181,16 @@
 	return k.now.Add(c.need).After(c.request.FirstOutputBy.Add(lateMargin))
 }
 
+// lateDue gives up a request that still waits, for a place or for a slot, when
+// it can no longer meet its target.
+func (k *Kernel) lateDue(id ident.RequestID) {
+	c, ok := k.calls[id]
+	if !ok || c.started() || c.prefill != nil || !k.late(c) {
+		return
+	}
+	k.refuseCall(c, lateRefusal(k.comeBack(c.request)))
+}
+
 func lateRefusal(comeBack time.Duration) *Refusal {
 	return &Refusal{
 		Reason:     ReasonInfeasible,
--- a/kernel/timer.go
+++ b/kernel/timer.go
@@ -15,6 +15,9 @@
 	timerDeadline timerKind = iota + 1
 	// timerCancel repeats an unacknowledged cancel.
 	timerCancel
+	// timerLate gives up a request that has waited so long that it can no
+	// longer meet its first-output target.
+	timerLate
 	// timerKick runs the scheduler again.
 	timerKick
 )
@@ -109,6 +112,8 @@
 			k.deadlinePassed(t.request)
 		case timerCancel:
 			k.cancelDue(t.attempt)
+		case timerLate:
+			k.lateDue(t.request)
 		case timerKick:
 			k.dirty = true
 			k.kickAt = time.Time{}
