Entry: thin path end to end with a static fleet

Change: wardspool-entry serves completions, chats (streamed and not), plain services, models, health and metrics over the kernel, with bundle and upstreams from a static: block; peers', agent's and operators' listeners are in place. Shown by: go test ./entry, with the openai-go client against stand-in engines in this process. Not yet: bad input tests, tickets, explain, watch, documents.

--- a/entry/driver/actions.go
+++ b/entry/driver/actions.go
@@ -26,6 +26,8 @@
 		d.answer(a)
 	case kernel.SendPeer:
 		d.sendPeer(a)
+	case kernel.ConfigRejected:
+		d.opts.Log.Error("bundle rejected", "bundle_version", a.Version, "error", a.Err)
 	case kernel.Log:
 		d.opts.Observer.Decided(a.Record)
 	}
--- a/entry/driver/driver.go
+++ b/entry/driver/driver.go
@@ -66,8 +66,11 @@
 	PauseAfter time.Duration
 	// PeerQueue bounds the messages that wait for one peer.
 	PeerQueue int
-	// OnPause is called after a pause was handled; it may be nil.
-	OnPause func(gap time.Duration)
+	// OnPause is called after a pause was handled, and OnConfigured when a
+	// bundle version came into force, both from the driver's goroutine. Either
+	// may be nil.
+	OnPause      func(gap time.Duration)
+	OnConfigured func(version uint64, c *config.Content)
 }
 
 // Defaults of Options.
@@ -234,13 +237,13 @@
 	case m.attempt != nil:
 		d.report(m)
 	default:
-		d.note(m.event)
-		d.step(m.event)
+		d.external(m.event)
 	}
 }
 
-// note keeps what the driver itself needs of an event.
-func (d *Driver) note(ev kernel.Event) {
+// external handles an event from outside and keeps what the driver itself needs
+// of it.
+func (d *Driver) external(ev kernel.Event) {
 	switch e := ev.(type) {
 	case kernel.ViewChanged:
 		clear(d.upstreams)
@@ -248,8 +251,29 @@
 			u := &e.View.Upstreams[i]
 			d.upstreams[u.ID] = u
 		}
+		d.step(ev)
 	case kernel.Configured:
-		d.configure(e.Content)
+		before := d.opts.Kernel.Version()
+		d.step(ev)
+		// The kernel ignores old versions and rejects those it cannot run.
+		if e.Version > before && d.opts.Kernel.Version() == e.Version {
+			d.configure(e.Content)
+			if d.opts.OnConfigured != nil {
+				d.opts.OnConfigured(e.Version, e.Content)
+			}
+		}
+	default:
+		d.step(ev)
+	}
+}
+
+// Stopped reports whether Run has returned.
+func (d *Driver) Stopped() bool {
+	select {
+	case <-d.stopped:
+		return true
+	default:
+		return false
 	}
 }
 
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,217 @@
+// Package entry is an entry instance: the HTTP interface to callers, the driver
+// of the decision kernel, the adapters to upstreams, and the connections to the
+// agent, to the other instances and to operators.
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/oops"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wardspool/wardspool/adapter"
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/entry/driver"
+	"github.com/wardspool/wardspool/entry/front"
+	"github.com/wardspool/wardspool/entry/intake"
+	"github.com/wardspool/wardspool/entry/metrics"
+	"github.com/wardspool/wardspool/entry/peering"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/kernel/prefix"
+	"github.com/wardspool/wardspool/peer"
+	"github.com/wardspool/wardspool/plugin"
+)
+
+// Entry is one entry instance. New makes it, Listen opens its addresses, Serve
+// runs it.
+type Entry struct {
+	settings *Settings
+	log      *slog.Logger
+	self     kernel.Self
+
+	engine   plugin.Plugin
+	service  plugin.Plugin
+	scope    tally.Scope
+	close    func() error
+	recorder *recorder
+	driver   *driver.Driver
+	front    *front.Front
+	book     *peering.Book
+	pool     *peer.Pool
+	servers  servers
+
+	// catalog is the bundle version in force, nil before the first.
+	catalog atomic.Pointer[intake.Catalog]
+	// ready is the agent's word; notReady and stopping are the two steps of a
+	// shutdown.
+	ready    atomic.Bool
+	notReady atomic.Bool
+	stopping atomic.Bool
+	inFlight atomic.Int64
+	// staticVersion numbers the views of a static fleet.
+	staticVersion atomic.Uint64
+}
+
+// New makes an entry instance of checked settings. Its errors are those of the
+// plug-ins and of the static bundle.
+func New(s *Settings, log *slog.Logger) (*Entry, error) {
+	e := &Entry{
+		settings: s,
+		log:      log,
+		self: kernel.Self{
+			Instance:    s.Instance,
+			Incarnation: ident.NewIncarnation(time.Now()),
+			Zone:        s.Zone,
+		},
+	}
+	if err := e.loadAdapters(); err != nil {
+		return nil, err
+	}
+	k, err := kernel.New(kernel.Options{
+		Self:   e.self,
+		Seed:   rand.Uint64(),
+		Prefix: prefix.New(),
+	})
+	if err != nil {
+		return nil, oops.In("entry").Wrapf(err, "make the kernel")
+	}
+	reporter := metrics.NewReporter()
+	scope, closer := metrics.NewScope(reporter, "wardspool_entry")
+	e.scope, e.close = scope, closer.Close
+	e.recorder = newRecorder(log, scope, s.ExplainRecords)
+	e.book = peering.NewBook(knownPeers(s.Peers.Known))
+	e.pool = peer.NewPool(e.peerConfig(e.book.Known))
+	e.driver = driver.New(driver.Options{
+		Kernel:       k,
+		Engine:       e.engine.(adapter.Engine),
+		Service:      e.service.(adapter.Service),
+		Peers:        peering.NewSender(e.book, e.pool),
+		Observer:     e.recorder,
+		Log:          log,
+		PauseAfter:   s.PauseAfter,
+		OnPause:      e.paused,
+		OnConfigured: e.configured,
+	})
+	e.front = front.New(front.Options{
+		Instance: s.Instance,
+		Limits:   s.Callers.Limits.limits(),
+		Submit:   counting{e},
+		Catalog:  e.catalog.Load,
+		Ready:    e.unready,
+		Metrics:  reporter,
+		Log:      log,
+	})
+	return e, nil
+}
+
+// knownPeers indexes the settings' peers.
+func knownPeers(list []PeerAddress) map[ident.InstanceID]string {
+	out := make(map[ident.InstanceID]string, len(list))
+	for _, p := range list {
+		out[p.Instance] = p.Address
+	}
+	return out
+}
+
+// loadAdapters makes the adapters that the settings name.
+func (e *Entry) loadAdapters() error {
+	var err error
+	e.engine, err = plugin.Load(e.settings.Engine, e.settings.Plugins[e.settings.Engine].Decode)
+	if err != nil {
+		return oops.In("entry").Wrapf(err, "load the engine adapter")
+	}
+	e.service, err = plugin.Load(e.settings.Service, e.settings.Plugins[e.settings.Service].Decode)
+	if err != nil {
+		return oops.In("entry").Wrapf(err, "load the service adapter")
+	}
+	return nil
+}
+
+// counting counts the requests in flight.
+type counting struct{ e *Entry }
+
+// Submit implements front.Submitter.
+func (c counting) Submit(ctx context.Context, ex *driver.Exchange) driver.Result {
+	c.e.inFlight.Add(1)
+	defer c.e.inFlight.Add(-1)
+	return c.e.driver.Submit(ctx, ex)
+}
+
+// unready says why the instance takes no new requests.
+func (e *Entry) unready() front.Unready {
+	switch {
+	case e.stopping.Load():
+		return front.Stopping
+	case e.catalog.Load() == nil:
+		return front.NoBundle
+	case !e.ready.Load():
+		return front.NoAgent
+	case e.notReady.Load():
+		return front.Leaving
+	default:
+		return front.IsReady
+	}
+}
+
+// configured notes the bundle version that came into force.
+func (e *Entry) configured(version uint64, c *config.Content) {
+	e.catalog.Store(intake.NewCatalog(version, c))
+	e.log.Info("bundle in force", "bundle_version", version)
+}
+
+// paused follows up on a pause of the process.
+func (e *Entry) paused(time.Duration) {
+	e.recorder.counters.pauses.Inc(1)
+	if e.settings.Static != nil {
+		// There is no agent that would refresh the view. The driver calls this
+		// from its own goroutine, which must not wait for itself.
+		go e.postStaticView()
+	}
+}
+
+// postStaticView hands the kernel a fresh view of the static fleet.
+func (e *Entry) postStaticView() {
+	version := e.staticVersion.Add(1)
+	e.driver.Post(kernel.ViewChanged{View: staticView(e.settings, e.self, version, time.Now())})
+}
+
+// startStatic brings the static bundle and view into force.
+func (e *Entry) startStatic() error {
+	content, err := loadStatic(e.settings.Static)
+	if err != nil {
+		return oops.In("entry").Wrapf(err, "load the static bundle")
+	}
+	e.postStaticView()
+	e.driver.Post(kernel.Configured{Version: staticVersion, Content: content})
+	e.ready.Store(true)
+	return nil
+}
+
+// Explain implements peering.Source.
+func (e *Entry) Explain(id ident.RequestID) peering.ExplainReply {
+	return peering.ExplainReply{
+		Instance: e.self.Instance,
+		Zone:     e.self.Zone,
+		Records:  e.recorder.journal.Find(id),
+	}
+}
+
+// Stats implements peering.Source.
+func (e *Entry) Stats() peering.StatsReply {
+	r := peering.StatsReply{
+		Instance:    e.self.Instance,
+		Zone:        e.self.Zone,
+		Incarnation: e.self.Incarnation,
+		InFlight:    int(e.inFlight.Load()),
+		Versions:    e.recorder.stats.Versions(),
+	}
+	if c := e.catalog.Load(); c != nil {
+		r.BundleVersion = c.Version
+	}
+	return r
+}
--- /dev/null
+++ b/entry/evidence/evidence.go
@@ -0,0 +1,127 @@
+// Package evidence gathers what live traffic shows of upstreams and peers, for
+// the agent beside the entry.
+package evidence
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/wardspool/wardspool/adapter"
+	"github.com/wardspool/wardspool/feed"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+// key tells pieces of evidence apart; only the newest of each is kept.
+type key struct {
+	kind     feed.EvidenceKind
+	upstream ident.UpstreamID
+	peer     ident.InstanceID
+}
+
+// item is a piece of evidence and its time.
+type item struct {
+	at   time.Time
+	load *kernel.Load
+}
+
+// Log keeps the newest evidence of each kind until it is taken. It is safe for
+// concurrent use.
+type Log struct {
+	mu    sync.Mutex
+	items map[key]item
+}
+
+// New returns an empty log.
+func New() *Log { return &Log{items: map[key]item{}} }
+
+func (l *Log) add(k key, i item) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.items[k] = i
+}
+
+// Contact notes how an attempt at an upstream went; err is nil for success.
+func (l *Log) Contact(upstream ident.UpstreamID, err *adapter.CallError, now time.Time) {
+	kind, ok := classify(err)
+	if ok {
+		l.add(key{kind: kind, upstream: upstream}, item{at: now})
+	}
+}
+
+// classify says what a failure proves. An answer of any kind is a sign of life.
+func classify(err *adapter.CallError) (feed.EvidenceKind, bool) {
+	switch {
+	case err == nil:
+		return feed.EvidenceSucceeded, true
+	case err.Code == kernel.FailureDraining:
+		return feed.EvidenceDraining, true
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return feed.EvidenceRefused, true
+	case err.Status != 0:
+		return feed.EvidenceSucceeded, true
+	case errors.Is(err, context.DeadlineExceeded), isTimeout(err):
+		return feed.EvidenceTimeout, true
+	default:
+		return "", false
+	}
+}
+
+// isTimeout reports whether a network operation ran out of time.
+func isTimeout(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
+
+// Observed notes what an upstream said of itself.
+func (l *Log) Observed(upstream ident.UpstreamID, o adapter.Observation, now time.Time) {
+	load := o.Load
+	l.add(key{kind: feed.EvidenceLoad, upstream: upstream}, item{at: now, load: &load})
+	if o.Draining {
+		l.add(key{kind: feed.EvidenceDraining, upstream: upstream}, item{at: now})
+	}
+}
+
+// Peer notes that a peer could not be reached; refused says that it
+// refused connections rather than being silent.
+func (l *Log) Peer(peer ident.InstanceID, refused bool, now time.Time) {
+	kind := feed.EvidenceTimeout
+	if refused {
+		kind = feed.EvidenceRefused
+	}
+	l.add(key{kind: kind, peer: peer}, item{at: now})
+}
+
+// Take returns the evidence gathered since the last call, in a fixed order.
+func (l *Log) Take(now time.Time) []feed.Evidence {
+	l.mu.Lock()
+	items := l.items
+	l.items = map[key]item{}
+	l.mu.Unlock()
+	out := make([]feed.Evidence, 0, len(items))
+	for k, i := range items {
+		out = append(out, feed.Evidence{
+			Kind:     k.kind,
+			Upstream: k.upstream,
+			Peer:     k.peer,
+			AgeMS:    feed.Age(now.Sub(i.at)),
+			Load:     i.load,
+		})
+	}
+	sort.Slice(out, func(i, j int) bool { return less(out[i], out[j]) })
+	return out
+}
+
+func less(a, b feed.Evidence) bool {
+	if a.Upstream != b.Upstream {
+		return a.Upstream < b.Upstream
+	}
+	if a.Peer != b.Peer {
+		return a.Peer < b.Peer
+	}
+	return a.Kind < b.Kind
+}
--- /dev/null
+++ b/entry/feed.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/wardspool/wardspool/entry/peering"
+	"github.com/wardspool/wardspool/feed"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/peer"
+)
+
+// Update implements peering.FeedTaker: it takes over what the agent sends and
+// replies with what live traffic showed since the last call.
+func (e *Entry) Update(_ context.Context, u feed.Update) (feed.Reply, error) {
+	now := time.Now()
+	if u.PauseMS > 0 {
+		e.driver.Post(kernel.Paused{Gap: time.Duration(u.PauseMS) * time.Millisecond})
+	}
+	if u.View != nil {
+		e.book.Replace(peering.Addresses(u.View))
+		e.driver.Post(kernel.ViewChanged{View: peering.View(u.View, now)})
+	}
+	if b := u.Bundle; b != nil && b.Content != nil {
+		e.driver.Post(kernel.Configured{Version: b.Version, Content: b.Content})
+	}
+	e.ready.Store(u.Ready)
+	if e.driver.Stopped() {
+		return feed.Reply{}, &peer.StoppingError{}
+	}
+	return e.reply(now), nil
+}
+
+// reply describes the entry to its agent.
+func (e *Entry) reply(now time.Time) feed.Reply {
+	r := feed.Reply{
+		Incarnation: e.self.Incarnation,
+		Stopping:    e.notReady.Load(),
+		InFlight:    int(e.inFlight.Load()),
+		Evidence:    e.recorder.evidence.Take(now),
+	}
+	if c := e.catalog.Load(); c != nil {
+		r.BundleVersion = c.Version
+	}
+	return r
+}
--- a/entry/front/options.go
+++ b/entry/front/options.go
@@ -64,7 +64,8 @@
 	Submit   Submitter
 	// Catalog returns the bundle in force, nil if there is none.
 	Catalog func() *intake.Catalog
-	// Ready returns why the instance takes no new requests, "" if it does.
+	// Ready returns why the instance should get no new requests, IsReady if it
+	// should.
 	Ready func() Unready
 	// Metrics answers GET /metrics.
 	Metrics http.Handler
@@ -85,6 +86,9 @@
 	// NoAgent: the agent does not know the lowest bundle version that may be in
 	// force yet.
 	NoAgent Unready = "the agent beside this instance is not ready"
+	// Leaving: the instance is about to shut down. It still takes requests, so
+	// that none is lost before the platform's balancer has noticed.
+	Leaving Unready = "this instance is about to shut down"
 	// Stopping: the instance is shutting down.
 	Stopping Unready = "this instance is shutting down"
 )
--- a/entry/front/problem.go
+++ b/entry/front/problem.go
@@ -59,7 +59,7 @@
 // if it does.
 func (f *Front) unready() *api.Problem {
 	switch why := f.opts.Ready(); why {
-	case IsReady:
+	case IsReady, Leaving:
 		return nil
 	case Stopping:
 		return api.NewProblem(api.ProblemStopping, api.NotRun, string(why)).RetryAfter(retryOverloaded)
--- /dev/null
+++ b/entry/metrics/reporter.go
@@ -0,0 +1,242 @@
+// Package metrics renders tally's metrics in the Prometheus text format.
+// tally's own Prometheus reporter would bring in the whole client library; the
+// text format is a few lines.
+package metrics
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// Interval is how often a scope should report: values are at most this old.
+const Interval = time.Second
+
+// kind is a metric's type in the text format.
+type kind string
+
+const (
+	kindCounter   kind = "counter"
+	kindGauge     kind = "gauge"
+	kindSummary   kind = "summary"
+	kindHistogram kind = "histogram"
+)
+
+// series is one metric with one set of labels.
+type series struct {
+	labels string
+	value  float64
+	// count is for summaries and histograms.
+	count int64
+	// buckets counts samples by upper bound, for histograms.
+	buckets map[float64]int64
+}
+
+// family is all series of one metric.
+type family struct {
+	kind   kind
+	series map[string]*series
+}
+
+// Reporter is a tally.StatsReporter that keeps the values and serves them over
+// HTTP. It is safe for concurrent use.
+type Reporter struct {
+	mu       sync.Mutex
+	families map[string]*family
+}
+
+var _ tally.StatsReporter = (*Reporter)(nil)
+
+// NewReporter returns an empty reporter.
+func NewReporter() *Reporter { return &Reporter{families: map[string]*family{}} }
+
+// NewScope returns a root scope for a program that reports to r. Close it to
+// end its goroutine.
+func NewScope(r *Reporter, prefix string) (tally.Scope, io.Closer) {
+	return tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 prefix,
+		Reporter:               r,
+		Separator:              "_",
+		OmitCardinalityMetrics: true,
+	}, Interval)
+}
+
+// at returns a series. The caller holds mu.
+func (r *Reporter) at(name string, tags map[string]string, k kind) *series {
+	f := r.families[name]
+	if f == nil {
+		f = &family{kind: k, series: map[string]*series{}}
+		r.families[name] = f
+	}
+	labels := render(tags)
+	s := f.series[labels]
+	if s == nil {
+		s = &series{labels: labels}
+		f.series[labels] = s
+	}
+	return s
+}
+
+// render returns tags as `a="x",b="y"`.
+func render(tags map[string]string) string {
+	names := make([]string, 0, len(tags))
+	for name := range tags {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	parts := make([]string, len(names))
+	for i, name := range names {
+		parts[i] = name + "=" + strconv.Quote(tags[name])
+	}
+	return strings.Join(parts, ",")
+}
+
+// ReportCounter implements tally.StatsReporter.
+func (r *Reporter) ReportCounter(name string, tags map[string]string, value int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.at(name, tags, kindCounter).value += float64(value)
+}
+
+// ReportGauge implements tally.StatsReporter.
+func (r *Reporter) ReportGauge(name string, tags map[string]string, value float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.at(name, tags, kindGauge).value = value
+}
+
+// ReportTimer implements tally.StatsReporter.
+func (r *Reporter) ReportTimer(name string, tags map[string]string, interval time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.at(name, tags, kindSummary)
+	s.value += interval.Seconds()
+	s.count++
+}
+
+// ReportHistogramValueSamples implements tally.StatsReporter.
+func (r *Reporter) ReportHistogramValueSamples(name string, tags map[string]string, _ tally.Buckets, lower, upper float64, samples int64) {
+	r.sample(name, tags, lower, upper, samples)
+}
+
+// ReportHistogramDurationSamples implements tally.StatsReporter.
+func (r *Reporter) ReportHistogramDurationSamples(name string, tags map[string]string, _ tally.Buckets, lower, upper time.Duration, samples int64) {
+	r.sample(name, tags, lower.Seconds(), upper.Seconds(), samples)
+}
+
+// sample counts samples of a bucket. The sum is taken from the buckets' lower
+// bounds, since tally does not report it.
+func (r *Reporter) sample(name string, tags map[string]string, lower, upper float64, samples int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.at(name, tags, kindHistogram)
+	if s.buckets == nil {
+		s.buckets = map[float64]int64{}
+	}
+	s.buckets[upper] += samples
+	s.count += samples
+	s.value += max(lower, 0) * float64(samples)
+}
+
+// Capabilities implements tally.StatsReporter.
+func (r *Reporter) Capabilities() tally.Capabilities { return capabilities{} }
+
+// Flush implements tally.StatsReporter.
+func (r *Reporter) Flush() {}
+
+// capabilities says that the reporter takes values and tags.
+type capabilities struct{}
+
+// Reporting implements tally.Capabilities.
+func (capabilities) Reporting() bool { return true }
+
+// Tagging implements tally.Capabilities.
+func (capabilities) Tagging() bool { return true }
+
+// contentType is the media type of the text format.
+const contentType = "text/plain; version=0.0.4; charset=utf-8"
+
+// ServeHTTP writes all metrics.
+func (r *Reporter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", contentType)
+	// A reader that left is no concern of ours.
+	_, _ = io.WriteString(w, r.Text())
+}
+
+// Text returns all metrics in the text format, sorted.
+func (r *Reporter) Text() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var b strings.Builder
+	for _, name := range sortedKeys(r.families) {
+		f := r.families[name]
+		fmt.Fprintf(&b, "# TYPE %s %s\n", name, f.kind)
+		for _, labels := range sortedKeys(f.series) {
+			f.series[labels].write(&b, name, f.kind)
+		}
+	}
+	return b.String()
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// write writes the lines of one series.
+func (s *series) write(b *strings.Builder, name string, k kind) {
+	switch k {
+	case kindHistogram:
+		s.writeBuckets(b, name)
+		fallthrough
+	case kindSummary:
+		line(b, name+"_sum", s.labels, s.value)
+		line(b, name+"_count", s.labels, float64(s.count))
+	default:
+		line(b, name, s.labels, s.value)
+	}
+}
+
+// writeBuckets writes cumulative buckets.
+func (s *series) writeBuckets(b *strings.Builder, name string) {
+	bounds := make([]float64, 0, len(s.buckets))
+	for bound := range s.buckets {
+		bounds = append(bounds, bound)
+	}
+	sort.Float64s(bounds)
+	total := int64(0)
+	for _, bound := range bounds {
+		total += s.buckets[bound]
+		line(b, name+"_bucket", join(s.labels, "le="+strconv.Quote(number(bound))), float64(total))
+	}
+	line(b, name+"_bucket", join(s.labels, `le="+Inf"`), float64(s.count))
+}
+
+// join joins labels with one more.
+func join(labels, further string) string {
+	if labels == "" {
+		return further
+	}
+	return labels + "," + further
+}
+
+func line(b *strings.Builder, name, labels string, value float64) {
+	b.WriteString(name)
+	if labels != "" {
+		b.WriteString("{" + labels + "}")
+	}
+	b.WriteString(" " + number(value) + "\n")
+}
+
+func number(v float64) string { return strconv.FormatFloat(v, 'g', -1, 64) }
--- /dev/null
+++ b/entry/path_test.go
@@ -0,0 +1,140 @@
+package entry_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/openai/openai-go"
+	"github.com/openai/openai-go/option"
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/standin/answer"
+	"github.com/wardspool/wardspool/standin/service"
+	"github.com/wardspool/wardspool/tokens"
+)
+
+// client returns the well-known client library, pointed at the entry.
+func (b *bed) client() openai.Client {
+	return openai.NewClient(
+		option.WithBaseURL(b.url+"/v1"),
+		option.WithAPIKey("none"),
+		option.WithMaxRetries(0),
+	)
+}
+
+const prompt = "please read the manifest of shipment nine and confirm its allowances"
+
+func TestCompletion(t *testing.T) {
+	b := newBed(t, nil)
+	c := b.client()
+	got, err := c.Completions.New(t.Context(), openai.CompletionNewParams{
+		Model:     "reader",
+		Prompt:    openai.CompletionNewParamsPromptUnion{OfString: openai.String(prompt)},
+		MaxTokens: openai.Int(20),
+	})
+	assert.NilError(t, err)
+	assert.NilError(t, answer.Check(prompt, got.Choices[0].Text, 20))
+	assert.Equal(t, string(got.Choices[0].FinishReason), "length")
+	assert.Equal(t, got.Usage.CompletionTokens, int64(20))
+	assert.Equal(t, got.Usage.PromptTokens, int64(tokens.Count(prompt)))
+}
+
+func TestCompletionStreamed(t *testing.T) {
+	b := newBed(t, nil)
+	c := b.client()
+	stream := c.Completions.NewStreaming(t.Context(), openai.CompletionNewParams{
+		Model:     "reader",
+		Prompt:    openai.CompletionNewParamsPromptUnion{OfString: openai.String(prompt)},
+		MaxTokens: openai.Int(20),
+		StreamOptions: openai.ChatCompletionStreamOptionsParam{
+			IncludeUsage: openai.Bool(true),
+		},
+	})
+	var text strings.Builder
+	usage := int64(0)
+	for stream.Next() {
+		chunk := stream.Current()
+		usage = max(usage, chunk.Usage.CompletionTokens)
+		for _, choice := range chunk.Choices {
+			text.WriteString(choice.Text)
+		}
+	}
+	assert.NilError(t, stream.Err())
+	assert.NilError(t, answer.Check(prompt, text.String(), 20))
+	assert.Equal(t, usage, int64(20))
+}
+
+func TestChat(t *testing.T) {
+	b := newBed(t, nil)
+	c := b.client()
+	params := openai.ChatCompletionNewParams{
+		Model:               "reader",
+		Messages:            []openai.ChatCompletionMessageParamUnion{openai.UserMessage(prompt)},
+		MaxCompletionTokens: openai.Int(12),
+	}
+	flat := tokens.FlattenChat([]tokens.Message{{Role: "user", Content: prompt}})
+
+	got, err := c.Chat.Completions.New(t.Context(), params)
+	assert.NilError(t, err)
+	assert.NilError(t, answer.Check(flat, got.Choices[0].Message.Content, 12))
+
+	stream := c.Chat.Completions.NewStreaming(t.Context(), params)
+	var sum openai.ChatCompletionAccumulator
+	for stream.Next() {
+		assert.Assert(t, sum.AddChunk(stream.Current()))
+	}
+	assert.NilError(t, stream.Err())
+	assert.NilError(t, answer.Check(flat, sum.Choices[0].Message.Content, 12))
+}
+
+func TestModelsList(t *testing.T) {
+	b := newBed(t, nil)
+	c := b.client()
+	page, err := c.Models.List(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, len(page.Data), 1)
+	assert.Equal(t, page.Data[0].ID, "reader")
+}
+
+func TestClientLibrarySeesProblems(t *testing.T) {
+	b := newBed(t, nil)
+	c := b.client()
+	_, err := c.Completions.New(t.Context(), openai.CompletionNewParams{
+		Model:  "nonesuch",
+		Prompt: openai.CompletionNewParamsPromptUnion{OfString: openai.String(prompt)},
+	})
+	var problem *openai.Error
+	assert.Assert(t, asError(err, &problem), "%v", err)
+	assert.Equal(t, problem.StatusCode, http.StatusNotFound)
+	assert.Equal(t, problem.Type, string(api.ProblemUnknownModel))
+	assert.Equal(t, problem.Code, string(api.NotRun))
+}
+
+func TestServiceCall(t *testing.T) {
+	b := newBed(t, nil)
+	resp, body := b.do(http.MethodPut, "/services/desk/orders/7%2F8?x=1", `{"qty":2}`,
+		api.HeaderRequestID, "caller-1", "X-Custom", "kept")
+	assert.Equal(t, resp.StatusCode, http.StatusOK, body)
+	var got service.Answer
+	assert.NilError(t, json.Unmarshal([]byte(body), &got))
+	assert.Equal(t, got.Method, http.MethodPut)
+	assert.Equal(t, got.Path, "/orders/7/8")
+	assert.Equal(t, got.Echo, `{"qty":2}`)
+	assert.Equal(t, got.CorrelationID, "caller-1")
+	assert.Equal(t, resp.Header.Get(api.HeaderOutcome), string(api.Complete))
+	assert.Equal(t, resp.Header.Get(api.HeaderRequestID), "caller-1")
+	assert.Equal(t, resp.Header.Get(api.HeaderBundleVersion), "1")
+	assert.Equal(t, resp.Header.Get(api.HeaderInstance), "entry-1")
+}
+
+func TestServiceMethods(t *testing.T) {
+	b := newBed(t, nil)
+	for _, method := range []string{"GET", "POST", "DELETE", "PATCH"} {
+		resp, body := b.do(method, "/services/desk/x", "")
+		assert.Equal(t, resp.StatusCode, http.StatusOK, "%s: %s", method, body)
+		assert.Assert(t, strings.Contains(body, `"method":"`+method+`"`), body)
+	}
+}
--- /dev/null
+++ b/entry/peering/book.go
@@ -0,0 +1,62 @@
+package peering
+
+import (
+	"fmt"
+	"sync"
+
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/peer"
+)
+
+// UnknownPeerError reports an instance without a known address.
+type UnknownPeerError struct{ Instance ident.InstanceID }
+
+// Error implements error.
+func (e *UnknownPeerError) Error() string {
+	return fmt.Sprintf("no address is known for instance %q", e.Instance)
+}
+
+// Book knows the other instances and their addresses: those of the settings and
+// those of the agent's newest view. It is safe for concurrent use.
+type Book struct {
+	settings map[ident.InstanceID]string
+
+	mu   sync.RWMutex
+	view map[ident.InstanceID]string
+}
+
+// NewBook returns a book with the addresses of the settings.
+func NewBook(settings map[ident.InstanceID]string) *Book {
+	return &Book{settings: settings}
+}
+
+// Replace takes over the addresses of a view.
+func (b *Book) Replace(view map[ident.InstanceID]string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.view = view
+}
+
+// Address returns where an instance takes calls. The error is an
+// *UnknownPeerError.
+func (b *Book) Address(id ident.InstanceID) (string, error) {
+	b.mu.RLock()
+	addr, ok := b.view[id]
+	b.mu.RUnlock()
+	if ok && addr != "" {
+		return addr, nil
+	}
+	if addr, ok := b.settings[id]; ok {
+		return addr, nil
+	}
+	return "", &UnknownPeerError{Instance: id}
+}
+
+// Known reports whether an instance is believed.
+func (b *Book) Known(id peer.Identity) bool {
+	b.mu.RLock()
+	_, inView := b.view[id.Instance]
+	b.mu.RUnlock()
+	_, inSettings := b.settings[id.Instance]
+	return inView || inSettings
+}
--- /dev/null
+++ b/entry/peering/feed.go
@@ -0,0 +1,71 @@
+package peering
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/wardspool/wardspool/feed"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/peer"
+)
+
+// FeedTaker takes what the agent sends.
+type FeedTaker interface {
+	// Update takes an agent's update and returns the entry's reply.
+	Update(ctx context.Context, u feed.Update) (feed.Reply, error)
+}
+
+// HandleFeed makes a server take the agent's updates.
+func HandleFeed(s *peer.Server, t FeedTaker) {
+	peer.Handle(s, feed.MethodUpdate, func(ctx context.Context, _ peer.Identity, u feed.Update) (feed.Reply, error) {
+		return t.Update(ctx, u)
+	})
+}
+
+// LocalAgent returns whether an identity is the agent beside the entry: it
+// connects over loopback and bears the same instance's name.
+func LocalAgent(self ident.InstanceID) func(peer.Identity) bool {
+	return func(id peer.Identity) bool {
+		host, _, err := net.SplitHostPort(id.Addr)
+		ip := net.ParseIP(host)
+		return err == nil && ip != nil && ip.IsLoopback() && id.Instance == self
+	}
+}
+
+// View turns an agent's view into the kernel's, with ages turned into times.
+func View(v *feed.View, now time.Time) *kernel.View {
+	out := &kernel.View{
+		Version:   v.Version,
+		Trusted:   v.Trusted,
+		Instances: make([]kernel.Instance, 0, len(v.Instances)),
+		Upstreams: make([]kernel.Upstream, 0, len(v.Upstreams)),
+	}
+	for _, i := range v.Instances {
+		out.Instances = append(out.Instances, kernel.Instance{
+			ID: i.ID, Zone: i.Zone, Incarnation: i.Incarnation, Life: i.Life,
+		})
+	}
+	for n, u := range v.Upstreams {
+		k := kernel.Upstream{
+			Index: n, ID: u.ID, Zone: u.Zone, Address: u.Address,
+			Incarnation: u.Incarnation, Life: u.Life,
+		}
+		if u.Load != nil {
+			k.Load = *u.Load
+			k.Load.At = now.Add(-time.Duration(u.LoadAgeMS) * time.Millisecond)
+		}
+		out.Upstreams = append(out.Upstreams, k)
+	}
+	return out
+}
+
+// Addresses returns where the instances of a view take peers' calls.
+func Addresses(v *feed.View) map[ident.InstanceID]string {
+	out := make(map[ident.InstanceID]string, len(v.Instances))
+	for _, i := range v.Instances {
+		out[i.ID] = i.PeerAddress
+	}
+	return out
+}
--- /dev/null
+++ b/entry/peering/kernel.go
@@ -0,0 +1,61 @@
+package peering
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/peer"
+)
+
+// MethodKernel is the notification that carries a kernel's message.
+const MethodKernel = "kernel.message"
+
+// KernelMessage is the parameter of MethodKernel.
+type KernelMessage struct {
+	Kind string          `json:"kind"`
+	Body json.RawMessage `json:"body"`
+}
+
+// Sender sends kernels' messages. It implements driver.PeerSender.
+type Sender struct {
+	book *Book
+	pool *peer.Pool
+}
+
+// NewSender returns a sender that finds addresses in book and connections in
+// pool.
+func NewSender(book *Book, pool *peer.Pool) *Sender { return &Sender{book: book, pool: pool} }
+
+// Send sends a message, at most once. Errors are *UnknownPeerError,
+// *kernel.MessageBodyError and *peer.CallError.
+func (s *Sender) Send(ctx context.Context, to ident.InstanceID, m kernel.PeerMessage) error {
+	addr, err := s.book.Address(to)
+	if err != nil {
+		return err
+	}
+	body, err := json.Marshal(m)
+	if err != nil {
+		return &kernel.MessageBodyError{Kind: m.MessageKind(), Err: err}
+	}
+	msg := KernelMessage{Kind: m.MessageKind(), Body: body}
+	return peer.Notify(ctx, s.pool, addr, MethodKernel, msg, peer.Expect(to, 0))
+}
+
+// Nothing is the result of methods that have none.
+type Nothing struct{}
+
+// HandleKernel makes a server pass kernels' messages to post.
+func HandleKernel(s *peer.Server, post func(kernel.Event) bool) {
+	peer.Handle(s, MethodKernel, func(_ context.Context, from peer.Identity, m KernelMessage) (Nothing, error) {
+		decoded, err := kernel.DecodeMessage(m.Kind, m.Body)
+		if err != nil {
+			return Nothing{}, err
+		}
+		if !post(kernel.PeerReceived{From: from.Instance, Message: decoded}) {
+			return Nothing{}, &peer.StoppingError{}
+		}
+		return Nothing{}, nil
+	})
+}
--- /dev/null
+++ b/entry/peering/operator.go
@@ -0,0 +1,59 @@
+package peering
+
+import (
+	"context"
+
+	"github.com/wardspool/wardspool/entry/stats"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/peer"
+)
+
+// Methods for operators' tools.
+const (
+	// MethodExplain returns the decision records of a request.
+	MethodExplain = "entry.explain"
+	// MethodStats returns how requests ended, by bundle version.
+	MethodStats = "entry.stats"
+)
+
+// ExplainRequest is the parameter of MethodExplain.
+type ExplainRequest struct {
+	Request ident.RequestID `json:"request"`
+}
+
+// ExplainReply is the result of MethodExplain. Records is empty if the instance
+// does not know the request, or no longer.
+type ExplainReply struct {
+	Instance ident.InstanceID `json:"instance"`
+	Zone     ident.Zone       `json:"zone"`
+	Records  []kernel.Record  `json:"records"`
+}
+
+// StatsReply is the result of MethodStats.
+type StatsReply struct {
+	Instance ident.InstanceID `json:"instance"`
+	Zone     ident.Zone       `json:"zone"`
+	// Incarnation tells lives of the instance apart: counts begin at 0 in each.
+	Incarnation ident.Incarnation `json:"incarnation"`
+	// BundleVersion is the version in force.
+	BundleVersion uint64          `json:"bundle_version"`
+	InFlight      int             `json:"in_flight"`
+	Versions      []stats.Version `json:"versions"`
+}
+
+// Source is what operators' tools read of an entry.
+type Source interface {
+	Explain(id ident.RequestID) ExplainReply
+	Stats() StatsReply
+}
+
+// HandleOperators makes a server answer operators' tools.
+func HandleOperators(s *peer.Server, src Source) {
+	peer.Handle(s, MethodExplain, func(_ context.Context, _ peer.Identity, r ExplainRequest) (ExplainReply, error) {
+		return src.Explain(r.Request), nil
+	})
+	peer.Handle(s, MethodStats, func(context.Context, peer.Identity, Nothing) (StatsReply, error) {
+		return src.Stats(), nil
+	})
+}
--- /dev/null
+++ b/entry/recorder.go
@@ -0,0 +1,108 @@
+package entry
+
+import (
+	"errors"
+	"log/slog"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wardspool/wardspool/adapter"
+	"github.com/wardspool/wardspool/entry/driver"
+	"github.com/wardspool/wardspool/entry/evidence"
+	"github.com/wardspool/wardspool/entry/journal"
+	"github.com/wardspool/wardspool/entry/stats"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+// recordQueue bounds the decision records that wait to be logged.
+const recordQueue = 8192
+
+// recorder implements driver.Observer: it logs and counts what happens.
+// Records are formatted and written in a goroutine of their own, so that a slow
+// reader of the log holds up no decision; when too many wait, log lines are
+// dropped and counted.
+type recorder struct {
+	log      *slog.Logger
+	journal  *journal.Journal
+	stats    *stats.Tally
+	evidence *evidence.Log
+	counters *counters
+	records  chan kernel.Record
+	done     sync.WaitGroup
+}
+
+var _ driver.Observer = (*recorder)(nil)
+
+func newRecorder(log *slog.Logger, scope tally.Scope, records int) *recorder {
+	r := &recorder{
+		log:      log,
+		journal:  journal.New(records),
+		stats:    stats.New(),
+		evidence: evidence.New(),
+		counters: newCounters(scope),
+		records:  make(chan kernel.Record, recordQueue),
+	}
+	r.done.Go(r.write)
+	return r
+}
+
+// close writes the records that wait and ends the goroutine. Nothing may be
+// recorded afterwards.
+func (r *recorder) close() {
+	close(r.records)
+	r.done.Wait()
+}
+
+// write logs records.
+func (r *recorder) write() {
+	for rec := range r.records {
+		logRecord(r.log, &rec)
+	}
+}
+
+// Decided implements driver.Observer.
+func (r *recorder) Decided(rec kernel.Record) {
+	r.journal.Add(rec)
+	r.stats.Decided(&rec)
+	r.counters.decided(&rec)
+	select {
+	case r.records <- rec:
+	default:
+		r.counters.logDropped.Inc(1)
+	}
+}
+
+// Ended implements driver.Observer.
+func (r *recorder) Ended(s driver.Summary) {
+	r.stats.Ended(s)
+	r.counters.ended(&s)
+}
+
+// Late implements driver.Observer.
+func (r *recorder) Late() { r.counters.late.Inc(1) }
+
+// Contact implements driver.Observer.
+func (r *recorder) Contact(upstream ident.UpstreamID, err *adapter.CallError) {
+	r.evidence.Contact(upstream, err, time.Now())
+	if err != nil {
+		r.counters.attemptsFailed.Inc(1)
+		return
+	}
+	r.counters.attemptsDone.Inc(1)
+}
+
+// Observed implements driver.Observer.
+func (r *recorder) Observed(upstream ident.UpstreamID, o adapter.Observation) {
+	r.evidence.Observed(upstream, o, time.Now())
+}
+
+// Undelivered implements driver.Observer.
+func (r *recorder) Undelivered(to ident.InstanceID, err error) {
+	r.counters.undelivered.Inc(1)
+	r.evidence.Peer(to, errors.Is(err, syscall.ECONNREFUSED), time.Now())
+	r.log.Debug("peer message not delivered", "peer", to, "error", err)
+}
--- /dev/null
+++ b/entry/stats/stats.go
@@ -0,0 +1,167 @@
+// Package stats counts how requests ended under each bundle version, for
+// `wardspoolctl watch`.
+package stats
+
+import (
+	"sort"
+	"sync"
+
+	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/entry/driver"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+// maxVersions bounds the bundle versions kept; the oldest is dropped.
+const maxVersions = 8
+
+// Kind counts the requests of one kind.
+type Kind struct {
+	Kind string `json:"kind"`
+	// Offered counts all requests that ended.
+	Offered int64 `json:"offered"`
+	// OnTime counts whole answers within the kind's targets: the goodput.
+	OnTime int64 `json:"on_time"`
+	// Complete, NotRun and Unknown count by outcome.
+	Complete int64 `json:"complete"`
+	NotRun   int64 `json:"not_run"`
+	Unknown  int64 `json:"unknown"`
+	// Tokens counts output tokens.
+	Tokens int64 `json:"tokens"`
+}
+
+// Refusal counts the requests given up for one reason.
+type Refusal struct {
+	Step   kernel.Step   `json:"step"`
+	Reason kernel.Reason `json:"reason"`
+	Count  int64         `json:"count"`
+}
+
+// Version is what happened under one bundle version.
+type Version struct {
+	Version  uint64    `json:"version"`
+	Kinds    []Kind    `json:"kinds"`
+	Refusals []Refusal `json:"refusals"`
+	// PrefillTokens is the prompt work done, WastedTokens the part of it that
+	// was thrown away, in tokens.
+	PrefillTokens int64 `json:"prefill_tokens"`
+	WastedTokens  int64 `json:"wasted_tokens"`
+}
+
+// refusalKey tells refusals apart.
+type refusalKey struct {
+	step   kernel.Step
+	reason kernel.Reason
+}
+
+// version is a Version while it is counted.
+type version struct {
+	kinds    map[string]*Kind
+	refusals map[refusalKey]int64
+	prefill  int64
+	wasted   int64
+}
+
+// Tally counts. It is safe for concurrent use.
+type Tally struct {
+	mu       sync.Mutex
+	versions map[uint64]*version
+}
+
+// New returns an empty tally.
+func New() *Tally { return &Tally{versions: map[uint64]*version{}} }
+
+// version returns the counts of a bundle version. The caller holds mu.
+func (t *Tally) version(number uint64) *version {
+	v := t.versions[number]
+	if v == nil {
+		v = &version{kinds: map[string]*Kind{}, refusals: map[refusalKey]int64{}}
+		t.versions[number] = v
+		t.prune()
+	}
+	return v
+}
+
+// prune drops the oldest version if there are too many.
+func (t *Tally) prune() {
+	if len(t.versions) <= maxVersions {
+		return
+	}
+	oldest, first := uint64(0), true
+	for number := range t.versions {
+		if first || number < oldest {
+			oldest, first = number, false
+		}
+	}
+	delete(t.versions, oldest)
+}
+
+// Ended counts a request that ended.
+func (t *Tally) Ended(s driver.Summary) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v := t.version(s.BundleVersion)
+	k := v.kinds[s.Kind]
+	if k == nil {
+		k = &Kind{Kind: s.Kind}
+		v.kinds[s.Kind] = k
+	}
+	k.Offered++
+	k.Tokens += int64(s.Tokens)
+	if s.OnTime {
+		k.OnTime++
+	}
+	switch s.Outcome {
+	case api.Complete:
+		k.Complete++
+	case api.NotRun:
+		k.NotRun++
+	default:
+		k.Unknown++
+	}
+	v.prefill += int64(s.PrefillTokens)
+	v.wasted += int64(s.WastedTokens)
+}
+
+// Decided counts a decision by which a request was given up.
+func (t *Tally) Decided(r *kernel.Record) {
+	switch r.Step {
+	case kernel.StepRefused, kernel.StepFailed, kernel.StepCancelled:
+	default:
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.version(r.BundleVersion).refusals[refusalKey{r.Step, r.Reason}]++
+}
+
+// Versions returns the counts, by version.
+func (t *Tally) Versions() []Version {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Version, 0, len(t.versions))
+	for number, v := range t.versions {
+		out = append(out, v.export(number))
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Version < out[j].Version })
+	return out
+}
+
+// export copies the counts of a version, in a fixed order.
+func (v *version) export(number uint64) Version {
+	out := Version{Version: number, PrefillTokens: v.prefill, WastedTokens: v.wasted}
+	for _, k := range v.kinds {
+		out.Kinds = append(out.Kinds, *k)
+	}
+	sort.Slice(out.Kinds, func(i, j int) bool { return out.Kinds[i].Kind < out.Kinds[j].Kind })
+	for k, n := range v.refusals {
+		out.Refusals = append(out.Refusals, Refusal{Step: k.step, Reason: k.reason, Count: n})
+	}
+	sort.Slice(out.Refusals, func(i, j int) bool {
+		a, b := out.Refusals[i], out.Refusals[j]
+		if a.Step != b.Step {
+			return a.Step < b.Step
+		}
+		return a.Reason < b.Reason
+	})
+	return out
+}
--- /dev/null
+++ b/logs/logs.go
@@ -0,0 +1,57 @@
+// Package logs sets up the structured logs of wardspool's programs.
+package logs
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+)
+
+// Format is how log lines are written.
+type Format string
+
+// The formats.
+const (
+	// JSON writes one JSON object a line.
+	JSON Format = "json"
+	// Text writes key=value pairs.
+	Text Format = "text"
+)
+
+// Options are the log settings of a program.
+type Options struct {
+	// Level is debug, info, warn or error.
+	Level string `yaml:"level"`
+	// Format is json or text.
+	Format Format `yaml:"format"`
+}
+
+// OptionError reports a log setting that is not one of its values.
+type OptionError struct {
+	// Field is "level" or "format".
+	Field string
+	Value string
+}
+
+// Error implements error.
+func (e *OptionError) Error() string { return fmt.Sprintf("log %s %q is not known", e.Field, e.Value) }
+
+// New returns a logger that writes to w. Empty options mean level info and
+// format json. The error is an *OptionError.
+func New(w io.Writer, o Options) (*slog.Logger, error) {
+	level := slog.LevelInfo
+	if o.Level != "" {
+		if err := level.UnmarshalText([]byte(o.Level)); err != nil {
+			return nil, &OptionError{Field: "level", Value: o.Level}
+		}
+	}
+	options := &slog.HandlerOptions{Level: level}
+	switch o.Format {
+	case "", JSON:
+		return slog.New(slog.NewJSONHandler(w, options)), nil
+	case Text:
+		return slog.New(slog.NewTextHandler(w, options)), nil
+	default:
+		return nil, &OptionError{Field: "format", Value: string(o.Format)}
+	}
+}
--- /dev/null
+++ b/plugins/standard/standard.go
@@ -0,0 +1,28 @@
+// Package standard links the standard plug-ins into a binary: import it for
+// its effect. One line a plug-in; leave some out, or add your own, in a package
+// like this one.
+package standard
+
+import (
+	_ "github.com/wardspool/wardspool/plugins/admission/feasible" // admission.feasible
+	_ "github.com/wardspool/wardspool/plugins/admission/known"    // admission.known
+	_ "github.com/wardspool/wardspool/plugins/admission/limits"   // admission.limits
+	_ "github.com/wardspool/wardspool/plugins/admission/queue"    // admission.queue
+	_ "github.com/wardspool/wardspool/plugins/engine/openai"      // engine.openai
+	_ "github.com/wardspool/wardspool/plugins/filter/ejected"     // filter.ejected
+	_ "github.com/wardspool/wardspool/plugins/filter/leaving"     // filter.leaving
+	_ "github.com/wardspool/wardspool/plugins/filter/model"       // filter.model
+	_ "github.com/wardspool/wardspool/plugins/filter/role"        // filter.role
+	_ "github.com/wardspool/wardspool/plugins/filter/stale"       // filter.stale
+	_ "github.com/wardspool/wardspool/plugins/order/deadline"     // order.deadline
+	_ "github.com/wardspool/wardspool/plugins/order/fair"         // order.fair
+	_ "github.com/wardspool/wardspool/plugins/order/fifo"         // order.fifo
+	_ "github.com/wardspool/wardspool/plugins/scorer/firstoutput" // scorer.first_output
+	_ "github.com/wardspool/wardspool/plugins/scorer/pace"        // scorer.pace
+	_ "github.com/wardspool/wardspool/plugins/scorer/prefix"      // scorer.prefix
+	_ "github.com/wardspool/wardspool/plugins/scorer/roundrobin"  // scorer.round_robin
+	_ "github.com/wardspool/wardspool/plugins/scorer/zone"        // scorer.zone
+	_ "github.com/wardspool/wardspool/plugins/service/http"       // service.http
+	_ "github.com/wardspool/wardspool/plugins/slots/lease"        // slots.lease
+	_ "github.com/wardspool/wardspool/plugins/slots/none"         // slots.none
+)
