wardspool-load run: open-loop load over HTTP, judged by the stand-ins

Cause: the promises must be shown with separate processes, by what the stand-ins count. Ruled out: a closed loop, which hides waits; the system's own counters. Tested against fakes only; no run against real instances yet.

--- a/cmd/wardspool-load/main.go
+++ b/cmd/wardspool-load/main.go
@@ -18,6 +18,9 @@
 // description opens the help text.
 const description = `Load generator and experiments.
 
+  wardspool-load run --workload examples/coastline/workload.yaml \
+    --targets 127.0.0.1:8001,127.0.0.1:8002 --rate 20 --duration 30s \
+    --judge 127.0.0.1:7101,127.0.0.1:7201
   wardspool-load experiment --quick
   wardspool-load experiment --out out/ --seeds 3 --workers 6
 
@@ -25,6 +28,7 @@
 
 // cli is the command line.
 type cli struct {
+	Run        runCmd           `cmd:"" help:"Offer a workload over HTTP to running instances and judge the answers."`
 	Experiment experimentCmd    `cmd:"" help:"Run the policies in virtual time: a table, CSV files and plots."`
 	Version    kong.VersionFlag `help:"Print the version and exit."`
 }
--- /dev/null
+++ b/load/client/fake_test.go
@@ -0,0 +1,102 @@
+package client
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/standin/answer"
+)
+
+// misbehaviour is what a fake instance does wrong.
+type misbehaviour int
+
+const (
+	behaves misbehaviour = iota
+	dropsToken
+	swapsToken
+	breaksOff
+	noOutcome
+	failsMidway
+	mixesUp
+	refuses
+	talksOn
+)
+
+// fakeInstance answers as an entry instance does, or wrongly.
+func fakeInstance(t *testing.T, m misbehaviour) string {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) { complete(w, r, m) })
+	mux.HandleFunc("POST /services/", func(w http.ResponseWriter, r *http.Request) { serve(w, r, m) })
+	mux.HandleFunc("POST /v1/tickets", func(w http.ResponseWriter, _ *http.Request) {
+		if m == refuses {
+			_ = api.NewProblem(api.ProblemStopping, api.NotRun, "").Write(w)
+			return
+		}
+		w.WriteHeader(http.StatusCreated)
+		_, _ = io.WriteString(w, `{"ticket":"t-1"}`)
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func complete(w http.ResponseWriter, r *http.Request, m misbehaviour) {
+	if m == refuses {
+		_ = api.NewProblem(api.ProblemOverloaded, api.NotRun, "full").RetryAfter(1500).Write(w)
+		return
+	}
+	var body completionBody
+	_ = json.NewDecoder(r.Body).Decode(&body)
+	w.Header().Set("Content-Type", "text/event-stream")
+	p := answer.Of(body.Prompt)
+	for i := range body.MaxTokens {
+		token := p.Token(i)
+		switch {
+		case i != 1:
+		case m == dropsToken:
+			continue
+		case m == swapsToken:
+			token = p.Token(2)
+		case m == breaksOff:
+			return
+		case m == failsMidway:
+			text, _ := json.Marshal(api.NewProblem(api.ProblemUpstreamFailed, api.Unknown, "lost"))
+			_, _ = fmt.Fprintf(w, "event: error\ndata: %s\n\n", text)
+			return
+		}
+		_, _ = fmt.Fprintf(w, "data: {\"choices\":[{\"index\":0,\"text\":%q}]}\n\n", token)
+	}
+	if m != noOutcome {
+		_, _ = io.WriteString(w, ": "+api.HeaderOutcome+": complete\n")
+	}
+	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	if m == talksOn {
+		_, _ = io.WriteString(w, "data: {\"choices\":[{\"text\":\"x\"}]}\n\n")
+	}
+}
+
+func serve(w http.ResponseWriter, r *http.Request, m misbehaviour) {
+	if m == refuses {
+		_ = api.NewProblem(api.ProblemTicketReused, api.Unknown, "").Write(w)
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	id := r.Header.Get(api.HeaderRequestID)
+	if m == mixesUp {
+		id = "another"
+	}
+	if m != noOutcome {
+		w.Header().Set(api.HeaderOutcome, string(api.Complete))
+	}
+	name, path, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/services/"), "/")
+	_ = json.NewEncoder(w).Encode(serviceAnswer{
+		Service: name, Path: "/" + path, Echo: string(body), CorrelationID: id,
+	})
+}
--- /dev/null
+++ b/load/client/service.go
@@ -0,0 +1,78 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/wardspool/wardspool/api"
+)
+
+// ServiceCall is a call of a plain service.
+type ServiceCall struct {
+	Call
+	Service string
+	Path    string
+	Body    string
+}
+
+// serviceAnswer is what is read of a stand-in service's answer.
+type serviceAnswer struct {
+	Service       string `json:"service"`
+	Path          string `json:"path"`
+	Echo          string `json:"echo"`
+	CorrelationID string `json:"correlation_id"`
+}
+
+// maxServiceAnswer bounds an answer, in bytes.
+const maxServiceAnswer = 1 << 20
+
+// CallService makes a plain service call and checks the answer.
+func (c *Client) CallService(ctx context.Context, call *ServiceCall) *Result {
+	r := &Result{}
+	url := "http://" + call.Target + "/services/" + call.Service + call.Path
+	resp, err := c.do(ctx, http.MethodPost, url, call.Call, strings.NewReader(call.Body), "text/plain")
+	if err != nil {
+		r.Err = err
+		return r.finish()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	r.head(resp)
+	if resp.Header.Get("Content-Type") == api.ProblemContentType {
+		r.Err = r.readProblem(resp)
+		return r.finish()
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxServiceAnswer))
+	r.finish()
+	switch {
+	case err != nil:
+		r.Err = &ConnError{Sent: true, Err: err}
+	case r.Outcome == "":
+		r.Err = &ProtocolError{Wrong: "an answer without an outcome"}
+	case resp.StatusCode == http.StatusOK:
+		r.Err = call.check(data)
+	}
+	return r
+}
+
+// MixedUpError reports a service's answer to another call.
+type MixedUpError struct{ Want, Got string }
+
+// Error implements error.
+func (e *MixedUpError) Error() string { return fmt.Sprintf("want %s, got %s", e.Want, e.Got) }
+
+// check returns a *WrongAnswerError if the answer is not this call's.
+func (c *ServiceCall) check(data []byte) error {
+	var got serviceAnswer
+	if err := json.Unmarshal(data, &got); err != nil {
+		return &WrongAnswerError{Err: err}
+	}
+	want := serviceAnswer{Service: c.Service, Path: c.Path, Echo: c.Body, CorrelationID: c.RequestID}
+	if got != want {
+		return &WrongAnswerError{Err: &MixedUpError{Want: fmt.Sprintf("%+v", want), Got: fmt.Sprintf("%+v", got)}}
+	}
+	return nil
+}
--- /dev/null
+++ b/load/client/stream.go
@@ -0,0 +1,126 @@
+package client
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/wardspool/wardspool/api"
+)
+
+// Parts of a server-sent event.
+var (
+	dataPrefix    = []byte("data: ")
+	errorEvent    = []byte("event: error")
+	commentPrefix = []byte(": ")
+	endMark       = []byte("[DONE]")
+)
+
+// maxEvent bounds a line of a stream, in bytes.
+const maxEvent = 1 << 20
+
+// startEvent is the initial size of a stream's line buffer, in bytes.
+const startEvent = 2 << 10
+
+// chunk is what is read of a streamed completion's chunk.
+type chunk struct {
+	Choices []struct {
+		Text  string `json:"text"`
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+}
+
+// stream reads one streamed answer.
+type stream struct {
+	result *Result
+	text   strings.Builder
+	ended  bool
+	failed bool
+}
+
+// read reads the stream to its end. It returns a *ConnError if it breaks off and
+// a *ProtocolError if it makes no sense.
+func (s *stream) read(resp *http.Response) error {
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(make([]byte, 0, startEvent), maxEvent)
+	for lines.Scan() {
+		if err := s.line(lines.Bytes()); err != nil {
+			return err
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return &ConnError{Sent: true, Err: err}
+	}
+	if outcome := resp.Trailer.Get(api.HeaderOutcome); outcome != "" {
+		s.result.Outcome = api.Outcome(outcome)
+	}
+	return s.judge()
+}
+
+// judge checks that the stream came to an end.
+func (s *stream) judge() error {
+	switch {
+	case s.result.Problem != nil:
+		return nil
+	case !s.ended:
+		return &ConnError{Sent: true, Err: &ProtocolError{Wrong: "the stream broke off"}}
+	case s.result.Outcome == "":
+		return &ProtocolError{Wrong: "an answer without an outcome"}
+	default:
+		return nil
+	}
+}
+
+// line handles one line.
+func (s *stream) line(line []byte) error {
+	if bytes.Equal(line, errorEvent) {
+		s.failed = true
+		return nil
+	}
+	if comment, ok := bytes.CutPrefix(line, commentPrefix); ok {
+		s.comment(comment)
+		return nil
+	}
+	data, ok := bytes.CutPrefix(line, dataPrefix)
+	switch {
+	case !ok:
+		return nil
+	case s.ended:
+		return &ProtocolError{Wrong: "output after the end mark"}
+	case s.failed:
+		return s.result.setProblem(data)
+	case bytes.Equal(data, endMark):
+		s.ended = true
+		return nil
+	default:
+		return s.chunk(data)
+	}
+}
+
+// comment reads the outcome, which comes on the end mark's event.
+func (s *stream) comment(text []byte) {
+	name, value, ok := bytes.Cut(text, []byte(": "))
+	if ok && string(name) == api.HeaderOutcome {
+		s.result.Outcome = api.Outcome(value)
+	}
+}
+
+// chunk adds a chunk's text.
+func (s *stream) chunk(data []byte) error {
+	var c chunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		return &ProtocolError{Wrong: "a chunk that is no JSON: " + err.Error()}
+	}
+	for _, choice := range c.Choices {
+		if text := choice.Text + choice.Delta.Content; text != "" {
+			s.text.WriteString(text)
+			s.result.saw(time.Now())
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/load/runner/caller.go
@@ -0,0 +1,158 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/load/client"
+	"github.com/wardspool/wardspool/load/workload"
+)
+
+// Waits of callers.
+const (
+	// reconnectWait is the mean wait before another instance is tried.
+	reconnectWait = 50 * time.Millisecond
+	// patience is how long after its deadline a caller still takes an answer.
+	patience = 2 * time.Second
+	// maxSendings bounds the sendings of one request, lost connections included.
+	maxSendings = 6
+)
+
+// caller is one request's caller.
+type caller struct {
+	runner  *runner
+	arrival *workload.Arrival
+	due     time.Time
+	ticket  string
+	// body is the JSON body of a model request.
+	body   []byte
+	call   client.Completion
+	record Record
+}
+
+// run makes the request, again if need be, and returns its record.
+func (c *caller) run(ctx context.Context) Record {
+	a := c.arrival
+	c.record = Record{
+		ID: c.runner.requestID(a), Kind: a.Kind.Name, Workspace: string(a.Workspace),
+		DueMS: milliseconds(a.At), Repeatable: a.Kind.Repeatable, Model: a.Kind.Model != "",
+	}
+	c.prepare()
+	ctx, cancel := context.WithDeadline(ctx, c.due.Add(a.Kind.Deadline+patience))
+	defer cancel()
+	if a.CancelAfter > 0 {
+		leave := time.AfterFunc(time.Until(c.due.Add(a.CancelAfter)), cancel)
+		defer leave.Stop()
+	}
+	for c.send(ctx) {
+	}
+	c.record.Cancelled = a.CancelAfter > 0 && ctx.Err() != nil && c.record.Outcome != api.Complete
+	return c.record
+}
+
+// prepare makes what all sendings share.
+func (c *caller) prepare() {
+	a := c.arrival
+	c.call = client.Completion{
+		Call: client.Call{
+			RequestID:  c.record.ID,
+			Workspace:  a.Workspace,
+			Kind:       a.Kind.Name,
+			Repeatable: a.Kind.Repeatable,
+		},
+		Model:     a.Kind.Model,
+		MaxTokens: a.OutputTokens,
+	}
+	if a.Kind.Model != "" {
+		c.call.Prompt = a.Prompt()
+		c.body = c.call.Body()
+	}
+}
+
+// send makes the request once. It returns true if it should be sent again.
+func (c *caller) send(ctx context.Context) bool {
+	left := time.Until(c.due.Add(c.arrival.Kind.Deadline))
+	if left <= 0 || ctx.Err() != nil {
+		return false
+	}
+	c.call.Target = c.runner.target()
+	c.call.Deadline = left
+	c.call.Ticket = ""
+	if !c.arrival.Kind.Repeatable && c.runner.opts.Tickets {
+		if !c.takeTicket(ctx) {
+			return c.pause(ctx, reconnectWait) && c.record.Sendings+c.record.TicketFailures < maxSendings
+		}
+		c.call.Ticket = c.ticket
+	}
+	c.record.Sendings++
+	r := c.exchange(ctx)
+	c.record.add(r, c.due)
+	return c.again(ctx, r)
+}
+
+// takeTicket makes sure that the caller has a ticket.
+func (c *caller) takeTicket(ctx context.Context) bool {
+	if c.ticket != "" {
+		return true
+	}
+	call := c.call.Call
+	ticket, err := c.runner.client.Ticket(ctx, call)
+	if err != nil {
+		c.record.TicketFailures++
+		c.record.Error = err.Error()
+		return false
+	}
+	c.ticket = ticket
+	return true
+}
+
+// exchange makes the call itself.
+func (c *caller) exchange(ctx context.Context) *client.Result {
+	if c.arrival.Kind.Model != "" {
+		return c.runner.client.Complete(ctx, &c.call, c.body)
+	}
+	call := client.ServiceCall{
+		Call:    c.call.Call,
+		Service: c.arrival.Kind.Service,
+		Path:    "/" + c.arrival.Kind.Name,
+		Body:    fmt.Sprintf("%s %d", c.record.ID, c.arrival.Seed),
+	}
+	call.IdempotencyKey = c.record.ID
+	return c.runner.client.CallService(ctx, &call)
+}
+
+// again decides whether a request is sent once more, and waits if so.
+func (c *caller) again(ctx context.Context, r *client.Result) bool {
+	if c.record.Sendings >= maxSendings {
+		return false
+	}
+	var conn *client.ConnError
+	if errors.As(r.Err, &conn) {
+		// With its ticket a request that is not repeatable still runs at most
+		// once, at the one instance that the ticket names.
+		safe := !conn.Sent || c.arrival.Kind.Repeatable || c.ticket != ""
+		return safe && c.pause(ctx, reconnectWait)
+	}
+	refused := r.Err == nil && r.Outcome == api.NotRun && r.Problem != nil && r.Problem.RetryAfterMS > 0
+	if !refused || !c.arrival.Retries || c.record.Refusals > c.runner.opts.Spec.Caller.MaxRetries {
+		return false
+	}
+	// A ticket is for one run; the refused one stays unused.
+	c.ticket = ""
+	return c.pause(ctx, time.Duration(r.Problem.RetryAfterMS)*time.Millisecond)
+}
+
+// pause waits with some jitter; it returns false if the caller left meanwhile
+// or would come back too late.
+func (c *caller) pause(ctx context.Context, mean time.Duration) bool {
+	wait := mean + rand.N(mean/2+1)
+	at := time.Now().Add(wait)
+	if at.After(c.due.Add(c.arrival.Kind.Deadline)) {
+		return false
+	}
+	return sleepUntil(ctx, at)
+}
--- /dev/null
+++ b/load/runner/output.go
@@ -0,0 +1,102 @@
+package runner
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/load/workload"
+	"github.com/wardspool/wardspool/report"
+)
+
+// maxSaved bounds the records that are written to a file.
+const maxSaved = 100_000
+
+// SavedRecords is the content of the records' file.
+type SavedRecords struct {
+	// Omitted counts the records beyond the bound of the file.
+	Omitted int      `json:"omitted"`
+	Records []Record `json:"records"`
+}
+
+// SaveRecords writes up to maxSaved records as JSON. Errors are those of
+// package os or of the encoder.
+func SaveRecords(path string, records []Record) (err error) {
+	saved := SavedRecords{Records: records}
+	if len(records) > maxSaved {
+		saved = SavedRecords{Records: records[:maxSaved], Omitted: len(records) - maxSaved}
+	}
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return err
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if closeErr := f.Close(); err == nil {
+			err = closeErr
+		}
+	}()
+	return json.NewEncoder(f).Encode(saved)
+}
+
+// plotStep is the width of the plots' bins.
+const plotStep = time.Second
+
+// SavePlot draws what became of the requests by the second in which they were
+// due, and writes base.svg and base.png. Errors are those of report.SavePanels.
+func SavePlot(base string, spec *workload.Spec, records []Record, duration time.Duration) error {
+	kinds := map[string]*workload.Kind{}
+	for i := range spec.Kinds {
+		kinds[spec.Kinds[i].Name] = &spec.Kinds[i]
+	}
+	bins := int(duration/plotStep) + 1
+	offered, good := make([]float64, bins), make([]float64, bins)
+	first := make([]*report.Hist, bins)
+	for i := range records {
+		r := &records[i]
+		bin := min(int(fromMilliseconds(r.DueMS)/plotStep), bins-1)
+		offered[bin]++
+		if r.Good(kinds[r.Kind]) {
+			good[bin]++
+		}
+		if !r.Model || r.Outcome != api.Complete {
+			continue
+		}
+		if first[bin] == nil {
+			first[bin] = report.NewHist()
+		}
+		first[bin].Record(fromMilliseconds(r.FirstMS))
+	}
+	return report.SavePanels(base, 2, []report.Panel{
+		{
+			Title: "requests by the second they were due", XLabel: "seconds", YLabel: "requests a second",
+			Lines: []report.Line{{Name: "offered", Points: points(offered)}, {Name: "goodput", Points: points(good)}},
+		},
+		{
+			Title: "time to first output, model requests", XLabel: "seconds", YLabel: "ms",
+			Lines: []report.Line{{Name: "p50", Points: quantiles(first, median)}, {Name: "p95", Points: quantiles(first, p95)}},
+		},
+	})
+}
+
+func points(values []float64) []report.Point {
+	list := make([]report.Point, len(values))
+	for i, v := range values {
+		list[i] = report.Point{X: float64(i), Y: v}
+	}
+	return list
+}
+
+func quantiles(hists []*report.Hist, percent float64) []report.Point {
+	var list []report.Point
+	for i, h := range hists {
+		if h != nil {
+			list = append(list, report.Point{X: float64(i), Y: milliseconds(h.Quantile(percent))})
+		}
+	}
+	return list
+}
