Entry: calls with tickets, here and forwarded to their executor

Cause: a call that is not repeatable must run at most once also when its caller retries at another instance. Change: entry/tickets drives package ticket; the front chooses the path; ticket.execute forwards over jsonrpc2. Ruled out: routing by the view's incarnation, which is the agent's and may be newer than the entry's; only the executor itself says what ran.

--- a/entry/check.go
+++ b/entry/check.go
@@ -37,6 +37,7 @@
 	if s.PauseAfter <= 0 {
 		r.Add("pause_after", "is not positive", "for example 500ms")
 	}
+	s.checkTickets(r)
 	s.checkSource(r)
 }
 
@@ -112,6 +113,16 @@
 	}
 }
 
+// checkTickets checks the keys without printing any part of them.
+func (s *Settings) checkTickets(r *settings.Report) {
+	if s.Tickets.Lifetime <= 0 {
+		r.Add("tickets.lifetime", "is not positive", "for example 2m")
+	}
+	if _, err := s.Tickets.codec(); err != nil {
+		r.Add("tickets.keys", err.Error(), "give each key an id and a secret of 32 bytes or more, in base64")
+	}
+}
+
 // checkAdapters loads each adapter with its settings.
 func (s *Settings) checkAdapters(r *settings.Report) {
 	engine := s.checkAdapter(r, "engine", s.Engine)
--- a/entry/driver/peers.go
+++ b/entry/driver/peers.go
@@ -17,7 +17,7 @@
 // its own, so that messages keep their order and a slow peer holds up no other.
 func (d *Driver) sendPeer(s kernel.SendPeer) {
 	if d.opts.Peers == nil {
-		d.backlog = append(d.backlog, kernel.PeerUndelivered{To: s.To, Message: s.Message})
+		d.backlog = append(d.backlog, kernel.PeerUndelivered(s))
 		return
 	}
 	queue, ok := d.peers[s.To]
@@ -29,7 +29,7 @@
 	select {
 	case queue <- s.Message:
 	default:
-		d.backlog = append(d.backlog, kernel.PeerUndelivered{To: s.To, Message: s.Message})
+		d.backlog = append(d.backlog, kernel.PeerUndelivered(s))
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/wardspool/wardspool/entry/intake"
 	"github.com/wardspool/wardspool/entry/metrics"
 	"github.com/wardspool/wardspool/entry/peering"
+	"github.com/wardspool/wardspool/entry/tickets"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/kernel"
 	"github.com/wardspool/wardspool/kernel/prefix"
@@ -41,9 +42,11 @@
 	recorder *recorder
 	driver   *driver.Driver
 	front    *front.Front
-	book     *peering.Book
-	pool     *peer.Pool
-	servers  servers
+	// desk is nil without ticket keys.
+	desk    *tickets.Desk
+	book    *peering.Book
+	pool    *peer.Pool
+	servers servers
 
 	// catalog is the bundle version in force, nil before the first.
 	catalog atomic.Pointer[intake.Catalog]
@@ -97,7 +100,10 @@
 		OnPause:      e.paused,
 		OnConfigured: e.configured,
 	})
-	e.front = front.New(front.Options{
+	if e.desk, err = newDesk(&s.Tickets, e.self, e.book, e.pool, log); err != nil {
+		return nil, oops.In("entry").Wrapf(err, "make the tickets' keys")
+	}
+	options := front.Options{
 		Instance: s.Instance,
 		Limits:   s.Callers.Limits.limits(),
 		Submit:   counting{e},
@@ -105,7 +111,14 @@
 		Ready:    e.unready,
 		Metrics:  reporter,
 		Log:      log,
-	})
+	}
+	if e.desk != nil {
+		options.Tickets = e.desk
+	}
+	e.front = front.New(options)
+	if e.desk != nil {
+		e.desk.SetRunner(e.front.RunTicket)
+	}
 	return e, nil
 }
 
@@ -165,8 +178,11 @@
 }
 
 // paused follows up on a pause of the process.
-func (e *Entry) paused(time.Duration) {
+func (e *Entry) paused(gap time.Duration) {
 	e.recorder.counters.pauses.Inc(1)
+	if e.desk != nil {
+		e.desk.Paused(gap)
+	}
 	if e.settings.Static != nil {
 		// There is no agent that would refresh the view. The driver calls this
 		// from its own goroutine, which must not wait for itself.
--- a/entry/front/answer.go
+++ b/entry/front/answer.go
@@ -101,11 +101,12 @@
 }
 
 // writeWhole answers a request that is not streamed.
-func (f *Front) writeWhole(w http.ResponseWriter, ex *driver.Exchange, id identity, out *wholeOutput, res driver.Result) {
+func (f *Front) writeWhole(w http.ResponseWriter, ex *driver.Exchange, out *wholeOutput, res driver.Result) {
 	if res.Problem != nil {
 		f.writeProblem(w, ex.Request.ID, res)
 		return
 	}
+	id := newIdentity(ex)
 	text := out.text.String()
 	c := choice{FinishReason: res.Decoded.FinishReason}
 	object := objectCompletion
--- a/entry/front/operate.go
+++ b/entry/front/operate.go
@@ -24,18 +24,18 @@
 
 // models lists the models that the bundle in force declares.
 func (f *Front) models(w http.ResponseWriter, r *http.Request) {
-	a, problem := f.arrive(r)
+	c, problem := f.arrive(r)
 	if problem != nil {
-		f.fail(w, r, a, problem)
+		f.fail(w, c, problem)
 		return
 	}
-	content := a.catalog.Content
+	content := c.catalog.Content
 	list := modelList{Object: "list", Data: make([]modelEntry, 0, len(content.Models))}
 	for _, m := range content.Models {
 		list.Data = append(list.Data, modelEntry{ID: m.Name, Object: "model", OwnedBy: content.Deployment})
 	}
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set(api.HeaderRequestID, string(a.headers.RequestID))
+	w.Header().Set(api.HeaderRequestID, string(c.headers.RequestID))
 	w.Header().Set(api.HeaderOutcome, string(api.Complete))
 	f.extendWrite(w)
 	if err := json.NewEncoder(w).Encode(list); err != nil {
@@ -43,16 +43,6 @@
 	}
 }
 
-// tickets hands out tickets for calls that are not repeatable.
-func (f *Front) tickets(w http.ResponseWriter, r *http.Request) {
-	if f.opts.Tickets == nil {
-		p := api.NewProblem(api.ProblemNotReady, api.NotRun, "tickets are not configured on this instance")
-		f.refuse(w, r, p)
-		return
-	}
-	f.opts.Tickets.ServeHTTP(w, r)
-}
-
 // healthz says that the process runs.
 func (f *Front) healthz(w http.ResponseWriter, _ *http.Request) { f.plain(w, http.StatusOK, "ok\n") }
 
--- a/entry/front/options.go
+++ b/entry/front/options.go
@@ -69,8 +69,8 @@
 	Ready func() Unready
 	// Metrics answers GET /metrics.
 	Metrics http.Handler
-	// Tickets answers POST /v1/tickets; nil if tickets are not configured.
-	Tickets http.Handler
+	// Tickets runs calls that carry a ticket; nil if none are configured.
+	Tickets Tickets
 	Log     *slog.Logger
 }
 
--- a/entry/front/problem.go
+++ b/entry/front/problem.go
@@ -8,7 +8,6 @@
 	"github.com/oklog/ulid/v2"
 
 	"github.com/wardspool/wardspool/api"
-	"github.com/wardspool/wardspool/entry/intake"
 	"github.com/wardspool/wardspool/ident"
 )
 
@@ -25,22 +24,6 @@
 	return ident.RequestID(ulid.MustNew(ulid.Now(), rand.Reader).String())
 }
 
-// refuse answers a request that never reached the kernel.
-func (f *Front) refuse(w http.ResponseWriter, r *http.Request, p *api.Problem) {
-	if p.RequestID == "" {
-		h, _ := intake.ReadHeaders(r.Header)
-		id := h.RequestID
-		if id == "" {
-			id = newRequestID()
-		}
-		p.RequestID = string(id)
-	}
-	if c := f.opts.Catalog(); c != nil && p.BundleVersion == 0 {
-		p.BundleVersion = c.Version
-	}
-	f.write(w, p)
-}
-
 // write sends a problem as the whole answer.
 func (f *Front) write(w http.ResponseWriter, p *api.Problem) {
 	f.extendWrite(w)
--- a/entry/front/server.go
+++ b/entry/front/server.go
@@ -7,7 +7,6 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/wardspool/wardspool/adapter"
 	"github.com/wardspool/wardspool/api"
 )
 
@@ -47,16 +46,16 @@
 // Handler returns the routes.
 func (f *Front) Handler() http.Handler {
 	r := mux.NewRouter().SkipClean(true).UseEncodedPath()
-	r.HandleFunc("/v1/completions", f.model(adapter.Completions)).Methods(http.MethodPost)
-	r.HandleFunc("/v1/chat/completions", f.model(adapter.Chat)).Methods(http.MethodPost)
+	r.HandleFunc(pathCompletions, f.serve).Methods(http.MethodPost)
+	r.HandleFunc(pathChat, f.serve).Methods(http.MethodPost)
+	r.HandleFunc(servicePrefix+"{service}/{path:.*}", f.serve)
 	r.HandleFunc("/v1/models", f.models).Methods(http.MethodGet)
-	r.HandleFunc("/v1/tickets", f.tickets).Methods(http.MethodPost)
-	r.HandleFunc("/services/{service}/{path:.*}", f.service)
+	r.HandleFunc("/v1/tickets", f.issueTicket).Methods(http.MethodPost)
 	r.HandleFunc("/healthz", f.healthz).Methods(http.MethodGet)
 	r.HandleFunc("/readyz", f.readyz).Methods(http.MethodGet)
 	r.Handle("/metrics", f.opts.Metrics).Methods(http.MethodGet)
-	r.NotFoundHandler = f.noRoute(http.StatusNotFound, "no such path")
-	r.MethodNotAllowedHandler = f.noRoute(http.StatusMethodNotAllowed, "the path does not take this method")
+	r.NotFoundHandler = f.refuseAll(http.StatusNotFound, "no such path")
+	r.MethodNotAllowedHandler = f.refuseAll(http.StatusMethodNotAllowed, "the path does not take this method")
 	return f.common(r)
 }
 
@@ -71,16 +70,22 @@
 	})
 }
 
-// noRoute answers requests that no route takes.
-func (f *Front) noRoute(status int, detail string) http.Handler {
+// refuseAll answers requests that no route takes.
+func (f *Front) refuseAll(status int, detail string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		p := api.NewProblem(api.ProblemMalformed, api.NotRun, detail)
-		p.Status = status
-		p.Title = http.StatusText(status)
-		f.refuse(w, r, p)
+		c, _ := f.arrive(r)
+		f.fail(w, c, noRoute(status, detail))
 	})
 }
 
+// noRoute returns the problem of a path that leads nowhere.
+func noRoute(status int, detail string) *api.Problem {
+	p := api.NewProblem(api.ProblemMalformed, api.NotRun, detail)
+	p.Status = status
+	p.Title = http.StatusText(status)
+	return p
+}
+
 // budget is an amount that requests in flight share.
 type budget struct {
 	limit int64
--- a/entry/front/service.go
+++ b/entry/front/service.go
@@ -1,73 +1,46 @@
 package front
 
 import (
+	"context"
 	"net/http"
-	"strings"
-
-	"github.com/gorilla/mux"
 
 	"github.com/wardspool/wardspool/adapter"
 	"github.com/wardspool/wardspool/api"
 	"github.com/wardspool/wardspool/entry/driver"
-	"github.com/wardspool/wardspool/ident"
 )
 
-// servicePrefix comes before a service's name and path.
-const servicePrefix = "/services/"
-
-// service answers calls of plain services.
-func (f *Front) service(w http.ResponseWriter, r *http.Request) {
-	a, problem := f.arrive(r)
-	if problem != nil {
-		f.fail(w, r, a, problem)
+// dispatchService runs a call of a plain service and writes its answer.
+func (f *Front) dispatchService(ctx context.Context, w http.ResponseWriter, c *call) {
+	if !c.target.validService() {
+		f.fail(w, c, api.NewProblem(api.ProblemUnknownService, api.NotRun, "the path does not name a service"))
 		return
 	}
-	if !f.requests.take(1) {
-		f.fail(w, r, a, overloaded("too many requests are in flight"))
-		return
-	}
-	defer f.requests.give(1)
-	name := mux.Vars(r)["service"]
-	if !ident.ValidName(name) {
-		f.fail(w, r, a, api.NewProblem(api.ProblemUnknownService, api.NotRun, "the path does not name a service"))
-		return
-	}
-	req, problem := a.catalog.Service(a.headers, name, a.at)
+	req, problem := c.catalog.Service(c.headers, c.target.service, c.at)
 	if problem != nil {
-		f.fail(w, r, a, problem)
+		f.fail(w, c, problem)
 		return
 	}
-	body, release, problem := f.readBody(w, r)
-	if problem != nil {
-		f.fail(w, r, a, problem)
-		return
-	}
-	defer release()
-	ex := &driver.Exchange{Request: req, Service: f.serviceCall(r, a, name, body)}
-	f.writeService(w, ex, f.opts.Submit.Submit(r.Context(), ex))
+	ex := &driver.Exchange{Request: req, Service: f.serviceCall(c)}
+	f.writeService(w, ex, f.opts.Submit.Submit(ctx, ex))
 }
 
 // serviceCall returns what is the same for all attempts of a call.
-func (f *Front) serviceCall(r *http.Request, a arrival, name string, body []byte) *adapter.ServiceCall {
-	path := strings.TrimPrefix(r.URL.EscapedPath(), servicePrefix+name)
-	if r.URL.RawQuery != "" {
-		path += "?" + r.URL.RawQuery
-	}
-	header := r.Header.Clone()
+func (f *Front) serviceCall(c *call) *adapter.ServiceCall {
+	header := c.header.Clone()
 	header.Del(api.HeaderTicket)
 	return &adapter.ServiceCall{
-		Method:         r.Method,
-		Path:           path,
+		Method:         c.method,
+		Path:           c.target.rest,
 		Header:         header,
-		Body:           body,
-		IdempotencyKey: a.headers.IdempotencyKey,
+		Body:           c.body,
+		IdempotencyKey: c.headers.IdempotencyKey,
 		ResponseLimit:  f.opts.Limits.ResponseBytes,
 	}
 }
 
 // writeService answers a call with the service's own answer.
 func (f *Front) writeService(w http.ResponseWriter, ex *driver.Exchange, res driver.Result) {
-	if res.Problem != nil || res.Service == nil {
+	if res.Problem != nil {
 		f.writeProblem(w, ex.Request.ID, res)
 		return
 	}
--- a/entry/front/stream.go
+++ b/entry/front/stream.go
@@ -20,7 +20,6 @@
 	w     http.ResponseWriter
 	rc    *http.ResponseController
 	ex    *driver.Exchange
-	id    identity
 
 	// head is the event up to the chunk's choices.
 	head  []byte
@@ -29,14 +28,13 @@
 	last  []byte
 }
 
-func newStreamOutput(f *Front, w http.ResponseWriter, ex *driver.Exchange, id identity) *streamOutput {
+func newStreamOutput(f *Front, w http.ResponseWriter, ex *driver.Exchange) *streamOutput {
 	return &streamOutput{
 		front: f,
 		w:     w,
 		rc:    http.NewResponseController(w),
 		ex:    ex,
-		id:    id,
-		head:  id.chunkHead(),
+		head:  newIdentity(ex).chunkHead(),
 	}
 }
 
--- a/entry/intake/catalog.go
+++ b/entry/intake/catalog.go
@@ -4,7 +4,9 @@
 package intake
 
 import (
+	"github.com/wardspool/wardspool/api"
 	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
 )
 
 // Catalog is a bundle version's declarations as the intake needs them. It is
@@ -19,6 +21,7 @@
 	// deduplicates says of each service whether its upstreams run an
 	// idempotency key at most once.
 	deduplicates map[string]bool
+	workspaces   map[ident.Workspace]bool
 }
 
 // NewCatalog indexes the content of a bundle version.
@@ -30,6 +33,7 @@
 		first:        map[config.Route]*config.Kind{},
 		models:       make(map[string]*config.Model, len(c.Models)),
 		deduplicates: make(map[string]bool, len(c.Services)),
+		workspaces:   make(map[ident.Workspace]bool, len(c.Workspaces)),
 	}
 	for i := range c.Kinds {
 		k := &c.Kinds[i]
@@ -44,5 +48,17 @@
 	for i := range c.Services {
 		cat.deduplicates[c.Services[i].Name] = c.Services[i].Deduplicates
 	}
+	for i := range c.Workspaces {
+		cat.workspaces[c.Workspaces[i].Name] = true
+	}
 	return cat
 }
+
+// Workspace returns a problem if the bundle does not declare the workspace.
+func (c *Catalog) Workspace(name ident.Workspace) *api.Problem {
+	if c.workspaces[name] {
+		return nil
+	}
+	return api.NewProblem(api.ProblemUnknownWorkspace, api.NotRun,
+		"the bundle in force declares no such workspace")
+}
--- a/entry/intake/headers.go
+++ b/entry/intake/headers.go
@@ -11,13 +11,14 @@
 	"github.com/wardspool/wardspool/ident"
 )
 
+// MaxDeadline bounds how long a caller may say that it waits.
+const MaxDeadline = time.Hour
+
 // Bounds of the headers that wardspool reads.
 const (
 	maxIDBytes     = 128
 	maxKeyBytes    = 256
 	maxTicketBytes = 2048
-	// maxDeadline bounds how long a caller may say that it waits.
-	maxDeadline = time.Hour
 	// maxDeadlineDigits bounds the header's length before it is parsed.
 	maxDeadlineDigits = 9
 )
@@ -134,8 +135,8 @@
 		return 0
 	}
 	d := time.Duration(ms) * time.Millisecond
-	if d > maxDeadline {
-		r.fail(name, fmt.Sprintf("is longer than %d", maxDeadline.Milliseconds()))
+	if d > MaxDeadline {
+		r.fail(name, fmt.Sprintf("is longer than %d", MaxDeadline.Milliseconds()))
 		return 0
 	}
 	return d
@@ -161,3 +162,20 @@
 	}
 	return k, nil
 }
+
+// Repeatable reports whether a request may run more than once: as its headers
+// say, or else its kind.
+func (c *Catalog) Repeatable(h Headers, route config.Route) (bool, *api.Problem) {
+	kind, problem := c.kind(h.Kind, route)
+	if problem != nil {
+		return false, problem
+	}
+	if h.Repeatable != nil {
+		return *h.Repeatable, nil
+	}
+	return kind.Repeatable, nil
+}
+
+// Deduplicates reports whether a service's upstreams run an idempotency key at
+// most once themselves.
+func (c *Catalog) Deduplicates(service string) bool { return c.deduplicates[service] }
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -10,7 +10,9 @@
 
 	"github.com/samber/oops"
 
+	"github.com/wardspool/wardspool/entry/intake"
 	"github.com/wardspool/wardspool/entry/peering"
+	"github.com/wardspool/wardspool/entry/tickets"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/kernel"
 	"github.com/wardspool/wardspool/peer"
@@ -42,7 +44,9 @@
 			Zone:        e.self.Zone,
 		},
 		Allow: allow,
-		Log:   e.log,
+		// A forwarded ticket's call lasts as long as its caller waits.
+		Limits: peer.Limits{Call: intake.MaxDeadline},
+		Log:    e.log,
 	}
 }
 
@@ -74,6 +78,9 @@
 func (e *Entry) handleAll() {
 	if s := e.servers.peers; s != nil {
 		peering.HandleKernel(s.server, e.driver.Post)
+		if e.desk != nil {
+			tickets.Handle(s.server, e.desk)
+		}
 	}
 	if s := e.servers.feed; s != nil {
 		peering.HandleFeed(s.server, e)
@@ -148,6 +155,9 @@
 	}
 	stopErr := e.stop(err == nil)
 	stopRun()
+	if e.desk != nil {
+		e.desk.Wait()
+	}
 	running.Wait()
 	return errors.Join(err, stopErr, e.cleanUp())
 }
@@ -199,6 +209,9 @@
 	e.stopping.Store(true)
 	e.front.Close()
 	e.driver.Post(kernel.Stop{})
+	if e.desk != nil {
+		e.desk.Stop()
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), e.settings.Stop.Timeout)
 	defer cancel()
 	// Until all in flight is finished, newcomers are told to go elsewhere.
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -14,6 +14,7 @@
 	"github.com/wardspool/wardspool/plugins/engine/openai"
 	"github.com/wardspool/wardspool/plugins/service/http"
 	"github.com/wardspool/wardspool/settings"
+	"github.com/wardspool/wardspool/ticket"
 )
 
 // Settings are what an entry instance reads from its settings file.
@@ -30,6 +31,7 @@
 	Operators OperatorSettings `yaml:"operators"`
 	Log       logs.Options     `yaml:"log"`
 	Stop      StopSettings     `yaml:"stop"`
+	Tickets   TicketSettings   `yaml:"tickets"`
 
 	// Engine and Service are the adapters to use.
 	Engine  plugin.ID `yaml:"engine"`
@@ -109,6 +111,22 @@
 	Timeout time.Duration `yaml:"timeout"`
 }
 
+// TicketSettings concern tickets for calls that are not repeatable.
+type TicketSettings struct {
+	// Keys are the secrets that all instances share; the first one seals. Without
+	// keys the instance issues and accepts no tickets.
+	Keys []TicketKey `yaml:"keys"`
+	// Lifetime is the time from a ticket's issue to its expiry.
+	Lifetime time.Duration `yaml:"lifetime"`
+}
+
+// TicketKey is a secret and its name.
+type TicketKey struct {
+	ID string `yaml:"id"`
+	// Secret is at least 32 bytes, in base64.
+	Secret string `yaml:"secret"`
+}
+
 // StaticSettings describe a fixed fleet, for tests and first steps.
 type StaticSettings struct {
 	// Bundle is a bundle source in YAML; the path is relative to the working
@@ -147,6 +165,7 @@
 		IdleTimeout:   l.IdleTimeout,
 		ResponseBytes: l.ResponseBytes,
 	}
+	s.Tickets.Lifetime = ticket.DefaultLimits().Lifetime
 	s.Stop = StopSettings{Grace: defaultGrace, Timeout: defaultTimeout}
 	s.Engine = openai.ID
 	s.Service = http.ID
--- /dev/null
+++ b/entry/tickets.go
@@ -0,0 +1,61 @@
+package entry
+
+import (
+	"crypto/rand"
+	"encoding/base64"
+	"encoding/binary"
+	"log/slog"
+
+	"github.com/wardspool/wardspool/entry/peering"
+	"github.com/wardspool/wardspool/entry/tickets"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/peer"
+	"github.com/wardspool/wardspool/ticket"
+)
+
+// SecretError reports a ticket secret that is not base64.
+type SecretError struct{ ID string }
+
+// Error implements error.
+func (e *SecretError) Error() string { return "the secret of ticket key " + e.ID + " is not base64" }
+
+// codec returns the codec of the keys, nil if there are none. Errors are
+// *SecretError and *ticket.KeyError.
+func (t *TicketSettings) codec() (*ticket.Codec, error) {
+	if len(t.Keys) == 0 {
+		return nil, nil
+	}
+	keys := make([]ticket.Key, 0, len(t.Keys))
+	for _, k := range t.Keys {
+		secret, err := base64.StdEncoding.DecodeString(k.Secret)
+		if err != nil {
+			return nil, &SecretError{ID: k.ID}
+		}
+		keys = append(keys, ticket.Key{ID: k.ID, Secret: secret})
+	}
+	return ticket.NewCodec(keys...)
+}
+
+// newDesk returns the desk of an instance, nil if it has no ticket keys.
+func newDesk(t *TicketSettings, self kernel.Self, book *peering.Book, pool *peer.Pool, log *slog.Logger) (*tickets.Desk, error) {
+	codec, err := t.codec()
+	if err != nil || codec == nil {
+		return nil, err
+	}
+	var nonce [8]byte
+	// Read never fails; see its documentation.
+	_, _ = rand.Read(nonce[:])
+	limits := ticket.DefaultLimits()
+	limits.Lifetime = t.Lifetime
+	return tickets.New(tickets.Options{
+		Life: ticket.Life{
+			Instance:    self.Instance,
+			Incarnation: self.Incarnation,
+			Nonce:       binary.LittleEndian.Uint64(nonce[:]),
+		},
+		Limits:  limits,
+		Codec:   codec,
+		Forward: tickets.NewPeers(book, pool),
+		Log:     log,
+	}), nil
+}
--- /dev/null
+++ b/entry/tickets/forward.go
@@ -0,0 +1,48 @@
+package tickets
+
+import (
+	"context"
+
+	"github.com/wardspool/wardspool/entry/peering"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/peer"
+)
+
+// MethodExecute presents a call to the executor of its ticket.
+const MethodExecute = "ticket.execute"
+
+// Peers forwards calls over jsonrpc2. It implements Forwarder.
+type Peers struct {
+	book *peering.Book
+	pool *peer.Pool
+}
+
+// NewPeers returns a forwarder.
+func NewPeers(book *peering.Book, pool *peer.Pool) *Peers { return &Peers{book: book, pool: pool} }
+
+// Known implements Forwarder.
+func (p *Peers) Known(id ident.InstanceID) bool {
+	_, err := p.book.Address(id)
+	return err == nil
+}
+
+// Forward implements Forwarder. Errors are *peering.UnknownPeerError and
+// *peer.CallError.
+func (p *Peers) Forward(ctx context.Context, to ident.InstanceID, c *Call) (*Reply, error) {
+	addr, err := p.book.Address(to)
+	if err != nil {
+		return nil, err
+	}
+	r, err := peer.Call[Reply](ctx, p.pool, addr, MethodExecute, c, peer.Expect(to, 0))
+	if err != nil {
+		return nil, err
+	}
+	return &r, nil
+}
+
+// Handle makes a server take forwarded calls.
+func Handle(s *peer.Server, d *Desk) {
+	peer.Handle(s, MethodExecute, func(ctx context.Context, _ peer.Identity, c Call) (Reply, error) {
+		return d.ExecuteHere(ctx, &c), nil
+	})
+}
