Stand-in engine: short prefills share a step beside generations

Ruled out: sharing steps on idle engines too; a short prompt would then wait for its neighbour's chunk. Change: beside running generations a step fills its chunk with several prompts.

--- a/standin/engine/attempt.go
+++ b/standin/engine/attempt.go
@@ -140,6 +140,9 @@
 		e.life.transfers.cancel(a)
 	}
 	e.life.queue.remove(a)
+	if a.stage == StagePrefill {
+		e.life.prefilling--
+	}
 	if e.life.current == a {
 		e.life.current = nil
 	}
--- a/standin/engine/batch.go
+++ b/standin/engine/batch.go
@@ -9,11 +9,16 @@
 // step is one step of the engine.
 type step struct {
 	batch    []*attempt
-	prefill  *attempt // nil if the step has no prefill
-	chunk    int      // prompt tokens of prefill computed in the step
+	prefills []chunk
 	duration time.Duration
 }
 
+// chunk is prompt tokens of one prefill that are computed in a step.
+type chunk struct {
+	a      *attempt
+	tokens int
+}
+
 // runSteps runs the engine's steps until the engine is closed.
 func (e *Engine) runSteps() {
 	timer := time.NewTimer(time.Hour)
@@ -53,14 +58,14 @@
 	l := e.life
 	l.batch = keepRunning(append(l.batch, l.joining...))
 	l.joining = l.joining[:0]
-	s := step{batch: l.batch, prefill: e.nextPrefill()}
-	if s.prefill != nil {
-		s.chunk = min(s.prefill.left, e.cfg.Perf.PrefillChunk)
-	}
-	if len(s.batch) == 0 && s.prefill == nil {
+	s := step{batch: l.batch, prefills: e.planPrefills(len(l.batch) > 0)}
+	if len(s.batch) == 0 && len(s.prefills) == 0 {
 		return step{}, false
 	}
-	s.duration = e.cfg.Perf.StepTime(len(s.batch)) + e.cfg.Perf.PrefillDuration(s.chunk)
+	s.duration = e.cfg.Perf.StepTime(len(s.batch))
+	for _, c := range s.prefills {
+		s.duration += e.cfg.Perf.PrefillDuration(c.tokens)
+	}
 	if e.faults.SlowFactor > 0 {
 		s.duration = time.Duration(float64(s.duration) * e.faults.SlowFactor)
 	}
@@ -79,6 +84,29 @@
 	return kept
 }
 
+// planPrefills returns the prefills of the next step, within the chunk size.
+// Beside generations, which make a step long, several short prompts share it;
+// otherwise each has steps of its own and is ready as soon as it is computed.
+func (e *Engine) planPrefills(shared bool) []chunk {
+	var out []chunk
+	for budget := e.cfg.Perf.PrefillChunk; budget > 0; {
+		a := e.nextPrefill()
+		if a == nil {
+			break
+		}
+		n := min(a.left, budget)
+		budget -= n
+		out = append(out, chunk{a: a, tokens: n})
+		if n == a.left {
+			e.life.current = nil
+		}
+		if !shared {
+			break
+		}
+	}
+	return out
+}
+
 // nextPrefill returns the prefill to compute, starting the next one from the
 // queue if its memory is free. Of two with one priority, the earlier one goes
 // first, and nobody overtakes one that waits for memory.
@@ -110,6 +138,7 @@
 	a.cached = a.promptTokens - a.left
 	a.stage = StagePrefill
 	e.life.current = a
+	e.life.prefilling++
 	e.ledger.prefillStarted(a)
 }
 
@@ -128,8 +157,8 @@
 			e.generate(a)
 		}
 	}
-	if s.prefill != nil {
-		e.computed(s.prefill, s.chunk)
+	for _, c := range s.prefills {
+		e.computed(c.a, c.tokens)
 	}
 }
 
@@ -150,19 +179,19 @@
 	}
 }
 
-// computed adds a computed chunk to a prefill. A chunk of a prefill that has
-// ended meanwhile was computed in vain.
-func (e *Engine) computed(a *attempt, chunk int) {
-	e.ledger.computed(a, chunk)
+// computed adds computed tokens to a prefill. Those of a prefill that has ended
+// meanwhile were computed in vain.
+func (e *Engine) computed(a *attempt, n int) {
+	e.ledger.computed(a, n)
 	if !a.running() {
 		return
 	}
-	a.computed += chunk
-	a.left -= chunk
+	a.computed += n
+	a.left -= n
 	if a.left > 0 {
 		return
 	}
-	e.life.current = nil
+	e.life.prefilling--
 	e.storeBlocks(a)
 	if a.prefillOnly {
 		e.hold(a)
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -42,8 +42,10 @@
 	tombstones *tombstones
 
 	queue prefillQueue
-	// current is the prefill that is being computed, nil if none.
+	// current is the prefill that goes on in the next step, nil if none.
 	current *attempt
+	// prefilling counts the attempts in StagePrefill.
+	prefilling int
 	// batch lists the running generations; joining those of the next step.
 	batch   []*attempt
 	joining []*attempt
--- a/standin/engine/load.go
+++ b/standin/engine/load.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/wardspool/wardspool/config"
 	"github.com/wardspool/wardspool/standin/control"
 )
 
@@ -71,8 +72,8 @@
 // runningCount is the number of attempts with a slot, or on a prefill engine
 // of those being computed.
 func (e *Engine) runningCount() int {
-	if e.life.current != nil && e.life.current.prefillOnly {
-		return e.life.slotsUsed + 1
+	if e.role() == config.RolePrefill {
+		return e.life.prefilling
 	}
 	return e.life.slotsUsed
 }
--- a/standin/engine/session_test.go
+++ b/standin/engine/session_test.go
@@ -167,3 +167,22 @@
 		assert.NilError(t, answer.Check(prompt, got.text, 2))
 	})
 }
+
+// TestShortPromptsShareAStep starts one generation and then four short prompts
+// with prefills of their own: they fit one step's chunk of five tokens.
+func TestShortPromptsShareAStep(t *testing.T) {
+	slots := func(c *Config) { c.Perf.Slots = 5 }
+	inBench(t, slots, func(t *testing.T, b *bench) {
+		b.begin(decodeAsk(decodeA, "a0", "r0", words("p", 5), 20, nil))
+		time.Sleep(6 * time.Millisecond) // in the first step of the generation
+		for _, id := range []string{"a1", "a2", "a3", "a4"} {
+			b.begin(decodeAsk(decodeA, id, id, words(id, 1), 5, nil))
+		}
+		time.Sleep(9 * time.Millisecond) // at 15 ms the next step begins
+		synctest.Wait()
+		assert.Equal(t, b.engines[decodeA].Judge().Totals.PrefillRuns, 5)
+		time.Sleep(14 * time.Millisecond) // a step and four prompt tokens
+		synctest.Wait()
+		assert.Equal(t, b.engines[decodeA].Judge().Totals.DecodeRuns, 5)
+	})
+}
