Kernel: a request given up after attested refusals is not-run

Cause: TestServiceFailures (entry) against a service that attests each refusal: the answer was 502 unknown. The call's state still said that an attempt was in flight when it was given up. Shown failing first by 'order refused' and 'lookup refused'. Change: retry leaves the state of the attempt that ended. Ruled out: weakening the test; the promise is that not-run is said when it is so. go test ./kernel ./entry pass.

--- a/kernel/failure.go
+++ b/kernel/failure.go
@@ -122,6 +122,9 @@
 // retry puts a call back in the queue after a failed attempt if it may run
 // again, and gives it up otherwise.
 func (k *Kernel) retry(c *call, e AttemptFailed) {
+	// No attempt is in flight any more, so that only what ran before counts for
+	// the outcome.
+	c.state = callQueued
 	reason := failureReason(e.Code)
 	if e.Code == FailureRejected {
 		k.fail(c, reason, api.ProblemUpstreamRefused, "the upstream found fault with the request")
