Entry: failure tests, console for explain and watch, abandoned attempts

Tests end to end in one process: caller gone, decode failure resumed elsewhere, dropped connections read on in the same run, a stream that fails ends with a problem and no end mark, services that die before or after their run, graceful stop. wardspoolctl explain and watch ask instances over the operators' listener.

--- /dev/null
+++ b/cmd/wardspoolctl/explain.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"context"
+
+	"github.com/wardspool/wardspool/entry/console"
+	"github.com/wardspool/wardspool/ident"
+)
+
+// explainCmd is the subcommand "explain".
+type explainCmd struct {
+	Request string `arg:"" help:"Request ID, as in the answer's X-Request-Id header."`
+	askFlags
+	JSON bool `name:"json" help:"Print JSON in place of a table."`
+}
+
+// Help is shown by "explain --help".
+func (explainCmd) Help() string {
+	return `Asks running entry instances live why a request went where it did, why it
+waited and why it was refused. Each line is one decision:
+
+  wardspoolctl explain 01KB8Z... --instances 127.0.0.1:9301,127.0.0.1:9302
+
+Instances keep the decisions of the latest requests only (explain_records in
+their settings). Reasons are explained in docs/operators/reasons.md.
+Exit codes: 0 found, 1 not found, 2 not found and some instance gave no answer.`
+}
+
+// Exit codes of explain.
+const (
+	exitNotFound  = 1
+	exitUnreached = 2
+)
+
+// Run asks the instances and prints what they know.
+func (c *explainCmd) Run(ctx context.Context) error {
+	pool := c.pool()
+	defer pool.Close()
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	e := console.Explain(ctx, pool, c.Instances, ident.RequestID(c.Request))
+	if err := printAnswer(&e, c.JSON); err != nil {
+		return err
+	}
+	switch {
+	case len(e.Found) > 0:
+		return nil
+	case len(e.Unreached) > 0:
+		return &askExit{Code: exitUnreached}
+	default:
+		return &askExit{Code: exitNotFound}
+	}
+}
--- /dev/null
+++ b/cmd/wardspoolctl/watch.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/wardspool/wardspool/entry/console"
+)
+
+// watchCmd is the subcommand "watch".
+type watchCmd struct {
+	askFlags
+	Every time.Duration `default:"2s" help:"Time between two looks."`
+	Count int           `default:"0" help:"Looks to take; 0 is without end."`
+	JSON  bool          `name:"json" help:"Print one JSON object a look in place of a table."`
+}
+
+// Help is shown by "watch --help".
+func (watchCmd) Help() string {
+	return `Shows what each bundle version does on the instances asked, live: goodput (whole
+answers within the kind's targets for first output and pace), wasted prefill,
+and what was given up, by reason.
+
+  wardspoolctl watch --instances 127.0.0.1:9301,127.0.0.1:9302
+  wardspoolctl watch --instances 127.0.0.1:9301 --count 1 --json
+
+Counts begin with the life of each instance; those of instances replaced while
+you watch are kept. Exit codes: 0, or 2 if an instance gave no answer at the
+last look.`
+}
+
+// clearScreen moves to the top of the terminal and clears it.
+const clearScreen = "\x1b[H\x1b[2J"
+
+// Run looks until the count is reached or the user stops it.
+func (c *watchCmd) Run(ctx context.Context) error {
+	pool := c.pool()
+	defer pool.Close()
+	w := console.NewWatcher(pool, c.Instances)
+	for n := 1; ; n++ {
+		s, err := c.look(ctx, w)
+		if err != nil {
+			return err
+		}
+		if n == c.Count || ctx.Err() != nil {
+			return lastLook(s)
+		}
+		select {
+		case <-time.After(c.Every):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// look takes one look and prints it.
+func (c *watchCmd) look(ctx context.Context, w *console.Watcher) (console.Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	s := w.Look(ctx, time.Now())
+	if !c.JSON && c.Count != 1 {
+		fmt.Fprint(os.Stdout, clearScreen)
+	}
+	return s, printAnswer(&s, c.JSON)
+}
+
+// lastLook turns missing answers into the exit code.
+func lastLook(s console.Snapshot) error {
+	if len(s.Unreached) > 0 {
+		return &askExit{Code: exitUnreached}
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/console/watch.go
@@ -0,0 +1,119 @@
+package console
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/wardspool/wardspool/entry/peering"
+	"github.com/wardspool/wardspool/entry/stats"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/peer"
+)
+
+// InForce counts the instances that decide under one bundle version.
+type InForce struct {
+	Version   uint64 `json:"version"`
+	Instances int    `json:"instances"`
+}
+
+// Snapshot is the sum of the instances' statistics at one time.
+type Snapshot struct {
+	At       time.Time `json:"at"`
+	InFlight int       `json:"in_flight"`
+	InForce  []InForce `json:"in_force"`
+	// Versions is what happened under each bundle version since the instances
+	// seen began.
+	Versions  []stats.Version `json:"versions"`
+	Unreached []Unreached     `json:"unreached,omitempty"`
+}
+
+// Watcher takes snapshots of a set of instances. It keeps the counts of
+// instances that have gone, so that totals do not fall when one is replaced.
+type Watcher struct {
+	pool      *peer.Pool
+	addresses []string
+	// lives holds the newest counts of each life of each instance.
+	lives map[life][]stats.Version
+}
+
+// life is one life of one instance.
+type life struct {
+	instance    ident.InstanceID
+	incarnation ident.Incarnation
+}
+
+// NewWatcher returns a watcher of the instances at the operators' addresses.
+func NewWatcher(pool *peer.Pool, addresses []string) *Watcher {
+	return &Watcher{pool: pool, addresses: addresses, lives: map[life][]stats.Version{}}
+}
+
+// Look takes a snapshot.
+func (w *Watcher) Look(ctx context.Context, now time.Time) Snapshot {
+	replies, unreached := askAll[peering.StatsReply](ctx, w.pool, w.addresses, peering.MethodStats, peering.Nothing{})
+	s := Snapshot{At: now, Unreached: unreached}
+	inForce := map[uint64]int{}
+	for _, r := range replies {
+		s.InFlight += r.InFlight
+		inForce[r.BundleVersion]++
+		w.lives[life{r.Instance, r.Incarnation}] = r.Versions
+	}
+	for version, n := range inForce {
+		s.InForce = append(s.InForce, InForce{Version: version, Instances: n})
+	}
+	slices.SortFunc(s.InForce, func(a, b InForce) int { return cmp.Compare(a.Version, b.Version) })
+	all := make([][]stats.Version, 0, len(w.lives))
+	for _, v := range w.lives {
+		all = append(all, v)
+	}
+	s.Versions = stats.Sum(all...)
+	return s
+}
+
+// Write writes the snapshot as tables.
+func (s *Snapshot) Write(w io.Writer) error {
+	fmt.Fprintf(w, "%s  in flight %d", s.At.Format(time.TimeOnly), s.InFlight)
+	for _, f := range s.InForce {
+		fmt.Fprintf(w, "  bundle %d on %d", f.Version, f.Instances)
+	}
+	fmt.Fprintln(w)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "BUNDLE\tKIND\tOFFERED\tON TIME\tGOODPUT\tLATE\tNOT RUN\tUNKNOWN\tTOKENS")
+	for _, v := range s.Versions {
+		writeKinds(t, v)
+	}
+	fmt.Fprintln(t, "\nBUNDLE\tPREFILL TOKENS\tWASTED\tSHARE")
+	for _, v := range s.Versions {
+		fmt.Fprintf(t, "%d\t%d\t%d\t%s\n", v.Version, v.PrefillTokens, v.WastedTokens, share(v.WastedTokens, v.PrefillTokens))
+	}
+	fmt.Fprintln(t, "\nBUNDLE\tGIVEN UP\tREASON\tCOUNT\tMEANING")
+	for _, v := range s.Versions {
+		for _, r := range v.Refusals {
+			fmt.Fprintf(t, "%d\t%s\t%s\t%d\t%s\n", v.Version, r.Step, r.Reason, r.Count, Meaning(r.Reason))
+		}
+	}
+	for _, u := range s.Unreached {
+		fmt.Fprintf(t, "not reached: %s: %s\n", u.Address, u.Error)
+	}
+	return t.Flush()
+}
+
+// writeKinds writes one line a kind.
+func writeKinds(w io.Writer, v stats.Version) {
+	for _, k := range v.Kinds {
+		fmt.Fprintf(w, "%d\t%s\t%d\t%d\t%s\t%d\t%d\t%d\t%d\n", v.Version, k.Kind, k.Offered, k.OnTime,
+			share(k.OnTime, k.Offered), k.Complete-k.OnTime, k.NotRun, k.Unknown, k.Tokens)
+	}
+}
+
+// share is a part of a whole in per cent, "-" of nothing.
+func share(part, whole int64) string {
+	if whole == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f%%", 100*float64(part)/float64(whole))
+}
--- a/entry/driver/actions.go
+++ b/entry/driver/actions.go
@@ -22,6 +22,10 @@
 		d.callService(a)
 	case kernel.CancelAttempt:
 		d.cancelAttempt(a)
+	case kernel.AbandonAttempt:
+		if live := d.attempts[a.Attempt]; live != nil {
+			live.cancel(&AbandonedError{})
+		}
 	case kernel.Answer:
 		d.answer(a)
 	case kernel.SendPeer:
--- a/entry/driver/attempt.go
+++ b/entry/driver/attempt.go
@@ -39,6 +39,12 @@
 // Error implements error.
 func (*CancelledError) Error() string { return "attempt was cancelled" }
 
+// AbandonedError ends an attempt whose upstream is dead.
+type AbandonedError struct{}
+
+// Error implements error.
+func (*AbandonedError) Error() string { return "the upstream is dead" }
+
 // StalledError ends an attempt that made no progress.
 type StalledError struct{ After time.Duration }
 
@@ -52,7 +58,7 @@
 	u := d.upstreams[to]
 	if ex == nil || u == nil {
 		d.backlog = append(d.backlog, kernel.AttemptFailed{
-			Attempt: id, Evidence: kernel.NotSent, Code: kernel.FailureConnect,
+			Attempt: id, Upstream: to, Evidence: kernel.NotSent, Code: kernel.FailureConnect,
 		})
 		return nil
 	}
@@ -127,14 +133,12 @@
 		d.send(message{event: kernel.AttemptDone{Attempt: a.id, Tokens: whole.Tokens}, attempt: a})
 		return
 	}
-	code := e.Code
-	if stalled := (*StalledError)(nil); errors.As(context.Cause(a.ctx), &stalled) {
-		code = kernel.FailureStalled
-	}
+	code := a.code(e)
 	d.opts.Observer.Contact(a.target.Upstream, e)
 	d.opts.Log.Debug("attempt failed", "attempt", a.id.String(), "upstream", a.target.Upstream, "error", err)
 	d.send(message{attempt: a, event: kernel.AttemptFailed{
 		Attempt:    a.id,
+		Upstream:   a.target.Upstream,
 		Evidence:   e.Evidence,
 		Code:       code,
 		Offset:     a.exchange.delivery.offset(),
@@ -142,6 +146,21 @@
 	}})
 }
 
+// code classifies a failure, with what this instance knows of its cause.
+func (a *attempt) code(e *adapter.CallError) kernel.FailureCode {
+	cause := context.Cause(a.ctx)
+	var stalled *StalledError
+	var abandoned *AbandonedError
+	switch {
+	case errors.As(cause, &stalled):
+		return kernel.FailureStalled
+	case errors.As(cause, &abandoned):
+		return kernel.FailureBroken
+	default:
+		return e.Code
+	}
+}
+
 // report handles an event of an attempt's goroutine.
 func (d *Driver) report(m message) {
 	a := m.attempt
@@ -153,6 +172,10 @@
 		return
 	}
 	if a.over {
+		if e, ok := m.event.(kernel.AttemptFailed); ok && e.Code == kernel.FailureDraining {
+			// What it says of the upstream counts all the same.
+			d.step(m.event)
+		}
 		return
 	}
 	d.forget(a)
--- /dev/null
+++ b/entry/failure_test.go
@@ -0,0 +1,231 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/standin/answer"
+	"github.com/wardspool/wardspool/standin/control"
+	"github.com/wardspool/wardspool/standin/judge"
+)
+
+// setFaults makes a stand-in misbehave.
+func (b *bed) setFaults(id ident.UpstreamID, faults any) {
+	b.t.Helper()
+	body, err := json.Marshal(faults)
+	assert.NilError(b.t, err)
+	req, err := http.NewRequest(http.MethodPut, "http://"+b.addresses[id]+control.PathFaults, bytes.NewReader(body))
+	assert.NilError(b.t, err)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(b.t, err)
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	assert.Equal(b.t, resp.StatusCode, http.StatusOK, "%s", text)
+}
+
+// readJudge reads a stand-in's report.
+func readJudge[T any](b *bed, id ident.UpstreamID) T {
+	b.t.Helper()
+	resp, err := http.Get("http://" + b.addresses[id] + control.PathJudge)
+	assert.NilError(b.t, err)
+	defer resp.Body.Close()
+	var out T
+	assert.NilError(b.t, json.NewDecoder(resp.Body).Decode(&out))
+	return out
+}
+
+// await waits until a condition holds.
+func (b *bed) await(what string, holds func() bool) {
+	b.t.Helper()
+	for range 2000 {
+		if holds() {
+			return
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	b.t.Fatalf("%s: not within the time", what)
+}
+
+// nothingHeld waits until no engine holds anything.
+func (b *bed) nothingHeld() {
+	b.t.Helper()
+	for _, id := range []ident.UpstreamID{"pf-1", "dc-1", "dc-2"} {
+		b.await("memory of "+string(id), func() bool {
+			return readJudge[judge.Engine](b, id).Held == judge.Held{}
+		})
+	}
+}
+
+// completion returns the body of a request for n tokens.
+func completion(n int, stream bool) string {
+	return fmt.Sprintf(`{"model":"reader","prompt":%q,"max_tokens":%d,"stream":%t}`, prompt, n, stream)
+}
+
+// streamedText joins the text of a stream's events and returns the rest.
+func streamedText(t *testing.T, body string) (text string, done bool, problem *api.Problem) {
+	t.Helper()
+	for event := range strings.SplitSeq(body, "\n\n") {
+		_, data, ok := strings.Cut(event, "data: ")
+		switch {
+		case !ok:
+		case data == "[DONE]":
+			done = true
+		case strings.HasPrefix(event, "event: error"):
+			problem = &api.Problem{}
+			assert.NilError(t, json.Unmarshal([]byte(data), problem))
+		default:
+			var chunk struct {
+				Choices []struct {
+					Text string `json:"text"`
+				} `json:"choices"`
+			}
+			assert.NilError(t, json.Unmarshal([]byte(data), &chunk))
+			for _, c := range chunk.Choices {
+				text += c.Text
+			}
+		}
+	}
+	return text, done, problem
+}
+
+func TestCallerGoneReleasesMemory(t *testing.T) {
+	b := newBed(t, nil)
+	ctx, hangUp := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, b.url+"/v1/completions", strings.NewReader(completion(5000, true)))
+	assert.NilError(t, err)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	_, err = io.ReadFull(resp.Body, make([]byte, 500))
+	assert.NilError(t, err)
+	hangUp()
+	_ = resp.Body.Close()
+	b.nothingHeld()
+}
+
+func TestDecodeFailureIsResumedElsewhere(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		t.Run(fmt.Sprintf("stream=%t", stream), func(t *testing.T) {
+			b := newBed(t, nil)
+			b.setFaults("dc-1", control.EngineFaults{FailAfterTokens: 5})
+			b.setFaults("dc-2", control.EngineFaults{FailAfterTokens: 12})
+			resp, body := b.do(http.MethodPost, "/v1/completions", completion(15, stream))
+			assert.Equal(t, resp.StatusCode, http.StatusOK, body)
+			if stream {
+				text, done, problem := streamedText(t, body)
+				assert.Assert(t, done, "%v", problem)
+				assert.NilError(t, answer.Check(prompt, text, 15))
+				assert.Equal(t, resp.Trailer.Get(api.HeaderOutcome), string(api.Complete))
+			} else {
+				assert.Equal(t, resp.Header.Get(api.HeaderOutcome), string(api.Complete))
+			}
+			b.nothingHeld()
+		})
+	}
+}
+
+func TestDroppedConnectionIsReadOn(t *testing.T) {
+	b := newBed(t, nil)
+	req, err := http.NewRequest(http.MethodPost, b.url+"/v1/completions", strings.NewReader(completion(400, true)))
+	assert.NilError(t, err)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	start := make([]byte, 2000)
+	_, err = io.ReadFull(resp.Body, start)
+	assert.NilError(t, err)
+	for _, id := range []ident.UpstreamID{"dc-1", "dc-2"} {
+		b.setFaults(id, control.EngineFaults{DropConnections: true})
+		b.setFaults(id, control.EngineFaults{})
+	}
+	rest, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	text, done, problem := streamedText(t, string(start)+string(rest))
+	assert.Assert(t, done, "%v", problem)
+	assert.NilError(t, answer.Check(prompt, text, 400))
+	runs := readJudge[judge.Engine](b, "dc-1").Totals.DecodeRuns + readJudge[judge.Engine](b, "dc-2").Totals.DecodeRuns
+	assert.Equal(t, runs, 1, "the stream was read on, not started again")
+	b.nothingHeld()
+}
+
+func TestStreamThatFailsEndsWithProblem(t *testing.T) {
+	b := newBed(t, nil)
+	b.setFaults("dc-1", control.EngineFaults{FailAfterTokens: 5})
+	b.setFaults("dc-2", control.EngineFaults{FailAfterTokens: 5})
+	resp, body := b.do(http.MethodPost, "/v1/completions", completion(200, true), api.HeaderRepeatable, "no")
+	text, done, problem := streamedText(t, body)
+	assert.Assert(t, !done)
+	assert.Assert(t, problem != nil, body)
+	assert.Equal(t, problem.Outcome, api.Unknown)
+	assert.Equal(t, problem.Type, api.ProblemUpstreamFailed)
+	assert.Equal(t, resp.Trailer.Get(api.HeaderOutcome), string(api.Unknown))
+	assert.NilError(t, answer.Check(prompt, text, 5))
+	b.nothingHeld()
+}
+
+func TestServiceFailures(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		kind    string
+		faults  control.ServiceFaults
+		status  int
+		outcome api.Outcome
+		runs    int
+	}{
+		{"order dies before its run", "order", control.ServiceFaults{DieBeforeRun: true}, 502, api.Unknown, 0},
+		{"order dies after its run", "order", control.ServiceFaults{DieAfterRun: true}, 502, api.Unknown, 1},
+		{"order fails", "order", control.ServiceFaults{ErrorRate: 1}, 502, api.Unknown, 1},
+		{"order refused", "order", control.ServiceFaults{Refuse: true}, 503, api.NotRun, 0},
+		{"lookup refused", "lookup", control.ServiceFaults{Draining: true}, 503, api.NotRun, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBed(t, nil)
+			b.setFaults("desk-1", c.faults)
+			resp, body := b.do(http.MethodPost, "/services/desk/x", "{}",
+				api.HeaderKind, c.kind, api.HeaderDeadlineMS, "700")
+			assert.Equal(t, resp.Header.Get(api.HeaderOutcome), string(c.outcome), body)
+			got := readJudge[judge.Service](b, "desk-1")
+			assert.Equal(t, got.Runs, c.runs)
+			if c.outcome == api.NotRun {
+				assert.Assert(t, resp.Header.Get("Retry-After") != "", body)
+			}
+		})
+	}
+}
+
+func TestStopFinishesWhatIsInFlight(t *testing.T) {
+	b := newBed(t, nil)
+	resp, err := http.Post(b.url+"/v1/completions", "application/json", strings.NewReader(completion(200, true)))
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		b.shutDown()
+	}()
+	b.await("refusal", func() bool {
+		late, body := b.do(http.MethodGet, "/services/desk/x", "")
+		if late.StatusCode == http.StatusOK {
+			return false
+		}
+		assert.Equal(t, late.Header.Get(api.HeaderOutcome), string(api.NotRun), body)
+		assert.Assert(t, late.Header.Get("Retry-After") != "")
+		return true
+	})
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	text, done, problem := streamedText(t, string(body))
+	assert.Assert(t, done, "%v", problem)
+	assert.NilError(t, answer.Check(prompt, text, 200))
+	<-stopped
+}
--- /dev/null
+++ b/entry/stats/sum.go
@@ -0,0 +1,37 @@
+package stats
+
+// Sum adds up the counts of several instances, by version.
+func Sum(parts ...[]Version) []Version {
+	t := New()
+	for _, part := range parts {
+		for _, v := range part {
+			t.add(v)
+		}
+	}
+	return t.Versions()
+}
+
+// add adds the counts of one version.
+func (t *Tally) add(from Version) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v := t.version(from.Version)
+	v.prefill += from.PrefillTokens
+	v.wasted += from.WastedTokens
+	for _, k := range from.Kinds {
+		into := v.kinds[k.Kind]
+		if into == nil {
+			into = &Kind{Kind: k.Kind}
+			v.kinds[k.Kind] = into
+		}
+		into.Offered += k.Offered
+		into.OnTime += k.OnTime
+		into.Complete += k.Complete
+		into.NotRun += k.NotRun
+		into.Unknown += k.Unknown
+		into.Tokens += k.Tokens
+	}
+	for _, r := range from.Refusals {
+		v.refusals[refusalKey{r.Step, r.Reason}] += r.Count
+	}
+}
--- a/entry/testbed_test.go
+++ b/entry/testbed_test.go
@@ -66,6 +66,8 @@
 	entry   *entry.Entry
 	engines map[ident.UpstreamID]*engine.Engine
 	service *service.Service
+	// addresses says where each upstream is.
+	addresses map[ident.UpstreamID]string
 	// url is where callers reach the entry.
 	url  string
 	stop context.CancelFunc
@@ -77,7 +79,7 @@
 func newBed(t *testing.T, change func(*entry.Settings)) *bed {
 	t.Helper()
 	ignore := goleak.IgnoreCurrent()
-	b := &bed{t: t, engines: map[ident.UpstreamID]*engine.Engine{}, done: make(chan error, 1)}
+	b := &bed{t: t, engines: map[ident.UpstreamID]*engine.Engine{}, addresses: map[ident.UpstreamID]string{}, done: make(chan error, 1)}
 	t.Cleanup(func() {
 		http.DefaultClient.CloseIdleConnections()
 		goleak.VerifyNone(t, ignore)
@@ -89,6 +91,9 @@
 		b.engine("dc-2", config.RoleDecode),
 		b.desk("desk-1"),
 	}
+	for _, u := range s.Static.Upstreams {
+		b.addresses[u.ID] = u.Address
+	}
 	if change != nil {
 		change(s)
 	}
