--- a/membership/upstream.go
+++ b/membership/upstream.go
@@ -20,7 +20,8 @@
 	PiecesUsed int
 	// QueuedTokens is the uncomputed prompt work, in tokens.
 	QueuedTokens int
-	// Leaving says that the upstream takes no new work.
+	// Leaving says that the upstream takes no new work. It is only an input:
+	// Upstream.Leaving is what is believed.
 	Leaving bool
 }
 
@@ -97,13 +98,16 @@
 	if !u.advance(now, r.Incarnation) {
 		return false
 	}
+	// The mark is kept apart: relayed copies of one report may carry it or not.
+	leaving := r.Leaving
+	r.Leaving = false
 	switch {
 	case !u.hasReport || r.newer(u.report):
 		u.hasReport, u.report, u.measured = true, r, measured
 	case r.Sequence == u.report.Sequence && r.Incarnation == u.report.Incarnation:
 		u.measured = min(u.measured, measured)
 	}
-	return u.leave(r.Leaving)
+	return u.leave(leaving)
 }
 
 // mergeDown takes in that a connection was refused after the report of the given
