--- a/standin/engine/kv_test.go
+++ b/standin/engine/kv_test.go
@@ -17,13 +17,19 @@
 	inBench(t, nil, func(t *testing.T, b *bench) {
 		prompt := words("p", 40)
 		kv := b.prefill(prefillA, "a1", "r1", prompt)
-		b.begin(decodeAsk(decodeA, "a2", "r1", prompt, 5, kv))
+		start := time.Now()
+		whole := make(chan time.Duration, 1)
+		go func() {
+			collect(t, b.post(b.t.Context(), decodeAsk(decodeA, "a2", "r1", prompt, 5, kv)), 0)
+			whole <- time.Since(start)
+		}()
 		for range 2 {
 			time.Sleep(20*time.Millisecond + time.Microsecond)
 			resp := b.post(b.t.Context(), decodeAsk(decodeB, "", "r1", prompt, 5, kv))
 			assert.Equal(t, read[control.ErrorBody](t, resp, http.StatusConflict).Error.Code, control.CodeKVMissing)
 		}
-		time.Sleep(time.Second)
+		// The second didn't take any of the link either.
+		assert.Equal(t, <-whole, 40*time.Millisecond+5*10*time.Millisecond)
 		assert.Equal(t, b.engines[decodeA].Judge().Totals.Completed, 1)
 		assert.Equal(t, b.engines[decodeB].Judge().Totals.DecodeRuns, 0)
 	})
--- a/standin/engine/orders_test.go
+++ b/standin/engine/orders_test.go
@@ -90,6 +90,18 @@
 	})
 }
 
+func TestOrderClearsCache(t *testing.T) {
+	inBench(t, nil, func(t *testing.T, b *bench) {
+		b.prefill(prefillA, "a1", "r1", words("p", 40))
+		order := Order{Fence: 1, Role: config.RolePrefill, Models: []string{"m"}, Version: "v2"}
+		b.drain(b.order(prefillA, order))
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, len(b.blocks(prefillA).Hashes), 0)
+		batches := b.events(prefillA, 0, 0).Batches
+		assert.Equal(t, batches[len(batches)-1].Events[0].Type, AllBlocksCleared)
+	})
+}
+
 func TestNewerOrderReplacesOneOnItsWay(t *testing.T) {
 	inBench(t, nil, func(t *testing.T, b *bench) {
 		b.drain(b.order(decodeA, decodeOrder(1, "n")))
