--- /dev/null
+++ b/adapter/roundtrip/roundtrip_test.go
@@ -0,0 +1,195 @@
+package roundtrip
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/adapter"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// server is a listener whose connections a test serves by hand.
+type server struct {
+	address string
+	conns   atomic.Int64
+	// requests counts whole requests that arrived.
+	requests atomic.Int64
+}
+
+// serve answers each request of each connection by the given function, which
+// returns false to close the connection.
+func serve(t *testing.T, answer func(n int64, c net.Conn) bool) *server {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &server{address: l.Addr().String()}
+	done := make(chan struct{})
+	t.Cleanup(func() {
+		_ = l.Close()
+		<-done
+	})
+	go func() {
+		defer close(done)
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			s.serveConn(c, answer)
+		}
+	}()
+	return s
+}
+
+func (s *server) serveConn(c net.Conn, answer func(n int64, c net.Conn) bool) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		if !answer(s.requests.Add(1), c) {
+			return
+		}
+	}
+}
+
+func ok(c net.Conn) bool {
+	_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	return err == nil
+}
+
+// send sends a request and returns the error.
+func send(t *testing.T, c *Client, ctx context.Context, method, address string, body []byte) error {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+"/", nil)
+	assert.NilError(t, err)
+	req.Header.Set("Idempotency-Key", "key")
+	resp, err := c.Do(req, bytes.NewReader(body), int64(len(body)))
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	assert.NilError(t, err)
+	return resp.Body.Close()
+}
+
+func evidence(t *testing.T, err error) kernel.Evidence {
+	t.Helper()
+	var e *adapter.CallError
+	assert.Assert(t, errors.As(err, &e), "%v", err)
+	return e.Evidence
+}
+
+// TestDeadKeptAliveConnection is the case in which net/http's Transport sends a
+// request again by itself: a kept-alive connection takes the request and closes.
+func TestDeadKeptAliveConnection(t *testing.T) {
+	for _, method := range []string{"GET", "PUT", "POST", "DELETE"} {
+		for _, body := range []string{"", "text"} {
+			t.Run(method+" "+body, func(t *testing.T) {
+				s := serve(t, func(n int64, c net.Conn) bool { return n == 1 && ok(c) })
+				c := New(Options{})
+				defer c.Close()
+				assert.NilError(t, send(t, c, t.Context(), method, s.address, []byte(body)))
+				err := send(t, c, t.Context(), method, s.address, []byte(body))
+				assert.Equal(t, evidence(t, err), kernel.Ambiguous)
+				assert.Equal(t, s.requests.Load(), int64(2), "the request was sent again")
+				assert.Equal(t, s.conns.Load(), int64(1))
+			})
+		}
+	}
+}
+
+func TestNoListener(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, l.Close())
+	c := New(Options{})
+	defer c.Close()
+	err = send(t, c, t.Context(), "POST", l.Addr().String(), []byte("x"))
+	assert.Equal(t, evidence(t, err), kernel.NotSent)
+	assert.Equal(t, adapter.AsCallError(err).Code, kernel.FailureConnect)
+}
+
+func TestCancelledBeforeSending(t *testing.T) {
+	s := serve(t, func(int64, net.Conn) bool { return false })
+	c := New(Options{})
+	defer c.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.Equal(t, evidence(t, send(t, c, ctx, "POST", s.address, nil)), kernel.NotSent)
+	assert.Equal(t, s.requests.Load(), int64(0))
+}
+
+func TestCancelledAfterSending(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	s := serve(t, func(int64, net.Conn) bool {
+		cancel()
+		return true
+	})
+	c := New(Options{})
+	defer c.Close()
+	err := send(t, c, ctx, "POST", s.address, []byte("x"))
+	assert.Equal(t, evidence(t, err), kernel.Ambiguous)
+}
+
+func TestRedirectIsNotFollowed(t *testing.T) {
+	s := serve(t, func(_ int64, c net.Conn) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 307 Moved\r\nLocation: /again\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	})
+	c := New(Options{})
+	defer c.Close()
+	assert.NilError(t, send(t, c, t.Context(), "POST", s.address, nil))
+	assert.Equal(t, s.requests.Load(), int64(1))
+}
+
+// half is a connection whose writes fail after some bytes.
+type half struct {
+	net.Conn
+	left int
+}
+
+func (h *half) Write(p []byte) (int, error) {
+	n := min(len(p), h.left)
+	h.left -= n
+	if n < len(p) {
+		return n, io.ErrClosedPipe
+	}
+	return n, nil
+}
+
+func TestSeal(t *testing.T) {
+	c := &conn{Conn: &half{left: 3}}
+	mark := c.mark()
+	n, err := c.Write([]byte("ab"))
+	assert.Assert(t, n == 2 && err == nil)
+	assert.Assert(t, !c.seal(mark), "bytes went out")
+	n, err = c.Write([]byte("c"))
+	assert.Assert(t, n == 0 && errors.Is(err, net.ErrClosed), "a sealed connection writes nothing")
+
+	fresh := &conn{Conn: &half{}}
+	_, err = fresh.Write([]byte("ab"))
+	assert.Assert(t, err != nil)
+	assert.Assert(t, fresh.seal(fresh.mark()), "no byte went out")
+
+	writing := &conn{Conn: &half{left: 9}, writing: true}
+	assert.Assert(t, !writing.seal(0), "a write under way may go out")
+}
--- a/entry/driver/actions.go
+++ b/entry/driver/actions.go
@@ -42,8 +42,8 @@
 	id := ex.Request.ID
 	if _, taken := d.exchanges[id]; taken {
 		version := d.opts.Kernel.Version()
-		ex.finish(duplicateResult(version))
 		d.opts.Observer.Decided(duplicateRecord(ex.Request, version))
+		ex.finish(duplicateResult(version))
 		return
 	}
 	d.exchanges[id] = ex
@@ -88,7 +88,8 @@
 		Decoded:       ex.decoded,
 		Service:       ex.served,
 	}
-	ex.finish(r)
+	ex.delivery.close()
+	d.endings = append(d.endings, ending{ex, r})
 	d.opts.Observer.Ended(ex.summary(r, time.Now()))
 }
 
--- a/entry/driver/driver.go
+++ b/entry/driver/driver.go
@@ -108,6 +108,7 @@
 
 	// The rest is owned by the goroutine of Run.
 	backlog   []kernel.Event
+	endings   []ending
 	exchanges map[ident.RequestID]*Exchange
 	attempts  map[ident.AttemptID]*attempt
 	upstreams map[ident.UpstreamID]*kernel.Upstream
@@ -203,6 +204,9 @@
 }
 
 func (d *Driver) send(m message) bool {
+	if d.Stopped() {
+		return false
+	}
 	select {
 	case d.inbox <- m:
 		return true
@@ -310,6 +314,18 @@
 	for _, a := range d.opts.Kernel.Step(time.Now(), ev) {
 		d.do(a)
 	}
+	// Callers hear last, so that what they ask next finds all of it recorded.
+	for i, e := range d.endings {
+		e.exchange.finish(e.result)
+		d.endings[i] = ending{}
+	}
+	d.endings = d.endings[:0]
+}
+
+// ending is an exchange and its result.
+type ending struct {
+	exchange *Exchange
+	result   Result
 }
 
 // checkPause tells the kernel about a pause of the process before it decides
--- /dev/null
+++ b/entry/driver/pause_test.go
@@ -0,0 +1,113 @@
+package driver
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/adapter"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+func TestGap(t *testing.T) {
+	start := time.Now()
+	for _, c := range []struct {
+		name string
+		now  time.Time
+		want time.Duration
+	}{
+		{"running", start.Add(499 * time.Millisecond), 0},
+		{"paused", start.Add(3 * time.Second), 3 * time.Second},
+		// A suspended machine's monotonic clock stands still: only the wall
+		// clock, which Round leaves alone, shows the gap.
+		{"suspended", start.Round(0).Add(time.Hour), time.Hour},
+		{"clock set back", start.Round(0).Add(-time.Hour), 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newPauseGate(DefaultPauseAfter)
+			g.beat(start)
+			assert.Equal(t, g.gap(c.now), c.want)
+		})
+	}
+}
+
+// TestNothingIsSentBeforeThePauseIsHandled holds the driver's goroutine still
+// while an attempt is about to be sent.
+func TestNothingIsSentBeforeThePauseIsHandled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newPauseGate(time.Second)
+		g.beat(time.Now())
+		assert.NilError(t, g.pass(t.Context()))
+		time.Sleep(2 * time.Second)
+		passed := make(chan time.Time, 1)
+		go func() {
+			if g.pass(context.Background()) == nil {
+				passed <- time.Now()
+			}
+		}()
+		synctest.Wait()
+		assert.Equal(t, len(passed), 0, "it must wait")
+		time.Sleep(time.Second)
+		handled := time.Now()
+		g.beat(handled)
+		assert.Equal(t, <-passed, handled)
+	})
+}
+
+func TestPassEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newPauseGate(time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		assert.ErrorIs(t, g.pass(ctx), context.DeadlineExceeded)
+	})
+}
+
+// TestKernelHearsOfThePauseFirst sets the last beat back, as a pause would.
+func TestKernelHearsOfThePauseFirst(t *testing.T) {
+	s := &script{decide: func(kernel.Event) []kernel.Action { return nil }}
+	d := New(Options{Kernel: s, Observer: &fakeObserver{}, Log: discard()})
+	d.gate.beat(time.Now().Add(-time.Minute))
+	d.receive(message{event: kernel.LoadSeen{}})
+	assert.Equal(t, len(s.events), 2)
+	paused, ok := s.events[0].(kernel.Paused)
+	assert.Assert(t, ok, "%T comes first", s.events[0])
+	assert.Assert(t, paused.Gap >= time.Minute)
+	d.receive(message{event: kernel.LoadSeen{}})
+	assert.Equal(t, len(s.events), 3, "the pause is told once")
+}
+
+// TestWatchdogAfterPause fires a watchdog much too late, as after a pause: the
+// stream gets another chance.
+func TestWatchdogAfterPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var stalled atomic.Int64
+		w := newWatchdog(patience{first: time.Second, next: time.Second}, time.Second, func(time.Duration) { stalled.Add(1) })
+		defer w.stop()
+		w.mu.Lock()
+		w.due = time.Now().Add(-time.Minute)
+		w.mu.Unlock()
+		w.fire()
+		assert.Equal(t, stalled.Load(), int64(0))
+		time.Sleep(time.Second)
+		synctest.Wait()
+		assert.Equal(t, stalled.Load(), int64(1))
+	})
+}
+
+func TestPatienceCoversTheTransfer(t *testing.T) {
+	d := New(Options{Kernel: &script{}, Observer: &fakeObserver{}, Log: discard()})
+	d.configure(testContent())
+	a := &attempt{
+		target:   adapter.Target{Upstream: "dc-1"},
+		exchange: &Exchange{Request: &kernel.Request{Model: "m", PromptTokens: 1000, Pace: 100 * time.Millisecond}},
+	}
+	p := d.patience(a, "pf-1")
+	assert.Equal(t, p.first, 300*time.Millisecond+transferSlack*time.Second)
+	assert.Equal(t, p.next, stallPaces*100*time.Millisecond)
+	assert.Equal(t, d.patience(a, "").first, 300*time.Millisecond)
+}
