Queue orders count requests that await their decode slot

Cause: a request whose slot has been asked for leaves the queue before it is placed; a workspace could have many such at no charge. Ruled out: counting at Remove, which is also called for requests that are given up.

--- a/plugins/order/internal/maxmin/maxmin.go
+++ b/plugins/order/internal/maxmin/maxmin.go
@@ -101,8 +101,10 @@
 	}
 }
 
-// Add implements kernel.QueueOrder.
+// Add implements kernel.QueueOrder. What waits here holds nothing, also when
+// its slot was denied after it had been awaited.
 func (o *Order) Add(w *kernel.Waiting) {
+	o.end(w.Request.ID)
 	s := o.space(w.Request)
 	if s.queue.Len() == 0 {
 		o.busy.add(s)
@@ -144,10 +146,14 @@
 // while they hold it, so there is nothing to charge afterwards.
 func (*Order) Served(*kernel.Request, float64) {}
 
-// Observe implements kernel.Observer: a request holds its share from its
-// placement, which reserves its decode slot, to its end.
+// Observe implements kernel.Observer: a request holds its share from when its
+// decode slot is asked for or reserved to its end.
 func (o *Order) Observe(r *kernel.Request, rec kernel.Record) {
 	switch rec.Step {
+	case kernel.StepWaiting:
+		if rec.Reason == kernel.ReasonSlotPending {
+			o.start(r)
+		}
 	case kernel.StepPlaced, kernel.StepCalled:
 		o.start(r)
 	case kernel.StepCompleted:
--- a/plugins/order/internal/maxmin/maxmin_test.go
+++ b/plugins/order/internal/maxmin/maxmin_test.go
@@ -118,6 +118,7 @@
 				n.waiting = append(n.waiting, w)
 			case 3:
 				n.place(o, rapid.Bool().Draw(t, "placed"))
+				n.denied(o, rapid.Bool().Draw(t, "denied"))
 			case 4:
 				n.end(o, rapid.SampledFrom([]kernel.Step{kernel.StepCompleted, kernel.StepFailed}).Draw(t, "how"))
 			}
@@ -150,6 +151,25 @@
 	}
 }
 
+// denied takes the first waiting request out to await its slot, which may then
+// be denied.
+func (n *naive) denied(o *Order, denied bool) {
+	if len(n.waiting) == 0 {
+		return
+	}
+	w := n.waiting[0]
+	n.waiting = n.waiting[1:]
+	o.Remove(w.Request.ID)
+	o.Observe(w.Request, kernel.Record{Step: kernel.StepWaiting, Reason: kernel.ReasonSlotPending})
+	if denied {
+		o.Add(w)
+		o.Observe(w.Request, kernel.Record{Step: kernel.StepWaiting, Reason: kernel.ReasonNoSlot})
+		n.waiting = append(n.waiting, w)
+		return
+	}
+	n.running = append(n.running, w.Request)
+}
+
 // end finishes the first running request, and says so twice.
 func (n *naive) end(o *Order, how kernel.Step) {
 	if len(n.running) == 0 {
