--- a/standin/control/http.go
+++ b/standin/control/http.go
@@ -92,7 +92,7 @@
 }
 
 // WriteJSON answers with a JSON document.
-func WriteJSON(w http.ResponseWriter, status int, v any) {
+func WriteJSON[T any](w http.ResponseWriter, status int, v T) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	// A reader that has left is not the stand-in's concern.
@@ -106,7 +106,7 @@
 
 // ReadJSON decodes the request's body into v. If that fails it answers 400 and
 // returns false.
-func ReadJSON(w http.ResponseWriter, r *http.Request, v any) bool {
+func ReadJSON[T any](w http.ResponseWriter, r *http.Request, v *T) bool {
 	body := http.MaxBytesReader(w, r.Body, maxBody)
 	if err := json.NewDecoder(body).Decode(v); err != nil && err != io.EOF {
 		WriteError(w, http.StatusBadRequest, CodeInvalid, err.Error())
--- a/standin/engine/completion.go
+++ b/standin/engine/completion.go
@@ -88,7 +88,7 @@
 	rd := e.attach(a)
 	defer e.detach(a, rd)
 	for {
-		p := e.progress(a, rd)
+		p := e.progress(a)
 		if p.over {
 			if p.failure != nil {
 				p.failure.write(w)
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -55,7 +55,7 @@
 }
 
 // progress returns how far a's generation has come.
-func (e *Engine) progress(a *attempt, _ *reader) progress {
+func (e *Engine) progress(a *attempt) progress {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return progress{next: a.next, over: !a.running(), failure: a.failure}
@@ -104,7 +104,7 @@
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, a *attempt, from int) {
 	rd := e.attach(a)
 	defer e.detach(a, rd)
-	p := e.progress(a, rd)
+	p := e.progress(a)
 	if p.failure != nil && p.next == a.from {
 		p.failure.write(w)
 		return
@@ -129,7 +129,7 @@
 		case <-r.Context().Done():
 			return
 		}
-		p = e.progress(a, rd)
+		p = e.progress(a)
 	}
 }
 
--- a/standin/service/run.go
+++ b/standin/service/run.go
@@ -127,7 +127,7 @@
 	case <-timer.C:
 	case <-r.over:
 	}
-	crashed := s.connectionLost(r.over)
+	crashed := isDone(r.over)
 	s.mu.Lock()
 	s.running--
 	s.mu.Unlock()
@@ -146,10 +146,10 @@
 	write(w, status, answer)
 }
 
-// connectionLost reports whether the service has crashed since the run began.
-func (s *Service) connectionLost(over <-chan struct{}) bool {
+// isDone reports whether a channel is closed.
+func isDone(c <-chan struct{}) bool {
 	select {
-	case <-over:
+	case <-c:
 		return true
 	default:
 		return false
