wardspool-load overhead; judge plain services by idempotency key too

Change: callers send their request ID as idempotency key and as part of the body, and are judged by these; subcommand overhead mixes direct and routed completions in one run; the judge of the experiment doesn't expect leftovers of a dead instance to be released while the platform's list is down.

--- a/cmd/wardspool-load/main.go
+++ b/cmd/wardspool-load/main.go
@@ -29,6 +29,7 @@
 // cli is the command line.
 type cli struct {
 	Run        runCmd           `cmd:"" help:"Offer a workload over HTTP to running instances and judge the answers."`
+	Overhead   overheadCmd      `cmd:"" help:"Measure what wardspool adds to direct calls of the engines, in one run."`
 	Experiment experimentCmd    `cmd:"" help:"Run the policies in virtual time: a table, CSV files and plots."`
 	Version    kong.VersionFlag `help:"Print the version and exit."`
 }
--- a/experiment/fault.go
+++ b/experiment/fault.go
@@ -112,6 +112,7 @@
 		w.platformDown = true
 		w.clock.after(2*cutLength, func() {
 			w.platformDown = false
+			w.disturbedAt = w.clock.now
 			w.viewsChange()
 		})
 	}
--- a/experiment/judge.go
+++ b/experiment/judge.go
@@ -150,12 +150,17 @@
 	}
 }
 
-// reachable reports whether the owner could have released the attempt.
+// reachable reports whether the attempt could have been released: by its owner
+// or, if that is dead, by others who can know it. Without the platform's list a
+// dead instance cannot be told from one that is cut off or paused.
 func (j *judge) reachable(a *attempt) bool {
 	l, ok := a.owner.(*life)
 	if !ok {
 		return true
 	}
+	if l.dead && j.w.platformDown {
+		return false
+	}
 	return !l.frozen && j.w.net.connected(l.inst.zone, a.upstream.base().zone)
 }
 
--- a/experiment/matrix.go
+++ b/experiment/matrix.go
@@ -22,7 +22,7 @@
 var Loads = []float64{0.5, 0.8, 1.0, 1.2, 1.5}
 
 // slotPolicies are compared with each other at slotInstances.
-var slotPolicies = []PolicyName{"slots.lease", "slots.shares", "slots.probe", "slots.none"}
+var slotPolicies = []PolicyName{"slots.lease", "slots.dispatch", "slots.shares", "slots.probe", "slots.none"}
 
 var slotInstances = []int{2, 8, 24}
 
--- a/load/client/service.go
+++ b/load/client/service.go
@@ -21,10 +21,9 @@
 
 // serviceAnswer is what is read of a stand-in service's answer.
 type serviceAnswer struct {
-	Service       string `json:"service"`
-	Path          string `json:"path"`
-	Echo          string `json:"echo"`
-	CorrelationID string `json:"correlation_id"`
+	Service string `json:"service"`
+	Path    string `json:"path"`
+	Echo    string `json:"echo"`
 }
 
 // maxServiceAnswer bounds an answer, in bytes.
@@ -64,13 +63,14 @@
 // Error implements error.
 func (e *MixedUpError) Error() string { return fmt.Sprintf("want %s, got %s", e.Want, e.Got) }
 
-// check returns a *WrongAnswerError if the answer is not this call's.
+// check returns a *WrongAnswerError if the answer is not this call's. The body
+// tells calls apart, so it should be unique.
 func (c *ServiceCall) check(data []byte) error {
 	var got serviceAnswer
 	if err := json.Unmarshal(data, &got); err != nil {
 		return &WrongAnswerError{Err: err}
 	}
-	want := serviceAnswer{Service: c.Service, Path: c.Path, Echo: c.Body, CorrelationID: c.RequestID}
+	want := serviceAnswer{Service: c.Service, Path: c.Path, Echo: c.Body}
 	if got != want {
 		return &WrongAnswerError{Err: &MixedUpError{Want: fmt.Sprintf("%+v", want), Got: fmt.Sprintf("%+v", got)}}
 	}
--- /dev/null
+++ b/load/overhead/overhead.go
@@ -0,0 +1,221 @@
+// Package overhead measures what wardspool adds to a completion, by making the
+// same completions through an entry instance and directly at the engines, mixed
+// at random in one run, so that both meet the same load.
+package overhead
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/load/client"
+	"github.com/wardspool/wardspool/report"
+)
+
+// Options describes a run.
+type Options struct {
+	// Target is an entry instance; Prefill and Decode are the only engines that
+	// it has for the model. All are addresses, as IP:port.
+	Target, Prefill, Decode string
+	Model                   string
+	Workspace               ident.Workspace
+	Kind                    string
+	// PromptTokens and OutputTokens are the lengths of all completions.
+	PromptTokens, OutputTokens int
+	// Streams is the number of completions in flight at any time.
+	Streams int
+	// Warmup precedes Duration, the measured time.
+	Warmup, Duration time.Duration
+	Seed             uint64
+	RunID            string
+}
+
+// Route is one of the two ways to the engines.
+type Route string
+
+// The routes.
+const (
+	RouteWardspool Route = "wardspool"
+	RouteDirect    Route = "direct"
+)
+
+// Measure is what was measured on one route.
+type Measure struct {
+	Route  Route
+	Failed int
+	// FirstError is the first failure.
+	FirstError error
+	// First is the time to first output, Pace the mean time between tokens of
+	// each completion.
+	First, Pace *report.Hist
+}
+
+func newMeasure(r Route) *Measure {
+	return &Measure{Route: r, First: report.NewHist(), Pace: report.NewHist()}
+}
+
+// Result is the outcome of a run.
+type Result struct{ Wardspool, Direct *Measure }
+
+// bench is one run.
+type bench struct {
+	opts   Options
+	client *client.Client
+	from   time.Time
+	prompt string
+
+	mu     sync.Mutex
+	result Result
+}
+
+// Run makes completions until the time is up or the context ends.
+func Run(ctx context.Context, opts Options) *Result {
+	b := &bench{
+		opts:   opts,
+		client: client.New(),
+		from:   time.Now().Add(opts.Warmup),
+		prompt: strings.Repeat("w ", opts.PromptTokens-1),
+		result: Result{Wardspool: newMeasure(RouteWardspool), Direct: newMeasure(RouteDirect)},
+	}
+	defer b.client.Close()
+	ctx, cancel := context.WithDeadline(ctx, b.from.Add(opts.Duration))
+	defer cancel()
+	var workers sync.WaitGroup
+	for n := range opts.Streams {
+		workers.Go(func() { b.work(ctx, n) })
+	}
+	workers.Wait()
+	return &b.result
+}
+
+// work makes one completion after the other.
+func (b *bench) work(ctx context.Context, n int) {
+	rng := rand.New(rand.NewPCG(b.opts.Seed, uint64(n)))
+	for i := 0; ctx.Err() == nil; i++ {
+		id := b.opts.RunID + "-" + strconv.Itoa(n) + "-" + strconv.Itoa(i)
+		// The last word makes each prompt its own.
+		prompt := b.prompt + id
+		route := RouteWardspool
+		if rng.IntN(2) == 0 {
+			route = RouteDirect
+		}
+		b.pause(ctx, rng)
+		started := time.Now()
+		got := b.complete(ctx, route, id, prompt)
+		if ctx.Err() == nil {
+			b.record(route, started, got)
+		}
+	}
+}
+
+// maxPause bounds the pause before each completion. Without it all streams of
+// one decode step would end, and begin anew, at the same time.
+const maxPause = 200 * time.Millisecond
+
+// pause waits for a random time.
+func (b *bench) pause(ctx context.Context, rng *rand.Rand) {
+	timer := time.NewTimer(time.Duration(rng.Int64N(int64(maxPause))))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// complete makes one completion.
+func (b *bench) complete(ctx context.Context, route Route, id, prompt string) *client.Result {
+	if route == RouteDirect {
+		return b.client.CompleteDirect(ctx, &client.Direct{
+			Prefill: b.opts.Prefill, Decode: b.opts.Decode, Attempt: id,
+			Model: b.opts.Model, Prompt: prompt, MaxTokens: b.opts.OutputTokens,
+		})
+	}
+	call := &client.Completion{
+		Call: client.Call{
+			Target: b.opts.Target, RequestID: id, Workspace: b.opts.Workspace,
+			Kind: b.opts.Kind, Repeatable: true,
+		},
+		Model: b.opts.Model, Prompt: prompt, MaxTokens: b.opts.OutputTokens,
+	}
+	return b.client.Complete(ctx, call, call.Body())
+}
+
+// FailedError reports a completion that was not answered whole.
+type FailedError struct{ Result *client.Result }
+
+// Error implements error.
+func (e *FailedError) Error() string {
+	if e.Result.Problem != nil {
+		return e.Result.Problem.Error()
+	}
+	return fmt.Sprintf("status %d, outcome %q: %v", e.Result.Status, e.Result.Outcome, e.Result.Err)
+}
+
+// record adds a completion that started after the warm-up.
+func (b *bench) record(route Route, started time.Time, got *client.Result) {
+	if started.Before(b.from) {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m := b.result.Wardspool
+	if route == RouteDirect {
+		m = b.result.Direct
+	}
+	if !got.Complete() {
+		m.Failed++
+		if m.FirstError == nil {
+			m.FirstError = &FailedError{Result: got}
+		}
+		return
+	}
+	m.First.Record(got.First.Sub(started))
+	if got.Tokens > 1 {
+		m.Pace.Record(got.Done.Sub(got.First) / time.Duration(got.Tokens-1))
+	}
+}
+
+// Quantiles of the table, in percent.
+const (
+	median = 50
+	p99    = 99
+)
+
+// Table shows both routes and what wardspool adds, in milliseconds.
+func (r *Result) Table() (*report.Table, error) {
+	t := report.NewTable("route", "completions", "failed", "first_p50_ms", "first_p99_ms",
+		"first_mean_ms", "pace_p50_ms", "pace_p99_ms", "pace_mean_ms")
+	for _, m := range []*Measure{r.Direct, r.Wardspool} {
+		row := []string{string(m.Route), strconv.FormatInt(m.First.Count(), 10), strconv.Itoa(m.Failed)}
+		for _, d := range m.values() {
+			row = append(row, precise(d))
+		}
+		if err := t.Add(row...); err != nil {
+			return nil, err
+		}
+	}
+	added := []string{"added", "", ""}
+	direct := r.Direct.values()
+	for i, d := range r.Wardspool.values() {
+		added = append(added, precise(d-direct[i]))
+	}
+	return t, t.Add(added...)
+}
+
+// values lists a route's figures in the table's order.
+func (m *Measure) values() []time.Duration {
+	return []time.Duration{
+		m.First.Quantile(median), m.First.Quantile(p99), m.First.Mean(),
+		m.Pace.Quantile(median), m.Pace.Quantile(p99), m.Pace.Mean(),
+	}
+}
+
+// precise formats milliseconds with three decimals.
+func precise(d time.Duration) string {
+	return report.Fixed(float64(d)/float64(time.Millisecond), 3)
+}
--- a/load/referee/referee.go
+++ b/load/referee/referee.go
@@ -207,6 +207,7 @@
 			ran[q.CorrelationID] = sum
 		}
 	}
+	byKey := map[string]int{}
 	for _, s := range r.Services {
 		v.Unseen += s.Dropped
 		for _, n := range s.ByCorrelation {
@@ -214,6 +215,16 @@
 			sum.serviceRuns += n.N
 			ran[n.Name] = sum
 		}
+		for _, n := range s.ByKey {
+			byKey[n.Name] += n.N
+		}
+	}
+	// Callers use the request's ID as idempotency key, and a call that runs by
+	// its ticket may have a correlation ID of its own.
+	for id, n := range byKey {
+		sum := ran[id]
+		sum.serviceRuns = max(sum.serviceRuns, n)
+		ran[id] = sum
 	}
 	return ran
 }
