--- a/entry/intake/body.go
+++ b/entry/intake/body.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"sort"
 	"strings"
 
@@ -223,7 +224,7 @@
 
 // messages reads the messages of a chat and returns their prompt text.
 func (r *bodyReader) messages() string {
-	var list []message
+	var list []*message
 	if !r.read("messages", &list, "an array of messages") {
 		r.fail("messages", "is missing")
 		return ""
@@ -235,6 +236,10 @@
 	flat := make([]tokens.Message, len(list))
 	parts := false
 	for i, m := range list {
+		if m == nil {
+			r.fail("messages", fmt.Sprintf("has null in place of a message, at index %d", i))
+			return ""
+		}
 		text, split, ok := m.text()
 		if !ok {
 			r.fail("messages", fmt.Sprintf("has content that is not text, at index %d", i))
@@ -244,7 +249,7 @@
 		flat[i] = tokens.Message{Role: m.Role, Content: text}
 	}
 	if parts {
-		r.joinParts(list, flat)
+		r.joinParts(flat)
 	}
 	return tokens.FlattenChat(flat)
 }
@@ -273,11 +278,15 @@
 
 // joinParts replaces the messages' parts by their text, for engines that take
 // strings only. It keeps the other members of each message.
-func (r *bodyReader) joinParts(list []message, flat []tokens.Message) {
+func (r *bodyReader) joinParts(flat []tokens.Message) {
 	var whole []map[string]json.RawMessage
 	// The member was decoded before.
 	_ = json.Unmarshal(r.members["messages"], &whole)
-	for i := range list {
+	for i := range whole {
+		// Decoders take a member's name in any case.
+		maps.DeleteFunc(whole[i], func(name string, _ json.RawMessage) bool {
+			return strings.EqualFold(name, "content")
+		})
 		content, _ := json.Marshal(flat[i].Content)
 		whole[i]["content"] = content
 	}
