Feasibility by learned predictions; refused callers come back in turns

Ruled out: learning from the mean of answered requests alone (those given up count for more than they waited); a correction that stays (it would refuse feasible requests after an overload, and with no admissions learn nothing).

--- /dev/null
+++ b/plugins/admission/feasible/feasible_test.go
@@ -0,0 +1,167 @@
+package feasible
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/plugins/internal/plugintest"
+)
+
+// newCheck returns a check whose host predicts the given time.
+func newCheck(firstOutput time.Duration) (*Check, *plugintest.Host) {
+	host := plugintest.NewHost(plugintest.View(6, 2))
+	host.Predict = func(*kernel.Request) kernel.Estimate {
+		return kernel.Estimate{Possible: true, FirstOutput: firstOutput}
+	}
+	c := &Check{}
+	c.Attach(host)
+	content := &config.Content{Models: []config.Model{plugintest.Model}}
+	for _, u := range host.Fleet.Upstreams {
+		content.Upstreams = append(content.Upstreams, u.Spec)
+	}
+	c.Configure(content)
+	return c, host
+}
+
+func TestAdmit(t *testing.T) {
+	tests := []struct {
+		name    string
+		predict time.Duration
+		change  func(h *plugintest.Host, r *kernel.Request)
+		want    kernel.Reason
+	}{
+		{"in time", 2 * time.Second, func(*plugintest.Host, *kernel.Request) {}, ""},
+		{"within the margin", 2*time.Second + margin, func(*plugintest.Host, *kernel.Request) {}, ""},
+		{"too late", 2*time.Second + margin + 1, func(*plugintest.Host, *kernel.Request) {}, kernel.ReasonInfeasible},
+		{"deadline before the target", time.Second, func(_ *plugintest.Host, r *kernel.Request) {
+			r.Deadline = plugintest.Start.Add(500 * time.Millisecond)
+		}, kernel.ReasonInfeasible},
+		{"no target", 50 * time.Second, func(_ *plugintest.Host, r *kernel.Request) {
+			r.FirstOutputBy = time.Time{}
+		}, ""},
+		{"no target, deadline", 61 * time.Second, func(_ *plugintest.Host, r *kernel.Request) {
+			r.FirstOutputBy = time.Time{}
+		}, kernel.ReasonInfeasible},
+		{"plain service", time.Hour, func(_ *plugintest.Host, r *kernel.Request) {
+			r.Route = config.RouteService
+		}, ""},
+		{"no decode engine", 0, func(h *plugintest.Host, _ *kernel.Request) {
+			h.Predict = func(*kernel.Request) kernel.Estimate { return kernel.Estimate{} }
+		}, kernel.ReasonNoDecode},
+		{"no prefill engine", 0, func(h *plugintest.Host, _ *kernel.Request) {
+			h.Predict = func(*kernel.Request) kernel.Estimate { return kernel.Estimate{} }
+			for i := range h.Fleet.Upstreams {
+				h.Fleet.Upstreams[i].Life = kernel.Dead
+			}
+		}, kernel.ReasonNoPrefill},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c, host := newCheck(tt.predict)
+			r := plugintest.Request("r")
+			tt.change(host, r)
+			refusal := c.Admit(r)
+			if tt.want == "" {
+				assert.Assert(t, refusal == nil)
+				return
+			}
+			assert.Equal(t, refusal.Reason, tt.want)
+			assert.Assert(t, refusal.RetryAfter >= leastComeBack)
+			assert.Assert(t, refusal.Detail != "")
+			assert.Equal(t, len(c.admitted), 0)
+		})
+	}
+}
+
+// TestLearns: predictions are half of what comes, until requests that would be
+// late are refused; with no news they are admitted again.
+func TestLearns(t *testing.T) {
+	c, host := newCheck(1200 * time.Millisecond)
+	for range 20 {
+		r := plugintest.Request("r")
+		assert.Assert(t, c.Admit(r) == nil)
+		// 0.1 s of the 2.4 s is the transfer after StepDecoding.
+		c.Observe(r, kernel.Record{Time: host.Time, Step: kernel.StepDecoding, Waited: 2300 * time.Millisecond})
+		if c.correction(r.Model).factor(host.Time) > 1.7 {
+			break
+		}
+	}
+	r := plugintest.Request("r")
+	assert.Equal(t, c.Admit(r).Reason, kernel.ReasonInfeasible)
+	host.Time = host.Time.Add(4 * halfLife)
+	r.FirstOutputBy = host.Time.Add(2 * time.Second)
+	assert.Assert(t, c.Admit(r) == nil)
+}
+
+func TestLearnsFromWaitingInVain(t *testing.T) {
+	c, host := newCheck(500 * time.Millisecond)
+	for range 20 {
+		r := plugintest.Request("r")
+		assert.Assert(t, c.Admit(r) == nil)
+		c.Observe(r, kernel.Record{Time: host.Time, Step: kernel.StepRefused, Waited: 1800 * time.Millisecond})
+		c.Finished(r, api.NotRun)
+	}
+	assert.Assert(t, c.correction(plugintest.Model.Name).factor(host.Time) > 2)
+	assert.Equal(t, len(c.admitted), 0)
+}
+
+func TestFinishedForgets(t *testing.T) {
+	c, _ := newCheck(0)
+	r := plugintest.Request("r")
+	assert.Assert(t, c.Admit(r) == nil)
+	assert.Equal(t, len(c.admitted), 1)
+	c.Finished(r, api.Complete)
+	assert.Equal(t, len(c.admitted), 0)
+}
+
+// TestCorrectionIsBounded holds for any lessons.
+func TestCorrectionIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var k correction
+		now := plugintest.Start
+		for range rapid.IntRange(0, 50).Draw(t, "lessons") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "ms")) * time.Millisecond)
+			predicted := time.Duration(rapid.IntRange(0, 10_000).Draw(t, "predicted"))
+			took := time.Duration(rapid.IntRange(0, 1_000_000).Draw(t, "took"))
+			k.learn(predicted*time.Millisecond, took*time.Millisecond, now)
+			f := k.factor(now)
+			assert.Assert(t, f >= leastFactor && f <= mostFactor)
+		}
+		f := k.factor(now.Add(time.Hour))
+		assert.Assert(t, f > 0.999 && f < 1.001)
+	})
+}
+
+func TestComeBackGrowsAndSpreads(t *testing.T) {
+	var b comeBack
+	now := plugintest.Start
+	b.placed(now)
+	for i := range 100 {
+		b.placed(now.Add(time.Duration(i) * 100 * time.Millisecond))
+	}
+	assert.Assert(t, b.pace() > 95*time.Millisecond && b.pace() <= 100*time.Millisecond)
+	now = now.Add(10 * time.Second)
+	told := map[time.Duration]int{}
+	sums := [2]time.Duration{}
+	for i := range 200 {
+		id := plugintest.Request(string(rune('a' + i))).ID
+		wait := b.after(id, 0, now)
+		told[wait.Round(10*time.Millisecond)]++
+		sums[i/100] += wait
+	}
+	assert.Assert(t, sums[1] > 2*sums[0], "later callers are sent away for longer")
+	for wait, n := range told {
+		assert.Assert(t, n < 20 || wait < 2*leastComeBack, "%d callers come back in %v", n, wait)
+	}
+	// The same request is always told the same.
+	x, y := b, b
+	assert.Equal(t, x.after("r", time.Second, now), y.after("r", time.Second, now))
+	// Sent-away callers are forgotten with time.
+	assert.Assert(t, b.after("r", 0, now.Add(mostComeBack)) < 2*leastComeBack)
+}
--- a/plugins/admission/queue/queue.go
+++ b/plugins/admission/queue/queue.go
@@ -8,12 +8,13 @@
 	"github.com/wardspool/wardspool/api"
 	"github.com/wardspool/wardspool/config"
 	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/plugins/admission/internal/jitter"
 )
 
 // defaultLimit is used where the bundle sets no queue_limit.
 const defaultLimit = 256
 
-// comeBack is when a refused caller is told to come back.
+// comeBack is the least that a refused caller is told; see package jitter.
 const comeBack = time.Second
 
 // Check implements kernel.Admission.
@@ -29,7 +30,7 @@
 func (c *Check) Configure(content *config.Content) { c.limit = content.Policy.QueueLimit }
 
 // Admit implements kernel.Admission.
-func (c *Check) Admit(*kernel.Request) *kernel.Refusal {
+func (c *Check) Admit(r *kernel.Request) *kernel.Refusal {
 	limit := c.limit
 	if limit <= 0 {
 		limit = defaultLimit
@@ -42,7 +43,7 @@
 		Reason:     kernel.ReasonQueueFull,
 		Problem:    api.ProblemOverloaded,
 		Detail:     fmt.Sprintf("%d requests wait here, the limit is %d", waiting, limit),
-		RetryAfter: comeBack,
+		RetryAfter: jitter.Prolong(comeBack, r.ID),
 	}
 }
 
