Experiment: the ideal releases what stalls and never calls 'not-run' what ran

Change: cancel on failure; outcome unknown if any attempt ran; the ideal's refused callers don't come back (it knows that it can't help).

--- a/experiment/ideal.go
+++ b/experiment/ideal.go
@@ -34,9 +34,6 @@
 // idealTick is how often the queue is looked at when nothing else happens.
 const idealTick = 5 * time.Millisecond
 
-// idealRetryAfter is when refused callers are told to come back.
-const idealRetryAfter = 2 * time.Second
-
 func newIdeal(w *world) *ideal {
 	return &ideal{
 		w:        w,
@@ -113,8 +110,8 @@
 	sub.end(i.w.clock.now)
 	a := kernel.Answer{Request: sub.request.ID, Outcome: outcome}
 	if outcome != api.Complete {
-		// Its callers come back as those of the kernel do.
-		a.Problem = api.NewProblem(api.ProblemInfeasible, outcome, "").RetryAfter(idealRetryAfter)
+		// It knows when coming back cannot help, so its callers don't.
+		a.Problem = api.NewProblem(api.ProblemInfeasible, outcome, "")
 	}
 	i.w.callers.answered(sub, a)
 }
@@ -123,7 +120,9 @@
 func (i *ideal) failed(a *attempt, e kernel.AttemptFailed) {
 	sub := a.sub
 	i.unplan(a)
-	a.over = true
+	if !a.over {
+		a.upstream.cancel(a.id)
+	}
 	if sub.answered {
 		return
 	}
@@ -234,7 +233,13 @@
 	if sub.delivered > 0 || !i.w.clock.time().Add(need).After(sub.request.FirstOutputBy) {
 		return false
 	}
-	i.answer(sub, api.NotRun)
+	outcome := api.NotRun
+	for _, a := range sub.attempts {
+		if a.ran {
+			outcome = api.Unknown
+		}
+	}
+	i.answer(sub, outcome)
 	return true
 }
 
