Front: bad input tests; early refusals close the connection

Cause: TestBadInput/declared_too_large hung: a refusal given before the body was read made net/http read on, at the caller's pace and without a time limit, before the answer went out. Change: each body has its read deadline from arrival, and a refusal with an unread body closes the connection. Ruled out: reading the body to its end before refusing (memory and time are the caller's to choose then).

--- a/entry/front/body.go
+++ b/entry/front/body.go
@@ -13,22 +13,21 @@
 // readStep is how much of a body of unknown length is reserved at a time.
 const readStep = 64 << 10
 
-// readBody reads a whole body within the limits on its size, its time and the
-// memory of all bodies. release gives the memory back.
+// readBody reads a whole body within the limits on its size, its time (set by
+// common) and the memory of all bodies. release gives the memory back.
 func (f *Front) readBody(w http.ResponseWriter, r *http.Request) (body []byte, release func(), problem *api.Problem) {
 	limit := f.opts.Limits.BodyBytes
 	if r.ContentLength > limit {
 		return nil, nil, tooLarge()
 	}
-	rc := http.NewResponseController(w)
-	// Writers of tests have no deadlines.
-	_ = rc.SetReadDeadline(time.Now().Add(f.opts.Limits.BodyTimeout))
 	body, taken, problem := f.readWithin(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
-	_ = rc.SetReadDeadline(time.Time{})
 	if problem != nil {
 		f.memory.give(taken)
 		return nil, nil, problem
 	}
+	// From here on the server watches the connection for the caller's leaving,
+	// which takes as long as the request. Writers of tests have no deadlines.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return body, func() { f.memory.give(taken) }, nil
 }
 
--- a/entry/front/call.go
+++ b/entry/front/call.go
@@ -70,6 +70,8 @@
 	headers intake.Headers
 	header  http.Header
 	body    []byte
+	// unread is true while the body, if there is one, was not read to its end.
+	unread bool
 	// ticketed is true for a call that runs by its ticket.
 	ticketed bool
 	catalog  *intake.Catalog
@@ -82,6 +84,7 @@
 		method:  r.Method,
 		path:    r.URL.EscapedPath(),
 		header:  r.Header,
+		unread:  r.ContentLength != 0,
 		catalog: f.opts.Catalog(),
 	}
 	if r.URL.RawQuery != "" {
@@ -107,6 +110,11 @@
 	if c.header.Get(api.HeaderTicket) != "" && !c.ticketed {
 		p = ticket.RefusedElsewhere(p)
 	}
+	if c.unread {
+		// Else the server would read on, as slowly as the caller sends, before it
+		// answers.
+		w.Header().Set("Connection", "close")
+	}
 	p.RequestID = string(c.headers.RequestID)
 	if c.catalog != nil {
 		p.BundleVersion = c.catalog.Version
@@ -137,7 +145,7 @@
 		return
 	}
 	defer release()
-	c.body = body
+	c.body, c.unread = body, false
 	f.choose(r.Context(), w, c)
 }
 
--- /dev/null
+++ b/entry/front/front_test.go
@@ -0,0 +1,279 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/adapter"
+	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/entry/driver"
+	"github.com/wardspool/wardspool/entry/intake"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// submitter stands for the driver.
+type submitter struct {
+	mu    sync.Mutex
+	calls int
+	run   func(ctx context.Context, ex *driver.Exchange) driver.Result
+}
+
+func (s *submitter) Submit(ctx context.Context, ex *driver.Exchange) driver.Result {
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
+	return s.run(ctx, ex)
+}
+
+// rig is a front on a listener.
+type rig struct {
+	front   *Front
+	submit  *submitter
+	address string
+	unready Unready
+}
+
+// newRig starts a front; change adapts its options.
+func newRig(t *testing.T, change func(*Options)) *rig {
+	t.Helper()
+	r := &rig{submit: &submitter{}}
+	catalog := intake.NewCatalog(4, &config.Content{
+		Kinds:      []config.Kind{{Name: "review", Route: config.RouteModel, Repeatable: true}, {Name: "lookup", Route: config.RouteService, Repeatable: true}},
+		Models:     []config.Model{{Name: "m", PieceTokens: 100}},
+		Services:   []config.Service{{Name: "desk"}},
+		Workspaces: []config.Workspace{{Name: "default"}},
+	})
+	o := Options{
+		Instance: "e-1", Limits: DefaultLimits(), Submit: r.submit,
+		Catalog: func() *intake.Catalog { return catalog },
+		Ready:   func() Unready { return r.unready },
+		Metrics: http.NotFoundHandler(),
+		Log:     slog.New(slog.DiscardHandler),
+	}
+	if change != nil {
+		change(&o)
+	}
+	r.front = New(o)
+	r.submit.run = whole
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	r.address = l.Addr().String()
+	srv := r.front.Server()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = srv.Serve(l)
+	}()
+	t.Cleanup(func() {
+		http.DefaultClient.CloseIdleConnections()
+		_ = srv.Close()
+		<-done
+		assert.Equal(t, r.front.memory.used.Load(), int64(0), "memory is given back")
+		assert.Equal(t, r.front.requests.used.Load(), int64(0))
+	})
+	return r
+}
+
+// whole answers with two tokens, or with a service's answer.
+func whole(_ context.Context, ex *driver.Exchange) driver.Result {
+	r := driver.Result{Outcome: api.Complete, BundleVersion: 4}
+	if ex.Service != nil {
+		r.Service = &adapter.ServiceAnswer{Status: http.StatusTeapot, Header: http.Header{"X-Own": {"1"}}, Body: []byte("tea")}
+		return r
+	}
+	for i, text := range []string{"one ", "two"} {
+		c := adapter.Chunk{Offset: i, Text: text, Choices: json.RawMessage(`[{"text":"` + text + `"}]`)}
+		if i == 1 {
+			c.FinishReason = "stop"
+		}
+		if err := ex.Output.Token(c); err != nil {
+			return failed()
+		}
+	}
+	r.Decoded = adapter.Decoded{Tokens: 2, FinishReason: "stop"}
+	return r
+}
+
+// failed is the result of a request that may have run.
+func failed() driver.Result {
+	p := api.NewProblem(api.ProblemUpstreamFailed, api.Unknown, "it broke").RetryAfter(1500 * time.Millisecond)
+	return driver.Result{Outcome: api.Unknown, Problem: p, BundleVersion: 4}
+}
+
+// raw sends text and returns the response.
+func (r *rig) raw(t *testing.T, text string) (*http.Response, string) {
+	t.Helper()
+	c, err := net.Dial("tcp", r.address)
+	assert.NilError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, text)
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return resp, string(body)
+}
+
+// post returns the text of a POST request.
+func post(path, body string, headers ...string) string {
+	lines := append([]string{"POST " + path + " HTTP/1.1", "Host: x", fmt.Sprintf("Content-Length: %d", len(body))}, headers...)
+	return strings.Join(lines, "\r\n") + "\r\n\r\n" + body
+}
+
+const good = `{"model":"m","prompt":"a b","stream":%t}`
+
+// wantProblem checks that a response is a problem of a type, with all headers.
+func wantProblem(t *testing.T, resp *http.Response, body string, want api.ProblemType, outcome api.Outcome) {
+	t.Helper()
+	assert.Equal(t, resp.Header.Get("Content-Type"), api.ProblemContentType, body)
+	var p api.Problem
+	assert.NilError(t, json.Unmarshal([]byte(body), &p))
+	assert.Equal(t, p.Type, want, body)
+	assert.Equal(t, p.Status, resp.StatusCode)
+	assert.Equal(t, p.Outcome, outcome)
+	assert.Equal(t, p.BundleVersion, uint64(4))
+	assert.Equal(t, resp.Header.Get(api.HeaderOutcome), string(outcome))
+	assert.Equal(t, resp.Header.Get(api.HeaderInstance), "e-1")
+	assert.Equal(t, resp.Header.Get(api.HeaderRequestID), p.RequestID)
+	assert.Assert(t, p.RequestID != "")
+	assert.Equal(t, (resp.Header.Get("Retry-After") != ""), p.RetryAfterMS > 0)
+}
+
+func TestBadInput(t *testing.T) {
+	small := func(o *Options) {
+		o.Limits.BodyBytes = 100
+		o.Limits.BodyTimeout = 50 * time.Millisecond
+	}
+	for _, c := range []struct {
+		name, text string
+		status     int
+		want       api.ProblemType
+	}{
+		{"broken JSON", post("/v1/completions", `{"model`), 400, api.ProblemMalformed},
+		{"negative max_tokens", post("/v1/completions", `{"model":"m","prompt":"x","max_tokens":-2}`), 400, api.ProblemMalformed},
+		{"unknown kind", post("/v1/completions", fmt.Sprintf(good, false), "Wardspool-Kind: nonesuch"), 400, api.ProblemUnknownKind},
+		{"kind of another route", post("/v1/completions", fmt.Sprintf(good, false), "Wardspool-Kind: lookup"), 400, api.ProblemUnknownKind},
+		{"bad workspace", post("/v1/completions", fmt.Sprintf(good, false), "Wardspool-Workspace: A B"), 400, api.ProblemMalformed},
+		{"two request IDs", post("/v1/completions", "{}", "X-Request-Id: a", "X-Request-Id: b"), 400, api.ProblemMalformed},
+		{"huge request ID", post("/v1/completions", "{}", "X-Request-Id: "+strings.Repeat("x", 1000)), 400, api.ProblemMalformed},
+		{"declared too large", "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 101\r\n\r\n", 413, api.ProblemTooLarge},
+		{"chunked too large", "POST /v1/completions HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n" + strings.Repeat("x", 101) + "\r\n0\r\n\r\n", 413, api.ProblemTooLarge},
+		{"slow body", "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 50\r\n\r\n{", 408, api.ProblemSlowSender},
+		{"slow chunks", "POST /services/desk/x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", 408, api.ProblemSlowSender},
+		{"bad chunk", "POST /services/desk/x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400, api.ProblemMalformed},
+		{"no such path", post("/v2/completions", ""), 404, api.ProblemMalformed},
+		{"no path at the service", post("/services/desk", ""), 404, api.ProblemMalformed},
+		{"bad service name", post("/services/De%2Fsk/x", ""), 404, api.ProblemUnknownService},
+		{"wrong method", "GET /v1/completions HTTP/1.1\r\nHost: x\r\n\r\n", 405, api.ProblemMalformed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, small)
+			resp, body := r.raw(t, c.text)
+			assert.Equal(t, resp.StatusCode, c.status, body)
+			wantProblem(t, resp, body, c.want, api.NotRun)
+			assert.Equal(t, r.submit.calls, 0, "nothing may go further")
+		})
+	}
+}
+
+// TestBadHeads covers what net/http itself refuses, in plain text.
+func TestBadHeads(t *testing.T) {
+	r := newRig(t, func(o *Options) { o.Limits.HeaderBytes = 1000 })
+	for name, c := range map[string]struct {
+		text   string
+		status int
+	}{
+		"too long":          {post("/v1/completions", "{}", "X-Long: "+strings.Repeat("x", 8000)), 431},
+		"control character": {post("/v1/completions", "{}", "X-Bad: a\x00b"), 400},
+		"no host":           {"POST /v1/completions HTTP/1.1\r\n\r\n", 400},
+		"two lengths":       {"POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n{}", 400},
+	} {
+		resp, body := r.raw(t, c.text)
+		assert.Equal(t, resp.StatusCode, c.status, "%s: %s", name, body)
+	}
+	assert.Equal(t, r.submit.calls, 0)
+}
+
+func TestSlowHead(t *testing.T) {
+	r := newRig(t, func(o *Options) { o.Limits.HeaderTimeout = 50 * time.Millisecond })
+	c, err := net.Dial("tcp", r.address)
+	assert.NilError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /v1/completions HTTP/1.1\r\nHost:")
+	assert.NilError(t, err)
+	_, err = io.ReadAll(c)
+	assert.NilError(t, err, "the connection is closed")
+}
+
+func TestMemoryOfBodiesIsBounded(t *testing.T) {
+	r := newRig(t, func(o *Options) { o.Limits.MemoryBytes = 150 })
+	body := fmt.Sprintf(`{"model":"m","prompt":%q}`, strings.Repeat("x", 60))
+	running := make(chan struct{})
+	release := make(chan struct{})
+	r.submit.run = func(ctx context.Context, ex *driver.Exchange) driver.Result {
+		close(running)
+		<-release
+		return whole(ctx, ex)
+	}
+	first := make(chan int)
+	go func() {
+		resp, _ := r.raw(t, post("/v1/completions", body))
+		first <- resp.StatusCode
+	}()
+	<-running
+	resp, text := r.raw(t, post("/v1/completions", body))
+	wantProblem(t, resp, text, api.ProblemOverloaded, api.NotRun)
+	close(release)
+	assert.Equal(t, <-first, http.StatusOK)
+}
+
+func TestRequestsInFlightAreBounded(t *testing.T) {
+	r := newRig(t, func(o *Options) { o.Limits.Requests = 0 })
+	resp, text := r.raw(t, post("/v1/completions", fmt.Sprintf(good, false)))
+	wantProblem(t, resp, text, api.ProblemOverloaded, api.NotRun)
+}
+
+func TestReadiness(t *testing.T) {
+	for _, c := range []struct {
+		unready Unready
+		probe   int
+		want    api.ProblemType
+	}{
+		{IsReady, 200, ""},
+		{Leaving, 503, ""},
+		{Stopping, 503, api.ProblemStopping},
+		{NoBundle, 503, api.ProblemNotReady},
+		{NoAgent, 503, api.ProblemNotReady},
+	} {
+		t.Run(string(c.unready), func(t *testing.T) {
+			r := newRig(t, nil)
+			r.unready = c.unready
+			probe, _ := r.raw(t, "GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n")
+			assert.Equal(t, probe.StatusCode, c.probe)
+			alive, _ := r.raw(t, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+			assert.Equal(t, alive.StatusCode, http.StatusOK)
+			resp, body := r.raw(t, post("/v1/completions", fmt.Sprintf(good, false)))
+			if c.want == "" {
+				assert.Equal(t, resp.StatusCode, http.StatusOK, body)
+				return
+			}
+			wantProblem(t, resp, body, c.want, api.NotRun)
+		})
+	}
+}
--- a/entry/front/server.go
+++ b/entry/front/server.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/gorilla/mux"
 
@@ -66,6 +67,10 @@
 		if f.closing.Load() {
 			w.Header().Set("Connection", "close")
 		}
+		if r.ContentLength != 0 {
+			// Writers of tests have no deadlines.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(f.opts.Limits.BodyTimeout))
+		}
 		next.ServeHTTP(w, r)
 	})
 }
