Experiment: surges to 1.5 of capacity and back; tests of tables, matrix and capacity

Cause: overload and back must be shown without a collapse or a hang-over. Change: fault surge (0.8 to 1.5 for 30 s), its timeline as CSV and plot; plots start at 0; tests of what the matrix and the tables hold.

--- a/cmd/wardspool-load/experiment.go
+++ b/cmd/wardspool-load/experiment.go
@@ -219,10 +219,12 @@
 		return err
 	}
 	list := experiment.Summarize(results)
+	surges := experiment.SurgeTimelines(results)
 	tables := map[string]func() (*report.Table, error){
 		"experiment.csv":        func() (*report.Table, error) { return experiment.Table(list) },
 		"experiment-spread.csv": func() (*report.Table, error) { return experiment.SpreadTable(list) },
 		"experiment-kinds.csv":  func() (*report.Table, error) { return experiment.KindTable(results) },
+		"experiment-surge.csv":  func() (*report.Table, error) { return experiment.SurgeTable(surges) },
 	}
 	for name, make := range tables {
 		table, err := make()
@@ -233,5 +235,5 @@
 			return oops.In("experiment").Wrap(err)
 		}
 	}
-	return experiment.SavePlots(filepath.Join(c.Out, "experiment"), list)
+	return experiment.SavePlots(filepath.Join(c.Out, "experiment"), list, surges)
 }
--- a/experiment/caller.go
+++ b/experiment/caller.go
@@ -71,11 +71,12 @@
 
 // callers offers the workload and reacts to answers.
 type callers struct {
-	w         *world
-	generator *workload.Generator
-	logicals  []*logical
-	next      int
-	sent      int
+	w *world
+	// capacity is in requests a second.
+	capacity float64
+	logicals []*logical
+	next     int
+	sent     int
 }
 
 // blindRetryAfter is when callers that ignore Retry-After come back.
@@ -88,21 +89,40 @@
 // patience is how long after its deadline a caller still takes an answer.
 const patience = 50 * time.Millisecond
 
-func newCallers(w *world, rate float64) *callers {
-	return &callers{w: w, generator: workload.NewGenerator(w.spec, rate, w.cell.Seed)}
+// A surge adds to the load for a while.
+const (
+	surgeLoad   = 1.5
+	surgeLength = 30 * time.Second
+	// surgeNumbers is what the numbers of a surge's arrivals start from.
+	surgeNumbers = 1 << 24
+)
+
+func newCallers(w *world, capacity float64) *callers { return &callers{w: w, capacity: capacity} }
+
+// start begins the cell's usual load.
+func (c *callers) start() {
+	g := workload.NewGenerator(c.w.spec, c.capacity*c.w.cell.Load, c.w.cell.Seed)
+	c.scheduleNext(g, 0, 0, c.w.cell.Warmup+c.w.cell.Duration)
 }
 
-// start schedules the first arrival.
-func (c *callers) start() { c.scheduleNext() }
+// surge adds what is missing to surgeLoad from now on.
+func (c *callers) surge() {
+	g := workload.NewGenerator(c.w.spec, c.capacity*(surgeLoad-c.w.cell.Load), ^c.w.cell.Seed)
+	end := min(c.w.clock.now+surgeLength, c.w.cell.Warmup+c.w.cell.Duration)
+	c.scheduleNext(g, surgeNumbers, c.w.clock.now, end)
+}
 
-func (c *callers) scheduleNext() {
-	a := c.generator.Next()
-	if a.At >= c.w.cell.Warmup+c.w.cell.Duration {
+// scheduleNext has a generator's arrivals sent one after the other.
+func (c *callers) scheduleNext(g *workload.Generator, first int, start, end time.Duration) {
+	a := g.Next()
+	a.Number += first
+	at := start + a.At
+	if at >= end {
 		return
 	}
-	c.w.clock.at(a.At, func() {
+	c.w.clock.at(at, func() {
 		c.arrive(a)
-		c.scheduleNext()
+		c.scheduleNext(g, first, start, end)
 	})
 }
 
--- a/experiment/cell.go
+++ b/experiment/cell.go
@@ -36,6 +36,9 @@
 	Models Count
 	// ByKind counts the requests of each kind, plain services too.
 	ByKind map[string]*Count
+	// Timeline counts the model requests by the TimelineStep in which they
+	// arrived, from the end of the warm-up on.
+	Timeline []Count
 	// PromptComputed and PromptWasted are in tokens over the whole run.
 	PromptComputed, PromptWasted int
 	// WastedCancelled, WastedEvicted and WastedKilled are parts of it; the rest
@@ -50,6 +53,9 @@
 	Violations []Violation
 }
 
+// TimelineStep is the length of a part of Result.Timeline.
+const TimelineStep = 5 * time.Second
+
 // Count counts requests by what came of them.
 type Count struct {
 	Offered int
@@ -93,6 +99,7 @@
 func (w *world) result() *Result {
 	r := &Result{
 		Cell: w.cell, ByKind: map[string]*Count{},
+		Timeline:        make([]Count, w.cell.Duration/TimelineStep+1),
 		PromptComputed:  w.judge.prompt,
 		WastedCancelled: w.judge.byCause[wasteCancelled],
 		WastedEvicted:   w.judge.byCause[wasteEvicted],
@@ -129,6 +136,7 @@
 	kind.add(l)
 	if l.arrival.Kind.Route() == config.RouteModel {
 		r.Models.add(l)
+		r.Timeline[(l.at-r.Cell.Warmup)/TimelineStep].add(l)
 	}
 }
 
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -1,8 +1,10 @@
 package experiment
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -41,14 +43,100 @@
 
 func TestIdealServesAlmostAllBelowCapacity(t *testing.T) {
 	for _, name := range []string{"coastline", "lagos"} {
-		for _, load := range []float64{0.5, 1.0, 1.5} {
-			cell := Cell{
-				Deployment: name, Policy: PolicyIdeal, Load: load, Fault: FaultNone,
-				Seed: 1, Warmup: 10 * time.Second, Duration: 40 * time.Second,
-			}
-			r, err := Run(cell, deployment(t, name))
-			assert.NilError(t, err)
-			t.Logf("%s %.1f: %+v", name, load, *r)
+		d := deployment(t, name)
+		cell := NewCell(d, PolicyIdeal, 0.5, FaultNone, 1)
+		r, err := Run(cell, d)
+		assert.NilError(t, err)
+		share := float64(r.Models.Good) / float64(r.Models.Offered)
+		assert.Assert(t, share > 0.95, "%s: %.3f", name, share)
+		assert.Equal(t, len(r.Violations), 0, "%v", r.Violations)
+		assert.Assert(t, r.PromptWasted*100 < r.PromptComputed)
+	}
+}
+
+// TestCapacityIsWhereTheIdealSaturates shows that the ideal completes about as
+// much as Capacity says when twice as much is offered. Lagos' long prompts need
+// many pieces at once, so that some memory is always left over: the ideal gets
+// to 0.86 there.
+func TestCapacityIsWhereTheIdealSaturates(t *testing.T) {
+	for _, name := range []string{"coastline", "lagos"} {
+		d := deployment(t, name)
+		cell := NewCell(d, PolicyIdeal, 2, FaultNone, 1)
+		r, err := Run(cell, d)
+		assert.NilError(t, err)
+		k := d.Capacity()
+		served := float64(r.Models.Complete) / cell.Duration.Seconds()
+		t.Logf("%s: %.2f of %.2f model requests a second", name, served, k.Requests*k.ModelShare)
+		ratio := served / (k.Requests * k.ModelShare)
+		assert.Assert(t, ratio > 0.8 && ratio < 1.1, "%s: %.3f", name, ratio)
+	}
+}
+
+func TestUnknownNamesAreRefused(t *testing.T) {
+	d := deployment(t, "lagos")
+	var policyErr *PolicyError
+	_, err := Run(NewCell(d, "no-such", 1, FaultNone, 1), d)
+	assert.Assert(t, errors.As(err, &policyErr))
+	for _, f := range []Fault{"no-such", FaultDecodeKill + "@soon", FaultDecodeKill + "+no-such"} {
+		var faultErr *FaultError
+		_, err = Run(NewCell(d, PolicyIdeal, 1, f, 1), d)
+		assert.Assert(t, errors.As(err, &faultErr), "%s", f)
+	}
+}
+
+func TestTables(t *testing.T) {
+	d := deployment(t, "coastline")
+	var cells []Cell
+	for seed := uint64(1); seed <= 2; seed++ {
+		for _, f := range []Fault{FaultNone, FaultSurge} {
+			cell := NewCell(d, PolicyIdeal, 0.8, f, seed)
+			cell.Duration = 30 * time.Second
+			cells = append(cells, cell)
+		}
+	}
+	calls := 0
+	results, err := RunAll(cells, []*Deployment{d}, 2, func(int, *Result) { calls++ })
+	assert.NilError(t, err)
+	assert.Equal(t, calls, len(cells))
+
+	list := Summarize(results)
+	assert.Equal(t, len(list), 2)
+	assert.Equal(t, list[0].Seeds, 2)
+	assert.Assert(t, list[0].Goodput.Min <= list[0].Goodput.Mean && list[0].Goodput.Mean <= list[0].Goodput.Max)
+	table, err := Table(list)
+	assert.NilError(t, err)
+	assert.Equal(t, strings.Join(table.Header, ","), "deployment,policy,load,fault,offered,goodput_share,"+
+		"wasted_prefill_share,refused_share,unknown_share,first_output_p95_ms,pace_p95_ms,duplicates,leaked")
+	assert.Equal(t, len(table.Rows), 2)
+	spread, err := SpreadTable(list)
+	assert.NilError(t, err)
+	assert.Equal(t, len(spread.Rows), 2)
+	kinds, err := KindTable(results)
+	assert.NilError(t, err)
+	assert.Equal(t, len(kinds.Rows), len(results)*len(d.Spec.Kinds))
+
+	surges := SurgeTimelines(results)
+	assert.Equal(t, len(surges), 1)
+	timeline, err := SurgeTable(surges)
+	assert.NilError(t, err)
+	assert.Equal(t, len(timeline.Rows), 6)
+	assert.NilError(t, SavePlots(filepath.Join(t.TempDir(), "plot"), list, surges))
+}
+
+// TestMatrixIsWhole checks that the matrix has what is asked of it.
+func TestMatrixIsWhole(t *testing.T) {
+	d := deployment(t, "lagos")
+	have := map[group]int{}
+	for _, c := range FullCells([]*Deployment{d}, 3) {
+		have[c.group()]++
+	}
+	for _, p := range []PolicyName{PolicyNaive, "v1", PolicyCurrent, PolicyIdeal} {
+		for _, load := range Loads {
+			assert.Equal(t, have[group{"lagos", p, load, FaultNone}], 3)
+		}
+		for _, f := range append(append([]Fault{}, SingleFaults...), DoubleFaults...) {
+			assert.Equal(t, have[group{"lagos", p, 1.0, f}], 3, "%s %s", p, f)
 		}
 	}
+	assert.Equal(t, have[group{"lagos-24", "slots.lease", 1.0, FaultInstanceKill}], 3)
 }
--- a/experiment/fault.go
+++ b/experiment/fault.go
@@ -35,6 +35,8 @@
 	FaultZoneCut Fault = "zone_cut"
 	// FaultPeerCut separates one instance from its peers, but from nothing else.
 	FaultPeerCut Fault = "peer_cut"
+	// FaultSurge raises the load to surgeLoad for a while.
+	FaultSurge Fault = "surge"
 	// FaultPlatformDown keeps the platform's list as it was.
 	FaultPlatformDown Fault = "platform_down"
 )
@@ -67,7 +69,7 @@
 	for _, part := range strings.Split(string(w.cell.Fault), "+") {
 		name, after, timed := strings.Cut(part, "@")
 		f := Fault(name)
-		if f != FaultNone && !slices.Contains(SingleFaults, f) {
+		if f != FaultNone && f != FaultSurge && !slices.Contains(SingleFaults, f) {
 			return &FaultError{Fault: f}
 		}
 		at := w.cell.Warmup + w.cell.Duration/3
@@ -108,6 +110,8 @@
 		w.cutZone()
 	case FaultPeerCut:
 		w.withInstance(w.cutPeer)
+	case FaultSurge:
+		w.callers.surge()
 	case FaultPlatformDown:
 		w.platformDown = true
 		w.clock.after(2*cutLength, func() {
--- a/experiment/ideal.go
+++ b/experiment/ideal.go
@@ -186,22 +186,6 @@
 	}
 }
 
-// fits reports whether a decode engine has room now.
-func (i *ideal) fits(d *decodeEngine, a *attempt) bool {
-	return d.alive && len(d.held) < d.params.Slots &&
-		d.piecesUsed+a.pieces(d.params) <= d.params.Pieces
-}
-
-// otherDecode finds a decode engine with room in place of a dead one.
-func (i *ideal) otherDecode(a *attempt, dead ident.UpstreamID) ident.UpstreamID {
-	for _, id := range i.w.order {
-		if d, ok := i.w.backends[id].(*decodeEngine); ok && i.fits(d, a) {
-			return id
-		}
-	}
-	return dead
-}
-
 // start starts a waiting submission, or refuses it if it is too late. It
 // returns false if the submission has to wait.
 func (i *ideal) start(sub *submission) bool {
@@ -243,70 +227,6 @@
 	return true
 }
 
-// bestPrefill is the idle prefill engine that computes the prompt soonest, and
-// the least time that any living engine would need.
-func (i *ideal) bestPrefill(a *attempt) (*prefillEngine, time.Duration) {
-	var best *prefillEngine
-	least := time.Duration(-1)
-	bestTook := time.Duration(0)
-	for _, id := range i.w.order {
-		e, ok := i.w.backends[id].(*prefillEngine)
-		if !ok || !e.alive || e.stalled {
-			continue
-		}
-		took := e.params.PrefillDuration(e.params.Uncached(a.promptTokens(), e.cache.Match(a.blocks())))
-		if least < 0 || took < least {
-			least = took
-		}
-		idle := e.current == nil && len(e.queue) == 0
-		if idle && (best == nil || took < bestTook) {
-			best, bestTook = e, took
-		}
-	}
-	if best == nil {
-		return nil, max(least, 0)
-	}
-	return best, bestTook
-}
-
-// freeDecode is the decode engine that will have most room after a time.
-func (i *ideal) freeDecode(a *attempt, after time.Duration) *decodeEngine {
-	var best *decodeEngine
-	most := 0
-	for _, id := range i.w.order {
-		d, ok := i.w.backends[id].(*decodeEngine)
-		if !ok || !d.alive {
-			continue
-		}
-		if room := i.roomAfter(d, a, after); room > most {
-			best, most = d, room
-		}
-	}
-	return best
-}
-
-// roomAfter is how many slots an engine will have after a time, 0 if there will
-// be no memory.
-func (i *ideal) roomAfter(d *decodeEngine, a *attempt, after time.Duration) int {
-	slots, pieces := d.params.Slots, d.params.Pieces
-	step := d.params.StepTime(len(d.held))
-	for _, h := range d.held {
-		left := time.Duration(h.sub.logical.arrival.OutputTokens-h.generated+1) * step
-		if left > after {
-			slots--
-			pieces -= h.pieces(d.params)
-		}
-	}
-	for _, p := range i.planned[d.spec.ID] {
-		slots--
-		pieces -= p.pieces(d.params)
-	}
-	if pieces < a.pieces(d.params) {
-		return 0
-	}
-	return max(slots, 0)
-}
-
 // startService calls the least loaded runner that lives.
 func (i *ideal) startService(sub *submission) bool {
 	var best *serviceRunner
--- a/experiment/matrix.go
+++ b/experiment/matrix.go
@@ -45,8 +45,8 @@
 }
 
 // FullCells is the whole matrix with the given number of seeds: each policy at
-// each load, each policy with each fault at capacity, and each slot policy at
-// each number of instances.
+// each load, each policy with each fault at capacity, each slot policy at each
+// number of instances, and each policy with a surge.
 func FullCells(deployments []*Deployment, seeds int) []Cell {
 	var cells []Cell
 	for seed := uint64(1); seed <= uint64(seeds); seed++ {
@@ -54,6 +54,7 @@
 			cells = append(cells, loadCells(d, seed)...)
 			cells = append(cells, faultCells(d, seed)...)
 			cells = append(cells, slotCells(d, seed)...)
+			cells = append(cells, surgeCells(d, seed)...)
 		}
 	}
 	return cells
@@ -99,6 +100,17 @@
 	return cells
 }
 
+// surgeBase is the load before and after a surge.
+const surgeBase = 0.8
+
+func surgeCells(d *Deployment, seed uint64) []Cell {
+	var cells []Cell
+	for _, p := range policies() {
+		cells = append(cells, NewCell(d, p, surgeBase, FaultSurge, seed))
+	}
+	return cells
+}
+
 // linked keeps the slot policies that this binary has.
 func linked(names []PolicyName) []PolicyName {
 	var have []PolicyName
--- a/experiment/plots.go
+++ b/experiment/plots.go
@@ -7,9 +7,10 @@
 // plotColumns is the number of diagrams beside each other.
 const plotColumns = 2
 
-// SavePlots draws goodput and wasted prefill over load for each deployment and
-// writes base.svg and base.png. Errors are those of report.SavePanels.
-func SavePlots(base string, list []*Summary) error {
+// SavePlots draws goodput and wasted prefill over load for each deployment, and
+// the surges, and writes base.svg and base.png. Errors are those of
+// report.SavePanels.
+func SavePlots(base string, list []*Summary, surges []*Timeline) error {
 	var deployments []string
 	seen := map[string]bool{}
 	for _, s := range list {
@@ -24,6 +25,13 @@
 			panel(list, d, "goodput", "share of model requests offered", func(s *Summary) float64 { return s.Goodput.Mean }),
 			panel(list, d, "wasted prefill", "share of prompt tokens computed", func(s *Summary) float64 { return s.Waste.Mean }))
 	}
+	surged := map[string]bool{}
+	for _, t := range surges {
+		if !surged[t.Deployment] {
+			surged[t.Deployment] = true
+			panels = append(panels, surgePanel(surges, t.Deployment))
+		}
+	}
 	if len(panels) == 0 {
 		return nil
 	}
@@ -44,7 +52,10 @@
 // panel draws one value over load, a line for each policy that was run at more
 // than one load.
 func panel(list []*Summary, deployment, title, yLabel string, value func(*Summary) float64) report.Panel {
-	p := report.Panel{Title: deployment + ": " + title, XLabel: "load, as a share of capacity", YLabel: yLabel}
+	p := report.Panel{
+		Title: deployment + ": " + title, XLabel: "load, as a share of capacity", YLabel: yLabel,
+		LegendLeft: true,
+	}
 	index := map[PolicyName]int{}
 	for _, s := range list {
 		if s.Deployment != deployment || s.Fault != FaultNone {
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -63,7 +63,7 @@
 	}
 	w.judge = &judge{w: w}
 	w.feeds = &feeds{w: w}
-	w.callers = newCallers(w, d.capacity()*cell.Load)
+	w.callers = newCallers(w, d.capacity())
 	for _, spec := range content.Upstreams {
 		w.addBackend(d, spec)
 	}
--- a/report/plot.go
+++ b/report/plot.go
@@ -13,6 +13,9 @@
 	"gonum.org/v1/plot/vg/vgsvg"
 )
 
+// headroom is the free part above the highest point.
+const headroom = 0.25
+
 // Point is one point of a line.
 type Point struct{ X, Y float64 }
 
@@ -28,6 +31,8 @@
 	XLabel string
 	YLabel string
 	Lines  []Line
+	// LegendLeft puts the legend at the left end instead of the right one.
+	LegendLeft bool
 }
 
 // Size of one panel in an image.
@@ -83,6 +88,7 @@
 	p.X.Label.Text = panel.XLabel
 	p.Y.Label.Text = panel.YLabel
 	p.Legend.Top = true
+	p.Legend.Left = panel.LegendLeft
 	p.Add(plotter.NewGrid())
 	for i, line := range panel.Lines {
 		points := make(plotter.XYs, len(line.Points))
@@ -98,6 +104,10 @@
 		p.Add(l, s)
 		p.Legend.Add(line.Name, l, s)
 	}
+	// The axis starts at 0, so that shares can be compared by eye; the room
+	// above is for the legend.
+	p.Y.Min = 0
+	p.Y.Max *= 1 + headroom
 	return p, nil
 }
 
