Settings: places of all findings, times need units, fuzzed

Cause: a bad time was reported at line 1, and 'grace: 5' meant five nanoseconds; the fuzz target found that the YAML library panics on a tag in place of a list. Change: times are decoded here and need a unit; tags, anchors and aliases are refused; a panic of the library is a finding.

--- a/settings/load.go
+++ b/settings/load.go
@@ -4,13 +4,17 @@
 	"bytes"
 	"cmp"
 	"errors"
+	"fmt"
 	"io"
 	"os"
+	"reflect"
 	"slices"
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
 	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
 )
 
 // maxFileBytes bounds a settings file.
@@ -89,26 +93,64 @@
 	})
 }
 
-// AddError reports an error that decoding a part of the file gave.
+// adviceReference is for faults that the decoder finds.
+const adviceReference = "see docs/settings.md"
+
+// AddError reports an error that decoding a part of the file gave; field is
+// where the part begins.
 func (r *Report) AddError(field string, err error) {
+	var duration *DurationError
 	var located yaml.Error
-	if !errors.As(err, &located) || located.GetToken() == nil {
-		r.Add(field, err.Error(), "")
-		return
+	var mistyped *yaml.TypeError
+	switch {
+	case errors.As(err, &duration):
+		r.Add(r.places.holding(field, duration.Text), duration.Error(), adviceDuration)
+	case errors.As(err, &mistyped) && mistyped.Token != nil:
+		r.addAt(field, mistyped.Token.Position, fmt.Sprintf("%q is not %s", mistyped.Token.Value, kindName(mistyped.DstType)))
+	case errors.As(err, &located) && located.GetToken() != nil:
+		r.addAt(field, located.GetToken().Position, located.GetMessage())
+	default:
+		r.Add(field, err.Error(), adviceReference)
 	}
-	at := located.GetToken().Position
-	if found := r.places.at(place{at.Line, at.Column}); found != "" {
+}
+
+// addAt reports a fault at a position.
+func (r *Report) addAt(field string, at *token.Position, wrong string) {
+	if found := r.places.at(at.Line, at.Column); found != "" {
 		field = found
 	}
 	r.findings = append(r.findings, Finding{
 		File: r.file, Line: at.Line, Column: at.Column,
-		Field: field, Wrong: located.GetMessage(), Advice: "see docs/settings.md",
+		Field: field, Wrong: wrong, Advice: adviceReference,
 	})
 }
 
+// kindName names what a field of a type takes.
+func kindName(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64,
+		reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
+		return "a whole number"
+	case reflect.Float32, reflect.Float64:
+		return "a number"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.String:
+		return "a string"
+	case reflect.Slice, reflect.Array:
+		return "a list"
+	default:
+		return "a mapping"
+	}
+}
+
 // decode fills in the settings. It reports false after a fault.
 func (r *Report) decode(data []byte, into any) bool {
-	file, err := parser.ParseBytes(data, 0)
+	tokens := lexer.Tokenize(string(data))
+	if !r.plain(tokens) {
+		return false
+	}
+	file, err := parser.Parse(tokens, 0)
 	if err != nil {
 		r.AddError("", err)
 		return false
@@ -118,19 +160,47 @@
 		body = file.Docs[0].Body
 	}
 	if body == nil {
-		r.Add("", "the file is empty", "see docs/settings.md")
+		r.Add("", "the file is empty", adviceReference)
 		return false
 	}
-	r.places = places{}
 	r.places.walk("", body)
-	err = yaml.NewDecoder(bytes.NewReader(data), yaml.Strict()).Decode(into)
-	if err != nil {
+	if err := decodeGuarded(data, into); err != nil {
 		r.AddError("", err)
 		return false
 	}
 	return true
 }
 
+// plain reports whether the file keeps to the part of YAML that settings use.
+// The library panics on some uses of the rest.
+func (r *Report) plain(tokens token.Tokens) bool {
+	for _, t := range tokens {
+		switch t.Type {
+		case token.TagType, token.AnchorType, token.AliasType, token.MergeKeyType:
+			r.addAt("", t.Position, fmt.Sprintf("%q: settings use no tags, anchors and aliases", t.Value))
+			return false
+		}
+	}
+	return true
+}
+
+// UnreadableError reports a file on which the YAML library panicked.
+type UnreadableError struct{ Panic string }
+
+// Error implements error.
+func (e *UnreadableError) Error() string { return "the YAML library cannot read this: " + e.Panic }
+
+// decodeGuarded decodes a file. A settings file must not crash a program,
+// whatever is in it.
+func decodeGuarded(data []byte, into any) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = &UnreadableError{Panic: fmt.Sprint(p)}
+		}
+	}()
+	return yaml.NewDecoder(bytes.NewReader(data), options()...).Decode(into)
+}
+
 // sorted returns the findings in the order of the file.
 func (r *Report) sorted() []Finding {
 	slices.SortStableFunc(r.findings, func(a, b Finding) int {
