--- /dev/null
+++ b/entry/docs_test.go
@@ -0,0 +1,59 @@
+package entry_test
+
+import (
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/entry"
+)
+
+// fields returns the paths of a settings type's fields.
+func fields(t reflect.Type, prefix string) []string {
+	var out []string
+	for i := range t.NumField() {
+		f := t.Field(i)
+		path := prefix + strings.Split(f.Tag.Get("yaml"), ",")[0]
+		inner := f.Type
+		if inner.Kind() == reflect.Pointer {
+			inner = inner.Elem()
+		}
+		if inner.Kind() == reflect.Struct {
+			out = append(out, fields(inner, path+".")...)
+			continue
+		}
+		out = append(out, path)
+	}
+	return out
+}
+
+// TestSettingsPage compares the settings with their page.
+func TestSettingsPage(t *testing.T) {
+	data, err := os.ReadFile("../docs/settings.md")
+	assert.NilError(t, err)
+	for _, f := range fields(reflect.TypeFor[entry.Settings](), "") {
+		assert.Check(t, strings.Contains(string(data), "`"+f+"`"), "%s is not in docs/settings.md", f)
+	}
+}
+
+// TestCallersPage compares the constants of package api with the callers' page.
+func TestCallersPage(t *testing.T) {
+	page, err := os.ReadFile("../docs/callers.md")
+	assert.NilError(t, err)
+	for _, file := range []string{"../api/api.go", "../api/problem.go"} {
+		source, err := os.ReadFile(file)
+		assert.NilError(t, err)
+		for line := range strings.Lines(string(source)) {
+			name, value, ok := strings.Cut(strings.TrimSpace(line), "= \"")
+			value, _, _ = strings.Cut(value, "\"")
+			if !ok || !strings.HasPrefix(name, "Header") && !strings.Contains(value, "urn:") {
+				continue
+			}
+			want := "`" + strings.TrimPrefix(value, "urn:wardspool:problem:") + "`"
+			assert.Check(t, strings.Contains(string(page), want), "%s is not in docs/callers.md", want)
+		}
+	}
+}
