--- /dev/null
+++ b/plugins/slots/dispatch/fallback.go
@@ -0,0 +1,140 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/plugins/slots/slotkit"
+)
+
+// retryShare is when to ask again for a slot of the static share.
+const retryShare = 50 * time.Millisecond
+
+// Reserve implements kernel.SlotPolicy. It is used while the dispatcher cannot
+// be reached: the slot comes out of this instance's static share.
+func (p *Policy) Reserve(a kernel.SlotAsk) kernel.SlotAnswer {
+	p.refresh()
+	u := p.host.Upstream(a.Upstream)
+	if !slotkit.Usable(u) || !p.shareFree(u, a.Pieces) {
+		return kernel.SlotAnswer{Verdict: kernel.SlotNone, RetryAt: p.host.Now().Add(retryShare)}
+	}
+	h := &holding{
+		id:     a.Reservation,
+		key:    slotkit.KeyOf(a.Reservation),
+		model:  modelOf(u),
+		stage:  stageDecode,
+		decode: a.Upstream,
+	}
+	h.ask.Pieces = a.Pieces
+	p.holder.holdings[h.key] = h
+	return kernel.SlotAnswer{Verdict: kernel.SlotHeld}
+}
+
+// modelOf names the model under which a placement on u is renewed.
+func modelOf(u *kernel.Upstream) string {
+	if len(u.Spec.Models) == 0 {
+		return ""
+	}
+	return u.Spec.Models[0]
+}
+
+// shareFree reports whether this instance's share of u has room.
+func (p *Policy) shareFree(u *kernel.Upstream, pieces int) bool {
+	slots, used := 0, 0
+	for _, h := range p.holder.holdings {
+		if h.decode == u.ID {
+			slots++
+			used += h.ask.Pieces
+		}
+	}
+	self := p.host.Self().Instance
+	if slots >= p.roster.Share(self, u.ID, slotkit.Slots(u)) {
+		return false
+	}
+	total := slotkit.Pieces(u)
+	if total == 0 {
+		return true
+	}
+	// A large prompt may need more than a share: one request always fits.
+	return slots == 0 || used+pieces <= total/max(len(p.roster.Live()), 1)
+}
+
+// Refused implements kernel.SlotPolicy. The dispatcher learns of it by the ask
+// that follows, which names the engine as one to avoid.
+func (p *Policy) Refused(ident.UpstreamID) {}
+
+// Availability implements kernel.SlotPolicy.
+func (p *Policy) Availability(u *kernel.Upstream) kernel.Availability {
+	if p.host == nil {
+		return kernel.Availability{}
+	}
+	wait := p.holder.wait[modelOf(u)]
+	if wait > 0 {
+		return kernel.Availability{NextFree: wait}
+	}
+	return kernel.Availability{Free: max(slotkit.Slots(u)-u.Load.Running, 1)}
+}
+
+// unreachable stops asking a dispatcher for a while and takes back what it was
+// asked for and has not answered.
+func (p *Policy) unreachable(d ident.InstanceID) {
+	now := p.host.Now()
+	p.holder.silent[d] = now.Add(silenceTime)
+	for _, h := range p.sortedHoldings() {
+		if h.dispatcher != d || (h.stage != stageAsked && h.stage != stageComputed) {
+			continue
+		}
+		delete(p.holder.holdings, h.key)
+		p.host.SlotDenied(h.id, now)
+	}
+}
+
+// moveHoldings follows a change of dispatchers: what was asked for is asked for
+// again, what is held is renewed.
+func (p *Policy) moveHoldings() {
+	moved := map[string]bool{}
+	for _, h := range p.sortedHoldings() {
+		d := p.dispatcher(h.model)
+		if d == h.dispatcher || d == "" {
+			continue
+		}
+		moved[h.model] = true
+		switch h.stage {
+		case stageAsked, stageComputed:
+			h.resent = false
+			p.sendAsk(h)
+		default:
+			h.dispatcher = d
+		}
+	}
+	for _, model := range sortedModels(moved) {
+		p.renewAll(p.dispatcher(model), model)
+	}
+}
+
+// sortedHoldings lists the holdings in a repeatable order.
+func (p *Policy) sortedHoldings() []*holding {
+	list := make([]*holding, 0, len(p.holder.holdings))
+	for _, h := range p.holder.holdings {
+		list = append(list, h)
+	}
+	slices.SortFunc(list, func(a, b *holding) int {
+		if a.key.Before(b.key) {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// sortedModels lists a map's models in a repeatable order.
+func sortedModels[V any](m map[string]V) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/plugins/slots/dispatch/pass.go
@@ -0,0 +1,242 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+const (
+	// lookahead is how long before a prefill engine falls idle it is given the
+	// next prompt: the time of the messages between.
+	lookahead = 20 * time.Millisecond
+	// lateSlack is the error granted to a prediction before an ask is refused,
+	// as a percentage of the time it looks ahead.
+	lateSlack = 10
+	// kvWaitPercent is the part of a KV cache's usable time for which a slot
+	// may be late by plan.
+	kvWaitPercent = 30
+	// minComeBack bounds what refused callers are told.
+	minComeBack = 300 * time.Millisecond
+	// crossZone is the cost of a transfer between availability zones.
+	crossZone = 5 * time.Millisecond
+)
+
+// pass gives out what can be given out now.
+func (g *group) pass() {
+	free := g.decodes()
+	g.serveReady(free)
+	g.placeWaiting(free)
+	g.pollAt = time.Time{}
+	if len(g.waiting)+len(g.ready) > 0 {
+		g.pollAt = g.now().Add(pollTime)
+	} else if len(g.grants) > 0 {
+		g.pollAt = g.now().Add(renewTime)
+	}
+}
+
+// serveReady finds slots for finished prefills, the one that expires first in
+// front.
+func (g *group) serveReady(free []decodeState) {
+	now := g.now()
+	slices.SortStableFunc(g.ready, func(a, b *grant) int { return a.kvUntil.Compare(b.kvUntil) })
+	for _, gr := range slices.Clone(g.ready) {
+		if now.After(gr.kvUntil) {
+			g.end(gr)
+			g.send(gr.holder, &Deny{Reservation: gr.ask.Reservation})
+			continue
+		}
+		if d := g.pickDecode(gr, free); d != nil {
+			g.giveSlot(gr, d)
+		}
+	}
+}
+
+// giveSlot names the decode engine of a finished prefill.
+func (g *group) giveSlot(gr *grant, d *decodeState) {
+	d.slots--
+	d.pieces -= gr.ask.Pieces
+	d.held++
+	gr.decode = d.u.ID
+	gr.decodeAt = g.now()
+	if i := slices.Index(g.ready, gr); i >= 0 {
+		g.ready = slices.Delete(g.ready, i, i+1)
+	}
+	g.send(gr.holder, &Decode{Reservation: gr.ask.Reservation, Model: g.model, Decode: d.u.ID})
+}
+
+// pickDecode chooses the least loaded decode engine with room, in the zone of
+// the prefill if it can.
+func (g *group) pickDecode(gr *grant, free []decodeState) *decodeState {
+	zone := ident.Zone("")
+	if p := g.p.host.Upstream(gr.prefill); p != nil {
+		zone = p.Zone
+	}
+	var best *decodeState
+	bestCost := 0.0
+	for i := range free {
+		d := &free[i]
+		if d.slots < 1 || !roomFor(d, gr.ask.Pieces) || slices.Contains(gr.ask.Avoid, d.u.ID) {
+			continue
+		}
+		cost := kernel.DecodePace(d.u, d.held+1).Seconds()
+		if d.u.Zone != zone {
+			cost += crossZone.Seconds()
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = d, cost
+		}
+	}
+	return best
+}
+
+// roomFor reports whether an engine has KV memory for so many pieces. Engines
+// whose memory is not known are not limited by it.
+func roomFor(d *decodeState, pieces int) bool {
+	known := d.u.Spec.Pieces > 0 || d.u.Load.PiecesTotal > 0
+	return !known || d.pieces >= pieces
+}
+
+// placeWaiting goes through the queue in order. Each ask is put, in thought, on
+// the engine that would be done with it first; if that engine is about to fall
+// idle and a slot will be there for the result, it is given out. An ask that by
+// this plan cannot meet its target is refused at once.
+func (g *group) placeWaiting(free []decodeState) {
+	if len(g.waiting) == 0 {
+		return
+	}
+	engines := g.prefills()
+	supply := g.supply(free)
+	var order []*kernel.Waiting
+	for w := range g.queue.All() {
+		order = append(order, w)
+	}
+	for _, entry := range order {
+		w := g.waiting[entry.Request.ID]
+		if w == nil {
+			continue
+		}
+		g.plan(w, engines, supply, len(order) == 1)
+	}
+}
+
+// plan places, refuses or leaves one ask.
+func (g *group) plan(w *waiting, engines []prefillState, s *slotSupply, alone bool) {
+	e, work := g.pickPrefill(w, engines)
+	if e == nil {
+		return
+	}
+	now := g.now()
+	computed := e.readyAt.Add(work)
+	slotAt := s.next(w.ask.Pieces)
+	transfer := kernel.TransferTime(g.p.host.Model(g.model), w.ask.Prompt, e.u, e.u)
+	first := later(computed, slotAt).Add(transfer)
+	if g.tooLate(w, first) && !(alone && e.readyAt.Equal(now)) {
+		g.refuse(w, first)
+		return
+	}
+	startable := e.readyAt.Sub(now) <= lookahead
+	slotInTime := slotAt.Sub(computed) <= g.p.kvUsable*kvWaitPercent/100
+	e.readyAt = computed
+	s.take(w.ask.Pieces)
+	if startable && slotInTime {
+		g.place(w, e.u, computed)
+	}
+}
+
+// tooLate reports whether a predicted first output misses its target. Output
+// that a caller already has is not given up for being late.
+func (g *group) tooLate(w *waiting, first time.Time) bool {
+	if w.ask.Delivered > 0 {
+		return false
+	}
+	slack := first.Sub(g.now()) * lateSlack / 100
+	return first.Add(-slack).After(w.entry.Request.FirstOutputBy)
+}
+
+// refuse tells a holder that its request cannot meet its target. The caller
+// should come back when, by the present plan, it would be served in time.
+func (g *group) refuse(w *waiting, first time.Time) {
+	g.dequeue(w.entry.Request.ID)
+	late := max(first.Sub(w.entry.Request.FirstOutputBy), minComeBack)
+	jitter := time.Duration(g.p.host.Rand().Int64N(int64(late) + 1))
+	g.send(w.holder, &Deny{
+		Reservation: w.ask.Reservation,
+		Infeasible:  true,
+		RetryIn:     millis(late + jitter),
+	})
+}
+
+// place gives out a prefill engine.
+func (g *group) place(w *waiting, u *kernel.Upstream, done time.Time) {
+	g.dequeue(w.entry.Request.ID)
+	gr := &grant{
+		key:     w.ask.Reservation.Key(),
+		id:      w.ask.Reservation.ID(),
+		holder:  w.holder,
+		ask:     w.ask,
+		at:      g.now(),
+		expires: w.entry.Request.Deadline,
+		prefill: u.ID,
+		doneAt:  done,
+	}
+	g.grants[gr.key] = gr
+	if prefix := g.p.host.Prefix(); prefix != nil {
+		prefix.Placed(u, w.ask.Blocks, g.now())
+	}
+	g.send(w.holder, &Placed{Reservation: w.ask.Reservation, Model: g.model, Prefill: u.ID})
+}
+
+// pickPrefill chooses the engine that would be done with the ask first, and
+// returns the time it needs for it.
+func (g *group) pickPrefill(w *waiting, engines []prefillState) (*prefillState, time.Duration) {
+	var best *prefillState
+	var bestWork time.Duration
+	var bestEnd time.Time
+	for i := range engines {
+		e := &engines[i]
+		if slices.Contains(w.ask.Avoid, e.u.ID) && len(engines) > len(w.ask.Avoid) {
+			continue
+		}
+		work := kernel.PrefillTime(e.u, g.uncached(w, e.u))
+		end := e.readyAt.Add(work)
+		if e.u.Zone != w.ask.Zone {
+			end = end.Add(crossZone)
+		}
+		if best == nil || end.Before(bestEnd) {
+			best, bestWork, bestEnd = e, work, end
+		}
+	}
+	return best, bestWork
+}
+
+// uncached is how much of an ask's prompt an engine would have to compute.
+func (g *group) uncached(w *waiting, u *kernel.Upstream) int {
+	prefix, m := g.p.host.Prefix(), g.p.host.Model(g.model)
+	if prefix == nil || m == nil {
+		return w.ask.Prompt
+	}
+	return max(w.ask.Prompt-prefix.CachedBlocks(u, w.ask.Blocks)*m.PieceTokens, 1)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
+// expectedWait is how long the last ask of the queue is expected to wait.
+func (g *group) expectedWait() time.Duration {
+	engines := g.prefills()
+	if len(engines) == 0 {
+		return 0
+	}
+	total := time.Duration(0)
+	for _, w := range g.waiting {
+		total += kernel.PrefillTime(engines[0].u, w.ask.Prompt)
+	}
+	return total / time.Duration(len(engines))
+}
--- /dev/null
+++ b/plugins/slots/dispatch/renew.go
@@ -0,0 +1,206 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/plugins/slots/slotkit"
+)
+
+// nextWake returns when the holder has to act.
+func (h *holder) nextWake() (time.Time, bool) {
+	if len(h.holdings) == 0 {
+		return time.Time{}, false
+	}
+	at := h.renewAt
+	for _, x := range h.holdings {
+		if x.awaitsAnswer() {
+			at = earlier(at, x.sentAt.Add(answerTime))
+		}
+	}
+	return at, true
+}
+
+// awaitsAnswer reports whether the dispatcher has not reacted to the last ask.
+func (h *holding) awaitsAnswer() bool {
+	return (h.stage == stageAsked || h.stage == stageComputed) && h.answeredAt.Before(h.sentAt)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// wakeHolder repeats unanswered asks, gives up on silent dispatchers and renews.
+func (p *Policy) wakeHolder() {
+	now := p.host.Now()
+	for _, h := range p.sortedHoldings() {
+		if p.holder.holdings[h.key] != h || !h.awaitsAnswer() || now.Before(h.sentAt.Add(answerTime)) {
+			continue
+		}
+		if h.resent {
+			p.unreachable(h.dispatcher)
+			continue
+		}
+		h.resent = true
+		p.sendAsk(h)
+	}
+	if !now.Before(p.holder.renewAt) {
+		p.renew(now)
+	}
+}
+
+// renew tells each dispatcher how much this instance holds.
+func (p *Policy) renew(now time.Time) {
+	p.holder.renewAt = now.Add(renewTime)
+	for _, h := range p.sortedHoldings() {
+		if h.stage != stageAsked && h.stage != stageComputed {
+			continue
+		}
+		p.holder.renewAt = now.Add(renewTimePending)
+		if !h.awaitsAnswer() && h.dispatcher != p.host.Self().Instance {
+			// A queued ask is repeated now and then: the answer shows that the
+			// dispatcher lives and still knows of it.
+			h.resent = false
+			p.sendAsk(h)
+		}
+	}
+	for _, model := range p.heldModels() {
+		p.renewModel(p.dispatcher(model), model, false)
+	}
+}
+
+func (p *Policy) heldModels() []string {
+	models := map[string]bool{}
+	for _, h := range p.holder.holdings {
+		models[h.model] = true
+	}
+	return sortedModels(models)
+}
+
+// renewAll tells a dispatcher all that this instance holds of a model.
+func (p *Policy) renewAll(d ident.InstanceID, model string) { p.renewModel(d, model, true) }
+
+func (p *Policy) renewModel(d ident.InstanceID, model string, full bool) {
+	if d == "" {
+		return
+	}
+	m := &Renew{Incarnation: p.host.Self().Incarnation, Model: model, Full: full}
+	for _, h := range p.sortedHoldings() {
+		if h.model != model || h.stage == stageAsked {
+			continue
+		}
+		m.Count++
+		m.Digest ^= digest(h.key, h.decode)
+		if full {
+			m.Held = append(m.Held, Held{
+				Reservation: slotkit.Reservation(h.id),
+				Prefill:     h.prefill,
+				Decode:      h.decode,
+				Pieces:      h.ask.Pieces,
+				Decoding:    h.decoding,
+			})
+		}
+	}
+	if d == p.host.Self().Instance {
+		p.groupOf(model).renewed(d, *m)
+		return
+	}
+	p.host.Send(d, m)
+}
+
+// digest is a hash of one placement; those of several are combined by
+// exclusive or.
+func digest(k slotkit.Key, decode ident.UpstreamID) uint64 {
+	b := make([]byte, 0, 64)
+	b = append(b, k.Instance...)
+	b = append(b, byte(k.Incarnation), byte(k.Incarnation>>8), byte(k.Incarnation>>16), byte(k.Incarnation>>24))
+	b = append(b, byte(k.Sequence), byte(k.Sequence>>8), byte(k.Sequence>>16), byte(k.Sequence>>24))
+	b = append(b, decode...)
+	return xxhash.Sum64(b)
+}
+
+// renewed takes a holder's renewal.
+func (g *group) renewed(from ident.InstanceID, m Renew) {
+	g.heard[from] = struct{}{}
+	if !m.Full {
+		if g.matches(from, m) {
+			return
+		}
+		g.send(from, &Resync{Model: g.model})
+		return
+	}
+	listed := make(map[slotkit.Key]bool, len(m.Held))
+	for _, held := range m.Held {
+		listed[held.Reservation.Key()] = true
+		g.adopt(from, held)
+	}
+	for _, gr := range g.grantsOf(from) {
+		// A placement not listed may still be on its way to the holder.
+		settled := g.now().Sub(gr.at) > renewTime
+		if !listed[gr.key] && (settled || gr.key.Incarnation != m.Incarnation) {
+			g.end(gr)
+		}
+	}
+	g.pass()
+}
+
+// matches reports whether a renewal's digest fits what this dispatcher knows.
+func (g *group) matches(from ident.InstanceID, m Renew) bool {
+	count, sum := 0, uint64(0)
+	for _, gr := range g.grantsOf(from) {
+		count++
+		sum ^= digest(gr.key, gr.decode)
+	}
+	return count == m.Count && sum == m.Digest
+}
+
+// adopt enters a placement that a holder says it has.
+func (g *group) adopt(from ident.InstanceID, held Held) {
+	key := held.Reservation.Key()
+	gr, ok := g.grants[key]
+	if !ok {
+		gr = &grant{
+			key:     key,
+			id:      held.Reservation.ID(),
+			holder:  from,
+			at:      g.now(),
+			ask:     Ask{Reservation: held.Reservation, Model: g.model, Pieces: held.Pieces},
+			expires: held.Reservation.ID().Deadline,
+		}
+		g.grants[key] = gr
+	}
+	if gr.decode != held.Decode {
+		gr.decode = held.Decode
+		gr.decodeAt = g.now()
+	}
+	if gr.prefill == "" {
+		gr.prefill = held.Prefill
+		gr.computed = true
+	}
+	if held.Decoding {
+		gr.computed = true
+	}
+}
+
+// grantsOf lists the placements of one holder, in a repeatable order.
+func (g *group) grantsOf(from ident.InstanceID) []*grant {
+	var list []*grant
+	for _, gr := range g.grants {
+		if gr.holder == from {
+			list = append(list, gr)
+		}
+	}
+	slices.SortFunc(list, func(a, b *grant) int {
+		if a.key.Before(b.key) {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
--- a/plugins/slots/lease/grantor.go
+++ b/plugins/slots/lease/grantor.go
@@ -81,8 +81,8 @@
 	}
 	now := p.host.Now()
 	l.noteLead(ask.Lead.Duration())
-	w := waitingAsk{ask: ask, key: key, holder: holder, by: dueTime(ask), until: now.Add(p.QueueWait)}
-	if p.room(l, u, &w, 0) && len(l.queue) == 0 {
+	w := waitingAsk{ask: ask, key: key, holder: holder, by: dueTime(ask, now), until: now.Add(p.QueueWait)}
+	if p.room(l, u, &w) && len(l.queue) == 0 {
 		p.enter(l, u, &w)
 		return verdictGranted
 	}
@@ -100,12 +100,14 @@
 }
 
 // dueTime returns when the ask's first output is due. An ask without a due time
-// goes by its reservation's deadline.
-func dueTime(ask Ask) time.Time {
-	if ask.FirstOutputBy == 0 {
+// goes by its reservation's deadline, and so does one whose due time is past:
+// its request is wanted although it is late, as when an output is resumed.
+func dueTime(ask Ask, now time.Time) time.Time {
+	by := time.UnixMilli(ask.FirstOutputBy)
+	if !by.After(now) {
 		return ask.Reservation.Deadline
 	}
-	return time.UnixMilli(ask.FirstOutputBy)
+	return by
 }
 
 // enqueue puts an ask in the queue, in place of the last one if it is full.
@@ -124,11 +126,10 @@
 	return true
 }
 
-// room reports whether the ask can be granted now beside the given number of
-// pieces set aside for others.
-func (p *Policy) room(l *ledger, u *kernel.Upstream, w *waitingAsk, aside int) bool {
+// room reports whether the ask can be granted now.
+func (p *Policy) room(l *ledger, u *kernel.Upstream, w *waitingAsk) bool {
 	now := p.host.Now()
-	if !slotkit.Usable(u) || !p.roomForPieces(l, u, w.ask.Pieces+aside) {
+	if !slotkit.Usable(u) || !p.roomForPieces(l, u, w.ask.Pieces) {
 		return false
 	}
 	return l.fits(now, w.ask.Lead.Duration(), l.limit(u, now, p.Margin), p.AheadRisk)
@@ -162,14 +163,10 @@
 
 // drain answers the asks in the queue that can be answered.
 func (p *Policy) drain(l *ledger, u *kernel.Upstream) {
-	now := p.host.Now()
+	p.denyHopeless(l)
 	for i := 0; i < len(l.queue); {
 		w := &l.queue[i]
-		if !w.feasible(now) || !now.Before(w.until) {
-			p.deny(l, l.queue.take(i))
-			continue
-		}
-		if p.room(l, u, w, 0) {
+		if p.room(l, u, w) {
 			p.grantQueued(l, u, i)
 			i = 0
 			continue
@@ -181,6 +178,19 @@
 	}
 }
 
+// denyHopeless turns away the asks that have waited long enough or can no
+// longer be met in time.
+func (p *Policy) denyHopeless(l *ledger) {
+	now := p.host.Now()
+	for i := 0; i < len(l.queue); {
+		if l.queue[i].feasible(now) && now.Before(l.queue[i].until) {
+			i++
+			continue
+		}
+		p.deny(l, l.queue.take(i))
+	}
+}
+
 // grantQueued grants the ask at place i of the queue.
 func (p *Policy) grantQueued(l *ledger, u *kernel.Upstream, i int) {
 	for j := range i {
--- /dev/null
+++ b/plugins/slots/lease/lease_test.go
@@ -0,0 +1,162 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/plugins/slots/slottest"
+)
+
+// plain leases only what is free, so that the sum of leases can be checked.
+var plain = Settings{AheadRisk: -1}
+
+// three is a world of three instances that share one engine of four slots.
+func three(settings Settings) *bed {
+	b := newBed(slottest.Options{
+		Seed: 1, Instances: 3, Engines: 1, Slots: 4, Pieces: 100,
+		LoadEvery: 500 * time.Millisecond, LoadLag: 200 * time.Millisecond,
+	}, settings)
+	b.Run(2 * time.Second)
+	return b
+}
+
+func TestSlotsAreSharedWithoutOvercommitting(t *testing.T) {
+	b := three(plain)
+	for range 4 {
+		for _, n := range b.Nodes {
+			b.reserve(n, b.Engines[0], 10*time.Millisecond, 600*time.Millisecond)
+		}
+	}
+	b.Run(100 * time.Millisecond)
+	assert.Equal(t, b.held(b.Engines[0]), 4)
+	assert.Equal(t, b.Engines[0].Running(), 4)
+	b.Run(600 * time.Millisecond)
+	// Those that waited were granted the slots that fell free, in one message.
+	assert.Equal(t, b.Engines[0].Running(), 4)
+	assert.Equal(t, b.refused, 0)
+	b.Run(10 * time.Second)
+	assertQuiet(t, b)
+}
+
+// assertQuiet checks that nothing is held, waits or is remembered as leased.
+func assertQuiet(t assert.TestingT, b *bed) {
+	for _, n := range b.Nodes {
+		if n.Killed() {
+			continue
+		}
+		p := policyOf(n)
+		assert.Equal(t, len(p.holder.holds), 0, "holds at %s", n.ID())
+		assert.Equal(t, len(p.holder.open), 0, "open asks at %s", n.ID())
+		assert.Equal(t, len(p.holder.held), 0, "held counts at %s", n.ID())
+		assert.Equal(t, len(p.holder.answers), 0, "answers at %s", n.ID())
+		for _, l := range p.grantor.ledgers {
+			assert.Equal(t, len(l.leases), 0, "leases at %s", n.ID())
+			assert.Equal(t, len(l.queue), 0, "queue at %s", n.ID())
+		}
+	}
+}
+
+func TestGrantorKilled(t *testing.T) {
+	b := three(plain)
+	e := b.Engines[0]
+	g := b.grantor(b.Nodes[0], e)
+	others := without(b.Nodes, g)
+	b.reserve(others[0], e, 10*time.Millisecond, 4*time.Second)
+	b.Run(100 * time.Millisecond)
+	g.Kill()
+	// The others fall back to their shares at once: a third of four slots, of
+	// which the first use has taken one.
+	u := b.reserve(others[1], e, 10*time.Millisecond, 4*time.Second)
+	b.Run(200 * time.Millisecond)
+	assert.Assert(t, u.granted)
+	b.all(g, kernel.Dead)
+	b.Run(1200 * time.Millisecond)
+	next := b.grantor(others[0], e)
+	assert.Assert(t, next != g)
+	// The new grantor has learned of both.
+	assert.Equal(t, len(policyOf(next).grantor.ledgers[0].leases), 2)
+	for range 4 {
+		b.reserve(others[0], e, 10*time.Millisecond, time.Second)
+	}
+	b.Run(100 * time.Millisecond)
+	assert.Equal(t, b.held(e), 4)
+	b.Run(10 * time.Second)
+	assert.Equal(t, b.refused, 0)
+	assertQuiet(t, b)
+}
+
+func without(nodes []*slottest.Node, gone *slottest.Node) []*slottest.Node {
+	var rest []*slottest.Node
+	for _, n := range nodes {
+		if n != gone {
+			rest = append(rest, n)
+		}
+	}
+	return rest
+}
+
+func TestGrantorFrozen(t *testing.T) {
+	b := three(plain)
+	e := b.Engines[0]
+	g := b.grantor(b.Nodes[0], e)
+	others := without(b.Nodes, g)
+	g.Freeze()
+	u := b.reserve(others[0], e, 10*time.Millisecond, time.Second)
+	b.Run(100 * time.Millisecond)
+	assert.Assert(t, u.pending)
+	b.Run(100 * time.Millisecond)
+	assert.Assert(t, u.granted, "granted from the share after the timeout")
+	assert.Assert(t, b.slowest <= defaultAskTimeout+time.Millisecond, "%v", b.slowest)
+	// The next one does not wait for the grantor.
+	v := b.reserve(others[0], e, 10*time.Millisecond, time.Second)
+	assert.Assert(t, !v.pending)
+	b.Run(time.Second)
+	g.Thaw()
+	b.Run(10 * time.Second)
+	w := b.reserve(others[0], e, 10*time.Millisecond, time.Second)
+	b.Run(10 * time.Millisecond)
+	assert.Assert(t, w.granted, "asked again once it is back")
+	assert.Equal(t, w.node, others[0])
+	b.Run(10 * time.Second)
+	assertQuiet(t, b)
+}
+
+func TestGrantorCutOffAndHealed(t *testing.T) {
+	b := three(plain)
+	e := b.Engines[0]
+	g := b.grantor(b.Nodes[0], e)
+	others := without(b.Nodes, g)
+	for _, n := range others {
+		b.Cut(g, n)
+	}
+	u := b.reserve(others[0], e, 10*time.Millisecond, 6*time.Second)
+	b.Run(200 * time.Millisecond)
+	assert.Assert(t, u.granted)
+	b.Heal()
+	b.Run(3 * time.Second)
+	// The lease of the share is known to the grantor by the next renewal.
+	assert.Equal(t, len(policyOf(g).grantor.ledgers[0].leases), 1)
+	b.Run(10 * time.Second)
+	assertQuiet(t, b)
+}
+
+func TestHolderDead(t *testing.T) {
+	b := three(plain)
+	e := b.Engines[0]
+	g := b.grantor(b.Nodes[0], e)
+	h := without(b.Nodes, g)[0]
+	for range 4 {
+		b.reserve(h, e, 10*time.Millisecond, 3*time.Second)
+	}
+	b.Run(500 * time.Millisecond)
+	h.Kill()
+	b.all(h, kernel.Dead)
+	b.Run(time.Second)
+	l := policyOf(g).grantor.ledgers[0]
+	assert.Equal(t, len(l.leases), 4, "its requests still run")
+	b.Run(4 * time.Second)
+	assert.Equal(t, len(l.leases), 0, "the engine showed the slots free")
+}
--- /dev/null
+++ b/plugins/slots/lease/rapid_test.go
@@ -0,0 +1,273 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/plugins/slots/slottest"
+)
+
+// machine draws interleavings of uses and faults and checks after each step
+// what must hold then.
+type machine struct {
+	*bed
+	t      *rapid.T
+	frozen map[*slottest.Node]bool
+	// calm is since when all instances run, reach each other and agree.
+	calm time.Time
+	// faults counts the faults so far.
+	faults int
+}
+
+func newMachine(t *rapid.T, network slottest.Network) *machine {
+	network.Delay = time.Millisecond
+	m := &machine{
+		t:      t,
+		frozen: map[*slottest.Node]bool{},
+		bed: newBed(slottest.Options{
+			Seed: rapid.Uint64().Draw(t, "seed"), Instances: 4, Engines: 2, Slots: 5, Pieces: 8, Zones: 2,
+			Network: network, LoadEvery: 500 * time.Millisecond, LoadLag: 300 * time.Millisecond,
+		}, plain),
+	}
+	m.Run(1500 * time.Millisecond)
+	m.calm = m.Now()
+	return m
+}
+
+func (m *machine) node() *slottest.Node {
+	return m.Nodes[rapid.IntRange(0, len(m.Nodes)-1).Draw(m.t, "node")]
+}
+
+func (m *machine) engine() *slottest.Engine {
+	return m.Engines[rapid.IntRange(0, len(m.Engines)-1).Draw(m.t, "engine")]
+}
+
+func (m *machine) millis(name string, lo, hi int) time.Duration {
+	return time.Duration(rapid.IntRange(lo, hi).Draw(m.t, name)) * time.Millisecond
+}
+
+func (m *machine) reserveOne(*rapid.T) {
+	m.reserve(m.node(), m.engine(), m.millis("lead", 1, 200), m.millis("hold", 1, 1500))
+}
+
+func (m *machine) reserveMany(*rapid.T) {
+	n, e := m.node(), m.engine()
+	for range rapid.IntRange(2, 8).Draw(m.t, "count") {
+		m.reserve(n, e, m.millis("lead", 1, 200), m.millis("hold", 1, 1500))
+	}
+}
+
+func (m *machine) withdrawOne(*rapid.T) {
+	open := make([]*use, 0, len(m.uses))
+	for _, u := range m.uses {
+		if !u.over {
+			open = append(open, u)
+		}
+	}
+	if len(open) > 0 {
+		m.withdraw(open[rapid.IntRange(0, len(open)-1).Draw(m.t, "use")])
+	}
+}
+
+func (m *machine) pass(*rapid.T) { m.Run(m.millis("pass", 1, 400)) }
+
+func (m *machine) kill(*rapid.T) {
+	n := m.node()
+	if n.Killed() || m.frozen[n] {
+		return
+	}
+	m.fault()
+	n.Kill()
+	for _, u := range m.uses {
+		if u.node == n && !u.over {
+			// The engines notice that nobody reads, or a peer cancels.
+			u.over, u.pending = true, false
+			m.After(m.millis("cleanup", 100, 2000), func() { u.engine.End(u.id) })
+		}
+	}
+	m.After(m.millis("noticed", 1, 1500), func() {
+		if n.Killed() {
+			m.all(n, kernel.Dead)
+		}
+	})
+}
+
+func (m *machine) restart(*rapid.T) {
+	for _, n := range m.Nodes {
+		if n.Killed() {
+			m.fault()
+			n.Restart()
+			m.after(n, func() { m.all(n, kernel.Live) })
+		}
+	}
+}
+
+// after does something a while later unless the node has died.
+func (m *machine) after(n *slottest.Node, do func()) {
+	m.After(m.millis("noticed", 1, 500), func() {
+		if !n.Killed() {
+			do()
+		}
+	})
+}
+
+func (m *machine) freeze(*rapid.T) {
+	n := m.node()
+	if n.Killed() || m.frozen[n] {
+		return
+	}
+	m.fault()
+	n.Freeze()
+	m.frozen[n] = true
+	m.After(m.millis("noticed", 1, 1500), func() {
+		if m.frozen[n] {
+			m.all(n, kernel.Unreachable)
+		}
+	})
+}
+
+func (m *machine) thaw(*rapid.T) {
+	for _, n := range m.Nodes {
+		if m.frozen[n] {
+			m.fault()
+			delete(m.frozen, n)
+			n.Thaw()
+			m.after(n, func() { m.all(n, kernel.Live) })
+		}
+	}
+}
+
+func (m *machine) cut(*rapid.T) {
+	m.fault()
+	m.Cut(m.node(), m.node())
+}
+
+func (m *machine) heal(*rapid.T) {
+	m.fault()
+	m.Heal()
+}
+
+// disagree makes one instance take another for unreachable.
+func (m *machine) disagree(*rapid.T) {
+	a, b := m.node(), m.node()
+	if a == b || m.frozen[a] {
+		return
+	}
+	m.fault()
+	a.Believe(b, kernel.Unreachable)
+	m.after(a, func() { a.Believe(b, kernel.Live) })
+}
+
+func (m *machine) fault() {
+	m.faults++
+	m.calm = time.Time{}
+}
+
+// check holds after each step.
+func (m *machine) check(t *rapid.T) {
+	bound := defaultQueueWait + 2*defaultAskTimeout + 10*time.Millisecond
+	for _, u := range m.uses {
+		if u.pending && !u.node.Killed() && !m.frozen[u.node] && m.faults == 0 {
+			assert.Assert(t, m.Now().Sub(u.asked) <= bound, "ask of %s waits too long", u.node.ID())
+		}
+	}
+	for _, n := range m.Nodes {
+		m.checkBounds(t, policyOf(n))
+	}
+	if m.calm.IsZero() {
+		return
+	}
+	for _, e := range m.Engines {
+		assert.Assert(t, m.held(e) <= e.Slots, "%d leases of %d slots", m.held(e), e.Slots)
+	}
+	assert.Equal(t, m.refused, 0)
+}
+
+func (m *machine) checkBounds(t *rapid.T, p *Policy) {
+	assert.Assert(t, len(p.holder.contacts) <= len(m.Nodes))
+	assert.Assert(t, len(p.grantor.peers) <= len(m.Nodes))
+	assert.Assert(t, len(p.grantor.ledgers) <= len(m.Engines))
+	for _, l := range p.grantor.ledgers {
+		assert.Assert(t, len(l.queue) <= p.QueueLimit)
+		assert.Assert(t, len(l.leases) <= maxLeases*5)
+		assert.Assert(t, len(l.ended) <= maxEnded*5)
+		keys := map[any]bool{}
+		for i := range l.leases {
+			assert.Assert(t, !keys[l.leases[i].key], "a lease twice")
+			keys[l.leases[i].key] = true
+			assert.Assert(t, l.queue.find(l.leases[i].key) < 0, "leased and queued")
+		}
+	}
+}
+
+// settleDown undoes all faults, lets all uses end and checks that nothing is
+// left over.
+func (m *machine) settleDown(t *rapid.T) {
+	m.SetNetwork(slottest.Network{Delay: time.Millisecond})
+	m.Heal()
+	m.thaw(t)
+	m.restart(t)
+	m.Run(2 * time.Second)
+	for _, a := range m.Nodes {
+		m.all(a, kernel.Live)
+	}
+	m.Run(3 * time.Second)
+	for _, u := range m.uses {
+		assert.Assert(t, !u.pending, "an ask of %s was never answered", u.node.ID())
+		if !u.over {
+			m.finish(u)
+		}
+	}
+	// Three renewals later nothing is leased but what dead instances held, and
+	// that lapses with its deadline.
+	m.Run(4 * time.Second)
+	if m.faults > 0 {
+		m.Run(30 * time.Second)
+	}
+	assertQuiet(t, m.bed)
+}
+
+func (m *machine) actions(faults bool) map[string]func(*rapid.T) {
+	all := map[string]func(*rapid.T){
+		"":         m.check,
+		"reserve":  m.reserveOne,
+		"many":     m.reserveMany,
+		"withdraw": m.withdrawOne,
+		"pass":     m.pass,
+		"pass2":    m.pass,
+	}
+	if faults {
+		all["kill"] = m.kill
+		all["restart"] = m.restart
+		all["freeze"] = m.freeze
+		all["thaw"] = m.thaw
+		all["cut"] = m.cut
+		all["heal"] = m.heal
+		all["disagree"] = m.disagree
+	}
+	return all
+}
+
+// TestLeasesNeverExceedSlots: without faults of instances no engine refuses and
+// the leases add up, also when messages overtake each other and are doubled.
+func TestLeasesNeverExceedSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t, slottest.Network{Jitter: 20 * time.Millisecond, Duplicate: 0.2})
+		t.Repeat(m.actions(false))
+		m.settleDown(t)
+	})
+}
+
+// TestNothingLeaksUnderFaults: whatever fails, every ask is answered and
+// nothing stays leased.
+func TestNothingLeaksUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t, slottest.Network{Jitter: 20 * time.Millisecond, Duplicate: 0.1, Loss: 0.1})
+		t.Repeat(m.actions(true))
+		m.settleDown(t)
+	})
+}
--- a/plugins/slots/lease/receive.go
+++ b/plugins/slots/lease/receive.go
@@ -42,11 +42,11 @@
 	p.flush()
 }
 
-// receiveAsk answers a holder's ask.
+// receiveAsk answers a holder's ask. A late or doubled one may bring about a
+// lease that nobody wants; the holder gives that back.
 func (p *Policy) receiveAsk(from ident.InstanceID, ask Ask) {
 	sender := p.grantor.peer(from, ask.Reservation.Incarnation)
-	if sender == nil || ask.Reservation.Instance != from || ask.Seq < sender.renewed {
-		// From an earlier life, or overtaken by a Renew that does not list it.
+	if sender == nil || ask.Reservation.Instance != from {
 		return
 	}
 	u := p.host.Upstream(ask.Upstream)
--- a/plugins/slots/lease/renew.go
+++ b/plugins/slots/lease/renew.go
@@ -161,6 +161,10 @@
 	if !expires.After(now) {
 		return
 	}
+	if i := l.queue.find(key); i >= 0 {
+		// The holder did not wait for the answer.
+		l.queue.take(i)
+	}
 	l.add(lease{
 		key:     key,
 		expires: expires,
--- /dev/null
+++ b/plugins/slots/slottest/engine.go
@@ -0,0 +1,108 @@
+package slottest
+
+import (
+	"time"
+
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/plugins/slots/slotkit"
+)
+
+// Engine is a fake decode engine that runs up to Slots requests and refuses
+// more.
+type Engine struct {
+	ID            ident.UpstreamID
+	Slots, Pieces int
+	// Refused counts the requests refused.
+	Refused int
+
+	world   *World
+	running map[slotkit.Key]int
+	pieces  int
+	// history is the recent course of the load, for lagging reports.
+	history []kernel.Load
+	// busy is the time integral of the slots in use.
+	busy      time.Duration
+	busySince time.Time
+}
+
+func newEngine(w *World, id ident.UpstreamID, slots, pieces int) *Engine {
+	return &Engine{ID: id, Slots: slots, Pieces: pieces, world: w, running: map[slotkit.Key]int{}, busySince: Epoch}
+}
+
+// Start takes a slot, or refuses when there is none.
+func (e *Engine) Start(id ident.AttemptID, pieces int) bool {
+	full := len(e.running) >= e.Slots || (e.Pieces > 0 && e.pieces+pieces > e.Pieces)
+	if full {
+		e.Refused++
+		return false
+	}
+	e.account()
+	e.running[slotkit.KeyOf(id)] = pieces
+	e.pieces += pieces
+	e.note()
+	return true
+}
+
+// End gives a slot back.
+func (e *Engine) End(id ident.AttemptID) {
+	key := slotkit.KeyOf(id)
+	pieces, ok := e.running[key]
+	if !ok {
+		return
+	}
+	e.account()
+	delete(e.running, key)
+	e.pieces -= pieces
+	e.note()
+}
+
+// Running returns the number of slots in use.
+func (e *Engine) Running() int { return len(e.running) }
+
+// Busy returns the time integral of the slots in use since the last call.
+func (e *Engine) Busy() time.Duration {
+	e.account()
+	busy := e.busy
+	e.busy = 0
+	return busy
+}
+
+func (e *Engine) account() {
+	e.busy += time.Duration(len(e.running)) * e.world.now.Sub(e.busySince)
+	e.busySince = e.world.now
+}
+
+// Load returns the engine's load as it is.
+func (e *Engine) Load() kernel.Load {
+	return kernel.Load{
+		At:          e.world.now,
+		Running:     len(e.running),
+		Slots:       e.Slots,
+		PiecesUsed:  e.pieces,
+		PiecesTotal: e.Pieces,
+	}
+}
+
+// historyLength bounds the remembered changes of an engine's load.
+const historyLength = 512
+
+func (e *Engine) note() {
+	e.history = append(e.history, e.Load())
+	if len(e.history) > 2*historyLength {
+		e.history = append(e.history[:0], e.history[historyLength:]...)
+	}
+}
+
+// loadBefore returns the load as it was at a past time.
+func (e *Engine) loadBefore(at time.Time) kernel.Load {
+	load := kernel.Load{Slots: e.Slots, PiecesTotal: e.Pieces}
+	for i := len(e.history) - 1; i >= 0; i-- {
+		if !e.history[i].At.After(at) {
+			load = e.history[i]
+			break
+		}
+	}
+	load.At = at
+	return load
+}
--- /dev/null
+++ b/plugins/slots/slottest/node.go
@@ -0,0 +1,274 @@
+package slottest
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/plugin"
+)
+
+// Node is one entry instance: a slot policy and the kernel.Host it sees.
+type Node struct {
+	Policy kernel.SlotPolicy
+	// Granted and Denied are called when a pending reservation is answered.
+	Granted func(id ident.AttemptID)
+	Denied  func(id ident.AttemptID, retryAt time.Time)
+	// Stepped is called at the end of each event.
+	Stepped func()
+
+	world    *World
+	self     kernel.Self
+	view     kernel.View
+	rand     *rand.Rand
+	sequence uint64
+	killed   bool
+	frozen   bool
+	// missed are the events that a frozen instance will find when it goes on.
+	missed []func()
+	wakeAt time.Time
+}
+
+func instanceID(i int) ident.InstanceID {
+	return ident.InstanceID(fmt.Sprintf("entry-%d", i+1))
+}
+
+func newNode(w *World, i int, view kernel.View) *Node {
+	n := &Node{
+		world: w,
+		self:  kernel.Self{Instance: instanceID(i), Incarnation: 1, Zone: w.zone(i)},
+		view:  cloneView(view),
+		rand:  rand.New(rand.NewPCG(w.options.Seed, uint64(i)+1)),
+	}
+	n.start()
+	return n
+}
+
+// start gives the instance a new policy.
+func (n *Node) start() {
+	n.Policy = n.world.options.Policy()
+	if p, ok := n.Policy.(plugin.Provisioner); ok {
+		if err := p.Provision(); err != nil {
+			panic(fmt.Sprintf("slottest: provision: %v", err))
+		}
+	}
+	n.Policy.Attach(n)
+}
+
+// ID returns the instance's ID.
+func (n *Node) ID() ident.InstanceID { return n.self.Instance }
+
+// Node finds an instance, nil if there is none.
+func (w *World) Node(id ident.InstanceID) *Node {
+	i := slices.IndexFunc(w.Nodes, func(n *Node) bool { return n.ID() == id })
+	if i < 0 {
+		return nil
+	}
+	return w.Nodes[i]
+}
+
+// Reservation returns a new reservation ID with the given time to its deadline.
+func (n *Node) Reservation(deadline time.Duration) ident.AttemptID {
+	n.sequence++
+	return ident.AttemptID{
+		Instance:    n.self.Instance,
+		Incarnation: n.self.Incarnation,
+		Sequence:    n.sequence,
+		Deadline:    n.world.now.Add(deadline),
+	}
+}
+
+// Do makes an event of a call into the policy, as the kernel's Step does. It
+// returns false if the instance does not run.
+func (n *Node) Do(f func()) bool {
+	if n.killed || n.frozen {
+		return false
+	}
+	n.do(f)
+	return true
+}
+
+// do handles an event, now or when the instance goes on.
+func (n *Node) do(f func()) {
+	switch {
+	case n.killed:
+		return
+	case n.frozen:
+		n.missed = append(n.missed, f)
+		return
+	}
+	n.wakePolicy()
+	f()
+	if n.Stepped != nil {
+		n.Stepped()
+	}
+	n.wake()
+}
+
+// wakePolicy wakes the policy if it asked for it.
+func (n *Node) wakePolicy() {
+	w, ok := n.Policy.(kernel.Waker)
+	if !ok {
+		return
+	}
+	if at, due := w.NextWake(); due && !at.After(n.world.now) {
+		w.Wake()
+	}
+}
+
+// wake schedules the next wake-up.
+func (n *Node) wake() {
+	w, ok := n.Policy.(kernel.Waker)
+	if !ok {
+		return
+	}
+	at, due := w.NextWake()
+	if !due || (n.wakeAt.After(n.world.now) && !at.Before(n.wakeAt)) {
+		return
+	}
+	at = at.Add(time.Microsecond)
+	n.wakeAt = at
+	n.world.After(max(at.Sub(n.world.now), 0), func() {
+		if n.wakeAt.Equal(at) {
+			n.wakeAt = time.Time{}
+			n.do(func() {})
+		}
+	})
+}
+
+// handler gives the policy's message handler to f, if it has one.
+func (n *Node) handler(f func(kernel.PeerHandler)) {
+	if h, ok := n.Policy.(kernel.PeerHandler); ok {
+		f(h)
+	}
+}
+
+// Kill ends the instance's process.
+func (n *Node) Kill() {
+	n.killed = true
+	n.missed = nil
+}
+
+// Killed reports whether the process is gone.
+func (n *Node) Killed() bool { return n.killed }
+
+// Restart starts the process anew, with a higher incarnation.
+func (n *Node) Restart() {
+	n.killed, n.frozen = false, false
+	n.wakeAt = time.Time{}
+	n.self.Incarnation++
+	n.start()
+	n.world.watchLoads(n)
+	n.wake()
+}
+
+// Freeze pauses the process.
+func (n *Node) Freeze() { n.frozen = true }
+
+// Thaw lets the process go on; what it missed happens at once.
+func (n *Node) Thaw() {
+	if !n.frozen {
+		return
+	}
+	n.frozen = false
+	missed := n.missed
+	n.missed = nil
+	for _, f := range missed {
+		n.do(f)
+	}
+	n.do(func() {})
+}
+
+// Believe changes what the instance believes of another one.
+func (n *Node) Believe(other *Node, life kernel.Life) {
+	n.ChangeView(func(v *kernel.View) {
+		for i := range v.Instances {
+			if v.Instances[i].ID == other.ID() {
+				v.Instances[i].Life = life
+				v.Instances[i].Incarnation = other.self.Incarnation
+			}
+		}
+	})
+}
+
+// ChangeView changes the instance's view.
+func (n *Node) ChangeView(change func(v *kernel.View)) {
+	n.do(func() {
+		next := cloneView(n.view)
+		next.Version++
+		change(&next)
+		n.view = next
+	})
+}
+
+// SeeLoad hands the instance a load report.
+func (n *Node) SeeLoad(id ident.UpstreamID, load kernel.Load) {
+	u := n.Upstream(id)
+	if u != nil && load.At.After(u.Load.At) {
+		u.Load = load
+	}
+}
+
+func cloneView(v kernel.View) kernel.View {
+	v.Instances = slices.Clone(v.Instances)
+	v.Upstreams = slices.Clone(v.Upstreams)
+	return v
+}
+
+// The methods below make Node a kernel.Host.
+var _ kernel.Host = (*Node)(nil)
+
+// Now implements kernel.Host.
+func (n *Node) Now() time.Time { return n.world.now }
+
+// Self implements kernel.Host.
+func (n *Node) Self() kernel.Self { return n.self }
+
+// View implements kernel.Host.
+func (n *Node) View() *kernel.View { return &n.view }
+
+// Content implements kernel.Host.
+func (n *Node) Content() *config.Content { return &config.Content{} }
+
+// Upstream implements kernel.Host.
+func (n *Node) Upstream(id ident.UpstreamID) *kernel.Upstream {
+	for i := range n.view.Upstreams {
+		if n.view.Upstreams[i].ID == id {
+			return &n.view.Upstreams[i]
+		}
+	}
+	return nil
+}
+
+// Model implements kernel.Host.
+func (n *Node) Model(string) *config.Model { return nil }
+
+// Rand implements kernel.Host.
+func (n *Node) Rand() *rand.Rand { return n.rand }
+
+// Send implements kernel.Host.
+func (n *Node) Send(to ident.InstanceID, m kernel.PeerMessage) { n.world.send(n, to, m) }
+
+// QueueLength implements kernel.Host.
+func (n *Node) QueueLength() int { return 0 }
+
+// Estimate implements kernel.Host.
+func (n *Node) Estimate(*kernel.Request) kernel.Estimate { return kernel.Estimate{} }
+
+// SlotGranted implements kernel.Host.
+func (n *Node) SlotGranted(id ident.AttemptID) {
+	if n.Granted != nil {
+		n.Granted(id)
+	}
+}
+
+// SlotDenied implements kernel.Host.
+func (n *Node) SlotDenied(id ident.AttemptID, retryAt time.Time) {
+	if n.Denied != nil {
+		n.Denied(id, retryAt)
+	}
+}
