--- /dev/null
+++ b/entry/fed_test.go
@@ -0,0 +1,282 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/bundle"
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/entry"
+	"github.com/wardspool/wardspool/feed"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/peer"
+	"github.com/wardspool/wardspool/settings"
+	"github.com/wardspool/wardspool/standin/control"
+	"github.com/wardspool/wardspool/standin/engine"
+	"github.com/wardspool/wardspool/standin/judge"
+)
+
+// fleet is two entries that the test feeds as their agents would.
+type fleet struct {
+	*bed
+	entries []*entry.Entry
+	pools   []*peer.Pool
+	stops   []func()
+}
+
+// fleetSettings are the settings of one entry of a fleet.
+const fleetSettings = `
+instance: entry-%d
+zone: hall-a
+callers: {listen: "127.0.0.1:0"}
+peers: {listen: "127.0.0.1:0"}
+feed: {listen: "127.0.0.1:0"}
+stop: {grace: 1ms, timeout: 10s}
+tickets: {keys: [{id: k1, secret: "MDEyMzQ1Njc4OWFiY2RlZjAxMjM0NTY3ODlhYmNkZWY="}]}
+`
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	ignore := goleak.IgnoreCurrent()
+	f := &fleet{bed: &bed{t: t, engines: map[ident.UpstreamID]*engine.Engine{}, addresses: map[ident.UpstreamID]string{}}}
+	t.Cleanup(func() {
+		http.DefaultClient.CloseIdleConnections()
+		goleak.VerifyNone(t, ignore)
+	})
+	for _, u := range []entry.StaticUpstream{f.engine("pf-1", config.RolePrefill), f.engine("dc-1", config.RoleDecode), f.desk("desk-1")} {
+		f.addresses[u.ID] = u.Address
+	}
+	for i := range 2 {
+		f.add(i)
+	}
+	return f
+}
+
+// add starts entry number i.
+func (f *fleet) add(i int) {
+	f.t.Helper()
+	s, err := settings.Parse[entry.Settings]("fed.yaml", []byte(fmt.Sprintf(fleetSettings, i)))
+	assert.NilError(f.t, err)
+	e, err := entry.New(s, slog.New(slog.NewTextHandler(testWriter{f.t}, nil)))
+	assert.NilError(f.t, err)
+	assert.NilError(f.t, e.Listen())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- e.Serve(ctx) }()
+	pool := peer.NewPool(peer.Config{
+		Self:  peer.Identity{Instance: s.Instance, Incarnation: 1, Zone: "hall-a"},
+		Allow: func(peer.Identity) bool { return true },
+	})
+	f.entries = append(f.entries, e)
+	f.pools = append(f.pools, pool)
+	stop := sync.OnceFunc(func() {
+		cancel()
+		assert.Check(f.t, <-done)
+		pool.Close()
+	})
+	f.stops = append(f.stops, stop)
+	f.t.Cleanup(stop)
+}
+
+// update feeds an entry and returns its reply.
+func (f *fleet) update(i int, u feed.Update) feed.Reply {
+	f.t.Helper()
+	r, err := peer.Call[feed.Reply](f.t.Context(), f.pools[i], f.entries[i].FeedAddress(), feed.MethodUpdate, u)
+	assert.NilError(f.t, err)
+	return r
+}
+
+// content is the bundle that fleets run.
+func (f *fleet) content() *config.Content {
+	f.t.Helper()
+	c, findings := bundle.ParseSource("test.yaml", []byte(testBundle))
+	assert.NilError(f.t, findings.Err())
+	return c
+}
+
+// view is the view of the whole fleet.
+func (f *fleet) view(version uint64) *feed.View {
+	v := &feed.View{Version: version, Trusted: true}
+	for i, e := range f.entries {
+		v.Instances = append(v.Instances, feed.Instance{
+			ID: e.Instance(), Zone: "hall-a", Incarnation: ident.Incarnation(i + 1),
+			Life: kernel.Live, PeerAddress: e.PeerAddress(),
+		})
+	}
+	for id, address := range f.addresses {
+		v.Upstreams = append(v.Upstreams, feed.Upstream{ID: id, Zone: "hall-a", Address: address, Incarnation: 1, Life: kernel.Live})
+	}
+	return v
+}
+
+// feedAll makes all entries ready.
+func (f *fleet) feedAll() {
+	f.t.Helper()
+	for i := range f.entries {
+		f.update(i, feed.Update{
+			Bundle: &feed.Bundle{Version: 3, Content: f.content()},
+			View:   f.view(1), Ready: true,
+		})
+		f.await("bundle in force", func() bool { return f.update(i, feed.Update{Ready: true}).BundleVersion == 3 })
+	}
+}
+
+// use directs requests to entry number i.
+func (f *fleet) use(i int) { f.url = "http://" + f.entries[i].CallerAddress() }
+
+func TestFeed(t *testing.T) {
+	f := newFleet(t)
+	f.use(0)
+	resp, body := f.do(http.MethodGet, "/services/desk/x", "")
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, strings.Contains(body, string(api.ProblemNotReady)), body)
+	f.feedAll()
+	resp, body = f.do(http.MethodGet, "/services/desk/x", "")
+	assert.Equal(t, resp.StatusCode, http.StatusOK, body)
+	assert.Equal(t, resp.Header.Get(api.HeaderBundleVersion), "3")
+
+	reply := f.update(0, feed.Update{Ready: true})
+	assert.Assert(t, reply.Incarnation > 0)
+	assert.Equal(t, len(reply.Evidence), 1)
+	assert.Equal(t, reply.Evidence[0].Kind, feed.EvidenceSucceeded)
+	assert.Equal(t, reply.Evidence[0].Upstream, ident.UpstreamID("desk-1"))
+
+	f.setFaults("desk-1", control.ServiceFaults{Draining: true})
+	f.do(http.MethodGet, "/services/desk/x", "", api.HeaderDeadlineMS, "200")
+	reply = f.update(0, feed.Update{Ready: true})
+	assert.Equal(t, reply.Evidence[0].Kind, feed.EvidenceDraining)
+
+	f.update(0, feed.Update{Ready: false})
+	resp, _ = f.do(http.MethodGet, "/readyz", "")
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+}
+
+// TestOldBundleIsIgnored: an accepted version never reverts, whoever sends an
+// older one.
+func TestOldBundleIsIgnored(t *testing.T) {
+	f := newFleet(t)
+	f.feedAll()
+	f.update(0, feed.Update{Bundle: &feed.Bundle{Version: 2, Content: f.content()}, Ready: true})
+	assert.Equal(t, f.update(0, feed.Update{Ready: true}).BundleVersion, uint64(3))
+}
+
+func TestStrangersCannotFeed(t *testing.T) {
+	f := newFleet(t)
+	_, err := peer.Call[feed.Reply](t.Context(), f.pools[1], f.entries[0].FeedAddress(), feed.MethodUpdate, feed.Update{})
+	var refused *peer.NotAllowedError
+	assert.Assert(t, asError(err, &refused), "%v", err)
+}
+
+// ticket takes a ticket from entry number i.
+func (f *fleet) ticket(i int) string {
+	f.t.Helper()
+	f.use(i)
+	resp, body := f.do(http.MethodPost, "/v1/tickets", "")
+	assert.Equal(f.t, resp.StatusCode, http.StatusCreated, body)
+	var got struct{ Ticket string }
+	assert.NilError(f.t, json.Unmarshal([]byte(body), &got))
+	assert.Equal(f.t, resp.Header.Get(api.HeaderTicket), got.Ticket)
+	return got.Ticket
+}
+
+// order sends an order that carries a ticket through entry number i.
+func (f *fleet) order(i int, ticket, body string) (*http.Response, string) {
+	f.t.Helper()
+	f.use(i)
+	return f.do(http.MethodPost, "/services/desk/orders?x=1", body,
+		api.HeaderTicket, ticket, api.HeaderKind, "order", "Content-Type", "application/json")
+}
+
+// runs returns how many calls the desk ran.
+func (f *fleet) runs() int { return readJudge[judge.Service](f.bed, "desk-1").Runs }
+
+// TestTicketRunsOnce presents a ticket at both instances, at once and again.
+func TestTicketRunsOnce(t *testing.T) {
+	f := newFleet(t)
+	f.feedAll()
+	f.setFaults("desk-1", control.ServiceFaults{DelayMS: 30})
+	text := f.ticket(0)
+	var together sync.WaitGroup
+	for i := range 6 {
+		together.Go(func() {
+			req, err := http.NewRequest(http.MethodPost, "http://"+f.entries[i%2].CallerAddress()+"/services/desk/orders?x=1", strings.NewReader(`{"n":1}`))
+			assert.Check(t, err)
+			req.Header.Set(api.HeaderTicket, text)
+			req.Header.Set(api.HeaderKind, "order")
+			resp, err := http.DefaultClient.Do(req)
+			assert.Check(t, err)
+			defer resp.Body.Close()
+			body, _ := io.ReadAll(resp.Body)
+			assert.Check(t, resp.StatusCode == http.StatusOK, "%s", body)
+			assert.Check(t, strings.Contains(string(body), `"run_number":1`), "%s", body)
+		})
+	}
+	together.Wait()
+	resp, body := f.order(1, text, `{"n":1}`)
+	assert.Equal(t, resp.Header.Get(api.HeaderOutcome), string(api.Complete), body)
+	assert.Equal(t, f.runs(), 1)
+
+	resp, body = f.order(1, text, `{"n":2}`)
+	assert.Equal(t, resp.StatusCode, http.StatusConflict, body)
+	assert.Equal(t, resp.Header.Get(api.HeaderOutcome), string(api.NotRun))
+	assert.Equal(t, f.runs(), 1)
+}
+
+// TestTicketOfGoneInstance: when the executor is gone nothing runs, and the
+// answer does not claim that nothing ran.
+func TestTicketOfGoneInstance(t *testing.T) {
+	f := newFleet(t)
+	f.feedAll()
+	text := f.ticket(0)
+	resp, body := f.order(1, text, "{}")
+	assert.Equal(t, resp.StatusCode, http.StatusOK, body)
+	f.stops[0]()
+	resp, body = f.order(1, text, "{}")
+	assert.Equal(t, resp.StatusCode, http.StatusBadGateway, body)
+	assert.Equal(t, resp.Header.Get(api.HeaderOutcome), string(api.Unknown))
+	assert.Assert(t, resp.Header.Get("Retry-After") != "")
+	assert.Equal(t, f.runs(), 1)
+}
+
+func TestTicketRefusals(t *testing.T) {
+	f := newFleet(t)
+	f.feedAll()
+	f.use(0)
+	resp, body := f.do(http.MethodPost, "/services/desk/x", "", api.HeaderTicket, "1.k1.forged", api.HeaderKind, "order")
+	assert.Equal(t, resp.StatusCode, http.StatusBadRequest, body)
+	assert.Equal(t, resp.Header.Get(api.HeaderOutcome), string(api.Unknown))
+
+	resp, body = f.do(http.MethodPost, "/services/desk/x", "", api.HeaderKind, "order", api.HeaderIdempotencyKey, "k")
+	assert.Equal(t, resp.StatusCode, http.StatusPreconditionRequired, body)
+	assert.Equal(t, resp.Header.Get(api.HeaderOutcome), string(api.NotRun))
+	offered := resp.Header.Get(api.HeaderTicket)
+	assert.Assert(t, offered != "")
+	resp, body = f.order(1, offered, "{}")
+	assert.Equal(t, resp.StatusCode, http.StatusOK, body)
+
+	// A refusal by an instance that is not the executor must not claim that
+	// nothing ran.
+	resp, body = f.order(1, f.ticket(0), strings.Repeat("x", 9<<20))
+	assert.Equal(t, resp.StatusCode, http.StatusRequestEntityTooLarge, body)
+	assert.Equal(t, resp.Header.Get(api.HeaderOutcome), string(api.Unknown))
+
+	resp, body = f.do(http.MethodPost, "/v1/tickets", "", api.HeaderWorkspace, "nonesuch")
+	assert.Equal(t, resp.StatusCode, http.StatusForbidden, body)
+
+	resp, body = f.do(http.MethodPost, "/v1/completions", completion(3, true), api.HeaderTicket, f.ticket(0))
+	assert.Equal(t, resp.StatusCode, http.StatusBadRequest, body)
+	resp, body = f.do(http.MethodPost, "/v1/completions", completion(3, false), api.HeaderTicket, f.ticket(0))
+	assert.Equal(t, resp.StatusCode, http.StatusOK, body)
+}
--- /dev/null
+++ b/entry/tickets/desk_test.go
@@ -0,0 +1,141 @@
+package tickets
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/ticket"
+)
+
+// forwarder is a Forwarder that a test writes.
+type forwarder struct {
+	known bool
+	desk  *Desk
+	err   error
+}
+
+func (f *forwarder) Known(ident.InstanceID) bool { return f.known }
+
+func (f *forwarder) Forward(ctx context.Context, _ ident.InstanceID, c *Call) (*Reply, error) {
+	if f.err != nil {
+		return nil, f.err
+	}
+	r := f.desk.ExecuteHere(ctx, c)
+	return &r, nil
+}
+
+func newTestDesk(t *testing.T, instance ident.InstanceID, f Forwarder) *Desk {
+	t.Helper()
+	codec, err := ticket.NewCodec(ticket.Key{ID: "k", Secret: bytes.Repeat([]byte("s"), 32)})
+	assert.NilError(t, err)
+	return New(Options{
+		Life:   ticket.Life{Instance: instance, Incarnation: 1, Nonce: 1},
+		Limits: ticket.DefaultLimits(), Codec: codec, Forward: f,
+		Log: slog.New(slog.DiscardHandler),
+	})
+}
+
+func issue(t *testing.T, d *Desk) *Call {
+	t.Helper()
+	text, _, problem := d.Issue("default")
+	assert.Assert(t, problem == nil)
+	return &Call{Ticket: text, Method: "POST", Path: "/services/desk/x", Workspace: "default"}
+}
+
+// TestCallGoesOnWhileAnyoneWaits: the presentation that started a call leaves,
+// another one still waits.
+func TestCallGoesOnWhileAnyoneWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDesk(t, "a", nil)
+		cancelled := 0
+		d.SetRunner(func(ctx context.Context, _ *Call) ticket.Result {
+			select {
+			case <-time.After(time.Second):
+				return ticket.Result{Outcome: api.Complete, Status: 200}
+			case <-ctx.Done():
+				cancelled++
+				return ticket.Result{Outcome: api.Unknown, Status: 499}
+			}
+		})
+		c := issue(t, d)
+		first, leaveFirst := context.WithCancel(t.Context())
+		second, leaveSecond := context.WithCancel(t.Context())
+		defer leaveSecond()
+		replies := make(chan Reply, 2)
+		go func() { replies <- d.Execute(first, c) }()
+		synctest.Wait()
+		go func() { replies <- d.Execute(second, c) }()
+		synctest.Wait()
+		leaveFirst()
+		assert.Equal(t, (<-replies).Problem.Outcome, api.Unknown)
+		assert.Equal(t, (<-replies).Result.Outcome, api.Complete)
+		d.Wait()
+		assert.Equal(t, cancelled, 0)
+
+		// The last to leave ends the call.
+		c = issue(t, d)
+		third, leaveThird := context.WithCancel(t.Context())
+		go func() { replies <- d.Execute(third, c) }()
+		synctest.Wait()
+		leaveThird()
+		<-replies
+		d.Wait()
+		assert.Equal(t, cancelled, 1)
+		assert.Equal(t, d.Execute(t.Context(), c).Result.Outcome, api.Unknown, "it does not run again")
+	})
+}
+
+// TestResultIsKept: a call that was told "not-run" must not run later either.
+func TestResultIsKept(t *testing.T) {
+	d := newTestDesk(t, "a", nil)
+	runs := 0
+	d.SetRunner(func(context.Context, *Call) ticket.Result {
+		runs++
+		return ticket.Result{Outcome: api.NotRun, Status: 503, Body: []byte("later")}
+	})
+	c := issue(t, d)
+	for range 3 {
+		r := d.Execute(t.Context(), c)
+		assert.Equal(t, string(r.Result.Body), "later")
+	}
+	assert.Equal(t, runs, 1)
+}
+
+func TestForward(t *testing.T) {
+	a := newTestDesk(t, "a", nil)
+	a.SetRunner(func(context.Context, *Call) ticket.Result { return ticket.Result{Outcome: api.Complete, Status: 200} })
+	f := &forwarder{known: true, desk: a}
+	b := newTestDesk(t, "b", f)
+	c := issue(t, a)
+	assert.Equal(t, b.Execute(t.Context(), c).Result.Outcome, api.Complete)
+
+	f.err = errors.ErrUnsupported
+	r := b.Execute(t.Context(), c)
+	assert.Equal(t, r.Problem.Type, api.ProblemExecutorGone)
+	assert.Equal(t, r.Problem.Outcome, api.Unknown)
+
+	f.known = false
+	assert.Equal(t, b.Execute(t.Context(), c).Problem.Outcome, api.Unknown)
+
+	// A forwarded call is never forwarded again.
+	assert.Equal(t, b.ExecuteHere(t.Context(), c).Problem.Outcome, api.Unknown)
+}
+
+func TestPauseAndStop(t *testing.T) {
+	d := newTestDesk(t, "a", nil)
+	c := issue(t, d)
+	d.Paused(time.Hour)
+	assert.Equal(t, d.Execute(t.Context(), c).Problem.Type, api.ProblemTicketExpired)
+	d.Stop()
+	_, _, problem := d.Issue("default")
+	assert.Equal(t, problem.Type, api.ProblemStopping)
+}
