--- /dev/null
+++ b/entry/evidence/evidence_test.go
@@ -0,0 +1,58 @@
+package evidence
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/adapter"
+	"github.com/wardspool/wardspool/feed"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+func TestContact(t *testing.T) {
+	refused := &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	for _, c := range []struct {
+		name string
+		err  *adapter.CallError
+		want feed.EvidenceKind
+	}{
+		{"success", nil, feed.EvidenceSucceeded},
+		{"an answer is a sign of life", &adapter.CallError{Code: kernel.FailureUpstream, Status: 500}, feed.EvidenceSucceeded},
+		{"draining", &adapter.CallError{Code: kernel.FailureDraining, Status: 503}, feed.EvidenceDraining},
+		{"refused", &adapter.CallError{Code: kernel.FailureConnect, Err: refused}, feed.EvidenceRefused},
+		{"timeout", &adapter.CallError{Code: kernel.FailureTimeout, Err: context.DeadlineExceeded}, feed.EvidenceTimeout},
+		{"our own cancel proves nothing", &adapter.CallError{Code: kernel.FailureBroken, Err: context.Canceled}, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, now := New(), time.Now()
+			l.Contact("u-1", c.err, now)
+			got := l.Take(now.Add(time.Second))
+			if c.want == "" {
+				assert.Equal(t, len(got), 0)
+				return
+			}
+			assert.DeepEqual(t, got, []feed.Evidence{{Kind: c.want, Upstream: "u-1", AgeMS: 1000}})
+		})
+	}
+}
+
+func TestNewestIsKeptUntilTaken(t *testing.T) {
+	l, now := New(), time.Now()
+	l.Observed("u-2", adapter.Observation{Load: kernel.Load{Running: 1}}, now)
+	l.Observed("u-2", adapter.Observation{Load: kernel.Load{Running: 2}, Draining: true}, now)
+	l.Contact("u-1", nil, now)
+	l.Peer("p-1", true, now)
+	l.Peer("p-2", false, now)
+	got := l.Take(now)
+	assert.Equal(t, len(got), 5)
+	assert.Equal(t, got[0].Kind, feed.EvidenceRefused)
+	assert.Equal(t, got[1].Kind, feed.EvidenceTimeout)
+	assert.Equal(t, got[3].Kind, feed.EvidenceDraining)
+	assert.Equal(t, got[4].Load.Running, 2)
+	assert.Equal(t, len(l.Take(now)), 0)
+}
--- a/entry/recorder.go
+++ b/entry/recorder.go
@@ -4,7 +4,6 @@
 	"errors"
 	"log/slog"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -16,6 +15,7 @@
 	"github.com/wardspool/wardspool/entry/stats"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/peer"
 )
 
 // recordQueue bounds the decision records that wait to be logged.
@@ -103,6 +103,9 @@
 // Undelivered implements driver.Observer.
 func (r *recorder) Undelivered(to ident.InstanceID, err error) {
 	r.counters.undelivered.Inc(1)
-	r.evidence.Peer(to, errors.Is(err, syscall.ECONNREFUSED), time.Now())
+	var dial *peer.DialError
+	if errors.As(err, &dial) {
+		r.evidence.Peer(to, dial.Kind == peer.DialRefused, time.Now())
+	}
 	r.log.Debug("peer message not delivered", "peer", to, "error", err)
 }
