--- /dev/null
+++ b/entry/overhead_test.go
@@ -0,0 +1,287 @@
+package entry_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/entry"
+	"github.com/wardspool/wardspool/settings"
+)
+
+// The benchmarks here compare a client that calls engines itself with one that
+// calls the router. Engines, router and clients share this process, so that the
+// difference of the two is the router's part.
+
+// instantEngine is an engine that does no work: a prefill answers at once, a
+// decode streams tokens at a pace. Each token's text is the time it was
+// written, in Unix nanoseconds.
+func instantEngine(tokens int, pace time.Duration) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		if bytes.Contains(body, []byte(`"do_remote_decode":true`)) {
+			_, _ = io.WriteString(w, `{"kv_transfer_params":{"do_remote_prefill":true}}`)
+			return
+		}
+		attempt := r.Header.Get("X-Request-Id")
+		rc := http.NewResponseController(w)
+		var buf []byte
+		for i := range tokens {
+			finish := "null"
+			if i == tokens-1 {
+				finish = `"length"`
+			}
+			buf = fmt.Appendf(buf[:0], "id: %s:%d\ndata: {\"id\":%q,\"object\":\"text_completion\",\"created\":1,\"model\":\"reader\",\"choices\":[{\"index\":0,\"text\":\"%d \",\"finish_reason\":%s}]}\n\n",
+				attempt, i, attempt, time.Now().UnixNano(), finish)
+			if _, err := w.Write(buf); err != nil || rc.Flush() != nil {
+				return
+			}
+			if pace > 0 {
+				time.Sleep(pace)
+			}
+		}
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	})
+}
+
+// overheadRig is a prefill and a decode engine, and a router before them.
+type overheadRig struct {
+	prefill, decode, router string
+	client                  *http.Client
+}
+
+// limitless is testBundle without the bounds that 1,000 streams would meet.
+var limitless = strings.NewReplacer("slots: 20,", "slots: 5000,", "queue_limit: 100", "queue_limit: 5000",
+	"deadline: 20s", "deadline: 120s", "first_output: 5s", "first_output: 60s").Replace(testBundle)
+
+func newOverheadRig(b *testing.B, tokens int, pace time.Duration) *overheadRig {
+	b.Helper()
+	serve := func(h http.Handler) string {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(b, err)
+		srv := &http.Server{Handler: h}
+		go func() { _ = srv.Serve(l) }()
+		b.Cleanup(func() { _ = srv.Close() })
+		return l.Addr().String()
+	}
+	r := &overheadRig{
+		prefill: serve(instantEngine(tokens, pace)),
+		decode:  serve(instantEngine(tokens, pace)),
+		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2000, ReadBufferSize: 2048, WriteBufferSize: 2048}},
+	}
+	file := filepath.Join(b.TempDir(), "bundle.yaml")
+	assert.NilError(b, os.WriteFile(file, []byte(limitless), 0o600))
+	s, err := settings.Parse[entry.Settings]("bench.yaml", []byte(fmt.Sprintf(`
+instance: entry-1
+zone: hall-a
+callers: {listen: "127.0.0.1:0"}
+stop: {grace: 1ms, timeout: 10s}
+static:
+  bundle: %q
+  upstreams:
+    - {id: pf-1, zone: hall-a, address: %q}
+    - {id: dc-1, zone: hall-a, address: %q}
+`, file, r.prefill, r.decode)))
+	assert.NilError(b, err)
+	e, err := entry.New(s, slog.New(slog.NewJSONHandler(io.Discard, nil)))
+	assert.NilError(b, err)
+	assert.NilError(b, e.Listen())
+	r.router = e.CallerAddress()
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- e.Serve(ctx) }()
+	b.Cleanup(func() {
+		stop()
+		assert.Check(b, <-done)
+		r.client.CloseIdleConnections()
+	})
+	for !r.ready() {
+		time.Sleep(time.Millisecond)
+	}
+	return r
+}
+
+func (r *overheadRig) ready() bool {
+	resp, err := r.client.Get("http://" + r.router + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode == http.StatusOK
+}
+
+const (
+	streamBody  = `{"model":"reader","prompt":"one two three four","max_tokens":%d,"stream":true}`
+	prefillBody = `{"model":"reader","prompt":"one two three four","max_tokens":1,"kv_transfer_params":{"do_remote_decode":true}}`
+)
+
+// post posts a body and returns the response's body.
+func (r *overheadRig) post(address, body string) (io.ReadCloser, error) {
+	resp, err := r.client.Post("http://"+address+"/v1/completions", "application/json", strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	return resp.Body, nil
+}
+
+// open opens a stream through the router, or by calling the engines directly.
+func (r *overheadRig) open(router bool, tokens int) (io.ReadCloser, error) {
+	if router {
+		return r.post(r.router, fmt.Sprintf(streamBody, tokens))
+	}
+	held, err := r.post(r.prefill, prefillBody)
+	if err != nil {
+		return nil, err
+	}
+	_, _ = io.Copy(io.Discard, held)
+	_ = held.Close()
+	return r.post(r.decode, fmt.Sprintf(streamBody, tokens))
+}
+
+// read reads a stream to its end and returns the delay of each token from its
+// writing by the engine to its arrival here.
+func read(body io.ReadCloser) (delays []time.Duration, first time.Time, err error) {
+	defer body.Close()
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 1024), 64<<10)
+	for lines.Scan() {
+		_, after, ok := strings.Cut(lines.Text(), `"text":"`)
+		if !ok {
+			continue
+		}
+		now := time.Now()
+		if first.IsZero() {
+			first = now
+		}
+		stamp, _, _ := strings.Cut(after, " ")
+		n, err := strconv.ParseInt(stamp, 10, 64)
+		if err != nil {
+			return nil, first, err
+		}
+		delays = append(delays, now.Sub(time.Unix(0, n)))
+	}
+	return delays, first, lines.Err()
+}
+
+var ways = []struct {
+	name   string
+	router bool
+}{{"direct", false}, {"router", true}}
+
+// BenchmarkStream is one stream of 100 tokens after the other, without pace:
+// the processor time and the allocations of a request.
+func BenchmarkStream(b *testing.B) {
+	const tokens = 100
+	for _, way := range ways {
+		b.Run(way.name, func(b *testing.B) {
+			r := newOverheadRig(b, tokens, 0)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				body, err := r.open(way.router, tokens)
+				assert.NilError(b, err)
+				delays, _, err := read(body)
+				assert.NilError(b, err)
+				assert.Equal(b, len(delays), tokens)
+			}
+		})
+	}
+}
+
+// BenchmarkThousandStreams holds 1,000 streams at the target pace of 54 ms and
+// reports the delay that tokens have, the time to first output, and the memory
+// in use while all are open.
+func BenchmarkThousandStreams(b *testing.B) {
+	const (
+		streams = 1000
+		tokens  = 60
+		pace    = 54 * time.Millisecond
+	)
+	for _, way := range ways {
+		b.Run(way.name, func(b *testing.B) {
+			r := newOverheadRig(b, tokens, pace)
+			for range b.N {
+				held := memory()
+				var all, firsts collected
+				var open sync.WaitGroup
+				for range streams {
+					open.Go(func() { r.measure(b, way.router, tokens, &all, &firsts) })
+					time.Sleep(time.Millisecond)
+				}
+				time.Sleep(tokens * pace / 3)
+				per := float64(memory()-held) / streams
+				open.Wait()
+				b.ReportMetric(per, "B/stream")
+				all.report(b, "token")
+				firsts.report(b, "first")
+				b.ReportMetric(0, "ns/op")
+			}
+		})
+	}
+}
+
+// measure reads one stream and collects its delays.
+func (r *overheadRig) measure(b *testing.B, router bool, tokens int, all, firsts *collected) {
+	begin := time.Now()
+	body, err := r.open(router, tokens)
+	if !assert.Check(b, err) {
+		return
+	}
+	delays, first, err := read(body)
+	assert.Check(b, err)
+	assert.Check(b, len(delays) == tokens, "%d tokens", len(delays))
+	// The router holds the last token back until the request has ended, which
+	// is a pace after it was written.
+	all.add(delays[:len(delays)-1]...)
+	firsts.add(first.Sub(begin))
+}
+
+// memory returns the bytes of heap objects and stacks in use.
+func memory() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
+
+// collected is durations of many streams.
+type collected struct {
+	mu  sync.Mutex
+	all []time.Duration
+}
+
+func (c *collected) add(d ...time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.all = append(c.all, d...)
+}
+
+// report reports the median and the 99th percentile, in microseconds.
+func (c *collected) report(b *testing.B, name string) {
+	slices.Sort(c.all)
+	at := func(q float64) float64 {
+		return float64(c.all[int(q*float64(len(c.all)-1))].Nanoseconds()) / 1e3
+	}
+	b.ReportMetric(at(0.50), name+"-p50-µs")
+	b.ReportMetric(at(0.99), name+"-p99-µs")
+}
