slots.dispatch: one instance per model places the prompts of all

Ruled out: prefill leases per engine (two grantors to ask in turn, and a slot held while the prompt queues); a shorter engine queue per instance (eight instances still add up). Change: kernel.JointPolicy; a dispatcher by rendezvous per model keeps one queue, feeds prefill engines 20 ms ahead, plans each ask through the queue and refuses at once what cannot be in time, names the decode engine after the prefill.

--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -62,6 +62,7 @@
 	for _, name := range []string{"coastline", "lagos"} {
 		d := deployment(t, name)
 		cell := NewCell(d, PolicyIdeal, 2, FaultNone, 1)
+		cell.Duration = 40 * time.Second
 		r, err := Run(cell, d)
 		assert.NilError(t, err)
 		k := d.Capacity()
--- a/kernel/host.go
+++ b/kernel/host.go
@@ -29,29 +29,51 @@
 }
 
 func (h host) SlotGranted(id ident.AttemptID) {
-	h.k.verdicts = append(h.k.verdicts, slotVerdict{id: id, granted: true})
+	h.k.verdict(slotVerdict{id: id, kind: verdictGranted})
 }
 
 func (h host) SlotDenied(id ident.AttemptID, retryAt time.Time) {
-	h.k.verdicts = append(h.k.verdicts, slotVerdict{id: id, retryAt: retryAt})
+	h.k.verdict(slotVerdict{id: id, kind: verdictDenied, retryAt: retryAt})
 }
 
 // slotVerdict is a slot policy's late answer to a reservation. It is acted upon
 // after the call that brought it has returned, since a policy may answer one
 // request while another one's slot is being released.
 type slotVerdict struct {
-	id      ident.AttemptID
-	granted bool
-	retryAt time.Time
+	id              ident.AttemptID
+	kind            verdictKind
+	retryAt         time.Time
+	comeBack        time.Duration
+	prefill, decode ident.UpstreamID
 }
 
+// verdictKind says what a slotVerdict is.
+type verdictKind int
+
+const (
+	verdictGranted verdictKind = iota + 1
+	verdictDenied
+	verdictPlaced
+	verdictDecode
+	verdictRefused
+)
+
+func (k *Kernel) verdict(v slotVerdict) { k.verdicts = append(k.verdicts, v) }
+
 func (k *Kernel) settleSlots() {
 	for i := 0; i < len(k.verdicts); i++ {
 		v := k.verdicts[i]
-		if v.granted {
+		switch v.kind {
+		case verdictGranted:
 			k.slotGranted(v.id)
-		} else {
+		case verdictDenied:
 			k.slotDenied(v.id, v.retryAt)
+		case verdictPlaced:
+			k.placementGranted(v)
+		case verdictDecode:
+			k.decodeGranted(v)
+		case verdictRefused:
+			k.placementRefused(v)
 		}
 	}
 	k.verdicts = k.verdicts[:0]
--- a/kernel/model.go
+++ b/kernel/model.go
@@ -93,7 +93,10 @@
 	k.leaveReserving(c)
 	delete(k.reserved, id)
 	c.slot = reservation{}
-	k.dropKV(c)
+	if c.prefill != nil {
+		k.decodeElsewhere(c, ReasonNoSlot)
+		return
+	}
 	k.enqueue(c, retryAt)
 }
 
@@ -175,6 +178,13 @@
 	c.touched = true
 	c.kv = e.KV
 	c.kvAt = k.now
+	if jp, ok := c.slot.policy.(JointPolicy); ok {
+		if c.plan.decode == "" {
+			k.askDecode(c, jp)
+			return
+		}
+		jp.Computed(c.slot.id)
+	}
 	if !k.usable(c.plan.decode) {
 		k.decodeElsewhere(c, ReasonUpstreamRefused)
 		return
@@ -267,11 +277,16 @@
 
 // kvFresh reports whether the prefill result is likely to be still there.
 func (k *Kernel) kvFresh(c *call) bool {
+	return k.now.Sub(c.kvAt) < k.kvUsable()
+}
+
+// kvUsable is how long after its prefill a KV cache may still be imported.
+func (k *Kernel) kvUsable() time.Duration {
 	lifetime := defaultKVLifetime
 	if p := k.catalog.content.Policy.KVLifetime; p > 0 {
 		lifetime = p
 	}
-	return k.now.Sub(c.kvAt) < lifetime*kvFreshPercent/100
+	return lifetime * kvFreshPercent / 100
 }
 
 const (
@@ -307,6 +322,10 @@
 	if prefill == nil || !k.trusted() {
 		return false
 	}
+	if jp := k.joint(c.request.Model); jp != nil {
+		k.askPlacement(c, jp)
+		return true
+	}
 	d := k.decide(c)
 	k.shortlistDecodes(d, c, k.fleet.decodes[c.request.Model], config.RoleDecode)
 	k.placer.prefills.reset()
--- a/kernel/schedule.go
+++ b/kernel/schedule.go
@@ -88,6 +88,10 @@
 
 // placeModel chooses prefill and decode engine together and reserves a slot.
 func (k *Kernel) placeModel(c *call) Reason {
+	if jp := k.joint(c.request.Model); jp != nil {
+		k.askPlacement(c, jp)
+		return ""
+	}
 	d := k.decide(c)
 	k.shortlistPrefills(d, c)
 	if k.placer.prefills.size == 0 {
--- a/plugins/standard/standard.go
+++ b/plugins/standard/standard.go
@@ -23,6 +23,7 @@
 	_ "github.com/wardspool/wardspool/plugins/scorer/roundrobin"  // scorer.round_robin
 	_ "github.com/wardspool/wardspool/plugins/scorer/zone"        // scorer.zone
 	_ "github.com/wardspool/wardspool/plugins/service/http"       // service.http
-	_ "github.com/wardspool/wardspool/plugins/slots/lease"        // slots.lease
-	_ "github.com/wardspool/wardspool/plugins/slots/none"         // slots.none
+	_ "github.com/wardspool/wardspool/plugins/slots/dispatch"
+	_ "github.com/wardspool/wardspool/plugins/slots/lease" // slots.lease
+	_ "github.com/wardspool/wardspool/plugins/slots/none"  // slots.none
 )
