Stream path: one pass over each token's JSON with gjson

Cause: BenchmarkStream/router allocated 2,338 objects and 129,468 B a request of 100 tokens, most of it two json.Unmarshal calls a token. Change: gjson (already in the module graph) checks and slices the chunk; write limits are set anew a few times in their length, not for each token; a smaller line buffer.

--- a/adapter/adapter.go
+++ b/adapter/adapter.go
@@ -110,9 +110,8 @@
 	Offset int
 	// Text is the token's text.
 	Text string
-	// Choices is the chunk's "choices" member as the engine wrote it. It is
-	// valid until Sink.Token returns.
-	Choices json.RawMessage
+	// Choices is the chunk's "choices" member, in JSON, as the engine wrote it.
+	Choices string
 	// FinishReason is set on the output's last token.
 	FinishReason string
 }
--- a/entry/front/front_test.go
+++ b/entry/front/front_test.go
@@ -97,7 +97,7 @@
 		return r
 	}
 	for i, text := range []string{"one ", "two"} {
-		c := adapter.Chunk{Offset: i, Text: text, Choices: json.RawMessage(`[{"text":"` + text + `"}]`)}
+		c := adapter.Chunk{Offset: i, Text: text, Choices: `[{"text":"` + text + `"}]`}
 		if i == 1 {
 			c.FinishReason = "stop"
 		}
--- a/entry/front/stream.go
+++ b/entry/front/stream.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"bytes"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -25,7 +24,9 @@
 	head  []byte
 	buf   []byte
 	begun bool
-	last  []byte
+	last  string
+	// extended is when the time limit for writes was last set.
+	extended time.Time
 }
 
 func newStreamOutput(f *Front, w http.ResponseWriter, ex *driver.Exchange) *streamOutput {
@@ -58,7 +59,7 @@
 func (o *streamOutput) Token(c adapter.Chunk) error {
 	o.begin()
 	if c.FinishReason != "" {
-		o.last = bytes.Clone(c.Choices)
+		o.last = c.Choices
 		return nil
 	}
 	o.addChunk(c.Choices, nil)
@@ -83,7 +84,7 @@
 }
 
 // addChunk adds an event to the buffer.
-func (o *streamOutput) addChunk(choices, usage []byte) {
+func (o *streamOutput) addChunk(choices string, usage []byte) {
 	o.buf = append(o.buf, o.head...)
 	o.buf = append(o.buf, choices...)
 	if usage != nil {
@@ -95,8 +96,7 @@
 
 // flush sends the buffer to the caller.
 func (o *streamOutput) flush() error {
-	// Writers of tests have no deadlines.
-	_ = o.rc.SetWriteDeadline(time.Now().Add(o.front.opts.Limits.WriteTimeout))
+	o.extend(time.Now())
 	_, err := o.w.Write(o.buf)
 	o.buf = o.buf[:0]
 	if err != nil {
@@ -105,6 +105,21 @@
 	return o.rc.Flush()
 }
 
+// extendEvery is how many times the limit for writes is set anew while it runs.
+// Setting it for each token would cost more than the token's formatting.
+const extendEvery = 4
+
+// extend gives the next write its time.
+func (o *streamOutput) extend(now time.Time) {
+	limit := o.front.opts.Limits.WriteTimeout
+	if now.Sub(o.extended) < limit/extendEvery {
+		return
+	}
+	o.extended = now
+	// Writers of tests have no deadlines.
+	_ = o.rc.SetWriteDeadline(now.Add(limit))
+}
+
 // finish ends the stream as the request ended.
 func (o *streamOutput) finish(res driver.Result, usage bool) {
 	if res.Problem != nil && !o.begun {
@@ -130,7 +145,7 @@
 	o.addChunk(o.last, nil)
 	if usage {
 		text, _ := json.Marshal(answerUsage(o.ex, res.Decoded))
-		o.addChunk([]byte("[]"), text)
+		o.addChunk("[]", text)
 	}
 	o.buf = append(o.buf, ": "+api.HeaderOutcome+": "+string(res.Outcome)+"\ndata: [DONE]\n\n"...)
 }
--- a/plugins/engine/openai/events.go
+++ b/plugins/engine/openai/events.go
@@ -13,6 +13,10 @@
 // come one by one, so that small ones do.
 const streamBufferBytes = 2 << 10
 
+// lineBufferBytes is the size of the buffer in which lines are found. Tokens'
+// events are a few hundred bytes.
+const lineBufferBytes = 512
+
 // maxLineBytes bounds one line of a stream.
 const maxLineBytes = 1 << 20
 
@@ -34,7 +38,7 @@
 
 // newEventReader returns a reader of r.
 func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{r: bufio.NewReaderSize(r, streamBufferBytes)}
+	return &eventReader{r: bufio.NewReaderSize(r, lineBufferBytes)}
 }
 
 // next reads one event. It returns io.EOF at a clean end between events, and
--- a/plugins/engine/openai/stream.go
+++ b/plugins/engine/openai/stream.go
@@ -7,28 +7,14 @@
 	"io"
 	"strconv"
 
+	"github.com/tidwall/gjson"
+
 	"github.com/wardspool/wardspool/adapter"
 )
 
 // doneMark is the data of a stream's last event.
 var doneMark = []byte("[DONE]")
 
-// chunk is one chunk of a streamed answer.
-type chunk struct {
-	Choices json.RawMessage `json:"choices"`
-	Usage   json.RawMessage `json:"usage"`
-	Error   json.RawMessage `json:"error"`
-}
-
-// choice is what the adapter reads of a chunk's choice.
-type choice struct {
-	Text  string `json:"text"`
-	Delta struct {
-		Content string `json:"content"`
-	} `json:"delta"`
-	FinishReason *string `json:"finish_reason"`
-}
-
 // stream reads one attempt's output.
 type stream struct {
 	attempt string
@@ -37,9 +23,6 @@
 	next   int
 	finish string
 	usage  json.RawMessage
-	// chunk and choices are reused from token to token.
-	chunk   chunk
-	choices [1]choice
 }
 
 // readStream reads an attempt's output from token from on into sink, to its
@@ -80,51 +63,58 @@
 
 // take handles one event before the end mark.
 func (s *stream) take(ev event) error {
-	s.chunk.Choices = s.chunk.Choices[:0]
-	s.chunk.Usage = s.chunk.Usage[:0]
-	s.chunk.Error = s.chunk.Error[:0]
-	if err := json.Unmarshal(ev.data, &s.chunk); err != nil {
-		return broken(&adapter.ProtocolError{Part: "chunk", Err: err})
+	if !gjson.ValidBytes(ev.data) {
+		return broken(&adapter.ProtocolError{Part: "chunk"})
 	}
-	if len(s.chunk.Error) > 0 {
-		return broken(&adapter.UpstreamError{Code: "stream", Message: string(s.chunk.Error)})
+	chunk := gjson.ParseBytes(ev.data)
+	if e := chunk.Get("error"); e.Exists() {
+		return broken(&adapter.UpstreamError{Code: "stream", Message: e.Raw})
 	}
-	if present(s.chunk.Usage) {
-		s.usage = bytes.Clone(s.chunk.Usage)
+	if u := chunk.Get("usage"); u.IsObject() {
+		s.usage = json.RawMessage(u.Raw)
 	}
 	if len(ev.id) == 0 {
 		return nil
 	}
-	return s.token(ev.id)
+	return s.token(ev.id, chunk.Get("choices"))
 }
 
 // token hands on the token of a chunk that has an ID.
-func (s *stream) token(id []byte) error {
+func (s *stream) token(id []byte, choices gjson.Result) error {
 	offset, ok := s.offset(id)
 	if !ok {
 		return broken(&adapter.ProtocolError{Part: "event ID"})
 	}
-	s.choices[0] = choice{}
-	choices := s.choices[:]
-	if err := json.Unmarshal(s.chunk.Choices, &choices); err != nil {
-		return broken(&adapter.ProtocolError{Part: "choices", Err: err})
-	}
-	if len(choices) != 1 {
-		return broken(&adapter.ProtocolError{Part: "number of choices"})
+	choice, ok := only(choices)
+	if !ok {
+		return broken(&adapter.ProtocolError{Part: "choices"})
 	}
-	c := &choices[0]
-	if c.FinishReason != nil {
-		s.finish = *c.FinishReason
+	finish := choice.Get("finish_reason").String()
+	if finish != "" {
+		s.finish = finish
 	}
 	s.next = max(s.next, offset+1)
 	return s.sink.Token(adapter.Chunk{
 		Offset:       offset,
-		Text:         c.Text + c.Delta.Content,
-		Choices:      s.chunk.Choices,
-		FinishReason: s.finish,
+		Text:         choice.Get("text").String() + choice.Get("delta.content").String(),
+		Choices:      choices.Raw,
+		FinishReason: finish,
 	})
 }
 
+// only returns the only choice of a chunk.
+func only(choices gjson.Result) (choice gjson.Result, ok bool) {
+	count := 0
+	if choices.IsArray() {
+		choices.ForEach(func(_, c gjson.Result) bool {
+			choice = c
+			count++
+			return count == 1
+		})
+	}
+	return choice, count == 1 && choice.IsObject()
+}
+
 // offset reads a token's offset from its event ID, "<attempt>:<offset>".
 func (s *stream) offset(id []byte) (int, bool) {
 	rest, ok := bytes.CutPrefix(id, []byte(s.attempt))
@@ -134,8 +124,3 @@
 	n, err := strconv.Atoi(string(rest[1:]))
 	return n, err == nil && n >= 0
 }
-
-// present reports whether a member is there and not null.
-func present(raw json.RawMessage) bool {
-	return len(raw) > 0 && !bytes.Equal(raw, []byte("null"))
-}
