--- /dev/null
+++ b/plugins/slots/compare/policies.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/plugins/slots/lease"
+	"github.com/wardspool/wardspool/plugins/slots/none"
+	"github.com/wardspool/wardspool/plugins/slots/probe"
+	"github.com/wardspool/wardspool/plugins/slots/shares"
+)
+
+// policy is a slot policy with its settings.
+type policy struct {
+	name string
+	make func() kernel.SlotPolicy
+}
+
+func leaseWith(name string, s lease.Settings) policy {
+	return policy{name: name, make: func() kernel.SlotPolicy { return &lease.Policy{Settings: s} }}
+}
+
+func probeWith(name string, s probe.Settings) policy {
+	return policy{name: name, make: func() kernel.SlotPolicy { return &probe.Policy{Settings: s} }}
+}
+
+var (
+	leaseFree   = leaseWith("lease", lease.Settings{AheadRisk: -1})
+	leaseAhead  = leaseWith("lease-ahead", lease.Settings{})
+	sharesUsual = policy{name: "shares", make: func() kernel.SlotPolicy { return &shares.Policy{} }}
+	probeUsual  = probeWith("probe", probe.Settings{})
+	noneUsual   = policy{name: "none", make: func() kernel.SlotPolicy { return &none.Policy{} }}
+)
+
+var allPolicies = []policy{leaseFree, leaseAhead, sharesUsual, probeUsual, noneUsual}
--- /dev/null
+++ b/plugins/slots/compare/run.go
@@ -0,0 +1,237 @@
+package main
+
+import (
+	"math"
+	"time"
+
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/plugins/slots/slotkit"
+	"github.com/wardspool/wardspool/plugins/slots/slottest"
+	"github.com/wardspool/wardspool/report"
+)
+
+// fault is what happens to the instance that grants the first engine.
+type fault string
+
+const (
+	noFault fault = "none"
+	killed  fault = "killed"
+	frozen  fault = "frozen"
+	cutOff  fault = "cut off"
+)
+
+// cell is one point of the comparison.
+type cell struct {
+	policy    policy
+	instances int
+	engines   int
+	load      float64
+	fault     fault
+	// loose requests declare more output than they have.
+	loose bool
+}
+
+const (
+	slots  = 20
+	pieces = 200
+	// warmUp is left out of the figures.
+	warmUp = 30 * time.Second
+	// faultAt is when the fault begins in the measured time.
+	faultAt = 10 * time.Second
+	// freezeTime and cutTime are how long an instance is frozen or cut off.
+	freezeTime = 10 * time.Second
+	cutTime    = 20 * time.Second
+	// Others believe an instance dead, or unreachable, after these times.
+	noticeDead        = 2 * time.Second
+	noticeUnreachable = 3 * time.Second
+	noticeBack        = 1 * time.Second
+	noticeSpread      = 1 * time.Second
+	zones             = 3
+	loadEvery         = 1 * time.Second
+	loadLag           = 500 * time.Millisecond
+	networkDelay      = 1 * time.Millisecond
+	networkJitter     = 1 * time.Millisecond
+)
+
+// counts are what is counted in a run.
+type counts struct {
+	offered, onTime, late, prefills, wasted int
+	waits                                   *report.Hist
+}
+
+// figures are a run's results.
+type figures struct {
+	utilisation, goodput, wasted  float64
+	waitMedian, waitTail          time.Duration
+	messages, bytes, bytesPerNode float64
+}
+
+// run is one run of one cell.
+type run struct {
+	cell     cell
+	world    *slottest.World
+	clients  []*client
+	count    counts
+	engineOf map[ident.AttemptID]*slottest.Engine
+	running  map[ident.AttemptID]*slottest.Engine
+	until    time.Time
+	next     int
+}
+
+// measure runs one cell with one seed.
+func measure(c cell, seed uint64, duration time.Duration) figures {
+	r := &run{
+		cell: c,
+		world: slottest.NewWorld(slottest.Options{
+			Seed: seed, Instances: c.instances, Engines: c.engines, Zones: zones,
+			Slots: slots, Pieces: pieces,
+			Network:   slottest.Network{Delay: networkDelay, Jitter: networkJitter},
+			Policy:    c.policy.make,
+			LoadEvery: loadEvery, LoadLag: loadLag,
+		}),
+		engineOf: map[ident.AttemptID]*slottest.Engine{},
+		running:  map[ident.AttemptID]*slottest.Engine{},
+	}
+	r.until = slottest.Epoch.Add(warmUp + duration)
+	for _, n := range r.world.Nodes {
+		r.clients = append(r.clients, newClient(r, n))
+	}
+	r.count.waits = report.NewHist()
+	r.arriveNext()
+	r.world.Run(warmUp)
+	r.reset()
+	r.world.After(faultAt, r.fault)
+	r.world.Run(duration)
+	return r.figures(duration)
+}
+
+// reset starts the counting.
+func (r *run) reset() {
+	r.count = counts{waits: report.NewHist()}
+	r.world.Traffic = slottest.Traffic{ByKind: map[string]int{}}
+	for _, e := range r.world.Engines {
+		e.Busy()
+		e.Refused = 0
+	}
+}
+
+// arriveNext lets the next request arrive, at one instance after the other.
+func (r *run) arriveNext() {
+	rate := r.cell.load * float64(r.cell.engines*slots) / meanSlotTime.Seconds()
+	gap := time.Duration(r.world.Rand.ExpFloat64() / rate * float64(time.Second))
+	r.world.After(gap, func() {
+		if r.world.Now().After(r.until) {
+			return
+		}
+		r.count.offered++
+		q := newRequest(r.world.Rand, r.world.Now(), r.cell.loose)
+		if c := r.balance(); c != nil {
+			c.arrive(q)
+		}
+		r.arriveNext()
+	})
+}
+
+// meanSlotTime is how long a request holds a slot on average.
+var meanSlotTime = meanHold()
+
+// balance returns the next instance that the balancer believes to run.
+func (r *run) balance() *client {
+	for range r.clients {
+		c := r.clients[r.next%len(r.clients)]
+		r.next++
+		if !c.node.Killed() && !c.node.Frozen() {
+			return c
+		}
+	}
+	return nil
+}
+
+// victim is the instance that grants the first engine.
+func (r *run) victim() *client {
+	n := r.clients[0].node
+	var roster slotkit.Roster
+	roster.Update(n.View(), n.Self())
+	id := roster.Grantor(n.Upstream(r.world.Engines[0].ID))
+	for _, c := range r.clients {
+		if c.node.ID() == id {
+			return c
+		}
+	}
+	return r.clients[0]
+}
+
+// fault makes the cell's fault happen.
+func (r *run) fault() {
+	v := r.victim()
+	switch r.cell.fault {
+	case killed:
+		v.node.Kill()
+		v.lost()
+		r.believe(v, kernel.Dead, noticeDead)
+	case frozen:
+		v.node.Freeze()
+		r.believe(v, kernel.Unreachable, noticeUnreachable)
+		r.world.After(freezeTime, func() {
+			v.node.Thaw()
+			r.believe(v, kernel.Live, noticeBack)
+		})
+	case cutOff:
+		for _, c := range r.clients {
+			if c != v {
+				r.world.Cut(c.node, v.node)
+			}
+		}
+		r.believe(v, kernel.Unreachable, noticeUnreachable)
+		r.believeOthers(v, kernel.Unreachable, noticeUnreachable)
+		r.world.After(cutTime, func() {
+			r.world.Heal()
+			r.believe(v, kernel.Live, noticeBack)
+			r.believeOthers(v, kernel.Live, noticeBack)
+		})
+	}
+}
+
+// believe makes each other instance change its belief of v, at its own time.
+func (r *run) believe(v *client, life kernel.Life, after time.Duration) {
+	for _, c := range r.clients {
+		if c != v {
+			r.world.After(r.spread(after), func() { c.node.Believe(v.node, life) })
+		}
+	}
+}
+
+// believeOthers makes v change its belief of all others.
+func (r *run) believeOthers(v *client, life kernel.Life, after time.Duration) {
+	for _, c := range r.clients {
+		if c != v {
+			r.world.After(r.spread(after), func() { v.node.Believe(c.node, life) })
+		}
+	}
+}
+
+func (r *run) spread(d time.Duration) time.Duration {
+	return d + time.Duration(r.world.Rand.Int64N(int64(noticeSpread)))
+}
+
+// figures sums a run up.
+func (r *run) figures(duration time.Duration) figures {
+	busy := time.Duration(0)
+	for _, e := range r.world.Engines {
+		busy += e.Busy()
+	}
+	requests := float64(max(r.count.offered, 1))
+	messages := float64(r.world.Traffic.Messages)
+	bytes := float64(r.world.Traffic.Bytes)
+	return figures{
+		utilisation:  busy.Seconds() / (duration.Seconds() * float64(r.cell.engines*slots)),
+		goodput:      float64(r.count.onTime) / requests,
+		wasted:       float64(r.count.wasted) / float64(max(r.count.prefills, 1)),
+		waitMedian:   r.count.waits.Quantile(50),
+		waitTail:     r.count.waits.Quantile(95),
+		messages:     messages / requests,
+		bytes:        bytes / math.Max(messages, 1),
+		bytesPerNode: bytes / duration.Seconds() / float64(r.cell.instances),
+	}
+}
--- /dev/null
+++ b/plugins/slots/compare/tables.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/wardspool/wardspool/plugins/slots/lease"
+	"github.com/wardspool/wardspool/plugins/slots/probe"
+)
+
+// table is a titled list of cells.
+type table struct {
+	title string
+	cells []cell
+}
+
+// engines is the number of decode engines of the Coastline example.
+const engines = 6
+
+// tables are what can be measured.
+var tables = map[string]table{
+	"policies": {title: "Policies at 2, 8 and 24 instances", cells: policyCells()},
+	"faults":   {title: "With the first engine's grantor failing, at load 1.0", cells: faultCells()},
+	"ahead":    {title: "Leasing ahead, 8 instances", cells: aheadCells()},
+	"probe":    {title: "The margin of slots.probe, 8 instances", cells: probeCells()},
+	"size":     {title: "Messages as the system grows, load 1.0", cells: sizeCells()},
+}
+
+func policyCells() []cell {
+	var cells []cell
+	for _, n := range []int{2, 8, 24} {
+		for _, load := range []float64{0.8, 1.0, 1.2} {
+			for _, p := range allPolicies {
+				cells = append(cells, cell{policy: p, instances: n, engines: engines, load: load, fault: noFault})
+			}
+		}
+	}
+	return cells
+}
+
+func faultCells() []cell {
+	var cells []cell
+	for _, n := range []int{2, 8, 24} {
+		for _, f := range []fault{killed, frozen, cutOff} {
+			for _, p := range allPolicies {
+				cells = append(cells, cell{policy: p, instances: n, engines: engines, load: 1, fault: f})
+			}
+		}
+	}
+	return cells
+}
+
+func aheadCells() []cell {
+	var cells []cell
+	for _, loose := range []bool{false, true} {
+		for _, load := range []float64{1.0, 1.2} {
+			for _, risk := range []float64{-1, 3, 2, 1.5, 1, 0.5} {
+				name := fmt.Sprintf("risk %g", risk)
+				if risk < 0 {
+					name = "never"
+				}
+				if loose {
+					name += ", loose"
+				}
+				p := leaseWith(name, lease.Settings{AheadRisk: risk})
+				cells = append(cells, cell{policy: p, instances: 8, engines: engines, load: load, fault: noFault, loose: loose})
+			}
+		}
+	}
+	return cells
+}
+
+func probeCells() []cell {
+	var cells []cell
+	for _, load := range []float64{0.8, 1.0, 1.2} {
+		for _, margin := range []int{-2, -1, 1, 2, 3, 4} {
+			p := probeWith(fmt.Sprintf("margin %d", margin), probe.Settings{Margin: margin})
+			cells = append(cells, cell{policy: p, instances: 8, engines: engines, load: load, fault: noFault})
+		}
+	}
+	return cells
+}
+
+func sizeCells() []cell {
+	var cells []cell
+	for _, size := range []struct{ instances, engines int }{{8, 6}, {24, 18}, {96, 72}} {
+		cells = append(cells, cell{policy: leaseAhead, instances: size.instances, engines: size.engines, load: 1, fault: noFault})
+	}
+	return cells
+}
+
+// write measures a table's cells and writes them as Markdown.
+func (t table) write(to io.Writer, o options) {
+	fmt.Fprintf(to, "### %s\n\n", t.title)
+	fmt.Fprintln(to, "| instances | engines | load | grantor | policy | utilisation | on time | refused by engine | wait p50 | wait p95 | messages a request | bytes a message | bytes/s an instance |")
+	fmt.Fprintln(to, "|---|---|---|---|---|---|---|---|---|---|---|---|---|")
+	for _, c := range t.cells {
+		t.writeCell(to, c, o)
+	}
+	fmt.Fprintln(to)
+}
+
+func (t table) writeCell(to io.Writer, c cell, o options) {
+	var runs []figures
+	for seed := range o.Seeds {
+		runs = append(runs, measure(c, uint64(seed)+1, time.Duration(o.Duration*float64(time.Second))))
+	}
+	fmt.Fprintf(to, "| %d | %d | %.1f | %s | %s | %s | %s | %s | %s | %s | %s | %.0f | %.0f |\n",
+		c.instances, c.engines, c.load, c.fault, c.policy.name,
+		percent(runs, func(f figures) float64 { return f.utilisation }),
+		percent(runs, func(f figures) float64 { return f.goodput }),
+		percent(runs, func(f figures) float64 { return f.wasted }),
+		spread(runs, "%.0f ms", func(f figures) float64 { return millis(f.waitMedian) }),
+		spread(runs, "%.0f ms", func(f figures) float64 { return millis(f.waitTail) }),
+		spread(runs, "%.2f", func(f figures) float64 { return f.messages }),
+		mean(runs, func(f figures) float64 { return f.bytes }),
+		mean(runs, func(f figures) float64 { return f.bytesPerNode }))
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func mean(runs []figures, of func(figures) float64) float64 {
+	sum := 0.0
+	for _, f := range runs {
+		sum += of(f)
+	}
+	return sum / float64(len(runs))
+}
+
+// spread writes the mean and, in brackets, the least and the greatest value.
+func spread(runs []figures, format string, of func(figures) float64) string {
+	lo, hi := of(runs[0]), of(runs[0])
+	for _, f := range runs {
+		lo, hi = min(lo, of(f)), max(hi, of(f))
+	}
+	text := fmt.Sprintf(format, mean(runs, of))
+	if low, high := fmt.Sprintf(format, lo), fmt.Sprintf(format, hi); low != high {
+		text += fmt.Sprintf(" ("+format+"–"+format+")", lo, hi)
+	}
+	return text
+}
+
+func percent(runs []figures, of func(figures) float64) string {
+	return spread(runs, "%.1f%%", func(f figures) float64 { return 100 * of(f) })
+}
--- /dev/null
+++ b/plugins/slots/probe/sample.go
@@ -0,0 +1,78 @@
+package probe
+
+import (
+	"time"
+
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/plugins/slots/slotkit"
+)
+
+// sample is the random choice of engines that decisions made at one time look
+// at first.
+type sample struct {
+	at    time.Time
+	known bool
+	ids   []ident.UpstreamID
+}
+
+// waitUnsampled ranks engines outside the sample after those in it.
+const waitUnsampled = 50 * time.Millisecond
+
+// waitFull is the expected wait for a slot of a full engine.
+const waitFull = 500 * time.Millisecond
+
+// Availability implements kernel.SlotPolicy. Engines outside the sample seem
+// full as long as one in it has a free slot.
+func (p *Policy) Availability(u *kernel.Upstream) kernel.Availability {
+	free := 0
+	if slotkit.Usable(u) {
+		free = max(p.free(u), 0)
+	}
+	switch {
+	case free == 0:
+		return kernel.Availability{NextFree: waitFull}
+	case p.sampled(u.ID):
+		return kernel.Availability{Free: free}
+	}
+	return kernel.Availability{NextFree: waitUnsampled}
+}
+
+// sampled reports whether the engine is among those looked at now.
+func (p *Policy) sampled(id ident.UpstreamID) bool {
+	s := &p.sample
+	if !s.known || !s.at.Equal(p.host.Now()) {
+		p.draw()
+	}
+	for _, other := range s.ids {
+		if other == id {
+			return true
+		}
+	}
+	return len(s.ids) == 0
+}
+
+// draw chooses, among the engines with a free slot, as many as are looked at.
+func (p *Policy) draw() {
+	s := &p.sample
+	s.at, s.known = p.host.Now(), true
+	s.ids = s.ids[:0]
+	seen := 0
+	v := p.host.View()
+	for i := range v.Upstreams {
+		u := &v.Upstreams[i]
+		if u.Spec.Role != config.RoleDecode || !slotkit.Usable(u) || p.free(u) <= 0 {
+			continue
+		}
+		seen++
+		if len(s.ids) < p.Choices {
+			s.ids = append(s.ids, u.ID)
+			continue
+		}
+		// Reservoir sampling: each engine stays with the same chance.
+		if j := p.host.Rand().IntN(seen); j < p.Choices {
+			s.ids[j] = u.ID
+		}
+	}
+}
--- /dev/null
+++ b/plugins/slots/shares/loans.go
@@ -0,0 +1,206 @@
+package shares
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/plugins/slots/slotkit"
+)
+
+const (
+	// unconfirmed is after how many confirmation intervals a loan is over.
+	unconfirmed = 10
+	// inFlight is how long a Confirm may have been under way while a slot was
+	// lent: such a one does not know of the slot.
+	inFlight = 300 * time.Millisecond
+)
+
+// recall asks a borrower for a slot back and reports whether one is out that
+// may come.
+func (p *Policy) recall(e *engine) bool {
+	out := false
+	for i := range e.loans {
+		l := &e.loans[i]
+		if l.count == 0 {
+			continue
+		}
+		out = true
+		if !l.recalled {
+			l.recalled = true
+			p.host.Send(l.borrower, &Recall{Upstream: e.id})
+			return true
+		}
+	}
+	return out
+}
+
+// borrow asks the next instance for a loan and reports whether there was one to
+// ask: first the one that lent last, then others at random.
+func (p *Policy) borrow(e *engine, h *hold) bool {
+	if len(h.tried) >= p.Tries {
+		h.lender = ""
+		return false
+	}
+	id := e.lender
+	if id == "" || !p.mayAsk(h, id) {
+		id = p.randomLender(h)
+	}
+	if id == "" {
+		h.lender = ""
+		return false
+	}
+	p.seq++
+	h.lender, h.seq = id, p.seq
+	h.askUntil = p.host.Now().Add(p.AskTimeout)
+	h.tried = append(h.tried, id)
+	p.host.Send(id, &Borrow{Upstream: e.id, Seq: h.seq})
+	return true
+}
+
+func (p *Policy) mayAsk(h *hold, id ident.InstanceID) bool {
+	live := slices.ContainsFunc(p.roster.Live(), func(in kernel.Instance) bool { return in.ID == id })
+	return live && id != p.self() && !slices.Contains(h.tried, id)
+}
+
+func (p *Policy) randomLender(h *hold) ident.InstanceID {
+	live := p.roster.Live()
+	if len(live) == 0 {
+		return ""
+	}
+	start := p.host.Rand().IntN(len(live))
+	for i := range live {
+		id := live[(start+i)%len(live)].ID
+		if p.mayAsk(h, id) {
+			return id
+		}
+	}
+	return ""
+}
+
+// MessageKinds implements kernel.PeerHandler.
+func (p *Policy) MessageKinds() []string {
+	return []string{KindBorrow, KindLend, KindNone, KindRecall, KindConfirm}
+}
+
+// Receive implements kernel.PeerHandler.
+func (p *Policy) Receive(from ident.InstanceID, m kernel.PeerMessage) {
+	p.followView()
+	switch m := m.(type) {
+	case *Borrow:
+		p.receiveBorrow(from, m)
+	case *Lend:
+		p.receiveLend(from, m)
+	case *None:
+		p.receiveNone(from, m.Seq)
+	case *Recall:
+		p.receiveRecall(from, m)
+	case *Confirm:
+		p.receiveConfirm(from, m)
+	}
+	p.flush()
+}
+
+// Undelivered implements kernel.PeerHandler.
+func (p *Policy) Undelivered(to ident.InstanceID, m kernel.PeerMessage) {
+	if ask, ok := m.(*Borrow); ok {
+		p.receiveNone(to, ask.Seq)
+	}
+	p.flush()
+}
+
+// receiveBorrow lends a slot if one of the own share is idle.
+func (p *Policy) receiveBorrow(from ident.InstanceID, m *Borrow) {
+	u := p.host.Upstream(m.Upstream)
+	if u == nil {
+		return
+	}
+	e := p.engineOf(m.Upstream)
+	own := p.roster.Share(p.self(), u.ID, slotkit.Slots(u)) - e.lentOut()
+	if own <= 0 || p.free(e, u) <= 0 {
+		p.host.Send(from, &None{Upstream: m.Upstream, Seq: m.Seq})
+		return
+	}
+	l := e.loanTo(from)
+	l.count++
+	l.recalled = false
+	l.lent = p.host.Now()
+	l.heard = l.lent
+	p.host.Send(from, &Lend{Upstream: m.Upstream, Seq: m.Seq})
+}
+
+func (p *Policy) receiveLend(from ident.InstanceID, m *Lend) {
+	if p.host.Upstream(m.Upstream) == nil {
+		return
+	}
+	e := p.engineOf(m.Upstream)
+	e.lender = from
+	c := e.creditFrom(from)
+	c.count++
+	c.idleSince = p.host.Now()
+	p.serveWaiting(e)
+}
+
+// receiveNone asks the next instance.
+func (p *Policy) receiveNone(from ident.InstanceID, seq uint64) {
+	for _, h := range p.waiting {
+		if h.lender != from || h.seq != seq {
+			continue
+		}
+		e := p.engineOf(h.upstream)
+		if e.lender == from {
+			e.lender = ""
+		}
+		if !p.borrow(e, h) && e.lentOut() == 0 {
+			p.deny(h)
+		}
+		return
+	}
+}
+
+func (p *Policy) receiveRecall(from ident.InstanceID, m *Recall) {
+	e := p.engineOf(m.Upstream)
+	e.creditFrom(from).recalled = true
+	p.giveBackRecalled(e)
+}
+
+// giveBackRecalled returns slots that their owners want back and that are not
+// in use.
+func (p *Policy) giveBackRecalled(e *engine) {
+	u := p.host.Upstream(e.id)
+	for i := range e.credits {
+		c := &e.credits[i]
+		if !c.recalled {
+			continue
+		}
+		if c.count > 0 && u != nil && p.free(e, u) <= 0 {
+			continue
+		}
+		c.recalled = false
+		c.count = max(c.count-1, 0)
+		p.confirm(e, c)
+	}
+	e.credits = slices.DeleteFunc(e.credits, func(c credit) bool { return c.count == 0 })
+}
+
+// confirm tells an owner how many of its slots are on loan here.
+func (p *Policy) confirm(e *engine, c *credit) {
+	p.seq++
+	p.host.Send(c.owner, &Confirm{Upstream: e.id, Seq: p.seq, Count: c.count})
+}
+
+func (p *Policy) receiveConfirm(from ident.InstanceID, m *Confirm) {
+	e := p.engineOf(m.Upstream)
+	l := e.loanTo(from)
+	now := p.host.Now()
+	if m.Seq <= l.confirmed {
+		return
+	}
+	l.confirmed, l.heard = m.Seq, now
+	l.recalled = false
+	if m.Count >= l.count || now.Sub(l.lent) > inFlight {
+		l.count = m.Count
+	}
+	p.serveWaiting(e)
+}
--- /dev/null
+++ b/plugins/slots/shares/reserve.go
@@ -0,0 +1,177 @@
+package shares
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/plugins/slots/slotkit"
+)
+
+// hold is one reservation of this instance.
+type hold struct {
+	key      slotkit.Key
+	id       ident.AttemptID
+	upstream ident.UpstreamID
+	held     bool
+	by       time.Time
+	// until is when a waiting reservation is denied.
+	until time.Time
+	// lender is the instance asked for a loan, with the ask's number; it must
+	// answer by askUntil. tried are those that had none.
+	lender   ident.InstanceID
+	seq      uint64
+	askUntil time.Time
+	tried    []ident.InstanceID
+}
+
+// answer is a reservation's answer that the kernel was not told yet.
+type answer struct {
+	id      ident.AttemptID
+	granted bool
+}
+
+const (
+	// retryUsual is when a denied reservation is to be tried again.
+	retryUsual = 100 * time.Millisecond
+	// refusalTime is how long a refusal of the engine is heeded.
+	refusalTime = 500 * time.Millisecond
+	// guessWait is the expected wait for a slot when the share is used up.
+	guessWait = 300 * time.Millisecond
+)
+
+// Reserve implements kernel.SlotPolicy.
+func (p *Policy) Reserve(ask kernel.SlotAsk) kernel.SlotAnswer {
+	p.followView()
+	key := slotkit.KeyOf(ask.Reservation)
+	if h := p.holds[key]; h != nil {
+		return verdict(h)
+	}
+	now := p.host.Now()
+	u := p.host.Upstream(ask.Upstream)
+	if !slotkit.Usable(u) {
+		return kernel.SlotAnswer{Verdict: kernel.SlotNone, RetryAt: now.Add(retryUsual)}
+	}
+	h := &hold{key: key, id: ask.Reservation, upstream: ask.Upstream, by: ask.FirstOutputBy, until: now.Add(p.Wait)}
+	e := p.engineOf(u.ID)
+	switch {
+	case p.free(e, u) > 0 || slotkit.Slots(u) == 0:
+		h.held = true
+		e.held++
+	case now.Before(e.refusedUntil):
+		return kernel.SlotAnswer{Verdict: kernel.SlotNone, RetryAt: e.refusedUntil}
+	case !p.recall(e) && !p.borrow(e, h):
+		return kernel.SlotAnswer{Verdict: kernel.SlotNone, RetryAt: p.retryAt()}
+	default:
+		p.waiting = append(p.waiting, h)
+	}
+	p.holds[key] = h
+	return verdict(h)
+}
+
+func verdict(h *hold) kernel.SlotAnswer {
+	if h.held {
+		return kernel.SlotAnswer{Verdict: kernel.SlotHeld}
+	}
+	return kernel.SlotAnswer{Verdict: kernel.SlotWaits}
+}
+
+func (p *Policy) retryAt() time.Time {
+	return p.host.Now().Add(retryUsual + time.Duration(p.host.Rand().Int64N(int64(retryUsual))))
+}
+
+// Release implements kernel.SlotPolicy.
+func (p *Policy) Release(id ident.AttemptID) {
+	p.followView()
+	h := p.holds[slotkit.KeyOf(id)]
+	if h == nil {
+		return
+	}
+	e := p.engineOf(h.upstream)
+	p.drop(h)
+	p.giveBackRecalled(e)
+	p.serveWaiting(e)
+}
+
+// drop forgets a reservation.
+func (p *Policy) drop(h *hold) {
+	delete(p.holds, h.key)
+	if h.held {
+		p.engineOf(h.upstream).held--
+		return
+	}
+	if i := slices.Index(p.waiting, h); i >= 0 {
+		p.waiting = slices.Delete(p.waiting, i, i+1)
+	}
+}
+
+// serveWaiting grants free slots to the waiting reservations, the one due first
+// in front.
+func (p *Policy) serveWaiting(e *engine) {
+	u := p.host.Upstream(e.id)
+	for u != nil && p.free(e, u) > 0 {
+		first := -1
+		for i, h := range p.waiting {
+			if h.upstream == e.id && (first < 0 || h.by.Before(p.waiting[first].by)) {
+				first = i
+			}
+		}
+		if first < 0 {
+			return
+		}
+		h := p.waiting[first]
+		p.waiting = slices.Delete(p.waiting, first, first+1)
+		h.held = true
+		e.held++
+		p.outbox = append(p.outbox, answer{id: h.id, granted: true})
+	}
+}
+
+// deny answers a waiting reservation.
+func (p *Policy) deny(h *hold) {
+	p.drop(h)
+	p.outbox = append(p.outbox, answer{id: h.id})
+}
+
+// flush tells the kernel the answers that are due. It must not be called while
+// the kernel walks its queue: only from Wake, Receive and Undelivered.
+func (p *Policy) flush() {
+	if p.flushing {
+		return
+	}
+	p.flushing = true
+	for i := 0; i < len(p.outbox); i++ {
+		a := p.outbox[i]
+		if a.granted {
+			p.host.SlotGranted(a.id)
+			continue
+		}
+		p.host.SlotDenied(a.id, p.retryAt())
+	}
+	p.outbox = p.outbox[:0]
+	p.flushing = false
+}
+
+// Started implements kernel.SlotPolicy.
+func (p *Policy) Started(ident.AttemptID) {}
+
+// Refused implements kernel.SlotPolicy.
+func (p *Policy) Refused(id ident.UpstreamID) {
+	p.engineOf(id).refusedUntil = p.host.Now().Add(refusalTime)
+}
+
+// Availability implements kernel.SlotPolicy.
+func (p *Policy) Availability(u *kernel.Upstream) kernel.Availability {
+	p.followView()
+	if !slotkit.Usable(u) {
+		return kernel.Availability{NextFree: guessWait}
+	}
+	if slotkit.Slots(u) == 0 {
+		return kernel.Availability{Free: 1}
+	}
+	if free := p.free(p.engineOf(u.ID), u); free > 0 {
+		return kernel.Availability{Free: free}
+	}
+	return kernel.Availability{NextFree: guessWait}
+}
--- /dev/null
+++ b/plugins/slots/shares/wake.go
@@ -0,0 +1,106 @@
+package shares
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+// NextWake implements kernel.Waker.
+func (p *Policy) NextWake() (time.Time, bool) {
+	now := p.host.Now()
+	if !p.roster.Current(p.host.View()) || len(p.outbox) > 0 {
+		return now, true
+	}
+	if p.nextConfirm.IsZero() {
+		p.nextConfirm = now.Add(p.Idle)
+	}
+	next := p.nextConfirm
+	for _, h := range p.waiting {
+		if h.until.Before(next) {
+			next = h.until
+		}
+		if h.lender != "" && h.askUntil.Before(next) {
+			next = h.askUntil
+		}
+	}
+	return next, true
+}
+
+// Wake implements kernel.Waker.
+func (p *Policy) Wake() {
+	p.followView()
+	now := p.host.Now()
+	p.timeOut(now)
+	if !now.Before(p.nextConfirm) {
+		p.nextConfirm = now.Add(p.Idle)
+		for _, e := range p.engines {
+			p.confirmAll(e, now)
+			p.endLoans(e, now)
+			p.serveWaiting(e)
+		}
+	}
+	p.flush()
+}
+
+// timeOut gives up reservations and loans that were waited for long enough.
+func (p *Policy) timeOut(now time.Time) {
+	for _, h := range slices.Clone(p.waiting) {
+		switch {
+		case !h.until.After(now):
+			p.deny(h)
+		case h.lender != "" && !h.askUntil.After(now):
+			p.receiveNone(h.lender, h.seq)
+		}
+	}
+}
+
+// confirmAll confirms what is on loan here and gives back what is idle.
+func (p *Policy) confirmAll(e *engine, now time.Time) {
+	u := p.host.Upstream(e.id)
+	for i := range e.credits {
+		c := &e.credits[i]
+		if u != nil && p.free(e, u) <= 0 {
+			c.idleSince = now
+		}
+		if now.Sub(c.idleSince) >= p.Idle && c.count > 0 {
+			c.count--
+			c.idleSince = now
+			p.confirm(e, c)
+			continue
+		}
+		if now.UnixMilli()/p.Confirm.Milliseconds() != now.Add(-p.Idle).UnixMilli()/p.Confirm.Milliseconds() {
+			p.confirm(e, c)
+		}
+	}
+	e.credits = slices.DeleteFunc(e.credits, func(c credit) bool { return c.count == 0 })
+}
+
+// endLoans takes back what was not confirmed for long.
+func (p *Policy) endLoans(e *engine, now time.Time) {
+	e.loans = slices.DeleteFunc(e.loans, func(l loan) bool {
+		return now.Sub(l.heard) > unconfirmed*p.Confirm
+	})
+}
+
+// followView drops loans and credits of instances that are gone, and what is
+// known of engines that are gone.
+func (p *Policy) followView() {
+	v := p.host.View()
+	if !p.roster.Update(v, p.host.Self()) {
+		return
+	}
+	dead := func(id ident.InstanceID) bool {
+		i := slices.IndexFunc(v.Instances, func(in kernel.Instance) bool { return in.ID == id })
+		return i < 0 || v.Instances[i].Life == kernel.Dead
+	}
+	for _, e := range p.engines {
+		e.loans = slices.DeleteFunc(e.loans, func(l loan) bool { return dead(l.borrower) })
+		e.credits = slices.DeleteFunc(e.credits, func(c credit) bool { return dead(c.owner) })
+	}
+	p.engines = slices.DeleteFunc(p.engines, func(e *engine) bool {
+		return e.held == 0 && p.host.Upstream(e.id) == nil
+	})
+}
--- a/plugins/slots/slottest/node.go
+++ b/plugins/slots/slottest/node.go
@@ -156,6 +156,9 @@
 // Killed reports whether the process is gone.
 func (n *Node) Killed() bool { return n.killed }
 
+// Frozen reports whether the process is paused.
+func (n *Node) Frozen() bool { return n.frozen }
+
 // Restart starts the process anew, with a higher incarnation.
 func (n *Node) Restart() {
 	n.killed, n.frozen = false, false
