--- a/leftover/engine.go
+++ b/leftover/engine.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"github.com/wardspool/wardspool/config"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
 )
 
 // engine is what the planner knows of one engine that it watches.
@@ -46,3 +48,9 @@
 	}
 	return at
 }
+
+// watchable reports whether the upstream is an engine that can be asked.
+func watchable(u *kernel.Upstream) bool {
+	isEngine := u.Spec.Role == config.RolePrefill || u.Spec.Role == config.RoleDecode
+	return isEngine && u.Life != kernel.Dead
+}
--- a/leftover/planner.go
+++ b/leftover/planner.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/wardspool/wardspool/assign"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/kernel"
 )
@@ -37,7 +38,7 @@
 	settings Settings
 	evidence Evidence
 	engines  map[ident.UpstreamID]*engine
-	rankings rankings
+	ranks    *assign.Table
 	// lives are the incarnations not known to have ended, to notice deaths.
 	lives      map[ident.InstanceID]ident.Incarnation
 	alertUntil time.Time
@@ -49,6 +50,7 @@
 		settings: s,
 		evidence: Evidence{Margin: s.Margin, View: &kernel.View{}},
 		engines:  make(map[ident.UpstreamID]*engine),
+		ranks:    assign.NewTable(s.Watchers, true),
 		lives:    make(map[ident.InstanceID]ident.Incarnation),
 	}
 }
@@ -93,15 +95,14 @@
 
 // assign takes on the engines that this instance watches now and drops others.
 func (p *Planner) assign(now time.Time) {
-	p.rankings = p.rankings.update(&p.evidence)
+	p.ranks.Update(p.evidence.Self, p.evidence.View)
 	seen := make(map[ident.UpstreamID]struct{})
 	for i := range p.evidence.View.Upstreams {
 		u := &p.evidence.View.Upstreams[i]
 		if !watchable(u) {
 			continue
 		}
-		rank := p.rankings[u.Zone].of(p.evidence.Self.Instance, u.ID, p.settings.Watchers)
-		if rank != noRank {
+		if rank := p.ranks.Rank(u); rank != assign.NoRank {
 			seen[u.ID] = struct{}{}
 			p.watch(now, u, rank)
 		}
