--- a/cmd/wardspool-load/experiment.go
+++ b/cmd/wardspool-load/experiment.go
@@ -28,6 +28,7 @@
 	Fault  []string      `help:"Run these faults only; none is no fault." placeholder:"NAME"`
 	Seed   uint64        `help:"First seed." default:"1"`
 	Length time.Duration `help:"Measured time of each cell, in virtual time." placeholder:"DURATION"`
+	Warmup time.Duration `help:"Time before the measured one, in virtual time." default:"10s"`
 	Count  int           `help:"Number of entry instances, with --policy, --load or --fault." default:"8" name:"instances"`
 	Trace  string        `help:"Write every event and action of the only cell chosen to this file." placeholder:"FILE"`
 }
@@ -111,6 +112,7 @@
 		cells = experiment.FullCells(deployments, c.Seeds)
 	}
 	for i := range cells {
+		cells[i].Warmup = c.Warmup
 		if c.Length > 0 {
 			cells[i].Duration = c.Length
 		}
