Thin whole path: testbed and demo run both deployments as separate processes

Cause: callers, entries, engines and services must be seen working together as processes, with the stand-ins as judge. Ruled out: shell scripts for starting and killing (no typed errors, orphans when the script dies; Pdeathsig ends them here).

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+# Two commands do all set-up on a fresh machine with Go 1.26:
+#   make demo   runs the system with stand-ins and says what happened
+#   make test   runs every check and test
+
+GO ?= go
+BIN := bin
+RACE_PACKAGES := ./peer/... ./platform/... ./entry/... ./agent/... ./standin/... ./tlsconf/... ./load/...
+
+.PHONY: demo test build check unit race fuzz e2e experiment capacity mutations clean
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+demo: build
+	$(GO) run ./testbed/demo
+
+test: check unit race fuzz e2e
+
+check:
+	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+unit:
+	$(GO) test $$($(GO) list ./... | grep -v /e2e)
+
+race:
+	$(GO) test -race $(RACE_PACKAGES)
+
+fuzz:
+	./scripts/fuzz-smoke
+
+e2e: build
+	$(GO) test -count=1 ./e2e/...
+
+experiment: build
+	$(BIN)/wardspool-load experiment --out out
+
+capacity: build
+	./scripts/capacity
+
+mutations:
+	$(GO) run ./internal/mutate
+
+clean:
+	rm -rf $(BIN) out
--- /dev/null
+++ b/testbed/fleet.go
@@ -0,0 +1,236 @@
+package testbed
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/wardspool/wardspool/ident"
+)
+
+// Options describe a fleet to start.
+type Options struct {
+	Deployment *Deployment
+	Programs   Programs
+	// Dir holds settings and logs; it must exist.
+	Dir string
+	// EntriesPerZone is the number of entry instances in each zone.
+	EntriesPerZone int
+	// Static runs the entries without agents and platform, on fixed settings.
+	Static bool
+}
+
+// Instance is one entry instance of the system: an entry and its agent.
+type Instance struct {
+	ID   ident.InstanceID
+	Zone ident.Zone
+	// Callers, Peer, Feed, Operator and AgentPeer are its addresses.
+	Callers, Peer, Feed, Operator, AgentPeer string
+	Entry                                    *Process
+	// Agent is nil in a static fleet.
+	Agent *Process
+}
+
+// Fleet is a running deployment on loopback.
+type Fleet struct {
+	Deployment *Deployment
+	Instances  []*Instance
+	Upstreams  map[ident.UpstreamID]*Process
+	Addresses  map[ident.UpstreamID]string
+	// Platform is nil in a static fleet.
+	Platform *Process
+
+	options  Options
+	programs Programs
+	dir      string
+	logDir   string
+	ports    Ports
+}
+
+// StartTimeout bounds the wait for a fleet to be ready.
+const StartTimeout = 20 * time.Second
+
+// StartFleet starts a deployment and waits until every entry is ready. The
+// caller must Close the fleet, also after an error.
+func StartFleet(ctx context.Context, o Options) (*Fleet, error) {
+	f := &Fleet{
+		Deployment: o.Deployment,
+		Upstreams:  map[ident.UpstreamID]*Process{},
+		Addresses:  map[ident.UpstreamID]string{},
+		options:    o,
+		programs:   o.Programs,
+		dir:        o.Dir,
+		logDir:     filepath.Join(o.Dir, "logs"),
+	}
+	if err := os.MkdirAll(f.logDir, 0o755); err != nil {
+		return f, err
+	}
+	if err := f.startUpstreams(); err != nil {
+		return f, err
+	}
+	if err := f.layOutInstances(); err != nil {
+		return f, err
+	}
+	if err := f.startPlatform(ctx); err != nil {
+		return f, err
+	}
+	for _, in := range f.Instances {
+		if err := f.StartInstance(in); err != nil {
+			return f, err
+		}
+	}
+	for _, in := range f.Instances {
+		if err := f.WaitReady(ctx, in); err != nil {
+			return f, err
+		}
+	}
+	return f, nil
+}
+
+// layOutInstances names the instances and gives them addresses.
+func (f *Fleet) layOutInstances() error {
+	for n := range f.options.EntriesPerZone {
+		for _, zone := range f.Deployment.Zones {
+			in := &Instance{
+				ID:   ident.InstanceID(fmt.Sprintf("%s-entry-%d", zone, n+1)),
+				Zone: zone,
+			}
+			for _, address := range []*string{&in.Callers, &in.Peer, &in.Feed, &in.Operator, &in.AgentPeer} {
+				next, err := f.ports.Next()
+				if err != nil {
+					return err
+				}
+				*address = next
+			}
+			f.Instances = append(f.Instances, in)
+		}
+	}
+	f.ports.Release()
+	return nil
+}
+
+// StartInstance starts, or restarts, an instance's processes.
+func (f *Fleet) StartInstance(in *Instance) error {
+	if err := f.StartEntry(in); err != nil {
+		return err
+	}
+	if f.options.Static {
+		return nil
+	}
+	return f.StartAgent(in)
+}
+
+// StartEntry starts, or restarts, an instance's entry.
+func (f *Fleet) StartEntry(in *Instance) error {
+	path, err := f.write(string(in.ID)+".yaml", f.entrySettings(in))
+	if err != nil {
+		return err
+	}
+	in.Entry, err = start(string(in.ID), in.Callers, f.logDir, f.programs.Entry, "--settings", path)
+	return err
+}
+
+// write puts a settings file into the fleet's folder.
+func (f *Fleet) write(name, text string) (string, error) {
+	path := filepath.Join(f.dir, name)
+	return path, os.WriteFile(path, []byte(text), 0o600)
+}
+
+// WaitReady waits until an instance's entry takes requests.
+func (f *Fleet) WaitReady(ctx context.Context, in *Instance) error {
+	return f.waitHTTP(ctx, in.Entry, "http://"+in.Callers+"/readyz")
+}
+
+// NotReadyError reports a process that did not become ready in time.
+type NotReadyError struct {
+	Name   string
+	Output string
+}
+
+// Error implements error.
+func (e *NotReadyError) Error() string {
+	return fmt.Sprintf("%s did not become ready:\n%s", e.Name, e.Output)
+}
+
+// pollInterval is how often a condition is looked at.
+const pollInterval = 20 * time.Millisecond
+
+func (f *Fleet) waitHTTP(ctx context.Context, p *Process, url string) error {
+	ctx, cancel := context.WithTimeout(ctx, StartTimeout)
+	defer cancel()
+	for {
+		if statusOK(ctx, url) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return &NotReadyError{Name: p.Name, Output: p.Output()}
+		case <-time.After(pollInterval):
+		}
+		if !p.Running() {
+			return &NotReadyError{Name: p.Name, Output: p.Output()}
+		}
+	}
+}
+
+func statusOK(ctx context.Context, url string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// JudgeAddresses lists the upstream stand-ins, which know what really ran.
+func (f *Fleet) JudgeAddresses() []string {
+	var list []string
+	for _, u := range f.Deployment.Content.Upstreams {
+		list = append(list, f.Addresses[u.ID])
+	}
+	return list
+}
+
+// CallerAddresses lists where the instances take callers' requests.
+func (f *Fleet) CallerAddresses() []string {
+	var list []string
+	for _, in := range f.Instances {
+		list = append(list, in.Callers)
+	}
+	return list
+}
+
+// Close ends every process of the fleet.
+func (f *Fleet) Close() {
+	for _, p := range f.processes() {
+		_ = p.Kill()
+	}
+}
+
+func (f *Fleet) processes() []*Process {
+	var list []*Process
+	for _, in := range f.Instances {
+		if in.Entry != nil {
+			list = append(list, in.Entry)
+		}
+		if in.Agent != nil {
+			list = append(list, in.Agent)
+		}
+	}
+	for _, u := range f.Deployment.Content.Upstreams {
+		if p := f.Upstreams[u.ID]; p != nil {
+			list = append(list, p)
+		}
+	}
+	if f.Platform != nil {
+		list = append(list, f.Platform)
+	}
+	return list
+}
--- /dev/null
+++ b/testbed/process.go
@@ -0,0 +1,197 @@
+// Package testbed starts wardspool's programs and the stand-ins as separate
+// processes on loopback, and kills, freezes and stops them. It is bench tooling
+// for `make demo` and the end-to-end tests; no program of the system uses it.
+package testbed
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// ProcessError reports a process that could not be started or did not end as
+// it should.
+type ProcessError struct {
+	// Name is the process's name in the testbed.
+	Name string
+	// Op is "start", "signal" or "exit".
+	Op  string
+	Err error
+	// Output is the end of what the process wrote.
+	Output string
+}
+
+// Error implements error.
+func (e *ProcessError) Error() string {
+	return fmt.Sprintf("%s: %s: %v\n%s", e.Name, e.Op, e.Err, e.Output)
+}
+
+// Unwrap returns the cause.
+func (e *ProcessError) Unwrap() error { return e.Err }
+
+// Process is one running program.
+type Process struct {
+	// Name is unique in the testbed, for example "entry-hall-a-1".
+	Name string
+	// Address is where it serves its main protocol, "IP:port".
+	Address string
+
+	cmd    *exec.Cmd
+	output *tail
+	done   chan struct{}
+
+	mu     sync.Mutex
+	err    error
+	frozen bool
+}
+
+// start runs a program with its output kept in memory and in a log file.
+func start(name, address, logDir, program string, args ...string) (*Process, error) {
+	logFile, err := os.Create(filepath.Join(logDir, name+".log"))
+	if err != nil {
+		return nil, &ProcessError{Name: name, Op: "start", Err: err}
+	}
+	p := &Process{Name: name, Address: address, output: &tail{}, done: make(chan struct{})}
+	p.cmd = exec.Command(program, args...)
+	out := &tee{file: logFile, tail: p.output}
+	p.cmd.Stdout = out
+	p.cmd.Stderr = out
+	// The processes must not outlive a testbed that is killed.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.cmd.Start(); err != nil {
+		_ = logFile.Close()
+		return nil, &ProcessError{Name: name, Op: "start", Err: err}
+	}
+	go p.wait(logFile)
+	return p, nil
+}
+
+func (p *Process) wait(logFile *os.File) {
+	err := p.cmd.Wait()
+	p.mu.Lock()
+	p.err = err
+	p.mu.Unlock()
+	_ = logFile.Close()
+	close(p.done)
+}
+
+// PID returns the process ID.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Output returns the last lines that the process wrote.
+func (p *Process) Output() string { return p.output.String() }
+
+// Running reports whether the process has not ended.
+func (p *Process) Running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Kill ends the process without warning (SIGKILL) and waits for its end.
+func (p *Process) Kill() error {
+	if !p.Running() {
+		return nil
+	}
+	if err := p.signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	<-p.done
+	return nil
+}
+
+// Freeze stops the process from running (SIGSTOP) until Thaw.
+func (p *Process) Freeze() error {
+	p.mu.Lock()
+	p.frozen = true
+	p.mu.Unlock()
+	return p.signal(syscall.SIGSTOP)
+}
+
+// Thaw lets a frozen process run on (SIGCONT).
+func (p *Process) Thaw() error {
+	p.mu.Lock()
+	p.frozen = false
+	p.mu.Unlock()
+	return p.signal(syscall.SIGCONT)
+}
+
+// Terminate asks the process to shut down (SIGTERM).
+func (p *Process) Terminate() error { return p.signal(syscall.SIGTERM) }
+
+// WaitExit waits for the process to end and returns how it did: nil for exit
+// code 0. When it does not end in time, the error says so and it is killed.
+func (p *Process) WaitExit(limit time.Duration) error {
+	select {
+	case <-p.done:
+	case <-time.After(limit):
+		_ = p.Kill()
+		return &ProcessError{Name: p.Name, Op: "exit", Err: os.ErrDeadlineExceeded, Output: p.Output()}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.err != nil {
+		return &ProcessError{Name: p.Name, Op: "exit", Err: p.err, Output: p.Output()}
+	}
+	return nil
+}
+
+func (p *Process) signal(s syscall.Signal) error {
+	if err := p.cmd.Process.Signal(s); err != nil {
+		return &ProcessError{Name: p.Name, Op: "signal", Err: err}
+	}
+	return nil
+}
+
+// tailBytes is how much of a process's output is kept in memory.
+const tailBytes = 16 << 10
+
+// tail keeps the end of what is written to it.
+type tail struct {
+	mu  sync.Mutex
+	buf []byte
+}
+
+// Write implements io.Writer.
+func (t *tail) Write(b []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.buf = append(t.buf, b...)
+	if extra := len(t.buf) - tailBytes; extra > 0 {
+		t.buf = append(t.buf[:0], t.buf[extra:]...)
+	}
+	return len(b), nil
+}
+
+// String returns what is kept, from the first whole line on.
+func (t *tail) String() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.buf
+	if len(b) >= tailBytes {
+		if i := bytes.IndexByte(b, '\n'); i >= 0 {
+			b = b[i+1:]
+		}
+	}
+	return string(b)
+}
+
+// tee writes to a log file and to a tail.
+type tee struct {
+	file *os.File
+	tail *tail
+}
+
+// Write implements io.Writer.
+func (t *tee) Write(b []byte) (int, error) {
+	_, _ = t.tail.Write(b)
+	return t.file.Write(b)
+}
--- /dev/null
+++ b/testbed/settings.go
@@ -0,0 +1,49 @@
+package testbed
+
+import (
+	"context"
+	"encoding/base64"
+	"fmt"
+	"strings"
+)
+
+// ticketSecret is the secret that all instances of a testbed share.
+var ticketSecret = base64.StdEncoding.EncodeToString([]byte("wardspool testbed ticket secret, 32+ bytes"))
+
+// OperatorName is the identity that operators' tools use on a testbed.
+const OperatorName = "ops-1"
+
+// entrySettings writes an entry's settings file.
+func (f *Fleet) entrySettings(in *Instance) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "instance: %s\nzone: %s\nregion: %s\n", in.ID, in.Zone, f.Deployment.Region)
+	fmt.Fprintf(&b, "callers: {listen: %q}\n", in.Callers)
+	fmt.Fprintf(&b, "feed: {listen: %q}\n", in.Feed)
+	fmt.Fprintf(&b, "operators: {listen: %q, names: [%s]}\n", in.Operator, OperatorName)
+	fmt.Fprintf(&b, "stop: {grace: 500ms, timeout: 60s}\n")
+	fmt.Fprintf(&b, "tickets: {keys: [{id: k1, secret: %q}]}\n", ticketSecret)
+	fmt.Fprintf(&b, "peers:\n  listen: %q\n  known:\n", in.Peer)
+	for _, other := range f.Instances {
+		if other != in {
+			fmt.Fprintf(&b, "    - {instance: %s, address: %q}\n", other.ID, other.Peer)
+		}
+	}
+	if f.options.Static {
+		f.writeStatic(&b)
+	}
+	return b.String()
+}
+
+// writeStatic writes the settings that take the place of an agent.
+func (f *Fleet) writeStatic(b *strings.Builder) {
+	fmt.Fprintf(b, "static:\n  bundle: %q\n  upstreams:\n", f.Deployment.Source)
+	for _, u := range f.Deployment.Content.Upstreams {
+		fmt.Fprintf(b, "    - {id: %s, zone: %s, address: %q}\n", u.ID, f.Deployment.ZoneOf(u.ID), f.Addresses[u.ID])
+	}
+}
+
+// startPlatform starts the stand-in of the platform, where there is one.
+func (f *Fleet) startPlatform(context.Context) error { return nil }
+
+// StartAgent starts, or restarts, an instance's agent.
+func (f *Fleet) StartAgent(*Instance) error { return nil }
--- /dev/null
+++ b/testbed/upstreams.go
@@ -0,0 +1,104 @@
+package testbed
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+)
+
+// startUpstreams starts a stand-in for every upstream that the bundle declares.
+func (f *Fleet) startUpstreams() error {
+	for _, u := range f.Deployment.Content.Upstreams {
+		address, err := f.ports.Next()
+		if err != nil {
+			return err
+		}
+		f.Addresses[u.ID] = address
+	}
+	f.ports.Release()
+	for _, u := range f.Deployment.Content.Upstreams {
+		if err := f.StartUpstream(u.ID); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartUpstream starts, or restarts, the stand-in of one upstream.
+func (f *Fleet) StartUpstream(id ident.UpstreamID) error {
+	for _, u := range f.Deployment.Content.Upstreams {
+		if u.ID != id {
+			continue
+		}
+		args := f.engineArgs(u)
+		if u.Role == config.RoleService {
+			args = serviceArgs(u)
+		}
+		args = append(args, "--listen", f.Addresses[id], "--id", string(id))
+		p, err := start(string(id), f.Addresses[id], f.logDir, f.programs.Standin, args...)
+		if err != nil {
+			return err
+		}
+		f.Upstreams[id] = p
+	}
+	return nil
+}
+
+// serviceTime is how long a stand-in service takes for a call.
+const serviceTime = 20 * time.Millisecond
+
+func serviceArgs(u config.Upstream) []string {
+	return []string{"service", "--service", u.Service, "--delay", serviceTime.String()}
+}
+
+// engineArgs gives a stand-in engine the rates that the bundle declares.
+func (f *Fleet) engineArgs(u config.Upstream) []string {
+	args := []string{"engine", "--role", string(u.Role)}
+	for _, m := range u.Models {
+		args = append(args, "--model", m)
+		for _, decl := range f.Deployment.Content.Models {
+			if decl.Name != m {
+				continue
+			}
+			args = append(args,
+				"--piece-tokens", strconv.Itoa(decl.PieceTokens),
+				"--kv-bytes-per-token", strconv.FormatInt(decl.KVBytesPerToken, 10))
+		}
+	}
+	for _, a := range u.Adapters {
+		args = append(args, "--adapter", a)
+	}
+	if u.Version != "" {
+		args = append(args, "--weights", u.Version)
+	}
+	if u.ChecksFencing {
+		args = append(args, "--checks-fencing")
+	}
+	return append(args, rateArgs(u)...)
+}
+
+// rateArgs passes on the rates that are declared for the engine's role.
+func rateArgs(u config.Upstream) []string {
+	var args []string
+	if u.Slots > 0 {
+		args = append(args, "--slots", strconv.Itoa(u.Slots))
+	}
+	if u.Pieces > 0 {
+		args = append(args, "--pieces", strconv.Itoa(u.Pieces))
+	}
+	if u.PrefillTokensPerSecond > 0 {
+		args = append(args, "--prefill-tokens-per-second", strconv.FormatFloat(u.PrefillTokensPerSecond, 'f', -1, 64))
+	}
+	if u.LinkBytesPerSecond > 0 {
+		args = append(args, "--link-bytes-per-second", strconv.FormatFloat(u.LinkBytesPerSecond, 'f', -1, 64))
+	}
+	if u.DecodeStep > 0 {
+		args = append(args, "--decode-step", u.DecodeStep.String())
+	}
+	if u.DecodeStepPerRequest > 0 {
+		args = append(args, "--decode-step-per-request", u.DecodeStepPerRequest.String())
+	}
+	return args
+}
