Experiment: how full the engines are; a policy the kernel rejects is an error

Cause: tuning needs to see idle slots; a rejected policy (slots.dispatch, not linked) came out as a result with everything refused. Change: decode_busy and prefill_busy in the quick table and the spread CSV; Run returns *PolicyError.

--- a/cmd/wardspool-load/experiment.go
+++ b/cmd/wardspool-load/experiment.go
@@ -208,9 +208,11 @@
 	if !c.Quick {
 		return table.WriteText(os.Stdout)
 	}
-	table.Header = append(table.Header, "goodput_resent")
-	for i := range table.Rows {
-		table.Rows[i] = append(table.Rows[i], report.Fixed(list[i].GoodputResent.Mean, 4))
+	table.Header = append(table.Header, "goodput_resent", "decode_busy", "prefill_busy")
+	for i, s := range list {
+		for _, v := range []experiment.Spread{s.GoodputResent, s.DecodeBusy, s.PrefillBusy} {
+			table.Rows[i] = append(table.Rows[i], report.Fixed(v.Mean, 4))
+		}
 	}
 	return table.WriteText(os.Stdout)
 }
--- a/experiment/cell.go
+++ b/experiment/cell.go
@@ -45,6 +45,9 @@
 	// was computed again for a decode that was lost.
 	WastedCancelled, WastedEvicted, WastedKilled int
 	FirstOutputP95, PaceP95                      time.Duration
+	// DecodeBusy is the mean share of decode slots or memory in use, PrefillBusy
+	// that of prefill engines that compute, in the measured time.
+	DecodeBusy, PrefillBusy float64
 	// Sent counts submissions, retries included.
 	Sent         int
 	PeerMessages int
@@ -105,6 +108,8 @@
 		WastedEvicted:   w.judge.byCause[wasteEvicted],
 		WastedKilled:    w.judge.byCause[wasteKilled],
 		Sent:            w.callers.sent,
+		DecodeBusy:      w.judge.decodeBusy / float64(max(w.judge.samples, 1)),
+		PrefillBusy:     w.judge.prefillBusy / float64(max(w.judge.samples, 1)),
 		PeerMessages:    w.judge.peerMessages,
 		Broken:          w.judge.counts,
 		Violations:      w.judge.violations,
--- a/experiment/decode.go
+++ b/experiment/decode.go
@@ -183,4 +183,10 @@
 	}
 }
 
+// fill is the share of the slots or of the memory in use, whichever is more.
+func (e *decodeEngine) fill() float64 {
+	slots := float64(len(e.held)) / float64(e.params.Slots)
+	return max(slots, float64(e.piecesUsed)/float64(e.params.Pieces))
+}
+
 func (e *decodeEngine) heldAttempts() []*attempt { return append([]*attempt(nil), e.held...) }
--- a/experiment/fault.go
+++ b/experiment/fault.go
@@ -168,7 +168,7 @@
 	w.viewsChange()
 	w.clock.after(killLength, func() {
 		if err := w.start(inst); err != nil {
-			w.judge.violate(BadPolicy, "", err.Error())
+			w.judge.rejected = err
 		}
 		w.viewsChange()
 	})
--- a/experiment/instance.go
+++ b/experiment/instance.go
@@ -166,7 +166,7 @@
 	case kernel.SendPeer:
 		l.sendPeer(a)
 	case kernel.ConfigRejected:
-		l.w.judge.violate(BadPolicy, "", a.Err.Error())
+		l.w.judge.rejected = a.Err
 	}
 }
 
--- a/experiment/judge.go
+++ b/experiment/judge.go
@@ -28,8 +28,6 @@
 	BrokenStream ViolationKind = "broken_stream"
 	// Leaked: engine memory held for nobody.
 	Leaked ViolationKind = "leaked"
-	// BadPolicy: a policy that the kernel doesn't take.
-	BadPolicy ViolationKind = "bad_policy"
 )
 
 // Violation is one broken promise.
@@ -79,7 +77,13 @@
 	byCause      [wasteCauses]int
 	peerMessages int
 	leaked       map[*attempt]bool
-	trace        func(line string)
+	// samples counts looks at the engines in the measured time; decodeBusy and
+	// prefillBusy sum up their occupied shares.
+	samples                 int
+	decodeBusy, prefillBusy float64
+	// rejected is the kernel's refusal of the policy.
+	rejected error
+	trace    func(line string)
 }
 
 func (j *judge) start() {
@@ -135,6 +139,7 @@
 // checkLeaks looks for memory held for requests that are over.
 func (j *judge) checkLeaks() {
 	j.w.clock.after(leakCheckPeriod, j.checkLeaks)
+	j.sample()
 	settled := j.w.clock.now - leakGrace
 	if j.w.disturbedAt > settled {
 		return
@@ -150,6 +155,30 @@
 	}
 }
 
+// sample looks at how busy the engines are, in the measured time.
+func (j *judge) sample() {
+	now := j.w.clock.now
+	if now < j.w.cell.Warmup || now > j.w.cell.Warmup+j.w.cell.Duration {
+		return
+	}
+	var full, decodes, busy, prefills float64
+	for _, id := range j.w.order {
+		switch b := j.w.backends[id].(type) {
+		case *decodeEngine:
+			decodes++
+			full += b.fill()
+		case *prefillEngine:
+			prefills++
+			if b.current != nil {
+				busy++
+			}
+		}
+	}
+	j.samples++
+	j.decodeBusy += full / max(decodes, 1)
+	j.prefillBusy += busy / max(prefills, 1)
+}
+
 // reachable reports whether the attempt could have been released: by its owner
 // or, if that is dead, by others who can know it. Without the platform's list a
 // dead instance cannot be told from one that is cut off or paused.
--- a/experiment/summary.go
+++ b/experiment/summary.go
@@ -44,6 +44,8 @@
 	Waste                 Spread
 	FirstOutputP95Seconds Spread
 	PaceP95Seconds        Spread
+	// DecodeBusy and PrefillBusy are shares of slots and of engines in use.
+	DecodeBusy, PrefillBusy Spread
 	// Duplicates, Leaked and Violations are sums over the seeds.
 	Duplicates, Leaked, Violations int
 }
@@ -93,6 +95,8 @@
 	s.Waste.add(float64(r.PromptWasted) / math.Max(float64(r.PromptComputed), 1))
 	s.FirstOutputP95Seconds.add(r.FirstOutputP95.Seconds())
 	s.PaceP95Seconds.add(r.PaceP95.Seconds())
+	s.DecodeBusy.add(r.DecodeBusy)
+	s.PrefillBusy.add(r.PrefillBusy)
 	s.Duplicates += r.Duplicates()
 	s.Leaked += r.Leaks()
 	for _, n := range r.Broken {
@@ -140,7 +144,7 @@
 		"goodput_resent_share", "goodput_resent_share_min", "goodput_resent_share_max", "wasted_prefill_share_min", "wasted_prefill_share_max",
 		"refused_share_min", "refused_share_max", "unknown_share_min", "unknown_share_max",
 		"first_output_p95_ms_min", "first_output_p95_ms_max", "pace_p95_ms_min", "pace_p95_ms_max",
-		"violations")
+		"decode_busy", "prefill_busy", "violations")
 	for _, s := range list {
 		row := []string{s.Deployment, string(s.Policy), report.Fixed(s.Load, 1), string(s.Fault), strconv.Itoa(s.Seeds)}
 		shares := func(list ...float64) {
@@ -156,6 +160,7 @@
 		for _, v := range []Spread{s.FirstOutputP95Seconds, s.PaceP95Seconds} {
 			row = append(row, millis(v.Min), millis(v.Max))
 		}
+		shares(s.DecodeBusy.Mean, s.PrefillBusy.Mean)
 		if err := t.Add(append(row, strconv.Itoa(s.Violations))...); err != nil {
 			return nil, err
 		}
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -272,7 +272,8 @@
 	})
 }
 
-// run runs the whole cell. It returns a *FaultError if there is no such fault.
+// run runs the whole cell. It returns a *FaultError if there is no such fault,
+// and a *PolicyError if the kernel doesn't take the policy.
 func (w *world) run() error {
 	if err := w.scheduleFaults(); err != nil {
 		return err
@@ -285,6 +286,9 @@
 	}
 	w.clock.run(w.cell.Warmup + w.cell.Duration + drainTime)
 	w.judge.finish()
+	if w.judge.rejected != nil {
+		return &PolicyError{Name: w.cell.Policy, Err: w.judge.rejected}
+	}
 	return nil
 }
 
