Add orders: placement orders derived from the bundle

Cause: some engines ignore fencing numbers, instances pause and wake up with old views, and nothing can be written to agree on who orders what.

Change: a pure planner for agents. One instance for each engine; the fence is the bundle version; engines that ignore it are ordered only while a majority of the zone confirms the version, nobody has spoken of a newer one and there was no pause; all are read back and corrected.

Ruled out: the platform as a confirmation beside peers, since it may be stale.

--- /dev/null
+++ b/orders/fake_test.go
@@ -0,0 +1,206 @@
+package orders
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+var testStart = time.UnixMilli(1764684000000)
+
+// loadTime is how long a fake engine takes to carry out an order.
+const loadTime = 10 * time.Second
+
+// fakeEngine carries out orders as an engine that checks fencing numbers or one
+// that ignores them.
+type fakeEngine struct {
+	state   Observation
+	checks  bool
+	until   time.Time
+	changed int
+}
+
+// take carries an order out, or returns the fence by which it is refused.
+func (e *fakeEngine) take(now time.Time, o Order) (refused uint64) {
+	if e.checks && o.Fence < e.state.Highest {
+		return e.state.Highest
+	}
+	if e.checks {
+		e.state.Highest = max(e.state.Highest, o.Fence)
+	}
+	target := e.state.Placement
+	if e.state.Loading != nil {
+		target = *e.state.Loading
+	}
+	if !target.Equal(o.Placement) {
+		e.state.Loading, e.until = &o.Placement, now.Add(loadTime)
+		e.changed++
+	}
+	return 0
+}
+
+// step puts a loaded placement in force.
+func (e *fakeEngine) step(now time.Time) {
+	if e.state.Loading != nil && !now.Before(e.until) {
+		e.state.Placement, e.state.Loading = *e.state.Loading, nil
+	}
+}
+
+// agent is one instance's planner with its own bundle version.
+type agent struct {
+	self    kernel.Self
+	planner *Planner
+	version uint64
+	paused  bool
+	cut     bool
+	// unsent is an order that a pause caught on its way out.
+	unsent *Order
+}
+
+// zone simulates the agents and engines of one availability zone.
+type zone struct {
+	now     time.Time
+	view    *kernel.View
+	agents  []*agent
+	engines map[ident.UpstreamID]*fakeEngine
+	records []Record
+	hints   int
+	// loadingMost is the most engines that loaded at once.
+	loadingMost int
+}
+
+func engineID(i int) ident.UpstreamID { return ident.UpstreamID(fmt.Sprintf("d%d", i)) }
+
+// bundleOf wants the model of that version on all engines, of which those with
+// odd numbers ignore fences if mixed.
+func bundleOf(version uint64, engines int, checks func(i int) bool) *config.Content {
+	c := &config.Content{}
+	for i := range engines {
+		c.Upstreams = append(c.Upstreams, config.Upstream{
+			ID: engineID(i), Role: config.RoleDecode, Models: []string{fmt.Sprint("model-", version)}, Version: "1",
+			ChecksFencing: checks(i),
+		})
+	}
+	return c
+}
+
+func newZone(agents, engines int, checks func(i int) bool) *zone {
+	z := &zone{now: testStart, view: &kernel.View{Trusted: true}, engines: map[ident.UpstreamID]*fakeEngine{}}
+	for i := range engines {
+		e := &fakeEngine{checks: checks(i), state: Observation{Incarnation: 1, Placement: modelOf(0)}}
+		z.engines[engineID(i)] = e
+		z.view.Upstreams = append(z.view.Upstreams, kernel.Upstream{ID: engineID(i), Zone: "hall-a", Life: kernel.Live})
+	}
+	for i := range agents {
+		id := ident.InstanceID(fmt.Sprintf("n%d", i))
+		z.view.Instances = append(z.view.Instances, kernel.Instance{ID: id, Zone: "hall-a", Life: kernel.Live})
+		z.agents = append(z.agents, &agent{
+			self: kernel.Self{Instance: id, Zone: "hall-a"}, planner: NewPlanner(DefaultSettings()),
+		})
+	}
+	for _, a := range z.agents {
+		a.planner.SetView(z.now, a.self, z.view)
+	}
+	return z
+}
+
+func modelOf(version uint64) Placement {
+	return NewPlacement(config.RoleDecode, []string{fmt.Sprint("model-", version)}, nil, "1")
+}
+
+// adopt puts a bundle version in force at an agent.
+func (z *zone) adopt(a *agent, version uint64) {
+	a.version = max(a.version, version)
+	checks := func(i int) bool { return z.engines[engineID(i)].checks }
+	a.planner.SetBundle(z.now, a.version, bundleOf(a.version, len(z.engines), checks))
+}
+
+// run lets time pass, with gossip and planning every second.
+func (z *zone) run(d time.Duration) {
+	for end := z.now.Add(d); z.now.Before(end); z.now = z.now.Add(time.Second) {
+		loading := 0
+		for _, e := range z.engines {
+			e.step(z.now)
+			if e.state.Loading != nil {
+				loading++
+			}
+		}
+		z.loadingMost = max(z.loadingMost, loading)
+		for _, a := range z.agents {
+			z.gossip(a)
+			z.act(a)
+		}
+	}
+}
+
+// gossip tells an agent what its peers have in force.
+func (z *zone) gossip(a *agent) {
+	for _, b := range z.agents {
+		if a != b && !a.paused && !b.paused && !a.cut && !b.cut {
+			a.planner.PeerInForce(z.now, b.self.Instance, b.version)
+		}
+	}
+}
+
+// act carries an agent's plan out.
+func (z *zone) act(a *agent) {
+	if a.paused {
+		return
+	}
+	for _, id := range a.planner.Tick(z.now) {
+		d := a.planner.Observe(z.now, id, z.engines[id].state)
+		z.note(d)
+		if d.Order != nil {
+			z.send(a, *d.Order)
+		}
+	}
+}
+
+func (z *zone) note(d Decision) {
+	if d.Record != nil {
+		z.records = append(z.records, *d.Record)
+	}
+	if d.Hint != nil {
+		z.hints++
+	}
+}
+
+func (z *zone) send(a *agent, o Order) {
+	if refused := z.engines[o.Upstream].take(z.now, o); refused > 0 {
+		z.note(a.planner.Refused(z.now, o.Upstream, refused))
+	}
+}
+
+// wake ends an agent's pause. An order that was on its way out goes out now.
+func (z *zone) wake(a *agent) {
+	a.paused = false
+	if a.unsent != nil {
+		z.send(a, *a.unsent)
+		a.unsent = nil
+	}
+	a.planner.Paused(z.now)
+}
+
+// count returns how many records have the step and reason.
+func (z *zone) count(s Step, r Reason) int {
+	n := 0
+	for _, rec := range z.records {
+		if rec.Step == s && rec.Reason == r {
+			n++
+		}
+	}
+	return n
+}
+
+// orderer returns the agent that orders the zone's first engine.
+func (z *zone) orderer() *agent {
+	for _, a := range z.agents {
+		if a.planner.ranks.Rank(&z.view.Upstreams[0]) == 0 {
+			return a
+		}
+	}
+	panic("nobody orders the engine")
+}
--- /dev/null
+++ b/orders/planner.go
@@ -0,0 +1,180 @@
+package orders
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/assign"
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+// Planner decides for one instance which engines to read and what to order. It
+// must be used from one goroutine at a time.
+type Planner struct {
+	settings Settings
+	self     kernel.Self
+	view     *kernel.View
+	version  uint64
+	specs    map[ident.UpstreamID]*config.Upstream
+	drain    time.Duration
+	currency currency
+	ranks    *assign.Table
+	engines  map[ident.UpstreamID]*engine
+	// turns lists the engines of each zone in the order in which they load.
+	turns map[ident.Zone][]ident.UpstreamID
+	// settled are the engines seen to run what this version wants.
+	settled map[ident.UpstreamID]bool
+}
+
+// NewPlanner returns a planner that knows no bundle and orders nothing.
+func NewPlanner(s Settings) *Planner {
+	p := &Planner{
+		settings: s,
+		view:     &kernel.View{},
+		currency: currency{within: s.Confirm},
+		ranks:    assign.NewTable(1, false),
+		engines:  make(map[ident.UpstreamID]*engine),
+		settled:  make(map[ident.UpstreamID]bool),
+	}
+	p.currency.forget()
+	return p
+}
+
+// SetBundle takes in the bundle in force. Older versions are ignored.
+func (p *Planner) SetBundle(now time.Time, version uint64, c *config.Content) {
+	if version <= p.version {
+		return
+	}
+	p.version, p.currency.version = version, version
+	p.specs = make(map[ident.UpstreamID]*config.Upstream, len(c.Upstreams))
+	for i := range c.Upstreams {
+		p.specs[c.Upstreams[i].ID] = &c.Upstreams[i]
+	}
+	p.drain = longestDeadline(c) + p.settings.DrainMargin
+	clear(p.settled)
+	clear(p.engines)
+	p.assign(now)
+}
+
+// longestDeadline returns the longest time that a caller waits by default.
+func longestDeadline(c *config.Content) time.Duration {
+	longest := api.DefaultDeadline
+	for i := range c.Kinds {
+		longest = max(longest, c.Kinds[i].Deadline)
+	}
+	return longest
+}
+
+// SetView replaces the view.
+func (p *Planner) SetView(now time.Time, self kernel.Self, v *kernel.View) {
+	p.self, p.view = self, v
+	p.currency.others = nil
+	for i := range v.Instances {
+		in := &v.Instances[i]
+		if in.Zone == self.Zone && in.ID != self.Instance && in.Life != kernel.Dead {
+			p.currency.others = append(p.currency.others, in.ID)
+		}
+	}
+	p.assign(now)
+}
+
+// PeerInForce reports the bundle version that a peer said at the given time to
+// be in force there.
+func (p *Planner) PeerInForce(at time.Time, id ident.InstanceID, version uint64) {
+	p.currency.peer(id, claim{version: version, at: at})
+}
+
+// PlatformHead reports the bundle version that the platform gave at the given
+// time as the newest one that is rolled out here.
+func (p *Planner) PlatformHead(at time.Time, version uint64) {
+	p.currency.fromPlatform(claim{version: version, at: at})
+}
+
+// Paused reports that the process did not run for a while. What was confirmed
+// and read before counts no more.
+func (p *Planner) Paused(now time.Time) {
+	p.currency.forget()
+	clear(p.settled)
+	for _, g := range p.engines {
+		g.readBy(now)
+	}
+}
+
+// assign takes on the engines that this instance orders now and drops others.
+func (p *Planner) assign(now time.Time) {
+	p.ranks.Update(p.self, p.view)
+	p.turns = make(map[ident.Zone][]ident.UpstreamID)
+	mine := make(map[ident.UpstreamID]*engine)
+	for i := range p.view.Upstreams {
+		u := &p.view.Upstreams[i]
+		spec := p.specs[u.ID]
+		if !orderable(u, spec) {
+			continue
+		}
+		p.turns[u.Zone] = append(p.turns[u.Zone], u.ID)
+		if p.ranks.Rank(u) == 0 {
+			mine[u.ID] = p.take(now, u, spec)
+		}
+	}
+	for _, ids := range p.turns {
+		slices.Sort(ids)
+	}
+	p.engines = mine
+}
+
+// orderable reports whether the upstream is an engine that can be given orders:
+// one that the bundle names and that is there to stay.
+func orderable(u *kernel.Upstream, spec *config.Upstream) bool {
+	return spec != nil && spec.Role != config.RoleService && u.Life <= kernel.Suspect
+}
+
+// take returns what is known of an engine that this instance orders.
+func (p *Planner) take(now time.Time, u *kernel.Upstream, spec *config.Upstream) *engine {
+	if g := p.engines[u.ID]; g != nil {
+		return g
+	}
+	g := &engine{id: u.ID, zone: u.Zone, want: Desired(spec), checks: spec.ChecksFencing}
+	g.reset(now, p.settings.Recheck)
+	return g
+}
+
+// Tick returns the engines whose state is to be read now. Report each to Observe;
+// failures need no report. Call it when NextWake says.
+func (p *Planner) Tick(now time.Time) []ident.UpstreamID {
+	var reads []ident.UpstreamID
+	for _, g := range p.engines {
+		if now.Before(g.nextRead) {
+			continue
+		}
+		g.nextRead = now.Add(p.interval(g))
+		reads = append(reads, g.id)
+		if g.waitsFor != "" {
+			reads = append(reads, g.waitsFor)
+		}
+	}
+	slices.SortFunc(reads, cmp.Compare[ident.UpstreamID])
+	return slices.Compact(reads)
+}
+
+// interval returns the time between reads of the engine.
+func (p *Planner) interval(g *engine) time.Duration {
+	if g.step == StepInForce || g.reason == ReasonOldBundle {
+		return p.settings.Steady
+	}
+	return p.settings.Recheck
+}
+
+// NextWake returns when Tick has something to do, false if it never has.
+func (p *Planner) NextWake() (time.Time, bool) {
+	var first time.Time
+	for _, g := range p.engines {
+		if first.IsZero() || g.nextRead.Before(first) {
+			first = g.nextRead
+		}
+	}
+	return first, len(p.engines) > 0
+}
--- /dev/null
+++ b/orders/planner_test.go
@@ -0,0 +1,392 @@
+package orders
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+// TestMain makes the random tests the same on every run; flags of the command
+// line still prevail.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{
+		"rapid.seed": "1", "rapid.checks": "200", "rapid.steps": "60",
+	} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func checking(int) bool { return true }
+func ignoring(int) bool { return false }
+func mixed(i int) bool  { return i%2 == 0 }
+func (z *zone) all(v uint64) {
+	for _, a := range z.agents {
+		z.adopt(a, v)
+	}
+}
+
+// others lets all but one agent take that one as unreachable and adopt a bundle.
+func (z *zone) others(a *agent, version uint64) {
+	without := *z.view
+	without.Instances = slices.Clone(z.view.Instances)
+	for i, b := range z.agents {
+		if b == a {
+			without.Instances[i].Life = kernel.Unreachable
+		}
+	}
+	for _, b := range z.agents {
+		if b != a {
+			b.planner.SetView(z.now, b.self, &without)
+			z.adopt(b, version)
+		}
+	}
+}
+
+func checkAll(t assert.TestingT, z *zone, version uint64) {
+	for id, e := range z.engines {
+		assert.Assert(t, e.state.Loading == nil && e.state.Placement.Equal(modelOf(version)), "%s: %+v", id, e.state)
+	}
+}
+
+func TestBundleIsCarriedOutAFewAtATime(t *testing.T) {
+	z := newZone(3, 10, mixed)
+	z.all(1)
+	z.run(2 * time.Minute)
+	checkAll(t, z, 1)
+	assert.Equal(t, z.loadingMost, DefaultSettings().Loads)
+	for id, e := range z.engines {
+		assert.Equal(t, e.changed, 1, string(id))
+	}
+	assert.Equal(t, z.count(StepOrdered, ReasonBundle), 10)
+	assert.Equal(t, z.count(StepInForce, ReasonMatches), 10)
+	before := len(z.records)
+	z.run(10 * time.Minute)
+	assert.Equal(t, len(z.records), before, "nothing is logged while nothing happens")
+}
+
+func TestOldBundleIsRefusedByTheFence(t *testing.T) {
+	z := newZone(2, 1, checking)
+	a := z.orderer()
+	z.adopt(a, 1)
+	z.engines["d0"].state.Highest = 2
+	z.engines["d0"].state.Placement = modelOf(2)
+	z.run(time.Minute)
+	assert.Equal(t, z.count(StepHeld, ReasonOldBundle), 1)
+	assert.Assert(t, z.hints > 0)
+	assert.Equal(t, z.engines["d0"].changed, 0)
+	// The newer order came between the read and the order.
+	d := a.planner.Refused(z.now, "d0", 3)
+	assert.DeepEqual(t, *d.Hint, FloorHint{Upstream: "d0", Version: 3})
+	assert.Equal(t, d.Record.Step, StepRefused)
+	z.adopt(a, 3)
+	z.run(time.Minute)
+	checkAll(t, z, 3)
+}
+
+func TestOldBundleIsNotOrderedWhereFencesAreIgnored(t *testing.T) {
+	z := newZone(3, 1, ignoring)
+	a := z.orderer()
+	z.all(1)
+	for _, b := range z.agents {
+		if b != a {
+			z.adopt(b, 2)
+		}
+	}
+	z.run(time.Minute)
+	checkAll(t, z, 0)
+	assert.Equal(t, z.count(StepHeld, ReasonUnconfirmed), 1)
+	z.adopt(a, 2)
+	z.run(time.Minute)
+	checkAll(t, z, 2)
+}
+
+// TestPausedInstanceWakes lets a pause catch an order on its way out. It is sent
+// after a newer bundle was carried out.
+func TestPausedInstanceWakes(t *testing.T) {
+	for name, checks := range map[string]func(int) bool{"checking": checking, "ignoring": ignoring} {
+		t.Run(name, func(t *testing.T) {
+			z := newZone(3, 1, checks)
+			z.all(1)
+			z.run(time.Second)
+			a, order := z.orderer(), Order{Upstream: "d0", Fence: 1, Placement: modelOf(1)}
+			a.paused, a.unsent = true, &order
+			z.others(a, 2)
+			z.run(time.Minute)
+			checkAll(t, z, 2)
+			z.wake(a)
+			z.run(2 * time.Minute)
+			checkAll(t, z, 2)
+			if checks(0) {
+				assert.Assert(t, z.hints > 0)
+			} else {
+				assert.Equal(t, z.count(StepOrdered, ReasonCorrected), 1)
+			}
+		})
+	}
+}
+
+func TestInstanceThatIsCutOffLeavesTheOthersAlone(t *testing.T) {
+	z := newZone(3, 1, ignoring)
+	z.all(1)
+	z.run(time.Minute)
+	a := z.orderer()
+	a.cut = true
+	z.others(a, 2)
+	z.run(time.Minute)
+	checkAll(t, z, 2)
+	assert.Equal(t, z.engines["d0"].changed, 2)
+	assert.Equal(t, z.count(StepHeld, ReasonUnconfirmed), 1)
+	a.cut = false
+	z.adopt(a, 2)
+	z.run(time.Minute)
+	checkAll(t, z, 2)
+	assert.Equal(t, z.engines["d0"].changed, 2)
+}
+
+func TestObserve(t *testing.T) {
+	old := modelOf(0)
+	for name, c := range map[string]struct {
+		seen  Observation
+		order bool
+	}{
+		"another model":                    {Observation{Placement: old}, true},
+		"as wanted":                        {Observation{Placement: modelOf(1)}, false},
+		"as wanted, loading something old": {Observation{Placement: modelOf(1), Loading: &old}, true},
+		"as wanted, newer fence":           {Observation{Placement: modelOf(1), Highest: 2}, false},
+		"another model, newer fence":       {Observation{Placement: old, Highest: 2}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			z := newZone(1, 2, mixed)
+			z.all(1)
+			p := z.agents[0].planner
+			p.PlatformHead(z.now, 1)
+			assert.Equal(t, p.Observe(z.now, "d0", c.seen).Order != nil, c.order)
+			// What one engine has heard of holds for those that keep no fence.
+			other := p.Observe(z.now, "d1", Observation{Placement: old})
+			assert.Equal(t, other.Order != nil, c.seen.Highest == 0)
+		})
+	}
+}
+
+func TestOrdersExpireWhereFencesAreIgnored(t *testing.T) {
+	z := newZone(2, 1, ignoring)
+	z.all(1)
+	a := z.orderer()
+	z.gossip(a)
+	d := a.planner.Observe(z.now.Add(3*time.Second), "d0", z.engines["d0"].state)
+	assert.Equal(t, d.Order.NotAfter, z.now.Add(5*time.Second))
+	d = a.planner.Observe(z.now.Add(5*time.Second), "d0", z.engines["d0"].state)
+	assert.Assert(t, d.Order == nil)
+	z.gossip(a)
+	a.planner.Paused(z.now)
+	d = a.planner.Observe(z.now, "d0", z.engines["d0"].state)
+	assert.Assert(t, d.Order == nil, "what was confirmed before a pause counts no more")
+}
+
+func TestConfirmation(t *testing.T) {
+	for name, c := range map[string]struct {
+		lives    []kernel.Life
+		said     []uint64
+		platform uint64
+		want     bool
+	}{
+		"all say so":                   {[]kernel.Life{kernel.Live, kernel.Live}, []uint64{7, 7}, 0, true},
+		"most say so":                  {[]kernel.Life{kernel.Live, kernel.Live}, []uint64{7, 0}, 0, true},
+		"half say so":                  {[]kernel.Life{kernel.Live, kernel.Live, kernel.Live}, []uint64{7, 0, 0}, 0, false},
+		"one knows better":             {[]kernel.Life{kernel.Live, kernel.Live}, []uint64{7, 8}, 0, false},
+		"cut off from the only peer":   {[]kernel.Life{kernel.Unreachable}, []uint64{0}, 7, false},
+		"the only peer is dead":        {[]kernel.Life{kernel.Dead}, []uint64{0}, 7, true},
+		"alone":                        {nil, nil, 7, true},
+		"alone, platform is behind":    {nil, nil, 6, false},
+		"alone, platform knows better": {nil, nil, 8, false},
+		"alone, platform is down":      {nil, nil, 0, false},
+		"platform alone does not do":   {[]kernel.Life{kernel.Live, kernel.Live}, []uint64{0, 0}, 7, false},
+		"platform knows better":        {[]kernel.Life{kernel.Live}, []uint64{7}, 8, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := NewPlanner(DefaultSettings())
+			v := &kernel.View{Instances: []kernel.Instance{{ID: "far", Zone: "hall-b", Life: kernel.Live}}}
+			for i, l := range c.lives {
+				id := ident.InstanceID(fmt.Sprint("n", i))
+				v.Instances = append(v.Instances, kernel.Instance{ID: id, Zone: "hall-a", Life: l})
+				p.PeerInForce(testStart, id, c.said[i])
+			}
+			p.SetView(testStart, kernel.Self{Instance: "self", Zone: "hall-a"}, v)
+			p.SetBundle(testStart, 7, &config.Content{})
+			p.PlatformHead(testStart, c.platform)
+			_, ok := p.currency.confirmed(testStart.Add(4 * time.Second))
+			assert.Equal(t, ok, c.want)
+			_, ok = p.currency.confirmed(testStart.Add(5 * time.Second))
+			assert.Assert(t, !ok, "what was said counts for a while only")
+		})
+	}
+}
+
+func TestViewMustBeTrustedWhereFencesAreIgnored(t *testing.T) {
+	z := newZone(2, 2, mixed)
+	z.view.Trusted = false
+	z.all(1)
+	z.run(time.Minute)
+	assert.DeepEqual(t, z.engines["d0"].state.Placement, modelOf(1))
+	assert.DeepEqual(t, z.engines["d1"].state.Placement, modelOf(0))
+	assert.Equal(t, z.count(StepHeld, ReasonView), 1)
+}
+
+func TestRoleChangeWaitsForWorkThatRuns(t *testing.T) {
+	z := newZone(1, 1, checking)
+	e := z.engines["d0"]
+	e.state.Placement.Role, e.state.Running = config.RolePrefill, 3
+	z.all(1)
+	z.run(20 * time.Second)
+	assert.Equal(t, e.changed, 0)
+	assert.Equal(t, z.count(StepHeld, ReasonDraining), 1)
+	e.state.Running = 0
+	z.run(5 * time.Second)
+	assert.Equal(t, e.changed, 1)
+	// Work of instances that are behind may never end.
+	z.run(time.Minute)
+	e.state.Placement.Role, e.state.Running = config.RolePrefill, 3
+	z.run(50 * time.Second)
+	assert.Equal(t, e.changed, 1)
+	z.run(30 * time.Second)
+	assert.Equal(t, e.changed, 2)
+}
+
+func TestEngineThatRestartedIsOrderedAgain(t *testing.T) {
+	z := newZone(1, 1, checking)
+	z.all(1)
+	z.run(time.Minute)
+	e := z.engines["d0"]
+	e.state = Observation{Incarnation: 2, Placement: modelOf(0)}
+	z.run(time.Minute)
+	checkAll(t, z, 1)
+	assert.Equal(t, z.count(StepOrdered, ReasonRestarted), 1)
+}
+
+func TestEngineThatDoesNotLoadHoldsOthersUpForALimitedTime(t *testing.T) {
+	z := newZone(1, 3, checking)
+	z.engines["d0"].until = testStart.Add(1000 * time.Hour)
+	z.engines["d0"].state.Loading = &Placement{}
+	stuck := modelOf(1)
+	z.engines["d0"].state.Loading = &stuck
+	z.all(1)
+	z.run(time.Minute)
+	assert.DeepEqual(t, z.engines["d2"].state.Placement, modelOf(0))
+	assert.Equal(t, z.count(StepHeld, ReasonTurn), 1)
+	z.run(5 * time.Minute)
+	assert.DeepEqual(t, z.engines["d2"].state.Placement, modelOf(1))
+}
+
+func TestOrdersAreRepeatedEverMoreRarely(t *testing.T) {
+	z := newZone(1, 1, checking)
+	z.all(1)
+	p := z.agents[0].planner
+	var given []time.Duration
+	for after := time.Duration(0); after < 2*time.Minute; after += time.Second {
+		now := z.now.Add(after)
+		for _, id := range p.Tick(now) {
+			if d := p.Observe(now, id, z.engines[id].state); d.Order != nil { // and it is lost
+				given = append(given, after/time.Second)
+			}
+		}
+	}
+	assert.DeepEqual(t, given, []time.Duration{0, 2, 6, 14, 30, 60, 90})
+}
+
+func TestWhatIsNotOrdered(t *testing.T) {
+	z := newZone(1, 4, checking)
+	z.view.Upstreams[0].Life = kernel.Leaving
+	z.view.Upstreams[1].Life = kernel.Unreachable
+	z.view.Upstreams[2].Zone = "hall-b" // nobody is there
+	z.all(1)
+	z.agents[0].planner.SetView(z.now, z.agents[0].self, z.view)
+	assert.DeepEqual(t, z.agents[0].planner.Tick(z.now), []ident.UpstreamID{"d3"})
+	p := z.agents[0].planner
+	service := bundleOf(2, 4, checking)
+	service.Upstreams[3].Role = config.RoleService
+	p.SetBundle(z.now, 2, service)
+	assert.Equal(t, len(p.Tick(z.now)), 0)
+	p.SetBundle(z.now, 1, bundleOf(1, 4, checking))
+	assert.Equal(t, len(p.Tick(z.now)), 0, "an older version is ignored")
+}
+
+// TestAnyInstanceGivesTheSameOrder compares the orders of all instances.
+func TestAnyInstanceGivesTheSameOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := rapid.SliceOf(rapid.SampledFrom([]string{"a", "b", "c"}))
+		spec := config.Upstream{
+			ID: "d0", Role: config.RoleDecode, ChecksFencing: true,
+			Models: names.Draw(t, "models"), Adapters: names.Draw(t, "adapters"),
+		}
+		permuted := spec
+		permuted.Models = rapid.Permutation(spec.Models).Draw(t, "order")
+		var given []Order
+		for i, s := range []config.Upstream{spec, permuted} {
+			z := newZone(1, 1, checking)
+			z.agents[0].self.Instance = ident.InstanceID(fmt.Sprint("x", i))
+			p := z.agents[0].planner
+			p.SetView(z.now, z.agents[0].self, &kernel.View{Upstreams: z.view.Upstreams})
+			p.SetBundle(z.now, 5, &config.Content{Upstreams: []config.Upstream{s}})
+			given = append(given, *p.Observe(z.now, "d0", Observation{}).Order)
+		}
+		assert.DeepEqual(t, given[0], given[1])
+		assert.Equal(t, given[0].Fence, uint64(5))
+	})
+}
+
+// TestZone plays random histories of instances with different bundles that pause
+// and are cut off. A checking engine never goes back; in the end all engines run
+// what the newest bundle wants.
+func TestZone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		z := newZone(3, 4, mixed)
+		newest := uint64(1)
+		z.all(1)
+		some := func() *agent { return z.agents[rapid.IntRange(0, 2).Draw(t, "agent")] }
+		t.Repeat(map[string]func(*rapid.T){
+			"publish": func(*rapid.T) { newest++; z.adopt(some(), newest) },
+			"adopt": func(*rapid.T) {
+				if a := some(); !a.paused {
+					z.adopt(a, newest)
+				}
+			},
+			"pause": func(*rapid.T) {
+				a, id := some(), engineID(rapid.IntRange(0, 3).Draw(t, "engine"))
+				if !a.paused && a.planner.engines[id] != nil {
+					a.unsent = &Order{Upstream: id, Fence: a.version, Placement: modelOf(a.version)}
+				}
+				a.paused = true
+			},
+			"wake": func(*rapid.T) { z.wake(some()) },
+			"cut":  func(*rapid.T) { a := some(); a.cut = !a.cut },
+			"run":  func(*rapid.T) { z.run(time.Duration(rapid.IntRange(1, 20).Draw(t, "s")) * time.Second) },
+			"": func(t *rapid.T) {
+				for id, e := range z.engines {
+					if l := e.state.Loading; e.checks && l != nil {
+						assert.Assert(t, l.Equal(modelOf(e.state.Highest)), "%s goes back", id)
+					}
+				}
+			},
+		})
+		for _, a := range z.agents {
+			a.cut = false
+			z.wake(a)
+			z.adopt(a, newest)
+		}
+		z.run(6 * time.Minute)
+		checkAll(t, z, newest)
+	})
+}
