--- /dev/null
+++ b/agent/bundles.go
@@ -0,0 +1,228 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/wardspool/wardspool/agent/engines"
+	"github.com/wardspool/wardspool/bundle"
+	"github.com/wardspool/wardspool/bundle/ledger"
+	"github.com/wardspool/wardspool/feed"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/platform"
+)
+
+// tickEvent tells the ledger that time passed.
+var tickEvent ledger.Event = ledger.Tick{}
+
+// Bounds of fetching.
+const (
+	// fetchTimeout bounds one fetch from a peer.
+	fetchTimeout = 5 * time.Second
+	// fetchParallel is how many parts are read from the platform at once.
+	fetchParallel = 4
+)
+
+// step gives the ledger an event and does what it asks for.
+func (a *Agent) step(e ledger.Event) {
+	for _, act := range a.ledger.Step(a.now, e) {
+		a.act(act)
+	}
+}
+
+// act does one thing that the ledger asks for.
+func (a *Agent) act(act ledger.Action) {
+	switch act := act.(type) {
+	case ledger.InForce:
+		a.inForce(act)
+	case ledger.Ready:
+		a.log.Info("ready", "bundle_version", act.InForce.Version, "unconfirmed", sourceNames(act.Unconfirmed))
+		a.feed.urgent = true
+	case ledger.AskFloor:
+		a.askFloor(act)
+	case ledger.FetchRoll:
+		a.fetchDocument(act.From, platform.KeyRoll)
+	case ledger.FetchHead:
+		a.fetchDocument(act.From, platform.KeyBundleHead)
+	case ledger.FetchParts:
+		a.fetchParts(act)
+	case ledger.Announce:
+		a.spreadNews()
+	case ledger.Refused:
+		a.counters.Refused++
+		a.log.Info("bundle document refused", "from", act.From.String(), "error", act.Err)
+	case ledger.Alarm:
+		a.log.Error("alarm", "type", string(act.Type), "text", act.String())
+	}
+}
+
+// sourceNames renders sources for a log line.
+func sourceNames(sources []ledger.Source) []string {
+	names := make([]string, len(sources))
+	for i, s := range sources {
+		names[i] = s.String()
+	}
+	return names
+}
+
+// inForce passes a bundle that came into force to the entry and the planners.
+func (a *Agent) inForce(act ledger.InForce) {
+	a.counters.BundlesInForce++
+	a.inForceAt = a.now
+	a.log.Info("bundle in force", "bundle_version", act.Ref.Version, "digest", act.Ref.Digest.Short(),
+		"before", act.From.Version)
+	a.feed.bundle = &feed.Bundle{Version: act.Ref.Version, Digest: act.Ref.Digest.String(), Content: act.Content}
+	a.feed.bundleSent = false
+	a.feed.urgent = true
+	a.orderPlanner.SetBundle(a.now, act.Ref.Version, act.Content)
+	a.takeSpecs(act.Content)
+	a.viewDirty = true
+}
+
+// updateRoster tells the ledger whom to ask for the floor: the platform, the
+// living peers of the zone, a few of each other zone, and, while it starts, the
+// zone's engines, some of which check fencing numbers.
+func (a *Agent) updateRoster() {
+	sources := []ledger.Source{fromPlatform}
+	others := map[ident.Zone]int{}
+	v := a.currentView()
+	for _, in := range v.Instances {
+		if !answersPeers(in) || a.book.instances[in.ID].agent == "" {
+			continue
+		}
+		if in.Zone != a.self.Zone {
+			if others[in.Zone]++; others[in.Zone] > remoteSources {
+				continue
+			}
+		}
+		sources = append(sources, peerSource(in.ID))
+	}
+	for _, u := range v.Upstreams {
+		if u.Zone == a.self.Zone && a.isEngine(u.ID) && u.Listed {
+			sources = append(sources, ledger.Source{Kind: ledger.SourceUpstream, Name: string(u.ID)})
+		}
+	}
+	a.step(ledger.Roster{Sources: sources})
+}
+
+// remoteSources is how many instances of each other zone are asked for the floor.
+const remoteSources = 3
+
+// peerSource names a peer to the ledger.
+func peerSource(id ident.InstanceID) ledger.Source {
+	return ledger.Source{Kind: ledger.SourcePeer, Name: string(id)}
+}
+
+// askFloor asks a source for the floor.
+func (a *Agent) askFloor(q ledger.AskFloor) {
+	switch q.From.Kind {
+	case ledger.SourcePlatform:
+		a.askPlatformFloor(q)
+	case ledger.SourceUpstream:
+		a.askFence(q)
+	case ledger.SourcePeer:
+		a.askPeerFloor(q)
+	}
+}
+
+// askPlatformFloor asks the platform for its roll. A platform that is stale does
+// not know the floor.
+func (a *Agent) askPlatformFloor(q ledger.AskFloor) {
+	begun := a.now
+	a.spawn(func(ctx context.Context) {
+		v, err := a.reader.Get(ctx, platform.KeyRoll)
+		var absent *platform.NotFoundError
+		a.post(func() {
+			switch {
+			case errors.As(err, &absent):
+				a.step(ledger.FloorReport{From: q.From, Round: q.Round})
+			case err != nil:
+				a.platformFailed(platform.KeyRoll, err)
+				a.step(ledger.Unreachable{From: q.From})
+			default:
+				a.platformValue(platform.KeyRoll, begun, v)
+				a.reportRoll(ledger.FloorReport{From: q.From, Round: q.Round}, v.Bytes)
+			}
+		})
+	})
+}
+
+// reportRoll gives the ledger a floor report with a roll in its encoded form.
+func (a *Agent) reportRoll(r ledger.FloorReport, b []byte) {
+	if len(b) > 0 {
+		roll, err := bundle.DecodeRoll(b)
+		if err != nil {
+			a.step(ledger.Unreachable{From: r.From})
+			return
+		}
+		r.Roll = roll
+	}
+	a.step(r)
+}
+
+// askFence asks an engine for the highest fencing number that it has seen.
+func (a *Agent) askFence(q ledger.AskFloor) {
+	address := a.book.upstreams[ident.UpstreamID(q.From.Name)].Address
+	a.spawn(func(ctx context.Context) {
+		s, err := a.engines.ReadOrders(ctx, address)
+		a.post(func() {
+			switch {
+			case err == nil && s.ChecksFencing:
+				a.step(ledger.FloorReport{From: q.From, Round: q.Round, Fence: s.Highest})
+			case engines.Answered(err):
+				a.step(ledger.FloorReport{From: q.From, Round: q.Round})
+			default:
+				a.step(ledger.Unreachable{From: q.From})
+			}
+		})
+	})
+}
+
+// fetchParts fetches parts from a peer or the platform.
+func (a *Agent) fetchParts(f ledger.FetchParts) {
+	if f.From.Kind == ledger.SourcePlatform {
+		a.readParts(f.Digests)
+		return
+	}
+	a.fetchPeerParts(f)
+}
+
+// readParts reads parts from the platform, some at a time. Each is taken in as
+// it comes.
+func (a *Agent) readParts(digests []bundle.Digest) {
+	a.spawn(func(ctx context.Context) {
+		var group sync.WaitGroup
+		slots := make(chan struct{}, fetchParallel)
+		for _, d := range digests {
+			slots <- struct{}{}
+			group.Go(func() {
+				defer func() { <-slots }()
+				a.readPart(ctx, d)
+			})
+		}
+		group.Wait()
+	})
+}
+
+// readPart reads one part from the platform.
+func (a *Agent) readPart(ctx context.Context, d bundle.Digest) {
+	v, err := a.reader.Get(ctx, platform.KeyBundleParts+d.String())
+	if err != nil {
+		a.post(func() { a.platformFailed(platform.KeyBundleParts+d.Short(), err) })
+		return
+	}
+	a.post(func() { a.takeParts(fromPlatform, []bundle.Part{{Digest: d, Bytes: v.Bytes}}) })
+}
+
+// takeParts gives the ledger parts and wakes the peers that wait for some.
+func (a *Agent) takeParts(from ledger.Source, parts []bundle.Part) {
+	a.counters.PartsFetched += uint64(len(parts))
+	before := a.ledger.Missing()
+	a.step(ledger.PartsSeen{From: from, Parts: parts})
+	if a.ledger.Missing() != before {
+		close(a.relay.changed)
+		a.relay.changed = make(chan struct{})
+	}
+}
--- /dev/null
+++ b/agent/feed.go
@@ -0,0 +1,205 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/wardspool/wardspool/feed"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/membership"
+	"github.com/wardspool/wardspool/peer"
+)
+
+// Bounds of feeding the entry.
+const (
+	// feedFrame is the largest frame to the entry: the content of the largest
+	// bundle, as JSON.
+	feedFrame = 32 << 20
+	// feedBackoff bounds the pause between attempts to reach the entry.
+	feedBackoff = 500 * time.Millisecond
+	feedTimeout = 2 * time.Second
+	// urgentGap is the least time between two updates.
+	urgentGap = 50 * time.Millisecond
+	// loadGap is the least time between two updates of which the second has only
+	// fresher load reports; loadGapPerUpstream is added for each upstream, since
+	// an update carries them all.
+	loadGap            = 200 * time.Millisecond
+	loadGapPerUpstream = 2 * time.Millisecond
+	// bundleRetry is after how long a bundle is sent again that the entry does
+	// not confirm.
+	bundleRetry = 3 * time.Second
+)
+
+// feedState is the loop's part of feeding the entry.
+type feedState struct {
+	busy   bool
+	sentAt time.Time
+	// urgent says that something changed that should not wait.
+	urgent bool
+	// version is that of the view last sent, and shape its fingerprint without
+	// ages and loads.
+	version uint64
+	shape   uint64
+	// resend says that the entry must be sent everything.
+	resend bool
+	// bundle is the one in force, nil if there is none.
+	bundle     *feed.Bundle
+	bundleSent bool
+	bundleAt   time.Time
+	// pause is the longest pause that the entry was not told of.
+	pause time.Duration
+	// reply is the entry's last answer; answers is false since a call failed.
+	reply   feed.Reply
+	answers bool
+	// gone says that the entry that answered last has ended.
+	gone bool
+	// lives translate upstreams' incarnations for the entry.
+	lives map[ident.UpstreamID]*fedLife
+}
+
+// feedEntry sends the entry an update when one is due.
+func (a *Agent) feedEntry() {
+	f := &a.feed
+	if f.busy || !a.updateDue() {
+		return
+	}
+	u := a.composeUpdate()
+	f.busy, f.sentAt, f.urgent = true, a.now, false
+	begun := a.now
+	a.counters.FeedUpdates++
+	a.spawn(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, feedTimeout)
+		defer cancel()
+		reply, err := peer.Call[feed.Reply](ctx, a.feedPool, a.settings.Entry.Feed, feed.MethodUpdate, u)
+		a.post(func() {
+			f.busy = false
+			if err != nil {
+				a.feedFailed(u, err)
+				return
+			}
+			a.feedAnswered(begun, u, reply)
+		})
+	})
+}
+
+// updateDue reports whether the entry is to be sent an update now.
+func (a *Agent) updateDue() bool {
+	f := &a.feed
+	since := a.now.Sub(f.sentAt)
+	if since < urgentGap || a.view == nil {
+		return false
+	}
+	gap := min(loadGap+loadGapPerUpstream*time.Duration(len(a.view.Upstreams)), a.settings.Entry.Interval)
+	switch {
+	case since >= a.settings.Entry.Interval:
+		return true
+	case !f.answers:
+		// Nobody waits; the interval is soon enough.
+		return false
+	case f.urgent, f.resend:
+		return true
+	default:
+		return a.view.Version != f.version && since >= gap
+	}
+}
+
+// composeUpdate returns what to send.
+func (a *Agent) composeUpdate() feed.Update {
+	f := &a.feed
+	u := feed.Update{
+		Agent: a.self.Instance, Incarnation: a.self.Incarnation,
+		View: a.feedView(), Ready: a.mayServe(), PauseMS: f.pause.Milliseconds(),
+	}
+	f.version, f.resend, f.pause = a.view.Version, false, 0
+	if f.bundle != nil && (!f.bundleSent || a.bundleLost()) {
+		u.Bundle = f.bundle
+		f.bundleSent, f.bundleAt = true, a.now
+	}
+	return u
+}
+
+// bundleLost reports whether the entry should have taken the bundle by now.
+func (a *Agent) bundleLost() bool {
+	f := &a.feed
+	return f.reply.BundleVersion < f.bundle.Version && a.now.Sub(f.bundleAt) >= bundleRetry
+}
+
+// feedAnswered takes in the entry's reply.
+func (a *Agent) feedAnswered(begun time.Time, u feed.Update, r feed.Reply) {
+	f := &a.feed
+	if r.Incarnation != f.reply.Incarnation {
+		a.log.Info("entry answers", "incarnation", uint64(r.Incarnation), "before", uint64(f.reply.Incarnation))
+		f.bundleSent = u.Bundle != nil
+		f.resend = true
+		clear(f.lives)
+	}
+	f.reply, f.answers, f.gone = r, true, false
+	a.machine.SetSelf(a.now, membership.SelfState{Incarnation: r.Incarnation, Leaving: r.Stopping})
+	for _, e := range r.Evidence {
+		a.takeEvidence(begun, e)
+	}
+	a.viewDirty = true
+	a.refreshView()
+}
+
+// feedFailed takes in a failed update: what it said is to be said again.
+func (a *Agent) feedFailed(u feed.Update, err error) {
+	f := &a.feed
+	a.counters.FeedFailures++
+	if f.answers {
+		a.log.Warn("entry does not answer", "error", err)
+	}
+	f.answers, f.resend = false, true
+	f.pause = max(f.pause, time.Duration(u.PauseMS)*time.Millisecond)
+	if u.Bundle != nil {
+		f.bundleSent = false
+	}
+	if f.reply.Incarnation == 0 {
+		return
+	}
+	var dial *peer.DialError
+	s := membership.SelfState{Incarnation: f.reply.Incarnation, Leaving: f.reply.Stopping}
+	if errors.As(err, &dial) && dial.Kind == peer.DialRefused {
+		// The entry closes this listener last.
+		s.Gone, f.gone = true, true
+	} else {
+		s.Silent = true
+	}
+	a.machine.SetSelf(a.now, s)
+}
+
+// takeEvidence takes in what the entry's traffic showed. begun is when the
+// update was sent to which it replied.
+func (a *Agent) takeEvidence(begun time.Time, e feed.Evidence) {
+	at := begun.Add(-time.Duration(e.AgeMS) * time.Millisecond)
+	if e.Peer != "" {
+		a.takePeerEvidence(at, e)
+		return
+	}
+	switch e.Kind {
+	case feed.EvidenceSucceeded, feed.EvidenceLoad:
+		a.machine.UpstreamAnswered(a.now, at, e.Upstream)
+	case feed.EvidenceRefused:
+		a.machine.UpstreamFailed(a.now, at, e.Upstream, membership.FailRefused)
+	case feed.EvidenceTimeout:
+		a.machine.UpstreamFailed(a.now, at, e.Upstream, membership.FailTimeout)
+	case feed.EvidenceDraining:
+		if a.sameLife(at, e.Upstream) {
+			a.machine.UpstreamLeaving(a.now, e.Upstream, 0)
+			a.feed.urgent = true
+		}
+	}
+}
+
+// takePeerEvidence takes in what the entry saw of another instance's entry.
+func (a *Agent) takePeerEvidence(at time.Time, e feed.Evidence) {
+	switch e.Kind {
+	case feed.EvidenceSucceeded:
+		a.machine.PeerAnswered(a.now, at, e.Peer)
+	case feed.EvidenceRefused:
+		a.machine.PeerFailed(a.now, at, e.Peer, membership.ProcessEntry, membership.FailRefused)
+	case feed.EvidenceTimeout:
+		a.machine.PeerFailed(a.now, at, e.Peer, membership.ProcessEntry, membership.FailTimeout)
+	}
+}
--- /dev/null
+++ b/agent/leftovers.go
@@ -0,0 +1,81 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/leftover"
+)
+
+// heldState is the loop's part of releasing leftovers.
+type heldState struct {
+	// reading holds the engines whose lists are being read.
+	reading map[ident.UpstreamID]bool
+}
+
+// runLeftovers reads the engines' lists and repeats the releases that are due.
+func (a *Agent) runLeftovers() {
+	wake, ok := a.leftovers.NextWake()
+	if !ok || a.now.Before(wake) {
+		return
+	}
+	plan := a.leftovers.Tick(a.now)
+	for _, r := range plan.Reads {
+		a.readHeld(r.Upstream)
+	}
+	a.release(plan.Releases)
+}
+
+// readHeld reads the list of an engine.
+func (a *Agent) readHeld(id ident.UpstreamID) {
+	if a.held.reading[id] {
+		return
+	}
+	if a.held.reading == nil {
+		a.held.reading = map[ident.UpstreamID]bool{}
+	}
+	a.held.reading[id] = true
+	a.counters.HeldReads++
+	address := a.book.upstreams[id].Address
+	a.spawn(func(ctx context.Context) {
+		attempts, err := a.engines.Held(ctx, address)
+		a.post(func() {
+			delete(a.held.reading, id)
+			if err != nil {
+				a.counters.HeldReadsFailed++
+				a.leftovers.ReadFailed(a.now, id)
+				return
+			}
+			a.release(a.leftovers.Held(a.now, id, attempts))
+		})
+	})
+}
+
+// release orders engines to release attempts, with a log line for each.
+func (a *Agent) release(releases []leftover.Release) {
+	for _, r := range releases {
+		a.counters.Releases++
+		a.log.Info("release leftover", "upstream", r.Upstream, "attempt", r.Attempt.String(),
+			"reason", string(r.Reason), "held", r.Held.String())
+		a.sendRelease(r)
+	}
+}
+
+// sendRelease sends one release. The planner repeats it until it is acknowledged.
+func (a *Agent) sendRelease(r leftover.Release) {
+	address := a.book.upstreams[r.Upstream].Address
+	a.spawn(func(ctx context.Context) {
+		released, err := a.engines.Abort(ctx, address, r.Attempt.String())
+		a.post(func() {
+			if err != nil {
+				a.log.Info("release not acknowledged", "upstream", r.Upstream, "attempt", r.Attempt.String(), "error", err)
+				return
+			}
+			a.counters.Released++
+			a.leftovers.Released(r.Upstream, r.Attempt)
+			a.log.Info("leftover released", "upstream", r.Upstream, "attempt", r.Attempt.String(),
+				"was_held", released, "age", a.now.Sub(r.Attempt.Deadline).Round(time.Millisecond).String())
+		})
+	})
+}
--- /dev/null
+++ b/agent/lists.go
@@ -0,0 +1,210 @@
+package agent
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/wardspool/wardspool/agent/wire"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/membership"
+	"github.com/wardspool/wardspool/peer"
+	"github.com/wardspool/wardspool/platform"
+)
+
+// list is the newest of the platform's lists that this instance has, in the form
+// in which peers get it.
+type list struct {
+	index uint64
+	// begun is when the reading of it from the platform began.
+	begun time.Time
+	gzip  []byte
+}
+
+// lists are the platform's lists.
+type lists struct {
+	instances list
+	upstreams list
+	// fetching says that they are being fetched from a peer.
+	fetching bool
+}
+
+// of returns the list under a key of the platform.
+func (l *lists) of(key string) *list {
+	if key == platform.KeyInstances {
+		return &l.instances
+	}
+	return &l.upstreams
+}
+
+// takeListBytes takes in a list as the platform has it.
+func (a *Agent) takeListBytes(key string, begun time.Time, index uint64, doc []byte) {
+	if l := a.book.lists.of(key); index < l.index {
+		return
+	} else if index == l.index {
+		l.begun = begun
+		a.machine.Confirmed(a.now, begun)
+		return
+	}
+	if !a.takeList(key, begun, index, doc) {
+		return
+	}
+	a.keepList(key, list{index: index, begun: begun, gzip: compress(doc)})
+}
+
+// keepList keeps a list for peers and tells them.
+func (a *Agent) keepList(key string, l list) {
+	*a.book.lists.of(key) = l
+	a.source.indexes[key] = max(a.source.indexes[key], l.index)
+	a.viewDirty = true
+	a.spreadNews()
+}
+
+// takeList decodes a list and gives it to the machine. It returns false for a
+// document that cannot be read or is old.
+func (a *Agent) takeList(key string, begun time.Time, index uint64, doc []byte) bool {
+	if key == platform.KeyInstances {
+		return a.takeInstances(begun, index, doc)
+	}
+	return a.takeUpstreams(begun, index, doc)
+}
+
+// badList logs a list that cannot be read; the one before stays.
+func (a *Agent) badList(key string, index uint64, err error) bool {
+	a.counters.Refused++
+	a.log.Warn("list refused", "key", key, "index", index, "error", err)
+	return false
+}
+
+// takeInstances takes in the list of instances.
+func (a *Agent) takeInstances(begun time.Time, index uint64, doc []byte) bool {
+	var l platform.Instances
+	if err := json.Unmarshal(doc, &l); err != nil {
+		return a.badList(platform.KeyInstances, index, err)
+	}
+	listed := make([]membership.ListedInstance, len(l.Instances))
+	for i, x := range l.Instances {
+		listed[i] = membership.ListedInstance{
+			ID: x.ID, Zone: x.Zone, Address: x.AgentAddress, Leaving: x.State == platform.StateLeaving,
+		}
+	}
+	if !a.machine.Instances(a.now, begun, index, listed) {
+		return false
+	}
+	a.book.list(&l)
+	a.publishKnown()
+	return true
+}
+
+// takeUpstreams takes in the list of upstreams.
+func (a *Agent) takeUpstreams(begun time.Time, index uint64, doc []byte) bool {
+	var l platform.Upstreams
+	if err := json.Unmarshal(doc, &l); err != nil {
+		return a.badList(platform.KeyUpstreams, index, err)
+	}
+	listed := make([]membership.ListedUpstream, len(l.Upstreams))
+	for i, x := range l.Upstreams {
+		listed[i] = membership.ListedUpstream{
+			ID: x.ID, Zone: x.Zone, Address: x.Address,
+			Incarnation: x.Incarnation, Leaving: x.State == platform.StateLeaving,
+		}
+	}
+	if !a.machine.Upstreams(a.now, begun, index, listed) {
+		return false
+	}
+	a.book.listUpstreams(&l)
+	return true
+}
+
+// compress returns the gzip form of a document.
+func compress(doc []byte) []byte {
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	// Writes to a buffer never fail.
+	_, _ = w.Write(doc)
+	_ = w.Close()
+	return b.Bytes()
+}
+
+// decompress undoes compress. Errors are those of package gzip and
+// *platform.TooLargeError.
+func decompress(key string, b []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(b))
+	if err != nil {
+		return nil, err
+	}
+	doc, err := io.ReadAll(io.LimitReader(r, platform.MaxValue+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(doc) > platform.MaxValue {
+		return nil, &platform.TooLargeError{Key: key, Limit: platform.MaxValue}
+	}
+	return doc, nil
+}
+
+// newerLists returns the lists that are newer than a peer's.
+func (a *Agent) newerLists(r wire.ListsRequest) wire.Lists {
+	var out wire.Lists
+	if l := &a.book.lists.instances; l.index > r.Instances {
+		out.Instances = a.wireList(l)
+	}
+	if l := &a.book.lists.upstreams; l.index > r.Upstreams {
+		out.Upstreams = a.wireList(l)
+	}
+	return out
+}
+
+// wireList returns a list in the form for peers.
+func (a *Agent) wireList(l *list) *wire.List {
+	return &wire.List{Index: l.index, AgeMS: a.now.Sub(l.begun).Milliseconds(), Gzip: l.gzip}
+}
+
+// fetchLists fetches from a peer what it has that is newer.
+func (a *Agent) fetchLists(from ident.InstanceID, n *wire.News) {
+	have := &a.book.lists
+	if have.fetching || n.Instances <= have.instances.index && n.Upstreams <= have.upstreams.index {
+		return
+	}
+	address := a.book.instances[from].agent
+	if address == "" {
+		return
+	}
+	have.fetching = true
+	req := wire.ListsRequest{Instances: have.instances.index, Upstreams: have.upstreams.index}
+	begun := a.now
+	a.spawn(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+		defer cancel()
+		got, err := peer.Call[wire.Lists](ctx, a.peers, address, wire.MethodLists, req, peer.Expect(from, 0))
+		a.post(func() {
+			have.fetching = false
+			if err != nil {
+				a.log.Debug("lists not fetched", "from", from, "error", err)
+				return
+			}
+			a.relayedList(platform.KeyInstances, begun, got.Instances)
+			a.relayedList(platform.KeyUpstreams, begun, got.Upstreams)
+		})
+	})
+}
+
+// relayedList takes in a list that a peer gave.
+func (a *Agent) relayedList(key string, begun time.Time, l *wire.List) {
+	if l == nil || l.Index <= a.book.lists.of(key).index {
+		return
+	}
+	doc, err := decompress(key, l.Gzip)
+	if err != nil {
+		a.badList(key, l.Index, err)
+		return
+	}
+	read := begun.Add(-time.Duration(max(l.AgeMS, 0)) * time.Millisecond)
+	if a.takeList(key, read, l.Index, doc) {
+		a.counters.ListsFetched++
+		a.keepList(key, list{index: l.Index, begun: read, gzip: l.Gzip})
+	}
+}
--- /dev/null
+++ b/agent/loads.go
@@ -0,0 +1,183 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/wardspool/wardspool/agent/engines"
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/membership"
+)
+
+// Bounds of reading upstreams' state.
+const (
+	upstreamTimeout = 2 * time.Second
+	// doubtMin and doubtMax bound the time between attempts to reach an upstream
+	// that is not believed to live; it doubles.
+	doubtMin = 2 * time.Second
+	doubtMax = 30 * time.Second
+	// assumedPollBytes is what a read costs before any was measured.
+	assumedPollBytes = 900
+)
+
+// loadState is the loop's part of gathering upstreams' state.
+type loadState struct {
+	polls map[ident.UpstreamID]*poll
+	// gathered is how many upstreams this instance gathers.
+	gathered int
+	// specs are what the bundle in force declares, by ID.
+	specs map[ident.UpstreamID]*config.Upstream
+	// lives are the incarnations as of the last view.
+	lives map[ident.UpstreamID]life
+}
+
+// poll is an upstream whose state this instance reads.
+type poll struct {
+	nextAt time.Time
+	busy   bool
+	// gathers says that this instance reads for its zone; otherwise it reads
+	// because it doubts that the upstream lives.
+	gathers bool
+	doubt   time.Duration
+}
+
+// life is when an incarnation of an upstream became known here.
+type life struct {
+	incarnation ident.Incarnation
+	since       time.Time
+}
+
+// noteLives notes new incarnations of upstreams.
+func (a *Agent) noteLives() {
+	old := a.loads.lives
+	lives := make(map[ident.UpstreamID]life, len(a.view.Upstreams))
+	for i := range a.view.Upstreams {
+		u := &a.view.Upstreams[i]
+		l, ok := old[u.ID]
+		if !ok || l.incarnation != u.Incarnation {
+			l = life{incarnation: u.Incarnation, since: a.now}
+		}
+		lives[u.ID] = l
+	}
+	a.loads.lives = lives
+}
+
+// sameLife reports whether what was seen of an upstream at the given time was
+// about the incarnation that is known now: evidence of live traffic does not say
+// which it is about.
+func (a *Agent) sameLife(at time.Time, id ident.UpstreamID) bool {
+	l, ok := a.loads.lives[id]
+	return ok && at.After(l.since)
+}
+
+// assignLoads takes on the upstreams whose state this instance reads: those that
+// it gathers for its zone, and those that it doubts to live. The latter must be
+// read by each instance that doubts, since no work is sent to them that could
+// show that they are back.
+func (a *Agent) assignLoads() {
+	gathers := a.machine.Gathers(a.now)
+	next := make(map[ident.UpstreamID]*poll, len(gathers))
+	for _, id := range gathers {
+		p := a.pollOf(id)
+		p.gathers = true
+		next[id] = p
+	}
+	a.loads.gathered = len(gathers)
+	for i := range a.currentView().Upstreams {
+		u := &a.view.Upstreams[i]
+		if next[u.ID] != nil || !u.Listed || u.State <= membership.Suspect {
+			continue
+		}
+		p := a.pollOf(u.ID)
+		p.gathers = false
+		next[u.ID] = p
+	}
+	a.loads.polls = next
+}
+
+// pollOf returns the poll of an upstream, a new one if there is none.
+func (a *Agent) pollOf(id ident.UpstreamID) *poll {
+	if p := a.loads.polls[id]; p != nil {
+		return p
+	}
+	return &poll{nextAt: a.now}
+}
+
+// loadInterval returns the time between two reads of one upstream, such that all
+// reads keep the budget.
+func (a *Agent) loadInterval() time.Duration {
+	bytes := float64(assumedPollBytes)
+	if n := a.counters.LoadPolls - a.counters.LoadPollsFailed; n > assumedAfter {
+		bytes = float64(a.engines.Meter().Total()) / float64(n)
+	}
+	seconds := bytes * float64(a.loads.gathered) / float64(a.settings.Loads.Budget)
+	return max(a.settings.Loads.Interval, time.Duration(seconds*float64(time.Second)))
+}
+
+// assumedAfter is after how many reads their cost counts as measured.
+const assumedAfter = 20
+
+// pollLoads reads the upstreams whose turn it is.
+func (a *Agent) pollLoads() {
+	interval := a.loadInterval()
+	for id, p := range a.loads.polls {
+		if p.busy || a.now.Before(p.nextAt) {
+			continue
+		}
+		p.nextAt = a.now.Add(interval)
+		p.busy = true
+		a.readLoad(id, p)
+	}
+}
+
+// readLoad reads an upstream's state.
+func (a *Agent) readLoad(id ident.UpstreamID, p *poll) {
+	a.counters.LoadPolls++
+	address := a.book.upstreams[id].Address
+	begun := a.now
+	isEngine := a.isEngine(id)
+	a.spawn(func(ctx context.Context) {
+		var l engines.Load
+		var err error
+		if isEngine {
+			l, err = a.engines.Load(ctx, address)
+		} else {
+			err = a.engines.Health(ctx, address)
+		}
+		a.post(func() {
+			p.busy = false
+			a.viewDirty = true
+			if !engines.Answered(err) {
+				a.loadFailed(id, begun, p, err)
+				return
+			}
+			p.doubt = 0
+			a.machine.UpstreamAnswered(a.now, begun, id)
+			if isEngine && err == nil {
+				a.machine.UpstreamReport(a.now, begun, id, report(l))
+			}
+		})
+	})
+}
+
+// report returns an engine's report in the machine's form.
+func report(l engines.Load) membership.Report {
+	return membership.Report{
+		Incarnation: l.Incarnation, Sequence: uint32(l.Seq),
+		Running: l.Running, Waiting: l.Waiting, Slots: l.Slots,
+		PiecesUsed: l.PiecesUsed, QueuedTokens: l.WaitingTokens, Leaving: l.Draining,
+	}
+}
+
+// loadFailed takes in a read that got no answer.
+func (a *Agent) loadFailed(id ident.UpstreamID, begun time.Time, p *poll, err error) {
+	a.counters.LoadPollsFailed++
+	kind := membership.FailTimeout
+	if engines.KindOf(err) == engines.FailRefused {
+		kind = membership.FailRefused
+	}
+	a.machine.UpstreamFailed(a.now, begun, id, kind)
+	p.doubt = min(max(2*p.doubt, doubtMin), doubtMax)
+	p.nextAt = a.now.Add(p.doubt)
+}
--- /dev/null
+++ b/agent/meter/meter.go
@@ -0,0 +1,68 @@
+// Package meter counts what a process costs: bytes on its connections, processor
+// time and memory.
+package meter
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+)
+
+// Dialer opens connections. *net.Dialer implements it.
+type Dialer interface {
+	DialContext(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// Meter counts bytes over many connections. Its zero value is ready for use, and
+// safe for concurrent use.
+type Meter struct {
+	sent     atomic.Uint64
+	received atomic.Uint64
+}
+
+// Sent returns the bytes written so far.
+func (m *Meter) Sent() uint64 { return m.sent.Load() }
+
+// Received returns the bytes read so far.
+func (m *Meter) Received() uint64 { return m.received.Load() }
+
+// Total returns the bytes written and read so far.
+func (m *Meter) Total() uint64 { return m.Sent() + m.Received() }
+
+// Counting returns a dialer whose connections are counted.
+func (m *Meter) Counting(d Dialer) Dialer { return &countingDialer{meter: m, dialer: d} }
+
+// countingDialer opens counted connections.
+type countingDialer struct {
+	meter  *Meter
+	dialer Dialer
+}
+
+// DialContext implements Dialer.
+func (d *countingDialer) DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := d.dialer.DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: c, meter: d.meter}, nil
+}
+
+// countedConn counts the bytes that pass through a connection.
+type countedConn struct {
+	net.Conn
+	meter *Meter
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.meter.received.Add(uint64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.meter.sent.Add(uint64(n))
+	return n, err
+}
--- /dev/null
+++ b/agent/placement.go
@@ -0,0 +1,157 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/wardspool/wardspool/agent/engines"
+	"github.com/wardspool/wardspool/agent/wire"
+	"github.com/wardspool/wardspool/bundle/ledger"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/orders"
+	"github.com/wardspool/wardspool/peer"
+)
+
+// confirmGap is the least time between two rounds in which peers are asked which
+// bundle is in force on them.
+const confirmGap = 2 * time.Second
+
+// orderState is the loop's part of giving placement orders.
+type orderState struct {
+	// askedAt is when peers were last asked which bundle is in force on them.
+	askedAt time.Time
+}
+
+// runOrders reads the engines that the planner asks for. An instance that does
+// not know yet, or not any more, whether its bundle is the newest gives no order.
+func (a *Agent) runOrders() {
+	wake, ok := a.orderPlanner.NextWake()
+	if !ok || a.now.Before(wake) || a.ledger.Status() != ledger.StatusReady {
+		return
+	}
+	for _, id := range a.orderPlanner.Tick(a.now) {
+		a.readOrders(id)
+	}
+}
+
+// readOrders reads what an engine is and lets the planner decide.
+func (a *Agent) readOrders(id ident.UpstreamID) {
+	a.counters.OrderReads++
+	address := a.book.upstreams[id].Address
+	a.spawn(func(ctx context.Context) {
+		s, err := a.engines.ReadOrders(ctx, address)
+		if err != nil {
+			return
+		}
+		a.post(func() { a.observe(id, s) })
+	})
+}
+
+// observe gives the planner an engine's state and does what it decides.
+func (a *Agent) observe(id ident.UpstreamID, s engines.OrderState) {
+	if a.ledger.Status() != ledger.StatusReady {
+		return
+	}
+	o := orders.Observation{
+		Incarnation: s.Incarnation,
+		Placement:   placement(s.Placement),
+		Highest:     s.Highest,
+	}
+	if s.Loading != nil {
+		loading := placement(s.Loading.Placement)
+		o.Loading = &loading
+	}
+	if u := a.reportOf(id); u != nil {
+		o.Running = u.Report.Running
+	}
+	d := a.orderPlanner.Observe(a.now, id, o)
+	a.decided(d)
+	spec := a.spec(id)
+	if d.Order == nil && !spec.ChecksFencing && !o.Placement.Equal(orders.Desired(&spec)) {
+		a.askVersions()
+	}
+}
+
+// placement returns an engine's placement in the planner's form.
+func placement(p engines.Placement) orders.Placement {
+	return orders.NewPlacement(p.Role, p.Models, p.Adapters, p.Version)
+}
+
+// decided does what the planner decided, with a log line for each order.
+func (a *Agent) decided(d orders.Decision) {
+	if r := d.Record; r != nil {
+		a.log.Info("placement", "upstream", r.Upstream, "step", string(r.Step), "reason", string(r.Reason),
+			"bundle_version", r.Bundle, "want", r.Want, "seen", r.Seen, "highest_fence", r.Highest,
+			"running", r.Running, "waited", r.Waited.String())
+	}
+	if h := d.Hint; h != nil {
+		// The hinted version is looked for where all is published.
+		a.refreshPlatform()
+	}
+	if d.Order != nil {
+		a.giveOrder(*d.Order)
+	}
+}
+
+// giveOrder gives an order. The planner reads it back.
+func (a *Agent) giveOrder(o orders.Order) {
+	a.counters.Orders++
+	address := a.book.upstreams[o.Upstream].Address
+	order := engines.Order{Fence: o.Fence, Placement: engines.Placement{
+		Role: o.Placement.Role, Models: o.Placement.Models, Adapters: o.Placement.Adapters, Version: o.Placement.Version,
+	}}
+	a.spawn(func(ctx context.Context) {
+		if !o.NotAfter.IsZero() && time.Now().After(o.NotAfter) {
+			a.post(func() { a.log.Info("placement order withheld", "upstream", o.Upstream, "reason", "too late") })
+			return
+		}
+		s, err := a.engines.GiveOrder(ctx, address, order)
+		a.post(func() { a.ordered(o, s, err) })
+	})
+}
+
+// ordered takes in how an order was received.
+func (a *Agent) ordered(o orders.Order, s engines.OrderState, err error) {
+	var call *engines.CallError
+	switch {
+	case err == nil:
+		a.log.Info("placement order taken", "upstream", o.Upstream, "fence", o.Fence, "highest_fence", s.Highest)
+	case errors.As(err, &call) && call.Code == engines.CodeStaleFence:
+		a.counters.OrdersRefused++
+		a.decided(a.orderPlanner.Refused(a.now, o.Upstream, call.Highest))
+	default:
+		a.log.Info("placement order failed", "upstream", o.Upstream, "fence", o.Fence, "error", err)
+	}
+}
+
+// askVersions asks the peers of the zone which bundle is in force on them: an
+// engine that does not check fencing numbers gets orders only while most of them
+// confirm the one in force here, and heartbeats reach only some of a large zone.
+func (a *Agent) askVersions() {
+	if a.now.Sub(a.orders.askedAt) < confirmGap {
+		return
+	}
+	a.orders.askedAt = a.now
+	for _, in := range a.currentView().Instances {
+		address := a.book.instances[in.ID].agent
+		if in.Zone != a.self.Zone || !answersPeers(in) || address == "" {
+			continue
+		}
+		a.askVersion(in.ID, address)
+	}
+}
+
+// askVersion asks a peer which bundle is in force on it.
+func (a *Agent) askVersion(id ident.InstanceID, address string) {
+	begun := a.now
+	a.spawn(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+		defer cancel()
+		got, err := peer.Call[wire.InForce](ctx, a.peers, address, wire.MethodInForce, wire.Nothing{}, peer.Expect(id, 0))
+		if err != nil {
+			return
+		}
+		a.post(func() { a.orderPlanner.PeerInForce(begun, id, got.Version) })
+	})
+}
--- /dev/null
+++ b/agent/relay.go
@@ -0,0 +1,199 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/wardspool/wardspool/agent/wire"
+	"github.com/wardspool/wardspool/bundle"
+	"github.com/wardspool/wardspool/bundle/ledger"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/peer"
+	"github.com/wardspool/wardspool/platform"
+)
+
+// Bounds of relaying.
+const (
+	// partsBytes bounds the parts of one answer; one part is always sent.
+	partsBytes = 600 << 10
+	// partsWait is how long an answer waits for parts that are on their way here.
+	partsWait = 800 * time.Millisecond
+)
+
+// relay is the loop's part of giving bundles to peers.
+type relay struct {
+	// changed is closed when parts came; then there is a new one.
+	changed chan struct{}
+}
+
+// addressOf returns where the agent of a ledger's source takes calls, "" if that
+// is not known.
+func (a *Agent) addressOf(s ledger.Source) string {
+	return a.book.instances[ident.InstanceID(s.Name)].agent
+}
+
+// fetchDocument fetches the newest roll or head from a peer or the platform.
+func (a *Agent) fetchDocument(from ledger.Source, key string) {
+	if from.Kind == ledger.SourcePlatform {
+		a.readKey(key)
+		return
+	}
+	address := a.addressOf(from)
+	if address == "" {
+		return
+	}
+	method := wire.MethodRoll
+	if key == platform.KeyBundleHead {
+		method = wire.MethodManifest
+	}
+	a.spawn(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+		defer cancel()
+		doc, err := peer.Call[wire.Document](ctx, a.peers, address, method, wire.Nothing{})
+		a.post(func() { a.fetched(from, key, doc, err) })
+	})
+}
+
+// fetched takes in a document that a peer gave.
+func (a *Agent) fetched(from ledger.Source, key string, doc wire.Document, err error) {
+	switch {
+	case err != nil:
+		a.log.Debug("document not fetched", "from", from.String(), "key", key, "error", err)
+	case len(doc.Bytes) == 0:
+	case key == platform.KeyRoll:
+		a.takeRoll(from, a.now, doc.Bytes)
+	default:
+		a.takeHead(from, doc.Bytes)
+	}
+}
+
+// fetchPeerParts fetches parts from a peer.
+func (a *Agent) fetchPeerParts(f ledger.FetchParts) {
+	address := a.addressOf(f.From)
+	if address == "" {
+		return
+	}
+	a.spawn(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+		defer cancel()
+		got, err := peer.Call[wire.Parts](ctx, a.peers, address, wire.MethodParts, wire.PartsRequest{Digests: f.Digests})
+		if err != nil || len(got.Parts) == 0 {
+			return
+		}
+		parts := make([]bundle.Part, len(got.Parts))
+		for i, p := range got.Parts {
+			parts[i] = bundle.Part{Digest: p.Digest, Bytes: p.Bytes}
+		}
+		a.post(func() { a.takeParts(f.From, parts) })
+	})
+}
+
+// askPeerFloor asks a peer for the floor.
+func (a *Agent) askPeerFloor(q ledger.AskFloor) {
+	address := a.addressOf(q.From)
+	if address == "" {
+		a.step(ledger.Unreachable{From: q.From})
+		return
+	}
+	a.spawn(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+		defer cancel()
+		f, err := peer.Call[wire.Floor](ctx, a.peers, address, wire.MethodFloor, wire.Nothing{})
+		a.post(func() {
+			if err != nil {
+				a.step(ledger.Unreachable{From: q.From})
+				return
+			}
+			a.reportRoll(ledger.FloorReport{From: q.From, Round: q.Round, Ready: f.Ready, InForce: f.InForce}, f.Roll)
+		})
+	})
+}
+
+// handleRelay registers the methods by which peers get bundles and lists.
+func (a *Agent) handleRelay(s *peer.Server) {
+	peer.Handle(s, wire.MethodRoll, func(ctx context.Context, _ peer.Identity, _ wire.Nothing) (wire.Document, error) {
+		return ask(ctx, a, a.rollDocument)
+	})
+	peer.Handle(s, wire.MethodManifest, func(ctx context.Context, _ peer.Identity, _ wire.Nothing) (wire.Document, error) {
+		return ask(ctx, a, a.headDocument)
+	})
+	peer.Handle(s, wire.MethodFloor, func(ctx context.Context, _ peer.Identity, _ wire.Nothing) (wire.Floor, error) {
+		return ask(ctx, a, a.floor)
+	})
+	peer.Handle(s, wire.MethodInForce, func(ctx context.Context, _ peer.Identity, _ wire.Nothing) (wire.InForce, error) {
+		return ask(ctx, a, func() wire.InForce { return wire.InForce{Version: a.ledger.Summary().InForce.Version} })
+	})
+	peer.Handle(s, wire.MethodLists, func(ctx context.Context, _ peer.Identity, r wire.ListsRequest) (wire.Lists, error) {
+		return ask(ctx, a, func() wire.Lists { return a.newerLists(r) })
+	})
+	peer.Handle(s, wire.MethodParts, a.serveParts)
+}
+
+// rollDocument returns the newest roll for a peer.
+func (a *Agent) rollDocument() wire.Document {
+	if roll := a.ledger.Roll(); roll != nil {
+		return wire.Document{Bytes: roll.Encode()}
+	}
+	return wire.Document{}
+}
+
+// headDocument returns the newest bundle head for a peer.
+func (a *Agent) headDocument() wire.Document {
+	if head := a.ledger.Newest(); head != nil {
+		return wire.Document{Bytes: head.Encode()}
+	}
+	return wire.Document{}
+}
+
+// floor answers a peer that asks for the floor.
+func (a *Agent) floor() wire.Floor {
+	r := a.ledger.Report()
+	return wire.Floor{Ready: r.Ready, InForce: r.InForce, Roll: a.rollDocument().Bytes}
+}
+
+// found is what the loop gives a peer that asks for parts.
+type found struct {
+	parts wire.Parts
+	// changed is closed when there may be more, nil if none is on its way.
+	changed <-chan struct{}
+}
+
+// serveParts answers a peer that asks for parts. If this instance has none of
+// them yet, but is fetching, the answer waits a little: so a bundle travels from
+// instance to instance without pauses.
+func (a *Agent) serveParts(ctx context.Context, _ peer.Identity, r wire.PartsRequest) (wire.Parts, error) {
+	wait, cancel := context.WithTimeout(ctx, partsWait)
+	defer cancel()
+	for {
+		f, err := ask(ctx, a, func() found { return a.findParts(r.Digests) })
+		if err != nil || len(f.parts.Parts) > 0 || f.changed == nil {
+			return f.parts, err
+		}
+		select {
+		case <-f.changed:
+		case <-wait.Done():
+			return f.parts, nil
+		}
+	}
+}
+
+// findParts returns those of the parts asked for that are here and fit.
+func (a *Agent) findParts(digests []bundle.Digest) found {
+	var f found
+	size := 0
+	for _, d := range digests[:min(len(digests), ledger.MaxFetchParts)] {
+		b, ok := a.ledger.Part(d)
+		if !ok {
+			continue
+		}
+		if size += len(b); size > partsBytes && len(f.parts.Parts) > 0 {
+			break
+		}
+		f.parts.Parts = append(f.parts.Parts, wire.Part{Digest: d, Bytes: b})
+	}
+	a.counters.PartsServed += uint64(len(f.parts.Parts))
+	if a.ledger.Missing() > 0 {
+		f.changed = a.relay.changed
+	}
+	return f
+}
--- /dev/null
+++ b/agent/serve.go
@@ -0,0 +1,156 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/wardspool/wardspool/agent/wire"
+	"github.com/wardspool/wardspool/bundle/ledger"
+	"github.com/wardspool/wardspool/peer"
+)
+
+// servers are the agent's listeners and what serves them.
+type servers struct {
+	peers     *server
+	operators *server
+}
+
+// server is a jsonrpc2 server and its listener.
+type server struct {
+	listener net.Listener
+	rpc      *peer.Server
+}
+
+// address returns the listener's address, "" if there is none.
+func (s *server) address() string {
+	if s == nil {
+		return ""
+	}
+	return s.listener.Addr().String()
+}
+
+// peerConfig returns the configuration of connections to and from agents.
+func (a *Agent) peerConfig(allow func(peer.Identity) bool) peer.Config {
+	return peer.Config{
+		Self: a.self, Allow: allow, TLS: a.options.TLS, Dialer: a.options.Dialer, Log: a.log,
+		Limits: peer.Limits{Frame: peerFrame, BackoffMax: peerBackoff},
+	}
+}
+
+// Listen opens the addresses of the settings. Errors are those of the listener.
+func (a *Agent) Listen() error {
+	var err error
+	a.servers.peers, err = a.listen(a.settings.Peers.Listen, a.isKnown)
+	if err != nil {
+		return oops.In("agent").Wrapf(err, "listen for peers")
+	}
+	a.handlePeers(a.servers.peers.rpc)
+	if a.settings.Operators.Listen == "" {
+		return nil
+	}
+	a.servers.operators, err = a.listen(a.settings.Operators.Listen, a.isOperator)
+	if err != nil {
+		return oops.In("agent").Wrapf(err, "listen for operators")
+	}
+	a.handleStatus(a.servers.operators.rpc)
+	return nil
+}
+
+// listen opens a server.
+func (a *Agent) listen(address string, allow func(peer.Identity) bool) (*server, error) {
+	l, err := a.options.Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	return &server{listener: l, rpc: peer.NewServer(a.peerConfig(allow))}, nil
+}
+
+// handlePeers registers the methods for other agents.
+func (a *Agent) handlePeers(s *peer.Server) {
+	peer.Handle(s, wire.MethodHeartbeat, func(ctx context.Context, from peer.Identity, hb wire.Heartbeat) (wire.Heartbeat, error) {
+		type result struct {
+			answer wire.Heartbeat
+			err    error
+		}
+		r, err := ask(ctx, a, func() result {
+			answer, err := a.receive(from.Instance, hb)
+			return result{answer, err}
+		})
+		if err != nil {
+			return wire.Heartbeat{}, err
+		}
+		return r.answer, r.err
+	})
+	a.handleRelay(s)
+}
+
+// PeerAddress and OperatorAddress return the addresses of the listeners after
+// Listen, "" for one that is not configured.
+func (a *Agent) PeerAddress() string     { return a.servers.peers.address() }
+func (a *Agent) OperatorAddress() string { return a.servers.operators.address() }
+
+// Serve runs the agent until ctx ends and then stops it. It returns an error if
+// a listener failed.
+func (a *Agent) Serve(ctx context.Context) error {
+	loop, endLoop := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	failed := make(chan error, 2)
+	running.Go(func() { a.run(loop) })
+	a.post(a.begun)
+	for _, s := range []*server{a.servers.peers, a.servers.operators} {
+		if s != nil {
+			running.Go(func() { failed <- s.rpc.Serve(s.listener) })
+		}
+	}
+	a.log.Info("serving", "instance", a.self.Instance, "zone", a.self.Zone,
+		"peers", a.PeerAddress(), "operators", a.OperatorAddress(), "feed", a.settings.Entry.Feed)
+	var err error
+	select {
+	case <-ctx.Done():
+		a.leave()
+	case err = <-failed:
+	}
+	a.shutdown(endLoop, &running)
+	return err
+}
+
+// begun is the loop's first work.
+func (a *Agent) begun() {
+	a.loadPreload()
+	a.refreshPlatform()
+	a.updateRoster()
+}
+
+// mayServe reports whether the entry may serve.
+func (a *Agent) mayServe() bool { return a.ledger.Status() != ledger.StatusStarting }
+
+// shutdownTimeout bounds the end of calls in progress.
+const shutdownTimeout = 2 * time.Second
+
+// shutdown ends everything that the agent runs.
+func (a *Agent) shutdown(endLoop context.CancelFunc, running *sync.WaitGroup) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	var errs error
+	for _, s := range []*server{a.servers.peers, a.servers.operators} {
+		if s != nil {
+			errs = errors.Join(errs, s.rpc.Shutdown(ctx))
+		}
+	}
+	if errs != nil {
+		a.log.Info("calls of peers were cut off", "error", errs)
+	}
+	a.endCalls()
+	endLoop()
+	running.Wait()
+	a.calls.Wait()
+	a.peers.Close()
+	a.feedPool.Close()
+	a.engines.Close()
+	a.reader.Close()
+}
--- /dev/null
+++ b/agent/settings.go
@@ -0,0 +1,131 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/wardspool/wardspool/bundle"
+	"github.com/wardspool/wardspool/bundle/ledger"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/logs"
+	"github.com/wardspool/wardspool/platform"
+)
+
+// Settings are what an agent reads from its settings file. docs/settings.md
+// describes each field.
+type Settings struct {
+	// Instance, Zone and Region say whose agent this is, and where.
+	Instance ident.InstanceID `yaml:"instance"`
+	Zone     ident.Zone       `yaml:"zone"`
+	Region   ident.Region     `yaml:"region"`
+
+	Entry     EntrySettings    `yaml:"entry"`
+	Peers     PeerSettings     `yaml:"peers"`
+	Operators OperatorSettings `yaml:"operators"`
+	Platform  PlatformSettings `yaml:"platform"`
+	// Approvers is the set whose quorum signs bundles, as of the deployment.
+	Approvers bundle.Approvers `yaml:"approvers"`
+	// Preload is a folder with a packed bundle and its roll; empty for none.
+	Preload string `yaml:"preload"`
+	// Isolated says what to do at the start when neither the platform nor a
+	// ready peer answers.
+	Isolated ledger.IsolatedPolicy `yaml:"isolated"`
+
+	Loads  LoadSettings `yaml:"loads"`
+	Stop   StopSettings `yaml:"stop"`
+	Log    logs.Options `yaml:"log"`
+	Memory uint64       `yaml:"memory_bytes"`
+	// PauseAfter is how long the process must not have run to count as paused.
+	PauseAfter time.Duration `yaml:"pause_after"`
+}
+
+// EntrySettings concern the entry beside the agent.
+type EntrySettings struct {
+	// Feed is the entry's feed.listen.
+	Feed string `yaml:"feed"`
+	// Interval is the longest time between two updates.
+	Interval time.Duration `yaml:"interval"`
+}
+
+// PeerSettings concern the agents of the other instances.
+type PeerSettings struct {
+	// Listen is where their calls are taken.
+	Listen string `yaml:"listen"`
+	// Seeds lists instances that are known before the platform names them.
+	Seeds []Seed `yaml:"seeds"`
+	// Budget bounds the bytes of all heartbeats sent and received, per second.
+	Budget int `yaml:"budget"`
+}
+
+// Seed is another instance.
+type Seed struct {
+	Instance ident.InstanceID `yaml:"instance"`
+	Zone     ident.Zone       `yaml:"zone"`
+	// Address is its agent's, Entry its entry's address for peers.
+	Address string `yaml:"address"`
+	Entry   string `yaml:"entry"`
+}
+
+// OperatorSettings concern operators' tools.
+type OperatorSettings struct {
+	// Listen is where operators' calls are taken; empty means none.
+	Listen string `yaml:"listen"`
+	// Names lists the identities that operators may use.
+	Names []ident.InstanceID `yaml:"names"`
+}
+
+// PlatformSettings concern the platform's configuration service.
+type PlatformSettings struct {
+	URLs []string `yaml:"urls"`
+	// Readers is how many instances of a zone watch one key.
+	Readers int `yaml:"readers"`
+	// Wait is how long one poll of a watch waits.
+	Wait time.Duration `yaml:"wait"`
+	// FallbackAfter is how long no word of the platform may come by way of the
+	// peers before this instance reads it itself.
+	FallbackAfter time.Duration `yaml:"fallback_after"`
+}
+
+// LoadSettings concern the upstreams' load reports.
+type LoadSettings struct {
+	// Interval is the time between two reads of one upstream's load.
+	Interval time.Duration `yaml:"interval"`
+	// Budget bounds the bytes of all reads, sent and received, per second; the
+	// interval grows to keep it.
+	Budget int `yaml:"budget"`
+}
+
+// StopSettings concern the end of the agent.
+type StopSettings struct {
+	// Grace is how long to wait for word that the entry is stopping as well.
+	Grace time.Duration `yaml:"grace"`
+	// Timeout bounds the wait for a stopping entry to end.
+	Timeout time.Duration `yaml:"timeout"`
+}
+
+// Defaults of Settings.
+const (
+	defaultFeedInterval  = time.Second
+	defaultHeartbeats    = 2200
+	defaultReaders       = 2
+	defaultFallbackAfter = 30 * time.Second
+	defaultLoadInterval  = time.Second
+	defaultLoadBudget    = 800
+	defaultGrace         = 3 * time.Second
+	defaultStopTimeout   = 6 * time.Minute
+	defaultMemory        = 28 << 20
+	defaultPauseAfter    = 2 * time.Second
+)
+
+// SetDefaults implements settings.Defaulter.
+func (s *Settings) SetDefaults() {
+	s.Entry.Interval = defaultFeedInterval
+	s.Peers.Budget = defaultHeartbeats
+	s.Platform = PlatformSettings{
+		Readers: defaultReaders, Wait: platform.DefaultWait, FallbackAfter: defaultFallbackAfter,
+	}
+	s.Isolated = ledger.IsolatedWait
+	s.Loads = LoadSettings{Interval: defaultLoadInterval, Budget: defaultLoadBudget}
+	s.Stop = StopSettings{Grace: defaultGrace, Timeout: defaultStopTimeout}
+	s.Memory = defaultMemory
+	s.PauseAfter = defaultPauseAfter
+}
--- /dev/null
+++ b/agent/source.go
@@ -0,0 +1,225 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/wardspool/wardspool/agent/meter"
+	"github.com/wardspool/wardspool/bundle"
+	"github.com/wardspool/wardspool/bundle/ledger"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/membership"
+	"github.com/wardspool/wardspool/platform"
+)
+
+// watchedKeys are the keys of the platform that some instances of each zone
+// watch for all.
+var watchedKeys = []string{platform.KeyRoll, platform.KeyBundleHead, platform.KeyInstances, platform.KeyUpstreams}
+
+// fromPlatform names the platform to the ledger.
+var fromPlatform = ledger.Source{Kind: ledger.SourcePlatform}
+
+// Bounds of reading the platform.
+const (
+	// readTimeout is how old a value that a watch delivers can be, besides the
+	// wait of its poll.
+	readTimeout = platform.DefaultTimeout
+	// startRetry is the time between attempts of an instance that never had
+	// word of the platform.
+	startRetry = 3 * time.Second
+)
+
+// source is the loop's part of reading the platform.
+type source struct {
+	// watches ends the watches of this instance by key.
+	watches map[string]context.CancelFunc
+	// indexes are the highest seen here, by key.
+	indexes map[string]uint64
+	// seen is when the platform last answered this instance or one that it has
+	// word of; the zero time is never.
+	seen time.Time
+	// answered is how many calls had been answered at the last look.
+	answered uint64
+	// retryAt is when this instance may read by itself again, and reading says
+	// that it does.
+	retryAt time.Time
+	reading int
+}
+
+// newTransport returns a transport for a few long connections to the platform.
+func newTransport(d meter.Dialer) *http.Transport {
+	return &http.Transport{
+		DialContext:         d.DialContext,
+		MaxIdleConnsPerHost: len(watchedKeys),
+		IdleConnTimeout:     time.Minute,
+		ReadBufferSize:      transportBuffer,
+		WriteBufferSize:     transportBuffer,
+		DisableCompression:  true,
+	}
+}
+
+// transportBuffer is the size of a connection's buffers, in bytes.
+const transportBuffer = 2 << 10
+
+// zoneInstances lists the instances of the own zone that are believed to live,
+// this one included.
+func (a *Agent) zoneInstances() []ident.InstanceID {
+	ids := []ident.InstanceID{a.self.Instance}
+	for _, in := range a.currentView().Instances {
+		if in.Zone == a.self.Zone && in.State <= membership.Suspect && !in.Leaving {
+			ids = append(ids, in.ID)
+		}
+	}
+	return ids
+}
+
+// electReaders starts and ends this instance's watches.
+func (a *Agent) electReaders() {
+	live := a.zoneInstances()
+	for _, key := range watchedKeys {
+		reads := platform.Reads(a.self.Instance, key, a.self.Zone, live, a.settings.Platform.Readers)
+		end, watching := a.source.watches[key]
+		switch {
+		case reads && !watching:
+			a.watch(key)
+		case !reads && watching:
+			end()
+			delete(a.source.watches, key)
+		}
+	}
+	a.noteAnswers()
+}
+
+// watch starts a watch of a key.
+func (a *Agent) watch(key string) {
+	ctx, end := context.WithCancel(a.callCtx)
+	a.source.watches[key] = end
+	events := a.reader.Watch(ctx, key, a.source.indexes[key])
+	since := a.now
+	a.calls.Go(func() {
+		for e := range events {
+			a.post(func() { a.watched(key, since, e) })
+		}
+	})
+}
+
+// watched takes in what a watch delivered.
+func (a *Agent) watched(key string, since time.Time, e platform.Event) {
+	if e.Err != nil {
+		a.platformFailed(key, e.Err)
+		return
+	}
+	// The reading began no earlier than this; the value may have waited here.
+	begun := a.now.Add(-a.settings.Platform.Wait - readTimeout)
+	if since.After(begun) {
+		begun = since
+	}
+	a.platformValue(key, begun, e.Value)
+}
+
+// refreshPlatform reads all watched keys once.
+func (a *Agent) refreshPlatform() {
+	a.source.retryAt = a.now.Add(jittered(max(startRetry, a.settings.Platform.FallbackAfter)))
+	for _, key := range watchedKeys {
+		a.readKey(key)
+	}
+}
+
+// readKey reads a key once.
+func (a *Agent) readKey(key string) {
+	a.source.reading++
+	begun := a.now
+	a.spawn(func(ctx context.Context) {
+		v, err := a.reader.Get(ctx, key)
+		a.post(func() {
+			a.source.reading--
+			if err != nil {
+				a.platformFailed(key, err)
+				return
+			}
+			a.platformValue(key, begun, v)
+		})
+	})
+}
+
+// jittered returns a time between d and 2d.
+func jittered(d time.Duration) time.Duration { return d + rand.N(max(d, 1)) }
+
+// fallBack reads the platform itself when no word of it has come for long.
+func (a *Agent) fallBack() {
+	if a.source.reading > 0 || a.now.Before(a.source.retryAt) {
+		return
+	}
+	after := a.settings.Platform.FallbackAfter
+	switch {
+	case a.source.seen.IsZero():
+		a.refreshPlatform()
+		a.source.retryAt = a.now.Add(jittered(startRetry))
+	case a.now.Sub(a.source.seen) >= after:
+		a.refreshPlatform()
+	}
+}
+
+// noteAnswers notices that the platform answered, also where it had nothing new.
+func (a *Agent) noteAnswers() {
+	s := a.reader.Stats()
+	answered := s.Values + s.Unchanged + s.NotFound
+	if answered == a.source.answered {
+		return
+	}
+	a.source.answered = answered
+	a.source.seen = a.now
+}
+
+// platformFailed takes in a failed read.
+func (a *Agent) platformFailed(key string, err error) {
+	var stale *platform.StaleError
+	var absent *platform.NotFoundError
+	switch {
+	case errors.As(err, &absent):
+	case errors.As(err, &stale):
+		a.log.Debug("platform is stale", "key", key, "seen", stale.Seen, "got", stale.Got.Index)
+	default:
+		a.log.Debug("platform not read", "key", key, "error", err)
+	}
+}
+
+// platformValue takes in a value of the platform.
+func (a *Agent) platformValue(key string, begun time.Time, v platform.Value) {
+	a.source.indexes[key] = max(a.source.indexes[key], v.Index)
+	a.source.seen = a.now
+	switch key {
+	case platform.KeyRoll:
+		a.takeRoll(fromPlatform, begun, v.Bytes)
+	case platform.KeyBundleHead:
+		a.takeHead(fromPlatform, v.Bytes)
+	case platform.KeyInstances, platform.KeyUpstreams:
+		a.takeListBytes(key, begun, v.Index, v.Bytes)
+	}
+}
+
+// takeRoll decodes a roll and gives it to the ledger.
+func (a *Agent) takeRoll(from ledger.Source, begun time.Time, b []byte) {
+	roll, err := bundle.DecodeRoll(b)
+	if err != nil {
+		a.step(ledger.Garbled{From: from, Err: err})
+		return
+	}
+	a.step(ledger.RollSeen{From: from, Roll: roll})
+	if from == fromPlatform {
+		a.orderPlanner.PlatformHead(begun, roll.Roll.Assigned(a.self.Instance, a.self.Zone).Version)
+	}
+}
+
+// takeHead decodes a bundle head and gives it to the ledger.
+func (a *Agent) takeHead(from ledger.Source, b []byte) {
+	head, err := bundle.DecodeHead(b)
+	if err != nil {
+		a.step(ledger.Garbled{From: from, Err: err})
+		return
+	}
+	a.step(ledger.HeadSeen{From: from, Head: head})
+}
--- /dev/null
+++ b/agent/status.go
@@ -0,0 +1,168 @@
+package agent
+
+import (
+	"context"
+	"maps"
+	"runtime"
+	"slices"
+	"time"
+
+	"github.com/wardspool/wardspool/agent/meter"
+	"github.com/wardspool/wardspool/agent/wire"
+	"github.com/wardspool/wardspool/membership"
+	"github.com/wardspool/wardspool/peer"
+)
+
+// handleStatus registers the methods for operators' tools.
+func (a *Agent) handleStatus(s *peer.Server) {
+	peer.Handle(s, wire.MethodStatus, func(ctx context.Context, _ peer.Identity, _ wire.Nothing) (wire.Status, error) {
+		return a.Status(ctx)
+	})
+}
+
+// Status describes the agent. Errors are the context's and *peer.StoppingError.
+func (a *Agent) Status(ctx context.Context) (wire.Status, error) {
+	s, err := ask(ctx, a, a.loopStatus)
+	if err != nil {
+		return wire.Status{}, err
+	}
+	s.Traffic = a.traffic()
+	s.Process = a.process()
+	return s, nil
+}
+
+// loopStatus describes what the loop knows.
+func (a *Agent) loopStatus() wire.Status {
+	return wire.Status{
+		Instance: a.self.Instance, Zone: a.self.Zone, Incarnation: a.self.Incarnation,
+		Version:  a.options.Version,
+		Bundle:   a.bundleStatus(),
+		Alarms:   a.alarmStatus(),
+		Entry:    a.entryStatus(),
+		Fleet:    a.fleetStatus(),
+		Platform: a.platformStatus(),
+		Counters: a.counters,
+	}
+}
+
+// bundleStatus describes the ledger.
+func (a *Agent) bundleStatus() wire.BundleStatus {
+	s := a.ledger.Summary()
+	out := wire.BundleStatus{
+		Status: s.Status, RollSequence: s.RollSequence, Newest: s.Newest.Version, MissingParts: a.ledger.Missing(),
+	}
+	if roll := a.ledger.Roll(); roll != nil {
+		out.RollStage = string(roll.Roll.Stage)
+	}
+	if !s.InForce.IsZero() {
+		out.Version, out.Digest = s.InForce.Version, s.InForce.Digest.String()
+		out.InForceSinceMS = a.inForceAt.UnixMilli()
+	}
+	return out
+}
+
+// alarmStatus lists the alarms that stand.
+func (a *Agent) alarmStatus() []wire.AlarmStatus {
+	var out []wire.AlarmStatus
+	for _, al := range a.ledger.Alarms() {
+		out = append(out, wire.AlarmStatus{Type: al.Type, Text: al.String(), Step: al.Type.Step()})
+	}
+	return out
+}
+
+// entryStatus describes the entry.
+func (a *Agent) entryStatus() wire.EntryStatus {
+	r := a.feed.reply
+	return wire.EntryStatus{
+		Incarnation: r.Incarnation, BundleVersion: r.BundleVersion, Answers: a.feed.answers,
+		Stopping: r.Stopping, InFlight: r.InFlight,
+	}
+}
+
+// fleetStatus describes the view.
+func (a *Agent) fleetStatus() wire.FleetStatus {
+	v := a.machine.View(a.now)
+	out := wire.FleetStatus{
+		ViewVersion: v.Version, Trusted: v.Trusted, Leaving: v.Leaving, Superseded: v.Superseded,
+		IntervalMS: a.machine.Interval().Milliseconds(), Partners: a.countPartners(),
+	}
+	for _, in := range v.Instances {
+		out.Instances = append(out.Instances, wire.InstanceStatus{
+			ID: in.ID, Zone: in.Zone, Incarnation: in.Incarnation, State: in.State.String(),
+			Leaving: in.Leaving, Reachable: in.Reachable, Listed: in.Listed, AgeMS: ageMS(in.Age),
+		})
+	}
+	for _, u := range v.Upstreams {
+		out.Upstreams = append(out.Upstreams, wire.UpstreamStatus{
+			ID: u.ID, Zone: u.Zone, Incarnation: u.Incarnation, State: u.State.String(),
+			Leaving: u.Leaving, Listed: u.Listed, LoadAgeMS: ageMS(u.ReportAge),
+		})
+	}
+	return out
+}
+
+// countPartners counts the instances with which heartbeats are exchanged.
+func (a *Agent) countPartners() int {
+	n := 0
+	for _, p := range a.partners {
+		if !p.at.IsZero() && a.now.Sub(p.at) < partnerIntervals*a.machine.Interval() {
+			n++
+		}
+	}
+	return n
+}
+
+// ageMS returns an age in milliseconds, -1 if there is none.
+func ageMS(age time.Duration) int64 {
+	if age == membership.NoAge {
+		return -1
+	}
+	return age.Milliseconds()
+}
+
+// platformStatus describes the reading of the platform.
+func (a *Agent) platformStatus() wire.PlatformStatus {
+	s := a.reader.Stats()
+	out := wire.PlatformStatus{
+		Watches:   slices.Sorted(maps.Keys(a.source.watches)),
+		Instances: a.book.lists.instances.index, Upstreams: a.book.lists.upstreams.index,
+		SeenAgeMS: -1, Calls: s.Calls, Unavailable: s.Unavailable, Stale: s.Stale, RateLimited: s.RateLimited,
+	}
+	if !a.source.seen.IsZero() {
+		out.SeenAgeMS = a.now.Sub(a.source.seen).Milliseconds()
+	}
+	return out
+}
+
+// traffic adds up the bytes on all connections.
+func (a *Agent) traffic() wire.TrafficStatus {
+	out := wire.TrafficStatus{
+		Upstreams: metered(a.engines.Meter()),
+		Platform:  metered(&a.platformMeter),
+		Peers:     pooled(a.peers.Stats().Total),
+		Entry:     pooled(a.feedPool.Stats().Total),
+	}
+	if s := a.servers.peers; s != nil {
+		served := pooled(s.rpc.Stats().Total)
+		out.Peers.Sent += served.Sent
+		out.Peers.Received += served.Received
+	}
+	return out
+}
+
+// metered returns a meter's counts.
+func metered(m *meter.Meter) wire.Traffic {
+	return wire.Traffic{Sent: m.Sent(), Received: m.Received()}
+}
+
+// pooled returns the counts of jsonrpc2 connections.
+func pooled(t peer.Traffic) wire.Traffic { return wire.Traffic{Sent: t.Sent, Received: t.Received} }
+
+// process describes what the process costs.
+func (a *Agent) process() wire.ProcessStatus {
+	p := meter.ReadProcess()
+	return wire.ProcessStatus{
+		UptimeMS: time.Since(a.started).Milliseconds(), CPUMS: p.CPU.Milliseconds(),
+		RSSBytes: p.RSS, PeakRSSBytes: p.PeakRSS, Goroutines: runtime.NumGoroutine(),
+	}
+}
--- /dev/null
+++ b/agent/stop.go
@@ -0,0 +1,68 @@
+package agent
+
+import "time"
+
+// stopPoll is how often a stopping agent looks at its entry.
+const stopPoll = 100 * time.Millisecond
+
+// leave ends the agent's part in the fleet. An instance that is stopped stops
+// both its processes: the agent then says so to its peers, goes on until the
+// entry has finished what is in flight, and says that it has ended. An agent that
+// is stopped alone, to be restarted, says nothing: leaving is for ever for an
+// incarnation of the entry, and the entry goes on with its last view.
+func (a *Agent) leave() {
+	a.log.Info("stopping")
+	if !a.wait(a.settings.Stop.Grace, a.entryStops) {
+		a.log.Info("entry goes on without its agent")
+		return
+	}
+	a.post(func() {
+		a.machine.Leave(a.now)
+		a.tellPartners()
+	})
+	if !a.wait(a.settings.Stop.Timeout, a.entryEnded) {
+		a.log.Warn("entry still has requests in flight")
+	}
+	a.post(a.tellPartners)
+	a.wait(shutdownTimeout, a.partnersTold)
+}
+
+// wait looks at a condition on the loop until it holds or the time is over.
+func (a *Agent) wait(limit time.Duration, holds func() bool) bool {
+	deadline := time.Now().Add(limit)
+	for time.Now().Before(deadline) {
+		held, err := ask(a.callCtx, a, holds)
+		if held || err != nil {
+			return held
+		}
+		time.Sleep(stopPoll)
+	}
+	return false
+}
+
+// entryStops reports whether the entry stops too, or has ended.
+func (a *Agent) entryStops() bool {
+	return a.feed.reply.Incarnation != 0 && (a.feed.reply.Stopping || !a.feed.answers)
+}
+
+// entryEnded reports whether the entry's process is gone.
+func (a *Agent) entryEnded() bool { return a.feed.gone }
+
+// tellPartners exchanges heartbeats with all partners now.
+func (a *Agent) tellPartners() {
+	for id, p := range a.partners {
+		if a.now.Sub(p.at) < partnerIntervals*a.machine.Interval() {
+			a.exchange(id)
+		}
+	}
+}
+
+// partnersTold reports whether no exchange is in progress.
+func (a *Agent) partnersTold() bool {
+	for _, p := range a.partners {
+		if p.busy {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/agent/views.go
@@ -0,0 +1,241 @@
+package agent
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/feed"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/membership"
+)
+
+// currentView returns the view of the loop's last look, taking one if there is
+// none.
+func (a *Agent) currentView() *membership.View {
+	if a.view == nil {
+		a.view = a.machine.View(a.now)
+	}
+	return a.view
+}
+
+// refreshView looks anew at what is believed, if something may have changed, and
+// tells the planners.
+func (a *Agent) refreshView() {
+	if !a.viewDirty && a.view != nil {
+		return
+	}
+	a.viewDirty = false
+	a.view = a.machine.View(a.now)
+	a.noteLives()
+	if shape := viewShape(a.view); shape != a.feed.shape {
+		a.feed.shape = shape
+		a.feed.urgent = true
+		a.tellPlanners()
+	}
+}
+
+// viewShape is a fingerprint of a view without loads and ages.
+func viewShape(v *membership.View) uint64 {
+	h := xxhash.New()
+	number := func(n uint64) {
+		var b [8]byte
+		for i := range b {
+			b[i] = byte(n >> (8 * i))
+		}
+		// A Digest's writes never fail.
+		_, _ = h.Write(b[:])
+	}
+	flag := func(f bool) {
+		if f {
+			number(1)
+			return
+		}
+		number(0)
+	}
+	flag(v.Trusted)
+	for i := range v.Instances {
+		in := &v.Instances[i]
+		_, _ = h.WriteString(string(in.ID))
+		_, _ = h.WriteString(in.Address)
+		number(uint64(in.Incarnation))
+		number(uint64(in.State))
+		flag(in.Leaving)
+	}
+	for i := range v.Upstreams {
+		u := &v.Upstreams[i]
+		_, _ = h.WriteString(string(u.ID))
+		_, _ = h.WriteString(u.Address)
+		number(uint64(u.Incarnation))
+		number(uint64(u.State))
+		flag(u.Leaving)
+		flag(u.Listed)
+	}
+	return h.Sum64()
+}
+
+// selfLife returns the life of this instance's own entry.
+func (a *Agent) selfLife() kernel.Life {
+	if a.view.Leaving {
+		return kernel.Leaving
+	}
+	return kernel.Live
+}
+
+// upstreamLife maps what is believed of an upstream. One that the platform does
+// not list any more gets no new work, but may be listed again.
+func upstreamLife(u *membership.Upstream) kernel.Life {
+	life := membership.Life(u.State, u.Leaving)
+	if !u.Listed {
+		return max(life, kernel.Unreachable)
+	}
+	return life
+}
+
+// feedView returns the view in the entry's form.
+func (a *Agent) feedView() *feed.View {
+	v := a.view
+	elapsed := a.now.Sub(v.At)
+	out := &feed.View{
+		Version: v.Version, Trusted: v.Trusted,
+		Instances: make([]feed.Instance, 0, len(v.Instances)+1),
+		Upstreams: make([]feed.Upstream, 0, len(v.Upstreams)),
+	}
+	if inc := a.feed.reply.Incarnation; inc != 0 {
+		out.Instances = append(out.Instances, feed.Instance{
+			ID: a.self.Instance, Zone: a.self.Zone, Incarnation: inc, Life: a.selfLife(),
+			PeerAddress: a.book.instances[a.self.Instance].entry,
+		})
+	}
+	for i := range v.Instances {
+		in := &v.Instances[i]
+		out.Instances = append(out.Instances, feed.Instance{
+			ID: in.ID, Zone: in.Zone, Incarnation: in.Incarnation,
+			Life: membership.Life(in.State, in.Leaving), PeerAddress: a.book.instances[in.ID].entry,
+		})
+	}
+	for i := range v.Upstreams {
+		out.Upstreams = append(out.Upstreams, a.feedUpstream(&v.Upstreams[i], elapsed))
+	}
+	return out
+}
+
+// feedUpstream returns an upstream in the entry's form.
+func (a *Agent) feedUpstream(u *membership.Upstream, elapsed time.Duration) feed.Upstream {
+	out := feed.Upstream{
+		ID: u.ID, Zone: u.Zone, Address: u.Address,
+		Incarnation: a.fedIncarnation(u), Life: upstreamLife(u),
+	}
+	if u.HasReport {
+		out.Load = &kernel.Load{
+			Running: u.Report.Running, Waiting: u.Report.Waiting, Slots: u.Report.Slots,
+			PiecesUsed: u.Report.PiecesUsed, PiecesTotal: a.spec(u.ID).Pieces,
+			QueuedTokens: u.Report.QueuedTokens,
+		}
+		out.LoadAgeMS = feed.Age(u.ReportAge + elapsed)
+	}
+	return out
+}
+
+// fedLife is the incarnation of an upstream as the entry knows it.
+type fedLife struct {
+	// unnumbered says that the entry was told of the upstream before its
+	// incarnation was known. It was first then, once it is known.
+	unnumbered bool
+	first      ident.Incarnation
+}
+
+// fedIncarnation returns an upstream's incarnation for the entry. The entry takes
+// a changed number for a new process and gives up what runs there; so an
+// upstream that it got to know without a number keeps 0 for as long as the
+// process lives on whose number became known first.
+func (a *Agent) fedIncarnation(u *membership.Upstream) ident.Incarnation {
+	l := a.feed.lives[u.ID]
+	if l == nil {
+		l = &fedLife{unnumbered: u.Incarnation == 0}
+		a.feed.lives[u.ID] = l
+	}
+	if !l.unnumbered {
+		return u.Incarnation
+	}
+	if l.first == 0 {
+		l.first = u.Incarnation
+	}
+	if u.Incarnation == l.first {
+		return 0
+	}
+	return u.Incarnation
+}
+
+// tellPlanners gives the planners the view in the kernel's form.
+func (a *Agent) tellPlanners() {
+	self := kernel.Self{Instance: a.self.Instance, Incarnation: a.feed.reply.Incarnation, Zone: a.self.Zone}
+	v := a.kernelView()
+	a.leftovers.SetView(a.now, self, v)
+	a.orderPlanner.SetView(a.now, self, v)
+}
+
+// kernelView returns the view in the kernel's form, with what the bundle or else
+// the platform's list says of each upstream.
+func (a *Agent) kernelView() *kernel.View {
+	v := a.view
+	out := &kernel.View{
+		Version: v.Version, Trusted: v.Trusted && !v.Superseded,
+		Instances: make([]kernel.Instance, 0, len(v.Instances)),
+		Upstreams: make([]kernel.Upstream, 0, len(v.Upstreams)),
+	}
+	for i := range v.Instances {
+		in := &v.Instances[i]
+		out.Instances = append(out.Instances, kernel.Instance{
+			ID: in.ID, Zone: in.Zone, Incarnation: in.Incarnation, Life: membership.Life(in.State, in.Leaving),
+		})
+	}
+	for i := range v.Upstreams {
+		u := &v.Upstreams[i]
+		out.Upstreams = append(out.Upstreams, kernel.Upstream{
+			Index: i, ID: u.ID, Zone: u.Zone, Address: u.Address,
+			Incarnation: u.Incarnation, Life: upstreamLife(u), Spec: a.spec(u.ID),
+		})
+	}
+	return out
+}
+
+// spec returns what the bundle declares of an upstream, or else what the
+// platform's list says.
+func (a *Agent) spec(id ident.UpstreamID) config.Upstream {
+	if s := a.loads.specs[id]; s != nil {
+		return *s
+	}
+	u := a.book.upstreams[id]
+	return config.Upstream{ID: id, Role: u.Role, Models: u.Models, Service: u.Service}
+}
+
+// takeSpecs takes in the upstreams that a bundle declares.
+func (a *Agent) takeSpecs(c *config.Content) {
+	a.loads.specs = make(map[ident.UpstreamID]*config.Upstream, len(c.Upstreams))
+	for i := range c.Upstreams {
+		a.loads.specs[c.Upstreams[i].ID] = &c.Upstreams[i]
+	}
+}
+
+// isEngine reports whether an upstream is a model engine.
+func (a *Agent) isEngine(id ident.UpstreamID) bool {
+	role := a.spec(id).Role
+	return role == config.RolePrefill || role == config.RoleDecode
+}
+
+// reportOf returns what is believed of an upstream, nil if it is not known.
+func (a *Agent) reportOf(id ident.UpstreamID) *membership.Upstream {
+	list := a.currentView().Upstreams
+	i, ok := slices.BinarySearchFunc(list, id, func(u membership.Upstream, id ident.UpstreamID) int {
+		return strings.Compare(string(u.ID), string(id))
+	})
+	if !ok {
+		return nil
+	}
+	return &list[i]
+}
