--- a/agent/bundles.go
+++ b/agent/bundles.go
@@ -84,7 +84,14 @@
 // updateRoster tells the ledger whom to ask for the floor: the platform, the
 // living peers of the zone, a few of each other zone, and, while it starts, the
 // zone's engines, some of which check fencing numbers.
+//
+// Until the lists are there, the roster would be too short: a stale platform
+// alone could then pass for all who know the floor.
 func (a *Agent) updateRoster() {
+	l := &a.book.lists
+	if (l.instances.index == 0 || l.upstreams.index == 0) && a.now.Sub(a.started) < listsTimeout {
+		return
+	}
 	sources := []ledger.Source{fromPlatform}
 	others := map[ident.Zone]int{}
 	v := a.currentView()
@@ -107,6 +114,9 @@
 	a.step(ledger.Roster{Sources: sources})
 }
 
+// listsTimeout is how long a starting instance waits for the platform's lists.
+const listsTimeout = 3 * time.Second
+
 // remoteSources is how many instances of each other zone are asked for the floor.
 const remoteSources = 3
 
--- a/agent/lists.go
+++ b/agent/lists.go
@@ -60,6 +60,8 @@
 	*a.book.lists.of(key) = l
 	a.source.indexes[key] = max(a.source.indexes[key], l.index)
 	a.viewDirty = true
+	a.refreshView()
+	a.updateRoster()
 	a.spreadNews()
 }
 
