--- a/plugins/slots/dispatch/engines.go
+++ b/plugins/slots/dispatch/engines.go
@@ -21,8 +21,10 @@
 // decodeState is a decode engine in one pass.
 type decodeState struct {
 	u *kernel.Upstream
-	// slots and pieces are free; held counts the known placements.
-	slots, pieces, held int
+	// slots and pieces are free; held and heldPieces are the known placements.
+	slots, pieces, held, heldPieces int
+	// planned is the KV memory meant for prefills under way.
+	planned int
 }
 
 // usable reports whether the engine may get new work in the role.
@@ -107,7 +109,7 @@
 			used[gr.decode] = s
 		}
 		s.held++
-		s.pieces += gr.ask.Pieces
+		s.heldPieces += gr.ask.Pieces
 	}
 	view := g.p.host.View()
 	var list []decodeState
@@ -130,9 +132,9 @@
 		s.pieces -= u.Load.PiecesUsed * foreign / running
 	}
 	if used != nil {
-		s.held = used.held
+		s.held, s.heldPieces = used.held, used.heldPieces
 		s.slots -= used.held
-		s.pieces -= used.pieces
+		s.pieces -= used.heldPieces
 	}
 	return s
 }
@@ -174,22 +176,3 @@
 	}
 	return max(u.Load.Running+u.Load.Waiting-known, 0)
 }
-
-// holdModel learns how long a slot is used.
-type holdModel struct{ mean time.Duration }
-
-const (
-	// initialHold is assumed before the first slot was given back.
-	initialHold = 6 * time.Second
-	// holdWeight is the inverse weight of the newest use.
-	holdWeight = 32
-	// minHold bounds the mean, so that slots given back unused do not make
-	// releases seem frequent.
-	minHold = 100 * time.Millisecond
-)
-
-func newHoldModel() holdModel { return holdModel{mean: initialHold} }
-
-func (h *holdModel) note(held time.Duration) {
-	h.mean = max(h.mean+(held-h.mean)/holdWeight, minHold)
-}
--- a/plugins/slots/dispatch/group.go
+++ b/plugins/slots/dispatch/group.go
@@ -33,6 +33,8 @@
 	// can be imported.
 	computed bool
 	kvUntil  time.Time
+	// planned is the decode engine that is expected to have memory for it.
+	planned ident.UpstreamID
 	// decode is the engine whose slot is taken, since decodeAt.
 	decode   ident.UpstreamID
 	decodeAt time.Time
--- a/plugins/slots/dispatch/pass.go
+++ b/plugins/slots/dispatch/pass.go
@@ -17,7 +17,7 @@
 	lateSlack = 10
 	// kvWaitPercent is the part of a KV cache's usable time for which a slot
 	// may be late by plan.
-	kvWaitPercent = 30
+	kvWaitPercent = 10
 	// minComeBack bounds what refused callers are told.
 	minComeBack = 300 * time.Millisecond
 	// crossZone is the cost of a transfer between availability zones.
@@ -95,8 +95,11 @@
 // roomFor reports whether an engine has KV memory for so many pieces. Engines
 // whose memory is not known are not limited by it.
 func roomFor(d *decodeState, pieces int) bool {
-	known := d.u.Spec.Pieces > 0 || d.u.Load.PiecesTotal > 0
-	return !known || d.pieces >= pieces
+	return !memoryKnown(d) || d.pieces >= pieces
+}
+
+func memoryKnown(d *decodeState) bool {
+	return d.u.Spec.Pieces > 0 || d.u.Load.PiecesTotal > 0
 }
 
 // placeWaiting goes through the queue in order. Each ask is put, in thought, on
@@ -130,7 +133,7 @@
 	}
 	now := g.now()
 	computed := e.readyAt.Add(work)
-	slotAt := s.next(w.ask.Pieces)
+	slotAt, memory := s.next(w.ask.Pieces)
 	transfer := kernel.TransferTime(g.p.host.Model(g.model), w.ask.Prompt, e.u, e.u)
 	first := later(computed, slotAt).Add(transfer)
 	if g.tooLate(w, first) && !(alone && e.readyAt.Equal(now)) {
@@ -140,9 +143,9 @@
 	startable := e.readyAt.Sub(now) <= lookahead
 	slotInTime := slotAt.Sub(computed) <= g.p.kvUsable*kvWaitPercent/100
 	e.readyAt = computed
-	s.take(w.ask.Pieces)
+	s.take(w.ask.Pieces, memory)
 	if startable && slotInTime {
-		g.place(w, e.u, computed)
+		g.place(w, e.u, memory, computed)
 	}
 }
 
@@ -170,7 +173,7 @@
 }
 
 // place gives out a prefill engine.
-func (g *group) place(w *waiting, u *kernel.Upstream, done time.Time) {
+func (g *group) place(w *waiting, u *kernel.Upstream, memory *decodeState, done time.Time) {
 	g.dequeue(w.entry.Request.ID)
 	gr := &grant{
 		key:     w.ask.Reservation.Key(),
@@ -182,6 +185,9 @@
 		prefill: u.ID,
 		doneAt:  done,
 	}
+	if memory != nil {
+		gr.planned = memory.u.ID
+	}
 	g.grants[gr.key] = gr
 	if prefix := g.p.host.Prefix(); prefix != nil {
 		prefix.Placed(u, w.ask.Blocks, g.now())
--- a/plugins/slots/dispatch/supply.go
+++ b/plugins/slots/dispatch/supply.go
@@ -1,54 +1,52 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/wardspool/wardspool/ident"
+)
 
 // slotSupply predicts when decode slots and KV memory will be there for the
 // placements of a pass.
 type slotSupply struct {
 	now time.Time
-	// slots and pieces are free and not yet promised; they go below zero as
-	// the pass promises what will only be released.
-	slots, pieces int
-	// limited is false when the engines' memory is not known.
-	limited bool
-	// slotTime and pieceTime are the expected times between releases.
-	slotTime, pieceTime time.Duration
+	// slots are free and not yet promised; the number goes below zero as the
+	// pass promises slots that will only be released.
+	slots int
+	// engines are the decode engines; releases is when each slot in use is
+	// expected to be given back, the earliest first.
+	engines  []decodeState
+	releases []release
 }
 
-// releaseCaution lengthens the expected time between releases, in percent:
-// being late wastes a prefill, being early only delays one.
-const releaseCaution = 125
+// release is an expected end of a slot's use.
+type release struct {
+	at     time.Time
+	decode ident.UpstreamID
+	pieces int
+}
 
 // never is a time beyond any request's deadline.
 const never = 24 * time.Hour
 
 // supply adds up what the decode engines have free, less what is promised to
-// prefills under way.
+// prefills under way, and what is expected to be released.
 func (g *group) supply(free []decodeState) *slotSupply {
-	s := &slotSupply{now: g.now(), slotTime: never, pieceTime: never}
-	held, heldPieces := 0, 0
+	s := &slotSupply{now: g.now(), engines: free}
 	for i := range free {
-		d := &free[i]
-		s.slots += max(d.slots, 0)
-		s.pieces += max(d.pieces, 0)
-		s.limited = s.limited || d.u.Spec.Pieces > 0 || d.u.Load.PiecesTotal > 0
-		held += d.held
+		s.slots += max(free[i].slots, 0)
 	}
+	s.slots -= g.takeOverMargin()
 	for _, gr := range g.grants {
 		if gr.decode == "" {
-			s.take(gr.ask.Pieces)
-		} else {
-			heldPieces += gr.ask.Pieces
+			s.take(gr.ask.Pieces, s.engine(gr.planned))
+			continue
 		}
+		left := g.hold.remaining(s.now.Sub(gr.decodeAt))
+		s.releases = append(s.releases, release{at: s.now.Add(left), decode: gr.decode, pieces: gr.ask.Pieces})
 	}
-	hold := g.hold.mean * releaseCaution / 100
-	if held > 0 {
-		s.slotTime = hold / time.Duration(held)
-	}
-	if heldPieces > 0 {
-		s.pieceTime = hold / time.Duration(heldPieces)
-	}
-	s.slots -= g.takeOverMargin()
+	slices.SortFunc(s.releases, func(a, b release) int { return a.at.Compare(b.at) })
 	return s
 }
 
@@ -71,20 +69,73 @@
 // slot yet, for each prefill engine.
 const marginPerPrefill = 2
 
-// next is when a slot and memory for one more request are expected.
-func (s *slotSupply) next(pieces int) time.Time {
-	wait := time.Duration(0)
-	if missing := 1 - s.slots; missing > 0 {
-		wait = time.Duration(missing) * s.slotTime
+// next is when a slot and memory for one more request are expected, and the
+// engine on which the memory is expected first, nil if there is none.
+func (s *slotSupply) next(pieces int) (time.Time, *decodeState) {
+	engine, memoryAt := s.memory(pieces)
+	return later(s.slotAt(), memoryAt), engine
+}
+
+// slotAt is when one more slot than are promised is expected to be free.
+func (s *slotSupply) slotAt() time.Time {
+	missing := 1 - s.slots
+	switch {
+	case missing <= 0:
+		return s.now
+	case missing > len(s.releases):
+		return s.now.Add(never)
+	default:
+		return s.releases[missing-1].at
+	}
+}
+
+// memory is the engine that is expected to have so much memory first, among
+// equals the one that keeps most, and when.
+func (s *slotSupply) memory(pieces int) (*decodeState, time.Time) {
+	var best *decodeState
+	bestAt, bestLeft := s.now.Add(never), 0
+	for i := range s.engines {
+		d := &s.engines[i]
+		left := d.pieces - d.planned - pieces
+		at := s.now
+		if left < 0 && memoryKnown(d) {
+			at = s.releasedAt(d.u.ID, -left)
+		}
+		if best == nil || at.Before(bestAt) || (at.Equal(bestAt) && left > bestLeft) {
+			best, bestAt, bestLeft = d, at, left
+		}
 	}
-	if missing := pieces - s.pieces; s.limited && missing > 0 {
-		wait = max(wait, time.Duration(missing)*s.pieceTime)
+	return best, bestAt
+}
+
+// releasedAt is when an engine is expected to have released so many pieces.
+func (s *slotSupply) releasedAt(id ident.UpstreamID, pieces int) time.Time {
+	for _, r := range s.releases {
+		if r.decode != id {
+			continue
+		}
+		pieces -= r.pieces
+		if pieces <= 0 {
+			return r.at
+		}
 	}
-	return s.now.Add(min(wait, never))
+	return s.now.Add(never)
 }
 
-// take promises a slot and memory.
-func (s *slotSupply) take(pieces int) {
+// engine finds a decode engine by ID, nil if it is not usable now.
+func (s *slotSupply) engine(id ident.UpstreamID) *decodeState {
+	for i := range s.engines {
+		if s.engines[i].u.ID == id {
+			return &s.engines[i]
+		}
+	}
+	return nil
+}
+
+// take promises a slot, and memory on the engine.
+func (s *slotSupply) take(pieces int, on *decodeState) {
 	s.slots--
-	s.pieces -= pieces
+	if on != nil {
+		on.planned += pieces
+	}
 }
--- a/testbed/demo/example.go
+++ b/testbed/demo/example.go
@@ -45,10 +45,11 @@
 		EntriesPerZone: 2,
 		Static:         f.Static,
 	})
-	defer fleet.Close()
 	if err != nil {
+		fleet.Close()
 		return err
 	}
+	defer fleet.Close()
 	if !f.NoFaults {
 		go faults(ctx, fleet, f.Duration)
 	}
