--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -136,6 +136,7 @@
 		f.publish(nil)
 		f.within(2*time.Second, "version 2 in force", allAt(nodes[:2], 2))
 		assert.NilError(t, f.platform.SetMode(control.PlatformMode{Mode: control.ModeStale, StaleIndex: old}))
+		f.slowLists = 500 * time.Millisecond
 		nodes[2].start()
 		f.within(10*time.Second, "newcomer ready", func() bool {
 			_, last := nodes[2].entry.seen()
--- a/agent/fleet_test.go
+++ b/agent/fleet_test.go
@@ -86,6 +86,8 @@
 	head     *bundle.Head
 	sequence uint64
 	closers  []func()
+	// slowLists is how long the platform takes to answer reads of its lists.
+	slowLists time.Duration
 }
 
 // node is one instance: an agent and a stand-in for its entry.
@@ -96,7 +98,9 @@
 	host  string
 	agent *Agent
 	entry *fakeEntry
-	stop  func()
+	// stopAgent ends the agent as SIGTERM does; stop ends the entry as well.
+	stopAgent func()
+	stop      func()
 }
 
 // inFleet runs a test with a fleet of its own in a bubble.
@@ -107,12 +111,22 @@
 			t: t, net: newNetwork(), platform: standin.New(standin.Config{}),
 			engines: map[ident.UpstreamID]*engine.Engine{}, nodes: map[ident.InstanceID]*node{},
 		}
-		f.serve(platformAddr, f.platform.Handler())
+		f.serve(platformAddr, f.slowly(f.platform.Handler()))
 		defer f.close()
 		test(f)
 	})
 }
 
+// slowly delays reads of the lists.
+func (f *fleet) slowly(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, platform.KeyInstances) || strings.HasSuffix(r.URL.Path, platform.KeyUpstreams) {
+			time.Sleep(f.slowLists)
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // close stops everything in the bubble.
 func (f *fleet) close() {
 	for _, n := range f.nodes {
@@ -276,13 +290,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- n.agent.Serve(ctx) }()
-	n.stop = sync.OnceFunc(func() {
+	n.stopAgent = sync.OnceFunc(func() {
 		cancel()
 		assert.Check(t, <-done)
-		if n.entry != nil {
-			n.entry.stop()
-		}
 	})
+	n.stop = func() {
+		n.stopAgent()
+		n.entry.stop()
+	}
 }
 
 // testLog writes log lines to the test's log.
--- a/agent/loads.go
+++ b/agent/loads.go
@@ -173,6 +173,7 @@
 // loadFailed takes in a read that got no answer.
 func (a *Agent) loadFailed(id ident.UpstreamID, begun time.Time, p *poll, err error) {
 	a.counters.LoadPollsFailed++
+	a.log.Debug("upstream not read", "upstream", id, "error", err)
 	kind := membership.FailTimeout
 	if engines.KindOf(err) == engines.FailRefused {
 		kind = membership.FailRefused
--- /dev/null
+++ b/agent/upstreams_test.go
@@ -0,0 +1,251 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/agent/engines"
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/feed"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/standin/control"
+)
+
+// benchHost is where the test itself calls from.
+const benchHost = "10.0.9.9"
+
+// address returns where an upstream is.
+func (f *fleet) address(id ident.UpstreamID) string {
+	for _, u := range f.ups {
+		if u.ID == id {
+			return u.Address
+		}
+	}
+	f.t.Fatalf("no upstream %s", id)
+	return ""
+}
+
+// bench returns a client for the test's own calls.
+func (f *fleet) bench() *engines.Client {
+	c := engines.New(from{f.net, benchHost}, time.Second)
+	f.closers = append(f.closers, c.Close)
+	return c
+}
+
+// do sends a request to an upstream and returns the status.
+func (f *fleet) do(method string, id ident.UpstreamID, path, attempt, body string) int {
+	client := &http.Client{Transport: &http.Transport{DialContext: from{f.net, benchHost}.DialContext, DisableKeepAlives: true}}
+	req, err := http.NewRequest(method, "http://"+f.address(id)+path, strings.NewReader(body))
+	assert.NilError(f.t, err)
+	req.Header.Set("X-Request-Id", attempt)
+	resp, err := client.Do(req)
+	assert.NilError(f.t, err)
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+// lives returns what an entry believes of an upstream on each of the nodes.
+func lives(nodes []*node, id ident.UpstreamID) []kernel.Life {
+	var out []kernel.Life
+	for _, n := range nodes {
+		if u := n.entry.upstream(id); u != nil {
+			out = append(out, u.Life)
+		}
+	}
+	return out
+}
+
+// all reports whether every node believes the same of an upstream.
+func all(nodes []*node, id ident.UpstreamID, want kernel.Life) func() bool {
+	return func() bool {
+		list := lives(nodes, id)
+		for _, life := range list {
+			if life != want {
+				return false
+			}
+		}
+		return len(list) == len(nodes)
+	}
+}
+
+// TestUpstreamLeavesWhilePlatformIsDown: the engine's own word reaches all
+// instances, also of the other zone, and stays.
+func TestUpstreamLeavesWhilePlatformIsDown(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		f.addEngine("pf-1", "hall-a", config.RolePrefill)
+		f.addEngine("dc-1", "hall-a", config.RoleDecode)
+		nodes := f.addAll(3, "hall-a", "hall-b")
+		f.list()
+		f.publish(nil)
+		startAll(nodes)
+		f.within(8*time.Second, "version 1 in force", allAt(nodes, 1))
+		time.Sleep(5 * time.Second)
+		assert.NilError(t, f.platform.SetMode(control.PlatformMode{Mode: control.ModeDown}))
+		f.do(http.MethodPut, "dc-1", control.PathFaults, "", `{"draining":true}`)
+		took := f.within(4*time.Second, "leaving everywhere", all(nodes, "dc-1", kernel.Leaving))
+		t.Logf("leaving everywhere after %v", took)
+		f.do(http.MethodPut, "dc-1", control.PathFaults, "", `{}`)
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, all(nodes, "dc-1", kernel.Leaving)(), "%v", lives(nodes, "dc-1"))
+	})
+}
+
+// TestEvidenceOfDraining: an entry's word is believed of the life it was about,
+// and not of the next.
+func TestEvidenceOfDraining(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		e := f.addEngine("dc-1", "hall-a", config.RoleDecode)
+		nodes := f.addAll(2, "hall-a")
+		f.list()
+		startAll(nodes)
+		f.within(5*time.Second, "engine live", all(nodes, "dc-1", kernel.Live))
+		time.Sleep(5 * time.Second)
+		drained := feed.Evidence{Kind: feed.EvidenceDraining, Upstream: "dc-1", AgeMS: 12_000}
+		before := nodes[0].status().Fleet.Upstreams[0].Incarnation
+		e.Crash(time.Second)
+		f.within(10*time.Second, "new life known", func() bool {
+			return nodes[0].status().Fleet.Upstreams[0].Incarnation > before && all(nodes, "dc-1", kernel.Live)()
+		})
+		nodes[0].entry.set(func(r *feed.Reply) { r.Evidence = []feed.Evidence{drained} })
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, all(nodes, "dc-1", kernel.Live)(), "old evidence: %v", lives(nodes, "dc-1"))
+		drained.AgeMS = 10
+		nodes[0].entry.set(func(r *feed.Reply) { r.Evidence = []feed.Evidence{drained} })
+		f.within(3*time.Second, "leaving everywhere", all(nodes, "dc-1", kernel.Leaving))
+	})
+}
+
+// TestDeadUpstreamComesBack: an upstream that refused connections gets no work
+// and is found again when it is back, also a service, which reports no load.
+func TestDeadUpstreamComesBack(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		nodes := f.addAll(3, "hall-a")
+		f.ups = append(f.ups, platform.Upstream{ID: "desk-1", Zone: "hall-a", Address: "10.0.1.9:8000",
+			Role: config.RoleService, Service: "desk", State: platform.StateLive})
+		f.list()
+		startAll(nodes)
+		for _, n := range nodes {
+			n.entry.set(func(r *feed.Reply) {
+				r.Evidence = []feed.Evidence{{Kind: feed.EvidenceRefused, Upstream: "desk-1"}}
+			})
+		}
+		f.within(5*time.Second, "service dead", all(nodes, "desk-1", kernel.Dead))
+		time.Sleep(time.Minute)
+		assert.Assert(t, all(nodes, "desk-1", kernel.Dead)())
+		f.serve("10.0.1.9:8000", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }))
+		f.within(doubtMax+5*time.Second, "service back", all(nodes, "desk-1", kernel.Live))
+	})
+}
+
+// TestLeftovers: what a dead instance left on an engine is released.
+func TestLeftovers(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		f.addEngine("dc-1", "hall-a", config.RoleDecode)
+		nodes := f.addAll(3, "hall-a")
+		f.list()
+		f.publish(nil)
+		startAll(nodes)
+		f.within(8*time.Second, "version 1 in force", allAt(nodes, 1))
+		time.Sleep(5 * time.Second)
+		owner := nodes[0].status().Entry.Incarnation
+		id := ident.AttemptID{Instance: nodes[0].id, Incarnation: owner, Sequence: 1, Deadline: time.Now().Add(time.Hour)}
+		status := f.do(http.MethodPost, "dc-1", "/v1/completions", id.String(),
+			fmt.Sprintf(`{"model":"reader","prompt":"a b c","max_tokens":%d,"stream":true}`, 4000))
+		assert.Equal(t, status, http.StatusOK)
+		bench := f.bench()
+		held := func() int {
+			list, err := bench.Held(context.Background(), f.address("dc-1"))
+			assert.NilError(t, err)
+			return len(list)
+		}
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, held(), 1, "a live owner's attempt stays")
+		nodes[0].stop()
+		took := f.within(12*time.Second, "leftover released", func() bool { return held() == 0 })
+		t.Logf("released after %v", took)
+		released := uint64(0)
+		for _, n := range nodes[1:] {
+			released += n.status().Counters.Released
+		}
+		assert.Equal(t, released, uint64(1))
+	})
+}
+
+// TestOrders: engines are ordered what the bundle declares, by one instance, and
+// corrected; both those that check fencing numbers and those that do not.
+func TestOrders(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		f.addEngine("pf-1", "hall-a", config.RolePrefill)
+		f.addEngine("dc-1", "hall-a", config.RoleDecode)
+		nodes := f.addAll(3, "hall-a")
+		f.list()
+		f.publish(nil)
+		startAll(nodes)
+		f.within(8*time.Second, "version 1 in force", allAt(nodes, 1))
+		f.publish(func(c *config.Content) {
+			for i := range c.Upstreams {
+				c.Upstreams[i].Version = "2"
+			}
+		})
+		bench := f.bench()
+		runs := func(id ident.UpstreamID, version string) func() bool {
+			return func() bool {
+				s, err := bench.ReadOrders(context.Background(), f.address(id))
+				assert.NilError(t, err)
+				return s.Version == version && s.Loading == nil
+			}
+		}
+		f.within(20*time.Second, "prefill engine runs version 2", runs("pf-1", "2"))
+		f.within(20*time.Second, "decode engine runs version 2", runs("dc-1", "2"))
+		orders := uint64(0)
+		for _, n := range nodes {
+			orders += n.status().Counters.Orders
+		}
+		assert.Equal(t, orders, uint64(2))
+		_, err := bench.GiveOrder(context.Background(), f.address("dc-1"), engines.Order{Fence: 1, Placement: engines.Placement{
+			Role: config.RoleDecode, Models: []string{"reader"}, Version: "old",
+		}})
+		assert.NilError(t, err)
+		f.within(time.Minute, "decode engine corrected", runs("dc-1", "2"))
+	})
+}
+
+// TestStop: an instance that stops says so, and that it has ended when its entry
+// has finished; its agent exits then.
+func TestStop(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		f.addEngine("dc-1", "hall-a", config.RoleDecode)
+		nodes := f.addAll(3, "hall-a")
+		f.list()
+		f.publish(nil)
+		startAll(nodes)
+		f.within(8*time.Second, "version 1 in force", allAt(nodes, 1))
+		time.Sleep(5 * time.Second)
+		first := nodes[0].entry
+		first.set(func(r *feed.Reply) { r.Stopping = true })
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			nodes[0].stopAgent()
+		}()
+		is := func(life kernel.Life) func() bool {
+			return func() bool {
+				return nodes[1].entry.instance("hall-a-1").Life == life && nodes[2].entry.instance("hall-a-1").Life == life
+			}
+		}
+		f.within(3*time.Second, "leaving", is(kernel.Leaving))
+		time.Sleep(30 * time.Second)
+		assert.Assert(t, is(kernel.Leaving)(), "it waits for its entry")
+		first.stop()
+		f.within(3*time.Second, "dead", is(kernel.Dead))
+		<-stopped
+	})
+}
