slots.lease: ask at once elsewhere instead of queueing on a wrong belief

An ask now says whether another engine is believed free; then it is denied at once and the holder tries the next. The comparison now has a prefill pool, so that wasted prefill costs something.

--- a/plugins/slots/compare/client.go
+++ b/plugins/slots/compare/client.go
@@ -20,7 +20,6 @@
 	pending map[ident.AttemptID]*request
 	// kickAt is when the queue must be looked at again.
 	kickAt time.Time
-	inStep bool
 }
 
 // Constants of the kernel that matter here.
@@ -28,6 +27,7 @@
 	shortlist      = 8
 	retryPlacement = 100 * time.Millisecond
 	tieBreak       = 0.002
+	maxEngineQueue = 250 * time.Millisecond
 	// balance is the cost of a request already running, in seconds, as the
 	// scorer of the pace gives it for this workload.
 	balance = 0.004
@@ -59,12 +59,12 @@
 	full := false
 	for i := 0; i < len(c.queue); {
 		q := c.queue[i]
-		if now.Add(q.lead).After(q.by) {
+		if now.Add(c.lead(q)).After(q.by) {
 			c.queue = slices.Delete(c.queue, i, i+1)
-			c.run.count.late++
+			c.run.note(q, &c.run.count.late)
 			continue
 		}
-		if full || q.retryAt.After(now) {
+		if full || q.retryAt.After(now) || c.prefillBusy() {
 			c.kick(q.retryAt)
 			i++
 			continue
@@ -78,6 +78,22 @@
 	}
 }
 
+// lead is the predicted time from now to the use of the request's slot.
+func (c *client) lead(q *request) time.Duration {
+	return c.run.pool.wait(c.run.world.Now()) + q.prefill + transfer
+}
+
+// prefillBusy reports whether the prefill engines have as much to do as may be
+// given to them.
+func (c *client) prefillBusy() bool {
+	wait := c.run.pool.wait(c.run.world.Now())
+	if wait <= maxEngineQueue {
+		return false
+	}
+	c.kick(c.run.world.Now().Add(wait - maxEngineQueue))
+	return true
+}
+
 // candidate is an engine and its cost.
 type candidate struct {
 	engine *slottest.Engine
@@ -87,10 +103,11 @@
 // rank returns the engines, the cheapest first.
 func (c *client) rank(q *request) []candidate {
 	var all []candidate
+	lead := c.lead(q)
 	for _, e := range c.run.world.Engines {
 		u := c.node.Upstream(e.ID)
 		a := c.node.Policy.Availability(u)
-		start := q.lead
+		start := lead
 		if a.Free <= 0 {
 			start = max(start, a.NextFree)
 		}
@@ -111,7 +128,7 @@
 			Reservation:   id,
 			Upstream:      option.engine.ID,
 			Pieces:        q.pieces,
-			Lead:          q.lead,
+			Lead:          c.lead(q),
 			OutputTokens:  q.declared,
 			FirstOutputBy: q.by,
 		})
@@ -153,8 +170,8 @@
 	e := c.run.engineOf[id]
 	delete(c.run.engineOf, id)
 	now := c.run.world.Now()
-	if now.Add(q.lead).After(q.by) {
-		c.run.count.late++
+	if now.Add(c.lead(q)).After(q.by) {
+		c.run.note(q, &c.run.count.late)
 		c.node.Policy.Release(id)
 		return
 	}
@@ -175,8 +192,11 @@
 
 // prefill runs the request's prefill and then its decode.
 func (c *client) prefill(q *request, id ident.AttemptID, e *slottest.Engine) {
-	c.run.count.prefills++
-	c.run.world.After(q.trueLead, func() {
+	c.run.note(q, &c.run.count.prefills)
+	now := c.run.world.Now()
+	done := c.run.pool.start(now, q.prefill)
+	moved := transfer + time.Duration(c.run.world.Rand.Int64N(int64((transferError-1)*transfer)))
+	c.run.world.After(done.Add(moved).Sub(now), func() {
 		c.whenRunning(func() { c.decode(q, id, e) })
 	})
 }
@@ -197,7 +217,7 @@
 	started := e.Start(id, q.pieces)
 	c.node.SeeLoad(e.ID, e.Load())
 	if !started {
-		c.run.count.wasted++
+		c.run.note(q, &c.run.count.wasted)
 		c.node.Policy.Refused(e.ID)
 		c.node.Policy.Release(id)
 		q.retryAt = now
@@ -206,7 +226,7 @@
 	}
 	c.node.Policy.Started(id)
 	if !now.Add(firstToken).After(q.by) {
-		c.run.count.onTime++
+		c.run.note(q, &c.run.count.onTime)
 	}
 	c.run.running[id] = e
 	c.run.world.After(q.hold, func() { c.finish(id, e) })
--- a/plugins/slots/compare/main.go
+++ b/plugins/slots/compare/main.go
@@ -19,7 +19,7 @@
 type options struct {
 	Seeds    int     `help:"Runs for each cell, seeds 1 to N." default:"5"`
 	Output   string  `short:"o" help:"Markdown page whose marked part is replaced; standard output if empty."`
-	Tables   string  `help:"Comma-separated tables to run: policies, faults, ahead, probe, size." default:"policies,faults,ahead,probe,size"`
+	Tables   string  `help:"Comma-separated tables to run: policies, faults, ahead, queue, renew, probe, size." default:"policies,faults,ahead,queue,renew,probe,size"`
 	Duration float64 `help:"Virtual seconds measured in each run." default:"120"`
 }
 
--- a/plugins/slots/compare/run.go
+++ b/plugins/slots/compare/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/wardspool/wardspool/ident"
@@ -37,6 +38,8 @@
 	pieces = 200
 	// warmUp is left out of the figures.
 	warmUp = 30 * time.Second
+	// coolDown is how long requests of the measured time are followed after it.
+	coolDown = 5 * time.Second
 	// faultAt is when the fault begins in the measured time.
 	faultAt = 10 * time.Second
 	// freezeTime and cutTime are how long an instance is frozen or cut off.
@@ -75,7 +78,12 @@
 	count    counts
 	engineOf map[ident.AttemptID]*slottest.Engine
 	running  map[ident.AttemptID]*slottest.Engine
+	pool     pool
+	// arrivals is drawn from for the workload alone, so that all policies are
+	// offered the same requests.
+	arrivals *rand.Rand
 	until    time.Time
+	counting bool
 	next     int
 }
 
@@ -92,8 +100,10 @@
 		}),
 		engineOf: map[ident.AttemptID]*slottest.Engine{},
 		running:  map[ident.AttemptID]*slottest.Engine{},
+		arrivals: rand.New(rand.NewPCG(seed, 0)),
+		pool:     newPool(c.engines / decodePerPrefill),
 	}
-	r.until = slottest.Epoch.Add(warmUp + duration)
+	r.until = slottest.Epoch.Add(warmUp + duration + coolDown)
 	for _, n := range r.world.Nodes {
 		r.clients = append(r.clients, newClient(r, n))
 	}
@@ -103,11 +113,23 @@
 	r.reset()
 	r.world.After(faultAt, r.fault)
 	r.world.Run(duration)
-	return r.figures(duration)
+	f := r.load(duration)
+	r.counting = false
+	r.world.Run(coolDown)
+	r.sumUp(&f)
+	return f
+}
+
+// note counts what becomes of a request that arrived in the measured time.
+func (r *run) note(q *request, counter *int) {
+	if q.counted {
+		*counter++
+	}
 }
 
 // reset starts the counting.
 func (r *run) reset() {
+	r.counting = true
 	r.count = counts{waits: report.NewHist()}
 	r.world.Traffic = slottest.Traffic{ByKind: map[string]int{}}
 	for _, e := range r.world.Engines {
@@ -119,13 +141,14 @@
 // arriveNext lets the next request arrive, at one instance after the other.
 func (r *run) arriveNext() {
 	rate := r.cell.load * float64(r.cell.engines*slots) / meanSlotTime.Seconds()
-	gap := time.Duration(r.world.Rand.ExpFloat64() / rate * float64(time.Second))
+	gap := time.Duration(r.arrivals.ExpFloat64() / rate * float64(time.Second))
 	r.world.After(gap, func() {
 		if r.world.Now().After(r.until) {
 			return
 		}
-		r.count.offered++
-		q := newRequest(r.world.Rand, r.world.Now(), r.cell.loose)
+		q := newRequest(r.arrivals, r.world.Now(), r.cell.loose)
+		q.counted = r.counting
+		r.note(q, &r.count.offered)
 		if c := r.balance(); c != nil {
 			c.arrive(q)
 		}
@@ -215,23 +238,26 @@
 	return d + time.Duration(r.world.Rand.Int64N(int64(noticeSpread)))
 }
 
-// figures sums a run up.
-func (r *run) figures(duration time.Duration) figures {
+// load sums up the engines' load and the messages of the measured time.
+func (r *run) load(duration time.Duration) figures {
 	busy := time.Duration(0)
 	for _, e := range r.world.Engines {
 		busy += e.Busy()
 	}
-	requests := float64(max(r.count.offered, 1))
 	messages := float64(r.world.Traffic.Messages)
 	bytes := float64(r.world.Traffic.Bytes)
 	return figures{
 		utilisation:  busy.Seconds() / (duration.Seconds() * float64(r.cell.engines*slots)),
-		goodput:      float64(r.count.onTime) / requests,
-		wasted:       float64(r.count.wasted) / float64(max(r.count.prefills, 1)),
-		waitMedian:   r.count.waits.Quantile(50),
-		waitTail:     r.count.waits.Quantile(95),
-		messages:     messages / requests,
+		messages:     messages / float64(max(r.count.offered, 1)),
 		bytes:        bytes / math.Max(messages, 1),
 		bytesPerNode: bytes / duration.Seconds() / float64(r.cell.instances),
 	}
 }
+
+// sumUp adds what became of the requests.
+func (r *run) sumUp(f *figures) {
+	f.goodput = float64(r.count.onTime) / float64(max(r.count.offered, 1))
+	f.wasted = float64(r.count.wasted) / float64(max(r.count.prefills, 1))
+	f.waitMedian = r.count.waits.Quantile(50)
+	f.waitTail = r.count.waits.Quantile(95)
+}
--- a/plugins/slots/compare/tables.go
+++ b/plugins/slots/compare/tables.go
@@ -24,11 +24,16 @@
 	"faults":   {title: "With the first engine's grantor failing, at load 1.0", cells: faultCells()},
 	"ahead":    {title: "Leasing ahead, 8 instances", cells: aheadCells()},
 	"probe":    {title: "The margin of slots.probe, 8 instances", cells: probeCells()},
+	"queue":    {title: "How long an ask may wait at the grantor, 24 instances", cells: queueCells()},
+	"renew":    {title: "How often leases are renewed, 24 instances", cells: renewCells()},
 	"size":     {title: "Messages as the system grows, load 1.0", cells: sizeCells()},
 }
 
 func policyCells() []cell {
 	var cells []cell
+	for _, load := range []float64{0.8, 1.0, 1.2} {
+		cells = append(cells, cell{policy: leaseFree, instances: 1, engines: engines, load: load, fault: noFault})
+	}
 	for _, n := range []int{2, 8, 24} {
 		for _, load := range []float64{0.8, 1.0, 1.2} {
 			for _, p := range allPolicies {
@@ -82,6 +87,28 @@
 	return cells
 }
 
+func queueCells() []cell {
+	var cells []cell
+	for _, load := range []float64{1.0, 1.2} {
+		for _, wait := range []time.Duration{time.Millisecond, 100 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second} {
+			p := leaseWith(fmt.Sprint("wait ", wait), lease.Settings{AheadRisk: -1, QueueWait: wait})
+			cells = append(cells, cell{policy: p, instances: 24, engines: engines, load: load, fault: noFault})
+		}
+	}
+	return cells
+}
+
+func renewCells() []cell {
+	var cells []cell
+	for _, f := range []fault{noFault, killed} {
+		for _, every := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second} {
+			p := leaseWith(fmt.Sprint("renew ", every), lease.Settings{AheadRisk: -1, RenewInterval: every})
+			cells = append(cells, cell{policy: p, instances: 24, engines: engines, load: 1, fault: f})
+		}
+	}
+	return cells
+}
+
 func sizeCells() []cell {
 	var cells []cell
 	for _, size := range []struct{ instances, engines int }{{8, 6}, {24, 18}, {96, 72}} {
--- a/plugins/slots/compare/workload.go
+++ b/plugins/slots/compare/workload.go
@@ -20,9 +20,11 @@
 	firstOutputTarget         = 2 * time.Second
 	deadline                  = 60 * time.Second
 	pieceTokens               = 2000
-	// leadError is how far the true time to the slot's use may be off what was
-	// predicted, either way.
-	leadError = 0.2
+	// decodePerPrefill is the number of decode engines to each prefill engine.
+	decodePerPrefill = 2
+	// transferError is how far a transfer may be off what was predicted, as a
+	// multiple.
+	transferError = 3
 	// looseness is how many times its true output a request may declare when
 	// outputs are not known beforehand.
 	looseness = 4
@@ -31,8 +33,8 @@
 // request is one request of the workload.
 type request struct {
 	by time.Time
-	// lead is the predicted, trueLead the real time to the slot's use.
-	lead, trueLead time.Duration
+	// prefill is how long its prompt takes to compute.
+	prefill time.Duration
 	// declared is the most it may put out, hold how long it holds the slot.
 	declared int
 	hold     time.Duration
@@ -40,22 +42,21 @@
 	arrived  time.Time
 	asked    time.Time
 	retryAt  time.Time
+	// counted is set for requests that arrive in the measured time.
+	counted bool
 }
 
 // newRequest draws a request. With loose set it declares more than it puts out.
 func newRequest(r *rand.Rand, now time.Time, loose bool) *request {
 	prompt := logNormal(r, promptMedian, promptSigma, promptMin, promptMax)
 	output := logNormal(r, outputMedian, outputSigma, outputMin, outputMax)
-	lead := time.Duration(prompt/prefillPerSecond*float64(time.Second)) + transfer
-	off := 1 + leadError*(2*r.Float64()-1)
 	declared := output
 	if loose {
 		declared *= 1 + (looseness-1)*r.Float64()
 	}
 	return &request{
 		by:       now.Add(firstOutputTarget),
-		lead:     lead,
-		trueLead: time.Duration(float64(lead) * off),
+		prefill:  time.Duration(prompt / prefillPerSecond * float64(time.Second)),
 		declared: int(declared),
 		hold:     time.Duration(output * float64(tokenPace)),
 		pieces:   (int(prompt+declared) + pieceTokens - 1) / pieceTokens,
--- /dev/null
+++ b/plugins/slots/dispatch/bed_test.go
@@ -0,0 +1,312 @@
+package dispatch
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+	_ "github.com/wardspool/wardspool/plugins/order/deadline"
+)
+
+const testModel = "reader"
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// answer is what a node's kernel was told of a reservation.
+type answer struct {
+	what            string
+	prefill, decode ident.UpstreamID
+}
+
+// node is one instance: a policy and the host it sees.
+type node struct {
+	bed     *bed
+	self    kernel.Self
+	policy  *Policy
+	view    *kernel.View
+	answers map[ident.AttemptID][]answer
+	frozen  bool
+	dead    bool
+	inbox   []delivery
+	seq     uint64
+}
+
+// delivery is a message on its way.
+type delivery struct {
+	at       time.Time
+	order    int
+	from, to *node
+	m        kernel.PeerMessage
+	failed   bool
+}
+
+type deliveries []delivery
+
+func (d deliveries) Len() int { return len(d) }
+func (d deliveries) Less(i, j int) bool {
+	if !d[i].at.Equal(d[j].at) {
+		return d[i].at.Before(d[j].at)
+	}
+	return d[i].order < d[j].order
+}
+func (d deliveries) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d *deliveries) Push(x any)   { *d = append(*d, x.(delivery)) }
+func (d *deliveries) Pop() any {
+	last := (*d)[len(*d)-1]
+	*d = (*d)[:len(*d)-1]
+	return last
+}
+
+// bed is a few instances in virtual time, with a network that loses, repeats
+// and reorders messages if told so.
+type bed struct {
+	now     time.Time
+	rand    *rand.Rand
+	nodes   []*node
+	content *config.Content
+	sent    deliveries
+	order   int
+	// loss and repeat are shares of the messages, 0 to 1; jitter is the most
+	// that a message is delayed beyond its millisecond.
+	loss, repeat float64
+	jitter       time.Duration
+	cut          map[[2]ident.InstanceID]bool
+}
+
+func newBed(seed uint64, instances, slots, pieces int) *bed {
+	b := &bed{now: epoch, rand: rand.New(rand.NewPCG(seed, 1)), cut: map[[2]ident.InstanceID]bool{}}
+	b.content = &config.Content{
+		Models: []config.Model{{Name: testModel, PieceTokens: 2000, KVBytesPerToken: 1000}},
+		Policy: config.Policy{Order: "order.deadline", KVLifetime: 900 * time.Millisecond},
+	}
+	for _, id := range []ident.UpstreamID{"p1", "p2", "d1", "d2"} {
+		u := config.Upstream{ID: id, Role: config.RoleDecode, Models: []string{testModel}, Slots: slots, Pieces: pieces,
+			PrefillTokensPerSecond: 20000, LinkBytesPerSecond: 1e9, DecodeStep: 20 * time.Millisecond}
+		if id[0] == 'p' {
+			u.Role = config.RolePrefill
+		}
+		b.content.Upstreams = append(b.content.Upstreams, u)
+	}
+	for i := range instances {
+		n := &node{bed: b, answers: map[ident.AttemptID][]answer{}}
+		n.self = kernel.Self{Instance: ident.InstanceID(fmt.Sprintf("e%d", i+1)), Incarnation: 1, Zone: "z"}
+		b.nodes = append(b.nodes, n)
+	}
+	for _, n := range b.nodes {
+		n.start()
+	}
+	return b
+}
+
+// start begins a new life of the node.
+func (n *node) start() {
+	n.policy = &Policy{}
+	n.setView(1, nil)
+	n.policy.Attach(n)
+	n.policy.Configure(n.bed.content)
+}
+
+// setView gives the node a view in which the listed instances are dead.
+func (n *node) setView(version uint64, dead map[ident.InstanceID]bool) {
+	v := &kernel.View{Version: version, Trusted: true}
+	for _, other := range n.bed.nodes {
+		life := kernel.Live
+		if dead[other.self.Instance] {
+			life = kernel.Dead
+		}
+		v.Instances = append(v.Instances, kernel.Instance{ID: other.self.Instance, Zone: "z", Incarnation: other.self.Incarnation, Life: life})
+	}
+	for i, u := range n.bed.content.Upstreams {
+		v.Upstreams = append(v.Upstreams, kernel.Upstream{Index: i, ID: u.ID, Zone: "z", Incarnation: 1, Life: kernel.Live, Spec: u})
+	}
+	n.view = v
+}
+
+// The node is the policy's host.
+
+func (n *node) Now() time.Time                           { return n.bed.now }
+func (n *node) Self() kernel.Self                        { return n.self }
+func (n *node) View() *kernel.View                       { return n.view }
+func (n *node) Content() *config.Content                 { return n.bed.content }
+func (n *node) Rand() *rand.Rand                         { return n.bed.rand }
+func (n *node) QueueLength() int                         { return 0 }
+func (n *node) Prefix() kernel.PrefixStore               { return nil }
+func (n *node) Model(string) *config.Model               { return &n.bed.content.Models[0] }
+func (n *node) Estimate(*kernel.Request) kernel.Estimate { return kernel.Estimate{} }
+
+func (n *node) Upstream(id ident.UpstreamID) *kernel.Upstream {
+	for i := range n.view.Upstreams {
+		if n.view.Upstreams[i].ID == id {
+			return &n.view.Upstreams[i]
+		}
+	}
+	return nil
+}
+
+func (n *node) note(id ident.AttemptID, a answer) { n.answers[id] = append(n.answers[id], a) }
+
+func (n *node) SlotGranted(id ident.AttemptID)             { n.note(id, answer{what: "granted"}) }
+func (n *node) SlotDenied(id ident.AttemptID, _ time.Time) { n.note(id, answer{what: "denied"}) }
+func (n *node) PlacementRefused(id ident.AttemptID, _ time.Duration) {
+	n.note(id, answer{what: "refused"})
+}
+func (n *node) PlacementGranted(id ident.AttemptID, p, d ident.UpstreamID) {
+	n.note(id, answer{what: "placed", prefill: p, decode: d})
+}
+func (n *node) DecodeGranted(id ident.AttemptID, d ident.UpstreamID) {
+	n.note(id, answer{what: "decode", decode: d})
+}
+
+// Send puts a message on its way, or loses it.
+func (n *node) Send(to ident.InstanceID, m kernel.PeerMessage) {
+	b := n.bed
+	for _, other := range b.nodes {
+		if other.self.Instance != to {
+			continue
+		}
+		lost := b.rand.Float64() < b.loss
+		d := delivery{from: n, to: other, m: m, failed: b.cut[[2]ident.InstanceID{n.self.Instance, to}] || other.dead}
+		if lost && !d.failed {
+			return
+		}
+		b.post(d)
+		if b.rand.Float64() < b.repeat && !d.failed {
+			b.post(d)
+		}
+	}
+}
+
+func (b *bed) post(d delivery) {
+	b.order++
+	d.order = b.order
+	d.at = b.now.Add(time.Millisecond)
+	if b.jitter > 0 {
+		d.at = d.at.Add(time.Duration(b.rand.Int64N(int64(b.jitter))))
+	}
+	heap.Push(&b.sent, d)
+}
+
+// run lets virtual time pass.
+func (b *bed) run(d time.Duration) {
+	end := b.now.Add(d)
+	for {
+		at, ok := b.nextEvent()
+		if !ok || at.After(end) {
+			b.now = end
+			return
+		}
+		b.now = at
+		if len(b.sent) > 0 && !b.sent[0].at.After(at) {
+			b.deliver(heap.Pop(&b.sent).(delivery))
+			continue
+		}
+		for _, n := range b.nodes {
+			n.wakeIfDue()
+		}
+	}
+}
+
+func (b *bed) nextEvent() (time.Time, bool) {
+	var at time.Time
+	found := false
+	if len(b.sent) > 0 {
+		at, found = b.sent[0].at, true
+	}
+	for _, n := range b.nodes {
+		t, ok := n.policy.NextWake()
+		if n.dead || n.frozen || !ok {
+			continue
+		}
+		if t.Before(b.now) {
+			t = b.now
+		}
+		if !found || t.Before(at) {
+			at, found = t, true
+		}
+	}
+	return at, found
+}
+
+func (n *node) wakeIfDue() {
+	t, ok := n.policy.NextWake()
+	if ok && !n.dead && !n.frozen && !t.After(n.bed.now) {
+		n.policy.Wake()
+	}
+}
+
+func (b *bed) deliver(d delivery) {
+	switch {
+	case d.failed:
+		if !d.from.dead {
+			d.from.policy.Undelivered(d.to.self.Instance, d.m)
+		}
+	case d.to.dead:
+	case d.to.frozen:
+		d.to.inbox = append(d.to.inbox, d)
+	default:
+		d.to.policy.Receive(d.from.self.Instance, d.m)
+	}
+}
+
+// thaw lets a frozen node run on with what came meanwhile.
+func (n *node) thaw() {
+	n.frozen = false
+	inbox := n.inbox
+	n.inbox = nil
+	for _, d := range inbox {
+		n.bed.deliver(d)
+	}
+}
+
+// place asks for a placement due in the given time.
+func (n *node) place(due time.Duration) ident.AttemptID {
+	n.seq++
+	id := ident.AttemptID{Instance: n.self.Instance, Incarnation: n.self.Incarnation, Sequence: n.seq,
+		Deadline: n.bed.now.Add(20 * time.Second)}
+	n.policy.Place(kernel.PlacementAsk{
+		Reservation: id,
+		Pieces:      4,
+		Request: &kernel.Request{ID: ident.RequestID(id.String()), Model: testModel, Workspace: "w",
+			PromptTokens: 4000, MaxOutputTokens: 100, FirstOutputBy: n.bed.now.Add(due), Deadline: id.Deadline},
+	})
+	return id
+}
+
+// last is the newest answer to a reservation.
+func (n *node) last(id ident.AttemptID) answer {
+	list := n.answers[id]
+	if len(list) == 0 {
+		return answer{}
+	}
+	return list[len(list)-1]
+}
+
+// dispatcherNode is the node that all others take for the dispatcher.
+func (b *bed) dispatcherNode() *node {
+	for _, n := range b.nodes {
+		if n.dead {
+			continue
+		}
+		n.policy.refresh()
+		for _, d := range b.nodes {
+			if d.self.Instance == n.policy.dispatcher(testModel) {
+				return d
+			}
+		}
+	}
+	return nil
+}
+
+// holderNode is a living node that is not the dispatcher.
+func (b *bed) holderNode() *node {
+	for _, n := range b.nodes {
+		if n != b.dispatcherNode() && !n.dead {
+			return n
+		}
+	}
+	return nil
+}
--- a/plugins/slots/dispatch/pass.go
+++ b/plugins/slots/dispatch/pass.go
@@ -105,7 +105,8 @@
 // placeWaiting goes through the queue in order. Each ask is put, in thought, on
 // the engine that would be done with it first; if that engine is about to fall
 // idle and a slot will be there for the result, it is given out. An ask that by
-// this plan cannot meet its target is refused at once.
+// this plan cannot meet its target is refused at once, unless nothing else
+// waits and nothing is in its way: then it is late, but costs nobody anything.
 func (g *group) placeWaiting(free []decodeState) {
 	if len(g.waiting) == 0 {
 		return
@@ -136,7 +137,8 @@
 	slotAt, memory := s.next(w.ask.Pieces)
 	transfer := kernel.TransferTime(g.p.host.Model(g.model), w.ask.Prompt, e.u, e.u)
 	first := later(computed, slotAt).Add(transfer)
-	if g.tooLate(w, first) && !(alone && e.readyAt.Equal(now)) {
+	idle := alone && e.readyAt.Equal(now) && slotAt.Equal(now)
+	if !idle && g.tooLate(w, first) {
 		g.refuse(w, first)
 		return
 	}
--- /dev/null
+++ b/plugins/slots/dispatch/rapid_test.go
@@ -0,0 +1,155 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/wardspool/wardspool/ident"
+)
+
+// held is a reservation that the machine's kernels go on with.
+type held struct {
+	n  *node
+	id ident.AttemptID
+}
+
+// machine drives a bed at random.
+type machine struct {
+	b    *bed
+	open []held
+}
+
+func (m *machine) node(t *rapid.T) *node {
+	return m.b.nodes[rapid.IntRange(0, len(m.b.nodes)-1).Draw(t, "node")]
+}
+
+func (m *machine) place(t *rapid.T) {
+	n := m.node(t)
+	if n.dead || n.frozen || !n.policy.Joint(testModel) {
+		return
+	}
+	due := time.Duration(rapid.IntRange(100, 5000).Draw(t, "due")) * time.Millisecond
+	m.open = append(m.open, held{n, n.place(due)})
+}
+
+// advance does with one reservation what its kernel would do next.
+func (m *machine) advance(t *rapid.T) {
+	if len(m.open) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.open)-1).Draw(t, "open")
+	h := m.open[i]
+	if h.n.dead || h.n.frozen {
+		return
+	}
+	switch last := h.n.last(h.id); last.what {
+	case "placed":
+		h.n.note(h.id, answer{what: "computing"})
+		h.n.policy.Computed(h.id)
+	case "decode":
+		h.n.note(h.id, answer{what: "decoding"})
+		h.n.policy.Started(h.id)
+	case "decoding", "denied", "refused":
+		h.n.policy.Release(h.id)
+		m.open = append(m.open[:i:i], m.open[i+1:]...)
+	}
+}
+
+func (m *machine) pass(t *rapid.T) {
+	m.b.run(time.Duration(rapid.IntRange(1, 700).Draw(t, "ms")) * time.Millisecond)
+}
+
+func (m *machine) freeze(t *rapid.T) { m.node(t).frozen = true }
+
+func (m *machine) thaw(t *rapid.T) {
+	if n := m.node(t); n.frozen {
+		n.thaw()
+	}
+}
+
+func (m *machine) cut(t *rapid.T) {
+	m.b.cut[[2]ident.InstanceID{m.node(t).self.Instance, m.node(t).self.Instance}] = true
+}
+
+func (m *machine) heal(*rapid.T) { m.b.cut = map[[2]ident.InstanceID]bool{} }
+
+// checkSlots checks that no dispatcher promises more than an engine has.
+func (m *machine) checkSlots(t *rapid.T) {
+	for _, n := range m.b.nodes {
+		g, ok := n.policy.groups[testModel]
+		if !ok {
+			continue
+		}
+		slots, pieces := map[ident.UpstreamID]int{}, map[ident.UpstreamID]int{}
+		for _, gr := range g.grants {
+			if gr.decode != "" && gr.holder != "" {
+				slots[gr.decode]++
+				pieces[gr.decode] += gr.ask.Pieces
+			}
+		}
+		for _, u := range n.view.Upstreams {
+			// Holders' own static shares are entered by renewals and may come on
+			// top, at most as much again.
+			if slots[u.ID] > 2*u.Spec.Slots || pieces[u.ID] > 2*u.Spec.Pieces {
+				t.Fatalf("%s: %d slots, %d pieces promised of %d, %d", u.ID, slots[u.ID], pieces[u.ID], u.Spec.Slots, u.Spec.Pieces)
+			}
+		}
+	}
+}
+
+// settle ends all disturbances and all requests, and checks that every ask was
+// answered and that no dispatcher keeps anything.
+func (m *machine) settle(t *rapid.T) {
+	m.b.loss, m.b.repeat = 0, 0
+	m.heal(t)
+	for _, n := range m.b.nodes {
+		if n.frozen {
+			n.thaw()
+		}
+	}
+	m.b.run(8 * time.Second)
+	for _, h := range m.open {
+		if h.n.last(h.id).what == "" {
+			t.Fatalf("reservation %s was never answered", h.id)
+		}
+		h.n.policy.Release(h.id)
+	}
+	m.b.run(30 * time.Second)
+	for _, n := range m.b.nodes {
+		if len(n.policy.holder.holdings) != 0 {
+			t.Fatalf("%s still holds %d placements", n.self.Instance, len(n.policy.holder.holdings))
+		}
+		for _, g := range n.policy.groups {
+			if len(g.grants)+len(g.waiting)+len(g.ready) != 0 {
+				t.Fatalf("%s keeps %d placements, %d asks", n.self.Instance, len(g.grants), len(g.waiting))
+			}
+		}
+	}
+}
+
+// TestInterleavings checks over random interleavings of losses, repetitions,
+// reorderings, freezes and cuts that every ask is answered, that promises stay
+// within bounds and that nothing is left behind.
+func TestInterleavings(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{b: newBed(rapid.Uint64().Draw(t, "seed"), 3, 3, 24)}
+		m.b.loss = rapid.SampledFrom([]float64{0, 0.1, 0.4}).Draw(t, "loss")
+		m.b.repeat = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "repeat")
+		m.b.jitter = time.Duration(rapid.IntRange(0, 50).Draw(t, "jitter")) * time.Millisecond
+		t.Repeat(map[string]func(*rapid.T){
+			"place":    m.place,
+			"place2":   m.place,
+			"advance":  m.advance,
+			"advance2": m.advance,
+			"pass":     m.pass,
+			"freeze":   m.freeze,
+			"thaw":     m.thaw,
+			"cut":      m.cut,
+			"heal":     m.heal,
+			"":         m.checkSlots,
+		})
+		m.settle(t)
+	})
+}
--- a/plugins/slots/lease/availability.go
+++ b/plugins/slots/lease/availability.go
@@ -1,6 +1,10 @@
 package lease
 
 import (
+	"slices"
+
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/kernel"
 	"github.com/wardspool/wardspool/plugins/slots/slotkit"
 )
@@ -50,3 +54,25 @@
 	}
 	return a
 }
+
+// freeElsewhere reports whether another engine that could serve in the place of
+// the given one is believed to have a free slot.
+func (p *Policy) freeElsewhere(id ident.UpstreamID) bool {
+	u := p.host.Upstream(id)
+	v := p.host.View()
+	for i := range v.Upstreams {
+		other := &v.Upstreams[i]
+		if other.ID == id || other.Spec.Role != config.RoleDecode || !sameModels(u, other) {
+			continue
+		}
+		if p.Availability(other).Free > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// sameModels reports whether the engines run the same models.
+func sameModels(a, b *kernel.Upstream) bool {
+	return slices.Equal(a.Spec.Models, b.Spec.Models)
+}
--- a/plugins/slots/lease/grantor.go
+++ b/plugins/slots/lease/grantor.go
@@ -86,7 +86,7 @@
 		p.enter(l, u, &w)
 		return verdictGranted
 	}
-	if !p.enqueue(l, w) {
+	if ask.NoWait || !p.enqueue(l, w) {
 		return verdictDenied
 	}
 	p.drain(l, u)
@@ -221,7 +221,7 @@
 		Upstream:    l.upstream,
 		Seq:         ask.Seq,
 		RetryIn:     millis(retry),
-		NextFree:    millis(l.nextFree()),
+		NextFree:    millis(l.wait()),
 	}
 }
 
@@ -231,6 +231,15 @@
 	maxRetry = 1 * time.Second
 )
 
+// retryAfter returns when a holder is to ask again: at once if it believes that
+// another engine has a free slot, having learned that this one has none.
+func (p *Policy) retryAfter(l *ledger, ask Ask) time.Duration {
+	if ask.NoWait {
+		return 0
+	}
+	return p.retryIn(l)
+}
+
 // retryIn returns when an ask made now is likely to find a slot, jittered so
 // that holders denied together do not come back together.
 func (p *Policy) retryIn(l *ledger) time.Duration {
--- a/plugins/slots/lease/message.go
+++ b/plugins/slots/lease/message.go
@@ -40,6 +40,9 @@
 	Lead          Milliseconds        `json:"l,omitempty"`
 	Output        int                 `json:"o,omitempty"`
 	FirstOutputBy int64               `json:"b,omitempty"` // Unix milliseconds
+	// NoWait asks for an answer at once, because the holder believes that
+	// another engine has a free slot.
+	NoWait bool `json:"w,omitempty"`
 }
 
 // Grant answers an Ask: the slot is leased until the reservation's deadline.
--- a/plugins/slots/lease/receive.go
+++ b/plugins/slots/lease/receive.go
@@ -59,9 +59,9 @@
 	case verdictGranted:
 		p.host.Send(from, &Grant{Reservation: ask.Reservation, Upstream: ask.Upstream, Free: p.free(l, u)})
 	case verdictQueued:
-		p.host.Send(from, &Queued{Reservation: ask.Reservation, Upstream: ask.Upstream, Seq: ask.Seq, NextFree: millis(l.nextFree())})
+		p.host.Send(from, &Queued{Reservation: ask.Reservation, Upstream: ask.Upstream, Seq: ask.Seq, NextFree: millis(l.wait())})
 	case verdictDenied:
-		p.host.Send(from, p.denial(l, ask, p.retryIn(l)))
+		p.host.Send(from, p.denial(l, ask, p.retryAfter(l, ask)))
 	}
 }
 
