--- a/cmd/wardspool-load/experiment.go
+++ b/cmd/wardspool-load/experiment.go
@@ -239,5 +239,21 @@
 			return oops.In("experiment").Wrap(err)
 		}
 	}
+	if err := c.writeDigest(list, surges); err != nil {
+		return err
+	}
 	return experiment.SavePlots(filepath.Join(c.Out, "experiment"), list, surges)
 }
+
+// writeDigest writes the tables of docs/measurements.md.
+func (c *experimentCmd) writeDigest(list []*experiment.Summary, surges []*experiment.Timeline) error {
+	f, err := os.Create(filepath.Join(c.Out, "experiment.md"))
+	if err != nil {
+		return oops.In("experiment").Wrap(err)
+	}
+	if err := experiment.WriteDigest(f, list, surges); err != nil {
+		_ = f.Close()
+		return oops.In("experiment").Wrap(err)
+	}
+	return oops.In("experiment").Wrap(f.Close())
+}
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -121,6 +121,9 @@
 	timeline, err := SurgeTable(surges)
 	assert.NilError(t, err)
 	assert.Equal(t, len(timeline.Rows), 6)
+	var digest strings.Builder
+	assert.NilError(t, WriteDigest(&digest, list, surges))
+	assert.Assert(t, strings.Contains(digest.String(), "| coastline ideal | "), digest.String())
 	assert.NilError(t, SavePlots(filepath.Join(t.TempDir(), "plot"), list, surges))
 }
 
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -22,6 +22,10 @@
 	assert.NilError(t, table.WriteText(&text))
 	assert.Equal(t, text.String(), "name         n\nshort        1\nmuch longer  20\n")
 
+	text.Reset()
+	assert.NilError(t, table.WriteMarkdown(&text))
+	assert.Equal(t, text.String(), "| name | n |\n| --- | --- |\n| short | 1 |\n| much longer | 20 |\n")
+
 	path := filepath.Join(t.TempDir(), "sub", "t.csv")
 	assert.NilError(t, table.SaveCSV(path))
 	got, err := os.ReadFile(path)
--- a/report/table.go
+++ b/report/table.go
@@ -63,6 +63,20 @@
 	return out.WriteAll(t.Rows)
 }
 
+// WriteMarkdown writes the table in Markdown. Errors are the writer's.
+func (t *Table) WriteMarkdown(w io.Writer) error {
+	rule := make([]string, len(t.Header))
+	for i := range rule {
+		rule[i] = "---"
+	}
+	for _, row := range append([][]string{t.Header, rule}, t.Rows...) {
+		if _, err := fmt.Fprintf(w, "| %s |\n", strings.Join(row, " | ")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // SaveCSV writes the table to a file, whose directory it makes if need be.
 // Errors are those of package os.
 func (t *Table) SaveCSV(path string) (err error) {
