Ledger: which bundle is in force on one instance; model check of its promises

bundle/ledger is a pure state machine: documents, parts, floor reports and the time go in, actions come out. A roll names target and base and carries their heads, so that one read tells an instance all but the parts; a starting instance decides only after its sources answered.

The model check runs real ledgers under every interleaving of stale, late and repeated reads, forged documents, replacements, timeouts and publishing.

--- /dev/null
+++ b/bundle/ledger/documents.go
@@ -0,0 +1,233 @@
+package ledger
+
+import (
+	"fmt"
+
+	"github.com/wardspool/wardspool/bundle"
+)
+
+// StaleError reports a document that is older than one already accepted: a
+// stale read or a replay.
+type StaleError struct {
+	What string
+	// Have is the number already accepted, and Seen the document's.
+	Have, Seen uint64
+}
+
+// Error implements error.
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("%s %d is older than %d", e.What, e.Seen, e.Have)
+}
+
+// ConflictError reports a signed document that has the number of an accepted one
+// and another digest.
+type ConflictError struct {
+	What   string
+	Number uint64
+	// Have is the digest accepted, and Seen the document's.
+	Have, Seen bundle.Digest
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("%s %d is signed as %s and as %s", e.What, e.Number, e.Have.Short(), e.Seen.Short())
+}
+
+// refuse records that something was refused.
+func (l *Ledger) refuse(from Source, err error) { l.act(Refused{From: from, Err: err}) }
+
+// apply implements Event.
+func (e Garbled) apply(l *Ledger) {
+	l.refuse(e.From, e.Err)
+	l.alarm(Alarm{Type: AlarmGarbled, From: e.From, Err: e.Err})
+}
+
+// apply implements Event.
+func (e HeadSeen) apply(l *Ledger) {
+	ref := e.Head.Ref()
+	if l.known(ref) {
+		l.parts.addHolder(e.From)
+		return
+	}
+	other, conflict := l.conflicting(ref)
+	newest := l.newestVersion()
+	if ref.Version <= newest && !conflict {
+		l.refuse(e.From, &StaleError{What: "version", Have: newest, Seen: ref.Version})
+		return
+	}
+	if err := l.checker.head(e.Head, l.approvers); err != nil {
+		l.refuse(e.From, err)
+		l.alarm(Alarm{Type: AlarmUnverified, Ref: ref, From: e.From, Err: err})
+		return
+	}
+	if conflict {
+		l.refuse(e.From, &ConflictError{What: "version", Number: ref.Version, Have: other.Digest, Seen: ref.Digest})
+		l.split(other, ref)
+		return
+	}
+	l.next, l.nextRef = e.Head, ref
+	l.parts.addHolder(e.From)
+	l.parts.stale = true
+	l.parts.since = l.now
+	l.act(Announce{Summary: l.Summary()})
+}
+
+// refs lists the bundles that the ledger knows to be signed.
+func (l *Ledger) refs() []bundle.Ref {
+	refs := []bundle.Ref{l.inForceRef, l.nextRef}
+	if l.roll != nil {
+		refs = append(refs, l.roll.Roll.Target, l.roll.Roll.Base)
+	}
+	return refs
+}
+
+func (l *Ledger) known(ref bundle.Ref) bool {
+	for _, r := range l.refs() {
+		if r == ref {
+			return true
+		}
+	}
+	return false
+}
+
+// conflicting returns a known bundle with the same version as ref and another
+// digest.
+func (l *Ledger) conflicting(ref bundle.Ref) (bundle.Ref, bool) {
+	for _, r := range l.refs() {
+		if r.Version == ref.Version && r.Digest != ref.Digest && !r.IsZero() {
+			return r, true
+		}
+	}
+	return bundle.Ref{}, false
+}
+
+func (l *Ledger) newestVersion() uint64 {
+	var newest uint64
+	for _, r := range l.refs() {
+		newest = max(newest, r.Version)
+	}
+	return newest
+}
+
+// split raises the alarm for two signed bundles of one version.
+func (l *Ledger) split(have, seen bundle.Ref) {
+	if l.on(guardConflict) {
+		l.alarm(Alarm{Type: AlarmSplitVersion, Ref: have, Other: seen})
+	}
+}
+
+// apply implements Event.
+func (e RollSeen) apply(l *Ledger) { l.takeRoll(e.From, e.Roll) }
+
+// takeRoll accepts or refuses a roll. It reports false only for a roll that may
+// be newer than the ledger's and cannot be verified.
+func (l *Ledger) takeRoll(from Source, s *bundle.SignedRoll) bool {
+	if l.roll != nil && l.rollDigest == s.Roll.Digest() {
+		l.parts.addHolder(from)
+		return true
+	}
+	if l.refusedStale(from, s) {
+		return true
+	}
+	if err := l.verifyRoll(s); err != nil {
+		l.refuse(from, err)
+		l.alarm(Alarm{Type: AlarmUnverified, Ref: s.Roll.Target, Number: s.Roll.Sequence, From: from, Err: err})
+		return false
+	}
+	l.reportSplits(s)
+	if l.refusedOrder(from, s) {
+		return true
+	}
+	l.acceptRoll(from, s)
+	return true
+}
+
+// refusedStale refuses a roll that is older than the current one. It may still
+// show that a version was signed twice.
+func (l *Ledger) refusedStale(from Source, s *bundle.SignedRoll) bool {
+	if l.roll == nil || s.Roll.Sequence >= l.roll.Roll.Sequence || !l.on(guardOrder) {
+		return false
+	}
+	l.refuse(from, &StaleError{What: "roll", Have: l.roll.Roll.Sequence, Seen: s.Roll.Sequence})
+	if l.clashes(s) && l.verifyRoll(s) == nil {
+		l.reportSplits(s)
+	}
+	return true
+}
+
+// clashes reports whether a bundle of the roll clashes with a known one.
+func (l *Ledger) clashes(s *bundle.SignedRoll) bool {
+	_, target := l.conflicting(s.Roll.Target)
+	_, base := l.conflicting(s.Roll.Base)
+	return target || base
+}
+
+// verifyRoll verifies the roll's target and its own signatures.
+func (l *Ledger) verifyRoll(s *bundle.SignedRoll) error {
+	trusted := l.approvers
+	if !l.on(guardManifest) {
+		trusted = s.Target.Manifest.Approvers
+	}
+	if !l.on(guardRoll) {
+		return l.checker.head(&s.Target, trusted)
+	}
+	return l.checker.roll(s, trusted)
+}
+
+// reportSplits raises alarms for bundles of the roll that clash with known ones.
+func (l *Ledger) reportSplits(s *bundle.SignedRoll) {
+	for _, ref := range []bundle.Ref{s.Roll.Target, s.Roll.Base} {
+		if other, conflict := l.conflicting(ref); conflict {
+			l.split(other, ref)
+		}
+	}
+}
+
+// refusedOrder refuses a signed roll that may not follow the current one.
+func (l *Ledger) refusedOrder(from Source, s *bundle.SignedRoll) bool {
+	if l.roll == nil || !l.on(guardOrder) {
+		return false
+	}
+	current := &l.roll.Roll
+	if current.Sequence == s.Roll.Sequence {
+		l.refuse(from, &ConflictError{What: "roll", Number: current.Sequence, Have: l.rollDigest, Seen: s.Roll.Digest()})
+		l.alarm(Alarm{Type: AlarmSplitRoll, Ref: current.Target, Other: s.Roll.Target, Number: current.Sequence})
+		return true
+	}
+	if err := current.CheckOrder(&s.Roll); err != nil {
+		l.refuse(from, err)
+		l.alarm(Alarm{Type: AlarmRollOrder, Ref: s.Roll.Target, Number: s.Roll.Sequence, From: from, Err: err})
+		return true
+	}
+	return false
+}
+
+func (l *Ledger) acceptRoll(from Source, s *bundle.SignedRoll) {
+	l.roll, l.rollDigest = s, s.Roll.Digest()
+	if epoch := s.Target.Manifest.Approvers.Epoch; epoch > l.approvers.Epoch {
+		l.approvers = s.Target.Manifest.Approvers
+	}
+	if l.nextRef.Version <= s.Roll.Target.Version {
+		l.next, l.nextRef = nil, bundle.Ref{}
+	}
+	l.clearAlarms(func(a Alarm) bool {
+		return a.Type == AlarmNothingRolled || (a.Number != 0 && a.Number < s.Roll.Sequence && a.Type != AlarmFloorAbove)
+	})
+	l.parts.restart(l.now, from)
+	l.act(Announce{Summary: l.Summary()})
+}
+
+// apply implements Event.
+func (e Announced) apply(l *Ledger) {
+	mine := l.Summary()
+	switch {
+	case e.Summary.RollSequence > mine.RollSequence,
+		e.Summary.RollSequence == mine.RollSequence && e.Summary.RollDigest != mine.RollDigest:
+		l.act(FetchRoll{From: e.From})
+	case e.Summary.RollDigest == mine.RollDigest && !mine.RollDigest.IsZero():
+		l.parts.addHolder(e.From)
+	}
+	if e.Summary.Newest.Version > mine.Newest.Version {
+		l.act(FetchHead{From: e.From})
+	}
+}
--- /dev/null
+++ b/bundle/ledger/floor.go
@@ -0,0 +1,227 @@
+package ledger
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wardspool/wardspool/bundle"
+)
+
+// answer is what the ledger holds of one source of the roster.
+type answer struct {
+	source   Source
+	askedAt  time.Time
+	answered bool
+	// vouches says that the source can know the floor: a ready peer, or a
+	// platform that holds a roll.
+	vouches bool
+	// inForce and fence are as in FloorReport.
+	inForce bundle.Ref
+	fence   uint64
+}
+
+// floorState is how far a starting or rechecking instance has come in learning
+// the floor.
+type floorState struct {
+	status Status
+	since  time.Time
+	// round numbers the times that the instance began to ask.
+	round uint64
+	// answers holds one entry for each source of the roster.
+	answers []answer
+}
+
+func newFloorState(status Status, now time.Time) floorState {
+	return floorState{status: status, since: now}
+}
+
+// recheck makes an instance that was paused ask anew: what it was told may be
+// long out of date.
+func (l *Ledger) recheck() {
+	status := StatusStarting
+	if l.floor.status != StatusStarting {
+		status = StatusRechecking
+	}
+	sources, round := l.rosterSources(), l.floor.round
+	l.floor = newFloorState(status, l.now)
+	l.floor.round = round + 1
+	Roster{Sources: sources}.apply(l)
+	l.parts.since = l.now
+}
+
+func (l *Ledger) rosterSources() []Source {
+	sources := make([]Source, len(l.floor.answers))
+	for i, a := range l.floor.answers {
+		sources[i] = a.source
+	}
+	return sources
+}
+
+// apply implements Event.
+func (e Roster) apply(l *Ledger) {
+	answers := make([]answer, 0, len(e.Sources))
+	for _, s := range e.Sources {
+		if a := l.floor.find(s); a != nil {
+			answers = append(answers, *a)
+			continue
+		}
+		answers = append(answers, answer{source: s})
+	}
+	l.floor.answers = answers
+}
+
+func (f *floorState) find(s Source) *answer {
+	i := slices.IndexFunc(f.answers, func(a answer) bool { return a.source == s })
+	if i < 0 {
+		return nil
+	}
+	return &f.answers[i]
+}
+
+// apply implements Event. A report whose roll cannot be verified is no answer:
+// what it knows is not known here.
+func (e FloorReport) apply(l *Ledger) {
+	usable := true
+	if e.Roll != nil {
+		usable = l.takeRoll(e.From, e.Roll)
+	}
+	a := l.floor.find(e.From)
+	if a == nil || e.Round != l.floor.round {
+		return
+	}
+	a.answered = usable
+	a.vouches = (e.From.Kind == SourcePeer && e.Ready) || (e.From.Kind == SourcePlatform && e.Roll != nil)
+	a.inForce = e.InForce
+	a.fence = e.Fence
+}
+
+// apply implements Event.
+func (e Unreachable) apply(l *Ledger) {
+	if a := l.floor.find(e.From); a != nil {
+		a.answered = false
+	}
+}
+
+// ask asks the sources that have not answered, each once per RetryInterval.
+func (l *Ledger) ask() {
+	if l.floor.status == StatusReady {
+		return
+	}
+	for i := range l.floor.answers {
+		a := &l.floor.answers[i]
+		due := a.askedAt.IsZero() || l.now.Sub(a.askedAt) >= l.settings.RetryInterval
+		if !a.answered && due {
+			a.askedAt = l.now
+			l.act(AskFloor{From: a.source, Round: l.floor.round})
+		}
+	}
+}
+
+// timedOut reports whether the sources had their time to answer.
+func (l *Ledger) timedOut() bool {
+	return l.now.Sub(l.floor.since) >= l.settings.StartTimeout
+}
+
+// settled reports whether the ledger may act on what it knows: always once
+// ready, and before that when it has learned the floor as far as it can.
+func (l *Ledger) settled() bool {
+	if l.floor.status == StatusReady || !l.on(guardAnswers) {
+		return true
+	}
+	if !l.floor.complete() && !l.timedOut() {
+		return false
+	}
+	if l.on(guardEvidence) && !l.evidence() {
+		return false
+	}
+	return !l.on(guardFence) || l.fence() <= l.targetVersion()
+}
+
+// complete reports whether every source has answered.
+func (f *floorState) complete() bool {
+	return len(f.answers) > 0 && !slices.ContainsFunc(f.answers, func(a answer) bool { return !a.answered })
+}
+
+// evidence reports whether the ledger heard from someone who can know the floor.
+// An instance that was ready is such evidence itself.
+func (l *Ledger) evidence() bool {
+	if l.floor.status == StatusRechecking || (l.settings.Isolated == IsolatedServePreload && l.timedOut()) {
+		return true
+	}
+	return slices.ContainsFunc(l.floor.answers, func(a answer) bool { return a.answered && a.vouches })
+}
+
+// fence returns the highest fencing number that an upstream has seen.
+func (l *Ledger) fence() uint64 {
+	var highest uint64
+	for _, a := range l.floor.answers {
+		if a.source.Kind == SourceUpstream {
+			highest = max(highest, a.fence)
+		}
+	}
+	return highest
+}
+
+func (l *Ledger) targetVersion() uint64 {
+	if l.roll == nil {
+		return 0
+	}
+	return l.roll.Roll.Target.Version
+}
+
+// standsIn reports whether the roll's base may stand in for a target that covers
+// this starting instance and cannot be had: its parts are missing for too long,
+// and everyone was asked and nobody has it in force. It was published by halves.
+func (l *Ledger) standsIn() bool {
+	target := l.roll.Roll.Target
+	if l.floor.status != StatusStarting || l.roll.Roll.Base.IsZero() || !l.floor.complete() {
+		return false
+	}
+	if !l.parts.lacks(target) || l.now.Sub(l.parts.since) < l.settings.PartsTimeout {
+		return false
+	}
+	return !slices.ContainsFunc(l.floor.answers, func(a answer) bool {
+		return a.inForce.Version >= target.Version || a.fence >= target.Version
+	})
+}
+
+// becomeReady declares the instance ready once the assigned bundle, or a higher
+// one, is in force.
+func (l *Ledger) becomeReady() {
+	if l.floor.status == StatusReady || l.inForce == nil {
+		return
+	}
+	if l.floor.status == StatusStarting && l.inForceRef.Version < l.assigned().Version {
+		return
+	}
+	l.floor.status = StatusReady
+	var unconfirmed []Source
+	for _, a := range l.floor.answers {
+		if !a.answered {
+			unconfirmed = append(unconfirmed, a.source)
+		}
+	}
+	l.clearAlarms(func(a Alarm) bool {
+		return a.Type == AlarmIsolated || a.Type == AlarmFloorAbove || a.Type == AlarmNothingRolled
+	})
+	l.act(Ready{InForce: l.inForceRef, Unconfirmed: unconfirmed})
+	l.act(Announce{Summary: l.Summary()})
+}
+
+// watchTimeouts raises the alarms of an instance that waits for too long.
+func (l *Ledger) watchTimeouts() {
+	if len(l.parts.lacking) > 0 && l.now.Sub(l.parts.since) >= l.settings.PartsTimeout {
+		l.alarm(Alarm{Type: AlarmHalfPublished, Ref: l.parts.lacking[0]})
+	}
+	if l.floor.status != StatusStarting || !l.timedOut() {
+		return
+	}
+	switch fence := l.fence(); {
+	case fence > l.targetVersion():
+		l.alarm(Alarm{Type: AlarmFloorAbove, Number: fence})
+	case l.roll == nil && slices.ContainsFunc(l.floor.answers, func(a answer) bool { return a.answered }):
+		l.alarm(Alarm{Type: AlarmNothingRolled})
+	case !l.evidence():
+		l.alarm(Alarm{Type: AlarmIsolated})
+	}
+}
--- /dev/null
+++ b/bundle/ledger/ledger.go
@@ -0,0 +1,152 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/wardspool/wardspool/bundle"
+	"github.com/wardspool/wardspool/config"
+)
+
+// Status says whether the instance may serve.
+type Status string
+
+// The states. An instance goes from starting to ready, and between ready and
+// rechecking after that.
+const (
+	// StatusStarting instances learn the floor. They serve nothing and give no
+	// orders.
+	StatusStarting Status = "starting"
+	// StatusReady instances serve by the bundle in force.
+	StatusReady Status = "ready"
+	// StatusRechecking instances were paused and ask again what they missed.
+	// They may go on serving by the bundle in force, but give no orders.
+	StatusRechecking Status = "rechecking"
+)
+
+// Ledger is the state of one instance. It is not safe for concurrent use.
+type Ledger struct {
+	settings Settings
+	checker  checker
+	removed  guard
+
+	now     time.Time
+	actions []Action
+	alarms  []Alarm
+
+	// approvers is the set trusted now.
+	approvers bundle.Approvers
+	// roll is the newest roll, and next a head above its target, fetched early.
+	roll       *bundle.SignedRoll
+	rollDigest bundle.Digest
+	next       *bundle.Head
+	nextRef    bundle.Ref
+
+	// inForce is nil until a bundle is in force.
+	inForce    *bundle.Head
+	inForceRef bundle.Ref
+	content    *config.Content
+	// spoiled is a bundle that could not be assembled, not to be tried again.
+	spoiled bundle.Ref
+
+	parts partState
+	floor floorState
+}
+
+// New returns the ledger of a starting instance. It returns an
+// *bundle.ApproversError if the trusted set cannot be used.
+func New(s Settings, now time.Time) (*Ledger, error) {
+	if err := s.Approvers.Check(); err != nil {
+		return nil, err
+	}
+	return &Ledger{
+		settings: s.withDefaults(), checker: newChecker(), now: now,
+		approvers: s.Approvers,
+		parts:     partState{have: &bundle.PartSet{}},
+		floor:     newFloorState(StatusStarting, now),
+	}, nil
+}
+
+// Step takes in one event at a time no earlier than the last, and returns what
+// is to be done. The time must come from a monotonic clock.
+func (l *Ledger) Step(now time.Time, e Event) []Action {
+	paused := now.Sub(l.now) >= l.settings.PauseGap
+	l.now = now
+	if paused {
+		l.recheck()
+	}
+	e.apply(l)
+	l.settle()
+	actions := l.actions
+	l.actions = nil
+	return actions
+}
+
+// act adds an action to what the step returns.
+func (l *Ledger) act(a Action) { l.actions = append(l.actions, a) }
+
+// apply implements Event.
+func (Tick) apply(*Ledger) {}
+
+// settle draws the consequences of an event.
+func (l *Ledger) settle() {
+	l.findMissing()
+	if l.settled() {
+		l.advance()
+		l.becomeReady()
+	}
+	l.fetch()
+	l.ask()
+	l.watchTimeouts()
+}
+
+// assigned returns the bundle that the newest roll puts in force here.
+func (l *Ledger) assigned() bundle.Ref {
+	if l.roll == nil {
+		return bundle.Ref{}
+	}
+	r := &l.roll.Roll
+	if !l.on(guardCoverage) || (!l.on(guardAbandoned) && r.Stage == bundle.StageAbandoned) {
+		return r.Target
+	}
+	ref := r.Assigned(l.settings.Instance, l.settings.Zone)
+	if ref == r.Target && l.standsIn() {
+		return r.Base
+	}
+	return ref
+}
+
+// advance brings the assigned bundle into force if it is above the one in force
+// and whole.
+func (l *Ledger) advance() {
+	ref := l.assigned()
+	rises := ref.Version > l.inForceRef.Version
+	if !l.on(guardRising) {
+		rises = ref != l.inForceRef
+	}
+	if ref.IsZero() || !rises || ref == l.spoiled {
+		return
+	}
+	head, _ := l.roll.Head(ref)
+	if l.inForce != nil && l.on(guardChain) && !head.Manifest.Follows(l.inForceRef) {
+		l.alarm(Alarm{Type: AlarmBrokenChain, Ref: ref, Other: l.inForceRef})
+		return
+	}
+	if l.parts.lacks(ref) {
+		return
+	}
+	content, err := l.checker.assemble(&head.Manifest, l.parts.have)
+	if err != nil {
+		l.spoiled = ref
+		l.alarm(Alarm{Type: AlarmInvalidContent, Ref: ref, Err: err})
+		return
+	}
+	l.bringInForce(head, ref, content)
+}
+
+func (l *Ledger) bringInForce(head *bundle.Head, ref bundle.Ref, content *config.Content) {
+	l.act(InForce{Ref: ref, From: l.inForceRef, Content: content})
+	l.inForce, l.inForceRef, l.content = head, ref, content
+	l.clearAlarms(func(a Alarm) bool { return a.Ref.Version < ref.Version && a.Number == 0 })
+	l.prune()
+	l.act(Announce{Summary: l.Summary()})
+}
--- /dev/null
+++ b/bundle/ledger/model_test.go
@@ -0,0 +1,397 @@
+package ledger
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/wardspool/wardspool/bundle"
+	"github.com/wardspool/wardspool/bundle/modelcheck"
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+)
+
+// The model runs real ledgers under every interleaving of what can happen to
+// them: stale, fresh, repeated and lost reads of the platform and of peers,
+// forged documents, restarts, timeouts, and operators who publish step by step.
+// Loss needs no step of its own: what is lost is a step not taken.
+
+// scenario bounds one model.
+type scenario struct {
+	name string
+	// rolls are the documents that operators publish, in order.
+	rolls []*bundle.SignedRoll
+	// forged are documents that an attacker may show to anyone at any time.
+	forged []*bundle.SignedRoll
+	zones  []ident.Zone
+	// settings changes the settings of an instance's life.
+	settings func(s *Settings, life int)
+	// preload is given to each life at its start, if there is one.
+	preload *bundle.SignedRoll
+	// cut lists the instances that can reach neither the platform nor a peer.
+	cut []int
+	// fencing adds an upstream that checks fencing numbers, to the first
+	// instance's zone.
+	fencing bool
+	// delayed lets a peer's answers arrive late and twice.
+	delayed bool
+	// published is how many rolls are published at the start.
+	published int
+	// restarts bounds how often instances are replaced, all together.
+	restarts int
+	// warm starts every instance ready, with the first roll.
+	warm bool
+	// stuck says that instances need not converge: the operators' last version
+	// does not heal their split.
+	stuck bool
+	// signedTwice says that an approver signed two bundles of one version.
+	signedTwice bool
+}
+
+// life is one instance's life in the model, with what the checks remember.
+type life struct {
+	ledger *Ledger
+	now    time.Time
+	number int
+	// owed holds, for each other instance that was ready when this life began
+	// and has been up since, the sequence of the roll it knew.
+	owed []uint64
+	// abandoned lists versions that this life was told are abandoned while they
+	// were not in force on it.
+	abandoned []uint64
+	// fenceOwed is the fencing number that the upstream had seen at the start.
+	fenceOwed uint64
+	// heard holds the answers of peers on their way to this life.
+	heard []*FloorReport
+	late  bool
+}
+
+// world is one state of the model.
+type world struct {
+	lives     []*life
+	published int
+	restarts  int
+	fence     uint64
+}
+
+// model makes worlds of a scenario, with one guard removed.
+type model struct {
+	scenario
+	removed guard
+	checker checker
+}
+
+func (m *model) start() *world {
+	w := &world{published: m.published, restarts: m.restarts}
+	for i := range m.zones {
+		w.lives = append(w.lives, nil)
+		w.lives[i] = m.birth(w, i, 0)
+	}
+	if m.warm {
+		m.warmUp(w)
+	}
+	return w
+}
+
+// warmUp lets every instance read the first roll and hear every peer, twice: at
+// first no peer is ready.
+func (m *model) warmUp(w *world) {
+	for range 2 {
+		for _, v := range w.lives {
+			v.ledger.Step(v.now, FloorReport{From: platform, Roll: m.rolls[0]})
+			for _, other := range w.lives {
+				v.ledger.Step(v.now, other.ledger.Report())
+			}
+		}
+	}
+}
+
+// birth starts a life of an instance.
+func (m *model) birth(w *world, i, number int) *life {
+	s := testSettings(ident.InstanceID(fmt.Sprintf("entry-%d", i)), m.zones[i])
+	s.PauseGap = time.Hour
+	if m.settings != nil {
+		m.settings(&s, number)
+	}
+	l, err := New(s, epoch)
+	if err != nil {
+		panic(err)
+	}
+	l.removed, l.checker = m.removed, m.checker
+	v := &life{ledger: l, now: epoch, number: number, fenceOwed: w.fence}
+	v.heard = make([]*FloorReport, len(m.zones))
+	v.owed = make([]uint64, len(m.zones))
+	for j, other := range w.lives {
+		if other != nil && j != i && other.ledger.Status() == StatusReady {
+			v.owed[j] = other.ledger.roll.Roll.Sequence
+		}
+	}
+	if m.preload != nil {
+		l.Step(v.now, RollSeen{From: preload, Roll: m.preload})
+	}
+	l.Step(v.now, Roster{Sources: m.roster(i)})
+	return v
+}
+
+func (m *model) isCut(i int) bool { return slices.Contains(m.cut, i) }
+
+func (m *model) hasFencing(i int) bool { return m.fencing && m.zones[i] == m.zones[0] }
+
+func (m *model) roster(i int) []Source {
+	sources := []Source{platform}
+	for j := range m.zones {
+		if j != i {
+			sources = append(sources, peer(fmt.Sprintf("entry-%d", j)))
+		}
+	}
+	if m.hasFencing(i) {
+		sources = append(sources, engine)
+	}
+	return sources
+}
+
+// clone copies a world deeply but for one life, which is copied for change.
+func (w *world) clone(i int) *world {
+	c := *w
+	c.lives = slices.Clone(w.lives)
+	v := *w.lives[i]
+	v.ledger = v.ledger.clone()
+	v.owed = slices.Clone(v.owed)
+	v.abandoned = slices.Clone(v.abandoned)
+	v.heard = slices.Clone(v.heard)
+	c.lives[i] = &v
+	return &c
+}
+
+func (l *Ledger) clone() *Ledger {
+	c := *l
+	c.actions = nil
+	c.alarms = slices.Clone(l.alarms)
+	c.parts.have = l.parts.have.Clone()
+	c.parts.holders = slices.Clone(l.parts.holders)
+	c.parts.missing = slices.Clone(l.parts.missing)
+	c.parts.lacking = slices.Clone(l.parts.lacking)
+	c.floor.answers = slices.Clone(l.floor.answers)
+	return &c
+}
+
+// next lists what can happen in a world.
+func (m *model) next(w *world) []modelcheck.Step[*world] {
+	var steps []modelcheck.Step[*world]
+	if w.published == len(m.rolls) && !m.stuck {
+		if i, ok := m.converged(w); !ok {
+			steps = append(steps, modelcheck.Step[*world]{Name: "all is read", Broken: &brokenPromise{promise: converges, instance: i}})
+		}
+	}
+	if w.published < len(m.rolls) {
+		c := *w
+		c.published++
+		steps = append(steps, modelcheck.Step[*world]{Name: fmt.Sprintf("publish %s", rollName(m.rolls[w.published])), State: &c})
+	}
+	for i := range w.lives {
+		steps = append(steps, m.reads(w, i)...)
+		steps = append(steps, m.faults(w, i)...)
+	}
+	return steps
+}
+
+// reads lists the reads that an instance can do.
+func (m *model) reads(w *world, i int) []modelcheck.Step[*world] {
+	var steps []modelcheck.Step[*world]
+	if !m.isCut(i) {
+		steps = append(steps, m.event(w, i, "reads nothing from the platform", FloorReport{From: platform}))
+		for _, r := range m.rolls[:w.published] {
+			name := "reads from the platform " + rollName(r)
+			steps = append(steps, m.event(w, i, name, FloorReport{From: platform, Roll: r}))
+		}
+		for j := range w.lives {
+			if j != i && !m.isCut(j) {
+				steps = append(steps, m.peerReads(w, i, j)...)
+			}
+		}
+	}
+	if m.hasFencing(i) {
+		name := fmt.Sprintf("hears fencing number %d", w.fence)
+		steps = append(steps, m.event(w, i, name, FloorReport{From: engine, Fence: w.fence}))
+	}
+	for _, r := range m.forged {
+		steps = append(steps, m.event(w, i, "is shown forged "+rollName(r), RollSeen{From: peer("thief"), Roll: r}))
+	}
+	return steps
+}
+
+// peerReads lists how instance i can hear from j: at once, or late and twice.
+func (m *model) peerReads(w *world, i, j int) []modelcheck.Step[*world] {
+	report := w.lives[j].ledger.Report()
+	if !m.delayed {
+		return []modelcheck.Step[*world]{m.event(w, i, fmt.Sprintf("hears from entry-%d", j), report)}
+	}
+	asked := w.clone(i)
+	asked.lives[i].heard[j] = &report
+	steps := []modelcheck.Step[*world]{{Name: fmt.Sprintf("entry-%d answers entry-%d", j, i), State: asked}}
+	if late := w.lives[i].heard[j]; late != nil {
+		steps = append(steps, m.event(w, i, fmt.Sprintf("gets the answer of entry-%d", j), *late))
+	}
+	return steps
+}
+
+// faults lists the restarts and timeouts of an instance.
+func (m *model) faults(w *world, i int) []modelcheck.Step[*world] {
+	var steps []modelcheck.Step[*world]
+	v := w.lives[i]
+	if len(m.cut) > 0 && !v.late && v.ledger.Status() == StatusStarting {
+		c := w.clone(i)
+		c.lives[i].late = true
+		c.lives[i].now = v.now.Add(v.ledger.settings.StartTimeout)
+		steps = append(steps, m.stepped(c, i, "waits for its timeout", Tick{}))
+	}
+	if w.restarts > 0 {
+		steps = append(steps, modelcheck.Step[*world]{Name: fmt.Sprintf("entry-%d is replaced", i), State: m.replaced(w, i)})
+	}
+	return steps
+}
+
+// replaced starts a new life of instance i. Nobody is owed what it knew.
+func (m *model) replaced(w *world, i int) *world {
+	c := *w
+	c.restarts--
+	c.lives = slices.Clone(w.lives)
+	for j, other := range w.lives {
+		if other.owed[i] != 0 {
+			o := *other
+			o.owed = slices.Clone(other.owed)
+			o.owed[i] = 0
+			c.lives[j] = &o
+		}
+	}
+	c.lives[i] = m.birth(&c, i, w.lives[i].number+1)
+	return &c
+}
+
+func (m *model) event(w *world, i int, name string, e Event) modelcheck.Step[*world] {
+	return m.stepped(w.clone(i), i, name, e)
+}
+
+// stepped gives an event to a life of a world that may be changed, and checks
+// every promise.
+func (m *model) stepped(w *world, i int, name string, e Event) modelcheck.Step[*world] {
+	v := w.lives[i]
+	before := v.ledger.clone()
+	m.remember(v, e)
+	actions := v.ledger.Step(v.now, e)
+	broken := m.check(w, i, before, e, actions)
+	if ref, _, ok := v.ledger.InForce(); ok && v.ledger.Status() == StatusReady && m.hasFencing(i) {
+		// A ready instance gives its orders at once.
+		w.fence = max(w.fence, ref.Version)
+	}
+	return modelcheck.Step[*world]{Name: fmt.Sprintf("entry-%d %s", i, name), State: w, Broken: broken}
+}
+
+// remember notes an abandoned version that the life is told of.
+func (m *model) remember(v *life, e Event) {
+	r := rollOf(e)
+	if r == nil || r.Roll.Stage != bundle.StageAbandoned || m.checker.roll(r, v.ledger.approvers) != nil {
+		return
+	}
+	version := r.Roll.Target.Version
+	if v.ledger.inForceRef.Version < version && !slices.Contains(v.abandoned, version) {
+		v.abandoned = append(v.abandoned, version)
+	}
+}
+
+func rollOf(e Event) *bundle.SignedRoll {
+	switch e := e.(type) {
+	case RollSeen:
+		return e.Roll
+	case FloorReport:
+		return e.Roll
+	}
+	return nil
+}
+
+func rollName(s *bundle.SignedRoll) string {
+	r := &s.Roll
+	return fmt.Sprintf("roll %d: %s %d/%.4s", r.Sequence, r.Stage, r.Target.Version, r.Target.Digest.String())
+}
+
+// key identifies a world by all that its behaviour and the checks depend on.
+func (m *model) key(w *world) string {
+	b := fmt.Appendf(nil, "%d %d %d", w.published, w.restarts, w.fence)
+	for _, v := range w.lives {
+		b = v.appendKey(b, m.signedTwice)
+	}
+	return string(b)
+}
+
+func (v *life) appendKey(b []byte, signedTwice bool) []byte {
+	l := v.ledger
+	ready := l.floor.status == StatusReady
+	b = append(append(b, '|'), l.floor.status[0])
+	b = append(b, l.rollDigest[:4]...)
+	b = append(b, l.inForceRef.Digest[:4]...)
+	for _, version := range v.abandoned {
+		b = append(b, 'x', byte(version))
+	}
+	for _, a := range l.alarms {
+		if a.Type == AlarmSplitVersion {
+			b = append(b, 's', byte(a.Ref.Version))
+		}
+	}
+	for _, h := range v.heard {
+		b = append(b, '~')
+		// A ready instance refuses an old roll, whatever it is, unless it shows
+		// that something was signed twice.
+		if h != nil && h.Roll != nil && (!ready || signedTwice || h.Roll.Roll.Sequence > l.roll.Roll.Sequence) {
+			b = appendReport(b, h)
+		}
+	}
+	if ready {
+		// What a life is owed and was answered matters until it is ready.
+		return b
+	}
+	b = fmt.Appendf(b, "%d %v %v %d", v.number, v.owed, v.late, v.fenceOwed)
+	for _, a := range l.floor.answers {
+		b = fmt.Appendf(b, ",%v %v %d", a.answered, a.vouches, a.fence)
+	}
+	return b
+}
+
+func appendReport(b []byte, r *FloorReport) []byte {
+	if r.Ready {
+		b = append(b, 'r')
+	}
+	return append(b, byte(r.Roll.Roll.Sequence), r.Roll.Roll.Target.Digest[0])
+}
+
+// modelChecker puts a cache before the costly checks of documents. Parts are not
+// part of the model: every instance has those of every bundle.
+func modelChecker(parts bundle.PartSource) checker {
+	real := newChecker()
+	errs := map[string]error{}
+	cached := func(document any, a bundle.Approvers, verify func() error) error {
+		key := fmt.Sprintf("%p %d %s", document, a.Epoch, a.Keys[0].Name)
+		if err, ok := errs[key]; ok {
+			return err
+		}
+		errs[key] = verify()
+		return errs[key]
+	}
+	contents := map[*bundle.Manifest]*config.Content{}
+	return checker{
+		head: func(h *bundle.Head, a bundle.Approvers) error {
+			return cached(h, a, func() error { return real.head(h, a) })
+		},
+		roll: func(s *bundle.SignedRoll, a bundle.Approvers) error {
+			return cached(s, a, func() error { return real.roll(s, a) })
+		},
+		missing: func(*bundle.Manifest, bundle.PartSource) ([]bundle.Digest, error) { return nil, nil },
+		assemble: func(m *bundle.Manifest, _ bundle.PartSource) (*config.Content, error) {
+			if c, ok := contents[m]; ok {
+				return c, nil
+			}
+			c, err := real.assemble(m, parts)
+			contents[m] = c
+			return c, err
+		},
+	}
+}
--- /dev/null
+++ b/bundle/ledger/modelcheck_test.go
@@ -0,0 +1,150 @@
+package ledger
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/bundle"
+	"github.com/wardspool/wardspool/bundle/modelcheck"
+	"github.com/wardspool/wardspool/ident"
+)
+
+// modelLimit bounds the states of one scenario. All scenarios stay below it.
+const modelLimit = 400_000
+
+// documents are what the scenarios publish and forge.
+type documents struct {
+	publisher *publisher
+	// v1 is in force at the start of most scenarios.
+	v1, v2, v3 *bundle.Head
+	first      *bundle.SignedRoll
+}
+
+func newDocuments(t testing.TB) *documents {
+	p := newPublisher(t)
+	d := &documents{publisher: p}
+	d.v1 = p.build(nil, 101, firstSet, "ada", "ben")
+	d.v2 = p.build(d.v1, 102, firstSet, "ada", "ben")
+	d.v3 = p.build(d.v2, 103, firstSet, "ben", "cyd")
+	d.first = p.all(1, d.v1, nil, "ada", "ben")
+	return d
+}
+
+// forgeries are documents by someone with one approver's key and keys of his own.
+func (d *documents) forgeries() []*bundle.SignedRoll {
+	p := d.publisher
+	own := p.build(nil, 666, thieves, "mal", "mat")
+	short := p.build(d.v1, 667, firstSet, "ada", "mal")
+	return []*bundle.SignedRoll{
+		p.all(9, own, nil, "mal", "mat"),
+		p.all(9, short, d.v1, "ada", "cyd"),
+		p.all(9, d.v2, d.v1, "ada"),
+	}
+}
+
+func scenarios(t testing.TB) ([]scenario, bundle.PartSource) {
+	d := newDocuments(t)
+	p := d.publisher
+	halls := []ident.Zone{"hall-a", "hall-b"}
+	canary := p.canary(2, d.v2, d.v1, "hall-a", "ada", "ben")
+	abandoned := p.roll(bundle.Roll{Sequence: 3, Stage: bundle.StageAbandoned}, d.v2, d.v1, "ada", "ben")
+	undone := p.all(4, d.v3, d.v1, "ada", "ben")
+	all2 := p.all(3, d.v2, d.v1, "ada", "ben")
+
+	v2b := p.build(d.v1, 202, firstSet, "ben", "cyd")
+	v3chained := p.build(d.v2, 103, firstSet, "ada", "cyd")
+	healing := p.draft(bundle.Draft{Previous: d.v2, Supersedes: []bundle.Digest{v2b.Manifest.Digest()}, Approvers: firstSet}, 103, "ada", "cyd")
+	raceA := p.all(2, d.v2, d.v1, "ada", "ben")
+	raceB := p.all(2, v2b, d.v1, "ben", "cyd")
+
+	rotated := p.build(d.v1, 102, withEpoch(secondSet, 2), "ada", "ben", "dan", "eve")
+	after := p.build(rotated, 103, secondSet, "dan", "fay")
+	rotate := p.all(2, rotated, d.v1, "dan", "eve")
+	afterRoll := p.all(3, after, rotated, "eve", "fay")
+
+	return []scenario{
+		{name: "canary then all", zones: halls, published: 1, restarts: 2, delayed: true,
+			rolls: []*bundle.SignedRoll{d.first, canary, all2}},
+		{name: "canary abandoned and undone", zones: halls, published: 1, restarts: 1, delayed: true,
+			rolls: []*bundle.SignedRoll{d.first, canary, abandoned, undone}},
+		{name: "three instances", zones: []ident.Zone{"hall-a", "hall-b", "hall-b"}, published: 1, restarts: 1, warm: true,
+			rolls: []*bundle.SignedRoll{d.first, canary, all2}},
+		{name: "forged documents", zones: halls, published: 1, restarts: 1,
+			rolls: []*bundle.SignedRoll{d.first, canary, all2}, forged: d.forgeries()},
+		{name: "racing operators, chained", zones: halls, published: 1, restarts: 1, signedTwice: true, stuck: true,
+			rolls: []*bundle.SignedRoll{d.first, raceA, raceB, p.all(3, v3chained, d.v2, "ada", "ben")}},
+		{name: "racing operators, healed", zones: halls, published: 1, restarts: 1, signedTwice: true,
+			rolls: []*bundle.SignedRoll{d.first, raceA, raceB, p.all(3, healing, d.v2, "ada", "ben")}},
+		{name: "zone cut off", zones: []ident.Zone{"hall-a", "hall-a"}, published: 1, restarts: 2,
+			rolls: []*bundle.SignedRoll{d.first, all2}, preload: d.first, cut: []int{0}, fencing: true},
+		{name: "approvers rotated", zones: halls, published: 1, restarts: 2,
+			rolls: []*bundle.SignedRoll{d.first, rotate, afterRoll}},
+	}, p
+}
+
+func withEpoch(a bundle.Approvers, epoch uint64) bundle.Approvers {
+	a.Epoch = epoch
+	return a
+}
+
+func explore(s scenario, removed guard, parts bundle.PartSource) modelcheck.Result {
+	m := &model{scenario: s, removed: removed, checker: modelChecker(parts)}
+	return modelcheck.Explore(modelcheck.Model[*world]{Start: m.start(), Key: m.key, Next: m.next, Limit: modelLimit})
+}
+
+// With every guard in place, every promise holds in every state of every
+// scenario.
+func TestPromisesHold(t *testing.T) {
+	all, parts := scenarios(t)
+	for _, s := range all {
+		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
+			r := explore(s, noGuard, parts)
+			if r.Violation != nil {
+				t.Fatal(r.Violation)
+			}
+			assert.Assert(t, r.Complete, "more than %d states", modelLimit)
+			t.Logf("%d states, %d steps, depth %d", r.States, r.Steps, r.Depth)
+		})
+	}
+}
+
+// Each guard is needed: without it some promise breaks.
+func TestEachGuardIsNeeded(t *testing.T) {
+	tests := []struct {
+		removed  guard
+		scenario string
+		broken   promise
+	}{
+		{guardRising, "canary abandoned and undone", neverReverts},
+		{guardManifest, "forged documents", onlyRolled},
+		{guardRoll, "forged documents", onlyRolled},
+		{guardOrder, "canary abandoned and undone", noAbandoned},
+		{guardCoverage, "canary then all", onlyRolled},
+		{guardAbandoned, "canary abandoned and undone", noAbandoned},
+		{guardChain, "racing operators, chained", chained},
+		{guardAnswers, "canary then all", peersFloor},
+		{guardEvidence, "zone cut off", notReadyAlone},
+		{guardFence, "zone cut off", fencesFloor},
+		{guardConflict, "racing operators, healed", splitAlarm},
+	}
+	byName := map[string]scenario{}
+	all, parts := scenarios(t)
+	for _, s := range all {
+		byName[s.name] = s
+	}
+	for _, tc := range tests {
+		t.Run(fmt.Sprintf("guard %d breaks %s", tc.removed, tc.broken), func(t *testing.T) {
+			s := byName[tc.scenario]
+			r := explore(s, tc.removed, parts)
+			assert.Assert(t, r.Violation != nil, "no promise broke in %d states", r.States)
+			var broken *brokenPromise
+			assert.Assert(t, errors.As(r.Violation.Broken, &broken))
+			assert.Equal(t, broken.promise, tc.broken, "%v", r.Violation)
+			t.Logf("after %d states, %d steps: %v", r.States, len(r.Violation.Trace), r.Violation)
+		})
+	}
+}
--- /dev/null
+++ b/bundle/ledger/parts.go
@@ -0,0 +1,177 @@
+package ledger
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wardspool/wardspool/bundle"
+)
+
+const (
+	// MaxFetchParts bounds the parts that one FetchParts asks for.
+	MaxFetchParts = 64
+	// maxHolders bounds the sources remembered for a fetch.
+	maxHolders = 8
+)
+
+// partState holds the parts and what is missing of the bundles wanted.
+type partState struct {
+	have *bundle.PartSet
+	// holders are sources that should have the parts, newest last.
+	holders []Source
+	// stale says that missing must be found anew.
+	stale bool
+	// missing lists the parts to fetch, and lacking the bundles they are of.
+	missing []bundle.Digest
+	lacking []bundle.Ref
+	// since is when parts of the roll's bundles began to be missing.
+	since time.Time
+	// fetchedAt is the time of the last fetch, and tries counts fetches without
+	// progress since.
+	fetchedAt time.Time
+	tries     int
+}
+
+// lacks reports whether parts of a bundle are missing.
+func (p *partState) lacks(ref bundle.Ref) bool { return slices.Contains(p.lacking, ref) }
+
+// addHolder remembers a source that should have the parts. Upstreams have none.
+func (p *partState) addHolder(s Source) {
+	if s.Kind == SourceUpstream || s.Kind == SourcePreload || slices.Contains(p.holders, s) {
+		return
+	}
+	if len(p.holders) == maxHolders {
+		p.holders = p.holders[1:]
+	}
+	p.holders = append(slices.Clip(p.holders), s)
+}
+
+// restart begins the fetch for a new roll, which a source gave.
+func (p *partState) restart(now time.Time, from Source) {
+	p.holders = nil
+	p.addHolder(from)
+	p.stale = true
+	p.since = now
+	p.fetchedAt = time.Time{}
+	p.tries = 0
+}
+
+// wantedHeads lists the bundles whose parts the instance wants: first the one
+// assigned to it, then those that it may need next or that peers may ask it for.
+func (l *Ledger) wantedHeads() []*bundle.Head {
+	var heads []*bundle.Head
+	if l.roll != nil {
+		if head, ok := l.roll.Head(l.assigned()); ok {
+			heads = append(heads, head)
+		}
+		heads = append(heads, &l.roll.Target)
+	}
+	if l.next != nil {
+		heads = append(heads, l.next)
+	}
+	if l.roll != nil && l.roll.Base != nil && l.floor.status == StatusStarting {
+		// The base may have to stand in for the target.
+		heads = append(heads, l.roll.Base)
+	}
+	return heads
+}
+
+// findMissing brings the list of missing parts up to date.
+func (l *Ledger) findMissing() {
+	if !l.parts.stale {
+		return
+	}
+	l.parts.stale = false
+	l.parts.missing, l.parts.lacking = nil, nil
+	for _, head := range l.wantedHeads() {
+		missing, err := l.checker.missing(&head.Manifest, l.parts.have)
+		if err != nil {
+			l.spoiled = head.Ref()
+			l.alarm(Alarm{Type: AlarmInvalidContent, Ref: l.spoiled, Err: err})
+			continue
+		}
+		if len(missing) > 0 {
+			l.parts.lacking = append(l.parts.lacking, head.Ref())
+		}
+		for _, d := range missing {
+			if !slices.Contains(l.parts.missing, d) {
+				l.parts.missing = append(l.parts.missing, d)
+			}
+		}
+	}
+	if len(l.parts.missing) == 0 {
+		l.clearAlarms(func(a Alarm) bool { return a.Type == AlarmHalfPublished })
+	}
+}
+
+// fetchSources lists whom to ask for parts: the platform last, since its reads
+// are few for all instances together.
+func (l *Ledger) fetchSources() []Source {
+	platform := Source{Kind: SourcePlatform}
+	if l.floor.find(platform) == nil || slices.Contains(l.parts.holders, platform) {
+		return l.parts.holders
+	}
+	return append([]Source{platform}, l.parts.holders...)
+}
+
+// fetch asks for missing parts: at once after progress, and otherwise again
+// after RetryInterval, from one holder after the other.
+func (l *Ledger) fetch() {
+	p := &l.parts
+	holders := l.fetchSources()
+	if len(p.missing) == 0 || len(holders) == 0 {
+		return
+	}
+	if !p.fetchedAt.IsZero() && l.now.Sub(p.fetchedAt) < l.settings.RetryInterval {
+		return
+	}
+	n := min(len(p.missing), MaxFetchParts)
+	// The newest holder first: it has most likely fetched the parts itself.
+	from := holders[len(holders)-1-p.tries%len(holders)]
+	l.act(FetchParts{From: from, Digests: slices.Clone(p.missing[:n])})
+	p.fetchedAt = l.now
+	p.tries++
+}
+
+// apply implements Event. Parts that are not missing are dropped, so that nobody
+// can fill an instance's memory.
+func (e PartsSeen) apply(l *Ledger) {
+	progress := false
+	for added := true; added; {
+		added = false
+		l.findMissing()
+		for _, part := range e.Parts {
+			if !slices.Contains(l.parts.missing, part.Digest) {
+				continue
+			}
+			if err := l.parts.have.Add(part); err != nil {
+				l.refuse(e.From, err)
+				l.alarm(Alarm{Type: AlarmGarbled, From: e.From, Err: err})
+				return
+			}
+			added, progress = true, true
+			l.parts.stale = true
+		}
+	}
+	if progress {
+		l.parts.fetchedAt, l.parts.tries = time.Time{}, 0
+		l.parts.since = l.now
+	}
+}
+
+// prune drops parts that neither the bundle in force nor a wanted one needs.
+func (l *Ledger) prune() {
+	heads := append(l.wantedHeads(), l.inForce)
+	if l.roll.Base != nil {
+		heads = append(heads, l.roll.Base)
+	}
+	keep := map[bundle.Digest]bool{}
+	for _, head := range heads {
+		// A malformed part was reported by findMissing; what is known counts.
+		wanted, _ := bundle.Wanted(&head.Manifest, l.parts.have)
+		for _, d := range wanted {
+			keep[d] = true
+		}
+	}
+	l.parts.have.Keep(func(d bundle.Digest) bool { return keep[d] })
+}
--- /dev/null
+++ b/bundle/ledger/status.go
@@ -0,0 +1,70 @@
+package ledger
+
+import (
+	"github.com/wardspool/wardspool/bundle"
+	"github.com/wardspool/wardspool/config"
+)
+
+// Summary is what instances tell each other often: enough to see who knows more.
+type Summary struct {
+	// RollSequence and RollDigest name the newest roll, zero if there is none.
+	RollSequence uint64        `json:"roll_sequence"`
+	RollDigest   bundle.Digest `json:"roll_digest"`
+	// Newest is the highest signed bundle known, rolled or not.
+	Newest bundle.Ref `json:"newest"`
+	// InForce is the bundle in force, zero if there is none.
+	InForce bundle.Ref `json:"in_force"`
+	Status  Status     `json:"status"`
+}
+
+// Summary returns the instance's summary.
+func (l *Ledger) Summary() Summary {
+	s := Summary{InForce: l.inForceRef, Newest: l.nextRef, Status: l.floor.status}
+	if l.roll != nil {
+		s.RollSequence = l.roll.Roll.Sequence
+		s.RollDigest = l.rollDigest
+		if s.Newest.IsZero() {
+			s.Newest = l.roll.Roll.Target
+		}
+	}
+	return s
+}
+
+// Report returns the instance's answer to a peer that asks for the floor.
+func (l *Ledger) Report() FloorReport {
+	return FloorReport{
+		From:  Source{Kind: SourcePeer, Name: string(l.settings.Instance)},
+		Ready: l.floor.status != StatusStarting, InForce: l.inForceRef, Roll: l.roll,
+	}
+}
+
+// Status returns the instance's state.
+func (l *Ledger) Status() Status { return l.floor.status }
+
+// InForce returns the bundle in force and its content; ok is false if there is
+// none yet.
+func (l *Ledger) InForce() (ref bundle.Ref, content *config.Content, ok bool) {
+	return l.inForceRef, l.content, l.inForce != nil
+}
+
+// Roll returns the newest roll, nil if there is none. It is for peers that fetch
+// it.
+func (l *Ledger) Roll() *bundle.SignedRoll { return l.roll }
+
+// Newest returns the head of the highest signed bundle, nil if there is none. It
+// is for peers that fetch it.
+func (l *Ledger) Newest() *bundle.Head {
+	if l.next != nil {
+		return l.next
+	}
+	if l.roll != nil {
+		return &l.roll.Target
+	}
+	return nil
+}
+
+// Part returns a part for a peer that fetches it. The caller must not change it.
+func (l *Ledger) Part(d bundle.Digest) ([]byte, bool) { return l.parts.have.Part(d) }
+
+// Missing returns how many parts are known to be missing.
+func (l *Ledger) Missing() int { return len(l.parts.missing) }
