Ledger: golden sessions, readiness table; fetch parts from a peer that is whole

A peer that tells of a roll often lacks the parts itself, and the next try came a retry interval later. Summaries now say whether an instance has every part of the roll's target, and a fetch goes to such a peer at once; other repeats back off to 8 intervals. Whoever can write bytes can no longer fill the list of alarms: only signed documents may exceed 64.

Golden files hold nine whole sessions: a roll from canary to all, refusals, a half-published version, relay, two bundles of one version, a cut zone, a pause, eight versions at once over a rotation, and a base that stands in.

--- a/bundle/ledger/alarm.go
+++ b/bundle/ledger/alarm.go
@@ -94,15 +94,19 @@
 	return text + "; step: " + a.Type.Step()
 }
 
-// maxAlarms bounds the alarms that stand at once.
+// maxAlarms bounds the alarms that stand at once and that anyone could raise
+// with bytes of his own. The others need a quorum's signatures.
 const maxAlarms = 64
 
+// unsigned reports whether the alarm needs no signature to be raised.
+func (t AlarmType) unsigned() bool { return t == AlarmGarbled || t == AlarmUnverified }
+
 // alarm raises an alarm unless one like it stands.
 func (l *Ledger) alarm(a Alarm) {
 	same := func(b Alarm) bool {
 		return a.Type == b.Type && a.Ref == b.Ref && a.Other == b.Other && a.Number == b.Number && a.From == b.From
 	}
-	if len(l.alarms) >= maxAlarms || slices.ContainsFunc(l.alarms, same) {
+	if (a.Type.unsigned() && len(l.alarms) >= maxAlarms) || slices.ContainsFunc(l.alarms, same) {
 		return
 	}
 	l.alarms = append(l.alarms, a)
--- a/bundle/ledger/documents.go
+++ b/bundle/ledger/documents.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/wardspool/wardspool/bundle"
 )
@@ -224,8 +225,11 @@
 	case e.Summary.RollSequence > mine.RollSequence,
 		e.Summary.RollSequence == mine.RollSequence && e.Summary.RollDigest != mine.RollDigest:
 		l.act(FetchRoll{From: e.From})
-	case e.Summary.RollDigest == mine.RollDigest && !mine.RollDigest.IsZero():
-		l.parts.addHolder(e.From)
+	case e.Summary.RollDigest == mine.RollDigest && e.Summary.Whole:
+		if l.parts.addWhole(e.From) {
+			// Fetch from it now, whoever was asked before.
+			l.parts.fetchedAt, l.parts.tries = time.Time{}, 0
+		}
 	}
 	if e.Summary.Newest.Version > mine.Newest.Version {
 		l.act(FetchHead{From: e.From})
--- /dev/null
+++ b/bundle/ledger/ledger_test.go
@@ -0,0 +1,178 @@
+package ledger
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/bundle"
+	"github.com/wardspool/wardspool/config"
+)
+
+func TestNewRefusesUnusableApprovers(t *testing.T) {
+	s := testSettings("entry-1", "hall-a")
+	s.Approvers.Quorum = 1
+	var bad *bundle.ApproversError
+	_, err := New(s, epoch)
+	assert.Assert(t, errors.As(err, &bad))
+}
+
+// started returns a session with roll 1 and its parts preloaded and nobody
+// asked yet.
+func started(t *testing.T, d *documents, s Settings, roster ...Source) *session {
+	t.Helper()
+	x := newSession(t, d.publisher, s, roster...)
+	x.step("preload", RollSeen{From: preload, Roll: d.first})
+	for x.ledger.Missing() > 0 {
+		x.step("preload", PartsSeen{From: preload, Parts: d.publisher.give(x.ledger.parts.missing)})
+	}
+	return x
+}
+
+// What makes a starting instance ready, and what does not.
+func TestReadiness(t *testing.T) {
+	d := newDocuments(t)
+	second := d.publisher.all(2, d.v2, d.v1, "ada", "ben")
+	unverifiable := d.forgeries()[0]
+	var (
+		other      = peer("entry-2")
+		fromOther  = FloorReport{From: other, Ready: true, Roll: d.first}
+		starting   = FloorReport{From: other, Roll: d.first}
+		platform1  = FloorReport{From: platform, Roll: d.first}
+		noRoll     = FloorReport{From: platform}
+		serve      = IsolatedServePreload
+		everyone   = []Source{platform, other, engine}
+		noUpstream = []Source{platform, other}
+	)
+	tests := []struct {
+		name     string
+		roster   []Source
+		isolated IsolatedPolicy
+		events   []Event
+		timeout  bool
+		ready    bool
+		alarm    AlarmType
+	}{
+		{name: "everyone answered", roster: noUpstream, events: []Event{platform1, fromOther}, ready: true},
+		{name: "a peer is still out", roster: noUpstream, events: []Event{platform1}},
+		{name: "a peer is out for long", roster: noUpstream, events: []Event{platform1}, timeout: true, ready: true},
+		{name: "the platform is out for long", roster: noUpstream, events: []Event{fromOther}, timeout: true, ready: true},
+		{name: "nobody answers", roster: noUpstream, timeout: true, alarm: AlarmIsolated},
+		{name: "nobody answers, serve the preload", roster: noUpstream, isolated: serve, timeout: true, ready: true},
+		{name: "peers start too", roster: noUpstream, events: []Event{starting}, timeout: true, alarm: AlarmIsolated},
+		{name: "no roster", timeout: true, alarm: AlarmIsolated},
+		{name: "the platform lost its roll", roster: noUpstream, events: []Event{noRoll}, timeout: true, alarm: AlarmIsolated},
+		{name: "a roll that cannot be verified is no answer", roster: noUpstream,
+			events: []Event{platform1, FloorReport{From: other, Ready: true, Roll: unverifiable}}},
+		{name: "an answer of another round", roster: noUpstream,
+			events: []Event{platform1, FloorReport{From: other, Round: 7, Ready: true, Roll: d.first}}},
+		{name: "an answer of someone not asked", roster: []Source{platform},
+			events: []Event{FloorReport{From: other, Ready: true, Roll: d.first}}},
+		{name: "an upstream saw this version", roster: everyone,
+			events: []Event{platform1, fromOther, FloorReport{From: engine, Fence: 1}}, ready: true},
+		{name: "an upstream saw a higher version", roster: everyone, timeout: true, alarm: AlarmFloorAbove,
+			events: []Event{platform1, fromOther, FloorReport{From: engine, Fence: 2}}},
+		{name: "an upstream saw a higher version, serve the preload", roster: everyone, isolated: serve, timeout: true,
+			events: []Event{FloorReport{From: engine, Fence: 2}}, alarm: AlarmFloorAbove},
+		{name: "an upstream that left the roster does not count", roster: everyone, timeout: true, ready: true,
+			events: []Event{platform1, FloorReport{From: engine, Fence: 2}, Roster{Sources: noUpstream}}},
+		{name: "the assigned version's parts are missing", roster: noUpstream, timeout: true,
+			events: []Event{platform1, FloorReport{From: other, Ready: true, Roll: second}}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			settings := testSettings("entry-1", "hall-a")
+			settings.Isolated = tc.isolated
+			s := started(t, d, settings, tc.roster...)
+			for _, e := range tc.events {
+				s.step("event", e)
+			}
+			if tc.timeout {
+				s.wait(DefaultStartTimeout)
+			}
+			assert.Equal(t, s.ledger.Status() == StatusReady, tc.ready)
+			if tc.alarm != "" {
+				alarms := s.ledger.Alarms()
+				assert.Equal(t, alarms[len(alarms)-1].Type, tc.alarm)
+				assert.Assert(t, tc.alarm.Step() != "")
+			}
+		})
+	}
+}
+
+// The limit that docs/design/bundles.md states: where all instances are replaced
+// at once, the platform is stale and no upstream checks fencing numbers, nothing
+// remembers the version that was in force.
+func TestLimitNothingRemembers(t *testing.T) {
+	d := newDocuments(t)
+	first := ready(t, d)
+	first.step("roll 2", RollSeen{From: platform, Roll: d.publisher.all(2, d.v2, d.v1, "ada", "ben")})
+	first.parts(platform)
+	assert.Equal(t, first.inForce(), uint64(2))
+	replacement := ready(t, d)
+	assert.Equal(t, replacement.inForce(), uint64(1))
+	assert.Equal(t, replacement.ledger.Status(), StatusReady)
+}
+
+// Parts that are not missing are dropped: nobody can fill the memory of an
+// instance with them.
+func TestUnwantedPartsAreDropped(t *testing.T) {
+	s := ready(t, newDocuments(t))
+	before := s.ledger.parts.have.Len()
+	junk := bundle.Part{Bytes: []byte("junk")}
+	junk.Digest = bundle.DigestOf(junk.Bytes)
+	s.step("junk", PartsSeen{From: peer("entry-9"), Parts: []bundle.Part{junk}})
+	assert.Equal(t, s.ledger.parts.have.Len(), before)
+}
+
+// Parts that no bundle needs any longer are dropped too.
+func TestOldPartsAreDropped(t *testing.T) {
+	d := newDocuments(t)
+	s := ready(t, d)
+	head, base, sequence := d.v2, d.v1, uint64(2)
+	for queue := 300; queue < 310; queue++ {
+		s.step("roll", RollSeen{From: platform, Roll: d.publisher.all(sequence, head, base, "ada", "ben")})
+		s.parts(platform)
+		base, sequence = head, sequence+1
+		head = d.publisher.build(base, queue, firstSet, "ada", "ben")
+	}
+	// The policy part differs in each version: the newest and its base are kept.
+	wanted := map[bundle.Digest]bool{}
+	for _, h := range []*bundle.Head{&s.ledger.roll.Target, s.ledger.roll.Base} {
+		digests, err := bundle.Wanted(&h.Manifest, s.ledger.parts.have)
+		assert.NilError(t, err)
+		for _, digest := range digests {
+			wanted[digest] = true
+		}
+	}
+	assert.Equal(t, s.ledger.parts.have.Len(), len(wanted))
+}
+
+// A signed bundle whose content an instance does not accept stays out of force,
+// and the next one is taken.
+func TestInvalidContentStaysOut(t *testing.T) {
+	d := newDocuments(t)
+	s := ready(t, d)
+	s.ledger.checker.assemble = func(*bundle.Manifest, bundle.PartSource) (*config.Content, error) {
+		return nil, &bundle.FindingsError{}
+	}
+	s.step("roll 2", RollSeen{From: platform, Roll: d.publisher.all(2, d.v2, d.v1, "ada", "ben")})
+	s.parts(platform)
+	assert.Equal(t, s.inForce(), uint64(1))
+	assert.Equal(t, s.ledger.Alarms()[0].Type, AlarmInvalidContent)
+	s.ledger.checker = newChecker()
+	s.step("roll 3", RollSeen{From: platform, Roll: d.publisher.all(3, d.v3, d.v2, "ada", "ben")})
+	s.parts(platform)
+	assert.Equal(t, s.inForce(), uint64(3))
+	assert.Equal(t, len(s.ledger.Alarms()), 0)
+}
+
+func TestAlarmsAreBounded(t *testing.T) {
+	s := ready(t, newDocuments(t))
+	for i := range 2 * maxAlarms {
+		s.step("junk", Garbled{From: peer(time.Duration(i).String()), Err: &bundle.CanonicalError{}})
+	}
+	assert.Equal(t, len(s.ledger.Alarms()), maxAlarms)
+}
--- a/bundle/ledger/model_test.go
+++ b/bundle/ledger/model_test.go
@@ -169,6 +169,7 @@
 	c.alarms = slices.Clone(l.alarms)
 	c.parts.have = l.parts.have.Clone()
 	c.parts.holders = slices.Clone(l.parts.holders)
+	c.parts.whole = slices.Clone(l.parts.whole)
 	c.parts.missing = slices.Clone(l.parts.missing)
 	c.parts.lacking = slices.Clone(l.parts.lacking)
 	c.floor.answers = slices.Clone(l.floor.answers)
--- a/bundle/ledger/parts.go
+++ b/bundle/ledger/parts.go
@@ -10,6 +10,8 @@
 const (
 	// MaxFetchParts bounds the parts that one FetchParts asks for.
 	MaxFetchParts = 64
+	// maxBackoff is how often the interval between fetches doubles.
+	maxBackoff = 3
 	// maxHolders bounds the sources remembered for a fetch.
 	maxHolders = 8
 )
@@ -17,8 +19,10 @@
 // partState holds the parts and what is missing of the bundles wanted.
 type partState struct {
 	have *bundle.PartSet
-	// holders are sources that should have the parts, newest last.
+	// holders are sources that may have the parts, the likeliest last, and whole
+	// the peers among them that said they have all.
 	holders []Source
+	whole   []Source
 	// stale says that missing must be found anew.
 	stale bool
 	// missing lists the parts to fetch, and lacking the bundles they are of.
@@ -35,7 +39,19 @@
 // lacks reports whether parts of a bundle are missing.
 func (p *partState) lacks(ref bundle.Ref) bool { return slices.Contains(p.lacking, ref) }
 
-// addHolder remembers a source that should have the parts. Upstreams have none.
+// addWhole remembers a peer that said it has all parts of the newest roll. It
+// reports whether that is news.
+func (p *partState) addWhole(s Source) bool {
+	if slices.Contains(p.whole, s) || len(p.whole) == maxHolders {
+		return false
+	}
+	p.whole = append(slices.Clip(p.whole), s)
+	p.holders = slices.DeleteFunc(slices.Clone(p.holders), func(h Source) bool { return h == s })
+	p.addHolder(s)
+	return true
+}
+
+// addHolder remembers a source that may have the parts. Upstreams have none.
 func (p *partState) addHolder(s Source) {
 	if s.Kind == SourceUpstream || s.Kind == SourcePreload || slices.Contains(p.holders, s) {
 		return
@@ -48,7 +64,7 @@
 
 // restart begins the fetch for a new roll, which a source gave.
 func (p *partState) restart(now time.Time, from Source) {
-	p.holders = nil
+	p.holders, p.whole = nil, nil
 	p.addHolder(from)
 	p.stale = true
 	p.since = now
@@ -76,32 +92,47 @@
 	return heads
 }
 
-// findMissing brings the list of missing parts up to date.
+// whole reports whether the instance has every part of the newest roll's target.
+func (l *Ledger) whole() bool {
+	return l.roll != nil && !l.parts.stale && !l.parts.lacks(l.roll.Roll.Target)
+}
+
+// findMissing brings the list of missing parts up to date, and tells peers when
+// the newest roll's target is whole.
 func (l *Ledger) findMissing() {
 	if !l.parts.stale {
 		return
 	}
+	was := l.whole()
 	l.parts.stale = false
 	l.parts.missing, l.parts.lacking = nil, nil
 	for _, head := range l.wantedHeads() {
-		missing, err := l.checker.missing(&head.Manifest, l.parts.have)
-		if err != nil {
-			l.spoiled = head.Ref()
-			l.alarm(Alarm{Type: AlarmInvalidContent, Ref: l.spoiled, Err: err})
-			continue
-		}
-		if len(missing) > 0 {
-			l.parts.lacking = append(l.parts.lacking, head.Ref())
-		}
-		for _, d := range missing {
-			if !slices.Contains(l.parts.missing, d) {
-				l.parts.missing = append(l.parts.missing, d)
-			}
-		}
+		l.findMissingOf(head)
 	}
 	if len(l.parts.missing) == 0 {
 		l.clearAlarms(func(a Alarm) bool { return a.Type == AlarmHalfPublished })
 	}
+	if !was && l.whole() {
+		l.act(Announce{Summary: l.Summary()})
+	}
+}
+
+// findMissingOf adds one bundle's missing parts to the list.
+func (l *Ledger) findMissingOf(head *bundle.Head) {
+	missing, err := l.checker.missing(&head.Manifest, l.parts.have)
+	if err != nil {
+		l.spoiled = head.Ref()
+		l.alarm(Alarm{Type: AlarmInvalidContent, Ref: l.spoiled, Err: err})
+		return
+	}
+	if len(missing) > 0 {
+		l.parts.lacking = append(l.parts.lacking, head.Ref())
+	}
+	for _, d := range missing {
+		if !slices.Contains(l.parts.missing, d) {
+			l.parts.missing = append(l.parts.missing, d)
+		}
+	}
 }
 
 // fetchSources lists whom to ask for parts: the platform last, since its reads
@@ -115,18 +146,19 @@
 }
 
 // fetch asks for missing parts: at once after progress, and otherwise again
-// after RetryInterval, from one holder after the other.
+// after ever longer intervals, from one holder after the other.
 func (l *Ledger) fetch() {
 	p := &l.parts
 	holders := l.fetchSources()
 	if len(p.missing) == 0 || len(holders) == 0 {
 		return
 	}
-	if !p.fetchedAt.IsZero() && l.now.Sub(p.fetchedAt) < l.settings.RetryInterval {
+	interval := l.settings.RetryInterval << min(p.tries, maxBackoff)
+	if !p.fetchedAt.IsZero() && l.now.Sub(p.fetchedAt) < interval {
 		return
 	}
 	n := min(len(p.missing), MaxFetchParts)
-	// The newest holder first: it has most likely fetched the parts itself.
+	// The likeliest holder first.
 	from := holders[len(holders)-1-p.tries%len(holders)]
 	l.act(FetchParts{From: from, Digests: slices.Clone(p.missing[:n])})
 	p.fetchedAt = l.now
--- /dev/null
+++ b/bundle/ledger/session_test.go
@@ -0,0 +1,295 @@
+package ledger
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"github.com/wardspool/wardspool/bundle"
+)
+
+// session runs one ledger and writes down every event and action.
+type session struct {
+	t      testing.TB
+	p      *publisher
+	ledger *Ledger
+	now    time.Time
+	text   strings.Builder
+	// fetched are the digests that the last FetchParts asked for.
+	fetched []bundle.Digest
+}
+
+func newSession(t testing.TB, p *publisher, settings Settings, roster ...Source) *session {
+	t.Helper()
+	l, err := New(settings, epoch)
+	assert.NilError(t, err)
+	s := &session{t: t, p: p, ledger: l, now: epoch}
+	s.step("the roster", Roster{Sources: roster})
+	return s
+}
+
+// step gives an event to the ledger and writes down what it does.
+func (s *session) step(what string, e Event) []Action {
+	fmt.Fprintf(&s.text, "%6s  %s\n", s.now.Sub(epoch), what)
+	actions := s.ledger.Step(s.now, e)
+	for _, a := range actions {
+		fmt.Fprintf(&s.text, "            -> %s\n", describeAction(a))
+		if f, ok := a.(FetchParts); ok {
+			s.fetched = f.Digests
+		}
+	}
+	return actions
+}
+
+// parts gives all that is fetched, level after level.
+func (s *session) parts(from Source) {
+	for s.ledger.Missing() > 0 {
+		s.step(fmt.Sprintf("%d parts from the %s", len(s.fetched), from), PartsSeen{From: from, Parts: s.p.give(s.fetched)})
+	}
+}
+
+// wait lets time pass in steps that no pause is seen in.
+func (s *session) wait(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.now = s.now.Add(time.Second)
+		s.step("a tick", Tick{})
+	}
+}
+
+func (s *session) inForce() uint64 {
+	ref, _, _ := s.ledger.InForce()
+	return ref.Version
+}
+
+func describeAction(a Action) string {
+	switch a := a.(type) {
+	case InForce:
+		return fmt.Sprintf("in force: %s, before: %s, queue limit %d", a.Ref, a.From, a.Content.Policy.QueueLimit)
+	case Ready:
+		return fmt.Sprintf("ready with %s, unconfirmed: %v", a.InForce, a.Unconfirmed)
+	case AskFloor:
+		return fmt.Sprintf("ask the %s for the floor, round %d", a.From, a.Round)
+	case FetchRoll:
+		return fmt.Sprintf("fetch the roll from the %s", a.From)
+	case FetchHead:
+		return fmt.Sprintf("fetch the newest head from the %s", a.From)
+	case FetchParts:
+		return fmt.Sprintf("fetch %d parts from the %s", len(a.Digests), a.From)
+	case Announce:
+		text := fmt.Sprintf("announce roll %d, newest %s, in force %s, %s", a.Summary.RollSequence, a.Summary.Newest, a.Summary.InForce, a.Summary.Status)
+		if a.Summary.Whole {
+			text += ", whole"
+		}
+		return text
+	case Refused:
+		return fmt.Sprintf("refused, from the %s: %v", a.From, a.Err)
+	case Alarm:
+		return "ALARM " + a.String()
+	}
+	return fmt.Sprintf("%#v", a)
+}
+
+// sessions are whole rolls and failures as one instance in hall-a lives them.
+// testdata holds what it does.
+func TestSessions(t *testing.T) {
+	sessions := []struct {
+		name string
+		run  func(t *testing.T, d *documents) *session
+	}{
+		{"whole-roll", wholeRoll},
+		{"refusals", refusals},
+		{"half-published", halfPublished},
+		{"relayed", relayed},
+		{"two-bundles", twoBundles},
+		{"cut-zone", cutZone},
+		{"paused", paused},
+		{"far-behind", farBehind},
+		{"stand-in", standIn},
+	}
+	for _, tc := range sessions {
+		t.Run(tc.name, func(t *testing.T) {
+			s := tc.run(t, newDocuments(t))
+			golden.Assert(t, s.text.String(), tc.name+".golden")
+		})
+	}
+}
+
+// ready returns a session in which version 1 is in force.
+func ready(t *testing.T, d *documents) *session {
+	s := newSession(t, d.publisher, testSettings("entry-1", "hall-a"), platform, peer("entry-2"))
+	s.step("the platform has roll 1", FloorReport{From: platform, Roll: d.first})
+	s.parts(platform)
+	s.step("entry-2 has nothing", FloorReport{From: peer("entry-2")})
+	assert.Equal(t, s.ledger.Status(), StatusReady)
+	return s
+}
+
+func wholeRoll(t *testing.T, d *documents) *session {
+	p := d.publisher
+	s := ready(t, d)
+	s.step("the platform has the head of version 2", HeadSeen{From: platform, Head: d.v2})
+	s.parts(platform)
+	s.step("roll 2: canary in hall-b", RollSeen{From: platform, Roll: p.canary(2, d.v2, d.v1, "hall-b", "ada", "ben")})
+	assert.Equal(t, s.inForce(), uint64(1))
+	third := p.all(3, d.v2, d.v1, "ada", "ben")
+	s.step("entry-2 announces roll 3", Announced{From: peer("entry-2"), Summary: Summary{RollSequence: 3, RollDigest: third.Roll.Digest()}})
+	s.step("roll 3: all", RollSeen{From: peer("entry-2"), Roll: third})
+	assert.Equal(t, s.inForce(), uint64(2))
+	abandon := p.roll(bundle.Roll{Sequence: 4, Stage: bundle.StageAbandoned}, d.v2, d.v1, "ada", "ben")
+	s.step("roll 4: version 2 abandoned, too late", RollSeen{From: platform, Roll: abandon})
+	assert.Equal(t, s.inForce(), uint64(2))
+	return s
+}
+
+func refusals(t *testing.T, d *documents) *session {
+	s := ready(t, d)
+	for i, forged := range d.forgeries() {
+		s.step(fmt.Sprintf("forged roll %d", i), RollSeen{From: peer("entry-9"), Roll: forged})
+	}
+	forged := d.publisher.build(d.v1, 668, firstSet, "ada")
+	s.step("a head with one signature", HeadSeen{From: platform, Head: forged})
+	_, err := bundle.DecodeRoll(d.first.Encode()[:500])
+	s.step("a truncated roll", Garbled{From: platform, Err: err})
+	s.step("roll 2: all", RollSeen{From: platform, Roll: d.publisher.all(2, d.v2, d.v1, "ada", "ben")})
+	part := d.publisher.give(s.fetched[:1])[0]
+	part.Bytes = part.Bytes[:len(part.Bytes)-1]
+	s.step("a truncated part", PartsSeen{From: platform, Parts: []bundle.Part{part}})
+	assert.Equal(t, s.inForce(), uint64(1))
+	s.parts(platform)
+	assert.Equal(t, s.inForce(), uint64(2))
+	s.step("roll 1 again, from a stale read", RollSeen{From: platform, Roll: d.first})
+	s.step("the head of version 1 again", HeadSeen{From: platform, Head: d.v1})
+	assert.Equal(t, s.inForce(), uint64(2))
+	return s
+}
+
+// relayed takes a bundle from peers while the platform is out of reach. The peer
+// that first tells of the roll lacks the parts itself.
+func relayed(t *testing.T, d *documents) *session {
+	r := d.publisher.all(2, d.v2, d.v1, "ada", "ben")
+	s := ready(t, d)
+	s.step("entry-2 gives roll 2", RollSeen{From: peer("entry-2"), Roll: r})
+	s.step("entry-2 gives no parts", PartsSeen{From: peer("entry-2")})
+	has := Summary{RollSequence: 2, RollDigest: r.Roll.Digest(), Newest: d.v2.Ref()}
+	s.step("entry-3 announces roll 2, without parts", Announced{From: peer("entry-3"), Summary: has})
+	has.Whole = true
+	s.step("entry-3 announces roll 2, whole", Announced{From: peer("entry-3"), Summary: has})
+	s.parts(peer("entry-3"))
+	assert.Equal(t, s.inForce(), uint64(2))
+	return s
+}
+
+func halfPublished(t *testing.T, d *documents) *session {
+	s := ready(t, d)
+	s.step("roll 2: all, without its parts", RollSeen{From: platform, Roll: d.publisher.all(2, d.v2, d.v1, "ada", "ben")})
+	s.wait(11 * time.Second)
+	assert.Equal(t, s.inForce(), uint64(1))
+	s.parts(platform)
+	assert.Equal(t, s.inForce(), uint64(2))
+	assert.Equal(t, len(s.ledger.Alarms()), 0)
+	return s
+}
+
+func twoBundles(t *testing.T, d *documents) *session {
+	p := d.publisher
+	other := p.build(d.v1, 202, firstSet, "ben", "cyd")
+	s := ready(t, d)
+	s.step("roll 2: version 2", RollSeen{From: platform, Roll: p.all(2, d.v2, d.v1, "ada", "ben")})
+	s.parts(platform)
+	s.step("roll 2: another version 2", RollSeen{From: platform, Roll: p.all(2, other, d.v1, "ben", "cyd")})
+	s.step("the head of the other", HeadSeen{From: platform, Head: other})
+	assert.Equal(t, s.inForce(), uint64(2))
+	deaf := p.build(other, 103, firstSet, "ben", "cyd")
+	s.step("roll 3: version 3, which follows the other", RollSeen{From: platform, Roll: p.all(3, deaf, other, "ben", "cyd")})
+	s.parts(platform)
+	assert.Equal(t, s.inForce(), uint64(2))
+	healing := p.draft(bundle.Draft{Previous: deaf, Approvers: firstSet}, 104, "ada", "ben")
+	s.step("roll 4: version 4", RollSeen{From: platform, Roll: p.all(4, healing, deaf, "ada", "ben")})
+	s.parts(platform)
+	assert.Equal(t, s.inForce(), uint64(4))
+	assert.Equal(t, len(s.ledger.Alarms()), 0)
+	return s
+}
+
+func cutZone(t *testing.T, d *documents) *session {
+	settings := testSettings("entry-1", "hall-a")
+	settings.Isolated = IsolatedServePreload
+	s := newSession(t, d.publisher, settings, platform, peer("entry-2"), engine)
+	s.step("roll 1 preloaded", RollSeen{From: preload, Roll: d.first})
+	s.step("its parts preloaded", PartsSeen{From: preload, Parts: d.publisher.give(s.ledger.parts.missing)})
+	s.step("no platform", Unreachable{From: platform})
+	s.step("entry-2 is starting too", FloorReport{From: peer("entry-2")})
+	s.step("an engine has seen number 2", FloorReport{From: engine, Fence: 2})
+	s.wait(6 * time.Second)
+	assert.Equal(t, s.ledger.Status(), StatusStarting)
+	s.step("entry-2 has roll 2", FloorReport{From: peer("entry-2"), Ready: true, Roll: d.publisher.all(2, d.v2, d.v1, "ada", "ben")})
+	s.parts(peer("entry-2"))
+	assert.Equal(t, s.ledger.Status(), StatusReady)
+	assert.Equal(t, s.inForce(), uint64(2))
+	return s
+}
+
+func paused(t *testing.T, d *documents) *session {
+	s := ready(t, d)
+	s.now = s.now.Add(time.Minute)
+	s.step("a tick after a minute's pause", Tick{})
+	assert.Equal(t, s.ledger.Status(), StatusRechecking)
+	s.step("an answer from before the pause", FloorReport{From: platform, Roll: d.first})
+	s.step("the platform has roll 2", FloorReport{From: platform, Round: 1, Roll: d.publisher.all(2, d.v2, d.v1, "ada", "ben")})
+	s.parts(platform)
+	assert.Equal(t, s.inForce(), uint64(1), "nothing changes before the answers are in")
+	s.step("entry-2 has roll 1", FloorReport{From: peer("entry-2"), Round: 1, Ready: true, Roll: d.first})
+	assert.Equal(t, s.inForce(), uint64(2))
+	assert.Equal(t, s.ledger.Status(), StatusReady)
+	return s
+}
+
+// farBehind takes an instance from version 1 to version 9, over a rotation, with
+// none of the documents between.
+func farBehind(t *testing.T, d *documents) *session {
+	p := d.publisher
+	s := ready(t, d)
+	head := p.build(d.v3, 104, withEpoch(secondSet, 2), "ada", "ben", "dan", "eve")
+	for version := 5; version <= 9; version++ {
+		head = p.build(head, 100+version, secondSet, "dan", "eve")
+	}
+	r := p.all(12, head, nil, "eve", "fay")
+	s.step("roll 12: version 9, with no base", RollSeen{From: platform, Roll: r})
+	r = p.all(13, head, d.v3, "eve", "fay")
+	s.step("roll 13: version 9", RollSeen{From: platform, Roll: r})
+	s.parts(platform)
+	assert.Equal(t, s.inForce(), uint64(9))
+	byOld := p.build(head, 110, firstSet, "ada", "ben", "cyd")
+	s.step("roll 14, by the approvers that were replaced", RollSeen{From: platform, Roll: p.all(14, byOld, head, "ada", "ben", "cyd")})
+	assert.Equal(t, s.inForce(), uint64(9))
+	return s
+}
+
+// standIn starts an instance under a canary that was published by halves.
+func standIn(t *testing.T, d *documents) *session {
+	p := d.publisher
+	canary := p.canary(2, d.v2, d.v1, "hall-a", "ada", "ben")
+	s := newSession(t, p, testSettings("entry-1", "hall-a"), platform, peer("entry-2"))
+	s.step("entry-2 has roll 2 and version 1 in force", FloorReport{From: peer("entry-2"), Ready: true, InForce: d.v1.Ref(), Roll: canary})
+	for {
+		missing, err := bundle.MissingParts(&d.v1.Manifest, s.ledger.parts.have)
+		assert.NilError(t, err)
+		if len(missing) == 0 {
+			break
+		}
+		s.step("parts of version 1 only", PartsSeen{From: peer("entry-2"), Parts: p.give(missing)})
+	}
+	s.step("the platform has roll 2", FloorReport{From: platform, Roll: canary})
+	s.wait(9 * time.Second)
+	assert.Equal(t, s.ledger.Status(), StatusStarting)
+	s.wait(time.Second)
+	assert.Equal(t, s.ledger.Status(), StatusReady)
+	assert.Equal(t, s.inForce(), uint64(1))
+	s.parts(platform)
+	assert.Equal(t, s.inForce(), uint64(2))
+	return s
+}
--- a/bundle/ledger/status.go
+++ b/bundle/ledger/status.go
@@ -15,6 +15,8 @@
 	// InForce is the bundle in force, zero if there is none.
 	InForce bundle.Ref `json:"in_force"`
 	Status  Status     `json:"status"`
+	// Whole says that the instance has every part of the newest roll's target.
+	Whole bool `json:"whole"`
 }
 
 // Summary returns the instance's summary.
@@ -23,6 +25,7 @@
 	if l.roll != nil {
 		s.RollSequence = l.roll.Roll.Sequence
 		s.RollDigest = l.rollDigest
+		s.Whole = l.whole()
 		if s.Newest.IsZero() {
 			s.Newest = l.roll.Roll.Target
 		}
