--- a/internal/mutate/run.go
+++ b/internal/mutate/run.go
@@ -113,7 +113,7 @@
 }
 
 func goTest(ctx context.Context, dir string, m Mutation) Result {
-	args := append([]string{"test", "-count=1", "-run", m.Run, m.Package}, m.Args...)
+	args := append([]string{"test", "-count=1", "-timeout=60s", "-run", m.Run, m.Package}, m.Args...)
 	cmd := exec.CommandContext(ctx, "go", args...)
 	cmd.Dir = dir
 	out, err := cmd.CombinedOutput()
--- a/kernel/interleaving_test.go
+++ b/kernel/interleaving_test.go
@@ -10,6 +10,7 @@
 	"github.com/wardspool/wardspool/api"
 	"github.com/wardspool/wardspool/config"
 	"github.com/wardspool/wardspool/ident"
+	_ "github.com/wardspool/wardspool/internal/testseed"
 	"github.com/wardspool/wardspool/kernel"
 )
 
--- a/plugins/scorer/firstoutput/firstoutput_test.go
+++ b/plugins/scorer/firstoutput/firstoutput_test.go
@@ -8,6 +8,8 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	_ "github.com/wardspool/wardspool/internal/testseed"
+
 	"github.com/wardspool/wardspool/config"
 	"github.com/wardspool/wardspool/kernel"
 	"github.com/wardspool/wardspool/plugins/internal/plugintest"
--- a/plugins/slots/dispatch/rapid_test.go
+++ b/plugins/slots/dispatch/rapid_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/wardspool/wardspool/ident"
+	_ "github.com/wardspool/wardspool/internal/testseed"
 )
 
 // held is a reservation that the machine's kernels go on with.
--- a/standin/answer/answer_test.go
+++ b/standin/answer/answer_test.go
@@ -6,6 +6,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	_ "github.com/wardspool/wardspool/internal/testseed"
 )
 
 func TestExpectedIsWhole(t *testing.T) {
--- a/tokens/tokens_test.go
+++ b/tokens/tokens_test.go
@@ -8,6 +8,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	_ "github.com/wardspool/wardspool/internal/testseed"
 )
 
 func TestCount(t *testing.T) {
