wardspoolctl: key, bundle and roll commands; main

Drafts, signing, verification and packing work on an operator's files; nothing is written to the platform. A key's record of what it signed refuses a second bundle of one version: the fleet can only split where an approver signs two. bundle new and roll new refuse heads that lack signatures, since a roll carries its heads along: a first form let a roll be made of a half-signed head, and the signatures that came later never reached it.

Golden files hold whole sessions of commands and every help text.

--- /dev/null
+++ b/bundle/diff.go
@@ -0,0 +1,120 @@
+package bundle
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/wardspool/wardspool/config"
+)
+
+// Change is one field that differs between two contents. Entries of lists are
+// matched by name, so that moving one is no change but for kinds, the first of
+// which is the default.
+type Change struct {
+	// Path names the field, for example "workspaces[estates].weight".
+	Path string
+	// Before and After are the values as text; empty where there is none.
+	Before, After string
+}
+
+// String renders the change as a line that begins with "+", "-" or "~".
+func (c Change) String() string {
+	switch {
+	case c.Before == "":
+		return fmt.Sprintf("+ %s: %s", c.Path, c.After)
+	case c.After == "":
+		return fmt.Sprintf("- %s: %s", c.Path, c.Before)
+	default:
+		return fmt.Sprintf("~ %s: %s -> %s", c.Path, c.Before, c.After)
+	}
+}
+
+// Diff lists what changes from one content to another: first what is changed or
+// removed, in the order of before, then what is new.
+func Diff(before, after *config.Content) []Change {
+	a, b := flatten(before), flatten(after)
+	old, new := a.byPath(), b.byPath()
+	var changes []Change
+	for _, f := range a.fields {
+		if new[f.path] != f.value {
+			changes = append(changes, Change{Path: f.path, Before: f.value, After: new[f.path]})
+		}
+	}
+	for _, f := range b.fields {
+		if _, there := old[f.path]; !there {
+			changes = append(changes, Change{Path: f.path, After: f.value})
+		}
+	}
+	return changes
+}
+
+// field is one leaf of a content with its value as text.
+type field struct{ path, value string }
+
+// flattener lists the leaves of a content that are not zero.
+type flattener struct{ fields []field }
+
+func flatten(c *config.Content) *flattener {
+	f := &flattener{}
+	f.structure("", reflect.ValueOf(*c))
+	names := make([]string, len(c.Kinds))
+	for i, k := range c.Kinds {
+		names[i] = k.Name
+	}
+	f.add("order of kinds", strings.Join(names, ", "))
+	return f
+}
+
+func (f *flattener) byPath() map[string]string {
+	m := make(map[string]string, len(f.fields))
+	for _, x := range f.fields {
+		m[x.path] = x.value
+	}
+	return m
+}
+
+func (f *flattener) add(path, value string) {
+	f.fields = append(f.fields, field{path: path, value: value})
+}
+
+func (f *flattener) structure(path string, v reflect.Value) {
+	for i := range v.NumField() {
+		f.value(joinPath(path, yamlKey(v.Type().Field(i))), v.Field(i))
+	}
+}
+
+func (f *flattener) value(path string, v reflect.Value) {
+	switch {
+	case v.IsZero():
+	case v.Kind() == reflect.Struct:
+		f.structure(path, v)
+	case v.Kind() == reflect.Slice && v.Type().Elem().Kind() == reflect.Struct:
+		for i := range v.Len() {
+			entry := v.Index(i)
+			// The first field of every entry is its name.
+			name := fmt.Sprint(entry.Field(0).Interface())
+			f.structure(fmt.Sprintf("%s[%s]", path, name), entry)
+		}
+	case v.Kind() == reflect.Slice:
+		f.add(path, joinValues(v))
+	default:
+		f.add(path, text(v))
+	}
+}
+
+func joinValues(v reflect.Value) string {
+	values := make([]string, v.Len())
+	for i := range values {
+		values[i] = text(v.Index(i))
+	}
+	return strings.Join(values, ", ")
+}
+
+func text(v reflect.Value) string {
+	if d, ok := v.Interface().(time.Duration); ok {
+		return d.String()
+	}
+	return fmt.Sprint(v.Interface())
+}
--- /dev/null
+++ b/cmd/wardspoolctl/documents_test.go
@@ -0,0 +1,271 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/ed25519"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"github.com/wardspool/wardspool/bundle"
+)
+
+// shell runs commands in a temporary folder and writes down what they print.
+type shell struct {
+	t    *testing.T
+	text strings.Builder
+}
+
+// newShell makes a folder with the example's source and the keys of approvers.
+func newShell(t *testing.T) *shell {
+	source, err := os.ReadFile("../../examples/coastline/bundle.yaml")
+	assert.NilError(t, err)
+	faulty, err := os.ReadFile("../../bundle/testdata/faulty.yaml")
+	assert.NilError(t, err)
+	t.Chdir(t.TempDir())
+	write(t, "bundle.yaml", string(source))
+	write(t, "faulty.yaml", string(faulty))
+	for _, name := range []string{"ada", "ben", "cyd", "dan", "eve", "mal"} {
+		seed := bundle.DigestOf([]byte("test key " + name))
+		public := ed25519.NewKeyFromSeed(seed[:]).Public().(ed25519.PublicKey)
+		write(t, name+".key", fmt.Sprintf("name: %s\npublic: %s\nprivate: %s\n", name, hex.EncodeToString(public), seed))
+	}
+	return &shell{t: t}
+}
+
+func write(t *testing.T, name, text string) {
+	t.Helper()
+	assert.NilError(t, os.WriteFile(name, []byte(text), secretMode))
+}
+
+// edit replaces text in a file.
+func (s *shell) edit(name, old, new string) {
+	s.t.Helper()
+	b, err := os.ReadFile(name)
+	assert.NilError(s.t, err)
+	assert.Assert(s.t, bytes.Contains(b, []byte(old)))
+	write(s.t, name, strings.Replace(string(b), old, new, 1))
+	fmt.Fprintf(&s.text, "# %s: %q becomes %q\n", name, old, new)
+}
+
+// run runs one command; "> file" at its end redirects what it prints.
+func (s *shell) run(line string) {
+	s.t.Helper()
+	command, file, redirected := strings.Cut(line, " > ")
+	var out, errs bytes.Buffer
+	code := run(context.Background(), strings.Fields(command), streams{In: strings.NewReader(""), Out: &out, Err: &errs})
+	fmt.Fprintf(&s.text, "$ wardspoolctl %s\n", line)
+	if redirected {
+		write(s.t, file, out.String())
+	} else {
+		s.text.Write(out.Bytes())
+	}
+	s.text.Write(errs.Bytes())
+	if code != 0 {
+		fmt.Fprintf(&s.text, "[exit %d]\n", code)
+	}
+}
+
+// Sessions of commands as operators type them; testdata holds what they print.
+func TestCommandSessions(t *testing.T) {
+	sessions := []struct {
+		name string
+		run  func(*shell)
+	}{
+		{"first-bundle", firstBundle},
+		{"canary", canarySession},
+		{"rotation", rotationSession},
+		{"two-versions", twoVersions},
+		{"lint", lintSession},
+		{"refused", refusedSession},
+		{"usage", usageSession},
+		{"help", helpSession},
+	}
+	for _, tc := range sessions {
+		t.Run(tc.name, func(t *testing.T) {
+			file, err := filepath.Abs(golden.Path(tc.name + ".golden"))
+			assert.NilError(t, err)
+			s := newShell(t)
+			tc.run(s)
+			golden.Assert(t, s.text.String(), file)
+		})
+	}
+}
+
+// three makes a set of three approvers of whom two must sign.
+func (s *shell) three() {
+	s.run("key approvers --quorum 2 cyd.key ada.key ben.key > approvers.yaml")
+}
+
+// signed builds, signs and packs a draft.
+func (s *shell) signed(build, draft string, signers ...string) {
+	s.t.Helper()
+	s.run("bundle new " + build + " bundle.yaml " + draft)
+	for _, name := range signers {
+		s.run("bundle sign --key " + name + ".key " + draft)
+	}
+	s.run("bundle pack --approvers approvers.yaml " + draft + " publish")
+}
+
+// rolled makes, signs and packs a roll.
+func (s *shell) rolled(file, arguments string, signers ...string) {
+	s.t.Helper()
+	s.run("roll new " + arguments + " -o " + file)
+	for _, name := range signers {
+		s.run("roll sign --key " + name + ".key " + file)
+	}
+	s.run("roll pack --approvers approvers.yaml " + file + " publish")
+}
+
+func firstBundle(s *shell) {
+	s.run("key public ada.key")
+	s.three()
+	s.run("key approvers --quorum 2 ada.key ben.key cyd.key")
+	s.run("bundle lint bundle.yaml")
+	s.signed("--approvers approvers.yaml --note first", "draft-1", "ada", "ben")
+	s.run("bundle verify --approvers approvers.yaml draft-1")
+	s.run("bundle verify --approvers approvers.yaml publish")
+	s.rolled("roll-1.json", "--target draft-1 --stage all", "ada", "cyd")
+	s.run("roll verify --approvers approvers.yaml publish/roll/current")
+	for _, key := range []string{"bundle/head", "roll/current"} {
+		info, err := os.Stat("publish/" + key)
+		assert.NilError(s.t, err)
+		assert.Assert(s.t, info.Size() < bundle.MaxValueBytes)
+	}
+}
+
+func canarySession(s *shell) {
+	s.three()
+	s.signed("--approvers approvers.yaml", "draft-1", "ada", "ben")
+	s.rolled("roll-1.json", "--target draft-1 --stage all", "ada", "ben")
+	s.edit("bundle.yaml", "queue_limit: 512", "queue_limit: 256")
+	s.edit("bundle.yaml", "  - name: head-office\n    weight: 2\n", "")
+	s.run("bundle diff publish bundle.yaml")
+	s.signed("--previous draft-1", "draft-2", "ben", "cyd")
+	s.run("bundle verify --approvers approvers.yaml --previous draft-1 draft-2")
+	s.rolled("roll-2.json", "--previous roll-1.json --target draft-2 --stage canary --zones hall-b,hall-a --share 100", "ben", "cyd")
+	s.rolled("roll-3.json", "--previous roll-2.json --stage canary --zones hall-a", "ben", "cyd")
+	s.run("roll verify --approvers approvers.yaml --previous roll-2.json roll-3.json")
+	s.rolled("roll-4.json", "--previous roll-3.json --stage abandoned", "ben", "cyd")
+	s.run("roll new --previous roll-4.json --stage all")
+	s.edit("bundle.yaml", "queue_limit: 256", "queue_limit: 512")
+	s.signed("--previous draft-2", "draft-3", "ada", "cyd")
+	s.rolled("roll-5.json", "--previous roll-4.json --target draft-3 --stage all", "ada", "cyd")
+	s.run("roll pack --approvers approvers.yaml roll-3.json publish")
+}
+
+func rotationSession(s *shell) {
+	s.three()
+	s.signed("--approvers approvers.yaml", "draft-1", "ada", "ben")
+	s.run("key approvers --quorum 2 dan.key eve.key > next.yaml")
+	s.run("bundle new --previous draft-1 --approvers next.yaml bundle.yaml draft-2")
+	s.run("bundle sign --key ada.key draft-2")
+	s.run("bundle sign --key ben.key draft-2")
+	s.run("bundle verify --approvers approvers.yaml draft-2")
+	s.run("bundle sign --key dan.key draft-2")
+	s.run("bundle sign --key eve.key draft-2")
+	s.run("bundle pack --approvers approvers.yaml draft-2 publish")
+	s.rolled("roll-1.json", "--target draft-2 --stage all", "dan", "eve")
+	s.run("key approvers --of draft-2")
+	s.run("bundle new --previous draft-2 bundle.yaml draft-3")
+	s.run("bundle sign --key dan.key draft-3")
+	s.run("bundle sign --key eve.key draft-3")
+	s.run("bundle verify --approvers approvers.yaml draft-3")
+	s.run("key approvers --of draft-2 > next.yaml")
+	s.run("bundle verify --approvers next.yaml draft-3")
+	s.run("bundle verify --approvers next.yaml draft-1")
+}
+
+// twoVersions is what the split-version alarm asks for.
+func twoVersions(s *shell) {
+	s.three()
+	s.signed("--approvers approvers.yaml", "draft-1", "ada", "ben")
+	s.run("bundle new --previous draft-1 bundle.yaml draft-2")
+	s.run("bundle sign --key ada.key draft-2")
+	s.run("bundle new --previous draft-2 bundle.yaml draft-3")
+	s.run("bundle sign --key ben.key draft-2")
+	s.edit("bundle.yaml", "queue_limit: 512", "queue_limit: 256")
+	s.run("bundle new --previous draft-1 bundle.yaml draft-2b")
+	s.run("bundle sign --key ada.key draft-2b")
+	s.run("bundle new --previous draft-2 bundle.yaml draft-3")
+	s.run("bundle sign --key ben.key --record other.record draft-3")
+	s.run("bundle sign --key cyd.key --record other.record draft-3")
+	s.run("bundle verify --approvers approvers.yaml --previous draft-2b draft-3")
+	other, err := readHead(streams{}, "draft-2b")
+	assert.NilError(s.t, err)
+	s.run("bundle new --previous draft-2 --supersedes " + other.Manifest.Digest().String() + " bundle.yaml draft-3b")
+	s.run("bundle sign --key ben.key draft-3b")
+	s.run("bundle sign --key cyd.key draft-3b")
+	s.run("bundle verify --approvers approvers.yaml --previous draft-2b draft-3b")
+}
+
+func lintSession(s *shell) {
+	s.run("bundle lint faulty.yaml bundle.yaml")
+	s.run("bundle lint nowhere.yaml")
+}
+
+func refusedSession(s *shell) {
+	s.run("key new Ada")
+	s.run("key approvers --quorum 1 ada.key ben.key cyd.key")
+	s.run("key public ada.key > ada.pub")
+	s.three()
+	s.run("bundle new bundle.yaml draft-0")
+	s.run("bundle new --approvers approvers.yaml bundle.yaml draft-1")
+	s.run("bundle new --approvers approvers.yaml bundle.yaml draft-1")
+	s.run("bundle sign --key ada.pub draft-1")
+	s.run("bundle sign --key ada.key draft-1")
+	s.run("bundle sign --key mal.key draft-1")
+	s.run("bundle pack --approvers approvers.yaml draft-1 publish")
+	s.run("roll new --target draft-1 --stage all")
+	s.run("bundle sign --key ben.key draft-1")
+	s.run("roll new --target draft-1 --stage all -o roll-1.json")
+	s.run("roll sign --key ada.key roll-1.json")
+	s.run("roll pack --approvers approvers.yaml roll-1.json publish")
+	s.run("roll sign --key ben.key roll-1.json")
+	s.run("roll pack --approvers approvers.yaml roll-1.json publish")
+	s.run("roll new --target draft-1 --stage all --zones hall-a")
+	s.run("roll new --target draft-1 --stage canary --share 2000")
+	s.run("roll new --stage all")
+	head, err := os.ReadFile("draft-1/head.json")
+	assert.NilError(s.t, err)
+	write(s.t, "draft-1/head.json", string(head[:len(head)/2]))
+	s.run("bundle verify --approvers approvers.yaml draft-1")
+}
+
+func usageSession(s *shell) {
+	s.run("")
+	s.run("bundle")
+	s.run("bundle lint")
+	s.run("bundle new bundle.yaml")
+	s.run("roll new --stage some")
+	s.run("roll now")
+}
+
+func helpSession(s *shell) {
+	for _, command := range []string{
+		"", "key", "key new", "key public", "key approvers", "bundle", "bundle lint", "bundle diff", "bundle new",
+		"bundle sign", "bundle verify", "bundle pack", "roll", "roll new", "roll sign", "roll verify", "roll pack",
+	} {
+		s.run(strings.TrimSpace(command + " --help"))
+	}
+}
+
+func TestKeyNewMakesAKeyThatSigns(t *testing.T) {
+	s := newShell(t)
+	s.run("key new zoe > zoe.key")
+	s.run("key new zoe > other.key")
+	k, private, err := readPrivateKey(streams{}, "zoe.key")
+	assert.NilError(t, err)
+	assert.Equal(t, k.Name, "zoe")
+	other, _, err := readKey(streams{}, "other.key")
+	assert.NilError(t, err)
+	assert.Assert(t, other.Public != k.Public)
+	assert.Equal(t, hex.EncodeToString(private.Public().(ed25519.PublicKey)), k.Public)
+}
--- /dev/null
+++ b/cmd/wardspoolctl/run.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"runtime/debug"
+
+	"github.com/alecthomas/kong"
+)
+
+// Exit codes that all commands share. Commands that ask instances have further
+// ones, which their help names.
+const (
+	// exitRefused means that something was checked and refused, or could not be
+	// read.
+	exitRefused = 1
+	// exitUsage means that the command line is wrong.
+	exitUsage = 2
+)
+
+// streams are the program's standard streams.
+type streams struct {
+	In       io.Reader
+	Out, Err io.Writer
+}
+
+const description = `Make, check, sign, roll and pack wardspool's configuration bundles, and ask
+running instances what they do.
+
+A first bundle, from nothing to files to publish:
+
+  wardspoolctl key new ada > ada.key
+  wardspoolctl key approvers --quorum 1 ada.key > approvers.yaml
+  wardspoolctl bundle lint bundle.yaml
+  wardspoolctl bundle new --approvers approvers.yaml bundle.yaml draft
+  wardspoolctl bundle sign --key ada.key draft
+  wardspoolctl bundle pack --approvers approvers.yaml draft publish
+  wardspoolctl roll new --target draft --stage all > roll.json
+  wardspoolctl roll sign --key ada.key roll.json
+  wardspoolctl roll pack --approvers approvers.yaml roll.json publish
+
+Exit codes: 0 done, 1 findings or refused, 2 wrong usage; commands that ask
+instances have their own. docs/operators/bundles.md is the long form.`
+
+// exited carries the exit code of --help and --version out of the parser.
+type exited struct{ code int }
+
+// run runs the program and returns its exit code.
+func run(ctx context.Context, args []string, s streams) (code int) {
+	defer func() {
+		if e, ok := recover().(exited); ok {
+			code = e.code
+		}
+	}()
+	var p program
+	parser, err := kong.New(&p,
+		kong.Name("wardspoolctl"),
+		kong.Description(description),
+		kong.Vars{"version": version()},
+		kong.Writers(s.Out, s.Err),
+		kong.Exit(func(code int) { panic(exited{code: code}) }),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true, WrapUpperBound: 100}),
+		kong.BindTo(ctx, (*context.Context)(nil)),
+		kong.Bind(s),
+	)
+	if err != nil {
+		panic(err)
+	}
+	command, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintf(s.Err, "wardspoolctl: %v; see wardspoolctl --help\n", err)
+		return exitUsage
+	}
+	return finish(command.Run(), s)
+}
+
+// finish reports a command's error and returns the exit code.
+func finish(err error, s streams) int {
+	var silent *askExit
+	var coded kong.ExitCoder
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &silent):
+		return silent.Code
+	case errors.As(err, &coded):
+		fmt.Fprintf(s.Err, "wardspoolctl: %v\n", err)
+		return coded.ExitCode()
+	}
+	fmt.Fprintf(s.Err, "wardspoolctl: %v\n", err)
+	return exitRefused
+}
+
+// version returns the version that the build recorded.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	return info.Main.Version
+}
