--- a/entry/metrics/reporter.go
+++ b/entry/metrics/reporter.go
@@ -170,8 +170,10 @@
 	_, _ = io.WriteString(w, r.Text())
 }
 
-// Text returns all metrics in the text format, sorted.
+// Text returns all metrics in the text format, sorted, with some of the Go
+// runtime's own.
 func (r *Reporter) Text() string {
+	r.readRuntime()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var b strings.Builder
