--- a/plugins/standard/standard.go
+++ b/plugins/standard/standard.go
@@ -17,13 +17,16 @@
 	_ "github.com/wardspool/wardspool/plugins/order/deadline"     // order.deadline
 	_ "github.com/wardspool/wardspool/plugins/order/fair"         // order.fair
 	_ "github.com/wardspool/wardspool/plugins/order/fifo"         // order.fifo
+	_ "github.com/wardspool/wardspool/plugins/order/tsf"          // order.tsf
 	_ "github.com/wardspool/wardspool/plugins/scorer/firstoutput" // scorer.first_output
 	_ "github.com/wardspool/wardspool/plugins/scorer/pace"        // scorer.pace
 	_ "github.com/wardspool/wardspool/plugins/scorer/prefix"      // scorer.prefix
 	_ "github.com/wardspool/wardspool/plugins/scorer/roundrobin"  // scorer.round_robin
 	_ "github.com/wardspool/wardspool/plugins/scorer/zone"        // scorer.zone
 	_ "github.com/wardspool/wardspool/plugins/service/http"       // service.http
-	_ "github.com/wardspool/wardspool/plugins/slots/dispatch"
-	_ "github.com/wardspool/wardspool/plugins/slots/lease" // slots.lease
-	_ "github.com/wardspool/wardspool/plugins/slots/none"  // slots.none
+	_ "github.com/wardspool/wardspool/plugins/slots/dispatch"     // slots.dispatch
+	_ "github.com/wardspool/wardspool/plugins/slots/lease"        // slots.lease
+	_ "github.com/wardspool/wardspool/plugins/slots/none"         // slots.none
+	_ "github.com/wardspool/wardspool/plugins/slots/probe"        // slots.probe
+	_ "github.com/wardspool/wardspool/plugins/slots/shares"       // slots.shares
 )
