Entry: stays ready across its agent's restart; large bundles; bounds of tickets' calls

Cause: a restarted agent is not ready for a while, and the entry would have gone unready with it though its bundle is good. A bundle above 1 MiB of JSON closed the feed's connection (TestLargeBundle failed first). Calls with a ticket whose body or answer exceeds a frame between instances ended as unreachable; they are bounded to 512 KiB now, the same wherever they arrive.

--- a/entry/feed.go
+++ b/entry/feed.go
@@ -24,7 +24,11 @@
 	if b := u.Bundle; b != nil && b.Content != nil {
 		e.driver.Post(kernel.Configured{Version: b.Version, Content: b.Content})
 	}
-	e.ready.Store(u.Ready)
+	if u.Ready {
+		// A restarted agent is not ready for a while; what this entry has in
+		// force is good all the same.
+		e.ready.Store(true)
+	}
 	if e.driver.Stopped() {
 		return feed.Reply{}, &peer.StoppingError{}
 	}
--- a/entry/front/service.go
+++ b/entry/front/service.go
@@ -28,13 +28,17 @@
 func (f *Front) serviceCall(c *call) *adapter.ServiceCall {
 	header := c.header.Clone()
 	header.Del(api.HeaderTicket)
+	limit := f.opts.Limits.ResponseBytes
+	if c.ticketed {
+		limit = min(limit, maxTicketBytes)
+	}
 	return &adapter.ServiceCall{
 		Method:         c.method,
 		Path:           c.target.rest,
 		Header:         header,
 		Body:           c.body,
 		IdempotencyKey: c.headers.IdempotencyKey,
-		ResponseLimit:  f.opts.Limits.ResponseBytes,
+		ResponseLimit:  limit,
 	}
 }
 
--- a/entry/front/ticket.go
+++ b/entry/front/ticket.go
@@ -27,6 +27,10 @@
 	ExpiresAt time.Time `json:"expires_at"`
 }
 
+// maxTicketBytes bounds the body of a call with a ticket, and that of its
+// answer, so that either fits a frame between instances.
+const maxTicketBytes = 512 << 10
+
 // noTickets is the answer of an instance without ticket keys.
 func noTickets() *api.Problem {
 	return api.NewProblem(api.ProblemNotReady, api.NotRun, "tickets are not configured on this instance")
@@ -85,6 +89,10 @@
 		f.fail(w, c, noTickets())
 		return
 	}
+	if len(c.body) > maxTicketBytes {
+		f.fail(w, c, tooLarge())
+		return
+	}
 	reply := f.opts.Tickets.Execute(ctx, &tickets.Call{
 		Ticket:         c.headers.Ticket,
 		Method:         c.method,
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -50,6 +50,22 @@
 	}
 }
 
+const (
+	// feedFrame is the largest frame from the agent: the content of the largest
+	// bundle, as JSON.
+	feedFrame = 32 << 20
+	// feedConnections is enough for an agent and its successor.
+	feedConnections = 4
+)
+
+// feedConfig returns the configuration of the agent's listener.
+func (e *Entry) feedConfig() peer.Config {
+	c := e.peerConfig(peering.LocalAgent(e.self.Instance))
+	c.Limits.Frame = feedFrame
+	c.Limits.Connections = feedConnections
+	return c
+}
+
 // Listen opens all addresses of the settings. Errors are those of net.Listen.
 func (e *Entry) Listen() error {
 	l, err := net.Listen("tcp", e.settings.Callers.Listen)
@@ -58,15 +74,15 @@
 	}
 	e.servers.callers = limitConnections(l, e.settings.Callers.Limits.Connections)
 	e.servers.http = e.front.Server()
-	e.servers.peers, err = e.listen(e.settings.Peers.Listen, e.book.Known)
+	e.servers.peers, err = e.listen(e.settings.Peers.Listen, e.peerConfig(e.book.Known))
 	if err != nil {
 		return oops.In("entry").Wrapf(err, "listen for peers")
 	}
-	e.servers.feed, err = e.listen(e.settings.Feed.Listen, peering.LocalAgent(e.self.Instance))
+	e.servers.feed, err = e.listen(e.settings.Feed.Listen, e.feedConfig())
 	if err != nil {
 		return oops.In("entry").Wrapf(err, "listen for the agent")
 	}
-	e.servers.operators, err = e.listen(e.settings.Operators.Listen, e.isOperator)
+	e.servers.operators, err = e.listen(e.settings.Operators.Listen, e.peerConfig(e.isOperator))
 	if err != nil {
 		return oops.In("entry").Wrapf(err, "listen for operators")
 	}
@@ -91,7 +107,7 @@
 }
 
 // listen opens a jsonrpc2 server, none for an empty address.
-func (e *Entry) listen(address string, allow func(peer.Identity) bool) (*jsonrpcServer, error) {
+func (e *Entry) listen(address string, c peer.Config) (*jsonrpcServer, error) {
 	if address == "" {
 		return nil, nil
 	}
@@ -99,7 +115,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &jsonrpcServer{listener: l, server: peer.NewServer(e.peerConfig(allow))}
+	s := &jsonrpcServer{listener: l, server: peer.NewServer(c)}
 	e.servers.jsonrpc = append(e.servers.jsonrpc, s)
 	return s, nil
 }
