Agent: parts by the shortest way, news with jitter; fleet command; capacity bench

Now readers read the platform at once and hedge by a peer, others go on with the source that gave, an empty answer goes to the next partner, documents are fetched once at a time, and news that a peer gave are kept for up to 0.3 s. A starting instance keeps the peers that answered on its roster: one that left took its floor with it, and the base of a roll came into force below it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -29,6 +29,8 @@
 	Version string
 	// TLS protects the connections between agents; nil for plain TCP.
 	TLS peer.TLS
+	// Seed makes jitter repeatable; 0 draws one.
+	Seed uint64
 	// Dialer opens all connections, Listen all listeners. Nil means the
 	// system's network; tests put in their own.
 	Dialer meter.Dialer
@@ -76,6 +78,7 @@
 	endCalls context.CancelFunc
 
 	// All below is the loop's.
+	random       random
 	now          time.Time
 	secondAt     time.Time
 	machine      *membership.Machine
@@ -110,6 +113,7 @@
 		inbox:    make(chan func(), inboxSize),
 		stopped:  make(chan struct{}),
 		now:      now,
+		random:   newRandom(o.Seed),
 		partners: map[ident.InstanceID]*partner{},
 	}
 	a.callCtx, a.endCalls = context.WithCancel(context.Background())
@@ -144,7 +148,7 @@
 	a.source.watches = map[string]context.CancelFunc{}
 	a.source.indexes = map[string]uint64{}
 	a.book = newBook()
-	a.relay.changed = make(chan struct{})
+	a.relay = relay{changed: make(chan struct{}), fetching: map[string]bool{}}
 	return nil
 }
 
--- a/agent/bundles.go
+++ b/agent/bundles.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"sync"
+	"slices"
 	"time"
 
 	"github.com/wardspool/wardspool/agent/engines"
@@ -17,21 +17,34 @@
 // tickEvent tells the ledger that time passed.
 var tickEvent ledger.Event = ledger.Tick{}
 
-// Bounds of fetching.
-const (
-	// fetchTimeout bounds one fetch from a peer.
-	fetchTimeout = 5 * time.Second
-	// fetchParallel is how many parts are read from the platform at once.
-	fetchParallel = 4
-)
-
 // step gives the ledger an event and does what it asks for.
 func (a *Agent) step(e ledger.Event) {
+	from := eventSource(e)
 	for _, act := range a.ledger.Step(a.now, e) {
+		if _, announce := act.(ledger.Announce); announce {
+			a.spreadNews(from.Kind == ledger.SourcePeer)
+			continue
+		}
 		a.act(act)
 	}
 }
 
+// eventSource returns who brought an event, zero if nobody did.
+func eventSource(e ledger.Event) ledger.Source {
+	switch e := e.(type) {
+	case ledger.RollSeen:
+		return e.From
+	case ledger.HeadSeen:
+		return e.From
+	case ledger.PartsSeen:
+		return e.From
+	case ledger.FloorReport:
+		return e.From
+	default:
+		return ledger.Source{}
+	}
+}
+
 // act does one thing that the ledger asks for.
 func (a *Agent) act(act ledger.Action) {
 	switch act := act.(type) {
@@ -48,8 +61,6 @@
 		a.fetchDocument(act.From, platform.KeyBundleHead)
 	case ledger.FetchParts:
 		a.fetchParts(act)
-	case ledger.Announce:
-		a.spreadNews()
 	case ledger.Refused:
 		a.counters.Refused++
 		a.log.Info("bundle document refused", "from", act.From.String(), "error", act.Err)
@@ -111,7 +122,22 @@
 			sources = append(sources, ledger.Source{Kind: ledger.SourceUpstream, Name: string(u.ID)})
 		}
 	}
-	a.step(ledger.Roster{Sources: sources})
+	a.step(ledger.Roster{Sources: a.keepAnswered(sources)})
+}
+
+// keepAnswered adds the peers that a starting instance has heard from and that
+// have gone since: what they had in force stays part of the floor.
+func (a *Agent) keepAnswered(sources []ledger.Source) []ledger.Source {
+	if a.ledger.Status() != ledger.StatusStarting {
+		a.relay.answered = nil
+		return sources
+	}
+	for _, s := range a.relay.answered {
+		if !slices.Contains(sources, s) {
+			sources = append(sources, s)
+		}
+	}
+	return sources
 }
 
 // listsTimeout is how long a starting instance waits for the platform's lists.
@@ -169,6 +195,9 @@
 		}
 		r.Roll = roll
 	}
+	if r.From.Kind == ledger.SourcePeer && !slices.Contains(a.relay.answered, r.From) {
+		a.relay.answered = append(a.relay.answered, r.From)
+	}
 	a.step(r)
 }
 
@@ -189,50 +218,3 @@
 		})
 	})
 }
-
-// fetchParts fetches parts from a peer or the platform.
-func (a *Agent) fetchParts(f ledger.FetchParts) {
-	if f.From.Kind == ledger.SourcePlatform {
-		a.readParts(f.Digests)
-		return
-	}
-	a.fetchPeerParts(f)
-}
-
-// readParts reads parts from the platform, some at a time. Each is taken in as
-// it comes.
-func (a *Agent) readParts(digests []bundle.Digest) {
-	a.spawn(func(ctx context.Context) {
-		var group sync.WaitGroup
-		slots := make(chan struct{}, fetchParallel)
-		for _, d := range digests {
-			slots <- struct{}{}
-			group.Go(func() {
-				defer func() { <-slots }()
-				a.readPart(ctx, d)
-			})
-		}
-		group.Wait()
-	})
-}
-
-// readPart reads one part from the platform.
-func (a *Agent) readPart(ctx context.Context, d bundle.Digest) {
-	v, err := a.reader.Get(ctx, platform.KeyBundleParts+d.String())
-	if err != nil {
-		a.post(func() { a.platformFailed(platform.KeyBundleParts+d.Short(), err) })
-		return
-	}
-	a.post(func() { a.takeParts(fromPlatform, []bundle.Part{{Digest: d, Bytes: v.Bytes}}) })
-}
-
-// takeParts gives the ledger parts and wakes the peers that wait for some.
-func (a *Agent) takeParts(from ledger.Source, parts []bundle.Part) {
-	a.counters.PartsFetched += uint64(len(parts))
-	before := a.ledger.Missing()
-	a.step(ledger.PartsSeen{From: from, Parts: parts})
-	if a.ledger.Missing() != before {
-		close(a.relay.changed)
-		a.relay.changed = make(chan struct{})
-	}
-}
--- /dev/null
+++ b/agent/console/fleet.go
@@ -0,0 +1,226 @@
+// Package console shows operators what agents say of themselves and of the
+// fleet.
+package console
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/wardspool/wardspool/agent/wire"
+	"github.com/wardspool/wardspool/peer"
+)
+
+// Unreached is an agent that gave no answer.
+type Unreached struct {
+	Address string `json:"address"`
+	Error   string `json:"error"`
+}
+
+// Fleet is what agents said at one time.
+type Fleet struct {
+	At        time.Time     `json:"at"`
+	Agents    []wire.Status `json:"agents"`
+	Unreached []Unreached   `json:"unreached,omitempty"`
+}
+
+// Look asks the agents at the operators' addresses, all at once.
+func Look(ctx context.Context, pool *peer.Pool, addresses []string) *Fleet {
+	f := &Fleet{At: time.Now()}
+	var mu sync.Mutex
+	var asked sync.WaitGroup
+	for _, address := range addresses {
+		asked.Go(func() {
+			s, err := peer.Call[wire.Status](ctx, pool, address, wire.MethodStatus, wire.Nothing{})
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				f.Unreached = append(f.Unreached, Unreached{Address: address, Error: err.Error()})
+				return
+			}
+			f.Agents = append(f.Agents, s)
+		})
+	}
+	asked.Wait()
+	slices.SortFunc(f.Agents, func(a, b wire.Status) int {
+		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Instance, b.Instance))
+	})
+	slices.SortFunc(f.Unreached, func(a, b Unreached) int { return cmp.Compare(a.Address, b.Address) })
+	return f
+}
+
+// Versions counts the agents by bundle version in force, lowest first.
+func (f *Fleet) Versions() []VersionCount {
+	var out []VersionCount
+	for _, s := range f.Agents {
+		i := slices.IndexFunc(out, func(c VersionCount) bool { return c.Version == s.Bundle.Version })
+		if i < 0 {
+			out = append(out, VersionCount{Version: s.Bundle.Version})
+			i = len(out) - 1
+		}
+		out[i].Agents++
+	}
+	slices.SortFunc(out, func(a, b VersionCount) int { return cmp.Compare(a.Version, b.Version) })
+	return out
+}
+
+// VersionCount is how many agents have a bundle version in force.
+type VersionCount struct {
+	Version uint64 `json:"version"`
+	Agents  int    `json:"agents"`
+}
+
+// Write writes the fleet as tables.
+func (f *Fleet) Write(w io.Writer) error {
+	fmt.Fprint(w, f.At.Format(time.TimeOnly))
+	for _, c := range f.Versions() {
+		fmt.Fprintf(w, "  version %s in force on %d", versionText(c.Version), c.Agents)
+	}
+	fmt.Fprintln(w)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "INSTANCE\tZONE\tVERSION\tENTRY\tSTATUS\tROLL\tVIEW\tSEES\tPLATFORM\tCPU\tRSS\tSENT+RECEIVED")
+	for i := range f.Agents {
+		writeAgent(t, &f.Agents[i])
+	}
+	for i := range f.Agents {
+		writeDoubts(t, &f.Agents[i])
+	}
+	for i := range f.Agents {
+		for _, a := range f.Agents[i].Alarms {
+			fmt.Fprintf(t, "ALARM on %s: %s\n", f.Agents[i].Instance, a.Text)
+		}
+	}
+	for _, u := range f.Unreached {
+		fmt.Fprintf(t, "not reached: %s: %s\n", u.Address, u.Error)
+	}
+	return t.Flush()
+}
+
+// versionText renders a version, "none" for 0.
+func versionText(v uint64) string {
+	if v == 0 {
+		return "none"
+	}
+	return fmt.Sprint(v)
+}
+
+// writeAgent writes an agent's line.
+func writeAgent(w io.Writer, s *wire.Status) {
+	fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d %s\t%s\t%s\t%s\t%s\t%s\t%s\n",
+		s.Instance, s.Zone, versionText(s.Bundle.Version), entryText(&s.Entry), s.Bundle.Status,
+		s.Bundle.RollSequence, s.Bundle.RollStage, viewText(&s.Fleet), seesText(&s.Fleet),
+		platformText(&s.Platform), cpuText(&s.Process), sizeText(s.Process.RSSBytes), trafficText(s))
+}
+
+// entryText says which version the entry decides under, or why that is not known.
+func entryText(e *wire.EntryStatus) string {
+	switch {
+	case e.Incarnation == 0:
+		return "none"
+	case !e.Answers:
+		return "silent"
+	case e.Stopping:
+		return "stopping"
+	default:
+		return versionText(e.BundleVersion)
+	}
+}
+
+// viewText says whether the view may be acted on.
+func viewText(f *wire.FleetStatus) string {
+	switch {
+	case f.Superseded:
+		return "superseded"
+	case f.Leaving:
+		return "leaving"
+	case !f.Trusted:
+		return "not trusted"
+	default:
+		return "trusted"
+	}
+}
+
+// seesText counts the instances and upstreams that are believed to live.
+func seesText(f *wire.FleetStatus) string {
+	alive, up := 0, 0
+	for _, i := range f.Instances {
+		if i.State == stateAlive && !i.Leaving {
+			alive++
+		}
+	}
+	for _, u := range f.Upstreams {
+		if usable(&u) {
+			up++
+		}
+	}
+	return fmt.Sprintf("%d/%d instances %d/%d upstreams", alive, len(f.Instances), up, len(f.Upstreams))
+}
+
+// States as package membership names them.
+const (
+	stateAlive   = "alive"
+	stateSuspect = "suspect"
+)
+
+// usable reports whether an upstream gets work.
+func usable(u *wire.UpstreamStatus) bool {
+	return u.Listed && !u.Leaving && (u.State == stateAlive || u.State == stateSuspect)
+}
+
+// platformText says how long ago the platform was heard of, and by how many
+// watches of this instance.
+func platformText(p *wire.PlatformStatus) string {
+	if p.SeenAgeMS < 0 {
+		return "never"
+	}
+	return fmt.Sprintf("%ds ago, %d watches", p.SeenAgeMS/1000, len(p.Watches))
+}
+
+// cpuText is the average processor time since the start, in per cent of a core.
+func cpuText(p *wire.ProcessStatus) string {
+	return fmt.Sprintf("%.2f%%", 100*float64(p.CPUMS)/float64(max(p.UptimeMS, 1)))
+}
+
+// sizeText renders bytes.
+func sizeText(n uint64) string { return fmt.Sprintf("%.1f MB", float64(n)/(1<<20)) }
+
+// trafficText is the average control traffic since the start.
+func trafficText(s *wire.Status) string {
+	var total uint64
+	for _, t := range []wire.Traffic{s.Traffic.Peers, s.Traffic.Upstreams, s.Traffic.Platform} {
+		total += t.Sent + t.Received
+	}
+	return fmt.Sprintf("%.2f KB/s", float64(total)/float64(max(s.Process.UptimeMS, 1)))
+}
+
+// writeDoubts writes what an agent does not believe to be well.
+func writeDoubts(w io.Writer, s *wire.Status) {
+	var doubts []string
+	for _, i := range s.Fleet.Instances {
+		if i.State != stateAlive || i.Leaving {
+			doubts = append(doubts, doubt(string(i.ID), i.State, i.Leaving))
+		}
+	}
+	for _, u := range s.Fleet.Upstreams {
+		if !usable(&u) {
+			doubts = append(doubts, doubt(string(u.ID), u.State, u.Leaving))
+		}
+	}
+	if len(doubts) > 0 {
+		fmt.Fprintf(w, "%s sees: %s\n", s.Instance, strings.Join(doubts, ", "))
+	}
+}
+
+// doubt renders one process that is not well.
+func doubt(id, state string, leaving bool) string {
+	if leaving {
+		state = "leaving, " + state
+	}
+	return id + " (" + state + ")"
+}
--- a/agent/feed.go
+++ b/agent/feed.go
@@ -21,11 +21,11 @@
 	feedTimeout = 2 * time.Second
 	// urgentGap is the least time between two updates.
 	urgentGap = 50 * time.Millisecond
-	// loadGap is the least time between two updates of which the second has only
-	// fresher load reports; loadGapPerUpstream is added for each upstream, since
-	// an update carries them all.
-	loadGap            = 200 * time.Millisecond
-	loadGapPerUpstream = 2 * time.Millisecond
+	// viewGap is the least time between two views of which the second has only
+	// fresher load reports; viewGapPerEntry is added for each instance and
+	// upstream, since a view has them all.
+	viewGap         = 200 * time.Millisecond
+	viewGapPerEntry = 2 * time.Millisecond
 	// bundleRetry is after how long a bundle is sent again that the entry does
 	// not confirm.
 	bundleRetry = 3 * time.Second
@@ -37,9 +37,10 @@
 	sentAt time.Time
 	// urgent says that something changed that should not wait.
 	urgent bool
-	// version is that of the view last sent, and shape its fingerprint without
-	// ages and loads.
+	// version is that of the view last sent, and viewAt when that was; shape is
+	// the fingerprint of the view without ages and loads.
 	version uint64
+	viewAt  time.Time
 	shape   uint64
 	// resend says that the entry must be sent everything.
 	resend bool
@@ -65,7 +66,7 @@
 		return
 	}
 	u := a.composeUpdate()
-	f.busy, f.sentAt, f.urgent = true, a.now, false
+	f.busy, f.sentAt = true, a.now
 	begun := a.now
 	a.counters.FeedUpdates++
 	a.spawn(func(ctx context.Context) {
@@ -87,31 +88,42 @@
 func (a *Agent) updateDue() bool {
 	f := &a.feed
 	since := a.now.Sub(f.sentAt)
-	if since < urgentGap || a.view == nil {
-		return false
-	}
-	gap := min(loadGap+loadGapPerUpstream*time.Duration(len(a.view.Upstreams)), a.settings.Entry.Interval)
 	switch {
-	case since >= a.settings.Entry.Interval:
-		return true
-	case !f.answers:
-		// Nobody waits; the interval is soon enough.
+	case since < urgentGap || a.view == nil:
 		return false
-	case f.urgent, f.resend:
+	case since >= a.settings.Entry.Interval:
 		return true
 	default:
-		return a.view.Version != f.version && since >= gap
+		// While nobody answers, the interval is soon enough.
+		return f.answers && (f.urgent || f.resend || a.viewDue())
 	}
 }
 
+// viewDue reports whether the entry is to be sent a view: at once if something
+// but loads and ages changed, otherwise when the gap allows. An unchanged view is
+// repeated too: an entry that was paused waits for one.
+func (a *Agent) viewDue() bool {
+	f := &a.feed
+	entries := len(a.view.Instances) + len(a.view.Upstreams)
+	gap := viewGap + viewGapPerEntry*time.Duration(entries)
+	if a.view.Version == f.version {
+		gap = max(gap, a.settings.Entry.Interval)
+	}
+	return f.urgent || f.resend || a.now.Sub(f.viewAt) >= gap
+}
+
 // composeUpdate returns what to send.
 func (a *Agent) composeUpdate() feed.Update {
 	f := &a.feed
 	u := feed.Update{
 		Agent: a.self.Instance, Incarnation: a.self.Incarnation,
-		View: a.feedView(), Ready: a.mayServe(), PauseMS: f.pause.Milliseconds(),
+		Ready: a.mayServe(), PauseMS: f.pause.Milliseconds(),
+	}
+	if a.viewDue() {
+		u.View = a.feedView()
+		f.version, f.viewAt = a.view.Version, a.now
 	}
-	f.version, f.resend, f.pause = a.view.Version, false, 0
+	f.urgent, f.resend, f.pause = false, false, 0
 	if f.bundle != nil && (!f.bundleSent || a.bundleLost()) {
 		u.Bundle = f.bundle
 		f.bundleSent, f.bundleAt = true, a.now
--- a/agent/fleet_test.go
+++ b/agent/fleet_test.go
@@ -284,7 +284,7 @@
 	assert.NilError(t, err)
 	s.Entry.Feed = n.host + ":9200"
 	log := slog.New(slog.NewTextHandler(testLog{t, string(n.id)}, &slog.HandlerOptions{Level: slog.LevelDebug}))
-	n.agent, err = New(s, Options{Log: log, Dialer: from{n.fleet.net, n.host}, Listen: n.fleet.net.listen})
+	n.agent, err = New(s, Options{Log: log, Seed: uint64(len(n.fleet.nodes)), Dialer: from{n.fleet.net, n.host}, Listen: n.fleet.net.listen})
 	assert.NilError(t, err)
 	assert.NilError(t, n.agent.Listen())
 	ctx, cancel := context.WithCancel(context.Background())
--- a/agent/heartbeats.go
+++ b/agent/heartbeats.go
@@ -24,6 +24,9 @@
 	// spreadGap is the least time between two exchanges with one partner that
 	// only serve to spread news.
 	spreadGap = 100 * time.Millisecond
+	// spreadJitter bounds the time for which an instance keeps news that a peer
+	// gave it: most partners have it by then, and need not be told.
+	spreadJitter = 300 * time.Millisecond
 	// partnerIntervals is after how many intervals without an exchange an
 	// instance is no partner any more.
 	partnerIntervals = 4
@@ -38,8 +41,8 @@
 	sentAt time.Time
 	// busy says that an exchange begun here has not ended.
 	busy bool
-	// spread says that the partner is to be told news when the gap allows.
-	spread bool
+	// spreadAt is when the partner is to be told news, the zero time if it is not.
+	spreadAt time.Time
 }
 
 // partnerOf returns what is kept of a partner.
@@ -91,10 +94,17 @@
 	a.sendNews()
 }
 
-// spreadNews has all partners told that this instance has news.
-func (a *Agent) spreadNews() {
+// spreadNews has all partners told that this instance has news: at once if it has
+// them from the platform.
+func (a *Agent) spreadNews(relayed bool) {
+	at := a.now
+	if relayed {
+		at = at.Add(a.random.N(spreadJitter))
+	}
 	for _, p := range a.partners {
-		p.spread = true
+		if p.spreadAt.IsZero() || at.Before(p.spreadAt) {
+			p.spreadAt = at
+		}
 	}
 }
 
@@ -103,14 +113,14 @@
 	limit := a.now.Add(-partnerIntervals * a.machine.Interval())
 	mark := uint64(0)
 	for id, p := range a.partners {
-		if !p.spread || a.now.Sub(p.sentAt) < spreadGap {
+		if p.spreadAt.IsZero() || a.now.Before(p.spreadAt) || a.now.Sub(p.sentAt) < spreadGap {
 			continue
 		}
 		if mark == 0 {
 			n := a.news()
 			mark = n.Mark()
 		}
-		p.spread = false
+		p.spreadAt = time.Time{}
 		if p.mark != mark && p.at.After(limit) {
 			a.exchange(id)
 		}
--- a/agent/lists.go
+++ b/agent/lists.go
@@ -52,17 +52,17 @@
 	if !a.takeList(key, begun, index, doc) {
 		return
 	}
-	a.keepList(key, list{index: index, begun: begun, gzip: compress(doc)})
+	a.keepList(key, list{index: index, begun: begun, gzip: compress(doc)}, false)
 }
 
 // keepList keeps a list for peers and tells them.
-func (a *Agent) keepList(key string, l list) {
+func (a *Agent) keepList(key string, l list, relayed bool) {
 	*a.book.lists.of(key) = l
 	a.source.indexes[key] = max(a.source.indexes[key], l.index)
 	a.viewDirty = true
 	a.refreshView()
 	a.updateRoster()
-	a.spreadNews()
+	a.spreadNews(relayed)
 }
 
 // takeList decodes a list and gives it to the machine. It returns false for a
@@ -207,6 +207,6 @@
 	read := begun.Add(-time.Duration(max(l.AgeMS, 0)) * time.Millisecond)
 	if a.takeList(key, read, l.Index, doc) {
 		a.counters.ListsFetched++
-		a.keepList(key, list{index: l.Index, begun: read, gzip: l.Gzip})
+		a.keepList(key, list{index: l.Index, begun: read, gzip: l.Gzip}, true)
 	}
 }
--- /dev/null
+++ b/agent/random.go
@@ -0,0 +1,26 @@
+package agent
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// random draws jitter. It is the loop's.
+type random struct{ source *rand.Rand }
+
+// newRandom returns draws that follow from the seed, or from the system's if it
+// is 0.
+func newRandom(seed uint64) random {
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	return random{source: rand.New(rand.NewPCG(seed, seed))}
+}
+
+// N returns a time from 0 to d.
+func (r random) N(d time.Duration) time.Duration {
+	return time.Duration(r.source.Int64N(int64(max(d, 1))))
+}
+
+// jittered returns a time between d and 2d.
+func (r random) jittered(d time.Duration) time.Duration { return d + r.N(d) }
--- a/agent/relay.go
+++ b/agent/relay.go
@@ -17,13 +17,22 @@
 	// partsBytes bounds the parts of one answer; one part is always sent.
 	partsBytes = 600 << 10
 	// partsWait is how long an answer waits for parts that are on their way here.
-	partsWait = 800 * time.Millisecond
+	partsWait = 500 * time.Millisecond
+	// documentTimeout bounds the fetch of a roll or head; it is short, since one
+	// fetch at a time is made of each.
+	documentTimeout = 2 * time.Second
 )
 
 // relay is the loop's part of giving bundles to peers.
 type relay struct {
 	// changed is closed when parts came; then there is a new one.
 	changed chan struct{}
+	// fetching holds the keys of the documents that are being fetched.
+	fetching map[string]bool
+	// provider gave parts last, since the last fetch.
+	provider ledger.Source
+	// answered are the peers that told this starting instance of the floor.
+	answered []ledger.Source
 }
 
 // addressOf returns where the agent of a ledger's source takes calls, "" if that
@@ -39,18 +48,22 @@
 		return
 	}
 	address := a.addressOf(from)
-	if address == "" {
+	if address == "" || a.relay.fetching[key] {
 		return
 	}
+	a.relay.fetching[key] = true
 	method := wire.MethodRoll
 	if key == platform.KeyBundleHead {
 		method = wire.MethodManifest
 	}
 	a.spawn(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+		ctx, cancel := context.WithTimeout(ctx, documentTimeout)
 		defer cancel()
 		doc, err := peer.Call[wire.Document](ctx, a.peers, address, method, wire.Nothing{})
-		a.post(func() { a.fetched(from, key, doc, err) })
+		a.post(func() {
+			delete(a.relay.fetching, key)
+			a.fetched(from, key, doc, err)
+		})
 	})
 }
 
@@ -67,27 +80,6 @@
 	}
 }
 
-// fetchPeerParts fetches parts from a peer.
-func (a *Agent) fetchPeerParts(f ledger.FetchParts) {
-	address := a.addressOf(f.From)
-	if address == "" {
-		return
-	}
-	a.spawn(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-		defer cancel()
-		got, err := peer.Call[wire.Parts](ctx, a.peers, address, wire.MethodParts, wire.PartsRequest{Digests: f.Digests})
-		if err != nil || len(got.Parts) == 0 {
-			return
-		}
-		parts := make([]bundle.Part, len(got.Parts))
-		for i, p := range got.Parts {
-			parts[i] = bundle.Part{Digest: p.Digest, Bytes: p.Bytes}
-		}
-		a.post(func() { a.takeParts(f.From, parts) })
-	})
-}
-
 // askPeerFloor asks a peer for the floor.
 func (a *Agent) askPeerFloor(q ledger.AskFloor) {
 	address := a.addressOf(q.From)
--- a/agent/source.go
+++ b/agent/source.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -41,6 +40,8 @@
 	// seen is when the platform last answered this instance or one that it has
 	// word of; the zero time is never.
 	seen time.Time
+	// answers says that the last read of this instance's own was answered.
+	answers bool
 	// answered is how many calls had been answered at the last look.
 	answered uint64
 	// retryAt is when this instance may read by itself again, and reading says
@@ -122,7 +123,7 @@
 
 // refreshPlatform reads all watched keys once.
 func (a *Agent) refreshPlatform() {
-	a.source.retryAt = a.now.Add(jittered(max(startRetry, a.settings.Platform.FallbackAfter)))
+	a.source.retryAt = a.now.Add(a.random.jittered(max(startRetry, a.settings.Platform.FallbackAfter)))
 	for _, key := range watchedKeys {
 		a.readKey(key)
 	}
@@ -145,9 +146,6 @@
 	})
 }
 
-// jittered returns a time between d and 2d.
-func jittered(d time.Duration) time.Duration { return d + rand.N(max(d, 1)) }
-
 // fallBack reads the platform itself when no word of it has come for long.
 func (a *Agent) fallBack() {
 	if a.source.reading > 0 || a.now.Before(a.source.retryAt) {
@@ -157,7 +155,7 @@
 	switch {
 	case a.source.seen.IsZero():
 		a.refreshPlatform()
-		a.source.retryAt = a.now.Add(jittered(startRetry))
+		a.source.retryAt = a.now.Add(a.random.jittered(startRetry))
 	case a.now.Sub(a.source.seen) >= after:
 		a.refreshPlatform()
 	}
@@ -171,6 +169,7 @@
 		return
 	}
 	a.source.answered = answered
+	a.source.answers = true
 	a.source.seen = a.now
 }
 
@@ -183,6 +182,7 @@
 	case errors.As(err, &stale):
 		a.log.Debug("platform is stale", "key", key, "seen", stale.Seen, "got", stale.Got.Index)
 	default:
+		a.source.answers = false
 		a.log.Debug("platform not read", "key", key, "error", err)
 	}
 }
@@ -190,7 +190,7 @@
 // platformValue takes in a value of the platform.
 func (a *Agent) platformValue(key string, begun time.Time, v platform.Value) {
 	a.source.indexes[key] = max(a.source.indexes[key], v.Index)
-	a.source.seen = a.now
+	a.source.seen, a.source.answers = a.now, true
 	switch key {
 	case platform.KeyRoll:
 		a.takeRoll(fromPlatform, begun, v.Bytes)
--- /dev/null
+++ b/cmd/wardspoolctl/fleet.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/wardspool/wardspool/agent/console"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/peer"
+)
+
+// fleetCmd is the subcommand "fleet".
+type fleetCmd struct {
+	Agents  []string      `required:"" placeholder:"IP:PORT" help:"Operators' addresses of the agents to ask (operators.listen in their settings), separated by commas."`
+	As      string        `default:"ops-1" help:"Operator's identity, one of operators.names in the agents' settings."`
+	Timeout time.Duration `default:"3s" help:"How long to wait for answers."`
+	Watch   bool          `help:"Look again and again."`
+	Every   time.Duration `default:"2s" help:"Time between two looks, with --watch."`
+	JSON    bool          `name:"json" help:"Print one JSON object a look in place of tables."`
+}
+
+// Help is shown by "fleet --help".
+func (fleetCmd) Help() string {
+	return `Shows, for each agent asked: the bundle version in force on it and on its entry,
+the newest roll it knows, alarms with the step to take, whom it sees and whom it
+doubts, and what it costs.
+
+  wardspoolctl fleet --agents 127.0.0.1:9401,127.0.0.1:9402
+  wardspoolctl fleet --agents 127.0.0.1:9401 --watch
+  wardspoolctl fleet --agents 127.0.0.1:9401 --json | jq .agents[0].bundle
+
+Exit codes: 0; 1 if an alarm stands; 2 if an agent gave no answer at the last
+look. docs/operators/agent.md explains the columns.`
+}
+
+// Exit codes of fleet.
+const (
+	exitAlarm     = 1
+	exitNoAnswers = 2
+)
+
+// Run looks once, or until the user stops it.
+func (c *fleetCmd) Run(ctx context.Context) error {
+	pool := peer.NewPool(peer.Config{
+		Self:  peer.Identity{Instance: ident.InstanceID(c.As), Incarnation: ident.NewIncarnation(time.Now()), Zone: operatorZone},
+		Allow: func(peer.Identity) bool { return true },
+	})
+	defer pool.Close()
+	for {
+		f, err := c.look(ctx, pool)
+		if err != nil {
+			return err
+		}
+		if !c.Watch {
+			return fleetExit(f)
+		}
+		select {
+		case <-time.After(c.Every):
+		case <-ctx.Done():
+			return fleetExit(f)
+		}
+	}
+}
+
+// look takes one look and prints it.
+func (c *fleetCmd) look(ctx context.Context, pool *peer.Pool) (*console.Fleet, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	f := console.Look(ctx, pool, c.Agents)
+	if c.Watch && !c.JSON {
+		fmt.Fprint(os.Stdout, clearScreen)
+	}
+	return f, printAnswer(f, c.JSON)
+}
+
+// fleetExit turns what was seen into the exit code.
+func fleetExit(f *console.Fleet) error {
+	if len(f.Unreached) > 0 {
+		return &askExit{Code: exitNoAnswers}
+	}
+	for _, s := range f.Agents {
+		if len(s.Alarms) > 0 {
+			return &askExit{Code: exitAlarm}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/capacity/bed.go
@@ -0,0 +1,279 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/feed"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/peer"
+	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/standin/engine"
+	"github.com/wardspool/wardspool/standin/perf"
+	standin "github.com/wardspool/wardspool/standin/platform"
+)
+
+// bed is a fleet of agents and the stand-ins around them.
+type bed struct {
+	options   *options
+	dir       string
+	platform  *standin.Platform
+	url       string
+	nodes     []*node
+	upstreams []platform.Upstream
+	publisher *publisher
+	closers   []func()
+}
+
+// node is one instance: an agent's process and its entry's stand-in.
+type node struct {
+	id       ident.InstanceID
+	zone     ident.Zone
+	peers    string
+	operator string
+	entry    *entry
+	process  *exec.Cmd
+	log      *os.File
+}
+
+// upstreamsPerAgent is that of the users' plans: 600 before 410.
+const upstreamsPerAgent = 1.5
+
+// newBed starts a fleet of n agents. The caller must close it, also after an
+// error.
+func newBed(o *options, n int) (*bed, error) {
+	b := &bed{options: o, platform: standin.New(standin.Config{})}
+	b.closers = append(b.closers, b.platform.Close)
+	var err error
+	if b.dir, err = os.MkdirTemp("", "wardspool-capacity-"); err != nil {
+		return b, err
+	}
+	if !o.Keep {
+		b.closers = append(b.closers, func() { _ = os.RemoveAll(b.dir) })
+	}
+	address, err := b.serve(b.platform.Handler())
+	if err != nil {
+		return b, err
+	}
+	b.url = "http://" + address
+	if err := b.startEngines(int(upstreamsPerAgent * float64(n))); err != nil {
+		return b, err
+	}
+	if b.publisher, err = newPublisher(b); err != nil {
+		return b, err
+	}
+	if err := b.addNodes(n); err != nil {
+		return b, err
+	}
+	if err := b.publisher.publish(); err != nil {
+		return b, err
+	}
+	for _, x := range b.nodes {
+		if err := b.startAgent(x); err != nil {
+			return b, err
+		}
+	}
+	return b, nil
+}
+
+// close ends all processes and stand-ins.
+func (b *bed) close() {
+	for _, x := range b.nodes {
+		x.kill()
+	}
+	for i := len(b.closers) - 1; i >= 0; i-- {
+		b.closers[i]()
+	}
+}
+
+// kill ends an agent.
+func (x *node) kill() {
+	if x.process != nil {
+		// One that has ended already needs no signal.
+		_ = x.process.Process.Kill()
+		_ = x.process.Wait()
+		_ = x.log.Close()
+	}
+}
+
+// serve serves HTTP on loopback.
+func (b *bed) serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	b.serveOn(l, h)
+	return l.Addr().String(), nil
+}
+
+// serveOn serves HTTP on a listener.
+func (b *bed) serveOn(l net.Listener, h http.Handler) {
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	go func() { _ = srv.Serve(l) }()
+	b.closers = append(b.closers, func() { _ = srv.Close() })
+}
+
+// zone returns the zone of the i-th process.
+func (b *bed) zone(i int) ident.Zone { return ident.Zone(fmt.Sprintf("zone-%d", i%b.options.Zones+1)) }
+
+// startEngines starts stand-in engines: of each three, one for prefill.
+func (b *bed) startEngines(n int) error {
+	for i := range n {
+		role := config.RoleDecode
+		if i/b.options.Zones%3 == 0 {
+			role = config.RolePrefill
+		}
+		id := ident.UpstreamID(fmt.Sprintf("runner-%03d", i))
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		e := engine.New(engine.Config{
+			ID: id, Role: role, Models: []string{modelName}, Version: "1", Address: l.Addr().String(),
+			ChecksFencing: true, LoadLag: 500 * time.Millisecond, Perf: perf.Defaults(),
+		})
+		b.closers = append(b.closers, e.Close)
+		b.serveOn(l, e.Handler())
+		b.upstreams = append(b.upstreams, platform.Upstream{
+			ID: id, Zone: b.zone(i), Address: l.Addr().String(), Role: role,
+			Models: []string{modelName}, State: platform.StateLive,
+		})
+	}
+	return nil
+}
+
+// addNodes makes the instances and lists them.
+func (b *bed) addNodes(n int) error {
+	var listed platform.Instances
+	for i := range n {
+		x := &node{id: ident.InstanceID(fmt.Sprintf("entry-%03d", i)), zone: b.zone(i)}
+		b.nodes = append(b.nodes, x)
+		var err error
+		if x.entry, err = b.startEntry(x); err != nil {
+			return err
+		}
+		if x.peers, err = freeAddress(); err != nil {
+			return err
+		}
+		if x.operator, err = freeAddress(); err != nil {
+			return err
+		}
+		listed.Instances = append(listed.Instances, platform.Instance{
+			ID: x.id, Zone: x.zone, Region: "region-1", State: platform.StateLive,
+			PeerAddress: x.entry.peers, AgentAddress: x.peers, CallerAddress: x.entry.peers,
+		})
+	}
+	if err := b.publisher.put(platform.KeyInstances, listed); err != nil {
+		return err
+	}
+	return b.publisher.put(platform.KeyUpstreams, platform.Upstreams{Upstreams: b.upstreams})
+}
+
+// freeAddress returns a loopback address that is free now.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
+
+// startAgent starts an instance's agent as a process.
+func (b *bed) startAgent(x *node) error {
+	file := filepath.Join(b.dir, string(x.id)+".yaml")
+	text := fmt.Sprintf(`
+instance: %s
+zone: %s
+entry: {feed: "%s"}
+peers: {listen: "%s"}
+operators: {listen: "%s", names: [%s]}
+platform: {urls: ["%s"]}
+log: {level: %s}
+approvers: {epoch: 1, quorum: 1, keys: [{name: ada, key: %s}]}
+`, x.id, x.zone, x.entry.feed, x.peers, x.operator, operatorName, b.url, b.options.Log, b.publisher.key)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		return err
+	}
+	var err error
+	if x.log, err = os.Create(filepath.Join(b.dir, string(x.id)+".log")); err != nil {
+		return err
+	}
+	cmd := exec.Command(b.options.Agent, "--settings", file)
+	cmd.Stderr = x.log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	x.process = cmd
+	return nil
+}
+
+// entry stands in for an instance's entry: it takes what the agent feeds.
+type entry struct {
+	feed  string
+	peers string
+
+	mu          sync.Mutex
+	incarnation ident.Incarnation
+	version     uint64
+	// arrived is when each bundle version came.
+	arrived map[uint64]time.Time
+	ready   bool
+}
+
+// startEntry starts an entry's stand-in.
+func (b *bed) startEntry(x *node) (*entry, error) {
+	e := &entry{incarnation: ident.NewIncarnation(time.Now()), arrived: map[uint64]time.Time{}}
+	cfg := peer.Config{
+		Self:   peer.Identity{Instance: x.id, Incarnation: e.incarnation, Zone: x.zone},
+		Allow:  func(peer.Identity) bool { return true },
+		Limits: peer.Limits{Frame: 32 << 20},
+	}
+	for _, address := range []*string{&e.feed, &e.peers} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		*address = l.Addr().String()
+		srv := peer.NewServer(cfg)
+		peer.Handle(srv, feed.MethodUpdate, func(_ context.Context, _ peer.Identity, u feed.Update) (feed.Reply, error) {
+			return e.update(&u), nil
+		})
+		go func() { _ = srv.Serve(l) }()
+		b.closers = append(b.closers, func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			_ = srv.Shutdown(ctx)
+		})
+	}
+	return e, nil
+}
+
+// update takes an update.
+func (e *entry) update(u *feed.Update) feed.Reply {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ready = u.Ready
+	if u.Bundle != nil && u.Bundle.Version > e.version {
+		e.version = u.Bundle.Version
+		e.arrived[e.version] = time.Now()
+	}
+	return feed.Reply{Incarnation: e.incarnation, BundleVersion: e.version}
+}
+
+// arrival returns when a version came, false if it has not.
+func (e *entry) arrival(version uint64) (time.Time, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	at, ok := e.arrived[version]
+	return at, ok && e.ready
+}
--- /dev/null
+++ b/internal/capacity/measure.go
@@ -0,0 +1,219 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/wardspool/wardspool/agent/wire"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/peer"
+)
+
+// operatorName is the identity under which agents are asked for their status.
+const operatorName = "capacity"
+
+// Bounds of a measurement.
+const (
+	inForceLimit = 60 * time.Second
+	statusLimit  = 10 * time.Second
+	poll         = 5 * time.Millisecond
+)
+
+// row is what was measured at one size. Rates are means over the agents; times
+// are over all.
+type row struct {
+	agents, zones, upstreams int
+	// cpuMean and cpuMax are in per cent of a core, rss in MB.
+	cpuMean, cpuMax float64
+	rssMean, rssMax float64
+	// Bytes a second, sent and received together.
+	peers, engines, platform, feed float64
+	// bytesMax is that of the agent with the most, without its feed.
+	bytesMax float64
+	// calls are the platform calls a second of all agents.
+	calls float64
+	// interval is that between two heartbeats of a pair, partners how many an
+	// agent has, both means.
+	interval time.Duration
+	partners float64
+	// inForce is the longest time from the roll to the last entry, changeBytes
+	// what one agent sent and received on average for one change.
+	inForce     time.Duration
+	changeBytes float64
+}
+
+// bytes returns the control traffic of an average agent, per second.
+func (r *row) bytes() float64 { return r.peers + r.engines + r.platform }
+
+// NotInForceError reports a version that did not come into force in time.
+type NotInForceError struct {
+	Version uint64
+	Entries int
+}
+
+// Error implements error.
+func (e *NotInForceError) Error() string {
+	return fmt.Sprintf("version %d is not in force on %d entries after %v", e.Version, e.Entries, inForceLimit)
+}
+
+// measure runs one size.
+func measure(ctx context.Context, o *options, n int) (row, error) {
+	b, err := newBed(o, n)
+	defer b.close()
+	if err != nil {
+		return row{}, err
+	}
+	pool := peer.NewPool(peer.Config{
+		Self:   peer.Identity{Instance: operatorName, Incarnation: ident.NewIncarnation(time.Now()), Zone: "operators"},
+		Allow:  func(peer.Identity) bool { return true },
+		Limits: peer.Limits{Frame: 16 << 20},
+	})
+	defer pool.Close()
+	if _, err := b.await(ctx, time.Now()); err != nil {
+		return row{}, err
+	}
+	if err := rest(ctx, o.Warmup); err != nil {
+		return row{}, err
+	}
+	before, err := b.statuses(ctx, pool)
+	if err != nil {
+		return row{}, err
+	}
+	calls := b.platform.Judge().Calls
+	if err := rest(ctx, o.Duration); err != nil {
+		return row{}, err
+	}
+	after, err := b.statuses(ctx, pool)
+	if err != nil {
+		return row{}, err
+	}
+	r := summary(o, before, after)
+	r.upstreams = len(b.upstreams)
+	r.calls = float64(b.platform.Judge().Calls-calls) / seconds(before[0], after[0])
+	return r, b.changes(ctx, pool, &r)
+}
+
+// rest waits.
+func rest(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// await waits until the version published last is on all entries and returns how
+// long after the given time that was.
+func (b *bed) await(ctx context.Context, since time.Time) (time.Duration, error) {
+	version := b.publisher.version()
+	deadline := time.Now().Add(inForceLimit)
+	for {
+		missing, last := 0, since
+		for _, x := range b.nodes {
+			at, ok := x.entry.arrival(version)
+			if !ok {
+				missing++
+			}
+			if at.After(last) {
+				last = at
+			}
+		}
+		if missing == 0 {
+			return last.Sub(since), nil
+		}
+		if time.Now().After(deadline) {
+			return 0, &NotInForceError{Version: version, Entries: missing}
+		}
+		if err := rest(ctx, poll); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// statuses asks all agents.
+func (b *bed) statuses(ctx context.Context, pool *peer.Pool) ([]wire.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusLimit)
+	defer cancel()
+	out := make([]wire.Status, len(b.nodes))
+	for i, x := range b.nodes {
+		s, err := peer.Call[wire.Status](ctx, pool, x.operator, wire.MethodStatus, wire.Nothing{})
+		if err != nil {
+			return nil, err
+		}
+		out[i] = s
+	}
+	return out, nil
+}
+
+// seconds returns the time between two statuses of an agent.
+func seconds(before, after wire.Status) float64 {
+	return float64(after.Process.UptimeMS-before.Process.UptimeMS) / 1000
+}
+
+// total adds up what was sent and received.
+func total(t wire.Traffic) float64 { return float64(t.Sent + t.Received) }
+
+// summary turns two rounds of statuses into rates.
+func summary(o *options, before, after []wire.Status) row {
+	r := row{agents: len(after), zones: o.Zones}
+	n := float64(len(after))
+	for i := range after {
+		a, z := &before[i], &after[i]
+		s := seconds(*a, *z)
+		cpu := float64(z.Process.CPUMS-a.Process.CPUMS) / 10 / s
+		r.cpuMean += cpu / n
+		r.cpuMax = max(r.cpuMax, cpu)
+		rss := float64(z.Process.RSSBytes) / (1 << 20)
+		r.rssMean += rss / n
+		r.rssMax = max(r.rssMax, rss)
+		peers := (total(z.Traffic.Peers) - total(a.Traffic.Peers)) / s
+		engines := (total(z.Traffic.Upstreams) - total(a.Traffic.Upstreams)) / s
+		platform := (total(z.Traffic.Platform) - total(a.Traffic.Platform)) / s
+		r.peers += peers / n
+		r.engines += engines / n
+		r.platform += platform / n
+		r.bytesMax = max(r.bytesMax, peers+engines+platform)
+		r.feed += (total(z.Traffic.Entry) - total(a.Traffic.Entry)) / s / n
+		r.interval += time.Duration(z.Fleet.IntervalMS) * time.Millisecond / time.Duration(n)
+		r.partners += float64(z.Fleet.Partners) / n
+	}
+	return r
+}
+
+// settle is how long after a change its last bytes may come.
+const settle = 3 * time.Second
+
+// changes rolls versions and measures how fast they are in force and what they
+// cost beyond what an agent costs anyway.
+func (b *bed) changes(ctx context.Context, pool *peer.Pool, r *row) error {
+	if b.options.Changes == 0 {
+		return nil
+	}
+	before, err := b.statuses(ctx, pool)
+	if err != nil {
+		return err
+	}
+	for range b.options.Changes {
+		since := time.Now()
+		if err := b.publisher.publish(); err != nil {
+			return err
+		}
+		took, err := b.await(ctx, since)
+		if err != nil {
+			return err
+		}
+		r.inForce = max(r.inForce, took)
+		if err := rest(ctx, settle); err != nil {
+			return err
+		}
+	}
+	after, err := b.statuses(ctx, pool)
+	if err != nil {
+		return err
+	}
+	c := summary(b.options, before, after)
+	r.changeBytes = (c.bytes() - r.bytes()) * seconds(before[0], after[0]) / float64(b.options.Changes)
+	return nil
+}
--- /dev/null
+++ b/internal/capacity/publish.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"crypto/ed25519"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/wardspool/wardspool/bundle"
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/testbed"
+)
+
+// modelName is the model of the Coastline example, which all engines run.
+const modelName = "manifest-reader"
+
+// publisher plays the operators: it builds, signs and publishes bundles.
+type publisher struct {
+	bed       *bed
+	private   ed25519.PrivateKey
+	key       bundle.PublicKey
+	approvers bundle.Approvers
+	content   *config.Content
+	head      *bundle.Head
+	sequence  uint64
+	published map[bundle.Digest]bool
+}
+
+// newPublisher makes a publisher with content of the size asked for.
+func newPublisher(b *bed) (*publisher, error) {
+	public, private, err := ed25519.GenerateKey(nil)
+	if err != nil {
+		return nil, err
+	}
+	p := &publisher{bed: b, private: private, published: map[bundle.Digest]bool{}}
+	copy(p.key[:], public)
+	p.approvers = bundle.Approvers{Epoch: 1, Quorum: 1, Keys: []bundle.Approver{{Name: "ada", Key: p.key}}}
+	p.content, err = content(b)
+	return p, err
+}
+
+// content returns the Coastline example with as many workspaces and upstreams as
+// asked for; the running ones come first.
+func content(b *bed) (*config.Content, error) {
+	root, err := testbed.ModuleRoot()
+	if err != nil {
+		return nil, err
+	}
+	file := filepath.Join(root, "examples", "coastline", "bundle.yaml")
+	source, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	c, findings := bundle.ParseSource(file, source)
+	if err := findings.Err(); err != nil {
+		return nil, err
+	}
+	for i := len(c.Workspaces); i < b.options.Workspaces; i++ {
+		c.Workspaces = append(c.Workspaces, config.Workspace{
+			Name: ident.Workspace(fmt.Sprintf("franchise-%04d", i)), Weight: 1,
+			RatePerSecond: 20, Burst: 40, Concurrency: 100, Models: []string{modelName},
+		})
+	}
+	declare(c, b)
+	return c, nil
+}
+
+// declare adds the running engines and as many more as asked for.
+func declare(c *config.Content, b *bed) {
+	sample := map[config.Role]config.Upstream{}
+	for _, u := range c.Upstreams {
+		sample[u.Role] = u
+	}
+	for i := range max(b.options.Declared, len(b.upstreams)) {
+		role := config.RoleDecode
+		if i < len(b.upstreams) {
+			role = b.upstreams[i].Role
+		}
+		u := sample[role]
+		u.ID = ident.UpstreamID(fmt.Sprintf("runner-%03d", i))
+		u.Models, u.Adapters, u.Version, u.ChecksFencing = []string{modelName}, nil, "1", true
+		c.Upstreams = append(c.Upstreams, u)
+	}
+}
+
+// put publishes a value as JSON.
+func (p *publisher) put(key string, v any) error {
+	doc, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	p.bed.platform.Put(key, doc)
+	return nil
+}
+
+// publish builds the next version, in which one workspace differs, publishes it
+// and rolls it to all.
+func (p *publisher) publish() error {
+	p.content.Workspaces[len(p.content.Workspaces)-1].Burst++
+	h, parts, err := bundle.Build(bundle.Draft{Previous: p.head, Content: p.content, Approvers: p.approvers})
+	if err != nil {
+		return err
+	}
+	h.AddSignature(bundle.Sign(p.private, &h.Manifest))
+	for _, d := range parts.Digests() {
+		if b, _ := parts.Part(d); !p.published[d] {
+			p.bed.platform.Put(platform.KeyBundleParts+d.String(), b)
+			p.published[d] = true
+		}
+	}
+	p.bed.platform.Put(platform.KeyBundleHead, h.Encode())
+	p.sequence++
+	r := &bundle.SignedRoll{
+		Roll:   bundle.Roll{Format: bundle.Format, Sequence: p.sequence, Target: h.Ref(), Stage: bundle.StageAll},
+		Target: *h, Base: p.head,
+	}
+	if p.head != nil {
+		r.Roll.Base = p.head.Ref()
+	}
+	r.AddSignature(bundle.SignRoll(p.private, &r.Roll))
+	p.bed.platform.Put(platform.KeyRoll, r.Encode())
+	p.head = h
+	return nil
+}
+
+// version returns the version published last.
+func (p *publisher) version() uint64 { return p.head.Manifest.Version }
