Entry: logs never hold up the kernel's goroutine; smaller files

Cause: a warning about a pause, or the line of a new bundle, was written from the goroutine that owns the kernel and would have waited for a log that nobody reads. Change: they take the queue of the decision records, or a goroutine.

--- a/entry/driver/actions.go
+++ b/entry/driver/actions.go
@@ -1,6 +1,7 @@
 package driver
 
 import (
+	"log/slog"
 	"time"
 
 	"github.com/wardspool/wardspool/adapter"
@@ -31,7 +32,7 @@
 	case kernel.SendPeer:
 		d.sendPeer(a)
 	case kernel.ConfigRejected:
-		d.opts.Log.Error("bundle rejected", "bundle_version", a.Version, "error", a.Err)
+		d.logLater(slog.LevelError, "bundle rejected", "bundle_version", a.Version, "error", a.Err)
 	case kernel.Log:
 		d.opts.Observer.Decided(a.Record)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/samber/oops"
-	"github.com/uber-go/tally/v4"
 
 	"github.com/wardspool/wardspool/adapter"
 	"github.com/wardspool/wardspool/config"
@@ -35,9 +34,8 @@
 	log      *slog.Logger
 	self     kernel.Self
 
-	engine   plugin.Plugin
-	service  plugin.Plugin
-	scope    tally.Scope
+	engine   adapter.Engine
+	service  adapter.Service
 	close    func() error
 	recorder *recorder
 	driver   *driver.Driver
@@ -85,41 +83,51 @@
 	}
 	reporter := metrics.NewReporter()
 	scope, closer := metrics.NewScope(reporter, "wardspool_entry")
-	e.scope, e.close = scope, closer.Close
+	e.close = closer.Close
 	e.recorder = newRecorder(log, scope, s.ExplainRecords)
 	e.book = peering.NewBook(knownPeers(s.Peers.Known))
 	e.pool = peer.NewPool(e.peerConfig(e.book.Known))
-	e.driver = driver.New(driver.Options{
+	e.driver = e.newDriver(k)
+	if e.desk, err = newDesk(&s.Tickets, e.self, e.book, e.pool, log); err != nil {
+		return nil, oops.In("entry").Wrapf(err, "make the tickets' keys")
+	}
+	e.front = e.newFront(reporter)
+	return e, nil
+}
+
+// newDriver returns the driver of the kernel.
+func (e *Entry) newDriver(k *kernel.Kernel) *driver.Driver {
+	return driver.New(driver.Options{
 		Kernel:       k,
-		Engine:       e.engine.(adapter.Engine),
-		Service:      e.service.(adapter.Service),
+		Engine:       e.engine,
+		Service:      e.service,
 		Peers:        peering.NewSender(e.book, e.pool),
 		Observer:     e.recorder,
-		Log:          log,
-		PauseAfter:   s.PauseAfter,
+		Log:          e.log,
+		PauseAfter:   e.settings.PauseAfter,
 		OnPause:      e.paused,
 		OnConfigured: e.configured,
 	})
-	if e.desk, err = newDesk(&s.Tickets, e.self, e.book, e.pool, log); err != nil {
-		return nil, oops.In("entry").Wrapf(err, "make the tickets' keys")
-	}
+}
+
+// newFront returns the HTTP interface, connected to the tickets' desk.
+func (e *Entry) newFront(reporter *metrics.Reporter) *front.Front {
 	options := front.Options{
-		Instance: s.Instance,
-		Limits:   s.Callers.Limits.limits(),
+		Instance: e.self.Instance,
+		Limits:   e.settings.Callers.Limits.limits(),
 		Submit:   counting{e},
 		Catalog:  e.catalog.Load,
 		Ready:    e.unready,
 		Metrics:  reporter,
-		Log:      log,
+		Log:      e.log,
 	}
-	if e.desk != nil {
-		options.Tickets = e.desk
-	}
-	e.front = front.New(options)
-	if e.desk != nil {
-		e.desk.SetRunner(e.front.RunTicket)
+	if e.desk == nil {
+		return front.New(options)
 	}
-	return e, nil
+	options.Tickets = e.desk
+	f := front.New(options)
+	e.desk.SetRunner(f.RunTicket)
+	return f
 }
 
 // knownPeers indexes the settings' peers.
@@ -131,18 +139,41 @@
 	return out
 }
 
+// AdapterTypeError reports a plug-in that is not the adapter that its place
+// needs.
+type AdapterTypeError struct {
+	ID   plugin.ID
+	Want string
+}
+
+// Error implements error.
+func (e *AdapterTypeError) Error() string {
+	return "plug-in " + string(e.ID) + " is not " + e.Want
+}
+
 // loadAdapters makes the adapters that the settings name.
 func (e *Entry) loadAdapters() error {
 	var err error
-	e.engine, err = plugin.Load(e.settings.Engine, e.settings.Plugins[e.settings.Engine].Decode)
+	e.engine, err = loadAdapter[adapter.Engine](e.settings, e.settings.Engine, "an engine adapter")
 	if err != nil {
-		return oops.In("entry").Wrapf(err, "load the engine adapter")
+		return err
 	}
-	e.service, err = plugin.Load(e.settings.Service, e.settings.Plugins[e.settings.Service].Decode)
+	e.service, err = loadAdapter[adapter.Service](e.settings, e.settings.Service, "a service adapter")
+	return err
+}
+
+// loadAdapter makes one adapter with its settings.
+func loadAdapter[A plugin.Plugin](s *Settings, id plugin.ID, want string) (A, error) {
+	var none A
+	p, err := plugin.Load(id, s.Plugins[id].Decode)
 	if err != nil {
-		return oops.In("entry").Wrapf(err, "load the service adapter")
+		return none, oops.In("entry").Wrapf(err, "load %s", id)
 	}
-	return nil
+	a, ok := p.(A)
+	if !ok {
+		return none, oops.In("entry").Wrap(&AdapterTypeError{ID: id, Want: want})
+	}
+	return a, nil
 }
 
 // counting counts the requests in flight.
@@ -174,7 +205,7 @@
 // configured notes the bundle version that came into force.
 func (e *Entry) configured(version uint64, c *config.Content) {
 	e.catalog.Store(intake.NewCatalog(version, c))
-	e.log.Info("bundle in force", "bundle_version", version)
+	e.recorder.info("bundle in force", "bundle_version", version)
 }
 
 // paused follows up on a pause of the process.
--- a/entry/intake/body.go
+++ b/entry/intake/body.go
@@ -6,13 +6,10 @@
 	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"sort"
-	"strings"
 
 	"github.com/wardspool/wardspool/adapter"
 	"github.com/wardspool/wardspool/api"
-	"github.com/wardspool/wardspool/tokens"
 )
 
 // maxFields bounds the top-level members of a body.
@@ -207,92 +204,6 @@
 	return s
 }
 
-// message is a chat message whose content is a string or a list of text parts.
-type message struct {
-	Role    string          `json:"role"`
-	Content json.RawMessage `json:"content"`
-}
-
-// part is a part of a message's content.
-type part struct {
-	Type string `json:"type"`
-	Text string `json:"text"`
-}
-
-// partText is the type of part that is supported.
-const partText = "text"
-
-// messages reads the messages of a chat and returns their prompt text.
-func (r *bodyReader) messages() string {
-	var list []*message
-	if !r.read("messages", &list, "an array of messages") {
-		r.fail("messages", "is missing")
-		return ""
-	}
-	if len(list) == 0 {
-		r.fail("messages", "is empty")
-		return ""
-	}
-	flat := make([]tokens.Message, len(list))
-	parts := false
-	for i, m := range list {
-		if m == nil {
-			r.fail("messages", fmt.Sprintf("has null in place of a message, at index %d", i))
-			return ""
-		}
-		text, split, ok := m.text()
-		if !ok {
-			r.fail("messages", fmt.Sprintf("has content that is not text, at index %d", i))
-			return ""
-		}
-		parts = parts || split
-		flat[i] = tokens.Message{Role: m.Role, Content: text}
-	}
-	if parts {
-		r.joinParts(flat)
-	}
-	return tokens.FlattenChat(flat)
-}
-
-// text returns a message's text, and whether it came in parts.
-func (m *message) text() (text string, split, ok bool) {
-	if len(m.Content) == 0 || string(m.Content) == "null" {
-		return "", false, true
-	}
-	if json.Unmarshal(m.Content, &text) == nil {
-		return text, false, true
-	}
-	var list []part
-	if json.Unmarshal(m.Content, &list) != nil {
-		return "", false, false
-	}
-	var b strings.Builder
-	for _, p := range list {
-		if p.Type != partText {
-			return "", false, false
-		}
-		b.WriteString(p.Text)
-	}
-	return b.String(), true, true
-}
-
-// joinParts replaces the messages' parts by their text, for engines that take
-// strings only. It keeps the other members of each message.
-func (r *bodyReader) joinParts(flat []tokens.Message) {
-	var whole []map[string]json.RawMessage
-	// The member was decoded before.
-	_ = json.Unmarshal(r.members["messages"], &whole)
-	for i := range whole {
-		// Decoders take a member's name in any case.
-		maps.DeleteFunc(whole[i], func(name string, _ json.RawMessage) bool {
-			return strings.EqualFold(name, "content")
-		})
-		content, _ := json.Marshal(flat[i].Content)
-		whole[i]["content"] = content
-	}
-	r.set("messages", whole)
-}
-
 // set replaces a member.
 func (r *bodyReader) set(name string, v any) {
 	raw, err := json.Marshal(v)
--- a/entry/recorder.go
+++ b/entry/recorder.go
@@ -31,7 +31,7 @@
 	stats    *stats.Tally
 	evidence *evidence.Log
 	counters *counters
-	records  chan kernel.Record
+	lines    chan line
 	done     sync.WaitGroup
 }
 
@@ -44,7 +44,7 @@
 		stats:    stats.New(),
 		evidence: evidence.New(),
 		counters: newCounters(scope),
-		records:  make(chan kernel.Record, recordQueue),
+		lines:    make(chan line, recordQueue),
 	}
 	r.done.Go(r.write)
 	return r
@@ -53,27 +53,47 @@
 // close writes the records that wait and ends the goroutine. Nothing may be
 // recorded afterwards.
 func (r *recorder) close() {
-	close(r.records)
+	close(r.lines)
 	r.done.Wait()
 }
 
-// write logs records.
+// line is one line for the log: a decision record, or what say writes.
+type line struct {
+	record kernel.Record
+	say    func()
+}
+
+// write writes lines.
 func (r *recorder) write() {
-	for rec := range r.records {
-		logRecord(r.log, &rec)
+	for l := range r.lines {
+		if l.say != nil {
+			l.say()
+			continue
+		}
+		logRecord(r.log, &l.record)
+	}
+}
+
+// add queues a line, or drops and counts it.
+func (r *recorder) add(l line) {
+	select {
+	case r.lines <- l:
+	default:
+		r.counters.logDropped.Inc(1)
 	}
 }
 
+// info logs something other than a decision, without waiting for the log.
+func (r *recorder) info(text string, args ...any) {
+	r.add(line{say: func() { r.log.Info(text, args...) }})
+}
+
 // Decided implements driver.Observer.
 func (r *recorder) Decided(rec kernel.Record) {
 	r.journal.Add(rec)
 	r.stats.Decided(&rec)
 	r.counters.decided(&rec)
-	select {
-	case r.records <- rec:
-	default:
-		r.counters.logDropped.Inc(1)
-	}
+	r.add(line{record: rec})
 }
 
 // Ended implements driver.Observer.
