--- a/kernel/fleet.go
+++ b/kernel/fleet.go
@@ -86,7 +86,8 @@
 		f.left[u.ID] = u.Incarnation
 		return
 	}
-	if f.left[u.ID] == u.Incarnation && u.Life < Leaving {
+	inc, left := f.left[u.ID]
+	if left && inc == u.Incarnation && u.Life < Leaving {
 		u.Life = Leaving
 	}
 }
--- a/kernel/session_test.go
+++ b/kernel/session_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
+	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/kernel"
 )
 
@@ -165,3 +166,23 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, rejected.Version, uint64(2))
 }
+
+// TestUnknownIncarnation checks that an upstream whose incarnation nobody knows
+// yet is used like any other.
+func TestUnknownIncarnation(t *testing.T) {
+	s := newSession(t)
+	v := testView(s.content, s.now)
+	v.Version = 2
+	for i := range v.Upstreams {
+		v.Upstreams[i].ID += "-new"
+		v.Upstreams[i].Incarnation = 0
+	}
+	c := testContent()
+	for i := range c.Upstreams {
+		c.Upstreams[i].ID += "-new"
+	}
+	s.step(kernel.ViewChanged{View: v})
+	s.step(kernel.Configured{Version: 2, Content: c})
+	s.step(kernel.Arrive{Request: s.confirm("c1")})
+	assert.Equal(t, s.service.Instance, ident.InstanceID("e1"), "the call was not started:\n%s", s.transcript())
+}
