--- a/entry/check.go
+++ b/entry/check.go
@@ -167,6 +167,8 @@
 	}
 	if s.Static.Bundle == "" {
 		r.Add("static.bundle", "is missing", "name a bundle source in YAML")
+	} else if _, err := loadStatic(s.Static); err != nil {
+		r.Add("static.bundle", err.Error(), "wardspoolctl bundle lint explains each finding")
 	}
 	for i, u := range s.Static.Upstreams {
 		field := fmt.Sprintf("static.upstreams[%d]", i)
--- a/entry/front/answer_test.go
+++ b/entry/front/answer_test.go
@@ -1,12 +1,16 @@
 package front
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -99,3 +103,26 @@
 	got := answerUsage(ex, adapter.Decoded{Tokens: 40, Usage: json.RawMessage(`{"prompt_tokens":130,"completion_tokens":10,"total_tokens":140}`)})
 	assert.DeepEqual(t, got, usage{PromptTokens: 100, CompletionTokens: 40, TotalTokens: 140})
 }
+
+// TestKeptAliveConnectionOutlivesWriteTimeout: the time limit of one answer must
+// not hit the next one on the same connection.
+func TestKeptAliveConnectionOutlivesWriteTimeout(t *testing.T) {
+	r := newRig(t, func(o *Options) {
+		o.Limits.WriteTimeout = 30 * time.Millisecond
+		o.Metrics = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "m 1\n") })
+	})
+	c, err := net.Dial("tcp", r.address)
+	assert.NilError(t, err)
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for _, path := range []string{"/healthz", "/metrics", "/healthz"} {
+		_, err = io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: x\r\n\r\n")
+		assert.NilError(t, err)
+		resp, err := http.ReadResponse(in, nil)
+		assert.NilError(t, err, path)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+		_, err = io.Copy(io.Discard, resp.Body)
+		assert.NilError(t, err)
+		time.Sleep(60 * time.Millisecond)
+	}
+}
--- a/entry/front/server.go
+++ b/entry/front/server.go
@@ -67,6 +67,8 @@
 		if f.closing.Load() {
 			w.Header().Set("Connection", "close")
 		}
+		// For answers, as those of the metrics, that set no limit of their own.
+		f.extendWrite(w)
 		if r.ContentLength != 0 {
 			// Writers of tests have no deadlines.
 			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(f.opts.Limits.BodyTimeout))
--- a/plugins/service/http/call.go
+++ b/plugins/service/http/call.go
@@ -38,6 +38,12 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode < http.StatusOK {
+		return nil, &adapter.CallError{
+			Evidence: kernel.Ambiguous, Code: kernel.FailureBroken, Status: resp.StatusCode,
+			Err: &adapter.ProtocolError{Part: "status"},
+		}
+	}
 	body, err := readAll(ctx, resp.Body, c.ResponseLimit)
 	if err != nil {
 		return nil, err
