--- /dev/null
+++ b/entry/peering/peering_test.go
@@ -0,0 +1,62 @@
+package peering
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/feed"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/peer"
+)
+
+func TestView(t *testing.T) {
+	now := time.Now()
+	v := View(&feed.View{
+		Version: 3, Trusted: true,
+		Instances: []feed.Instance{{ID: "e-1", Zone: "hall-a", Incarnation: 5, Life: kernel.Leaving, PeerAddress: "10.0.0.1:9"}},
+		Upstreams: []feed.Upstream{
+			{ID: "u-1", Zone: "hall-b", Address: "10.0.0.2:9", Incarnation: 6, Life: kernel.Live},
+			{ID: "u-2", Load: &kernel.Load{Running: 4}, LoadAgeMS: 1500},
+		},
+	}, now)
+	assert.Equal(t, v.Instances[0], kernel.Instance{ID: "e-1", Zone: "hall-a", Incarnation: 5, Life: kernel.Leaving})
+	assert.Equal(t, v.Upstreams[0].Address, "10.0.0.2:9")
+	assert.Assert(t, v.Upstreams[0].Load.At.IsZero(), "no report is known")
+	assert.Equal(t, v.Upstreams[1].Index, 1)
+	assert.Equal(t, v.Upstreams[1].Load.At, now.Add(-1500*time.Millisecond))
+	assert.Equal(t, v.Upstreams[1].Load.Running, 4)
+}
+
+func TestBook(t *testing.T) {
+	b := NewBook(map[ident.InstanceID]string{"seed": "10.0.0.1:1", "both": "10.0.0.1:2"})
+	b.Replace(Addresses(&feed.View{Instances: []feed.Instance{{ID: "both", PeerAddress: "10.0.0.9:2"}, {ID: "silent"}}}))
+	for id, want := range map[ident.InstanceID]string{"seed": "10.0.0.1:1", "both": "10.0.0.9:2"} {
+		got, err := b.Address(id)
+		assert.NilError(t, err)
+		assert.Equal(t, got, want)
+	}
+	for _, id := range []ident.InstanceID{"silent", "stranger"} {
+		_, err := b.Address(id)
+		assert.Error(t, err, `no address is known for instance "`+string(id)+`"`)
+	}
+	assert.Assert(t, b.Known(peer.Identity{Instance: "silent"}))
+	assert.Assert(t, !b.Known(peer.Identity{Instance: "stranger"}))
+}
+
+func TestLocalAgent(t *testing.T) {
+	allow := LocalAgent("e-1")
+	for _, c := range []struct {
+		id   peer.Identity
+		want bool
+	}{
+		{peer.Identity{Instance: "e-1", Addr: "127.0.0.1:5"}, true},
+		{peer.Identity{Instance: "e-2", Addr: "127.0.0.1:5"}, false},
+		{peer.Identity{Instance: "e-1", Addr: "10.0.0.1:5"}, false},
+		{peer.Identity{Instance: "e-1", Addr: "odd"}, false},
+	} {
+		assert.Equal(t, allow(c.id), c.want, "%v", c.id)
+	}
+}
