Testbed: platform, signed bundles and agents; demo runs the whole system

Cause: the thin path ran on fixed settings; now operators' documents are signed, published to the platform's stand-in and taken into force by agents.

--- a/testbed/demo/example.go
+++ b/testbed/demo/example.go
@@ -12,6 +12,7 @@
 
 	"github.com/wardspool/wardspool/config"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/standin/control"
 	"github.com/wardspool/wardspool/testbed"
 )
 
@@ -80,17 +81,17 @@
 		return
 	}
 	say("killing entry instance " + string(victim.ID))
-	report(victim.Entry.Kill())
+	report(fleet.KillInstance(victim))
 	if !sleep(ctx, duration/6) {
 		return
 	}
 	say("crashing decode engine " + string(engine))
-	report(testbed.CrashEngine(ctx, fleet.Addresses[engine]))
+	report(control.Client{Address: fleet.Addresses[engine]}.Crash(ctx, control.Crash{}))
 	if !sleep(ctx, duration/6) {
 		return
 	}
 	say("starting entry instance " + string(victim.ID) + " again")
-	report(fleet.StartEntry(victim))
+	report(fleet.StartInstance(victim))
 }
 
 func say(what string) { fmt.Println("    demo: " + what) }
--- a/testbed/fleet.go
+++ b/testbed/fleet.go
@@ -27,9 +27,11 @@
 type Instance struct {
 	ID   ident.InstanceID
 	Zone ident.Zone
-	// Callers, Peer, Feed, Operator and AgentPeer are its addresses.
-	Callers, Peer, Feed, Operator, AgentPeer string
-	Entry                                    *Process
+	// Callers, Peer, Feed and Operator are its entry's addresses, AgentPeer and
+	// AgentOperator its agent's.
+	Callers, Peer, Feed, Operator string
+	AgentPeer, AgentOperator      string
+	Entry                         *Process
 	// Agent is nil in a static fleet.
 	Agent *Process
 }
@@ -40,8 +42,9 @@
 	Instances  []*Instance
 	Upstreams  map[ident.UpstreamID]*Process
 	Addresses  map[ident.UpstreamID]string
-	// Platform is nil in a static fleet.
-	Platform *Process
+	// Platform and Operators are nil in a static fleet.
+	Platform  *Process
+	Operators *Operators
 
 	options  Options
 	programs Programs
@@ -98,7 +101,7 @@
 				ID:   ident.InstanceID(fmt.Sprintf("%s-entry-%d", zone, n+1)),
 				Zone: zone,
 			}
-			for _, address := range []*string{&in.Callers, &in.Peer, &in.Feed, &in.Operator, &in.AgentPeer} {
+			for _, address := range []*string{&in.Callers, &in.Peer, &in.Feed, &in.Operator, &in.AgentPeer, &in.AgentOperator} {
 				next, err := f.ports.Next()
 				if err != nil {
 					return err
@@ -234,3 +237,14 @@
 	}
 	return list
 }
+
+// KillInstance ends an instance's processes without warning.
+func (f *Fleet) KillInstance(in *Instance) error {
+	if err := in.Entry.Kill(); err != nil {
+		return err
+	}
+	if in.Agent == nil {
+		return nil
+	}
+	return in.Agent.Kill()
+}
--- /dev/null
+++ b/testbed/operators.go
@@ -0,0 +1,98 @@
+package testbed
+
+import (
+	"context"
+	"crypto/ed25519"
+
+	"github.com/wardspool/wardspool/bundle"
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/standin/control"
+)
+
+// Operators sign and publish bundles, as a deployment's operators do with
+// wardspoolctl and the platform's own tools.
+type Operators struct {
+	// Platform is where they publish.
+	Platform control.Client
+
+	key      ed25519.PrivateKey
+	head     *bundle.Head
+	base     *bundle.Head
+	sequence uint64
+}
+
+// NewOperators returns operators with a key of their own; seed makes it
+// repeatable.
+func NewOperators(platformAddress, seed string) *Operators {
+	digest := bundle.DigestOf([]byte(seed))
+	return &Operators{
+		Platform: control.Client{Address: platformAddress},
+		key:      ed25519.NewKeyFromSeed(digest[:]),
+	}
+}
+
+// Approvers is the approver set that instances are to trust.
+func (o *Operators) Approvers() bundle.Approvers {
+	var key bundle.PublicKey
+	copy(key[:], o.key.Public().(ed25519.PublicKey))
+	return bundle.Approvers{Epoch: 1, Quorum: 1, Keys: []bundle.Approver{{Name: "ada", Key: key}}}
+}
+
+// Version is the newest version that was published.
+func (o *Operators) Version() uint64 {
+	if o.head == nil {
+		return 0
+	}
+	return o.head.Manifest.Version
+}
+
+// Publish builds, signs and publishes the next version. No instance takes it
+// into force before it is rolled.
+func (o *Operators) Publish(ctx context.Context, c *config.Content) error {
+	head, parts, err := bundle.Build(bundle.Draft{Previous: o.head, Content: c, Approvers: o.Approvers()})
+	if err != nil {
+		return err
+	}
+	head.AddSignature(bundle.Sign(o.key, &head.Manifest))
+	for _, d := range parts.Digests() {
+		part, _ := parts.Part(d)
+		if err := o.Platform.PutKey(ctx, platform.KeyBundleParts+d.String(), part); err != nil {
+			return err
+		}
+	}
+	if err := o.Platform.PutKey(ctx, platform.KeyBundleHead, head.Encode()); err != nil {
+		return err
+	}
+	o.head = head
+	return nil
+}
+
+// RollAll rolls the newest version to every instance.
+func (o *Operators) RollAll(ctx context.Context) error {
+	if err := o.roll(ctx, bundle.Roll{Stage: bundle.StageAll}); err != nil {
+		return err
+	}
+	o.base = o.head
+	return nil
+}
+
+// RollZones rolls the newest version to some zones.
+func (o *Operators) RollZones(ctx context.Context, zones ...ident.Zone) error {
+	return o.roll(ctx, bundle.Roll{Stage: bundle.StageCanary, Zones: zones, Share: bundle.FullShare})
+}
+
+func (o *Operators) roll(ctx context.Context, r bundle.Roll) error {
+	o.sequence++
+	r.Format = bundle.Format
+	r.Sequence = o.sequence
+	r.Target = o.head.Ref()
+	signed := &bundle.SignedRoll{Roll: r, Target: *o.head}
+	if o.base != nil {
+		signed.Roll.Base = o.base.Ref()
+		signed.Base = o.base
+	}
+	signed.AddSignature(bundle.SignRoll(o.key, &signed.Roll))
+	return o.Platform.PutKey(ctx, platform.KeyRoll, signed.Encode())
+}
--- /dev/null
+++ b/testbed/platform.go
@@ -0,0 +1,121 @@
+package testbed
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/platform"
+)
+
+// startPlatform starts the stand-in of the platform and publishes the lists and
+// the first bundle there.
+func (f *Fleet) startPlatform(ctx context.Context) error {
+	if f.options.Static {
+		return nil
+	}
+	address, err := f.ports.Next()
+	if err != nil {
+		return err
+	}
+	f.ports.Release()
+	f.Platform, err = start("platform", address, f.logDir, f.programs.Standin, "platform", "--listen", address)
+	if err != nil {
+		return err
+	}
+	if err := f.waitHTTP(ctx, f.Platform, "http://"+address+"/v1/keys?prefix=none"); err != nil {
+		return err
+	}
+	f.Operators = NewOperators(address, "testbed "+f.Deployment.Name)
+	if err := f.PublishLists(ctx); err != nil {
+		return err
+	}
+	if err := f.Operators.Publish(ctx, f.Deployment.Content); err != nil {
+		return err
+	}
+	return f.Operators.RollAll(ctx)
+}
+
+// PublishLists publishes the platform's lists of instances and upstreams. The
+// named ones are listed as leaving.
+func (f *Fleet) PublishLists(ctx context.Context, leaving ...string) error {
+	gone := map[string]bool{}
+	for _, id := range leaving {
+		gone[id] = true
+	}
+	if err := f.putJSON(ctx, platform.KeyInstances, f.instanceList(gone)); err != nil {
+		return err
+	}
+	return f.putJSON(ctx, platform.KeyUpstreams, f.upstreamList(gone))
+}
+
+func (f *Fleet) putJSON(ctx context.Context, key string, v any) error {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	return f.Operators.Platform.PutKey(ctx, key, b)
+}
+
+func (f *Fleet) instanceList(leaving map[string]bool) platform.Instances {
+	var list platform.Instances
+	for _, in := range f.Instances {
+		list.Instances = append(list.Instances, platform.Instance{
+			ID:            in.ID,
+			Zone:          in.Zone,
+			Region:        f.Deployment.Region,
+			PeerAddress:   in.Peer,
+			AgentAddress:  in.AgentPeer,
+			CallerAddress: in.Callers,
+			State:         stateOf(leaving[string(in.ID)]),
+		})
+	}
+	return list
+}
+
+func (f *Fleet) upstreamList(leaving map[string]bool) platform.Upstreams {
+	var list platform.Upstreams
+	for _, u := range f.Deployment.Content.Upstreams {
+		list.Upstreams = append(list.Upstreams, platform.Upstream{
+			ID:      u.ID,
+			Zone:    f.Deployment.ZoneOf(u.ID),
+			Address: f.Addresses[u.ID],
+			Role:    u.Role,
+			Models:  u.Models,
+			Service: u.Service,
+			State:   stateOf(leaving[string(u.ID)]),
+		})
+	}
+	return list
+}
+
+func stateOf(leaving bool) platform.State {
+	if leaving {
+		return platform.StateLeaving
+	}
+	return platform.StateLive
+}
+
+// StartAgent starts, or restarts, an instance's agent.
+func (f *Fleet) StartAgent(in *Instance) error {
+	text, err := f.agentSettings(in)
+	if err != nil {
+		return err
+	}
+	path, err := f.write(string(in.ID)+"-agent.yaml", text)
+	if err != nil {
+		return err
+	}
+	in.Agent, err = start(string(in.ID)+"-agent", in.AgentPeer, f.logDir, f.programs.Agent, "--settings", path)
+	return err
+}
+
+// Instance finds an instance by ID, nil if there is none.
+func (f *Fleet) Instance(id ident.InstanceID) *Instance {
+	for _, in := range f.Instances {
+		if in.ID == id {
+			return in
+		}
+	}
+	return nil
+}
--- a/testbed/settings.go
+++ b/testbed/settings.go
@@ -1,7 +1,6 @@
 package testbed
 
 import (
-	"context"
 	"encoding/base64"
 	"fmt"
 	"strings"
@@ -42,8 +41,27 @@
 	}
 }
 
-// startPlatform starts the stand-in of the platform, where there is one.
-func (f *Fleet) startPlatform(context.Context) error { return nil }
-
-// StartAgent starts, or restarts, an instance's agent.
-func (f *Fleet) StartAgent(*Instance) error { return nil }
+// agentSettings writes an agent's settings file.
+func (f *Fleet) agentSettings(in *Instance) (string, error) {
+	var b strings.Builder
+	fmt.Fprintf(&b, "instance: %s\nzone: %s\nregion: %s\n", in.ID, in.Zone, f.Deployment.Region)
+	fmt.Fprintf(&b, "entry: {feed: %q}\n", in.Feed)
+	fmt.Fprintf(&b, "operators: {listen: %q, names: [%s]}\n", in.AgentOperator, OperatorName)
+	fmt.Fprintf(&b, "platform: {urls: [%q]}\n", "http://"+f.Platform.Address)
+	fmt.Fprintf(&b, "peers:\n  listen: %q\n  seeds:\n", in.AgentPeer)
+	for _, other := range f.Instances {
+		if other != in {
+			fmt.Fprintf(&b, "    - {instance: %s, zone: %s, address: %q, entry: %q}\n", other.ID, other.Zone, other.AgentPeer, other.Peer)
+		}
+	}
+	approvers := f.Operators.Approvers()
+	fmt.Fprintf(&b, "approvers:\n  epoch: %d\n  quorum: %d\n  keys:\n", approvers.Epoch, approvers.Quorum)
+	for _, k := range approvers.Keys {
+		text, err := k.Key.MarshalText()
+		if err != nil {
+			return "", err
+		}
+		fmt.Fprintf(&b, "    - {name: %s, key: %q}\n", k.Name, text)
+	}
+	return b.String(), nil
+}
