--- a/cmd/wardspool-load/experiment.go
+++ b/cmd/wardspool-load/experiment.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -30,11 +31,12 @@
 	Length time.Duration `help:"Measured time of each cell, in virtual time." placeholder:"DURATION"`
 	Warmup time.Duration `help:"Time before the measured one, in virtual time." default:"10s"`
 	Count  int           `help:"Number of entry instances, with --policy, --load or --fault." default:"8" name:"instances"`
+	Budget time.Duration `help:"Begin no more cells after this time; what is left out is said." default:"9m30s"`
 	Trace  string        `help:"Write every event and action of the only cell chosen to this file." placeholder:"FILE"`
 }
 
 // Run implements the subcommand.
-func (c *experimentCmd) Run() error {
+func (c *experimentCmd) Run(ctx context.Context) error {
 	deployments, err := c.deployments()
 	if err != nil {
 		return err
@@ -46,14 +48,31 @@
 	printCapacity(deployments)
 	fmt.Printf("%d cells, %d at a time\n", len(cells), c.Workers)
 	started := time.Now()
-	results, err := experiment.RunAll(cells, deployments, c.Workers, func(done int, r *experiment.Result) {
+	ctx, cancel := context.WithTimeout(ctx, c.Budget)
+	defer cancel()
+	results, err := experiment.RunAll(ctx, cells, deployments, c.Workers, func(done int, r *experiment.Result) {
 		c.progress(done, len(cells), started, r)
 	})
 	if err != nil {
 		return oops.In("experiment").Wrap(err)
 	}
-	fmt.Printf("%d cells in %s\n\n", len(cells), time.Since(started).Round(time.Second/10))
-	return c.write(results)
+	fmt.Printf("%d cells in %s\n\n", len(results), time.Since(started).Round(time.Second/10))
+	if err := c.write(results); err != nil {
+		return err
+	}
+	if len(results) < len(cells) {
+		return &PartialError{Ran: len(results), Cells: len(cells)}
+	}
+	return nil
+}
+
+// PartialError reports that the time was up before all cells had run; the
+// results of those that ran are written.
+type PartialError struct{ Ran, Cells int }
+
+// Error implements error.
+func (e *PartialError) Error() string {
+	return fmt.Sprintf("partial: %d of %d cells ran before the time was up", e.Ran, e.Cells)
 }
 
 // deployments loads the examples.
