Demo: both deployments side by side, three explained decisions, a served floor

Cause: make demo took 52 s of its 60 and called a run in which nothing was answered a success (0 of 161 complete, no promise broken).

--- a/testbed/demo/example.go
+++ b/testbed/demo/example.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -20,45 +22,65 @@
 // what the examples' engines can carry.
 var offeredRate = map[string]string{"coastline": "20", "lagos": "17"}
 
-// runExample runs one deployment.
-func runExample(ctx context.Context, f flags, name string) error {
+// exampleRun is the run of one deployment.
+type exampleRun struct {
+	flags flags
+	name  string
+	dir   string
+	fleet *testbed.Fleet
+	err   error
+	// report is printed when all deployments are done.
+	report strings.Builder
+}
+
+// run runs the deployment.
+func (r *exampleRun) run(ctx context.Context) error {
 	root, err := testbed.ModuleRoot()
 	if err != nil {
 		return err
 	}
-	d, err := testbed.LoadDeployment(root, name)
+	d, err := testbed.LoadDeployment(root, r.name)
 	if err != nil {
 		return err
 	}
-	dir, err := freshDir(f.Out, name)
-	if err != nil {
+	if r.dir, err = freshDir(r.flags.Out, r.name); err != nil {
 		return err
 	}
-	bin, err := filepath.Abs(f.Bin)
+	bin, err := filepath.Abs(r.flags.Bin)
 	if err != nil {
 		return err
 	}
-	fmt.Printf("\n=== %s: %d zones, %d upstreams, %d entry instances\n", name, len(d.Zones), len(d.Content.Upstreams), 2*len(d.Zones))
-	fleet, err := testbed.StartFleet(ctx, testbed.Options{
+	r.fleet, err = testbed.StartFleet(ctx, testbed.Options{
 		Deployment:     d,
 		Programs:       testbed.ProgramsIn(bin),
-		Dir:            dir,
+		Dir:            r.dir,
 		EntriesPerZone: 2,
-		Static:         f.Static,
+		Static:         r.flags.Static,
 	})
+	defer r.fleet.Close()
 	if err != nil {
-		fleet.Close()
 		return err
 	}
-	defer fleet.Close()
-	if !f.NoFaults {
-		go faults(ctx, fleet, f.Duration)
+	r.say("%d zones, %d upstreams, %d entry instances are ready", len(d.Zones), len(d.Content.Upstreams), len(r.fleet.Instances))
+	return r.offerAndReport(ctx)
+}
+
+// offerAndReport runs the traffic and the faults and writes the report.
+func (r *exampleRun) offerAndReport(ctx context.Context) error {
+	var faults sync.WaitGroup
+	if !r.flags.NoFaults {
+		faults.Go(func() { r.faults(ctx) })
 	}
-	loadErr := offer(ctx, fleet, f, dir)
-	if err := explain(ctx, fleet, dir); err != nil {
+	table, loadErr := r.offer(ctx)
+	faults.Wait()
+	fmt.Fprintf(&r.report, "\n=== %s\n%s\n", r.name, table)
+	if err := r.explain(ctx); err != nil {
 		return err
 	}
-	return loadErr
+	if loadErr != nil {
+		return &BrokenError{Deployment: r.name, Err: loadErr}
+	}
+	return r.checkServed()
 }
 
 func freshDir(out, name string) (string, error) {
@@ -72,32 +94,36 @@
 	return dir, os.MkdirAll(dir, 0o755)
 }
 
-// faults kills an entry instance and a decode engine while traffic runs, and
-// brings both back.
-func faults(ctx context.Context, fleet *testbed.Fleet, duration time.Duration) {
-	victim := fleet.Instances[len(fleet.Instances)-1]
-	engine := firstDecode(fleet.Deployment.Content)
-	if !sleep(ctx, duration/3) {
+// faults kills an instance and a decode engine while traffic runs, and brings
+// both back.
+func (r *exampleRun) faults(ctx context.Context) {
+	victim := r.fleet.Instances[len(r.fleet.Instances)-1]
+	engine := firstDecode(r.fleet.Deployment.Content)
+	if !sleep(ctx, r.flags.Duration/3) {
 		return
 	}
-	say("killing entry instance " + string(victim.ID))
-	report(fleet.KillInstance(victim))
-	if !sleep(ctx, duration/6) {
+	r.say("killing instance %s", victim.ID)
+	r.note(r.fleet.KillInstance(victim))
+	if !sleep(ctx, r.flags.Duration/6) {
 		return
 	}
-	say("crashing decode engine " + string(engine))
-	report(control.Client{Address: fleet.Addresses[engine]}.Crash(ctx, control.Crash{}))
-	if !sleep(ctx, duration/6) {
+	r.say("crashing decode engine %s", engine)
+	r.note(control.Client{Address: r.fleet.Addresses[engine]}.Crash(ctx, control.Crash{}))
+	if !sleep(ctx, r.flags.Duration/6) {
 		return
 	}
-	say("starting entry instance " + string(victim.ID) + " again")
-	report(fleet.StartInstance(victim))
+	r.say("starting instance %s again", victim.ID)
+	r.note(r.fleet.StartInstance(victim))
+}
+
+// say prints progress at once.
+func (r *exampleRun) say(format string, args ...any) {
+	fmt.Printf("%-10s %s\n", r.name, fmt.Sprintf(format, args...))
 }
 
-func say(what string) { fmt.Println("    demo: " + what) }
-func report(err error) {
+func (r *exampleRun) note(err error) {
 	if err != nil {
-		fmt.Println("    demo:", err)
+		r.say("%v", err)
 	}
 }
 
@@ -119,17 +145,19 @@
 	return ""
 }
 
-// offer runs the load tool, which is also the judge.
-func offer(ctx context.Context, fleet *testbed.Fleet, f flags, dir string) error {
-	cmd := exec.CommandContext(ctx, filepath.Join(f.Bin, "wardspool-load"), "run",
-		"--workload", fleet.Deployment.Workload,
-		"--targets", strings.Join(fleet.CallerAddresses(), ","),
-		"--rate", offeredRate[fleet.Deployment.Name],
-		"--duration", f.Duration.String(),
-		"--judge", strings.Join(fleet.JudgeAddresses(), ","),
-		"--out", dir)
-	cmd.Stdout = os.Stdout
-	cmd.Stderr = os.Stderr
+// offer runs the load tool, which is also the judge, and returns its table.
+func (r *exampleRun) offer(ctx context.Context) (string, error) {
+	r.say("offering %s requests/s for %s", offeredRate[r.name], r.flags.Duration)
+	cmd := exec.CommandContext(ctx, filepath.Join(r.flags.Bin, "wardspool-load"), "run",
+		"--workload", r.fleet.Deployment.Workload,
+		"--targets", strings.Join(r.fleet.CallerAddresses(), ","),
+		"--rate", offeredRate[r.name],
+		"--duration", r.flags.Duration.String(),
+		"--judge", strings.Join(r.fleet.JudgeAddresses(), ","),
+		"--out", r.dir)
+	var table, progress bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &table, &progress
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	return cmd.Run()
+	err := cmd.Run()
+	return table.String(), err
 }
--- a/testbed/demo/main.go
+++ b/testbed/demo/main.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 	"time"
 
@@ -17,8 +18,9 @@
 
 // flags are the command line.
 type flags struct {
-	Examples []string      `default:"coastline,lagos" help:"Deployments to run, one after the other."`
+	Examples []string      `default:"coastline,lagos" help:"Deployments to run, side by side."`
 	Duration time.Duration `default:"12s" help:"How long traffic is offered to each."`
+	Limit    time.Duration `default:"55s" help:"When to give up."`
 	Bin      string        `default:"bin" help:"Folder of the built programs."`
 	Out      string        `default:"out/demo" help:"Folder for settings, logs and reports."`
 	Static   bool          `help:"Run the entries on fixed settings, without agents and platform."`
@@ -36,13 +38,28 @@
 	}
 }
 
-// run runs the deployments; it returns the first broken promise or failure.
+// run runs the deployments side by side and prints their reports in turn; it
+// returns the first broken promise or failure.
 func run(ctx context.Context, f flags) error {
-	for _, name := range f.Examples {
-		if err := runExample(ctx, f, name); err != nil {
-			return err
+	ctx, cancel := context.WithTimeout(ctx, f.Limit)
+	defer cancel()
+	runs := make([]*exampleRun, len(f.Examples))
+	var wait sync.WaitGroup
+	for i, name := range f.Examples {
+		runs[i] = &exampleRun{flags: f, name: name}
+		wait.Go(func() { runs[i].err = runs[i].run(ctx) })
+	}
+	wait.Wait()
+	var first error
+	for _, r := range runs {
+		fmt.Print(r.report.String())
+		if r.err != nil && first == nil {
+			first = r.err
 		}
 	}
-	fmt.Println("\nNo promise was broken. Reports and logs are in " + f.Out + ".")
+	if first != nil {
+		return first
+	}
+	fmt.Printf("\nNo promise was broken. Settings, logs, decisions and plots are in %s.\n", f.Out)
 	return nil
 }
