Dispatcher's choices say what else was weighed

Cause: a placement chosen by the dispatcher was logged as best_score without runners-up, so that explain could not say why there and not elsewhere. Change: Placed carries its cost and the two next engines (about 80 bytes); reason dispatcher_choice in records, reasons page and explain.

--- a/entry/console/meaning.go
+++ b/entry/console/meaning.go
@@ -10,6 +10,7 @@
 var meanings = map[kernel.Reason]string{
 	kernel.ReasonBest:             "the cheapest of those that could take it",
 	kernel.ReasonOnlyCandidate:    "the only one that could take it",
+	kernel.ReasonDispatched:       "chosen by the model's dispatcher",
 	kernel.ReasonNoSlot:           "no decode slot was free",
 	kernel.ReasonSlotPending:      "a decode slot was asked for",
 	kernel.ReasonNoPrefill:        "no prefill engine could take it",
--- a/kernel/host.go
+++ b/kernel/host.go
@@ -40,11 +40,12 @@
 // after the call that brought it has returned, since a policy may answer one
 // request while another one's slot is being released.
 type slotVerdict struct {
-	id              ident.AttemptID
-	kind            verdictKind
-	retryAt         time.Time
-	comeBack        time.Duration
-	prefill, decode ident.UpstreamID
+	id        ident.AttemptID
+	kind      verdictKind
+	retryAt   time.Time
+	comeBack  time.Duration
+	placement Placement
+	decode    ident.UpstreamID
 }
 
 // verdictKind says what a slotVerdict is.
--- a/kernel/interleaving_test.go
+++ b/kernel/interleaving_test.go
@@ -33,7 +33,6 @@
 	runs    int
 	answers int
 	outcome api.Outcome
-	gone    bool
 }
 
 // fakeWorld plays the upstreams in any order rapid chooses, and keeps the truth.
--- a/kernel/joint.go
+++ b/kernel/joint.go
@@ -38,13 +38,23 @@
 	Computed(reservation ident.AttemptID)
 }
 
+// Placement is a JointPolicy's choice for a request.
+type Placement struct {
+	// Prefill and Decode are the engines; an empty Decode is named by
+	// JointHost.DecodeGranted after the policy's Computed was called.
+	Prefill, Decode ident.UpstreamID
+	// Cost is the expected time until the prefill is done, in seconds.
+	Cost float64
+	// RunnersUp are the best prefill engines not chosen, best first.
+	RunnersUp []Alternative
+}
+
 // JointHost is what the kernel offers a JointPolicy besides Host. The kernel's
 // Host implements it.
 type JointHost interface {
 	Host
-	// PlacementGranted answers Place. An empty decode is named by DecodeGranted
-	// after the policy's Computed was called.
-	PlacementGranted(reservation ident.AttemptID, prefill, decode ident.UpstreamID)
+	// PlacementGranted answers Place.
+	PlacementGranted(reservation ident.AttemptID, p Placement)
 	// DecodeGranted names the decode engine for a finished prefill.
 	DecodeGranted(reservation ident.AttemptID, decode ident.UpstreamID)
 	// PlacementRefused answers Place when the request cannot meet its target.
@@ -57,8 +67,8 @@
 
 func (h host) Prefix() PrefixStore { return h.k.prefix }
 
-func (h host) PlacementGranted(id ident.AttemptID, prefill, decode ident.UpstreamID) {
-	h.k.verdict(slotVerdict{id: id, kind: verdictPlaced, prefill: prefill, decode: decode})
+func (h host) PlacementGranted(id ident.AttemptID, p Placement) {
+	h.k.verdict(slotVerdict{id: id, kind: verdictPlaced, placement: p})
 }
 
 func (h host) DecodeGranted(id ident.AttemptID, decode ident.UpstreamID) {
@@ -103,36 +113,39 @@
 
 // placementGranted starts the prefill that the joint policy chose.
 func (k *Kernel) placementGranted(v slotVerdict) {
+	prefill := v.placement.Prefill
 	c, ok := k.reserved[v.id]
 	if !ok || c.state != callReserving || c.prefill != nil {
 		return
 	}
-	if !k.trusted() || !k.usable(v.prefill) {
-		c.avoid = append(c.avoid, v.prefill)
+	if !k.trusted() || !k.usable(prefill) {
+		c.avoid = append(c.avoid, prefill)
 		k.giveSlotBack(c)
 		k.enqueue(c, k.now.Add(retryPlacement))
 		return
 	}
 	k.leaveReserving(c)
-	c.plan = k.jointPlan(c, v)
+	c.plan = k.jointPlan(c, v.placement)
 	k.startPrefill(c)
 }
 
 // jointPlan describes a placement that was chosen elsewhere.
-func (k *Kernel) jointPlan(c *call, v slotVerdict) placement {
-	p := k.fleet.upstream(v.prefill)
-	plan := placement{
-		prefill: v.prefill,
-		decode:  v.decode,
-		viewAge: k.now.Sub(p.Load.At),
-	}
-	q := k.fleet.upstream(v.decode)
+func (k *Kernel) jointPlan(c *call, chosen Placement) placement {
+	p := k.fleet.upstream(chosen.Prefill)
+	q := k.fleet.upstream(chosen.Decode)
 	if q == nil {
+		// Not named yet: any decode engine's link is taken for as fast.
 		q = p
 	}
-	plan.predicted = k.predict(k.decide(c), p, q)
-	plan.cost = plan.predicted.Seconds()
-	return plan
+	return placement{
+		prefill:    chosen.Prefill,
+		decode:     chosen.Decode,
+		dispatched: true,
+		cost:       chosen.Cost,
+		runnersUp:  chosen.RunnersUp,
+		predicted:  k.predict(k.decide(c), p, q),
+		viewAge:    k.now.Sub(p.Load.At),
+	}
 }
 
 // askDecode asks for a decode engine for the prefill just done.
--- a/kernel/model.go
+++ b/kernel/model.go
@@ -148,7 +148,10 @@
 
 func (k *Kernel) placedRecord(c *call, a *attempt) Record {
 	reason := ReasonBest
-	if c.plan.choices == 1 {
+	switch {
+	case c.plan.dispatched:
+		reason = ReasonDispatched
+	case c.plan.choices == 1:
 		reason = ReasonOnlyCandidate
 	}
 	return Record{
@@ -233,9 +236,13 @@
 		KV:           c.kv,
 		ContinueFrom: c.delivered,
 	})
+	reason := ReasonBest
+	if c.plan.dispatched {
+		reason = ReasonDispatched
+	}
 	k.log(c, Record{
 		Step:    StepDecoding,
-		Reason:  ReasonBest,
+		Reason:  reason,
 		Attempt: a.id,
 		Prefill: c.kv.Engine,
 		Decode:  a.upstream,
--- a/kernel/place.go
+++ b/kernel/place.go
@@ -17,6 +17,8 @@
 	// predicted is the expected time to first output from the decision on.
 	predicted time.Duration
 	viewAge   time.Duration
+	// dispatched is set when a JointPolicy chose.
+	dispatched bool
 	// choices is how many pairs, or services, were compared.
 	choices int
 }
--- a/kernel/record.go
+++ b/kernel/record.go
@@ -31,6 +31,7 @@
 const (
 	ReasonBest             Reason = "best_score"
 	ReasonOnlyCandidate    Reason = "only_candidate"
+	ReasonDispatched       Reason = "dispatcher_choice"
 	ReasonNoSlot           Reason = "no_decode_slot"
 	ReasonSlotPending      Reason = "slot_requested"
 	ReasonNoPrefill        Reason = "no_prefill_upstream"
--- a/kernel/world_test.go
+++ b/kernel/world_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sort"
 	"strings"
 	"testing"
 	"time"
@@ -189,18 +188,6 @@
 	}
 }
 
-// answers lists the final answers among the noted actions, sorted.
-func (s *session) answers() []string {
-	var out []string
-	for _, l := range s.lines {
-		if strings.Contains(l, "answer ") {
-			out = append(out, strings.TrimSpace(l[strings.Index(l, "answer "):]))
-		}
-	}
-	sort.Strings(out)
-	return out
-}
-
 func (s *session) transcript() string { return strings.Join(s.lines, "\n") + "\n" }
 
 // upstreamLife changes one upstream's life in the view.
--- a/plugins/slots/dispatch/bed_test.go
+++ b/plugins/slots/dispatch/bed_test.go
@@ -154,8 +154,8 @@
 func (n *node) PlacementRefused(id ident.AttemptID, _ time.Duration) {
 	n.note(id, answer{what: "refused"})
 }
-func (n *node) PlacementGranted(id ident.AttemptID, p, d ident.UpstreamID) {
-	n.note(id, answer{what: "placed", prefill: p, decode: d})
+func (n *node) PlacementGranted(id ident.AttemptID, p kernel.Placement) {
+	n.note(id, answer{what: "placed", prefill: p.Prefill, decode: p.Decode})
 }
 func (n *node) DecodeGranted(id ident.AttemptID, d ident.UpstreamID) {
 	n.note(id, answer{what: "decode", decode: d})
--- a/plugins/slots/dispatch/group.go
+++ b/plugins/slots/dispatch/group.go
@@ -29,6 +29,8 @@
 	// prefill is the engine, doneAt when it is expected to be done with it.
 	prefill ident.UpstreamID
 	doneAt  time.Time
+	// others are the prefill engines that were not chosen.
+	others []Other
 	// computed is set when the prefill is done; kvUntil is how long its result
 	// can be imported.
 	computed bool
@@ -136,7 +138,19 @@
 		g.send(gr.holder, &Decode{Reservation: gr.ask.Reservation, Model: g.model, Decode: gr.decode})
 		return
 	}
-	g.send(gr.holder, &Placed{Reservation: gr.ask.Reservation, Model: g.model, Prefill: gr.prefill, Decode: gr.decode})
+	g.send(gr.holder, g.placedMessage(gr))
+}
+
+// placedMessage is the answer that gives a grant's prefill engine.
+func (g *group) placedMessage(gr *grant) *Placed {
+	return &Placed{
+		Reservation: gr.ask.Reservation,
+		Model:       g.model,
+		Prefill:     gr.prefill,
+		Decode:      gr.decode,
+		Cost:        millis(max(gr.doneAt.Sub(g.now()), 0)),
+		Others:      gr.others,
+	}
 }
 
 // requestID names an ask in the queue.
--- a/plugins/slots/dispatch/holder.go
+++ b/plugins/slots/dispatch/holder.go
@@ -152,16 +152,16 @@
 }
 
 // placed takes a placement from the dispatcher.
-func (p *Policy) placed(key slotkit.Key, prefill, decode ident.UpstreamID) {
-	h, ok := p.holder.holdings[key]
+func (p *Policy) placed(m *Placed) {
+	h, ok := p.holder.holdings[m.Reservation.Key()]
 	if !ok || h.stage != stageAsked {
 		return
 	}
 	h.stage = stagePrefill
-	h.prefill, h.decode = prefill, decode
+	h.prefill, h.decode = m.Prefill, m.Decode
 	h.answeredAt = p.host.Now()
 	p.holder.wait[h.model] = 0
-	p.host.PlacementGranted(h.id, prefill, decode)
+	p.host.PlacementGranted(h.id, m.placement())
 }
 
 // decodeNamed takes a decode engine from the dispatcher.
--- a/plugins/slots/dispatch/message.go
+++ b/plugins/slots/dispatch/message.go
@@ -71,6 +71,28 @@
 	Model       string              `json:"m"`
 	Prefill     ident.UpstreamID    `json:"p"`
 	Decode      ident.UpstreamID    `json:"d,omitempty"`
+	// Cost is the expected time until the prefill is done.
+	Cost Milliseconds `json:"c"`
+	// Others are the best engines not chosen, best first, at most maxOthers.
+	Others []Other `json:"o,omitempty"`
+}
+
+// Other is a prefill engine that was not chosen, and its cost.
+type Other struct {
+	Prefill ident.UpstreamID `json:"p"`
+	Cost    Milliseconds     `json:"c"`
+}
+
+// maxOthers bounds the engines in a Placed that were not chosen.
+const maxOthers = 2
+
+// placement is the message as the kernel takes it.
+func (m *Placed) placement() kernel.Placement {
+	p := kernel.Placement{Prefill: m.Prefill, Decode: m.Decode, Cost: m.Cost.Duration().Seconds()}
+	for _, o := range m.Others {
+		p.RunnersUp = append(p.RunnersUp, kernel.Alternative{Prefill: o.Prefill, Cost: o.Cost.Duration().Seconds()})
+	}
+	return p
 }
 
 // Computed reports that a prefill is done.
--- a/plugins/slots/dispatch/pass.go
+++ b/plugins/slots/dispatch/pass.go
@@ -147,7 +147,7 @@
 	e.readyAt = computed
 	s.take(w.ask.Pieces, memory)
 	if startable && slotInTime {
-		g.place(w, e.u, memory, computed)
+		g.place(w, e, memory, g.others(w, engines, e))
 	}
 }
 
@@ -175,7 +175,8 @@
 }
 
 // place gives out a prefill engine.
-func (g *group) place(w *waiting, u *kernel.Upstream, memory *decodeState, done time.Time) {
+func (g *group) place(w *waiting, e *prefillState, memory *decodeState, others []Other) {
+	u := e.u
 	g.dequeue(w.entry.Request.ID)
 	gr := &grant{
 		key:     w.ask.Reservation.Key(),
@@ -185,7 +186,8 @@
 		at:      g.now(),
 		expires: w.entry.Request.Deadline,
 		prefill: u.ID,
-		doneAt:  done,
+		doneAt:  e.readyAt,
+		others:  others,
 	}
 	if memory != nil {
 		gr.planned = memory.u.ID
@@ -194,7 +196,23 @@
 	if prefix := g.p.host.Prefix(); prefix != nil {
 		prefix.Placed(u, w.ask.Blocks, g.now())
 	}
-	g.send(w.holder, &Placed{Reservation: w.ask.Reservation, Model: g.model, Prefill: u.ID})
+	g.send(w.holder, g.placedMessage(gr))
+}
+
+// others lists the engines that would have been done next after the chosen one,
+// whose readyAt already includes the ask's work.
+func (g *group) others(w *waiting, engines []prefillState, chosen *prefillState) []Other {
+	var list []Other
+	for i := range engines {
+		e := &engines[i]
+		if e == chosen {
+			continue
+		}
+		end := e.readyAt.Add(kernel.PrefillTime(e.u, g.uncached(w, e.u)))
+		list = append(list, Other{Prefill: e.u.ID, Cost: millis(end.Sub(g.now()))})
+	}
+	slices.SortStableFunc(list, func(a, b Other) int { return int(a.Cost - b.Cost) })
+	return list[:min(len(list), maxOthers)]
 }
 
 // pickPrefill chooses the engine that would be done with the ask first, and
--- a/plugins/slots/dispatch/setup.go
+++ b/plugins/slots/dispatch/setup.go
@@ -99,7 +99,7 @@
 	case *Queued:
 		p.queued(m)
 	case *Placed:
-		p.placed(m.Reservation.Key(), m.Prefill, m.Decode)
+		p.placed(m)
 	case *Decode:
 		p.decodeNamed(m.Reservation.Key(), m.Decode)
 	case *Deny:
