--- a/plugins/slots/compare/client.go
+++ b/plugins/slots/compare/client.go
@@ -80,7 +80,7 @@
 
 // lead is the predicted time from now to the use of the request's slot.
 func (c *client) lead(q *request) time.Duration {
-	return c.run.pool.wait(c.run.world.Now()) + q.prefill + transfer
+	return c.run.pool.wait(c.run.world.Now()) + q.prefill + q.transfer
 }
 
 // prefillBusy reports whether the prefill engines have as much to do as may be
@@ -195,9 +195,9 @@
 	c.run.note(q, &c.run.count.prefills)
 	now := c.run.world.Now()
 	done := c.run.pool.start(now, q.prefill)
-	moved := transfer + time.Duration(c.run.world.Rand.Int64N(int64((transferError-1)*transfer)))
-	c.run.world.After(done.Add(moved).Sub(now), func() {
-		c.whenRunning(func() { c.decode(q, id, e) })
+	moved := q.transfer + time.Duration(c.run.world.Rand.Int64N(int64((transferError-1)*q.transfer)))
+	c.run.world.After(done.Sub(now), func() {
+		c.whenRunning(func() { c.decode(q, id, e, moved) })
 	})
 }
 
@@ -212,7 +212,8 @@
 	}
 }
 
-func (c *client) decode(q *request, id ident.AttemptID, e *slottest.Engine) {
+// decode takes the slot, which the engine holds also while the KV cache arrives.
+func (c *client) decode(q *request, id ident.AttemptID, e *slottest.Engine, transfer time.Duration) {
 	now := c.run.world.Now()
 	started := e.Start(id, q.pieces)
 	c.node.SeeLoad(e.ID, e.Load())
@@ -225,11 +226,11 @@
 		return
 	}
 	c.node.Policy.Started(id)
-	if !now.Add(firstToken).After(q.by) {
+	if !now.Add(transfer + firstToken).After(q.by) {
 		c.run.note(q, &c.run.count.onTime)
 	}
 	c.run.running[id] = e
-	c.run.world.After(q.hold, func() { c.finish(id, e) })
+	c.run.world.After(transfer+q.hold, func() { c.finish(id, e) })
 }
 
 func (c *client) finish(id ident.AttemptID, e *slottest.Engine) {
--- a/plugins/slots/compare/run.go
+++ b/plugins/slots/compare/run.go
@@ -25,17 +25,18 @@
 // cell is one point of the comparison.
 type cell struct {
 	policy    policy
+	workload  *workload
 	instances int
-	engines   int
-	load      float64
-	fault     fault
+	// scale multiplies the workload's engines.
+	scale int
+	load  float64
+	fault fault
 	// loose requests declare more output than they have.
 	loose bool
 }
 
 const (
-	slots  = 20
-	pieces = 200
+	slots = 20
 	// warmUp is left out of the figures.
 	warmUp = 30 * time.Second
 	// coolDown is how long requests of the measured time are followed after it.
@@ -57,6 +58,9 @@
 	networkJitter     = 1 * time.Millisecond
 )
 
+// engines is the number of decode engines.
+func (c *cell) engines() int { return c.workload.decodes * c.scale }
+
 // counts are what is counted in a run.
 type counts struct {
 	offered, onTime, late, prefills, wasted int
@@ -92,8 +96,8 @@
 	r := &run{
 		cell: c,
 		world: slottest.NewWorld(slottest.Options{
-			Seed: seed, Instances: c.instances, Engines: c.engines, Zones: zones,
-			Slots: slots, Pieces: pieces,
+			Seed: seed, Instances: c.instances, Engines: c.engines(), Zones: zones,
+			Slots: slots, Pieces: c.workload.pieces,
 			Network:   slottest.Network{Delay: networkDelay, Jitter: networkJitter},
 			Policy:    c.policy.make,
 			LoadEvery: loadEvery, LoadLag: loadLag,
@@ -101,7 +105,7 @@
 		engineOf: map[ident.AttemptID]*slottest.Engine{},
 		running:  map[ident.AttemptID]*slottest.Engine{},
 		arrivals: rand.New(rand.NewPCG(seed, 0)),
-		pool:     newPool(c.engines / decodePerPrefill),
+		pool:     newPool(c.workload.prefills * c.scale),
 	}
 	r.until = slottest.Epoch.Add(warmUp + duration + coolDown)
 	for _, n := range r.world.Nodes {
@@ -140,13 +144,13 @@
 
 // arriveNext lets the next request arrive, at one instance after the other.
 func (r *run) arriveNext() {
-	rate := r.cell.load * float64(r.cell.engines*slots) / meanSlotTime.Seconds()
+	rate := r.cell.load * float64(r.cell.engines()*slots) / r.cell.workload.slotTime.Seconds()
 	gap := time.Duration(r.arrivals.ExpFloat64() / rate * float64(time.Second))
 	r.world.After(gap, func() {
 		if r.world.Now().After(r.until) {
 			return
 		}
-		q := newRequest(r.arrivals, r.world.Now(), r.cell.loose)
+		q := r.cell.workload.draw(r.arrivals, r.world.Now(), r.cell.loose)
 		q.counted = r.counting
 		r.note(q, &r.count.offered)
 		if c := r.balance(); c != nil {
@@ -156,9 +160,6 @@
 	})
 }
 
-// meanSlotTime is how long a request holds a slot on average.
-var meanSlotTime = meanHold()
-
 // balance returns the next instance that the balancer believes to run.
 func (r *run) balance() *client {
 	for range r.clients {
@@ -247,7 +248,7 @@
 	messages := float64(r.world.Traffic.Messages)
 	bytes := float64(r.world.Traffic.Bytes)
 	return figures{
-		utilisation:  busy.Seconds() / (duration.Seconds() * float64(r.cell.engines*slots)),
+		utilisation:  busy.Seconds() / (duration.Seconds() * float64(r.cell.engines()*slots)),
 		messages:     messages / float64(max(r.count.offered, 1)),
 		bytes:        bytes / math.Max(messages, 1),
 		bytesPerNode: bytes / duration.Seconds() / float64(r.cell.instances),
--- a/plugins/slots/compare/tables.go
+++ b/plugins/slots/compare/tables.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"os"
+	"sync"
 	"time"
 
 	"github.com/wardspool/wardspool/plugins/slots/lease"
@@ -15,9 +17,6 @@
 	cells []cell
 }
 
-// engines is the number of decode engines of the Coastline example.
-const engines = 6
-
 // tables are what can be measured.
 var tables = map[string]table{
 	"policies": {title: "Policies at 2, 8 and 24 instances", cells: policyCells()},
@@ -32,12 +31,12 @@
 func policyCells() []cell {
 	var cells []cell
 	for _, load := range []float64{0.8, 1.0, 1.2} {
-		cells = append(cells, cell{policy: leaseFree, instances: 1, engines: engines, load: load, fault: noFault})
+		cells = append(cells, cell{policy: leaseFree, workload: &coastline, scale: 1, instances: 1, load: load, fault: noFault})
 	}
 	for _, n := range []int{2, 8, 24} {
 		for _, load := range []float64{0.8, 1.0, 1.2} {
 			for _, p := range allPolicies {
-				cells = append(cells, cell{policy: p, instances: n, engines: engines, load: load, fault: noFault})
+				cells = append(cells, cell{policy: p, workload: &coastline, scale: 1, instances: n, load: load, fault: noFault})
 			}
 		}
 	}
@@ -49,7 +48,7 @@
 	for _, n := range []int{2, 8, 24} {
 		for _, f := range []fault{killed, frozen, cutOff} {
 			for _, p := range allPolicies {
-				cells = append(cells, cell{policy: p, instances: n, engines: engines, load: 1, fault: f})
+				cells = append(cells, cell{policy: p, workload: &coastline, scale: 1, instances: n, load: 1, fault: f})
 			}
 		}
 	}
@@ -58,18 +57,20 @@
 
 func aheadCells() []cell {
 	var cells []cell
-	for _, loose := range []bool{false, true} {
-		for _, load := range []float64{1.0, 1.2} {
-			for _, risk := range []float64{-1, 3, 2, 1.5, 1, 0.5} {
-				name := fmt.Sprintf("risk %g", risk)
-				if risk < 0 {
-					name = "never"
-				}
-				if loose {
-					name += ", loose"
+	for _, w := range []*workload{&coastline, &lagos} {
+		for _, loose := range []bool{false, true} {
+			for _, load := range []float64{1.0, 1.2} {
+				for _, risk := range []float64{-1, 3, 2, 1, 0.5} {
+					name := fmt.Sprintf("risk %g", risk)
+					if risk < 0 {
+						name = "never"
+					}
+					if loose {
+						name += ", loose"
+					}
+					p := leaseWith(name, lease.Settings{AheadRisk: risk})
+					cells = append(cells, cell{policy: p, workload: w, scale: 1, instances: 8, load: load, fault: noFault, loose: loose})
 				}
-				p := leaseWith(name, lease.Settings{AheadRisk: risk})
-				cells = append(cells, cell{policy: p, instances: 8, engines: engines, load: load, fault: noFault, loose: loose})
 			}
 		}
 	}
@@ -81,7 +82,7 @@
 	for _, load := range []float64{0.8, 1.0, 1.2} {
 		for _, margin := range []int{-2, -1, 1, 2, 3, 4} {
 			p := probeWith(fmt.Sprintf("margin %d", margin), probe.Settings{Margin: margin})
-			cells = append(cells, cell{policy: p, instances: 8, engines: engines, load: load, fault: noFault})
+			cells = append(cells, cell{policy: p, workload: &coastline, scale: 1, instances: 8, load: load, fault: noFault})
 		}
 	}
 	return cells
@@ -92,7 +93,7 @@
 	for _, load := range []float64{1.0, 1.2} {
 		for _, wait := range []time.Duration{time.Millisecond, 100 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second} {
 			p := leaseWith(fmt.Sprint("wait ", wait), lease.Settings{AheadRisk: -1, QueueWait: wait})
-			cells = append(cells, cell{policy: p, instances: 24, engines: engines, load: load, fault: noFault})
+			cells = append(cells, cell{policy: p, workload: &coastline, scale: 1, instances: 24, load: load, fault: noFault})
 		}
 	}
 	return cells
@@ -103,7 +104,7 @@
 	for _, f := range []fault{noFault, killed} {
 		for _, every := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second} {
 			p := leaseWith(fmt.Sprint("renew ", every), lease.Settings{AheadRisk: -1, RenewInterval: every})
-			cells = append(cells, cell{policy: p, instances: 24, engines: engines, load: 1, fault: f})
+			cells = append(cells, cell{policy: p, workload: &coastline, scale: 1, instances: 24, load: 1, fault: f})
 		}
 	}
 	return cells
@@ -111,8 +112,8 @@
 
 func sizeCells() []cell {
 	var cells []cell
-	for _, size := range []struct{ instances, engines int }{{8, 6}, {24, 18}, {96, 72}} {
-		cells = append(cells, cell{policy: leaseAhead, instances: size.instances, engines: size.engines, load: 1, fault: noFault})
+	for _, size := range []struct{ instances, scale int }{{8, 1}, {24, 3}, {96, 12}} {
+		cells = append(cells, cell{policy: leaseAhead, instances: size.instances, workload: &coastline, scale: size.scale, load: 1, fault: noFault})
 	}
 	return cells
 }
@@ -120,21 +121,38 @@
 // write measures a table's cells and writes them as Markdown.
 func (t table) write(to io.Writer, o options) {
 	fmt.Fprintf(to, "### %s\n\n", t.title)
-	fmt.Fprintln(to, "| instances | engines | load | grantor | policy | utilisation | on time | refused by engine | wait p50 | wait p95 | messages a request | bytes a message | bytes/s an instance |")
-	fmt.Fprintln(to, "|---|---|---|---|---|---|---|---|---|---|---|---|---|")
-	for _, c := range t.cells {
-		t.writeCell(to, c, o)
+	fmt.Fprintln(to, "| workload | instances | engines | load | grantor | policy | utilisation | on time | refused by engine | wait p50 | wait p95 | messages a request | bytes a message | bytes/s an instance |")
+	fmt.Fprintln(to, "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
+	rows := make([]string, len(t.cells))
+	next := make(chan int)
+	var workers sync.WaitGroup
+	for range o.Workers {
+		workers.Go(func() {
+			for i := range next {
+				rows[i] = t.row(t.cells[i], o)
+				fmt.Fprint(os.Stderr, rows[i])
+			}
+		})
+	}
+	for i := range t.cells {
+		next <- i
+	}
+	close(next)
+	workers.Wait()
+	for _, row := range rows {
+		fmt.Fprint(to, row)
 	}
 	fmt.Fprintln(to)
 }
 
-func (t table) writeCell(to io.Writer, c cell, o options) {
+// row measures one cell.
+func (t table) row(c cell, o options) string {
 	var runs []figures
 	for seed := range o.Seeds {
 		runs = append(runs, measure(c, uint64(seed)+1, time.Duration(o.Duration*float64(time.Second))))
 	}
-	fmt.Fprintf(to, "| %d | %d | %.1f | %s | %s | %s | %s | %s | %s | %s | %s | %.0f | %.0f |\n",
-		c.instances, c.engines, c.load, c.fault, c.policy.name,
+	return fmt.Sprintf("| %s | %d | %d | %.1f | %s | %s | %s | %s | %s | %s | %s | %s | %.0f | %.0f |\n",
+		c.workload.name, c.instances, c.engines(), c.load, c.fault, c.policy.name,
 		percent(runs, func(f figures) float64 { return f.utilisation }),
 		percent(runs, func(f figures) float64 { return f.goodput }),
 		percent(runs, func(f figures) float64 { return f.wasted }),
--- a/plugins/slots/compare/workload.go
+++ b/plugins/slots/compare/workload.go
@@ -6,23 +6,70 @@
 	"time"
 )
 
-// The workload is the Coastline example's reviews: log-normal prompts and
-// outputs, a first-output target of two seconds.
+// lengths is a log-normal distribution of token counts, cut at min and max.
+type lengths struct{ median, sigma, min, max float64 }
+
+func (l lengths) draw(r *rand.Rand) float64 {
+	return min(max(l.median*math.Exp(l.sigma*r.NormFloat64()), l.min), l.max)
+}
+
+// kind is a kind of request.
+type kind struct {
+	share          float64
+	prompt, output lengths
+	firstOutput    time.Duration
+}
+
+// workload is what one of the examples' callers ask of the model engines, and
+// the engines it has.
+type workload struct {
+	name             string
+	kinds            []kind
+	decodes          int
+	prefills         int
+	pieces           int
+	transferPerToken time.Duration
+	// slotTime is the mean time a request holds a slot.
+	slotTime time.Duration
+}
+
+// The two examples' workloads: long outputs after short prompts, and short
+// outputs after long prompts.
+var (
+	coastline = sized(workload{
+		name: "coastline",
+		kinds: []kind{{
+			share: 1, firstOutput: 2 * time.Second,
+			prompt: lengths{median: 4200, sigma: 0.6, min: 200, max: 20000},
+			output: lengths{median: 360, sigma: 0.45, min: 40, max: 1500},
+		}},
+		decodes: 6, prefills: 3, pieces: 120, transferPerToken: 20 * time.Microsecond,
+	})
+	lagos = sized(workload{
+		name: "lagos",
+		kinds: []kind{
+			{
+				share: 0.3, firstOutput: 900 * time.Millisecond,
+				prompt: lengths{median: 4500, sigma: 0.5, min: 200, max: 9000},
+				output: lengths{median: 120, sigma: 0.4, min: 20, max: 400},
+			},
+			{
+				share: 0.7, firstOutput: 4 * time.Second,
+				prompt: lengths{median: 13500, sigma: 0.5, min: 1000, max: 40000},
+				output: lengths{median: 210, sigma: 0.4, min: 40, max: 800},
+			},
+		},
+		decodes: 3, prefills: 6, pieces: 160, transferPerToken: 20 * time.Microsecond,
+	})
+)
+
 const (
-	promptMedian, promptSigma = 4200, 0.6
-	promptMin, promptMax      = 200, 20000
-	outputMedian, outputSigma = 360, 0.45
-	outputMin, outputMax      = 40, 1500
-	prefillPerSecond          = 20000
-	transfer                  = 50 * time.Millisecond
-	tokenPace                 = 29500 * time.Microsecond
-	firstToken                = 20 * time.Millisecond
-	firstOutputTarget         = 2 * time.Second
-	deadline                  = 60 * time.Second
-	pieceTokens               = 2000
-	// decodePerPrefill is the number of decode engines to each prefill engine.
-	decodePerPrefill = 2
-	// transferError is how far a transfer may be off what was predicted, as a
+	prefillPerSecond = 20000
+	tokenPace        = 29500 * time.Microsecond
+	firstToken       = 20 * time.Millisecond
+	deadline         = 60 * time.Second
+	pieceTokens      = 2000
+	// transferError is how far a transfer may exceed what was predicted, as a
 	// multiple.
 	transferError = 3
 	// looseness is how many times its true output a request may declare when
@@ -33,48 +80,56 @@
 // request is one request of the workload.
 type request struct {
 	by time.Time
-	// prefill is how long its prompt takes to compute.
-	prefill time.Duration
+	// prefill and transfer are how long its prompt takes to compute and to move.
+	prefill, transfer time.Duration
 	// declared is the most it may put out, hold how long it holds the slot.
 	declared int
 	hold     time.Duration
 	pieces   int
-	arrived  time.Time
 	asked    time.Time
 	retryAt  time.Time
 	// counted is set for requests that arrive in the measured time.
 	counted bool
 }
 
-// newRequest draws a request. With loose set it declares more than it puts out.
-func newRequest(r *rand.Rand, now time.Time, loose bool) *request {
-	prompt := logNormal(r, promptMedian, promptSigma, promptMin, promptMax)
-	output := logNormal(r, outputMedian, outputSigma, outputMin, outputMax)
+// draw draws a request. With loose set it declares more than it puts out.
+func (w *workload) draw(r *rand.Rand, now time.Time, loose bool) *request {
+	k := w.kind(r)
+	prompt := k.prompt.draw(r)
+	output := k.output.draw(r)
 	declared := output
 	if loose {
 		declared *= 1 + (looseness-1)*r.Float64()
 	}
 	return &request{
-		by:       now.Add(firstOutputTarget),
+		by:       now.Add(k.firstOutput),
 		prefill:  time.Duration(prompt / prefillPerSecond * float64(time.Second)),
+		transfer: time.Duration(prompt * float64(w.transferPerToken)),
 		declared: int(declared),
 		hold:     time.Duration(output * float64(tokenPace)),
 		pieces:   (int(prompt+declared) + pieceTokens - 1) / pieceTokens,
-		arrived:  now,
 	}
 }
 
-func logNormal(r *rand.Rand, median, sigma, lo, hi float64) float64 {
-	return min(max(median*math.Exp(sigma*r.NormFloat64()), lo), hi)
+func (w *workload) kind(r *rand.Rand) *kind {
+	x := r.Float64()
+	last := len(w.kinds) - 1
+	for i := range w.kinds[:last] {
+		if x -= w.kinds[i].share; x < 0 {
+			return &w.kinds[i]
+		}
+	}
+	return &w.kinds[last]
 }
 
-// meanHold is the mean time a slot is held, by sampling.
-func meanHold() time.Duration {
+// sized fills in the mean time a slot is held, by sampling.
+func sized(w workload) workload {
 	const samples = 200_000
 	r := rand.New(rand.NewPCG(1, 1))
-	sum := 0.0
+	sum := time.Duration(0)
 	for range samples {
-		sum += logNormal(r, outputMedian, outputSigma, outputMin, outputMax)
+		sum += w.draw(r, time.Time{}, false).hold
 	}
-	return time.Duration(sum / samples * float64(tokenPace))
+	w.slotTime = sum / samples
+	return w
 }
--- a/plugins/slots/lease/availability.go
+++ b/plugins/slots/lease/availability.go
@@ -55,10 +55,15 @@
 	return a
 }
 
-// freeElsewhere reports whether another engine that could serve in the place of
-// the given one is believed to have a free slot.
+// freeElsewhere reports whether the given engine and also another one that could
+// serve in its place are believed to have a free slot. Then it is not worth
+// waiting for the first if the belief is wrong. An engine that is believed full
+// is asked in order to wait for it.
 func (p *Policy) freeElsewhere(id ident.UpstreamID) bool {
 	u := p.host.Upstream(id)
+	if p.Availability(u).Free <= 0 {
+		return false
+	}
 	v := p.host.View()
 	for i := range v.Upstreams {
 		other := &v.Upstreams[i]
--- a/plugins/slots/lease/forecast.go
+++ b/plugins/slots/lease/forecast.go
@@ -17,7 +17,7 @@
 	if risk < 0 || limit <= 0 || len(l.leases) >= limit+limit/maxAhead {
 		return false
 	}
-	start := now.Add(lead)
+	start := now.Add(max(lead, 0))
 	if !l.roomAt(now, start, limit, risk) {
 		return false
 	}
--- a/plugins/slots/lease/grantor.go
+++ b/plugins/slots/lease/grantor.go
@@ -80,7 +80,7 @@
 		return verdictQueued
 	}
 	now := p.host.Now()
-	l.noteLead(ask.Lead.Duration())
+	l.noteAsk(&ask)
 	w := waitingAsk{ask: ask, key: key, holder: holder, by: dueTime(ask, now), until: now.Add(p.QueueWait)}
 	if p.room(l, u, &w) && len(l.queue) == 0 {
 		p.enter(l, u, &w)
@@ -132,7 +132,7 @@
 	if !slotkit.Usable(u) || !p.roomForPieces(l, u, w.ask.Pieces) {
 		return false
 	}
-	return l.fits(now, w.ask.Lead.Duration(), l.limit(u, now, p.Margin), p.AheadRisk)
+	return l.fits(now, l.leads.earliest(w.ask.Lead.Duration()), l.limit(u, now, p.Margin), p.AheadRisk)
 }
 
 // roomForPieces reports whether the engine's memory has room for more. An ask
@@ -146,14 +146,16 @@
 // enter records the lease that answers an ask.
 func (p *Policy) enter(l *ledger, u *kernel.Upstream, w *waitingAsk) {
 	now := p.host.Now()
+	lead := w.ask.Lead.Duration()
 	l.add(lease{
-		key:     w.key,
-		expires: w.ask.Reservation.Deadline,
-		pieces:  w.ask.Pieces,
-		output:  w.ask.Output,
-		seq:     w.ask.Seq,
-		granted: now,
-		usedAt:  now.Add(w.ask.Lead.Duration()),
+		key:       w.key,
+		expires:   w.ask.Reservation.Deadline,
+		pieces:    w.ask.Pieces,
+		output:    w.ask.Output,
+		seq:       w.ask.Seq,
+		granted:   now,
+		predicted: now.Add(lead),
+		usedAt:    now.Add(l.leads.likely(lead)),
 	}, slotkit.Slots(u))
 }
 
@@ -250,7 +252,7 @@
 
 // free returns how many slots an ask made now could get.
 func (p *Policy) free(l *ledger, u *kernel.Upstream) int {
-	if len(l.queue) > 0 || !slotkit.Usable(u) {
+	if len(l.queue) > 0 || !slotkit.Usable(u) || !p.roomForPieces(l, u, int(l.need)) {
 		return 0
 	}
 	now := p.host.Now()
@@ -258,7 +260,7 @@
 	if n := limit - len(l.leases); n > 0 {
 		return n
 	}
-	if l.fits(now, l.lead, limit, p.AheadRisk) {
+	if l.fits(now, l.leads.earliest(l.lead), limit, p.AheadRisk) {
 		return 1
 	}
 	return 0
--- a/plugins/slots/lease/holdmodel.go
+++ b/plugins/slots/lease/holdmodel.go
@@ -11,15 +11,17 @@
 	count [holdBuckets]float64
 	// above[i] is the weight in the buckets from i on, kept by refresh.
 	above [holdBuckets + 1]float64
-	seen  int
-	stale bool
+	// average is the mean, in milliseconds a token, kept by refresh.
+	average float64
+	seen    int
+	stale   bool
 }
 
 const (
 	// holdBuckets buckets, holdPerOctave to each doubling, from holdSmallest
 	// milliseconds a token on: up to about 16 minutes.
-	holdBuckets   = 120
-	holdPerOctave = 4
+	holdBuckets   = 1920
+	holdPerOctave = 64
 	holdSmallest  = 0.001
 	// holdFade is the factor by which an observation's weight falls with each
 	// later one: about the last two hundred count.
@@ -67,32 +69,37 @@
 		return 0
 	}
 	m.refresh()
-	sum := 0.0
-	for i, c := range m.count {
-		sum += c * holdSmallest * math.Exp2((float64(i)+0.5)/holdPerOctave)
-	}
-	ms := sum / m.above[0] * float64(max(output, 1))
-	return time.Duration(ms * float64(time.Millisecond))
+	return time.Duration(m.average * float64(max(output, 1)) * float64(time.Millisecond))
 }
 
 // beyond returns the weight of the observations above x, interpolated within
 // x's bucket.
 func (m *holdModel) beyond(x float64) float64 {
 	b := bucketOf(x)
-	low := holdSmallest * math.Exp2(float64(b)/holdPerOctave)
-	high := holdSmallest * math.Exp2(float64(b+1)/holdPerOctave)
+	low, high := holdBounds[b], holdBounds[b+1]
 	part := min(max((x-low)/(high-low), 0), 1)
 	return m.above[b] - part*m.count[b]
 }
 
+// holdBounds are the buckets' bounds, in milliseconds a token.
+var holdBounds = func() (bounds [holdBuckets + 1]float64) {
+	for i := range bounds {
+		bounds[i] = holdSmallest * math.Exp2(float64(i)/holdPerOctave)
+	}
+	return bounds
+}()
+
 func (m *holdModel) refresh() {
 	if !m.stale {
 		return
 	}
 	m.stale = false
+	sum := 0.0
 	for i := holdBuckets - 1; i >= 0; i-- {
 		m.above[i] = m.above[i+1] + m.count[i]
+		sum += m.count[i] * (holdBounds[i] + holdBounds[i+1]) / 2
 	}
+	m.average = sum / m.above[0]
 }
 
 // perToken returns the milliseconds per token of output.
--- a/plugins/slots/lease/ledger.go
+++ b/plugins/slots/lease/ledger.go
@@ -17,6 +17,9 @@
 	// seq is the number of the message that brought the lease about.
 	seq     uint64
 	granted time.Time
+	// predicted is when the ask said that the slot would be put to use, zero
+	// once it was.
+	predicted time.Time
 	// usedAt is when the slot was, or is expected to be, put to use.
 	usedAt time.Time
 }
@@ -43,6 +46,7 @@
 	ended       []ended
 	queue       askQueue
 	holds       holdModel
+	leads       leadError
 	// since is when this instance became the grantor.
 	since time.Time
 	// settled is set when the take-over is over.
@@ -53,8 +57,9 @@
 	// refused, until penaltyEnd.
 	penalty    int
 	penaltyEnd time.Time
-	// lead is a running mean of what holders ask for.
+	// lead and need are running means of the leads and pieces asked for.
 	lead time.Duration
+	need float64
 	// polled is when the queue was last looked at for the passing of time.
 	polled time.Time
 }
@@ -64,6 +69,7 @@
 		upstream:    u.ID,
 		incarnation: u.Incarnation,
 		since:       now,
+		leads:       leadError{deviation: firstDeviation},
 		heard:       map[ident.InstanceID]struct{}{},
 	}
 }
@@ -197,12 +203,23 @@
 	return n
 }
 
-// leadShare is the weight of the newest ask in the running mean of leads.
-const leadShare = 8
+// used notes that the slot of the lease at place i was put to use.
+func (l *ledger) used(i int, at time.Time) {
+	x := &l.leases[i]
+	x.usedAt = at
+	if !x.predicted.IsZero() {
+		l.leads.observe(x.predicted.Sub(at))
+		x.predicted = time.Time{}
+	}
+}
+
+// askShare is the inverse weight of the newest ask in the running means.
+const askShare = 8
 
-// noteLead adds an ask's lead to the running mean.
-func (l *ledger) noteLead(lead time.Duration) {
-	l.lead += (lead - l.lead) / leadShare
+// noteAsk adds an ask to the running means.
+func (l *ledger) noteAsk(ask *Ask) {
+	l.lead += (ask.Lead.Duration() - l.lead) / askShare
+	l.need += (float64(ask.Pieces) - l.need) / askShare
 }
 
 // wait returns the expected wait of an ask made now.
--- a/plugins/slots/lease/renew.go
+++ b/plugins/slots/lease/renew.go
@@ -75,11 +75,21 @@
 		Deadline: h.id.Deadline.UnixMilli(),
 		Pieces:   h.ask.Pieces,
 		Output:   h.ask.Output,
-		Used:     Milliseconds(now.Sub(h.usedAt) / time.Millisecond),
+		Used:     usedFor(h, now),
 		Open:     h.state != stateHeld,
 	})
 }
 
+// usedFor returns how long a hold's slot has been in use. One that is not in use
+// yet is expected to be at any time now at the earliest.
+func usedFor(h *hold, now time.Time) Milliseconds {
+	used := Milliseconds(now.Sub(h.usedAt) / time.Millisecond)
+	if !h.started {
+		return min(used, 0)
+	}
+	return max(used, 1)
+}
+
 // receiveRenew makes this grantor's ledgers agree with a holder's list.
 func (p *Policy) receiveRenew(from ident.InstanceID, m *Renew) {
 	sender := p.grantor.peer(from, m.Incarnation)
@@ -132,6 +142,8 @@
 	switch {
 	case i >= 0 && r.Open:
 		p.grantAgain(l, u, &l.leases[i], from)
+	case i >= 0 && r.Used > 0:
+		l.used(i, usedAt)
 	case i >= 0:
 		l.leases[i].usedAt = usedAt
 	case !r.Open && !overtaken:
--- a/plugins/slots/lease/reserve.go
+++ b/plugins/slots/lease/reserve.go
@@ -100,6 +100,7 @@
 	h.grantor = grantor
 	h.seq = p.holder.nextSeq()
 	h.ask.Seq = h.seq
+	h.ask.NoWait = p.freeElsewhere(h.upstream)
 	h.askedAt = p.host.Now()
 	h.until = h.askedAt.Add(p.AskTimeout)
 	c := p.holder.contact(grantor)
@@ -158,7 +159,7 @@
 	h.usedAt = p.host.Now()
 	if l := p.grantor.ledger(h.upstream); l != nil {
 		if i := l.find(h.key); i >= 0 {
-			l.leases[i].usedAt = h.usedAt
+			l.used(i, h.usedAt)
 		}
 	}
 }
