--- a/bundle/checksums.go
+++ b/bundle/checksums.go
@@ -21,7 +21,7 @@
 // targetSums checks that a request that meets its targets meets its deadline,
 // and that some engine can hold the pace with a single request.
 func (k *checker) targetSums() {
-	fastest, any := k.fastestStep()
+	fastest, found := k.fastestStep()
 	for i, kind := range k.content.Kinds {
 		if kind.Route != config.RouteModel || kind.Deadline <= 0 {
 			continue
@@ -32,7 +32,7 @@
 		if whole > kind.Deadline {
 			k.add(path+".deadline", RuleSum, fmt.Sprintf("first_output and default_output_tokens at pace add up to %v, more than the deadline of %v", whole, kind.Deadline), "raise the deadline or tighten the targets")
 		}
-		if any && kind.Pace > 0 && fastest > kind.Pace {
+		if found && kind.Pace > 0 && fastest > kind.Pace {
 			k.add(path+".pace", RuleSum, fmt.Sprintf("no decode engine steps faster than %v", fastest), "use a pace that an engine with one request can hold")
 		}
 	}
--- a/bundle/diff.go
+++ b/bundle/diff.go
@@ -35,15 +35,15 @@
 // removed, in the order of before, then what is new.
 func Diff(before, after *config.Content) []Change {
 	a, b := flatten(before), flatten(after)
-	old, new := a.byPath(), b.byPath()
+	was, is := a.byPath(), b.byPath()
 	var changes []Change
 	for _, f := range a.fields {
-		if new[f.path] != f.value {
-			changes = append(changes, Change{Path: f.path, Before: f.value, After: new[f.path]})
+		if is[f.path] != f.value {
+			changes = append(changes, Change{Path: f.path, Before: f.value, After: is[f.path]})
 		}
 	}
 	for _, f := range b.fields {
-		if _, there := old[f.path]; !there {
+		if _, there := was[f.path]; !there {
 			changes = append(changes, Change{Path: f.path, After: f.value})
 		}
 	}
--- a/bundle/ledger/model_test.go
+++ b/bundle/ledger/model_test.go
@@ -7,7 +7,6 @@
 
 	"github.com/wardspool/wardspool/bundle"
 	"github.com/wardspool/wardspool/bundle/modelcheck"
-	"github.com/wardspool/wardspool/config"
 	"github.com/wardspool/wardspool/ident"
 )
 
@@ -152,32 +151,6 @@
 	return sources
 }
 
-// clone copies a world deeply but for one life, which is copied for change.
-func (w *world) clone(i int) *world {
-	c := *w
-	c.lives = slices.Clone(w.lives)
-	v := *w.lives[i]
-	v.ledger = v.ledger.clone()
-	v.owed = slices.Clone(v.owed)
-	v.abandoned = slices.Clone(v.abandoned)
-	v.heard = slices.Clone(v.heard)
-	c.lives[i] = &v
-	return &c
-}
-
-func (l *Ledger) clone() *Ledger {
-	c := *l
-	c.actions = nil
-	c.alarms = slices.Clone(l.alarms)
-	c.parts.have = l.parts.have.Clone()
-	c.parts.holders = slices.Clone(l.parts.holders)
-	c.parts.whole = slices.Clone(l.parts.whole)
-	c.parts.missing = slices.Clone(l.parts.missing)
-	c.parts.lacking = slices.Clone(l.parts.lacking)
-	c.floor.answers = slices.Clone(l.floor.answers)
-	return &c
-}
-
 // next lists what can happen in a world.
 func (m *model) next(w *world) []modelcheck.Step[*world] {
 	var steps []modelcheck.Step[*world]
@@ -315,85 +288,3 @@
 	r := &s.Roll
 	return fmt.Sprintf("roll %d: %s %d/%.4s", r.Sequence, r.Stage, r.Target.Version, r.Target.Digest.String())
 }
-
-// key identifies a world by all that its behaviour and the checks depend on.
-func (m *model) key(w *world) string {
-	b := fmt.Appendf(nil, "%d %d %d", w.published, w.restarts, w.fence)
-	for _, v := range w.lives {
-		b = v.appendKey(b, m.signedTwice)
-	}
-	return string(b)
-}
-
-func (v *life) appendKey(b []byte, signedTwice bool) []byte {
-	l := v.ledger
-	ready := l.floor.status == StatusReady
-	b = append(append(b, '|'), l.floor.status[0])
-	b = append(b, l.rollDigest[:4]...)
-	b = append(b, l.inForceRef.Digest[:4]...)
-	for _, version := range v.abandoned {
-		b = append(b, 'x', byte(version))
-	}
-	for _, a := range l.alarms {
-		if a.Type == AlarmSplitVersion {
-			b = append(b, 's', byte(a.Ref.Version))
-		}
-	}
-	for _, h := range v.heard {
-		b = append(b, '~')
-		// A ready instance refuses an old roll, whatever it is, unless it shows
-		// that something was signed twice.
-		if h != nil && h.Roll != nil && (!ready || signedTwice || h.Roll.Roll.Sequence > l.roll.Roll.Sequence) {
-			b = appendReport(b, h)
-		}
-	}
-	if ready {
-		// What a life is owed and was answered matters until it is ready.
-		return b
-	}
-	b = fmt.Appendf(b, "%d %v %v %d", v.number, v.owed, v.late, v.fenceOwed)
-	for _, a := range l.floor.answers {
-		b = fmt.Appendf(b, ",%v %v %d", a.answered, a.vouches, a.fence)
-	}
-	return b
-}
-
-func appendReport(b []byte, r *FloorReport) []byte {
-	if r.Ready {
-		b = append(b, 'r')
-	}
-	return append(b, byte(r.Roll.Roll.Sequence), r.Roll.Roll.Target.Digest[0])
-}
-
-// modelChecker puts a cache before the costly checks of documents. Parts are not
-// part of the model: every instance has those of every bundle.
-func modelChecker(parts bundle.PartSource) checker {
-	real := newChecker()
-	errs := map[string]error{}
-	cached := func(document any, a bundle.Approvers, verify func() error) error {
-		key := fmt.Sprintf("%p %d %s", document, a.Epoch, a.Keys[0].Name)
-		if err, ok := errs[key]; ok {
-			return err
-		}
-		errs[key] = verify()
-		return errs[key]
-	}
-	contents := map[*bundle.Manifest]*config.Content{}
-	return checker{
-		head: func(h *bundle.Head, a bundle.Approvers) error {
-			return cached(h, a, func() error { return real.head(h, a) })
-		},
-		roll: func(s *bundle.SignedRoll, a bundle.Approvers) error {
-			return cached(s, a, func() error { return real.roll(s, a) })
-		},
-		missing: func(*bundle.Manifest, bundle.PartSource) ([]bundle.Digest, error) { return nil, nil },
-		assemble: func(m *bundle.Manifest, _ bundle.PartSource) (*config.Content, error) {
-			if c, ok := contents[m]; ok {
-				return c, nil
-			}
-			c, err := real.assemble(m, parts)
-			contents[m] = c
-			return c, err
-		},
-	}
-}
