--- a/plugins/slots/compare/compare_test.go
+++ b/plugins/slots/compare/compare_test.go
@@ -12,7 +12,7 @@
 // TestRunsRepeat: the same cell and seed give the same figures.
 func TestRunsRepeat(t *testing.T) {
 	for _, w := range []*workload{&coastline, &lagos} {
-		c := cell{policy: leaseWith("lease", lease.Settings{AheadRisk: 2}), workload: w, scale: 1, instances: 3, load: 1, fault: frozen}
+		c := cell{policy: leaseWith("lease", lease.Settings{}), workload: w, scale: 1, instances: 3, load: 1, fault: frozen}
 		first := measure(c, 1, 20*time.Second)
 		assert.Equal(t, measure(c, 1, 20*time.Second), first)
 		assert.Assert(t, first.utilisation > 0.5 && first.utilisation <= 1)
--- a/plugins/slots/compare/policies.go
+++ b/plugins/slots/compare/policies.go
@@ -23,11 +23,10 @@
 }
 
 var (
-	leaseFree   = leaseWith("lease", lease.Settings{AheadRisk: -1})
-	leaseAhead  = leaseWith("lease-ahead", lease.Settings{})
+	leaseUsual  = leaseWith("lease", lease.Settings{})
 	sharesUsual = policy{name: "shares", make: func() kernel.SlotPolicy { return &shares.Policy{} }}
 	probeUsual  = probeWith("probe", probe.Settings{})
 	noneUsual   = policy{name: "none", make: func() kernel.SlotPolicy { return &none.Policy{} }}
 )
 
-var allPolicies = []policy{leaseFree, leaseAhead, sharesUsual, probeUsual, noneUsual}
+var allPolicies = []policy{leaseUsual, sharesUsual, probeUsual, noneUsual}
--- a/plugins/slots/compare/tables.go
+++ b/plugins/slots/compare/tables.go
@@ -21,7 +21,6 @@
 var tables = map[string]table{
 	"policies": {title: "Policies at 2, 8 and 24 instances", cells: policyCells()},
 	"faults":   {title: "With the first engine's grantor failing, at load 1.0", cells: faultCells()},
-	"ahead":    {title: "Leasing ahead, 8 instances", cells: aheadCells()},
 	"probe":    {title: "The margin of slots.probe, 8 instances", cells: probeCells()},
 	"queue":    {title: "How long an ask may wait at the grantor, 24 instances", cells: queueCells()},
 	"renew":    {title: "How often leases are renewed, 24 instances", cells: renewCells()},
@@ -31,7 +30,7 @@
 func policyCells() []cell {
 	var cells []cell
 	for _, load := range []float64{0.8, 1.0, 1.2} {
-		cells = append(cells, cell{policy: leaseFree, workload: &coastline, scale: 1, instances: 1, load: load, fault: noFault})
+		cells = append(cells, cell{policy: leaseUsual, workload: &coastline, scale: 1, instances: 1, load: load, fault: noFault})
 	}
 	for _, n := range []int{2, 8, 24} {
 		for _, load := range []float64{0.8, 1.0, 1.2} {
@@ -55,28 +54,6 @@
 	return cells
 }
 
-func aheadCells() []cell {
-	var cells []cell
-	for _, w := range []*workload{&coastline, &lagos} {
-		for _, loose := range []bool{false, true} {
-			for _, load := range []float64{1.0, 1.2} {
-				for _, risk := range []float64{-1, 3, 2, 1, 0.5} {
-					name := fmt.Sprintf("risk %g", risk)
-					if risk < 0 {
-						name = "never"
-					}
-					if loose {
-						name += ", loose"
-					}
-					p := leaseWith(name, lease.Settings{AheadRisk: risk})
-					cells = append(cells, cell{policy: p, workload: w, scale: 1, instances: 8, load: load, fault: noFault, loose: loose})
-				}
-			}
-		}
-	}
-	return cells
-}
-
 func probeCells() []cell {
 	var cells []cell
 	for _, load := range []float64{0.8, 1.0, 1.2} {
@@ -92,7 +69,7 @@
 	var cells []cell
 	for _, load := range []float64{1.0, 1.2} {
 		for _, wait := range []time.Duration{time.Millisecond, 100 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second} {
-			p := leaseWith(fmt.Sprint("wait ", wait), lease.Settings{AheadRisk: -1, QueueWait: wait})
+			p := leaseWith(fmt.Sprint("wait ", wait), lease.Settings{QueueWait: wait})
 			cells = append(cells, cell{policy: p, workload: &coastline, scale: 1, instances: 24, load: load, fault: noFault})
 		}
 	}
@@ -103,7 +80,7 @@
 	var cells []cell
 	for _, f := range []fault{noFault, killed} {
 		for _, every := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second} {
-			p := leaseWith(fmt.Sprint("renew ", every), lease.Settings{AheadRisk: -1, RenewInterval: every})
+			p := leaseWith(fmt.Sprint("renew ", every), lease.Settings{RenewInterval: every})
 			cells = append(cells, cell{policy: p, workload: &coastline, scale: 1, instances: 24, load: 1, fault: f})
 		}
 	}
@@ -113,7 +90,7 @@
 func sizeCells() []cell {
 	var cells []cell
 	for _, size := range []struct{ instances, scale int }{{8, 1}, {24, 3}, {96, 12}} {
-		cells = append(cells, cell{policy: leaseAhead, instances: size.instances, workload: &coastline, scale: size.scale, load: 1, fault: noFault})
+		cells = append(cells, cell{policy: leaseUsual, instances: size.instances, workload: &coastline, scale: size.scale, load: 1, fault: noFault})
 	}
 	return cells
 }
--- a/plugins/slots/lease/grantor.go
+++ b/plugins/slots/lease/grantor.go
@@ -132,7 +132,7 @@
 	if !slotkit.Usable(u) || !p.roomForPieces(l, u, w.ask.Pieces) {
 		return false
 	}
-	return l.fits(now, l.leads.earliest(w.ask.Lead.Duration()), l.limit(u, now, p.Margin), p.AheadRisk)
+	return len(l.leases) < l.limit(u, now, p.Margin)
 }
 
 // roomForPieces reports whether the engine's memory has room for more. An ask
@@ -146,16 +146,13 @@
 // enter records the lease that answers an ask.
 func (p *Policy) enter(l *ledger, u *kernel.Upstream, w *waitingAsk) {
 	now := p.host.Now()
-	lead := w.ask.Lead.Duration()
 	l.add(lease{
-		key:       w.key,
-		expires:   w.ask.Reservation.Deadline,
-		pieces:    w.ask.Pieces,
-		output:    w.ask.Output,
-		seq:       w.ask.Seq,
-		granted:   now,
-		predicted: now.Add(lead),
-		usedAt:    now.Add(l.leads.likely(lead)),
+		key:     w.key,
+		expires: w.ask.Reservation.Deadline,
+		pieces:  w.ask.Pieces,
+		seq:     w.ask.Seq,
+		granted: now,
+		usedAt:  now.Add(w.ask.Lead.Duration()),
 	}, slotkit.Slots(u))
 }
 
@@ -256,14 +253,7 @@
 		return 0
 	}
 	now := p.host.Now()
-	limit := l.limit(u, now, p.Margin)
-	if n := limit - len(l.leases); n > 0 {
-		return n
-	}
-	if l.fits(now, l.leads.earliest(l.lead), limit, p.AheadRisk) {
-		return 1
-	}
-	return 0
+	return max(l.limit(u, now, p.Margin)-len(l.leases), 0)
 }
 
 // release ends a lease or takes an ask out of the queue.
@@ -277,7 +267,7 @@
 		return
 	}
 	if held > 0 {
-		l.holds.observe(held, l.leases[i].output)
+		l.noteHold(held)
 	}
 	l.end(i, now, slotkit.Slots(u))
 	p.drain(l, u)
--- a/plugins/slots/lease/lease_test.go
+++ b/plugins/slots/lease/lease_test.go
@@ -10,9 +10,6 @@
 	"github.com/wardspool/wardspool/plugins/slots/slottest"
 )
 
-// plain leases only what is free, so that the sum of leases can be checked.
-var plain = Settings{AheadRisk: -1}
-
 // three is a world of three instances that share one engine of four slots.
 func three(settings Settings) *bed {
 	b := newBed(slottest.Options{
@@ -24,7 +21,7 @@
 }
 
 func TestSlotsAreSharedWithoutOvercommitting(t *testing.T) {
-	b := three(plain)
+	b := three(Settings{})
 	for range 4 {
 		for _, n := range b.Nodes {
 			b.reserve(n, b.Engines[0], 10*time.Millisecond, 600*time.Millisecond)
@@ -60,7 +57,7 @@
 }
 
 func TestGrantorKilled(t *testing.T) {
-	b := three(plain)
+	b := three(Settings{})
 	e := b.Engines[0]
 	g := b.grantor(b.Nodes[0], e)
 	others := without(b.Nodes, g)
@@ -99,7 +96,7 @@
 }
 
 func TestGrantorFrozen(t *testing.T) {
-	b := three(plain)
+	b := three(Settings{})
 	e := b.Engines[0]
 	g := b.grantor(b.Nodes[0], e)
 	others := without(b.Nodes, g)
@@ -125,7 +122,7 @@
 }
 
 func TestGrantorCutOffAndHealed(t *testing.T) {
-	b := three(plain)
+	b := three(Settings{})
 	e := b.Engines[0]
 	g := b.grantor(b.Nodes[0], e)
 	others := without(b.Nodes, g)
@@ -144,7 +141,7 @@
 }
 
 func TestHolderDead(t *testing.T) {
-	b := three(plain)
+	b := three(Settings{})
 	e := b.Engines[0]
 	g := b.grantor(b.Nodes[0], e)
 	h := without(b.Nodes, g)[0]
--- a/plugins/slots/lease/ledger.go
+++ b/plugins/slots/lease/ledger.go
@@ -13,13 +13,9 @@
 	key     slotkit.Key
 	expires time.Time
 	pieces  int
-	output  int
 	// seq is the number of the message that brought the lease about.
 	seq     uint64
 	granted time.Time
-	// predicted is when the ask said that the slot would be put to use, zero
-	// once it was.
-	predicted time.Time
 	// usedAt is when the slot was, or is expected to be, put to use.
 	usedAt time.Time
 }
@@ -34,8 +30,6 @@
 	maxLeases = 4
 	// maxEnded covers the leases that end during the lag of a load report.
 	maxEnded = 4
-	// maxAhead is the inverse share of the slots that may be leased ahead.
-	maxAhead = 2
 )
 
 // ledger is what a grantor knows of one engine's slots.
@@ -45,8 +39,8 @@
 	leases      []lease
 	ended       []ended
 	queue       askQueue
-	holds       holdModel
-	leads       leadError
+	// hold is a running mean of the time slots are held, 0 until one was.
+	hold time.Duration
 	// since is when this instance became the grantor.
 	since time.Time
 	// settled is set when the take-over is over.
@@ -57,11 +51,8 @@
 	// refused, until penaltyEnd.
 	penalty    int
 	penaltyEnd time.Time
-	// lead and need are running means of the leads and pieces asked for.
-	lead time.Duration
+	// need is a running mean of the pieces asked for.
 	need float64
-	// polled is when the queue was last looked at for the passing of time.
-	polled time.Time
 }
 
 func newLedger(u *kernel.Upstream, now time.Time) *ledger {
@@ -69,7 +60,6 @@
 		upstream:    u.ID,
 		incarnation: u.Incarnation,
 		since:       now,
-		leads:       leadError{deviation: firstDeviation},
 		heard:       map[ident.InstanceID]struct{}{},
 	}
 }
@@ -203,23 +193,33 @@
 	return n
 }
 
-// used notes that the slot of the lease at place i was put to use.
-func (l *ledger) used(i int, at time.Time) {
-	x := &l.leases[i]
-	x.usedAt = at
-	if !x.predicted.IsZero() {
-		l.leads.observe(x.predicted.Sub(at))
-		x.predicted = time.Time{}
+// newestShare is the inverse weight of the newest observation in running means.
+const newestShare = 8
+
+// noteAsk adds an ask to the running mean of the memory needed.
+func (l *ledger) noteAsk(ask *Ask) {
+	l.need += (float64(ask.Pieces) - l.need) / newestShare
+}
+
+// noteHold adds the time a slot was held to the running mean.
+func (l *ledger) noteHold(d time.Duration) {
+	if l.hold == 0 {
+		l.hold = d
+		return
 	}
+	l.hold += (d - l.hold) / newestShare
 }
 
-// askShare is the inverse weight of the newest ask in the running means.
-const askShare = 8
+// guessHold is taken as the time a slot is held until one was observed.
+const guessHold = 2 * time.Second
 
-// noteAsk adds an ask to the running means.
-func (l *ledger) noteAsk(ask *Ask) {
-	l.lead += (ask.Lead.Duration() - l.lead) / askShare
-	l.need += (float64(ask.Pieces) - l.need) / askShare
+// nextFree returns the expected time until one of the leased slots falls free.
+func (l *ledger) nextFree() time.Duration {
+	hold := l.hold
+	if hold == 0 {
+		hold = guessHold
+	}
+	return hold / time.Duration(max(len(l.leases), 1))
 }
 
 // wait returns the expected wait of an ask made now.
--- a/plugins/slots/lease/message.go
+++ b/plugins/slots/lease/message.go
@@ -38,7 +38,6 @@
 	Seq           uint64              `json:"s"`
 	Pieces        int                 `json:"p,omitempty"`
 	Lead          Milliseconds        `json:"l,omitempty"`
-	Output        int                 `json:"o,omitempty"`
 	FirstOutputBy int64               `json:"b,omitempty"` // Unix milliseconds
 	// NoWait asks for an answer at once, because the holder believes that
 	// another engine has a free slot.
@@ -102,7 +101,6 @@
 	Sequence uint64 `json:"q"`
 	Deadline int64  `json:"d"` // Unix milliseconds
 	Pieces   int    `json:"p,omitempty"`
-	Output   int    `json:"o,omitempty"`
 	// Used is how long the slot has been in use; when negative, how long it
 	// is until it is expected to be.
 	Used Milliseconds `json:"t,omitempty"`
--- a/plugins/slots/lease/rapid_test.go
+++ b/plugins/slots/lease/rapid_test.go
@@ -31,7 +31,7 @@
 		bed: newBed(slottest.Options{
 			Seed: rapid.Uint64().Draw(t, "seed"), Instances: 4, Engines: 2, Slots: 5, Pieces: 8, Zones: 2,
 			Network: network, LoadEvery: 500 * time.Millisecond, LoadLag: 300 * time.Millisecond,
-		}, plain),
+		}, Settings{}),
 	}
 	m.Run(1500 * time.Millisecond)
 	m.calm = m.Now()
--- a/plugins/slots/lease/renew.go
+++ b/plugins/slots/lease/renew.go
@@ -74,7 +74,6 @@
 		Sequence: h.key.Sequence,
 		Deadline: h.id.Deadline.UnixMilli(),
 		Pieces:   h.ask.Pieces,
-		Output:   h.ask.Output,
 		Used:     usedFor(h, now),
 		Open:     h.state != stateHeld,
 	})
@@ -142,8 +141,6 @@
 	switch {
 	case i >= 0 && r.Open:
 		p.grantAgain(l, u, &l.leases[i], from)
-	case i >= 0 && r.Used > 0:
-		l.used(i, usedAt)
 	case i >= 0:
 		l.leases[i].usedAt = usedAt
 	case !r.Open && !overtaken:
@@ -181,7 +178,6 @@
 		key:     key,
 		expires: expires,
 		pieces:  r.Pieces,
-		output:  r.Output,
 		seq:     seq,
 		granted: granted,
 		usedAt:  usedAt,
--- a/plugins/slots/lease/reserve.go
+++ b/plugins/slots/lease/reserve.go
@@ -58,7 +58,6 @@
 		Upstream:    ask.Upstream,
 		Pieces:      ask.Pieces,
 		Lead:        millis(ask.Lead),
-		Output:      ask.OutputTokens,
 	}
 	if !ask.FirstOutputBy.IsZero() {
 		wire.FirstOutputBy = ask.FirstOutputBy.UnixMilli()
@@ -159,7 +158,7 @@
 	h.usedAt = p.host.Now()
 	if l := p.grantor.ledger(h.upstream); l != nil {
 		if i := l.find(h.key); i >= 0 {
-			l.used(i, h.usedAt)
+			l.leases[i].usedAt = h.usedAt
 		}
 	}
 }
--- a/plugins/slots/lease/setup.go
+++ b/plugins/slots/lease/setup.go
@@ -20,7 +20,6 @@
 	defaultRenewInterval = 1 * time.Second
 	defaultTakeOver      = 1 * time.Second
 	defaultMargin        = 2
-	defaultAheadRisk     = 1.0
 )
 
 func init() { plugin.Register(&Policy{}) }
@@ -47,10 +46,6 @@
 	// Margin is the number of slots a grantor keeps back while it goes by the
 	// engine's load.
 	Margin int `yaml:"margin"`
-	// AheadRisk is how many standard deviations the forecast of slots in use
-	// must stay below the limit for a slot to be leased before it is free.
-	// Negative: slots are leased only when free.
-	AheadRisk float64 `yaml:"ahead_risk"`
 }
 
 // Policy is the slot policy of one instance, as holder of leases and as
@@ -77,7 +72,6 @@
 	setDefault(&p.RenewInterval, defaultRenewInterval)
 	setDefault(&p.TakeOver, defaultTakeOver)
 	setDefault(&p.Margin, defaultMargin)
-	setDefault(&p.AheadRisk, defaultAheadRisk)
 	p.holder.init()
 	p.grantor.init()
 	return nil
--- a/plugins/slots/lease/view.go
+++ b/plugins/slots/lease/view.go
@@ -108,7 +108,6 @@
 		key:     h.key,
 		expires: h.id.Deadline,
 		pieces:  h.ask.Pieces,
-		output:  h.ask.Output,
 		seq:     seq,
 		granted: h.askedAt,
 		usedAt:  h.usedAt,
--- a/plugins/slots/lease/wake.go
+++ b/plugins/slots/lease/wake.go
@@ -8,10 +8,6 @@
 	"github.com/wardspool/wardspool/plugins/slots/slotkit"
 )
 
-// aheadPoll is how often a queue is looked at anew because the forecast of free
-// slots improves as time passes.
-const aheadPoll = 20 * time.Millisecond
-
 // NextWake implements kernel.Waker.
 func (p *Policy) NextWake() (time.Time, bool) {
 	now := p.host.Now()
@@ -39,12 +35,6 @@
 	if !l.settled {
 		next = earlier(next, l.since.Add(p.TakeOver))
 	}
-	if len(l.queue) == 0 {
-		return next
-	}
-	if p.AheadRisk >= 0 && l.holds.ready() {
-		next = earlier(next, l.polled.Add(aheadPoll))
-	}
 	for i := range l.queue {
 		next = earlier(next, l.queue[i].lastCall())
 	}
@@ -101,7 +91,6 @@
 	if u == nil {
 		return
 	}
-	l.polled = now
 	l.expire(now, slotkit.Slots(u))
 	p.settle(l)
 	p.drain(l, u)
