--- a/plugins/slots/dispatch/engines.go
+++ b/plugins/slots/dispatch/engines.go
@@ -16,6 +16,9 @@
 	// readyAt is when the engine will have done all it was given, and, as the
 	// pass goes on, what the queue will give it.
 	readyAt time.Time
+	// own is the prompt work that its load report should count already, in
+	// tokens.
+	own int
 }
 
 // decodeState is a decode engine in one pass.
@@ -23,156 +26,231 @@
 	u *kernel.Upstream
 	// slots and pieces are free; held and heldPieces are the known placements.
 	slots, pieces, held, heldPieces int
+	// reported is how many placements its load report should count.
+	reported int
 	// planned is the KV memory meant for prefills under way.
 	planned int
 }
 
-// usable reports whether the engine may get new work in the role.
-func (g *group) usable(u *kernel.Upstream, role config.Role) bool {
-	return u.Life <= kernel.Suspect && u.Spec.Role == role && u.Serves(g.model) &&
-		!g.now().Before(u.Health.EjectedUntil)
+// roles are the engines that serve the group's model, by role and as indexes
+// into the view. They are found anew when the view or the bundle changes.
+type roles struct {
+	known     bool
+	version   uint64
+	content   *config.Content
+	prefills  []int
+	prefillAt map[ident.UpstreamID]int
+	decodes   []int
+	// books are the decode engines' books, in the order of decodes.
+	books []*book
 }
 
-// prefills lists the prefill engines and when each will be ready.
-func (g *group) prefills() []prefillState {
-	work := g.outstanding()
-	view := g.p.host.View()
-	var list []prefillState
+// book is what is known of the use of one decode engine's slots.
+type book struct {
+	grants []*grant
+	// ended are the uses that ended lately, in the order of their ends.
+	ended []ended
+}
+
+// engines returns the group's engines under the view and bundle in force.
+func (g *group) engines() *roles {
+	view, content := g.p.host.View(), g.p.host.Content()
+	r := &g.roles
+	if r.known && r.version == view.Version && r.content == content {
+		return r
+	}
+	*r = roles{
+		known:     true,
+		version:   view.Version,
+		content:   content,
+		prefillAt: map[ident.UpstreamID]int{},
+	}
 	for i := range view.Upstreams {
 		u := &view.Upstreams[i]
-		if g.usable(u, config.RolePrefill) {
-			list = append(list, prefillState{u: u, readyAt: g.readyAt(u, work[u.ID])})
+		if !u.Serves(g.model) {
+			continue
+		}
+		switch u.Spec.Role {
+		case config.RolePrefill:
+			r.prefillAt[u.ID] = len(r.prefills)
+			r.prefills = append(r.prefills, i)
+		case config.RoleDecode:
+			r.decodes = append(r.decodes, i)
+			r.books = append(r.books, g.book(u.ID))
 		}
 	}
-	return list
+	return r
 }
 
-// outstanding lists the prefills that are not done, by engine and in the order
-// in which they were given.
-func (g *group) outstanding() map[ident.UpstreamID][]*grant {
-	work := map[ident.UpstreamID][]*grant{}
-	for _, gr := range g.grants {
-		if !gr.computed {
-			work[gr.prefill] = append(work[gr.prefill], gr)
-		}
-	}
-	for _, list := range work {
-		slices.SortFunc(list, func(a, b *grant) int {
-			if c := a.doneAt.Compare(b.doneAt); c != 0 {
-				return c
-			}
-			if a.key.Before(b.key) {
-				return -1
-			}
-			return 1
-		})
-	}
-	return work
+// usable reports whether the engine may get new work.
+func (g *group) usable(u *kernel.Upstream) bool {
+	return u.Life <= kernel.Suspect && !g.now().Before(u.Health.EjectedUntil)
 }
 
 // overdueShare is how much longer a prefill that is overdue is expected to
 // take, as an inverse share of what it was expected to take.
 const overdueShare = 4
 
-// readyAt is when an engine will be done with the given work and with what
-// others gave it.
-func (g *group) readyAt(u *kernel.Upstream, work []*grant) time.Time {
-	at := g.now()
-	own := 0
-	for _, gr := range work {
-		if !gr.at.After(u.Load.At) {
-			own += gr.ask.Prompt
-		}
-		end := gr.doneAt
-		if !end.After(at) {
-			end = at.Add(gr.doneAt.Sub(gr.at) / overdueShare)
+// prefills lists the prefill engines and when each will be ready: when it is
+// done with what this dispatcher gave it, and with what others did. The list
+// is valid until the next call.
+func (g *group) prefills() []prefillState {
+	r := g.engines()
+	now := g.now()
+	list := g.prefillScratch[:0]
+	for _, i := range r.prefills {
+		list = append(list, prefillState{u: &g.p.host.View().Upstreams[i], readyAt: now})
+	}
+	for _, gr := range g.prefilling() {
+		at, ok := r.prefillAt[gr.prefill]
+		if !ok {
+			continue
 		}
-		at = end
+		list[at].give(gr)
+	}
+	g.prefillScratch = list
+	for i := range list {
+		list[i].addForeign(now)
+	}
+	return slices.DeleteFunc(list, func(e prefillState) bool { return !g.usable(e.u) })
+}
+
+// give adds a prefill under way to the engine's work.
+func (e *prefillState) give(gr *grant) {
+	if !gr.at.After(e.u.Load.At) {
+		e.own += gr.ask.Prompt
+	}
+	end := gr.doneAt
+	if !end.After(e.readyAt) {
+		end = e.readyAt.Add(gr.doneAt.Sub(gr.at) / overdueShare)
+	}
+	e.readyAt = end
+}
+
+// addForeign adds the work that the engine reported beyond what is known.
+func (e *prefillState) addForeign(now time.Time) {
+	rate := e.u.Spec.PrefillTokensPerSecond
+	if rate <= 0 {
+		return
 	}
-	foreign := float64(u.Load.QueuedTokens-own) - g.now().Sub(u.Load.At).Seconds()*u.Spec.PrefillTokensPerSecond
-	if foreign > 0 && u.Spec.PrefillTokensPerSecond > 0 {
-		at = at.Add(time.Duration(foreign / u.Spec.PrefillTokensPerSecond * float64(time.Second)))
+	foreign := float64(e.u.Load.QueuedTokens-e.own) - now.Sub(e.u.Load.At).Seconds()*rate
+	if foreign > 0 {
+		e.readyAt = e.readyAt.Add(time.Duration(foreign / rate * float64(time.Second)))
 	}
-	return at
 }
 
-// decodes lists the decode engines and what each has free.
+// prefilling lists the grants whose prefill is not done, in the order in which
+// they are expected to be.
+func (g *group) prefilling() []*grant {
+	list := g.grantScratch[:0]
+	for _, gr := range g.computing {
+		list = append(list, gr)
+	}
+	slices.SortFunc(list, func(a, b *grant) int {
+		if c := a.doneAt.Compare(b.doneAt); c != 0 {
+			return c
+		}
+		if a.key.Before(b.key) {
+			return -1
+		}
+		return 1
+	})
+	g.grantScratch = list
+	return list
+}
+
+// decodes lists the decode engines and what each has free, when the known
+// placements and those of others are taken off. The list is valid until the
+// next call.
 func (g *group) decodes() []decodeState {
-	used := map[ident.UpstreamID]*decodeState{}
-	for _, gr := range g.grants {
-		if gr.decode == "" {
+	r := g.engines()
+	list := g.decodeScratch[:0]
+	for n, i := range r.decodes {
+		u := &g.p.host.View().Upstreams[i]
+		if !g.usable(u) {
 			continue
 		}
-		s, ok := used[gr.decode]
-		if !ok {
-			s = &decodeState{}
-			used[gr.decode] = s
-		}
-		s.held++
-		s.heldPieces += gr.ask.Pieces
+		d := decodeState{u: u, slots: slotkit.Slots(u), pieces: slotkit.Pieces(u)}
+		d.take(r.books[n])
+		list = append(list, d)
 	}
-	view := g.p.host.View()
-	var list []decodeState
-	for i := range view.Upstreams {
-		u := &view.Upstreams[i]
-		if g.usable(u, config.RoleDecode) {
-			list = append(list, g.free(u, used[u.ID]))
+	g.decodeScratch = list
+	return list
+}
+
+// take takes what the book says off what is free.
+func (d *decodeState) take(b *book) {
+	for _, gr := range b.grants {
+		d.hold(gr)
+	}
+	for i := len(b.ended) - 1; i >= 0 && b.ended[i].to.After(d.u.Load.At); i-- {
+		if !b.ended[i].from.After(d.u.Load.At) {
+			d.reported++
 		}
 	}
-	return list
+	d.takeForeign()
 }
 
-// free is what a decode engine has left when the known placements and those of
-// others are taken off.
-func (g *group) free(u *kernel.Upstream, used *decodeState) decodeState {
-	s := decodeState{u: u, slots: slotkit.Slots(u), pieces: slotkit.Pieces(u)}
-	foreign := g.foreign(u)
-	s.slots -= foreign
-	if running := u.Load.Running + u.Load.Waiting; foreign > 0 && running > 0 {
-		s.pieces -= u.Load.PiecesUsed * foreign / running
+// hold takes a known placement off what is free.
+func (d *decodeState) hold(gr *grant) {
+	d.held++
+	d.heldPieces += gr.ask.Pieces
+	d.slots--
+	d.pieces -= gr.ask.Pieces
+	if !gr.decodeAt.After(d.u.Load.At) {
+		d.reported++
 	}
-	if used != nil {
-		s.held, s.heldPieces = used.held, used.heldPieces
-		s.slots -= used.held
-		s.pieces -= used.heldPieces
+}
+
+// takeForeign takes off the requests that the engine reports and no known
+// placement accounts for: those placed by another dispatcher, or by holders
+// themselves.
+func (d *decodeState) takeForeign() {
+	running := d.u.Load.Running + d.u.Load.Waiting
+	foreign := running - d.reported
+	if d.u.Load.At.IsZero() || foreign <= 0 {
+		return
 	}
-	return s
+	d.slots -= foreign
+	d.pieces -= d.u.Load.PiecesUsed * foreign / running
 }
 
 // ended remembers a slot's use, so that a load report from before its end can
 // be understood.
-type ended struct {
-	decode   ident.UpstreamID
-	from, to time.Time
-}
+type ended struct{ from, to time.Time }
 
-// maxEnded bounds what is remembered; it covers the lag of load reports.
-const maxEnded = 512
+// endedTime is how long the end of a slot's use is remembered; it covers the
+// lag of load reports.
+const endedTime = 5 * time.Second
 
-func (g *group) noteEnded(gr *grant) {
-	g.ended = append(g.ended, ended{decode: gr.decode, from: gr.decodeAt, to: g.now()})
-	if extra := len(g.ended) - maxEnded; extra > 0 {
-		g.ended = slices.Delete(g.ended, 0, extra)
+// book returns the book of a decode engine.
+func (g *group) book(id ident.UpstreamID) *book {
+	b, ok := g.books[id]
+	if !ok {
+		b = &book{}
+		g.books[id] = b
 	}
+	return b
 }
 
-// foreign is how many requests an engine reports that no known placement
-// accounts for: those placed by another dispatcher, or by holders themselves.
-func (g *group) foreign(u *kernel.Upstream) int {
-	at := u.Load.At
-	if at.IsZero() {
-		return 0
-	}
-	known := 0
-	for _, gr := range g.grants {
-		if gr.decode == u.ID && !gr.decodeAt.After(at) {
-			known++
-		}
+// takeSlot enters a placement on a decode engine.
+func (g *group) takeSlot(gr *grant, decode ident.UpstreamID) {
+	gr.decode = decode
+	gr.decodeAt = g.now()
+	b := g.book(decode)
+	b.grants = append(b.grants, gr)
+}
+
+// freeSlot takes a placement off its decode engine.
+func (g *group) freeSlot(gr *grant) {
+	b := g.book(gr.decode)
+	if i := slices.Index(b.grants, gr); i >= 0 {
+		b.grants = slices.Delete(b.grants, i, i+1)
 	}
-	for _, e := range g.ended {
-		if e.decode == u.ID && !e.from.After(at) && e.to.After(at) {
-			known++
-		}
+	now := g.now()
+	over := 0
+	for over < len(b.ended) && now.Sub(b.ended[over].to) > endedTime {
+		over++
 	}
-	return max(u.Load.Running+u.Load.Waiting-known, 0)
+	b.ended = append(slices.Delete(b.ended, 0, over), ended{from: gr.decodeAt, to: now})
 }
--- a/plugins/slots/dispatch/group.go
+++ b/plugins/slots/dispatch/group.go
@@ -54,12 +54,22 @@
 	queue   kernel.QueueOrder
 	waiting map[ident.RequestID]*waiting
 	grants  map[slotkit.Key]*grant
+	// computing are the grants whose prefill is not done.
+	computing map[slotkit.Key]*grant
 	// ready are the grants whose prefill is done and that wait for a slot.
 	ready []*grant
 	hold  holdModel
-	ended []ended
+	// books are the decode engines' books.
+	books map[ident.UpstreamID]*book
 	// pollAt is when the queue is to be looked at again, zero if not needed.
 	pollAt time.Time
+
+	roles          roles
+	prefillScratch []prefillState
+	decodeScratch  []decodeState
+	grantScratch   []*grant
+	supplyScratch  slotSupply
+	orderScratch   []*kernel.Waiting
 }
 
 // pollTime is how often a queue is looked at when nothing else happens.
@@ -75,6 +85,9 @@
 		waiting: map[ident.RequestID]*waiting{},
 		grants:  map[slotkit.Key]*grant{},
 		hold:    newHoldModel(),
+
+		books:     map[ident.UpstreamID]*book{},
+		computing: map[slotkit.Key]*grant{},
 	}
 }
 
@@ -213,7 +226,7 @@
 		return
 	}
 	if !gr.computed {
-		gr.computed = true
+		g.markComputed(gr)
 		gr.kvUntil = g.now().Add(g.p.kvUsable)
 		if gr.decode == "" {
 			g.ready = append(g.ready, gr)
@@ -225,6 +238,12 @@
 	}
 }
 
+// markComputed notes that a grant's prefill is done.
+func (g *group) markComputed(gr *grant) {
+	gr.computed = true
+	delete(g.computing, gr.key)
+}
+
 // release ends a placement or withdraws an ask.
 func (g *group) release(key slotkit.Key) {
 	if gr, ok := g.grants[key]; ok {
@@ -251,13 +270,14 @@
 // end forgets a placement.
 func (g *group) end(gr *grant) {
 	delete(g.grants, gr.key)
+	delete(g.computing, gr.key)
 	if i := slices.Index(g.ready, gr); i >= 0 {
 		g.ready = slices.Delete(g.ready, i, i+1)
 	}
 	if gr.decode != "" {
 		held := g.now().Sub(gr.decodeAt)
 		g.hold.note(held)
-		g.noteEnded(gr)
+		g.freeSlot(gr)
 		g.queue.Served(&kernel.Request{Workspace: gr.ask.Workspace, Kind: gr.ask.Kind, Model: g.model}, held.Seconds())
 	}
 }
--- a/plugins/slots/dispatch/pass.go
+++ b/plugins/slots/dispatch/pass.go
@@ -26,9 +26,11 @@
 
 // pass gives out what can be given out now.
 func (g *group) pass() {
-	free := g.decodes()
-	g.serveReady(free)
-	g.placeWaiting(free)
+	if len(g.waiting)+len(g.ready) > 0 {
+		free := g.decodes()
+		g.serveReady(free)
+		g.placeWaiting(free)
+	}
 	g.pollAt = time.Time{}
 	if len(g.waiting)+len(g.ready) > 0 {
 		g.pollAt = g.now().Add(pollTime)
@@ -59,8 +61,7 @@
 	d.slots--
 	d.pieces -= gr.ask.Pieces
 	d.held++
-	gr.decode = d.u.ID
-	gr.decodeAt = g.now()
+	g.takeSlot(gr, d.u.ID)
 	if i := slices.Index(g.ready, gr); i >= 0 {
 		g.ready = slices.Delete(g.ready, i, i+1)
 	}
@@ -113,10 +114,11 @@
 	}
 	engines := g.prefills()
 	supply := g.supply(free)
-	var order []*kernel.Waiting
+	order := g.orderScratch[:0]
 	for w := range g.queue.All() {
 		order = append(order, w)
 	}
+	g.orderScratch = order
 	for _, entry := range order {
 		w := g.waiting[entry.Request.ID]
 		if w == nil {
@@ -193,6 +195,7 @@
 		gr.planned = memory.u.ID
 	}
 	g.grants[gr.key] = gr
+	g.computing[gr.key] = gr
 	if prefix := g.p.host.Prefix(); prefix != nil {
 		prefix.Placed(u, w.ask.Blocks, g.now())
 	}
--- a/plugins/slots/dispatch/renew.go
+++ b/plugins/slots/dispatch/renew.go
@@ -176,15 +176,20 @@
 		g.grants[key] = gr
 	}
 	if gr.decode != held.Decode {
-		gr.decode = held.Decode
-		gr.decodeAt = g.now()
+		if gr.decode != "" {
+			g.freeSlot(gr)
+		}
+		gr.decode = ""
+		if held.Decode != "" {
+			g.takeSlot(gr, held.Decode)
+		}
 	}
 	if gr.prefill == "" {
 		gr.prefill = held.Prefill
-		gr.computed = true
+		g.markComputed(gr)
 	}
 	if held.Decoding {
-		gr.computed = true
+		g.markComputed(gr)
 	}
 }
 
--- a/plugins/slots/dispatch/supply.go
+++ b/plugins/slots/dispatch/supply.go
@@ -33,7 +33,8 @@
 // supply adds up what the decode engines have free, less what is promised to
 // prefills under way, and what is expected to be released.
 func (g *group) supply(free []decodeState) *slotSupply {
-	s := &slotSupply{now: g.now(), engines: free}
+	s := &g.supplyScratch
+	*s = slotSupply{now: g.now(), engines: free, releases: s.releases[:0]}
 	for i := range free {
 		s.slots += max(free[i].slots, 0)
 	}
