--- a/agent/agent.go
+++ b/agent/agent.go
@@ -130,9 +130,13 @@
 // makeMachines makes the pure state machines and planners.
 func (a *Agent) makeMachines(now time.Time) error {
 	s := a.settings
+	trusted, err := s.Approvers.set()
+	if err != nil {
+		return oops.In("agent").Wrapf(err, "take the approvers")
+	}
 	l, err := ledger.New(ledger.Settings{
 		Instance: s.Instance, Zone: s.Zone,
-		Approvers: s.Approvers.Sorted(), Isolated: s.Isolated, PauseGap: s.PauseAfter,
+		Approvers: trusted, Isolated: s.Isolated, PauseGap: s.PauseAfter,
 	}, now)
 	if err != nil {
 		return oops.In("agent").Wrapf(err, "take the approvers")
--- /dev/null
+++ b/agent/bench_test.go
@@ -0,0 +1,164 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/membership"
+	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/settings"
+)
+
+// sizes are the sizes of today, of a middle way and of the users' plans.
+var sizes = []struct{ instances, upstreams int }{{8, 12}, {68, 100}, {410, 600}}
+
+// benchAgent returns an agent that has lists and reports of the given sizes, in
+// six zones. Its loop does not run.
+func benchAgent(b *testing.B, instances, upstreams int) *Agent {
+	text := fmt.Sprintf(`
+instance: i-000
+zone: zone-0
+entry: {feed: "127.0.0.1:1"}
+peers: {listen: "127.0.0.1:0"}
+platform: {urls: ["http://127.0.0.1:1"]}
+approvers: {epoch: 1, quorum: 1, keys: [{name: ada, key: %s}]}
+`, approvers().Keys[0].Key)
+	s, err := settings.Parse[Settings]("agent.yaml", []byte(text))
+	assert.NilError(b, err)
+	a, err := New(s, Options{Log: slog.New(slog.DiscardHandler), Seed: 1})
+	assert.NilError(b, err)
+	var l platform.Instances
+	for i := range instances {
+		l.Instances = append(l.Instances, platform.Instance{
+			ID: ident.InstanceID(fmt.Sprintf("i-%03d", i)), Zone: zoneNumber(i), Region: "region-1", State: platform.StateLive,
+			PeerAddress: "10.100.200.1:9100", AgentAddress: "10.100.200.1:9101", CallerAddress: "10.100.200.1:8080",
+		})
+	}
+	doc, err := json.Marshal(l)
+	assert.NilError(b, err)
+	assert.Assert(b, a.takeInstances(a.now, 1, doc))
+	var u platform.Upstreams
+	for i := range upstreams {
+		u.Upstreams = append(u.Upstreams, platform.Upstream{
+			ID: ident.UpstreamID(fmt.Sprintf("runner-%03d", i)), Zone: zoneNumber(i), Address: "10.100.100.1:8000",
+			Role: config.RoleDecode, Models: []string{"model-1"}, State: platform.StateLive, Incarnation: 1796223493000,
+		})
+	}
+	doc, err = json.Marshal(u)
+	assert.NilError(b, err)
+	assert.Assert(b, a.takeUpstreams(a.now, 1, doc))
+	for i := 0; i < upstreams; i++ {
+		a.machine.UpstreamReport(a.now, a.now, ident.UpstreamID(fmt.Sprintf("runner-%03d", i)),
+			membership.Report{Incarnation: 1796223493000, Sequence: 1, Running: 12, Slots: 20, PiecesUsed: 100})
+	}
+	a.feed.reply.Incarnation = 1796223493000
+	return a
+}
+
+// zoneNumber spreads processes over six zones.
+func zoneNumber(i int) ident.Zone { return ident.Zone(fmt.Sprintf("zone-%d", i%6)) }
+
+// BenchmarkView measures a look at what is believed: up to five a second.
+func BenchmarkView(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("%d-%d", size.instances, size.upstreams), func(b *testing.B) {
+			a := benchAgent(b, size.instances, size.upstreams)
+			b.ReportAllocs()
+			for b.Loop() {
+				a.refreshView()
+			}
+		})
+	}
+}
+
+// BenchmarkFeed measures making a view for the entry and its JSON, as often as
+// its gap allows.
+func BenchmarkFeed(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("%d-%d", size.instances, size.upstreams), func(b *testing.B) {
+			a := benchAgent(b, size.instances, size.upstreams)
+			a.refreshView()
+			b.ReportAllocs()
+			bytes := 0
+			for b.Loop() {
+				doc, err := json.Marshal(a.feedView())
+				assert.NilError(b, err)
+				bytes = len(doc)
+			}
+			b.ReportMetric(float64(bytes), "json-bytes")
+		})
+	}
+}
+
+// BenchmarkSecond measures what is done each second whatever happens.
+func BenchmarkSecond(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("%d-%d", size.instances, size.upstreams), func(b *testing.B) {
+			a := benchAgent(b, size.instances, size.upstreams)
+			a.callCtx, a.endCalls = ended()
+			a.refreshView()
+			b.ReportAllocs()
+			for b.Loop() {
+				a.now = a.now.Add(time.Millisecond)
+				a.electReaders()
+				a.machine.Due(a.now)
+			}
+		})
+	}
+}
+
+// BenchmarkAssign measures the choice of the upstreams to read, each 5 s and when
+// the view changes.
+func BenchmarkAssign(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("%d-%d", size.instances, size.upstreams), func(b *testing.B) {
+			a := benchAgent(b, size.instances, size.upstreams)
+			a.refreshView()
+			b.ReportAllocs()
+			for b.Loop() {
+				a.assignLoads()
+			}
+		})
+	}
+}
+
+// BenchmarkHeartbeat measures composing a heartbeat and taking in the answer.
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("%d-%d", size.instances, size.upstreams), func(b *testing.B) {
+			a := benchAgent(b, size.instances, size.upstreams)
+			const other = ident.InstanceID("i-006")
+			b.ReportAllocs()
+			bytes := 0
+			for b.Loop() {
+				a.now = a.now.Add(time.Second)
+				hb := a.compose(other)
+				doc, err := json.Marshal(hb)
+				assert.NilError(b, err)
+				bytes = len(doc)
+				if err := json.Unmarshal(doc, &hb); err != nil {
+					b.Fatal(err)
+				}
+				if err := a.machine.Answered(a.now, a.now, other, hb.Heartbeat); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(bytes), "json-bytes")
+		})
+	}
+}
+
+// ended returns a context that is over, so that no calls are made.
+func ended() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx, cancel
+}
--- a/agent/check.go
+++ b/agent/check.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/url"
@@ -109,8 +110,11 @@
 }
 
 func (s *Settings) checkBundles(r *settings.Report) {
-	if err := s.Approvers.Sorted().Check(); err != nil {
-		r.Add("approvers", err.Error(), "give epoch, quorum and keys as wardspoolctl prints them")
+	_, err := s.Approvers.set()
+	if bad := (*KeyError)(nil); errors.As(err, &bad) {
+		r.Add(fmt.Sprintf("approvers.keys[%d].key", bad.Index), err.Error(), "give a public key of 64 hexadecimal digits")
+	} else if err != nil {
+		r.Add("approvers", err.Error(), "give epoch, a majority quorum and keys with different names")
 	}
 	switch s.Isolated {
 	case ledger.IsolatedWait, ledger.IsolatedServePreload:
--- a/agent/feed.go
+++ b/agent/feed.go
@@ -140,6 +140,7 @@
 // feedAnswered takes in the entry's reply.
 func (a *Agent) feedAnswered(begun time.Time, u feed.Update, r feed.Reply) {
 	f := &a.feed
+	changed := r.Incarnation != f.reply.Incarnation || r.Stopping != f.reply.Stopping || !f.answers
 	if r.Incarnation != f.reply.Incarnation {
 		a.log.Info("entry answers", "incarnation", uint64(r.Incarnation), "before", uint64(f.reply.Incarnation))
 		f.bundleSent = u.Bundle != nil
@@ -152,7 +153,9 @@
 		a.takeEvidence(begun, e)
 	}
 	a.viewDirty = true
-	a.refreshView()
+	if changed || f.urgent {
+		a.refreshView()
+	}
 }
 
 // feedFailed takes in a failed update: what it said is to be said again.
--- a/agent/lists.go
+++ b/agent/lists.go
@@ -59,7 +59,6 @@
 func (a *Agent) keepList(key string, l list, relayed bool) {
 	*a.book.lists.of(key) = l
 	a.source.indexes[key] = max(a.source.indexes[key], l.index)
-	a.viewDirty = true
 	a.refreshView()
 	a.updateRoster()
 	a.spreadNews(relayed)
--- /dev/null
+++ b/agent/lists_test.go
@@ -0,0 +1,40 @@
+package agent
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/platform"
+)
+
+func TestCompress(t *testing.T) {
+	doc := bytes.Repeat([]byte(`{"id":"a-1"}`), 1000)
+	small := compress(doc)
+	assert.Assert(t, len(small) < len(doc)/10)
+	back, err := decompress(platform.KeyInstances, small)
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(back, doc))
+}
+
+// TestDecompressIsBounded: a small frame must not become a large document.
+func TestDecompressIsBounded(t *testing.T) {
+	_, err := decompress(platform.KeyInstances, compress(make([]byte, platform.MaxValue+1)))
+	var large *platform.TooLargeError
+	assert.Assert(t, errors.As(err, &large))
+}
+
+// FuzzDecompress checks that no bytes of a peer make a document above the bound.
+func FuzzDecompress(f *testing.F) {
+	f.Add(compress([]byte("{}")))
+	f.Add([]byte{})
+	f.Add(compress(nil)[:5])
+	f.Fuzz(func(t *testing.T, b []byte) {
+		doc, err := decompress(platform.KeyUpstreams, b)
+		if err == nil && len(doc) > platform.MaxValue {
+			t.Fatalf("%d bytes", len(doc))
+		}
+	})
+}
--- a/agent/loads.go
+++ b/agent/loads.go
@@ -21,9 +21,15 @@
 	assumedPollBytes = 900
 )
 
+// assignInterval is the longest time between two choices of the upstreams to
+// read; they are chosen anew at once when the view changes.
+const assignInterval = 5 * time.Second
+
 // loadState is the loop's part of gathering upstreams' state.
 type loadState struct {
 	polls map[ident.UpstreamID]*poll
+	// assignedAt is when they were last chosen.
+	assignedAt time.Time
 	// gathered is how many upstreams this instance gathers.
 	gathered int
 	// specs are what the bundle in force declares, by ID.
@@ -76,6 +82,7 @@
 // read by each instance that doubts, since no work is sent to them that could
 // show that they are back.
 func (a *Agent) assignLoads() {
+	a.loads.assignedAt = a.now
 	gathers := a.machine.Gathers(a.now)
 	next := make(map[ident.UpstreamID]*poll, len(gathers))
 	for _, id := range gathers {
--- a/agent/loop.go
+++ b/agent/loop.go
@@ -92,7 +92,9 @@
 	a.pollLoads()
 	a.runLeftovers()
 	a.runOrders()
-	a.refreshView()
+	if a.viewDirty && a.now.Sub(a.view.At) >= a.viewInterval() {
+		a.refreshView()
+	}
 }
 
 // everySecond does what is cheap to do late.
@@ -101,7 +103,9 @@
 	a.updateRoster()
 	a.electReaders()
 	a.fallBack()
-	a.assignLoads()
+	if a.now.Sub(a.loads.assignedAt) >= assignInterval {
+		a.assignLoads()
+	}
 	a.viewDirty = true
 }
 
@@ -121,6 +125,5 @@
 	a.feed.pause = max(a.feed.pause, gap)
 	a.orderPlanner.Paused(a.now)
 	a.refreshPlatform()
-	a.viewDirty = true
 	a.refreshView()
 }
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -23,7 +23,7 @@
 	Operators OperatorSettings `yaml:"operators"`
 	Platform  PlatformSettings `yaml:"platform"`
 	// Approvers is the set whose quorum signs bundles, as of the deployment.
-	Approvers bundle.Approvers `yaml:"approvers"`
+	Approvers ApproverSettings `yaml:"approvers"`
 	// Preload is a folder with a packed bundle and its roll; empty for none.
 	Preload string `yaml:"preload"`
 	// Isolated says what to do at the start when neither the platform nor a
@@ -85,6 +85,47 @@
 	FallbackAfter time.Duration `yaml:"fallback_after"`
 }
 
+// ApproverSettings are the approvers whose quorum signs.
+type ApproverSettings struct {
+	Epoch  uint64        `yaml:"epoch"`
+	Quorum int           `yaml:"quorum"`
+	Keys   []ApproverKey `yaml:"keys"`
+}
+
+// ApproverKey is one approver and the public key, in hexadecimal.
+type ApproverKey struct {
+	Name string `yaml:"name"`
+	Key  string `yaml:"key"`
+}
+
+// KeyError reports an approver's key that is none.
+type KeyError struct {
+	// Index is the key's place in the list.
+	Index int
+	Err   error
+}
+
+// Error implements error.
+func (e *KeyError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *KeyError) Unwrap() error { return e.Err }
+
+// set returns the approvers in the form of package bundle. Errors are *KeyError
+// and *bundle.ApproversError.
+func (a ApproverSettings) set() (bundle.Approvers, error) {
+	set := bundle.Approvers{Epoch: a.Epoch, Quorum: a.Quorum}
+	for i, k := range a.Keys {
+		approver := bundle.Approver{Name: k.Name}
+		if err := approver.Key.UnmarshalText([]byte(k.Key)); err != nil {
+			return set, &KeyError{Index: i, Err: err}
+		}
+		set.Keys = append(set.Keys, approver)
+	}
+	set = set.Sorted()
+	return set, set.Check()
+}
+
 // LoadSettings concern the upstreams' load reports.
 type LoadSettings struct {
 	// Interval is the time between two reads of one upstream's load.
--- a/agent/views.go
+++ b/agent/views.go
@@ -23,12 +23,19 @@
 	return a.view
 }
 
-// refreshView looks anew at what is believed, if something may have changed, and
-// tells the planners.
+// viewInterval returns the least time between two looks after ordinary news: a
+// look's cost grows with the fleet.
+func (a *Agent) viewInterval() time.Duration {
+	entries := len(a.view.Instances) + len(a.view.Upstreams)
+	return tick + viewPerEntry*time.Duration(entries)
+}
+
+// viewPerEntry is what each instance and upstream adds to the interval.
+const viewPerEntry = time.Millisecond
+
+// refreshView looks anew at what is believed and tells the planners, if more than
+// loads and ages changed.
 func (a *Agent) refreshView() {
-	if !a.viewDirty && a.view != nil {
-		return
-	}
 	a.viewDirty = false
 	a.view = a.machine.View(a.now)
 	a.noteLives()
@@ -36,6 +43,7 @@
 		a.feed.shape = shape
 		a.feed.urgent = true
 		a.tellPlanners()
+		a.assignLoads()
 	}
 }
 
--- a/cmd/wardspool-agent/main.go
+++ b/cmd/wardspool-agent/main.go
@@ -27,10 +27,6 @@
 	exitSettings = 2 // the settings are at fault
 )
 
-// gcPercent makes the collector run early: the agent's memory is small and its
-// budget tight.
-const gcPercent = 50
-
 // description opens the help text.
 const description = `The agent beside an entry instance of wardspool: it reads signed bundles and
 lists from the platform or from its peers, feeds the entry, exchanges heartbeats,
@@ -92,7 +88,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
-	debug.SetGCPercent(gcPercent)
+	// The collector works harder near the limit; it is no hard bound.
 	debug.SetMemoryLimit(int64(s.Memory))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -41,6 +41,8 @@
 	// what one agent sent and received on average for one change.
 	inForce     time.Duration
 	changeBytes float64
+	// changeCPU is the processor time of one agent for one change, on average.
+	changeCPU time.Duration
 }
 
 // bytes returns the control traffic of an average agent, per second.
@@ -214,6 +216,8 @@
 		return err
 	}
 	c := summary(b.options, before, after)
+	extra := (c.cpuMean - r.cpuMean) / 100 * seconds(before[0], after[0]) / float64(b.options.Changes)
+	r.changeCPU = time.Duration(extra * float64(time.Second))
 	r.changeBytes = (c.bytes() - r.bytes()) * seconds(before[0], after[0]) / float64(b.options.Changes)
 	return nil
 }
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -33,6 +33,7 @@
 	{"partners", func(r *row) float64 { return r.partners }, 1},
 	{"heartbeat interval s", func(r *row) float64 { return r.interval.Seconds() }, 2},
 	{"in force ms, slowest", func(r *row) float64 { return float64(r.inForce) / float64(time.Millisecond) }, 0},
+	{"cpu ms per change", func(r *row) float64 { return float64(r.changeCPU) / float64(time.Millisecond) }, 0},
 	{"bytes per change", func(r *row) float64 { return r.changeBytes }, 0},
 }
 
