Dispatch within a region; regions are declared in the bundle's policy

Ruled out: regions from the platform's list (a lagging source for who dispatches; two instances that disagree would be two dispatchers). Change: policy.regions; dispatcher and engines by region; a region without engines of a model leaves placement to the kernel.

--- a/bundle/checkpolicy.go
+++ b/bundle/checkpolicy.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"regexp"
 
+	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/plugin"
 )
 
@@ -29,6 +30,7 @@
 	k.plugins("policy.admission", admissionNamespace, p.Admission)
 	k.plugins("policy.filters", filterNamespace, p.Filters)
 	k.scorers()
+	k.regions()
 	positive(k, "policy.queue_limit", p.QueueLimit, maxCount)
 	between(k, "policy.retry_budget", p.RetryBudget, 0, 1)
 	between(k, "policy.max_attempts", p.MaxAttempts, 1, maxAttempts)
@@ -56,24 +58,44 @@
 	for i, id := range ids {
 		path := fmt.Sprintf("%s[%d]", list, i)
 		k.plugin(path, namespace, id)
-		k.once(path, id, first)
+		once(k, path, id, first)
 	}
 	k.pluginCount(list, len(ids))
 }
 
+// regions checks that each region has a name of its own and that no zone lies in
+// two.
+func (k *checker) regions() {
+	names := map[ident.Region]bool{}
+	zones := map[ident.Zone]bool{}
+	for i, r := range k.content.Policy.Regions {
+		path := fmt.Sprintf("policy.regions[%d]", i)
+		k.name(path+".name", string(r.Name))
+		once(k, path+".name", r.Name, names)
+		if len(r.Zones) == 0 {
+			k.add(path+".zones", RuleMissing, "the region has no zones", "list the availability zones that lie in it")
+		}
+		for j, z := range r.Zones {
+			zonePath := fmt.Sprintf("%s.zones[%d]", path, j)
+			k.name(zonePath, string(z))
+			once(k, zonePath, z, zones)
+		}
+	}
+}
+
 func (k *checker) scorers() {
 	first := map[plugin.ID]bool{}
 	for i, s := range k.content.Policy.Scorers {
 		path := fmt.Sprintf("policy.scorers[%d]", i)
 		k.plugin(path+".id", scorerNamespace, s.ID)
-		k.once(path+".id", s.ID, first)
+		once(k, path+".id", s.ID, first)
 		positive(k, path+".weight", s.Weight, maxCount)
 	}
 	k.pluginCount("policy.scorers", len(k.content.Policy.Scorers))
 }
 
-// once reports a plug-in that is listed a second time.
-func (k *checker) once(path string, id plugin.ID, first map[plugin.ID]bool) {
+// once reports a name that is listed a second time.
+func once[T ~string](k *checker, path string, id T, first map[T]bool) {
 	if first[id] && id != "" {
 		k.add(path, RuleDuplicate, fmt.Sprintf("%q is listed twice", clip(string(id))), "list it once")
 	}
--- a/config/config.go
+++ b/config/config.go
@@ -140,6 +140,11 @@
 	Filters []plugin.ID `yaml:"filters" json:"filters"`
 	// Scorers rate placements, in namespace "scorer".
 	Scorers []Scorer `yaml:"scorers" json:"scorers"`
+	// Regions says which availability zones lie close together: a model's
+	// requests are dispatched within one region, so that no request waits for
+	// messages between regions. Zones that are not listed form a region of
+	// their own.
+	Regions []Region `yaml:"regions" json:"regions,omitempty"`
 	// QueueLimit bounds the requests waiting at one instance.
 	QueueLimit int `yaml:"queue_limit" json:"queue_limit"`
 	// RetryBudget is the share of requests that may be retries, 0 to 1.
@@ -156,6 +161,12 @@
 	TransferStall time.Duration `yaml:"transfer_stall" json:"transfer_stall"`
 }
 
+// Region names the availability zones of one region.
+type Region struct {
+	Name  ident.Region `yaml:"name" json:"name"`
+	Zones []ident.Zone `yaml:"zones" json:"zones"`
+}
+
 // Scorer names a scorer and its weight.
 type Scorer struct {
 	ID     plugin.ID `yaml:"id" json:"id"`
--- a/plugins/slots/dispatch/bed_test.go
+++ b/plugins/slots/dispatch/bed_test.go
@@ -75,6 +75,8 @@
 	loss, repeat float64
 	jitter       time.Duration
 	cut          map[[2]ident.InstanceID]bool
+	// zone gives a node or an engine a zone other than "z".
+	zone map[string]ident.Zone
 }
 
 func newBed(seed uint64, instances, slots, pieces int) *bed {
@@ -118,14 +120,21 @@
 		if dead[other.self.Instance] {
 			life = kernel.Dead
 		}
-		v.Instances = append(v.Instances, kernel.Instance{ID: other.self.Instance, Zone: "z", Incarnation: other.self.Incarnation, Life: life})
+		v.Instances = append(v.Instances, kernel.Instance{ID: other.self.Instance, Zone: other.self.Zone, Incarnation: other.self.Incarnation, Life: life})
 	}
 	for i, u := range n.bed.content.Upstreams {
-		v.Upstreams = append(v.Upstreams, kernel.Upstream{Index: i, ID: u.ID, Zone: "z", Incarnation: 1, Life: kernel.Live, Spec: u})
+		v.Upstreams = append(v.Upstreams, kernel.Upstream{Index: i, ID: u.ID, Zone: n.bed.zoneOf(string(u.ID)), Incarnation: 1, Life: kernel.Live, Spec: u})
 	}
 	n.view = v
 }
 
+func (b *bed) zoneOf(name string) ident.Zone {
+	if z, ok := b.zone[name]; ok {
+		return z
+	}
+	return "z"
+}
+
 // The node is the policy's host.
 
 func (n *node) Now() time.Time                           { return n.bed.now }
--- a/plugins/slots/dispatch/engines.go
+++ b/plugins/slots/dispatch/engines.go
@@ -67,7 +67,7 @@
 	}
 	for i := range view.Upstreams {
 		u := &view.Upstreams[i]
-		if !u.Serves(g.model) {
+		if !u.Serves(g.model) || !g.p.near(u.Zone) {
 			continue
 		}
 		switch u.Spec.Role {
--- a/plugins/slots/dispatch/holder.go
+++ b/plugins/slots/dispatch/holder.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/wardspool/wardspool/config"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/kernel"
 	"github.com/wardspool/wardspool/plugins/slots/slotkit"
@@ -75,11 +76,33 @@
 	h.wait = map[string]time.Duration{}
 }
 
-// Joint implements kernel.JointPolicy.
+// Joint implements kernel.JointPolicy. Where this region has no engines of the
+// model, the kernel places its requests itself, in another region.
 func (p *Policy) Joint(model string) bool {
 	p.refresh()
 	d := p.dispatcher(model)
-	return d != "" && !p.host.Now().Before(p.holder.silent[d])
+	if d == "" || p.host.Now().Before(p.holder.silent[d]) {
+		return false
+	}
+	return p.served(model)
+}
+
+// served reports whether the region has engines of both roles for the model.
+func (p *Policy) served(model string) bool {
+	prefill, decode := false, false
+	view := p.host.View()
+	for i := range view.Upstreams {
+		u := &view.Upstreams[i]
+		if !p.near(u.Zone) || !u.Serves(model) {
+			continue
+		}
+		prefill = prefill || u.Spec.Role == config.RolePrefill
+		decode = decode || u.Spec.Role == config.RoleDecode
+		if prefill && decode {
+			return true
+		}
+	}
+	return false
 }
 
 // Place implements kernel.JointPolicy.
--- a/plugins/slots/dispatch/setup.go
+++ b/plugins/slots/dispatch/setup.go
@@ -31,6 +31,8 @@
 	holder holder
 	groups map[string]*group
 	order  plugin.ID
+	// regions says which region a zone lies in, by the bundle.
+	regions map[ident.Zone]ident.Region
 	// kvUsable is how long after its prefill a KV cache may be imported.
 	kvUsable time.Duration
 }
@@ -64,12 +66,23 @@
 		lifetime = defaultKVLifetime
 	}
 	p.kvUsable = lifetime * kvUsablePercent / 100
+	p.regions = map[ident.Zone]ident.Region{}
+	for _, r := range c.Policy.Regions {
+		for _, z := range r.Zones {
+			p.regions[z] = r.Name
+		}
+	}
 	p.order = c.Policy.Order
 	if p.order == "" {
 		p.order = defaultOrder
 	}
 }
 
+// near reports whether a zone lies in this instance's region.
+func (p *Policy) near(z ident.Zone) bool {
+	return p.regions[z] == p.regions[p.host.Self().Zone]
+}
+
 // MessageKinds implements kernel.PeerHandler.
 func (*Policy) MessageKinds() []string {
 	return []string{KindAsk, KindQueued, KindPlaced, KindDecode, KindDeny, KindComputed, KindRelease, KindRenew, KindResync}
@@ -133,9 +146,10 @@
 	p.moveHoldings()
 }
 
-// dispatcher returns the instance that places the model's requests.
+// dispatcher returns the instance that places the model's requests in this
+// region.
 func (p *Policy) dispatcher(model string) ident.InstanceID {
-	return p.roster.Chosen("model/" + model)
+	return p.roster.Chosen("model/"+model, p.near)
 }
 
 // groupOf returns the dispatcher's state for a model. An instance that is asked
--- a/plugins/slots/slotkit/chosen.go
+++ b/plugins/slots/slotkit/chosen.go
@@ -3,7 +3,18 @@
 import "github.com/wardspool/wardspool/ident"
 
 // Chosen returns the live instance that is first by rendezvous hashing for a
-// name, whatever its zone. It is empty when no instance is live.
-func (r *Roster) Chosen(name string) ident.InstanceID {
-	return first(r.live, ident.UpstreamID(name), "")
+// name among those whose zone is wanted. It is empty when there is none.
+func (r *Roster) Chosen(name string, wanted func(ident.Zone) bool) ident.InstanceID {
+	var best ident.InstanceID
+	var bestWeight uint64
+	for i := range r.live {
+		if !wanted(r.live[i].Zone) {
+			continue
+		}
+		w := weight(r.live[i].ID, ident.UpstreamID(name))
+		if best == "" || before(w, r.live[i].ID, bestWeight, best) {
+			best, bestWeight = r.live[i].ID, w
+		}
+	}
+	return best
 }
