explain: calls with a ticket are found by the caller's request ID

Cause: the executor ran a ticket's call under a fresh ULID, because the caller's own ID may be in use there by another presentation; nothing led from the caller's ID to it, neither at the executor nor at an instance that forwarded the call. Ruled out: the load client, which sends its ID.

The run's ID now follows from the ticket's text (a hash, so that only its holder can guess it), and each instance journals the presentations it sees: caller's ID, run's ID, executor, what became of it. explain finds the run's records by either ID. Test shown failing with the fresh ULID put back.

--- a/entry/console/explain.go
+++ b/entry/console/explain.go
@@ -41,7 +41,7 @@
 	replies, unreached := askAll[peering.ExplainReply](ctx, pool, addresses, peering.MethodExplain, req)
 	out.Unreached = unreached
 	for _, r := range replies {
-		if len(r.Records) > 0 {
+		if len(r.Records) > 0 || len(r.Presentations) > 0 {
 			out.Found = append(out.Found, r)
 		}
 	}
@@ -82,11 +82,8 @@
 	if len(e.Found) == 0 {
 		fmt.Fprintf(w, "request %s: no instance asked knows it, or it was too long ago\n", e.Request)
 	}
-	for _, f := range e.Found {
-		first := f.Records[0]
-		fmt.Fprintf(w, "request %s on %s (%s): kind %s, workspace %s, bundle version %d\n",
-			e.Request, f.Instance, f.Zone, first.Kind, first.Workspace, first.BundleVersion)
-		if err := writeRecords(w, f.Records); err != nil {
+	for i := range e.Found {
+		if err := e.writeFound(w, &e.Found[i]); err != nil {
 			return err
 		}
 	}
@@ -96,6 +93,21 @@
 	return nil
 }
 
+// writeFound writes what one instance knows.
+func (e *Explanation) writeFound(w io.Writer, f *peering.ExplainReply) error {
+	for _, p := range f.Presentations {
+		fmt.Fprintf(w, "request %s on %s (%s) at %s: %s\n",
+			p.Request, f.Instance, f.Zone, p.Time.Format(time.RFC3339Nano), presentation(&p))
+	}
+	if len(f.Records) == 0 {
+		return nil
+	}
+	first := f.Records[0]
+	fmt.Fprintf(w, "request %s on %s (%s): kind %s, workspace %s, bundle version %d\n",
+		first.Request, f.Instance, f.Zone, first.Kind, first.Workspace, first.BundleVersion)
+	return writeRecords(w, f.Records)
+}
+
 // writeRecords writes one line a decision, and what its reason means.
 func writeRecords(w io.Writer, records []kernel.Record) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -88,7 +88,7 @@
 	e.book = peering.NewBook(knownPeers(s.Peers.Known))
 	e.pool = peer.NewPool(e.peerConfig(e.book.Known))
 	e.driver = e.newDriver(k)
-	if e.desk, err = newDesk(&s.Tickets, e.self, e.book, e.pool, log); err != nil {
+	if e.desk, err = newDesk(&s.Tickets, e.self, e.book, e.pool, e.recorder); err != nil {
 		return nil, oops.In("entry").Wrapf(err, "make the tickets' keys")
 	}
 	e.front = e.newFront(reporter)
@@ -242,9 +242,10 @@
 // Explain implements peering.Source.
 func (e *Entry) Explain(id ident.RequestID) peering.ExplainReply {
 	return peering.ExplainReply{
-		Instance: e.self.Instance,
-		Zone:     e.self.Zone,
-		Records:  e.recorder.journal.Find(id),
+		Instance:      e.self.Instance,
+		Zone:          e.self.Zone,
+		Records:       e.recorder.journal.Find(id),
+		Presentations: e.recorder.journal.Presentations(id),
 	}
 }
 
--- a/entry/fed_test.go
+++ b/entry/fed_test.go
@@ -43,6 +43,7 @@
 callers: {listen: "127.0.0.1:0"}
 peers: {listen: "127.0.0.1:0"}
 feed: {listen: "127.0.0.1:0"}
+operators: {listen: "127.0.0.1:0", names: [ops-1]}
 stop: {grace: 1ms, timeout: 10s}
 tickets: {keys: [{id: k1, secret: "MDEyMzQ1Njc4OWFiY2RlZjAxMjM0NTY3ODlhYmNkZWY="}]}
 `
--- a/entry/front/ticket.go
+++ b/entry/front/ticket.go
@@ -151,8 +151,9 @@
 	c.headers.Repeatable = &no
 	c.headers.Deadline = time.Duration(t.DeadlineMS) * time.Millisecond
 	c.headers.IdempotencyKey = t.IdempotencyKey
-	// The caller's own ID may be in use here by another presentation.
-	c.headers.RequestID = newRequestID()
+	// The caller's own ID may be in use here by another presentation. The
+	// journal leads from it to this one.
+	c.headers.RequestID = t.Run
 	var ok bool
 	if c.target, ok = parseTarget(t.Path); !ok || c.catalog == nil {
 		f.fail(w, c, noRoute(http.StatusNotFound, "no such path"))
--- a/entry/journal/journal_test.go
+++ b/entry/journal/journal_test.go
@@ -23,3 +23,24 @@
 	assert.Equal(t, two[1].Offset, 5)
 	assert.Equal(t, len(j.Find("9")), 0)
 }
+
+// TestPresentations: the records of a run are found by the ID of each request
+// that presented the ticket, and the requests by the run's ID.
+func TestPresentations(t *testing.T) {
+	j := New(8)
+	j.Add(kernel.Record{Request: "run-1"})
+	j.Add(kernel.Record{Request: "other"})
+	for _, id := range []ident.RequestID{"mine", "mine", "second"} {
+		j.Present(Presentation{Request: id, Run: "run-1"})
+	}
+	assert.Equal(t, len(j.Find("mine")), 1)
+	assert.Equal(t, len(j.Find("second")), 1)
+	assert.Equal(t, len(j.Find("run-1")), 1)
+	assert.Equal(t, len(j.Presentations("mine")), 2)
+	assert.Equal(t, len(j.Presentations("run-1")), 3)
+	for range 4 {
+		j.Present(Presentation{Request: "later", Run: "run-2"})
+	}
+	assert.Equal(t, len(j.Presentations("mine")), 0, "the oldest go first")
+	assert.Equal(t, len(j.Find("mine")), 0)
+}
--- a/entry/peering/operator.go
+++ b/entry/peering/operator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/wardspool/wardspool/entry/journal"
 	"github.com/wardspool/wardspool/entry/stats"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/kernel"
@@ -22,12 +23,15 @@
 	Request ident.RequestID `json:"request"`
 }
 
-// ExplainReply is the result of MethodExplain. Records is empty if the instance
-// does not know the request, or no longer.
+// ExplainReply is the result of MethodExplain. Records and Presentations are
+// empty if the instance does not know the request, or no longer.
 type ExplainReply struct {
 	Instance ident.InstanceID `json:"instance"`
 	Zone     ident.Zone       `json:"zone"`
 	Records  []kernel.Record  `json:"records"`
+	// Presentations lists how the request came here with a ticket. The records
+	// of its run have the run's ID in place of the request's.
+	Presentations []journal.Presentation `json:"presentations,omitempty"`
 }
 
 // StatsReply is the result of MethodStats.
--- a/entry/recorder.go
+++ b/entry/recorder.go
@@ -96,6 +96,12 @@
 	r.add(line{record: rec})
 }
 
+// Presented notes a call that came with a ticket.
+func (r *recorder) Presented(p journal.Presentation) {
+	r.journal.Present(p)
+	r.info("ticket presented", "request", p.Request, "run", p.Run, "executor", p.Executor, "action", p.Action)
+}
+
 // Ended implements driver.Observer.
 func (r *recorder) Ended(s driver.Summary) {
 	r.stats.Ended(s)
--- /dev/null
+++ b/entry/ticket_test.go
@@ -0,0 +1,52 @@
+package entry_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/entry/console"
+	"github.com/wardspool/wardspool/entry/journal"
+	"github.com/wardspool/wardspool/entry/tickets"
+	"github.com/wardspool/wardspool/ident"
+)
+
+// TestTicketIsExplained: the caller's request ID leads to what happened to its
+// call, also when another instance ran it.
+func TestTicketIsExplained(t *testing.T) {
+	f := newFleet(t)
+	f.feedAll()
+	text := f.ticket(0)
+	for _, id := range []string{"first-try", "second-try"} {
+		f.use(1)
+		resp, body := f.do(http.MethodPost, "/services/desk/orders", "{}",
+			api.HeaderTicket, text, api.HeaderKind, "order", api.HeaderRequestID, id)
+		assert.Equal(t, resp.Header.Get(api.HeaderRequestID), id, body)
+	}
+	pool := operator(t, "ops-1")
+	addresses := []string{f.entries[0].OperatorAddress(), f.entries[1].OperatorAddress()}
+	for id, want := range map[ident.RequestID][]string{
+		"first-try":         {"first-try on entry-0 (hall-a) at ", "its ticket was used here", "first-try on entry-1 (hall-a) at ", "forwarded to entry-0"},
+		"second-try":        {"second-try on entry-0 (hall-a) at ", "was given again", "second-try on entry-1 (hall-a) at ", "forwarded to entry-0"},
+		tickets.RunID(text): {"first-try on entry-0 (hall-a) at ", "second-try on entry-0 (hall-a) at "},
+	} {
+		e := console.Explain(t.Context(), pool, addresses, id)
+		var out strings.Builder
+		assert.NilError(t, e.Write(&out))
+		want = append(want, string(tickets.RunID(text))+" on entry-0 (hall-a): kind order, workspace default", "called", "whole_answer")
+		for _, part := range want {
+			assert.Check(t, strings.Contains(out.String(), part), "%q for %s in\n%s", part, id, out.String())
+		}
+	}
+
+	f.stops[0]()
+	f.use(1)
+	f.do(http.MethodPost, "/services/desk/orders", "{}", api.HeaderTicket, text, api.HeaderKind, "order", api.HeaderRequestID, "late")
+	e := console.Explain(t.Context(), pool, addresses[1:], "late")
+	assert.Equal(t, len(e.Found), 1)
+	last := e.Found[0].Presentations[len(e.Found[0].Presentations)-1]
+	assert.Equal(t, last.Action, journal.PresentationUnreachable)
+}
--- a/entry/tickets.go
+++ b/entry/tickets.go
@@ -4,7 +4,6 @@
 	"crypto/rand"
 	"encoding/base64"
 	"encoding/binary"
-	"log/slog"
 
 	"github.com/wardspool/wardspool/entry/peering"
 	"github.com/wardspool/wardspool/entry/tickets"
@@ -37,7 +36,7 @@
 }
 
 // newDesk returns the desk of an instance, nil if it has no ticket keys.
-func newDesk(t *TicketSettings, self kernel.Self, book *peering.Book, pool *peer.Pool, log *slog.Logger) (*tickets.Desk, error) {
+func newDesk(t *TicketSettings, self kernel.Self, book *peering.Book, pool *peer.Pool, r *recorder) (*tickets.Desk, error) {
 	codec, err := t.codec()
 	if err != nil || codec == nil {
 		return nil, err
@@ -56,6 +55,7 @@
 		Limits:  limits,
 		Codec:   codec,
 		Forward: tickets.NewPeers(book, pool),
-		Log:     log,
+		Observe: r.Presented,
+		Log:     r.log,
 	}), nil
 }
--- a/entry/tickets/desk.go
+++ b/entry/tickets/desk.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/entry/journal"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/kernel"
 	"github.com/wardspool/wardspool/ticket"
@@ -31,6 +32,8 @@
 	IdempotencyKey string              `json:"idempotency_key"`
 	Header         map[string][]string `json:"header"`
 	Body           []byte              `json:"body"`
+	// Run is the ID under which the call runs. Each instance sets it anew.
+	Run ident.RequestID `json:"-"`
 }
 
 // digest identifies what the call asks for.
@@ -69,6 +72,7 @@
 	codec   *ticket.Codec
 	forward Forwarder
 	run     Runner
+	observe func(journal.Presentation)
 	log     *slog.Logger
 
 	mu       sync.Mutex
@@ -91,6 +95,8 @@
 	Limits  ticket.Limits
 	Codec   *ticket.Codec
 	Forward Forwarder
+	// Observe is told of each presentation. It must not block.
+	Observe func(journal.Presentation)
 	Log     *slog.Logger
 }
 
@@ -100,6 +106,7 @@
 	return &Desk{
 		codec:    o.Codec,
 		forward:  o.Forward,
+		observe:  o.Observe,
 		log:      o.Log,
 		executor: ticket.NewExecutor(o.Life, o.Limits),
 		jobs:     map[uint64]*job{},
@@ -128,12 +135,15 @@
 	if err != nil {
 		return Reply{Problem: ticket.InvalidProblem(err)}
 	}
+	c.Run = RunID(c.Ticket)
 	switch way := ticket.Route(t, d.life(), d.view(t)); way.Destination {
 	case ticket.Here:
 		return d.present(ctx, t, c)
 	case ticket.Forward:
-		return d.send(ctx, way.To, c)
+		d.note(t, c, journal.PresentationForwarded)
+		return d.send(ctx, t, way.To, c)
 	default:
+		d.note(t, c, journal.PresentationUnreachable)
 		return Reply{Problem: way.Problem}
 	}
 }
@@ -145,6 +155,7 @@
 	if err != nil {
 		return Reply{Problem: ticket.InvalidProblem(err)}
 	}
+	c.Run = RunID(c.Ticket)
 	return d.present(ctx, t, c)
 }
 
@@ -166,9 +177,10 @@
 }
 
 // send forwards a call.
-func (d *Desk) send(ctx context.Context, to ident.InstanceID, c *Call) Reply {
+func (d *Desk) send(ctx context.Context, t ticket.Ticket, to ident.InstanceID, c *Call) Reply {
 	r, err := d.forward.Forward(ctx, to, c)
 	if err != nil {
+		d.note(t, c, journal.PresentationUnreachable)
 		d.log.Info("ticket not forwarded", "request", c.Request, "executor", to, "error", err)
 		return Reply{Problem: ticket.UnreachableProblem()}
 	}
@@ -181,6 +193,7 @@
 	now := time.Now()
 	d.executor.Sweep(now)
 	v := d.executor.Present(now, t, c.digest())
+	d.note(t, c, actionOf[v.Action])
 	switch v.Action {
 	case ticket.Refuse:
 		d.mu.Unlock()
--- /dev/null
+++ b/entry/tickets/run.go
@@ -0,0 +1,48 @@
+package tickets
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"github.com/wardspool/wardspool/entry/journal"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/ticket"
+)
+
+const (
+	// runPrefix tells IDs of runs from callers' in logs and explanations.
+	runPrefix = "ticket-"
+	// runBytes of the hash are enough that no two tickets share an ID.
+	runBytes = 16
+)
+
+// RunID returns the ID under which the call of a ticket runs. It follows from
+// the ticket's text, so that all instances know it; as it is a hash, only the
+// ticket's holder can guess it.
+func RunID(text string) ident.RequestID {
+	sum := sha256.Sum256([]byte(text))
+	return ident.RequestID(runPrefix + hex.EncodeToString(sum[:runBytes]))
+}
+
+// actionOf names an executor's decisions for the journal.
+var actionOf = map[ticket.Action]journal.PresentationAction{
+	ticket.Run:    journal.PresentationRun,
+	ticket.Join:   journal.PresentationJoined,
+	ticket.Replay: journal.PresentationReplayed,
+	ticket.Refuse: journal.PresentationRefused,
+}
+
+// note tells the observer what became of a presentation.
+func (d *Desk) note(t ticket.Ticket, c *Call, action journal.PresentationAction) {
+	if d.observe == nil {
+		return
+	}
+	d.observe(journal.Presentation{
+		Time:     time.Now(),
+		Request:  c.Request,
+		Run:      c.Run,
+		Executor: t.Executor.Instance,
+		Action:   action,
+	})
+}
