Driver: a prefill that never answers is given up

Cause: only decodes had a watchdog; a prefill on an engine that accepts the connection and never answers held its request until the deadline. Ruled out: the decode's first token, which is bounded already (transfer_stall and twice the expected transfer; TestStall/first).

A prefill now has 4 times its expected time (reported queue or this instance's own work there, whichever is more, and its own tokens, at the bundle's rate) and transfer_stall, at least 2 s. Then it fails as stalled, ambiguous, and is cancelled. The driver counts its prompt work per engine and keeps the newest load report, since the kernel works on a copy of the view. Without the watch the test does not end (run with -timeout 8s).

--- a/entry/driver/actions.go
+++ b/entry/driver/actions.go
@@ -104,7 +104,11 @@
 		Model:        a.exchange.Model,
 		ContinueFrom: s.ContinueFrom,
 	}
+	patience := d.prefillPatience(a, s.ContinueFrom)
+	d.charge(a, a.exchange.Request.PromptTokens+s.ContinueFrom)
 	d.run(a, func() (kernel.Event, error) {
+		watch := d.newWatch(a, patience)
+		defer watch.stop()
 		got, err := d.opts.Engine.Prefill(a.ctx, call)
 		if err != nil {
 			return nil, err
--- a/entry/driver/attempt.go
+++ b/entry/driver/attempt.go
@@ -27,6 +27,8 @@
 	// over is set when the driver no longer wants the attempt's reports. It is
 	// owned by the driver's goroutine.
 	over bool
+	// charged is the prompt work counted for it, in tokens; owned likewise.
+	charged int
 
 	// Results of the goroutine, set before it reports them.
 	decoded adapter.Decoded
@@ -198,6 +200,7 @@
 // forget drops an attempt whose reports are no longer wanted.
 func (d *Driver) forget(a *attempt) {
 	a.over = true
+	d.discharge(a)
 	delete(a.exchange.live, a)
 	if d.attempts[a.id] == a {
 		delete(d.attempts, a.id)
--- a/entry/driver/driver.go
+++ b/entry/driver/driver.go
@@ -111,12 +111,14 @@
 	exchanges map[ident.RequestID]*Exchange
 	attempts  map[ident.AttemptID]*attempt
 	upstreams map[ident.UpstreamID]*kernel.Upstream
-	content   *config.Content
-	specs     map[ident.UpstreamID]*config.Upstream
-	models    map[string]*config.Model
-	services  map[string]*config.Service
-	peers     map[ident.InstanceID]chan kernel.PeerMessage
-	quiet     []chan struct{}
+	// prefilling is the prompt work in flight at each engine, in tokens.
+	prefilling map[ident.UpstreamID]int
+	content    *config.Content
+	specs      map[ident.UpstreamID]*config.Upstream
+	models     map[string]*config.Model
+	services   map[string]*config.Service
+	peers      map[ident.InstanceID]chan kernel.PeerMessage
+	quiet      []chan struct{}
 }
 
 // New returns a driver; Run starts it.
@@ -132,16 +134,17 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Driver{
-		opts:      o,
-		inbox:     make(chan message, o.Inbox),
-		stopped:   make(chan struct{}),
-		gate:      newPauseGate(o.PauseAfter),
-		ctx:       ctx,
-		cancel:    cancel,
-		exchanges: map[ident.RequestID]*Exchange{},
-		attempts:  map[ident.AttemptID]*attempt{},
-		upstreams: map[ident.UpstreamID]*kernel.Upstream{},
-		peers:     map[ident.InstanceID]chan kernel.PeerMessage{},
+		opts:       o,
+		inbox:      make(chan message, o.Inbox),
+		stopped:    make(chan struct{}),
+		gate:       newPauseGate(o.PauseAfter),
+		ctx:        ctx,
+		cancel:     cancel,
+		exchanges:  map[ident.RequestID]*Exchange{},
+		attempts:   map[ident.AttemptID]*attempt{},
+		upstreams:  map[ident.UpstreamID]*kernel.Upstream{},
+		prefilling: map[ident.UpstreamID]int{},
+		peers:      map[ident.InstanceID]chan kernel.PeerMessage{},
 	}
 }
 
--- a/entry/driver/driver_test.go
+++ b/entry/driver/driver_test.go
@@ -64,7 +64,9 @@
 
 // fakeEngine is an engine whose decodes a test writes.
 type fakeEngine struct {
-	decode func(ctx context.Context, c *adapter.DecodeCall, s adapter.Sink) (adapter.Decoded, error)
+	// prefill is optional.
+	prefill func(ctx context.Context) (adapter.Prefilled, error)
+	decode  func(ctx context.Context, c *adapter.DecodeCall, s adapter.Sink) (adapter.Decoded, error)
 
 	mu      sync.Mutex
 	cancels []ident.AttemptID
@@ -72,7 +74,10 @@
 
 func (*fakeEngine) PluginInfo() plugin.Info { return plugin.Info{} }
 
-func (*fakeEngine) Prefill(context.Context, *adapter.PrefillCall) (adapter.Prefilled, error) {
+func (e *fakeEngine) Prefill(ctx context.Context, _ *adapter.PrefillCall) (adapter.Prefilled, error) {
+	if e.prefill != nil {
+		return e.prefill(ctx)
+	}
 	return adapter.Prefilled{}, nil
 }
 
--- /dev/null
+++ b/entry/driver/patience_test.go
@@ -0,0 +1,69 @@
+package driver
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/adapter"
+	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+// TestPrefillThatNeverAnswers has an engine that takes the prefill and says
+// nothing: the attempt is given up long before the caller's deadline.
+func TestPrefillThatNeverAnswers(t *testing.T) {
+	decide := func(ev kernel.Event) []kernel.Action {
+		if _, ok := ev.(kernel.Arrive); ok {
+			return []kernel.Action{kernel.StartPrefill{Attempt: attemptID(1), Request: "r-1", Upstream: "dc-1"}}
+		}
+		return decodeOnce(ev)
+	}
+	inRig(t, decide, func(t *testing.T, r *rig) {
+		r.engine.prefill = func(ctx context.Context) (adapter.Prefilled, error) {
+			<-ctx.Done()
+			return adapter.Prefilled{}, ctx.Err()
+		}
+		begin := time.Now()
+		assert.Equal(t, r.submit(t.Context()).Outcome, api.Unknown)
+		assert.Equal(t, time.Since(begin), defaultStall)
+		failed := seen[kernel.AttemptFailed](r.kernel)
+		assert.Equal(t, len(failed), 1)
+		assert.Equal(t, failed[0].Code, kernel.FailureStalled)
+		assert.Equal(t, failed[0].Evidence, kernel.Ambiguous)
+		synctest.Wait()
+		assert.DeepEqual(t, r.engine.cancels, []ident.AttemptID{attemptID(1)})
+	})
+}
+
+func TestPrefillPatience(t *testing.T) {
+	d := New(Options{Kernel: &script{decide: func(kernel.Event) []kernel.Action { return nil }}, Observer: &fakeObserver{}, Log: discard()})
+	d.configure(testContent())
+	a := &attempt{
+		target:   adapter.Target{Upstream: "pf-1"},
+		exchange: &Exchange{Request: &kernel.Request{Model: "m", PromptTokens: 900}},
+	}
+	const stall = 300 * time.Millisecond
+	bound := func() time.Duration { return d.prefillPatience(a, 100).first }
+	assert.Equal(t, bound(), minPrefillPatience, "no rate declared")
+	d.specs["pf-1"].PrefillTokensPerSecond = 1000
+	assert.Equal(t, bound(), prefillSlack*time.Second+stall, "idle")
+
+	other := &attempt{target: a.target, exchange: &Exchange{}}
+	d.charge(other, 2000)
+	assert.Equal(t, bound(), 3*prefillSlack*time.Second+stall, "own queue")
+	d.forget(other)
+	d.forget(other)
+	assert.Equal(t, len(d.prefilling), 0)
+
+	synctest.Test(t, func(t *testing.T) {
+		d.upstreams["pf-1"] = &kernel.Upstream{}
+		d.external(kernel.LoadSeen{Upstream: "pf-1", Load: kernel.Load{At: time.Now(), QueuedTokens: 1000}})
+		d.external(kernel.LoadSeen{Upstream: "pf-1", Load: kernel.Load{At: time.Now().Add(-time.Second)}})
+		assert.Equal(t, bound(), 2*prefillSlack*time.Second+stall, "newest report")
+	})
+}
--- a/entry/driver/step.go
+++ b/entry/driver/step.go
@@ -32,11 +32,13 @@
 	switch e := ev.(type) {
 	case kernel.ViewChanged:
 		clear(d.upstreams)
-		for i := range e.View.Upstreams {
-			u := &e.View.Upstreams[i]
-			d.upstreams[u.ID] = u
+		for _, u := range e.View.Upstreams {
+			d.upstreams[u.ID] = &u
 		}
 		d.step(ev)
+	case kernel.LoadSeen:
+		d.seen(e)
+		d.step(ev)
 	case kernel.Configured:
 		before := d.opts.Kernel.Version()
 		d.step(ev)
