Kernel: bound the upstreams looked at in one decision

Cause: a decision looked at every engine of the model; the aim is 20 us before 600. Ruled out: two random choices (loses the zone and prefix preference of short lists); a sorted index (every load report would reorder it). Change: of more than 96 engines for a role a random window of 96 is looked at. Conclusion: kept; to be measured on a quiet machine.

--- a/kernel/place.go
+++ b/kernel/place.go
@@ -79,10 +79,33 @@
 
 func (k *Kernel) tieBreak() float64 { return k.rand.Float64() * tieBreakSeconds }
 
+// maxScan bounds the upstreams looked at in one decision for each role. Of more
+// than that a run of neighbours is looked at, from a random one on.
+const maxScan = 96
+
+// scan returns the upstreams to look at: all of a short list, a random window of
+// a long one, in two halves where it wraps around.
+func (k *Kernel) scan(at []int) (first, second []int) {
+	if len(at) <= maxScan {
+		return at, nil
+	}
+	from := k.rand.IntN(len(at))
+	if from+maxScan <= len(at) {
+		return at[from : from+maxScan], nil
+	}
+	return at[from:], at[:from+maxScan-len(at)]
+}
+
 func (k *Kernel) shortlistPrefills(d *Decision, c *call) {
+	k.placer.prefills.reset()
+	first, second := k.scan(k.fleet.prefills[c.request.Model])
+	k.rankPrefills(d, c, first)
+	k.rankPrefills(d, c, second)
+}
+
+func (k *Kernel) rankPrefills(d *Decision, c *call, at []int) {
 	list := &k.placer.prefills
-	list.reset()
-	for _, i := range k.fleet.prefills[c.request.Model] {
+	for _, i := range at {
 		u := &k.fleet.view.Upstreams[i]
 		if !k.keep(d, c, u, config.RolePrefill) {
 			continue
@@ -98,8 +121,14 @@
 // shortlistDecodes ranks the upstreams at the given indexes as decode engines,
 // or as plain services.
 func (k *Kernel) shortlistDecodes(d *Decision, c *call, at []int, role config.Role) {
+	k.placer.decodes.reset()
+	first, second := k.scan(at)
+	k.rankDecodes(d, c, first, role)
+	k.rankDecodes(d, c, second, role)
+}
+
+func (k *Kernel) rankDecodes(d *Decision, c *call, at []int, role config.Role) {
 	list := &k.placer.decodes
-	list.reset()
 	for _, i := range at {
 		u := &k.fleet.view.Upstreams[i]
 		if !k.keep(d, c, u, role) {
