--- a/agent/loop.go
+++ b/agent/loop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wardspool/wardspool/peer"
+	"github.com/wardspool/wardspool/platform"
 )
 
 // Timing of the loop.
@@ -101,8 +102,8 @@
 func (a *Agent) everySecond() {
 	a.step(tickEvent)
 	a.updateRoster()
-	a.electReaders()
 	a.fallBack()
+	a.electReaders()
 	if a.now.Sub(a.loads.assignedAt) >= assignInterval {
 		a.assignLoads()
 	}
@@ -124,6 +125,8 @@
 	a.step(tickEvent)
 	a.feed.pause = max(a.feed.pause, gap)
 	a.orderPlanner.Paused(a.now)
-	a.refreshPlatform()
+	// The ledger asks for the roll by itself.
+	a.readKey(platform.KeyInstances)
+	a.readKey(platform.KeyUpstreams)
 	a.refreshView()
 }
--- a/agent/source.go
+++ b/agent/source.go
@@ -44,8 +44,10 @@
 	answers bool
 	// answered is how many calls had been answered at the last look.
 	answered uint64
-	// retryAt is when this instance may read by itself again, and reading says
-	// that it does.
+	// watchUntil is until when this instance watches all keys, whoever is elected.
+	watchUntil time.Time
+	// retryAt is when it may read or watch by itself again, and reading counts
+	// its reads in progress.
 	retryAt time.Time
 	reading int
 }
@@ -81,7 +83,7 @@
 func (a *Agent) electReaders() {
 	live := a.zoneInstances()
 	for _, key := range watchedKeys {
-		reads := platform.Reads(a.self.Instance, key, a.self.Zone, live, a.settings.Platform.Readers)
+		reads := a.standsIn(key) || platform.Reads(a.self.Instance, key, a.self.Zone, live, a.settings.Platform.Readers)
 		end, watching := a.source.watches[key]
 		switch {
 		case reads && !watching:
@@ -94,6 +96,12 @@
 	a.noteAnswers()
 }
 
+// standsIn reports whether this instance watches a key because no word of the
+// platform came: one key first, the others once it has answered.
+func (a *Agent) standsIn(key string) bool {
+	return a.now.Before(a.source.watchUntil) && (key == platform.KeyRoll || a.source.answers)
+}
+
 // watch starts a watch of a key.
 func (a *Agent) watch(key string) {
 	ctx, end := context.WithCancel(a.callCtx)
@@ -123,7 +131,7 @@
 
 // refreshPlatform reads all watched keys once.
 func (a *Agent) refreshPlatform() {
-	a.source.retryAt = a.now.Add(a.random.jittered(max(startRetry, a.settings.Platform.FallbackAfter)))
+	a.source.retryAt = a.now.Add(a.random.jittered(startRetry))
 	for _, key := range watchedKeys {
 		a.readKey(key)
 	}
@@ -146,18 +154,21 @@
 	})
 }
 
-// fallBack reads the platform itself when no word of it has come for long.
+// fallBack watches the platform for a while when no word of it has come for long.
+// A watch from the indexes known costs nothing but the calls if nothing is new.
 func (a *Agent) fallBack() {
-	if a.source.reading > 0 || a.now.Before(a.source.retryAt) {
+	s := &a.source
+	if s.reading > 0 || a.now.Before(s.retryAt) {
 		return
 	}
 	after := a.settings.Platform.FallbackAfter
 	switch {
-	case a.source.seen.IsZero():
-		a.refreshPlatform()
-		a.source.retryAt = a.now.Add(a.random.jittered(startRetry))
-	case a.now.Sub(a.source.seen) >= after:
+	case s.seen.IsZero():
 		a.refreshPlatform()
+	case a.now.Sub(s.seen) >= after:
+		s.watchUntil = a.now.Add(a.settings.Platform.Wait + readTimeout)
+		s.answers = false
+		s.retryAt = a.now.Add(a.random.jittered(after))
 	}
 }
 
--- /dev/null
+++ b/agent/views_test.go
@@ -0,0 +1,125 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/membership"
+	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/standin/control"
+)
+
+// TestFedIncarnation: the entry must not take an upstream whose number becomes
+// known for another process.
+func TestFedIncarnation(t *testing.T) {
+	a := &Agent{feed: feedState{lives: map[ident.UpstreamID]*fedLife{}}}
+	fed := func(id ident.UpstreamID, inc ident.Incarnation) ident.Incarnation {
+		return a.fedIncarnation(&membership.Upstream{ID: id, Incarnation: inc})
+	}
+	assert.Equal(t, fed("unnumbered", 0), ident.Incarnation(0))
+	assert.Equal(t, fed("unnumbered", 5), ident.Incarnation(0), "the same process")
+	assert.Equal(t, fed("unnumbered", 5), ident.Incarnation(0))
+	assert.Equal(t, fed("unnumbered", 6), ident.Incarnation(6), "another process")
+	assert.Equal(t, fed("numbered", 5), ident.Incarnation(5))
+	assert.Equal(t, fed("numbered", 6), ident.Incarnation(6))
+}
+
+// TestUnlistedUpstream: what the platform lists no more gets no new work, and
+// gets it again when it is listed again.
+func TestUnlistedUpstream(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		f.addEngine("dc-1", "hall-a", config.RoleDecode)
+		nodes := f.addAll(2, "hall-a")
+		f.list()
+		startAll(nodes)
+		f.within(5*time.Second, "engine live", all(nodes, "dc-1", kernel.Live))
+		listed := f.ups
+		f.ups = nil
+		f.list()
+		f.within(3*time.Second, "no new work", all(nodes, "dc-1", kernel.Unreachable))
+		f.ups = listed
+		f.list()
+		f.within(3*time.Second, "work again", all(nodes, "dc-1", kernel.Live))
+	})
+}
+
+// TestFallback: when the zone's readers have no word of the platform for long, the
+// others read it themselves.
+func TestFallback(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		nodes := f.addAll(8, "hall-a")
+		f.list()
+		f.publish(nil)
+		startAll(nodes)
+		f.within(8*time.Second, "version 1 in force", allAt(nodes, 1))
+		time.Sleep(5 * time.Second)
+		others := 0
+		for _, n := range nodes {
+			if len(n.status().Platform.Watches) > 0 {
+				f.net.cut(n.host, platformHost, true)
+			} else {
+				others++
+			}
+		}
+		assert.Assert(t, others > 0)
+		f.publish(nil)
+		took := f.within(2*time.Minute, "version 2 in force", allAt(nodes, 2))
+		t.Logf("in force everywhere after %v", took)
+		assert.Assert(t, took > 20*time.Second, "nobody but the readers reads while there is word")
+	})
+}
+
+// TestPlatformCallsWhileDown: an outage must not make a storm of reads.
+func TestPlatformCallsWhileDown(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		nodes := f.addAll(6, "hall-a")
+		f.list()
+		f.publish(nil)
+		startAll(nodes)
+		f.within(8*time.Second, "version 1 in force", allAt(nodes, 1))
+		time.Sleep(20 * time.Second)
+		assert.NilError(t, f.platform.SetMode(control.PlatformMode{Mode: control.ModeDown}))
+		time.Sleep(time.Minute)
+		before := f.calls(nodes)
+		time.Sleep(5 * time.Minute)
+		perSecond := float64(f.calls(nodes)-before) / 300
+		t.Logf("%.2f calls a second by 6 instances", perSecond)
+		// 8 watches, each at most every 7.5 s; each instance one more for 12 s in
+		// 30 s, with pauses that double from 0.1 s.
+		assert.Assert(t, perSecond < 8/7.5+6*7/30.0, "%f", perSecond)
+	})
+}
+
+// calls adds up the nodes' calls to the platform.
+func (f *fleet) calls(nodes []*node) uint64 {
+	total := uint64(0)
+	for _, n := range nodes {
+		total += n.status().Platform.Calls
+	}
+	return total
+}
+
+// TestGarbledLists: a list that cannot be read leaves the one before in place.
+func TestGarbledLists(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		f.addEngine("dc-1", "hall-a", config.RoleDecode)
+		nodes := f.addAll(2, "hall-a")
+		f.list()
+		startAll(nodes)
+		f.within(5*time.Second, "engine live", all(nodes, "dc-1", kernel.Live))
+		f.platform.Put(platform.KeyUpstreams, []byte(`{"upstreams":[`))
+		f.platform.Put(platform.KeyInstances, []byte(`[]`))
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, all(nodes, "dc-1", kernel.Live)())
+		assert.Equal(t, nodes[0].status().Fleet.Instances[0].State, "alive")
+		f.list()
+		f.ups = append(f.ups, platform.Upstream{ID: "dc-9", Zone: "hall-b", Address: "10.9.9.9:1", Role: config.RoleDecode, State: platform.StateLive})
+		f.list()
+		f.within(3*time.Second, "good list taken", func() bool { return nodes[1].entry.upstream("dc-9") != nil })
+	})
+}
