membership: bounded cost at 410 instances, words that an instance is missing

Cause: at 410 instances in 6 zones BenchmarkFleet showed 165 to 232 of 409 others wrongly not alive at each node, load reports that never arrived (58 s old after a minute's run), and 4 KB/s at the busiest node. Ruled out, measured in between: one mark of what was sent for all partners (reports die out); thresholds in multiples of the own interval alone (nodes with few partners suspect everyone); watching each instance of another zone by its own stamps (342 of them do not fit the budget: 80 s old at p99); fan-out 5 (own zone 11.7 s at p99 where 3 gave 8.5, in zones of 68, before probing was rarer). Change: what a partner lacks is kept for each partner; other zones are believed as a whole until a peer there misses an instance; partners keep the longer of their two intervals; the interval follows the measured frame size; work is done in the order of IDs, not of a map.

--- /dev/null
+++ b/membership/bench_test.go
@@ -0,0 +1,231 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/ident"
+)
+
+// zoneSizes are fleets by their number of instances: 24 is today's scale, 410
+// the one of two years on.
+var zoneSizes = map[int][]int{
+	24:  {8, 8, 8},
+	48:  {16, 16, 16},
+	410: {69, 69, 68, 68, 68, 68},
+}
+
+// upstreamsPerZone is the number of upstreams of each zone at 410 instances: 600
+// in all.
+const upstreamsPerZone = 100
+
+// addBackends lists 100 upstreams for each zone everywhere.
+func (f *fleet) addBackends(zones int) {
+	var list []ListedUpstream
+	for z := range zones {
+		for i := range upstreamsPerZone {
+			list = append(list, ListedUpstream{
+				ID: ident.UpstreamID(fmt.Sprintf("up-%c%d", 'a'+z, i)), Zone: ident.Zone(fmt.Sprintf("hall-%c", 'a'+z)), Incarnation: 1,
+			})
+		}
+	}
+	for _, n := range f.nodes {
+		n.machine.Upstreams(f.now, f.now, 1, list)
+	}
+}
+
+// gather lets every node report the load of the upstreams that it gathers.
+func (f *fleet) gather(seq uint32) {
+	for _, n := range f.nodes {
+		for _, id := range n.machine.Gathers(f.now) {
+			n.machine.UpstreamReport(f.now, f.now, id, Report{Incarnation: 1, Sequence: seq, Running: int(seq % 20), Slots: 20, PiecesUsed: 100})
+		}
+	}
+}
+
+// quantile returns the q quantile of durations.
+func quantile(d []time.Duration, q float64) time.Duration {
+	slices.Sort(d)
+	return d[min(int(q*float64(len(d))), len(d)-1)]
+}
+
+// BenchmarkFleet runs whole fleets for a minute of virtual time, gathering each
+// upstream's load every 2 s, and reports for one node: bytes a second over all
+// heartbeats sent and received, their size, processor time, and how old what it
+// knows is.
+func BenchmarkFleet(b *testing.B) {
+	for _, size := range []int{24, 48, 410} {
+		b.Run(fmt.Sprintf("instances=%d", size), func(b *testing.B) {
+			for b.Loop() {
+				benchmarkFleet(b, Config{}, zoneSizes[size])
+			}
+		})
+	}
+}
+
+// BenchmarkFanout compares numbers of partners in zones of 68.
+func BenchmarkFanout(b *testing.B) {
+	for _, fanout := range []int{3, 4, 5} {
+		b.Run(fmt.Sprintf("fanout=%d", fanout), func(b *testing.B) {
+			for b.Loop() {
+				benchmarkFleet(b, Config{Fanout: fanout}, zoneSizes[410][:2])
+			}
+		})
+	}
+}
+
+// BenchmarkAllToAll compares both ways in zones of 12.
+func BenchmarkAllToAll(b *testing.B) {
+	for _, limit := range []int{6, 12} {
+		b.Run(fmt.Sprintf("alltoall=%d", limit), func(b *testing.B) {
+			for b.Loop() {
+				benchmarkFleet(b, Config{AllToAll: limit}, []int{12, 12, 12})
+			}
+		})
+	}
+}
+
+// benchmarkFleet runs one fleet and reports its figures.
+func benchmarkFleet(b *testing.B, cfg Config, sizes []int) {
+	f := newFleet(b, cfg, sizes...)
+	f.addBackends(len(sizes))
+	f.step = 100 * time.Millisecond
+	f.run(2 * time.Minute)
+	f.reset()
+	const seconds = 40
+	begin := time.Now()
+	for s := range seconds {
+		if s%2 == 0 {
+			f.gather(uint32(s + 1))
+		}
+		f.run(time.Second)
+	}
+	cpu := time.Since(begin)
+	nodes := float64(len(f.nodes))
+	b.ReportMetric(float64(f.bytes())/nodes/seconds, "B/s/node")
+	b.ReportMetric(float64(f.maxBytes())/seconds, "B/s/busiest")
+	b.ReportMetric(float64(f.bytes())/float64(f.frames()), "B/frame")
+	b.ReportMetric(float64(cpu.Microseconds())/nodes/seconds, "us/s/node")
+	own, remote, loads := f.ages()
+	b.ReportMetric(quantile(own, 0.99).Seconds(), "s-own-p99")
+	b.ReportMetric(quantile(remote, 0.99).Seconds(), "s-remote-p99")
+	b.ReportMetric(quantile(loads, 0.5).Seconds(), "s-load-p50")
+	b.ReportMetric(quantile(loads, 0.99).Seconds(), "s-load-p99")
+	b.ReportMetric(f.nodes[0].machine.Interval().Seconds(), "s-interval")
+	b.ReportMetric(f.notAlive(), "not-alive")
+	leaver := f.nodes[0]
+	leaver.machine.Leave(f.now)
+	f.reset()
+	took := f.runUntil(time.Minute, func() bool { return f.all(leaver, func(x Instance) bool { return x.Leaving }) })
+	b.ReportMetric(took.Seconds(), "s-leaving")
+	b.ReportMetric(float64(f.bytes())/nodes, "B-leaving")
+}
+
+// reset starts the counts anew.
+func (f *fleet) reset() {
+	for _, n := range f.nodes {
+		n.frames, n.bytes = 0, 0
+	}
+}
+
+// bytes, maxBytes and frames sum the counts.
+func (f *fleet) bytes() (sum int) {
+	for _, n := range f.nodes {
+		sum += n.bytes
+	}
+	return sum
+}
+
+func (f *fleet) maxBytes() (most int) {
+	for _, n := range f.nodes {
+		most = max(most, n.bytes)
+	}
+	return most
+}
+
+func (f *fleet) frames() (sum int) {
+	for _, n := range f.nodes {
+		sum += n.frames
+	}
+	return sum
+}
+
+// ages returns the ages of what some nodes know.
+func (f *fleet) ages() (own, remote, loads []time.Duration) {
+	for i := 0; i < len(f.nodes); i += 1 + len(f.nodes)/40 {
+		n := f.nodes[i]
+		v := n.machine.View(f.now)
+		for _, x := range v.Instances {
+			if x.Zone == n.zone {
+				own = append(own, x.Age)
+			} else {
+				remote = append(remote, x.Age)
+			}
+		}
+		for _, u := range v.Upstreams {
+			if u.Zone == n.zone {
+				loads = append(loads, u.ReportAge)
+			}
+		}
+	}
+	return own, remote, loads
+}
+
+// notAlive returns how many instances each node wrongly believes not alive, on
+// average.
+func (f *fleet) notAlive() float64 {
+	wrong := 0
+	for _, n := range f.nodes {
+		for _, x := range n.machine.View(f.now).Instances {
+			if x.State != Alive {
+				wrong++
+			}
+		}
+	}
+	return float64(wrong) / float64(len(f.nodes))
+}
+
+// BenchmarkView measures a view of 409 instances and 600 upstreams.
+func BenchmarkView(b *testing.B) {
+	m := bigMachine()
+	b.ReportAllocs()
+	for b.Loop() {
+		m.View(start.Add(time.Second))
+	}
+}
+
+// BenchmarkHeartbeat measures composing a heartbeat and taking in its answer.
+func BenchmarkHeartbeat(b *testing.B) {
+	m, peer := bigMachine(), bigMachine()
+	now := start
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(100 * time.Millisecond)
+		answer := peer.Heartbeat(now, "entry-a2")
+		m.Heartbeat(now, "entry-a1")
+		assert.NilError(b, m.Answered(now, now, "entry-a1", answer))
+	}
+}
+
+// bigMachine knows 409 instances and 600 upstreams.
+func bigMachine() *Machine {
+	m := New(Self{Instance: "entry-a0", Zone: "hall-a"}, Config{}, start)
+	m.SetSelf(start, SelfState{Incarnation: 1000})
+	var list []ListedInstance
+	for z, size := range zoneSizes[410] {
+		for i := range size {
+			list = append(list, ListedInstance{ID: ident.InstanceID(fmt.Sprintf("entry-%c%d", 'a'+z, i)), Zone: ident.Zone(fmt.Sprintf("hall-%c", 'a'+z)), Incarnation: 1000})
+		}
+	}
+	m.Instances(start, start, 1, list)
+	f := fleet{now: start, nodes: []*node{{machine: m}}}
+	f.addBackends(len(zoneSizes[410]))
+	for _, u := range m.backends {
+		m.UpstreamReport(start, start, u.id, Report{Incarnation: 1, Sequence: 1})
+	}
+	return m
+}
--- a/membership/config.go
+++ b/membership/config.go
@@ -25,9 +25,11 @@
 	// intervals: of an instance in the own zone.
 	SuspectAfter     int
 	UnreachableAfter int
-	// RemoteFactor multiplies both for other zones, whose signs of life come
-	// over more hops.
+	// RemoteFactor multiplies both for other zones, and SparseFactor where not
+	// every pair of a zone exchanges heartbeats: signs of life come over more
+	// hops.
 	RemoteFactor int
+	SparseFactor int
 	// DeadGrace is how long no sign of life may have come before a refused
 	// connection is taken for the process's death.
 	DeadGrace time.Duration
@@ -52,11 +54,12 @@
 	DefaultMinInterval      = time.Second
 	DefaultBudget           = 2200
 	DefaultAllToAll         = 12
-	DefaultFanout           = 5
+	DefaultFanout           = 3
 	DefaultBridges          = 2
-	DefaultSuspectAfter     = 3
-	DefaultUnreachableAfter = 6
-	DefaultRemoteFactor     = 4
+	DefaultSuspectAfter     = 4
+	DefaultUnreachableAfter = 8
+	DefaultRemoteFactor     = 3
+	DefaultSparseFactor     = 3
 	DefaultDeadGrace        = 2 * time.Second
 	DefaultUpstreamFresh    = 10 * time.Second
 	DefaultListLag          = time.Minute
@@ -92,6 +95,7 @@
 	orInt(&c.SuspectAfter, DefaultSuspectAfter)
 	orInt(&c.UnreachableAfter, DefaultUnreachableAfter)
 	orInt(&c.RemoteFactor, DefaultRemoteFactor)
+	orInt(&c.SparseFactor, DefaultSparseFactor)
 	orTime(&c.DeadGrace, DefaultDeadGrace)
 	orTime(&c.UpstreamFresh, DefaultUpstreamFresh)
 	orTime(&c.ListLag, DefaultListLag)
--- a/membership/due.go
+++ b/membership/due.go
@@ -49,6 +49,10 @@
 			out = append(out, m.exchange(at, x))
 		}
 	}
+	if at < m.lookAt {
+		return out
+	}
+	m.lookAt = at + m.cfg.MinInterval/rushGapDivisor
 	if x := m.heal(at); x != nil {
 		out = append(out, m.exchange(at, x))
 	}
@@ -66,7 +70,7 @@
 // other side should come first. A tenth of jitter either way keeps exchanges
 // apart.
 func (m *Machine) scheduleNext(now time.Duration, x *member) {
-	wait := m.interval()
+	wait := max(m.interval(), x.wait)
 	if !m.initiates(x.id) {
 		wait *= 2
 	}
@@ -94,8 +98,7 @@
 	}
 	m.healAt = now + 2*m.interval()
 	var oldest *member
-	for _, id := range m.memberIDs {
-		x := m.members[id]
+	for _, x := range m.roster {
 		if x.state(now, m.thresholds(x)) <= Suspect {
 			continue
 		}
@@ -109,8 +112,7 @@
 // probes returns the instances of the own zone whose entry may have ended.
 func (m *Machine) probes(now time.Duration) []Due {
 	var out []Due
-	for _, id := range m.memberIDs {
-		x := m.members[id]
+	for _, x := range m.roster {
 		if x.zone != m.self.Zone || len(out) == maxProbes {
 			continue
 		}
@@ -159,7 +161,7 @@
 // NextDue returns when Due is worth calling again.
 func (m *Machine) NextDue(now time.Time) time.Time {
 	at := m.at(now)
-	next := min(m.healAt, at+m.cfg.MinInterval/2)
+	next := m.lookAt
 	for _, id := range m.partners(at) {
 		next = min(next, m.members[id].dueAt)
 	}
--- a/membership/evidence.go
+++ b/membership/evidence.go
@@ -21,7 +21,7 @@
 // by the agent's address, or any other failure, proves nothing and leads to a
 // probe of the entry.
 func (m *Machine) PeerFailed(now, at time.Time, id ident.InstanceID, p Process, kind FailKind) {
-	present := m.at(now)
+	m.at(now)
 	x, ok := m.members[id]
 	if !ok {
 		return
@@ -31,17 +31,7 @@
 		x.failed, x.failKind = t, kind
 	}
 	if p == ProcessEntry && kind == FailRefused {
-		m.entryRefused(present, t, x)
-	}
-}
-
-// entryRefused takes in that an entry refused a connection at the given time.
-// The first time after a sign of life is news: others probe then themselves.
-func (m *Machine) entryRefused(now, at time.Duration, x *member) {
-	before := x.life.refusedSince(now)
-	x.life.refused = max(x.life.refused, at)
-	if !before && x.life.refusedSince(now) {
-		m.rush(now, &x.urgent)
+		x.life.refused = max(x.life.refused, t)
 	}
 }
 
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -19,6 +19,9 @@
 	Stamp   Stamp `json:"t,omitempty"`
 	Leaving bool  `json:"l,omitempty"`
 	Gone    bool  `json:"g,omitempty"`
+	// WaitMS is the sender's interval: partners exchange heartbeats at the
+	// longer one of both.
+	WaitMS int64 `json:"w,omitempty"`
 	// Digest is that of the sender's zone; see Machine.Digest.
 	Digest uint64 `json:"d"`
 	// Members holds packed records of instances; see MemberBytes.
@@ -27,6 +30,9 @@
 	Upstreams []byte `json:"u,omitempty"`
 }
 
+// maxWait bounds the interval that a partner can ask for.
+const maxWait = 30 * time.Second
+
 // Records of one heartbeat.
 const (
 	memberWindow   = 6
@@ -44,6 +50,7 @@
 		Stamp:       m.stamp(at),
 		Leaving:     m.state.Leaving,
 		Gone:        m.state.Gone,
+		WaitMS:      m.interval().Milliseconds(),
 		Digest:      m.Digest(),
 	}
 	x, ok := m.members[to]
@@ -55,7 +62,7 @@
 		window = resyncWindow
 	}
 	hb.Members = m.packMembers(at, x, window)
-	hb.Upstreams = m.packUpstreams(at, x.zone == m.self.Zone)
+	hb.Upstreams = m.packUpstreams(at, x)
 	m.noteSize(hb)
 	return hb
 }
@@ -123,6 +130,7 @@
 		return err
 	}
 	x.digest = hb.Digest
+	x.wait = min(time.Duration(hb.WaitMS)*time.Millisecond, maxWait)
 	m.merge(at, x, record{
 		incarnation: hb.Incarnation, leaving: hb.Leaving, gone: hb.Gone, hasStamp: hb.Stamp > 0, stamp: hb.Stamp,
 	})
@@ -131,6 +139,9 @@
 		m.mergeRecord(at, r)
 	}
 	for _, d := range upstreams {
+		if d.HasReport {
+			x.knowsReport(recordKey(d.Key), d.Incarnation, at-d.Age)
+		}
 		m.mergeDigest(at, d)
 	}
 	return nil
@@ -143,8 +154,16 @@
 		m.superseded = m.superseded || r.incarnation > m.state.Incarnation && m.state.Incarnation != 0
 		return
 	}
-	if x, ok := m.memberKeys[r.key]; ok {
-		m.merge(now, x, r.record)
+	x, ok := m.memberKeys[r.key]
+	if !ok {
+		return
+	}
+	m.merge(now, x, r.record)
+	l := &x.life
+	if r.missing && r.incarnation == l.incarnation && !l.reportedMissing() && x.urgent == 0 {
+		// This instance knows of a later sign of life: that is news to whoever
+		// misses it.
+		x.urgent = m.spread()
 	}
 }
 
--- a/membership/leaving_test.go
+++ b/membership/leaving_test.go
@@ -72,6 +72,10 @@
 			m.Instances(at(2*sec), at(2*sec), 5, listOther(true))
 			m.Instances(at(3*sec), at(3*sec), 4, listOther(false))
 		}, true},
+		{"leaving, then dropped from the list", func(_ *testing.T, m *Machine) {
+			m.Instances(at(2*sec), at(2*sec), 5, listOther(true))
+			m.Instances(at(3*sec), at(3*sec), 6, nil)
+		}, true},
 		{"leaving, then a newer list for a new life", func(_ *testing.T, m *Machine) {
 			m.Instances(at(2*sec), at(2*sec), 5, listOther(true))
 			m.Instances(at(3*sec), at(3*sec), 6, listOther(false))
@@ -131,3 +135,68 @@
 	hear(t, m, time.Second, Heartbeat{Members: appendMember(nil, r)})
 	assert.Assert(t, m.View(at(time.Second)).Superseded)
 }
+
+func TestOlderListsChangeNothing(t *testing.T) {
+	m := lone()
+	m.Instances(at(0), at(0), 5, []ListedInstance{{ID: other, Zone: "hall-a", Address: "new"}})
+	m.Upstreams(at(0), at(0), 5, []ListedUpstream{{ID: "dc-1", Zone: "hall-a", Address: "new"}})
+	assert.Assert(t, !m.Instances(at(time.Second), at(time.Second), 4, []ListedInstance{{ID: other, Zone: "hall-a", Address: "old"}}))
+	assert.Assert(t, !m.Upstreams(at(time.Second), at(time.Second), 4, nil))
+	v := m.View(at(time.Second))
+	assert.Equal(t, v.Instances[0].Address, "new")
+	assert.Assert(t, v.Upstreams[0].Listed)
+	assert.Equal(t, v.Upstreams[0].Address, "new")
+}
+
+func TestSilentEntryGivesNoSignOfLife(t *testing.T) {
+	m := lone()
+	assert.Assert(t, m.Heartbeat(at(time.Second), other).Stamp > 0)
+	m.SetSelf(at(time.Second), SelfState{Incarnation: 1000, Silent: true})
+	assert.Equal(t, m.Heartbeat(at(time.Second), other).Stamp, Stamp(0))
+	m.SetSelf(at(2*time.Second), SelfState{Incarnation: 1000})
+	assert.Assert(t, m.Heartbeat(at(2*time.Second), other).Stamp > 0)
+}
+
+// TestPartnerIsNotToldWhatItTold saves the bytes of what the partner knows.
+func TestPartnerIsNotToldWhatItTold(t *testing.T) {
+	m := watcher()
+	r := keyedRecord{key: keyOf(string(subjects[0])), record: record{incarnation: 5, hasStamp: true, stamp: 10}}
+	answer, err := m.Receive(at(time.Second), sender, Heartbeat{Members: appendMember(nil, r)})
+	assert.NilError(t, err)
+	assert.Equal(t, len(answer.Members), 0)
+	answer, err = m.Receive(at(time.Second), subjects[1], Heartbeat{})
+	assert.NilError(t, err)
+	assert.Equal(t, len(answer.Members), MemberBytes)
+}
+
+// TestPartnersKeepTheLongerInterval lets a partner with many partners of its own
+// ask for fewer exchanges.
+func TestPartnersKeepTheLongerInterval(t *testing.T) {
+	m := lone()
+	hear(t, m, time.Second, Heartbeat{Incarnation: 5, Stamp: 1, WaitMS: 20000})
+	for d := time.Second; d < 15*time.Second; d += step {
+		for _, due := range m.Due(at(d)) {
+			assert.Assert(t, due.Kind == DueProbe, "heartbeat due after %s", d)
+		}
+	}
+}
+
+// TestAnotherZoneIsBelievedAsAWhole hears of one instance of another zone and
+// keeps believing in the rest, until one is missed.
+func TestAnotherZoneIsBelievedAsAWhole(t *testing.T) {
+	m := lone()
+	m.Seeds(start, []Seed{{ID: "entry-b0", Zone: "hall-b"}, {ID: "entry-b1", Zone: "hall-b"}})
+	for d := time.Second; d < 10*time.Minute; d += time.Second {
+		_, err := m.Receive(at(d), "entry-b0", beat(5, d))
+		assert.NilError(t, err)
+		m.Due(at(d))
+	}
+	state := func() State { return m.View(at(10 * time.Minute)).Instances[2].State }
+	assert.Equal(t, state(), Alive)
+	r := keyedRecord{key: keyOf("entry-b1"), record: record{incarnation: 5, missing: true}}
+	hb := beat(5, 10*time.Minute)
+	hb.Members = appendMember(nil, r)
+	_, err := m.Receive(at(10*time.Minute), "entry-b0", hb)
+	assert.NilError(t, err)
+	assert.Equal(t, state(), Unreachable)
+}
--- a/membership/list.go
+++ b/membership/list.go
@@ -75,7 +75,7 @@
 	}
 	m.lists.instances = index
 	m.noteRead(m.when(started))
-	for _, x := range m.members {
+	for _, x := range m.roster {
 		x.listed = false
 	}
 	for _, l := range list {
@@ -83,7 +83,7 @@
 			m.listSelf(now, at, l)
 			continue
 		}
-		m.listInstance(at, index, l)
+		m.listInstance(at, l)
 	}
 	m.forget(at)
 	return true
@@ -98,24 +98,7 @@
 
 // ResetLists makes lists with lower indexes acceptable again: the platform was
 // set up anew. What they said so far stays until a new list says otherwise.
-func (m *Machine) ResetLists() {
-	m.lists.instances, m.lists.upstreams = 0, 0
-	for _, x := range m.members {
-		x.mark.reset()
-	}
-	for _, u := range m.upstreams {
-		u.mark.reset()
-	}
-}
-
-// reset gives the mark the lowest indexes.
-func (m *listMark) reset() {
-	if m.leaving() {
-		*m = listMark{leavingIndex: 1}
-		return
-	}
-	*m = listMark{}
-}
+func (m *Machine) ResetLists() { m.lists.instances, m.lists.upstreams = 0, 0 }
 
 // noteRead notes that a list was read from the platform.
 func (m *Machine) noteRead(started time.Duration) {
@@ -125,7 +108,7 @@
 }
 
 // listInstance takes in one entry.
-func (m *Machine) listInstance(now time.Duration, index uint64, l ListedInstance) {
+func (m *Machine) listInstance(now time.Duration, l ListedInstance) {
 	x := m.addMember(l.ID, now)
 	if x == nil {
 		return
@@ -138,7 +121,8 @@
 		}
 		return
 	}
-	if x.mark.show(index, l.Leaving) && m.binds(now, x.life.incarnation, x.life.learned) && !x.life.leaving {
+	x.marked = l.Leaving
+	if x.marked && m.binds(now, x.life.incarnation, x.life.learned) && !x.life.leaving {
 		x.life.leaving = true
 		m.rush(now, &x.urgent)
 	}
@@ -164,17 +148,6 @@
 	return inc != 0 && now-learned >= m.cfg.ListLag
 }
 
-// show notes what a list shows. It reports whether the ID is newly leaving.
-func (m *listMark) show(index uint64, leaving bool) bool {
-	before := m.leaving()
-	if leaving {
-		m.leavingIndex = max(m.leavingIndex, index)
-	} else {
-		m.liveIndex = max(m.liveIndex, index)
-	}
-	return m.leaving() && !before
-}
-
 // Upstreams takes in the platform's list of upstreams, as Instances does.
 func (m *Machine) Upstreams(now, started time.Time, index uint64, list []ListedUpstream) bool {
 	at := m.at(now)
@@ -183,18 +156,18 @@
 	}
 	m.lists.upstreams = index
 	m.noteRead(m.when(started))
-	for _, u := range m.upstreams {
+	for _, u := range m.backends {
 		u.listed = false
 	}
 	for _, l := range list {
-		m.listUpstream(at, index, l)
+		m.listUpstream(at, l)
 	}
 	m.forget(at)
 	return true
 }
 
 // listUpstream takes in one entry.
-func (m *Machine) listUpstream(now time.Duration, index uint64, l ListedUpstream) {
+func (m *Machine) listUpstream(now time.Duration, l ListedUpstream) {
 	u := m.addUpstream(l.ID, now)
 	if u == nil {
 		return
@@ -207,7 +180,8 @@
 		}
 		return
 	}
-	if u.mark.show(index, l.Leaving) && m.binds(now, u.incarnation, u.learned) && u.leave(true) {
+	u.marked = l.Leaving
+	if u.marked && m.binds(now, u.incarnation, u.learned) && u.leave(true) {
 		m.rush(now, &u.urgent)
 	}
 }
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -21,21 +21,26 @@
 	// ahead of the schedule.
 	urgent int
 
-	members     map[ident.InstanceID]*member
-	memberKeys  map[recordKey]*member
-	memberIDs   []ident.InstanceID
+	members    map[ident.InstanceID]*member
+	memberKeys map[recordKey]*member
+	// roster and backends hold the same in the order of their IDs, so that
+	// what is done does not depend on the order of a map.
+	roster      []*member
+	backends    []*upstream
 	upstreams   map[ident.UpstreamID]*upstream
 	upKeys      map[recordKey]*upstream
-	upIDs       []ident.UpstreamID
 	tombstones  map[ident.InstanceID]tombstone
 	lists       lists
 	partnership partnership
+	// zones holds when each zone was last heard of.
+	zones map[ident.Zone]time.Duration
 	// superseded is set when a peer knows a higher incarnation of this instance.
 	superseded bool
 	// frameBytes is the average size of a heartbeat.
 	frameBytes float64
 	trust      trust
 	views      viewState
+	lookAt     time.Duration
 	healAt     time.Duration
 }
 
@@ -52,6 +57,7 @@
 		upKeys:     map[recordKey]*upstream{},
 		tombstones: map[ident.InstanceID]tombstone{},
 		frameBytes: heartbeatOverhead,
+		zones:      map[ident.Zone]time.Duration{},
 	}
 	m.trust.distrust(0, nil)
 	return m
@@ -124,8 +130,8 @@
 	if _, taken := m.memberKeys[x.key]; !taken {
 		m.memberKeys[x.key] = x
 	}
-	at, _ := slices.BinarySearch(m.memberIDs, id)
-	m.memberIDs = slices.Insert(m.memberIDs, at, id)
+	at, _ := slices.BinarySearchFunc(m.roster, id, (*member).compare)
+	m.roster = slices.Insert(m.roster, at, x)
 	m.partnership.outdated = true
 	return x
 }
@@ -138,14 +144,14 @@
 	if len(m.upstreams) >= maxUpstreams {
 		return nil
 	}
-	u := &upstream{id: id, key: keyOf(string(id)), since: now, sentAt: never}
+	u := &upstream{id: id, key: keyOf(string(id)), since: now}
 	u.renew(now, 0)
 	m.upstreams[id] = u
 	if _, taken := m.upKeys[u.key]; !taken {
 		m.upKeys[u.key] = u
 	}
-	at, _ := slices.BinarySearch(m.upIDs, id)
-	m.upIDs = slices.Insert(m.upIDs, at, id)
+	at, _ := slices.BinarySearchFunc(m.backends, id, (*upstream).compare)
+	m.backends = slices.Insert(m.backends, at, u)
 	return u
 }
 
@@ -162,12 +168,12 @@
 // forget drops what is listed no more and gave no sign of life for long.
 func (m *Machine) forget(now time.Duration) {
 	limit := now - m.cfg.ForgetAfter
-	for id, x := range m.members {
+	for _, x := range slices.Clone(m.roster) {
 		if x.seed || x.listed || max(x.life.heard(now), x.since) > limit {
 			continue
 		}
 		if len(m.tombstones) < maxTombstones {
-			m.tombstones[id] = tombstone{life: x.life, at: now}
+			m.tombstones[x.id] = tombstone{life: x.life, at: now}
 		}
 		m.dropMember(x)
 	}
@@ -176,7 +182,7 @@
 			delete(m.tombstones, id)
 		}
 	}
-	for _, u := range m.upstreams {
+	for _, u := range slices.Clone(m.backends) {
 		if !u.listed && u.since <= limit {
 			m.dropUpstream(u)
 		}
@@ -189,8 +195,8 @@
 	if m.memberKeys[x.key] == x {
 		delete(m.memberKeys, x.key)
 	}
-	if at, ok := slices.BinarySearch(m.memberIDs, x.id); ok {
-		m.memberIDs = slices.Delete(m.memberIDs, at, at+1)
+	if at, ok := slices.BinarySearchFunc(m.roster, x.id, (*member).compare); ok {
+		m.roster = slices.Delete(m.roster, at, at+1)
 	}
 	m.partnership.outdated = true
 }
@@ -201,8 +207,8 @@
 	if m.upKeys[u.key] == u {
 		delete(m.upKeys, u.key)
 	}
-	if at, ok := slices.BinarySearch(m.upIDs, u.id); ok {
-		m.upIDs = slices.Delete(m.upIDs, at, at+1)
+	if at, ok := slices.BinarySearchFunc(m.backends, u.id, (*upstream).compare); ok {
+		m.backends = slices.Delete(m.backends, at, at+1)
 	}
 }
 
--- a/membership/member.go
+++ b/membership/member.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/wardspool/wardspool/ident"
@@ -41,9 +42,9 @@
 	leaving     bool
 	gone        bool
 	clock       lifeClock
-	// reported is 1 more than the highest stamp after which a peer says that
-	// the entry refused a connection.
-	reported Stamp
+	// missing is 1 more than the highest stamp after which a peer of its zone
+	// says that it gave no sign of life, or refused a connection.
+	missing Stamp
 
 	// Local events, since the epoch: when the incarnation became known, when its
 	// entry last answered and when it last refused a connection.
@@ -66,8 +67,10 @@
 	address string
 	seed    bool
 	listed  bool
-	mark    listMark
-	life    life
+	// marked says that the newest list shows the ID as leaving without naming
+	// its incarnation.
+	marked bool
+	life   life
 	// since is when the instance became known, or was last listed.
 	since time.Duration
 
@@ -90,6 +93,10 @@
 	// told holds, for a partner, the stamps that it knows: the highest that
 	// either side told the other.
 	told map[recordKey]toldRecord
+	// reports holds, for a partner, the load reports that it knows.
+	reports map[recordKey]toldReport
+	// wait is the partner's own interval, as it says.
+	wait time.Duration
 }
 
 // toldRecord is what a partner knows of an instance.
@@ -100,6 +107,32 @@
 	at time.Duration
 }
 
+// toldReport is what a partner knows of an upstream.
+type toldReport struct {
+	incarnation ident.Incarnation
+	// measured is when the report that it knows was made.
+	measured time.Duration
+	// at is when this instance last told it.
+	at time.Duration
+}
+
+// toldUpstream notes that the partner was told of an upstream.
+func (m *member) toldUpstream(key recordKey, t toldReport) {
+	if m.reports == nil {
+		m.reports = map[recordKey]toldReport{}
+	}
+	m.reports[key] = t
+}
+
+// knowsReport notes that the partner knows of an upstream's report.
+func (m *member) knowsReport(key recordKey, inc ident.Incarnation, measured time.Duration) {
+	t := m.reports[key]
+	if inc < t.incarnation || inc == t.incarnation && measured <= t.measured {
+		return
+	}
+	m.toldUpstream(key, toldReport{incarnation: inc, measured: measured, at: t.at})
+}
+
 // knows notes what the partner knows of an instance.
 func (m *member) knows(key recordKey, inc ident.Incarnation, s Stamp) {
 	t := m.told[key]
@@ -120,19 +153,22 @@
 	m.told[key] = t
 }
 
+// compare orders members by their ID.
+func (m *member) compare(id ident.InstanceID) int { return cmp.Compare(m.id, id) }
+
 // record is what one message says of an instance.
 type record struct {
 	incarnation ident.Incarnation
 	leaving     bool
 	gone        bool
-	refused     bool
+	missing     bool
 	hasStamp    bool
 	stamp       Stamp
 	age         time.Duration
 }
 
-// merge takes in a record. It reports whether a sticky fact is new: a restart or
-// a mark. The first incarnation heard of is no news to anyone else.
+// merge takes in a record. It reports whether there is news to spread: a restart,
+// a mark, or that the instance is missing. The first incarnation heard of is no news to anyone else.
 func (m *member) merge(now time.Duration, r record) bool {
 	if r.incarnation == 0 || r.incarnation < m.life.incarnation {
 		return false
@@ -149,8 +185,9 @@
 	if r.hasStamp {
 		l.clock.observe(now, r.stamp, r.age)
 	}
-	if r.refused {
-		l.reported = max(l.reported, r.stamp+1)
+	if r.missing && r.stamp+1 > l.missing {
+		l.missing = r.stamp + 1
+		news = news || l.reportedMissing()
 	}
 	return news
 }
@@ -176,39 +213,45 @@
 	return l.refused > never && l.refused >= l.heard(now)
 }
 
-// reportedRefused reports whether a peer met a refused connection after the last
-// sign of life.
-func (l *life) reportedRefused() bool {
-	return l.reported > 0 && (!l.clock.known || l.reported > l.clock.stamp)
+// reportedMissing reports whether a peer misses it since its last sign of life.
+func (l *life) reportedMissing() bool {
+	return l.missing > 0 && (!l.clock.known || l.missing > l.clock.stamp)
 }
 
 // reachable reports whether the last attempt to reach it succeeded.
 func (m *member) reachable() bool { return m.failed <= max(m.answered, m.life.reached) }
 
 // isLeaving reports whether the instance gets no new work.
-func (m *member) isLeaving() bool { return m.life.leaving || m.mark.leaving() }
+func (m *member) isLeaving() bool { return m.life.leaving || m.marked }
 
 // thresholds are the ages at which an instance is suspect and unreachable.
 type thresholds struct {
 	suspect     time.Duration
 	unreachable time.Duration
 	deadGrace   time.Duration
-	// remote is true for another zone.
-	remote bool
+	// remote is true for another zone, which was last heard of, through any of
+	// its instances, at zoneHeard.
+	remote    bool
+	zoneHeard time.Duration
 }
 
 // state decides what is believed of the instance.
 func (m *member) state(now time.Duration, t thresholds) State {
 	l := &m.life
 	age := m.age(now)
+	if t.remote {
+		// Signs of life of a single instance of another zone come seldom; its
+		// own zone watches it, and says so when it misses it.
+		age = min(age, now-t.zoneHeard)
+	}
 	switch {
 	case l.gone:
 		return Dead
 	case l.refusedSince(now) && now-l.heard(now) >= t.deadGrace:
 		return Dead
-	case t.remote && l.reportedRefused():
+	case t.remote && l.reportedMissing():
 		return Unreachable
-	case age <= t.suspect && !l.reportedRefused():
+	case age <= t.suspect && !l.reportedMissing():
 		return Alive
 	case age <= t.unreachable:
 		return Suspect
@@ -218,14 +261,3 @@
 		return Unreachable
 	}
 }
-
-// listMark is what the platform's lists say of an ID without naming its
-// incarnation: the highest index of a list that shows it leaving, and live. An
-// older list changes nothing.
-type listMark struct {
-	leavingIndex uint64
-	liveIndex    uint64
-}
-
-// leaving reports whether the newest list shows the ID as leaving.
-func (m listMark) leaving() bool { return m.leavingIndex > m.liveIndex }
--- a/membership/pack.go
+++ b/membership/pack.go
@@ -46,7 +46,7 @@
 const (
 	flagLeaving = 1 << iota
 	flagGone
-	flagRefused
+	flagMissing
 	flagStamp
 	flagReport
 	flagDown
@@ -75,7 +75,7 @@
 	var flags byte
 	setFlag(&flags, flagLeaving, r.leaving)
 	setFlag(&flags, flagGone, r.gone)
-	setFlag(&flags, flagRefused, r.refused)
+	setFlag(&flags, flagMissing, r.missing)
 	setFlag(&flags, flagStamp, r.hasStamp)
 	dst = append48(dst, uint64(r.key))
 	dst = append48(dst, uint64(r.incarnation))
@@ -95,7 +95,7 @@
 			incarnation: ident.Incarnation(read48(block[6:])),
 			leaving:     flags&flagLeaving != 0,
 			gone:        flags&flagGone != 0,
-			refused:     flags&flagRefused != 0,
+			missing:     flags&flagMissing != 0,
 			hasStamp:    flags&flagStamp != 0,
 			age:         time.Duration(block[13]) * memberAgeUnit,
 			stamp:       Stamp(binary.BigEndian.Uint32(block[14:])),
--- a/membership/partners.go
+++ b/membership/partners.go
@@ -16,6 +16,9 @@
 	// sparse is true if not every pair of the own zone exchanges heartbeats.
 	sparse   bool
 	outdated bool
+	// unit is the average interval of the exchanges with partners, in which the
+	// thresholds count.
+	unit time.Duration
 	// believed is a fingerprint of who was believed to live when ids were
 	// chosen.
 	believed uint64
@@ -29,6 +32,7 @@
 		return p.ids
 	}
 	p.checked = now
+	p.unit = m.meanInterval()
 	zones, print := m.living(now)
 	if p.outdated || print != p.believed {
 		p.outdated, p.believed = false, print
@@ -41,9 +45,9 @@
 
 // forgetTold drops what former partners were told.
 func (m *Machine) forgetTold() {
-	for _, x := range m.members {
+	for _, x := range m.roster {
 		if _, ok := slices.BinarySearch(m.partnership.ids, x.id); !ok {
-			x.told = nil
+			x.told, x.reports = nil, nil
 		}
 	}
 }
@@ -51,19 +55,36 @@
 // living groups the IDs of those believed to live by zone, this instance
 // included, and fingerprints them.
 func (m *Machine) living(now time.Duration) (map[ident.Zone][]ident.InstanceID, uint64) {
+	m.hearZones(now)
 	zones := map[ident.Zone][]ident.InstanceID{m.self.Zone: {m.self.Instance}}
 	print := uint64(0)
-	for _, id := range m.memberIDs {
-		x := m.members[id]
+	for _, x := range m.roster {
 		if s := x.state(now, m.thresholds(x)); s > Suspect {
 			continue
 		}
-		zones[x.zone] = append(zones[x.zone], id)
+		zones[x.zone] = append(zones[x.zone], x.id)
 		print = print*31 + uint64(x.key)
 	}
 	return zones, print
 }
 
+// hearZones notes when each zone was last heard of.
+func (m *Machine) hearZones(now time.Duration) {
+	for _, x := range m.roster {
+		if at, ok := m.zones[x.zone]; !ok || x.life.heard(now) > at {
+			m.zones[x.zone] = x.life.heard(now)
+		}
+	}
+}
+
+// zoneHeard returns when a zone was last heard of.
+func (m *Machine) zoneHeard(z ident.Zone) time.Duration {
+	if at, ok := m.zones[z]; ok {
+		return at
+	}
+	return never
+}
+
 // choose picks the partners.
 func (m *Machine) choose(zones map[ident.Zone][]ident.InstanceID) []ident.InstanceID {
 	chosen := m.zonePartners(zones[m.self.Zone])
@@ -130,21 +151,38 @@
 	return max(m.cfg.MinInterval, time.Duration(seconds*float64(time.Second)))
 }
 
+// meanInterval returns the average time between exchanges, over all partners.
+func (m *Machine) meanInterval() time.Duration {
+	own := m.interval()
+	if len(m.partnership.ids) == 0 {
+		return own
+	}
+	var sum time.Duration
+	for _, id := range m.partnership.ids {
+		sum += max(own, m.members[id].wait)
+	}
+	return sum / time.Duration(len(m.partnership.ids))
+}
+
 // Interval returns the time between two exchanges with one partner.
 func (m *Machine) Interval() time.Duration { return m.interval() }
 
 // thresholds returns the ages that count for an instance.
 func (m *Machine) thresholds(x *member) thresholds {
-	unit := m.interval()
+	unit := max(m.partnership.unit, m.interval())
 	remote := x.zone != m.self.Zone
 	if remote {
 		unit *= time.Duration(m.cfg.RemoteFactor)
 	}
+	if m.partnership.sparse {
+		unit *= time.Duration(m.cfg.SparseFactor)
+	}
 	return thresholds{
 		suspect:     unit * time.Duration(m.cfg.SuspectAfter),
 		unreachable: unit * time.Duration(m.cfg.UnreachableAfter),
 		deadGrace:   m.cfg.DeadGrace,
 		remote:      remote,
+		zoneHeard:   m.zoneHeard(x.zone),
 	}
 }
 
@@ -155,12 +193,12 @@
 	zones, _ := m.living(m.at(now))
 	own := zones[m.self.Zone]
 	var out []ident.UpstreamID
-	for _, id := range m.upIDs {
-		if m.upstreams[id].zone != m.self.Zone {
+	for _, u := range m.backends {
+		if u.zone != m.self.Zone {
 			continue
 		}
-		if rendezvous.Contains(string(id), own, m.cfg.Gatherers, m.self.Instance) {
-			out = append(out, id)
+		if rendezvous.Contains(string(u.id), own, m.cfg.Gatherers, m.self.Instance) {
+			out = append(out, u.id)
 		}
 	}
 	return out
--- a/membership/trust.go
+++ b/membership/trust.go
@@ -50,10 +50,9 @@
 	at := m.at(now)
 	before := at - gap
 	var peers []ident.InstanceID
-	for _, id := range m.memberIDs {
-		x := m.members[id]
+	for _, x := range m.roster {
 		if x.zone == m.self.Zone && x.state(before, m.thresholds(x)) <= Suspect {
-			peers = append(peers, id)
+			peers = append(peers, x.id)
 		}
 	}
 	m.trust.distrust(at, peers)
--- a/membership/upstream.go
+++ b/membership/upstream.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/wardspool/wardspool/ident"
@@ -41,7 +42,9 @@
 	address string
 	listed  bool
 	since   time.Duration
-	mark    listMark
+	// marked says that the newest list shows the ID as leaving without naming
+	// its incarnation.
+	marked bool
 
 	incarnation ident.Incarnation
 	// learned is when the incarnation became known.
@@ -66,11 +69,12 @@
 	failKind FailKind
 
 	// Dissemination.
-	sentAt  time.Duration
-	sentSeq uint32
-	urgent  int
+	urgent int
 }
 
+// compare orders upstreams by their ID.
+func (u *upstream) compare(id ident.UpstreamID) int { return cmp.Compare(u.id, id) }
+
 // renew starts what is known of a new incarnation.
 func (u *upstream) renew(now time.Duration, inc ident.Incarnation) {
 	u.incarnation, u.learned = inc, now
@@ -151,7 +155,7 @@
 }
 
 // isLeaving reports whether the upstream gets no new work.
-func (u *upstream) isLeaving() bool { return u.leaving || u.mark.leaving() }
+func (u *upstream) isLeaving() bool { return u.leaving || u.marked }
 
 // state decides what is believed of the upstream.
 func (u *upstream) state(now time.Duration, fresh time.Duration) State {
--- a/membership/view.go
+++ b/membership/view.go
@@ -90,17 +90,17 @@
 		Superseded: m.superseded,
 		Digest:     m.Digest(),
 		ListAge:    NoAge,
-		Instances:  make([]Instance, 0, len(m.memberIDs)),
-		Upstreams:  make([]Upstream, 0, len(m.upIDs)),
+		Instances:  make([]Instance, 0, len(m.roster)),
+		Upstreams:  make([]Upstream, 0, len(m.backends)),
 	}
 	if m.lists.read {
 		v.ListAge = at - m.lists.readAt
 	}
-	for _, id := range m.memberIDs {
-		v.Instances = append(v.Instances, m.instance(at, m.members[id]))
+	for _, x := range m.roster {
+		v.Instances = append(v.Instances, m.instance(at, x))
 	}
-	for _, id := range m.upIDs {
-		v.Upstreams = append(v.Upstreams, m.upstream(at, m.upstreams[id]))
+	for _, u := range m.backends {
+		v.Upstreams = append(v.Upstreams, m.upstream(at, u))
 	}
 	m.number(v)
 	return v
@@ -176,12 +176,12 @@
 // agree on them.
 func (m *Machine) Digest() uint64 {
 	sum := stickyHash(keyOf(string(m.self.Instance)), uint64(m.state.Incarnation), m.state.Leaving, m.state.Gone)
-	for _, x := range m.members {
+	for _, x := range m.roster {
 		if x.zone == m.self.Zone && x.life.incarnation != 0 {
 			sum ^= stickyHash(x.key, uint64(x.life.incarnation), x.life.leaving, x.life.gone)
 		}
 	}
-	for _, u := range m.upstreams {
+	for _, u := range m.backends {
 		if u.zone == m.self.Zone && u.incarnation != 0 {
 			sum ^= stickyHash(u.key, uint64(u.incarnation), u.leaving, false)
 		}
--- a/membership/window.go
+++ b/membership/window.go
@@ -43,22 +43,17 @@
 	ownZoneWeight = 4
 	// urgentRank is added for new sticky facts.
 	urgentRank = 1 << 60
-	// neverSent is the lag of what was never told.
-	neverSent = time.Hour
+	// neverSent is the lag of what was never told, remoteNeverSent that of
+	// another zone's instance: there are many, and whether its zone lives
+	// matters more than each of them.
+	neverSent       = time.Hour
+	remoteNeverSent = 10 * time.Second
 )
 
-// sinceSent returns the time since something was sent.
-func sinceSent(now, sentAt time.Duration) time.Duration {
-	if sentAt == never {
-		return neverSent
-	}
-	return min(now-sentAt, neverSent)
-}
-
 // packMembers packs the records that the partner lacks most.
 func (m *Machine) packMembers(now time.Duration, to *member, size int) []byte {
 	w := window[*member]{size: size, entries: make([]ranked[*member], 0, size)}
-	for _, x := range m.members {
+	for _, x := range m.roster {
 		if x == to || x.life.incarnation == 0 {
 			continue
 		}
@@ -71,7 +66,7 @@
 		x := e.entry
 		x.urgent = max(x.urgent-1, 0)
 		to.tell(x.key, toldRecord{incarnation: x.life.incarnation, stamp: x.life.clock.stamp, at: now})
-		out = appendMember(out, keyedRecord{key: x.key, record: x.record(now)})
+		out = appendMember(out, keyedRecord{key: x.key, record: m.record(now, x)})
 	}
 	return out
 }
@@ -83,9 +78,11 @@
 	t, ok := to.told[x.key]
 	var rank time.Duration
 	switch {
+	case !ok && x.zone != m.self.Zone:
+		rank = remoteNeverSent
 	case !ok || t.incarnation < l.incarnation:
 		rank = neverSent
-	case l.leaving || l.gone || l.reportedRefused() || l.refusedSince(now):
+	case l.leaving || l.gone || l.reportedMissing() || m.misses(now, x):
 		// What stops work is repeated: an answer may have been lost.
 		rank = now - t.at
 	case now-l.heard(now) <= maxRelayAge && l.clock.stamp > t.stamp:
@@ -100,14 +97,25 @@
 	return rank
 }
 
+// misses reports whether this instance, being of the same zone, has had no sign
+// of life for too long and then could not reach it either, or knows that the
+// entry refuses connections.
+func (m *Machine) misses(now time.Duration, x *member) bool {
+	if x.zone != m.self.Zone {
+		return false
+	}
+	tried := x.failed > x.life.heard(now)
+	return x.life.refusedSince(now) || tried && x.state(now, m.thresholds(x)) >= Unreachable
+}
+
 // record returns what to tell of the instance.
-func (x *member) record(now time.Duration) record {
+func (m *Machine) record(now time.Duration, x *member) record {
 	l := &x.life
 	r := record{
 		incarnation: l.incarnation,
 		leaving:     l.leaving,
 		gone:        l.gone,
-		refused:     l.reportedRefused() || l.refusedSince(now),
+		missing:     l.reportedMissing() || m.misses(now, x),
 	}
 	if at, ok := l.clock.heard(now); ok {
 		// A packed age ends at maxRelayAge and a little; an older stamp would
@@ -118,22 +126,15 @@
 	return r
 }
 
-// packUpstreams packs the digests that are most due: new facts first, then those
-// that say more than when last sent, longest ago first. Load reports stay inside
-// a zone; that an upstream gets no work is for everyone.
-func (m *Machine) packUpstreams(now time.Duration, ownZone bool) []byte {
+// packUpstreams packs the digests that the partner lacks most: new facts first.
+// Load reports stay inside a zone; that an upstream gets no work is for everyone.
+func (m *Machine) packUpstreams(now time.Duration, to *member) []byte {
 	w := window[*upstream]{size: upstreamWindow, entries: make([]ranked[*upstream], 0, upstreamWindow)}
-	for _, u := range m.upstreams {
+	for _, u := range m.backends {
 		if u.incarnation == 0 {
 			continue
 		}
-		rank := sinceSent(now, u.sentAt)
-		switch {
-		case u.urgent > 0:
-			w.offer(rank+urgentRank, u)
-		case u.leaving || u.refused():
-			w.offer(rank, u)
-		case ownZone && u.zone == m.self.Zone && u.unsent():
+		if rank := m.upstreamRank(now, to, u); rank > 0 {
 			w.offer(rank, u)
 		}
 	}
@@ -141,16 +142,32 @@
 	for _, e := range w.entries {
 		u := e.entry
 		d := u.digest(now)
-		u.sentAt, u.sentSeq = now, d.Sequence
+		to.toldUpstream(u.key, toldReport{incarnation: u.incarnation, measured: u.measured, at: now})
 		u.urgent = max(u.urgent-1, 0)
 		out = d.Append(out)
 	}
 	return out
 }
 
-// unsent reports whether there is a report newer than the one last sent.
-func (u *upstream) unsent() bool {
-	return u.hasReport && (u.sentAt == never || u.report.Sequence != u.sentSeq)
+// upstreamRank ranks the digest of an upstream for a partner, 0 if there is
+// nothing to tell.
+func (m *Machine) upstreamRank(now time.Duration, to *member, u *upstream) time.Duration {
+	stops := u.leaving || u.refused()
+	inZone := to.zone == m.self.Zone && u.zone == m.self.Zone
+	if u.urgent == 0 && !stops && !(inZone && u.hasReport) {
+		return 0
+	}
+	t, ok := to.reports[u.key]
+	switch {
+	case u.urgent > 0:
+		return urgentRank + now - t.at
+	case stops:
+		return min(now-t.at, neverSent)
+	case !ok || t.incarnation < u.incarnation:
+		return neverSent
+	default:
+		return u.measured - t.measured
+	}
 }
 
 // digest returns the compact form of what is known of the upstream.
