Add package tlsconf: keys and certificates from files, reloaded in place; peer: smaller files

Cause: operators renew certificates while the system runs. Ruled out: file notification (another dependency, and missed on some mounts); checking the name in the TLS handshake of a peer, which knows the name only from the hello. Change: Reloader with polling and Reload for SIGHUP; broken files are named and those in force stay; settings for peers (both sides verified) and for callers. peer's connections are split into connect, idle, reply; no change of behaviour. Measured: -race -count=5 of peer and tlsconf passes.

--- /dev/null
+++ b/peer/connect.go
@@ -0,0 +1,99 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// connect opens a connection and exchanges hellos. Errors are *DialError and
+// those of the hello.
+func connect(ctx context.Context, addr string, cfg Config) (*clientConn, error) {
+	dctx, cancel := context.WithTimeout(ctx, cfg.Limits.Dial)
+	defer cancel()
+	raw, err := cfg.Dialer.DialContext(dctx, "tcp", addr)
+	if err != nil {
+		return nil, newDialError(addr, err)
+	}
+	c := &clientConn{
+		addr:     addr,
+		cfg:      cfg,
+		counted:  &countingConn{Conn: raw},
+		pending:  map[uint64]*pendingCall{},
+		lastUsed: time.Now(),
+	}
+	hctx, cancel := context.WithTimeout(ctx, cfg.Limits.Hello)
+	defer cancel()
+	if err := c.greet(hctx); err != nil {
+		c.close(err)
+		return nil, err
+	}
+	c.watchIdle()
+	return c, nil
+}
+
+// greet makes the connection ready for calls.
+func (c *clientConn) greet(ctx context.Context) error {
+	conn, err := c.secure(ctx)
+	if err != nil {
+		return c.helloFailed(err)
+	}
+	c.stream = newStream(conn, c.cfg.Limits, c.wanted)
+	// The answer to the hello is the first frame; the server was chosen by its
+	// address, so that it may send frames of the full size.
+	c.stream.trust()
+	c.rpc = jsonrpc2.NewConn(context.Background(), c.stream, refuseAll{},
+		jsonrpc2.OnSend(c.onSend), jsonrpc2.OnRecv(c.onRecv), jsonrpc2.SetLogger(rpcLog{slog.New(slog.DiscardHandler)}))
+	raw, err := c.call(ctx, MethodHello, newHello(c.cfg.Self))
+	if err != nil {
+		return c.helloFailed(err)
+	}
+	h, err := decodeHello(raw)
+	if err != nil {
+		return err
+	}
+	c.remote, err = checkPeer(h, c.addr, peerCertificate(conn), c.cfg.Allow)
+	return err
+}
+
+// helloFailed gives the failure of a handshake or a hello its type: the remote's
+// own refusal, or a *DialError.
+func (c *clientConn) helloFailed(err error) error {
+	cause := plainCause(err)
+	var closed *ClosedError
+	switch {
+	case errors.Is(cause, context.DeadlineExceeded):
+		return &DialError{Addr: c.addr, Kind: DialSilent, Err: cause}
+	case errors.As(cause, &closed), c.cfg.TLS != nil && c.stream == nil:
+		return newDialError(c.addr, cause)
+	default:
+		return cause
+	}
+}
+
+// secure performs the TLS handshake where TLS is configured.
+func (c *clientConn) secure(ctx context.Context) (net.Conn, error) {
+	if c.cfg.TLS == nil {
+		return c.counted, nil
+	}
+	t := tls.Client(c.counted, c.cfg.TLS.ClientConfig())
+	return t, t.HandshakeContext(ctx)
+}
+
+// refuseAll answers calls on dialled connections, where none are expected.
+type refuseAll struct{}
+
+// Handle implements jsonrpc2.Handler.
+func (refuseAll) Handle(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if req.Notif {
+		return
+	}
+	if err := rpc.ReplyWithError(ctx, req.ID, encodeError(Refuse(&MethodError{Method: req.Method}))); err != nil {
+		_ = rpc.Close()
+	}
+}
--- /dev/null
+++ b/tlsconf/peer_test.go
@@ -0,0 +1,122 @@
+package tlsconf
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/peer"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// process is one side of a connection between peers.
+type process struct {
+	id    ident.InstanceID
+	files *files
+	tls   *Reloader
+}
+
+// newProcess returns an instance whose certificate carries the given name.
+func newProcess(t *testing.T, a *authority, id ident.InstanceID, name string) *process {
+	f := newFiles(t, a, name)
+	r, err := New(f.Settings, Options{})
+	assert.NilError(t, err)
+	return &process{id: id, files: f, tls: r}
+}
+
+// config returns the process's peer configuration.
+func (p *process) config() peer.Config {
+	return peer.Config{
+		Self:  peer.Identity{Instance: p.id, Incarnation: 1, Zone: "hall-a"},
+		Allow: func(peer.Identity) bool { return true },
+		TLS:   p.tls,
+	}
+}
+
+// serve answers calls until the test ends.
+func (p *process) serve(t *testing.T) string {
+	srv := peer.NewServer(p.config())
+	peer.Handle(srv, "who", func(_ context.Context, from peer.Identity, _ struct{}) (ident.InstanceID, error) {
+		return from.Instance, nil
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- srv.Serve(l) }()
+	t.Cleanup(func() {
+		assert.NilError(t, srv.Shutdown(context.Background()))
+		assert.NilError(t, <-served)
+	})
+	return l.Addr().String()
+}
+
+// call asks the peer at an address who called.
+func (p *process) call(t *testing.T, addr string) (ident.InstanceID, error) {
+	pool := peer.NewPool(p.config())
+	defer pool.Close()
+	return peer.Call[ident.InstanceID](t.Context(), pool, addr, "who", struct{}{})
+}
+
+func TestPeersKnowEachOtherByCertificate(t *testing.T) {
+	a, stranger := newAuthority(t), newAuthority(t)
+	server := newProcess(t, a, "entry-a1", "entry-a1")
+	addr := server.serve(t)
+	who, err := newProcess(t, a, "entry-a2", "entry-a2").call(t, addr)
+	assert.NilError(t, err)
+	assert.Equal(t, who, ident.InstanceID("entry-a2"))
+
+	_, err = newProcess(t, a, "entry-a2", "entry-a3").call(t, addr)
+	var wrong *peer.IdentityError
+	assert.Assert(t, errors.As(err, &wrong), "%v", err)
+	assert.Equal(t, wrong.Claimed, ident.InstanceID("entry-a2"))
+	assert.Equal(t, peer.DeliveryOf(err), peer.NotSent)
+
+	_, err = newProcess(t, stranger, "entry-a2", "entry-a2").call(t, addr)
+	assert.Assert(t, err != nil)
+	assert.Equal(t, peer.DeliveryOf(err), peer.NotSent)
+
+	plain := newProcess(t, a, "entry-a2", "entry-a2")
+	cfg := plain.config()
+	cfg.TLS = nil
+	pool := peer.NewPool(cfg)
+	defer pool.Close()
+	_, err = peer.Call[ident.InstanceID](t.Context(), pool, addr, "who", struct{}{})
+	assert.Assert(t, err != nil)
+	assert.Equal(t, peer.DeliveryOf(err), peer.NotSent)
+}
+
+// TestClientRefusesAServerOfAnotherName lets a server claim an instance ID that
+// its certificate does not carry.
+func TestClientRefusesAServerOfAnotherName(t *testing.T) {
+	a, stranger := newAuthority(t), newAuthority(t)
+	client := newProcess(t, a, "entry-a2", "entry-a2")
+	_, err := client.call(t, newProcess(t, a, "entry-a1", "entry-a9").serve(t))
+	assert.Assert(t, errors.As(err, new(*peer.IdentityError)), "%v", err)
+	_, err = client.call(t, newProcess(t, stranger, "entry-a1", "entry-a1").serve(t))
+	assert.Assert(t, errors.As(err, new(*ChainError)), "%v", err)
+}
+
+// TestNewAuthorityTakesEffect replaces the authority of a running server: new
+// connections are judged by it.
+func TestNewAuthorityTakesEffect(t *testing.T) {
+	a, next := newAuthority(t), newAuthority(t)
+	server := newProcess(t, a, "entry-a1", "entry-a1")
+	addr := server.serve(t)
+	old := newProcess(t, a, "entry-a2", "entry-a2")
+	_, err := old.call(t, addr)
+	assert.NilError(t, err)
+	server.files.renew(next.today("entry-a1"))
+	server.files.write(server.files.CA, pemBlock("CERTIFICATE", next.cert.Raw))
+	server.tls.Check()
+	assert.NilError(t, server.tls.Status().Err)
+	_, err = old.call(t, addr)
+	assert.Assert(t, err != nil)
+	_, err = newProcess(t, next, "entry-a2", "entry-a2").call(t, addr)
+	assert.NilError(t, err)
+}
--- /dev/null
+++ b/tlsconf/tlsconf_test.go
@@ -0,0 +1,230 @@
+package tlsconf
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"io"
+	"math/big"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// authority signs certificates for the tests.
+type authority struct {
+	t    *testing.T
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+// newAuthority returns a certificate authority.
+func newAuthority(t *testing.T) *authority {
+	a := &authority{t: t}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test authority"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(48 * time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	a.key = newKey(t)
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &a.key.PublicKey, a.key)
+	assert.NilError(t, err)
+	a.cert, err = x509.ParseCertificate(der)
+	assert.NilError(t, err)
+	return a
+}
+
+// newKey returns a private key.
+func newKey(t *testing.T) *ecdsa.PrivateKey {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	return key
+}
+
+// issue returns a certificate and its key for a name, in PEM form.
+func (a *authority) issue(name string, from, until time.Time) (cert, key []byte) {
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name}, DNSNames: []string{name},
+		NotBefore: from, NotAfter: until, KeyUsage: x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	k := newKey(a.t)
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &k.PublicKey, a.key)
+	assert.NilError(a.t, err)
+	keyDER, err := x509.MarshalPKCS8PrivateKey(k)
+	assert.NilError(a.t, err)
+	return pemBlock("CERTIFICATE", der), pemBlock("PRIVATE KEY", keyDER)
+}
+
+// today issues a certificate that is in force.
+func (a *authority) today(name string) (cert, key []byte) {
+	return a.issue(name, time.Now().Add(-time.Hour), time.Now().Add(24*time.Hour))
+}
+
+// pemBlock encodes one block.
+func pemBlock(kind string, der []byte) []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+}
+
+// files are the three files of one test.
+type files struct {
+	t *testing.T
+	Settings
+	writes int
+}
+
+// newFiles writes the files of an instance whose certificate is in force.
+func newFiles(t *testing.T, a *authority, name string) *files {
+	dir := t.TempDir()
+	f := &files{t: t, Settings: Settings{
+		Cert: filepath.Join(dir, "cert.pem"), Key: filepath.Join(dir, "key.pem"), CA: filepath.Join(dir, "ca.pem"),
+	}}
+	f.renew(a.today(name))
+	f.write(f.CA, pemBlock("CERTIFICATE", a.cert.Raw))
+	return f
+}
+
+// renew writes the certificate and the key.
+func (f *files) renew(cert, key []byte) {
+	f.write(f.Cert, cert)
+	f.write(f.Key, key)
+}
+
+// write writes one file; each write has a modification time of its own.
+func (f *files) write(name string, data []byte) {
+	f.t.Helper()
+	assert.NilError(f.t, os.WriteFile(name, data, 0o600))
+	f.writes++
+	at := time.Now().Add(time.Duration(f.writes) * time.Second)
+	assert.NilError(f.t, os.Chtimes(name, at, at))
+}
+
+func TestBrokenFilesAreNamed(t *testing.T) {
+	a, stranger := newAuthority(t), newAuthority(t)
+	now := time.Now()
+	tests := []struct {
+		name    string
+		spoil   func(f *files)
+		field   string
+		problem Problem
+	}{
+		{"no certificate named", func(f *files) { f.Cert = "" }, "cert", Missing},
+		{"no key named", func(f *files) { f.Key = "" }, "key", Missing},
+		{"certificate gone", func(f *files) { f.Cert += "x" }, "cert", Unreadable},
+		{"CA gone", func(f *files) { f.CA += "x" }, "ca", Unreadable},
+		{"certificate is text", func(f *files) { f.write(f.Cert, []byte("hello")) }, "cert", Malformed},
+		{"certificate is cut short", func(f *files) { f.write(f.Cert, pemBlock("CERTIFICATE", []byte{1, 2})) }, "cert", Malformed},
+		{"key is text", func(f *files) { f.write(f.Key, []byte("hello")) }, "key", Malformed},
+		{"key is a certificate", func(f *files) { f.write(f.Key, pemBlock("CERTIFICATE", a.cert.Raw)) }, "key", Malformed},
+		{"CA is text", func(f *files) { f.write(f.CA, []byte("hello")) }, "ca", Malformed},
+		{"CA holds no certificate", func(f *files) { f.write(f.CA, pemBlock("CERTIFICATE", []byte{1})) }, "ca", Malformed},
+		{"file is huge", func(f *files) { f.write(f.CA, make([]byte, maxFileBytes+1)) }, "ca", Unreadable},
+		{"key of another certificate", func(f *files) { _, key := a.today("b"); f.write(f.Key, key) }, "key", Mismatched},
+		{"expired", func(f *files) { f.renew(a.issue("a", now.Add(-time.Hour), now.Add(-time.Minute))) }, "cert", Expired},
+		{"not valid yet", func(f *files) { f.renew(a.issue("a", now.Add(time.Minute), now.Add(time.Hour))) }, "cert", NotYetValid},
+		{"another authority", func(f *files) { f.renew(stranger.today("a")) }, "cert", Untrusted},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFiles(t, a, "entry-a1")
+			r, err := New(f.Settings, Options{})
+			assert.NilError(t, err)
+			before := r.Status().NotAfter
+			tt.spoil(f)
+			r.settings = f.Settings
+			err = r.Reload()
+			var fe *FileError
+			assert.Assert(t, errors.As(err, &fe), "%v", err)
+			assert.Equal(t, fe.Field, tt.field, "%v", err)
+			assert.Equal(t, fe.Problem, tt.problem, "%v", err)
+			// What was in force stays.
+			assert.Equal(t, r.Status().NotAfter, before)
+			assert.Equal(t, r.Status().Err, err)
+			assert.Equal(t, len(r.ServerConfig().Certificates), 1)
+			_, err = New(f.Settings, Options{})
+			assert.Assert(t, errors.As(err, &fe))
+		})
+	}
+}
+
+func TestChangedFilesComeIntoForce(t *testing.T) {
+	a := newAuthority(t)
+	f := newFiles(t, a, "entry-a1")
+	r, err := New(f.Settings, Options{})
+	assert.NilError(t, err)
+	r.Check()
+	assert.Equal(t, r.Status().Loads, 1, "unchanged files were read again")
+	cert, key := a.today("entry-a1")
+	f.write(f.Cert, cert)
+	r.Check()
+	assert.Assert(t, errors.As(r.Status().Err, new(*FileError)), "half of a pair came into force")
+	f.write(f.Key, key)
+	r.Check()
+	assert.NilError(t, r.Status().Err)
+	assert.Equal(t, r.Status().Loads, 2)
+	block, _ := pem.Decode(cert)
+	assert.DeepEqual(t, r.ServerConfig().Certificates[0].Certificate[0], block.Bytes)
+}
+
+func TestRunLooksForChanges(t *testing.T) {
+	a := newAuthority(t)
+	f := newFiles(t, a, "entry-a1")
+	synctest.Test(t, func(t *testing.T) {
+		// The bubble's clock is not the one that the certificates were made by.
+		now := a.cert.NotBefore.Add(2 * time.Hour)
+		r, err := New(f.Settings, Options{Now: func() time.Time { return now }})
+		assert.NilError(t, err)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			r.Run(ctx)
+			close(done)
+		}()
+		f.renew(a.issue("entry-a1", now.Add(-time.Minute), now.Add(time.Hour)))
+		time.Sleep(DefaultInterval + time.Second)
+		synctest.Wait()
+		assert.Equal(t, r.Status().Loads, 2)
+		cancel()
+		<-done
+	})
+}
+
+// TestCallersGetTheCertificateInForce replaces the certificate of a running
+// HTTPS server.
+func TestCallersGetTheCertificateInForce(t *testing.T) {
+	a := newAuthority(t)
+	f := newFiles(t, a, "entry-a1")
+	f.CA = ""
+	r, err := New(f.Settings, Options{})
+	assert.NilError(t, err)
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	s.TLS = r.CallerConfig()
+	s.StartTLS()
+	defer s.Close()
+	roots := x509.NewCertPool()
+	roots.AddCert(a.cert)
+	serial := func() *big.Int {
+		client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots, ServerName: "entry-a1"}}}
+		defer client.CloseIdleConnections()
+		resp, err := client.Get(s.URL)
+		assert.NilError(t, err)
+		defer resp.Body.Close()
+		return resp.TLS.PeerCertificates[0].SerialNumber
+	}
+	before := serial()
+	f.renew(a.today("entry-a1"))
+	assert.NilError(t, r.Reload())
+	assert.Assert(t, serial().Cmp(before) != 0)
+}
