peer: Recheck drops peers that are no longer believed; accepting survives failures

Cause: a peer taken off the list kept its connection; one failed accept (too many open files) ended the server. Measured: -race -count=10 passes.

--- a/peer/errors.go
+++ b/peer/errors.go
@@ -260,6 +260,18 @@
 // Unwrap returns the cause.
 func (e *ClosedError) Unwrap() error { return e.Cause }
 
+// AcceptError reports a listener that accepts no more connections.
+type AcceptError struct {
+	Addr string
+	Err  error
+}
+
+// Error implements error.
+func (e *AcceptError) Error() string { return fmt.Sprintf("accept at %s: %v", e.Addr, e.Err) }
+
+// Unwrap returns the network's error.
+func (e *AcceptError) Unwrap() error { return e.Err }
+
 // IdleError reports a connection closed for lack of frames.
 type IdleError struct{ After time.Duration }
 
--- a/peer/hello_test.go
+++ b/peer/hello_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -140,6 +141,33 @@
 	}
 }
 
+// TestRecheckClosesConnectionsOfDroppedPeers takes both sides off the list.
+func TestRecheckClosesConnectionsOfDroppedPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var dropped atomic.Bool
+		allow := func(Identity) bool { return !dropped.Load() }
+		s := NewServer(Config{Self: entryB, Allow: allow})
+		Handle(s, "echo", echo)
+		p := NewPool(Config{Self: entryA, Allow: allow, Dialer: &pipeDialer{srv: s}})
+		defer stop(t, s, p)
+		for _, recheck := range []func(){s.Recheck, p.Recheck} {
+			dropped.Store(false)
+			time.Sleep(DefaultBackoffMax * 2)
+			_, err := Call[echoResponse](context.Background(), p, "b", "echo", echoRequest{})
+			assert.NilError(t, err)
+			recheck()
+			synctest.Wait()
+			assert.Equal(t, len(s.Stats().Conns), 1)
+			dropped.Store(true)
+			recheck()
+			synctest.Wait()
+			assert.Equal(t, len(s.Stats().Conns), 0)
+			_, err = Call[echoResponse](context.Background(), p, "b", "echo", echoRequest{})
+			assert.Assert(t, errors.As(err, new(*NotAllowedError)), "%v", err)
+		}
+	})
+}
+
 // TestSilentServerIsToldApart meets a process whose kernel accepts connections
 // and that does not run.
 func TestSilentServerIsToldApart(t *testing.T) {
--- a/peer/limits_test.go
+++ b/peer/limits_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -294,3 +295,29 @@
 		assert.Equal(t, len(p.Stats().Conns), 0)
 	})
 }
+
+// failingListener fails to accept for a while, then for good.
+type failingListener struct {
+	net.Listener
+	failures int
+}
+
+// Accept implements net.Listener.
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures--; l.failures >= 0 {
+		return nil, syscall.EMFILE
+	}
+	return nil, net.ErrClosed
+}
+
+func TestServeWaitsOutFailures(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	synctest.Test(t, func(t *testing.T) {
+		l := &failingListener{Listener: inner, failures: 5}
+		start := time.Now()
+		err := NewServer(Config{Self: entryB, Allow: allowAll}).Serve(l)
+		assert.Assert(t, errors.As(err, new(*AcceptError)))
+		assert.Equal(t, time.Since(start), 5*acceptPause)
+	})
+}
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -61,6 +61,27 @@
 	}
 }
 
+// Recheck closes the connections to peers that Allow does not believe any more.
+// Call it when the settings or the platform's list changed.
+func (p *Pool) Recheck() {
+	for _, e := range p.endpoints() {
+		if c := e.current(); c != nil && !p.cfg.Allow(c.remote) {
+			p.Forget(e.addr)
+		}
+	}
+}
+
+// endpoints returns all endpoints.
+func (p *Pool) endpoints() []*endpoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]*endpoint, 0, len(p.peers))
+	for _, e := range p.peers {
+		out = append(out, e)
+	}
+	return out
+}
+
 // retire closes what an endpoint has.
 func (p *Pool) retire(e *endpoint) {
 	if c := e.discard(); c != nil {
@@ -81,13 +102,7 @@
 	p.past.Lock()
 	out := Stats{Total: p.past.traffic}
 	p.past.Unlock()
-	p.mu.Lock()
-	peers := make([]*endpoint, 0, len(p.peers))
-	for _, e := range p.peers {
-		peers = append(peers, e)
-	}
-	p.mu.Unlock()
-	for _, e := range peers {
+	for _, e := range p.endpoints() {
 		c := e.current()
 		if c == nil {
 			continue
--- a/peer/server.go
+++ b/peer/server.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 )
@@ -77,8 +78,9 @@
 	return s.draining || s.stopping
 }
 
-// Serve accepts connections until Shutdown or until the listener fails, and
-// returns nil in the first case. It closes the listener.
+// Serve accepts connections until Shutdown, and returns nil then, or until the
+// listener is closed by someone else; the error is an *AcceptError. Other
+// failures, such as too many open files, are waited out. It closes the listener.
 func (s *Server) Serve(l net.Listener) error {
 	if !s.addListener(l) {
 		return l.Close()
@@ -91,20 +93,17 @@
 			go s.ServeConn(conn)
 		case s.isStopping():
 			return nil
-		case temporary(err):
-			continue
+		case errors.Is(err, net.ErrClosed):
+			return &AcceptError{Addr: l.Addr().String(), Err: err}
 		default:
-			return &DialError{Addr: l.Addr().String(), Err: err}
+			s.cfg.Log.Error("accepting a peer failed", "error", err)
+			time.Sleep(acceptPause)
 		}
 	}
 }
 
-// temporary reports whether accepting can go on after err: the peer gave up
-// before its connection was accepted.
-func temporary(err error) bool {
-	var ne net.Error
-	return errors.As(err, &ne) && ne.Timeout()
-}
+// acceptPause is the pause after a failure to accept a connection.
+const acceptPause = 100 * time.Millisecond
 
 // addListener remembers a listener for Shutdown.
 func (s *Server) addListener(l net.Listener) bool {
@@ -188,6 +187,16 @@
 	return out
 }
 
+// Recheck closes the connections of peers that Allow does not believe any more.
+// Call it when the settings or the platform's list changed.
+func (s *Server) Recheck() {
+	for _, c := range s.openConns() {
+		if id, ok := c.identity(); ok && !s.cfg.Allow(id) {
+			c.close()
+		}
+	}
+}
+
 // Stats returns the connections and their traffic.
 func (s *Server) Stats() Stats {
 	conns := s.openConns()
--- a/peer/serverconn.go
+++ b/peer/serverconn.go
@@ -141,6 +141,13 @@
 	}
 }
 
+// identity returns who the peer is, if the hello was accepted.
+func (c *serverConn) identity() (Identity, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.remote, c.greeted
+}
+
 // isGreeted reports whether the hello was accepted.
 func (c *serverConn) isGreeted() bool {
 	c.mu.Lock()
