--- a/plugins/slots/lease/holder.go
+++ b/plugins/slots/lease/holder.go
@@ -84,6 +84,7 @@
 	flushing  bool
 	seq       uint64
 	nextRenew time.Time
+	nextTidy  time.Time
 }
 
 func (o *holder) init() {
--- a/plugins/slots/lease/ledger.go
+++ b/plugins/slots/lease/ledger.go
@@ -159,9 +159,16 @@
 // reports that show the cause arrive well within it.
 const penaltyTime = 1 * time.Second
 
+// foreignMargin is the number of slots kept back while somebody else seems to
+// give out the engine's slots too.
+const foreignMargin = 1
+
 // limit returns how many slots this instance may have leased out.
 func (l *ledger) limit(u *kernel.Upstream, now time.Time, margin int) int {
-	limit := slotkit.Slots(u) - l.foreign(u)
+	limit := slotkit.Slots(u)
+	if foreign := l.foreign(u); foreign > 0 {
+		limit -= foreign + foreignMargin
+	}
 	if !now.After(l.penaltyEnd) {
 		limit -= l.penalty
 	}
--- a/plugins/slots/lease/setup.go
+++ b/plugins/slots/lease/setup.go
@@ -17,7 +17,7 @@
 	defaultAskTimeout    = 150 * time.Millisecond
 	defaultQueueWait     = 1 * time.Second
 	defaultQueueLimit    = 64
-	defaultRenewInterval = 1 * time.Second
+	defaultRenewInterval = 4 * time.Second
 	defaultTakeOver      = 1 * time.Second
 	defaultMargin        = 2
 )
--- a/plugins/slots/lease/wake.go
+++ b/plugins/slots/lease/wake.go
@@ -8,30 +8,33 @@
 	"github.com/wardspool/wardspool/plugins/slots/slotkit"
 )
 
+// tidyInterval is the time between looks at leases that may have lapsed. It is
+// also how soon a pause of this process is noticed.
+const tidyInterval = 1 * time.Second
+
 // NextWake implements kernel.Waker.
 func (p *Policy) NextWake() (time.Time, bool) {
 	now := p.host.Now()
-	if !p.roster.Current(p.host.View()) || len(p.holder.answers) > 0 {
+	o := &p.holder
+	if !p.roster.Current(p.host.View()) || len(o.answers) > 0 {
 		return now, true
 	}
-	next := p.holder.nextRenew
-	if next.IsZero() {
-		next = now.Add(p.RenewInterval)
-		p.holder.nextRenew = next
+	if o.nextRenew.IsZero() {
+		o.nextRenew = now.Add(p.RenewInterval)
+		o.nextTidy = now.Add(tidyInterval)
 	}
-	for _, h := range p.holder.open {
+	next := earlier(o.nextRenew, o.nextTidy)
+	for _, h := range o.open {
 		next = earlier(next, h.until)
 	}
 	for _, l := range p.grantor.ledgers {
-		next = earlier(next, p.ledgerWake(l, now))
+		next = earlier(next, p.ledgerWake(l, next))
 	}
 	return next, true
 }
 
-// ledgerWake returns when a ledger needs attention, at the latest one interval
-// from now.
-func (p *Policy) ledgerWake(l *ledger, now time.Time) time.Time {
-	next := now.Add(p.RenewInterval)
+// ledgerWake returns when a ledger needs attention if that is before next.
+func (p *Policy) ledgerWake(l *ledger, next time.Time) time.Time {
 	if !l.settled {
 		next = earlier(next, l.since.Add(p.TakeOver))
 	}
@@ -52,15 +55,18 @@
 func (p *Policy) Wake() {
 	p.followView()
 	now := p.host.Now()
-	late := now.Sub(p.holder.nextRenew)
-	if !p.holder.nextRenew.IsZero() && late > pauseGap {
+	o := &p.holder
+	if !o.nextTidy.IsZero() && now.Sub(o.nextTidy) > pauseGap {
 		p.unsettle()
 	}
 	p.timeOut(now)
-	if late >= 0 {
+	if !now.Before(o.nextRenew) {
+		o.nextRenew = now.Add(p.RenewInterval)
 		p.renewAll()
+	}
+	if !now.Before(o.nextTidy) {
+		o.nextTidy = now.Add(tidyInterval)
 		p.tidy(now)
-		p.holder.nextRenew = now.Add(p.RenewInterval)
 	}
 	for _, l := range p.grantor.ledgers {
 		p.wakeLedger(l, now)
