e2e: an entry killed under streams, calls and traffic; testbed relays

Separate processes: 4 entries and agents in two zones, 6 stand-ins, a platform. The stand-ins' judge decides.

When an entry and its agent die together, only instances of its own zone probe it and learn that its address refuses (membership: probes()); the others see it as unreachable, and their leftovers on the engines of the other zone wait for the attempts' deadline. Ruled out: the test's own timing (30 to 45 s of waiting, same state; fleet status shows 'dead' in the own zone, 'unreachable' in the other).

--- /dev/null
+++ b/e2e/judge_test.go
@@ -0,0 +1,109 @@
+package e2e
+
+import (
+	"fmt"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/load/referee"
+	"github.com/wardspool/wardspool/standin/control"
+	"github.com/wardspool/wardspool/standin/judge"
+)
+
+// upstream drives an upstream's stand-in.
+func (b *bed) upstream(id ident.UpstreamID) control.Client {
+	return control.Client{Address: b.Addresses[id]}
+}
+
+// engineFaults sets the faults of stand-in engines.
+func (b *bed) engineFaults(f control.EngineFaults, ids ...ident.UpstreamID) {
+	b.t.Helper()
+	for _, id := range ids {
+		assert.NilError(b.t, b.upstream(id).SetEngineFaults(b.ctx, f))
+	}
+}
+
+// serviceFaults sets the faults of all stand-in services.
+func (b *bed) serviceFaults(f control.ServiceFaults) {
+	b.t.Helper()
+	for _, id := range []ident.UpstreamID{serviceA, serviceB} {
+		assert.NilError(b.t, b.upstream(id).SetServiceFaults(b.ctx, f))
+	}
+}
+
+// reports asks all stand-ins what really happened.
+func (b *bed) reports() *referee.Reports {
+	b.t.Helper()
+	got, err := referee.Fetch(b.ctx, b.JudgeAddresses())
+	assert.NilError(b.t, err)
+	return got
+}
+
+// ran returns what ran, by request.
+func (b *bed) ran() *judge.Index {
+	b.t.Helper()
+	r := b.reports()
+	return judge.NewIndex(r.Engines, r.Services)
+}
+
+// engine returns one engine's report.
+func (b *bed) engine(id ident.UpstreamID) judge.Engine {
+	b.t.Helper()
+	e, err := b.upstream(id).Engine(b.ctx)
+	assert.NilError(b.t, err)
+	return e
+}
+
+// nothingHeld waits until no engine holds an attempt or a piece of memory.
+func (b *bed) nothingHeld() {
+	b.t.Helper()
+	b.eventually("the release of all that engines held", func() (bool, string) {
+		held := b.reports().Held()
+		return held.Attempts == 0 && held.Pieces == 0, fmt.Sprintf("%+v", held)
+	})
+}
+
+// held waits until the engines hold at least some attempts.
+func (b *bed) held(attempts int) {
+	b.t.Helper()
+	b.eventually("the start of attempts", func() (bool, string) {
+		held := b.reports().Held()
+		return held.Attempts >= attempts, fmt.Sprintf("%+v", held)
+	})
+}
+
+// running waits until the services run at least some calls.
+func (b *bed) running(calls int) {
+	b.t.Helper()
+	b.eventually("the start of calls", func() (bool, string) {
+		n := 0
+		for _, s := range b.reports().Services {
+			n += s.Running
+		}
+		return n >= calls, fmt.Sprintf("%d run", n)
+	})
+}
+
+// generating waits until a request's answer is being generated.
+func (b *bed) generating(id string) {
+	b.t.Helper()
+	b.eventually("the generation of "+id, func() (bool, string) {
+		runs := b.ran().Request(id)
+		return runs.DecodeRuns > 0, fmt.Sprintf("%+v", runs)
+	})
+}
+
+// holderOf returns the engine of some that generates a request's answer.
+func (b *bed) holderOf(id string, engines ...ident.UpstreamID) ident.UpstreamID {
+	b.t.Helper()
+	for _, e := range engines {
+		for _, q := range b.engine(e).Requests {
+			if q.CorrelationID == id && q.DecodeRuns > q.Completed {
+				return e
+			}
+		}
+	}
+	b.t.Fatalf("no engine generates %s", id)
+	return ""
+}
--- a/testbed/build.go
+++ b/testbed/build.go
@@ -1,10 +1,12 @@
 package testbed
 
 import (
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 )
 
 // Programs are the paths of the built binaries.
@@ -41,17 +43,45 @@
 // Ports hands out free loopback ports. A port is free when it is handed out;
 // the process that uses it must start soon.
 type Ports struct {
-	held []net.Listener
+	held  []net.Listener
+	given map[int]bool
 }
 
+// Ports are taken from below the range from which Linux chooses the local ends
+// of connections: otherwise a connection could take the port of a process that
+// is not started yet, or is away for a while.
+const (
+	firstPort = 10_000
+	lastPort  = 32_000
+	portTries = 1000
+)
+
 // Next returns a free "127.0.0.1:port" that no earlier call returned.
 func (p *Ports) Next() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", &ProcessError{Name: "port", Op: "start", Err: err}
+	var failed error
+	for range portTries {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if p.given[port] {
+			// Its process may not have bound it yet.
+			continue
+		}
+		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
+		if err != nil {
+			failed = err
+			continue
+		}
+		p.keep(port, l)
+		return l.Addr().String(), nil
+	}
+	return "", &ProcessError{Name: "port", Op: "start", Err: failed}
+}
+
+func (p *Ports) keep(port int, l net.Listener) {
+	if p.given == nil {
+		p.given = map[int]bool{}
 	}
+	p.given[port] = true
 	p.held = append(p.held, l)
-	return l.Addr().String(), nil
 }
 
 // Release makes the handed-out ports bindable for the processes.
--- a/testbed/fleet.go
+++ b/testbed/fleet.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/wardspool/wardspool/ident"
@@ -21,6 +22,11 @@
 	EntriesPerZone int
 	// Static runs the entries without agents and platform, on fixed settings.
 	Static bool
+	// EngineArgs are further arguments of every stand-in engine.
+	EngineArgs []string
+	// Relays has all traffic of the system's processes go through relays, by
+	// which zones can be cut off.
+	Relays bool
 }
 
 // Instance is one entry instance of the system: an entry and its agent.
@@ -51,6 +57,11 @@
 	dir      string
 	logDir   string
 	ports    Ports
+	// relays are by the address they lead to; zones holds the zone of each
+	// process by its ID.
+	relays map[string]*relay
+	cuts   *cuts
+	zones  sync.Map
 }
 
 // StartTimeout bounds the wait for a fleet to be ready.
@@ -67,6 +78,8 @@
 		programs:   o.Programs,
 		dir:        o.Dir,
 		logDir:     filepath.Join(o.Dir, "logs"),
+		relays:     map[string]*relay{},
+		cuts:       newCuts(),
 	}
 	if err := os.MkdirAll(f.logDir, 0o755); err != nil {
 		return f, err
@@ -108,6 +121,9 @@
 				}
 				*address = next
 			}
+			if err := f.relayInstance(in); err != nil {
+				return err
+			}
 			f.Instances = append(f.Instances, in)
 		}
 	}
@@ -115,6 +131,14 @@
 	return nil
 }
 
+// relayInstance starts the relays to an instance's addresses for its peers.
+func (f *Fleet) relayInstance(in *Instance) error {
+	if err := f.relayTo(in.Peer, in.Zone); err != nil {
+		return err
+	}
+	return f.relayTo(in.AgentPeer, in.Zone)
+}
+
 // StartInstance starts, or restarts, an instance's processes.
 func (f *Fleet) StartInstance(in *Instance) error {
 	if err := f.StartEntry(in); err != nil {
@@ -133,7 +157,11 @@
 		return err
 	}
 	in.Entry, err = start(string(in.ID), in.Callers, f.logDir, f.programs.Entry, "--settings", path)
-	return err
+	if err != nil {
+		return err
+	}
+	f.note(in.Entry, in.Zone)
+	return nil
 }
 
 // write puts a settings file into the fleet's folder.
@@ -215,6 +243,9 @@
 	for _, p := range f.processes() {
 		_ = p.Kill()
 	}
+	for _, r := range f.relays {
+		r.close()
+	}
 }
 
 func (f *Fleet) processes() []*Process {
--- /dev/null
+++ b/testbed/network.go
@@ -0,0 +1,49 @@
+package testbed
+
+import "github.com/wardspool/wardspool/ident"
+
+// relayTo starts a relay to an address in a zone, if the fleet has relays.
+func (f *Fleet) relayTo(address string, zone ident.Zone) error {
+	if !f.options.Relays {
+		return nil
+	}
+	r, err := startRelay(address, zone, f.cuts, f.zoneOf)
+	if err != nil {
+		return err
+	}
+	f.relays[address] = r
+	return nil
+}
+
+// reach is the address by which the fleet's processes reach a process.
+func (f *Fleet) reach(address string) string {
+	if r, ok := f.relays[address]; ok {
+		return r.address()
+	}
+	return address
+}
+
+// note remembers in which zone a process runs.
+func (f *Fleet) note(p *Process, zone ident.Zone) { f.zones.Store(p.PID(), zone) }
+
+// Cut cuts two zones off from each other, PlatformZone for the platform: no
+// byte gets through, and nobody is told. The fleet must have been started with
+// Options.Relays. KV transfers between engines are not cut.
+func (f *Fleet) Cut(a, b ident.Zone) { f.cuts.set(a, b, true) }
+
+// Heal undoes Cut. What was held back arrives late.
+func (f *Fleet) Heal(a, b ident.Zone) { f.cuts.set(a, b, false) }
+
+// CutOff cuts a zone off from all others and from the platform.
+func (f *Fleet) CutOff(zone ident.Zone) { f.eachOther(zone, f.Cut) }
+
+// Rejoin undoes CutOff.
+func (f *Fleet) Rejoin(zone ident.Zone) { f.eachOther(zone, f.Heal) }
+
+func (f *Fleet) eachOther(zone ident.Zone, do func(a, b ident.Zone)) {
+	for _, other := range append([]ident.Zone{PlatformZone}, f.Deployment.Zones...) {
+		if other != zone {
+			do(zone, other)
+		}
+	}
+}
--- a/testbed/platform.go
+++ b/testbed/platform.go
@@ -18,6 +18,9 @@
 	if err != nil {
 		return err
 	}
+	if err := f.relayTo(address, PlatformZone); err != nil {
+		return err
+	}
 	f.ports.Release()
 	f.Platform, err = start("platform", address, f.logDir, f.programs.Standin, "platform", "--listen", address)
 	if err != nil {
@@ -64,8 +67,8 @@
 			ID:            in.ID,
 			Zone:          in.Zone,
 			Region:        f.Deployment.Region,
-			PeerAddress:   in.Peer,
-			AgentAddress:  in.AgentPeer,
+			PeerAddress:   f.reach(in.Peer),
+			AgentAddress:  f.reach(in.AgentPeer),
 			CallerAddress: in.Callers,
 			State:         stateOf(leaving[string(in.ID)]),
 		})
@@ -79,7 +82,7 @@
 		list.Upstreams = append(list.Upstreams, platform.Upstream{
 			ID:      u.ID,
 			Zone:    f.Deployment.ZoneOf(u.ID),
-			Address: f.Addresses[u.ID],
+			Address: f.reach(f.Addresses[u.ID]),
 			Role:    u.Role,
 			Models:  u.Models,
 			Service: u.Service,
@@ -107,7 +110,11 @@
 		return err
 	}
 	in.Agent, err = start(string(in.ID)+"-agent", in.AgentPeer, f.logDir, f.programs.Agent, "--settings", path)
-	return err
+	if err != nil {
+		return err
+	}
+	f.note(in.Agent, in.Zone)
+	return nil
 }
 
 // Instance finds an instance by ID, nil if there is none.
--- /dev/null
+++ b/testbed/relay.go
@@ -0,0 +1,196 @@
+package testbed
+
+import (
+	"io"
+	"net"
+	"sync"
+
+	"github.com/wardspool/wardspool/ident"
+)
+
+// PlatformZone stands for the place of the platform's configuration service,
+// for Fleet.Cut.
+const PlatformZone ident.Zone = "platform"
+
+// cuts knows which zones cannot reach each other now.
+type cuts struct {
+	mu  sync.Mutex
+	cut map[[2]ident.Zone]bool
+	// changed is closed and replaced when a cut is made or healed.
+	changed chan struct{}
+}
+
+func newCuts() *cuts {
+	return &cuts{cut: map[[2]ident.Zone]bool{}, changed: make(chan struct{})}
+}
+
+// set cuts two zones off from each other, or heals the cut.
+func (c *cuts) set(a, b ident.Zone, cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut[[2]ident.Zone{a, b}] = cut
+	c.cut[[2]ident.Zone{b, a}] = cut
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// pass waits until nothing cuts the way between two zones. It returns false if
+// the relay was closed first.
+func (c *cuts) pass(from, to ident.Zone, closed <-chan struct{}) bool {
+	for {
+		c.mu.Lock()
+		cut, changed := c.cut[[2]ident.Zone{from, to}], c.changed
+		c.mu.Unlock()
+		if !cut {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-closed:
+			return false
+		}
+	}
+}
+
+// relay passes the connections to one address on. While the way between the
+// zones of the two ends is cut it holds back all bytes, ends and new
+// connections, as a network does that loses every packet.
+type relay struct {
+	listener net.Listener
+	target   string
+	zone     ident.Zone
+	cuts     *cuts
+	// zoneOf tells the zone of the process at the other end of a connection.
+	zoneOf func(net.Conn) ident.Zone
+
+	closed chan struct{}
+	mu     sync.Mutex
+	conns  map[net.Conn]struct{}
+}
+
+// startRelay starts a relay to a target in a zone, at an address of its own.
+func startRelay(target string, zone ident.Zone, c *cuts, zoneOf func(net.Conn) ident.Zone) (*relay, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, &ProcessError{Name: "relay to " + target, Op: "start", Err: err}
+	}
+	r := &relay{
+		listener: l, target: target, zone: zone, cuts: c, zoneOf: zoneOf,
+		closed: make(chan struct{}), conns: map[net.Conn]struct{}{},
+	}
+	go r.serve()
+	return r, nil
+}
+
+// address is where the relay listens.
+func (r *relay) address() string { return r.listener.Addr().String() }
+
+// close ends the relay and its connections.
+func (r *relay) close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	close(r.closed)
+	_ = r.listener.Close()
+	for c := range r.conns {
+		_ = c.Close()
+	}
+}
+
+// keep notes a connection for close; it returns false once the relay is closed.
+func (r *relay) keep(c net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	select {
+	case <-r.closed:
+		_ = c.Close()
+		return false
+	default:
+		r.conns[c] = struct{}{}
+		return true
+	}
+}
+
+// drop closes a connection.
+func (r *relay) drop(c net.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.conns, c)
+	_ = c.Close()
+}
+
+func (r *relay) serve() {
+	for {
+		c, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		if r.keep(c) {
+			go r.pass(c)
+		}
+	}
+}
+
+// pass carries one connection.
+func (r *relay) pass(caller net.Conn) {
+	defer r.drop(caller)
+	from := r.zoneOf(caller)
+	if !r.cuts.pass(from, r.zone, r.closed) {
+		return
+	}
+	target, err := net.Dial("tcp", r.target)
+	if err != nil {
+		refuse(caller)
+		return
+	}
+	if !r.keep(target) {
+		return
+	}
+	defer r.drop(target)
+	var ways sync.WaitGroup
+	ways.Go(func() { r.copy(target, caller, from) })
+	ways.Go(func() { r.copy(caller, target, from) })
+	ways.Wait()
+}
+
+// refuse ends a connection to a target where nothing listens by a reset.
+func refuse(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
+// copyBuffer is the size of a relay's buffers, in bytes.
+const copyBuffer = 32 << 10
+
+// copy carries bytes one way, and at last the end.
+func (r *relay) copy(to, from net.Conn, zone ident.Zone) {
+	buffer := make([]byte, copyBuffer)
+	for {
+		n, err := from.Read(buffer)
+		if !r.cuts.pass(zone, r.zone, r.closed) {
+			return
+		}
+		if n > 0 {
+			if _, werr := to.Write(buffer[:n]); werr != nil {
+				refuse(from)
+				_ = from.Close()
+				return
+			}
+		}
+		if err != nil {
+			r.end(to, err)
+			return
+		}
+	}
+}
+
+// end passes the end of one way on: in order, or by a reset.
+func (r *relay) end(to net.Conn, err error) {
+	tcp, ok := to.(*net.TCPConn)
+	if ok && err == io.EOF {
+		_ = tcp.CloseWrite()
+		return
+	}
+	refuse(to)
+	_ = to.Close()
+}
--- /dev/null
+++ b/testbed/sockets.go
@@ -0,0 +1,95 @@
+package testbed
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/wardspool/wardspool/ident"
+)
+
+// ownerWait bounds the search for the process at the end of a connection: a
+// process that has just started may not be noted yet.
+const ownerWait = 500 * time.Millisecond
+
+// zoneOf tells the zone of the process that opened a connection, "" if it is
+// none of the fleet's. It asks the kernel's table of sockets, so that nothing
+// of the protocols need be read.
+func (f *Fleet) zoneOf(c net.Conn) ident.Zone {
+	for deadline := time.Now().Add(ownerWait); ; time.Sleep(pollInterval) {
+		if inode, ok := socketInode(c.RemoteAddr(), c.LocalAddr()); ok {
+			if zone, ok := f.zoneOfSocket(inode); ok {
+				return zone
+			}
+		}
+		if time.Now().After(deadline) {
+			return ""
+		}
+	}
+}
+
+// zoneOfSocket finds the process that holds a socket.
+func (f *Fleet) zoneOfSocket(inode string) (zone ident.Zone, found bool) {
+	link := "socket:[" + inode + "]"
+	f.zones.Range(func(pid, in any) bool {
+		if holdsFile(pid.(int), link) {
+			zone, found = in.(ident.Zone), true
+		}
+		return !found
+	})
+	return zone, found
+}
+
+// holdsFile reports whether a process of the fleet has a file open.
+func holdsFile(pid int, link string) bool {
+	dir := filepath.Join("/proc", strconv.Itoa(pid), "fd")
+	files, err := os.ReadDir(dir)
+	if err != nil {
+		return false
+	}
+	for _, file := range files {
+		if target, err := os.Readlink(filepath.Join(dir, file.Name())); err == nil && target == link {
+			return true
+		}
+	}
+	return false
+}
+
+// Columns of /proc/net/tcp.
+const (
+	columnLocal  = 1
+	columnRemote = 2
+	columnInode  = 9
+)
+
+// socketInode finds the socket with the given ends in the kernel's table.
+func socketInode(local, remote net.Addr) (inode string, found bool) {
+	table, err := os.Open("/proc/net/tcp")
+	if err != nil {
+		return "", false
+	}
+	defer func() { _ = table.Close() }()
+	lines := bufio.NewScanner(table)
+	for lines.Scan() {
+		fields := strings.Fields(lines.Text())
+		if len(fields) > columnInode && fields[columnLocal] == hexAddress(local) && fields[columnRemote] == hexAddress(remote) {
+			return fields[columnInode], fields[columnInode] != "0"
+		}
+	}
+	return "", false
+}
+
+// hexAddress writes an IPv4 address as the kernel's table does.
+func hexAddress(a net.Addr) string {
+	tcp, ok := a.(*net.TCPAddr)
+	if !ok || tcp.IP.To4() == nil {
+		return ""
+	}
+	ip := tcp.IP.To4()
+	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], tcp.Port)
+}
--- a/testbed/upstreams.go
+++ b/testbed/upstreams.go
@@ -16,6 +16,9 @@
 			return err
 		}
 		f.Addresses[u.ID] = address
+		if err := f.relayTo(address, f.Deployment.ZoneOf(u.ID)); err != nil {
+			return err
+		}
 	}
 	f.ports.Release()
 	for _, u := range f.Deployment.Content.Upstreams {
@@ -32,7 +35,7 @@
 		if u.ID != id {
 			continue
 		}
-		args := f.engineArgs(u)
+		args := append(f.engineArgs(u), f.options.EngineArgs...)
 		if u.Role == config.RoleService {
 			args = serviceArgs(u)
 		}
