Feasibility learns from requests that waited in vain

Cause: the kernel calls Finished before it records a request's end, and Finished forgot the prediction; so requests given up after waiting taught nothing. The test called the two in the other order and now follows the kernel's. Kinds of one model are learned apart: those with tight targets are served first.

--- a/plugins/admission/feasible/feasible.go
+++ b/plugins/admission/feasible/feasible.go
@@ -23,19 +23,32 @@
 // Check implements kernel.Admission and kernel.Observer.
 type Check struct {
 	host kernel.Host
-	// corrections are learned for each model.
-	corrections map[string]*correction
+	// corrections are learned for each kind of request to each model: kinds with
+	// tight targets are served before others.
+	corrections map[target]*correction
 	comeBacks   map[string]*comeBack
 	// admitted is what was predicted for the requests admitted and not over.
 	admitted map[ident.RequestID]time.Duration
+	// ended is a request that is over without a first output, until the record
+	// that says why.
+	ended ended
 	// links is the slowest KV transfer link of each model, in bytes a second.
 	links map[string]float64
 }
 
+// target is a kind of request to a model.
+type target struct{ model, kind string }
+
+// ended is a request that is over, and what was predicted for it.
+type ended struct {
+	id        ident.RequestID
+	predicted time.Duration
+}
+
 // Attach implements kernel.Attacher.
 func (c *Check) Attach(h kernel.Host) {
 	c.host = h
-	c.corrections = map[string]*correction{}
+	c.corrections = map[target]*correction{}
 	c.comeBacks = map[string]*comeBack{}
 	c.admitted = map[ident.RequestID]time.Duration{}
 }
@@ -55,7 +68,7 @@
 	}
 	// What was learned of models that are gone is of no more use.
 	gone := func(model string) bool { return !declared[model] }
-	maps.DeleteFunc(c.corrections, func(m string, _ *correction) bool { return gone(m) })
+	maps.DeleteFunc(c.corrections, func(t target, _ *correction) bool { return gone(t.model) })
 	maps.DeleteFunc(c.comeBacks, func(m string, _ *comeBack) bool { return gone(m) })
 }
 
@@ -80,7 +93,7 @@
 	if !e.Possible {
 		return c.impossible(r)
 	}
-	expected := c.correction(r.Model).apply(e.FirstOutput, now)
+	expected := c.correction(r).apply(e.FirstOutput, now)
 	excess := now.Add(expected).Sub(latest(r))
 	if excess > margin {
 		return c.infeasible(r, expected, excess)
@@ -135,12 +148,13 @@
 	return false
 }
 
-// correction returns what was learned for a model.
-func (c *Check) correction(model string) *correction {
-	k, ok := c.corrections[model]
+// correction returns what was learned for requests like r.
+func (c *Check) correction(r *kernel.Request) *correction {
+	t := target{model: r.Model, kind: r.Kind}
+	k, ok := c.corrections[t]
 	if !ok {
 		k = &correction{}
-		c.corrections[model] = k
+		c.corrections[t] = k
 	}
 	return k
 }
@@ -166,8 +180,18 @@
 	case kernel.StepDecoding:
 		c.learn(r, rec.Waited+c.transfer(r), rec.Time)
 	case kernel.StepRefused:
-		c.learn(r, inVain(r), rec.Time)
+		c.gaveUp(r, rec)
+	}
+}
+
+// gaveUp learns from a request that waited in vain. One that a later check
+// refused, or that ended for another reason, teaches nothing.
+func (c *Check) gaveUp(r *kernel.Request, rec kernel.Record) {
+	if c.ended.id != r.ID || rec.Reason != kernel.ReasonInfeasible {
+		return
 	}
+	c.correction(r).learn(c.ended.predicted, inVain(r), rec.Time)
+	c.ended = ended{}
 }
 
 // inVain is the time to first output that a request is taken to have needed
@@ -185,7 +209,7 @@
 		return
 	}
 	delete(c.admitted, r.ID)
-	c.correction(r.Model).learn(predicted, took, now)
+	c.correction(r).learn(predicted, took, now)
 }
 
 // transfer is the time to move the request's KV cache over an idle link, which
@@ -200,5 +224,13 @@
 	return time.Duration(bytes / rate * float64(time.Second))
 }
 
-// Finished implements kernel.Admission.
-func (c *Check) Finished(r *kernel.Request, _ api.Outcome) { delete(c.admitted, r.ID) }
+// Finished implements kernel.Admission. The record of the request's end, which
+// says why, comes next.
+func (c *Check) Finished(r *kernel.Request, _ api.Outcome) {
+	predicted, ok := c.admitted[r.ID]
+	if !ok {
+		return
+	}
+	delete(c.admitted, r.ID)
+	c.ended = ended{id: r.ID, predicted: predicted}
+}
--- a/plugins/admission/feasible/feasible_test.go
+++ b/plugins/admission/feasible/feasible_test.go
@@ -88,7 +88,7 @@
 		assert.Assert(t, c.Admit(r) == nil)
 		// 0.1 s of the 2.4 s is the transfer after StepDecoding.
 		c.Observe(r, kernel.Record{Time: host.Time, Step: kernel.StepDecoding, Waited: 2300 * time.Millisecond})
-		if c.correction(r.Model).factor(host.Time) > 1.7 {
+		if c.correction(r).factor(host.Time) > 1.7 {
 			break
 		}
 	}
@@ -104,13 +104,47 @@
 	for range 20 {
 		r := plugintest.Request("r")
 		assert.Assert(t, c.Admit(r) == nil)
-		c.Observe(r, kernel.Record{Time: host.Time, Step: kernel.StepRefused, Waited: 1800 * time.Millisecond})
 		c.Finished(r, api.NotRun)
+		c.Observe(r, kernel.Record{Time: host.Time, Step: kernel.StepRefused, Reason: kernel.ReasonInfeasible})
 	}
-	assert.Assert(t, c.correction(plugintest.Model.Name).factor(host.Time) > 2)
+	assert.Assert(t, c.correction(plugintest.Request("r")).factor(host.Time) > 2)
 	assert.Equal(t, len(c.admitted), 0)
 }
 
+// TestLearnsNothingFromOtherEnds: a later check refuses the request, its caller
+// goes, or the instance stops.
+func TestLearnsNothingFromOtherEnds(t *testing.T) {
+	for _, reason := range []kernel.Reason{
+		kernel.ReasonQueueFull, kernel.ReasonCallerGone, kernel.ReasonStopping,
+	} {
+		c, host := newCheck(500 * time.Millisecond)
+		r := plugintest.Request("r")
+		assert.Assert(t, c.Admit(r) == nil)
+		c.Finished(r, api.NotRun)
+		c.Observe(r, kernel.Record{Time: host.Time, Step: kernel.StepRefused, Reason: reason})
+		assert.Equal(t, c.correction(r).factor(host.Time), 1.0)
+	}
+}
+
+// TestKindsAreLearnedApart: one kind is served late, another of the same model in
+// time.
+func TestKindsAreLearnedApart(t *testing.T) {
+	c, host := newCheck(1200 * time.Millisecond)
+	slow := plugintest.Request("slow")
+	for range 20 {
+		assert.Assert(t, c.Admit(slow) == nil)
+		c.Finished(slow, api.NotRun)
+		c.Observe(slow, kernel.Record{Time: host.Time, Step: kernel.StepRefused, Reason: kernel.ReasonInfeasible})
+		if c.correction(slow).factor(host.Time) > 1.7 {
+			break
+		}
+	}
+	assert.Assert(t, c.Admit(slow) != nil)
+	quick := plugintest.Request("quick")
+	quick.Kind = "triage"
+	assert.Assert(t, c.Admit(quick) == nil)
+}
+
 func TestFinishedForgets(t *testing.T) {
 	c, _ := newCheck(0)
 	r := plugintest.Request("r")
--- a/plugins/admission/feasible/overload_test.go
+++ b/plugins/admission/feasible/overload_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/wardspool/wardspool/api"
 	"github.com/wardspool/wardspool/kernel"
 	"github.com/wardspool/wardspool/plugins/internal/plugintest"
 )
@@ -90,6 +91,7 @@
 		switch {
 		case now.Add(prefill).After(r.FirstOutputBy):
 			s.tally.gaveUp++
+			s.check.Finished(r, api.NotRun)
 			s.observe(r, kernel.StepRefused, now.Sub(r.Arrived))
 		case len(s.ends) < slots:
 			s.tally.inTime++
@@ -105,7 +107,11 @@
 }
 
 func (s *system) observe(r *kernel.Request, step kernel.Step, waited time.Duration) {
-	s.check.Observe(r, kernel.Record{Time: s.host.Time, Step: step, Waited: waited})
+	rec := kernel.Record{Time: s.host.Time, Step: step, Waited: waited}
+	if step == kernel.StepRefused {
+		rec.Reason = kernel.ReasonInfeasible
+	}
+	s.check.Observe(r, rec)
 }
 
 // TestOverloadAndBack goes from 0.8 to 1.5 of capacity and back, with
