--- a/membership/bench_test.go
+++ b/membership/bench_test.go
@@ -11,23 +11,26 @@
 	"github.com/wardspool/wardspool/ident"
 )
 
-// zoneSizes are fleets by their number of instances: 24 is today's scale, 410
-// the one of two years on.
+// zoneSizes are fleets by their number of instances: 8 is today's size, 410 the
+// one of two years on.
 var zoneSizes = map[int][]int{
+	8:   {3, 3, 2},
 	24:  {8, 8, 8},
 	48:  {16, 16, 16},
 	410: {69, 69, 68, 68, 68, 68},
 }
 
-// upstreamsPerZone is the number of upstreams of each zone at 410 instances: 600
-// in all.
-const upstreamsPerZone = 100
+// Upstreams of each zone: today, and at 410 instances, 600 in all.
+const (
+	upstreamsToday   = 4
+	upstreamsPerZone = 100
+)
 
-// addBackends lists 100 upstreams for each zone everywhere.
-func (f *fleet) addBackends(zones int) {
+// addBackends lists the upstreams of each zone everywhere.
+func (f *fleet) addBackends(zones, perZone int) {
 	var list []ListedUpstream
 	for z := range zones {
-		for i := range upstreamsPerZone {
+		for i := range perZone {
 			list = append(list, ListedUpstream{
 				ID: ident.UpstreamID(fmt.Sprintf("up-%c%d", 'a'+z, i)), Zone: ident.Zone(fmt.Sprintf("hall-%c", 'a'+z)), Incarnation: 1,
 			})
@@ -58,7 +61,7 @@
 // heartbeats sent and received, their size, processor time, and how old what it
 // knows is.
 func BenchmarkFleet(b *testing.B) {
-	for _, size := range []int{24, 48, 410} {
+	for _, size := range []int{8, 24, 48, 410} {
 		b.Run(fmt.Sprintf("instances=%d", size), func(b *testing.B) {
 			for b.Loop() {
 				benchmarkFleet(b, Config{}, zoneSizes[size])
@@ -92,7 +95,11 @@
 // benchmarkFleet runs one fleet and reports its figures.
 func benchmarkFleet(b *testing.B, cfg Config, sizes []int) {
 	f := newFleet(b, cfg, sizes...)
-	f.addBackends(len(sizes))
+	perZone := upstreamsPerZone
+	if len(f.nodes) == 8 {
+		perZone = upstreamsToday
+	}
+	f.addBackends(len(sizes), perZone)
 	f.step = 100 * time.Millisecond
 	f.run(2 * time.Minute)
 	f.reset()
@@ -223,7 +230,7 @@
 	}
 	m.Instances(start, start, 1, list)
 	f := fleet{now: start, nodes: []*node{{machine: m}}}
-	f.addBackends(len(zoneSizes[410]))
+	f.addBackends(len(zoneSizes[410]), upstreamsPerZone)
 	for _, u := range m.backends {
 		m.UpstreamReport(start, start, u.id, Report{Incarnation: 1, Sequence: 1})
 	}
