--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BIN := bin
 RACE_PACKAGES := ./peer/... ./platform/... ./entry/... ./agent/... ./standin/... ./tlsconf/... ./load/...
 
-.PHONY: demo test build check unit race fuzz e2e experiment capacity mutations clean
+.PHONY: demo test build check unit race fuzz e2e experiment capacity rolltime mutations clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -39,6 +39,9 @@
 capacity: build
 	./scripts/capacity
 
+rolltime: build
+	$(GO) run ./testbed/rolltime
+
 mutations:
 	$(GO) run ./internal/mutate
 
--- a/testbed/fleet.go
+++ b/testbed/fleet.go
@@ -279,3 +279,6 @@
 	}
 	return in.Agent.Kill()
 }
+
+// Dir is the folder with the fleet's settings and, in logs, its logs.
+func (f *Fleet) Dir() string { return f.dir }
--- /dev/null
+++ b/testbed/rolltime/roll.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/testbed"
+)
+
+// rollVersions publishes and rolls versions and returns when each was rolled.
+func rollVersions(ctx context.Context, fleet *testbed.Fleet, f flags) (map[uint64]time.Time, error) {
+	published := map[uint64]time.Time{}
+	for n := range f.Rolls {
+		content := *fleet.Deployment.Content
+		content.Policy.QueueLimit += n + 1
+		if err := fleet.Operators.Publish(ctx, &content); err != nil {
+			return nil, err
+		}
+		published[fleet.Operators.Version()] = time.Now()
+		if err := fleet.Operators.RollAll(ctx); err != nil {
+			return nil, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(f.Every):
+		}
+	}
+	return published, nil
+}
+
+// inForce is the entry's log line when a version comes into force.
+type inForce struct {
+	Time    time.Time `json:"time"`
+	Message string    `json:"msg"`
+	Version uint64    `json:"bundle_version"`
+}
+
+// readLog lists when versions came into force on an instance, in the order of
+// its log.
+func readLog(dir string, id ident.InstanceID) ([]inForce, error) {
+	file, err := os.Open(filepath.Join(dir, "logs", string(id)+".log"))
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = file.Close() }()
+	var list []inForce
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		var l inForce
+		if json.Unmarshal(lines.Bytes(), &l) == nil && l.Message == "bundle in force" {
+			list = append(list, l)
+		}
+	}
+	return list, lines.Err()
+}
+
+// printTimes prints, over all versions and instances, how long each took, and
+// counts versions that never arrived or went back.
+func printTimes(fleet *testbed.Fleet, published map[uint64]time.Time) error {
+	var took []time.Duration
+	missing, reverted := 0, 0
+	for _, in := range fleet.Instances {
+		lines, err := readLog(fleet.Dir(), in.ID)
+		if err != nil {
+			return err
+		}
+		seen := map[uint64]bool{}
+		last := uint64(0)
+		for _, l := range lines {
+			if l.Version < last {
+				reverted++
+			}
+			last = max(last, l.Version)
+			if at, ok := published[l.Version]; ok {
+				seen[l.Version] = true
+				took = append(took, l.Time.Sub(at))
+			}
+		}
+		missing += len(published) - len(seen)
+	}
+	slices.Sort(took)
+	fmt.Printf("instances %d, versions %d, missing %d, reverted %d\n", len(fleet.Instances), len(published), missing, reverted)
+	if len(took) == 0 {
+		return nil
+	}
+	at := func(share float64) time.Duration {
+		return took[min(int(share*float64(len(took))), len(took)-1)].Round(time.Millisecond)
+	}
+	fmt.Printf("in force after: p50 %v, p95 %v, p99 %v, last %v\n", at(0.5), at(0.95), at(0.99), at(1))
+	return nil
+}
