--- a/plugins/slots/lease/holder.go
+++ b/plugins/slots/lease/holder.go
@@ -47,12 +47,12 @@
 	downUntil time.Time
 	// trying is set while one ask finds out whether it is back.
 	trying bool
-	// owed counts the Renews that must still be sent after the last ask, so
+	// owed counts the Renews that must still be sent after the last Release, so
 	// that a grantor hears that nothing is held, even if one is lost.
 	owed int
 }
 
-// renewsOwed is the number of Renews that follow the last ask at least.
+// renewsOwed is the number of Renews that follow the last Release at least.
 const renewsOwed = 2
 
 // word is what a grantor last said of an engine's free slots.
--- a/plugins/slots/lease/reserve.go
+++ b/plugins/slots/lease/reserve.go
@@ -103,7 +103,6 @@
 	h.askedAt = p.host.Now()
 	h.until = h.askedAt.Add(p.AskTimeout)
 	c := p.holder.contact(grantor)
-	c.owed = renewsOwed
 	c.trying = c.failures > 0
 	ask := h.ask
 	p.host.Send(grantor, &ask)
@@ -124,7 +123,8 @@
 	p.tellReleased(h, held)
 }
 
-// tellReleased tells the grantor that a reservation is over.
+// tellReleased tells the grantor that a reservation is over. As the message may
+// be lost, Renews follow.
 func (p *Policy) tellReleased(h *hold, held time.Duration) {
 	switch h.grantor {
 	case "":
@@ -135,6 +135,7 @@
 			p.release(l, u, h.key, p.holder.nextSeq(), held)
 		}
 	default:
+		p.holder.contact(h.grantor).owed = renewsOwed
 		p.sendRelease(h.grantor, h.id, h.upstream, held)
 	}
 }
