roundtrip: the goroutine that wants a response reads it

Cause: each open stream held two goroutines and two buffers of net/http's Transport. Ruled out: server-side buffers, which net/http fixes.

The client now dials, keeps idle connections and reads responses itself, with net/http's writing and parsing of HTTP. A request's writer is a goroutine that ends with its last byte, with a pooled buffer; the request is let go of once it is sent; an idle connection is looked into before it is used; the read buffer of an engine's connection is 1 KiB.

TestSeal is replaced: connections are no longer sealed, since nothing writes to one once its request was given up. TestEvidenceOfBrokenWrites checks the same promise through Do: not-sent only if no byte went out, on new and on kept connections, and the writer has ended when the evidence is given.

--- a/adapter/roundtrip/client.go
+++ b/adapter/roundtrip/client.go
@@ -2,11 +2,11 @@
 // request at most once, follows no redirect and uses no proxy, and its errors
 // say whether a byte of the request was written to a connection.
 //
-// net/http's Transport repeats requests by itself when a kept-alive connection
-// turns out to be dead. It never repeats a request that has a body which it
-// cannot rewind, so every request here carries a body of a private type and no
-// GetBody, also where the body is empty. HTTP/2 is off, because its transport
-// has rules of its own for repeating.
+// It has net/http write requests and read responses, but not its Transport:
+// that repeats requests by itself when a kept-alive connection turns out to be
+// dead, and it keeps two goroutines and two buffers for each open connection,
+// while here the goroutine that wants the response reads it. An open stream
+// costs one goroutine and one buffer.
 package roundtrip
 
 import (
@@ -15,8 +15,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
-	"sync"
 	"time"
 
 	"github.com/wardspool/wardspool/adapter"
@@ -31,7 +29,7 @@
 	IdlePerUpstream int
 	// IdleTimeout is how long an idle connection is kept.
 	IdleTimeout time.Duration
-	// BufferBytes is the size of each connection's read and write buffer.
+	// BufferBytes is the size of each connection's read buffer.
 	BufferBytes int
 }
 
@@ -64,92 +62,86 @@
 }
 
 // Client sends requests to upstreams. It is safe for concurrent use.
-type Client struct{ transport *http.Transport }
+type Client struct {
+	idle   *idlePool
+	buffer int
+	// dial opens a TCP connection.
+	dial func(ctx context.Context, addr string) (net.Conn, error)
+}
 
 // New returns a client.
 func New(o Options) *Client {
 	o = o.withDefaults()
 	dialer := &net.Dialer{Timeout: o.DialTimeout}
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	return &Client{transport: &http.Transport{
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			nc, err := dialer.DialContext(ctx, network, addr)
-			if err != nil {
-				return nil, err
-			}
-			return &conn{Conn: nc}, nil
+	return &Client{
+		idle:   newIdlePool(o.IdlePerUpstream, o.IdleTimeout),
+		buffer: o.BufferBytes,
+		dial: func(ctx context.Context, addr string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", addr)
 		},
-		Protocols:              protocols,
-		DisableCompression:     true,
-		MaxIdleConns:           0,
-		MaxIdleConnsPerHost:    o.IdlePerUpstream,
-		IdleConnTimeout:        o.IdleTimeout,
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-		ReadBufferSize:         o.BufferBytes,
-		WriteBufferSize:        o.BufferBytes,
-	}}
-}
-
-// Close drops the idle connections.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
-
-// body is a request body that the transport cannot rewind.
-type body struct{ io.Reader }
-
-// Close implements io.Closer.
-func (body) Close() error { return nil }
-
-// flight follows one request on its connection.
-type flight struct {
-	mu   sync.Mutex
-	conn *conn
-	mark uint64
-}
-
-// got remembers the connection that the request was given.
-func (f *flight) got(info httptrace.GotConnInfo) {
-	c := unwrap(info.Conn)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.conn = c
-	if c != nil {
-		f.mark = c.mark()
 	}
 }
 
-// neverSent reports whether no byte of the request was written, and makes sure
-// that none will be.
-func (f *flight) neverSent() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.conn == nil {
-		return true
-	}
-	return f.conn.seal(f.mark)
-}
+// Close drops the idle connections, and from now on each one at the end of its
+// request.
+func (c *Client) Close() { c.idle.close() }
 
 // Do sends a request whose body is r, of length bytes. A failure before the
 // response's headers is an *adapter.CallError with exact evidence; after them
-// the request counts as sent. The caller closes the response's body.
+// the request counts as sent. The caller closes the response's body. When the
+// request's context ends, reads from the body fail with its error.
 func (c *Client) Do(req *http.Request, r io.Reader, length int64) (*http.Response, error) {
-	req.Body = body{r}
+	ctx := req.Context()
+	setBody(req, r, length)
+	nc, err := c.connect(ctx, req.URL.Host)
+	if err != nil {
+		return nil, failure(ctx, false, err)
+	}
+	resp, err := nc.exchange(ctx, req)
+	if err != nil {
+		sent, writeErr := nc.abandon()
+		if writeErr != nil {
+			err = writeErr
+		}
+		return nil, failure(ctx, sent, err)
+	}
+	return resp, nil
+}
+
+// setBody gives a request its body.
+func setBody(req *http.Request, r io.Reader, length int64) {
 	req.GetBody = nil
 	req.ContentLength = length
-	f := &flight{}
-	trace := &httptrace.ClientTrace{GotConn: f.got}
-	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
-	resp, err := c.transport.RoundTrip(req)
-	if err == nil {
-		return resp, nil
+	req.Body = http.NoBody
+	if length > 0 {
+		req.Body = io.NopCloser(r)
+	}
+}
+
+// connect returns an idle connection that still stands, or a new one.
+func (c *Client) connect(ctx context.Context, addr string) (*conn, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	if nc := c.idle.take(addr); nc != nil {
+		return nc, nil
 	}
-	return nil, failure(req.Context(), f, err)
+	raw, err := c.dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(raw, addr, c.idle, c.buffer), nil
 }
 
-// failure classifies an error of the transport.
-func failure(ctx context.Context, f *flight, err error) *adapter.CallError {
+// failure classifies an error before the response's headers. sent says whether
+// a byte of the request went out.
+func failure(ctx context.Context, sent bool, err error) *adapter.CallError {
+	if ctx.Err() != nil {
+		// The connection was closed because of it.
+		err = ctx.Err()
+	}
 	e := &adapter.CallError{Evidence: kernel.Ambiguous, Code: kernel.FailureBroken, Err: err}
-	if f.neverSent() {
+	if !sent {
 		e.Evidence = kernel.NotSent
 		e.Code = kernel.FailureConnect
 	}
--- /dev/null
+++ b/adapter/roundtrip/conn_test.go
@@ -0,0 +1,216 @@
+package roundtrip
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/kernel"
+)
+
+// half is a connection whose writes fail after some bytes.
+type half struct {
+	net.Conn
+	left int
+}
+
+func (h *half) Write(p []byte) (int, error) {
+	n := min(len(p), h.left)
+	h.left -= n
+	if n < len(p) {
+		return n, io.ErrClosedPipe
+	}
+	_, err := h.Conn.Write(p)
+	return n, err
+}
+
+// SyscallConn lets the pool look at the connection.
+func (h *half) SyscallConn() (syscall.RawConn, error) { return h.Conn.(syscall.Conn).SyscallConn() }
+
+// TestEvidenceOfBrokenWrites: an attempt is proven unsent only if no byte went
+// out, on a new connection as on one that was used before.
+func TestEvidenceOfBrokenWrites(t *testing.T) {
+	for _, used := range []bool{false, true} {
+		for left, want := range map[int]kernel.Evidence{0: kernel.NotSent, 1: kernel.Ambiguous, 150: kernel.Ambiguous} {
+			s := serve(t, func(_ int64, c net.Conn) bool { return ok(c) })
+			c := New(Options{})
+			plain := c.dial
+			h := &half{left: left}
+			c.dial = func(ctx context.Context, addr string) (net.Conn, error) {
+				var err error
+				h.Conn, err = plain(ctx, addr)
+				return h, err
+			}
+			body := []byte(strings.Repeat("x", 64<<10))
+			if used {
+				h.left = 1 << 20
+				assert.NilError(t, send(t, c, t.Context(), "POST", s.address, body))
+				h.left = left
+			}
+			assert.Equal(t, evidence(t, send(t, c, t.Context(), "POST", s.address, body)), want, "used %v, %d bytes", used, left)
+			c.Close()
+			assert.Equal(t, s.conns.Load(), int64(1))
+		}
+	}
+}
+
+// TestEndedIdleConnectionIsNotUsed: the upstream closed the connection after
+// its answer, before the next request, which goes out on a new one.
+func TestEndedIdleConnectionIsNotUsed(t *testing.T) {
+	closed := make(chan struct{}, 2)
+	s := serve(t, func(_ int64, c net.Conn) bool {
+		ok(c)
+		_ = c.Close()
+		closed <- struct{}{}
+		return false
+	})
+	c := New(Options{})
+	defer c.Close()
+	for range 2 {
+		assert.NilError(t, send(t, c, t.Context(), "POST", s.address, []byte("x")))
+		<-closed
+	}
+	assert.Equal(t, s.conns.Load(), int64(2))
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	for name, answer := range map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		"chunked": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"empty":   "HTTP/1.1 204 No Content\r\n\r\n",
+		"interim": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, func(_ int64, c net.Conn) bool {
+				_, err := io.WriteString(c, answer)
+				return err == nil
+			})
+			c := New(Options{})
+			defer c.Close()
+			for range 3 {
+				assert.NilError(t, send(t, c, t.Context(), "POST", s.address, []byte("x")))
+			}
+			assert.Equal(t, s.conns.Load(), int64(1))
+		})
+	}
+}
+
+func TestConnectionsAreNotKept(t *testing.T) {
+	for name, answer := range map[string]string{
+		"close":     "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok",
+		"old":       "HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		"more":      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil",
+		"switching": "HTTP/1.1 101 Switching Protocols\r\nConnection: close\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, func(_ int64, c net.Conn) bool {
+				_, err := io.WriteString(c, answer)
+				return err == nil && name == "more"
+			})
+			c := New(Options{})
+			defer c.Close()
+			for range 2 {
+				assert.NilError(t, send(t, c, t.Context(), "POST", s.address, []byte("x")))
+			}
+			assert.Equal(t, s.conns.Load(), int64(2))
+		})
+	}
+}
+
+// TestUnreadBodyCostsTheConnection closes a body before its end.
+func TestUnreadBodyCostsTheConnection(t *testing.T) {
+	s := serve(t, func(_ int64, c net.Conn) bool { return ok(c) })
+	c := New(Options{})
+	defer c.Close()
+	for range 2 {
+		req, err := http.NewRequestWithContext(t.Context(), "POST", "http://"+s.address+"/", nil)
+		assert.NilError(t, err)
+		resp, err := c.Do(req, nil, 0)
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		assert.NilError(t, resp.Body.Close())
+	}
+	assert.Equal(t, s.conns.Load(), int64(2))
+}
+
+// TestBodyEndsWithItsContext: a stream that says no more ends when nobody wants
+// it, with the context's error.
+func TestBodyEndsWithItsContext(t *testing.T) {
+	s := serve(t, func(_ int64, c net.Conn) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok")
+		return err == nil
+	})
+	c := New(Options{})
+	defer c.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+s.address+"/", nil)
+	assert.NilError(t, err)
+	resp, err := c.Do(req, nil, 0)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	two := make([]byte, 2)
+	_, err = io.ReadFull(resp.Body, two)
+	assert.NilError(t, err)
+	cancel()
+	_, err = resp.Body.Read(two)
+	assert.ErrorIs(t, err, context.Canceled)
+}
+
+// TestAnswerBeforeTheRequestIsRead has an upstream answer at the head of a body
+// that it never reads.
+func TestAnswerBeforeTheRequestIsRead(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	enough, done := make(chan struct{}), make(chan struct{})
+	defer func() { <-done }()
+	defer close(enough)
+	go func() {
+		defer close(done)
+		nc, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer nc.Close()
+		ok(nc)
+		_, _ = io.ReadFull(nc, make([]byte, 100))
+		<-enough
+	}()
+	c := New(Options{})
+	defer c.Close()
+	assert.NilError(t, send(t, c, t.Context(), "POST", l.Addr().String(), bytes.Repeat([]byte("x"), 32<<20)))
+	assert.Equal(t, len(c.idle.conns), 0)
+}
+
+func TestHeadIsBounded(t *testing.T) {
+	s := serve(t, func(_ int64, c net.Conn) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Long: "+strings.Repeat("x", maxResponseHeaderBytes)+"\r\n\r\n")
+		return false
+	})
+	c := New(Options{})
+	defer c.Close()
+	assert.Equal(t, evidence(t, send(t, c, t.Context(), "POST", s.address, []byte("x"))), kernel.Ambiguous)
+}
+
+func TestIdleConnectionsEnd(t *testing.T) {
+	s := serve(t, func(_ int64, c net.Conn) bool { return ok(c) })
+	c := New(Options{IdleTimeout: time.Hour, IdlePerUpstream: 1})
+	defer c.Close()
+	assert.NilError(t, send(t, c, t.Context(), "POST", s.address, []byte("x")))
+	assert.Equal(t, len(c.idle.conns[s.address]), 1)
+	assert.Equal(t, len(c.idle.overdue(time.Now().Add(59*time.Minute))), 0)
+	late := c.idle.overdue(time.Now().Add(time.Hour))
+	assert.Equal(t, len(late), 1)
+	assert.Equal(t, len(c.idle.conns), 0)
+	c.idle.put(late[0])
+	c.idle.put(newConn(late[0].net, s.address, c.idle, 16))
+	assert.Equal(t, len(c.idle.conns[s.address]), 1, "IdlePerUpstream bounds them")
+}
--- a/plugins/engine/openai/events.go
+++ b/plugins/engine/openai/events.go
@@ -9,9 +9,9 @@
 	"github.com/wardspool/wardspool/adapter"
 )
 
-// streamBufferBytes is the size of the buffers of an engine connection. Tokens
+// streamBufferBytes is the size of the read buffer of an engine connection. Tokens
 // come one by one, so that small ones do.
-const streamBufferBytes = 2 << 10
+const streamBufferBytes = 1 << 10
 
 // lineBufferBytes is the size of the buffer in which lines are found. Tokens'
 // events are a few hundred bytes.
