filter.stale: let plain services through, which report no load

Found by e2e: seven calls of 4 s to two services never ran at the same time, though the bundle allows 64 each. The decision log showed view_age 1 h and 'only_candidate'. The filter took services, which never report a load, for engines with an old report and let each have two calls of this instance at a time. Ruled out: ejection (no failures), the bundle's concurrency, tickets (untouched calls waited as well).

Services now pass; the kernel bounds their calls by the declared concurrency. The table's new case fails on the old filter.

--- a/plugins/filter/filter_test.go
+++ b/plugins/filter/filter_test.go
@@ -93,6 +93,11 @@
 			u.Load.At = time.Time{}
 			u.Spec.Slots = 0
 		}, true},
+		{"services report no load", stale.ID, config.RoleService, func(u *kernel.Upstream) {
+			u.Load.At = time.Time{}
+			u.Spec.Slots = 0
+			u.Own.Requests = 20
+		}, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/plugins/filter/stale/stale.go
+++ b/plugins/filter/stale/stale.go
@@ -35,8 +35,12 @@
 // Keep implements kernel.Filter. An upstream with an old report is not shut
 // out, as then no response could ever bring a newer one. It gets no more of
 // this instance's requests at a time than would be right if all instances sent
-// it as many.
-func (f *Filter) Keep(d *kernel.Decision, u *kernel.Upstream, _ config.Role) bool {
+// it as many. Plain services report no load: the kernel bounds their calls by
+// the concurrency that the bundle declares.
+func (f *Filter) Keep(d *kernel.Decision, u *kernel.Upstream, role config.Role) bool {
+	if role == config.RoleService {
+		return true
+	}
 	if d.Now != f.now {
 		f.begin(d.Now)
 	}
