--- a/plugins/admission/feasible/feasible_test.go
+++ b/plugins/admission/feasible/feasible_test.go
@@ -7,6 +7,8 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	_ "github.com/wardspool/wardspool/internal/testseed"
+
 	"github.com/wardspool/wardspool/api"
 	"github.com/wardspool/wardspool/config"
 	"github.com/wardspool/wardspool/kernel"
--- a/plugins/admission/limits/bound_test.go
+++ b/plugins/admission/limits/bound_test.go
@@ -8,15 +8,17 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	_ "github.com/wardspool/wardspool/internal/testseed"
 )
 
 // allowance is what may be used beyond the limits, as docs/design/limits.md
-// states it: the part of each instance that is missing from a peer's view, or was within
-// a lease (for slots: within a lease and a request's lifetime), and of each that
-// died, for as long as its loans may be used, if it was missing (for slots:
-// in any case, and until the requests admitted under its loans are over); and
-// one slot for each instance while they divide among different ones, since they
-// may round up for different instances.
+// states it: the part of each instance that is missing from a peer's view, or
+// was within a lease (for slots: within a lease and a request's lifetime), and of
+// each that died, for as long as its loans may be used, if it was missing (for
+// slots: in any case, and until the requests admitted under its loans are over);
+// and one slot for each instance while they divide among different ones, since
+// they may round up for different instances.
 func (w *world) allowance() Amount {
 	var sum Amount
 	for _, n := range w.living() {
