TLS wired into entry, agent and wardspoolctl

Callers' HTTPS (callers.tls) and the connections to peers and from operators' tools (tls, in the entry's and the agent's settings) take their files from package tlsconf, which reads changed ones again without a restart. A peer or an operator is believed only under the name that its certificate carries; a plain one is refused where TLS is on.

Replaces the check that callers.tls names both files or none: tlsconf reports the missing one by its field.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -20,6 +20,7 @@
 	"github.com/wardspool/wardspool/orders"
 	"github.com/wardspool/wardspool/peer"
 	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/tlsconf"
 )
 
 // Options are what an agent needs besides its settings.
@@ -27,7 +28,7 @@
 	Log *slog.Logger
 	// Version is the program's, for the status.
 	Version string
-	// TLS protects the connections between agents; nil for plain TCP.
+	// TLS protects the connections between agents; nil for what the settings say.
 	TLS peer.TLS
 	// Seed makes jitter repeatable; 0 draws one.
 	Seed uint64
@@ -67,6 +68,8 @@
 	// platformMeter counts the bytes of the reader.
 	platformMeter meter.Meter
 	servers       servers
+	// tls is nil without files in the settings.
+	tls *tlsconf.Reloader
 	// known is read by connections: who is believed.
 	known atomic.Pointer[knownSet]
 
@@ -117,6 +120,9 @@
 		partners: map[ident.InstanceID]*partner{},
 	}
 	a.callCtx, a.endCalls = context.WithCancel(context.Background())
+	if err := a.readTLS(); err != nil {
+		return nil, err
+	}
 	if err := a.makeMachines(now); err != nil {
 		return nil, err
 	}
--- a/agent/check.go
+++ b/agent/check.go
@@ -26,6 +26,7 @@
 	s.checkEntry(r)
 	s.checkPeers(r)
 	s.checkOperators(r)
+	s.checkTLS(r)
 	s.checkPlatform(r)
 	s.checkBundles(r)
 	s.checkBounds(r)
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -101,6 +101,9 @@
 	var running sync.WaitGroup
 	failed := make(chan error, 2)
 	running.Go(func() { a.run(loop) })
+	if a.tls != nil {
+		running.Go(func() { a.tls.Run(loop) })
+	}
 	a.post(a.begun)
 	for _, s := range []*server{a.servers.peers, a.servers.operators} {
 		if s != nil {
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -8,6 +8,7 @@
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/logs"
 	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/tlsconf"
 )
 
 // Settings are what an agent reads from its settings file. docs/settings.md
@@ -21,7 +22,10 @@
 	Entry     EntrySettings    `yaml:"entry"`
 	Peers     PeerSettings     `yaml:"peers"`
 	Operators OperatorSettings `yaml:"operators"`
-	Platform  PlatformSettings `yaml:"platform"`
+	// TLS protects the connections to other agents and from operators' tools;
+	// empty means plain TCP.
+	TLS      tlsconf.Settings `yaml:"tls"`
+	Platform PlatformSettings `yaml:"platform"`
 	// Approvers is the set whose quorum signs bundles, as of the deployment.
 	Approvers ApproverSettings `yaml:"approvers"`
 	// Preload is a folder with a packed bundle and its roll; empty for none.
--- a/cmd/wardspoolctl/explain.go
+++ b/cmd/wardspoolctl/explain.go
@@ -34,7 +34,10 @@
 
 // Run asks the instances and prints what they know.
 func (c *explainCmd) Run(ctx context.Context) error {
-	pool := c.pool()
+	pool, err := c.pool()
+	if err != nil {
+		return err
+	}
 	defer pool.Close()
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
--- a/cmd/wardspoolctl/fleet.go
+++ b/cmd/wardspoolctl/fleet.go
@@ -7,14 +7,13 @@
 	"time"
 
 	"github.com/wardspool/wardspool/agent/console"
-	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/peer"
 )
 
 // fleetCmd is the subcommand "fleet".
 type fleetCmd struct {
-	Agents  []string      `required:"" placeholder:"IP:PORT" help:"Operators' addresses of the agents to ask (operators.listen in their settings), separated by commas."`
-	As      string        `default:"ops-1" help:"Operator's identity, one of operators.names in the agents' settings."`
+	Agents []string `required:"" placeholder:"IP:PORT" help:"Operators' addresses of the agents to ask (operators.listen in their settings), separated by commas."`
+	operatorFlags
 	Timeout time.Duration `default:"3s" help:"How long to wait for answers."`
 	Watch   bool          `help:"Look again and again."`
 	Every   time.Duration `default:"2s" help:"Time between two looks, with --watch."`
@@ -43,10 +42,10 @@
 
 // Run looks once, or until the user stops it.
 func (c *fleetCmd) Run(ctx context.Context) error {
-	pool := peer.NewPool(peer.Config{
-		Self:  peer.Identity{Instance: ident.InstanceID(c.As), Incarnation: ident.NewIncarnation(time.Now()), Zone: operatorZone},
-		Allow: func(peer.Identity) bool { return true },
-	})
+	pool, err := c.pool()
+	if err != nil {
+		return err
+	}
 	defer pool.Close()
 	for {
 		f, err := c.look(ctx, pool)
--- /dev/null
+++ b/cmd/wardspoolctl/tls.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"time"
+
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/peer"
+	"github.com/wardspool/wardspool/tlsconf"
+)
+
+// operatorFlags say as whom to ask, and with which certificate.
+type operatorFlags struct {
+	As   string `default:"ops-1" help:"Operator's identity, one of operators.names in the settings of those asked. With TLS the certificate must name it."`
+	Cert string `placeholder:"FILE" help:"Operator's certificate, in PEM. Needed where the settings of those asked have a tls section, with --key and --ca."`
+	Key  string `placeholder:"FILE" help:"The certificate's private key, in PEM."`
+	CA   string `placeholder:"FILE" name:"ca" help:"Authorities that sign the instances' certificates, in PEM."`
+}
+
+// operatorZone is the zone that operators' tools name in their hello. It is no
+// zone of the fleet.
+const operatorZone ident.Zone = "operators"
+
+// filesError reports operator's files that can't be used.
+type filesError struct{ Err error }
+
+// Error implements error.
+func (e *filesError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *filesError) Unwrap() error { return e.Err }
+
+// ExitCode tells kong the program's exit code: 1 would say that something was
+// asked and answered.
+func (*filesError) ExitCode() int { return exitUsage }
+
+// pool returns connections made under the operator's identity. The instances
+// decide whom they believe; the tool was told their addresses. Errors are
+// *filesError.
+func (f *operatorFlags) pool() (*peer.Pool, error) {
+	c := peer.Config{
+		Self: peer.Identity{
+			Instance:    ident.InstanceID(f.As),
+			Incarnation: ident.NewIncarnation(time.Now()),
+			Zone:        operatorZone,
+		},
+		Allow: func(peer.Identity) bool { return true },
+	}
+	files := tlsconf.Settings{Cert: f.Cert, Key: f.Key, CA: f.CA}
+	if files.Enabled() {
+		r, err := tlsconf.New(files, tlsconf.Options{})
+		if err != nil {
+			return nil, &filesError{err}
+		}
+		c.TLS = r
+	}
+	return peer.NewPool(c), nil
+}
--- a/cmd/wardspoolctl/watch.go
+++ b/cmd/wardspoolctl/watch.go
@@ -36,7 +36,10 @@
 
 // Run looks until the count is reached or the user stops it.
 func (c *watchCmd) Run(ctx context.Context) error {
-	pool := c.pool()
+	pool, err := c.pool()
+	if err != nil {
+		return err
+	}
 	defer pool.Close()
 	w := console.NewWatcher(pool, c.Instances)
 	for n := 1; ; n++ {
--- a/entry/check.go
+++ b/entry/check.go
@@ -37,6 +37,7 @@
 	if s.PauseAfter <= 0 {
 		r.Add("pause_after", "is not positive", "for example 500ms")
 	}
+	s.checkTLS(r)
 	s.checkTickets(r)
 	s.checkSource(r)
 }
@@ -67,9 +68,6 @@
 	if validAddress(s.Feed.Listen) && !loopback(s.Feed.Listen) {
 		r.Add("feed.listen", "is not a loopback address", "the agent runs beside the entry: use 127.0.0.1")
 	}
-	if (s.Callers.TLS.Certificate == "") != (s.Callers.TLS.Key == "") {
-		r.Add("callers.tls", "names only one of certificate and key", "give both, or none for plain text")
-	}
 }
 
 func (s *Settings) checkLimits(r *settings.Report) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -37,6 +37,7 @@
 	engine   adapter.Engine
 	service  adapter.Service
 	close    func() error
+	security security
 	recorder *recorder
 	driver   *driver.Driver
 	front    *front.Front
@@ -70,7 +71,11 @@
 			Zone:        s.Zone,
 		},
 	}
-	if err := e.loadAdapters(); err != nil {
+	var err error
+	if e.security, err = newSecurity(s, log); err != nil {
+		return nil, err
+	}
+	if err = e.loadAdapters(); err != nil {
 		return nil, err
 	}
 	k, err := kernel.New(kernel.Options{
--- a/entry/fed_test.go
+++ b/entry/fed_test.go
@@ -51,7 +51,7 @@
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
 	ignore := goleak.IgnoreCurrent()
-	f := &fleet{bed: &bed{t: t, engines: map[ident.UpstreamID]*engine.Engine{}, addresses: map[ident.UpstreamID]string{}}}
+	f := &fleet{bed: &bed{t: t, http: http.DefaultClient, engines: map[ident.UpstreamID]*engine.Engine{}, addresses: map[ident.UpstreamID]string{}}}
 	t.Cleanup(func() {
 		http.DefaultClient.CloseIdleConnections()
 		goleak.VerifyNone(t, ignore)
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -44,6 +44,7 @@
 			Zone:        e.self.Zone,
 		},
 		Allow: allow,
+		TLS:   e.security.peerTLS(),
 		// A forwarded ticket's call lasts as long as its caller waits.
 		Limits: peer.Limits{Call: intake.MaxDeadline},
 		Log:    e.log,
@@ -61,6 +62,8 @@
 // feedConfig returns the configuration of the agent's listener.
 func (e *Entry) feedConfig() peer.Config {
 	c := e.peerConfig(peering.LocalAgent(e.self.Instance))
+	// Loopback only.
+	c.TLS = nil
 	c.Limits.Frame = feedFrame
 	c.Limits.Connections = feedConnections
 	return c
@@ -154,6 +157,7 @@
 	run, stopRun := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { e.driver.Run(run) })
+	e.security.watch(run, &running)
 	failed := make(chan error, 1+len(e.servers.jsonrpc))
 	running.Go(func() { failed <- e.serveHTTP() })
 	for _, s := range e.servers.jsonrpc {
@@ -186,21 +190,6 @@
 	return e.startStatic()
 }
 
-// serveHTTP serves callers until the server is shut down.
-func (e *Entry) serveHTTP() error {
-	tls := e.settings.Callers.TLS
-	var err error
-	if tls.Certificate == "" {
-		err = e.servers.http.Serve(e.servers.callers)
-	} else {
-		err = e.servers.http.ServeTLS(e.servers.callers, tls.Certificate, tls.Key)
-	}
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return oops.In("entry").Wrapf(err, "serve callers")
-}
-
 // StopError reports a shutdown that cut off requests.
 type StopError struct {
 	// InFlight is how many requests were not finished.
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -15,6 +15,7 @@
 	"github.com/wardspool/wardspool/plugins/service/http"
 	"github.com/wardspool/wardspool/settings"
 	"github.com/wardspool/wardspool/ticket"
+	"github.com/wardspool/wardspool/tlsconf"
 )
 
 // Settings are what an entry instance reads from its settings file.
@@ -29,9 +30,12 @@
 	Peers     PeerSettings     `yaml:"peers"`
 	Feed      FeedSettings     `yaml:"feed"`
 	Operators OperatorSettings `yaml:"operators"`
-	Log       logs.Options     `yaml:"log"`
-	Stop      StopSettings     `yaml:"stop"`
-	Tickets   TicketSettings   `yaml:"tickets"`
+	// TLS protects the connections to other instances and from operators' tools;
+	// empty means plain TCP.
+	TLS     tlsconf.Settings `yaml:"tls"`
+	Log     logs.Options     `yaml:"log"`
+	Stop    StopSettings     `yaml:"stop"`
+	Tickets TicketSettings   `yaml:"tickets"`
 
 	// Engine and Service are the adapters to use.
 	Engine  plugin.ID `yaml:"engine"`
--- a/entry/testbed_test.go
+++ b/entry/testbed_test.go
@@ -69,7 +69,9 @@
 	// addresses says where each upstream is.
 	addresses map[ident.UpstreamID]string
 	// url is where callers reach the entry.
-	url  string
+	url string
+	// http sends callers' requests.
+	http *http.Client
 	stop context.CancelFunc
 	done chan error
 }
@@ -79,7 +81,7 @@
 func newBed(t *testing.T, change func(*entry.Settings)) *bed {
 	t.Helper()
 	ignore := goleak.IgnoreCurrent()
-	b := &bed{t: t, engines: map[ident.UpstreamID]*engine.Engine{}, addresses: map[ident.UpstreamID]string{}, done: make(chan error, 1)}
+	b := &bed{t: t, http: http.DefaultClient, engines: map[ident.UpstreamID]*engine.Engine{}, addresses: map[ident.UpstreamID]string{}, done: make(chan error, 1)}
 	t.Cleanup(func() {
 		http.DefaultClient.CloseIdleConnections()
 		goleak.VerifyNone(t, ignore)
@@ -186,6 +188,11 @@
 	b.stop = stop
 	go func() { b.done <- e.Serve(ctx) }()
 	b.t.Cleanup(b.shutDown)
+	if s.Callers.TLS.Certificate != "" {
+		// The test waits with a client of its own.
+		b.url = "https://" + e.CallerAddress()
+		return
+	}
 	b.awaitReady()
 }
 
@@ -203,7 +210,7 @@
 func (b *bed) awaitReady() {
 	b.t.Helper()
 	for range 1000 {
-		resp, err := http.Get(b.url + "/readyz")
+		resp, err := b.http.Get(b.url + "/readyz")
 		assert.NilError(b.t, err)
 		_, _ = io.Copy(io.Discard, resp.Body)
 		_ = resp.Body.Close()
@@ -223,7 +230,7 @@
 	for i := 0; i+1 < len(headers); i += 2 {
 		req.Header.Set(headers[i], headers[i+1])
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := b.http.Do(req)
 	assert.NilError(b.t, err)
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
--- /dev/null
+++ b/entry/tls.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"sync"
+
+	"github.com/samber/oops"
+
+	"github.com/wardspool/wardspool/peer"
+	"github.com/wardspool/wardspool/settings"
+	"github.com/wardspool/wardspool/tlsconf"
+)
+
+// security holds the keys and certificates in force; a part that the settings
+// do not name is nil and means plain text.
+type security struct {
+	// callers is for callers' HTTPS, processes for the connections to other
+	// instances and from operators' tools.
+	callers   *tlsconf.Reloader
+	processes *tlsconf.Reloader
+}
+
+// newSecurity reads the files that the settings name. Errors are
+// *tlsconf.FileError.
+func newSecurity(s *Settings, log *slog.Logger) (security, error) {
+	var out security
+	var err error
+	if out.callers, err = newReloader(s.Callers.TLS.files(), log); err != nil {
+		return out, oops.In("entry").Wrapf(err, "read callers.tls")
+	}
+	if out.processes, err = newReloader(s.TLS, log); err != nil {
+		return out, oops.In("entry").Wrapf(err, "read tls")
+	}
+	return out, nil
+}
+
+// newReloader reads files, none if none are named.
+func newReloader(s tlsconf.Settings, log *slog.Logger) (*tlsconf.Reloader, error) {
+	if !s.Enabled() {
+		return nil, nil
+	}
+	return tlsconf.New(s, tlsconf.Options{Log: log})
+}
+
+// files returns the settings in the form of package tlsconf.
+func (t TLSSettings) files() tlsconf.Settings {
+	return tlsconf.Settings{Cert: t.Certificate, Key: t.Key}
+}
+
+// peerTLS returns the settings of connections between processes, nil for plain
+// TCP.
+func (s *security) peerTLS() peer.TLS {
+	if s.processes == nil {
+		return nil
+	}
+	return s.processes
+}
+
+// watch looks for changed files until ctx ends.
+func (s *security) watch(ctx context.Context, running *sync.WaitGroup) {
+	for _, r := range []*tlsconf.Reloader{s.callers, s.processes} {
+		if r != nil {
+			running.Go(func() { r.Run(ctx) })
+		}
+	}
+}
+
+// serveHTTP serves callers until the server is shut down.
+func (e *Entry) serveHTTP() error {
+	var err error
+	if r := e.security.callers; r == nil {
+		err = e.servers.http.Serve(e.servers.callers)
+	} else {
+		e.servers.http.TLSConfig = r.CallerConfig()
+		err = e.servers.http.ServeTLS(e.servers.callers, "", "")
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return oops.In("entry").Wrapf(err, "serve callers")
+}
+
+// checkTLS reads all files that the settings name.
+func (s *Settings) checkTLS(r *settings.Report) {
+	checkFiles(r, "callers.tls", s.Callers.TLS.files())
+	checkFiles(r, "tls", s.TLS)
+	if s.TLS.Enabled() && s.TLS.CA == "" {
+		r.Add("tls.ca", "is missing", "name the authorities that sign the other instances' certificates")
+	}
+}
+
+// checkFiles reports what is wrong with files.
+func checkFiles(r *settings.Report, field string, files tlsconf.Settings) {
+	_, err := newReloader(files, nil)
+	var file *tlsconf.FileError
+	switch {
+	case errors.As(err, &file):
+		r.Add(field+"."+file.Field, err.Error(), "see docs/operators/tls.md")
+	case err != nil:
+		r.AddError(field, err)
+	}
+}
