--- a/tlsconf/errors.go
+++ b/tlsconf/errors.go
@@ -27,7 +27,7 @@
 
 // FileError reports a file that can't be used.
 type FileError struct {
-	// Field is the settings' field, "cert", "key" or "ca".
+	// Field is the settings' field, "certificate", "key" or "ca".
 	Field string
 	File  string
 	Problem
--- a/tlsconf/files.go
+++ b/tlsconf/files.go
@@ -15,7 +15,7 @@
 // Settings name the files, in PEM form.
 type Settings struct {
 	// Cert is the certificate, followed by those of intermediate authorities.
-	Cert string `yaml:"cert" json:"cert"`
+	Cert string `yaml:"certificate" json:"certificate"`
 	// Key is the certificate's private key.
 	Key string `yaml:"key" json:"key"`
 	// CA holds the authorities that sign peers' certificates. Callers' HTTPS
@@ -35,7 +35,7 @@
 
 // load reads and checks the files. The error is a *FileError.
 func load(s Settings, now time.Time) (*material, error) {
-	certPEM, err := read("cert", s.Cert)
+	certPEM, err := read("certificate", s.Cert)
 	if err != nil {
 		return nil, err
 	}
@@ -101,7 +101,7 @@
 	}
 	block, _ := pem.Decode(certPEM)
 	if _, certErr := x509.ParseCertificate(block.Bytes); certErr != nil {
-		return tls.Certificate{}, &FileError{Field: "cert", File: s.Cert, Problem: Malformed, Err: certErr}
+		return tls.Certificate{}, &FileError{Field: "certificate", File: s.Cert, Problem: Malformed, Err: certErr}
 	}
 	if !holdsKey(keyPEM) {
 		return tls.Certificate{}, &FileError{Field: "key", File: s.Key, Problem: Malformed, Err: err}
@@ -126,9 +126,9 @@
 func checkTime(s Settings, leaf *x509.Certificate, now time.Time) error {
 	switch {
 	case now.After(leaf.NotAfter):
-		return &FileError{Field: "cert", File: s.Cert, Problem: Expired, At: leaf.NotAfter}
+		return &FileError{Field: "certificate", File: s.Cert, Problem: Expired, At: leaf.NotAfter}
 	case now.Before(leaf.NotBefore):
-		return &FileError{Field: "cert", File: s.Cert, Problem: NotYetValid, At: leaf.NotBefore}
+		return &FileError{Field: "certificate", File: s.Cert, Problem: NotYetValid, At: leaf.NotBefore}
 	default:
 		return nil
 	}
@@ -141,12 +141,12 @@
 	for _, der := range m.cert.Certificate[1:] {
 		c, err := x509.ParseCertificate(der)
 		if err != nil {
-			return &FileError{Field: "cert", File: s.Cert, Problem: Malformed, Err: err}
+			return &FileError{Field: "certificate", File: s.Cert, Problem: Malformed, Err: err}
 		}
 		certs = append(certs, c)
 	}
 	if err := verify(certs, m.authorities, now); err != nil {
-		return &FileError{Field: "cert", File: s.Cert, Problem: Untrusted, Err: err}
+		return &FileError{Field: "certificate", File: s.Cert, Problem: Untrusted, Err: err}
 	}
 	return nil
 }
--- a/tlsconf/tlsconf_test.go
+++ b/tlsconf/tlsconf_test.go
@@ -120,21 +120,21 @@
 		field   string
 		problem Problem
 	}{
-		{"no certificate named", func(f *files) { f.Cert = "" }, "cert", Missing},
+		{"no certificate named", func(f *files) { f.Cert = "" }, "certificate", Missing},
 		{"no key named", func(f *files) { f.Key = "" }, "key", Missing},
-		{"certificate gone", func(f *files) { f.Cert += "x" }, "cert", Unreadable},
+		{"certificate gone", func(f *files) { f.Cert += "x" }, "certificate", Unreadable},
 		{"CA gone", func(f *files) { f.CA += "x" }, "ca", Unreadable},
-		{"certificate is text", func(f *files) { f.write(f.Cert, []byte("hello")) }, "cert", Malformed},
-		{"certificate is cut short", func(f *files) { f.write(f.Cert, pemBlock("CERTIFICATE", []byte{1, 2})) }, "cert", Malformed},
+		{"certificate is text", func(f *files) { f.write(f.Cert, []byte("hello")) }, "certificate", Malformed},
+		{"certificate is cut short", func(f *files) { f.write(f.Cert, pemBlock("CERTIFICATE", []byte{1, 2})) }, "certificate", Malformed},
 		{"key is text", func(f *files) { f.write(f.Key, []byte("hello")) }, "key", Malformed},
 		{"key is a certificate", func(f *files) { f.write(f.Key, pemBlock("CERTIFICATE", a.cert.Raw)) }, "key", Malformed},
 		{"CA is text", func(f *files) { f.write(f.CA, []byte("hello")) }, "ca", Malformed},
 		{"CA holds no certificate", func(f *files) { f.write(f.CA, pemBlock("CERTIFICATE", []byte{1})) }, "ca", Malformed},
 		{"file is huge", func(f *files) { f.write(f.CA, make([]byte, maxFileBytes+1)) }, "ca", Unreadable},
 		{"key of another certificate", func(f *files) { _, key := a.today("b"); f.write(f.Key, key) }, "key", Mismatched},
-		{"expired", func(f *files) { f.renew(a.issue("a", now.Add(-time.Hour), now.Add(-time.Minute))) }, "cert", Expired},
-		{"not valid yet", func(f *files) { f.renew(a.issue("a", now.Add(time.Minute), now.Add(time.Hour))) }, "cert", NotYetValid},
-		{"another authority", func(f *files) { f.renew(stranger.today("a")) }, "cert", Untrusted},
+		{"expired", func(f *files) { f.renew(a.issue("a", now.Add(-time.Hour), now.Add(-time.Minute))) }, "certificate", Expired},
+		{"not valid yet", func(f *files) { f.renew(a.issue("a", now.Add(time.Minute), now.Add(time.Hour))) }, "certificate", NotYetValid},
+		{"another authority", func(f *files) { f.renew(stranger.today("a")) }, "certificate", Untrusted},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
