--- a/kernel/fleet.go
+++ b/kernel/fleet.go
@@ -58,7 +58,12 @@
 // carryOver copies what is kept from the upstream's previous entry.
 func (f *fleet) carryOver(u *Upstream, old []Upstream, now time.Time) {
 	u.Own = Own{}
-	u.Health = Health{BackSince: now}
+	u.Health = Health{}
+	if len(old) > 0 {
+		// New in the fleet, so that it is started slowly; in the first view
+		// nothing is known to be new.
+		u.Health.BackSince = now
+	}
 	i, ok := f.byID[u.ID]
 	if !ok {
 		return
--- /dev/null
+++ b/kernel/fleet_test.go
@@ -0,0 +1,25 @@
+package kernel
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestSlowStartOnlyForNewcomers checks that a starting instance does not take
+// the whole fleet for new.
+func TestSlowStartOnlyForNewcomers(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	var f fleet
+	f.init()
+	f.replace(&View{Version: 1, Upstreams: []Upstream{{ID: "d1", Incarnation: 1}}}, now)
+	assert.Assert(t, f.upstream("d1").Health.BackSince.IsZero())
+	f.replace(&View{Version: 2, Upstreams: []Upstream{{ID: "d1", Incarnation: 1}, {ID: "d2", Incarnation: 1}}}, now)
+	assert.Assert(t, f.upstream("d1").Health.BackSince.IsZero())
+	assert.Equal(t, f.upstream("d2").Health.BackSince, now)
+	later := now.Add(time.Minute)
+	f.replace(&View{Version: 3, Upstreams: []Upstream{{ID: "d1", Incarnation: 2}, {ID: "d2", Incarnation: 1}}}, later)
+	assert.Equal(t, f.upstream("d1").Health.BackSince, later, "a restarted engine is new")
+	assert.Equal(t, f.upstream("d2").Health.BackSince, now)
+}
