--- a/adapter/roundtrip/conn.go
+++ b/adapter/roundtrip/conn.go
@@ -48,9 +48,7 @@
 	// Closing the connection wakes whoever reads or writes.
 	c.stop = context.AfterFunc(ctx, func() { _ = c.net.Close() })
 	go c.write(req)
-	// The response refers to its request, so that the memory of the one sent
-	// would be held as long as a stream is open.
-	resp, err := c.readHead(&http.Request{Method: req.Method})
+	resp, err := c.readHead(asked(req))
 	if err != nil {
 		return nil, err
 	}
@@ -58,6 +56,16 @@
 	return resp, nil
 }
 
+// asked returns what is needed of a request to read its response, nil for most.
+// The response refers to it, so that the memory of the request that was sent
+// would be held as long as a stream is open.
+func asked(req *http.Request) *http.Request {
+	if req.Method != http.MethodHead {
+		return nil
+	}
+	return &http.Request{Method: req.Method}
+}
+
 // writers are buffers for writing requests, which take no longer than that.
 var writers = sync.Pool{New: func() any { return bufio.NewWriter(nil) }}
 
--- a/adapter/roundtrip/conn_test.go
+++ b/adapter/roundtrip/conn_test.go
@@ -125,6 +125,21 @@
 	}
 }
 
+// TestHeadHasNoBody: the length in the answer to HEAD is that of a body which
+// does not come.
+func TestHeadHasNoBody(t *testing.T) {
+	s := serve(t, func(_ int64, c net.Conn) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n")
+		return err == nil
+	})
+	c := New(Options{})
+	defer c.Close()
+	for range 2 {
+		assert.NilError(t, send(t, c, t.Context(), "HEAD", s.address, nil))
+	}
+	assert.Equal(t, s.conns.Load(), int64(1))
+}
+
 // TestUnreadBodyCostsTheConnection closes a body before its end.
 func TestUnreadBodyCostsTheConnection(t *testing.T) {
 	s := serve(t, func(_ int64, c net.Conn) bool { return ok(c) })
--- a/plugins/engine/openai/engine.go
+++ b/plugins/engine/openai/engine.go
@@ -101,6 +101,7 @@
 		return adapter.Decoded{}, err
 	}
 	defer resp.Body.Close()
+	resp.Header = nil // nobody reads it while the stream is open
 	return readStream(resp.Body, c.Attempt.String(), c.ContinueFrom, sink)
 }
 
@@ -119,6 +120,7 @@
 		return adapter.Decoded{}, ran(err)
 	}
 	defer resp.Body.Close()
+	resp.Header = nil // as in Decode
 	return readStream(resp.Body, attempt, c.Offset, sink)
 }
 
