--- a/plugins/slots/lease/availability.go
+++ b/plugins/slots/lease/availability.go
@@ -4,7 +4,6 @@
 	"slices"
 
 	"github.com/wardspool/wardspool/config"
-	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/kernel"
 	"github.com/wardspool/wardspool/plugins/slots/slotkit"
 )
@@ -13,6 +12,11 @@
 // instances go by the newer of its last word and the engine's load report.
 func (p *Policy) Availability(u *kernel.Upstream) kernel.Availability {
 	p.followView()
+	return p.available(u)
+}
+
+// available is Availability by the view that the policy follows already.
+func (p *Policy) available(u *kernel.Upstream) kernel.Availability {
 	if !slotkit.Usable(u) {
 		return kernel.Availability{NextFree: retryUnusable}
 	}
@@ -32,12 +36,12 @@
 // believed returns what a holder believes of an engine that another instance
 // grants.
 func (p *Policy) believed(u *kernel.Upstream) kernel.Availability {
-	w, known := p.holder.words[u.ID]
+	w := p.holder.words.At(u)
 	wait := guessHold / 4
 	if w.nextFree > 0 {
 		wait = w.nextFree
 	}
-	if known && !w.at.Before(u.Load.At) {
+	if !w.at.IsZero() && !w.at.Before(u.Load.At) {
 		return waitIfNone(kernel.Availability{Free: w.free, NextFree: wait})
 	}
 	if u.Load.At.IsZero() {
@@ -55,22 +59,26 @@
 	return a
 }
 
+// maxLooks bounds the engines that freeElsewhere looks at.
+const maxLooks = 64
+
 // freeElsewhere reports whether the given engine and also another one that could
 // serve in its place are believed to have a free slot. Then it is not worth
 // waiting for the first if the belief is wrong. An engine that is believed full
 // is asked in order to wait for it.
-func (p *Policy) freeElsewhere(id ident.UpstreamID) bool {
-	u := p.host.Upstream(id)
-	if p.Availability(u).Free <= 0 {
+func (p *Policy) freeElsewhere(u *kernel.Upstream) bool {
+	if p.available(u).Free <= 0 {
 		return false
 	}
-	v := p.host.View()
-	for i := range v.Upstreams {
-		other := &v.Upstreams[i]
-		if other.ID == id || other.Spec.Role != config.RoleDecode || !sameModels(u, other) {
+	all := p.host.View().Upstreams
+	looks := 0
+	for i := 1; i < len(all) && looks < maxLooks; i++ {
+		other := &all[(u.Index+i)%len(all)]
+		if other.Spec.Role != config.RoleDecode || !sameModels(u, other) {
 			continue
 		}
-		if p.Availability(other).Free > 0 {
+		looks++
+		if p.available(other).Free > 0 {
 			return true
 		}
 	}
--- /dev/null
+++ b/plugins/slots/lease/bench_test.go
@@ -0,0 +1,91 @@
+package lease
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/plugins/slots/slotkit"
+	"github.com/wardspool/wardspool/plugins/slots/slottest"
+)
+
+// benchBed is a bed whose instances know the engines' loads; all but one of the
+// engines are full.
+func benchBed(engines int) *bed {
+	b := newBed(slottest.Options{Seed: 1, Instances: 24, Engines: engines, Slots: 20, Pieces: 200}, Settings{})
+	b.Run(2 * time.Second)
+	for _, n := range b.Nodes[:1] {
+		for i, e := range b.Engines {
+			load := kernel.Load{At: b.Now(), Running: 20, Slots: 20}
+			if i == engines/2 {
+				load.Running = 10
+			}
+			n.SeeLoad(e.ID, load)
+		}
+	}
+	return b
+}
+
+// BenchmarkReserve measures a reservation and its release, at the grantor itself
+// and at another instance, where an ask and a release are sent.
+func BenchmarkReserve(b *testing.B) {
+	for _, engines := range []int{9, 100, 600} {
+		bed := benchBed(engines)
+		e := bed.Engines[engines/2]
+		grantor := bed.grantor(bed.Nodes[0], e)
+		b.Run(fmt.Sprintf("grantor/%d", engines), func(b *testing.B) { benchReserve(b, grantor, e) })
+		holder := bed.Nodes[0]
+		if holder == grantor {
+			holder = bed.Nodes[1]
+		}
+		b.Run(fmt.Sprintf("holder/%d", engines), func(b *testing.B) { benchReserve(b, holder, e) })
+	}
+}
+
+func benchReserve(b *testing.B, n *slottest.Node, e *slottest.Engine) {
+	n.Silent = true
+	defer func() { n.Silent = false }()
+	ask := kernel.SlotAsk{Upstream: e.ID, Pieces: 3, Lead: 300 * time.Millisecond, OutputTokens: 400}
+	b.ReportAllocs()
+	for b.Loop() {
+		ask.Reservation = n.Reservation(time.Minute)
+		n.Policy.Reserve(ask)
+		n.Policy.Release(ask.Reservation)
+	}
+}
+
+// BenchmarkAvailability measures what a decision asks of the policy for each
+// engine, over all engines.
+func BenchmarkAvailability(b *testing.B) {
+	for _, engines := range []int{9, 100, 600} {
+		bed := benchBed(engines)
+		n := bed.Nodes[0]
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				for i := range n.View().Upstreams {
+					n.Policy.Availability(&n.View().Upstreams[i])
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkAsk measures a grantor's answer to an ask and the release that
+// follows.
+func BenchmarkAsk(b *testing.B) {
+	bed := benchBed(9)
+	e := bed.Engines[0]
+	g := bed.grantor(bed.Nodes[0], e)
+	holder := without(bed.Nodes, g)[0]
+	p := policyOf(g)
+	g.Silent = true
+	b.ReportAllocs()
+	for b.Loop() {
+		id := holder.Reservation(time.Minute)
+		ask := Ask{Reservation: slotkit.Reservation(id), Upstream: e.ID, Seq: 2 * id.Sequence, Pieces: 3}
+		p.Receive(holder.ID(), &ask)
+		p.Receive(holder.ID(), &Release{Reservation: slotkit.Reservation(id), Upstream: e.ID, Seq: ask.Seq + 1})
+	}
+}
--- a/plugins/slots/lease/fallback.go
+++ b/plugins/slots/lease/fallback.go
@@ -22,6 +22,9 @@
 // down reports whether a grantor is not to be asked now. After its backoff one
 // ask at a time may try it.
 func (p *Policy) down(id ident.InstanceID) bool {
+	if p.holder.troubled == 0 {
+		return false
+	}
 	c := p.holder.contacts[id]
 	if c == nil || c.failures == 0 {
 		return false
@@ -64,6 +67,7 @@
 	c := p.contact(id)
 	c.failures++
 	c.trying = false
+	p.holder.countTroubled()
 	wait := min(firstBackoff<<min(c.failures-1, maxDoublings), maxBackoff)
 	wait += time.Duration(p.host.Rand().Int64N(int64(wait)/2 + 1))
 	c.downUntil = p.host.Now().Add(wait)
--- a/plugins/slots/lease/holder.go
+++ b/plugins/slots/lease/holder.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/kernel/table"
 	"github.com/wardspool/wardspool/plugins/slots/slotkit"
 )
 
@@ -80,7 +82,9 @@
 	// held counts the slots held by upstream.
 	held     map[ident.UpstreamID]int
 	contacts map[ident.InstanceID]*contact
-	words    map[ident.UpstreamID]word
+	// troubled is how many contacts have failures.
+	troubled int
+	words    table.Table[word]
 	// refused is until when the engine's last refusal is heeded.
 	refused   map[ident.UpstreamID]time.Time
 	answers   []answer
@@ -94,7 +98,6 @@
 	o.holds = map[slotkit.Key]*hold{}
 	o.held = map[ident.UpstreamID]int{}
 	o.contacts = map[ident.InstanceID]*contact{}
-	o.words = map[ident.UpstreamID]word{}
 	o.refused = map[ident.UpstreamID]time.Time{}
 }
 
@@ -106,17 +109,30 @@
 
 // answered notes that a grantor answers.
 func (o *holder) answered(id ident.InstanceID) {
-	if c := o.contacts[id]; c != nil {
-		c.failures = 0
-		c.trying = false
-		c.downUntil = time.Time{}
+	c := o.contacts[id]
+	if c == nil || c.failures == 0 {
+		return
+	}
+	c.failures = 0
+	c.trying = false
+	c.downUntil = time.Time{}
+	o.countTroubled()
+}
+
+// countTroubled counts the contacts that have failures.
+func (o *holder) countTroubled() {
+	o.troubled = 0
+	for _, c := range o.contacts {
+		if c.failures > 0 {
+			o.troubled++
+		}
 	}
 }
 
 // heard takes a grantor's word unless a newer one is known.
-func (o *holder) heard(id ident.UpstreamID, w word) {
-	if !w.at.Before(o.words[id].at) {
-		o.words[id] = w
+func (o *holder) heard(u *kernel.Upstream, w word) {
+	if known := o.words.At(u); !w.at.Before(known.at) {
+		*known = w
 	}
 }
 
--- a/plugins/slots/lease/lease_test.go
+++ b/plugins/slots/lease/lease_test.go
@@ -121,6 +121,25 @@
 	assertQuiet(t, b)
 }
 
+// TestSharesWithoutGrantor: without their grantor the others use no more than
+// their shares.
+func TestSharesWithoutGrantor(t *testing.T) {
+	b := three(Settings{})
+	e := b.Engines[0]
+	g := b.grantor(b.Nodes[0], e)
+	others := without(b.Nodes, g)
+	g.Freeze()
+	for range 4 {
+		for _, n := range others {
+			b.reserve(n, e, 10*time.Millisecond, time.Second)
+		}
+	}
+	b.Run(300 * time.Millisecond)
+	own := policyOf(g).roster.Share(g.ID(), e.ID, e.Slots)
+	assert.Equal(t, b.held(e), e.Slots-own)
+	assert.Equal(t, b.refused, 0)
+}
+
 func TestGrantorCutOffAndHealed(t *testing.T) {
 	b := three(Settings{})
 	e := b.Engines[0]
--- a/plugins/slots/lease/message_test.go
+++ b/plugins/slots/lease/message_test.go
@@ -108,6 +108,7 @@
 	})
 	assert.Equal(t, len(policyOf(holder).holder.open), 1)
 	// The withdrawal overtaken by the newer ask must not end that either.
+	b.Run(5 * time.Millisecond)
 	g.Do(func() {
 		policyOf(g).Receive(holder.ID(), &Release{Reservation: slotkit.Reservation(u.id), Upstream: e.ID, Seq: first})
 	})
@@ -135,6 +136,34 @@
 	assert.Equal(t, len(ledgerAt(g).leases), 0)
 }
 
+// TestRenewOvertakenByAsk: a list sent before an ask says nothing about it.
+func TestRenewOvertakenByAsk(t *testing.T) {
+	b := three(Settings{})
+	g, holder := pairOf(b)
+	p := policyOf(holder)
+	p.holder.seq++
+	old := &Renew{Incarnation: 1, Seq: p.holder.seq}
+	b.reserve(holder, b.Engines[0], time.Millisecond, time.Second)
+	b.Run(10 * time.Millisecond)
+	g.Do(func() { policyOf(g).Receive(holder.ID(), old) })
+	assert.Equal(t, len(ledgerAt(g).leases), 1)
+}
+
+// TestLedgerIsBounded: more leases than two grantors can have given are not
+// taken over.
+func TestLedgerIsBounded(t *testing.T) {
+	b := three(Settings{})
+	g, holder := pairOf(b)
+	list := RenewEngine{Upstream: b.Engines[0].ID}
+	for i := range 100 {
+		list.Leases = append(list.Leases, RenewLease{Sequence: uint64(i), Deadline: b.Now().Add(time.Minute).UnixMilli()})
+	}
+	g.Do(func() {
+		policyOf(g).Receive(holder.ID(), &Renew{Incarnation: 1, Seq: 1, Engines: []RenewEngine{list}})
+	})
+	assert.Equal(t, len(ledgerAt(g).leases), maxLeases*b.Engines[0].Slots)
+}
+
 func TestDoubledMessages(t *testing.T) {
 	b := newBed(slottest.Options{
 		Seed: 1, Instances: 3, Engines: 1, Slots: 4, Pieces: 100,
--- a/plugins/slots/lease/receive.go
+++ b/plugins/slots/lease/receive.go
@@ -90,7 +90,7 @@
 // is given back.
 func (p *Policy) receiveGrant(from ident.InstanceID, m *Grant) {
 	p.holder.answered(from)
-	p.holder.heard(m.Upstream, word{at: p.host.Now(), free: m.Free})
+	p.heard(m.Upstream, word{at: p.host.Now(), free: m.Free})
 	h := p.holder.holds[m.Reservation.Key()]
 	if h == nil || h.upstream != m.Upstream {
 		p.sendRelease(from, m.Reservation.ID(), m.Upstream, 0)
@@ -102,7 +102,7 @@
 
 func (p *Policy) receiveQueued(from ident.InstanceID, m *Queued) {
 	p.holder.answered(from)
-	p.holder.heard(m.Upstream, word{at: p.host.Now(), nextFree: m.NextFree.Duration()})
+	p.heard(m.Upstream, word{at: p.host.Now(), nextFree: m.NextFree.Duration()})
 	h := p.holder.holds[m.Reservation.Key()]
 	if h == nil || h.seq != m.Seq || h.state != stateAsked {
 		return
@@ -121,8 +121,15 @@
 		}
 		return
 	}
-	p.holder.heard(m.Upstream, word{at: p.host.Now(), free: m.Free, nextFree: m.NextFree.Duration()})
+	p.heard(m.Upstream, word{at: p.host.Now(), free: m.Free, nextFree: m.NextFree.Duration()})
 	if wanted {
 		p.denied(h.key, p.host.Now().Add(m.RetryIn.Duration()))
 	}
 }
+
+// heard takes a grantor's word of an engine.
+func (p *Policy) heard(id ident.UpstreamID, w word) {
+	if u := p.host.Upstream(id); u != nil {
+		p.holder.heard(u, w)
+	}
+}
--- a/plugins/slots/lease/reserve.go
+++ b/plugins/slots/lease/reserve.go
@@ -36,7 +36,7 @@
 		return p.reserveShare(h, u)
 	}
 	p.holder.add(h)
-	p.sendAsk(h, grantor)
+	p.sendAsk(h, u, grantor)
 	return kernel.SlotAnswer{Verdict: kernel.SlotWaits}
 }
 
@@ -95,12 +95,12 @@
 }
 
 // sendAsk asks a grantor on another instance.
-func (p *Policy) sendAsk(h *hold, grantor ident.InstanceID) {
+func (p *Policy) sendAsk(h *hold, u *kernel.Upstream, grantor ident.InstanceID) {
 	h.state = stateAsked
 	h.grantor = grantor
 	h.seq = p.holder.nextSeq()
 	h.ask.Seq = h.seq
-	h.ask.NoWait = p.freeElsewhere(h.upstream)
+	h.ask.NoWait = p.freeElsewhere(u)
 	h.askedAt = p.host.Now()
 	h.until = h.askedAt.Add(p.AskTimeout)
 	c := p.contact(grantor)
--- a/plugins/slots/lease/setup.go
+++ b/plugins/slots/lease/setup.go
@@ -53,7 +53,9 @@
 type Policy struct {
 	Settings `yaml:",inline"`
 
-	host    kernel.Host
+	host kernel.Host
+	// me is this instance.
+	me      ident.InstanceID
 	roster  slotkit.Roster
 	holder  holder
 	grantor grantor
@@ -110,7 +112,10 @@
 func (e *SettingError) Error() string { return "setting " + e.Setting + " must not be negative" }
 
 // Attach implements kernel.Attacher.
-func (p *Policy) Attach(h kernel.Host) { p.host = h }
+func (p *Policy) Attach(h kernel.Host) {
+	p.host = h
+	p.me = h.Self().Instance
+}
 
 // self returns this instance's ID.
-func (p *Policy) self() ident.InstanceID { return p.host.Self().Instance }
+func (p *Policy) self() ident.InstanceID { return p.me }
--- a/plugins/slots/lease/view.go
+++ b/plugins/slots/lease/view.go
@@ -53,17 +53,13 @@
 			delete(p.grantor.peers, id)
 		}
 	}
+	p.holder.countTroubled()
 	p.forgetUpstreams()
 	return restarted
 }
 
-// forgetUpstreams drops what is known of upstreams that left the view.
+// forgetUpstreams drops the refusals of upstreams that left the view.
 func (p *Policy) forgetUpstreams() {
-	for id := range p.holder.words {
-		if p.host.Upstream(id) == nil {
-			delete(p.holder.words, id)
-		}
-	}
 	for id := range p.holder.refused {
 		if p.host.Upstream(id) == nil {
 			delete(p.holder.refused, id)
@@ -200,7 +196,7 @@
 		h.grantor = ""
 		p.fallBack(h)
 	default:
-		p.sendAsk(h, grantor)
+		p.sendAsk(h, u, grantor)
 	}
 }
 
--- a/plugins/slots/slotkit/roster.go
+++ b/plugins/slots/slotkit/roster.go
@@ -7,22 +7,27 @@
 
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/kernel/table"
 )
 
 // Roster answers, for the view in force, which instance grants an upstream's
 // slots and what share of them falls to each. It remembers its answers until
 // the set of live instances changes. The zero value is ready for use.
 type Roster struct {
-	version  uint64
-	known    bool
-	live     []kernel.Instance
-	next     []kernel.Instance
-	grantors map[ident.UpstreamID]granting
+	version uint64
+	known   bool
+	live    []kernel.Instance
+	next    []kernel.Instance
+	// set numbers the sets of live instances, from 1 on.
+	set      uint64
+	grantors table.Table[granting]
 	ranks    map[ident.UpstreamID]int
 }
 
-// granting is an upstream's grantor, chosen for the zone the upstream was in.
+// granting is an upstream's grantor, chosen from one set of live instances for
+// the zone the upstream was in.
 type granting struct {
+	set     uint64
 	zone    ident.Zone
 	grantor ident.InstanceID
 }
@@ -34,11 +39,11 @@
 	}
 	r.version, r.known = v.Version, true
 	r.next = liveInstances(r.next[:0], v, self)
-	if r.grantors != nil && slices.Equal(r.next, r.live) {
+	if r.set > 0 && slices.Equal(r.next, r.live) {
 		return true
 	}
 	r.live, r.next = r.next, r.live
-	r.grantors = make(map[ident.UpstreamID]granting, len(r.grantors))
+	r.set++
 	r.ranks = make(map[ident.UpstreamID]int, len(r.ranks))
 	return true
 }
@@ -56,14 +61,15 @@
 // hashing among the live instances of u's zone, or of all when its zone has
 // none. It is empty when no instance is live.
 func (r *Roster) Grantor(u *kernel.Upstream) ident.InstanceID {
-	if g, ok := r.grantors[u.ID]; ok && g.zone == u.Zone {
+	g := r.grantors.At(u)
+	if g.set == r.set && g.zone == u.Zone {
 		return g.grantor
 	}
 	id := first(r.live, u.ID, u.Zone)
 	if id == "" {
 		id = first(r.live, u.ID, "")
 	}
-	r.grantors[u.ID] = granting{zone: u.Zone, grantor: id}
+	*g = granting{set: r.set, zone: u.Zone, grantor: id}
 	return id
 }
 
--- a/plugins/slots/slottest/node.go
+++ b/plugins/slots/slottest/node.go
@@ -20,6 +20,8 @@
 	Denied  func(id ident.AttemptID, retryAt time.Time)
 	// Stepped is called at the end of each event.
 	Stepped func()
+	// Silent drops what the policy sends.
+	Silent bool
 
 	world    *World
 	self     kernel.Self
@@ -239,12 +241,11 @@
 
 // Upstream implements kernel.Host.
 func (n *Node) Upstream(id ident.UpstreamID) *kernel.Upstream {
-	for i := range n.view.Upstreams {
-		if n.view.Upstreams[i].ID == id {
-			return &n.view.Upstreams[i]
-		}
+	i, ok := n.world.places[id]
+	if !ok {
+		return nil
 	}
-	return nil
+	return &n.view.Upstreams[i]
 }
 
 // Model implements kernel.Host.
@@ -254,7 +255,11 @@
 func (n *Node) Rand() *rand.Rand { return n.rand }
 
 // Send implements kernel.Host.
-func (n *Node) Send(to ident.InstanceID, m kernel.PeerMessage) { n.world.send(n, to, m) }
+func (n *Node) Send(to ident.InstanceID, m kernel.PeerMessage) {
+	if !n.Silent {
+		n.world.send(n, to, m)
+	}
+}
 
 // QueueLength implements kernel.Host.
 func (n *Node) QueueLength() int { return 0 }
--- a/plugins/slots/slottest/world.go
+++ b/plugins/slots/slottest/world.go
@@ -44,6 +44,9 @@
 	events  events
 	order   uint64
 	cuts    map[link]bool
+	// places finds an upstream in any view: views differ only in instances and
+	// in what they say of the upstreams.
+	places map[ident.UpstreamID]int
 }
 
 // NewWorld makes a world in which all instances see each other and all engines
@@ -55,8 +58,10 @@
 		options: o,
 		now:     Epoch,
 		cuts:    map[link]bool{},
+		places:  map[ident.UpstreamID]int{},
 	}
 	for i := range o.Engines {
+		w.places[w.upstreamID(i)] = i
 		w.Engines = append(w.Engines, newEngine(w, w.upstreamID(i), o.Slots, o.Pieces))
 	}
 	view := w.firstView()
