--- a/plugins/slots/lease/reserve.go
+++ b/plugins/slots/lease/reserve.go
@@ -53,7 +53,6 @@
 
 func (p *Policy) newHold(ask kernel.SlotAsk, now time.Time) *hold {
 	wire := Ask{
-		NoWait:      p.freeElsewhere(ask.Upstream),
 		Reservation: slotkit.Reservation(ask.Reservation),
 		Upstream:    ask.Upstream,
 		Pieces:      ask.Pieces,
