Agent: answers with parts are paced; capacity bench with an IP number for each instance

Two answers of up to 128 KB are now made in 20 ms. The bench had handed out ports that outgoing connections then took: 2 of 48 agents did not start.

--- a/agent/relay.go
+++ b/agent/relay.go
@@ -15,7 +15,11 @@
 // Bounds of relaying.
 const (
 	// partsBytes bounds the parts of one answer; one part is always sent.
-	partsBytes = 600 << 10
+	partsBytes = 128 << 10
+	// maxServing bounds the answers with parts that are made within servingPause:
+	// when a zone starts, all of it asks the few who have the parts.
+	maxServing   = 2
+	servingPause = 20 * time.Millisecond
 	// partsWait is how long an answer waits for parts that are on their way here.
 	partsWait = 500 * time.Millisecond
 	// documentTimeout bounds the fetch of a roll or head; it is short, since one
@@ -27,6 +31,8 @@
 type relay struct {
 	// changed is closed when parts came; then there is a new one.
 	changed chan struct{}
+	// serving has a place for each answer with parts that was just made.
+	serving chan struct{}
 	// fetching holds the keys of the documents that are being fetched.
 	fetching map[string]bool
 	// provider gave parts last, since the last fetch.
@@ -157,7 +163,7 @@
 	wait, cancel := context.WithTimeout(ctx, partsWait)
 	defer cancel()
 	for {
-		f, err := ask(ctx, a, func() found { return a.findParts(r.Digests) })
+		f, err := a.paced(ctx, r.Digests)
 		if err != nil || len(f.parts.Parts) > 0 || f.changed == nil {
 			return f.parts, err
 		}
@@ -169,6 +175,18 @@
 	}
 }
 
+// paced finds parts for an answer, after a while if many are asked for: the
+// memory of answers that are being written must stay small.
+func (a *Agent) paced(ctx context.Context, digests []bundle.Digest) (found, error) {
+	select {
+	case a.relay.serving <- struct{}{}:
+		time.AfterFunc(servingPause, func() { <-a.relay.serving })
+	case <-ctx.Done():
+		return found{}, ctx.Err()
+	}
+	return ask(ctx, a, func() found { return a.findParts(digests) })
+}
+
 // findParts returns those of the parts asked for that are here and fit.
 func (a *Agent) findParts(digests []bundle.Digest) found {
 	var f found
--- a/internal/capacity/bed.go
+++ b/internal/capacity/bed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -32,6 +33,8 @@
 	upstreams []platform.Upstream
 	publisher *publisher
 	closers   []func()
+	// network is the second part of the instances' loopback IP numbers.
+	network int
 }
 
 // node is one instance: an agent's process and its entry's stand-in.
@@ -48,10 +51,17 @@
 // upstreamsPerAgent is that of the users' plans: 600 before 410.
 const upstreamsPerAgent = 1.5
 
+// maxNetwork bounds bed.network.
+const maxNetwork = 250
+
+// ip returns the i-th instance's IP number. Each has one of its own, so that no
+// outgoing connection takes a port that an instance listens on.
+func (b *bed) ip(i int) string { return fmt.Sprintf("127.%d.%d.%d", b.network, i/200, i%200+1) }
+
 // newBed starts a fleet of n agents. The caller must close it, also after an
 // error.
 func newBed(o *options, n int) (*bed, error) {
-	b := &bed{options: o, platform: standin.New(standin.Config{})}
+	b := &bed{options: o, platform: standin.New(standin.Config{}), network: 1 + rand.IntN(maxNetwork)}
 	b.closers = append(b.closers, b.platform.Close)
 	var err error
 	if b.dir, err = os.MkdirTemp("", "wardspool-capacity-"); err != nil {
@@ -155,16 +165,13 @@
 func (b *bed) addNodes(n int) error {
 	var listed platform.Instances
 	for i := range n {
-		x := &node{id: ident.InstanceID(fmt.Sprintf("entry-%03d", i)), zone: b.zone(i)}
-		b.nodes = append(b.nodes, x)
-		var err error
-		if x.entry, err = b.startEntry(x); err != nil {
-			return err
+		x := &node{
+			id: ident.InstanceID(fmt.Sprintf("entry-%03d", i)), zone: b.zone(i),
+			peers: b.ip(i) + ":9101", operator: b.ip(i) + ":9301",
+			entry: &entry{peers: b.ip(i) + ":9100", feed: b.ip(i) + ":9200"},
 		}
-		if x.peers, err = freeAddress(); err != nil {
-			return err
-		}
-		if x.operator, err = freeAddress(); err != nil {
+		b.nodes = append(b.nodes, x)
+		if err := b.startEntry(x); err != nil {
 			return err
 		}
 		listed.Instances = append(listed.Instances, platform.Instance{
@@ -178,15 +185,6 @@
 	return b.publisher.put(platform.KeyUpstreams, platform.Upstreams{Upstreams: b.upstreams})
 }
 
-// freeAddress returns a loopback address that is free now.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	return l.Addr().String(), l.Close()
-}
-
 // startAgent starts an instance's agent as a process.
 func (b *bed) startAgent(x *node) error {
 	file := filepath.Join(b.dir, string(x.id)+".yaml")
@@ -231,19 +229,19 @@
 }
 
 // startEntry starts an entry's stand-in.
-func (b *bed) startEntry(x *node) (*entry, error) {
-	e := &entry{incarnation: ident.NewIncarnation(time.Now()), arrived: map[uint64]time.Time{}}
+func (b *bed) startEntry(x *node) error {
+	e := x.entry
+	e.incarnation, e.arrived = ident.NewIncarnation(time.Now()), map[uint64]time.Time{}
 	cfg := peer.Config{
 		Self:   peer.Identity{Instance: x.id, Incarnation: e.incarnation, Zone: x.zone},
 		Allow:  func(peer.Identity) bool { return true },
 		Limits: peer.Limits{Frame: 32 << 20},
 	}
-	for _, address := range []*string{&e.feed, &e.peers} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for _, address := range []string{e.feed, e.peers} {
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, err
+			return err
 		}
-		*address = l.Addr().String()
 		srv := peer.NewServer(cfg)
 		peer.Handle(srv, feed.MethodUpdate, func(_ context.Context, _ peer.Identity, u feed.Update) (feed.Reply, error) {
 			return e.update(&u), nil
@@ -255,7 +253,7 @@
 			_ = srv.Shutdown(ctx)
 		})
 	}
-	return e, nil
+	return nil
 }
 
 // update takes an update.
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -27,6 +27,8 @@
 	// cpuMean and cpuMax are in per cent of a core, rss in MB.
 	cpuMean, cpuMax float64
 	rssMean, rssMax float64
+	// rssPeak is the highest of any agent since its start.
+	rssPeak float64
 	// Bytes a second, sent and received together.
 	peers, engines, platform, feed float64
 	// bytesMax is that of the agent with the most, without its feed.
@@ -170,6 +172,7 @@
 		rss := float64(z.Process.RSSBytes) / (1 << 20)
 		r.rssMean += rss / n
 		r.rssMax = max(r.rssMax, rss)
+		r.rssPeak = max(r.rssPeak, float64(z.Process.PeakRSSBytes)/(1<<20))
 		peers := (total(z.Traffic.Peers) - total(a.Traffic.Peers)) / s
 		engines := (total(z.Traffic.Upstreams) - total(a.Traffic.Upstreams)) / s
 		platform := (total(z.Traffic.Platform) - total(a.Traffic.Platform)) / s
@@ -216,6 +219,7 @@
 		return err
 	}
 	c := summary(b.options, before, after)
+	r.rssPeak = c.rssPeak
 	extra := (c.cpuMean - r.cpuMean) / 100 * seconds(before[0], after[0]) / float64(b.options.Changes)
 	r.changeCPU = time.Duration(extra * float64(time.Second))
 	r.changeBytes = (c.bytes() - r.bytes()) * seconds(before[0], after[0]) / float64(b.options.Changes)
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -23,6 +23,7 @@
 	{"cpu max %", func(r *row) float64 { return r.cpuMax }, 3},
 	{"rss mean MB", func(r *row) float64 { return r.rssMean }, 1},
 	{"rss max MB", func(r *row) float64 { return r.rssMax }, 1},
+	{"rss peak MB", func(r *row) float64 { return r.rssPeak }, 1},
 	{"peers B/s", func(r *row) float64 { return r.peers }, 0},
 	{"engines B/s", func(r *row) float64 { return r.engines }, 0},
 	{"platform B/s", func(r *row) float64 { return r.platform }, 0},
