roundtrip: a test counted connections that the listener had not taken yet

The check is as strict as before: one more connection, taken after all others, shows that the count is complete.

--- a/adapter/roundtrip/conn_test.go
+++ b/adapter/roundtrip/conn_test.go
@@ -57,7 +57,7 @@
 			}
 			assert.Equal(t, evidence(t, send(t, c, t.Context(), "POST", s.address, body)), want, "used %v, %d bytes", used, left)
 			c.Close()
-			assert.Equal(t, s.conns.Load(), int64(1))
+			assert.Equal(t, s.accepted(t), int64(1))
 		}
 	}
 }
--- a/adapter/roundtrip/roundtrip_test.go
+++ b/adapter/roundtrip/roundtrip_test.go
@@ -54,6 +54,20 @@
 	return s
 }
 
+// accepted returns how many connections were made before the call. The listener
+// takes connections in their order, so that one more shows, when it is served,
+// that all before it were counted.
+func (s *server) accepted(t *testing.T) int64 {
+	t.Helper()
+	c, err := net.Dial("tcp", s.address)
+	assert.NilError(t, err)
+	defer c.Close()
+	assert.NilError(t, c.(*net.TCPConn).CloseWrite())
+	_, err = c.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+	return s.conns.Load() - 1
+}
+
 func (s *server) serveConn(c net.Conn, answer func(n int64, c net.Conn) bool) {
 	defer c.Close()
 	r := bufio.NewReader(c)
