--- a/load/agreement/main.go
+++ b/load/agreement/main.go
@@ -71,13 +71,15 @@
 		return oops.Wrap(err)
 	}
 	b := bench{cli: c, place: place, deployment: d, table: newTable()}
-	if err := b.all(ctx); err != nil {
-		return err
-	}
+	// What was measured before a failure is shown all the same.
+	runErr := b.all(ctx)
 	if err := b.table.WriteText(os.Stdout); err != nil {
 		return oops.Wrap(err)
 	}
-	return oops.Wrap(b.table.SaveCSV(filepath.Join(c.Out, "agreement.csv")))
+	if err := b.table.SaveCSV(filepath.Join(c.Out, "agreement.csv")); err != nil {
+		return oops.Wrap(err)
+	}
+	return runErr
 }
 
 // bench is one run of the command.
