--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/wardspool/wardspool/agent/wire"
@@ -24,6 +27,9 @@
 // are over all.
 type row struct {
 	agents, zones, upstreams int
+	// load is the machine's load average in the last minute, at the end: others
+	// work on it too.
+	load float64
 	// cpuMean and cpuMax are in per cent of a core, rss in MB.
 	cpuMean, cpuMax float64
 	rssMean, rssMax float64
@@ -94,6 +100,7 @@
 	}
 	r := summary(o, before, after)
 	r.upstreams = len(b.upstreams)
+	r.load = loadAverage()
 	r.calls = float64(b.platform.Judge().Calls-calls) / seconds(before[0], after[0])
 	return r, b.changes(ctx, pool, &r)
 }
@@ -187,6 +194,20 @@
 	return r
 }
 
+// loadAverage reads the machine's load average, 0 where there is none.
+func loadAverage() float64 {
+	b, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return 0
+	}
+	text, _, _ := strings.Cut(string(b), " ")
+	load, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return 0
+	}
+	return load
+}
+
 // settle is how long after a change its last bytes may come.
 const settle = 3 * time.Second
 
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -19,6 +19,7 @@
 
 // columns are the measures that are printed and fitted.
 var columns = []column{
+	{"load average", func(r *row) float64 { return r.load }, 1},
 	{"cpu mean %", func(r *row) float64 { return r.cpuMean }, 3},
 	{"cpu max %", func(r *row) float64 { return r.cpuMax }, 3},
 	{"rss mean MB", func(r *row) float64 { return r.rssMean }, 1},
@@ -98,7 +99,7 @@
 	for i := range rows {
 		x[i] = float64(rows[i].agents)
 	}
-	for _, c := range columns {
+	for _, c := range columns[1:] {
 		y := make([]float64, len(rows))
 		for i := range rows {
 			y[i] = c.value(&rows[i])
