Links: the dispatcher reckons with them, the driver waits for shared ones

Ruled out: watching a transfer's progress (no published interface tells it). Change: a transfer may take six times its lone time before the stall time counts; the dispatcher plans when each engine's link will be free.

--- a/entry/driver/patience.go
+++ b/entry/driver/patience.go
@@ -14,8 +14,9 @@
 	// stallPaces is how many times the target pace a stream may be silent.
 	stallPaces = 20
 	// transferSlack is how many times its expected duration a transfer may
-	// take, before the stall time is counted.
-	transferSlack = 2
+	// take, before the stall time is counted: it may share the link with
+	// transfers of other instances, of which this one knows nothing.
+	transferSlack = 6
 	// prefillSlack is how many times its expected duration a prefill may take,
 	// before the stall time is counted: other instances' prefills that came since
 	// the engine's last load report are ahead of it too.
--- a/plugins/slots/dispatch/engines.go
+++ b/plugins/slots/dispatch/engines.go
@@ -16,6 +16,8 @@
 	// readyAt is when the engine will have done all it was given, and, as the
 	// pass goes on, what the queue will give it.
 	readyAt time.Time
+	// linkAt is when its link will have sent all that it is to send.
+	linkAt time.Time
 	// own is the prompt work that its load report should count already, in
 	// tokens.
 	own int
@@ -99,7 +101,8 @@
 	now := g.now()
 	list := g.prefillScratch[:0]
 	for _, i := range r.prefills {
-		list = append(list, prefillState{u: &g.p.host.View().Upstreams[i], readyAt: now})
+		u := &g.p.host.View().Upstreams[i]
+		list = append(list, prefillState{u: u, readyAt: now, linkAt: later(now, g.links[u.ID])})
 	}
 	for _, gr := range g.prefilling() {
 		at, ok := r.prefillAt[gr.prefill]
@@ -107,6 +110,7 @@
 			continue
 		}
 		list[at].give(gr)
+		list[at].send(g.transfer(list[at].u, gr.ask.Prompt))
 	}
 	g.prefillScratch = list
 	for i := range list {
@@ -127,6 +131,26 @@
 	e.readyAt = end
 }
 
+// send adds a transfer, which begins when the engine is ready and its link free.
+func (e *prefillState) send(takes time.Duration) {
+	e.linkAt = later(e.linkAt, e.readyAt).Add(takes)
+}
+
+// transfer is the time to send a prompt's KV cache over the engine's link when
+// nothing else uses it.
+func (g *group) transfer(u *kernel.Upstream, prompt int) time.Duration {
+	return kernel.TransferTime(g.p.host.Model(g.model), prompt, u, u)
+}
+
+// noteTransfer counts a transfer that now begins on its engine's link.
+func (g *group) noteTransfer(gr *grant) {
+	u := g.p.host.Upstream(gr.prefill)
+	if u == nil {
+		return
+	}
+	g.links[u.ID] = later(g.links[u.ID], g.now()).Add(g.transfer(u, gr.ask.Prompt))
+}
+
 // addForeign adds the work that the engine reported beyond what is known.
 func (e *prefillState) addForeign(now time.Time) {
 	rate := e.u.Spec.PrefillTokensPerSecond
--- a/plugins/slots/dispatch/group.go
+++ b/plugins/slots/dispatch/group.go
@@ -57,6 +57,8 @@
 	// ready are the grants whose prefill is done and that wait for a slot.
 	ready []*grant
 	hold  holdModel
+	// links is when each prefill engine's link will be free.
+	links map[ident.UpstreamID]time.Time
 	// books are the decode engines' books.
 	books map[ident.UpstreamID]*book
 	// pollAt is when the queue is to be looked at again, zero if not needed.
@@ -84,6 +86,7 @@
 		grants:  map[slotkit.Key]*grant{},
 		hold:    newHoldModel(),
 
+		links:     map[ident.UpstreamID]time.Time{},
 		books:     map[ident.UpstreamID]*book{},
 		computing: map[slotkit.Key]*grant{},
 	}
--- a/plugins/slots/dispatch/pass.go
+++ b/plugins/slots/dispatch/pass.go
@@ -62,6 +62,7 @@
 	d.pieces -= gr.ask.Pieces
 	d.held++
 	g.takeSlot(gr, d.u.ID)
+	g.noteTransfer(gr)
 	if i := slices.Index(g.ready, gr); i >= 0 {
 		g.ready = slices.Delete(g.ready, i, i+1)
 	}
@@ -137,8 +138,8 @@
 	now := g.now()
 	computed := e.readyAt.Add(work)
 	slotAt, memory := s.next(w.ask.Pieces)
-	transfer := kernel.TransferTime(g.p.host.Model(g.model), w.ask.Prompt, e.u, e.u)
-	first := later(computed, slotAt).Add(transfer)
+	transfer := g.transfer(e.u, w.ask.Prompt)
+	first := later(later(computed, slotAt), e.linkAt).Add(transfer)
 	idle := alone && e.readyAt.Equal(now) && slotAt.Equal(now)
 	if !idle && g.tooLate(w, first) {
 		g.refuse(w, first)
@@ -147,6 +148,7 @@
 	startable := e.readyAt.Sub(now) <= lookahead
 	slotInTime := slotAt.Sub(computed) <= g.p.kvUsable*kvWaitPercent/100
 	e.readyAt = computed
+	e.send(transfer)
 	s.take(w.ask.Pieces, memory)
 	if startable && slotInTime {
 		g.place(w, e, memory, g.others(w, engines, e))
@@ -230,7 +232,7 @@
 			continue
 		}
 		work := kernel.PrefillTime(e.u, g.uncached(w, e.u))
-		end := e.readyAt.Add(work)
+		end := later(e.readyAt.Add(work), e.linkAt).Add(g.transfer(e.u, w.ask.Prompt))
 		if e.u.Zone != w.ask.Zone {
 			end = end.Add(crossZone)
 		}
