--- a/plugins/slots/lease/lease_test.go
+++ b/plugins/slots/lease/lease_test.go
@@ -24,16 +24,16 @@
 	b := three(Settings{})
 	for range 4 {
 		for _, n := range b.Nodes {
-			b.reserve(n, b.Engines[0], 10*time.Millisecond, 600*time.Millisecond)
+			b.Reserve(n, b.Engines[0], 10*time.Millisecond, 600*time.Millisecond)
 		}
 	}
 	b.Run(100 * time.Millisecond)
-	assert.Equal(t, b.held(b.Engines[0]), 4)
+	assert.Equal(t, b.Held(b.Engines[0]), 4)
 	assert.Equal(t, b.Engines[0].Running(), 4)
 	b.Run(600 * time.Millisecond)
 	// Those that waited were granted the slots that fell free, in one message.
 	assert.Equal(t, b.Engines[0].Running(), 4)
-	assert.Equal(t, b.refused, 0)
+	assert.Equal(t, b.Refused, 0)
 	b.Run(10 * time.Second)
 	assertQuiet(t, b)
 }
@@ -61,27 +61,27 @@
 	e := b.Engines[0]
 	g := b.grantor(b.Nodes[0], e)
 	others := without(b.Nodes, g)
-	b.reserve(others[0], e, 10*time.Millisecond, 4*time.Second)
+	b.Reserve(others[0], e, 10*time.Millisecond, 4*time.Second)
 	b.Run(100 * time.Millisecond)
 	g.Kill()
 	// The others fall back to their shares at once: a third of four slots, of
 	// which the first use has taken one.
-	u := b.reserve(others[1], e, 10*time.Millisecond, 4*time.Second)
+	u := b.Reserve(others[1], e, 10*time.Millisecond, 4*time.Second)
 	b.Run(200 * time.Millisecond)
-	assert.Assert(t, u.granted)
-	b.all(g, kernel.Dead)
+	assert.Assert(t, u.Granted)
+	b.All(g, kernel.Dead)
 	b.Run(1200 * time.Millisecond)
 	next := b.grantor(others[0], e)
 	assert.Assert(t, next != g)
 	// The new grantor has learned of both.
 	assert.Equal(t, len(policyOf(next).grantor.ledgers[0].leases), 2)
 	for range 4 {
-		b.reserve(others[0], e, 10*time.Millisecond, time.Second)
+		b.Reserve(others[0], e, 10*time.Millisecond, time.Second)
 	}
 	b.Run(100 * time.Millisecond)
-	assert.Equal(t, b.held(e), 4)
+	assert.Equal(t, b.Held(e), 4)
 	b.Run(10 * time.Second)
-	assert.Equal(t, b.refused, 0)
+	assert.Equal(t, b.Refused, 0)
 	assertQuiet(t, b)
 }
 
@@ -101,22 +101,22 @@
 	g := b.grantor(b.Nodes[0], e)
 	others := without(b.Nodes, g)
 	g.Freeze()
-	u := b.reserve(others[0], e, 10*time.Millisecond, time.Second)
+	u := b.Reserve(others[0], e, 10*time.Millisecond, time.Second)
 	b.Run(100 * time.Millisecond)
-	assert.Assert(t, u.pending)
+	assert.Assert(t, u.Pending)
 	b.Run(100 * time.Millisecond)
-	assert.Assert(t, u.granted, "granted from the share after the timeout")
-	assert.Assert(t, b.slowest <= defaultAskTimeout+time.Millisecond, "%v", b.slowest)
+	assert.Assert(t, u.Granted, "granted from the share after the timeout")
+	assert.Assert(t, b.Slowest <= defaultAskTimeout+time.Millisecond, "%v", b.Slowest)
 	// The next one does not wait for the grantor.
-	v := b.reserve(others[0], e, 10*time.Millisecond, time.Second)
-	assert.Assert(t, !v.pending)
+	v := b.Reserve(others[0], e, 10*time.Millisecond, time.Second)
+	assert.Assert(t, !v.Pending)
 	b.Run(time.Second)
 	g.Thaw()
 	b.Run(10 * time.Second)
-	w := b.reserve(others[0], e, 10*time.Millisecond, time.Second)
+	w := b.Reserve(others[0], e, 10*time.Millisecond, time.Second)
 	b.Run(10 * time.Millisecond)
-	assert.Assert(t, w.granted, "asked again once it is back")
-	assert.Equal(t, w.node, others[0])
+	assert.Assert(t, w.Granted, "asked again once it is back")
+	assert.Equal(t, w.Node, others[0])
 	b.Run(10 * time.Second)
 	assertQuiet(t, b)
 }
@@ -131,13 +131,13 @@
 	g.Freeze()
 	for range 4 {
 		for _, n := range others {
-			b.reserve(n, e, 10*time.Millisecond, time.Second)
+			b.Reserve(n, e, 10*time.Millisecond, time.Second)
 		}
 	}
 	b.Run(300 * time.Millisecond)
 	own := policyOf(g).roster.Share(g.ID(), e.ID, e.Slots)
-	assert.Equal(t, b.held(e), e.Slots-own)
-	assert.Equal(t, b.refused, 0)
+	assert.Equal(t, b.Held(e), e.Slots-own)
+	assert.Equal(t, b.Refused, 0)
 }
 
 func TestGrantorCutOffAndHealed(t *testing.T) {
@@ -148,9 +148,9 @@
 	for _, n := range others {
 		b.Cut(g, n)
 	}
-	u := b.reserve(others[0], e, 10*time.Millisecond, 6*time.Second)
+	u := b.Reserve(others[0], e, 10*time.Millisecond, 6*time.Second)
 	b.Run(200 * time.Millisecond)
-	assert.Assert(t, u.granted)
+	assert.Assert(t, u.Granted)
 	b.Heal()
 	b.Run(3 * time.Second)
 	// The lease of the share is known to the grantor by the next renewal.
@@ -165,11 +165,11 @@
 	g := b.grantor(b.Nodes[0], e)
 	h := without(b.Nodes, g)[0]
 	for range 4 {
-		b.reserve(h, e, 10*time.Millisecond, 3*time.Second)
+		b.Reserve(h, e, 10*time.Millisecond, 3*time.Second)
 	}
 	b.Run(500 * time.Millisecond)
 	h.Kill()
-	b.all(h, kernel.Dead)
+	b.All(h, kernel.Dead)
 	b.Run(time.Second)
 	l := policyOf(g).grantor.ledgers[0]
 	assert.Equal(t, len(l.leases), 4, "its requests still run")
--- a/plugins/slots/lease/message_test.go
+++ b/plugins/slots/lease/message_test.go
@@ -33,10 +33,10 @@
 	b := three(Settings{})
 	_, holder := pairOf(b)
 	lossy(b, true)
-	u := b.reserve(holder, b.Engines[0], time.Millisecond, time.Second)
+	u := b.Reserve(holder, b.Engines[0], time.Millisecond, time.Second)
 	lossy(b, false)
 	b.Run(defaultAskTimeout + 10*time.Millisecond)
-	assert.Assert(t, u.granted, "from the share")
+	assert.Assert(t, u.Granted, "from the share")
 	b.Run(10 * time.Second)
 	assertQuiet(t, b)
 }
@@ -46,14 +46,14 @@
 func TestGrantLost(t *testing.T) {
 	b := three(Settings{})
 	g, holder := pairOf(b)
-	u := b.reserve(holder, b.Engines[0], 10*time.Millisecond, 8*time.Second)
+	u := b.Reserve(holder, b.Engines[0], 10*time.Millisecond, 8*time.Second)
 	lossy(b, true)
 	b.Run(5 * time.Millisecond)
 	lossy(b, false)
-	assert.Assert(t, u.pending)
+	assert.Assert(t, u.Pending)
 	assert.Equal(t, len(ledgerAt(g).leases), 1)
 	b.Run(defaultAskTimeout)
-	assert.Assert(t, u.granted)
+	assert.Assert(t, u.Granted)
 	b.Run(5 * time.Second)
 	assert.Equal(t, len(ledgerAt(g).leases), 1, "one lease for the one slot")
 	b.Run(10 * time.Second)
@@ -63,13 +63,13 @@
 func TestReleaseLost(t *testing.T) {
 	b := three(Settings{})
 	g, holder := pairOf(b)
-	u := b.reserve(holder, b.Engines[0], 10*time.Millisecond, 100*time.Millisecond)
+	u := b.Reserve(holder, b.Engines[0], 10*time.Millisecond, 100*time.Millisecond)
 	b.Run(50 * time.Millisecond)
-	assert.Assert(t, u.granted)
+	assert.Assert(t, u.Granted)
 	lossy(b, true)
 	b.Run(100 * time.Millisecond)
 	lossy(b, false)
-	assert.Assert(t, u.over)
+	assert.Assert(t, u.Over)
 	assert.Equal(t, len(ledgerAt(g).leases), 1)
 	b.Run(defaultRenewInterval + 10*time.Millisecond)
 	assert.Equal(t, len(ledgerAt(g).leases), 0, "the next Renew does not list it")
@@ -79,9 +79,9 @@
 func TestGrantAfterWithdrawal(t *testing.T) {
 	b := three(Settings{})
 	g, holder := pairOf(b)
-	u := b.reserve(holder, b.Engines[0], time.Millisecond, time.Second)
-	policyOf(holder).holder.drop(policyOf(holder).holder.holds[slotkit.KeyOf(u.id)])
-	u.pending, u.over = false, true
+	u := b.Reserve(holder, b.Engines[0], time.Millisecond, time.Second)
+	policyOf(holder).holder.drop(policyOf(holder).holder.holds[slotkit.KeyOf(u.ID)])
+	u.Pending, u.Over = false, true
 	b.Run(1500 * time.Microsecond)
 	assert.Equal(t, len(ledgerAt(g).leases), 1)
 	b.Run(3 * time.Millisecond)
@@ -95,22 +95,22 @@
 	g, holder := pairOf(b)
 	e := b.Engines[0]
 	for range 4 {
-		b.reserve(g, e, time.Millisecond, time.Minute)
+		b.Reserve(g, e, time.Millisecond, time.Minute)
 	}
-	u := b.reserve(holder, e, time.Millisecond, time.Second)
-	first := policyOf(holder).holder.holds[slotkit.KeyOf(u.id)].seq
+	u := b.Reserve(holder, e, time.Millisecond, time.Second)
+	first := policyOf(holder).holder.holds[slotkit.KeyOf(u.ID)].seq
 	b.Run(10 * time.Millisecond)
-	b.withdraw(u)
-	ask := kernel.SlotAsk{Reservation: u.id, Upstream: e.ID, FirstOutputBy: b.Now().Add(5 * time.Second)}
+	b.Withdraw(u)
+	ask := kernel.SlotAsk{Reservation: u.ID, Upstream: e.ID, FirstOutputBy: b.Now().Add(5 * time.Second)}
 	holder.Do(func() { holder.Policy.Reserve(ask) })
 	holder.Do(func() {
-		policyOf(holder).Receive(g.ID(), &Deny{Reservation: slotkit.Reservation(u.id), Upstream: e.ID, Seq: first})
+		policyOf(holder).Receive(g.ID(), &Deny{Reservation: slotkit.Reservation(u.ID), Upstream: e.ID, Seq: first})
 	})
 	assert.Equal(t, len(policyOf(holder).holder.open), 1)
 	// The withdrawal overtaken by the newer ask must not end that either.
 	b.Run(5 * time.Millisecond)
 	g.Do(func() {
-		policyOf(g).Receive(holder.ID(), &Release{Reservation: slotkit.Reservation(u.id), Upstream: e.ID, Seq: first})
+		policyOf(g).Receive(holder.ID(), &Release{Reservation: slotkit.Reservation(u.ID), Upstream: e.ID, Seq: first})
 	})
 	b.Run(10 * time.Millisecond)
 	assert.Equal(t, len(ledgerAt(g).queue), 1)
@@ -121,15 +121,15 @@
 func TestRenewOvertakenByRelease(t *testing.T) {
 	b := three(Settings{})
 	g, holder := pairOf(b)
-	u := b.reserve(holder, b.Engines[0], time.Millisecond, time.Second)
+	u := b.Reserve(holder, b.Engines[0], time.Millisecond, time.Second)
 	b.Run(10 * time.Millisecond)
 	p := policyOf(holder)
 	p.holder.seq++
 	old := &Renew{Incarnation: 1, Seq: p.holder.seq, Engines: []RenewEngine{{
 		Upstream: b.Engines[0].ID,
-		Leases:   []RenewLease{{Sequence: u.id.Sequence, Deadline: u.id.Deadline.UnixMilli(), Used: 5}},
+		Leases:   []RenewLease{{Sequence: u.ID.Sequence, Deadline: u.ID.Deadline.UnixMilli(), Used: 5}},
 	}}}
-	b.withdraw(u)
+	b.Withdraw(u)
 	b.Run(5 * time.Millisecond)
 	assert.Equal(t, len(ledgerAt(g).leases), 0)
 	g.Do(func() { policyOf(g).Receive(holder.ID(), old) })
@@ -143,7 +143,7 @@
 	p := policyOf(holder)
 	p.holder.seq++
 	old := &Renew{Incarnation: 1, Seq: p.holder.seq}
-	b.reserve(holder, b.Engines[0], time.Millisecond, time.Second)
+	b.Reserve(holder, b.Engines[0], time.Millisecond, time.Second)
 	b.Run(10 * time.Millisecond)
 	g.Do(func() { policyOf(g).Receive(holder.ID(), old) })
 	assert.Equal(t, len(ledgerAt(g).leases), 1)
@@ -172,15 +172,15 @@
 	b.Run(2 * time.Second)
 	for range 3 {
 		for _, n := range b.Nodes {
-			b.reserve(n, b.Engines[0], 20*time.Millisecond, 200*time.Millisecond)
+			b.Reserve(n, b.Engines[0], 20*time.Millisecond, 200*time.Millisecond)
 		}
 	}
 	b.Run(100 * time.Millisecond)
-	assert.Equal(t, b.held(b.Engines[0]), 4)
+	assert.Equal(t, b.Held(b.Engines[0]), 4)
 	b.Run(10 * time.Second)
-	assert.Equal(t, b.refused, 0)
-	for _, u := range b.uses {
-		assert.Assert(t, u.granted && u.answered <= 1)
+	assert.Equal(t, b.Refused, 0)
+	for _, u := range b.Uses {
+		assert.Assert(t, u.Granted && u.Answered <= 1)
 	}
 	assertQuiet(t, b)
 }
--- a/plugins/slots/lease/queue_test.go
+++ b/plugins/slots/lease/queue_test.go
@@ -7,32 +7,27 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/wardspool/wardspool/ident"
-	"github.com/wardspool/wardspool/kernel"
 	"github.com/wardspool/wardspool/plugins/slots/slotkit"
+	"github.com/wardspool/wardspool/plugins/slots/slottest"
 )
 
 // fill takes all slots of the bed's first engine at its grantor.
 func fill(b *bed, hold time.Duration) {
 	g := b.grantor(b.Nodes[0], b.Engines[0])
 	for range b.Engines[0].Slots {
-		b.reserve(g, b.Engines[0], time.Millisecond, hold)
+		b.Reserve(g, b.Engines[0], time.Millisecond, hold)
 	}
 	b.Run(5 * time.Millisecond)
 }
 
 // askFor asks for a slot with the given due time and memory.
-func (b *bed) askFor(due time.Duration, pieces int) *use {
+func (b *bed) askFor(due time.Duration, pieces int) *slottest.Use {
 	_, holder := pairOf(b)
-	u := &use{node: holder, engine: b.Engines[0], lead: 10 * time.Millisecond, hold: time.Minute, pieces: pieces, asked: b.Now()}
-	u.id = holder.Reservation(30 * time.Second)
-	u.pending = true
-	b.uses = append(b.uses, u)
-	b.byID[u.id.String()] = u
-	holder.Do(func() {
-		holder.Policy.Reserve(kernel.SlotAsk{
-			Reservation: u.id, Upstream: u.engine.ID, Pieces: pieces, Lead: u.lead, FirstOutputBy: b.Now().Add(due),
-		})
-	})
+	u := &slottest.Use{
+		Node: holder, Engine: b.Engines[0], Lead: 10 * time.Millisecond, Hold: time.Minute,
+		Pieces: pieces, Due: b.Now().Add(due),
+	}
+	b.Ask(u)
 	return u
 }
 
@@ -50,7 +45,7 @@
 	soon := b.askFor(500*time.Millisecond, 1)
 	middle := b.askFor(700*time.Millisecond, 1)
 	b.Run(400 * time.Millisecond)
-	assert.DeepEqual(t, granted, []ident.AttemptID{soon.id, middle.id, late.id})
+	assert.DeepEqual(t, granted, []ident.AttemptID{soon.ID, middle.ID, late.ID})
 }
 
 func TestQueueDeniesTheInfeasible(t *testing.T) {
@@ -58,16 +53,16 @@
 	fill(b, time.Second)
 	u := b.askFor(200*time.Millisecond, 1)
 	b.Run(150 * time.Millisecond)
-	assert.Assert(t, u.pending)
+	assert.Assert(t, u.Pending)
 	b.Run(50 * time.Millisecond)
-	assert.Assert(t, !u.pending && !u.granted, "denied when a slot would come too late")
+	assert.Assert(t, !u.Pending && !u.Granted, "denied when a slot would come too late")
 	w := b.askFor(5*time.Millisecond, 1)
 	b.Run(5 * time.Millisecond)
-	assert.Assert(t, !w.pending && !w.granted, "denied at once")
+	assert.Assert(t, !w.Pending && !w.Granted, "denied at once")
 	// A request that is late already and still wanted waits like others.
 	x := b.askFor(-time.Second, 1)
 	b.Run(100 * time.Millisecond)
-	assert.Assert(t, x.pending)
+	assert.Assert(t, x.Pending)
 }
 
 func TestQueueIsBounded(t *testing.T) {
@@ -78,12 +73,12 @@
 	b.Run(10 * time.Millisecond)
 	second := b.askFor(1500*time.Millisecond, 1)
 	b.Run(10 * time.Millisecond)
-	assert.Assert(t, !late.pending && !late.granted, "the one due last makes room")
+	assert.Assert(t, !late.Pending && !late.Granted, "the one due last makes room")
 	further := b.askFor(4*time.Second, 1)
 	b.Run(10 * time.Millisecond)
-	assert.Assert(t, !further.pending && !further.granted)
+	assert.Assert(t, !further.Pending && !further.Granted)
 	b.Run(800 * time.Millisecond)
-	assert.Assert(t, first.granted && second.granted)
+	assert.Assert(t, first.Granted && second.Granted)
 }
 
 func TestQueueEndsAfterItsTime(t *testing.T) {
@@ -91,7 +86,7 @@
 	fill(b, time.Minute)
 	u := b.askFor(20*time.Second, 1)
 	b.Run(defaultQueueWait + 10*time.Millisecond)
-	assert.Assert(t, !u.pending && !u.granted)
+	assert.Assert(t, !u.Pending && !u.Granted)
 }
 
 // TestMemoryIsCounted: a request that needs more memory than is free waits, and
@@ -100,16 +95,16 @@
 	b := three(Settings{QueueWait: 10 * time.Second})
 	big := b.askFor(9*time.Second, 80)
 	b.Run(10 * time.Millisecond)
-	assert.Assert(t, big.granted)
+	assert.Assert(t, big.Granted)
 	second := b.askFor(8*time.Second, 40)
 	b.Run(10 * time.Millisecond)
-	assert.Assert(t, second.pending)
+	assert.Assert(t, second.Pending)
 	small := b.askFor(9*time.Second, 1)
 	b.Run(10 * time.Millisecond)
-	assert.Assert(t, small.granted)
-	b.withdraw(big)
+	assert.Assert(t, small.Granted)
+	b.Withdraw(big)
 	b.Run(10 * time.Millisecond)
-	assert.Assert(t, second.granted)
+	assert.Assert(t, second.Granted)
 }
 
 // TestNoWaitIsDeniedAtOnce: an ask made on a wrong belief does not wait while
@@ -146,11 +141,11 @@
 	g, holder := pairOf(b)
 	g.Freeze()
 	asks := func() int { return b.Traffic.ByKind[KindAsk] }
-	b.reserve(holder, b.Engines[0], time.Millisecond, time.Millisecond)
+	b.Reserve(holder, b.Engines[0], time.Millisecond, time.Millisecond)
 	b.Run(200 * time.Millisecond)
 	before := asks()
 	for range 100 {
-		b.reserve(holder, b.Engines[0], time.Millisecond, time.Millisecond)
+		b.Reserve(holder, b.Engines[0], time.Millisecond, time.Millisecond)
 		b.Run(50 * time.Millisecond)
 	}
 	assert.Assert(t, asks()-before <= 6, "%d asks in 5 s", asks()-before)
--- a/plugins/slots/lease/rapid_test.go
+++ b/plugins/slots/lease/rapid_test.go
@@ -55,25 +55,25 @@
 }
 
 func (m *machine) reserveOne(*rapid.T) {
-	m.reserve(m.node(), m.engine(), m.millis("lead", 1, 200), m.millis("hold", 1, 1500))
+	m.Reserve(m.node(), m.engine(), m.millis("lead", 1, 200), m.millis("hold", 1, 1500))
 }
 
 func (m *machine) reserveMany(*rapid.T) {
 	n, e := m.node(), m.engine()
 	for range rapid.IntRange(2, 8).Draw(m.t, "count") {
-		m.reserve(n, e, m.millis("lead", 1, 200), m.millis("hold", 1, 1500))
+		m.Reserve(n, e, m.millis("lead", 1, 200), m.millis("hold", 1, 1500))
 	}
 }
 
 func (m *machine) withdrawOne(*rapid.T) {
-	open := make([]*use, 0, len(m.uses))
-	for _, u := range m.uses {
-		if !u.over {
+	open := make([]*slottest.Use, 0, len(m.Uses))
+	for _, u := range m.Uses {
+		if !u.Over {
 			open = append(open, u)
 		}
 	}
 	if len(open) > 0 {
-		m.withdraw(open[rapid.IntRange(0, len(open)-1).Draw(m.t, "use")])
+		m.Withdraw(open[rapid.IntRange(0, len(open)-1).Draw(m.t, "use")])
 	}
 }
 
@@ -86,16 +86,16 @@
 	}
 	m.fault()
 	n.Kill()
-	for _, u := range m.uses {
-		if u.node == n && !u.over {
+	for _, u := range m.Uses {
+		if u.Node == n && !u.Over {
 			// The engines notice that nobody reads, or a peer cancels.
-			u.over, u.pending = true, false
-			m.After(m.millis("cleanup", 100, 2000), func() { u.engine.End(u.id) })
+			u.Over, u.Pending = true, false
+			m.After(m.millis("cleanup", 100, 2000), func() { u.Engine.End(u.ID) })
 		}
 	}
 	m.After(m.millis("noticed", 1, 1500), func() {
 		if n.Killed() {
-			m.all(n, kernel.Dead)
+			m.All(n, kernel.Dead)
 		}
 	})
 }
@@ -105,7 +105,7 @@
 		if n.Killed() {
 			m.fault()
 			n.Restart()
-			m.after(n, func() { m.all(n, kernel.Live) })
+			m.after(n, func() { m.All(n, kernel.Live) })
 		}
 	}
 }
@@ -130,7 +130,7 @@
 	m.stopped[n] = true
 	m.After(m.millis("noticed", 1, 1500), func() {
 		if m.frozen[n] {
-			m.all(n, kernel.Unreachable)
+			m.All(n, kernel.Unreachable)
 		}
 	})
 }
@@ -141,7 +141,7 @@
 			m.fault()
 			delete(m.frozen, n)
 			n.Thaw()
-			m.after(n, func() { m.all(n, kernel.Live) })
+			m.after(n, func() { m.All(n, kernel.Live) })
 		}
 	}
 }
@@ -178,9 +178,9 @@
 
 // check holds after each step.
 func (m *machine) check(t *rapid.T) {
-	for _, u := range m.uses {
-		if u.pending && !u.node.Killed() && !m.stopped[u.node] {
-			assert.Assert(t, m.Now().Sub(u.asked) <= longestAsk, "ask of %s waits too long", u.node.ID())
+	for _, u := range m.Uses {
+		if u.Pending && !u.Node.Killed() && !m.stopped[u.Node] {
+			assert.Assert(t, m.Now().Sub(u.Asked) <= longestAsk, "ask of %s waits too long", u.Node.ID())
 		}
 	}
 	for _, n := range m.Nodes {
@@ -190,9 +190,9 @@
 		return
 	}
 	for _, e := range m.Engines {
-		assert.Assert(t, m.held(e) <= e.Slots, "%d leases of %d slots", m.held(e), e.Slots)
+		assert.Assert(t, m.Held(e) <= e.Slots, "%d leases of %d slots", m.Held(e), e.Slots)
 	}
-	assert.Equal(t, m.refused, 0)
+	assert.Equal(t, m.Refused, 0)
 }
 
 func (m *machine) checkBounds(t *rapid.T, p *Policy) {
@@ -221,13 +221,13 @@
 	m.restart(t)
 	m.Run(2 * time.Second)
 	for _, a := range m.Nodes {
-		m.all(a, kernel.Live)
+		m.All(a, kernel.Live)
 	}
 	m.Run(3 * time.Second)
-	for _, u := range m.uses {
-		assert.Assert(t, !u.pending, "an ask of %s was never answered", u.node.ID())
-		if !u.over {
-			m.finish(u)
+	for _, u := range m.Uses {
+		assert.Assert(t, !u.Pending, "an ask of %s was never answered", u.Node.ID())
+		if !u.Over {
+			m.Finish(u)
 		}
 	}
 	// Three renewals later nothing is leased but what dead instances held, and
@@ -242,16 +242,16 @@
 
 // burst checks that, when all is well again, the leases add up.
 func (m *machine) burst(t *rapid.T) {
-	refused := m.refused
+	refused := m.Refused
 	for range 10 {
 		for _, n := range m.Nodes {
-			m.reserve(n, m.Engines[0], 10*time.Millisecond, 100*time.Millisecond)
+			m.Reserve(n, m.Engines[0], 10*time.Millisecond, 100*time.Millisecond)
 		}
 		m.Run(20 * time.Millisecond)
-		assert.Assert(t, m.held(m.Engines[0]) <= m.Engines[0].Slots)
+		assert.Assert(t, m.Held(m.Engines[0]) <= m.Engines[0].Slots)
 	}
 	m.Run(2 * time.Second)
-	assert.Equal(t, m.refused, refused)
+	assert.Equal(t, m.Refused, refused)
 	assertQuiet(t, m.bed)
 }
 
--- a/plugins/slots/lease/view_test.go
+++ b/plugins/slots/lease/view_test.go
@@ -22,7 +22,7 @@
 	g, holder := pairOf(b)
 	// Two slots in use, two leased for later.
 	for _, lead := range []time.Duration{time.Millisecond, time.Millisecond, 800 * time.Millisecond, 800 * time.Millisecond} {
-		b.reserve(holder, e, lead, 5*time.Second)
+		b.Reserve(holder, e, lead, 5*time.Second)
 	}
 	b.Run(300 * time.Millisecond)
 	g.Kill()
@@ -40,14 +40,14 @@
 	}
 	successor.Believe(g, kernel.Dead)
 	for range 4 {
-		b.reserve(successor, e, time.Millisecond, 5*time.Second)
+		b.Reserve(successor, e, time.Millisecond, 5*time.Second)
 	}
 	b.Run(100 * time.Millisecond)
 	// Six slots less two in use less the margin of two.
-	assert.Equal(t, b.held(e), 4+2)
+	assert.Equal(t, b.Held(e), 4+2)
 	holder.Believe(g, kernel.Dead)
 	b.Run(4 * time.Second)
-	assert.Equal(t, b.refused, 0)
+	assert.Equal(t, b.Refused, 0)
 	assert.Equal(t, len(ledgerAt(successor).leases), 6)
 }
 
@@ -66,24 +66,24 @@
 	tries := 0
 	for range 200 {
 		for _, n := range b.Nodes {
-			b.reserve(n, e, 50*time.Millisecond, 1500*time.Millisecond)
+			b.Reserve(n, e, 50*time.Millisecond, 1500*time.Millisecond)
 			tries++
 		}
 		b.Run(50 * time.Millisecond)
 	}
-	assert.Assert(t, b.refused*100 < tries*4, "%d of %d refused", b.refused, tries)
-	refused := b.refused
+	assert.Assert(t, b.Refused*100 < tries*4, "%d of %d refused", b.Refused, tries)
+	refused := b.Refused
 	b.Nodes[0].Believe(b.Nodes[1], kernel.Live)
 	b.Nodes[1].Believe(b.Nodes[0], kernel.Live)
 	b.Run(4 * time.Second)
 	for range 30 {
 		for _, n := range b.Nodes {
-			b.reserve(n, e, 50*time.Millisecond, 500*time.Millisecond)
+			b.Reserve(n, e, 50*time.Millisecond, 500*time.Millisecond)
 		}
 		b.Run(50 * time.Millisecond)
-		assert.Assert(t, b.held(e) <= e.Slots)
+		assert.Assert(t, b.Held(e) <= e.Slots)
 	}
-	assert.Equal(t, b.refused, refused, "none after they agree")
+	assert.Equal(t, b.Refused, refused, "none after they agree")
 	b.Run(10 * time.Second)
 	assertQuiet(t, b)
 }
@@ -102,9 +102,9 @@
 		other = b.grantor(holder, e)
 	}
 	assert.Assert(t, other != g && other != holder)
-	u := b.reserve(holder, e, time.Millisecond, 100*time.Millisecond)
+	u := b.Reserve(holder, e, time.Millisecond, 100*time.Millisecond)
 	b.Run(5 * time.Millisecond)
-	assert.Assert(t, u.granted)
+	assert.Assert(t, u.Granted)
 	b.Run(10 * time.Second)
 	holder.Believe(g, kernel.Live)
 	b.Run(10 * time.Second)
@@ -115,7 +115,7 @@
 	b := three(Settings{})
 	g, holder := pairOf(b)
 	for range 4 {
-		b.reserve(holder, b.Engines[0], time.Millisecond, time.Minute)
+		b.Reserve(holder, b.Engines[0], time.Millisecond, time.Minute)
 	}
 	b.Run(100 * time.Millisecond)
 	assert.Equal(t, len(ledgerAt(g).leases), 4)
@@ -129,12 +129,12 @@
 	b := three(Settings{})
 	g, holder := pairOf(b)
 	for range 3 {
-		b.reserve(holder, b.Engines[0], time.Millisecond, 8*time.Second)
+		b.Reserve(holder, b.Engines[0], time.Millisecond, 8*time.Second)
 	}
 	b.Run(100 * time.Millisecond)
 	g.Kill()
 	g.Restart()
-	b.all(g, kernel.Live)
+	b.All(g, kernel.Live)
 	b.Run(100 * time.Millisecond)
 	assert.Equal(t, len(ledgerAt(g).leases), 3)
 }
@@ -145,18 +145,18 @@
 	b := three(Settings{})
 	e := b.Engines[0]
 	g, holder := pairOf(b)
-	old := b.reserve(holder, e, time.Millisecond, 2*time.Second)
+	old := b.Reserve(holder, e, time.Millisecond, 2*time.Second)
 	b.Run(100 * time.Millisecond)
 	holder.Kill()
 	holder.Restart()
-	b.all(holder, kernel.Live)
-	u := b.reserve(holder, e, time.Millisecond, 8*time.Second)
+	b.All(holder, kernel.Live)
+	u := b.Reserve(holder, e, time.Millisecond, 8*time.Second)
 	b.Run(time.Second)
-	assert.Assert(t, u.granted)
+	assert.Assert(t, u.Granted)
 	assert.Equal(t, len(ledgerAt(g).leases), 2)
 	g.Do(func() { policyOf(g).Receive(holder.ID(), &Renew{Incarnation: 1, Seq: 1000}) })
 	assert.Equal(t, len(ledgerAt(g).leases), 2)
-	old.over = true
+	old.Over = true
 	b.Run(4 * time.Second)
 	assert.Equal(t, len(ledgerAt(g).leases), 1)
 }
@@ -166,8 +166,8 @@
 	b := three(Settings{})
 	e := b.Engines[0]
 	g, holder := pairOf(b)
-	b.reserve(holder, e, time.Millisecond, 3*time.Second)
-	b.reserve(g, e, time.Millisecond, 3*time.Second)
+	b.Reserve(holder, e, time.Millisecond, 3*time.Second)
+	b.Reserve(g, e, time.Millisecond, 3*time.Second)
 	b.Run(50 * time.Millisecond)
 	g.ChangeView(func(v *kernel.View) {
 		for i := range v.Instances {
@@ -176,7 +176,7 @@
 			}
 		}
 	})
-	b.all(g, kernel.Leaving)
+	b.All(g, kernel.Leaving)
 	b.Run(100 * time.Millisecond)
 	next := b.grantor(holder, e)
 	assert.Assert(t, next != g)
@@ -202,7 +202,7 @@
 func TestDeadlineEndsLease(t *testing.T) {
 	b := three(Settings{})
 	g, holder := pairOf(b)
-	b.reserve(holder, b.Engines[0], time.Millisecond, time.Second)
+	b.Reserve(holder, b.Engines[0], time.Millisecond, time.Second)
 	b.Run(10 * time.Millisecond)
 	holder.Freeze()
 	b.Run(20 * time.Second)
--- /dev/null
+++ b/plugins/slots/probe/probe_test.go
@@ -0,0 +1,125 @@
+package probe
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/plugins/slots/slottest"
+)
+
+func newBed(engines int) *slottest.Bed {
+	b := slottest.NewBed(slottest.Options{
+		Seed: 1, Instances: 2, Engines: engines, Slots: 4, Pieces: 40,
+		Policy: func() kernel.SlotPolicy { return &Policy{} },
+	})
+	b.Run(time.Second)
+	return b
+}
+
+// free returns what a node believes of the first engine.
+func free(b *slottest.Bed, n *slottest.Node) int {
+	return n.Policy.Availability(n.Upstream(b.Engines[0].ID)).Free
+}
+
+func TestOwnUsesCountBeforeTheLoadShowsThem(t *testing.T) {
+	b := newBed(1)
+	n, e := b.Nodes[0], b.Engines[0]
+	assert.Equal(t, free(b, n), 3, "four less the margin")
+	b.Reserve(n, e, time.Millisecond, time.Second)
+	b.Reserve(n, e, 100*time.Millisecond, time.Second)
+	assert.Equal(t, free(b, n), 1)
+	b.Run(10 * time.Millisecond)
+	// The report shows the first, which must not count twice.
+	n.SeeLoad(e.ID, e.Load())
+	assert.Equal(t, free(b, n), 1)
+	b.Run(995 * time.Millisecond)
+	assert.Equal(t, free(b, n), 2, "the first has ended since the report")
+}
+
+func TestOthersShowInTheLoad(t *testing.T) {
+	b := newBed(1)
+	e := b.Engines[0]
+	for range 3 {
+		b.Reserve(b.Nodes[1], e, time.Millisecond, time.Second)
+	}
+	b.Run(10 * time.Millisecond)
+	assert.Equal(t, free(b, b.Nodes[0]), 3, "not seen yet")
+	b.Nodes[0].SeeLoad(e.ID, e.Load())
+	assert.Equal(t, free(b, b.Nodes[0]), 0)
+	u := b.Reserve(b.Nodes[0], e, time.Millisecond, time.Second)
+	assert.Assert(t, !u.Granted && !u.Pending, "answered at once")
+}
+
+func TestRefusalsBackOff(t *testing.T) {
+	b := newBed(1)
+	n, e := b.Nodes[0], b.Engines[0]
+	n.Policy.Refused(e.ID)
+	assert.Equal(t, free(b, n), 0)
+	b.Run(defaultBackoff + defaultBackoff/2 + time.Millisecond)
+	assert.Equal(t, free(b, n), 3)
+	n.Policy.Refused(e.ID)
+	b.Run(2*defaultBackoff - time.Millisecond)
+	assert.Equal(t, free(b, n), 0, "twice as long after the second in a row")
+}
+
+func TestSampleShowsFewEngines(t *testing.T) {
+	b := newBed(6)
+	n := b.Nodes[0]
+	shown := func() (count int) {
+		for _, e := range b.Engines {
+			if n.Policy.Availability(n.Upstream(e.ID)).Free > 0 {
+				count++
+			}
+		}
+		return count
+	}
+	assert.Equal(t, shown(), defaultChoices)
+	seen := map[string]bool{}
+	for range 100 {
+		b.Run(time.Millisecond)
+		for _, e := range b.Engines {
+			if n.Policy.Availability(n.Upstream(e.ID)).Free > 0 {
+				seen[string(e.ID)] = true
+			}
+		}
+	}
+	assert.Equal(t, len(seen), 6, "each is looked at now and then")
+}
+
+func TestMemoryIsCounted(t *testing.T) {
+	b := newBed(1)
+	u := &slottest.Use{Node: b.Nodes[0], Engine: b.Engines[0], Lead: time.Second, Hold: time.Second, Pieces: 30}
+	b.Ask(u)
+	assert.Assert(t, u.Granted)
+	v := &slottest.Use{Node: b.Nodes[0], Engine: b.Engines[0], Lead: time.Second, Hold: time.Second, Pieces: 30}
+	b.Ask(v)
+	assert.Assert(t, !v.Granted)
+}
+
+func TestNothingIsLeftOver(t *testing.T) {
+	b := newBed(2)
+	for range 20 {
+		for _, n := range b.Nodes {
+			b.Reserve(n, b.Engines[0], 10*time.Millisecond, 100*time.Millisecond)
+		}
+		b.Run(20 * time.Millisecond)
+	}
+	b.Run(5 * time.Second)
+	for _, n := range b.Nodes {
+		p := n.Policy.(*Policy)
+		assert.Equal(t, len(p.holds), 0)
+		assert.Assert(t, len(p.engines[b.Engines[0].ID].ended) <= maxEnded)
+	}
+	assert.Equal(t, b.Traffic.Messages, 0)
+}
+
+func TestSettings(t *testing.T) {
+	for _, s := range []Settings{{Choices: -1}, {Backoff: -1}} {
+		p := &Policy{Settings: s}
+		assert.NilError(t, p.Provision())
+		assert.ErrorType(t, p.Validate(), &SettingError{})
+	}
+}
--- a/plugins/slots/shares/engine.go
+++ b/plugins/slots/shares/engine.go
@@ -28,6 +28,8 @@
 type loan struct {
 	borrower ident.InstanceID
 	count    int
+	// given counts the slots lent so far.
+	given int
 	// confirmed is the number of the borrower's newest Confirm.
 	confirmed uint64
 	// lent and heard are when a slot was last lent and the loan last confirmed.
@@ -37,8 +39,11 @@
 
 // credit is the slots borrowed from one owner.
 type credit struct {
-	owner    ident.InstanceID
-	count    int
+	owner ident.InstanceID
+	count int
+	// got counts the loans heard of; seen are the numbers of the newest.
+	got      int
+	seen     []uint64
 	recalled bool
 	// idleSince is since when a slot of it was not needed.
 	idleSince time.Time
--- a/plugins/slots/shares/loans.go
+++ b/plugins/slots/shares/loans.go
@@ -10,10 +10,11 @@
 )
 
 const (
+	// maxSeen bounds the loans remembered so that a doubled message is known.
+	maxSeen = 16
 	// unconfirmed is after how many confirmation intervals a loan is over.
 	unconfirmed = 10
-	// inFlight is how long a Confirm may have been under way while a slot was
-	// lent: such a one does not know of the slot.
+	// inFlight is how long a slot lent may be under way; then it was lost.
 	inFlight = 300 * time.Millisecond
 )
 
@@ -124,6 +125,7 @@
 	}
 	l := e.loanTo(from)
 	l.count++
+	l.given++
 	l.recalled = false
 	l.lent = p.host.Now()
 	l.heard = l.lent
@@ -137,6 +139,12 @@
 	e := p.engineOf(m.Upstream)
 	e.lender = from
 	c := e.creditFrom(from)
+	if slices.Contains(c.seen, m.Seq) {
+		return
+	}
+	c.seen = append(c.seen, m.Seq)
+	c.seen = c.seen[max(len(c.seen)-maxSeen, 0):]
+	c.got++
 	c.count++
 	c.idleSince = p.host.Now()
 	p.serveWaiting(e)
@@ -181,13 +189,12 @@
 		c.count = max(c.count-1, 0)
 		p.confirm(e, c)
 	}
-	e.credits = slices.DeleteFunc(e.credits, func(c credit) bool { return c.count == 0 })
 }
 
 // confirm tells an owner how many of its slots are on loan here.
 func (p *Policy) confirm(e *engine, c *credit) {
 	p.seq++
-	p.host.Send(c.owner, &Confirm{Upstream: e.id, Seq: p.seq, Count: c.count})
+	p.host.Send(c.owner, &Confirm{Upstream: e.id, Seq: p.seq, Count: c.count, Got: c.got})
 }
 
 func (p *Policy) receiveConfirm(from ident.InstanceID, m *Confirm) {
@@ -199,8 +206,10 @@
 	}
 	l.confirmed, l.heard = m.Seq, now
 	l.recalled = false
-	if m.Count >= l.count || now.Sub(l.lent) > inFlight {
-		l.count = m.Count
+	l.count = m.Count
+	if now.Sub(l.lent) <= inFlight {
+		// What was lent and has not arrived yet counts too.
+		l.count += max(l.given-m.Got, 0)
 	}
 	p.serveWaiting(e)
 }
--- a/plugins/slots/shares/message.go
+++ b/plugins/slots/shares/message.go
@@ -37,12 +37,13 @@
 	Upstream ident.UpstreamID `json:"u"`
 }
 
-// Confirm tells an owner how many slots the sender has on loan from it. It also
-// gives slots back.
+// Confirm tells an owner how many slots the sender has on loan from it, having
+// heard of Got loans so far. It also gives slots back.
 type Confirm struct {
 	Upstream ident.UpstreamID `json:"u"`
 	Seq      uint64           `json:"s"`
 	Count    int              `json:"c"`
+	Got      int              `json:"g"`
 }
 
 // MessageKind implements kernel.PeerMessage.
--- a/plugins/slots/shares/wake.go
+++ b/plugins/slots/shares/wake.go
@@ -71,18 +71,19 @@
 			p.confirm(e, c)
 			continue
 		}
-		if now.UnixMilli()/p.Confirm.Milliseconds() != now.Add(-p.Idle).UnixMilli()/p.Confirm.Milliseconds() {
+		if c.count > 0 && now.UnixMilli()/p.Confirm.Milliseconds() != now.Add(-p.Idle).UnixMilli()/p.Confirm.Milliseconds() {
 			p.confirm(e, c)
 		}
 	}
-	e.credits = slices.DeleteFunc(e.credits, func(c credit) bool { return c.count == 0 })
 }
 
 // endLoans takes back what was not confirmed for long.
 func (p *Policy) endLoans(e *engine, now time.Time) {
-	e.loans = slices.DeleteFunc(e.loans, func(l loan) bool {
-		return now.Sub(l.heard) > unconfirmed*p.Confirm
-	})
+	for i := range e.loans {
+		if now.Sub(e.loans[i].heard) > unconfirmed*p.Confirm {
+			e.loans[i].count = 0
+		}
+	}
 }
 
 // followView drops loans and credits of instances that are gone, and what is
