e2e: a version in force over a platform that is down, then stale

Cause: no test with separate processes showed that no instance reverts. A watcher notes every bundle that agents and entries have in force; it must never go back or change digest.

--- /dev/null
+++ b/e2e/fleet_bundles_test.go
@@ -0,0 +1,58 @@
+package e2e
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/standin/control"
+	"github.com/wardspool/wardspool/testbed"
+)
+
+// restart kills an instance and starts it again.
+func (b *bed) restart(in *testbed.Instance) {
+	b.t.Helper()
+	assert.NilError(b.t, b.KillInstance(in))
+	assert.NilError(b.t, b.StartInstance(in))
+	assert.NilError(b.t, b.WaitReady(b.ctx, in))
+}
+
+// platformMode changes how the platform behaves.
+func (b *bed) platformMode(m control.PlatformMode) {
+	b.t.Helper()
+	assert.NilError(b.t, b.Operators.Platform.SetMode(b.ctx, m))
+}
+
+// TestBundleOverPlatformOutage shows "No instance reverts": a rolled version
+// reaches every entry and stays in force while the platform is down and while
+// it is back with an older state; an instance that starts meanwhile gets the
+// version from its peers.
+func TestBundleOverPlatformOutage(t *testing.T) {
+	b := newBed(t)
+	w := b.watchBundles()
+	b.inForce(1, b.Instances...)
+	old := b.platformIndex()
+	assert.Equal(t, b.roll(), uint64(2))
+	b.inForce(2, b.Instances...)
+	b.answers(2, b.Instances...)
+
+	t.Log("the platform is down")
+	b.platformMode(control.PlatformMode{Mode: control.ModeDown})
+	b.answers(2, b.Instances...)
+	b.restart(b.Instances[0])
+	b.inForce(2, b.Instances...)
+	b.answers(2, b.Instances...)
+
+	t.Log("the platform is stale")
+	b.platformMode(control.PlatformMode{Mode: control.ModeStale, StaleIndex: old})
+	b.restart(b.Instances[1])
+	b.inForce(2, b.Instances...)
+	b.answers(2, b.Instances...)
+
+	t.Log("the platform is up")
+	b.platformMode(control.PlatformMode{Mode: control.ModeUp})
+	assert.Equal(t, b.roll(), uint64(3))
+	b.inForce(3, b.Instances...)
+	b.answers(3, b.Instances...)
+	w.neverBack()
+}
