e2e: two operators roll different bundles of one version

Cause: no test with separate processes showed what instances do then. Two bundles with the same previous are signed by the operators' key and rolled, with the same and with a higher sequence, one after the other and at once.

--- /dev/null
+++ b/e2e/fleet_race_test.go
@@ -0,0 +1,150 @@
+package e2e
+
+import (
+	"crypto/ed25519"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/bundle"
+	"github.com/wardspool/wardspool/bundle/ledger"
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/platform"
+)
+
+// signer builds, signs and publishes bundles with the operators' key, but does
+// not keep their order: it can sign two of one version.
+type signer struct {
+	*bed
+	key ed25519.PrivateKey
+}
+
+// signer returns a signer with the testbed operators' key.
+func (b *bed) signer() *signer {
+	seed := bundle.DigestOf([]byte("testbed " + b.Deployment.Name))
+	return &signer{bed: b, key: ed25519.NewKeyFromSeed(seed[:])}
+}
+
+// draft is a signed bundle that is not published yet.
+type draft struct {
+	head  *bundle.Head
+	parts *bundle.PartSet
+}
+
+// sign builds and signs the bundle that follows another.
+func (s *signer) sign(d bundle.Draft) draft {
+	s.t.Helper()
+	d.Approvers = s.Operators.Approvers()
+	head, parts, err := bundle.Build(d)
+	assert.NilError(s.t, err)
+	head.AddSignature(bundle.Sign(s.key, &head.Manifest))
+	return draft{head: head, parts: parts}
+}
+
+// publish publishes a bundle and rolls it to all instances.
+func (s *signer) publish(d draft, base *bundle.Head, sequence uint64) {
+	s.t.Helper()
+	put := func(key string, value []byte) {
+		assert.NilError(s.t, s.Operators.Platform.PutKey(s.ctx, key, value))
+	}
+	for _, digest := range d.parts.Digests() {
+		part, _ := d.parts.Part(digest)
+		put(platform.KeyBundleParts+digest.String(), part)
+	}
+	put(platform.KeyBundleHead, d.head.Encode())
+	roll := bundle.Roll{
+		Format: bundle.Format, Sequence: sequence, Stage: bundle.StageAll,
+		Target: d.head.Ref(), Base: base.Ref(),
+	}
+	signed := &bundle.SignedRoll{Roll: roll, Target: *d.head, Base: base}
+	signed.AddSignature(bundle.SignRoll(s.key, &signed.Roll))
+	put(platform.KeyRoll, signed.Encode())
+}
+
+// rivalOf is content like another, which says something else.
+func rivalOf(c *config.Content) *config.Content {
+	rival := *c
+	rival.Policy.QueueLimit++
+	return &rival
+}
+
+// alarmed waits until agents of all instances raise one of some alarms.
+func (b *bed) alarmed(types ...ledger.AlarmType) {
+	b.t.Helper()
+	b.eventually("an alarm", func() (bool, string) {
+		f := b.look()
+		for _, in := range b.Instances {
+			s := status(f, in.ID)
+			if s == nil {
+				return false, string(in.ID) + " does not answer"
+			}
+			raised := false
+			for _, a := range s.Alarms {
+				raised = raised || slices.Contains(types, a.Type)
+			}
+			if !raised {
+				return false, string(in.ID) + " raises none"
+			}
+		}
+		return true, ""
+	})
+}
+
+// TestRacingOperators shows, with two operators who sign and roll different
+// bundles of one version, that no instance goes back or from one to the other,
+// that the instances say so, and that the next version settles it.
+func TestRacingOperators(t *testing.T) {
+	t.Run("with the same sequence", func(t *testing.T) { racingOperators(t, 2, 2, false) })
+	t.Run("with a higher sequence", func(t *testing.T) { racingOperators(t, 2, 3, false) })
+	t.Run("at the same time", func(t *testing.T) { racingOperators(t, 2, 2, true) })
+}
+
+func racingOperators(t *testing.T, first, second uint64, sameTime bool) {
+	b := newBed(t)
+	s := b.signer()
+	w := b.watchBundles()
+	b.inForce(1, b.Instances...)
+
+	content := b.Deployment.Content
+	base := s.sign(bundle.Draft{Content: content})
+	one := s.sign(bundle.Draft{Previous: base.head, Content: content})
+	two := s.sign(bundle.Draft{Previous: base.head, Content: rivalOf(content)})
+	assert.Equal(t, one.head.Ref().Version, two.head.Ref().Version)
+	assert.Assert(t, one.head.Ref() != two.head.Ref())
+
+	s.publish(one, base.head, first)
+	if !sameTime {
+		b.inForce(2, b.Instances...)
+	}
+	s.publish(two, base.head, second)
+	b.inForce(2, b.Instances...)
+	b.answers(2, b.Instances...)
+	// At the same time, instances may have seen no trace of the first.
+	if !sameTime {
+		b.alarmed(ledger.AlarmSplitVersion, ledger.AlarmSplitRoll)
+		assert.DeepEqual(t, b.digests(), []string{one.head.Ref().Digest.String()})
+	}
+
+	next := s.sign(bundle.Draft{
+		Previous: one.head, Content: content,
+		Supersedes: []bundle.Digest{two.head.Ref().Digest},
+	})
+	s.publish(next, one.head, second+1)
+	b.inForce(3, b.Instances...)
+	b.answers(3, b.Instances...)
+	assert.DeepEqual(t, b.digests(), []string{next.head.Ref().Digest.String()})
+	w.neverBack()
+}
+
+// digests lists the digests in force on the instances.
+func (b *bed) digests() []string {
+	var list []string
+	f := b.look()
+	for i := range f.Agents {
+		if d := f.Agents[i].Bundle.Digest; !slices.Contains(list, d) {
+			list = append(list, d)
+		}
+	}
+	return list
+}
