--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -11,6 +11,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/entry/peering"
+	"github.com/wardspool/wardspool/feed"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/membership"
 	"github.com/wardspool/wardspool/platform"
@@ -98,6 +100,27 @@
 	}
 }
 
+// BenchmarkFeedTaken measures what the entry does with a view: decoding it and
+// turning it into the kernel's.
+func BenchmarkFeedTaken(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("%d-%d", size.instances, size.upstreams), func(b *testing.B) {
+			a := benchAgent(b, size.instances, size.upstreams)
+			a.refreshView()
+			doc, err := json.Marshal(feed.Update{View: a.feedView()})
+			assert.NilError(b, err)
+			b.ReportAllocs()
+			for b.Loop() {
+				var u feed.Update
+				if err := json.Unmarshal(doc, &u); err != nil {
+					b.Fatal(err)
+				}
+				peering.View(u.View, a.now)
+			}
+		})
+	}
+}
+
 // BenchmarkSecond measures what is done each second whatever happens.
 func BenchmarkSecond(b *testing.B) {
 	for _, size := range sizes {
--- a/agent/heartbeats.go
+++ b/agent/heartbeats.go
@@ -130,8 +130,11 @@
 // exchange exchanges heartbeats with an instance.
 func (a *Agent) exchange(to ident.InstanceID) {
 	address := a.book.instances[to].agent
+	if address == "" {
+		return
+	}
 	p := a.partnerOf(to)
-	if p.busy || address == "" {
+	if p.busy {
 		return
 	}
 	p.busy, p.sentAt = true, a.now
--- a/agent/lists.go
+++ b/agent/lists.go
@@ -95,11 +95,36 @@
 	if !a.machine.Instances(a.now, begun, index, listed) {
 		return false
 	}
+	before := a.book.instances
 	a.book.list(&l)
 	a.publishKnown()
+	a.forgetInstances(before)
 	return true
 }
 
+// forgetInstances drops what is kept of instances that are no longer known, or
+// have moved.
+func (a *Agent) forgetInstances(before map[ident.InstanceID]place) {
+	for id, old := range before {
+		now, known := a.book.instances[id]
+		if !known {
+			delete(a.partners, id)
+		}
+		if old.agent != "" && old.agent != now.agent {
+			a.forgetAddress(old.agent)
+		}
+		if old.entry != "" && old.entry != now.entry {
+			a.forgetAddress(old.entry)
+		}
+	}
+}
+
+// forgetAddress closes the connection to an address. Closing may wait for the
+// network, so that the loop does not do it itself.
+func (a *Agent) forgetAddress(address string) {
+	a.spawn(func(context.Context) { a.peers.Forget(address) })
+}
+
 // takeUpstreams takes in the list of upstreams.
 func (a *Agent) takeUpstreams(begun time.Time, index uint64, doc []byte) bool {
 	var l platform.Upstreams
@@ -117,6 +142,11 @@
 		return false
 	}
 	a.book.listUpstreams(&l)
+	for id := range a.feed.lives {
+		if _, listed := a.book.upstreams[id]; !listed {
+			delete(a.feed.lives, id)
+		}
+	}
 	return true
 }
 
--- a/agent/views_test.go
+++ b/agent/views_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -57,6 +58,27 @@
 	})
 }
 
+// TestReplacedInstancesAreForgotten: IDs come and go for months.
+func TestReplacedInstancesAreForgotten(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		nodes := f.addAll(3, "hall-a")
+		f.list()
+		startAll(nodes)
+		time.Sleep(5 * time.Second)
+		kept := func() int {
+			n, err := ask(context.Background(), nodes[0].agent, func() int { return len(nodes[0].agent.partners) })
+			assert.NilError(t, err)
+			return n
+		}
+		assert.Equal(t, kept(), 2)
+		nodes[2].stop()
+		f.listed = f.listed[:2]
+		f.list()
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, kept(), 1)
+	})
+}
+
 // TestFallback: when the zone's readers have no word of the platform for long, the
 // others read it themselves.
 func TestFallback(t *testing.T) {
