--- a/internal/capacity/bed.go
+++ b/internal/capacity/bed.go
@@ -32,7 +32,9 @@
 	nodes     []*node
 	upstreams []platform.Upstream
 	publisher *publisher
-	closers   []func()
+	// simulation is nil without simulated instances.
+	simulation *simulation
+	closers    []func()
 	// network is the second part of the instances' loopback IP numbers.
 	network int
 }
@@ -75,16 +77,16 @@
 		return b, err
 	}
 	b.url = "http://" + address
-	if err := b.startEngines(int(upstreamsPerAgent * float64(n))); err != nil {
+	if err := b.startEngines(int(upstreamsPerAgent * float64(n+o.Simulated))); err != nil {
 		return b, err
 	}
 	if b.publisher, err = newPublisher(b); err != nil {
 		return b, err
 	}
-	if err := b.addNodes(n); err != nil {
+	if err := b.publisher.publish(); err != nil {
 		return b, err
 	}
-	if err := b.publisher.publish(); err != nil {
+	if err := b.addNodes(n); err != nil {
 		return b, err
 	}
 	for _, x := range b.nodes {
@@ -138,29 +140,41 @@
 // startEngines starts stand-in engines: of each three, one for prefill.
 func (b *bed) startEngines(n int) error {
 	for i := range n {
-		role := config.RoleDecode
-		if i/b.options.Zones%3 == 0 {
-			role = config.RolePrefill
-		}
+		role := simRole(i / b.options.Zones)
 		id := ident.UpstreamID(fmt.Sprintf("runner-%03d", i))
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return err
 		}
+		up := platform.Upstream{
+			ID: id, Zone: b.zone(i), Address: l.Addr().String(), Role: role,
+			Models: []string{modelName}, State: platform.StateLive,
+		}
+		if b.options.Simulated > 0 {
+			up.Incarnation = simIncarnation
+			b.upstreams = append(b.upstreams, up)
+			b.serveOn(l, simEngine(i/b.options.Zones))
+			continue
+		}
+		b.upstreams = append(b.upstreams, up)
 		e := engine.New(engine.Config{
 			ID: id, Role: role, Models: []string{modelName}, Version: "1", Address: l.Addr().String(),
 			ChecksFencing: true, LoadLag: 500 * time.Millisecond, Perf: perf.Defaults(),
 		})
 		b.closers = append(b.closers, e.Close)
 		b.serveOn(l, e.Handler())
-		b.upstreams = append(b.upstreams, platform.Upstream{
-			ID: id, Zone: b.zone(i), Address: l.Addr().String(), Role: role,
-			Models: []string{modelName}, State: platform.StateLive,
-		})
 	}
 	return nil
 }
 
+// simRole returns the role of the engine with a place in its zone.
+func simRole(place int) config.Role {
+	if place%3 == 0 {
+		return config.RolePrefill
+	}
+	return config.RoleDecode
+}
+
 // addNodes makes the instances and lists them.
 func (b *bed) addNodes(n int) error {
 	var listed platform.Instances
@@ -179,6 +193,12 @@
 			PeerAddress: x.entry.peers, AgentAddress: x.peers, CallerAddress: x.entry.peers,
 		})
 	}
+	if b.options.Simulated > 0 {
+		if err := b.addSimulated(b.options.Simulated, &listed); err != nil {
+			return err
+		}
+		b.simulation.begin(&listed, b.upstreams)
+	}
 	if err := b.publisher.put(platform.KeyInstances, listed); err != nil {
 		return err
 	}
--- a/internal/capacity/main.go
+++ b/internal/capacity/main.go
@@ -19,6 +19,7 @@
 // options are the command line.
 type options struct {
 	Agents     []int         `default:"3,12,24,48" help:"Numbers of agents to run, one after the other."`
+	Simulated  int           `help:"Further instances that are played in this process, so that the agents meet a larger fleet."`
 	Zones      int           `default:"3" help:"Availability zones over which they are spread."`
 	Duration   time.Duration `default:"20s" help:"How long each size is measured."`
 	Warmup     time.Duration `default:"8s" help:"How long each size runs before."`
@@ -36,7 +37,9 @@
 platform calls at several numbers of agents, and the slopes between them.
 
   scripts/capacity                       3, 12, 24 and 48 agents in 3 zones
-  scripts/capacity --agents 48 --zones 1 one large zone`
+  scripts/capacity --agents 48 --zones 1 one large zone
+  scripts/capacity --agents 6 --simulated 404 --zones 6 --changes 0
+                                         agents in a fleet of full size`
 
 func main() {
 	var o options
@@ -51,6 +54,10 @@
 
 // run measures all sizes and prints the tables.
 func run(ctx context.Context, o *options) error {
+	if o.Simulated > 0 {
+		// Simulated instances pass on no news.
+		o.Changes = 0
+	}
 	var rows []row
 	for _, n := range o.Agents {
 		r, err := measure(ctx, o, n)
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -26,7 +26,7 @@
 // row is what was measured at one size. Rates are means over the agents; times
 // are over all.
 type row struct {
-	agents, zones, upstreams int
+	agents, simulated, zones, upstreams int
 	// load is the machine's load average in the last minute, at the end: others
 	// work on it too.
 	load float64
@@ -168,7 +168,7 @@
 
 // summary turns two rounds of statuses into rates.
 func summary(o *options, before, after []wire.Status) row {
-	r := row{agents: len(after), zones: o.Zones}
+	r := row{agents: len(after), simulated: o.Simulated, zones: o.Zones}
 	n := float64(len(after))
 	for i := range after {
 		a, z := &before[i], &after[i]
--- a/internal/capacity/publish.go
+++ b/internal/capacity/publish.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 
+	"github.com/wardspool/wardspool/agent/wire"
 	"github.com/wardspool/wardspool/bundle"
 	"github.com/wardspool/wardspool/config"
 	"github.com/wardspool/wardspool/ident"
@@ -26,7 +27,9 @@
 	content   *config.Content
 	head      *bundle.Head
 	sequence  uint64
-	published map[bundle.Digest]bool
+	published map[bundle.Digest][]byte
+	// roll is the one published last.
+	roll []byte
 }
 
 // newPublisher makes a publisher with content of the size asked for.
@@ -35,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &publisher{bed: b, private: private, published: map[bundle.Digest]bool{}}
+	p := &publisher{bed: b, private: private, published: map[bundle.Digest][]byte{}}
 	copy(p.key[:], public)
 	p.approvers = bundle.Approvers{Epoch: 1, Quorum: 1, Keys: []bundle.Approver{{Name: "ada", Key: p.key}}}
 	p.content, err = content(b)
@@ -106,9 +109,9 @@
 	}
 	h.AddSignature(bundle.Sign(p.private, &h.Manifest))
 	for _, d := range parts.Digests() {
-		if b, _ := parts.Part(d); !p.published[d] {
+		if b, _ := parts.Part(d); p.published[d] == nil {
 			p.bed.platform.Put(platform.KeyBundleParts+d.String(), b)
-			p.published[d] = true
+			p.published[d] = b
 		}
 	}
 	p.bed.platform.Put(platform.KeyBundleHead, h.Encode())
@@ -121,10 +124,28 @@
 		r.Roll.Base = p.head.Ref()
 	}
 	r.AddSignature(bundle.SignRoll(p.private, &r.Roll))
-	p.bed.platform.Put(platform.KeyRoll, r.Encode())
+	p.roll = r.Encode()
+	p.bed.platform.Put(platform.KeyRoll, p.roll)
 	p.head = h
 	return nil
 }
 
+// givenBytes bounds the parts of one answer, as agents do.
+const givenBytes = 128 << 10
+
+// give returns parts, as many as fit.
+func (p *publisher) give(r wire.PartsRequest) wire.Parts {
+	var out wire.Parts
+	size := 0
+	for _, d := range r.Digests {
+		b := p.published[d]
+		if size += len(b); b == nil || size > givenBytes && len(out.Parts) > 0 {
+			break
+		}
+		out.Parts = append(out.Parts, wire.Part{Digest: d, Bytes: b})
+	}
+	return out
+}
+
 // version returns the version published last.
 func (p *publisher) version() uint64 { return p.head.Manifest.Version }
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -41,14 +41,14 @@
 
 // table returns the rows as a table.
 func table(rows []row) (*report.Table, error) {
-	header := []string{"agents", "zones", "upstreams"}
+	header := []string{"agents", "simulated", "zones", "upstreams"}
 	for _, c := range columns {
 		header = append(header, c.name)
 	}
 	t := report.NewTable(header...)
 	for i := range rows {
 		r := &rows[i]
-		cells := []string{strconv.Itoa(r.agents), strconv.Itoa(r.zones), strconv.Itoa(r.upstreams)}
+		cells := []string{strconv.Itoa(r.agents), strconv.Itoa(r.simulated), strconv.Itoa(r.zones), strconv.Itoa(r.upstreams)}
 		for _, c := range columns {
 			cells = append(cells, report.Fixed(c.value(r), c.decimals))
 		}
