e2e: leaving upstreams receive no new work and finish what they have

Cause: no test with separate processes showed it. All upstreams of a zone are listed as leaving, or drain by themselves, under traffic; the stand-ins' counts of accepted and refused work must stand still while the other zone receives 50 more, twice; streams and calls in flight finish whole and once.

--- /dev/null
+++ b/e2e/fleet_leaving_test.go
@@ -0,0 +1,136 @@
+package e2e
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/load/client"
+	"github.com/wardspool/wardspool/standin/control"
+)
+
+// taken counts the work that the upstreams of a zone were sent: what engines
+// accepted and what services ran, and what either refused.
+func (b *bed) taken(zone ident.Zone) (accepted, refused int) {
+	b.t.Helper()
+	r := b.reports()
+	for _, e := range r.Engines {
+		if b.Deployment.ZoneOf(e.ID) == zone {
+			accepted += e.Totals.Accepted
+			refused += e.Totals.Refused
+		}
+	}
+	for _, s := range r.Services {
+		if b.Deployment.ZoneOf(s.ID) == zone {
+			accepted += s.Runs
+			refused += s.Refused
+		}
+	}
+	return accepted, refused
+}
+
+// enough is how much work the other upstreams must be sent while the leaving
+// ones are sent none: that is no chance.
+const enough = 50
+
+// someWork shows that upstreams take part in the traffic.
+const someWork = 20
+
+// sentNone lets the traffic go on until the upstreams of one zone were sent
+// enough, and reports whether those of the other were sent nothing meanwhile.
+func (b *bed) sentNone(leaving, staying ident.Zone) (ok bool, why string) {
+	b.t.Helper()
+	accepted, refused := b.taken(leaving)
+	before, _ := b.taken(staying)
+	b.eventually("work of the others", func() (bool, string) {
+		now, _ := b.taken(staying)
+		return now-before >= enough, fmt.Sprintf("%d", now-before)
+	})
+	acceptedNow, refusedNow := b.taken(leaving)
+	more, no := acceptedNow-accepted, refusedNow-refused
+	return more == 0 && no == 0, fmt.Sprintf("accepted %d more, refused %d", more, no)
+}
+
+// TestLeavingUpstreams shows "A leaving upstream receives no new work after a
+// few seconds", and that what it has finishes whole: all upstreams of a zone are
+// listed as leaving by the platform, or drain by themselves.
+func TestLeavingUpstreams(t *testing.T) {
+	t.Run("listed by the platform", func(t *testing.T) {
+		leavingUpstreams(t, func(b *bed) {
+			assert.NilError(b.t, b.PublishLists(b.ctx, string(prefillB), string(decodeB), string(serviceB)))
+		})
+	})
+	t.Run("draining by themselves", func(t *testing.T) {
+		leavingUpstreams(t, func(b *bed) {
+			b.engineFaults(control.EngineFaults{Draining: true}, prefillB, decodeB)
+			slow := control.ServiceFaults{Draining: true, DelayMS: slowCalls.Milliseconds()}
+			assert.NilError(b.t, b.upstream(serviceB).SetServiceFaults(b.ctx, slow))
+		})
+	})
+}
+
+func leavingUpstreams(t *testing.T, leave func(*bed)) {
+	b := newBed(t)
+	streams, orders, calls := b.inFlightAt(decodeB, serviceB)
+	tr := b.startTraffic(b.CallerAddresses())
+	b.eventually("traffic at the leaving upstreams", func() (bool, string) {
+		accepted, _ := b.taken(hallB)
+		return accepted > someWork, fmt.Sprintf("%d", accepted)
+	})
+
+	leave(b)
+	began := time.Now()
+	b.eventually("the end of new work", func() (bool, string) { return b.sentNone(hallB, hallA) })
+	t.Logf("no new work for %d elsewhere, %v after", enough, time.Since(began).Round(100*time.Millisecond))
+	ok, why := b.sentNone(hallB, hallA)
+	assert.Assert(t, ok, why)
+
+	for _, p := range append(streams, calls...) {
+		b.whole(p)
+	}
+	b.nothingRanTwice(streams, orders)
+	outcomes := b.check(tr.stop(), true)
+	assert.Equal(t, len(outcomes), 1, "%v", outcomes)
+}
+
+// inFlightAt starts streams and calls with tickets at one engine and one service
+// and returns when they run there.
+func (b *bed) inFlightAt(decode, service ident.UpstreamID) (streams []*pending, orders []*client.ServiceCall, calls []*pending) {
+	b.t.Helper()
+	const tokens = 1000
+	other := map[ident.UpstreamID]ident.UpstreamID{
+		decodeA: decodeB, decodeB: decodeA, serviceA: serviceB, serviceB: serviceA,
+	}
+	b.engineFaults(control.EngineFaults{Refuse: true}, other[decode])
+	for _, in := range b.Instances {
+		streams = append(streams, b.stream(review(in, 200, tokens)))
+	}
+	b.engineFaults(control.EngineFaults{}, other[decode])
+	assert.Equal(b.t, b.engine(decode).Held.Attempts, len(streams))
+
+	b.serviceFaults(control.ServiceFaults{DelayMS: slowCalls.Milliseconds()})
+	assert.NilError(b.t, b.upstream(other[service]).SetServiceFaults(b.ctx, control.ServiceFaults{Refuse: true}))
+	for _, in := range b.Instances {
+		call := b.ticketed(order(in))
+		orders = append(orders, call)
+		calls = append(calls, b.serve(call))
+	}
+	b.running(len(calls))
+	assert.NilError(b.t, b.upstream(other[service]).SetServiceFaults(b.ctx, control.ServiceFaults{}))
+	return streams, orders, calls
+}
+
+// nothingRanTwice fails the test unless each stream and each order ran once.
+func (b *bed) nothingRanTwice(streams []*pending, orders []*client.ServiceCall) {
+	b.t.Helper()
+	ran := b.ran()
+	for _, p := range streams {
+		assert.Equal(b.t, ran.Request(p.id).DecodeRuns, 1, p.id)
+	}
+	for _, call := range orders {
+		assert.Equal(b.t, ran.KeyRuns(call.IdempotencyKey), 1, call.RequestID)
+	}
+}
