--- a/Makefile
+++ b/Makefile
@@ -43,7 +43,7 @@
 	$(GO) run ./testbed/rolltime
 
 mutations:
-	$(GO) run ./internal/mutate
+	$(GO) run ./internal/mutate --write docs/mutations.md
 
 clean:
 	rm -rf $(BIN) out
