e2e: a planned stop cuts off nothing in flight

Cause: no test with separate processes showed it. An entry and its agent get SIGTERM under traffic: no request is refused while /readyz is 200, the refusal is not-run with Retry-After, four streams finish whole and once, and both end with exit code 0.

--- /dev/null
+++ b/e2e/fleet_stop_test.go
@@ -0,0 +1,89 @@
+package e2e
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/testbed"
+)
+
+// ready asks an instance for its readiness as the platform's balancer does.
+func (b *bed) ready(in *testbed.Instance) bool {
+	b.t.Helper()
+	resp := b.do(http.MethodGet, "http://"+in.Callers+"/readyz", "")
+	return resp.StatusCode == http.StatusOK
+}
+
+// do makes a plain HTTP request and returns the answer without its body.
+func (b *bed) do(method, url, id string) *http.Response {
+	b.t.Helper()
+	req, err := http.NewRequestWithContext(b.ctx, method, url, strings.NewReader(id))
+	assert.NilError(b.t, err)
+	if id != "" {
+		req.Header.Set(api.HeaderRequestID, id)
+		req.Header.Set(api.HeaderKind, "lookup")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(b.t, err)
+	assert.NilError(b.t, resp.Body.Close())
+	return resp
+}
+
+// TestStopUnderTraffic shows "A planned stop is a graceful shutdown: it cuts off
+// no request in flight": an instance under traffic is asked to stop. It is not
+// ready first, then refuses new requests as not run, finishes all that is in
+// flight, and ends with exit code 0.
+func TestStopUnderTraffic(t *testing.T) {
+	b := newBed(t)
+	victim := b.Instances[0]
+	tr := b.startTraffic(b.CallerAddresses())
+	const tokens = 1500
+	streams := []*pending{
+		b.stream(review(victim, 200, tokens)), b.stream(triage(victim, 200, tokens)),
+		b.stream(review(victim, 2000, tokens)), b.stream(triage(victim, 2000, tokens)),
+	}
+	assert.Assert(t, b.ready(victim))
+	assert.NilError(t, victim.Entry.Terminate())
+	assert.NilError(t, victim.Agent.Terminate())
+
+	refused := b.refusedAfterUnready(victim)
+	for _, p := range streams {
+		b.whole(p)
+	}
+	assert.NilError(t, victim.Entry.WaitExit(soon))
+	assert.NilError(t, victim.Agent.WaitExit(soon))
+
+	b.answers(1, b.others(victim)...)
+	b.check(tr.stop(), true)
+	b.nothingHeld()
+	ran := b.ran()
+	assert.Assert(t, !ran.Request(refused).Ran(), refused)
+	for _, p := range streams {
+		assert.Equal(t, ran.Request(p.id).DecodeRuns, 1, p.id)
+	}
+}
+
+// refusedAfterUnready sends requests to an instance that is asked to stop, until
+// one is refused. The instance must not be ready once it refuses any, and must be
+// reached and answer all along. It returns the refused request's ID.
+func (b *bed) refusedAfterUnready(victim *testbed.Instance) string {
+	b.t.Helper()
+	var refused string
+	b.eventually("the refusal of new requests", func() (bool, string) {
+		refused = newID("late")
+		resp := b.do(http.MethodPost, "http://"+victim.Callers+"/services/preorder/late", refused)
+		if resp.StatusCode == http.StatusOK {
+			return false, "still taken"
+		}
+		assert.Assert(b.t, !b.ready(victim), "ready after a refusal")
+		assert.Equal(b.t, resp.StatusCode, http.StatusServiceUnavailable)
+		assert.Equal(b.t, resp.Header.Get(api.HeaderOutcome), string(api.NotRun))
+		assert.Assert(b.t, resp.Header.Get("Retry-After") != "")
+		return true, ""
+	})
+	return refused
+}
