--- a/plugins/slots/compare/main.go
+++ b/plugins/slots/compare/main.go
@@ -19,7 +19,7 @@
 type options struct {
 	Seeds    int     `help:"Runs for each cell, seeds 1 to N." default:"5"`
 	Output   string  `short:"o" help:"Markdown page whose marked part is replaced; standard output if empty."`
-	Tables   string  `help:"Comma-separated tables to run: policies, faults, queue, renew, probe, size." default:"policies,faults,queue,renew,probe,size"`
+	Tables   string  `help:"Comma-separated tables to run: policies, lagos, faults, queue, renew, probe, size." default:"policies,lagos,faults,queue,renew,probe,size"`
 	Workers  int     `help:"Runs at a time." default:"4"`
 	Duration float64 `help:"Virtual seconds measured in each run." default:"120"`
 }
--- a/plugins/slots/compare/tables.go
+++ b/plugins/slots/compare/tables.go
@@ -20,6 +20,7 @@
 // tables are what can be measured.
 var tables = map[string]table{
 	"policies": {title: "Policies at 2, 8 and 24 instances", cells: policyCells()},
+	"lagos":    {title: "Short outputs after long prompts", cells: lagosCells()},
 	"faults":   {title: "With the first engine's grantor failing, at load 1.0", cells: faultCells()},
 	"probe":    {title: "The margin of slots.probe, 8 instances", cells: probeCells()},
 	"queue":    {title: "How long an ask may wait at the grantor, 24 instances", cells: queueCells()},
@@ -42,6 +43,16 @@
 	return cells
 }
 
+func lagosCells() []cell {
+	cells := []cell{{policy: leaseUsual, workload: &lagos, scale: 1, instances: 1, load: 1, fault: noFault}}
+	for _, load := range []float64{1.0, 1.2} {
+		for _, p := range allPolicies {
+			cells = append(cells, cell{policy: p, workload: &lagos, scale: 1, instances: 8, load: load, fault: noFault})
+		}
+	}
+	return cells
+}
+
 func faultCells() []cell {
 	var cells []cell
 	for _, n := range []int{2, 8, 24} {
