--- a/e2e/bed_test.go
+++ b/e2e/bed_test.go
@@ -70,6 +70,7 @@
 		EntriesPerZone: 2,
 		// A busy machine must not let prefill results expire.
 		EngineArgs: []string{"--kv-lifetime", "5s"},
+		LogLevel:   "debug",
 	}
 	for _, set := range options {
 		set(&o)
--- /dev/null
+++ b/e2e/engine_crash_test.go
@@ -0,0 +1,143 @@
+package e2e
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/standin/control"
+)
+
+// crash makes a stand-in behave like a killed process that is back in a second.
+func (b *bed) crash(id ident.UpstreamID) {
+	b.t.Helper()
+	assert.NilError(b.t, b.upstream(id).Crash(b.ctx, control.Crash{DownMS: 1000}))
+}
+
+// TestDecodeEngineCrash shows "Every counter and control room receives the whole
+// answer to its own request" and "runs at most once" over the crash of a decode
+// engine in the middle of streams: repeatable requests go on elsewhere, from the
+// token reached and without a token twice; the others end as unknown.
+func TestDecodeEngineCrash(t *testing.T) {
+	t.Run("crash", func(t *testing.T) { decodeEngineEnds(t, (*bed).crash) })
+	t.Run("SIGKILL", func(t *testing.T) {
+		decodeEngineEnds(t, func(b *bed, id ident.UpstreamID) { assert.NilError(b.t, b.Upstreams[id].Kill()) })
+	})
+}
+
+func decodeEngineEnds(t *testing.T, end func(*bed, ident.UpstreamID)) {
+	b := newBed(t)
+	const tokens = 600
+	var reviews, triages []*pending
+	for i := range b.Instances {
+		reviews = append(reviews, b.stream(review(b.Instances[i], 500, tokens)))
+		triages = append(triages, b.stream(triage(b.Instances[i], 500, tokens)))
+	}
+	victim := b.holderOf(triages[0].id, decodeA, decodeB)
+	onVictim := map[string]bool{}
+	for _, q := range b.engine(victim).Requests {
+		onVictim[q.CorrelationID] = q.DecodeRuns > q.Completed
+	}
+	end(b, victim)
+
+	for _, p := range reviews {
+		b.whole(p)
+	}
+	for _, p := range triages {
+		r := b.done(p)
+		if !onVictim[p.id] {
+			assert.Assert(t, r.Complete(), "%s: %s", p.id, describe(r))
+			continue
+		}
+		assert.Equal(t, r.Outcome, api.Unknown, "%s: %s", p.id, describe(r))
+	}
+	if !b.Upstreams[victim].Running() {
+		assert.NilError(t, b.StartUpstream(victim))
+		b.eventually("the engine's return", func() (bool, string) {
+			_, err := b.upstream(victim).Engine(b.ctx)
+			return err == nil, "no answer"
+		})
+	}
+	b.nothingHeld()
+	ran := b.ran()
+	for _, p := range triages {
+		assert.Assert(t, ran.Request(p.id).DecodeRuns <= 1, p.id)
+	}
+	for _, in := range b.Instances {
+		b.whole(b.complete(review(in, 200, 20)))
+	}
+}
+
+// TestPrefillEngineCrash crashes a prefill engine that computes: a prefill alone
+// has no effect, so that every request gets its whole answer by another one.
+func TestPrefillEngineCrash(t *testing.T) {
+	b := newBed(t)
+	b.engineFaults(control.EngineFaults{SlowFactor: 5000}, prefillA)
+	prefillEngineCrash(b)
+}
+
+// TestPrefillEngineCrashAfterRefusal is the same when the other engine refused
+// the requests once before.
+func TestPrefillEngineCrashAfterRefusal(t *testing.T) {
+	b := newBed(t)
+	b.engineFaults(control.EngineFaults{SlowFactor: 5000}, prefillA)
+	b.engineFaults(control.EngineFaults{Refuse: true}, prefillB)
+	prefillEngineCrash(b)
+}
+
+func prefillEngineCrash(b *bed) {
+	var sent []*pending
+	for _, in := range b.Instances {
+		sent = append(sent, b.complete(review(in, 300, 50)), b.complete(triage(in, 300, 50)))
+	}
+	b.inStage("prefill", 1, prefillA)
+	b.engineFaults(control.EngineFaults{}, prefillA, prefillB)
+	b.crash(prefillA)
+	for _, p := range sent {
+		b.whole(p)
+	}
+	b.nothingHeld()
+	ran := b.ran()
+	for _, p := range sent {
+		assert.Equal(b.t, ran.Request(p.id).DecodeRuns, 1, p.id)
+	}
+}
+
+// TestServiceFailuresAreToldHonestly shows "When we are told not run, the request
+// truly did not run" for plain services that die before or after the run, fail,
+// crash and refuse.
+func TestServiceFailuresAreToldHonestly(t *testing.T) {
+	b := newBed(t)
+	in := b.Instances[0]
+	for _, c := range []struct {
+		name    string
+		faults  control.ServiceFaults
+		outcome api.Outcome
+		runs    int
+	}{
+		{"dies before the run", control.ServiceFaults{DieBeforeRun: true}, api.Unknown, 0},
+		{"dies after the run", control.ServiceFaults{DieAfterRun: true}, api.Unknown, 1},
+		{"runs and fails", control.ServiceFaults{ErrorRate: 1}, api.Unknown, 1},
+		{"refuses", control.ServiceFaults{Refuse: true}, api.NotRun, 0},
+	} {
+		b.serviceFaults(c.faults)
+		call := order(in)
+		r := b.done(b.serve(call))
+		assert.Equal(t, r.Outcome, c.outcome, "%s: %s", c.name, describe(r))
+		assert.Equal(t, b.ran().Request(call.RequestID).ServiceRuns, c.runs, c.name)
+	}
+	b.serviceFaults(control.ServiceFaults{DelayMS: slowCalls.Milliseconds()})
+	call := b.serve(order(in))
+	b.running(1)
+	for _, id := range []ident.UpstreamID{serviceA, serviceB} {
+		b.crash(id)
+	}
+	r := b.done(call)
+	assert.Equal(t, r.Outcome, api.Unknown, describe(r))
+	assert.Equal(t, b.ran().Request(call.id).ServiceRuns, 1)
+
+	b.serviceFaults(control.ServiceFaults{})
+	b.whole(b.serve(lookup(in)))
+}
--- a/testbed/fleet.go
+++ b/testbed/fleet.go
@@ -24,6 +24,8 @@
 	Static bool
 	// EngineArgs are further arguments of every stand-in engine.
 	EngineArgs []string
+	// LogLevel is that of the system's processes; empty for the default.
+	LogLevel string
 	// Relays has all traffic of the system's processes go through relays, by
 	// which zones can be cut off.
 	Relays bool
--- a/testbed/settings.go
+++ b/testbed/settings.go
@@ -19,6 +19,7 @@
 	fmt.Fprintf(&b, "callers: {listen: %q}\n", in.Callers)
 	fmt.Fprintf(&b, "feed: {listen: %q}\n", in.Feed)
 	fmt.Fprintf(&b, "operators: {listen: %q, names: [%s]}\n", in.Operator, OperatorName)
+	f.writeLog(&b)
 	fmt.Fprintf(&b, "stop: {grace: 500ms, timeout: 60s}\n")
 	fmt.Fprintf(&b, "tickets: {keys: [{id: k1, secret: %q}]}\n", ticketSecret)
 	fmt.Fprintf(&b, "peers:\n  listen: %q\n  known:\n", in.Peer)
@@ -33,6 +34,13 @@
 	return b.String()
 }
 
+// writeLog writes the log level, if there is one to set.
+func (f *Fleet) writeLog(b *strings.Builder) {
+	if f.options.LogLevel != "" {
+		fmt.Fprintf(b, "log: {level: %s}\n", f.options.LogLevel)
+	}
+}
+
 // writeStatic writes the settings that take the place of an agent.
 func (f *Fleet) writeStatic(b *strings.Builder) {
 	fmt.Fprintf(b, "static:\n  bundle: %q\n  upstreams:\n", f.Deployment.Source)
@@ -45,6 +53,7 @@
 func (f *Fleet) agentSettings(in *Instance) (string, error) {
 	var b strings.Builder
 	fmt.Fprintf(&b, "instance: %s\nzone: %s\nregion: %s\n", in.ID, in.Zone, f.Deployment.Region)
+	f.writeLog(&b)
 	fmt.Fprintf(&b, "entry: {feed: %q}\n", in.Feed)
 	fmt.Fprintf(&b, "operators: {listen: %q, names: [%s]}\n", in.AgentOperator, OperatorName)
 	fmt.Fprintf(&b, "platform: {urls: [%q]}\n", "http://"+f.reach(f.Platform.Address))
