Agent: a fleet that starts at once neither bursts its memory nor the platform's rate

Cause: all instances of other zones asked the same three of a zone for the floor, and then for the whole bundle: the largest agent peaked at 113 MB with 24 agents in 3 zones and at 198 MB with 48. A starting instance took itself for its zone's only reader, so that 24 of them made 1,630 calls in one second.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -158,7 +158,7 @@
 	a.source.watches = map[string]context.CancelFunc{}
 	a.source.indexes = map[string]uint64{}
 	a.book = newBook()
-	a.relay = relay{changed: make(chan struct{}), serving: make(chan struct{}, maxServing), fetching: map[string]bool{}}
+	a.relay = relay{changed: make(chan struct{}), serving: make(chan struct{}, 1), fetching: map[string]bool{}}
 	return nil
 }
 
--- a/agent/bundles.go
+++ b/agent/bundles.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -12,6 +13,7 @@
 	"github.com/wardspool/wardspool/feed"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/rendezvous"
 )
 
 // tickEvent tells the ledger that time passed.
@@ -99,29 +101,34 @@
 // Until the lists are there, the roster would be too short: a stale platform
 // alone could then pass for all who know the floor.
 func (a *Agent) updateRoster() {
-	l := &a.book.lists
-	if (l.instances.index == 0 || l.upstreams.index == 0) && a.now.Sub(a.started) < listsTimeout {
+	if a.awaitsLists() {
 		return
 	}
 	sources := []ledger.Source{fromPlatform}
-	others := map[ident.Zone]int{}
+	zones := map[ident.Zone][]ident.InstanceID{}
 	v := a.currentView()
 	for _, in := range v.Instances {
-		if !answersPeers(in) || a.book.instances[in.ID].agent == "" {
-			continue
+		if answersPeers(in) && a.book.instances[in.ID].agent != "" {
+			zones[in.Zone] = append(zones[in.Zone], in.ID)
 		}
-		if in.Zone != a.self.Zone {
-			if others[in.Zone]++; others[in.Zone] > remoteSources {
-				continue
-			}
+	}
+	for zone, ids := range zones {
+		if zone != a.self.Zone {
+			// Other instances choose others.
+			ids = rendezvous.Top(string(a.self.Instance), ids, remoteSources)
+		}
+		for _, id := range ids {
+			sources = append(sources, peerSource(id))
 		}
-		sources = append(sources, peerSource(in.ID))
 	}
 	for _, u := range v.Upstreams {
 		if u.Zone == a.self.Zone && a.isEngine(u.ID) && u.Listed {
 			sources = append(sources, ledger.Source{Kind: ledger.SourceUpstream, Name: string(u.ID)})
 		}
 	}
+	slices.SortFunc(sources, func(x, y ledger.Source) int {
+		return cmp.Or(cmp.Compare(x.Kind, y.Kind), cmp.Compare(x.Name, y.Name))
+	})
 	a.step(ledger.Roster{Sources: a.keepAnswered(sources)})
 }
 
@@ -140,6 +147,13 @@
 	return sources
 }
 
+// awaitsLists reports whether this instance just started and the platform's lists
+// may still come.
+func (a *Agent) awaitsLists() bool {
+	l := &a.book.lists
+	return (l.instances.index == 0 || l.upstreams.index == 0) && a.now.Sub(a.started) < listsTimeout
+}
+
 // listsTimeout is how long a starting instance waits for the platform's lists.
 const listsTimeout = 3 * time.Second
 
--- a/agent/random.go
+++ b/agent/random.go
@@ -22,5 +22,8 @@
 	return time.Duration(r.source.Int64N(int64(max(d, 1))))
 }
 
+// choose returns a number from 0 to n-1.
+func (r random) choose(n int) int { return r.source.IntN(n) }
+
 // jittered returns a time between d and 2d.
 func (r random) jittered(d time.Duration) time.Duration { return d + r.N(d) }
--- a/agent/relay.go
+++ b/agent/relay.go
@@ -16,10 +16,11 @@
 const (
 	// partsBytes bounds the parts of one answer; one part is always sent.
 	partsBytes = 128 << 10
-	// maxServing bounds the answers with parts that are made within servingPause:
-	// when a zone starts, all of it asks the few who have the parts.
-	maxServing   = 2
-	servingPause = 20 * time.Millisecond
+	// servingPause is the least time between two answers with parts, servingWait
+	// how long one may wait for its turn: when a zone starts, all of it asks the
+	// few who have the parts. Each answer makes about a megabyte of garbage.
+	servingPause = 50 * time.Millisecond
+	servingWait  = 300 * time.Millisecond
 	// partsWait is how long an answer waits for parts that are on their way here.
 	partsWait = 500 * time.Millisecond
 	// documentTimeout bounds the fetch of a roll or head; it is short, since one
@@ -31,7 +32,7 @@
 type relay struct {
 	// changed is closed when parts came; then there is a new one.
 	changed chan struct{}
-	// serving has a place for each answer with parts that was just made.
+	// serving is full while the last answer with parts is younger than the pause.
 	serving chan struct{}
 	// fetching holds the keys of the documents that are being fetched.
 	fetching map[string]bool
@@ -176,11 +177,14 @@
 }
 
 // paced finds parts for an answer, after a while if many are asked for: the
-// memory of answers that are being written must stay small.
+// memory of answers that are being written must stay small. It finds none if that
+// would take too long: others have them too.
 func (a *Agent) paced(ctx context.Context, digests []bundle.Digest) (found, error) {
 	select {
 	case a.relay.serving <- struct{}{}:
 		time.AfterFunc(servingPause, func() { <-a.relay.serving })
+	case <-time.After(servingWait):
+		return found{}, nil
 	case <-ctx.Done():
 		return found{}, ctx.Err()
 	}
--- a/agent/source.go
+++ b/agent/source.go
@@ -80,7 +80,13 @@
 }
 
 // electReaders starts and ends this instance's watches.
+//
+// A starting instance that has no lists yet would elect itself for everything.
 func (a *Agent) electReaders() {
+	if a.awaitsLists() {
+		a.noteAnswers()
+		return
+	}
 	live := a.zoneInstances()
 	for _, key := range watchedKeys {
 		reads := a.standsIn(key) || platform.Reads(a.self.Instance, key, a.self.Zone, live, a.settings.Platform.Readers)
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -41,6 +41,8 @@
 	bytesMax float64
 	// calls are the platform calls a second of all agents.
 	calls float64
+	// callsPeak are the most calls within a second, which is while all start.
+	callsPeak int
 	// interval is that between two heartbeats of a pair, partners how many an
 	// agent has, both means.
 	interval time.Duration
@@ -101,6 +103,7 @@
 	r := summary(o, before, after)
 	r.upstreams = len(b.upstreams)
 	r.load = loadAverage()
+	r.callsPeak = b.platform.Judge().PeakPerSecond
 	r.calls = float64(b.platform.Judge().Calls-calls) / seconds(before[0], after[0])
 	return r, b.changes(ctx, pool, &r)
 }
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -32,6 +32,7 @@
 	{"control B/s max", func(r *row) float64 { return r.bytesMax }, 0},
 	{"feed B/s (loopback)", func(r *row) float64 { return r.feed }, 0},
 	{"platform calls/s, all", func(r *row) float64 { return r.calls }, 2},
+	{"platform calls, busiest second", func(r *row) float64 { return float64(r.callsPeak) }, 0},
 	{"partners", func(r *row) float64 { return r.partners }, 1},
 	{"heartbeat interval s", func(r *row) float64 { return r.interval.Seconds() }, 2},
 	{"in force ms, slowest", func(r *row) float64 { return float64(r.inForce) / float64(time.Millisecond) }, 0},
