slots.lease: leases of a holder that cannot be reached lapse as the engine frees

Ruled out: the fallback and the take-over (both act within 4 s). Now they lapse as those of the dead do, by the engine's load; a holder that comes back lists what it still has. The test failed first.

--- a/plugins/slots/lease/lease_test.go
+++ b/plugins/slots/lease/lease_test.go
@@ -176,3 +176,31 @@
 	b.Run(4 * time.Second)
 	assert.Equal(t, len(l.leases), 0, "the engine showed the slots free")
 }
+
+// TestHolderCutOff: its leases lapse as its requests end, and it brings back
+// those that have not when it is reached again.
+func TestHolderCutOff(t *testing.T) {
+	b := three(Settings{})
+	e := b.Engines[0]
+	g := b.grantor(b.Nodes[0], e)
+	h := without(b.Nodes, g)[0]
+	b.Reserve(h, e, 10*time.Millisecond, 3*time.Second)
+	b.Reserve(h, e, 10*time.Millisecond, 20*time.Second)
+	b.Run(500 * time.Millisecond)
+	b.Cut(g, h)
+	g.Believe(h, kernel.Unreachable)
+	h.Believe(g, kernel.Unreachable)
+	l := policyOf(g).grantor.ledgers[0]
+	b.Run(2 * time.Second)
+	assert.Equal(t, len(l.leases), 2, "both requests run")
+	b.Run(3 * time.Second)
+	assert.Equal(t, len(l.leases), 1)
+	b.Heal()
+	g.Believe(h, kernel.Live)
+	h.Believe(g, kernel.Live)
+	b.Run(time.Second)
+	assert.Equal(t, len(l.leases), 1)
+	b.Run(20 * time.Second)
+	assert.Equal(t, b.Refused, 0)
+	assertQuiet(t, b)
+}
--- a/plugins/slots/lease/wake.go
+++ b/plugins/slots/lease/wake.go
@@ -102,37 +102,35 @@
 	p.drain(l, u)
 }
 
-// tidy drops the leases of instances that are dead once the engine shows that
-// their slots are free.
+// tidy drops the leases of instances that cannot give them back, once the engine
+// shows that their slots are free.
 func (p *Policy) tidy(now time.Time) {
-	var dead map[ident.InstanceID]ident.Incarnation
-	for i := range p.host.View().Instances {
-		in := &p.host.View().Instances[i]
-		if dead == nil {
-			dead = map[ident.InstanceID]ident.Incarnation{}
-		}
-		dead[in.ID] = in.Incarnation
-		if in.Life == kernel.Dead {
-			dead[in.ID]++
+	instances := p.host.View().Instances
+	reached := make(map[ident.InstanceID]ident.Incarnation, len(instances))
+	for i := range instances {
+		in := &instances[i]
+		reached[in.ID] = in.Incarnation
+		if in.Life == kernel.Dead || in.Life == kernel.Unreachable {
+			reached[in.ID]++
 		}
 	}
 	for _, l := range p.grantor.ledgers {
 		if u := p.host.Upstream(l.upstream); u != nil {
-			l.dropOrphans(u, dead, now)
+			l.dropOrphans(u, reached, now)
 		}
 	}
 }
 
-// dropOrphans ends leases of earlier lives than the given first possible ones,
-// as many as the engine's load shows to be unused.
-func (l *ledger) dropOrphans(u *kernel.Upstream, alive map[ident.InstanceID]ident.Incarnation, now time.Time) {
+// dropOrphans ends leases of earlier lives than those reached, as many as the
+// engine's load shows to be unused.
+func (l *ledger) dropOrphans(u *kernel.Upstream, reached map[ident.InstanceID]ident.Incarnation, now time.Time) {
 	if u.Load.At.IsZero() {
 		return
 	}
 	unused := l.usedBefore(u.Load.At) - u.Load.Running - u.Load.Waiting
 	for i := len(l.leases) - 1; i >= 0 && unused > 0; i-- {
 		x := &l.leases[i]
-		if x.usedAt.After(u.Load.At) || x.key.Incarnation >= alive[x.key.Instance] {
+		if x.usedAt.After(u.Load.At) || x.key.Incarnation >= reached[x.key.Instance] {
 			continue
 		}
 		l.end(i, now, slotkit.Slots(u))
