tickets: presentations are answered soon after their own deadline

Cause: a presentation waited without regard to its caller's deadline. To an executor in a zone that is cut off it waited for the peer pool's limit of an hour; to a call that another presentation had begun, as long as that call ran. Found by e2e TestTicketsWhileZoneCutOff: a caller with a deadline of 5 s had no answer after 90 s and the test ended. The desk's tests now name a deadline in their calls, as every call that comes through front has one. Both new desk tests cover one path each; TestForwardEndsWithTheDeadline was seen to fail without the bound (deadlock of the bubble).

--- a/entry/front/ticket.go
+++ b/entry/front/ticket.go
@@ -93,6 +93,11 @@
 		f.fail(w, c, tooLarge())
 		return
 	}
+	wait, problem := c.catalog.Wait(c.headers, c.target.route())
+	if problem != nil {
+		f.fail(w, c, problem)
+		return
+	}
 	reply := f.opts.Tickets.Execute(ctx, &tickets.Call{
 		Ticket:         c.headers.Ticket,
 		Method:         c.method,
@@ -101,6 +106,7 @@
 		Kind:           c.headers.Kind,
 		Request:        c.headers.RequestID,
 		DeadlineMS:     c.headers.Deadline.Milliseconds(),
+		Wait:           wait,
 		IdempotencyKey: c.headers.IdempotencyKey,
 		Header:         c.header,
 		Body:           c.body,
--- a/entry/intake/headers.go
+++ b/entry/intake/headers.go
@@ -176,6 +176,16 @@
 	return kind.Repeatable, nil
 }
 
+// Wait returns how long the caller of a request waits: as its headers say, or
+// else its kind.
+func (c *Catalog) Wait(h Headers, route config.Route) (time.Duration, *api.Problem) {
+	kind, problem := c.kind(h.Kind, route)
+	if problem != nil {
+		return 0, problem
+	}
+	return deadline(h, kind), nil
+}
+
 // Deduplicates reports whether a service's upstreams run an idempotency key at
 // most once themselves.
 func (c *Catalog) Deduplicates(service string) bool { return c.deduplicates[service] }
--- a/entry/tickets/desk.go
+++ b/entry/tickets/desk.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync"
 	"time"
@@ -32,6 +33,10 @@
 	IdempotencyKey string              `json:"idempotency_key"`
 	Header         map[string][]string `json:"header"`
 	Body           []byte              `json:"body"`
+	// Wait is the time that the caller will wait from now on, the kind's deadline
+	// if it did not say. For a call that another instance forwarded, the context
+	// ends in time.
+	Wait time.Duration `json:"-"`
 	// Run is the ID under which the call runs. Each instance sets it anew.
 	Run ident.RequestID `json:"-"`
 }
@@ -129,8 +134,16 @@
 	return d.codec.Seal(t), t.Expires, nil
 }
 
-// Execute has a call run by its ticket's executor, here or elsewhere.
+// answerMargin is the time that an answer has after the deadline: a call that
+// runs ends by its deadline itself.
+const answerMargin = time.Second
+
+// Execute has a call run by its ticket's executor, here or elsewhere. It waits
+// until soon after the caller's deadline: an executor that is cut off does not
+// answer, and a call that another presentation began may have longer.
 func (d *Desk) Execute(ctx context.Context, c *Call) Reply {
+	ctx, stop := context.WithTimeout(ctx, c.Wait+answerMargin)
+	defer stop()
 	t, err := d.codec.Open(c.Ticket)
 	if err != nil {
 		return Reply{Problem: ticket.InvalidProblem(err)}
@@ -250,6 +263,9 @@
 	if left == 0 {
 		j.cancel()
 	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return Reply{Problem: api.NewProblem(api.ProblemDeadline, api.Unknown, "the deadline passed while the call ran")}
+	}
 	return Reply{Problem: api.NewProblem(api.ProblemCallerGone, api.Unknown, "the caller closed the connection")}
 }
 
--- a/entry/tickets/desk_test.go
+++ b/entry/tickets/desk_test.go
@@ -48,7 +48,7 @@
 	t.Helper()
 	text, _, problem := d.Issue("default")
 	assert.Assert(t, problem == nil)
-	return &Call{Ticket: text, Method: "POST", Path: "/services/desk/x", Workspace: "default"}
+	return &Call{Ticket: text, Method: "POST", Path: "/services/desk/x", Workspace: "default", Wait: time.Minute}
 }
 
 // TestCallGoesOnWhileAnyoneWaits: the presentation that started a call leaves,
@@ -130,6 +130,53 @@
 	assert.Equal(t, b.ExecuteHere(t.Context(), c).Problem.Outcome, api.Unknown)
 }
 
+// silent is a Forwarder to an executor that is cut off.
+type silent struct{}
+
+func (silent) Known(ident.InstanceID) bool { return true }
+
+func (silent) Forward(ctx context.Context, _ ident.InstanceID, _ *Call) (*Reply, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// TestForwardEndsWithTheDeadline: an executor that is cut off gives no answer; the
+// caller is told soon after its deadline that the outcome is unknown.
+func TestForwardEndsWithTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := issue(t, newTestDesk(t, "a", nil))
+		c.Wait = 5 * time.Second
+		began := time.Now()
+		r := newTestDesk(t, "b", silent{}).Execute(t.Context(), c)
+		assert.Equal(t, r.Problem.Outcome, api.Unknown)
+		assert.Equal(t, time.Since(began), c.Wait+answerMargin)
+	})
+}
+
+// TestSecondPresentationEndsWithItsDeadline: the call that it waits for has
+// longer, and goes on.
+func TestSecondPresentationEndsWithItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDesk(t, "a", nil)
+		d.SetRunner(func(context.Context, *Call) ticket.Result {
+			time.Sleep(30 * time.Second)
+			return ticket.Result{Outcome: api.Complete, Status: 200}
+		})
+		c := issue(t, d)
+		first := make(chan Reply, 1)
+		go func() { first <- d.Execute(t.Context(), c) }()
+		synctest.Wait()
+		again := *c
+		again.Wait = 5 * time.Second
+		began := time.Now()
+		r := d.Execute(t.Context(), &again)
+		assert.Equal(t, r.Problem.Type, api.ProblemDeadline)
+		assert.Equal(t, r.Problem.Outcome, api.Unknown)
+		assert.Equal(t, time.Since(began), again.Wait+answerMargin)
+		assert.Equal(t, (<-first).Result.Outcome, api.Complete)
+	})
+}
+
 func TestPauseAndStop(t *testing.T) {
 	d := newTestDesk(t, "a", nil)
 	c := issue(t, d)
