--- a/e2e/fleet_bed_test.go
+++ b/e2e/fleet_bed_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/wardspool/wardspool/agent/console"
+	"github.com/wardspool/wardspool/agent/wire"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/platform"
 	standin "github.com/wardspool/wardspool/standin/platform"
@@ -150,3 +151,11 @@
 	assert.NilError(b.t, err, "status %d", resp.StatusCode)
 	return index
 }
+
+// status asks an instance's agent what it believes.
+func (b *bed) status(in *testbed.Instance) *wire.Status {
+	b.t.Helper()
+	s := status(b.look(), in.ID)
+	assert.Assert(b.t, s != nil, "the agent of %s does not answer", in.ID)
+	return s
+}
