--- a/agent/engines/client.go
+++ b/agent/engines/client.go
@@ -45,7 +45,9 @@
 const (
 	bufferBytes     = 2 << 10
 	idlePerUpstream = 1
-	idleTimeout     = 90 * time.Second
+	// idleTimeout is longer than the time between two reads of one engine's load;
+	// connections for rarer calls must not be kept.
+	idleTimeout = 10 * time.Second
 )
 
 // New returns a client that opens connections by d and gives a call up after
--- a/agent/meter/process.go
+++ b/agent/meter/process.go
@@ -18,11 +18,13 @@
 	PeakRSS uint64
 }
 
-// Sizes of units that the system reports in.
+// Lines of /proc/self/status; sizes are in kB. The peak of getrusage is of no use:
+// it counts the memory of the process that started this one.
 const (
-	rssUnit = 1 << 10 // Rusage.Maxrss on Linux
-	// statm lists sizes in pages; the resident one is the second.
-	residentField = 1
+	fileStatus = "/proc/self/status"
+	lineRSS    = "VmRSS:"
+	linePeak   = "VmHWM:"
+	sizeUnit   = 1 << 10
 )
 
 // ReadProcess reads what this process has cost. What cannot be read is 0.
@@ -31,25 +33,35 @@
 	var u syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err == nil {
 		p.CPU = time.Duration(u.Utime.Nano() + u.Stime.Nano())
-		p.PeakRSS = uint64(u.Maxrss) * rssUnit
 	}
-	p.RSS = resident()
+	p.RSS, p.PeakRSS = resident()
 	return p
 }
 
-// resident reads the resident memory, in bytes.
-func resident() uint64 {
-	b, err := os.ReadFile("/proc/self/statm")
+// resident reads the resident memory and its peak, in bytes.
+func resident() (now, peak uint64) {
+	b, err := os.ReadFile(fileStatus)
 	if err != nil {
-		return 0
+		return 0, 0
 	}
-	fields := bytes.Fields(b)
-	if len(fields) <= residentField {
-		return 0
+	for line := range bytes.Lines(b) {
+		fields := bytes.Fields(line)
+		switch {
+		case len(fields) < 2:
+		case string(fields[0]) == lineRSS:
+			now = size(fields[1])
+		case string(fields[0]) == linePeak:
+			peak = size(fields[1])
+		}
 	}
-	pages, err := strconv.ParseUint(string(fields[residentField]), 10, 64)
+	return now, peak
+}
+
+// size reads a size, 0 if it is none.
+func size(text []byte) uint64 {
+	n, err := strconv.ParseUint(string(text), 10, 54)
 	if err != nil {
 		return 0
 	}
-	return pages * uint64(os.Getpagesize())
+	return n * sizeUnit
 }
--- a/cmd/wardspool-agent/main.go
+++ b/cmd/wardspool-agent/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime"
 	"runtime/debug"
 	"syscall"
 
@@ -27,6 +28,10 @@
 	exitSettings = 2 // the settings are at fault
 )
 
+// processors is how many threads run Go code at once. The agent needs a hundredth
+// of one; more would only have the collector wake them all.
+const processors = 2
+
 // description opens the help text.
 const description = `The agent beside an entry instance of wardspool: it reads signed bundles and
 lists from the platform or from its peers, feeds the entry, exchanges heartbeats,
@@ -88,6 +93,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
+	runtime.GOMAXPROCS(processors)
 	// The collector works harder near the limit; it is no hard bound.
 	debug.SetMemoryLimit(int64(s.Memory))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
