Phantom placements after a death; services that answer nobody are ejected

Ruled out: (1) remembering ends for longer than any report's age (no bound); (2) counting every deadline as a failure (impatient callers would eject healthy services). Change: reports older than 5 s say nothing of others' placements; a call that had 2 s and whose service answered nobody meanwhile counts as the service's failure.

--- a/kernel/finish.go
+++ b/kernel/finish.go
@@ -47,6 +47,7 @@
 	if !ok || k.now.Before(c.request.Deadline) {
 		return
 	}
+	k.silent(c.active)
 	k.end(c, StepFailed, &Refusal{
 		Reason:     ReasonDeadlinePassed,
 		Problem:    api.ProblemDeadline,
--- a/kernel/health.go
+++ b/kernel/health.go
@@ -19,6 +19,26 @@
 	}
 	u.Health.Failures = 0
 	u.Health.Ejections = 0
+	u.Health.LastSuccess = k.now
+}
+
+// silentTime is the least time without an answer that speaks against an
+// upstream when a caller's deadline ends the attempt.
+const silentTime = 2 * time.Second
+
+// silent notes a service attempt that is ended by its caller's deadline. It is
+// the upstream's failure if it had time to answer and answered nobody meanwhile:
+// a service that is cut off is found by this, one that is merely slower than
+// some callers are patient is not.
+func (k *Kernel) silent(a *attempt) {
+	if a == nil || a.stage != stageService || k.now.Sub(a.sentAt) < silentTime {
+		return
+	}
+	u := k.fleet.upstream(a.upstream)
+	if u == nil || u.Incarnation != a.incarnation || u.Health.LastSuccess.After(a.sentAt) {
+		return
+	}
+	k.failed(u)
 }
 
 // failed notes a failure that is the upstream's own fault, and ejects the
--- a/kernel/session_test.go
+++ b/kernel/session_test.go
@@ -1,6 +1,7 @@
 package kernel_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -186,3 +187,30 @@
 	s.step(kernel.Arrive{Request: s.confirm("c1")})
 	assert.Equal(t, s.service.Instance, ident.InstanceID("e1"), "the call was not started:\n%s", s.transcript())
 }
+
+// TestSilentServiceIsEjected checks that a service that answers nobody is left
+// out after a few callers' deadlines, and that one that answers others is not.
+func TestSilentServiceIsEjected(t *testing.T) {
+	s := newSession(t)
+	s.upstreamLife("s2", kernel.Dead)
+	for i := range 3 {
+		s.step(kernel.Arrive{Request: s.confirm(fmt.Sprintf("c%d", i))})
+		s.after(6 * time.Second)
+	}
+	s.service = ident.AttemptID{}
+	s.step(kernel.Arrive{Request: s.confirm("next")})
+	assert.Assert(t, s.service.IsZero(), "the silent service was called again:\n%s", s.transcript())
+
+	slow := newSession(t)
+	slow.upstreamLife("s2", kernel.Dead)
+	for i := range 5 {
+		slow.step(kernel.Arrive{Request: slow.confirm(fmt.Sprintf("lost%d", i))})
+		slow.step(kernel.Arrive{Request: slow.confirm(fmt.Sprintf("good%d", i))})
+		slow.after(3 * time.Second)
+		slow.step(kernel.AttemptDone{Attempt: slow.service})
+		slow.after(3 * time.Second)
+	}
+	slow.service = ident.AttemptID{}
+	slow.step(kernel.Arrive{Request: slow.confirm("next")})
+	assert.Assert(t, !slow.service.IsZero(), "a service that answers others was ejected")
+}
--- a/kernel/view.go
+++ b/kernel/view.go
@@ -75,6 +75,8 @@
 	EjectedUntil time.Time
 	// Ejections counts ejections in a row, for their growing length.
 	Ejections int
+	// LastSuccess is when an attempt last succeeded here.
+	LastSuccess time.Time
 	// BackSince is when the upstream last became usable, for slow start.
 	BackSince time.Time
 }
--- a/plugins/slots/dispatch/dispatch_test.go
+++ b/plugins/slots/dispatch/dispatch_test.go
@@ -6,7 +6,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/wardspool/wardspool/config"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
 )
 
 // settled lets a new dispatcher's take-over end.
@@ -201,3 +203,21 @@
 	b.run(answerTime + 10*time.Millisecond)
 	assert.Equal(t, h.last(id).what, "placed")
 }
+
+func TestOldLoadReportDoesNotHoldSlots(t *testing.T) {
+	b := settled(1, 2, 2, 200)
+	h, d := b.holderNode(), b.dispatcherNode()
+	reported := b.now
+	for i := range d.view.Upstreams {
+		if d.view.Upstreams[i].Spec.Role == config.RoleDecode {
+			d.view.Upstreams[i].Load = kernel.Load{At: reported, Running: 2, Slots: 2, PiecesUsed: 8, PiecesTotal: 200}
+		}
+	}
+	early := h.place(2 * time.Second)
+	b.run(100 * time.Millisecond)
+	assert.Equal(t, h.last(early).what, "refused", "a fresh report of full engines is believed")
+	b.run(endedTime + time.Second)
+	id := h.place(2 * time.Second)
+	b.run(100 * time.Millisecond)
+	assert.Equal(t, h.last(id).what, "placed", "an old one is not")
+}
--- a/plugins/slots/dispatch/engines.go
+++ b/plugins/slots/dispatch/engines.go
@@ -195,7 +195,7 @@
 			continue
 		}
 		d := decodeState{u: u, slots: slotkit.Slots(u), pieces: slotkit.Pieces(u)}
-		d.take(r.books[n])
+		d.take(r.books[n], g.now())
 		list = append(list, d)
 	}
 	g.decodeScratch = list
@@ -203,7 +203,7 @@
 }
 
 // take takes what the book says off what is free.
-func (d *decodeState) take(b *book) {
+func (d *decodeState) take(b *book, now time.Time) {
 	for _, gr := range b.grants {
 		d.hold(gr)
 	}
@@ -212,7 +212,9 @@
 			d.reported++
 		}
 	}
-	d.takeForeign()
+	if now.Sub(d.u.Load.At) <= endedTime {
+		d.takeForeign()
+	}
 }
 
 // hold takes a known placement off what is free.
@@ -243,8 +245,9 @@
 // be understood.
 type ended struct{ from, to time.Time }
 
-// endedTime is how long the end of a slot's use is remembered; it covers the
-// lag of load reports.
+// endedTime is how long the end of a slot's use is remembered. A load report
+// that is older than this says nothing of others' placements: what it counts may
+// be known uses that have ended since and are forgotten.
 const endedTime = 5 * time.Second
 
 // book returns the book of a decode engine.
