--- a/e2e/calls_test.go
+++ b/e2e/calls_test.go
@@ -23,6 +23,9 @@
 // deadline is how long callers wait unless the bundle says otherwise.
 const deadline = 120 * time.Second
 
+// decodeStep is the time for a token of the engines in testdata/bundle.yaml.
+const decodeStep = 10 * time.Millisecond
+
 // promptOf is a prompt of some words that no other request has.
 func promptOf(id string, words int) string {
 	return id + strings.Repeat(" word", words-1)
--- /dev/null
+++ b/e2e/fleet_alone_test.go
@@ -0,0 +1,59 @@
+package e2e
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/wardspool/wardspool/load/client"
+	"github.com/wardspool/wardspool/testbed"
+)
+
+// alone waits until instances that are cut off give whole answers to all of some
+// requests at once: none is lost on its way to the other side.
+func (b *bed) alone(calls func(*testbed.Instance) *pending, list ...*testbed.Instance) {
+	b.t.Helper()
+	const each = 5
+	began := time.Now()
+	b.eventually("service by the own zone alone", func() (bool, string) {
+		var sent []*pending
+		for _, in := range list {
+			for range each {
+				sent = append(sent, calls(in))
+			}
+		}
+		whole, last := 0, ""
+		for _, p := range sent {
+			if r := b.done(p); r.Complete() {
+				whole++
+			} else {
+				last = p.id + ": " + describe(r)
+			}
+		}
+		return whole == len(sent), fmt.Sprintf("%d of %d whole; %s", whole, len(sent), last)
+	})
+	b.t.Logf("alone %v after the cut", time.Since(began).Round(100*time.Millisecond))
+}
+
+// TestZoneCutOffServesAlone shows that both sides of a cut go on answering by the
+// upstreams of their own zone, some seconds after the cut.
+func TestZoneCutOffServesAlone(t *testing.T) {
+	orders := func(b *bed) func(*testbed.Instance) *pending {
+		return func(in *testbed.Instance) *pending {
+			var call *client.ServiceCall = b.ticketed(order(in))
+			call.Deadline = patience
+			return b.serve(call)
+		}
+	}
+	reviews := func(b *bed) func(*testbed.Instance) *pending {
+		return func(in *testbed.Instance) *pending { return b.complete(review(in, 50, 5)) }
+	}
+	for name, calls := range map[string]func(*bed) func(*testbed.Instance) *pending{"orders": orders, "reviews": reviews} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t, withRelays)
+			b.CutOff(hallB)
+			b.alone(calls(b), b.in(hallA)...)
+			b.alone(calls(b), b.in(hallB)...)
+		})
+	}
+}
--- /dev/null
+++ b/e2e/two_faults_test.go
@@ -0,0 +1,98 @@
+package e2e
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/standin/control"
+)
+
+// TestEntryKilledWhilePlatformIsDown brings about two failures at once: the
+// platform is down, and an instance that holds streams is killed. Its peers
+// release what it held, go on, and give the instance that comes back the version
+// in force.
+func TestEntryKilledWhilePlatformIsDown(t *testing.T) {
+	b := newBed(t)
+	assert.Equal(t, b.roll(), uint64(2))
+	b.inForce(2, b.Instances...)
+	victim := b.Instances[3]
+	tr := b.startTraffic(callers(b.others(victim)))
+	sent := []*pending{b.stream(review(victim, 200, endless)), b.stream(triage(victim, 200, endless))}
+
+	b.platformMode(control.PlatformMode{Mode: control.ModeDown, DownBy: control.DownByHang})
+	assert.NilError(t, victim.Entry.Kill())
+	for _, p := range sent {
+		assert.Assert(t, lost(b.done(p)), p.id)
+	}
+	b.eventually("the release of the streams", func() (bool, string) {
+		for _, e := range b.reports().Engines {
+			for _, q := range e.Requests {
+				if q.CorrelationID == sent[0].id || q.CorrelationID == sent[1].id {
+					if q.DecodeRuns > 0 && q.Aborts == 0 {
+						return false, q.CorrelationID + " is held by " + string(e.ID)
+					}
+				}
+			}
+		}
+		return true, ""
+	})
+	assert.NilError(t, b.StartEntry(victim))
+	assert.NilError(t, b.WaitReady(b.ctx, victim))
+	b.inForce(2, b.Instances...)
+	b.answers(2, victim)
+	b.check(tr.stop(), true)
+}
+
+// TestEngineCrashWhileAgentIsFrozen freezes the agent of an instance and crashes
+// an engine that the instance uses: its entry has to find out by itself.
+func TestEngineCrashWhileAgentIsFrozen(t *testing.T) {
+	b := newBed(t)
+	victim := b.Instances[0]
+	streams := []*pending{b.stream(review(victim, 200, 300)), b.stream(review(victim, 200, 300))}
+	once := b.stream(triage(victim, 200, 300))
+	assert.NilError(t, victim.Agent.Freeze())
+	engine := b.holderOf(once.id, decodeA, decodeB)
+	b.crash(engine)
+
+	for _, p := range streams {
+		b.whole(p)
+	}
+	r := b.done(once)
+	assert.Equal(t, r.Outcome, api.Unknown, "%s: %s", once.id, describe(r))
+	for range 3 {
+		b.whole(b.complete(review(victim, 200, 20)))
+		b.whole(b.serve(b.ticketed(order(victim))))
+	}
+	assert.NilError(t, victim.Agent.Thaw())
+	b.nothingHeld()
+	ran := b.ran()
+	assert.Equal(t, ran.Request(once.id).DecodeRuns, 1)
+	for _, in := range b.Instances {
+		b.whole(b.complete(review(in, 200, 20)))
+	}
+}
+
+// TestTrafficOverFlappingPlatform lets the platform go down and up while
+// versions are rolled and an instance restarts: every version reaches every
+// instance, none goes back, and traffic is answered all along.
+func TestTrafficOverFlappingPlatform(t *testing.T) {
+	b := newBed(t)
+	w := b.watchBundles()
+	tr := b.startTraffic(b.CallerAddresses())
+	b.platformMode(control.PlatformMode{
+		Mode: control.ModeFlapping, DownBy: control.DownByClose, Seed: 1, MeanUpMS: 300, MeanDownMS: 700,
+	})
+	for range 2 {
+		version := b.roll()
+		b.inForce(version, b.Instances...)
+	}
+	b.restart(b.Instances[2])
+	version := b.roll()
+	b.inForce(version, b.Instances...)
+	b.wait(time.Second)
+	b.check(tr.stop(), true)
+	w.neverBack()
+}
