slots.lease: a withdrawn try and old failures no longer bar the grantor

Whether a try is under way now follows from the open asks, and failures older than the longest backoff are forgotten.

--- a/plugins/slots/lease/fallback.go
+++ b/plugins/slots/lease/fallback.go
@@ -20,7 +20,9 @@
 )
 
 // down reports whether a grantor is not to be asked now. After its backoff one
-// ask at a time may try it.
+// ask at a time may try it. What was seen of it long ago no longer counts:
+// otherwise the first asks after a quiet time would use the static share beside
+// a grantor that is well.
 func (p *Policy) down(id ident.InstanceID) bool {
 	if p.holder.troubled == 0 {
 		return false
@@ -29,7 +31,15 @@
 	if c == nil || c.failures == 0 {
 		return false
 	}
-	return c.trying || p.host.Now().Before(c.downUntil)
+	if p.holder.asking(id) {
+		return true
+	}
+	now := p.host.Now()
+	if now.Sub(c.downUntil) > maxBackoff {
+		p.holder.answered(id)
+		return false
+	}
+	return now.Before(c.downUntil)
 }
 
 // contact returns what is remembered of a grantor.
@@ -66,7 +76,6 @@
 func (p *Policy) unanswered(id ident.InstanceID) {
 	c := p.contact(id)
 	c.failures++
-	c.trying = false
 	p.holder.countTroubled()
 	wait := min(firstBackoff<<min(c.failures-1, maxDoublings), maxBackoff)
 	wait += time.Duration(p.host.Rand().Int64N(int64(wait)/2 + 1))
--- a/plugins/slots/lease/holder.go
+++ b/plugins/slots/lease/holder.go
@@ -50,8 +50,6 @@
 	failures int
 	// downUntil is when the grantor may be asked again.
 	downUntil time.Time
-	// trying is set while one ask finds out whether it is back.
-	trying bool
 	// owed counts the Renews that must still be sent after the last Release, so
 	// that a grantor hears that nothing is held, even if one is lost.
 	owed int
@@ -114,11 +112,17 @@
 		return
 	}
 	c.failures = 0
-	c.trying = false
 	c.downUntil = time.Time{}
 	o.countTroubled()
 }
 
+// asking reports whether an ask to the grantor waits for its first answer.
+func (o *holder) asking(id ident.InstanceID) bool {
+	return slices.ContainsFunc(o.open, func(h *hold) bool {
+		return h.grantor == id && h.state == stateAsked
+	})
+}
+
 // countTroubled counts the contacts that have failures.
 func (o *holder) countTroubled() {
 	o.troubled = 0
--- a/plugins/slots/lease/lease_test.go
+++ b/plugins/slots/lease/lease_test.go
@@ -177,6 +177,43 @@
 	assert.Equal(t, len(l.leases), 0, "the engine showed the slots free")
 }
 
+// TestWithdrawnTry: the ask that tries a grantor again is withdrawn; the next one
+// must not wait for its answer for ever.
+func TestWithdrawnTry(t *testing.T) {
+	b := three(Settings{})
+	e := b.Engines[0]
+	g := b.grantor(b.Nodes[0], e)
+	h := without(b.Nodes, g)[0]
+	b.Cut(g, h)
+	b.Reserve(h, e, time.Millisecond, time.Millisecond)
+	b.Run(time.Second)
+	b.Withdraw(b.Reserve(h, e, time.Millisecond, time.Millisecond))
+	b.Heal()
+	b.Run(time.Millisecond)
+	asks := b.Traffic.ByKind[KindAsk]
+	b.Reserve(h, e, time.Millisecond, time.Millisecond)
+	assert.Equal(t, b.Traffic.ByKind[KindAsk], asks+1)
+}
+
+// TestNoShareBesideTheGrantor: long after a grantor did not answer, all asks go
+// to it again.
+func TestNoShareBesideTheGrantor(t *testing.T) {
+	b := three(Settings{})
+	e := b.Engines[0]
+	g := b.grantor(b.Nodes[0], e)
+	h := without(b.Nodes, g)[0]
+	b.Cut(g, h)
+	b.Reserve(h, e, time.Millisecond, time.Millisecond)
+	b.Run(time.Second)
+	b.Heal()
+	b.Run(10 * time.Second)
+	asks := b.Traffic.ByKind[KindAsk]
+	for range 4 {
+		b.Reserve(h, e, 10*time.Millisecond, time.Second)
+	}
+	assert.Equal(t, b.Traffic.ByKind[KindAsk], asks+4)
+}
+
 // TestHolderCutOff: its leases lapse as its requests end, and it brings back
 // those that have not when it is reached again.
 func TestHolderCutOff(t *testing.T) {
--- a/plugins/slots/lease/reserve.go
+++ b/plugins/slots/lease/reserve.go
@@ -102,8 +102,7 @@
 	h.ask.NoWait = p.freeElsewhere(u)
 	h.askedAt = p.host.Now()
 	h.until = h.askedAt.Add(p.AskTimeout)
-	c := p.contact(grantor)
-	c.trying = c.failures > 0
+	p.contact(grantor)
 	ask := h.ask
 	p.host.Send(grantor, &ask)
 }
