Probe entries of other zones too; a cut-off zone serves alone

Cause: an instance whose entry and agent die together was dead to its own zone (refused probes) but only unreachable to others, which probed nobody outside their zone: what it held on their engines waited for the deadlines. Shown first failing: TestKilledInstanceLeavesNothingHeld, at and again alone at load average 7 (2 attempts, 22 pieces held after 30 s). Ruled out: relaying a peer's refused connection (one firewall that resets would kill an instance for the whole fleet).

--- a/e2e/fleet_alone_test.go
+++ b/e2e/fleet_alone_test.go
@@ -48,12 +48,15 @@
 	reviews := func(b *bed) func(*testbed.Instance) *pending {
 		return func(in *testbed.Instance) *pending { return b.complete(review(in, 50, 5)) }
 	}
-	for name, calls := range map[string]func(*bed) func(*testbed.Instance) *pending{"orders": orders, "reviews": reviews} {
-		t.Run(name, func(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		calls func(*bed) func(*testbed.Instance) *pending
+	}{{"orders", orders}, {"reviews", reviews}} {
+		t.Run(c.name, func(t *testing.T) {
 			b := newBed(t, withRelays)
 			b.CutOff(hallB)
-			b.alone(calls(b), b.in(hallA)...)
-			b.alone(calls(b), b.in(hallB)...)
+			b.alone(c.calls(b), b.in(hallA)...)
+			b.alone(c.calls(b), b.in(hallB)...)
 		})
 	}
 }
--- a/membership/due.go
+++ b/membership/due.go
@@ -109,11 +109,13 @@
 	return oldest
 }
 
-// probes returns the instances of the own zone whose entry may have ended.
+// probes returns the instances whose entry may have ended, other zones' too:
+// what a dead one held on engines here is released here, and a zone whose peers
+// all died has nobody else to say so. maxProbes bounds what a cut costs.
 func (m *Machine) probes(now time.Duration) []Due {
 	var out []Due
 	for _, x := range m.roster {
-		if x.zone != m.self.Zone || len(out) == maxProbes {
+		if len(out) == maxProbes {
 			continue
 		}
 		if !m.doubtful(now, x) {
