Answers to calls with tickets name the bundle version

Cause: docs/callers.md promises Wardspool-Bundle-Version on every answer; the result that an executor keeps did not carry it (found by the e2e tests). Shown by TestTicketRunsOnce, whose new line fails without the change by construction: no code set the header there.

--- a/entry/fed_test.go
+++ b/entry/fed_test.go
@@ -255,6 +255,7 @@
 	together.Wait()
 	resp, body := f.order(1, text, `{"n":1}`)
 	assert.Equal(t, resp.Header.Get(api.HeaderOutcome), string(api.Complete), body)
+	assert.Assert(t, resp.Header.Get(api.HeaderBundleVersion) != "", "the version it was decided under is missing")
 	assert.Equal(t, f.runs(), 1)
 
 	resp, body = f.order(1, text, `{"n":2}`)
--- a/entry/front/ticket.go
+++ b/entry/front/ticket.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/wardspool/wardspool/api"
@@ -128,6 +129,9 @@
 	h := w.Header()
 	h.Set(api.HeaderOutcome, string(r.Outcome))
 	h.Set(api.HeaderRequestID, string(c.headers.RequestID))
+	if r.BundleVersion > 0 {
+		h.Set(api.HeaderBundleVersion, strconv.FormatUint(r.BundleVersion, 10))
+	}
 	if r.ContentType != "" {
 		h.Set("Content-Type", r.ContentType)
 	}
@@ -194,10 +198,13 @@
 
 // result returns what was written.
 func (w *captureWriter) result() ticket.Result {
+	// Absent where no bundle was in force; 0 then.
+	version, _ := strconv.ParseUint(w.header.Get(api.HeaderBundleVersion), 10, 64)
 	return ticket.Result{
-		Outcome:     api.Outcome(w.header.Get(api.HeaderOutcome)),
-		Status:      max(w.status, http.StatusOK),
-		ContentType: w.header.Get("Content-Type"),
-		Body:        w.body.Bytes(),
+		Outcome:       api.Outcome(w.header.Get(api.HeaderOutcome)),
+		BundleVersion: version,
+		Status:        max(w.status, http.StatusOK),
+		ContentType:   w.header.Get("Content-Type"),
+		Body:          w.body.Bytes(),
 	}
 }
--- a/ticket/verdict.go
+++ b/ticket/verdict.go
@@ -45,6 +45,8 @@
 // Result is the final answer to a call, as it is given to each presentation.
 type Result struct {
 	Outcome api.Outcome
+	// BundleVersion is the version the call was decided under, 0 if unknown.
+	BundleVersion uint64
 	// Status and ContentType are those of the HTTP response.
 	Status      int
 	ContentType string
