--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 	./scripts/fuzz-smoke
 
 e2e: build
-	$(GO) test -count=1 ./e2e/...
+	$(GO) test -count=1 -timeout 20m ./e2e/...
 
 experiment: build
 	$(BIN)/wardspool-load experiment --out out
