slots.dispatch: what is promised now is released as well; come-back bounded

Change: what is promised is released after the typical time, in waves; what refused callers are told is at most 30 s and its jitter.

--- a/plugins/slots/dispatch/bed_test.go
+++ b/plugins/slots/dispatch/bed_test.go
@@ -29,10 +29,12 @@
 	policy  *Policy
 	view    *kernel.View
 	answers map[ident.AttemptID][]answer
-	frozen  bool
-	dead    bool
-	inbox   []delivery
-	seq     uint64
+	// comeBack is what refused reservations were told.
+	comeBack map[ident.AttemptID]time.Duration
+	frozen   bool
+	dead     bool
+	inbox    []delivery
+	seq      uint64
 }
 
 // delivery is a message on its way.
@@ -94,7 +96,7 @@
 		b.content.Upstreams = append(b.content.Upstreams, u)
 	}
 	for i := range instances {
-		n := &node{bed: b, answers: map[ident.AttemptID][]answer{}}
+		n := &node{bed: b, answers: map[ident.AttemptID][]answer{}, comeBack: map[ident.AttemptID]time.Duration{}}
 		n.self = kernel.Self{Instance: ident.InstanceID(fmt.Sprintf("e%d", i+1)), Incarnation: 1, Zone: "z"}
 		b.nodes = append(b.nodes, n)
 	}
@@ -160,8 +162,9 @@
 
 func (n *node) SlotGranted(id ident.AttemptID)             { n.note(id, answer{what: "granted"}) }
 func (n *node) SlotDenied(id ident.AttemptID, _ time.Time) { n.note(id, answer{what: "denied"}) }
-func (n *node) PlacementRefused(id ident.AttemptID, _ time.Duration) {
+func (n *node) PlacementRefused(id ident.AttemptID, comeBack time.Duration) {
 	n.note(id, answer{what: "refused"})
+	n.comeBack[id] = comeBack
 }
 func (n *node) PlacementGranted(id ident.AttemptID, p kernel.Placement) {
 	n.note(id, answer{what: "placed", prefill: p.Prefill, decode: p.Decode})
--- a/plugins/slots/dispatch/dispatch_test.go
+++ b/plugins/slots/dispatch/dispatch_test.go
@@ -221,3 +221,25 @@
 	b.run(100 * time.Millisecond)
 	assert.Equal(t, h.last(id).what, "placed", "an old one is not")
 }
+
+func TestBurstOnIdleEnginesWaitsItsTurn(t *testing.T) {
+	b := settled(1, 2, 2, 200)
+	h := b.holderNode()
+	var ids []ident.AttemptID
+	for range 12 {
+		ids = append(ids, h.place(time.Minute))
+	}
+	b.run(50 * time.Millisecond)
+	for _, id := range ids {
+		assert.Assert(t, h.last(id).what != "refused", "three waves of slots fit into the target")
+	}
+}
+
+func TestComeBackIsBounded(t *testing.T) {
+	b := settled(1, 2, 2, 2)
+	h := b.holderNode()
+	id := h.place(time.Second)
+	b.run(50 * time.Millisecond)
+	assert.Equal(t, h.last(id).what, "refused", "no engine has memory for it at any time")
+	assert.Assert(t, h.comeBack[id] <= 2*maxComeBack, "%v", h.comeBack[id])
+}
--- a/plugins/slots/dispatch/pass.go
+++ b/plugins/slots/dispatch/pass.go
@@ -18,8 +18,10 @@
 	// kvWaitPercent is the part of a KV cache's usable time for which a slot
 	// may be late by plan.
 	kvWaitPercent = 10
-	// minComeBack bounds what refused callers are told.
+	// minComeBack and maxComeBack bound what refused callers are told, the
+	// jitter aside.
 	minComeBack = 300 * time.Millisecond
+	maxComeBack = 30 * time.Second
 	// crossZone is the cost of a transfer between availability zones.
 	crossZone = 5 * time.Millisecond
 )
@@ -169,7 +171,7 @@
 // should come back when, by the present plan, it would be served in time.
 func (g *group) refuse(w *waiting, first time.Time) {
 	g.dequeue(w.entry.Request.ID)
-	late := max(first.Sub(w.entry.Request.FirstOutputBy), minComeBack)
+	late := min(max(first.Sub(w.entry.Request.FirstOutputBy), minComeBack), maxComeBack)
 	jitter := time.Duration(g.p.host.Rand().Int64N(int64(late) + 1))
 	g.send(w.holder, &Deny{
 		Reservation: w.ask.Reservation,
--- a/plugins/slots/dispatch/supply.go
+++ b/plugins/slots/dispatch/supply.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/plugins/slots/slotkit"
 )
 
 // slotSupply predicts when decode slots and KV memory will be there for the
@@ -18,6 +20,10 @@
 	// expected to be given back, the earliest first.
 	engines  []decodeState
 	releases []release
+	// total is the number of slots of all engines, and typical how long one is
+	// used: what is only promised now is released as well.
+	total   int
+	typical time.Duration
 }
 
 // release is an expected end of a slot's use.
@@ -34,9 +40,10 @@
 // prefills under way, and what is expected to be released.
 func (g *group) supply(free []decodeState) *slotSupply {
 	s := &g.supplyScratch
-	*s = slotSupply{now: g.now(), engines: free, releases: s.releases[:0]}
+	*s = slotSupply{now: g.now(), engines: free, releases: s.releases[:0], typical: g.hold.remaining(0)}
 	for i := range free {
 		s.slots += max(free[i].slots, 0)
+		s.total += slotkit.Slots(free[i].u)
 	}
 	s.slots -= g.takeOverMargin()
 	for _, gr := range g.grants {
@@ -84,12 +91,23 @@
 	case missing <= 0:
 		return s.now
 	case missing > len(s.releases):
-		return s.now.Add(never)
+		return s.wave(missing-len(s.releases), s.total)
 	default:
 		return s.releases[missing-1].at
 	}
 }
 
+// wave is when so many units beyond all known releases are expected, of which an
+// engine or all engines have the given total: what is promised now is released
+// after the typical time, then used and released again.
+func (s *slotSupply) wave(beyond, total int) time.Time {
+	if total <= 0 {
+		return s.now.Add(never)
+	}
+	waves := 1 + (beyond-1)/total
+	return s.now.Add(time.Duration(waves) * s.typical)
+}
+
 // memory is the engine that is expected to have so much memory first, among
 // equals the one that keeps most, and when.
 func (s *slotSupply) memory(pieces int) (*decodeState, time.Time) {
@@ -100,7 +118,7 @@
 		left := d.pieces - d.planned - pieces
 		at := s.now
 		if left < 0 && memoryKnown(d) {
-			at = s.releasedAt(d.u.ID, -left)
+			at = s.releasedAt(d.u, -left, pieces)
 		}
 		if best == nil || at.Before(bestAt) || (at.Equal(bestAt) && left > bestLeft) {
 			best, bestAt, bestLeft = d, at, left
@@ -109,18 +127,22 @@
 	return best, bestAt
 }
 
-// releasedAt is when an engine is expected to have released so many pieces.
-func (s *slotSupply) releasedAt(id ident.UpstreamID, pieces int) time.Time {
+// releasedAt is when an engine is expected to have released the pieces that are
+// missing for a request of the given size.
+func (s *slotSupply) releasedAt(u *kernel.Upstream, missing, size int) time.Time {
 	for _, r := range s.releases {
-		if r.decode != id {
+		if r.decode != u.ID {
 			continue
 		}
-		pieces -= r.pieces
-		if pieces <= 0 {
+		missing -= r.pieces
+		if missing <= 0 {
 			return r.at
 		}
 	}
-	return s.now.Add(never)
+	if size > slotkit.Pieces(u) {
+		return s.now.Add(never)
+	}
+	return s.wave(missing, slotkit.Pieces(u))
 }
 
 // engine finds a decode engine by ID, nil if it is not usable now.
