--- a/e2e/entry_restart_test.go
+++ b/e2e/entry_restart_test.go
@@ -17,7 +17,7 @@
 // also while its agent tells it bit by bit what it knows of the fleet.
 func TestRestartedEntryKeepsItsFirstRequests(t *testing.T) {
 	b := newBed(t)
-	for _, in := range b.Instances {
+	for _, in := range b.Instances[:2] {
 		assert.NilError(t, in.Entry.Kill())
 		assert.NilError(t, b.StartEntry(in))
 		var sent []*pending
