Kernel: an incarnation that becomes known is no new life

Shown first failing: TestIncarnationBecomesKnown (with incarnations compared plainly). Ruled out: holding work back until incarnations are known (a zone without load reports would never serve).

--- a/kernel/call.go
+++ b/kernel/call.go
@@ -147,7 +147,7 @@
 	delete(k.attempts, a.id)
 	k.dirty = true
 	u := k.fleet.upstream(a.upstream)
-	if u == nil || u.Incarnation != a.incarnation {
+	if u == nil || !sameLife(u.Incarnation, a.incarnation) {
 		return
 	}
 	u.Own.Requests--
@@ -159,7 +159,7 @@
 // still held.
 func (k *Kernel) computed(a *attempt) {
 	u := k.fleet.upstream(a.upstream)
-	if u != nil && u.Incarnation == a.incarnation {
+	if u != nil && sameLife(u.Incarnation, a.incarnation) {
 		u.Own.Tokens -= a.tokens
 	}
 	a.tokens = 0
--- a/kernel/failure.go
+++ b/kernel/failure.go
@@ -60,7 +60,7 @@
 // noteFailure records what the failure says of the upstream.
 func (k *Kernel) noteFailure(a *attempt, e AttemptFailed) {
 	u := k.fleet.upstream(a.upstream)
-	if u == nil || u.Incarnation != a.incarnation {
+	if u == nil || !sameLife(u.Incarnation, a.incarnation) {
 		return
 	}
 	if upstreamFault(e.Code) {
--- a/kernel/fleet.go
+++ b/kernel/fleet.go
@@ -74,7 +74,7 @@
 		u.Incarnation = prev.Incarnation
 		u.Life = prev.Life
 	}
-	if u.Incarnation != prev.Incarnation {
+	if !sameLife(u.Incarnation, prev.Incarnation) {
 		return
 	}
 	u.Own = prev.Own
@@ -180,9 +180,13 @@
 	if u == nil {
 		return false
 	}
-	return u.Life == Dead || u.Incarnation != inc
+	return u.Life == Dead || !sameLife(u.Incarnation, inc)
 }
 
+// sameLife reports whether two incarnations may be the same life of a process: 0
+// is that of an upstream that no agent has read yet, which says nothing.
+func sameLife(a, b ident.Incarnation) bool { return a == b || a == 0 || b == 0 }
+
 func (k *Kernel) loadSeen(e LoadSeen) {
 	u := k.fleet.upstream(e.Upstream)
 	if u == nil || e.Load.At.Before(u.Load.At) {
--- a/kernel/health.go
+++ b/kernel/health.go
@@ -35,7 +35,7 @@
 		return
 	}
 	u := k.fleet.upstream(a.upstream)
-	if u == nil || u.Incarnation != a.incarnation || u.Health.LastSuccess.After(a.sentAt) {
+	if u == nil || !sameLife(u.Incarnation, a.incarnation) || u.Health.LastSuccess.After(a.sentAt) {
 		return
 	}
 	k.failed(u)
--- a/kernel/session_test.go
+++ b/kernel/session_test.go
@@ -214,3 +214,34 @@
 	slow.step(kernel.Arrive{Request: slow.confirm("next")})
 	assert.Assert(t, !slow.service.IsZero(), "a service that answers others was ejected")
 }
+
+// TestIncarnationBecomesKnown checks that work sent before an upstream's
+// incarnation was known goes on when it becomes known.
+func TestIncarnationBecomesKnown(t *testing.T) {
+	s := newSession(t)
+	unknown := testView(s.content, s.now)
+	unknown.Version = 2
+	for i := range unknown.Upstreams {
+		unknown.Upstreams[i].ID += "-new"
+		unknown.Upstreams[i].Incarnation = 0
+	}
+	c := testContent()
+	for i := range c.Upstreams {
+		c.Upstreams[i].ID += "-new"
+	}
+	s.step(kernel.ViewChanged{View: unknown})
+	s.step(kernel.Configured{Version: 2, Content: c})
+	s.step(kernel.Arrive{Request: s.confirm("c1")})
+	known := *unknown
+	known.Version = 3
+	known.Upstreams = append([]kernel.Upstream(nil), unknown.Upstreams...)
+	for i := range known.Upstreams {
+		known.Upstreams[i].Incarnation = 77
+	}
+	for _, a := range s.step(kernel.ViewChanged{View: &known}) {
+		_, abandoned := a.(kernel.AbandonAttempt)
+		assert.Assert(t, !abandoned, "the call was given up:\n%s", s.transcript())
+	}
+	s.step(kernel.AttemptDone{Attempt: s.service})
+	assert.Equal(t, s.k.InFlight(), 0)
+}
