--- a/plugins/slots/dispatch/pass.go
+++ b/plugins/slots/dispatch/pass.go
@@ -224,13 +224,28 @@
 
 // pickPrefill chooses the engine that would be done with the ask first, and
 // returns the time it needs for it.
+// Engines that failed the request are left out; where all did, the one that
+// failed last.
 func (g *group) pickPrefill(w *waiting, engines []prefillState) (*prefillState, time.Duration) {
+	avoid := w.ask.Avoid
+	best, work := g.soonest(w, engines, avoid)
+	if best == nil && len(avoid) > 0 {
+		best, work = g.soonest(w, engines, avoid[len(avoid)-1:])
+	}
+	if best == nil {
+		best, work = g.soonest(w, engines, nil)
+	}
+	return best, work
+}
+
+// soonest is pickPrefill among the engines that are not to be avoided.
+func (g *group) soonest(w *waiting, engines []prefillState, avoid []ident.UpstreamID) (*prefillState, time.Duration) {
 	var best *prefillState
 	var bestWork time.Duration
 	var bestEnd time.Time
 	for i := range engines {
 		e := &engines[i]
-		if slices.Contains(w.ask.Avoid, e.u.ID) && len(engines) > len(w.ask.Avoid) {
+		if slices.Contains(avoid, e.u.ID) {
 			continue
 		}
 		work := kernel.PrefillTime(e.u, g.uncached(w, e.u))
