--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -24,7 +24,7 @@
 
 // benchAgent returns an agent that has lists and reports of the given sizes, in
 // six zones. Its loop does not run.
-func benchAgent(b *testing.B, instances, upstreams int) *Agent {
+func benchAgent(b testing.TB, instances, upstreams int) *Agent {
 	text := fmt.Sprintf(`
 instance: i-000
 zone: zone-0
@@ -57,10 +57,11 @@
 	doc, err = json.Marshal(u)
 	assert.NilError(b, err)
 	assert.Assert(b, a.takeUpstreams(a.now, 1, doc))
-	for i := 0; i < upstreams; i++ {
+	for i := range upstreams {
 		a.machine.UpstreamReport(a.now, a.now, ident.UpstreamID(fmt.Sprintf("runner-%03d", i)),
 			membership.Report{Incarnation: 1796223493000, Sequence: 1, Running: 12, Slots: 20, PiecesUsed: 100})
 	}
+	a.book.lists.instances.index, a.book.lists.upstreams.index = 1, 1
 	a.feed.reply.Incarnation = 1796223493000
 	return a
 }
--- a/agent/views_test.go
+++ b/agent/views_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/wardspool/wardspool/bundle/ledger"
 	"github.com/wardspool/wardspool/config"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/kernel"
@@ -39,6 +40,16 @@
 	assert.Assert(t, !a.kernelView().Trusted)
 }
 
+// TestAnsweredPeersStayOnTheRoster: what a peer had in force is part of a starting
+// instance's floor, also when the peer is gone before the instance is ready.
+func TestAnsweredPeersStayOnTheRoster(t *testing.T) {
+	a := benchAgent(t, 3, 0)
+	gone := ledger.FloorReport{From: peerSource("i-009"), Ready: true}
+	a.reportRoll(gone, nil)
+	got := a.keepAnswered([]ledger.Source{fromPlatform})
+	assert.DeepEqual(t, got, []ledger.Source{fromPlatform, gone.From})
+}
+
 // TestUnlistedUpstream: what the platform lists no more gets no new work, and
 // gets it again when it is listed again.
 func TestUnlistedUpstream(t *testing.T) {
