e2e: a stalled transfer must not cost a request that may be repeated

TestStalledTransfersOfOneEngine asks now that repeatable requests are answered whole by the other prefill engine; before, an honest 'unknown' was enough.

A transfer that stalls is held against the decode engine alone (noteFailure appends a.upstream to avoid), so that the request goes back to the prefill engine whose link stalls: decode-1, then decode-2, and with both avoided pickDecode names none at all, so that two more prefills run and expire ('no_decode_slot', 3.2 s each) before 'attempts_exhausted'. Wanted: a stall before the first token speaks against the prefill engine as well (c.plan.prefill or c.kv.Engine), and pickDecode, like pickPrefill, must not leave all engines out.

--- a/e2e/transfer_test.go
+++ b/e2e/transfer_test.go
@@ -10,28 +10,32 @@
 )
 
 // TestStalledTransfersOfOneEngine stalls all KV transfers of one prefill engine:
-// requests get their whole answers by the other one, and nothing stays held.
+// repeatable requests get their whole answers by the other one, the others end
+// as unknown, since the decode engine had them, and nothing stays held.
 func TestStalledTransfersOfOneEngine(t *testing.T) {
 	b := newBed(t)
 	b.engineFaults(control.EngineFaults{StallTransfers: true}, prefillA)
 	// All have to begin at the engine that stalls.
 	b.engineFaults(control.EngineFaults{Refuse: true}, prefillB)
-	var sent []*pending
+	var reviews, triages []*pending
 	for _, in := range b.Instances {
-		sent = append(sent, b.complete(review(in, 1000, 50)), b.complete(triage(in, 1000, 50)))
+		reviews = append(reviews, b.complete(review(in, 1000, 50)))
+		triages = append(triages, b.complete(triage(in, 1000, 50)))
 	}
-	b.held(1)
+	b.inStage("receiving", 1, decodeA, decodeB)
 	b.engineFaults(control.EngineFaults{}, prefillB)
-	for _, p := range sent {
+	for _, p := range triages {
 		r := b.done(p)
-		// The decode engine had the request, and did not attest that it did not
-		// begin: a request that is not repeatable ends there.
-		assert.Assert(t, r.Complete() || r.Outcome == api.Unknown, "%s: %s", p.id, describe(r))
+		assert.Check(t, r.Complete() || r.Outcome == api.Unknown, "%s: %s", p.id, describe(r))
+	}
+	for _, p := range reviews {
+		r := b.done(p)
+		assert.Check(t, r.Complete(), "%s: %s", p.id, describe(r))
 	}
 	b.nothingHeld()
 	ran := b.ran()
-	for _, p := range sent {
-		assert.Assert(t, ran.Request(p.id).Completed <= 1, p.id)
+	for _, p := range append(reviews, triages...) {
+		assert.Check(t, ran.Request(p.id).Completed <= 1, p.id)
 	}
 }
 
