--- a/e2e/judge_test.go
+++ b/e2e/judge_test.go
@@ -64,15 +64,6 @@
 	})
 }
 
-// held waits until the engines hold at least some attempts.
-func (b *bed) held(attempts int) {
-	b.t.Helper()
-	b.eventually("the start of attempts", func() (bool, string) {
-		held := b.reports().Held()
-		return held.Attempts >= attempts, fmt.Sprintf("%+v", held)
-	})
-}
-
 // running waits until the services run at least some calls.
 func (b *bed) running(calls int) {
 	b.t.Helper()
