A stalled KV transfer speaks against both of its ends; no decode engine is left out for ever

Ruled out: holding the stall against the prefill engine alone, since the receiver may be the one that stands still, and nobody between them can tell; counting it against the prefill engine's health as well: a frozen decode engine would then eject every prefill engine that feeds it.

Change: the kernel notes both ends as engines that failed this request; slots.dispatch forgets the oldest failures as far as no engine of a kind would remain otherwise, by one function for prefill and decode engines.

Before: 3 of 4 cases of TestEnginesThatFailedARequest fail, the new session 'stalled_transfer_leaves_out_both_engines' chooses among both prefill engines. After: all pass. No golden file of another session changed.

--- a/kernel/failure.go
+++ b/kernel/failure.go
@@ -69,9 +69,15 @@
 	if a.stage == stageDecode && e.Code == FailureCapacity && a.call.slot.policy != nil {
 		a.call.slot.policy.Refused(u.ID)
 	}
-	if e.Code != FailureKVGone {
-		a.call.avoid = append(a.call.avoid, a.upstream)
+	if e.Code == FailureKVGone {
+		return
+	}
+	c := a.call
+	if e.Code == FailureStalled && a.stage == stageDecode && c.prefill != nil {
+		// The KV transfer stalled; nobody can tell at which of its two ends.
+		c.avoid = append(c.avoid, c.prefill.upstream)
 	}
+	c.avoid = append(c.avoid, a.upstream)
 }
 
 // tryReattach reads on in the same decode when only the connection broke.
--- a/kernel/session_test.go
+++ b/kernel/session_test.go
@@ -46,6 +46,16 @@
 		s.step(kernel.FirstOutput{Attempt: s.decode})
 		s.step(kernel.AttemptDone{Attempt: s.decode})
 	}},
+	{"stalled_transfer_leaves_out_both_engines", func(s *session) {
+		s.step(kernel.Arrive{Request: s.review("r1")})
+		s.step(kernel.PrefillDone{Attempt: s.prefill, KV: kvFrom("p1")})
+		s.after(500 * time.Millisecond)
+		s.step(kernel.AttemptFailed{Attempt: s.decode, Evidence: kernel.Ambiguous, Code: kernel.FailureStalled})
+		s.after(200 * time.Millisecond)
+		s.step(kernel.PrefillDone{Attempt: s.prefill, KV: kvFrom("p2")})
+		s.step(kernel.FirstOutput{Attempt: s.decode})
+		s.step(kernel.AttemptDone{Attempt: s.decode})
+	}},
 	{"stream_breaks_reattach_then_resume", func(s *session) {
 		s.step(kernel.Arrive{Request: s.review("r1")})
 		s.step(kernel.PrefillDone{Attempt: s.prefill, KV: kvFrom("p1")})
--- a/plugins/slots/dispatch/bed_test.go
+++ b/plugins/slots/dispatch/bed_test.go
@@ -274,14 +274,16 @@
 	}
 }
 
-// place asks for a placement due in the given time.
-func (n *node) place(due time.Duration) ident.AttemptID {
+// place asks for a placement due in the given time, on engines that did not
+// fail the request before.
+func (n *node) place(due time.Duration, avoid ...ident.UpstreamID) ident.AttemptID {
 	n.seq++
 	id := ident.AttemptID{Instance: n.self.Instance, Incarnation: n.self.Incarnation, Sequence: n.seq,
 		Deadline: n.bed.now.Add(20 * time.Second)}
 	n.policy.Place(kernel.PlacementAsk{
 		Reservation: id,
 		Pieces:      4,
+		Avoid:       avoid,
 		Request: &kernel.Request{ID: ident.RequestID(id.String()), Model: testModel, Workspace: "w",
 			PromptTokens: 4000, MaxOutputTokens: 100, FirstOutputBy: n.bed.now.Add(due), Deadline: id.Deadline},
 	})
--- a/plugins/slots/dispatch/pass.go
+++ b/plugins/slots/dispatch/pass.go
@@ -78,11 +78,12 @@
 	if p := g.p.host.Upstream(gr.prefill); p != nil {
 		zone = p.Zone
 	}
+	avoid := leftOut(gr.ask.Avoid, free, func(d *decodeState) ident.UpstreamID { return d.u.ID })
 	var best *decodeState
 	bestCost := 0.0
 	for i := range free {
 		d := &free[i]
-		if d.slots < 1 || !roomFor(d, gr.ask.Pieces) || slices.Contains(gr.ask.Avoid, d.u.ID) {
+		if d.slots < 1 || !roomFor(d, gr.ask.Pieces) || slices.Contains(avoid, d.u.ID) {
 			continue
 		}
 		cost := kernel.DecodePace(d.u, d.held+1).Seconds()
@@ -224,18 +225,10 @@
 
 // pickPrefill chooses the engine that would be done with the ask first, and
 // returns the time it needs for it.
-// Engines that failed the request are left out; where all did, the one that
-// failed last.
+// Engines that failed the request are left out as far as others remain.
 func (g *group) pickPrefill(w *waiting, engines []prefillState) (*prefillState, time.Duration) {
-	avoid := w.ask.Avoid
-	best, work := g.soonest(w, engines, avoid)
-	if best == nil && len(avoid) > 0 {
-		best, work = g.soonest(w, engines, avoid[len(avoid)-1:])
-	}
-	if best == nil {
-		best, work = g.soonest(w, engines, nil)
-	}
-	return best, work
+	avoid := leftOut(w.ask.Avoid, engines, func(e *prefillState) ident.UpstreamID { return e.u.ID })
+	return g.soonest(w, engines, avoid)
 }
 
 // soonest is pickPrefill among the engines that are not to be avoided.
