--- a/agent/fleet_test.go
+++ b/agent/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/ed25519"
 	"encoding/json"
 	"fmt"
 	"log/slog"
@@ -18,9 +17,7 @@
 	"github.com/wardspool/wardspool/agent/wire"
 	"github.com/wardspool/wardspool/bundle"
 	"github.com/wardspool/wardspool/config"
-	"github.com/wardspool/wardspool/feed"
 	"github.com/wardspool/wardspool/ident"
-	"github.com/wardspool/wardspool/peer"
 	"github.com/wardspool/wardspool/platform"
 	"github.com/wardspool/wardspool/settings"
 	"github.com/wardspool/wardspool/standin/engine"
@@ -34,46 +31,6 @@
 	platformAddr = platformHost + ":7000"
 )
 
-// testContent is the content of version 1; others differ in a workspace.
-const testContent = `
-deployment: test
-kinds:
-  - {name: review, route: model, repeatable: true, deadline: 20s, first_output: 5s, pace: 200ms, default_output_tokens: 8}
-models:
-  - {name: reader, max_context: 8000, kv_bytes_per_token: 1000, piece_tokens: 100}
-workspaces:
-  - {name: default, weight: 1}
-upstreams:
-  - {id: pf-1, role: prefill, models: [reader], version: "1", checks_fencing: true, pieces: 400, prefill_tokens_per_second: 200000, link_bytes_per_second: 1000000000}
-  - {id: dc-1, role: decode, models: [reader], version: "1", slots: 20, pieces: 2000, link_bytes_per_second: 1000000000, decode_step: 2ms, decode_step_per_request: 10us}
-policy:
-  slots: slots.none
-  order: order.deadline
-  admission: [admission.known]
-  filters: [filter.role, filter.model, filter.leaving, filter.ejected]
-  scorers: [{id: scorer.first_output, weight: 1}]
-  queue_limit: 100
-  retry_budget: 0.5
-  max_attempts: 4
-  retry_backoff: 10ms
-  view_stale: 2s
-  kv_lifetime: 900ms
-  transfer_stall: 1s
-`
-
-// approver is the one whose signature the fleet trusts.
-var approver = func() ed25519.PrivateKey {
-	seed := bundle.DigestOf([]byte("test approver"))
-	return ed25519.NewKeyFromSeed(seed[:])
-}()
-
-// approvers is the trusted set.
-func approvers() bundle.Approvers {
-	var key bundle.PublicKey
-	copy(key[:], approver.Public().(ed25519.PublicKey))
-	return bundle.Approvers{Epoch: 1, Quorum: 1, Keys: []bundle.Approver{{Name: "ada", Key: key}}}
-}
-
 // fleet is agents with stand-ins for all around them, in a synctest bubble.
 type fleet struct {
 	t        *testing.T
@@ -187,52 +144,6 @@
 	f.platform.Put(key, b)
 }
 
-// content returns the content of a version.
-func (f *fleet) content(version int) *config.Content {
-	c, findings := bundle.ParseSource("test.yaml", []byte(testContent))
-	assert.NilError(f.t, findings.Err())
-	c.Workspaces = append(c.Workspaces, config.Workspace{Name: ident.Workspace(fmt.Sprintf("v-%d", version)), Weight: 1})
-	return c
-}
-
-// build makes and signs the next bundle.
-func (f *fleet) build(change func(*config.Content)) (*bundle.Head, *bundle.PartSet) {
-	version := 1
-	if f.head != nil {
-		version = int(f.head.Manifest.Version) + 1
-	}
-	c := f.content(version)
-	if change != nil {
-		change(c)
-	}
-	h, parts, err := bundle.Build(bundle.Draft{Previous: f.head, Content: c, Approvers: approvers()})
-	assert.NilError(f.t, err)
-	h.AddSignature(bundle.Sign(approver, &h.Manifest))
-	return h, parts
-}
-
-// publish builds the next bundle, publishes it and rolls it to all.
-func (f *fleet) publish(change func(*config.Content)) *bundle.SignedRoll {
-	h, parts := f.build(change)
-	for _, d := range parts.Digests() {
-		b, _ := parts.Part(d)
-		f.platform.Put(platform.KeyBundleParts+d.String(), b)
-	}
-	f.platform.Put(platform.KeyBundleHead, h.Encode())
-	f.sequence++
-	r := &bundle.SignedRoll{
-		Roll:   bundle.Roll{Format: bundle.Format, Sequence: f.sequence, Target: h.Ref(), Stage: bundle.StageAll},
-		Target: *h, Base: f.head,
-	}
-	if f.head != nil {
-		r.Roll.Base = f.head.Ref()
-	}
-	r.AddSignature(bundle.SignRoll(approver, &r.Roll))
-	f.platform.Put(platform.KeyRoll, r.Encode())
-	f.head = h
-	return r
-}
-
 // add lists an instance; start starts it.
 func (f *fleet) add(id ident.InstanceID, zone ident.Zone) *node {
 	n := &node{fleet: f, id: id, zone: zone, host: fmt.Sprintf("10.0.2.%d", len(f.listed)+1), stop: func() {}}
@@ -347,115 +258,3 @@
 		return true
 	}
 }
-
-// fakeEntry stands in for an entry's feed and peers' listeners.
-type fakeEntry struct {
-	mu      sync.Mutex
-	reply   feed.Reply
-	last    feed.Update
-	view    *feed.View
-	updates int
-	pauses  []int64
-	stop    func()
-}
-
-// startEntry starts a stand-in entry.
-func (n *node) startEntry() {
-	e := &fakeEntry{reply: feed.Reply{Incarnation: ident.NewIncarnation(time.Now())}}
-	cfg := peer.Config{
-		Self:  peer.Identity{Instance: n.id, Incarnation: e.reply.Incarnation, Zone: n.zone},
-		Allow: func(peer.Identity) bool { return true },
-	}
-	var stops []func()
-	for _, addr := range []string{n.host + ":9200", n.host + ":9100"} {
-		l, err := n.fleet.net.listen(addr)
-		assert.NilError(n.fleet.t, err)
-		srv := peer.NewServer(cfg)
-		if strings.HasSuffix(addr, ":9200") {
-			peer.Handle(srv, feed.MethodUpdate, func(_ context.Context, _ peer.Identity, u feed.Update) (feed.Reply, error) {
-				return e.update(u), nil
-			})
-		}
-		done := make(chan error, 1)
-		go func() { done <- srv.Serve(l) }()
-		stops = append(stops, func() {
-			_ = srv.Shutdown(context.Background())
-			<-done
-		})
-	}
-	e.stop = sync.OnceFunc(func() {
-		for _, stop := range stops {
-			stop()
-		}
-	})
-	n.entry = e
-}
-
-// update takes an agent's update.
-func (e *fakeEntry) update(u feed.Update) feed.Reply {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.updates++
-	e.last = u
-	if u.View != nil {
-		e.view = u.View
-	}
-	if u.Bundle != nil {
-		e.reply.BundleVersion = max(e.reply.BundleVersion, u.Bundle.Version)
-	}
-	if u.PauseMS > 0 {
-		e.pauses = append(e.pauses, u.PauseMS)
-	}
-	r := e.reply
-	e.reply.Evidence = nil
-	return r
-}
-
-// set changes the reply.
-func (e *fakeEntry) set(change func(*feed.Reply)) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	change(&e.reply)
-}
-
-// version returns the bundle version that the entry was given.
-func (e *fakeEntry) version() uint64 {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.reply.BundleVersion
-}
-
-// seen returns the last view and update.
-func (e *fakeEntry) seen() (*feed.View, feed.Update) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.view, e.last
-}
-
-// upstream returns an upstream of the last view, nil if there is none.
-func (e *fakeEntry) upstream(id ident.UpstreamID) *feed.Upstream {
-	v, _ := e.seen()
-	if v == nil {
-		return nil
-	}
-	for i := range v.Upstreams {
-		if v.Upstreams[i].ID == id {
-			return &v.Upstreams[i]
-		}
-	}
-	return nil
-}
-
-// instance returns an instance of the last view, nil if there is none.
-func (e *fakeEntry) instance(id ident.InstanceID) *feed.Instance {
-	v, _ := e.seen()
-	if v == nil {
-		return nil
-	}
-	for i := range v.Instances {
-		if v.Instances[i].ID == id {
-			return &v.Instances[i]
-		}
-	}
-	return nil
-}
--- /dev/null
+++ b/entry/driver/rig_test.go
@@ -0,0 +1,221 @@
+package driver
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wardspool/wardspool/adapter"
+	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/plugin"
+)
+
+// script is a Decider whose decisions a test writes.
+type script struct {
+	mu sync.Mutex
+	// events lists all events but ticks.
+	events []kernel.Event
+	decide func(ev kernel.Event) []kernel.Action
+	open   int
+}
+
+func (s *script) Step(_ time.Time, ev kernel.Event) []kernel.Action {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events = append(s.events, ev)
+	actions := s.decide(ev)
+	if _, ok := ev.(kernel.Arrive); ok {
+		s.open++
+	}
+	for _, a := range actions {
+		if _, ok := a.(kernel.Answer); ok {
+			s.open--
+		}
+	}
+	return actions
+}
+
+func (s *script) NextWake() (time.Time, bool) { return time.Time{}, false }
+func (s *script) InFlight() int               { return s.open }
+func (s *script) Unreleased() int             { return 0 }
+func (s *script) Version() uint64             { return 7 }
+
+// seen returns the events of a type.
+func seen[E kernel.Event](s *script) []E {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []E
+	for _, ev := range s.events {
+		if e, ok := ev.(E); ok {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// fakeEngine is an engine whose decodes a test writes.
+type fakeEngine struct {
+	// prefill is optional.
+	prefill func(ctx context.Context) (adapter.Prefilled, error)
+	decode  func(ctx context.Context, c *adapter.DecodeCall, s adapter.Sink) (adapter.Decoded, error)
+
+	mu      sync.Mutex
+	cancels []ident.AttemptID
+}
+
+func (*fakeEngine) PluginInfo() plugin.Info { return plugin.Info{} }
+
+func (e *fakeEngine) Prefill(ctx context.Context, _ *adapter.PrefillCall) (adapter.Prefilled, error) {
+	if e.prefill != nil {
+		return e.prefill(ctx)
+	}
+	return adapter.Prefilled{}, nil
+}
+
+func (e *fakeEngine) Decode(ctx context.Context, c *adapter.DecodeCall, s adapter.Sink) (adapter.Decoded, error) {
+	return e.decode(ctx, c, s)
+}
+
+func (e *fakeEngine) Reattach(ctx context.Context, c *adapter.ReattachCall, s adapter.Sink) (adapter.Decoded, error) {
+	return e.decode(ctx, &adapter.DecodeCall{Target: c.Target, ContinueFrom: c.Offset}, s)
+}
+
+func (e *fakeEngine) Cancel(_ context.Context, t *adapter.Target) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cancels = append(e.cancels, t.Attempt)
+	return nil
+}
+
+// fakeObserver counts.
+type fakeObserver struct {
+	mu      sync.Mutex
+	late    int
+	ended   []Summary
+	records []kernel.Record
+}
+
+func (o *fakeObserver) Decided(r kernel.Record) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.records = append(o.records, r)
+}
+
+func (o *fakeObserver) Ended(s Summary) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ended = append(o.ended, s)
+}
+
+func (o *fakeObserver) Late() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.late++
+}
+
+func (*fakeObserver) Contact(ident.UpstreamID, *adapter.CallError)   {}
+func (*fakeObserver) Observed(ident.UpstreamID, adapter.Observation) {}
+func (*fakeObserver) Undelivered(ident.InstanceID, error)            {}
+
+// collect is an Output that keeps tokens.
+type collect struct {
+	mu   sync.Mutex
+	text string
+	err  error
+}
+
+func (c *collect) Token(t adapter.Chunk) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.text += t.Text
+	return c.err
+}
+
+// rig is a driver with all that is around it.
+type rig struct {
+	driver   *Driver
+	kernel   *script
+	engine   *fakeEngine
+	observer *fakeObserver
+	out      *collect
+	stop     context.CancelFunc
+}
+
+// attemptID numbers attempts.
+func attemptID(n uint64) ident.AttemptID {
+	return ident.AttemptID{Instance: "e-1", Incarnation: 1, Sequence: n}
+}
+
+// inRig runs a test in a bubble with fake time. decide is the kernel.
+func inRig(t *testing.T, decide func(ev kernel.Event) []kernel.Action, test func(t *testing.T, r *rig)) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &rig{
+			kernel:   &script{decide: decide},
+			engine:   &fakeEngine{},
+			observer: &fakeObserver{},
+			out:      &collect{},
+		}
+		r.driver = New(Options{
+			Kernel: r.kernel, Engine: r.engine, Observer: r.observer,
+			Log: slog.New(slog.DiscardHandler),
+		})
+		ctx, stop := context.WithCancel(t.Context())
+		r.stop = stop
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			r.driver.Run(ctx)
+		}()
+		r.driver.Post(kernel.ViewChanged{View: &kernel.View{Upstreams: []kernel.Upstream{{ID: "dc-1"}, {ID: "dc-2"}}}})
+		test(t, r)
+		stop()
+		<-done
+	})
+}
+
+// submit submits a request and returns its result.
+func (r *rig) submit(ctx context.Context) Result {
+	return r.driver.Submit(ctx, &Exchange{
+		Request: &kernel.Request{ID: "r-1", Route: config.RouteModel, PromptTokens: 10, Deadline: time.Now().Add(time.Minute)},
+		Model:   &adapter.ModelRequest{Endpoint: adapter.Completions},
+		Output:  r.out,
+	})
+}
+
+// decodeOnce is a kernel that starts one decode and answers as it ends.
+func decodeOnce(ev kernel.Event) []kernel.Action {
+	switch ev.(type) {
+	case kernel.Arrive:
+		return []kernel.Action{kernel.StartDecode{Attempt: attemptID(1), Request: "r-1", Upstream: "dc-1"}}
+	case kernel.AttemptDone:
+		return []kernel.Action{kernel.Answer{Request: "r-1", Outcome: api.Complete}}
+	case kernel.AttemptFailed, kernel.CallerGone:
+		return []kernel.Action{
+			kernel.CancelAttempt{Attempt: attemptID(1), Upstream: "dc-1"},
+			kernel.Answer{Request: "r-1", Outcome: api.Unknown, Problem: api.NewProblem(api.ProblemUpstreamFailed, api.Unknown, "")},
+		}
+	default:
+		return nil
+	}
+}
+
+// token is the token at an offset of the answer "abc...".
+func token(offset int) adapter.Chunk {
+	return adapter.Chunk{Offset: offset, Text: string(rune('a' + offset))}
+}
+
+// play sends the tokens at the given offsets.
+func play(s adapter.Sink, offsets ...int) error {
+	for _, o := range offsets {
+		if err := s.Token(token(o)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/kernel/interleavingfaults_test.go
@@ -0,0 +1,135 @@
+package kernel_test
+
+import (
+	"fmt"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+// cancel delivers or loses one cancel.
+func (w *fakeWorld) cancel(t *rapid.T) {
+	f, ok := take(t, &w.cancels, "cancel")
+	if !ok {
+		return
+	}
+	switch rapid.SampledFrom([]string{"acked", "acked", "unheard", "lost"}).Draw(t, "cancel end") {
+	case "acked":
+		w.released(f.id)
+		w.step(kernel.CancelAcked{Attempt: f.id})
+	case "unheard":
+		w.released(f.id)
+		w.step(kernel.CancelFailed{Attempt: f.id})
+	case "lost":
+		w.step(kernel.CancelFailed{Attempt: f.id})
+	}
+}
+
+// released plays an upstream that takes a cancel, be it before the attempt.
+func (w *fakeWorld) released(id ident.AttemptID) {
+	delete(w.held, id)
+	w.cancelled[id] = true
+}
+
+func (w *fakeWorld) abandon(id ident.AttemptID) {
+	delete(w.held, id)
+	for _, list := range []*[]flight{&w.flights, &w.attaches} {
+		for i, f := range *list {
+			if f.id == id {
+				*list = append((*list)[:i:i], (*list)[i+1:]...)
+				break
+			}
+		}
+	}
+	w.step(kernel.AttemptFailed{Attempt: id, Evidence: kernel.Ambiguous, Code: kernel.FailureBroken})
+}
+
+func (w *fakeWorld) callerGone(t *rapid.T) {
+	if w.next == 0 {
+		return
+	}
+	n := rapid.IntRange(1, w.next).Draw(t, "gone")
+	w.step(kernel.CallerGone{Request: ident.RequestID(fmt.Sprintf("r%d", n))})
+}
+
+func (w *fakeWorld) upstream(id ident.UpstreamID) *kernel.Upstream {
+	for i := range w.view.Upstreams {
+		if w.view.Upstreams[i].ID == id {
+			return &w.view.Upstreams[i]
+		}
+	}
+	w.t.Fatalf("no upstream %s", id)
+	return nil
+}
+
+func (w *fakeWorld) changeView(t *rapid.T, change func(u *kernel.Upstream)) {
+	v := *w.view
+	v.Version++
+	v.Upstreams = append([]kernel.Upstream(nil), v.Upstreams...)
+	i := rapid.IntRange(0, len(v.Upstreams)-1).Draw(t, "upstream")
+	change(&v.Upstreams[i])
+	w.stale = append(w.stale, w.view)
+	w.view = &v
+	w.give(w.view)
+}
+
+// give hands the kernel a view.
+func (w *fakeWorld) give(v *kernel.View) {
+	w.given = v
+	for _, u := range v.Upstreams {
+		if u.Life == kernel.Leaving {
+			w.left[u.ID] = max(w.left[u.ID], u.Incarnation)
+		}
+	}
+	w.step(kernel.ViewChanged{View: v})
+}
+
+// staleView hands the kernel an older view than it has seen.
+func (w *fakeWorld) staleView(t *rapid.T) {
+	if len(w.stale) == 0 {
+		return
+	}
+	w.give(w.stale[rapid.IntRange(0, len(w.stale)-1).Draw(t, "stale view")])
+}
+
+// leave has an upstream announce that it is leaving.
+func (w *fakeWorld) leave(t *rapid.T) {
+	w.changeView(t, func(u *kernel.Upstream) { u.Life = max(u.Life, kernel.Leaving) })
+}
+
+// die kills an upstream, with all it holds.
+func (w *fakeWorld) die(t *rapid.T) {
+	w.changeView(t, func(u *kernel.Upstream) {
+		u.Life = kernel.Dead
+		w.forget(u.ID)
+	})
+}
+
+// restart replaces an upstream's process by a new one.
+func (w *fakeWorld) restart(t *rapid.T) {
+	w.changeView(t, func(u *kernel.Upstream) {
+		w.forget(u.ID)
+		u.Life = kernel.Live
+		u.Incarnation++
+	})
+}
+
+func (w *fakeWorld) forget(id ident.UpstreamID) {
+	for attempt, at := range w.held {
+		if at == id {
+			delete(w.held, attempt)
+		}
+	}
+	for i := range w.flights {
+		w.flights[i].dead = w.flights[i].dead || w.flights[i].upstream == id
+	}
+}
+
+func (w *fakeWorld) pause(t *rapid.T) {
+	gap := time.Duration(rapid.IntRange(1, 15).Draw(t, "gap")) * time.Second
+	w.now = w.now.Add(gap)
+	w.step(kernel.Paused{Gap: gap})
+}
