slots.dispatch: runners-up without a sorted list of all engines; decisions measured at the planned size

Cause: a profile of BenchmarkDecision before 600 engines of one model has 27% in group.others, which built and sorted a list of all 200 prefill engines to keep two, and about 5% in looking up the model by name for each engine. Ruled out: limiting a pass to a window of engines as the kernel does: the plan of the queue must count the whole capacity, or it refuses what could be served. Change: the two best are kept as the engines are gone through; the model is kept with the engines. The benchmark also runs the planned size, 600 engines of 15 models, which the aim (20 us at 600 upstreams) is about.

--- a/kernel/bench_test.go
+++ b/kernel/bench_test.go
@@ -19,10 +19,25 @@
 	_ "github.com/wardspool/wardspool/plugins/slots/dispatch"
 )
 
-// benchKernel is a kernel before n engines, a third of which prefill.
-func benchKernel(b *testing.B, n int, slots plugin.ID) *kernel.Kernel {
+// fleetSize is a number of engines, which serve so many models in equal parts.
+type fleetSize struct{ engines, models int }
+
+func (f fleetSize) String() string { return fmt.Sprintf("%d-engines-%d-models", f.engines, f.models) }
+
+// fleetSizes are the sizes that decisions are measured at: those of the brief's
+// deployments, the planned one (600 engines, 15 models), and all engines behind
+// one model as the worst case.
+var fleetSizes = []fleetSize{{9, 1}, {100, 1}, {600, 15}, {600, 1}}
+
+// benchKernel is a kernel before so many engines, a third of which prefill.
+func benchKernel(b *testing.B, size fleetSize, slots plugin.ID) *kernel.Kernel {
 	b.Helper()
 	c := testContent()
+	for i := 1; i < size.models; i++ {
+		m := c.Models[0]
+		m.Name = fmt.Sprintf("%s-%d", testModel, i)
+		c.Models = append(c.Models, m)
+	}
 	c.Policy.Slots = slots
 	c.Policy.Filters = []plugin.ID{"filter.role", "filter.model", "filter.leaving", "filter.stale", "filter.ejected"}
 	c.Policy.Scorers = []config.Scorer{
@@ -31,8 +46,9 @@
 	}
 	template := c.Upstreams[0]
 	c.Upstreams = nil
-	for i := range n {
+	for i := range size.engines {
 		u := template
+		u.Models = []string{c.Models[i/3%size.models].Name}
 		u.ID = ident.UpstreamID(fmt.Sprintf("u%d", i))
 		u.Role = config.RoleDecode
 		if i%3 == 0 {
@@ -79,9 +95,9 @@
 // decode, first output and answer.
 func BenchmarkRequest(b *testing.B) {
 	for _, slots := range []plugin.ID{"slots.none", "slots.dispatch"} {
-		for _, n := range []int{9, 100, 600} {
-			b.Run(fmt.Sprintf("%s/%d", slots, n), func(b *testing.B) {
-				k := benchKernel(b, n, slots)
+		for _, size := range fleetSizes {
+			b.Run(fmt.Sprintf("%s/%s", slots, size), func(b *testing.B) {
+				k := benchKernel(b, size, slots)
 				b.ReportAllocs()
 				for i := range b.N {
 					benchRequest(k, epoch.Add(time.Duration(i)*time.Millisecond), ident.RequestID(fmt.Sprintf("r%d", i)))
@@ -95,9 +111,9 @@
 // placement alone.
 func BenchmarkDecision(b *testing.B) {
 	for _, slots := range []plugin.ID{"slots.none", "slots.dispatch"} {
-		for _, n := range []int{9, 100, 600} {
-			b.Run(fmt.Sprintf("%s/%d", slots, n), func(b *testing.B) {
-				k := benchKernel(b, n, slots)
+		for _, size := range fleetSizes {
+			b.Run(fmt.Sprintf("%s/%s", slots, size), func(b *testing.B) {
+				k := benchKernel(b, size, slots)
 				b.ReportAllocs()
 				for i := range b.N {
 					id := ident.RequestID(fmt.Sprintf("r%d", i))
--- a/plugins/slots/dispatch/engines.go
+++ b/plugins/slots/dispatch/engines.go
@@ -40,6 +40,7 @@
 	known     bool
 	version   uint64
 	content   *config.Content
+	model     *config.Model
 	prefills  []int
 	prefillAt map[ident.UpstreamID]int
 	decodes   []int
@@ -65,6 +66,7 @@
 		known:     true,
 		version:   view.Version,
 		content:   content,
+		model:     g.p.host.Model(g.model),
 		prefillAt: map[ident.UpstreamID]int{},
 	}
 	for i := range view.Upstreams {
@@ -100,8 +102,9 @@
 	r := g.engines()
 	now := g.now()
 	list := g.prefillScratch[:0]
+	upstreams := g.p.host.View().Upstreams
 	for _, i := range r.prefills {
-		u := &g.p.host.View().Upstreams[i]
+		u := &upstreams[i]
 		list = append(list, prefillState{u: u, readyAt: now, linkAt: later(now, g.links[u.ID])})
 	}
 	for _, gr := range g.prefilling() {
@@ -139,7 +142,7 @@
 // transfer is the time to send a prompt's KV cache over the engine's link when
 // nothing else uses it.
 func (g *group) transfer(u *kernel.Upstream, prompt int) time.Duration {
-	return kernel.TransferTime(g.p.host.Model(g.model), prompt, u, u)
+	return kernel.TransferTime(g.engines().model, prompt, u, u)
 }
 
 // noteTransfer counts a transfer that now begins on its engine's link.
@@ -189,8 +192,9 @@
 func (g *group) decodes() []decodeState {
 	r := g.engines()
 	list := g.decodeScratch[:0]
+	upstreams := g.p.host.View().Upstreams
 	for n, i := range r.decodes {
-		u := &g.p.host.View().Upstreams[i]
+		u := &upstreams[i]
 		if !g.usable(u) {
 			continue
 		}
--- a/plugins/slots/dispatch/pass.go
+++ b/plugins/slots/dispatch/pass.go
@@ -208,19 +208,32 @@
 }
 
 // others lists the engines that would have been done next after the chosen one,
-// whose readyAt already includes the ask's work.
+// whose readyAt already includes the ask's work, best first.
 func (g *group) others(w *waiting, engines []prefillState, chosen *prefillState) []Other {
-	var list []Other
+	list := make([]Other, 0, maxOthers+1)
 	for i := range engines {
 		e := &engines[i]
 		if e == chosen {
 			continue
 		}
 		end := e.readyAt.Add(kernel.PrefillTime(e.u, g.uncached(w, e.u)))
-		list = append(list, Other{Prefill: e.u.ID, Cost: millis(end.Sub(g.now()))})
+		cost := millis(end.Sub(g.now()))
+		if len(list) == maxOthers && cost >= list[maxOthers-1].Cost {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(list, cost, func(o Other, c Milliseconds) int { return behindEqual(o.Cost, c) })
+		list = slices.Insert(list, at, Other{Prefill: e.u.ID, Cost: cost})
+		list = list[:min(len(list), maxOthers)]
+	}
+	return list
+}
+
+// behindEqual orders costs so that a search ends behind equal ones.
+func behindEqual(listed, c Milliseconds) int {
+	if listed <= c {
+		return -1
 	}
-	slices.SortStableFunc(list, func(a, b Other) int { return int(a.Cost - b.Cost) })
-	return list[:min(len(list), maxOthers)]
+	return 1
 }
 
 // pickPrefill chooses the engine that would be done with the ask first, and
@@ -255,7 +268,7 @@
 
 // uncached is how much of an ask's prompt an engine would have to compute.
 func (g *group) uncached(w *waiting, u *kernel.Upstream) int {
-	prefix, m := g.p.host.Prefix(), g.p.host.Model(g.model)
+	prefix, m := g.p.host.Prefix(), g.engines().model
 	if prefix == nil || m == nil {
 		return w.ask.Prompt
 	}
