An engine's death and its return are known in every zone

Cause: load reports stay inside a zone, and a failed call was relayed only if the connection was refused. An engine whose connections end without an answer (its machine gone, or as the stand-in's crash) was found by its own zone's gatherers alone; dispatchers of other zones went on placing there. Its return was no news either: other zones found it by their own reads, after up to 30 s. Ruled out: relaying all reports to all zones (the digests are the budget already); relaying any timeout (a cut zone would take engines from everyone). Change: the digest's second mark "missing after report N", said only by instances of the engine's zone which heard of no report by anyone for 1.5 s, at growing gaps where others' reports say otherwise; a newer report lifts it and goes to all zones. Those who gather an engine's load try a dead one every 0.5 to 2 s. Connections that the entry saw break have the agent read the engine at once. TestOrderAndRepetitionDoNotMatter now draws the new mark as well.

--- a/agent/feed.go
+++ b/agent/feed.go
@@ -199,6 +199,8 @@
 		a.machine.UpstreamFailed(a.now, at, e.Upstream, membership.FailRefused)
 	case feed.EvidenceTimeout:
 		a.machine.UpstreamFailed(a.now, at, e.Upstream, membership.FailTimeout)
+	case feed.EvidenceBroken:
+		a.lookInto(at, e.Upstream)
 	case feed.EvidenceDraining:
 		if a.sameLife(at, e.Upstream) {
 			a.machine.UpstreamLeaving(a.now, e.Upstream, 0)
--- a/agent/loads.go
+++ b/agent/loads.go
@@ -14,9 +14,12 @@
 const (
 	upstreamTimeout = 2 * time.Second
 	// doubtMin and doubtMax bound the time between attempts to reach an upstream
-	// that is not believed to live; it doubles.
-	doubtMin = 2 * time.Second
-	doubtMax = 30 * time.Second
+	// that is not believed to live; it doubles. Those who gather its load for
+	// their zone try more often: the others learn from them that it is back.
+	doubtMin       = 2 * time.Second
+	doubtMax       = 30 * time.Second
+	gatherDoubtMin = 500 * time.Millisecond
+	gatherDoubtMax = 2 * time.Second
 	// assumedPollBytes is what a read costs before any was measured.
 	assumedPollBytes = 900
 )
@@ -41,7 +44,9 @@
 // poll is an upstream whose state this instance reads.
 type poll struct {
 	nextAt time.Time
-	busy   bool
+	// begunAt is when it was last read.
+	begunAt time.Time
+	busy    bool
 	// gathers says that this instance reads for its zone; otherwise it reads
 	// because it doubts that the upstream lives.
 	gathers bool
@@ -146,6 +151,7 @@
 	a.counters.LoadPolls++
 	address := a.book.upstreams[id].Address
 	begun := a.now
+	p.begunAt = begun
 	isEngine := a.isEngine(id)
 	a.spawn(func(ctx context.Context) {
 		var l engines.Load
@@ -189,6 +195,24 @@
 		kind = membership.FailRefused
 	}
 	a.machine.UpstreamFailed(a.now, begun, id, kind)
-	p.doubt = min(max(2*p.doubt, doubtMin), doubtMax)
+	least, most := doubtMin, doubtMax
+	if p.gathers {
+		least, most = gatherDoubtMin, gatherDoubtMax
+	}
+	p.doubt = min(max(2*p.doubt, least), most)
 	p.nextAt = a.now.Add(p.doubt)
 }
+
+// lookInto reads an upstream's state at once, since a connection to it broke at
+// the given time: many streams broken together mean that it is gone, and live
+// traffic notices that before the next read is due.
+func (a *Agent) lookInto(at time.Time, id ident.UpstreamID) {
+	if _, listed := a.book.upstreams[id]; !listed {
+		return
+	}
+	p := a.pollOf(id)
+	if at.After(p.begunAt) {
+		p.nextAt = a.now
+	}
+	a.loads.polls[id] = p
+}
--- a/entry/evidence/evidence.go
+++ b/entry/evidence/evidence.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"sort"
 	"sync"
 	"syscall"
@@ -66,6 +67,8 @@
 		return feed.EvidenceSucceeded, true
 	case errors.Is(err, context.DeadlineExceeded), isTimeout(err):
 		return feed.EvidenceTimeout, true
+	case isBroken(err):
+		return feed.EvidenceBroken, true
 	default:
 		return "", false
 	}
@@ -77,6 +80,12 @@
 	return errors.As(err, &t) && t.Timeout()
 }
 
+// isBroken reports whether the other side ended the connection.
+func isBroken(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // Observed notes what an upstream said of itself.
 func (l *Log) Observed(upstream ident.UpstreamID, o adapter.Observation, now time.Time) {
 	load := o.Load
--- a/entry/evidence/evidence_test.go
+++ b/entry/evidence/evidence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"syscall"
 	"testing"
@@ -26,6 +27,8 @@
 		{"draining", &adapter.CallError{Code: kernel.FailureDraining, Status: 503}, feed.EvidenceDraining},
 		{"refused", &adapter.CallError{Code: kernel.FailureConnect, Err: refused}, feed.EvidenceRefused},
 		{"timeout", &adapter.CallError{Code: kernel.FailureTimeout, Err: context.DeadlineExceeded}, feed.EvidenceTimeout},
+		{"reset", &adapter.CallError{Code: kernel.FailureBroken, Err: &net.OpError{Op: "read", Err: syscall.ECONNRESET}}, feed.EvidenceBroken},
+		{"ended", &adapter.CallError{Code: kernel.FailureBroken, Err: io.ErrUnexpectedEOF}, feed.EvidenceBroken},
 		{"our own cancel proves nothing", &adapter.CallError{Code: kernel.FailureBroken, Err: context.Canceled}, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -90,8 +90,11 @@
 	EvidenceSucceeded EvidenceKind = "succeeded"
 	EvidenceRefused   EvidenceKind = "connection_refused"
 	EvidenceTimeout   EvidenceKind = "timeout"
-	EvidenceDraining  EvidenceKind = "draining"
-	EvidenceLoad      EvidenceKind = "load"
+	// EvidenceBroken is a connection that ended without an answer. It proves
+	// nothing by itself.
+	EvidenceBroken   EvidenceKind = "broken"
+	EvidenceDraining EvidenceKind = "draining"
+	EvidenceLoad     EvidenceKind = "load"
 )
 
 // Evidence is one observation from live traffic, newest per upstream or peer
--- /dev/null
+++ b/membership/absence_test.go
@@ -0,0 +1,123 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/ident"
+)
+
+// engineFleet is three zones with one engine in the first, of which that zone
+// has a report and nobody else knows more than its incarnation.
+func engineFleet(t *testing.T, perZone int) *fleet {
+	f := newFleet(t, Config{}, perZone, perZone, perZone)
+	for _, n := range f.nodes {
+		n.machine.Upstreams(f.now, f.now, 1, []ListedUpstream{{ID: "dc-1", Zone: "hall-a", Incarnation: 5}})
+	}
+	f.settle()
+	f.report(f.nodes[0], 5, 1)
+	f.run(5 * time.Second)
+	return f
+}
+
+// report has a node read the engine's load.
+func (f *fleet) report(n *node, inc ident.Incarnation, seq uint32) {
+	n.machine.UpstreamAnswered(f.now, f.now, "dc-1")
+	n.machine.UpstreamReport(f.now, f.now, "dc-1", Report{Incarnation: inc, Sequence: seq})
+}
+
+// everyone reports whether all nodes' belief of the engine is as wanted.
+func (f *fleet) everyone(want func(State) bool) bool {
+	for _, n := range f.nodes {
+		if !want(n.machine.View(f.now).Upstreams[0].State) {
+			return false
+		}
+	}
+	return true
+}
+
+func usable(s State) bool   { return s <= Suspect }
+func unusable(s State) bool { return s >= Unreachable }
+
+// TestEngineDeathIsKnownInAllZones kills an engine: connections are refused if
+// its machine runs on, and end without an answer if that is gone as well. Both
+// must be known in every zone, and so must its return.
+func TestEngineDeathIsKnownInAllZones(t *testing.T) {
+	for _, perZone := range []int{1, 8} {
+		for _, kind := range []FailKind{FailRefused, FailTimeout} {
+			killAndRevive(t, engineFleet(t, perZone), kind)
+		}
+	}
+}
+
+func killAndRevive(t *testing.T, f *fleet, kind FailKind) {
+	t.Helper()
+	f.nodes[0].machine.UpstreamFailed(f.now, f.now, "dc-1", kind)
+	took := f.runUntil(time.Second, func() bool { return f.everyone(unusable) })
+	t.Logf("kind %d: known by all after %s", kind, took)
+	f.run(20 * time.Second)
+	assert.Assert(t, f.everyone(unusable))
+	f.report(f.nodes[0], 6, 1)
+	took = f.runUntil(time.Second, func() bool { return f.everyone(usable) })
+	t.Logf("kind %d: return known by all after %s", kind, took)
+}
+
+// TestAnsweringEngineIsNotMissing lets an engine answer one instance of its zone
+// and not another: whose trouble it is, the reports tell.
+func TestAnsweringEngineIsNotMissing(t *testing.T) {
+	f := engineFleet(t, 8)
+	f.report(f.nodes[1], 5, 2)
+	f.run(DefaultUpstreamGrace - step)
+	f.nodes[0].machine.UpstreamFailed(f.now, f.now, "dc-1", FailTimeout)
+	f.run(5 * time.Second)
+	for _, n := range f.nodes[1:] {
+		assert.Assert(t, usable(n.machine.View(f.now).Upstreams[0].State), n.id)
+	}
+	// When it has heard of no report for long it says so, and is corrected.
+	f.nodes[0].machine.UpstreamFailed(f.now, f.now, "dc-1", FailTimeout)
+	f.run(time.Second)
+	f.report(f.nodes[1], 5, 3)
+	f.runUntil(time.Second, func() bool { return f.everyone(usable) })
+}
+
+// TestMissingIsForItsOwnZoneToSay cuts one zone off: what it cannot reach
+// elsewhere is no news to the others.
+func TestMissingIsForItsOwnZoneToSay(t *testing.T) {
+	f := engineFleet(t, 8)
+	f.nodes[8].machine.UpstreamFailed(f.now, f.now, "dc-1", FailTimeout)
+	assert.Assert(t, !f.nodes[8].machine.upstreams["dc-1"].absent(), "it marked it for all")
+	for range 100 {
+		f.run(step)
+		for _, n := range f.nodes {
+			assert.Equal(t, unusable(n.machine.View(f.now).Upstreams[0].State), n == f.nodes[8], n.id)
+		}
+	}
+}
+
+// TestWhoKnowsOfALaterReportSaysSo has a peer miss what this instance has just
+// read.
+func TestWhoKnowsOfALaterReportSaysSo(t *testing.T) {
+	m := lone()
+	m.UpstreamReport(at(0), at(0), "dc-1", Report{Incarnation: 5, Sequence: 7})
+	missed := UpstreamDigest{Key: uint64(keyOf("dc-1")), Incarnation: 5, Sequence: 6, Missing: true}
+	hear(t, m, time.Second, Heartbeat{Upstreams: missed.Append(nil)})
+	assert.Equal(t, upstreamSeen(m, time.Second).State, Alive)
+	assert.Assert(t, m.upstreams["dc-1"].urgent > 0)
+}
+
+// TestContradictedMissingIsNotSaidAtOnceAgain keeps an instance that alone does
+// not reach an engine from having the whole fleet told every second.
+func TestContradictedMissingIsNotSaidAtOnceAgain(t *testing.T) {
+	m := lone()
+	said := 0
+	for d := time.Duration(0); d < 3*time.Minute; d += 4 * time.Second {
+		m.UpstreamReport(at(d), at(d), "dc-1", Report{Incarnation: 5, Sequence: uint32(d / time.Second)})
+		m.UpstreamFailed(at(d+2*time.Second), at(d+2*time.Second), "dc-1", FailTimeout)
+		if m.upstreams["dc-1"].absent() {
+			said++
+		}
+	}
+	assert.Equal(t, said, 7)
+}
--- a/membership/config.go
+++ b/membership/config.go
@@ -33,6 +33,9 @@
 	// DeadGrace is how long no sign of life may have come before a refused
 	// connection is taken for the process's death.
 	DeadGrace time.Duration
+	// UpstreamGrace is how long no instance may have had a sign of life of an
+	// upstream before its zone says that it is missing.
+	UpstreamGrace time.Duration
 	// UpstreamFresh is the age of the last sign of life beyond which an
 	// upstream is suspect.
 	UpstreamFresh time.Duration
@@ -61,6 +64,7 @@
 	DefaultRemoteFactor     = 3
 	DefaultSparseFactor     = 3
 	DefaultDeadGrace        = 2 * time.Second
+	DefaultUpstreamGrace    = 1500 * time.Millisecond
 	DefaultUpstreamFresh    = 10 * time.Second
 	DefaultListLag          = time.Minute
 	DefaultTrustTimeout     = 5 * time.Second
@@ -97,6 +101,7 @@
 	orInt(&c.RemoteFactor, DefaultRemoteFactor)
 	orInt(&c.SparseFactor, DefaultSparseFactor)
 	orTime(&c.DeadGrace, DefaultDeadGrace)
+	orTime(&c.UpstreamGrace, DefaultUpstreamGrace)
 	orTime(&c.UpstreamFresh, DefaultUpstreamFresh)
 	orTime(&c.ListLag, DefaultListLag)
 	orTime(&c.TrustTimeout, DefaultTrustTimeout)
--- a/membership/evidence.go
+++ b/membership/evidence.go
@@ -41,6 +41,7 @@
 	m.at(now)
 	if u, ok := m.upstreams[id]; ok {
 		u.reached = max(u.reached, m.when(at))
+		u.missGap, u.missAt = 0, never
 	}
 }
 
@@ -52,15 +53,38 @@
 		return
 	}
 	u.fail(m.when(at), kind)
-	if kind != FailRefused || u.failed <= u.alive() {
-		// A timeout can be this instance's own trouble: it isn't relayed.
+	if u.failed <= u.alive() {
 		return
 	}
-	before := u.down
-	u.mergeDown(t, u.incarnation, u.report.Sequence)
-	if u.down > before {
+	if kind == FailRefused && u.down.merge(t, u.newest()) {
 		m.rush(t, &u.urgent)
 	}
+	if kind != FailRefused && m.mayMiss(t, u) && u.missing.merge(t, u.newest()) {
+		u.doubted(t)
+		m.rush(t, &u.urgent)
+	}
+}
+
+// mayMiss reports whether this instance may tell others that an upstream does
+// not answer. That can be its own trouble: so only an instance of the upstream's
+// zone says it, which nothing but the zone's own network separates from it, only
+// when no other instance has told of a fresh report, and seldom if others keep
+// saying otherwise.
+func (m *Machine) mayMiss(now time.Duration, u *upstream) bool {
+	return u.zone == m.self.Zone && now-u.alive() >= m.cfg.UpstreamGrace && now >= u.missAt
+}
+
+// Bounds of the time until an instance may say again that an upstream is missing
+// that it has not reached itself meanwhile.
+const (
+	missGapMin = 2 * time.Second
+	missGapMax = time.Minute
+)
+
+// doubted notes that this instance said that the upstream is missing.
+func (u *upstream) doubted(now time.Duration) {
+	u.missGap = min(max(2*u.missGap, missGapMin), missGapMax)
+	u.missAt = now + u.missGap
 }
 
 // UpstreamLeaving takes in an upstream's own refusal because it is leaving.
@@ -83,7 +107,10 @@
 	if !ok {
 		return
 	}
-	if u.mergeReport(t, r, m.when(measured)) {
+	absent := u.absent()
+	leaving := u.mergeReport(t, r, m.when(measured))
+	if leaving || absent && !u.absent() {
+		// Its return is news as well: other zones get no reports of it.
 		m.rush(t, &u.urgent)
 	}
 }
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -177,21 +177,26 @@
 // mergeDigest takes in what a peer relays of an upstream.
 func (m *Machine) mergeDigest(now time.Duration, d UpstreamDigest) {
 	u, ok := m.upKeys[recordKey(d.Key)]
-	if !ok || d.Incarnation == 0 || !u.advance(now, d.Incarnation) {
+	if !ok || d.Incarnation == 0 {
+		return
+	}
+	absent := u.absent()
+	if !u.advance(now, d.Incarnation) {
 		return
 	}
 	news := u.leave(d.Leaving)
 	if d.HasReport {
 		u.mergeReport(now, d.report(), now-d.Age)
 	}
-	if d.Down {
-		before := u.down
-		u.mergeDown(now, d.Incarnation, d.Sequence)
-		news = news || u.down > before
-	}
-	if news {
+	news = d.Down && u.down.merge(now, d.Sequence) || news
+	news = d.Missing && u.missing.merge(now, d.Sequence) || news
+	if news || absent && !u.absent() {
 		m.rush(now, &u.urgent)
 	}
+	if d.Missing && !u.absent() && u.urgent == 0 {
+		// This instance knows of a later report: that is news to whoever misses it.
+		u.urgent = m.spread()
+	}
 }
 
 // report returns the load report of a digest.
--- a/membership/pack.go
+++ b/membership/pack.go
@@ -121,6 +121,9 @@
 	Leaving bool
 	// Down says that a connection was refused after the report.
 	Down bool
+	// Missing says that an instance of the upstream's zone got no answer after
+	// the report.
+	Missing bool
 }
 
 // Append packs the digest. Counts that do not fit are given as the largest that
@@ -142,6 +145,7 @@
 	setFlag(&flags, flagLeaving, d.Leaving)
 	setFlag(&flags, flagReport, d.HasReport)
 	setFlag(&flags, flagDown, d.Down)
+	setFlag(&flags, flagMissing, d.Missing)
 	return flags
 }
 
@@ -173,6 +177,7 @@
 		Leaving:      flags&flagLeaving != 0,
 		HasReport:    flags&flagReport != 0,
 		Down:         flags&flagDown != 0,
+		Missing:      flags&flagMissing != 0,
 	}
 }
 
--- a/membership/property_test.go
+++ b/membership/property_test.go
@@ -58,6 +58,7 @@
 		Running:     10*inc + seq,
 		Age:         time.Duration(rapid.IntRange(0, 100).Draw(t, "age")) * upstreamAgeUnit,
 		Leaving:     rapid.Bool().Draw(t, "leaving"),
+		Missing:     rapid.IntRange(0, 3).Draw(t, "missing") == 0,
 		Down:        rapid.Bool().Draw(t, "down"),
 	}
 }
@@ -82,6 +83,7 @@
 	HasReport       bool
 	Report          Report
 	Down            uint32
+	MissingAfter    uint32
 	UpstreamLeaving bool
 }
 
@@ -94,7 +96,7 @@
 	}
 	for _, id := range backends {
 		u := m.upstreams[id]
-		out = append(out, sticky{Incarnation: u.incarnation, UpstreamLeaving: u.leaving, HasReport: u.hasReport, Report: u.report, Down: u.down})
+		out = append(out, sticky{Incarnation: u.incarnation, UpstreamLeaving: u.leaving, HasReport: u.hasReport, Report: u.report, Down: u.down.after, MissingAfter: u.missing.after})
 	}
 	return out
 }
--- a/membership/upstream.go
+++ b/membership/upstream.go
@@ -58,10 +58,12 @@
 	// counts, since delays only make it look later.
 	measured time.Duration
 
-	// down is 1 more than the sequence of the report after which a connection
-	// was refused, here or at a peer; downLearned is when this became known.
-	down        uint32
-	downLearned time.Duration
+	// down says that a connection was refused, here or at a peer; missing that
+	// an instance of the upstream's zone got no answer, nor heard of anyone who
+	// did.
+	down, missing absence
+	// missGap and missAt bound how often this instance says so.
+	missGap, missAt time.Duration
 
 	// Evidence of this instance's own traffic.
 	reached  time.Duration
@@ -80,7 +82,7 @@
 	u.incarnation, u.learned = inc, now
 	u.leaving = false
 	u.hasReport, u.report = false, Report{}
-	u.down = 0
+	u.down, u.missing = absence{}, absence{}
 	u.reached, u.failed = never, never
 }
 
@@ -114,22 +116,26 @@
 	return u.leave(leaving)
 }
 
-// mergeDown takes in that a connection was refused after the report of the given
-// sequence.
-func (u *upstream) mergeDown(now time.Duration, inc ident.Incarnation, after uint32) {
-	if u.advance(now, inc) && after+1 > u.down {
-		u.down, u.downLearned = after+1, now
+// newest returns the sequence of the newest report, 0 if there is none.
+func (u *upstream) newest() uint32 {
+	if !u.hasReport {
+		return 0
 	}
+	return u.report.Sequence
 }
 
 // refused reports whether a connection was refused after the newest report, and
 // nothing of this instance's traffic says otherwise.
-func (u *upstream) refused() bool {
-	var newest uint32
-	if u.hasReport {
-		newest = u.report.Sequence
-	}
-	return u.down > newest && u.downLearned >= u.reached
+func (u *upstream) refused() bool { return u.down.holds(u.newest(), u.reached) }
+
+// missed reports whether its zone misses it since the newest report, and nothing
+// of this instance's traffic says otherwise.
+func (u *upstream) missed() bool { return u.missing.holds(u.newest(), u.reached) }
+
+// absent reports whether it is marked as refusing or missing since the newest
+// report, whatever this instance's own traffic says.
+func (u *upstream) absent() bool {
+	return u.down.after > u.newest() || u.missing.after > u.newest()
 }
 
 // alive returns when the last sign of life was given.
@@ -165,6 +171,8 @@
 		return downState(u.failKind)
 	case u.refused():
 		return Dead
+	case u.missed():
+		return Unreachable
 	case now-alive <= fresh:
 		return Alive
 	default:
--- a/membership/window.go
+++ b/membership/window.go
@@ -152,7 +152,7 @@
 // upstreamRank ranks the digest of an upstream for a partner, 0 if there is
 // nothing to tell.
 func (m *Machine) upstreamRank(now time.Duration, to *member, u *upstream) time.Duration {
-	stops := u.leaving || u.refused()
+	stops := u.leaving || u.refused() || u.missed()
 	inZone := to.zone == m.self.Zone && u.zone == m.self.Zone
 	if u.urgent == 0 && !stops && !(inZone && u.hasReport) {
 		return 0
@@ -184,8 +184,7 @@
 		d.PiecesUsed, d.QueuedTokens = r.PiecesUsed, r.QueuedTokens
 		d.Age = now - u.measured
 	}
-	if u.down > d.Sequence {
-		d.Down = true
-	}
+	d.Down = u.down.after > d.Sequence
+	d.Missing = u.missing.after > d.Sequence
 	return d
 }
