At most once: a kind can require a ticket, so that no balancer's repetition runs twice

Change: kinds have ticket_required; such calls get 428 with a fresh ticket and run nothing. A service that deduplicates keys itself and calls marked as repeatable need none. Conclusion: the gap is closed where operators say so; off unless set.

--- a/config/config.go
+++ b/config/config.go
@@ -40,6 +40,10 @@
 	Route Route  `yaml:"route" json:"route"`
 	// Repeatable is false for requests that must run at most once.
 	Repeatable bool `yaml:"repeatable" json:"repeatable"`
+	// TicketRequired refuses requests that must run at most once and carry no
+	// ticket, with a fresh ticket: what stands between callers and instances may
+	// repeat a request by itself.
+	TicketRequired bool `yaml:"ticket_required" json:"ticket_required,omitempty"`
 	// Deadline is how long callers wait unless they say otherwise.
 	Deadline time.Duration `yaml:"deadline" json:"deadline"`
 	// FirstOutput is the target time to the first output token.
--- a/entry/front/call.go
+++ b/entry/front/call.go
@@ -161,6 +161,7 @@
 		Ticket:       c.headers.Ticket != "",
 		Key:          c.headers.IdempotencyKey != "",
 		Deduplicates: c.catalog.Deduplicates(c.target.service),
+		Required:     c.catalog.TicketRequired(c.headers.Kind, c.target.route()),
 	})
 	switch path {
 	case ticket.PathTicket:
--- a/entry/intake/headers.go
+++ b/entry/intake/headers.go
@@ -176,6 +176,13 @@
 	return kind.Repeatable, nil
 }
 
+// TicketRequired reports whether requests of the given kind that must run at most
+// once are refused when they carry no ticket.
+func (c *Catalog) TicketRequired(name string, route config.Route) bool {
+	kind, problem := c.kind(name, route)
+	return problem == nil && kind.TicketRequired
+}
+
 // Wait returns how long the caller of a request waits: as its headers say, or
 // else its kind.
 func (c *Catalog) Wait(h Headers, route config.Route) (time.Duration, *api.Problem) {
--- a/ticket/choose.go
+++ b/ticket/choose.go
@@ -31,6 +31,8 @@
 	Ticket, Key bool
 	// Deduplicates is the service's declaration, config.Service.Deduplicates.
 	Deduplicates bool
+	// Required is the kind's declaration, config.Kind.TicketRequired.
+	Required bool
 }
 
 // Choose returns the path of a call.
@@ -42,7 +44,7 @@
 		return PathRepeatable
 	case t.Key && t.Deduplicates:
 		return PathDeduplicated
-	case t.Key:
+	case t.Key, t.Required:
 		return PathTicketRequired
 	default:
 		return PathOnce
@@ -53,5 +55,5 @@
 // carry a fresh ticket in the header api.HeaderTicket.
 func RequiredProblem() *api.Problem {
 	return api.NewProblem(api.ProblemTicketRequired, api.NotRun,
-		"a call that is not repeatable and carries an Idempotency-Key needs a ticket; repeat it with the one in "+api.HeaderTicket)
+		"a call that is not repeatable needs a ticket if it carries an Idempotency-Key or its kind requires one; repeat it with the one in "+api.HeaderTicket)
 }
--- a/ticket/executor_test.go
+++ b/ticket/executor_test.go
@@ -250,13 +250,16 @@
 		traits Traits
 		want   Path
 	}{
-		"ticket":                {Traits{Ticket: true, Key: true, Deduplicates: true}, PathTicket},
-		"ticket, repeatable":    {Traits{Ticket: true, Repeatable: true}, PathTicket},
-		"repeatable":            {Traits{Repeatable: true, Key: true}, PathRepeatable},
-		"key, deduplicated":     {Traits{Key: true, Deduplicates: true}, PathDeduplicated},
-		"no key, deduplicated":  {Traits{Deduplicates: true}, PathOnce},
-		"key, not deduplicated": {Traits{Key: true}, PathTicketRequired},
-		"nothing":               {Traits{}, PathOnce},
+		"ticket":                 {Traits{Ticket: true, Key: true, Deduplicates: true}, PathTicket},
+		"ticket, repeatable":     {Traits{Ticket: true, Repeatable: true}, PathTicket},
+		"repeatable":             {Traits{Repeatable: true, Key: true}, PathRepeatable},
+		"key, deduplicated":      {Traits{Key: true, Deduplicates: true}, PathDeduplicated},
+		"no key, deduplicated":   {Traits{Deduplicates: true}, PathOnce},
+		"key, not deduplicated":  {Traits{Key: true}, PathTicketRequired},
+		"nothing":                {Traits{}, PathOnce},
+		"required":               {Traits{Required: true}, PathTicketRequired},
+		"required, deduplicated": {Traits{Required: true, Key: true, Deduplicates: true}, PathDeduplicated},
+		"required, repeatable":   {Traits{Required: true, Repeatable: true}, PathRepeatable},
 	} {
 		t.Run(name, func(t *testing.T) { assert.Equal(t, Choose(c.traits), c.want) })
 	}
