bundle: decode a part once, not at every walk of every change

Cause: a changed bundle cost each agent 0.3 s of processor time. The ledger walks the parts after each head, roll and gift of parts, for each bundle it wants, and twice more to assemble one; each walk decoded all 205 parts of 3,400 workspaces and 612 upstreams, of which 3 or 4 had changed. Assembling decoded all entries, and the checks composed a path for each field of each entry before anything was found wrong.

Ruled out: remembering which subtrees are whole. It would need the bounds on visits and bytes kept with each subtree; decoded forms by digest give the same walk, error for error, and it costs 0.3 ms.

Change: Memo remembers by digest what a part decoded to, and each list leaf's entries; MissingParts, Wanted and Assemble go through it, the functions of these names are the plain walk with none. Pruning parts prunes the memo. Check looks first without paths and again with them only if something was found. Names are checked by a loop over bytes instead of a pattern.

--- a/bundle/assemble.go
+++ b/bundle/assemble.go
@@ -37,6 +37,7 @@
 // treeWalk visits a bundle's parts from the sections' roots down.
 type treeWalk struct {
 	source  PartSource
+	memo    *Memo
 	missing []Digest
 	// wanted holds every part seen, present or missing.
 	wanted map[Digest]bool
@@ -48,23 +49,24 @@
 // known: the parts below a missing one show once it is there. It returns a
 // *PartError for a part that is there but malformed.
 func MissingParts(m *Manifest, source PartSource) ([]Digest, error) {
-	w, err := walkParts(m, source)
-	return w.missing, err
+	return (*Memo)(nil).MissingParts(m, source)
 }
 
 // Wanted lists every part of a bundle that is known from the parts that source
 // has, present or missing.
 func Wanted(m *Manifest, source PartSource) ([]Digest, error) {
-	w, err := walkParts(m, source)
-	list := make([]Digest, 0, len(w.wanted))
-	for d := range w.wanted {
-		list = append(list, d)
-	}
-	return list, err
+	return (*Memo)(nil).Wanted(m, source)
 }
 
-func walkParts(m *Manifest, source PartSource) (*treeWalk, error) {
-	w := &treeWalk{source: source, wanted: map[Digest]bool{}}
+// Assemble decodes and checks a bundle's content. It returns a
+// *MissingPartsError, a *PartError, or a *FindingsError for content that fails
+// its checks.
+func Assemble(m *Manifest, source PartSource) (*config.Content, error) {
+	return (*Memo)(nil).Assemble(m, source)
+}
+
+func walkParts(m *Manifest, source PartSource, memo *Memo) (*treeWalk, error) {
+	w := &treeWalk{source: source, memo: memo, wanted: map[Digest]bool{}}
 	for _, s := range m.Sections {
 		if err := w.walk(s.Name, s.Root, -1, nil); err != nil {
 			return w, err
@@ -74,8 +76,9 @@
 }
 
 // walk visits the part with a digest and those below it. Its level must be that
-// of the part above less one; -1 allows any. Each leaf entry goes to each.
-func (w *treeWalk) walk(section SectionName, d Digest, level int, each func(json.RawMessage) error) error {
+// of the part above less one; -1 allows any. The entries of leaves are added to
+// c, unless it is nil.
+func (w *treeWalk) walk(section SectionName, d Digest, level int, c *config.Content) error {
 	b, ok := w.source.Part(d)
 	if !ok {
 		if !w.wanted[d] {
@@ -85,64 +88,37 @@
 		return nil
 	}
 	w.wanted[d] = true
-	n, err := w.node(b, level)
+	f, err := w.form(d, b, level)
+	if err == nil && f.level == 0 && c != nil {
+		err = w.memo.addLeaf(c, section, d, b)
+	}
 	if err != nil {
 		return &PartError{Section: section, Digest: d, Err: err}
 	}
-	for _, entry := range n.Entries {
-		if each == nil {
-			break
-		}
-		if err := each(entry); err != nil {
-			return &PartError{Section: section, Digest: d, Err: err}
-		}
-	}
-	for _, child := range n.Children {
-		if err := w.walk(section, child, n.Level-1, each); err != nil {
+	for _, child := range f.children {
+		if err := w.walk(section, child, f.level-1, c); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// node decodes a part and charges it to the walk's bounds. One part may stand in
-// several places, so that few parts could describe very much content.
-func (w *treeWalk) node(b []byte, level int) (node, error) {
+// form returns a part's form and charges it to the walk's bounds. One part may
+// stand in several places, so that few parts could describe very much content.
+func (w *treeWalk) form(d Digest, b []byte, level int) (form, error) {
 	w.visits++
 	w.bytes += len(b)
 	if w.visits > maxParts {
-		return node{}, &SizeError{What: "parts", Size: w.visits, Limit: maxParts}
+		return form{}, &SizeError{What: "parts", Size: w.visits, Limit: maxParts}
 	}
 	if w.bytes > MaxContentBytes {
-		return node{}, &SizeError{What: "bytes of content", Size: w.bytes, Limit: MaxContentBytes}
-	}
-	n, err := decodeNode(b)
-	if err == nil && level >= 0 && n.Level != level {
-		err = &StructureError{What: "part", Reason: fmt.Sprintf("level %d where %d belongs", n.Level, level)}
-	}
-	return n, err
-}
-
-// Assemble decodes and checks a bundle's content. It returns a
-// *MissingPartsError, a *PartError, or a *FindingsError for content that fails
-// its checks.
-func Assemble(m *Manifest, source PartSource) (*config.Content, error) {
-	if missing, err := MissingParts(m, source); err != nil {
-		return nil, err
-	} else if len(missing) > 0 {
-		return nil, &MissingPartsError{Digests: missing}
-	}
-	var c config.Content
-	w := &treeWalk{source: source, wanted: map[Digest]bool{}}
-	for _, s := range m.Sections {
-		if err := w.walk(s.Name, s.Root, -1, sectionReader(&c, s.Name)); err != nil {
-			return nil, err
-		}
+		return form{}, &SizeError{What: "bytes of content", Size: w.bytes, Limit: MaxContentBytes}
 	}
-	if err := Check(&c).Err(); err != nil {
-		return nil, err
+	f, err := w.memo.form(d, b)
+	if err == nil && level >= 0 && f.level != level {
+		err = &StructureError{What: "part", Reason: fmt.Sprintf("level %d where %d belongs", f.level, level)}
 	}
-	return &c, nil
+	return f, err
 }
 
 // sectionReader returns the function that adds one entry of a section to c.
--- a/bundle/check.go
+++ b/bundle/check.go
@@ -32,10 +32,25 @@
 
 // Check checks content as a whole: names, references, bounds, and limits that
 // must hold together. Its findings carry paths but no positions.
+//
+// Composing the paths of thousands of entries costs several times what the
+// checks do, and good content needs none: only a look that found something is
+// followed by one that says where.
 func Check(c *config.Content) Findings {
+	quick := &checker{content: c, pathless: true}
+	quick.all()
+	if len(quick.findings) == 0 {
+		return nil
+	}
 	k := &checker{content: c}
+	k.all()
+	return k.findings
+}
+
+// all runs every check.
+func (k *checker) all() {
 	k.index()
-	k.name("deployment", c.Deployment)
+	k.name("deployment", k.content.Deployment)
 	k.kinds()
 	k.modelList()
 	k.serviceList()
@@ -43,12 +58,13 @@
 	k.upstreams()
 	k.policy()
 	k.sums()
-	return k.findings
 }
 
 // checker holds the content, its entries by name, and what was found.
 type checker struct {
-	content  *config.Content
+	content *config.Content
+	// pathless leaves findings' paths empty.
+	pathless bool
 	models   map[string]config.Model
 	services map[string]config.Service
 	findings Findings
@@ -65,6 +81,14 @@
 	}
 }
 
+// at returns the path of a list's entry, and of a field in it.
+func (k *checker) at(list string, i int, field string) string {
+	if k.pathless {
+		return ""
+	}
+	return fmt.Sprintf("%s[%d]%s", list, i, field)
+}
+
 func (k *checker) add(path string, rule Rule, wrong, right string) {
 	k.findings = append(k.findings, Finding{Path: path, Rule: rule, Wrong: wrong, Right: right})
 }
@@ -85,9 +109,9 @@
 	if len(names) > limit {
 		k.add(list, RuleSize, fmt.Sprintf("the list has %d entries", len(names)), fmt.Sprintf("at most %d", limit))
 	}
-	first := map[string]int{}
+	first := make(map[string]int, len(names))
 	for i, name := range names {
-		path := fmt.Sprintf("%s[%d]%s", list, i, field)
+		path := k.at(list, i, field)
 		k.name(path, name)
 		if j, taken := first[name]; taken && name != "" {
 			k.add(path, RuleDuplicate, fmt.Sprintf("%q is the name of entry %d already", clip(name), j), "give each entry a name of its own")
--- a/bundle/checklists.go
+++ b/bundle/checklists.go
@@ -12,7 +12,7 @@
 	names := make([]string, len(kinds))
 	for i, kind := range kinds {
 		names[i] = kind.Name
-		k.kind(fmt.Sprintf("kinds[%d]", i), kind)
+		k.kind(k.at("kinds", i, ""), kind)
 	}
 	if len(kinds) == 0 {
 		k.add("kinds", RuleMissing, "no kind of request is declared", "declare at least one")
@@ -55,7 +55,7 @@
 	names := make([]string, len(k.content.Models))
 	for i, m := range k.content.Models {
 		names[i] = m.Name
-		path := fmt.Sprintf("models[%d]", i)
+		path := k.at("models", i, "")
 		positive(k, path+".max_context", m.MaxContext, maxTokens)
 		positive(k, path+".kv_bytes_per_token", m.KVBytesPerToken, int64(maxRate))
 		positive(k, path+".piece_tokens", m.PieceTokens, maxTokens)
@@ -67,7 +67,7 @@
 	names := make([]string, len(k.content.Services))
 	for i, s := range k.content.Services {
 		names[i] = s.Name
-		path := fmt.Sprintf("services[%d]", i)
+		path := k.at("services", i, "")
 		positive(k, path+".timeout", s.Timeout, maxDuration)
 		positive(k, path+".concurrency", s.Concurrency, maxCount)
 	}
@@ -78,7 +78,7 @@
 	names := make([]string, len(k.content.Workspaces))
 	for i, w := range k.content.Workspaces {
 		names[i] = string(w.Name)
-		k.workspace(fmt.Sprintf("workspaces[%d]", i), w)
+		k.workspace(k.at("workspaces", i, ""), w)
 	}
 	if len(names) == 0 {
 		k.add("workspaces", RuleMissing, "no workspace is declared", "declare at least one")
@@ -98,7 +98,7 @@
 func (k *checker) modelNames(path string, models []string) {
 	k.names(path, "", maxPerEntry, models)
 	for i, m := range models {
-		reference(k, fmt.Sprintf("%s[%d]", path, i), "model", m, k.models)
+		reference(k, k.at(path, i, ""), "model", m, k.models)
 	}
 }
 
@@ -106,7 +106,7 @@
 	names := make([]string, len(k.content.Upstreams))
 	for i, u := range k.content.Upstreams {
 		names[i] = string(u.ID)
-		k.upstream(fmt.Sprintf("upstreams[%d]", i), u)
+		k.upstream(k.at("upstreams", i, ""), u)
 	}
 	if len(names) == 0 {
 		k.add("upstreams", RuleMissing, "no upstream is declared", "declare at least one")
--- a/bundle/checkpolicy.go
+++ b/bundle/checkpolicy.go
@@ -56,7 +56,7 @@
 func (k *checker) plugins(list, namespace string, ids []plugin.ID) {
 	first := map[plugin.ID]bool{}
 	for i, id := range ids {
-		path := fmt.Sprintf("%s[%d]", list, i)
+		path := k.at(list, i, "")
 		k.plugin(path, namespace, id)
 		once(k, path, id, first)
 	}
@@ -69,14 +69,14 @@
 	names := map[ident.Region]bool{}
 	zones := map[ident.Zone]bool{}
 	for i, r := range k.content.Policy.Regions {
-		path := fmt.Sprintf("policy.regions[%d]", i)
+		path := k.at("policy.regions", i, "")
 		k.name(path+".name", string(r.Name))
 		once(k, path+".name", r.Name, names)
 		if len(r.Zones) == 0 {
 			k.add(path+".zones", RuleMissing, "the region has no zones", "list the availability zones that lie in it")
 		}
 		for j, z := range r.Zones {
-			zonePath := fmt.Sprintf("%s.zones[%d]", path, j)
+			zonePath := k.at(path+".zones", j, "")
 			k.name(zonePath, string(z))
 			once(k, zonePath, z, zones)
 		}
@@ -86,7 +86,7 @@
 func (k *checker) scorers() {
 	first := map[plugin.ID]bool{}
 	for i, s := range k.content.Policy.Scorers {
-		path := fmt.Sprintf("policy.scorers[%d]", i)
+		path := k.at("policy.scorers", i, "")
 		k.plugin(path+".id", scorerNamespace, s.ID)
 		once(k, path+".id", s.ID, first)
 		positive(k, path+".weight", s.Weight, maxCount)
--- a/bundle/checksums.go
+++ b/bundle/checksums.go
@@ -26,7 +26,7 @@
 		if kind.Route != config.RouteModel || kind.Deadline <= 0 {
 			continue
 		}
-		path := fmt.Sprintf("kinds[%d]", i)
+		path := k.at("kinds", i, "")
 		output := time.Duration(min(max(kind.DefaultOutputTokens, 0), maxTokens))
 		whole := kind.FirstOutput + saturatedProduct(output, kind.Pace)
 		if whole > kind.Deadline {
@@ -73,7 +73,7 @@
 			}
 			need := (m.MaxContext + m.PieceTokens - 1) / m.PieceTokens
 			if u.Pieces < need {
-				k.add(fmt.Sprintf("upstreams[%d].pieces", i), RuleSum, fmt.Sprintf("%d pieces do not hold one request of model %q, which needs %d", u.Pieces, clip(name), need), "raise pieces or lower the model's max_context")
+				k.add(k.at("upstreams", i, ".pieces"), RuleSum, fmt.Sprintf("%d pieces do not hold one request of model %q, which needs %d", u.Pieces, clip(name), need), "raise pieces or lower the model's max_context")
 			}
 		}
 	}
@@ -88,7 +88,7 @@
 	}
 	for i, kind := range k.content.Kinds {
 		if kind.Route == config.RouteModel && largest > 0 && kind.DefaultOutputTokens >= largest {
-			k.add(fmt.Sprintf("kinds[%d].default_output_tokens", i), RuleSum, fmt.Sprintf("%d tokens leave no room for a prompt in the largest max_context, %d", kind.DefaultOutputTokens, largest), "lower it below max_context")
+			k.add(k.at("kinds", i, ".default_output_tokens"), RuleSum, fmt.Sprintf("%d tokens leave no room for a prompt in the largest max_context, %d", kind.DefaultOutputTokens, largest), "lower it below max_context")
 		}
 	}
 }
@@ -96,7 +96,7 @@
 // workspaceSums checks that a workspace's rate and burst go together.
 func (k *checker) workspaceSums() {
 	for i, w := range k.content.Workspaces {
-		path := fmt.Sprintf("workspaces[%d].burst", i)
+		path := k.at("workspaces", i, ".burst")
 		switch {
 		case w.RatePerSecond > 0 && w.Burst < 1:
 			k.add(path, RuleSum, "a rate limit with no burst admits nothing", "at least 1, or no rate_per_second")
@@ -121,7 +121,7 @@
 		}
 	}
 	for i, m := range k.content.Models {
-		path := fmt.Sprintf("models[%d].name", i)
+		path := k.at("models", i, ".name")
 		if !prefill[m.Name] {
 			k.add(path, RuleSum, fmt.Sprintf("no prefill engine runs model %q", clip(m.Name)), "give an upstream of role prefill the model, or drop it")
 		}
@@ -131,7 +131,7 @@
 	}
 	for i, s := range k.content.Services {
 		if !service[s.Name] {
-			k.add(fmt.Sprintf("services[%d].name", i), RuleSum, fmt.Sprintf("no upstream runs service %q", clip(s.Name)), "give an upstream of role service the service, or drop it")
+			k.add(k.at("services", i, ".name"), RuleSum, fmt.Sprintf("no upstream runs service %q", clip(s.Name)), "give an upstream of role service the service, or drop it")
 		}
 	}
 }
@@ -139,7 +139,7 @@
 // routes checks that what a kind's route leads to is declared.
 func (k *checker) routes() {
 	for i, kind := range k.content.Kinds {
-		path := fmt.Sprintf("kinds[%d].route", i)
+		path := k.at("kinds", i, ".route")
 		if kind.Route == config.RouteModel && len(k.content.Models) == 0 {
 			k.add(path, RuleReference, "the route leads to a model, and none is declared", "declare a model")
 		}
--- /dev/null
+++ b/bundle/ledger/bench_test.go
@@ -0,0 +1,87 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/bundle"
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+)
+
+// The size of a bundle that docs/CAPACITY.md plans for.
+const (
+	plannedWorkspaces = 3400
+	plannedUpstreams  = 600
+)
+
+// enlarge gives the publisher's content the planned size.
+func (p *publisher) enlarge() {
+	for i := range plannedWorkspaces {
+		p.content.Workspaces = append(p.content.Workspaces, config.Workspace{
+			Name: ident.Workspace(fmt.Sprintf("franchise-%04d", i)), Weight: 1,
+			RatePerSecond: 20, Burst: 40, Concurrency: 100, Models: []string{"manifest-reader"},
+		})
+	}
+	u := p.content.Upstreams[1]
+	for i := range plannedUpstreams {
+		u.ID = ident.UpstreamID(fmt.Sprintf("runner-%03d", i))
+		p.content.Upstreams = append(p.content.Upstreams, u)
+	}
+}
+
+// change is one version's documents.
+type change struct {
+	head *bundle.Head
+	roll *bundle.SignedRoll
+}
+
+// changes builds n versions in each of which one workspace differs from the one
+// before.
+func (p *publisher) changes(n int) []change {
+	var list []change
+	var last *bundle.Head
+	for i := range n {
+		p.content.Workspaces[len(p.content.Workspaces)-1-i].Burst++
+		head := p.build(last, 100, firstSet, "ada", "ben")
+		list = append(list, change{head: head, roll: p.all(uint64(i+1), head, last, "ada", "ben")})
+		last = head
+	}
+	return list
+}
+
+// benchVersions is how many versions a benchmark's documents are made for.
+const benchVersions = 20
+
+// BenchmarkChange measures what the ledger does from a changed bundle's head to
+// its coming into force: one workspace of 3,400 differs.
+func BenchmarkChange(b *testing.B) {
+	p := newPublisher(b)
+	p.enlarge()
+	changes := p.changes(benchVersions)
+	var s *session
+	next := len(changes)
+	b.ReportAllocs()
+	for b.Loop() {
+		if next == len(changes) {
+			b.StopTimer()
+			s = newSession(b, p, testSettings("entry-1", "hall-a"), platform)
+			s.take(changes[0])
+			next = 1
+			b.StartTimer()
+		}
+		s.take(changes[next])
+		next++
+	}
+}
+
+// take brings a change into force: head, roll, parts.
+func (s *session) take(c change) {
+	s.step("head", HeadSeen{From: platform, Head: c.head})
+	s.parts(platform)
+	s.step("roll", FloorReport{From: platform, Roll: c.roll})
+	s.parts(platform)
+	assert.Equal(s.t, s.inForce(), c.head.Manifest.Version)
+}
--- a/bundle/ledger/guard.go
+++ b/bundle/ledger/guard.go
@@ -46,11 +46,14 @@
 	roll     func(*bundle.SignedRoll, bundle.Approvers) error
 	missing  func(*bundle.Manifest, bundle.PartSource) ([]bundle.Digest, error)
 	assemble func(*bundle.Manifest, bundle.PartSource) (*config.Content, error)
+	// memo is what missing and assemble remember.
+	memo *bundle.Memo
 }
 
 func newChecker() checker {
+	memo := bundle.NewMemo()
 	return checker{
 		head: bundle.Verify, roll: bundle.VerifyRoll,
-		missing: bundle.MissingParts, assemble: bundle.Assemble,
+		missing: memo.MissingParts, assemble: memo.Assemble, memo: memo,
 	}
 }
--- a/bundle/ledger/parts.go
+++ b/bundle/ledger/parts.go
@@ -200,10 +200,12 @@
 	keep := map[bundle.Digest]bool{}
 	for _, head := range heads {
 		// A malformed part was reported by findMissing; what is known counts.
-		wanted, _ := bundle.Wanted(&head.Manifest, l.parts.have)
+		wanted, _ := l.checker.memo.Wanted(&head.Manifest, l.parts.have)
 		for _, d := range wanted {
 			keep[d] = true
 		}
 	}
-	l.parts.have.Keep(func(d bundle.Digest) bool { return keep[d] })
+	needed := func(d bundle.Digest) bool { return keep[d] }
+	l.parts.have.Keep(needed)
+	l.checker.memo.Keep(needed)
 }
--- /dev/null
+++ b/bundle/memo_test.go
@@ -0,0 +1,191 @@
+package bundle
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+	_ "github.com/wardspool/wardspool/internal/testseed"
+)
+
+// sameError asserts that both are nil, or of one text and kind.
+func sameError(t assert.TestingT, got, want error) {
+	assert.Equal(t, fmt.Sprint(got), fmt.Sprint(want))
+	var part *PartError
+	var size *SizeError
+	assert.Equal(t, errors.As(got, &part), errors.As(want, &part))
+	assert.Equal(t, errors.As(got, &size), errors.As(want, &size))
+}
+
+// sameWalks asserts that a Memo gives what the plain walk gives.
+func sameWalks(t assert.TestingT, memo *Memo, m *Manifest, have *PartSet) {
+	missing, err := memo.MissingParts(m, have)
+	plainMissing, plainErr := MissingParts(m, have)
+	assert.DeepEqual(t, missing, plainMissing)
+	sameError(t, err, plainErr)
+	wanted, err := memo.Wanted(m, have)
+	plainWanted, plainErr := Wanted(m, have)
+	byBytes := func(a, b Digest) int { return slices.Compare(a[:], b[:]) }
+	slices.SortFunc(wanted, byBytes)
+	slices.SortFunc(plainWanted, byBytes)
+	assert.DeepEqual(t, wanted, plainWanted)
+	sameError(t, err, plainErr)
+	content, err := memo.Assemble(m, have)
+	plainContent, plainErr := Assemble(m, have)
+	assert.DeepEqual(t, content, plainContent)
+	sameError(t, err, plainErr)
+}
+
+// mediumContent has enough entries for sections of several leaves.
+func mediumContent(t testing.TB) *config.Content {
+	c := largeContent(t)
+	c.Workspaces = c.Workspaces[:200]
+	c.Upstreams = c.Upstreams[:30]
+	return c
+}
+
+// A Memo that saw any sequence of versions, with parts that come and go, some
+// malformed or in the wrong place, gives what the plain walk gives.
+func TestMemoIsThePlainWalk(t *testing.T) {
+	start := mediumContent(t)
+	rapid.Check(t, func(t *rapid.T) {
+		memo, have := NewMemo(), &PartSet{}
+		c := *start
+		for range rapid.IntRange(1, 4).Draw(t, "versions") {
+			c.Workspaces = slices.Clone(c.Workspaces)
+			i := rapid.IntRange(0, len(c.Workspaces)-1).Draw(t, "workspace")
+			if rapid.Bool().Draw(t, "drop it") {
+				c.Workspaces = slices.Delete(c.Workspaces, i, i+1)
+			} else {
+				c.Workspaces[i].Weight++
+			}
+			h, parts, err := Build(Draft{Content: &c, Approvers: oldSet})
+			assert.NilError(t, err)
+			m := h.Manifest
+			disturb(t, &m, parts)
+			for _, d := range parts.Digests() {
+				if b, _ := parts.Part(d); rapid.IntRange(0, 60).Draw(t, "lost") > 0 {
+					have.put(b)
+				}
+			}
+			sameWalks(t, memo, &m, have)
+			for _, d := range parts.Digests() {
+				b, _ := parts.Part(d)
+				have.put(b)
+			}
+			sameWalks(t, memo, &m, have)
+			some := rapid.IntRange(0, 255).Draw(t, "kept")
+			keep := func(d Digest) bool { return int(d[0]) >= some }
+			have.Keep(keep)
+			memo.Keep(keep)
+			sameWalks(t, memo, &m, have)
+		}
+	})
+}
+
+// disturb sometimes puts a part where it does not belong, or a malformed one.
+func disturb(t *rapid.T, m *Manifest, parts *PartSet) {
+	i := rapid.IntRange(0, len(m.Sections)-1).Draw(t, "section")
+	m.Sections = slices.Clone(m.Sections)
+	all := parts.Digests()
+	some := all[rapid.IntRange(0, len(all)-1).Draw(t, "part")]
+	switch rapid.IntRange(0, 6).Draw(t, "fault") {
+	case 0:
+		m.Sections[i].Root = some
+	case 1:
+		m.Sections[i].Root = parts.put([]byte(`{"level":0,"entries":[7]}`))
+	case 2:
+		m.Sections[i].Root = parts.put(encode(node{Level: 2, Children: []Digest{some, some}}))
+	case 3:
+		n := node{Level: 1}
+		for range 5000 {
+			n.Children = append(n.Children, m.Sections[4].Root)
+		}
+		m.Sections[i].Root = parts.put(encode(n))
+	}
+}
+
+// The look without paths finds something wherever the look with paths does.
+func TestQuickLookFindsWhatTheWholeFinds(t *testing.T) {
+	start := mediumContent(t)
+	names := rapid.SampledFrom([]string{"", "hall", "Bad Name", "franchise-0001", "manifest-reader", "nobody"})
+	rapid.Check(t, func(t *rapid.T) {
+		c := *start
+		c.Workspaces, c.Upstreams, c.Kinds = slices.Clone(c.Workspaces), slices.Clone(c.Upstreams), slices.Clone(c.Kinds)
+		w := &c.Workspaces[rapid.IntRange(0, len(c.Workspaces)-1).Draw(t, "workspace")]
+		u := &c.Upstreams[rapid.IntRange(0, len(c.Upstreams)-1).Draw(t, "upstream")]
+		switch rapid.IntRange(0, 7).Draw(t, "fault") {
+		case 0:
+			w.Name = ident.Workspace(names.Draw(t, "name"))
+		case 1:
+			w.Models = []string{names.Draw(t, "model"), names.Draw(t, "model")}
+		case 2:
+			w.Burst = rapid.IntRange(-1, 1).Draw(t, "burst")
+		case 3:
+			u.Models = []string{names.Draw(t, "model")}
+		case 4:
+			u.Role = config.Role(names.Draw(t, "role"))
+		case 5:
+			u.Pieces = rapid.IntRange(-1, 2).Draw(t, "pieces")
+		case 6:
+			c.Policy.Regions = []config.Region{{Name: "r", Zones: []ident.Zone{ident.Zone(names.Draw(t, "zone"))}}}
+		}
+		whole := &checker{content: &c}
+		whole.all()
+		assert.DeepEqual(t, Check(&c), whole.findings)
+	})
+}
+
+// changed gives a reader a bundle of the planned size, again and again with one
+// workspace that differs.
+func changed(b *testing.B, assemble func(*Manifest, PartSource) error) {
+	const versions = 10
+	have := &PartSet{}
+	manifests := make([]*Manifest, versions)
+	c := largeContent(b)
+	for i := range manifests {
+		c.Workspaces[1700].Weight++
+		h, parts, err := Build(Draft{Content: c, Approvers: oldSet})
+		assert.NilError(b, err)
+		manifests[i] = &h.Manifest
+		for _, d := range parts.Digests() {
+			bytes, _ := parts.Part(d)
+			have.put(bytes)
+		}
+	}
+	i := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		assert.NilError(b, assemble(manifests[i%versions], have))
+		i++
+	}
+}
+
+// BenchmarkAssemble measures assembling and checking 3,405 workspaces and 612
+// upstreams of which one workspace changed: by the plain walk, and by a Memo.
+func BenchmarkAssemble(b *testing.B) {
+	b.Run("plain", func(b *testing.B) {
+		changed(b, func(m *Manifest, s PartSource) error { _, err := Assemble(m, s); return err })
+	})
+	b.Run("memo", func(b *testing.B) {
+		memo := NewMemo()
+		changed(b, func(m *Manifest, s PartSource) error { _, err := memo.Assemble(m, s); return err })
+	})
+}
+
+// BenchmarkMissingParts measures finding out that nothing is missing.
+func BenchmarkMissingParts(b *testing.B) {
+	b.Run("plain", func(b *testing.B) {
+		changed(b, func(m *Manifest, s PartSource) error { _, err := MissingParts(m, s); return err })
+	})
+	b.Run("memo", func(b *testing.B) {
+		memo := NewMemo()
+		changed(b, func(m *Manifest, s PartSource) error { _, err := memo.MissingParts(m, s); return err })
+	})
+}
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"regexp"
 	"strconv"
 	"strings"
 	"time"
@@ -41,13 +40,24 @@
 // maxNameLength bounds every configured name, in bytes.
 const maxNameLength = 63
 
-var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?$`)
-
 // ValidName reports whether s may be used as an instance, zone, region,
 // upstream or workspace name: lower-case letters, digits and inner hyphens,
 // at most 63 bytes.
 func ValidName(s string) bool {
-	return len(s) <= maxNameLength && namePattern.MatchString(s)
+	if s == "" || len(s) > maxNameLength || s[0] == '-' || s[len(s)-1] == '-' {
+		return false
+	}
+	for i := range len(s) {
+		if !nameByte(s[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+// nameByte reports whether a name may have a byte inside.
+func nameByte(b byte) bool {
+	return b >= 'a' && b <= 'z' || b >= '0' && b <= '9' || b == '-'
 }
 
 // AttemptID names one attempt to run a request, or a stage of it, on an
