slots.dispatch: a prefill that outlives its dispatcher gets a decode slot from the next

Cause: a new dispatcher that learned of a placement by its holder's renewal took its prefill for done (adopt called markComputed) but did not queue it for a slot. When the prefill was done, the news of it and every further ask were answered with 'queued', for ever: the request waited until its deadline or its caller went away. Ruled out by the logs: a dispatcher that is not replaced (the view had it dead after 1 s and messages went to the new one); no free slots (both engines idle). Change: a placement adopted from a renewal counts as under way until its holder says that the prefill is done, be it by the message or by an ask that names the result.

--- a/plugins/slots/dispatch/group.go
+++ b/plugins/slots/dispatch/group.go
@@ -107,6 +107,12 @@
 func (g *group) ask(from ident.InstanceID, a Ask) {
 	key := a.Reservation.Key()
 	if gr, ok := g.grants[key]; ok {
+		if a.KV != "" {
+			// A placement adopted from a renewal may be asked for before, or
+			// instead of, the news that its prefill is done.
+			g.prefillDone(gr, g.now().Add(a.KVFor.Duration()))
+			g.pass()
+		}
 		g.repeat(gr)
 		return
 	}
@@ -126,6 +132,10 @@
 
 // repeat sends the answer to an ask again: the first one may be lost.
 func (g *group) repeat(gr *grant) {
+	if g.grants[gr.key] != gr {
+		// It has just been denied.
+		return
+	}
 	if gr.computed && gr.decode == "" {
 		g.send(gr.holder, &Queued{Reservation: gr.ask.Reservation})
 		return
@@ -177,19 +187,25 @@
 	if !ok {
 		return
 	}
-	if !gr.computed {
-		g.markComputed(gr)
-		gr.kvUntil = g.now().Add(g.p.kvUsable)
-		if gr.decode == "" {
-			g.ready = append(g.ready, gr)
-		}
-	}
+	g.prefillDone(gr, g.now().Add(g.p.kvUsable))
 	g.pass()
 	if gr.decode == "" && g.grants[key] == gr {
 		g.send(gr.holder, &Queued{Reservation: gr.ask.Reservation})
 	}
 }
 
+// prefillDone notes that a grant's prefill is done, and has it wait for a slot.
+func (g *group) prefillDone(gr *grant, kvUntil time.Time) {
+	if gr.computed {
+		return
+	}
+	g.markComputed(gr)
+	gr.kvUntil = kvUntil
+	if gr.decode == "" {
+		g.ready = append(g.ready, gr)
+	}
+}
+
 // markComputed notes that a grant's prefill is done.
 func (g *group) markComputed(gr *grant) {
 	gr.computed = true
--- a/plugins/slots/dispatch/renew.go
+++ b/plugins/slots/dispatch/renew.go
@@ -185,8 +185,8 @@
 		}
 	}
 	if gr.prefill == "" {
+		// It may still run: the holder tells when it is done.
 		gr.prefill = held.Prefill
-		g.markComputed(gr)
 	}
 	if held.Decoding {
 		g.markComputed(gr)
