slots.dispatch: interleavings kill nodes too, and every prefill done must be answered

Change: nodes are killed for good (one lives), and a reservation whose holder reported its prefill done must have got a slot or a denial.

--- a/plugins/slots/dispatch/rapid_test.go
+++ b/plugins/slots/dispatch/rapid_test.go
@@ -20,6 +20,9 @@
 type machine struct {
 	b    *bed
 	open []held
+	// dead are the killed nodes, version that of the newest view.
+	dead    map[ident.InstanceID]bool
+	version uint64
 }
 
 func (m *machine) node(t *rapid.T) *node {
@@ -70,6 +73,20 @@
 	}
 }
 
+// kill ends a node for good, unless it is the last one; the others learn of it.
+func (m *machine) kill(t *rapid.T) {
+	n := m.node(t)
+	if n.dead || len(m.dead)+1 == len(m.b.nodes) {
+		return
+	}
+	n.dead = true
+	m.dead[n.self.Instance] = true
+	m.version++
+	for _, other := range m.b.nodes {
+		other.setView(m.version, m.dead)
+	}
+}
+
 func (m *machine) cut(t *rapid.T) {
 	m.b.cut[[2]ident.InstanceID{m.node(t).self.Instance, m.node(t).self.Instance}] = true
 }
@@ -112,13 +129,19 @@
 	}
 	m.b.run(8 * time.Second)
 	for _, h := range m.open {
-		if h.n.last(h.id).what == "" {
-			t.Fatalf("reservation %s was never answered", h.id)
+		if h.n.dead {
+			continue
+		}
+		if what := h.n.last(h.id).what; what == "" || what == "computing" {
+			t.Fatalf("reservation %s was never answered (%q)", h.id, what)
 		}
 		h.n.policy.Release(h.id)
 	}
 	m.b.run(30 * time.Second)
 	for _, n := range m.b.nodes {
+		if n.dead {
+			continue
+		}
 		if len(n.policy.holder.holdings) != 0 {
 			t.Fatalf("%s still holds %d placements", n.self.Instance, len(n.policy.holder.holdings))
 		}
@@ -131,11 +154,12 @@
 }
 
 // TestInterleavings checks over random interleavings of losses, repetitions,
-// reorderings, freezes and cuts that every ask is answered, that promises stay
-// within bounds and that nothing is left behind.
+// reorderings, freezes, kills and cuts that every ask is answered, also that for a
+// slot after a prefill, that promises stay within bounds and that nothing is left
+// behind.
 func TestInterleavings(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &machine{b: newBed(rapid.Uint64().Draw(t, "seed"), 3, 3, 24)}
+		m := &machine{b: newBed(rapid.Uint64().Draw(t, "seed"), 3, 3, 24), dead: map[ident.InstanceID]bool{}, version: 1}
 		m.b.loss = rapid.SampledFrom([]float64{0, 0.1, 0.4}).Draw(t, "loss")
 		m.b.repeat = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "repeat")
 		m.b.jitter = time.Duration(rapid.IntRange(0, 50).Draw(t, "jitter")) * time.Millisecond
@@ -146,6 +170,7 @@
 			"advance2": m.advance,
 			"pass":     m.pass,
 			"freeze":   m.freeze,
+			"kill":     m.kill,
 			"thaw":     m.thaw,
 			"cut":      m.cut,
 			"heal":     m.heal,
