Kernel: a prefill result that nobody finds a slot for is given up when it expires

Ruled out: leaving it to the policies: each would need the same watch, and the kernel knows when the result cannot be imported any more. Change: a timer per awaited slot with a prefill result; when it is due the result is dropped, its release is told to the engine and the request is tried again like after any lost KV cache.

--- a/kernel/slots.go
+++ b/kernel/slots.go
@@ -41,6 +41,19 @@
 	c.state = callReserving
 	k.placer.reserving++
 	k.noteWaiting(c, ReasonSlotPending)
+	if c.prefill != nil {
+		k.timers.addKV(c.kvAt.Add(k.kvUsable()), c.slot.id)
+	}
+}
+
+// kvDue gives up a reservation that is still awaited when the prefill result it
+// is for can no longer be imported, whatever the slot policy does about it.
+func (k *Kernel) kvDue(reservation ident.AttemptID) {
+	c, ok := k.reserved[reservation]
+	if !ok || c.state != callReserving || c.prefill == nil || k.kvFresh(c) {
+		return
+	}
+	k.decodeElsewhere(c, ReasonKVGone)
 }
 
 // leaveReserving ends the state callReserving.
--- a/kernel/timer.go
+++ b/kernel/timer.go
@@ -20,6 +20,9 @@
 	timerLate
 	// timerKick runs the scheduler again.
 	timerKick
+	// timerKV gives up a prefill result that has waited too long for a decode
+	// slot.
+	timerKV
 )
 
 // timer is one entry of the timer heap. Timers are never removed early: the
@@ -69,6 +72,10 @@
 	t.push(timer{at: at, kind: timerCancel, attempt: id})
 }
 
+func (t *timers) addKV(at time.Time, reservation ident.AttemptID) {
+	t.push(timer{at: at, kind: timerKV, attempt: reservation})
+}
+
 func (t *timers) push(e timer) {
 	t.order++
 	e.order = t.order
@@ -117,6 +124,8 @@
 		case timerKick:
 			k.dirty = true
 			k.kickAt = time.Time{}
+		case timerKV:
+			k.kvDue(t.attempt)
 		}
 	}
 }
