Agent: metrics over HTTP, by tally as in the entry

Cause: house style asks for metrics by tally; the agent had only the figures of 'wardspoolctl fleet', which no metrics collector reads. Ruled out: counting in tally scopes as the entry does: its loop reports each second, on a budget of a hundredth of a core; the agent has all its counts. Change: metrics.listen (off unless set) answers GET /metrics from the agent's status, made when it is asked for; the reporter moves from entry/metrics to metrics, which both use.

--- a/agent/check.go
+++ b/agent/check.go
@@ -27,6 +27,7 @@
 	s.checkPeers(r)
 	s.checkOperators(r)
 	s.checkTLS(r)
+	checkAddress(r, "metrics.listen", s.Metrics.Listen, false)
 	s.checkPlatform(r)
 	s.checkBundles(r)
 	s.checkBounds(r)
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -18,6 +18,7 @@
 type servers struct {
 	peers     *server
 	operators *server
+	metrics   *metricsServer
 }
 
 // server is a jsonrpc2 server and its listener.
@@ -50,6 +51,9 @@
 		return oops.In("agent").Wrapf(err, "listen for peers")
 	}
 	a.handlePeers(a.servers.peers.rpc)
+	if err := a.listenForMetrics(); err != nil {
+		return err
+	}
 	if a.settings.Operators.Listen == "" {
 		return nil
 	}
@@ -89,17 +93,21 @@
 	a.handleRelay(s)
 }
 
-// PeerAddress and OperatorAddress return the addresses of the listeners after
-// Listen, "" for one that is not configured.
+// PeerAddress, OperatorAddress and MetricsAddress return the addresses of the
+// listeners after Listen, "" for one that is not configured.
 func (a *Agent) PeerAddress() string     { return a.servers.peers.address() }
 func (a *Agent) OperatorAddress() string { return a.servers.operators.address() }
+func (a *Agent) MetricsAddress() string  { return a.servers.metrics.address() }
+
+// listeners is how many listeners there are at most.
+const listeners = 3
 
 // Serve runs the agent until ctx ends and then stops it. It returns an error if
 // a listener failed.
 func (a *Agent) Serve(ctx context.Context) error {
 	loop, endLoop := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	failed := make(chan error, 2)
+	failed := make(chan error, listeners)
 	running.Go(func() { a.run(loop) })
 	if a.tls != nil {
 		running.Go(func() { a.tls.Run(loop) })
@@ -110,8 +118,11 @@
 			running.Go(func() { failed <- s.rpc.Serve(s.listener) })
 		}
 	}
+	if m := a.servers.metrics; m != nil {
+		running.Go(func() { failed <- m.serve() })
+	}
 	a.log.Info("serving", "instance", a.self.Instance, "zone", a.self.Zone,
-		"peers", a.PeerAddress(), "operators", a.OperatorAddress(), "feed", a.settings.Entry.Feed)
+		"peers", a.PeerAddress(), "operators", a.OperatorAddress(), "metrics", a.MetricsAddress(), "feed", a.settings.Entry.Feed)
 	var err error
 	select {
 	case <-ctx.Done():
@@ -145,6 +156,9 @@
 			errs = errors.Join(errs, s.rpc.Shutdown(ctx))
 		}
 	}
+	if a.servers.metrics != nil {
+		errs = errors.Join(errs, a.servers.metrics.http.Shutdown(ctx))
+	}
 	if errs != nil {
 		a.log.Info("calls of peers were cut off", "error", errs)
 	}
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -22,6 +22,7 @@
 	Entry     EntrySettings    `yaml:"entry"`
 	Peers     PeerSettings     `yaml:"peers"`
 	Operators OperatorSettings `yaml:"operators"`
+	Metrics   MetricsSettings  `yaml:"metrics"`
 	// TLS protects the connections to other agents and from operators' tools;
 	// empty means plain TCP.
 	TLS      tlsconf.Settings `yaml:"tls"`
@@ -77,6 +78,12 @@
 	Names []ident.InstanceID `yaml:"names"`
 }
 
+// MetricsSettings concern the metrics.
+type MetricsSettings struct {
+	// Listen is where GET /metrics is answered; empty means nowhere.
+	Listen string `yaml:"listen"`
+}
+
 // PlatformSettings concern the platform's configuration service.
 type PlatformSettings struct {
 	URLs []string `yaml:"urls"`
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,7 +17,7 @@
 	"github.com/wardspool/wardspool/entry/driver"
 	"github.com/wardspool/wardspool/entry/front"
 	"github.com/wardspool/wardspool/entry/intake"
-	"github.com/wardspool/wardspool/entry/metrics"
+	"github.com/wardspool/wardspool/metrics"
 	"github.com/wardspool/wardspool/entry/peering"
 	"github.com/wardspool/wardspool/entry/tickets"
 	"github.com/wardspool/wardspool/ident"
--- a/entry/metrics/reporter.go
+++ b/metrics/reporter.go
@@ -19,6 +19,12 @@
 // Interval is how often a scope should report: values are at most this old.
 const Interval = time.Second
 
+// separator joins the parts of a metric's name.
+const separator = "_"
+
+// ContentType is the media type of the text format.
+const ContentType = "text/plain; version=0.0.4; charset=utf-8"
+
 // kind is a metric's type in the text format.
 type kind string
 
@@ -63,7 +69,7 @@
 	return tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 prefix,
 		Reporter:               r,
-		Separator:              "_",
+		Separator:              separator,
 		OmitCardinalityMetrics: true,
 	}, Interval)
 }
@@ -160,12 +166,9 @@
 // Tagging implements tally.Capabilities.
 func (capabilities) Tagging() bool { return true }
 
-// contentType is the media type of the text format.
-const contentType = "text/plain; version=0.0.4; charset=utf-8"
-
 // ServeHTTP writes all metrics.
 func (r *Reporter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", contentType)
+	w.Header().Set("Content-Type", ContentType)
 	// A reader that left is no concern of ours.
 	_, _ = io.WriteString(w, r.Text())
 }
