slots.dispatch: a new dispatcher knows how long slots are used; a lost name is repeated

(2) a holder's full renewal from before it knew its decode engine took the engine back, and the repeated ask was answered with "queued" until the request's deadline. Change: a renewal says how long each slot has been used; one without a decode engine takes none back. Tests: TestNewDispatcherKnowsHowLongSlotsAreUsed, TestLostDecodeIsRepeatedAfterARenewal, both failing before; two mutations, each noticed.

--- a/plugins/slots/dispatch/fallback.go
+++ b/plugins/slots/dispatch/fallback.go
@@ -26,6 +26,8 @@
 		model:  modelOf(u),
 		stage:  stageDecode,
 		decode: a.Upstream,
+
+		decodeAt: p.host.Now(),
 	}
 	h.ask.Pieces = a.Pieces
 	p.holder.holdings[h.key] = h
--- a/plugins/slots/dispatch/holder.go
+++ b/plugins/slots/dispatch/holder.go
@@ -36,7 +36,9 @@
 	ask             Ask
 	due, kvUntil    time.Time
 	prefill, decode ident.UpstreamID
-	decoding        bool
+	// decodeAt is when the decode engine was named.
+	decodeAt time.Time
+	decoding bool
 	// sentAt is when the dispatcher was last asked and answeredAt when it last
 	// showed that it knows of the ask.
 	sentAt     time.Time
@@ -183,6 +185,7 @@
 	h.stage = stagePrefill
 	h.prefill, h.decode = m.Prefill, m.Decode
 	h.answeredAt = p.host.Now()
+	h.decodeAt = h.answeredAt
 	p.holder.wait[h.model] = 0
 	p.host.PlacementGranted(h.id, m.placement())
 }
@@ -196,6 +199,7 @@
 	h.stage = stageDecode
 	h.decode = decode
 	h.answeredAt = p.host.Now()
+	h.decodeAt = h.answeredAt
 	p.host.DecodeGranted(h.id, decode)
 }
 
--- a/plugins/slots/dispatch/message.go
+++ b/plugins/slots/dispatch/message.go
@@ -141,6 +141,8 @@
 	Prefill     ident.UpstreamID    `json:"p,omitempty"`
 	Decode      ident.UpstreamID    `json:"d,omitempty"`
 	Pieces      int                 `json:"n,omitempty"`
+	// Used is how long the decode engine's slot has been taken.
+	Used Milliseconds `json:"u,omitempty"`
 	// Decoding says that the slot is in use, and not only promised.
 	Decoding bool `json:"s,omitempty"`
 }
--- a/plugins/slots/dispatch/renew.go
+++ b/plugins/slots/dispatch/renew.go
@@ -103,6 +103,7 @@
 				Prefill:     h.prefill,
 				Decode:      h.decode,
 				Pieces:      h.ask.Pieces,
+				Used:        h.used(p.host.Now()),
 				Decoding:    h.decoding,
 			})
 		}
@@ -114,6 +115,14 @@
 	p.host.Send(d, m)
 }
 
+// used is how long the decode engine's slot has been taken, 0 if there is none.
+func (h *holding) used(now time.Time) Milliseconds {
+	if h.decode == "" {
+		return 0
+	}
+	return millis(now.Sub(h.decodeAt))
+}
+
 // digest is a hash of one placement; those of several are combined by
 // exclusive or.
 func digest(k slotkit.Key, decode ident.UpstreamID) uint64 {
@@ -160,7 +169,9 @@
 	return count == m.Count && sum == m.Digest
 }
 
-// adopt enters a placement that a holder says it has.
+// adopt enters a placement that a holder says it has. If the holder knows of no
+// decode engine and this dispatcher does, its name is on its way, or was lost and
+// will be asked for again.
 func (g *group) adopt(from ident.InstanceID, held Held) {
 	key := held.Reservation.Key()
 	gr, ok := g.grants[key]
@@ -175,14 +186,8 @@
 		}
 		g.grants[key] = gr
 	}
-	if gr.decode != held.Decode {
-		if gr.decode != "" {
-			g.freeSlot(gr)
-		}
-		gr.decode = ""
-		if held.Decode != "" {
-			g.takeSlot(gr, held.Decode)
-		}
+	if held.Decode != "" && gr.decode != held.Decode {
+		g.takeOver(gr, held)
 	}
 	if gr.prefill == "" {
 		// It may still run: the holder tells when it is done.
@@ -193,6 +198,20 @@
 	}
 }
 
+// takeOver enters the slot that a holder says it has.
+func (g *group) takeOver(gr *grant, held Held) {
+	if gr.decode != "" {
+		g.freeSlot(gr)
+	}
+	if i := slices.Index(g.ready, gr); i >= 0 {
+		g.ready = slices.Delete(g.ready, i, i+1)
+	}
+	g.takeSlot(gr, held.Decode)
+	// So that load reports from before count it, and how long slots are used is
+	// learned right.
+	gr.decodeAt = g.now().Add(-held.Used.Duration())
+}
+
 // grantsOf lists the placements of one holder, in a repeatable order.
 func (g *group) grantsOf(from ident.InstanceID) []*grant {
 	var list []*grant
--- a/plugins/slots/dispatch/takeover_test.go
+++ b/plugins/slots/dispatch/takeover_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
 )
 
 // TestPrefillOutlivesItsDispatcher kills the dispatcher while a prefill runs. Its
@@ -50,3 +51,54 @@
 	}
 	return list
 }
+
+// killDispatcher kills the dispatcher and has all others know.
+func (b *bed) killDispatcher() {
+	d := b.dispatcherNode()
+	d.dead = true
+	for _, n := range b.nodes {
+		n.setView(2, map[ident.InstanceID]bool{d.self.Instance: true})
+		n.policy.refresh()
+	}
+}
+
+// TestLostDecodeIsRepeatedAfterARenewal loses the dispatcher's last answer and
+// has the holder list its placements, among which is no decode engine then.
+func TestLostDecodeIsRepeatedAfterARenewal(t *testing.T) {
+	b := settled(1, 3, 20, 200)
+	h, d := b.holderNode(), b.dispatcherNode()
+	id := h.place(2 * time.Second)
+	b.run(200 * time.Millisecond)
+	h.policy.Computed(id)
+	b.loss = 1
+	b.run(2 * time.Millisecond)
+	b.loss = 0
+	h.policy.renewAll(d.self.Instance, testModel)
+	b.run(2 * answerTime)
+	assert.Equal(t, h.last(id).what, "decode")
+}
+
+// TestNewDispatcherKnowsHowLongSlotsAreUsed has an engine report a request that
+// the new dispatcher learns of later: it is one request and not two.
+func TestNewDispatcherKnowsHowLongSlotsAreUsed(t *testing.T) {
+	b := settled(1, 3, 2, 200)
+	h := b.holderNode()
+	id := h.place(2 * time.Second)
+	b.run(250 * time.Millisecond)
+	h.policy.Computed(id)
+	b.run(10 * time.Millisecond)
+	h.policy.Started(id)
+	b.run(2 * time.Second)
+	b.killDispatcher()
+	d := b.dispatcherNode()
+	used := d.Upstream(h.last(id).decode)
+	used.Load = kernel.Load{At: b.now.Add(-time.Second), Running: 1, Slots: 2, PiecesUsed: 4, PiecesTotal: 200}
+	b.run(50 * time.Millisecond)
+	for _, e := range d.policy.groups[testModel].decodes() {
+		want := 2
+		if e.u == used {
+			want = 1
+		}
+		assert.Equal(t, e.slots, want, e.u.ID)
+	}
+}
