slots.dispatch: placements of cut-off holders lapse when the engine no longer runs them

Cause: the releases of a holder that is cut off do not come, so that its placements took slots until their requests' deadlines, long after their streams had ended on the engines; those without a decode engine kept a slot promised that can't be named to them. Ruled out: ending them all when the holder is called unreachable (a frozen holder's requests still run, and would be placed over).

--- a/plugins/slots/dispatch/pass.go
+++ b/plugins/slots/dispatch/pass.go
@@ -29,6 +29,7 @@
 // pass gives out what can be given out now.
 func (g *group) pass() {
 	if len(g.waiting)+len(g.ready) > 0 {
+		g.lapse()
 		free := g.decodes()
 		g.serveReady(free)
 		g.placeWaiting(free)
