--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,12 +17,12 @@
 	"github.com/wardspool/wardspool/entry/driver"
 	"github.com/wardspool/wardspool/entry/front"
 	"github.com/wardspool/wardspool/entry/intake"
-	"github.com/wardspool/wardspool/metrics"
 	"github.com/wardspool/wardspool/entry/peering"
 	"github.com/wardspool/wardspool/entry/tickets"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/kernel"
 	"github.com/wardspool/wardspool/kernel/prefix"
+	"github.com/wardspool/wardspool/metrics"
 	"github.com/wardspool/wardspool/peer"
 	"github.com/wardspool/wardspool/plugin"
 )
