A second reattachment waits a backoff; a break of connections in a test is one instant

Cause: TestDroppedConnectionIsReadOn failed in 2 of 100 runs (go test -race -run ... -count=50 -cpu 1,2, load average 16 to 20): the stream was started again on another engine. The decision log shows both of the kernel's two reattachments within 3 ms, and the test's break, made by two settings of a fault one after the other, had lasted longer than that. Two things were wrong: - Product: both reattachments were made at once, so that any break of a few milliseconds used up both and cost a new prefill and decode. The second one now waits the retry backoff (ReattachDecode.Wait; the driver and the experiment's fake wait before they read on). The first still goes at once. - Test: how long the engines were away depended on the machine. The stand-in has BreakConnections, which drops all connections and serves new ones under one hold of its mutex; the test asserts what it did before. Found while reading: a reattachment held back here (by the pause gate) whose caller then left counted as an attempt that was never sent, so that its cancel did not go out and the engine went on. TestReattachIsNeverUnsent failed before. Ruled out: a race of goroutines (no report of the race detector), lost tokens. Price: resuming after a decode engine's death comes one backoff (25 to 50 ms with the examples' 50 ms) later.

--- a/entry/driver/actions.go
+++ b/entry/driver/actions.go
@@ -1,6 +1,7 @@
 package driver
 
 import (
+	"context"
 	"log/slog"
 	"time"
 
@@ -147,6 +148,7 @@
 	if a == nil {
 		return
 	}
+	a.reattached = true
 	a.exchange.delivery.choose(a.id)
 	call := &adapter.ReattachCall{
 		Target:   a.target,
@@ -155,6 +157,9 @@
 	}
 	patience := d.patience(a, "")
 	d.run(a, func() (kernel.Event, error) {
+		if err := wait(a.ctx, s.Wait); err != nil {
+			return nil, err
+		}
 		sink := d.newSink(a, patience)
 		defer sink.watch.stop()
 		got, err := d.opts.Engine.Reattach(a.ctx, call, sink)
@@ -162,6 +167,21 @@
 	})
 }
 
+// wait returns after d, or with the context's error when that ends before.
+func wait(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // decodedWhole checks that the caller has all tokens of an output.
 func (a *attempt) decodedWhole(got adapter.Decoded, err error) (kernel.Event, error) {
 	if err != nil {
--- a/entry/driver/attempt.go
+++ b/entry/driver/attempt.go
@@ -21,7 +21,9 @@
 	cancel   context.CancelCauseFunc
 	// ended is closed when the goroutine is over; unsent is final by then.
 	ended chan struct{}
-	// unsent says that no byte went to the upstream.
+	// reattached says that the call reads on in an attempt that was sent before.
+	reattached bool
+	// unsent says that no byte of the attempt went to the upstream.
 	unsent bool
 
 	// over is set when the driver no longer wants the attempt's reports. It is
@@ -110,12 +112,12 @@
 // carry waits until the attempt may be sent and makes the call.
 func (d *Driver) carry(a *attempt, call func() (kernel.Event, error)) (kernel.Event, error) {
 	if err := d.gate.pass(a.ctx); err != nil {
-		a.unsent = true
+		a.unsent = !a.reattached
 		return nil, &adapter.CallError{Evidence: kernel.NotSent, Code: kernel.FailureConnect, Err: err}
 	}
 	ev, err := call()
 	if err != nil {
-		a.unsent = adapter.AsCallError(err).Evidence == kernel.NotSent
+		a.unsent = !a.reattached && adapter.AsCallError(err).Evidence == kernel.NotSent
 	}
 	return ev, err
 }
--- a/entry/driver/driver_test.go
+++ b/entry/driver/driver_test.go
@@ -249,3 +249,60 @@
 type outputFunc func(c adapter.Chunk) error
 
 func (f outputFunc) Token(c adapter.Chunk) error { return f(c) }
+
+// breakTwice is a kernel whose decode's connection breaks, and which then has its
+// stream read on after a wait.
+func breakTwice(ev kernel.Event) []kernel.Action {
+	if _, ok := ev.(kernel.AttemptFailed); ok {
+		return []kernel.Action{kernel.ReattachDecode{
+			Attempt: attemptID(1), Request: "r-1", Upstream: "dc-1", Offset: 1, Wait: time.Second,
+		}}
+	}
+	return decodeOnce(ev)
+}
+
+func TestReattachWaits(t *testing.T) {
+	inRig(t, breakTwice, func(t *testing.T, r *rig) {
+		begin := time.Now()
+		r.engine.decode = func(_ context.Context, c *adapter.DecodeCall, s adapter.Sink) (adapter.Decoded, error) {
+			if c.ContinueFrom == 0 {
+				assert.NilError(t, s.Token(token(0)))
+				return adapter.Decoded{}, errors.ErrUnsupported
+			}
+			assert.Equal(t, time.Since(begin), time.Second)
+			return adapter.Decoded{Tokens: 2}, play(s, 1)
+		}
+		assert.Equal(t, r.submit(t.Context()).Outcome, api.Complete)
+		assert.Equal(t, r.out.text, "ab")
+	})
+}
+
+// TestCancelWhileReattachWaits: the decode runs at its engine, though the call
+// that would read on was not sent.
+func TestCancelWhileReattachWaits(t *testing.T) {
+	inRig(t, breakTwice, func(t *testing.T, r *rig) {
+		ctx, leave := context.WithCancel(t.Context())
+		r.engine.decode = func(_ context.Context, _ *adapter.DecodeCall, s adapter.Sink) (adapter.Decoded, error) {
+			assert.NilError(t, s.Token(token(0)))
+			time.AfterFunc(500*time.Millisecond, leave)
+			return adapter.Decoded{}, errors.ErrUnsupported
+		}
+		r.submit(ctx)
+		synctest.Wait()
+		assert.DeepEqual(t, r.engine.cancels, []ident.AttemptID{attemptID(1)})
+	})
+}
+
+// TestReattachIsNeverUnsent: the attempt ran, so that its cancel must go out,
+// also when the call that would read on was held back here.
+func TestReattachIsNeverUnsent(t *testing.T) {
+	d := New(Options{})
+	ctx, cancel := context.WithCancelCause(t.Context())
+	cancel(&CancelledError{})
+	for _, reattached := range []bool{false, true} {
+		a := &attempt{ctx: ctx, reattached: reattached}
+		_, err := d.carry(a, nil)
+		assert.ErrorContains(t, err, "canceled")
+		assert.Equal(t, a.unsent, !reattached)
+	}
+}
--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -145,8 +145,7 @@
 	_, err = io.ReadFull(resp.Body, start)
 	assert.NilError(t, err)
 	for _, id := range []ident.UpstreamID{"dc-1", "dc-2"} {
-		b.setFaults(id, control.EngineFaults{DropConnections: true})
-		b.setFaults(id, control.EngineFaults{})
+		b.engines[id].BreakConnections()
 	}
 	rest, err := io.ReadAll(resp.Body)
 	assert.NilError(t, err)
--- a/experiment/instance.go
+++ b/experiment/instance.go
@@ -158,7 +158,7 @@
 	case kernel.CallService:
 		l.send(&attempt{id: a.Attempt, sub: l.subs[a.Request], role: config.RoleService}, a.Upstream)
 	case kernel.ReattachDecode:
-		l.reattach(l.attempts[a.Attempt])
+		l.reattachAfter(a.Wait, l.attempts[a.Attempt])
 	case kernel.CancelAttempt:
 		l.w.cancel(l, a.Attempt, a.Upstream)
 	case kernel.Answer:
@@ -194,6 +194,20 @@
 	l.w.send(a)
 }
 
+// reattachAfter reads on in a stream after a wait, unless this life ended
+// meanwhile.
+func (l *life) reattachAfter(wait time.Duration, a *attempt) {
+	if wait == 0 {
+		l.reattach(a)
+		return
+	}
+	l.w.clock.after(wait, func() {
+		if l.inst.life == l {
+			l.reattach(a)
+		}
+	})
+}
+
 // reattach reads on in an attempt's stream.
 func (l *life) reattach(a *attempt) {
 	up := a.upstream.base()
--- a/kernel/action.go
+++ b/kernel/action.go
@@ -1,6 +1,8 @@
 package kernel
 
 import (
+	"time"
+
 	"github.com/wardspool/wardspool/api"
 	"github.com/wardspool/wardspool/ident"
 )
@@ -30,12 +32,14 @@
 }
 
 // ReattachDecode reads on in a decode attempt's stream, from token Offset,
-// after the connection to its engine broke. It starts nothing new.
+// after the connection to its engine broke. It starts nothing new. The driver
+// waits for Wait before, so that two tries don't fall into one short break.
 type ReattachDecode struct {
 	Attempt  ident.AttemptID
 	Request  ident.RequestID
 	Upstream ident.UpstreamID
 	Offset   int
+	Wait     time.Duration
 }
 
 // CallService sends a request to a plain service.
--- a/kernel/failure.go
+++ b/kernel/failure.go
@@ -95,6 +95,7 @@
 		Request:  c.request.ID,
 		Upstream: a.upstream,
 		Offset:   c.delivered,
+		Wait:     k.reattachWait(c.reattached),
 	})
 	k.log(c, Record{
 		Step:    StepResuming,
@@ -106,6 +107,15 @@
 	return true
 }
 
+// reattachWait is the wait before a stream is read on for the n-th time: none at
+// first, since most connections can be made anew at once.
+func (k *Kernel) reattachWait(n int) time.Duration {
+	if n < 2 {
+		return 0
+	}
+	return k.backoff(n - 1)
+}
+
 func (k *Kernel) prefillFailed(c *call, e AttemptFailed) {
 	c.prefill = nil
 	k.giveSlotBack(c)
--- a/kernel/session_test.go
+++ b/kernel/session_test.go
@@ -67,6 +67,15 @@
 		s.step(kernel.FirstOutput{Attempt: s.decode})
 		s.step(kernel.AttemptDone{Attempt: s.decode})
 	}},
+	{"stream_breaks_twice_second_reattach_waits", func(s *session) {
+		s.step(kernel.Arrive{Request: s.review("r1")})
+		s.step(kernel.PrefillDone{Attempt: s.prefill, KV: kvFrom("p1")})
+		s.step(kernel.FirstOutput{Attempt: s.decode})
+		s.step(kernel.AttemptFailed{Attempt: s.decode, Evidence: kernel.Ambiguous, Code: kernel.FailureBroken, Offset: 40})
+		s.step(kernel.AttemptFailed{Attempt: s.decode, Evidence: kernel.Ambiguous, Code: kernel.FailureBroken, Offset: 40})
+		s.after(100 * time.Millisecond)
+		s.step(kernel.AttemptDone{Attempt: s.decode})
+	}},
 	{"caller_gone_while_prefilling", func(s *session) {
 		s.step(kernel.Arrive{Request: s.review("r1")})
 		s.step(kernel.CallerGone{Request: "r1"})
--- a/kernel/world_test.go
+++ b/kernel/world_test.go
@@ -152,7 +152,11 @@
 	case kernel.StartDecode:
 		return fmt.Sprintf("decode    %s on %s (attempt %d, from %d)", a.Request, a.Upstream, a.Attempt.Sequence, a.ContinueFrom)
 	case kernel.ReattachDecode:
-		return fmt.Sprintf("reattach  %s on %s (attempt %d, offset %d)", a.Request, a.Upstream, a.Attempt.Sequence, a.Offset)
+		text := fmt.Sprintf("reattach  %s on %s (attempt %d, offset %d)", a.Request, a.Upstream, a.Attempt.Sequence, a.Offset)
+		if a.Wait > 0 {
+			text += fmt.Sprintf(" after %v", a.Wait.Round(time.Millisecond))
+		}
+		return text
 	case kernel.CallService:
 		return fmt.Sprintf("call      %s on %s (attempt %d)", a.Request, a.Upstream, a.Attempt.Sequence)
 	case kernel.AbandonAttempt:
--- a/standin/engine/faults.go
+++ b/standin/engine/faults.go
@@ -43,6 +43,15 @@
 	}
 }
 
+// BreakConnections drops every connection there is at this moment, as a link
+// that breaks for an instant. Connections made afterwards are served.
+func (e *Engine) BreakConnections() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.disconnect()
+	e.updateConnected()
+}
+
 // serveCrash answers POST /control/crash.
 func (e *Engine) serveCrash(w http.ResponseWriter, r *http.Request) {
 	var c control.Crash
