Stalled KV transfers eject the engine at fault, found by comparison

Cause: a transfer that stalled before the first output counted as a failure of the decode engine alone. A prefill engine whose link stands still was never left out, wasted a prefill and the time to notice for each request it got, and had three stalls in a row eject the decode engines it feeds. The dispatcher knew only of its own instance's stalls, an eighth of them. Ruled out: counting against the prefill engine, or against both (see docs/design/placement.md). Change: stallBook compares: the engine whose transfers stall with several others, or with one that does well elsewhere, is at fault; a witness must be of its own zone. Releases tell the dispatcher how the transfer ended.

--- a/kernel/failure.go
+++ b/kernel/failure.go
@@ -63,7 +63,10 @@
 	if u == nil || !sameLife(u.Incarnation, a.incarnation) {
 		return
 	}
-	if upstreamFault(e.Code) {
+	stalledTransfer := e.Code == FailureStalled && a.stage == stageDecode && a.call.prefill != nil
+	if stalledTransfer {
+		k.transferEnded(a.call, a, true)
+	} else if upstreamFault(e.Code) {
 		k.failed(u)
 	}
 	if a.stage == stageDecode && e.Code == FailureCapacity && a.call.slot.policy != nil {
@@ -73,8 +76,8 @@
 		return
 	}
 	c := a.call
-	if e.Code == FailureStalled && a.stage == stageDecode && c.prefill != nil {
-		// The KV transfer stalled; nobody can tell at which of its two ends.
+	if stalledTransfer {
+		// One stall does not tell at which of the two ends.
 		c.avoid = append(c.avoid, c.prefill.upstream)
 	}
 	c.avoid = append(c.avoid, a.upstream)
--- a/kernel/health.go
+++ b/kernel/health.go
@@ -48,9 +48,16 @@
 		return
 	}
 	u.Health.Failures++
-	if u.Health.Failures < ejectAfter || k.now.Before(u.Health.EjectedUntil) {
+	if u.Health.Failures < ejectAfter || k.ejected(u) {
 		return
 	}
+	k.eject(u)
+}
+
+func (k *Kernel) ejected(u *Upstream) bool { return k.now.Before(u.Health.EjectedUntil) }
+
+// eject has an upstream get no new work for a while, longer each time in a row.
+func (k *Kernel) eject(u *Upstream) {
 	length := ejectBase << min(u.Health.Ejections, maxEjectDoublings)
 	u.Health.Ejections++
 	u.Health.Failures = 0
--- a/kernel/joint.go
+++ b/kernel/joint.go
@@ -59,6 +59,9 @@
 	DecodeGranted(reservation ident.AttemptID, decode ident.UpstreamID)
 	// PlacementRefused answers Place when the request cannot meet its target.
 	PlacementRefused(reservation ident.AttemptID, comeBack time.Duration)
+	// TransferEnded enters a KV transfer of another instance's request, which
+	// began at the given time.
+	TransferEnded(prefill, decode ident.UpstreamID, began time.Time, stalled bool)
 	// Prefix returns the prefix index, nil if there is none.
 	Prefix() PrefixStore
 }
@@ -67,6 +70,10 @@
 
 func (h host) Prefix() PrefixStore { return h.k.prefix }
 
+func (h host) TransferEnded(prefill, decode ident.UpstreamID, began time.Time, stalled bool) {
+	h.k.noteTransfer(prefill, decode, began, stalled)
+}
+
 func (h host) PlacementGranted(id ident.AttemptID, p Placement) {
 	h.k.verdict(slotVerdict{id: id, kind: verdictPlaced, placement: p})
 }
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -50,6 +50,7 @@
 	timers   timers
 	sequence uint64
 
+	stalls     stallBook
 	budget     retryBudget
 	throughput throughput
 	stopping   bool
@@ -78,6 +79,7 @@
 		attempts: map[ident.AttemptID]*attempt{},
 		reserved: map[ident.AttemptID]*call{},
 		cancels:  map[ident.AttemptID]*cancel{},
+		stalls:   stallBook{ends: map[ident.UpstreamID]*stallEnd{}},
 	}
 	k.fleet.init()
 	return k, nil
--- a/kernel/model.go
+++ b/kernel/model.go
@@ -161,6 +161,9 @@
 	if !ok {
 		return
 	}
+	if a.call.prefill != nil {
+		k.transferEnded(a.call, a, false)
+	}
 	k.untrack(a.call.prefill)
 	a.call.prefill = nil
 }
--- /dev/null
+++ b/kernel/stalls_test.go
@@ -0,0 +1,89 @@
+package kernel
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/ident"
+)
+
+// TestStallBook checks which end of stalled transfers is taken for at fault.
+// Engines are named by zone and role: "a-p1" is a prefill engine in zone a.
+func TestStallBook(t *testing.T) {
+	type event struct {
+		prefill, decode ident.UpstreamID
+		// began is in seconds.
+		began  int
+		moved  bool
+		faulty ident.UpstreamID
+	}
+	tests := map[string][]event{
+		"a prefill engine's link": {
+			{prefill: "a-p1", decode: "a-d1"},
+			{prefill: "a-p1", decode: "a-d1"},
+			{prefill: "a-p1", decode: "a-d2", faulty: "a-p1"},
+			{prefill: "a-p2", decode: "a-d1"},
+			{prefill: "a-p1", decode: "a-d1", began: 1, faulty: "a-p1"},
+			{prefill: "a-p1", decode: "a-d1", began: 2, moved: true},
+			{prefill: "a-p1", decode: "a-d1", began: 3},
+		},
+		"a decode engine": {
+			{prefill: "a-p1", decode: "a-d1"},
+			{prefill: "b-p1", decode: "a-d1", faulty: "a-d1"},
+			{prefill: "a-p1", decode: "a-d2"},
+		},
+		"between two zones": {
+			{prefill: "a-p1", decode: "b-d1"},
+			{prefill: "a-p1", decode: "b-d2"},
+			{prefill: "a-p1", decode: "c-d1"},
+			{prefill: "a-p2", decode: "b-d1"},
+		},
+		"good ones between": {
+			{prefill: "a-p1", decode: "a-d1", began: 1},
+			{prefill: "a-p1", decode: "a-d2", began: 2, moved: true},
+			{prefill: "a-p1", decode: "a-d2", began: 3},
+		},
+		"good ones from before": {
+			{prefill: "a-p1", decode: "a-d1", began: 2},
+			{prefill: "a-p1", decode: "a-d2", began: 1, moved: true},
+			{prefill: "a-p1", decode: "a-d2", began: 3, faulty: "a-p1"},
+		},
+		"a sound witness": {
+			{prefill: "a-p1", decode: "a-d1", began: 1},
+			{prefill: "a-p2", decode: "a-d1", began: 2, moved: true},
+			{prefill: "a-p1", decode: "a-d1", began: 3, faulty: "a-p1"},
+		},
+		"a sound witness in another zone": {
+			{prefill: "a-p1", decode: "b-d1", began: 1},
+			{prefill: "b-p2", decode: "b-d1", began: 2, moved: true},
+			{prefill: "a-p1", decode: "b-d1", began: 3},
+		},
+		"a single stall": {
+			{prefill: "a-p1", decode: "a-d1", began: 1},
+			{prefill: "a-p2", decode: "a-d1", began: 2, moved: true},
+			{prefill: "a-p2", decode: "a-d2", began: 3},
+		},
+	}
+	for name, events := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := stallBook{ends: map[ident.UpstreamID]*stallEnd{}}
+			for i, e := range events {
+				began := time.Unix(int64(e.began), 0)
+				if e.moved {
+					b.moved(e.prefill, e.decode, began)
+					continue
+				}
+				got := ident.UpstreamID("")
+				if u := b.stalled(end(e.prefill), end(e.decode), began); u != nil {
+					got = u.ID
+				}
+				assert.Equal(t, got, e.faulty, "event %d", i)
+			}
+		})
+	}
+}
+
+// end is an engine in the zone that its name begins with.
+func end(id ident.UpstreamID) *Upstream { return &Upstream{ID: id, Zone: ident.Zone(id[:1])} }
--- a/plugins/slots/dispatch/bed_test.go
+++ b/plugins/slots/dispatch/bed_test.go
@@ -31,10 +31,18 @@
 	answers map[ident.AttemptID][]answer
 	// comeBack is what refused reservations were told.
 	comeBack map[ident.AttemptID]time.Duration
-	frozen   bool
-	dead     bool
-	inbox    []delivery
-	seq      uint64
+	// transfers are those that the kernel was told of.
+	transfers []transfer
+	frozen    bool
+	dead      bool
+	inbox     []delivery
+	seq       uint64
+}
+
+// transfer is a KV transfer that ended.
+type transfer struct {
+	prefill, decode ident.UpstreamID
+	stalled         bool
 }
 
 // delivery is a message on its way.
@@ -162,6 +170,10 @@
 
 func (n *node) SlotGranted(id ident.AttemptID)             { n.note(id, answer{what: "granted"}) }
 func (n *node) SlotDenied(id ident.AttemptID, _ time.Time) { n.note(id, answer{what: "denied"}) }
+func (n *node) TransferEnded(prefill, decode ident.UpstreamID, _ time.Time, stalled bool) {
+	n.transfers = append(n.transfers, transfer{prefill: prefill, decode: decode, stalled: stalled})
+}
+
 func (n *node) PlacementRefused(id ident.AttemptID, comeBack time.Duration) {
 	n.note(id, answer{what: "refused"})
 	n.comeBack[id] = comeBack
--- a/plugins/slots/dispatch/group.go
+++ b/plugins/slots/dispatch/group.go
@@ -212,9 +212,12 @@
 	delete(g.computing, gr.key)
 }
 
-// release ends a placement or withdraws an ask.
-func (g *group) release(key slotkit.Key) {
+// release ends a placement or withdraws an ask. How the KV transfer of another
+// instance's placement ended is passed to the kernel, which knows how those of
+// its own did.
+func (g *group) release(key slotkit.Key, transfer TransferEnd) {
 	if gr, ok := g.grants[key]; ok {
+		g.noteTransferEnd(gr, transfer)
 		g.end(gr)
 	}
 	for id, w := range g.waiting {
@@ -226,6 +229,23 @@
 	g.pass()
 }
 
+// noteTransferEnd passes on how a placement's KV transfer ended. When one stalled,
+// those of placements in use for long enough went well, or they would have been
+// released.
+func (g *group) noteTransferEnd(gr *grant, transfer TransferEnd) {
+	switch transfer {
+	case TransferMoved:
+		g.p.host.TransferEnded(gr.prefill, gr.decode, gr.decodeAt, false)
+	case TransferStalled:
+		for _, other := range g.grants {
+			if other.decode != "" && other != gr && g.now().Sub(other.decodeAt) > g.p.movedAfter {
+				g.p.host.TransferEnded(other.prefill, other.decode, other.decodeAt, false)
+			}
+		}
+		g.p.host.TransferEnded(gr.prefill, gr.decode, gr.decodeAt, true)
+	}
+}
+
 // undelivered takes back an answer that did not reach its holder, which will
 // ask again if it lives.
 func (g *group) undelivered(key slotkit.Key) {
--- a/plugins/slots/dispatch/holder.go
+++ b/plugins/slots/dispatch/holder.go
@@ -36,6 +36,8 @@
 	ask             Ask
 	due, kvUntil    time.Time
 	prefill, decode ident.UpstreamID
+	// transfer is how the KV transfer ended.
+	transfer TransferEnd
 	// decodeAt is when the decode engine was named.
 	decodeAt time.Time
 	decoding bool
@@ -260,9 +262,9 @@
 	switch h.dispatcher {
 	case "":
 	case p.host.Self().Instance:
-		p.groupOf(h.model).release(key)
+		p.groupOf(h.model).release(key, TransferEnd(0))
 	default:
-		p.host.Send(h.dispatcher, &Release{Reservation: slotkit.Reservation(id), Model: h.model})
+		p.host.Send(h.dispatcher, &Release{Reservation: slotkit.Reservation(id), Model: h.model, Transfer: h.transfer})
 	}
 }
 
@@ -273,3 +275,16 @@
 		h.decoding = true
 	}
 }
+
+// TransferEnded implements kernel.TransferObserver. The dispatcher learns of it
+// by the release.
+func (p *Policy) TransferEnded(id ident.AttemptID, stalled bool) {
+	h, ok := p.holder.holdings[slotkit.KeyOf(id)]
+	if !ok {
+		return
+	}
+	h.transfer = TransferMoved
+	if stalled {
+		h.transfer = TransferStalled
+	}
+}
--- a/plugins/slots/dispatch/message.go
+++ b/plugins/slots/dispatch/message.go
@@ -122,8 +122,19 @@
 type Release struct {
 	Reservation slotkit.Reservation `json:"r"`
 	Model       string              `json:"m"`
+	// Transfer is how the placement's KV transfer ended, if it did.
+	Transfer TransferEnd `json:"x,omitempty"`
 }
 
+// TransferEnd is how a KV transfer ended.
+type TransferEnd int
+
+// The ends; the zero value says nothing.
+const (
+	TransferMoved TransferEnd = iota + 1
+	TransferStalled
+)
+
 // Renew tells the dispatcher what a holder holds of a model: by count and
 // digest, or whole when Full is set. What a full renewal does not list is over.
 type Renew struct {
--- a/plugins/slots/dispatch/setup.go
+++ b/plugins/slots/dispatch/setup.go
@@ -20,6 +20,8 @@
 	_ kernel.Configurer  = (*Policy)(nil)
 	_ kernel.Waker       = (*Policy)(nil)
 	_ kernel.PeerHandler = (*Policy)(nil)
+
+	_ kernel.TransferObserver = (*Policy)(nil)
 )
 
 // Policy is the slot policy of one instance: the holder of its own requests'
@@ -35,6 +37,9 @@
 	regions map[ident.Zone]ident.Region
 	// kvUsable is how long after its prefill a KV cache may be imported.
 	kvUsable time.Duration
+	// movedAfter is how long after its decode engine was named a placement that
+	// is still in use has had its KV transfer.
+	movedAfter time.Duration
 }
 
 // PluginInfo implements plugin.Plugin.
@@ -55,6 +60,12 @@
 	// kvUsablePercent is the part of a KV cache's lifetime in which an import
 	// may still be begun.
 	kvUsablePercent = 70
+	// defaultTransferStall is used where the bundle sets no time after which a
+	// transfer counts as stalled.
+	defaultTransferStall = 3 * time.Second
+	// movedPercent is the part of that time which a placement must have been in
+	// use for its transfer to be taken for done.
+	movedPercent = 150
 	// defaultOrder is used until a bundle names an order.
 	defaultOrder plugin.ID = "order.deadline"
 )
@@ -66,6 +77,11 @@
 		lifetime = defaultKVLifetime
 	}
 	p.kvUsable = lifetime * kvUsablePercent / 100
+	stall := c.Policy.TransferStall
+	if stall <= 0 {
+		stall = defaultTransferStall
+	}
+	p.movedAfter = stall * movedPercent / 100
 	p.regions = map[ident.Zone]ident.Region{}
 	for _, r := range c.Policy.Regions {
 		for _, z := range r.Zones {
@@ -97,7 +113,7 @@
 	case *Computed:
 		p.groupOf(m.Model).computed(m.Reservation.Key(), m.KV)
 	case *Release:
-		p.groupOf(m.Model).release(m.Reservation.Key())
+		p.groupOf(m.Model).release(m.Reservation.Key(), m.Transfer)
 	case *Renew:
 		p.groupOf(m.Model).renewed(from, *m)
 	default:
--- /dev/null
+++ b/plugins/slots/dispatch/transfer_test.go
@@ -0,0 +1,54 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/ident"
+)
+
+// decoding has a holder's placement get its decode engine and begin its transfer.
+func (n *node) decoding(t *testing.T) ident.AttemptID {
+	t.Helper()
+	id := n.place(5 * time.Second)
+	n.bed.run(20 * time.Millisecond)
+	n.policy.Computed(id)
+	n.bed.run(20 * time.Millisecond)
+	assert.Equal(t, n.last(id).what, "decode")
+	n.policy.Started(id)
+	return id
+}
+
+// TestDispatcherHearsOfStalledTransfers has a holder's KV transfer stall: the
+// dispatcher's kernel is told of it, and that the one which is still in use and
+// began long before went well.
+func TestDispatcherHearsOfStalledTransfers(t *testing.T) {
+	b := settled(1, 3, 20, 200)
+	h, d := b.holderNode(), b.dispatcherNode()
+	good := h.decoding(t)
+	b.run(2 * defaultTransferStall)
+	fresh, stalled := h.decoding(t), h.decoding(t)
+	h.policy.TransferEnded(stalled, true)
+	h.policy.Release(stalled)
+	b.run(10 * time.Millisecond)
+	assert.Equal(t, len(d.transfers), 2)
+	assert.Equal(t, d.transfers[0], transfer{prefill: h.engines(good).prefill, decode: h.last(good).decode})
+	assert.Equal(t, d.transfers[1], transfer{prefill: h.engines(stalled).prefill, decode: h.last(stalled).decode, stalled: true})
+	h.policy.TransferEnded(fresh, false)
+	h.policy.Release(fresh)
+	b.run(10 * time.Millisecond)
+	assert.Equal(t, d.transfers[2], transfer{prefill: h.engines(fresh).prefill, decode: h.last(fresh).decode})
+	assert.Equal(t, len(h.transfers), 0, "the holder's own kernel knew before")
+}
+
+// engines is the answer that placed a reservation's prefill.
+func (n *node) engines(id ident.AttemptID) answer {
+	for _, a := range n.answers[id] {
+		if a.what == "placed" {
+			return a
+		}
+	}
+	return answer{}
+}
