Stalls eject at most half of the engines of a model and role

Ruled out: bounding ejection in general: a service that answers nobody must be left out even when it is the only one (TestSilentServiceIsEjected), since its callers get an honest 'not-run' by that. Change: stalls eject an engine only if half of those that can take its place remain. Test: TestStallsEverywhereLeaveEngines, failing with the bound taken out.

--- a/kernel/stalled_engine_test.go
+++ b/kernel/stalled_engine_test.go
@@ -38,6 +38,22 @@
 	assert.Assert(t, decodes["d1"] > 0 && decodes["d2"] > 0, "%v", decodes)
 }
 
+// TestStallsEverywhereLeaveEngines stalls all KV transfers of all engines: at most
+// half of the engines are left out, so that a request is served at once when the
+// links are well again.
+func TestStallsEverywhereLeaveEngines(t *testing.T) {
+	s := newSession(t)
+	for i := range 12 {
+		id := fmt.Sprintf("r%d", i)
+		engine := s.prefillOf(s.step(kernel.Arrive{Request: s.review(id)}))
+		decode := s.decodeOf(s.step(kernel.PrefillDone{Attempt: s.prefill, KV: kvFrom(engine)}))
+		s.step(kernel.AttemptFailed{Attempt: s.decode, Upstream: decode, Evidence: kernel.Ambiguous, Code: kernel.FailureStalled})
+		s.step(kernel.CallerGone{Request: ident.RequestID(id)})
+	}
+	engine := s.prefillOf(s.step(kernel.Arrive{Request: s.review("well")}))
+	s.decodeOf(s.step(kernel.PrefillDone{Attempt: s.prefill, KV: kvFrom(engine)}))
+}
+
 // prefillOf returns the engine of the prefill among some actions.
 func (s *session) prefillOf(actions []kernel.Action) ident.UpstreamID {
 	for _, a := range actions {
--- a/kernel/stalls.go
+++ b/kernel/stalls.go
@@ -139,7 +139,33 @@
 	if p == nil || d == nil || k.ejected(p) || k.ejected(d) {
 		return
 	}
-	if u := k.stalls.stalled(p, d, began); u != nil {
+	if u := k.stalls.stalled(p, d, began); u != nil && k.sparable(u) {
 		k.eject(u)
 	}
 }
+
+// maxStallEjections is the largest share, in percent, of the engines of a model
+// and role that stalls eject. When more stall, no engine is at fault but what
+// they share, and leaving out the rest would only refuse what may go well again.
+const maxStallEjections = 50
+
+// sparable reports whether enough engines like u remain without it.
+func (k *Kernel) sparable(u *Upstream) bool {
+	total, ejected := 0, 1
+	for i := range k.fleet.view.Upstreams {
+		other := &k.fleet.view.Upstreams[i]
+		if other.Life > Suspect || !alike(u, other) {
+			continue
+		}
+		total++
+		if other != u && k.ejected(other) {
+			ejected++
+		}
+	}
+	return 100*ejected <= maxStallEjections*total
+}
+
+// alike reports whether two engines can take each other's place for a model.
+func alike(u, other *Upstream) bool {
+	return u.Spec.Role == other.Spec.Role && slices.ContainsFunc(u.Spec.Models, other.Serves)
+}
