load/agreement: more faults over processes, and instances' faults strike the dispatcher

Cause: only decode_kill and instance_kill were repeated, and the latter killed the first instance while the experiment kills the one that receives most messages, a dispatcher: a milder fault. Change: prefill_kill, transfer_stall, instance_freeze and zone_cut (over relays) as well, in a file of their own; faults of instances strike the first model's dispatcher.

--- /dev/null
+++ b/load/agreement/faults.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/experiment"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/plugins/slots/slotkit"
+	"github.com/wardspool/wardspool/standin/control"
+	"github.com/wardspool/wardspool/testbed"
+)
+
+// Lengths of the faults, as in the experiment.
+const (
+	downTime   = 8 * time.Second
+	freezeTime = 6 * time.Second
+	stallTime  = 5 * time.Second
+	cutTime    = 10 * time.Second
+)
+
+// UnknownFaultError reports a fault that is not repeated over processes.
+type UnknownFaultError struct{ Fault string }
+
+// Error implements error.
+func (e *UnknownFaultError) Error() string { return "no such fault over processes: " + e.Fault }
+
+// faults brings about the cell's faults at a third of its time.
+func (b *bench) faults(ctx context.Context, fleet *testbed.Fleet, cell experiment.Cell) error {
+	for _, f := range strings.Split(string(cell.Fault), "+") {
+		if experiment.Fault(f) == experiment.FaultNone {
+			continue
+		}
+		if !wait(ctx, cell.Duration/3) {
+			return nil
+		}
+		if err := b.fault(ctx, fleet, experiment.Fault(f)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// fault brings about one fault and its end.
+func (b *bench) fault(ctx context.Context, fleet *testbed.Fleet, f experiment.Fault) error {
+	switch f {
+	case experiment.FaultDecodeKill:
+		return b.engine(fleet, config.RoleDecode).Crash(ctx, control.Crash{DownMS: downTime.Milliseconds()})
+	case experiment.FaultPrefillKill:
+		return b.engine(fleet, config.RolePrefill).Crash(ctx, control.Crash{DownMS: downTime.Milliseconds()})
+	case experiment.FaultTransferStall:
+		return b.stall(ctx, fleet)
+	case experiment.FaultInstanceKill:
+		return b.killInstance(ctx, fleet)
+	case experiment.FaultInstanceFreeze:
+		return b.freezeInstance(ctx, fleet)
+	case experiment.FaultZoneCut:
+		zone := b.place.Zones[0]
+		fleet.CutOff(zone)
+		wait(ctx, cutTime)
+		fleet.Rejoin(zone)
+		return nil
+	default:
+		return &UnknownFaultError{Fault: string(f)}
+	}
+}
+
+// engine returns the first engine of a role.
+func (b *bench) engine(fleet *testbed.Fleet, role config.Role) control.Client {
+	for _, u := range b.place.Content.Upstreams {
+		if u.Role == role {
+			return control.Client{Address: fleet.Addresses[u.ID]}
+		}
+	}
+	return control.Client{}
+}
+
+// stall stops all transfers out of one prefill engine for a while.
+func (b *bench) stall(ctx context.Context, fleet *testbed.Fleet) error {
+	engine := b.engine(fleet, config.RolePrefill)
+	if err := engine.SetEngineFaults(ctx, control.EngineFaults{StallTransfers: true}); err != nil {
+		return err
+	}
+	wait(ctx, stallTime)
+	return engine.SetEngineFaults(ctx, control.EngineFaults{})
+}
+
+// killInstance kills the instance on which the others depend most.
+func (b *bench) killInstance(ctx context.Context, fleet *testbed.Fleet) error {
+	victim := b.dispatcher(fleet)
+	if err := fleet.KillInstance(victim); err != nil {
+		return err
+	}
+	if !wait(ctx, downTime) {
+		return nil
+	}
+	return fleet.StartInstance(victim)
+}
+
+// freezeInstance stops both processes of that instance for a while.
+func (b *bench) freezeInstance(ctx context.Context, fleet *testbed.Fleet) error {
+	victim := b.dispatcher(fleet)
+	for _, p := range []*testbed.Process{victim.Agent, victim.Entry} {
+		if err := p.Freeze(); err != nil {
+			return err
+		}
+	}
+	wait(ctx, freezeTime)
+	for _, p := range []*testbed.Process{victim.Agent, victim.Entry} {
+		if err := p.Thaw(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// dispatcher returns the instance that dispatches the first model, while all
+// live: the experiment's faults of instances strike it too.
+func (b *bench) dispatcher(fleet *testbed.Fleet) *testbed.Instance {
+	view := &kernel.View{Version: 1}
+	for _, in := range fleet.Instances {
+		view.Instances = append(view.Instances, kernel.Instance{ID: in.ID, Zone: in.Zone, Life: kernel.Live})
+	}
+	first := fleet.Instances[0]
+	var roster slotkit.Roster
+	roster.Update(view, kernel.Self{Instance: first.ID, Zone: first.Zone})
+	name := "model/" + b.place.Content.Models[0].Name
+	chosen := roster.Chosen(name, func(ident.Zone) bool { return true })
+	for _, in := range fleet.Instances {
+		if in.ID == chosen {
+			return in
+		}
+	}
+	return first
+}
+
+// wait returns false if the context ended first.
+func wait(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- a/load/agreement/main.go
+++ b/load/agreement/main.go
@@ -32,7 +32,7 @@
 	Example  string             `help:"Deployment." default:"coastline"`
 	PerZone  int                `help:"Entry instances in each zone." default:"2"`
 	Load     []float64          `help:"Loads, as shares of capacity." default:"0.8,1.0"`
-	Fault    []experiment.Fault `help:"Faults: none, decode_kill, instance_kill." default:"none,decode_kill,instance_kill"`
+	Fault    []experiment.Fault `help:"Faults: none, decode_kill, prefill_kill, transfer_stall, instance_kill, instance_freeze, zone_cut." default:"none,decode_kill,instance_kill"`
 	Duration time.Duration      `help:"How long requests are offered in each cell." default:"60s"`
 	Seed     uint64             `help:"Seed of the arrivals." default:"1"`
 }
--- a/load/agreement/processes.go
+++ b/load/agreement/processes.go
@@ -12,22 +12,15 @@
 
 	"github.com/samber/oops"
 
-	"github.com/wardspool/wardspool/config"
 	"github.com/wardspool/wardspool/experiment"
 	"github.com/wardspool/wardspool/load/referee"
 	"github.com/wardspool/wardspool/load/runner"
 	"github.com/wardspool/wardspool/report"
-	"github.com/wardspool/wardspool/standin/control"
 	"github.com/wardspool/wardspool/testbed"
 )
 
-// Times of the runs over processes.
-const (
-	// downTime is how long what was killed stays away, as in the experiment.
-	downTime = 8 * time.Second
-	// quiesce is how long the engines may take to release everything.
-	quiesce = 15 * time.Second
-)
+// quiesce is how long the engines may take to release everything.
+const quiesce = 15 * time.Second
 
 // processes runs one cell over real processes and returns its row.
 func (b *bench) processes(ctx context.Context, cell experiment.Cell) ([]string, error) {
@@ -46,6 +39,7 @@
 	fleet, err := testbed.StartFleet(ctx, testbed.Options{
 		Deployment: b.place, Programs: testbed.ProgramsIn(bin), Dir: dir,
 		EntriesPerZone: b.PerZone,
+		Relays:         strings.Contains(string(cell.Fault), string(experiment.FaultZoneCut)),
 	})
 	if err != nil {
 		fleet.Close()
@@ -80,63 +74,6 @@
 	})
 }
 
-// UnknownFaultError reports a fault that is not repeated over processes.
-type UnknownFaultError struct{ Fault string }
-
-// Error implements error.
-func (e *UnknownFaultError) Error() string { return "no such fault over processes: " + e.Fault }
-
-// faults brings about the cell's faults at a third of its time.
-func (b *bench) faults(ctx context.Context, fleet *testbed.Fleet, cell experiment.Cell) error {
-	for _, f := range strings.Split(string(cell.Fault), "+") {
-		if experiment.Fault(f) == experiment.FaultNone {
-			continue
-		}
-		if !wait(ctx, cell.Duration/3) {
-			return nil
-		}
-		if err := b.fault(ctx, fleet, experiment.Fault(f)); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// fault brings about one fault and its end.
-func (b *bench) fault(ctx context.Context, fleet *testbed.Fleet, f experiment.Fault) error {
-	switch f {
-	case experiment.FaultDecodeKill:
-		for _, u := range b.place.Content.Upstreams {
-			if u.Role == config.RoleDecode {
-				engine := control.Client{Address: fleet.Addresses[u.ID]}
-				return engine.Crash(ctx, control.Crash{DownMS: downTime.Milliseconds()})
-			}
-		}
-		return nil
-	case experiment.FaultInstanceKill:
-		victim := fleet.Instances[0]
-		if err := fleet.KillInstance(victim); err != nil {
-			return err
-		}
-		if !wait(ctx, downTime) {
-			return nil
-		}
-		return fleet.StartInstance(victim)
-	default:
-		return &UnknownFaultError{Fault: string(f)}
-	}
-}
-
-// wait returns false if the context ended first.
-func wait(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // processRow shows what was measured over processes, model requests only.
 func (b *bench) processRow(cell experiment.Cell, records []runner.Record, v *referee.Verdict) []string {
 	var models []runner.Record
