Golden sessions of both example deployments

Cause: golden sessions had a small bundle of their own; none showed the example deployments' content.

Change: TestWholeSessions plays examples/coastline and examples/lagos with their own workloads in virtual time: mixed traffic, a killed instance with a request in flight, a zone cut off and rejoined, a bundle rolled to one instance after the other and to the cut-off zone afterwards, which lowers one workspace's rate. The golden files show each decision with where, why and under which version, each failure, cancel, refusal and what came of each kind; the judge must find nothing broken.

The experiment's judge lets a test watch typed events and actions, and a world knows the bundle version that its instances start with.

--- a/experiment/instance.go
+++ b/experiment/instance.go
@@ -68,7 +68,7 @@
 		attempts: map[ident.AttemptID]*attempt{},
 	}
 	inst.life = l
-	l.receive(kernel.Configured{Version: 1, Content: w.content})
+	l.receive(kernel.Configured{Version: w.version, Content: w.content})
 	l.receive(kernel.ViewChanged{View: w.viewOf(inst)})
 	return nil
 }
--- a/experiment/judge.go
+++ b/experiment/judge.go
@@ -84,6 +84,8 @@
 	// rejected is the kernel's refusal of the policy.
 	rejected error
 	trace    func(line string)
+	// watch, if set, sees each event and action of an instance.
+	watch func(id ident.InstanceID, what any)
 }
 
 func (j *judge) start() {
@@ -93,6 +95,9 @@
 
 // note passes on an event or an action of an instance to the trace.
 func (j *judge) note(id ident.InstanceID, what any) {
+	if j.watch != nil {
+		j.watch(id, what)
+	}
 	if j.trace != nil {
 		j.trace(fmt.Sprintf("%s %s %T%+v", j.w.clock.now, id, what, what))
 	}
--- /dev/null
+++ b/experiment/session_test.go
@@ -0,0 +1,238 @@
+package experiment
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+// Times of the things that happen in a whole session. The killed instance comes
+// back after killLength, the cut heals after cutLength.
+const (
+	sessionKill   = 2 * time.Second
+	sessionCut    = 5 * time.Second
+	sessionRoll   = 7 * time.Second
+	sessionLength = 17 * time.Second
+	// rollStep is the time between two instances that get a rolled bundle.
+	rollStep = 50 * time.Millisecond
+)
+
+// wholeSession is a session of a whole example deployment: its usual mixed
+// traffic at a share of its capacity, a kill, a cut and a roll.
+type wholeSession struct {
+	deployment string
+	load       float64
+	seed       uint64
+	// bounded is the workspace whose limit the rolled bundle lowers.
+	bounded ident.Workspace
+}
+
+var wholeSessions = []wholeSession{
+	{deployment: "coastline", load: 0.06, seed: 4, bounded: "franchise-north"},
+	{deployment: "lagos", load: 0.12, seed: 27, bounded: "supplier-ikeja"},
+}
+
+// TestWholeSessions compares what happens in whole sessions of both examples
+// with golden files: each decision with where, why and under which version, each
+// answer, each cancel.
+func TestWholeSessions(t *testing.T) {
+	for _, s := range wholeSessions {
+		t.Run(s.deployment, func(t *testing.T) {
+			golden.Assert(t, s.run(t), "session_"+s.deployment+".golden")
+		})
+	}
+}
+
+// TestWholeSessionsRepeat shows that a session depends on nothing but its seed.
+func TestWholeSessionsRepeat(t *testing.T) {
+	for _, s := range wholeSessions {
+		assert.Equal(t, s.run(t), s.run(t), s.deployment)
+	}
+}
+
+// transcript writes down what happens in a world.
+type transcript struct {
+	w     *world
+	lines []string
+	// cancelled are the attempts whose first cancel is written down.
+	cancelled map[ident.AttemptID]bool
+}
+
+func (tr *transcript) add(format string, args ...any) {
+	at := fmt.Sprintf("%6d ms  ", tr.w.clock.now.Milliseconds())
+	tr.lines = append(tr.lines, at+fmt.Sprintf(format, args...))
+}
+
+// run plays the session and returns its transcript.
+func (s wholeSession) run(t *testing.T) string {
+	t.Helper()
+	d := deployment(t, s.deployment)
+	cell := NewCell(d, PolicyCurrent, s.load, FaultNone, s.seed)
+	cell.Instances, cell.Warmup, cell.Duration = 2*len(d.Zones), 0, sessionLength
+	w, err := newWorld(cell, d)
+	assert.NilError(t, err)
+	tr := &transcript{w: w, cancelled: map[ident.AttemptID]bool{}}
+	w.judge.watch = tr.note
+	w.clock.at(sessionKill, tr.kill)
+	w.clock.at(sessionCut, tr.cut)
+	w.clock.at(sessionRoll, func() { tr.roll(s.bounded) })
+	assert.NilError(t, w.run())
+	assert.Equal(t, len(w.judge.violations), 0, "%v", w.judge.violations)
+	return strings.Join(tr.lines, "\n") + "\n" + w.summary()
+}
+
+// kill kills the instance on which the others depend most.
+func (tr *transcript) kill() {
+	tr.w.withInstance(func(inst *instance) {
+		tr.add("%-20s KILLED, in flight:%s", inst.id, inst.life.inFlight())
+		tr.w.killInstance(inst)
+		tr.w.clock.after(killLength, func() { tr.add("%-20s STARTED", inst.id) })
+	})
+}
+
+// inFlight lists the requests that an instance has taken and not answered.
+func (l *life) inFlight() string {
+	list := ""
+	for _, id := range sortedKeys(l.subs) {
+		if !l.subs[id].over {
+			list += " " + string(id)
+		}
+	}
+	return list
+}
+
+// cut separates one zone from the others.
+func (tr *transcript) cut() {
+	tr.w.cutZone()
+	lone := tr.w.lone()
+	tr.add("%-20s CUT OFF from the other zones", lone)
+	tr.w.clock.after(cutLength, func() { tr.add("%-20s REJOINED", lone) })
+}
+
+// roll brings version 2, by which one workspace has almost no rate, to one
+// instance after the other, and to those in a zone cut off when that is over.
+func (tr *transcript) roll(bounded ident.Workspace) {
+	w := tr.w
+	w.content, w.version = withRate(w.content, bounded), w.version+1
+	lone := w.lone()
+	for i, inst := range w.instances {
+		at := time.Duration(i) * rollStep
+		if inst.zone == lone {
+			at += sessionCut + cutLength - sessionRoll
+		}
+		w.clock.after(at, func() {
+			if inst.life.dead {
+				return
+			}
+			tr.add("%-20s ROLLED to version %d", inst.id, w.version)
+			inst.life.receive(kernel.Configured{Version: w.version, Content: w.content})
+		})
+	}
+}
+
+// lone is the zone that is cut off from all others.
+func (w *world) lone() ident.Zone {
+	for _, zone := range w.zones() {
+		cuts := 0
+		for _, other := range w.zones() {
+			if !w.net.connected(zone, other) {
+				cuts++
+			}
+		}
+		if cuts == len(w.zones())-1 {
+			return zone
+		}
+	}
+	return ""
+}
+
+// withRate is content like another, in which one workspace has almost no rate.
+func withRate(c *config.Content, bounded ident.Workspace) *config.Content {
+	next := *c
+	next.Workspaces = append([]config.Workspace(nil), c.Workspaces...)
+	for i := range next.Workspaces {
+		if next.Workspaces[i].Name == bounded {
+			next.Workspaces[i].RatePerSecond = 0.1
+			next.Workspaces[i].Burst = 1
+		}
+	}
+	return &next
+}
+
+// note writes down what an instance decides and what it answers. Left out are its
+// messages to peers, the records of asks for slots, which each model request has,
+// repetitions of a cancel, and the answers that are whole: a record says so, and
+// the judge would tell if there were none.
+func (tr *transcript) note(id ident.InstanceID, what any) {
+	switch a := what.(type) {
+	case kernel.Log:
+		if a.Record.Reason != kernel.ReasonSlotPending {
+			tr.add("%-20s %s", id, describeRecord(&a.Record))
+		}
+	case kernel.CancelAttempt:
+		if !tr.cancelled[a.Attempt] {
+			tr.cancelled[a.Attempt] = true
+			tr.add("%-20s cancel %s on %s", id, shortAttempt(a.Attempt), a.Upstream)
+		}
+	case kernel.Answer:
+		if a.Problem != nil {
+			tr.add("%-20s %-6s answered %s, %s", id, a.Request, a.Outcome, a.Problem.Type)
+		}
+	case kernel.CallerGone:
+		tr.add("%-20s %-6s caller gone", id, a.Request)
+	case kernel.AttemptFailed:
+		tr.add("%-20s failed %s: %s", id, shortAttempt(a.Attempt), a.Code)
+	}
+}
+
+// shortAttempt names an attempt without its incarnation and deadline, which are
+// times.
+func shortAttempt(id ident.AttemptID) string {
+	return fmt.Sprintf("attempt %d of %s", id.Sequence, id.Instance)
+}
+
+// describeRecord writes a decision in one line.
+func describeRecord(r *kernel.Record) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%-6s %-9s %s, %s of %s, v%d", r.Request, r.Step, r.Reason, r.Kind, r.Workspace, r.BundleVersion)
+	if r.Prefill != "" {
+		fmt.Fprintf(&b, ", prefill %s", r.Prefill)
+	}
+	if r.Decode != "" {
+		fmt.Fprintf(&b, ", at %s", r.Decode)
+	}
+	if len(r.RunnersUp) > 0 {
+		next := r.RunnersUp[0]
+		fmt.Fprintf(&b, ", cost %.2f before %s%s %.2f", r.Cost, next.Prefill, next.Decode, next.Cost)
+	}
+	if r.Outcome != "" {
+		fmt.Fprintf(&b, ", %s", r.Outcome)
+	}
+	if r.RetryAfter > 0 {
+		fmt.Fprintf(&b, ", retry after %d ms", r.RetryAfter.Milliseconds())
+	}
+	if r.Offset > 0 {
+		fmt.Fprintf(&b, ", from token %d", r.Offset)
+	}
+	return b.String()
+}
+
+// summary counts what came of the requests, by kind.
+func (w *world) summary() string {
+	var b strings.Builder
+	r := w.result()
+	for _, kind := range sortedKeys(r.ByKind) {
+		c := r.ByKind[kind]
+		fmt.Fprintf(&b, "%-12s offered %d, complete %d, refused %d, unknown %d, cancelled %d\n",
+			kind, c.Offered, c.Complete, c.Refused, c.Unknown, c.Cancelled)
+	}
+	return b.String()
+}
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -13,10 +13,12 @@
 
 // world is everything that one run consists of.
 type world struct {
-	cell    Cell
-	clock   clock
-	rng     *rand.Rand
+	cell  Cell
+	clock clock
+	rng   *rand.Rand
+	// content is that of the bundle in force, version its number.
 	content *config.Content
+	version uint64
 	spec    *workload.Spec
 	net     *network
 	judge   *judge
@@ -55,6 +57,7 @@
 		cell:       cell,
 		rng:        rand.New(rand.NewPCG(cell.Seed, streamWorld)),
 		content:    content,
+		version:    1,
 		spec:       d.Spec,
 		net:        newNetwork(d.CrossZone),
 		backends:   map[ident.UpstreamID]backend{},
