Entry and agent: one start of the process, one set of settings checks

Change: package process has the start (command line, settings, log, signals, exit codes), package settings/common the shared checks and the operators' settings. cmd/ keeps help text, what is special (the agent's processor and memory bounds, the entry's exit code 3) and nothing else.

The agent now also reports a failure of its certificate files that is of no known kind; before it went by.

--- a/agent/check.go
+++ b/agent/check.go
@@ -3,99 +3,42 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"net/url"
-	"strconv"
 
 	"github.com/wardspool/wardspool/bundle/ledger"
-	"github.com/wardspool/wardspool/ident"
-	"github.com/wardspool/wardspool/logs"
 	"github.com/wardspool/wardspool/settings"
-)
-
-const (
-	adviceName    = "use lower-case letters, digits and inner hyphens, at most 63"
-	adviceAddress = `give an IP number and a port, for example "127.0.0.1:9200"`
+	"github.com/wardspool/wardspool/settings/common"
 )
 
 // CheckSettings implements settings.Checker.
 func (s *Settings) CheckSettings(r *settings.Report) {
-	checkName(r, "instance", string(s.Instance), true)
-	checkName(r, "zone", string(s.Zone), true)
-	checkName(r, "region", string(s.Region), false)
+	common.CheckName(r, "instance", s.Instance, common.Required)
+	common.CheckName(r, "zone", s.Zone, common.Required)
+	common.CheckName(r, "region", s.Region, common.Optional)
 	s.checkEntry(r)
 	s.checkPeers(r)
-	s.checkOperators(r)
-	s.checkTLS(r)
-	checkAddress(r, "metrics.listen", s.Metrics.Listen, false)
+	s.Operators.Check(r)
+	common.CheckPeerTLS(r, s.TLS)
+	common.CheckAddress(r, "metrics.listen", s.Metrics.Listen, common.Optional)
 	s.checkPlatform(r)
 	s.checkBundles(r)
 	s.checkBounds(r)
-	if _, err := logs.New(nil, s.Log); err != nil {
-		r.Add("log", err.Error(), "level is debug, info, warn or error; format is json or text")
-	}
-}
-
-func checkName(r *settings.Report, field, name string, required bool) {
-	switch {
-	case name == "" && required:
-		r.Add(field, "is missing", adviceName)
-	case name != "" && !ident.ValidName(name):
-		r.Add(field, fmt.Sprintf("%q is not a name", name), adviceName)
-	}
-}
-
-func checkAddress(r *settings.Report, field, address string, required bool) {
-	switch {
-	case address == "" && required:
-		r.Add(field, "is missing", adviceAddress)
-	case address != "" && !validAddress(address):
-		r.Add(field, fmt.Sprintf("%q is not an address", address), adviceAddress)
-	}
-}
-
-// validAddress reports whether s is "IP:port".
-func validAddress(s string) bool {
-	host, port, err := net.SplitHostPort(s)
-	if err != nil || net.ParseIP(host) == nil {
-		return false
-	}
-	_, err = strconv.ParseUint(port, 10, 16)
-	return err == nil
-}
-
-// loopback reports whether s is a loopback "IP:port".
-func loopback(s string) bool {
-	host, _, err := net.SplitHostPort(s)
-	ip := net.ParseIP(host)
-	return err == nil && ip != nil && ip.IsLoopback()
+	common.CheckLog(r, s.Log)
 }
 
 func (s *Settings) checkEntry(r *settings.Report) {
-	checkAddress(r, "entry.feed", s.Entry.Feed, true)
-	if validAddress(s.Entry.Feed) && !loopback(s.Entry.Feed) {
-		r.Add("entry.feed", "is not a loopback address", "the agent runs beside the entry: use its feed.listen")
-	}
+	common.CheckLoopback(r, "entry.feed", s.Entry.Feed, common.Required,
+		"the agent runs beside the entry: use its feed.listen")
 }
 
 func (s *Settings) checkPeers(r *settings.Report) {
-	checkAddress(r, "peers.listen", s.Peers.Listen, true)
+	common.CheckAddress(r, "peers.listen", s.Peers.Listen, common.Required)
 	for i, p := range s.Peers.Seeds {
 		field := fmt.Sprintf("peers.seeds[%d]", i)
-		checkName(r, field+".instance", string(p.Instance), true)
-		checkName(r, field+".zone", string(p.Zone), true)
-		checkAddress(r, field+".address", p.Address, true)
-		checkAddress(r, field+".entry", p.Entry, false)
-	}
-}
-
-func (s *Settings) checkOperators(r *settings.Report) {
-	checkAddress(r, "operators.listen", s.Operators.Listen, false)
-	for i, name := range s.Operators.Names {
-		checkName(r, fmt.Sprintf("operators.names[%d]", i), string(name), true)
-	}
-	if s.Operators.Listen != "" && len(s.Operators.Names) == 0 {
-		r.Add("operators.listen", "no operator may connect", "list identities under operators.names")
+		common.CheckName(r, field+".instance", p.Instance, common.Required)
+		common.CheckName(r, field+".zone", p.Zone, common.Required)
+		common.CheckAddress(r, field+".address", p.Address, common.Required)
+		common.CheckAddress(r, field+".entry", p.Entry, common.Optional)
 	}
 }
 
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -8,6 +8,7 @@
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/logs"
 	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/settings/common"
 	"github.com/wardspool/wardspool/tlsconf"
 )
 
@@ -21,7 +22,7 @@
 
 	Entry     EntrySettings    `yaml:"entry"`
 	Peers     PeerSettings     `yaml:"peers"`
-	Operators OperatorSettings `yaml:"operators"`
+	Operators common.Operators `yaml:"operators"`
 	Metrics   MetricsSettings  `yaml:"metrics"`
 	// TLS protects the connections to other agents and from operators' tools;
 	// empty means plain TCP.
@@ -70,14 +71,6 @@
 	Entry   string `yaml:"entry"`
 }
 
-// OperatorSettings concern operators' tools.
-type OperatorSettings struct {
-	// Listen is where operators' calls are taken; empty means none.
-	Listen string `yaml:"listen"`
-	// Names lists the identities that operators may use.
-	Names []ident.InstanceID `yaml:"names"`
-}
-
 // MetricsSettings concern the metrics.
 type MetricsSettings struct {
 	// Listen is where GET /metrics is answered; empty means nowhere.
--- a/agent/tls.go
+++ b/agent/tls.go
@@ -1,11 +1,8 @@
 package agent
 
 import (
-	"errors"
-
 	"github.com/samber/oops"
 
-	"github.com/wardspool/wardspool/settings"
 	"github.com/wardspool/wardspool/tlsconf"
 )
 
@@ -22,18 +19,3 @@
 	a.tls, a.options.TLS = r, r
 	return nil
 }
-
-// checkTLS reads the files that the settings name.
-func (s *Settings) checkTLS(r *settings.Report) {
-	if !s.TLS.Enabled() {
-		return
-	}
-	if s.TLS.CA == "" {
-		r.Add("tls.ca", "is missing", "name the authorities that sign the other instances' certificates")
-	}
-	_, err := tlsconf.New(s.TLS, tlsconf.Options{})
-	var file *tlsconf.FileError
-	if errors.As(err, &file) {
-		r.Add("tls."+file.Field, err.Error(), "see docs/operators/tls.md")
-	}
-}
--- a/cmd/wardspool-agent/main.go
+++ b/cmd/wardspool-agent/main.go
@@ -3,31 +3,18 @@
 package main
 
 import (
-	"context"
-	"fmt"
-	"os"
-	"os/signal"
+	"log/slog"
 	"runtime"
 	"runtime/debug"
-	"syscall"
-
-	"github.com/alecthomas/kong"
 
 	"github.com/wardspool/wardspool/agent"
 	"github.com/wardspool/wardspool/logs"
-	"github.com/wardspool/wardspool/settings"
+	"github.com/wardspool/wardspool/process"
 )
 
 // version is set by the build.
 var version = "devel"
 
-// Exit codes.
-const (
-	exitOK       = 0
-	exitFailed   = 1 // a listener failed
-	exitSettings = 2 // the settings are at fault
-)
-
 // processors is how many threads run Go code at once. The agent needs a hundredth
 // of one; more would only have the collector wake them all.
 const processors = 2
@@ -50,64 +37,18 @@
 
 See docs/settings.md for the settings and docs/operators/agent.md for operation.`
 
-// cli is the command line.
-type cli struct {
-	Settings string           `required:"" placeholder:"FILE" help:"Settings file, in YAML."`
-	Check    bool             `help:"Check the settings, print what is wrong and exit."`
-	Version  kong.VersionFlag `help:"Print the version and exit."`
-}
-
 func main() {
-	var c cli
-	kong.Parse(&c,
-		kong.Name("wardspool-agent"),
-		kong.Description(description),
-		kong.Vars{"version": version},
-		kong.UsageOnError(),
-	)
-	if c.Check {
-		os.Exit(check(c.Settings))
-	}
-	os.Exit(run(c.Settings))
-}
-
-// check validates a settings file and returns the exit code.
-func check(file string) int {
-	if _, err := settings.Load[agent.Settings](file); err != nil {
-		fmt.Println(err)
-		return exitFailed
-	}
-	fmt.Println(file + ": good")
-	return exitOK
+	process.Program[agent.Settings]{
+		Name: "wardspool-agent", Description: description, Version: version,
+		Log: func(s *agent.Settings) logs.Options { return s.Log },
+		New: newAgent,
+	}.Main()
 }
 
-// run serves until a signal comes and returns the exit code.
-func run(file string) int {
-	s, err := settings.Load[agent.Settings](file)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitSettings
-	}
-	log, err := logs.New(os.Stderr, s.Log)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitSettings
-	}
+// newAgent makes the agent and bounds what its process takes.
+func newAgent(s *agent.Settings, log *slog.Logger) (process.Service, error) {
 	runtime.GOMAXPROCS(processors)
 	// The collector works harder near the limit; it is no hard bound.
 	debug.SetMemoryLimit(int64(s.Memory))
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	a, err := agent.New(s, agent.Options{Log: log, Version: version})
-	if err == nil {
-		err = a.Listen()
-	}
-	if err == nil {
-		err = a.Serve(ctx)
-	}
-	if err != nil {
-		log.Error("stopped", "error", err)
-		return exitFailed
-	}
-	return exitOK
+	return agent.New(s, agent.Options{Log: log, Version: version})
 }
--- a/cmd/wardspool-entry/main.go
+++ b/cmd/wardspool-entry/main.go
@@ -3,31 +3,20 @@
 package main
 
 import (
-	"context"
 	"errors"
-	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
-
-	"github.com/alecthomas/kong"
+	"log/slog"
 
 	"github.com/wardspool/wardspool/entry"
 	"github.com/wardspool/wardspool/logs"
 	_ "github.com/wardspool/wardspool/plugins/standard"
-	"github.com/wardspool/wardspool/settings"
+	"github.com/wardspool/wardspool/process"
 )
 
 // version is set by the build.
 var version = "devel"
 
-// Exit codes.
-const (
-	exitOK       = 0
-	exitFailed   = 1 // a listener or the service failed
-	exitSettings = 2 // the settings are at fault
-	exitCutOff   = 3 // the shutdown cut off requests in flight
-)
+// exitCutOff: the shutdown cut off requests in flight.
+const exitCutOff process.ExitCode = 3
 
 // description opens the help text.
 const description = `An entry instance of wardspool: it takes callers' requests over HTTP, chooses a
@@ -47,64 +36,19 @@
 
 See docs/settings.md for the settings and docs/callers.md for the callers' API.`
 
-// cli is the command line.
-type cli struct {
-	Settings string           `required:"" placeholder:"FILE" help:"Settings file, in YAML."`
-	Check    bool             `help:"Check the settings, print what is wrong and exit."`
-	Version  kong.VersionFlag `help:"Print the version and exit."`
-}
-
 func main() {
-	var c cli
-	kong.Parse(&c,
-		kong.Name("wardspool-entry"),
-		kong.Description(description),
-		kong.Vars{"version": version},
-		kong.UsageOnError(),
-	)
-	if c.Check {
-		os.Exit(check(c.Settings))
-	}
-	os.Exit(run(c.Settings))
+	process.Program[entry.Settings]{
+		Name: "wardspool-entry", Description: description, Version: version,
+		Log:    func(s *entry.Settings) logs.Options { return s.Log },
+		New:    func(s *entry.Settings, log *slog.Logger) (process.Service, error) { return entry.New(s, log) },
+		Failed: exitCode,
+	}.Main()
 }
 
-// check validates a settings file and returns the exit code.
-func check(file string) int {
-	if _, err := settings.Load[entry.Settings](file); err != nil {
-		fmt.Println(err)
-		return exitFailed
-	}
-	fmt.Println(file + ": good")
-	return exitOK
-}
-
-// run serves until a signal comes and returns the exit code.
-func run(file string) int {
-	s, err := settings.Load[entry.Settings](file)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitSettings
-	}
-	log, err := logs.New(os.Stderr, s.Log)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitSettings
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	e, err := entry.New(s, log)
-	if err == nil {
-		err = e.Listen()
-	}
-	if err == nil {
-		err = e.Serve(ctx)
-	}
-	if err == nil {
-		return exitOK
-	}
-	log.Error("stopped", "error", err)
+// exitCode tells a shutdown that cut requests off from other failures.
+func exitCode(err error) process.ExitCode {
 	if cut := (*entry.StopError)(nil); errors.As(err, &cut) {
 		return exitCutOff
 	}
-	return exitFailed
+	return process.ExitFailed
 }
--- a/entry/check.go
+++ b/entry/check.go
@@ -4,30 +4,22 @@
 	"fmt"
 
 	"github.com/wardspool/wardspool/adapter"
-	"github.com/wardspool/wardspool/ident"
-	"github.com/wardspool/wardspool/logs"
 	"github.com/wardspool/wardspool/plugin"
 	"github.com/wardspool/wardspool/settings"
-)
-
-const (
-	adviceName    = "use lower-case letters, digits and inner hyphens, at most 63"
-	adviceAddress = `give an IP number and a port, for example "127.0.0.1:8080"`
+	"github.com/wardspool/wardspool/settings/common"
 )
 
 // CheckSettings implements settings.Checker.
 func (s *Settings) CheckSettings(r *settings.Report) {
-	checkName(r, "instance", string(s.Instance), true)
-	checkName(r, "zone", string(s.Zone), true)
-	checkName(r, "region", string(s.Region), false)
+	common.CheckName(r, "instance", s.Instance, common.Required)
+	common.CheckName(r, "zone", s.Zone, common.Required)
+	common.CheckName(r, "region", s.Region, common.Optional)
 	s.checkAddresses(r)
 	s.checkLimits(r)
-	s.checkOperators(r)
+	s.Operators.Check(r)
 	s.checkPeers(r)
 	s.checkAdapters(r)
-	if _, err := logs.New(nil, s.Log); err != nil {
-		r.Add("log", err.Error(), "level is debug, info, warn or error; format is json or text")
-	}
+	common.CheckLog(r, s.Log)
 	if s.Stop.Grace < 0 || s.Stop.Timeout <= 0 {
 		r.Add("stop", "a time is negative, or the timeout is 0", `for example grace: 2s, timeout: 5m`)
 	}
@@ -37,37 +29,17 @@
 	if s.PauseAfter <= 0 {
 		r.Add("pause_after", "is not positive", "for example 500ms")
 	}
-	s.checkTLS(r)
+	common.CheckFiles(r, "callers.tls", s.Callers.TLS.files())
+	common.CheckPeerTLS(r, s.TLS)
 	s.checkTickets(r)
 	s.checkSource(r)
 }
 
-func checkName(r *settings.Report, field, name string, required bool) {
-	switch {
-	case name == "" && required:
-		r.Add(field, "is missing", adviceName)
-	case name != "" && !ident.ValidName(name):
-		r.Add(field, fmt.Sprintf("%q is not a name", name), adviceName)
-	}
-}
-
-func checkAddress(r *settings.Report, field, address string, required bool) {
-	switch {
-	case address == "" && required:
-		r.Add(field, "is missing", adviceAddress)
-	case address != "" && !validAddress(address):
-		r.Add(field, fmt.Sprintf("%q is not an address", address), adviceAddress)
-	}
-}
-
 func (s *Settings) checkAddresses(r *settings.Report) {
-	checkAddress(r, "callers.listen", s.Callers.Listen, true)
-	checkAddress(r, "peers.listen", s.Peers.Listen, false)
-	checkAddress(r, "feed.listen", s.Feed.Listen, false)
-	checkAddress(r, "operators.listen", s.Operators.Listen, false)
-	if validAddress(s.Feed.Listen) && !loopback(s.Feed.Listen) {
-		r.Add("feed.listen", "is not a loopback address", "the agent runs beside the entry: use 127.0.0.1")
-	}
+	common.CheckAddress(r, "callers.listen", s.Callers.Listen, common.Required)
+	common.CheckAddress(r, "peers.listen", s.Peers.Listen, common.Optional)
+	common.CheckLoopback(r, "feed.listen", s.Feed.Listen, common.Optional,
+		"the agent runs beside the entry: use 127.0.0.1")
 }
 
 func (s *Settings) checkLimits(r *settings.Report) {
@@ -94,20 +66,11 @@
 	}
 }
 
-func (s *Settings) checkOperators(r *settings.Report) {
-	for i, name := range s.Operators.Names {
-		checkName(r, fmt.Sprintf("operators.names[%d]", i), string(name), true)
-	}
-	if s.Operators.Listen != "" && len(s.Operators.Names) == 0 {
-		r.Add("operators.listen", "no operator may connect", "list identities under operators.names")
-	}
-}
-
 func (s *Settings) checkPeers(r *settings.Report) {
 	for i, p := range s.Peers.Known {
 		field := fmt.Sprintf("peers.known[%d]", i)
-		checkName(r, field+".instance", string(p.Instance), true)
-		checkAddress(r, field+".address", p.Address, true)
+		common.CheckName(r, field+".instance", p.Instance, common.Required)
+		common.CheckAddress(r, field+".address", p.Address, common.Required)
 	}
 }
 
@@ -160,7 +123,7 @@
 // checkSource checks where bundle and view come from.
 func (s *Settings) checkSource(r *settings.Report) {
 	if s.Static == nil {
-		checkAddress(r, "feed.listen", s.Feed.Listen, true)
+		common.CheckAddress(r, "feed.listen", s.Feed.Listen, common.Required)
 		return
 	}
 	if s.Static.Bundle == "" {
@@ -170,8 +133,8 @@
 	}
 	for i, u := range s.Static.Upstreams {
 		field := fmt.Sprintf("static.upstreams[%d]", i)
-		checkName(r, field+".id", string(u.ID), true)
-		checkName(r, field+".zone", string(u.Zone), true)
-		checkAddress(r, field+".address", u.Address, true)
+		common.CheckName(r, field+".id", u.ID, common.Required)
+		common.CheckName(r, field+".zone", u.Zone, common.Required)
+		common.CheckAddress(r, field+".address", u.Address, common.Required)
 	}
 }
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"net"
-	"strconv"
 	"time"
 
 	"github.com/wardspool/wardspool/entry/driver"
@@ -14,6 +12,7 @@
 	"github.com/wardspool/wardspool/plugins/engine/openai"
 	"github.com/wardspool/wardspool/plugins/service/http"
 	"github.com/wardspool/wardspool/settings"
+	"github.com/wardspool/wardspool/settings/common"
 	"github.com/wardspool/wardspool/ticket"
 	"github.com/wardspool/wardspool/tlsconf"
 )
@@ -29,7 +28,7 @@
 	Callers   CallerSettings   `yaml:"callers"`
 	Peers     PeerSettings     `yaml:"peers"`
 	Feed      FeedSettings     `yaml:"feed"`
-	Operators OperatorSettings `yaml:"operators"`
+	Operators common.Operators `yaml:"operators"`
 	// TLS protects the connections to other instances and from operators' tools;
 	// empty means plain TCP.
 	TLS     tlsconf.Settings `yaml:"tls"`
@@ -99,14 +98,6 @@
 	Listen string `yaml:"listen"`
 }
 
-// OperatorSettings concern operators' tools.
-type OperatorSettings struct {
-	// Listen is where operators' calls are taken; empty means none.
-	Listen string `yaml:"listen"`
-	// Names lists the identities that operators may use.
-	Names []ident.InstanceID `yaml:"names"`
-}
-
 // StopSettings concern a graceful shutdown.
 type StopSettings struct {
 	// Grace is how long the instance is not ready before it refuses requests.
@@ -191,20 +182,3 @@
 		ResponseBytes: l.ResponseBytes,
 	}
 }
-
-// validAddress reports whether s is "IP:port".
-func validAddress(s string) bool {
-	host, port, err := net.SplitHostPort(s)
-	if err != nil || net.ParseIP(host) == nil {
-		return false
-	}
-	n, err := strconv.ParseUint(port, 10, 16)
-	return err == nil && n <= 65535
-}
-
-// loopback reports whether s is a loopback "IP:port".
-func loopback(s string) bool {
-	host, _, err := net.SplitHostPort(s)
-	ip := net.ParseIP(host)
-	return err == nil && ip != nil && ip.IsLoopback()
-}
--- a/entry/tls.go
+++ b/entry/tls.go
@@ -10,7 +10,6 @@
 	"github.com/samber/oops"
 
 	"github.com/wardspool/wardspool/peer"
-	"github.com/wardspool/wardspool/settings"
 	"github.com/wardspool/wardspool/tlsconf"
 )
 
@@ -82,24 +81,3 @@
 	}
 	return oops.In("entry").Wrapf(err, "serve callers")
 }
-
-// checkTLS reads all files that the settings name.
-func (s *Settings) checkTLS(r *settings.Report) {
-	checkFiles(r, "callers.tls", s.Callers.TLS.files())
-	checkFiles(r, "tls", s.TLS)
-	if s.TLS.Enabled() && s.TLS.CA == "" {
-		r.Add("tls.ca", "is missing", "name the authorities that sign the other instances' certificates")
-	}
-}
-
-// checkFiles reports what is wrong with files.
-func checkFiles(r *settings.Report, field string, files tlsconf.Settings) {
-	_, err := newReloader(files, nil)
-	var file *tlsconf.FileError
-	switch {
-	case errors.As(err, &file):
-		r.Add(field+"."+file.Field, err.Error(), "see docs/operators/tls.md")
-	case err != nil:
-		r.AddError(field, err)
-	}
-}
