settings: what a type's UnmarshalText refuses is reported with its place

Cause: the YAML library passes an error of UnmarshalText on as it is, without a token, so that the finding stood at 1:1 without a field.

Ruled out: a custom unmarshaler per type, as for times, since each type of the settings would have to be known to package settings.

Change: after such an error the file is walked beside the type, and the first text that its type refuses is reported with line, column and field; the same in plug-ins' sections.

--- a/settings/load.go
+++ b/settings/load.go
@@ -102,7 +102,10 @@
 	var duration *DurationError
 	var located yaml.Error
 	var mistyped *yaml.TypeError
+	var text *TextError
 	switch {
+	case errors.As(err, &text):
+		r.Add(joined(field, text.Path), text.Error(), adviceReference)
 	case errors.As(err, &duration):
 		r.Add(r.places.holding(field, duration.Text), duration.Error(), adviceDuration)
 	case errors.As(err, &mistyped) && mistyped.Token != nil:
@@ -164,7 +167,7 @@
 		return false
 	}
 	r.places.walk("", body)
-	if err := decodeGuarded(data, into); err != nil {
+	if err := decodeGuarded(data, body, into); err != nil {
 		r.AddError("", err)
 		return false
 	}
@@ -190,15 +193,16 @@
 // Error implements error.
 func (e *UnreadableError) Error() string { return "the YAML library cannot read this: " + e.Panic }
 
-// decodeGuarded decodes a file. A settings file must not crash a program,
+// decodeGuarded decodes a file, whose content is body. A settings file must not crash a program,
 // whatever is in it.
-func decodeGuarded(data []byte, into any) (err error) {
+func decodeGuarded(data []byte, body ast.Node, into any) (err error) {
 	defer func() {
 		if p := recover(); p != nil {
 			err = &UnreadableError{Panic: fmt.Sprint(p)}
 		}
 	}()
-	return yaml.NewDecoder(bytes.NewReader(data), options()...).Decode(into)
+	err = yaml.NewDecoder(bytes.NewReader(data), options()...).Decode(into)
+	return placed(err, body, into)
 }
 
 // sorted returns the findings in the order of the file.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -95,6 +95,7 @@
 func FuzzParse(f *testing.F) {
 	f.Add([]byte("name: n\nwait: 2s\nlist: [{count: 1}]\nparts: {p: {count: 2}}\n"))
 	f.Add([]byte("&a [*a, *a]"))
+	f.Add([]byte("wall: red\nrooms: [{floor: blue}]\nby_name: {a: blue}\n"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		if len(data) > 1<<10 {
 			return
@@ -104,5 +105,9 @@
 		if err != nil && !errors.As(err, &invalid) {
 			t.Fatalf("%T", err)
 		}
+		_, err = Parse[painted]("f.yaml", data)
+		if err != nil && !errors.As(err, &invalid) {
+			t.Fatalf("%T", err)
+		}
 	})
 }
