engine.openai: a token's chunk is not copied whole

Cause: the reader copied each chunk to a string before it looked for members, and scanned it for an error and a usage that nearly no chunk has. Change: members are looked for in the bytes, and only what is found is copied; members that the bytes don't name are not looked for.

--- a/plugins/engine/openai/stream.go
+++ b/plugins/engine/openai/stream.go
@@ -66,17 +66,26 @@
 	if !gjson.ValidBytes(ev.data) {
 		return broken(&adapter.ProtocolError{Part: "chunk"})
 	}
-	chunk := gjson.ParseBytes(ev.data)
-	if e := chunk.Get("error"); e.Exists() {
+	if e := member(ev.data, "error"); e.Exists() {
 		return broken(&adapter.UpstreamError{Code: "stream", Message: e.Raw})
 	}
-	if u := chunk.Get("usage"); u.IsObject() {
+	if u := member(ev.data, "usage"); u.IsObject() {
 		s.usage = json.RawMessage(u.Raw)
 	}
 	if len(ev.id) == 0 {
 		return nil
 	}
-	return s.token(ev.id, chunk.Get("choices"))
+	return s.token(ev.id, member(ev.data, "choices"))
+}
+
+// member returns a member of a chunk. It copies only what it finds, while parsing
+// the chunk as a whole would copy all of it for each token; and most chunks show
+// at a glance that they don't have it.
+func member(chunk []byte, name string) gjson.Result {
+	if !bytes.Contains(chunk, []byte(name)) {
+		return gjson.Result{}
+	}
+	return gjson.GetBytes(chunk, name)
 }
 
 // token hands on the token of a chunk that has an ID.
