Overhead: a bench of its own, many small engines, no waves of arrivals

Cause: the overhead was measured by hand, with one decode engine for all streams and with streams that all began within 200 ms and had one length. Changed test: TestBothRoutesAreMeasured, for the fields' new names; it asserts what it did.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BIN := bin
 RACE_PACKAGES := ./peer/... ./platform/... ./entry/... ./agent/... ./standin/... ./tlsconf/... ./load/...
 
-.PHONY: demo test build check unit race fuzz e2e experiment capacity rolltime mutations clean
+.PHONY: demo test build check unit race fuzz e2e experiment capacity overhead rolltime mutations clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -39,6 +39,11 @@
 capacity: build
 	./scripts/capacity
 
+overhead: build
+	$(GO) run ./load/overhead/rig --cores 0
+	$(GO) run ./load/overhead/rig --cores 1
+	$(GO) run ./load/overhead/rig --cores 1 --saturate --streams 400 --direct 0 --step 5ms
+
 rolltime: build
 	$(GO) run ./testbed/rolltime
 
--- a/load/overhead/overhead.go
+++ b/load/overhead/overhead.go
@@ -1,6 +1,6 @@
 // Package overhead measures what wardspool adds to a completion, by making the
-// same completions through an entry instance and directly at the engines, mixed
-// at random in one run, so that both meet the same load.
+// same completions through an entry instance and directly at the engines, side by
+// side in one run, so that both meet the same load.
 package overhead
 
 import (
@@ -20,16 +20,23 @@
 // Options describes a run.
 type Options struct {
 	// Target is an entry instance; Prefill and Decode are the only engines that
-	// it has for the model. All are addresses, as IP:port.
-	Target, Prefill, Decode string
-	Model                   string
-	Workspace               ident.Workspace
-	Kind                    string
-	// PromptTokens and OutputTokens are the lengths of all completions.
+	// it has for the model. All are addresses, as IP:port. Direct completions
+	// draw their decode engine at random.
+	Target, Prefill string
+	Decode          []string
+	Model           string
+	Workspace       ident.Workspace
+	Kind            string
+	// PromptTokens is the length of all prompts, OutputTokens the mean one of the
+	// outputs, which have from half to one and a half times as many tokens.
 	PromptTokens, OutputTokens int
-	// Streams is the number of completions in flight at any time.
-	Streams int
-	// Warmup precedes Duration, the measured time.
+	// Streams is the number of completions in flight at any time through the
+	// entry, Direct that of those made directly.
+	Streams, Direct int
+	// MaxPause bounds the random pause before each completion; 0 is none.
+	MaxPause time.Duration
+	// Warmup precedes Duration, the measured time. The streams begin at random
+	// times within it.
 	Warmup, Duration time.Duration
 	Seed             uint64
 	RunID            string
@@ -86,40 +93,53 @@
 	ctx, cancel := context.WithDeadline(ctx, b.from.Add(opts.Duration))
 	defer cancel()
 	var workers sync.WaitGroup
-	for n := range opts.Streams {
-		workers.Go(func() { b.work(ctx, n) })
+	for n := range opts.Streams + opts.Direct {
+		route := RouteWardspool
+		if n >= opts.Streams {
+			route = RouteDirect
+		}
+		workers.Go(func() { b.work(ctx, n, route) })
 	}
 	workers.Wait()
 	return &b.result
 }
 
-// work makes one completion after the other.
-func (b *bench) work(ctx context.Context, n int) {
+// work makes one completion after the other on one route.
+func (b *bench) work(ctx context.Context, n int, route Route) {
 	rng := rand.New(rand.NewPCG(b.opts.Seed, uint64(n)))
+	// Streams that begin together, and are of one length, go on to end and begin
+	// together: the entry would meet waves of arrivals instead of their mean rate.
+	pause(ctx, rng, b.opts.Warmup)
 	for i := 0; ctx.Err() == nil; i++ {
 		id := b.opts.RunID + "-" + strconv.Itoa(n) + "-" + strconv.Itoa(i)
 		// The last word makes each prompt its own.
 		prompt := b.prompt + id
-		route := RouteWardspool
-		if rng.IntN(2) == 0 {
-			route = RouteDirect
-		}
-		b.pause(ctx, rng)
+		decode := b.opts.Decode[rng.IntN(len(b.opts.Decode))]
+		output := b.outputTokens(rng)
+		pause(ctx, rng, b.opts.MaxPause)
 		started := time.Now()
-		got := b.complete(ctx, route, id, prompt)
+		got := b.complete(ctx, route, decode, id, prompt, output)
 		if ctx.Err() == nil {
 			b.record(route, started, got)
 		}
 	}
 }
 
-// maxPause bounds the pause before each completion. Without it all streams of
-// one decode step would end, and begin anew, at the same time.
-const maxPause = 200 * time.Millisecond
+// DefaultMaxPause is the usual Options.MaxPause.
+const DefaultMaxPause = 200 * time.Millisecond
 
-// pause waits for a random time.
-func (b *bench) pause(ctx context.Context, rng *rand.Rand) {
-	timer := time.NewTimer(time.Duration(rng.Int64N(int64(maxPause))))
+// outputTokens draws the length of an output.
+func (b *bench) outputTokens(rng *rand.Rand) int {
+	mean := b.opts.OutputTokens
+	return max(1, mean-mean/2+rng.IntN(2*(mean/2)+1))
+}
+
+// pause waits for a random time below a limit.
+func pause(ctx context.Context, rng *rand.Rand, limit time.Duration) {
+	if limit <= 0 {
+		return
+	}
+	timer := time.NewTimer(time.Duration(rng.Int64N(int64(limit))))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -128,11 +148,11 @@
 }
 
 // complete makes one completion.
-func (b *bench) complete(ctx context.Context, route Route, id, prompt string) *client.Result {
+func (b *bench) complete(ctx context.Context, route Route, decode, id, prompt string, output int) *client.Result {
 	if route == RouteDirect {
 		return b.client.CompleteDirect(ctx, &client.Direct{
-			Prefill: b.opts.Prefill, Decode: b.opts.Decode, Attempt: id,
-			Model: b.opts.Model, Prompt: prompt, MaxTokens: b.opts.OutputTokens,
+			Prefill: b.opts.Prefill, Decode: decode, Attempt: id,
+			Model: b.opts.Model, Prompt: prompt, MaxTokens: output,
 		})
 	}
 	call := &client.Completion{
@@ -140,7 +160,7 @@
 			Target: b.opts.Target, RequestID: id, Workspace: b.opts.Workspace,
 			Kind: b.opts.Kind, Repeatable: true,
 		},
-		Model: b.opts.Model, Prompt: prompt, MaxTokens: b.opts.OutputTokens,
+		Model: b.opts.Model, Prompt: prompt, MaxTokens: output,
 	}
 	return b.client.Complete(ctx, call, call.Body())
 }
@@ -180,6 +200,32 @@
 	}
 }
 
+// IncompleteError reports completions that failed, so that the figures are not to
+// be trusted.
+type IncompleteError struct {
+	Route  Route
+	Failed int
+	First  error
+}
+
+// Error implements error.
+func (e *IncompleteError) Error() string {
+	return fmt.Sprintf("%s: %d completions failed; the first: %v", e.Route, e.Failed, e.First)
+}
+
+// Unwrap returns the first failure.
+func (e *IncompleteError) Unwrap() error { return e.First }
+
+// Err returns an *IncompleteError if a completion failed.
+func (r *Result) Err() error {
+	for _, m := range []*Measure{r.Direct, r.Wardspool} {
+		if m.Failed > 0 {
+			return &IncompleteError{Route: m.Route, Failed: m.Failed, First: m.FirstError}
+		}
+	}
+	return nil
+}
+
 // Quantiles of the table, in percent.
 const (
 	median = 50
--- a/load/overhead/overhead_test.go
+++ b/load/overhead/overhead_test.go
@@ -41,9 +41,9 @@
 	defer refusing.Close()
 	r := Run(context.Background(), Options{
 		Target:  strings.TrimPrefix(refusing.URL, "http://"),
-		Prefill: fastEngine(t, config.RolePrefill), Decode: fastEngine(t, config.RoleDecode),
-		Model: "m", PromptTokens: 10, OutputTokens: 3, Streams: 4,
-		Duration: 600 * time.Millisecond, Seed: 1, RunID: "t",
+		Prefill: fastEngine(t, config.RolePrefill), Decode: []string{fastEngine(t, config.RoleDecode)},
+		Model: "m", PromptTokens: 10, OutputTokens: 3, Streams: 2, Direct: 2,
+		MaxPause: DefaultMaxPause, Duration: 600 * time.Millisecond, Seed: 1, RunID: "t",
 	})
 	assert.NilError(t, r.Direct.FirstError)
 	assert.Equal(t, r.Direct.Failed, 0)
--- /dev/null
+++ b/load/overhead/rig/run.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/load/overhead"
+	"github.com/wardspool/wardspool/report"
+)
+
+// run makes one run and prints its tables.
+func (c *cli) run(ctx context.Context) error {
+	f, err := startFleet(ctx, c)
+	if err != nil {
+		return err
+	}
+	defer f.close()
+	before := loadAverage()
+	used := make(chan span, 1)
+	go func() { used <- f.measure(ctx) }()
+	result := overhead.Run(ctx, c.options(f))
+	table, err := result.Table()
+	if err != nil {
+		return oops.Wrap(err)
+	}
+	fmt.Printf("load average before %s, after %s\n", before, loadAverage())
+	if err := table.WriteText(os.Stdout); err != nil {
+		return oops.Wrap(err)
+	}
+	if err := table.SaveCSV(filepath.Join(c.Out, "overhead.csv")); err != nil {
+		return oops.Wrap(err)
+	}
+	if err := c.cost(f, <-used, result).WriteText(os.Stdout); err != nil {
+		return oops.Wrap(err)
+	}
+	return oops.Wrap(result.Err())
+}
+
+// options returns the load of the run.
+func (c *cli) options(f *fleet) overhead.Options {
+	o := overhead.Options{
+		Target: f.entry.Address, Prefill: f.prefill, Decode: f.decode,
+		Model: model, Workspace: ident.Workspace("default"), Kind: kind,
+		PromptTokens: c.Prompt, OutputTokens: c.Output,
+		Streams: c.Streams, Direct: c.Direct, MaxPause: overhead.DefaultMaxPause,
+		Warmup: c.Warmup, Duration: c.Duration, Seed: c.Seed,
+		RunID: "rig-" + strconv.FormatInt(time.Now().UnixMilli(), 36),
+	}
+	if c.Saturate {
+		o.MaxPause = 0
+	}
+	return o
+}
+
+// span is what the entry used between two moments of a run.
+type span struct {
+	from, to time.Time
+	cpu      time.Duration
+}
+
+// edge is how long after the warm-up and before the end the measuring begins and
+// ends, so that it sees only the steady state.
+const edge = 500 * time.Millisecond
+
+// measure reads the entry's processor time over the measured time. Its span ends
+// early when the context does.
+func (f *fleet) measure(ctx context.Context) span {
+	sleep(ctx, f.cli.Warmup+edge)
+	from, began := time.Now(), f.processorTime()
+	sleep(ctx, f.cli.Duration-2*edge)
+	return span{from: from, to: time.Now(), cpu: f.processorTime() - began}
+}
+
+// sleep waits for a time or for the end of the context.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// cost shows what the entry used.
+func (c *cli) cost(f *fleet, s span, r *overhead.Result) *report.Table {
+	t := report.NewTable("requests_per_s", "entry_cores", "entry_ms_per_request", "entry_rss_mb", "entry_peak_rss_mb")
+	rate := float64(r.Wardspool.First.Count()) / c.Duration.Seconds()
+	cores := s.cpu.Seconds() / s.to.Sub(s.from).Seconds()
+	_ = t.Add(report.Fixed(rate, 1), report.Fixed(cores, 3), report.Fixed(1000*cores/rate, 3),
+		f.memory("VmRSS:"), f.memory("VmHWM:"))
+	return t
+}
+
+// Fields of /proc/PID/stat after the program's name, and their unit.
+const (
+	statUser   = 11
+	statSystem = 12
+	clockTick  = 10 * time.Millisecond
+)
+
+// processorTime is the entry's so far, 0 if it cannot be read.
+func (f *fleet) processorTime() time.Duration {
+	text, err := os.ReadFile(f.proc("stat"))
+	if err != nil {
+		return 0
+	}
+	_, after, _ := strings.Cut(string(text), ") ")
+	fields := strings.Fields(after)
+	if len(fields) <= statSystem {
+		return 0
+	}
+	user, _ := strconv.Atoi(fields[statUser])
+	system, _ := strconv.Atoi(fields[statSystem])
+	return time.Duration(user+system) * clockTick
+}
+
+// memory returns a line of /proc/PID/status in MB, empty if it cannot be read.
+func (f *fleet) memory(name string) string {
+	text, err := os.ReadFile(f.proc("status"))
+	if err != nil {
+		return ""
+	}
+	_, after, _ := strings.Cut(string(text), name)
+	fields := strings.Fields(after)
+	if len(fields) == 0 {
+		return ""
+	}
+	kb, _ := strconv.Atoi(fields[0])
+	return report.Fixed(float64(kb)/1024, 1)
+}
+
+func (f *fleet) proc(file string) string {
+	return filepath.Join("/proc", strconv.Itoa(f.entry.PID()), file)
+}
+
+// loadAverage returns the machine's of the last minute.
+func loadAverage() string {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	first, _, _ := strings.Cut(string(text), " ")
+	return first
+}
--- a/testbed/process.go
+++ b/testbed/process.go
@@ -52,12 +52,19 @@
 
 // start runs a program with its output kept in memory and in a log file.
 func start(name, address, logDir, program string, args ...string) (*Process, error) {
+	return StartWith(nil, name, address, logDir, program, args...)
+}
+
+// StartWith runs a program like those of a fleet, with further environment
+// variables ("NAME=value"). Errors are *ProcessError.
+func StartWith(env []string, name, address, logDir, program string, args ...string) (*Process, error) {
 	logFile, err := os.Create(filepath.Join(logDir, name+".log"))
 	if err != nil {
 		return nil, &ProcessError{Name: name, Op: "start", Err: err}
 	}
 	p := &Process{Name: name, Address: address, output: &tail{}, done: make(chan struct{})}
 	p.cmd = exec.Command(program, args...)
+	p.cmd.Env = append(os.Environ(), env...)
 	out := &tee{file: logFile, tail: p.output}
 	p.cmd.Stdout = out
 	p.cmd.Stderr = out
