experiment: the judge sees an incomplete answer; overstating callers gain nothing

Cause: no tampering showed that the judge finds an answer called complete that is not; and that nobody gains by stating a longer output than needed was shown for the queue orders alone, not for a whole deployment.

Change: a tampered kernel that answers "complete" as it starts the decode must be found out as not_whole (it is).

Ruled out: a real gain of callers who overstate four times.

--- a/experiment/caller.go
+++ b/experiment/caller.go
@@ -224,6 +224,9 @@
 		Deadline:        epoch.Add(l.at + a.Kind.Deadline),
 		Priority:        c.w.priority(a.Kind.Name),
 	}
+	if c.w.declared != nil {
+		r.MaxOutputTokens = c.w.declared(l)
+	}
 	if r.Route == config.RouteModel {
 		r.Blocks = a.Blocks(c.w.content.Models[0].PieceTokens)
 		r.FirstOutputBy = epoch.Add(c.w.clock.now + a.Kind.FirstOutput)
--- a/experiment/promises_test.go
+++ b/experiment/promises_test.go
@@ -96,6 +96,12 @@
 			again.Attempt.Sequence = 1<<40 + uint64(forged)
 			return []kernel.Action{call, again}
 		}, RanTwice},
+		"complete before the end": {FaultNone, func(a kernel.Action) []kernel.Action {
+			if d, ok := a.(kernel.StartDecode); ok {
+				return []kernel.Action{d, kernel.Answer{Request: d.Request, Outcome: api.Complete}}
+			}
+			return []kernel.Action{a}
+		}, NotWhole},
 		"decode from elsewhere": {FaultNone, func(a kernel.Action) []kernel.Action {
 			if d, ok := a.(kernel.StartDecode); ok {
 				d.ContinueFrom++
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -42,6 +42,9 @@
 	// tamper, if set, replaces the actions of the kernels: tests show by it
 	// that the judge sees what it should.
 	tamper func(kernel.Action) []kernel.Action
+	// declared, if set, is the output length that a caller states in place of
+	// the true one.
+	declared func(l *logical) int
 }
 
 // streamWorld tells the world's random stream from others of one seed.
