agent: the entry is sent what changed in the view, not the whole each time

Ruled out: compressing the view (costs more than the copies); raising the gap between views (loads at the entry would get older).

Change: views are numbered, the entry's reply names the one it holds, and on that one the agent sends the instances and upstreams that differ. A report that only grew older does not count as a difference. An entry that names another view or none, as older releases do, is sent the whole. package peering has Views, which keeps the view and takes changes on it only if they belong there. The load of choosing upstreams to read fell as well: rendezvous.Contains counts heavier members instead of sorting all.

TestContainsIsInTop compares Contains with Top.

--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -101,6 +101,35 @@
 	}
 }
 
+// benchChanged is one upstream in how many of which a fresher load came since the
+// last view: one zone's of six.
+const benchChanged = 6
+
+// BenchmarkFeedChanges measures what is sent instead to an entry that holds the
+// last view.
+func BenchmarkFeedChanges(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("%d-%d", size.instances, size.upstreams), func(b *testing.B) {
+			a := benchAgent(b, size.instances, size.upstreams)
+			a.refreshView()
+			b.ReportAllocs()
+			bytes := 0
+			for b.Loop() {
+				a.feed.sent = a.feedView()
+				a.feed.sent.Number, a.feed.reply.View = 1, 1
+				for i := 0; i < len(a.feed.sent.Upstreams); i += benchChanged {
+					a.feed.sent.Upstreams[i].LoadAgeMS += time.Second.Milliseconds()
+				}
+				a.feed.agesAt = a.now
+				doc, err := json.Marshal(a.nextView())
+				assert.NilError(b, err)
+				bytes = len(doc)
+			}
+			b.ReportMetric(float64(bytes), "json-bytes")
+		})
+	}
+}
+
 // BenchmarkFeedTaken measures what the entry does with a view: decoding it and
 // turning it into the kernel's.
 func BenchmarkFeedTaken(b *testing.B) {
--- /dev/null
+++ b/agent/changes.go
@@ -0,0 +1,85 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/wardspool/wardspool/feed"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+// nextView returns the view to send to the entry: what changed since the last one
+// if the entry holds that, else the whole.
+func (a *Agent) nextView() *feed.View {
+	f := &a.feed
+	f.number++
+	whole := a.feedView()
+	whole.Number = f.number
+	next := whole
+	if f.sent != nil && f.reply.View == f.sent.Number && sameEntries(f.sent, whole) {
+		next = changes(f.sent, whole, a.now.Sub(f.agesAt))
+	}
+	f.sent, f.agesAt = whole, a.now
+	return next
+}
+
+// sameEntries reports whether two views list the same instances and upstreams in
+// the same order.
+func sameEntries(before, after *feed.View) bool {
+	if len(before.Instances) != len(after.Instances) || len(before.Upstreams) != len(after.Upstreams) {
+		return false
+	}
+	for i := range after.Instances {
+		if before.Instances[i].ID != after.Instances[i].ID {
+			return false
+		}
+	}
+	for i := range after.Upstreams {
+		if before.Upstreams[i].ID != after.Upstreams[i].ID {
+			return false
+		}
+	}
+	return true
+}
+
+// changes returns what differs between two views of the same entries, of which
+// the second is that much later.
+func changes(before, after *feed.View, elapsed time.Duration) *feed.View {
+	out := &feed.View{
+		Version: after.Version, Number: after.Number, Base: before.Number, Trusted: after.Trusted,
+		Instances: []feed.Instance{}, Upstreams: []feed.Upstream{},
+	}
+	for i := range after.Instances {
+		if after.Instances[i] != before.Instances[i] {
+			out.Instances = append(out.Instances, after.Instances[i])
+		}
+	}
+	for i := range after.Upstreams {
+		if !sameUpstream(&before.Upstreams[i], &after.Upstreams[i], elapsed) {
+			out.Upstreams = append(out.Upstreams, after.Upstreams[i])
+		}
+	}
+	return out
+}
+
+// ageRounding is how far the age of a report may seem to move when ages are
+// rounded, in milliseconds. Reports are a second apart and more.
+const ageRounding = 2
+
+// sameUpstream reports whether an upstream is as it was, with the same load
+// report grown older.
+func sameUpstream(before, after *feed.Upstream, elapsed time.Duration) bool {
+	was, is := *before, *after
+	drift := is.LoadAgeMS - was.LoadAgeMS - elapsed.Milliseconds()
+	was.Load, was.LoadAgeMS, is.Load, is.LoadAgeMS = nil, 0, nil, 0
+	if was != is || !sameLoad(before.Load, after.Load) {
+		return false
+	}
+	return after.Load == nil || drift >= -ageRounding && drift <= ageRounding
+}
+
+func sameLoad(x, y *kernel.Load) bool {
+	if x == nil || y == nil {
+		return x == y
+	}
+	return *x == *y
+}
--- /dev/null
+++ b/agent/changes_test.go
@@ -0,0 +1,158 @@
+package agent
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/wardspool/wardspool/entry/peering"
+	"github.com/wardspool/wardspool/feed"
+	"github.com/wardspool/wardspool/ident"
+	_ "github.com/wardspool/wardspool/internal/testseed"
+	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/membership"
+	"github.com/wardspool/wardspool/platform"
+)
+
+// viewRun plays an agent and its entry with a network that loses updates and
+// replies between them.
+type viewRun struct {
+	*rapid.T
+	agent *Agent
+	views *peering.Views
+	inc   ident.Incarnation
+	ups   []platform.Upstream
+	index uint64
+	last  *kernel.View
+}
+
+// list gives the agent the upstreams anew.
+func (r *viewRun) list() {
+	r.index++
+	doc, err := json.Marshal(platform.Upstreams{Upstreams: r.ups})
+	assert.NilError(r, err)
+	assert.Assert(r, r.agent.takeUpstreams(r.agent.now, r.index, doc))
+}
+
+// happen lets something happen in the fleet.
+func (r *viewRun) happen() {
+	a := r.agent
+	u := &r.ups[rapid.IntRange(0, len(r.ups)-1).Draw(r.T, "upstream")]
+	switch rapid.IntRange(0, 5).Draw(r.T, "what") {
+	case 0, 1:
+		report := membership.Report{Incarnation: 7, Sequence: uint32(a.now.Unix()), Running: rapid.IntRange(0, 3).Draw(r.T, "running"), Slots: 20}
+		a.machine.UpstreamReport(a.now, a.now, u.ID, report)
+	case 2:
+		a.machine.UpstreamLeaving(a.now, u.ID, 0)
+	case 3:
+		u.Address = fmt.Sprintf("10.1.1.%d:1", rapid.IntRange(1, 250).Draw(r.T, "address"))
+		r.list()
+	case 4:
+		r.ups = append(r.ups, platform.Upstream{ID: ident.UpstreamID(fmt.Sprintf("new-%03d", r.index)), Zone: "zone-1", Address: "10.1.2.3:1", State: platform.StateLive})
+		r.list()
+	case 5:
+		r.inc++
+		r.views = &peering.Views{}
+	}
+}
+
+// feed sends one update. It may be lost, or its reply, or both come.
+func (r *viewRun) feed() {
+	a := r.agent
+	a.refreshView()
+	a.feed.urgent = true
+	u := a.composeUpdate()
+	fate := rapid.IntRange(0, 5).Draw(r.T, "fate")
+	if fate > 0 {
+		if view, _, ok := r.views.Take(u.View, a.now); ok {
+			r.last = view
+		}
+	}
+	if fate <= 1 {
+		a.feedFailed(u, &feedLost{})
+		return
+	}
+	a.feedAnswered(a.now, u, feed.Reply{Incarnation: r.inc, View: r.views.Number()})
+}
+
+type feedLost struct{}
+
+func (*feedLost) Error() string { return "lost" }
+
+// TestChangesMakeTheWhole: whatever happened and was lost before, after three
+// updates that arrive, one to learn of a new entry, one whole and one of changes, the entry has what whole views would have given it.
+func TestChangesMakeTheWhole(outer *testing.T) {
+	rapid.Check(outer, func(t *rapid.T) {
+		r := &viewRun{T: t, agent: benchAgent(outer, 5, 0), views: &peering.Views{}, inc: 1, index: 10}
+		for i := range 5 {
+			r.ups = append(r.ups, platform.Upstream{ID: ident.UpstreamID(fmt.Sprintf("runner-%d", i)), Zone: "zone-0", Address: "10.1.1.1:1", State: platform.StateLive})
+		}
+		r.list()
+		partial := 0
+		for range rapid.IntRange(1, 15).Draw(t, "steps") {
+			r.agent.now = r.agent.now.Add(time.Duration(rapid.IntRange(50, 3000).Draw(t, "ms")) * time.Millisecond)
+			r.happen()
+			r.feed()
+		}
+		for range 3 {
+			r.agent.now = r.agent.now.Add(time.Second)
+			r.agent.refreshView()
+			r.agent.feed.urgent = true
+			u := r.agent.composeUpdate()
+			if u.View.Base != 0 {
+				partial++
+			}
+			if view, _, ok := r.views.Take(u.View, r.agent.now); ok {
+				r.last = view
+			}
+			r.agent.feedAnswered(r.agent.now, u, feed.Reply{Incarnation: r.inc, View: r.views.Number()})
+		}
+		assert.Assert(t, partial > 0, "the last update had changes only")
+		whole := peering.View(r.agent.feedView(), r.agent.now)
+		near := cmp.Comparer(func(x, y time.Time) bool { return x.Sub(y).Abs() <= 2*ageRounding*time.Millisecond })
+		assert.DeepEqual(t, r.last, whole, near)
+	})
+}
+
+// TestOldEntriesGetWholeViews: an entry whose replies name no view takes whole
+// ones only.
+func TestOldEntriesGetWholeViews(t *testing.T) {
+	a := benchAgent(t, 5, 5)
+	for range 3 {
+		a.now = a.now.Add(time.Second)
+		a.refreshView()
+		a.feed.urgent = true
+		u := a.composeUpdate()
+		assert.Equal(t, u.View.Base, uint64(0))
+		assert.Equal(t, len(u.View.Upstreams), 5)
+		a.feedAnswered(a.now, u, feed.Reply{Incarnation: 1})
+	}
+}
+
+// TestSameUpstream: each field of an upstream and of its load counts, and the age
+// of the load but for its growing with time.
+func TestSameUpstream(t *testing.T) {
+	load := kernel.Load{Running: 3, PiecesTotal: 100}
+	before := feed.Upstream{ID: "dc-1", Address: "10.0.0.1:1", Load: &load, LoadAgeMS: 500}
+	for name, tc := range map[string]struct {
+		change func(*feed.Upstream)
+		same   bool
+	}{
+		"older":       {func(u *feed.Upstream) { u.LoadAgeMS += 1000 }, true},
+		"rounded":     {func(u *feed.Upstream) { u.LoadAgeMS += 1001 }, true},
+		"fresher":     {func(u *feed.Upstream) { u.LoadAgeMS += 400 }, false},
+		"other load":  {func(u *feed.Upstream) { u.LoadAgeMS += 1000; u.Load = &kernel.Load{Running: 3, PiecesTotal: 90} }, false},
+		"no load":     {func(u *feed.Upstream) { u.LoadAgeMS += 1000; u.Load = nil }, false},
+		"other place": {func(u *feed.Upstream) { u.LoadAgeMS += 1000; u.Address = "10.0.0.2:1" }, false},
+		"leaving":     {func(u *feed.Upstream) { u.LoadAgeMS += 1000; u.Life = kernel.Leaving }, false},
+	} {
+		after := before
+		tc.change(&after)
+		assert.Equal(t, sameUpstream(&before, &after, time.Second), tc.same, name)
+	}
+}
--- a/agent/feed.go
+++ b/agent/feed.go
@@ -42,6 +42,12 @@
 	version uint64
 	viewAt  time.Time
 	shape   uint64
+	// sent is the last view sent, as a whole, and agesAt the time that its ages
+	// are of; nil before the first.
+	sent   *feed.View
+	agesAt time.Time
+	// number counts the views sent.
+	number uint64
 	// resend says that the entry must be sent everything.
 	resend bool
 	// bundle is the one in force, nil if there is none.
@@ -120,7 +126,7 @@
 		Ready: a.mayServe(), PauseMS: f.pause.Milliseconds(),
 	}
 	if a.viewDue() {
-		u.View = a.feedView()
+		u.View = a.nextView()
 		f.version, f.viewAt = a.view.Version, a.now
 	}
 	f.urgent, f.resend, f.pause = false, false, 0
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -44,6 +44,7 @@
 	// desk is nil without ticket keys.
 	desk    *tickets.Desk
 	book    *peering.Book
+	views   peering.Views
 	pool    *peer.Pool
 	servers servers
 
--- a/entry/feed.go
+++ b/entry/feed.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/wardspool/wardspool/entry/peering"
 	"github.com/wardspool/wardspool/feed"
 	"github.com/wardspool/wardspool/kernel"
 	"github.com/wardspool/wardspool/peer"
@@ -18,8 +17,10 @@
 		e.driver.Post(kernel.Paused{Gap: time.Duration(u.PauseMS) * time.Millisecond})
 	}
 	if u.View != nil {
-		e.book.Replace(peering.Addresses(u.View))
-		e.driver.Post(kernel.ViewChanged{View: peering.View(u.View, now)})
+		if view, addresses, ok := e.views.Take(u.View, now); ok {
+			e.book.Replace(addresses)
+			e.driver.Post(kernel.ViewChanged{View: view})
+		}
 	}
 	if b := u.Bundle; b != nil && b.Content != nil {
 		e.driver.Post(kernel.Configured{Version: b.Version, Content: b.Content})
@@ -39,6 +40,7 @@
 func (e *Entry) reply(now time.Time) feed.Reply {
 	r := feed.Reply{
 		Incarnation: e.self.Incarnation,
+		View:        e.views.Number(),
 		Stopping:    e.notReady.Load(),
 		InFlight:    int(e.inFlight.Load()),
 		Evidence:    e.recorder.evidence.Take(now),
--- /dev/null
+++ b/entry/peering/views.go
@@ -0,0 +1,97 @@
+package peering
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/wardspool/wardspool/feed"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+// Views holds the newest view, so that an agent need send only what changed. The
+// zero value holds none. It is safe for concurrent use.
+type Views struct {
+	mu     sync.Mutex
+	number uint64
+	// view is never given away: its takers may change what they get.
+	view      kernel.View
+	addresses map[ident.InstanceID]string
+	// instances and upstreams are places in the view.
+	instances map[ident.InstanceID]int
+	upstreams map[ident.UpstreamID]int
+}
+
+// Number returns that of the view held, 0 if there is none.
+func (w *Views) Number() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.number
+}
+
+// Take takes a view or what changed in the one held. It returns the whole view,
+// which is the caller's, and where its instances take calls. It returns false for
+// changes of another view than the one held: the agent sends it whole when it
+// learns from the reply which one that is.
+func (w *Views) Take(v *feed.View, now time.Time) (*kernel.View, map[ident.InstanceID]string, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if v.Base != 0 && (v.Base != w.number || !w.knows(v)) {
+		return nil, nil, false
+	}
+	if v.Base == 0 {
+		w.replace(v, now)
+	} else {
+		w.change(v, now)
+	}
+	w.number = v.Number
+	out := w.view
+	out.Instances = slices.Clone(w.view.Instances)
+	out.Upstreams = slices.Clone(w.view.Upstreams)
+	return &out, maps.Clone(w.addresses), true
+}
+
+// knows reports whether all that changed is in the view held.
+func (w *Views) knows(v *feed.View) bool {
+	for i := range v.Instances {
+		if _, ok := w.instances[v.Instances[i].ID]; !ok {
+			return false
+		}
+	}
+	for i := range v.Upstreams {
+		if _, ok := w.upstreams[v.Upstreams[i].ID]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// replace takes a whole view.
+func (w *Views) replace(v *feed.View, now time.Time) {
+	w.view = *View(v, now)
+	w.addresses = Addresses(v)
+	w.instances = make(map[ident.InstanceID]int, len(v.Instances))
+	for i := range v.Instances {
+		w.instances[v.Instances[i].ID] = i
+	}
+	w.upstreams = make(map[ident.UpstreamID]int, len(v.Upstreams))
+	for i := range v.Upstreams {
+		w.upstreams[v.Upstreams[i].ID] = i
+	}
+}
+
+// change takes what changed.
+func (w *Views) change(v *feed.View, now time.Time) {
+	part := View(v, now)
+	w.view.Version, w.view.Trusted = part.Version, part.Trusted
+	for i, in := range part.Instances {
+		w.view.Instances[w.instances[in.ID]] = in
+		w.addresses[in.ID] = v.Instances[i].PeerAddress
+	}
+	for _, u := range part.Upstreams {
+		u.Index = w.upstreams[u.ID]
+		w.view.Upstreams[u.Index] = u
+	}
+}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -39,10 +39,17 @@
 	Content *config.Content `json:"content"`
 }
 
-// View is the agent's view of the fleet. Ages are relative to the sending of
-// the update, so that the two processes need no common clock.
+// View is the agent's view of the fleet, or what changed in it. Ages are relative
+// to the sending of the update, so that the two processes need no common clock.
 type View struct {
-	Version   uint64     `json:"version"`
+	Version uint64 `json:"version"`
+	// Number counts the views that an agent sends, from 1. Base is 0 in a whole
+	// view. In one of changes it is the Number of the view that they belong on:
+	// Instances and Upstreams are then those that differ from it, all others
+	// are as they were and their ages go on. An agent sends changes only to an
+	// entry whose last Reply named the base.
+	Number    uint64     `json:"number,omitempty"`
+	Base      uint64     `json:"base,omitempty"`
 	Trusted   bool       `json:"trusted"`
 	Instances []Instance `json:"instances"`
 	Upstreams []Upstream `json:"upstreams"`
@@ -76,10 +83,13 @@
 	// everything again.
 	Incarnation ident.Incarnation `json:"incarnation"`
 	// BundleVersion is the version the entry decides under.
-	BundleVersion uint64     `json:"bundle_version"`
-	Stopping      bool       `json:"stopping"`
-	InFlight      int        `json:"in_flight"`
-	Evidence      []Evidence `json:"evidence,omitempty"`
+	BundleVersion uint64 `json:"bundle_version"`
+	// View is the Number of the view that the entry holds, 0 if it has none or
+	// is of a release that takes whole views only.
+	View     uint64     `json:"view,omitempty"`
+	Stopping bool       `json:"stopping"`
+	InFlight int        `json:"in_flight"`
+	Evidence []Evidence `json:"evidence,omitempty"`
 }
 
 // EvidenceKind classifies what an entry saw of an upstream or a peer.
--- a/internal/capacity/bed.go
+++ b/internal/capacity/bed.go
@@ -243,6 +243,8 @@
 	mu          sync.Mutex
 	incarnation ident.Incarnation
 	version     uint64
+	// view is the number of the view sent last.
+	view uint64
 	// arrived is when each bundle version came.
 	arrived map[uint64]time.Time
 	ready   bool
@@ -281,11 +283,14 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.ready = u.Ready
+	if u.View != nil {
+		e.view = u.View.Number
+	}
 	if u.Bundle != nil && u.Bundle.Version > e.version {
 		e.version = u.Bundle.Version
 		e.arrived[e.version] = time.Now()
 	}
-	return feed.Reply{Incarnation: e.incarnation, BundleVersion: e.version}
+	return feed.Reply{Incarnation: e.incarnation, BundleVersion: e.version, View: e.view}
 }
 
 // arrival returns when a version came, false if it has not.
--- a/rendezvous/rendezvous.go
+++ b/rendezvous/rendezvous.go
@@ -31,9 +31,24 @@
 	return top
 }
 
-// Contains reports whether self is among the k members chosen for the key.
+// Contains reports whether self is among the k members chosen for the key: those
+// with less than k others before them. It neither sorts nor allocates.
 func Contains[M ~string](key string, members []M, k int, self M) bool {
-	return slices.Contains(Top(key, members, k), self)
+	seed := xxhash.Sum64String(key)
+	own := ranking[M]{member: self, weight: weigh(seed, string(self))}
+	member, before := false, 0
+	for i, m := range members {
+		member = member || m == self
+		r := ranking[M]{member: m, weight: weigh(seed, string(m))}
+		// A member that is listed twice counts once.
+		if r.compare(own) < 0 && !slices.Contains(members[:i], m) {
+			before++
+		}
+		if before >= k {
+			return false
+		}
+	}
+	return member && k > 0
 }
 
 // ranking is a member and its weight for one key.
--- a/rendezvous/rendezvous_test.go
+++ b/rendezvous/rendezvous_test.go
@@ -41,6 +41,18 @@
 	})
 }
 
+// Contains counts; Top sorts. Both choose alike, also with members listed twice.
+func TestContainsIsInTop(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := names(t)
+		members = append(members, rapid.SliceOf(rapid.SampledFrom(members)).Draw(t, "again")...)
+		key := rapid.String().Draw(t, "key")
+		k := rapid.IntRange(0, 25).Draw(t, "k")
+		self := rapid.SampledFrom(append([]string{"stranger"}, members...)).Draw(t, "self")
+		assert.Equal(t, Contains(key, members, k, self), slices.Contains(Top(key, members, k), self))
+	})
+}
+
 func TestTopSpreadsKeys(t *testing.T) {
 	members := make([]string, 10)
 	for i := range members {
