--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -17,11 +17,7 @@
 	inFleet(t, func(f *fleet) {
 		f.addEngine("pf-1", "hall-a", config.RolePrefill)
 		f.addEngine("dc-1", "hall-a", config.RoleDecode)
-		nodes := f.addAll(1, "hall-a")
-		f.list()
-		f.publish(nil)
-		startAll(nodes)
-		f.within(8*time.Second, "version 1 in force", allAt(nodes, 1))
+		nodes := f.startFleet(1, "hall-a")
 		f.within(2*time.Second, "loads and readiness at the entry", func() bool {
 			u := nodes[0].entry.upstream("dc-1")
 			_, last := nodes[0].entry.seen()
@@ -37,11 +33,7 @@
 func TestFleetConverges(t *testing.T) {
 	inFleet(t, func(f *fleet) {
 		f.addEngine("pf-1", "hall-a", config.RolePrefill)
-		nodes := f.addAll(4, "hall-a", "hall-b")
-		f.list()
-		f.publish(nil)
-		startAll(nodes)
-		f.within(8*time.Second, "version 1 in force", allAt(nodes, 1))
+		nodes := f.startFleet(4, "hall-a", "hall-b")
 		time.Sleep(20 * time.Second)
 		for range 3 {
 			f.publish(nil)
@@ -65,11 +57,7 @@
 func TestRelay(t *testing.T) {
 	inFleet(t, func(f *fleet) {
 		f.addEngine("pf-1", "hall-a", config.RolePrefill)
-		nodes := f.addAll(3, "hall-a", "hall-b")
-		f.list()
-		f.publish(nil)
-		startAll(nodes)
-		f.within(8*time.Second, "version 1 in force", allAt(nodes, 1))
+		nodes := f.startFleet(3, "hall-a", "hall-b")
 		time.Sleep(10 * time.Second)
 		for _, n := range nodes[3:] {
 			f.net.cut(n.host, platformHost, true)
@@ -152,11 +140,7 @@
 func TestEntryRestarts(t *testing.T) {
 	inFleet(t, func(f *fleet) {
 		f.addEngine("pf-1", "hall-a", config.RolePrefill)
-		nodes := f.addAll(2, "hall-a")
-		f.list()
-		f.publish(nil)
-		startAll(nodes)
-		f.within(8*time.Second, "version 1 in force", allAt(nodes, 1))
+		nodes := f.startFleet(2, "hall-a")
 		time.Sleep(5 * time.Second)
 		old := nodes[0].entry.instance("hall-a-1").Incarnation
 		nodes[0].entry.stop()
@@ -178,11 +162,7 @@
 func TestPaused(t *testing.T) {
 	inFleet(t, func(f *fleet) {
 		f.addEngine("pf-1", "hall-a", config.RolePrefill)
-		nodes := f.addAll(3, "hall-a")
-		f.list()
-		f.publish(nil)
-		startAll(nodes)
-		f.within(8*time.Second, "version 1 in force", allAt(nodes, 1))
+		nodes := f.startFleet(3, "hall-a")
 		time.Sleep(5 * time.Second)
 		n := nodes[0]
 		assert.Assert(t, n.status().Fleet.Trusted)
--- a/agent/fleet_test.go
+++ b/agent/fleet_test.go
@@ -172,6 +172,18 @@
 	}
 }
 
+// startFleet lists and starts n instances in each of the zones, and waits until the
+// first bundle is in force on all of them.
+func (f *fleet) startFleet(n int, zones ...ident.Zone) []*node {
+	f.t.Helper()
+	nodes := f.addAll(n, zones...)
+	f.list()
+	f.publish(nil)
+	startAll(nodes)
+	f.within(8*time.Second, "version 1 in force", allAt(nodes, 1))
+	return nodes
+}
+
 // start starts the entry and the agent of an instance.
 func (n *node) start() {
 	n.startEntry()
--- a/agent/stop_test.go
+++ b/agent/stop_test.go
@@ -26,11 +26,7 @@
 }
 
 func endIsTold(f *fleet, phase time.Duration) {
-	nodes := f.addAll(3, "hall-a")
-	f.list()
-	f.publish(nil)
-	startAll(nodes)
-	f.within(8*time.Second, "version 1 in force", allAt(nodes, 1))
+	nodes := f.startFleet(3, "hall-a")
 	time.Sleep(5 * time.Second)
 	ending := nodes[0]
 	ending.entry.set(func(r *feed.Reply) { r.Stopping = true })
--- a/agent/upstreams_test.go
+++ b/agent/upstreams_test.go
@@ -83,11 +83,7 @@
 	inFleet(t, func(f *fleet) {
 		f.addEngine("pf-1", "hall-a", config.RolePrefill)
 		f.addEngine("dc-1", "hall-a", config.RoleDecode)
-		nodes := f.addAll(3, "hall-a", "hall-b")
-		f.list()
-		f.publish(nil)
-		startAll(nodes)
-		f.within(8*time.Second, "version 1 in force", allAt(nodes, 1))
+		nodes := f.startFleet(3, "hall-a", "hall-b")
 		time.Sleep(5 * time.Second)
 		assert.NilError(t, f.platform.SetMode(control.PlatformMode{Mode: control.ModeDown}))
 		f.do(http.MethodPut, "dc-1", control.PathFaults, "", `{"draining":true}`)
@@ -158,11 +154,7 @@
 func TestLeftovers(t *testing.T) {
 	inFleet(t, func(f *fleet) {
 		f.addEngine("dc-1", "hall-a", config.RoleDecode)
-		nodes := f.addAll(3, "hall-a")
-		f.list()
-		f.publish(nil)
-		startAll(nodes)
-		f.within(8*time.Second, "version 1 in force", allAt(nodes, 1))
+		nodes := f.startFleet(3, "hall-a")
 		time.Sleep(5 * time.Second)
 		owner := nodes[0].status().Entry.Incarnation
 		id := ident.AttemptID{Instance: nodes[0].id, Incarnation: owner, Sequence: 1, Deadline: time.Now().Add(time.Hour)}
@@ -194,11 +186,7 @@
 	inFleet(t, func(f *fleet) {
 		f.addEngine("pf-1", "hall-a", config.RolePrefill)
 		f.addEngine("dc-1", "hall-a", config.RoleDecode)
-		nodes := f.addAll(3, "hall-a")
-		f.list()
-		f.publish(nil)
-		startAll(nodes)
-		f.within(8*time.Second, "version 1 in force", allAt(nodes, 1))
+		nodes := f.startFleet(3, "hall-a")
 		f.publish(func(c *config.Content) {
 			for i := range c.Upstreams {
 				c.Upstreams[i].Version = "2"
@@ -232,11 +220,7 @@
 func TestNoOrdersWhileRechecking(t *testing.T) {
 	inFleet(t, func(f *fleet) {
 		f.addEngine("pf-1", "hall-a", config.RolePrefill)
-		nodes := f.addAll(1, "hall-a")
-		f.list()
-		f.publish(nil)
-		startAll(nodes)
-		f.within(8*time.Second, "version 1 in force", allAt(nodes, 1))
+		nodes := f.startFleet(1, "hall-a")
 		time.Sleep(5 * time.Second)
 		n := nodes[0]
 		f.net.cut(n.host, platformHost, true)
@@ -266,11 +250,7 @@
 func TestStop(t *testing.T) {
 	inFleet(t, func(f *fleet) {
 		f.addEngine("dc-1", "hall-a", config.RoleDecode)
-		nodes := f.addAll(3, "hall-a")
-		f.list()
-		f.publish(nil)
-		startAll(nodes)
-		f.within(8*time.Second, "version 1 in force", allAt(nodes, 1))
+		nodes := f.startFleet(3, "hall-a")
 		time.Sleep(5 * time.Second)
 		first := nodes[0].entry
 		first.set(func(r *feed.Reply) { r.Stopping = true })
--- a/agent/views_test.go
+++ b/agent/views_test.go
@@ -94,11 +94,7 @@
 // others read it themselves.
 func TestFallback(t *testing.T) {
 	inFleet(t, func(f *fleet) {
-		nodes := f.addAll(8, "hall-a")
-		f.list()
-		f.publish(nil)
-		startAll(nodes)
-		f.within(8*time.Second, "version 1 in force", allAt(nodes, 1))
+		nodes := f.startFleet(8, "hall-a")
 		time.Sleep(5 * time.Second)
 		others := 0
 		for _, n := range nodes {
@@ -119,11 +115,7 @@
 // TestPlatformCallsWhileDown: an outage must not make a storm of reads.
 func TestPlatformCallsWhileDown(t *testing.T) {
 	inFleet(t, func(f *fleet) {
-		nodes := f.addAll(6, "hall-a")
-		f.list()
-		f.publish(nil)
-		startAll(nodes)
-		f.within(8*time.Second, "version 1 in force", allAt(nodes, 1))
+		nodes := f.startFleet(6, "hall-a")
 		time.Sleep(20 * time.Second)
 		assert.NilError(t, f.platform.SetMode(control.PlatformMode{Mode: control.ModeDown}))
 		time.Sleep(time.Minute)
