--- a/cmd/wardspoolctl/bundle.go
+++ b/cmd/wardspoolctl/bundle.go
@@ -153,9 +153,8 @@
 
 // bundleSignCmd is "bundle sign".
 type bundleSignCmd struct {
-	Key    string `required:"" help:"Key file; - for the standard input." placeholder:"FILE"`
-	Record string `help:"File that lists what the key signed; beside the key file if not given." placeholder:"FILE"`
-	Draft  string `arg:"" help:"The draft's folder."`
+	signFlags
+	Draft string `arg:"" help:"The draft's folder."`
 }
 
 // Help is shown by "bundle sign --help".
@@ -180,17 +179,10 @@
 	if _, err := bundle.Assemble(&h.Manifest, parts); err != nil {
 		return printFindings(s, err)
 	}
-	k, private, err := readPrivateKey(s, c.Key)
+	k, private, err := c.unlock(s, "bundle", h.Manifest.Version, h.Manifest.Digest())
 	if err != nil {
 		return err
 	}
-	record, err := newSigningRecord(c.Record, c.Key)
-	if err != nil {
-		return err
-	}
-	if err := record.add("bundle", h.Manifest.Version, h.Manifest.Digest()); err != nil {
-		return err
-	}
 	h.AddSignature(bundle.Sign(private, &h.Manifest))
 	if err := writeOutput(s, openFolder(c.Draft).head, h.Encode()); err != nil {
 		return err
--- a/cmd/wardspoolctl/record.go
+++ b/cmd/wardspoolctl/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"crypto/ed25519"
 	"errors"
 	"fmt"
 	"io/fs"
@@ -32,6 +33,28 @@
 	return signingRecord{file: file}, nil
 }
 
+// signFlags say which key signs, and where it is noted what it signed.
+type signFlags struct {
+	Key    string `required:"" help:"Key file; - for the standard input." placeholder:"FILE"`
+	Record string `help:"File that lists what the key signed; beside the key file if not given." placeholder:"FILE"`
+}
+
+// unlock returns the key for one document, once the document stands in the record.
+func (f signFlags) unlock(s streams, kind string, number uint64, digest bundle.Digest) (keyFile, ed25519.PrivateKey, error) {
+	k, private, err := readPrivateKey(s, f.Key)
+	if err != nil {
+		return k, nil, err
+	}
+	record, err := newSigningRecord(f.Record, f.Key)
+	if err != nil {
+		return k, nil, err
+	}
+	if err := record.add(kind, number, digest); err != nil {
+		return k, nil, err
+	}
+	return k, private, nil
+}
+
 // add notes a document. It refuses one whose number was signed with another
 // digest.
 func (r signingRecord) add(kind string, number uint64, digest bundle.Digest) error {
--- a/cmd/wardspoolctl/roll.go
+++ b/cmd/wardspoolctl/roll.go
@@ -120,9 +120,8 @@
 
 // rollSignCmd is "roll sign".
 type rollSignCmd struct {
-	Key    string `required:"" help:"Key file; - for the standard input." placeholder:"FILE"`
-	Record string `help:"File that lists what the key signed; beside the key file if not given." placeholder:"FILE"`
-	Roll   string `arg:"" help:"The roll's file."`
+	signFlags
+	Roll string `arg:"" help:"The roll's file."`
 }
 
 // Help is shown by "roll sign --help".
@@ -143,17 +142,10 @@
 	if err != nil {
 		return err
 	}
-	k, private, err := readPrivateKey(s, c.Key)
+	k, private, err := c.unlock(s, "roll", r.Roll.Sequence, r.Roll.Digest())
 	if err != nil {
 		return err
 	}
-	record, err := newSigningRecord(c.Record, c.Key)
-	if err != nil {
-		return err
-	}
-	if err := record.add("roll", r.Roll.Sequence, r.Roll.Digest()); err != nil {
-		return err
-	}
 	r.AddSignature(bundle.SignRoll(private, &r.Roll))
 	if err := writeOutput(s, c.Roll, r.Encode()); err != nil {
 		return err
