--- a/agent/console/fleet.go
+++ b/agent/console/fleet.go
@@ -9,49 +9,29 @@
 	"io"
 	"slices"
 	"strings"
-	"sync"
 	"text/tabwriter"
 	"time"
 
 	"github.com/wardspool/wardspool/agent/wire"
+	"github.com/wardspool/wardspool/inquiry"
 	"github.com/wardspool/wardspool/peer"
 )
 
-// Unreached is an agent that gave no answer.
-type Unreached struct {
-	Address string `json:"address"`
-	Error   string `json:"error"`
-}
-
 // Fleet is what agents said at one time.
 type Fleet struct {
-	At        time.Time     `json:"at"`
-	Agents    []wire.Status `json:"agents"`
-	Unreached []Unreached   `json:"unreached,omitempty"`
+	At        time.Time           `json:"at"`
+	Agents    []wire.Status       `json:"agents"`
+	Unreached []inquiry.Unreached `json:"unreached,omitempty"`
 }
 
 // Look asks the agents at the operators' addresses, all at once.
 func Look(ctx context.Context, pool *peer.Pool, addresses []string) *Fleet {
 	f := &Fleet{At: time.Now()}
-	var mu sync.Mutex
-	var asked sync.WaitGroup
-	for _, address := range addresses {
-		asked.Go(func() {
-			s, err := peer.Call[wire.Status](ctx, pool, address, wire.MethodStatus, wire.Nothing{})
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				f.Unreached = append(f.Unreached, Unreached{Address: address, Error: err.Error()})
-				return
-			}
-			f.Agents = append(f.Agents, s)
-		})
-	}
-	asked.Wait()
+	f.Agents, f.Unreached = inquiry.All[wire.Status](ctx, pool, addresses, wire.MethodStatus, wire.Nothing{})
 	slices.SortFunc(f.Agents, func(a, b wire.Status) int {
 		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Instance, b.Instance))
 	})
-	slices.SortFunc(f.Unreached, func(a, b Unreached) int { return cmp.Compare(a.Address, b.Address) })
+	slices.SortFunc(f.Unreached, func(a, b inquiry.Unreached) int { return cmp.Compare(a.Address, b.Address) })
 	return f
 }
 
@@ -96,9 +76,7 @@
 			fmt.Fprintf(t, "ALARM on %s: %s\n", f.Agents[i].Instance, a.Text)
 		}
 	}
-	for _, u := range f.Unreached {
-		fmt.Fprintf(t, "not reached: %s: %s\n", u.Address, u.Error)
-	}
+	inquiry.WriteUnreached(t, f.Unreached)
 	return t.Flush()
 }
 
--- a/agent/console/fleet_test.go
+++ b/agent/console/fleet_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/wardspool/wardspool/agent/wire"
 	"github.com/wardspool/wardspool/bundle/ledger"
+	"github.com/wardspool/wardspool/inquiry"
 	"github.com/wardspool/wardspool/peer"
 )
 
@@ -47,7 +48,7 @@
 				s.Alarms = []wire.AlarmStatus{{Type: ledger.AlarmNothingRolled, Text: "nothing-rolled; step: publish"}}
 			}),
 		},
-		Unreached: []Unreached{{Address: "127.0.0.1:1", Error: "refused"}},
+		Unreached: []inquiry.Unreached{{Address: "127.0.0.1:1", Error: "refused"}},
 	}
 	var b bytes.Buffer
 	assert.NilError(t, f.Write(&b))
--- a/entry/console/explain.go
+++ b/entry/console/explain.go
@@ -14,23 +14,18 @@
 
 	"github.com/wardspool/wardspool/entry/peering"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/inquiry"
 	"github.com/wardspool/wardspool/kernel"
 	"github.com/wardspool/wardspool/peer"
 )
 
-// Unreached is an instance that gave no answer.
-type Unreached struct {
-	Address string `json:"address"`
-	Error   string `json:"error"`
-}
-
 // Explanation is what the instances know of a request.
 type Explanation struct {
 	Request ident.RequestID        `json:"request"`
 	Found   []peering.ExplainReply `json:"found"`
 	// Unreached lists instances whose answer is missing: the explanation may
 	// lack their part.
-	Unreached []Unreached `json:"unreached,omitempty"`
+	Unreached []inquiry.Unreached `json:"unreached,omitempty"`
 }
 
 // Explain asks the instances at the given operators' addresses for the decision
@@ -38,7 +33,7 @@
 func Explain(ctx context.Context, pool *peer.Pool, addresses []string, id ident.RequestID) Explanation {
 	out := Explanation{Request: id}
 	req := peering.ExplainRequest{Request: id}
-	replies, unreached := askAll[peering.ExplainReply](ctx, pool, addresses, peering.MethodExplain, req)
+	replies, unreached := inquiry.All[peering.ExplainReply](ctx, pool, addresses, peering.MethodExplain, req)
 	out.Unreached = unreached
 	for _, r := range replies {
 		if len(r.Records) > 0 || len(r.Presentations) > 0 {
@@ -49,34 +44,6 @@
 	return out
 }
 
-// askAll calls a method of all instances at once and returns the answers in
-// the order of the addresses.
-func askAll[Reply any](ctx context.Context, pool *peer.Pool, addresses []string, method string, req any) ([]Reply, []Unreached) {
-	type result struct {
-		reply Reply
-		err   error
-	}
-	results := make([]chan result, len(addresses))
-	for i, addr := range addresses {
-		results[i] = make(chan result, 1)
-		go func() {
-			reply, err := peer.Call[Reply](ctx, pool, addr, method, req)
-			results[i] <- result{reply, err}
-		}()
-	}
-	var replies []Reply
-	var unreached []Unreached
-	for i, addr := range addresses {
-		r := <-results[i]
-		if r.err != nil {
-			unreached = append(unreached, Unreached{Address: addr, Error: r.err.Error()})
-			continue
-		}
-		replies = append(replies, r.reply)
-	}
-	return replies, unreached
-}
-
 // Write writes the explanation as a table.
 func (e *Explanation) Write(w io.Writer) error {
 	if len(e.Found) == 0 {
@@ -87,9 +54,7 @@
 			return err
 		}
 	}
-	for _, u := range e.Unreached {
-		fmt.Fprintf(w, "not reached: %s: %s\n", u.Address, u.Error)
-	}
+	inquiry.WriteUnreached(w, e.Unreached)
 	return nil
 }
 
--- a/entry/console/watch.go
+++ b/entry/console/watch.go
@@ -12,6 +12,7 @@
 	"github.com/wardspool/wardspool/entry/peering"
 	"github.com/wardspool/wardspool/entry/stats"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/inquiry"
 	"github.com/wardspool/wardspool/peer"
 )
 
@@ -28,8 +29,8 @@
 	InForce  []InForce `json:"in_force"`
 	// Versions is what happened under each bundle version since the instances
 	// seen began.
-	Versions  []stats.Version `json:"versions"`
-	Unreached []Unreached     `json:"unreached,omitempty"`
+	Versions  []stats.Version     `json:"versions"`
+	Unreached []inquiry.Unreached `json:"unreached,omitempty"`
 }
 
 // Watcher takes snapshots of a set of instances. It keeps the counts of
@@ -54,7 +55,7 @@
 
 // Look takes a snapshot.
 func (w *Watcher) Look(ctx context.Context, now time.Time) Snapshot {
-	replies, unreached := askAll[peering.StatsReply](ctx, w.pool, w.addresses, peering.MethodStats, peering.Nothing{})
+	replies, unreached := inquiry.All[peering.StatsReply](ctx, w.pool, w.addresses, peering.MethodStats, peering.Nothing{})
 	s := Snapshot{At: now, Unreached: unreached}
 	inForce := map[uint64]int{}
 	for _, r := range replies {
@@ -96,9 +97,7 @@
 			fmt.Fprintf(t, "%d\t%s\t%s\t%d\t%s\n", v.Version, r.Step, r.Reason, r.Count, Meaning(r.Reason))
 		}
 	}
-	for _, u := range s.Unreached {
-		fmt.Fprintf(t, "not reached: %s: %s\n", u.Address, u.Error)
-	}
+	inquiry.WriteUnreached(t, s.Unreached)
 	return t.Flush()
 }
 
