slots.dispatch: interleavings also with views that differ

Cause: TestInterleavings killed nodes but gave all the same view, so that two dispatchers of one model at a time were not among its interleavings, as docs/proofs.md says that they are shown by state machines.

Change: a node may take another that lives for dead, until all agree again; at the end all agree. Nothing in the checks is eased.

--- a/plugins/slots/dispatch/rapid_test.go
+++ b/plugins/slots/dispatch/rapid_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -87,6 +88,28 @@
 	}
 }
 
+// doubt gives one node a view in which another is dead that is not, so that they
+// have different dispatchers for a while.
+func (m *machine) doubt(t *rapid.T) {
+	n, other := m.node(t), m.node(t)
+	if n.dead || n == other {
+		return
+	}
+	dead := maps.Clone(m.dead)
+	dead[other.self.Instance] = true
+	m.version++
+	n.setView(m.version, dead)
+	n.policy.refresh()
+}
+
+// agree gives all nodes the same, true view.
+func (m *machine) agree(*rapid.T) {
+	m.version++
+	for _, n := range m.b.nodes {
+		n.setView(m.version, m.dead)
+	}
+}
+
 func (m *machine) cut(t *rapid.T) {
 	m.b.cut[[2]ident.InstanceID{m.node(t).self.Instance, m.node(t).self.Instance}] = true
 }
@@ -122,6 +145,7 @@
 func (m *machine) settle(t *rapid.T) {
 	m.b.loss, m.b.repeat = 0, 0
 	m.heal(t)
+	m.agree(t)
 	for _, n := range m.b.nodes {
 		if n.frozen {
 			n.thaw()
@@ -173,6 +197,8 @@
 			"kill":     m.kill,
 			"thaw":     m.thaw,
 			"cut":      m.cut,
+			"doubt":    m.doubt,
+			"agree":    m.agree,
 			"heal":     m.heal,
 			"":         m.checkSlots,
 		})
