orders: each engine that checks fencing numbers is told of each version

Cause: such engines are the zone's memory of the versions that were in force, which a starting instance asks before it serves, but an order was given only where a version changed what an engine runs.

Change: an engine that checks, runs what is wanted and has not seen this version's number is ordered what it runs already. It loads nothing, so the order waits for no turn. One that restarted is told again.

--- a/orders/decide.go
+++ b/orders/decide.go
@@ -28,6 +28,9 @@
 	if o.Highest > Fence(p.version) {
 		return p.oldBundle(now, g, o, StepHeld)
 	}
+	if matches && g.checks && o.Highest < Fence(p.version) {
+		return p.fence(now, g, o)
+	}
 	if matches {
 		return p.matches(now, g, o)
 	}
@@ -49,6 +52,17 @@
 	}
 }
 
+// fence orders what the engine runs already, for the fencing number: engines that
+// check it are the zone's memory of the versions that were in force, which a
+// starting instance asks. Nothing is loaded for it, so it waits for no turn.
+func (p *Planner) fence(now time.Time, g *engine, o *Observation) Decision {
+	g.since, g.waitsFor = time.Time{}, ""
+	d := p.order(now, g, o)
+	g.inForce, g.incarnation = true, o.Incarnation
+	d.Record.Reason = ReasonFence
+	return d
+}
+
 // matches deals with an engine that runs what is wanted.
 func (p *Planner) matches(now time.Time, g *engine, o *Observation) Decision {
 	g.since, g.waitsFor = time.Time{}, ""
--- a/orders/record.go
+++ b/orders/record.go
@@ -45,6 +45,9 @@
 	ReasonUnconfirmed Reason = "bundle_not_confirmed"
 	// ReasonOldBundle: it has had an order of a newer bundle version.
 	ReasonOldBundle Reason = "newer_fence_seen"
+	// ReasonFence: it runs what is wanted and checks fencing numbers, and has not
+	// had this version's.
+	ReasonFence Reason = "fence"
 	// ReasonMatches: it runs what is wanted.
 	ReasonMatches Reason = "matches"
 )
