Alarms: an entry that lacks a plug-in; garbled documents; the floor of a peer that left

Cause: (1) an entry that cannot run a version's policy logged it and went on under the version before, and no alarm told operators: `fleet` showed two numbers. (2) A peer that left a starting instance's roster took what it had in force with it, so that the base could stand in for a version in force there; the agent covered this, the ledger did not. (3) A `garbled` alarm stood until the next version, whatever its source gave since.

Ruled out for (1): kernel.CheckPolicy in the agent, whose binary does not link the plug-ins; CheckPolicy in the entry, which would load the policy twice where the kernel already says ConfigRejected.

Change: (1) the entry's reply names the version it cannot run and why; the agent tells the ledger, which raises `entry-rejects` with its step. The bundle in force stays, and the alarm goes when the entry decides under that version or a higher one. (2) The ledger keeps peers that answered on the roster while it starts. (3) The alarm names the kind of document and goes when the same source gives a readable one of that kind.

Not fed still: leftover.SetInFlight.

--- a/agent/feed.go
+++ b/agent/feed.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/wardspool/wardspool/bundle/ledger"
 	"github.com/wardspool/wardspool/feed"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/membership"
@@ -153,7 +154,11 @@
 		f.resend = true
 		clear(f.lives)
 	}
+	decides := r.Rejected != nil || r.BundleVersion != f.reply.BundleVersion
 	f.reply, f.answers, f.gone = r, true, false
+	if decides {
+		a.noteDecides(r)
+	}
 	a.machine.SetSelf(a.now, membership.SelfState{Incarnation: r.Incarnation, Leaving: r.Stopping})
 	for _, e := range r.Evidence {
 		a.takeEvidence(begun, e)
@@ -164,6 +169,16 @@
 	}
 }
 
+// noteDecides tells the ledger what the entry made of the bundle in force. An entry
+// that lacks a plug-in goes on under the version before; operators must know.
+func (a *Agent) noteDecides(r feed.Reply) {
+	e := ledger.EntryDecides{Version: r.BundleVersion}
+	if r.Rejected != nil {
+		e.Rejected, e.Err = r.Rejected.Version, &RejectedError{Reason: r.Rejected.Reason}
+	}
+	a.step(e)
+}
+
 // feedFailed takes in a failed update: what it said is to be said again.
 func (a *Agent) feedFailed(u feed.Update, err error) {
 	f := &a.feed
@@ -226,3 +241,9 @@
 		a.machine.PeerFailed(a.now, at, e.Peer, membership.ProcessEntry, membership.FailTimeout)
 	}
 }
+
+// RejectedError is the reason that an entry gave for not taking a bundle.
+type RejectedError struct{ Reason string }
+
+// Error implements error.
+func (e *RejectedError) Error() string { return e.Reason }
--- a/agent/source.go
+++ b/agent/source.go
@@ -222,7 +222,7 @@
 func (a *Agent) takeRoll(from ledger.Source, begun time.Time, b []byte) {
 	roll, err := bundle.DecodeRoll(b)
 	if err != nil {
-		a.step(ledger.Garbled{From: from, Err: err})
+		a.step(ledger.Garbled{From: from, Document: ledger.DocumentRoll, Err: err})
 		return
 	}
 	a.step(ledger.RollSeen{From: from, Roll: roll})
@@ -235,7 +235,7 @@
 func (a *Agent) takeHead(from ledger.Source, b []byte) {
 	head, err := bundle.DecodeHead(b)
 	if err != nil {
-		a.step(ledger.Garbled{From: from, Err: err})
+		a.step(ledger.Garbled{From: from, Document: ledger.DocumentHead, Err: err})
 		return
 	}
 	a.step(ledger.HeadSeen{From: from, Head: head})
--- a/bundle/ledger/alarm.go
+++ b/bundle/ledger/alarm.go
@@ -29,6 +29,9 @@
 	// AlarmInvalidContent is a signed bundle whose content fails its checks on
 	// this instance.
 	AlarmInvalidContent AlarmType = "invalid-content"
+	// AlarmEntryRejects is a bundle in force that the instance's entry cannot run:
+	// it goes on under the version before.
+	AlarmEntryRejects AlarmType = "entry-rejects"
 	// AlarmHalfPublished is a rolled bundle with parts that nobody gives.
 	AlarmHalfPublished AlarmType = "half-published"
 	// AlarmFloorAbove is an upstream's fencing number above every bundle that
@@ -50,6 +53,7 @@
 	AlarmRollOrder:      "make the roll again from the one published last: wardspoolctl roll new --previous",
 	AlarmBrokenChain:    "build the next version with --supersedes for the digest in force here, and roll it to all",
 	AlarmInvalidContent: "bring the instances to the release that wrote the bundle, or roll a version that they accept",
+	AlarmEntryRejects:   "bring this instance's entry to a release that has the plug-in, or roll a version whose policy it can run",
 	AlarmHalfPublished:  "publish the missing bundle/parts values; wardspoolctl bundle pack writes them",
 	AlarmFloorAbove:     "restore this zone's way to the platform or to a peer, or start the instance with the newest bundle preloaded; if the upstream's number is wrong, roll a version that sets checks_fencing to false for it",
 	AlarmIsolated:       "restore this zone's way to the platform or to a peer; or let instances serve their preloaded bundle: isolated: serve-preload",
@@ -67,8 +71,9 @@
 	Ref, Other bundle.Ref
 	// Number is the roll sequence or fencing number concerned, if any.
 	Number uint64
-	// From is who brought it, if anyone.
-	From Source
+	// From is who brought it, if anyone, and Document what it should have been.
+	From     Source
+	Document Document
 	// Err says more, where there is more.
 	Err error
 }
@@ -104,7 +109,7 @@
 // alarm raises an alarm unless one like it stands.
 func (l *Ledger) alarm(a Alarm) {
 	same := func(b Alarm) bool {
-		return a.Type == b.Type && a.Ref == b.Ref && a.Other == b.Other && a.Number == b.Number && a.From == b.From
+		return a.Type == b.Type && a.Ref == b.Ref && a.Other == b.Other && a.Number == b.Number && a.From == b.From && a.Document == b.Document
 	}
 	if (a.Type.unsigned() && len(l.alarms) >= maxAlarms) || slices.ContainsFunc(l.alarms, same) {
 		return
@@ -118,5 +123,19 @@
 	l.alarms = slices.DeleteFunc(l.alarms, answered)
 }
 
+// gave drops the alarm of a garbled document from a source that now gave one of
+// the kind that can be read.
+func (l *Ledger) gave(from Source, d Document) {
+	l.clearAlarms(func(a Alarm) bool { return a.Type == AlarmGarbled && a.From == from && a.Document == d })
+}
+
+// apply implements Event.
+func (e EntryDecides) apply(l *Ledger) {
+	l.clearAlarms(func(a Alarm) bool { return a.Type == AlarmEntryRejects && a.Ref.Version <= e.Version })
+	if e.Rejected > e.Version && e.Rejected == l.inForceRef.Version {
+		l.alarm(Alarm{Type: AlarmEntryRejects, Ref: l.inForceRef, Err: e.Err})
+	}
+}
+
 // Alarms lists the alarms that stand.
 func (l *Ledger) Alarms() []Alarm { return slices.Clone(l.alarms) }
--- /dev/null
+++ b/bundle/ledger/alarms_test.go
@@ -0,0 +1,80 @@
+package ledger
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/bundle"
+	"github.com/wardspool/wardspool/plugin"
+)
+
+// An entry that cannot run the version in force raises an alarm with its step,
+// once; the version stays in force, and the alarm goes when the entry takes it.
+func TestEntryRejects(t *testing.T) {
+	d := newDocuments(t)
+	s := ready(t, d)
+	s.step("roll 2", RollSeen{From: platform, Roll: d.publisher.all(2, d.v2, d.v1, "ada", "ben")})
+	s.parts(platform)
+	lacks := EntryDecides{Version: 1, Rejected: 2, Err: &plugin.UnknownError{ID: "scorer.memory"}}
+	actions := s.step("the entry lacks a plug-in", lacks)
+	assert.Equal(t, len(actions), 1)
+	a := actions[0].(Alarm)
+	assert.Equal(t, a.Type, AlarmEntryRejects)
+	assert.Equal(t, a.Ref, d.v2.Ref())
+	assert.Assert(t, strings.Contains(a.String(), "scorer.memory"), a.String())
+	assert.Assert(t, strings.Contains(a.String(), "; step: bring this instance's entry to a release"), a.String())
+	assert.Equal(t, len(s.step("the same again", lacks)), 0)
+	assert.Equal(t, s.inForce(), uint64(2))
+	s.step("the entry was upgraded", EntryDecides{Version: 2})
+	assert.Equal(t, len(s.ledger.Alarms()), 0)
+	s.step("an old word", EntryDecides{Version: 0, Rejected: 1, Err: errors.ErrUnsupported})
+	assert.Equal(t, len(s.ledger.Alarms()), 0)
+}
+
+// What a peer had in force is part of a starting instance's floor also when the
+// peer leaves the roster: the base must not stand in for a version that a peer
+// was ready with.
+func TestFloorOfAPeerThatLeft(t *testing.T) {
+	d := newDocuments(t)
+	s := started(t, d, testSettings("entry-1", "hall-a"), platform, peer("entry-2"))
+	second := d.publisher.all(2, d.v2, d.v1, "ada", "ben")
+	s.step("entry-2 has version 2 in force", FloorReport{From: peer("entry-2"), Ready: true, InForce: d.v2.Ref(), Roll: second})
+	s.step("entry-2 is gone", Roster{Sources: []Source{platform}})
+	s.step("the platform has roll 2 and not its parts", FloorReport{From: platform, Roll: second})
+	s.wait(time.Minute)
+	assert.Equal(t, s.ledger.Status(), StatusStarting)
+	assert.Equal(t, s.inForce(), uint64(0))
+	s.parts(platform)
+	assert.Equal(t, s.ledger.Status(), StatusReady)
+	assert.Equal(t, s.inForce(), uint64(2))
+	s.step("the roster", Roster{Sources: []Source{platform}})
+	assert.Equal(t, len(s.ledger.floor.answers), 1, "once ready, those gone are forgotten")
+}
+
+// A garbled alarm goes when its source gives a readable document of the kind, not
+// before and not by another's.
+func TestGarbledGoes(t *testing.T) {
+	d := newDocuments(t)
+	s := ready(t, d)
+	bad := &bundle.CanonicalError{}
+	s.step("garbled roll", Garbled{From: platform, Document: DocumentRoll, Err: bad})
+	s.step("garbled head", Garbled{From: platform, Document: DocumentHead, Err: bad})
+	assert.Equal(t, len(s.ledger.Alarms()), 2)
+	s.step("the peer's roll", RollSeen{From: peer("entry-2"), Roll: d.first})
+	assert.Equal(t, len(s.ledger.Alarms()), 2)
+	s.step("the platform's roll", RollSeen{From: platform, Roll: d.first})
+	assert.Equal(t, len(s.ledger.Alarms()), 1)
+	s.step("the platform's head", HeadSeen{From: platform, Head: d.v1})
+	assert.Equal(t, len(s.ledger.Alarms()), 0)
+	s.step("roll 2", RollSeen{From: platform, Roll: d.publisher.all(2, d.v2, d.v1, "ada", "ben")})
+	parts := d.publisher.give(s.ledger.parts.missing)
+	truncated := []bundle.Part{{Digest: parts[0].Digest, Bytes: parts[0].Bytes[1:]}}
+	s.step("a truncated part", PartsSeen{From: platform, Parts: truncated})
+	assert.Equal(t, len(s.ledger.Alarms()), 1)
+	s.step("the part", PartsSeen{From: platform, Parts: parts[:1]})
+	assert.Equal(t, len(s.ledger.Alarms()), 0)
+}
--- a/bundle/ledger/documents.go
+++ b/bundle/ledger/documents.go
@@ -40,11 +40,12 @@
 // apply implements Event.
 func (e Garbled) apply(l *Ledger) {
 	l.refuse(e.From, e.Err)
-	l.alarm(Alarm{Type: AlarmGarbled, From: e.From, Err: e.Err})
+	l.alarm(Alarm{Type: AlarmGarbled, From: e.From, Document: e.Document, Err: e.Err})
 }
 
 // apply implements Event.
 func (e HeadSeen) apply(l *Ledger) {
+	l.gave(e.From, DocumentHead)
 	ref := e.Head.Ref()
 	if l.known(ref) {
 		l.parts.addHolder(e.From)
@@ -123,6 +124,7 @@
 // takeRoll accepts or refuses a roll. It reports false only for a roll that may
 // be newer than the ledger's and cannot be verified.
 func (l *Ledger) takeRoll(from Source, s *bundle.SignedRoll) bool {
+	l.gave(from, DocumentRoll)
 	if l.roll != nil && l.rollDigest == s.Roll.Digest() {
 		l.parts.addHolder(from)
 		return true
--- a/bundle/ledger/event.go
+++ b/bundle/ledger/event.go
@@ -58,9 +58,21 @@
 // Garbled reports bytes from a source that could not be decoded.
 type Garbled struct {
 	From Source
-	Err  error
+	// Document is what the bytes should have been.
+	Document Document
+	Err      error
 }
 
+// Document is a kind of document that a source gives.
+type Document string
+
+// The kinds of document.
+const (
+	DocumentRoll Document = "roll"
+	DocumentHead Document = "head"
+	DocumentPart Document = "part"
+)
+
 // Roster says whom a starting instance must ask for the floor, and whose answers
 // count. It replaces the roster before. It should name every live peer of the
 // instance's own zone, a few of each other zone, and the zone's upstreams that
@@ -87,6 +99,14 @@
 // Unreachable reports that a source did not answer. The ledger asks again.
 type Unreachable struct{ From Source }
 
+// EntryDecides reports under which version the instance's entry decides, and which
+// higher one it cannot run: its binary lacks a plug-in, say. Zero is none.
+type EntryDecides struct {
+	Version, Rejected uint64
+	// Err is the entry's reason.
+	Err error
+}
+
 // Announced reports a peer's Summary.
 type Announced struct {
 	From    Source
--- a/bundle/ledger/floor.go
+++ b/bundle/ledger/floor.go
@@ -57,9 +57,17 @@
 	return sources
 }
 
-// apply implements Event.
+// apply implements Event. A peer that answered a starting instance and goes stays
+// on its roster: what it had in force is part of the floor.
 func (e Roster) apply(l *Ledger) {
 	answers := make([]answer, 0, len(e.Sources))
+	if l.floor.status == StatusStarting {
+		for _, a := range l.floor.answers {
+			if a.answered && a.source.Kind == SourcePeer && !slices.Contains(e.Sources, a.source) {
+				answers = append(answers, a)
+			}
+		}
+	}
 	for _, s := range e.Sources {
 		if a := l.floor.find(s); a != nil {
 			answers = append(answers, *a)
--- a/bundle/ledger/parts.go
+++ b/bundle/ledger/parts.go
@@ -178,7 +178,7 @@
 			}
 			if err := l.parts.have.Add(part); err != nil {
 				l.refuse(e.From, err)
-				l.alarm(Alarm{Type: AlarmGarbled, From: e.From, Err: err})
+				l.alarm(Alarm{Type: AlarmGarbled, From: e.From, Document: DocumentPart, Err: err})
 				return
 			}
 			added, progress = true, true
@@ -186,6 +186,7 @@
 		}
 	}
 	if progress {
+		l.gave(e.From, DocumentPart)
 		l.parts.fetchedAt, l.parts.tries = time.Time{}, 0
 		l.parts.since = l.now
 	}
--- a/entry/driver/actions.go
+++ b/entry/driver/actions.go
@@ -33,6 +33,7 @@
 	case kernel.SendPeer:
 		d.sendPeer(a)
 	case kernel.ConfigRejected:
+		d.rejected.Store(&a)
 		d.logLater(slog.LevelError, "bundle rejected", "bundle_version", a.Version, "error", a.Err)
 	case kernel.Log:
 		d.opts.Observer.Decided(a.Record)
--- a/entry/driver/driver.go
+++ b/entry/driver/driver.go
@@ -8,6 +8,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/wardspool/wardspool/adapter"
@@ -104,6 +105,8 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	workers sync.WaitGroup
+	// rejected is the version that this binary could not run last.
+	rejected atomic.Pointer[kernel.ConfigRejected]
 
 	// The rest is owned by the goroutine of Run.
 	backlog   []kernel.Event
@@ -232,6 +235,10 @@
 	}
 }
 
+// Rejected returns the bundle version that this binary could not run last, nil if
+// there was none.
+func (d *Driver) Rejected() *kernel.ConfigRejected { return d.rejected.Load() }
+
 // Stopped reports whether Run has returned.
 func (d *Driver) Stopped() bool {
 	select {
--- a/entry/fed_test.go
+++ b/entry/fed_test.go
@@ -315,3 +315,22 @@
 	resp, body = f.do(http.MethodPost, "/v1/completions", completion(3, false), api.HeaderTicket, f.ticket(0))
 	assert.Equal(t, resp.StatusCode, http.StatusOK, body)
 }
+
+// TestRejected: an entry that lacks a plug-in of a version says so to its agent and
+// goes on under the version before; it says no more once it decides under a higher
+// one.
+func TestRejected(t *testing.T) {
+	f := newFleet(t)
+	f.feedAll()
+	c := f.content()
+	c.Policy.Order = "order.of_tomorrow"
+	f.update(0, feed.Update{Bundle: &feed.Bundle{Version: 4, Content: c}, Ready: true})
+	f.await("the rejection", func() bool { return f.update(0, feed.Update{Ready: true}).Rejected != nil })
+	r := f.update(0, feed.Update{Ready: true})
+	assert.Equal(t, r.Rejected.Version, uint64(4))
+	assert.Assert(t, strings.Contains(r.Rejected.Reason, "order.of_tomorrow"), r.Rejected.Reason)
+	assert.Equal(t, r.BundleVersion, uint64(3))
+	f.update(0, feed.Update{Bundle: &feed.Bundle{Version: 5, Content: f.content()}, Ready: true})
+	f.await("version 5", func() bool { return f.update(0, feed.Update{Ready: true}).BundleVersion == 5 })
+	assert.Assert(t, f.update(0, feed.Update{Ready: true}).Rejected == nil)
+}
--- a/entry/feed.go
+++ b/entry/feed.go
@@ -48,5 +48,8 @@
 	if c := e.catalog.Load(); c != nil {
 		r.BundleVersion = c.Version
 	}
+	if rejected := e.driver.Rejected(); rejected != nil && rejected.Version > r.BundleVersion {
+		r.Rejected = &feed.Rejection{Version: rejected.Version, Reason: rejected.Err.Error()}
+	}
 	return r
 }
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -84,6 +84,9 @@
 	Incarnation ident.Incarnation `json:"incarnation"`
 	// BundleVersion is the version the entry decides under.
 	BundleVersion uint64 `json:"bundle_version"`
+	// Rejected is a version above BundleVersion that the entry was given and cannot
+	// decide under, nil if there is none.
+	Rejected *Rejection `json:"rejected,omitempty"`
 	// View is the Number of the view that the entry holds, 0 if it has none or
 	// is of a release that takes whole views only.
 	View     uint64     `json:"view,omitempty"`
@@ -92,6 +95,13 @@
 	Evidence []Evidence `json:"evidence,omitempty"`
 }
 
+// Rejection says why an entry does not take a bundle version: its binary lacks a
+// plug-in that the version names, or the plug-in refuses its settings.
+type Rejection struct {
+	Version uint64 `json:"version"`
+	Reason  string `json:"reason"`
+}
+
 // EvidenceKind classifies what an entry saw of an upstream or a peer.
 type EvidenceKind string
 
