slots.dispatch: while a dispatcher is silent the next one is asked; stalls are looked into

Stalled attempts told the agent nothing, so that no engine beyond the cut was called unreachable either. Change: a holder whose dispatcher does not answer within 200 ms asks the next by rendezvous hashing, at last itself, and comes back after 2 s; placements move along and the silent one is told. A stalled attempt has the agent read the engine at once, as a broken one does. Tests: TestSilentDispatcherIsReplacedByTheStaticShare becomes ...ByTheNext, since that is what has to happen now: placed in place of denied, and all agree on the same next one. TestInstanceThatReachesNobodyDispatchesByItself, TestPlacementsFollowTheDispatcher, a case of TestContact; two mutations, noticed.

--- a/entry/driver/attempt.go
+++ b/entry/driver/attempt.go
@@ -138,7 +138,9 @@
 		return
 	}
 	code := a.code(e)
-	d.opts.Observer.Contact(a.target.Upstream, e)
+	seen := *e
+	seen.Code = code
+	d.opts.Observer.Contact(a.target.Upstream, &seen)
 	d.opts.Log.Debug("attempt failed", "attempt", a.id.String(), "upstream", a.target.Upstream, "error", err)
 	d.send(message{attempt: a, event: kernel.AttemptFailed{
 		Attempt:    a.id,
--- a/entry/evidence/evidence.go
+++ b/entry/evidence/evidence.go
@@ -67,7 +67,7 @@
 		return feed.EvidenceSucceeded, true
 	case errors.Is(err, context.DeadlineExceeded), isTimeout(err):
 		return feed.EvidenceTimeout, true
-	case isBroken(err):
+	case err.Code == kernel.FailureStalled, isBroken(err):
 		return feed.EvidenceBroken, true
 	default:
 		return "", false
--- a/entry/evidence/evidence_test.go
+++ b/entry/evidence/evidence_test.go
@@ -28,6 +28,7 @@
 		{"refused", &adapter.CallError{Code: kernel.FailureConnect, Err: refused}, feed.EvidenceRefused},
 		{"timeout", &adapter.CallError{Code: kernel.FailureTimeout, Err: context.DeadlineExceeded}, feed.EvidenceTimeout},
 		{"reset", &adapter.CallError{Code: kernel.FailureBroken, Err: &net.OpError{Op: "read", Err: syscall.ECONNRESET}}, feed.EvidenceBroken},
+		{"stalled", &adapter.CallError{Code: kernel.FailureStalled, Err: context.Canceled}, feed.EvidenceBroken},
 		{"ended", &adapter.CallError{Code: kernel.FailureBroken, Err: io.ErrUnexpectedEOF}, feed.EvidenceBroken},
 		{"our own cancel proves nothing", &adapter.CallError{Code: kernel.FailureBroken, Err: context.Canceled}, ""},
 	} {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -110,8 +110,8 @@
 	EvidenceSucceeded EvidenceKind = "succeeded"
 	EvidenceRefused   EvidenceKind = "connection_refused"
 	EvidenceTimeout   EvidenceKind = "timeout"
-	// EvidenceBroken is a connection that ended without an answer. It proves
-	// nothing by itself.
+	// EvidenceBroken is a connection that ended without an answer, or on which
+	// nothing came for too long. It proves nothing by itself.
 	EvidenceBroken   EvidenceKind = "broken"
 	EvidenceDraining EvidenceKind = "draining"
 	EvidenceLoad     EvidenceKind = "load"
--- a/load/agreement/faults.go
+++ b/load/agreement/faults.go
@@ -7,7 +7,6 @@
 
 	"github.com/wardspool/wardspool/config"
 	"github.com/wardspool/wardspool/experiment"
-	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/kernel"
 	"github.com/wardspool/wardspool/plugins/slots/slotkit"
 	"github.com/wardspool/wardspool/standin/control"
@@ -128,7 +127,7 @@
 	var roster slotkit.Roster
 	roster.Update(view, kernel.Self{Instance: first.ID, Zone: first.Zone})
 	name := "model/" + b.place.Content.Models[0].Name
-	chosen := roster.Chosen(name, func(ident.Zone) bool { return true })
+	chosen := roster.Chosen(name, func(*kernel.Instance) bool { return true })
 	for _, in := range fleet.Instances {
 		if in.ID == chosen {
 			return in
--- a/plugins/slots/dispatch/dispatch_test.go
+++ b/plugins/slots/dispatch/dispatch_test.go
@@ -93,7 +93,7 @@
 	assert.Equal(t, len(g.waiting)+len(g.grants)+len(g.ready), 0)
 }
 
-func TestSilentDispatcherIsReplacedByTheStaticShare(t *testing.T) {
+func TestSilentDispatcherIsReplacedByTheNext(t *testing.T) {
 	for name, fail := range map[string]func(*bed, *node){
 		"killed": func(_ *bed, d *node) { d.dead = true },
 		"frozen": func(_ *bed, d *node) { d.frozen = true },
@@ -109,8 +109,21 @@
 			fail(b, d)
 			id := h.place(2 * time.Second)
 			b.run(3 * answerTime)
-			assert.Equal(t, h.last(id).what, "denied", "the kernel must be free to place by itself")
-			assert.Assert(t, !h.policy.Joint(testModel))
+			assert.Equal(t, h.last(id).what, "placed", "by the next")
+			next := h.policy.dispatcher(testModel)
+			assert.Assert(t, next != d.self.Instance && next != "")
+			for _, n := range b.nodes {
+				if n != d {
+					// Its own asks find the same next one.
+					n.place(2 * time.Second)
+				}
+			}
+			b.run(3 * answerTime)
+			for _, n := range b.nodes {
+				if n != d {
+					assert.Equal(t, n.policy.dispatcher(testModel), next, "all agree on the next")
+				}
+			}
 		})
 	}
 }
--- a/plugins/slots/dispatch/doc.go
+++ b/plugins/slots/dispatch/doc.go
@@ -11,7 +11,7 @@
 //
 // Nothing is stored: a dispatcher's state is the sum of what holders tell it. A
 // new one rebuilds it from the holders' renewals. A holder that cannot reach
-// the dispatcher places by itself within a static share of the slots. Two
+// the dispatcher asks the next one, and at last itself. Two
 // dispatchers at once can promise more than there is; the engines then refuse,
 // which costs work and nothing else.
 package dispatch
--- a/plugins/slots/dispatch/fallback.go
+++ b/plugins/slots/dispatch/fallback.go
@@ -79,11 +79,16 @@
 	return kernel.Availability{Free: max(slotkit.Slots(u)-u.Load.Running, 1)}
 }
 
-// unreachable stops asking a dispatcher for a while and takes back what it was
-// asked for and has not answered.
+// unreachable stops asking a dispatcher for a while. What it was asked for and
+// has not answered moves to the next one, as does what it is renewed about; where
+// there is none left, it is taken back and the kernel places by itself.
 func (p *Policy) unreachable(d ident.InstanceID) {
+	if p.isSilent(d) {
+		return
+	}
 	now := p.host.Now()
 	p.holder.silent[d] = now.Add(silenceTime)
+	p.moveHoldings()
 	for _, h := range p.sortedHoldings() {
 		if h.dispatcher != d || (h.stage != stageAsked && h.stage != stageComputed) {
 			continue
@@ -108,6 +113,7 @@
 			h.resent = false
 			p.sendAsk(h)
 		default:
+			p.tellReleased(h)
 			h.dispatcher = d
 		}
 	}
--- a/plugins/slots/dispatch/holder.go
+++ b/plugins/slots/dispatch/holder.go
@@ -64,7 +64,7 @@
 	// sent again once, then the dispatcher is taken for unreachable.
 	answerTime = 100 * time.Millisecond
 	// silenceTime is how long an unreachable dispatcher is not asked.
-	silenceTime = 1 * time.Second
+	silenceTime = 2 * time.Second
 	// renewTime is the time between renewals.
 	renewTime = 1 * time.Second
 	// renewTimePending is the time between renewals while asks are queued, by
@@ -84,11 +84,7 @@
 // model, the kernel places its requests itself, in another region.
 func (p *Policy) Joint(model string) bool {
 	p.refresh()
-	d := p.dispatcher(model)
-	if d == "" || p.host.Now().Before(p.holder.silent[d]) {
-		return false
-	}
-	return p.served(model)
+	return p.dispatcher(model) != "" && p.served(model)
 }
 
 // served reports whether the region has engines of both roles for the model.
@@ -259,12 +255,17 @@
 		return
 	}
 	delete(p.holder.holdings, key)
+	p.tellReleased(h)
+}
+
+// tellReleased tells the holding's dispatcher that it is over there.
+func (p *Policy) tellReleased(h *holding) {
 	switch h.dispatcher {
 	case "":
 	case p.host.Self().Instance:
-		p.groupOf(h.model).release(key, TransferEnd(0))
+		p.groupOf(h.model).release(h.key, TransferEnd(0))
 	default:
-		p.host.Send(h.dispatcher, &Release{Reservation: slotkit.Reservation(id), Model: h.model, Transfer: h.transfer})
+		p.host.Send(h.dispatcher, &Release{Reservation: slotkit.Reservation(h.id), Model: h.model, Transfer: h.transfer})
 	}
 }
 
--- a/plugins/slots/dispatch/setup.go
+++ b/plugins/slots/dispatch/setup.go
@@ -165,7 +165,14 @@
 // dispatcher returns the instance that places the model's requests in this
 // region.
 func (p *Policy) dispatcher(model string) ident.InstanceID {
-	return p.roster.Chosen("model/"+model, p.near)
+	return p.roster.Chosen("model/"+model, func(in *kernel.Instance) bool {
+		return p.near(in.Zone) && !p.isSilent(in.ID)
+	})
+}
+
+// isSilent reports whether an instance did not answer lately.
+func (p *Policy) isSilent(d ident.InstanceID) bool {
+	return p.host.Now().Before(p.holder.silent[d])
 }
 
 // groupOf returns the dispatcher's state for a model. An instance that is asked
--- a/plugins/slots/dispatch/takeover_test.go
+++ b/plugins/slots/dispatch/takeover_test.go
@@ -102,3 +102,42 @@
 		assert.Equal(t, e.slots, want, e.u.ID)
 	}
 }
+
+// TestInstanceThatReachesNobodyDispatchesByItself cuts a holder off from all
+// others, of which its view knows nothing yet.
+func TestInstanceThatReachesNobodyDispatchesByItself(t *testing.T) {
+	b := settled(1, 4, 20, 200)
+	h := b.holderNode()
+	for _, n := range b.nodes {
+		b.cut[[2]ident.InstanceID{h.self.Instance, n.self.Instance}] = true
+		b.cut[[2]ident.InstanceID{n.self.Instance, h.self.Instance}] = true
+	}
+	id := h.place(2 * time.Second)
+	b.run(100 * time.Millisecond)
+	assert.Equal(t, h.last(id).what, "placed")
+	assert.Equal(t, h.policy.dispatcher(testModel), h.self.Instance)
+	b.cut = map[[2]ident.InstanceID]bool{}
+	b.run(2 * silenceTime)
+	assert.Equal(t, h.policy.dispatcher(testModel), b.nodes[1].policy.dispatcher(testModel), "all agree again")
+}
+
+// TestPlacementsFollowTheDispatcher: the one that was silent is told that what it
+// gave out is another's now, or it would keep slots for it.
+func TestPlacementsFollowTheDispatcher(t *testing.T) {
+	b := settled(1, 3, 20, 200)
+	h, d := b.holderNode(), b.dispatcherNode()
+	id := h.place(2 * time.Second)
+	b.run(10 * time.Millisecond)
+	h.policy.unreachable(d.self.Instance)
+	b.run(10 * time.Millisecond)
+	assert.Equal(t, len(d.policy.groups[testModel].grants), 0)
+	for _, n := range b.nodes {
+		if n.self.Instance == h.policy.dispatcher(testModel) {
+			assert.Equal(t, len(n.policy.groups[testModel].grants), 1)
+		}
+	}
+	b.run(250 * time.Millisecond)
+	h.policy.Computed(id)
+	b.run(10 * time.Millisecond)
+	assert.Equal(t, h.last(id).what, "decode")
+}
--- a/plugins/slots/slotkit/chosen.go
+++ b/plugins/slots/slotkit/chosen.go
@@ -1,14 +1,17 @@
 package slotkit
 
-import "github.com/wardspool/wardspool/ident"
+import (
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+)
 
 // Chosen returns the live instance that is first by rendezvous hashing for a
-// name among those whose zone is wanted. It is empty when there is none.
-func (r *Roster) Chosen(name string, wanted func(ident.Zone) bool) ident.InstanceID {
+// name among those that are wanted. It is empty when there is none.
+func (r *Roster) Chosen(name string, wanted func(*kernel.Instance) bool) ident.InstanceID {
 	var best ident.InstanceID
 	var bestWeight uint64
 	for i := range r.live {
-		if !wanted(r.live[i].Zone) {
+		if !wanted(&r.live[i]) {
 			continue
 		}
 		w := weight(r.live[i].ID, ident.UpstreamID(name))
