e2e: a whole fleet with TLS

Cause: TLS between a whole fleet's processes and towards callers, a ticket forwarded over it, a wrong identity and a reload were shown by package tests only.

Change: TestFleetWithTLS runs four instances with certificates of their own: towards callers, between entries, between agents and towards operators. Each kind of request is answered, tickets are forwarded around the fleet (each order ran once, by the services' count), a bundle is rolled, a caller without TLS gets nothing and nothing ran. An instance restarted with another's certificate is refused (the log names both) and not called reachable, and the others go on; when the right files are put in place it is taken up without a restart, as is a renewed certificate towards callers. The testbed takes the files as an option; load/client speaks HTTPS.

--- a/e2e/bed_test.go
+++ b/e2e/bed_test.go
@@ -13,6 +13,7 @@
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/load/client"
 	"github.com/wardspool/wardspool/load/workload"
+	"github.com/wardspool/wardspool/peer"
 	"github.com/wardspool/wardspool/testbed"
 )
 
@@ -45,6 +46,8 @@
 	ctx    context.Context
 	client *client.Client
 	spec   *workload.Spec
+	// identity is the operators' certificate, nil without TLS.
+	identity peer.TLS
 }
 
 // option changes how a bed is started.
@@ -77,6 +80,9 @@
 	t.Cleanup(fleet.Close)
 	assert.NilError(t, err)
 	b := &bed{Fleet: fleet, t: t, ctx: ctx, client: client.New(), spec: spec(t)}
+	if o.TLS != nil {
+		b.client = client.NewTLS(o.TLS.Client)
+	}
 	t.Cleanup(b.client.Close)
 	t.Cleanup(func() { b.keepLogs(dir) })
 	return b
--- a/e2e/status_test.go
+++ b/e2e/status_test.go
@@ -24,6 +24,7 @@
 	pool := peer.NewPool(peer.Config{
 		Self:  peer.Identity{Instance: testbed.OperatorName, Incarnation: ident.NewIncarnation(time.Now()), Zone: "operators"},
 		Allow: func(peer.Identity) bool { return true },
+		TLS:   b.identity,
 	})
 	defer pool.Close()
 	// Also for the report of a test that has failed.
--- /dev/null
+++ b/e2e/tls_test.go
@@ -0,0 +1,151 @@
+package e2e
+
+import (
+	"crypto/tls"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/testcert"
+	"github.com/wardspool/wardspool/load/client"
+	"github.com/wardspool/wardspool/testbed"
+	"github.com/wardspool/wardspool/tlsconf"
+)
+
+// callersName is the name in the certificates that callers see.
+const callersName = "wardspool.test"
+
+// newTLSBed starts a fleet whose processes, callers and operators speak TLS.
+func newTLSBed(t *testing.T) (*bed, *testcert.Authority, *testbed.TLS) {
+	t.Helper()
+	authority := testcert.NewAuthority(t)
+	files := &testbed.TLS{
+		Peers:   map[ident.InstanceID]tlsconf.Settings{},
+		Callers: map[ident.InstanceID]tlsconf.Settings{},
+		Client:  &tls.Config{RootCAs: authority.Pool(), ServerName: callersName},
+	}
+	for _, zone := range []ident.Zone{hallA, hallB} {
+		for n := range 2 {
+			id := ident.InstanceID(fmt.Sprintf("%s-entry-%d", zone, n+1))
+			files.Peers[id] = authority.Files(string(id))
+			files.Callers[id] = authority.Files(callersName)
+		}
+	}
+	b := newBed(t, func(o *testbed.Options) { o.TLS = files })
+	identity, err := tlsconf.New(authority.Files(testbed.OperatorName), tlsconf.Options{})
+	assert.NilError(t, err)
+	b.identity = identity
+	return b, authority, files
+}
+
+// forwarded sends an order with a ticket of one instance to another, and fails the
+// test unless the answer is whole and the order ran once.
+func (b *bed) forwarded(executor, to *testbed.Instance) {
+	b.t.Helper()
+	call := b.ticketed(order(executor))
+	call.Target = to.Callers
+	b.whole(b.serve(call))
+	assert.Equal(b.t, b.ran().KeyRuns(call.IdempotencyKey), 1, call.RequestID)
+}
+
+// TestFleetWithTLS runs a whole fleet with TLS: towards callers, between entries,
+// between agents, and towards operators. Each kind of request is served, tickets
+// are forwarded, a bundle is rolled. A caller without TLS gets nothing. An instance
+// whose certificate is another's is refused by its peers and runs nothing for
+// them; with the right one put in its place it is taken up without a restart, and
+// so is a renewed certificate towards callers.
+func TestFleetWithTLS(t *testing.T) {
+	b, authority, files := newTLSBed(t)
+	b.inForce(1, b.Instances...)
+	b.answers(1, b.Instances...)
+	for i, in := range b.Instances {
+		b.forwarded(in, b.Instances[(i+1)%len(b.Instances)])
+	}
+	assert.Equal(t, b.roll(), uint64(2))
+	b.inForce(2, b.Instances...)
+	b.refusesPlainText(b.Instances[0])
+
+	t.Log("a certificate of another instance")
+	victim, peer := b.Instances[3], b.Instances[0]
+	const stranger = "hall-a-entry-9"
+	assert.NilError(t, b.KillInstance(victim))
+	authority.Write(files.Peers[victim.ID], stranger)
+	assert.NilError(t, b.StartInstance(victim))
+	refusal := fmt.Sprintf("certificate is of %s", stranger)
+	b.eventually("the refusal of the victim", func() (bool, string) {
+		return b.logged(peer, refusal), "no log of it"
+	})
+	b.eventually("the view without the victim", func() (bool, string) {
+		reachable := b.reachable(peer, victim.ID)
+		return !reachable, "it is called reachable"
+	})
+	b.answers(2, b.others(victim)...)
+
+	t.Log("the right certificate, and a renewed one for callers")
+	before := b.serial(peer, files.Client)
+	authority.Write(files.Callers[peer.ID], callersName)
+	authority.Write(files.Peers[victim.ID], string(victim.ID))
+	b.eventually("the renewed certificate", func() (bool, string) {
+		return b.serial(peer, files.Client) != before, before
+	})
+	b.eventually("the view with the victim", func() (bool, string) {
+		return b.reachable(peer, victim.ID), "it is not reachable"
+	})
+	assert.NilError(t, b.WaitReady(b.ctx, victim))
+	b.inForce(2, b.Instances...)
+	b.answers(2, b.Instances...)
+	b.forwarded(victim, peer)
+	b.forwarded(peer, victim)
+}
+
+// refusesPlainText fails the test if an instance takes a request without TLS.
+func (b *bed) refusesPlainText(in *testbed.Instance) {
+	b.t.Helper()
+	plain := client.New()
+	defer plain.Close()
+	call := order(in)
+	r := plain.CallService(b.ctx, call)
+	assert.Assert(b.t, !r.Complete() && r.Outcome != api.Complete, "%s", describe(r))
+	assert.Assert(b.t, !b.ran().Request(call.RequestID).Ran(), call.RequestID)
+}
+
+// logged reports whether an entry or agent has logged a text, in which quotes do
+// not count.
+func (b *bed) logged(in *testbed.Instance, text string) bool {
+	b.t.Helper()
+	for _, name := range []string{string(in.ID), string(in.ID) + "-agent"} {
+		log, err := os.ReadFile(filepath.Join(b.Dir(), "logs", name+".log"))
+		assert.NilError(b.t, err)
+		if strings.Contains(strings.NewReplacer(`\`, "", `"`, "").Replace(string(log)), text) {
+			return true
+		}
+	}
+	return false
+}
+
+// reachable reports whether an instance's agent calls another reachable.
+func (b *bed) reachable(in *testbed.Instance, other ident.InstanceID) bool {
+	b.t.Helper()
+	for _, s := range b.status(in).Fleet.Instances {
+		if s.ID == other {
+			return s.Reachable
+		}
+	}
+	return false
+}
+
+// serial is the serial number of the certificate that an instance shows callers.
+func (b *bed) serial(in *testbed.Instance, config *tls.Config) string {
+	b.t.Helper()
+	dialer := &tls.Dialer{Config: config}
+	conn, err := dialer.DialContext(b.ctx, "tcp", in.Callers)
+	assert.NilError(b.t, err)
+	defer func() { _ = conn.Close() }()
+	return conn.(*tls.Conn).ConnectionState().PeerCertificates[0].SerialNumber.String()
+}
--- a/load/client/client.go
+++ b/load/client/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -15,7 +16,10 @@
 )
 
 // Client makes calls. It is safe for concurrent use.
-type Client struct{ http *http.Client }
+type Client struct {
+	http   *http.Client
+	scheme string
+}
 
 // Limits of the connections to one target.
 const (
@@ -25,10 +29,16 @@
 )
 
 // New returns a client that keeps connections open between calls.
-func New() *Client {
+func New() *Client { return newClient("http", nil) }
+
+// NewTLS returns a client that makes its calls by HTTPS.
+func NewTLS(config *tls.Config) *Client { return newClient("https", config) }
+
+func newClient(scheme string, config *tls.Config) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{http: &http.Client{Transport: &http.Transport{
+	return &Client{scheme: scheme, http: &http.Client{Transport: &http.Transport{
 		DialContext:         dialer.DialContext,
+		TLSClientConfig:     config,
 		MaxIdleConns:        0,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
@@ -104,6 +114,9 @@
 // Unwrap returns what differs.
 func (e *WrongAnswerError) Unwrap() error { return e.Err }
 
+// url is where a call goes.
+func (c *Client) url(target, path string) string { return c.scheme + "://" + target + path }
+
 // do sends a request. It returns a *ConnError if no head of an answer came.
 func (c *Client) do(ctx context.Context, method, url string, call Call, body io.Reader, contentType string) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, url, body)
--- a/load/client/complete.go
+++ b/load/client/complete.go
@@ -40,7 +40,7 @@
 // answer.
 func (c *Client) Complete(ctx context.Context, call *Completion, body []byte) *Result {
 	r := &Result{}
-	url := "http://" + call.Target + "/v1/completions"
+	url := c.url(call.Target, "/v1/completions")
 	resp, err := c.do(ctx, http.MethodPost, url, call.Call, bytes.NewReader(body), "application/json")
 	if err != nil {
 		r.Err = err
--- a/load/client/service.go
+++ b/load/client/service.go
@@ -32,7 +32,7 @@
 // CallService makes a plain service call and checks the answer.
 func (c *Client) CallService(ctx context.Context, call *ServiceCall) *Result {
 	r := &Result{}
-	url := "http://" + call.Target + "/services/" + call.Service + call.Path
+	url := c.url(call.Target, "/services/"+call.Service+call.Path)
 	resp, err := c.do(ctx, http.MethodPost, url, call.Call, strings.NewReader(call.Body), "text/plain")
 	if err != nil {
 		r.Err = err
--- a/load/client/ticket.go
+++ b/load/client/ticket.go
@@ -16,7 +16,7 @@
 // Ticket asks an instance for a ticket for a call that is not repeatable.
 // Errors are of type *ConnError or *ProtocolError, or an *api.Problem.
 func (c *Client) Ticket(ctx context.Context, call Call) (string, error) {
-	url := "http://" + call.Target + "/v1/tickets"
+	url := c.url(call.Target, "/v1/tickets")
 	resp, err := c.do(ctx, http.MethodPost, url, call, strings.NewReader("{}"), "application/json")
 	if err != nil {
 		return "", err
--- a/testbed/fleet.go
+++ b/testbed/fleet.go
@@ -29,6 +29,8 @@
 	// Relays has all traffic of the system's processes go through relays, by
 	// which zones can be cut off.
 	Relays bool
+	// TLS, if set, has the system's processes and callers speak TLS.
+	TLS *TLS
 }
 
 // Instance is one entry instance of the system: an entry and its agent.
@@ -174,7 +176,7 @@
 
 // WaitReady waits until an instance's entry takes requests.
 func (f *Fleet) WaitReady(ctx context.Context, in *Instance) error {
-	return f.waitHTTP(ctx, in.Entry, "http://"+in.Callers+"/readyz")
+	return f.wait(ctx, in.Entry, f.callersHTTP(), f.callersURL(in)+"/readyz")
 }
 
 // NotReadyError reports a process that did not become ready in time.
@@ -192,10 +194,14 @@
 const pollInterval = 20 * time.Millisecond
 
 func (f *Fleet) waitHTTP(ctx context.Context, p *Process, url string) error {
+	return f.wait(ctx, p, http.DefaultClient, url)
+}
+
+func (f *Fleet) wait(ctx context.Context, p *Process, client *http.Client, url string) error {
 	ctx, cancel := context.WithTimeout(ctx, StartTimeout)
 	defer cancel()
 	for {
-		if statusOK(ctx, url) {
+		if statusOK(ctx, client, url) {
 			return nil
 		}
 		select {
@@ -209,12 +215,12 @@
 	}
 }
 
-func statusOK(ctx context.Context, url string) bool {
+func statusOK(ctx context.Context, client *http.Client, url string) bool {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return false
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return false
 	}
--- a/testbed/settings.go
+++ b/testbed/settings.go
@@ -16,7 +16,8 @@
 func (f *Fleet) entrySettings(in *Instance) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "instance: %s\nzone: %s\nregion: %s\n", in.ID, in.Zone, f.Deployment.Region)
-	fmt.Fprintf(&b, "callers: {listen: %q}\n", in.Callers)
+	f.writeCallers(&b, in)
+	f.writeTLS(&b, in)
 	fmt.Fprintf(&b, "feed: {listen: %q}\n", in.Feed)
 	fmt.Fprintf(&b, "operators: {listen: %q, names: [%s]}\n", in.Operator, OperatorName)
 	f.writeLog(&b)
@@ -54,6 +55,7 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "instance: %s\nzone: %s\nregion: %s\n", in.ID, in.Zone, f.Deployment.Region)
 	f.writeLog(&b)
+	f.writeTLS(&b, in)
 	fmt.Fprintf(&b, "entry: {feed: %q}\n", in.Feed)
 	fmt.Fprintf(&b, "operators: {listen: %q, names: [%s]}\n", in.AgentOperator, OperatorName)
 	fmt.Fprintf(&b, "platform: {urls: [%q]}\n", "http://"+f.reach(f.Platform.Address))
