feed: the entry is sent what changed in a bundle, not its content again

Cause: with the ledger's walks gone, feeding the new content to the entry was the largest part of a change: 600 KB of JSON, marshalled once and compacted three times by the framing at the agent, checked three times and decoded at the entry.

Change: the entry's reply names the digest of the bundle whose content it holds; on that one the agent sends the two long lists as splices (first entries kept, entries inserted, last entries kept) and all else whole. Any other case, an entry of an older release among them, gets the whole.

Ruled out: parts by digest as between agents, which would need the tree, its bounds and its checks in the entry; a list of edits by name, which has to treat moved entries.

Tests: TestChangesMakeTheContent over any two contents and the wire; TestBundleChangesMakeTheWhole over lost updates, lost replies and new entries; TestContentsTake, TestSplicesOfOtherListsAreRefused, TestOldEntriesGetWholeViews. Without the check of the base at the agent or at the entry, or of the overlap of a splice, one of them fails. That a base is noted only when confirmed saves a whole content and is guarded by nothing else.

--- a/agent/changes_test.go
+++ b/agent/changes_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/wardspool/wardspool/config"
 	"github.com/wardspool/wardspool/entry/peering"
 	"github.com/wardspool/wardspool/feed"
 	"github.com/wardspool/wardspool/ident"
@@ -119,6 +120,47 @@
 	})
 }
 
+// TestBundleChangesMakeTheWhole: whatever versions, lost updates, lost replies and
+// new entries came before, an entry that answers holds the content in force, and
+// the next version is sent as changes.
+func TestBundleChangesMakeTheWhole(outer *testing.T) {
+	a := benchAgent(outer, 1, 0)
+	a.refreshView()
+	rapid.Check(outer, func(t *rapid.T) {
+		a.feed.bundle, a.feed.sentBundle, a.feed.base, a.feed.reply = nil, nil, nil, feed.Reply{}
+		entry, version := &peering.Contents{}, uint64(0)
+		send := func(fate int) feed.Update {
+			version++
+			c := &config.Content{Workspaces: make([]config.Workspace, rapid.IntRange(1, 4).Draw(t, "workspaces"))}
+			c.Workspaces[0].Burst = rapid.IntRange(0, 3).Draw(t, "burst")
+			a.now = a.now.Add(bundleRetry)
+			a.feed.bundle, a.feed.bundleSent = &feed.Bundle{Version: version, Digest: fmt.Sprint(version), Content: c}, false
+			u := a.composeUpdate()
+			if fate > 0 {
+				if got := entry.Take(u.Bundle); got != nil {
+					assert.DeepEqual(t, got, c)
+				}
+			}
+			if fate <= 1 {
+				a.feedFailed(u, &feedLost{})
+				return u
+			}
+			a.feedAnswered(a.now, u, feed.Reply{Incarnation: 1, Base: entry.Digest(), BundleVersion: version})
+			return u
+		}
+		for range rapid.IntRange(1, 8).Draw(t, "versions") {
+			if rapid.IntRange(0, 5).Draw(t, "new entry") == 0 {
+				entry = &peering.Contents{}
+			}
+			send(rapid.IntRange(0, 3).Draw(t, "fate"))
+		}
+		send(2)
+		send(2)
+		assert.Assert(t, send(2).Bundle.Changes != nil)
+		assert.Equal(t, entry.Digest(), a.feed.bundle.Digest)
+	})
+}
+
 // TestOldEntriesGetWholeViews: an entry whose replies name no view takes whole
 // ones only.
 func TestOldEntriesGetWholeViews(t *testing.T) {
@@ -130,6 +172,10 @@
 		u := a.composeUpdate()
 		assert.Equal(t, u.View.Base, uint64(0))
 		assert.Equal(t, len(u.View.Upstreams), 5)
+		a.feed.bundle, a.feed.bundleSent = &feed.Bundle{Version: u.View.Number, Digest: fmt.Sprint(u.View.Number), Content: &config.Content{}}, false
+		a.now = a.now.Add(time.Second)
+		u = a.composeUpdate()
+		assert.Assert(t, u.Bundle.Content != nil && u.Bundle.Changes == nil)
 		a.feedAnswered(a.now, u, feed.Reply{Incarnation: 1})
 	}
 }
--- a/agent/feed.go
+++ b/agent/feed.go
@@ -54,7 +54,10 @@
 	// bundle is the one in force, nil if there is none.
 	bundle     *feed.Bundle
 	bundleSent bool
-	bundleAt   time.Time
+	// sentBundle is the one sent last, and base the one that the entry holds for
+	// changes; nil if there is none.
+	sentBundle, base *feed.Bundle
+	bundleAt         time.Time
 	// pause is the longest pause that the entry was not told of.
 	pause time.Duration
 	// reply is the entry's last answer; answers is false since a call failed.
@@ -132,12 +135,25 @@
 	}
 	f.urgent, f.resend, f.pause = false, false, 0
 	if f.bundle != nil && (!f.bundleSent || a.bundleLost()) {
-		u.Bundle = f.bundle
+		u.Bundle = f.nextBundle()
 		f.bundleSent, f.bundleAt = true, a.now
 	}
 	return u
 }
 
+// nextBundle returns the bundle in force for the entry: what changed, if the entry
+// holds the content of one sent before, else the whole.
+func (f *feedState) nextBundle() *feed.Bundle {
+	f.sentBundle = f.bundle
+	if f.base == nil || f.base == f.bundle || f.reply.Base != f.base.Digest {
+		return f.bundle
+	}
+	return &feed.Bundle{
+		Version: f.bundle.Version, Digest: f.bundle.Digest,
+		Changes: feed.NewChanges(f.base.Digest, f.base.Content, f.bundle.Content),
+	}
+}
+
 // bundleLost reports whether the entry should have taken the bundle by now.
 func (a *Agent) bundleLost() bool {
 	f := &a.feed
@@ -156,6 +172,9 @@
 	}
 	decides := r.Rejected != nil || r.BundleVersion != f.reply.BundleVersion
 	f.reply, f.answers, f.gone = r, true, false
+	if f.sentBundle != nil && r.Base == f.sentBundle.Digest {
+		f.base = f.sentBundle
+	}
 	if decides {
 		a.noteDecides(r)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -42,11 +42,12 @@
 	driver   *driver.Driver
 	front    *front.Front
 	// desk is nil without ticket keys.
-	desk    *tickets.Desk
-	book    *peering.Book
-	views   peering.Views
-	pool    *peer.Pool
-	servers servers
+	desk     *tickets.Desk
+	book     *peering.Book
+	views    peering.Views
+	contents peering.Contents
+	pool     *peer.Pool
+	servers  servers
 
 	// catalog is the bundle version in force, nil before the first.
 	catalog atomic.Pointer[intake.Catalog]
--- a/entry/feed.go
+++ b/entry/feed.go
@@ -22,8 +22,10 @@
 			e.driver.Post(kernel.ViewChanged{View: view})
 		}
 	}
-	if b := u.Bundle; b != nil && b.Content != nil {
-		e.driver.Post(kernel.Configured{Version: b.Version, Content: b.Content})
+	if u.Bundle != nil {
+		if content := e.contents.Take(u.Bundle); content != nil {
+			e.driver.Post(kernel.Configured{Version: u.Bundle.Version, Content: content})
+		}
 	}
 	if u.Ready {
 		// A restarted agent is not ready for a while; what this entry has in
@@ -41,6 +43,7 @@
 	r := feed.Reply{
 		Incarnation: e.self.Incarnation,
 		View:        e.views.Number(),
+		Base:        e.contents.Digest(),
 		Stopping:    e.notReady.Load(),
 		InFlight:    int(e.inFlight.Load()),
 		Evidence:    e.recorder.evidence.Take(now),
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -32,11 +32,13 @@
 	PauseMS int64 `json:"pause_ms,omitempty"`
 }
 
-// Bundle is the version in force on this instance.
+// Bundle is the version in force on this instance: its content, or what changed in
+// it. An agent sends changes only to an entry whose last Reply named their base.
 type Bundle struct {
 	Version uint64          `json:"version"`
 	Digest  string          `json:"digest"`
-	Content *config.Content `json:"content"`
+	Content *config.Content `json:"content,omitempty"`
+	Changes *Changes        `json:"changes,omitempty"`
 }
 
 // View is the agent's view of the fleet, or what changed in it. Ages are relative
@@ -87,6 +89,9 @@
 	// Rejected is a version above BundleVersion that the entry was given and cannot
 	// decide under, nil if there is none.
 	Rejected *Rejection `json:"rejected,omitempty"`
+	// Base is the digest of the bundle whose content the entry holds for changes,
+	// "" if it has none or is of a release that takes whole contents only.
+	Base string `json:"base,omitempty"`
 	// View is the Number of the view that the entry holds, 0 if it has none or
 	// is of a release that takes whole views only.
 	View     uint64     `json:"view,omitempty"`
--- a/internal/capacity/bed.go
+++ b/internal/capacity/bed.go
@@ -243,8 +243,9 @@
 	mu          sync.Mutex
 	incarnation ident.Incarnation
 	version     uint64
-	// view is the number of the view sent last.
+	// view is the number of the view sent last, base the digest of the bundle.
 	view uint64
+	base string
 	// arrived is when each bundle version came.
 	arrived map[uint64]time.Time
 	ready   bool
@@ -286,11 +287,14 @@
 	if u.View != nil {
 		e.view = u.View.Number
 	}
+	if u.Bundle != nil {
+		e.base = u.Bundle.Digest
+	}
 	if u.Bundle != nil && u.Bundle.Version > e.version {
 		e.version = u.Bundle.Version
 		e.arrived[e.version] = time.Now()
 	}
-	return feed.Reply{Incarnation: e.incarnation, BundleVersion: e.version, View: e.view}
+	return feed.Reply{Incarnation: e.incarnation, BundleVersion: e.version, View: e.view, Base: e.base}
 }
 
 // arrival returns when a version came, false if it has not.
