Agent: a slow entry is neither flooded with its bundle nor taken for ended

Two faults of the product: - An update had 2 s, also one with a bundle of megabytes. An entry that needed longer to read it was sent the whole bundle again and again, which kept it busy with nothing else. (The confirmation's time ran from the sending, too.) - An agent that is stopped alone while its entry happens not to answer took the entry for stopping, and waited up to 6 minutes for its end even when it answered again. Ruled out: the race detector's cost alone (4.6 s of processor time), the ledger. Change: an update with a bundle has 30 s, and its confirmation is waited for from the reply on; an agent that waits for its entry's end goes when the entry answers and does not stop.

--- a/agent/fakeentry_test.go
+++ b/agent/fakeentry_test.go
@@ -22,6 +22,8 @@
 	updates int
 	pauses  []int64
 	stop    func()
+	// slow is how long an update takes, slowBundle one with a bundle.
+	slow, slowBundle time.Duration
 }
 
 // startEntry starts a stand-in entry.
@@ -58,6 +60,7 @@
 
 // update takes an agent's update.
 func (e *fakeEntry) update(u feed.Update) feed.Reply {
+	time.Sleep(e.takes(u))
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.updates++
@@ -76,6 +79,23 @@
 	return r
 }
 
+// takes returns how long an update takes.
+func (e *fakeEntry) takes(u feed.Update) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if u.Bundle != nil {
+		return max(e.slow, e.slowBundle)
+	}
+	return e.slow
+}
+
+// slowDown sets how long an update takes.
+func (e *fakeEntry) slowDown(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.slow = d
+}
+
 // set changes the reply.
 func (e *fakeEntry) set(change func(*feed.Reply)) {
 	e.mu.Lock()
--- a/agent/feed.go
+++ b/agent/feed.go
@@ -19,7 +19,11 @@
 	feedFrame = 32 << 20
 	// feedBackoff bounds the pause between attempts to reach the entry.
 	feedBackoff = 500 * time.Millisecond
-	feedTimeout = 2 * time.Second
+	// feedTimeout bounds an update, feedBundleTimeout one with a bundle, which may
+	// be megabytes that an entry on a busy machine takes seconds to read. Sent
+	// again before that, they would only keep it busier.
+	feedTimeout       = 2 * time.Second
+	feedBundleTimeout = 30 * time.Second
 	// urgentGap is the least time between two updates.
 	urgentGap = 50 * time.Millisecond
 	// viewGap is the least time between two views of which the second has only
@@ -80,7 +84,7 @@
 	begun := a.now
 	a.counters.FeedUpdates++
 	a.spawn(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, feedTimeout)
+		ctx, cancel := context.WithTimeout(ctx, updateTimeout(u))
 		defer cancel()
 		reply, err := peer.Call[feed.Reply](ctx, a.feedPool, a.settings.Entry.Feed, feed.MethodUpdate, u)
 		a.post(func() {
@@ -94,6 +98,13 @@
 	})
 }
 
+func updateTimeout(u feed.Update) time.Duration {
+	if u.Bundle != nil {
+		return feedBundleTimeout
+	}
+	return feedTimeout
+}
+
 // updateDue reports whether the entry is to be sent an update now.
 func (a *Agent) updateDue() bool {
 	f := &a.feed
@@ -170,6 +181,9 @@
 		f.resend = true
 		clear(f.lives)
 	}
+	if u.Bundle != nil {
+		f.bundleAt = a.now
+	}
 	decides := r.Rejected != nil || r.BundleVersion != f.reply.BundleVersion
 	f.reply, f.answers, f.gone = r, true, false
 	if f.sentBundle != nil && r.Base == f.sentBundle.Digest {
--- a/agent/stop.go
+++ b/agent/stop.go
@@ -16,9 +16,13 @@
 		a.log.Info("entry goes on without its agent")
 		return
 	}
-	if !a.wait(a.settings.Stop.Timeout, a.entryEnded) {
+	if !a.wait(a.settings.Stop.Timeout, a.entrySettled) {
 		a.log.Warn("entry still has requests in flight")
 	}
+	if goesOn, _ := ask(a.callCtx, a, a.entryAnswersOn); goesOn {
+		a.log.Info("entry goes on without its agent")
+		return
+	}
 	// The machine has it told to all partners, those called just before a moment
 	// later than the others.
 	a.wait(shutdownTimeout, a.partnersTold)
@@ -42,8 +46,12 @@
 	return a.feed.reply.Incarnation != 0 && (a.feed.reply.Stopping || !a.feed.answers)
 }
 
-// entryEnded reports whether the entry's process is gone.
-func (a *Agent) entryEnded() bool { return a.feed.gone }
+// entrySettled reports whether the entry's process is gone, or goes on after all.
+func (a *Agent) entrySettled() bool { return a.feed.gone || a.entryAnswersOn() }
+
+// entryAnswersOn reports whether the entry answers and does not stop: it was only
+// silent for a while.
+func (a *Agent) entryAnswersOn() bool { return a.feed.answers && !a.feed.reply.Stopping }
 
 // partnersTold reports whether all partners were told the newest and no exchange
 // is in progress.
--- a/agent/stop_test.go
+++ b/agent/stop_test.go
@@ -47,3 +47,40 @@
 		assert.Equal(f.t, n.status().Counters.Probes, probes[n.id])
 	}
 }
+
+// TestSlowEntryIsNotEnded stops an agent alone while its entry does not answer in
+// time: when it does again, and is not stopping, the agent waits no longer for its
+// end.
+func TestSlowEntryIsNotEnded(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		n := f.startFleet(2, "hall-a")[0]
+		time.Sleep(5 * time.Second)
+		n.entry.slowDown(2 * feedTimeout)
+		time.Sleep(3 * feedTimeout)
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			n.stopAgent()
+		}()
+		time.Sleep(feedTimeout)
+		n.entry.slowDown(0)
+		begun := time.Now()
+		<-stopped
+		assert.Assert(t, time.Since(begun) < 10*time.Second, "stopped after %v", time.Since(begun))
+	})
+}
+
+// TestSlowlyTakenBundle has an entry take a bundle in more time than another
+// update may take: it is not sent again and again meanwhile.
+func TestSlowlyTakenBundle(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		n := f.startFleet(1, "hall-a")[0]
+		n.entry.slowBundle = 3 * feedTimeout
+		sent := n.status().Counters.FeedFailures
+		f.publish(nil)
+		f.within(30*time.Second, "the bundle in force", func() bool { return n.entry.version() == 2 })
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, n.status().Counters.FeedFailures, sent)
+		assert.Equal(t, n.status().Entry.BundleVersion, uint64(2))
+	})
+}
