--- a/agent/agent.go
+++ b/agent/agent.go
@@ -99,7 +99,9 @@
 	orders       orderState
 	view         *membership.View
 	viewDirty    bool
-	inForceAt    time.Time
+	// rosterAt is when the ledger was last told whom to ask.
+	rosterAt  time.Time
+	inForceAt time.Time
 }
 
 // New makes an agent of checked settings. Its errors are those of package
--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -168,6 +168,21 @@
 	}
 }
 
+// BenchmarkRoster measures telling the ledger whom to ask for the floor.
+func BenchmarkRoster(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("%d-%d", size.instances, size.upstreams), func(b *testing.B) {
+			a := benchAgent(b, size.instances, size.upstreams)
+			a.callCtx, a.endCalls = ended()
+			a.refreshView()
+			b.ReportAllocs()
+			for b.Loop() {
+				a.updateRoster()
+			}
+		})
+	}
+}
+
 // BenchmarkAssign measures the choice of the upstreams to read, each 5 s and when
 // the view changes.
 func BenchmarkAssign(b *testing.B) {
--- a/agent/bundles.go
+++ b/agent/bundles.go
@@ -94,6 +94,16 @@
 	a.viewDirty = true
 }
 
+// readyRoster is the time between two looks at whom to ask while nobody is to be
+// asked: the roster is then only the first one after a pause, and is made anew
+// within a second.
+const readyRoster = 10 * time.Second
+
+// rosterDue reports whether the ledger is to be told anew whom to ask.
+func (a *Agent) rosterDue() bool {
+	return a.ledger.Status() != ledger.StatusReady || a.now.Sub(a.rosterAt) >= readyRoster
+}
+
 // updateRoster tells the ledger whom to ask for the floor: the platform, the
 // living peers of the zone, a few of each other zone, and, while it starts, the
 // zone's engines, some of which check fencing numbers.
@@ -104,6 +114,7 @@
 	if a.awaitsLists() {
 		return
 	}
+	a.rosterAt = a.now
 	sources := []ledger.Source{fromPlatform}
 	zones := map[ident.Zone][]ident.InstanceID{}
 	v := a.currentView()
--- a/agent/loop.go
+++ b/agent/loop.go
@@ -101,7 +101,9 @@
 // everySecond does what is cheap to do late.
 func (a *Agent) everySecond() {
 	a.step(tickEvent)
-	a.updateRoster()
+	if a.rosterDue() {
+		a.updateRoster()
+	}
 	a.fallBack()
 	a.electReaders()
 	if a.now.Sub(a.loads.assignedAt) >= assignInterval {
--- /dev/null
+++ b/testbed/rolltime/cpu.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/wardspool/wardspool/testbed"
+)
+
+// clockTick is the unit of processor times in /proc, the same on all common Linux
+// machines.
+const clockTick = 10 * time.Millisecond
+
+// Places of the user and system time in /proc/PID/stat, counted after the
+// command's closing bracket.
+const (
+	userField   = 11
+	systemField = 12
+)
+
+// StatError reports a line of /proc that is not of the form known.
+type StatError struct{ PID int }
+
+// Error implements error.
+func (e *StatError) Error() string { return fmt.Sprintf("process %d: processor time not found", e.PID) }
+
+// processorTime returns what a process has used so far.
+func processorTime(p *testbed.Process) (time.Duration, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.PID()))
+	if err != nil {
+		return 0, err
+	}
+	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+	if len(fields) <= systemField {
+		return 0, &StatError{PID: p.PID()}
+	}
+	user, userErr := strconv.Atoi(fields[userField])
+	system, systemErr := strconv.Atoi(fields[systemField])
+	if userErr != nil || systemErr != nil {
+		return 0, &StatError{PID: p.PID()}
+	}
+	return time.Duration(user+system) * clockTick, nil
+}
+
+// usage is what the processes of a fleet have used, at a time.
+type usage struct {
+	at              time.Time
+	agents, entries time.Duration
+}
+
+// measure adds up what agents and entries have used so far.
+func measure(fleet *testbed.Fleet) (usage, error) {
+	u := usage{at: time.Now()}
+	for _, in := range fleet.Instances {
+		agent, err := processorTime(in.Agent)
+		if err != nil {
+			return u, err
+		}
+		entry, err := processorTime(in.Entry)
+		if err != nil {
+			return u, err
+		}
+		u.agents += agent
+		u.entries += entry
+	}
+	return u, nil
+}
+
+// printUsage prints what one version costs an agent and an entry beyond what they
+// use in quiet, given usages before and after a quiet time and after the rolls.
+func printUsage(quiet, begun, ended usage, instances, versions int) {
+	share := ended.at.Sub(begun.at).Seconds() / begun.at.Sub(quiet.at).Seconds()
+	extra := func(quiet, begun, ended time.Duration) time.Duration {
+		rolls := ended - begun - time.Duration(share*float64(begun-quiet))
+		return (rolls / time.Duration(instances*versions)).Round(time.Millisecond)
+	}
+	fmt.Printf("processor time of a version: agent %v, entry %v\n",
+		extra(quiet.agents, begun.agents, ended.agents), extra(quiet.entries, begun.entries, ended.entries))
+}
--- a/testbed/rolltime/main.go
+++ b/testbed/rolltime/main.go
@@ -14,17 +14,21 @@
 
 	"github.com/alecthomas/kong"
 
+	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/testbed"
 )
 
 // flags are the command line.
 type flags struct {
-	Example string        `default:"coastline" help:"Deployment to run."`
-	Entries int           `default:"8" help:"Entry instances in each of the three zones."`
-	Rolls   int           `default:"10" help:"Versions to roll."`
-	Every   time.Duration `default:"3s" help:"Time between two rolls."`
-	Bin     string        `default:"bin" help:"Folder of the built programs."`
-	Out     string        `default:"out/rolltime" help:"Folder for settings and logs."`
+	Example    string        `default:"coastline" help:"Deployment to run."`
+	Entries    int           `default:"8" help:"Entry instances in each of the three zones."`
+	Rolls      int           `default:"10" help:"Versions to roll."`
+	Every      time.Duration `default:"3s" help:"Time between two rolls."`
+	Quiet      time.Duration `default:"5s" help:"Quiet time before the rolls, in which the processes' standing cost is measured."`
+	Workspaces int           `help:"Workspaces that the bundle is filled up to, 0 for the example's own."`
+	Bin        string        `default:"bin" help:"Folder of the built programs."`
+	Out        string        `default:"out/rolltime" help:"Folder for settings and logs."`
 }
 
 func main() {
@@ -47,13 +51,38 @@
 	if err != nil {
 		return err
 	}
+	quiet, err := measure(fleet)
+	if err != nil {
+		return err
+	}
+	if err := rest(ctx, f.Quiet); err != nil {
+		return err
+	}
+	begun, err := measure(fleet)
+	if err != nil {
+		return err
+	}
 	published, err := rollVersions(ctx, fleet, f)
 	if err != nil {
 		return err
 	}
+	ended, err := measure(fleet)
+	if err != nil {
+		return err
+	}
+	printUsage(quiet, begun, ended, len(fleet.Instances), len(published))
 	return printTimes(fleet, published)
 }
 
+// fill adds workspaces to a content up to a number.
+func fill(c *config.Content, workspaces int) {
+	for i := len(c.Workspaces); i < workspaces; i++ {
+		c.Workspaces = append(c.Workspaces, config.Workspace{
+			Name: ident.Workspace(fmt.Sprintf("filler-%04d", i)), Weight: 1, RatePerSecond: 20, Burst: 40, Concurrency: 100,
+		})
+	}
+}
+
 func startFleet(ctx context.Context, f flags) (*testbed.Fleet, error) {
 	root, err := testbed.ModuleRoot()
 	if err != nil {
@@ -63,6 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
+	fill(d.Content, f.Workspaces)
 	dir, err := filepath.Abs(f.Out)
 	if err != nil {
 		return nil, err
--- a/testbed/rolltime/roll.go
+++ b/testbed/rolltime/roll.go
@@ -19,7 +19,8 @@
 	published := map[uint64]time.Time{}
 	for n := range f.Rolls {
 		content := *fleet.Deployment.Content
-		content.Policy.QueueLimit += n + 1
+		content.Workspaces = slices.Clone(content.Workspaces)
+		content.Workspaces[len(content.Workspaces)/2].Weight += float64(n + 1)
 		if err := fleet.Operators.Publish(ctx, &content); err != nil {
 			return nil, err
 		}
@@ -27,15 +28,23 @@
 		if err := fleet.Operators.RollAll(ctx); err != nil {
 			return nil, err
 		}
-		select {
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		case <-time.After(f.Every):
+		if err := rest(ctx, f.Every); err != nil {
+			return nil, err
 		}
 	}
 	return published, nil
 }
 
+// rest waits; it returns the context's error if that ended first.
+func rest(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
 // inForce is the entry's log line when a version comes into force.
 type inForce struct {
 	Time    time.Time `json:"time"`
