Membership: another zone's engines are doubted together

Decision logs: 6 to 9 s after the cut far engines were still chosen, one after the other, each of which had to stall a request before the instance's agent read it; the retry budget was then used up. Ruled out: relaying what an instance cannot reach (a cut zone would take engines from everyone). Change: when two engines of another zone gave an instance no answer, and none of the zone has answered since the first of these, that instance calls all of the zone's unreachable. Its agent reads what is doubted at once; the first answer ends it. Engines that stay dead don't bring the doubt back: it counts from their first failure. Not measured over processes yet.

--- a/membership/upstream.go
+++ b/membership/upstream.go
@@ -69,6 +69,8 @@
 	reached  time.Duration
 	failed   time.Duration
 	failKind FailKind
+	// silentSince is the first failure after the last sign of life.
+	silentSince time.Duration
 
 	// Dissemination.
 	urgent int
@@ -155,6 +157,9 @@
 
 // fail takes in a failure to reach the upstream.
 func (u *upstream) fail(at time.Duration, kind FailKind) {
+	if at > u.alive() && u.failed <= u.alive() {
+		u.silentSince = at
+	}
 	if at > u.failed || at == u.failed && kind == FailRefused {
 		u.failed, u.failKind = at, kind
 	}
--- a/membership/view.go
+++ b/membership/view.go
@@ -99,8 +99,13 @@
 	for _, x := range m.roster {
 		v.Instances = append(v.Instances, m.instance(at, x))
 	}
+	doubts := m.zoneDoubts()
 	for _, u := range m.backends {
-		v.Upstreams = append(v.Upstreams, m.upstream(at, u))
+		seen := m.upstream(at, u)
+		if seen.State <= Suspect && doubts.covers(u) {
+			seen.State = Unreachable
+		}
+		v.Upstreams = append(v.Upstreams, seen)
 	}
 	m.number(v)
 	return v
--- /dev/null
+++ b/membership/zonedoubt_test.go
@@ -0,0 +1,44 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/ident"
+)
+
+// TestZoneOfSilentUpstreamsIsDoubted has calls to another zone's engines end
+// without an answer, as those across a cut do.
+func TestZoneOfSilentUpstreamsIsDoubted(t *testing.T) {
+	far := []ident.UpstreamID{"b-1", "b-2", "b-3"}
+	m := lone()
+	list := []ListedUpstream{{ID: "a-1", Zone: "hall-a"}, {ID: "c-1", Zone: "hall-c"}}
+	for _, id := range far {
+		list = append(list, ListedUpstream{ID: id, Zone: "hall-b"})
+	}
+	m.Upstreams(at(0), at(0), 9, list)
+	for _, u := range list {
+		m.UpstreamAnswered(at(time.Second), at(time.Second), u.ID)
+	}
+	usableAt := func(d time.Duration) map[ident.UpstreamID]bool {
+		out := map[ident.UpstreamID]bool{}
+		for _, u := range m.View(at(d)).Upstreams {
+			out[u.ID] = usable(u.State)
+		}
+		return out
+	}
+	m.UpstreamFailed(at(2*time.Second), at(2*time.Second), "b-1", FailTimeout)
+	assert.Assert(t, usableAt(2 * time.Second)["b-3"], "one engine may be dead")
+	m.UpstreamFailed(at(3*time.Second), at(3*time.Second), "b-2", FailTimeout)
+	seen := usableAt(3 * time.Second)
+	assert.Assert(t, !seen["b-3"], "nothing of the zone answers")
+	assert.Assert(t, seen["a-1"] && seen["c-1"], "other zones are not meant")
+	m.UpstreamAnswered(at(4*time.Second), at(4*time.Second), "b-3")
+	seen = usableAt(4 * time.Second)
+	assert.Assert(t, seen["b-3"] && !seen["b-1"] && !seen["b-2"], "two engines are dead, the zone is not")
+	m.UpstreamFailed(at(5*time.Second), at(5*time.Second), "b-1", FailTimeout)
+	m.UpstreamFailed(at(5*time.Second), at(5*time.Second), "b-2", FailTimeout)
+	assert.Assert(t, usableAt(5 * time.Second)["b-3"], "they are as dead as before")
+}
