load/overhead/rig: how long the entry waited for a processor

Cause: on a busy machine a delay of the entry and a delay of the machine look the same in the callers' times. The threads' schedstat tells them apart. Change: a column entry_waited_share: time ready but without a processor, as a share of that and the time that ran.

--- a/load/overhead/rig/run.go
+++ b/load/overhead/rig/run.go
@@ -64,6 +64,8 @@
 type span struct {
 	from, to time.Time
 	cpu      time.Duration
+	// waited is how long its threads were ready to run and had no processor.
+	waited time.Duration
 }
 
 // edge is how long after the warm-up and before the end the measuring begins and
@@ -74,9 +76,9 @@
 // early when the context does.
 func (f *fleet) measure(ctx context.Context) span {
 	sleep(ctx, f.cli.Warmup+edge)
-	from, began := time.Now(), f.processorTime()
+	from, began, waited := time.Now(), f.processorTime(), f.waitedTime()
 	sleep(ctx, f.cli.Duration-2*edge)
-	return span{from: from, to: time.Now(), cpu: f.processorTime() - began}
+	return span{from: from, to: time.Now(), cpu: f.processorTime() - began, waited: f.waitedTime() - waited}
 }
 
 // sleep waits for a time or for the end of the context.
@@ -89,10 +91,11 @@
 
 // cost shows what the entry used.
 func (c *cli) cost(f *fleet, s span, r *overhead.Result) *report.Table {
-	t := report.NewTable("requests_per_s", "entry_cores", "entry_ms_per_request", "entry_rss_mb", "entry_peak_rss_mb")
+	t := report.NewTable("requests_per_s", "entry_cores", "entry_ms_per_request", "entry_waited_share", "entry_rss_mb", "entry_peak_rss_mb")
 	rate := float64(r.Wardspool.First.Count()) / c.Duration.Seconds()
 	cores := s.cpu.Seconds() / s.to.Sub(s.from).Seconds()
 	_ = t.Add(report.Fixed(rate, 1), report.Fixed(cores, 3), report.Fixed(1000*cores/rate, 3),
+		report.Share(s.waited.Seconds(), s.waited.Seconds()+s.cpu.Seconds()),
 		f.memory("VmRSS:"), f.memory("VmHWM:"))
 	return t
 }
@@ -120,6 +123,25 @@
 	return time.Duration(user+system) * clockTick
 }
 
+// waitedTime is how long the entry's threads waited for a processor so far: the
+// second field of each thread's schedstat, in nanoseconds. It shows how much of a
+// delay is the machine's, which had no processor free.
+func (f *fleet) waitedTime() time.Duration {
+	files, _ := filepath.Glob(f.proc("task/*/schedstat"))
+	var sum time.Duration
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			continue
+		}
+		if fields := strings.Fields(string(text)); len(fields) > 1 {
+			ns, _ := strconv.ParseInt(fields[1], 10, 64)
+			sum += time.Duration(ns)
+		}
+	}
+	return sum
+}
+
 // memory returns a line of /proc/PID/status in MB, empty if it cannot be read.
 func (f *fleet) memory(name string) string {
 	text, err := os.ReadFile(f.proc("status"))
