e2e: workspace limits across instances

Cause: limits of rate and concurrency over all instances were shown by their state machine only.

Change: floods of one workspace's requests at all instances, judged by what engines hold and services ran. What was refused by the limit never ran.

--- a/e2e/callers_gone_test.go
+++ b/e2e/callers_gone_test.go
@@ -15,6 +15,7 @@
 // heldList is what is read of an engine's GET /v1/requests.
 type heldList struct {
 	Requests []struct {
+		ID    string `json:"id"`
 		Stage string `json:"stage"`
 	} `json:"requests"`
 }
--- /dev/null
+++ b/e2e/flood_test.go
@@ -0,0 +1,135 @@
+package e2e
+
+import (
+	"sync"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/load/client"
+	"github.com/wardspool/wardspool/testbed"
+)
+
+// flood sends more requests of one workspace than its limit admits, all the
+// time, to some instances.
+type flood struct {
+	b    *bed
+	send func(*testbed.Instance) *pending
+
+	mu   sync.Mutex
+	open []*pending
+	// refused are the IDs of the requests that were told not-run because of the
+	// limit.
+	refused []string
+	// others are the ends that were neither that nor a whole answer.
+	others []*client.Result
+	// to is who gets the requests.
+	to       []*testbed.Instance
+	stopping chan struct{}
+	ended    sync.WaitGroup
+}
+
+// floodPause is the time between two requests to an instance.
+const floodPause = 25 * time.Millisecond
+
+// startFlood begins a flood on some instances.
+func (b *bed) startFlood(to []*testbed.Instance, send func(*testbed.Instance) *pending) *flood {
+	f := &flood{b: b, send: send, to: to, stopping: make(chan struct{})}
+	f.ended.Go(f.run)
+	return f
+}
+
+// run sends to each instance in turn until the flood is stopped.
+func (f *flood) run() {
+	for {
+		for _, in := range f.targets() {
+			p := f.send(in)
+			f.mu.Lock()
+			f.open = append(f.open, p)
+			f.mu.Unlock()
+		}
+		f.collect()
+		select {
+		case <-f.stopping:
+			return
+		case <-f.b.ctx.Done():
+			return
+		case <-time.After(floodPause):
+		}
+	}
+}
+
+func (f *flood) targets() []*testbed.Instance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.to
+}
+
+// aim sends all further requests to some instances only.
+func (f *flood) aim(list []*testbed.Instance) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.to = list
+}
+
+// collect sorts the requests that have ended.
+func (f *flood) collect() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var open []*pending
+	for _, p := range f.open {
+		select {
+		case r := <-p.result:
+			f.sort(p, r)
+		default:
+			open = append(open, p)
+		}
+	}
+	f.open = open
+}
+
+func (f *flood) sort(p *pending, r *client.Result) {
+	switch {
+	case r.Complete():
+	case r.Outcome == api.NotRun && r.Problem != nil && r.Problem.Type == api.ProblemLimit:
+		f.refused = append(f.refused, p.id)
+	default:
+		f.others = append(f.others, r)
+	}
+}
+
+// leave ends the calls that are open by hanging up.
+func (f *flood) leave() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.open {
+		p.leave()
+	}
+}
+
+// stop ends the flood and all its calls. It fails the test if none was refused, or
+// if one that was told not-run did run.
+func (f *flood) stop() {
+	f.b.t.Helper()
+	close(f.stopping)
+	f.ended.Wait()
+	f.leave()
+	f.collect()
+	assert.Assert(f.b.t, len(f.refused) > 0, "nothing was refused")
+	ran := f.b.ran()
+	for _, id := range f.refused {
+		assert.Assert(f.b.t, !ran.Request(id).Ran(), "%s ran, but was refused by the limit", id)
+	}
+	f.b.t.Logf("%d refused by the limit, %d other failures", len(f.refused), len(f.others))
+	for _, r := range f.others[:min(len(f.others), 5)] {
+		f.b.t.Log(describe(r))
+	}
+}
+
+// of gives a call a workspace.
+func of(w ident.Workspace, call client.Call) client.Call {
+	call.Workspace = w
+	return call
+}
