--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -151,6 +151,37 @@
 	}
 }
 
+// BenchmarkFeedChangesTaken measures what the entry does with what changed.
+func BenchmarkFeedChangesTaken(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("%d-%d", size.instances, size.upstreams), func(b *testing.B) {
+			a := benchAgent(b, size.instances, size.upstreams)
+			a.refreshView()
+			var views peering.Views
+			whole := a.feedView()
+			whole.Number = 1
+			views.Take(whole, a.now)
+			next := *whole
+			next.Base, next.Instances, next.Upstreams = 1, nil, nil
+			for i := 0; i < len(whole.Upstreams); i += benchChanged {
+				next.Upstreams = append(next.Upstreams, whole.Upstreams[i])
+			}
+			doc, err := json.Marshal(feed.Update{View: &next})
+			assert.NilError(b, err)
+			b.ReportAllocs()
+			for b.Loop() {
+				var u feed.Update
+				if err := json.Unmarshal(doc, &u); err != nil {
+					b.Fatal(err)
+				}
+				if _, _, ok := views.Take(u.View, a.now); !ok {
+					b.Fatal("not taken")
+				}
+			}
+		})
+	}
+}
+
 // BenchmarkSecond measures what is done each second whatever happens.
 func BenchmarkSecond(b *testing.B) {
 	for _, size := range sizes {
