--- a/agent/fleet_test.go
+++ b/agent/fleet_test.go
@@ -146,7 +146,7 @@
 
 // add lists an instance; start starts it.
 func (f *fleet) add(id ident.InstanceID, zone ident.Zone) *node {
-	n := &node{fleet: f, id: id, zone: zone, host: fmt.Sprintf("10.0.2.%d", len(f.listed)+1), stop: func() {}}
+	n := &node{fleet: f, id: id, zone: zone, host: fmt.Sprintf("10.0.%d.%d", 2+len(f.listed)/250, len(f.listed)%250+1), stop: func() {}}
 	f.nodes[id] = n
 	f.listed = append(f.listed, platform.Instance{
 		ID: id, Zone: zone, PeerAddress: n.host + ":9100", AgentAddress: n.host + ":9101", State: platform.StateLive,
