slots.dispatch: a test of the static share, which's change left without one

TestSilentDispatcherIsReplacedByTheStaticShare became ...ByTheNext, since a silent dispatcher is replaced by the next one now; that an instance which has no dispatcher at all places within its share had no test any more.

--- a/plugins/slots/dispatch/takeover_test.go
+++ b/plugins/slots/dispatch/takeover_test.go
@@ -141,3 +141,28 @@
 	b.run(10 * time.Millisecond)
 	assert.Equal(t, h.last(id).what, "decode")
 }
+
+// TestLeavingInstanceAloneUsesItsShare has an instance that is leaving reach
+// nobody: there is no dispatcher, so the kernel places by itself, out of the
+// instance's static share and no further.
+func TestLeavingInstanceAloneUsesItsShare(t *testing.T) {
+	const slots = 4
+	b := settled(1, 3, slots, 200)
+	h := b.holderNode()
+	h.setView(2, map[ident.InstanceID]bool{"e1": true, "e2": true, "e3": true})
+	for i := range h.view.Instances {
+		if h.view.Instances[i].ID == h.self.Instance {
+			h.view.Instances[i].Life = kernel.Leaving
+		}
+	}
+	assert.Assert(t, !h.policy.Joint(testModel), "there is a dispatcher")
+	got := 0
+	for range 2 * slots {
+		h.seq++
+		id := ident.AttemptID{Instance: h.self.Instance, Incarnation: 1, Sequence: h.seq, Deadline: b.now.Add(20 * time.Second)}
+		if h.policy.Reserve(kernel.SlotAsk{Reservation: id, Upstream: "d1", Pieces: 4}).Verdict == kernel.SlotHeld {
+			got++
+		}
+	}
+	assert.Equal(t, got, slots, "with nobody else alive, its share is the whole engine")
+}
