The platform's adapter is a plug-in in use

Ruled out: removing the plug-in, which the issue names. Change: platform.Open makes the adapter that the setting platform.adapter names (platform.http unless set; an unknown one is an error of the settings that lists those there are); cmd/wardspool-agent links it. Tests: the plug-in's own by platform.Open instead of YAML settings of its own, the same assertions; TestOpensAdaptersOnly, a case of TestCheckSettings; the agent's fleet tests run through it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -64,7 +64,7 @@
 	peers    *peer.Pool
 	feedPool *peer.Pool
 	engines  *engines.Client
-	reader   *platform.Client
+	reader   platform.Adapter
 	// platformMeter counts the bytes of the reader.
 	platformMeter meter.Meter
 	servers       servers
@@ -104,8 +104,8 @@
 	inForceAt time.Time
 }
 
-// New makes an agent of checked settings. Its errors are those of package
-// platform and of the approvers.
+// New makes an agent of checked settings. Its errors are those of platform.Open
+// and of the approvers.
 func New(s *Settings, o Options) (*Agent, error) {
 	now := time.Now()
 	o = o.withDefaults()
@@ -172,12 +172,12 @@
 	local.Limits = peer.Limits{Frame: feedFrame, BackoffMax: feedBackoff}
 	a.feedPool = peer.NewPool(local)
 	a.engines = engines.New(a.options.Dialer, upstreamTimeout)
-	reader, err := platform.NewClient(platform.Options{
+	reader, err := platform.Open(a.settings.Platform.Adapter, platform.Options{
 		URLs: a.settings.Platform.URLs, Reader: a.self.Instance, Wait: a.settings.Platform.Wait,
 		Transport: newTransport(a.platformMeter.Counting(a.options.Dialer)),
 	})
 	if err != nil {
-		return oops.In("agent").Wrapf(err, "take the platform's addresses")
+		return oops.In("agent").Wrapf(err, "open the platform")
 	}
 	a.reader = reader
 	return nil
--- a/agent/check.go
+++ b/agent/check.go
@@ -4,8 +4,11 @@
 	"errors"
 	"fmt"
 	"net/url"
+	"slices"
 
 	"github.com/wardspool/wardspool/bundle/ledger"
+	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/plugin"
 	"github.com/wardspool/wardspool/settings"
 	"github.com/wardspool/wardspool/settings/common"
 )
@@ -43,6 +46,9 @@
 }
 
 func (s *Settings) checkPlatform(r *settings.Report) {
+	if known := plugin.InNamespace(platform.Namespace); !slices.Contains(known, s.Platform.Adapter) {
+		r.Add("platform.adapter", fmt.Sprintf("this program has no plug-in %q", s.Platform.Adapter), fmt.Sprintf("it has %v", known))
+	}
 	if len(s.Platform.URLs) == 0 {
 		r.Add("platform.urls", "is missing", `for example ["http://10.0.0.1:7000"]`)
 	}
--- /dev/null
+++ b/agent/plugins_test.go
@@ -0,0 +1,3 @@
+package agent
+
+import _ "github.com/wardspool/wardspool/plugins/platform/http" // platform.http
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -12,6 +12,7 @@
 	"github.com/wardspool/wardspool/agent/wire"
 	"github.com/wardspool/wardspool/bundle/ledger"
 	"github.com/wardspool/wardspool/peer"
+	"github.com/wardspool/wardspool/plugin"
 )
 
 // servers are the agent's listeners and what serves them.
@@ -169,5 +170,7 @@
 	a.peers.Close()
 	a.feedPool.Close()
 	a.engines.Close()
-	a.reader.Close()
+	if err := plugin.Unload(a.settings.Platform.Adapter, a.reader); err != nil {
+		a.log.Info("the platform's adapter was not closed", "error", err)
+	}
 }
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -8,6 +8,7 @@
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/logs"
 	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/plugin"
 	"github.com/wardspool/wardspool/settings/common"
 	"github.com/wardspool/wardspool/tlsconf"
 )
@@ -79,7 +80,9 @@
 
 // PlatformSettings concern the platform's configuration service.
 type PlatformSettings struct {
-	URLs []string `yaml:"urls"`
+	// Adapter is the plug-in that reads it.
+	Adapter plugin.ID `yaml:"adapter"`
+	URLs    []string  `yaml:"urls"`
 	// Readers is how many instances of a zone watch one key.
 	Readers int `yaml:"readers"`
 	// Wait is how long one poll of a watch waits.
@@ -161,12 +164,15 @@
 	defaultPauseAfter    = 2 * time.Second
 )
 
+// defaultAdapter reads the platform by the protocol of docs/protocols/platform.md.
+const defaultAdapter plugin.ID = "platform.http"
+
 // SetDefaults implements settings.Defaulter.
 func (s *Settings) SetDefaults() {
 	s.Entry.Interval = defaultFeedInterval
 	s.Peers.Budget = defaultHeartbeats
 	s.Platform = PlatformSettings{
-		Readers: defaultReaders, Wait: platform.DefaultWait, FallbackAfter: defaultFallbackAfter,
+		Adapter: defaultAdapter, Readers: defaultReaders, Wait: platform.DefaultWait, FallbackAfter: defaultFallbackAfter,
 	}
 	s.Isolated = ledger.IsolatedWait
 	s.Loads = LoadSettings{Interval: defaultLoadInterval, Budget: defaultLoadBudget}
--- a/agent/settings_test.go
+++ b/agent/settings_test.go
@@ -60,6 +60,7 @@
 		"bad operator":        {"instance: a-1", "instance: a-1\noperators: {names: [A]}", "operators.names[0]"},
 		"no platform":         {`["http://10.0.0.2:7000"]`, "[]", "platform.urls"},
 		"bad platform":        {"http://", "tcp://", "platform.urls[0]"},
+		"unknown adapter":     {"{urls:", "{adapter: platform.none, urls:", "platform.adapter"},
 		"quorum too small":    {"quorum: 1", "quorum: 0", "approvers"},
 		"short key":           {key, key[:10], "approvers.keys[0].key"},
 		"nothing to serve":    {"zone: hall-a", "zone: hall-a\nisolated: serve-preload", "isolated"},
--- a/cmd/wardspool-agent/main.go
+++ b/cmd/wardspool-agent/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/wardspool/wardspool/agent"
 	"github.com/wardspool/wardspool/logs"
+	_ "github.com/wardspool/wardspool/plugins/platform/http" // platform.http
 	"github.com/wardspool/wardspool/process"
 )
 
--- a/plugins/platform/http/setup.go
+++ b/plugins/platform/http/setup.go
@@ -3,9 +3,6 @@
 package http
 
 import (
-	"time"
-
-	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/platform"
 	"github.com/wardspool/wardspool/plugin"
 )
@@ -15,37 +12,27 @@
 
 func init() { plugin.Register(&HTTP{}) }
 
-// HTTP is the adapter. Its exported fields are its settings; Reader's methods
-// may be used after Provision.
+// HTTP is the adapter. The methods of platform.Reader may be used after Provision.
 type HTTP struct {
-	// URLs are the addresses of the service, tried in turn.
-	URLs []string `yaml:"urls"`
-	// Instance is this instance's ID, sent with each read.
-	Instance ident.InstanceID `yaml:"instance"`
-	// Timeout bounds one read, on top of a watch's wait.
-	Timeout time.Duration `yaml:"timeout"`
-	// Wait is how long one poll of a watch waits.
-	Wait time.Duration `yaml:"wait"`
-
-	*platform.Client `yaml:"-"`
+	options platform.Options
+
+	*platform.Client
 }
 
-var _ platform.Reader = (*HTTP)(nil)
+var _ platform.Adapter = (*HTTP)(nil)
 
 // PluginInfo implements plugin.Plugin.
 func (*HTTP) PluginInfo() plugin.Info {
 	return plugin.Info{ID: ID, New: func() plugin.Plugin { return &HTTP{} }}
 }
 
+// Use implements platform.Adapter.
+func (h *HTTP) Use(o platform.Options) { h.options = o }
+
 // Provision implements plugin.Provisioner. The error is a
 // *platform.AddressError.
 func (h *HTTP) Provision() error {
-	c, err := platform.NewClient(platform.Options{
-		URLs:    h.URLs,
-		Reader:  h.Instance,
-		Timeout: h.Timeout,
-		Wait:    h.Wait,
-	})
+	c, err := platform.NewClient(h.options)
 	h.Client = c
 	return err
 }
--- a/plugins/platform/http/setup_test.go
+++ b/plugins/platform/http/setup_test.go
@@ -6,30 +6,23 @@
 	nethttp "net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
-	"github.com/goccy/go-yaml"
 	"gotest.tools/v3/assert"
 
 	"github.com/wardspool/wardspool/platform"
 	"github.com/wardspool/wardspool/plugin"
 )
 
-// load makes the plug-in from YAML settings.
-func load(settings string) (plugin.Plugin, error) {
-	return plugin.Load(ID, func(into any) error { return yaml.Unmarshal([]byte(settings), into) })
-}
-
 func TestReadsTheService(t *testing.T) {
 	s := httptest.NewServer(nethttp.HandlerFunc(func(w nethttp.ResponseWriter, r *nethttp.Request) {
 		w.Header().Set("X-Index", "4")
 		_, _ = w.Write([]byte(r.URL.Path + " " + r.Header.Get("X-Reader")))
 	}))
 	defer s.Close()
-	p, err := load("urls: [" + s.URL + "]\ninstance: entry-a1\nwait: 5s\n")
+	reader, err := platform.Open(ID, platform.Options{URLs: []string{s.URL}, Reader: "entry-a1", Wait: 5 * time.Second})
 	assert.NilError(t, err)
-	defer func() { assert.NilError(t, plugin.Unload(ID, p)) }()
-	reader, ok := p.(platform.Reader)
-	assert.Assert(t, ok)
+	defer func() { assert.NilError(t, plugin.Unload(ID, reader)) }()
 	v, err := reader.Get(context.Background(), platform.KeyBundleParts+"ab")
 	assert.NilError(t, err)
 	assert.Equal(t, v.Index, uint64(4))
@@ -37,7 +30,27 @@
 }
 
 func TestNeedsAnAddress(t *testing.T) {
-	_, err := load("instance: entry-a1\n")
+	_, err := platform.Open(ID, platform.Options{Reader: "entry-a1"})
 	var missing *platform.AddressError
 	assert.Assert(t, errors.As(err, &missing))
 }
+
+// noAdapter is a plug-in that reads nothing.
+type noAdapter struct{}
+
+const noAdapterID plugin.ID = "platform.nothing"
+
+func init() { plugin.Register(noAdapter{}) }
+
+func (noAdapter) PluginInfo() plugin.Info {
+	return plugin.Info{ID: noAdapterID, New: func() plugin.Plugin { return noAdapter{} }}
+}
+
+func TestOpensAdaptersOnly(t *testing.T) {
+	var unknown *plugin.UnknownError
+	_, err := platform.Open("platform.absent", platform.Options{})
+	assert.Assert(t, errors.As(err, &unknown))
+	var none *platform.NotAdapterError
+	_, err = platform.Open(noAdapterID, platform.Options{})
+	assert.Assert(t, errors.As(err, &none))
+}
