slots.dispatch: a long queue is gone through every 5 ms, not at each ask

Cause: each ask and each release made a pass through the whole queue, and each queued ask a sum over it. Ruled out: planning only the head of the queue: what is behind it must be refused at once when its target can't be met. Change: beyond 32 asks the plan is made every 5 ms (a quarter of the time that prefill engines are fed ahead); finished prefills get their slots at once as before.

--- /dev/null
+++ b/plugins/slots/dispatch/bench_test.go
@@ -0,0 +1,28 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+)
+
+// BenchmarkAskInAQueue asks for a placement behind a queue of the given length,
+// five a millisecond.
+func BenchmarkAskInAQueue(b *testing.B) {
+	const apart = 200 * time.Microsecond
+	for name, queue := range map[string]int{"10": 10, "100": 100, "1000": 1000} {
+		b.Run(name, func(b *testing.B) {
+			bed := settled(1, 2, 20, 200)
+			d := bed.dispatcherNode()
+			for range queue {
+				d.place(time.Hour)
+			}
+			for b.Loop() {
+				bed.run(apart)
+				id := d.place(time.Hour)
+				b.StopTimer()
+				d.policy.Release(id)
+				b.StartTimer()
+			}
+		})
+	}
+}
--- a/plugins/slots/dispatch/group.go
+++ b/plugins/slots/dispatch/group.go
@@ -61,6 +61,10 @@
 	links map[ident.UpstreamID]time.Time
 	// books are the decode engines' books.
 	books map[ident.UpstreamID]*book
+	// plannedAt is when the queue was last gone through, and wait the expected
+	// wait of its last ask then.
+	plannedAt time.Time
+	wait      time.Duration
 	// pollAt is when the queue is to be looked at again, zero if not needed.
 	pollAt time.Time
 
@@ -126,7 +130,7 @@
 		g.pass()
 	}
 	if _, still := g.waiting[id]; still {
-		g.send(from, &Queued{Reservation: a.Reservation, Wait: millis(g.expectedWait())})
+		g.send(from, &Queued{Reservation: a.Reservation, Wait: millis(g.queueWait())})
 	}
 }
 
--- a/plugins/slots/dispatch/pass.go
+++ b/plugins/slots/dispatch/pass.go
@@ -24,6 +24,11 @@
 	maxComeBack = 30 * time.Second
 	// crossZone is the cost of a transfer between availability zones.
 	crossZone = 5 * time.Millisecond
+	// longQueue is the number of asks from which on the queue is gone through
+	// every planGap only, a quarter of the time that prefill engines are fed
+	// ahead.
+	longQueue = 32
+	planGap   = lookahead / 4
 )
 
 // pass gives out what can be given out now.
@@ -32,13 +37,31 @@
 		g.lapse()
 		free := g.decodes()
 		g.serveReady(free)
-		g.placeWaiting(free)
+		if g.planDue() {
+			g.placeWaiting(free)
+		}
 	}
-	g.pollAt = time.Time{}
-	if len(g.waiting)+len(g.ready) > 0 {
-		g.pollAt = g.now().Add(pollTime)
-	} else if len(g.grants) > 0 {
-		g.pollAt = g.now().Add(renewTime)
+	g.pollAt = g.nextPass()
+}
+
+// planDue reports whether the queue is to be gone through now. A long one is gone
+// through every planGap only: that costs as much as it is long, and would else be
+// done for each ask and each release.
+func (g *group) planDue() bool {
+	return len(g.waiting) <= longQueue || g.now().Sub(g.plannedAt) >= planGap
+}
+
+// nextPass returns when the next pass is due if nothing happens, zero for never.
+func (g *group) nextPass() time.Time {
+	switch {
+	case len(g.waiting) > longQueue:
+		return g.plannedAt.Add(planGap)
+	case len(g.waiting)+len(g.ready) > 0:
+		return g.now().Add(pollTime)
+	case len(g.grants) > 0:
+		return g.now().Add(renewTime)
+	default:
+		return time.Time{}
 	}
 }
 
@@ -117,6 +140,7 @@
 	if len(g.waiting) == 0 {
 		return
 	}
+	g.plannedAt = g.now()
 	engines := g.prefills()
 	supply := g.supply(free)
 	order := g.orderScratch[:0]
@@ -131,6 +155,9 @@
 		}
 		g.plan(w, engines, supply, len(order) == 1)
 	}
+	if len(g.waiting) > longQueue {
+		g.wait = g.expectedWait()
+	}
 }
 
 // plan places, refuses or leaves one ask.
@@ -283,6 +310,15 @@
 	return a
 }
 
+// queueWait is how long the last ask of the queue is expected to wait; of a long
+// queue, as it was when it was last gone through.
+func (g *group) queueWait() time.Duration {
+	if len(g.waiting) > longQueue {
+		return g.wait
+	}
+	return g.expectedWait()
+}
+
 // expectedWait is how long the last ask of the queue is expected to wait.
 func (g *group) expectedWait() time.Duration {
 	engines := g.prefills()
