--- a/e2e/fleet_bed_test.go
+++ b/e2e/fleet_bed_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -95,22 +96,28 @@
 	}
 }
 
-// inForce waits until agents and entries of instances have a version in force.
+// inForce waits until agents and entries of instances have a version in force, and
+// logs when each was first seen to have it.
 func (b *bed) inForce(version uint64, list ...*testbed.Instance) {
 	b.t.Helper()
+	began := time.Now()
+	since := map[ident.InstanceID]time.Duration{}
 	b.eventually(fmt.Sprintf("version %d in force", version), func() (bool, string) {
 		f := b.look()
+		lacks := ""
 		for _, in := range list {
-			s := status(f, in.ID)
-			if s == nil {
-				return false, string(in.ID) + " does not answer"
-			}
-			if s.Bundle.Version != version || s.Entry.BundleVersion != version {
-				return false, fmt.Sprintf("%s has %d, its entry %d", in.ID, s.Bundle.Version, s.Entry.BundleVersion)
+			switch s := status(f, in.ID); {
+			case s == nil:
+				lacks = string(in.ID) + " does not answer"
+			case s.Bundle.Version != version || s.Entry.BundleVersion != version:
+				lacks = fmt.Sprintf("%s has %d, its entry %d", in.ID, s.Bundle.Version, s.Entry.BundleVersion)
+			case since[in.ID] == 0:
+				since[in.ID] = time.Since(began).Round(time.Millisecond)
 			}
 		}
-		return true, ""
+		return lacks == "", lacks
 	})
+	b.t.Logf("version %d in force after %v", version, since)
 }
 
 // answers makes requests to each instance and fails the test unless the answers
