slots.dispatch: engines that look equally fast share the decodes

Cause: pickDecode took the first of equally fast engines. Where the bundle gives no decode_step_per_request a full engine looks as fast as an empty one, so that the first was filled before the second got anything (8 and 0 of 8). Change: among equals the one with the fewest placements. Test: TestEqualEnginesShareDecodes, failing before.

--- a/plugins/slots/dispatch/dispatch_test.go
+++ b/plugins/slots/dispatch/dispatch_test.go
@@ -256,3 +256,16 @@
 	assert.Equal(t, h.last(id).what, "refused", "no engine has memory for it at any time")
 	assert.Assert(t, h.comeBack[id] <= 2*maxComeBack, "%v", h.comeBack[id])
 }
+
+// TestEqualEnginesShareDecodes places decodes on engines whose pace does not
+// depend on their load, as far as the bundle says: they get equal shares.
+func TestEqualEnginesShareDecodes(t *testing.T) {
+	b := settled(1, 3, 20, 200)
+	h := b.holderNode()
+	got := map[ident.UpstreamID]int{}
+	for range 8 {
+		got[h.last(h.decoding(t)).decode]++
+	}
+	assert.Equal(t, got["d1"], 4, "%v", got)
+	assert.Equal(t, got["d2"], 4, "%v", got)
+}
--- a/plugins/slots/dispatch/pass.go
+++ b/plugins/slots/dispatch/pass.go
@@ -95,8 +95,10 @@
 	g.send(gr.holder, &Decode{Reservation: gr.ask.Reservation, Model: g.model, Decode: d.u.ID})
 }
 
-// pickDecode chooses the least loaded decode engine with room, in the zone of
-// the prefill if it can.
+// pickDecode chooses the decode engine with room that is expected to be fastest,
+// in the zone of the prefill if it can, and among equals the one with the fewest
+// placements: where the bundle says nothing of what a batch costs, a full engine
+// looks as fast as an empty one.
 func (g *group) pickDecode(gr *grant, free []decodeState) *decodeState {
 	zone := ident.Zone("")
 	if p := g.p.host.Upstream(gr.prefill); p != nil {
@@ -114,7 +116,7 @@
 		if d.u.Zone != zone {
 			cost += crossZone.Seconds()
 		}
-		if best == nil || cost < bestCost {
+		if best == nil || cost < bestCost || (cost == bestCost && d.held < best.held) {
 			best, bestCost = d, cost
 		}
 	}
