One function for a wait that a context cuts short

Package platform, the entry's driver, the load runner, the overhead bench and its rig, load/agreement and the demo each had their own. internal/pause.For is platform's, which also answers right when there is no time to wait. The driver asks only for a wait above zero, as before; overhead's random pause is named stagger, what it is for.

--- a/entry/driver/actions.go
+++ b/entry/driver/actions.go
@@ -1,13 +1,13 @@
 package driver
 
 import (
-	"context"
 	"log/slog"
 	"time"
 
 	"github.com/wardspool/wardspool/adapter"
 	"github.com/wardspool/wardspool/api"
 	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/internal/pause"
 	"github.com/wardspool/wardspool/kernel"
 )
 
@@ -158,8 +158,8 @@
 	}
 	patience := d.patience(a, "")
 	d.run(a, func() (kernel.Event, error) {
-		if err := wait(a.ctx, s.Wait); err != nil {
-			return nil, err
+		if s.Wait > 0 && !pause.For(a.ctx, s.Wait) {
+			return nil, a.ctx.Err()
 		}
 		sink := d.newSink(a, patience)
 		defer sink.watch.stop()
@@ -168,21 +168,6 @@
 	})
 }
 
-// wait returns after d, or with the context's error when that ends before.
-func wait(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // decodedWhole checks that the caller has all tokens of an output.
 func (a *attempt) decodedWhole(got adapter.Decoded, err error) (kernel.Event, error) {
 	if err != nil {
--- a/load/agreement/faults.go
+++ b/load/agreement/faults.go
@@ -7,6 +7,7 @@
 
 	"github.com/wardspool/wardspool/config"
 	"github.com/wardspool/wardspool/experiment"
+	"github.com/wardspool/wardspool/internal/pause"
 	"github.com/wardspool/wardspool/kernel"
 	"github.com/wardspool/wardspool/plugins/slots/slotkit"
 	"github.com/wardspool/wardspool/standin/control"
@@ -33,7 +34,7 @@
 		if experiment.Fault(f) == experiment.FaultNone {
 			continue
 		}
-		if !wait(ctx, cell.Duration/3) {
+		if !pause.For(ctx, cell.Duration/3) {
 			return nil
 		}
 		if err := b.fault(ctx, fleet, experiment.Fault(f)); err != nil {
@@ -59,7 +60,7 @@
 	case experiment.FaultZoneCut:
 		zone := b.place.Zones[0]
 		fleet.CutOff(zone)
-		wait(ctx, cutTime)
+		pause.For(ctx, cutTime)
 		fleet.Rejoin(zone)
 		return nil
 	default:
@@ -83,7 +84,7 @@
 	if err := engine.SetEngineFaults(ctx, control.EngineFaults{StallTransfers: true}); err != nil {
 		return err
 	}
-	wait(ctx, stallTime)
+	pause.For(ctx, stallTime)
 	return engine.SetEngineFaults(ctx, control.EngineFaults{})
 }
 
@@ -93,7 +94,7 @@
 	if err := fleet.KillInstance(victim); err != nil {
 		return err
 	}
-	if !wait(ctx, downTime) {
+	if !pause.For(ctx, downTime) {
 		return nil
 	}
 	return fleet.StartInstance(victim)
@@ -107,7 +108,7 @@
 			return err
 		}
 	}
-	wait(ctx, freezeTime)
+	pause.For(ctx, freezeTime)
 	for _, p := range []*testbed.Process{victim.Agent, victim.Entry} {
 		if err := p.Thaw(); err != nil {
 			return err
@@ -135,13 +136,3 @@
 	}
 	return first
 }
-
-// wait returns false if the context ended first.
-func wait(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/load/overhead/overhead.go
+++ b/load/overhead/overhead.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/pause"
 	"github.com/wardspool/wardspool/load/client"
 	"github.com/wardspool/wardspool/report"
 )
@@ -109,14 +110,14 @@
 	rng := rand.New(rand.NewPCG(b.opts.Seed, uint64(n)))
 	// Streams that begin together, and are of one length, go on to end and begin
 	// together: the entry would meet waves of arrivals instead of their mean rate.
-	pause(ctx, rng, b.opts.Warmup)
+	stagger(ctx, rng, b.opts.Warmup)
 	for i := 0; ctx.Err() == nil; i++ {
 		id := b.opts.RunID + "-" + strconv.Itoa(n) + "-" + strconv.Itoa(i)
 		// The last word makes each prompt its own.
 		prompt := b.prompt + id
 		decode := b.opts.Decode[rng.IntN(len(b.opts.Decode))]
 		output := b.outputTokens(rng)
-		pause(ctx, rng, b.opts.MaxPause)
+		stagger(ctx, rng, b.opts.MaxPause)
 		started := time.Now()
 		got := b.complete(ctx, route, decode, id, prompt, output)
 		if ctx.Err() == nil {
@@ -134,17 +135,12 @@
 	return max(1, mean-mean/2+rng.IntN(2*(mean/2)+1))
 }
 
-// pause waits for a random time below a limit.
-func pause(ctx context.Context, rng *rand.Rand, limit time.Duration) {
+// stagger waits for a random time below a limit.
+func stagger(ctx context.Context, rng *rand.Rand, limit time.Duration) {
 	if limit <= 0 {
 		return
 	}
-	timer := time.NewTimer(time.Duration(rng.Int64N(int64(limit))))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	pause.For(ctx, time.Duration(rng.Int64N(int64(limit))))
 }
 
 // complete makes one completion.
--- a/load/overhead/rig/run.go
+++ b/load/overhead/rig/run.go
@@ -12,6 +12,7 @@
 	"github.com/samber/oops"
 
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/pause"
 	"github.com/wardspool/wardspool/load/overhead"
 	"github.com/wardspool/wardspool/report"
 )
@@ -75,20 +76,12 @@
 // measure reads the entry's processor time over the measured time. Its span ends
 // early when the context does.
 func (f *fleet) measure(ctx context.Context) span {
-	sleep(ctx, f.cli.Warmup+edge)
+	pause.For(ctx, f.cli.Warmup+edge)
 	from, began, waited := time.Now(), f.processorTime(), f.waitedTime()
-	sleep(ctx, f.cli.Duration-2*edge)
+	pause.For(ctx, f.cli.Duration-2*edge)
 	return span{from: from, to: time.Now(), cpu: f.processorTime() - began, waited: f.waitedTime() - waited}
 }
 
-// sleep waits for a time or for the end of the context.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // cost shows what the entry used.
 func (c *cli) cost(f *fleet, s span, r *overhead.Result) *report.Table {
 	t := report.NewTable("requests_per_s", "entry_cores", "entry_ms_per_request", "entry_waited_share", "entry_rss_mb", "entry_peak_rss_mb")
--- a/load/runner/caller.go
+++ b/load/runner/caller.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/wardspool/wardspool/api"
+	"github.com/wardspool/wardspool/internal/pause"
 	"github.com/wardspool/wardspool/load/client"
 	"github.com/wardspool/wardspool/load/workload"
 )
@@ -154,5 +155,5 @@
 	if at.After(c.due.Add(c.arrival.Kind.Deadline)) {
 		return false
 	}
-	return sleepUntil(ctx, at)
+	return pause.For(ctx, time.Until(at))
 }
--- a/load/runner/runner.go
+++ b/load/runner/runner.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wardspool/wardspool/internal/pause"
 	"github.com/wardspool/wardspool/load/client"
 	"github.com/wardspool/wardspool/load/workload"
 )
@@ -82,7 +83,7 @@
 	defer callers.Wait()
 	for {
 		a := generator.Next()
-		if a.At >= r.opts.Duration || !sleepUntil(ctx, r.start.Add(a.At)) {
+		if a.At >= r.opts.Duration || !pause.For(ctx, time.Until(r.start.Add(a.At))) {
 			return
 		}
 		r.started.Add(1)
@@ -94,18 +95,6 @@
 	}
 }
 
-// sleepUntil waits; it returns false if the context ended first.
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // target returns the next instance in turn.
 func (r *runner) target() string {
 	n := r.turn.Add(1) - 1
--- a/testbed/demo/example.go
+++ b/testbed/demo/example.go
@@ -10,10 +10,10 @@
 	"strings"
 	"sync"
 	"syscall"
-	"time"
 
 	"github.com/wardspool/wardspool/config"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/pause"
 	"github.com/wardspool/wardspool/standin/control"
 	"github.com/wardspool/wardspool/testbed"
 )
@@ -99,17 +99,17 @@
 func (r *exampleRun) faults(ctx context.Context) {
 	victim := r.fleet.Instances[len(r.fleet.Instances)-1]
 	engine := firstDecode(r.fleet.Deployment.Content)
-	if !sleep(ctx, r.flags.Duration/3) {
+	if !pause.For(ctx, r.flags.Duration/3) {
 		return
 	}
 	r.say("killing instance %s", victim.ID)
 	r.note(r.fleet.KillInstance(victim))
-	if !sleep(ctx, r.flags.Duration/6) {
+	if !pause.For(ctx, r.flags.Duration/6) {
 		return
 	}
 	r.say("crashing decode engine %s", engine)
 	r.note(control.Client{Address: r.fleet.Addresses[engine]}.Crash(ctx, control.Crash{}))
-	if !sleep(ctx, r.flags.Duration/6) {
+	if !pause.For(ctx, r.flags.Duration/6) {
 		return
 	}
 	r.say("starting instance %s again", victim.ID)
@@ -127,15 +127,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 func firstDecode(c *config.Content) ident.UpstreamID {
 	for _, u := range c.Upstreams {
 		if u.Role == config.RoleDecode {
