--- a/cmd/wardspool-load/main.go
+++ b/cmd/wardspool-load/main.go
@@ -4,12 +4,9 @@
 package main
 
 import (
-	"context"
-	"os"
-	"os/signal"
-	"syscall"
-
 	"github.com/alecthomas/kong"
+
+	"github.com/wardspool/wardspool/process"
 )
 
 // version is set by the build.
@@ -35,15 +32,5 @@
 }
 
 func main() {
-	var c cli
-	parsed := kong.Parse(&c,
-		kong.Name("wardspool-load"),
-		kong.Description(description),
-		kong.Vars{"version": version},
-		kong.UsageOnError(),
-	)
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	parsed.BindTo(ctx, (*context.Context)(nil))
-	parsed.FatalIfErrorf(parsed.Run())
+	process.Commands{Name: "wardspool-load", Description: description, Version: version}.Main(&cli{})
 }
--- a/cmd/wardspool-standin/main.go
+++ b/cmd/wardspool-standin/main.go
@@ -4,13 +4,12 @@
 package main
 
 import (
-	"context"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alecthomas/kong"
+
+	"github.com/wardspool/wardspool/process"
 )
 
 // version is set by the build.
@@ -40,16 +39,6 @@
 }
 
 func main() {
-	var c cli
-	parsed := kong.Parse(&c,
-		kong.Name("wardspool-standin"),
-		kong.Description(description),
-		kong.Vars{"version": version},
-		kong.UsageOnError(),
-	)
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	parsed.BindTo(ctx, (*context.Context)(nil))
-	parsed.FatalIfErrorf(parsed.Run(log))
+	process.Commands{Name: "wardspool-standin", Description: description, Version: version}.Main(&cli{}, log)
 }
--- a/metrics/render.go
+++ b/metrics/render.go
@@ -9,12 +9,7 @@
 // totals. An error of tally's is that of a reporter and cannot occur.
 func Render(prefix string, fill func(tally.Scope)) string {
 	r := NewReporter()
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:                 prefix,
-		Reporter:               r,
-		Separator:              separator,
-		OmitCardinalityMetrics: true,
-	}, never)
+	scope, closer := newScope(r, prefix, never)
 	fill(scope)
 	// Closing a scope has it report.
 	_ = closer.Close()
--- a/metrics/reporter.go
+++ b/metrics/reporter.go
@@ -6,8 +6,9 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
-	"sort"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -66,12 +67,17 @@
 // NewScope returns a root scope for a program that reports to r. Close it to
 // end its goroutine.
 func NewScope(r *Reporter, prefix string) (tally.Scope, io.Closer) {
+	return newScope(r, prefix, Interval)
+}
+
+// newScope returns a root scope that reports at an interval.
+func newScope(r *Reporter, prefix string, interval time.Duration) (tally.Scope, io.Closer) {
 	return tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 prefix,
 		Reporter:               r,
 		Separator:              separator,
 		OmitCardinalityMetrics: true,
-	}, Interval)
+	}, interval)
 }
 
 // at returns a series. The caller holds mu.
@@ -92,14 +98,9 @@
 
 // render returns tags as `a="x",b="y"`.
 func render(tags map[string]string) string {
-	names := make([]string, 0, len(tags))
-	for name := range tags {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	parts := make([]string, len(names))
-	for i, name := range names {
-		parts[i] = name + "=" + strconv.Quote(tags[name])
+	parts := make([]string, 0, len(tags))
+	for _, name := range slices.Sorted(maps.Keys(tags)) {
+		parts = append(parts, name+"="+strconv.Quote(tags[name]))
 	}
 	return strings.Join(parts, ",")
 }
@@ -180,25 +181,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var b strings.Builder
-	for _, name := range sortedKeys(r.families) {
+	for _, name := range slices.Sorted(maps.Keys(r.families)) {
 		f := r.families[name]
 		fmt.Fprintf(&b, "# TYPE %s %s\n", name, f.kind)
-		for _, labels := range sortedKeys(f.series) {
+		for _, labels := range slices.Sorted(maps.Keys(f.series)) {
 			f.series[labels].write(&b, name, f.kind)
 		}
 	}
 	return b.String()
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	sort.Strings(keys)
-	return keys
-}
-
 // write writes the lines of one series.
 func (s *series) write(b *strings.Builder, name string, k kind) {
 	switch k {
@@ -215,13 +207,8 @@
 
 // writeBuckets writes cumulative buckets.
 func (s *series) writeBuckets(b *strings.Builder, name string) {
-	bounds := make([]float64, 0, len(s.buckets))
-	for bound := range s.buckets {
-		bounds = append(bounds, bound)
-	}
-	sort.Float64s(bounds)
 	total := int64(0)
-	for _, bound := range bounds {
+	for _, bound := range slices.Sorted(maps.Keys(s.buckets)) {
 		total += s.buckets[bound]
 		line(b, name+"_bucket", join(s.labels, "le="+strconv.Quote(number(bound))), float64(total))
 	}
--- a/plugins/slots/dispatch/engines.go
+++ b/plugins/slots/dispatch/engines.go
@@ -105,7 +105,7 @@
 	upstreams := g.p.host.View().Upstreams
 	for _, i := range r.prefills {
 		u := &upstreams[i]
-		list = append(list, prefillState{u: u, readyAt: now, linkAt: later(now, g.links[u.ID])})
+		list = append(list, prefillState{u: u, readyAt: now, linkAt: slotkit.Later(now, g.links[u.ID])})
 	}
 	for _, gr := range g.prefilling() {
 		at, ok := r.prefillAt[gr.prefill]
@@ -136,7 +136,7 @@
 
 // send adds a transfer, which begins when the engine is ready and its link free.
 func (e *prefillState) send(takes time.Duration) {
-	e.linkAt = later(e.linkAt, e.readyAt).Add(takes)
+	e.linkAt = slotkit.Later(e.linkAt, e.readyAt).Add(takes)
 }
 
 // transfer is the time to send a prompt's KV cache over the engine's link when
@@ -151,7 +151,7 @@
 	if u == nil {
 		return
 	}
-	g.links[u.ID] = later(g.links[u.ID], g.now()).Add(g.transfer(u, gr.ask.Prompt))
+	g.links[u.ID] = slotkit.Later(g.links[u.ID], g.now()).Add(g.transfer(u, gr.ask.Prompt))
 }
 
 // addForeign adds the work that the engine reported beyond what is known.
--- a/plugins/slots/dispatch/fallback.go
+++ b/plugins/slots/dispatch/fallback.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -117,7 +118,7 @@
 			h.dispatcher = d
 		}
 	}
-	for _, model := range sortedModels(moved) {
+	for _, model := range slices.Sorted(maps.Keys(moved)) {
 		p.renewAll(p.dispatcher(model), model)
 	}
 }
@@ -136,13 +137,3 @@
 	})
 	return list
 }
-
-// sortedModels lists a map's models in a repeatable order.
-func sortedModels[V any](m map[string]V) []string {
-	names := make([]string, 0, len(m))
-	for name := range m {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
--- a/plugins/slots/dispatch/lapse.go
+++ b/plugins/slots/dispatch/lapse.go
@@ -5,6 +5,7 @@
 
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/plugins/slots/slotkit"
 )
 
 // lapseSettle is how long a decode may take to begin, and its end to be told:
@@ -37,7 +38,7 @@
 		return
 	}
 	for _, gr := range g.grants {
-		if lost[gr.holder] && gr.decode == "" && g.now().After(later(gr.doneAt, gr.at)) {
+		if lost[gr.holder] && gr.decode == "" && g.now().After(slotkit.Later(gr.doneAt, gr.at)) {
 			g.end(gr)
 		}
 	}
--- a/plugins/slots/dispatch/pass.go
+++ b/plugins/slots/dispatch/pass.go
@@ -6,6 +6,7 @@
 
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/plugins/slots/slotkit"
 )
 
 const (
@@ -172,7 +173,7 @@
 	computed := e.readyAt.Add(work)
 	slotAt, memory := s.next(w.ask.Pieces)
 	transfer := g.transfer(e.u, w.ask.Prompt)
-	first := later(later(computed, slotAt), e.linkAt).Add(transfer)
+	first := slotkit.Later(slotkit.Later(computed, slotAt), e.linkAt).Add(transfer)
 	idle := alone && e.readyAt.Equal(now) && slotAt.Equal(now)
 	if !idle && g.tooLate(w, first) {
 		g.refuse(w, first)
@@ -285,7 +286,7 @@
 			continue
 		}
 		work := kernel.PrefillTime(e.u, g.uncached(w, e.u))
-		end := later(e.readyAt.Add(work), e.linkAt).Add(g.transfer(e.u, w.ask.Prompt))
+		end := slotkit.Later(e.readyAt.Add(work), e.linkAt).Add(g.transfer(e.u, w.ask.Prompt))
 		if e.u.Zone != w.ask.Zone {
 			end = end.Add(crossZone)
 		}
@@ -305,13 +306,6 @@
 	return max(w.ask.Prompt-prefix.CachedBlocks(u, w.ask.Blocks)*m.PieceTokens, 1)
 }
 
-func later(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return b
-	}
-	return a
-}
-
 // queueWait is how long the last ask of the queue is expected to wait; of a long
 // queue, as it was when it was last gone through.
 func (g *group) queueWait() time.Duration {
--- a/plugins/slots/dispatch/renew.go
+++ b/plugins/slots/dispatch/renew.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -18,7 +19,7 @@
 	at := h.renewAt
 	for _, x := range h.holdings {
 		if x.awaitsAnswer() {
-			at = earlier(at, x.sentAt.Add(answerTime))
+			at = slotkit.Earlier(at, x.sentAt.Add(answerTime))
 		}
 	}
 	return at, true
@@ -29,13 +30,6 @@
 	return (h.stage == stageAsked || h.stage == stageComputed) && h.answeredAt.Before(h.sentAt)
 }
 
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
 // wakeHolder repeats unanswered asks, gives up on silent dispatchers and renews.
 func (p *Policy) wakeHolder() {
 	now := p.host.Now()
@@ -80,7 +74,7 @@
 	for _, h := range p.holder.holdings {
 		models[h.model] = true
 	}
-	return sortedModels(models)
+	return slices.Sorted(maps.Keys(models))
 }
 
 // renewAll tells a dispatcher all that this instance holds of a model.
--- a/plugins/slots/dispatch/setup.go
+++ b/plugins/slots/dispatch/setup.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/wardspool/wardspool/config"
@@ -156,7 +158,7 @@
 	if !p.roster.Update(p.host.View(), p.host.Self()) {
 		return
 	}
-	for _, model := range sortedModels(p.groups) {
+	for _, model := range slices.Sorted(maps.Keys(p.groups)) {
 		p.groups[model].viewChanged()
 	}
 	p.moveHoldings()
@@ -203,7 +205,7 @@
 func (p *Policy) Wake() {
 	p.refresh()
 	p.wakeHolder()
-	for _, model := range sortedModels(p.groups) {
+	for _, model := range slices.Sorted(maps.Keys(p.groups)) {
 		p.groups[model].wake()
 	}
 }
--- a/plugins/slots/dispatch/supply.go
+++ b/plugins/slots/dispatch/supply.go
@@ -81,7 +81,7 @@
 // engine on which the memory is expected first, nil if there is none.
 func (s *slotSupply) next(pieces int) (time.Time, *decodeState) {
 	engine, memoryAt := s.memory(pieces)
-	return later(s.slotAt(), memoryAt), engine
+	return slotkit.Later(s.slotAt(), memoryAt), engine
 }
 
 // slotAt is when one more slot than are promised is expected to be free.
--- a/plugins/slots/lease/queue.go
+++ b/plugins/slots/lease/queue.go
@@ -29,7 +29,7 @@
 // lastCall returns when the ask must be denied if it was not granted.
 func (w *waitingAsk) lastCall() time.Time {
 	start := w.by.Add(-w.ask.Lead.Duration())
-	return earlier(w.until, start.Add(time.Nanosecond))
+	return slotkit.Earlier(w.until, start.Add(time.Nanosecond))
 }
 
 // askQueue holds the waiting asks, the one due first in front.
--- a/plugins/slots/lease/setup.go
+++ b/plugins/slots/lease/setup.go
@@ -68,24 +68,17 @@
 
 // Provision implements plugin.Provisioner.
 func (p *Policy) Provision() error {
-	setDefault(&p.AskTimeout, defaultAskTimeout)
-	setDefault(&p.QueueWait, defaultQueueWait)
-	setDefault(&p.QueueLimit, defaultQueueLimit)
-	setDefault(&p.RenewInterval, defaultRenewInterval)
-	setDefault(&p.TakeOver, defaultTakeOver)
-	setDefault(&p.Margin, defaultMargin)
+	slotkit.SetDefault(&p.AskTimeout, defaultAskTimeout)
+	slotkit.SetDefault(&p.QueueWait, defaultQueueWait)
+	slotkit.SetDefault(&p.QueueLimit, defaultQueueLimit)
+	slotkit.SetDefault(&p.RenewInterval, defaultRenewInterval)
+	slotkit.SetDefault(&p.TakeOver, defaultTakeOver)
+	slotkit.SetDefault(&p.Margin, defaultMargin)
 	p.holder.init()
 	p.grantor.init()
 	return nil
 }
 
-func setDefault[T comparable](setting *T, value T) {
-	var zero T
-	if *setting == zero {
-		*setting = value
-	}
-}
-
 // Validate implements plugin.Validator. Its error is a *SettingError.
 func (p *Policy) Validate() error {
 	switch {
--- a/plugins/slots/lease/wake.go
+++ b/plugins/slots/lease/wake.go
@@ -23,12 +23,12 @@
 		o.nextRenew = now.Add(p.RenewInterval)
 		o.nextTidy = now.Add(tidyInterval)
 	}
-	next := earlier(o.nextRenew, o.nextTidy)
+	next := slotkit.Earlier(o.nextRenew, o.nextTidy)
 	for _, h := range o.open {
-		next = earlier(next, h.until)
+		next = slotkit.Earlier(next, h.until)
 	}
 	for _, l := range p.grantor.ledgers {
-		next = earlier(next, p.ledgerWake(l, next))
+		next = slotkit.Earlier(next, p.ledgerWake(l, next))
 	}
 	return next, true
 }
@@ -36,21 +36,14 @@
 // ledgerWake returns when a ledger needs attention if that is before next.
 func (p *Policy) ledgerWake(l *ledger, next time.Time) time.Time {
 	if !l.settled {
-		next = earlier(next, l.since.Add(p.TakeOver))
+		next = slotkit.Earlier(next, l.since.Add(p.TakeOver))
 	}
 	for i := range l.queue {
-		next = earlier(next, l.queue[i].lastCall())
+		next = slotkit.Earlier(next, l.queue[i].lastCall())
 	}
 	return next
 }
 
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
 // Wake implements kernel.Waker.
 func (p *Policy) Wake() {
 	p.followView()
--- a/plugins/slots/shares/setup.go
+++ b/plugins/slots/shares/setup.go
@@ -74,22 +74,15 @@
 
 // Provision implements plugin.Provisioner.
 func (p *Policy) Provision() error {
-	setDefault(&p.AskTimeout, defaultAskTimeout)
-	setDefault(&p.Wait, defaultWait)
-	setDefault(&p.Tries, defaultTries)
-	setDefault(&p.Idle, defaultIdle)
-	setDefault(&p.Confirm, defaultConfirm)
+	slotkit.SetDefault(&p.AskTimeout, defaultAskTimeout)
+	slotkit.SetDefault(&p.Wait, defaultWait)
+	slotkit.SetDefault(&p.Tries, defaultTries)
+	slotkit.SetDefault(&p.Idle, defaultIdle)
+	slotkit.SetDefault(&p.Confirm, defaultConfirm)
 	p.holds = map[slotkit.Key]*hold{}
 	return nil
 }
 
-func setDefault[T comparable](setting *T, value T) {
-	var zero T
-	if *setting == zero {
-		*setting = value
-	}
-}
-
 // Attach implements kernel.Attacher.
 func (p *Policy) Attach(h kernel.Host) { p.host = h }
 
