Package platform, the configuration service's client, becomes configservice

The name platform is wanted for the folder that translates between the users' machines and the product. Nothing but names and import paths changes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -19,7 +19,7 @@
 	"github.com/wardspool/wardspool/membership"
 	"github.com/wardspool/wardspool/orders"
 	"github.com/wardspool/wardspool/peer"
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/tlsconf"
 )
 
@@ -64,7 +64,7 @@
 	peers    *peer.Pool
 	feedPool *peer.Pool
 	engines  *engines.Client
-	reader   platform.Adapter
+	reader   configservice.Adapter
 	// platformMeter counts the bytes of the reader.
 	platformMeter meter.Meter
 	servers       servers
@@ -104,7 +104,7 @@
 	inForceAt time.Time
 }
 
-// New makes an agent of checked settings. Its errors are those of platform.Open
+// New makes an agent of checked settings. Its errors are those of configservice.Open
 // and of the approvers.
 func New(s *Settings, o Options) (*Agent, error) {
 	now := time.Now()
@@ -172,7 +172,7 @@
 	local.Limits = peer.Limits{Frame: feedFrame, BackoffMax: feedBackoff}
 	a.feedPool = peer.NewPool(local)
 	a.engines = engines.New(a.options.Dialer, upstreamTimeout)
-	reader, err := platform.Open(a.settings.Platform.Adapter, platform.Options{
+	reader, err := configservice.Open(a.settings.Platform.Adapter, configservice.Options{
 		URLs: a.settings.Platform.URLs, Reader: a.self.Instance, Wait: a.settings.Platform.Wait,
 		Transport: newTransport(a.platformMeter.Counting(a.options.Dialer)),
 	})
--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -15,7 +15,7 @@
 	"github.com/wardspool/wardspool/feed"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/membership"
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/settings"
 )
 
@@ -37,21 +37,21 @@
 	assert.NilError(b, err)
 	a, err := New(s, Options{Log: slog.New(slog.DiscardHandler), Seed: 1})
 	assert.NilError(b, err)
-	var l platform.Instances
+	var l configservice.Instances
 	for i := range instances {
-		l.Instances = append(l.Instances, platform.Instance{
-			ID: ident.InstanceID(fmt.Sprintf("i-%03d", i)), Zone: zoneNumber(i), Region: "region-1", State: platform.StateLive,
+		l.Instances = append(l.Instances, configservice.Instance{
+			ID: ident.InstanceID(fmt.Sprintf("i-%03d", i)), Zone: zoneNumber(i), Region: "region-1", State: configservice.StateLive,
 			PeerAddress: "10.100.200.1:9100", AgentAddress: "10.100.200.1:9101", CallerAddress: "10.100.200.1:8080",
 		})
 	}
 	doc, err := json.Marshal(l)
 	assert.NilError(b, err)
 	assert.Assert(b, a.takeInstances(a.now, 1, doc))
-	var u platform.Upstreams
+	var u configservice.Upstreams
 	for i := range upstreams {
-		u.Upstreams = append(u.Upstreams, platform.Upstream{
+		u.Upstreams = append(u.Upstreams, configservice.Upstream{
 			ID: ident.UpstreamID(fmt.Sprintf("runner-%03d", i)), Zone: zoneNumber(i), Address: "10.100.100.1:8000",
-			Role: config.RoleDecode, Models: []string{"model-1"}, State: platform.StateLive, Incarnation: 1796223493000,
+			Role: config.RoleDecode, Models: []string{"model-1"}, State: configservice.StateLive, Incarnation: 1796223493000,
 		})
 	}
 	doc, err = json.Marshal(u)
--- a/agent/book.go
+++ b/agent/book.go
@@ -3,13 +3,13 @@
 import (
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/peer"
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 )
 
 // book knows where processes are: from the settings and the platform's lists.
 type book struct {
 	instances map[ident.InstanceID]place
-	upstreams map[ident.UpstreamID]platform.Upstream
+	upstreams map[ident.UpstreamID]configservice.Upstream
 	lists     lists
 }
 
@@ -23,7 +23,7 @@
 func newBook() book {
 	return book{
 		instances: map[ident.InstanceID]place{},
-		upstreams: map[ident.UpstreamID]platform.Upstream{},
+		upstreams: map[ident.UpstreamID]configservice.Upstream{},
 	}
 }
 
@@ -34,7 +34,7 @@
 
 // list takes in the platform's list of instances. Those of the settings are kept
 // where the list does not name them.
-func (b *book) list(l *platform.Instances) {
+func (b *book) list(l *configservice.Instances) {
 	next := make(map[ident.InstanceID]place, len(l.Instances))
 	for id, p := range b.instances {
 		if p.seed {
@@ -48,8 +48,8 @@
 }
 
 // listUpstreams takes in the platform's list of upstreams.
-func (b *book) listUpstreams(l *platform.Upstreams) {
-	b.upstreams = make(map[ident.UpstreamID]platform.Upstream, len(l.Upstreams))
+func (b *book) listUpstreams(l *configservice.Upstreams) {
+	b.upstreams = make(map[ident.UpstreamID]configservice.Upstream, len(l.Upstreams))
 	for _, u := range l.Upstreams {
 		b.upstreams[u.ID] = u
 	}
--- a/agent/bundles.go
+++ b/agent/bundles.go
@@ -12,7 +12,7 @@
 	"github.com/wardspool/wardspool/bundle/ledger"
 	"github.com/wardspool/wardspool/feed"
 	"github.com/wardspool/wardspool/ident"
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/rendezvous"
 )
 
@@ -58,9 +58,9 @@
 	case ledger.AskFloor:
 		a.askFloor(act)
 	case ledger.FetchRoll:
-		a.fetchDocument(act.From, platform.KeyRoll)
+		a.fetchDocument(act.From, configservice.KeyRoll)
 	case ledger.FetchHead:
-		a.fetchDocument(act.From, platform.KeyBundleHead)
+		a.fetchDocument(act.From, configservice.KeyBundleHead)
 	case ledger.FetchParts:
 		a.fetchParts(act)
 	case ledger.Refused:
@@ -193,17 +193,17 @@
 func (a *Agent) askPlatformFloor(q ledger.AskFloor) {
 	begun := a.now
 	a.spawn(func(ctx context.Context) {
-		v, err := a.reader.Get(ctx, platform.KeyRoll)
-		var absent *platform.NotFoundError
+		v, err := a.reader.Get(ctx, configservice.KeyRoll)
+		var absent *configservice.NotFoundError
 		a.post(func() {
 			switch {
 			case errors.As(err, &absent):
 				a.step(ledger.FloorReport{From: q.From, Round: q.Round})
 			case err != nil:
-				a.platformFailed(platform.KeyRoll, err)
+				a.platformFailed(configservice.KeyRoll, err)
 				a.step(ledger.Unreachable{From: q.From})
 			default:
-				a.platformValue(platform.KeyRoll, begun, v)
+				a.platformValue(configservice.KeyRoll, begun, v)
 				a.reportRoll(ledger.FloorReport{From: q.From, Round: q.Round}, v.Bytes)
 			}
 		})
--- a/agent/bundles_test.go
+++ b/agent/bundles_test.go
@@ -9,7 +9,7 @@
 	"github.com/wardspool/wardspool/bundle"
 	"github.com/wardspool/wardspool/config"
 	"github.com/wardspool/wardspool/ident"
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 )
 
 // testContent is the content of version 1; others differ in a workspace.
@@ -81,9 +81,9 @@
 	h, parts := f.build(change)
 	for _, d := range parts.Digests() {
 		b, _ := parts.Part(d)
-		f.platform.Put(platform.KeyBundleParts+d.String(), b)
+		f.platform.Put(configservice.KeyBundleParts+d.String(), b)
 	}
-	f.platform.Put(platform.KeyBundleHead, h.Encode())
+	f.platform.Put(configservice.KeyBundleHead, h.Encode())
 	f.sequence++
 	r := &bundle.SignedRoll{
 		Roll:   bundle.Roll{Format: bundle.Format, Sequence: f.sequence, Target: h.Ref(), Stage: bundle.StageAll},
@@ -93,7 +93,7 @@
 		r.Roll.Base = f.head.Ref()
 	}
 	r.AddSignature(bundle.SignRoll(approver, &r.Roll))
-	f.platform.Put(platform.KeyRoll, r.Encode())
+	f.platform.Put(configservice.KeyRoll, r.Encode())
 	f.head = h
 	return r
 }
--- a/agent/changes_test.go
+++ b/agent/changes_test.go
@@ -17,7 +17,7 @@
 	_ "github.com/wardspool/wardspool/internal/testseed"
 	"github.com/wardspool/wardspool/kernel"
 	"github.com/wardspool/wardspool/membership"
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 )
 
 // viewRun plays an agent and its entry with a network that loses updates and
@@ -27,7 +27,7 @@
 	agent *Agent
 	views *peering.Views
 	inc   ident.Incarnation
-	ups   []platform.Upstream
+	ups   []configservice.Upstream
 	index uint64
 	last  *kernel.View
 }
@@ -35,7 +35,7 @@
 // list gives the agent the upstreams anew.
 func (r *viewRun) list() {
 	r.index++
-	doc, err := json.Marshal(platform.Upstreams{Upstreams: r.ups})
+	doc, err := json.Marshal(configservice.Upstreams{Upstreams: r.ups})
 	assert.NilError(r, err)
 	assert.Assert(r, r.agent.takeUpstreams(r.agent.now, r.index, doc))
 }
@@ -54,7 +54,7 @@
 		u.Address = fmt.Sprintf("10.1.1.%d:1", rapid.IntRange(1, 250).Draw(r.T, "address"))
 		r.list()
 	case 4:
-		r.ups = append(r.ups, platform.Upstream{ID: ident.UpstreamID(fmt.Sprintf("new-%03d", r.index)), Zone: "zone-1", Address: "10.1.2.3:1", State: platform.StateLive})
+		r.ups = append(r.ups, configservice.Upstream{ID: ident.UpstreamID(fmt.Sprintf("new-%03d", r.index)), Zone: "zone-1", Address: "10.1.2.3:1", State: configservice.StateLive})
 		r.list()
 	case 5:
 		r.inc++
@@ -91,7 +91,7 @@
 	rapid.Check(outer, func(t *rapid.T) {
 		r := &viewRun{T: t, agent: benchAgent(outer, 5, 0), views: &peering.Views{}, inc: 1, index: 10}
 		for i := range 5 {
-			r.ups = append(r.ups, platform.Upstream{ID: ident.UpstreamID(fmt.Sprintf("runner-%d", i)), Zone: "zone-0", Address: "10.1.1.1:1", State: platform.StateLive})
+			r.ups = append(r.ups, configservice.Upstream{ID: ident.UpstreamID(fmt.Sprintf("runner-%d", i)), Zone: "zone-0", Address: "10.1.1.1:1", State: configservice.StateLive})
 		}
 		r.list()
 		partial := 0
--- a/agent/check.go
+++ b/agent/check.go
@@ -7,7 +7,7 @@
 	"slices"
 
 	"github.com/wardspool/wardspool/bundle/ledger"
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/plugin"
 	"github.com/wardspool/wardspool/settings"
 	"github.com/wardspool/wardspool/settings/common"
@@ -46,7 +46,7 @@
 }
 
 func (s *Settings) checkPlatform(r *settings.Report) {
-	if known := plugin.InNamespace(platform.Namespace); !slices.Contains(known, s.Platform.Adapter) {
+	if known := plugin.InNamespace(configservice.Namespace); !slices.Contains(known, s.Platform.Adapter) {
 		r.Add("platform.adapter", fmt.Sprintf("this program has no plug-in %q", s.Platform.Adapter), fmt.Sprintf("it has %v", known))
 	}
 	if len(s.Platform.URLs) == 0 {
--- a/agent/entry_test.go
+++ b/agent/entry_test.go
@@ -21,7 +21,7 @@
 	"github.com/wardspool/wardspool/config"
 	"github.com/wardspool/wardspool/entry"
 	"github.com/wardspool/wardspool/ident"
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 	_ "github.com/wardspool/wardspool/plugins/standard"
 	"github.com/wardspool/wardspool/settings"
 	"github.com/wardspool/wardspool/standin/engine"
@@ -35,7 +35,7 @@
 	platform *standin.Platform
 	url      string
 	entry    *entry.Entry
-	ups      []platform.Upstream
+	ups      []configservice.Upstream
 }
 
 // serve serves HTTP on loopback until the test ends.
@@ -76,7 +76,7 @@
 		client.CloseIdleConnections()
 	})
 	b.serve(l, e.Handler())
-	b.ups = append(b.ups, platform.Upstream{ID: id, Zone: "hall-a", Address: l.Addr().String(), Role: role, State: platform.StateLive})
+	b.ups = append(b.ups, configservice.Upstream{ID: id, Zone: "hall-a", Address: l.Addr().String(), Role: role, State: configservice.StateLive})
 }
 
 // put publishes a value as JSON.
@@ -98,11 +98,11 @@
 	h.AddSignature(bundle.Sign(approver, &h.Manifest))
 	for _, d := range parts.Digests() {
 		part, _ := parts.Part(d)
-		b.platform.Put(platform.KeyBundleParts+d.String(), part)
+		b.platform.Put(configservice.KeyBundleParts+d.String(), part)
 	}
 	r := &bundle.SignedRoll{Roll: bundle.Roll{Format: bundle.Format, Sequence: 1, Target: h.Ref(), Stage: bundle.StageAll}, Target: *h}
 	r.AddSignature(bundle.SignRoll(approver, &r.Roll))
-	b.platform.Put(platform.KeyRoll, r.Encode())
+	b.platform.Put(configservice.KeyRoll, r.Encode())
 }
 
 // startEntry starts the entry.
@@ -166,10 +166,10 @@
 	b.serve(l, b.platform.Handler())
 	b.engine("pf-1", config.RolePrefill)
 	b.engine("dc-1", config.RoleDecode)
-	b.put(platform.KeyInstances, platform.Instances{Instances: []platform.Instance{
-		{ID: "entry-1", Zone: "hall-a", PeerAddress: "127.0.0.1:1", AgentAddress: "127.0.0.1:1", State: platform.StateLive},
+	b.put(configservice.KeyInstances, configservice.Instances{Instances: []configservice.Instance{
+		{ID: "entry-1", Zone: "hall-a", PeerAddress: "127.0.0.1:1", AgentAddress: "127.0.0.1:1", State: configservice.StateLive},
 	}})
-	b.put(platform.KeyUpstreams, platform.Upstreams{Upstreams: b.ups})
+	b.put(configservice.KeyUpstreams, configservice.Upstreams{Upstreams: b.ups})
 	b.publish()
 	b.startEntry()
 	b.startAgent()
--- a/agent/fleet_test.go
+++ b/agent/fleet_test.go
@@ -18,7 +18,7 @@
 	"github.com/wardspool/wardspool/bundle"
 	"github.com/wardspool/wardspool/config"
 	"github.com/wardspool/wardspool/ident"
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/settings"
 	"github.com/wardspool/wardspool/standin/engine"
 	"github.com/wardspool/wardspool/standin/perf"
@@ -38,8 +38,8 @@
 	platform *standin.Platform
 	engines  map[ident.UpstreamID]*engine.Engine
 	nodes    map[ident.InstanceID]*node
-	listed   []platform.Instance
-	ups      []platform.Upstream
+	listed   []configservice.Instance
+	ups      []configservice.Upstream
 	head     *bundle.Head
 	sequence uint64
 	closers  []func()
@@ -77,7 +77,7 @@
 // slowly delays reads of the lists.
 func (f *fleet) slowly(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if strings.HasSuffix(r.URL.Path, platform.KeyInstances) || strings.HasSuffix(r.URL.Path, platform.KeyUpstreams) {
+		if strings.HasSuffix(r.URL.Path, configservice.KeyInstances) || strings.HasSuffix(r.URL.Path, configservice.KeyUpstreams) {
 			time.Sleep(f.slowLists)
 		}
 		h.ServeHTTP(w, r)
@@ -127,14 +127,14 @@
 	f.engines[id] = e
 	f.serve(addr, e.Handler())
 	f.closers = append(f.closers, e.Close)
-	f.ups = append(f.ups, platform.Upstream{ID: id, Zone: zone, Address: addr, Role: role, Models: []string{"reader"}, State: platform.StateLive})
+	f.ups = append(f.ups, configservice.Upstream{ID: id, Zone: zone, Address: addr, Role: role, Models: []string{"reader"}, State: configservice.StateLive})
 	return e
 }
 
 // list publishes both lists.
 func (f *fleet) list() {
-	f.put(platform.KeyInstances, platform.Instances{Instances: f.listed})
-	f.put(platform.KeyUpstreams, platform.Upstreams{Upstreams: f.ups})
+	f.put(configservice.KeyInstances, configservice.Instances{Instances: f.listed})
+	f.put(configservice.KeyUpstreams, configservice.Upstreams{Upstreams: f.ups})
 }
 
 // put publishes a value as JSON.
@@ -148,8 +148,8 @@
 func (f *fleet) add(id ident.InstanceID, zone ident.Zone) *node {
 	n := &node{fleet: f, id: id, zone: zone, host: fmt.Sprintf("10.0.%d.%d", 2+len(f.listed)/250, len(f.listed)%250+1), stop: func() {}}
 	f.nodes[id] = n
-	f.listed = append(f.listed, platform.Instance{
-		ID: id, Zone: zone, PeerAddress: n.host + ":9100", AgentAddress: n.host + ":9101", State: platform.StateLive,
+	f.listed = append(f.listed, configservice.Instance{
+		ID: id, Zone: zone, PeerAddress: n.host + ":9100", AgentAddress: n.host + ":9101", State: configservice.StateLive,
 	})
 	return n
 }
--- a/agent/lists.go
+++ b/agent/lists.go
@@ -12,7 +12,7 @@
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/membership"
 	"github.com/wardspool/wardspool/peer"
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 )
 
 // list is the newest of the platform's lists that this instance has, in the form
@@ -34,7 +34,7 @@
 
 // of returns the list under a key of the platform.
 func (l *lists) of(key string) *list {
-	if key == platform.KeyInstances {
+	if key == configservice.KeyInstances {
 		return &l.instances
 	}
 	return &l.upstreams
@@ -67,7 +67,7 @@
 // takeList decodes a list and gives it to the machine. It returns false for a
 // document that cannot be read or is old.
 func (a *Agent) takeList(key string, begun time.Time, index uint64, doc []byte) bool {
-	if key == platform.KeyInstances {
+	if key == configservice.KeyInstances {
 		return a.takeInstances(begun, index, doc)
 	}
 	return a.takeUpstreams(begun, index, doc)
@@ -82,14 +82,14 @@
 
 // takeInstances takes in the list of instances.
 func (a *Agent) takeInstances(begun time.Time, index uint64, doc []byte) bool {
-	var l platform.Instances
+	var l configservice.Instances
 	if err := json.Unmarshal(doc, &l); err != nil {
-		return a.badList(platform.KeyInstances, index, err)
+		return a.badList(configservice.KeyInstances, index, err)
 	}
 	listed := make([]membership.ListedInstance, len(l.Instances))
 	for i, x := range l.Instances {
 		listed[i] = membership.ListedInstance{
-			ID: x.ID, Zone: x.Zone, Address: x.AgentAddress, Leaving: x.State == platform.StateLeaving,
+			ID: x.ID, Zone: x.Zone, Address: x.AgentAddress, Leaving: x.State == configservice.StateLeaving,
 		}
 	}
 	if !a.machine.Instances(a.now, begun, index, listed) {
@@ -127,15 +127,15 @@
 
 // takeUpstreams takes in the list of upstreams.
 func (a *Agent) takeUpstreams(begun time.Time, index uint64, doc []byte) bool {
-	var l platform.Upstreams
+	var l configservice.Upstreams
 	if err := json.Unmarshal(doc, &l); err != nil {
-		return a.badList(platform.KeyUpstreams, index, err)
+		return a.badList(configservice.KeyUpstreams, index, err)
 	}
 	listed := make([]membership.ListedUpstream, len(l.Upstreams))
 	for i, x := range l.Upstreams {
 		listed[i] = membership.ListedUpstream{
 			ID: x.ID, Zone: x.Zone, Address: x.Address,
-			Incarnation: x.Incarnation, Leaving: x.State == platform.StateLeaving,
+			Incarnation: x.Incarnation, Leaving: x.State == configservice.StateLeaving,
 		}
 	}
 	if !a.machine.Upstreams(a.now, begun, index, listed) {
@@ -161,18 +161,18 @@
 }
 
 // decompress undoes compress. Errors are those of package gzip and
-// *platform.TooLargeError.
+// *configservice.TooLargeError.
 func decompress(key string, b []byte) ([]byte, error) {
 	r, err := gzip.NewReader(bytes.NewReader(b))
 	if err != nil {
 		return nil, err
 	}
-	doc, err := io.ReadAll(io.LimitReader(r, platform.MaxValue+1))
+	doc, err := io.ReadAll(io.LimitReader(r, configservice.MaxValue+1))
 	if err != nil {
 		return nil, err
 	}
-	if len(doc) > platform.MaxValue {
-		return nil, &platform.TooLargeError{Key: key, Limit: platform.MaxValue}
+	if len(doc) > configservice.MaxValue {
+		return nil, &configservice.TooLargeError{Key: key, Limit: configservice.MaxValue}
 	}
 	return doc, nil
 }
@@ -217,8 +217,8 @@
 				a.log.Debug("lists not fetched", "from", from, "error", err)
 				return
 			}
-			a.relayedList(platform.KeyInstances, begun, got.Instances)
-			a.relayedList(platform.KeyUpstreams, begun, got.Upstreams)
+			a.relayedList(configservice.KeyInstances, begun, got.Instances)
+			a.relayedList(configservice.KeyUpstreams, begun, got.Upstreams)
 		})
 	})
 }
--- a/agent/lists_test.go
+++ b/agent/lists_test.go
@@ -7,22 +7,22 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 )
 
 func TestCompress(t *testing.T) {
 	doc := bytes.Repeat([]byte(`{"id":"a-1"}`), 1000)
 	small := compress(doc)
 	assert.Assert(t, len(small) < len(doc)/10)
-	back, err := decompress(platform.KeyInstances, small)
+	back, err := decompress(configservice.KeyInstances, small)
 	assert.NilError(t, err)
 	assert.Assert(t, bytes.Equal(back, doc))
 }
 
 // TestDecompressIsBounded: a small frame must not become a large document.
 func TestDecompressIsBounded(t *testing.T) {
-	_, err := decompress(platform.KeyInstances, compress(make([]byte, platform.MaxValue+1)))
-	var large *platform.TooLargeError
+	_, err := decompress(configservice.KeyInstances, compress(make([]byte, configservice.MaxValue+1)))
+	var large *configservice.TooLargeError
 	assert.Assert(t, errors.As(err, &large))
 }
 
@@ -32,8 +32,8 @@
 	f.Add([]byte{})
 	f.Add(compress(nil)[:5])
 	f.Fuzz(func(t *testing.T, b []byte) {
-		doc, err := decompress(platform.KeyUpstreams, b)
-		if err == nil && len(doc) > platform.MaxValue {
+		doc, err := decompress(configservice.KeyUpstreams, b)
+		if err == nil && len(doc) > configservice.MaxValue {
 			t.Fatalf("%d bytes", len(doc))
 		}
 	})
--- a/agent/loop.go
+++ b/agent/loop.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/wardspool/wardspool/peer"
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 )
 
 // Timing of the loop.
@@ -128,7 +128,7 @@
 	a.feed.pause = max(a.feed.pause, gap)
 	a.orderPlanner.Paused(a.now)
 	// The ledger asks for the roll by itself.
-	a.readKey(platform.KeyInstances)
-	a.readKey(platform.KeyUpstreams)
+	a.readKey(configservice.KeyInstances)
+	a.readKey(configservice.KeyUpstreams)
 	a.refreshView()
 }
--- a/agent/parts.go
+++ b/agent/parts.go
@@ -10,7 +10,7 @@
 	"github.com/wardspool/wardspool/bundle"
 	"github.com/wardspool/wardspool/bundle/ledger"
 	"github.com/wardspool/wardspool/peer"
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 )
 
 // Bounds of fetching.
@@ -65,7 +65,7 @@
 // and reaches the platform.
 func (a *Agent) readsBundles() bool {
 	w := a.source.watches
-	return a.source.answers && (w[platform.KeyRoll] != nil || w[platform.KeyBundleHead] != nil)
+	return a.source.answers && (w[configservice.KeyRoll] != nil || w[configservice.KeyBundleHead] != nil)
 }
 
 // hedge asks a peer as well when a read of the platform takes long.
@@ -119,7 +119,7 @@
 	var group sync.WaitGroup
 	for i, d := range digests {
 		group.Go(func() {
-			if v, err := a.reader.Get(ctx, platform.KeyBundleParts+d.String()); err == nil {
+			if v, err := a.reader.Get(ctx, configservice.KeyBundleParts+d.String()); err == nil {
 				parts[i] = bundle.Part{Digest: d, Bytes: v.Bytes}
 			}
 		})
--- a/agent/placement.go
+++ b/agent/placement.go
@@ -11,7 +11,7 @@
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/orders"
 	"github.com/wardspool/wardspool/peer"
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 )
 
 // confirmGap is the least time between two rounds in which peers are asked which
@@ -89,7 +89,7 @@
 	}
 	if h := d.Hint; h != nil {
 		// The hinted version is looked for where all is published.
-		a.readKey(platform.KeyRoll)
+		a.readKey(configservice.KeyRoll)
 	}
 	if d.Order != nil {
 		a.giveOrder(*d.Order)
--- a/agent/preload.go
+++ b/agent/preload.go
@@ -6,7 +6,7 @@
 
 	"github.com/wardspool/wardspool/bundle"
 	"github.com/wardspool/wardspool/bundle/ledger"
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 )
 
 // fromPreload names the preloaded bundle to the ledger.
@@ -19,10 +19,10 @@
 	if dir == "" {
 		return
 	}
-	if b, ok := a.readPreload(platform.KeyRoll); ok {
+	if b, ok := a.readPreload(configservice.KeyRoll); ok {
 		a.takeRoll(fromPreload, a.now, b)
 	}
-	files, err := filepath.Glob(filepath.Join(dir, filepath.FromSlash(platform.KeyBundleParts), "*"))
+	files, err := filepath.Glob(filepath.Join(dir, filepath.FromSlash(configservice.KeyBundleParts), "*"))
 	if err != nil {
 		a.log.Warn("preload not read", "error", err)
 		return
@@ -33,7 +33,7 @@
 		if err != nil {
 			continue
 		}
-		if b, ok := a.readPreload(platform.KeyBundleParts + filepath.Base(file)); ok {
+		if b, ok := a.readPreload(configservice.KeyBundleParts + filepath.Base(file)); ok {
 			parts = append(parts, bundle.Part{Digest: d, Bytes: b})
 		}
 	}
--- a/agent/relay.go
+++ b/agent/relay.go
@@ -9,7 +9,7 @@
 	"github.com/wardspool/wardspool/bundle/ledger"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/peer"
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 )
 
 // Bounds of relaying.
@@ -60,7 +60,7 @@
 	}
 	a.relay.fetching[key] = true
 	method := wire.MethodRoll
-	if key == platform.KeyBundleHead {
+	if key == configservice.KeyBundleHead {
 		method = wire.MethodManifest
 	}
 	a.spawn(func(ctx context.Context) {
@@ -80,7 +80,7 @@
 	case err != nil:
 		a.log.Debug("document not fetched", "from", from.String(), "key", key, "error", err)
 	case len(doc.Bytes) == 0:
-	case key == platform.KeyRoll:
+	case key == configservice.KeyRoll:
 		a.takeRoll(from, a.now, doc.Bytes)
 	default:
 		a.takeHead(from, doc.Bytes)
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -7,7 +7,7 @@
 	"github.com/wardspool/wardspool/bundle/ledger"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/logs"
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/plugin"
 	"github.com/wardspool/wardspool/settings/common"
 	"github.com/wardspool/wardspool/tlsconf"
@@ -172,7 +172,7 @@
 	s.Entry.Interval = defaultFeedInterval
 	s.Peers.Budget = defaultHeartbeats
 	s.Platform = PlatformSettings{
-		Adapter: defaultAdapter, Readers: defaultReaders, Wait: platform.DefaultWait, FallbackAfter: defaultFallbackAfter,
+		Adapter: defaultAdapter, Readers: defaultReaders, Wait: configservice.DefaultWait, FallbackAfter: defaultFallbackAfter,
 	}
 	s.Isolated = ledger.IsolatedWait
 	s.Loads = LoadSettings{Interval: defaultLoadInterval, Budget: defaultLoadBudget}
--- a/agent/source.go
+++ b/agent/source.go
@@ -11,12 +11,12 @@
 	"github.com/wardspool/wardspool/bundle/ledger"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/membership"
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 )
 
 // watchedKeys are the keys of the platform that some instances of each zone
 // watch for all.
-var watchedKeys = []string{platform.KeyRoll, platform.KeyBundleHead, platform.KeyInstances, platform.KeyUpstreams}
+var watchedKeys = []string{configservice.KeyRoll, configservice.KeyBundleHead, configservice.KeyInstances, configservice.KeyUpstreams}
 
 // fromPlatform names the platform to the ledger.
 var fromPlatform = ledger.Source{Kind: ledger.SourcePlatform}
@@ -25,7 +25,7 @@
 const (
 	// readTimeout is how old a value that a watch delivers can be, besides the
 	// wait of its poll.
-	readTimeout = platform.DefaultTimeout
+	readTimeout = configservice.DefaultTimeout
 	// startRetry is the time between attempts of an instance that never had
 	// word of the platform.
 	startRetry = 3 * time.Second
@@ -89,7 +89,7 @@
 	}
 	live := a.zoneInstances()
 	for _, key := range watchedKeys {
-		reads := a.standsIn(key) || platform.Reads(a.self.Instance, key, a.self.Zone, live, a.settings.Platform.Readers)
+		reads := a.standsIn(key) || configservice.Reads(a.self.Instance, key, a.self.Zone, live, a.settings.Platform.Readers)
 		end, watching := a.source.watches[key]
 		switch {
 		case reads && !watching:
@@ -105,7 +105,7 @@
 // standsIn reports whether this instance watches a key because no word of the
 // platform came: one key first, the others once it has answered.
 func (a *Agent) standsIn(key string) bool {
-	return a.now.Before(a.source.watchUntil) && (key == platform.KeyRoll || a.source.answers)
+	return a.now.Before(a.source.watchUntil) && (key == configservice.KeyRoll || a.source.answers)
 }
 
 // watch starts a watch of a key.
@@ -122,7 +122,7 @@
 }
 
 // watched takes in what a watch delivered.
-func (a *Agent) watched(key string, since time.Time, e platform.Event) {
+func (a *Agent) watched(key string, since time.Time, e configservice.Event) {
 	if e.Err != nil {
 		a.platformFailed(key, e.Err)
 		return
@@ -192,8 +192,8 @@
 
 // platformFailed takes in a failed read.
 func (a *Agent) platformFailed(key string, err error) {
-	var stale *platform.StaleError
-	var absent *platform.NotFoundError
+	var stale *configservice.StaleError
+	var absent *configservice.NotFoundError
 	switch {
 	case errors.As(err, &absent):
 	case errors.As(err, &stale):
@@ -205,15 +205,15 @@
 }
 
 // platformValue takes in a value of the platform.
-func (a *Agent) platformValue(key string, begun time.Time, v platform.Value) {
+func (a *Agent) platformValue(key string, begun time.Time, v configservice.Value) {
 	a.source.indexes[key] = max(a.source.indexes[key], v.Index)
 	a.source.seen, a.source.answers = a.now, true
 	switch key {
-	case platform.KeyRoll:
+	case configservice.KeyRoll:
 		a.takeRoll(fromPlatform, begun, v.Bytes)
-	case platform.KeyBundleHead:
+	case configservice.KeyBundleHead:
 		a.takeHead(fromPlatform, v.Bytes)
-	case platform.KeyInstances, platform.KeyUpstreams:
+	case configservice.KeyInstances, configservice.KeyUpstreams:
 		a.takeListBytes(key, begun, v.Index, v.Bytes)
 	}
 }
--- a/agent/upstreams_test.go
+++ b/agent/upstreams_test.go
@@ -16,7 +16,7 @@
 	"github.com/wardspool/wardspool/feed"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/kernel"
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/standin/control"
 )
 
@@ -125,8 +125,8 @@
 func TestDeadUpstreamComesBack(t *testing.T) {
 	inFleet(t, func(f *fleet) {
 		nodes := f.addAll(3, "hall-a")
-		f.ups = append(f.ups, platform.Upstream{ID: "desk-1", Zone: "hall-a", Address: "10.0.1.9:8000",
-			Role: config.RoleService, Service: "desk", State: platform.StateLive})
+		f.ups = append(f.ups, configservice.Upstream{ID: "desk-1", Zone: "hall-a", Address: "10.0.1.9:8000",
+			Role: config.RoleService, Service: "desk", State: configservice.StateLive})
 		f.list()
 		startAll(nodes)
 		for _, n := range nodes {
--- a/agent/views_test.go
+++ b/agent/views_test.go
@@ -12,7 +12,7 @@
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/kernel"
 	"github.com/wardspool/wardspool/membership"
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/standin/control"
 )
 
@@ -146,13 +146,13 @@
 		f.list()
 		startAll(nodes)
 		f.within(5*time.Second, "engine live", all(nodes, "dc-1", kernel.Live))
-		f.platform.Put(platform.KeyUpstreams, []byte(`{"upstreams":[`))
-		f.platform.Put(platform.KeyInstances, []byte(`[]`))
+		f.platform.Put(configservice.KeyUpstreams, []byte(`{"upstreams":[`))
+		f.platform.Put(configservice.KeyInstances, []byte(`[]`))
 		time.Sleep(10 * time.Second)
 		assert.Assert(t, all(nodes, "dc-1", kernel.Live)())
 		assert.Equal(t, nodes[0].status().Fleet.Instances[0].State, "alive")
 		f.list()
-		f.ups = append(f.ups, platform.Upstream{ID: "dc-9", Zone: "hall-b", Address: "10.9.9.9:1", Role: config.RoleDecode, State: platform.StateLive})
+		f.ups = append(f.ups, configservice.Upstream{ID: "dc-9", Zone: "hall-b", Address: "10.9.9.9:1", Role: config.RoleDecode, State: configservice.StateLive})
 		f.list()
 		f.within(3*time.Second, "good list taken", func() bool { return nodes[1].entry.upstream("dc-9") != nil })
 	})
--- a/cmd/wardspoolctl/files.go
+++ b/cmd/wardspoolctl/files.go
@@ -11,7 +11,7 @@
 
 	"github.com/wardspool/wardspool/bundle"
 	"github.com/wardspool/wardspool/config"
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 )
 
 // standardStream names the standard input or output in place of a file.
@@ -75,8 +75,8 @@
 // packedFolder is a folder with the platform's keys as files.
 func packedFolder(dir string) folder {
 	return folder{
-		head:  filepath.Join(dir, filepath.FromSlash(platform.KeyBundleHead)),
-		parts: filepath.Join(dir, filepath.FromSlash(platform.KeyBundleParts)),
+		head:  filepath.Join(dir, filepath.FromSlash(configservice.KeyBundleHead)),
+		parts: filepath.Join(dir, filepath.FromSlash(configservice.KeyBundleParts)),
 	}
 }
 
--- a/cmd/wardspoolctl/roll.go
+++ b/cmd/wardspoolctl/roll.go
@@ -8,7 +8,7 @@
 
 	"github.com/wardspool/wardspool/bundle"
 	"github.com/wardspool/wardspool/ident"
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 )
 
 // rollNewCmd is "roll new".
@@ -249,7 +249,7 @@
 	if err != nil {
 		return err
 	}
-	file := filepath.Join(c.Out, filepath.FromSlash(platform.KeyRoll))
+	file := filepath.Join(c.Out, filepath.FromSlash(configservice.KeyRoll))
 	if previous, err := readRoll(s, file); err == nil && previous.Roll.Digest() != r.Roll.Digest() {
 		if err := previous.Roll.CheckOrder(&r.Roll); err != nil {
 			return err
--- a/platform/client_test.go
+++ b/configservice/client_test.go
@@ -1,4 +1,4 @@
-package platform
+package configservice
 
 import (
 	"context"
--- a/platform/documents.go
+++ b/configservice/documents.go
@@ -1,6 +1,6 @@
-// Package platform is the system's interface to the platform's configuration
+// Package configservice is the system's interface to the platform's configuration
 // service, which can only be read and watched, and the documents found there.
-package platform
+package configservice
 
 import (
 	"github.com/wardspool/wardspool/config"
--- a/e2e/fleet_bed_test.go
+++ b/e2e/fleet_bed_test.go
@@ -12,7 +12,7 @@
 	"github.com/wardspool/wardspool/agent/console"
 	"github.com/wardspool/wardspool/agent/wire"
 	"github.com/wardspool/wardspool/ident"
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 	standin "github.com/wardspool/wardspool/standin/platform"
 	"github.com/wardspool/wardspool/testbed"
 )
@@ -148,7 +148,7 @@
 // by which a snapshot that is stale later is named.
 func (b *bed) platformIndex() uint64 {
 	b.t.Helper()
-	url := "http://" + b.Platform.Address + "/v1/keys/" + platform.KeyRoll
+	url := "http://" + b.Platform.Address + "/v1/keys/" + configservice.KeyRoll
 	req, err := http.NewRequestWithContext(b.ctx, http.MethodGet, url, nil)
 	assert.NilError(b.t, err)
 	resp, err := http.DefaultClient.Do(req)
--- a/e2e/fleet_race_test.go
+++ b/e2e/fleet_race_test.go
@@ -10,7 +10,7 @@
 	"github.com/wardspool/wardspool/bundle"
 	"github.com/wardspool/wardspool/bundle/ledger"
 	"github.com/wardspool/wardspool/config"
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 )
 
 // signer builds, signs and publishes bundles with the operators' key, but does
@@ -50,16 +50,16 @@
 	}
 	for _, digest := range d.parts.Digests() {
 		part, _ := d.parts.Part(digest)
-		put(platform.KeyBundleParts+digest.String(), part)
+		put(configservice.KeyBundleParts+digest.String(), part)
 	}
-	put(platform.KeyBundleHead, d.head.Encode())
+	put(configservice.KeyBundleHead, d.head.Encode())
 	roll := bundle.Roll{
 		Format: bundle.Format, Sequence: sequence, Stage: bundle.StageAll,
 		Target: d.head.Ref(), Base: base.Ref(),
 	}
 	signed := &bundle.SignedRoll{Roll: roll, Target: *d.head, Base: base}
 	signed.AddSignature(bundle.SignRoll(s.key, &signed.Roll))
-	put(platform.KeyRoll, signed.Encode())
+	put(configservice.KeyRoll, signed.Encode())
 }
 
 // rivalOf is content like another, which says something else.
--- a/internal/capacity/bed.go
+++ b/internal/capacity/bed.go
@@ -17,7 +17,7 @@
 	"github.com/wardspool/wardspool/feed"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/peer"
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/standin/engine"
 	"github.com/wardspool/wardspool/standin/perf"
 	standin "github.com/wardspool/wardspool/standin/platform"
@@ -30,7 +30,7 @@
 	platform  *standin.Platform
 	url       string
 	nodes     []*node
-	upstreams []platform.Upstream
+	upstreams []configservice.Upstream
 	publisher *publisher
 	// simulation is nil without simulated instances.
 	simulation *simulation
@@ -146,9 +146,9 @@
 		if err != nil {
 			return err
 		}
-		up := platform.Upstream{
+		up := configservice.Upstream{
 			ID: id, Zone: b.zone(i), Address: l.Addr().String(), Role: role,
-			Models: []string{modelName}, State: platform.StateLive,
+			Models: []string{modelName}, State: configservice.StateLive,
 		}
 		if b.options.Simulated > 0 {
 			up.Incarnation = simIncarnation
@@ -177,7 +177,7 @@
 
 // addNodes makes the instances and lists them.
 func (b *bed) addNodes(n int) error {
-	var listed platform.Instances
+	var listed configservice.Instances
 	for i := range n {
 		x := &node{
 			id: ident.InstanceID(fmt.Sprintf("entry-%03d", i)), zone: b.zone(i),
@@ -188,8 +188,8 @@
 		if err := b.startEntry(x); err != nil {
 			return err
 		}
-		listed.Instances = append(listed.Instances, platform.Instance{
-			ID: x.id, Zone: x.zone, Region: "region-1", State: platform.StateLive,
+		listed.Instances = append(listed.Instances, configservice.Instance{
+			ID: x.id, Zone: x.zone, Region: "region-1", State: configservice.StateLive,
 			PeerAddress: x.entry.peers, AgentAddress: x.peers, CallerAddress: x.entry.peers,
 		})
 	}
@@ -199,10 +199,10 @@
 		}
 		b.simulation.begin(&listed, b.upstreams)
 	}
-	if err := b.publisher.put(platform.KeyInstances, listed); err != nil {
+	if err := b.publisher.put(configservice.KeyInstances, listed); err != nil {
 		return err
 	}
-	return b.publisher.put(platform.KeyUpstreams, platform.Upstreams{Upstreams: b.upstreams})
+	return b.publisher.put(configservice.KeyUpstreams, configservice.Upstreams{Upstreams: b.upstreams})
 }
 
 // startAgent starts an instance's agent as a process.
--- a/internal/capacity/publish.go
+++ b/internal/capacity/publish.go
@@ -11,7 +11,7 @@
 	"github.com/wardspool/wardspool/bundle"
 	"github.com/wardspool/wardspool/config"
 	"github.com/wardspool/wardspool/ident"
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/testbed"
 )
 
@@ -110,11 +110,11 @@
 	h.AddSignature(bundle.Sign(p.private, &h.Manifest))
 	for _, d := range parts.Digests() {
 		if b, _ := parts.Part(d); p.published[d] == nil {
-			p.bed.platform.Put(platform.KeyBundleParts+d.String(), b)
+			p.bed.platform.Put(configservice.KeyBundleParts+d.String(), b)
 			p.published[d] = b
 		}
 	}
-	p.bed.platform.Put(platform.KeyBundleHead, h.Encode())
+	p.bed.platform.Put(configservice.KeyBundleHead, h.Encode())
 	p.sequence++
 	r := &bundle.SignedRoll{
 		Roll:   bundle.Roll{Format: bundle.Format, Sequence: p.sequence, Target: h.Ref(), Stage: bundle.StageAll},
@@ -125,7 +125,7 @@
 	}
 	r.AddSignature(bundle.SignRoll(p.private, &r.Roll))
 	p.roll = r.Encode()
-	p.bed.platform.Put(platform.KeyRoll, p.roll)
+	p.bed.platform.Put(configservice.KeyRoll, p.roll)
 	p.head = h
 	return nil
 }
--- a/internal/capacity/simulated.go
+++ b/internal/capacity/simulated.go
@@ -12,7 +12,7 @@
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/membership"
 	"github.com/wardspool/wardspool/peer"
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 )
 
 // simulation plays further instances in this process, so that a few real agents
@@ -49,7 +49,7 @@
 )
 
 // addSimulated makes n simulated instances and lists them.
-func (b *bed) addSimulated(n int, listed *platform.Instances) error {
+func (b *bed) addSimulated(n int, listed *configservice.Instances) error {
 	b.simulation = &simulation{bed: b, nodes: map[ident.InstanceID]*simulated{}, real: map[ident.InstanceID]string{}}
 	for _, x := range b.nodes {
 		b.simulation.real[x.id] = x.peers
@@ -63,8 +63,8 @@
 		if err := b.simulation.serve(s); err != nil {
 			return err
 		}
-		listed.Instances = append(listed.Instances, platform.Instance{
-			ID: s.id, Zone: s.zone, Region: "region-1", State: platform.StateLive,
+		listed.Instances = append(listed.Instances, configservice.Instance{
+			ID: s.id, Zone: s.zone, Region: "region-1", State: configservice.StateLive,
 			PeerAddress: s.address, AgentAddress: s.address, CallerAddress: s.address,
 		})
 	}
@@ -123,7 +123,7 @@
 }
 
 // begin gives the lists to all and starts their time.
-func (s *simulation) begin(instances *platform.Instances, upstreams []platform.Upstream) {
+func (s *simulation) begin(instances *configservice.Instances, upstreams []configservice.Upstream) {
 	now := time.Now()
 	var il []membership.ListedInstance
 	for _, i := range instances.Instances {
--- a/plugins/platform/http/setup.go
+++ b/plugins/platform/http/setup.go
@@ -3,7 +3,7 @@
 package http
 
 import (
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/plugin"
 )
 
@@ -12,27 +12,27 @@
 
 func init() { plugin.Register(&HTTP{}) }
 
-// HTTP is the adapter. The methods of platform.Reader may be used after Provision.
+// HTTP is the adapter. The methods of configservice.Reader may be used after Provision.
 type HTTP struct {
-	options platform.Options
+	options configservice.Options
 
-	*platform.Client
+	*configservice.Client
 }
 
-var _ platform.Adapter = (*HTTP)(nil)
+var _ configservice.Adapter = (*HTTP)(nil)
 
 // PluginInfo implements plugin.Plugin.
 func (*HTTP) PluginInfo() plugin.Info {
 	return plugin.Info{ID: ID, New: func() plugin.Plugin { return &HTTP{} }}
 }
 
-// Use implements platform.Adapter.
-func (h *HTTP) Use(o platform.Options) { h.options = o }
+// Use implements configservice.Adapter.
+func (h *HTTP) Use(o configservice.Options) { h.options = o }
 
 // Provision implements plugin.Provisioner. The error is a
-// *platform.AddressError.
+// *configservice.AddressError.
 func (h *HTTP) Provision() error {
-	c, err := platform.NewClient(h.options)
+	c, err := configservice.NewClient(h.options)
 	h.Client = c
 	return err
 }
--- a/plugins/platform/http/setup_test.go
+++ b/plugins/platform/http/setup_test.go
@@ -10,7 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/plugin"
 )
 
@@ -20,18 +20,18 @@
 		_, _ = w.Write([]byte(r.URL.Path + " " + r.Header.Get("X-Reader")))
 	}))
 	defer s.Close()
-	reader, err := platform.Open(ID, platform.Options{URLs: []string{s.URL}, Reader: "entry-a1", Wait: 5 * time.Second})
+	reader, err := configservice.Open(ID, configservice.Options{URLs: []string{s.URL}, Reader: "entry-a1", Wait: 5 * time.Second})
 	assert.NilError(t, err)
 	defer func() { assert.NilError(t, plugin.Unload(ID, reader)) }()
-	v, err := reader.Get(context.Background(), platform.KeyBundleParts+"ab")
+	v, err := reader.Get(context.Background(), configservice.KeyBundleParts+"ab")
 	assert.NilError(t, err)
 	assert.Equal(t, v.Index, uint64(4))
 	assert.Equal(t, string(v.Bytes), "/v1/keys/bundle/parts/ab entry-a1")
 }
 
 func TestNeedsAnAddress(t *testing.T) {
-	_, err := platform.Open(ID, platform.Options{Reader: "entry-a1"})
-	var missing *platform.AddressError
+	_, err := configservice.Open(ID, configservice.Options{Reader: "entry-a1"})
+	var missing *configservice.AddressError
 	assert.Assert(t, errors.As(err, &missing))
 }
 
@@ -48,9 +48,9 @@
 
 func TestOpensAdaptersOnly(t *testing.T) {
 	var unknown *plugin.UnknownError
-	_, err := platform.Open("platform.absent", platform.Options{})
+	_, err := configservice.Open("platform.absent", configservice.Options{})
 	assert.Assert(t, errors.As(err, &unknown))
-	var none *platform.NotAdapterError
-	_, err = platform.Open(noAdapterID, platform.Options{})
+	var none *configservice.NotAdapterError
+	_, err = configservice.Open(noAdapterID, configservice.Options{})
 	assert.Assert(t, errors.As(err, &none))
 }
--- a/testbed/operators.go
+++ b/testbed/operators.go
@@ -7,7 +7,7 @@
 	"github.com/wardspool/wardspool/bundle"
 	"github.com/wardspool/wardspool/config"
 	"github.com/wardspool/wardspool/ident"
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/standin/control"
 )
 
@@ -58,11 +58,11 @@
 	head.AddSignature(bundle.Sign(o.key, &head.Manifest))
 	for _, d := range parts.Digests() {
 		part, _ := parts.Part(d)
-		if err := o.Platform.PutKey(ctx, platform.KeyBundleParts+d.String(), part); err != nil {
+		if err := o.Platform.PutKey(ctx, configservice.KeyBundleParts+d.String(), part); err != nil {
 			return err
 		}
 	}
-	if err := o.Platform.PutKey(ctx, platform.KeyBundleHead, head.Encode()); err != nil {
+	if err := o.Platform.PutKey(ctx, configservice.KeyBundleHead, head.Encode()); err != nil {
 		return err
 	}
 	o.head = head
@@ -94,5 +94,5 @@
 		signed.Base = o.base
 	}
 	signed.AddSignature(bundle.SignRoll(o.key, &signed.Roll))
-	return o.Platform.PutKey(ctx, platform.KeyRoll, signed.Encode())
+	return o.Platform.PutKey(ctx, configservice.KeyRoll, signed.Encode())
 }
--- a/testbed/platform.go
+++ b/testbed/platform.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 
 	"github.com/wardspool/wardspool/ident"
-	"github.com/wardspool/wardspool/platform"
+	"github.com/wardspool/wardspool/configservice"
 )
 
 // startPlatform starts the stand-in of the platform and publishes the lists and
@@ -46,10 +46,10 @@
 	for _, id := range leaving {
 		gone[id] = true
 	}
-	if err := f.putJSON(ctx, platform.KeyInstances, f.instanceList(gone)); err != nil {
+	if err := f.putJSON(ctx, configservice.KeyInstances, f.instanceList(gone)); err != nil {
 		return err
 	}
-	return f.putJSON(ctx, platform.KeyUpstreams, f.upstreamList(gone))
+	return f.putJSON(ctx, configservice.KeyUpstreams, f.upstreamList(gone))
 }
 
 func (f *Fleet) putJSON(ctx context.Context, key string, v any) error {
@@ -60,10 +60,10 @@
 	return f.Operators.Platform.PutKey(ctx, key, b)
 }
 
-func (f *Fleet) instanceList(leaving map[string]bool) platform.Instances {
-	var list platform.Instances
+func (f *Fleet) instanceList(leaving map[string]bool) configservice.Instances {
+	var list configservice.Instances
 	for _, in := range f.Instances {
-		list.Instances = append(list.Instances, platform.Instance{
+		list.Instances = append(list.Instances, configservice.Instance{
 			ID:            in.ID,
 			Zone:          in.Zone,
 			Region:        f.Deployment.Region,
@@ -76,10 +76,10 @@
 	return list
 }
 
-func (f *Fleet) upstreamList(leaving map[string]bool) platform.Upstreams {
-	var list platform.Upstreams
+func (f *Fleet) upstreamList(leaving map[string]bool) configservice.Upstreams {
+	var list configservice.Upstreams
 	for _, u := range f.Deployment.Content.Upstreams {
-		list.Upstreams = append(list.Upstreams, platform.Upstream{
+		list.Upstreams = append(list.Upstreams, configservice.Upstream{
 			ID:      u.ID,
 			Zone:    f.Deployment.ZoneOf(u.ID),
 			Address: f.reach(f.Addresses[u.ID]),
@@ -92,11 +92,11 @@
 	return list
 }
 
-func stateOf(leaving bool) platform.State {
+func stateOf(leaving bool) configservice.State {
 	if leaving {
-		return platform.StateLeaving
+		return configservice.StateLeaving
 	}
-	return platform.StateLive
+	return configservice.StateLive
 }
 
 // StartAgent starts, or restarts, an instance's agent.
