--- a/adapter/roundtrip/client.go
+++ b/adapter/roundtrip/client.go
@@ -72,7 +72,7 @@
 // New returns a client.
 func New(o Options) *Client {
 	o = o.withDefaults()
-	dialer := &net.Dialer{Timeout: o.DialTimeout}
+	dialer := &net.Dialer{Timeout: o.DialTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
 	return &Client{
 		idle:   newIdlePool(o.IdlePerUpstream, o.IdleTimeout),
 		buffer: o.BufferBytes,
@@ -91,13 +91,21 @@
 // the request counts as sent. The caller closes the response's body. When the
 // request's context ends, reads from the body fail with its error.
 func (c *Client) Do(req *http.Request, r io.Reader, length int64) (*http.Response, error) {
+	return c.DoMatching(req, r, length, nil, 0)
+}
+
+// DoMatching does as Do, for upstreams that may send an answer twice, the second
+// time late, where the answer to the next request is expected: up to strays
+// responses that own rejects are read to their end and dropped. A nil own takes
+// the first.
+func (c *Client) DoMatching(req *http.Request, r io.Reader, length int64, own func(*http.Response) bool, strays int) (*http.Response, error) {
 	ctx := req.Context()
 	setBody(req, r, length)
 	nc, err := c.connect(ctx, req.URL.Host)
 	if err != nil {
 		return nil, failure(ctx, false, err)
 	}
-	resp, err := nc.exchange(ctx, req)
+	resp, err := nc.exchange(ctx, req, matching{own, strays})
 	if err != nil {
 		sent, writeErr := nc.abandon()
 		if writeErr != nil {
--- a/adapter/roundtrip/conn.go
+++ b/adapter/roundtrip/conn.go
@@ -42,13 +42,13 @@
 // exchange sends a request and reads the head of its response. The request is
 // written in a goroutine of its own, which ends with the request's last byte,
 // since an upstream may answer before it has read all.
-func (c *conn) exchange(ctx context.Context, req *http.Request) (*http.Response, error) {
+func (c *conn) exchange(ctx context.Context, req *http.Request, m matching) (*http.Response, error) {
 	c.ending = make(chan struct{})
 	c.sent, c.writeErr = false, nil
 	// Closing the connection wakes whoever reads or writes.
 	c.stop = context.AfterFunc(ctx, func() { _ = c.net.Close() })
 	go c.write(req)
-	resp, err := c.readHead(asked(req))
+	resp, err := c.readOwn(asked(req), m)
 	if err != nil {
 		return nil, err
 	}
@@ -111,6 +111,43 @@
 	return count, err
 }
 
+// matching tells a request's own response from late second ones to earlier
+// requests.
+type matching struct {
+	// own is nil to take any response.
+	own func(*http.Response) bool
+	// strays is how many other responses are skipped.
+	strays int
+}
+
+// StrayError reports a connection that brought only responses to other requests.
+type StrayError struct{}
+
+// Error implements error.
+func (*StrayError) Error() string { return "the response belongs to another request" }
+
+// maxStrayBytes bounds the body of a response that is skipped.
+const maxStrayBytes = 1 << 20
+
+// readOwn reads the head of the request's own response.
+func (c *conn) readOwn(req *http.Request, m matching) (*http.Response, error) {
+	for skipped := 0; ; skipped++ {
+		resp, err := c.readHead(req)
+		if err != nil {
+			return nil, err
+		}
+		if m.own == nil || m.own(resp) {
+			return resp, nil
+		}
+		if skipped >= m.strays || resp.Close {
+			return nil, &StrayError{}
+		}
+		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes)); err != nil {
+			return nil, cut(err)
+		}
+	}
+}
+
 // maxInterim is how many interim responses (status 1xx) are skipped.
 const maxInterim = 5
 
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -14,12 +14,12 @@
 	"github.com/wardspool/wardspool/agent/meter"
 	"github.com/wardspool/wardspool/agent/wire"
 	"github.com/wardspool/wardspool/bundle/ledger"
+	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/leftover"
 	"github.com/wardspool/wardspool/membership"
 	"github.com/wardspool/wardspool/orders"
 	"github.com/wardspool/wardspool/peer"
-	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/tlsconf"
 )
 
--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -11,11 +11,11 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/entry/peering"
 	"github.com/wardspool/wardspool/feed"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/membership"
-	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/settings"
 )
 
--- a/agent/book.go
+++ b/agent/book.go
@@ -1,9 +1,9 @@
 package agent
 
 import (
+	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/peer"
-	"github.com/wardspool/wardspool/configservice"
 )
 
 // book knows where processes are: from the settings and the platform's lists.
--- a/agent/bundles.go
+++ b/agent/bundles.go
@@ -10,9 +10,9 @@
 	"github.com/wardspool/wardspool/agent/engines"
 	"github.com/wardspool/wardspool/bundle"
 	"github.com/wardspool/wardspool/bundle/ledger"
+	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/feed"
 	"github.com/wardspool/wardspool/ident"
-	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/rendezvous"
 )
 
--- a/agent/bundles_test.go
+++ b/agent/bundles_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/wardspool/wardspool/bundle"
 	"github.com/wardspool/wardspool/config"
-	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/configservice"
+	"github.com/wardspool/wardspool/ident"
 )
 
 // testContent is the content of version 1; others differ in a workspace.
--- a/agent/changes_test.go
+++ b/agent/changes_test.go
@@ -11,13 +11,13 @@
 	"pgregory.net/rapid"
 
 	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/entry/peering"
 	"github.com/wardspool/wardspool/feed"
 	"github.com/wardspool/wardspool/ident"
 	_ "github.com/wardspool/wardspool/internal/testseed"
 	"github.com/wardspool/wardspool/kernel"
 	"github.com/wardspool/wardspool/membership"
-	"github.com/wardspool/wardspool/configservice"
 )
 
 // viewRun plays an agent and its entry with a network that loses updates and
--- a/agent/lists.go
+++ b/agent/lists.go
@@ -9,10 +9,10 @@
 	"time"
 
 	"github.com/wardspool/wardspool/agent/wire"
+	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/membership"
 	"github.com/wardspool/wardspool/peer"
-	"github.com/wardspool/wardspool/configservice"
 )
 
 // list is the newest of the platform's lists that this instance has, in the form
--- a/agent/loop.go
+++ b/agent/loop.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/wardspool/wardspool/peer"
 	"github.com/wardspool/wardspool/configservice"
+	"github.com/wardspool/wardspool/peer"
 )
 
 // Timing of the loop.
--- a/agent/parts.go
+++ b/agent/parts.go
@@ -9,8 +9,8 @@
 	"github.com/wardspool/wardspool/agent/wire"
 	"github.com/wardspool/wardspool/bundle"
 	"github.com/wardspool/wardspool/bundle/ledger"
-	"github.com/wardspool/wardspool/peer"
 	"github.com/wardspool/wardspool/configservice"
+	"github.com/wardspool/wardspool/peer"
 )
 
 // Bounds of fetching.
--- a/agent/placement.go
+++ b/agent/placement.go
@@ -8,10 +8,10 @@
 	"github.com/wardspool/wardspool/agent/engines"
 	"github.com/wardspool/wardspool/agent/wire"
 	"github.com/wardspool/wardspool/bundle/ledger"
+	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/orders"
 	"github.com/wardspool/wardspool/peer"
-	"github.com/wardspool/wardspool/configservice"
 )
 
 // confirmGap is the least time between two rounds in which peers are asked which
--- a/agent/relay.go
+++ b/agent/relay.go
@@ -7,9 +7,9 @@
 	"github.com/wardspool/wardspool/agent/wire"
 	"github.com/wardspool/wardspool/bundle"
 	"github.com/wardspool/wardspool/bundle/ledger"
+	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/peer"
-	"github.com/wardspool/wardspool/configservice"
 )
 
 // Bounds of relaying.
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -5,9 +5,9 @@
 
 	"github.com/wardspool/wardspool/bundle"
 	"github.com/wardspool/wardspool/bundle/ledger"
+	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/logs"
-	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/plugin"
 	"github.com/wardspool/wardspool/settings/common"
 	"github.com/wardspool/wardspool/tlsconf"
--- a/agent/source.go
+++ b/agent/source.go
@@ -9,9 +9,9 @@
 	"github.com/wardspool/wardspool/agent/meter"
 	"github.com/wardspool/wardspool/bundle"
 	"github.com/wardspool/wardspool/bundle/ledger"
+	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/membership"
-	"github.com/wardspool/wardspool/configservice"
 )
 
 // watchedKeys are the keys of the platform that some instances of each zone
--- a/agent/upstreams_test.go
+++ b/agent/upstreams_test.go
@@ -13,10 +13,10 @@
 	"github.com/wardspool/wardspool/agent/engines"
 	"github.com/wardspool/wardspool/bundle/ledger"
 	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/feed"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/kernel"
-	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/standin/control"
 )
 
--- a/cmd/wardspoolctl/roll.go
+++ b/cmd/wardspoolctl/roll.go
@@ -7,8 +7,8 @@
 	"strings"
 
 	"github.com/wardspool/wardspool/bundle"
-	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/configservice"
+	"github.com/wardspool/wardspool/ident"
 )
 
 // rollNewCmd is "roll new".
--- a/e2e/fleet_bed_test.go
+++ b/e2e/fleet_bed_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/wardspool/wardspool/agent/console"
 	"github.com/wardspool/wardspool/agent/wire"
-	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/configservice"
+	"github.com/wardspool/wardspool/ident"
 	standin "github.com/wardspool/wardspool/standin/platform"
 	"github.com/wardspool/wardspool/testbed"
 )
--- /dev/null
+++ b/gateway/carry/carry.go
@@ -0,0 +1,185 @@
+// Package carry takes requests to upstreams and brings their answers back: it
+// sends, sends again where that is allowed, and says honestly what became of a
+// request that got no answer. Where a request goes is decided by package schedule.
+package carry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/wardspool/wardspool/adapter"
+	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/fleet"
+	"github.com/wardspool/wardspool/gateway/routing"
+	"github.com/wardspool/wardspool/gateway/schedule"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+// Options are what a Carrier works with.
+type Options struct {
+	Dialect dialect.Dialect
+	Books   *schedule.Books
+	Budget  *schedule.Budget
+	// View returns what is believed of the upstreams now.
+	View func() *fleet.Snapshot
+	Log  *slog.Logger
+	// Count counts an event by name.
+	Count func(name string)
+}
+
+// Carrier carries requests. It is safe for concurrent use.
+type Carrier struct {
+	o Options
+
+	mu    sync.Mutex
+	lines map[string]*line
+	// cleanup counts releases that are still being sent.
+	cleanup sync.WaitGroup
+}
+
+// New returns a carrier.
+func New(o Options) *Carrier { return &Carrier{o: o, lines: map[string]*line{}} }
+
+// Close waits for the releases that are still being sent.
+func (c *Carrier) Close() { c.cleanup.Wait() }
+
+// Job is a request to carry.
+type Job struct {
+	Call    *dialect.Call
+	Route   *routing.Route
+	Service routing.Service
+	// Version is that of the configuration that chose route and service.
+	Version int64
+	Arrived time.Time
+	// Deadline is when the caller stops waiting, or the route's timeout.
+	Deadline time.Time
+}
+
+// log returns a logger that names the request.
+func (j *Job) log(l *slog.Logger) *slog.Logger {
+	return l.With("request", j.Call.ID, "route", j.Route.Name, "service", j.Service.Name, "version", j.Version)
+}
+
+// Answer is an upstream's whole answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Fate says what became of a request that got no answer.
+type Fate int
+
+// The fates.
+const (
+	// NotRun requests did not run and will not.
+	NotRun Fate = iota + 1
+	// Unknown requests may have run.
+	Unknown
+	// TimedOut requests may have run, and their time is over.
+	TimedOut
+)
+
+// Error reports a request that got no answer.
+type Error struct {
+	Fate Fate
+	// Reason is a short name for logs and metrics.
+	Reason string
+	// RetryAfter says when a request that did not run may come back.
+	RetryAfter time.Duration
+	Err        error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Err == nil {
+		return e.Reason
+	}
+	return fmt.Sprintf("%s: %v", e.Reason, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// AbandonedError reports a request whose caller has left.
+type AbandonedError struct{}
+
+// Error implements error.
+func (*AbandonedError) Error() string { return "the caller has left" }
+
+const (
+	// deadlineMargin is taken off the time that upstreams are given, for the way
+	// back: links between zones take up to a few ms, and timers fire late.
+	deadlineMargin = 10 * time.Millisecond
+	// leastTime is the least time left for another attempt to make sense.
+	leastTime = 20 * time.Millisecond
+	// retryPlain is when a refused request of a plain service may come back: its
+	// answers take some 60 ms, so a full queue has moved on by then.
+	retryPlain = 300 * time.Millisecond
+	// maxAnswerBytes bounds a plain answer that is held in memory.
+	maxAnswerBytes = 16 << 20
+)
+
+// NoUpstreamError reports a service without an upstream to send to.
+type NoUpstreamError struct{ Service string }
+
+// Error implements error.
+func (e *NoUpstreamError) Error() string { return "service " + e.Service + " has no upstream" }
+
+// attempt is what came of one sending.
+type attempt struct {
+	answer  *Answer
+	verdict dialect.Verdict
+	err     error
+}
+
+// evidence says whether an attempt that brought no answer can have run.
+func (a *attempt) evidence() kernel.Evidence {
+	switch {
+	case a.err != nil:
+		return adapter.AsCallError(a.err).Evidence
+	case a.verdict == dialect.Refused || a.verdict == dialect.WrongUpstream:
+		return kernel.Refused
+	default:
+		return kernel.Ambiguous
+	}
+}
+
+// note takes what an attempt showed of its upstream into the books.
+func (c *Carrier) note(u dialect.Upstream, a *attempt, took time.Duration, log *slog.Logger) {
+	now := time.Now()
+	ejected := false
+	switch {
+	case a.err == nil && a.verdict == dialect.Success:
+		c.o.Books.Answered(u, took)
+		return
+	case errors.Is(a.err, context.Canceled):
+		return
+	case a.err == nil && (a.verdict == dialect.Failure || a.verdict == dialect.Refused):
+		c.o.Books.Failed(now, u, schedule.Soft)
+		return
+	case a.err == nil && a.verdict == dialect.WrongUpstream:
+		ejected = c.o.Books.Failed(now, u, schedule.Unreachable)
+	case a.err != nil && adapter.AsCallError(a.err).Evidence == kernel.NotSent:
+		ejected = c.o.Books.Failed(now, u, schedule.Unreachable)
+	default:
+		ejected = c.o.Books.Failed(now, u, schedule.Hard)
+	}
+	if ejected {
+		c.o.Count("ejected")
+		log.Warn("upstream ejected", "upstream", u.ID, "address", u.Address, "after_ms", took.Milliseconds(), "error", errorText(a.err))
+	}
+}
+
+// errorText is an error for a log line, empty for none.
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/gateway/carry/forward.go
@@ -0,0 +1,171 @@
+package carry
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/wardspool/wardspool/gateway/dialect"
+)
+
+const (
+	// readBytes is how much is read of a stream at once; an event takes some
+	// hundred bytes.
+	readBytes = 4 << 10
+	// maxEventBytes bounds one event.
+	maxEventBytes = 1 << 20
+)
+
+// EventSizeError reports an event beyond its bound.
+type EventSizeError struct{}
+
+// Error implements error.
+func (*EventSizeError) Error() string { return "an event is too long" }
+
+// CallerError reports a response that could not be written to the caller.
+type CallerError struct{ Err error }
+
+// Error implements error.
+func (e *CallerError) Error() string { return "caller: " + e.Err.Error() }
+
+// Unwrap returns the network's error.
+func (e *CallerError) Unwrap() error { return e.Err }
+
+// forward sends a stream on as it comes, in whole events.
+func (s *stream) forward(ctx context.Context, p *place, resp *http.Response, start time.Time) (*Answer, bool, error) {
+	u := p.decode.Upstream
+	before := s.events
+	first := time.Time{}
+	err := s.copyEvents(resp, func() { first = time.Now() })
+	took := time.Since(start)
+	made := s.events - before
+	if !first.IsZero() {
+		s.c.o.Books.StreamStarted(s.j.Service.Name, first.Sub(start))
+	}
+	if err == nil {
+		s.c.note(u, &attempt{verdict: dialect.Success}, took, s.log)
+		s.c.o.Books.StreamDone(s.j.Service.Name, made*s.j.Service.Engine.Stride, took)
+		s.log.Info("stream complete", "upstream", u.ID, "events", s.events, "took_ms", took.Milliseconds(),
+			"first_ms", first.Sub(s.j.Arrived).Milliseconds())
+		return nil, false, nil
+	}
+	return nil, s.brokenOff(ctx, p, err, made), s.streamError(ctx, err)
+}
+
+// brokenOff takes in a stream that ended early, and reports whether it may go on
+// at another engine.
+func (s *stream) brokenOff(ctx context.Context, p *place, err error, made int) bool {
+	u := p.decode.Upstream
+	s.runs++
+	s.log.Info("stream broke off", "upstream", u.ID, "events", s.events, "here", made, "last_event", s.lastEvent,
+		"left_ms", time.Until(s.j.Deadline).Milliseconds(), "error", errorText(err))
+	var caller *CallerError
+	if ctx.Err() != nil || errors.As(err, &caller) {
+		return false
+	}
+	s.c.note(u, &attempt{err: err}, 0, s.log)
+	s.excluded = append(s.excluded, u.ID)
+	if !s.j.Route.Repeatable() || s.runs >= s.j.Route.MaxAttempts {
+		return false
+	}
+	return s.mayStart(ctx, err)
+}
+
+// streamError is what the caller is told of a stream that ended early.
+func (s *stream) streamError(ctx context.Context, err error) error {
+	var caller *CallerError
+	if errors.As(err, &caller) {
+		return &AbandonedError{}
+	}
+	if ctx.Err() != nil && !s.begun {
+		return s.ended(s.contextError(ctx))
+	}
+	return s.ended(err)
+}
+
+// copyEvents sends whole events on until the stream's end.
+func (s *stream) copyEvents(resp *http.Response, first func()) error {
+	var pending []byte
+	started := false
+	buf := make([]byte, readBytes)
+	for {
+		n, err := resp.Body.Read(buf)
+		pending = append(pending, buf[:n]...)
+		if end := lastEventEnd(pending); end > 0 {
+			if !started {
+				started = true
+				first()
+			}
+			if werr := s.deliver(resp, pending[:end]); werr != nil {
+				return &CallerError{Err: werr}
+			}
+			pending = append(pending[:0], pending[end:]...)
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return s.finish(resp, pending)
+		case err != nil:
+			return err
+		case len(pending) > maxEventBytes:
+			return &EventSizeError{}
+		}
+	}
+}
+
+// finish sends what is left at a stream's clean end.
+func (s *stream) finish(resp *http.Response, rest []byte) error {
+	if s.begun && len(rest) == 0 {
+		return nil
+	}
+	if err := s.deliver(resp, rest); err != nil {
+		return &CallerError{Err: err}
+	}
+	return nil
+}
+
+// deliver sends whole events to the caller.
+func (s *stream) deliver(resp *http.Response, events []byte) error {
+	if !s.begun {
+		h := http.Header{}
+		s.c.o.Dialect.EndToEnd(h, resp.Header)
+		s.w.Head(resp.StatusCode, h)
+		s.begun = true
+	}
+	if err := s.w.Write(events); err != nil {
+		return err
+	}
+	s.note(events)
+	return nil
+}
+
+// note counts events and keeps the number of the last.
+func (s *stream) note(events []byte) {
+	for line := range bytes.SplitSeq(events, []byte("\n")) {
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			s.lastEvent = string(bytes.TrimSpace(id))
+			s.events++
+		}
+	}
+}
+
+// lastEventEnd returns the end of the last whole event, 0 if there is none.
+func lastEventEnd(b []byte) int {
+	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
+		return i + 2
+	}
+	return 0
+}
+
+// readAnswer reads an answer that is no stream.
+func readAnswer(d dialect.Dialect, resp *http.Response, v dialect.Verdict) *attempt {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil && v == dialect.Failure {
+		return &attempt{err: err}
+	}
+	h := http.Header{}
+	d.EndToEnd(h, resp.Header)
+	return &attempt{answer: &Answer{Status: resp.StatusCode, Header: h, Body: body}, verdict: v}
+}
--- /dev/null
+++ b/gateway/carry/plain.go
@@ -0,0 +1,174 @@
+package carry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/schedule"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+const (
+	// maxRefusals is how many upstreams may refuse one request before the caller
+	// is told that the service is full.
+	maxRefusals = 2
+	// attemptShare is the share of the time left that a repeatable request waits
+	// for one upstream while another may still be tried.
+	attemptShare = 0.45
+)
+
+// Plain carries a request of a plain service. The error is an *Error or an
+// *AbandonedError.
+func (c *Carrier) Plain(ctx context.Context, j *Job) (*Answer, error) {
+	p := &plain{c: c, j: j, log: j.log(c.o.Log)}
+	return p.run(ctx)
+}
+
+// plain is a request of a plain service on its way.
+type plain struct {
+	c   *Carrier
+	j   *Job
+	log *slog.Logger
+	// tried lists the upstreams that it was sent to; runs counts those that may
+	// have run it, refusals those that did not.
+	tried    []ident.UpstreamID
+	runs     int
+	refusals int
+	// failure is the upstream's own failure, to be passed on if nothing better
+	// comes.
+	failure *Answer
+}
+
+// run sends the request until it has an answer or no further attempt is allowed.
+func (p *plain) run(ctx context.Context) (*Answer, error) {
+	for {
+		if ctx.Err() != nil {
+			return nil, &AbandonedError{}
+		}
+		t, ok := p.place()
+		if !ok {
+			return p.end(&NoUpstreamError{Service: p.j.Service.Name})
+		}
+		a := p.send(ctx, t)
+		if a.err == nil && a.verdict == dialect.Success {
+			return a.answer, nil
+		}
+		if ctx.Err() != nil {
+			return nil, &AbandonedError{}
+		}
+		p.learn(a)
+		if !p.again(a) {
+			return p.end(a.err)
+		}
+	}
+}
+
+// place chooses the next upstream.
+func (p *plain) place() (schedule.Ticket, bool) {
+	list := p.c.o.View().Upstreams[p.j.Service.Name]
+	t, ok := p.c.o.Books.PickService(time.Now(), list, p.j.Route.Repeatable(), p.tried)
+	if ok {
+		p.tried = append(p.tried, t.Upstream.ID)
+	}
+	return t, ok
+}
+
+// send makes one attempt.
+func (p *plain) send(ctx context.Context, t schedule.Ticket) *attempt {
+	defer p.c.o.Books.Done(t)
+	start := time.Now()
+	ctx, cancel := context.WithDeadline(ctx, p.until(start))
+	defer cancel()
+	a := p.exchange(ctx, t.Upstream)
+	took := time.Since(start)
+	p.c.note(t.Upstream, a, took, p.log)
+	p.log.Info("attempt", "upstream", t.Upstream.ID, "number", len(p.tried), "verdict", a.verdict,
+		"took_ms", took.Milliseconds(), "left_ms", time.Until(p.j.Deadline).Milliseconds(), "error", errorText(a.err))
+	return a
+}
+
+// until returns when an attempt that starts now is given up.
+func (p *plain) until(start time.Time) time.Time {
+	left := p.j.Deadline.Sub(start)
+	if p.j.Route.Repeatable() && p.runs+1 < p.j.Route.MaxAttempts {
+		return start.Add(time.Duration(attemptShare * float64(left)))
+	}
+	return p.j.Deadline
+}
+
+// exchange sends the request and reads the whole answer.
+func (p *plain) exchange(ctx context.Context, u dialect.Upstream) *attempt {
+	resp, verdict, err := p.c.o.Dialect.Do(ctx, p.j.Call, dialect.Send{
+		To: u, Deadline: p.j.Deadline.Add(-deadlineMargin), Urgency: -1,
+	})
+	if err != nil {
+		return &attempt{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil && (verdict == dialect.Success || verdict == dialect.Failure) {
+		return &attempt{err: err}
+	}
+	h := http.Header{}
+	p.c.o.Dialect.EndToEnd(h, resp.Header)
+	return &attempt{answer: &Answer{Status: resp.StatusCode, Header: h, Body: body}, verdict: verdict}
+}
+
+// learn counts an attempt that brought no success.
+func (p *plain) learn(a *attempt) {
+	if a.err == nil && a.verdict == dialect.Failure {
+		p.failure = a.answer
+	}
+	if a.evidence() == kernel.Ambiguous {
+		p.runs++
+		return
+	}
+	p.refusals++
+}
+
+// again reports whether another attempt is allowed and makes sense.
+func (p *plain) again(a *attempt) bool {
+	now := time.Now()
+	if p.j.Deadline.Sub(now) < leastTime {
+		return false
+	}
+	if a.evidence() == kernel.Ambiguous && (!p.j.Route.Repeatable() || p.runs >= p.j.Route.MaxAttempts) {
+		return false
+	}
+	if p.refusals > maxRefusals {
+		return false
+	}
+	return p.c.o.Budget.Extra(now, p.j.Service.Name)
+}
+
+// end says what became of a request that gets no success.
+func (p *plain) end(cause error) (*Answer, error) {
+	if p.failure != nil && passable(p.failure.Status) {
+		return p.failure, nil
+	}
+	switch {
+	case p.runs == 0:
+		return nil, &Error{Fate: NotRun, Reason: "service_full", RetryAfter: retryPlain, Err: cause}
+	case errors.Is(cause, context.DeadlineExceeded):
+		return nil, &Error{Fate: TimedOut, Reason: "upstream_silent", Err: cause}
+	default:
+		return nil, &Error{Fate: Unknown, Reason: "upstream_failed", Err: cause}
+	}
+}
+
+// passable reports whether an upstream's failure may reach the caller as it is:
+// some statuses tell callers that the request did not run.
+func passable(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return false
+	default:
+		return true
+	}
+}
--- /dev/null
+++ b/gateway/counters.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wardspool/wardspool/gateway/routing"
+	"github.com/wardspool/wardspool/metrics"
+)
+
+// latencyBuckets reach from a fast answer to a caller's longest patience.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 13)
+
+// counters are the gateway's metrics.
+type counters struct {
+	reporter *metrics.Reporter
+	scope    tally.Scope
+	closer   io.Closer
+}
+
+func newCounters() *counters {
+	r := metrics.NewReporter()
+	scope, closer := metrics.NewScope(r, "wardspool_gateway")
+	return &counters{reporter: r, scope: scope, closer: closer}
+}
+
+// count counts an event.
+func (c *counters) count(name string) { c.scope.Counter(name + "_total").Inc(1) }
+
+// observe counts an answered request.
+func (c *counters) observe(r *routing.Route, outcome string, took time.Duration) {
+	s := c.scope.Tagged(map[string]string{"kind": r.Kind.String(), "outcome": outcome})
+	s.Counter("requests_total").Inc(1)
+	s.Histogram("request_seconds", latencyBuckets).RecordDuration(took)
+}
+
+// routes serves the metrics.
+func (c *counters) routes() http.Handler {
+	r := mux.NewRouter()
+	r.Path("/metrics").Handler(c.reporter)
+	return r
+}
+
+// close ends the reporting. Its error is that of a reporter that has none.
+func (c *counters) close() { _ = c.closer.Close() }
--- /dev/null
+++ b/gateway/dialect/dialect.go
@@ -0,0 +1,163 @@
+// Package dialect defines what the gateway needs of the protocols that callers,
+// upstreams and the configuration store of a deployment speak. An
+// implementation translates between their words and the types here, keeps no
+// state and decides nothing.
+package dialect
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/wardspool/wardspool/gateway/routing"
+	"github.com/wardspool/wardspool/ident"
+)
+
+// Stage is the part of the work that a model engine does.
+type Stage string
+
+// The stages.
+const (
+	// StagePrefill engines compute the KV cache of prompts.
+	StagePrefill Stage = "prefill"
+	// StageDecode engines generate output.
+	StageDecode Stage = "decode"
+)
+
+// Upstream is a model engine or a process of a plain service, as the store lists
+// it. Each start of one is an incarnation with an ID of its own.
+type Upstream struct {
+	ID      ident.UpstreamID `json:"id"`
+	Service string           `json:"service"`
+	// Address is "IP:port".
+	Address string     `json:"address"`
+	Zone    ident.Zone `json:"zone"`
+	// Slots is how many requests it runs at once.
+	Slots int `json:"slots"`
+	// Leaving means that it takes no new work.
+	Leaving bool `json:"leaving,omitempty"`
+	// Stage is empty for plain services.
+	Stage Stage `json:"stage,omitempty"`
+}
+
+// Call is a caller's request, read whole. It must not be changed.
+type Call struct {
+	// ID names this attempt of the caller.
+	ID     string
+	Method string
+	Host   string
+	// Target is the request target as the caller sent it, path and query.
+	Target string
+	// Header holds what is forwarded.
+	Header http.Header
+	Body   []byte
+	// Patience is how long the caller waits from the arrival of the request; 0
+	// if it doesn't say.
+	Patience time.Duration
+	// LastEvent is the number of the last event that a resuming caller has.
+	LastEvent string
+	// PromptTokens is the length of the prompt, 0 if unknown.
+	PromptTokens int
+	// MaxOutputTokens bounds the output, 0 if unknown.
+	MaxOutputTokens int
+	// OutputEstimate is the caller's guess of the output's length, in tokens; 0
+	// if it makes none. Right at the median and often far off.
+	OutputEstimate int
+}
+
+// Send is one sending of a call to an upstream.
+type Send struct {
+	To Upstream
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+	// Source names the KV cache to start from; nil to prefill at the upstream.
+	Source *Handle
+	// Hold names the reservation to use, "" for none.
+	Hold string
+	// LastEvent overrides the call's, for a stream that is resumed here.
+	LastEvent string
+	// Urgency ranks the request at the engine: 0 first, 9 last; negative for the
+	// engine's default.
+	Urgency int
+}
+
+// Handle is a prefill result that an engine keeps for a short time.
+type Handle struct {
+	// Engine is the address of the engine that has it.
+	Engine string
+	ID     string
+	Tokens int
+}
+
+// Verdict says what an upstream's response means.
+type Verdict int
+
+// The verdicts.
+const (
+	// Success is a whole-hearted answer, to be passed on.
+	Success Verdict = iota + 1
+	// Failure is the upstream's own failure: the request ran.
+	Failure
+	// Refused attests that the request did not run and will not.
+	Refused
+	// WrongUpstream attests that another incarnation has the address. The request
+	// did not run.
+	WrongUpstream
+	// Invalid is no answer of the upstream's to this request.
+	Invalid
+)
+
+// Settings that a dialect needs for its clients.
+type Options struct {
+	// Self is the name of this instance.
+	Self ident.InstanceID
+	// DialTimeout bounds a connection's opening.
+	DialTimeout time.Duration
+}
+
+// Dialect is the translation of one deployment's protocols.
+type Dialect interface {
+	// Read translates a caller's request. Its body is passed in.
+	Read(r *http.Request, body []byte) (*Call, error)
+	// Do sends a call once. Errors before the response's head are
+	// *adapter.CallError with exact evidence. The response's ID was checked.
+	Do(ctx context.Context, c *Call, s Send) (*http.Response, Verdict, error)
+	// Prefill has an engine compute the KV cache of a call. It never runs it.
+	Prefill(ctx context.Context, c *Call, s Send) (Handle, error)
+	// Free gives a prefill result up.
+	Free(ctx context.Context, h Handle) error
+	// Hold reserves a slot and memory at an engine. A refusal is a *FullError.
+	Hold(ctx context.Context, address string, tokens int, ttl time.Duration) (string, error)
+	// Release gives a reservation up.
+	Release(ctx context.Context, address, hold string) error
+	// Order tells an engine to change its stage.
+	Order(ctx context.Context, o Order) error
+	// CheckHealth asks an upstream whether it serves, on the service's path.
+	CheckHealth(ctx context.Context, u Upstream, path string) error
+	// WriteHead puts on a caller's response what all answers carry.
+	WriteHead(h http.Header, c *Call)
+	// EndToEnd copies the headers of an upstream's response that are passed on.
+	EndToEnd(to, from http.Header)
+	// Close drops idle connections.
+	Close()
+}
+
+// Order is a change of an engine's stage.
+type Order struct {
+	To    Upstream
+	Stage Stage
+	// Holder is the instance that gives it.
+	Holder ident.InstanceID
+	// Fence rises with each change of the holder and is never shared by two.
+	Fence int64
+}
+
+// Source is the store that the operators and the upstreams write to. It is only
+// read.
+type Source interface {
+	// Config returns the newest configuration; revision is that of its last
+	// change. Absent is *AbsentError.
+	Config(ctx context.Context) (c *routing.Config, revision int64, err error)
+	// Upstreams lists all upstreams, as of the revision.
+	Upstreams(ctx context.Context) (list []Upstream, revision int64, err error)
+}
--- /dev/null
+++ b/gateway/dialect/errors.go
@@ -0,0 +1,56 @@
+package dialect
+
+import (
+	"fmt"
+	"time"
+)
+
+// FullError reports an engine without room for a reservation.
+type FullError struct {
+	Address string
+	Tokens  int
+}
+
+// Error implements error.
+func (e *FullError) Error() string {
+	return fmt.Sprintf("engine %s has no room for %d tokens", e.Address, e.Tokens)
+}
+
+// FencedError reports an order refused because of a newer holder's.
+type FencedError struct{ Fence int64 }
+
+// Error implements error.
+func (e *FencedError) Error() string {
+	return fmt.Sprintf("fencing number %d is lower than one seen", e.Fence)
+}
+
+// StatusError reports a response with an unexpected status.
+type StatusError struct {
+	Op     string
+	Status int
+	// RetryAfter is the answerer's hint, 0 if none.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *StatusError) Error() string { return fmt.Sprintf("%s: status %d", e.Op, e.Status) }
+
+// AbsentError reports a key that the store doesn't have.
+type AbsentError struct{ Key string }
+
+// Error implements error.
+func (e *AbsentError) Error() string { return "no key " + e.Key }
+
+// CompactedError reports a store that has dropped the history asked for.
+type CompactedError struct{ After int64 }
+
+// Error implements error.
+func (e *CompactedError) Error() string {
+	return fmt.Sprintf("history after revision %d is gone", e.After)
+}
+
+// HeaderError reports a caller's header that can't be understood.
+type HeaderError struct{ Name, Value string }
+
+// Error implements error.
+func (e *HeaderError) Error() string { return fmt.Sprintf("header %s: %q", e.Name, e.Value) }
--- /dev/null
+++ b/gateway/fleet/roster.go
@@ -0,0 +1,287 @@
+package fleet
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/rendezvous"
+)
+
+const (
+	// aliveFor is how long after its last heartbeat an instance counts as alive:
+	// heartbeats are exchanged every 300 ms, so several in a row were lost.
+	aliveFor = 2 * time.Second
+	// rememberFor is how long a silent instance is still called, so that both
+	// sides of a cut find each other again.
+	rememberFor = 90 * time.Second
+	// fullMesh is the largest fleet in which every pair exchanges heartbeats; in
+	// larger ones each instance calls fanout others and relays what it knows.
+	fullMesh = 16
+	fanout   = 4
+)
+
+// Load is what an instance says of its own requests, so that others see the load
+// of the upstreams they share.
+type Load struct {
+	// Tokens is the KV cache memory that its requests take at each decode engine
+	// and the prompt tokens queued at each prefill engine.
+	Tokens map[ident.UpstreamID]int `json:"k,omitempty"`
+	// Requests counts its requests in flight at each upstream.
+	Requests map[ident.UpstreamID]int `json:"r,omitempty"`
+	// Demand is what its callers ask of each service of engines.
+	Demand map[string]Demand `json:"d,omitempty"`
+}
+
+// Demand is the work offered to a service's engines, as a rate.
+type Demand struct {
+	// PrefillRate is in prompt tokens a second.
+	PrefillRate float64 `json:"p"`
+	// MemoryRate is in tokens times seconds of KV cache memory a second.
+	MemoryRate float64 `json:"m"`
+}
+
+// Member is an instance's heartbeat.
+type Member struct {
+	ID   ident.InstanceID `json:"id"`
+	Zone ident.Zone       `json:"z"`
+	// Address is where it answers its peers.
+	Address     string            `json:"a"`
+	Incarnation ident.Incarnation `json:"i"`
+	// Sequence rises with each heartbeat of an incarnation.
+	Sequence uint64 `json:"s"`
+	// Leaving means that it is stopping.
+	Leaving bool `json:"l,omitempty"`
+	Load    Load `json:"load"`
+}
+
+// newer reports whether m was made after o.
+func (m *Member) newer(o *Member) bool {
+	if m.Incarnation != o.Incarnation {
+		return m.Incarnation > o.Incarnation
+	}
+	return m.Sequence > o.Sequence
+}
+
+// Heartbeat is what two instances tell each other.
+type Heartbeat struct {
+	From Member `json:"from"`
+	// Relayed holds what the sender heard of others, with its age.
+	Relayed []Relayed `json:"others,omitempty"`
+}
+
+// Relayed is a heartbeat heard from somebody else.
+type Relayed struct {
+	Member Member `json:"m"`
+	AgeMS  int64  `json:"age"`
+}
+
+// peerState is what is known of another instance.
+type peerState struct {
+	member Member
+	// heard is when its heartbeat was made, at the latest, on this instance's clock.
+	heard time.Time
+	// answered is when it last answered a call of this instance.
+	answered time.Time
+}
+
+// Roster holds what is known of the instances. It is not safe for concurrent use.
+type Roster struct {
+	self  Member
+	seeds []string
+	peers map[ident.InstanceID]*peerState
+	// changed is when the set of live instances last changed.
+	changed time.Time
+	alive   []ident.InstanceID
+}
+
+// NewRoster returns a roster that knows only the addresses of some instances.
+func NewRoster(now time.Time, self Member, seeds []string) *Roster {
+	return &Roster{self: self, seeds: seeds, peers: map[ident.InstanceID]*peerState{}, changed: now}
+}
+
+// SetSeeds replaces the seeds.
+func (r *Roster) SetSeeds(seeds []string) { r.seeds = seeds }
+
+// Leave marks this instance as stopping.
+func (r *Roster) Leave() { r.self.Leaving = true }
+
+// Beat makes this instance's next heartbeat.
+func (r *Roster) Beat(now time.Time, load Load) Heartbeat {
+	r.self.Sequence++
+	r.self.Load = load
+	return r.Heartbeat(now)
+}
+
+// Heartbeat returns what to tell a peer now.
+func (r *Roster) Heartbeat(now time.Time) Heartbeat {
+	h := Heartbeat{From: r.self}
+	for _, p := range r.peers {
+		if age := now.Sub(p.heard); age < aliveFor {
+			h.Relayed = append(h.Relayed, Relayed{Member: p.member, AgeMS: age.Milliseconds()})
+		}
+	}
+	return h
+}
+
+// Receive takes in a heartbeat.
+func (r *Roster) Receive(now time.Time, h Heartbeat) {
+	r.take(now, h.From)
+	for _, o := range h.Relayed {
+		r.take(now.Add(-time.Duration(o.AgeMS)*time.Millisecond), o.Member)
+	}
+	r.refresh(now)
+}
+
+// Answered takes in that a peer answered a call.
+func (r *Roster) Answered(now time.Time, id ident.InstanceID) {
+	if p := r.peers[id]; p != nil {
+		p.answered = now
+	}
+}
+
+// take keeps the newest heartbeat of a member.
+func (r *Roster) take(heard time.Time, m Member) {
+	if m.ID == r.self.ID || m.ID == "" {
+		return
+	}
+	p := r.peers[m.ID]
+	if p == nil {
+		r.peers[m.ID] = &peerState{member: m, heard: heard}
+		return
+	}
+	if m.newer(&p.member) {
+		p.member, p.heard = m, heard
+	}
+}
+
+// refresh notes whether the set of live instances changed, and forgets the dead.
+func (r *Roster) refresh(now time.Time) {
+	alive := r.aliveIDs(now)
+	if !slices.Equal(alive, r.alive) {
+		r.alive, r.changed = alive, now
+	}
+	for id, p := range r.peers {
+		if now.Sub(p.heard) > rememberFor {
+			delete(r.peers, id)
+		}
+	}
+}
+
+// aliveIDs returns the live instances, this one among them, sorted.
+func (r *Roster) aliveIDs(now time.Time) []ident.InstanceID {
+	ids := []ident.InstanceID{r.self.ID}
+	for id, p := range r.peers {
+		if now.Sub(p.heard) < aliveFor {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Alive returns how many instances live, this one among them.
+func (r *Roster) Alive(now time.Time) int {
+	r.refresh(now)
+	return len(r.alive)
+}
+
+// Steady returns how long the set of live instances has not changed.
+func (r *Roster) Steady(now time.Time) time.Duration {
+	r.refresh(now)
+	return now.Sub(r.changed)
+}
+
+// InTouch reports whether most of the live instances answered a call of this one
+// within the given time: after a freeze or behind a cut they have not.
+func (r *Roster) InTouch(now time.Time, within time.Duration) bool {
+	r.refresh(now)
+	recent := 1
+	for _, id := range r.alive {
+		if p := r.peers[id]; p != nil && now.Sub(p.answered) < within {
+			recent++
+		}
+	}
+	return 2*recent > len(r.alive)
+}
+
+// Members returns the heartbeats of the live peers.
+func (r *Roster) Members(now time.Time) []Member {
+	r.refresh(now)
+	var out []Member
+	for _, id := range r.alive {
+		if p := r.peers[id]; p != nil {
+			out = append(out, p.member)
+		}
+	}
+	return out
+}
+
+// Holder reports whether this instance is the one of all live ones that holds a
+// duty.
+func (r *Roster) Holder(now time.Time, duty string) bool {
+	r.refresh(now)
+	return rendezvous.Contains(duty, r.candidates(now, ""), 1, r.self.ID)
+}
+
+// Readers returns the addresses of the live peers of this instance's zone that
+// read the store for it, and whether it is one itself.
+func (r *Roster) Readers(now time.Time) (addresses []string, self bool) {
+	r.refresh(now)
+	for _, id := range rendezvous.Top("store", r.candidates(now, r.self.Zone), 1) {
+		if id == r.self.ID {
+			self = true
+			continue
+		}
+		addresses = append(addresses, r.peers[id].member.Address)
+	}
+	return addresses, self
+}
+
+// candidates returns the live instances that are not stopping, of a zone or of
+// all.
+func (r *Roster) candidates(now time.Time, zone ident.Zone) []ident.InstanceID {
+	var ids []ident.InstanceID
+	for _, id := range r.aliveIDs(now) {
+		m := &r.self
+		if p := r.peers[id]; p != nil {
+			m = &p.member
+		}
+		if m.Leaving || zone != "" && m.Zone != zone {
+			continue
+		}
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Partners returns the addresses to exchange heartbeats with now: all in a small
+// fleet, some at random in a large one, and the seeds while they are unknown.
+func (r *Roster) Partners(random *rand.Rand) []string {
+	var known []string
+	for _, p := range r.peers {
+		known = append(known, p.member.Address)
+	}
+	slices.SortFunc(known, cmp.Compare[string])
+	if len(known) > fullMesh {
+		random.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
+		known = known[:fanout]
+	}
+	for _, s := range r.seeds {
+		if s != r.self.Address && !slices.Contains(known, s) {
+			known = append(known, s)
+		}
+	}
+	return known
+}
+
+// AnyPeer returns the address of a live peer at random, "" if there is none.
+func (r *Roster) AnyPeer(now time.Time, random *rand.Rand) string {
+	members := r.Members(now)
+	if len(members) == 0 {
+		return ""
+	}
+	return members[random.IntN(len(members))].Address
+}
--- /dev/null
+++ b/gateway/fleet/view.go
@@ -0,0 +1,200 @@
+// Package fleet holds what an instance believes of the deployment: the
+// configuration in force, the upstreams, and the other instances of the gateway.
+//
+// View and Roster are pure: time and messages are passed in. Node drives them:
+// it reads the store, where it falls to this instance, and exchanges the rest
+// with its peers.
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/routing"
+	"github.com/wardspool/wardspool/ident"
+)
+
+const (
+	// outageGap is how old the last list must be for the next one to count as the
+	// first after an outage of the store, or of the way to it. Lists come every
+	// 0.5 s; entries lapse after 3 heartbeats, 3.6 s.
+	outageGap = 2 * time.Second
+	// returnGrace is how long after an outage an upstream that is not listed is
+	// kept: entries that lapsed meanwhile are back about 2 s after the store.
+	returnGrace = 2500 * time.Millisecond
+	// forgetAfter is how long a departed upstream is remembered, so that an old
+	// list from a peer doesn't bring it back.
+	forgetAfter = time.Minute
+)
+
+// entry is an upstream with what its absence from lists means.
+type entry struct {
+	up dialect.Upstream
+	// gone means that it was taken off the list for good.
+	gone  bool
+	since time.Time
+}
+
+// View is what is believed of configuration and upstreams. It is not safe for
+// concurrent use.
+type View struct {
+	table *routing.Table
+	// revision and asOf are those of the newest list.
+	revision int64
+	asOf     time.Time
+	known    bool
+	entries  map[ident.UpstreamID]*entry
+	// graceUntil is when absence from the list counts again after an outage.
+	graceUntil time.Time
+}
+
+// NewView returns a view that knows nothing.
+func NewView() *View { return &View{entries: map[ident.UpstreamID]*entry{}} }
+
+// Configure takes in a configuration and reports whether it is newer than the one
+// in force. Older ones are ignored: what was in force never comes back.
+func (v *View) Configure(c *routing.Config) bool {
+	if v.table != nil && c.Version <= v.table.Config().Version {
+		return false
+	}
+	v.table = routing.NewTable(c)
+	return true
+}
+
+// Version returns the version in force, 0 if there is none.
+func (v *View) Version() int64 {
+	if v.table == nil {
+		return 0
+	}
+	return v.table.Config().Version
+}
+
+// List takes in a list of upstreams whose reading began at the given time. It
+// returns what changed, and reports whether the list was newer than the last.
+func (v *View) List(now, started time.Time, revision int64, list []dialect.Upstream) ([]Change, bool) {
+	if v.known && (revision < v.revision || !started.After(v.asOf)) {
+		return nil, false
+	}
+	if v.known && started.Sub(v.asOf) > outageGap {
+		v.graceUntil = started.Add(returnGrace)
+	}
+	v.known, v.revision, v.asOf = true, revision, started
+	changes := v.merge(now, list)
+	return append(changes, v.absent(now, started, list)...), true
+}
+
+// merge takes in the upstreams of a list.
+func (v *View) merge(now time.Time, list []dialect.Upstream) []Change {
+	var changes []Change
+	for _, u := range list {
+		e := v.entries[u.ID]
+		if e == nil {
+			e = &entry{}
+			v.entries[u.ID] = e
+			changes = append(changes, Change{Upstream: u, What: Appeared})
+		}
+		if e.gone {
+			e.gone = false
+			changes = append(changes, Change{Upstream: u, What: Appeared})
+		}
+		// Leaving is final for an incarnation.
+		u.Leaving = u.Leaving || e.up.Leaving
+		if u.Leaving && !e.up.Leaving {
+			changes = append(changes, Change{Upstream: u, What: Leaves})
+		}
+		if e.up.Stage != "" && e.up.Stage != u.Stage {
+			changes = append(changes, Change{Upstream: u, What: StageChanged})
+		}
+		e.up, e.since = u, now
+	}
+	return changes
+}
+
+// absent marks the upstreams that a list lacks.
+func (v *View) absent(now, started time.Time, list []dialect.Upstream) []Change {
+	if started.Before(v.graceUntil) {
+		return nil
+	}
+	listed := map[ident.UpstreamID]bool{}
+	for _, u := range list {
+		listed[u.ID] = true
+	}
+	var changes []Change
+	for id, e := range v.entries {
+		switch {
+		case listed[id]:
+		case !e.gone:
+			e.gone, e.since = true, now
+			changes = append(changes, Change{Upstream: e.up, What: Gone})
+		case now.Sub(e.since) > forgetAfter:
+			delete(v.entries, id)
+		}
+	}
+	return changes
+}
+
+// What says how an upstream changed.
+type What string
+
+// The changes of upstreams.
+const (
+	Appeared     What = "appeared"
+	Leaves       What = "leaves"
+	Gone         What = "gone"
+	StageChanged What = "stage_changed"
+)
+
+// Change is a change of what is believed of an upstream.
+type Change struct {
+	Upstream dialect.Upstream
+	What     What
+}
+
+// Snapshot is a view at one moment. It must not be changed.
+type Snapshot struct {
+	// Table is nil while no configuration is known.
+	Table *routing.Table
+	// Upstreams holds those that are listed, by service, sorted by ID; Leaving
+	// ones too.
+	Upstreams map[string][]dialect.Upstream
+	// Revision and AsOf are those of the list.
+	Revision int64
+	AsOf     time.Time
+	// Listed is false while no list is known.
+	Listed bool
+}
+
+// Ready reports whether requests can be served by the snapshot.
+func (s *Snapshot) Ready() bool { return s.Table != nil && s.Listed }
+
+// Snapshot returns the view as it is now.
+func (v *View) Snapshot() *Snapshot {
+	s := &Snapshot{
+		Table: v.table, Revision: v.revision, AsOf: v.asOf, Listed: v.known,
+		Upstreams: map[string][]dialect.Upstream{},
+	}
+	for _, e := range v.entries {
+		if !e.gone {
+			s.Upstreams[e.up.Service] = append(s.Upstreams[e.up.Service], e.up)
+		}
+	}
+	for _, list := range s.Upstreams {
+		slices.SortFunc(list, func(a, b dialect.Upstream) int {
+			if a.ID < b.ID {
+				return -1
+			}
+			return 1
+		})
+	}
+	return s
+}
+
+// All returns the upstreams of all services, for a peer.
+func (s *Snapshot) All() []dialect.Upstream {
+	var all []dialect.Upstream
+	for _, list := range s.Upstreams {
+		all = append(all, list...)
+	}
+	return all
+}
--- /dev/null
+++ b/gateway/front/front.go
@@ -0,0 +1,296 @@
+// Package front answers callers: it reads their requests whole, finds their
+// routes, has them carried, and says what became of those without an answer.
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/wardspool/wardspool/gateway/carry"
+	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/fleet"
+	"github.com/wardspool/wardspool/gateway/routing"
+	"github.com/wardspool/wardspool/gateway/schedule"
+)
+
+const (
+	// defaultMaxBody bounds a body while no configuration says more, in bytes.
+	defaultMaxBody = 4 << 20
+	// retryNotReady is when callers may come back to an instance that knows no
+	// configuration yet: it asks its peers every 100 ms.
+	retryNotReady = 300 * time.Millisecond
+	// defaultTimeout bounds a request whose route sets no timeout.
+	defaultTimeout = 30 * time.Second
+	// writeSlack is how long after its deadline a caller may take to read its
+	// answer.
+	writeSlack = 2 * time.Second
+)
+
+// Options are what a Front works with.
+type Options struct {
+	Dialect dialect.Dialect
+	Carrier *carry.Carrier
+	Budget  *schedule.Budget
+	View    func() *fleet.Snapshot
+	Log     *slog.Logger
+	// Observe counts an outcome and how long the request took.
+	Observe func(route *routing.Route, outcome string, took time.Duration)
+}
+
+// Front is the handler of callers' requests.
+type Front struct {
+	o Options
+	// closing makes each response the last of its connection.
+	closing atomic.Bool
+	// active counts requests in progress.
+	active atomic.Int64
+}
+
+// New returns a front.
+func New(o Options) *Front { return &Front{o: o} }
+
+// CloseConnections makes each response from now on the last of its connection.
+func (f *Front) CloseConnections() { f.closing.Store(true) }
+
+// Active returns how many requests are in progress.
+func (f *Front) Active() int64 { return f.active.Load() }
+
+// Problem tells a caller why it gets no answer (RFC 9457).
+type Problem struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	// Outcome is "not-run" or "unknown".
+	Outcome string `json:"outcome"`
+}
+
+// ServeHTTP implements http.Handler.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.active.Add(1)
+	defer f.active.Add(-1)
+	arrived := time.Now()
+	if f.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	view := f.o.View()
+	body, ok := f.readBody(w, r, view)
+	if !ok {
+		return
+	}
+	call, err := f.o.Dialect.Read(r, body)
+	if err != nil {
+		f.o.Log.Info("request at fault", "error", err)
+		f.problem(w, nil, http.StatusBadRequest, "bad_request", "not-run", 0)
+		return
+	}
+	if !view.Ready() {
+		f.o.Log.Info("refused", "request", call.ID, "reason", "not_ready")
+		f.problem(w, call, http.StatusServiceUnavailable, "not_ready", "not-run", retryNotReady)
+		return
+	}
+	f.route(w, r, call, view.Table, arrived)
+}
+
+// readBody reads a request's body. It reports false if the request was answered or
+// its caller has left.
+func (f *Front) readBody(w http.ResponseWriter, r *http.Request, view *fleet.Snapshot) ([]byte, bool) {
+	limit := int64(defaultMaxBody)
+	if view.Table != nil && view.Table.Config().Limits.MaxBodyBytes > 0 {
+		limit = view.Table.Config().Limits.MaxBodyBytes
+	}
+	if r.ContentLength > limit {
+		f.problem(w, nil, http.StatusRequestEntityTooLarge, "body_too_large", "not-run", 0)
+		return nil, false
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		f.problem(w, nil, http.StatusRequestEntityTooLarge, "body_too_large", "not-run", 0)
+		return nil, false
+	}
+	if err != nil {
+		f.o.Log.Info("request not read", "error", err)
+		panic(http.ErrAbortHandler)
+	}
+	return body, true
+}
+
+// route finds a request's route and service and carries it.
+func (f *Front) route(w http.ResponseWriter, r *http.Request, call *dialect.Call, table *routing.Table, arrived time.Time) {
+	version := table.Config().Version
+	route := table.Find(r.Host, r.URL.Path)
+	if route == nil {
+		f.o.Log.Info("no route", "request", call.ID, "host", r.Host, "path", r.URL.Path, "version", version)
+		f.problem(w, call, http.StatusNotFound, "no_route", "not-run", 0)
+		return
+	}
+	service, ok := table.Service(route.Choose(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
+	if !ok {
+		f.o.Log.Error("route without service", "request", call.ID, "route", route.Name, "version", version)
+		f.problem(w, call, http.StatusServiceUnavailable, "no_service", "not-run", retryNotReady)
+		return
+	}
+	f.o.Budget.Request(arrived, service.Name)
+	job := &carry.Job{
+		Call: call, Route: route, Service: service, Version: version,
+		Arrived: arrived, Deadline: arrived.Add(patience(call, route)),
+	}
+	rc := http.NewResponseController(w)
+	if err := rc.SetWriteDeadline(job.Deadline.Add(writeSlack)); err != nil {
+		f.o.Log.Debug("no write deadline", "error", err)
+	}
+	f.carry(r.Context(), w, rc, job)
+}
+
+// patience is how long a request may take: the caller's time or the route's.
+func patience(c *dialect.Call, r *routing.Route) time.Duration {
+	p := r.Timeout
+	if p <= 0 {
+		p = defaultTimeout
+	}
+	if c.Patience > 0 {
+		p = min(p, c.Patience)
+	}
+	return p
+}
+
+// carry has a request carried and answers it.
+func (f *Front) carry(ctx context.Context, w http.ResponseWriter, rc *http.ResponseController, j *carry.Job) {
+	var answer *carry.Answer
+	var err error
+	sw := &streamWriter{w: w, rc: rc}
+	if j.Service.Engine != nil && j.Route.Kind == routing.Stream {
+		answer, err = f.o.Carrier.Stream(ctx, j, sw)
+	} else {
+		answer, err = f.o.Carrier.Plain(ctx, j)
+	}
+	outcome := f.answer(w, j, answer, err)
+	took := time.Since(j.Arrived)
+	f.o.Observe(j.Route, outcome, took)
+	status := 0
+	if answer != nil {
+		status = answer.Status
+	}
+	f.o.Log.Info("answered", "request", j.Call.ID, "route", j.Route.Name, "outcome", outcome, "status", status,
+		"took_ms", took.Milliseconds(), "version", j.Version, "error", errorText(err))
+	if outcome == outcomeAbandoned || outcome == outcomeBroken {
+		// An answer that breaks off must not look complete.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// The outcomes, as logs and metrics name them.
+const (
+	outcomeComplete  = "complete"
+	outcomeFailed    = "failed_upstream"
+	outcomeNotRun    = "not_run"
+	outcomeUnknown   = "unknown"
+	outcomeAbandoned = "abandoned"
+	outcomeBroken    = "broken_off"
+)
+
+// answer writes the answer, or why there is none, and returns the outcome.
+func (f *Front) answer(w http.ResponseWriter, j *carry.Job, a *carry.Answer, err error) string {
+	var told *carry.Error
+	var broken *carry.BrokenOffError
+	var left *carry.AbandonedError
+	switch {
+	case errors.As(err, &left):
+		return outcomeAbandoned
+	case errors.As(err, &broken):
+		return outcomeBroken
+	case errors.As(err, &told):
+		return f.tell(w, j, told)
+	case err != nil:
+		return f.tell(w, j, &carry.Error{Fate: carry.Unknown, Reason: "internal", Err: err})
+	case a == nil:
+		return outcomeComplete
+	}
+	h := w.Header()
+	for name, values := range a.Header {
+		h[name] = values
+	}
+	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	w.WriteHeader(a.Status)
+	if _, err := w.Write(a.Body); err != nil {
+		return outcomeAbandoned
+	}
+	if a.Status >= http.StatusInternalServerError {
+		return outcomeFailed
+	}
+	return outcomeComplete
+}
+
+// tell tells the caller what became of a request without an answer.
+func (f *Front) tell(w http.ResponseWriter, j *carry.Job, e *carry.Error) string {
+	switch e.Fate {
+	case carry.NotRun:
+		f.problem(w, j.Call, http.StatusServiceUnavailable, e.Reason, "not-run", e.RetryAfter)
+		return outcomeNotRun
+	case carry.TimedOut:
+		f.problem(w, j.Call, http.StatusGatewayTimeout, e.Reason, "unknown", 0)
+	default:
+		f.problem(w, j.Call, http.StatusBadGateway, e.Reason, "unknown", 0)
+	}
+	return outcomeUnknown
+}
+
+// problem answers with a problem document.
+func (f *Front) problem(w http.ResponseWriter, c *dialect.Call, status int, reason, outcome string, retry time.Duration) {
+	body, err := json.Marshal(Problem{Type: "about:blank", Title: reason, Status: status, Outcome: outcome})
+	if err != nil {
+		f.o.Log.Error("problem not encoded", "error", err)
+	}
+	h := w.Header()
+	if c != nil {
+		f.o.Dialect.WriteHead(h, c)
+	}
+	h.Set("Content-Type", "application/problem+json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if retry > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(retry.Seconds(), 'f', 2, 64))
+	}
+	w.WriteHeader(status)
+	if _, err := w.Write(body); err != nil {
+		f.o.Log.Debug("problem not written", "error", err)
+	}
+}
+
+// errorText is an error for a log line, empty for none.
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// streamWriter writes a stream to a caller.
+type streamWriter struct {
+	w  http.ResponseWriter
+	rc *http.ResponseController
+}
+
+// Head implements carry.StreamWriter.
+func (s *streamWriter) Head(status int, h http.Header) {
+	to := s.w.Header()
+	for name, values := range h {
+		to[name] = values
+	}
+	s.w.WriteHeader(status)
+}
+
+// Write implements carry.StreamWriter.
+func (s *streamWriter) Write(events []byte) error {
+	if _, err := s.w.Write(events); err != nil {
+		return err
+	}
+	return s.rc.Flush()
+}
--- /dev/null
+++ b/gateway/orders.go
@@ -0,0 +1,140 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/fleet"
+	"github.com/wardspool/wardspool/gateway/routing"
+	"github.com/wardspool/wardspool/gateway/schedule"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/pause"
+)
+
+const (
+	// orderInterval is how often stages are looked at.
+	orderInterval = time.Second
+	// orderPause is the least time between two orders to a service's engines: an
+	// engine is out for some 6 s after one, and demand has to show what it gained.
+	orderPause = 12 * time.Second
+	// orderWarmup is how long after the first demand the first order may follow:
+	// by then the measured demand is about half of the real one's weight.
+	orderWarmup = 4 * time.Second
+	// orderFresh is how old the list and the peers' answers may be for an order:
+	// nothing is ordered from a view that may be old.
+	orderFresh = 1500 * time.Millisecond
+	// orderTimeout bounds the sending of one order.
+	orderTimeout = time.Second
+	// leaseMargin is added to the lease that a former holder may still believe in.
+	leaseMargin = 1500 * time.Millisecond
+	// dutyStages names the duty of ordering stages.
+	dutyStages = "stages"
+)
+
+// orderBook remembers the orders that this instance gave.
+type orderBook struct {
+	lastFence int64
+	last      map[string]time.Time
+	since     map[string]time.Time
+}
+
+// giveOrders looks after the engines' stages until ctx ends, while that falls to
+// this instance.
+func (g *Service) giveOrders(ctx context.Context) {
+	b := &orderBook{last: map[string]time.Time{}, since: map[string]time.Time{}}
+	lease := time.Duration(g.settings.Orders.LeaseMS)*time.Millisecond + leaseMargin
+	for pause.For(ctx, orderInterval) {
+		s := g.node.Snapshot()
+		if !s.Ready() || g.stopping.Load() || time.Since(s.AsOf) > orderFresh || !g.node.Holds(dutyStages, lease, orderFresh) {
+			continue
+		}
+		for name, service := range s.Table.Config().Services {
+			if service.Engine != nil {
+				g.order(ctx, b, s, name, service)
+			}
+		}
+	}
+}
+
+// order changes one engine's stage if that is worth it.
+func (g *Service) order(ctx context.Context, b *orderBook, s *fleet.Snapshot, name string, service routing.Service) {
+	now := time.Now()
+	list := s.Upstreams[name]
+	need := g.need(now, name)
+	if need.Memory <= 0 {
+		return
+	}
+	if b.since[name].IsZero() {
+		b.since[name] = now
+	}
+	if now.Sub(b.since[name]) < orderWarmup || now.Sub(b.last[name]) < orderPause {
+		return
+	}
+	change, ok := schedule.PlanStages(list, service.Engine, need, g.books.Busy)
+	if !ok {
+		return
+	}
+	b.last[name] = now
+	g.send(ctx, b, change)
+}
+
+// need adds up the demand of all instances.
+func (g *Service) need(now time.Time, service string) schedule.Need {
+	n := schedule.Need{PrefillRate: g.books.PrefillRate(service)}
+	n.Prefill, n.Memory = g.books.Demand(now, service)
+	for _, m := range g.node.Members() {
+		d := m.Load.Demand[service]
+		n.Prefill += d.PrefillRate
+		n.Memory += d.MemoryRate
+	}
+	return n
+}
+
+// send gives one order.
+func (g *Service) send(ctx context.Context, b *orderBook, c schedule.Switch) {
+	b.lastFence = nextFence(time.Now(), b.lastFence, g.settings.Instance)
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	err := g.dialect.Order(ctx, dialect.Order{To: c.Engine, Stage: c.To, Holder: g.settings.Instance, Fence: b.lastFence})
+	g.metrics.count("orders")
+	g.log.Info("order", "upstream", c.Engine.ID, "stage", c.To, "fence", b.lastFence, "load_before", c.Before, "load_after", c.After, "error", errorText(err))
+	var fenced *dialect.FencedError
+	if errors.As(err, &fenced) {
+		// A newer holder has ordered: its orders stand.
+		b.last = map[string]time.Time{}
+		g.log.Warn("order refused, another instance holds the duty", "fence", fenced.Fence)
+	}
+}
+
+const (
+	// fenceOwners is how many values of the low part tell holders apart, so that no
+	// two share a fencing number.
+	fenceOwners = 1 << 16
+)
+
+// nextFence returns a fencing number above last: seconds of the time of day, so
+// that a later holder's is higher without shared state, and the holder's own low
+// part.
+func nextFence(now time.Time, last int64, holder ident.InstanceID) int64 {
+	step := max(now.Unix(), last/fenceOwners+1)
+	return step*fenceOwners + ownerPart(holder)
+}
+
+// ownerPart hashes an instance's name (FNV-1a, folded to 16 bits).
+func ownerPart(id ident.InstanceID) int64 {
+	h := uint32(2166136261)
+	for _, b := range []byte(id) {
+		h = (h ^ uint32(b)) * 16777619
+	}
+	return int64((h ^ h>>16) & (fenceOwners - 1))
+}
+
+// errorText is an error for a log line, empty for none.
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/gateway/schedule/books.go
@@ -0,0 +1,347 @@
+// Package schedule decides which upstream gets a request: from what this
+// instance has in flight there, what its peers say they have, and how the
+// upstream did lately. It does no I/O; time is passed in.
+package schedule
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/ident"
+)
+
+const (
+	// successWeight is the weight of one outcome in the moving share of
+	// successes: ten outcomes count for two thirds.
+	successWeight = 0.1
+	// latencyWeight is the weight of one answer in the moving latency.
+	latencyWeight = 0.1
+	// initialLatency stands for upstreams that have not answered yet.
+	initialLatency = 60 * time.Millisecond
+	// ejectAfter is how many hard failures in a row eject an upstream; a refused
+	// connection ejects at once.
+	ejectAfter = 2
+	// ejectFirst and ejectMost bound how long an upstream stays ejected; the time
+	// doubles with each failure of a trial.
+	ejectFirst = 500 * time.Millisecond
+	ejectMost  = 4 * time.Second
+	// overdueFactor is how many times its usual latency an upstream may leave a
+	// request unanswered before it counts as silent.
+	overdueFactor = 8
+	// overdueLeast is the shortest time that counts as silence.
+	overdueLeast = 400 * time.Millisecond
+	// otherZone is what a placement in another zone costs, as a factor: bytes
+	// between zones are priced, and take 1 to 3 ms more.
+	otherZone = 1.15
+)
+
+// Failure says how an attempt failed.
+type Failure int
+
+// The kinds of failures, as far as they say something of the upstream.
+const (
+	// Soft failures are answers: the upstream's own error, a refusal.
+	Soft Failure = iota + 1
+	// Hard failures are resets, silence and bytes that are no answer.
+	Hard
+	// Unreachable upstreams refuse connections or don't answer them.
+	Unreachable
+)
+
+// book is what is known of one upstream.
+type book struct {
+	up dialect.Upstream
+	// requests and tokens are this instance's own in flight.
+	requests int
+	tokens   int
+	// peerRequests and peerTokens are those that peers say they have.
+	peerRequests int
+	peerTokens   int
+	success      float64
+	latency      time.Duration
+	failures     int
+	ejections    int
+	ejectedUntil time.Time
+	// starts are when the own requests in flight began, by number.
+	starts map[uint64]time.Time
+	// fullUntil is until when requests of fullTokens and more find no room.
+	fullUntil  time.Time
+	fullTokens int
+}
+
+// Books are the books of all upstreams of an instance. They are safe for
+// concurrent use.
+type Books struct {
+	zone ident.Zone
+
+	mu      sync.Mutex
+	books   map[ident.UpstreamID]*book
+	next    uint64
+	random  *rand.Rand
+	rates   map[string]*rate
+	demands map[string]*demand
+}
+
+// NewBooks returns empty books of an instance in the given zone.
+func NewBooks(zone ident.Zone, seed uint64) *Books {
+	return &Books{
+		zone: zone, books: map[ident.UpstreamID]*book{},
+		random: rand.New(rand.NewPCG(seed, seed)), rates: map[string]*rate{}, demands: map[string]*demand{},
+	}
+}
+
+// of returns the book of an upstream. The caller holds mu.
+func (b *Books) of(u dialect.Upstream) *book {
+	k := b.books[u.ID]
+	if k == nil {
+		k = &book{success: 1, starts: map[uint64]time.Time{}}
+		b.books[u.ID] = k
+	}
+	k.up = u
+	return k
+}
+
+// Ticket is a placement of one request, until Done.
+type Ticket struct {
+	Upstream dialect.Upstream
+	number   uint64
+	tokens   int
+}
+
+// place books a request. The caller holds mu.
+func (b *Books) place(now time.Time, k *book, tokens int) Ticket {
+	b.next++
+	k.requests++
+	k.tokens += tokens
+	k.starts[b.next] = now
+	return Ticket{Upstream: k.up, number: b.next, tokens: tokens}
+}
+
+// Done ends a placement.
+func (b *Books) Done(t Ticket) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.books[t.Upstream.ID]
+	if k == nil {
+		return
+	}
+	if _, open := k.starts[t.number]; !open {
+		return
+	}
+	delete(k.starts, t.number)
+	k.requests--
+	k.tokens -= t.tokens
+}
+
+// Answered takes in a good answer.
+func (b *Books) Answered(u dialect.Upstream, latency time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.of(u)
+	k.success += successWeight * (1 - k.success)
+	k.failures, k.ejections = 0, 0
+	k.ejectedUntil = time.Time{}
+	if k.latency == 0 {
+		k.latency = latency
+	}
+	k.latency += time.Duration(latencyWeight * float64(latency-k.latency))
+}
+
+// Failed takes in a failure and reports whether the upstream was ejected for it.
+func (b *Books) Failed(now time.Time, u dialect.Upstream, f Failure) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.of(u)
+	k.success -= successWeight * k.success
+	if f == Soft {
+		return false
+	}
+	k.failures++
+	if f == Hard && k.failures < ejectAfter && k.ejections == 0 {
+		return false
+	}
+	if now.Before(k.ejectedUntil) {
+		return false
+	}
+	k.ejectedUntil = now.Add(min(ejectMost, ejectFirst<<min(k.ejections, 6)))
+	k.ejections++
+	return true
+}
+
+// silent reports whether a request in flight has been unanswered for much longer
+// than is usual. The caller holds mu.
+func (k *book) silent(now time.Time) bool {
+	limit := max(overdueLeast, overdueFactor*k.latency)
+	for _, start := range k.starts {
+		if now.Sub(start) > limit {
+			return true
+		}
+	}
+	return false
+}
+
+// state says whether an upstream should get requests.
+type state int
+
+const (
+	stateGood state = iota
+	// stateTrial upstreams were ejected for a while and may be tried again.
+	stateTrial
+	stateEjected
+)
+
+// state returns the state of a book. The caller holds mu.
+func (k *book) state(now time.Time) state {
+	switch {
+	case k.ejections == 0:
+		return stateGood
+	case now.Before(k.ejectedUntil):
+		return stateEjected
+	default:
+		return stateTrial
+	}
+}
+
+// PickService chooses the upstream for a request of a plain service. Requests that
+// may run only once are not used to try upstreams that failed lately, as long as
+// there are others. It reports false if there is no upstream left.
+func (b *Books) PickService(now time.Time, list []dialect.Upstream, repeatable bool, exclude []ident.UpstreamID) (Ticket, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	best, trial := b.cheapest(now, list, exclude)
+	if repeatable && trial != nil && b.idle(trial) {
+		best = trial
+	}
+	if best == nil {
+		best = trial
+	}
+	if best == nil {
+		best = b.leastBad(list, exclude)
+	}
+	if best == nil {
+		return Ticket{}, false
+	}
+	return b.place(now, best, 0), true
+}
+
+// idle reports whether an upstream on trial has no request of this instance.
+func (b *Books) idle(k *book) bool { return k.requests == 0 }
+
+// cheapest returns the best of the good upstreams and of those on trial.
+func (b *Books) cheapest(now time.Time, list []dialect.Upstream, exclude []ident.UpstreamID) (good, trial *book) {
+	lowest := math.Inf(1)
+	for _, u := range list {
+		if !usable(u, exclude) {
+			continue
+		}
+		k := b.of(u)
+		switch k.state(now) {
+		case stateTrial:
+			trial = k
+		case stateGood:
+			if c := b.cost(now, k); c < lowest {
+				lowest, good = c, k
+			}
+		}
+	}
+	return good, trial
+}
+
+// leastBad returns the ejected upstream that is due first: with nothing else left
+// it is tried all the same.
+func (b *Books) leastBad(list []dialect.Upstream, exclude []ident.UpstreamID) *book {
+	var first *book
+	for _, u := range list {
+		if !usable(u, exclude) {
+			continue
+		}
+		k := b.of(u)
+		if first == nil || k.ejectedUntil.Before(first.ejectedUntil) {
+			first = k
+		}
+	}
+	return first
+}
+
+// usable reports whether an upstream takes new work and is not excluded.
+func usable(u dialect.Upstream, exclude []ident.UpstreamID) bool {
+	if u.Leaving {
+		return false
+	}
+	for _, id := range exclude {
+		if id == u.ID {
+			return false
+		}
+	}
+	return true
+}
+
+// cost is the expected time of one more request at an upstream, in seconds: its
+// latency, longer the more it has to do, and as often as it takes to succeed.
+func (b *Books) cost(now time.Time, k *book) float64 {
+	latency := k.latency
+	if latency == 0 {
+		latency = initialLatency
+	}
+	load := float64(k.requests+k.peerRequests) + 1
+	c := latency.Seconds() * load / math.Pow(math.Max(k.success, 0.05), 2)
+	if k.up.Zone != b.zone {
+		c *= otherZone
+	}
+	if k.silent(now) {
+		c *= overdueFactor
+	}
+	// A little noise spreads requests of instances that see the same.
+	return c * (1 + 0.1*b.random.Float64())
+}
+
+// SetPeers takes in what peers have in flight.
+func (b *Books) SetPeers(requests, tokens map[ident.UpstreamID]int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, k := range b.books {
+		k.peerRequests = requests[id]
+		k.peerTokens = tokens[id]
+	}
+}
+
+// Own returns what this instance has in flight at each upstream.
+func (b *Books) Own() (requests, tokens map[ident.UpstreamID]int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	requests, tokens = map[ident.UpstreamID]int{}, map[ident.UpstreamID]int{}
+	for id, k := range b.books {
+		if k.requests > 0 {
+			requests[id] = k.requests
+		}
+		if k.tokens > 0 {
+			tokens[id] = k.tokens
+		}
+	}
+	return requests, tokens
+}
+
+// Keep forgets upstreams that are no longer listed and have nothing in flight.
+func (b *Books) Keep(listed map[ident.UpstreamID]bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, k := range b.books {
+		if !listed[id] && k.requests == 0 {
+			delete(b.books, id)
+		}
+	}
+}
+
+// Busy returns how many requests are known to be at an upstream.
+func (b *Books) Busy(id ident.UpstreamID) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.books[id]
+	if k == nil {
+		return 0
+	}
+	return k.requests + k.peerRequests
+}
--- /dev/null
+++ b/gateway/service.go
@@ -0,0 +1,267 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/samber/oops"
+
+	"github.com/wardspool/wardspool/gateway/carry"
+	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/fleet"
+	"github.com/wardspool/wardspool/gateway/front"
+	"github.com/wardspool/wardspool/gateway/schedule"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/pause"
+	"github.com/wardspool/wardspool/peer"
+)
+
+const (
+	// headerTimeout, idleTimeout and maxHeaderBytes bound callers' connections.
+	// They lie above what configurations set, of 3 s, 15 s and 16 KiB.
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 75 * time.Second
+	maxHeaderBytes = 64 << 10
+	// announceTime is how long a stopping instance still accepts connections: the
+	// balancer asks once a second and believes the second refusal.
+	announceTime = 3 * time.Second
+	// stopReserve is what is left of the grace period when the last requests are
+	// broken off.
+	stopReserve = 400 * time.Millisecond
+)
+
+// Service is the gateway's process.
+type Service struct {
+	settings *Settings
+	log      *slog.Logger
+	dialect  dialect.Dialect
+	node     *fleet.Node
+	books    *schedule.Books
+	carrier  *carry.Carrier
+	front    *front.Front
+	metrics  *counters
+	pool     *peer.Pool
+	peers    *peer.Server
+	stopping atomic.Bool
+
+	callers, ready, control, scrape net.Listener
+}
+
+// Deployment is how the deployment is spoken to.
+type Deployment struct {
+	Dialect dialect.Dialect
+	Source  dialect.Source
+}
+
+// New returns the service. It opens nothing yet.
+func New(s *Settings, d Deployment, log *slog.Logger) *Service {
+	log = log.With("instance", s.Instance)
+	g := &Service{settings: s, log: log, dialect: d.Dialect, metrics: newCounters()}
+	g.books = schedule.NewBooks(s.Zone, rand.Uint64())
+	incarnation := ident.NewIncarnation(time.Now())
+	config := peer.Config{
+		Self: peer.Identity{Instance: s.Instance, Incarnation: incarnation, Zone: s.Zone},
+		// The store lists no instances: whoever reaches the address is believed.
+		Allow:  func(peer.Identity) bool { return true },
+		Limits: peerLimits,
+		Log:    log,
+	}
+	g.pool = peer.NewPool(config)
+	g.peers = peer.NewServer(config)
+	g.node = fleet.NewNode(fleet.Options{
+		Self:   fleet.Member{ID: s.Instance, Zone: s.Zone, Address: s.Listen.Peers, Incarnation: incarnation},
+		Seeds:  s.Seeds,
+		Source: d.Source, Pool: g.pool, Server: g.peers, Log: log,
+		Load: g.load, Changed: g.changed,
+	})
+	budget := schedule.NewBudget(time.Now(), s.Retries.budget(), g.node.Alive)
+	g.carrier = carry.New(carry.Options{
+		Dialect: d.Dialect, Books: g.books, Budget: budget, View: g.node.Snapshot, Log: log, Count: g.metrics.count,
+	})
+	g.front = front.New(front.Options{
+		Dialect: d.Dialect, Carrier: g.carrier, Budget: budget, View: g.node.Snapshot, Log: log, Observe: g.metrics.observe,
+	})
+	return g
+}
+
+// peerLimits keep connections between instances responsive: one that fell silent
+// is given up within a second.
+var peerLimits = peer.Limits{
+	Dial: 500 * time.Millisecond, Hello: 700 * time.Millisecond, Call: time.Second, Write: time.Second,
+	BackoffMin: 100 * time.Millisecond, BackoffMax: time.Second, Frame: 4 << 20,
+}
+
+// load is this instance's part of its heartbeats.
+func (g *Service) load() fleet.Load {
+	requests, tokens := g.books.Own()
+	l := fleet.Load{Requests: requests, Tokens: tokens, Demand: map[string]fleet.Demand{}}
+	now := time.Now()
+	for _, name := range g.books.DemandServices() {
+		p, m := g.books.Demand(now, name)
+		l.Demand[name] = fleet.Demand{PrefillRate: p, MemoryRate: m}
+	}
+	return l
+}
+
+// changed takes peers' loads into the books.
+func (g *Service) changed(s *fleet.Snapshot, members []fleet.Member) {
+	requests, tokens := map[ident.UpstreamID]int{}, map[ident.UpstreamID]int{}
+	for _, m := range members {
+		for id, n := range m.Load.Requests {
+			requests[id] += n
+		}
+		for id, n := range m.Load.Tokens {
+			tokens[id] += n
+		}
+	}
+	g.books.SetPeers(requests, tokens)
+	listed := map[ident.UpstreamID]bool{}
+	for _, list := range s.Upstreams {
+		for _, u := range list {
+			listed[u.ID] = true
+		}
+	}
+	g.books.Keep(listed)
+}
+
+// ListenError reports an address that can't be opened.
+type ListenError struct {
+	What, Address string
+	Err           error
+}
+
+// Error implements error.
+func (e *ListenError) Error() string { return e.What + " on " + e.Address + ": " + e.Err.Error() }
+
+// Unwrap returns the network's error.
+func (e *ListenError) Unwrap() error { return e.Err }
+
+// Listen implements process.Service.
+func (g *Service) Listen() error {
+	for _, l := range []struct {
+		what, address string
+		into          *net.Listener
+	}{
+		{"callers", g.settings.Listen.Callers, &g.callers},
+		{"ready", g.settings.Listen.Ready, &g.ready},
+		{"peers", g.settings.Listen.Peers, &g.control},
+		{"metrics", g.settings.Listen.Metrics, &g.scrape},
+	} {
+		if l.address == "" {
+			continue
+		}
+		var err error
+		if *l.into, err = net.Listen("tcp", l.address); err != nil {
+			return &ListenError{What: l.what, Address: l.address, Err: err}
+		}
+	}
+	return nil
+}
+
+// Serve implements process.Service. When ctx ends it stops gracefully: not ready
+// first, then no new connections, and out when the last request is answered or
+// the grace period nearly over.
+func (g *Service) Serve(ctx context.Context) error {
+	g.log.Info("started", "zone", g.settings.Zone, "callers", g.settings.Listen.Callers, "seeds", g.settings.Seeds)
+	background, stop := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { g.node.Run(background) })
+	running.Go(func() { g.giveOrders(background) })
+	running.Go(func() { g.servePeers() })
+	ready := &http.Server{Handler: g.readyRoutes(), ReadHeaderTimeout: headerTimeout}
+	running.Go(func() { g.serve(ready, g.ready, "ready") })
+	if g.scrape != nil {
+		scrape := &http.Server{Handler: g.metrics.routes(), ReadHeaderTimeout: headerTimeout}
+		running.Go(func() { g.serve(scrape, g.scrape, "metrics") })
+		defer g.closeServer(scrape)
+	}
+	callers := &http.Server{
+		Handler: g.front, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
+	}
+	running.Go(func() { g.serve(callers, g.callers, "callers") })
+	<-ctx.Done()
+	g.shutdown(callers)
+	stop()
+	g.closeServer(ready)
+	g.closePeers()
+	running.Wait()
+	g.carrier.Close()
+	g.dialect.Close()
+	g.metrics.close()
+	g.log.Info("stopped")
+	return nil
+}
+
+// shutdown stops taking requests and waits for those in progress.
+func (g *Service) shutdown(callers *http.Server) {
+	began := time.Now()
+	grace := time.Duration(g.settings.Stop.GraceSeconds * float64(time.Second))
+	g.log.Info("stopping", "active", g.front.Active(), "grace_ms", grace.Milliseconds())
+	g.stopping.Store(true)
+	g.node.Leave()
+	g.front.CloseConnections()
+	pause.For(context.Background(), min(announceTime, grace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-stopReserve))
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		g.log.Warn("requests broken off by the stop", "active", g.front.Active(), "error", err)
+		g.closeServer(callers)
+	}
+}
+
+// serve runs an HTTP server until it is closed.
+func (g *Service) serve(s *http.Server, l net.Listener, what string) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		g.log.Error("server ended", "server", what, "error", err)
+	}
+}
+
+// closeServer closes a server at once.
+func (g *Service) closeServer(s *http.Server) {
+	if err := s.Close(); err != nil {
+		g.log.Debug("close", "error", err)
+	}
+}
+
+// servePeers answers peers until closed.
+func (g *Service) servePeers() {
+	if err := g.peers.Serve(g.control); err != nil && !g.stopping.Load() {
+		g.log.Error("server ended", "server", "peers", "error", oops.Wrap(err))
+	}
+}
+
+// closePeers ends the connections between instances.
+func (g *Service) closePeers() {
+	g.pool.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), stopReserve/2)
+	defer cancel()
+	if err := g.peers.Shutdown(ctx); err != nil {
+		g.log.Debug("peers not waited for", "error", err)
+	}
+}
+
+// readyRoutes answers the balancer, on any path: deployments name it themselves.
+func (g *Service) readyRoutes() http.Handler {
+	r := mux.NewRouter()
+	r.PathPrefix("/").HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if g.stopping.Load() || !g.node.Snapshot().Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return r
+}
+
+// Reload takes in changed settings: the addresses of seeds.
+func (g *Service) Reload(s *Settings) {
+	g.node.SetSeeds(s.Seeds)
+	g.log.Info("settings reloaded", "seeds", s.Seeds)
+}
--- /dev/null
+++ b/gateway/settings.go
@@ -0,0 +1,124 @@
+// Package gateway is the service that callers reach at each instance of a
+// deployment whose store lists routes, services and upstreams: it routes
+// requests by host and path to plain services, and streams through separate
+// prefill and decode engines.
+package gateway
+
+import (
+	"net"
+	"time"
+
+	"github.com/wardspool/wardspool/gateway/schedule"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/logs"
+	"github.com/wardspool/wardspool/settings"
+)
+
+// Settings are what the gateway reads from its settings file.
+type Settings struct {
+	// Instance and Zone say which instance this is, and where.
+	Instance ident.InstanceID `yaml:"instance"`
+	Zone     ident.Zone       `yaml:"zone"`
+	Listen   Listen           `yaml:"listen"`
+	// Seeds are addresses at which some instances answer their peers.
+	Seeds []string `yaml:"seeds"`
+	Store Store    `yaml:"store"`
+	// MemoryMB is what the process may take, in megabytes.
+	MemoryMB int          `yaml:"memory_mb"`
+	Retries  Retries      `yaml:"retries"`
+	Orders   Orders       `yaml:"orders"`
+	Stop     Stop         `yaml:"stop"`
+	Log      logs.Options `yaml:"log"`
+}
+
+// Listen holds addresses, each "IP:port".
+type Listen struct {
+	Callers string `yaml:"callers"`
+	// Ready is where the balancer asks whether the instance takes connections.
+	Ready string `yaml:"ready"`
+	Peers string `yaml:"peers"`
+	// Metrics may be empty for none.
+	Metrics string `yaml:"metrics"`
+}
+
+// Store is the deployment's store.
+type Store struct {
+	Address string `yaml:"address"`
+}
+
+// Retries bound sends beyond a request's first, of all instances together.
+type Retries struct {
+	Ratio         float64 `yaml:"ratio"`
+	WindowSeconds float64 `yaml:"window_seconds"`
+	Slack         float64 `yaml:"slack"`
+}
+
+// budget returns the options of the retry budget.
+func (r Retries) budget() schedule.BudgetOptions {
+	return schedule.BudgetOptions{
+		Ratio: r.Ratio, Slack: r.Slack,
+		Window: time.Duration(r.WindowSeconds * float64(time.Second)),
+	}
+}
+
+// Orders bound the orders to engines.
+type Orders struct {
+	// LeaseMS is how long an instance waits after it became the one to give
+	// orders, in milliseconds.
+	LeaseMS int `yaml:"lease_ms"`
+}
+
+// Stop says how long a graceful stop may take.
+type Stop struct {
+	GraceSeconds float64 `yaml:"grace_seconds"`
+}
+
+// Defaults of Settings, as for the smallest of the known deployments.
+const (
+	defaultMemoryMB     = 128
+	defaultRetryRatio   = 0.1
+	defaultRetryWindow  = 10
+	defaultLeaseMS      = 3000
+	defaultGraceSeconds = 8
+)
+
+// SetDefaults implements settings.Defaulter.
+func (s *Settings) SetDefaults() {
+	s.MemoryMB = defaultMemoryMB
+	s.Retries = Retries{Ratio: defaultRetryRatio, WindowSeconds: defaultRetryWindow}
+	s.Orders.LeaseMS = defaultLeaseMS
+	s.Stop.GraceSeconds = defaultGraceSeconds
+}
+
+// CheckSettings implements settings.Checker.
+func (s *Settings) CheckSettings(r *settings.Report) {
+	required(r, "instance", string(s.Instance))
+	required(r, "zone", string(s.Zone))
+	address(r, "listen.callers", s.Listen.Callers)
+	address(r, "listen.ready", s.Listen.Ready)
+	address(r, "listen.peers", s.Listen.Peers)
+	address(r, "store.address", s.Store.Address)
+	if s.Listen.Metrics != "" {
+		address(r, "listen.metrics", s.Listen.Metrics)
+	}
+	for _, seed := range s.Seeds {
+		address(r, "seeds", seed)
+	}
+	if s.Retries.WindowSeconds <= 0 {
+		r.Add("retries.window_seconds", "is not above 0", "give the seconds over which retries are counted")
+	}
+}
+
+// required reports an empty field.
+func required(r *settings.Report, field, value string) {
+	if value == "" {
+		r.Add(field, "is missing", "give it a value")
+	}
+}
+
+// address reports a field that is no "IP:port".
+func address(r *settings.Report, field, value string) {
+	if _, _, err := net.SplitHostPort(value); err != nil {
+		r.Add(field, "is no address", "write it as IP:port")
+	}
+}
--- a/internal/capacity/bed.go
+++ b/internal/capacity/bed.go
@@ -14,10 +14,10 @@
 	"time"
 
 	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/feed"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/peer"
-	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/standin/engine"
 	"github.com/wardspool/wardspool/standin/perf"
 	standin "github.com/wardspool/wardspool/standin/platform"
--- a/process/process.go
+++ b/process/process.go
@@ -47,6 +47,9 @@
 	Version string
 	// Log returns the options of the log.
 	Log func(*S) logs.Options
+	// Output takes the log; nil for standard error, on which it may block. A given
+	// one never blocks the program: lines are dropped and counted instead.
+	Output io.Writer
 	// New makes the service.
 	New func(*S, *slog.Logger) (Service, error)
 	// Failed returns the exit code for an error of the service; nil for ExitFailed
@@ -95,12 +98,18 @@
 		fmt.Fprintln(errs, err)
 		return ExitSettings
 	}
-	log, err := logs.New(errs, p.Log(s))
+	to := errs
+	if p.Output != nil {
+		bounded := logs.NewBounded(p.Output)
+		defer bounded.Close()
+		to = bounded
+	}
+	log, err := logs.New(to, p.Log(s))
 	if err != nil {
 		fmt.Fprintln(errs, err)
 		return ExitSettings
 	}
-	if err := p.serve(ctx, s, log); err != nil {
+	if err := p.serve(ctx, file, s, log); err != nil {
 		log.Error("stopped", "error", err)
 		return p.exitCode(err)
 	}
@@ -108,7 +117,7 @@
 }
 
 // serve makes and runs the service.
-func (p Program[S]) serve(ctx context.Context, s *S, log *slog.Logger) error {
+func (p Program[S]) serve(ctx context.Context, file string, s *S, log *slog.Logger) error {
 	service, err := p.New(s, log)
 	if err != nil {
 		return err
@@ -116,6 +125,10 @@
 	if err := service.Listen(); err != nil {
 		return err
 	}
+	if r, ok := service.(Reloader[S]); ok {
+		stop := startReloading(ctx, file, r, log)
+		defer stop()
+	}
 	return service.Serve(ctx)
 }
 
--- a/testbed/operators.go
+++ b/testbed/operators.go
@@ -6,8 +6,8 @@
 
 	"github.com/wardspool/wardspool/bundle"
 	"github.com/wardspool/wardspool/config"
-	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/configservice"
+	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/standin/control"
 )
 
--- a/testbed/platform.go
+++ b/testbed/platform.go
@@ -4,8 +4,8 @@
 	"context"
 	"encoding/json"
 
-	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/configservice"
+	"github.com/wardspool/wardspool/ident"
 )
 
 // startPlatform starts the stand-in of the platform and publishes the lists and
