Decode engines are placed by a forecast of their memory

Each instance now foresees the memory of its streams at each engine in steps of 300 ms, from progress and measured spread of output lengths, and sends the sums with its heartbeats; a request is placed where the peak fits.

--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -39,7 +39,7 @@
 	u := p.decode.Upstream
 	before := s.events
 	first := time.Time{}
-	err := s.copyEvents(resp, func() { first = time.Now() })
+	err := s.copyEvents(p, resp, func() { first = time.Now() })
 	took := time.Since(start)
 	made := s.events - before
 	if !first.IsZero() {
@@ -47,9 +47,10 @@
 	}
 	if err == nil {
 		s.c.note(u, &attempt{verdict: dialect.Success}, took, s.log)
-		s.c.o.Books.StreamDone(s.j.Service.Name, made*s.j.Service.Engine.Stride, took)
+		s.c.o.Books.StreamDone(s.j.Service.Name, s.output(), made*s.j.Service.Engine.Stride, took)
 		s.log.Info("stream complete", "upstream", u.ID, "events", s.events, "took_ms", took.Milliseconds(),
-			"first_ms", first.Sub(s.j.Arrived).Milliseconds())
+			"first_ms", first.Sub(s.j.Arrived).Milliseconds(), "longest_pause_ms", s.longestPause.Milliseconds(),
+			"prompt", s.j.Call.PromptTokens, "estimate", s.output(), "bound", s.j.Call.MaxOutputTokens)
 		return nil, false, nil
 	}
 	return nil, s.brokenOff(ctx, p, err, made), s.streamError(ctx, err)
@@ -87,7 +88,7 @@
 }
 
 // copyEvents sends whole events on until the stream's end.
-func (s *stream) copyEvents(resp *http.Response, first func()) error {
+func (s *stream) copyEvents(p *place, resp *http.Response, first func()) error {
 	var pending []byte
 	started := false
 	buf := make([]byte, readBytes)
@@ -99,6 +100,8 @@
 				started = true
 				first()
 			}
+			s.notePause(time.Now())
+			s.c.o.Books.Progress(p.decode, s.events*s.j.Service.Engine.Stride)
 			if werr := s.deliver(resp, pending[:end]); werr != nil {
 				return &CallerError{Err: werr}
 			}
@@ -115,6 +118,14 @@
 	}
 }
 
+// notePause keeps the longest pause between two events.
+func (s *stream) notePause(now time.Time) {
+	if !s.lastAt.IsZero() {
+		s.longestPause = max(s.longestPause, now.Sub(s.lastAt))
+	}
+	s.lastAt = now
+}
+
 // finish sends what is left at a stream's clean end.
 func (s *stream) finish(resp *http.Response, rest []byte) error {
 	if s.begun && len(rest) == 0 {
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -90,6 +90,9 @@
 	// lastEvent is the number of the last event that the caller has.
 	lastEvent string
 	events    int
+	// lastAt is when the last event came; longestPause is between two.
+	lastAt       time.Time
+	longestPause time.Duration
 }
 
 // output is the expected length of the output, in tokens.
@@ -105,8 +108,13 @@
 	return guess
 }
 
+// size is the memory that the request is expected to take.
+func (s *stream) size() schedule.Size {
+	return schedule.Size{Prompt: s.j.Call.PromptTokens, Estimate: s.output()}
+}
+
 // need is the memory to reserve, in tokens.
-func (s *stream) need() int { return s.j.Call.PromptTokens + s.output() }
+func (s *stream) need() int { return s.size().HoldTokens() }
 
 // place is where a stream will run: a decode engine with a reservation.
 type place struct {
@@ -251,7 +259,7 @@
 	list := s.c.o.View().Upstreams[s.j.Service.Name]
 	engine := s.j.Service.Engine
 	for {
-		t, ok := s.c.o.Books.PlaceDecode(time.Now(), list, engine, s.need(), s.excluded)
+		t, ok := s.c.o.Books.PlaceDecode(time.Now(), list, engine, s.size(), s.excluded)
 		if !ok {
 			return nil, nil
 		}
--- a/gateway/fleet/roster.go
+++ b/gateway/fleet/roster.go
@@ -26,15 +26,22 @@
 // Load is what an instance says of its own requests, so that others see the load
 // of the upstreams they share.
 type Load struct {
-	// Tokens is the KV cache memory that its requests take at each decode engine
-	// and the prompt tokens queued at each prefill engine.
-	Tokens map[ident.UpstreamID]int `json:"k,omitempty"`
-	// Requests counts its requests in flight at each upstream.
-	Requests map[ident.UpstreamID]int `json:"r,omitempty"`
+	// InFlight is what it has in flight at each upstream.
+	InFlight map[ident.UpstreamID]InFlight `json:"f,omitempty"`
 	// Demand is what its callers ask of each service of engines.
 	Demand map[string]Demand `json:"d,omitempty"`
 }
 
+// InFlight is what an instance has in flight at an upstream.
+type InFlight struct {
+	Requests int `json:"r,omitempty"`
+	// Tokens are the prompt tokens queued at a prefill engine.
+	Tokens int `json:"t,omitempty"`
+	// Memory foresees what its requests take of a decode engine, in tokens, at
+	// steps of time from the heartbeat.
+	Memory []int `json:"m,omitempty"`
+}
+
 // Demand is the work offered to a service's engines, as a rate.
 type Demand struct {
 	// PrefillRate is in prompt tokens a second.
--- a/gateway/schedule/books.go
+++ b/gateway/schedule/books.go
@@ -60,6 +60,10 @@
 	// peerRequests and peerTokens are those that peers say they have.
 	peerRequests int
 	peerTokens   int
+	// streams are the own requests at a decode engine, by number; peerForecast is
+	// the memory that peers foresee for theirs.
+	streams      map[uint64]running
+	peerForecast Forecast
 	success      float64
 	latency      time.Duration
 	failures     int
@@ -97,7 +101,7 @@
 func (b *Books) of(u dialect.Upstream) *book {
 	k := b.books[u.ID]
 	if k == nil {
-		k = &book{success: 1, starts: map[uint64]time.Time{}}
+		k = &book{success: 1, starts: map[uint64]time.Time{}, streams: map[uint64]running{}}
 		b.books[u.ID] = k
 	}
 	k.up = u
@@ -132,6 +136,7 @@
 		return
 	}
 	delete(k.starts, t.number)
+	delete(k.streams, t.number)
 	k.requests--
 	k.tokens -= t.tokens
 }
@@ -298,30 +303,50 @@
 	return c * (1 + 0.1*b.random.Float64())
 }
 
+// InFlight is what one or several instances have in flight at an upstream.
+type InFlight struct {
+	Requests int
+	// Tokens are the prompt tokens queued at a prefill engine.
+	Tokens int
+	// Memory is what requests take of a decode engine.
+	Memory Forecast
+}
+
 // SetPeers takes in what peers have in flight.
-func (b *Books) SetPeers(requests, tokens map[ident.UpstreamID]int) {
+func (b *Books) SetPeers(peers map[ident.UpstreamID]*InFlight) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, k := range b.books {
-		k.peerRequests = requests[id]
-		k.peerTokens = tokens[id]
+		f := peers[id]
+		if f == nil {
+			f = &InFlight{}
+		}
+		k.peerRequests, k.peerTokens, k.peerForecast = f.Requests, f.Tokens, f.Memory
 	}
 }
 
 // Own returns what this instance has in flight at each upstream.
-func (b *Books) Own() (requests, tokens map[ident.UpstreamID]int) {
+func (b *Books) Own() map[ident.UpstreamID]InFlight {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	requests, tokens = map[ident.UpstreamID]int{}, map[ident.UpstreamID]int{}
+	own := map[ident.UpstreamID]InFlight{}
 	for id, k := range b.books {
 		if k.requests > 0 {
-			requests[id] = k.requests
-		}
-		if k.tokens > 0 {
-			tokens[id] = k.tokens
+			own[id] = InFlight{Requests: k.requests, Tokens: k.tokens, Memory: b.ownForecast(k)}
 		}
 	}
-	return requests, tokens
+	return own
+}
+
+// ownForecast foresees the memory of the own requests at an engine. The caller
+// holds mu.
+func (b *Books) ownForecast(k *book) Forecast {
+	var f Forecast
+	r := b.rateOf(k.up.Service)
+	for _, s := range k.streams {
+		f.add(s.forecast(r.tokenTime, r.spread()))
+	}
+	return f
 }
 
 // Keep forgets upstreams that are no longer listed and have nothing in flight.
--- a/gateway/schedule/demand.go
+++ b/gateway/schedule/demand.go
@@ -31,6 +31,8 @@
 	// prefillTime and firstEvent are mean times, in seconds.
 	prefillTime float64
 	firstEvent  float64
+	// variance is that of the logarithm of output length over its estimate.
+	variance float64
 }
 
 // demand is the work that callers asked for, decaying.
@@ -44,7 +46,7 @@
 func (b *Books) rateOf(service string) *rate {
 	r := b.rates[service]
 	if r == nil {
-		r = &rate{prefill: defaultPrefillRate, tokenTime: defaultTokenTime.Seconds(), prefillTime: 0.12, firstEvent: 0.1}
+		r = &rate{prefill: defaultPrefillRate, tokenTime: defaultTokenTime.Seconds(), prefillTime: 0.12, firstEvent: 0.1, variance: initialSpread * initialSpread}
 		b.rates[service] = r
 	}
 	return r
@@ -70,14 +72,16 @@
 	r.firstEvent += latencyWeight * (took.Seconds() - r.firstEvent)
 }
 
-// StreamDone takes in how long a stream of so many output tokens took.
-func (b *Books) StreamDone(service string, tokens int, took time.Duration) {
+// StreamDone takes in how long a stream of so many output tokens took, and what
+// its estimate was.
+func (b *Books) StreamDone(service string, estimate, tokens int, took time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if tokens <= 0 || took <= 0 {
 		return
 	}
 	r := b.rateOf(service)
+	r.learnSpread(estimate, tokens)
 	r.tokenTime += latencyWeight * (took.Seconds()/float64(tokens) - r.tokenTime)
 }
 
--- a/gateway/schedule/engines.go
+++ b/gateway/schedule/engines.go
@@ -10,9 +10,13 @@
 )
 
 const (
-	// usableMemory is the share of an engine's memory that is planned with: the
-	// engine rounds each request up to whole blocks of memory.
-	usableMemory = 0.98
+	// usableMemory is the share of an engine's memory that is planned with: peers'
+	// forecasts are some 300 ms old, and outputs may all turn out long. An engine
+	// that runs out preempts a request, which costs its prompt a second time and
+	// a pause of about 300 ms.
+	usableMemory = 0.92
+	// holdShare is the share of the estimated output that is reserved.
+	holdShare = 0.5
 	// fullFor is how long an engine that refused a reservation is not asked for as
 	// much again: a stream ends somewhere every 50 to 80 ms at the peak.
 	fullFor = 60 * time.Millisecond
@@ -22,51 +26,83 @@
 	closeEnough = 0.08
 )
 
-// PlaceDecode chooses the decode engine for a request that will take tokens of
-// memory: of those with room the one with the most of it. It reports false if
-// none has room.
-func (b *Books) PlaceDecode(now time.Time, list []dialect.Upstream, e *routing.Engine, tokens int, exclude []ident.UpstreamID) (Ticket, bool) {
+// Size is the memory that a request is expected to take, in tokens.
+type Size struct {
+	Prompt int
+	// Estimate is the expected length of the output.
+	Estimate int
+}
+
+// HoldTokens is the memory to reserve for a request. What the reservation doesn't
+// cover is left to the forecast: with the whole estimate reserved, engines refuse
+// while a quarter of their memory is still unused.
+func (s Size) HoldTokens() int {
+	return s.Prompt + int(holdShare*float64(s.Estimate))
+}
+
+// PlaceDecode chooses the decode engine for a request: of those whose memory is
+// expected to suffice until the request ends, the one with the most left. It
+// reports false if there is none.
+func (b *Books) PlaceDecode(now time.Time, list []dialect.Upstream, e *routing.Engine, size Size, exclude []ident.UpstreamID) (Ticket, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var best *book
 	most := 0.0
+	run := running{prompt: size.Prompt, estimate: size.Estimate}
 	for _, u := range list {
 		if u.Stage != dialect.StageDecode || !usable(u, exclude) {
 			continue
 		}
 		k := b.of(u)
-		free, ok := b.free(now, k, e, tokens)
-		if !ok {
+		left, ok := b.left(now, k, e, run)
+		if !ok || now.Before(k.fullUntil) && size.HoldTokens() >= k.fullTokens {
 			continue
 		}
-		free += closeEnough * b.random.Float64()
-		if best == nil || free > most {
-			best, most = k, free
+		left += closeEnough * b.random.Float64()
+		if best == nil || left > most {
+			best, most = k, left
 		}
 	}
 	if best == nil {
 		return Ticket{}, false
 	}
-	return b.place(now, best, tokens), true
+	t := b.place(now, best, 0)
+	best.streams[t.number] = run
+	return t, true
 }
 
-// free returns the share of an engine's memory that would stay free, and whether
-// a request of the given size fits. The caller holds mu.
-func (b *Books) free(now time.Time, k *book, e *routing.Engine, tokens int) (float64, bool) {
+// left returns the share of an engine's memory that is expected to stay unused
+// with one more request, and whether the request fits. The caller holds mu.
+func (b *Books) left(now time.Time, k *book, e *routing.Engine, run running) (float64, bool) {
 	if k.state(now) == stateEjected || k.state(now) == stateTrial && k.requests > 0 {
 		return 0, false
 	}
-	if now.Before(k.fullUntil) && tokens >= k.fullTokens {
-		return 0, false
-	}
 	if k.requests+k.peerRequests >= e.Slots {
 		return 0, false
 	}
+	r := b.rateOf(k.up.Service)
+	f := b.ownForecast(k)
+	f.add(k.peerForecast)
+	f.add(run.forecast(r.tokenTime, r.spread()))
 	total := usableMemory * float64(e.KVTokens)
-	left := total - float64(k.tokens+k.peerTokens+tokens)
+	left := total - float64(f.peak())
 	return left / total, left >= 0
 }
 
+// Progress takes in how many tokens a request's output has.
+func (b *Books) Progress(t Ticket, produced int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.books[t.Upstream.ID]
+	if k == nil {
+		return
+	}
+	if run, ok := k.streams[t.number]; ok {
+		run.produced = produced
+		k.streams[t.number] = run
+	}
+}
+
 // Full takes in that an engine refused a reservation.
 func (b *Books) Full(now time.Time, u dialect.Upstream, tokens int) {
 	b.mu.Lock()
--- /dev/null
+++ b/gateway/schedule/forecast.go
@@ -0,0 +1,104 @@
+package schedule
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// forecastSteps and forecastStep are how far ahead the memory of engines is
+	// foreseen: as long as a stream takes, in steps of a few events.
+	forecastSteps = 10
+	forecastStep  = 300 * time.Millisecond
+	// initialSpread is the spread of the logarithm of output length over its
+	// estimate until it was measured.
+	initialSpread = 0.5
+	// spreadWeight is the weight of one stream in the measured spread.
+	spreadWeight = 0.02
+	// leastSpread keeps the forecast from trusting estimates wholly.
+	leastSpread = 0.1
+)
+
+// Forecast is the memory that requests will take of an engine, in tokens, now and
+// at each step of time from now. Forecasts of several instances add up.
+type Forecast [forecastSteps]int
+
+// add adds another forecast.
+func (f *Forecast) add(o Forecast) {
+	for i := range f {
+		f[i] += o[i]
+	}
+}
+
+// Add adds a forecast from a peer, which may have other steps in another version.
+func (f *Forecast) Add(o []int) {
+	for i := range min(len(f), len(o)) {
+		f[i] += o[i]
+	}
+}
+
+// peak is the most memory at any step.
+func (f *Forecast) peak() int {
+	most := 0
+	for _, n := range f {
+		most = max(most, n)
+	}
+	return most
+}
+
+// running is a request at a decode engine.
+type running struct {
+	prompt   int
+	estimate int
+	// produced is the output so far, in tokens.
+	produced int
+}
+
+// forecast foresees the memory of a request: it grows with the output and is free
+// at its end.
+func (r running) forecast(tokenTime, spread float64) Forecast {
+	var f Forecast
+	final := expectedOutput(float64(r.estimate), float64(r.produced), spread)
+	for i := range f {
+		at := float64(r.produced) + float64(i)*forecastStep.Seconds()/tokenTime
+		if at > final && i > 0 {
+			break
+		}
+		f[i] = r.prompt + int(math.Min(at, final))
+	}
+	return f
+}
+
+// expectedOutput is the mean length of an output that has reached produced tokens,
+// when lengths spread around the estimate by a log-normal distribution whose
+// median it is.
+func expectedOutput(estimate, produced, spread float64) float64 {
+	if estimate <= 0 {
+		return produced
+	}
+	mean := estimate * math.Exp(spread*spread/2)
+	if produced <= 0 {
+		return mean
+	}
+	z := math.Log(produced/estimate) / spread
+	beyond := upperTail(z)
+	if beyond < 1e-6 {
+		return produced * (1 + spread)
+	}
+	return math.Max(produced, mean*upperTail(z-spread)/beyond)
+}
+
+// upperTail is the share of a normal distribution above z.
+func upperTail(z float64) float64 { return 0.5 * math.Erfc(z/math.Sqrt2) }
+
+// learnSpread takes a stream's length into the measured spread.
+func (r *rate) learnSpread(estimate, output int) {
+	if estimate <= 0 || output <= 0 {
+		return
+	}
+	off := math.Log(float64(output) / float64(estimate))
+	r.variance += spreadWeight * (off*off - r.variance)
+}
+
+// spread is the measured spread.
+func (r *rate) spread() float64 { return math.Max(leastSpread, math.Sqrt(r.variance)) }
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -101,8 +101,14 @@
 
 // load is this instance's part of its heartbeats.
 func (g *Service) load() fleet.Load {
-	requests, tokens := g.books.Own()
-	l := fleet.Load{Requests: requests, Tokens: tokens, Demand: map[string]fleet.Demand{}}
+	l := fleet.Load{InFlight: map[ident.UpstreamID]fleet.InFlight{}, Demand: map[string]fleet.Demand{}}
+	for id, f := range g.books.Own() {
+		said := fleet.InFlight{Requests: f.Requests, Tokens: f.Tokens}
+		if f.Memory != (schedule.Forecast{}) {
+			said.Memory = f.Memory[:]
+		}
+		l.InFlight[id] = said
+	}
 	now := time.Now()
 	for _, name := range g.books.DemandServices() {
 		p, m := g.books.Demand(now, name)
@@ -113,16 +119,7 @@
 
 // changed takes peers' loads into the books.
 func (g *Service) changed(s *fleet.Snapshot, members []fleet.Member) {
-	requests, tokens := map[ident.UpstreamID]int{}, map[ident.UpstreamID]int{}
-	for _, m := range members {
-		for id, n := range m.Load.Requests {
-			requests[id] += n
-		}
-		for id, n := range m.Load.Tokens {
-			tokens[id] += n
-		}
-	}
-	g.books.SetPeers(requests, tokens)
+	g.books.SetPeers(total(members))
 	listed := map[ident.UpstreamID]bool{}
 	for _, list := range s.Upstreams {
 		for _, u := range list {
@@ -132,6 +129,24 @@
 	g.books.Keep(listed)
 }
 
+// total adds up what peers have in flight.
+func total(members []fleet.Member) map[ident.UpstreamID]*schedule.InFlight {
+	sum := map[ident.UpstreamID]*schedule.InFlight{}
+	for _, m := range members {
+		for id, f := range m.Load.InFlight {
+			s := sum[id]
+			if s == nil {
+				s = &schedule.InFlight{}
+				sum[id] = s
+			}
+			s.Requests += f.Requests
+			s.Tokens += f.Tokens
+			s.Memory.Add(f.Memory)
+		}
+	}
+	return sum
+}
+
 // ListenError reports an address that can't be opened.
 type ListenError struct {
 	What, Address string
