Engines that refuse what they promised are passed over, and say so to peers

The instance that orders tells its peers which engines are changing; a refused prefill result is offered to a second decode engine, which also tells which of the two engines is to blame; sends of a restart are counted whole.

--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -72,7 +72,7 @@
 	if !s.j.Route.Repeatable() || s.runs >= s.j.Route.MaxAttempts {
 		return false
 	}
-	return s.mayStart(ctx, err)
+	return s.mayStart(ctx, err, sendsAnew)
 }
 
 // streamError is what the caller is told of a stream that ended early.
--- a/gateway/carry/plain.go
+++ b/gateway/carry/plain.go
@@ -144,7 +144,7 @@
 	if p.refusals > maxRefusals {
 		return false
 	}
-	return p.c.o.Budget.Extra(now, p.j.Service.Name)
+	return p.c.o.Budget.Extra(now, p.j.Service.Name, 1)
 }
 
 // end says what became of a request that gets no success.
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -85,6 +85,9 @@
 	starts   int
 	runs     int
 	prefills int
+	// kept is a prefill result that a decode engine refused to fetch, for another
+	// one to try.
+	kept *computed
 	// begun means that the head went out.
 	begun bool
 	// lastEvent is the number of the last event that the caller has.
@@ -116,6 +119,24 @@
 // need is the memory to reserve, in tokens.
 func (s *stream) need() int { return s.size().HoldTokens() }
 
+// computed is a prefill result and where it came from.
+type computed struct {
+	handle dialect.Handle
+	engine dialect.Upstream
+	at     time.Time
+	// refusedBy is the decode engine that refused to fetch it.
+	refusedBy *dialect.Upstream
+}
+
+// keptShare is the share of a prefill result's life in which it is still offered
+// to another engine.
+const keptShare = 0.6
+
+// fresh reports whether a prefill result can still be fetched.
+func (h *computed) fresh(ttl time.Duration) bool {
+	return h != nil && time.Since(h.at) < time.Duration(keptShare*float64(ttl))
+}
+
 // place is where a stream will run: a decode engine with a reservation.
 type place struct {
 	decode schedule.Ticket
@@ -143,12 +164,22 @@
 		return nil, false, s.ended(err)
 	}
 	defer s.roomCame(p)
-	handle, err := s.prefill(ctx, p)
+	h, err := s.compute(ctx, p)
 	if err != nil {
 		s.giveUp(p, nil)
-		return nil, s.mayStart(ctx, err), s.ended(err)
+		return nil, s.mayStart(ctx, err, sendsAfterPrefill), s.ended(err)
 	}
-	return s.decode(ctx, p, handle)
+	return s.decode(ctx, p, h)
+}
+
+// compute returns the prefill result to start from: the one kept, or a new one.
+func (s *stream) compute(ctx context.Context, p *place) (*computed, error) {
+	h := s.kept
+	s.kept = nil
+	if h.fresh(s.j.Service.Engine.HandleTTL) {
+		return h, nil
+	}
+	return s.prefill(ctx, p)
 }
 
 // roomCame gives up a place.
@@ -175,9 +206,20 @@
 	}
 }
 
+// How many sends beyond the first a new start takes.
+const (
+	// sendsWithKept: only the decode engine is asked again.
+	sendsWithKept = 1
+	// sendsAfterPrefill: a prefill failed, another one follows.
+	sendsAfterPrefill = 1
+	// sendsAnew: prefill and decode are both asked again.
+	sendsAnew = 2
+)
+
 // mayStart reports whether another pair of engines may be tried after a failure
-// that left the request not run, or that may be repeated.
-func (s *stream) mayStart(ctx context.Context, err error) bool {
+// that left the request not run, or that may be repeated; sends is what that
+// takes.
+func (s *stream) mayStart(ctx context.Context, err error, sends int) bool {
 	if ctx.Err() != nil || s.starts >= maxStarts {
 		return false
 	}
@@ -189,7 +231,7 @@
 	if s.j.Deadline.Sub(now) < leastTime {
 		return false
 	}
-	return s.c.o.Budget.Extra(now, s.j.Service.Name)
+	return s.c.o.Budget.Extra(now, s.j.Service.Name, sends)
 }
 
 // latestStart is when the request must have its place for the first event to be
@@ -299,7 +341,7 @@
 
 // prefill has the prompt computed for a place. A nil handle without an error means
 // that the decode engine has to do it, since there are no others.
-func (s *stream) prefill(ctx context.Context, p *place) (*dialect.Handle, error) {
+func (s *stream) prefill(ctx context.Context, p *place) (*computed, error) {
 	list := s.c.o.View().Upstreams[s.j.Service.Name]
 	var tried []ident.UpstreamID
 	for {
@@ -309,13 +351,13 @@
 		}
 		h, err := s.prefillAt(ctx, t)
 		if err == nil {
-			return &h, nil
+			return &computed{handle: h, engine: t.Upstream, at: time.Now()}, nil
 		}
 		if ctx.Err() != nil {
 			return nil, s.contextError(ctx)
 		}
 		tried = append(tried, t.Upstream.ID)
-		if !s.c.o.Budget.Extra(time.Now(), s.j.Service.Name) {
+		if !s.c.o.Budget.Extra(time.Now(), s.j.Service.Name, sendsAfterPrefill) {
 			return nil, err
 		}
 	}
@@ -345,11 +387,15 @@
 }
 
 // decode runs the stream at its place.
-func (s *stream) decode(ctx context.Context, p *place, h *dialect.Handle) (*Answer, bool, error) {
+func (s *stream) decode(ctx context.Context, p *place, h *computed) (*Answer, bool, error) {
 	u := p.decode.Upstream
 	start := time.Now()
+	var source *dialect.Handle
+	if h != nil {
+		source = &h.handle
+	}
 	resp, verdict, err := s.c.o.Dialect.Do(ctx, s.j.Call, dialect.Send{
-		To: u, Deadline: s.j.Deadline.Add(-deadlineMargin), Source: h, Hold: p.hold, LastEvent: s.lastEvent, Urgency: -1,
+		To: u, Deadline: s.j.Deadline.Add(-deadlineMargin), Source: source, Hold: p.hold, LastEvent: s.lastEvent, Urgency: -1,
 	})
 	if err != nil {
 		return nil, s.failedSend(ctx, p, h, err), s.sendError(ctx, err)
@@ -358,13 +404,14 @@
 	if verdict != dialect.Success {
 		return s.notServed(ctx, p, h, resp, verdict)
 	}
+	s.accepted(u, h)
 	s.log.Info("stream accepted", "upstream", u.ID, "took_ms", time.Since(start).Milliseconds(), "since_arrival_ms", time.Since(s.j.Arrived).Milliseconds())
 	return s.forward(ctx, p, resp, start)
 }
 
 // failedSend takes in a sending that brought no response, and reports whether
 // another pair of engines may be tried.
-func (s *stream) failedSend(ctx context.Context, p *place, h *dialect.Handle, err error) bool {
+func (s *stream) failedSend(ctx context.Context, p *place, h *computed, err error) bool {
 	u := p.decode.Upstream
 	s.c.note(u, &attempt{err: err}, 0, s.log)
 	s.excluded = append(s.excluded, u.ID)
@@ -377,7 +424,7 @@
 	} else {
 		s.giveUp(p, h)
 	}
-	return s.mayStart(ctx, err)
+	return s.mayStart(ctx, err, sendsAnew)
 }
 
 // sendError is what the caller is told of a sending that brought no response.
@@ -388,22 +435,40 @@
 	return s.ended(err)
 }
 
+// accepted takes in that an engine runs the stream: whoever refused the prefill
+// result before is to blame for that, not the result.
+func (s *stream) accepted(u dialect.Upstream, h *computed) {
+	s.c.o.Books.Kept(u)
+	if h == nil {
+		return
+	}
+	s.c.o.Books.Kept(h.engine)
+	if h.refusedBy != nil {
+		s.passOver(*h.refusedBy, "refused although reserved")
+	}
+}
+
+// passOver has an engine passed over that refused what it had promised.
+func (s *stream) passOver(u dialect.Upstream, why string) {
+	s.c.o.Books.Refuses(time.Now(), u)
+	s.c.o.Count("engine_passed_over")
+	s.log.Warn("engine passed over", "upstream", u.ID, "stage", u.Stage, "why", why)
+}
+
 // notServed takes in an answer that is no stream.
-func (s *stream) notServed(ctx context.Context, p *place, h *dialect.Handle, resp *http.Response, v dialect.Verdict) (*Answer, bool, error) {
+func (s *stream) notServed(ctx context.Context, p *place, h *computed, resp *http.Response, v dialect.Verdict) (*Answer, bool, error) {
 	u := p.decode.Upstream
 	a := readAnswer(s.c.o.Dialect, resp, v)
 	s.c.note(u, a, 0, s.log)
+	s.excluded = append(s.excluded, u.ID)
 	s.log.Info("attempt", "upstream", u.ID, "number", s.starts, "verdict", v, "status", resp.StatusCode)
+	err := &dialect.StatusError{Op: "decode", Status: resp.StatusCode}
 	if a.evidence() != kernel.Ambiguous {
-		s.giveUp(p, h)
 		s.c.o.Count("decode_refused")
-		err := &dialect.StatusError{Op: "decode", Status: resp.StatusCode}
-		return nil, s.mayStart(ctx, err), s.ended(err)
+		return nil, s.refused(ctx, p, h, err), s.ended(err)
 	}
 	s.runs++
-	s.excluded = append(s.excluded, u.ID)
-	err := &dialect.StatusError{Op: "decode", Status: resp.StatusCode}
-	if s.j.Route.Repeatable() && s.runs < s.j.Route.MaxAttempts && s.mayStart(ctx, err) {
+	if s.j.Route.Repeatable() && s.runs < s.j.Route.MaxAttempts && s.mayStart(ctx, err, sendsAnew) {
 		return nil, true, err
 	}
 	if !s.begun && a.err == nil && v == dialect.Failure && passable(a.answer.Status) {
@@ -412,15 +477,48 @@
 	return nil, false, s.ended(err)
 }
 
+// refused takes in that a decode engine refused a request for which it had
+// reserved memory, and reports whether another may be tried. The engine may be
+// changing its stage, or the prefill result may be gone: a second engine tells,
+// without computing the prompt again.
+func (s *stream) refused(ctx context.Context, p *place, h *computed, err error) bool {
+	u := p.decode.Upstream
+	switch {
+	case h == nil:
+		s.passOver(u, "refused although reserved")
+	case h.refusedBy == nil && h.fresh(s.j.Service.Engine.HandleTTL):
+		s.giveUp(p, nil)
+		if s.mayStart(ctx, err, sendsWithKept) {
+			h.refusedBy = &u
+			s.kept = h
+			return true
+		}
+		s.free(h)
+		return false
+	case h.refusedBy != nil:
+		s.passOver(h.engine, "two engines could not fetch its result")
+		s.excluded = append(s.excluded, h.engine.ID)
+	}
+	s.giveUp(p, h)
+	return s.mayStart(ctx, err, sendsAnew)
+}
+
+// free gives a prefill result up.
+func (s *stream) free(h *computed) {
+	s.c.cleanup.Go(func() {
+		release(func(ctx context.Context) error { return s.c.o.Dialect.Free(ctx, h.handle) }, s.log, "handle", h.engine.ID)
+	})
+}
+
 // giveUp frees what was reserved and computed for a stream that doesn't come.
-func (s *stream) giveUp(p *place, h *dialect.Handle) {
+func (s *stream) giveUp(p *place, h *computed) {
+	if h != nil {
+		s.free(h)
+	}
 	s.c.cleanup.Go(func() {
 		release(func(ctx context.Context) error {
 			return s.c.o.Dialect.Release(ctx, p.decode.Upstream.Address, p.hold)
 		}, s.log, "hold", p.decode.Upstream.ID)
-		if h != nil {
-			release(func(ctx context.Context) error { return s.c.o.Dialect.Free(ctx, *h) }, s.log, "handle", p.decode.Upstream.ID)
-		}
 	})
 }
 
--- a/gateway/fleet/roster.go
+++ b/gateway/fleet/roster.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/rendezvous"
 )
@@ -28,6 +29,11 @@
 type Load struct {
 	// InFlight is what it has in flight at each upstream.
 	InFlight map[ident.UpstreamID]InFlight `json:"f,omitempty"`
+	// Refusing is how much longer it passes engines over, in milliseconds, that
+	// refused what they had promised.
+	Refusing map[ident.UpstreamID]int64 `json:"x,omitempty"`
+	// Switching names the stages that it ordered engines to take.
+	Switching map[ident.UpstreamID]dialect.Stage `json:"w,omitempty"`
 	// Demand is what its callers ask of each service of engines.
 	Demand map[string]Demand `json:"d,omitempty"`
 }
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -61,7 +61,7 @@
 // order changes one engine's stage if that is worth it.
 func (g *Service) order(ctx context.Context, b *orderBook, s *fleet.Snapshot, name string, service routing.Service) {
 	now := time.Now()
-	list := s.Upstreams[name]
+	list := g.books.Staged(now, s.Upstreams[name])
 	need := g.need(now, name)
 	if need.Memory <= 0 {
 		return
@@ -100,6 +100,9 @@
 	err := g.dialect.Order(ctx, dialect.Order{To: c.Engine, Stage: c.To, Holder: g.settings.Instance, Fence: b.lastFence})
 	g.metrics.count("orders")
 	g.log.Info("order", "upstream", c.Engine.ID, "stage", c.To, "fence", b.lastFence, "load_before", c.Before, "load_after", c.After, "error", errorText(err))
+	if err == nil {
+		g.books.Switching(time.Now(), c.Engine.ID, c.To)
+	}
 	var fenced *dialect.FencedError
 	if errors.As(err, &fenced) {
 		// A newer holder has ordered: its orders stand.
--- a/gateway/schedule/budget.go
+++ b/gateway/schedule/budget.go
@@ -73,8 +73,9 @@
 	s.requests[s.step%budgetSteps]++
 }
 
-// Extra reports whether one more send beyond the first is allowed, and counts it.
-func (b *Budget) Extra(now time.Time, service string) bool {
+// Extra reports whether so many more sends beyond the first are allowed, and counts
+// them.
+func (b *Budget) Extra(now time.Time, service string, sends int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.of(now, service)
@@ -84,9 +85,9 @@
 		extra += s.extra[i]
 	}
 	allowed := b.options.Ratio*float64(requests) + b.options.Slack/float64(max(1, b.instances()))
-	if float64(extra+1) > budgetMargin*allowed {
+	if float64(extra+sends) > budgetMargin*allowed {
 		return false
 	}
-	s.extra[s.step%budgetSteps]++
+	s.extra[s.step%budgetSteps] += sends
 	return true
 }
--- a/gateway/schedule/engines.go
+++ b/gateway/schedule/engines.go
@@ -71,10 +71,20 @@
 	return t, true
 }
 
+// open reports whether an engine may be given a request now: it keeps promises,
+// and if it failed lately, one request at a time tries it. The caller holds mu.
+func (k *book) open(now time.Time) bool {
+	if k.away(now) {
+		return false
+	}
+	s := k.state(now)
+	return s == stateGood || s == stateTrial && k.requests == 0
+}
+
 // left returns the share of an engine's memory that is expected to stay unused
 // with one more request, and whether the request fits. The caller holds mu.
 func (b *Books) left(now time.Time, k *book, e *routing.Engine, run running) (float64, bool) {
-	if k.state(now) == stateEjected || k.state(now) == stateTrial && k.requests > 0 {
+	if !k.open(now) {
 		return 0, false
 	}
 	if k.requests+k.peerRequests >= e.Slots {
@@ -127,7 +137,7 @@
 			continue
 		}
 		k := b.of(u)
-		if s := k.state(now); s == stateEjected || s == stateTrial && k.requests > 0 {
+		if !k.open(now) {
 			continue
 		}
 		if c := b.prefillCost(now, k, tokens, near); c < least {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -110,6 +110,12 @@
 		l.InFlight[id] = said
 	}
 	now := time.Now()
+	away := g.books.Away(now)
+	l.Switching = away.Switching
+	l.Refusing = map[ident.UpstreamID]int64{}
+	for id, left := range away.Refusing {
+		l.Refusing[id] = left.Milliseconds()
+	}
 	for _, name := range g.books.DemandServices() {
 		p, m := g.books.Demand(now, name)
 		l.Demand[name] = fleet.Demand{PrefillRate: p, MemoryRate: m}
@@ -120,6 +126,7 @@
 // changed takes peers' loads into the books.
 func (g *Service) changed(s *fleet.Snapshot, members []fleet.Member) {
 	g.books.SetPeers(total(members))
+	g.books.SetAway(time.Now(), away(members))
 	listed := map[ident.UpstreamID]bool{}
 	for _, list := range s.Upstreams {
 		for _, u := range list {
@@ -147,6 +154,20 @@
 	return sum
 }
 
+// away adds up what peers found of engines.
+func away(members []fleet.Member) schedule.Away {
+	a := schedule.Away{Refusing: map[ident.UpstreamID]time.Duration{}, Switching: map[ident.UpstreamID]dialect.Stage{}}
+	for _, m := range members {
+		for id, left := range m.Load.Refusing {
+			a.Refusing[id] = max(a.Refusing[id], time.Duration(left)*time.Millisecond)
+		}
+		for id, stage := range m.Load.Switching {
+			a.Switching[id] = stage
+		}
+	}
+	return a
+}
+
 // ListenError reports an address that can't be opened.
 type ListenError struct {
 	What, Address string
