Engines' reports show memory that no known request explains

Cause: streams of instances that died or are cut off go on at their engines, and peers' forecasts are late; engines were filled beyond their memory and preempted running requests, most of all after a restart of everything (34 of 47 streams paused). One instance an engine asks for a report a second; what all known requests of the last 1.5 s don't explain is left free, by all instances. Stages are ordered after 1.5 s of demand in place of 4, so that less of a first burst falls into the change.

--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -126,6 +126,9 @@
 func (f *fakeDialect) Read(*http.Request, []byte) (*dialect.Call, error)           { return nil, nil }
 func (f *fakeDialect) Order(context.Context, dialect.Order) error                  { return nil }
 func (f *fakeDialect) CheckHealth(context.Context, dialect.Upstream, string) error { return nil }
+func (f *fakeDialect) Report(context.Context, dialect.Upstream) (dialect.Report, error) {
+	return dialect.Report{}, nil
+}
 func (f *fakeDialect) WriteHead(http.Header, *dialect.Call)                        {}
 func (f *fakeDialect) EndToEnd(to, from http.Header) {
 	for k, v := range from {
--- a/gateway/dialect/dialect.go
+++ b/gateway/dialect/dialect.go
@@ -130,6 +130,8 @@
 	Hold(ctx context.Context, address string, tokens int, ttl time.Duration) (string, error)
 	// Release gives a reservation up.
 	Release(ctx context.Context, address, hold string) error
+	// Report asks an engine for its load. Engines answer without using a slot.
+	Report(ctx context.Context, u Upstream) (Report, error)
 	// Order tells an engine to change its stage.
 	Order(ctx context.Context, o Order) error
 	// CheckHealth asks an upstream whether it serves, on the service's path.
@@ -142,6 +144,18 @@
 	Close()
 }
 
+// Report is an engine's own word on its load, as of some hundred ms ago.
+type Report struct {
+	Stage Stage
+	// Switching means that an order is being carried out.
+	Switching bool
+	// Running and Waiting count requests.
+	Running, Waiting int
+	// UsedTokens is the memory of running requests, in tokens; HeldTokens that of
+	// reservations.
+	UsedTokens, HeldTokens int
+}
+
 // Order is a change of an engine's stage.
 type Order struct {
 	To    Upstream
--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -116,12 +116,15 @@
 
 // Holds reports whether this instance may act for all on a duty: it is the one
 // chosen, the live instances have been the same for settled, and most of them
-// answered it within recent.
+// answered it within recent. Zero times are not asked for.
 func (n *Node) Holds(duty string, settled, recent time.Duration) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
-	return n.roster.Holder(now, duty) && n.roster.Steady(now) >= settled && n.roster.InTouch(now, recent)
+	if !n.roster.Holder(now, duty) || n.roster.Steady(now) < settled {
+		return false
+	}
+	return recent == 0 || n.roster.InTouch(now, recent)
 }
 
 // Run keeps the view up to date until ctx ends.
--- a/gateway/fleet/roster.go
+++ b/gateway/fleet/roster.go
@@ -46,6 +46,9 @@
 	// Memory foresees what its requests take of a decode engine, in tokens, at
 	// steps of time from the heartbeat.
 	Memory []int `json:"m,omitempty"`
+	// Unexplained is memory that the engine reported to the instance beyond what
+	// all requests explain, in tokens.
+	Unexplained int `json:"u,omitempty"`
 }
 
 // Demand is the work offered to a service's engines, as a rate.
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -15,13 +15,14 @@
 
 const (
 	// orderInterval is how often stages are looked at.
-	orderInterval = time.Second
+	orderInterval = 500 * time.Millisecond
 	// orderPause is the least time between two orders to a service's engines: an
 	// engine is out for some 6 s after one, and demand has to show what it gained.
 	orderPause = 12 * time.Second
-	// orderWarmup is how long after the first demand the first order may follow:
-	// by then the measured demand is about half of the real one's weight.
-	orderWarmup = 4 * time.Second
+	// orderWarmup is how long after the first demand the first order may follow.
+	// Only the ratio of prefill to memory matters for it, which some ten requests
+	// show; the sooner the order, the less of a first burst it meets.
+	orderWarmup = 1500 * time.Millisecond
 	// orderFresh is how old the list and the peers' answers may be for an order:
 	// nothing is ordered from a view that may be old.
 	orderFresh = 1500 * time.Millisecond
--- /dev/null
+++ b/gateway/reports.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/internal/pause"
+)
+
+const (
+	// reportInterval is the time between two reports of one decode engine. A report
+	// costs about as much as a 20th of a plain request earns.
+	reportInterval = time.Second
+	// reportTimeout bounds one report.
+	reportTimeout = 400 * time.Millisecond
+	// dutyReport, with an engine's ID, names the duty of asking it.
+	dutyReport = "report/"
+)
+
+// gatherReports asks decode engines for their load until ctx ends, those that fall
+// to this instance.
+func (g *Service) gatherReports(ctx context.Context) {
+	for pause.For(ctx, reportInterval) {
+		s := g.node.Snapshot()
+		if !s.Ready() || g.stopping.Load() {
+			continue
+		}
+		for _, u := range s.All() {
+			if u.Stage == dialect.StageDecode && g.node.Holds(dutyReport+string(u.ID), 0, 0) {
+				go g.report(ctx, u)
+			}
+		}
+	}
+}
+
+// report asks one engine.
+func (g *Service) report(ctx context.Context, u dialect.Upstream) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	r, err := g.dialect.Report(ctx, u)
+	if err != nil {
+		g.log.Info("no report", "upstream", u.ID, "error", err)
+		return
+	}
+	unexplained := g.books.Reported(time.Now(), u, r)
+	if unexplained > 0 || r.Switching {
+		g.log.Info("report", "upstream", u.ID, "used", r.UsedTokens, "held", r.HeldTokens, "running", r.Running,
+			"waiting", r.Waiting, "switching", r.Switching, "unexplained", unexplained)
+	}
+}
--- a/gateway/schedule/books.go
+++ b/gateway/schedule/books.go
@@ -71,6 +71,12 @@
 	// the memory that peers foresee for theirs.
 	streams      map[uint64]running
 	peerForecast Forecast
+	// known is the memory that all instances' requests took lately; unexplained is
+	// what the engine reported beyond it, peerUnexplained what a peer was told.
+	known           []knownMemory
+	unexplained     int
+	unexplainedAt   time.Time
+	peerUnexplained int
 	success      float64
 	latency      time.Duration
 	failures     int
@@ -426,10 +432,12 @@
 	Tokens int
 	// Memory is what requests take of a decode engine.
 	Memory Forecast
+	// Unexplained is memory that an engine reported beyond that, in tokens.
+	Unexplained int
 }
 
 // SetPeers takes in what peers have in flight.
-func (b *Books) SetPeers(peers map[ident.UpstreamID]*InFlight) {
+func (b *Books) SetPeers(now time.Time, peers map[ident.UpstreamID]*InFlight) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, k := range b.books {
@@ -438,17 +446,20 @@
 			f = &InFlight{}
 		}
 		k.peerRequests, k.peerTokens, k.peerForecast = f.Requests, f.Tokens, f.Memory
+		k.peerUnexplained = f.Unexplained
+		b.remember(now, k)
 	}
 }
 
 // Own returns what this instance has in flight at each upstream.
-func (b *Books) Own() map[ident.UpstreamID]InFlight {
+func (b *Books) Own(now time.Time) map[ident.UpstreamID]InFlight {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	own := map[ident.UpstreamID]InFlight{}
 	for id, k := range b.books {
-		if k.requests > 0 {
-			own[id] = InFlight{Requests: k.requests, Tokens: k.tokens, Memory: b.ownForecast(k)}
+		f := InFlight{Requests: k.requests, Tokens: k.tokens, Memory: b.ownForecast(k), Unexplained: k.ownUnexplained(now)}
+		if f != (InFlight{}) {
+			own[id] = f
 		}
 	}
 	return own
--- a/gateway/schedule/books_test.go
+++ b/gateway/schedule/books_test.go
@@ -54,7 +54,7 @@
 	list := service("x", "y")
 	first, _ := b.PickService(at(0), list, false, nil)
 	b.Done(first)
-	b.SetPeers(map[ident.UpstreamID]*InFlight{"x": {Requests: 5}})
+	b.SetPeers(at(0), map[ident.UpstreamID]*InFlight{"x": {Requests: 5}})
 	for range 4 {
 		ticket, _ := b.PickService(at(0), list, false, nil)
 		assert.Equal(t, ticket.Upstream.ID, ident.UpstreamID("y"))
--- a/gateway/schedule/demand.go
+++ b/gateway/schedule/demand.go
@@ -13,7 +13,9 @@
 	// demandHalfLife is how fast old demand is forgotten: long against bursts of
 	// 4 s, short against the 15 s between orders.
 	demandHalfLife = 8 * time.Second
-	// rateQuantile keeps the prefill rate near the best that was seen: an engine
+	// leastDemandAge keeps a first request from counting as a high rate.
+	leastDemandAge = time.Second
+	// rateDecay keeps the prefill rate near the best that was seen: an engine
 	// that has several prompts at once is slower for each.
 	rateDecay = 0.995
 	// defaultPrefillRate stands until a prefill was measured, in tokens a second.
@@ -37,6 +39,8 @@
 
 // demand is the work that callers asked for, decaying.
 type demand struct {
+	// since is when the first request came.
+	since   time.Time
 	at      time.Time
 	prefill float64
 	memory  float64
@@ -100,7 +104,7 @@
 	defer b.mu.Unlock()
 	d := b.demands[service]
 	if d == nil {
-		d = &demand{at: now}
+		d = &demand{since: now, at: now}
 		b.demands[service] = d
 	}
 	d.decay(now)
@@ -122,8 +126,12 @@
 	d.at = now
 }
 
-// demandScale turns a decaying sum into a rate a second.
-var demandScale = math.Ln2 / demandHalfLife.Seconds()
+// scale turns the decaying sums into rates a second, also while they still build up.
+func (d *demand) scale(now time.Time) float64 {
+	age := max(leastDemandAge, now.Sub(d.since))
+	full := 1 - math.Exp2(-age.Seconds()/demandHalfLife.Seconds())
+	return math.Ln2 / demandHalfLife.Seconds() / full
+}
 
 // Demand returns the demand of a service as rates: prompt tokens a second, and
 // tokens times seconds of memory a second.
@@ -135,7 +143,7 @@
 		return 0, 0
 	}
 	d.decay(now)
-	return d.prefill * demandScale, d.memory * demandScale
+	return d.prefill * d.scale(now), d.memory * d.scale(now)
 }
 
 // DemandServices lists the services with demand.
--- a/gateway/schedule/engines.go
+++ b/gateway/schedule/engines.go
@@ -48,7 +48,7 @@
 	defer b.mu.Unlock()
 	var best *book
 	most := 0.0
-	run := running{prompt: size.Prompt, estimate: size.Estimate}
+	run := running{prompt: size.Prompt, estimate: size.Estimate, hold: size.HoldTokens()}
 	for _, u := range list {
 		if u.Stage != dialect.StageDecode || !usable(u, exclude) {
 			continue
@@ -95,7 +95,7 @@
 	f.add(k.peerForecast)
 	f.add(run.forecast(r.tokenTime, r.spread()))
 	total := usableMemory * float64(e.KVTokens)
-	left := total - float64(f.peak())
+	left := total - float64(f.peak()+k.unexplainedNow(now))
 	return left / total, left >= 0
 }
 
--- a/gateway/schedule/engines_test.go
+++ b/gateway/schedule/engines_test.go
@@ -46,7 +46,7 @@
 	b.Done(ticket)
 	full := &InFlight{Requests: 9}
 	full.Memory.Add([]int{60000, 70000, 80000, 85000, 0, 0, 0, 0, 0, 0})
-	b.SetPeers(map[ident.UpstreamID]*InFlight{"a": full})
+	b.SetPeers(at(0), map[ident.UpstreamID]*InFlight{"a": full})
 	_, ok = b.PlaceDecode(at(0), list, engine, size, nil)
 	assert.Assert(t, !ok, "the peak is 0.9 s ahead")
 }
@@ -152,3 +152,28 @@
 	want := 10 * (500.0 + 500) * 1000 * defaultTokenTime.Seconds()
 	assert.Assert(t, math.Abs(memory-want) < want/20, "%v, want %v", memory, want)
 }
+
+// TestUnexplainedMemoryLeavesNoRoom: what an engine reports beyond all known
+// requests, such as streams of an instance that died, is not given away; reports
+// lag, so that whatever was known lately explains them.
+func TestUnexplainedMemoryLeavesNoRoom(t *testing.T) {
+	b := NewBooks("a", 1)
+	list := engines(0, 1)
+	size := Size{Prompt: 40000, Estimate: 1000}
+	ticket, ok := b.PlaceDecode(at(0), list, engine, size, nil)
+	assert.Assert(t, ok)
+	b.SetPeers(at(100), nil)
+	b.Done(ticket)
+	assert.Equal(t, b.Reported(at(900), list[0], dialect.Report{UsedTokens: 40000}), 0)
+	assert.Equal(t, b.Reported(at(3000), list[0], dialect.Report{UsedTokens: 60000}), 60000)
+	_, ok = b.PlaceDecode(at(3100), list, engine, size, nil)
+	assert.Assert(t, !ok)
+	assert.Equal(t, b.Own(at(3100))["a"].Unexplained, 60000)
+	peer := NewBooks("a", 2)
+	peer.of(list[0])
+	peer.SetPeers(at(3100), map[ident.UpstreamID]*InFlight{"a": {Unexplained: 60000}})
+	_, ok = peer.PlaceDecode(at(3100), list, engine, size, nil)
+	assert.Assert(t, !ok)
+	_, ok = b.PlaceDecode(at(6000), list, engine, size, nil)
+	assert.Assert(t, ok, "an old report is not believed")
+}
--- a/gateway/schedule/forecast.go
+++ b/gateway/schedule/forecast.go
@@ -52,6 +52,9 @@
 	estimate int
 	// produced is the output so far, in tokens.
 	produced int
+	// hold is the memory that was reserved for it, which the engine keeps free for
+	// it until it ends.
+	hold int
 }
 
 // forecast foresees the memory of a request: it grows with the output and is free
@@ -64,7 +67,7 @@
 		if at > final && i > 0 {
 			break
 		}
-		f[i] = r.prompt + int(math.Min(at, final))
+		f[i] = max(r.hold, r.prompt+int(math.Min(at, final)))
 	}
 	return f
 }
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -102,14 +102,14 @@
 // load is this instance's part of its heartbeats.
 func (g *Service) load() fleet.Load {
 	l := fleet.Load{InFlight: map[ident.UpstreamID]fleet.InFlight{}, Demand: map[string]fleet.Demand{}}
-	for id, f := range g.books.Own() {
-		said := fleet.InFlight{Requests: f.Requests, Tokens: f.Tokens}
+	now := time.Now()
+	for id, f := range g.books.Own(now) {
+		said := fleet.InFlight{Requests: f.Requests, Tokens: f.Tokens, Unexplained: f.Unexplained}
 		if f.Memory != (schedule.Forecast{}) {
 			said.Memory = f.Memory[:]
 		}
 		l.InFlight[id] = said
 	}
-	now := time.Now()
 	away := g.books.Away(now)
 	l.Switching = away.Switching
 	l.Refusing = map[ident.UpstreamID]int64{}
@@ -125,8 +125,9 @@
 
 // changed takes peers' loads into the books.
 func (g *Service) changed(s *fleet.Snapshot, members []fleet.Member) {
-	g.books.SetPeers(total(members))
-	g.books.SetAway(time.Now(), away(members))
+	now := time.Now()
+	g.books.SetPeers(now, total(members))
+	g.books.SetAway(now, away(members))
 	listed := map[ident.UpstreamID]bool{}
 	for _, list := range s.Upstreams {
 		for _, u := range list {
@@ -149,6 +150,7 @@
 			s.Requests += f.Requests
 			s.Tokens += f.Tokens
 			s.Memory.Add(f.Memory)
+			s.Unexplained = max(s.Unexplained, f.Unexplained)
 		}
 	}
 	return sum
@@ -211,6 +213,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { g.node.Run(background) })
 	running.Go(func() { g.giveOrders(background) })
+	running.Go(func() { g.gatherReports(background) })
 	running.Go(func() { g.servePeers() })
 	ready := &http.Server{Handler: g.readyRoutes(), ReadHeaderTimeout: headerTimeout}
 	running.Go(func() { g.serve(ready, g.ready, "ready") })
