Zones that seem cut off are avoided as a whole; engines are brought back by probes

Cause: after a cut between zones each engine of the other side cost each instance a request that waited for a time-out, again at each trial. Two unreachable upstreams now put the rest of their zone in doubt; ejected engines are asked for a report before they get requests; decode engines of the own zone are preferred, so that fewer streams cross zones. Relayed heartbeats carry no load in small fleets.

--- a/gateway/carry/carry.go
+++ b/gateway/carry/carry.go
@@ -156,7 +156,7 @@
 	ejected := false
 	switch {
 	case a.err == nil && a.verdict == dialect.Success:
-		c.o.Books.Answered(u, took)
+		c.o.Books.Answered(now, u, took)
 		return
 	case errors.Is(a.err, context.Canceled):
 		return
--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -129,7 +129,7 @@
 func (f *fakeDialect) Report(context.Context, dialect.Upstream) (dialect.Report, error) {
 	return dialect.Report{}, nil
 }
-func (f *fakeDialect) WriteHead(http.Header, *dialect.Call)                        {}
+func (f *fakeDialect) WriteHead(http.Header, *dialect.Call) {}
 func (f *fakeDialect) EndToEnd(to, from http.Header) {
 	for k, v := range from {
 		to[k] = v
--- a/gateway/fleet/roster.go
+++ b/gateway/fleet/roster.go
@@ -38,6 +38,11 @@
 	Demand map[string]Demand `json:"d,omitempty"`
 }
 
+// empty reports whether a load says nothing, as in a relayed heartbeat.
+func (l *Load) empty() bool {
+	return l.InFlight == nil && l.Demand == nil && l.Refusing == nil && l.Switching == nil
+}
+
 // InFlight is what an instance has in flight at an upstream.
 type InFlight struct {
 	Requests int `json:"r,omitempty"`
@@ -134,10 +139,19 @@
 // Heartbeat returns what to tell a peer now.
 func (r *Roster) Heartbeat(now time.Time) Heartbeat {
 	h := Heartbeat{From: r.self}
+	direct := len(r.peers) <= fullMesh
 	for _, p := range r.peers {
-		if age := now.Sub(p.heard); age < aliveFor {
-			h.Relayed = append(h.Relayed, Relayed{Member: p.member, AgeMS: age.Milliseconds()})
+		age := now.Sub(p.heard)
+		if age >= aliveFor {
+			continue
+		}
+		m := p.member
+		if direct {
+			// Each instance hears the others' loads from themselves: relayed, they
+			// would be most of the bytes between zones.
+			m.Load = Load{}
 		}
+		h.Relayed = append(h.Relayed, Relayed{Member: m, AgeMS: age.Milliseconds()})
 	}
 	return h
 }
@@ -168,9 +182,17 @@
 		r.peers[m.ID] = &peerState{member: m, heard: heard}
 		return
 	}
-	if m.newer(&p.member) {
-		p.member, p.heard = m, heard
+	if !m.newer(&p.member) {
+		if !p.member.newer(&m) && !m.Load.empty() {
+			// The same heartbeat, heard of before it came itself.
+			p.member.Load = m.Load
+		}
+		return
+	}
+	if m.Load.empty() {
+		m.Load = p.member.Load
 	}
+	p.member, p.heard = m, heard
 }
 
 // refresh notes whether the set of live instances changed, and forgets the dead.
--- a/gateway/fleet/roster_test.go
+++ b/gateway/fleet/roster_test.go
@@ -130,3 +130,25 @@
 	}
 	assert.Equal(t, len(r.Partners(random)), fanout+1)
 }
+
+// TestRelayedHeartbeatsCarryNoLoad in a small fleet, and don't hide the load that
+// the instance itself tells, before or after.
+func TestRelayedHeartbeatsCarryNoLoad(t *testing.T) {
+	load := Load{Demand: map[string]Demand{"m": {PrefillRate: 5}}}
+	first, second := NewRoster(at(0), member(1, "a"), nil), NewRoster(at(0), member(2, "a"), nil)
+	beat := first.Beat(at(0), load)
+	second.Receive(at(0), beat)
+	relayed := second.Beat(at(0), Load{})
+	assert.Assert(t, relayed.Relayed[0].Member.Load.empty())
+	for _, order := range [][]Heartbeat{{beat, relayed}, {relayed, beat}} {
+		r := NewRoster(at(0), member(0, "a"), nil)
+		for _, h := range order {
+			r.Receive(at(10), h)
+		}
+		rate := 0.0
+		for _, m := range r.Members(at(20)) {
+			rate += m.Load.Demand["m"].PrefillRate
+		}
+		assert.Equal(t, rate, 5.0)
+	}
+}
--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/internal/pause"
 )
 
@@ -26,6 +27,11 @@
 		if !s.Ready() || g.stopping.Load() {
 			continue
 		}
+		for _, list := range s.Upstreams {
+			for _, u := range g.books.Trials(time.Now(), list) {
+				go g.probe(ctx, u)
+			}
+		}
 		for _, u := range s.All() {
 			if u.Stage == dialect.StageDecode && g.node.Holds(dutyReport+string(u.ID), 0, 0) {
 				go g.report(ctx, u)
@@ -34,6 +40,20 @@
 	}
 }
 
+// probe asks an engine that failed lately whether it answers again, so that no
+// request has to find out.
+func (g *Service) probe(ctx context.Context, u dialect.Upstream) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	if _, err := g.dialect.Report(ctx, u); err != nil {
+		g.books.Failed(time.Now(), u, schedule.Unreachable)
+		g.log.Info("probe failed", "upstream", u.ID, "error", err)
+		return
+	}
+	g.books.Readmit(time.Now(), u)
+	g.log.Info("upstream readmitted", "upstream", u.ID)
+}
+
 // report asks one engine.
 func (g *Service) report(ctx context.Context, u dialect.Upstream) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
--- a/gateway/schedule/books.go
+++ b/gateway/schedule/books.go
@@ -77,11 +77,15 @@
 	unexplained     int
 	unexplainedAt   time.Time
 	peerUnexplained int
-	success      float64
-	latency      time.Duration
-	failures     int
-	ejections    int
-	ejectedUntil time.Time
+	success         float64
+	latency         time.Duration
+	failures        int
+	ejections       int
+	ejectedUntil    time.Time
+	// readmitted means that a probe found it answering since it was ejected.
+	readmitted bool
+	// lastGood is when it last answered well.
+	lastGood time.Time
 	// starts are when the own requests in flight began, by number.
 	starts map[uint64]time.Time
 	// refusingUntil is until when an engine is passed over because it refuses what
@@ -110,13 +114,14 @@
 	random  *rand.Rand
 	rates   map[string]*rate
 	demands map[string]*demand
+	doubts  map[ident.Zone]*doubt
 }
 
 // NewBooks returns empty books of an instance in the given zone.
 func NewBooks(zone ident.Zone, seed uint64) *Books {
 	return &Books{
 		zone: zone, books: map[ident.UpstreamID]*book{},
-		random: rand.New(rand.NewPCG(seed, seed)), rates: map[string]*rate{}, demands: map[string]*demand{},
+		random: rand.New(rand.NewPCG(seed, seed)), rates: map[string]*rate{}, demands: map[string]*demand{}, doubts: map[ident.Zone]*doubt{},
 	}
 }
 
@@ -165,13 +170,15 @@
 }
 
 // Answered takes in a good answer.
-func (b *Books) Answered(u dialect.Upstream, latency time.Duration) {
+func (b *Books) Answered(now time.Time, u dialect.Upstream, latency time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	k := b.of(u)
 	k.success += successWeight * (1 - k.success)
 	k.failures, k.ejections = 0, 0
 	k.ejectedUntil = time.Time{}
+	k.lastGood = now
+	delete(b.doubts, u.Zone)
 	if k.latency == 0 {
 		k.latency = latency
 	}
@@ -187,7 +194,11 @@
 	if f == Soft {
 		return false
 	}
+	if f == Unreachable {
+		b.doubt(now, k)
+	}
 	k.failures++
+	k.readmitted = false
 	if f == Hard && k.failures < ejectAfter && k.ejections == 0 {
 		return false
 	}
@@ -327,11 +338,48 @@
 		return stateGood
 	case now.Before(k.ejectedUntil):
 		return stateEjected
+	case k.readmitted:
+		return stateGood
 	default:
 		return stateTrial
 	}
 }
 
+// stateIn returns the state of a book, taking doubts about its zone into account.
+// The caller holds mu.
+func (b *Books) stateIn(now time.Time, k *book) state {
+	s := k.state(now)
+	if s == stateGood && b.doubted(now, k) {
+		return stateTrial
+	}
+	return s
+}
+
+// Readmit takes in that an ejected engine answered a probe. One further failure
+// ejects it again, for longer.
+func (b *Books) Readmit(now time.Time, u dialect.Upstream) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.of(u)
+	k.readmitted = true
+	k.lastGood = now
+	delete(b.doubts, u.Zone)
+}
+
+// Trials returns the engines of a list that were ejected, or are in a zone that
+// seems cut off, and may be probed.
+func (b *Books) Trials(now time.Time, list []dialect.Upstream) []dialect.Upstream {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []dialect.Upstream
+	for _, u := range list {
+		if u.Stage != "" && b.stateIn(now, b.of(u)) == stateTrial {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
 // PickService chooses the upstream for a request of a plain service. Requests that
 // may run only once are not used to try upstreams that failed lately, as long as
 // there are others. It reports false if there is no upstream left.
@@ -365,7 +413,7 @@
 			continue
 		}
 		k := b.of(u)
-		switch k.state(now) {
+		switch b.stateIn(now, k) {
 		case stateTrial:
 			trial = k
 		case stateGood:
--- a/gateway/schedule/books_test.go
+++ b/gateway/schedule/books_test.go
@@ -91,8 +91,8 @@
 	assert.Equal(t, pick(100, true), ident.UpstreamID("y"))
 	assert.Equal(t, pick(600, false), ident.UpstreamID("y"))
 	assert.Equal(t, pick(600, true), ident.UpstreamID("x"))
-	b.Answered(list[0], 50*time.Millisecond)
-	b.Answered(list[1], 50*time.Millisecond)
+	b.Answered(at(0), list[0], 50*time.Millisecond)
+	b.Answered(at(0), list[1], 50*time.Millisecond)
 	seen := map[ident.UpstreamID]bool{}
 	for range 4 {
 		ticket, ok := b.PickService(at(700), list, false, nil)
@@ -132,7 +132,7 @@
 	b := NewBooks("a", 1)
 	list := service("x", "y")
 	for _, u := range list {
-		b.Answered(u, 20*time.Millisecond)
+		b.Answered(at(0), u, 20*time.Millisecond)
 	}
 	stuck, _ := b.PickService(at(0), list, false, nil)
 	for range 5 {
@@ -192,3 +192,44 @@
 	_, ok = b.PlacePrefill(at(5100), list[1:], 100, "a", nil)
 	assert.Assert(t, ok)
 }
+
+// TestZoneThatSeemsCutOff: two unreachable upstreams of another zone are enough for
+// the rest of it to be avoided until one answers; the own zone is never doubted.
+func TestZoneThatSeemsCutOff(t *testing.T) {
+	b := NewBooks("a", 1)
+	list := engines(0, 5)
+	for i := range list[:4] {
+		list[i].Zone = "z"
+	}
+	size := Size{Prompt: 100, Estimate: 100}
+	b.Failed(at(0), list[0], Unreachable)
+	b.Failed(at(100), list[1], Unreachable)
+	for range 20 {
+		ticket, ok := b.PlaceDecode(at(200), list, engine, size, nil)
+		assert.Assert(t, ok)
+		assert.Equal(t, ticket.Upstream.ID, list[4].ID)
+	}
+	assert.Equal(t, len(b.Trials(at(200), list)), 2, "those not ejected themselves are probed")
+	b.Readmit(at(300), list[2])
+	_, ok := b.PlaceDecode(at(400), list[2:3], engine, size, nil)
+	assert.Assert(t, ok)
+	assert.Equal(t, len(b.Trials(at(400), list)), 0)
+	own := NewBooks("z", 1)
+	own.Failed(at(0), list[0], Unreachable)
+	own.Failed(at(0), list[1], Unreachable)
+	_, ok = own.PlaceDecode(at(10), list[2:3], engine, size, nil)
+	assert.Assert(t, ok)
+}
+
+// TestReadmittedEngineIsEjectedBySingleFailures: an engine that answers probes and
+// fails requests stays out for longer and longer.
+func TestReadmittedEngineIsEjectedBySingleFailures(t *testing.T) {
+	b := NewBooks("a", 1)
+	u := engines(0, 1)[0]
+	b.Failed(at(0), u, Hard)
+	assert.Assert(t, b.Failed(at(0), u, Hard))
+	b.Readmit(at(600), u)
+	assert.Equal(t, b.books[u.ID].state(at(600)), stateGood)
+	assert.Assert(t, b.Failed(at(700), u, Hard))
+	assert.Equal(t, b.books[u.ID].state(at(1600)), stateEjected)
+}
--- a/gateway/schedule/engines.go
+++ b/gateway/schedule/engines.go
@@ -15,6 +15,10 @@
 	// that runs out preempts a request, which costs its prompt a second time and
 	// a pause of about 300 ms.
 	usableMemory = 0.92
+	// ownZone is how much more of its memory a decode engine of another zone must
+	// have left to be preferred: streams within the zone outlive a cut between
+	// zones, and bytes between zones are priced.
+	ownZone = 0.12
 	// holdShare is the share of the estimated output that is reserved.
 	holdShare = 0.5
 	// fullFor is how long an engine that refused a reservation is not asked for as
@@ -59,6 +63,9 @@
 			continue
 		}
 		left += closeEnough * b.random.Float64()
+		if u.Zone == b.zone {
+			left += ownZone
+		}
 		if best == nil || left > most {
 			best, most = k, left
 		}
@@ -72,19 +79,16 @@
 }
 
 // open reports whether an engine may be given a request now: it keeps promises,
-// and if it failed lately, one request at a time tries it. The caller holds mu.
-func (k *book) open(now time.Time) bool {
-	if k.away(now) {
-		return false
-	}
-	s := k.state(now)
-	return s == stateGood || s == stateTrial && k.requests == 0
+// and if it failed lately, a probe has found it answering since. The caller holds
+// mu.
+func (b *Books) open(now time.Time, k *book) bool {
+	return !k.away(now) && b.stateIn(now, k) == stateGood
 }
 
 // left returns the share of an engine's memory that is expected to stay unused
 // with one more request, and whether the request fits. The caller holds mu.
 func (b *Books) left(now time.Time, k *book, e *routing.Engine, run running) (float64, bool) {
-	if !k.open(now) {
+	if !b.open(now, k) {
 		return 0, false
 	}
 	if k.requests+k.peerRequests >= e.Slots {
@@ -137,7 +141,7 @@
 			continue
 		}
 		k := b.of(u)
-		if !k.open(now) {
+		if !b.open(now, k) {
 			continue
 		}
 		if c := b.prefillCost(now, k, tokens, near); c < least {
--- a/gateway/schedule/engines_test.go
+++ b/gateway/schedule/engines_test.go
@@ -79,8 +79,8 @@
 func TestSlowPrefillEngineGetsLess(t *testing.T) {
 	b := NewBooks("a", 1)
 	list := engines(2, 0)
-	b.Answered(list[0], 900*time.Millisecond)
-	b.Answered(list[1], 100*time.Millisecond)
+	b.Answered(at(0), list[0], 900*time.Millisecond)
+	b.Answered(at(0), list[1], 100*time.Millisecond)
 	for range 5 {
 		ticket, _ := b.PlacePrefill(at(0), list, 1000, "a", nil)
 		assert.Equal(t, ticket.Upstream.ID, list[1].ID)
