The prefill queue decides when a request takes its place; busy engines stay

A request now waits in line while 0.4 of its objective is queued, an engine that answers others is busy and not dead, and decode engines prefill only where no prefill engine is listed.

--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -25,10 +25,15 @@
 	releaseTries   = 2
 	// releasePause is the time between two tries.
 	releasePause = 100 * time.Millisecond
-	// prefillPatience is how many times the usual time a prefill may take before
-	// another engine is asked, at least leastPrefill.
-	prefillPatience = 5
-	leastPrefill    = 450 * time.Millisecond
+	// prefillPatience is how many times the expected time a prefill may take before
+	// another engine is asked, at least leastPrefill: a busy engine's work is thrown
+	// away then.
+	prefillPatience = 4
+	leastPrefill    = 500 * time.Millisecond
+	// longestQueue is how much prefill work may be queued at an engine, as a share
+	// of the latency objective, for a request to take its place; with more it waits
+	// in line, where it holds no memory of a decode engine.
+	longestQueue = 0.4
 	// unknownOutput stands for the length of outputs that the caller doesn't
 	// guess, in tokens, unless its bound is lower.
 	unknownOutput = 4000
@@ -234,13 +239,28 @@
 	return s.c.o.Budget.Extra(now, s.j.Service.Name, sends)
 }
 
-// latestStart is when the request must have its place for the first event to be
-// on time.
-func (s *stream) latestStart() time.Time {
+// prefillWait is how long the prompt is expected to take; 0 if no prefill engine is
+// open.
+func (s *stream) prefillWait() time.Duration {
+	list := s.c.o.View().Upstreams[s.j.Service.Name]
+	wait, _ := s.c.o.Books.PrefillWait(time.Now(), list, s.j.Call.PromptTokens)
+	return wait
+}
+
+// hopeless reports whether the first event can't be on time any more, were the
+// request to get its place now.
+func (s *stream) hopeless(now time.Time) bool {
 	if s.begun {
-		return s.j.Deadline
+		return now.After(s.j.Deadline)
 	}
-	return s.j.Arrived.Add(s.j.Route.Objective - s.c.o.Books.StartTime(s.j.Service.Name))
+	ready := now.Add(s.prefillWait() + s.c.o.Books.FirstEvent(s.j.Service.Name))
+	return ready.After(s.j.Arrived.Add(s.j.Route.Objective))
+}
+
+// prefillBusy reports whether prefill engines have so much to do that the request
+// had better wait.
+func (s *stream) prefillBusy() bool {
+	return s.prefillWait().Seconds() > longestQueue*s.j.Route.Objective.Seconds()
 }
 
 // reserve finds a decode engine with room and reserves it, waiting in line as long
@@ -254,13 +274,13 @@
 		if ctx.Err() != nil {
 			return nil, s.contextError(ctx)
 		}
-		if l.first(w) {
+		if l.first(w) && !s.prefillBusy() {
 			p, err := s.tryReserve(ctx)
 			if p != nil || err != nil {
 				return p, err
 			}
 		}
-		if time.Now().After(s.latestStart()) {
+		if s.hopeless(time.Now()) {
 			return nil, s.noRoom(l, time.Since(began))
 		}
 		w.wait(ctx)
@@ -368,17 +388,13 @@
 	defer s.c.o.Books.Done(t)
 	s.prefills++
 	u := t.Upstream
-	patience := max(leastPrefill, prefillPatience*s.c.o.Books.StartTime(s.j.Service.Name)/2)
+	patience := max(leastPrefill, prefillPatience*s.prefillWait())
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	h, err := s.c.o.Dialect.Prefill(ctx, s.j.Call, dialect.Send{To: u, Deadline: s.j.Deadline.Add(-deadlineMargin), Urgency: -1})
 	took := time.Since(start)
-	a := &attempt{err: err, verdict: dialect.Success}
-	if status := adapter.AsCallError(err).Status; err != nil && status != 0 {
-		a = &attempt{verdict: dialect.Refused}
-	}
-	s.c.note(u, a, took, s.log)
+	s.notePrefill(u, err, start, took)
 	if err == nil {
 		s.c.o.Books.PrefillDone(s.j.Service.Name, s.j.Call.PromptTokens, took)
 	}
@@ -386,6 +402,23 @@
 	return h, err
 }
 
+// notePrefill takes what a prefill showed of its engine into the books.
+func (s *stream) notePrefill(u dialect.Upstream, err error, start time.Time, took time.Duration) {
+	a := &attempt{err: err, verdict: dialect.Success}
+	late := errors.Is(err, context.DeadlineExceeded)
+	switch {
+	case late && s.c.o.Books.AnsweredSince(u, start):
+		// It is busy.
+		return
+	case late:
+		// Nothing at all came from there: it is down or cut off.
+		a.err = &adapter.CallError{Evidence: kernel.NotSent, Code: kernel.FailureTimeout, Err: err}
+	case err != nil && adapter.AsCallError(err).Status != 0:
+		a = &attempt{verdict: dialect.Refused}
+	}
+	s.c.note(u, a, took, s.log)
+}
+
 // decode runs the stream at its place.
 func (s *stream) decode(ctx context.Context, p *place, h *computed) (*Answer, bool, error) {
 	u := p.decode.Upstream
--- a/gateway/carry/stream_test.go
+++ b/gateway/carry/stream_test.go
@@ -219,3 +219,35 @@
 		assert.Equal(t, lastEventEnd([]byte(text)), want, "%q", text)
 	}
 }
+
+// TestBusyPrefillEnginesKeepRequestsInLine: with more queued than the objective
+// leaves time for, nothing is reserved, and the request is refused at once.
+func TestBusyPrefillEnginesKeepRequestsInLine(t *testing.T) {
+	b := streamBed(t)
+	for range 2 {
+		_, ok := b.o.Books.PlacePrefill(time.Now(), b.view.Upstreams["s"], 1<<20, "a", nil)
+		assert.Assert(t, ok)
+	}
+	j := job(stream1)
+	j.Route.Objective = time.Second
+	_, err := b.Stream(t.Context(), j, &sink{})
+	assert.Equal(t, fateOf(t, err), NotRun)
+	assert.Equal(t, b.d.countKind("hold"), 0)
+}
+
+// TestBusyPrefillEngineIsNotEjected: one that answers others while a prompt times
+// out is busy; one from which nothing comes is out of reach.
+func TestBusyPrefillEngineIsNotEjected(t *testing.T) {
+	for _, answers := range []bool{true, false} {
+		b := streamBed(t)
+		s := &stream{c: b.Carrier, j: job(stream1), log: b.o.Log}
+		u := b.view.Upstreams["s"][0]
+		start := time.Now()
+		if answers {
+			b.o.Books.Answered(start.Add(time.Millisecond), u, time.Millisecond)
+		}
+		s.notePrefill(u, context.DeadlineExceeded, start, time.Second)
+		wait, _ := b.o.Books.PrefillWait(start, b.view.Upstreams["s"][:1], 100)
+		assert.Equal(t, wait > 0, answers)
+	}
+}
--- a/gateway/schedule/books.go
+++ b/gateway/schedule/books.go
@@ -185,6 +185,14 @@
 	k.latency += time.Duration(latencyWeight * float64(latency-k.latency))
 }
 
+// AnsweredSince reports whether an upstream answered any request well since a time:
+// one that did is busy, not dead.
+func (b *Books) AnsweredSince(u dialect.Upstream, since time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.of(u).lastGood.After(since)
+}
+
 // Failed takes in a failure and reports whether the upstream was ejected for it.
 func (b *Books) Failed(now time.Time, u dialect.Upstream, f Failure) bool {
 	b.mu.Lock()
--- a/gateway/schedule/demand.go
+++ b/gateway/schedule/demand.go
@@ -30,9 +30,8 @@
 	prefill float64
 	// tokenTime is the mean time of one output token.
 	tokenTime float64
-	// prefillTime and firstEvent are mean times, in seconds.
-	prefillTime float64
-	firstEvent  float64
+	// firstEvent is the mean time to a stream's first event, in seconds.
+	firstEvent float64
 	// variance is that of the logarithm of output length over its estimate.
 	variance float64
 }
@@ -50,7 +49,7 @@
 func (b *Books) rateOf(service string) *rate {
 	r := b.rates[service]
 	if r == nil {
-		r = &rate{prefill: defaultPrefillRate, tokenTime: defaultTokenTime.Seconds(), prefillTime: 0.12, firstEvent: 0.1, variance: initialSpread * initialSpread}
+		r = &rate{prefill: defaultPrefillRate, tokenTime: defaultTokenTime.Seconds(), firstEvent: 0.1, variance: initialSpread * initialSpread}
 		b.rates[service] = r
 	}
 	return r
@@ -65,7 +64,6 @@
 		return
 	}
 	r.prefill = math.Max(r.prefill*rateDecay, float64(tokens)/took.Seconds())
-	r.prefillTime += latencyWeight * (took.Seconds() - r.prefillTime)
 }
 
 // StreamStarted takes in how long a decode engine took for the first event.
@@ -89,13 +87,12 @@
 	r.tokenTime += latencyWeight * (took.Seconds()/float64(tokens) - r.tokenTime)
 }
 
-// StartTime returns how long a request is expected to take from its placement to
-// its first event.
-func (b *Books) StartTime(service string) time.Duration {
+// FirstEvent returns how long a decode engine is expected to take for the first
+// event.
+func (b *Books) FirstEvent(service string) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := b.rateOf(service)
-	return time.Duration((r.prefillTime + r.firstEvent) * float64(time.Second))
+	return time.Duration(b.rateOf(service).firstEvent * float64(time.Second))
 }
 
 // Asked counts a caller's request in the demand of a service.
--- a/gateway/schedule/engines.go
+++ b/gateway/schedule/engines.go
@@ -130,12 +130,46 @@
 }
 
 // PlacePrefill chooses the prefill engine for a prompt: the one that is expected
-// to be done with it first. near is the zone of the decode engine.
+// to be done with it first. near is the zone of the decode engine. It reports
+// false only if there is no prefill engine: with all of them failing, the one
+// that is due to be tried first is taken, since decode engines that compute
+// prompts themselves pause all their streams.
 func (b *Books) PlacePrefill(now time.Time, list []dialect.Upstream, tokens int, near ident.Zone, exclude []ident.UpstreamID) (Ticket, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var best *book
-	least := math.Inf(1)
+	best, _ := b.cheapestPrefill(now, list, tokens, near, exclude)
+	if best == nil {
+		best = b.leastBad(prefillEngines(list), exclude)
+	}
+	if best == nil {
+		return Ticket{}, false
+	}
+	return b.place(now, best, tokens), true
+}
+
+// PrefillWait returns how long a prompt is expected to take at the prefill engine
+// that would be done with it first; false if none may be used.
+func (b *Books) PrefillWait(now time.Time, list []dialect.Upstream, tokens int) (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	best, _ := b.cheapestPrefill(now, list, tokens, b.zone, nil)
+	if best == nil {
+		return 0, false
+	}
+	return b.prefillTime(best, tokens), true
+}
+
+// prefillTime is how long a prompt takes at an engine behind what is queued there.
+// The caller holds mu.
+func (b *Books) prefillTime(k *book, tokens int) time.Duration {
+	queued := float64(k.tokens + k.peerTokens + tokens)
+	return time.Duration(queued / b.rateOf(k.up.Service).prefill * float64(time.Second))
+}
+
+// cheapestPrefill returns the open prefill engine with the lowest cost. The caller
+// holds mu.
+func (b *Books) cheapestPrefill(now time.Time, list []dialect.Upstream, tokens int, near ident.Zone, exclude []ident.UpstreamID) (best *book, least float64) {
+	least = math.Inf(1)
 	for _, u := range list {
 		if u.Stage != dialect.StagePrefill || !usable(u, exclude) {
 			continue
@@ -148,10 +182,18 @@
 			best, least = k, c
 		}
 	}
-	if best == nil {
-		return Ticket{}, false
+	return best, least
+}
+
+// prefillEngines returns the prefill engines of a list.
+func prefillEngines(list []dialect.Upstream) []dialect.Upstream {
+	var out []dialect.Upstream
+	for _, u := range list {
+		if u.Stage == dialect.StagePrefill {
+			out = append(out, u)
+		}
 	}
-	return b.place(now, best, tokens), true
+	return out
 }
 
 // prefillCost is the work before a prompt's result at an engine, in tokens; more
--- a/gateway/schedule/engines_test.go
+++ b/gateway/schedule/engines_test.go
@@ -177,3 +177,34 @@
 	_, ok = b.PlaceDecode(at(6000), list, engine, size, nil)
 	assert.Assert(t, ok, "an old report is not believed")
 }
+
+// TestPrefillEnginesAreUsedWhileThereAreAny: with all of them ejected the one due
+// first is tried, and only without any does a decode engine have to do it.
+func TestPrefillEnginesAreUsedWhileThereAreAny(t *testing.T) {
+	b := NewBooks("a", 1)
+	list := engines(2, 1)
+	b.Failed(at(0), list[0], Unreachable)
+	b.Failed(at(100), list[1], Unreachable)
+	ticket, ok := b.PlacePrefill(at(200), list, 1000, "a", nil)
+	assert.Assert(t, ok)
+	assert.Equal(t, ticket.Upstream.ID, list[0].ID)
+	_, ok = b.PrefillWait(at(200), list, 1000)
+	assert.Assert(t, !ok)
+	_, ok = b.PlacePrefill(at(200), list[2:], 1000, "a", nil)
+	assert.Assert(t, !ok)
+}
+
+// TestPrefillWaitGrowsWithTheQueue, peers' included.
+func TestPrefillWaitGrowsWithTheQueue(t *testing.T) {
+	b := NewBooks("a", 1)
+	list := engines(1, 0)
+	idle, ok := b.PrefillWait(at(0), list, 5000)
+	assert.Assert(t, ok)
+	_, ok = b.PlacePrefill(at(0), list, 10000, "a", nil)
+	assert.Assert(t, ok)
+	busy, _ := b.PrefillWait(at(0), list, 5000)
+	assert.Equal(t, busy, 3*idle)
+	b.SetPeers(at(0), map[ident.UpstreamID]*InFlight{"a": {Tokens: 5000}})
+	busier, _ := b.PrefillWait(at(0), list, 5000)
+	assert.Equal(t, busier, 4*idle)
+}
