Loads are added up by a hub in each zone where the fleet is large

Above 16 instances heartbeats go out once a second without loads; each instance tells its load to its zone's hub, which is also the zone's reader of the store, and gets the sum of all others back; hubs exchange the sums of zones. Instances that should not need to read the store do so at most every 0.9 s.

--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -22,6 +22,17 @@
 	// questions to the instance that reads for the zone. Together they stay under
 	// 1.1 s, where 2 s are allowed from a change in the store to its effect.
 	readInterval = 500 * time.Millisecond
+	// beatRelayed is the time between two heartbeats in a large fleet, whose
+	// messages name all instances.
+	beatRelayed = time.Second
+	// sumInterval is the time between two sums of the loads that came by heartbeat.
+	sumInterval = 100 * time.Millisecond
+	// startInterval is the time between two readings while no configuration is
+	// known.
+	startInterval = 200 * time.Millisecond
+	// fallbackInterval is the time between two readings of the store by an instance
+	// that should not need to: all of them at once would exceed the store's rate.
+	fallbackInterval = 900 * time.Millisecond
 	// readTimeout bounds one reading of the store, which answers in 4 ms; a slow
 	// one is 100 times slower.
 	readTimeout = 1500 * time.Millisecond
@@ -36,6 +47,8 @@
 const (
 	// MethodHeartbeat exchanges heartbeats.
 	MethodHeartbeat = "gateway.heartbeat"
+	// MethodLoad tells a hub a load, and brings back what it knows of the others'.
+	MethodLoad = "gateway.load"
 	// MethodView asks a peer for what it knows of the store.
 	MethodView = "gateway.view"
 )
@@ -66,8 +79,10 @@
 	Log    *slog.Logger
 	// Load returns this instance's load, for its heartbeats.
 	Load func() Load
-	// Changed is called after each change of the view or of the peers' loads.
-	Changed func(*Snapshot, []Member)
+	// Changed is called after each change of the view, LoadChanged when the sum of
+	// the peers' loads was made anew.
+	Changed     func(*Snapshot)
+	LoadChanged func(Load)
 }
 
 // Node keeps an instance's view up to date.
@@ -77,6 +92,9 @@
 	mu     sync.Mutex
 	view   *View
 	roster *Roster
+	hub    *Hub
+	// others is the sum of the peers' loads.
+	others Load
 	// storeDown is when the store was first not reached, zero while it is.
 	storeDown time.Time
 
@@ -86,11 +104,12 @@
 
 // NewNode returns a node that knows nothing, and registers its methods.
 func NewNode(o Options) *Node {
-	n := &Node{o: o, view: NewView(), roster: NewRoster(time.Now(), o.Self, o.Seeds)}
+	n := &Node{o: o, view: NewView(), hub: NewHub(), others: NewLoad(), roster: NewRoster(time.Now(), o.Self, o.Seeds)}
 	n.snapshot.Store(n.view.Snapshot())
 	n.alive.Store(1)
 	peer.Handle(o.Server, MethodHeartbeat, n.onHeartbeat)
 	peer.Handle(o.Server, MethodView, n.onView)
+	peer.Handle(o.Server, MethodLoad, n.onLoad)
 	return n
 }
 
@@ -132,6 +151,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { n.heartbeats(ctx) })
 	running.Go(func() { n.readings(ctx) })
+	running.Go(func() { n.loads(ctx) })
 	running.Wait()
 }
 
@@ -143,14 +163,116 @@
 		n.mu.Lock()
 		h := n.roster.Beat(time.Now(), load)
 		partners := n.roster.Partners(random)
+		wait := n.roster.Beats()
 		n.mu.Unlock()
 		for _, address := range partners {
 			go n.beat(ctx, address, h)
 		}
-		pause.For(ctx, jitter(random, beatInterval))
+		pause.For(ctx, jitter(random, wait))
+	}
+}
+
+// loads adds up the peers' loads: from their heartbeats in a small fleet, by way of
+// the zone's hub in a large one.
+func (n *Node) loads(ctx context.Context) {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	wait := sumInterval
+	for pause.For(ctx, jitter(random, wait)) {
+		n.mu.Lock()
+		large := n.roster.large()
+		n.mu.Unlock()
+		if large {
+			wait = beatInterval
+			n.reportLoad(ctx)
+			continue
+		}
+		wait = sumInterval
+		n.mu.Lock()
+		sum := NewLoad()
+		for _, m := range n.roster.Members(time.Now()) {
+			sum.Add(m.Load)
+		}
+		n.mu.Unlock()
+		n.setOthers(sum)
 	}
 }
 
+// setOthers keeps the sum of the peers' loads.
+func (n *Node) setOthers(sum Load) {
+	n.mu.Lock()
+	n.others = sum
+	n.mu.Unlock()
+	n.o.LoadChanged(sum)
+}
+
+// Others returns the sum of the peers' loads.
+func (n *Node) Others() Load {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.others
+}
+
+// reportLoad tells the zone's hub this instance's load. A hub tells those of other
+// zones its zone's.
+func (n *Node) reportLoad(ctx context.Context) {
+	own := LoadReport{From: n.o.Self.ID, Zone: n.o.Self.Zone, Load: n.o.Load()}
+	n.mu.Lock()
+	now := time.Now()
+	address, self := n.roster.Hub(now, n.o.Self.Zone)
+	n.mu.Unlock()
+	if !self {
+		if sum, ok := n.tellLoad(ctx, address, own); ok {
+			n.setOthers(sum)
+		}
+		return
+	}
+	n.mu.Lock()
+	n.hub.Take(now, own)
+	whole := LoadReport{From: own.From, Zone: own.Zone, Whole: true, Load: n.hub.Zone(now, "")}
+	hubs := n.otherHubs(now)
+	sum := n.hub.Total(now, own.From)
+	n.mu.Unlock()
+	for _, h := range hubs {
+		go n.tellLoad(ctx, h, whole)
+	}
+	n.setOthers(sum)
+}
+
+// otherHubs returns the addresses of the other zones' hubs. The caller holds mu.
+func (n *Node) otherHubs(now time.Time) []string {
+	var hubs []string
+	for _, zone := range n.roster.OtherZones(now) {
+		if address, _ := n.roster.Hub(now, zone); address != "" {
+			hubs = append(hubs, address)
+		}
+	}
+	return hubs
+}
+
+// tellLoad tells a hub a load. Its silence shows as a load that grows old.
+func (n *Node) tellLoad(ctx context.Context, address string, r LoadReport) (Load, bool) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	sum, err := peer.Call[Load](ctx, n.o.Pool, address, MethodLoad, r)
+	if err != nil {
+		n.o.Log.Debug("load not taken", "peer", address, "error", err)
+		return Load{}, false
+	}
+	return sum, true
+}
+
+// onLoad takes in a load at a hub.
+func (n *Node) onLoad(_ context.Context, _ peer.Identity, r LoadReport) (Load, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	n.hub.Take(now, r)
+	if r.Whole {
+		return NewLoad(), nil
+	}
+	return n.hub.Total(now, r.From), nil
+}
+
 // jitter spreads a time by a tenth either way.
 func jitter(random *rand.Rand, d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (0.9 + 0.2*random.Float64()))
@@ -171,7 +293,7 @@
 	n.roster.Receive(now, answer)
 	n.roster.Answered(now, answer.From.ID)
 	n.mu.Unlock()
-	n.publish()
+	n.noteAlive()
 }
 
 // onHeartbeat answers a peer's heartbeat.
@@ -181,7 +303,7 @@
 	n.roster.Receive(now, h)
 	answer := n.roster.Heartbeat(now)
 	n.mu.Unlock()
-	n.publish()
+	n.noteAlive()
 	return answer, nil
 }
 
@@ -202,21 +324,23 @@
 // its zone, from the zone's reader otherwise, from both and any peer when the
 // view grows old.
 func (n *Node) readings(ctx context.Context) {
+	lastRead := time.Time{}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	for ctx.Err() == nil {
 		n.mu.Lock()
 		now := time.Now()
-		readers, self := n.roster.Readers(now)
+		hub, self := n.roster.Hub(now, n.o.Self.Zone)
 		other := n.roster.AnyPeer(now, random)
 		n.mu.Unlock()
 		s := n.Snapshot()
 		old := !s.Ready() || now.Sub(s.AsOf) > staleAfter
 		var parallel sync.WaitGroup
-		if self || old || len(readers) == 0 {
+		if self || old && now.Sub(lastRead) > fallbackInterval {
+			lastRead = now
 			parallel.Go(func() { n.readStore(ctx) })
 		}
-		for _, r := range readers {
-			parallel.Go(func() { n.ask(ctx, r) })
+		if !self && hub != "" {
+			parallel.Go(func() { n.ask(ctx, hub) })
 		}
 		if old && other != "" {
 			parallel.Go(func() { n.ask(ctx, other) })
@@ -224,7 +348,7 @@
 		parallel.Wait()
 		wait := readInterval
 		if !n.Snapshot().Ready() {
-			wait = beatInterval / 3
+			wait = startInterval
 		}
 		pause.For(ctx, jitter(random, wait))
 	}
@@ -332,26 +456,21 @@
 	}
 }
 
-// publish makes the state of view and roster known.
-func (n *Node) publish() {
+// noteAlive logs a change of the number of live instances.
+func (n *Node) noteAlive() {
 	n.mu.Lock()
-	now := time.Now()
-	s := n.view.Snapshot()
-	before := n.alive.Load()
-	alive := int64(n.roster.Alive(now))
-	members := n.roster.Members(now)
-	n.snapshot.Store(s)
-	n.alive.Store(alive)
+	now := int64(n.roster.Alive(time.Now()))
 	n.mu.Unlock()
-	if before != alive {
-		n.o.Log.Info("live instances", "before", before, "now", alive)
+	if before := n.alive.Swap(now); before != now {
+		n.o.Log.Info("live instances", "before", before, "now", now)
 	}
-	n.o.Changed(s, members)
 }
 
-// Members returns the heartbeats of the live peers.
-func (n *Node) Members() []Member {
+// publish makes the state of the view known.
+func (n *Node) publish() {
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.roster.Members(time.Now())
+	s := n.view.Snapshot()
+	n.snapshot.Store(s)
+	n.mu.Unlock()
+	n.o.Changed(s)
 }
--- a/gateway/fleet/roster.go
+++ b/gateway/fleet/roster.go
@@ -15,6 +15,9 @@
 	// aliveFor is how long after its last heartbeat an instance counts as alive:
 	// heartbeats are exchanged every 300 ms, so several in a row were lost.
 	aliveFor = 2 * time.Second
+	// aliveForRelayed is the same in a large fleet, where news of an instance takes
+	// some three rounds of a second to reach all.
+	aliveForRelayed = 6 * time.Second
 	// rememberFor is how long a silent instance is still called, so that both
 	// sides of a cut find each other again.
 	rememberFor = 90 * time.Second
@@ -118,6 +121,18 @@
 	alive   []ident.InstanceID
 }
 
+// large reports whether the fleet is too large for all pairs to exchange
+// heartbeats.
+func (r *Roster) large() bool { return len(r.peers) > fullMesh }
+
+// aliveFor is how long after its last heartbeat an instance counts as alive.
+func (r *Roster) aliveFor() time.Duration {
+	if r.large() {
+		return aliveForRelayed
+	}
+	return aliveFor
+}
+
 // NewRoster returns a roster that knows only the addresses of some instances.
 func NewRoster(now time.Time, self Member, seeds []string) *Roster {
 	return &Roster{self: self, seeds: seeds, peers: map[ident.InstanceID]*peerState{}, changed: now}
@@ -129,6 +144,14 @@
 // Leave marks this instance as stopping.
 func (r *Roster) Leave() { r.self.Leaving = true }
 
+// Beats returns how long to wait between two heartbeats.
+func (r *Roster) Beats() time.Duration {
+	if r.large() {
+		return beatRelayed
+	}
+	return beatInterval
+}
+
 // Beat makes this instance's next heartbeat.
 func (r *Roster) Beat(now time.Time, load Load) Heartbeat {
 	r.self.Sequence++
@@ -139,18 +162,19 @@
 // Heartbeat returns what to tell a peer now.
 func (r *Roster) Heartbeat(now time.Time) Heartbeat {
 	h := Heartbeat{From: r.self}
-	direct := len(r.peers) <= fullMesh
+	if r.large() {
+		// Hubs add loads up; see Hub.
+		h.From.Load = Load{}
+	}
 	for _, p := range r.peers {
 		age := now.Sub(p.heard)
-		if age >= aliveFor {
+		if age >= r.aliveFor() {
 			continue
 		}
+		// Loads come from the instance itself or a hub: relayed, they would be most
+		// of the bytes between zones.
 		m := p.member
-		if direct {
-			// Each instance hears the others' loads from themselves: relayed, they
-			// would be most of the bytes between zones.
-			m.Load = Load{}
-		}
+		m.Load = Load{}
 		h.Relayed = append(h.Relayed, Relayed{Member: m, AgeMS: age.Milliseconds()})
 	}
 	return h
@@ -212,7 +236,7 @@
 func (r *Roster) aliveIDs(now time.Time) []ident.InstanceID {
 	ids := []ident.InstanceID{r.self.ID}
 	for id, p := range r.peers {
-		if now.Sub(p.heard) < aliveFor {
+		if now.Sub(p.heard) < r.aliveFor() {
 			ids = append(ids, id)
 		}
 	}
@@ -264,18 +288,32 @@
 	return rendezvous.Contains(duty, r.candidates(now, ""), 1, r.self.ID)
 }
 
-// Readers returns the addresses of the live peers of this instance's zone that
-// read the store for it, and whether it is one itself.
-func (r *Roster) Readers(now time.Time) (addresses []string, self bool) {
+// Hub returns the address of the instance that reads the store and adds up the
+// loads for a zone, "" if none lives; self is true if it is this one.
+func (r *Roster) Hub(now time.Time, zone ident.Zone) (address string, self bool) {
 	r.refresh(now)
-	for _, id := range rendezvous.Top("store", r.candidates(now, r.self.Zone), 1) {
-		if id == r.self.ID {
-			self = true
-			continue
+	top := rendezvous.Top("store", r.candidates(now, zone), 1)
+	switch {
+	case len(top) == 0:
+		return "", false
+	case top[0] == r.self.ID:
+		return r.self.Address, true
+	default:
+		return r.peers[top[0]].member.Address, false
+	}
+}
+
+// OtherZones returns the zones of live peers but this instance's own.
+func (r *Roster) OtherZones(now time.Time) []ident.Zone {
+	r.refresh(now)
+	var zones []ident.Zone
+	for _, id := range r.alive {
+		p := r.peers[id]
+		if p != nil && p.member.Zone != r.self.Zone && !slices.Contains(zones, p.member.Zone) {
+			zones = append(zones, p.member.Zone)
 		}
-		addresses = append(addresses, r.peers[id].member.Address)
 	}
-	return addresses, self
+	return zones
 }
 
 // candidates returns the live instances that are not stopping, of a zone or of
--- a/gateway/fleet/roster_test.go
+++ b/gateway/fleet/roster_test.go
@@ -85,23 +85,30 @@
 	assert.Assert(t, second[0] != first[0])
 }
 
-// TestReaderOfTheZone: each zone has a reader of its own, and the others know its
-// address.
-func TestReaderOfTheZone(t *testing.T) {
-	r := NewRoster(at(0), member(0, "a"), nil)
-	hear(r, 0, member(1, "a"))
-	hear(r, 0, member(2, "b"))
-	o := NewRoster(at(0), member(1, "a"), nil)
-	hear(o, 0, member(0, "a"))
-	hear(o, 0, member(2, "b"))
-	addresses, self := r.Readers(at(100))
-	others, other := o.Readers(at(100))
-	assert.Assert(t, self != other)
-	assert.Equal(t, len(addresses)+len(others), 1)
-	b := NewRoster(at(0), member(2, "b"), nil)
-	hear(b, 0, member(0, "a"))
-	_, self = b.Readers(at(100))
-	assert.Assert(t, self)
+// TestHubOfTheZone: each zone has one hub, which all agree on.
+func TestHubOfTheZone(t *testing.T) {
+	members := []Member{member(0, "a"), member(1, "a"), member(2, "b")}
+	hubs := map[ident.Zone]map[string]int{"a": {}, "b": {}}
+	selves := 0
+	for i, self := range members {
+		r := NewRoster(at(0), self, nil)
+		for j, m := range members {
+			if i != j {
+				hear(r, 0, m)
+			}
+		}
+		for zone, seen := range hubs {
+			address, isSelf := r.Hub(at(100), zone)
+			seen[address]++
+			if isSelf {
+				selves++
+			}
+		}
+	}
+	assert.Equal(t, selves, 2)
+	for zone, seen := range hubs {
+		assert.Equal(t, len(seen), 1, "zone %s: %v", zone, seen)
+	}
 }
 
 // TestInTouchNeedsAnswersOfMost: an instance that woke up or is cut off has a full
@@ -129,6 +136,7 @@
 		hear(r, 0, member(i, "a"))
 	}
 	assert.Equal(t, len(r.Partners(random)), fanout+1)
+	assert.Assert(t, r.Beats() > beatInterval)
 }
 
 // TestRelayedHeartbeatsCarryNoLoad in a small fleet, and don't hide the load that
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -85,11 +85,9 @@
 func (g *Service) need(now time.Time, service string) schedule.Need {
 	n := schedule.Need{PrefillRate: g.books.PrefillRate(service)}
 	n.Prefill, n.Memory = g.books.Demand(now, service)
-	for _, m := range g.node.Members() {
-		d := m.Load.Demand[service]
-		n.Prefill += d.PrefillRate
-		n.Memory += d.MemoryRate
-	}
+	d := g.node.Others().Demand[service]
+	n.Prefill += d.PrefillRate
+	n.Memory += d.MemoryRate
 	return n
 }
 
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -80,7 +80,7 @@
 		Self:   fleet.Member{ID: s.Instance, Zone: s.Zone, Address: s.Listen.Peers, Incarnation: incarnation},
 		Seeds:  s.Seeds,
 		Source: d.Source, Pool: g.pool, Server: g.peers, Log: log,
-		Load: g.load, Changed: g.changed,
+		Load: g.load, Changed: g.changed, LoadChanged: g.loadChanged,
 	})
 	budget := schedule.NewBudget(time.Now(), s.Retries.budget(), g.node.Alive)
 	g.carrier = carry.New(carry.Options{
@@ -123,11 +123,8 @@
 	return l
 }
 
-// changed takes peers' loads into the books.
-func (g *Service) changed(s *fleet.Snapshot, members []fleet.Member) {
-	now := time.Now()
-	g.books.SetPeers(now, total(members))
-	g.books.SetAway(now, away(members))
+// changed has the books forget upstreams that are gone.
+func (g *Service) changed(s *fleet.Snapshot) {
 	listed := map[ident.UpstreamID]bool{}
 	for _, list := range s.Upstreams {
 		for _, u := range list {
@@ -137,37 +134,21 @@
 	g.books.Keep(listed)
 }
 
-// total adds up what peers have in flight.
-func total(members []fleet.Member) map[ident.UpstreamID]*schedule.InFlight {
-	sum := map[ident.UpstreamID]*schedule.InFlight{}
-	for _, m := range members {
-		for id, f := range m.Load.InFlight {
-			s := sum[id]
-			if s == nil {
-				s = &schedule.InFlight{}
-				sum[id] = s
-			}
-			s.Requests += f.Requests
-			s.Tokens += f.Tokens
-			s.Memory.Add(f.Memory)
-			s.Unexplained = max(s.Unexplained, f.Unexplained)
-		}
+// loadChanged takes the sum of the peers' loads into the books.
+func (g *Service) loadChanged(l fleet.Load) {
+	peers := map[ident.UpstreamID]*schedule.InFlight{}
+	for id, f := range l.InFlight {
+		in := &schedule.InFlight{Requests: f.Requests, Tokens: f.Tokens, Unexplained: f.Unexplained}
+		in.Memory.Add(f.Memory)
+		peers[id] = in
 	}
-	return sum
-}
-
-// away adds up what peers found of engines.
-func away(members []fleet.Member) schedule.Away {
-	a := schedule.Away{Refusing: map[ident.UpstreamID]time.Duration{}, Switching: map[ident.UpstreamID]dialect.Stage{}}
-	for _, m := range members {
-		for id, left := range m.Load.Refusing {
-			a.Refusing[id] = max(a.Refusing[id], time.Duration(left)*time.Millisecond)
-		}
-		for id, stage := range m.Load.Switching {
-			a.Switching[id] = stage
-		}
+	away := schedule.Away{Refusing: map[ident.UpstreamID]time.Duration{}, Switching: l.Switching}
+	for id, left := range l.Refusing {
+		away.Refusing[id] = time.Duration(left) * time.Millisecond
 	}
-	return a
+	now := time.Now()
+	g.books.SetPeers(now, peers)
+	g.books.SetAway(now, away)
 }
 
 // ListenError reports an address that can't be opened.
