Placements of others that are not known yet count; orders in large fleets

Each instance now works out from its own arrivals how many requests the others have placed since, chooses at random among as many of the best, leaves memory free for them, and trusts old counts less. No order was ever given in a large fleet, since an instance there calls only four others: being in touch now means that most of those called answer and most of those known live.

--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -25,6 +25,10 @@
 	// beatRelayed is the time between two heartbeats in a large fleet, whose
 	// messages name all instances.
 	beatRelayed = time.Second
+	// loadAge is how old the others' loads are on average: half a heartbeat and half
+	// a sum. By way of hubs it is half of two reports and of the hubs' exchange.
+	loadAge      = (beatInterval + sumInterval) / 2
+	loadAgeByHub = 3 * beatInterval / 2
 	// sumInterval is the time between two sums of the loads that came by heartbeat.
 	sumInterval = 100 * time.Millisecond
 	// startInterval is the time between two readings while no configuration is
@@ -80,9 +84,9 @@
 	// Load returns this instance's load, for its heartbeats.
 	Load func() Load
 	// Changed is called after each change of the view, LoadChanged when the sum of
-	// the peers' loads was made anew.
+	// the peers' loads was made anew; age is how old that is on average.
 	Changed     func(*Snapshot)
-	LoadChanged func(Load)
+	LoadChanged func(sum Load, age time.Duration)
 }
 
 // Node keeps an instance's view up to date.
@@ -201,8 +205,12 @@
 func (n *Node) setOthers(sum Load) {
 	n.mu.Lock()
 	n.others = sum
+	age := loadAge
+	if n.roster.large() {
+		age = loadAgeByHub
+	}
 	n.mu.Unlock()
-	n.o.LoadChanged(sum)
+	n.o.LoadChanged(sum, age)
 }
 
 // Others returns the sum of the peers' loads.
--- a/gateway/fleet/roster.go
+++ b/gateway/fleet/roster.go
@@ -256,17 +256,22 @@
 	return now.Sub(r.changed)
 }
 
-// InTouch reports whether most of the live instances answered a call of this one
-// within the given time: after a freeze or behind a cut they have not.
+// InTouch reports whether most of the instances that this one calls answered it
+// within the given time, and most of those known to it live: after a freeze or on
+// the smaller side of a cut that is not so.
 func (r *Roster) InTouch(now time.Time, within time.Duration) bool {
 	r.refresh(now)
 	recent := 1
-	for _, id := range r.alive {
-		if p := r.peers[id]; p != nil && now.Sub(p.answered) < within {
+	for _, p := range r.peers {
+		if now.Sub(p.answered) < within {
 			recent++
 		}
 	}
-	return 2*recent > len(r.alive)
+	called := len(r.alive)
+	if r.large() {
+		called = fanout + 1
+	}
+	return 2*recent > called && 2*len(r.alive) > len(r.peers)+1
 }
 
 // Members returns the heartbeats of the live peers.
--- a/gateway/fleet/roster_test.go
+++ b/gateway/fleet/roster_test.go
@@ -160,3 +160,17 @@
 		assert.Equal(t, rate, 5.0)
 	}
 }
+
+// TestInTouchInALargeFleet: the few that are called answer, and most live.
+func TestInTouchInALargeFleet(t *testing.T) {
+	r := NewRoster(at(0), member(0, "a"), nil)
+	for i := 1; i < 60; i++ {
+		hear(r, 1000, member(i, "a"))
+	}
+	assert.Assert(t, !r.InTouch(at(1100), time.Second))
+	for _, id := range []ident.InstanceID{"i01", "i02", "i03"} {
+		r.Answered(at(1100), id)
+	}
+	assert.Assert(t, r.InTouch(at(1200), time.Second))
+	assert.Assert(t, !r.InTouch(at(8000), 8*time.Second), "the others are silent")
+}
--- a/gateway/schedule/books.go
+++ b/gateway/schedule/books.go
@@ -115,13 +115,18 @@
 	rates   map[string]*rate
 	demands map[string]*demand
 	doubts  map[ident.Zone]*doubt
+	arrived map[string]*arrivals
+	// others is how many further instances there are, age that of what is known of
+	// their requests.
+	others int
+	age    time.Duration
 }
 
 // NewBooks returns empty books of an instance in the given zone.
 func NewBooks(zone ident.Zone, seed uint64) *Books {
 	return &Books{
 		zone: zone, books: map[ident.UpstreamID]*book{},
-		random: rand.New(rand.NewPCG(seed, seed)), rates: map[string]*rate{}, demands: map[string]*demand{}, doubts: map[ident.Zone]*doubt{},
+		random: rand.New(rand.NewPCG(seed, seed)), rates: map[string]*rate{}, demands: map[string]*demand{}, doubts: map[ident.Zone]*doubt{}, arrived: map[string]*arrivals{},
 	}
 }
 
@@ -394,6 +399,9 @@
 func (b *Books) PickService(now time.Time, list []dialect.Upstream, repeatable bool, exclude []ident.UpstreamID) (Ticket, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if len(list) > 0 {
+		b.arrive(now, list[0].Service)
+	}
 	best, trial := b.cheapest(now, list, exclude)
 	if repeatable && trial != nil && b.idle(trial) {
 		best = trial
@@ -416,6 +424,10 @@
 // cheapest returns the best of the good upstreams and of those on trial.
 func (b *Books) cheapest(now time.Time, list []dialect.Upstream, exclude []ident.UpstreamID) (good, trial *book) {
 	lowest := math.Inf(1)
+	trust := 1.0
+	if len(list) > 0 {
+		trust = 1 / (1 + b.unseen(now, list[0].Service)/float64(len(list)))
+	}
 	for _, u := range list {
 		if !usable(u, exclude) {
 			continue
@@ -425,7 +437,7 @@
 		case stateTrial:
 			trial = k
 		case stateGood:
-			if c := b.cost(now, k); c < lowest {
+			if c := b.cost(now, k, trust); c < lowest {
 				lowest, good = c, k
 			}
 		}
@@ -464,12 +476,13 @@
 
 // cost is the expected time of one more request at an upstream, in seconds: its
 // latency, longer the more it has to do, and as often as it takes to succeed.
-func (b *Books) cost(now time.Time, k *book) float64 {
+// trust is how much what peers said of their requests still counts.
+func (b *Books) cost(now time.Time, k *book, trust float64) float64 {
 	latency := k.latency
 	if latency == 0 {
 		latency = initialLatency
 	}
-	load := float64(k.requests+k.peerRequests) + 1
+	load := float64(k.requests) + trust*float64(k.peerRequests) + 1
 	c := latency.Seconds() * load / math.Pow(math.Max(k.success, 0.05), 2)
 	if k.up.Zone != b.zone {
 		c *= otherZone
--- a/gateway/schedule/engines.go
+++ b/gateway/schedule/engines.go
@@ -50,15 +50,16 @@
 func (b *Books) PlaceDecode(now time.Time, list []dialect.Upstream, e *routing.Engine, size Size, exclude []ident.UpstreamID) (Ticket, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var best *book
-	most := 0.0
+	unseen := b.unseen(now, serviceOf(list))
 	run := running{prompt: size.Prompt, estimate: size.Estimate, hold: size.HoldTokens()}
+	reserve := unseen * float64(size.HoldTokens()) / float64(max(1, count(list, dialect.StageDecode)))
+	var open []candidate
 	for _, u := range list {
 		if u.Stage != dialect.StageDecode || !usable(u, exclude) {
 			continue
 		}
 		k := b.of(u)
-		left, ok := b.left(now, k, e, run)
+		left, ok := b.left(now, k, e, run, reserve)
 		if !ok || now.Before(k.fullUntil) && size.HoldTokens() >= k.fullTokens {
 			continue
 		}
@@ -66,18 +67,26 @@
 		if u.Zone == b.zone {
 			left += ownZone
 		}
-		if best == nil || left > most {
-			best, most = k, left
-		}
+		open = append(open, candidate{book: k, cost: -left})
 	}
+	best := b.spread(open, unseen)
 	if best == nil {
 		return Ticket{}, false
 	}
+	b.arrive(now, serviceOf(list))
 	t := b.place(now, best, 0)
 	best.streams[t.number] = run
 	return t, true
 }
 
+// serviceOf returns the service of a list of upstreams.
+func serviceOf(list []dialect.Upstream) string {
+	if len(list) == 0 {
+		return ""
+	}
+	return list[0].Service
+}
+
 // open reports whether an engine may be given a request now: it keeps promises,
 // and if it failed lately, a probe has found it answering since. The caller holds
 // mu.
@@ -86,8 +95,9 @@
 }
 
 // left returns the share of an engine's memory that is expected to stay unused
-// with one more request, and whether the request fits. The caller holds mu.
-func (b *Books) left(now time.Time, k *book, e *routing.Engine, run running) (float64, bool) {
+// with one more request, and whether the request fits. reserve is left free for
+// what other instances may have placed there unseen. The caller holds mu.
+func (b *Books) left(now time.Time, k *book, e *routing.Engine, run running, reserve float64) (float64, bool) {
 	if !b.open(now, k) {
 		return 0, false
 	}
@@ -99,7 +109,7 @@
 	f.add(k.peerForecast)
 	f.add(run.forecast(r.tokenTime, r.spread()))
 	total := usableMemory * float64(e.KVTokens)
-	left := total - float64(f.peak()+k.unexplainedNow(now))
+	left := total - reserve - float64(f.peak()+k.unexplainedNow(now))
 	return left / total, left >= 0
 }
 
@@ -137,7 +147,8 @@
 func (b *Books) PlacePrefill(now time.Time, list []dialect.Upstream, tokens int, near ident.Zone, exclude []ident.UpstreamID) (Ticket, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	best, _ := b.cheapestPrefill(now, list, tokens, near, exclude)
+	open := b.openPrefill(now, list, tokens, near, exclude)
+	best := b.spread(open, b.unseen(now, serviceOf(list)))
 	if best == nil {
 		best = b.leastBad(prefillEngines(list), exclude)
 	}
@@ -152,7 +163,7 @@
 func (b *Books) PrefillWait(now time.Time, list []dialect.Upstream, tokens int) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	best, _ := b.cheapestPrefill(now, list, tokens, b.zone, nil)
+	best := b.spread(b.openPrefill(now, list, tokens, b.zone, nil), 0)
 	if best == nil {
 		return 0, false
 	}
@@ -166,23 +177,19 @@
 	return time.Duration(queued / b.rateOf(k.up.Service).prefill * float64(time.Second))
 }
 
-// cheapestPrefill returns the open prefill engine with the lowest cost. The caller
-// holds mu.
-func (b *Books) cheapestPrefill(now time.Time, list []dialect.Upstream, tokens int, near ident.Zone, exclude []ident.UpstreamID) (best *book, least float64) {
-	least = math.Inf(1)
+// openPrefill returns the open prefill engines with their costs. The caller holds
+// mu.
+func (b *Books) openPrefill(now time.Time, list []dialect.Upstream, tokens int, near ident.Zone, exclude []ident.UpstreamID) []candidate {
+	var open []candidate
 	for _, u := range list {
 		if u.Stage != dialect.StagePrefill || !usable(u, exclude) {
 			continue
 		}
-		k := b.of(u)
-		if !b.open(now, k) {
-			continue
-		}
-		if c := b.prefillCost(now, k, tokens, near); c < least {
-			best, least = k, c
+		if k := b.of(u); b.open(now, k) {
+			open = append(open, candidate{book: k, cost: b.prefillCost(now, k, tokens, near)})
 		}
 	}
-	return best, least
+	return open
 }
 
 // prefillEngines returns the prefill engines of a list.
--- /dev/null
+++ b/gateway/schedule/unseen.go
@@ -0,0 +1,89 @@
+package schedule
+
+import (
+	"math"
+	"time"
+)
+
+// arrivalHalfLife is how fast old arrivals are forgotten: shorter than a burst.
+const arrivalHalfLife = 2 * time.Second
+
+// arrivals is a decaying count of requests.
+type arrivals struct {
+	at    time.Time
+	count float64
+}
+
+// note counts a request.
+func (a *arrivals) note(now time.Time) {
+	a.count = a.left(now) + 1
+	a.at = now
+}
+
+// left is what is left of the count.
+func (a *arrivals) left(now time.Time) float64 {
+	passed := now.Sub(a.at)
+	if a.at.IsZero() || passed <= 0 {
+		return a.count
+	}
+	return a.count * math.Exp2(-passed.Seconds()/arrivalHalfLife.Seconds())
+}
+
+// perSecond is the rate.
+func (a *arrivals) perSecond(now time.Time) float64 {
+	return a.left(now) * math.Ln2 / arrivalHalfLife.Seconds()
+}
+
+// SetFleet takes in how many instances share the upstreams, and how old what is
+// known of the others' requests is on average.
+func (b *Books) SetFleet(instances int, age time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.others, b.age = max(0, instances-1), age
+}
+
+// unseen is how many requests the other instances are expected to have placed at a
+// service since what is known of them: instances that see the same and don't count
+// with that all choose the same upstream. The caller holds mu.
+func (b *Books) unseen(now time.Time, service string) float64 {
+	a := b.arrived[service]
+	if a == nil {
+		return 0
+	}
+	return a.perSecond(now) * float64(b.others) * b.age.Seconds()
+}
+
+// arrive counts a request of this instance. The caller holds mu.
+func (b *Books) arrive(now time.Time, service string) {
+	a := b.arrived[service]
+	if a == nil {
+		a = &arrivals{}
+		b.arrived[service] = a
+	}
+	a.note(now)
+}
+
+// candidate is an upstream that may be chosen, with its cost.
+type candidate struct {
+	book *book
+	cost float64
+}
+
+// spread chooses among the cheapest candidates, as many as there are unseen
+// placements and one more, at random. The caller holds mu.
+func (b *Books) spread(list []candidate, unseen float64) *book {
+	if len(list) == 0 {
+		return nil
+	}
+	n := min(len(list), 1+int(math.Ceil(unseen)))
+	for i := range n {
+		least := i
+		for j := i + 1; j < len(list); j++ {
+			if list[j].cost < list[least].cost {
+				least = j
+			}
+		}
+		list[i], list[least] = list[least], list[i]
+	}
+	return list[b.random.IntN(n)].book
+}
--- /dev/null
+++ b/gateway/schedule/unseen_test.go
@@ -0,0 +1,78 @@
+package schedule
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/ident"
+)
+
+// busiest returns how many times the mean the busiest of n upstreams got.
+func busiest(counts map[ident.UpstreamID]int, n int) float64 {
+	most, total := 0, 0
+	for _, c := range counts {
+		most = max(most, c)
+		total += c
+	}
+	return float64(most) * float64(n) / float64(total)
+}
+
+// TestInstancesThatSeeTheSameDontChooseTheSame: 60 instances place requests on one
+// view of 40 engines, of which some look a little better.
+func TestInstancesThatSeeTheSameDontChooseTheSame(t *testing.T) {
+	list := engines(0, 40)
+	size := Size{Prompt: 3000, Estimate: 1000}
+	counts := map[ident.UpstreamID]int{}
+	for i := range 60 {
+		b := NewBooks("a", uint64(i))
+		b.SetFleet(60, 450*time.Millisecond)
+		for r := range 8 {
+			ticket, ok := b.PlaceDecode(at(r*250-2000), list, engine, size, nil)
+			assert.Assert(t, ok)
+			b.Done(ticket)
+		}
+		for _, u := range list[8:] {
+			b.of(u)
+		}
+		peers := map[ident.UpstreamID]*InFlight{}
+		for _, u := range list[8:] {
+			f := &InFlight{}
+			f.Memory.Add([]int{15000, 15000, 15000, 15000, 15000, 15000, 15000, 15000, 15000, 15000})
+			peers[u.ID] = f
+		}
+		b.SetPeers(at(0), peers)
+		for r := range 4 {
+			ticket, ok := b.PlaceDecode(at(r*250), list, engine, size, nil)
+			assert.Assert(t, ok)
+			counts[ticket.Upstream.ID]++
+		}
+	}
+	assert.Assert(t, busiest(counts, 40) < 2.6, "%v", counts)
+}
+
+func TestArrivalsAreARate(t *testing.T) {
+	a := &arrivals{}
+	now := at(0)
+	for range 400 {
+		now = now.Add(50 * time.Millisecond)
+		a.note(now)
+	}
+	assert.Assert(t, math.Abs(a.perSecond(now)-20) < 1, "%v", a.perSecond(now))
+	assert.Assert(t, a.perSecond(now.Add(20*time.Second)) < 0.1)
+}
+
+// TestOneInstanceChoosesTheBest: with nobody else placing requests, the cheapest is
+// taken.
+func TestOneInstanceChoosesTheBest(t *testing.T) {
+	b := NewBooks("a", 1)
+	list := engines(0, 3)
+	ticket, _ := b.PlaceDecode(at(0), list, engine, Size{Prompt: 30000, Estimate: 1000}, nil)
+	for range 5 {
+		next, _ := b.PlaceDecode(at(0), list, engine, Size{Prompt: 1000, Estimate: 100}, nil)
+		assert.Assert(t, next.Upstream.ID != ticket.Upstream.ID)
+		b.Done(next)
+	}
+}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -135,7 +135,7 @@
 }
 
 // loadChanged takes the sum of the peers' loads into the books.
-func (g *Service) loadChanged(l fleet.Load) {
+func (g *Service) loadChanged(l fleet.Load, age time.Duration) {
 	peers := map[ident.UpstreamID]*schedule.InFlight{}
 	for id, f := range l.InFlight {
 		in := &schedule.InFlight{Requests: f.Requests, Tokens: f.Tokens, Unexplained: f.Unexplained}
@@ -147,6 +147,7 @@
 		away.Refusing[id] = time.Duration(left) * time.Millisecond
 	}
 	now := time.Now()
+	g.books.SetFleet(g.node.Alive(), age)
 	g.books.SetPeers(now, peers)
 	g.books.SetAway(now, away)
 }
