--- a/gateway/schedule/books.go
+++ b/gateway/schedule/books.go
@@ -82,6 +82,8 @@
 	failures        int
 	ejections       int
 	ejectedUntil    time.Time
+	// unreachable means that the last failure was that no connection came about.
+	unreachable bool
 	// readmitted means that a probe found it answering since it was ejected.
 	readmitted bool
 	// lastGood is when it last answered well.
@@ -212,6 +214,7 @@
 	}
 	k.failures++
 	k.readmitted = false
+	k.unreachable = f == Unreachable
 	if f == Hard && k.failures < ejectAfter && k.ejections == 0 {
 		return false
 	}
@@ -412,12 +415,19 @@
 	if best == nil {
 		best = b.leastBad(list, exclude)
 	}
-	if best == nil {
+	if best == nil || best.outOfReach(now) {
 		return Ticket{}, false
 	}
 	return b.place(now, best, 0), true
 }
 
+// outOfReach reports whether an upstream could not be connected to and another
+// request is finding out whether that still holds: all others would wait for the
+// same time-out, 400 ms each, before they were refused. The caller holds mu.
+func (k *book) outOfReach(now time.Time) bool {
+	return k.unreachable && k.state(now) != stateGood && k.requests > 0
+}
+
 // idle reports whether an upstream on trial has no request of this instance.
 func (b *Books) idle(k *book) bool { return k.requests == 0 }
 
--- a/gateway/schedule/books_test.go
+++ b/gateway/schedule/books_test.go
@@ -233,3 +233,26 @@
 	assert.Assert(t, b.Failed(at(700), u, Hard))
 	assert.Equal(t, b.books[u.ID].state(at(1600)), stateEjected)
 }
+
+// TestOutOfReachIsRefusedAtOnce: while one request finds out whether the only
+// upstream can be reached again, others are not made to wait for its time-out. One
+// that answers badly, but answers, goes on being used.
+func TestOutOfReachIsRefusedAtOnce(t *testing.T) {
+	b := NewBooks("a", 1)
+	list := service("x")
+	b.Failed(at(0), list[0], Unreachable)
+	first, ok := b.PickService(at(100), list, false, nil)
+	assert.Assert(t, ok)
+	_, ok = b.PickService(at(110), list, false, nil)
+	assert.Assert(t, !ok)
+	b.Done(first)
+	b.Answered(at(200), list[0], time.Millisecond)
+	for range 3 {
+		_, ok = b.PickService(at(210), list, false, nil)
+		assert.Assert(t, ok)
+	}
+	b.Failed(at(300), list[0], Hard)
+	b.Failed(at(300), list[0], Hard)
+	_, ok = b.PickService(at(310), list, false, nil)
+	assert.Assert(t, ok)
+}
