An instance that has just started believes no report

Cause: it doesn't know yet what others have at an engine, so that all of the engine's memory seems unexplained, and it told everybody so for 2.5 s.

--- a/gateway/schedule/books.go
+++ b/gateway/schedule/books.go
@@ -118,6 +118,8 @@
 	demands map[string]*demand
 	doubts  map[ident.Zone]*doubt
 	arrived map[string]*arrivals
+	// peersSince is when peers' loads first came.
+	peersSince time.Time
 	// others is how many further instances there are, age that of what is known of
 	// their requests.
 	others int
@@ -519,6 +521,9 @@
 func (b *Books) SetPeers(now time.Time, peers map[ident.UpstreamID]*InFlight) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.peersSince.IsZero() {
+		b.peersSince = now
+	}
 	for id, k := range b.books {
 		f := peers[id]
 		if f == nil {
--- a/gateway/schedule/reported.go
+++ b/gateway/schedule/reported.go
@@ -51,6 +51,10 @@
 		k.refusingUntil = now.Add(refusingWhileSwitching)
 	}
 	b.remember(now, k)
+	if b.peersSince.IsZero() || now.Sub(b.peersSince) < reportLag {
+		// An instance that has just started doesn't know what others have there.
+		return 0
+	}
 	explained := 0
 	for _, m := range k.known {
 		explained = max(explained, m.tokens)
