--- a/cmd/wardspool-gateway/main.go
+++ b/cmd/wardspool-gateway/main.go
@@ -11,7 +11,7 @@
 	"github.com/wardspool/wardspool/gateway"
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/logs"
-	"github.com/wardspool/wardspool/platform"
+	_ "github.com/wardspool/wardspool/platform" // deployment.platform
 	"github.com/wardspool/wardspool/process"
 )
 
@@ -49,11 +49,13 @@
 	}.Main()
 }
 
-// newService makes the gateway for the users' machines.
+// newService makes the gateway.
 func newService(s *gateway.Settings, log *slog.Logger) (process.Service, error) {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB<<20)))
-	return gateway.New(s, gateway.Deployment{
-		Dialect: platform.New(dialect.Options{Self: s.Instance, DialTimeout: dialTimeout}),
-		Source:  platform.NewStore(s.Store.Address, dialTimeout, log),
-	}, log), nil
+	deployment, err := dialect.Load(s.Deployment)
+	if err != nil {
+		return nil, err
+	}
+	d, source := deployment.Open(dialect.Options{StoreAddress: s.Store.Address, DialTimeout: dialTimeout, Log: log})
+	return gateway.New(s, d, source, log), nil
 }
--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -123,9 +123,8 @@
 	return nil
 }
 
-func (f *fakeDialect) Read(*http.Request, []byte) (*dialect.Call, error)           { return nil, nil }
-func (f *fakeDialect) Order(context.Context, dialect.Order) error                  { return nil }
-func (f *fakeDialect) CheckHealth(context.Context, dialect.Upstream, string) error { return nil }
+func (f *fakeDialect) Read(*http.Request, []byte) (*dialect.Call, error) { return nil, nil }
+func (f *fakeDialect) Order(context.Context, dialect.Order) error        { return nil }
 func (f *fakeDialect) Report(context.Context, dialect.Upstream) (dialect.Report, error) {
 	return dialect.Report{}, nil
 }
--- a/gateway/carry/plain.go
+++ b/gateway/carry/plain.go
@@ -88,7 +88,7 @@
 	a := p.exchange(ctx, t.Upstream)
 	took := time.Since(start)
 	p.c.note(t.Upstream, a, took, p.log)
-	p.log.Info("attempt", "upstream", t.Upstream.ID, "number", len(p.tried), "verdict", a.verdict,
+	p.log.Info("attempt", "upstream", t.Upstream.ID, "number", len(p.tried), "verdict", a.verdict.String(),
 		"took_ms", took.Milliseconds(), "left_ms", time.Until(p.j.Deadline).Milliseconds(), "error", errorText(a.err))
 	return a
 }
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -494,7 +494,7 @@
 	a := readAnswer(s.c.o.Dialect, resp, v)
 	s.c.note(u, a, 0, s.log)
 	s.excluded = append(s.excluded, u.ID)
-	s.log.Info("attempt", "upstream", u.ID, "number", s.starts, "verdict", v, "status", resp.StatusCode)
+	s.log.Info("attempt", "upstream", u.ID, "number", s.starts, "verdict", v.String(), "status", resp.StatusCode)
 	err := &dialect.StatusError{Op: "decode", Status: resp.StatusCode}
 	if a.evidence() != kernel.Ambiguous {
 		s.c.o.Count("decode_refused")
--- a/gateway/dialect/dialect.go
+++ b/gateway/dialect/dialect.go
@@ -6,13 +6,49 @@
 
 import (
 	"context"
+	"fmt"
+	"log/slog"
 	"net/http"
 	"time"
 
 	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/plugin"
 )
 
+// Namespace is that of the plug-ins that speak to deployments.
+const Namespace = "deployment"
+
+// Deployment is a plug-in that speaks to one kind of deployment.
+type Deployment interface {
+	plugin.Plugin
+	// Open makes its clients. Nothing is connected to yet.
+	Open(o Options) (Dialect, Source)
+}
+
+// NotDeploymentError reports a plug-in that speaks to no deployment.
+type NotDeploymentError struct{ ID plugin.ID }
+
+// Error implements error.
+func (e *NotDeploymentError) Error() string {
+	return fmt.Sprintf("plug-in %s speaks to no deployment", e.ID)
+}
+
+// Load makes the plug-in of the given name. Errors are *plugin.UnknownError,
+// *plugin.LifecycleError and *NotDeploymentError.
+func Load(name string) (Deployment, error) {
+	id := plugin.ID(Namespace + "." + name)
+	p, err := plugin.Load(id, nil)
+	if err != nil {
+		return nil, err
+	}
+	d, ok := p.(Deployment)
+	if !ok {
+		return nil, &NotDeploymentError{ID: id}
+	}
+	return d, nil
+}
+
 // Stage is the part of the work that a model engine does.
 type Stage string
 
@@ -107,12 +143,31 @@
 	Invalid
 )
 
-// Settings that a dialect needs for its clients.
+// String returns the name used in logs.
+func (v Verdict) String() string {
+	switch v {
+	case Success:
+		return "success"
+	case Failure:
+		return "failure"
+	case Refused:
+		return "refused"
+	case WrongUpstream:
+		return "wrong_upstream"
+	case Invalid:
+		return "invalid"
+	default:
+		return "none"
+	}
+}
+
+// Options are what a deployment's clients need.
 type Options struct {
-	// Self is the name of this instance.
-	Self ident.InstanceID
+	// StoreAddress is where the store answers, "IP:port".
+	StoreAddress string
 	// DialTimeout bounds a connection's opening.
 	DialTimeout time.Duration
+	Log         *slog.Logger
 }
 
 // Dialect is the translation of one deployment's protocols.
@@ -134,8 +189,6 @@
 	Report(ctx context.Context, u Upstream) (Report, error)
 	// Order tells an engine to change its stage.
 	Order(ctx context.Context, o Order) error
-	// CheckHealth asks an upstream whether it serves, on the service's path.
-	CheckHealth(ctx context.Context, u Upstream, path string) error
 	// WriteHead puts on a caller's response what all answers carry.
 	WriteHead(h http.Header, c *Call)
 	// EndToEnd copies the headers of an upstream's response that are passed on.
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -55,16 +55,10 @@
 	callers, ready, control, scrape net.Listener
 }
 
-// Deployment is how the deployment is spoken to.
-type Deployment struct {
-	Dialect dialect.Dialect
-	Source  dialect.Source
-}
-
 // New returns the service. It opens nothing yet.
-func New(s *Settings, d Deployment, log *slog.Logger) *Service {
+func New(s *Settings, d dialect.Dialect, source dialect.Source, log *slog.Logger) *Service {
 	log = log.With("instance", s.Instance)
-	g := &Service{settings: s, log: log, dialect: d.Dialect, metrics: newCounters()}
+	g := &Service{settings: s, log: log, dialect: d, metrics: newCounters()}
 	g.books = schedule.NewBooks(s.Zone, rand.Uint64())
 	incarnation := ident.NewIncarnation(time.Now())
 	config := peer.Config{
@@ -79,15 +73,15 @@
 	g.node = fleet.NewNode(fleet.Options{
 		Self:   fleet.Member{ID: s.Instance, Zone: s.Zone, Address: s.Listen.Peers, Incarnation: incarnation},
 		Seeds:  s.Seeds,
-		Source: d.Source, Pool: g.pool, Server: g.peers, Log: log,
+		Source: source, Pool: g.pool, Server: g.peers, Log: log,
 		Load: g.load, Changed: g.changed, LoadChanged: g.loadChanged,
 	})
 	budget := schedule.NewBudget(time.Now(), s.Retries.budget(), g.node.Alive)
 	g.carrier = carry.New(carry.Options{
-		Dialect: d.Dialect, Books: g.books, Budget: budget, View: g.node.Snapshot, Log: log, Count: g.metrics.count,
+		Dialect: d, Books: g.books, Budget: budget, View: g.node.Snapshot, Log: log, Count: g.metrics.count,
 	})
 	g.front = front.New(front.Options{
-		Dialect: d.Dialect, Carrier: g.carrier, Budget: budget, View: g.node.Snapshot, Log: log, Observe: g.metrics.observe,
+		Dialect: d, Carrier: g.carrier, Budget: budget, View: g.node.Snapshot, Log: log, Observe: g.metrics.observe,
 	})
 	return g
 }
--- a/gateway/service_test.go
+++ b/gateway/service_test.go
@@ -136,7 +136,7 @@
 	s.SetDefaults()
 	s.Stop.GraceSeconds = 1
 	s.Listen = Listen{Callers: freeAddress(t), Ready: freeAddress(t), Peers: freeAddress(t), Metrics: freeAddress(t)}
-	g := New(s, Deployment{Dialect: platform.New(dialect.Options{DialTimeout: time.Second}), Source: b.source}, slog.New(slog.DiscardHandler))
+	g := New(s, platform.New(dialect.Options{DialTimeout: time.Second}), b.source, slog.New(slog.DiscardHandler))
 	assert.NilError(t, g.Listen())
 	ctx, cancel := context.WithCancel(t.Context())
 	i := &instance{settings: s, stop: cancel, done: make(chan error, 1)}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -19,7 +19,9 @@
 	// Instance and Zone say which instance this is, and where.
 	Instance ident.InstanceID `yaml:"instance"`
 	Zone     ident.Zone       `yaml:"zone"`
-	Listen   Listen           `yaml:"listen"`
+	// Deployment names the plug-in that speaks to callers, upstreams and store.
+	Deployment string `yaml:"deployment"`
+	Listen     Listen `yaml:"listen"`
 	// Seeds are addresses at which some instances answer their peers.
 	Seeds []string `yaml:"seeds"`
 	Store Store    `yaml:"store"`
@@ -94,6 +96,7 @@
 func (s *Settings) CheckSettings(r *settings.Report) {
 	required(r, "instance", string(s.Instance))
 	required(r, "zone", string(s.Zone))
+	required(r, "deployment", s.Deployment)
 	address(r, "listen.callers", s.Listen.Callers)
 	address(r, "listen.ready", s.Listen.Ready)
 	address(r, "listen.peers", s.Listen.Peers)
