Only failed readings make a list the first after an outage

Ruled out: late readings (the list with the change was there after 0.3 s). Lapsed entries are kept only by an instance whose own readings failed; relayed lists hold what is to be kept already.

--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -372,7 +372,7 @@
 		n.storeFailed(err)
 		return
 	}
-	n.takeList(started, revision, list, "store")
+	n.takeList(started, revision, list, n.readOrigin(), "store")
 	c, _, err := n.o.Source.Config(ctx)
 	if err != nil {
 		n.storeFailed(err)
@@ -382,6 +382,16 @@
 	n.storeAnswered()
 }
 
+// readOrigin says whether a list that was just read is the first after failures.
+func (n *Node) readOrigin() Origin {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.storeDown.IsZero() {
+		return FromStore
+	}
+	return FromStoreAgain
+}
+
 // storeFailed logs the loss of the store, once.
 func (n *Node) storeFailed(err error) {
 	n.mu.Lock()
@@ -433,7 +443,7 @@
 		a.Upstreams = s.All()
 	}
 	if a.Upstreams != nil {
-		n.takeList(started, a.Revision, a.Upstreams, address)
+		n.takeList(started, a.Revision, a.Upstreams, FromPeer, address)
 	}
 }
 
@@ -450,9 +460,9 @@
 }
 
 // takeList takes in a list of upstreams.
-func (n *Node) takeList(started time.Time, revision int64, list []dialect.Upstream, from string) {
+func (n *Node) takeList(started time.Time, revision int64, list []dialect.Upstream, origin Origin, from string) {
 	n.mu.Lock()
-	changes, taken := n.view.List(time.Now(), started, revision, list)
+	changes, taken := n.view.List(time.Now(), started, revision, list, origin)
 	n.mu.Unlock()
 	for _, c := range changes {
 		n.o.Log.Info("upstream "+string(c.What), "upstream", c.Upstream.ID, "service", c.Upstream.Service,
--- a/gateway/fleet/view.go
+++ b/gateway/fleet/view.go
@@ -70,18 +70,36 @@
 	return v.table.Config().Version
 }
 
+// Origin says how a list came.
+type Origin int
+
+// The origins.
+const (
+	// FromPeer lists come from a peer, which has kept what was to be kept.
+	FromPeer Origin = iota
+	// FromStore lists come from the store.
+	FromStore
+	// FromStoreAgain lists are the first from the store after failed readings.
+	FromStoreAgain
+)
+
 // List takes in a list of upstreams whose reading began at the given time. It
 // returns what changed, and reports whether the list was newer than the last.
-func (v *View) List(now, started time.Time, revision int64, list []dialect.Upstream) ([]Change, bool) {
+func (v *View) List(now, started time.Time, revision int64, list []dialect.Upstream, from Origin) ([]Change, bool) {
 	if v.known && (revision < v.revision || !started.After(v.asOf)) {
 		return nil, false
 	}
-	if v.known && started.Sub(v.asOf) > outageGap {
+	// A view that is old for another reason, such as a reader that died, is no
+	// outage: what left the list meanwhile has left.
+	if from == FromStoreAgain && v.known && started.Sub(v.asOf) > outageGap {
 		v.graceUntil = started.Add(returnGrace)
 	}
 	v.known, v.revision, v.asOf = true, revision, started
 	changes := v.merge(now, list)
-	return append(changes, v.absent(now, started, list)...), true
+	if from != FromPeer && started.Before(v.graceUntil) {
+		return changes, true
+	}
+	return append(changes, v.absent(now, list)...), true
 }
 
 // merge takes in the upstreams of a list.
@@ -112,10 +130,7 @@
 }
 
 // absent marks the upstreams that a list lacks.
-func (v *View) absent(now, started time.Time, list []dialect.Upstream) []Change {
-	if started.Before(v.graceUntil) {
-		return nil
-	}
+func (v *View) absent(now time.Time, list []dialect.Upstream) []Change {
 	listed := map[ident.UpstreamID]bool{}
 	for _, u := range list {
 		listed[u.ID] = true
--- a/gateway/fleet/view_test.go
+++ b/gateway/fleet/view_test.go
@@ -28,7 +28,7 @@
 }
 
 func list(v *View, ms int, revision int64, ups ...dialect.Upstream) bool {
-	_, taken := v.List(at(ms+5), at(ms), revision, ups)
+	_, taken := v.List(at(ms+5), at(ms), revision, ups, FromStore)
 	return taken
 }
 
@@ -67,7 +67,7 @@
 func TestOutageKeepsLapsedEntries(t *testing.T) {
 	v := NewView()
 	list(v, 0, 1, up("a"), up("b"), up("c"))
-	list(v, 6000, 2, up("c"))
+	v.List(at(6005), at(6000), 2, []dialect.Upstream{up("c")}, FromStoreAgain)
 	assert.Equal(t, names(v.Snapshot()), "abc")
 	list(v, 7900, 3, up("a"), up("c"))
 	assert.Equal(t, names(v.Snapshot()), "abc")
@@ -82,7 +82,7 @@
 	leaving := up("a")
 	leaving.Leaving = true
 	list(v, 0, 1, up("a"))
-	changes, _ := v.List(at(505), at(500), 2, []dialect.Upstream{leaving})
+	changes, _ := v.List(at(505), at(500), 2, []dialect.Upstream{leaving}, FromStore)
 	assert.Equal(t, len(changes), 1)
 	assert.Equal(t, changes[0].What, Leaves)
 	list(v, 1000, 3, up("a"))
@@ -97,3 +97,21 @@
 	list(v, 0, 1)
 	assert.Assert(t, v.Snapshot().Ready())
 }
+
+// TestOldViewIsNoOutage: after a gap without failed readings, such as the death of
+// the zone's reader, what is missing from the next list has left, whether it is
+// read or relayed; and a peer's list holds what is to be kept after an outage.
+func TestOldViewIsNoOutage(t *testing.T) {
+	for _, from := range []Origin{FromStore, FromPeer} {
+		v := NewView()
+		list(v, 0, 1, up("a"), up("b"))
+		v.List(at(6005), at(6000), 2, []dialect.Upstream{up("b")}, from)
+		assert.Equal(t, names(v.Snapshot()), "b")
+	}
+	v := NewView()
+	list(v, 0, 1, up("a"), up("b"))
+	v.List(at(6005), at(6000), 2, []dialect.Upstream{up("b")}, FromStoreAgain)
+	assert.Equal(t, names(v.Snapshot()), "ab")
+	v.List(at(6305), at(6300), 3, []dialect.Upstream{up("b")}, FromPeer)
+	assert.Equal(t, names(v.Snapshot()), "b")
+}
