--- /dev/null
+++ b/gateway/carry/decode.go
@@ -0,0 +1,128 @@
+package carry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/wardspool/wardspool/adapter"
+	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+// decode runs the stream at its place.
+func (s *stream) decode(ctx context.Context, p *place, h *computed) (*Answer, bool, error) {
+	u := p.decode.Upstream
+	start := time.Now()
+	var source *dialect.Handle
+	if h != nil {
+		source = &h.handle
+	}
+	resp, verdict, err := s.c.o.Dialect.Do(ctx, s.j.Call, dialect.Send{
+		To: u, Deadline: s.j.Deadline.Add(-deadlineMargin), Source: source, Hold: p.hold, LastEvent: s.lastEvent, Urgency: -1,
+	})
+	if err != nil {
+		return nil, s.failedSend(ctx, p, h, err), s.sendError(ctx, err)
+	}
+	defer resp.Body.Close()
+	if verdict != dialect.Success {
+		return s.notServed(ctx, p, h, resp, verdict)
+	}
+	s.accepted(u, h)
+	s.log.Info("stream accepted", "upstream", u.ID, "took_ms", time.Since(start).Milliseconds(), "since_arrival_ms", time.Since(s.j.Arrived).Milliseconds())
+	return s.forward(ctx, p, resp, start)
+}
+
+// failedSend takes in a sending that brought no response, and reports whether
+// another pair of engines may be tried.
+func (s *stream) failedSend(ctx context.Context, p *place, h *computed, err error) bool {
+	u := p.decode.Upstream
+	s.c.note(u, &attempt{err: err}, 0, s.log)
+	s.excluded = append(s.excluded, u.ID)
+	s.log.Info("attempt", "upstream", u.ID, "number", s.starts, "error", errorText(err))
+	if adapter.AsCallError(err).Evidence == kernel.Ambiguous {
+		s.runs++
+		if !s.j.Route.Repeatable() || s.runs >= s.j.Route.MaxAttempts {
+			return false
+		}
+	} else {
+		s.giveUp(p, h)
+	}
+	return s.mayStart(ctx, err, sendsAnew)
+}
+
+// sendError is what the caller is told of a sending that brought no response.
+func (s *stream) sendError(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return s.ended(s.contextError(ctx))
+	}
+	return s.ended(err)
+}
+
+// accepted takes in that an engine runs the stream: whoever refused the prefill
+// result before is to blame for that, not the result.
+func (s *stream) accepted(u dialect.Upstream, h *computed) {
+	s.c.o.Books.Kept(u)
+	if h == nil {
+		return
+	}
+	s.c.o.Books.Kept(h.engine)
+	if h.refusedBy != nil {
+		s.passOver(*h.refusedBy, "refused although reserved")
+	}
+}
+
+// passOver has an engine passed over that refused what it had promised.
+func (s *stream) passOver(u dialect.Upstream, why string) {
+	s.c.o.Books.Refuses(time.Now(), u)
+	s.c.o.Count("engine_passed_over")
+	s.log.Warn("engine passed over", "upstream", u.ID, "stage", u.Stage, "why", why)
+}
+
+// notServed takes in an answer that is no stream.
+func (s *stream) notServed(ctx context.Context, p *place, h *computed, resp *http.Response, v dialect.Verdict) (*Answer, bool, error) {
+	u := p.decode.Upstream
+	a := readAnswer(s.c.o.Dialect, resp, v)
+	s.c.note(u, a, 0, s.log)
+	s.excluded = append(s.excluded, u.ID)
+	s.log.Info("attempt", "upstream", u.ID, "number", s.starts, "verdict", v.String(), "status", resp.StatusCode)
+	err := &dialect.StatusError{Op: "decode", Status: resp.StatusCode}
+	if a.evidence() != kernel.Ambiguous {
+		s.c.o.Count("decode_refused")
+		return nil, s.refused(ctx, p, h, err), s.ended(err)
+	}
+	s.runs++
+	if s.j.Route.Repeatable() && s.runs < s.j.Route.MaxAttempts && s.mayStart(ctx, err, sendsAnew) {
+		return nil, true, err
+	}
+	if !s.begun && a.err == nil && v == dialect.Failure && passable(a.answer.Status) {
+		return a.answer, false, nil
+	}
+	return nil, false, s.ended(err)
+}
+
+// refused takes in that a decode engine refused a request for which it had
+// reserved memory, and reports whether another may be tried. The engine may be
+// changing its stage, or the prefill result may be gone: a second engine tells,
+// without computing the prompt again.
+func (s *stream) refused(ctx context.Context, p *place, h *computed, err error) bool {
+	u := p.decode.Upstream
+	switch {
+	case h == nil:
+		s.passOver(u, "refused although reserved")
+	case h.refusedBy == nil && h.fresh(s.j.Service.Engine.HandleTTL):
+		s.giveUp(p, nil)
+		if s.mayStart(ctx, err, sendsWithKept) {
+			h.refusedBy = &u
+			s.kept = h
+			return true
+		}
+		s.free(h)
+		return false
+	case h.refusedBy != nil:
+		s.passOver(h.engine, "two engines could not fetch its result")
+		s.excluded = append(s.excluded, h.engine.ID)
+	}
+	s.giveUp(p, h)
+	return s.mayStart(ctx, err, sendsAnew)
+}
--- /dev/null
+++ b/gateway/carry/prefill.go
@@ -0,0 +1,101 @@
+package carry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/wardspool/wardspool/adapter"
+	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/schedule"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+// computed is a prefill result and where it came from.
+type computed struct {
+	handle dialect.Handle
+	engine dialect.Upstream
+	at     time.Time
+	// refusedBy is the decode engine that refused to fetch it.
+	refusedBy *dialect.Upstream
+}
+
+// keptShare is the share of a prefill result's life in which it is still offered
+// to another engine.
+const keptShare = 0.6
+
+// fresh reports whether a prefill result can still be fetched.
+func (h *computed) fresh(ttl time.Duration) bool {
+	return h != nil && time.Since(h.at) < time.Duration(keptShare*float64(ttl))
+}
+
+// compute returns the prefill result to start from: the one kept, or a new one.
+func (s *stream) compute(ctx context.Context, p *place) (*computed, error) {
+	h := s.kept
+	s.kept = nil
+	if h.fresh(s.j.Service.Engine.HandleTTL) {
+		return h, nil
+	}
+	return s.prefill(ctx, p)
+}
+
+// prefill has the prompt computed for a place. A nil handle without an error means
+// that the decode engine has to do it, since there are no others.
+func (s *stream) prefill(ctx context.Context, p *place) (*computed, error) {
+	list := s.c.o.View().Upstreams[s.j.Service.Name]
+	var tried []ident.UpstreamID
+	for {
+		t, ok := s.c.o.Books.PlacePrefill(time.Now(), list, s.j.Call.PromptTokens, p.decode.Upstream.Zone, append(tried, s.excluded...))
+		if !ok {
+			return nil, nil
+		}
+		h, err := s.prefillAt(ctx, t)
+		if err == nil {
+			return &computed{handle: h, engine: t.Upstream, at: time.Now()}, nil
+		}
+		if ctx.Err() != nil {
+			return nil, s.contextError(ctx)
+		}
+		tried = append(tried, t.Upstream.ID)
+		if !s.c.o.Budget.Extra(time.Now(), s.j.Service.Name, sendsAfterPrefill) {
+			return nil, err
+		}
+	}
+}
+
+// prefillAt has the prompt computed at one engine.
+func (s *stream) prefillAt(ctx context.Context, t schedule.Ticket) (dialect.Handle, error) {
+	defer s.c.o.Books.Done(t)
+	s.prefills++
+	u := t.Upstream
+	patience := max(leastPrefill, prefillPatience*s.prefillWait())
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	h, err := s.c.o.Dialect.Prefill(ctx, s.j.Call, dialect.Send{To: u, Deadline: s.j.Deadline.Add(-deadlineMargin), Urgency: -1})
+	took := time.Since(start)
+	s.notePrefill(u, err, start, took)
+	if err == nil {
+		s.c.o.Books.PrefillDone(s.j.Service.Name, s.j.Call.PromptTokens, took)
+	}
+	s.log.Info("prefill", "upstream", u.ID, "tokens", s.j.Call.PromptTokens, "number", s.prefills, "took_ms", took.Milliseconds(), "error", errorText(err))
+	return h, err
+}
+
+// notePrefill takes what a prefill showed of its engine into the books.
+func (s *stream) notePrefill(u dialect.Upstream, err error, start time.Time, took time.Duration) {
+	a := &attempt{err: err, verdict: dialect.Success}
+	late := errors.Is(err, context.DeadlineExceeded)
+	switch {
+	case late && s.c.o.Books.AnsweredSince(u, start):
+		// It is busy.
+		return
+	case late:
+		// Nothing at all came from there: it is down or cut off.
+		a.err = &adapter.CallError{Evidence: kernel.NotSent, Code: kernel.FailureTimeout, Err: err}
+	case err != nil && adapter.AsCallError(err).Status != 0:
+		a = &attempt{verdict: dialect.Refused}
+	}
+	s.c.note(u, a, took, s.log)
+}
--- /dev/null
+++ b/gateway/carry/reserve.go
@@ -0,0 +1,161 @@
+package carry
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/schedule"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/pause"
+)
+
+// place is where a stream will run: a decode engine with a reservation.
+type place struct {
+	decode schedule.Ticket
+	hold   string
+}
+
+// roomCame gives up a place.
+func (s *stream) roomCame(p *place) {
+	s.c.o.Books.Done(p.decode)
+	s.c.lineOf(s.j.Service.Name).roomCame()
+}
+
+// prefillWait is how long the prompt is expected to take; 0 if no prefill engine is
+// open.
+func (s *stream) prefillWait() time.Duration {
+	list := s.c.o.View().Upstreams[s.j.Service.Name]
+	wait, _ := s.c.o.Books.PrefillWait(time.Now(), list, s.j.Call.PromptTokens)
+	return wait
+}
+
+// hopeless reports whether the first event can't be on time any more, were the
+// request to get its place now.
+func (s *stream) hopeless(now time.Time) bool {
+	if s.begun {
+		return now.After(s.j.Deadline)
+	}
+	ready := now.Add(s.prefillWait() + s.c.o.Books.FirstEvent(s.j.Service.Name))
+	return ready.After(s.j.Arrived.Add(s.j.Route.Objective))
+}
+
+// prefillBusy reports whether prefill engines have so much to do that the request
+// had better wait.
+func (s *stream) prefillBusy() bool {
+	return s.prefillWait().Seconds() > longestQueue*s.j.Route.Objective.Seconds()
+}
+
+// reserve finds a decode engine with room and reserves it, waiting in line as long
+// as the request can still be served in time.
+func (s *stream) reserve(ctx context.Context) (*place, error) {
+	l := s.c.lineOf(s.j.Service.Name)
+	w := l.join(s.j.Route.Priority, s.j.Arrived)
+	defer l.leave(w)
+	began := time.Now()
+	for {
+		if ctx.Err() != nil {
+			return nil, s.contextError(ctx)
+		}
+		if l.first(w) && !s.prefillBusy() {
+			p, err := s.tryReserve(ctx)
+			if p != nil || err != nil {
+				return p, err
+			}
+		}
+		if s.hopeless(time.Now()) {
+			return nil, s.noRoom(l, time.Since(began))
+		}
+		w.wait(ctx)
+	}
+}
+
+// noRoom refuses a request for which no engine has room.
+func (s *stream) noRoom(l *line, waited time.Duration) error {
+	s.c.o.Count("stream_no_room")
+	s.log.Info("refused", "reason", "no_room", "need_tokens", s.need(), "waiting", l.length(),
+		"waited_ms", waited.Milliseconds(), "view_age_ms", time.Since(s.c.o.View().AsOf).Milliseconds())
+	return &Error{Fate: s.fateUnserved(), Reason: "no_room", RetryAfter: retryStream}
+}
+
+// tryReserve asks engines with room for a reservation. Nil and no error means
+// that none has any now.
+func (s *stream) tryReserve(ctx context.Context) (*place, error) {
+	list := s.c.o.View().Upstreams[s.j.Service.Name]
+	engine := s.j.Service.Engine
+	for {
+		t, ok := s.c.o.Books.PlaceDecode(time.Now(), list, engine, s.size(), s.excluded)
+		if !ok {
+			return nil, nil
+		}
+		hold, err := s.hold(ctx, t)
+		if err == nil {
+			return &place{decode: t, hold: hold}, nil
+		}
+		s.c.o.Books.Done(t)
+		if ctx.Err() != nil {
+			return nil, s.contextError(ctx)
+		}
+	}
+}
+
+// hold reserves memory at the placement's engine.
+func (s *stream) hold(ctx context.Context, t schedule.Ticket) (string, error) {
+	u := t.Upstream
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
+	defer cancel()
+	hold, err := s.c.o.Dialect.Hold(ctx, u.Address, s.need(), s.j.Service.Engine.HoldTTL)
+	var full *dialect.FullError
+	switch {
+	case err == nil:
+		s.log.Info("reserved", "upstream", u.ID, "tokens", s.need(), "took_ms", time.Since(start).Milliseconds(), "waited_ms", start.Sub(s.j.Arrived).Milliseconds())
+	case errors.As(err, &full):
+		s.c.o.Books.Full(time.Now(), u, s.need())
+		s.c.o.Count("hold_refused")
+	case errors.Is(err, context.Canceled):
+	default:
+		// An engine that doesn't answer this doesn't answer requests either.
+		s.c.o.Books.Failed(time.Now(), u, schedule.Unreachable)
+		s.log.Warn("upstream ejected", "upstream", u.ID, "address", u.Address, "op", "hold", "error", errorText(err))
+	}
+	return hold, err
+}
+
+// free gives a prefill result up.
+func (s *stream) free(h *computed) {
+	s.c.cleanup.Go(func() {
+		release(func(ctx context.Context) error { return s.c.o.Dialect.Free(ctx, h.handle) }, s.log, "handle", h.engine.ID)
+	})
+}
+
+// giveUp frees what was reserved and computed for a stream that doesn't come.
+func (s *stream) giveUp(p *place, h *computed) {
+	if h != nil {
+		s.free(h)
+	}
+	s.c.cleanup.Go(func() {
+		release(func(ctx context.Context) error {
+			return s.c.o.Dialect.Release(ctx, p.decode.Upstream.Address, p.hold)
+		}, s.log, "hold", p.decode.Upstream.ID)
+	})
+}
+
+// release tries to give something up at an engine; what is not given up lapses
+// there by itself.
+func release(give func(context.Context) error, log *slog.Logger, what string, at ident.UpstreamID) {
+	var err error
+	for range releaseTries {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		err = give(ctx)
+		cancel()
+		var status *dialect.StatusError
+		if err == nil || errors.As(err, &status) {
+			return
+		}
+		pause.For(context.Background(), releasePause)
+	}
+	log.Info("not released, lapses by itself", "what", what, "upstream", at, "error", errorText(err))
+}
--- /dev/null
+++ b/gateway/fleet/reader.go
@@ -0,0 +1,188 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/routing"
+	"github.com/wardspool/wardspool/internal/pause"
+	"github.com/wardspool/wardspool/peer"
+)
+
+// ViewRequest says what the asking instance has.
+type ViewRequest struct {
+	Version  int64 `json:"version"`
+	Revision int64 `json:"revision"`
+}
+
+// ViewAnswer is what the asked instance knows. Config and Upstreams are sent only
+// if they are newer.
+type ViewAnswer struct {
+	Config    *routing.Config    `json:"config,omitempty"`
+	Listed    bool               `json:"listed,omitempty"`
+	Revision  int64              `json:"revision"`
+	AgeMS     int64              `json:"age"`
+	Upstreams []dialect.Upstream `json:"upstreams,omitempty"`
+}
+
+// onView tells a peer what is newer here.
+func (n *Node) onView(_ context.Context, _ peer.Identity, q ViewRequest) (ViewAnswer, error) {
+	s := n.Snapshot()
+	answer := ViewAnswer{Listed: s.Listed, Revision: s.Revision, AgeMS: time.Since(s.AsOf).Milliseconds()}
+	if s.Table != nil && s.Table.Config().Version > q.Version {
+		answer.Config = s.Table.Config()
+	}
+	if s.Listed && s.Revision > q.Revision {
+		answer.Upstreams = s.All()
+	}
+	return answer, nil
+}
+
+// readings keeps the view up to date: from the store if this instance reads for
+// its zone, from the zone's reader otherwise, from both and any peer when the
+// view grows old.
+func (n *Node) readings(ctx context.Context) {
+	lastRead := time.Time{}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	for ctx.Err() == nil {
+		n.mu.Lock()
+		now := time.Now()
+		hub, self := n.roster.Hub(now, n.o.Self.Zone)
+		other := n.roster.AnyPeer(now, random)
+		n.mu.Unlock()
+		s := n.Snapshot()
+		old := !s.Ready() || now.Sub(s.AsOf) > staleAfter
+		var parallel sync.WaitGroup
+		if self || old && now.Sub(lastRead) > fallbackInterval {
+			lastRead = now
+			parallel.Go(func() { n.readStore(ctx) })
+		}
+		if !self && hub != "" {
+			parallel.Go(func() { n.ask(ctx, hub) })
+		}
+		if old && other != "" {
+			parallel.Go(func() { n.ask(ctx, other) })
+		}
+		parallel.Wait()
+		wait := readInterval
+		if !n.Snapshot().Ready() {
+			wait = startInterval
+		}
+		pause.For(ctx, jitter(random, wait))
+	}
+}
+
+// readStore reads the store once.
+func (n *Node) readStore(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	started := time.Now()
+	list, revision, err := n.o.Source.Upstreams(ctx)
+	if err != nil {
+		n.storeFailed(err)
+		return
+	}
+	n.takeList(started, revision, list, n.readOrigin(), "store")
+	c, _, err := n.o.Source.Config(ctx)
+	if err != nil {
+		n.storeFailed(err)
+		return
+	}
+	n.takeConfig(c, "store")
+	n.storeAnswered()
+}
+
+// readOrigin says whether a list that was just read is the first after failures.
+func (n *Node) readOrigin() Origin {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.storeDown.IsZero() {
+		return FromStore
+	}
+	return FromStoreAgain
+}
+
+// storeFailed logs the loss of the store, once.
+func (n *Node) storeFailed(err error) {
+	n.mu.Lock()
+	first := n.storeDown.IsZero()
+	if first {
+		n.storeDown = time.Now()
+	}
+	n.mu.Unlock()
+	if first {
+		n.o.Log.Warn("dependency lost", "dependency", "store", "error", err, "view_age_ms", time.Since(n.Snapshot().AsOf).Milliseconds())
+	}
+}
+
+// storeAnswered logs that the store is back.
+func (n *Node) storeAnswered() {
+	n.mu.Lock()
+	since := n.storeDown
+	n.storeDown = time.Time{}
+	n.mu.Unlock()
+	if !since.IsZero() {
+		n.o.Log.Info("dependency regained", "dependency", "store", "after_ms", time.Since(since).Milliseconds())
+	}
+}
+
+// ask asks a peer for what it knows of the store.
+func (n *Node) ask(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	s := n.Snapshot()
+	q := ViewRequest{Revision: s.Revision}
+	if s.Table != nil {
+		q.Version = s.Table.Config().Version
+	}
+	asked := time.Now()
+	a, err := peer.Call[ViewAnswer](ctx, n.o.Pool, address, MethodView, q)
+	if err != nil {
+		n.o.Log.Debug("view not answered", "peer", address, "error", err)
+		return
+	}
+	if a.Config != nil {
+		n.takeConfig(a.Config, address)
+	}
+	if !a.Listed {
+		return
+	}
+	// The answer is no older than its age before the question.
+	started := asked.Add(-time.Duration(a.AgeMS) * time.Millisecond)
+	if a.Upstreams == nil && a.Revision == s.Revision {
+		a.Upstreams = s.All()
+	}
+	if a.Upstreams != nil {
+		n.takeList(started, a.Revision, a.Upstreams, FromPeer, address)
+	}
+}
+
+// takeConfig puts a configuration in force if it is newer.
+func (n *Node) takeConfig(c *routing.Config, from string) {
+	n.mu.Lock()
+	before := n.view.Version()
+	taken := n.view.Configure(c)
+	n.mu.Unlock()
+	if taken {
+		n.o.Log.Info("configuration in force", "version", c.Version, "before", before, "from", from, "routes", len(c.Routes))
+		n.publish()
+	}
+}
+
+// takeList takes in a list of upstreams.
+func (n *Node) takeList(started time.Time, revision int64, list []dialect.Upstream, origin Origin, from string) {
+	n.mu.Lock()
+	changes, taken := n.view.List(time.Now(), started, revision, list, origin)
+	n.mu.Unlock()
+	for _, c := range changes {
+		n.o.Log.Info("upstream "+string(c.What), "upstream", c.Upstream.ID, "service", c.Upstream.Service,
+			"address", c.Upstream.Address, "stage", c.Upstream.Stage, "from", from, "revision", revision,
+			"age_ms", time.Since(started).Milliseconds())
+	}
+	if taken {
+		n.publish()
+	}
+}
--- /dev/null
+++ b/gateway/schedule/health.go
@@ -0,0 +1,141 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/wardspool/wardspool/gateway/dialect"
+)
+
+// Failure says how an attempt failed.
+type Failure int
+
+// The kinds of failures, as far as they say something of the upstream.
+const (
+	// Soft failures are answers: the upstream's own error, a refusal.
+	Soft Failure = iota + 1
+	// Hard failures are resets, silence and bytes that are no answer.
+	Hard
+	// Unreachable upstreams refuse connections or don't answer them.
+	Unreachable
+)
+
+// Answered takes in a good answer.
+func (b *Books) Answered(now time.Time, u dialect.Upstream, latency time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.of(u)
+	k.success += successWeight * (1 - k.success)
+	k.failures, k.ejections = 0, 0
+	k.ejectedUntil = time.Time{}
+	k.lastGood = now
+	delete(b.doubts, u.Zone)
+	if k.latency == 0 {
+		k.latency = latency
+	}
+	k.latency += time.Duration(latencyWeight * float64(latency-k.latency))
+}
+
+// AnsweredSince reports whether an upstream answered any request well since a time:
+// one that did is busy, not dead.
+func (b *Books) AnsweredSince(u dialect.Upstream, since time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.of(u).lastGood.After(since)
+}
+
+// Failed takes in a failure and reports whether the upstream was ejected for it.
+func (b *Books) Failed(now time.Time, u dialect.Upstream, f Failure) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.of(u)
+	k.success -= successWeight * k.success
+	if f == Soft {
+		return false
+	}
+	if f == Unreachable {
+		b.doubt(now, k)
+	}
+	k.failures++
+	k.readmitted = false
+	k.unreachable = f == Unreachable
+	if f == Hard && k.failures < ejectAfter && k.ejections == 0 {
+		return false
+	}
+	if now.Before(k.ejectedUntil) {
+		return false
+	}
+	k.ejectedUntil = now.Add(min(ejectMost, ejectFirst<<min(k.ejections, 6)))
+	k.ejections++
+	return true
+}
+
+// silent reports whether a request in flight has been unanswered for much longer
+// than is usual. The caller holds mu.
+func (k *book) silent(now time.Time) bool {
+	limit := max(overdueLeast, overdueFactor*k.latency)
+	for _, start := range k.starts {
+		if now.Sub(start) > limit {
+			return true
+		}
+	}
+	return false
+}
+
+// state says whether an upstream should get requests.
+type state int
+
+const (
+	stateGood state = iota
+	// stateTrial upstreams were ejected for a while and may be tried again.
+	stateTrial
+	stateEjected
+)
+
+// state returns the state of a book. The caller holds mu.
+func (k *book) state(now time.Time) state {
+	switch {
+	case k.ejections == 0:
+		return stateGood
+	case now.Before(k.ejectedUntil):
+		return stateEjected
+	case k.readmitted:
+		return stateGood
+	default:
+		return stateTrial
+	}
+}
+
+// stateIn returns the state of a book, taking doubts about its zone into account.
+// The caller holds mu.
+func (b *Books) stateIn(now time.Time, k *book) state {
+	s := k.state(now)
+	if s == stateGood && b.doubted(now, k) {
+		return stateTrial
+	}
+	return s
+}
+
+// Readmit takes in that an ejected engine answered a probe. One further failure
+// ejects it again, for longer.
+func (b *Books) Readmit(now time.Time, u dialect.Upstream) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.of(u)
+	k.readmitted = true
+	k.lastGood = now
+	delete(b.doubts, u.Zone)
+}
+
+// Trials returns the engines of a list that were ejected, or are in a zone that
+// seems cut off, and may be probed.
+func (b *Books) Trials(now time.Time, list []dialect.Upstream) []dialect.Upstream {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []dialect.Upstream
+	for _, u := range list {
+		if u.Stage != "" && b.stateIn(now, b.of(u)) == stateTrial {
+			out = append(out, u)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/gateway/schedule/services.go
@@ -0,0 +1,104 @@
+package schedule
+
+import (
+	"math"
+	"time"
+
+	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/ident"
+)
+
+// PickService chooses the upstream for a request of a plain service. Requests that
+// may run only once are not used to try upstreams that failed lately, as long as
+// there are others. It reports false if there is no upstream left.
+func (b *Books) PickService(now time.Time, list []dialect.Upstream, repeatable bool, exclude []ident.UpstreamID) (Ticket, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(list) > 0 {
+		b.arrive(now, list[0].Service)
+	}
+	best, trial := b.cheapest(now, list, exclude)
+	if repeatable && trial != nil && b.idle(trial) {
+		best = trial
+	}
+	if best == nil {
+		best = trial
+	}
+	if best == nil {
+		best = b.leastBad(list, exclude)
+	}
+	if best == nil || best.outOfReach(now) {
+		return Ticket{}, false
+	}
+	return b.place(now, best, 0), true
+}
+
+// outOfReach reports whether an upstream could not be connected to and another
+// request is finding out whether that still holds: all others would wait for the
+// same time-out, 400 ms each, before they were refused. The caller holds mu.
+func (k *book) outOfReach(now time.Time) bool {
+	return k.unreachable && k.state(now) != stateGood && k.requests > 0
+}
+
+// idle reports whether an upstream on trial has no request of this instance.
+func (b *Books) idle(k *book) bool { return k.requests == 0 }
+
+// cheapest returns the best of the good upstreams and of those on trial.
+func (b *Books) cheapest(now time.Time, list []dialect.Upstream, exclude []ident.UpstreamID) (good, trial *book) {
+	lowest := math.Inf(1)
+	trust := 1.0
+	if len(list) > 0 {
+		trust = 1 / (1 + b.unseen(now, list[0].Service)/float64(len(list)))
+	}
+	for _, u := range list {
+		if !usable(u, exclude) {
+			continue
+		}
+		k := b.of(u)
+		switch b.stateIn(now, k) {
+		case stateTrial:
+			trial = k
+		case stateGood:
+			if c := b.cost(now, k, trust); c < lowest {
+				lowest, good = c, k
+			}
+		}
+	}
+	return good, trial
+}
+
+// leastBad returns the ejected upstream that is due first: with nothing else left
+// it is tried all the same.
+func (b *Books) leastBad(list []dialect.Upstream, exclude []ident.UpstreamID) *book {
+	var first *book
+	for _, u := range list {
+		if !usable(u, exclude) {
+			continue
+		}
+		k := b.of(u)
+		if first == nil || k.ejectedUntil.Before(first.ejectedUntil) {
+			first = k
+		}
+	}
+	return first
+}
+
+// cost is the expected time of one more request at an upstream, in seconds: its
+// latency, longer the more it has to do, and as often as it takes to succeed.
+// trust is how much what peers said of their requests still counts.
+func (b *Books) cost(now time.Time, k *book, trust float64) float64 {
+	latency := k.latency
+	if latency == 0 {
+		latency = initialLatency
+	}
+	load := float64(k.requests) + trust*float64(k.peerRequests) + 1
+	c := latency.Seconds() * load / math.Pow(math.Max(k.success, 0.05), 2)
+	if k.up.Zone != b.zone {
+		c *= otherZone
+	}
+	if k.silent(now) {
+		c *= overdueFactor
+	}
+	// A little noise spreads requests of instances that see the same.
+	return c * (1 + 0.1*b.random.Float64())
+}
