--- a/gateway/carry/carry.go
+++ b/gateway/carry/carry.go
@@ -18,6 +18,7 @@
 	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/logs"
 )
 
 // Options are what a Carrier works with.
@@ -172,14 +173,6 @@
 	}
 	if ejected {
 		c.o.Count("ejected")
-		log.Warn("upstream ejected", "upstream", u.ID, "address", u.Address, "after_ms", took.Milliseconds(), "error", errorText(a.err))
+		log.Warn("upstream ejected", "upstream", u.ID, "address", u.Address, "after_ms", took.Milliseconds(), "error", logs.ErrorText(a.err))
 	}
 }
-
-// errorText is an error for a log line, empty for none.
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
--- a/gateway/carry/decode.go
+++ b/gateway/carry/decode.go
@@ -8,6 +8,7 @@
 	"github.com/wardspool/wardspool/adapter"
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/logs"
 )
 
 // decode runs the stream at its place.
@@ -39,7 +40,7 @@
 	u := p.decode.Upstream
 	s.c.note(u, &attempt{err: err}, 0, s.log)
 	s.excluded = append(s.excluded, u.ID)
-	s.log.Info("attempt", "upstream", u.ID, "number", s.starts, "error", errorText(err))
+	s.log.Info("attempt", "upstream", u.ID, "number", s.starts, "error", logs.ErrorText(err))
 	if adapter.AsCallError(err).Evidence == kernel.Ambiguous {
 		s.runs++
 		if !s.j.Route.Repeatable() || s.runs >= s.j.Route.MaxAttempts {
--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/logs"
 )
 
 const (
@@ -62,7 +63,7 @@
 	u := p.decode.Upstream
 	s.runs++
 	s.log.Info("stream broke off", "upstream", u.ID, "events", s.events, "here", made, "last_event", s.lastEvent,
-		"left_ms", time.Until(s.j.Deadline).Milliseconds(), "error", errorText(err))
+		"left_ms", time.Until(s.j.Deadline).Milliseconds(), "error", logs.ErrorText(err))
 	var caller *CallerError
 	if ctx.Err() != nil || errors.As(err, &caller) {
 		return false
--- a/gateway/carry/plain.go
+++ b/gateway/carry/plain.go
@@ -12,6 +12,7 @@
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/logs"
 )
 
 const (
@@ -89,7 +90,7 @@
 	took := time.Since(start)
 	p.c.note(t.Upstream, a, took, p.log)
 	p.log.Info("attempt", "upstream", t.Upstream.ID, "number", len(p.tried), "verdict", a.verdict.String(),
-		"took_ms", took.Milliseconds(), "left_ms", time.Until(p.j.Deadline).Milliseconds(), "error", errorText(a.err))
+		"took_ms", took.Milliseconds(), "left_ms", time.Until(p.j.Deadline).Milliseconds(), "error", logs.ErrorText(a.err))
 	return a
 }
 
--- a/gateway/carry/prefill.go
+++ b/gateway/carry/prefill.go
@@ -10,6 +10,7 @@
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/kernel"
+	"github.com/wardspool/wardspool/logs"
 )
 
 // computed is a prefill result and where it came from.
@@ -79,7 +80,7 @@
 	if err == nil {
 		s.c.o.Books.PrefillDone(s.j.Service.Name, s.j.Call.PromptTokens, took)
 	}
-	s.log.Info("prefill", "upstream", u.ID, "tokens", s.j.Call.PromptTokens, "number", s.prefills, "took_ms", took.Milliseconds(), "error", errorText(err))
+	s.log.Info("prefill", "upstream", u.ID, "tokens", s.j.Call.PromptTokens, "number", s.prefills, "took_ms", took.Milliseconds(), "error", logs.ErrorText(err))
 	return h, err
 }
 
--- a/gateway/carry/reserve.go
+++ b/gateway/carry/reserve.go
@@ -10,6 +10,7 @@
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/pause"
+	"github.com/wardspool/wardspool/logs"
 )
 
 // place is where a stream will run: a decode engine with a reservation.
@@ -119,7 +120,7 @@
 	default:
 		// An engine that doesn't answer this doesn't answer requests either.
 		s.c.o.Books.Failed(time.Now(), u, schedule.Unreachable)
-		s.log.Warn("upstream ejected", "upstream", u.ID, "address", u.Address, "op", "hold", "error", errorText(err))
+		s.log.Warn("upstream ejected", "upstream", u.ID, "address", u.Address, "op", "hold", "error", logs.ErrorText(err))
 	}
 	return hold, err
 }
@@ -157,5 +158,5 @@
 		}
 		pause.For(context.Background(), releasePause)
 	}
-	log.Info("not released, lapses by itself", "what", what, "upstream", at, "error", errorText(err))
+	log.Info("not released, lapses by itself", "what", what, "upstream", at, "error", logs.ErrorText(err))
 }
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/logs"
 )
 
 const (
@@ -127,7 +128,7 @@
 		if err == nil || !again {
 			return answer, err
 		}
-		s.log.Info("stream is started again", "starts", s.starts, "last_event", s.lastEvent, "error", errorText(err))
+		s.log.Info("stream is started again", "starts", s.starts, "last_event", s.lastEvent, "error", logs.ErrorText(err))
 		s.c.o.Count("stream_restarted")
 	}
 }
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -19,6 +19,7 @@
 	"github.com/wardspool/wardspool/gateway/fleet"
 	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/gateway/schedule"
+	"github.com/wardspool/wardspool/logs"
 )
 
 const (
@@ -180,7 +181,7 @@
 		status = answer.Status
 	}
 	f.o.Log.Info("answered", "request", j.Call.ID, "route", j.Route.Name, "outcome", outcome, "status", status,
-		"took_ms", took.Milliseconds(), "version", j.Version, "error", errorText(err))
+		"took_ms", took.Milliseconds(), "version", j.Version, "error", logs.ErrorText(err))
 	if outcome == outcomeAbandoned || outcome == outcomeBroken {
 		// An answer that breaks off must not look complete.
 		panic(http.ErrAbortHandler)
@@ -264,14 +265,6 @@
 	}
 }
 
-// errorText is an error for a log line, empty for none.
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 // streamWriter writes a stream to a caller.
 type streamWriter struct {
 	w  http.ResponseWriter
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -11,6 +11,7 @@
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/pause"
+	"github.com/wardspool/wardspool/logs"
 )
 
 const (
@@ -98,7 +99,7 @@
 	defer cancel()
 	err := g.dialect.Order(ctx, dialect.Order{To: c.Engine, Stage: c.To, Holder: g.settings.Instance, Fence: b.lastFence})
 	g.metrics.count("orders")
-	g.log.Info("order", "upstream", c.Engine.ID, "stage", c.To, "fence", b.lastFence, "load_before", c.Before, "load_after", c.After, "error", errorText(err))
+	g.log.Info("order", "upstream", c.Engine.ID, "stage", c.To, "fence", b.lastFence, "load_before", c.Before, "load_after", c.After, "error", logs.ErrorText(err))
 	if err == nil {
 		g.books.Switching(time.Now(), c.Engine.ID, c.To)
 	}
@@ -132,11 +133,3 @@
 	}
 	return int64((h ^ h>>16) & (fenceOwners - 1))
 }
-
-// errorText is an error for a log line, empty for none.
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -55,3 +55,11 @@
 		return nil, &OptionError{Field: "format", Value: string(o.Format)}
 	}
 }
+
+// ErrorText is an error as the value of a log line's field, empty for none.
+func ErrorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
