Kept prefill results are given up; an order without an answer may hold

A prefill result that waited for a second decode engine was left to lapse when no engine had room (TestKeptResultIsFreed fails without the change). An engine whose order got no answer is taken for switching.

--- a/gateway/carry/prefill.go
+++ b/gateway/carry/prefill.go
@@ -38,6 +38,9 @@
 	if h.fresh(s.j.Service.Engine.HandleTTL) {
 		return h, nil
 	}
+	if h != nil {
+		s.free(h)
+	}
 	return s.prefill(ctx, p)
 }
 
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -139,6 +139,9 @@
 	s.starts++
 	p, err := s.reserve(ctx)
 	if err != nil {
+		if s.kept != nil {
+			s.free(s.kept)
+		}
 		return nil, false, s.ended(err)
 	}
 	defer s.roomCame(p)
--- a/gateway/carry/stream_test.go
+++ b/gateway/carry/stream_test.go
@@ -251,3 +251,16 @@
 		assert.Equal(t, wait > 0, answers)
 	}
 }
+
+// TestKeptResultIsFreed: a prefill result that waits for a second decode engine is
+// given up when none has room in time.
+func TestKeptResultIsFreed(t *testing.T) {
+	b := newBed(t, slack, engineUps([]string{"p1"}, []string{"d1"})...)
+	b.d.do["d1"] = []reply{refusal}
+	j := job(stream1)
+	j.Route.Objective = 300 * time.Millisecond
+	_, err := b.Stream(t.Context(), j, &sink{})
+	assert.Equal(t, fateOf(t, err), NotRun)
+	b.Close()
+	assert.Equal(t, b.d.countKind("free"), 1)
+}
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -100,11 +100,13 @@
 	err := g.dialect.Order(ctx, dialect.Order{To: c.Engine, Stage: c.To, Holder: g.settings.Instance, Fence: b.lastFence})
 	g.metrics.count("orders")
 	g.log.Info("order", "upstream", c.Engine.ID, "stage", c.To, "fence", b.lastFence, "load_before", c.Before, "load_after", c.After, "error", logs.ErrorText(err))
-	if err == nil {
+	var status *dialect.StatusError
+	var fenced *dialect.FencedError
+	if !errors.As(err, &status) && !errors.As(err, &fenced) {
+		// Without an answer the order may have been accepted all the same.
 		g.books.Switching(time.Now(), c.Engine.ID, c.To)
 	}
-	var fenced *dialect.FencedError
-	if errors.As(err, &fenced) {
+	if fenced != nil {
 		// A newer holder has ordered: its orders stand.
 		b.last = map[string]time.Time{}
 		g.log.Warn("order refused, another instance holds the duty", "fence", fenced.Fence)
