Gateway, read once more: one reading of answers, one weighing of upstreams, less done twice

Plain answers and refusals of streams were read by two copies of one function, and services and prefill engines weighed by two copies of one tail of a cost. A waiting stream worked out the prefill queue twice a round, each placement the usual prefill latency once an engine, each request made a random generator of its own. Choose takes the draw as a function: the test passes the same generator's.

--- a/gateway/carry/carry.go
+++ b/gateway/carry/carry.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -139,6 +140,18 @@
 	err     error
 }
 
+// readAnswer reads a whole answer. One that breaks off counts only if it attests
+// that nothing ran.
+func readAnswer(d dialect.Dialect, resp *http.Response, v dialect.Verdict) *attempt {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil && (v == dialect.Success || v == dialect.Failure) {
+		return &attempt{err: err}
+	}
+	h := http.Header{}
+	d.EndToEnd(h, resp.Header)
+	return &attempt{answer: &Answer{Status: resp.StatusCode, Header: h, Body: body}, verdict: v}
+}
+
 // evidence says whether an attempt that brought no answer can have run.
 func (a *attempt) evidence() kernel.Evidence {
 	switch {
--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -170,14 +170,3 @@
 	}
 	return 0
 }
-
-// readAnswer reads an answer that is no stream.
-func readAnswer(d dialect.Dialect, resp *http.Response, v dialect.Verdict) *attempt {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
-	if err != nil && v == dialect.Failure {
-		return &attempt{err: err}
-	}
-	h := http.Header{}
-	d.EndToEnd(h, resp.Header)
-	return &attempt{answer: &Answer{Status: resp.StatusCode, Header: h, Body: body}, verdict: v}
-}
--- a/gateway/carry/plain.go
+++ b/gateway/carry/plain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"net/http"
 	"time"
@@ -112,13 +111,7 @@
 		return &attempt{err: err}
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
-	if err != nil && (verdict == dialect.Success || verdict == dialect.Failure) {
-		return &attempt{err: err}
-	}
-	h := http.Header{}
-	p.c.o.Dialect.EndToEnd(h, resp.Header)
-	return &attempt{answer: &Answer{Status: resp.StatusCode, Header: h, Body: body}, verdict: verdict}
+	return readAnswer(p.c.o.Dialect, resp, verdict)
 }
 
 // learn counts an attempt that brought no success.
--- a/gateway/carry/reserve.go
+++ b/gateway/carry/reserve.go
@@ -35,18 +35,18 @@
 
 // hopeless reports whether the first event can't be on time any more, were the
 // request to get its place now.
-func (s *stream) hopeless(now time.Time) bool {
+func (s *stream) hopeless(now time.Time, prefill time.Duration) bool {
 	if s.begun {
 		return now.After(s.j.Deadline)
 	}
-	ready := now.Add(s.prefillWait() + s.c.o.Books.FirstEvent(s.j.Service.Name))
+	ready := now.Add(prefill + s.c.o.Books.FirstEvent(s.j.Service.Name))
 	return ready.After(s.j.Arrived.Add(s.j.Route.Objective))
 }
 
 // prefillBusy reports whether prefill engines have so much to do that the request
 // had better wait.
-func (s *stream) prefillBusy() bool {
-	return s.prefillWait().Seconds() > longestQueue*s.j.Route.Objective.Seconds()
+func (s *stream) prefillBusy(prefill time.Duration) bool {
+	return prefill.Seconds() > longestQueue*s.j.Route.Objective.Seconds()
 }
 
 // reserve finds a decode engine with room and reserves it, waiting in line as long
@@ -60,13 +60,14 @@
 		if ctx.Err() != nil {
 			return nil, s.contextError(ctx)
 		}
-		if l.first(w) && !s.prefillBusy() {
+		prefill := s.prefillWait()
+		if l.first(w) && !s.prefillBusy(prefill) {
 			p, err := s.tryReserve(ctx)
 			if p != nil || err != nil {
 				return p, err
 			}
 		}
-		if s.hopeless(time.Now()) {
+		if s.hopeless(time.Now(), prefill) {
 			return nil, s.noRoom(l, time.Since(began))
 		}
 		w.wait(ctx)
--- a/gateway/dialect/errors.go
+++ b/gateway/dialect/errors.go
@@ -41,14 +41,6 @@
 // Error implements error.
 func (e *AbsentError) Error() string { return "no key " + e.Key }
 
-// CompactedError reports a store that has dropped the history asked for.
-type CompactedError struct{ After int64 }
-
-// Error implements error.
-func (e *CompactedError) Error() string {
-	return fmt.Sprintf("history after revision %d is gone", e.After)
-}
-
 // HeaderError reports a caller's header that can't be understood.
 type HeaderError struct{ Name, Value string }
 
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -133,7 +134,7 @@
 		f.problem(w, call, http.StatusNotFound, "no_route", "not-run", 0)
 		return
 	}
-	service, ok := table.Service(route.Choose(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
+	service, ok := table.Service(route.Choose(rand.IntN))
 	if !ok {
 		f.o.Log.Error("route without service", "request", call.ID, "route", route.Name, "version", version)
 		f.problem(w, call, http.StatusServiceUnavailable, "no_service", "not-run", retryNotReady)
@@ -216,9 +217,7 @@
 		return outcomeComplete
 	}
 	h := w.Header()
-	for name, values := range a.Header {
-		h[name] = values
-	}
+	maps.Copy(h, a.Header)
 	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
 	w.WriteHeader(a.Status)
 	if _, err := w.Write(a.Body); err != nil {
@@ -273,10 +272,7 @@
 
 // Head implements carry.StreamWriter.
 func (s *streamWriter) Head(status int, h http.Header) {
-	to := s.w.Header()
-	for name, values := range h {
-		to[name] = values
-	}
+	maps.Copy(s.w.Header(), h)
 	s.w.WriteHeader(status)
 }
 
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"hash/fnv"
 	"time"
 
 	"github.com/wardspool/wardspool/gateway/dialect"
@@ -129,9 +130,9 @@
 
 // ownerPart hashes an instance's name (FNV-1a, folded to 16 bits).
 func ownerPart(id ident.InstanceID) int64 {
-	h := uint32(2166136261)
-	for _, b := range []byte(id) {
-		h = (h ^ uint32(b)) * 16777619
-	}
+	hash := fnv.New32a()
+	// Writing to a hash never fails.
+	_, _ = hash.Write([]byte(id))
+	h := hash.Sum32()
 	return int64((h ^ h>>16) & (fenceOwners - 1))
 }
--- a/gateway/routing/table.go
+++ b/gateway/routing/table.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"math/rand/v2"
 	"net"
 	"sort"
 	"strings"
@@ -60,8 +59,9 @@
 }
 
 // Choose returns the service for one request of a route: one of those with a
-// weight, at random by weight; "" if the route has none.
-func (r *Route) Choose(random *rand.Rand) string {
+// weight, at random by weight; "" if the route has none. intN draws a number below
+// its argument.
+func (r *Route) Choose(intN func(int) int) string {
 	total := 0
 	for _, w := range r.Services {
 		total += w.Weight
@@ -69,7 +69,7 @@
 	if total <= 0 {
 		return ""
 	}
-	at := random.IntN(total)
+	at := intN(total)
 	for _, w := range r.Services {
 		if at < w.Weight {
 			return w.Service
--- a/gateway/routing/table_test.go
+++ b/gateway/routing/table_test.go
@@ -34,11 +34,11 @@
 	random := rand.New(rand.NewPCG(1, 2))
 	counts := map[string]int{}
 	for range 10000 {
-		counts[r.Choose(random)]++
+		counts[r.Choose(random.IntN)]++
 	}
 	assert.Equal(t, counts["c"], 0)
 	assert.Assert(t, counts["b"] > 800 && counts["b"] < 1200, "%d", counts["b"])
-	assert.Equal(t, (&Route{}).Choose(random), "")
+	assert.Equal(t, (&Route{}).Choose(random.IntN), "")
 }
 
 func TestOnlyIdempotentAndResumableMayRunAgain(t *testing.T) {
--- a/gateway/schedule/engines.go
+++ b/gateway/schedule/engines.go
@@ -180,13 +180,14 @@
 // openPrefill returns the open prefill engines with their costs. The caller holds
 // mu.
 func (b *Books) openPrefill(now time.Time, list []dialect.Upstream, tokens int, near ident.Zone, exclude []ident.UpstreamID) []candidate {
+	usual := b.usualLatency(dialect.StagePrefill)
 	var open []candidate
 	for _, u := range list {
 		if u.Stage != dialect.StagePrefill || !usable(u, exclude) {
 			continue
 		}
 		if k := b.of(u); b.open(now, k) {
-			open = append(open, candidate{book: k, cost: b.prefillCost(now, k, tokens, near)})
+			open = append(open, candidate{book: k, cost: b.prefillCost(now, k, tokens, near, usual)})
 		}
 	}
 	return open
@@ -204,20 +205,14 @@
 }
 
 // prefillCost is the work before a prompt's result at an engine, in tokens; more
-// for engines that fail, or are slower than their like. The caller holds mu.
-func (b *Books) prefillCost(now time.Time, k *book, tokens int, near ident.Zone) float64 {
+// for engines that fail, or take longer than is usual, in seconds. The caller holds
+// mu.
+func (b *Books) prefillCost(now time.Time, k *book, tokens int, near ident.Zone, usual float64) float64 {
 	c := float64(k.tokens + k.peerTokens + tokens)
 	if k.latency > 0 {
-		c *= math.Max(1, k.latency.Seconds()/b.usualLatency(dialect.StagePrefill))
-	}
-	c /= math.Pow(math.Max(k.success, 0.05), 2)
-	if k.up.Zone != near {
-		c *= otherZone
+		c *= math.Max(1, k.latency.Seconds()/usual)
 	}
-	if k.silent(now) {
-		c *= overdueFactor
-	}
-	return c * (1 + 0.1*b.random.Float64())
+	return b.weigh(now, k, c, near)
 }
 
 // usualLatency returns the lowest latency of the engines of a stage, in seconds.
@@ -231,13 +226,3 @@
 	}
 	return lowest
 }
-
-// HasStage reports whether a list has engines of a stage that take new work.
-func HasStage(list []dialect.Upstream, s dialect.Stage) bool {
-	for _, u := range list {
-		if u.Stage == s && !u.Leaving {
-			return true
-		}
-	}
-	return false
-}
--- a/gateway/schedule/services.go
+++ b/gateway/schedule/services.go
@@ -14,11 +14,12 @@
 func (b *Books) PickService(now time.Time, list []dialect.Upstream, repeatable bool, exclude []ident.UpstreamID) (Ticket, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(list) > 0 {
-		b.arrive(now, list[0].Service)
+	if len(list) == 0 {
+		return Ticket{}, false
 	}
+	b.arrive(now, serviceOf(list))
 	best, trial := b.cheapest(now, list, exclude)
-	if repeatable && trial != nil && b.idle(trial) {
+	if repeatable && trial != nil && trial.requests == 0 {
 		best = trial
 	}
 	if best == nil {
@@ -40,16 +41,10 @@
 	return k.unreachable && k.state(now) != stateGood && k.requests > 0
 }
 
-// idle reports whether an upstream on trial has no request of this instance.
-func (b *Books) idle(k *book) bool { return k.requests == 0 }
-
 // cheapest returns the best of the good upstreams and of those on trial.
 func (b *Books) cheapest(now time.Time, list []dialect.Upstream, exclude []ident.UpstreamID) (good, trial *book) {
 	lowest := math.Inf(1)
-	trust := 1.0
-	if len(list) > 0 {
-		trust = 1 / (1 + b.unseen(now, list[0].Service)/float64(len(list)))
-	}
+	trust := 1 / (1 + b.unseen(now, serviceOf(list))/float64(len(list)))
 	for _, u := range list {
 		if !usable(u, exclude) {
 			continue
@@ -92,13 +87,26 @@
 		latency = initialLatency
 	}
 	load := float64(k.requests) + trust*float64(k.peerRequests) + 1
-	c := latency.Seconds() * load / math.Pow(math.Max(k.success, 0.05), 2)
-	if k.up.Zone != b.zone {
+	return b.weigh(now, k, latency.Seconds()*load, b.zone)
+}
+
+const (
+	// leastSuccess bounds how much dearer failures make an upstream.
+	leastSuccess = 0.05
+	// noise spreads requests of instances that see the same, as a share of the
+	// cost.
+	noise = 0.1
+)
+
+// weigh returns a cost, higher at upstreams that fail, are silent, or lie outside
+// the zone near. The caller holds mu.
+func (b *Books) weigh(now time.Time, k *book, c float64, near ident.Zone) float64 {
+	c /= math.Pow(math.Max(k.success, leastSuccess), 2)
+	if k.up.Zone != near {
 		c *= otherZone
 	}
 	if k.silent(now) {
 		c *= overdueFactor
 	}
-	// A little noise spreads requests of instances that see the same.
-	return c * (1 + 0.1*b.random.Float64())
+	return c * (1 + noise*b.random.Float64())
 }
