Gateway: what the product already had is called, not written again

End-to-end headers come from one function in adapter/roundtrip, which the plain service's plug-in used alone; they are HTTP's, not a deployment's, and leave the dialect. Problems are api.Problem, addresses in settings are checked by settings/common. One place notes a failure and an ejection: a reservation that got no answer is now counted in ejected_total and logged only if it ejects, as elsewhere. Live instances are listed once a call; loads are not made for heartbeats that don't carry them. Never used: urgency, Retry-After of own calls, the configuration's revision.

Two differences: Expect is no longer passed on to upstreams, since bodies are read before; an address must have an IP and a port, as for the other programs. Tests: only arguments that are gone.

--- a/plugins/service/http/header.go
+++ b/adapter/roundtrip/header.go
@@ -1,4 +1,4 @@
-package http
+package roundtrip
 
 import (
 	"net/http"
@@ -6,15 +6,16 @@
 )
 
 // hopByHop lists the headers that concern one connection only, and those that
-// the transport sets itself.
+// the client sets itself.
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
 	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 	"Content-Length", "Expect",
 }
 
-// endToEnd returns a copy of the headers that may be passed on.
-func endToEnd(h http.Header) http.Header {
+// EndToEnd returns a copy of the headers that may be passed on from one connection
+// to another.
+func EndToEnd(h http.Header) http.Header {
 	out := h.Clone()
 	if out == nil {
 		return http.Header{}
--- a/gateway/carry/carry.go
+++ b/gateway/carry/carry.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/wardspool/wardspool/adapter"
+	"github.com/wardspool/wardspool/adapter/roundtrip"
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/fleet"
 	"github.com/wardspool/wardspool/gateway/routing"
@@ -142,14 +143,12 @@
 
 // readAnswer reads a whole answer. One that breaks off counts only if it attests
 // that nothing ran.
-func readAnswer(d dialect.Dialect, resp *http.Response, v dialect.Verdict) *attempt {
+func readAnswer(resp *http.Response, v dialect.Verdict) *attempt {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil && (v == dialect.Success || v == dialect.Failure) {
 		return &attempt{err: err}
 	}
-	h := http.Header{}
-	d.EndToEnd(h, resp.Header)
-	return &attempt{answer: &Answer{Status: resp.StatusCode, Header: h, Body: body}, verdict: v}
+	return &attempt{answer: &Answer{Status: resp.StatusCode, Header: roundtrip.EndToEnd(resp.Header), Body: body}, verdict: v}
 }
 
 // evidence says whether an attempt that brought no answer can have run.
@@ -166,26 +165,27 @@
 
 // note takes what an attempt showed of its upstream into the books.
 func (c *Carrier) note(u dialect.Upstream, a *attempt, took time.Duration, log *slog.Logger) {
-	now := time.Now()
-	ejected := false
 	switch {
 	case a.err == nil && a.verdict == dialect.Success:
-		c.o.Books.Answered(now, u, took)
-		return
+		c.o.Books.Answered(time.Now(), u, took)
 	case errors.Is(a.err, context.Canceled):
-		return
 	case a.err == nil && (a.verdict == dialect.Failure || a.verdict == dialect.Refused):
-		c.o.Books.Failed(now, u, schedule.Soft)
-		return
+		c.failed(u, schedule.Soft, a.err, took, log)
 	case a.err == nil && a.verdict == dialect.WrongUpstream:
-		ejected = c.o.Books.Failed(now, u, schedule.Unreachable)
+		c.failed(u, schedule.Unreachable, a.err, took, log)
 	case a.err != nil && adapter.AsCallError(a.err).Evidence == kernel.NotSent:
-		ejected = c.o.Books.Failed(now, u, schedule.Unreachable)
+		c.failed(u, schedule.Unreachable, a.err, took, log)
 	default:
-		ejected = c.o.Books.Failed(now, u, schedule.Hard)
+		c.failed(u, schedule.Hard, a.err, took, log)
 	}
-	if ejected {
-		c.o.Count("ejected")
-		log.Warn("upstream ejected", "upstream", u.ID, "address", u.Address, "after_ms", took.Milliseconds(), "error", logs.ErrorText(a.err))
+}
+
+// failed takes a failure of an upstream into the books, and says so if it was
+// ejected for it.
+func (c *Carrier) failed(u dialect.Upstream, f schedule.Failure, err error, took time.Duration, log *slog.Logger) {
+	if !c.o.Books.Failed(time.Now(), u, f) {
+		return
 	}
+	c.o.Count("ejected")
+	log.Warn("upstream ejected", "upstream", u.ID, "address", u.Address, "after_ms", took.Milliseconds(), "error", logs.ErrorText(err))
 }
--- a/gateway/carry/decode.go
+++ b/gateway/carry/decode.go
@@ -20,7 +20,7 @@
 		source = &h.handle
 	}
 	resp, verdict, err := s.c.o.Dialect.Do(ctx, s.j.Call, dialect.Send{
-		To: u, Deadline: s.j.Deadline.Add(-deadlineMargin), Source: source, Hold: p.hold, LastEvent: s.lastEvent, Urgency: -1,
+		To: u, Deadline: s.j.Deadline.Add(-deadlineMargin), Source: source, Hold: p.hold, LastEvent: s.lastEvent,
 	})
 	if err != nil {
 		return nil, s.failedSend(ctx, p, h, err), s.sendError(ctx, err)
@@ -83,7 +83,7 @@
 // notServed takes in an answer that is no stream.
 func (s *stream) notServed(ctx context.Context, p *place, h *computed, resp *http.Response, v dialect.Verdict) (*Answer, bool, error) {
 	u := p.decode.Upstream
-	a := readAnswer(s.c.o.Dialect, resp, v)
+	a := readAnswer(resp, v)
 	s.c.note(u, a, 0, s.log)
 	s.excluded = append(s.excluded, u.ID)
 	s.log.Info("attempt", "upstream", u.ID, "number", s.starts, "verdict", v.String(), "status", resp.StatusCode)
--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -129,12 +129,7 @@
 	return dialect.Report{}, nil
 }
 func (f *fakeDialect) WriteHead(http.Header, *dialect.Call) {}
-func (f *fakeDialect) EndToEnd(to, from http.Header) {
-	for k, v := range from {
-		to[k] = v
-	}
-}
-func (f *fakeDialect) Close() {}
+func (f *fakeDialect) Close()                               {}
 
 // count returns how many recorded calls are equal to one.
 func (f *fakeDialect) count(call string) int {
--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/wardspool/wardspool/adapter/roundtrip"
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/logs"
 )
@@ -141,9 +142,7 @@
 // deliver sends whole events to the caller.
 func (s *stream) deliver(resp *http.Response, events []byte) error {
 	if !s.begun {
-		h := http.Header{}
-		s.c.o.Dialect.EndToEnd(h, resp.Header)
-		s.w.Head(resp.StatusCode, h)
+		s.w.Head(resp.StatusCode, roundtrip.EndToEnd(resp.Header))
 		s.begun = true
 	}
 	if err := s.w.Write(events); err != nil {
--- a/gateway/carry/plain.go
+++ b/gateway/carry/plain.go
@@ -105,13 +105,13 @@
 // exchange sends the request and reads the whole answer.
 func (p *plain) exchange(ctx context.Context, u dialect.Upstream) *attempt {
 	resp, verdict, err := p.c.o.Dialect.Do(ctx, p.j.Call, dialect.Send{
-		To: u, Deadline: p.j.Deadline.Add(-deadlineMargin), Urgency: -1,
+		To: u, Deadline: p.j.Deadline.Add(-deadlineMargin),
 	})
 	if err != nil {
 		return &attempt{err: err}
 	}
 	defer resp.Body.Close()
-	return readAnswer(p.c.o.Dialect, resp, verdict)
+	return readAnswer(resp, verdict)
 }
 
 // learn counts an attempt that brought no success.
--- a/gateway/carry/prefill.go
+++ b/gateway/carry/prefill.go
@@ -9,7 +9,6 @@
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
-	"github.com/wardspool/wardspool/kernel"
 	"github.com/wardspool/wardspool/logs"
 )
 
@@ -77,7 +76,7 @@
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	h, err := s.c.o.Dialect.Prefill(ctx, s.j.Call, dialect.Send{To: u, Deadline: s.j.Deadline.Add(-deadlineMargin), Urgency: -1})
+	h, err := s.c.o.Dialect.Prefill(ctx, s.j.Call, dialect.Send{To: u, Deadline: s.j.Deadline.Add(-deadlineMargin)})
 	took := time.Since(start)
 	s.notePrefill(u, err, start, took)
 	if err == nil {
@@ -89,17 +88,16 @@
 
 // notePrefill takes what a prefill showed of its engine into the books.
 func (s *stream) notePrefill(u dialect.Upstream, err error, start time.Time, took time.Duration) {
-	a := &attempt{err: err, verdict: dialect.Success}
 	late := errors.Is(err, context.DeadlineExceeded)
 	switch {
 	case late && s.c.o.Books.AnsweredSince(u, start):
 		// It is busy.
-		return
 	case late:
 		// Nothing at all came from there: it is down or cut off.
-		a.err = &adapter.CallError{Evidence: kernel.NotSent, Code: kernel.FailureTimeout, Err: err}
+		s.c.failed(u, schedule.Unreachable, err, took, s.log)
 	case err != nil && adapter.AsCallError(err).Status != 0:
-		a = &attempt{verdict: dialect.Refused}
+		s.c.failed(u, schedule.Soft, err, took, s.log)
+	default:
+		s.c.note(u, &attempt{err: err, verdict: dialect.Success}, took, s.log)
 	}
-	s.c.note(u, a, took, s.log)
 }
--- a/gateway/carry/reserve.go
+++ b/gateway/carry/reserve.go
@@ -120,8 +120,7 @@
 	case errors.Is(err, context.Canceled):
 	default:
 		// An engine that doesn't answer this doesn't answer requests either.
-		s.c.o.Books.Failed(time.Now(), u, schedule.Unreachable)
-		s.log.Warn("upstream ejected", "upstream", u.ID, "address", u.Address, "op", "hold", "error", logs.ErrorText(err))
+		s.c.failed(u, schedule.Unreachable, err, time.Since(start), s.log)
 	}
 	return hold, err
 }
--- a/gateway/dialect/dialect.go
+++ b/gateway/dialect/dialect.go
@@ -112,9 +112,6 @@
 	Hold string
 	// LastEvent overrides the call's, for a stream that is resumed here.
 	LastEvent string
-	// Urgency ranks the request at the engine: 0 first, 9 last; negative for the
-	// engine's default.
-	Urgency int
 }
 
 // Handle is a prefill result that an engine keeps for a short time.
@@ -191,8 +188,6 @@
 	Order(ctx context.Context, o Order) error
 	// WriteHead puts on a caller's response what all answers carry.
 	WriteHead(h http.Header, c *Call)
-	// EndToEnd copies the headers of an upstream's response that are passed on.
-	EndToEnd(to, from http.Header)
 	// Close drops idle connections.
 	Close()
 }
@@ -222,9 +217,8 @@
 // Source is the store that the operators and the upstreams write to. It is only
 // read.
 type Source interface {
-	// Config returns the newest configuration; revision is that of its last
-	// change. Absent is *AbsentError.
-	Config(ctx context.Context) (c *routing.Config, revision int64, err error)
+	// Config returns the newest configuration. Absent is *AbsentError.
+	Config(ctx context.Context) (*routing.Config, error)
 	// Upstreams lists all upstreams, as of the revision.
 	Upstreams(ctx context.Context) (list []Upstream, revision int64, err error)
 }
--- a/gateway/dialect/errors.go
+++ b/gateway/dialect/errors.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"time"
 )
 
 // FullError reports an engine without room for a reservation.
@@ -28,8 +27,6 @@
 type StatusError struct {
 	Op     string
 	Status int
-	// RetryAfter is the answerer's hint, 0 if none.
-	RetryAfter time.Duration
 }
 
 // Error implements error.
--- a/gateway/fleet/loads.go
+++ b/gateway/fleet/loads.go
@@ -15,10 +15,7 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	wait := sumInterval
 	for pause.For(ctx, jitter(random, wait)) {
-		n.mu.Lock()
-		large := n.roster.large()
-		n.mu.Unlock()
-		if large {
+		if n.large() {
 			wait = beatInterval
 			n.reportLoad(ctx)
 			continue
--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -142,11 +142,21 @@
 	running.Wait()
 }
 
+// large reports whether loads go by way of hubs, not with heartbeats.
+func (n *Node) large() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.roster.large()
+}
+
 // heartbeats exchanges heartbeats with peers.
 func (n *Node) heartbeats(ctx context.Context) {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	for ctx.Err() == nil {
-		load := n.o.Load()
+		load := Load{}
+		if !n.large() {
+			load = n.o.Load()
+		}
 		n.mu.Lock()
 		h := n.roster.Beat(time.Now(), load)
 		partners := n.roster.Partners(random)
--- a/gateway/fleet/reader.go
+++ b/gateway/fleet/reader.go
@@ -86,7 +86,7 @@
 		return
 	}
 	n.takeList(started, revision, list, n.readOrigin(), "store")
-	c, _, err := n.o.Source.Config(ctx)
+	c, err := n.o.Source.Config(ctx)
 	if err != nil {
 		n.storeFailed(err)
 		return
--- a/gateway/fleet/roster.go
+++ b/gateway/fleet/roster.go
@@ -162,10 +162,6 @@
 // Heartbeat returns what to tell a peer now.
 func (r *Roster) Heartbeat(now time.Time) Heartbeat {
 	h := Heartbeat{From: r.self}
-	if r.large() {
-		// Hubs add loads up; see Hub.
-		h.From.Load = Load{}
-	}
 	for _, p := range r.peers {
 		age := now.Sub(p.heard)
 		if age >= r.aliveFor() {
@@ -290,14 +286,14 @@
 // duty.
 func (r *Roster) Holder(now time.Time, duty string) bool {
 	r.refresh(now)
-	return rendezvous.Contains(duty, r.candidates(now, ""), 1, r.self.ID)
+	return rendezvous.Contains(duty, r.candidates(""), 1, r.self.ID)
 }
 
 // Hub returns the address of the instance that reads the store and adds up the
 // loads for a zone, "" if none lives; self is true if it is this one.
 func (r *Roster) Hub(now time.Time, zone ident.Zone) (address string, self bool) {
 	r.refresh(now)
-	top := rendezvous.Top("store", r.candidates(now, zone), 1)
+	top := rendezvous.Top("store", r.candidates(zone), 1)
 	switch {
 	case len(top) == 0:
 		return "", false
@@ -322,10 +318,10 @@
 }
 
 // candidates returns the live instances that are not stopping, of a zone or of
-// all.
-func (r *Roster) candidates(now time.Time, zone ident.Zone) []ident.InstanceID {
+// all, as of the last refresh.
+func (r *Roster) candidates(zone ident.Zone) []ident.InstanceID {
 	var ids []ident.InstanceID
-	for _, id := range r.aliveIDs(now) {
+	for _, id := range r.alive {
 		m := &r.self
 		if p := r.peers[id]; p != nil {
 			m = &p.member
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wardspool/wardspool/api"
 	"github.com/wardspool/wardspool/gateway/carry"
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/fleet"
@@ -65,15 +66,6 @@
 // Active returns how many requests are in progress.
 func (f *Front) Active() int64 { return f.active.Load() }
 
-// Problem tells a caller why it gets no answer (RFC 9457).
-type Problem struct {
-	Type   string `json:"type"`
-	Title  string `json:"title"`
-	Status int    `json:"status"`
-	// Outcome is "not-run" or "unknown".
-	Outcome string `json:"outcome"`
-}
-
 // ServeHTTP implements http.Handler.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.active.Add(1)
@@ -90,12 +82,12 @@
 	call, err := f.o.Dialect.Read(r, body)
 	if err != nil {
 		f.o.Log.Info("request at fault", "error", err)
-		f.problem(w, nil, http.StatusBadRequest, "bad_request", "not-run", 0)
+		f.problem(w, nil, http.StatusBadRequest, "bad_request", api.NotRun, 0)
 		return
 	}
 	if !view.Ready() {
 		f.o.Log.Info("refused", "request", call.ID, "reason", "not_ready")
-		f.problem(w, call, http.StatusServiceUnavailable, "not_ready", "not-run", retryNotReady)
+		f.problem(w, call, http.StatusServiceUnavailable, "not_ready", api.NotRun, retryNotReady)
 		return
 	}
 	f.route(w, r, call, view.Table, arrived)
@@ -109,13 +101,13 @@
 		limit = view.Table.Config().Limits.MaxBodyBytes
 	}
 	if r.ContentLength > limit {
-		f.problem(w, nil, http.StatusRequestEntityTooLarge, "body_too_large", "not-run", 0)
+		f.problem(w, nil, http.StatusRequestEntityTooLarge, "body_too_large", api.NotRun, 0)
 		return nil, false
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		f.problem(w, nil, http.StatusRequestEntityTooLarge, "body_too_large", "not-run", 0)
+		f.problem(w, nil, http.StatusRequestEntityTooLarge, "body_too_large", api.NotRun, 0)
 		return nil, false
 	}
 	if err != nil {
@@ -131,13 +123,13 @@
 	route := table.Find(r.Host, r.URL.Path)
 	if route == nil {
 		f.o.Log.Info("no route", "request", call.ID, "host", r.Host, "path", r.URL.Path, "version", version)
-		f.problem(w, call, http.StatusNotFound, "no_route", "not-run", 0)
+		f.problem(w, call, http.StatusNotFound, "no_route", api.NotRun, 0)
 		return
 	}
 	service, ok := table.Service(route.Choose(rand.IntN))
 	if !ok {
 		f.o.Log.Error("route without service", "request", call.ID, "route", route.Name, "version", version)
-		f.problem(w, call, http.StatusServiceUnavailable, "no_service", "not-run", retryNotReady)
+		f.problem(w, call, http.StatusServiceUnavailable, "no_service", api.NotRun, retryNotReady)
 		return
 	}
 	f.o.Budget.Request(arrived, service.Name)
@@ -233,19 +225,23 @@
 func (f *Front) tell(w http.ResponseWriter, j *carry.Job, e *carry.Error) string {
 	switch e.Fate {
 	case carry.NotRun:
-		f.problem(w, j.Call, http.StatusServiceUnavailable, e.Reason, "not-run", e.RetryAfter)
+		f.problem(w, j.Call, http.StatusServiceUnavailable, e.Reason, api.NotRun, e.RetryAfter)
 		return outcomeNotRun
 	case carry.TimedOut:
-		f.problem(w, j.Call, http.StatusGatewayTimeout, e.Reason, "unknown", 0)
+		f.problem(w, j.Call, http.StatusGatewayTimeout, e.Reason, api.Unknown, 0)
 	default:
-		f.problem(w, j.Call, http.StatusBadGateway, e.Reason, "unknown", 0)
+		f.problem(w, j.Call, http.StatusBadGateway, e.Reason, api.Unknown, 0)
 	}
 	return outcomeUnknown
 }
 
+// noType is the type of problems that say no more than their status (RFC 9457): the
+// title names the reason.
+const noType api.ProblemType = "about:blank"
+
 // problem answers with a problem document.
-func (f *Front) problem(w http.ResponseWriter, c *dialect.Call, status int, reason, outcome string, retry time.Duration) {
-	body, err := json.Marshal(Problem{Type: "about:blank", Title: reason, Status: status, Outcome: outcome})
+func (f *Front) problem(w http.ResponseWriter, c *dialect.Call, status int, reason string, outcome api.Outcome, retry time.Duration) {
+	body, err := json.Marshal(api.Problem{Type: noType, Title: reason, Status: status, Outcome: outcome})
 	if err != nil {
 		f.o.Log.Error("problem not encoded", "error", err)
 	}
@@ -253,7 +249,7 @@
 	if c != nil {
 		f.o.Dialect.WriteHead(h, c)
 	}
-	h.Set("Content-Type", "application/problem+json")
+	h.Set("Content-Type", api.ProblemContentType)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	if retry > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(retry.Seconds(), 'f', 2, 64))
--- a/gateway/service_test.go
+++ b/gateway/service_test.go
@@ -34,13 +34,13 @@
 // outage is what a store that is down answers.
 var outage = &dialect.StatusError{Op: "store", Status: http.StatusServiceUnavailable}
 
-func (f *fakeSource) Config(context.Context) (*routing.Config, int64, error) {
+func (f *fakeSource) Config(context.Context) (*routing.Config, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return nil, 0, outage
+		return nil, outage
 	}
-	return f.config, 1, nil
+	return f.config, nil
 }
 
 func (f *fakeSource) Upstreams(context.Context) ([]dialect.Upstream, int64, error) {
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -5,13 +5,14 @@
 package gateway
 
 import (
-	"net"
+	"fmt"
 	"time"
 
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/logs"
 	"github.com/wardspool/wardspool/settings"
+	"github.com/wardspool/wardspool/settings/common"
 )
 
 // Settings are what the gateway reads from its settings file.
@@ -97,15 +98,13 @@
 	required(r, "instance", string(s.Instance))
 	required(r, "zone", string(s.Zone))
 	required(r, "deployment", s.Deployment)
-	address(r, "listen.callers", s.Listen.Callers)
-	address(r, "listen.ready", s.Listen.Ready)
-	address(r, "listen.peers", s.Listen.Peers)
-	address(r, "store.address", s.Store.Address)
-	if s.Listen.Metrics != "" {
-		address(r, "listen.metrics", s.Listen.Metrics)
-	}
-	for _, seed := range s.Seeds {
-		address(r, "seeds", seed)
+	common.CheckAddress(r, "listen.callers", s.Listen.Callers, common.Required)
+	common.CheckAddress(r, "listen.ready", s.Listen.Ready, common.Required)
+	common.CheckAddress(r, "listen.peers", s.Listen.Peers, common.Required)
+	common.CheckAddress(r, "listen.metrics", s.Listen.Metrics, common.Optional)
+	common.CheckAddress(r, "store.address", s.Store.Address, common.Required)
+	for i, seed := range s.Seeds {
+		common.CheckAddress(r, fmt.Sprintf("seeds[%d]", i), seed, common.Required)
 	}
 	if s.Retries.WindowSeconds <= 0 {
 		r.Add("retries.window_seconds", "is not above 0", "give the seconds over which retries are counted")
@@ -118,10 +117,3 @@
 		r.Add(field, "is missing", "give it a value")
 	}
 }
-
-// address reports a field that is no "IP:port".
-func address(r *settings.Report, field, value string) {
-	if _, _, err := net.SplitHostPort(value); err != nil {
-		r.Add(field, "is no address", "write it as IP:port")
-	}
-}
--- a/plugins/service/http/call.go
+++ b/plugins/service/http/call.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/wardspool/wardspool/adapter"
+	"github.com/wardspool/wardspool/adapter/roundtrip"
 	"github.com/wardspool/wardspool/api"
 	"github.com/wardspool/wardspool/kernel"
 )
@@ -53,7 +54,7 @@
 	}
 	return &adapter.ServiceAnswer{
 		Status: resp.StatusCode,
-		Header: endToEnd(resp.Header),
+		Header: roundtrip.EndToEnd(resp.Header),
 		Body:   body,
 	}, nil
 }
@@ -64,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	req.Header = endToEnd(c.Header)
+	req.Header = roundtrip.EndToEnd(c.Header)
 	req.Header.Set(headerAttempt, c.Attempt.String())
 	req.Header.Set(headerCorrelation, string(c.Request))
 	req.Header.Del(api.HeaderIdempotencyKey)
