--- a/gateway/fleet/hub.go
+++ b/gateway/fleet/hub.go
@@ -21,9 +21,10 @@
 }
 
 // Hub adds up the loads of a zone's instances and exchanges the sums with other
-// zones', in fleets too large for each instance to hear all others: with 62
-// instances that was 2 MB/s of heartbeats for each. It is not safe for concurrent
-// use.
+// zones', in fleets too large for each instance to hear all others: with all loads
+// in all heartbeats 62 instances sent 1.17 GB between zones in 34 s and had no
+// processor time left for requests; by hubs 0.32 GB in 58 s. It is not safe for
+// concurrent use.
 type Hub struct {
 	members map[ident.InstanceID]datedLoad
 	zones   map[ident.Zone]datedLoad
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -28,7 +28,7 @@
 	// defaultMaxBody bounds a body while no configuration says more, in bytes.
 	defaultMaxBody = 4 << 20
 	// retryNotReady is when callers may come back to an instance that knows no
-	// configuration yet: it asks its peers every 100 ms.
+	// configuration yet: it asks the store and its peers every 200 ms.
 	retryNotReady = 300 * time.Millisecond
 	// defaultTimeout bounds a request whose route sets no timeout.
 	defaultTimeout = 30 * time.Second
--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// reportInterval is the time between two reports of one decode engine. A report
-	// costs about as much as a 20th of a plain request earns.
+	// reportInterval is the time between two reports of one decode engine: the
+	// memory of streams changes by some 1,500 tokens in it.
 	reportInterval = time.Second
 	// reportTimeout bounds one report.
 	reportTimeout = 400 * time.Millisecond
