Streams are moved away from engines that run out of memory or leave

Streams at leaving engines were cut off after 2 s.

Engines copy a running request's KV cache to one another: the cache is copied while the stream goes on, then it is stopped and the rest is copied. It goes on as the same run, also on routes that allow one attempt; nothing is lost before the stop.

What remains is bursts in which no engine has room.

--- a/gateway/carry/carry.go
+++ b/gateway/carry/carry.go
@@ -41,12 +41,16 @@
 
 	mu    sync.Mutex
 	lines map[string]*line
+	// streams are the running streams by the number of their placement.
+	streams map[uint64]*stream
 	// cleanup counts releases that are still being sent.
 	cleanup sync.WaitGroup
 }
 
 // New returns a carrier.
-func New(o Options) *Carrier { return &Carrier{o: o, lines: map[string]*line{}} }
+func New(o Options) *Carrier {
+	return &Carrier{o: o, lines: map[string]*line{}, streams: map[uint64]*stream{}}
+}
 
 // Close waits for the releases that are still being sent.
 func (c *Carrier) Close() { c.cleanup.Wait() }
--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -26,6 +26,8 @@
 	verdict dialect.Verdict
 	status  int
 	body    string
+	// stream is a body of its own instead.
+	stream io.ReadCloser
 	// breaks ends the body with an error instead of its end.
 	breaks bool
 	err    error
@@ -41,6 +43,10 @@
 	// prefill and hold likewise.
 	prefill map[ident.UpstreamID][]error
 	hold    map[string][]error
+	// migrate answers copying ("copy") and stopping ("stop"); stopped is called when
+	// a stream was stopped.
+	migrate map[string][]error
+	stopped func()
 	calls   []string
 	sends   []dialect.Send
 }
@@ -82,6 +88,9 @@
 		body = io.MultiReader(body, brokenReader{})
 	}
 	h := http.Header{"X-From": {string(s.To.ID)}}
+	if r.stream != nil {
+		return &http.Response{StatusCode: r.status, Header: h, Body: r.stream}, r.verdict, nil
+	}
 	return &http.Response{StatusCode: r.status, Header: h, Body: io.NopCloser(body)}, r.verdict, nil
 }
 
@@ -128,6 +137,23 @@
 func (f *fakeDialect) Report(context.Context, dialect.Upstream) (dialect.Report, error) {
 	return dialect.Report{}, nil
 }
+func (f *fakeDialect) Migrate(_ context.Context, m dialect.Migration) (dialect.Handle, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	kind := "copy"
+	if m.Stop {
+		kind = "stop"
+	}
+	f.record("%s %s %s", kind, m.From.ID, m.To.ID)
+	if err, _ := next(f.migrate, kind); err != nil {
+		return dialect.Handle{}, err
+	}
+	if m.Stop && f.stopped != nil {
+		f.stopped()
+	}
+	return dialect.Handle{Engine: m.From.Address, ID: "moved"}, nil
+}
+
 func (f *fakeDialect) WriteHead(http.Header, *dialect.Call) {}
 func (f *fakeDialect) Close()                               {}
 
@@ -169,7 +195,7 @@
 
 func newBed(t *testing.T, slack float64, ups ...dialect.Upstream) *bed {
 	t.Helper()
-	d := &fakeDialect{do: map[ident.UpstreamID][]reply{}, prefill: map[ident.UpstreamID][]error{}, hold: map[string][]error{}}
+	d := &fakeDialect{do: map[ident.UpstreamID][]reply{}, prefill: map[ident.UpstreamID][]error{}, hold: map[string][]error{}, migrate: map[string][]error{}}
 	view := &fleet.Snapshot{Upstreams: map[string][]dialect.Upstream{"s": ups}, AsOf: time.Now()}
 	b := &bed{d: d, view: view}
 	b.Carrier = New(Options{
--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -41,7 +41,18 @@
 	u := p.decode.Upstream
 	before := s.events
 	first := time.Time{}
+	s.migration.arrive()
+	s.c.enter(p.decode, s)
 	err := s.copyEvents(p, resp, func() { first = time.Now() })
+	s.c.exit(p.decode)
+	source, ambiguous := s.moved(p)
+	if source != nil && ctx.Err() == nil && !callerLeft(err) {
+		return s.goOn(ctx, p, source)
+	}
+	if source != nil {
+		s.free(&computed{handle: *source, engine: u})
+	}
+	err = endOf(resp, err, ambiguous)
 	took := time.Since(start)
 	made := s.events - before
 	if !first.IsZero() {
@@ -58,6 +69,12 @@
 	return nil, s.brokenOff(ctx, p, err, made), s.streamError(ctx, err)
 }
 
+// callerLeft reports whether a stream ended because its caller can't be written to.
+func callerLeft(err error) bool {
+	var caller *CallerError
+	return errors.As(err, &caller)
+}
+
 // brokenOff takes in a stream that ended early, and reports whether it may go on
 // at another engine.
 func (s *stream) brokenOff(ctx context.Context, p *place, err error, made int) bool {
@@ -65,8 +82,7 @@
 	s.runs++
 	s.log.Info("stream broke off", "upstream", u.ID, "events", s.events, "here", made, "last_event", s.lastEvent,
 		"left_ms", time.Until(s.j.Deadline).Milliseconds(), "error", logs.ErrorText(err))
-	var caller *CallerError
-	if ctx.Err() != nil || errors.As(err, &caller) {
+	if ctx.Err() != nil || callerLeft(err) {
 		return false
 	}
 	s.c.note(u, &attempt{err: err}, 0, s.log)
@@ -79,8 +95,7 @@
 
 // streamError is what the caller is told of a stream that ended early.
 func (s *stream) streamError(ctx context.Context, err error) error {
-	var caller *CallerError
-	if errors.As(err, &caller) {
+	if callerLeft(err) {
 		return &AbandonedError{}
 	}
 	if ctx.Err() != nil && !s.begun {
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -98,6 +98,7 @@
 	// lastEvent is the number of the last event that the caller has.
 	lastEvent string
 	events    int
+	migration migration
 	// lastAt is when the last event came; longestPause is between two.
 	lastAt       time.Time
 	longestPause time.Duration
--- a/gateway/dialect/dialect.go
+++ b/gateway/dialect/dialect.go
@@ -184,6 +184,12 @@
 	Hold(ctx context.Context, address string, tokens int, ttl time.Duration) (string, error)
 	// Release gives a reservation up.
 	Release(ctx context.Context, address, hold string) error
+	// Migrate copies the KV cache of a running request to another engine, where it can
+	// go on with the handle as its source. With Stop the request ends at its engine
+	// first, otherwise it runs on. A request that doesn't run there is a
+	// *NotRunningError; one that was stopped and not copied is a *NotCopiedError, and
+	// can go on at the engine that it was stopped at.
+	Migrate(ctx context.Context, m Migration) (Handle, error)
 	// Report asks an engine for its load. Engines answer without using a slot.
 	// Another incarnation at its address is a *ReplacedError.
 	Report(ctx context.Context, u Upstream) (Report, error)
@@ -195,6 +201,15 @@
 	Close()
 }
 
+// Migration is the move of a running request to another engine.
+type Migration struct {
+	// Request is the ID of the caller's attempt.
+	Request  string
+	From, To Upstream
+	// Stop ends the request at From.
+	Stop bool
+}
+
 // Report is an engine's own word on its load, as of some hundred ms ago.
 type Report struct {
 	Stage Stage
--- a/gateway/dialect/errors.go
+++ b/gateway/dialect/errors.go
@@ -28,6 +28,19 @@
 	return fmt.Sprintf("%s answers as another incarnation than %s", e.Address, e.ID)
 }
 
+// NotRunningError reports a request that is to be migrated and doesn't run.
+type NotRunningError struct{ Request string }
+
+// Error implements error.
+func (e *NotRunningError) Error() string { return "request " + e.Request + " is not running there" }
+
+// NotCopiedError reports a request that was stopped but not copied: its engine keeps
+// the KV cache.
+type NotCopiedError struct{ Handle Handle }
+
+// Error implements error.
+func (e *NotCopiedError) Error() string { return "stopped at " + e.Handle.Engine + " and not copied" }
+
 // FencedError reports an order refused because of a newer holder's.
 type FencedError struct{ Fence int64 }
 
--- a/gateway/routing/config.go
+++ b/gateway/routing/config.go
@@ -88,6 +88,8 @@
 	SwitchTime time.Duration `json:"switch_time"`
 	// HoldTTL is the longest time for which memory can be reserved.
 	HoldTTL time.Duration `json:"hold_ttl"`
+	// Migrates means that engines move running requests to one another.
+	Migrates bool `json:"migrates,omitempty"`
 }
 
 // Service is a group of equal upstreams.
--- a/gateway/schedule/books.go
+++ b/gateway/schedule/books.go
@@ -142,6 +142,9 @@
 	number   uint64
 }
 
+// Number tells an instance's placements apart.
+func (t Ticket) Number() uint64 { return t.number }
+
 // place books a request. The caller holds mu.
 func (b *Books) place(now time.Time, k *book, tokens int) Ticket {
 	b.next++
--- a/gateway/schedule/engines.go
+++ b/gateway/schedule/engines.go
@@ -38,6 +38,8 @@
 	// Produced is the part of the output that was generated elsewhere before, which
 	// the decode engine has to read in.
 	Produced int
+	// Copied means that what was produced comes with a copy of the KV cache.
+	Copied bool
 	// Self means that the decode engine has to compute the prompt itself, for
 	// which it pauses its streams; by MaxPause at most, 0 for any time.
 	Self     bool
@@ -53,10 +55,14 @@
 
 // compute is what the decode engine has to compute before it can go on.
 func (s Size) compute() int {
-	if s.Self {
+	switch {
+	case s.Copied:
+		return 0
+	case s.Self:
 		return s.Prompt + s.Produced
+	default:
+		return s.Produced
 	}
-	return s.Produced
 }
 
 // PlaceDecode chooses the decode engine for a request: of those whose memory is
@@ -172,7 +178,7 @@
 	}
 	b.heard(now, k)
 	if run, ok := k.streams[t.number]; ok {
-		run.produced = produced
+		run.produced, run.begun = produced, true
 		k.streams[t.number] = run
 	}
 }
--- a/gateway/schedule/forecast.go
+++ b/gateway/schedule/forecast.go
@@ -50,8 +50,10 @@
 type running struct {
 	prompt   int
 	estimate int
-	// produced is the output so far, in tokens.
+	// produced is the output so far, in tokens; begun means that some of it came from
+	// this engine.
 	produced int
+	begun    bool
 	// hold is the memory that was reserved for it, which the engine keeps free for
 	// it until it ends.
 	hold int
--- a/gateway/schedule/health.go
+++ b/gateway/schedule/health.go
@@ -70,7 +70,7 @@
 		return false
 	}
 	for _, s := range k.streams {
-		if s.produced > 0 {
+		if s.begun {
 			return true
 		}
 	}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -190,6 +190,7 @@
 	running.Go(func() { g.node.Run(background) })
 	running.Go(func() { g.giveOrders(background) })
 	running.Go(func() { g.gatherReports(background) })
+	running.Go(func() { g.migrate(background) })
 	running.Go(func() { g.servePeers() })
 	ready := &http.Server{Handler: g.readyRoutes(), ReadHeaderTimeout: headerTimeout}
 	running.Go(func() { g.serve(ready, g.ready, "ready") })
