Living prefill engines are waited for, dead ones made known; seeds are called only while unknown

Each of 62 instances found dead engines out by requests of its own: refused connections and replaced incarnations are told to peers. Time-outs are not: they may lie on the way. Moves use at most half of the retry budget.

--- a/gateway/carry/carry.go
+++ b/gateway/carry/carry.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/wardspool/wardspool/adapter"
@@ -182,12 +183,20 @@
 		// Engines say the same when they have changed their stage: a probe tells.
 		c.failed(u, schedule.Misdirected, a.err, took, log)
 	case a.err != nil && adapter.AsCallError(a.err).Evidence == kernel.NotSent:
-		c.failed(u, schedule.Unreachable, a.err, took, log)
+		c.failed(u, Unreached(a.err), a.err, took, log)
 	default:
 		c.failed(u, schedule.Hard, a.err, took, log)
 	}
 }
 
+// Unreached says what it means that an upstream was not reached.
+func Unreached(err error) schedule.Failure {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return schedule.Closed
+	}
+	return schedule.Unreachable
+}
+
 // failed takes a failure of an upstream into the books, and says so if it was
 // ejected for it.
 func (c *Carrier) failed(u dialect.Upstream, f schedule.Failure, err error, took time.Duration, log *slog.Logger) {
--- a/gateway/carry/migrate.go
+++ b/gateway/carry/migrate.go
@@ -186,7 +186,7 @@
 	size.Copied = true
 	list := s.c.o.View().Upstreams[s.j.Service.Name]
 	to, ok := s.c.o.Books.PlaceDecode(time.Now(), list, s.j.Service.Engine, size, []ident.UpstreamID{from.ID})
-	if ok && !s.c.o.Budget.Extra(time.Now(), s.j.Service.Name, sendsToMigrate) {
+	if ok && !s.c.o.Budget.Spare(time.Now(), s.j.Service.Name, sendsToMigrate) {
 		s.c.o.Books.Done(to)
 		return to, false
 	}
--- a/gateway/carry/prefill.go
+++ b/gateway/carry/prefill.go
@@ -81,7 +81,7 @@
 	u := t.Upstream
 	expected, _ := s.prefillWait()
 	start := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, max(leastPrefill, prefillPatience*expected))
+	ctx, cancel := context.WithTimeout(ctx, max(leastPrefill, prefillPatience*expected, s.timeToServe(start)))
 	defer cancel()
 	ctx, unwatch := s.watch(ctx, u, max(leastDoubt, doubtFactor*expected))
 	defer unwatch()
@@ -98,13 +98,21 @@
 	return h, err
 }
 
+// timeToServe is how long a prompt may still take for the first event to be on time. A
+// living engine is left this time: giving it up earlier throws its work away, and
+// another one has to begin anew.
+func (s *stream) timeToServe(now time.Time) time.Duration {
+	first := s.c.o.Books.FirstEvent(s.j.Service.Name)
+	return s.j.Arrived.Add(s.j.Route.Objective - first).Sub(now)
+}
+
 // notePrefill takes what a prefill showed of its engine into the books.
 func (s *stream) notePrefill(u dialect.Upstream, err error, start time.Time, took time.Duration) {
 	var silent *SilentError
 	late := errors.Is(err, context.DeadlineExceeded)
 	switch {
 	case errors.As(err, &silent):
-		s.c.failed(u, schedule.Unreachable, err, took, s.log)
+		s.c.failed(u, Unreached(silent.Err), err, took, s.log)
 	case late && s.c.o.Books.AnsweredSince(u, start):
 		// It is busy.
 	case late:
--- a/gateway/carry/reserve.go
+++ b/gateway/carry/reserve.go
@@ -132,7 +132,7 @@
 	case errors.Is(err, context.Canceled):
 	default:
 		// An engine that doesn't answer this doesn't answer requests either.
-		s.c.failed(u, schedule.Unreachable, err, time.Since(start), s.log)
+		s.c.failed(u, Unreached(err), err, time.Since(start), s.log)
 	}
 	return hold, err
 }
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -23,8 +23,8 @@
 	// releasePause is the time between two tries.
 	releasePause = 100 * time.Millisecond
 	// prefillPatience is how many times the expected time a prefill may take before
-	// another engine is asked, at least leastPrefill: a busy engine's work is thrown
-	// away then.
+	// another engine is asked, at least leastPrefill and as long as it can be on
+	// time: a busy engine's work is thrown away then.
 	prefillPatience = 4
 	leastPrefill    = 500 * time.Millisecond
 	// longestQueue is how much prefill work may be queued at an engine, as a share
--- a/gateway/fleet/roster.go
+++ b/gateway/fleet/roster.go
@@ -405,20 +405,21 @@
 			foreign = append(foreign, p.member.Address)
 		}
 	}
-	known := append(own, foreign...)
+	known := slices.Concat(own, foreign)
+	partners := known
 	if r.large() {
 		calls := min(1, foreignCalls/float64(len(own)+1))
-		known = some(random, own, fanout)
+		partners = some(random, own, fanout)
 		if random.Float64() < calls {
-			known = append(known, some(random, foreign, 1)...)
+			partners = append(partners, some(random, foreign, 1)...)
 		}
 	}
 	for _, s := range r.seeds {
 		if s != r.self.Address && !slices.Contains(known, s) {
-			known = append(known, s)
+			partners = append(partners, s)
 		}
 	}
-	return known
+	return partners
 }
 
 // some returns as many addresses at random.
--- a/gateway/fleet/roster_test.go
+++ b/gateway/fleet/roster_test.go
@@ -228,7 +228,7 @@
 // TestZonesOfALargeFleetCallEachOtherSeldom: partners are of the own zone, and a few of
 // a zone's instances call another zone in each round.
 func TestZonesOfALargeFleetCallEachOtherSeldom(t *testing.T) {
-	r := NewRoster(member(0, "a"), nil)
+	r := NewRoster(member(0, "a"), []string{"10.0.0.1:1", "10.0.0.2:1"})
 	foreign := map[string]bool{}
 	for i := 1; i < 80; i++ {
 		m := member(i, string(rune('a'+i%4)))
--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/wardspool/wardspool/gateway/carry"
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/internal/pause"
@@ -53,7 +54,7 @@
 		g.books.Replaced(u)
 		g.log.Warn("upstream replaced", "upstream", u.ID, "address", u.Address)
 	case err != nil:
-		g.books.Failed(time.Now(), u, schedule.Unreachable)
+		g.books.Failed(time.Now(), u, carry.Unreached(err))
 		g.log.Info("probe failed", "upstream", u.ID, "error", err)
 	case r.Stage != u.Stage:
 		// The list is older than its change of stage.
--- a/gateway/schedule/away.go
+++ b/gateway/schedule/away.go
@@ -69,6 +69,11 @@
 		if now.Before(k.refusingUntil) {
 			a.Refusing[id] = k.refusingUntil.Sub(now)
 		}
+		if k.replaced {
+			a.Refusing[id] = refusingMost
+		} else if k.down(now) {
+			a.Refusing[id] = max(refusingFirst, k.ejectedUntil.Sub(now))
+		}
 		if k.switches(now) {
 			a.Switching[id] = k.switching
 		}
--- a/gateway/schedule/books.go
+++ b/gateway/schedule/books.go
@@ -73,6 +73,8 @@
 	computing map[uint64]int
 	// unreachable means that the last failure was that no connection came about.
 	unreachable bool
+	// attested means that the last failure came from there, not from the way.
+	attested bool
 	// readmitted means that a probe found it answering since it was ejected.
 	readmitted bool
 	// lastGood is when it last answered well, or sent an event.
--- a/gateway/schedule/books_test.go
+++ b/gateway/schedule/books_test.go
@@ -271,3 +271,26 @@
 	assert.Assert(t, !ok)
 	assert.Equal(t, len(b.Trials(at(0), prefill)), 0)
 }
+
+// TestPeersHearOfDeadEngines but not of time-outs, which may lie on the way; a probe
+// ends it.
+func TestPeersHearOfDeadEngines(t *testing.T) {
+	b, peer := NewBooks("a", 1), NewBooks("b", 1)
+	list := engines(3, 0)
+	for _, u := range list {
+		peer.Heard(at(0), u)
+	}
+	b.Failed(at(0), list[0], Closed)
+	b.Failed(at(0), list[1], Unreachable)
+	b.Replaced(list[2])
+	away := b.Away(at(100))
+	assert.Equal(t, len(away.Refusing), 2)
+	peer.SetAway(at(100), away)
+	for range 10 {
+		ticket, ok := peer.PlacePrefill(at(110), list, 100, "b", nil)
+		assert.Assert(t, ok)
+		assert.Equal(t, ticket.Upstream.ID, list[1].ID)
+	}
+	b.Readmit(at(200), list[0])
+	assert.Equal(t, len(b.Away(at(200)).Refusing), 1)
+}
--- a/gateway/schedule/budget.go
+++ b/gateway/schedule/budget.go
@@ -76,6 +76,17 @@
 // Extra reports whether so many more sends beyond the first are allowed, and counts
 // them.
 func (b *Budget) Extra(now time.Time, service string, sends int) bool {
+	return b.take(now, service, sends, budgetMargin)
+}
+
+// Spare is Extra for sends without which nothing is lost: they leave half of the
+// budget to the others.
+func (b *Budget) Spare(now time.Time, service string, sends int) bool {
+	return b.take(now, service, sends, budgetMargin/2)
+}
+
+// take counts sends if with them a share of the budget is not exceeded.
+func (b *Budget) take(now time.Time, service string, sends int, share float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.of(now, service)
@@ -85,7 +96,7 @@
 		extra += s.extra[i]
 	}
 	allowed := b.options.Ratio*float64(requests) + b.options.Slack/float64(max(1, b.instances()))
-	if float64(extra+sends) > budgetMargin*allowed {
+	if float64(extra+sends) > share*allowed {
 		return false
 	}
 	s.extra[s.step%budgetSteps] += sends
--- a/gateway/schedule/budget_test.go
+++ b/gateway/schedule/budget_test.go
@@ -50,6 +50,15 @@
 	assert.Assert(t, b.Extra(at(11000), "s", 4), "the window has passed")
 }
 
+// TestSpareSendsLeaveHalfOfTheBudget.
+func TestSpareSendsLeaveHalfOfTheBudget(t *testing.T) {
+	b := NewBudget(at(0), BudgetOptions{Window: 10 * time.Second, Slack: 10}, func() int { return 1 })
+	assert.Assert(t, b.Spare(at(0), "s", 3))
+	assert.Assert(t, !b.Spare(at(0), "s", 1))
+	assert.Assert(t, b.Extra(at(0), "s", 3))
+	assert.Assert(t, !b.Extra(at(0), "s", 1))
+}
+
 func TestServicesHaveBudgetsOfTheirOwn(t *testing.T) {
 	b := NewBudget(at(0), BudgetOptions{Window: 10 * time.Second, Slack: 4}, func() int { return 1 })
 	assert.Assert(t, b.Extra(at(0), "s", 2))
--- a/gateway/schedule/health.go
+++ b/gateway/schedule/health.go
@@ -19,6 +19,8 @@
 	Unreachable
 	// Misdirected requests met another incarnation, or an engine of another stage.
 	Misdirected
+	// Closed upstreams refuse connections: nothing listens there.
+	Closed
 )
 
 // quietAfter is how long an engine with running streams may send nothing before it
@@ -63,6 +65,14 @@
 	b.of(u).replaced = true
 }
 
+// down reports whether an upstream attested that it doesn't serve now: its address
+// refused a connection or answered as another. Peers are told, so that not each of
+// them loses a request there; time-outs may lie on the way, and are not passed on. The
+// caller holds mu.
+func (k *book) down(now time.Time) bool {
+	return k.attested && k.state(now) != stateGood
+}
+
 // quiet reports whether nothing has come for a while from an engine that runs
 // streams of this instance. The caller holds mu.
 func (k *book) quiet(now time.Time) bool {
@@ -99,7 +109,8 @@
 	}
 	k.failures++
 	k.readmitted = false
-	k.unreachable = f == Unreachable || f == Misdirected
+	k.unreachable = f == Unreachable || f == Misdirected || f == Closed
+	k.attested = f == Misdirected || f == Closed
 	if f == Hard && k.failures < ejectAfter && k.ejections == 0 {
 		return false
 	}
