--- a/gateway/carry/carry.go
+++ b/gateway/carry/carry.go
@@ -20,6 +20,7 @@
 	"github.com/wardspool/wardspool/gateway/fleet"
 	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/gateway/schedule"
+	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/kernel"
 	"github.com/wardspool/wardspool/logs"
 )
@@ -29,6 +30,8 @@
 	Dialect dialect.Dialect
 	Books   *schedule.Books
 	Budget  *schedule.Budget
+	// Zone is the instance's own.
+	Zone ident.Zone
 	// View returns what is believed of the upstreams now.
 	View func() *fleet.Snapshot
 	Log  *slog.Logger
@@ -42,6 +45,8 @@
 
 	mu    sync.Mutex
 	lines map[string]*line
+	// caches are what engines keep.
+	caches caches
 	// streams are the running streams by the number of their placement.
 	streams map[uint64]*stream
 	// cleanup counts releases that are still being sent.
--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -46,6 +46,8 @@
 	// migrate answers copying ("copy") and stopping ("stop"); stopped is called when
 	// a stream was stopped.
 	migrate map[string][]error
+	// kept is what engines have in their caches.
+	kept    map[ident.UpstreamID]map[string]int
 	stopped func()
 	calls   []string
 	sends   []dialect.Send
@@ -154,6 +156,13 @@
 	return dialect.Handle{Engine: m.From.Address, ID: "moved"}, nil
 }
 
+func (f *fakeDialect) Kept(_ context.Context, u dialect.Upstream) (map[string]int, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.record("kept %s", u.ID)
+	return f.kept[u.ID], nil
+}
+
 func (f *fakeDialect) WriteHead(http.Header, *dialect.Call) {}
 func (f *fakeDialect) Close()                               {}
 
--- /dev/null
+++ b/gateway/carry/kept.go
@@ -0,0 +1,122 @@
+package carry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/logs"
+)
+
+const (
+	// keptFor is how long an engine's list of its cache is used: after all instances
+	// were killed, some dozens of callers resume within a second or two.
+	keptFor = time.Second
+	// keptTimeout bounds the asking for a list, which takes up to 20 ms.
+	keptTimeout = 80 * time.Millisecond
+	// askAllUpTo is the largest number of decode engines that are all asked; of more,
+	// only those of the own zone, where most streams run: each list delays an engine.
+	askAllUpTo = 12
+	// homePatience is how long a resumed stream waits for room at the engine that
+	// keeps its KV cache before it is computed anew elsewhere: 7,000 tokens on average.
+	homePatience = 500 * time.Millisecond
+)
+
+// caches remembers what engines keep. It is safe for concurrent use.
+type caches struct {
+	mu      sync.Mutex
+	engines map[ident.UpstreamID]*cacheList
+}
+
+// cacheList is one engine's list.
+type cacheList struct {
+	mu   sync.Mutex
+	at   time.Time
+	kept map[string]int
+}
+
+// of returns an engine's entry, and forgets those that are long out of date.
+func (c *caches) of(id ident.UpstreamID) *cacheList {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.engines == nil {
+		c.engines = map[ident.UpstreamID]*cacheList{}
+	}
+	l := c.engines[id]
+	if l == nil {
+		l = &cacheList{}
+		c.engines[id] = l
+	}
+	return l
+}
+
+// tokens returns how much an engine keeps of a part. Those who ask at the same time
+// share one call; a failed one counts as an empty list.
+func (l *cacheList) tokens(ctx context.Context, d dialect.Dialect, u dialect.Upstream, part string) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if time.Since(l.at) < keptFor {
+		return l.kept[part], nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, keptTimeout)
+	defer cancel()
+	kept, err := d.Kept(ctx, u)
+	l.kept, l.at = kept, time.Now()
+	return kept[part], err
+}
+
+// home is the decode engine that keeps most of a resumed stream's KV cache.
+type home struct {
+	engine dialect.Upstream
+	tokens int
+}
+
+// findHome asks decode engines for what they keep of the stream. Callers resume on
+// whatever instance, which doesn't know where the stream ran: without asking, prompt
+// and output were computed anew, 1,000,000 tokens on a day on which all of 62
+// instances lost power.
+func (s *stream) findHome(ctx context.Context) *home {
+	if s.j.Call.PromptPart == "" {
+		return nil
+	}
+	var found home
+	var mu sync.Mutex
+	var asked sync.WaitGroup
+	for _, u := range s.homes() {
+		asked.Go(func() {
+			n, err := s.c.caches.of(u.ID).tokens(ctx, s.c.o.Dialect, u, s.j.Call.PromptPart)
+			if err != nil {
+				s.log.Info("cache not listed", "upstream", u.ID, "error", logs.ErrorText(err))
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if n > found.tokens {
+				found = home{engine: u, tokens: n}
+			}
+		})
+	}
+	asked.Wait()
+	s.log.Info("resumed by its caller", "last_event", s.lastEvent, "kept_at", found.engine.ID, "kept", found.tokens,
+		"needed", s.j.Call.PromptTokens+s.produced())
+	if found.tokens == 0 {
+		return nil
+	}
+	return &found
+}
+
+// homes returns the decode engines to ask.
+func (s *stream) homes() []dialect.Upstream {
+	list := s.c.o.Books.Reachable(time.Now(), s.c.o.View().Upstreams[s.j.Service.Name], dialect.StageDecode)
+	if len(list) <= askAllUpTo {
+		return list
+	}
+	var own []dialect.Upstream
+	for _, u := range list {
+		if u.Zone == s.c.o.Zone {
+			own = append(own, u)
+		}
+	}
+	return own
+}
--- /dev/null
+++ b/gateway/carry/kept_test.go
@@ -0,0 +1,77 @@
+package carry
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/routing"
+	"github.com/wardspool/wardspool/ident"
+)
+
+// resumedJob is a stream that its caller resumes after the second event.
+func resumedJob(r routing.Route) *Job {
+	j := job(r)
+	j.Call.LastEvent, j.Call.SeenEvents, j.Call.PromptPart = "2", 2, "part"
+	return j
+}
+
+// TestResumedStreamGoesWhereItsCacheIs: the engine that keeps most of it computes the
+// rest; no prompt is computed anew.
+func TestResumedStreamGoesWhereItsCacheIs(t *testing.T) {
+	b := newBed(t, slack, engineUps([]string{"p1"}, []string{"d1", "d2", "d3"})...)
+	b.d.kept = map[ident.UpstreamID]map[string]int{"d1": {"part": 300, "other": 9000}, "d3": {"part": 1100}}
+	b.d.do["d3"] = []reply{{verdict: dialect.Success, status: 200, body: events(3, 5)}}
+	var got sink
+	_, err := b.Stream(t.Context(), resumedJob(resumable), &got)
+	assert.NilError(t, err)
+	assert.Equal(t, got.body.String(), events(3, 5))
+	assert.Equal(t, b.d.countKind("prefill"), 0)
+	assert.Equal(t, b.d.count("do d3"), 1)
+	assert.Assert(t, b.d.sends[0].Source == nil)
+	assert.Equal(t, b.d.sends[0].LastEvent, "2")
+}
+
+// TestResumedStreamWithoutCacheIsComputed anew, also if its engine has no room for
+// long.
+func TestResumedStreamWithoutCacheIsComputed(t *testing.T) {
+	b := streamBed(t)
+	b.serveStreams(reply{verdict: dialect.Success, status: 200, body: events(3, 5)})
+	_, err := b.Stream(t.Context(), resumedJob(resumable), &sink{})
+	assert.NilError(t, err)
+	assert.Equal(t, b.d.countKind("prefill"), 1)
+	full := streamBed(t)
+	full.serveStreams(reply{verdict: dialect.Success, status: 200, body: events(3, 5)})
+	full.d.kept = map[ident.UpstreamID]map[string]int{"d1": {"part": 1100}}
+	full.d.hold["d1"] = []error{&dialect.FullError{}}
+	_, err = full.Stream(t.Context(), resumedJob(resumable), &sink{})
+	assert.NilError(t, err)
+	assert.Equal(t, full.d.count("do d2"), 1)
+	assert.Equal(t, full.d.countKind("prefill"), 1)
+}
+
+// TestListsOfCachesAreShared by those who resume at the same time.
+func TestListsOfCachesAreShared(t *testing.T) {
+	b := streamBed(t)
+	b.serveStreams(reply{verdict: dialect.Success, status: 200, body: events(3, 5)})
+	for range 3 {
+		_, err := b.Stream(t.Context(), resumedJob(resumable), &sink{})
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, b.d.countKind("kept"), 2, "one for each decode engine")
+}
+
+// TestOnlyTheOwnZonesCachesAreListedOfMany engines.
+func TestOnlyTheOwnZonesCachesAreListedOfMany(t *testing.T) {
+	ups := engineUps(nil, []string{"1", "2", "3", "4", "5", "6", "7", "8", "9", "10", "11", "12", "13"})
+	for i := range ups[3:] {
+		ups[3+i].Zone = "z"
+	}
+	b := newBed(t, slack, ups...)
+	b.o.Zone = "a"
+	s := &stream{c: b.Carrier, j: resumedJob(resumable), log: b.o.Log}
+	assert.Equal(t, len(s.homes()), 3)
+	b.view.Upstreams["s"] = ups[:12]
+	assert.Equal(t, len(s.homes()), 12)
+}
--- a/gateway/carry/reserve.go
+++ b/gateway/carry/reserve.go
@@ -64,10 +64,21 @@
 	w := l.join(s.j.Route.Priority, s.resumed(), s.j.Arrived)
 	defer l.leave(w)
 	began := time.Now()
+	var home *home
+	if s.lastEvent != "" && !s.begun {
+		home = s.findHome(ctx)
+	}
 	for {
 		if ctx.Err() != nil {
 			return nil, s.contextError(ctx)
 		}
+		if home != nil && time.Since(began) < homePatience {
+			if p, err := s.reserveHome(ctx, home); p != nil || err != nil {
+				return p, err
+			}
+			w.wait(ctx)
+			continue
+		}
 		prefill, self := s.prefillWait()
 		if l.first(w) && !s.prefillBusy(prefill) {
 			p, err := s.tryReserve(ctx, self)
@@ -95,18 +106,29 @@
 func (s *stream) tryReserve(ctx context.Context, self bool) (*place, error) {
 	size := s.size()
 	size.Self, size.MaxPause = self, s.j.Route.PaceObjective
-	list := s.c.o.View().Upstreams[s.j.Service.Name]
-	engine := s.j.Service.Engine
+	return s.reserveAmong(ctx, s.c.o.View().Upstreams[s.j.Service.Name], size)
+}
+
+// reserveHome asks the engine that keeps a resumed stream's KV cache: it computes only
+// what it lacks.
+func (s *stream) reserveHome(ctx context.Context, h *home) (*place, error) {
+	size := s.size()
+	size.Self, size.Kept, size.MaxPause = true, h.tokens, s.j.Route.PaceObjective
+	return s.reserveAmong(ctx, []dialect.Upstream{h.engine}, size)
+}
+
+// reserveAmong asks engines of a list for a reservation.
+func (s *stream) reserveAmong(ctx context.Context, list []dialect.Upstream, size schedule.Size) (*place, error) {
 	for {
-		t, ok := s.c.o.Books.PlaceDecode(time.Now(), list, engine, size, s.excluded)
+		t, ok := s.c.o.Books.PlaceDecode(time.Now(), list, s.j.Service.Engine, size, s.excluded)
 		if !ok {
 			return nil, nil
 		}
 		start := time.Now()
 		hold, err := s.hold(ctx, t)
 		if err == nil {
-			s.log.Info("reserved", "upstream", t.Upstream.ID, "tokens", s.need(), "self", self, "took_ms", time.Since(start).Milliseconds(), "waited_ms", start.Sub(s.j.Arrived).Milliseconds())
-			return &place{decode: t, hold: hold, self: self}, nil
+			s.log.Info("reserved", "upstream", t.Upstream.ID, "tokens", s.need(), "self", size.Self, "took_ms", time.Since(start).Milliseconds(), "waited_ms", start.Sub(s.j.Arrived).Milliseconds())
+			return &place{decode: t, hold: hold, self: size.Self}, nil
 		}
 		s.c.o.Books.Done(t)
 		if ctx.Err() != nil {
--- a/gateway/dialect/dialect.go
+++ b/gateway/dialect/dialect.go
@@ -96,6 +96,9 @@
 	SeenEvents int
 	// PromptTokens is the length of the prompt, 0 if unknown.
 	PromptTokens int
+	// PromptPart names the last part of the prompt, which no other request has; ""
+	// if unknown.
+	PromptPart string
 	// MaxOutputTokens bounds the output, 0 if unknown.
 	MaxOutputTokens int
 	// OutputEstimate is the caller's guess of the output's length, in tokens; 0
@@ -193,6 +196,9 @@
 	// Report asks an engine for its load. Engines answer without using a slot.
 	// Another incarnation at its address is a *ReplacedError.
 	Report(ctx context.Context, u Upstream) (Report, error)
+	// Kept returns the parts of prompts in an engine's KV cache with their lengths in
+	// tokens, that of the output after them included. It delays the engine's work.
+	Kept(ctx context.Context, u Upstream) (map[string]int, error)
 	// Order tells an engine to change its stage.
 	Order(ctx context.Context, o Order) error
 	// WriteHead puts on a caller's response what all answers carry.
--- a/gateway/schedule/engines.go
+++ b/gateway/schedule/engines.go
@@ -40,6 +40,8 @@
 	Produced int
 	// Copied means that what was produced comes with a copy of the KV cache.
 	Copied bool
+	// Kept is what the engine itself keeps of prompt and output.
+	Kept int
 	// Self means that the decode engine has to compute the prompt itself, for
 	// which it pauses its streams; by MaxPause at most, 0 for any time.
 	Self     bool
@@ -59,7 +61,7 @@
 	case s.Copied:
 		return 0
 	case s.Self:
-		return s.Prompt + s.Produced
+		return max(0, s.Prompt+s.Produced-s.Kept)
 	default:
 		return s.Produced
 	}
@@ -230,6 +232,20 @@
 	return out
 }
 
+// Reachable returns the engines of a stage that are in reach and take work.
+func (b *Books) Reachable(now time.Time, list []dialect.Upstream, stage dialect.Stage) []dialect.Upstream {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.doubtQuiet(now)
+	var out []dialect.Upstream
+	for _, u := range list {
+		if u.Stage == stage && !u.Leaving && b.open(now, b.of(u)) {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
 // PrefillReachable reports whether any prefill engine of a list is in reach.
 func (b *Books) PrefillReachable(now time.Time, list []dialect.Upstream) bool {
 	b.mu.Lock()
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -78,7 +78,7 @@
 	})
 	budget := schedule.NewBudget(time.Now(), s.Retries.budget(), g.node.Alive)
 	g.carrier = carry.New(carry.Options{
-		Dialect: d, Books: g.books, Budget: budget, View: g.node.Snapshot, Log: log, Count: g.metrics.count,
+		Dialect: d, Books: g.books, Budget: budget, Zone: s.Zone, View: g.node.Snapshot, Log: log, Count: g.metrics.count,
 	})
 	g.front = front.New(front.Options{
 		Dialect: d, Carrier: g.carrier, Budget: budget, View: g.node.Snapshot, Log: log, Observe: g.metrics.observe,
