--- a/gateway/carry/carry.go
+++ b/gateway/carry/carry.go
@@ -194,6 +194,16 @@
 	}
 }
 
+// mayResend reports whether the retry budget allows so many sends beyond the first.
+func (c *Carrier) mayResend(service string, sends int, log *slog.Logger) bool {
+	if c.o.Budget.Extra(time.Now(), service, sends) {
+		return true
+	}
+	c.o.Count("retry_budget_spent")
+	log.Info("not sent again", "reason", "retry_budget", "sends", sends)
+	return false
+}
+
 // Unreached says what it means that an upstream was not reached.
 func Unreached(err error) schedule.Failure {
 	if errors.Is(err, syscall.ECONNREFUSED) {
--- a/gateway/carry/plain.go
+++ b/gateway/carry/plain.go
@@ -128,8 +128,7 @@
 
 // again reports whether another attempt is allowed and makes sense.
 func (p *plain) again(a *attempt) bool {
-	now := time.Now()
-	if p.j.Deadline.Sub(now) < leastTime {
+	if time.Until(p.j.Deadline) < leastTime {
 		return false
 	}
 	if a.evidence() == kernel.Ambiguous && (!p.j.Route.Repeatable() || p.runs >= p.j.Route.MaxAttempts) {
@@ -138,7 +137,7 @@
 	if p.refusals > maxRefusals {
 		return false
 	}
-	return p.c.o.Budget.Extra(now, p.j.Service.Name, 1)
+	return p.c.mayResend(p.j.Service.Name, 1, p.log)
 }
 
 // end says what became of a request that gets no success.
--- a/gateway/carry/prefill.go
+++ b/gateway/carry/prefill.go
@@ -68,7 +68,7 @@
 			return nil, s.contextError(ctx)
 		}
 		tried = append(tried, t.Upstream.ID)
-		if !s.c.o.Budget.Extra(time.Now(), s.j.Service.Name, sendsAfterPrefill) {
+		if !s.c.mayResend(s.j.Service.Name, sendsAfterPrefill, s.log) {
 			return nil, err
 		}
 	}
@@ -94,7 +94,7 @@
 	if err == nil {
 		s.c.o.Books.PrefillDone(s.j.Service.Name, s.j.Call.PromptTokens, took)
 	}
-	s.log.Info("prefill", "upstream", u.ID, "tokens", s.j.Call.PromptTokens, "computed", h.Tokens, "last_event", s.j.Call.LastEvent, "number", s.prefills, "took_ms", took.Milliseconds(), "error", logs.ErrorText(err))
+	s.log.Info("prefill", "upstream", u.ID, "tokens", s.j.Call.PromptTokens, "number", s.prefills, "took_ms", took.Milliseconds(), "error", logs.ErrorText(err))
 	return h, err
 }
 
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -204,11 +204,10 @@
 	if errors.As(err, &told) {
 		return false
 	}
-	now := time.Now()
-	if s.j.Deadline.Sub(now) < leastTime {
+	if time.Until(s.j.Deadline) < leastTime {
 		return false
 	}
-	return s.c.o.Budget.Extra(now, s.j.Service.Name, sends)
+	return s.c.mayResend(s.j.Service.Name, sends, s.log)
 }
 
 // fateUnserved is the fate of a request that gets no further engine.
