Homes of resumed streams are found in large fleets

What other instances may have placed unseen was divided by the engines of the list that was asked, here one, so that no engine ever had room. The whole list is passed now, and the engine named.

--- a/gateway/carry/reserve.go
+++ b/gateway/carry/reserve.go
@@ -105,20 +105,22 @@
 // that none has any now.
 func (s *stream) tryReserve(ctx context.Context, self bool) (*place, error) {
 	size := s.size()
-	size.Self, size.MaxPause = self, s.j.Route.PaceObjective
-	return s.reserveAmong(ctx, s.c.o.View().Upstreams[s.j.Service.Name], size)
+	size.Self = self
+	return s.reserveFor(ctx, size)
 }
 
 // reserveHome asks the engine that keeps a resumed stream's KV cache: it computes only
 // what it lacks.
 func (s *stream) reserveHome(ctx context.Context, h *home) (*place, error) {
 	size := s.size()
-	size.Self, size.Kept, size.MaxPause = true, h.tokens, s.j.Route.PaceObjective
-	return s.reserveAmong(ctx, []dialect.Upstream{h.engine}, size)
+	size.Self, size.Kept, size.At = true, h.tokens, h.engine.ID
+	return s.reserveFor(ctx, size)
 }
 
-// reserveAmong asks engines of a list for a reservation.
-func (s *stream) reserveAmong(ctx context.Context, list []dialect.Upstream, size schedule.Size) (*place, error) {
+// reserveFor asks engines with room for a size.
+func (s *stream) reserveFor(ctx context.Context, size schedule.Size) (*place, error) {
+	list := s.c.o.View().Upstreams[s.j.Service.Name]
+	size.MaxPause = s.j.Route.PaceObjective
 	for {
 		t, ok := s.c.o.Books.PlaceDecode(time.Now(), list, s.j.Service.Engine, size, s.excluded)
 		if !ok {
--- a/gateway/schedule/engines.go
+++ b/gateway/schedule/engines.go
@@ -42,8 +42,10 @@
 	Produced int
 	// Copied means that what was produced comes with a copy of the KV cache.
 	Copied bool
-	// Kept is what the engine itself keeps of prompt and output.
+	// Kept is what the engine At itself keeps of prompt and output; no other engine
+	// will do then.
 	Kept int
+	At   ident.UpstreamID
 	// Self means that the decode engine has to compute the prompt itself, for
 	// which it pauses its streams; by MaxPause at most, 0 for any time.
 	Self     bool
@@ -68,7 +70,7 @@
 	b.doubtQuiet(now)
 	var open []candidate
 	for _, u := range list {
-		if u.Stage != dialect.StageDecode || !usable(u, exclude) {
+		if u.Stage != dialect.StageDecode || !usable(u, exclude) || size.At != "" && size.At != u.ID {
 			continue
 		}
 		k := b.of(u)
--- a/gateway/schedule/unseen_test.go
+++ b/gateway/schedule/unseen_test.go
@@ -76,3 +76,19 @@
 		b.Done(next)
 	}
 }
+
+// TestOneEngineIsNotTakenForAll: what other instances may have placed unseen spreads
+// over all engines, also for a request that only one of them will do for.
+func TestOneEngineIsNotTakenForAll(t *testing.T) {
+	b := NewBooks("a", 1)
+	list := engines(0, 20)
+	b.SetFleet(60, 500*time.Millisecond)
+	for range 3 {
+		b.arrive(at(0), "m")
+	}
+	assert.Assert(t, b.unseen(at(0), "m") > 20)
+	size := Size{Prompt: 5000, Estimate: 1000, Produced: 1000, Self: true, Kept: 6000, At: list[7].ID}
+	ticket, ok := b.PlaceDecode(at(0), list, engine, size, nil)
+	assert.Assert(t, ok)
+	assert.Equal(t, ticket.Upstream.ID, list[7].ID)
+}
