--- a/gateway/carry/kept.go
+++ b/gateway/carry/kept.go
@@ -19,6 +19,9 @@
 	// askAllUpTo is the largest number of decode engines that are all asked; of more,
 	// only those of the own zone, where most streams run: each list delays an engine.
 	askAllUpTo = 12
+	// mostLists bounds the lists that are remembered, those of engines that are gone
+	// among them.
+	mostLists = 1024
 	// homePatience is how long a resumed stream waits for room at the engine that
 	// keeps its KV cache before it is computed anew elsewhere: 7,000 tokens on average.
 	homePatience = 500 * time.Millisecond
@@ -37,11 +40,11 @@
 	kept map[string]int
 }
 
-// of returns an engine's entry, and forgets those that are long out of date.
+// of returns an engine's entry.
 func (c *caches) of(id ident.UpstreamID) *cacheList {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.engines == nil {
+	if c.engines == nil || len(c.engines) >= mostLists {
 		c.engines = map[ident.UpstreamID]*cacheList{}
 	}
 	l := c.engines[id]
--- a/gateway/carry/reserve.go
+++ b/gateway/carry/reserve.go
@@ -37,13 +37,14 @@
 }
 
 // hopeless reports whether the first event can't be on time any more, were the
-// request to get its place now.
-// It has waited in line since the given time.
-func (s *stream) hopeless(now, since time.Time, prefill time.Duration) bool {
+// request to get its place now, or a resumed stream has waited for too long since it
+// joined the line.
+func (s *stream) hopeless(now, since time.Time) bool {
 	if s.resumed() {
 		patience := resumePatience * float64(s.j.Deadline.Sub(since))
 		return now.After(since.Add(time.Duration(patience)))
 	}
+	prefill, _ := s.prefillWait()
 	ready := now.Add(prefill + s.c.o.Books.FirstEvent(s.j.Service.Name))
 	return ready.After(s.j.Arrived.Add(s.j.Route.Objective))
 }
@@ -64,35 +65,44 @@
 	w := l.join(s.j.Route.Priority, s.resumed(), s.j.Arrived)
 	defer l.leave(w)
 	began := time.Now()
-	var home *home
+	var at *home
 	if s.lastEvent != "" && !s.begun {
-		home = s.findHome(ctx)
+		at = s.findHome(ctx)
 	}
 	for {
 		if ctx.Err() != nil {
 			return nil, s.contextError(ctx)
 		}
-		if home != nil && time.Since(began) < homePatience {
-			if p, err := s.reserveHome(ctx, home); p != nil || err != nil {
-				return p, err
-			}
-			w.wait(ctx)
-			continue
+		if time.Since(began) > homePatience {
+			at = nil
 		}
-		prefill, self := s.prefillWait()
-		if l.first(w) && !s.prefillBusy(prefill) {
-			p, err := s.tryReserve(ctx, self)
-			if p != nil || err != nil {
-				return p, err
-			}
+		p, err := s.tryPlace(ctx, at, l.first(w))
+		if p != nil || err != nil {
+			return p, err
 		}
-		if s.hopeless(time.Now(), began, prefill) {
+		if s.hopeless(time.Now(), began) {
 			return nil, s.noRoom(l, time.Since(began))
 		}
 		w.wait(ctx)
 	}
 }
 
+// tryPlace asks for a reservation: at the engine that keeps the stream's KV cache if
+// there is one, otherwise wherever there is room, if the request is first in line.
+// Nil and no error means that there is none now.
+func (s *stream) tryPlace(ctx context.Context, at *home, first bool) (*place, error) {
+	if at != nil {
+		return s.reserveHome(ctx, at)
+	}
+	prefill, self := s.prefillWait()
+	if !first || s.prefillBusy(prefill) {
+		return nil, nil
+	}
+	size := s.size()
+	size.Self = self
+	return s.reserveFor(ctx, size)
+}
+
 // noRoom refuses a request for which no engine has room.
 func (s *stream) noRoom(l *line, waited time.Duration) error {
 	s.c.o.Count("stream_no_room")
@@ -101,14 +111,6 @@
 	return &Error{Fate: s.fateUnserved(), Reason: "no_room", RetryAfter: retryStream}
 }
 
-// tryReserve asks engines with room for a reservation. Nil and no error means
-// that none has any now.
-func (s *stream) tryReserve(ctx context.Context, self bool) (*place, error) {
-	size := s.size()
-	size.Self = self
-	return s.reserveFor(ctx, size)
-}
-
 // reserveHome asks the engine that keeps a resumed stream's KV cache: it computes only
 // what it lacks.
 func (s *stream) reserveHome(ctx context.Context, h *home) (*place, error) {
--- a/gateway/schedule/engines.go
+++ b/gateway/schedule/engines.go
@@ -68,53 +68,59 @@
 func (b *Books) PlaceDecode(now time.Time, list []dialect.Upstream, e *routing.Engine, size Size, exclude []ident.UpstreamID) (Ticket, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	unseen := b.unseen(now, serviceOf(list))
 	run := running{prompt: size.Prompt, estimate: size.Estimate, produced: size.Produced, hold: size.HoldTokens()}
-	reserve := unseen * float64(size.HoldTokens()) / float64(max(1, count(list, dialect.StageDecode)))
+	unseen := b.unseen(now, serviceOf(list))
+	open, unseen := b.preferOwn(b.openDecode(now, list, e, size, run, exclude, unseen), unseen)
+	best := b.spread(open, unseen)
+	if best == nil {
+		return Ticket{}, false
+	}
+	b.arrive(now, serviceOf(list))
+	t := b.place(now, best, size.compute())
+	best.streams[t.number] = run
+	return t, true
+}
+
+// openDecode returns the decode engines with room. Each leaves free its part of what
+// other instances may have placed unseen. The caller holds mu.
+func (b *Books) openDecode(now time.Time, list []dialect.Upstream, e *routing.Engine, size Size, run running, exclude []ident.UpstreamID, unseen float64) []candidate {
 	b.doubtQuiet(now)
+	reserve := unseen * float64(run.hold) / float64(max(1, count(list, dialect.StageDecode)))
 	var open []candidate
-	own, roomy := 0, false
 	for _, u := range list {
 		if u.Stage != dialect.StageDecode || !usable(u, exclude) || size.At != "" && size.At != u.ID {
 			continue
 		}
 		k := b.of(u)
 		left, ok := b.left(now, k, e, run, reserve)
-		if !ok || now.Before(k.fullUntil) && size.HoldTokens() >= k.fullTokens {
-			continue
-		}
-		if !b.mayCompute(k, e, size) {
+		if !ok || now.Before(k.fullUntil) && run.hold >= k.fullTokens || !b.mayCompute(k, e, size) {
 			continue
 		}
+		cost := -left - closeEnough*b.random.Float64()
 		if u.Zone == b.zone {
-			own++
-			roomy = roomy || left > zoneRoom
-			left += ownZone
+			cost -= ownZone
 		}
-		open = append(open, candidate{book: k, cost: -left - closeEnough*b.random.Float64()})
-	}
-	if roomy {
-		open, unseen = b.ownOnly(open), unseen*float64(own)/float64(len(open))
-	}
-	best := b.spread(open, unseen)
-	if best == nil {
-		return Ticket{}, false
+		open = append(open, candidate{book: k, cost: cost, left: left})
 	}
-	b.arrive(now, serviceOf(list))
-	t := b.place(now, best, size.compute())
-	best.streams[t.number] = run
-	return t, true
+	return open
 }
 
-// ownOnly leaves out the candidates of other zones. The caller holds mu.
-func (b *Books) ownOnly(list []candidate) []candidate {
+// preferOwn leaves out the engines of other zones while one of the own has plenty of
+// room; of the unseen placements, only those at what is left count then. The caller
+// holds mu.
+func (b *Books) preferOwn(open []candidate, unseen float64) ([]candidate, float64) {
 	var own []candidate
-	for _, c := range list {
+	roomy := false
+	for _, c := range open {
 		if c.book.up.Zone == b.zone {
 			own = append(own, c)
+			roomy = roomy || c.left > zoneRoom
 		}
 	}
-	return own
+	if !roomy {
+		return open, unseen
+	}
+	return own, unseen * float64(len(own)) / float64(len(open))
 }
 
 // serviceOf returns the service of a list of upstreams.
--- a/gateway/schedule/unseen.go
+++ b/gateway/schedule/unseen.go
@@ -67,6 +67,8 @@
 type candidate struct {
 	book *book
 	cost float64
+	// left is the share of a decode engine's memory that stays unused.
+	left float64
 }
 
 // spread chooses among the cheapest candidates, as many as there are unseen
