--- a/gateway/carry/prefill.go
+++ b/gateway/carry/prefill.go
@@ -81,7 +81,7 @@
 	u := t.Upstream
 	expected, _ := s.prefillWait()
 	start := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, max(leastPrefill, prefillPatience*expected, s.timeToServe(start)))
+	ctx, cancel := context.WithTimeout(ctx, s.patience(start, expected))
 	defer cancel()
 	ctx, unwatch := s.watch(ctx, u, max(leastDoubt, doubtFactor*expected))
 	defer unwatch()
@@ -98,12 +98,13 @@
 	return h, err
 }
 
-// timeToServe is how long a prompt may still take for the first event to be on time. A
-// living engine is left this time: giving it up earlier throws its work away, and
-// another one has to begin anew.
-func (s *stream) timeToServe(now time.Time) time.Duration {
+// patience is how long a prefill that starts now may take. A living engine is left the
+// time in which the first event can still be on time: giving it up earlier throws its
+// work away, and another one has to begin anew.
+func (s *stream) patience(start time.Time, expected time.Duration) time.Duration {
 	first := s.c.o.Books.FirstEvent(s.j.Service.Name)
-	return s.j.Arrived.Add(s.j.Route.Objective - first).Sub(now)
+	onTime := s.j.Arrived.Add(s.j.Route.Objective - first).Sub(start)
+	return max(leastPrefill, prefillPatience*expected, onTime)
 }
 
 // notePrefill takes what a prefill showed of its engine into the books.
--- a/gateway/carry/stream_test.go
+++ b/gateway/carry/stream_test.go
@@ -294,3 +294,15 @@
 	assert.Assert(t, b.d.count("do x") <= 1)
 	assert.Equal(t, b.d.count("do y"), 10)
 }
+
+// TestLivingPrefillEngineIsLeftItsTime: as long as the first event can be on time, and
+// longer if the engine is expected to take longer.
+func TestLivingPrefillEngineIsLeftItsTime(t *testing.T) {
+	b := streamBed(t)
+	s := &stream{c: b.Carrier, j: job(stream1), log: b.o.Log}
+	s.j.Route.Objective = 2 * time.Second
+	first := b.o.Books.FirstEvent("s")
+	assert.Equal(t, s.patience(s.j.Arrived.Add(300*time.Millisecond), 10*time.Millisecond), 1700*time.Millisecond-first)
+	assert.Equal(t, s.patience(s.j.Arrived.Add(1900*time.Millisecond), 10*time.Millisecond), leastPrefill)
+	assert.Equal(t, s.patience(s.j.Arrived, time.Second), 4*time.Second)
+}
