--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -39,7 +39,7 @@
 // forward sends a stream on as it comes, in whole events.
 func (s *stream) forward(ctx context.Context, p *place, resp *http.Response, start time.Time) (*Answer, bool, error) {
 	u := p.decode.Upstream
-	before := s.events
+	before := s.events.Load()
 	started := time.Time{}
 	s.migration.arrive()
 	s.c.enter(p.decode, s)
@@ -54,14 +54,14 @@
 	}
 	err = endOf(resp, err, ambiguous)
 	took := time.Since(start)
-	made := s.events - before
+	made := int(s.events.Load() - before)
 	if !started.IsZero() {
 		s.c.o.Books.StreamStarted(s.j.Service.Name, started.Sub(start))
 	}
 	if err == nil {
 		s.c.note(u, &attempt{verdict: dialect.Success}, took, s.log)
 		s.c.o.Books.StreamDone(s.j.Service.Name, s.output(), s.produced(), made*s.j.Service.Engine.Stride, took)
-		s.log.Info("stream complete", "upstream", u.ID, "events", s.events, "took_ms", took.Milliseconds(),
+		s.log.Info("stream complete", "upstream", u.ID, "events", s.events.Load(), "took_ms", took.Milliseconds(),
 			"first_ms", s.firstAt.Sub(s.j.Arrived).Milliseconds(), "longest_pause_ms", s.longestPause.Milliseconds(),
 			"prompt", s.j.Call.PromptTokens, "estimate", s.output(), "bound", s.j.Call.MaxOutputTokens)
 		return nil, false, nil
@@ -80,7 +80,7 @@
 func (s *stream) brokenOff(ctx context.Context, p *place, err error, made int) bool {
 	u := p.decode.Upstream
 	s.runs++
-	s.log.Info("stream broke off", "upstream", u.ID, "events", s.events, "here", made, "last_event", s.lastEvent,
+	s.log.Info("stream broke off", "upstream", u.ID, "events", s.events.Load(), "here", made, "last_event", s.lastEvent,
 		"left_ms", time.Until(s.j.Deadline).Milliseconds(), "error", logs.ErrorText(err))
 	if ctx.Err() != nil || callerLeft(err) {
 		return false
@@ -176,7 +176,7 @@
 	for line := range bytes.SplitSeq(events, []byte("\n")) {
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			s.lastEvent = string(bytes.TrimSpace(id))
-			s.events++
+			s.events.Add(1)
 		}
 	}
 }
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/wardspool/wardspool/gateway/schedule"
@@ -97,7 +98,9 @@
 	begun bool
 	// lastEvent is the number of the last event that the caller has.
 	lastEvent string
-	events    int
+	// events are those that the caller got in this attempt; a move reads them while
+	// the stream goes on.
+	events    atomic.Int64
 	migration migration
 	// firstAt and lastAt are when the first and the last event came; longestPause is
 	// between two.
@@ -127,7 +130,7 @@
 // produced is the output so far, in tokens, that of the caller's earlier attempts
 // included.
 func (s *stream) produced() int {
-	return (s.j.Call.SeenEvents + s.events) * s.j.Service.Engine.Stride
+	return (s.j.Call.SeenEvents + int(s.events.Load())) * s.j.Service.Engine.Stride
 }
 
 // need is the memory to reserve, in tokens.
