Stages are planned for the peak; decode engines compute prompts while prefill engines queue

Change: demand with a half-life of 2 s; the highest of it is remembered, twice the mean expected before any burst; all surplus engines change at once, none while the peak fits, none before token time and prefill rate were measured (five prompts, fixed time and rate apart). While prefill engines have a queue, a decode engine that falls to this instance alone computes the prompt, within the pace objective of its streams. TestStagesFollowDemand and TestManyEnginesChangeTogether demanded single orders and orders below the peak; they state the new plan as strictly, on peaks.

--- a/gateway/carry/reserve.go
+++ b/gateway/carry/reserve.go
@@ -44,16 +44,19 @@
 		patience := resumePatience * float64(s.j.Deadline.Sub(since))
 		return now.After(since.Add(time.Duration(patience)))
 	}
+	service := s.j.Service.Name
 	prefill, _ := s.prefillWait()
-	ready := now.Add(prefill + s.c.o.Books.FirstEvent(s.j.Service.Name))
+	prefill = min(prefill, s.c.o.Books.SelfTime(service, s.j.Call.PromptTokens))
+	ready := now.Add(prefill + s.c.o.Books.FirstEvent(service))
 	return ready.After(s.j.Arrived.Add(s.j.Route.Objective))
 }
 
 // resumed reports whether a part of the stream was delivered before.
 func (s *stream) resumed() bool { return s.begun || s.lastEvent != "" }
 
-// prefillBusy reports whether prefill engines have so much to do that the request
-// had better wait.
+// prefillBusy reports whether prefill engines have so much to do that the prompt is not
+// added to their queue: a decode engine computes it that has memory and time for it, or
+// the request waits in line, where it holds no memory.
 func (s *stream) prefillBusy(prefill time.Duration) bool {
 	return prefill.Seconds() > longestQueue*s.j.Route.Objective.Seconds()
 }
@@ -94,12 +97,13 @@
 	if at != nil {
 		return s.reserveHome(ctx, at)
 	}
-	prefill, self := s.prefillWait()
-	if !first || s.prefillBusy(prefill) {
+	if !first {
 		return nil, nil
 	}
+	prefill, self := s.prefillWait()
 	size := s.size()
-	size.Self = self
+	size.Overflow = !self && s.prefillBusy(prefill)
+	size.Self = self || size.Overflow
 	return s.reserveFor(ctx, size)
 }
 
--- a/gateway/carry/stream_test.go
+++ b/gateway/carry/stream_test.go
@@ -12,6 +12,7 @@
 	"github.com/wardspool/wardspool/adapter"
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/routing"
+	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/kernel"
 )
 
@@ -237,6 +238,27 @@
 	assert.Equal(t, b.d.countKind("hold"), 0)
 }
 
+// TestBusyPrefillEnginesAreRelieved: a decode engine that falls to this instance computes
+// the prompt, one that falls to a peer does not.
+func TestBusyPrefillEnginesAreRelieved(t *testing.T) {
+	for _, falls := range []bool{true, false} {
+		b := streamBed(t)
+		for range 2 {
+			_, ok := b.o.Books.PlacePrefill(time.Now(), b.view.Upstreams["s"], 1<<20, "a", nil)
+			assert.Assert(t, ok)
+		}
+		b.o.Books.SetOverflow(map[ident.UpstreamID]bool{"d1": falls})
+		j := job(stream1)
+		j.Route.Objective = time.Second
+		_, err := b.Stream(t.Context(), j, &sink{})
+		assert.Equal(t, err == nil, falls)
+		assert.Equal(t, b.d.countKind("prefill"), 0)
+		if falls {
+			assert.Equal(t, b.d.countKind("hold"), 1)
+		}
+	}
+}
+
 // TestBusyPrefillEngineIsNotEjected: one that answers others while a prompt times
 // out is busy; one from which nothing comes is out of reach.
 func TestBusyPrefillEngineIsNotEjected(t *testing.T) {
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -41,38 +41,58 @@
 	lastFence int64
 	last      map[string]time.Time
 	since     map[string]time.Time
+	// peaks are those of each service's demand; all instances follow them, since the
+	// duty may fall to any.
+	peaks map[string]*schedule.Peaks
 }
 
 // giveOrders looks after the engines' stages until ctx ends, while that falls to
 // this instance.
 func (g *Service) giveOrders(ctx context.Context) {
-	b := &orderBook{last: map[string]time.Time{}, since: map[string]time.Time{}}
+	b := &orderBook{last: map[string]time.Time{}, since: map[string]time.Time{}, peaks: map[string]*schedule.Peaks{}}
 	lease := time.Duration(g.settings.Orders.LeaseMS)*time.Millisecond + leaseMargin
 	for pause.For(ctx, orderInterval) {
 		s := g.node.Snapshot()
-		if !s.Ready() || g.stopping.Load() || time.Since(s.AsOf) > orderFresh || !g.node.Holds(dutyStages, lease, orderFresh) {
+		if !s.Ready() {
 			continue
 		}
+		may := !g.stopping.Load() && time.Since(s.AsOf) <= orderFresh && g.node.Holds(dutyStages, lease, orderFresh)
 		for name, service := range s.Table.Config().Services {
-			if service.Engine != nil {
-				g.order(ctx, b, s, name, service)
+			if service.Engine == nil {
+				continue
+			}
+			now := time.Now()
+			need := g.need(now, name)
+			if need.Memory <= 0 {
+				continue
+			}
+			need = b.peak(name).Observe(now, need)
+			if may {
+				g.order(ctx, b, s, service, need)
 			}
 		}
 	}
 }
 
+// peak returns what was seen of a service's demand.
+func (b *orderBook) peak(service string) *schedule.Peaks {
+	p := b.peaks[service]
+	if p == nil {
+		p = &schedule.Peaks{}
+		b.peaks[service] = p
+	}
+	return p
+}
+
 // order changes engines' stages if that is worth it.
-func (g *Service) order(ctx context.Context, b *orderBook, s *fleet.Snapshot, name string, service routing.Service) {
+func (g *Service) order(ctx context.Context, b *orderBook, s *fleet.Snapshot, service routing.Service, need schedule.Need) {
 	now := time.Now()
+	name := service.Name
 	list := g.books.Staged(now, s.Upstreams[name])
-	need := g.need(now, name)
-	if need.Memory <= 0 {
-		return
-	}
 	if b.since[name].IsZero() {
 		b.since[name] = now
 	}
-	if now.Sub(b.since[name]) < orderWarmup || now.Sub(b.last[name]) < orderPause {
+	if !need.Measured || now.Sub(b.since[name]) < orderWarmup || now.Sub(b.last[name]) < orderPause {
 		return
 	}
 	for _, change := range schedule.PlanStages(list, service.Engine, need, g.books.Busy) {
--- a/gateway/schedule/books.go
+++ b/gateway/schedule/books.go
@@ -113,6 +113,9 @@
 	arrived map[string]*arrivals
 	// peersSince is when peers' loads first came.
 	peersSince time.Time
+	// overflow are the decode engines that this instance may have compute prompts while
+	// prefill engines are busy.
+	overflow map[ident.UpstreamID]bool
 	// others is how many further instances there are, age that of what is known of
 	// their requests.
 	others int
--- a/gateway/schedule/compute.go
+++ b/gateway/schedule/compute.go
@@ -1,7 +1,10 @@
 package schedule
 
 import (
+	"time"
+
 	"github.com/wardspool/wardspool/gateway/routing"
+	"github.com/wardspool/wardspool/ident"
 )
 
 // selfSpeed is the speed at which decode engines compute prompts, as a share of a
@@ -30,7 +33,24 @@
 	r := b.rateOf(k.up.Service)
 	event := r.tokenTime * float64(e.Stride)
 	computing := float64(k.tokens + k.peerTokens + size.compute())
-	return computing/(selfSpeed*r.prefill)+event <= size.MaxPause.Seconds()
+	return computing/(selfSpeed*r.prefill.rate())+event <= size.MaxPause.Seconds()
+}
+
+// SelfTime is how long a decode engine takes for a prompt.
+func (b *Books) SelfTime(service string, tokens int) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Duration(float64(b.rateOf(service).prefill.time(tokens)) / selfSpeed)
+}
+
+// SetOverflow says at which decode engines this instance may have prompts computed while
+// prefill engines are busy. Each falls to one instance: a prompt takes 200 ms there, and
+// what peers do is known after 300, so that two would meet at one engine and pause its
+// streams for longer than their pace objective.
+func (b *Books) SetOverflow(engines map[ident.UpstreamID]bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.overflow = engines
 }
 
 // Computed takes in that a decode engine is done with a prompt that it computed
--- a/gateway/schedule/demand.go
+++ b/gateway/schedule/demand.go
@@ -12,11 +12,6 @@
 	demandHalfLife = 2 * time.Second
 	// leastDemandAge keeps a first request from counting as a high rate.
 	leastDemandAge = time.Second
-	// rateDecay keeps the prefill rate near the best that was seen: an engine
-	// that has several prompts at once is slower for each.
-	rateDecay = 0.995
-	// defaultPrefillRate stands until a prefill was measured, in tokens a second.
-	defaultPrefillRate = 50000
 	// defaultTokenTime stands until the second event of a first stream: known engines
 	// take 0.6 to 5.3 ms.
 	defaultTokenTime = 650 * time.Microsecond
@@ -27,12 +22,10 @@
 
 // rate is what was measured of a service's engines.
 type rate struct {
-	// prefill is in tokens a second, of an engine with nothing else to do, and
-	// prefillMeasured whether it was seen or is the default.
-	prefill         float64
-	prefillMeasured bool
-	// tokenTime is the mean time of one output token, in seconds, tokenMeasured as
-	// above.
+	// prefill is the pace of prefill engines.
+	prefill *prefillPace
+	// tokenTime is the mean time of one output token, in seconds, tokenMeasured
+	// whether it was seen or is the default.
 	tokenTime     float64
 	tokenMeasured bool
 	// firstEvent is the mean time to a stream's first event, in seconds.
@@ -57,7 +50,7 @@
 func (b *Books) rateOf(service string) *rate {
 	r := b.rates[service]
 	if r == nil {
-		r = &rate{prefill: defaultPrefillRate, tokenTime: defaultTokenTime.Seconds(), firstEvent: 0.1, variance: initialSpread * initialSpread}
+		r = &rate{prefill: &prefillPace{}, tokenTime: defaultTokenTime.Seconds(), firstEvent: 0.1, variance: initialSpread * initialSpread}
 		b.rates[service] = r
 	}
 	return r
@@ -67,15 +60,7 @@
 func (b *Books) PrefillDone(service string, tokens int, took time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := b.rateOf(service)
-	if took <= 0 || tokens <= 0 {
-		return
-	}
-	seen := float64(tokens) / took.Seconds()
-	if r.prefillMeasured {
-		seen = math.Max(r.prefill*rateDecay, seen)
-	}
-	r.prefill, r.prefillMeasured = seen, true
+	b.rateOf(service).prefill.learn(tokens, took)
 }
 
 // StreamStarted takes in how long a decode engine took for the first event.
@@ -163,7 +148,8 @@
 	d.decay(now)
 	scale := d.scale(now)
 	r := b.rateOf(service)
-	return Need{Prefill: d.prefill * scale, Memory: d.memory * scale * r.tokenTime, Streams: d.streams * scale * r.tokenTime, PrefillRate: r.prefill}
+	w := Work{Prefill: d.prefill, Memory: d.memory * r.tokenTime, Streams: d.streams * r.tokenTime}
+	return Need{Work: w.times(scale), PrefillRate: r.prefill.rate(), Measured: r.prefill.measured() && r.tokenMeasured}
 }
 
 // DemandServices lists the services with demand.
--- a/gateway/schedule/engines.go
+++ b/gateway/schedule/engines.go
@@ -54,6 +54,9 @@
 	// which it pauses its streams; by MaxPause at most, 0 for any time.
 	Self     bool
 	MaxPause time.Duration
+	// Overflow means that prefill engines are only busy: the decode engine must be one
+	// at which this instance alone may do so.
+	Overflow bool
 }
 
 // HoldTokens is the memory to reserve for a request. What the reservation doesn't
@@ -93,7 +96,7 @@
 		}
 		k := b.of(u)
 		left, ok := b.left(now, k, e, run, reserve)
-		if !ok || now.Before(k.fullUntil) && run.hold >= k.fullTokens || !b.mayCompute(k, e, size) {
+		if !ok || now.Before(k.fullUntil) && run.hold >= k.fullTokens || size.Overflow && !b.overflow[u.ID] || !b.mayCompute(k, e, size) {
 			continue
 		}
 		cost := -left - closeEnough*b.random.Float64()
@@ -223,8 +226,7 @@
 // prefillTime is how long a prompt takes at an engine behind what is queued there.
 // The caller holds mu.
 func (b *Books) prefillTime(k *book, tokens int) time.Duration {
-	queued := float64(k.tokens + k.peerTokens + tokens)
-	return time.Duration(queued / b.rateOf(k.up.Service).prefill * float64(time.Second))
+	return b.rateOf(k.up.Service).prefill.time(k.tokens + k.peerTokens + tokens)
 }
 
 // openPrefill returns the open prefill engines with their costs. The caller holds
--- a/gateway/schedule/engines_test.go
+++ b/gateway/schedule/engines_test.go
@@ -122,22 +122,26 @@
 func TestStagesFollowDemand(t *testing.T) {
 	list := engines(4, 5)
 	idle := func(ident.UpstreamID) int { return 0 }
-	s := PlanStages(list, engine, Need{Prefill: 52000, Memory: 220000, PrefillRate: 55000}, idle)
+	memory := Need{Work: Work{Prefill: 104000, Memory: 440000}, PrefillRate: 55000}
+	s := PlanStages(list, engine, memory, idle)
 	assert.Equal(t, len(s), 1)
 	assert.Equal(t, s[0].To, dialect.StageDecode)
 	assert.Assert(t, s[0].After < s[0].Before)
-	s = PlanStages(list, engine, Need{Prefill: 200000, Memory: 50000, PrefillRate: 55000}, idle)
-	assert.Equal(t, len(s), 1)
-	assert.Equal(t, s[0].To, dialect.StagePrefill)
-	s = PlanStages(engines(3, 6), engine, Need{Prefill: 52000, Memory: 220000, PrefillRate: 55000}, idle)
-	assert.Equal(t, len(s), 0)
-	s = PlanStages(list, engine, Need{Prefill: 500, Memory: 9000, PrefillRate: 55000}, idle)
+	s = PlanStages(list, engine, Need{Work: Work{Prefill: 300000, Memory: 100000}, PrefillRate: 55000}, idle)
+	assert.Equal(t, len(s), 3, "all that are too many, at once")
+	for _, change := range s {
+		assert.Equal(t, change.To, dialect.StagePrefill)
+	}
+	assert.Equal(t, len(PlanStages(engines(3, 6), engine, memory, idle)), 0)
+	s = PlanStages(list, engine, Need{Work: Work{Prefill: 500, Memory: 9000}, PrefillRate: 55000}, idle)
 	assert.Equal(t, len(s), 0, "no order for nothing")
+	s = PlanStages(list, engine, Need{Work: Work{Prefill: 30000, Memory: 250000}, PrefillRate: 55000}, idle)
+	assert.Equal(t, len(s), 0, "no order while the peak fits")
 }
 
 // TestAStageKeepsItsLastEngines: whatever the demand, each stage keeps two.
 func TestAStageKeepsItsLastEngines(t *testing.T) {
-	s := PlanStages(engines(2, 7), engine, Need{Prefill: 1000, Memory: 900000, PrefillRate: 55000}, func(ident.UpstreamID) int { return 0 })
+	s := PlanStages(engines(2, 7), engine, Need{Work: Work{Prefill: 1000, Memory: 900000}, PrefillRate: 55000}, func(ident.UpstreamID) int { return 0 })
 	assert.Equal(t, len(s), 0)
 }
 
@@ -150,9 +154,11 @@
 	for i := range list {
 		list[i].Zone = ident.Zone(rune('a' + i%4))
 	}
-	need := Need{Prefill: 215000, Memory: 900000, Streams: 130, PrefillRate: 55000}
+	need := Need{Work: Work{Prefill: 430000, Memory: 1800000, Streams: 260}, PrefillRate: 55000}
 	small := &routing.Engine{Slots: 8, KVTokens: 64000}
 	s := PlanStages(list, small, need, idle)
+	best, _ := need.divide(44, small)
+	assert.Equal(t, len(s), 15-best)
 	assert.Equal(t, len(s), 5)
 	zones := map[ident.Zone]int{}
 	seen := map[ident.UpstreamID]bool{}
@@ -163,14 +169,13 @@
 		zones[change.Engine.Zone]++
 	}
 	assert.Equal(t, len(zones), 4)
-	best, _ := need.divide(44, small)
 	assert.Equal(t, len(PlanStages(engines(best+2, 42-best), small, need, idle)), 0)
 }
 
 // TestSlotsBoundStreams where memory would suffice.
 func TestSlotsBoundStreams(t *testing.T) {
 	few := &routing.Engine{Slots: 4, KVTokens: 1 << 20}
-	need := Need{Prefill: 1000, Memory: 1000, Streams: 20, PrefillRate: 55000}
+	need := Need{Work: Work{Prefill: 1000, Memory: 1000, Streams: 20}, PrefillRate: 55000}
 	assert.Equal(t, need.worst(2, 5, few), 1.0)
 }
 
@@ -377,11 +382,48 @@
 	assert.Assert(t, math.Abs(need.Streams-want) < want/50, "what was asked before counts with it: %v, want %v", need.Streams, want)
 }
 
-// TestFirstPrefillIsBelieved: the rate that stands until then is of other engines.
-func TestFirstPrefillIsBelieved(t *testing.T) {
+// TestFewPromptsDoNotShowThePace: of the first ones, some are short or wait for others.
+func TestFewPromptsDoNotShowThePace(t *testing.T) {
+	p := &prefillPace{}
+	for range enoughPrompts - 1 {
+		p.learn(1000, 80*time.Millisecond)
+		assert.Assert(t, !p.measured())
+		assert.Equal(t, p.rate(), float64(defaultPrefillRate))
+	}
+	p.learn(6000, 200*time.Millisecond)
+	assert.Assert(t, p.measured())
+	assert.Assert(t, p.rate() >= 30000 && p.rate() <= 48000, "%v", p.rate())
+}
+
+// TestPaceOfPrefillEngines is told from a fixed time for each prompt, and from prompts
+// that wait for others, two in three here.
+func TestPaceOfPrefillEngines(t *testing.T) {
+	for _, fixed := range []time.Duration{0, 50 * time.Millisecond} {
+		p := &prefillPace{}
+		for i := range 200 {
+			tokens := 1000 + 400*(i*7%13)
+			waits := time.Duration(i%3) * 90 * time.Millisecond
+			p.learn(tokens, fixed+waits+time.Duration(tokens)*30*time.Microsecond)
+		}
+		assert.Assert(t, p.rate() > 30000 && p.rate() < 38000, "%v: %v", fixed, p.rate())
+		want := fixed + 12000*30*time.Microsecond
+		off := (p.time(12000) - want).Seconds() / want.Seconds()
+		assert.Assert(t, off > -0.1 && off < 0.1, "%v: %v, want %v", fixed, p.time(12000), want)
+	}
+}
+
+// TestOverflowGoesToEnginesOfTheInstance only, and to these only while their streams stay
+// within the pace objective.
+func TestOverflowGoesToEnginesOfTheInstance(t *testing.T) {
 	b := NewBooks("a", 1)
-	b.PrefillDone("m", 3000, 100*time.Millisecond)
-	assert.Equal(t, b.rateOf("m").prefill, 30000.0)
-	b.PrefillDone("m", 3000, 300*time.Millisecond)
-	assert.Equal(t, b.rateOf("m").prefill, 30000*rateDecay, "it waited for others")
+	list := engines(0, 2)
+	size := Size{Prompt: 5000, Estimate: 1000, Self: true, Overflow: true, MaxPause: 300 * time.Millisecond}
+	_, ok := b.PlaceDecode(at(0), list, engine, size, nil)
+	assert.Assert(t, !ok)
+	b.SetOverflow(map[ident.UpstreamID]bool{"b": true})
+	ticket, ok := b.PlaceDecode(at(0), list, engine, size, nil)
+	assert.Assert(t, ok)
+	assert.Equal(t, ticket.Upstream.ID, ident.UpstreamID("b"))
+	_, ok = b.PlaceDecode(at(10), list, engine, size, nil)
+	assert.Assert(t, !ok, "two prompts would pause its stream for over 300 ms")
 }
--- /dev/null
+++ b/gateway/schedule/pace.go
@@ -0,0 +1,92 @@
+package schedule
+
+import (
+	"time"
+)
+
+const (
+	// defaultPrefillRate is believed until enough prompts were measured, in tokens a
+	// second; known engines compute 33,000 to 56,000.
+	defaultPrefillRate = 50000
+	// enoughPrompts is how many prompts show the pace: of as many, one was long and did
+	// not wait for others.
+	enoughPrompts = 5
+	// paceFade is how much longer a fastest prompt counts with each further one: an
+	// engine that has several at once is slower for each, so that most are no measure.
+	paceFade = 1.005
+	// lengthWeight is the weight of one prompt in the mean length.
+	lengthWeight = 0.05
+	// mostRateShare bounds the rate, as a share of what the fastest long prompt took with
+	// its fixed time: known engines take 0 to 50 ms before 100 ms of tokens.
+	mostRateShare = 1.6
+)
+
+// fastest is the prompt that was done fastest for its length.
+type fastest struct {
+	tokens  float64
+	seconds float64
+}
+
+// learn takes in a prompt.
+func (f *fastest) learn(tokens, seconds float64) {
+	f.seconds *= paceFade
+	if f.tokens == 0 || seconds*f.tokens < f.seconds*tokens {
+		f.tokens, f.seconds = tokens, seconds
+	}
+}
+
+// prefillPace is how fast prefill engines are, as seen by this instance: a fixed time for
+// each prompt and more for each token, told from the fastest short and the fastest long
+// prompt. With one of them alone engines that take 50 ms before each prompt look slower
+// by a third, which refuses requests that would have been on time.
+type prefillPace struct {
+	prompts int
+	// length is the mean length, which divides short prompts from long ones.
+	length      float64
+	short, long fastest
+}
+
+// learn takes in how long a prompt took.
+func (p *prefillPace) learn(tokens int, took time.Duration) {
+	if tokens <= 0 || took <= 0 {
+		return
+	}
+	n := float64(tokens)
+	if p.prompts == 0 {
+		p.length = n
+	}
+	p.prompts++
+	p.length += lengthWeight * (n - p.length)
+	if n < p.length {
+		p.short.learn(n, took.Seconds())
+	} else {
+		p.long.learn(n, took.Seconds())
+	}
+}
+
+// measured reports whether the pace rests on enough prompts. Three short ones once made
+// engines look half as fast as they are, and a decode engine was ordered to prefill.
+func (p *prefillPace) measured() bool { return p.prompts >= enoughPrompts && p.long.tokens > 0 }
+
+// rate is what an engine computes, in tokens a second.
+func (p *prefillPace) rate() float64 {
+	if !p.measured() {
+		return defaultPrefillRate
+	}
+	whole := p.long.tokens / p.long.seconds
+	tokens, seconds := p.long.tokens-p.short.tokens, p.long.seconds-p.short.seconds
+	if p.short.tokens == 0 || seconds <= 0 {
+		return whole
+	}
+	return min(mostRateShare*whole, max(whole, tokens/seconds))
+}
+
+// time is how long an engine takes until so many queued tokens are computed.
+func (p *prefillPace) time(tokens int) time.Duration {
+	rate := p.rate()
+	fixed := 0.0
+	if p.measured() {
+		fixed = max(0, p.long.seconds-p.long.tokens/rate)
+	}
+	return time.Duration((fixed + float64(tokens)/rate) * float64(time.Second))
+}
--- /dev/null
+++ b/gateway/schedule/peaks_test.go
@@ -0,0 +1,71 @@
+package schedule
+
+import (
+	"math"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/routing"
+	"github.com/wardspool/wardspool/ident"
+)
+
+// steady observes an unchanging demand for some seconds, each 500 ms.
+func steady(p *Peaks, from, seconds int, w Work) Need {
+	var n Need
+	for ms := 0; ms < 1000*seconds; ms += 500 {
+		n = p.Observe(at(1000*from+ms), Need{Work: w, PrefillRate: 33000})
+	}
+	return n
+}
+
+// TestBurstsAreExpected before the first and remembered after it.
+func TestBurstsAreExpected(t *testing.T) {
+	var p Peaks
+	calm := Work{Prefill: 36000, Memory: 138000, Streams: 39}
+	n := p.Observe(at(0), Need{Work: calm, PrefillRate: 33000})
+	assert.Assert(t, math.Abs(n.Memory-2*calm.Memory) < 1, "%v", n.Memory)
+	n = steady(&p, 1, 10, calm)
+	assert.Assert(t, math.Abs(n.Prefill-2*calm.Prefill) < 1, "%v", n.Prefill)
+	steady(&p, 11, 4, calm.times(2.6))
+	n = steady(&p, 15, 10, calm)
+	assert.Assert(t, n.Memory > 2.2*calm.Memory && n.Memory < 2.6*calm.Memory, "%v", n.Memory/calm.Memory)
+	n = steady(&p, 25, 300, calm)
+	assert.Assert(t, math.Abs(n.Memory-2*calm.Memory) < 1000, "forgotten: %v", n.Memory/calm.Memory)
+}
+
+// played is a deployment of 9 engines, four of which prefill at the start, under streams
+// of 3,200 prompt and 640 output tokens: 11.35 a second, each 3.4 s long.
+func played() (*routing.Engine, Work) {
+	const perSecond, prompt, output, seconds = 11.35, 3200, 640, 3.4
+	streams := perSecond * seconds
+	return &routing.Engine{Slots: 64, KVTokens: 41191, Stride: 9},
+		Work{Prefill: perSecond * prompt, Memory: streams * (prompt + output/2), Streams: streams}
+}
+
+// TestStreamsOfABurstFindRoom: within the first seconds, before any burst, engines go to
+// the stage that a burst of twice the traffic needs, and none goes back between bursts.
+// Planned for the mean, five decode engines met the first burst: 158 of 750 streams of a
+// day were refused for want of memory.
+func TestStreamsOfABurstFindRoom(t *testing.T) {
+	e, calm := played()
+	idle := func(ident.UpstreamID) int { return 0 }
+	var p Peaks
+	n := steady(&p, 0, 2, calm)
+	list := engines(4, 5)
+	changes := PlanStages(list, e, n, idle)
+	for _, c := range changes {
+		assert.Equal(t, c.To, dialect.StageDecode)
+		list = restaged(list, c.Engine.ID, c.To)
+	}
+	decode := count(list, dialect.StageDecode)
+	refused := calm.Streams*2 - float64(decode)*usableMemory*float64(e.KVTokens)/(calm.Memory/calm.Streams)
+	before := calm.Streams*2 - 5*usableMemory*float64(e.KVTokens)/(calm.Memory/calm.Streams)
+	assert.Assert(t, refused <= 13 && before >= 23, "at the peak %v streams find no room, before %v", refused, before)
+	for second := 2; second < 40; second += 10 {
+		steady(&p, second, 6, calm)
+		n = steady(&p, second+6, 4, calm.times(2))
+		assert.Equal(t, len(PlanStages(list, e, n, idle)), 0)
+	}
+}
--- a/gateway/schedule/stages.go
+++ b/gateway/schedule/stages.go
@@ -8,35 +8,37 @@
 	"github.com/wardspool/wardspool/ident"
 )
 
-// Need is the work of a service's engines, as rates over all instances.
-type Need struct {
+// Work is what a service's engines are asked for, as rates over all instances.
+type Work struct {
 	// Prefill is in prompt tokens a second.
 	Prefill float64
 	// Memory is in tokens, Streams is how many run at once.
 	Memory  float64
 	Streams float64
-	// PrefillRate is what one engine computes, in tokens a second.
+}
+
+// Need is the work of a service's engines and what one of them computes.
+type Need struct {
+	Work
+	// PrefillRate is in prompt tokens a second.
 	PrefillRate float64
+	// Measured means that the engines' speed was measured, not assumed.
+	Measured bool
 }
 
 const (
 	// worthSwitching is the share by which the more loaded stage must get better
 	// for engines to change their stage: they are out for some seconds.
 	worthSwitching = 0.12
-	// switchShare is the share of a service's engines that change their stage at
-	// once, at least one. One at a time is no gain worth an order among 40 engines:
-	// two fifths of them stayed idle for prompts while streams were refused.
-	switchShare = 0.125
-	// leastLoad is the load below which no engine changes its stage.
-	leastLoad = 0.15
+	// leastLoad is the load at the peak below which no engine changes its stage: what
+	// fits needs no order.
+	leastLoad = 0.8
+	// usablePrefill is the share of what prefill engines compute that is planned with:
+	// prompts come at random, and one that waits for four others is late.
+	usablePrefill = 0.9
 	// leastEngines is how many engines of a stage are kept: with one, its loss
 	// stops the service.
 	leastEngines = 2
-	// bunching makes prefill engines look busier than the mean load says, by its
-	// quotient with the root of their number: prompts come in bunches and each must
-	// be done within the latency objective, while memory is shared evenly. The more
-	// engines, the better bunches even out. 0.3 with three or four engines.
-	bunching = 0.55
 )
 
 // Switch is a change of an engine's stage that would help.
@@ -48,9 +50,10 @@
 	Before, After float64
 }
 
-// PlanStages says which engines of a service should change their stage, if any: some
-// of those that are too many for one stage, if the best division between the stages
-// lowers the load of the more loaded one enough.
+// PlanStages says which engines of a service should change their stage, if any: those
+// that are too many for one stage at the peak of the demand, if the best division between
+// the stages lowers the load of the more loaded one enough. All change at once: they come
+// from the stage with room to spare, and one at a time each took 12 s.
 func PlanStages(list []dialect.Upstream, e *routing.Engine, n Need, busy func(ident.UpstreamID) int) []Switch {
 	prefill, decode := count(list, dialect.StagePrefill), count(list, dialect.StageDecode)
 	before := n.worst(prefill, decode, e)
@@ -62,9 +65,8 @@
 	if best > prefill {
 		from, to = to, from
 	}
-	several := max(1, int(switchShare*float64(prefill+decode)))
 	var out []Switch
-	for range min(several, max(best-prefill, prefill-best)) {
+	for range max(best-prefill, prefill-best) {
 		u, ok := spare(list, from, busy)
 		if !ok {
 			break
@@ -92,9 +94,8 @@
 	if prefill <= 0 || decode <= 0 {
 		return math.Inf(1)
 	}
-	p := n.Prefill / (float64(prefill) * n.PrefillRate)
-	p *= 1 + bunching/math.Sqrt(float64(prefill))
-	d := n.Memory / (float64(decode) * float64(e.KVTokens))
+	p := n.Prefill / (float64(prefill) * usablePrefill * n.PrefillRate)
+	d := n.Memory / (float64(decode) * usableMemory * float64(e.KVTokens))
 	if e.Slots > 0 {
 		d = math.Max(d, n.Streams/float64(decode*e.Slots))
 	}
