--- a/gateway/fleet/hub.go
+++ b/gateway/fleet/hub.go
@@ -102,6 +102,7 @@
 		sum.PrefillRate += d.PrefillRate
 		sum.MemoryRate += d.MemoryRate
 		sum.StreamRate += d.StreamRate
+		sum.EngineRate = max(sum.EngineRate, d.EngineRate)
 		l.Demand[service] = sum
 	}
 }
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -108,6 +108,9 @@
 	n.Prefill += d.PrefillRate
 	n.Memory += d.MemoryRate
 	n.Streams += d.StreamRate
+	if !n.Measured && d.EngineRate > 0 {
+		n.PrefillRate, n.Measured = d.EngineRate, true
+	}
 	return n
 }
 
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -112,7 +112,11 @@
 	}
 	for _, name := range g.books.DemandServices() {
 		n := g.books.Demand(now, name)
-		l.Demand[name] = fleet.Demand{PrefillRate: n.Prefill, MemoryRate: n.Memory, StreamRate: n.Streams}
+		d := fleet.Demand{PrefillRate: n.Prefill, MemoryRate: n.Memory, StreamRate: n.Streams}
+		if n.Measured {
+			d.EngineRate = n.PrefillRate
+		}
+		l.Demand[name] = d
 	}
 	return l
 }
