One of two instances calls the other; heartbeats name the others each 600 ms

A call and its answer now tell both the load of the moment, so that one has to call; the others are named each 600 ms.

--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -181,7 +181,7 @@
 		}
 		n.mu.Lock()
 		h := n.roster.Beat(time.Now(), load)
-		partners := n.roster.Partners(random)
+		partners := n.roster.Partners(time.Now(), random)
 		wait := n.roster.Beats()
 		n.mu.Unlock()
 		for _, address := range partners {
@@ -214,12 +214,17 @@
 	n.noteAlive()
 }
 
-// onHeartbeat answers a peer's heartbeat.
+// onHeartbeat answers a peer's heartbeat, in a small fleet with the load of now.
 func (n *Node) onHeartbeat(_ context.Context, _ peer.Identity, h Heartbeat) (Heartbeat, error) {
+	load := Load{}
+	if !n.large() {
+		load = n.o.Load()
+	}
 	n.mu.Lock()
 	now := time.Now()
 	n.roster.Receive(now, h)
-	answer := n.roster.Heartbeat(now)
+	n.roster.Update(load)
+	answer := n.roster.Answer(now)
 	n.mu.Unlock()
 	n.noteAlive()
 	return answer, nil
--- a/gateway/fleet/partners.go
+++ b/gateway/fleet/partners.go
@@ -7,10 +7,10 @@
 	"time"
 )
 
-// Partners returns the addresses to exchange heartbeats with now: all in a small
-// fleet, some of the own zone at random in a large one and at times one of another,
+// Partners returns the addresses to exchange heartbeats with now: in a small fleet all
+// that have not just done so, some of the own zone at random in a large one and at times one of another,
 // and the seeds while they are unknown.
-func (r *Roster) Partners(random *rand.Rand) []string {
+func (r *Roster) Partners(now time.Time, random *rand.Rand) []string {
 	var own, foreign []string
 	for _, p := range r.peers {
 		if p.member.Zone == r.self.Zone {
@@ -20,7 +20,7 @@
 		}
 	}
 	known := slices.Concat(own, foreign)
-	partners := known
+	partners := r.quietPeers(now)
 	if r.large() {
 		calls := min(1, foreignCalls/float64(len(own)+1))
 		partners = some(random, own, fanout)
@@ -36,6 +36,18 @@
 	return partners
 }
 
+// quietPeers returns the addresses of the peers that have not told of themselves lately,
+// or not answered a call.
+func (r *Roster) quietPeers(now time.Time) []string {
+	var out []string
+	for _, p := range r.peers {
+		if now.Sub(p.told) >= toldLately || now.Sub(p.answered) >= answeredLately {
+			out = append(out, p.member.Address)
+		}
+	}
+	return out
+}
+
 // some returns as many addresses at random.
 func some(random *rand.Rand, addresses []string, n int) []string {
 	slices.SortFunc(addresses, cmp.Compare[string])
--- a/gateway/fleet/roster.go
+++ b/gateway/fleet/roster.go
@@ -27,6 +27,16 @@
 	// larger ones each instance calls fanout others and relays what it knows.
 	fullMesh = 16
 	fanout   = 3
+	// relayInterval is how often heartbeats of a small fleet name the others; three times
+	// before a silent one counts as dead.
+	relayInterval = 600 * time.Millisecond
+	// toldLately is how long a peer that has told of itself is not called: a call and its
+	// answer tell both, so that one of two has to call. It was half of the heartbeats'
+	// bytes between zones.
+	toldLately = 220 * time.Millisecond
+	// answeredLately is how long the answer to an own call counts: orders need answers
+	// of the last 1.5 s from most instances.
+	answeredLately = 900 * time.Millisecond
 	// foreignCalls is how many of a zone's instances call one of another zone in each
 	// round of a large fleet. With partners from all zones 85 instances sent 0.47 GB
 	// between zones in 44 s, nine tenths of it heartbeats.
@@ -118,8 +128,10 @@
 	member Member
 	// heard is when its heartbeat was made, at the latest, on this instance's clock.
 	heard time.Time
-	// answered is when it last answered a call of this instance.
+	// answered is when it last answered a call of this instance, told when it last
+	// told of itself, in a call of its own or in an answer.
 	answered time.Time
+	told     time.Time
 }
 
 // Roster holds what is known of the instances. It is not safe for concurrent use.
@@ -132,6 +144,8 @@
 	held map[string]time.Time
 	// refreshed is when the roster was last looked at.
 	refreshed time.Time
+	// relayed is when a heartbeat last named other instances.
+	relayed time.Time
 }
 
 // large reports whether the fleet is too large for all pairs to exchange
@@ -169,11 +183,29 @@
 	return beatInterval
 }
 
-// Beat makes this instance's next heartbeat.
+// Beat makes this instance's next heartbeat. In a small fleet it names the others only
+// each relayInterval: all pairs talk anyway.
 func (r *Roster) Beat(now time.Time, load Load) Heartbeat {
+	r.Update(load)
+	if !r.large() && !r.relayed.IsZero() && now.Sub(r.relayed) < relayInterval {
+		return Heartbeat{From: r.self}
+	}
+	r.relayed = now
+	return r.Heartbeat(now)
+}
+
+// Update takes in this instance's newest load.
+func (r *Roster) Update(load Load) {
 	r.self.Sequence++
 	r.self.Load = load
-	return r.Heartbeat(now)
+}
+
+// Answer returns the answer to a heartbeat: in a small fleet without the others.
+func (r *Roster) Answer(now time.Time) Heartbeat {
+	if r.large() {
+		return r.Heartbeat(now)
+	}
+	return Heartbeat{From: r.self}
 }
 
 // Heartbeat returns what to tell a peer now.
@@ -196,6 +228,9 @@
 // Receive takes in a heartbeat.
 func (r *Roster) Receive(now time.Time, h Heartbeat) {
 	r.take(now, h.From)
+	if p := r.peers[h.From.ID]; p != nil {
+		p.told = now
+	}
 	for _, o := range h.Relayed {
 		r.take(now.Add(-time.Duration(o.AgeMS)*time.Millisecond), o.Member)
 	}
--- a/gateway/fleet/roster_test.go
+++ b/gateway/fleet/roster_test.go
@@ -132,11 +132,11 @@
 		hear(r, 0, member(i, "a"))
 	}
 	random := rand.New(rand.NewPCG(1, 1))
-	assert.Equal(t, len(r.Partners(random)), 6, "all and the unknown seed")
+	assert.Equal(t, len(r.Partners(at(0), random)), 6, "all and the unknown seed")
 	for i := 6; i <= 60; i++ {
 		hear(r, 0, member(i, "a"))
 	}
-	assert.Equal(t, len(r.Partners(random)), fanout+1)
+	assert.Equal(t, len(r.Partners(at(0), random)), fanout+1)
 	assert.Assert(t, r.Beats() > beatInterval)
 }
 
@@ -240,7 +240,7 @@
 	random := rand.New(rand.NewPCG(1, 1))
 	own, others := 0, 0
 	for range 1000 {
-		for _, address := range r.Partners(random) {
+		for _, address := range r.Partners(at(0), random) {
 			if foreign[address] {
 				others++
 			} else {
@@ -272,3 +272,50 @@
 	assert.Assert(t, r.Inhabited(at(0), "b"))
 	assert.Assert(t, !r.Inhabited(at(5000), "b"))
 }
+
+// TestOneOfTwoCalls: two instances of a small fleet that exchange heartbeats call each
+// other about as often together as one alone would, know each other's load as well, and
+// each still gets answers often enough to give orders.
+func TestOneOfTwoCalls(t *testing.T) {
+	a, b := NewRoster(member(0, "a"), nil), NewRoster(member(1, "b"), nil)
+	hear(a, 0, b.self)
+	hear(b, 0, a.self)
+	random := rand.New(rand.NewPCG(1, 1))
+	calls, oldest := 0, time.Duration(0)
+	call := func(from, to *Roster, ms int) {
+		oldest = max(oldest, at(ms).Sub(from.peers[to.self.ID].told))
+		if len(from.Partners(at(ms), random)) == 0 {
+			return
+		}
+		calls++
+		to.Receive(at(ms), from.Beat(at(ms), Load{}))
+		to.Update(Load{Demand: map[string]Demand{"m": {PrefillRate: float64(ms)}}})
+		from.Receive(at(ms), to.Answer(at(ms)))
+		from.Answered(at(ms), to.self.ID)
+		assert.Equal(t, from.peers[to.self.ID].member.Load.Demand["m"].PrefillRate, float64(ms))
+	}
+	a.peers[b.self.ID].told, b.peers[a.self.ID].told = at(0), at(0)
+	for ms := 300; ms <= 30000; ms += 300 {
+		call(a, b, ms)
+		call(b, a, ms+150)
+		if ms > 3000 {
+			assert.Assert(t, a.InTouch(at(ms+160), 1500*time.Millisecond))
+			assert.Assert(t, b.InTouch(at(ms+160), 1500*time.Millisecond))
+		}
+	}
+	assert.Assert(t, calls < 150, "%d in 30 s; 200 if both always called", calls)
+	assert.Assert(t, oldest <= 300*time.Millisecond, "%v", oldest)
+}
+
+// TestSilentPeerIsCalledEachTime, and named by others often enough to count as alive.
+func TestSilentPeerIsCalledEachTime(t *testing.T) {
+	r := NewRoster(member(0, "a"), nil)
+	hear(r, 0, member(1, "b"))
+	random := rand.New(rand.NewPCG(1, 1))
+	named := 0
+	for ms := 300; ms <= 1800; ms += 300 {
+		assert.Equal(t, len(r.Partners(at(ms), random)), 1)
+		named += len(r.Beat(at(ms), Load{}).Relayed)
+	}
+	assert.Equal(t, named, 3)
+}
