Streams at silent engines go on elsewhere; the plan takes the highest rate of all instances

Cause: a stream across a cut between zones stood still until its caller left after 3.6 s (four objectives); 14 to 18 callers then came back in the same 100 ms, 3,300 tokens to read each, and 8 of them found no room. An engine that sends nothing for two pace objectives is asked for its report now; without an answer the attempt is closed and the stream goes on at another engine, on routes that may run again. A failed question never says that the request was not sent. Ruled out: engines that pause (they answer and are waited for).

--- a/gateway/carry/carry.go
+++ b/gateway/carry/carry.go
@@ -175,9 +175,12 @@
 
 // note takes what an attempt showed of its upstream into the books.
 func (c *Carrier) note(u dialect.Upstream, a *attempt, took time.Duration, log *slog.Logger) {
+	var silent *SilentError
 	switch {
 	case a.err == nil && a.verdict == dialect.Success:
 		c.o.Books.Answered(time.Now(), u, took)
+	case errors.As(a.err, &silent):
+		c.failed(u, Unreached(silent.Err), a.err, took, log)
 	case errors.Is(a.err, context.Canceled):
 	case a.err == nil && (a.verdict == dialect.Failure || a.verdict == dialect.Refused):
 		c.failed(u, schedule.Soft, a.err, took, log)
--- a/gateway/carry/decode.go
+++ b/gateway/carry/decode.go
@@ -19,10 +19,13 @@
 	if h != nil {
 		source = &h.handle
 	}
-	resp, verdict, err := s.c.o.Dialect.Do(ctx, s.j.Call, dialect.Send{
+	g := s.guardOf(ctx, u)
+	defer g.stop()
+	resp, verdict, err := s.c.o.Dialect.Do(g.ctx, s.j.Call, dialect.Send{
 		To: u, Deadline: s.j.Deadline.Add(-deadlineMargin), Source: source, Hold: p.hold, LastEvent: s.lastEvent,
 	})
 	if err != nil {
+		err = g.cause(err)
 		return nil, s.failedSend(ctx, p, h, err), s.sendError(ctx, err)
 	}
 	defer resp.Body.Close()
@@ -31,7 +34,7 @@
 	}
 	s.accepted(u, h)
 	s.log.Info("stream accepted", "upstream", u.ID, "took_ms", time.Since(start).Milliseconds(), "since_arrival_ms", time.Since(s.j.Arrived).Milliseconds())
-	return s.forward(ctx, p, resp, start)
+	return s.forward(ctx, g, p, resp, start)
 }
 
 // failedSend takes in a sending that brought no response, and reports whether
--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -47,7 +47,9 @@
 	// a stream was stopped.
 	migrate map[string][]error
 	// kept is what engines have in their caches.
-	kept    map[ident.UpstreamID]map[string]int
+	kept map[ident.UpstreamID]map[string]int
+	// silent engines don't answer when they are asked for a report.
+	silent  map[ident.UpstreamID]bool
 	stopped func()
 	calls   []string
 	sends   []dialect.Send
@@ -91,6 +93,8 @@
 	}
 	h := http.Header{"X-From": {string(s.To.ID)}}
 	if r.stream != nil {
+		// As on a connection: the end of the attempt ends the reading.
+		context.AfterFunc(ctx, func() { _ = r.stream.Close() })
 		return &http.Response{StatusCode: r.status, Header: h, Body: r.stream}, r.verdict, nil
 	}
 	return &http.Response{StatusCode: r.status, Header: h, Body: io.NopCloser(body)}, r.verdict, nil
@@ -136,7 +140,13 @@
 
 func (f *fakeDialect) Read(*http.Request, []byte) (*dialect.Call, error) { return nil, nil }
 func (f *fakeDialect) Order(context.Context, dialect.Order) error        { return nil }
-func (f *fakeDialect) Report(context.Context, dialect.Upstream) (dialect.Report, error) {
+func (f *fakeDialect) Report(_ context.Context, u dialect.Upstream) (dialect.Report, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.record("report %s", u.ID)
+	if f.silent[u.ID] {
+		return dialect.Report{}, notSent
+	}
 	return dialect.Report{}, nil
 }
 func (f *fakeDialect) Migrate(_ context.Context, m dialect.Migration) (dialect.Handle, error) {
--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -37,13 +37,13 @@
 func (e *CallerError) Unwrap() error { return e.Err }
 
 // forward sends a stream on as it comes, in whole events.
-func (s *stream) forward(ctx context.Context, p *place, resp *http.Response, start time.Time) (*Answer, bool, error) {
+func (s *stream) forward(ctx context.Context, g *guard, p *place, resp *http.Response, start time.Time) (*Answer, bool, error) {
 	u := p.decode.Upstream
 	before := s.events.Load()
 	started := time.Time{}
 	s.migration.arrive()
 	s.c.enter(p.decode, s)
-	err := s.copyEvents(p, resp, func() { started = time.Now() })
+	err := g.cause(s.copyEvents(g, p, resp, func() { started = time.Now() }))
 	s.c.exit(p.decode)
 	source, ambiguous := s.moved(p)
 	if source != nil && ctx.Err() == nil && !callerLeft(err) {
@@ -105,12 +105,13 @@
 }
 
 // copyEvents sends whole events on until the stream's end.
-func (s *stream) copyEvents(p *place, resp *http.Response, first func()) error {
+func (s *stream) copyEvents(g *guard, p *place, resp *http.Response, first func()) error {
 	var pending []byte
 	started := false
 	buf := make([]byte, readBytes)
 	for {
 		n, err := resp.Body.Read(buf)
+		g.heard()
 		pending = append(pending, buf[:n]...)
 		if end := lastEventEnd(pending); end > 0 {
 			if !started {
--- a/gateway/carry/migrate.go
+++ b/gateway/carry/migrate.go
@@ -230,17 +230,20 @@
 func (s *stream) goOn(ctx context.Context, p *place, source *dialect.Handle) (*Answer, bool, error) {
 	u := p.decode.Upstream
 	start := time.Now()
-	resp, verdict, err := s.c.o.Dialect.Do(ctx, s.j.Call, dialect.Send{
+	g := s.guardOf(ctx, u)
+	defer g.stop()
+	resp, verdict, err := s.c.o.Dialect.Do(g.ctx, s.j.Call, dialect.Send{
 		To: u, Deadline: s.j.Deadline.Add(-deadlineMargin), Source: source, LastEvent: s.lastEvent,
 	})
 	if err == nil && verdict == dialect.Success {
 		defer resp.Body.Close()
-		return s.forward(ctx, p, resp, start)
+		return s.forward(ctx, g, p, resp, start)
 	}
 	if err == nil {
 		resp.Body.Close()
 		err = &dialect.StatusError{Op: "go on", Status: resp.StatusCode}
 	}
+	err = g.cause(err)
 	return nil, s.brokenOff(ctx, p, err, 0), s.streamError(ctx, err)
 }
 
--- /dev/null
+++ b/gateway/carry/watch_test.go
@@ -0,0 +1,82 @@
+package carry
+
+import (
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/routing"
+	"github.com/wardspool/wardspool/ident"
+)
+
+// stall runs a stream at d1 that sends two events and then nothing for some seconds, and
+// returns the bed, what the caller got and how long it took.
+func stall(t *testing.T, r routing.Route, silent bool) (*bed, *sink, time.Duration, error) {
+	t.Helper()
+	r.PaceObjective = 300 * time.Millisecond
+	b := newBed(t, slack, engineUps([]string{"p1"}, []string{"d1", "d2"})...)
+	body := newStoppable()
+	b.d.do["d1"] = []reply{{verdict: dialect.Success, status: 200, stream: body}}
+	b.d.do["d2"] = []reply{{verdict: dialect.Success, status: 200, body: events(3, 5)}}
+	full := &dialect.FullError{}
+	b.d.hold["d2"] = []error{full, nil}
+	b.d.silent = map[ident.UpstreamID]bool{"d1": silent}
+	var upstream sync.WaitGroup
+	defer upstream.Wait()
+	upstream.Go(func() {
+		if _, err := io.WriteString(body.w, events(1, 2)); err != nil {
+			return
+		}
+		time.Sleep(3 * time.Second)
+		if _, err := io.WriteString(body.w, events(3, 5)); err == nil {
+			_ = body.w.Close()
+		}
+	})
+	got := &sink{}
+	start := time.Now()
+	_, err := b.Stream(t.Context(), job(r), got)
+	return b, got, time.Since(start), err
+}
+
+// TestStreamAtASilentEngineGoesOnElsewhere long before its caller would leave, once it is
+// known that the engine doesn't answer; one that only pauses is waited for.
+func TestStreamAtASilentEngineGoesOnElsewhere(t *testing.T) {
+	for _, silent := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			b, got, took, err := stall(t, resumable, silent)
+			assert.NilError(t, err)
+			assert.Equal(t, got.body.String(), events(1, 5))
+			assert.Equal(t, got.heads, 1)
+			assert.Equal(t, took < time.Second, silent, "%v", took)
+			assert.Equal(t, b.d.count("do d2"), map[bool]int{true: 1, false: 0}[silent])
+		})
+	}
+}
+
+// TestStreamThatRunsOnceIsLeftAtASilentEngine: nothing else may run it.
+func TestStreamThatRunsOnceIsLeftAtASilentEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, got, _, err := stall(t, stream1, true)
+		assert.NilError(t, err)
+		assert.Equal(t, got.body.String(), events(1, 5))
+		assert.Equal(t, b.d.count("do d2"), 0)
+	})
+}
+
+// TestSilenceDoesNotSayThatARequestWasNotSent: the question was not answered, the request
+// may have run all the same.
+func TestSilenceDoesNotSayThatARequestWasNotSent(t *testing.T) {
+	b := newBed(t, slack, engineUps([]string{"p1"}, []string{"d1"})...)
+	b.d.silent = map[ident.UpstreamID]bool{"d1": true}
+	b.d.do["d1"] = []reply{{hangs: true}}
+	r := resumable
+	r.PaceObjective, r.Objective = 10*time.Millisecond, 500*time.Millisecond
+	_, err := b.Stream(t.Context(), job(r), &sink{})
+	assert.Equal(t, b.d.count("do d1"), 1)
+	assert.Equal(t, fateOf(t, err), Unknown)
+}
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -108,7 +108,9 @@
 	n.Prefill += d.PrefillRate
 	n.Memory += d.MemoryRate
 	n.Streams += d.StreamRate
-	if !n.Measured && d.EngineRate > 0 {
+	if d.EngineRate > 0 && (!n.Measured || d.EngineRate > n.PrefillRate) {
+		// One instance alone may have seen only prompts that waited for others: with
+		// half of the true rate, 13 of 90 engines were ordered to prefill and back.
 		n.PrefillRate, n.Measured = d.EngineRate, true
 	}
 	return n
--- a/gateway/schedule/demand.go
+++ b/gateway/schedule/demand.go
@@ -149,7 +149,11 @@
 	scale := d.scale(now)
 	r := b.rateOf(service)
 	w := Work{Prefill: d.prefill, Memory: d.memory * r.tokenTime, Streams: d.streams * r.tokenTime}
-	return Need{Work: w.times(scale), PrefillRate: r.prefill.rate(), Measured: r.prefill.measured() && r.tokenMeasured}
+	n := Need{Work: w.times(scale), PrefillRate: defaultPrefillRate, Measured: r.prefill.measured() && r.tokenMeasured}
+	if n.Measured {
+		n.PrefillRate = r.prefill.whole()
+	}
+	return n
 }
 
 // DemandServices lists the services with demand.
--- a/gateway/schedule/pace.go
+++ b/gateway/schedule/pace.go
@@ -73,7 +73,7 @@
 	if !p.measured() {
 		return defaultPrefillRate
 	}
-	whole := p.long.tokens / p.long.seconds
+	whole := p.whole()
 	tokens, seconds := p.long.tokens-p.short.tokens, p.long.seconds-p.short.seconds
 	if p.short.tokens == 0 || seconds <= 0 {
 		return whole
@@ -81,6 +81,9 @@
 	return min(mostRateShare*whole, max(whole, tokens/seconds))
 }
 
+// whole is what an engine computes with the fixed times counted in, in tokens a second.
+func (p *prefillPace) whole() float64 { return p.long.tokens / p.long.seconds }
+
 // time is how long an engine takes until so many queued tokens are computed.
 func (p *prefillPace) time(tokens int) time.Duration {
 	rate := p.rate()
