A request for which no decode engine falls to this instance is refused at once; guards start their timer in place

Reading: with prefill engines busy, requests waited for the time that a decode engine would take, also where none may take the prompt; TestBusyPrefillEnginesKeepRequestsInLine now demands that they are refused at once, within half of the objective. The timer of a guard was set after it had been started, which the race detector may call a race.

--- a/gateway/carry/reserve.go
+++ b/gateway/carry/reserve.go
@@ -46,7 +46,9 @@
 	}
 	service := s.j.Service.Name
 	prefill, _ := s.prefillWait()
-	prefill = min(prefill, s.c.o.Books.SelfTime(service, s.j.Call.PromptTokens))
+	if overflow, ok := s.c.o.Books.OverflowTime(service, s.j.Call.PromptTokens); ok {
+		prefill = min(prefill, overflow)
+	}
 	ready := now.Add(prefill + s.c.o.Books.FirstEvent(service))
 	return ready.After(s.j.Arrived.Add(s.j.Route.Objective))
 }
--- a/gateway/carry/stream_test.go
+++ b/gateway/carry/stream_test.go
@@ -234,6 +234,7 @@
 	j := job(stream1)
 	j.Route.Objective = time.Second
 	_, err := b.Stream(t.Context(), j, &sink{})
+	assert.Assert(t, time.Since(j.Arrived) < 500*time.Millisecond, "it is known that it can't be served")
 	assert.Equal(t, fateOf(t, err), NotRun)
 	assert.Equal(t, b.d.countKind("hold"), 0)
 }
--- a/gateway/carry/watch.go
+++ b/gateway/carry/watch.go
@@ -51,6 +51,9 @@
 // engine is asked whether it lives.
 const stallFactor = 2
 
+// notYet is the time of a timer that is not started yet.
+const notYet = time.Hour
+
 // guard watches the engine of a running stream that may go on elsewhere. Without it a
 // stream across a cut between zones stood still until its caller left after 3.6 s, and
 // all of them came back at the same moment.
@@ -71,11 +74,13 @@
 	}
 	watched, cancel := context.WithCancelCause(ctx)
 	g.ctx = watched
-	g.timer = time.AfterFunc(g.after, func() {
+	// The timer must be in place when it fires: it is started by heard.
+	g.timer = time.AfterFunc(notYet, func() {
 		if s.ask(watched, u, cancel) {
 			g.heard()
 		}
 	})
+	g.heard()
 	g.stop = func() {
 		g.timer.Stop()
 		cancel(nil)
--- a/gateway/fleet/partners.go
+++ b/gateway/fleet/partners.go
@@ -8,8 +8,8 @@
 )
 
 // Partners returns the addresses to exchange heartbeats with now: in a small fleet all
-// that have not just done so, some of the own zone at random in a large one and at times one of another,
-// and the seeds while they are unknown.
+// that have not just done so; in a large one some of the own zone at random, and at times
+// one of another. The seeds are among them while they are unknown.
 func (r *Roster) Partners(now time.Time, random *rand.Rand) []string {
 	var own, foreign []string
 	for _, p := range r.peers {
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -61,19 +61,25 @@
 			if service.Engine == nil {
 				continue
 			}
-			now := time.Now()
-			need := g.need(now, name)
-			if need.Memory <= 0 {
-				continue
-			}
-			need = b.peak(name).Observe(now, need)
-			if may {
+			need, known := g.observe(b, name)
+			if known && may {
 				g.order(ctx, b, s, service, need)
 			}
 		}
 	}
 }
 
+// observe follows the demand of a service and returns the one to plan for; false while
+// there is none.
+func (g *Service) observe(b *orderBook, service string) (schedule.Need, bool) {
+	now := time.Now()
+	need := g.need(now, service)
+	if need.Memory <= 0 {
+		return need, false
+	}
+	return b.peak(service).Observe(now, need), true
+}
+
 // peak returns what was seen of a service's demand.
 func (b *orderBook) peak(service string) *schedule.Peaks {
 	p := b.peaks[service]
--- a/gateway/schedule/compute.go
+++ b/gateway/schedule/compute.go
@@ -36,11 +36,15 @@
 	return computing/(selfSpeed*r.prefill.rate())+event <= size.MaxPause.Seconds()
 }
 
-// SelfTime is how long a decode engine takes for a prompt.
-func (b *Books) SelfTime(service string, tokens int) time.Duration {
+// OverflowTime is how long a decode engine takes for a prompt; false if none falls to this
+// instance while prefill engines are busy.
+func (b *Books) OverflowTime(service string, tokens int) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return time.Duration(float64(b.rateOf(service).prefill.time(tokens)) / selfSpeed)
+	if len(b.overflow) == 0 {
+		return 0, false
+	}
+	return time.Duration(float64(b.rateOf(service).prefill.time(tokens)) / selfSpeed), true
 }
 
 // SetOverflow says at which decode engines this instance may have prompts computed while
