--- a/gateway/carry/reserve.go
+++ b/gateway/carry/reserve.go
@@ -137,7 +137,7 @@
 		start := time.Now()
 		hold, err := s.hold(ctx, t)
 		if err == nil {
-			s.log.Info("reserved", "upstream", t.Upstream.ID, "tokens", s.need(), "self", size.Self, "took_ms", time.Since(start).Milliseconds(), "waited_ms", start.Sub(s.j.Arrived).Milliseconds())
+			s.log.Info("reserved", "upstream", t.Upstream.ID, "tokens", s.need(), "self", size.Self, "overflow", size.Overflow, "took_ms", time.Since(start).Milliseconds(), "waited_ms", start.Sub(s.j.Arrived).Milliseconds())
 			return &place{decode: t, hold: hold, self: size.Self}, nil
 		}
 		s.c.o.Books.Done(t)
--- a/gateway/carry/watch.go
+++ b/gateway/carry/watch.go
@@ -6,10 +6,8 @@
 	"fmt"
 	"time"
 
-	"github.com/wardspool/wardspool/adapter"
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/ident"
-	"github.com/wardspool/wardspool/kernel"
 )
 
 const (
@@ -47,64 +45,6 @@
 	}
 }
 
-// stallFactor is how many pace objectives a running stream may send nothing before its
-// engine is asked whether it lives.
-const stallFactor = 2
-
-// notYet is the time of a timer that is not started yet.
-const notYet = time.Hour
-
-// guard watches the engine of a running stream that may go on elsewhere. Without it a
-// stream across a cut between zones stood still until its caller left after 3.6 s, and
-// all of them came back at the same moment.
-type guard struct {
-	// ctx is the attempt's, canceled with a *SilentError.
-	ctx   context.Context
-	stop  func()
-	timer *time.Timer
-	after time.Duration
-}
-
-// guardOf returns the guard of an attempt at an engine; streams that run at most once are
-// left alone.
-func (s *stream) guardOf(ctx context.Context, u dialect.Upstream) *guard {
-	g := &guard{ctx: ctx, stop: func() {}, after: stallFactor * s.j.Route.PaceObjective}
-	if !s.j.Route.Repeatable() || g.after <= 0 {
-		return g
-	}
-	watched, cancel := context.WithCancelCause(ctx)
-	g.ctx = watched
-	// The timer must be in place when it fires: it is started by heard.
-	g.timer = time.AfterFunc(notYet, func() {
-		if s.ask(watched, u, cancel) {
-			g.heard()
-		}
-	})
-	g.heard()
-	g.stop = func() {
-		g.timer.Stop()
-		cancel(nil)
-	}
-	return g
-}
-
-// heard begins the wait anew.
-func (g *guard) heard() {
-	if g.timer != nil && g.ctx.Err() == nil {
-		g.timer.Reset(g.after)
-	}
-}
-
-// cause returns the silence for which an attempt was given up, otherwise its own error.
-// Whether the request was sent is the attempt's to say: the question was another call.
-func (g *guard) cause(err error) error {
-	silent := silence(g.ctx)
-	if err == nil || silent == nil {
-		return err
-	}
-	return &adapter.CallError{Evidence: adapter.AsCallError(err).Evidence, Code: kernel.FailureBroken, Err: silent}
-}
-
 // ask asks an engine for a sign of life, and cancels with a *SilentError if there is none.
 func (s *stream) ask(watched context.Context, u dialect.Upstream, cancel context.CancelCauseFunc) bool {
 	asking, done := context.WithTimeout(watched, watchTimeout)
--- a/gateway/fleet/partners.go
+++ b/gateway/fleet/partners.go
@@ -7,6 +7,16 @@
 	"time"
 )
 
+const (
+	// toldLately is how long a peer that has told of itself is not called: a call and its
+	// answer tell both, so that one of two has to call. It was half of the heartbeats'
+	// bytes between zones.
+	toldLately = 220 * time.Millisecond
+	// answeredLately is how long the answer to an own call counts: orders need answers
+	// of the last 1.5 s from most instances.
+	answeredLately = 900 * time.Millisecond
+)
+
 // Partners returns the addresses to exchange heartbeats with now: in a small fleet all
 // that have not just done so; in a large one some of the own zone at random, and at times
 // one of another. The seeds are among them while they are unknown.
--- /dev/null
+++ b/gateway/schedule/demand_test.go
@@ -0,0 +1,38 @@
+package schedule
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestDemandIsARate(t *testing.T) {
+	b := NewBooks("a", 1)
+	now := at(0)
+	for range 600 {
+		now = now.Add(100 * time.Millisecond)
+		b.Asked(now, "m", 500, 1000)
+	}
+	need := b.Demand(now, "m")
+	assert.Assert(t, math.Abs(need.Prefill-5000) < 250, "%v", need.Prefill)
+	want := 10 * (500.0 + 500) * 1000 * defaultTokenTime.Seconds()
+	assert.Assert(t, math.Abs(need.Memory-want) < want/20, "%v, want %v", need.Memory, want)
+	assert.Assert(t, math.Abs(need.Streams-want/1000) < want/20000, "%v", need.Streams)
+}
+
+// TestTokenTimeIsLearnedWhileStreamsRun: not only when the first has ended, 3.5 s after
+// a start.
+func TestTokenTimeIsLearnedWhileStreamsRun(t *testing.T) {
+	b := NewBooks("a", 1)
+	ticket, ok := b.PlaceDecode(at(0), engines(0, 1), engine, Size{Prompt: 3000, Estimate: 640}, nil)
+	assert.Assert(t, ok)
+	b.Asked(at(0), "m", 3000, 640)
+	b.Progress(at(100), ticket, 9)
+	b.Progress(at(148), ticket, 18)
+	assert.Assert(t, math.Abs(b.rateOf("m").tokenTime-0.0053) < 0.0001, "%v", b.rateOf("m").tokenTime)
+	need := b.Demand(at(1000), "m")
+	want := 640 * 0.0053 * need.Prefill / 3000
+	assert.Assert(t, math.Abs(need.Streams-want) < want/50, "what was asked before counts with it: %v, want %v", need.Streams, want)
+}
--- a/gateway/schedule/engines_test.go
+++ b/gateway/schedule/engines_test.go
@@ -8,7 +8,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/wardspool/wardspool/gateway/dialect"
-	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/ident"
 )
 
@@ -119,80 +118,6 @@
 
 // TestStagesFollowDemand: an idle prefill engine becomes a decode engine when
 // memory is short, and the other way round; a balanced service stays as it is.
-func TestStagesFollowDemand(t *testing.T) {
-	list := engines(4, 5)
-	idle := func(ident.UpstreamID) int { return 0 }
-	memory := Need{Work: Work{Prefill: 104000, Memory: 440000}, PrefillRate: 55000}
-	s := PlanStages(list, engine, memory, idle)
-	assert.Equal(t, len(s), 1)
-	assert.Equal(t, s[0].To, dialect.StageDecode)
-	assert.Assert(t, s[0].After < s[0].Before)
-	s = PlanStages(list, engine, Need{Work: Work{Prefill: 300000, Memory: 100000}, PrefillRate: 55000}, idle)
-	assert.Equal(t, len(s), 3, "all that are too many, at once")
-	for _, change := range s {
-		assert.Equal(t, change.To, dialect.StagePrefill)
-	}
-	assert.Equal(t, len(PlanStages(engines(3, 6), engine, memory, idle)), 0)
-	s = PlanStages(list, engine, Need{Work: Work{Prefill: 500, Memory: 9000}, PrefillRate: 55000}, idle)
-	assert.Equal(t, len(s), 0, "no order for nothing")
-	s = PlanStages(list, engine, Need{Work: Work{Prefill: 30000, Memory: 250000}, PrefillRate: 55000}, idle)
-	assert.Equal(t, len(s), 0, "no order while the peak fits")
-}
-
-// TestAStageKeepsItsLastEngines: whatever the demand, each stage keeps two.
-func TestAStageKeepsItsLastEngines(t *testing.T) {
-	s := PlanStages(engines(2, 7), engine, Need{Work: Work{Prefill: 1000, Memory: 900000}, PrefillRate: 55000}, func(ident.UpstreamID) int { return 0 })
-	assert.Equal(t, len(s), 0)
-}
-
-// TestManyEnginesChangeTogether: among many, one engine alone gains too little to be
-// worth an order; several do, from the zones that have most, and never more than
-// suit the demand.
-func TestManyEnginesChangeTogether(t *testing.T) {
-	idle := func(ident.UpstreamID) int { return 0 }
-	list := engines(15, 29)
-	for i := range list {
-		list[i].Zone = ident.Zone(rune('a' + i%4))
-	}
-	need := Need{Work: Work{Prefill: 430000, Memory: 1800000, Streams: 260}, PrefillRate: 55000}
-	small := &routing.Engine{Slots: 8, KVTokens: 64000}
-	s := PlanStages(list, small, need, idle)
-	best, _ := need.divide(44, small)
-	assert.Equal(t, len(s), 15-best)
-	assert.Equal(t, len(s), 5)
-	zones := map[ident.Zone]int{}
-	seen := map[ident.UpstreamID]bool{}
-	for _, change := range s {
-		assert.Equal(t, change.To, dialect.StageDecode)
-		assert.Assert(t, !seen[change.Engine.ID])
-		seen[change.Engine.ID] = true
-		zones[change.Engine.Zone]++
-	}
-	assert.Equal(t, len(zones), 4)
-	assert.Equal(t, len(PlanStages(engines(best+2, 42-best), small, need, idle)), 0)
-}
-
-// TestSlotsBoundStreams where memory would suffice.
-func TestSlotsBoundStreams(t *testing.T) {
-	few := &routing.Engine{Slots: 4, KVTokens: 1 << 20}
-	need := Need{Work: Work{Prefill: 1000, Memory: 1000, Streams: 20}, PrefillRate: 55000}
-	assert.Equal(t, need.worst(2, 5, few), 1.0)
-}
-
-func TestDemandIsARate(t *testing.T) {
-	b := NewBooks("a", 1)
-	now := at(0)
-	for range 600 {
-		now = now.Add(100 * time.Millisecond)
-		b.Asked(now, "m", 500, 1000)
-	}
-	need := b.Demand(now, "m")
-	assert.Assert(t, math.Abs(need.Prefill-5000) < 250, "%v", need.Prefill)
-	want := 10 * (500.0 + 500) * 1000 * defaultTokenTime.Seconds()
-	assert.Assert(t, math.Abs(need.Memory-want) < want/20, "%v, want %v", need.Memory, want)
-	assert.Assert(t, math.Abs(need.Streams-want/1000) < want/20000, "%v", need.Streams)
-}
-
 // TestUnexplainedMemoryLeavesNoRoom: what an engine reports beyond all known
 // requests, such as streams of an instance that died, is not given away; reports
 // lag, so that whatever was known lately explains them.
@@ -273,41 +198,6 @@
 	assert.Equal(t, ticket.Upstream.ID, list[1].ID)
 }
 
-// TestOnePromptAtATimeAtADecodeEngine, counting peers', and none that would make its
-// running streams late.
-func TestOnePromptAtATimeAtADecodeEngine(t *testing.T) {
-	b := NewBooks("a", 1)
-	list := engines(0, 1)
-	self := Size{Prompt: 5000, Estimate: 1000, Self: true, MaxPause: 300 * time.Millisecond}
-	first, ok := b.PlaceDecode(at(0), list, engine, self, nil)
-	assert.Assert(t, ok)
-	_, ok = b.PlaceDecode(at(10), list, engine, self, nil)
-	assert.Assert(t, !ok)
-	b.Computed(first)
-	b.Computed(first)
-	second, ok := b.PlaceDecode(at(20), list, engine, self, nil)
-	assert.Assert(t, ok)
-	b.Done(second)
-	assert.Equal(t, b.books["a"].tokens, 0)
-	long := self
-	long.Prompt = 9000
-	_, ok = b.PlaceDecode(at(30), list, engine, long, nil)
-	assert.Assert(t, !ok, "325 ms and an event")
-	resumed := Size{Prompt: 9000, Estimate: 5000, Produced: 3000, MaxPause: self.MaxPause}
-	reading, ok := b.PlaceDecode(at(30), list, engine, resumed, nil)
-	assert.Assert(t, ok, "only what was generated is read in")
-	_, ok = b.PlaceDecode(at(30), list, engine, self, nil)
-	assert.Assert(t, !ok)
-	b.Done(reading)
-	b.Done(first)
-	alone, ok := b.PlaceDecode(at(40), list, engine, long, nil)
-	assert.Assert(t, ok, "no stream is there to be late")
-	b.Done(alone)
-	b.SetPeers(at(50), map[ident.UpstreamID]*InFlight{"a": {Requests: 1, Tokens: 3000}})
-	_, ok = b.PlaceDecode(at(50), list, engine, self, nil)
-	assert.Assert(t, !ok)
-}
-
 // TestResumedStreamTakesWhatItHas: the output so far counts in the reservation and in
 // the forecast.
 func TestResumedStreamTakesWhatItHas(t *testing.T) {
@@ -366,64 +256,3 @@
 	}
 	assert.Assert(t, !b.PrefillReachable(now, list[:1]))
 }
-
-// TestTokenTimeIsLearnedWhileStreamsRun: not only when the first has ended, 3.5 s after
-// a start.
-func TestTokenTimeIsLearnedWhileStreamsRun(t *testing.T) {
-	b := NewBooks("a", 1)
-	ticket, ok := b.PlaceDecode(at(0), engines(0, 1), engine, Size{Prompt: 3000, Estimate: 640}, nil)
-	assert.Assert(t, ok)
-	b.Asked(at(0), "m", 3000, 640)
-	b.Progress(at(100), ticket, 9)
-	b.Progress(at(148), ticket, 18)
-	assert.Assert(t, math.Abs(b.rateOf("m").tokenTime-0.0053) < 0.0001, "%v", b.rateOf("m").tokenTime)
-	need := b.Demand(at(1000), "m")
-	want := 640 * 0.0053 * need.Prefill / 3000
-	assert.Assert(t, math.Abs(need.Streams-want) < want/50, "what was asked before counts with it: %v, want %v", need.Streams, want)
-}
-
-// TestFewPromptsDoNotShowThePace: of the first ones, some are short or wait for others.
-func TestFewPromptsDoNotShowThePace(t *testing.T) {
-	p := &prefillPace{}
-	for range enoughPrompts - 1 {
-		p.learn(1000, 80*time.Millisecond)
-		assert.Assert(t, !p.measured())
-		assert.Equal(t, p.rate(), float64(defaultPrefillRate))
-	}
-	p.learn(6000, 200*time.Millisecond)
-	assert.Assert(t, p.measured())
-	assert.Assert(t, p.rate() >= 30000 && p.rate() <= 48000, "%v", p.rate())
-}
-
-// TestPaceOfPrefillEngines is told from a fixed time for each prompt, and from prompts
-// that wait for others, two in three here.
-func TestPaceOfPrefillEngines(t *testing.T) {
-	for _, fixed := range []time.Duration{0, 50 * time.Millisecond} {
-		p := &prefillPace{}
-		for i := range 200 {
-			tokens := 1000 + 400*(i*7%13)
-			waits := time.Duration(i%3) * 90 * time.Millisecond
-			p.learn(tokens, fixed+waits+time.Duration(tokens)*30*time.Microsecond)
-		}
-		assert.Assert(t, p.rate() > 30000 && p.rate() < 38000, "%v: %v", fixed, p.rate())
-		want := fixed + 12000*30*time.Microsecond
-		off := (p.time(12000) - want).Seconds() / want.Seconds()
-		assert.Assert(t, off > -0.1 && off < 0.1, "%v: %v, want %v", fixed, p.time(12000), want)
-	}
-}
-
-// TestOverflowGoesToEnginesOfTheInstance only, and to these only while their streams stay
-// within the pace objective.
-func TestOverflowGoesToEnginesOfTheInstance(t *testing.T) {
-	b := NewBooks("a", 1)
-	list := engines(0, 2)
-	size := Size{Prompt: 5000, Estimate: 1000, Self: true, Overflow: true, MaxPause: 300 * time.Millisecond}
-	_, ok := b.PlaceDecode(at(0), list, engine, size, nil)
-	assert.Assert(t, !ok)
-	b.SetOverflow(map[ident.UpstreamID]bool{"b": true})
-	ticket, ok := b.PlaceDecode(at(0), list, engine, size, nil)
-	assert.Assert(t, ok)
-	assert.Equal(t, ticket.Upstream.ID, ident.UpstreamID("b"))
-	_, ok = b.PlaceDecode(at(10), list, engine, size, nil)
-	assert.Assert(t, !ok, "two prompts would pause its stream for over 300 ms")
-}
