A starting instance hears of all in the first answer

Reading the change of heartbeats: answers of small fleets no longer name the others, so an instance that has just started knew some seeds only for up to 0.9 s (0.3 before), and would have taken its share of the retry budget for larger than it is. Test: TestStartingInstanceHearsOfAll.

--- a/gateway/fleet/beats.go
+++ b/gateway/fleet/beats.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/wardspool/wardspool/ident"
 )
 
 const (
@@ -35,12 +37,18 @@
 	r.self.Load = load
 }
 
-// Answer returns the answer to a heartbeat: in a small fleet without the others.
-func (r *Roster) Answer(now time.Time) Heartbeat {
-	if r.large() {
-		return r.Heartbeat(now)
+// Answer returns the answer to a heartbeat of an instance: in a small fleet it names the
+// others only to one that has just started, which knows no more than some seeds and would
+// take its share of the retry budget for larger than it is.
+func (r *Roster) Answer(now time.Time, to ident.InstanceID) Heartbeat {
+	p := r.peers[to]
+	if !r.large() && p != nil && p.greeted == p.member.Incarnation {
+		return Heartbeat{From: r.self}
 	}
-	return Heartbeat{From: r.self}
+	if p != nil {
+		p.greeted = p.member.Incarnation
+	}
+	return r.Heartbeat(now)
 }
 
 // Heartbeat returns what to tell a peer now.
--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -224,7 +224,7 @@
 	now := time.Now()
 	n.roster.Receive(now, h)
 	n.roster.Update(load)
-	answer := n.roster.Answer(now)
+	answer := n.roster.Answer(now, h.From.ID)
 	n.mu.Unlock()
 	n.noteAlive()
 	return answer, nil
--- a/gateway/fleet/roster.go
+++ b/gateway/fleet/roster.go
@@ -41,6 +41,8 @@
 	// told of itself, in a call of its own or in an answer.
 	answered time.Time
 	told     time.Time
+	// greeted is the incarnation that an answer has named the others to.
+	greeted ident.Incarnation
 }
 
 // Roster holds what is known of the instances. It is not safe for concurrent use.
--- a/gateway/fleet/roster_test.go
+++ b/gateway/fleet/roster_test.go
@@ -290,7 +290,7 @@
 		calls++
 		to.Receive(at(ms), from.Beat(at(ms), Load{}))
 		to.Update(Load{Demand: map[string]Demand{"m": {PrefillRate: float64(ms)}}})
-		from.Receive(at(ms), to.Answer(at(ms)))
+		from.Receive(at(ms), to.Answer(at(ms), from.self.ID))
 		from.Answered(at(ms), to.self.ID)
 		assert.Equal(t, from.peers[to.self.ID].member.Load.Demand["m"].PrefillRate, float64(ms))
 	}
@@ -319,3 +319,30 @@
 	}
 	assert.Equal(t, named, 3)
 }
+
+// TestStartingInstanceHearsOfAll in the first answer, again after a restart.
+func TestStartingInstanceHearsOfAll(t *testing.T) {
+	seed := NewRoster(member(0, "a"), nil)
+	for i := 1; i <= 4; i++ {
+		hear(seed, 0, member(i, "a"))
+	}
+	for incarnation := range 2 {
+		self := member(9, "b")
+		self.Incarnation = ident.Incarnation(7 + incarnation)
+		started := NewRoster(self, nil)
+		for round, named := range []int{4, 0} {
+			ms := 100 + 300*round
+			seed.Receive(at(ms), started.Beat(at(ms), Load{}))
+			answer := seed.Answer(at(ms), self.ID)
+			started.Receive(at(ms), answer)
+			others := 0
+			for _, o := range answer.Relayed {
+				if o.Member.ID != self.ID {
+					others++
+				}
+			}
+			assert.Equal(t, others, named)
+		}
+		assert.Equal(t, started.Alive(at(450)), 6)
+	}
+}
