Prefills and running streams are watched by one guard

watch and guardOf both set a timer, asked the engine and canceled with its silence; a prefill copied the mapping of the cause as well. watch now makes the guard, which asks once or again. No change of behaviour, but that the error of a silent prefill engine reads 'broken: ...' in the log, as that of a stream does.

--- a/gateway/carry/guard.go
+++ b/gateway/carry/guard.go
@@ -16,40 +16,46 @@
 // notYet is the time of a timer that is not started yet.
 const notYet = time.Hour
 
-// guard watches the engine of a running stream that may go on elsewhere. Without it a
-// stream across a cut between zones stood still until its caller left after 3.6 s, and
-// all of them came back at the same moment.
+// guard watches an engine that a request was sent to: if nothing comes for a time, the
+// engine is asked whether it lives, and the request's context ends if it doesn't answer.
 type guard struct {
-	// ctx is the attempt's, canceled with a *SilentError.
+	// ctx is the request's, canceled with a *SilentError.
 	ctx   context.Context
 	stop  func()
 	timer *time.Timer
 	after time.Duration
 }
 
-// guardOf returns the guard of an attempt at an engine; streams that run at most once are
-// left alone.
-func (s *stream) guardOf(ctx context.Context, u dialect.Upstream) *guard {
-	g := &guard{ctx: ctx, stop: func() {}, after: stallFactor * s.j.Route.PaceObjective}
-	if !s.j.Route.Repeatable() || g.after <= 0 {
-		return g
-	}
+// watch returns a guard of a request to an engine, which asks after the given time; with
+// again, once more whenever nothing has come for as long.
+func (s *stream) watch(ctx context.Context, u dialect.Upstream, after time.Duration, again bool) *guard {
 	watched, cancel := context.WithCancelCause(ctx)
-	g.ctx = watched
+	g := &guard{ctx: watched, after: after}
 	// The timer must be in place when it fires: it is started by heard.
 	g.timer = time.AfterFunc(notYet, func() {
-		if s.ask(watched, u, cancel) {
+		if s.ask(watched, u, cancel) && again {
 			g.heard()
 		}
 	})
-	g.heard()
 	g.stop = func() {
 		g.timer.Stop()
 		cancel(nil)
 	}
+	g.heard()
 	return g
 }
 
+// guardOf returns the guard of a running stream that may go on elsewhere; streams that run
+// at most once are left alone. Without it a stream across a cut between zones stood still
+// until its caller left after 3.6 s, and all of them came back at the same moment.
+func (s *stream) guardOf(ctx context.Context, u dialect.Upstream) *guard {
+	after := stallFactor * s.j.Route.PaceObjective
+	if !s.j.Route.Repeatable() || after <= 0 {
+		return &guard{ctx: ctx, stop: func() {}}
+	}
+	return s.watch(ctx, u, after, true)
+}
+
 // heard begins the wait anew.
 func (g *guard) heard() {
 	if g.timer != nil && g.ctx.Err() == nil {
--- a/gateway/carry/prefill.go
+++ b/gateway/carry/prefill.go
@@ -83,13 +83,11 @@
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, s.patience(start, expected))
 	defer cancel()
-	ctx, unwatch := s.watch(ctx, u, max(leastDoubt, doubtFactor*expected))
-	defer unwatch()
-	h, err := s.c.o.Dialect.Prefill(ctx, s.j.Call, dialect.Send{To: u, Deadline: s.j.Deadline.Add(-deadlineMargin)})
+	g := s.watch(ctx, u, max(leastDoubt, doubtFactor*expected), false)
+	defer g.stop()
+	h, err := s.c.o.Dialect.Prefill(g.ctx, s.j.Call, dialect.Send{To: u, Deadline: s.j.Deadline.Add(-deadlineMargin)})
 	took := time.Since(start)
-	if silent := silence(ctx); err != nil && silent != nil {
-		err = silent
-	}
+	err = g.cause(err)
 	s.notePrefill(u, err, start, took)
 	if err == nil {
 		s.c.o.Books.PrefillDone(s.j.Service.Name, s.j.Call.PromptTokens, took)
--- a/gateway/carry/watch.go
+++ b/gateway/carry/watch.go
@@ -34,17 +34,6 @@
 // Unwrap returns the question's error.
 func (e *SilentError) Unwrap() error { return e.Err }
 
-// watch asks an engine for a sign of life if a request to it takes longer than after,
-// and cancels the request's context with a *SilentError if there is none.
-func (s *stream) watch(ctx context.Context, u dialect.Upstream, after time.Duration) (watched context.Context, stop func()) {
-	watched, cancel := context.WithCancelCause(ctx)
-	timer := time.AfterFunc(after, func() { s.ask(watched, u, cancel) })
-	return watched, func() {
-		timer.Stop()
-		cancel(nil)
-	}
-}
-
 // ask asks an engine for a sign of life, and cancels with a *SilentError if there is none.
 func (s *stream) ask(watched context.Context, u dialect.Upstream, cancel context.CancelCauseFunc) bool {
 	asking, done := context.WithTimeout(watched, watchTimeout)
