Orders: one record a service in place of three maps; a rate of 0 is one not measured

Need.Measured could be derived from the rate. Partners of a large fleet no longer gather the quiet peers first and throw them away. No change of behaviour.

--- a/gateway/fleet/partners.go
+++ b/gateway/fleet/partners.go
@@ -30,8 +30,10 @@
 		}
 	}
 	known := slices.Concat(own, foreign)
-	partners := r.quietPeers(now)
-	if r.large() {
+	var partners []string
+	if !r.large() {
+		partners = r.quietPeers(now)
+	} else {
 		calls := min(1, foreignCalls/float64(len(own)+1))
 		partners = some(random, own, fanout)
 		if random.Float64() < calls {
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -36,20 +36,35 @@
 	dutyStages = "stages"
 )
 
-// orderBook remembers the orders that this instance gave.
+// orderBook remembers the orders that this instance gave and what they rest on.
 type orderBook struct {
 	lastFence int64
-	last      map[string]time.Time
-	since     map[string]time.Time
-	// peaks are those of each service's demand; all instances follow them, since the
-	// duty may fall to any.
-	peaks map[string]*schedule.Peaks
+	services  map[string]*serviceOrders
+}
+
+// serviceOrders are what is remembered of one service.
+type serviceOrders struct {
+	// since is when this instance could first have ordered, last when it last did.
+	since, last time.Time
+	// peaks are those of the demand; all instances follow them, since the duty may
+	// fall to any.
+	peaks schedule.Peaks
+}
+
+// of returns what is remembered of a service.
+func (b *orderBook) of(service string) *serviceOrders {
+	o := b.services[service]
+	if o == nil {
+		o = &serviceOrders{}
+		b.services[service] = o
+	}
+	return o
 }
 
 // giveOrders looks after the engines' stages until ctx ends, while that falls to
 // this instance.
 func (g *Service) giveOrders(ctx context.Context) {
-	b := &orderBook{last: map[string]time.Time{}, since: map[string]time.Time{}, peaks: map[string]*schedule.Peaks{}}
+	b := &orderBook{services: map[string]*serviceOrders{}}
 	lease := time.Duration(g.settings.Orders.LeaseMS)*time.Millisecond + leaseMargin
 	for pause.For(ctx, orderInterval) {
 		s := g.node.Snapshot()
@@ -77,32 +92,22 @@
 	if need.Memory <= 0 {
 		return need, false
 	}
-	return b.peak(service).Observe(now, need), true
-}
-
-// peak returns what was seen of a service's demand.
-func (b *orderBook) peak(service string) *schedule.Peaks {
-	p := b.peaks[service]
-	if p == nil {
-		p = &schedule.Peaks{}
-		b.peaks[service] = p
-	}
-	return p
+	return b.of(service).peaks.Observe(now, need), true
 }
 
 // order changes engines' stages if that is worth it.
 func (g *Service) order(ctx context.Context, b *orderBook, s *fleet.Snapshot, service routing.Service, need schedule.Need) {
 	now := time.Now()
-	name := service.Name
-	list := g.books.Staged(now, s.Upstreams[name])
-	if b.since[name].IsZero() {
-		b.since[name] = now
+	list := g.books.Staged(now, s.Upstreams[service.Name])
+	o := b.of(service.Name)
+	if o.since.IsZero() {
+		o.since = now
 	}
-	if !need.Measured || now.Sub(b.since[name]) < orderWarmup || now.Sub(b.last[name]) < orderPause {
+	if need.PrefillRate == 0 || now.Sub(o.since) < orderWarmup || now.Sub(o.last) < orderPause {
 		return
 	}
 	for _, change := range schedule.PlanStages(list, service.Engine, need, g.books.Busy) {
-		b.last[name] = now
+		o.last = now
 		g.send(ctx, b, change)
 	}
 }
@@ -114,11 +119,9 @@
 	n.Prefill += d.PrefillRate
 	n.Memory += d.MemoryRate
 	n.Streams += d.StreamRate
-	if d.EngineRate > 0 && (!n.Measured || d.EngineRate > n.PrefillRate) {
-		// One instance alone may have seen only prompts that waited for others: with
-		// half of the true rate, 13 of 90 engines were ordered to prefill and back.
-		n.PrefillRate, n.Measured = d.EngineRate, true
-	}
+	// One instance alone may have seen only prompts that waited for others: with half of
+	// the true rate, 13 of 90 engines were ordered to prefill and back.
+	n.PrefillRate = max(n.PrefillRate, d.EngineRate)
 	return n
 }
 
@@ -138,7 +141,9 @@
 	}
 	if fenced != nil {
 		// A newer holder has ordered: its orders stand.
-		b.last = map[string]time.Time{}
+		for _, o := range b.services {
+			o.last = time.Time{}
+		}
 		g.log.Warn("order refused, another instance holds the duty", "fence", fenced.Fence)
 	}
 }
--- a/gateway/schedule/demand.go
+++ b/gateway/schedule/demand.go
@@ -149,8 +149,8 @@
 	scale := d.scale(now)
 	r := b.rateOf(service)
 	w := Work{Prefill: d.prefill, Memory: d.memory * r.tokenTime, Streams: d.streams * r.tokenTime}
-	n := Need{Work: w.times(scale), PrefillRate: defaultPrefillRate, Measured: r.prefill.measured() && r.tokenMeasured}
-	if n.Measured {
+	n := Need{Work: w.times(scale)}
+	if r.prefill.measured() && r.tokenMeasured {
 		n.PrefillRate = r.prefill.whole()
 	}
 	return n
--- a/gateway/schedule/stages.go
+++ b/gateway/schedule/stages.go
@@ -20,10 +20,8 @@
 // Need is the work of a service's engines and what one of them computes.
 type Need struct {
 	Work
-	// PrefillRate is in prompt tokens a second.
+	// PrefillRate is in prompt tokens a second; 0 while it is not measured.
 	PrefillRate float64
-	// Measured means that the engines' speed was measured, not assumed.
-	Measured bool
 }
 
 const (
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -112,11 +112,7 @@
 	}
 	for _, name := range g.books.DemandServices() {
 		n := g.books.Demand(now, name)
-		d := fleet.Demand{PrefillRate: n.Prefill, MemoryRate: n.Memory, StreamRate: n.Streams}
-		if n.Measured {
-			d.EngineRate = n.PrefillRate
-		}
-		l.Demand[name] = d
+		l.Demand[name] = fleet.Demand{PrefillRate: n.Prefill, MemoryRate: n.Memory, StreamRate: n.Streams, EngineRate: n.PrefillRate}
 	}
 	return l
 }
