Engines that compute for an instance are chosen where their reports are

The same duty was asked for all engines a second time, with each sum of loads: ten times a second, in large fleets three times for each of 70 engines. It is set once a second with the reports now; after a change of the fleet an engine may count as two instances' for up to a second, 0.1 to 0.3 before.

--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -8,6 +8,7 @@
 	"github.com/wardspool/wardspool/gateway/carry"
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/schedule"
+	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/pause"
 )
 
@@ -22,7 +23,8 @@
 )
 
 // gatherReports asks decode engines for their load until ctx ends, those that fall
-// to this instance.
+// to this instance. At these it alone may have prompts computed while prefill engines
+// are busy.
 func (g *Service) gatherReports(ctx context.Context) {
 	for pause.For(ctx, reportInterval) {
 		s := g.node.Snapshot()
@@ -34,11 +36,14 @@
 				go g.probe(ctx, u)
 			}
 		}
+		own := map[ident.UpstreamID]bool{}
 		for _, u := range s.All() {
 			if u.Stage == dialect.StageDecode && g.node.HoldsInZone(dutyReport+string(u.ID), u.Zone) {
+				own[u.ID] = true
 				go g.report(ctx, u)
 			}
 		}
+		g.books.SetOverflow(own)
 	}
 }
 
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -144,19 +144,6 @@
 	g.books.SetFleet(g.node.Alive(), age)
 	g.books.SetPeers(now, peers)
 	g.books.SetAway(now, away)
-	g.books.SetOverflow(g.overflow())
-}
-
-// overflow returns the decode engines that this instance asks for their reports: at these
-// it alone may have prompts computed while prefill engines are busy.
-func (g *Service) overflow() map[ident.UpstreamID]bool {
-	engines := map[ident.UpstreamID]bool{}
-	for _, u := range g.node.Snapshot().All() {
-		if u.Stage == dialect.StageDecode && g.node.HoldsInZone(dutyReport+string(u.ID), u.Zone) {
-			engines[u.ID] = true
-		}
-	}
-	return engines
 }
 
 // ListenError reports an address that can't be opened.
