Demand decays as work does; a pace needs no pointer

The three sums of a demand were the fields of Work, faded one by one where Work.times does it. One comment still said when decode engines computed prompts before overflow. No change of behaviour.

--- a/gateway/schedule/books.go
+++ b/gateway/schedule/books.go
@@ -69,7 +69,8 @@
 	ejections       int
 	ejectedUntil    time.Time
 	// computing are the lengths of the own prompts that the engine computes, by
-	// number; a decode engine does so only where no prefill engine is in reach.
+	// number; a decode engine does so only while prefill engines are out of reach or
+	// busy, and for what a resumed stream lacks.
 	computing map[uint64]int
 	// unreachable means that the last failure was that no connection came about.
 	unreachable bool
--- a/gateway/schedule/demand.go
+++ b/gateway/schedule/demand.go
@@ -23,7 +23,7 @@
 // rate is what was measured of a service's engines.
 type rate struct {
 	// prefill is the pace of prefill engines.
-	prefill *prefillPace
+	prefill prefillPace
 	// tokenTime is the mean time of one output token, in seconds, tokenMeasured
 	// whether it was seen or is the default.
 	tokenTime     float64
@@ -37,20 +37,18 @@
 // demand is the work that callers asked for, decaying.
 type demand struct {
 	// since is when the first request came.
-	since   time.Time
-	at      time.Time
-	prefill float64
-	// memory is in tokens held times tokens generated meanwhile, streams in tokens
-	// generated: what a token takes is known better when they are read.
-	memory  float64
-	streams float64
+	since time.Time
+	at    time.Time
+	// work has memory in tokens held times tokens generated meanwhile, and streams in
+	// tokens generated: what a token takes is known better when they are read.
+	work Work
 }
 
 // rateOf returns the measured rates of a service. The caller holds mu.
 func (b *Books) rateOf(service string) *rate {
 	r := b.rates[service]
 	if r == nil {
-		r = &rate{prefill: &prefillPace{}, tokenTime: defaultTokenTime.Seconds(), firstEvent: 0.1, variance: initialSpread * initialSpread}
+		r = &rate{tokenTime: defaultTokenTime.Seconds(), firstEvent: 0.1, variance: initialSpread * initialSpread}
 		b.rates[service] = r
 	}
 	return r
@@ -112,9 +110,9 @@
 		b.demands[service] = d
 	}
 	d.decay(now)
-	d.prefill += float64(prompt)
-	d.streams += float64(output)
-	d.memory += (float64(prompt) + float64(output)/2) * float64(output)
+	d.work.Prefill += float64(prompt)
+	d.work.Streams += float64(output)
+	d.work.Memory += (float64(prompt) + float64(output)/2) * float64(output)
 }
 
 // decay forgets demand as time passes.
@@ -124,9 +122,7 @@
 		return
 	}
 	f := math.Exp2(-passed.Seconds() / demandHalfLife.Seconds())
-	d.prefill *= f
-	d.memory *= f
-	d.streams *= f
+	d.work = d.work.times(f)
 	d.at = now
 }
 
@@ -148,8 +144,9 @@
 	d.decay(now)
 	scale := d.scale(now)
 	r := b.rateOf(service)
-	w := Work{Prefill: d.prefill, Memory: d.memory * r.tokenTime, Streams: d.streams * r.tokenTime}
-	n := Need{Work: w.times(scale)}
+	n := Need{Work: d.work.times(scale)}
+	n.Memory *= r.tokenTime
+	n.Streams *= r.tokenTime
 	if r.prefill.measured() && r.tokenMeasured {
 		n.PrefillRate = r.prefill.whole()
 	}
