--- a/gateway/fleet/hub.go
+++ b/gateway/fleet/hub.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"encoding/json"
 	"slices"
 	"time"
 
@@ -26,8 +25,8 @@
 
 // LoadAnswer is a hub's answer to a report of its zone.
 type LoadAnswer struct {
-	// Sum is the encoded Load of all instances: requests in flight and demand.
-	Sum json.RawMessage `json:"sum,omitempty"`
+	// Sum is the packed Load of all instances: requests in flight and demand.
+	Sum []byte `json:"sum,omitempty"`
 	// Included is the sequence of the asking instance's own report that the sum holds, 0
 	// if there is none.
 	Included uint64 `json:"i,omitempty"`
@@ -45,10 +44,10 @@
 type Hub struct {
 	members map[ident.InstanceID]datedLoad
 	zones   map[ident.Zone]datedLoad
-	// sum is that of all as of summedAt, encoded, with the sequences of the members'
+	// sum is that of all as of summedAt, packed, with the sequences of the members'
 	// reports in it. Added up and encoded for each of 59 asking instances an answer took
 	// 0.101 ms, now 0.011 (BenchmarkHubAnswer).
-	sum      json.RawMessage
+	sum      []byte
 	included map[ident.InstanceID]uint64
 	summedAt time.Time
 }
@@ -90,11 +89,9 @@
 
 // Answer returns the answer to an instance of the zone. The sum is made anew each
 // sumInterval.
-func (h *Hub) Answer(now time.Time, to ident.InstanceID) (LoadAnswer, error) {
+func (h *Hub) Answer(now time.Time, to ident.InstanceID) LoadAnswer {
 	if now.Sub(h.summedAt) >= sumInterval {
-		if err := h.add(now); err != nil {
-			return LoadAnswer{}, err
-		}
+		h.add(now)
 	}
 	others := NewLoad()
 	for id, d := range h.members {
@@ -105,11 +102,11 @@
 	for _, d := range h.zones {
 		others.addAway(d.load)
 	}
-	return LoadAnswer{Sum: h.sum, Included: h.included[to], Refusing: others.Refusing, Switching: others.Switching}, nil
+	return LoadAnswer{Sum: h.sum, Included: h.included[to], Refusing: others.Refusing, Switching: others.Switching}
 }
 
 // add makes the sum of all zones anew.
-func (h *Hub) add(now time.Time) error {
+func (h *Hub) add(now time.Time) {
 	sum := h.Zone(now)
 	for zone, d := range h.zones {
 		if now.Sub(d.at) > freshLoad {
@@ -118,16 +115,11 @@
 		}
 		sum.Add(d.load)
 	}
-	encoded, err := json.Marshal(Load{InFlight: sum.InFlight, Demand: sum.Demand})
-	if err != nil {
-		return err
-	}
-	h.sum, h.summedAt = encoded, now
+	h.sum, h.summedAt = sum.pack(), now
 	h.included = map[ident.InstanceID]uint64{}
 	for id, d := range h.members {
 		h.included[id] = d.sequence
 	}
-	return nil
 }
 
 // Reports are the reports that an instance made lately, so that it can take its own load
@@ -151,11 +143,10 @@
 	return r.last
 }
 
-// Others returns the load of the other instances by an answer. The error is that of
-// bytes that are no load.
+// Others returns the load of the other instances by an answer. The error is a *PackError.
 func (r *Reports) Others(a LoadAnswer) (Load, error) {
-	sum := NewLoad()
-	if err := json.Unmarshal(a.Sum, &sum); err != nil {
+	sum, err := unpackLoad(a.Sum)
+	if err != nil {
 		return Load{}, err
 	}
 	sum.remove(r.loads[a.Included])
--- a/gateway/fleet/hub_test.go
+++ b/gateway/fleet/hub_test.go
@@ -22,11 +22,9 @@
 // others returns what a hub lets an instance know of the others; the instance has made
 // one report, the one that the hub has.
 func others(t *testing.T, h *Hub, now time.Time, id ident.InstanceID) Load {
-	answer, err := h.Answer(now, id)
-	assert.NilError(t, err)
 	var reports Reports
 	reports.Next(h.members[id].load)
-	sum, err := reports.Others(answer)
+	sum, err := reports.Others(h.Answer(now, id))
 	assert.NilError(t, err)
 	return sum
 }
@@ -63,9 +61,7 @@
 	report := func(ms, requests int) LoadAnswer {
 		load := loadOf(requests, 100*requests)
 		h.Take(at(ms), LoadReport{From: "a1", Zone: "a", Sequence: own.Next(load), Load: load})
-		answer, err := h.Answer(at(ms), "a1")
-		assert.NilError(t, err)
-		return answer
+		return h.Answer(at(ms), "a1")
 	}
 	h.Take(at(0), LoadReport{From: "a2", Zone: "a", Sequence: 1, Load: loadOf(5, 50)})
 	for _, r := range []struct{ ms, requests int }{{0, 3}, {50, 9}, {60, 0}, {160, 2}} {
@@ -104,8 +100,7 @@
 		}
 		id := ident.InstanceID(fmt.Sprintf("front-hall-a-%d", n))
 		h.Take(at(int(ms)), LoadReport{From: id, Zone: "hall-a", Sequence: 1, Load: load})
-		_, err := h.Answer(at(int(ms)), id)
-		assert.NilError(b, err)
+		h.Answer(at(int(ms)), id)
 		ms += 300.0 / members
 	}
 }
--- a/gateway/fleet/loads.go
+++ b/gateway/fleet/loads.go
@@ -124,5 +124,5 @@
 	if r.Whole {
 		return LoadAnswer{}, nil
 	}
-	return n.hub.Answer(now, r.From)
+	return n.hub.Answer(now, r.From), nil
 }
--- /dev/null
+++ b/gateway/fleet/pack.go
@@ -0,0 +1,142 @@
+package fleet
+
+import (
+	"encoding/binary"
+	"math"
+
+	"github.com/wardspool/wardspool/ident"
+)
+
+// A packed load holds what is in flight and the demand of a Load as varints. JSON-RPC scans
+// each message several times: reading sums of 5.6 KB as JSON took an instance among 85 half
+// of its processor time; a packed one of 64 engines takes 3.6 KB. See BenchmarkPackedLoad.
+
+// PackError reports bytes that are no packed load.
+type PackError struct{ Bytes int }
+
+// Error implements error.
+func (e *PackError) Error() string { return "packed load: malformed" }
+
+// pack encodes requests in flight and demand.
+func (l *Load) pack() []byte {
+	dst := binary.AppendUvarint(nil, uint64(len(l.InFlight)))
+	for id, f := range l.InFlight {
+		dst = appendString(dst, string(id))
+		dst = binary.AppendVarint(dst, int64(f.Requests))
+		dst = binary.AppendVarint(dst, int64(f.Tokens))
+		dst = binary.AppendVarint(dst, int64(f.Unexplained))
+		dst = appendSteps(dst, f.Memory)
+	}
+	dst = binary.AppendUvarint(dst, uint64(len(l.Demand)))
+	for service, d := range l.Demand {
+		dst = appendString(dst, service)
+		for _, rate := range []float64{d.PrefillRate, d.MemoryRate, d.StreamRate, d.EngineRate} {
+			dst = binary.BigEndian.AppendUint64(dst, math.Float64bits(rate))
+		}
+	}
+	return dst
+}
+
+// appendString packs a string.
+func appendString(dst []byte, s string) []byte {
+	return append(binary.AppendUvarint(dst, uint64(len(s))), s...)
+}
+
+// appendSteps packs a forecast as differences of its steps, which are small.
+func appendSteps(dst []byte, steps []int) []byte {
+	dst = binary.AppendUvarint(dst, uint64(len(steps)))
+	before := 0
+	for _, n := range steps {
+		dst = binary.AppendVarint(dst, int64(n-before))
+		before = n
+	}
+	return dst
+}
+
+// unpackLoad decodes what pack encoded. The error is a *PackError.
+func unpackLoad(packed []byte) (Load, error) {
+	r := &unpacker{left: packed}
+	l := NewLoad()
+	for range r.count() {
+		id := ident.UpstreamID(r.text())
+		f := InFlight{Requests: r.number(), Tokens: r.number(), Unexplained: r.number(), Memory: r.steps()}
+		l.InFlight[id] = f
+	}
+	for range r.count() {
+		service := r.text()
+		l.Demand[service] = Demand{PrefillRate: r.rate(), MemoryRate: r.rate(), StreamRate: r.rate(), EngineRate: r.rate()}
+	}
+	if r.failed || len(r.left) > 0 {
+		return Load{}, &PackError{Bytes: len(packed)}
+	}
+	return l, nil
+}
+
+// unpacker reads a packed load; after the first malformed part it returns zeros.
+type unpacker struct {
+	left   []byte
+	failed bool
+}
+
+// take returns the next n bytes, nil if there are fewer.
+func (r *unpacker) take(n int) []byte {
+	if n < 0 || n > len(r.left) {
+		r.fail()
+		return nil
+	}
+	out := r.left[:n]
+	r.left = r.left[n:]
+	return out
+}
+
+// fail ends the reading.
+func (r *unpacker) fail() { r.failed, r.left = true, nil }
+
+// count reads how many parts follow, each of a byte at least.
+func (r *unpacker) count() int {
+	n, size := binary.Uvarint(r.left)
+	if size <= 0 || n > uint64(len(r.left)) {
+		r.fail()
+		return 0
+	}
+	r.left = r.left[size:]
+	return int(n)
+}
+
+// number reads a whole number.
+func (r *unpacker) number() int {
+	n, size := binary.Varint(r.left)
+	if size <= 0 {
+		r.fail()
+		return 0
+	}
+	r.left = r.left[size:]
+	return int(n)
+}
+
+// text reads a string.
+func (r *unpacker) text() string { return string(r.take(r.count())) }
+
+// steps reads a forecast.
+func (r *unpacker) steps() []int {
+	n := r.count()
+	if n == 0 {
+		return nil
+	}
+	steps := make([]int, n)
+	last := 0
+	for i := range steps {
+		last += r.number()
+		steps[i] = last
+	}
+	return steps
+}
+
+// rate reads a floating-point number.
+func (r *unpacker) rate() float64 {
+	b := r.take(8)
+	if b == nil {
+		return 0
+	}
+	return math.Float64frombits(binary.BigEndian.Uint64(b))
+}
--- /dev/null
+++ b/gateway/fleet/pack_test.go
@@ -0,0 +1,86 @@
+package fleet
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/wardspool/wardspool/ident"
+	_ "github.com/wardspool/wardspool/internal/testseed"
+)
+
+// TestPackedLoadsComeBack whole, also negative ones: what an instance takes out of a sum
+// may be newer than the sum.
+func TestPackedLoadsComeBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		load := NewLoad()
+		for _, id := range rapid.SliceOfDistinct(rapid.String(), rapid.ID[string]).Draw(t, "engines") {
+			load.InFlight[ident.UpstreamID(id)] = InFlight{
+				Requests: rapid.Int().Draw(t, "requests"), Tokens: rapid.Int().Draw(t, "tokens"),
+				Unexplained: rapid.Int().Draw(t, "unexplained"),
+				Memory:      rapid.SliceOfN(rapid.IntRange(-1<<40, 1<<40), 1, 12).Draw(t, "memory"),
+			}
+		}
+		for _, service := range rapid.SliceOfDistinct(rapid.String(), rapid.ID[string]).Draw(t, "services") {
+			load.Demand[service] = Demand{PrefillRate: rapid.Float64().Draw(t, "rate"), EngineRate: 7}
+		}
+		back, err := unpackLoad(load.pack())
+		assert.NilError(t, err)
+		assert.DeepEqual(t, back, load)
+	})
+}
+
+// TestNoPackedLoad: bytes of another version or a broken sender are told apart.
+func TestNoPackedLoad(t *testing.T) {
+	full := sumOf(3)
+	whole := full.pack()
+	for cut := range len(whole) {
+		var malformed *PackError
+		_, err := unpackLoad(whole[:cut])
+		assert.Assert(t, errors.As(err, &malformed), "%d bytes", cut)
+	}
+	_, err := unpackLoad(append(whole, 0))
+	assert.ErrorContains(t, err, "malformed")
+}
+
+// FuzzUnpackLoad: no bytes make the decoding panic or take more memory than they justify.
+func FuzzUnpackLoad(f *testing.F) {
+	load := sumOf(2)
+	f.Add(load.pack())
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x0f})
+	f.Fuzz(func(t *testing.T, packed []byte) {
+		l, err := unpackLoad(packed)
+		if err == nil && len(l.InFlight) > len(packed) {
+			t.Fatalf("%d engines of %d bytes", len(l.InFlight), len(packed))
+		}
+	})
+}
+
+// sumOf is a load of so many engines.
+func sumOf(engines int) Load {
+	load := NewLoad()
+	for e := range engines {
+		load.InFlight[ident.UpstreamID(fmt.Sprintf("i-%010d", e))] = InFlight{Requests: 12, Memory: []int{51234, 51900, 52333, 50120, 41234, 33333, 25000, 12345, 4321, 999}}
+	}
+	load.Demand["m"] = Demand{PrefillRate: 123456.789, MemoryRate: 98765.4321, StreamRate: 123.456, EngineRate: 23456.7}
+	return load
+}
+
+// BenchmarkPackedLoad encodes a sum of 64 engines in an answer, and decodes it. As JSON
+// 0.27 ms and 5.6 KB, now 0.075 ms and 3.6 KB.
+func BenchmarkPackedLoad(b *testing.B) {
+	load := sumOf(64)
+	for b.Loop() {
+		body, err := json.Marshal(LoadAnswer{Sum: load.pack()})
+		assert.NilError(b, err)
+		var a LoadAnswer
+		assert.NilError(b, json.Unmarshal(body, &a))
+		_, err = unpackLoad(a.Sum)
+		assert.NilError(b, err)
+		b.ReportMetric(float64(len(body)), "bytes")
+	}
+}
--- a/gateway/fleet/partners.go
+++ b/gateway/fleet/partners.go
@@ -15,6 +15,10 @@
 	// answeredLately is how long the answer to an own call counts: orders need answers
 	// of the last 1.5 s from most instances.
 	answeredLately = 900 * time.Millisecond
+	// changePartner is the chance that a partner of a large fleet is replaced in a round.
+	// With new partners in each round, an instance opened five connections a second, each
+	// with a greeting that cost as much as the heartbeat.
+	changePartner = 0.1
 )
 
 // Partners returns the addresses to exchange heartbeats with now: in a small fleet all
@@ -35,7 +39,7 @@
 		partners = r.quietPeers(now)
 	} else {
 		calls := min(1, foreignCalls/float64(len(own)+1))
-		partners = some(random, own, fanout)
+		partners = slices.Clone(r.steady(now, random, own))
 		if random.Float64() < calls {
 			partners = append(partners, some(random, foreign, 1)...)
 		}
@@ -48,6 +52,28 @@
 	return partners
 }
 
+// steady returns the partners of the own zone in a large fleet: those of the last round
+// but the silent ones, and at times new ones.
+func (r *Roster) steady(now time.Time, random *rand.Rand, own []string) []string {
+	lives := map[string]bool{}
+	for _, p := range r.peers {
+		lives[p.member.Address] = now.Sub(p.heard) < r.aliveFor(&p.member)
+	}
+	var partners []string
+	for _, address := range r.partners {
+		if lives[address] && random.Float64() >= changePartner {
+			partners = append(partners, address)
+		}
+	}
+	for _, address := range some(random, own, fanout) {
+		if len(partners) < fanout && !slices.Contains(partners, address) {
+			partners = append(partners, address)
+		}
+	}
+	r.partners = partners
+	return partners
+}
+
 // quietPeers returns the addresses of the peers that have not told of themselves lately,
 // or not answered a call.
 func (r *Roster) quietPeers(now time.Time) []string {
--- a/gateway/fleet/roster.go
+++ b/gateway/fleet/roster.go
@@ -76,6 +76,9 @@
 	held map[string]time.Time
 	// refreshed is when the roster was last looked at.
 	refreshed time.Time
+	// partners are the addresses that the last round in a large fleet called in the own
+	// zone.
+	partners []string
 	// relayed is when a heartbeat last named other instances.
 	relayed time.Time
 }
