An upstream may start again under its ID; entries of other writers name none

The view kept it leaving for good, its book kept what the former start had in flight, was ordered or had failed with, and requests waited for it until their deadlines where no reset came. Change: the incarnation comes from list and report; a newer one starts a new book, drops leaving, and ends attempts that wait for the former; an older one changes nothing.

--- a/gateway/carry/carry.go
+++ b/gateway/carry/carry.go
@@ -49,6 +49,7 @@
 	caches caches
 	// streams are the running streams by the number of their placement.
 	streams map[uint64]*stream
+	lives   lives
 	// cleanup counts releases that are still being sent.
 	cleanup sync.WaitGroup
 }
--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -49,7 +49,10 @@
 	// kept is what engines have in their caches.
 	kept map[ident.UpstreamID]map[string]int
 	// silent engines don't answer when they are asked for a report.
-	silent  map[ident.UpstreamID]bool
+	silent map[ident.UpstreamID]bool
+	// incarnations are those that engines report.
+	incarnations map[ident.UpstreamID]ident.Incarnation
+
 	stopped func()
 	calls   []string
 	sends   []dialect.Send
@@ -147,7 +150,7 @@
 	if f.silent[u.ID] {
 		return dialect.Report{}, notSent
 	}
-	return dialect.Report{}, nil
+	return dialect.Report{Incarnation: f.incarnations[u.ID]}, nil
 }
 func (f *fakeDialect) Migrate(_ context.Context, m dialect.Migration) (dialect.Handle, error) {
 	f.mu.Lock()
--- a/gateway/carry/plain.go
+++ b/gateway/carry/plain.go
@@ -83,6 +83,8 @@
 func (p *plain) send(ctx context.Context, t schedule.Ticket) *attempt {
 	defer p.c.o.Books.Done(t)
 	start := time.Now()
+	ctx, end := p.c.lives.during(ctx, t.Upstream)
+	defer end()
 	ctx, cancel := context.WithDeadline(ctx, p.until(start))
 	defer cancel()
 	a := p.exchange(ctx, t.Upstream)
--- /dev/null
+++ b/gateway/carry/restarts.go
@@ -0,0 +1,78 @@
+package carry
+
+import (
+	"context"
+	"sync"
+
+	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/ident"
+)
+
+// lives holds the attempts under way at each upstream by incarnation. When an upstream
+// has started again under its ID, nothing will answer those made to its former
+// incarnation: without a reset of the connection they would wait for their deadlines.
+type lives struct {
+	mu    sync.Mutex
+	next  uint64
+	under map[ident.UpstreamID]map[uint64]life
+}
+
+// life is one attempt under way.
+type life struct {
+	upstream dialect.Upstream
+	cancel   context.CancelCauseFunc
+}
+
+// during returns a context for an attempt at an upstream, canceled with a *SilentError
+// when another incarnation of the upstream is heard of; end must be called after the
+// attempt.
+func (l *lives) during(ctx context.Context, u dialect.Upstream) (attempt context.Context, end func()) {
+	attempt, cancel := context.WithCancelCause(ctx)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.next++
+	number := l.next
+	if l.under == nil {
+		l.under = map[ident.UpstreamID]map[uint64]life{}
+	}
+	if l.under[u.ID] == nil {
+		l.under[u.ID] = map[uint64]life{}
+	}
+	l.under[u.ID][number] = life{upstream: u, cancel: cancel}
+	return attempt, func() {
+		cancel(nil)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.under[u.ID], number)
+		if len(l.under[u.ID]) == 0 {
+			delete(l.under, u.ID)
+		}
+	}
+}
+
+// Listed takes in upstreams as they are known now, and ends the attempts at former
+// incarnations of theirs.
+func (c *Carrier) Listed(list []dialect.Upstream) {
+	c.lives.mu.Lock()
+	defer c.lives.mu.Unlock()
+	for _, u := range list {
+		for _, a := range c.lives.under[u.ID] {
+			if a.upstream.Restarted(u.Incarnation) {
+				a.cancel(&SilentError{Upstream: u.ID, Err: &dialect.ReplacedError{ID: u.ID, Address: a.upstream.Address}})
+			}
+		}
+	}
+}
+
+// Reported takes in an engine's answer to a call of the gateway's own, and reports
+// whether it is still the incarnation that was listed.
+func (c *Carrier) Reported(u dialect.Upstream, r dialect.Report) bool {
+	if !u.Restarted(r.Incarnation) {
+		return true
+	}
+	c.o.Log.Info("upstream restarted", "upstream", u.ID, "address", u.Address, "listed", u.Incarnation, "incarnation", r.Incarnation)
+	u.Incarnation = r.Incarnation
+	c.o.Books.Restarted(u)
+	c.Listed([]dialect.Upstream{u})
+	return false
+}
--- /dev/null
+++ b/gateway/carry/restarts_test.go
@@ -0,0 +1,82 @@
+package carry
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/routing"
+	"github.com/wardspool/wardspool/ident"
+)
+
+// born returns upstreams with their incarnation.
+func born(incarnation ident.Incarnation, ups []dialect.Upstream) []dialect.Upstream {
+	out := append([]dialect.Upstream(nil), ups...)
+	for i := range out {
+		out[i].Incarnation = incarnation
+	}
+	return out
+}
+
+// hung plays a request at x, which never answers, and of which a list says after 300 ms
+// that it has the given incarnation.
+func hung(t *testing.T, r routing.Route, listed ident.Incarnation) (*bed, time.Duration, error) {
+	ups := born(5, plainUps("x", "y"))
+	b := newBed(t, slack, ups...)
+	for range 9 {
+		// y has more in flight, so that x is chosen.
+		b.o.Books.PickService(time.Now(), ups[1:], true, nil)
+	}
+	b.d.do["x"] = []reply{{hangs: true}}
+	time.AfterFunc(300*time.Millisecond, func() { b.Listed(born(listed, ups[:1])) })
+	start := time.Now()
+	_, err := b.Plain(t.Context(), job(r))
+	return b, time.Since(start), err
+}
+
+// TestRestartEndsWhatWaitsForTheFormerIncarnation: a request that may be repeated goes on
+// elsewhere at once; of one that may not it is unknown whether it ran.
+func TestRestartEndsWhatWaitsForTheFormerIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, took, err := hung(t, often, 6)
+		assert.NilError(t, err)
+		assert.Equal(t, took, 300*time.Millisecond)
+		assert.Equal(t, b.d.count("do y"), 1)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		b, took, err := hung(t, once, 6)
+		assert.Equal(t, fateOf(t, err), Unknown)
+		assert.Equal(t, took, 300*time.Millisecond)
+		assert.Equal(t, b.d.countKind("do"), 1)
+	})
+}
+
+// TestSameOrOlderIncarnationEndsNothing: lists come late and again.
+func TestSameOrOlderIncarnationEndsNothing(t *testing.T) {
+	for _, listed := range []ident.Incarnation{5, 4, 0} {
+		synctest.Test(t, func(t *testing.T) {
+			_, took, _ := hung(t, often, listed)
+			assert.Assert(t, took > 20*time.Second, "%v", took)
+		})
+	}
+}
+
+// TestReportShowsARestart before any list does: the stream goes on elsewhere, and nothing
+// found of the former incarnation counts against the new one.
+func TestReportShowsARestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, got, took, err := stallAt(t, resumable, func(b *bed) {
+			b.view.Upstreams["s"] = born(5, b.view.Upstreams["s"])
+			b.d.incarnations = map[ident.UpstreamID]ident.Incarnation{"d1": 6}
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, got.body.String(), events(1, 5))
+		assert.Assert(t, took < time.Second, "%v", took)
+		assert.Equal(t, b.d.count("do d2"), 1)
+		fresh := born(6, engineUps(nil, []string{"d1"}))
+		assert.Equal(t, len(b.o.Books.Reachable(time.Now(), fresh, dialect.StageDecode)), 1)
+	})
+}
--- a/gateway/carry/watch.go
+++ b/gateway/carry/watch.go
@@ -34,11 +34,15 @@
 // Unwrap returns the question's error.
 func (e *SilentError) Unwrap() error { return e.Err }
 
-// ask asks an engine for a sign of life, and cancels with a *SilentError if there is none.
+// ask asks an engine for a sign of life, and cancels with a *SilentError if there is none,
+// or if another incarnation answers.
 func (s *stream) ask(watched context.Context, u dialect.Upstream, cancel context.CancelCauseFunc) bool {
 	asking, done := context.WithTimeout(watched, watchTimeout)
 	defer done()
-	_, err := s.c.o.Dialect.Report(asking, u)
+	r, err := s.c.o.Dialect.Report(asking, u)
+	if err == nil && !s.c.Reported(u, r) {
+		return false
+	}
 	switch {
 	case err == nil:
 		s.c.o.Books.Heard(time.Now(), u)
--- a/gateway/carry/watch_test.go
+++ b/gateway/carry/watch_test.go
@@ -17,6 +17,12 @@
 // stall runs a stream at d1 that sends two events and then nothing for some seconds, and
 // returns the bed, what the caller got and how long it took.
 func stall(t *testing.T, r routing.Route, silent bool) (*bed, *sink, time.Duration, error) {
+	t.Helper()
+	return stallAt(t, r, func(b *bed) { b.d.silent = map[ident.UpstreamID]bool{"d1": silent} })
+}
+
+// stallAt is stall with what happens to d1 meanwhile.
+func stallAt(t *testing.T, r routing.Route, happens func(b *bed)) (*bed, *sink, time.Duration, error) {
 	t.Helper()
 	r.PaceObjective = 300 * time.Millisecond
 	b := newBed(t, slack, engineUps([]string{"p1"}, []string{"d1", "d2"})...)
@@ -25,7 +31,7 @@
 	b.d.do["d2"] = []reply{{verdict: dialect.Success, status: 200, body: events(3, 5)}}
 	full := &dialect.FullError{}
 	b.d.hold["d2"] = []error{full, nil}
-	b.d.silent = map[ident.UpstreamID]bool{"d1": silent}
+	happens(b)
 	var upstream sync.WaitGroup
 	defer upstream.Wait()
 	upstream.Go(func() {
--- a/gateway/dialect/dialect.go
+++ b/gateway/dialect/dialect.go
@@ -61,10 +61,12 @@
 )
 
 // Upstream is a model engine or a process of a plain service, as the store lists
-// it. Each start of one is an incarnation with an ID of its own.
+// it. A start is a new incarnation, under an ID of its own or the one that it had.
 type Upstream struct {
-	ID      ident.UpstreamID `json:"id"`
-	Service string           `json:"service"`
+	ID ident.UpstreamID `json:"id"`
+	// Incarnation is its start, 0 if it doesn't say.
+	Incarnation ident.Incarnation `json:"i,omitempty"`
+	Service     string            `json:"service"`
 	// Address is "IP:port".
 	Address string     `json:"address"`
 	Zone    ident.Zone `json:"zone"`
@@ -76,6 +78,11 @@
 	Stage Stage `json:"stage,omitempty"`
 }
 
+// Restarted reports whether an incarnation of the upstream's ID is newer than u's.
+func (u Upstream) Restarted(incarnation ident.Incarnation) bool {
+	return u.Incarnation != 0 && incarnation > u.Incarnation
+}
+
 // Call is a caller's request, read whole. It must not be changed.
 type Call struct {
 	// ID names this attempt of the caller.
@@ -218,7 +225,9 @@
 
 // Report is an engine's own word on its load, as of some hundred ms ago.
 type Report struct {
-	Stage Stage
+	// Incarnation is the engine's, 0 if it doesn't say.
+	Incarnation ident.Incarnation
+	Stage       Stage
 	// Switching means that an order is being carried out.
 	Switching bool
 	// Running and Waiting count requests.
--- a/gateway/fleet/gossip_test.go
+++ b/gateway/fleet/gossip_test.go
@@ -205,6 +205,38 @@
 // zoneSize returns how many of a fleet are in the zone of the given number.
 func zoneSize(size, zones, zone int) int { return (size - zone + zones - 1) / zones }
 
+// TestSignsOfLifeOfAnotherSetAreNotRead: packed sequences in the order of one set of
+// instances say nothing to a receiver that takes others for alive, even as many; it names
+// its own in the answer, and both know all after one more exchange.
+func TestSignsOfLifeOfAnotherSetAreNotRead(t *testing.T) {
+	a, b := NewRoster(member(0, "a"), nil), NewRoster(member(1, "a"), nil)
+	hear(a, 0, member(1, "a"))
+	hear(b, 0, member(0, "a"))
+	for i := 2; i < 30; i++ {
+		hear(a, 0, member(i, "a"))
+		hear(b, 0, member(i+1, "a"))
+	}
+	for range 50 {
+		a.Update(Load{})
+	}
+	h := a.Beat(at(1000), Load{})
+	for i := range h.Zones[0].Sequences {
+		h.Zones[0].Sequences[i] = 40
+	}
+	b.Receive(at(1000), h)
+	for i := 3; i < 31; i++ {
+		assert.Equal(t, b.peers[member(i, "a").ID].heard, at(0))
+	}
+	answer := b.Answer(at(1000), h)
+	a.Receive(at(1000), answer)
+	more, differs := a.Reconcile(at(1000), answer)
+	assert.Assert(t, differs)
+	b.Receive(at(1000), more)
+	a.Receive(at(1000), b.Answer(at(1000), more))
+	assert.Equal(t, a.Alive(at(1000)), 31)
+	assert.Equal(t, b.Alive(at(1000)), 31)
+}
+
 // BenchmarkHeartbeat makes, encodes, decodes and takes in one heartbeat among 295
 // instances, and looks up a duty as often as an instance does between two. Before
 // heartbeats were packed and live instances remembered between two looks 1.9 ms and
--- a/gateway/fleet/view.go
+++ b/gateway/fleet/view.go
@@ -115,6 +115,14 @@
 			v.entries[u.ID] = e
 			changes = append(changes, Change{Upstream: u, What: Appeared})
 		}
+		if u.Restarted(e.up.Incarnation) {
+			// What is newer was heard of before.
+			continue
+		}
+		if e.up.Restarted(u.Incarnation) {
+			e.up, e.gone = dialect.Upstream{}, false
+			changes = append(changes, Change{Upstream: u, What: Restarted})
+		}
 		if e.gone {
 			e.gone = false
 			changes = append(changes, Change{Upstream: u, What: Appeared})
@@ -158,6 +166,7 @@
 // The changes of upstreams.
 const (
 	Appeared     What = "appeared"
+	Restarted    What = "restarted"
 	Leaves       What = "leaves"
 	Gone         What = "gone"
 	StageChanged What = "stage_changed"
--- a/gateway/fleet/view_test.go
+++ b/gateway/fleet/view_test.go
@@ -75,6 +75,30 @@
 	assert.Equal(t, names(v.Snapshot()), "ac")
 }
 
+// TestRestartUnderTheSameID: a new incarnation takes requests although the former was
+// leaving or gone, and older news of the former changes nothing.
+func TestRestartUnderTheSameID(t *testing.T) {
+	former, fresh := up("a"), up("a")
+	former.Incarnation, fresh.Incarnation = 5, 6
+	leaving := former
+	leaving.Leaving = true
+	v := NewView()
+	list(v, 0, 1, former)
+	list(v, 500, 2, leaving)
+	changes, _ := v.List(at(1005), at(1000), 3, []dialect.Upstream{fresh}, FromStore)
+	assert.DeepEqual(t, changes, []Change{{Upstream: fresh, What: Restarted}})
+	assert.DeepEqual(t, v.Snapshot().Upstreams["s"], []dialect.Upstream{fresh})
+	list(v, 1500, 4, leaving)
+	assert.DeepEqual(t, v.Snapshot().Upstreams["s"], []dialect.Upstream{fresh})
+	list(v, 2000, 5)
+	assert.Equal(t, names(v.Snapshot()), "")
+	list(v, 2500, 6, former)
+	assert.Equal(t, names(v.Snapshot()), "", "the former incarnation does not come back")
+	fresh.Incarnation = 7
+	list(v, 3000, 7, fresh)
+	assert.Equal(t, names(v.Snapshot()), "a")
+}
+
 // TestLeavingIsFinal: an upstream that was leaving stays so, whatever a later list
 // says of the same incarnation.
 func TestLeavingIsFinal(t *testing.T) {
--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -53,6 +53,9 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	r, err := g.dialect.Report(ctx, u)
+	if err == nil && !g.carrier.Reported(u, r) {
+		return
+	}
 	var replaced *dialect.ReplacedError
 	switch {
 	case errors.As(err, &replaced):
@@ -80,6 +83,9 @@
 		g.log.Info("no report", "upstream", u.ID, "error", err)
 		return
 	}
+	if !g.carrier.Reported(u, r) {
+		return
+	}
 	g.books.Heard(time.Now(), u)
 	unexplained := g.books.Reported(time.Now(), u, r)
 	if unexplained > 0 || r.Switching {
--- a/gateway/schedule/books.go
+++ b/gateway/schedule/books.go
@@ -131,17 +131,35 @@
 	}
 }
 
-// of returns the book of an upstream. The caller holds mu.
+// of returns the book of an upstream. One that started again under its ID has a new
+// book: it holds nothing of what it had, and nothing that was found of it counts. The
+// caller holds mu.
 func (b *Books) of(u dialect.Upstream) *book {
 	k := b.books[u.ID]
-	if k == nil {
-		k = &book{success: 1, starts: map[uint64]time.Time{}, streams: map[uint64]running{}, computing: map[uint64]int{}}
+	if k != nil && u.Restarted(k.up.Incarnation) {
+		// What is found of an incarnation that has ended counts for nothing.
+		return newBook(u)
+	}
+	if k == nil || k.up.Restarted(u.Incarnation) {
+		k = newBook(u)
 		b.books[u.ID] = k
 	}
 	k.up = u
 	return k
 }
 
+// newBook returns the book of an upstream of which nothing is known.
+func newBook(u dialect.Upstream) *book {
+	return &book{up: u, success: 1, starts: map[uint64]time.Time{}, streams: map[uint64]running{}, computing: map[uint64]int{}}
+}
+
+// Restarted takes in that an upstream has started again under its ID.
+func (b *Books) Restarted(u dialect.Upstream) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.of(u)
+}
+
 // Ticket is a placement of one request, until Done.
 type Ticket struct {
 	Upstream dialect.Upstream
--- a/gateway/schedule/books_test.go
+++ b/gateway/schedule/books_test.go
@@ -294,3 +294,35 @@
 	b.Readmit(at(600), list[0])
 	assert.Equal(t, len(b.Away(at(600)).Refusing), 1)
 }
+
+// TestRestartedUpstreamHasANewBook: what it had in flight, what refused, failed or was
+// ordered is of its former incarnation; what is still found of that counts for nothing.
+func TestRestartedUpstreamHasANewBook(t *testing.T) {
+	b := NewBooks("a", 1)
+	list := engines(0, 1)
+	list[0].Incarnation = 5
+	former := list[0]
+	size := Size{Prompt: 40000, Estimate: 500}
+	old, ok := b.PlaceDecode(at(0), list, engine, size, nil)
+	assert.Assert(t, ok)
+	b.Refuses(at(0), former)
+	b.Switching(at(0), former.ID, dialect.StagePrefill)
+	b.Failed(at(0), former, Closed)
+	_, ok = b.PlaceDecode(at(10), list, engine, size, nil)
+	assert.Assert(t, !ok)
+
+	fresh := []dialect.Upstream{former}
+	fresh[0].Incarnation = 6
+	b.Restarted(fresh[0])
+	assert.Equal(t, b.Busy(former.ID), 0)
+	for range 3 {
+		b.Failed(at(20), former, Hard)
+		b.Replaced(former)
+	}
+	first, ok := b.PlaceDecode(at(30), fresh, engine, size, nil)
+	assert.Assert(t, ok)
+	b.Done(old)
+	assert.Equal(t, b.Busy(former.ID), 1, "the former's end frees nothing of the new one")
+	b.Done(first)
+	assert.Equal(t, b.Busy(former.ID), 0)
+}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -117,7 +117,8 @@
 	return l
 }
 
-// changed has the books forget upstreams that are gone.
+// changed has the books forget upstreams that are gone, and ends what waits for those
+// that have started again.
 func (g *Service) changed(s *fleet.Snapshot) {
 	listed := map[ident.UpstreamID]bool{}
 	for _, list := range s.Upstreams {
@@ -126,6 +127,7 @@
 		}
 	}
 	g.books.Keep(listed)
+	g.carrier.Listed(s.All())
 }
 
 // loadChanged takes the sum of the peers' loads into the books.
