Standby readers in place of all, and hubs that don't answer are passed over

A hub that died had no successor for 6 s. Change: beside a zone's reader only two standbys read while the view is old, others while no peer answers them; without a configuration no list is read; in a large fleet a small configuration comes from the hub; the interval of readings follows from the time in which changes have to be in force (settings store.config_within_ms, store.leaving_within_ms). Whoever gets no answer from a hub takes the next one for 3 s; hubs tell each other once in place of twice.

--- a/gateway/fleet/duties.go
+++ b/gateway/fleet/duties.go
@@ -7,6 +7,12 @@
 	"github.com/wardspool/wardspool/rendezvous"
 )
 
+// dutyStore is the duty of reading the store and adding up the loads for a zone.
+const dutyStore = "store"
+
+// mostPassedOver is how many candidates for a hub are looked at.
+const mostPassedOver = 4
+
 // reviewDuties forgets the duties that have passed to others, and all on the smaller
 // side of a cut.
 func (r *Roster) reviewDuties() {
@@ -47,17 +53,32 @@
 }
 
 // Hub returns the address of the instance that reads the store and adds up the
-// loads for a zone, "" if none lives; self is true if it is this one.
+// loads for a zone, "" if none lives; self is true if it is this one. Those that did not
+// answer this instance lately are passed over.
 func (r *Roster) Hub(now time.Time, zone ident.Zone) (address string, self bool) {
 	r.refresh(now)
-	top := rendezvous.Top("store", r.candidates[zone], 1)
+	for _, id := range rendezvous.Top(dutyStore, r.candidates[zone], mostPassedOver) {
+		if id == r.self.ID {
+			return r.self.Address, true
+		}
+		if p := r.peers[id]; now.Sub(p.failed) >= passedOver {
+			return p.member.Address, false
+		}
+	}
+	return "", false
+}
+
+// Role returns this instance's part in reading the store for its zone, and the address of
+// the zone's reader, "" if it is this one or none lives.
+func (r *Roster) Role(now time.Time) (as role, hub string) {
+	hub, self := r.Hub(now, r.self.Zone)
 	switch {
-	case len(top) == 0:
-		return "", false
-	case top[0] == r.self.ID:
-		return r.self.Address, true
+	case self:
+		return reader, ""
+	case rendezvous.Contains(dutyStore, r.candidates[r.self.Zone], 1+standbyReaders, r.self.ID):
+		return standby, hub
 	default:
-		return r.peers[top[0]].member.Address, false
+		return asking, hub
 	}
 }
 
--- a/gateway/fleet/hub.go
+++ b/gateway/fleet/hub.go
@@ -23,7 +23,7 @@
 	Load     Load   `json:"load"`
 }
 
-// LoadAnswer is a hub's answer to a report of its zone.
+// LoadAnswer is a hub's answer to a report.
 type LoadAnswer struct {
 	// Sum is the packed Load of all instances: requests in flight and demand.
 	Sum []byte `json:"sum,omitempty"`
@@ -34,6 +34,10 @@
 	// must not come back to it as another's.
 	Refusing  map[ident.UpstreamID]int64         `json:"x,omitempty"`
 	Switching map[ident.UpstreamID]dialect.Stage `json:"w,omitempty"`
+	// Whole answers the hub of another zone, with the load of the own.
+	Whole *LoadReport `json:"whole,omitempty"`
+	// NotHub means that the asked instance takes another for the hub, and has no sum.
+	NotHub bool `json:"n,omitempty"`
 }
 
 // Hub adds up the loads of a zone's instances and exchanges the sums with other
@@ -74,6 +78,12 @@
 	h.members[r.From] = d
 }
 
+// Heard reports whether another zone's load has just come.
+func (h *Hub) Heard(now time.Time, zone ident.Zone) bool {
+	d, ok := h.zones[zone]
+	return ok && now.Sub(d.at) < toldLately
+}
+
 // Zone returns the load of the hub's zone.
 func (h *Hub) Zone(now time.Time) Load {
 	sum := NewLoad()
--- a/gateway/fleet/loads.go
+++ b/gateway/fleet/loads.go
@@ -63,8 +63,14 @@
 		n.tellHubs(ctx, now, own)
 	}
 	answer, err := n.tellLoad(ctx, address, self, own)
-	if err != nil {
-		n.o.Log.Debug("load not taken", "peer", address, "error", err)
+	n.mu.Lock()
+	n.roster.Called(time.Now(), address, err == nil)
+	if answer.NotHub {
+		n.roster.Forgive()
+	}
+	n.mu.Unlock()
+	if err != nil || answer.NotHub {
+		n.o.Log.Debug("load not taken", "peer", address, "not_hub", answer.NotHub, "error", err)
 		return
 	}
 	n.mu.Lock()
@@ -87,17 +93,27 @@
 	n.mu.Unlock()
 	for _, h := range hubs {
 		go func() {
-			if _, err := n.tellLoad(ctx, h, false, whole); err != nil {
-				n.o.Log.Debug("load not taken", "peer", h, "error", err)
+			answer, err := n.tellLoad(ctx, h, false, whole)
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.roster.Called(time.Now(), h, err == nil)
+			if err != nil || answer.Whole == nil {
+				n.o.Log.Debug("load not taken", "peer", h, "not_hub", answer.NotHub, "error", err)
+				return
 			}
+			n.hub.Take(time.Now(), *answer.Whole)
 		}()
 	}
 }
 
-// otherHubs returns the addresses of the other zones' hubs. The caller holds mu.
+// otherHubs returns the addresses of the other zones' hubs but those that have just told
+// theirs, and got this zone's in answer. The caller holds mu.
 func (n *Node) otherHubs(now time.Time) []string {
 	var hubs []string
 	for _, zone := range n.roster.OtherZones(now) {
+		if n.hub.Heard(now, zone) {
+			continue
+		}
 		if address, _ := n.roster.Hub(now, zone); address != "" {
 			hubs = append(hubs, address)
 		}
@@ -120,9 +136,12 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
+	if _, self := n.roster.Hub(now, n.o.Self.Zone); !self {
+		return LoadAnswer{NotHub: true}, nil
+	}
 	n.hub.Take(now, r)
 	if r.Whole {
-		return LoadAnswer{}, nil
+		return LoadAnswer{Whole: &LoadReport{From: n.o.Self.ID, Zone: n.o.Self.Zone, Whole: true, Load: n.hub.Zone(now)}}, nil
 	}
 	return n.hub.Answer(now, r.From), nil
 }
--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -18,10 +18,6 @@
 	// beatInterval is the time between two heartbeats: a change of load is known
 	// elsewhere after half of it on average.
 	beatInterval = 300 * time.Millisecond
-	// readInterval is the time between two readings of the store, and between two
-	// questions to the instance that reads for the zone. Together they stay under
-	// 1.1 s, where 2 s are allowed from a change in the store to its effect.
-	readInterval = 500 * time.Millisecond
 	// beatRelayed is the time between two heartbeats in a large fleet.
 	beatRelayed = time.Second
 	// loadAge is how old the others' loads are on average: half a heartbeat and half
@@ -33,21 +29,11 @@
 	// startInterval is the time between two readings while no configuration is
 	// known.
 	startInterval = 200 * time.Millisecond
-	// fallbackInterval is the time between two readings of the store by an instance
-	// that should not need to: all of them at once would exceed the store's rate.
-	fallbackInterval = 900 * time.Millisecond
-	// startFallback is the same while nothing is known yet: there may be nothing to
-	// know until the first configuration is published, and the zone's reader looks
-	// every startInterval.
-	startFallback = 3 * time.Second
 	// readTimeout bounds one reading of the store, which answers in 4 ms; a slow
 	// one is 100 times slower.
 	readTimeout = 1500 * time.Millisecond
 	// peerTimeout bounds one call to a peer.
 	peerTimeout = 700 * time.Millisecond
-	// staleAfter is the age of the view at which an instance stops relying on its
-	// zone's reader, and reads the store itself and asks peers of other zones.
-	staleAfter = 1200 * time.Millisecond
 )
 
 // Methods of the peer protocol.
@@ -65,9 +51,11 @@
 	Self   Member
 	Seeds  []string
 	Source dialect.Source
-	Pool   *peer.Pool
-	Server *peer.Server
-	Log    *slog.Logger
+	// InForce is the time in which a change in the store has to be in force.
+	InForce time.Duration
+	Pool    *peer.Pool
+	Server  *peer.Server
+	Log     *slog.Logger
 	// Load returns this instance's load, for its heartbeats.
 	Load func() Load
 	// Changed is called after each change of the view, LoadChanged when the sum of
@@ -87,7 +75,8 @@
 	// reports are the own ones to the zone's hub.
 	reports Reports
 	// others is the sum of the peers' loads.
-	others Load
+	others  Load
+	reading reading
 	// storeDown is when the store was first not reached, zero while it is.
 	storeDown time.Time
 
@@ -104,7 +93,7 @@
 
 // NewNode returns a node that knows nothing, and registers its methods.
 func NewNode(o Options) *Node {
-	n := &Node{o: o, view: NewView(), hub: NewHub(), others: NewLoad(), roster: NewRoster(o.Self, o.Seeds)}
+	n := &Node{o: o, reading: newReading(o.InForce), view: NewView(), hub: NewHub(), others: NewLoad(), roster: NewRoster(o.Self, o.Seeds)}
 	n.snapshot.Store(n.view.Snapshot())
 	n.alive.Store(1)
 	peer.Handle(o.Server, MethodHeartbeat, n.onHeartbeat)
@@ -120,6 +109,10 @@
 // Alive returns how many instances are believed to live.
 func (n *Node) Alive() int { return int(n.alive.Load()) }
 
+// Current reports whether a snapshot is young enough to give orders by: two readings may
+// have failed.
+func (n *Node) Current(s *Snapshot) bool { return time.Since(s.AsOf) <= 3*n.reading.interval }
+
 // Leave tells peers that this instance is stopping.
 func (n *Node) Leave() {
 	n.mu.Lock()
--- a/gateway/fleet/reader.go
+++ b/gateway/fleet/reader.go
@@ -50,44 +50,43 @@
 // its zone, from the zone's reader otherwise, from both and any peer when the
 // view grows old.
 func (n *Node) readings(ctx context.Context) {
-	lastRead := time.Time{}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	for ctx.Err() == nil {
 		n.mu.Lock()
 		now := time.Now()
-		hub, self := n.roster.Hub(now, n.o.Self.Zone)
+		as, hub := n.roster.Role(now)
 		other := n.roster.AnyPeer(now, random)
-		n.mu.Unlock()
 		s := n.Snapshot()
-		old := !s.Ready() || now.Sub(s.AsOf) > staleAfter
-		var parallel sync.WaitGroup
-		fallback := fallbackInterval
-		if !s.Ready() {
-			fallback = startFallback
+		ready, age := s.Ready(), now.Sub(s.AsOf)
+		due := n.reading.due(now, as, ready, age)
+		if due {
+			n.reading.last = now
 		}
-		if self || old && now.Sub(lastRead) > fallback {
-			lastRead = now
+		old := n.reading.old(ready, age)
+		n.mu.Unlock()
+		var parallel sync.WaitGroup
+		if due {
 			parallel.Go(func() { n.readStore(ctx) })
 		}
-		if !self && hub != "" {
+		if as != reader && hub != "" {
 			parallel.Go(func() { n.ask(ctx, hub) })
 		}
 		if old && other != "" {
 			parallel.Go(func() { n.ask(ctx, other) })
 		}
 		parallel.Wait()
-		wait := readInterval
-		if !n.Snapshot().Ready() {
-			wait = startInterval
-		}
-		pause.For(ctx, jitter(random, wait))
+		pause.For(ctx, jitter(random, n.reading.wait(as, n.Snapshot().Ready())))
 	}
 }
 
-// readStore reads the store once.
+// readStore reads the store once. Without a configuration no list is of use.
 func (n *Node) readStore(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	first := n.Snapshot().Table == nil
+	if first && !n.readConfig(ctx) {
+		return
+	}
 	started := time.Now()
 	list, revision, err := n.o.Source.Upstreams(ctx)
 	if err != nil {
@@ -95,13 +94,20 @@
 		return
 	}
 	n.takeList(started, revision, list, n.readOrigin(), "store")
+	if first || n.readConfig(ctx) {
+		n.storeAnswered()
+	}
+}
+
+// readConfig reads the configuration, and reports whether it got one.
+func (n *Node) readConfig(ctx context.Context) bool {
 	c, err := n.o.Source.Config(ctx)
 	if err != nil {
 		n.storeFailed(err)
-		return
+		return false
 	}
 	n.takeConfig(c, "store")
-	n.storeAnswered()
+	return true
 }
 
 // readOrigin says whether a list that was just read is the first after failures.
@@ -146,6 +152,12 @@
 	q := ViewRequest{Digest: s.Digest()}
 	asked := time.Now()
 	a, err := peer.Call[ViewAnswer](ctx, n.o.Pool, address, MethodView, q)
+	n.mu.Lock()
+	n.roster.Called(time.Now(), address, err == nil)
+	if err == nil {
+		n.reading.answered = asked
+	}
+	n.mu.Unlock()
 	if err != nil {
 		n.o.Log.Debug("view not answered", "peer", address, "error", err)
 		return
--- a/gateway/fleet/relay.go
+++ b/gateway/fleet/relay.go
@@ -27,6 +27,17 @@
 	maxConfigBytes = 64 << 20
 )
 
+// mostRelayed is the largest packed configuration that a zone's hub sends to all of the
+// zone in a large fleet, in bytes: 59 instances get it over a link of 20 Mbit/s within
+// 0.4 s. Without it each of 295 instances read each new version from the store.
+const mostRelayed = 16 << 10
+
+// ConfigRequest says how large an answer is of use.
+type ConfigRequest struct {
+	// MostBytes bounds it; 0 for any size.
+	MostBytes int `json:"most,omitempty"`
+}
+
 // ConfigAnswer is a configuration as gzipped JSON, a tenth of its plain size.
 type ConfigAnswer struct {
 	Gzip []byte `json:"gzip,omitempty"`
@@ -56,8 +67,18 @@
 	return c, nil
 }
 
-// onConfig sends a peer the configuration in force, encoded once for each version.
-func (n *Node) onConfig(context.Context, peer.Identity, struct{}) (ConfigAnswer, error) {
+// onConfig sends a peer the configuration in force, encoded once for each version; nothing
+// if it is larger than the peer asked for.
+func (n *Node) onConfig(_ context.Context, _ peer.Identity, q ConfigRequest) (ConfigAnswer, error) {
+	packed, err := n.pack()
+	if q.MostBytes > 0 && len(packed.Gzip) > q.MostBytes {
+		return ConfigAnswer{}, err
+	}
+	return packed, err
+}
+
+// pack returns the configuration in force as peers get it.
+func (n *Node) pack() (ConfigAnswer, error) {
 	s := n.Snapshot()
 	if s.Table == nil {
 		return ConfigAnswer{}, nil
@@ -75,16 +96,20 @@
 	return packed, nil
 }
 
-// fetchConfig gets a configuration of at least a version in the background, from the
-// store or else from the peer that has it; one at a time.
+// fetchConfig gets a configuration of at least a version in the background, one at a time:
+// from the store or else from the peer that has it, in a large fleet from the peer first
+// if it is small.
 func (n *Node) fetchConfig(address string, version int64) {
 	if !n.fetching.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
 		defer n.fetching.Store(false)
+		if n.large() && n.configFromPeer(address, version, mostRelayed) {
+			return
+		}
 		if !n.configFromStore(version) {
-			n.configFromPeer(address)
+			n.configFromPeer(address, version, 0)
 		}
 	}()
 }
@@ -103,13 +128,14 @@
 	return c.Version >= version
 }
 
-// configFromPeer asks a peer for its configuration.
-func (n *Node) configFromPeer(address string) {
+// configFromPeer asks a peer for its configuration of at most so many bytes, and reports
+// whether it got one of at least a version.
+func (n *Node) configFromPeer(address string, version int64, most int) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), configFromPeer)
 	defer cancel()
-	a, err := peer.Call[ConfigAnswer](ctx, n.o.Pool, address, MethodConfig, struct{}{})
+	a, err := peer.Call[ConfigAnswer](ctx, n.o.Pool, address, MethodConfig, ConfigRequest{MostBytes: most})
 	if err == nil && len(a.Gzip) == 0 {
-		return
+		return false
 	}
 	var c *routing.Config
 	if err == nil {
@@ -117,7 +143,8 @@
 	}
 	if err != nil {
 		n.o.Log.Info("configuration not read", "from", address, "error", err)
-		return
+		return false
 	}
 	n.takeConfig(c, address)
+	return c.Version >= version
 }
--- a/gateway/fleet/relay_test.go
+++ b/gateway/fleet/relay_test.go
@@ -110,17 +110,29 @@
 	assert.Equal(t, n.Snapshot().Version(), int64(9))
 }
 
+// TestLargeConfigurationIsNotSentToAll of a zone by its hub, unless the peer takes any.
+func TestLargeConfigurationIsNotSentToAll(t *testing.T) {
+	n := newTestNode(t, &fakeStore{})
+	n.takeConfig(largeConfig(7), "test")
+	a, err := n.onConfig(t.Context(), peer.Identity{}, ConfigRequest{MostBytes: 2000})
+	assert.NilError(t, err)
+	assert.Equal(t, len(a.Gzip), 0)
+	a, err = n.onConfig(t.Context(), peer.Identity{}, ConfigRequest{})
+	assert.NilError(t, err)
+	assert.Assert(t, len(a.Gzip) > 2000)
+}
+
 // TestConfigurationIsPackedOnce for all peers that ask, to a tenth of its size, and
 // anew for the next version.
 func TestConfigurationIsPackedOnce(t *testing.T) {
 	n := newTestNode(t, &fakeStore{})
-	none, err := n.onConfig(t.Context(), peer.Identity{}, struct{}{})
+	none, err := n.onConfig(t.Context(), peer.Identity{}, ConfigRequest{})
 	assert.NilError(t, err)
 	assert.Equal(t, len(none.Gzip), 0)
 	n.takeConfig(largeConfig(7), "test")
-	first, err := n.onConfig(t.Context(), peer.Identity{}, struct{}{})
+	first, err := n.onConfig(t.Context(), peer.Identity{}, ConfigRequest{})
 	assert.NilError(t, err)
-	again, err := n.onConfig(t.Context(), peer.Identity{}, struct{}{})
+	again, err := n.onConfig(t.Context(), peer.Identity{}, ConfigRequest{})
 	assert.NilError(t, err)
 	assert.Assert(t, &first.Gzip[0] == &again.Gzip[0])
 	assert.Assert(t, len(first.Gzip) < 25_000, "%d bytes", len(first.Gzip))
@@ -128,7 +140,7 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, c, largeConfig(7))
 	n.takeConfig(largeConfig(8), "test")
-	next, err := n.onConfig(t.Context(), peer.Identity{}, struct{}{})
+	next, err := n.onConfig(t.Context(), peer.Identity{}, ConfigRequest{})
 	assert.NilError(t, err)
 	c, err = next.unpack()
 	assert.NilError(t, err)
--- a/gateway/fleet/roster.go
+++ b/gateway/fleet/roster.go
@@ -29,6 +29,10 @@
 	// as many bytes again.
 	fullMesh = 16
 	fanout   = 2
+	// passedOver is how long an instance that did not answer a call is passed over as a hub
+	// by the one that called it. Only after 6 s of silence it counts as dead to all; until
+	// then its zone would have neither sums of loads nor new lists.
+	passedOver = 3 * time.Second
 	// inTouchOf is how many instances of a large fleet, this one included, most of which
 	// must have answered lately for it to count as in touch.
 	inTouchOf = 4
@@ -52,6 +56,8 @@
 	// told of itself, in a call of its own or in an answer.
 	answered time.Time
 	told     time.Time
+	// failed is when a call to it last failed.
+	failed time.Time
 	// greeted is the incarnation that an answer has named the others to.
 	greeted ident.Incarnation
 }
@@ -123,6 +129,29 @@
 	}
 }
 
+// Called takes in whether the peer at an address answered a call.
+func (r *Roster) Called(now time.Time, address string, answered bool) {
+	for _, p := range r.peers {
+		switch {
+		case p.member.Address != address:
+		case answered:
+			p.failed = time.Time{}
+		default:
+			p.failed = now
+		}
+	}
+}
+
+// Forgive has the peers of the own zone that did not answer be called again: the next
+// candidate for the hub gets answers from them.
+func (r *Roster) Forgive() {
+	for _, p := range r.peers {
+		if p.member.Zone == r.self.Zone {
+			p.failed = time.Time{}
+		}
+	}
+}
+
 // refresh notes whether the set of live instances changed, and forgets the dead. An
 // instance that stood still forgets its duties: others have taken them over meanwhile.
 func (r *Roster) refresh(now time.Time) {
--- a/gateway/fleet/roster_test.go
+++ b/gateway/fleet/roster_test.go
@@ -346,3 +346,39 @@
 		assert.Equal(t, started.Alive(at(450)), 6)
 	}
 }
+
+// TestHubThatDoesNotAnswerIsPassedOver at once, by all who called it alike, long before it
+// counts as dead; for a while, or until the next candidate says that it answers others.
+func TestHubThatDoesNotAnswerIsPassedOver(t *testing.T) {
+	rosters := map[string]*Roster{}
+	for i := range 30 {
+		self := member(i, "a")
+		r := NewRoster(self, nil)
+		for j := range 30 {
+			if i != j {
+				hear(r, 0, member(j, "a"))
+			}
+		}
+		rosters[self.Address] = r
+	}
+	hub, _ := rosters["10.0.0.0:1"].Hub(at(0), "a")
+	seconds := map[string]bool{}
+	for address, r := range rosters {
+		if address == hub {
+			continue
+		}
+		r.Called(at(100), hub, false)
+		next, _ := r.Hub(at(100), "a")
+		seconds[next] = true
+		again, _ := r.Hub(at(100).Add(passedOver), "a")
+		assert.Equal(t, again, hub)
+	}
+	assert.Equal(t, len(seconds), 1, "%v", seconds)
+	assert.Assert(t, !seconds[hub])
+	for _, r := range rosters {
+		r.Called(at(100), hub, false)
+		r.Forgive()
+		first, _ := r.Hub(at(150), "a")
+		assert.Equal(t, first, hub)
+	}
+}
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -25,8 +25,8 @@
 	// Only the ratio of prefill to memory matters for it, which some ten requests
 	// show; the sooner the order, the less of a first burst it meets.
 	orderWarmup = 1500 * time.Millisecond
-	// orderFresh is how old the list and the peers' answers may be for an order:
-	// nothing is ordered from a view that may be old.
+	// orderFresh is how old the peers' answers may be for an order: nothing is ordered by
+	// an instance that may be cut off.
 	orderFresh = 1500 * time.Millisecond
 	// orderTimeout bounds the sending of one order.
 	orderTimeout = time.Second
@@ -71,7 +71,7 @@
 		if !s.Ready() {
 			continue
 		}
-		may := !g.stopping.Load() && time.Since(s.AsOf) <= orderFresh && g.node.Holds(dutyStages, lease, orderFresh)
+		may := !g.stopping.Load() && g.node.Current(s) && g.node.Holds(dutyStages, lease, orderFresh)
 		for name, service := range s.Table.Config().Services {
 			if service.Engine == nil {
 				continue
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -73,7 +73,7 @@
 	g.node = fleet.NewNode(fleet.Options{
 		Self:   fleet.Member{ID: s.Instance, Zone: s.Zone, Address: s.Listen.Peers, Incarnation: incarnation},
 		Seeds:  s.Seeds,
-		Source: source, Pool: g.pool, Server: g.peers, Log: log,
+		Source: source, InForce: s.Store.inForce(), Pool: g.pool, Server: g.peers, Log: log,
 		Load: g.load, Changed: g.changed, LoadChanged: g.loadChanged,
 	})
 	budget := schedule.NewBudget(time.Now(), s.Retries.budget(), g.node.Alive)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -47,6 +47,15 @@
 // Store is the deployment's store.
 type Store struct {
 	Address string `yaml:"address"`
+	// ConfigWithinMS and LeavingWithinMS are how soon a change of the configuration, or
+	// that an upstream leaves, has to be in force, in milliseconds.
+	ConfigWithinMS  int `yaml:"config_within_ms"`
+	LeavingWithinMS int `yaml:"leaving_within_ms"`
+}
+
+// inForce is the time in which any change in the store has to be in force.
+func (s Store) inForce() time.Duration {
+	return time.Duration(min(s.ConfigWithinMS, s.LeavingWithinMS)) * time.Millisecond
 }
 
 // Retries bound sends beyond a request's first, of all instances together.
@@ -83,11 +92,13 @@
 	defaultRetryWindow  = 10
 	defaultLeaseMS      = 3000
 	defaultGraceSeconds = 8
+	defaultWithinMS     = 2000
 )
 
 // SetDefaults implements settings.Defaulter.
 func (s *Settings) SetDefaults() {
 	s.MemoryMB = defaultMemoryMB
+	s.Store.ConfigWithinMS, s.Store.LeavingWithinMS = defaultWithinMS, defaultWithinMS
 	s.Retries = Retries{Ratio: defaultRetryRatio, WindowSeconds: defaultRetryWindow}
 	s.Orders.LeaseMS = defaultLeaseMS
 	s.Stop.GraceSeconds = defaultGraceSeconds
@@ -106,6 +117,9 @@
 	for i, seed := range s.Seeds {
 		common.CheckAddress(r, fmt.Sprintf("seeds[%d]", i), seed, common.Required)
 	}
+	if s.Store.inForce() <= 0 {
+		r.Add("store", "config_within_ms or leaving_within_ms is not above 0", "give the milliseconds within which changes have to be in force")
+	}
 	if s.Retries.WindowSeconds <= 0 {
 		r.Add("retries.window_seconds", "is not above 0", "give the seconds over which retries are counted")
 	}
