Readiness follows the closing of callers' connections

Cause: TestGracefulStop failed once under the race detector: readiness said 503 before the front was told to close connections, so that an answer between the two kept its own. Two states became one. The new test fails each time on the code before (200 in place of 503).

--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -63,6 +63,9 @@
 // CloseConnections makes each response from now on the last of its connection.
 func (f *Front) CloseConnections() { f.closing.Store(true) }
 
+// Closing reports whether CloseConnections was called.
+func (f *Front) Closing() bool { return f.closing.Load() }
+
 // Active returns how many requests are in progress.
 func (f *Front) Active() int64 { return f.active.Load() }
 
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -71,7 +71,7 @@
 		if !s.Ready() {
 			continue
 		}
-		may := !g.stopping.Load() && g.node.Current(s) && g.node.Holds(dutyStages, lease, orderFresh)
+		may := !g.stopping() && g.node.Current(s) && g.node.Holds(dutyStages, lease, orderFresh)
 		for name, service := range s.Table.Config().Services {
 			if service.Engine == nil {
 				continue
--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -28,7 +28,7 @@
 func (g *Service) gatherReports(ctx context.Context) {
 	for pause.For(ctx, reportInterval) {
 		s := g.node.Snapshot()
-		if !s.Ready() || g.stopping.Load() {
+		if !s.Ready() || g.stopping() {
 			continue
 		}
 		for _, list := range s.Upstreams {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -50,7 +49,6 @@
 	metrics  *counters
 	pool     *peer.Pool
 	peers    *peer.Server
-	stopping atomic.Bool
 
 	callers, ready, control, scrape net.Listener
 }
@@ -224,9 +222,8 @@
 	began := time.Now()
 	grace := time.Duration(g.settings.Stop.GraceSeconds * float64(time.Second))
 	g.log.Info("stopping", "active", g.front.Active(), "grace_ms", grace.Milliseconds())
-	g.stopping.Store(true)
-	g.node.Leave()
 	g.front.CloseConnections()
+	g.node.Leave()
 	pause.For(context.Background(), min(announceTime, grace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-stopReserve))
 	defer cancel()
@@ -236,6 +233,11 @@
 	}
 }
 
+// stopping reports whether the stop has begun. It is one state with the closing of callers'
+// connections: whoever is told that this instance is not ready finds that an answer ends
+// its connection.
+func (g *Service) stopping() bool { return g.front.Closing() }
+
 // serve runs an HTTP server until it is closed.
 func (g *Service) serve(s *http.Server, l net.Listener, what string) {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -252,7 +254,7 @@
 
 // servePeers answers peers until closed.
 func (g *Service) servePeers() {
-	if err := g.peers.Serve(g.control); err != nil && !g.stopping.Load() {
+	if err := g.peers.Serve(g.control); err != nil && !g.stopping() {
 		g.log.Error("server ended", "server", "peers", "error", oops.Wrap(err))
 	}
 }
@@ -271,7 +273,7 @@
 func (g *Service) readyRoutes() http.Handler {
 	r := mux.NewRouter()
 	r.PathPrefix("/").HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if g.stopping.Load() || !g.node.Snapshot().Ready() {
+		if g.stopping() || !g.node.Snapshot().Ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/gateway/service_test.go
+++ b/gateway/service_test.go
@@ -125,6 +125,7 @@
 // instance is one running instance.
 type instance struct {
 	settings *Settings
+	service  *Service
 	stop     func()
 	done     chan error
 }
@@ -139,7 +140,7 @@
 	g := New(s, platform.New(dialect.Options{DialTimeout: time.Second}), b.source, slog.New(slog.DiscardHandler))
 	assert.NilError(t, g.Listen())
 	ctx, cancel := context.WithCancel(t.Context())
-	i := &instance{settings: s, stop: cancel, done: make(chan error, 1)}
+	i := &instance{settings: s, service: g, stop: cancel, done: make(chan error, 1)}
 	go func() { i.done <- g.Serve(ctx) }()
 	t.Cleanup(func() {
 		cancel()
@@ -283,6 +284,19 @@
 	assert.NilError(t, err)
 }
 
+// TestReadinessFollowsTheClosingOfConnections: whoever is told that an instance is not ready
+// finds that its answers end their connections. While a stop set one state after the other,
+// an answer between the two kept its connection.
+func TestReadinessFollowsTheClosingOfConnections(t *testing.T) {
+	b := newFleetBed(t)
+	i := b.start(t, "one")
+	await(t, "ready", func() bool { return b.status(t, i) == http.StatusOK })
+	i.service.front.CloseConnections()
+	assert.Equal(t, b.status(t, i), http.StatusServiceUnavailable)
+	_, header, _ := b.ask(t, i, "/plain/x", "")
+	assert.Equal(t, header.Get("Connection"), "close")
+}
+
 // TestFencesRiseAndAreNotShared: also when the time of day goes back.
 func TestFencesRiseAndAreNotShared(t *testing.T) {
 	now := time.Unix(5000, 0)
