An instance may use its whole part of the retry budget while all spend little

Change: loads tell what each spent; below 0.3 of the slack in all, heard within 1.5 s and not in the first window after a start, the whole part may be used; what is counted is never shorter than a window. The sum stays under the bound without a word between them. Kept for the larger fleet: TestStreamsStartAnewInALargeFleet. Also: the first configuration is looked for each 0.5 s by a zone's reader, not each 0.2 s.

--- a/gateway/fleet/hub.go
+++ b/gateway/fleet/hub.go
@@ -168,7 +168,7 @@
 func NewLoad() Load {
 	return Load{
 		InFlight: map[ident.UpstreamID]InFlight{}, Refusing: map[ident.UpstreamID]int64{},
-		Switching: map[ident.UpstreamID]dialect.Stage{}, Demand: map[string]Demand{},
+		Switching: map[ident.UpstreamID]dialect.Stage{}, Demand: map[string]Demand{}, Spent: map[string]int{},
 	}
 }
 
@@ -178,6 +178,9 @@
 		l.InFlight[id] = l.InFlight[id].plus(f)
 	}
 	l.addAway(o)
+	for service, n := range o.Spent {
+		l.Spent[service] += n
+	}
 	for service, d := range o.Demand {
 		sum := l.Demand[service]
 		sum.PrefillRate += d.PrefillRate
@@ -198,7 +201,7 @@
 	}
 }
 
-// remove takes a load that was added out again: its requests and rates.
+// remove takes a load that was added out again: its requests, rates and sends.
 func (l *Load) remove(o Load) {
 	for id, f := range o.InFlight {
 		if left := l.InFlight[id].minus(f); left.empty() {
@@ -207,6 +210,9 @@
 			l.InFlight[id] = left
 		}
 	}
+	for service, n := range o.Spent {
+		l.Spent[service] -= n
+	}
 	for service, d := range o.Demand {
 		sum := l.Demand[service]
 		sum.PrefillRate = max(0, sum.PrefillRate-d.PrefillRate)
--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -26,9 +26,6 @@
 	loadAgeByHub = 3 * beatInterval / 2
 	// sumInterval is the time between two sums of the loads that came by heartbeat.
 	sumInterval = 100 * time.Millisecond
-	// startInterval is the time between two readings while no configuration is
-	// known.
-	startInterval = 200 * time.Millisecond
 	// readTimeout bounds one reading of the store, which answers in 4 ms; a slow
 	// one is 100 times slower.
 	readTimeout = 1500 * time.Millisecond
--- a/gateway/fleet/pack.go
+++ b/gateway/fleet/pack.go
@@ -17,7 +17,7 @@
 // Error implements error.
 func (e *PackError) Error() string { return "packed load: malformed" }
 
-// pack encodes requests in flight and demand.
+// pack encodes requests in flight, demand and sends.
 func (l *Load) pack() []byte {
 	dst := binary.AppendUvarint(nil, uint64(len(l.InFlight)))
 	for id, f := range l.InFlight {
@@ -35,6 +35,10 @@
 		}
 		dst = appendSteps(dst, d.Paces)
 	}
+	dst = binary.AppendUvarint(dst, uint64(len(l.Spent)))
+	for service, n := range l.Spent {
+		dst = binary.AppendVarint(appendString(dst, service), int64(n))
+	}
 	return dst
 }
 
@@ -67,6 +71,10 @@
 		service := r.text()
 		l.Demand[service] = Demand{PrefillRate: r.rate(), MemoryRate: r.rate(), StreamRate: r.rate(), Paces: r.steps()}
 	}
+	for range r.count() {
+		service := r.text()
+		l.Spent[service] = r.number()
+	}
 	if r.failed || len(r.left) > 0 {
 		return Load{}, &PackError{Bytes: len(packed)}
 	}
--- a/gateway/fleet/pack_test.go
+++ b/gateway/fleet/pack_test.go
@@ -29,6 +29,9 @@
 		for _, service := range rapid.SliceOfDistinct(rapid.String(), rapid.ID[string]).Draw(t, "services") {
 			load.Demand[service] = Demand{PrefillRate: rapid.Float64().Draw(t, "rate"), Paces: schedule.Paces{0, 3, 7}}
 		}
+		for _, service := range rapid.SliceOfDistinct(rapid.String(), rapid.ID[string]).Draw(t, "spending") {
+			load.Spent[service] = rapid.Int().Draw(t, "spent")
+		}
 		back, err := unpackLoad(load.pack())
 		assert.NilError(t, err)
 		assert.DeepEqual(t, back, load)
--- a/gateway/fleet/reading.go
+++ b/gateway/fleet/reading.go
@@ -6,6 +6,8 @@
 	// askInterval is the time between two questions to the instance that reads the store
 	// for the zone.
 	askInterval = 500 * time.Millisecond
+	// startInterval is the same until an answer has brought configuration and list.
+	startInterval = 200 * time.Millisecond
 	// readingsInBound is how often the store is read in the time in which a change has to
 	// be in force: reading, question and answer take under half of it together, so that
 	// one of each may fail.
@@ -24,7 +26,7 @@
 	fallbackInterval = 900 * time.Millisecond
 	// startFallback is the same while nothing is known yet: there may be nothing to
 	// know until the first configuration is published, and the zone's reader looks
-	// every startInterval.
+	// every askInterval.
 	startFallback = 3 * time.Second
 )
 
@@ -76,11 +78,11 @@
 // wait returns the time until the next look.
 func (r *reading) wait(as role, ready bool) time.Duration {
 	switch {
-	case !ready:
-		return startInterval
-	case as == reader:
+	case as == reader && ready:
 		return r.interval
-	default:
+	case as == reader || ready:
 		return askInterval
+	default:
+		return startInterval
 	}
 }
--- a/gateway/fleet/roster.go
+++ b/gateway/fleet/roster.go
@@ -11,9 +11,9 @@
 	// aliveFor is how long after its last heartbeat an instance counts as alive:
 	// heartbeats are exchanged every 300 ms, so several in a row were lost.
 	aliveFor = 2 * time.Second
-	// aliveForRelayed is the same in a large fleet, where news of an instance takes
-	// some three rounds of a second to reach all of its zone, and aliveForForeign for
-	// instances of other zones, whose news takes some rounds more.
+	// aliveForRelayed is the same in a large fleet, where a sign of life counts from when
+	// it came and takes some three rounds of a second to reach all of its zone, and
+	// aliveForForeign for instances of other zones, whose news takes some rounds more.
 	aliveForRelayed = 6 * time.Second
 	aliveForForeign = 9 * time.Second
 	// stoodStill is the gap in this instance's own doings, which look at the roster
@@ -50,7 +50,8 @@
 	member Member
 	// key is that of the member's description.
 	key recordKey
-	// heard is when its heartbeat was made, at the latest, on this instance's clock.
+	// heard is when its newest heartbeat was made, on this instance's clock; in a large
+	// fleet when the sign of life came.
 	heard time.Time
 	// answered is when it last answered a call of this instance, told when it last
 	// told of itself, in a call of its own or in an answer.
--- a/gateway/schedule/budget.go
+++ b/gateway/schedule/budget.go
@@ -20,12 +20,27 @@
 // instances that restart forget what they spent.
 const budgetMargin = 0.6
 
-// budgetSteps is into how many steps a window is divided.
-const budgetSteps = 20
+const (
+	// quietShare is the share of the slack under which all instances together spend little:
+	// each may then use the whole of its part. Of 295 instances with two sends each in 10 s
+	// none could start a stream anew, which takes two, while all together made some 15 of
+	// 760 allowed.
+	quietShare = 0.3
+	// spentFresh is how long it is believed what the others spent: loads of large fleets
+	// come by two hubs, each 0.3 s.
+	spentFresh = 1500 * time.Millisecond
+)
+
+// budgetSteps is into how many steps a window is divided; one more is counted, so that
+// what is counted is never shorter than a window.
+const (
+	budgetSteps  = 20
+	countedSteps = budgetSteps + 1
+)
 
-// Budget bounds extra sends to each service. Every instance spends its own share,
-// so that the sum stays in bounds without a word between them. It is safe for
-// concurrent use.
+// Budget bounds extra sends to each service. Every instance spends its own part, so that
+// the sum stays in bounds without a word between them; what the others are heard to spend
+// only says how much of its part an instance may use. It is safe for concurrent use.
 type Budget struct {
 	options   BudgetOptions
 	instances func() int
@@ -34,13 +49,25 @@
 
 	mu       sync.Mutex
 	services map[string]*spending
+	// others is what the others spent by service, as of heard.
+	others map[string]int
+	heard  time.Time
 }
 
 // spending counts a service's requests and extra sends, by step of time.
 type spending struct {
 	step     int64
-	requests [budgetSteps]int
-	extra    [budgetSteps]int
+	requests [countedSteps]int
+	extra    [countedSteps]int
+}
+
+// counted returns the requests and extra sends of the last window.
+func (s *spending) counted() (requests, extra int) {
+	for i := range countedSteps {
+		requests += s.requests[i]
+		extra += s.extra[i]
+	}
+	return requests, extra
 }
 
 // NewBudget returns a budget; instances returns how many share it.
@@ -57,9 +84,9 @@
 	}
 	length := int64(b.options.Window) / budgetSteps
 	step := int64(now.Sub(b.origin)) / max(1, length)
-	for i := s.step + 1; i <= step && i <= s.step+budgetSteps; i++ {
-		s.requests[i%budgetSteps] = 0
-		s.extra[i%budgetSteps] = 0
+	for i := s.step + 1; i <= step && i <= s.step+countedSteps; i++ {
+		s.requests[i%countedSteps] = 0
+		s.extra[i%countedSteps] = 0
 	}
 	s.step = max(s.step, step)
 	return s
@@ -70,7 +97,36 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.of(now, service)
-	s.requests[s.step%budgetSteps]++
+	s.requests[s.step%countedSteps]++
+}
+
+// Spent returns the extra sends of this instance in the last window, by service.
+func (b *Budget) Spent(now time.Time) map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	spent := map[string]int{}
+	for service := range b.services {
+		if _, extra := b.of(now, service).counted(); extra > 0 {
+			spent[service] = extra
+		}
+	}
+	return spent
+}
+
+// SetOthers takes in what the other instances spent.
+func (b *Budget) SetOthers(now time.Time, spent map[string]int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.others, b.heard = spent, now
+}
+
+// quiet reports whether all instances together spend little, as far as is known. One that
+// has just started is not sure: it forgot what it spent before. The caller holds mu.
+func (b *Budget) quiet(now time.Time, service string, extra int) bool {
+	if now.Sub(b.heard) > spentFresh || now.Sub(b.origin) < b.options.Window {
+		return false
+	}
+	return float64(b.others[service]+extra) <= quietShare*b.options.Slack
 }
 
 // Extra reports whether so many more sends beyond the first are allowed, and counts
@@ -90,15 +146,14 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.of(now, service)
-	requests, extra := 0, 0
-	for i := range budgetSteps {
-		requests += s.requests[i]
-		extra += s.extra[i]
+	requests, extra := s.counted()
+	if share == budgetMargin && b.quiet(now, service, extra) {
+		share = 1
 	}
 	allowed := b.options.Ratio*float64(requests) + b.options.Slack/float64(max(1, b.instances()))
 	if float64(extra+sends) > share*allowed {
 		return false
 	}
-	s.extra[s.step%budgetSteps] += sends
+	s.extra[s.step%countedSteps] += sends
 	return true
 }
--- a/gateway/schedule/budget_test.go
+++ b/gateway/schedule/budget_test.go
@@ -42,6 +42,64 @@
 	}
 }
 
+// TestStreamsStartAnewInALargeFleet: a stream that broke off takes two sends. While others
+// spend little an instance of 295 may make them; when streams break off everywhere at once,
+// and each instance learns a second late what the others spent, the sum stays under the
+// bound in every window.
+func TestStreamsStartAnewInALargeFleet(t *testing.T) {
+	const instances = 295
+	o := BudgetOptions{Ratio: 0.2, Window: 10 * time.Second, Slack: 630}
+	var budgets []*Budget
+	for range instances {
+		budgets = append(budgets, NewBudget(at(0), o, func() int { return instances }))
+	}
+	var perStep []int
+	told := []map[string]int{{}, {}, {}, {}, {}}
+	most, started := 0, 0
+	for step := 0; step < 200; step++ {
+		now := at(step * 200)
+		sum, spent := 0, map[string]int{}
+		for i, b := range budgets {
+			b.SetOthers(now, told[0])
+			// One stream of the fleet breaks off each 0.2 s, all from 20 s on.
+			if step > 100 || (step+i)%300 == 0 {
+				if b.Extra(now, "s", 2) {
+					sum += 2
+					started++
+				}
+			}
+			spent["s"] += b.Spent(now)["s"]
+		}
+		told = append(told[1:], spent)
+		perStep = append(perStep, sum)
+		window := 0
+		for _, n := range perStep[max(0, len(perStep)-50):] {
+			window += n
+		}
+		most = max(most, window)
+		if step == 100 {
+			assert.Assert(t, started >= 25, "%d streams started anew in quiet", started)
+		}
+	}
+	assert.Assert(t, float64(most) <= o.Slack, "%d in 10 s", most)
+}
+
+// TestWholePartOnlyIfTheOthersAreHeard, and not by an instance that has just started.
+func TestWholePartOnlyIfTheOthersAreHeard(t *testing.T) {
+	b := NewBudget(at(0), BudgetOptions{Window: 10 * time.Second, Slack: 10}, func() int { return 1 })
+	b.SetOthers(at(0), nil)
+	assert.Assert(t, b.Extra(at(0), "s", 6))
+	assert.Assert(t, !b.Extra(at(100), "s", 1), "it has just started")
+	assert.Assert(t, b.Extra(at(21000), "s", 3))
+	assert.Assert(t, b.Extra(at(21000), "s", 3))
+	assert.Assert(t, !b.Extra(at(21000), "s", 1), "nothing was heard of the others")
+	b.SetOthers(at(40000), map[string]int{"s": 1})
+	assert.Assert(t, b.Extra(at(40000), "s", 2))
+	assert.Assert(t, b.Extra(at(40000), "s", 8), "they spend little")
+	b.SetOthers(at(60000), map[string]int{"s": 9})
+	assert.Assert(t, !b.Extra(at(60000), "s", 7), "they spend much")
+}
+
 func TestSeveralSendsCountAsMany(t *testing.T) {
 	b := NewBudget(at(0), BudgetOptions{Window: 10 * time.Second, Slack: 10}, func() int { return 1 })
 	assert.Assert(t, b.Extra(at(0), "s", 4))
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -44,6 +44,7 @@
 	dialect  dialect.Dialect
 	node     *fleet.Node
 	books    *schedule.Books
+	budget   *schedule.Budget
 	carrier  *carry.Carrier
 	front    *front.Front
 	metrics  *counters
@@ -74,12 +75,12 @@
 		Source: source, InForce: s.Store.inForce(), Pool: g.pool, Server: g.peers, Log: log,
 		Load: g.load, Changed: g.changed, LoadChanged: g.loadChanged,
 	})
-	budget := schedule.NewBudget(time.Now(), s.Retries.budget(), g.node.Alive)
+	g.budget = schedule.NewBudget(time.Now(), s.Retries.budget(), g.node.Alive)
 	g.carrier = carry.New(carry.Options{
-		Dialect: d, Books: g.books, Budget: budget, Zone: s.Zone, View: g.node.Snapshot, Log: log, Count: g.metrics.count,
+		Dialect: d, Books: g.books, Budget: g.budget, Zone: s.Zone, View: g.node.Snapshot, Log: log, Count: g.metrics.count,
 	})
 	g.front = front.New(front.Options{
-		Dialect: d, Carrier: g.carrier, Budget: budget, View: g.node.Snapshot, Log: log, Observe: g.metrics.observe,
+		Dialect: d, Carrier: g.carrier, Budget: g.budget, View: g.node.Snapshot, Log: log, Observe: g.metrics.observe,
 	})
 	return g
 }
@@ -102,6 +103,7 @@
 		}
 		l.InFlight[id] = said
 	}
+	l.Spent = g.budget.Spent(now)
 	away := g.books.Away(now)
 	l.Switching = away.Switching
 	l.Refusing = map[ident.UpstreamID]int64{}
@@ -144,6 +146,7 @@
 	g.books.SetFleet(g.node.Alive(), age)
 	g.books.SetPeers(now, peers)
 	g.books.SetAway(now, away)
+	g.budget.SetOthers(now, l.Spent)
 }
 
 // ListenError reports an address that can't be opened.
