--- a/gateway/carry/carry.go
+++ b/gateway/carry/carry.go
@@ -48,8 +48,8 @@
 	// caches are what engines keep.
 	caches caches
 	// streams are the running streams by the number of their placement.
-	streams map[uint64]*stream
-	lives   lives
+	streams  map[uint64]*stream
+	underWay attemptsUnderWay
 	// cleanup counts releases that are still being sent.
 	cleanup sync.WaitGroup
 }
--- a/gateway/carry/decode.go
+++ b/gateway/carry/decode.go
@@ -19,9 +19,9 @@
 	if h != nil {
 		source = &h.handle
 	}
-	life, end := s.c.lives.during(ctx, u)
+	tracked, end := s.c.underWay.track(ctx, u)
 	defer end()
-	g := s.guardOf(life, u)
+	g := s.guardOf(tracked, u)
 	defer g.stop()
 	resp, verdict, err := s.c.o.Dialect.Do(g.ctx, s.j.Call, dialect.Send{
 		To: u, Deadline: s.j.Deadline.Add(-deadlineMargin), Source: source, Hold: p.hold, LastEvent: s.lastEvent,
--- a/gateway/carry/restarts.go
+++ b/gateway/carry/restarts.go
@@ -8,44 +8,44 @@
 	"github.com/wardspool/wardspool/ident"
 )
 
-// lives holds the attempts under way at each upstream by incarnation. When an upstream
+// attemptsUnderWay holds the attempts under way at each upstream. When an upstream
 // has started again under its ID, nothing will answer those made to its former
 // incarnation: without a reset of the connection they would wait for their deadlines.
-type lives struct {
-	mu    sync.Mutex
-	next  uint64
-	under map[ident.UpstreamID]map[uint64]life
+type attemptsUnderWay struct {
+	mu   sync.Mutex
+	next uint64
+	at   map[ident.UpstreamID]map[uint64]underWay
 }
 
-// life is one attempt under way.
-type life struct {
+// underWay is one of them.
+type underWay struct {
 	upstream dialect.Upstream
 	cancel   context.CancelCauseFunc
 }
 
-// during returns a context for an attempt at an upstream, canceled with a *SilentError
+// track returns a context for an attempt at an upstream, canceled with a *SilentError
 // when another incarnation of the upstream is heard of; end must be called after the
 // attempt.
-func (l *lives) during(ctx context.Context, u dialect.Upstream) (attempt context.Context, end func()) {
+func (l *attemptsUnderWay) track(ctx context.Context, u dialect.Upstream) (attempt context.Context, end func()) {
 	attempt, cancel := context.WithCancelCause(ctx)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.next++
 	number := l.next
-	if l.under == nil {
-		l.under = map[ident.UpstreamID]map[uint64]life{}
+	if l.at == nil {
+		l.at = map[ident.UpstreamID]map[uint64]underWay{}
 	}
-	if l.under[u.ID] == nil {
-		l.under[u.ID] = map[uint64]life{}
+	if l.at[u.ID] == nil {
+		l.at[u.ID] = map[uint64]underWay{}
 	}
-	l.under[u.ID][number] = life{upstream: u, cancel: cancel}
+	l.at[u.ID][number] = underWay{upstream: u, cancel: cancel}
 	return attempt, func() {
 		cancel(nil)
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		delete(l.under[u.ID], number)
-		if len(l.under[u.ID]) == 0 {
-			delete(l.under, u.ID)
+		delete(l.at[u.ID], number)
+		if len(l.at[u.ID]) == 0 {
+			delete(l.at, u.ID)
 		}
 	}
 }
@@ -53,10 +53,10 @@
 // Listed takes in upstreams as they are known now, and ends the attempts at former
 // incarnations of theirs.
 func (c *Carrier) Listed(list []dialect.Upstream) {
-	c.lives.mu.Lock()
-	defer c.lives.mu.Unlock()
+	c.underWay.mu.Lock()
+	defer c.underWay.mu.Unlock()
 	for _, u := range list {
-		for _, a := range c.lives.under[u.ID] {
+		for _, a := range c.underWay.at[u.ID] {
 			if a.upstream.Restarted(u.Incarnation) {
 				a.cancel(&SilentError{Upstream: u.ID, Err: &dialect.ReplacedError{ID: u.ID, Address: a.upstream.Address}})
 			}
--- a/gateway/fleet/beats.go
+++ b/gateway/fleet/beats.go
@@ -64,14 +64,14 @@
 	h := Heartbeat{From: r.self}
 	named := map[ident.Zone]uint64{}
 	for _, z := range to.Zones {
-		named[z.Zone] = z.Print
+		named[z.Zone] = z.Fingerprint
 		if z.Named {
 			h.Relayed = append(h.Relayed, r.lacking(now, to.From.ID, z)...)
 		}
 	}
 	for _, zone := range r.zones() {
-		print, ok := named[zone]
-		h.Zones = append(h.Zones, r.records(zone, !ok || print != r.groups[zone].print))
+		known, ok := named[zone]
+		h.Zones = append(h.Zones, r.records(zone, !ok || known != r.groups[zone].fingerprint))
 	}
 	return h
 }
--- a/gateway/fleet/duties.go
+++ b/gateway/fleet/duties.go
@@ -78,7 +78,7 @@
 	case rendezvous.Contains(dutyStore, r.candidates[r.self.Zone], 1+standbyReaders, r.self.ID):
 		return standby, hub
 	default:
-		return asking, hub
+		return follower, hub
 	}
 }
 
--- a/gateway/fleet/messages.go
+++ b/gateway/fleet/messages.go
@@ -81,8 +81,7 @@
 	// Relayed describes others with the age of what the sender heard of them: all in a
 	// small fleet, in a large one those that the other side was seen to lack.
 	Relayed []Relayed `json:"others,omitempty"`
-	// Zones holds signs of life of others in a large fleet: of the sender's zone, and of
-	// the others in turn.
+	// Zones holds signs of life of all live instances in a large fleet, by zone.
 	Zones []ZoneRecords `json:"zones,omitempty"`
 }
 
--- a/gateway/fleet/reading.go
+++ b/gateway/fleet/reading.go
@@ -51,7 +51,7 @@
 	// reader instances read for the zone, standby ones while the view is old.
 	reader role = iota
 	standby
-	asking
+	follower
 )
 
 // old reports whether a view of the given age shows that the zone's reader fails.
@@ -66,7 +66,7 @@
 	if as == reader {
 		return true
 	}
-	if !r.old(ready, age) || as == asking && !r.old(true, now.Sub(r.answered)) {
+	if !r.old(ready, age) || as == follower && !r.old(true, now.Sub(r.answered)) {
 		return false
 	}
 	if ready {
--- a/gateway/fleet/reading_test.go
+++ b/gateway/fleet/reading_test.go
@@ -12,7 +12,7 @@
 func TestReadingsKeepTheBound(t *testing.T) {
 	for _, bound := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second, time.Minute} {
 		r := newReading(bound)
-		assert.Assert(t, r.wait(reader, true)+r.wait(asking, true) <= bound/2, "%v", bound)
+		assert.Assert(t, r.wait(reader, true)+r.wait(follower, true) <= bound/2, "%v", bound)
 		assert.Assert(t, r.wait(reader, true) <= mostReadInterval)
 	}
 }
@@ -49,11 +49,11 @@
 // starts.
 func TestInstanceThatNobodyAnswersReadsItself(t *testing.T) {
 	r := newReading(4 * time.Second)
-	assert.Assert(t, r.due(at(0), asking, false, 0), "it has just started")
+	assert.Assert(t, r.due(at(0), follower, false, 0), "it has just started")
 	r.last, r.answered = at(0), at(0)
 	first := 0
 	for ms := 0; ms <= 4000 && first == 0; ms += 500 {
-		if r.due(at(ms), asking, true, time.Duration(ms)*time.Millisecond) {
+		if r.due(at(ms), follower, true, time.Duration(ms)*time.Millisecond) {
 			first = ms
 		}
 	}
--- a/gateway/fleet/records.go
+++ b/gateway/fleet/records.go
@@ -39,8 +39,8 @@
 // alive, itself included.
 type ZoneRecords struct {
 	Zone ident.Zone `json:"z"`
-	// Print tells sets of live instances apart.
-	Print uint64 `json:"p"`
+	// Fingerprint tells sets of live instances apart.
+	Fingerprint uint64 `json:"p"`
 	// Sequences holds the low two bytes of the last heartbeat's sequence of each, in the
 	// order of their keys. A receiver that takes the same ones for alive needs no more.
 	Sequences []byte `json:"s"`
@@ -52,9 +52,9 @@
 // group is the live instances of a zone.
 type group struct {
 	// members are sorted by key; this instance's is nil.
-	members []*peerState
-	keys    []recordKey
-	print   uint64
+	members     []*peerState
+	keys        []recordKey
+	fingerprint uint64
 }
 
 // add adds an instance; nil is the one that the roster is of.
@@ -62,7 +62,7 @@
 	i, _ := slices.BinarySearch(g.keys, key)
 	g.keys = slices.Insert(g.keys, i, key)
 	g.members = slices.Insert(g.members, i, p)
-	g.print ^= xxhash.Sum64(binary.BigEndian.AppendUint32(nil, uint32(key)))
+	g.fingerprint ^= xxhash.Sum64(binary.BigEndian.AppendUint32(nil, uint32(key)))
 }
 
 // records packs a zone's signs of life.
@@ -72,7 +72,7 @@
 	if g == nil {
 		return out
 	}
-	out.Print = g.print
+	out.Fingerprint = g.fingerprint
 	for i, p := range g.members {
 		sequence := r.self.Sequence
 		if p != nil {
@@ -98,7 +98,7 @@
 		return
 	}
 	g := r.groups[z.Zone]
-	if g == nil || g.print != z.Print || len(z.Sequences) != sequenceBytes*len(g.members) {
+	if g == nil || g.fingerprint != z.Fingerprint || len(z.Sequences) != sequenceBytes*len(g.members) {
 		return
 	}
 	for i, p := range g.members {
@@ -128,7 +128,7 @@
 	h := Heartbeat{From: r.self}
 	for _, z := range answer.Zones {
 		own := r.records(z.Zone, true)
-		if !z.Named || own.Print == z.Print {
+		if !z.Named || own.Fingerprint == z.Fingerprint {
 			continue
 		}
 		h.Zones = append(h.Zones, own)
