Refused reservations are no placements; unseen ones follow from all instances' arrivals

Each reservation that an engine refused had counted as a placement, and the own rate stood for that of 351 others: in a burst each refusal made the next more likely. Tests: TestRefusedReservationsAreNoPlacements, TestOwnArrivalsAreNotTakenForEveryones.

--- a/gateway/schedule/unseen_test.go
+++ b/gateway/schedule/unseen_test.go
@@ -118,3 +118,62 @@
 	}
 	assert.Assert(t, own > 12 && others > 8, "%d and %d", own, others)
 }
+
+// TestOwnArrivalsAreNotTakenForEveryones: of 85 instances one that has just placed eight
+// requests finds room like the others, once it has heard how many all of them place: the
+// engines are filled to 0.7.
+func TestOwnArrivalsAreNotTakenForEveryones(t *testing.T) {
+	list := engines(9, 27)
+	size := Size{Prompt: 5000, Estimate: 600}
+	place := func(told bool) bool {
+		b := NewBooks("a", 1)
+		b.SetFleet(85, 450*time.Millisecond)
+		for range 8 {
+			b.arrive(at(0), "m")
+		}
+		peers := map[ident.UpstreamID]*InFlight{}
+		for _, u := range list {
+			b.of(u)
+			f := &InFlight{Requests: 12}
+			f.Memory.Add([]int{63000, 63000, 63000, 63000, 63000, 63000, 63000, 63000, 63000, 63000})
+			peers[u.ID] = f
+		}
+		b.SetPeers(at(0), peers)
+		if told {
+			b.SetArrivals(at(0), map[string]float64{"m": 34})
+		}
+		_, ok := b.PlaceDecode(at(100), list, engine, size, nil)
+		return ok
+	}
+	assert.Assert(t, place(true))
+	assert.Assert(t, !place(false), "the test shows the difference")
+}
+
+// TestOldWordOfArrivals: without news the own rate stands for the others'.
+func TestOldWordOfArrivals(t *testing.T) {
+	b := NewBooks("a", 1)
+	b.SetFleet(60, 500*time.Millisecond)
+	b.arrive(at(0), "m")
+	b.SetArrivals(at(0), map[string]float64{"m": 2})
+	assert.Equal(t, b.unseen(at(100), "m"), 1.0)
+	assert.Assert(t, b.unseen(at(2500), "m") > 3)
+}
+
+// TestRefusedReservationsAreNoPlacements: a request that tries several full engines one
+// after the other counts once at most.
+func TestRefusedReservationsAreNoPlacements(t *testing.T) {
+	b := NewBooks("a", 1)
+	list := engines(0, 12)
+	b.SetFleet(352, 450*time.Millisecond)
+	size := Size{Prompt: 5000, Estimate: 600}
+	for range 11 {
+		ticket, ok := b.PlaceDecode(at(0), list, engine, size, nil)
+		assert.Assert(t, ok)
+		b.Full(at(0), ticket.Upstream, size.HoldTokens())
+		b.Done(ticket)
+	}
+	assert.Equal(t, b.unseen(at(0), "m"), 0.0)
+	_, ok := b.PlaceDecode(at(0), list, engine, size, nil)
+	assert.Assert(t, ok)
+	assert.Assert(t, b.unseen(at(0), "m") > 0)
+}
