Followers read the store before the time of a change runs out, whatever their peers answer

The store turned away 40 in 100 instances, among them a zone's reader and standbys; followers relied on peers that answered, however old their view was, views counted as old after 1.8 s, and lists were read each 0.75 s. Change: lists are read each 0.5 s and count as old after 1.2 s again; followers read for themselves from max(1.2 s, bound - 2.5 s), at intervals that double up to 7 s; one that knows nothing reads too, also while peers answer that know nothing.

--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -108,7 +108,7 @@
 
 // Current reports whether a snapshot is young enough to give orders by: two readings may
 // have failed.
-func (n *Node) Current(s *Snapshot) bool { return time.Since(s.AsOf) <= 3*n.reading.interval }
+func (n *Node) Current(s *Snapshot) bool { return time.Since(s.AsOf) <= 3*readInterval }
 
 // Leave tells peers that this instance is stopping.
 func (n *Node) Leave() {
--- a/gateway/fleet/reader.go
+++ b/gateway/fleet/reader.go
@@ -59,10 +59,6 @@
 		s := n.Snapshot()
 		ready, age := s.Ready(), now.Sub(s.AsOf)
 		due := n.reading.due(now, as, ready, age)
-		if due {
-			n.reading.last = now
-		}
-		old := n.reading.old(ready, age)
 		n.mu.Unlock()
 		var parallel sync.WaitGroup
 		if due {
@@ -71,11 +67,11 @@
 		if as != reader && hub != "" {
 			parallel.Go(func() { n.ask(ctx, hub) })
 		}
-		if old && other != "" {
+		if old(ready, age) && other != "" {
 			parallel.Go(func() { n.ask(ctx, other) })
 		}
 		parallel.Wait()
-		pause.For(ctx, jitter(random, n.reading.wait(as, n.Snapshot().Ready())))
+		pause.For(ctx, jitter(random, lookAfter(as, n.Snapshot().Ready())))
 	}
 }
 
@@ -154,9 +150,6 @@
 	a, err := peer.Call[ViewAnswer](ctx, n.o.Pool, address, MethodView, q)
 	n.mu.Lock()
 	n.roster.Called(time.Now(), address, err == nil)
-	if err == nil {
-		n.reading.answered = asked
-	}
 	n.mu.Unlock()
 	if err != nil {
 		n.o.Log.Debug("view not answered", "peer", address, "error", err)
--- a/gateway/fleet/reading.go
+++ b/gateway/fleet/reading.go
@@ -8,19 +8,23 @@
 	askInterval = 500 * time.Millisecond
 	// startInterval is the same until an answer has brought configuration and list.
 	startInterval = 200 * time.Millisecond
-	// readingsInBound is how often the store is read in the time in which a change has to
-	// be in force: reading, question and answer take under half of it together, so that
-	// one of each may fail.
-	readingsInBound = 4
-	// leastReadInterval and mostReadInterval bound the time between two readings: faster
-	// ones find nothing more, as upstreams report each 1.2 s, and orders to engines need a
-	// list that is younger than 3 s.
-	leastReadInterval = 250 * time.Millisecond
-	mostReadInterval  = time.Second
-	// standbyReaders is how many instances of a zone, beside its reader, read the store
-	// while the view is old. With all 59 of a zone, 295 instances made 1,000 calls a second
-	// during an outage of the store, and 2,600 before the first configuration was there.
+	// readInterval is the time between two readings of a zone's reader: with the question
+	// of the others a change is known to all within 1.1 s.
+	readInterval = 500 * time.Millisecond
+	// oldAfter is the age of a view that shows that the zone's reader fails: two readings
+	// were lost.
+	oldAfter = 1200 * time.Millisecond
+	// reserved is the part of the time in which a change has to be in force that is kept
+	// for an instance that the store turns away: to hear of the change from one that reads
+	// for itself, and to get the configuration from it.
+	reserved = 2500 * time.Millisecond
+	// standbyReaders is how many instances of a zone, beside its reader, read the store as
+	// soon as the view is old; the others follow when the time in which a change has to be
+	// in force runs out, more and more seldom. With all 59 of a zone at each look, 295
+	// instances made 1,000 calls a second during an outage of the store.
 	standbyReaders = 2
+	// mostDoublings bounds the time between two readings of a follower, 7 s.
+	mostDoublings = 3
 	// fallbackInterval is the time between two readings of an instance that should not
 	// need to read.
 	fallbackInterval = 900 * time.Millisecond
@@ -32,15 +36,20 @@
 
 // reading decides when an instance reads the store. It is not safe for concurrent use.
 type reading struct {
-	// interval is the time between two readings of a zone's reader.
-	interval time.Duration
-	// last is when this instance last read, answered when a peer last told its view.
-	last, answered time.Time
+	// follow is the age of a view from which followers read for themselves. While they
+	// relied on peers that answered, however old their view was, an instance learned of a
+	// change of the configuration after 3.1 s, where 3 are allowed: the store turned its
+	// zone's reader and standbys away.
+	follow time.Duration
+	// last is when this instance last read; tries counts the readings since the view was
+	// last fresh.
+	last  time.Time
+	tries int
 }
 
 // newReading returns the decision for changes that have to be in force within a bound.
 func newReading(bound time.Duration) reading {
-	return reading{interval: min(mostReadInterval, max(leastReadInterval, bound/readingsInBound))}
+	return reading{follow: max(oldAfter, bound-reserved)}
 }
 
 // role is an instance's part in reading the store for its zone.
@@ -55,31 +64,41 @@
 )
 
 // old reports whether a view of the given age shows that the zone's reader fails.
-func (r *reading) old(ready bool, age time.Duration) bool {
-	return !ready || age > r.interval*12/5
-}
+func old(ready bool, age time.Duration) bool { return !ready || age > oldAfter }
 
-// due reports whether to read the store now. An instance that is neither reader nor
-// standby reads only while no peer answers it: with an old view of their own, peers know
-// as much of the store as it would find out.
+// due reports whether to read the store now, and counts the reading.
 func (r *reading) due(now time.Time, as role, ready bool, age time.Duration) bool {
-	if as == reader {
-		return true
+	if !old(ready, age) {
+		r.tries = 0
+	}
+	due := as == reader || old(ready, age) && r.mayFallBack(now, as, ready, age)
+	if due {
+		r.last = now
+		r.tries++
 	}
-	if !r.old(ready, age) || as == follower && !r.old(true, now.Sub(r.answered)) {
-		return false
+	return due
+}
+
+// mayFallBack reports whether an instance that is not the zone's reader reads now.
+func (r *reading) mayFallBack(now time.Time, as role, ready bool, age time.Duration) bool {
+	interval := fallbackInterval
+	if !ready {
+		interval = startFallback
 	}
-	if ready {
-		return now.Sub(r.last) > fallbackInterval
+	if as == follower {
+		if ready && age <= r.follow {
+			return false
+		}
+		interval <<= min(r.tries, mostDoublings)
 	}
-	return now.Sub(r.last) > startFallback
+	return r.last.IsZero() || now.Sub(r.last) > interval
 }
 
-// wait returns the time until the next look.
-func (r *reading) wait(as role, ready bool) time.Duration {
+// lookAfter returns the time until the next look.
+func lookAfter(as role, ready bool) time.Duration {
 	switch {
 	case as == reader && ready:
-		return r.interval
+		return readInterval
 	case as == reader || ready:
 		return askInterval
 	default:
