--- a/gateway/fleet/hub.go
+++ b/gateway/fleet/hub.go
@@ -168,8 +168,7 @@
 func NewLoad() Load {
 	return Load{
 		InFlight: map[ident.UpstreamID]InFlight{}, Refusing: map[ident.UpstreamID]int64{},
-		Switching: map[ident.UpstreamID]dialect.Stage{}, Demand: map[string]Demand{},
-		Arrivals: map[string]float64{}, Spent: map[string]int{},
+		Switching: map[ident.UpstreamID]dialect.Stage{}, Demand: map[string]Demand{}, Spent: map[string]int{},
 	}
 }
 
@@ -179,9 +178,6 @@
 		l.InFlight[id] = l.InFlight[id].plus(f)
 	}
 	l.addAway(o)
-	for service, rate := range o.Arrivals {
-		l.Arrivals[service] += rate
-	}
 	for service, n := range o.Spent {
 		l.Spent[service] += n
 	}
@@ -214,9 +210,6 @@
 			l.InFlight[id] = left
 		}
 	}
-	for service, rate := range o.Arrivals {
-		l.Arrivals[service] = max(0, l.Arrivals[service]-rate)
-	}
 	for service, n := range o.Spent {
 		l.Spent[service] -= n
 	}
--- a/gateway/fleet/messages.go
+++ b/gateway/fleet/messages.go
@@ -18,8 +18,6 @@
 	Switching map[ident.UpstreamID]dialect.Stage `json:"w,omitempty"`
 	// Demand is what its callers ask of each service of engines.
 	Demand map[string]Demand `json:"d,omitempty"`
-	// Arrivals is how many requests a second it places at each service.
-	Arrivals map[string]float64 `json:"a,omitempty"`
 	// Spent is how many sends beyond the first it made to each service in the window of the
 	// retry budget.
 	Spent map[string]int `json:"b,omitempty"`
--- a/gateway/fleet/pack.go
+++ b/gateway/fleet/pack.go
@@ -17,7 +17,7 @@
 // Error implements error.
 func (e *PackError) Error() string { return "packed load: malformed" }
 
-// pack encodes requests in flight, demand, arrivals and sends.
+// pack encodes requests in flight, demand and sends.
 func (l *Load) pack() []byte {
 	dst := binary.AppendUvarint(nil, uint64(len(l.InFlight)))
 	for id, f := range l.InFlight {
@@ -31,14 +31,10 @@
 	for service, d := range l.Demand {
 		dst = appendString(dst, service)
 		for _, rate := range []float64{d.PrefillRate, d.MemoryRate, d.StreamRate} {
-			dst = appendRate(dst, rate)
+			dst = binary.BigEndian.AppendUint64(dst, math.Float64bits(rate))
 		}
 		dst = appendSteps(dst, d.Paces)
 	}
-	dst = binary.AppendUvarint(dst, uint64(len(l.Arrivals)))
-	for service, rate := range l.Arrivals {
-		dst = appendRate(appendString(dst, service), rate)
-	}
 	dst = binary.AppendUvarint(dst, uint64(len(l.Spent)))
 	for service, n := range l.Spent {
 		dst = binary.AppendVarint(appendString(dst, service), int64(n))
@@ -51,11 +47,6 @@
 	return append(binary.AppendUvarint(dst, uint64(len(s))), s...)
 }
 
-// appendRate packs a floating-point number.
-func appendRate(dst []byte, rate float64) []byte {
-	return binary.BigEndian.AppendUint64(dst, math.Float64bits(rate))
-}
-
 // appendSteps packs a forecast as differences of its steps, which are small.
 func appendSteps(dst []byte, steps []int) []byte {
 	dst = binary.AppendUvarint(dst, uint64(len(steps)))
@@ -80,10 +71,6 @@
 		service := r.text()
 		l.Demand[service] = Demand{PrefillRate: r.rate(), MemoryRate: r.rate(), StreamRate: r.rate(), Paces: r.steps()}
 	}
-	for range r.count() {
-		service := r.text()
-		l.Arrivals[service] = r.rate()
-	}
 	for range r.count() {
 		service := r.text()
 		l.Spent[service] = r.number()
--- a/gateway/fleet/pack_test.go
+++ b/gateway/fleet/pack_test.go
@@ -31,7 +31,6 @@
 		}
 		for _, service := range rapid.SliceOfDistinct(rapid.String(), rapid.ID[string]).Draw(t, "spending") {
 			load.Spent[service] = rapid.Int().Draw(t, "spent")
-			load.Arrivals[service] = rapid.Float64().Draw(t, "arrivals")
 		}
 		back, err := unpackLoad(load.pack())
 		assert.NilError(t, err)
--- a/gateway/schedule/books.go
+++ b/gateway/schedule/books.go
@@ -112,9 +112,6 @@
 	demands map[string]*demand
 	doubts  map[ident.Zone]*doubt
 	arrived map[string]*arrivals
-	// otherArrivals is how many requests a second the others place, as of arrivalsHeard.
-	otherArrivals map[string]float64
-	arrivalsHeard time.Time
 	// peersSince is when peers' loads first came.
 	peersSince time.Time
 	// overflow are the decode engines that this instance may have compute prompts while
--- a/gateway/schedule/engines.go
+++ b/gateway/schedule/engines.go
@@ -178,15 +178,11 @@
 	}
 }
 
-// Full takes in that an engine refused a reservation. The request was not placed then:
-// counted all the same, 352 instances that each tried several full engines in a burst
-// believed in 370 unseen placements where there were 30, left more than a whole engine free
-// for them, and refused two thirds of what came while a third of the engines had room.
+// Full takes in that an engine refused a reservation.
 func (b *Books) Full(now time.Time, u dialect.Upstream, tokens int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	k := b.of(u)
-	b.unarrive(now, u.Service)
 	if now.Before(k.fullUntil) {
 		tokens = min(tokens, k.fullTokens)
 	}
--- a/gateway/schedule/unseen.go
+++ b/gateway/schedule/unseen.go
@@ -42,39 +42,10 @@
 	b.others, b.age = max(0, instances-1), age
 }
 
-// arrivalsFresh is how long it is believed how many requests the others place: their loads
-// come each 0.3 s.
-const arrivalsFresh = 2 * time.Second
-
-// Arrivals returns how many requests a second this instance places at each service.
-func (b *Books) Arrivals(now time.Time) map[string]float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	rates := map[string]float64{}
-	for service, a := range b.arrived {
-		rates[service] = a.perSecond(now)
-	}
-	return rates
-}
-
-// SetArrivals takes in how many requests a second all other instances place at each
-// service.
-func (b *Books) SetArrivals(now time.Time, others map[string]float64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.otherArrivals, b.arrivalsHeard = others, now
-}
-
 // unseen is how many requests the other instances are expected to have placed at a
 // service since what is known of them: instances that see the same and don't count
-// with that all choose the same upstream. Until the others' rate is heard it is taken for
-// the own: among 85 instances one that had placed three requests lately believed in 157
-// where there were 15, left 30,000 tokens of each engine free for them, half of its memory,
-// and refused what came to it while a third of the engines had room. The caller holds mu.
+// with that all choose the same upstream. The caller holds mu.
 func (b *Books) unseen(now time.Time, service string) float64 {
-	if rate, ok := b.otherArrivals[service]; ok && now.Sub(b.arrivalsHeard) <= arrivalsFresh {
-		return rate * b.age.Seconds()
-	}
 	a := b.arrived[service]
 	if a == nil {
 		return 0
@@ -92,13 +63,6 @@
 	a.note(now)
 }
 
-// unarrive takes a request back that was counted and not placed. The caller holds mu.
-func (b *Books) unarrive(now time.Time, service string) {
-	if a := b.arrived[service]; a != nil {
-		a.count, a.at = max(0, a.left(now)-1), now
-	}
-}
-
 // candidate is an upstream that may be chosen, with its cost.
 type candidate struct {
 	book *book
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -104,7 +104,6 @@
 		l.InFlight[id] = said
 	}
 	l.Spent = g.budget.Spent(now)
-	l.Arrivals = g.books.Arrivals(now)
 	away := g.books.Away(now)
 	l.Switching = away.Switching
 	l.Refusing = map[ident.UpstreamID]int64{}
@@ -149,7 +148,6 @@
 	}
 	now := time.Now()
 	g.books.SetPaces(paces)
-	g.books.SetArrivals(now, l.Arrivals)
 	g.books.SetFleet(g.node.Alive(), age)
 	g.books.SetPeers(now, peers)
 	g.books.SetAway(now, away)
