Each guarded attempt ends with its engine's incarnation, also that of a moved stream

The end of attempts at a former incarnation was put beside the guard at two of the three places that send to engines; a stream that goes on after a move was not among them and waited for its deadline (TestRestartEndsAMovedStream, which fails before). It belongs to the guard, by which all three go; the guard's context is the tracked one, not a second.

--- a/gateway/carry/decode.go
+++ b/gateway/carry/decode.go
@@ -19,9 +19,7 @@
 	if h != nil {
 		source = &h.handle
 	}
-	tracked, end := s.c.underWay.track(ctx, u)
-	defer end()
-	g := s.guardOf(tracked, u)
+	g := s.guardOf(ctx, u)
 	defer g.stop()
 	resp, verdict, err := s.c.o.Dialect.Do(g.ctx, s.j.Call, dialect.Send{
 		To: u, Deadline: s.j.Deadline.Add(-deadlineMargin), Source: source, Hold: p.hold, LastEvent: s.lastEvent,
--- a/gateway/carry/guard.go
+++ b/gateway/carry/guard.go
@@ -16,8 +16,9 @@
 // notYet is the time of a timer that is not started yet.
 const notYet = time.Hour
 
-// guard watches an engine that a request was sent to: if nothing comes for a time, the
-// engine is asked whether it lives, and the request's context ends if it doesn't answer.
+// guard watches an engine that a request was sent to: the request's context ends when the
+// engine has started again. If nothing comes for a time, the engine is asked whether it
+// lives, and the context ends too if it doesn't answer.
 type guard struct {
 	// ctx is the request's, canceled with a *SilentError.
 	ctx   context.Context
@@ -29,7 +30,7 @@
 // watch returns a guard of a request to an engine, which asks after the given time; with
 // again, once more whenever nothing has come for as long.
 func (s *stream) watch(ctx context.Context, u dialect.Upstream, after time.Duration, again bool) *guard {
-	watched, cancel := context.WithCancelCause(ctx)
+	watched, cancel, end := s.c.underWay.track(ctx, u)
 	g := &guard{ctx: watched, after: after}
 	// The timer must be in place when it fires: it is started by heard.
 	g.timer = time.AfterFunc(notYet, func() {
@@ -39,19 +40,21 @@
 	})
 	g.stop = func() {
 		g.timer.Stop()
-		cancel(nil)
+		end()
 	}
 	g.heard()
 	return g
 }
 
-// guardOf returns the guard of a running stream that may go on elsewhere; streams that run
-// at most once are left alone. Without it a stream across a cut between zones stood still
-// until its caller left after 3.6 s, and all of them came back at the same moment.
+// guardOf returns the guard of a running stream: of one that may go on elsewhere the engine
+// is asked, streams that run at most once are left alone while their engine lives. Without
+// it a stream across a cut between zones stood still until its caller left after 3.6 s, and
+// all of them came back at the same moment.
 func (s *stream) guardOf(ctx context.Context, u dialect.Upstream) *guard {
 	after := stallFactor * s.j.Route.PaceObjective
 	if !s.j.Route.Repeatable() || after <= 0 {
-		return &guard{ctx: ctx, stop: func() {}}
+		watched, _, end := s.c.underWay.track(ctx, u)
+		return &guard{ctx: watched, stop: end}
 	}
 	return s.watch(ctx, u, after, true)
 }
--- a/gateway/carry/plain.go
+++ b/gateway/carry/plain.go
@@ -83,7 +83,7 @@
 func (p *plain) send(ctx context.Context, t schedule.Ticket) *attempt {
 	defer p.c.o.Books.Done(t)
 	start := time.Now()
-	ctx, end := p.c.underWay.track(ctx, t.Upstream)
+	ctx, _, end := p.c.underWay.track(ctx, t.Upstream)
 	defer end()
 	ctx, cancel := context.WithDeadline(ctx, p.until(start))
 	defer cancel()
--- a/gateway/carry/restarts.go
+++ b/gateway/carry/restarts.go
@@ -24,10 +24,10 @@
 }
 
 // track returns a context for an attempt at an upstream, canceled with a *SilentError
-// when another incarnation of the upstream is heard of; end must be called after the
-// attempt.
-func (l *attemptsUnderWay) track(ctx context.Context, u dialect.Upstream) (attempt context.Context, end func()) {
-	attempt, cancel := context.WithCancelCause(ctx)
+// when another incarnation of the upstream is heard of, and its cancel function; end must
+// be called after the attempt.
+func (l *attemptsUnderWay) track(ctx context.Context, u dialect.Upstream) (attempt context.Context, cancel context.CancelCauseFunc, end func()) {
+	attempt, cancel = context.WithCancelCause(ctx)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.next++
@@ -39,7 +39,7 @@
 		l.at[u.ID] = map[uint64]underWay{}
 	}
 	l.at[u.ID][number] = underWay{upstream: u, cancel: cancel}
-	return attempt, func() {
+	return attempt, cancel, func() {
 		cancel(nil)
 		l.mu.Lock()
 		defer l.mu.Unlock()
--- a/gateway/carry/restarts_test.go
+++ b/gateway/carry/restarts_test.go
@@ -1,6 +1,7 @@
 package carry
 
 import (
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -80,3 +81,29 @@
 		assert.Equal(t, len(b.o.Books.Reachable(time.Now(), fresh, dialect.StageDecode)), 1)
 	})
 }
+
+// TestRestartEndsAMovedStream: a stream that goes on at another engine ends when that one
+// starts again, though nothing resets its connection.
+func TestRestartEndsAMovedStream(t *testing.T) {
+	b := runAtFirst(t, stream1)
+	b.d.mu.Lock()
+	b.d.do["d2"] = []reply{{hangs: true}}
+	b.d.mu.Unlock()
+	ups := b.view.Upstreams["s"]
+	b.mu.Lock()
+	b.view.Upstreams["s"] = born(5, ups)
+	b.mu.Unlock()
+	b.move(t)
+	for b.d.count("do d2") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	b.Listed(born(6, ups))
+	select {
+	case <-b.ended:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the stream waits for an engine that has started again")
+	}
+	var off *BrokenOffError
+	assert.Assert(t, errors.As(b.err, &off), "%v", b.err)
+	assert.Equal(t, b.got.body.String(), events(1, 2))
+}
