--- a/testbed/build.go
+++ b/testbed/build.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"sync"
 )
 
 // Programs are the paths of the built binaries.
@@ -43,10 +44,14 @@
 // Ports hands out free loopback ports. A port is free when it is handed out;
 // the process that uses it must start soon.
 type Ports struct {
-	held  []net.Listener
-	given map[int]bool
+	held []net.Listener
 }
 
+// givenPorts are the ports that were handed out in this program, whose processes may not
+// have bound them yet. Fleets that start side by side share them: with a list for each, the
+// demo's second deployment took a port of the first, whose agent then could not start.
+var givenPorts sync.Map
+
 // Ports are taken from below the range from which Linux chooses the local ends
 // of connections: otherwise a connection could take the port of a process that
 // is not started yet, or is away for a while.
@@ -56,13 +61,12 @@
 	portTries = 1000
 )
 
-// Next returns a free "127.0.0.1:port" that no earlier call returned.
+// Next returns a free "127.0.0.1:port" that no earlier call in this program returned.
 func (p *Ports) Next() (string, error) {
 	var failed error
 	for range portTries {
 		port := firstPort + rand.IntN(lastPort-firstPort)
-		if p.given[port] {
-			// Its process may not have bound it yet.
+		if _, given := givenPorts.Load(port); given {
 			continue
 		}
 		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
@@ -70,20 +74,16 @@
 			failed = err
 			continue
 		}
-		p.keep(port, l)
+		if _, given := givenPorts.LoadOrStore(port, true); given {
+			_ = l.Close()
+			continue
+		}
+		p.held = append(p.held, l)
 		return l.Addr().String(), nil
 	}
 	return "", &ProcessError{Name: "port", Op: "start", Err: failed}
 }
 
-func (p *Ports) keep(port int, l net.Listener) {
-	if p.given == nil {
-		p.given = map[int]bool{}
-	}
-	p.given[port] = true
-	p.held = append(p.held, l)
-}
-
 // Release makes the handed-out ports bindable for the processes.
 func (p *Ports) Release() {
 	for _, l := range p.held {
