--- a/gateway/fleet/gossip_test.go
+++ b/gateway/fleet/gossip_test.go
@@ -155,8 +155,8 @@
 	}
 }
 
-// BenchmarkFleetOf410 plays the same at the size that is planned for: 12.1 KB a second,
-// 14 s until all know of a death, 15 s of a cut.
+// BenchmarkFleetOf410 plays the same at the size that is planned for: 12.2 KB a second,
+// 14 s until all know of a death or a cut.
 func BenchmarkFleetOf410(b *testing.B) {
 	for b.Loop() {
 		playFleet(b, 410, 6)
