Sight: logs name what a request asks for, and what became of an upstream under which it broke off

Hypotheses 1 and 3 differ in whether the streams at the crashes have the same content, and in whether the upstream crashed or only a connection was reset; no line said either. Each answer's line has the content's digest now, each broken attempt a line 'attempt lost' with content, incarnation and ending (crashed, alive, unknown), and a counter by ending. No decision uses them yet.

--- a/adapter/roundtrip/client.go
+++ b/adapter/roundtrip/client.go
@@ -116,6 +116,16 @@
 	return resp, nil
 }
 
+// Reach opens a connection to an address and closes it. Its error is an
+// *adapter.CallError: nothing was sent.
+func (c *Client) Reach(ctx context.Context, addr string) error {
+	conn, err := c.dial(ctx, addr)
+	if err != nil {
+		return failure(ctx, false, err)
+	}
+	return conn.Close()
+}
+
 // setBody gives a request its body.
 func setBody(req *http.Request, r io.Reader, length int64) {
 	req.GetBody = nil
--- a/gateway/carry/carry.go
+++ b/gateway/carry/carry.go
@@ -18,6 +18,7 @@
 	"github.com/wardspool/wardspool/adapter/roundtrip"
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/fleet"
+	"github.com/wardspool/wardspool/gateway/quarantine"
 	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
@@ -50,6 +51,8 @@
 	// streams are the running streams by the number of their placement.
 	streams  map[uint64]*stream
 	underWay attemptsUnderWay
+	// examinations are of upstreams at which attempts broke off.
+	examinations examinations
 	// cleanup counts releases that are still being sent.
 	cleanup sync.WaitGroup
 }
@@ -72,6 +75,8 @@
 	Arrived time.Time
 	// Deadline is when the caller stops waiting, or the route's timeout.
 	Deadline time.Time
+	// Content names what the call asks for.
+	Content quarantine.Content
 }
 
 // log returns a logger that names the request.
--- /dev/null
+++ b/gateway/carry/ending.go
@@ -0,0 +1,118 @@
+package carry
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/schedule"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/logs"
+)
+
+// ending is what became of an upstream at which an attempt broke off.
+type ending string
+
+// The endings, as logs name them.
+const (
+	// endedUnknown upstreams don't answer: they may have crashed, or be out of reach.
+	endedUnknown ending = "unknown"
+	// endedCrashed upstreams refuse connections, or another incarnation answers.
+	endedCrashed ending = "crashed"
+	// endedAlive upstreams answer: only the connection or the answer broke.
+	endedAlive ending = "alive"
+)
+
+const (
+	// examineTimeout bounds the question; upstreams answer it in a few ms however busy.
+	examineTimeout = 200 * time.Millisecond
+	// examinedFor is how long an answer serves for other attempts at the same upstream: a
+	// crash breaks some dozen off at once.
+	examinedFor = time.Second
+	// mostExamined bounds the answers that are remembered.
+	mostExamined = 256
+)
+
+// examinations remembers what became of upstreams at which attempts broke off. Those who
+// ask at the same time share one question.
+type examinations struct {
+	mu   sync.Mutex
+	last map[examined]*examination
+}
+
+// examined names an incarnation of an upstream.
+type examined struct {
+	id          ident.UpstreamID
+	incarnation ident.Incarnation
+}
+
+// examination is one question and its answer.
+type examination struct {
+	once   sync.Once
+	at     time.Time
+	ending ending
+}
+
+// of returns the examination of an upstream that is still of use, or a new one.
+func (e *examinations) of(now time.Time, u dialect.Upstream) *examination {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.last == nil || len(e.last) >= mostExamined {
+		e.last = map[examined]*examination{}
+	}
+	key := examined{u.ID, u.Incarnation}
+	x := e.last[key]
+	if x == nil || now.Sub(x.at) >= examinedFor {
+		x = &examination{at: now}
+		e.last[key] = x
+	}
+	return x
+}
+
+// examine finds out what became of an upstream at which an attempt broke off.
+func (c *Carrier) examine(u dialect.Upstream) ending {
+	x := c.examinations.of(time.Now(), u)
+	x.once.Do(func() { x.ending = c.askEnding(u) })
+	return x.ending
+}
+
+// askEnding asks an upstream whether it lives.
+func (c *Carrier) askEnding(u dialect.Upstream) ending {
+	ctx, cancel := context.WithTimeout(context.Background(), examineTimeout)
+	defer cancel()
+	if u.Stage == "" {
+		return endingOf(c.o.Dialect.Reach(ctx, u))
+	}
+	r, err := c.o.Dialect.Report(ctx, u)
+	if err == nil && !c.Reported(u, r) {
+		return endedCrashed
+	}
+	return endingOf(err)
+}
+
+// endingOf says what the error of a question to an upstream means.
+func endingOf(err error) ending {
+	var replaced *dialect.ReplacedError
+	switch {
+	case err == nil:
+		return endedAlive
+	case errors.As(err, &replaced), Unreached(err) == schedule.Closed:
+		return endedCrashed
+	default:
+		return endedUnknown
+	}
+}
+
+// lost takes in that an attempt of a job broke off at an upstream, after so many events
+// from there.
+func (c *Carrier) lost(j *Job, u dialect.Upstream, made int, cause error, log *slog.Logger) {
+	c.cleanup.Go(func() {
+		e := c.examine(u)
+		c.o.Count("attempt_lost_" + string(e))
+		log.Warn("attempt lost", "upstream", u.ID, "incarnation", u.Incarnation, "address", u.Address, "content", j.Content.String(),
+			"made", made, "ending", string(e), "error", logs.ErrorText(cause))
+	})
+}
--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -152,6 +152,15 @@
 	}
 	return dialect.Report{Incarnation: f.incarnations[u.ID]}, nil
 }
+func (f *fakeDialect) Reach(_ context.Context, u dialect.Upstream) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.record("reach %s", u.ID)
+	if f.silent[u.ID] {
+		return notSent
+	}
+	return nil
+}
 func (f *fakeDialect) Migrate(_ context.Context, m dialect.Migration) (dialect.Handle, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/gateway/carry/plain.go
+++ b/gateway/carry/plain.go
@@ -63,6 +63,9 @@
 			return nil, &AbandonedError{}
 		}
 		p.learn(a)
+		if a.err != nil && a.evidence() == kernel.Ambiguous {
+			p.c.lost(p.j, t.Upstream, 0, a.err, p.log)
+		}
 		if !p.again(a) {
 			return p.end(a.err)
 		}
--- a/gateway/carry/prefill.go
+++ b/gateway/carry/prefill.go
@@ -10,6 +10,7 @@
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
 	"github.com/wardspool/wardspool/logs"
 )
 
@@ -89,6 +90,9 @@
 	took := time.Since(start)
 	err = g.cause(err)
 	s.notePrefill(u, err, start, took)
+	if err != nil && adapter.AsCallError(err).Evidence == kernel.Ambiguous && adapter.AsCallError(err).Status == 0 && ctx.Err() == nil {
+		s.c.lost(s.j, u, 0, err, s.log)
+	}
 	if err == nil {
 		s.c.o.Books.PrefillDone(s.j.Service.Name, s.j.Call.PromptTokens, took)
 	}
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/logs"
@@ -213,6 +214,13 @@
 	return s.c.mayResend(s.j.Service.Name, sends, s.log)
 }
 
+// lost takes in that an attempt broke off at an engine, unless its caller left.
+func (s *stream) lost(ctx context.Context, u dialect.Upstream, made int, err error) {
+	if ctx.Err() == nil {
+		s.c.lost(s.j, u, made, err, s.log)
+	}
+}
+
 // fateUnserved is the fate of a request that gets no further engine.
 func (s *stream) fateUnserved() Fate {
 	if s.runs > 0 {
--- a/gateway/dialect/dialect.go
+++ b/gateway/dialect/dialect.go
@@ -94,6 +94,8 @@
 	// Header holds what is forwarded.
 	Header http.Header
 	Body   []byte
+	// Caller is who the caller says it is; "" if it doesn't say.
+	Caller string
 	// Patience is how long the caller waits from the arrival of the request; 0
 	// if it doesn't say.
 	Patience time.Duration
@@ -200,6 +202,9 @@
 	// *NotRunningError; one that was stopped and not copied is a *NotCopiedError, and
 	// can go on at the engine that it was stopped at.
 	Migrate(ctx context.Context, m Migration) (Handle, error)
+	// Reach opens a connection to an upstream and closes it: a process that has ended
+	// refuses it.
+	Reach(ctx context.Context, u Upstream) error
 	// Report asks an engine for its load. Engines answer without using a slot.
 	// Another incarnation at its address is a *ReplacedError.
 	Report(ctx context.Context, u Upstream) (Report, error)
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -19,6 +19,7 @@
 	"github.com/wardspool/wardspool/gateway/carry"
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/fleet"
+	"github.com/wardspool/wardspool/gateway/quarantine"
 	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/logs"
@@ -138,7 +139,7 @@
 	f.o.Budget.Request(arrived, service.Name)
 	job := &carry.Job{
 		Call: call, Route: route, Service: service, Version: version,
-		Arrived: arrived, Deadline: arrived.Add(patience(call, route)),
+		Arrived: arrived, Deadline: arrived.Add(patience(call, route)), Content: quarantine.ContentOf(call),
 	}
 	rc := http.NewResponseController(w)
 	if err := rc.SetWriteDeadline(job.Deadline.Add(writeSlack)); err != nil {
@@ -176,7 +177,7 @@
 	if answer != nil {
 		status = answer.Status
 	}
-	f.o.Log.Info("answered", "request", j.Call.ID, "route", j.Route.Name, "outcome", outcome, "status", status,
+	f.o.Log.Info("answered", "request", j.Call.ID, "content", j.Content.String(), "route", j.Route.Name, "outcome", outcome, "status", status,
 		"took_ms", took.Milliseconds(), "version", j.Version, "error", logs.ErrorText(err))
 	if outcome == outcomeAbandoned || outcome == outcomeBroken {
 		// An answer that breaks off must not look complete.
