Queries of death: what crashes upstreams is known by content, to all instances, and kept from them

Cause: health was kept by upstream, attempts by ID, each by one instance; a request whose run crashes the engine came again under another ID at another instance, which knew nothing. Class: evidence kept under the key of what was hit, not of what hit it, and by one instance.

Now an attempt that breaks off has its upstream examined (refuses connections or another incarnation answers: crashed; answers: alive; silent: decided when another incarnation is listed). A crash is evidence against the content of each request that ran there. Suspects get one attempt at a time over all instances (rendezvous names who allows it), at the engine with the fewest neighbours, streams without a retry inside the attempt when nothing had come; two crashes before anything was produced, or three of any kind, quarantine the content for ten minutes, doubled with each further crash. Bystanders are cleared as soon as they get further. Evidence is told at once (all peers; hubs in large fleets) and compared by digests in heartbeats and reports of loads. A starting instance, or one that stood still, first hears a peer.

--- a/gateway/carry/carry.go
+++ b/gateway/carry/carry.go
@@ -36,6 +36,11 @@
 	// View returns what is believed of the upstreams now.
 	View func() *fleet.Snapshot
 	Log  *slog.Logger
+	// Register is what is known of contents under which upstreams crashed; Trials allow
+	// attempts with suspect ones, and Spread has the other instances told of news.
+	Register *quarantine.Register
+	Trials   Trials
+	Spread   func()
 	// Count counts an event by name.
 	Count func(name string)
 }
@@ -53,6 +58,7 @@
 	underWay attemptsUnderWay
 	// examinations are of upstreams at which attempts broke off.
 	examinations examinations
+	undecided    undecided
 	// cleanup counts releases that are still being sent.
 	cleanup sync.WaitGroup
 }
@@ -155,6 +161,8 @@
 	answer  *Answer
 	verdict dialect.Verdict
 	err     error
+	// cause is the upstream's silence for which the attempt was ended, otherwise err.
+	cause error
 }
 
 // readAnswer reads a whole answer. One that breaks off counts only if it attests
--- /dev/null
+++ b/gateway/carry/caution_test.go
@@ -0,0 +1,238 @@
+package carry
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/quarantine"
+	"github.com/wardspool/wardspool/gateway/routing"
+	"github.com/wardspool/wardspool/gateway/schedule"
+	"github.com/wardspool/wardspool/ident"
+)
+
+// deadly is the content of the requests of these tests.
+const deadly quarantine.Content = 7
+
+// withContent gives a job a content.
+func withContent(r routing.Route) *Job {
+	j := job(r)
+	j.Content = deadly
+	return j
+}
+
+// crash has upstreams of the bed break off what they run, and refuse connections then.
+func (b *bed) crash(r reply, ids ...ident.UpstreamID) {
+	b.d.crashed = map[ident.UpstreamID]bool{}
+	for _, id := range ids {
+		b.d.do[id] = []reply{r}
+		b.d.crashed[id] = true
+	}
+}
+
+// evidence takes crashes under the content into the register.
+func (b *bed) evidence(ids ...string) {
+	for _, u := range plainUps(ids...) {
+		b.o.Register.Crashed(time.Now(), deadly, u, 0)
+	}
+}
+
+// TestQuarantinedIsRefusedAtOnce: nothing is asked of an engine, and the caller is told that
+// nothing ran and how long that goes on.
+func TestQuarantinedIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := streamBed(t)
+		b.evidence("x", "y")
+		start := time.Now()
+		_, err := b.Stream(t.Context(), withContent(resumable), &sink{})
+		assert.Equal(t, fateOf(t, err), NotRun)
+		assert.Equal(t, time.Since(start), time.Duration(0))
+		assert.Equal(t, len(b.d.calls), 0, "%v", b.d.calls)
+		var told *Error
+		assert.Assert(t, errors.As(err, &told))
+		assert.Equal(t, told.Reason, "quarantined")
+		assert.Equal(t, told.RetryAfter, b.o.Register.Verdict(time.Now(), deadly).Left)
+
+		_, err = b.Plain(t.Context(), withContent(often))
+		assert.Equal(t, fateOf(t, err), NotRun)
+		assert.Equal(t, len(b.d.calls), 0, "%v", b.d.calls)
+		// Others pass.
+		_, err = b.Plain(t.Context(), job(often))
+		assert.NilError(t, err)
+	})
+}
+
+// TestCrashIsEvidence: a stream under which its engine crashed before the first event is not
+// started again inside the attempt, though its route allows it, and is suspect from now on;
+// after two it is quarantined.
+func TestCrashIsEvidence(t *testing.T) {
+	for name, r := range map[string]reply{
+		"before the head": {err: broken},
+		"after the head":  {verdict: dialect.Success, status: 200, breaks: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := streamBed(t)
+			b.crash(r, "d1", "d2")
+			_, err := b.Stream(t.Context(), withContent(resumable), &sink{})
+			assert.Equal(t, fateOf(t, err), Unknown)
+			assert.Equal(t, b.d.countKind("do"), 1)
+			v := b.o.Register.Verdict(time.Now(), deadly)
+			assert.Equal(t, v.Standing, quarantine.Suspect)
+			assert.Equal(t, v.Early, 1)
+
+			_, err = b.Stream(t.Context(), withContent(resumable), &sink{})
+			assert.Equal(t, fateOf(t, err), Unknown)
+			assert.Equal(t, b.d.countKind("do"), 2)
+			assert.Equal(t, b.o.Register.Verdict(time.Now(), deadly).Standing, quarantine.Quarantined)
+		})
+	}
+}
+
+// TestResetIsNoEvidence: the engine still answers, as the same incarnation. The stream goes
+// on as before.
+func TestResetIsNoEvidence(t *testing.T) {
+	b := streamBed(t)
+	b.serveStreams(reply{verdict: dialect.Success, status: 200, body: events(1, 5)})
+	b.d.do["d1"] = []reply{{err: broken}}
+	b.d.hold["d2"] = []error{&dialect.FullError{}, nil}
+	var got sink
+	_, err := b.Stream(t.Context(), withContent(resumable), &got)
+	assert.NilError(t, err)
+	assert.Equal(t, got.body.String(), events(1, 5))
+	assert.Equal(t, b.o.Register.Digest(), uint64(0))
+}
+
+// TestBystanderGoesOnAndIsCleared: a stream in its midst when its engine crashed goes on at
+// another, on trial; with its next events there it is clear again.
+func TestBystanderGoesOnAndIsCleared(t *testing.T) {
+	b := streamBed(t)
+	b.d.hold["d2"] = []error{&dialect.FullError{}, nil}
+	b.crash(reply{verdict: dialect.Success, status: 200, body: events(1, 2), breaks: true}, "d1")
+	b.d.do["d2"] = []reply{{verdict: dialect.Success, status: 200, body: events(3, 8)}}
+	var got sink
+	_, err := b.Stream(t.Context(), withContent(resumable), &got)
+	assert.NilError(t, err)
+	assert.Equal(t, got.body.String(), events(1, 8))
+	assert.Equal(t, b.o.Register.Verdict(time.Now(), deadly).Standing, quarantine.Clear)
+	assert.Assert(t, b.o.Register.Digest() != 0, "nothing was noted")
+}
+
+// TestSuspectsAreTriedOneAtATime: while one attempt with a suspect content is under way, a
+// second is told to come back; when it has ended, the next may try.
+func TestSuspectsAreTriedOneAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := streamBed(t)
+		b.evidence("x")
+		b.serveStreams(reply{hangs: true})
+		ended := make(chan error, 1)
+		go func() {
+			j := withContent(stream1)
+			j.Deadline = j.Arrived.Add(2 * time.Second)
+			_, err := b.Stream(t.Context(), j, &sink{})
+			ended <- err
+		}()
+		time.Sleep(time.Second)
+		_, err := b.Stream(t.Context(), withContent(stream1), &sink{})
+		assert.Equal(t, fateOf(t, err), NotRun)
+		var told *Error
+		assert.Assert(t, errors.As(err, &told))
+		assert.Equal(t, told.Reason, "on_trial")
+		assert.Equal(t, told.RetryAfter, trialRetry)
+		assert.Equal(t, b.d.countKind("do"), 1)
+		<-ended
+		b.serveStreams(reply{verdict: dialect.Success, status: 200, body: events(1, 2)})
+		_, err = b.Stream(t.Context(), withContent(stream1), &sink{})
+		assert.NilError(t, err)
+	})
+}
+
+// TestNewsStopARequestOnItsWay: what becomes known while a request waits for its prompt keeps
+// it from the engine; what was reserved and computed is given up.
+func TestNewsStopARequestOnItsWay(t *testing.T) {
+	b := streamBed(t)
+	b.d.prefilled = func() { b.evidence("x", "y") }
+	_, err := b.Stream(t.Context(), withContent(stream1), &sink{})
+	assert.Equal(t, fateOf(t, err), NotRun)
+	assert.Equal(t, b.d.countKind("do"), 0)
+	b.Close()
+	assert.Equal(t, b.d.countKind("free"), 1)
+	assert.Equal(t, b.d.countKind("release"), 1)
+}
+
+// TestSilentEngineIsFoundToHaveCrashed: it may have been cut off. Only when another
+// incarnation is listed, under its ID or at its address, is that evidence.
+func TestSilentEngineIsFoundToHaveCrashed(t *testing.T) {
+	for name, later := range map[string]dialect.Upstream{
+		"same ID":      {ID: "d1", Address: "d1", Incarnation: 6, Stage: dialect.StageDecode},
+		"same address": {ID: "new", Address: "d1", Incarnation: 6, Stage: dialect.StageDecode},
+		"neither":      {ID: "d1", Address: "d1", Incarnation: 5, Stage: dialect.StageDecode},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t, slack, born(5, engineUps([]string{"p1"}, []string{"d1"}))...)
+			b.d.silent = map[ident.UpstreamID]bool{"d1": true}
+			b.d.do["d1"] = []reply{{err: broken}}
+			_, err := b.Stream(t.Context(), withContent(stream1), &sink{})
+			assert.Equal(t, fateOf(t, err), Unknown)
+			assert.Equal(t, b.o.Register.Verdict(time.Now(), deadly).Standing, quarantine.Clear)
+			b.Listed([]dialect.Upstream{later})
+			want := quarantine.Suspect
+			if name == "neither" {
+				want = quarantine.Clear
+			}
+			assert.Equal(t, b.o.Register.Verdict(time.Now(), deadly).Standing, want)
+		})
+	}
+}
+
+// TestServicesAreKeptFromIt as well: a request that crashes processes of a plain service
+// takes two of them down in one attempt where its route allows two, and none after.
+func TestServicesAreKeptFromIt(t *testing.T) {
+	b := newBed(t, slack, plainUps("x", "y", "z")...)
+	b.crash(reply{err: broken}, "x", "y", "z")
+	many := often
+	many.MaxAttempts = 5
+	_, err := b.Plain(t.Context(), withContent(many))
+	assert.Equal(t, fateOf(t, err), Unknown)
+	assert.Equal(t, b.d.countKind("do"), 2)
+	_, err = b.Plain(t.Context(), withContent(many))
+	assert.Equal(t, fateOf(t, err), NotRun)
+	assert.Equal(t, b.d.countKind("do"), 2)
+}
+
+// TestCrashedPrefillEngineIsEvidence: a prompt may crash the engine that computes it.
+func TestCrashedPrefillEngineIsEvidence(t *testing.T) {
+	b := streamBed(t)
+	b.d.prefill["p1"], b.d.prefill["p2"] = []error{broken}, []error{broken}
+	b.d.crashed = map[ident.UpstreamID]bool{"p1": true, "p2": true}
+	_, err := b.Stream(t.Context(), withContent(stream1), &sink{})
+	assert.Equal(t, fateOf(t, err), NotRun)
+	assert.Equal(t, b.d.countKind("prefill"), 1)
+	assert.Equal(t, b.o.Register.Verdict(time.Now(), deadly).Early, 1)
+}
+
+// TestSuspectGetsFewNeighbours: the engine with the fewest requests, not the one with the
+// most memory.
+func TestSuspectGetsFewNeighbours(t *testing.T) {
+	b := streamBed(t)
+	b.evidence("x")
+	b.serveStreams(reply{verdict: dialect.Success, status: 200, body: events(1, 2)})
+	ups := engineUps(nil, []string{"d1", "d2"})
+	service := withContent(stream1).Service
+	for range 3 {
+		_, ok := b.o.Books.PlaceDecode(time.Now(), ups[1:], service.Engine, sizeOf(10), nil)
+		assert.Assert(t, ok)
+	}
+	// One large one at d1, three small ones at d2.
+	_, ok := b.o.Books.PlaceDecode(time.Now(), ups[:1], service.Engine, sizeOf(6000), nil)
+	assert.Assert(t, ok)
+	_, err := b.Stream(t.Context(), withContent(stream1), &sink{})
+	assert.NilError(t, err)
+	assert.Equal(t, b.d.count("do d1"), 1)
+}
+
+// sizeOf is a request of a prompt's length.
+func sizeOf(prompt int) schedule.Size { return schedule.Size{Prompt: prompt, Estimate: 100} }
--- a/gateway/carry/decode.go
+++ b/gateway/carry/decode.go
@@ -14,6 +14,10 @@
 // decode runs the stream at its place.
 func (s *stream) decode(ctx context.Context, p *place, h *computed) (*Answer, bool, error) {
 	u := p.decode.Upstream
+	if err := s.admit(ctx); err != nil {
+		s.giveUp(p, h)
+		return nil, false, s.ended(err)
+	}
 	start := time.Now()
 	var source *dialect.Handle
 	if h != nil {
--- a/gateway/carry/ending.go
+++ b/gateway/carry/ending.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
 	"sync"
 	"time"
 
 	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/quarantine"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/logs"
@@ -106,13 +106,43 @@
 	}
 }
 
-// lost takes in that an attempt of a job broke off at an upstream, after so many events
-// from there.
-func (c *Carrier) lost(j *Job, u dialect.Upstream, made int, cause error, log *slog.Logger) {
-	c.cleanup.Go(func() {
-		e := c.examine(u)
-		c.o.Count("attempt_lost_" + string(e))
-		log.Warn("attempt lost", "upstream", u.ID, "incarnation", u.Incarnation, "address", u.Address, "content", j.Content.String(),
-			"made", made, "ending", string(e), "error", logs.ErrorText(cause))
-	})
+// lost takes in that an attempt of a request broke off at an upstream, after so many events
+// from there, and finds out whether that crashed.
+func (a *caution) lost(u dialect.Upstream, made int, cause error) {
+	e := a.c.endingBy(u, cause)
+	a.c.o.Count("attempt_lost_" + string(e))
+	a.log.Warn("attempt lost", "upstream", u.ID, "incarnation", u.Incarnation, "address", u.Address, "content", a.j.Content.String(),
+		"made", made, "ending", string(e), "error", logs.ErrorText(cause))
+	switch e {
+	case endedCrashed:
+		a.crashed = a.crashed || made == 0
+		a.c.crashed(a.j.Content, u, made)
+	case endedUnknown:
+		a.c.undecided.add(time.Now(), a.j.Content, u, made)
+	}
+}
+
+// endingBy finds out what became of an upstream at which an attempt broke off for a cause;
+// if that is the upstream's silence, it was asked already.
+func (c *Carrier) endingBy(u dialect.Upstream, cause error) ending {
+	var silent *SilentError
+	if errors.As(cause, &silent) {
+		return endingOf(silent.Err)
+	}
+	return c.examine(u)
+}
+
+// crashed takes the evidence of a crash into the register, and has the other instances
+// told: each of them may be sent the same content at any moment.
+func (c *Carrier) crashed(content quarantine.Content, u dialect.Upstream, made int) {
+	now := time.Now()
+	if !c.o.Register.Crashed(now, content, u, made) {
+		return
+	}
+	if v := c.o.Register.Verdict(now, content); v.Standing == quarantine.Quarantined {
+		c.o.Count("quarantined")
+		c.o.Log.Warn("content quarantined", "content", content.String(), "crashes", v.Crashes, "early", v.Early,
+			"upstreams", v.Upstreams, "left_ms", v.Left.Milliseconds())
+	}
+	c.o.Spread()
 }
--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -9,12 +9,14 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/wardspool/wardspool/adapter"
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/fleet"
+	"github.com/wardspool/wardspool/gateway/quarantine"
 	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
@@ -50,9 +52,14 @@
 	kept map[ident.UpstreamID]map[string]int
 	// silent engines don't answer when they are asked for a report.
 	silent map[ident.UpstreamID]bool
+	// crashed upstreams refuse connections.
+	crashed map[ident.UpstreamID]bool
 	// incarnations are those that engines report.
 	incarnations map[ident.UpstreamID]ident.Incarnation
 
+	// prefilled is called after each prefill.
+	prefilled func()
+
 	stopped func()
 	calls   []string
 	sends   []dialect.Send
@@ -111,6 +118,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.record("prefill %s", s.To.ID)
+	if f.prefilled != nil {
+		defer f.prefilled()
+	}
 	if err, _ := next(f.prefill, s.To.ID); err != nil {
 		return dialect.Handle{}, err
 	}
@@ -147,6 +157,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.record("report %s", u.ID)
+	if f.crashed[u.ID] {
+		return dialect.Report{}, closed
+	}
 	if f.silent[u.ID] {
 		return dialect.Report{}, notSent
 	}
@@ -156,6 +169,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.record("reach %s", u.ID)
+	if f.crashed[u.ID] {
+		return closed
+	}
 	if f.silent[u.ID] {
 		return notSent
 	}
@@ -234,11 +250,20 @@
 		Budget: schedule.NewBudget(time.Now(), schedule.BudgetOptions{Window: time.Hour, Slack: slack}, func() int { return 1 }),
 		View:   func() *fleet.Snapshot { return b.view },
 		Log:    slog.New(slog.DiscardHandler), Count: func(string) {},
+		Register: quarantine.NewRegister(), Trials: localTrials{quarantine.NewTrials()}, Spread: func() {},
 	})
 	t.Cleanup(b.Close)
 	return b
 }
 
+// localTrials allow trials of one instance.
+type localTrials struct{ *quarantine.Trials }
+
+func (l localTrials) Begin(_ context.Context, c quarantine.Content, lasts time.Duration) (func(), bool) {
+	ok := l.Trials.Begin(time.Now(), c, "self", lasts)
+	return func() { l.End(c, "self") }, ok
+}
+
 func plainUps(ids ...string) []dialect.Upstream {
 	var out []dialect.Upstream
 	for _, id := range ids {
@@ -275,9 +300,10 @@
 	return j
 }
 
-// notSent and broken are errors with their evidence; refusedReply and fullReply
+// closed, notSent and broken are errors with their evidence; refusedReply and fullReply
 // attest that nothing ran.
 var (
+	closed  = &adapter.CallError{Evidence: kernel.NotSent, Code: kernel.FailureConnect, Err: syscall.ECONNREFUSED}
 	notSent = &adapter.CallError{Evidence: kernel.NotSent, Code: kernel.FailureConnect, Err: io.EOF}
 	broken  = &adapter.CallError{Evidence: kernel.Ambiguous, Code: kernel.FailureBroken, Err: io.ErrUnexpectedEOF}
 	refusal = reply{verdict: dialect.Refused, status: 503}
--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -59,6 +59,7 @@
 		s.c.o.Books.StreamStarted(s.j.Service.Name, started.Sub(start))
 	}
 	if err == nil {
+		s.caution.ended()
 		s.c.note(u, &attempt{verdict: dialect.Success}, took, s.log)
 		s.c.o.Books.StreamDone(s.j.Service.Name, s.output(), s.produced())
 		s.log.Info("stream complete", "upstream", u.ID, "events", s.events.Load(), "took_ms", took.Milliseconds(),
@@ -109,6 +110,7 @@
 func (s *stream) copyEvents(g *guard, p *place, resp *http.Response, first func()) error {
 	var pending []byte
 	started := false
+	before := s.events.Load()
 	buf := make([]byte, readBytes)
 	for {
 		n, err := resp.Body.Read(buf)
@@ -125,6 +127,7 @@
 			if werr := s.deliver(resp, pending[:end]); werr != nil {
 				return &CallerError{Err: werr}
 			}
+			s.caution.progressed(int(s.events.Load() - before))
 			pending = append(pending[:0], pending[end:]...)
 		}
 		switch {
--- a/gateway/carry/plain.go
+++ b/gateway/carry/plain.go
@@ -27,6 +27,8 @@
 // *AbandonedError.
 func (c *Carrier) Plain(ctx context.Context, j *Job) (*Answer, error) {
 	p := &plain{c: c, j: j, log: j.log(c.o.Log)}
+	p.caution = caution{c: c, j: j, log: p.log}
+	defer p.caution.done()
 	return p.run(ctx)
 }
 
@@ -43,6 +45,7 @@
 	// failure is the upstream's own failure, to be passed on if nothing better
 	// comes.
 	failure *Answer
+	caution caution
 }
 
 // run sends the request until it has an answer or no further attempt is allowed.
@@ -51,12 +54,16 @@
 		if ctx.Err() != nil {
 			return nil, &AbandonedError{}
 		}
+		if err := p.caution.admit(ctx, p.fateUnserved()); err != nil {
+			return p.refused(err)
+		}
 		t, ok := p.place()
 		if !ok {
 			return p.end(&NoUpstreamError{Service: p.j.Service.Name})
 		}
 		a := p.send(ctx, t)
 		if a.err == nil && a.verdict == dialect.Success {
+			p.caution.ended()
 			return a.answer, nil
 		}
 		if ctx.Err() != nil {
@@ -64,7 +71,7 @@
 		}
 		p.learn(a)
 		if a.err != nil && a.evidence() == kernel.Ambiguous {
-			p.c.lost(p.j, t.Upstream, 0, a.err, p.log)
+			p.caution.lost(t.Upstream, 0, a.cause)
 		}
 		if !p.again(a) {
 			return p.end(a.err)
@@ -92,6 +99,10 @@
 	defer cancel()
 	a := p.exchange(ctx, t.Upstream)
 	took := time.Since(start)
+	a.cause = a.err
+	if silent := silence(ctx); silent != nil {
+		a.cause = silent
+	}
 	p.c.note(t.Upstream, a, took, p.log)
 	p.log.Info("attempt", "upstream", t.Upstream.ID, "number", len(p.tried), "verdict", a.verdict.String(),
 		"took_ms", took.Milliseconds(), "left_ms", time.Until(p.j.Deadline).Milliseconds(), "error", logs.ErrorText(a.err))
@@ -145,6 +156,23 @@
 	return p.c.mayResend(p.j.Service.Name, 1, p.log)
 }
 
+// fateUnserved is the fate of a request that is sent to no further upstream.
+func (p *plain) fateUnserved() Fate {
+	if p.runs > 0 {
+		return Unknown
+	}
+	return NotRun
+}
+
+// refused ends a request that may be sent to no upstream. An upstream's own failure is still
+// the better answer.
+func (p *plain) refused(err error) (*Answer, error) {
+	if p.failure != nil && passable(p.failure.Status) {
+		return p.failure, nil
+	}
+	return nil, err
+}
+
 // end says what became of a request that gets no success.
 func (p *plain) end(cause error) (*Answer, error) {
 	if p.failure != nil && passable(p.failure.Status) {
--- a/gateway/carry/prefill.go
+++ b/gateway/carry/prefill.go
@@ -61,6 +61,10 @@
 		if !ok {
 			return nil, nil
 		}
+		if err := s.admit(ctx); err != nil {
+			s.c.o.Books.Done(t)
+			return nil, err
+		}
 		h, err := s.prefillAt(ctx, t)
 		if err == nil {
 			return &computed{handle: h, engine: t.Upstream, at: time.Now()}, nil
@@ -69,7 +73,7 @@
 			return nil, s.contextError(ctx)
 		}
 		tried = append(tried, t.Upstream.ID)
-		if !s.c.mayResend(s.j.Service.Name, sendsAfterPrefill, s.log) {
+		if s.caution.crashed || !s.c.mayResend(s.j.Service.Name, sendsAfterPrefill, s.log) {
 			return nil, err
 		}
 	}
@@ -91,7 +95,7 @@
 	err = g.cause(err)
 	s.notePrefill(u, err, start, took)
 	if err != nil && adapter.AsCallError(err).Evidence == kernel.Ambiguous && adapter.AsCallError(err).Status == 0 && ctx.Err() == nil {
-		s.c.lost(s.j, u, 0, err, s.log)
+		s.caution.lost(u, 0, err)
 	}
 	if err == nil {
 		s.c.o.Books.PrefillDone(s.j.Service.Name, s.j.Call.PromptTokens, took)
--- a/gateway/carry/reserve.go
+++ b/gateway/carry/reserve.go
@@ -129,6 +129,7 @@
 func (s *stream) reserveFor(ctx context.Context, size schedule.Size) (*place, error) {
 	list := s.c.o.View().Upstreams[s.j.Service.Name]
 	size.MaxPause = s.j.Route.PaceObjective
+	size.Apart = s.caution.suspect()
 	for {
 		t, ok := s.c.o.Books.PlaceDecode(time.Now(), list, s.j.Service.Engine, size, s.excluded)
 		if !ok {
--- a/gateway/carry/restarts.go
+++ b/gateway/carry/restarts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/ident"
@@ -51,8 +52,11 @@
 }
 
 // Listed takes in upstreams as they are known now, and ends the attempts at former
-// incarnations of theirs.
+// incarnations of theirs; those that broke off there before met a crash.
 func (c *Carrier) Listed(list []dialect.Upstream) {
+	for _, a := range c.undecided.decide(time.Now(), list) {
+		c.crashed(a.content, a.upstream, a.made)
+	}
 	c.underWay.mu.Lock()
 	defer c.underWay.mu.Unlock()
 	for _, u := range list {
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -69,8 +69,13 @@
 // to be passed on.
 func (c *Carrier) Stream(ctx context.Context, j *Job, w StreamWriter) (*Answer, error) {
 	s := &stream{c: c, j: j, w: w, log: j.log(c.o.Log), lastEvent: j.Call.LastEvent}
+	s.caution = caution{c: c, j: j, log: s.log}
+	defer s.caution.done()
 	ctx, cancel := context.WithDeadline(ctx, j.Deadline.Add(overtime))
 	defer cancel()
+	if err := s.caution.admit(ctx, NotRun); err != nil {
+		return nil, err
+	}
 	c.o.Books.Asked(time.Now(), j.Service.Name, j.Call.PromptTokens, s.output())
 	return s.run(ctx)
 }
@@ -103,6 +108,7 @@
 	// the stream goes on.
 	events    atomic.Int64
 	migration migration
+	caution   caution
 	// firstAt and lastAt are when the first and the last event came; longestPause is
 	// between two.
 	firstAt      time.Time
@@ -153,7 +159,7 @@
 // pair may be tried.
 func (s *stream) start(ctx context.Context) (answer *Answer, again bool, err error) {
 	s.starts++
-	p, err := s.reserve(ctx)
+	p, err := s.admitAndReserve(ctx)
 	if err != nil {
 		if s.kept != nil {
 			s.free(s.kept)
@@ -169,6 +175,18 @@
 	return s.decode(ctx, p, h)
 }
 
+// admitAndReserve reserves a decode engine, if the content may be sent to one.
+func (s *stream) admitAndReserve(ctx context.Context) (*place, error) {
+	if err := s.admit(ctx); err != nil {
+		return nil, err
+	}
+	return s.reserve(ctx)
+}
+
+// admit reports whether the content may be sent to an engine: what crashed others may have
+// come to be known while the request waited.
+func (s *stream) admit(ctx context.Context) error { return s.caution.admit(ctx, s.fateUnserved()) }
+
 // ended turns the error of a start into what the caller is told.
 func (s *stream) ended(err error) error {
 	var told *Error
@@ -199,9 +217,10 @@
 
 // mayStart reports whether another pair of engines may be tried after a failure
 // that left the request not run, or that may be repeated; sends is what that
-// takes.
+// takes. A request that may have crashed its engine is not given to the next one here: its
+// caller decides, and learns of it.
 func (s *stream) mayStart(ctx context.Context, err error, sends int) bool {
-	if ctx.Err() != nil || s.starts >= maxStarts {
+	if ctx.Err() != nil || s.starts >= maxStarts || s.caution.crashed {
 		return false
 	}
 	var told *Error
@@ -217,7 +236,7 @@
 // lost takes in that an attempt broke off at an engine, unless its caller left.
 func (s *stream) lost(ctx context.Context, u dialect.Upstream, made int, err error) {
 	if ctx.Err() == nil {
-		s.c.lost(s.j, u, made, err, s.log)
+		s.caution.lost(u, made, err)
 	}
 }
 
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"encoding/json"
 	"io"
 	"net/http"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/gorilla/mux"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/wardspool/wardspool/gateway/quarantine"
 	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/metrics"
 )
@@ -38,10 +40,15 @@
 	s.Histogram("request_seconds", latencyBuckets).RecordDuration(took)
 }
 
-// routes serves the metrics.
-func (c *counters) routes() http.Handler {
+// routes serves the metrics, and the contents that are kept from upstreams.
+func (c *counters) routes(held *quarantine.Register) http.Handler {
 	r := mux.NewRouter()
 	r.Path("/metrics").Handler(c.reporter)
+	r.Path("/quarantine").HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		// An operator that left needs no answer.
+		_ = json.NewEncoder(w).Encode(held.Held(time.Now()))
+	})
 	return r
 }
 
--- a/gateway/fleet/loads.go
+++ b/gateway/fleet/loads.go
@@ -132,21 +132,28 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	return peer.Call[LoadAnswer](ctx, n.o.Pool, address, MethodLoad, r)
+	answer, err := peer.Call[LoadAnswer](ctx, n.o.Pool, address, MethodLoad, r)
+	if err == nil {
+		n.compareCrashes(ctx, address, answer.Crashes)
+	}
+	return answer, err
 }
 
 // onLoad takes in a load at a hub.
 func (n *Node) onLoad(_ context.Context, _ peer.Identity, r LoadReport) (LoadAnswer, error) {
+	digest := n.o.Register.Digest()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
 	if _, self := n.roster.Hub(now, n.o.Self.Zone); !self {
-		return LoadAnswer{NotHub: true}, nil
+		return LoadAnswer{NotHub: true, Crashes: digest}, nil
 	}
 	n.hub.Take(now, r)
 	if r.Whole {
 		whole := n.whole(now)
-		return LoadAnswer{Whole: &whole}, nil
+		return LoadAnswer{Whole: &whole, Crashes: digest}, nil
 	}
-	return n.hub.Answer(now, r.From), nil
+	answer := n.hub.Answer(now, r.From)
+	answer.Crashes = digest
+	return answer, nil
 }
--- a/gateway/fleet/messages.go
+++ b/gateway/fleet/messages.go
@@ -83,6 +83,9 @@
 	Relayed []Relayed `json:"others,omitempty"`
 	// Zones holds signs of life of all live instances in a large fleet, by zone.
 	Zones []ZoneRecords `json:"zones,omitempty"`
+	// Crashes is the digest of what the sender knows of contents under which upstreams
+	// crashed, 0 for nothing.
+	Crashes uint64 `json:"q,omitempty"`
 }
 
 // Relayed is a heartbeat heard from somebody else.
--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/quarantine"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/pause"
 	"github.com/wardspool/wardspool/peer"
@@ -59,6 +60,8 @@
 	// the peers' loads was made anew; age is how old that is on average.
 	Changed     func(*Snapshot)
 	LoadChanged func(sum Load, age time.Duration)
+	// Register is what is known of contents under which upstreams crashed.
+	Register *quarantine.Register
 }
 
 // Node keeps an instance's view up to date.
@@ -77,6 +80,10 @@
 	// storeDown is when the store was first not reached, zero while it is.
 	storeDown time.Time
 
+	news     *crashNews
+	trials   *quarantine.Trials
+	informed informed
+
 	snapshot atomic.Pointer[Snapshot]
 	alive    atomic.Int64
 
@@ -91,12 +98,15 @@
 // NewNode returns a node that knows nothing, and registers its methods.
 func NewNode(o Options) *Node {
 	n := &Node{o: o, reading: newReading(o.InForce), view: NewView(), hub: NewHub(), others: NewLoad(), roster: NewRoster(o.Self, o.Seeds)}
+	n.news, n.trials = newCrashNews(), quarantine.NewTrials()
 	n.snapshot.Store(n.view.Snapshot())
 	n.alive.Store(1)
 	peer.Handle(o.Server, MethodHeartbeat, n.onHeartbeat)
 	peer.Handle(o.Server, MethodView, n.onView)
 	peer.Handle(o.Server, MethodConfig, n.onConfig)
 	peer.Handle(o.Server, MethodLoad, n.onLoad)
+	peer.Handle(o.Server, MethodCrashes, n.onCrashes)
+	peer.Handle(o.Server, MethodTrial, n.onTrial)
 	return n
 }
 
@@ -152,6 +162,8 @@
 	running.Go(func() { n.heartbeats(ctx) })
 	running.Go(func() { n.readings(ctx) })
 	running.Go(func() { n.loads(ctx) })
+	running.Go(func() { n.spreadCrashes(ctx) })
+	running.Go(func() { n.lookAround(ctx) })
 	running.Wait()
 }
 
@@ -175,6 +187,7 @@
 		partners := n.roster.Partners(time.Now(), random)
 		wait := n.roster.Beats()
 		n.mu.Unlock()
+		h.Crashes = n.o.Register.Digest()
 		for _, address := range partners {
 			go n.beat(ctx, address, h)
 		}
@@ -218,6 +231,7 @@
 	now := time.Now()
 	n.roster.Receive(now, answer)
 	n.roster.Answered(now, answer.From.ID)
+	n.compareCrashes(ctx, address, answer.Crashes)
 	return answer, true
 }
 
@@ -233,6 +247,7 @@
 	n.roster.Update(load)
 	answer := n.roster.Answer(now, h)
 	n.mu.Unlock()
+	answer.Crashes = n.o.Register.Digest()
 	n.noteAlive()
 	return answer, nil
 }
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -44,7 +44,9 @@
 	Carrier *carry.Carrier
 	Budget  *schedule.Budget
 	View    func() *fleet.Snapshot
-	Log     *slog.Logger
+	// Informed reports whether this instance knows what its peers know.
+	Informed func() bool
+	Log      *slog.Logger
 	// Observe counts an outcome and how long the request took.
 	Observe func(route *routing.Route, outcome string, took time.Duration)
 }
@@ -89,7 +91,7 @@
 		f.problem(w, nil, http.StatusBadRequest, "bad_request", api.NotRun, 0)
 		return
 	}
-	if !view.Ready() {
+	if !view.Ready() || !f.o.Informed() {
 		f.o.Log.Info("refused", "request", call.ID, "reason", "not_ready")
 		f.problem(w, call, http.StatusServiceUnavailable, "not_ready", api.NotRun, retryNotReady)
 		return
--- a/gateway/schedule/engines.go
+++ b/gateway/schedule/engines.go
@@ -57,6 +57,9 @@
 	// Overflow means that prefill engines are only busy: the decode engine must be one
 	// at which this instance alone may do so.
 	Overflow bool
+	// Apart means that the request may crash its engine: it gets the one with the fewest
+	// neighbours, in whatever zone.
+	Apart bool
 }
 
 // HoldTokens is the memory to reserve for a request. What the reservation doesn't
@@ -73,7 +76,10 @@
 	defer b.mu.Unlock()
 	run := running{prompt: size.Prompt, estimate: size.Estimate, produced: size.Produced, hold: size.HoldTokens()}
 	unseen := b.unseen(now, serviceOf(list))
-	open, unseen := b.preferOwn(b.openDecode(now, list, e, size, run, exclude, unseen), unseen)
+	open := b.openDecode(now, list, e, size, run, exclude, unseen)
+	if !size.Apart {
+		open, unseen = b.preferOwn(open, unseen)
+	}
 	best := b.spread(open, unseen)
 	if best == nil {
 		return Ticket{}, false
@@ -103,6 +109,9 @@
 		if u.Zone == b.zone {
 			cost -= ownZone
 		}
+		if size.Apart {
+			cost = float64(k.requests+k.peerRequests) + b.random.Float64()
+		}
 		open = append(open, candidate{book: k, cost: cost, left: left})
 	}
 	return open
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -17,6 +17,7 @@
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/fleet"
 	"github.com/wardspool/wardspool/gateway/front"
+	"github.com/wardspool/wardspool/gateway/quarantine"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/pause"
@@ -45,6 +46,7 @@
 	node     *fleet.Node
 	books    *schedule.Books
 	budget   *schedule.Budget
+	register *quarantine.Register
 	carrier  *carry.Carrier
 	front    *front.Front
 	metrics  *counters
@@ -57,7 +59,7 @@
 // New returns the service. It opens nothing yet.
 func New(s *Settings, d dialect.Dialect, source dialect.Source, log *slog.Logger) *Service {
 	log = log.With("instance", s.Instance)
-	g := &Service{settings: s, log: log, dialect: d, metrics: newCounters()}
+	g := &Service{settings: s, log: log, dialect: d, metrics: newCounters(), register: quarantine.NewRegister()}
 	g.books = schedule.NewBooks(s.Zone, rand.Uint64())
 	incarnation := ident.NewIncarnation(time.Now())
 	config := peer.Config{
@@ -73,14 +75,15 @@
 		Self:   fleet.Member{ID: s.Instance, Zone: s.Zone, Address: s.Listen.Peers, Incarnation: incarnation},
 		Seeds:  s.Seeds,
 		Source: source, InForce: s.Store.inForce(), Pool: g.pool, Server: g.peers, Log: log,
-		Load: g.load, Changed: g.changed, LoadChanged: g.loadChanged,
+		Load: g.load, Changed: g.changed, LoadChanged: g.loadChanged, Register: g.register,
 	})
 	g.budget = schedule.NewBudget(time.Now(), s.Retries.budget(), g.node.Alive)
 	g.carrier = carry.New(carry.Options{
 		Dialect: d, Books: g.books, Budget: g.budget, Zone: s.Zone, View: g.node.Snapshot, Log: log, Count: g.metrics.count,
+		Register: g.register, Trials: g.node, Spread: g.node.SpreadCrashes,
 	})
 	g.front = front.New(front.Options{
-		Dialect: d, Carrier: g.carrier, Budget: g.budget, View: g.node.Snapshot, Log: log, Observe: g.metrics.observe,
+		Dialect: d, Carrier: g.carrier, Budget: g.budget, View: g.node.Snapshot, Informed: g.node.Informed, Log: log, Observe: g.metrics.observe,
 	})
 	return g
 }
@@ -202,7 +205,7 @@
 	running.Go(func() { g.servePeers() })
 	ready := &http.Server{Handler: g.readyRoutes(), ReadHeaderTimeout: headerTimeout}
 	running.Go(func() { g.serve(ready, g.ready, "ready") })
-	scrape := &http.Server{Handler: g.metrics.routes(), ReadHeaderTimeout: headerTimeout}
+	scrape := &http.Server{Handler: g.metrics.routes(g.register), ReadHeaderTimeout: headerTimeout}
 	if g.scrape != nil {
 		running.Go(func() { g.serve(scrape, g.scrape, "metrics") })
 	}
@@ -281,7 +284,7 @@
 func (g *Service) readyRoutes() http.Handler {
 	r := mux.NewRouter()
 	r.PathPrefix("/").HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if g.stopping() || !g.node.Snapshot().Ready() {
+		if g.stopping() || !g.node.Snapshot().Ready() || !g.node.Informed() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
