--- a/gateway/carry/caution_test.go
+++ b/gateway/carry/caution_test.go
@@ -118,7 +118,9 @@
 	assert.NilError(t, err)
 	assert.Equal(t, got.body.String(), events(1, 8))
 	assert.Equal(t, b.o.Register.Verdict(time.Now(), deadly).Standing, quarantine.Clear)
-	assert.Assert(t, b.o.Register.Digest() != 0, "nothing was noted")
+	noted := b.o.Register.TellOf(time.Now(), deadly)
+	assert.Equal(t, len(noted), 1)
+	assert.Assert(t, noted[0].Cleared)
 }
 
 // TestSuspectsAreTriedOneAtATime: while one attempt with a suspect content is under way, a
@@ -174,7 +176,7 @@
 		t.Run(name, func(t *testing.T) {
 			b := newBed(t, slack, born(5, engineUps([]string{"p1"}, []string{"d1"}))...)
 			b.d.silent = map[ident.UpstreamID]bool{"d1": true}
-			b.d.do["d1"] = []reply{{err: broken}}
+			b.d.do["d1"] = []reply{{verdict: dialect.Success, status: 200, breaks: true}}
 			_, err := b.Stream(t.Context(), withContent(stream1), &sink{})
 			assert.Equal(t, fateOf(t, err), Unknown)
 			assert.Equal(t, b.o.Register.Verdict(time.Now(), deadly).Standing, quarantine.Clear)
@@ -188,6 +190,20 @@
 	}
 }
 
+// TestEngineThatWasGoneBeforeIsNoEvidence: two engines crash silently, and a stream that is
+// sent to both of them afterwards gets no sign of life from either.
+func TestEngineThatWasGoneBeforeIsNoEvidence(t *testing.T) {
+	ups := born(5, engineUps([]string{"p1"}, []string{"d1", "d2"}))
+	b := newBed(t, slack, ups...)
+	b.d.silent = map[ident.UpstreamID]bool{"d1": true, "d2": true}
+	b.serveStreams(reply{err: broken})
+	_, err := b.Stream(t.Context(), withContent(resumable), &sink{})
+	assert.Equal(t, fateOf(t, err), Unknown)
+	assert.Equal(t, b.d.countKind("do"), 2)
+	b.Listed(born(6, ups))
+	assert.Equal(t, b.o.Register.Verdict(time.Now(), deadly).Standing, quarantine.Clear)
+}
+
 // TestServicesAreKeptFromIt as well: a request that crashes processes of a plain service
 // takes two of them down in one attempt where its route allows two, and none after.
 func TestServicesAreKeptFromIt(t *testing.T) {
--- a/gateway/carry/decode.go
+++ b/gateway/carry/decode.go
@@ -50,7 +50,7 @@
 	s.log.Info("attempt", "upstream", u.ID, "number", s.starts, "error", logs.ErrorText(err))
 	if adapter.AsCallError(err).Evidence == kernel.Ambiguous {
 		s.runs++
-		s.lost(ctx, u, 0, err)
+		s.lost(ctx, u, false, 0, err)
 		if !s.j.Route.Repeatable() || s.runs >= s.j.Route.MaxAttempts {
 			return false
 		}
--- a/gateway/carry/ending.go
+++ b/gateway/carry/ending.go
@@ -107,8 +107,10 @@
 }
 
 // lost takes in that an attempt of a request broke off at an upstream, after so many events
-// from there, and finds out whether that crashed.
-func (a *caution) lost(u dialect.Upstream, made int, cause error) {
+// from there, and finds out whether that crashed. begun means that the upstream had answered
+// with the head of a response: one that fell silent without a sign of having got the request
+// may have been gone before.
+func (a *caution) lost(u dialect.Upstream, begun bool, made int, cause error) {
 	e := a.c.endingBy(u, cause)
 	a.c.o.Count("attempt_lost_" + string(e))
 	a.log.Warn("attempt lost", "upstream", u.ID, "incarnation", u.Incarnation, "address", u.Address, "content", a.j.Content.String(),
@@ -118,6 +120,9 @@
 		a.crashed = a.crashed || made == 0
 		a.c.crashed(a.j.Content, u, made)
 	case endedUnknown:
+		if !begun {
+			return
+		}
 		a.c.undecided.add(time.Now(), a.j.Content, u, made)
 	}
 }
--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -87,7 +87,7 @@
 		return false
 	}
 	s.c.note(u, &attempt{err: err}, 0, s.log)
-	s.lost(ctx, u, made, err)
+	s.lost(ctx, u, true, made, err)
 	s.excluded = append(s.excluded, u.ID)
 	if !s.j.Route.Repeatable() || s.runs >= s.j.Route.MaxAttempts {
 		return false
--- a/gateway/carry/plain.go
+++ b/gateway/carry/plain.go
@@ -71,7 +71,7 @@
 		}
 		p.learn(a)
 		if a.err != nil && a.evidence() == kernel.Ambiguous {
-			p.caution.lost(t.Upstream, 0, a.cause)
+			p.caution.lost(t.Upstream, false, 0, a.cause)
 		}
 		if !p.again(a) {
 			return p.end(a.err)
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -234,9 +234,9 @@
 }
 
 // lost takes in that an attempt broke off at an engine, unless its caller left.
-func (s *stream) lost(ctx context.Context, u dialect.Upstream, made int, err error) {
+func (s *stream) lost(ctx context.Context, u dialect.Upstream, begun bool, made int, err error) {
 	if ctx.Err() == nil {
-		s.caution.lost(u, made, err)
+		s.caution.lost(u, begun, made, err)
 	}
 }
 
--- a/gateway/fleet/crashes.go
+++ b/gateway/fleet/crashes.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/wardspool/wardspool/gateway/quarantine"
@@ -20,163 +20,218 @@
 	// gatherNews is how long news of crashes are gathered before they are told: a crash
 	// takes a dozen requests with it, each of which is a piece of evidence.
 	gatherNews = 20 * time.Millisecond
-	// compareAgain is the least time between two comparisons with one peer whose digest
-	// differs: heartbeats come as often.
-	compareAgain = beatInterval
-	// mostCompared bounds the peers of which the last comparison is remembered.
-	mostCompared = 1024
+	// newsPause is the least time between two tellings. When all engines of a fleet crash at
+	// once each of 295 instances has something to tell, each 20 ms.
+	newsPause = 100 * time.Millisecond
+	// newsInterval is how often it is looked for evidence that is told later.
+	newsInterval = 250 * time.Millisecond
+	// compareAgain is the least time between two comparisons. They are for what was not
+	// told for want of a connection.
+	compareAgain = time.Second
 )
 
 // CrashNews is evidence of crashes as one instance tells it another.
 type CrashNews struct {
-	// Digest is that of all that the sender knows.
-	Digest  uint64             `json:"d"`
-	Crashes []quarantine.Crash `json:"c,omitempty"`
+	// Digest is that of all that the sender shares.
+	Digest uint64 `json:"d"`
+	// Crashes is packed evidence.
+	Crashes []byte `json:"c,omitempty"`
+	// Compare asks for all evidence of the other side if its digest differs.
+	Compare bool `json:"m,omitempty"`
+	// Informed is as in Heartbeat.
+	Informed bool `json:"k,omitempty"`
 }
 
 // crashNews spreads the evidence of crashes. What this instance saw is told at once to
-// those whom Roster.Told names; whoever missed it finds by the digest in the next heartbeat
-// or report of loads that it knows less.
+// those whom Roster.Told names; whoever missed it finds by the digest in a heartbeat or a
+// report of loads that it knows less.
 type crashNews struct {
-	// seen and heard are set when there is evidence of this instance's own attempts, or
-	// by a peer's word; wake has it told.
-	seen, heard atomic.Bool
-	wake        chan struct{}
+	wake chan struct{}
 
-	mu       sync.Mutex
-	compared map[string]time.Time
+	mu sync.Mutex
+	// heard is what this instance was told and did not know.
+	heard    []quarantine.Crash
+	compared time.Time
 }
 
-func newCrashNews() *crashNews {
-	return &crashNews{wake: make(chan struct{}, 1), compared: map[string]time.Time{}}
-}
+func newCrashNews() *crashNews { return &crashNews{wake: make(chan struct{}, 1)} }
 
 // tell has the news told soon.
-func (c *crashNews) tell(of *atomic.Bool) {
-	of.Store(true)
+func (c *crashNews) tell() {
 	select {
 	case c.wake <- struct{}{}:
 	default:
 	}
 }
 
-// due reports whether a peer may be compared with now, and notes that it is.
-func (c *crashNews) due(now time.Time, address string) bool {
+// hear adds what was heard of.
+func (c *crashNews) hear(news []quarantine.Crash) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.heard = append(c.heard, news...)
+}
+
+// take returns what was heard of, once.
+func (c *crashNews) take() []quarantine.Crash {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now.Sub(c.compared[address]) < compareAgain {
+	heard := c.heard
+	c.heard = nil
+	return heard
+}
+
+// due reports whether another comparison may begin, and notes that it does.
+func (c *crashNews) due(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.compared) < compareAgain {
 		return false
 	}
-	if len(c.compared) >= mostCompared {
-		clear(c.compared)
-	}
-	c.compared[address] = now
+	c.compared = now
 	return true
 }
 
 // SpreadCrashes tells the other instances of evidence that this one has just taken into
 // the register.
-func (n *Node) SpreadCrashes() { n.news.tell(&n.news.seen) }
+func (n *Node) SpreadCrashes() { n.news.tell() }
 
 // spreadCrashes tells news of crashes until ctx ends, and forgets what is of no use.
 func (n *Node) spreadCrashes(ctx context.Context) {
-	expire := time.NewTicker(time.Second)
-	defer expire.Stop()
-	for {
+	later := time.NewTicker(newsInterval)
+	defer later.Stop()
+	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 			return
-		case <-expire.C:
+		case <-later.C:
 			n.o.Register.Expire(time.Now())
-			continue
 		case <-n.news.wake:
+			pause.For(ctx, gatherNews)
 		}
-		pause.For(ctx, gatherNews)
-		seen, heard := n.news.seen.Swap(false), n.news.heard.Swap(false)
-		n.mu.Lock()
-		told := n.roster.Told(time.Now(), seen, heard)
-		n.mu.Unlock()
-		for _, address := range told {
-			go n.exchangeCrashes(ctx, address)
+		if n.tellNews(ctx) {
+			pause.For(ctx, newsPause)
 		}
 	}
 }
 
-// exchangeCrashes tells a peer what is known of crashes, and takes in what it knows. A
-// failure needs no line: the digests are compared again.
-func (n *Node) exchangeCrashes(ctx context.Context, address string) {
+// tellNews tells what is new, and reports whether there was anything.
+func (n *Node) tellNews(ctx context.Context) bool {
+	now := time.Now()
+	seen, heard := n.o.Register.Fresh(now), n.news.take()
+	if len(seen)+len(heard) == 0 {
+		return false
+	}
+	n.mu.Lock()
+	toSeen, toAll := n.roster.Told(now)
+	n.mu.Unlock()
+	for _, address := range toSeen {
+		go n.tellCrashes(ctx, address, seen)
+	}
+	both := slices.Concat(seen, heard)
+	for _, address := range toAll {
+		go n.tellCrashes(ctx, address, both)
+	}
+	return true
+}
+
+// tellCrashes tells a peer of some evidence. A failure needs no line: digests are compared.
+func (n *Node) tellCrashes(ctx context.Context, address string, news []quarantine.Crash) {
+	if len(news) == 0 {
+		return
+	}
+	if _, err := n.callCrashes(ctx, address, CrashNews{Crashes: packCrashes(news)}); err != nil {
+		n.o.Log.Debug("crashes not told", "peer", address, "error", err)
+	}
+}
+
+// callCrashes makes one call.
+func (n *Node) callCrashes(ctx context.Context, address string, q CrashNews) (CrashNews, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	q := CrashNews{Digest: n.o.Register.Digest(), Crashes: n.o.Register.Tell(time.Now())}
-	answer, err := peer.Call[CrashNews](ctx, n.o.Pool, address, MethodCrashes, q)
+	q.Digest, q.Informed = n.o.Register.Digest(), n.Informed()
+	return peer.Call[CrashNews](ctx, n.o.Pool, address, MethodCrashes, q)
+}
+
+// compareWith compares all evidence with a peer's: each tells the other what it lacks.
+func (n *Node) compareWith(ctx context.Context, address string) {
+	answer, err := n.callCrashes(ctx, address, CrashNews{Compare: true})
 	if err != nil {
-		n.o.Log.Debug("crashes not told", "peer", address, "error", err)
+		n.o.Log.Debug("crashes not compared", "peer", address, "error", err)
 		return
 	}
 	n.hearCrashes(answer.Crashes)
-	n.informed.tell(time.Now())
+	if answer.Informed {
+		n.informed.tell(time.Now())
+	}
+	if answer.Digest != n.o.Register.Digest() {
+		n.tellCrashes(ctx, address, n.o.Register.Tell(time.Now()))
+	}
 }
 
-// onCrashes takes in what a peer knows of crashes, and answers with what is known here if
-// that differs.
+// onCrashes takes in what a peer knows of crashes, and answers what it asked for.
 func (n *Node) onCrashes(_ context.Context, _ peer.Identity, q CrashNews) (CrashNews, error) {
 	n.hearCrashes(q.Crashes)
-	answer := CrashNews{Digest: n.o.Register.Digest()}
-	if answer.Digest != q.Digest {
-		answer.Crashes = n.o.Register.Tell(time.Now())
+	answer := CrashNews{Digest: n.o.Register.Digest(), Informed: n.Informed()}
+	if q.Compare && answer.Digest != q.Digest {
+		answer.Crashes = packCrashes(n.o.Register.Tell(time.Now()))
 	}
 	return answer, nil
 }
 
-// hearCrashes takes in evidence from a peer.
-func (n *Node) hearCrashes(told []quarantine.Crash) {
-	if !n.o.Register.Hear(time.Now(), told) {
+// hearCrashes takes in packed evidence from a peer.
+func (n *Node) hearCrashes(packed []byte) {
+	if len(packed) == 0 {
 		return
 	}
-	n.o.Log.Info("crashes heard of", "told", len(told))
-	n.news.tell(&n.news.heard)
+	told, err := unpackCrashes(packed)
+	if err != nil {
+		n.o.Log.Warn("evidence of crashes not understood", "error", err)
+		return
+	}
+	news := n.o.Register.Hear(time.Now(), told)
+	if len(news) == 0 {
+		return
+	}
+	n.o.Log.Info("crashes heard of", "news", len(news), "first", news[0].Content.String(), "upstream", news[0].Upstream, "age_ms", news[0].Age.Milliseconds())
+	n.news.hear(news)
+	n.news.tell()
 }
 
-// compareCrashes has the evidence compared with a peer that answered a call with its
+// compareCrashes has the evidence compared with a peer that called or answered with its
 // digest.
-func (n *Node) compareCrashes(ctx context.Context, address string, digest uint64) {
+func (n *Node) compareCrashes(ctx context.Context, address string, digest uint64, informed bool) {
+	now := time.Now()
 	switch {
 	case digest == n.o.Register.Digest():
-		n.informed.tell(time.Now())
-	case n.news.due(time.Now(), address):
+		if informed {
+			n.informed.tell(now)
+		}
+	case informed && !n.informed.ok(now) || n.news.due(now):
 		// The call may end before this does.
-		go n.exchangeCrashes(context.WithoutCancel(ctx), address)
+		go n.compareWith(context.WithoutCancel(ctx), address)
 	}
 }
 
-// Told returns the addresses of the instances to tell at once of crashes: of those that
-// this instance saw, all in a small fleet, and in a large one the hubs of all zones; of
-// those that a hub heard of or saw, the instances of its zone.
-func (r *Roster) Told(now time.Time, seen, heard bool) []string {
+// Told returns the addresses of the instances to tell at once of crashes: of those that this
+// instance saw, all in a small fleet and in a large one the hubs of the zones; of those that
+// it saw or heard of, the instances of its zone if it is their hub.
+func (r *Roster) Told(now time.Time) (seen, all []string) {
 	r.refresh(now)
 	if !r.large() {
-		if !seen {
-			return nil
-		}
-		return r.addressesIn(now, "")
+		return r.addressesIn(now, ""), nil
 	}
-	var told []string
 	own, hub := r.Hub(now, r.self.Zone)
 	if hub {
-		told = r.addressesIn(now, r.self.Zone)
-	}
-	if !seen {
-		return told
-	}
-	if !hub && own != "" {
-		told = append(told, own)
+		all = r.addressesIn(now, r.self.Zone)
+	} else if own != "" {
+		seen = append(seen, own)
 	}
 	for _, zone := range r.OtherZones(now) {
 		if address, _ := r.Hub(now, zone); address != "" {
-			told = append(told, address)
+			seen = append(seen, address)
 		}
 	}
-	return told
+	return seen, all
 }
 
 // addressesIn returns the addresses of the live peers of a zone, or of all zones for "".
--- a/gateway/fleet/hub.go
+++ b/gateway/fleet/hub.go
@@ -38,8 +38,9 @@
 	Whole *LoadReport `json:"whole,omitempty"`
 	// NotHub means that the asked instance takes another for the hub, and has no sum.
 	NotHub bool `json:"n,omitempty"`
-	// Crashes is as in Heartbeat.
-	Crashes uint64 `json:"q,omitempty"`
+	// Crashes and Informed are as in Heartbeat.
+	Crashes  uint64 `json:"q,omitempty"`
+	Informed bool   `json:"k,omitempty"`
 }
 
 // Hub adds up the loads of a zone's instances and exchanges the sums with other
--- a/gateway/fleet/informed.go
+++ b/gateway/fleet/informed.go
@@ -10,8 +10,12 @@
 
 const (
 	// informWithin is how long an instance that has just started, or stood still, waits for
-	// the word of a peer; one that hears of none is alone, or cut off.
+	// the word of a peer that had not; one that hears of none is alone, cut off, or all have
+	// started. Peers of a small fleet call each 300 ms.
 	informWithin = 500 * time.Millisecond
+	// informedTick is how often a waiting request looks whether its instance is informed;
+	// the word of a peer comes within some ms of a start.
+	informedTick = 10 * time.Millisecond
 	// lookInterval is how often an instance looks whether it stood still.
 	lookInterval = 100 * time.Millisecond
 )
@@ -60,6 +64,13 @@
 // know since it started or stood still.
 func (n *Node) Informed() bool { return n.informed.ok(time.Now()) }
 
+// AwaitInformed waits until Informed, or until ctx ends. It is short: half a second at the
+// most, after a start or a pause.
+func (n *Node) AwaitInformed(ctx context.Context) {
+	for !n.Informed() && pause.For(ctx, informedTick) {
+	}
+}
+
 // lookAround notes the times at which this instance runs until ctx ends.
 func (n *Node) lookAround(ctx context.Context) {
 	for pause.For(ctx, lookInterval) {
--- a/gateway/fleet/loads.go
+++ b/gateway/fleet/loads.go
@@ -134,26 +134,26 @@
 	defer cancel()
 	answer, err := peer.Call[LoadAnswer](ctx, n.o.Pool, address, MethodLoad, r)
 	if err == nil {
-		n.compareCrashes(ctx, address, answer.Crashes)
+		n.compareCrashes(ctx, address, answer.Crashes, answer.Informed)
 	}
 	return answer, err
 }
 
 // onLoad takes in a load at a hub.
 func (n *Node) onLoad(_ context.Context, _ peer.Identity, r LoadReport) (LoadAnswer, error) {
-	digest := n.o.Register.Digest()
+	digest, informed := n.o.Register.Digest(), n.Informed()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
 	if _, self := n.roster.Hub(now, n.o.Self.Zone); !self {
-		return LoadAnswer{NotHub: true, Crashes: digest}, nil
+		return LoadAnswer{NotHub: true, Crashes: digest, Informed: informed}, nil
 	}
 	n.hub.Take(now, r)
 	if r.Whole {
 		whole := n.whole(now)
-		return LoadAnswer{Whole: &whole, Crashes: digest}, nil
+		return LoadAnswer{Whole: &whole, Crashes: digest, Informed: informed}, nil
 	}
 	answer := n.hub.Answer(now, r.From)
-	answer.Crashes = digest
+	answer.Crashes, answer.Informed = digest, informed
 	return answer, nil
 }
--- a/gateway/fleet/messages.go
+++ b/gateway/fleet/messages.go
@@ -86,6 +86,8 @@
 	// Crashes is the digest of what the sender knows of contents under which upstreams
 	// crashed, 0 for nothing.
 	Crashes uint64 `json:"q,omitempty"`
+	// Informed means that the sender knows what the others knew when it started.
+	Informed bool `json:"k,omitempty"`
 }
 
 // Relayed is a heartbeat heard from somebody else.
--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -187,7 +187,7 @@
 		partners := n.roster.Partners(time.Now(), random)
 		wait := n.roster.Beats()
 		n.mu.Unlock()
-		h.Crashes = n.o.Register.Digest()
+		h.Crashes, h.Informed = n.o.Register.Digest(), n.Informed()
 		for _, address := range partners {
 			go n.beat(ctx, address, h)
 		}
@@ -231,12 +231,12 @@
 	now := time.Now()
 	n.roster.Receive(now, answer)
 	n.roster.Answered(now, answer.From.ID)
-	n.compareCrashes(ctx, address, answer.Crashes)
+	n.compareCrashes(ctx, address, answer.Crashes, answer.Informed)
 	return answer, true
 }
 
 // onHeartbeat answers a peer's heartbeat, in a small fleet with the load of now.
-func (n *Node) onHeartbeat(_ context.Context, _ peer.Identity, h Heartbeat) (Heartbeat, error) {
+func (n *Node) onHeartbeat(ctx context.Context, _ peer.Identity, h Heartbeat) (Heartbeat, error) {
 	load := Load{}
 	if !n.large() {
 		load = n.o.Load()
@@ -247,7 +247,8 @@
 	n.roster.Update(load)
 	answer := n.roster.Answer(now, h)
 	n.mu.Unlock()
-	answer.Crashes = n.o.Register.Digest()
+	answer.Crashes, answer.Informed = n.o.Register.Digest(), n.Informed()
+	n.compareCrashes(ctx, h.From.Address, h.Crashes, h.Informed)
 	n.noteAlive()
 	return answer, nil
 }
--- a/gateway/fleet/pack.go
+++ b/gateway/fleet/pack.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"math"
+	"time"
 
+	"github.com/wardspool/wardspool/gateway/quarantine"
 	"github.com/wardspool/wardspool/ident"
 )
 
@@ -11,11 +14,11 @@
 // each message several times: reading sums of 5.6 KB as JSON took an instance among 85 half
 // of its processor time; a packed one of 64 engines takes 3.6 KB. See BenchmarkPackedLoad.
 
-// PackError reports bytes that are no packed load.
+// PackError reports bytes that are no packed load, or no packed evidence.
 type PackError struct{ Bytes int }
 
 // Error implements error.
-func (e *PackError) Error() string { return "packed load: malformed" }
+func (e *PackError) Error() string { return fmt.Sprintf("%d packed bytes: malformed", e.Bytes) }
 
 // pack encodes requests in flight, demand and sends.
 func (l *Load) pack() []byte {
@@ -81,7 +84,41 @@
 	return l, nil
 }
 
-// unpacker reads a packed load; after the first malformed part it returns zeros.
+// packCrashes encodes evidence, some 35 bytes a piece.
+func packCrashes(crashes []quarantine.Crash) []byte {
+	dst := binary.AppendUvarint(nil, uint64(len(crashes)))
+	for _, c := range crashes {
+		dst = binary.BigEndian.AppendUint64(dst, uint64(c.Content))
+		dst = appendString(dst, string(c.Upstream))
+		dst = binary.BigEndian.AppendUint64(dst, uint64(c.Incarnation))
+		dst = binary.AppendVarint(dst, int64(c.Made))
+		cleared := int64(0)
+		if c.Cleared {
+			cleared = 1
+		}
+		dst = binary.AppendVarint(dst, cleared)
+		dst = binary.AppendVarint(dst, c.Age.Milliseconds())
+	}
+	return dst
+}
+
+// unpackCrashes decodes what packCrashes encoded. The error is a *PackError.
+func unpackCrashes(packed []byte) ([]quarantine.Crash, error) {
+	r := &unpacker{left: packed}
+	var out []quarantine.Crash
+	for range r.count() {
+		out = append(out, quarantine.Crash{
+			Content: quarantine.Content(r.word()), Upstream: ident.UpstreamID(r.text()), Incarnation: ident.Incarnation(r.word()),
+			Made: r.number(), Cleared: r.number() != 0, Age: time.Duration(r.number()) * time.Millisecond,
+		})
+	}
+	if r.failed || len(r.left) > 0 {
+		return nil, &PackError{Bytes: len(packed)}
+	}
+	return out, nil
+}
+
+// unpacker reads a packed load or evidence; after the first malformed part it returns zeros.
 type unpacker struct {
 	left   []byte
 	failed bool
@@ -142,10 +179,13 @@
 }
 
 // rate reads a floating-point number.
-func (r *unpacker) rate() float64 {
+func (r *unpacker) rate() float64 { return math.Float64frombits(r.word()) }
+
+// word reads eight bytes.
+func (r *unpacker) word() uint64 {
 	b := r.take(8)
 	if b == nil {
 		return 0
 	}
-	return math.Float64frombits(binary.BigEndian.Uint64(b))
+	return binary.BigEndian.Uint64(b)
 }
--- a/gateway/fleet/pack_test.go
+++ b/gateway/fleet/pack_test.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/wardspool/wardspool/gateway/quarantine"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
 	_ "github.com/wardspool/wardspool/internal/testseed"
@@ -38,6 +40,27 @@
 	})
 }
 
+// TestPackedCrashesComeBack whole; cut short they are told apart.
+func TestPackedCrashesComeBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var crashes []quarantine.Crash
+		for range rapid.IntRange(0, 5).Draw(t, "n") {
+			crashes = append(crashes, quarantine.Crash{
+				Content: quarantine.Content(rapid.Uint64().Draw(t, "content")), Upstream: ident.UpstreamID(rapid.String().Draw(t, "upstream")),
+				Incarnation: ident.Incarnation(rapid.Uint64().Draw(t, "incarnation")), Made: rapid.Int().Draw(t, "made"),
+				Cleared: rapid.Bool().Draw(t, "cleared"), Age: time.Duration(rapid.IntRange(0, 1<<30).Draw(t, "age")) * time.Millisecond,
+			})
+		}
+		packed := packCrashes(crashes)
+		back, err := unpackCrashes(packed)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, back, crashes)
+		_, err = unpackCrashes(packed[:rapid.IntRange(0, len(packed)-1).Draw(t, "cut")])
+		var malformed *PackError
+		assert.Assert(t, errors.As(err, &malformed))
+	})
+}
+
 // TestNoPackedLoad: bytes of another version or a broken sender are told apart.
 func TestNoPackedLoad(t *testing.T) {
 	full := sumOf(3)
@@ -88,3 +111,14 @@
 		b.ReportMetric(float64(len(body)), "bytes")
 	}
 }
+
+// FuzzUnpackCrashes: no bytes make the decoding panic.
+func FuzzUnpackCrashes(f *testing.F) {
+	f.Add(packCrashes([]quarantine.Crash{{Content: 1, Upstream: "i-1", Made: 3, Age: time.Second}}))
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x0f})
+	f.Fuzz(func(t *testing.T, packed []byte) {
+		if crashes, err := unpackCrashes(packed); err == nil && len(crashes) > len(packed) {
+			t.Errorf("%d pieces in %d bytes", len(crashes), len(packed))
+		}
+	})
+}
--- a/gateway/fleet/trials.go
+++ b/gateway/fleet/trials.go
@@ -33,16 +33,17 @@
 	LastsMS int64 `json:"t,omitempty"`
 	// Over means that the trial is over.
 	Over bool `json:"o,omitempty"`
-	// Crashes is what the sender knows of crashes: what the trial showed has to be known
-	// before the next one is allowed.
-	Crashes []quarantine.Crash `json:"k,omitempty"`
+	// Crashes is what the sender knows of the content, packed: what the trial showed has to
+	// be known before the next one is allowed.
+	Crashes []byte `json:"k,omitempty"`
 }
 
 // TrialAnswer says whether a trial may begin.
 type TrialAnswer struct {
 	Allowed bool `json:"a,omitempty"`
-	// Crashes is what the asked instance knows, if it doesn't allow the trial.
-	Crashes []quarantine.Crash `json:"k,omitempty"`
+	// Crashes is what the asked instance knows of the content, packed, if it doesn't allow
+	// the trial.
+	Crashes []byte `json:"k,omitempty"`
 }
 
 // Begin implements carry.Trials. One instance allows the trials of a content, so that all
@@ -50,7 +51,7 @@
 // that take different peers for alive may ask two different ones: each side of a cut has
 // its own trial.
 func (n *Node) Begin(ctx context.Context, c quarantine.Content, lasts time.Duration) (end func(), ok bool) {
-	q := TrialRequest{From: n.o.Self.ID, Content: c, LastsMS: lasts.Milliseconds(), Crashes: n.o.Register.Tell(time.Now())}
+	q := TrialRequest{From: n.o.Self.ID, Content: c, LastsMS: lasts.Milliseconds(), Crashes: packCrashes(n.o.Register.TellOf(time.Now(), c))}
 	for _, owner := range n.trialOwners(c) {
 		answer, err := n.askTrial(ctx, owner, q)
 		if err != nil {
@@ -101,7 +102,7 @@
 // endTrial tells that a trial is over, and what is known since.
 func (n *Node) endTrial(owner string, c quarantine.Content) {
 	for range trialEndTries {
-		q := TrialRequest{From: n.o.Self.ID, Content: c, Over: true, Crashes: n.o.Register.Tell(time.Now())}
+		q := TrialRequest{From: n.o.Self.ID, Content: c, Over: true, Crashes: packCrashes(n.o.Register.TellOf(time.Now(), c))}
 		if _, err := n.askTrial(context.Background(), owner, q); err == nil {
 			return
 		}
@@ -121,5 +122,5 @@
 	if n.o.Register.Verdict(now, q.Content).Standing != quarantine.Quarantined && n.trials.Begin(now, q.Content, q.From, lasts) {
 		return TrialAnswer{Allowed: true}, nil
 	}
-	return TrialAnswer{Crashes: n.o.Register.Tell(now)}, nil
+	return TrialAnswer{Crashes: packCrashes(n.o.Register.TellOf(now, q.Content))}, nil
 }
--- /dev/null
+++ b/gateway/fleetworld_test.go
@@ -0,0 +1,509 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/adapter"
+	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/routing"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/kernel"
+)
+
+// The figures of a fleetWorld's engines. A stream lasts two seconds, an engine holds a dozen.
+const (
+	worldSlots  = 12
+	worldEvents = 20
+	worldPace   = 100 * time.Millisecond
+	worldPrompt = 20 * time.Millisecond
+	// worldDies is how long an engine runs the deadly request, worldBack how long it is away
+	// then, worldLapse how long the store goes on to list it.
+	worldDies  = 100 * time.Millisecond
+	worldBack  = 3 * time.Second
+	worldLapse = 2 * time.Second
+)
+
+// fleetWorld is a fleet of whole instances in virtual time, connected by pipes, before
+// engines in memory. It must be made within a synctest bubble.
+type fleetWorld struct {
+	t         *testing.T
+	random    *rand.Rand
+	config    *routing.Config
+	instances []*worldInstance
+
+	mu       sync.Mutex
+	engines  map[string]*worldEngine
+	revision int64
+	// cut separates this zone's instances from those of other zones.
+	cut ident.Zone
+	// sent are the deadly requests that reached engines, ended the engines they crashed.
+	sent, ended []time.Time
+}
+
+// worldInstance is one instance, over its restarts.
+type worldInstance struct {
+	world   *fleetWorld
+	id      string
+	zone    ident.Zone
+	address string
+
+	mu      sync.Mutex
+	service *Service
+	stop    func()
+	conns   []net.Conn
+}
+
+// worldEngine is an engine, over its restarts.
+type worldEngine struct {
+	up     dialect.Upstream
+	starts int
+	// downSince is when it crashed, zero while it runs; dead is closed then.
+	downSince time.Time
+	dead      chan struct{}
+	running   int
+	holds     int
+}
+
+// newFleetWorld starts a fleet and waits until all know each other.
+func newFleetWorld(t *testing.T, instances, zones, prefill, decode int) *fleetWorld {
+	t.Helper()
+	w := &fleetWorld{t: t, random: rand.New(rand.NewPCG(5, uint64(instances))), engines: map[string]*worldEngine{}}
+	w.config = &routing.Config{
+		Version: 1,
+		Routes: []routing.Route{{
+			Name: "stream", Host: "h", Prefix: "/", Kind: routing.Stream, Timeout: 14 * time.Second, Objective: 900 * time.Millisecond,
+			PaceObjective: 300 * time.Millisecond, Resumable: true, MaxAttempts: 2, Services: []routing.Weighted{{Service: "llm", Weight: 1}},
+		}},
+		Services: map[string]routing.Service{"llm": {Name: "llm", Engine: &routing.Engine{
+			Slots: worldSlots, KVTokens: 90000, Stride: 64, HandleTTL: time.Second, HoldTTL: time.Second,
+		}}},
+	}
+	for i := range prefill + decode {
+		stage := dialect.StageDecode
+		if i < prefill {
+			stage = dialect.StagePrefill
+		}
+		e := &worldEngine{up: dialect.Upstream{Service: "llm", Address: fmt.Sprintf("e%d:1", i), Zone: zoneOf(i, zones), Stage: stage, Slots: worldSlots}}
+		w.engines[e.up.Address] = e
+		w.startEngine(e)
+	}
+	for i := range instances {
+		w.instances = append(w.instances, &worldInstance{world: w, id: fmt.Sprintf("i%d", i), zone: zoneOf(i, zones), address: fmt.Sprintf("10.0.%d.%d:1", i/250, i%250+1)})
+	}
+	for _, i := range w.instances {
+		i.start()
+	}
+	w.await("all are alive", func() bool {
+		for _, i := range w.instances {
+			s := i.running()
+			if s.node.Alive() != instances || !s.node.Snapshot().Ready() || !s.node.Informed() {
+				return false
+			}
+		}
+		return true
+	})
+	return w
+}
+
+func zoneOf(i, zones int) ident.Zone { return ident.Zone(string(rune('a' + i%zones))) }
+
+// await lets time pass until a condition holds.
+func (w *fleetWorld) await(what string, holds func() bool) {
+	w.t.Helper()
+	for range 300 {
+		if holds() {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	w.t.Fatalf("not within 30 s: %s", what)
+}
+
+// close ends the fleet.
+func (w *fleetWorld) close() {
+	for _, i := range w.instances {
+		i.end()
+	}
+}
+
+// start starts an instance.
+func (i *worldInstance) start() {
+	s := &Settings{Instance: ident.InstanceID(i.id), Zone: i.zone}
+	s.SetDefaults()
+	s.Listen.Peers = i.address
+	s.Retries.Slack = 1000
+	for _, seed := range i.world.instances[:min(3, len(i.world.instances))] {
+		s.Seeds = append(s.Seeds, seed.address)
+	}
+	g := newService(s, i.world, i.world, slog.New(slog.DiscardHandler), i)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		g.watch(ctx)
+		close(done)
+	}()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.service = g
+	i.stop = func() {
+		cancel()
+		g.pool.Close()
+		_ = g.peers.Shutdown(ctx)
+		<-done
+		g.metrics.close()
+	}
+}
+
+// end kills the instance: what it knew is lost.
+func (i *worldInstance) end() {
+	i.mu.Lock()
+	stop := i.stop
+	conns := i.conns
+	i.service, i.stop, i.conns = nil, nil, nil
+	i.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Close()
+	}
+	if stop != nil {
+		stop()
+	}
+}
+
+func (i *worldInstance) running() *Service {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.service
+}
+
+// unreachable is what a connection to a peer that doesn't answer ends with.
+var unreachable = &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ETIMEDOUT}
+
+// DialContext implements peer.Dialer.
+func (i *worldInstance) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
+	for _, o := range i.world.instances {
+		if o.address != address {
+			continue
+		}
+		s := o.running()
+		if s == nil || i.world.cutOff(i.zone, o.zone) {
+			<-ctx.Done()
+			return nil, unreachable
+		}
+		near, far := net.Pipe()
+		go s.peers.ServeConn(far)
+		for _, end := range []*worldInstance{i, o} {
+			end.mu.Lock()
+			end.conns = append(end.conns, near)
+			end.mu.Unlock()
+		}
+		return near, nil
+	}
+	return nil, unreachable
+}
+
+// cutOff reports whether zones don't reach each other.
+func (w *fleetWorld) cutOff(a, b ident.Zone) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return a != b && (w.cut == a || w.cut == b)
+}
+
+// cutZone cuts a zone off from the others, "" heals.
+func (w *fleetWorld) cutZone(zone ident.Zone) {
+	w.mu.Lock()
+	w.cut = zone
+	w.mu.Unlock()
+	for _, i := range w.instances {
+		i.mu.Lock()
+		conns := i.conns
+		i.conns = nil
+		i.mu.Unlock()
+		for _, c := range conns {
+			_ = c.Close()
+		}
+	}
+}
+
+// startEngine starts an engine's next incarnation.
+func (w *fleetWorld) startEngine(e *worldEngine) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e.starts++
+	e.up.ID = ident.UpstreamID(fmt.Sprintf("%s.%d", e.up.Address, e.starts))
+	e.downSince, e.dead, e.running, e.holds = time.Time{}, make(chan struct{}), 0, 0
+	w.revision++
+}
+
+// crash ends an incarnation of an engine.
+func (w *fleetWorld) crash(e *worldEngine, id ident.UpstreamID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if e.up.ID != id || !e.downSince.IsZero() {
+		return
+	}
+	e.downSince = time.Now()
+	w.ended = append(w.ended, e.downSince)
+	close(e.dead)
+	w.revision++
+	time.AfterFunc(worldBack, func() { w.startEngine(e) })
+}
+
+// counts returns how often the deadly request was sent, and how many engines ended.
+func (w *fleetWorld) counts() (sent, ended int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.sent), len(w.ended)
+}
+
+// sentAfter returns how often the deadly request was sent after a time.
+func (w *fleetWorld) sentAfter(t time.Time) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, at := range w.sent {
+		if at.After(t) {
+			n++
+		}
+	}
+	return n
+}
+
+// Config implements dialect.Source.
+func (w *fleetWorld) Config(context.Context) (*routing.Config, error) { return w.config, nil }
+
+// Upstreams implements dialect.Source.
+func (w *fleetWorld) Upstreams(context.Context) ([]dialect.Upstream, int64, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var list []dialect.Upstream
+	for _, e := range w.engines {
+		if e.downSince.IsZero() || time.Since(e.downSince) < worldLapse {
+			list = append(list, e.up)
+		}
+	}
+	return list, w.revision, nil
+}
+
+// refused is the error of a connection that nothing listens to.
+func refused() error {
+	return &adapter.CallError{Evidence: kernel.NotSent, Code: kernel.FailureConnect, Err: syscall.ECONNREFUSED}
+}
+
+// at returns the engine at an address; false if nothing listens there.
+func (w *fleetWorld) at(address string) (*worldEngine, bool) {
+	e := w.engines[address]
+	return e, e != nil && e.downSince.IsZero()
+}
+
+// Read implements dialect.Dialect.
+func (w *fleetWorld) Read(r *http.Request, body []byte) (*dialect.Call, error) {
+	c := &dialect.Call{
+		ID: r.Header.Get("Request-Id"), Method: r.Method, Host: r.Host, Target: r.URL.Path, Header: r.Header, Body: body,
+		Patience: 14 * time.Second, LastEvent: r.Header.Get("Last-Event-Id"), PromptTokens: 2000, OutputEstimate: 64 * worldEvents, MaxOutputTokens: 64 * worldEvents,
+	}
+	c.SeenEvents, _ = strconv.Atoi(c.LastEvent)
+	return c, nil
+}
+
+// Do implements dialect.Dialect.
+func (w *fleetWorld) Do(ctx context.Context, c *dialect.Call, s dialect.Send) (*http.Response, dialect.Verdict, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e, ok := w.at(s.To.Address)
+	switch {
+	case !ok:
+		return nil, 0, refused()
+	case e.up.ID != s.To.ID:
+		return &http.Response{StatusCode: http.StatusMisdirectedRequest, Body: http.NoBody}, dialect.WrongUpstream, nil
+	case e.running >= worldSlots:
+		return &http.Response{StatusCode: http.StatusServiceUnavailable, Body: http.NoBody}, dialect.Refused, nil
+	}
+	if s.Hold != "" {
+		e.holds = max(0, e.holds-1)
+	}
+	e.running++
+	r := &worldRun{ctx: ctx, world: w, engine: e, dead: e.dead, id: e.up.ID}
+	last := s.LastEvent
+	if last == "" {
+		last = c.LastEvent
+	}
+	r.sent, _ = strconv.Atoi(last)
+	if string(c.Body) == deadly {
+		r.deadly = true
+		w.sent = append(w.sent, time.Now())
+		time.AfterFunc(worldDies, func() { w.crash(e, r.id) })
+	}
+	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: r}, dialect.Success, nil
+}
+
+// worldRun is a stream that an engine runs.
+type worldRun struct {
+	ctx    context.Context
+	world  *fleetWorld
+	engine *worldEngine
+	dead   chan struct{}
+	id     ident.UpstreamID
+	deadly bool
+	sent   int
+	over   bool
+}
+
+// Read implements io.Reader: an event at a time.
+func (r *worldRun) Read(p []byte) (int, error) {
+	if r.sent >= worldEvents {
+		return 0, io.EOF
+	}
+	wait := time.NewTimer(worldPace)
+	defer wait.Stop()
+	select {
+	case <-r.ctx.Done():
+		return 0, r.ctx.Err()
+	case <-r.dead:
+		return 0, io.ErrUnexpectedEOF
+	case <-wait.C:
+	}
+	if r.deadly {
+		// It ends its engine before its first event.
+		<-r.dead
+		return 0, io.ErrUnexpectedEOF
+	}
+	r.sent++
+	return copy(p, fmt.Sprintf("id: %d\ndata: x\n\n", r.sent)), nil
+}
+
+// Close implements io.Closer.
+func (r *worldRun) Close() error {
+	r.world.mu.Lock()
+	defer r.world.mu.Unlock()
+	if !r.over && r.engine.up.ID == r.id {
+		r.engine.running--
+	}
+	r.over = true
+	return nil
+}
+
+// Prefill implements dialect.Dialect.
+func (w *fleetWorld) Prefill(ctx context.Context, _ *dialect.Call, s dialect.Send) (dialect.Handle, error) {
+	select {
+	case <-ctx.Done():
+		return dialect.Handle{}, ctx.Err()
+	case <-time.After(worldPrompt):
+		return dialect.Handle{Engine: s.To.Address, ID: "h"}, nil
+	}
+}
+
+// Hold implements dialect.Dialect.
+func (w *fleetWorld) Hold(_ context.Context, address string, tokens int, _ time.Duration) (string, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e, ok := w.at(address)
+	switch {
+	case !ok:
+		return "", refused()
+	case e.running+e.holds >= worldSlots:
+		return "", &dialect.FullError{Address: address, Tokens: tokens}
+	}
+	e.holds++
+	return "hold", nil
+}
+
+// Release implements dialect.Dialect.
+func (w *fleetWorld) Release(_ context.Context, address, _ string) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e, ok := w.at(address)
+	if !ok {
+		return refused()
+	}
+	e.holds = max(0, e.holds-1)
+	return nil
+}
+
+// Report implements dialect.Dialect.
+func (w *fleetWorld) Report(_ context.Context, u dialect.Upstream) (dialect.Report, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e, ok := w.at(u.Address)
+	switch {
+	case !ok:
+		return dialect.Report{}, refused()
+	case e.up.ID != u.ID:
+		return dialect.Report{}, &dialect.ReplacedError{ID: u.ID, Address: u.Address}
+	}
+	return dialect.Report{Stage: e.up.Stage, Running: e.running}, nil
+}
+
+// The rest of dialect.Dialect.
+
+func (w *fleetWorld) Free(context.Context, dialect.Handle) error { return nil }
+func (w *fleetWorld) Migrate(context.Context, dialect.Migration) (dialect.Handle, error) {
+	return dialect.Handle{}, &dialect.NotRunningError{}
+}
+func (w *fleetWorld) Reach(context.Context, dialect.Upstream) error                  { return nil }
+func (w *fleetWorld) Kept(context.Context, dialect.Upstream) (map[string]int, error) { return nil, nil }
+func (w *fleetWorld) Order(context.Context, dialect.Order) error                     { return nil }
+func (w *fleetWorld) WriteHead(http.Header, *dialect.Call)                           {}
+func (w *fleetWorld) Close()                                                         {}
+
+// got is what a caller got.
+type got struct {
+	status int
+	header http.Header
+	text   strings.Builder
+	first  time.Time
+	broken bool
+}
+
+// Header, WriteHeader, Write and Flush implement http.ResponseWriter and http.Flusher.
+func (g *got) Header() http.Header { return g.header }
+func (g *got) WriteHeader(s int)   { g.status = s }
+func (g *got) Flush()              {}
+func (g *got) Write(b []byte) (int, error) {
+	if g.first.IsZero() {
+		g.first = time.Now()
+	}
+	return g.text.Write(b)
+}
+
+// whole reports whether the caller got its stream to the end.
+func (g *got) whole() bool {
+	return g.status == http.StatusOK && !g.broken && strings.Contains(g.text.String(), fmt.Sprintf("id: %d\n", worldEvents))
+}
+
+// send sends a caller's request to an instance; nil if that is down.
+func (w *fleetWorld) send(i *worldInstance, body, lastEvent string) *got {
+	s := i.running()
+	if s == nil {
+		return nil
+	}
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://h/x", strings.NewReader(body))
+	assert.NilError(w.t, err)
+	r.Header.Set("Request-Id", strconv.FormatUint(rand.Uint64(), 16))
+	if lastEvent != "" {
+		r.Header.Set("Last-Event-Id", lastEvent)
+	}
+	g := &got{header: http.Header{}}
+	defer func() {
+		if p := recover(); p != nil && p != http.ErrAbortHandler {
+			panic(p)
+		}
+	}()
+	g.broken = true
+	s.front.ServeHTTP(g, r)
+	g.broken = false
+	return g
+}
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -44,9 +44,11 @@
 	Carrier *carry.Carrier
 	Budget  *schedule.Budget
 	View    func() *fleet.Snapshot
-	// Informed reports whether this instance knows what its peers know.
-	Informed func() bool
-	Log      *slog.Logger
+	// AwaitInformed waits until this instance knows what its peers know of requests that
+	// crash engines, or ctx ends; until then none gets a stream. Processes of plain services
+	// have few neighbours, and callers that wait 300 ms.
+	AwaitInformed func(ctx context.Context)
+	Log           *slog.Logger
 	// Observe counts an outcome and how long the request took.
 	Observe func(route *routing.Route, outcome string, took time.Duration)
 }
@@ -91,7 +93,7 @@
 		f.problem(w, nil, http.StatusBadRequest, "bad_request", api.NotRun, 0)
 		return
 	}
-	if !view.Ready() || !f.o.Informed() {
+	if !view.Ready() {
 		f.o.Log.Info("refused", "request", call.ID, "reason", "not_ready")
 		f.problem(w, call, http.StatusServiceUnavailable, "not_ready", api.NotRun, retryNotReady)
 		return
@@ -138,6 +140,9 @@
 		f.problem(w, call, http.StatusServiceUnavailable, "no_service", api.NotRun, retryNotReady)
 		return
 	}
+	if service.Engine != nil {
+		f.o.AwaitInformed(r.Context())
+	}
 	f.o.Budget.Request(arrived, service.Name)
 	job := &carry.Job{
 		Call: call, Route: route, Service: service, Version: version,
--- a/gateway/quarantine/register.go
+++ b/gateway/quarantine/register.go
@@ -33,6 +33,10 @@
 	suspectFor = 10 * time.Minute
 	// mostDoublings bounds the time of a quarantine, at 10 days.
 	mostDoublings = 10
+	// shareAfter is how long the evidence on a content that had got somewhere is kept to this
+	// instance. Nearly all of it is of bystanders, eleven of twelve streams of an engine;
+	// those that go on elsewhere are cleared within a few hundred ms, and need not be told of.
+	shareAfter = time.Second
 	// mostRemembered bounds the evidence that is kept: a hundred crashes with a dozen
 	// requests each, 200 KB.
 	mostRemembered = 1200
@@ -43,16 +47,16 @@
 
 // Crash is the evidence that an upstream crashed while it had a content to run.
 type Crash struct {
-	Content Content `json:"c"`
+	Content Content
 	// Upstream and Incarnation name what crashed.
-	Upstream    ident.UpstreamID  `json:"u"`
-	Incarnation ident.Incarnation `json:"i,omitempty"`
+	Upstream    ident.UpstreamID
+	Incarnation ident.Incarnation
 	// Made is how many events the content had brought from there.
-	Made int `json:"m,omitempty"`
+	Made int
 	// Cleared means that a later run of the content got further: the crash was not its.
-	Cleared bool `json:"x,omitempty"`
-	// AgeMS is how long ago the crash was seen.
-	AgeMS int64 `json:"a"`
+	Cleared bool
+	// Age is how long ago the crash was seen.
+	Age time.Duration
 }
 
 // Standing says what may be done with a content.
@@ -97,6 +101,8 @@
 type crash struct {
 	Crash
 	at time.Time
+	// shared evidence is that of all instances; forgotten evidence is of no use any more.
+	shared, forgotten bool
 }
 
 // Register is what an instance knows of contents under which upstreams crashed, by its own
@@ -105,8 +111,10 @@
 	mu       sync.Mutex
 	contents map[Content][]*crash
 	size     int
-	// digest tells sets of evidence apart: the sum of the hashes of all.
+	// digest tells sets of shared evidence apart: the sum of the hashes of all.
 	digest uint64
+	// untold is this instance's evidence that was not yet told to all others.
+	untold []*crash
 }
 
 // NewRegister returns a register that knows nothing.
@@ -115,30 +123,37 @@
 // Crashed takes in that an upstream crashed while it had a content to run, after so many
 // events, and reports whether that is news.
 func (r *Register) Crashed(now time.Time, c Content, u dialect.Upstream, made int) bool {
-	return r.take(now, Crash{Content: c, Upstream: u.ID, Incarnation: u.Incarnation, Made: made})
-}
-
-// take takes in a piece of evidence, and reports whether it is news.
-func (r *Register) take(now time.Time, c Crash) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	k, news := r.take(now, Crash{Content: c, Upstream: u.ID, Incarnation: u.Incarnation, Made: made})
+	if news {
+		r.untold = append(r.untold, k)
+	}
+	return news
+}
+
+// take takes in a piece of evidence, and reports whether it is news. The caller holds mu.
+func (r *Register) take(now time.Time, c Crash) (k *crash, news bool) {
 	for _, known := range r.contents[c.Content] {
 		if known.Upstream == c.Upstream && known.Incarnation == c.Incarnation {
 			known.Cleared = known.Cleared || c.Cleared
 			known.Made = max(known.Made, c.Made)
-			return false
+			return known, false
 		}
 	}
-	k := &crash{Crash: c, at: now.Add(-time.Duration(c.AgeMS) * time.Millisecond)}
-	if !now.Before(k.at.Add(suspectFor)) && !c.Cleared && len(r.contents[c.Content]) == 0 {
-		// The sender was about to forget it.
-		return false
-	}
+	k = &crash{Crash: c, at: now.Add(-c.Age)}
 	r.contents[c.Content] = append(r.contents[c.Content], k)
 	r.size++
-	r.digest += hashOf(c)
 	r.bound(now)
-	return true
+	return k, true
+}
+
+// share makes a piece of evidence that of all instances. The caller holds mu.
+func (r *Register) share(k *crash) {
+	if !k.shared && !k.forgotten {
+		k.shared = true
+		r.digest += hashOf(k.Crash)
+	}
 }
 
 // hashOf tells pieces of evidence apart, whatever their age and whether they are cleared.
@@ -222,17 +237,26 @@
 func (r *Register) Expire(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for c, crashes := range r.contents {
-		if !now.Before(forgetAt(crashes)) {
-			r.forget(c)
-		}
+	for c := range r.contents {
+		r.expire(now, c)
+	}
+}
+
+// expire forgets a content if what is known of it is of no use any more. The caller holds
+// mu.
+func (r *Register) expire(now time.Time, c Content) {
+	if !now.Before(forgetAt(r.contents[c])) {
+		r.forget(c)
 	}
 }
 
 // forget drops a content. The caller holds mu.
 func (r *Register) forget(c Content) {
 	for _, k := range r.contents[c] {
-		r.digest -= hashOf(k.Crash)
+		if k.shared {
+			r.digest -= hashOf(k.Crash)
+		}
+		k.shared, k.forgotten = false, true
 		r.size--
 	}
 	delete(r.contents, c)
@@ -278,42 +302,90 @@
 	return cmp.Or(cmp.Compare(w.standing, o.standing), w.last.Compare(o.last))
 }
 
-// Digest tells apart what instances know; 0 if that is nothing.
+// Digest tells apart what instances share; 0 if that is nothing.
 func (r *Register) Digest() uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.digest
 }
 
-// mostTold bounds the evidence in one message, at some 70 bytes each.
+// mostTold bounds the evidence in one message, at some 35 bytes each.
 const mostTold = 256
 
-// Tell returns the evidence to tell a peer: the newest, if there is too much.
+// Fresh returns this instance's evidence that is to be told to all others now; once.
+func (r *Register) Fresh(now time.Time) []Crash {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Crash
+	var later []*crash
+	for _, k := range r.untold {
+		switch {
+		case k.Made > 0 && now.Sub(k.at) < shareAfter && !k.Cleared:
+			later = append(later, k)
+		case k.forgotten, k.Made > 0 && k.Cleared:
+			// A bystander's: nobody else need know.
+		default:
+			r.share(k)
+			out = append(out, k.told(now))
+		}
+	}
+	r.untold = later
+	return out
+}
+
+// told returns a piece of evidence as it is told to a peer.
+func (k *crash) told(now time.Time) Crash {
+	c := k.Crash
+	c.Age = now.Sub(k.at)
+	return c
+}
+
+// Tell returns the shared evidence: the newest, if there is too much.
 func (r *Register) Tell(now time.Time) []Crash {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []Crash
 	for _, crashes := range r.contents {
 		for _, k := range crashes {
-			c := k.Crash
-			c.AgeMS = now.Sub(k.at).Milliseconds()
-			out = append(out, c)
+			if k.shared {
+				out = append(out, k.told(now))
+			}
 		}
 	}
 	slices.SortFunc(out, func(a, b Crash) int {
-		return cmp.Or(cmp.Compare(a.AgeMS, b.AgeMS), cmp.Compare(a.Content, b.Content), cmp.Compare(a.Upstream, b.Upstream))
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Content, b.Content), cmp.Compare(a.Upstream, b.Upstream))
 	})
 	return out[:min(len(out), mostTold)]
 }
 
-// Hear takes in what a peer told, and reports whether any of it is news.
-func (r *Register) Hear(now time.Time, told []Crash) bool {
-	news := false
+// TellOf returns all evidence on a content, and shares it.
+func (r *Register) TellOf(now time.Time, c Content) []Crash {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Crash
+	for _, k := range r.contents[c] {
+		r.share(k)
+		out = append(out, k.told(now))
+	}
+	return out
+}
+
+// Hear takes in what a peer told, and returns what of it is news.
+func (r *Register) Hear(now time.Time, told []Crash) []Crash {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var news []Crash
 	for _, c := range told {
-		if r.take(now, c) {
-			news = true
+		k, isNews := r.take(now, c)
+		r.share(k)
+		if isNews {
+			news = append(news, c)
 		}
 	}
+	// What the sender was about to forget must not go round for ever.
+	for _, c := range news {
+		r.expire(now, c.Content)
+	}
 	return news
 }
 
--- a/gateway/quarantine/register_test.go
+++ b/gateway/quarantine/register_test.go
@@ -84,6 +84,7 @@
 	r.Expire(now)
 	assert.Equal(t, r.Digest(), uint64(0))
 	assert.Equal(t, len(r.contents), 0)
+	assert.Equal(t, r.size, 0)
 }
 
 // TestBystandersAreCleared: a run that gets further than at the crash, or ends well, shows
@@ -140,14 +141,17 @@
 			switch rapid.IntRange(0, 3).Draw(t, "event") {
 			case 0, 1:
 				r.Crashed(now, c, up(rapid.StringMatching("[a-f]").Draw(t, "up")), rapid.IntRange(0, 3).Draw(t, "made"))
+				r.Fresh(now)
 			case 2:
 				r.Hear(now, registers[rapid.IntRange(0, 2).Draw(t, "from")].Tell(now))
 			case 3:
 				r.Clear(c, rapid.IntRange(0, 4).Draw(t, "got"), false)
 			}
 		}
+		now = now.Add(shareAfter)
 		for range 2 {
 			for i, r := range registers {
+				r.Fresh(now)
 				r.Hear(now, registers[(i+1)%3].Tell(now))
 				r.Hear(now, registers[(i+2)%3].Tell(now))
 			}
@@ -178,7 +182,56 @@
 	}
 	assert.Assert(t, r.size <= mostRemembered)
 	assert.Equal(t, r.Verdict(now, deadly).Standing, Quarantined)
+	r.Fresh(now)
 	assert.Equal(t, len(r.Tell(now)), mostTold)
+	// What is forgotten counts in no digest.
+	r.Expire(now.Add(100 * 24 * time.Hour))
+	assert.Equal(t, r.Digest(), uint64(0))
+	assert.Equal(t, len(r.Fresh(now)), 0)
+}
+
+// TestLateComersLearn: an instance that starts after eleven minutes is told of a quarantine of
+// twenty, and nothing of a suspicion that is over.
+func TestLateComersLearn(t *testing.T) {
+	r, late := NewRegister(), NewRegister()
+	for i := range mostCrashes + 1 {
+		r.Crashed(start, 1, up(fmt.Sprint(i)), 0)
+	}
+	r.Crashed(start, 2, up("a"), 0)
+	r.Fresh(start)
+	now := start.Add(11 * time.Minute)
+	late.Hear(now, r.Tell(now))
+	assert.Equal(t, late.Verdict(now, 1).Standing, Quarantined)
+	assert.Equal(t, late.Verdict(now, 1).Left, 9*time.Minute)
+	assert.Equal(t, len(late.contents), 1)
+}
+
+// TestBystandersAreNotTold: evidence of a content that had got somewhere is told a second
+// later, unless the content is cleared by then; of one that had not, at once. What a trial
+// needs is told with it.
+func TestBystandersAreNotTold(t *testing.T) {
+	r := NewRegister()
+	r.Crashed(start, 1, up("a"), 0)
+	r.Crashed(start, 2, up("a"), 5)
+	r.Crashed(start, 3, up("a"), 5)
+	assert.Equal(t, len(r.Tell(start)), 0)
+	fresh := r.Fresh(start)
+	assert.Equal(t, len(fresh), 1)
+	assert.Equal(t, fresh[0].Content, Content(1))
+	assert.DeepEqual(t, r.Tell(start), fresh)
+	r.Clear(2, 6, false)
+	fresh = r.Fresh(start.Add(shareAfter))
+	assert.Equal(t, len(fresh), 1)
+	assert.Equal(t, fresh[0].Content, Content(3))
+	assert.Equal(t, fresh[0].Age, shareAfter)
+	assert.Equal(t, len(r.Fresh(start.Add(time.Hour))), 0)
+
+	r.Crashed(start, 4, up("b"), 5)
+	before := r.Digest()
+	assert.Equal(t, len(r.TellOf(start, 4)), 1)
+	assert.Assert(t, r.Digest() != before)
+	// The others are told all the same.
+	assert.Equal(t, len(r.Fresh(start.Add(shareAfter))), 1)
 }
 
 // TestHeldNamesTheEvidence: what operators are shown.
--- a/gateway/quarantine/trials.go
+++ b/gateway/quarantine/trials.go
@@ -10,9 +10,10 @@
 const (
 	// mostTrials bounds the trials under way that one instance keeps track of.
 	mostTrials = 1024
-	// trialMost bounds how long a trial lasts unless its holder ends it: one that has
-	// died ends none.
-	trialMost = 15 * time.Second
+	// trialMost bounds how long a trial lasts unless its holder ends it: one that has died
+	// ends none. A stream shows what it does with its first event, which is due within a
+	// second; one that its caller resumes may wait some seconds for room.
+	trialMost = 5 * time.Second
 )
 
 // Trials are the attempts with suspect contents that one instance has allowed, one at a
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -58,6 +58,11 @@
 
 // New returns the service. It opens nothing yet.
 func New(s *Settings, d dialect.Dialect, source dialect.Source, log *slog.Logger) *Service {
+	return newService(s, d, source, log, nil)
+}
+
+// newService is New with the dialer for connections to peers; nil for the network's.
+func newService(s *Settings, d dialect.Dialect, source dialect.Source, log *slog.Logger, dialer peer.Dialer) *Service {
 	log = log.With("instance", s.Instance)
 	g := &Service{settings: s, log: log, dialect: d, metrics: newCounters(), register: quarantine.NewRegister()}
 	g.books = schedule.NewBooks(s.Zone, rand.Uint64())
@@ -66,8 +71,8 @@
 		Self: peer.Identity{Instance: s.Instance, Incarnation: incarnation, Zone: s.Zone},
 		// The store lists no instances: whoever reaches the address is believed.
 		Allow:  func(peer.Identity) bool { return true },
-		Limits: peerLimits,
-		Log:    log,
+		Limits: peerLimits, Dialer: dialer,
+		Log: log,
 	}
 	g.pool = peer.NewPool(config)
 	g.peers = peer.NewServer(config)
@@ -83,7 +88,7 @@
 		Register: g.register, Trials: g.node, Spread: g.node.SpreadCrashes,
 	})
 	g.front = front.New(front.Options{
-		Dialect: d, Carrier: g.carrier, Budget: g.budget, View: g.node.Snapshot, Informed: g.node.Informed, Log: log, Observe: g.metrics.observe,
+		Dialect: d, Carrier: g.carrier, Budget: g.budget, View: g.node.Snapshot, AwaitInformed: g.node.AwaitInformed, Log: log, Observe: g.metrics.observe,
 	})
 	return g
 }
@@ -198,10 +203,7 @@
 	g.log.Info("started", "zone", g.settings.Zone, "callers", g.settings.Listen.Callers, "seeds", g.settings.Seeds)
 	background, stop := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	running.Go(func() { g.node.Run(background) })
-	running.Go(func() { g.giveOrders(background) })
-	running.Go(func() { g.gatherReports(background) })
-	running.Go(func() { g.migrate(background) })
+	running.Go(func() { g.watch(background) })
 	running.Go(func() { g.servePeers() })
 	ready := &http.Server{Handler: g.readyRoutes(), ReadHeaderTimeout: headerTimeout}
 	running.Go(func() { g.serve(ready, g.ready, "ready") })
@@ -228,6 +230,16 @@
 	return nil
 }
 
+// watch keeps the view up to date and looks after the engines until ctx ends.
+func (g *Service) watch(ctx context.Context) {
+	var running sync.WaitGroup
+	running.Go(func() { g.node.Run(ctx) })
+	running.Go(func() { g.giveOrders(ctx) })
+	running.Go(func() { g.gatherReports(ctx) })
+	running.Go(func() { g.migrate(ctx) })
+	running.Wait()
+}
+
 // shutdown stops taking requests and waits for those in progress.
 func (g *Service) shutdown(callers *http.Server) {
 	began := time.Now()
@@ -284,7 +296,7 @@
 func (g *Service) readyRoutes() http.Handler {
 	r := mux.NewRouter()
 	r.PathPrefix("/").HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if g.stopping() || !g.node.Snapshot().Ready() || !g.node.Informed() {
+		if g.stopping() || !g.node.Snapshot().Ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
