--- a/adapter/roundtrip/idle.go
+++ b/adapter/roundtrip/idle.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/wardspool/wardspool/internal/clock"
 )
 
 // idlePool keeps connections between requests.
@@ -22,11 +24,12 @@
 	return &idlePool{limit: limit, timeout: timeout, conns: map[string][]*conn{}}
 }
 
-// take returns an idle connection that still stands, nil if there is none.
+// take returns an idle connection that still stands, nil if there is none. The sweep comes
+// late after a suspension of the machine, and the upstream's closing may not have arrived.
 func (p *idlePool) take(addr string) *conn {
 	for {
 		c := p.pop(addr)
-		if c == nil || c.stands() {
+		if c == nil || clock.Since(c.since) < p.timeout && c.stands() {
 			return c
 		}
 		_ = c.net.Close()
@@ -71,7 +74,7 @@
 	if p.closed || len(list) >= p.limit {
 		return false
 	}
-	c.since = time.Now()
+	c.since = clock.Now()
 	p.conns[c.addr] = append(list, c)
 	if p.sweep == nil {
 		p.sweep = time.AfterFunc(p.timeout, p.expire)
@@ -81,7 +84,7 @@
 
 // expire closes connections that were idle too long.
 func (p *idlePool) expire() {
-	for _, c := range p.overdue(time.Now()) {
+	for _, c := range p.overdue(clock.Now()) {
 		_ = c.net.Close()
 	}
 }
--- a/gateway/carry/carry.go
+++ b/gateway/carry/carry.go
@@ -22,6 +22,7 @@
 	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/kernel"
 	"github.com/wardspool/wardspool/logs"
 )
@@ -41,6 +42,9 @@
 	Register *quarantine.Register
 	Trials   Trials
 	Spread   func()
+	// AwaitInformed waits until this instance knows what its peers know, or until ctx ends;
+	// engines says whether the request is one to engines.
+	AwaitInformed func(ctx context.Context, engines bool)
 	// Count counts an event by name.
 	Count func(name string)
 }
@@ -192,7 +196,7 @@
 	var silent *SilentError
 	switch {
 	case a.err == nil && a.verdict == dialect.Success:
-		c.o.Books.Answered(time.Now(), u, took)
+		c.o.Books.Answered(clock.Now(), u, took)
 	case errors.As(a.err, &silent):
 		c.failed(u, Unreached(silent.Err), a.err, took, log)
 	case errors.Is(a.err, context.Canceled):
@@ -213,7 +217,7 @@
 
 // mayResend reports whether the retry budget allows so many sends beyond the first.
 func (c *Carrier) mayResend(service string, sends int, log *slog.Logger) bool {
-	if c.o.Budget.Extra(time.Now(), service, sends) {
+	if c.o.Budget.Extra(clock.Now(), service, sends) {
 		return true
 	}
 	c.o.Count("retry_budget_spent")
@@ -232,7 +236,7 @@
 // failed takes a failure of an upstream into the books, and says so if it was
 // ejected for it.
 func (c *Carrier) failed(u dialect.Upstream, f schedule.Failure, err error, took time.Duration, log *slog.Logger) {
-	if !c.o.Books.Failed(time.Now(), u, f) {
+	if !c.o.Books.Failed(clock.Now(), u, f) {
 		return
 	}
 	c.o.Count("ejected")
--- a/gateway/carry/caution.go
+++ b/gateway/carry/caution.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wardspool/wardspool/gateway/quarantine"
+	"github.com/wardspool/wardspool/internal/clock"
 )
 
 // trialRetry is when a caller may come back whose content is on trial by another attempt:
@@ -25,30 +26,40 @@
 	c   *Carrier
 	j   *Job
 	log *slog.Logger
-	// end ends the trial of a suspect content; nil while there is none.
-	end func()
+	// end ends the trial of a suspect content; nil while there is none. It lapses by itself
+	// at until.
+	end   func()
+	until time.Time
 	// crashed means that an upstream crashed under this very request before it had
 	// produced anything there.
 	crashed bool
 }
 
 // admit reports whether the request may be sent to an upstream now; one whose content is
-// suspect gets a trial first. The error is an *Error of the given fate.
+// suspect gets a trial first. The error is an *Error; fate is that of a request that is not
+// sent. After a pause of this instance the request's time may be over.
 func (a *caution) admit(ctx context.Context, fate Fate) error {
-	v := a.c.o.Register.Verdict(time.Now(), a.j.Content)
+	a.c.o.AwaitInformed(ctx, a.j.Service.Engine != nil)
+	if clock.Until(a.j.Deadline) <= 0 {
+		return overdue(fate)
+	}
+	v := a.c.o.Register.Verdict(clock.Now(), a.j.Content)
 	switch {
 	case v.Standing == quarantine.Quarantined:
 		return a.refuse(fate, "quarantined", v, v.Left)
-	case v.Standing == quarantine.Clear || a.end != nil:
+	case v.Standing == quarantine.Clear || a.end != nil && clock.Now().Before(a.until):
 		return nil
 	}
-	end, ok := a.c.o.Trials.Begin(ctx, a.j.Content, time.Until(a.j.Deadline))
+	a.done()
+	lasts := min(quarantine.TrialMost, clock.Until(a.j.Deadline))
+	a.until = clock.Now().Add(lasts)
+	end, ok := a.c.o.Trials.Begin(ctx, a.j.Content, lasts)
 	if !ok {
 		return a.refuse(fate, "on_trial", v, trialRetry)
 	}
 	a.end = end
 	// Whoever allowed it may have known more.
-	if v := a.c.o.Register.Verdict(time.Now(), a.j.Content); v.Standing == quarantine.Quarantined {
+	if v := a.c.o.Register.Verdict(clock.Now(), a.j.Content); v.Standing == quarantine.Quarantined {
 		return a.refuse(fate, "quarantined", v, v.Left)
 	}
 	a.c.o.Count("trial")
@@ -56,6 +67,14 @@
 	return nil
 }
 
+// overdue reports a request whose time is over; fate is that of one that is not sent.
+func overdue(fate Fate) error {
+	if fate == Unknown {
+		fate = TimedOut
+	}
+	return &Error{Fate: fate, Reason: "deadline", RetryAfter: retryStream, Err: context.DeadlineExceeded}
+}
+
 // refuse refuses the request, and says by what evidence.
 func (a *caution) refuse(fate Fate, reason string, v quarantine.Verdict, retry time.Duration) error {
 	a.c.o.Count("refused_" + reason)
@@ -73,7 +92,7 @@
 		return
 	}
 	a.c.o.Register.Clear(a.j.Content, made, false)
-	if a.c.o.Register.Verdict(time.Now(), a.j.Content).Standing == quarantine.Clear {
+	if a.c.o.Register.Verdict(clock.Now(), a.j.Content).Standing == quarantine.Clear {
 		a.log.Info("trial passed", "content", a.j.Content.String(), "made", made)
 		a.done()
 	}
--- a/gateway/carry/decode.go
+++ b/gateway/carry/decode.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/wardspool/wardspool/adapter"
 	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/kernel"
 	"github.com/wardspool/wardspool/logs"
 )
@@ -18,7 +18,7 @@
 		s.giveUp(p, h)
 		return nil, false, s.ended(err)
 	}
-	start := time.Now()
+	start := clock.Now()
 	var source *dialect.Handle
 	if h != nil {
 		source = &h.handle
@@ -37,7 +37,7 @@
 		return s.notServed(ctx, p, h, resp, verdict)
 	}
 	s.accepted(u, h)
-	s.log.Info("stream accepted", "upstream", u.ID, "took_ms", time.Since(start).Milliseconds(), "since_arrival_ms", time.Since(s.j.Arrived).Milliseconds())
+	s.log.Info("stream accepted", "upstream", u.ID, "took_ms", clock.Since(start).Milliseconds(), "since_arrival_ms", clock.Since(s.j.Arrived).Milliseconds())
 	return s.forward(ctx, g, p, resp, start)
 }
 
@@ -83,7 +83,7 @@
 
 // passOver has an engine passed over that refused what it had promised.
 func (s *stream) passOver(u dialect.Upstream, why string) {
-	s.c.o.Books.Refuses(time.Now(), u)
+	s.c.o.Books.Refuses(clock.Now(), u)
 	s.c.o.Count("engine_passed_over")
 	s.log.Warn("engine passed over", "upstream", u.ID, "stage", u.Stage, "why", why)
 }
--- a/gateway/carry/ending.go
+++ b/gateway/carry/ending.go
@@ -10,6 +10,7 @@
 	"github.com/wardspool/wardspool/gateway/quarantine"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/logs"
 )
 
@@ -74,7 +75,7 @@
 
 // examine finds out what became of an upstream at which an attempt broke off.
 func (c *Carrier) examine(u dialect.Upstream) ending {
-	x := c.examinations.of(time.Now(), u)
+	x := c.examinations.of(clock.Now(), u)
 	x.once.Do(func() { x.ending = c.askEnding(u) })
 	return x.ending
 }
@@ -123,7 +124,7 @@
 		if !begun {
 			return
 		}
-		a.c.undecided.add(time.Now(), a.j.Content, u, made)
+		a.c.undecided.add(clock.Now(), a.j.Content, u, made)
 	}
 }
 
@@ -140,7 +141,7 @@
 // crashed takes the evidence of a crash into the register, and has the other instances
 // told: each of them may be sent the same content at any moment.
 func (c *Carrier) crashed(content quarantine.Content, u dialect.Upstream, made int) {
-	now := time.Now()
+	now := clock.Now()
 	if !c.o.Register.Crashed(now, content, u, made) {
 		return
 	}
--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -251,6 +251,7 @@
 		View:   func() *fleet.Snapshot { return b.view },
 		Log:    slog.New(slog.DiscardHandler), Count: func(string) {},
 		Register: quarantine.NewRegister(), Trials: localTrials{quarantine.NewTrials()}, Spread: func() {},
+		AwaitInformed: func(context.Context, bool) {},
 	})
 	t.Cleanup(b.Close)
 	return b
--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -10,6 +10,7 @@
 
 	"github.com/wardspool/wardspool/adapter/roundtrip"
 	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/logs"
 )
 
@@ -43,7 +44,7 @@
 	started := time.Time{}
 	s.migration.arrive()
 	s.c.enter(p.decode, s)
-	err := g.cause(s.copyEvents(g, p, resp, func() { started = time.Now() }))
+	err := g.cause(s.copyEvents(g, p, resp, func() { started = clock.Now() }))
 	s.c.exit(p.decode)
 	source, ambiguous := s.moved(p)
 	if source != nil && ctx.Err() == nil && !callerLeft(err) {
@@ -53,7 +54,7 @@
 		s.free(&computed{handle: *source, engine: u})
 	}
 	err = endOf(resp, err, ambiguous)
-	took := time.Since(start)
+	took := clock.Since(start)
 	made := int(s.events.Load() - before)
 	if !started.IsZero() {
 		s.c.o.Books.StreamStarted(s.j.Service.Name, started.Sub(start))
@@ -82,7 +83,7 @@
 	u := p.decode.Upstream
 	s.runs++
 	s.log.Info("stream broke off", "upstream", u.ID, "events", s.events.Load(), "here", made, "last_event", s.lastEvent,
-		"left_ms", time.Until(s.j.Deadline).Milliseconds(), "error", logs.ErrorText(err))
+		"left_ms", clock.Until(s.j.Deadline).Milliseconds(), "error", logs.ErrorText(err))
 	if ctx.Err() != nil || callerLeft(err) {
 		return false
 	}
@@ -122,8 +123,8 @@
 				s.c.o.Books.Computed(p.decode)
 				first()
 			}
-			s.notePause(time.Now())
-			s.c.o.Books.Progress(time.Now(), p.decode, s.produced())
+			s.notePause(clock.Now())
+			s.c.o.Books.Progress(clock.Now(), p.decode, s.produced())
 			if werr := s.deliver(resp, pending[:end]); werr != nil {
 				return &CallerError{Err: werr}
 			}
--- a/gateway/carry/kept.go
+++ b/gateway/carry/kept.go
@@ -7,6 +7,7 @@
 
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/logs"
 )
 
@@ -60,13 +61,13 @@
 func (l *cacheList) tokens(ctx context.Context, d dialect.Dialect, u dialect.Upstream, part string) (int, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if time.Since(l.at) < keptFor {
+	if clock.Since(l.at) < keptFor {
 		return l.kept[part], nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, keptTimeout)
 	defer cancel()
 	kept, err := d.Kept(ctx, u)
-	l.kept, l.at = kept, time.Now()
+	l.kept, l.at = kept, clock.Now()
 	return kept[part], err
 }
 
@@ -111,7 +112,7 @@
 
 // homes returns the decode engines to ask.
 func (s *stream) homes() []dialect.Upstream {
-	list := s.c.o.Books.Reachable(time.Now(), s.c.o.View().Upstreams[s.j.Service.Name], dialect.StageDecode)
+	list := s.c.o.Books.Reachable(clock.Now(), s.c.o.View().Upstreams[s.j.Service.Name], dialect.StageDecode)
 	if len(list) <= askAllUpTo {
 		return list
 	}
--- a/gateway/carry/migrate.go
+++ b/gateway/carry/migrate.go
@@ -12,6 +12,7 @@
 	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/logs"
 )
 
@@ -113,7 +114,7 @@
 // Migrate has the running streams moved that should go on at other engines.
 func (c *Carrier) Migrate(services map[string]routing.Service) {
 	view := c.o.View()
-	now := time.Now()
+	now := clock.Now()
 	for name, service := range services {
 		if service.Engine == nil || !service.Engine.Migrates {
 			continue
@@ -161,7 +162,7 @@
 		s.migration.cancel(turn)
 		return
 	}
-	start := time.Now()
+	start := clock.Now()
 	copied, err := s.copyCache(from, to.Upstream, false, copyTimeout)
 	if err != nil || !s.migration.stop(turn, to) {
 		s.c.o.Books.Done(to)
@@ -169,14 +170,14 @@
 		if err == nil {
 			s.free(&computed{handle: copied, engine: from})
 		}
-		log.Info("stream not moved", "to", to.Upstream.ID, "took_ms", time.Since(start).Milliseconds(), "error", logs.ErrorText(err))
+		log.Info("stream not moved", "to", to.Upstream.ID, "took_ms", clock.Since(start).Milliseconds(), "error", logs.ErrorText(err))
 		return
 	}
 	handle, err := s.copyCache(from, to.Upstream, true, stopTimeout)
 	s.migration.handle, s.migration.err = handle, err
 	close(s.migration.done)
 	s.c.o.Count("stream_migrated")
-	log.Info("stream moved", "to", to.Upstream.ID, "took_ms", time.Since(start).Milliseconds(), "error", logs.ErrorText(err))
+	log.Info("stream moved", "to", to.Upstream.ID, "took_ms", clock.Since(start).Milliseconds(), "error", logs.ErrorText(err))
 }
 
 // destination finds a decode engine with room for the rest of the stream, if a send
@@ -185,8 +186,8 @@
 	size := s.size()
 	size.Copied = true
 	list := s.c.o.View().Upstreams[s.j.Service.Name]
-	to, ok := s.c.o.Books.PlaceDecode(time.Now(), list, s.j.Service.Engine, size, []ident.UpstreamID{from.ID})
-	if ok && !s.c.o.Budget.Spare(time.Now(), s.j.Service.Name, sendsToMigrate) {
+	to, ok := s.c.o.Books.PlaceDecode(clock.Now(), list, s.j.Service.Engine, size, []ident.UpstreamID{from.ID})
+	if ok && !s.c.o.Budget.Spare(clock.Now(), s.j.Service.Name, sendsToMigrate) {
 		s.c.o.Books.Done(to)
 		return to, false
 	}
@@ -229,7 +230,7 @@
 // goOn has a stopped stream go on from its KV cache. It counts as the same run.
 func (s *stream) goOn(ctx context.Context, p *place, source *dialect.Handle) (*Answer, bool, error) {
 	u := p.decode.Upstream
-	start := time.Now()
+	start := clock.Now()
 	g := s.guardOf(ctx, u)
 	defer g.stop()
 	resp, verdict, err := s.c.o.Dialect.Do(g.ctx, s.j.Call, dialect.Send{
--- a/gateway/carry/plain.go
+++ b/gateway/carry/plain.go
@@ -10,6 +10,7 @@
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/kernel"
 	"github.com/wardspool/wardspool/logs"
 )
@@ -82,7 +83,7 @@
 // place chooses the next upstream.
 func (p *plain) place() (schedule.Ticket, bool) {
 	list := p.c.o.View().Upstreams[p.j.Service.Name]
-	t, ok := p.c.o.Books.PickService(time.Now(), list, p.j.Route.Repeatable(), p.tried)
+	t, ok := p.c.o.Books.PickService(clock.Now(), list, p.j.Route.Repeatable(), p.tried)
 	if ok {
 		p.tried = append(p.tried, t.Upstream.ID)
 	}
@@ -92,20 +93,20 @@
 // send makes one attempt.
 func (p *plain) send(ctx context.Context, t schedule.Ticket) *attempt {
 	defer p.c.o.Books.Done(t)
-	start := time.Now()
+	start := clock.Now()
 	ctx, _, end := p.c.underWay.track(ctx, t.Upstream)
 	defer end()
-	ctx, cancel := context.WithDeadline(ctx, p.until(start))
+	ctx, cancel := context.WithTimeout(ctx, clock.Until(p.until(start)))
 	defer cancel()
 	a := p.exchange(ctx, t.Upstream)
-	took := time.Since(start)
+	took := clock.Since(start)
 	a.cause = a.err
 	if silent := silence(ctx); silent != nil {
 		a.cause = silent
 	}
 	p.c.note(t.Upstream, a, took, p.log)
 	p.log.Info("attempt", "upstream", t.Upstream.ID, "number", len(p.tried), "verdict", a.verdict.String(),
-		"took_ms", took.Milliseconds(), "left_ms", time.Until(p.j.Deadline).Milliseconds(), "error", logs.ErrorText(a.err))
+		"took_ms", took.Milliseconds(), "left_ms", clock.Until(p.j.Deadline).Milliseconds(), "error", logs.ErrorText(a.err))
 	return a
 }
 
@@ -144,7 +145,7 @@
 
 // again reports whether another attempt is allowed and makes sense.
 func (p *plain) again(a *attempt) bool {
-	if time.Until(p.j.Deadline) < leastTime {
+	if clock.Until(p.j.Deadline) < leastTime {
 		return false
 	}
 	if a.evidence() == kernel.Ambiguous && (!p.j.Route.Repeatable() || p.runs >= p.j.Route.MaxAttempts) {
--- a/gateway/carry/prefill.go
+++ b/gateway/carry/prefill.go
@@ -10,6 +10,7 @@
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/kernel"
 	"github.com/wardspool/wardspool/logs"
 )
@@ -29,7 +30,7 @@
 
 // fresh reports whether a prefill result can still be fetched.
 func (h *computed) fresh(ttl time.Duration) bool {
-	return h != nil && time.Since(h.at) < time.Duration(keptShare*float64(ttl))
+	return h != nil && clock.Since(h.at) < time.Duration(keptShare*float64(ttl))
 }
 
 // compute returns the prefill result to start from: the one kept, or a new one.
@@ -57,7 +58,7 @@
 	list := s.c.o.View().Upstreams[s.j.Service.Name]
 	var tried []ident.UpstreamID
 	for {
-		t, ok := s.c.o.Books.PlacePrefill(time.Now(), list, s.j.Call.PromptTokens, p.decode.Upstream.Zone, append(tried, s.excluded...))
+		t, ok := s.c.o.Books.PlacePrefill(clock.Now(), list, s.j.Call.PromptTokens, p.decode.Upstream.Zone, append(tried, s.excluded...))
 		if !ok {
 			return nil, nil
 		}
@@ -67,7 +68,7 @@
 		}
 		h, err := s.prefillAt(ctx, t)
 		if err == nil {
-			return &computed{handle: h, engine: t.Upstream, at: time.Now()}, nil
+			return &computed{handle: h, engine: t.Upstream, at: clock.Now()}, nil
 		}
 		if ctx.Err() != nil {
 			return nil, s.contextError(ctx)
@@ -85,13 +86,13 @@
 	s.prefills++
 	u := t.Upstream
 	expected, _ := s.prefillWait()
-	start := time.Now()
+	start := clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, s.patience(start, expected))
 	defer cancel()
 	g := s.watch(ctx, u, max(leastDoubt, doubtFactor*expected), false)
 	defer g.stop()
 	h, err := s.c.o.Dialect.Prefill(g.ctx, s.j.Call, dialect.Send{To: u, Deadline: s.j.Deadline.Add(-deadlineMargin)})
-	took := time.Since(start)
+	took := clock.Since(start)
 	err = g.cause(err)
 	s.notePrefill(u, err, start, took)
 	if err != nil && adapter.AsCallError(err).Evidence == kernel.Ambiguous && adapter.AsCallError(err).Status == 0 && ctx.Err() == nil {
--- a/gateway/carry/reserve.go
+++ b/gateway/carry/reserve.go
@@ -9,6 +9,7 @@
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/internal/pause"
 	"github.com/wardspool/wardspool/logs"
 )
@@ -30,7 +31,7 @@
 // prefillWait is how long the prompt is expected to take; 0 if no prefill engine is
 // open. self means that none is in reach, so that a decode engine has to compute it.
 func (s *stream) prefillWait() (wait time.Duration, self bool) {
-	now := time.Now()
+	now := clock.Now()
 	list := s.c.o.View().Upstreams[s.j.Service.Name]
 	wait, open := s.c.o.Books.PrefillWait(now, list, s.j.Call.PromptTokens)
 	return wait, !open && !s.c.o.Books.PrefillReachable(now, list)
@@ -69,7 +70,7 @@
 	l := s.c.lineOf(s.j.Service.Name)
 	w := l.join(s.j.Route.Priority, s.resumed(), s.j.Arrived)
 	defer l.leave(w)
-	began := time.Now()
+	began := clock.Now()
 	var at *home
 	if s.lastEvent != "" && !s.begun {
 		at = s.findHome(ctx)
@@ -78,15 +79,15 @@
 		if ctx.Err() != nil {
 			return nil, s.contextError(ctx)
 		}
-		if time.Since(began) > homePatience {
+		if clock.Since(began) > homePatience {
 			at = nil
 		}
 		p, err := s.tryPlace(ctx, at, l.first(w))
 		if p != nil || err != nil {
 			return p, err
 		}
-		if s.hopeless(time.Now(), began) {
-			return nil, s.noRoom(l, time.Since(began))
+		if s.hopeless(clock.Now(), began) {
+			return nil, s.noRoom(l, clock.Since(began))
 		}
 		w.wait(ctx)
 	}
@@ -113,7 +114,7 @@
 func (s *stream) noRoom(l *line, waited time.Duration) error {
 	s.c.o.Count("stream_no_room")
 	s.log.Info("refused", "reason", "no_room", "need_tokens", s.need(), "waiting", l.length(),
-		"waited_ms", waited.Milliseconds(), "view_age_ms", time.Since(s.c.o.View().AsOf).Milliseconds())
+		"waited_ms", waited.Milliseconds(), "view_age_ms", clock.Since(s.c.o.View().AsOf).Milliseconds())
 	return &Error{Fate: s.fateUnserved(), Reason: "no_room", RetryAfter: retryStream}
 }
 
@@ -131,14 +132,14 @@
 	size.MaxPause = s.j.Route.PaceObjective
 	size.Apart = s.caution.suspect()
 	for {
-		t, ok := s.c.o.Books.PlaceDecode(time.Now(), list, s.j.Service.Engine, size, s.excluded)
+		t, ok := s.c.o.Books.PlaceDecode(clock.Now(), list, s.j.Service.Engine, size, s.excluded)
 		if !ok {
 			return nil, nil
 		}
-		start := time.Now()
+		start := clock.Now()
 		hold, err := s.hold(ctx, t)
 		if err == nil {
-			s.log.Info("reserved", "upstream", t.Upstream.ID, "tokens", s.need(), "self", size.Self, "overflow", size.Overflow, "took_ms", time.Since(start).Milliseconds(), "waited_ms", start.Sub(s.j.Arrived).Milliseconds())
+			s.log.Info("reserved", "upstream", t.Upstream.ID, "tokens", s.need(), "self", size.Self, "overflow", size.Overflow, "took_ms", clock.Since(start).Milliseconds(), "waited_ms", start.Sub(s.j.Arrived).Milliseconds())
 			return &place{decode: t, hold: hold, self: size.Self}, nil
 		}
 		s.c.o.Books.Done(t)
@@ -151,21 +152,21 @@
 // hold reserves memory at the placement's engine.
 func (s *stream) hold(ctx context.Context, t schedule.Ticket) (string, error) {
 	u := t.Upstream
-	start := time.Now()
+	start := clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
 	defer cancel()
 	hold, err := s.c.o.Dialect.Hold(ctx, u.Address, s.need(), s.j.Service.Engine.HoldTTL)
 	var full *dialect.FullError
 	switch {
 	case err == nil:
-		s.c.o.Books.Heard(time.Now(), u)
+		s.c.o.Books.Heard(clock.Now(), u)
 	case errors.As(err, &full):
-		s.c.o.Books.Full(time.Now(), u, s.need())
+		s.c.o.Books.Full(clock.Now(), u, s.need())
 		s.c.o.Count("hold_refused")
 	case errors.Is(err, context.Canceled):
 	default:
 		// An engine that doesn't answer this doesn't answer requests either.
-		s.c.failed(u, Unreached(err), err, time.Since(start), s.log)
+		s.c.failed(u, Unreached(err), err, clock.Since(start), s.log)
 	}
 	return hold, err
 }
--- a/gateway/carry/restarts.go
+++ b/gateway/carry/restarts.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/clock"
 )
 
 // attemptsUnderWay holds the attempts under way at each upstream. When an upstream
@@ -54,7 +54,7 @@
 // Listed takes in upstreams as they are known now, and ends the attempts at former
 // incarnations of theirs; those that broke off there before met a crash.
 func (c *Carrier) Listed(list []dialect.Upstream) {
-	for _, a := range c.undecided.decide(time.Now(), list) {
+	for _, a := range c.undecided.decide(clock.Now(), list) {
 		c.crashed(a.content, a.upstream, a.made)
 	}
 	c.underWay.mu.Lock()
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -11,6 +11,7 @@
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/logs"
 )
 
@@ -71,12 +72,12 @@
 	s := &stream{c: c, j: j, w: w, log: j.log(c.o.Log), lastEvent: j.Call.LastEvent}
 	s.caution = caution{c: c, j: j, log: s.log}
 	defer s.caution.done()
-	ctx, cancel := context.WithDeadline(ctx, j.Deadline.Add(overtime))
+	ctx, cancel := context.WithTimeout(ctx, clock.Until(j.Deadline.Add(overtime)))
 	defer cancel()
 	if err := s.caution.admit(ctx, NotRun); err != nil {
 		return nil, err
 	}
-	c.o.Books.Asked(time.Now(), j.Service.Name, j.Call.PromptTokens, s.output())
+	c.o.Books.Asked(clock.Now(), j.Service.Name, j.Call.PromptTokens, s.output())
 	return s.run(ctx)
 }
 
@@ -227,7 +228,7 @@
 	if errors.As(err, &told) {
 		return false
 	}
-	if time.Until(s.j.Deadline) < leastTime {
+	if clock.Until(s.j.Deadline) < leastTime {
 		return false
 	}
 	return s.c.mayResend(s.j.Service.Name, sends, s.log)
@@ -251,11 +252,7 @@
 // contextError says why a request's context ended.
 func (s *stream) contextError(ctx context.Context) error {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		fate := TimedOut
-		if s.runs == 0 {
-			fate = NotRun
-		}
-		return &Error{Fate: fate, Reason: "deadline", RetryAfter: retryStream, Err: ctx.Err()}
+		return overdue(s.fateUnserved())
 	}
 	return &AbandonedError{}
 }
--- a/gateway/carry/watch.go
+++ b/gateway/carry/watch.go
@@ -8,6 +8,7 @@
 
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/clock"
 )
 
 const (
@@ -45,7 +46,7 @@
 	}
 	switch {
 	case err == nil:
-		s.c.o.Books.Heard(time.Now(), u)
+		s.c.o.Books.Heard(clock.Now(), u)
 	case watched.Err() == nil:
 		cancel(&SilentError{Upstream: u.ID, Err: err})
 	}
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -11,6 +11,7 @@
 
 	"github.com/wardspool/wardspool/gateway/quarantine"
 	"github.com/wardspool/wardspool/gateway/routing"
+	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/metrics"
 )
 
@@ -47,7 +48,7 @@
 	r.Path("/quarantine").HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		// An operator that left needs no answer.
-		_ = json.NewEncoder(w).Encode(held.Held(time.Now()))
+		_ = json.NewEncoder(w).Encode(held.Held(clock.Now()))
 	})
 	return r
 }
--- a/gateway/fleet/crashes.go
+++ b/gateway/fleet/crashes.go
@@ -8,6 +8,7 @@
 
 	"github.com/wardspool/wardspool/gateway/quarantine"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/internal/pause"
 	"github.com/wardspool/wardspool/peer"
 )
@@ -104,7 +105,7 @@
 		case <-ctx.Done():
 			return
 		case <-later.C:
-			n.o.Register.Expire(time.Now())
+			n.o.Register.Expire(clock.Now())
 		case <-n.news.wake:
 			pause.For(ctx, gatherNews)
 		}
@@ -116,7 +117,7 @@
 
 // tellNews tells what is new, and reports whether there was anything.
 func (n *Node) tellNews(ctx context.Context) bool {
-	now := time.Now()
+	now := clock.Now()
 	seen, heard := n.o.Register.Fresh(now), n.news.take()
 	if len(seen)+len(heard) == 0 {
 		return false
@@ -161,10 +162,10 @@
 	}
 	n.hearCrashes(answer.Crashes)
 	if answer.Informed {
-		n.informed.tell(time.Now())
+		n.informed.tell(clock.Now())
 	}
 	if answer.Digest != n.o.Register.Digest() {
-		n.tellCrashes(ctx, address, n.o.Register.Tell(time.Now()))
+		n.tellCrashes(ctx, address, n.o.Register.Tell(clock.Now()))
 	}
 }
 
@@ -173,7 +174,7 @@
 	n.hearCrashes(q.Crashes)
 	answer := CrashNews{Digest: n.o.Register.Digest(), Informed: n.Informed()}
 	if q.Compare && answer.Digest != q.Digest {
-		answer.Crashes = packCrashes(n.o.Register.Tell(time.Now()))
+		answer.Crashes = packCrashes(n.o.Register.Tell(clock.Now()))
 	}
 	return answer, nil
 }
@@ -188,7 +189,7 @@
 		n.o.Log.Warn("evidence of crashes not understood", "error", err)
 		return
 	}
-	news := n.o.Register.Hear(time.Now(), told)
+	news := n.o.Register.Hear(clock.Now(), told)
 	if len(news) == 0 {
 		return
 	}
@@ -200,13 +201,13 @@
 // compareCrashes has the evidence compared with a peer that called or answered with its
 // digest.
 func (n *Node) compareCrashes(ctx context.Context, address string, digest uint64, informed bool) {
-	now := time.Now()
+	now := clock.Now()
 	switch {
 	case digest == n.o.Register.Digest():
 		if informed {
 			n.informed.tell(now)
 		}
-	case informed && !n.informed.ok(now) || n.news.due(now):
+	case informed && !n.Informed() || n.news.due(now):
 		// The call may end before this does.
 		go n.compareWith(context.WithoutCancel(ctx), address)
 	}
--- a/gateway/fleet/informed.go
+++ b/gateway/fleet/informed.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/internal/pause"
 )
 
@@ -20,13 +21,49 @@
 	lookInterval = 100 * time.Millisecond
 )
 
-// informed follows whether an instance knows what its peers knew when it began to serve:
-// after a start, or after it stood still, it would send what all others keep from upstreams.
+// informed follows whether an instance knows what its peers know: after a start, or after it
+// stood still, it would send what all others keep from upstreams.
 type informed struct {
 	mu sync.Mutex
 	// since is when it last started or went on, looked when it last looked.
 	since, looked time.Time
-	told          bool
+	// paused means that it stood still, told that an informed peer told what it knows since.
+	paused, told bool
+	// woke has those who wait for their next turn to read or to call begin at once.
+	woke []chan struct{}
+}
+
+// waking returns a channel that gets a value when the instance goes on after it stood still.
+func (i *informed) waking() <-chan struct{} {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	c := make(chan struct{}, 1)
+	i.woke = append(i.woke, c)
+	return c
+}
+
+// wake has all who wait begin at once. The caller holds mu.
+func (i *informed) wake() {
+	for _, c := range i.woke {
+		select {
+		case c <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// waitTurn waits for a time, or until the instance goes on after it stood still, and returns
+// true; or returns false as soon as ctx has ended.
+func waitTurn(ctx context.Context, d time.Duration, woke <-chan struct{}) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-woke:
+	case <-ctx.Done():
+		return false
+	}
+	return ctx.Err() == nil
 }
 
 // look takes in that the instance runs at a time; after a gap it knows too little.
@@ -39,12 +76,14 @@
 // lookLocked is look. The caller holds mu.
 func (i *informed) lookLocked(now time.Time) {
 	if now.Sub(i.looked) > stoodStill {
+		i.paused = !i.looked.IsZero()
 		i.since, i.told = now, false
+		i.wake()
 	}
 	i.looked = now
 }
 
-// tell takes in that a peer told what it knows.
+// tell takes in that an informed peer told what it knows.
 func (i *informed) tell(now time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -52,28 +91,49 @@
 	i.told = true
 }
 
-// ok reports whether the instance knows enough.
-func (i *informed) ok(now time.Time) bool {
+// ok reports whether the instance knows enough: what a peer knows, and after a pause the
+// upstreams as of a reading of the store that began later.
+func (i *informed) ok(now, view time.Time) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.lookLocked(now)
-	return i.told || now.Sub(i.since) >= informWithin
+	return i.told && (!i.paused || view.After(i.since)) || now.Sub(i.since) >= informWithin
+}
+
+// stoodStillLately reports whether the instance went on after a pause and knows too little
+// yet.
+func (i *informed) stoodStillLately(now, view time.Time) bool {
+	if i.ok(now, view) {
+		return false
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.paused
 }
 
-// Informed reports whether this instance may send requests: it has heard what its peers
-// know since it started or stood still.
-func (n *Node) Informed() bool { return n.informed.ok(time.Now()) }
+// Informed reports whether this instance knows what its peers know.
+func (n *Node) Informed() bool { return n.informed.ok(clock.Now(), n.Snapshot().AsOf) }
 
-// AwaitInformed waits until Informed, or until ctx ends. It is short: half a second at the
-// most, after a start or a pause.
-func (n *Node) AwaitInformed(ctx context.Context) {
-	for !n.Informed() && pause.For(ctx, informedTick) {
+// AwaitInformed waits until Informed, or until ctx ends: half a second at the most, after a
+// start or a pause. After a start only requests to engines wait: a process of a plain service
+// has few neighbours, and its callers wait 300 ms.
+func (n *Node) AwaitInformed(ctx context.Context, engines bool) {
+	clock.Check()
+	for !n.Informed() && (engines || n.informed.stoodStillLately(clock.Now(), n.Snapshot().AsOf)) {
+		if !pause.For(ctx, informedTick) {
+			return
+		}
 	}
 }
 
 // lookAround notes the times at which this instance runs until ctx ends.
 func (n *Node) lookAround(ctx context.Context) {
+	asleep := clock.Suspended()
 	for pause.For(ctx, lookInterval) {
-		n.informed.look(time.Now())
+		n.informed.look(clock.Now())
+		if now := clock.Suspended(); now != asleep {
+			n.o.Log.Warn("machine was suspended", "for_ms", (now - asleep).Milliseconds())
+			asleep = now
+		}
 	}
 }
--- a/gateway/fleet/loads.go
+++ b/gateway/fleet/loads.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/internal/pause"
 	"github.com/wardspool/wardspool/peer"
 )
@@ -23,7 +24,7 @@
 		wait = sumInterval
 		n.mu.Lock()
 		sum := NewLoad()
-		for _, m := range n.roster.Members(time.Now()) {
+		for _, m := range n.roster.Members(clock.Now()) {
 			sum.Add(m.Load)
 		}
 		n.mu.Unlock()
@@ -56,14 +57,14 @@
 	own := LoadReport{From: n.o.Self.ID, Zone: n.o.Self.Zone, Load: n.o.Load()}
 	n.mu.Lock()
 	own.Sequence = n.reports.Next(own.Load)
-	address, self := n.roster.Hub(time.Now(), n.o.Self.Zone)
+	address, self := n.roster.Hub(clock.Now(), n.o.Self.Zone)
 	n.mu.Unlock()
 	answer, err := n.tellLoad(ctx, address, self, own)
 	if self {
 		n.tellHubs(ctx)
 	}
 	n.mu.Lock()
-	n.roster.Called(time.Now(), address, err == nil)
+	n.roster.Called(clock.Now(), address, err == nil)
 	if answer.NotHub {
 		n.roster.Forgive()
 	}
@@ -86,7 +87,7 @@
 // grows old.
 func (n *Node) tellHubs(ctx context.Context) {
 	n.mu.Lock()
-	now := time.Now()
+	now := clock.Now()
 	whole := n.whole(now)
 	hubs := n.otherHubs(now)
 	n.mu.Unlock()
@@ -95,12 +96,12 @@
 			answer, err := n.tellLoad(ctx, h, false, whole)
 			n.mu.Lock()
 			defer n.mu.Unlock()
-			n.roster.Called(time.Now(), h, err == nil)
+			n.roster.Called(clock.Now(), h, err == nil)
 			if err != nil || answer.Whole == nil {
 				n.o.Log.Debug("load not taken", "peer", h, "not_hub", answer.NotHub, "error", err)
 				return
 			}
-			n.hub.Take(time.Now(), *answer.Whole)
+			n.hub.Take(clock.Now(), *answer.Whole)
 		}()
 	}
 }
@@ -144,7 +145,7 @@
 	digest, informed := n.o.Register.Digest(), n.Informed()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	if _, self := n.roster.Hub(now, n.o.Self.Zone); !self {
 		return LoadAnswer{NotHub: true, Crashes: digest, Informed: informed}, nil
 	}
--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -11,7 +11,7 @@
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/quarantine"
 	"github.com/wardspool/wardspool/ident"
-	"github.com/wardspool/wardspool/internal/pause"
+	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/peer"
 )
 
@@ -118,7 +118,7 @@
 
 // Current reports whether a snapshot is young enough to give orders by: two readings may
 // have failed.
-func (n *Node) Current(s *Snapshot) bool { return time.Since(s.AsOf) <= 3*readInterval }
+func (n *Node) Current(s *Snapshot) bool { return clock.Since(s.AsOf) <= 3*readInterval }
 
 // Leave tells peers that this instance is stopping.
 func (n *Node) Leave() {
@@ -138,9 +138,10 @@
 // chosen, has been for settled, and most of the instances that it calls answered it
 // within recent.
 func (n *Node) Holds(duty string, settled, recent time.Duration) bool {
+	clock.Check()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	return n.roster.HeldFor(now, duty) >= settled && n.roster.Holder(now, duty, "") && n.roster.InTouch(now, recent)
 }
 
@@ -149,7 +150,7 @@
 func (n *Node) HoldsInZone(duty string, zone ident.Zone) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	if !n.roster.Inhabited(now, zone) {
 		zone = ""
 	}
@@ -177,21 +178,22 @@
 // heartbeats exchanges heartbeats with peers.
 func (n *Node) heartbeats(ctx context.Context) {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	woke := n.informed.waking()
 	for ctx.Err() == nil {
 		load := Load{}
 		if !n.large() {
 			load = n.o.Load()
 		}
 		n.mu.Lock()
-		h := n.roster.Beat(time.Now(), load)
-		partners := n.roster.Partners(time.Now(), random)
+		h := n.roster.Beat(clock.Now(), load)
+		partners := n.roster.Partners(clock.Now(), random)
 		wait := n.roster.Beats()
 		n.mu.Unlock()
 		h.Crashes, h.Informed = n.o.Register.Digest(), n.Informed()
 		for _, address := range partners {
 			go n.beat(ctx, address, h)
 		}
-		pause.For(ctx, jitter(random, wait))
+		waitTurn(ctx, jitter(random, wait), woke)
 	}
 }
 
@@ -210,7 +212,7 @@
 		return
 	}
 	n.mu.Lock()
-	more, differs := n.roster.Reconcile(time.Now(), answer)
+	more, differs := n.roster.Reconcile(clock.Now(), answer)
 	n.mu.Unlock()
 	if differs {
 		n.exchange(ctx, address, more)
@@ -228,7 +230,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	n.roster.Receive(now, answer)
 	n.roster.Answered(now, answer.From.ID)
 	n.compareCrashes(ctx, address, answer.Crashes, answer.Informed)
@@ -242,7 +244,7 @@
 		load = n.o.Load()
 	}
 	n.mu.Lock()
-	now := time.Now()
+	now := clock.Now()
 	n.roster.Receive(now, h)
 	n.roster.Update(load)
 	answer := n.roster.Answer(now, h)
@@ -256,7 +258,7 @@
 // noteAlive logs a change of the number of live instances.
 func (n *Node) noteAlive() {
 	n.mu.Lock()
-	now := int64(n.roster.Alive(time.Now()))
+	now := int64(n.roster.Alive(clock.Now()))
 	n.mu.Unlock()
 	if before := n.alive.Swap(now); before != now {
 		n.o.Log.Info("live instances", "before", before, "now", now)
--- a/gateway/fleet/reader.go
+++ b/gateway/fleet/reader.go
@@ -8,7 +8,7 @@
 
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/routing"
-	"github.com/wardspool/wardspool/internal/pause"
+	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/peer"
 )
 
@@ -36,7 +36,7 @@
 // onView tells a peer what is newer here.
 func (n *Node) onView(_ context.Context, _ peer.Identity, q ViewRequest) (ViewAnswer, error) {
 	s := n.Snapshot()
-	answer := ViewAnswer{Version: s.Version(), Listed: s.Listed, Revision: s.Revision, AgeMS: time.Since(s.AsOf).Milliseconds()}
+	answer := ViewAnswer{Version: s.Version(), Listed: s.Listed, Revision: s.Revision, AgeMS: clock.Since(s.AsOf).Milliseconds()}
 	if s.Listed {
 		answer.Same = s.Digest() == q.Digest
 	}
@@ -51,9 +51,10 @@
 // view grows old.
 func (n *Node) readings(ctx context.Context) {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	woke := n.informed.waking()
 	for ctx.Err() == nil {
 		n.mu.Lock()
-		now := time.Now()
+		now := clock.Now()
 		as, hub := n.roster.Role(now)
 		other := n.roster.AnyPeer(now, random)
 		s := n.Snapshot()
@@ -71,7 +72,7 @@
 			parallel.Go(func() { n.ask(ctx, other) })
 		}
 		parallel.Wait()
-		pause.For(ctx, jitter(random, lookAfter(as, n.Snapshot().Ready())))
+		waitTurn(ctx, jitter(random, lookAfter(as, n.Snapshot().Ready())), woke)
 	}
 }
 
@@ -83,7 +84,7 @@
 	if first && !n.readConfig(ctx) {
 		return
 	}
-	started := time.Now()
+	started := clock.Now()
 	list, revision, err := n.o.Source.Upstreams(ctx)
 	if err != nil {
 		n.storeFailed(err)
@@ -121,11 +122,11 @@
 	n.mu.Lock()
 	first := n.storeDown.IsZero()
 	if first {
-		n.storeDown = time.Now()
+		n.storeDown = clock.Now()
 	}
 	n.mu.Unlock()
 	if first {
-		n.o.Log.Warn("dependency lost", "dependency", "store", "error", err, "view_age_ms", time.Since(n.Snapshot().AsOf).Milliseconds())
+		n.o.Log.Warn("dependency lost", "dependency", "store", "error", err, "view_age_ms", clock.Since(n.Snapshot().AsOf).Milliseconds())
 	}
 }
 
@@ -136,7 +137,7 @@
 	n.storeDown = time.Time{}
 	n.mu.Unlock()
 	if !since.IsZero() {
-		n.o.Log.Info("dependency regained", "dependency", "store", "after_ms", time.Since(since).Milliseconds())
+		n.o.Log.Info("dependency regained", "dependency", "store", "after_ms", clock.Since(since).Milliseconds())
 	}
 }
 
@@ -146,10 +147,10 @@
 	defer cancel()
 	s := n.Snapshot()
 	q := ViewRequest{Digest: s.Digest()}
-	asked := time.Now()
+	asked := clock.Now()
 	a, err := peer.Call[ViewAnswer](ctx, n.o.Pool, address, MethodView, q)
 	n.mu.Lock()
-	n.roster.Called(time.Now(), address, err == nil)
+	n.roster.Called(clock.Now(), address, err == nil)
 	n.mu.Unlock()
 	if err != nil {
 		n.o.Log.Debug("view not answered", "peer", address, "error", err)
@@ -184,12 +185,12 @@
 // takeList takes in a list of upstreams.
 func (n *Node) takeList(started time.Time, revision int64, list []dialect.Upstream, origin Origin, from string) {
 	n.mu.Lock()
-	changes, taken := n.view.List(time.Now(), started, revision, list, origin)
+	changes, taken := n.view.List(clock.Now(), started, revision, list, origin)
 	n.mu.Unlock()
 	for _, c := range changes {
 		n.o.Log.Info("upstream "+string(c.What), "upstream", c.Upstream.ID, "service", c.Upstream.Service,
 			"address", c.Upstream.Address, "stage", c.Upstream.Stage, "from", from, "revision", revision,
-			"age_ms", time.Since(started).Milliseconds())
+			"age_ms", clock.Since(started).Milliseconds())
 	}
 	if taken {
 		n.publish()
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -22,6 +22,7 @@
 	"github.com/wardspool/wardspool/gateway/quarantine"
 	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/gateway/schedule"
+	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/logs"
 )
 
@@ -44,11 +45,7 @@
 	Carrier *carry.Carrier
 	Budget  *schedule.Budget
 	View    func() *fleet.Snapshot
-	// AwaitInformed waits until this instance knows what its peers know of requests that
-	// crash engines, or ctx ends; until then none gets a stream. Processes of plain services
-	// have few neighbours, and callers that wait 300 ms.
-	AwaitInformed func(ctx context.Context)
-	Log           *slog.Logger
+	Log     *slog.Logger
 	// Observe counts an outcome and how long the request took.
 	Observe func(route *routing.Route, outcome string, took time.Duration)
 }
@@ -78,7 +75,7 @@
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.active.Add(1)
 	defer f.active.Add(-1)
-	arrived := time.Now()
+	arrived := clock.Now()
 	if f.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -140,16 +137,13 @@
 		f.problem(w, call, http.StatusServiceUnavailable, "no_service", api.NotRun, retryNotReady)
 		return
 	}
-	if service.Engine != nil {
-		f.o.AwaitInformed(r.Context())
-	}
 	f.o.Budget.Request(arrived, service.Name)
 	job := &carry.Job{
 		Call: call, Route: route, Service: service, Version: version,
 		Arrived: arrived, Deadline: arrived.Add(patience(call, route)), Content: quarantine.ContentOf(call),
 	}
 	rc := http.NewResponseController(w)
-	if err := rc.SetWriteDeadline(job.Deadline.Add(writeSlack)); err != nil {
+	if err := rc.SetWriteDeadline(time.Now().Add(clock.Until(job.Deadline) + writeSlack)); err != nil {
 		f.o.Log.Debug("no write deadline", "error", err)
 	}
 	f.carry(r.Context(), w, rc, job)
@@ -178,7 +172,7 @@
 		answer, err = f.o.Carrier.Plain(ctx, j)
 	}
 	outcome := f.answer(w, j, answer, err)
-	took := time.Since(j.Arrived)
+	took := clock.Since(j.Arrived)
 	f.o.Observe(j.Route, outcome, took)
 	status := 0
 	if answer != nil {
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -11,6 +11,7 @@
 	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/internal/pause"
 	"github.com/wardspool/wardspool/logs"
 )
@@ -87,7 +88,7 @@
 // observe follows the demand of a service and returns the one to plan for; false while
 // there is none.
 func (g *Service) observe(b *orderBook, service string) (schedule.Need, bool) {
-	now := time.Now()
+	now := clock.Now()
 	need := g.need(now, service)
 	if need.Memory <= 0 {
 		return need, false
@@ -97,7 +98,7 @@
 
 // order changes engines' stages if that is worth it.
 func (g *Service) order(ctx context.Context, b *orderBook, s *fleet.Snapshot, service routing.Service, need schedule.Need) {
-	now := time.Now()
+	now := clock.Now()
 	list := g.books.Staged(now, s.Upstreams[service.Name])
 	o := b.of(service.Name)
 	if o.since.IsZero() {
@@ -128,6 +129,7 @@
 
 // send gives one order.
 func (g *Service) send(ctx context.Context, b *orderBook, c schedule.Switch) {
+	// The time of day: other instances' numbers are made of it.
 	b.lastFence = nextFence(time.Now(), b.lastFence, g.settings.Instance)
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
@@ -138,7 +140,7 @@
 	var fenced *dialect.FencedError
 	if !errors.As(err, &status) && !errors.As(err, &fenced) {
 		// Without an answer the order may have been accepted all the same.
-		g.books.Switching(time.Now(), c.Engine.ID, c.To)
+		g.books.Switching(clock.Now(), c.Engine.ID, c.To)
 	}
 	if fenced != nil {
 		// A newer holder has ordered: its orders stand.
--- a/gateway/quarantine/trials.go
+++ b/gateway/quarantine/trials.go
@@ -10,10 +10,10 @@
 const (
 	// mostTrials bounds the trials under way that one instance keeps track of.
 	mostTrials = 1024
-	// trialMost bounds how long a trial lasts unless its holder ends it: one that has died
+	// TrialMost bounds how long a trial lasts unless its holder ends it: one that has died
 	// ends none. A stream shows what it does with its first event, which is due within a
 	// second; one that its caller resumes may wait some seconds for room.
-	trialMost = 5 * time.Second
+	TrialMost = 5 * time.Second
 )
 
 // Trials are the attempts with suspect contents that one instance has allowed, one at a
@@ -45,7 +45,7 @@
 	if len(t.under) >= mostTrials {
 		return false
 	}
-	t.under[c] = trial{holder: holder, until: now.Add(min(lasts, trialMost))}
+	t.under[c] = trial{holder: holder, until: now.Add(min(lasts, TrialMost))}
 	return true
 }
 
--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -9,6 +9,7 @@
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/internal/pause"
 )
 
@@ -32,7 +33,7 @@
 			continue
 		}
 		for _, list := range s.Upstreams {
-			for _, u := range g.books.Trials(time.Now(), list) {
+			for _, u := range g.books.Trials(clock.Now(), list) {
 				go g.probe(ctx, u)
 			}
 		}
@@ -62,14 +63,14 @@
 		g.books.Replaced(u)
 		g.log.Warn("upstream replaced", "upstream", u.ID, "address", u.Address)
 	case err != nil:
-		g.books.Failed(time.Now(), u, carry.Unreached(err))
+		g.books.Failed(clock.Now(), u, carry.Unreached(err))
 		g.log.Info("probe failed", "upstream", u.ID, "error", err)
 	case r.Stage != u.Stage:
 		// The list is older than its change of stage.
-		g.books.Failed(time.Now(), u, schedule.Misdirected)
+		g.books.Failed(clock.Now(), u, schedule.Misdirected)
 		g.log.Info("engine has another stage than listed", "upstream", u.ID, "listed", u.Stage, "stage", r.Stage)
 	default:
-		g.books.Readmit(time.Now(), u)
+		g.books.Readmit(clock.Now(), u)
 		g.log.Info("upstream readmitted", "upstream", u.ID)
 	}
 }
@@ -86,8 +87,8 @@
 	if !g.carrier.Reported(u, r) {
 		return
 	}
-	g.books.Heard(time.Now(), u)
-	unexplained := g.books.Reported(time.Now(), u, r)
+	g.books.Heard(clock.Now(), u)
+	unexplained := g.books.Reported(clock.Now(), u, r)
 	if unexplained > 0 || r.Switching {
 		g.log.Info("report", "upstream", u.ID, "used", r.UsedTokens, "held", r.HeldTokens, "running", r.Running,
 			"waiting", r.Waiting, "switching", r.Switching, "unexplained", unexplained)
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -20,6 +20,7 @@
 	"github.com/wardspool/wardspool/gateway/quarantine"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/internal/pause"
 	"github.com/wardspool/wardspool/peer"
 )
@@ -82,28 +83,29 @@
 		Source: source, InForce: s.Store.inForce(), Pool: g.pool, Server: g.peers, Log: log,
 		Load: g.load, Changed: g.changed, LoadChanged: g.loadChanged, Register: g.register,
 	})
-	g.budget = schedule.NewBudget(time.Now(), s.Retries.budget(), g.node.Alive)
+	g.budget = schedule.NewBudget(clock.Now(), s.Retries.budget(), g.node.Alive)
 	g.carrier = carry.New(carry.Options{
 		Dialect: d, Books: g.books, Budget: g.budget, Zone: s.Zone, View: g.node.Snapshot, Log: log, Count: g.metrics.count,
-		Register: g.register, Trials: g.node, Spread: g.node.SpreadCrashes,
+		Register: g.register, Trials: g.node, Spread: g.node.SpreadCrashes, AwaitInformed: g.node.AwaitInformed,
 	})
 	g.front = front.New(front.Options{
-		Dialect: d, Carrier: g.carrier, Budget: g.budget, View: g.node.Snapshot, AwaitInformed: g.node.AwaitInformed, Log: log, Observe: g.metrics.observe,
+		Dialect: d, Carrier: g.carrier, Budget: g.budget, View: g.node.Snapshot, Log: log, Observe: g.metrics.observe,
 	})
 	return g
 }
 
-// peerLimits keep connections between instances responsive: one that fell silent
-// is given up within a second.
+// peerLimits keep connections between instances responsive: one that fell silent is given up
+// within a second. An instance that was away is called again with the next heartbeat but one:
+// it waits half a second for the word of its peers before it sends anything.
 var peerLimits = peer.Limits{
 	Dial: 500 * time.Millisecond, Hello: 700 * time.Millisecond, Call: time.Second, Write: time.Second,
-	BackoffMin: 100 * time.Millisecond, BackoffMax: time.Second, Frame: 4 << 20,
+	BackoffMin: 100 * time.Millisecond, BackoffMax: 300 * time.Millisecond, Frame: 4 << 20,
 }
 
 // load is this instance's part of its heartbeats.
 func (g *Service) load() fleet.Load {
 	l := fleet.Load{InFlight: map[ident.UpstreamID]fleet.InFlight{}, Demand: map[string]fleet.Demand{}}
-	now := time.Now()
+	now := clock.Now()
 	for id, f := range g.books.Own(now) {
 		said := fleet.InFlight{Requests: f.Requests, Tokens: f.Tokens, Unexplained: f.Unexplained}
 		if f.Memory != (schedule.Forecast{}) {
@@ -154,7 +156,7 @@
 	for service, d := range l.Demand {
 		paces[service] = d.Paces
 	}
-	now := time.Now()
+	now := clock.Now()
 	g.books.SetPaces(paces)
 	g.books.SetFleet(g.node.Alive(), age)
 	g.books.SetPeers(now, peers)
@@ -242,13 +244,13 @@
 
 // shutdown stops taking requests and waits for those in progress.
 func (g *Service) shutdown(callers *http.Server) {
-	began := time.Now()
+	began := clock.Now()
 	grace := time.Duration(g.settings.Stop.GraceSeconds * float64(time.Second))
 	g.log.Info("stopping", "active", g.front.Active(), "grace_ms", grace.Milliseconds())
 	g.front.CloseConnections()
 	g.node.Leave()
 	pause.For(context.Background(), min(announceTime, grace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-stopReserve))
+	ctx, cancel := context.WithTimeout(context.Background(), clock.Until(began.Add(grace-stopReserve)))
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
 		g.log.Warn("requests broken off by the stop", "active", g.front.Active(), "error", err)
