Agent: a suspension of the machine is a pause, and counts in all ages

Its gap was measured on Go's clock alone; the entry's gate looks at the wall clock as well. TestSuspended: before, no pause was counted and the bundle stayed 'ready' after 20 s.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -16,6 +16,7 @@
 	"github.com/wardspool/wardspool/bundle/ledger"
 	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/leftover"
 	"github.com/wardspool/wardspool/membership"
 	"github.com/wardspool/wardspool/orders"
@@ -107,13 +108,13 @@
 // New makes an agent of checked settings. Its errors are those of configservice.Open
 // and of the approvers.
 func New(s *Settings, o Options) (*Agent, error) {
-	now := time.Now()
+	now := clock.Now()
 	o = o.withDefaults()
 	a := &Agent{
 		settings: s,
 		options:  o,
 		log:      o.Log,
-		self:     peer.Identity{Instance: s.Instance, Incarnation: ident.NewIncarnation(now), Zone: s.Zone},
+		self:     peer.Identity{Instance: s.Instance, Incarnation: ident.NewIncarnation(time.Now()), Zone: s.Zone},
 		started:  now,
 		inbox:    make(chan func(), inboxSize),
 		stopped:  make(chan struct{}),
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/wardspool/wardspool/bundle/ledger"
 	"github.com/wardspool/wardspool/config"
+	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/kernel"
 	"github.com/wardspool/wardspool/standin/control"
 )
@@ -157,6 +158,33 @@
 	})
 }
 
+// TestSuspended: a suspension of the machine, which Go's clock doesn't count, is a pause like
+// any other.
+func TestSuspended(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		start, suspended := time.Now(), time.Duration(0)
+		steady := func() (time.Duration, error) { return time.Since(start), nil }
+		boot := func() (time.Duration, error) { return time.Since(start) + suspended, nil }
+		defer clock.Use(clock.New(steady, boot))()
+		f.addEngine("pf-1", "hall-a", config.RolePrefill)
+		nodes := f.startFleet(3, "hall-a")
+		time.Sleep(5 * time.Second)
+		n := nodes[0]
+		assert.Assert(t, n.status().Fleet.Trusted)
+		for _, other := range nodes[1:] {
+			f.net.cut(n.host, other.host, true)
+		}
+		f.net.cut(n.host, platformHost, true)
+		suspended = 20 * time.Second
+		time.Sleep(2 * tick)
+		s := n.status()
+		assert.Equal(t, s.Counters.Pauses, uint64(1))
+		assert.Assert(t, !s.Fleet.Trusted)
+		assert.Equal(t, s.Bundle.Status, ledger.StatusRechecking)
+		assert.Assert(t, len(n.entry.pauses) == 1 && n.entry.pauses[0] >= 20_000, "%v", n.entry.pauses)
+	})
+}
+
 // TestPaused: after a pause the view is not trusted until it was refreshed, and
 // the entry is told.
 func TestPaused(t *testing.T) {
--- a/agent/loop.go
+++ b/agent/loop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wardspool/wardspool/configservice"
+	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/peer"
 )
 
@@ -56,7 +57,7 @@
 // run is the loop. It ends with ctx.
 func (a *Agent) run(ctx context.Context) {
 	defer close(a.stopped)
-	a.now = time.Now()
+	a.now = clock.Now()
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
@@ -78,7 +79,8 @@
 // before anything is made of what arrived meanwhile.
 func (a *Agent) begin() {
 	last := a.now
-	a.now = time.Now()
+	clock.Check()
+	a.now = clock.Now()
 	if gap := a.now.Sub(last); gap >= a.settings.PauseAfter {
 		a.paused(gap)
 	}
--- a/agent/placement.go
+++ b/agent/placement.go
@@ -10,6 +10,7 @@
 	"github.com/wardspool/wardspool/bundle/ledger"
 	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/orders"
 	"github.com/wardspool/wardspool/peer"
 )
@@ -104,7 +105,7 @@
 		Role: o.Placement.Role, Models: o.Placement.Models, Adapters: o.Placement.Adapters, Version: o.Placement.Version,
 	}}
 	a.spawn(func(ctx context.Context) {
-		if !o.NotAfter.IsZero() && time.Now().After(o.NotAfter) {
+		if !o.NotAfter.IsZero() && clock.Now().After(o.NotAfter) {
 			a.post(func() { a.log.Info("placement order withheld", "upstream", o.Upstream, "reason", "too late") })
 			return
 		}
--- a/agent/status.go
+++ b/agent/status.go
@@ -9,6 +9,7 @@
 
 	"github.com/wardspool/wardspool/agent/meter"
 	"github.com/wardspool/wardspool/agent/wire"
+	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/membership"
 	"github.com/wardspool/wardspool/peer"
 )
@@ -162,7 +163,7 @@
 func (a *Agent) process() wire.ProcessStatus {
 	p := meter.ReadProcess()
 	return wire.ProcessStatus{
-		UptimeMS: time.Since(a.started).Milliseconds(), CPUMS: p.CPU.Milliseconds(),
+		UptimeMS: clock.Since(a.started).Milliseconds(), CPUMS: p.CPU.Milliseconds(),
 		RSSBytes: p.RSS, PeakRSSBytes: p.PeakRSS, Goroutines: runtime.NumGoroutine(),
 	}
 }
