--- a/testbed/process.go
+++ b/testbed/process.go
@@ -131,6 +131,9 @@
 	return p.signal(syscall.SIGCONT)
 }
 
+// Signal sends a signal that the program was built to take.
+func (p *Process) Signal(s syscall.Signal) error { return p.signal(s) }
+
 // Terminate asks the process to shut down (SIGTERM).
 func (p *Process) Terminate() error { return p.signal(syscall.SIGTERM) }
 
