--- a/adapter/roundtrip/conn_test.go
+++ b/adapter/roundtrip/conn_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/kernel"
 )
 
@@ -215,6 +216,27 @@
 	assert.Equal(t, evidence(t, send(t, c, t.Context(), "POST", s.address, []byte("x"))), kernel.Ambiguous)
 }
 
+// TestIdleConnectionsEndInASuspension: the sweep's timer stood still with the machine, and the
+// upstream has closed its end long ago, which may not have arrived.
+func TestIdleConnectionsEndInASuspension(t *testing.T) {
+	start, suspended := time.Now(), time.Duration(0)
+	steady := func() (time.Duration, error) { return time.Since(start), nil }
+	boot := func() (time.Duration, error) { return time.Since(start) + suspended, nil }
+	defer clock.Use(clock.New(steady, boot))()
+	s := serve(t, func(_ int64, c net.Conn) bool { return ok(c) })
+	c := New(Options{IdleTimeout: time.Hour})
+	defer c.Close()
+	assert.NilError(t, send(t, c, t.Context(), "POST", s.address, []byte("x")))
+	suspended = 59 * time.Minute
+	clock.Check()
+	assert.NilError(t, send(t, c, t.Context(), "POST", s.address, []byte("x")))
+	assert.Equal(t, s.conns.Load(), int64(1))
+	suspended += time.Hour
+	clock.Check()
+	assert.NilError(t, send(t, c, t.Context(), "POST", s.address, []byte("x")))
+	assert.Equal(t, s.conns.Load(), int64(2))
+}
+
 func TestIdleConnectionsEnd(t *testing.T) {
 	s := serve(t, func(_ int64, c net.Conn) bool { return ok(c) })
 	c := New(Options{IdleTimeout: time.Hour, IdlePerUpstream: 1})
--- a/cmd/wardspoolctl/groups.go
+++ b/cmd/wardspoolctl/groups.go
@@ -9,9 +9,10 @@
 
 // instanceCommands ask running instances.
 type instanceCommands struct {
-	Fleet   fleetCmd   `cmd:"" help:"Show which bundle is in force on each instance, and alarms."`
-	Watch   watchCmd   `cmd:"" help:"Show what each bundle version does, live."`
-	Explain explainCmd `cmd:"" help:"Show why a request went where it did."`
+	Fleet      fleetCmd      `cmd:"" help:"Show which bundle is in force on each instance, and alarms."`
+	Watch      watchCmd      `cmd:"" help:"Show what each bundle version does, live."`
+	Explain    explainCmd    `cmd:"" help:"Show why a request went where it did."`
+	Quarantine quarantineCmd `cmd:"" help:"Show the requests that are kept from upstreams because they crash them."`
 }
 
 // keyGroup is the commands of "key".
--- /dev/null
+++ b/cmd/wardspoolctl/quarantine.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/wardspool/wardspool/gateway/quarantine"
+	"github.com/wardspool/wardspool/ident"
+)
+
+// quarantineCmd is the subcommand "quarantine".
+type quarantineCmd struct {
+	Instances []string      `required:"" placeholder:"IP:PORT" help:"Metrics addresses of the gateway instances to ask (listen.metrics in their settings), separated by commas."`
+	Timeout   time.Duration `default:"3s" help:"How long to wait for answers."`
+	JSON      bool          `name:"json" help:"Print JSON in place of a table."`
+}
+
+// Help is shown by "quarantine --help".
+func (quarantineCmd) Help() string {
+	return `Shows the requests, by their content, that are kept from upstreams because upstreams
+crashed under them, or are tried one at a time: how many crashed, under how many of them
+the request had produced nothing yet, which, how much longer it lasts, and how many of the
+instances asked know of it. Log lines name the same content.
+
+  wardspoolctl quarantine --instances 127.0.0.1:9401,127.0.0.1:9402
+
+Exit codes: 0, or 2 if an instance gave no answer.`
+}
+
+// heldContent is a content and how many instances know of it.
+type heldContent struct {
+	quarantine.Held
+	KnownBy int `json:"known_by"`
+}
+
+// heldAnswer is what the instances said.
+type heldAnswer struct {
+	Contents  []heldContent `json:"contents"`
+	Asked     int           `json:"asked"`
+	Unreached []string      `json:"unreached"`
+}
+
+// Run asks the instances and prints what they say.
+func (c *quarantineCmd) Run(ctx context.Context) error {
+	a := c.collect(ctx)
+	if err := printAnswer(a, c.JSON); err != nil {
+		return err
+	}
+	if len(a.Unreached) > 0 {
+		return &askExit{Code: exitUnreached}
+	}
+	return nil
+}
+
+// collect asks the instances. Of a content, what the instance says counts that knows most.
+func (c *quarantineCmd) collect(ctx context.Context) *heldAnswer {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	a := &heldAnswer{Asked: len(c.Instances), Contents: []heldContent{}}
+	known := map[string]*heldContent{}
+	for _, address := range c.Instances {
+		held, err := askHeld(ctx, address)
+		if err != nil {
+			a.Unreached = append(a.Unreached, fmt.Sprintf("%s: %v", address, err))
+			continue
+		}
+		for _, h := range held {
+			k := known[h.Content]
+			if k == nil || h.Crashes > k.Crashes {
+				k = &heldContent{Held: h, KnownBy: knownBy(k)}
+				known[h.Content] = k
+			}
+			k.KnownBy++
+		}
+	}
+	for _, k := range known {
+		a.Contents = append(a.Contents, *k)
+	}
+	slices.SortFunc(a.Contents, func(x, y heldContent) int {
+		return cmp.Or(cmp.Compare(y.Crashes, x.Crashes), cmp.Compare(x.Content, y.Content))
+	})
+	return a
+}
+
+// knownBy returns how many instances know of a content, which may be nil.
+func knownBy(k *heldContent) int {
+	if k == nil {
+		return 0
+	}
+	return k.KnownBy
+}
+
+// askHeld asks one instance.
+func askHeld(ctx context.Context, address string) ([]quarantine.Held, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/quarantine", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, &answerStatusError{Status: resp.StatusCode}
+	}
+	var held []quarantine.Held
+	err = json.NewDecoder(resp.Body).Decode(&held)
+	return held, err
+}
+
+// answerStatusError reports an answer of an instance that is no list.
+type answerStatusError struct{ Status int }
+
+// Error implements error.
+func (e *answerStatusError) Error() string { return fmt.Sprintf("status %d", e.Status) }
+
+// Write implements answer.
+func (a *heldAnswer) Write(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "CONTENT\tSTANDING\tCRASHES\tEARLY\tLEFT\tKNOWN BY\tUPSTREAMS")
+	for _, c := range a.Contents {
+		left := "-"
+		if c.LeftSeconds > 0 {
+			left = time.Duration(c.LeftSeconds * float64(time.Second)).Round(time.Second).String()
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\t%d of %d\t%s\n", c.Content, c.Standing, c.Crashes, c.Early, left, c.KnownBy, a.Asked, joined(c.Upstreams))
+	}
+	for _, u := range a.Unreached {
+		fmt.Fprintf(w, "no answer: %s\n", u)
+	}
+	return w.Flush()
+}
+
+// joined lists upstreams.
+func joined(ids []ident.UpstreamID) string {
+	var names []string
+	for _, id := range ids {
+		names = append(names, string(id))
+	}
+	return strings.Join(names, " ")
+}
