--- a/gateway/carry/caution_test.go
+++ b/gateway/carry/caution_test.go
@@ -1,6 +1,7 @@
 package carry
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"testing/synctest"
@@ -252,3 +253,46 @@
 
 // sizeOf is a request of a prompt's length.
 func sizeOf(prompt int) schedule.Size { return schedule.Size{Prompt: prompt, Estimate: 100} }
+
+// TestPlannedEndIsNoEvidence: an engine that had said that it leaves ends with its last
+// streams, or had left the list.
+func TestPlannedEndIsNoEvidence(t *testing.T) {
+	for name, left := range map[string]func(b *bed){
+		"leaves": func(b *bed) {
+			for i := range b.view.Upstreams["s"] {
+				b.view.Upstreams["s"][i].Leaving = true
+			}
+		},
+		"has left": func(b *bed) { b.view.Upstreams["s"] = nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t, slack, engineUps([]string{"p1"}, []string{"d1"})...)
+			b.crash(reply{verdict: dialect.Success, status: 200, body: events(1, 2), breaks: true}, "d1")
+			b.d.prefilled = func() { left(b) }
+			_, err := b.Stream(t.Context(), withContent(stream1), &sink{})
+			assert.Assert(t, err != nil)
+			assert.Equal(t, b.o.Register.Verdict(time.Now(), deadly).Standing, quarantine.Clear)
+		})
+	}
+}
+
+// TestSilentEngineWhoseCallerLeaves: an engine that took the stream falls silent for good, and
+// the caller leaves. Nobody asked until then; when another incarnation is listed it is
+// evidence.
+func TestSilentEngineWhoseCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ups := born(5, engineUps([]string{"p1"}, []string{"d1"}))
+		b := newBed(t, slack, ups...)
+		b.d.silent = map[ident.UpstreamID]bool{"d1": true}
+		body := newStoppable()
+		b.d.do["d1"] = []reply{{verdict: dialect.Success, status: 200, stream: body}}
+		ctx, leave := context.WithCancel(t.Context())
+		time.AfterFunc(3600*time.Millisecond, leave)
+		_, err := b.Stream(ctx, withContent(stream1), &sink{})
+		var left *AbandonedError
+		assert.Assert(t, errors.As(err, &left), "%v", err)
+		synctest.Wait()
+		b.Listed(born(6, ups))
+		assert.Equal(t, b.o.Register.Verdict(time.Now(), deadly).Standing, quarantine.Suspect)
+	})
+}
--- a/gateway/carry/decode.go
+++ b/gateway/carry/decode.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/wardspool/wardspool/adapter"
 	"github.com/wardspool/wardspool/gateway/dialect"
@@ -30,7 +31,7 @@
 	})
 	if err != nil {
 		err = g.cause(err)
-		return nil, s.failedSend(ctx, p, h, err), s.sendError(ctx, err)
+		return nil, s.failedSend(ctx, p, h, start, err), s.sendError(ctx, err)
 	}
 	defer resp.Body.Close()
 	if verdict != dialect.Success {
@@ -43,14 +44,14 @@
 
 // failedSend takes in a sending that brought no response, and reports whether
 // another pair of engines may be tried.
-func (s *stream) failedSend(ctx context.Context, p *place, h *computed, err error) bool {
+func (s *stream) failedSend(ctx context.Context, p *place, h *computed, start time.Time, err error) bool {
 	u := p.decode.Upstream
 	s.c.note(u, &attempt{err: err}, 0, s.log)
 	s.excluded = append(s.excluded, u.ID)
 	s.log.Info("attempt", "upstream", u.ID, "number", s.starts, "error", logs.ErrorText(err))
 	if adapter.AsCallError(err).Evidence == kernel.Ambiguous {
 		s.runs++
-		s.lost(ctx, u, false, 0, err)
+		s.lost(ctx, u, start, false, 0, err)
 		if !s.j.Route.Repeatable() || s.runs >= s.j.Route.MaxAttempts {
 			return false
 		}
--- a/gateway/carry/ending.go
+++ b/gateway/carry/ending.go
@@ -25,6 +25,9 @@
 	endedCrashed ending = "crashed"
 	// endedAlive upstreams answer: only the connection or the answer broke.
 	endedAlive ending = "alive"
+	// endedPlanned upstreams had said that they leave, or had left the list, before they
+	// refused connections.
+	endedPlanned ending = "planned"
 )
 
 const (
@@ -33,6 +36,9 @@
 	// examinedFor is how long an answer serves for other attempts at the same upstream: a
 	// crash breaks some dozen off at once.
 	examinedFor = time.Second
+	// silentAfter is how long an engine must have sent nothing for the leaving of its caller
+	// to say something of it: events come each 40 to 300 ms.
+	silentAfter = time.Second
 	// mostExamined bounds the answers that are remembered.
 	mostExamined = 256
 )
@@ -107,25 +113,52 @@
 	}
 }
 
-// lost takes in that an attempt of a request broke off at an upstream, after so many events
-// from there, and finds out whether that crashed. begun means that the upstream had answered
-// with the head of a response: one that fell silent without a sign of having got the request
-// may have been gone before.
-func (a *caution) lost(u dialect.Upstream, begun bool, made int, cause error) {
+// lost takes in that an attempt of a request, sent at start, broke off at an upstream after
+// so many events from there, and finds out whether that crashed. begun means that the
+// upstream had answered with the head of a response.
+func (a *caution) lost(u dialect.Upstream, start time.Time, begun bool, made int, cause error) {
+	if a.weigh(u, begun || a.c.o.Books.AnsweredSince(u, start), made, cause) == endedCrashed && made == 0 {
+		a.crashed = true
+	}
+}
+
+// abandoned takes in that the caller left while an upstream sent nothing.
+func (a *caution) abandoned(u dialect.Upstream, made int) {
+	// The request has ended, its parts are not touched any more.
+	own := caution{c: a.c, j: a.j, log: a.log}
+	a.c.cleanup.Go(func() { own.weigh(u, true, made, &AbandonedError{}) })
+}
+
+// weigh finds out what became of an upstream at which an attempt broke off, and takes a
+// crash into the register. One that fell silent without a sign of life since the request was
+// sent may have been gone before.
+func (a *caution) weigh(u dialect.Upstream, lived bool, made int, cause error) ending {
 	e := a.c.endingBy(u, cause)
+	if e == endedCrashed && a.c.planned(u) {
+		e = endedPlanned
+	}
 	a.c.o.Count("attempt_lost_" + string(e))
 	a.log.Warn("attempt lost", "upstream", u.ID, "incarnation", u.Incarnation, "address", u.Address, "content", a.j.Content.String(),
-		"made", made, "ending", string(e), "error", logs.ErrorText(cause))
-	switch e {
-	case endedCrashed:
-		a.crashed = a.crashed || made == 0
+		"made", made, "lived", lived, "ending", string(e), "error", logs.ErrorText(cause))
+	switch {
+	case e == endedCrashed:
 		a.c.crashed(a.j.Content, u, made)
-	case endedUnknown:
-		if !begun {
-			return
-		}
+	case e == endedUnknown && lived:
 		a.c.undecided.add(clock.Now(), a.j.Content, u, made)
 	}
+	return e
+}
+
+// planned reports whether an upstream had said that it leaves, or had left the list while
+// nobody took its place: its end is no crash.
+func (c *Carrier) planned(u dialect.Upstream) bool {
+	list := c.o.View().Upstreams[u.Service]
+	for _, o := range list {
+		if o.ID == u.ID {
+			return o.Leaving
+		}
+	}
+	return !replacedIn(list, u)
 }
 
 // endingBy finds out what became of an upstream at which an attempt broke off for a cause;
--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -42,6 +42,7 @@
 	u := p.decode.Upstream
 	before := s.events.Load()
 	started := time.Time{}
+	s.heardAt = clock.Now()
 	s.migration.arrive()
 	s.c.enter(p.decode, s)
 	err := g.cause(s.copyEvents(g, p, resp, func() { started = clock.Now() }))
@@ -85,10 +86,13 @@
 	s.log.Info("stream broke off", "upstream", u.ID, "events", s.events.Load(), "here", made, "last_event", s.lastEvent,
 		"left_ms", clock.Until(s.j.Deadline).Milliseconds(), "error", logs.ErrorText(err))
 	if ctx.Err() != nil || callerLeft(err) {
+		if clock.Since(s.heardAt) >= silentAfter {
+			s.caution.abandoned(u, made)
+		}
 		return false
 	}
 	s.c.note(u, &attempt{err: err}, 0, s.log)
-	s.lost(ctx, u, true, made, err)
+	s.lost(ctx, u, s.heardAt, true, made, err)
 	s.excluded = append(s.excluded, u.ID)
 	if !s.j.Route.Repeatable() || s.runs >= s.j.Route.MaxAttempts {
 		return false
@@ -116,6 +120,9 @@
 	for {
 		n, err := resp.Body.Read(buf)
 		g.heard()
+		if n > 0 {
+			s.heardAt = clock.Now()
+		}
 		pending = append(pending, buf[:n]...)
 		if end := lastEventEnd(pending); end > 0 {
 			if !started {
--- a/gateway/carry/plain.go
+++ b/gateway/carry/plain.go
@@ -62,6 +62,7 @@
 		if !ok {
 			return p.end(&NoUpstreamError{Service: p.j.Service.Name})
 		}
+		start := clock.Now()
 		a := p.send(ctx, t)
 		if a.err == nil && a.verdict == dialect.Success {
 			p.caution.ended()
@@ -72,7 +73,7 @@
 		}
 		p.learn(a)
 		if a.err != nil && a.evidence() == kernel.Ambiguous {
-			p.caution.lost(t.Upstream, false, 0, a.cause)
+			p.caution.lost(t.Upstream, start, false, 0, a.cause)
 		}
 		if !p.again(a) {
 			return p.end(a.err)
--- a/gateway/carry/prefill.go
+++ b/gateway/carry/prefill.go
@@ -96,7 +96,7 @@
 	err = g.cause(err)
 	s.notePrefill(u, err, start, took)
 	if err != nil && adapter.AsCallError(err).Evidence == kernel.Ambiguous && adapter.AsCallError(err).Status == 0 && ctx.Err() == nil {
-		s.caution.lost(u, false, 0, err)
+		s.caution.lost(u, start, false, 0, err)
 	}
 	if err == nil {
 		s.c.o.Books.PrefillDone(s.j.Service.Name, s.j.Call.PromptTokens, took)
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -115,6 +115,8 @@
 	firstAt      time.Time
 	lastAt       time.Time
 	longestPause time.Duration
+	// heardAt is when anything last came from the engine.
+	heardAt time.Time
 }
 
 // output is the expected length of the output, in tokens.
@@ -235,9 +237,9 @@
 }
 
 // lost takes in that an attempt broke off at an engine, unless its caller left.
-func (s *stream) lost(ctx context.Context, u dialect.Upstream, begun bool, made int, err error) {
+func (s *stream) lost(ctx context.Context, u dialect.Upstream, start time.Time, begun bool, made int, err error) {
 	if ctx.Err() == nil {
-		s.caution.lost(u, begun, made, err)
+		s.caution.lost(u, start, begun, made, err)
 	}
 }
 
