--- a/gateway/quarantine/register_test.go
+++ b/gateway/quarantine/register_test.go
@@ -166,6 +166,22 @@
 	})
 }
 
+// TestEvidenceOfTwoInstancesIsShared: two instances had a repeat at one engine when it crashed.
+// One told of it; the other, whose own evidence waits to be told and is cleared meanwhile,
+// shares it all the same, or their digests would differ for ever.
+func TestEvidenceOfTwoInstancesIsShared(t *testing.T) {
+	a, b := NewRegister(), NewRegister()
+	a.Crashed(start, 1, up("x"), 0)
+	b.Crashed(start, 1, up("x"), 1)
+	a.Fresh(start)
+	b.Hear(start, a.Tell(start))
+	b.Clear(1, 5, false)
+	b.Fresh(start.Add(shareAfter))
+	assert.Equal(t, a.Digest(), b.Digest())
+	a.Hear(start, b.Tell(start))
+	assert.Equal(t, a.Verdict(start, 1).Standing, Clear)
+}
+
 // TestFloodIsBounded: many different contents crash engines. What is remembered is bounded,
 // so are messages, and the quarantined contents are the last to be forgotten.
 func TestFloodIsBounded(t *testing.T) {
