--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -215,6 +215,7 @@
 		time.Sleep(150 * time.Millisecond)
 	}
 	ended, asked := b.counts()
+	t.Logf("%d engines ended, the request was sent %d times", ended, asked)
 	assert.Check(t, ended <= 3, "%d engines ended under one content, which was sent %d times", ended, asked)
 
 	status, header, body := b.ask(t, b.instances[0], "/stream/x", deadly)
@@ -243,5 +244,6 @@
 		time.Sleep(300 * time.Millisecond)
 	}
 	ended, asked := b.counts()
+	t.Logf("%d engines ended, the request was sent %d times", ended, asked)
 	assert.Check(t, ended <= most, "%d engines ended under one content, which was sent %d times; %d at most", ended, asked, most)
 }
