--- a/adapter/roundtrip/conn_test.go
+++ b/adapter/roundtrip/conn_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/wardspool/wardspool/internal/clock"
+	"github.com/wardspool/wardspool/internal/testclock"
 	"github.com/wardspool/wardspool/kernel"
 )
 
@@ -219,19 +220,16 @@
 // TestIdleConnectionsEndInASuspension: the sweep's timer stood still with the machine, and the
 // upstream has closed its end long ago, which may not have arrived.
 func TestIdleConnectionsEndInASuspension(t *testing.T) {
-	start, suspended := time.Now(), time.Duration(0)
-	steady := func() (time.Duration, error) { return time.Since(start), nil }
-	boot := func() (time.Duration, error) { return time.Since(start) + suspended, nil }
-	defer clock.Use(clock.New(steady, boot))()
+	machine := testclock.Use(t)
 	s := serve(t, func(_ int64, c net.Conn) bool { return ok(c) })
 	c := New(Options{IdleTimeout: time.Hour})
 	defer c.Close()
 	assert.NilError(t, send(t, c, t.Context(), "POST", s.address, []byte("x")))
-	suspended = 59 * time.Minute
+	machine.Suspend(59 * time.Minute)
 	clock.Check()
 	assert.NilError(t, send(t, c, t.Context(), "POST", s.address, []byte("x")))
 	assert.Equal(t, s.conns.Load(), int64(1))
-	suspended += time.Hour
+	machine.Suspend(time.Hour)
 	clock.Check()
 	assert.NilError(t, send(t, c, t.Context(), "POST", s.address, []byte("x")))
 	assert.Equal(t, s.conns.Load(), int64(2))
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/wardspool/wardspool/bundle/ledger"
 	"github.com/wardspool/wardspool/config"
-	"github.com/wardspool/wardspool/internal/clock"
+	"github.com/wardspool/wardspool/internal/testclock"
 	"github.com/wardspool/wardspool/kernel"
 	"github.com/wardspool/wardspool/standin/control"
 )
@@ -162,10 +162,7 @@
 // any other.
 func TestSuspended(t *testing.T) {
 	inFleet(t, func(f *fleet) {
-		start, suspended := time.Now(), time.Duration(0)
-		steady := func() (time.Duration, error) { return time.Since(start), nil }
-		boot := func() (time.Duration, error) { return time.Since(start) + suspended, nil }
-		defer clock.Use(clock.New(steady, boot))()
+		c := testclock.Use(t)
 		f.addEngine("pf-1", "hall-a", config.RolePrefill)
 		nodes := f.startFleet(3, "hall-a")
 		time.Sleep(5 * time.Second)
@@ -175,7 +172,7 @@
 			f.net.cut(n.host, other.host, true)
 		}
 		f.net.cut(n.host, platformHost, true)
-		suspended = 20 * time.Second
+		c.Suspend(20 * time.Second)
 		time.Sleep(2 * tick)
 		s := n.status()
 		assert.Equal(t, s.Counters.Pauses, uint64(1))
--- a/gateway/suspension_test.go
+++ b/gateway/suspension_test.go
@@ -9,29 +9,13 @@
 
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/internal/clock"
+	"github.com/wardspool/wardspool/internal/testclock"
 )
 
-// twinClock is a pair of clocks of which one stands still while the machine is suspended. Go's
-// own clock stands still too: in a bubble no time passes meanwhile.
-type twinClock struct {
-	start     time.Time
-	suspended time.Duration
-}
-
-func (c *twinClock) steady() (time.Duration, error) { return time.Since(c.start), nil }
-func (c *twinClock) boot() (time.Duration, error)   { return time.Since(c.start) + c.suspended, nil }
-
-// suspend plays a suspension of all instances of a world, during which something happens.
-func (c *twinClock) suspend(d time.Duration, happens func()) {
-	happens()
-	c.suspended += d
-}
-
-// playSuspension plays a fleet of seven with a twin clock.
-func playSuspension(t *testing.T, play func(t *testing.T, w *fleetWorld, c *twinClock)) {
+// playSuspension plays a fleet of seven whose machines can be suspended, all at once.
+func playSuspension(t *testing.T, play func(t *testing.T, w *fleetWorld, c *testclock.Clock)) {
 	synctest.Test(t, func(t *testing.T) {
-		c := &twinClock{start: time.Now()}
-		defer clock.Use(clock.New(c.steady, c.boot))()
+		c := testclock.Use(t)
 		s := fleetSizes[0]
 		w := newFleetWorld(t, s.instances, s.zones, s.prefill, s.decode)
 		defer w.close()
@@ -43,22 +27,21 @@
 // engines but one began to leave. The first requests after it, to all instances at once, go
 // to that one.
 func TestNothingIsSentByAViewFromBeforeASuspension(t *testing.T) {
-	playSuspension(t, func(t *testing.T, w *fleetWorld, c *twinClock) {
+	playSuspension(t, func(t *testing.T, w *fleetWorld, c *testclock.Clock) {
 		stays := ""
-		c.suspend(5*time.Second, func() {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			for address, e := range w.engines {
-				if e.up.Stage != dialect.StageDecode {
-					continue
-				}
-				if stays == "" {
-					stays = address
-				}
-				e.up.Leaving = address != stays
+		w.mu.Lock()
+		for address, e := range w.engines {
+			if e.up.Stage != dialect.StageDecode {
+				continue
 			}
-			w.revision++
-		})
+			if stays == "" {
+				stays = address
+			}
+			e.up.Leaving = address != stays
+		}
+		w.revision++
+		w.mu.Unlock()
+		c.Suspend(5 * time.Second)
 		begun := make(chan *got, len(w.instances))
 		for _, i := range w.instances {
 			go func() { begun <- w.send(i, "innocent", "") }()
@@ -81,7 +64,7 @@
 // TestDutiesEndWithASuspension: whoever held the duty of giving orders has to wait for its
 // lease again: others have taken it over meanwhile.
 func TestDutiesEndWithASuspension(t *testing.T) {
-	playSuspension(t, func(t *testing.T, w *fleetWorld, c *twinClock) {
+	playSuspension(t, func(t *testing.T, w *fleetWorld, c *testclock.Clock) {
 		const lease = 3 * time.Second
 		holds := func() int {
 			n := 0
@@ -93,7 +76,7 @@
 			return n
 		}
 		w.await("one holds the duty", func() bool { return holds() == 1 })
-		c.suspend(5*time.Second, func() {})
+		c.Suspend(5 * time.Second)
 		assert.Equal(t, holds(), 0)
 		time.Sleep(lease - 100*time.Millisecond)
 		assert.Equal(t, holds(), 0)
@@ -103,12 +86,12 @@
 
 // TestDeadlinesPassInASuspension: a request that was on its way is not begun after its time.
 func TestDeadlinesPassInASuspension(t *testing.T) {
-	playSuspension(t, func(t *testing.T, w *fleetWorld, c *twinClock) {
+	playSuspension(t, func(t *testing.T, w *fleetWorld, c *testclock.Clock) {
 		answered := make(chan *got, 1)
 		go func() { answered <- w.send(w.instances[0], deadly, "") }()
 		// It waits for its prompt.
 		time.Sleep(worldPrompt / 2)
-		c.suspend(20*time.Second, func() {})
+		c.Suspend(20 * time.Second)
 		g := <-answered
 		assert.Equal(t, g.status, 503, "%s", g.text.String())
 		sent, _ := w.counts()
@@ -118,11 +101,11 @@
 
 // TestQuarantineOutlivesASuspension, and runs on in it.
 func TestQuarantineOutlivesASuspension(t *testing.T) {
-	playSuspension(t, func(t *testing.T, w *fleetWorld, c *twinClock) {
+	playSuspension(t, func(t *testing.T, w *fleetWorld, c *testclock.Clock) {
 		w.repeat(400*time.Millisecond, 3*time.Second)
 		before, _ := w.counts()
 		left := w.instances[0].running().register.Held(clock.Now())[0].LeftSeconds
-		c.suspend(time.Minute, func() {})
+		c.Suspend(time.Minute)
 		w.atOnce()
 		w.repeat(200*time.Millisecond, 2*time.Second)
 		sent, _ := w.counts()
