A prompt whose prefill engine crashed is computed at one more, on trial

Without it each prompt that waited at a crashed prefill engine, some five, was refused and its caller had to come back after its objective; before the mend they were given to another at once. What crashes prefill engines ends two of them either way: it is quarantined after the second.

--- a/gateway/carry/prefill.go
+++ b/gateway/carry/prefill.go
@@ -52,7 +52,9 @@
 	return s.prefill(ctx, p)
 }
 
-// prefill has the prompt computed for a place. A nil handle without an error means
+// prefill has the prompt computed for a place. One whose engine crashed is given to another,
+// on trial: what waited there, some five prompts, would be late if its callers had to come
+// back, and a prompt that crashes engines ends two of them either way. A nil handle without an error means
 // that the decode engine has to do it, since there are no others.
 func (s *stream) prefill(ctx context.Context, p *place) (*computed, error) {
 	list := s.c.o.View().Upstreams[s.j.Service.Name]
@@ -74,7 +76,7 @@
 			return nil, s.contextError(ctx)
 		}
 		tried = append(tried, t.Upstream.ID)
-		if s.caution.crashed || !s.c.mayResend(s.j.Service.Name, sendsAfterPrefill, s.log) {
+		if !s.c.mayResend(s.j.Service.Name, sendsAfterPrefill, s.log) {
 			return nil, err
 		}
 	}
@@ -96,7 +98,7 @@
 	err = g.cause(err)
 	s.notePrefill(u, err, start, took)
 	if err != nil && adapter.AsCallError(err).Evidence == kernel.Ambiguous && adapter.AsCallError(err).Status == 0 && ctx.Err() == nil {
-		s.caution.lost(u, start, false, 0, err)
+		s.caution.weigh(u, s.c.o.Books.AnsweredSince(u, start), 0, err)
 	}
 	if err == nil {
 		s.c.o.Books.PrefillDone(s.j.Service.Name, s.j.Call.PromptTokens, took)
