--- a/gateway/carry/prefill.go
+++ b/gateway/carry/prefill.go
@@ -54,8 +54,8 @@
 
 // prefill has the prompt computed for a place. One whose engine crashed is given to another,
 // on trial: what waited there, some five prompts, would be late if its callers had to come
-// back, and a prompt that crashes engines ends two of them either way. A nil handle without an error means
-// that the decode engine has to do it, since there are no others.
+// back, and a prompt that crashes engines ends two of them either way. A nil handle without
+// an error means that the decode engine has to do it, since there are no others.
 func (s *stream) prefill(ctx context.Context, p *place) (*computed, error) {
 	list := s.c.o.View().Upstreams[s.j.Service.Name]
 	var tried []ident.UpstreamID
