Sight: logs and counters name what ended an answer before its end

A stream's last lines told an engine that broke off from a caller that left only by the text of an error: 'context canceled' stood for a caller, a deadline and a stop alike, and a stream that was stopped for a move and not taken looked like one that its engine had ended. 'stream broke off' and 'answered' name the cause now (engine, silence, move, caller, deadline, stop), a counter adds up the answers that are left without their end by it, and what came of going on after a move, and of a question to a silent engine, has a line of its own. No decision changes.

--- /dev/null
+++ b/gateway/carry/cut_test.go
@@ -0,0 +1,57 @@
+package carry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/adapter"
+	"github.com/wardspool/wardspool/gateway/dialect"
+)
+
+// TestCutIsNamedByWhatEndedTheRun: the error of a reading alone tells neither a caller that
+// left from an instance that stops, nor an engine that broke off from one that was given up.
+func TestCutIsNamedByWhatEndedTheRun(t *testing.T) {
+	live := t.Context()
+	left, leave := context.WithCancel(live)
+	leave()
+	late, done := context.WithDeadline(live, time.Now())
+	defer done()
+	stopping, stop := context.WithCancelCause(live)
+	stop(&StoppedError{})
+	request, end := context.WithTimeout(stopping, time.Minute)
+	defer end()
+	silent := &adapter.CallError{Err: &SilentError{Upstream: "d1", Err: io.EOF}}
+	for _, c := range []struct {
+		ctx  context.Context
+		err  error
+		want Cut
+	}{
+		{live, io.ErrUnexpectedEOF, CutByEngine},
+		{live, silent, CutBySilence},
+		{live, &CallerError{Err: io.ErrClosedPipe}, CutByCaller},
+		{left, context.Canceled, CutByCaller},
+		{late, context.DeadlineExceeded, CutByDeadline},
+		{request, context.Canceled, CutByStop},
+	} {
+		assert.Equal(t, cutBy(c.ctx, c.err), c.want, "%v", c.err)
+	}
+}
+
+// TestCutAnswerIsCounted with what cut it.
+func TestCutAnswerIsCounted(t *testing.T) {
+	b := streamBed(t)
+	b.serveStreams(reply{verdict: dialect.Success, status: 200, body: events(1, 3), breaks: true})
+	var counted []string
+	b.o.Count = func(name string) { counted = append(counted, name) }
+	var got sink
+	_, err := b.Stream(t.Context(), job(stream1), &got)
+	var broken *BrokenOffError
+	assert.Assert(t, errors.As(err, &broken), "%v", err)
+	assert.Equal(t, broken.By, CutByEngine)
+	assert.DeepEqual(t, counted[len(counted)-1], "answers_cut_engine")
+}
--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -69,7 +69,7 @@
 			"prompt", s.j.Call.PromptTokens, "estimate", s.output(), "bound", s.j.Call.MaxOutputTokens)
 		return nil, false, nil
 	}
-	return nil, s.brokenOff(ctx, p, err, made), s.streamError(ctx, err)
+	return nil, s.brokenOff(ctx, p, err, made, cutBy(ctx, err)), s.streamError(ctx, err)
 }
 
 // callerLeft reports whether a stream ended because its caller can't be written to.
@@ -80,11 +80,12 @@
 
 // brokenOff takes in a stream that ended early, and reports whether it may go on
 // at another engine.
-func (s *stream) brokenOff(ctx context.Context, p *place, err error, made int) bool {
+func (s *stream) brokenOff(ctx context.Context, p *place, err error, made int, by Cut) bool {
 	u := p.decode.Upstream
 	s.runs++
-	s.log.Info("stream broke off", "upstream", u.ID, "events", s.events.Load(), "here", made, "last_event", s.lastEvent,
-		"left_ms", clock.Until(s.j.Deadline).Milliseconds(), "error", logs.ErrorText(err))
+	s.cut = by
+	s.log.Info("stream broke off", "upstream", u.ID, "by", string(by), "events", s.events.Load(), "here", made, "last_event", s.lastEvent,
+		"quiet_ms", clock.Since(s.heardAt).Milliseconds(), "left_ms", clock.Until(s.j.Deadline).Milliseconds(), "error", logs.ErrorText(err))
 	if ctx.Err() != nil || callerLeft(err) {
 		if clock.Since(s.heardAt) >= silentAfter {
 			s.caution.abandoned(u, made)
--- a/gateway/carry/migrate.go
+++ b/gateway/carry/migrate.go
@@ -238,6 +238,7 @@
 	})
 	if err == nil && verdict == dialect.Success {
 		defer resp.Body.Close()
+		s.log.Info("stream goes on", "upstream", u.ID, "took_ms", clock.Since(start).Milliseconds())
 		return s.forward(ctx, g, p, resp, start)
 	}
 	if err == nil {
@@ -245,7 +246,12 @@
 		err = &dialect.StatusError{Op: "go on", Status: resp.StatusCode}
 	}
 	err = g.cause(err)
-	return nil, s.brokenOff(ctx, p, err, 0), s.streamError(ctx, err)
+	by := CutByMove
+	if ctx.Err() != nil {
+		by = cutBy(ctx, err)
+	}
+	s.log.Warn("moved stream not taken", "upstream", u.ID, "verdict", verdict.String(), "took_ms", clock.Since(start).Milliseconds(), "error", logs.ErrorText(err))
+	return nil, s.brokenOff(ctx, p, err, 0, by), s.streamError(ctx, err)
 }
 
 // unframed reports whether the end of a body can't be told from its breaking off.
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -57,7 +57,11 @@
 
 // BrokenOffError reports a stream that ended before its end, after its head went
 // out: its response must not look complete.
-type BrokenOffError struct{ Err error }
+type BrokenOffError struct {
+	// By is what ended its last run, Err why it did not go on.
+	By  Cut
+	Err error
+}
 
 // Error implements error.
 func (e *BrokenOffError) Error() string { return "stream broken off: " + e.Err.Error() }
@@ -103,6 +107,8 @@
 	kept *computed
 	// begun means that the head went out.
 	begun bool
+	// cut is what ended the last run.
+	cut Cut
 	// lastEvent is the number of the last event that the caller has.
 	lastEvent string
 	// events are those that the caller got in this attempt; a move reads them while
@@ -151,6 +157,7 @@
 	for {
 		answer, again, err := s.start(ctx)
 		if err == nil || !again {
+			s.countCut(err)
 			return answer, err
 		}
 		s.log.Info("stream is started again", "starts", s.starts, "last_event", s.lastEvent, "error", logs.ErrorText(err))
@@ -158,6 +165,14 @@
 	}
 }
 
+// countCut counts an answer that is left without its end.
+func (s *stream) countCut(err error) {
+	var broken *BrokenOffError
+	if errors.As(err, &broken) {
+		s.c.o.Count("answers_cut_" + string(broken.By))
+	}
+}
+
 // start takes the stream through one pair of engines. again says whether another
 // pair may be tried.
 func (s *stream) start(ctx context.Context) (answer *Answer, again bool, err error) {
@@ -198,7 +213,7 @@
 	case errors.As(err, &left):
 		return err
 	case s.begun:
-		return &BrokenOffError{Err: err}
+		return &BrokenOffError{By: s.cut, Err: err}
 	case errors.As(err, &told):
 		return told
 	case s.runs == 0:
--- a/gateway/carry/watch.go
+++ b/gateway/carry/watch.go
@@ -9,6 +9,7 @@
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/clock"
+	"github.com/wardspool/wardspool/logs"
 )
 
 const (
@@ -40,6 +41,7 @@
 func (s *stream) ask(watched context.Context, u dialect.Upstream, cancel context.CancelCauseFunc) bool {
 	asking, done := context.WithTimeout(watched, watchTimeout)
 	defer done()
+	start := clock.Now()
 	r, err := s.c.o.Dialect.Report(asking, u)
 	if err == nil && !s.c.Reported(u, r) {
 		return false
@@ -48,6 +50,7 @@
 	case err == nil:
 		s.c.o.Books.Heard(clock.Now(), u)
 	case watched.Err() == nil:
+		s.log.Warn("upstream silent", "upstream", u.ID, "asked_ms", clock.Since(start).Milliseconds(), "error", logs.ErrorText(err))
 		cancel(&SilentError{Upstream: u.ID, Err: err})
 	}
 	return err == nil
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -184,7 +184,12 @@
 	if answer != nil {
 		status = answer.Status
 	}
-	f.o.Log.Info("answered", "request", j.Call.ID, "content", j.Content.String(), "route", j.Route.Name, "workspace", j.WorkspaceName(), "outcome", outcome, "status", status,
+	var cut carry.Cut
+	var broken *carry.BrokenOffError
+	if errors.As(err, &broken) {
+		cut = broken.By
+	}
+	f.o.Log.Info("answered", "request", j.Call.ID, "content", j.Content.String(), "route", j.Route.Name, "workspace", j.WorkspaceName(), "outcome", outcome, "cut_by", string(cut), "status", status,
 		"took_ms", took.Milliseconds(), "version", j.Version, "error", logs.ErrorText(err))
 	if outcome == outcomeAbandoned || outcome == outcomeBroken {
 		// An answer that breaks off must not look complete.
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -219,13 +219,16 @@
 	if g.scrape != nil {
 		running.Go(func() { g.serve(scrape, g.scrape, "metrics") })
 	}
+	serving, end := context.WithCancelCause(context.Background())
+	defer end(nil)
 	callers := &http.Server{
-		Handler: g.front, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		BaseContext: func(net.Listener) context.Context { return serving },
+		Handler:     g.front, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
 	}
 	running.Go(func() { g.serve(callers, g.callers, "callers") })
 	<-ctx.Done()
-	g.shutdown(callers)
+	g.shutdown(callers, end)
 	stop()
 	g.closeServer(ready)
 	g.closeServer(scrape)
@@ -248,8 +251,9 @@
 	running.Wait()
 }
 
-// shutdown stops taking requests and waits for those in progress.
-func (g *Service) shutdown(callers *http.Server) {
+// shutdown stops taking requests and waits for those in progress. At the end of the grace time
+// it ends what is left by end.
+func (g *Service) shutdown(callers *http.Server, end context.CancelCauseFunc) {
 	began := clock.Now()
 	grace := time.Duration(g.settings.Stop.GraceSeconds * float64(time.Second))
 	g.log.Info("stopping", "active", g.front.Active(), "grace_ms", grace.Milliseconds())
@@ -260,6 +264,7 @@
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
 		g.log.Warn("requests broken off by the stop", "active", g.front.Active(), "error", err)
+		end(&carry.StoppedError{})
 		g.closeServer(callers)
 	}
 }
