--- /dev/null
+++ b/gateway/carry/sound_test.go
@@ -0,0 +1,110 @@
+package carry
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/schedule"
+	"github.com/wardspool/wardspool/ident"
+)
+
+// The tests of this file tell one story: callers saw a stream end with a closed connection while
+// its engine was sound. The instance had ended the run itself, and looked for a way on only then.
+
+// refusedMove runs a stream at d1, has it moved and the destination answer as told, and d1 go on
+// with the handle of the stopped stream.
+func refusedMove(t *testing.T, spare float64, atDestination reply) *moveBed {
+	t.Helper()
+	b := runAtFirst(t, stream1)
+	b.o.Budget = schedule.NewBudget(time.Now(), schedule.BudgetOptions{Window: time.Hour, Slack: spare}, func() int { return 1 })
+	b.d.mu.Lock()
+	b.d.do["d1"] = []reply{{verdict: dialect.Success, status: 200, body: events(3, 6)}}
+	b.d.do["d2"] = []reply{atDestination}
+	b.d.mu.Unlock()
+	b.move(t)
+	<-b.ended
+	return b
+}
+
+// TestMovedStreamGoesBackWhenItIsNotTaken: on routes that allow one run too.
+//
+// Callers saw the connection close a few ms after the stream had been moved away from a
+// crowded engine. In order: the KV cache was copied, the run stopped, and the destination refused
+// the request (in the logs `stream moved`, then `stream broke off` with `go on: status 503` within
+// 5 ms). The engine that had been stopped keeps the KV cache, and is not asked.
+func TestMovedStreamGoesBackWhenItIsNotTaken(t *testing.T) {
+	for name, r := range map[string]reply{
+		"refused":      refusal,
+		"not reached":  {err: closed},
+		"answer lost":  {err: broken},
+		"own failure":  {verdict: dialect.Failure, status: 500},
+		"misdirected":  {verdict: dialect.WrongUpstream, status: 421},
+		"not an event": {verdict: dialect.Invalid, status: 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := refusedMove(t, slack, r)
+			assert.NilError(t, b.err)
+			assert.Equal(t, b.got.body.String(), events(1, 6))
+			assert.Equal(t, b.got.heads, 1)
+			last := b.d.sends[len(b.d.sends)-1]
+			assert.Equal(t, string(last.To.ID), "d1")
+			assert.DeepEqual(t, *last.Source, dialect.Handle{Engine: "d1", ID: "moved"})
+			assert.Equal(t, last.LastEvent, "2")
+		})
+	}
+}
+
+// TestSilentEngineKeepsItsStreamWhileThereIsNoOther:
+//
+// Callers saw the connection close some 800 ms after the last event of an engine that was only
+// slow or behind a path that lost packets. In order: no event for 600 ms, no answer to the question
+// whether the engine lives for 200 ms, the run ended, and then no engine had room, or the retry budget was
+// spent (in the logs `is silent`, then `not sent again` or `no_room`).
+func TestSilentEngineKeepsItsStreamWhileThereIsNoOther(t *testing.T) {
+	full := []error{&dialect.FullError{}}
+	for name, happens := range map[string]func(b *bed){
+		"no room": func(b *bed) { b.d.hold["d2"] = full },
+		"no budget": func(b *bed) {
+			b.o.Budget = schedule.NewBudget(time.Now(), schedule.BudgetOptions{Window: time.Hour}, func() int { return 1 })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b, got, _, err := stallAt(t, resumable, func(b *bed) {
+					b.d.silent = map[ident.UpstreamID]bool{"d1": true}
+					happens(b)
+				})
+				assert.NilError(t, err)
+				assert.Equal(t, got.body.String(), events(1, 5))
+				assert.Equal(t, b.d.count("do d2"), 0)
+			})
+		})
+	}
+}
+
+// TestStreamUnderWayGoesOnWhenRoomComes, also long after the time for which one that its caller
+// resumes would wait: its caller still listens, and a closed connection is no answer.
+func TestStreamUnderWayGoesOnWhenRoomComes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, slack, engineUps([]string{"p1"}, []string{"d1", "d2"})...)
+		b.d.do["d1"] = []reply{{verdict: dialect.Success, status: 200, body: events(1, 3), breaks: true}}
+		b.d.do["d2"] = []reply{{verdict: dialect.Success, status: 200, body: events(4, 6)}}
+		full := &dialect.FullError{}
+		b.d.hold["d2"] = []error{full}
+		time.AfterFunc(20*time.Second, func() {
+			b.d.mu.Lock()
+			defer b.d.mu.Unlock()
+			b.d.hold["d2"] = nil
+		})
+		j := job(resumable)
+		j.Arrived, j.Deadline = time.Now(), time.Now().Add(time.Minute)
+		got := &sink{}
+		_, err := b.Stream(t.Context(), j, got)
+		assert.NilError(t, err)
+		assert.Equal(t, got.body.String(), events(1, 6))
+	})
+}
