A stop ends within its grace time, whatever its releases wait for

Operators saw instances still there at the end of their grace time, killed at work. The wait ends 100 ms before the grace time does; what is not released lapses by itself, as before.

--- a/gateway/carry/carry.go
+++ b/gateway/carry/carry.go
@@ -72,8 +72,20 @@
 	return &Carrier{o: o, lines: map[string]*line{}, streams: map[uint64]*stream{}}
 }
 
-// Close waits for the releases that are still being sent.
-func (c *Carrier) Close() { c.cleanup.Wait() }
+// Close waits for the releases that are still being sent, until ctx ends. What is not
+// released then lapses by itself.
+func (c *Carrier) Close(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		c.cleanup.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		c.o.Log.Warn("releases not waited for", "error", context.Cause(ctx))
+	}
+}
 
 // Job is a request to carry.
 type Job struct {
--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -245,6 +245,9 @@
 	view *fleet.Snapshot
 }
 
+// Close waits for all releases.
+func (b *bed) Close() { b.Carrier.Close(context.Background()) }
+
 // slack is the retry budget of tests that are not about it.
 const slack = 1000
 
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -35,8 +35,11 @@
 	// balancer asks once a second and believes the second refusal.
 	announceTime = 3 * time.Second
 	// stopReserve is what is left of the grace period when the last requests are
-	// broken off.
+	// broken off; exitReserve is what is left when nothing is waited for any more.
 	stopReserve = 400 * time.Millisecond
+	exitReserve = 100 * time.Millisecond
+	// peersTime bounds the wait for calls of peers.
+	peersTime = 100 * time.Millisecond
 )
 
 // Service is the gateway's process.
@@ -228,13 +231,14 @@
 	}
 	running.Go(func() { g.serve(callers, g.callers, "callers") })
 	<-ctx.Done()
-	g.shutdown(callers, end)
+	exit, done := g.shutdown(callers, end)
+	defer done()
 	stop()
 	g.closeServer(ready)
 	g.closeServer(scrape)
 	g.closePeers()
 	running.Wait()
-	g.carrier.Close()
+	g.carrier.Close(exit)
 	g.dialect.Close()
 	g.metrics.close()
 	g.log.Info("stopped")
@@ -252,8 +256,9 @@
 }
 
 // shutdown stops taking requests and waits for those in progress. At the end of the grace time
-// it ends what is left by end.
-func (g *Service) shutdown(callers *http.Server, end context.CancelCauseFunc) {
+// it ends what is left by end. The returned context ends when nothing may be waited for any
+// more: a process that is killed at work leaves more behind than one that exits.
+func (g *Service) shutdown(callers *http.Server, end context.CancelCauseFunc) (exit context.Context, done context.CancelFunc) {
 	began := clock.Now()
 	grace := time.Duration(g.settings.Stop.GraceSeconds * float64(time.Second))
 	g.log.Info("stopping", "active", g.front.Active(), "grace_ms", grace.Milliseconds())
@@ -267,6 +272,7 @@
 		end(&carry.StoppedError{})
 		g.closeServer(callers)
 	}
+	return context.WithTimeout(context.Background(), clock.Until(began.Add(grace-exitReserve)))
 }
 
 // stopping reports whether the stop has begun. It is one state with the closing of callers'
@@ -298,7 +304,7 @@
 // closePeers ends the connections between instances.
 func (g *Service) closePeers() {
 	g.pool.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), stopReserve/2)
+	ctx, cancel := context.WithTimeout(context.Background(), peersTime)
 	defer cancel()
 	if err := g.peers.Shutdown(ctx); err != nil {
 		g.log.Debug("peers not waited for", "error", err)
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -176,3 +176,35 @@
 	assert.Assert(t, errors.Is(views["/plain/x"].err, nil), "%+v", views["/plain/x"])
 	assert.Equal(t, views["/plain/x"].status, http.StatusBadGateway)
 }
+
+// TestStopEndsWithinItsGraceTime, also while releases at an engine that doesn't answer are on
+// their way: they lapse by themselves, and a process that is killed at work breaks off more.
+func TestStopEndsWithinItsGraceTime(t *testing.T) {
+	b := newStopBed(t, func() bool { return true })
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wardspool/hold-take" {
+			fmt.Fprint(w, `{"hold":"r"}`)
+			return
+		}
+		// Neither prompts nor releases are answered.
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}))
+	t.Cleanup(engine.Close)
+	for n := range b.source.list {
+		b.source.list[n].Address = strings.TrimPrefix(engine.URL, "http://")
+	}
+	const grace = time.Second
+	i := b.startWith(t, "one", grace.Seconds())
+	await(t, "ready", func() bool { return b.status(t, i) == http.StatusOK })
+	var call sync.WaitGroup
+	defer call.Wait()
+	call.Go(func() { b.call(t, i, "/stream/x", 10) })
+	await(t, "it is under way", func() bool { return i.service.front.Active() == 1 })
+	start := time.Now()
+	i.stop()
+	err := <-i.done
+	i.done <- err
+	assert.NilError(t, err)
+	assert.Assert(t, time.Since(start) < grace, "%v", time.Since(start))
+}
