The end of the grace time is answered, where nothing of an answer has gone out

Callers saw a closed connection, which says nothing, when their instance ended while their request waited in line, at a prefill engine, for an upstream, or with its body half sent. Cause: the stop closed the connections, and the end of a request's context meant that its caller had left.

Now the stop ends the requests' context first, with itself as the cause, and leaves 100 ms of its reserve for answers: 503, not run, come back at once for what no upstream was given; 502 for what may have run. Streams whose head went out are broken off as before: nothing else can be told there.

--- a/gateway/carry/cut.go
+++ b/gateway/carry/cut.go
@@ -11,8 +11,8 @@
 // Error implements error.
 func (*StoppedError) Error() string { return "the instance stops" }
 
-// stopped reports whether a request's context ended because the instance stops.
-func stopped(ctx context.Context) bool {
+// Stopped reports whether a request's context ended because the instance stops.
+func Stopped(ctx context.Context) bool {
 	var stop *StoppedError
 	return errors.As(context.Cause(ctx), &stop)
 }
@@ -42,7 +42,7 @@
 	switch {
 	case callerLeft(err):
 		return CutByCaller
-	case stopped(ctx):
+	case Stopped(ctx):
 		return CutByStop
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return CutByDeadline
--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -33,7 +33,7 @@
 	// breaks ends the body with an error instead of its end.
 	breaks bool
 	err    error
-	// hangs waits for the context's end.
+	// hangs waits for the context's end, and ends with err if there is one.
 	hangs bool
 }
 
@@ -93,6 +93,9 @@
 	}
 	if r.hangs {
 		<-ctx.Done()
+		if r.err != nil {
+			return nil, 0, r.err
+		}
 		return nil, 0, &adapter.CallError{Evidence: kernel.Ambiguous, Err: ctx.Err()}
 	}
 	if r.err != nil {
@@ -243,6 +246,8 @@
 	*Carrier
 	d    *fakeDialect
 	view *fleet.Snapshot
+	// ends is when the instance ends, zero while it isn't stopping.
+	ends time.Time
 }
 
 // Close waits for all releases.
--- a/gateway/carry/plain.go
+++ b/gateway/carry/plain.go
@@ -53,7 +53,7 @@
 func (p *plain) run(ctx context.Context) (*Answer, error) {
 	for {
 		if ctx.Err() != nil {
-			return nil, &AbandonedError{NotSent: len(p.tried) == 0}
+			return nil, p.contextError(ctx)
 		}
 		if err := p.caution.admit(ctx, p.fateUnserved()); err != nil {
 			return p.refused(err)
@@ -68,10 +68,10 @@
 			p.caution.ended()
 			return a.answer, nil
 		}
+		p.learn(a)
 		if ctx.Err() != nil {
-			return nil, &AbandonedError{}
+			return nil, p.contextError(ctx)
 		}
-		p.learn(a)
 		if a.err != nil && a.evidence() == kernel.Ambiguous {
 			p.caution.lost(t.Upstream, start, false, 0, a.cause)
 		}
@@ -81,6 +81,14 @@
 	}
 }
 
+// contextError says why the request's context ended.
+func (p *plain) contextError(ctx context.Context) error {
+	if Stopped(ctx) {
+		return Stopping(p.fateUnserved())
+	}
+	return &AbandonedError{NotSent: len(p.tried) == 0}
+}
+
 // place chooses the next upstream.
 func (p *plain) place() (schedule.Ticket, bool) {
 	list := p.c.o.View().Upstreams[p.j.Service.Name]
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -290,6 +290,9 @@
 
 // contextError says why a request's context ended.
 func (s *stream) contextError(ctx context.Context) error {
+	if Stopped(ctx) {
+		return Stopping(s.fateUnserved())
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return overdue(s.fateUnserved())
 	}
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -122,12 +122,16 @@
 		f.problem(w, j.Call, http.StatusRequestEntityTooLarge, "body_too_large", api.NotRun, 0)
 		return false
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := readAll(w, r, limit)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		f.problem(w, j.Call, http.StatusRequestEntityTooLarge, "body_too_large", api.NotRun, 0)
 		return false
 	}
+	if err != nil && carry.Stopped(r.Context()) {
+		f.stopping(w, j)
+		return false
+	}
 	if err != nil {
 		f.o.Log.Info("request not read", "error", err)
 		panic(http.ErrAbortHandler)
@@ -136,6 +140,22 @@
 	return true
 }
 
+// readAll reads a body of limited length until its request's context ends.
+func readAll(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	rc := http.NewResponseController(w)
+	stop := context.AfterFunc(r.Context(), func() {
+		// A connection without deadlines is closed with the server.
+		_ = rc.SetReadDeadline(time.Now())
+	})
+	defer stop()
+	return io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+}
+
+// stopping refuses a request that was sent nowhere when the instance ended.
+func (f *Front) stopping(w http.ResponseWriter, j *carry.Job) {
+	f.notRun(w, j, carry.Stopping(carry.NotRun))
+}
+
 // serve carries a request that was read whole, if its workspace's limit allows it.
 func (f *Front) serve(w http.ResponseWriter, r *http.Request, j *carry.Job) {
 	cost, ok := f.take(w, r, j)
--- a/gateway/front/limits.go
+++ b/gateway/front/limits.go
@@ -32,6 +32,10 @@
 		f.o.Limited(j.Workspace.Name, "granted", cost)
 		return cost, true
 	}
+	if carry.Stopped(r.Context()) {
+		f.stopping(w, j)
+		return 0, false
+	}
 	if r.Context().Err() != nil {
 		panic(http.ErrAbortHandler)
 	}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -38,6 +38,8 @@
 	// broken off; exitReserve is what is left when nothing is waited for any more.
 	stopReserve = 400 * time.Millisecond
 	exitReserve = 100 * time.Millisecond
+	// tellTime is how long requests without a part of an answer have to be told so.
+	tellTime = 100 * time.Millisecond
 	// peersTime bounds the wait for calls of peers.
 	peersTime = 100 * time.Millisecond
 )
@@ -256,25 +258,35 @@
 }
 
 // shutdown stops taking requests and waits for those in progress. At the end of the grace time
-// it ends what is left by end. The returned context ends when nothing may be waited for any
+// it ends what is left by end: requests without a part of an answer are told what became of
+// them, the others are broken off. The returned context ends when nothing may be waited for any
 // more: a process that is killed at work leaves more behind than one that exits.
 func (g *Service) shutdown(callers *http.Server, end context.CancelCauseFunc) (exit context.Context, done context.CancelFunc) {
 	began := clock.Now()
 	grace := time.Duration(g.settings.Stop.GraceSeconds * float64(time.Second))
+	last := began.Add(grace - stopReserve)
 	g.log.Info("stopping", "active", g.front.Active(), "grace_ms", grace.Milliseconds())
 	g.front.CloseConnections()
 	g.node.Leave()
 	pause.For(context.Background(), min(announceTime, grace/2))
-	ctx, cancel := context.WithTimeout(context.Background(), clock.Until(began.Add(grace-stopReserve)))
-	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
+	if err := shutdownWithin(callers, clock.Until(last)); err != nil {
 		g.log.Warn("requests broken off by the stop", "active", g.front.Active(), "error", err)
 		end(&carry.StoppedError{})
+		if err := shutdownWithin(callers, tellTime); err != nil {
+			g.log.Debug("requests not told of the stop", "error", err)
+		}
 		g.closeServer(callers)
 	}
 	return context.WithTimeout(context.Background(), clock.Until(began.Add(grace-exitReserve)))
 }
 
+// shutdownWithin has a server take no more connections and waits for its requests.
+func shutdownWithin(s *http.Server, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	return s.Shutdown(ctx)
+}
+
 // stopping reports whether the stop has begun. It is one state with the closing of callers'
 // connections: whoever is told that this instance is not ready finds that an answer ends
 // its connection.
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -177,6 +179,27 @@
 	assert.Equal(t, views["/plain/x"].status, http.StatusBadGateway)
 }
 
+// TestHalfReadRequestIsToldOfTheEnd: a caller that is still sending its body learns that nothing
+// ran.
+func TestHalfReadRequestIsToldOfTheEnd(t *testing.T) {
+	b := newStopBed(t, func() bool { return true })
+	i := b.startWith(t, "one", 1)
+	await(t, "ready", func() bool { return b.status(t, i) == http.StatusOK })
+	conn, err := net.Dial("tcp", i.settings.Listen.Callers)
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /plain/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: q\r\nContent-Length: 10\r\n\r\nhalf")
+	assert.NilError(t, err)
+	await(t, "it is being read", func() bool { return i.service.front.Active() == 1 })
+	i.stop()
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, resp.Header.Get("Retry-After") != "")
+	assert.Assert(t, resp.Close)
+}
+
 // TestStopEndsWithinItsGraceTime, also while releases at an engine that doesn't answer are on
 // their way: they lapse by themselves, and a process that is killed at work breaks off more.
 func TestStopEndsWithinItsGraceTime(t *testing.T) {
