A stopping instance turns away streams that would probably outlast it

Cause: for some seconds the balancer goes on to send connections, and the instance served whatever came, though a stream lasts up to 8.7 s and is broken off at the end of the grace time.

Now a stream that no engine has begun is refused, not run, come back at once, if it is less than 0.9 likely to end in the time that is left: by the wait at prefill engines, the pace of events, and the estimate of its length with the spread that lengths show; one whose bound fits is always taken. It is looked at on arrival and while it waits in line. Turning all away is no answer: most that arrive after the signal end in time.

--- a/gateway/carry/carry.go
+++ b/gateway/carry/carry.go
@@ -45,6 +45,8 @@
 	// AwaitInformed waits until this instance knows what its peers know, or until ctx ends;
 	// engines says whether the request is one to engines.
 	AwaitInformed func(ctx context.Context, engines bool)
+	// Ends returns when this instance ends, once its stop has begun.
+	Ends func() (time.Time, bool)
 	// Count counts an event by name.
 	Count func(name string)
 }
--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -268,6 +268,7 @@
 		Log:    slog.New(slog.DiscardHandler), Count: func(string) {},
 		Register: quarantine.NewRegister(), Trials: localTrials{quarantine.NewTrials()}, Spread: func() {},
 		AwaitInformed: func(context.Context, bool) {},
+		Ends:          func() (time.Time, bool) { return b.ends, !b.ends.IsZero() },
 	})
 	t.Cleanup(b.Close)
 	return b
--- a/gateway/carry/reserve.go
+++ b/gateway/carry/reserve.go
@@ -90,6 +90,9 @@
 		if p != nil || err != nil {
 			return p, err
 		}
+		if s.outlasts() {
+			return nil, s.turnAway()
+		}
 		if s.hopeless(clock.Now(), began) {
 			return nil, s.noRoom(l, clock.Since(began))
 		}
--- a/gateway/carry/stop_test.go
+++ b/gateway/carry/stop_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/routing"
 )
 
@@ -19,6 +21,42 @@
 	return ctx
 }
 
+// TestStreamThatOutlastsItsInstanceIsTurnedAway before anything is asked for it.
+func TestStreamThatOutlastsItsInstanceIsTurnedAway(t *testing.T) {
+	b := streamBed(t)
+	b.ends = time.Now().Add(5 * time.Second)
+	j := job(stream1)
+	j.Call.OutputEstimate = 100_000
+	_, err := b.Stream(t.Context(), j, &sink{})
+	assert.Equal(t, fateOf(t, err), NotRun)
+	var told *Error
+	assert.Assert(t, errors.As(err, &told))
+	assert.Equal(t, told.Reason, reasonStopping)
+	assert.Assert(t, told.RetryAfter > 0)
+	assert.Equal(t, len(b.d.calls), 0)
+
+	j = job(stream1)
+	b.serveStreams(reply{verdict: dialect.Success, status: 200, body: events(1, 5)})
+	_, err = b.Stream(t.Context(), j, &sink{})
+	assert.NilError(t, err)
+}
+
+// TestStreamThatWaitsTooLongIsTurnedAway while another instance can still serve it in time.
+func TestStreamThatWaitsTooLongIsTurnedAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := streamBed(t)
+		full := []error{&dialect.FullError{}}
+		b.d.hold["d1"], b.d.hold["d2"] = full, full
+		b.ends = time.Now().Add(5 * time.Second)
+		j := job(stream1)
+		j.Arrived, j.Deadline = time.Now(), time.Now().Add(time.Minute)
+		start := time.Now()
+		_, err := b.Stream(t.Context(), j, &sink{})
+		assert.Equal(t, fateOf(t, err), NotRun)
+		assert.Assert(t, time.Since(start) < 5*time.Second, "%v", time.Since(start))
+	})
+}
+
 // TestEndOfTheInstanceIsTold: what has not run is said not to have run, and nothing else is.
 func TestEndOfTheInstanceIsTold(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -79,6 +79,9 @@
 	defer s.closeRefuge()
 	ctx, cancel := context.WithTimeout(ctx, clock.Until(j.Deadline.Add(overtime)))
 	defer cancel()
+	if s.outlasts() {
+		return nil, s.turnAway()
+	}
 	if err := s.caution.admit(ctx, NotRun); err != nil {
 		return nil, err
 	}
--- a/gateway/schedule/engines_test.go
+++ b/gateway/schedule/engines_test.go
@@ -256,3 +256,21 @@
 	}
 	assert.Assert(t, !b.PrefillReachable(now, list[:1]))
 }
+
+// TestLikelihoodOfEndingInTime follows the estimate, what was produced, and the bound.
+func TestLikelihoodOfEndingInTime(t *testing.T) {
+	b := NewBooks("a", 1)
+	second := 1000 * defaultTokenTime
+	at := func(within time.Duration, size Size, bound int) float64 {
+		return b.EndsWithin("s", size, bound, within)
+	}
+	of1000 := Size{Estimate: 1000}
+	assert.Assert(t, math.Abs(at(second, of1000, 0)-0.5) < 0.01, "the estimate is the median")
+	assert.Assert(t, at(4*second, of1000, 0) > 0.95)
+	assert.Assert(t, at(second/4, of1000, 0) < 0.05)
+	assert.Equal(t, at(second, of1000, 900), 1.0)
+	assert.Equal(t, at(0, of1000, 900), 0.0)
+	half := Size{Estimate: 1000, Produced: 900}
+	assert.Assert(t, at(second, half, 0) > at(second, of1000, 0))
+	assert.Assert(t, at(second/10, half, 0) < 0.5)
+}
--- a/gateway/schedule/forecast.go
+++ b/gateway/schedule/forecast.go
@@ -101,6 +101,36 @@
 	return math.Max(produced, mean*upperTail(z-spread)/beyond)
 }
 
+// EndsWithin returns how likely a stream of a service is to end within a time from its first
+// event on; bound bounds its output in tokens, 0 for none.
+func (b *Books) EndsWithin(service string, size Size, bound int, within time.Duration) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if within <= 0 {
+		return 0
+	}
+	r := b.rateOf(service)
+	reached := float64(size.Produced) + within.Seconds()/r.tokenTime
+	if bound > 0 && reached >= float64(bound) {
+		return 1
+	}
+	return 1 - longer(reached, float64(size.Estimate), r.spread())/max(longer(float64(size.Produced), float64(size.Estimate), r.spread()), leastTail)
+}
+
+// leastTail keeps shares of outputs that are far longer than estimated apart from zero.
+const leastTail = 1e-6
+
+// longer is the share of outputs that are longer than tokens.
+func longer(tokens, estimate, spread float64) float64 {
+	if tokens <= 0 {
+		return 1
+	}
+	if estimate <= 0 {
+		return 0
+	}
+	return upperTail(math.Log(tokens/estimate) / spread)
+}
+
 // upperTail is the share of a normal distribution above z.
 func upperTail(z float64) float64 { return 0.5 * math.Erfc(z/math.Sqrt2) }
 
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -58,6 +59,8 @@
 	metrics  *counters
 	pool     *peer.Pool
 	peers    *peer.Server
+	// ends is when the instance ends, nil until its stop begins.
+	ends atomic.Pointer[time.Time]
 
 	callers, ready, control, scrape net.Listener
 }
@@ -92,6 +95,7 @@
 	g.budget = schedule.NewBudget(clock.Now(), s.Retries.budget(), g.node.Alive)
 	g.carrier = carry.New(carry.Options{
 		Dialect: d, Books: g.books, Budget: g.budget, Zone: s.Zone, View: g.node.Snapshot, Log: log, Count: g.metrics.count,
+		Ends:     g.endsAt,
 		Register: g.register, Trials: g.node, Spread: g.node.SpreadCrashes, AwaitInformed: g.node.AwaitInformed,
 	})
 	g.front = front.New(front.Options{
@@ -257,6 +261,14 @@
 	running.Wait()
 }
 
+// endsAt returns when the instance ends the requests that are left, once its stop has begun.
+func (g *Service) endsAt() (time.Time, bool) {
+	if at := g.ends.Load(); at != nil {
+		return *at, true
+	}
+	return time.Time{}, false
+}
+
 // shutdown stops taking requests and waits for those in progress. At the end of the grace time
 // it ends what is left by end: requests without a part of an answer are told what became of
 // them, the others are broken off. The returned context ends when nothing may be waited for any
@@ -266,6 +278,7 @@
 	grace := time.Duration(g.settings.Stop.GraceSeconds * float64(time.Second))
 	last := began.Add(grace - stopReserve)
 	g.log.Info("stopping", "active", g.front.Active(), "grace_ms", grace.Milliseconds())
+	g.ends.Store(&last)
 	g.front.CloseConnections()
 	g.node.Leave()
 	pause.For(context.Background(), min(announceTime, grace/2))
