Entry: a stream that may run once is left at a silent engine

The cause of answers cut at the gateway, looked for elsewhere: the entry ended a decode without a token for the stall time (5 s by default) whatever could follow. For a request that may run once nothing can, so that the answer of an engine that was only slow was lost for certain. Now its deadline ends it; a machine that is gone shows by the connection, whose keep-alive probes end it within some 6 s.

--- a/entry/driver/patience.go
+++ b/entry/driver/patience.go
@@ -21,6 +21,8 @@
 	// before the stall time is counted: other instances' prefills that came since
 	// the engine's last load report are ahead of it too.
 	prefillSlack = 4
+	// noLimit leaves the end of a stream to its request's deadline.
+	noLimit = time.Hour
 	// minPrefillPatience is the shortest bound on a prefill.
 	minPrefillPatience = 2 * time.Second
 )
@@ -39,6 +41,11 @@
 	stall := d.stall()
 	r := a.exchange.Request
 	p := patience{first: stall, next: max(stall, stallPaces*r.Pace)}
+	if !r.MayRepeat() {
+		// No other engine may go on with what has begun: ending it would lose an answer that
+		// may only be late.
+		p.next = noLimit
+	}
 	source, target := d.specs[from], d.specs[a.target.Upstream]
 	if source != nil && target != nil {
 		p.first += transferSlack * transferTime(d.models[r.Model], r.PromptTokens, source, target)
--- a/entry/driver/patience_test.go
+++ b/entry/driver/patience_test.go
@@ -67,3 +67,27 @@
 		assert.Equal(t, bound(), 2*prefillSlack*time.Second+stall, "newest report")
 	})
 }
+
+// TestStreamThatRunsOnceIsLeftAtASilentEngine:
+//
+// Callers saw a stream that may run once end with a problem while its engine was only slow. In
+// order: no token for the stall time, the attempt ended by the instance, and no second one allowed.
+// Cause: the end of a run that nothing may follow was decided like that of one that another engine goes
+// on with. Found by looking for the cause of answers cut at the gateway; by this test, not in operation.
+func TestStreamThatRunsOnceIsLeftAtASilentEngine(t *testing.T) {
+	d := New(Options{Kernel: &script{decide: func(kernel.Event) []kernel.Action { return nil }}, Observer: &fakeObserver{}, Log: discard()})
+	d.configure(testContent())
+	for _, repeatable := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			r := &kernel.Request{Model: "m", PromptTokens: 900, Repeatable: repeatable, Deadline: time.Now().Add(time.Minute)}
+			a := &attempt{target: adapter.Target{Upstream: "dc-1"}, exchange: &Exchange{Request: r}}
+			var ended time.Duration
+			began := time.Now()
+			w := newWatchdog(d.patience(a, ""), time.Second, func(time.Duration) { ended = time.Since(began) })
+			w.progress()
+			time.Sleep(r.Deadline.Sub(began))
+			w.stop()
+			assert.Equal(t, ended > 0, repeatable, "ended after %v", ended)
+		})
+	}
+}
