A SIGHUP while a process starts neither ends it nor is lost

Found by looking at changes that overlap: the signal was watched once the service listened, so that one that came before ended the process by default; and the file's content at that moment counted as being in force, so that a change between the first reading and then was not taken in. The signals are watched first of all now, and the content that was parsed is the one to compare with.

--- a/process/process.go
+++ b/process/process.go
@@ -66,6 +66,7 @@
 
 // Main reads the command line, runs the program and exits.
 func (p Program[S]) Main() {
+	hangups := watchHangups()
 	var c commandLine
 	kong.Parse(&c,
 		kong.Name(p.Name),
@@ -78,7 +79,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	os.Exit(int(p.run(ctx, c.Settings, os.Stderr)))
+	os.Exit(int(p.run(ctx, c.Settings, hangups, os.Stderr)))
 }
 
 // check says on out what is wrong with a settings file.
@@ -91,9 +92,10 @@
 	return ExitOK
 }
 
-// run serves until ctx ends; errs takes faults of the settings, and the log.
-func (p Program[S]) run(ctx context.Context, file string, errs io.Writer) ExitCode {
-	s, err := settings.Load[S](file)
+// run serves until ctx ends, and reads the settings again at each hangup; errs takes faults of
+// the settings, and the log.
+func (p Program[S]) run(ctx context.Context, file string, hangups <-chan os.Signal, errs io.Writer) ExitCode {
+	data, s, err := settings.Read[S](file)
 	if err != nil {
 		fmt.Fprintln(errs, err)
 		return ExitSettings
@@ -109,7 +111,8 @@
 		fmt.Fprintln(errs, err)
 		return ExitSettings
 	}
-	if err := p.serve(ctx, file, s, log); err != nil {
+	watch := reloading{file: file, last: data, hangups: hangups}
+	if err := p.serve(ctx, watch, s, log); err != nil {
 		log.Error("stopped", "error", err)
 		return p.exitCode(err)
 	}
@@ -117,7 +120,7 @@
 }
 
 // serve makes and runs the service.
-func (p Program[S]) serve(ctx context.Context, file string, s *S, log *slog.Logger) error {
+func (p Program[S]) serve(ctx context.Context, watch reloading, s *S, log *slog.Logger) error {
 	service, err := p.New(s, log)
 	if err != nil {
 		return err
@@ -126,8 +129,9 @@
 		return err
 	}
 	if r, ok := service.(Reloader[S]); ok {
-		stop := startReloading(ctx, file, r, log)
+		ctx, stop := context.WithCancel(ctx)
 		defer stop()
+		go keepReloading(ctx, watch, r, log)
 	}
 	return service.Serve(ctx)
 }
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -65,7 +65,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			var errs bytes.Buffer
-			assert.Equal(t, c.program.run(t.Context(), file(t, c.text), &errs), c.want)
+			assert.Equal(t, c.program.run(t.Context(), file(t, c.text), nil, &errs), c.want)
 			assert.Assert(t, strings.Contains(errs.String(), c.says), "%s", errs.String())
 		})
 	}
--- a/process/reload.go
+++ b/process/reload.go
@@ -19,35 +19,37 @@
 // Reloader is a Service that takes in changed settings while it runs.
 type Reloader[S any] interface{ Reload(s *S) }
 
-// startReloading reads the settings file again on SIGHUP and when it changes, until
-// the returned function is called. Settings at fault are logged, and those in
-// force stay.
-func startReloading[S any](ctx context.Context, file string, r Reloader[S], log *slog.Logger) (stop func()) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	ctx, cancel := context.WithCancel(ctx)
-	go func() {
-		last, err := os.ReadFile(file)
-		if err != nil {
-			log.Warn("settings not read", "file", file, "error", err)
-		}
-		ticker := time.NewTicker(reloadInterval)
-		defer ticker.Stop()
-		for {
-			signalled := false
-			select {
-			case <-ctx.Done():
-				return
-			case <-hangup:
-				signalled = true
-			case <-ticker.C:
-			}
-			last = reload(file, last, signalled, r, log)
+// watchHangups returns the SIGHUPs from now on. It must come first: until then, and for programs
+// that don't watch at all, the signal ends the process, and with it all answers under way.
+func watchHangups() <-chan os.Signal {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
+// reloading is what is watched for changed settings.
+type reloading struct {
+	file string
+	// last is the content that is in force.
+	last    []byte
+	hangups <-chan os.Signal
+}
+
+// keepReloading reads the settings file again on SIGHUP and when it changes, until ctx ends.
+func keepReloading[S any](ctx context.Context, watch reloading, r Reloader[S], log *slog.Logger) {
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	last := watch.last
+	for {
+		signalled := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-watch.hangups:
+			signalled = true
+		case <-ticker.C:
 		}
-	}()
-	return func() {
-		signal.Stop(hangup)
-		cancel()
+		last = reload(watch.file, last, signalled, r, log)
 	}
 }
 
--- a/process/reload_test.go
+++ b/process/reload_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"bytes"
+	"context"
 	"log/slog"
 	"os"
+	"syscall"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/logs"
 )
 
 // reloads records the settings that it is given.
@@ -32,3 +37,42 @@
 	assert.DeepEqual(t, r.names, []string{"two", "four"})
 	assert.Assert(t, bytes.Contains(out.Bytes(), []byte("those in force stay")))
 }
+
+// reloadable is a Service that says when it was given changed settings.
+type reloadable struct {
+	service
+	reloaded chan string
+}
+
+func (r reloadable) Serve(ctx context.Context) error {
+	<-ctx.Done()
+	return nil
+}
+
+func (r reloadable) Reload(s *sample) { r.reloaded <- s.Name }
+
+// TestHangupDuringTheStart neither ends the process nor is lost:
+//
+// A change of the settings beside a start ended the process, or was never taken in. Cause: the signal
+// was watched once the service listened, and what the file held then counted as being in force. Found
+// by looking at changes that overlap, not in operation; without the watch the signal ends this test's
+// process.
+func TestHangupDuringTheStart(t *testing.T) {
+	path := file(t, "name: one")
+	r := reloadable{reloaded: make(chan string, 1)}
+	p := Program[sample]{
+		Log: func(s *sample) logs.Options { return s.Log },
+		New: func(*sample, *slog.Logger) (Service, error) {
+			assert.NilError(t, os.WriteFile(path, []byte("name: two"), 0o600))
+			return r, syscall.Kill(os.Getpid(), syscall.SIGHUP)
+		},
+	}
+	ctx, stop := context.WithTimeout(t.Context(), time.Minute)
+	defer stop()
+	ended := make(chan ExitCode)
+	hangups := watchHangups()
+	go func() { ended <- p.run(ctx, path, hangups, &bytes.Buffer{}) }()
+	assert.Equal(t, <-r.reloaded, "two")
+	stop()
+	assert.Equal(t, <-ended, ExitOK)
+}
--- a/settings/load.go
+++ b/settings/load.go
@@ -32,11 +32,18 @@
 
 // Load reads a settings file into a T. Errors are *ReadError and *InvalidError.
 func Load[T any](file string) (*T, error) {
+	_, s, err := Read[T](file)
+	return s, err
+}
+
+// Read is Load that returns the file's content too.
+func Read[T any](file string) ([]byte, *T, error) {
 	data, err := readFile(file)
 	if err != nil {
-		return nil, &ReadError{File: file, Err: err}
+		return nil, nil, &ReadError{File: file, Err: err}
 	}
-	return Parse[T](file, data)
+	s, err := Parse[T](file, data)
+	return data, s, err
 }
 
 // TooLargeError reports a settings file beyond its limit.
