A moved stream goes back from a destination that is silent too; names of the field

Read as a newcomer: the place reserved in advance is a standby, what looks for it a failover. One copy of the size that a stream asks for. A destination that takes the connection and says nothing held a stopped stream until its caller left; after 1 s the engine that was stopped goes on.

--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -53,7 +53,7 @@
 	}
 	if next != nil {
 		s.free(&computed{handle: next.source, engine: u})
-		s.doneWith(next.at)
+		s.endPlacements(next.at)
 	}
 	err = endOf(resp, err, ambiguous)
 	took := clock.Since(start)
--- a/gateway/carry/guard.go
+++ b/gateway/carry/guard.go
@@ -19,26 +19,27 @@
 
 // guard watches an engine that a request was sent to: the request's context ends when the
 // engine has started again. If nothing comes for a time, the engine is asked whether it
-// lives, and the context ends too if it doesn't answer.
+// lives; without an answer the context ends too, that of a run under way only for another
+// engine.
 type guard struct {
-	// ctx is the request's, canceled with a *SilentError.
-	ctx   context.Context
-	stop  func()
-	timer *time.Timer
-	after time.Duration
+	// ctx is the request's, canceled with a *SilentError by cancel.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	stop   func()
+	timer  *time.Timer
+	after  time.Duration
 	// signs counts the signs of life.
 	signs atomic.Uint64
 }
 
-// watch returns a guard of a request to an engine, which asks after the given time. With a
-// way on, a run under way is given up only for another engine, and the question is asked
-// once more whenever nothing has come for as long.
-func (s *stream) watch(ctx context.Context, u dialect.Upstream, after time.Duration, way *wayOn) *guard {
+// watch returns a guard of a request to an engine, which asks after the given time; with a
+// failover, once more whenever nothing has come for as long.
+func (s *stream) watch(ctx context.Context, u dialect.Upstream, after time.Duration, f *failover) *guard {
 	watched, cancel, end := s.c.underWay.track(ctx, u)
-	g := &guard{ctx: watched, after: after}
+	g := &guard{ctx: watched, cancel: cancel, after: after}
 	// The timer must be in place when it fires: it is started by heard.
 	g.timer = time.AfterFunc(notYet, func() {
-		if s.ask(watched, u, g, way, cancel) && way != nil {
+		if s.ask(u, g, f) && f != nil {
 			g.wait()
 		}
 	})
@@ -57,10 +58,10 @@
 func (s *stream) guardOf(ctx context.Context, u dialect.Upstream) *guard {
 	after := stallFactor * s.j.Route.PaceObjective
 	if !s.j.Route.Repeatable() || after <= 0 {
-		watched, _, end := s.c.underWay.track(ctx, u)
-		return &guard{ctx: watched, stop: end}
+		watched, cancel, end := s.c.underWay.track(ctx, u)
+		return &guard{ctx: watched, cancel: cancel, stop: end}
 	}
-	return s.watch(ctx, u, after, s.wayOn(u))
+	return s.watch(ctx, u, after, s.failoverFrom(u))
 }
 
 // heard takes in a sign of life.
--- a/gateway/carry/migrate.go
+++ b/gateway/carry/migrate.go
@@ -35,6 +35,9 @@
 	// its way back if the destination doesn't take the stream.
 	sendsToMigrate = 1
 	sendsBack      = 1
+	// resumeTimeout bounds the wait for an engine that a stopped stream was sent to: its cache
+	// is there, so that the answer takes some ten ms, and its caller hears nothing meanwhile.
+	resumeTimeout = time.Second
 )
 
 // phase is how far the move of a stream has come.
@@ -269,29 +272,31 @@
 		var resp *http.Response
 		start := clock.Now()
 		g := s.guardOf(ctx, t.Upstream)
-		if resp, err = s.takeUp(g, t.Upstream, next.source); err == nil {
+		if resp, err = s.resumeAt(g, t.Upstream, next.source); err == nil {
 			defer g.stop()
 			defer resp.Body.Close()
-			s.doneWith(next.at[i+1:])
+			s.endPlacements(next.at[i+1:])
 			return s.forward(ctx, g, p, resp, start)
 		}
 		g.stop()
 		if ctx.Err() != nil {
-			s.doneWith(next.at[i+1:])
+			s.endPlacements(next.at[i+1:])
 			s.free(&computed{handle: next.source, engine: t.Upstream})
 			return nil, s.brokenOff(ctx, p, err, 0, cutBy(ctx, err)), s.streamError(ctx, err)
 		}
 		if i+1 < len(next.at) {
-			s.notTaken(ctx, t, start, err)
+			s.notResumed(ctx, t, start, err)
 		}
 	}
 	s.free(&computed{handle: next.source, engine: p.decode.Upstream})
 	return nil, s.brokenOff(ctx, p, err, 0, CutByMove), s.streamError(ctx, err)
 }
 
-// takeUp asks an engine to go on with a stopped stream.
-func (s *stream) takeUp(g *guard, u dialect.Upstream, source dialect.Handle) (*http.Response, error) {
+// resumeAt asks an engine to go on with a stopped stream.
+func (s *stream) resumeAt(g *guard, u dialect.Upstream, source dialect.Handle) (*http.Response, error) {
 	start := clock.Now()
+	limit := time.AfterFunc(resumeTimeout, func() { g.cancel(&SilentError{Upstream: u.ID, Err: context.DeadlineExceeded}) })
+	defer limit.Stop()
 	resp, verdict, err := s.c.o.Dialect.Do(g.ctx, s.j.Call, dialect.Send{
 		To: u, Deadline: s.j.Deadline.Add(-deadlineMargin), Source: &source, LastEvent: s.lastEvent,
 	})
@@ -310,9 +315,9 @@
 	return nil, err
 }
 
-// notTaken takes in that an engine did not take a stopped stream that another one can still
+// notResumed takes in that an engine did not take a stopped stream that another one can still
 // take.
-func (s *stream) notTaken(ctx context.Context, t schedule.Ticket, start time.Time, err error) {
+func (s *stream) notResumed(ctx context.Context, t schedule.Ticket, start time.Time, err error) {
 	s.c.o.Books.Done(t)
 	s.excluded = append(s.excluded, t.Upstream.ID)
 	var status *dialect.StatusError
@@ -325,8 +330,8 @@
 	}
 }
 
-// doneWith ends placements.
-func (s *stream) doneWith(tickets []schedule.Ticket) {
+// endPlacements ends placements that the stream doesn't come to.
+func (s *stream) endPlacements(tickets []schedule.Ticket) {
 	for _, t := range tickets {
 		s.c.o.Books.Done(t)
 	}
--- a/gateway/carry/reserve.go
+++ b/gateway/carry/reserve.go
@@ -119,11 +119,17 @@
 	if !first {
 		return nil, nil
 	}
+	return s.reserveFor(ctx, s.sizeNow())
+}
+
+// sizeNow is the memory that the request takes wherever there is room, and whether the decode
+// engine has to compute the prompt.
+func (s *stream) sizeNow() schedule.Size {
 	prefill, self := s.prefillWait()
 	size := s.size()
 	size.Overflow = !self && s.prefillBusy(prefill)
 	size.Self = self || size.Overflow
-	return s.reserveFor(ctx, size)
+	return size
 }
 
 // noRoom refuses a request for which no engine has room.
--- a/gateway/carry/sound_test.go
+++ b/gateway/carry/sound_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
 )
@@ -65,6 +66,31 @@
 	}
 }
 
+// TestMovedStreamGoesBackFromASilentEngine long before its caller would leave.
+func TestMovedStreamGoesBackFromASilentEngine(t *testing.T) {
+	for name, r := range map[string]routing.Route{"runs once": stream1, "may be resumed": resumable} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBed(t, slack, engineUps([]string{"p1"}, []string{"d1", "d2"})...)
+				b.d.do["d2"] = []reply{{hangs: true}}
+				b.d.do["d1"] = []reply{{verdict: dialect.Success, status: 200, body: events(3, 4)}}
+				j := job(r)
+				j.Arrived, j.Deadline = time.Now(), time.Now().Add(time.Minute)
+				s := &stream{c: b.Carrier, j: j, w: &sink{}, log: b.o.Log, begun: true, lastEvent: "2"}
+				s.events.Store(2)
+				s.caution = caution{c: b.Carrier, j: j, log: s.log}
+				ups := engineUps(nil, []string{"d1", "d2"})
+				next := &continuation{source: dialect.Handle{Engine: "d1", ID: "moved"}, at: []schedule.Ticket{{Upstream: ups[1]}, {Upstream: ups[0]}}}
+				start := time.Now()
+				_, _, err := s.goOn(t.Context(), &place{}, next)
+				assert.NilError(t, err)
+				assert.Equal(t, s.lastEvent, "4")
+				assert.Assert(t, time.Since(start) <= 2*resumeTimeout, "%v", time.Since(start))
+			})
+		})
+	}
+}
+
 // TestWayBackOfAMoveNeedsNoBudget: a budget that the move has spent doesn't cost the answer. The
 // send back counts all the same.
 func TestWayBackOfAMoveNeedsNoBudget(t *testing.T) {
@@ -158,7 +184,7 @@
 // TestPlaceThatIsNotUsedIsGivenUp: the engine was heard of again while another one was asked.
 func TestPlaceThatIsNotUsedIsGivenUp(t *testing.T) {
 	b := streamBed(t)
-	var r refuge
+	var r standby
 	p := &place{decode: schedule.Ticket{}}
 	assert.Assert(t, r.keep(p))
 	assert.Assert(t, r.kept())
@@ -168,13 +194,13 @@
 
 	s := &stream{c: b.Carrier, j: job(resumable), log: b.o.Log}
 	s.events.Store(2)
-	way := s.wayOn(engineUps(nil, []string{"d1"})[0])
+	f := s.failoverFrom(engineUps(nil, []string{"d1"})[0])
 	asked := 0
 	heardAgain := func() bool {
 		asked++
 		return asked > 1
 	}
-	assert.Assert(t, !way.silentFor(t.Context(), engineUps(nil, []string{"d1"})[0], notSent, time.Now(), heardAgain))
+	assert.Assert(t, !f.onSilence(t.Context(), engineUps(nil, []string{"d1"})[0], notSent, time.Now(), heardAgain))
 	b.Close()
 	assert.Equal(t, b.d.count("hold d2"), 1)
 	assert.Equal(t, b.d.count("release d2"), 1)
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -76,7 +76,7 @@
 	s := &stream{c: c, j: j, w: w, log: j.log(c.o.Log), lastEvent: j.Call.LastEvent}
 	s.caution = caution{c: c, j: j, log: s.log}
 	defer s.caution.done()
-	defer s.closeRefuge()
+	defer s.closeStandby()
 	ctx, cancel := context.WithTimeout(ctx, clock.Until(j.Deadline.Add(overtime)))
 	defer cancel()
 	if s.outlasts() {
@@ -89,10 +89,10 @@
 	return s.run(ctx)
 }
 
-// closeRefuge gives up the place that the stream did not come to.
-func (s *stream) closeRefuge() {
-	if p := s.refuge.close(); p != nil {
-		s.leave(p)
+// closeStandby gives up the place that the stream did not come to.
+func (s *stream) closeStandby() {
+	if p := s.standby.close(); p != nil {
+		s.releasePlace(p)
 	}
 }
 
@@ -126,7 +126,7 @@
 	// the stream goes on.
 	events    atomic.Int64
 	migration migration
-	refuge    refuge
+	standby   standby
 	caution   caution
 	// firstAt and lastAt are when the first and the last event came; longestPause is
 	// between two.
@@ -210,7 +210,7 @@
 	if err := s.admit(ctx); err != nil {
 		return nil, err
 	}
-	if p := s.refuge.take(); p != nil {
+	if p := s.standby.take(); p != nil {
 		return p, nil
 	}
 	return s.reserve(ctx)
@@ -264,7 +264,7 @@
 		return false
 	}
 	// The sends to a place that is kept are paid for.
-	return s.refuge.kept() || s.mayResend(sends)
+	return s.standby.kept() || s.mayResend(sends)
 }
 
 // mayResend reports whether the retry budget allows so many sends beyond the first: a stream
--- a/gateway/carry/watch.go
+++ b/gateway/carry/watch.go
@@ -36,30 +36,28 @@
 // Unwrap returns the question's error.
 func (e *SilentError) Unwrap() error { return e.Err }
 
-// ask asks an engine for a sign of life, and cancels with a *SilentError if it has ended, or
-// if there is none and the run is to be given up for it. It reports whether the run goes on.
-func (s *stream) ask(watched context.Context, u dialect.Upstream, g *guard, way *wayOn, cancel context.CancelCauseFunc) bool {
-	asking, done := context.WithTimeout(watched, watchTimeout)
+// ask asks an engine for a sign of life, and ends the guard's context with a *SilentError if it
+// has ended, or if there is none and the run is given up for it. It reports whether the run
+// goes on.
+func (s *stream) ask(u dialect.Upstream, g *guard, f *failover) bool {
+	asking, done := context.WithTimeout(g.ctx, watchTimeout)
 	defer done()
 	signs := g.signs.Load()
 	start := clock.Now()
 	r, err := s.c.o.Dialect.Report(asking, u)
-	if err == nil && !s.c.Reported(u, r) {
+	switch {
+	case err == nil && !s.c.Reported(u, r), err != nil && g.ctx.Err() != nil:
 		return false
-	}
-	if err == nil {
+	case err == nil:
 		s.c.o.Books.Heard(clock.Now(), u)
 		return true
 	}
-	if watched.Err() != nil {
-		return false
-	}
 	s.log.Warn("upstream silent", "upstream", u.ID, "asked_ms", clock.Since(start).Milliseconds(), "error", logs.ErrorText(err))
 	heard := func() bool { return g.signs.Load() != signs }
-	if way != nil && endingOf(err) != endedCrashed && !way.silentFor(watched, u, err, start, heard) {
+	if f != nil && endingOf(err) != endedCrashed && !f.onSilence(g.ctx, u, err, start, heard) {
 		return true
 	}
-	cancel(&SilentError{Upstream: u.ID, Err: err})
+	g.cancel(&SilentError{Upstream: u.ID, Err: err})
 	return false
 }
 
