--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -153,7 +153,10 @@
 
 // stopping refuses a request that was sent nowhere when the instance ended.
 func (f *Front) stopping(w http.ResponseWriter, j *carry.Job) {
-	f.notRun(w, j, carry.Stopping(carry.NotRun))
+	e := carry.Stopping(carry.NotRun)
+	f.o.Count("refused_" + e.Reason)
+	f.o.Log.Info("refused", "request", j.Call.ID, "route", j.Route.Name, "reason", e.Reason, "version", j.Version)
+	f.notRun(w, j, e)
 }
 
 // serve carries a request that was read whole, if its workspace's limit allows it.
--- a/gateway/schedule/forecast.go
+++ b/gateway/schedule/forecast.go
@@ -114,14 +114,16 @@
 	if bound > 0 && reached >= float64(bound) {
 		return 1
 	}
-	return 1 - longer(reached, float64(size.Estimate), r.spread())/max(longer(float64(size.Produced), float64(size.Estimate), r.spread()), leastTail)
+	estimate, spread := float64(size.Estimate), r.spread()
+	going := shareLonger(float64(size.Produced), estimate, spread)
+	return 1 - shareLonger(reached, estimate, spread)/max(going, leastTail)
 }
 
 // leastTail keeps shares of outputs that are far longer than estimated apart from zero.
 const leastTail = 1e-6
 
-// longer is the share of outputs that are longer than tokens.
-func longer(tokens, estimate, spread float64) float64 {
+// shareLonger is the share of outputs that are longer than tokens.
+func shareLonger(tokens, estimate, spread float64) float64 {
 	if tokens <= 0 {
 		return 1
 	}
