--- a/gateway/carry/sound_test.go
+++ b/gateway/carry/sound_test.go
@@ -40,10 +40,9 @@
 // the request. Cause: the instance ended a sound run itself, and asked one engine, once, to go on
 // with it; the one that it had stopped, which keeps the KV cache, was not asked.
 //
-// Evidence: `stream moved`, and within 5 ms `stream broke off` with `go on: status 503`, on days on
-// which a third of the engines refuse a part of their requests, never on others; in the users' logs
-// the same lines with 90 us between the last two, and no `not sent again`, which rules the retry budget
-// out.
+// Evidence: `stream moved`, and within 5 ms `stream broke off` with `go on: status 503`, where a third
+// of the engines refuse a part of their requests, never elsewhere; in operation the same lines with 90 us
+// between the last two, and no `not sent again`, which rules the retry budget out.
 func TestMovedStreamGoesBackWhenItIsNotTaken(t *testing.T) {
 	for name, r := range map[string]reply{
 		"refused":      refusal,
@@ -142,8 +141,8 @@
 // sends to it were asked for then; where none had room or the retry budget was spent, the answer was lost,
 // while its engine went on.
 //
-// Evidence: `is silent` and `not sent again` or `no_room` in the same millisecond, 30 times and more on each
-// of two standard days with cuts between zones; none on days without.
+// Evidence: `is silent` and `not sent again` or `no_room` in the same millisecond, 30 times and more under
+// each of two loads with cuts between zones; none without.
 func TestSilentEngineKeepsItsStreamWhileThereIsNoOther(t *testing.T) {
 	full := []error{&dialect.FullError{}}
 	for name, happens := range map[string]func(b *bed){
@@ -214,8 +213,8 @@
 // what the retry budget grants any request, some two sends an instance in a large fleet.
 //
 // Evidence: `stream broke off`, then `no_room` or `not sent again` with `retry_budget` and the
-// closing within the same millisecond, for most streams that had lost their engine on three standard
-// days with cuts and crashes.
+// closing within the same millisecond, for most streams that had lost their engine under three loads
+// with cuts and crashes.
 func TestStreamUnderWayGoesOnWhenRoomComes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t, slack, engineUps([]string{"p1"}, []string{"d1", "d2"})...)
