--- a/gateway/carry/sound_test.go
+++ b/gateway/carry/sound_test.go
@@ -141,8 +141,8 @@
 // sends to it were asked for then; where none had room or the retry budget was spent, the answer was lost,
 // while its engine went on.
 //
-// Evidence: `is silent` and `not sent again` or `no_room` in the same millisecond, 30 times and more under
-// each of two loads with cuts between zones; none without.
+// Evidence: `is silent`, then `not sent again` and the closing, 37 and 39 times under two loads with cuts
+// between zones, 8 times and once under two others.
 func TestSilentEngineKeepsItsStreamWhileThereIsNoOther(t *testing.T) {
 	full := []error{&dialect.FullError{}}
 	for name, happens := range map[string]func(b *bed){
@@ -212,9 +212,8 @@
 // engine. Cause: it waited behind all others for a quarter of its time at most, and its sends came from
 // what the retry budget grants any request, some two sends an instance in a large fleet.
 //
-// Evidence: `stream broke off`, then `no_room` or `not sent again` with `retry_budget` and the
-// closing within the same millisecond, for most streams that had lost their engine under three loads
-// with cuts and crashes.
+// Evidence: under three loads with cuts and crashes 301 streams lost their engine and 182 answers were
+// cut, 157 of them after `not sent again` (`retry_budget`), 3 with `no_room`.
 func TestStreamUnderWayGoesOnWhenRoomComes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t, slack, engineUps([]string{"p1"}, []string{"d1", "d2"})...)
