Streams: one admission before a start, one question to the retry budget, one way out of a move that nobody takes

What reserves a decode engine stands in reserve.go again, what stops with the instance in stop.go. No behaviour changes.

--- a/gateway/carry/carry.go
+++ b/gateway/carry/carry.go
@@ -146,6 +146,15 @@
 	TimedOut
 )
 
+// fateAfter is the fate of a request that may have run so many times and is sent to no further
+// upstream.
+func fateAfter(runs int) Fate {
+	if runs > 0 {
+		return Unknown
+	}
+	return NotRun
+}
+
 // ReasonNoKey is the reason of a request without a key of a workspace.
 const ReasonNoKey = "no_key"
 
@@ -253,14 +262,14 @@
 	}
 }
 
-// mayResend reports whether the retry budget allows so many sends beyond the first.
-func (c *Carrier) mayResend(service string, sends int, log *slog.Logger) bool {
-	return c.allowed(c.o.Budget.Extra(clock.Now(), service, sends), sends, log)
-}
-
-// allowed passes on whether the retry budget allows sends, and says so if it doesn't.
-func (c *Carrier) allowed(ok bool, sends int, log *slog.Logger) bool {
-	if ok {
+// mayResend reports whether the retry budget allows so many sends beyond the first; a stream
+// under way may use what is kept back from others.
+func (c *Carrier) mayResend(service string, sends int, underWay bool, log *slog.Logger) bool {
+	allowed := c.o.Budget.Extra
+	if underWay {
+		allowed = c.o.Budget.Continue
+	}
+	if allowed(clock.Now(), service, sends) {
 		return true
 	}
 	c.o.Count("retry_budget_spent")
--- a/gateway/carry/cut.go
+++ b/gateway/carry/cut.go
@@ -5,18 +5,6 @@
 	"errors"
 )
 
-// StoppedError is the cause of a request's context that ends because its instance stops.
-type StoppedError struct{}
-
-// Error implements error.
-func (*StoppedError) Error() string { return "the instance stops" }
-
-// Stopped reports whether a request's context ended because the instance stops.
-func Stopped(ctx context.Context) bool {
-	var stop *StoppedError
-	return errors.As(context.Cause(ctx), &stop)
-}
-
 // Cut says what ended a run of a stream before its end, as logs and metrics name it.
 type Cut string
 
--- a/gateway/carry/failover.go
+++ b/gateway/carry/failover.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/wardspool/wardspool/gateway/dialect"
-	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/internal/pause"
@@ -84,7 +83,7 @@
 	s := f.s
 	for f.allowed && !heard() && clock.Until(s.j.Deadline) >= leastTime {
 		if p := f.look(ctx); p != nil {
-			if s.c.allowed(s.c.o.Budget.Continue(clock.Now(), s.j.Service.Name, sendsAnew), sendsAnew, s.log) {
+			if s.c.mayResend(s.j.Service.Name, sendsAnew, true, s.log) {
 				return p
 			}
 			s.releasePlace(p)
@@ -110,27 +109,6 @@
 	s.roomCame(p)
 }
 
-// placeFor reserves an engine with room for a size, none of the excluded; nil if there is none.
-func (s *stream) placeFor(ctx context.Context, size schedule.Size, excluded []ident.UpstreamID) *place {
-	list := s.c.o.View().Upstreams[s.j.Service.Name]
-	size.MaxPause = s.j.Route.PaceObjective
-	for ctx.Err() == nil {
-		t, ok := s.c.o.Books.PlaceDecode(clock.Now(), list, s.j.Service.Engine, size, excluded)
-		if !ok {
-			return nil
-		}
-		start := clock.Now()
-		hold, err := s.hold(ctx, t)
-		if err == nil {
-			s.log.Info("reserved", "upstream", t.Upstream.ID, "tokens", s.need(), "self", size.Self, "overflow", size.Overflow,
-				"took_ms", clock.Since(start).Milliseconds(), "waited_ms", start.Sub(s.j.Arrived).Milliseconds())
-			return &place{decode: t, hold: hold, self: size.Self}
-		}
-		s.c.o.Books.Done(t)
-	}
-	return nil
-}
-
 // onSilence looks for another engine when the stream's own has not answered whether it lives,
 // and reports whether the run there is to be given up for it.
 //
--- a/gateway/carry/migrate.go
+++ b/gateway/carry/migrate.go
@@ -263,6 +263,7 @@
 // once, so that the run can't go on twice.
 func (s *stream) goOn(ctx context.Context, p *place, next *continuation) (*Answer, bool, error) {
 	var err error
+	by := CutByMove
 	for i, t := range next.at {
 		if i > 0 {
 			s.c.o.Budget.Owed(clock.Now(), s.j.Service.Name, sendsBack)
@@ -281,15 +282,15 @@
 		g.stop()
 		if ctx.Err() != nil {
 			s.endPlacements(next.at[i+1:])
-			s.free(&computed{handle: next.source, engine: t.Upstream})
-			return nil, s.brokenOff(ctx, p, err, 0, cutBy(ctx, err)), s.streamError(ctx, err)
+			by = cutBy(ctx, err)
+			break
 		}
 		if i+1 < len(next.at) {
 			s.notResumed(ctx, t, start, err)
 		}
 	}
 	s.free(&computed{handle: next.source, engine: p.decode.Upstream})
-	return nil, s.brokenOff(ctx, p, err, 0, CutByMove), s.streamError(ctx, err)
+	return nil, s.brokenOff(ctx, p, err, 0, by), s.streamError(ctx, err)
 }
 
 // resumeAt asks an engine to go on with a stopped stream.
--- a/gateway/carry/plain.go
+++ b/gateway/carry/plain.go
@@ -163,16 +163,11 @@
 	if p.refusals > maxRefusals {
 		return false
 	}
-	return p.c.mayResend(p.j.Service.Name, 1, p.log)
+	return p.c.mayResend(p.j.Service.Name, 1, false, p.log)
 }
 
 // fateUnserved is the fate of a request that is sent to no further upstream.
-func (p *plain) fateUnserved() Fate {
-	if p.runs > 0 {
-		return Unknown
-	}
-	return NotRun
-}
+func (p *plain) fateUnserved() Fate { return fateAfter(p.runs) }
 
 // refused ends a request that may be sent to no upstream. An upstream's own failure is still
 // the better answer.
--- a/gateway/carry/prefill.go
+++ b/gateway/carry/prefill.go
@@ -76,7 +76,7 @@
 			return nil, s.contextError(ctx)
 		}
 		tried = append(tried, t.Upstream.ID)
-		if !s.mayResend(sendsAfterPrefill) {
+		if !s.c.mayResend(s.j.Service.Name, sendsAfterPrefill, s.begun, s.log) {
 			return nil, err
 		}
 	}
--- a/gateway/carry/reserve.go
+++ b/gateway/carry/reserve.go
@@ -158,6 +158,27 @@
 	return p, nil
 }
 
+// placeFor reserves an engine with room for a size, none of the excluded; nil if there is none.
+func (s *stream) placeFor(ctx context.Context, size schedule.Size, excluded []ident.UpstreamID) *place {
+	list := s.c.o.View().Upstreams[s.j.Service.Name]
+	size.MaxPause = s.j.Route.PaceObjective
+	for ctx.Err() == nil {
+		t, ok := s.c.o.Books.PlaceDecode(clock.Now(), list, s.j.Service.Engine, size, excluded)
+		if !ok {
+			return nil
+		}
+		start := clock.Now()
+		hold, err := s.hold(ctx, t)
+		if err == nil {
+			s.log.Info("reserved", "upstream", t.Upstream.ID, "tokens", s.need(), "self", size.Self, "overflow", size.Overflow,
+				"took_ms", clock.Since(start).Milliseconds(), "waited_ms", start.Sub(s.j.Arrived).Milliseconds())
+			return &place{decode: t, hold: hold, self: size.Self}
+		}
+		s.c.o.Books.Done(t)
+	}
+	return nil
+}
+
 // hold reserves memory at the placement's engine.
 func (s *stream) hold(ctx context.Context, t schedule.Ticket) (string, error) {
 	u := t.Upstream
--- a/gateway/carry/sound_test.go
+++ b/gateway/carry/sound_test.go
@@ -260,8 +260,8 @@
 func TestStreamUnderWayUsesWhatTheBudgetKeepsBack(t *testing.T) {
 	b := streamBed(t)
 	b.o.Budget = schedule.NewBudget(time.Now(), schedule.BudgetOptions{Window: time.Hour, Slack: 5}, func() int { return 1 })
-	assert.Assert(t, b.mayResend("s", 2, b.o.Log))
-	assert.Assert(t, !b.mayResend("s", 2, b.o.Log))
+	assert.Assert(t, b.mayResend("s", 2, false, b.o.Log))
+	assert.Assert(t, !b.mayResend("s", 2, false, b.o.Log))
 	b.d.do["d1"] = []reply{{verdict: dialect.Success, status: 200, body: events(1, 3), breaks: true}}
 	b.d.do["d2"] = []reply{{verdict: dialect.Success, status: 200, body: events(4, 6)}}
 	b.d.hold["d2"] = []error{&dialect.FullError{}, nil}
--- a/gateway/carry/stop.go
+++ b/gateway/carry/stop.go
@@ -1,6 +1,8 @@
 package carry
 
 import (
+	"context"
+	"errors"
 	"time"
 
 	"github.com/wardspool/wardspool/internal/clock"
@@ -15,6 +17,18 @@
 	retryElsewhere = 10 * time.Millisecond
 )
 
+// StoppedError is the cause of a request's context that ends because its instance stops.
+type StoppedError struct{}
+
+// Error implements error.
+func (*StoppedError) Error() string { return "the instance stops" }
+
+// Stopped reports whether a request's context ended because the instance stops.
+func Stopped(ctx context.Context) bool {
+	var stop *StoppedError
+	return errors.As(context.Cause(ctx), &stop)
+}
+
 // reasonStopping is the reason of requests that their instance can't finish.
 const reasonStopping = "stopping"
 
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -82,10 +82,6 @@
 	if s.outlasts() {
 		return nil, s.turnAway()
 	}
-	if err := s.caution.admit(ctx, NotRun); err != nil {
-		return nil, err
-	}
-	c.o.Books.Asked(clock.Now(), j.Service.Name, j.Call.PromptTokens, s.output())
 	return s.run(ctx)
 }
 
@@ -210,6 +206,9 @@
 	if err := s.admit(ctx); err != nil {
 		return nil, err
 	}
+	if s.starts == 1 {
+		s.c.o.Books.Asked(clock.Now(), s.j.Service.Name, s.j.Call.PromptTokens, s.output())
+	}
 	if p := s.standby.take(); p != nil {
 		return p, nil
 	}
@@ -264,16 +263,7 @@
 		return false
 	}
 	// The sends to a place that is kept are paid for.
-	return s.standby.kept() || s.mayResend(sends)
-}
-
-// mayResend reports whether the retry budget allows so many sends beyond the first: a stream
-// under way may use what is kept back from others.
-func (s *stream) mayResend(sends int) bool {
-	if !s.begun {
-		return s.c.mayResend(s.j.Service.Name, sends, s.log)
-	}
-	return s.c.allowed(s.c.o.Budget.Continue(clock.Now(), s.j.Service.Name, sends), sends, s.log)
+	return s.standby.kept() || s.c.mayResend(s.j.Service.Name, sends, s.begun, s.log)
 }
 
 // lost takes in that an attempt broke off at an engine, unless its caller left.
@@ -284,12 +274,7 @@
 }
 
 // fateUnserved is the fate of a request that gets no further engine.
-func (s *stream) fateUnserved() Fate {
-	if s.runs > 0 {
-		return Unknown
-	}
-	return NotRun
-}
+func (s *stream) fateUnserved() Fate { return fateAfter(s.runs) }
 
 // contextError says why a request's context ended.
 func (s *stream) contextError(ctx context.Context) error {
--- a/gateway/schedule/budget.go
+++ b/gateway/schedule/budget.go
@@ -73,6 +73,9 @@
 	return requests, extra
 }
 
+// spend counts extra sends.
+func (s *spending) spend(sends int) { s.extra[s.step%countedSteps] += sends }
+
 // NewBudget returns a budget; instances returns how many share it.
 func NewBudget(now time.Time, o BudgetOptions, instances func() int) *Budget {
 	return &Budget{options: o, instances: instances, origin: now, services: map[string]*spending{}}
@@ -154,8 +157,7 @@
 func (b *Budget) Owed(now time.Time, service string, sends int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.of(now, service)
-	s.extra[s.step%countedSteps] += sends
+	b.of(now, service).spend(sends)
 }
 
 // take counts sends if with them a share of the instance's part is not exceeded: share, or
@@ -172,6 +174,6 @@
 	if float64(extra+sends) > share*allowed {
 		return false
 	}
-	s.extra[s.step%countedSteps] += sends
+	s.spend(sends)
 	return true
 }
