--- a/cmd/wardspoolctl/instances.go
+++ b/cmd/wardspoolctl/instances.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 )
@@ -26,6 +27,13 @@
 	return nil
 }
 
+// writeUnreached names the instances that gave no answer.
+func writeUnreached(w io.Writer, unreached []string) {
+	for _, u := range unreached {
+		fmt.Fprintf(w, "no answer: %s\n", u)
+	}
+}
+
 // askInstances asks all instances for what they show at a path, and returns those that gave
 // no answer, with the reasons.
 func askInstances[T any](ctx context.Context, args *instanceArgs, path string, take func(T)) (unreached []string) {
--- a/cmd/wardspoolctl/limits.go
+++ b/cmd/wardspoolctl/limits.go
@@ -87,8 +87,6 @@
 		fmt.Fprintf(w, "%s\t%s\t%.0f\t%.0f\t%.0f\t%d\t%.0f\t%.0f\t%.0f\n",
 			r.Workspace, r.Unit, r.Rate, r.Burst, r.Level, r.Accounts, r.Granted, r.Refused, r.Returned)
 	}
-	for _, u := range a.Unreached {
-		fmt.Fprintf(w, "no answer: %s\n", u)
-	}
+	writeUnreached(w, a.Unreached)
 	return w.Flush()
 }
--- a/cmd/wardspoolctl/quarantine.go
+++ b/cmd/wardspoolctl/quarantine.go
@@ -92,9 +92,7 @@
 		}
 		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\t%d of %d\t%s\n", c.Content, c.Standing, c.Crashes, c.Early, left, c.KnownBy, a.Asked, joined(c.Upstreams))
 	}
-	for _, u := range a.Unreached {
-		fmt.Fprintf(w, "no answer: %s\n", u)
-	}
+	writeUnreached(w, a.Unreached)
 	return w.Flush()
 }
 
--- a/gateway/fleet/lists.go
+++ b/gateway/fleet/lists.go
@@ -71,7 +71,7 @@
 			Zone: ident.Zone(r.text()), Slots: r.number(), Leaving: r.number() != 0, Stage: dialect.Stage(r.text()),
 		})
 	}
-	if r.failed || len(r.left) > 0 {
+	if !r.whole() {
 		return nil, &PackError{Bytes: len(packed)}
 	}
 	return out, nil
--- a/gateway/fleet/pack.go
+++ b/gateway/fleet/pack.go
@@ -78,7 +78,7 @@
 		service := r.text()
 		l.Spent[service] = r.number()
 	}
-	if r.failed || len(r.left) > 0 {
+	if !r.whole() {
 		return Load{}, &PackError{Bytes: len(packed)}
 	}
 	return l, nil
@@ -112,7 +112,7 @@
 			Made: r.number(), Cleared: r.number() != 0, Age: time.Duration(r.number()) * time.Millisecond,
 		})
 	}
-	if r.failed || len(r.left) > 0 {
+	if !r.whole() {
 		return nil, &PackError{Bytes: len(packed)}
 	}
 	return out, nil
@@ -138,14 +138,16 @@
 // fail ends the reading.
 func (r *unpacker) fail() { r.failed, r.left = true, nil }
 
+// whole reports whether all was read, and nothing of it was malformed.
+func (r *unpacker) whole() bool { return !r.failed && len(r.left) == 0 }
+
 // count reads how many parts follow, each of a byte at least.
 func (r *unpacker) count() int {
-	n, size := binary.Uvarint(r.left)
-	if size <= 0 || n > uint64(len(r.left)) {
+	n := r.unsigned()
+	if n > uint64(len(r.left)) {
 		r.fail()
 		return 0
 	}
-	r.left = r.left[size:]
 	return int(n)
 }
 
--- a/gateway/fleet/tokens.go
+++ b/gateway/fleet/tokens.go
@@ -39,9 +39,8 @@
 	// retryAlone is when the caller of an instance that reaches no keeper may come back, most
 	// likely to another one.
 	retryAlone = 100 * time.Millisecond
-	// leastOver and mostOver bound the time after which a caller over its limit may come back.
-	leastOver = 50 * time.Millisecond
-	mostOver  = 20 * time.Second
+	// shortestWait is the least time after which a caller over its limit may come back.
+	shortestWait = 50 * time.Millisecond
 	// flushInterval is how often idle tokens are given back.
 	flushInterval = 250 * time.Millisecond
 )
@@ -171,7 +170,9 @@
 }
 
 // bounded keeps the time after which a caller comes back within bounds.
-func bounded(wait time.Duration) time.Duration { return min(max(wait, leastOver), mostOver) }
+func bounded(wait time.Duration) time.Duration {
+	return min(max(wait, shortestWait), limit.LongestWait)
+}
 
 // spread prolongs a time at random by up to its half, so that callers don't return together.
 func spread(d time.Duration) time.Duration {
--- a/gateway/limit/account.go
+++ b/gateway/limit/account.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// mostPromised bounds the time that callers are told to wait.
-	mostPromised = 20 * time.Second
+	// LongestWait bounds the time that callers are told to wait.
+	LongestWait = 20 * time.Second
 	// settle is how long after its start a keeper asks for a request's tokens in advance:
 	// instances that start together take several for the keeper until all know each other.
 	settle = 3 * time.Second
@@ -122,12 +122,12 @@
 	defer s.mu.Unlock()
 	a := s.kept[workspace]
 	if a == nil || a.part.Rate <= 0 {
-		return mostPromised
+		return LongestWait
 	}
 	a.fill(now)
 	before := a.promised
 	a.promised += cost
-	return seconds(min((before-a.level())/a.part.Rate, mostPromised.Seconds()))
+	return seconds(min((before-a.level())/a.part.Rate, LongestWait.Seconds()))
 }
 
 // Borrowed puts borrowed tokens into an account.
--- a/gateway/limit/account_test.go
+++ b/gateway/limit/account_test.go
@@ -90,7 +90,7 @@
 		assert.Equal(t, s.Refuse(now, "w", 50), time.Duration(i)*500*time.Millisecond)
 	}
 	assert.Assert(t, s.Take(now.Add(time.Second), ask(50)).Granted)
-	assert.Equal(t, s.Refuse(now, "unknown", 50), mostPromised)
+	assert.Equal(t, s.Refuse(now, "unknown", 50), LongestWait)
 }
 
 // TestLimitsChange: a lower limit binds at once, a higher one grants nothing for the past,
