--- a/gateway/schedule/fleet_test.go
+++ b/gateway/schedule/fleet_test.go
@@ -267,9 +267,7 @@
 const mostLost = 0.4
 
 // TestFleetsPlaceStreams: instances that each place streams by what they heard a moment ago
-// don't fill the same engines. Of the streams 0.080, 0.051 and 0.034 were refused and 0.388,
-// 0.072 and 0.006 preempted when each was placed where its instance saw most room; now 0.107,
-// 0.037 and 0.010, and 0.128, 0.123 and 0.025.
+// don't fill the same engines.
 func TestFleetsPlaceStreams(t *testing.T) {
 	for name, load := range map[string]fleetLoad{"shifted": shiftedLoad, "small": smallLoad, "short outputs": shortLoad} {
 		var sum fleetResult
