Send no requests to evacuated zones, and restrict routes and workspaces to regions

The regions of routes and workspaces were not read either.

Read all items under op/ in one call instead of the configuration alone, so that evacuations cost no further call. An evacuation carries the store's revision, and the highest one wins. Peers include theirs in each answer about their view. Placement, prefill, resumption and migration consider only the upstreams eligible for a request: those in zones that are not evacuated, in regions that both the route and the workspace allow. A reserved engine whose zone is evacuated in the meantime is released before anything is sent. Streams in an evacuated zone run to their end and are not migrated, because a stopped stream may have to go back. A request without an open zone is refused at once.

Ruled out: marking the upstreams as leaving, which is final for an incarnation and migrates streams away.

--- a/gateway/carry/carry.go
+++ b/gateway/carry/carry.go
@@ -36,7 +36,9 @@
 	Zone ident.Zone
 	// View returns what is believed of the upstreams now.
 	View func() *fleet.Snapshot
-	Log  *slog.Logger
+	// RegionOf returns the region of a zone, "" if it has none.
+	RegionOf func(ident.Zone) ident.Region
+	Log      *slog.Logger
 	// Register is what is known of contents under which upstreams crashed; Trials allow
 	// attempts with suspect ones, and Spread has the other instances told of news.
 	Register *quarantine.Register
@@ -98,6 +100,8 @@
 	Workspace *routing.Workspace
 	// Priority ranks the request; 0 is the most urgent.
 	Priority int
+	// Regions are the regions in which the request may run and its KV cache may be stored.
+	Regions routing.Regions
 	// Version is that of the configuration that chose route and service.
 	Version int64
 	Arrived time.Time
@@ -201,6 +205,29 @@
 	maxAnswerBytes = 16 << 20
 )
 
+// eligible returns the upstreams that may receive the request now.
+func (c *Carrier) eligible(j *Job) []dialect.Upstream {
+	return c.o.View().Eligible(j.Service.Name, j.Regions, c.o.RegionOf)
+}
+
+// noOpenZone reports whether the request's service has upstreams, but all of them are in
+// evacuated zones or outside the request's regions.
+func (c *Carrier) noOpenZone(j *Job) bool {
+	return len(c.eligible(j)) == 0 && len(c.o.View().Upstreams[j.Service.Name]) > 0
+}
+
+// retryNoOpenZone is the Retry-After of requests refused for lack of an open zone. Only a change
+// by the operators makes them servable.
+const retryNoOpenZone = 3 * time.Second
+
+// refuseNoOpenZone returns the error for a request without an eligible upstream.
+func (c *Carrier) refuseNoOpenZone(fate Fate, log *slog.Logger) error {
+	c.o.Count("refused_no_open_zone")
+	e := c.o.View().Evacuation
+	log.Info("refused", "reason", "no_open_zone", "evacuated", e.Zones)
+	return &Error{Fate: fate, Reason: "no_open_zone", RetryAfter: retryNoOpenZone}
+}
+
 // NoUpstreamError reports a service without an upstream to send to.
 type NoUpstreamError struct{ Service string }
 
--- a/gateway/carry/decode.go
+++ b/gateway/carry/decode.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
 	"github.com/wardspool/wardspool/adapter"
 	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/kernel"
 	"github.com/wardspool/wardspool/logs"
@@ -19,6 +21,9 @@
 		s.giveUp(p, h)
 		return nil, false, s.ended(err)
 	}
+	if s.evacuated(u) {
+		return nil, s.releaseEvacuated(p, h), s.ended(&EvacuatedError{Upstream: u.ID, Zone: u.Zone})
+	}
 	start := clock.Now()
 	var source *dialect.Handle
 	if h != nil {
@@ -42,6 +47,37 @@
 	return s.forward(ctx, g, p, resp, start)
 }
 
+// EvacuatedError reports an engine whose zone was evacuated after the engine was reserved.
+type EvacuatedError struct {
+	Upstream ident.UpstreamID
+	Zone     ident.Zone
+}
+
+// Error implements error.
+func (e *EvacuatedError) Error() string {
+	return fmt.Sprintf("zone %s of engine %s was evacuated", e.Zone, e.Upstream)
+}
+
+// evacuated reports whether an engine's zone is evacuated.
+func (s *stream) evacuated(u dialect.Upstream) bool { return s.c.o.View().Evacuation.Covers(u.Zone) }
+
+// releaseEvacuated releases a reserved engine whose zone was evacuated, and reports whether
+// another pair of engines may be tried. Nothing was sent to the engine, so the retry budget is
+// not charged.
+func (s *stream) releaseEvacuated(p *place, h *computed) bool {
+	s.c.o.Count("reserved_engine_closed")
+	s.log.Info("reserved engine released, zone evacuated", "upstream", p.decode.Upstream.ID, "zone", p.decode.Upstream.Zone)
+	s.giveUp(p, nil)
+	if s.starts >= maxStarts {
+		if h != nil {
+			s.free(h)
+		}
+		return false
+	}
+	s.kept = h
+	return true
+}
+
 // failedSend takes in a sending that brought no response, and reports whether
 // another pair of engines may be tried.
 func (s *stream) failedSend(ctx context.Context, p *place, h *computed, start time.Time, err error) bool {
--- a/gateway/carry/kept.go
+++ b/gateway/carry/kept.go
@@ -112,7 +112,7 @@
 
 // homes returns the decode engines to ask.
 func (s *stream) homes() []dialect.Upstream {
-	list := s.c.o.Books.Reachable(clock.Now(), s.c.o.View().Upstreams[s.j.Service.Name], dialect.StageDecode)
+	list := s.c.o.Books.Reachable(clock.Now(), s.c.eligible(s.j), dialect.StageDecode)
 	if len(list) <= askAllUpTo {
 		return list
 	}
--- a/gateway/carry/migrate.go
+++ b/gateway/carry/migrate.go
@@ -133,7 +133,8 @@
 		}
 		for _, m := range c.o.Books.Migrants(now, view.Upstreams[name], service.Engine) {
 			s := c.running(m.Ticket)
-			if s == nil {
+			if s == nil || view.Evacuation.Covers(m.Ticket.Upstream.Zone) {
+				// A failed migration may resume at the source, which must get no new requests.
 				continue
 			}
 			if turn, ok := s.migration.begin(); ok {
@@ -207,8 +208,7 @@
 func (s *stream) destination(from dialect.Upstream) (schedule.Ticket, bool) {
 	size := s.size()
 	size.Copied = true
-	list := s.c.o.View().Upstreams[s.j.Service.Name]
-	to, ok := s.c.o.Books.PlaceDecode(clock.Now(), list, s.j.Service.Engine, size, []ident.UpstreamID{from.ID})
+	to, ok := s.c.o.Books.PlaceDecode(clock.Now(), s.c.eligible(s.j), s.j.Service.Engine, size, []ident.UpstreamID{from.ID})
 	if ok && !s.c.o.Budget.Spare(clock.Now(), s.j.Service.Name, sendsToMigrate) {
 		s.c.o.Books.Done(to)
 		return to, false
--- a/gateway/carry/plain.go
+++ b/gateway/carry/plain.go
@@ -59,6 +59,9 @@
 			return p.refused(err)
 		}
 		t, ok := p.place()
+		if !ok && p.c.noOpenZone(p.j) {
+			return p.refused(p.c.refuseNoOpenZone(p.fateUnserved(), p.log))
+		}
 		if !ok {
 			return p.end(&NoUpstreamError{Service: p.j.Service.Name})
 		}
@@ -91,8 +94,7 @@
 
 // place chooses the next upstream.
 func (p *plain) place() (schedule.Ticket, bool) {
-	list := p.c.o.View().Upstreams[p.j.Service.Name]
-	t, ok := p.c.o.Books.PickService(clock.Now(), list, p.j.Route.Repeatable(), p.tried)
+	t, ok := p.c.o.Books.PickService(clock.Now(), p.c.eligible(p.j), p.j.Route.Repeatable(), p.tried)
 	if ok {
 		p.tried = append(p.tried, t.Upstream.ID)
 	}
--- a/gateway/carry/prefill.go
+++ b/gateway/carry/prefill.go
@@ -57,10 +57,9 @@
 // back, and a prompt that crashes engines ends two of them either way. A nil handle without
 // an error means that the decode engine has to do it, since there are no others.
 func (s *stream) prefill(ctx context.Context, p *place) (*computed, error) {
-	list := s.c.o.View().Upstreams[s.j.Service.Name]
 	var tried []ident.UpstreamID
 	for {
-		t, ok := s.c.o.Books.PlacePrefill(clock.Now(), list, s.j.Call.PromptTokens, p.decode.Upstream.Zone, append(tried, s.excluded...))
+		t, ok := s.c.o.Books.PlacePrefill(clock.Now(), s.c.eligible(s.j), s.j.Call.PromptTokens, p.decode.Upstream.Zone, append(tried, s.excluded...))
 		if !ok {
 			return nil, nil
 		}
--- a/gateway/carry/reserve.go
+++ b/gateway/carry/reserve.go
@@ -32,7 +32,7 @@
 // open. self means that none is in reach, so that a decode engine has to compute it.
 func (s *stream) prefillWait() (wait time.Duration, self bool) {
 	now := clock.Now()
-	list := s.c.o.View().Upstreams[s.j.Service.Name]
+	list := s.c.eligible(s.j)
 	wait, open := s.c.o.Books.PrefillWait(now, list, s.j.Call.PromptTokens)
 	return wait, !open && !s.c.o.Books.PrefillReachable(now, list)
 }
@@ -93,6 +93,9 @@
 		if s.outlasts() {
 			return nil, s.turnAway()
 		}
+		if s.c.noOpenZone(s.j) {
+			return nil, s.c.refuseNoOpenZone(s.fateUnserved(), s.log)
+		}
 		if s.hopeless(clock.Now(), began) {
 			return nil, s.noRoom(l, clock.Since(began))
 		}
@@ -160,10 +163,9 @@
 
 // placeFor reserves an engine with room for a size, none of the excluded; nil if there is none.
 func (s *stream) placeFor(ctx context.Context, size schedule.Size, excluded []ident.UpstreamID) *place {
-	list := s.c.o.View().Upstreams[s.j.Service.Name]
 	size.MaxPause = s.j.Route.PaceObjective
 	for ctx.Err() == nil {
-		t, ok := s.c.o.Books.PlaceDecode(clock.Now(), list, s.j.Service.Engine, size, excluded)
+		t, ok := s.c.o.Books.PlaceDecode(clock.Now(), s.c.eligible(s.j), s.j.Service.Engine, size, excluded)
 		if !ok {
 			return nil
 		}
--- a/gateway/dialect/dialect.go
+++ b/gateway/dialect/dialect.go
@@ -76,6 +76,8 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Stage is empty for plain services.
 	Stage Stage `json:"stage,omitempty"`
+	// Cold upstreams have started recently or been idle, and tolerate only a limited request rate.
+	Cold bool `json:"cold,omitempty"`
 }
 
 // Restarted reports whether an incarnation of the upstream's ID is newer than u's.
@@ -262,11 +264,19 @@
 	Fence int64
 }
 
+// Directives are the operators' instructions to all instances.
+type Directives struct {
+	// Config is the newest configuration.
+	Config     *routing.Config
+	Evacuation routing.Evacuation
+}
+
 // Source is the store that the operators and the upstreams write to. It is only
 // read.
 type Source interface {
-	// Config returns the newest configuration. Absent is *AbsentError.
-	Config(ctx context.Context) (*routing.Config, error)
+	// Directives returns the current directives. If there is no configuration the error is
+	// an *AbsentError.
+	Directives(ctx context.Context) (Directives, error)
 	// Upstreams lists all upstreams, as of the revision. A long list takes several readings;
 	// before each but the first, further says whether it is still wanted. If not, the error is
 	// a *StoppedError.
--- a/gateway/fleet/lists.go
+++ b/gateway/fleet/lists.go
@@ -21,6 +21,12 @@
 	maxListBytes = 64 << 20
 )
 
+// State bits of a packed upstream.
+const (
+	stateLeaving = 1 << iota
+	stateCold
+)
+
 // hashOf hashes an upstream, with each of its fields.
 func hashOf(u *dialect.Upstream) uint64 {
 	var buffer [256]byte
@@ -44,11 +50,14 @@
 	dst = appendString(dst, u.Address)
 	dst = appendString(dst, string(u.Zone))
 	dst = binary.AppendVarint(dst, int64(u.Slots))
-	leaving := int64(0)
+	state := int64(0)
 	if u.Leaving {
-		leaving = 1
+		state |= stateLeaving
 	}
-	dst = binary.AppendVarint(dst, leaving)
+	if u.Cold {
+		state |= stateCold
+	}
+	dst = binary.AppendVarint(dst, state)
 	return appendString(dst, string(u.Stage))
 }
 
@@ -66,10 +75,14 @@
 	r := &unpacker{left: packed}
 	var out []dialect.Upstream
 	for range r.count() {
-		out = append(out, dialect.Upstream{
+		u := dialect.Upstream{
 			ID: ident.UpstreamID(r.text()), Incarnation: ident.Incarnation(r.unsigned()), Service: r.text(), Address: r.text(),
-			Zone: ident.Zone(r.text()), Slots: r.number(), Leaving: r.number() != 0, Stage: dialect.Stage(r.text()),
-		})
+			Zone: ident.Zone(r.text()), Slots: r.number(),
+		}
+		state := r.number()
+		u.Leaving, u.Cold = state&stateLeaving != 0, state&stateCold != 0
+		u.Stage = dialect.Stage(r.text())
+		out = append(out, u)
 	}
 	if !r.whole() {
 		return nil, &PackError{Bytes: len(packed)}
--- a/gateway/fleet/reader.go
+++ b/gateway/fleet/reader.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -57,10 +58,10 @@
 // readStore reads the store once. Without a configuration no list is of use.
 func (n *Node) readStore(ctx context.Context) {
 	first := n.Snapshot().Table == nil
-	if first && !n.readConfig(ctx) {
+	if first && !n.readDirectives(ctx) {
 		return
 	}
-	if n.readList(ctx) && (first || n.readConfig(ctx)) {
+	if n.readList(ctx) && (first || n.readDirectives(ctx)) {
 		n.storeAnswered()
 	}
 }
@@ -100,21 +101,27 @@
 	return !n.reading.stopped
 }
 
-// readConfig reads the configuration, and reports whether it got one.
-func (n *Node) readConfig(ctx context.Context) bool {
+// readDirectives reads the directives from the store, and reports whether it succeeded.
+func (n *Node) readDirectives(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	started := clock.Now()
-	c, err := n.o.Source.Config(ctx)
+	d, err := n.o.Source.Directives(ctx)
 	if err != nil {
 		n.storeFailed(err)
 		return false
 	}
-	n.takeConfig(c, "store")
-	n.confirm(c.Version, started)
+	n.takeDirectives(d, started)
 	return true
 }
 
+// takeDirectives takes in directives from a reading of the store that began at started.
+func (n *Node) takeDirectives(d dialect.Directives, started time.Time) {
+	n.takeEvacuation(d.Evacuation, "store")
+	n.takeConfig(d.Config, "store")
+	n.confirm(d.Config.Version, started)
+}
+
 // confirm takes in that a version was the newest in the store at a time.
 func (n *Node) confirm(version int64, asOf time.Time) {
 	n.mu.Lock()
@@ -179,6 +186,7 @@
 		n.o.Log.Debug("view not answered", "peer", address, "error", err)
 		return
 	}
+	n.takeEvacuation(a.Evacuation, address)
 	n.confirm(a.Version, asked.Add(-time.Duration(a.ConfigAgeMS)*time.Millisecond))
 	if a.Version > s.Version() {
 		n.fetchConfig(address, a.Version)
@@ -211,6 +219,31 @@
 	}
 }
 
+// takeEvacuation puts an evacuation in force if it is newer than the current one.
+func (n *Node) takeEvacuation(e routing.Evacuation, from string) {
+	n.mu.Lock()
+	before := n.view.evacuation.Zones
+	changed := n.view.Evacuate(e)
+	n.mu.Unlock()
+	if !changed {
+		return
+	}
+	n.o.Log.Warn("evacuation in force", "zones", e.Zones, "before", before, "revision", e.Revision, "from", from)
+	for _, zone := range e.Zones {
+		if len(n.o.Zones) > 0 && !slices.Contains(n.o.Zones, zone) {
+			n.o.Log.Warn("evacuation of an unknown zone", "zone", zone)
+		}
+	}
+	n.publish()
+}
+
+// evacuation returns the evacuation in force, with the revision of the last reading.
+func (n *Node) evacuation() routing.Evacuation {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.view.evacuation
+}
+
 // takeList takes in a list of upstreams.
 func (n *Node) takeList(started time.Time, revision int64, list []dialect.Upstream, origin Origin, from string) {
 	n.mu.Lock()
--- a/gateway/fleet/relay.go
+++ b/gateway/fleet/relay.go
@@ -121,14 +121,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), configFromStore)
 	defer cancel()
 	started := clock.Now()
-	c, err := n.o.Source.Config(ctx)
+	d, err := n.o.Source.Directives(ctx)
 	if err != nil {
 		n.o.Log.Info("configuration not read", "version", version, "from", "store", "error", err)
 		return false
 	}
-	n.takeConfig(c, "store")
-	n.confirm(c.Version, started)
-	return c.Version >= version
+	n.takeDirectives(d, started)
+	return d.Config.Version >= version
 }
 
 // configFromPeer asks a peer for its configuration of at most so many bytes, and reports
--- a/gateway/fleet/relay_test.go
+++ b/gateway/fleet/relay_test.go
@@ -23,14 +23,14 @@
 	reads  int
 }
 
-func (f *fakeStore) Config(context.Context) (*routing.Config, error) {
+func (f *fakeStore) Directives(context.Context) (dialect.Directives, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reads++
 	if f.down {
-		return nil, &dialect.StatusError{Op: "store", Status: 503}
+		return dialect.Directives{}, &dialect.StatusError{Op: "store", Status: 503}
 	}
-	return f.config, nil
+	return dialect.Directives{Config: f.config, Evacuation: routing.Evacuation{Revision: int64(f.reads)}}, nil
 }
 
 func (f *fakeStore) Upstreams(context.Context, func() bool) ([]dialect.Upstream, int64, error) {
--- a/gateway/fleet/view.go
+++ b/gateway/fleet/view.go
@@ -46,6 +46,7 @@
 	table *routing.Table
 	// configAsOf is when the store was last known to have nothing newer than the table.
 	configAsOf time.Time
+	evacuation routing.Evacuation
 	// revision and asOf are those of the newest list.
 	revision int64
 	asOf     time.Time
@@ -75,6 +76,17 @@
 	return true
 }
 
+// Evacuate takes in an evacuation, and reports whether it changes the evacuated zones. An
+// evacuation whose revision is not higher than the current one's is ignored.
+func (v *View) Evacuate(e routing.Evacuation) bool {
+	if e.Revision <= v.evacuation.Revision {
+		return false
+	}
+	changed := !e.SameZones(v.evacuation)
+	v.evacuation = e
+	return changed
+}
+
 // Confirm takes in that a version was the newest in the store at a time.
 func (v *View) Confirm(version int64, asOf time.Time) {
 	if version == v.Version() && asOf.After(v.configAsOf) {
@@ -235,7 +247,9 @@
 	AsOf     time.Time
 	// Listed is false while no list is known.
 	Listed bool
-	digest uint64
+	// Evacuation lists the zones whose upstreams get no requests.
+	Evacuation routing.Evacuation
+	digest     uint64
 }
 
 // Ready reports whether requests can be served by the snapshot.
@@ -248,7 +262,7 @@
 	}
 	return &Snapshot{
 		Table: v.table, Revision: v.revision, AsOf: v.asOf, Listed: v.known,
-		Upstreams: v.lists, digest: v.digest,
+		Upstreams: v.lists, Evacuation: v.evacuation, digest: v.digest,
 	}
 }
 
@@ -274,6 +288,22 @@
 	return s.Table.Config().Version
 }
 
+// Eligible returns the upstreams of a service that are in allowed regions and outside evacuated
+// zones. regionOf returns a zone's region, "" if it has none.
+func (s *Snapshot) Eligible(service string, allowed routing.Regions, regionOf func(ident.Zone) ident.Region) []dialect.Upstream {
+	list := s.Upstreams[service]
+	if allowed == nil && len(s.Evacuation.Zones) == 0 {
+		return list
+	}
+	var eligible []dialect.Upstream
+	for _, u := range list {
+		if !s.Evacuation.Covers(u.Zone) && allowed.Allow(regionOf(u.Zone)) {
+			eligible = append(eligible, u)
+		}
+	}
+	return eligible
+}
+
 // Digest tells lists of upstreams apart; that of none is 0.
 func (s *Snapshot) Digest() uint64 { return s.digest }
 
--- a/gateway/fleet/view_test.go
+++ b/gateway/fleet/view_test.go
@@ -139,3 +139,42 @@
 	v.List(at(6305), at(6300), 3, []dialect.Upstream{up("b")}, FromPeer)
 	assert.Equal(t, names(v.Snapshot()), "b")
 }
+
+// TestNewestEvacuationWins guards against an older evacuation, delivered late by a peer,
+// replacing a newer one.
+func TestNewestEvacuationWins(t *testing.T) {
+	v := NewView()
+	assert.Assert(t, v.Evacuate(routing.Evacuation{Revision: 5, Zones: []ident.Zone{"a"}}))
+	assert.Assert(t, !v.Evacuate(routing.Evacuation{Revision: 4}))
+	assert.Assert(t, !v.Evacuate(routing.Evacuation{Revision: 6, Zones: []ident.Zone{"a"}}), "the same zones")
+	assert.Assert(t, v.Snapshot().Evacuation.Covers("a"))
+	assert.Assert(t, v.Evacuate(routing.Evacuation{Revision: 7}))
+	assert.Assert(t, !v.Evacuate(routing.Evacuation{Revision: 6, Zones: []ident.Zone{"a"}}))
+	assert.Assert(t, !v.Snapshot().Evacuation.Covers("a"))
+}
+
+// TestEligibleUpstreams guards against sending to evacuated zones or outside the allowed regions.
+func TestEligibleUpstreams(t *testing.T) {
+	v := NewView()
+	ups := []dialect.Upstream{up("a"), up("b"), up("c"), up("d")}
+	for i := range ups {
+		ups[i].Zone = ident.Zone("zone-" + string(ups[i].ID))
+	}
+	list(v, 0, 1, ups...)
+	regionOf := func(z ident.Zone) ident.Region {
+		return map[ident.Zone]ident.Region{"zone-a": "east", "zone-b": "east", "zone-c": "west"}[z]
+	}
+	eligible := func(allowed routing.Regions) string {
+		out := ""
+		for _, u := range v.Snapshot().Eligible("s", allowed, regionOf) {
+			out += string(u.ID)
+		}
+		return out
+	}
+	assert.Equal(t, eligible(nil), "abcd")
+	assert.Equal(t, eligible(routing.Regions{"east"}), "ab")
+	assert.Equal(t, eligible(routing.Regions{}), "")
+	v.Evacuate(routing.Evacuation{Revision: 2, Zones: []ident.Zone{"zone-a", "unknown"}})
+	assert.Equal(t, eligible(nil), "bcd")
+	assert.Equal(t, eligible(routing.Regions{"east", "west"}), "bc")
+}
--- a/gateway/fleet/views.go
+++ b/gateway/fleet/views.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/peer"
@@ -35,6 +36,8 @@
 	Listed      bool  `json:"listed,omitempty"`
 	Revision    int64 `json:"revision"`
 	AgeMS       int64 `json:"age"`
+	// Evacuation is the evacuation in force.
+	Evacuation routing.Evacuation `json:"evacuation"`
 	// Digest is that of the list of upstreams.
 	Digest uint64 `json:"digest"`
 	// Same means that the asking instance has the list: the store's revision rises with each
@@ -51,7 +54,7 @@
 func (n *Node) onView(_ context.Context, _ peer.Identity, q ViewRequest) (ViewAnswer, error) {
 	s := n.Snapshot()
 	answer := ViewAnswer{
-		Version: s.Version(), ConfigAgeMS: n.ConfigAge().Milliseconds(),
+		Version: s.Version(), ConfigAgeMS: n.ConfigAge().Milliseconds(), Evacuation: n.evacuation(),
 		Listed: s.Listed, Revision: s.Revision, AgeMS: clock.Since(s.AsOf).Milliseconds(),
 	}
 	if !s.Listed {
--- a/gateway/fleetworld_test.go
+++ b/gateway/fleetworld_test.go
@@ -51,6 +51,8 @@
 	mu       sync.Mutex
 	engines  map[string]*worldEngine
 	revision int64
+	// evacuated are the evacuated zones.
+	evacuated []ident.Zone
 	// cut separates this zone's instances from those of other zones.
 	cut ident.Zone
 	// silent engines don't refuse connections when they have crashed: nothing answers, and
@@ -58,6 +60,20 @@
 	silent bool
 	// sent are the deadly requests that reached engines, ended the engines they crashed.
 	sent, ended []time.Time
+	// received are the streams and prefills that reached engines.
+	received []worldRequest
+}
+
+// worldRequest is a request that reached an engine.
+type worldRequest struct {
+	at   time.Time
+	zone ident.Zone
+	id   ident.UpstreamID
+}
+
+// record records a request that reached an engine. The caller holds mu.
+func (w *fleetWorld) record(e *worldEngine) {
+	w.received = append(w.received, worldRequest{at: time.Now(), zone: e.up.Zone, id: e.up.ID})
 }
 
 // worldInstance is one instance, over its restarts.
@@ -71,6 +87,8 @@
 	service *Service
 	stop    func()
 	conns   []net.Conn
+	// storeDown has the store reject the instance's requests.
+	storeDown bool
 	// sent is what it sent to other instances, in bytes.
 	sent atomic.Int64
 }
@@ -155,10 +173,11 @@
 	s.SetDefaults()
 	s.Listen.Peers = i.address
 	s.Retries.Slack = 1000
+	s.Regions = map[ident.Zone]ident.Region{"a": "east", "b": "east", "c": "west"}
 	for _, seed := range i.world.instances[:min(3, len(i.world.instances))] {
 		s.Seeds = append(s.Seeds, seed.address)
 	}
-	g := newService(s, i.world, i.world, slog.New(slog.DiscardHandler), i)
+	g := newService(s, i.world, i, slog.New(slog.DiscardHandler), i)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -301,11 +320,37 @@
 	return n
 }
 
-// Config implements dialect.Source.
-func (w *fleetWorld) Config(context.Context) (*routing.Config, error) {
+// storeError returns the error with which the store rejects the instance, nil if it does not.
+func (i *worldInstance) storeError() error {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.storeDown {
+		return &dialect.StatusError{Op: "store", Status: http.StatusServiceUnavailable}
+	}
+	return nil
+}
+
+// Directives implements dialect.Source.
+func (i *worldInstance) Directives(ctx context.Context) (dialect.Directives, error) {
+	if err := i.storeError(); err != nil {
+		return dialect.Directives{}, err
+	}
+	return i.world.Directives(ctx)
+}
+
+// Upstreams implements dialect.Source.
+func (i *worldInstance) Upstreams(ctx context.Context, further func() bool) ([]dialect.Upstream, int64, error) {
+	if err := i.storeError(); err != nil {
+		return nil, 0, err
+	}
+	return i.world.Upstreams(ctx, further)
+}
+
+// Directives implements dialect.Source.
+func (w *fleetWorld) Directives(context.Context) (dialect.Directives, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.config, nil
+	return dialect.Directives{Config: w.config, Evacuation: routing.Evacuation{Revision: w.revision, Zones: w.evacuated}}, nil
 }
 
 // Upstreams implements dialect.Source.
@@ -381,6 +426,7 @@
 		e.holds = max(0, e.holds-1)
 	}
 	e.running++
+	w.record(e)
 	r := &worldRun{ctx: ctx, world: w, engine: e, dead: e.dead, id: e.up.ID}
 	last := s.LastEvent
 	if last == "" {
@@ -447,6 +493,11 @@
 	case <-ctx.Done():
 		return dialect.Handle{}, ctx.Err()
 	case <-time.After(worldPrompt):
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if e, ok := w.at(s.To.Address); ok {
+			w.record(e)
+		}
 		return dialect.Handle{Engine: s.To.Address, ID: "h"}, nil
 	}
 }
--- a/gateway/front/access.go
+++ b/gateway/front/access.go
@@ -53,6 +53,10 @@
 	if err := f.authorize(j, table); err != nil {
 		return nil, err
 	}
+	j.Regions = j.Route.Regions
+	if j.Workspace != nil {
+		j.Regions = j.Regions.Intersect(j.Workspace.Regions)
+	}
 	service, ok := table.Service(j.Route.Choose(rand.IntN))
 	if !ok {
 		return nil, &NoServiceError{Route: j.Route.Name}
--- a/gateway/keys_test.go
+++ b/gateway/keys_test.go
@@ -326,3 +326,19 @@
 	defer l.mu.Unlock()
 	return l.buffer.String()
 }
+
+// TestWorkspaceRegionsBind guards against requests of a workspace outside its regions.
+func TestWorkspaceRegionsBind(t *testing.T) {
+	b := newKeyBed(t)
+	b.revise(func(c *routing.Config) { c.Workspaces[0].Regions = routing.Regions{"elsewhere"} })
+	i := b.ready(t, "one")
+	for _, path := range []string{"/plain/x", "/stream/x"} {
+		before := len(b.witness.took())
+		status, header, _ := b.send(t, i, path, "Bearer "+keyOfA)
+		assert.Equal(t, status, 503, path)
+		assert.Assert(t, header.Get("Retry-After") != "")
+		assert.Equal(t, len(b.witness.took()), before, path)
+		status, _, _ = b.send(t, i, path, "Bearer "+keyOfB)
+		assert.Equal(t, status, 200, path)
+	}
+}
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -99,7 +99,7 @@
 // order changes engines' stages if that is worth it.
 func (g *Service) order(ctx context.Context, b *orderBook, s *fleet.Snapshot, service routing.Service, need schedule.Need) {
 	now := clock.Now()
-	list := g.books.Staged(now, s.Upstreams[service.Name])
+	list := g.books.Staged(now, s.Eligible(service.Name, nil, g.settings.regionOf))
 	o := b.of(service.Name)
 	if o.since.IsZero() {
 		o.since = now
--- a/gateway/routing/config.go
+++ b/gateway/routing/config.go
@@ -68,6 +68,8 @@
 	Resumable bool `json:"resumable,omitempty"`
 	// Public routes serve callers without a key too.
 	Public bool `json:"public,omitempty"`
+	// Regions are the regions in which requests may run and their KV caches may be stored.
+	Regions Regions `json:"regions"`
 }
 
 // Repeatable reports whether a request of the route may run again after it may
@@ -102,6 +104,11 @@
 	// MaxConnections bounds the connections to one upstream, of all instances
 	// together.
 	MaxConnections int `json:"max_connections"`
+	// ColdRate is the limit on the requests a second that a cold upstream may get from all
+	// instances together; 0 means no limit.
+	ColdRate float64 `json:"cold_rate,omitempty"`
+	// ColdTime is how long an upstream is cold after a start.
+	ColdTime time.Duration `json:"cold_time,omitempty"`
 	// Engine is nil for plain services.
 	Engine *Engine `json:"engine,omitempty"`
 }
--- /dev/null
+++ b/gateway/routing/evacuation.go
@@ -0,0 +1,21 @@
+package routing
+
+import (
+	"slices"
+
+	"github.com/wardspool/wardspool/ident"
+)
+
+// Evacuation lists the availability zones whose upstreams must not get new requests. Requests
+// already running there are not interrupted.
+type Evacuation struct {
+	// Revision is the store's revision when the zones were read; the highest one wins.
+	Revision int64        `json:"revision"`
+	Zones    []ident.Zone `json:"zones,omitempty"`
+}
+
+// Covers reports whether a zone is evacuated.
+func (e Evacuation) Covers(zone ident.Zone) bool { return slices.Contains(e.Zones, zone) }
+
+// SameZones reports whether two evacuations name the same zones, in the same order.
+func (e Evacuation) SameZones(o Evacuation) bool { return slices.Equal(e.Zones, o.Zones) }
--- a/gateway/routing/workspace.go
+++ b/gateway/routing/workspace.go
@@ -71,4 +71,7 @@
 	// Priority replaces that of the routes; nil keeps it.
 	Priority *int  `json:"priority,omitempty"`
 	Limit    Limit `json:"limit,omitzero"`
+	// Regions are the regions in which the workspace's requests may run and their KV caches may
+	// be stored; the route's regions apply as well.
+	Regions Regions `json:"regions"`
 }
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -94,7 +94,7 @@
 	})
 	g.budget = schedule.NewBudget(clock.Now(), s.Retries.budget(), g.node.Alive)
 	g.carrier = carry.New(carry.Options{
-		Dialect: d, Books: g.books, Budget: g.budget, Zone: s.Zone, View: g.node.Snapshot, Log: log, Count: g.metrics.count,
+		Dialect: d, Books: g.books, Budget: g.budget, Zone: s.Zone, RegionOf: s.regionOf, View: g.node.Snapshot, Log: log, Count: g.metrics.count,
 		Ends:     g.endsAt,
 		Register: g.register, Trials: g.node, Spread: g.node.SpreadCrashes, AwaitInformed: g.node.AwaitInformed,
 	})
--- a/gateway/service_test.go
+++ b/gateway/service_test.go
@@ -29,18 +29,21 @@
 	list   []dialect.Upstream
 	down   bool
 	reads  int
+	// directiveReads counts the readings of directives, reads those of lists.
+	directiveReads int
 }
 
 // outage is what a store that is down answers.
 var outage = &dialect.StatusError{Op: "store", Status: http.StatusServiceUnavailable}
 
-func (f *fakeSource) Config(context.Context) (*routing.Config, error) {
+func (f *fakeSource) Directives(context.Context) (dialect.Directives, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.directiveReads++
 	if f.down {
-		return nil, outage
+		return dialect.Directives{}, outage
 	}
-	return f.config, nil
+	return dialect.Directives{Config: f.config, Evacuation: routing.Evacuation{Revision: int64(f.directiveReads)}}, nil
 }
 
 func (f *fakeSource) Upstreams(context.Context, func() bool) ([]dialect.Upstream, int64, error) {
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -23,6 +23,9 @@
 	// Zones are all availability zones of the deployment: limits of workspaces are divided
 	// among them, also while some are cut off.
 	Zones []ident.Zone `yaml:"zones"`
+	// Regions maps each zone to its region. Requests restricted to regions are never sent to
+	// zones without one.
+	Regions map[ident.Zone]ident.Region `yaml:"regions"`
 	// Deployment names the plug-in that speaks to callers, upstreams and store.
 	Deployment string `yaml:"deployment"`
 	Listen     Listen `yaml:"listen"`
@@ -130,6 +133,9 @@
 	}
 }
 
+// regionOf returns the region of a zone, "" if it has none.
+func (s *Settings) regionOf(zone ident.Zone) ident.Region { return s.Regions[zone] }
+
 // required reports an empty field.
 func required(r *settings.Report, field, value string) {
 	if value == "" {
