Limit requests to cold upstreams to a few instances of their zone

A cold upstream is idle and looks best to all instances at once, and nothing limited the rate at which they send to it together.

For each upstream that reports itself cold, or whose zone's evacuation ended recently, choose half as many instances as the requests a second that it tolerates, by rendezvous hashing in its zone. Together they send three quarters of that rate, each with a burst of one.

--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -99,6 +99,8 @@
 	// others is the sum of the peers' loads.
 	others  Load
 	reading reading
+	// reopened is when the evacuation of a zone last ended.
+	reopened map[ident.Zone]time.Time
 	// storeDown is when the store was first not reached, zero while it is.
 	storeDown time.Time
 
@@ -126,7 +128,7 @@
 
 // NewNode returns a node that knows nothing, and registers its methods.
 func NewNode(o Options) *Node {
-	n := &Node{o: o, reading: newReading(o.InForce), view: NewView(), hub: NewHub(), others: NewLoad(), roster: NewRoster(o.Self, o.Seeds)}
+	n := &Node{o: o, reading: newReading(o.InForce), reopened: map[ident.Zone]time.Time{}, view: NewView(), hub: NewHub(), others: NewLoad(), roster: NewRoster(o.Self, o.Seeds)}
 	n.news, n.trials, n.tokens = newCrashNews(), quarantine.NewTrials(), newTokens()
 	n.snapshot.Store(n.view.Snapshot())
 	n.alive.Store(1)
--- a/gateway/fleet/reader.go
+++ b/gateway/fleet/reader.go
@@ -224,6 +224,11 @@
 	n.mu.Lock()
 	before := n.view.evacuation.Zones
 	changed := n.view.Evacuate(e)
+	for _, zone := range before {
+		if !e.Covers(zone) && changed {
+			n.reopened[zone] = clock.Now()
+		}
+	}
 	n.mu.Unlock()
 	if !changed {
 		return
--- a/gateway/fleet/roster_test.go
+++ b/gateway/fleet/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -382,3 +383,34 @@
 		assert.Equal(t, first, hub)
 	}
 }
+
+// TestColdQuotasStayWithinTheRate guards against more requests to a cold upstream than it
+// tolerates, at several fleet sizes, and against instances of other zones sending to it.
+func TestColdQuotasStayWithinTheRate(t *testing.T) {
+	const rate = 21.0
+	for _, n := range []int{1, 7, 60, 300, 585} {
+		total, senders := 0.0, 0
+		r := NewRoster(coldMember(0), nil)
+		for other := 1; other < n; other++ {
+			r.Receive(epoch, Heartbeat{From: coldMember(other)})
+		}
+		assert.Equal(t, r.Alive(epoch), n)
+		for self := range n {
+			// All instances know the same ones.
+			r.self = coldMember(self)
+			quota := r.coldQuota(epoch, "u", "a", rate)
+			if quota > 0 {
+				senders++
+				assert.Equal(t, r.self.Zone, ident.Zone("a"))
+			}
+			total += float64(quota)
+		}
+		assert.Check(t, math.Abs(total-coldRateFraction*rate) < 0.001, "%d instances: %v", n, total)
+		assert.Check(t, total+float64(senders) <= 1.5*rate+5, "%d instances: %d senders", n, senders)
+	}
+}
+
+// coldMember returns an instance, in zone a or b.
+func coldMember(n int) Member {
+	return Member{ID: ident.InstanceID(fmt.Sprintf("i%d", n)), Zone: ident.Zone(string(rune('a' + n%2))), Address: fmt.Sprintf("i%d:1", n), Incarnation: 1, Sequence: 1}
+}
--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -45,6 +45,7 @@
 			}
 		}
 		g.books.SetOverflow(own)
+		g.limitCold()
 	}
 }
 
--- a/gateway/schedule/books.go
+++ b/gateway/schedule/books.go
@@ -117,6 +117,8 @@
 	// overflow are the decode engines that this instance may have compute prompts while
 	// prefill engines are busy.
 	overflow map[ident.UpstreamID]bool
+	// cold limits this instance's request rate to cold upstreams.
+	cold map[ident.UpstreamID]*coldLimit
 	// offered is how many requests a second the others offer, by service.
 	offered map[string]float64
 	// others is how many further instances there are, age that of what is known of
@@ -174,6 +176,7 @@
 // place books a request. The caller holds mu.
 func (b *Books) place(now time.Time, k *book, tokens int) Ticket {
 	b.next++
+	b.cold[k.up.ID].take()
 	k.requests++
 	k.tokens += tokens
 	k.computing[b.next] = tokens
@@ -199,9 +202,9 @@
 	delete(k.computing, t.number)
 }
 
-// usable reports whether an upstream takes new work and is not excluded.
-func usable(u dialect.Upstream, exclude []ident.UpstreamID) bool {
-	if u.Leaving {
+// usable reports whether an upstream takes new work and is not excluded. The caller holds mu.
+func (b *Books) usable(now time.Time, u dialect.Upstream, exclude []ident.UpstreamID) bool {
+	if u.Leaving || !b.cold[u.ID].allows(now) {
 		return false
 	}
 	for _, id := range exclude {
--- a/gateway/schedule/engines.go
+++ b/gateway/schedule/engines.go
@@ -101,7 +101,7 @@
 	b.doubtQuiet(now)
 	var open []candidate
 	for _, u := range list {
-		if u.Stage != dialect.StageDecode || !usable(u, exclude) || size.At != "" && size.At != u.ID {
+		if u.Stage != dialect.StageDecode || !b.usable(now, u, exclude) || size.At != "" && size.At != u.ID {
 			continue
 		}
 		k := b.of(u)
@@ -229,7 +229,7 @@
 	open := b.openPrefill(now, list, tokens, near, exclude)
 	best := b.spread(open, b.unseen(now, serviceOf(list)))
 	if best == nil {
-		best = b.leastBad(b.reachable(now, prefillEngines(list)), exclude)
+		best = b.leastBad(now, b.reachable(now, prefillEngines(list)), exclude)
 	}
 	if best == nil {
 		return Ticket{}, false
@@ -262,7 +262,7 @@
 	b.doubtQuiet(now)
 	var open []candidate
 	for _, u := range list {
-		if u.Stage != dialect.StagePrefill || !usable(u, exclude) {
+		if u.Stage != dialect.StagePrefill || !b.usable(now, u, exclude) {
 			continue
 		}
 		if k := b.of(u); b.open(now, k) {
--- a/gateway/schedule/services.go
+++ b/gateway/schedule/services.go
@@ -26,7 +26,7 @@
 		best = trial
 	}
 	if best == nil {
-		best = b.leastBad(list, exclude)
+		best = b.leastBad(now, list, exclude)
 	}
 	if best == nil || best.outOfReach(now) {
 		return Ticket{}, false
@@ -46,7 +46,7 @@
 	lowest := math.Inf(1)
 	trust := 1 / (1 + b.unseen(now, serviceOf(list))/float64(len(list)))
 	for _, u := range list {
-		if !usable(u, exclude) {
+		if !b.usable(now, u, exclude) {
 			continue
 		}
 		k := b.of(u)
@@ -64,10 +64,10 @@
 
 // leastBad returns the ejected upstream that is due first: with nothing else left
 // it is tried all the same.
-func (b *Books) leastBad(list []dialect.Upstream, exclude []ident.UpstreamID) *book {
+func (b *Books) leastBad(now time.Time, list []dialect.Upstream, exclude []ident.UpstreamID) *book {
 	var first *book
 	for _, u := range list {
-		if !usable(u, exclude) {
+		if !b.usable(now, u, exclude) {
 			continue
 		}
 		k := b.of(u)
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -149,9 +149,15 @@
 		}
 	}
 	g.books.Keep(listed)
+	g.limitCold()
 	g.carrier.Listed(s.All())
 }
 
+// limitCold updates the limits on this instance's request rates to cold upstreams.
+func (g *Service) limitCold() {
+	g.books.SetCold(g.node.ColdQuotas(clock.Now()))
+}
+
 // loadChanged takes the sum of the peers' loads into the books.
 func (g *Service) loadChanged(l fleet.Load, age time.Duration) {
 	peers := map[ident.UpstreamID]*schedule.InFlight{}
