Limit the memory for request bodies and answers, shared among callers

Request bodies and complete answers of plain services were buffered without a total limit. An answer of up to 16 MB stays in memory until its caller has read it, up to two seconds after the deadline, so ten slow readers are enough to get the smallest machine (112 MB) killed. A longer answer was truncated at 16 MB and forwarded as if it were complete.

Reserve a quarter of the process's memory for these buffers. The first 32 KB of each request are exempt, so small requests never wait. One caller (its workspace, or its address if it has none) may hold half of the budget, or one request of any size that fits. A body that does not fit is refused at once as not run. An answer waits for memory, in order of arrival, until the request's deadline; its upstream is not read meanwhile. An answer of over 16 MB is an error.

Streams were already bounded (one event).

Left: the answers of earlier attempts are released with their request only.

--- a/gateway/carry/carry.go
+++ b/gateway/carry/carry.go
@@ -18,6 +18,7 @@
 	"github.com/wardspool/wardspool/adapter/roundtrip"
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/fleet"
+	"github.com/wardspool/wardspool/gateway/memory"
 	"github.com/wardspool/wardspool/gateway/quarantine"
 	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/gateway/schedule"
@@ -109,6 +110,8 @@
 	Deadline time.Time
 	// Content names what the call asks for.
 	Content quarantine.Content
+	// Memory accounts for the request body and the answer. Nil disables accounting.
+	Memory *memory.Account
 }
 
 // log returns a logger that names the request.
@@ -243,10 +246,38 @@
 	cause error
 }
 
+// AnswerTooLargeError reports an answer that exceeds maxAnswerBytes.
+type AnswerTooLargeError struct {
+	// Bytes is the declared length, or the number of bytes read if none was declared.
+	Bytes int64
+}
+
+// Error implements error.
+func (e *AnswerTooLargeError) Error() string {
+	return fmt.Sprintf("answer too large: at least %d bytes, limit is %d", e.Bytes, int64(maxAnswerBytes))
+}
+
+// readAnswerBody reads a response's whole body, waiting for memory if the account has too little.
+func readAnswerBody(ctx context.Context, resp *http.Response, account *memory.Account) ([]byte, error) {
+	if resp.ContentLength > maxAnswerBytes {
+		return nil, &AnswerTooLargeError{Bytes: resp.ContentLength}
+	}
+	length := resp.ContentLength
+	if length == 0 {
+		length = memory.UnknownLength
+	}
+	grow := func(bytes int64) error { return account.Grow(ctx, bytes) }
+	body, err := memory.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1), length, grow)
+	if err == nil && len(body) > maxAnswerBytes {
+		return nil, &AnswerTooLargeError{Bytes: int64(len(body))}
+	}
+	return body, err
+}
+
 // readAnswer reads a whole answer. One that breaks off counts only if it attests
 // that nothing ran.
-func readAnswer(resp *http.Response, v dialect.Verdict) *attempt {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+func readAnswer(ctx context.Context, resp *http.Response, v dialect.Verdict, account *memory.Account) *attempt {
+	body, err := readAnswerBody(ctx, resp, account)
 	if err != nil && (v == dialect.Success || v == dialect.Failure) {
 		return &attempt{err: err}
 	}
--- a/gateway/carry/decode.go
+++ b/gateway/carry/decode.go
@@ -128,7 +128,7 @@
 // notServed takes in an answer that is no stream.
 func (s *stream) notServed(ctx context.Context, p *place, h *computed, resp *http.Response, v dialect.Verdict) (*Answer, bool, error) {
 	u := p.decode.Upstream
-	a := readAnswer(resp, v)
+	a := readAnswer(ctx, resp, v, s.j.Memory)
 	s.c.note(u, a, 0, s.log)
 	s.excluded = append(s.excluded, u.ID)
 	s.log.Info("attempt", "upstream", u.ID, "number", s.starts, "verdict", v.String(), "status", resp.StatusCode)
--- a/gateway/carry/plain.go
+++ b/gateway/carry/plain.go
@@ -139,7 +139,7 @@
 		return &attempt{err: err}
 	}
 	defer resp.Body.Close()
-	return readAnswer(resp, verdict)
+	return readAnswer(ctx, resp, verdict, p.j.Memory)
 }
 
 // learn counts an attempt that brought no success.
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -6,9 +6,9 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"log/slog"
 	"maps"
+	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -18,6 +18,7 @@
 	"github.com/wardspool/wardspool/gateway/carry"
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/fleet"
+	"github.com/wardspool/wardspool/gateway/memory"
 	"github.com/wardspool/wardspool/gateway/quarantine"
 	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/gateway/schedule"
@@ -31,6 +32,9 @@
 	// retryNotReady is when callers may come back to an instance that knows no
 	// configuration yet: it asks the store and its peers every 200 ms.
 	retryNotReady = 300 * time.Millisecond
+	// retryNoMemory is the Retry-After for requests refused for lack of memory. By then
+	// other requests may have finished, or the retry may reach another instance.
+	retryNoMemory = 300 * time.Millisecond
 	// defaultTimeout bounds a request whose route sets no timeout.
 	defaultTimeout = 30 * time.Second
 	// writeSlack is how long after its deadline a caller may take to read its
@@ -50,7 +54,9 @@
 	ConfigAge func() time.Duration
 	InForce   time.Duration
 	Refresh   func()
-	Log       *slog.Logger
+	// Memory limits the memory held by request bodies and answers.
+	Memory *memory.Budget
+	Log    *slog.Logger
 	// Count counts an event by name.
 	Count func(name string)
 	// Limited counts what a request took of its workspace's limit, by the verdict.
@@ -106,11 +112,26 @@
 		return
 	}
 	j.Arrived, j.Deadline = arrived, arrived.Add(patience(call, j.Route))
+	j.Memory = f.o.Memory.Open(memoryCaller(r, j))
+	defer j.Memory.Close()
 	if f.readBody(w, r, j, view.Table) {
 		f.serve(w, r, j)
 	}
 }
 
+// memoryCaller returns the key under which a request's memory is accounted: its workspace,
+// or its remote address if it has none.
+func memoryCaller(r *http.Request, j *carry.Job) string {
+	if name := j.WorkspaceName(); name != "" {
+		return "workspace " + name
+	}
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
 // readBody reads a request's body. It reports false if the request was answered or
 // its caller has left.
 func (f *Front) readBody(w http.ResponseWriter, r *http.Request, j *carry.Job, table *routing.Table) bool {
@@ -122,8 +143,15 @@
 		f.problem(w, j.Call, http.StatusRequestEntityTooLarge, "body_too_large", api.NotRun, 0)
 		return false
 	}
-	body, err := readAll(w, r, limit)
+	body, err := readAll(w, r, limit, j.Memory)
 	var tooLarge *http.MaxBytesError
+	var exceeded *memory.BudgetExceededError
+	if errors.As(err, &exceeded) {
+		f.o.Count("refused_no_memory")
+		f.o.Log.Info("refused", "request", j.Call.ID, "route", j.Route.Name, "reason", "no_memory", "bytes", exceeded.Bytes, "version", j.Version)
+		f.problem(w, j.Call, http.StatusServiceUnavailable, "no_memory", api.NotRun, retryNoMemory)
+		return false
+	}
 	if errors.As(err, &tooLarge) {
 		f.problem(w, j.Call, http.StatusRequestEntityTooLarge, "body_too_large", api.NotRun, 0)
 		return false
@@ -140,15 +168,20 @@
 	return true
 }
 
-// readAll reads a body of limited length until its request's context ends.
-func readAll(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+// readAll reads a body of limited length until its request's context ends. If account
+// cannot reserve memory for it, the error is a *memory.BudgetExceededError.
+func readAll(w http.ResponseWriter, r *http.Request, limit int64, account *memory.Account) ([]byte, error) {
 	rc := http.NewResponseController(w)
 	stop := context.AfterFunc(r.Context(), func() {
 		// A connection without deadlines is closed with the server.
 		_ = rc.SetReadDeadline(time.Now())
 	})
 	defer stop()
-	return io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	length := r.ContentLength
+	if length < 0 {
+		length = memory.UnknownLength
+	}
+	return memory.ReadAll(http.MaxBytesReader(w, r.Body, limit), length, account.TryGrow)
 }
 
 // stopping refuses a request that was sent nowhere when the instance ended.
--- /dev/null
+++ b/gateway/memory/memory.go
@@ -0,0 +1,193 @@
+// Package memory limits the memory that an instance uses to buffer requests and answers, and
+// divides it among callers. Without a limit, slow readers can exhaust the instance's memory.
+package memory
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+)
+
+const (
+	// exemptBytes is the number of bytes per request that are not charged to the budget, so
+	// that small requests never wait. The file descriptor limit bounds their total.
+	exemptBytes = 32 << 10
+	// maxCallerShare is the fraction of the budget that one caller may hold.
+	maxCallerShare = 0.5
+)
+
+// BudgetExceededError reports a reservation that the budget cannot satisfy.
+type BudgetExceededError struct {
+	// Bytes is the size of the reservation, Limit the most that one request may hold.
+	Bytes, Limit int64
+}
+
+// Error implements error.
+func (e *BudgetExceededError) Error() string {
+	return fmt.Sprintf("memory budget exceeded: %d bytes requested, limit per request is %d", e.Bytes, e.Limit)
+}
+
+// Budget is a memory limit shared by all callers. It is safe for concurrent use.
+type Budget struct {
+	mu    sync.Mutex
+	total int64
+	used  int64
+	// callers maps each caller to the bytes it holds.
+	callers map[string]int64
+	waiting []*waiter
+}
+
+// waiter is a pending reservation.
+type waiter struct {
+	caller string
+	bytes  int64
+	// granted is closed once the bytes are charged to the caller.
+	granted chan struct{}
+}
+
+// NewBudget returns a budget of total bytes.
+func NewBudget(total int64) *Budget {
+	return &Budget{total: total, callers: map[string]int64{}}
+}
+
+// Used returns the number of bytes charged to the budget.
+func (b *Budget) Used() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used
+}
+
+// Open returns an account for one request of the given caller.
+func (b *Budget) Open(caller string) *Account { return &Account{budget: b, caller: caller} }
+
+// exceedsShare reports whether the bytes would put a caller over its share. A caller that holds
+// nothing is not limited by its share. b.mu must be held.
+func (b *Budget) exceedsShare(caller string, bytes int64) bool {
+	held := b.callers[caller]
+	return held > 0 && float64(held+bytes) > maxCallerShare*float64(b.total)
+}
+
+// contended reports whether a reservation is waiting for free bytes rather than for its
+// caller's share. b.mu must be held.
+func (b *Budget) contended() bool {
+	return slices.ContainsFunc(b.waiting, func(w *waiter) bool { return !b.exceedsShare(w.caller, w.bytes) })
+}
+
+// charge adds bytes, which may be negative, to the usage of a caller. b.mu must be held.
+func (b *Budget) charge(caller string, bytes int64) {
+	b.used += bytes
+	b.callers[caller] += bytes
+	if b.callers[caller] == 0 {
+		delete(b.callers, caller)
+	}
+}
+
+// grant satisfies pending reservations in order of arrival. Reservations over their caller's
+// share are skipped and do not block later ones. b.mu must be held.
+func (b *Budget) grant() {
+	var remaining []*waiter
+	blocked := false
+	for _, w := range b.waiting {
+		switch {
+		case b.exceedsShare(w.caller, w.bytes):
+			remaining = append(remaining, w)
+		case blocked || b.used+w.bytes > b.total:
+			blocked = true
+			remaining = append(remaining, w)
+		default:
+			b.charge(w.caller, w.bytes)
+			close(w.granted)
+		}
+	}
+	b.waiting = remaining
+}
+
+// Account tracks the memory held by one request. A nil account imposes no limit. An Account is
+// not safe for concurrent use.
+type Account struct {
+	budget *Budget
+	caller string
+	// size is the number of bytes held, charged the part of it charged to the budget.
+	size, charged int64
+}
+
+// chargeFor returns how much of a reservation has to be charged to the budget.
+func (a *Account) chargeFor(bytes int64) int64 {
+	return max(0, a.size+bytes-exemptBytes) - a.charged
+}
+
+// TryGrow reserves more bytes without waiting. If they are not available, the error is a
+// *BudgetExceededError.
+func (a *Account) TryGrow(bytes int64) error {
+	if a == nil {
+		return nil
+	}
+	b := a.budget
+	more := a.chargeFor(bytes)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if more > 0 && (b.contended() || b.used+more > b.total || b.exceedsShare(a.caller, more)) {
+		return &BudgetExceededError{Bytes: bytes, Limit: b.total}
+	}
+	a.add(bytes, more)
+	b.charge(a.caller, more)
+	return nil
+}
+
+// add records a reservation.
+func (a *Account) add(bytes, charged int64) {
+	a.size += bytes
+	a.charged += charged
+}
+
+// Grow reserves more bytes, waiting for them until ctx ends. The error is a
+// *BudgetExceededError if one request may not hold that many, otherwise ctx.Err().
+func (a *Account) Grow(ctx context.Context, bytes int64) error {
+	if a == nil {
+		return nil
+	}
+	b := a.budget
+	more := a.chargeFor(bytes)
+	if more == 0 {
+		a.add(bytes, 0)
+		return nil
+	}
+	b.mu.Lock()
+	if a.charged+more > b.total {
+		b.mu.Unlock()
+		return &BudgetExceededError{Bytes: bytes, Limit: b.total}
+	}
+	w := &waiter{caller: a.caller, bytes: more, granted: make(chan struct{})}
+	b.waiting = append(b.waiting, w)
+	b.grant()
+	b.mu.Unlock()
+	select {
+	case <-w.granted:
+		a.add(bytes, more)
+		return nil
+	case <-ctx.Done():
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if i := slices.Index(b.waiting, w); i >= 0 {
+		b.waiting = slices.Delete(b.waiting, i, i+1)
+		b.grant()
+		return ctx.Err()
+	}
+	a.add(bytes, more)
+	return nil
+}
+
+// Close releases all bytes held by the account. It may be called more than once.
+func (a *Account) Close() {
+	if a == nil {
+		return
+	}
+	b := a.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.charge(a.caller, -a.charged)
+	a.size, a.charged = 0, 0
+	b.grant()
+}
--- /dev/null
+++ b/gateway/memory/memory_test.go
@@ -0,0 +1,120 @@
+package memory
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const mb = 1 << 20
+
+// newAccount returns an account with the given number of bytes charged to the budget.
+func newAccount(t *testing.T, b *Budget, caller string, bytes int64) *Account {
+	t.Helper()
+	a := b.Open(caller)
+	assert.NilError(t, a.TryGrow(bytes+exemptBytes))
+	return a
+}
+
+func TestBudgetIsNeverExceeded(t *testing.T) {
+	b := NewBudget(10 * mb)
+	a := newAccount(t, b, "a", 5*mb)
+	newAccount(t, b, "b", 4*mb)
+	var exceeded *BudgetExceededError
+	assert.Assert(t, errors.As(b.Open("c").TryGrow(2*mb), &exceeded))
+	assert.Assert(t, errors.As(b.Open("c").Grow(t.Context(), 11*mb), &exceeded), "larger than the budget")
+	assert.NilError(t, b.Open("c").TryGrow(exemptBytes), "small requests are exempt")
+	assert.Equal(t, b.Used(), int64(9*mb))
+	a.Close()
+	a.Close()
+	assert.Equal(t, b.Used(), int64(4*mb))
+	var nilAccount *Account
+	assert.NilError(t, nilAccount.Grow(t.Context(), 100*mb))
+	nilAccount.Close()
+}
+
+// TestCallerShareIsLimited guards against one caller using up the budget, and against its
+// waiting requests blocking those of other callers.
+func TestCallerShareIsLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBudget(10 * mb)
+		first := newAccount(t, b, "heavy", 3*mb)
+		second := b.Open("heavy")
+		result := make(chan error, 1)
+		go func() { result <- second.Grow(t.Context(), 3*mb+exemptBytes) }()
+		synctest.Wait()
+		assert.Equal(t, len(result), 0, "exceeds the caller's share")
+		other := b.Open("other")
+		assert.NilError(t, other.Grow(t.Context(), 5*mb+exemptBytes))
+		first.Close()
+		synctest.Wait()
+		assert.NilError(t, <-result)
+		assert.Equal(t, b.Used(), int64(8*mb))
+	})
+}
+
+// TestWaitingRequestsAreServedInOrder guards against small requests starving a large one, and
+// against a canceled request blocking the queue.
+func TestWaitingRequestsAreServedInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBudget(10 * mb)
+		held := newAccount(t, b, "a", 8*mb)
+		order := make(chan string, 2)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		reserve := func(ctx context.Context, caller string, bytes int64) {
+			if err := b.Open(caller).Grow(ctx, bytes+exemptBytes); err == nil {
+				order <- caller
+			} else if ctx.Err() == nil {
+				t.Error(err)
+			}
+		}
+		go reserve(ctx, "canceled", 6*mb)
+		synctest.Wait()
+		go reserve(t.Context(), "large", 9*mb)
+		synctest.Wait()
+		go reserve(t.Context(), "small", 2*mb)
+		synctest.Wait()
+		assert.Equal(t, len(order), 0)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, len(order), 0)
+		held.Close()
+		synctest.Wait()
+		assert.Equal(t, <-order, "large")
+		assert.Equal(t, len(order), 0)
+		assert.Equal(t, b.Used(), int64(9*mb))
+	})
+}
+
+// TestReadAllChargesWholeBuffers guards against buffers that are larger than what was charged for
+// them.
+func TestReadAllChargesWholeBuffers(t *testing.T) {
+	data := strings.Repeat("x", 3*mb+5)
+	for _, length := range []int64{int64(len(data)), UnknownLength} {
+		charged := int64(0)
+		body, err := ReadAll(strings.NewReader(data), length, func(n int64) error {
+			charged += n
+			return nil
+		})
+		assert.NilError(t, err)
+		assert.Assert(t, string(body) == data)
+		assert.Assert(t, charged >= int64(cap(body)), "%d of %d", charged, cap(body))
+	}
+	_, err := ReadAll(strings.NewReader(data), UnknownLength, func(int64) error { return &BudgetExceededError{} })
+	var exceeded *BudgetExceededError
+	assert.Assert(t, errors.As(err, &exceeded))
+	_, err = ReadAll(strings.NewReader("few"), 10, func(int64) error { return nil })
+	assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF))
+	body, err := ReadAll(strings.NewReader(""), 10, func(int64) error { return nil })
+	assert.NilError(t, err)
+	assert.Equal(t, len(body), 0)
+	body, err = ReadAll(strings.NewReader(""), UnknownLength, func(int64) error { return nil })
+	assert.NilError(t, err)
+	assert.Equal(t, len(body), 0)
+}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -18,6 +18,7 @@
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/fleet"
 	"github.com/wardspool/wardspool/gateway/front"
+	"github.com/wardspool/wardspool/gateway/memory"
 	"github.com/wardspool/wardspool/gateway/quarantine"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
@@ -41,6 +42,9 @@
 	exitReserve = 100 * time.Millisecond
 	// tellTime is how long requests without a part of an answer have to be told so.
 	tellTime = 100 * time.Millisecond
+	// bufferMemoryShare is the fraction of the process's memory available to buffered
+	// request bodies and answers.
+	bufferMemoryShare = 0.25
 	// peersTime bounds the wait for calls of peers.
 	peersTime = 100 * time.Millisecond
 )
@@ -54,6 +58,7 @@
 	books    *schedule.Books
 	budget   *schedule.Budget
 	register *quarantine.Register
+	memory   *memory.Budget
 	carrier  *carry.Carrier
 	front    *front.Front
 	metrics  *counters
@@ -75,6 +80,7 @@
 	log = log.With("instance", s.Instance)
 	g := &Service{settings: s, log: log, dialect: d, metrics: newCounters(), register: quarantine.NewRegister()}
 	g.books = schedule.NewBooks(s.Zone, rand.Uint64())
+	g.memory = memory.NewBudget(int64(bufferMemoryShare * float64(s.MemoryMB<<20)))
 	incarnation := ident.NewIncarnation(time.Now())
 	config := peer.Config{
 		Self: peer.Identity{Instance: s.Instance, Incarnation: incarnation, Zone: s.Zone},
@@ -100,7 +106,7 @@
 	})
 	g.front = front.New(front.Options{
 		Dialect: d, Carrier: g.carrier, Budget: g.budget, Limits: g.node, View: g.node.Snapshot,
-		ConfigAge: g.node.ConfigAge, InForce: s.Store.inForce(), Refresh: g.node.Refresh,
+		ConfigAge: g.node.ConfigAge, InForce: s.Store.inForce(), Refresh: g.node.Refresh, Memory: g.memory,
 		Log: log, Count: g.metrics.count, Observe: g.metrics.observe, Limited: g.metrics.limited,
 	})
 	return g
