schedule: choose prefill engines by expected time

Half of its engines compute 33 tokens per ms and the other half 15, but all got 200 to 257 prompts, so the slow ones were overloaded: the median was 500 to 640 ms there and 150 to 220 ms at the fast ones, and 1,240 of 4,089 prompts were abandoned or refused and retried on another engine.

There were two causes. Unseen placements were spread evenly over as many of the cheapest engines as there were such placements, 30 to 40, which was all of them regardless of cost. And queued work was counted in tokens, not in time.

Unseen placements now raise engines to the same cost (water-filling): the probability of an engine grows with the distance of its cost below that level. An engine's pace is that of its fastest prompt of the last seconds. Instances exchange it with their in-flight load (one byte per engine in use), and queues are counted in time. Stages are planned with the mean pace of the prefill engines instead of that of the fastest.

--- a/gateway/carry/prefill.go
+++ b/gateway/carry/prefill.go
@@ -101,6 +101,7 @@
 	}
 	if err == nil {
 		s.c.o.Books.PrefillDone(s.j.Service.Name, s.j.Call.PromptTokens, took)
+		s.c.o.Books.ObservePrefillPace(clock.Now(), u, s.j.Call.PromptTokens, took)
 	}
 	s.log.Info("prefill", "upstream", u.ID, "tokens", s.j.Call.PromptTokens, "number", s.prefills, "took_ms", took.Milliseconds(), "error", logs.ErrorText(err))
 	return h, err
--- a/gateway/fleet/hub.go
+++ b/gateway/fleet/hub.go
@@ -251,6 +251,9 @@
 	if f.Unexplained > o.Unexplained {
 		left.Unexplained = f.Unexplained
 	}
+	if f.Pace > o.Pace {
+		left.Pace = f.Pace
+	}
 	for i := range min(len(left.Memory), len(o.Memory)) {
 		left.Memory[i] -= o.Memory[i]
 	}
@@ -259,15 +262,15 @@
 
 // empty reports whether nothing is in flight.
 func (f InFlight) empty() bool {
-	return f.Requests == 0 && f.Tokens == 0 && f.Unexplained == 0 && !slices.ContainsFunc(f.Memory, func(n int) bool { return n != 0 })
+	return f.Requests == 0 && f.Tokens == 0 && f.Unexplained == 0 && f.Pace == 0 && !slices.ContainsFunc(f.Memory, func(n int) bool { return n != 0 })
 }
 
 // plus returns the sum of two loads of an upstream.
 func (f InFlight) plus(o InFlight) InFlight {
 	sum := InFlight{
 		Requests: f.Requests + o.Requests, Tokens: f.Tokens + o.Tokens,
-		Unexplained: max(f.Unexplained, o.Unexplained),
-		Memory:      make([]int, max(len(f.Memory), len(o.Memory))),
+		Unexplained: max(f.Unexplained, o.Unexplained), Pace: max(f.Pace, o.Pace),
+		Memory: make([]int, max(len(f.Memory), len(o.Memory))),
 	}
 	for i := range sum.Memory {
 		if i < len(f.Memory) {
--- a/gateway/fleet/messages.go
+++ b/gateway/fleet/messages.go
@@ -39,6 +39,9 @@
 	// Unexplained is memory that the engine reported to the instance beyond what
 	// all requests explain, in tokens.
 	Unexplained int `json:"u,omitempty"`
+	// Pace is the recent pace of a prefill engine, as a 1-based bucket of
+	// schedule.Paces; 0 if unknown. Loads are merged by taking the maximum.
+	Pace int `json:"p,omitempty"`
 }
 
 // Demand is the work offered to a service's engines, as a rate.
--- a/gateway/fleet/pack.go
+++ b/gateway/fleet/pack.go
@@ -28,6 +28,7 @@
 		dst = binary.AppendVarint(dst, int64(f.Requests))
 		dst = binary.AppendVarint(dst, int64(f.Tokens))
 		dst = binary.AppendVarint(dst, int64(f.Unexplained))
+		dst = binary.AppendVarint(dst, int64(f.Pace))
 		dst = appendSteps(dst, f.Memory)
 	}
 	dst = binary.AppendUvarint(dst, uint64(len(l.Demand)))
@@ -67,7 +68,7 @@
 	l := NewLoad()
 	for range r.count() {
 		id := ident.UpstreamID(r.text())
-		f := InFlight{Requests: r.number(), Tokens: r.number(), Unexplained: r.number(), Memory: r.steps()}
+		f := InFlight{Requests: r.number(), Tokens: r.number(), Unexplained: r.number(), Pace: r.number(), Memory: r.steps()}
 		l.InFlight[id] = f
 	}
 	for range r.count() {
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -100,6 +100,7 @@
 func (g *Service) order(ctx context.Context, b *orderBook, s *fleet.Snapshot, service routing.Service, need schedule.Need) {
 	now := clock.Now()
 	list := g.books.Staged(now, s.Eligible(service.Name, nil, g.settings.regionOf))
+	need.PrefillRate *= g.books.MeanRelativePace(now, list)
 	o := b.of(service.Name)
 	if o.since.IsZero() {
 		o.since = now
--- a/gateway/schedule/books.go
+++ b/gateway/schedule/books.go
@@ -63,11 +63,14 @@
 	unexplained     int
 	unexplainedAt   time.Time
 	peerUnexplained int
-	success         float64
-	latency         time.Duration
-	failures        int
-	ejections       int
-	ejectedUntil    time.Time
+	// ownPace is the prefill pace measured by this instance, peerPace the one reported by
+	// peers.
+	ownPace, peerPace enginePace
+	success           float64
+	latency           time.Duration
+	failures          int
+	ejections         int
+	ejectedUntil      time.Time
 	// computing are the lengths of the own prompts that the engine computes, by
 	// number; a decode engine does so only while prefill engines are out of reach or
 	// busy, and for what a resumed stream lacks.
@@ -224,6 +227,8 @@
 	Memory Forecast
 	// Unexplained is memory that an engine reported beyond that, in tokens.
 	Unexplained int
+	// Pace is the recent pace of a prefill engine, as a 1-based bucket of Paces; 0 if unknown.
+	Pace int
 }
 
 // SetPeers takes in what peers have in flight.
@@ -240,6 +245,7 @@
 		}
 		k.peerRequests, k.peerTokens, k.peerForecast = f.Requests, f.Tokens, f.Memory
 		k.peerUnexplained = f.Unexplained
+		k.peerPace.update(now, f.Pace)
 		b.remember(now, k)
 	}
 }
@@ -251,6 +257,9 @@
 	own := map[ident.UpstreamID]InFlight{}
 	for id, k := range b.books {
 		f := InFlight{Requests: k.requests, Tokens: k.tokens, Memory: b.ownForecast(k), Unexplained: k.ownUnexplained(now)}
+		if k.ownPace.fresh(now) {
+			f.Pace = k.ownPace.bucket
+		}
 		if f != (InFlight{}) {
 			own[id] = f
 		}
--- a/gateway/schedule/engines.go
+++ b/gateway/schedule/engines.go
@@ -227,7 +227,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	open := b.openPrefill(now, list, tokens, near, exclude)
-	best := b.spread(open, b.unseen(now, serviceOf(list)))
+	best := b.spreadByCost(open, b.unseen(now, serviceOf(list)))
 	if best == nil {
 		best = b.leastBad(now, b.reachable(now, prefillEngines(list)), exclude)
 	}
@@ -246,13 +246,14 @@
 	if best == nil {
 		return 0, false
 	}
-	return b.prefillTime(best, tokens), true
+	return b.prefillTime(now, best, tokens), true
 }
 
 // prefillTime is how long a prompt takes at an engine behind what is queued there.
 // The caller holds mu.
-func (b *Books) prefillTime(k *book, tokens int) time.Duration {
-	return b.rateOf(k.up.Service).prefill.time(k.tokens + k.peerTokens + tokens)
+func (b *Books) prefillTime(now time.Time, k *book, tokens int) time.Duration {
+	usual := b.rateOf(k.up.Service).prefill.time(k.tokens + k.peerTokens + tokens)
+	return time.Duration(b.slowdown(now, k) * float64(usual))
 }
 
 // openPrefill returns the open prefill engines with their costs. The caller holds
@@ -266,7 +267,9 @@
 			continue
 		}
 		if k := b.of(u); b.open(now, k) {
-			open = append(open, candidate{book: k, cost: b.prefillCost(now, k, tokens, near, usual)})
+			cost := b.prefillCost(now, k, tokens, near, usual)
+			share := float64(tokens) / math.Max(1, float64(k.tokens+k.peerTokens+tokens))
+			open = append(open, candidate{book: k, cost: cost, requestCost: cost * share})
 		}
 	}
 	return open
@@ -283,12 +286,12 @@
 	return out
 }
 
-// prefillCost is the work before a prompt's result at an engine, in tokens; more
-// for engines that fail, or take longer than is usual, in seconds. The caller holds
-// mu.
+// prefillCost is the work before a prompt's result at an engine, in tokens scaled by the
+// engine's slowdown. It is higher for engines that fail, and for engines of unknown pace whose
+// latency exceeds usual, in seconds. The caller holds mu.
 func (b *Books) prefillCost(now time.Time, k *book, tokens int, near ident.Zone, usual float64) float64 {
-	c := float64(k.tokens + k.peerTokens + tokens)
-	if k.latency > 0 {
+	c := float64(k.tokens+k.peerTokens+tokens) * b.slowdown(now, k)
+	if k.pace(now) == 0 && k.latency > 0 {
 		c *= math.Max(1, k.latency.Seconds()/usual)
 	}
 	return b.weigh(now, k, c, near)
--- a/gateway/schedule/paces.go
+++ b/gateway/schedule/paces.go
@@ -40,10 +40,18 @@
 	if *p == nil {
 		*p = make(Paces, paceBuckets)
 	}
-	i := math.Log(tokens/seconds/leastPace) / math.Log(paceStep)
-	(*p)[max(0, min(paceBuckets-1, int(i)))]++
+	(*p)[paceBucket(tokens/seconds)]++
 }
 
+// paceBucket returns the index of the bucket that holds a pace in tokens a second.
+func paceBucket(pace float64) int {
+	i := math.Log(pace/leastPace) / math.Log(paceStep)
+	return max(0, min(paceBuckets-1, int(i)))
+}
+
+// bucketPace returns the geometric middle of a bucket, in tokens a second.
+func bucketPace(bucket int) float64 { return leastPace * math.Pow(paceStep, float64(bucket)+0.5) }
+
 // Plus returns the sum of two counts.
 func (p Paces) Plus(o Paces) Paces {
 	sum := make(Paces, max(len(p), len(o)))
@@ -76,7 +84,7 @@
 	skip := max(min(fewOutliers, total/promptsOfOutlier), int(outlierShare*float64(total)))
 	for i := len(p) - 1; i >= 0; i-- {
 		if skip -= p[i]; skip < 0 {
-			return leastPace * math.Pow(paceStep, float64(i)+0.5)
+			return bucketPace(i)
 		}
 	}
 	return 0
--- /dev/null
+++ b/gateway/schedule/speed.go
@@ -0,0 +1,101 @@
+package schedule
+
+import (
+	"math"
+	"time"
+
+	"github.com/wardspool/wardspool/gateway/dialect"
+)
+
+// paceTTL is how long the pace of an engine's fastest prompt is kept over slower measurements,
+// which may include time in the engine's queue. It delays the detection of an engine that
+// becomes slow.
+const paceTTL = 5 * time.Second
+
+// paceForgetAfter is the age at which a pace no longer counts. An engine that looked slow
+// because of its queue, and gets no prompts for that, is tried again.
+const paceForgetAfter = 20 * time.Second
+
+// maxRelativePace caps an engine's pace relative to the service's, since a prompt that is still
+// in the engine's cache takes almost no time.
+const maxRelativePace = 1.3
+
+// enginePace is the measured pace of a prefill engine, as a 1-based bucket of Paces; 0 if
+// unknown.
+type enginePace struct {
+	bucket int
+	at     time.Time
+}
+
+// fresh reports whether the pace is known and younger than paceTTL.
+func (p enginePace) fresh(now time.Time) bool { return p.bucket > 0 && now.Sub(p.at) < paceTTL }
+
+// known reports whether the pace is known and younger than paceForgetAfter.
+func (p enginePace) known(now time.Time) bool { return p.bucket > 0 && now.Sub(p.at) < paceForgetAfter }
+
+// update records a measurement. One below the current pace is ignored while that is fresh.
+func (p *enginePace) update(now time.Time, bucket int) {
+	if bucket > 0 && (bucket >= p.bucket || !p.fresh(now)) {
+		*p = enginePace{bucket: bucket, at: now}
+	}
+}
+
+// ObservePrefillPace updates an engine's pace from the time it took for a prompt.
+func (b *Books) ObservePrefillPace(now time.Time, u dialect.Upstream, tokens int, took time.Duration) {
+	if tokens <= 0 || took <= 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	pace := float64(tokens) / took.Seconds()
+	if p := &b.rateOf(u.Service).prefill; p.measured() {
+		// Relative to the usual time for this length, of which a part is the same for any prompt.
+		relative := p.time(tokens).Seconds() / took.Seconds()
+		pace = math.Min(relative, maxRelativePace) * p.whole()
+	}
+	b.of(u).ownPace.update(now, paceBucket(pace)+1)
+}
+
+// pace returns a prefill engine's pace in tokens a second, as measured by all instances; 0 if
+// unknown. A fresh measurement takes precedence over a stale one, then the faster one.
+func (k *book) pace(now time.Time) float64 {
+	own, peer := k.ownPace, k.peerPace
+	best := own
+	switch {
+	case own.fresh(now) == peer.fresh(now) && peer.bucket > own.bucket:
+		best = peer
+	case !own.fresh(now) && peer.fresh(now):
+		best = peer
+	}
+	if !best.known(now) {
+		return 0
+	}
+	return bucketPace(best.bucket - 1)
+}
+
+// slowdown returns the ratio of the service's pace to the engine's, at least 1. It is 1 if
+// either is unknown. The caller holds mu.
+func (b *Books) slowdown(now time.Time, k *book) float64 {
+	pace := k.pace(now)
+	p := &b.rateOf(k.up.Service).prefill
+	if pace == 0 || !p.measured() {
+		return 1
+	}
+	return math.Max(1, p.whole()/pace)
+}
+
+// MeanRelativePace returns the mean pace of the prefill engines of a list, relative to the
+// service's pace, which is close to that of its fastest engines. It is 1 if there are none.
+func (b *Books) MeanRelativePace(now time.Time, list []dialect.Upstream) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	engines := prefillEngines(list)
+	if len(engines) == 0 {
+		return 1
+	}
+	sum := 0.0
+	for _, u := range engines {
+		sum += 1 / b.slowdown(now, b.of(u))
+	}
+	return sum / float64(len(engines))
+}
--- /dev/null
+++ b/gateway/schedule/speed_test.go
@@ -0,0 +1,200 @@
+package schedule
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/ident"
+)
+
+// mixedFleet simulates gateway instances that share prefill engines of different pace and
+// exchange their loads periodically.
+type mixedFleet struct {
+	books []*Books
+	list  []dialect.Upstream
+	// pace is in tokens a second.
+	pace map[ident.UpstreamID]float64
+	// idleAt is when an engine has completed its queue.
+	idleAt map[ident.UpstreamID]time.Time
+	// observePaces enables the measurement of the engines' paces.
+	observePaces bool
+	latencies    []time.Duration
+	pending      []pendingPrefill
+}
+
+// pendingPrefill is a prompt that an engine completes at doneAt.
+type pendingPrefill struct {
+	doneAt time.Time
+	books  *Books
+	ticket Ticket
+	took   time.Duration
+}
+
+const (
+	promptTokens     = 3200
+	exchangeInterval = 300 * time.Millisecond
+)
+
+func newMixedFleet(instances, engines int, observePaces bool) *mixedFleet {
+	f := &mixedFleet{pace: map[ident.UpstreamID]float64{}, idleAt: map[ident.UpstreamID]time.Time{}, observePaces: observePaces}
+	for i := range engines {
+		id := ident.UpstreamID(fmt.Sprintf("e%d", i))
+		f.list = append(f.list, dialect.Upstream{ID: id, Service: "llm", Zone: "z", Stage: dialect.StagePrefill})
+		f.pace[id] = 33000
+		if i%2 == 1 {
+			f.pace[id] = 15000
+		}
+	}
+	for i := range instances {
+		f.books = append(f.books, NewBooks("z", uint64(i)))
+	}
+	return f
+}
+
+// exchange sends each instance the load of the others and the paces of all.
+func (f *mixedFleet) exchange(now time.Time, perSecond float64) {
+	sum := map[ident.UpstreamID]*InFlight{}
+	var paces Paces
+	for _, b := range f.books {
+		for id, own := range b.Own(now) {
+			if sum[id] == nil {
+				sum[id] = &InFlight{}
+			}
+			sum[id].Requests += own.Requests
+			sum[id].Tokens += own.Tokens
+			sum[id].Pace = max(sum[id].Pace, own.Pace)
+		}
+		paces = paces.Plus(b.rateOf("llm").prefill.long.paces())
+	}
+	for _, b := range f.books {
+		others := map[ident.UpstreamID]*InFlight{}
+		for id, all := range sum {
+			own := b.Own(now)[id]
+			others[id] = &InFlight{Requests: all.Requests - own.Requests, Tokens: all.Tokens - own.Tokens, Pace: all.Pace}
+		}
+		b.SetOffered("llm", perSecond)
+		b.SetFleet(len(f.books), exchangeInterval)
+		b.SetPeers(now, others)
+		b.SetPaces(map[string]Paces{"llm": paces})
+	}
+}
+
+// run sends prompts to random instances at a Poisson rate for a duration.
+func (f *mixedFleet) run(perSecond float64, duration time.Duration) {
+	random := rand.New(rand.NewPCG(1, 2))
+	start := time.Unix(1000, 0)
+	exchanged := start
+	for now := start; now.Before(start.Add(duration)); {
+		now = now.Add(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
+		for ; !exchanged.After(now); exchanged = exchanged.Add(exchangeInterval) {
+			f.finish(exchanged)
+			f.exchange(exchanged, perSecond)
+		}
+		f.finish(now)
+		f.send(now, f.books[random.IntN(len(f.books))])
+	}
+}
+
+// send places a prompt and queues it at the chosen engine.
+func (f *mixedFleet) send(now time.Time, b *Books) {
+	t, ok := b.PlacePrefill(now, f.list, promptTokens, "z", nil)
+	if !ok {
+		return
+	}
+	id := t.Upstream.ID
+	begins := f.idleAt[id]
+	if begins.Before(now) {
+		begins = now
+	}
+	f.idleAt[id] = begins.Add(time.Duration(promptTokens / f.pace[id] * float64(time.Second)))
+	f.pending = append(f.pending, pendingPrefill{doneAt: f.idleAt[id], books: b, ticket: t, took: f.idleAt[id].Sub(now)})
+}
+
+// finish completes the prompts that are due by now.
+func (f *mixedFleet) finish(now time.Time) {
+	f.pending = slices.DeleteFunc(f.pending, func(p pendingPrefill) bool {
+		if p.doneAt.After(now) {
+			return false
+		}
+		p.books.Done(p.ticket)
+		p.books.PrefillDone("llm", promptTokens, p.took)
+		if f.observePaces {
+			p.books.ObservePrefillPace(p.doneAt, p.ticket.Upstream, promptTokens, p.took)
+		}
+		p.books.Answered(p.doneAt, p.ticket.Upstream, p.took)
+		f.latencies = append(f.latencies, p.took)
+		return true
+	})
+}
+
+// shareWithin returns the share of prompts that completed within limit.
+func (f *mixedFleet) shareWithin(limit time.Duration) float64 {
+	n := 0
+	for _, t := range f.latencies {
+		if t <= limit {
+			n++
+		}
+	}
+	return float64(n) / float64(len(f.latencies))
+}
+
+// TestPlacementAccountsForEnginePace runs engines of two paces at 75% of their total capacity.
+// It guards against an equal split of prompts, which overloads the slower half.
+func TestPlacementAccountsForEnginePace(t *testing.T) {
+	const engines = 16
+	perSecond := 0.75 * engines / 2 * (33000 + 15000) / promptTokens
+	for _, n := range []int{7, 82} {
+		f := newMixedFleet(n, engines, true)
+		f.run(perSecond, 30*time.Second)
+		baseline := newMixedFleet(n, engines, false)
+		baseline.run(perSecond, 30*time.Second)
+		t.Logf("%d instances: share within 600 ms: %.3f, without engine paces: %.3f", n, f.shareWithin(600*time.Millisecond), baseline.shareWithin(600*time.Millisecond))
+		late, lateWithout := 1-f.shareWithin(600*time.Millisecond), 1-baseline.shareWithin(600*time.Millisecond)
+		assert.Check(t, late <= 0.7*lateWithout, "%d instances: late %.3f, without engine paces %.3f", n, late, lateWithout)
+		assert.Check(t, f.shareWithin(600*time.Millisecond) >= 0.9)
+	}
+}
+
+// TestEnginePaceKeepsFastestUntilStale guards against queueing time lowering an engine's pace,
+// and against a stale pace hiding a slowdown. Paces reported by peers count as well.
+func TestEnginePaceKeepsFastestUntilStale(t *testing.T) {
+	now := time.Unix(1000, 0)
+	checkNear := func(got, want float64) {
+		t.Helper()
+		assert.Check(t, math.Abs(got-want) < paceStep*want-want, "got %.0f, want %.0f", got, want)
+	}
+	var k book
+	assert.Equal(t, k.pace(now), 0.0)
+	k.ownPace.update(now, paceBucket(10000)+1)
+	k.ownPace.update(now, paceBucket(30000)+1)
+	k.ownPace.update(now, paceBucket(8000)+1)
+	checkNear(k.pace(now), 30000)
+	k.peerPace.update(now, paceBucket(40000)+1)
+	checkNear(k.pace(now), 40000)
+	now = now.Add(paceTTL)
+	checkNear(k.pace(now), 40000)
+	k.ownPace.update(now, paceBucket(8000)+1)
+	checkNear(k.pace(now), 8000)
+	now = now.Add(paceForgetAfter)
+	assert.Equal(t, k.pace(now), 0.0)
+}
+
+// TestWaterLevel guards against unseen placements going to engines above the common cost level.
+func TestWaterLevel(t *testing.T) {
+	list := []candidate{{cost: 1, requestCost: 1}, {cost: 2, requestCost: 2}, {cost: 10, requestCost: 1}}
+	level, below := waterLevel(list, 0.5)
+	assert.Equal(t, below, 1)
+	assert.Equal(t, level, 1.5)
+	level, below = waterLevel(list, 4)
+	assert.Equal(t, below, 2)
+	assert.Equal(t, level, 4.0)
+	_, below = waterLevel(list, 1000)
+	assert.Equal(t, below, 3)
+}
--- a/gateway/schedule/unseen.go
+++ b/gateway/schedule/unseen.go
@@ -1,7 +1,9 @@
 package schedule
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -80,6 +82,8 @@
 	cost float64
 	// left is the share of a decode engine's memory that stays unused.
 	left float64
+	// requestCost is the part of a prefill engine's cost that the request itself adds.
+	requestCost float64
 }
 
 // spread chooses among the cheapest candidates, as many as there are unseen
@@ -100,3 +104,41 @@
 	}
 	return list[b.random.IntN(n)].book
 }
+
+// spreadByCost chooses a prefill engine at random by water-filling: the unseen placements are
+// expected to raise the cheapest engines to the same cost. The probability of an engine grows
+// with the distance of its cost to that level, and falls with the cost of a request there.
+// Without unseen placements the cheapest engine is chosen. It sorts list in place. The caller
+// holds mu.
+func (b *Books) spreadByCost(list []candidate, unseen float64) *book {
+	slices.SortFunc(list, func(a, c candidate) int { return cmp.Compare(a.cost, c.cost) })
+	if len(list) == 0 {
+		return nil
+	}
+	if unseen <= 0 {
+		return list[0].book
+	}
+	level, below := waterLevel(list, unseen)
+	remaining := b.random.Float64() * unseen
+	for _, c := range list[:below] {
+		if remaining -= (level - c.cost) / c.requestCost; remaining < 0 {
+			return c.book
+		}
+	}
+	return list[0].book
+}
+
+// waterLevel returns the cost to which the given number of placements raises the cheapest
+// engines, and how many engines lie below it. The list must be sorted by cost.
+func waterLevel(list []candidate, placements float64) (level float64, below int) {
+	rate, filled := 0.0, 0.0
+	for i, c := range list {
+		if rate > 0 && level <= c.cost {
+			return level, i
+		}
+		rate += 1 / c.requestCost
+		filled += c.cost / c.requestCost
+		level = (placements + filled) / rate
+	}
+	return level, len(list)
+}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -125,7 +125,7 @@
 	l := fleet.Load{InFlight: map[ident.UpstreamID]fleet.InFlight{}, Demand: map[string]fleet.Demand{}}
 	now := clock.Now()
 	for id, f := range g.books.Own(now) {
-		said := fleet.InFlight{Requests: f.Requests, Tokens: f.Tokens, Unexplained: f.Unexplained}
+		said := fleet.InFlight{Requests: f.Requests, Tokens: f.Tokens, Unexplained: f.Unexplained, Pace: f.Pace}
 		if f.Memory != (schedule.Forecast{}) {
 			said.Memory = f.Memory[:]
 		}
@@ -168,7 +168,7 @@
 func (g *Service) loadChanged(l fleet.Load, age time.Duration) {
 	peers := map[ident.UpstreamID]*schedule.InFlight{}
 	for id, f := range l.InFlight {
-		in := &schedule.InFlight{Requests: f.Requests, Tokens: f.Tokens, Unexplained: f.Unexplained}
+		in := &schedule.InFlight{Requests: f.Requests, Tokens: f.Tokens, Unexplained: f.Unexplained, Pace: f.Pace}
 		in.Memory.Add(f.Memory)
 		peers[id] = in
 	}
