Read changes from the store instead of listing it

Each zone's reader listed all upstreams and read the operators' items twice a second, whether or not anything had changed. Calls are charged for. At 5,999 upstreams a list takes 30 pages and 2 MB, as much as the link of the smallest machine carries in a second, and each list is decoded.

A reader now lists the store once and then asks for the changes after the last one it saw, with one call for upstreams and operators' items. The operators' items are read again when one of them changed. The revision advances only with changes that were seen, since a store that is about to lose its history reports none for a while. An unchanged list confirms the view without a merge, at the reader and at its followers.

Rejected: continuing from the store's current revision; long-polling watches, whose silence can't be told from a store that has no changes to report.

--- a/gateway/dialect/dialect.go
+++ b/gateway/dialect/dialect.go
@@ -281,4 +281,25 @@
 	// before each but the first, further says whether it is still wanted. If not, the error is
 	// a *StoppedError.
 	Upstreams(ctx context.Context, further func() bool) (list []Upstream, revision int64, err error)
+	// Changes returns what changed after a revision. If the store no longer has the history
+	// since then, the error is a *HistoryLostError.
+	Changes(ctx context.Context, after int64) (Changes, error)
 }
+
+// Changes describes the differences between two revisions of the store.
+type Changes struct {
+	// Upstreams are those added or changed, Gone those removed.
+	Upstreams []Upstream
+	Gone      []ident.UpstreamID
+	// DirectivesChanged reports whether any of the operators' items changed.
+	DirectivesChanged bool
+	// Revision is the store's; lists of several readers are ordered by it.
+	Revision int64
+	// Next is where to continue: the revision of the last change, or the requested one if there
+	// are no changes. A store that is about to lose its history reports no changes for a while,
+	// and those made in that time must not be skipped.
+	Next int64
+}
+
+// UpstreamsChanged reports whether any upstream was added, changed or removed.
+func (c *Changes) UpstreamsChanged() bool { return len(c.Upstreams)+len(c.Gone) > 0 }
--- a/gateway/dialect/errors.go
+++ b/gateway/dialect/errors.go
@@ -83,3 +83,11 @@
 func (e *LongListError) Error() string {
 	return fmt.Sprintf("the list has more than %d pages", e.Pages)
 }
+
+// HistoryLostError reports a revision after which the store no longer has all changes.
+type HistoryLostError struct{ After int64 }
+
+// Error implements error.
+func (e *HistoryLostError) Error() string {
+	return fmt.Sprintf("no history after revision %d", e.After)
+}
--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -192,6 +192,7 @@
 			w.mu.Lock()
 			next := *w.config
 			next.Version++
+			w.revision++
 			next.Routes = append(next.Routes[:0:0], next.Routes...)
 			next.Routes[0].Regions = regions
 			w.config = &next
--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -99,6 +99,8 @@
 	// others is the sum of the peers' loads.
 	others  Load
 	reading reading
+	// stored is the list of upstreams in the store, for an instance that reads the store.
+	stored storedUpstreams
 	// reopened is when the evacuation of a zone last ended.
 	reopened map[ident.Zone]time.Time
 	// storeDown is when the store was first not reached, zero while it is.
--- a/gateway/fleet/reader.go
+++ b/gateway/fleet/reader.go
@@ -61,11 +61,70 @@
 	if first && !n.readDirectives(ctx) {
 		return
 	}
+	if n.canReadChanges() && n.readChanges(ctx) {
+		return
+	}
 	if n.readList(ctx) && (first || n.readDirectives(ctx)) {
 		n.storeAnswered()
 	}
 }
 
+// canReadChanges reports whether reading the changes suffices, without listing the store.
+func (n *Node) canReadChanges() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.stored.canApplyChanges(clock.Now())
+}
+
+// readChanges reads what changed in the store since the last read. It returns false if the
+// store must be listed instead.
+func (n *Node) readChanges(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	started := clock.Now()
+	n.mu.Lock()
+	after := n.stored.next
+	n.mu.Unlock()
+	c, err := n.o.Source.Changes(ctx, after)
+	var lost *dialect.HistoryLostError
+	switch {
+	case errors.As(err, &lost):
+		n.o.Log.Info("store history lost, listing upstreams", "after", after)
+		n.mu.Lock()
+		n.stored.clear()
+		n.mu.Unlock()
+		return false
+	case err != nil:
+		n.storeFailed(err)
+		return true
+	}
+	n.mu.Lock()
+	n.stored.apply(c)
+	list, merged, directivesPending := n.stored.list(), n.stored.merged, n.stored.directivesPending
+	n.mu.Unlock()
+	if !merged || !n.confirmUnchanged(started, c.Revision) {
+		n.takeStored(started, c.Revision, list)
+	}
+	if directivesPending && !n.readDirectives(ctx) {
+		return true
+	}
+	n.confirm(n.Snapshot().Version(), started)
+	n.storeAnswered()
+	return true
+}
+
+// confirmUnchanged records that the list was still current when the read started. It returns
+// false if the list has to be merged nevertheless.
+func (n *Node) confirmUnchanged(started time.Time, revision int64) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.storeDown.IsZero() || !n.view.ConfirmUnchanged(started, revision) {
+		return false
+	}
+	n.snapshot.Store(n.view.Snapshot())
+	return true
+}
+
 // readList reads the list of upstreams, and reports whether the store answered.
 func (n *Node) readList(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
@@ -80,10 +139,22 @@
 		n.storeFailed(err)
 		return false
 	}
-	n.takeList(started, revision, list, n.readOrigin(), "store")
+	n.mu.Lock()
+	n.stored.replace(started, list, revision)
+	n.mu.Unlock()
+	n.takeStored(started, revision, list)
 	return true
 }
 
+// takeStored merges the store's list into the view. If the view has taken in a newer one from a
+// peer meanwhile, it is merged with the next read.
+func (n *Node) takeStored(started time.Time, revision int64, list []dialect.Upstream) {
+	merged := n.takeList(started, revision, list, n.readOrigin(), "store")
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stored.merged = merged
+}
+
 // furtherPages reports whether to read on in a long list. An instance that starts knows
 // nobody, and takes itself for the reader: all that start at once would read the whole list,
 // and so would the followers of a reader that is slow. By the end of the first page an
@@ -112,6 +183,9 @@
 		return false
 	}
 	n.takeDirectives(d, started)
+	n.mu.Lock()
+	n.stored.directivesPending = false
+	n.mu.Unlock()
 	return true
 }
 
@@ -202,7 +276,7 @@
 		n.misfit.Store(true)
 		return
 	}
-	if list != nil {
+	if list != nil && !(a.Same && n.confirmUnchanged(started, a.Revision)) {
 		n.takeList(started, a.Revision, list, FromPeer, address)
 	}
 }
@@ -249,8 +323,8 @@
 	return n.view.evacuation
 }
 
-// takeList takes in a list of upstreams.
-func (n *Node) takeList(started time.Time, revision int64, list []dialect.Upstream, origin Origin, from string) {
+// takeList takes in a list of upstreams, and reports whether it was newer than the last.
+func (n *Node) takeList(started time.Time, revision int64, list []dialect.Upstream, origin Origin, from string) bool {
 	n.mu.Lock()
 	changes, taken := n.view.List(clock.Now(), started, revision, list, origin)
 	n.mu.Unlock()
@@ -258,6 +332,7 @@
 		n.publish()
 	}
 	n.logChanges(changes, from, revision, clock.Since(started))
+	return taken
 }
 
 // logChanges logs what changed in a list: a line each, but for the first list and others
--- a/gateway/fleet/relay_test.go
+++ b/gateway/fleet/relay_test.go
@@ -37,6 +37,10 @@
 	return nil, 0, &dialect.StatusError{Op: "store", Status: 503}
 }
 
+func (f *fakeStore) Changes(_ context.Context, after int64) (dialect.Changes, error) {
+	return dialect.Changes{}, &dialect.HistoryLostError{After: after}
+}
+
 func newTestNode(t *testing.T, source dialect.Source) *Node {
 	t.Helper()
 	log := slog.New(slog.DiscardHandler)
--- /dev/null
+++ b/gateway/fleet/stored_test.go
@@ -0,0 +1,158 @@
+package fleet
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/routing"
+	"github.com/wardspool/wardspool/ident"
+)
+
+// changingStore is a store that reports changes and counts the calls to it.
+type changingStore struct {
+	version  int64
+	list     []dialect.Upstream
+	revision int64
+	// next is returned by the next call of Changes.
+	next dialect.Changes
+	// historyLost makes the next call of Changes fail with a HistoryLostError.
+	historyLost bool
+	down        bool
+	// directivesDown makes only the calls of Directives fail.
+	directivesDown bool
+
+	listCalls, directivesCalls, changesCalls int
+}
+
+func (s *changingStore) Directives(context.Context) (dialect.Directives, error) {
+	s.directivesCalls++
+	if s.down || s.directivesDown {
+		return dialect.Directives{}, &dialect.StatusError{Op: "store", Status: 503}
+	}
+	return dialect.Directives{Config: &routing.Config{Version: s.version}, Evacuation: routing.Evacuation{Revision: s.revision}}, nil
+}
+
+func (s *changingStore) Upstreams(context.Context, func() bool) ([]dialect.Upstream, int64, error) {
+	s.listCalls++
+	if s.down {
+		return nil, 0, &dialect.StatusError{Op: "store", Status: 503}
+	}
+	return s.list, s.revision, nil
+}
+
+func (s *changingStore) Changes(_ context.Context, after int64) (dialect.Changes, error) {
+	s.changesCalls++
+	switch {
+	case s.down:
+		return dialect.Changes{}, &dialect.StatusError{Op: "store", Status: 503}
+	case s.historyLost:
+		s.historyLost = false
+		return dialect.Changes{}, &dialect.HistoryLostError{After: after}
+	}
+	c := s.next
+	c.Next = max(after, c.Revision)
+	s.revision = max(s.revision, c.Next)
+	c.Revision = s.revision
+	s.next = dialect.Changes{}
+	return c, nil
+}
+
+// TestReaderFollowsChanges checks that the store is listed once and then only asked for changes,
+// that it is listed again when its history is lost, and that directives are read again only
+// when they change.
+func TestReaderFollowsChanges(t *testing.T) {
+	s := &changingStore{version: 1, list: []dialect.Upstream{up("a"), up("b")}, revision: 10}
+	n := newTestNode(t, s)
+	read := func() string {
+		n.readStore(t.Context())
+		return names(n.Snapshot())
+	}
+	assert.Equal(t, read(), "ab")
+	assert.Equal(t, s.listCalls+s.directivesCalls, 2)
+	assert.Equal(t, read(), "ab")
+	assert.Equal(t, s.listCalls+s.directivesCalls, 3, "directives may have changed before the list")
+	assert.Equal(t, read(), "ab")
+	s.next = dialect.Changes{Upstreams: []dialect.Upstream{up("c")}, Gone: []ident.UpstreamID{"a"}, Revision: 12}
+	assert.Equal(t, read(), "bc")
+	assert.Equal(t, n.Snapshot().Revision, int64(12))
+	assert.Equal(t, s.listCalls+s.directivesCalls, 3)
+
+	s.version, s.next = 2, dialect.Changes{DirectivesChanged: true, Revision: 13}
+	read()
+	assert.Equal(t, n.Snapshot().Version(), int64(2))
+	assert.Assert(t, n.ConfigAge() < time.Second)
+
+	s.historyLost, s.list, s.revision = true, []dialect.Upstream{up("d")}, 20
+	assert.Equal(t, read(), "d")
+	assert.Equal(t, s.listCalls, 2)
+}
+
+// TestFailedReadLosesNoChange checks that changes missed by a failed read are in the next one,
+// and that each read during an outage makes a single call.
+func TestFailedReadLosesNoChange(t *testing.T) {
+	s := &changingStore{version: 1, list: []dialect.Upstream{up("a")}, revision: 10}
+	n := newTestNode(t, s)
+	n.readStore(t.Context())
+	s.down = true
+	calls := s.listCalls + s.directivesCalls + s.changesCalls
+	n.readStore(t.Context())
+	assert.Equal(t, s.listCalls+s.directivesCalls+s.changesCalls, calls+1)
+	s.down, s.next = false, dialect.Changes{Upstreams: []dialect.Upstream{up("b")}, DirectivesChanged: true, Revision: 11}
+	s.version = 2
+	n.readStore(t.Context())
+	assert.Equal(t, names(n.Snapshot()), "ab")
+	assert.Equal(t, n.Snapshot().Version(), int64(2))
+	assert.Assert(t, n.storeDown.IsZero())
+
+	// Directives change while they can't be read.
+	s.version, s.next, s.directivesDown = 3, dialect.Changes{DirectivesChanged: true, Revision: 12}, true
+	n.readStore(t.Context())
+	assert.Equal(t, n.Snapshot().Version(), int64(2))
+	s.directivesDown = false
+	n.readStore(t.Context())
+	assert.Equal(t, n.Snapshot().Version(), int64(3))
+}
+
+// TestStoreIsRelistedPeriodically guards against changes that the store omitted.
+func TestStoreIsRelistedPeriodically(t *testing.T) {
+	var s storedUpstreams
+	assert.Assert(t, !s.canApplyChanges(epoch))
+	s.replace(epoch, []dialect.Upstream{up("a")}, 1)
+	assert.Assert(t, s.canApplyChanges(epoch.Add(relistInterval-1)))
+	assert.Assert(t, !s.canApplyChanges(epoch.Add(relistInterval)))
+	s.clear()
+	assert.Assert(t, !s.canApplyChanges(epoch))
+}
+
+// TestRejectedListIsMergedLater guards against losing a change that was read while a peer's newer
+// list arrived.
+func TestRejectedListIsMergedLater(t *testing.T) {
+	s := &changingStore{version: 1, list: []dialect.Upstream{up("a")}, revision: 10}
+	n := newTestNode(t, s)
+	n.readStore(t.Context())
+	n.readStore(t.Context())
+	n.takeList(time.Now().Add(time.Minute), 12, []dialect.Upstream{up("a")}, FromPeer, "peer")
+	s.next = dialect.Changes{Upstreams: []dialect.Upstream{up("b")}, Revision: 13}
+	n.readStore(t.Context())
+	assert.Equal(t, names(n.Snapshot()), "a")
+	n.view.asOf = time.Now().Add(-time.Second)
+	n.readStore(t.Context())
+	assert.Equal(t, names(n.Snapshot()), "ab")
+}
+
+// TestQuietStoreKeepsTheViewFresh guards against a view that grows old because a peer's list has
+// a higher revision than the last change.
+func TestQuietStoreKeepsTheViewFresh(t *testing.T) {
+	s := &changingStore{version: 1, list: []dialect.Upstream{up("a")}, revision: 10}
+	n := newTestNode(t, s)
+	n.readStore(t.Context())
+	s.revision = 15
+	n.takeList(time.Now(), 15, []dialect.Upstream{up("a")}, FromPeer, "peer")
+	before := n.Snapshot().AsOf
+	n.readStore(t.Context())
+	assert.Assert(t, n.Snapshot().AsOf.After(before))
+}
--- a/gateway/fleet/view.go
+++ b/gateway/fleet/view.go
@@ -61,6 +61,8 @@
 	lists map[string][]dialect.Upstream
 	// graceUntil is when absence from the list counts again after an outage.
 	graceUntil time.Time
+	// mergedAsOf is the time of the last list that was merged.
+	mergedAsOf time.Time
 }
 
 // NewView returns a view that knows nothing.
@@ -126,7 +128,7 @@
 	if from == FromStoreAgain && v.known && started.Sub(v.asOf) > outageGap {
 		v.graceUntil = started.Add(returnGrace)
 	}
-	v.known, v.revision, v.asOf = true, revision, started
+	v.known, v.revision, v.asOf, v.mergedAsOf = true, revision, started, started
 	v.change++
 	changes := v.merge(now, list)
 	if from == FromPeer || !started.Before(v.graceUntil) {
@@ -136,6 +138,19 @@
 	return changes, true
 }
 
+// ConfirmUnchanged has the effect of List with an unchanged list, without merging it. It
+// returns false if the list must be passed to List: if there is none yet, or if none has been
+// merged since the grace period of an outage, after which absent upstreams are removed.
+func (v *View) ConfirmUnchanged(started time.Time, revision int64) bool {
+	if !v.known || v.mergedAsOf.Before(v.graceUntil) {
+		return false
+	}
+	if revision >= v.revision && started.After(v.asOf) {
+		v.revision, v.asOf = revision, started
+	}
+	return true
+}
+
 // number keeps the digest of the list if it is new.
 func (v *View) number() {
 	if n := len(v.versions); n > 0 && v.versions[n-1].digest == v.digest {
--- a/gateway/fleet/view_test.go
+++ b/gateway/fleet/view_test.go
@@ -178,3 +178,25 @@
 	assert.Equal(t, eligible(nil), "bcd")
 	assert.Equal(t, eligible(routing.Regions{"east", "west"}), "bc")
 }
+
+// TestUnchangedListNeedsNoMerge checks that an unchanged list is confirmed without a merge,
+// except for the first one after the grace period of an outage, which removes absent upstreams.
+func TestUnchangedListNeedsNoMerge(t *testing.T) {
+	v := NewView()
+	assert.Assert(t, !v.ConfirmUnchanged(at(0), 1))
+	list(v, 0, 1, up("a"), up("b"))
+	assert.Assert(t, v.ConfirmUnchanged(at(500), 2))
+	assert.Equal(t, v.asOf, at(500))
+	assert.Assert(t, v.ConfirmUnchanged(at(400), 1), "an older list is ignored")
+	assert.Equal(t, v.revision, int64(2))
+
+	// b was removed during an outage and is kept for the grace period.
+	v.List(at(5005), at(5000), 3, []dialect.Upstream{up("a")}, FromStoreAgain)
+	assert.Equal(t, names(v.Snapshot()), "ab")
+	assert.Assert(t, !v.ConfirmUnchanged(at(5500), 3))
+	later := 5000 + int(returnGrace.Milliseconds())
+	assert.Assert(t, !v.ConfirmUnchanged(at(later), 3))
+	list(v, later, 3, up("a"))
+	assert.Equal(t, names(v.Snapshot()), "a")
+	assert.Assert(t, v.ConfirmUnchanged(at(later+500), 3))
+}
--- a/gateway/fleetsize_test.go
+++ b/gateway/fleetsize_test.go
@@ -152,6 +152,7 @@
 	next := *w.config
 	next.Routes = append([]routing.Route(nil), next.Routes...)
 	next.Version++
+	w.revision++
 	w.config = &next
 	return next.Version
 }
--- a/gateway/fleetworld_test.go
+++ b/gateway/fleetworld_test.go
@@ -346,6 +346,19 @@
 	return i.world.Upstreams(ctx, further)
 }
 
+// Changes implements dialect.Source. It keeps no history, so any change requires a new list.
+func (i *worldInstance) Changes(_ context.Context, after int64) (dialect.Changes, error) {
+	if err := i.storeError(); err != nil {
+		return dialect.Changes{}, err
+	}
+	i.world.mu.Lock()
+	defer i.world.mu.Unlock()
+	if i.world.revision != after {
+		return dialect.Changes{}, &dialect.HistoryLostError{After: after}
+	}
+	return dialect.Changes{Revision: after, Next: after}, nil
+}
+
 // Directives implements dialect.Source.
 func (w *fleetWorld) Directives(context.Context) (dialect.Directives, error) {
 	w.mu.Lock()
--- a/gateway/service_test.go
+++ b/gateway/service_test.go
@@ -56,6 +56,11 @@
 	return f.list, int64(f.reads), nil
 }
 
+// Changes implements dialect.Source. It keeps no history, so every read lists the upstreams.
+func (f *fakeSource) Changes(_ context.Context, after int64) (dialect.Changes, error) {
+	return dialect.Changes{}, &dialect.HistoryLostError{After: after}
+}
+
 func (f *fakeSource) set(change func(*fakeSource)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
