Poll idle engines for load reports in one of ten rounds

Cause: each decode engine was polled once a second by the instance it is assigned to, whether in use or not: 3,300 calls a second for 5,189 engines, of which some hundred run streams.

Engines with requests from any instance in the last five seconds, or with unexplained memory, are polled as before. The others are polled in one of ten rounds: an engine may still hold the memory of an instance that is gone, and its report clears a doubt about its zone.

--- a/gateway/fleetworld_test.go
+++ b/gateway/fleetworld_test.go
@@ -60,6 +60,8 @@
 	silent bool
 	// sent are the deadly requests that reached engines, ended the engines they crashed.
 	sent, ended []time.Time
+	// reportRequests counts the load report requests sent to each engine, by address.
+	reportRequests map[string]int
 	// received are the streams and prefills that reached engines.
 	received []worldRequest
 }
@@ -555,6 +557,10 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.reportRequests == nil {
+		w.reportRequests = map[string]int{}
+	}
+	w.reportRequests[u.Address]++
 	e, ok := w.at(u.Address)
 	switch {
 	case !ok:
--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/wardspool/wardspool/gateway/carry"
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/schedule"
@@ -19,15 +21,18 @@
 	reportInterval = time.Second
 	// reportTimeout bounds one report.
 	reportTimeout = 400 * time.Millisecond
+	// idlePollRounds is the number of rounds in which an idle engine is polled once.
+	idlePollRounds = 10
 	// dutyReport, with an engine's ID, names the duty of asking it.
 	dutyReport = "report/"
 )
 
-// gatherReports asks decode engines for their load until ctx ends, those that fall
-// to this instance. At these it alone may have prompts computed while prefill engines
-// are busy.
+// gatherReports polls decode engines for their load until ctx ends: those that are
+// assigned to this instance, in each round if they are in use and in one of idlePollRounds
+// otherwise. Only this instance may have prompts computed at its assigned engines, in use or
+// not, while prefill engines are busy.
 func (g *Service) gatherReports(ctx context.Context) {
-	for pause.For(ctx, reportInterval) {
+	for round := uint64(0); pause.For(ctx, reportInterval); round++ {
 		s := g.node.Snapshot()
 		if !s.Ready() || g.stopping() {
 			continue
@@ -41,7 +46,10 @@
 		for _, u := range s.All() {
 			if u.Stage == dialect.StageDecode && g.node.HoldsInZone(dutyReport+string(u.ID), u.Zone) {
 				own[u.ID] = true
-				go g.report(ctx, u)
+				idleTurn := (xxhash.Sum64String(string(u.ID))+round)%idlePollRounds == 0
+				if g.books.InUse(clock.Now(), u) || idleTurn {
+					go g.report(ctx, u)
+				}
 			}
 		}
 		g.books.SetOverflow(own)
--- a/gateway/schedule/books.go
+++ b/gateway/schedule/books.go
@@ -63,6 +63,8 @@
 	unexplained     int
 	unexplainedAt   time.Time
 	peerUnexplained int
+	// usedAt is when InUse last found requests at an engine.
+	usedAt time.Time
 	// ownPace is the prefill pace measured by this instance, peerPace the one reported by
 	// peers.
 	ownPace, peerPace enginePace
--- a/gateway/schedule/reported.go
+++ b/gateway/schedule/reported.go
@@ -72,6 +72,22 @@
 	return k.unexplained
 }
 
+// inUseFor is how long an engine counts as in use after its last request: one that lost the
+// instance that used it may still hold its memory.
+const inUseFor = 5 * time.Second
+
+// InUse reports whether any instance is known to have, or to have had lately, requests at an
+// engine, or whether its memory is taken by requests that no instance explains.
+func (b *Books) InUse(now time.Time, u dialect.Upstream) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.of(u)
+	if k.requests+k.peerRequests > 0 || k.unexplainedNow(now) > 0 {
+		k.usedAt = now
+	}
+	return !k.usedAt.IsZero() && now.Sub(k.usedAt) <= inUseFor
+}
+
 // unexplainedNow is the unexplained memory of an engine, from own or peers'
 // reports. The caller holds mu.
 func (k *book) unexplainedNow(now time.Time) int {
