schedule: exchange loads only for active upstreams

In a profile of 100 instances with 1,000 upstreams in virtual time, Own, which reports an instance's load and forecasts the memory of each engine, used or not, took 18% of the processor time, and SetPeers, which applies the loads of peers, took 8%. Both run three times a second, and their cost grows with upstreams times instances.

Books now keeps a set of active upstreams: those with requests of any instance, with recently known or unexplained memory, or with a pace to report. Own and SetPeers iterate only over these.

Skipping idle engines within the old loops was not kept, since its cost is still linear.

Away, which reports the engines that refuse requests, still iterates over all upstreams.

--- a/gateway/schedule/books.go
+++ b/gateway/schedule/books.go
@@ -117,6 +117,9 @@
 	demands map[string]*demand
 	doubts  map[ident.Zone]*doubt
 	arrived map[string]*arrivals
+	// active are the upstreams that may not be idle. Own and SetPeers iterate only over these,
+	// since usually few of thousands of upstreams are in use.
+	active map[ident.UpstreamID]bool
 	// peersSince is when peers' loads first came.
 	peersSince time.Time
 	// overflow are the decode engines that this instance may have compute prompts while
@@ -135,7 +138,7 @@
 // NewBooks returns empty books of an instance in the given zone.
 func NewBooks(zone ident.Zone, seed uint64) *Books {
 	return &Books{
-		zone: zone, books: map[ident.UpstreamID]*book{},
+		zone: zone, books: map[ident.UpstreamID]*book{}, active: map[ident.UpstreamID]bool{},
 		random: rand.New(rand.NewPCG(seed, seed)), rates: map[string]*rate{}, demands: map[string]*demand{}, doubts: map[ident.Zone]*doubt{}, arrived: map[string]*arrivals{}, offered: map[string]float64{},
 	}
 }
@@ -181,6 +184,7 @@
 // place books a request. The caller holds mu.
 func (b *Books) place(now time.Time, k *book, tokens int) Ticket {
 	b.next++
+	b.active[k.up.ID] = true
 	b.cold[k.up.ID].take()
 	k.requests++
 	k.tokens += tokens
@@ -240,7 +244,17 @@
 	if b.peersSince.IsZero() {
 		b.peersSince = now
 	}
-	for id, k := range b.books {
+	for id := range peers {
+		if b.books[id] != nil {
+			b.active[id] = true
+		}
+	}
+	for id := range b.active {
+		k := b.books[id]
+		if k == nil || k.idle(now) && peers[id] == nil {
+			delete(b.active, id)
+			continue
+		}
 		f := peers[id]
 		if f == nil {
 			f = &InFlight{}
@@ -252,12 +266,23 @@
 	}
 }
 
+// idle reports whether an upstream has no known requests, no recent memory use that a report
+// may still include, and nothing to report to peers. The caller holds mu.
+func (k *book) idle(now time.Time) bool {
+	return k.requests == 0 && len(k.known) == 0 && k.peerRequests == 0 && k.peerTokens == 0 &&
+		k.peerUnexplained == 0 && k.peerForecast == Forecast{} && k.ownUnexplained(now) == 0 && !k.ownPace.fresh(now)
+}
+
 // Own returns what this instance has in flight at each upstream.
 func (b *Books) Own(now time.Time) map[ident.UpstreamID]InFlight {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	own := map[ident.UpstreamID]InFlight{}
-	for id, k := range b.books {
+	for id := range b.active {
+		k := b.books[id]
+		if k == nil {
+			continue
+		}
 		f := InFlight{Requests: k.requests, Tokens: k.tokens, Memory: b.ownForecast(k), Unexplained: k.ownUnexplained(now)}
 		if k.ownPace.fresh(now) {
 			f.Pace = k.ownPace.bucket
--- a/gateway/schedule/reported.go
+++ b/gateway/schedule/reported.go
@@ -31,7 +31,9 @@
 		return
 	}
 	f := b.ownForecast(k)
-	k.known = append(k.known, knownMemory{at: now, tokens: f[0] + k.peerForecast[0]})
+	if tokens := f[0] + k.peerForecast[0]; tokens != 0 {
+		k.known = append(k.known, knownMemory{at: now, tokens: tokens})
+	}
 	old := 0
 	for old < len(k.known) && now.Sub(k.known[old].at) > reportLag {
 		old++
@@ -60,6 +62,9 @@
 		explained = max(explained, m.tokens)
 	}
 	k.unexplained, k.unexplainedAt = max(0, r.UsedTokens-explained), now
+	if k.unexplained > 0 {
+		b.active[u.ID] = true
+	}
 	return k.unexplained
 }
 
--- a/gateway/schedule/speed.go
+++ b/gateway/schedule/speed.go
@@ -53,6 +53,7 @@
 		relative := p.time(tokens).Seconds() / took.Seconds()
 		pace = math.Min(relative, maxRelativePace) * p.whole()
 	}
+	b.active[u.ID] = true
 	b.of(u).ownPace.update(now, paceBucket(pace)+1)
 }
 
