Spread prompts of unknown length over prefill engines

A prompt whose length the caller does not state was counted as 0 tokens. The cost that its placement adds was therefore 0 and the water-filling level NaN, so all such prompts went to the first engine (1,000 of 1,000 in TestPromptsOfUnknownLengthAreSpread). Count such a prompt as one token.

--- a/gateway/schedule/engines.go
+++ b/gateway/schedule/engines.go
@@ -260,6 +260,9 @@
 // mu.
 func (b *Books) openPrefill(now time.Time, list []dialect.Upstream, tokens int, near ident.Zone, exclude []ident.UpstreamID) []candidate {
 	usual := b.usualLatency(dialect.StagePrefill)
+	// A prompt of unknown length has 0 tokens, which would make its request cost 0 and the
+	// water level NaN.
+	tokens = max(1, tokens)
 	b.doubtQuiet(now)
 	var open []candidate
 	for _, u := range list {
--- a/gateway/schedule/speed_test.go
+++ b/gateway/schedule/speed_test.go
@@ -198,3 +198,26 @@
 	_, below = waterLevel(list, 1000)
 	assert.Equal(t, below, 3)
 }
+
+// TestPromptsOfUnknownLengthAreSpread guards against placing all prompts of unknown
+// length on one prefill engine.
+func TestPromptsOfUnknownLengthAreSpread(t *testing.T) {
+	b := NewBooks("z", 1)
+	var list []dialect.Upstream
+	for i := range 4 {
+		list = append(list, dialect.Upstream{ID: ident.UpstreamID(fmt.Sprintf("e%d", i)), Service: "llm", Zone: "z", Stage: dialect.StagePrefill})
+	}
+	now := time.Unix(1000, 0)
+	b.SetOffered("llm", 100)
+	b.SetFleet(80, exchangeInterval)
+	counts := map[ident.UpstreamID]int{}
+	for range 1000 {
+		placed, ok := b.PlacePrefill(now, list, 0, "z", nil)
+		assert.Assert(t, ok)
+		counts[placed.Upstream.ID]++
+		b.Done(placed)
+	}
+	for _, u := range list {
+		assert.Check(t, counts[u.ID] >= 100, "%v", counts)
+	}
+}
