--- a/gateway/reports_test.go
+++ b/gateway/reports_test.go
@@ -38,7 +38,9 @@
 		for _, i := range w.instances[:2] {
 			go func() { done <- w.send(i, "harmless", "").whole() }()
 		}
-		assert.Assert(t, <-done && <-done)
+		for range 2 {
+			assert.Assert(t, <-done)
+		}
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		polled := 0
