Limit tests in synctest bubbles to one processor under the race detector

The same kind of crash was seen before in agent (0x41c869, SlotLock) and in gateway, whose fleet tests in a bubble have been skipped under -race since then.

Cause: all timers of a bubble share one race detector context (Go 1.26.8). A receive from an expired timer channel that has no waiters runs the timer on the receiver's processor (maybeRunChan), so two goroutines of a bubble can use that context concurrently. Ruled out: memory shortage, a data race in this project.

Change: internal/bubble replaces synctest.Test in all tests and sets GOMAXPROCS to 1 while a bubble runs under the detector, which finds races by happens-before order and needs no second processor. The gateway's fleet tests run under -race again (7 instances; larger fleets take minutes), their entry in KNOWN-RED.txt is removed, and internal/ is added to the race stage.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 GO ?= go
 BIN := bin
-RACE_PACKAGES := ./gateway/... ./platform/... ./logs/... ./process/... ./peer/... ./configservice/... ./entry/... ./agent/... ./standin/... ./tlsconf/... ./load/...
+RACE_PACKAGES := ./gateway/... ./platform/... ./logs/... ./process/... ./peer/... ./configservice/... ./entry/... ./agent/... ./standin/... ./tlsconf/... ./load/... ./internal/...
 
 .PHONY: demo test build check unit race fuzz e2e experiment capacity overhead rolltime mutations clean
 
--- a/agent/fleet_test.go
+++ b/agent/fleet_test.go
@@ -19,6 +19,7 @@
 	"github.com/wardspool/wardspool/config"
 	"github.com/wardspool/wardspool/configservice"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/bubble"
 	"github.com/wardspool/wardspool/settings"
 	"github.com/wardspool/wardspool/standin/engine"
 	"github.com/wardspool/wardspool/standin/perf"
@@ -63,7 +64,7 @@
 // inFleet runs a test with a fleet of its own in a bubble.
 func inFleet(t *testing.T, test func(*fleet)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := &fleet{
 			t: t, net: newNetwork(), platform: standin.New(standin.Config{}),
 			engines: map[ident.UpstreamID]*engine.Engine{}, nodes: map[ident.InstanceID]*node{},
--- a/configservice/client_test.go
+++ b/configservice/client_test.go
@@ -8,13 +8,13 @@
 	"strconv"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/bubble"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -111,7 +111,7 @@
 }
 
 func TestGetReportsOldValues(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		index := uint64(9)
 		c := newTestClient(t, func(*http.Request) (*http.Response, error) { return answer(200, index, "old"), nil })
 		_, err := c.Get(context.Background(), "k")
@@ -133,7 +133,7 @@
 }
 
 func TestGetIsBoundedInTime(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		c := newTestClient(t, func(r *http.Request) (*http.Response, error) {
 			<-r.Context().Done()
 			return nil, r.Context().Err()
--- a/configservice/watch_test.go
+++ b/configservice/watch_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/internal/bubble"
 )
 
 // service is a fake of one key with long polls.
@@ -98,7 +100,7 @@
 }
 
 func TestWatchDeliversNewerValues(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := newService(3)
 		c, events, stop := startWatch(t, s, 0)
 		defer stop()
@@ -115,7 +117,7 @@
 }
 
 func TestWatchReportsOldDataAndGoesOn(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := newService(5)
 		_, events, stop := startWatch(t, s, 9)
 		defer stop()
@@ -130,7 +132,7 @@
 }
 
 func TestWatchBacksOffWhileDown(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := newService(1)
 		s.fail = func() (*http.Response, error) { return nil, refusal{} }
 		_, events, stop := startWatch(t, s, 0)
@@ -154,7 +156,7 @@
 // TestWatchSeesAnAbsentKeyAppear keeps a key absent for long: the watch must
 // still see it at once.
 func TestWatchSeesAnAbsentKeyAppear(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := newService(0)
 		s.absent = true
 		_, events, stop := startWatch(t, s, 0)
@@ -171,7 +173,7 @@
 }
 
 func TestWatchHonoursRetryAfter(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := newService(1)
 		s.fail = func() (*http.Response, error) {
 			r := answer(http.StatusTooManyRequests, 0, "")
@@ -188,7 +190,7 @@
 }
 
 func TestWatchBoundsCallsToAnImpatientService(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := newService(1)
 		s.impatient = true
 		_, events, stop := startWatch(t, s, 0)
@@ -200,7 +202,7 @@
 }
 
 func TestWatchEndsWithItsContext(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := newService(1)
 		c := newTestClient(t, s.roundTrip)
 		ctx, cancel := context.WithCancel(context.Background())
--- a/entry/driver/patience_test.go
+++ b/entry/driver/patience_test.go
@@ -12,6 +12,7 @@
 	"github.com/wardspool/wardspool/adapter"
 	"github.com/wardspool/wardspool/api"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/bubble"
 	"github.com/wardspool/wardspool/kernel"
 )
 
@@ -61,7 +62,7 @@
 	d.forget(other)
 	assert.Equal(t, len(d.prefilling), 0)
 
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		d.upstreams["pf-1"] = &kernel.Upstream{}
 		d.external(kernel.LoadSeen{Upstream: "pf-1", Load: kernel.Load{At: time.Now(), QueuedTokens: 1000}})
 		d.external(kernel.LoadSeen{Upstream: "pf-1", Load: kernel.Load{At: time.Now().Add(-time.Second)}})
@@ -79,7 +80,7 @@
 	d := New(Options{Kernel: &script{decide: func(kernel.Event) []kernel.Action { return nil }}, Observer: &fakeObserver{}, Log: discard()})
 	d.configure(testContent())
 	for _, repeatable := range []bool{true, false} {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			r := &kernel.Request{Model: "m", PromptTokens: 900, Repeatable: repeatable, Deadline: time.Now().Add(time.Minute)}
 			a := &attempt{target: adapter.Target{Upstream: "dc-1"}, exchange: &Exchange{Request: r}}
 			var ended atomic.Bool
--- a/entry/driver/pause_test.go
+++ b/entry/driver/pause_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/wardspool/wardspool/adapter"
+	"github.com/wardspool/wardspool/internal/bubble"
 	"github.com/wardspool/wardspool/kernel"
 )
 
@@ -38,7 +39,7 @@
 // TestNothingIsSentBeforeThePauseIsHandled holds the driver's goroutine still
 // while an attempt is about to be sent.
 func TestNothingIsSentBeforeThePauseIsHandled(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		g := newPauseGate(time.Second)
 		g.beat(time.Now())
 		assert.NilError(t, g.pass(t.Context()))
@@ -59,7 +60,7 @@
 }
 
 func TestPassEndsWithItsContext(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		g := newPauseGate(time.Second)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
@@ -84,7 +85,7 @@
 // TestWatchdogAfterPause fires a watchdog much too late, as after a pause: the
 // stream gets another chance.
 func TestWatchdogAfterPause(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		var stalled atomic.Int64
 		w := newWatchdog(patience{first: time.Second, next: time.Second}, time.Second, func(time.Duration) { stalled.Add(1) })
 		defer w.stop()
--- a/entry/driver/rig_test.go
+++ b/entry/driver/rig_test.go
@@ -5,13 +5,13 @@
 	"log/slog"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/wardspool/wardspool/adapter"
 	"github.com/wardspool/wardspool/api"
 	"github.com/wardspool/wardspool/config"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/bubble"
 	"github.com/wardspool/wardspool/kernel"
 	"github.com/wardspool/wardspool/plugin"
 )
@@ -154,7 +154,7 @@
 
 // inRig runs a test in a bubble with fake time. decide is the kernel.
 func inRig(t *testing.T, decide func(ev kernel.Event) []kernel.Action, test func(t *testing.T, r *rig)) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		r := &rig{
 			kernel:   &script{decide: decide},
 			engine:   &fakeEngine{},
--- a/entry/tickets/desk_test.go
+++ b/entry/tickets/desk_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/wardspool/wardspool/api"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/bubble"
 	"github.com/wardspool/wardspool/ticket"
 )
 
@@ -54,7 +55,7 @@
 // TestCallGoesOnWhileAnyoneWaits: the presentation that started a call leaves,
 // another one still waits.
 func TestCallGoesOnWhileAnyoneWaits(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		d := newTestDesk(t, "a", nil)
 		cancelled := 0
 		d.SetRunner(func(ctx context.Context, _ *Call) ticket.Result {
@@ -143,7 +144,7 @@
 // TestForwardEndsWithTheDeadline: an executor that is cut off gives no answer; the
 // caller is told soon after its deadline that the outcome is unknown.
 func TestForwardEndsWithTheDeadline(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		c := issue(t, newTestDesk(t, "a", nil))
 		c.Wait = 5 * time.Second
 		began := time.Now()
@@ -156,7 +157,7 @@
 // TestSecondPresentationEndsWithItsDeadline: the call that it waits for has
 // longer, and goes on.
 func TestSecondPresentationEndsWithItsDeadline(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		d := newTestDesk(t, "a", nil)
 		d.SetRunner(func(context.Context, *Call) ticket.Result {
 			time.Sleep(30 * time.Second)
--- a/gateway/carry/caution_test.go
+++ b/gateway/carry/caution_test.go
@@ -14,6 +14,7 @@
 	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/bubble"
 )
 
 // deadly is the content of the requests of these tests.
@@ -45,7 +46,7 @@
 // TestQuarantinedIsRefusedAtOnce: nothing is asked of an engine, and the caller is told that
 // nothing ran and how long that goes on.
 func TestQuarantinedIsRefusedAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		b := streamBed(t)
 		b.evidence("x", "y")
 		start := time.Now()
@@ -127,7 +128,7 @@
 // TestSuspectsAreTriedOneAtATime: while one attempt with a suspect content is under way, a
 // second is told to come back; when it has ended, the next may try.
 func TestSuspectsAreTriedOneAtATime(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		b := streamBed(t)
 		b.evidence("x")
 		b.serveStreams(reply{hangs: true})
@@ -302,7 +303,7 @@
 // the caller leaves. Nobody asked until then; when another incarnation is listed it is
 // evidence.
 func TestSilentEngineWhoseCallerLeaves(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ups := born(5, engineUps([]string{"p1"}, []string{"d1"}))
 		b := newBed(t, slack, ups...)
 		b.d.silent = map[ident.UpstreamID]bool{"d1": true}
--- a/gateway/carry/restarts_test.go
+++ b/gateway/carry/restarts_test.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -11,6 +10,7 @@
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/bubble"
 )
 
 // born returns upstreams with their incarnation.
@@ -41,13 +41,13 @@
 // TestRestartEndsWhatWaitsForTheFormerIncarnation: a request that may be repeated goes on
 // elsewhere at once; of one that may not it is unknown whether it ran.
 func TestRestartEndsWhatWaitsForTheFormerIncarnation(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		b, took, err := hung(t, often, 6)
 		assert.NilError(t, err)
 		assert.Equal(t, took, 300*time.Millisecond)
 		assert.Equal(t, b.d.count("do y"), 1)
 	})
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		b, took, err := hung(t, once, 6)
 		assert.Equal(t, fateOf(t, err), Unknown)
 		assert.Equal(t, took, 300*time.Millisecond)
@@ -58,7 +58,7 @@
 // TestSameOrOlderIncarnationEndsNothing: lists come late and again.
 func TestSameOrOlderIncarnationEndsNothing(t *testing.T) {
 	for _, listed := range []ident.Incarnation{5, 4, 0} {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			_, took, _ := hung(t, often, listed)
 			assert.Assert(t, took > 20*time.Second, "%v", took)
 		})
@@ -68,7 +68,7 @@
 // TestReportShowsARestart before any list does: the stream goes on elsewhere, and nothing
 // found of the former incarnation counts against the new one.
 func TestReportShowsARestart(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		b, got, took, err := stallAt(t, resumable, func(b *bed) {
 			b.view.Upstreams["s"] = born(5, b.view.Upstreams["s"])
 			b.d.incarnations = map[ident.UpstreamID]ident.Incarnation{"d1": 6}
--- a/gateway/carry/sound_test.go
+++ b/gateway/carry/sound_test.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -13,6 +12,7 @@
 	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/bubble"
 )
 
 // The tests of this file tell one story: callers saw a stream end with a closed connection while
@@ -69,7 +69,7 @@
 func TestMovedStreamGoesBackFromASilentEngine(t *testing.T) {
 	for name, r := range map[string]routing.Route{"runs once": stream1, "may be resumed": resumable} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				b := newBed(t, slack, engineUps([]string{"p1"}, []string{"d1", "d2"})...)
 				b.d.do["d2"] = []reply{{hangs: true}}
 				b.d.do["d1"] = []reply{{verdict: dialect.Success, status: 200, body: events(3, 4)}}
@@ -152,7 +152,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				b, got, _, err := stallAt(t, resumable, func(b *bed) {
 					b.d.silent = map[ident.UpstreamID]bool{"d1": true}
 					happens(b)
@@ -167,7 +167,7 @@
 
 // TestSilentEngineLosesItsStreamOnceAnotherHasRoom: the search goes on while it is silent.
 func TestSilentEngineLosesItsStreamOnceAnotherHasRoom(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		full := &dialect.FullError{}
 		b, got, took, err := stallAt(t, resumable, func(b *bed) {
 			b.d.silent = map[ident.UpstreamID]bool{"d1": true}
@@ -215,7 +215,7 @@
 // Evidence: under three loads with cuts and crashes 301 streams lost their engine and 182 answers were
 // cut, 157 of them after `not sent again` (`retry_budget`), 3 with `no_room`.
 func TestStreamUnderWayGoesOnWhenRoomComes(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		b := newBed(t, slack, engineUps([]string{"p1"}, []string{"d1", "d2"})...)
 		b.d.do["d1"] = []reply{{verdict: dialect.Success, status: 200, body: events(1, 3), breaks: true}}
 		b.d.do["d2"] = []reply{{verdict: dialect.Success, status: 200, body: events(4, 6)}}
--- a/gateway/carry/stop_test.go
+++ b/gateway/carry/stop_test.go
@@ -4,13 +4,13 @@
 	"context"
 	"errors"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/routing"
+	"github.com/wardspool/wardspool/internal/bubble"
 )
 
 // endIn has the instance end in some time, and its requests then.
@@ -43,7 +43,7 @@
 
 // TestStreamThatWaitsTooLongIsTurnedAway while another instance can still serve it in time.
 func TestStreamThatWaitsTooLongIsTurnedAway(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		b := streamBed(t)
 		full := []error{&dialect.FullError{}}
 		b.d.hold["d1"], b.d.hold["d2"] = full, full
@@ -69,7 +69,7 @@
 		"stream, sent":    {stream1, func(b *bed) { b.serveStreams(reply{hangs: true}) }, Unknown},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				b := newBed(t, slack, plainUps("u1")...)
 				j := job(c.route)
 				if c.route.Kind == routing.Stream {
--- a/gateway/carry/watch_test.go
+++ b/gateway/carry/watch_test.go
@@ -4,7 +4,6 @@
 	"io"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -12,6 +11,7 @@
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/bubble"
 )
 
 // stall runs a stream at d1 that sends two events and then nothing for some seconds, and
@@ -53,7 +53,7 @@
 // known that the engine doesn't answer; one that only pauses is waited for.
 func TestStreamAtASilentEngineGoesOnElsewhere(t *testing.T) {
 	for _, silent := range []bool{true, false} {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			b, got, took, err := stall(t, resumable, silent)
 			assert.NilError(t, err)
 			assert.Equal(t, got.body.String(), events(1, 5))
@@ -66,7 +66,7 @@
 
 // TestStreamThatRunsOnceIsLeftAtASilentEngine: nothing else may run it.
 func TestStreamThatRunsOnceIsLeftAtASilentEngine(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		b, got, _, err := stall(t, stream1, true)
 		assert.NilError(t, err)
 		assert.Equal(t, got.body.String(), events(1, 5))
--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -4,12 +4,12 @@
 	"fmt"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/bubble"
 )
 
 // evacuationDeadline is the time within which all instances must apply an evacuation.
@@ -88,8 +88,8 @@
 	}
 	for _, n := range sizes {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
-			sideBySide(t)
-			synctest.Test(t, func(t *testing.T) { testEvacuation(t, n) })
+			t.Parallel()
+			bubble.Test(t, func(t *testing.T) { testEvacuation(t, n) })
 		})
 	}
 }
@@ -162,7 +162,7 @@
 // TestEvacuationInterruptsNoStreams guards against an evacuation breaking running streams or
 // failing requests that other zones can serve.
 func TestEvacuationInterruptsNoStreams(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		w := newFleetWorld(t, 7, 3, 7, 14)
 		defer w.close()
 		time.Sleep(3 * time.Second)
@@ -185,7 +185,7 @@
 // prefill, decode and resumption and while a zone is cut off, and against delays in refusing
 // requests that no zone may serve.
 func TestRequestsStayInAllowedRegions(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		w := newFleetWorld(t, 6, 3, 6, 12)
 		defer w.close()
 		restrict := func(regions ...ident.Region) {
--- a/gateway/fleetcrash_test.go
+++ b/gateway/fleetcrash_test.go
@@ -8,13 +8,13 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/quarantine"
+	"github.com/wardspool/wardspool/internal/bubble"
 	"github.com/wardspool/wardspool/internal/clock"
 )
 
@@ -193,13 +193,11 @@
 	t.Helper()
 	for _, s := range sizes {
 		if raceDetector && s.instances > fleetSizes[0].instances {
-			// With the timers of 85 instances in one bubble the race detector crashes in
-			// its own native code (SlotLock, or a check of its epochs): in three runs of
-			// three, in none of nine with the smallest fleet, which runs the same code.
+			// Larger fleets take minutes, as bubbles are limited to one processor.
 			continue
 		}
 		t.Run(s.String(), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				w := newFleetWorld(t, s.instances, s.zones, s.prefill, s.decode)
 				defer w.close()
 				play(t, s, w)
--- a/gateway/fleetsize_test.go
+++ b/gateway/fleetsize_test.go
@@ -7,12 +7,12 @@
 	"slices"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/wardspool/wardspool/gateway/routing"
+	"github.com/wardspool/wardspool/internal/bubble"
 )
 
 // largeFlag plays the fleets that take minutes too.
@@ -66,14 +66,6 @@
 	return time.Since(began)
 }
 
-// sideBySide has a fleet played beside others. Not under the race detector, which crashes in
-// its own native code when several bubbles have timers at the same time.
-func sideBySide(t *testing.T) {
-	if !raceDetector {
-		t.Parallel()
-	}
-}
-
 // fleetBounds are what a fleet with ten times as many upstreams as instances must keep.
 type fleetBounds struct {
 	instances int
@@ -91,13 +83,13 @@
 		bounds = append(bounds, fleetBounds{100, 20e3, 150e3}, fleetBounds{300, 30e3, 400e3}, fleetBounds{409, 40e3, 600e3})
 	}
 	if raceDetector {
-		// It can't follow the timers of many instances in one bubble.
+		// Larger fleets take minutes, as bubbles are limited to one processor.
 		bounds = []fleetBounds{{7, 20e3, 60e3}}
 	}
 	for _, b := range bounds {
 		t.Run(fmt.Sprint(b.instances), func(t *testing.T) {
-			sideBySide(t)
-			synctest.Test(t, func(t *testing.T) { playManyUpstreams(t, b) })
+			t.Parallel()
+			bubble.Test(t, func(t *testing.T) { playManyUpstreams(t, b) })
 		})
 	}
 }
--- a/gateway/fleetworld_test.go
+++ b/gateway/fleetworld_test.go
@@ -109,7 +109,6 @@
 // newFleetWorld starts a fleet and waits until all know each other.
 func newFleetWorld(t *testing.T, instances, zones, prefill, decode int) *fleetWorld {
 	t.Helper()
-	knownRed(t)
 	w := &fleetWorld{t: t, random: rand.New(rand.NewPCG(5, uint64(instances))), engines: map[string]*worldEngine{}}
 	w.config = &routing.Config{
 		Version: 1,
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -14,6 +13,7 @@
 	"github.com/wardspool/wardspool/gateway/fleet"
 	"github.com/wardspool/wardspool/gateway/limit"
 	"github.com/wardspool/wardspool/gateway/routing"
+	"github.com/wardspool/wardspool/internal/bubble"
 )
 
 // limitBed is a fleet of whole instances in virtual time whose callers ask for tokens.
@@ -99,13 +99,13 @@
 func playLimits(t *testing.T, play func(t *testing.T, b *limitBed)) {
 	sizes := []int{7, 60}
 	if raceDetector {
-		// It can't follow the timers of many instances in one bubble.
+		// Larger fleets take minutes, as bubbles are limited to one processor.
 		sizes = sizes[:1]
 	}
 	for _, n := range sizes {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
-			sideBySide(t)
-			synctest.Test(t, func(t *testing.T) {
+			t.Parallel()
+			bubble.Test(t, func(t *testing.T) {
 				b := &limitBed{fleetWorld: newFleetWorld(t, n, 3, 2, 4)}
 				defer b.close()
 				play(t, b)
--- a/gateway/memory/memory_test.go
+++ b/gateway/memory/memory_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/internal/bubble"
 )
 
 const mb = 1 << 20
@@ -42,7 +44,7 @@
 // TestCallerShareIsLimited guards against one caller using up the budget, and against its
 // waiting requests blocking those of other callers.
 func TestCallerShareIsLimited(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		b := NewBudget(10 * mb)
 		first := newAccount(t, b, "heavy", 3*mb)
 		second := b.Open("heavy")
@@ -62,7 +64,7 @@
 // TestWaitingRequestsAreServedInOrder guards against small requests starving a large one, and
 // against a canceled request blocking the queue.
 func TestWaitingRequestsAreServedInOrder(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		b := NewBudget(10 * mb)
 		held := newAccount(t, b, "a", 8*mb)
 		order := make(chan string, 2)
--- a/gateway/reports_test.go
+++ b/gateway/reports_test.go
@@ -2,10 +2,11 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/internal/bubble"
 )
 
 // totalReportRequests returns the number of load report requests sent to all engines so far.
@@ -22,7 +23,7 @@
 // TestIdleEnginesAreNotPolledForReports guards against report requests to idle engines, whose
 // number would grow with the fleet instead of with the engines in use.
 func TestIdleEnginesAreNotPolledForReports(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		w := newFleetWorld(t, 7, 3, 70, 140)
 		defer w.close()
 		before := w.totalReportRequests()
--- a/gateway/suspension_test.go
+++ b/gateway/suspension_test.go
@@ -2,19 +2,19 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/internal/bubble"
 	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/internal/testclock"
 )
 
 // playSuspension plays a fleet of seven whose machines can be suspended, all at once.
 func playSuspension(t *testing.T, play func(t *testing.T, w *fleetWorld, c *testclock.Clock)) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		c := testclock.Use(t)
 		s := fleetSizes[0]
 		w := newFleetWorld(t, s.instances, s.zones, s.prefill, s.decode)
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -3,11 +3,11 @@
 import (
 	"errors"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/wardspool/wardspool/internal/bubble"
 	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/internal/testclock"
 )
@@ -18,7 +18,7 @@
 // TestSuspensionCounts: ages, and what is left of deadlines, count the time for which the
 // machine was suspended.
 func TestSuspensionCounts(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		c := testclock.Use(t)
 		before := clock.Now()
 		deadline := before.Add(10 * time.Second)
@@ -38,7 +38,7 @@
 // TestNoise: a thread that loses the processor between the readings shows no suspension,
 // nor does a clock that can't be read; and time never goes back.
 func TestNoise(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		c := testclock.Use(t)
 		last := clock.Now()
 		for _, r := range []struct {
--- a/peer/delivery_test.go
+++ b/peer/delivery_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/internal/bubble"
 )
 
 // dialRaw returns a pool connected to a hand-written peer.
@@ -64,7 +66,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				p, _, r := dialRaw(t, Limits{})
 				defer p.Close()
 				defer r.conn.Close()
@@ -83,7 +85,7 @@
 // TestQueuedCallIsWithdrawn blocks the writer with one call, so that the next
 // ones wait in the queue: given up there, they are never sent.
 func TestQueuedCallIsWithdrawn(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		p, _, r := dialRaw(t, Limits{QueueFrames: 2})
 		defer p.Close()
 		call := func(d time.Duration, out chan<- error) {
@@ -113,7 +115,7 @@
 }
 
 func TestSlowReaderIsDropped(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		p, d, r := dialRaw(t, Limits{})
 		defer p.Close()
 		start := time.Now()
@@ -126,7 +128,7 @@
 }
 
 func TestSilentPeerLosesItsConnection(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		p, d, r := dialRaw(t, Limits{Calls: 1, Call: time.Second})
 		defer p.Close()
 		go func() {
@@ -154,7 +156,7 @@
 
 // TestBackoffBoundsDials calls a dead address every 10 ms for a minute.
 func TestBackoffBoundsDials(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		d := &pipeDialer{fail: &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}}
 		p := NewPool(Config{Self: entryA, Allow: allowAll, Dialer: d})
 		defer p.Close()
--- a/peer/hello_test.go
+++ b/peer/hello_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/internal/bubble"
 )
 
 const goodHello = `{"jsonrpc":"2.0","id":1,"method":"hello","params":{"version":1,"instance":"entry-a1","incarnation":7,"zone":"hall-a"}}`
@@ -66,7 +68,7 @@
 }
 
 func TestHelloMustComeInTime(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := NewServer(Config{Self: entryB, Allow: allowAll})
 		near, far := net.Pipe()
 		start := time.Now()
@@ -143,7 +145,7 @@
 
 // TestRecheckClosesConnectionsOfDroppedPeers takes both sides off the list.
 func TestRecheckClosesConnectionsOfDroppedPeers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		var dropped atomic.Bool
 		allow := func(Identity) bool { return !dropped.Load() }
 		s := NewServer(Config{Self: entryB, Allow: allow})
@@ -171,7 +173,7 @@
 // TestSilentServerIsToldApart meets a process whose kernel accepts connections
 // and that does not run.
 func TestSilentServerIsToldApart(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		near, far := net.Pipe()
 		defer far.Close()
 		p := NewPool(Config{Self: entryA, Dialer: fixedDialer{near}, Allow: allowAll})
--- a/peer/limits_test.go
+++ b/peer/limits_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/internal/bubble"
 )
 
 // pipePair returns a server and a pool that reaches it by pipes.
@@ -41,7 +43,7 @@
 }
 
 func TestCallsPerConnectionAreBounded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		release := make(chan struct{})
 		s, p, _ := pipePair(Limits{Calls: 2}, Limits{}, func(s *Server) { blocking(s, release, nil) })
 		defer stop(t, s, p)
@@ -64,7 +66,7 @@
 }
 
 func TestCancelReachesTheHandler(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ended := make(chan error, 1)
 		s, p, _ := pipePair(Limits{}, Limits{}, func(s *Server) { blocking(s, nil, ended) })
 		defer stop(t, s, p)
@@ -82,7 +84,7 @@
 }
 
 func TestHandlerEndsWithTheCallersTime(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ended := make(chan error, 1)
 		s, p, _ := pipePair(Limits{}, Limits{}, func(s *Server) { blocking(s, nil, ended) })
 		defer stop(t, s, p)
@@ -101,7 +103,7 @@
 }
 
 func TestIdleConnectionsClose(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s, p, d := pipePair(Limits{}, Limits{}, func(s *Server) { Handle(s, "echo", echo) })
 		defer stop(t, s, p)
 		call := func() {
@@ -124,7 +126,7 @@
 
 // TestServerDropsSilentClient holds a connection open without frames.
 func TestServerDropsSilentClient(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := NewServer(Config{Self: entryB, Allow: allowAll})
 		near, far := net.Pipe()
 		go s.ServeConn(far)
@@ -140,7 +142,7 @@
 
 // TestSlowSenderIsDropped sends one byte of a frame and stops.
 func TestSlowSenderIsDropped(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := NewServer(Config{Self: entryB, Allow: allowAll})
 		near, far := net.Pipe()
 		go s.ServeConn(far)
@@ -202,7 +204,7 @@
 }
 
 func TestShutdownFinishesCallsInProgress(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		release := make(chan struct{})
 		s, p, _ := pipePair(Limits{}, Limits{}, func(s *Server) { blocking(s, release, nil) })
 		defer p.Close()
@@ -226,7 +228,7 @@
 }
 
 func TestDrainKeepsAccepting(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		release := make(chan struct{})
 		s, p, d := pipePair(Limits{}, Limits{}, func(s *Server) { blocking(s, release, nil) })
 		defer stop(t, s, p)
@@ -247,7 +249,7 @@
 }
 
 func TestShutdownIsBoundedByItsContext(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ended := make(chan error, 1)
 		s, p, _ := pipePair(Limits{}, Limits{}, func(s *Server) { blocking(s, nil, ended) })
 		defer p.Close()
@@ -278,7 +280,7 @@
 }
 
 func TestTrafficIsCountedOnBothSides(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s, p, _ := pipePair(Limits{}, Limits{}, func(s *Server) { Handle(s, "echo", echo) })
 		defer stop(t, s, p)
 		_, err := Call[echoResponse](context.Background(), p, "b", "echo", echoRequest{Text: "hi"})
@@ -313,7 +315,7 @@
 func TestServeWaitsOutFailures(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		l := &failingListener{Listener: inner, failures: 5}
 		start := time.Now()
 		err := NewServer(Config{Self: entryB, Allow: allowAll}).Serve(l)
--- a/standin/engine/bench_test.go
+++ b/standin/engine/bench_test.go
@@ -9,13 +9,13 @@
 	"net/http"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/wardspool/wardspool/config"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/bubble"
 	"github.com/wardspool/wardspool/standin/control"
 	"github.com/wardspool/wardspool/standin/perf"
 )
@@ -55,7 +55,7 @@
 
 // inBench runs a test in a bubble with a fake clock.
 func inBench(t *testing.T, change func(*Config), test func(t *testing.T, b *bench)) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		b := newBench(t, change)
 		defer func() {
 			for _, e := range b.engines {
--- a/standin/engine/cacheevents_test.go
+++ b/standin/engine/cacheevents_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/wardspool/wardspool/internal/bubble"
 	"github.com/wardspool/wardspool/tokens"
 )
 
@@ -148,7 +149,7 @@
 }
 
 func TestLogIsBounded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		l := newEventLog(0, newLossy(0, 0))
 		for range maxBatches + 10 {
 			l.add([]CacheEvent{{Type: AllBlocksCleared}})
--- a/standin/platform/mode_test.go
+++ b/standin/platform/mode_test.go
@@ -6,11 +6,11 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/wardspool/wardspool/internal/bubble"
 	"github.com/wardspool/wardspool/standin/control"
 )
 
@@ -78,7 +78,7 @@
 
 func TestFlapping(t *testing.T) {
 	run := func() (states string) {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			p := New(Config{})
 			defer p.Close()
 			p.Put("k", []byte("v"))
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -7,11 +7,11 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/wardspool/wardspool/internal/bubble"
 	"github.com/wardspool/wardspool/standin/control"
 	"github.com/wardspool/wardspool/standin/judge"
 )
@@ -50,7 +50,7 @@
 
 // inPlatform runs a test on a platform with a fake clock.
 func inPlatform(t *testing.T, test func(t *testing.T, p *Platform)) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		p := New(Config{Rate: 5})
 		defer p.Close()
 		test(t, p)
--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/wardspool/wardspool/internal/bubble"
 	"github.com/wardspool/wardspool/standin/control"
 	"github.com/wardspool/wardspool/standin/judge"
 )
@@ -50,7 +51,7 @@
 // inService runs a test on a service with a fake clock.
 func inService(t *testing.T, cfg Config, test func(t *testing.T, s *Service)) {
 	cfg.Service, cfg.Delay = "billing", 20*time.Millisecond
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := New(cfg)
 		defer s.Close()
 		test(t, s)
--- a/tlsconf/tlsconf_test.go
+++ b/tlsconf/tlsconf_test.go
@@ -21,6 +21,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/internal/bubble"
 )
 
 // authority signs certificates for the tests.
@@ -181,7 +183,7 @@
 func TestRunLooksForChanges(t *testing.T) {
 	a := newAuthority(t)
 	f := newFiles(t, a, "entry-a1")
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		// The bubble's clock is not the one that the certificates were made by.
 		now := a.cert.NotBefore.Add(2 * time.Hour)
 		r, err := New(f.Settings, Options{Now: func() time.Time { return now }})
