Reduce wakeups of idle instances

Cause: four loops polled in every instance even when there was nothing to do: 10 times per second to detect a pause of the process, 10 for streams to migrate, 4 for news of crashes and 4 for tokens to give back.

Change: the migration loop no longer polls while no stream is running, nor the token loop before a workspace's limit is first used. The other two are merged into one loop with an interval of 250 ms, which also sends delayed evidence of crashes. A pause of the process is now detected up to 250 ms after it resumes (100 ms before); requests still detect it at once.

--- a/gateway/carry/carry.go
+++ b/gateway/carry/carry.go
@@ -63,8 +63,10 @@
 	// caches are what engines keep.
 	caches caches
 	// streams are the running streams by the number of their placement.
-	streams  map[uint64]*stream
-	underWay attemptsUnderWay
+	streams map[uint64]*stream
+	// streamStarted wakes AwaitStreams when a stream starts.
+	streamStarted chan struct{}
+	underWay      attemptsUnderWay
 	// examinations are of upstreams at which attempts broke off.
 	examinations examinations
 	undecided    undecided
@@ -74,7 +76,7 @@
 
 // New returns a carrier.
 func New(o Options) *Carrier {
-	return &Carrier{o: o, lines: map[string]*line{}, streams: map[uint64]*stream{}}
+	return &Carrier{o: o, lines: map[string]*line{}, streams: map[uint64]*stream{}, streamStarted: make(chan struct{}, 1)}
 }
 
 // Close waits for the releases that are still being sent, until ctx ends. What is not
--- a/gateway/carry/migrate.go
+++ b/gateway/carry/migrate.go
@@ -156,6 +156,27 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.streams[t.Number()] = s
+	select {
+	case c.streamStarted <- struct{}{}:
+	default:
+	}
+}
+
+// AwaitStreams blocks until at least one stream is running. It returns false if ctx ends.
+func (c *Carrier) AwaitStreams(ctx context.Context) bool {
+	for {
+		c.mu.Lock()
+		n := len(c.streams)
+		c.mu.Unlock()
+		if n > 0 {
+			return ctx.Err() == nil
+		}
+		select {
+		case <-c.streamStarted:
+		case <-ctx.Done():
+			return false
+		}
+	}
 }
 
 func (c *Carrier) exit(t schedule.Ticket) {
--- a/gateway/fleet/crashes.go
+++ b/gateway/fleet/crashes.go
@@ -24,8 +24,6 @@
 	// newsPause is the least time between two tellings. When all engines of a fleet crash at
 	// once each of 295 instances has something to tell, each 20 ms.
 	newsPause = 100 * time.Millisecond
-	// newsInterval is how often it is looked for evidence that is told later.
-	newsInterval = 250 * time.Millisecond
 	// compareAgain is the least time between two comparisons. They are for what was not
 	// told for want of a connection.
 	compareAgain = time.Second
@@ -96,16 +94,12 @@
 // the register.
 func (n *Node) SpreadCrashes() { n.news.tell() }
 
-// spreadCrashes tells news of crashes until ctx ends, and forgets what is of no use.
+// spreadCrashes sends new evidence of crashes to peers until ctx ends.
 func (n *Node) spreadCrashes(ctx context.Context) {
-	later := time.NewTicker(newsInterval)
-	defer later.Stop()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 			return
-		case <-later.C:
-			n.o.Register.Expire(clock.Now())
 		case <-n.news.wake:
 			pause.For(ctx, gatherNews)
 		}
--- a/gateway/fleet/informed.go
+++ b/gateway/fleet/informed.go
@@ -17,8 +17,9 @@
 	// informedTick is how often a waiting request looks whether its instance is informed;
 	// the word of a peer comes within some ms of a start.
 	informedTick = 10 * time.Millisecond
-	// lookInterval is how often an instance looks whether it stood still.
-	lookInterval = 100 * time.Millisecond
+	// maintenanceInterval is how often an instance checks whether it was paused, drops expired
+	// state and sends delayed evidence of crashes.
+	maintenanceInterval = 250 * time.Millisecond
 )
 
 // informed follows whether an instance knows what its peers know: after a start, or after it
@@ -141,11 +142,19 @@
 	n.informed.wake()
 }
 
-// lookAround notes the times at which this instance runs until ctx ends.
-func (n *Node) lookAround(ctx context.Context) {
+// maintain detects pauses of this instance, drops expired state and sends delayed evidence of
+// crashes until ctx ends. These tasks share a loop because each wakeup of an idle instance
+// costs processor time.
+func (n *Node) maintain(ctx context.Context) {
 	asleep := clock.Suspended()
-	for pause.For(ctx, lookInterval) {
-		n.informed.look(clock.Now())
+	for pause.For(ctx, maintenanceInterval) {
+		now := clock.Now()
+		n.informed.look(now)
+		n.tokens.accounts.Forget(now)
+		n.o.Register.Expire(now)
+		if n.o.Register.HasUntold() {
+			n.news.tell()
+		}
 		if now := clock.Suspended(); now != asleep {
 			n.o.Log.Warn("machine was suspended", "for_ms", (now - asleep).Milliseconds())
 			asleep = now
--- a/gateway/fleet/keeper.go
+++ b/gateway/fleet/keeper.go
@@ -109,12 +109,11 @@
 	return out
 }
 
-// flushTokens gives back idle tokens until ctx ends.
+// flushTokens gives back idle tokens until ctx ends. It does not poll before the first use of
+// a workspace's limit.
 func (n *Node) flushTokens(ctx context.Context) {
-	for pause.For(ctx, flushInterval) {
-		now := clock.Now()
-		n.tokens.accounts.Forget(now)
-		for workspace, back := range n.tokens.client.Idle(now) {
+	for n.tokens.client.AwaitFirstUse(ctx) && pause.For(ctx, flushInterval) {
+		for workspace, back := range n.tokens.client.Idle(clock.Now()) {
 			n.giveBack(ctx, workspace, back)
 		}
 	}
--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -198,7 +198,7 @@
 	running.Go(func() { n.readings(ctx) })
 	running.Go(func() { n.loads(ctx) })
 	running.Go(func() { n.spreadCrashes(ctx) })
-	running.Go(func() { n.lookAround(ctx) })
+	running.Go(func() { n.maintain(ctx) })
 	running.Go(func() { n.flushTokens(ctx) })
 	running.Wait()
 }
--- a/gateway/fleet/roster.go
+++ b/gateway/fleet/roster.go
@@ -17,7 +17,7 @@
 	aliveForRelayed = 6 * time.Second
 	aliveForForeign = 9 * time.Second
 	// stoodStill is the gap in this instance's own doings, which look at the roster
-	// every 100 to 300 ms, that shows that it was paused.
+	// every half second, that shows that it was paused.
 	stoodStill = time.Second
 	// rememberFor is how long a silent instance is still called, so that both
 	// sides of a cut find each other again.
--- a/gateway/limit/client.go
+++ b/gateway/limit/client.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"context"
 	"math"
 	"sync"
 	"time"
@@ -87,15 +88,31 @@
 type Client struct {
 	mu     sync.Mutex
 	spaces map[string]*space
+	// firstUse is closed when the first workspace is added to spaces.
+	firstUse chan struct{}
 }
 
 // NewClient returns a client.
-func NewClient() *Client { return &Client{spaces: map[string]*space{}} }
+func NewClient() *Client { return &Client{spaces: map[string]*space{}, firstUse: make(chan struct{})} }
+
+// AwaitFirstUse blocks until the client has been used for any workspace. It returns false if
+// ctx ends.
+func (c *Client) AwaitFirstUse(ctx context.Context) bool {
+	select {
+	case <-c.firstUse:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
 
 // space returns what is kept of a workspace. The caller holds mu.
 func (c *Client) space(name string) *space {
 	s := c.spaces[name]
 	if s == nil {
+		if len(c.spaces) == 0 {
+			close(c.firstUse)
+		}
 		s = &space{}
 		c.spaces[name] = s
 	}
--- a/gateway/migrate.go
+++ b/gateway/migrate.go
@@ -12,9 +12,9 @@
 const migrateInterval = 100 * time.Millisecond
 
 // migrate moves streams away from engines that run out of memory or leave, until ctx
-// ends.
+// ends. It does not poll while no stream is running.
 func (g *Service) migrate(ctx context.Context) {
-	for pause.For(ctx, migrateInterval) {
+	for g.carrier.AwaitStreams(ctx) && pause.For(ctx, migrateInterval) {
 		if s := g.node.Snapshot(); s.Ready() {
 			g.carrier.Migrate(s.Table.Config().Services)
 		}
--- a/gateway/quarantine/share.go
+++ b/gateway/quarantine/share.go
@@ -55,6 +55,13 @@
 	return out
 }
 
+// HasUntold reports whether there is evidence that Fresh may return now or later.
+func (r *Register) HasUntold() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.untold) > 0
+}
+
 // told returns a piece of evidence as it is told to a peer.
 func (k *crash) told(now time.Time) Crash {
 	c := k.Crash
