Reduce load reports of idle instances to one per second

Cause: each instance of a large fleet reported its load to its zone's hub 3.3 times per second and got the sum of all loads back, whether it had any load or not. With 585 instances and 268 requests per second that is some 1,950 calls per second, nearly all of which report and change nothing. The number of calls grew with the number of instances, not with the request rate.

Change: an instance with no requests in flight, no spent retry budget and no refusing or switching upstreams to report sends one load report per second. An arriving request ends that longer wait, which also returns the newest sum; reports then continue every 300 ms. Hubs report as before.

Ruled out: fewer requests for the list of upstreams (2 per second). The age of the list decides what is in force, and an age of 1.2 s counts as a failure of the reader.

--- a/gateway/fleet/loads.go
+++ b/gateway/fleet/loads.go
@@ -11,16 +11,20 @@
 )
 
 // loads adds up the peers' loads: from their heartbeats in a small fleet, by way of
-// the zone's hub in a large one.
+// the zone's hub in a large one. An idle instance reports to the hub less often, until a
+// request arrives.
 func (n *Node) loads(ctx context.Context) {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	wait := sumInterval
+	wait, idle := sumInterval, false
 	for pause.For(ctx, jitter(random, wait)) {
+		if idle && !waitTurn(ctx, jitter(random, idleReportInterval-wait), n.requestArrived) {
+			return
+		}
 		if n.large() {
-			wait = n.reportLoad(ctx, wait)
+			wait, idle = n.reportLoad(ctx, wait)
 			continue
 		}
-		wait = sumInterval
+		wait, idle = sumInterval, false
 		n.mu.Lock()
 		sum := NewLoad()
 		for _, m := range n.roster.Members(clock.Now()) {
@@ -31,6 +35,23 @@
 	}
 }
 
+// RequestArrived records the arrival of a request and ends the longer wait of an idle instance.
+func (n *Node) RequestArrived() {
+	now := clock.Now()
+	n.lastRequest.Store(&now)
+	select {
+	case n.requestArrived <- struct{}{}:
+	default:
+	}
+}
+
+// requestWithin reports whether a request has arrived in the last d. Such a request may not be
+// included in the load yet.
+func (n *Node) requestWithin(d time.Duration) bool {
+	at := n.lastRequest.Load()
+	return at != nil && clock.Since(*at) <= d
+}
+
 // setOthers keeps the sum of the peers' loads, which is so old on average.
 func (n *Node) setOthers(sum Load, age time.Duration) {
 	n.mu.Lock()
@@ -55,8 +76,9 @@
 }
 
 // reportLoad tells the zone's hub this instance's load, as it does each interval, and returns
-// the next interval. A hub tells those of other zones its zone's.
-func (n *Node) reportLoad(ctx context.Context, every time.Duration) time.Duration {
+// the next interval and whether the instance is idle. A hub tells those of other zones
+// its zone's.
+func (n *Node) reportLoad(ctx context.Context, every time.Duration) (next time.Duration, idle bool) {
 	own := LoadReport{From: n.o.Self.ID, Zone: n.o.Self.Zone, EveryMS: every.Milliseconds(), Load: n.o.Load()}
 	n.mu.Lock()
 	own.Sequence = n.reports.Next(own.Load)
@@ -74,18 +96,18 @@
 	n.mu.Unlock()
 	if err != nil || answer.NotHub {
 		n.o.Log.Debug("load not taken", "peer", address, "not_hub", answer.NotHub, "error", err)
-		return every
+		return every, false
 	}
 	n.mu.Lock()
 	sum, err := n.reports.Others(answer)
 	n.mu.Unlock()
 	if err != nil {
 		n.o.Log.Warn("sum of loads not understood", "peer", address, "error", err)
-		return every
+		return every, false
 	}
 	every = n.loadInterval(len(answer.Sum))
 	n.setOthers(sum, every*loadHops/2)
-	return every
+	return every, !self && own.Load.idle() && !n.requestWithin(every)
 }
 
 // tellHubs tells the other zones' hubs this zone's load. A silent hub shows as a load that
--- a/gateway/fleet/messages.go
+++ b/gateway/fleet/messages.go
@@ -28,6 +28,12 @@
 	return l.InFlight == nil && l.Demand == nil && l.Refusing == nil && l.Switching == nil
 }
 
+// idle reports whether the load has no requests in flight, no spent retry budget and no refusing
+// or switching upstreams. Demand is ignored because it only decreases without requests.
+func (l *Load) idle() bool {
+	return len(l.InFlight) == 0 && len(l.Refusing) == 0 && len(l.Switching) == 0 && len(l.Spent) == 0
+}
+
 // InFlight is what an instance has in flight at an upstream.
 type InFlight struct {
 	Requests int `json:"r,omitempty"`
--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -31,6 +31,8 @@
 	// that the sums of loads take of it at most. A hub sends as many to each of its zone.
 	loadShare     = 0.05
 	mostLoadBytes = 64 << 10
+	// idleReportInterval is the time between two reports of an idle instance to a hub.
+	idleReportInterval = time.Second
 	// sumInterval is the time between two sums of the loads that came by heartbeat.
 	sumInterval = 100 * time.Millisecond
 	// defaultLinkMbps stands for the rate of a link that is not told, in megabits a second.
@@ -124,13 +126,16 @@
 	packedList   []byte
 	packedDigest uint64
 	sending      tokenbucket.Bucket
+	// requestArrived receives a value when a request arrives; lastRequest is when the latest one did.
+	requestArrived chan struct{}
+	lastRequest    atomic.Pointer[time.Time]
 	// misfit means that the difference that a peer told did not fit.
 	misfit atomic.Bool
 }
 
 // NewNode returns a node that knows nothing, and registers its methods.
 func NewNode(o Options) *Node {
-	n := &Node{o: o, reading: newReading(o.InForce), reopened: map[ident.Zone]time.Time{}, view: NewView(), hub: NewHub(), others: NewLoad(), roster: NewRoster(o.Self, o.Seeds)}
+	n := &Node{o: o, reading: newReading(o.InForce), reopened: map[ident.Zone]time.Time{}, view: NewView(), hub: NewHub(), others: NewLoad(), roster: NewRoster(o.Self, o.Seeds), requestArrived: make(chan struct{}, 1)}
 	n.news, n.trials, n.tokens = newCrashNews(), quarantine.NewTrials(), newTokens()
 	n.snapshot.Store(n.view.Snapshot())
 	n.alive.Store(1)
--- a/gateway/fleetsize_test.go
+++ b/gateway/fleetsize_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"slices"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,12 +20,13 @@
 // countedConn counts what one side of a connection between instances sends.
 type countedConn struct {
 	net.Conn
-	sent *atomic.Int64
+	sender *worldInstance
 }
 
 func (c *countedConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	c.sent.Add(int64(n))
+	c.sender.sent.Add(int64(n))
+	c.sender.loadReports.Add(countLoadReports(p))
 	return n, err
 }
 
--- a/gateway/fleetworld_test.go
+++ b/gateway/fleetworld_test.go
@@ -91,8 +91,10 @@
 	conns   []net.Conn
 	// storeDown has the store reject the instance's requests.
 	storeDown bool
-	// sent is what it sent to other instances, in bytes.
-	sent atomic.Int64
+	// sent is what it sent to other instances, in bytes, and loadReports the number of load
+	// reports among it.
+	sent        atomic.Int64
+	loadReports atomic.Int64
 }
 
 // worldEngine is an engine, over its restarts.
@@ -237,8 +239,8 @@
 			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 		}
 		near, far := net.Pipe()
-		near = &countedConn{Conn: near, sent: &i.sent}
-		go s.peers.ServeConn(&countedConn{Conn: far, sent: &o.sent})
+		near = &countedConn{Conn: near, sender: i}
+		go s.peers.ServeConn(&countedConn{Conn: far, sender: o})
 		for _, end := range []*worldInstance{i, o} {
 			end.mu.Lock()
 			end.conns = append(end.conns, near)
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -54,6 +54,8 @@
 	ConfigAge func() time.Duration
 	InForce   time.Duration
 	Refresh   func()
+	// RequestArrived is called for each request within its workspace's limit.
+	RequestArrived func()
 	// Memory limits the memory held by request bodies and answers.
 	Memory *memory.Budget
 	Log    *slog.Logger
@@ -199,6 +201,7 @@
 		return
 	}
 	f.o.Budget.Request(j.Arrived, j.Service.Name)
+	f.o.RequestArrived()
 	j.Content = quarantine.ContentOf(j.Call)
 	rc := http.NewResponseController(w)
 	if err := rc.SetWriteDeadline(time.Now().Add(clock.Until(j.Deadline) + writeSlack)); err != nil {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -106,7 +106,7 @@
 	})
 	g.front = front.New(front.Options{
 		Dialect: d, Carrier: g.carrier, Budget: g.budget, Limits: g.node, View: g.node.Snapshot,
-		ConfigAge: g.node.ConfigAge, InForce: s.Store.inForce(), Refresh: g.node.Refresh, Memory: g.memory,
+		ConfigAge: g.node.ConfigAge, InForce: s.Store.inForce(), Refresh: g.node.Refresh, RequestArrived: g.node.RequestArrived, Memory: g.memory,
 		Log: log, Count: g.metrics.count, Observe: g.metrics.observe, Limited: g.metrics.limited,
 	})
 	return g
