--- a/testbed/build.go
+++ b/testbed/build.go
@@ -47,10 +47,23 @@
 	held []net.Listener
 }
 
-// givenPorts are the ports that were handed out in this program, whose processes may not
-// have bound them yet. Fleets that start side by side share them: with a list for each, the
-// demo's second deployment took a port of the first, whose agent then could not start.
-var givenPorts sync.Map
+// reservations keep other calls, also of other programs on this machine, from handing out the
+// ports that this program has handed out: their processes may not have bound them yet. Each is
+// a listener on the port at reservationHost, open until the program ends.
+var reservations sync.Map
+
+// reservationHost is a loopback address that nothing else uses.
+const reservationHost = "127.255.255.254"
+
+// reserve claims a port for this program. It returns false if the port is taken.
+func reserve(port int) bool {
+	l, err := net.Listen("tcp", net.JoinHostPort(reservationHost, strconv.Itoa(port)))
+	if err != nil {
+		return false
+	}
+	reservations.Store(port, l)
+	return true
+}
 
 // Ports are taken from below the range from which Linux chooses the local ends
 // of connections: otherwise a connection could take the port of a process that
@@ -61,12 +74,12 @@
 	portTries = 1000
 )
 
-// Next returns a free "127.0.0.1:port" that no earlier call in this program returned.
+// Next returns a free "127.0.0.1:port" that no earlier call in a running program returned.
 func (p *Ports) Next() (string, error) {
 	var failed error
 	for range portTries {
 		port := firstPort + rand.IntN(lastPort-firstPort)
-		if _, given := givenPorts.Load(port); given {
+		if !reserve(port) {
 			continue
 		}
 		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
@@ -74,10 +87,6 @@
 			failed = err
 			continue
 		}
-		if _, given := givenPorts.LoadOrStore(port, true); given {
-			_ = l.Close()
-			continue
-		}
 		p.held = append(p.held, l)
 		return l.Addr().String(), nil
 	}
--- a/testbed/build_test.go
+++ b/testbed/build_test.go
@@ -1,6 +1,7 @@
 package testbed
 
 import (
+	"net"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -21,3 +22,19 @@
 		p.Release()
 	}
 }
+
+// TestReleasedPortsStayReserved guards against two programs that hand out the same port before
+// the process of one has bound it.
+func TestReleasedPortsStayReserved(t *testing.T) {
+	var p Ports
+	address, err := p.Next()
+	assert.NilError(t, err)
+	p.Release()
+	_, port, err := net.SplitHostPort(address)
+	assert.NilError(t, err)
+	l, err := net.Listen("tcp", net.JoinHostPort(reservationHost, port))
+	if err == nil {
+		_ = l.Close()
+	}
+	assert.ErrorContains(t, err, "address already in use")
+}
