--- a/testbed/build.go
+++ b/testbed/build.go
@@ -47,22 +47,23 @@
 	held []net.Listener
 }
 
-// reservations keep other calls, also of other programs on this machine, from handing out the
-// ports that this program has handed out: their processes may not have bound them yet. Each is
-// a listener on the port at reservationHost, open until the program ends.
+// reservations holds a listener at reservationHost for each port that this program has handed
+// out. While it is open, no other call, in this program or another on this machine, hands out
+// the port, even if the process that it is for has not bound it yet. The listeners stay open
+// until the program ends; the map keeps them from being garbage collected, which closes them.
 var reservations sync.Map
 
-// reservationHost is a loopback address that nothing else uses.
+// reservationHost is a loopback address that no process of a test bed binds.
 const reservationHost = "127.255.255.254"
 
-// reserve claims a port for this program. It returns false if the port is taken.
-func reserve(port int) bool {
+// reserve listens on the port at reservationHost. The error is the network's.
+func reserve(port int) error {
 	l, err := net.Listen("tcp", net.JoinHostPort(reservationHost, strconv.Itoa(port)))
 	if err != nil {
-		return false
+		return err
 	}
 	reservations.Store(port, l)
-	return true
+	return nil
 }
 
 // Ports are taken from below the range from which Linux chooses the local ends
@@ -74,12 +75,14 @@
 	portTries = 1000
 )
 
-// Next returns a free "127.0.0.1:port" that no earlier call in a running program returned.
+// Next returns a free "127.0.0.1:port" that no earlier call returned, in this program or in
+// another one that is still running.
 func (p *Ports) Next() (string, error) {
 	var failed error
 	for range portTries {
 		port := firstPort + rand.IntN(lastPort-firstPort)
-		if !reserve(port) {
+		if err := reserve(port); err != nil {
+			failed = err
 			continue
 		}
 		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
--- a/testbed/build_test.go
+++ b/testbed/build_test.go
@@ -23,8 +23,8 @@
 	}
 }
 
-// TestReleasedPortsStayReserved guards against two programs that hand out the same port before
-// the process of one has bound it.
+// TestReleasedPortsStayReserved guards against two programs handing out the same port before a
+// process has bound it.
 func TestReleasedPortsStayReserved(t *testing.T) {
 	var p Ports
 	address, err := p.Next()
