schedule: limit probes of a zone that seems cut off

Cause: an instance that found two upstreams of another zone unreachable probed all engines of that zone every second until one answered. With 5,189 engines in 5 zones that is some 1,000 calls per second from each such instance. Each failed call also ejected its engine for that instance, for a time that doubles. Found by reading the code, after a profile of 300 instances showed Trials at 7% of processor time; Trials also created a book for each engine every second.

Change: three engines of such a zone and service are probed per second, selected at random each time; as before, one answer ends the doubt for the whole zone. Engines of which nothing is known are skipped while their zone is not doubted. The search for silent engines before a placement covers only engines in use.

Test: TestFewEnginesOfACutZoneAreProbed, 1,000 engines: at most 5 are probed (3 of the zone and the 2 that failed), 1,000 before. Engines whose probe failed are retried after their ejection, as before.

--- a/gateway/schedule/books_test.go
+++ b/gateway/schedule/books_test.go
@@ -193,6 +193,30 @@
 	assert.Assert(t, ok)
 }
 
+// TestFewEnginesOfACutZoneAreProbed guards against an instance probing every engine of a zone that
+// seems cut off.
+func TestFewEnginesOfACutZoneAreProbed(t *testing.T) {
+	b := NewBooks("a", 1)
+	list := engines(0, 1000)
+	for i := range list {
+		list[i].Zone = "z"
+	}
+	assert.Equal(t, len(b.Trials(at(0), list)), 0)
+	b.Failed(at(0), list[0], Unreachable)
+	b.Failed(at(100), list[1], Unreachable)
+	probed := map[ident.UpstreamID]bool{}
+	for range 10 {
+		trials := b.Trials(at(200), list)
+		assert.Assert(t, len(trials) > 0 && len(trials) <= 5, "%d probed", len(trials))
+		for _, u := range trials {
+			probed[u.ID] = true
+		}
+	}
+	assert.Assert(t, len(probed) > 5, "only the same %d engines are probed", len(probed))
+	b.Heard(at(300), list[2])
+	assert.Equal(t, len(b.Trials(at(400), list)), 0)
+}
+
 // TestZoneThatSeemsCutOff: two unreachable upstreams of another zone are enough for
 // the rest of it to be avoided until one answers; the own zone is never doubted.
 func TestZoneThatSeemsCutOff(t *testing.T) {
--- a/gateway/schedule/doubt.go
+++ b/gateway/schedule/doubt.go
@@ -43,8 +43,8 @@
 // streams: a cut shows there within quietAfter, and not only when the first new
 // requests have waited for time-outs of 400 to 500 ms. The caller holds mu.
 func (b *Books) doubtQuiet(now time.Time) {
-	for _, k := range b.books {
-		if k.quiet(now) {
+	for id := range b.active {
+		if k := b.books[id]; k != nil && k.quiet(now) {
 			b.doubt(now, k)
 		}
 	}
--- a/gateway/schedule/health.go
+++ b/gateway/schedule/health.go
@@ -1,9 +1,12 @@
 package schedule
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/ident"
 )
 
 // Failure says how an attempt failed.
@@ -180,16 +183,34 @@
 	b.heard(now, k)
 }
 
-// Trials returns the engines of a list that were ejected, or are in a zone that
-// seems cut off, and may be probed.
+// zoneProbes limits how many engines of a zone that seems cut off are probed at a time. One answer
+// ends the doubt, and in a large fleet each instance would otherwise probe every engine there.
+const zoneProbes = 3
+
+// Trials returns the engines of a list to probe: those that were ejected or fell silent and may be
+// tried again, and at most zoneProbes random ones of each zone that seems cut off.
 func (b *Books) Trials(now time.Time, list []dialect.Upstream) []dialect.Upstream {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []dialect.Upstream
+	doubted := map[ident.Zone][]dialect.Upstream{}
 	for _, u := range list {
-		if u.Stage != "" && b.stateIn(now, b.of(u)) == stateTrial {
+		if u.Stage == "" || b.books[u.ID] == nil && b.doubts[u.Zone] == nil {
+			continue
+		}
+		k := b.of(u)
+		switch {
+		case b.stateIn(now, k) != stateTrial:
+		case k.ejections == 0 && !k.quiet(now):
+			doubted[u.Zone] = append(doubted[u.Zone], u)
+		default:
 			out = append(out, u)
 		}
 	}
+	for _, zone := range slices.Sorted(maps.Keys(doubted)) {
+		list := doubted[zone]
+		b.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		out = append(out, list[:min(zoneProbes, len(list))]...)
+	}
 	return out
 }
