fleet: reduce reads of long upstream lists

A list of 6,000 upstreams takes 120 pages there. - At a start, each instance takes itself for its zone's reader until it hears of others, and read page after page until then. - Whether a follower reads on was drawn for each page, so none of the dozen followers of a zone that should get the list soon reached its end. - Readers listed the store again every 10 s. That takes longer than the 1.2 s after which the age of a view counts as a failure of its reader, so standbys then read as well, 120 pages each. The number of pages grows with the fleet; all three work only while a list has one or two pages.

Change: an instance with configured seeds leaves a long list to others for its first 300 ms. The draw is made once per list, for three followers of a zone in addition to its reader and standbys. Readers list the store again in the background, at intervals that grow with the number of pages, half a second for each; a failure of that does not count as a loss of the store.

Test: TestStartingInstanceLeavesALongListToOthers (1 page, 120 before), TestFewFollowersReadLongLists with 120 pages, TestRelistDoesNotDelayChanges, TestStoreIsRelistedPeriodically.

--- a/gateway/fleet/lists_test.go
+++ b/gateway/fleet/lists_test.go
@@ -150,19 +150,42 @@
 	}
 }
 
-// pagedStore is a store whose list takes two pages.
+// pagedStore is a store whose list takes longListPages pages.
 type pagedStore struct {
 	fakeStore
-	list []dialect.Upstream
+	list      []dialect.Upstream
+	pagesRead int
 }
 
+// longListPages is the number of pages of the list of a pagedStore.
+const longListPages = 120
+
 func (p *pagedStore) Upstreams(_ context.Context, further func() bool) ([]dialect.Upstream, int64, error) {
-	if !further() {
-		return nil, 0, &dialect.StoppedError{}
+	p.pagesRead++
+	for range longListPages - 1 {
+		if !further() {
+			return nil, 0, &dialect.StoppedError{}
+		}
+		p.pagesRead++
 	}
 	return p.list, 1, nil
 }
 
+// TestStartingInstanceLeavesALongListToOthers guards against instances that start at once each
+// reading a long list before they discover their peers.
+func TestStartingInstanceLeavesALongListToOthers(t *testing.T) {
+	s := &pagedStore{fakeStore: fakeStore{config: largeConfig(7)}, list: manyUpstreams(10)}
+	n := newTestNode(t, s)
+	n.o.Seeds = []string{"seed:1"}
+	n.readStore(t.Context())
+	assert.Equal(t, s.pagesRead, 1)
+	assert.Assert(t, !n.Snapshot().Listed)
+	n.createdAt = clock.Now().Add(-discoveryWait)
+	n.readStore(t.Context())
+	assert.Equal(t, s.pagesRead, 1+longListPages)
+	assert.Assert(t, n.Snapshot().Listed, "no peer is known")
+}
+
 // TestFewFollowersReadLongLists: when the view of a zone is old, some of its followers read a
 // long list to its end, and all of them the configuration.
 func TestFewFollowersReadLongLists(t *testing.T) {
--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -101,8 +101,12 @@
 	// others is the sum of the peers' loads.
 	others  Load
 	reading reading
-	// stored is the list of upstreams in the store, for an instance that reads the store.
-	stored storedUpstreams
+	// createdAt is when the node was created; discoveryWait starts then.
+	createdAt time.Time
+	// stored is the list of upstreams in the store, for an instance that reads the store;
+	// relisting is set while it is read again in the background.
+	stored    storedUpstreams
+	relisting bool
 	// reopened is when the evacuation of a zone last ended.
 	reopened map[ident.Zone]time.Time
 	// storeDown is when the store was first not reached, zero while it is.
@@ -136,6 +140,7 @@
 // NewNode returns a node that knows nothing, and registers its methods.
 func NewNode(o Options) *Node {
 	n := &Node{o: o, reading: newReading(o.InForce), reopened: map[ident.Zone]time.Time{}, view: NewView(), hub: NewHub(), others: NewLoad(), roster: NewRoster(o.Self, o.Seeds), requestArrived: make(chan struct{}, 1)}
+	n.createdAt = clock.Now()
 	n.news, n.trials, n.tokens = newCrashNews(), quarantine.NewTrials(), newTokens()
 	n.snapshot.Store(n.view.Snapshot())
 	n.alive.Store(1)
--- a/gateway/fleet/reader.go
+++ b/gateway/fleet/reader.go
@@ -22,7 +22,7 @@
 	furtherFollowers = 2.0
 	// furtherStarting is the same while they have no list yet: the store may turn away those
 	// that read for the zone.
-	furtherStarting = 12.0
+	furtherStarting = 3.0
 )
 
 // readings keeps the view up to date: from the store if this instance reads for
@@ -62,6 +62,7 @@
 		return
 	}
 	if n.canReadChanges() && n.readChanges(ctx) {
+		n.relistIfDue(ctx)
 		return
 	}
 	if n.readList(ctx) && (first || n.readDirectives(ctx)) {
@@ -73,7 +74,28 @@
 func (n *Node) canReadChanges() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.stored.canApplyChanges(clock.Now())
+	return n.stored.loaded()
+}
+
+// relistIfDue lists the store again if that is due. It does so in the background, since reading a
+// long list can take longer than oldAfter and would delay the reading of changes.
+func (n *Node) relistIfDue(ctx context.Context) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.relisting || !n.storeDown.IsZero() || !n.stored.relistDue(clock.Now()) {
+		return
+	}
+	n.relisting = true
+	go func() {
+		err := n.fetchList(ctx)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.relisting = false
+		if err != nil {
+			n.o.Log.Info("store relist failed", "error", err)
+			n.stored.listedAt = clock.Now()
+		}
+	}()
 }
 
 // readChanges reads what changed in the store since the last read. It returns false if the
@@ -99,6 +121,11 @@
 		return true
 	}
 	n.mu.Lock()
+	if n.stored.next != after {
+		// The list was replaced by one from before these changes: they are read again.
+		n.mu.Unlock()
+		return true
+	}
 	wasMerged := n.stored.merged
 	n.stored.apply(c)
 	unchanged, directivesPending := n.stored.merged, n.stored.directivesPending
@@ -152,23 +179,33 @@
 
 // readList reads the list of upstreams, and reports whether the store answered.
 func (n *Node) readList(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	started := clock.Now()
-	list, revision, err := n.o.Source.Upstreams(ctx, n.furtherPages)
+	err := n.fetchList(ctx)
 	var stopped *dialect.StoppedError
-	switch {
-	case errors.As(err, &stopped):
-		return true
-	case err != nil:
+	if err != nil && !errors.As(err, &stopped) {
 		n.storeFailed(err)
 		return false
 	}
+	return true
+}
+
+// fetchList reads the list of upstreams and merges it into the view. Its errors are the source's.
+func (n *Node) fetchList(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	started := clock.Now()
+	pages, further := 1, n.furtherPages()
+	list, revision, err := n.o.Source.Upstreams(ctx, func() bool {
+		pages++
+		return further()
+	})
+	if err != nil {
+		return err
+	}
 	n.mu.Lock()
-	n.stored.replace(started, list, revision)
+	n.stored.replace(started, list, revision, pages)
 	n.mu.Unlock()
 	n.takeStored(started, revision, list)
-	return true
+	return nil
 }
 
 // takeStored merges the store's list into the view. If the view has taken in a newer one from a
@@ -180,21 +217,32 @@
 	n.stored.merged = merged
 }
 
-// furtherPages reports whether to read on in a long list. An instance that starts knows
-// nobody, and takes itself for the reader: all that start at once would read the whole list,
-// and so would the followers of a reader that is slow. By the end of the first page an
-// instance has heard of others, and of each zone's followers few read on: the others get the
-// list from them.
-func (n *Node) furtherPages() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	as, _ := n.roster.Role(clock.Now())
-	most := furtherFollowers
-	if !n.Snapshot().Ready() {
-		most = furtherStarting
+// furtherPages returns a function that reports, before each further page of a long list, whether to
+// read it. An instance that starts knows no peers and takes itself for the reader, so it leaves long
+// lists to others until discoveryWait has passed. After that, few followers of each zone read on,
+// and the others get the list from them. Otherwise all instances that start at once would read the
+// whole list, and so would all followers of a slow reader.
+func (n *Node) furtherPages() func() bool {
+	// Drawn once per list: with a draw per page, hardly any follower would read a long list to its end.
+	draw := rand.Float64()
+	return func() bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		as, _ := n.roster.Role(clock.Now())
+		ready := n.Snapshot().Ready()
+		most := furtherFollowers
+		if !ready {
+			most = furtherStarting
+		}
+		discovering := !ready && n.hasOtherSeeds() && clock.Since(n.createdAt) < discoveryWait
+		n.reading.stopped = discovering || as == follower && draw*float64(n.roster.knownIn(n.o.Self.Zone)) >= most
+		return !n.reading.stopped
 	}
-	n.reading.stopped = as == follower && rand.Float64()*float64(n.roster.knownIn(n.o.Self.Zone)) >= most
-	return !n.reading.stopped
+}
+
+// hasOtherSeeds reports whether the configured seeds include an instance other than this one.
+func (n *Node) hasOtherSeeds() bool {
+	return len(n.o.Seeds) > 1 || len(n.o.Seeds) == 1 && n.o.Seeds[0] != n.o.Self.Address
 }
 
 // readDirectives reads the directives from the store, and reports whether it succeeded.
--- a/gateway/fleet/reading.go
+++ b/gateway/fleet/reading.go
@@ -32,6 +32,9 @@
 	// stoppedInterval is the same for one that left a long list to others, and has not got it
 	// from them.
 	stoppedInterval = time.Second
+	// discoveryWait is how long a starting instance that has other seeds leaves long lists to
+	// others, so that it discovers its peers first.
+	discoveryWait = 300 * time.Millisecond
 )
 
 // reading decides when an instance reads the store. It is not safe for concurrent use.
--- a/gateway/fleet/stored.go
+++ b/gateway/fleet/stored.go
@@ -9,9 +9,14 @@
 	"github.com/wardspool/wardspool/ident"
 )
 
-// relistInterval is how often the store is listed even while its changes can be read, which
-// corrects the list if the store omitted changes. It stays within the shortest history.
-const relistInterval = 10 * time.Second
+const (
+	// relistInterval is the minimum time between two listings of the store while its changes can
+	// be read. Listing it again corrects the list if the store omitted changes.
+	relistInterval = 10 * time.Second
+	// relistPerPage is the minimum time per page of the list, so that listing takes no more calls
+	// than reading the changes.
+	relistPerPage = readInterval
+)
 
 // storedUpstreams is a copy of the store's upstreams, updated by its changes. The zero value
 // holds no list. It is not safe for concurrent use.
@@ -20,6 +25,8 @@
 	// next is the revision after which changes are read.
 	next     int64
 	listedAt time.Time
+	// pages is the number of pages in which the list was read.
+	pages int
 	// merged reports whether the view has taken in the list.
 	merged bool
 	// directivesPending reports that directives changed and have not been read since.
@@ -27,19 +34,22 @@
 }
 
 // replace sets the list to one read in full at the given time.
-func (s *storedUpstreams) replace(now time.Time, list []dialect.Upstream, revision int64) {
+func (s *storedUpstreams) replace(now time.Time, list []dialect.Upstream, revision int64, pages int) {
 	s.upstreams = make(map[ident.UpstreamID]dialect.Upstream, len(list))
 	for _, u := range list {
 		s.upstreams[u.ID] = u
 	}
-	s.next, s.listedAt = revision, now
+	s.next, s.listedAt, s.pages = revision, now, pages
 	// They may have changed between their last read and this list.
 	s.directivesPending = true
 }
 
-// canApplyChanges reports whether there is a list that is not yet due to be read again.
-func (s *storedUpstreams) canApplyChanges(now time.Time) bool {
-	return s.upstreams != nil && now.Sub(s.listedAt) < relistInterval
+// loaded reports whether a list has been read.
+func (s *storedUpstreams) loaded() bool { return s.upstreams != nil }
+
+// relistDue reports whether the list is due to be read again.
+func (s *storedUpstreams) relistDue(now time.Time) bool {
+	return s.loaded() && now.Sub(s.listedAt) >= max(relistInterval, time.Duration(s.pages)*relistPerPage)
 }
 
 // clear resets s to the zero value.
--- a/gateway/fleet/stored_test.go
+++ b/gateway/fleet/stored_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -121,12 +122,103 @@
 // TestStoreIsRelistedPeriodically guards against changes that the store omitted.
 func TestStoreIsRelistedPeriodically(t *testing.T) {
 	var s storedUpstreams
-	assert.Assert(t, !s.canApplyChanges(epoch))
-	s.replace(epoch, []dialect.Upstream{up("a")}, 1)
-	assert.Assert(t, s.canApplyChanges(epoch.Add(relistInterval-1)))
-	assert.Assert(t, !s.canApplyChanges(epoch.Add(relistInterval)))
+	assert.Assert(t, !s.loaded())
+	assert.Assert(t, !s.relistDue(epoch))
+	s.replace(epoch, []dialect.Upstream{up("a")}, 1, 1)
+	assert.Assert(t, s.loaded())
+	assert.Assert(t, !s.relistDue(epoch.Add(relistInterval-1)))
+	assert.Assert(t, s.relistDue(epoch.Add(relistInterval)))
+	// Listing takes no more calls than reading the changes.
+	s.replace(epoch, []dialect.Upstream{up("a")}, 1, longListPages)
+	assert.Assert(t, !s.relistDue(epoch.Add(longListPages*readInterval-1)))
+	assert.Assert(t, s.relistDue(epoch.Add(longListPages*readInterval)))
 	s.clear()
-	assert.Assert(t, !s.canApplyChanges(epoch))
+	assert.Assert(t, !s.loaded())
+}
+
+// historyStore is a store of upstreams that are only added, each by a revision of its own.
+type historyStore struct {
+	mu    sync.Mutex
+	added []ident.UpstreamID
+	// blockList has calls of Upstreams signal listing and wait for unblockList.
+	blockList            bool
+	listing, unblockList chan struct{}
+	// duringChanges is run by the next call of Changes.
+	duringChanges func()
+}
+
+func (s *historyStore) Directives(context.Context) (dialect.Directives, error) {
+	return dialect.Directives{Config: &routing.Config{Version: 1}}, nil
+}
+
+// add adds upstreams.
+func (s *historyStore) add(ids ...ident.UpstreamID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.added = append(s.added, ids...)
+}
+
+// after returns the upstreams that were added after a revision, and the newest revision.
+func (s *historyStore) after(revision int64) ([]dialect.Upstream, int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []dialect.Upstream
+	for _, id := range s.added[revision:] {
+		list = append(list, up(string(id)))
+	}
+	return list, int64(len(s.added))
+}
+
+func (s *historyStore) Upstreams(context.Context, func() bool) ([]dialect.Upstream, int64, error) {
+	list, revision := s.after(0)
+	if s.blockList {
+		s.listing <- struct{}{}
+		<-s.unblockList
+	}
+	return list, revision, nil
+}
+
+func (s *historyStore) Changes(_ context.Context, after int64) (dialect.Changes, error) {
+	if s.duringChanges != nil {
+		s.duringChanges()
+		s.duringChanges = nil
+	}
+	list, revision := s.after(after)
+	return dialect.Changes{Upstreams: list, Next: revision, Revision: revision}, nil
+}
+
+// TestRelistDoesNotDelayChanges guards against a reader whose view grows old, and has others read
+// too, while it lists a long list again; and against changes that are lost when that list, which
+// is older than they are, arrives.
+func TestRelistDoesNotDelayChanges(t *testing.T) {
+	s := &historyStore{listing: make(chan struct{}), unblockList: make(chan struct{})}
+	n := newTestNode(t, s)
+	s.add("a", "b")
+	n.readStore(t.Context())
+	s.blockList = true
+	n.stored.listedAt = clock.Now().Add(-relistInterval)
+	n.readStore(t.Context())
+	<-s.listing
+	s.add("c")
+	n.readStore(t.Context())
+	assert.Equal(t, names(n.Snapshot()), "abc")
+	s.add("d")
+	s.duringChanges = func() {
+		close(s.unblockList)
+		for n.isRelisting() {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	n.readStore(t.Context())
+	n.readStore(t.Context())
+	assert.Equal(t, names(n.Snapshot()), "abcd")
+}
+
+// isRelisting reports whether the list is being read again.
+func (n *Node) isRelisting() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.relisting
 }
 
 // TestRejectedListIsMergedLater guards against losing a change that was read while a peer's newer
