fleet: one way to find the zone that holds an upstream's duties; no method for a test alone

The fallback to all instances for a zone without any stood in AssignedInZone and coldQuota; it is Roster.dutyZone now.

Behaviour is unchanged. go test ./gateway/fleet, ./internal/mutate and ./gateway -run Evac: ok.

--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/bubble"
 )
@@ -111,7 +112,8 @@
 	}
 	var reader *worldInstance
 	for _, i := range w.instances {
-		if i.zone == "a" && i.running().node.ReadsForZone() {
+		duty := []dialect.Upstream{{ID: "store", Zone: i.zone}}
+		if i.zone == "a" && len(i.running().node.AssignedInZone("", "", duty)) > 0 {
 			reader = i
 		}
 	}
--- a/gateway/fleet/cold.go
+++ b/gateway/fleet/cold.go
@@ -60,9 +60,7 @@
 // coldQuota returns this instance's quota for a cold upstream of a zone, which tolerates rate
 // requests a second.
 func (r *Roster) coldQuota(now time.Time, id ident.UpstreamID, zone ident.Zone, rate float64) schedule.ColdQuota {
-	if !r.Inhabited(now, zone) {
-		zone = ""
-	}
+	zone = r.dutyZone(now, zone)
 	senders := min(max(1, int(coldSendersPerRate*rate)), len(r.candidates[zone]))
 	if !rendezvous.Contains(dutyCold+string(id), r.candidates[zone], senders, r.self.ID) {
 		return 0
--- a/gateway/fleet/duties.go
+++ b/gateway/fleet/duties.go
@@ -136,6 +136,15 @@
 	}
 }
 
+// dutyZone returns the zone whose instances hold the duties for the upstreams of a zone: that
+// zone, or "" for all instances if none of it lives.
+func (r *Roster) dutyZone(now time.Time, zone ident.Zone) ident.Zone {
+	if r.Inhabited(now, zone) {
+		return zone
+	}
+	return ""
+}
+
 // Inhabited reports whether any instance of a zone lives and is not stopping.
 func (r *Roster) Inhabited(now time.Time, zone ident.Zone) bool {
 	r.refresh(now)
--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -189,14 +189,6 @@
 	return n.roster.HeldFor(now, duty) >= settled && n.roster.Holder(now, duty, "") && n.roster.InTouch(now, recent)
 }
 
-// ReadsForZone reports whether this instance reads the store for its zone.
-func (n *Node) ReadsForZone() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	as, _ := n.roster.Role(clock.Now())
-	return as == reader
-}
-
 // AssignedInZone returns the upstreams in a list that are of the given stage and whose duty falls
 // to this instance: it is the one chosen in the upstream's zone, or among all instances if none of
 // that zone is live. The name of an upstream's duty is prefix followed by its ID.
@@ -209,11 +201,7 @@
 		if u.Stage != stage {
 			continue
 		}
-		zone := u.Zone
-		if !n.roster.Inhabited(now, zone) {
-			zone = ""
-		}
-		if n.roster.Holder(now, prefix+string(u.ID), zone) {
+		if n.roster.Holder(now, prefix+string(u.ID), n.roster.dutyZone(now, u.Zone)) {
 			assigned = append(assigned, u)
 		}
 	}
