gateway: decode and log the rate limits that upstreams state

No log and no metric showed that an upstream states a limit, so the hypotheses of the incident of upstream limits could not be told apart. Nothing acts on it yet.

Reserve, Release and ReleaseHandle take the upstream instead of its address, so that their responses can be attributed.

--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -131,30 +131,32 @@
 	return dialect.Handle{Engine: s.To.Address, ID: "h" + strconv.Itoa(len(f.calls))}, nil
 }
 
-func (f *fakeDialect) Reserve(_ context.Context, address string, tokens int, _ time.Duration) (string, error) {
+func (f *fakeDialect) Reserve(_ context.Context, u dialect.Upstream, tokens int, _ time.Duration) (string, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.record("hold %s", address)
-	if err, _ := next(f.reserve, address); err != nil {
+	f.record("hold %s", u.Address)
+	if err, _ := next(f.reserve, u.Address); err != nil {
 		return "", err
 	}
 	return "r", nil
 }
 
-func (f *fakeDialect) ReleaseHandle(context.Context, dialect.Handle) error {
+func (f *fakeDialect) ReleaseHandle(context.Context, dialect.Upstream, dialect.Handle) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.record("free")
 	return nil
 }
 
-func (f *fakeDialect) Release(_ context.Context, address, _ string) error {
+func (f *fakeDialect) Release(_ context.Context, u dialect.Upstream, _ string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.record("release %s", address)
+	f.record("release %s", u.Address)
 	return nil
 }
 
+func (f *fakeDialect) OnNotice(func(dialect.Notice)) {}
+
 func (f *fakeDialect) Read(*http.Request) (*dialect.Call, error)  { return nil, nil }
 func (f *fakeDialect) Order(context.Context, dialect.Order) error { return nil }
 func (f *fakeDialect) Report(_ context.Context, u dialect.Upstream) (dialect.Report, error) {
--- a/gateway/carry/migrate.go
+++ b/gateway/carry/migrate.go
@@ -291,6 +291,7 @@
 // A handle can be used only once, so the stream cannot continue twice.
 func (s *stream) continueStopped(ctx context.Context, p *placement, cont *continuation) (*Response, bool, error) {
 	var err error
+	stoppedAt := p.decode.Upstream
 	reason := CutByMigration
 	for i, t := range cont.engines {
 		if i > 0 {
@@ -317,7 +318,7 @@
 			s.handleNotResumed(ctx, t, start, err)
 		}
 	}
-	s.freeResult(&prefillResult{handle: cont.source, engine: p.decode.Upstream})
+	s.freeResult(&prefillResult{handle: cont.source, engine: stoppedAt})
 	return nil, s.handleStreamEnd(ctx, p, err, 0, reason), s.streamError(ctx, err)
 }
 
--- a/gateway/carry/reserve.go
+++ b/gateway/carry/reserve.go
@@ -191,7 +191,7 @@
 	start := clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	reservation, err := s.c.o.Dialect.Reserve(ctx, u.Address, s.need(), s.j.Service.Engine.ReservationTTL)
+	reservation, err := s.c.o.Dialect.Reserve(ctx, u, s.need(), s.j.Service.Engine.ReservationTTL)
 	var full *dialect.NoCapacityError
 	switch {
 	case err == nil:
@@ -210,7 +210,7 @@
 // freeResult releases a prefill result in the background.
 func (s *stream) freeResult(h *prefillResult) {
 	s.c.cleanup.Go(func() {
-		release(func(ctx context.Context) error { return s.c.o.Dialect.ReleaseHandle(ctx, h.handle) }, s.log, "handle", h.engine.ID)
+		release(func(ctx context.Context) error { return s.c.o.Dialect.ReleaseHandle(ctx, h.engine, h.handle) }, s.log, "handle", h.engine.ID)
 	})
 }
 
@@ -222,7 +222,7 @@
 	}
 	s.c.cleanup.Go(func() {
 		release(func(ctx context.Context) error {
-			return s.c.o.Dialect.Release(ctx, p.decode.Upstream.Address, p.reservation)
+			return s.c.o.Dialect.Release(ctx, p.decode.Upstream, p.reservation)
 		}, s.log, "hold", p.decode.Upstream.ID)
 	})
 }
--- a/gateway/dialect/dialect.go
+++ b/gateway/dialect/dialect.go
@@ -203,15 +203,18 @@
 	// whose evidence says exactly whether the request may have reached the upstream. Do checks
 	// that the response is for this call's ID.
 	Do(ctx context.Context, c *Call, s Send) (*http.Response, Verdict, error)
+	// OnNotice sets the function that is called with the notice in each response of an upstream,
+	// before the response is returned. It is called before the first request.
+	OnNotice(func(Notice))
 	// Prefill makes an engine compute the KV cache of a call, without running the call.
 	Prefill(ctx context.Context, c *Call, s Send) (Handle, error)
-	// ReleaseHandle releases a prefill result.
-	ReleaseHandle(ctx context.Context, h Handle) error
+	// ReleaseHandle releases a prefill result at the engine that keeps it.
+	ReleaseHandle(ctx context.Context, u Upstream, h Handle) error
 	// Reserve reserves a slot and memory for tokens at an engine, for ttl at most, and returns the
 	// ID of the reservation. If the engine rejects it, the error is a *NoCapacityError.
-	Reserve(ctx context.Context, address string, tokens int, ttl time.Duration) (string, error)
+	Reserve(ctx context.Context, u Upstream, tokens int, ttl time.Duration) (string, error)
 	// Release releases a reservation.
-	Release(ctx context.Context, address, reservation string) error
+	Release(ctx context.Context, u Upstream, reservation string) error
 	// Migrate copies the KV cache of a running request to another engine, where the request can
 	// continue with the returned handle as its source. With Stop the request first ends at its
 	// engine, otherwise it continues to run there. If it is not running there, the error is a
--- a/gateway/fleetworld_test.go
+++ b/gateway/fleetworld_test.go
@@ -534,7 +534,8 @@
 }
 
 // Reserve implements dialect.Dialect.
-func (w *simFleet) Reserve(ctx context.Context, address string, tokens int, _ time.Duration) (string, error) {
+func (w *simFleet) Reserve(ctx context.Context, u dialect.Upstream, tokens int, _ time.Duration) (string, error) {
+	address := u.Address
 	if err := w.dialEngine(ctx, address); err != nil {
 		return "", err
 	}
@@ -552,7 +553,8 @@
 }
 
 // Release implements dialect.Dialect.
-func (w *simFleet) Release(ctx context.Context, address, _ string) error {
+func (w *simFleet) Release(ctx context.Context, u dialect.Upstream, _ string) error {
+	address := u.Address
 	if err := w.dialEngine(ctx, address); err != nil {
 		return err
 	}
@@ -589,7 +591,7 @@
 
 // The remaining methods of dialect.Dialect do nothing, except that Migrate always fails.
 
-func (w *simFleet) ReleaseHandle(context.Context, dialect.Handle) error { return nil }
+func (w *simFleet) ReleaseHandle(context.Context, dialect.Upstream, dialect.Handle) error { return nil }
 func (w *simFleet) Migrate(context.Context, dialect.Migration) (dialect.Handle, error) {
 	return dialect.Handle{}, &dialect.NotRunningError{}
 }
@@ -597,6 +599,7 @@
 func (w *simFleet) CachedPromptParts(context.Context, dialect.Upstream) (map[string]int, error) {
 	return nil, nil
 }
+func (w *simFleet) OnNotice(func(dialect.Notice))                   {}
 func (w *simFleet) Order(context.Context, dialect.Order) error      { return nil }
 func (w *simFleet) WriteResponseHeaders(http.Header, *dialect.Call) {}
 func (w *simFleet) NameWorkspace(*dialect.Call, string, int)        {}
--- a/gateway/schedule/books.go
+++ b/gateway/schedule/books.go
@@ -136,6 +136,8 @@
 	overflow map[ident.UpstreamID]bool
 	// coldLimits limits this instance's request rate to cold upstreams.
 	coldLimits map[ident.UpstreamID]*coldLimit
+	// statedLimits holds the rate limits that upstreams state in their responses.
+	statedLimits map[ident.UpstreamID]*statedLimit
 	// offeredRates is the request rate of all other instances, in requests per second by
 	// service.
 	offeredRates map[string]float64
@@ -150,7 +152,7 @@
 func NewScheduler(zone ident.Zone, seed uint64) *Scheduler {
 	return &Scheduler{
 		zone: zone, records: map[ident.UpstreamID]*upstreamRecord{}, active: map[ident.UpstreamID]bool{},
-		random: rand.New(rand.NewPCG(seed, seed)), performances: map[string]*enginePerformance{}, demands: map[string]*demand{}, suspicions: map[ident.Zone]*zoneSuspicion{}, arrivals: map[string]*arrivals{}, offeredRates: map[string]float64{},
+		random: rand.New(rand.NewPCG(seed, seed)), performances: map[string]*enginePerformance{}, demands: map[string]*demand{}, suspicions: map[ident.Zone]*zoneSuspicion{}, arrivals: map[string]*arrivals{}, offeredRates: map[string]float64{}, statedLimits: map[ident.UpstreamID]*statedLimit{},
 	}
 }
 
@@ -334,6 +336,11 @@
 			delete(b.records, id)
 		}
 	}
+	for id := range b.statedLimits {
+		if !listed[id] {
+			delete(b.statedLimits, id)
+		}
+	}
 }
 
 // RequestCount returns the number of requests known to be in flight at an upstream, including those
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -109,6 +109,7 @@
 		StopDeadline: g.requestDeadline,
 		Register:     g.register, Trials: g.node, NotifyPeers: g.node.SpreadCrashes, AwaitInformed: g.node.AwaitInformed,
 	})
+	d.OnNotice(g.observeNotice)
 	g.front = front.New(front.Options{
 		Dialect: d, Forwarder: g.forwarder, Budget: g.budget, Limits: g.node, View: g.node.Snapshot,
 		ConfigAge: g.node.ConfigAge, MaxConfigAge: s.Store.maxChangeDelay(), Refresh: g.node.RequestRead, RequestArrived: g.node.RequestArrived, Memory: g.memory,
