fleet: an idle instance's load replaces its former one

Cause: an idle instance's load has empty maps only, which JSON omits. Its peers took that for a heartbeat relayed without its load and kept the former load, with requests in flight that had long ended, until another load came. Fleets of engines hardly meet this, since their demand is not empty once it was used; plain services do.

Change: a load that an instance reports about itself says so (Complete). TestIdleLoadReplacesFormerLoad fails with the former condition (1 request in flight instead of 0) and passes now.

--- a/gateway/fleet/messages.go
+++ b/gateway/fleet/messages.go
@@ -9,6 +9,9 @@
 // Load is an instance's report on its own requests. With it, the other instances can account for
 // the load on shared upstreams.
 type Load struct {
+	// Complete is set in a load that an instance reports about itself. A heartbeat relayed without
+	// its load has none, which differs from an idle instance's load.
+	Complete bool `json:"c,omitempty"`
 	// InFlight holds the instance's requests in flight at each upstream.
 	InFlight map[ident.UpstreamID]InFlight `json:"f,omitempty"`
 	// Unavailable holds the engines that rejected a request after they had reserved memory for it,
@@ -27,7 +30,7 @@
 
 // empty reports whether the load holds no information, as in a relayed heartbeat.
 func (l *Load) empty() bool {
-	return l.InFlight == nil && l.Demand == nil && l.Unavailable == nil && l.Switching == nil
+	return !l.Complete && l.InFlight == nil && l.Demand == nil && l.Unavailable == nil && l.Switching == nil
 }
 
 // idle reports whether the load has no requests in flight, no retries and no unavailable or
--- a/gateway/fleet/roster_test.go
+++ b/gateway/fleet/roster_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"encoding/json"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -429,3 +430,19 @@
 func coldMember(n int) Member {
 	return Member{ID: ident.InstanceID(fmt.Sprintf("i%d", n)), Zone: ident.Zone(string(rune('a' + n%2))), Address: fmt.Sprintf("i%d:1", n), Incarnation: 1, Sequence: 1}
 }
+
+// TestIdleLoadReplacesFormerLoad guards against the requests of an instance that has become idle
+// being counted on.
+func TestIdleLoadReplacesFormerLoad(t *testing.T) {
+	r := NewRoster(member(0, "a"), nil)
+	for sequence, load := range []Load{{Complete: true, InFlight: map[ident.UpstreamID]InFlight{"u": {Requests: 1}}}, {Complete: true, InFlight: map[ident.UpstreamID]InFlight{}}} {
+		m := member(1, "a")
+		m.Sequence, m.Load = uint64(sequence+1), load
+		encoded, err := json.Marshal(m)
+		assert.NilError(t, err)
+		var received Member
+		assert.NilError(t, json.Unmarshal(encoded, &received))
+		receiveFrom(r, 100*sequence, received)
+		assert.Equal(t, len(r.Members(at(100 * sequence))[0].Load.InFlight), 1-sequence)
+	}
+}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -129,7 +129,7 @@
 
 // load returns the load that this instance reports to its peers.
 func (g *Service) load() fleet.Load {
-	l := fleet.Load{InFlight: map[ident.UpstreamID]fleet.InFlight{}, Demand: map[string]fleet.Demand{}}
+	l := fleet.Load{Complete: true, InFlight: map[ident.UpstreamID]fleet.InFlight{}, Demand: map[string]fleet.Demand{}}
 	now := clock.Now()
 	for id, f := range g.scheduler.OwnLoad(now) {
 		reported := fleet.InFlight{Requests: f.Requests, Tokens: f.Tokens, UnaccountedMemory: f.UnaccountedMemory, ThroughputBucket: f.ThroughputBucket}
