gateway: hold upstreams' rate limits over all instances

What callers and upstreams saw: an upstream that states a rate limit in its responses went on getting what it got before (users' record: 67 requests in 4 s, 39 allowed; ours: 62, 36 allowed). Callers saw nothing.

Nothing read the limit, so nothing could act on it. Class: what an upstream says of itself reaches callers and not the choice of an upstream.

Change: each placement passes one gate (gateway/carry/gate.go). For an upstream that states a limit, an instance of its zone owns a token bucket for the fleet and grants requests, several at once if the limit is far above the use. A new owner starts in debt, since it does not know what was sent before; each side of a partition has the share of its instances. A request that is not granted goes to another upstream at once; if limits keep it from all, its caller is refused at once and told when to return, callers one after the other. Instances tell each other of limits in their loads. A limit ends with a response whose request was sent after the limit was stated. A new incarnation starts without. Counters, one line at the begin and the end of a limit, /upstream-limits.

Why it works: the rule's bound is 1.5 times the limit and 5; the bucket grants 1.0 times and a quarter second's burst, two owners at once twice that less the debt.

--- a/gateway/carry/carry.go
+++ b/gateway/carry/carry.go
@@ -46,6 +46,8 @@
 	Register    *quarantine.Register
 	Trials      Trials
 	NotifyPeers func()
+	// RateLimits enforces the rate limits that upstreams state.
+	RateLimits RateLimits
 	// AwaitInformed blocks until this instance knows what its peers know, or until ctx ends.
 	// engines reports whether the request is for a service of engines.
 	AwaitInformed func(ctx context.Context, engines bool)
--- a/gateway/carry/migrate.go
+++ b/gateway/carry/migrate.go
@@ -195,7 +195,7 @@
 func (s *stream) migrate(m schedule.Migrant, generation int) {
 	from := m.Ticket.Upstream
 	log := s.log.With("from", from.ID, "why", string(m.Reason), "memory", m.Memory)
-	to, ok := s.reserveDestination(from)
+	to, ok := s.reserveDestination(context.Background(), from)
 	if !ok {
 		s.migration.cancel(generation)
 		return
@@ -232,10 +232,10 @@
 
 // reserveDestination reserves a decode engine with room for the rest of the stream. ok is false
 // if there is none or the retry budget does not allow the send.
-func (s *stream) reserveDestination(from dialect.Upstream) (schedule.Ticket, bool) {
+func (s *stream) reserveDestination(ctx context.Context, from dialect.Upstream) (schedule.Ticket, bool) {
 	size := s.size()
 	size.KVCopied = true
-	to, ok := s.c.o.Scheduler.PlaceDecode(clock.Now(), s.c.eligible(s.j), s.j.Service.Engine, size, []ident.UpstreamID{from.ID})
+	to, ok := s.placeDecode(ctx, size, []ident.UpstreamID{from.ID})
 	if ok && !s.c.o.Budget.ExtraOptional(clock.Now(), s.j.Service.Name, sendsToMigrate) {
 		s.c.o.Scheduler.Done(to)
 		return to, false
@@ -296,6 +296,7 @@
 	for i, t := range cont.engines {
 		if i > 0 {
 			s.c.o.Budget.CountRequired(clock.Now(), s.j.Service.Name, sendsToReturn)
+			s.c.chargeRateLimit(t.Upstream)
 			s.c.o.Count("stream_went_back")
 		}
 		p.decode = t
--- a/gateway/carry/plain.go
+++ b/gateway/carry/plain.go
@@ -56,10 +56,13 @@
 		if err := p.crashGuard.admit(ctx, p.outcomeUnserved()); err != nil {
 			return p.refuse(err)
 		}
-		t, ok := p.pickUpstream()
+		t, ok := p.pickUpstream(ctx)
 		if !ok && p.c.noOpenZone(p.j) {
 			return p.refuse(p.c.refuseNoOpenZone(p.outcomeUnserved(), p.log))
 		}
+		if wait, limited := p.limitWait(); !ok && limited {
+			return p.refuse(p.c.refuseRateLimited(p.j, "", wait, p.outcomeUnserved(), p.log))
+		}
 		if !ok {
 			return p.finalResult(&NoUpstreamError{Service: p.j.Service.Name})
 		}
@@ -91,14 +94,20 @@
 }
 
 // pickUpstream chooses the next upstream.
-func (p *plainRequest) pickUpstream() (schedule.Ticket, bool) {
-	t, ok := p.c.o.Scheduler.PickService(clock.Now(), p.c.eligible(p.j), p.j.Route.Repeatable(), p.tried)
+func (p *plainRequest) pickUpstream(ctx context.Context) (schedule.Ticket, bool) {
+	t, ok := p.c.placePlain(ctx, p.j, p.tried, p.log)
 	if ok {
 		p.tried = append(p.tried, t.Upstream.ID)
 	}
 	return t, ok
 }
 
+// limitWait returns the time until one of the upstreams that were not tried may get a request, if
+// rate limits keep requests from all of them.
+func (p *plainRequest) limitWait() (time.Duration, bool) {
+	return p.c.o.Scheduler.LimitWait(clock.Now(), p.c.eligible(p.j), "", p.tried)
+}
+
 // send makes one attempt and records its result.
 func (p *plainRequest) send(ctx context.Context, t schedule.Ticket) *attempt {
 	defer p.c.o.Scheduler.Done(t)
--- a/gateway/carry/prefill.go
+++ b/gateway/carry/prefill.go
@@ -62,7 +62,7 @@
 func (s *stream) prefill(ctx context.Context, p *placement) (*prefillResult, error) {
 	var tried []ident.UpstreamID
 	for {
-		t, ok := s.c.o.Scheduler.PlacePrefill(clock.Now(), s.c.eligible(s.j), s.j.Call.PromptTokens, p.decode.Upstream.Zone, append(tried, s.excluded...))
+		t, ok := s.placePrefill(ctx, p.decode.Upstream.Zone, append(tried, s.excluded...))
 		if !ok {
 			return nil, nil
 		}
--- a/gateway/carry/reserve.go
+++ b/gateway/carry/reserve.go
@@ -55,10 +55,17 @@
 	if overflow, ok := s.c.o.Scheduler.OverflowTime(service, s.j.Call.PromptTokens); ok {
 		prefill = min(prefill, overflow)
 	}
-	ready := now.Add(prefill + s.c.o.Scheduler.FirstEvent(service))
+	limited, _ := s.limitWait(now)
+	ready := now.Add(max(prefill, limited) + s.c.o.Scheduler.FirstEvent(service))
 	return ready.After(s.j.Arrived.Add(s.j.Route.Objective))
 }
 
+// limitWait returns the time until a decode engine may get a request, if rate limits keep requests
+// from all of them.
+func (s *stream) limitWait(now time.Time) (time.Duration, bool) {
+	return s.c.o.Scheduler.LimitWait(now, s.c.eligible(s.j), dialect.StageDecode, s.excluded)
+}
+
 // resumed reports whether a part of the stream was delivered before.
 func (s *stream) resumed() bool { return s.headSent || s.lastEvent != "" }
 
@@ -98,6 +105,9 @@
 			return nil, s.c.refuseNoOpenZone(s.outcomeUnserved(), s.log)
 		}
 		if s.tooLate(clock.Now(), queuedAt) {
+			if wait, limited := s.limitWait(clock.Now()); limited {
+				return nil, s.c.refuseRateLimited(s.j, dialect.StageDecode, wait, s.outcomeUnserved(), s.log)
+			}
 			return nil, s.refuseNoRoom(q, clock.Since(queuedAt))
 		}
 		w.wait(ctx)
@@ -169,7 +179,7 @@
 func (s *stream) reservePlacement(ctx context.Context, size schedule.Size, excluded []ident.UpstreamID) *placement {
 	size.MaxPause = s.j.Route.PaceObjective
 	for ctx.Err() == nil {
-		t, ok := s.c.o.Scheduler.PlaceDecode(clock.Now(), s.c.eligible(s.j), s.j.Service.Engine, size, excluded)
+		t, ok := s.placeDecode(ctx, size, excluded)
 		if !ok {
 			return nil
 		}
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -12,6 +12,7 @@
 	"github.com/wardspool/wardspool/gateway/limit"
 	"github.com/wardspool/wardspool/gateway/quarantine"
 	"github.com/wardspool/wardspool/gateway/routing"
+	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/metrics"
 )
@@ -43,13 +44,14 @@
 	s.Histogram("request_seconds", latencyBuckets).RecordDuration(took)
 }
 
-// handler serves the metrics, the quarantined request contents and the state of the workspaces'
-// rate limits.
-func (c *counters) handler(held *quarantine.Register, limits func() []limit.Status) http.Handler {
+// handler serves the metrics, the quarantined request contents, and the state of the rate limits of
+// workspaces and of upstreams.
+func (c *counters) handler(held *quarantine.Register, limits func() []limit.Status, s *schedule.Scheduler) http.Handler {
 	r := mux.NewRouter()
 	r.Path("/metrics").Handler(c.reporter)
 	r.Path("/quarantine").Handler(serveJSON(func() any { return held.List(clock.Now()) }))
 	r.Path("/limits").Handler(serveJSON(func() any { return limits() }))
+	r.Path("/upstream-limits").Handler(serveJSON(func() any { return s.RateLimits(clock.Now()) }))
 	return r
 }
 
--- a/gateway/fleet/hub.go
+++ b/gateway/fleet/hub.go
@@ -28,7 +28,7 @@
 	IntervalMS int64 `json:"e,omitempty"`
 	Load       Load  `json:"load"`
 	// Packed is the encoded load of a whole zone: its requests in flight, demand and retries. If
-	// it is set, Load holds only the unavailable and the switching engines.
+	// it is set, Load holds only the unavailable and the switching engines and the rate limits.
 	Packed []byte `json:"p,omitempty"`
 }
 
@@ -44,6 +44,8 @@
 	// instance must not take its own report for that of a peer.
 	Unavailable map[ident.UpstreamID]int64         `json:"x,omitempty"`
 	Switching   map[ident.UpstreamID]dialect.Stage `json:"w,omitempty"`
+	// Limits is as in Load.
+	Limits map[ident.UpstreamID]RateLimit `json:"l,omitempty"`
 	// ZoneLoad is set in the answer to the hub of another zone. It holds the load of the answering
 	// hub's zone.
 	ZoneLoad *LoadReport `json:"whole,omitempty"`
@@ -92,7 +94,7 @@
 		if received.load, err = unpackLoad(r.Packed); err != nil {
 			return err
 		}
-		received.load.Unavailable, received.load.Switching = r.Load.Unavailable, r.Load.Switching
+		received.load.Unavailable, received.load.Switching, received.load.Limits = r.Load.Unavailable, r.Load.Switching, r.Load.Limits
 	}
 	if r.WholeZone {
 		h.zones[r.Zone] = received
@@ -117,6 +119,7 @@
 			continue
 		}
 		sum.Add(d.load)
+		sum.addLimits(d.load.agedLimits(now.Sub(d.receivedAt)))
 	}
 	return sum
 }
@@ -131,12 +134,17 @@
 	for id, d := range h.members {
 		if id != to {
 			others.addUnavailable(d.load)
+			others.addLimits(d.load.agedLimits(now.Sub(d.receivedAt)))
 		}
 	}
 	for _, d := range h.zones {
 		others.addUnavailable(d.load)
+		others.addLimits(d.load.agedLimits(now.Sub(d.receivedAt)))
+	}
+	return LoadAnswer{
+		Sum: h.sum, Included: h.included[to],
+		Unavailable: others.Unavailable, Switching: others.Switching, Limits: others.Limits,
 	}
-	return LoadAnswer{Sum: h.sum, Included: h.included[to], Unavailable: others.Unavailable, Switching: others.Switching}
 }
 
 // updateSum recomputes the sum of the loads of all zones.
@@ -186,7 +194,7 @@
 		return Load{}, err
 	}
 	sum.subtract(r.loads[a.Included])
-	sum.Unavailable, sum.Switching = a.Unavailable, a.Switching
+	sum.Unavailable, sum.Switching, sum.Limits = a.Unavailable, a.Switching, a.Limits
 	return sum, nil
 }
 
@@ -195,11 +203,12 @@
 	return Load{
 		InFlight: map[ident.UpstreamID]InFlight{}, Unavailable: map[ident.UpstreamID]int64{},
 		Switching: map[ident.UpstreamID]dialect.Stage{}, Demand: map[string]Demand{}, Retries: map[string]int{},
+		Limits: map[ident.UpstreamID]RateLimit{},
 	}
 }
 
-// Add adds another load. Values that engines reported about themselves are not summed; the
-// maximum is kept.
+// Add adds another load except for its rate limits. Values that engines reported about themselves
+// are not summed; the maximum is kept.
 func (l *Load) Add(o Load) {
 	for id, f := range o.InFlight {
 		l.InFlight[id] = l.InFlight[id].plus(f)
@@ -219,6 +228,25 @@
 	}
 }
 
+// addLimits adds rate limits. Of two statements of an upstream, the later one is kept.
+func (l *Load) addLimits(limits map[ident.UpstreamID]RateLimit) {
+	for id, r := range limits {
+		if known, ok := l.Limits[id]; !ok || r.newer(known) {
+			l.Limits[id] = r
+		}
+	}
+}
+
+// agedLimits returns the rate limits with their ages at a time after the load was received.
+func (l *Load) agedLimits(after time.Duration) map[ident.UpstreamID]RateLimit {
+	out := make(map[ident.UpstreamID]RateLimit, len(l.Limits))
+	for id, r := range l.Limits {
+		r.AgeMS += after.Milliseconds()
+		out[id] = r
+	}
+	return out
+}
+
 // addUnavailable adds the unavailable and switching engines of another load.
 func (l *Load) addUnavailable(o Load) {
 	for id, remaining := range o.Unavailable {
--- a/gateway/fleet/informed.go
+++ b/gateway/fleet/informed.go
@@ -158,6 +158,7 @@
 		now := clock.Now()
 		n.informed.recordRunning(now)
 		n.tokens.accounts.RemoveIdle(now)
+		n.rates.owned.RemoveIdle(now)
 		n.opts.Register.Expire(now)
 		if n.opts.Register.HasUnsent() {
 			n.crashSpreader.requestSend()
--- a/gateway/fleet/messages.go
+++ b/gateway/fleet/messages.go
@@ -26,11 +26,32 @@
 	// Retries is the number of retries that the instance made to each service within the window of
 	// the retry budget.
 	Retries map[string]int `json:"b,omitempty"`
+	// Limits holds the rate limits that upstreams stated in responses to the instance itself.
+	Limits map[ident.UpstreamID]RateLimit `json:"l,omitempty"`
+}
+
+// RateLimit is a rate limit that an upstream stated, or the end of one.
+type RateLimit struct {
+	Incarnation ident.Incarnation `json:"i,omitempty"`
+	// Rate is in requests per second.
+	Rate float64 `json:"r,omitempty"`
+	// Ended means that the upstream no longer states a limit.
+	Ended bool `json:"e,omitempty"`
+	// AgeMS is the time since the response that stated it, in milliseconds.
+	AgeMS int64 `json:"a,omitempty"`
+}
+
+// newer reports whether l is a later statement than o.
+func (l RateLimit) newer(o RateLimit) bool {
+	if l.Incarnation != o.Incarnation {
+		return l.Incarnation > o.Incarnation
+	}
+	return l.AgeMS < o.AgeMS
 }
 
 // empty reports whether the load holds no information, as in a relayed heartbeat.
 func (l *Load) empty() bool {
-	return !l.Complete && l.InFlight == nil && l.Demand == nil && l.Unavailable == nil && l.Switching == nil
+	return !l.Complete && l.InFlight == nil && l.Demand == nil && l.Unavailable == nil && l.Switching == nil && l.Limits == nil
 }
 
 // idle reports whether the load has no requests in flight, no retries and no unavailable or
--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -126,6 +126,7 @@
 	trials        *quarantine.Trials
 	informed      informed
 	tokens        *tokens
+	rates         *rates
 
 	snapshot atomic.Pointer[Snapshot]
 	alive    atomic.Int64
@@ -155,7 +156,7 @@
 func NewNode(o Options) *Node {
 	n := &Node{opts: o, readSchedule: newReadSchedule(o.ChangeDeadline), reopened: map[ident.Zone]time.Time{}, view: NewView(), hub: NewHub(), peerLoad: NewLoad(), roster: NewRoster(o.Self, o.Seeds), requestArrived: make(chan struct{}, 1)}
 	n.createdAt = clock.Now()
-	n.crashSpreader, n.trials, n.tokens = newCrashSpreader(), quarantine.NewTrials(), newTokens()
+	n.crashSpreader, n.trials, n.tokens, n.rates = newCrashSpreader(), quarantine.NewTrials(), newTokens(), newRates()
 	n.snapshot.Store(n.view.Snapshot())
 	n.alive.Store(1)
 	peer.Handle(o.Server, MethodHeartbeat, n.onHeartbeat)
@@ -165,6 +166,7 @@
 	peer.Handle(o.Server, MethodCrashes, n.onCrashes)
 	peer.Handle(o.Server, MethodTrial, n.onTrial)
 	peer.Handle(o.Server, MethodTokens, n.onTokens)
+	peer.Handle(o.Server, MethodRate, n.onRate)
 	return n
 }
 
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -3,9 +3,12 @@
 import (
 	"math"
 	"strings"
+	"time"
 
 	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/fleet"
 	"github.com/wardspool/wardspool/gateway/schedule"
+	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/clock"
 )
 
@@ -15,16 +18,29 @@
 		g.metrics.count("notices_malformed")
 		g.log.Debug("malformed notice ignored", "upstream", n.From.ID, "headers", strings.Join(n.Malformed, ","))
 	}
-	g.logLimitChange(n.From, g.scheduler.ObserveNotice(clock.Now(), n))
+	g.logLimitChange(g.scheduler.ObserveNotice(clock.Now(), n), "response")
+}
+
+// setPeerLimits records the rate limits that upstreams stated to peers.
+func (g *Service) setPeerLimits(now time.Time, limits map[ident.UpstreamID]fleet.RateLimit) {
+	reports := make(map[ident.UpstreamID]schedule.RateLimitReport, len(limits))
+	for id, r := range limits {
+		reports[id] = schedule.RateLimitReport{Incarnation: r.Incarnation, Rate: r.Rate, Ended: r.Ended, Age: time.Duration(r.AgeMS) * time.Millisecond}
+	}
+	for _, c := range g.scheduler.SetPeerLimits(now, reports) {
+		g.logLimitChange(c, "peer")
+	}
 }
 
 // logLimitChange logs and counts the begin and the end of an upstream's rate limit. An upstream may
-// state another rate in each response, so changes of the rate are logged at debug level.
-func (g *Service) logLimitChange(u dialect.Upstream, c schedule.LimitChange) {
+// state another rate in each response, so changes of the rate are logged at debug level. source is
+// where the instance learned of it.
+func (g *Service) logLimitChange(c schedule.LimitChange, source string) {
 	if !c.Changed() {
 		return
 	}
-	log := g.log.With("upstream", u.ID, "address", u.Address, "service", u.Service, "incarnation", u.Incarnation)
+	u := c.Upstream
+	log := g.log.With("upstream", u.ID, "address", u.Address, "service", u.Service, "incarnation", u.Incarnation, "source", source)
 	switch {
 	case math.IsInf(c.Before, 1):
 		g.metrics.count("upstream_limit_began")
--- a/gateway/schedule/books.go
+++ b/gateway/schedule/books.go
@@ -138,6 +138,9 @@
 	coldLimits map[ident.UpstreamID]*coldLimit
 	// statedLimits holds the rate limits that upstreams state in their responses.
 	statedLimits map[ident.UpstreamID]*statedLimit
+	// limitRetries holds, by service, the retry time of the next caller that is refused because of
+	// rate limits.
+	limitRetries map[string]time.Time
 	// offeredRates is the request rate of all other instances, in requests per second by
 	// service.
 	offeredRates map[string]float64
@@ -152,7 +155,7 @@
 func NewScheduler(zone ident.Zone, seed uint64) *Scheduler {
 	return &Scheduler{
 		zone: zone, records: map[ident.UpstreamID]*upstreamRecord{}, active: map[ident.UpstreamID]bool{},
-		random: rand.New(rand.NewPCG(seed, seed)), performances: map[string]*enginePerformance{}, demands: map[string]*demand{}, suspicions: map[ident.Zone]*zoneSuspicion{}, arrivals: map[string]*arrivals{}, offeredRates: map[string]float64{}, statedLimits: map[ident.UpstreamID]*statedLimit{},
+		random: rand.New(rand.NewPCG(seed, seed)), performances: map[string]*enginePerformance{}, demands: map[string]*demand{}, suspicions: map[ident.Zone]*zoneSuspicion{}, arrivals: map[string]*arrivals{}, offeredRates: map[string]float64{}, statedLimits: map[ident.UpstreamID]*statedLimit{}, limitRetries: map[string]time.Time{},
 	}
 }
 
@@ -228,9 +231,14 @@
 	delete(rec.computeTokens, t.number)
 }
 
-// usable reports whether an upstream accepts new requests, has quota left if it is cold, and is
-// not excluded. The caller holds mu.
+// usable reports whether an upstream may get a request now. The caller holds mu.
 func (b *Scheduler) usable(now time.Time, u dialect.Upstream, exclude []ident.UpstreamID) bool {
+	return b.mayAccept(now, u, exclude) && !b.limitReached(now, u)
+}
+
+// mayAccept reports whether an upstream accepts new requests, has quota left if it is cold, and is
+// not excluded. The caller holds mu.
+func (b *Scheduler) mayAccept(now time.Time, u dialect.Upstream, exclude []ident.UpstreamID) bool {
 	if u.Leaving || !b.coldLimits[u.ID].allows(now) {
 		return false
 	}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -108,6 +108,7 @@
 		Dialect: d, Scheduler: g.scheduler, Budget: g.budget, Zone: s.Zone, RegionOf: s.regionOf, View: g.node.Snapshot, Log: log, Count: g.metrics.count,
 		StopDeadline: g.requestDeadline,
 		Register:     g.register, Trials: g.node, NotifyPeers: g.node.SpreadCrashes, AwaitInformed: g.node.AwaitInformed,
+		RateLimits: g.node,
 	})
 	d.OnNotice(g.observeNotice)
 	g.front = front.New(front.Options{
@@ -145,6 +146,10 @@
 	for id, remaining := range unavailable.Rejecting {
 		l.Unavailable[id] = remaining.Milliseconds()
 	}
+	l.Limits = map[ident.UpstreamID]fleet.RateLimit{}
+	for id, r := range g.scheduler.OwnLimits(now) {
+		l.Limits[id] = fleet.RateLimit{Incarnation: r.Incarnation, Rate: r.Rate, Ended: r.Ended, AgeMS: r.Age.Milliseconds()}
+	}
 	for _, name := range g.scheduler.DemandServices() {
 		n := g.scheduler.Demand(now, name)
 		l.Demand[name] = fleet.Demand{PrefillRate: n.Prefill, MemoryRate: n.Memory, StreamRate: n.Streams, RequestRate: n.Requests, Throughputs: n.Throughputs}
@@ -202,6 +207,7 @@
 	g.scheduler.SetPeers(now, peers)
 	g.scheduler.SetPeersUnavailable(now, unavailable)
 	g.budget.SetOthersSpent(now, l.Retries)
+	g.setPeerLimits(now, l.Limits)
 }
 
 // ListenError reports an address at which the service could not listen.
@@ -251,7 +257,7 @@
 	running.Go(func() { g.servePeers() })
 	ready := &http.Server{Handler: g.readyRoutes(), ReadHeaderTimeout: headerTimeout}
 	running.Go(func() { g.serve(ready, g.readyListener, "ready") })
-	metricsServer := &http.Server{Handler: g.metrics.handler(g.register, g.node.Limits), ReadHeaderTimeout: headerTimeout}
+	metricsServer := &http.Server{Handler: g.metrics.handler(g.register, g.node.Limits, g.scheduler), ReadHeaderTimeout: headerTimeout}
 	if g.metricsListener != nil {
 		running.Go(func() { g.serve(metricsServer, g.metricsListener, "metrics") })
 	}
