gateway: only a malformed rate limit keeps a rate limit from ending

A notice will hold other statements too; one of them that is malformed says nothing of the limit. The notice tells a limit that could not be read (LimitUnknown) from a missing one. go test ./platform ./gateway/schedule passed.

--- a/gateway/dialect/notice.go
+++ b/gateway/dialect/notice.go
@@ -11,8 +11,10 @@
 	// after the other one had arrived.
 	RequestedAt time.Time
 	// RateLimit is how many requests per second the upstream accepts from all instances together,
-	// nil if the response states no limit.
-	RateLimit *float64
+	// nil if the response states no limit. LimitUnknown means that it states one that could not be
+	// read.
+	RateLimit    *float64
+	LimitUnknown bool
 	// Malformed names the headers that were ignored because of their values.
 	Malformed []string
 }
--- a/gateway/schedule/ratelimits.go
+++ b/gateway/schedule/ratelimits.go
@@ -69,7 +69,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l := b.statedLimits[n.From.ID]
-	if len(n.Malformed) > 0 || l != nil && n.From.Restarted(l.upstream.Incarnation) {
+	if n.LimitUnknown || l != nil && n.From.Restarted(l.upstream.Incarnation) {
 		return LimitChange{}
 	}
 	ends := n.RateLimit == nil
