gateway: decode and log that upstreams leave and ask for rest

No log and no metric showed what an upstream says in a response, so the hypotheses of the incident of leaving and resting upstreams could not be told apart. Both are decoded beside the rate limit: the header that says that an upstream leaves, in any response, and the Retry-After of a 503. One line each when it begins, a counter, malformed values counted and ignored (a date, over an hour, negative).

--- a/gateway/dialect/notice.go
+++ b/gateway/dialect/notice.go
@@ -15,6 +15,10 @@
 	// read.
 	RateLimit    *float64
 	LimitUnknown bool
+	// Leaving means that the upstream is shutting down and accepts no new requests.
+	Leaving bool
+	// Rest is how long the upstream wants no requests from this instance, 0 if it states nothing.
+	Rest time.Duration
 	// Malformed names the headers that were ignored because of their values.
 	Malformed []string
 }
--- a/gateway/fleet/view.go
+++ b/gateway/fleet/view.go
@@ -83,6 +83,8 @@
 	// that have changed since, by the services whose lists they belong to or belonged to.
 	lists map[string][]dialect.Upstream
 	dirty map[string]map[ident.UpstreamID]struct{}
+	// announced holds the incarnations of upstreams that have said that they leave.
+	announced map[ident.UpstreamID]ident.Incarnation
 	// removals holds the upstreams removed from the list within removalRetention, oldest first.
 	removals []removal
 	// graceUntil is the end of the grace period after an outage, in which missing upstreams are
@@ -94,7 +96,7 @@
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{entries: map[ident.UpstreamID]*entry{}, dirty: map[string]map[ident.UpstreamID]struct{}{}}
+	return &View{announced: map[ident.UpstreamID]ident.Incarnation{}, entries: map[ident.UpstreamID]*entry{}, dirty: map[string]map[ident.UpstreamID]struct{}{}}
 }
 
 // SetConfig puts a configuration in force if it is newer than the current one, and reports
@@ -350,6 +352,7 @@
 		// An upstream that was listed again meanwhile has a later time or is not gone.
 		if e := v.entries[r.id]; e != nil && e.gone && e.updatedAt.Equal(r.at) {
 			delete(v.entries, r.id)
+			delete(v.announced, r.id)
 		}
 		n++
 	}
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -19,6 +19,14 @@
 		g.log.Debug("malformed notice ignored", "upstream", n.From.ID, "headers", strings.Join(n.Malformed, ","))
 	}
 	g.logLimitChange(g.scheduler.ObserveNotice(clock.Now(), n), "response")
+	if g.scheduler.ObserveRest(clock.Now(), n.From, n.Rest) {
+		g.metrics.count("upstream_rest_began")
+		g.log.Info("upstream asks for rest", "upstream", n.From.ID, "address", n.From.Address, "service", n.From.Service,
+			"incarnation", n.From.Incarnation, "for_ms", n.Rest.Milliseconds())
+	}
+	if n.Leaving {
+		g.node.AnnounceLeaving(n.From, "response")
+	}
 }
 
 // setPeerLimits records the rate limits that upstreams stated to peers.
--- a/gateway/schedule/books.go
+++ b/gateway/schedule/books.go
@@ -138,6 +138,8 @@
 	coldLimits map[ident.UpstreamID]*coldLimit
 	// statedLimits holds the rate limits that upstreams state in their responses.
 	statedLimits map[ident.UpstreamID]*statedLimit
+	// rests holds the times until which upstreams want no requests from this instance.
+	rests map[ident.UpstreamID]*rest
 	// limitRetries holds, by service, the retry time of the next caller that is refused because of
 	// rate limits.
 	limitRetries map[string]time.Time
@@ -155,7 +157,7 @@
 func NewScheduler(zone ident.Zone, seed uint64) *Scheduler {
 	return &Scheduler{
 		zone: zone, records: map[ident.UpstreamID]*upstreamRecord{}, active: map[ident.UpstreamID]bool{},
-		random: rand.New(rand.NewPCG(seed, seed)), performances: map[string]*enginePerformance{}, demands: map[string]*demand{}, suspicions: map[ident.Zone]*zoneSuspicion{}, arrivals: map[string]*arrivals{}, offeredRates: map[string]float64{}, statedLimits: map[ident.UpstreamID]*statedLimit{}, limitRetries: map[string]time.Time{},
+		random: rand.New(rand.NewPCG(seed, seed)), performances: map[string]*enginePerformance{}, demands: map[string]*demand{}, suspicions: map[ident.Zone]*zoneSuspicion{}, arrivals: map[string]*arrivals{}, offeredRates: map[string]float64{}, statedLimits: map[ident.UpstreamID]*statedLimit{}, limitRetries: map[string]time.Time{}, rests: map[ident.UpstreamID]*rest{},
 	}
 }
 
@@ -349,6 +351,11 @@
 			delete(b.statedLimits, id)
 		}
 	}
+	for id := range b.rests {
+		if !listed[id] {
+			delete(b.rests, id)
+		}
+	}
 }
 
 // RequestCount returns the number of requests known to be in flight at an upstream, including those
