gateway: the test of a rate limit's end uses a listed upstream

TestRateLimitReachesAllInstances failed once at 60 instances: the end of the limit was known after 5.8 s, 5 s allowed. Cause, by the state of the instances that still knew the limit: the test's upstream was not listed, so that the instance which had heard of the end forgot it in its clean-up every 5 s, and the others in theirs. An upstream that is gone needs neither.

--- a/gateway/ratelimits_test.go
+++ b/gateway/ratelimits_test.go
@@ -168,6 +168,14 @@
 	})
 }
 
+// anyEngine returns an engine that the store lists.
+func (f *rateFleet) anyEngine() dialect.Upstream {
+	for _, e := range f.engines {
+		return e.upstream
+	}
+	return dialect.Upstream{}
+}
+
 // limitOf returns the rate limit of an upstream that an instance knows, 0 if none.
 func limitOf(i *simInstance, u dialect.Upstream) float64 {
 	rate, ok := i.running().scheduler.RateLimit(u)
@@ -181,6 +189,7 @@
 // upstream states a rate limit, or that it no longer does.
 func TestRateLimitReachesAllInstances(t *testing.T) {
 	runRateTest(t, func(t *testing.T, f *rateFleet) {
+		f.upstream = f.anyEngine()
 		rate := rateLimit
 		all := func(want float64) func() bool {
 			return func() bool {
