gateway: send nothing to an upstream that has said that it leaves

What was seen: requests reached an upstream over 2 s after an instance had passed on a response that says that it leaves (users' record: 2,121 and 2,215 ms; ours: 2,284 and 2,216 ms). Callers saw nothing until it ends, and then cut answers.

Only the store's list said who leaves, and the store was down. Same class as the rate limit: what an upstream says of itself did not reach the choice.

It is no part of the list that instances compare by digest. Peers are told in loads, a restarted instance too. A stream whose reserved engine has said so meanwhile goes to another one with its prefill result.

--- a/gateway/carry/decode.go
+++ b/gateway/carry/decode.go
@@ -22,8 +22,8 @@
 		s.releaseUnused(p, h)
 		return nil, false, s.callerError(err)
 	}
-	if s.evacuated(u) {
-		return nil, s.releaseEvacuated(p, h), s.callerError(&EvacuatedError{Upstream: u.ID, Zone: u.Zone})
+	if reason := s.closedReason(u); reason != "" {
+		return nil, s.releaseClosed(p, h, reason), s.callerError(&EngineClosedError{Upstream: u.ID, Reason: reason})
 	}
 	start := clock.Now()
 	var source *dialect.Handle
@@ -48,26 +48,44 @@
 	return s.forward(ctx, wd, p, resp, start)
 }
 
-// EvacuatedError reports an engine whose zone was evacuated after the engine was reserved.
-type EvacuatedError struct {
+// The reasons why an engine gets no requests any more.
+const (
+	reasonEvacuated = "zone_evacuated"
+	reasonLeaving   = "leaving"
+)
+
+// EngineClosedError reports an engine that gets no requests any more since it was reserved.
+type EngineClosedError struct {
 	Upstream ident.UpstreamID
-	Zone     ident.Zone
+	// Reason is a short name for logs.
+	Reason string
 }
 
 // Error implements the error interface.
-func (e *EvacuatedError) Error() string {
-	return fmt.Sprintf("zone %s of engine %s was evacuated", e.Zone, e.Upstream)
+func (e *EngineClosedError) Error() string {
+	return fmt.Sprintf("engine %s gets no requests any more: %s", e.Upstream, e.Reason)
 }
 
-// evacuated reports whether an engine's zone is evacuated.
-func (s *stream) evacuated(u dialect.Upstream) bool { return s.c.o.View().Evacuation.Covers(u.Zone) }
+// closedReason returns why a reserved engine gets no requests any more, "" if it does.
+func (s *stream) closedReason(u dialect.Upstream) string {
+	view := s.c.o.View()
+	listed, found := view.Find(u.Service, u.ID)
+	switch {
+	case view.Evacuation.Covers(u.Zone):
+		return reasonEvacuated
+	case found && listed.Leaving && listed.Incarnation == u.Incarnation:
+		return reasonLeaving
+	default:
+		return ""
+	}
+}
 
-// releaseEvacuated releases a reserved engine whose zone was evacuated, and reports whether
+// releaseClosed releases a reserved engine that gets no requests any more, and reports whether
 // another pair of engines may be tried. Nothing was sent to the engine, so the retry budget is
 // not charged.
-func (s *stream) releaseEvacuated(p *placement, h *prefillResult) bool {
+func (s *stream) releaseClosed(p *placement, h *prefillResult, reason string) bool {
 	s.c.o.Count("reserved_engine_closed")
-	s.log.Info("reserved engine released, zone evacuated", "upstream", p.decode.Upstream.ID, "zone", p.decode.Upstream.Zone)
+	s.log.Info("reserved engine released", "reason", reason, "upstream", p.decode.Upstream.ID, "zone", p.decode.Upstream.Zone)
 	s.releaseUnused(p, nil)
 	if s.starts >= maxStarts {
 		if h != nil {
--- a/gateway/carry/gate_test.go
+++ b/gateway/carry/gate_test.go
@@ -1,6 +1,7 @@
 package carry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"go/ast"
@@ -16,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/fleet"
 	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/clock"
@@ -232,3 +234,27 @@
 	env.cleanup.Wait()
 	assert.DeepEqual(t, limits.charged, []ident.UpstreamID{"d1"})
 }
+
+// TestReservedEngineThatLeavesGetsNoStream guards against a stream that is sent to its reserved
+// engine although the engine has said meanwhile that it leaves.
+func TestReservedEngineThatLeavesGetsNoStream(t *testing.T) {
+	env := newStreamEnv(t)
+	env.serveStreams(reply{verdict: dialect.Success, status: http.StatusOK, body: events(1, 2)})
+	var leaves ident.UpstreamID
+	env.d.prefilled = func() {
+		list := slices.Clone(env.view.Upstreams["s"])
+		for i, u := range list {
+			if leaves == "" && slices.Contains(env.d.calls, "hold "+u.Address) {
+				leaves = u.ID
+				list[i].Leaving = true
+			}
+		}
+		slices.SortFunc(list, func(a, b dialect.Upstream) int { return cmp.Compare(a.ID, b.ID) })
+		env.view = &fleet.Snapshot{Upstreams: map[string][]dialect.Upstream{"s": list}, AsOf: time.Now()}
+	}
+	_, err := env.Stream(t.Context(), job(singleRun), &streamRecorder{})
+	assert.NilError(t, err)
+	assert.Equal(t, env.d.count("do "+string(leaves)), 0)
+	assert.Equal(t, env.d.countKind("do"), 1)
+	assert.Equal(t, env.d.countKind("prefill"), 1, "the prefill result goes to another engine")
+}
--- a/gateway/fleet/hub.go
+++ b/gateway/fleet/hub.go
@@ -28,7 +28,7 @@
 	IntervalMS int64 `json:"e,omitempty"`
 	Load       Load  `json:"load"`
 	// Packed is the encoded load of a whole zone: its requests in flight, demand and retries. If
-	// it is set, Load holds only the unavailable and the switching engines and the rate limits.
+	// it is set, Load holds only the unavailable and the switching engines and what upstreams said.
 	Packed []byte `json:"p,omitempty"`
 }
 
@@ -44,8 +44,9 @@
 	// instance must not take its own report for that of a peer.
 	Unavailable map[ident.UpstreamID]int64         `json:"x,omitempty"`
 	Switching   map[ident.UpstreamID]dialect.Stage `json:"w,omitempty"`
-	// Limits is as in Load.
-	Limits map[ident.UpstreamID]RateLimit `json:"l,omitempty"`
+	// Limits and Leaving are as in Load.
+	Limits  map[ident.UpstreamID]RateLimit         `json:"l,omitempty"`
+	Leaving map[ident.UpstreamID]ident.Incarnation `json:"g,omitempty"`
 	// ZoneLoad is set in the answer to the hub of another zone. It holds the load of the answering
 	// hub's zone.
 	ZoneLoad *LoadReport `json:"whole,omitempty"`
@@ -94,7 +95,8 @@
 		if received.load, err = unpackLoad(r.Packed); err != nil {
 			return err
 		}
-		received.load.Unavailable, received.load.Switching, received.load.Limits = r.Load.Unavailable, r.Load.Switching, r.Load.Limits
+		received.load.Unavailable, received.load.Switching = r.Load.Unavailable, r.Load.Switching
+		received.load.Limits, received.load.Leaving = r.Load.Limits, r.Load.Leaving
 	}
 	if r.WholeZone {
 		h.zones[r.Zone] = received
@@ -119,7 +121,7 @@
 			continue
 		}
 		sum.Add(d.load)
-		sum.addLimits(d.load.agedLimits(now.Sub(d.receivedAt)))
+		sum.addStated(&d.load, now.Sub(d.receivedAt))
 	}
 	return sum
 }
@@ -134,16 +136,16 @@
 	for id, d := range h.members {
 		if id != to {
 			others.addUnavailable(d.load)
-			others.addLimits(d.load.agedLimits(now.Sub(d.receivedAt)))
+			others.addStated(&d.load, now.Sub(d.receivedAt))
 		}
 	}
 	for _, d := range h.zones {
 		others.addUnavailable(d.load)
-		others.addLimits(d.load.agedLimits(now.Sub(d.receivedAt)))
+		others.addStated(&d.load, now.Sub(d.receivedAt))
 	}
 	return LoadAnswer{
 		Sum: h.sum, Included: h.included[to],
-		Unavailable: others.Unavailable, Switching: others.Switching, Limits: others.Limits,
+		Unavailable: others.Unavailable, Switching: others.Switching, Limits: others.Limits, Leaving: others.Leaving,
 	}
 }
 
@@ -194,7 +196,8 @@
 		return Load{}, err
 	}
 	sum.subtract(r.loads[a.Included])
-	sum.Unavailable, sum.Switching, sum.Limits = a.Unavailable, a.Switching, a.Limits
+	sum.Unavailable, sum.Switching = a.Unavailable, a.Switching
+	sum.Limits, sum.Leaving = a.Limits, a.Leaving
 	return sum, nil
 }
 
@@ -203,11 +206,11 @@
 	return Load{
 		InFlight: map[ident.UpstreamID]InFlight{}, Unavailable: map[ident.UpstreamID]int64{},
 		Switching: map[ident.UpstreamID]dialect.Stage{}, Demand: map[string]Demand{}, Retries: map[string]int{},
-		Limits: map[ident.UpstreamID]RateLimit{},
+		Limits: map[ident.UpstreamID]RateLimit{}, Leaving: map[ident.UpstreamID]ident.Incarnation{},
 	}
 }
 
-// Add adds another load except for its rate limits. Values that engines reported about themselves
+// Add adds another load except for what upstreams stated. Values that engines reported about themselves
 // are not summed; the maximum is kept.
 func (l *Load) Add(o Load) {
 	for id, f := range o.InFlight {
@@ -228,23 +231,18 @@
 	}
 }
 
-// addLimits adds rate limits. Of two statements of an upstream, the later one is kept.
-func (l *Load) addLimits(limits map[ident.UpstreamID]RateLimit) {
-	for id, r := range limits {
+// addStated adds what upstreams stated according to another load, which was received the given time
+// ago. Of two statements of an upstream, the later one is kept.
+func (l *Load) addStated(o *Load, ago time.Duration) {
+	for id, r := range o.Limits {
+		r.AgeMS += ago.Milliseconds()
 		if known, ok := l.Limits[id]; !ok || r.newer(known) {
 			l.Limits[id] = r
 		}
 	}
-}
-
-// agedLimits returns the rate limits with their ages at a time after the load was received.
-func (l *Load) agedLimits(after time.Duration) map[ident.UpstreamID]RateLimit {
-	out := make(map[ident.UpstreamID]RateLimit, len(l.Limits))
-	for id, r := range l.Limits {
-		r.AgeMS += after.Milliseconds()
-		out[id] = r
+	for id, incarnation := range o.Leaving {
+		l.Leaving[id] = max(l.Leaving[id], incarnation)
 	}
-	return out
 }
 
 // addUnavailable adds the unavailable and switching engines of another load.
--- a/gateway/fleet/loads.go
+++ b/gateway/fleet/loads.go
@@ -29,7 +29,7 @@
 		sum := NewLoad()
 		for _, m := range n.roster.Members(clock.Now()) {
 			sum.Add(m.Load)
-			sum.addLimits(m.Load.Limits)
+			sum.addStated(&m.Load, 0)
 		}
 		n.mu.Unlock()
 		n.setPeerLoad(sum, loadAge)
@@ -141,7 +141,7 @@
 	load := n.hub.ZoneLoad(now)
 	return LoadReport{
 		From: n.opts.Self.ID, Zone: n.opts.Self.Zone, WholeZone: true,
-		Packed: load.pack(), Load: Load{Unavailable: load.Unavailable, Switching: load.Switching, Limits: load.Limits},
+		Packed: load.pack(), Load: Load{Unavailable: load.Unavailable, Switching: load.Switching, Limits: load.Limits, Leaving: load.Leaving},
 	}
 }
 
--- a/gateway/fleet/messages.go
+++ b/gateway/fleet/messages.go
@@ -28,6 +28,9 @@
 	Retries map[string]int `json:"b,omitempty"`
 	// Limits holds the rate limits that upstreams stated in responses to the instance itself.
 	Limits map[ident.UpstreamID]RateLimit `json:"l,omitempty"`
+	// Leaving holds the upstreams that have said to the instance itself that they leave, with their
+	// incarnations.
+	Leaving map[ident.UpstreamID]ident.Incarnation `json:"g,omitempty"`
 }
 
 // RateLimit is a rate limit that an upstream stated, or the end of one.
@@ -51,7 +54,7 @@
 
 // empty reports whether the load holds no information, as in a relayed heartbeat.
 func (l *Load) empty() bool {
-	return !l.Complete && l.InFlight == nil && l.Demand == nil && l.Unavailable == nil && l.Switching == nil && l.Limits == nil
+	return !l.Complete && l.InFlight == nil && l.Demand == nil && l.Unavailable == nil && l.Switching == nil && l.Limits == nil && l.Leaving == nil
 }
 
 // idle reports whether the load has no requests in flight, no retries and no unavailable or
--- a/gateway/fleet/view.go
+++ b/gateway/fleet/view.go
@@ -83,8 +83,8 @@
 	// that have changed since, by the services whose lists they belong to or belonged to.
 	lists map[string][]dialect.Upstream
 	dirty map[string]map[ident.UpstreamID]struct{}
-	// announced holds the incarnations of upstreams that have said that they leave.
-	announced map[ident.UpstreamID]ident.Incarnation
+	// announced holds the upstreams that have said that they leave.
+	announced map[ident.UpstreamID]announcement
 	// removals holds the upstreams removed from the list within removalRetention, oldest first.
 	removals []removal
 	// graceUntil is the end of the grace period after an outage, in which missing upstreams are
@@ -96,7 +96,7 @@
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{announced: map[ident.UpstreamID]ident.Incarnation{}, entries: map[ident.UpstreamID]*entry{}, dirty: map[string]map[ident.UpstreamID]struct{}{}}
+	return &View{announced: map[ident.UpstreamID]announcement{}, entries: map[ident.UpstreamID]*entry{}, dirty: map[string]map[ident.UpstreamID]struct{}{}}
 }
 
 // SetConfig puts a configuration in force if it is newer than the current one, and reports
@@ -383,8 +383,10 @@
 	// Table is nil while no configuration is known.
 	Table *routing.Table
 	// Upstreams holds the listed upstreams by service, sorted by ID, including those that are
-	// leaving.
+	// leaving according to the list or to what they have said.
 	Upstreams map[string][]dialect.Upstream
+	// listed holds the same as the store lists it: without what upstreams have said themselves.
+	listed map[string][]dialect.Upstream
 	// Revision is the store's revision of the list, and AsOf the time at which its read began.
 	Revision int64
 	AsOf     time.Time
@@ -404,7 +406,7 @@
 	v.refreshLists()
 	return &Snapshot{
 		Table: v.table, Revision: v.revision, AsOf: v.asOf, Listed: v.hasList,
-		Upstreams: v.lists, Evacuation: v.evacuation, digest: v.digest,
+		Upstreams: v.withAnnounced(), listed: v.lists, Evacuation: v.evacuation, digest: v.digest,
 	}
 }
 
@@ -447,7 +449,7 @@
 func (v *View) updatedList(service string, list []dialect.Upstream, ids []ident.UpstreamID) []dialect.Upstream {
 	out := make([]dialect.Upstream, 0, len(list)+len(ids))
 	for _, id := range ids {
-		at, found := slices.BinarySearchFunc(list, id, func(u dialect.Upstream, id ident.UpstreamID) int { return cmp.Compare(u.ID, id) })
+		at, found := searchID(list, id)
 		out = append(out, list[:at]...)
 		list = list[at:]
 		if found {
@@ -460,6 +462,11 @@
 	return append(out, list...)
 }
 
+// searchID returns the index of an upstream in a list that is sorted by ID, or where it would be.
+func searchID(list []dialect.Upstream, id ident.UpstreamID) (at int, found bool) {
+	return slices.BinarySearchFunc(list, id, func(u dialect.Upstream, id ident.UpstreamID) int { return cmp.Compare(u.ID, id) })
+}
+
 // buildLists returns the upstreams by service, sorted by ID, computed from all entries.
 func (v *View) buildLists() map[string][]dialect.Upstream {
 	lists := map[string][]dialect.Upstream{}
@@ -482,6 +489,16 @@
 	return s.Table.Config().Version
 }
 
+// Find returns an upstream of a service, and whether it is listed.
+func (s *Snapshot) Find(service string, id ident.UpstreamID) (dialect.Upstream, bool) {
+	list := s.Upstreams[service]
+	at, found := searchID(list, id)
+	if !found {
+		return dialect.Upstream{}, false
+	}
+	return list[at], true
+}
+
 // Eligible returns the upstreams of a service that are in allowed regions and outside evacuated
 // zones. regionOf returns a zone's region, "" if it has none.
 func (s *Snapshot) Eligible(service string, allowed routing.Regions, regionOf func(ident.Zone) ident.Region) []dialect.Upstream {
@@ -502,10 +519,10 @@
 // to hash collisions; that of an empty list is 0.
 func (s *Snapshot) Digest() uint64 { return s.digest }
 
-// All returns the upstreams of all services.
+// All returns the upstreams of all services as the store lists them.
 func (s *Snapshot) All() []dialect.Upstream {
 	var all []dialect.Upstream
-	for _, list := range s.Upstreams {
+	for _, list := range s.listed {
 		all = append(all, list...)
 	}
 	return all
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -25,7 +25,7 @@
 			"incarnation", n.From.Incarnation, "for_ms", n.Rest.Milliseconds())
 	}
 	if n.Leaving {
-		g.node.AnnounceLeaving(n.From, "response")
+		g.node.AnnounceLeaving(n.From, true)
 	}
 }
 
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -150,6 +150,7 @@
 	for id, r := range g.scheduler.OwnLimits(now) {
 		l.Limits[id] = fleet.RateLimit{Incarnation: r.Incarnation, Rate: r.Rate, Ended: r.Ended, AgeMS: r.Age.Milliseconds()}
 	}
+	l.Leaving = g.node.AnnouncedHere(now)
 	for _, name := range g.scheduler.DemandServices() {
 		n := g.scheduler.Demand(now, name)
 		l.Demand[name] = fleet.Demand{PrefillRate: n.Prefill, MemoryRate: n.Memory, StreamRate: n.Streams, RequestRate: n.Requests, Throughputs: n.Throughputs}
@@ -208,6 +209,9 @@
 	g.scheduler.SetPeersUnavailable(now, unavailable)
 	g.budget.SetOthersSpent(now, l.Retries)
 	g.setPeerLimits(now, l.Limits)
+	for id, incarnation := range l.Leaving {
+		g.node.AnnounceLeaving(dialect.Upstream{ID: id, Incarnation: incarnation}, false)
+	}
 }
 
 // ListenError reports an address at which the service could not listen.
