--- a/gateway/carry/gate.go
+++ b/gateway/carry/gate.go
@@ -61,9 +61,8 @@
 	})
 }
 
-// placePrefill places a prompt on a prefill engine. near is the zone of the decode engine. If rate
-// limits keep the prompt from all of them, it waits as long as the prompt may wait for a busy
-// engine.
+// placePrefill places a prompt on a prefill engine. near is the zone of the decode engine. If all of
+// them are held off, it waits as long as the prompt may wait for a busy engine.
 func (s *stream) placePrefill(ctx context.Context, near ident.Zone, exclude []ident.UpstreamID) (schedule.Ticket, bool) {
 	for waited := time.Duration(0); ; {
 		t, ok := s.c.place(ctx, s.log, func(now time.Time) (schedule.Ticket, bool) {
@@ -72,8 +71,8 @@
 		if ok {
 			return t, true
 		}
-		wait, limited := s.c.o.Scheduler.LimitWait(clock.Now(), s.c.eligible(s.j), dialect.StagePrefill, exclude)
-		if waited += wait; !limited || s.prefillBusy(waited) || !pause.For(ctx, wait) {
+		wait, reason := s.c.o.Scheduler.HeldOff(clock.Now(), s.c.eligible(s.j), dialect.StagePrefill, exclude)
+		if waited += wait; reason == "" || s.prefillBusy(waited) || !pause.For(ctx, wait) {
 			return t, false
 		}
 	}
@@ -88,11 +87,10 @@
 	c.cleanup.Go(func() { c.o.RateLimits.ChargeRequest(context.Background(), u, rate) })
 }
 
-// refuseRateLimited logs and counts the refusal of a request that rate limits keep from all
-// upstreams of a stage for the given time, and returns its *Error.
-func (c *Forwarder) refuseRateLimited(j *Job, stage dialect.Stage, wait time.Duration, outcome Outcome, log *slog.Logger) *Error {
-	retry := c.o.Scheduler.LimitRetryAfter(clock.Now(), c.eligible(j), stage, wait)
-	c.o.Count("refused_rate_limit")
-	log.Info("refused", "reason", "rate_limit", "wait_ms", wait.Milliseconds(), "retry_ms", retry.Milliseconds())
-	return &Error{Outcome: outcome, Reason: "rate_limit", RetryAfter: retry}
+// refuseHeldOff logs and counts the refusal of a request because all upstreams of a stage are held
+// off for the given time, and returns its *Error.
+func (c *Forwarder) refuseHeldOff(j *Job, stage dialect.Stage, wait time.Duration, reason schedule.HoldOff, outcome Outcome, log *slog.Logger) *Error {
+	retry := c.o.Scheduler.HeldOffRetryAfter(clock.Now(), c.eligible(j), stage, wait)
+	log.Info("refused", "reason", string(reason), "wait_ms", wait.Milliseconds(), "retry_ms", retry.Milliseconds())
+	return &Error{Outcome: outcome, Reason: string(reason), RetryAfter: retry}
 }
--- a/gateway/carry/plain.go
+++ b/gateway/carry/plain.go
@@ -60,8 +60,8 @@
 		if !ok && p.c.noOpenZone(p.j) {
 			return p.refuse(p.c.refuseNoOpenZone(p.outcomeUnserved(), p.log))
 		}
-		if wait, limited := p.limitWait(); !ok && limited {
-			return p.refuse(p.c.refuseRateLimited(p.j, "", wait, p.outcomeUnserved(), p.log))
+		if wait, reason := p.heldOff(); !ok && reason != "" {
+			return p.refuse(p.c.refuseHeldOff(p.j, "", wait, reason, p.outcomeUnserved(), p.log))
 		}
 		if !ok {
 			return p.finalResult(&NoUpstreamError{Service: p.j.Service.Name})
@@ -102,10 +102,10 @@
 	return t, ok
 }
 
-// limitWait returns the time until one of the upstreams that were not tried may get a request, if
-// rate limits keep requests from all of them.
-func (p *plainRequest) limitWait() (time.Duration, bool) {
-	return p.c.o.Scheduler.LimitWait(clock.Now(), p.c.eligible(p.j), "", p.tried)
+// heldOff returns the time until one of the upstreams that were not tried may get a request, and why
+// none gets one until then.
+func (p *plainRequest) heldOff() (time.Duration, schedule.HoldOff) {
+	return p.c.o.Scheduler.HeldOff(clock.Now(), p.c.eligible(p.j), "", p.tried)
 }
 
 // send makes one attempt and records its result.
--- a/gateway/carry/reserve.go
+++ b/gateway/carry/reserve.go
@@ -55,15 +55,15 @@
 	if overflow, ok := s.c.o.Scheduler.OverflowTime(service, s.j.Call.PromptTokens); ok {
 		prefill = min(prefill, overflow)
 	}
-	limited, _ := s.limitWait(now)
-	ready := now.Add(max(prefill, limited) + s.c.o.Scheduler.FirstEvent(service))
+	held, _ := s.heldOff(now)
+	ready := now.Add(max(prefill, held) + s.c.o.Scheduler.FirstEvent(service))
 	return ready.After(s.j.Arrived.Add(s.j.Route.Objective))
 }
 
-// limitWait returns the time until a decode engine may get a request, if rate limits keep requests
-// from all of them.
-func (s *stream) limitWait(now time.Time) (time.Duration, bool) {
-	return s.c.o.Scheduler.LimitWait(now, s.c.eligible(s.j), dialect.StageDecode, s.excluded)
+// heldOff returns the time until a decode engine may get a request, and why none gets one until
+// then.
+func (s *stream) heldOff(now time.Time) (time.Duration, schedule.HoldOff) {
+	return s.c.o.Scheduler.HeldOff(now, s.c.eligible(s.j), dialect.StageDecode, s.excluded)
 }
 
 // resumed reports whether a part of the stream was delivered before.
@@ -105,8 +105,8 @@
 			return nil, s.c.refuseNoOpenZone(s.outcomeUnserved(), s.log)
 		}
 		if s.tooLate(clock.Now(), queuedAt) {
-			if wait, limited := s.limitWait(clock.Now()); limited {
-				return nil, s.c.refuseRateLimited(s.j, dialect.StageDecode, wait, s.outcomeUnserved(), s.log)
+			if wait, reason := s.heldOff(clock.Now()); reason != "" {
+				return nil, s.c.refuseHeldOff(s.j, dialect.StageDecode, wait, reason, s.outcomeUnserved(), s.log)
 			}
 			return nil, s.refuseNoRoom(q, clock.Since(queuedAt))
 		}
--- a/gateway/schedule/books.go
+++ b/gateway/schedule/books.go
@@ -235,7 +235,8 @@
 
 // usable reports whether an upstream may get a request now. The caller holds mu.
 func (b *Scheduler) usable(now time.Time, u dialect.Upstream, exclude []ident.UpstreamID) bool {
-	return b.mayAccept(now, u, exclude) && !b.limitReached(now, u)
+	_, reason := b.heldOff(now, u)
+	return reason == "" && b.mayAccept(now, u, exclude)
 }
 
 // mayAccept reports whether an upstream accepts new requests, has quota left if it is cold, and is
--- a/gateway/schedule/engines.go
+++ b/gateway/schedule/engines.go
@@ -240,14 +240,15 @@
 }
 
 // PrefillWait returns how long a prompt is expected to take at the prefill engine that would
-// complete it first, including the queue. If rate limits keep requests from all engines, it returns
-// how long they do. It reports false if no engine is available.
+// complete it first, including the queue. If all engines are held off, it returns how long they
+// are. It reports false if no engine is available.
 func (b *Scheduler) PrefillWait(now time.Time, list []dialect.Upstream, tokens int) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	best := b.chooseAmongCheapest(b.availablePrefill(now, list, tokens, b.zone, nil), 0)
 	if best == nil {
-		return b.limitWait(now, list, dialect.StagePrefill, nil)
+		wait, reason := b.allHeldOff(now, list, dialect.StagePrefill, nil)
+		return wait, reason != ""
 	}
 	return b.prefillTime(now, best, tokens), true
 }
--- a/gateway/schedule/ratelimits.go
+++ b/gateway/schedule/ratelimits.go
@@ -19,8 +19,6 @@
 	// peerLimitSkew is how much younger a peer's statement may seem than it is. Load reports take
 	// that long at most.
 	peerLimitSkew = time.Second
-	// maxLimitRetryAfter is the longest time that a caller is told to wait because of rate limits.
-	maxLimitRetryAfter = 20 * time.Second
 )
 
 // statedLimit is the request rate that an upstream accepts from all instances together, as it
@@ -127,64 +125,6 @@
 	}
 }
 
-// limitReached reports whether an upstream gets no request now because of its rate limit. The
-// caller holds mu.
-func (b *Scheduler) limitReached(now time.Time, u dialect.Upstream) bool {
-	l := b.statedLimits[u.ID]
-	return l != nil && !l.ended && l.upstream.Incarnation == u.Incarnation && now.Before(l.reachedUntil)
-}
-
-// LimitWait returns the time until an upstream of a list with the given stage may get a request
-// again. It reports false unless rate limits are what keeps requests from all of the healthy ones.
-func (b *Scheduler) LimitWait(now time.Time, list []dialect.Upstream, stage dialect.Stage, exclude []ident.UpstreamID) (time.Duration, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.limitWait(now, list, stage, exclude)
-}
-
-// limitWait is LimitWait for a caller that holds mu.
-func (b *Scheduler) limitWait(now time.Time, list []dialect.Upstream, stage dialect.Stage, exclude []ident.UpstreamID) (time.Duration, bool) {
-	wait, found := time.Duration(0), false
-	if len(b.statedLimits) == 0 {
-		return 0, false
-	}
-	for _, u := range list {
-		if u.Stage != stage || !b.mayAccept(now, u, exclude) || !b.available(now, b.recordOf(u)) {
-			continue
-		}
-		if !b.limitReached(now, u) {
-			return 0, false
-		}
-		if until := b.statedLimits[u.ID].reachedUntil.Sub(now); !found || until < wait {
-			wait, found = until, true
-		}
-	}
-	return wait, found
-}
-
-// LimitRetryAfter returns when the caller of a request that is refused because of rate limits should
-// retry, given the time until one of the upstreams may get a request again. Callers refused at the
-// same time are told times apart that correspond to this instance's share of the limits.
-func (b *Scheduler) LimitRetryAfter(now time.Time, list []dialect.Upstream, stage dialect.Stage, wait time.Duration) time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	total := 0.0
-	for _, u := range list {
-		if rate := b.rateLimit(u); u.Stage == stage && !math.IsInf(rate, 1) {
-			total += rate
-		}
-	}
-	at := now.Add(wait)
-	if next := b.limitRetries[serviceOf(list)]; next.After(at) {
-		at = next
-	}
-	if total > 0 {
-		interval := float64(b.otherInstances+1) / total
-		b.limitRetries[serviceOf(list)] = at.Add(time.Duration(min(interval, maxLimitRetryAfter.Seconds()) * float64(time.Second)))
-	}
-	return min(at.Sub(now), maxLimitRetryAfter)
-}
-
 // OwnLimits returns the rate limits that upstreams stated to this instance itself, and those that
 // ended within endedLimitTTL. What peers reported is not passed on.
 func (b *Scheduler) OwnLimits(now time.Time) map[ident.UpstreamID]RateLimitReport {
--- a/gateway/schedule/ratelimits_test.go
+++ b/gateway/schedule/ratelimits_test.go
@@ -95,10 +95,10 @@
 		assert.Assert(t, ok)
 		assert.Equal(t, ticket.Upstream.ID, other.ID)
 	}
-	_, held := b.LimitWait(after(20), list, "", nil)
-	assert.Assert(t, !held, "another upstream is free")
-	wait, held := b.LimitWait(after(20), list[:1], "", nil)
-	assert.Assert(t, held)
+	_, held := b.HeldOff(after(20), list, "", nil)
+	assert.Equal(t, held, HoldOff(""), "another upstream is free")
+	wait, held := b.HeldOff(after(20), list[:1], "", nil)
+	assert.Equal(t, held, RateLimited)
 	assert.Equal(t, wait, 190*time.Millisecond)
 	_, ok := b.PickService(after(20), list[:1], true, nil)
 	assert.Assert(t, !ok)
@@ -114,10 +114,10 @@
 	observe(b, limited, 0, 10, 4)
 	list := []dialect.Upstream{limited}
 	for i := range 5 {
-		assert.Equal(t, b.LimitRetryAfter(after(10), list, "", 100*time.Millisecond), time.Duration(100+2000*i)*time.Millisecond)
+		assert.Equal(t, b.HeldOffRetryAfter(after(10), list, "", 100*time.Millisecond), time.Duration(100+2000*i)*time.Millisecond)
 	}
 	for range 20 {
-		assert.Assert(t, b.LimitRetryAfter(after(10), list, "", 100*time.Millisecond) <= maxLimitRetryAfter)
+		assert.Assert(t, b.HeldOffRetryAfter(after(10), list, "", 100*time.Millisecond) <= maxHeldOffRetryAfter)
 	}
 }
 
