gateway: send nothing to an upstream that has asked for rest

Callers were sent elsewhere within 2 ms, at the cost of the retry budget.

The time of a 503 was not read; a refusal only lowered the upstream's success ratio, and with it the chance to be chosen.

Change: the scheduler holds an upstream off until the rest ends, for this instance alone, as it was asked. Placements, cache lists, load reports and probes obey; a stream whose reserved engine has asked for rest meanwhile goes elsewhere. Releases, cancels and moves off the upstream go on. If all upstreams rest, callers are refused at once and told when the first is back, spread over a quarter more.

--- a/gateway/carry/decode.go
+++ b/gateway/carry/decode.go
@@ -8,6 +8,7 @@
 
 	"github.com/wardspool/wardspool/adapter"
 	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/kernel"
@@ -52,6 +53,7 @@
 const (
 	reasonEvacuated = "zone_evacuated"
 	reasonLeaving   = "leaving"
+	reasonResting   = string(schedule.Resting)
 )
 
 // EngineClosedError reports an engine that gets no requests any more since it was reserved.
@@ -75,6 +77,8 @@
 		return reasonEvacuated
 	case found && listed.Leaving && listed.Incarnation == u.Incarnation:
 		return reasonLeaving
+	case s.c.o.Scheduler.Resting(clock.Now(), u):
+		return reasonResting
 	default:
 		return ""
 	}
--- a/gateway/carry/gate_test.go
+++ b/gateway/carry/gate_test.go
@@ -19,6 +19,7 @@
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/fleet"
 	"github.com/wardspool/wardspool/gateway/routing"
+	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/clock"
 )
@@ -258,3 +259,62 @@
 	assert.Equal(t, env.d.countKind("do"), 1)
 	assert.Equal(t, env.d.countKind("prefill"), 1, "the prefill result goes to another engine")
 }
+
+// TestRestingUpstreamsGetNoRequests guards against plain requests, prefills, streams and migrations
+// that reach an upstream which has asked for rest, and against callers that wait for its end.
+func TestRestingUpstreamsGetNoRequests(t *testing.T) {
+	rest := func(env *testEnv, ids ...string) {
+		for _, u := range env.view.Upstreams["s"] {
+			if slices.Contains(ids, string(u.ID)) {
+				env.o.Scheduler.ObserveRest(clock.Now(), u, time.Minute)
+			}
+		}
+	}
+	plain := newTestEnv(t, ampleBudget, plainUps("a", "b")...)
+	rest(plain, "a")
+	for range 10 {
+		_, err := plain.Plain(t.Context(), job(routing.Route{Kind: routing.Idempotent, MaxAttempts: 2}))
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, plain.d.count("do a"), 0)
+	rest(plain, "b")
+	var refused *Error
+	start := time.Now()
+	_, err := plain.Plain(t.Context(), job(routing.Route{Kind: routing.Idempotent, MaxAttempts: 2}))
+	assert.Assert(t, errors.As(err, &refused) && refused.Outcome == NotRun)
+	assert.Check(t, refused.RetryAfter > 10*time.Second && time.Since(start) < time.Second)
+
+	streams := newStreamEnv(t)
+	rest(streams, "p1", "d2")
+	streams.serveStreams(reply{verdict: dialect.Success, status: http.StatusOK, body: events(1, 2)})
+	for range 10 {
+		_, err := streams.Stream(t.Context(), job(singleRun), &streamRecorder{})
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, streams.d.count("prefill p1")+streams.d.count("do d2")+streams.d.count("hold d2"), 0)
+	rest(streams, "d1")
+	start = time.Now()
+	_, err = streams.Stream(t.Context(), shortJob(), &streamRecorder{})
+	assert.Assert(t, errors.As(err, &refused) && refused.Outcome == NotRun && refused.Reason == string(schedule.Resting), "%v", err)
+	assert.Check(t, time.Since(start) < 500*time.Millisecond)
+}
+
+// TestReservedEngineThatAsksForRestGetsNoStream guards against a stream that is sent to its reserved
+// engine although the engine has asked for rest meanwhile.
+func TestReservedEngineThatAsksForRestGetsNoStream(t *testing.T) {
+	env := newStreamEnv(t)
+	env.serveStreams(reply{verdict: dialect.Success, status: http.StatusOK, body: events(1, 2)})
+	var rests ident.UpstreamID
+	env.d.prefilled = func() {
+		for _, u := range env.view.Upstreams["s"] {
+			if rests == "" && slices.Contains(env.d.calls, "hold "+u.Address) {
+				rests = u.ID
+				env.o.Scheduler.ObserveRest(clock.Now(), u, time.Minute)
+			}
+		}
+	}
+	_, err := env.Stream(t.Context(), job(singleRun), &streamRecorder{})
+	assert.NilError(t, err)
+	assert.Equal(t, env.d.count("do "+string(rests)), 0)
+	assert.Equal(t, env.d.countKind("do"), 1)
+}
--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -48,12 +48,14 @@
 		assigned := map[ident.UpstreamID]bool{}
 		for _, list := range s.Upstreams {
 			for _, u := range g.scheduler.ProbeCandidates(clock.Now(), list) {
-				go g.probe(ctx, u)
+				if !g.scheduler.Resting(clock.Now(), u) {
+					go g.probe(ctx, u)
+				}
 			}
 			for _, u := range g.node.AssignedInZone(dutyReport, dialect.StageDecode, list) {
 				assigned[u.ID] = true
 				idleTurn := (xxhash.Sum64String(string(u.ID))+round)%idlePollRounds == 0
-				if g.scheduler.InUse(clock.Now(), u) || idleTurn {
+				if (g.scheduler.InUse(clock.Now(), u) || idleTurn) && !g.scheduler.Resting(clock.Now(), u) {
 					go g.requestReport(ctx, u)
 				}
 			}
--- a/gateway/schedule/heldoff.go
+++ b/gateway/schedule/heldoff.go
@@ -12,6 +12,10 @@
 	// maxHeldOffRetryAfter is the longest time that a caller is told to wait for upstreams that are
 	// held off.
 	maxHeldOffRetryAfter = 20 * time.Second
+	// restRetrySpread is the share of the wait over which the retries of callers are spread that wait
+	// for the end of a rest, minRestRetrySpread the shortest time.
+	restRetrySpread    = 0.25
+	minRestRetrySpread = 100 * time.Millisecond
 )
 
 // HoldOff is the reason why upstreams get no requests for a time, as it appears in logs.
@@ -21,6 +25,8 @@
 const (
 	// RateLimited upstreams have got as many requests as they accept.
 	RateLimited HoldOff = "rate_limit"
+	// Resting upstreams have asked this instance for rest.
+	Resting HoldOff = "resting"
 )
 
 // heldOff returns the time until which an upstream gets no request because of what it stated, and
@@ -29,6 +35,9 @@
 	if l := b.statedLimits[u.ID]; l != nil && !l.ended && l.upstream.Incarnation == u.Incarnation && now.Before(l.reachedUntil) {
 		until, reason = l.reachedUntil, RateLimited
 	}
+	if b.resting(now, u) && b.rests[u.ID].until.After(until) {
+		until, reason = b.rests[u.ID].until, Resting
+	}
 	return until, reason
 }
 
@@ -43,7 +52,7 @@
 
 // allHeldOff is HeldOff for a caller that holds mu.
 func (b *Scheduler) allHeldOff(now time.Time, list []dialect.Upstream, stage dialect.Stage, exclude []ident.UpstreamID) (wait time.Duration, reason HoldOff) {
-	if len(b.statedLimits) == 0 {
+	if len(b.statedLimits)+len(b.rests) == 0 {
 		return 0, ""
 	}
 	for _, u := range list {
@@ -63,8 +72,8 @@
 
 // HeldOffRetryAfter returns when the caller of a request that is refused because all upstreams of a
 // stage are held off should retry, given the time until one of them may get a request again.
-// Callers refused at the same time are told different times, by this instance's share of the rate
-// limits.
+// Callers refused at the same time are told different times: by this instance's share of the rate
+// limits or, without any, at random.
 func (b *Scheduler) HeldOffRetryAfter(now time.Time, list []dialect.Upstream, stage dialect.Stage, wait time.Duration) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -75,7 +84,8 @@
 		}
 	}
 	if total == 0 {
-		return min(wait, maxHeldOffRetryAfter)
+		spread := max(minRestRetrySpread, time.Duration(restRetrySpread*float64(wait)))
+		return min(wait+time.Duration(b.random.Int64N(int64(spread))), maxHeldOffRetryAfter)
 	}
 	at := now.Add(wait)
 	if next := b.limitRetries[serviceOf(list)]; next.After(at) {
--- a/gateway/schedule/reach.go
+++ b/gateway/schedule/reach.go
@@ -28,7 +28,7 @@
 	b.suspectStalledZones(now)
 	var out []dialect.Upstream
 	for _, u := range list {
-		if u.Stage == stage && !u.Leaving && b.available(now, b.recordOf(u)) {
+		if u.Stage == stage && !u.Leaving && !b.resting(now, u) && b.available(now, b.recordOf(u)) {
 			out = append(out, u)
 		}
 	}
--- a/gateway/schedule/rest.go
+++ b/gateway/schedule/rest.go
@@ -36,3 +36,16 @@
 	}
 	return begins
 }
+
+// Resting reports whether an upstream has asked this instance for rest that has not ended.
+func (b *Scheduler) Resting(now time.Time, u dialect.Upstream) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.resting(now, u)
+}
+
+// resting is Resting for a caller that holds mu.
+func (b *Scheduler) resting(now time.Time, u dialect.Upstream) bool {
+	r := b.rests[u.ID]
+	return r != nil && r.incarnation == u.Incarnation && now.Before(r.until)
+}
