kernel: an upstream that asks for rest gets no other requests

What is seen: an upstream of the entry that refuses an attempt with a Retry-After gets the entry's other requests on, and the same one after 100 ms. Cause: the time was used for the refused request alone. The agent sends no requests of callers.

Open: requests that wait while all upstreams of a service rest wait in the queue until the rest ends; admission does not refuse them at once.

--- a/kernel/failure.go
+++ b/kernel/failure.go
@@ -67,6 +67,9 @@
 	if u == nil || !sameIncarnation(u.Incarnation, a.incarnation) {
 		return
 	}
+	if asksForRest(e.Code) {
+		k.recordRest(u, e.RetryAfter)
+	}
 	stalledTransfer := e.Code == FailureStalled && a.stage == stageDecode && a.call.prefill != nil
 	if stalledTransfer {
 		k.transferEnded(a.call, a, true)
--- a/kernel/health.go
+++ b/kernel/health.go
@@ -73,6 +73,24 @@
 	k.scheduleAt(u.Health.EjectedUntil)
 }
 
+// recordRest excludes an upstream from new work for the time that it asked for
+// when it turned an attempt away, up to maxRetryAfter. A later response does not
+// shorten the rest.
+func (k *Kernel) recordRest(u *Upstream, lasts time.Duration) {
+	until := k.now.Add(min(lasts, maxRetryAfter))
+	if lasts <= 0 || !until.After(u.Health.RestUntil) {
+		return
+	}
+	u.Health.RestUntil = until
+	k.scheduleAt(until)
+}
+
+// asksForRest reports whether the retry-after hint of a failure is about the
+// upstream and not about the request.
+func asksForRest(code FailureCode) bool {
+	return code == FailureCapacity || code == FailureUpstream
+}
+
 // upstreamFault reports whether a failure counts against the upstream's health.
 func upstreamFault(code FailureCode) bool {
 	switch code {
--- a/kernel/view.go
+++ b/kernel/view.go
@@ -81,6 +81,9 @@
 	// Ejections is the number of ejections since the last success. Each one
 	// lasts longer than the one before, up to a limit.
 	Ejections int
+	// RestUntil is the time until which the upstream wants no requests from this
+	// instance; zero if it never asked for rest.
+	RestUntil time.Time
 	// LastSuccess is the time at which an attempt from this instance last
 	// succeeded.
 	LastSuccess time.Time
--- a/kernel/world_test.go
+++ b/kernel/world_test.go
@@ -197,12 +197,22 @@
 
 // setLiveness sets the Liveness of one upstream in a new view.
 func (s *session) setLiveness(id ident.UpstreamID, liveness kernel.Liveness) {
+	s.changeUpstream(id, func(u *kernel.Upstream) { u.Liveness = liveness })
+}
+
+// restart makes the next incarnation of one upstream known.
+func (s *session) restart(id ident.UpstreamID) {
+	s.changeUpstream(id, func(u *kernel.Upstream) { u.Incarnation++ })
+}
+
+// changeUpstream changes one upstream in a new view.
+func (s *session) changeUpstream(id ident.UpstreamID, change func(*kernel.Upstream)) {
 	v := *s.view
 	v.Version++
 	v.Upstreams = append([]kernel.Upstream(nil), v.Upstreams...)
 	for i := range v.Upstreams {
 		if v.Upstreams[i].ID == id {
-			v.Upstreams[i].Liveness = liveness
+			change(&v.Upstreams[i])
 		}
 	}
 	s.view = &v
--- a/plugins/filter/ejected/ejected.go
+++ b/plugins/filter/ejected/ejected.go
@@ -1,5 +1,5 @@
-// Package ejected excludes upstreams that were ejected after repeated failures,
-// until their ejection ends.
+// Package ejected excludes upstreams that were ejected after repeated failures or
+// asked for rest, until the ejection or the rest ends.
 package ejected
 
 import (
@@ -14,6 +14,9 @@
 // of this instance at a time until one of them succeeds: the kernel counts
 // consecutive ejections and resets the count after a success.
 func (*Filter) Keep(d *kernel.Decision, u *kernel.Upstream, _ config.Role) bool {
+	if d.Now.Before(u.Health.RestUntil) {
+		return false
+	}
 	if u.Health.Ejections == 0 {
 		return true
 	}
--- a/plugins/filter/filter_test.go
+++ b/plugins/filter/filter_test.go
@@ -73,6 +73,12 @@
 			u.Health = kernel.Health{Ejections: 1, EjectedUntil: start}
 			u.LocalLoad.Requests = 1
 		}, false},
+		{"rests", ejected.ID, config.RoleDecode, func(u *kernel.Upstream) {
+			u.Health = kernel.Health{RestUntil: start.Add(1)}
+		}, false},
+		{"rest over", ejected.ID, config.RoleDecode, func(u *kernel.Upstream) {
+			u.Health = kernel.Health{RestUntil: start}
+		}, true},
 		{"report as old as allowed", stale.ID, config.RoleDecode, func(u *kernel.Upstream) {
 			u.Load.At = start.Add(-time.Second)
 			u.LocalLoad.Requests = 20
--- a/plugins/slots/dispatch/engines.go
+++ b/plugins/slots/dispatch/engines.go
@@ -97,7 +97,8 @@
 
 // usable reports whether the engine may be given new work.
 func (md *modelDispatcher) usable(u *kernel.Upstream) bool {
-	return u.Liveness <= kernel.Suspect && !md.now().Before(u.Health.EjectedUntil)
+	now := md.now()
+	return u.Liveness <= kernel.Suspect && !now.Before(u.Health.EjectedUntil) && !now.Before(u.Health.RestUntil)
 }
 
 // overdueDivisor sets the assumed remaining time of a prefill that has passed
