--- a/gateway/fleet/rates.go
+++ b/gateway/fleet/rates.go
@@ -21,9 +21,10 @@
 	// dutyRate is the prefix of the name of the duty to own an upstream's rate limit. The
 	// upstream's ID follows.
 	dutyRate = "rate/"
-	// rateTimeout bounds a call to the owner, which takes one or two milliseconds. Requests wait
-	// for it before they go to another upstream.
-	rateTimeout = 40 * time.Millisecond
+	// rateTimeout bounds a call to the owner, for which requests wait before they go to another
+	// upstream. It takes one or two milliseconds within a region, and up to 50 ms if a connection to
+	// another region has to be opened.
+	rateTimeout = 100 * time.Millisecond
 )
 
 // RateRequest asks for permission to send a request to an upstream.
--- a/gateway/schedule/ratelimits.go
+++ b/gateway/schedule/ratelimits.go
@@ -120,7 +120,7 @@
 func (b *Scheduler) RecordLimitReached(now time.Time, u dialect.Upstream, wait time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if l := b.statedLimits[u.ID]; l != nil {
+	if l := b.statedLimits[u.ID]; l != nil && l.upstream.Incarnation == u.Incarnation {
 		l.reachedUntil = now.Add(max(wait, time.Millisecond))
 	}
 }
