fleet: an upstream's leaving is told by all that heard it from the upstream itself

Found on reading: an instance that knew it from a peer first did not tell it on when the upstream said so to it too, so that a restarted instance would not learn of it if the first one had died. TestAnnouncementHeardTwiceIsPassedOn failed before (by reading; the condition returned before the assignment). Also: refusals of plain requests without an upstream in one function, ObserveRateLimit named for what it records.

--- a/gateway/carry/gate_test.go
+++ b/gateway/carry/gate_test.go
@@ -47,7 +47,7 @@
 func (env *testEnv) limitRates(perSecond float64, ids ...string) {
 	for _, u := range env.view.Upstreams["s"] {
 		if slices.Contains(ids, string(u.ID)) {
-			env.o.Scheduler.ObserveNotice(clock.Now(), dialect.Notice{From: u, RequestedAt: clock.Now(), RateLimit: &perSecond})
+			env.o.Scheduler.ObserveRateLimit(clock.Now(), dialect.Notice{From: u, RequestedAt: clock.Now(), RateLimit: &perSecond})
 		}
 	}
 }
--- a/gateway/carry/plain.go
+++ b/gateway/carry/plain.go
@@ -57,14 +57,8 @@
 			return p.refuse(err)
 		}
 		t, ok := p.pickUpstream(ctx)
-		if !ok && p.c.noOpenZone(p.j) {
-			return p.refuse(p.c.refuseNoOpenZone(p.outcomeUnserved(), p.log))
-		}
-		if wait, reason := p.heldOff(); !ok && reason != "" {
-			return p.refuse(p.c.refuseHeldOff(p.j, "", wait, reason, p.outcomeUnserved(), p.log))
-		}
 		if !ok {
-			return p.finalResult(&NoUpstreamError{Service: p.j.Service.Name})
+			return p.unplaced()
 		}
 		start := clock.Now()
 		a := p.send(ctx, t)
@@ -102,10 +96,16 @@
 	return t, ok
 }
 
-// heldOff returns the time until one of the upstreams that were not tried may get a request, and why
-// none gets one until then.
-func (p *plainRequest) heldOff() (time.Duration, schedule.HoldOff) {
-	return p.c.o.Scheduler.HeldOff(clock.Now(), p.c.eligible(p.j), "", p.tried)
+// unplaced returns the final result of a request for which there is no upstream.
+func (p *plainRequest) unplaced() (*Response, error) {
+	if p.c.noOpenZone(p.j) {
+		return p.refuse(p.c.refuseNoOpenZone(p.outcomeUnserved(), p.log))
+	}
+	wait, reason := p.c.o.Scheduler.HeldOff(clock.Now(), p.c.eligible(p.j), "", p.tried)
+	if reason != "" {
+		return p.refuse(p.c.refuseHeldOff(p.j, "", wait, reason, p.outcomeUnserved(), p.log))
+	}
+	return p.finalResult(&NoUpstreamError{Service: p.j.Service.Name})
 }
 
 // send makes one attempt and records its result.
--- a/gateway/fleet/leaving.go
+++ b/gateway/fleet/leaving.go
@@ -17,33 +17,34 @@
 // announcement records that an incarnation of an upstream has said that it leaves. That is final.
 type announcement struct {
 	incarnation ident.Incarnation
-	// at is when it became known. here means that the upstream has said so to this instance itself.
-	at   time.Time
-	here bool
+	// at is when it became known, or when the upstream last said so to this instance itself. own means
+	// that it has done so.
+	at  time.Time
+	own bool
 }
 
 // AnnounceLeaving records that an upstream has said that it leaves, and publishes a snapshot in
-// which it does. here means that it has said so to this instance itself, and not to a peer.
-func (n *Node) AnnounceLeaving(u dialect.Upstream, here bool) {
+// which it does. own means that it has said so to this instance itself, and not to a peer.
+func (n *Node) AnnounceLeaving(u dialect.Upstream, own bool) {
 	n.mu.Lock()
-	isNew := n.view.AnnounceLeaving(clock.Now(), u.ID, u.Incarnation, here)
+	isNew := n.view.AnnounceLeaving(clock.Now(), u.ID, u.Incarnation, own)
 	n.mu.Unlock()
 	if !isNew {
 		return
 	}
 	n.publish()
 	n.opts.Log.Info("upstream says that it leaves", "upstream", u.ID, "address", u.Address, "service", u.Service,
-		"incarnation", u.Incarnation, "to_peer", !here)
+		"incarnation", u.Incarnation, "to_peer", !own)
 }
 
-// AnnouncedHere returns the upstreams that have said to this instance itself that they leave, with
+// OwnAnnouncements returns the upstreams that have said to this instance itself that they leave, with
 // their incarnations.
-func (n *Node) AnnouncedHere(now time.Time) map[ident.UpstreamID]ident.Incarnation {
+func (n *Node) OwnAnnouncements(now time.Time) map[ident.UpstreamID]ident.Incarnation {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	out := map[ident.UpstreamID]ident.Incarnation{}
 	for id, a := range n.view.announced {
-		if a.here && now.Sub(a.at) < announcementTTL {
+		if a.own && now.Sub(a.at) < announcementTTL {
 			out[id] = a.incarnation
 		}
 	}
@@ -53,16 +54,22 @@
 // AnnounceLeaving records that an incarnation of an upstream has said that it leaves, and reports
 // whether that is new. It is ignored for upstreams that are not known, or known in a newer
 // incarnation.
-func (v *View) AnnounceLeaving(now time.Time, id ident.UpstreamID, incarnation ident.Incarnation, here bool) bool {
+func (v *View) AnnounceLeaving(now time.Time, id ident.UpstreamID, incarnation ident.Incarnation, own bool) bool {
 	e := v.entries[id]
 	if e == nil || incarnation < e.upstream.Incarnation {
 		return false
 	}
 	known, ok := v.announced[id]
-	if ok && known.incarnation >= incarnation {
+	if ok && known.incarnation > incarnation {
 		return false
 	}
-	v.announced[id] = announcement{incarnation: incarnation, at: now, here: here}
+	if ok && known.incarnation == incarnation {
+		if own {
+			v.announced[id] = announcement{incarnation: incarnation, at: now, own: true}
+		}
+		return false
+	}
+	v.announced[id] = announcement{incarnation: incarnation, at: now, own: own}
 	return true
 }
 
--- a/gateway/fleet/leaving_test.go
+++ b/gateway/fleet/leaving_test.go
@@ -62,3 +62,14 @@
 	v.MergeList(at(later), at(later), 3, nil, FromStore)
 	assert.Equal(t, len(v.announced), 0)
 }
+
+// TestAnnouncementHeardTwiceIsPassedOn guards against an upstream's leaving that is told to no
+// restarted instance, because each of the others believes that it only knows it from a peer.
+func TestAnnouncementHeardTwiceIsPassedOn(t *testing.T) {
+	v := NewView()
+	v.MergeList(at(1), at(1), 1, []dialect.Upstream{{ID: "u", Service: "s"}}, FromStore)
+	assert.Assert(t, v.AnnounceLeaving(at(2), "u", 0, false))
+	assert.Assert(t, !v.announced["u"].own)
+	assert.Assert(t, !v.AnnounceLeaving(at(3), "u", 0, true))
+	assert.Assert(t, v.announced["u"].own)
+}
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -18,7 +18,7 @@
 		g.metrics.count("notices_malformed")
 		g.log.Debug("malformed notice ignored", "upstream", n.From.ID, "headers", strings.Join(n.Malformed, ","))
 	}
-	g.logLimitChange(g.scheduler.ObserveNotice(clock.Now(), n), "response")
+	g.logLimitChange(g.scheduler.ObserveRateLimit(clock.Now(), n), "response")
 	if g.scheduler.ObserveRest(clock.Now(), n.From, n.Rest) {
 		g.metrics.count("upstream_rest_began")
 		g.log.Info("upstream asks for rest", "upstream", n.From.ID, "address", n.From.Address, "service", n.From.Service,
--- a/gateway/schedule/ratelimits.go
+++ b/gateway/schedule/ratelimits.go
@@ -59,11 +59,11 @@
 	Age time.Duration
 }
 
-// ObserveNotice records what an upstream states about itself.
+// ObserveRateLimit records the rate limit that an upstream states, or that it states none.
 //
 // A response can be older than one that arrived before it. It raises or ends a limit only if its
 // request was sent after the limit was stated; it lowers a limit in any case.
-func (b *Scheduler) ObserveNotice(now time.Time, n dialect.Notice) LimitChange {
+func (b *Scheduler) ObserveRateLimit(now time.Time, n dialect.Notice) LimitChange {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l := b.statedLimits[n.From.ID]
--- a/gateway/schedule/ratelimits_test.go
+++ b/gateway/schedule/ratelimits_test.go
@@ -26,7 +26,7 @@
 	if rate >= 0 {
 		n.RateLimit = &rate
 	}
-	return b.ObserveNotice(after(arrived), n)
+	return b.ObserveRateLimit(after(arrived), n)
 }
 
 // TestOldResponseDoesNotEndRateLimit guards against responses that arrive late ending or raising a
@@ -68,7 +68,7 @@
 func TestMalformedNoticeDoesNotEndRateLimit(t *testing.T) {
 	b := NewScheduler("z", 1)
 	observe(b, limited, 0, 10, 5)
-	assert.Assert(t, !b.ObserveNotice(after(30), dialect.Notice{From: limited, RequestedAt: after(20), LimitUnknown: true}).Changed())
+	assert.Assert(t, !b.ObserveRateLimit(after(30), dialect.Notice{From: limited, RequestedAt: after(20), LimitUnknown: true}).Changed())
 	rate, _ := b.RateLimit(limited)
 	assert.Equal(t, rate, 5.0)
 }
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -150,7 +150,7 @@
 	for id, r := range g.scheduler.OwnLimits(now) {
 		l.Limits[id] = fleet.RateLimit{Incarnation: r.Incarnation, Rate: r.Rate, Ended: r.Ended, AgeMS: r.Age.Milliseconds()}
 	}
-	l.Leaving = g.node.AnnouncedHere(now)
+	l.Leaving = g.node.OwnAnnouncements(now)
 	for _, name := range g.scheduler.DemandServices() {
 		n := g.scheduler.Demand(now, name)
 		l.Demand[name] = fleet.Demand{PrefillRate: n.Prefill, MemoryRate: n.Memory, StreamRate: n.Streams, RequestRate: n.Requests, Throughputs: n.Throughputs}
