--- a/gateway/carry/gate.go
+++ b/gateway/carry/gate.go
@@ -87,8 +87,8 @@
 	c.cleanup.Go(func() { c.o.RateLimits.ChargeRequest(context.Background(), u, rate) })
 }
 
-// refuseHeldOff logs and counts the refusal of a request because all upstreams of a stage are held
-// off for the given time, and returns its *Error.
+// refuseHeldOff logs the refusal of a request because all upstreams of a stage are held off for the
+// given time, and returns its *Error.
 func (c *Forwarder) refuseHeldOff(j *Job, stage dialect.Stage, wait time.Duration, reason schedule.HoldOff, outcome Outcome, log *slog.Logger) *Error {
 	retry := c.o.Scheduler.HeldOffRetryAfter(clock.Now(), c.eligible(j), stage, wait)
 	log.Info("refused", "reason", string(reason), "wait_ms", wait.Milliseconds(), "retry_ms", retry.Milliseconds())
--- a/gateway/fleet/rates.go
+++ b/gateway/fleet/rates.go
@@ -59,8 +59,8 @@
 // requests per second from all instances together. If not, the caller waits before it asks again.
 // No request is sent if the owner of the limit does not answer.
 func (n *Node) TakeRequest(ctx context.Context, u dialect.Upstream, rate float64) (granted bool, wait time.Duration) {
-	run := limit.UpstreamRun{ID: u.ID, Incarnation: u.Incarnation}
-	if n.rates.leases.Use(clock.Now(), run) {
+	key := limit.UpstreamIncarnation{ID: u.ID, Incarnation: u.Incarnation}
+	if n.rates.leases.Use(clock.Now(), key) {
 		return true, 0
 	}
 	answer, err := n.askRateOwner(ctx, u, RateRequest{Upstream: u.ID, Zone: u.Zone, Incarnation: u.Incarnation, Rate: rate})
@@ -69,7 +69,7 @@
 		return false, addJitter(noOwnerRetry)
 	}
 	if answer.Granted > 1 {
-		n.rates.leases.Add(clock.Now(), run, answer.Granted-1)
+		n.rates.leases.Add(clock.Now(), key, answer.Granted-1)
 	}
 	return answer.Granted > 0, time.Duration(answer.WaitMS) * time.Millisecond
 }
@@ -132,12 +132,12 @@
 	if !owns || !(rate > 0) {
 		return RateAnswer{WaitMS: noOwnerRetry.Milliseconds()}, nil
 	}
-	run := limit.UpstreamRun{ID: q.Upstream, Incarnation: q.Incarnation}
+	key := limit.UpstreamIncarnation{ID: q.Upstream, Incarnation: q.Incarnation}
 	if q.Required {
-		n.rates.owned.Charge(now, run, rate)
+		n.rates.owned.Charge(now, key, rate)
 		return RateAnswer{Granted: 1}, nil
 	}
-	granted, wait := n.rates.owned.Take(now, run, rate, alive)
+	granted, wait := n.rates.owned.Take(now, key, rate, alive)
 	return RateAnswer{Granted: granted, WaitMS: wait.Milliseconds()}, nil
 }
 
--- a/gateway/limit/rates.go
+++ b/gateway/limit/rates.go
@@ -23,8 +23,8 @@
 	idleRateTTL = time.Minute
 )
 
-// UpstreamRun identifies an incarnation of an upstream.
-type UpstreamRun struct {
+// UpstreamIncarnation identifies an incarnation of an upstream.
+type UpstreamIncarnation struct {
 	ID          ident.UpstreamID
 	Incarnation ident.Incarnation
 }
@@ -49,7 +49,7 @@
 // grants several at once if the bucket has plenty for each of the given number of instances, so
 // that a limit far above the use costs few calls. If it grants none, wait is the time until the
 // bucket has a token.
-func (r *Rates) Take(now time.Time, u UpstreamRun, rate float64, instances int) (granted int, wait time.Duration) {
+func (r *Rates) Take(now time.Time, u UpstreamIncarnation, rate float64, instances int) (granted int, wait time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b := r.bucket(now, u, rate)
@@ -65,7 +65,7 @@
 }
 
 // Charge deducts a request that is sent in any case.
-func (r *Rates) Charge(now time.Time, u UpstreamRun, rate float64) {
+func (r *Rates) Charge(now time.Time, u UpstreamIncarnation, rate float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if b := r.bucket(now, u, rate); b != nil {
@@ -75,7 +75,7 @@
 
 // bucket returns the bucket of an upstream, filled until now; nil if the incarnation is not the
 // newest known one. The caller holds mu.
-func (r *Rates) bucket(now time.Time, u UpstreamRun, rate float64) *rateBucket {
+func (r *Rates) bucket(now time.Time, u UpstreamIncarnation, rate float64) *rateBucket {
 	b := r.buckets[u.ID]
 	if b != nil && b.incarnation > u.Incarnation {
 		return nil
@@ -103,7 +103,7 @@
 // is safe for concurrent use.
 type RateLeases struct {
 	mu     sync.Mutex
-	leases map[UpstreamRun]rateLease
+	leases map[UpstreamIncarnation]rateLease
 }
 
 // rateLease is a number of requests that may be sent until it expires.
@@ -113,10 +113,10 @@
 }
 
 // NewRateLeases returns an empty RateLeases.
-func NewRateLeases() *RateLeases { return &RateLeases{leases: map[UpstreamRun]rateLease{}} }
+func NewRateLeases() *RateLeases { return &RateLeases{leases: map[UpstreamIncarnation]rateLease{}} }
 
 // Use takes one request, and reports whether there was one.
-func (l *RateLeases) Use(now time.Time, u UpstreamRun) bool {
+func (l *RateLeases) Use(now time.Time, u UpstreamIncarnation) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	lease, ok := l.leases[u]
@@ -133,7 +133,7 @@
 }
 
 // Add adds granted requests. Those granted before expire with the new ones.
-func (l *RateLeases) Add(now time.Time, u UpstreamRun, requests int) {
+func (l *RateLeases) Add(now time.Time, u UpstreamIncarnation, requests int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	lease := l.leases[u]
