gateway: logs and counts when connections to all upstreams fail, and whose word leaves out an engine

Needed to tell two hypotheses of the incident apart: an instance that reaches no upstream writes no line that says so, and an engine that is left out on the word of peers looks like one that failed here.

Connection attempts to upstreams are observed in the HTTP client (OnDial). An engine newly left out on peers' word is logged once, with a counter. No request is placed differently.

--- a/adapter/roundtrip/client.go
+++ b/adapter/roundtrip/client.go
@@ -67,6 +67,8 @@
 	buffer int
 	// dial opens a TCP connection.
 	dial func(ctx context.Context, addr string) (net.Conn, error)
+	// onDial is called with the result of each attempt to open a connection, nil to call nothing.
+	onDial func(addr string, err error)
 }
 
 // New returns a client.
@@ -82,6 +84,28 @@
 	}
 }
 
+// OnDial sets the function that is called with the result of each attempt to open a
+// connection. It must be called before the first request.
+func (c *Client) OnDial(f func(addr string, err error)) { c.onDial = f }
+
+// open opens a connection and reports the result to onDial.
+func (c *Client) open(ctx context.Context, addr string) (net.Conn, error) {
+	conn, err := c.dial(ctx, addr)
+	if c.onDial != nil {
+		c.onDial(addr, dialResult(ctx, err))
+	}
+	return conn, err
+}
+
+// dialResult returns the result of a connection attempt. An attempt that its caller gave up fails
+// with the context's error.
+func dialResult(ctx context.Context, err error) error {
+	if err != nil && ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return err
+}
+
 // Close closes the idle connections. Connections in use are closed at the end of
 // their request.
 func (c *Client) Close() { c.idle.close() }
@@ -121,7 +145,7 @@
 // accepts connections. Its error is an *adapter.CallError with the evidence that
 // nothing was sent.
 func (c *Client) CheckReachable(ctx context.Context, addr string) error {
-	conn, err := c.dial(ctx, addr)
+	conn, err := c.open(ctx, addr)
 	if err != nil {
 		return failure(ctx, false, err)
 	}
@@ -146,7 +170,7 @@
 	if nc := c.idle.take(addr); nc != nil {
 		return nc, nil
 	}
-	raw, err := c.dial(ctx, addr)
+	raw, err := c.open(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -156,6 +156,7 @@
 }
 
 func (f *fakeDialect) OnNotice(func(dialect.Notice)) {}
+func (f *fakeDialect) OnDial(func(string, error))    {}
 
 func (f *fakeDialect) Read(*http.Request) (*dialect.Call, error)  { return nil, nil }
 func (f *fakeDialect) Order(context.Context, dialect.Order) error { return nil }
--- a/gateway/fleetworld_test.go
+++ b/gateway/fleetworld_test.go
@@ -611,6 +611,7 @@
 	return nil, nil
 }
 func (w *simFleet) OnNotice(func(dialect.Notice))                   {}
+func (w *simFleet) OnDial(func(string, error))                      {}
 func (w *simFleet) Order(context.Context, dialect.Order) error      { return nil }
 func (w *simFleet) WriteResponseHeaders(http.Header, *dialect.Call) {}
 func (w *simFleet) NameWorkspace(*dialect.Call, string, int)        {}
--- a/gateway/schedule/away.go
+++ b/gateway/schedule/away.go
@@ -85,12 +85,17 @@
 	return a
 }
 
-// SetPeersUnavailable records the unavailable engines that peers have detected.
-func (b *Scheduler) SetPeersUnavailable(now time.Time, a UnavailableEngines) {
+// SetPeersUnavailable records the unavailable engines that peers have detected, and returns those
+// that were available before.
+func (b *Scheduler) SetPeersUnavailable(now time.Time, a UnavailableEngines) []ident.UpstreamID {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	var added []ident.UpstreamID
 	for id, remaining := range a.Rejecting {
 		if rec := b.records[id]; rec != nil {
+			if !rec.unavailable(now) {
+				added = append(added, id)
+			}
 			rec.peerRejectingUntil = now.Add(min(maxRejectionBackoff, remaining))
 		}
 	}
@@ -99,6 +104,7 @@
 			rec.pendingStage, rec.pendingUntil = stage, now.Add(stageChangeTimeout)
 		}
 	}
+	return added
 }
 
 // WithPendingStages returns a copy of list in which engines with a pending stage change have their
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -20,6 +20,7 @@
 	"github.com/wardspool/wardspool/gateway/front"
 	"github.com/wardspool/wardspool/gateway/memory"
 	"github.com/wardspool/wardspool/gateway/quarantine"
+	"github.com/wardspool/wardspool/gateway/reach"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/clock"
@@ -61,6 +62,7 @@
 	register  *quarantine.Register
 	memory    *memory.Budget
 	forwarder *carry.Forwarder
+	reach     *reach.Monitor
 	front     *front.Front
 	metrics   *counters
 	pool      *peer.Pool
@@ -103,6 +105,12 @@
 		Source: source, ChangeDeadline: s.Store.maxChangeDelay(), Pool: g.pool, Server: g.peers, Log: log,
 		Load: g.load, Changed: g.viewChanged, LoadChanged: g.loadChanged, Register: g.register,
 	})
+	g.reach = reach.NewMonitor(reach.Options{
+		Upstreams: func() []dialect.Upstream { return g.node.Snapshot().All() },
+		Check:     d.CheckReachable,
+		Confirmed: func() {}, Disconnected: func() {}, Restored: func() {},
+		Log: log, Count: g.metrics.count,
+	})
 	g.budget = schedule.NewBudget(clock.Now(), s.Retries.budget(), g.node.Alive)
 	g.forwarder = carry.New(carry.Options{
 		Dialect: d, Scheduler: g.scheduler, Budget: g.budget, Zone: s.Zone, RegionOf: s.regionOf, View: g.node.Snapshot, Log: log, Count: g.metrics.count,
@@ -111,6 +119,7 @@
 		RateLimits: g.node,
 	})
 	d.OnNotice(g.observeNotice)
+	d.OnDial(g.reach.RecordDial)
 	g.front = front.New(front.Options{
 		Dialect: d, Forwarder: g.forwarder, Budget: g.budget, Limits: g.node, View: g.node.Snapshot,
 		ConfigAge: g.node.ConfigAge, MaxConfigAge: s.Store.maxChangeDelay(), Refresh: g.node.RequestRead, RequestArrived: g.node.RequestArrived, Memory: g.memory,
@@ -206,7 +215,10 @@
 	g.scheduler.SetThroughputHistograms(throughputs)
 	g.scheduler.SetFleetSize(g.node.Alive(), age)
 	g.scheduler.SetPeers(now, peers)
-	g.scheduler.SetPeersUnavailable(now, unavailable)
+	for _, id := range g.scheduler.SetPeersUnavailable(now, unavailable) {
+		g.metrics.count("engine_left_out_by_peers")
+		g.log.Info("engine left out on the word of peers", "upstream", id, "for_ms", l.Unavailable[id], "report_age_ms", age.Milliseconds())
+	}
 	g.budget.SetOthersSpent(now, l.Retries)
 	g.setPeerLimits(now, l.Limits)
 	for id, incarnation := range l.Leaving {
@@ -293,6 +305,7 @@
 func (g *Service) runBackground(ctx context.Context) {
 	var running sync.WaitGroup
 	running.Go(func() { g.node.Run(ctx) })
+	running.Go(func() { g.reach.Run(ctx) })
 	running.Go(func() { g.orderStages(ctx) })
 	running.Go(func() { g.pollReports(ctx) })
 	running.Go(func() { g.migrate(ctx) })
