--- a/adapter/roundtrip/client.go
+++ b/adapter/roundtrip/client.go
@@ -21,8 +21,16 @@
 	"github.com/wardspool/wardspool/kernel"
 )
 
+// Dialer opens connections to upstreams. *net.Dialer implements it; tests substitute
+// others.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // Options are the settings of a Client. Zero fields are set to their defaults.
 type Options struct {
+	// Dialer opens the connections. Nil means a *net.Dialer that detects dead peers.
+	Dialer Dialer
 	// DialTimeout limits the duration of a TCP connect.
 	DialTimeout time.Duration
 	// IdlePerUpstream is the maximum number of idle connections for each upstream.
@@ -74,11 +82,16 @@
 // New returns a client.
 func New(o Options) *Client {
 	o = o.withDefaults()
-	dialer := &net.Dialer{Timeout: o.DialTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	dialer := o.Dialer
+	if dialer == nil {
+		dialer = &net.Dialer{KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	}
 	return &Client{
 		idle:   newIdlePool(o.IdlePerUpstream, o.IdleTimeout),
 		buffer: o.BufferBytes,
 		dial: func(ctx context.Context, addr string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, o.DialTimeout)
+			defer cancel()
 			return dialer.DialContext(ctx, "tcp", addr)
 		},
 	}
--- a/gateway/dialect/dialect.go
+++ b/gateway/dialect/dialect.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/wardspool/wardspool/adapter/roundtrip"
 	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/plugin"
@@ -186,7 +187,9 @@
 	StoreAddress string
 	// DialTimeout bounds the opening of a connection.
 	DialTimeout time.Duration
-	Log         *slog.Logger
+	// Dialer opens the connections to upstreams; nil for the network's.
+	Dialer roundtrip.Dialer
+	Log    *slog.Logger
 }
 
 // Dialect translates the protocols of one deployment.
