gateway: a refused connection is reported to peers only if another upstream accepts one

Callers of instances that were not cut lost streams too: in the users' second cut no engine got a request from any instance for ten seconds, though five of eight instances reached all of them.

Cause: an engine that refuses a connection was reported to peers as down (knownDown), and peers leave out what is reported. An instance whose connections are all refused on their way reports every engine. The refusal is evidence about the path as much as about the engine.

Now a refusal counts as the engine's only if a connection to another upstream succeeds within a second after it; package reach tries five others at once when a connection fails. Misdirected requests still count by themselves: another incarnation answered, so the path works.

TestPeersHearOfDeadEngines asked for the report right at the refusal; it now checks that there is none before the confirmation and, unchanged, two after it.

--- a/gateway/reach/monitor.go
+++ b/gateway/reach/monitor.go
@@ -130,9 +130,9 @@
 		if !m.doubtful() {
 			select {
 			case <-ctx.Done():
-				return
 			case <-m.wake:
 			}
+			continue
 		}
 		started := clock.Now()
 		m.round(ctx)
--- a/gateway/schedule/books.go
+++ b/gateway/schedule/books.go
@@ -87,8 +87,10 @@
 	unreachable bool
 	// downConfirmed means that the last failure is a response from the upstream's address
 	// (connection refused, or another incarnation) and not a possible fault of the network
-	// path.
+	// path. refusedAt is when it last refused a connection without such a confirmation, zero if it
+	// has not.
 	downConfirmed bool
+	refusedAt     time.Time
 	// readmitted means that the upstream has answered a probe since it was ejected.
 	readmitted bool
 	// lastSeen is the time of the last successful response, stream event or answered probe.
--- a/gateway/schedule/books_test.go
+++ b/gateway/schedule/books_test.go
@@ -300,8 +300,8 @@
 }
 
 // TestPeersHearOfDeadEngines checks that engines that refused a connection or were replaced are
-// reported to peers until a probe succeeds. Time-outs are not reported, since they may be
-// caused by the network path.
+// reported to peers until a probe succeeds. Time-outs, and refusals before any other upstream has
+// accepted a connection, are not reported, since they may be caused by the network path.
 func TestPeersHearOfDeadEngines(t *testing.T) {
 	b, peer := NewScheduler("a", 1), NewScheduler("b", 1)
 	list := engines(3, 0)
@@ -311,6 +311,8 @@
 	b.RecordFailure(at(0), list[0], Closed)
 	b.RecordFailure(at(0), list[1], Unreachable)
 	b.RecordReplacement(list[2])
+	assert.Equal(t, len(b.OwnUnavailable(at(50)).Rejecting), 1, "an engine was reported although no upstream has accepted a connection")
+	b.ConfirmRefusals(at(60))
 	away := b.OwnUnavailable(at(100))
 	assert.Equal(t, len(away.Rejecting), 2)
 	peer.SetPeersUnavailable(at(100), away)
@@ -323,6 +325,18 @@
 	assert.Equal(t, len(b.OwnUnavailable(at(600)).Rejecting), 1)
 }
 
+// TestRefusalsDuringADisconnectionAreNotReported guards against engines that are reported to peers
+// as down because connections succeed again some time after all of them were refused.
+func TestRefusalsDuringADisconnectionAreNotReported(t *testing.T) {
+	b := NewScheduler("a", 1)
+	list := engines(3, 0)
+	for i, u := range list {
+		b.RecordFailure(at(100*i), u, Closed)
+	}
+	b.ConfirmRefusals(at(2000))
+	assert.Equal(t, len(b.OwnUnavailable(at(2000)).Rejecting), 0)
+}
+
 // TestRestartedUpstreamHasANewBook checks that load, rejections, failures and stage changes of
 // a former incarnation do not apply to the new one, and that later results for the former
 // incarnation are dropped.
--- a/gateway/schedule/health.go
+++ b/gateway/schedule/health.go
@@ -39,6 +39,7 @@
 	rec.success += successWeight * (1 - rec.success)
 	rec.failures, rec.ejections = 0, 0
 	rec.ejectedUntil = time.Time{}
+	rec.clearDown()
 	b.markSeen(now, rec)
 	if rec.latency == 0 {
 		rec.latency = latency
@@ -70,13 +71,48 @@
 }
 
 // knownDown reports whether the upstream's address has shown that the upstream does not serve
-// now: it refused a connection, or another incarnation answered. This is reported to peers, so
-// that each of them need not lose a request there. Time-outs may be caused by the network path
-// and are not reported. The caller holds mu.
+// now: another incarnation answered, or it refused a connection while others accepted them. This
+// is reported to peers, so that each of them need not lose a request there. Time-outs, and
+// refusals by all upstreams, may be caused by the network path and are not reported. The caller
+// holds mu.
 func (rec *upstreamRecord) knownDown(now time.Time) bool {
 	return rec.downConfirmed && rec.state(now) != stateHealthy
 }
 
+// recordDown records whether a failure shows that the upstream does not serve now. The caller holds
+// mu.
+func (rec *upstreamRecord) recordDown(now time.Time, f Failure) {
+	switch {
+	case f == Misdirected:
+		rec.downConfirmed = true
+	case f != Closed:
+		rec.clearDown()
+	case !rec.downConfirmed:
+		rec.refusedAt = now
+	}
+}
+
+// clearDown drops the evidence that the upstream does not serve. The caller holds mu.
+func (rec *upstreamRecord) clearDown() {
+	rec.downConfirmed, rec.refusedAt = false, time.Time{}
+}
+
+// refusalConfirmWindow is the longest time between a refused connection and a successful one to
+// another upstream for the latter to show that the network path was not the cause.
+const refusalConfirmWindow = time.Second
+
+// ConfirmRefusals records that a connection to an upstream succeeded: connections that others
+// refused shortly before show that these do not serve now.
+func (b *Scheduler) ConfirmRefusals(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, rec := range b.records {
+		if !rec.refusedAt.IsZero() && now.Sub(rec.refusedAt) <= refusalConfirmWindow {
+			rec.downConfirmed = true
+		}
+	}
+}
+
 // stalled reports whether an engine that runs streams of this instance has sent nothing for
 // longer than stallTimeout. The caller holds mu.
 func (rec *upstreamRecord) stalled(now time.Time) bool {
@@ -114,7 +150,7 @@
 	rec.failures++
 	rec.readmitted = false
 	rec.unreachable = f == Unreachable || f == Misdirected || f == Closed
-	rec.downConfirmed = f == Misdirected || f == Closed
+	rec.recordDown(now, f)
 	if f == Hard && rec.failures < ejectAfter && rec.ejections == 0 {
 		return false
 	}
@@ -182,6 +218,7 @@
 	defer b.mu.Unlock()
 	rec := b.recordOf(u)
 	rec.readmitted = true
+	rec.clearDown()
 	b.markSeen(now, rec)
 }
 
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -108,7 +108,7 @@
 	g.reach = reach.NewMonitor(reach.Options{
 		Upstreams: func() []dialect.Upstream { return g.node.Snapshot().All() },
 		Check:     d.CheckReachable,
-		Confirmed: func() {}, Disconnected: func() {}, Restored: func() {},
+		Confirmed: func() { g.scheduler.ConfirmRefusals(clock.Now()) }, Disconnected: func() {}, Restored: func() {},
 		Log: log, Count: g.metrics.count,
 	})
 	g.budget = schedule.NewBudget(clock.Now(), s.Retries.budget(), g.node.Alive)
