carry: an upstream that refuses connections has crashed only if another upstream accepts one

The refusal now counts as a crash only if another upstream accepts a connection, which is tried at once (a few ms, once a second and upstream at most). Otherwise the attempt stays undecided, as after a silence, and a newer incarnation in the list still proves the crash.

TestDisconnectionIsNoEvidenceOfACrash fails without the condition (the content is suspect).

--- a/gateway/carry/carry.go
+++ b/gateway/carry/carry.go
@@ -46,6 +46,9 @@
 	Register    *quarantine.Register
 	Trials      Trials
 	NotifyPeers func()
+	// PathWorks reports whether any upstream other than the given one accepts a connection, so that
+	// a failure to connect to that one is not caused by this instance's network path.
+	PathWorks func(other dialect.Upstream) bool
 	// RateLimits enforces the rate limits that upstreams state.
 	RateLimits RateLimits
 	// AwaitInformed blocks until this instance knows what its peers know, or until ctx ends.
--- a/gateway/carry/caution_test.go
+++ b/gateway/carry/caution_test.go
@@ -70,6 +70,19 @@
 	})
 }
 
+// TestDisconnectionIsNoEvidenceOfACrash guards against contents that are suspected because the
+// instance lost its connections to all upstreams while they ran.
+func TestDisconnectionIsNoEvidenceOfACrash(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		env := newStreamEnv(t)
+		env.disconnected = true
+		env.crashUpstreams(reply{verdict: dialect.Success, status: 200, breaks: true}, "d1", "d2")
+		_, err := env.Stream(t.Context(), withContent(resumable), &streamRecorder{})
+		assert.Assert(t, err != nil)
+		assert.Equal(t, env.o.Register.Verdict(time.Now(), crashingContent).Standing, quarantine.Clear)
+	})
+}
+
 // TestCrashIsEvidence checks that a stream whose engine crashed before the first event is not
 // started again within the same attempt, even if its route allows that. Its content is suspect
 // after the first crash and quarantined after the second.
--- a/gateway/carry/ending.go
+++ b/gateway/carry/ending.go
@@ -23,8 +23,8 @@
 	// stateUnknown means that the upstream does not answer: it may have crashed or be
 	// unreachable.
 	stateUnknown upstreamState = "unknown"
-	// stateCrashed means that the upstream refuses connections, or that another incarnation
-	// answers.
+	// stateCrashed means that the upstream refuses connections while another one accepts them, or
+	// that another incarnation answers.
 	stateCrashed upstreamState = "crashed"
 	// stateAlive means that the upstream answers; only the connection or the response was
 	// interrupted.
@@ -97,22 +97,23 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stateCheckTimeout)
 	defer cancel()
 	if u.Stage == "" {
-		return stateFromError(c.o.Dialect.CheckReachable(ctx, u))
+		return c.stateFromError(u, c.o.Dialect.CheckReachable(ctx, u))
 	}
 	r, err := c.o.Dialect.Report(ctx, u)
 	if err == nil && !c.ObserveReport(u, r) {
 		return stateCrashed
 	}
-	return stateFromError(err)
+	return c.stateFromError(u, err)
 }
 
-// stateFromError derives the state of an upstream from the error of a liveness check.
-func stateFromError(err error) upstreamState {
+// stateFromError derives the state of an upstream from the error of a liveness check. A refused
+// connection may be the fault of the network path, unless another upstream accepts one.
+func (c *Forwarder) stateFromError(u dialect.Upstream, err error) upstreamState {
 	var replaced *dialect.ReplacedError
 	switch {
 	case err == nil:
 		return stateAlive
-	case errors.As(err, &replaced), ClassifyUnreachable(err) == schedule.Closed:
+	case errors.As(err, &replaced), ClassifyUnreachable(err) == schedule.Closed && c.o.PathWorks(u):
 		return stateCrashed
 	default:
 		return stateUnknown
@@ -174,7 +175,7 @@
 func (c *Forwarder) stateAfter(u dialect.Upstream, cause error) upstreamState {
 	var silent *UnresponsiveError
 	if errors.As(cause, &silent) {
-		return stateFromError(silent.Err)
+		return c.stateFromError(u, silent.Err)
 	}
 	return c.checkState(u)
 }
--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -251,6 +251,8 @@
 	view *fleet.Snapshot
 	// stopDeadline is the time at which the instance terminates, zero unless it is shutting down.
 	stopDeadline time.Time
+	// disconnected means that no upstream can be connected to.
+	disconnected bool
 }
 
 // Close waits for all releases.
@@ -273,6 +275,7 @@
 		Log:    slog.New(slog.DiscardHandler), Count: func(string) {},
 		Register: quarantine.NewRegister(), Trials: localTrials{quarantine.NewTrials()}, NotifyPeers: func() {},
 		AwaitInformed: func(context.Context, bool) {},
+		PathWorks:     func(dialect.Upstream) bool { return !env.disconnected },
 		StopDeadline:  func() (time.Time, bool) { return env.stopDeadline, !env.stopDeadline.IsZero() },
 	})
 	t.Cleanup(env.Close)
--- a/gateway/carry/watch.go
+++ b/gateway/carry/watch.go
@@ -56,7 +56,7 @@
 	}
 	s.log.Warn("upstream silent", "upstream", u.ID, "asked_ms", clock.Since(start).Milliseconds(), "error", logs.ErrorText(err))
 	heard := func() bool { return wd.signsOfLife.Load() != before }
-	if f != nil && stateFromError(err) != stateCrashed && !f.onUnresponsive(wd.ctx, u, err, start, heard) {
+	if f != nil && s.c.stateFromError(u, err) != stateCrashed && !f.onUnresponsive(wd.ctx, u, err, start, heard) {
 		return true
 	}
 	wd.cancel(&UnresponsiveError{Upstream: u.ID, Err: err})
--- a/gateway/reach/monitor.go
+++ b/gateway/reach/monitor.go
@@ -147,9 +147,10 @@
 	return m.disconnected || len(m.failed) > 0
 }
 
-// Confirm checks whether any upstream other than the given one accepts a connection, so that a
-// failure there is no failure of this instance's network path.
-func (m *Monitor) Confirm(ctx context.Context, other dialect.Upstream) bool {
+// Confirm reports whether any upstream other than the given one accepts a connection, so that a
+// failure to connect to that one is not caused by this instance's network path. It takes up to
+// checkTimeout if none does.
+func (m *Monitor) Confirm(other dialect.Upstream) bool {
 	if m.Disconnected() {
 		return false
 	}
@@ -157,14 +158,14 @@
 	if len(list) == 0 {
 		return true
 	}
-	return m.check(ctx, sample(list, checksPerRound)) > 0
+	return m.check(context.Background(), sample(list, checksPerRound), 1) > 0
 }
 
 // round checks some upstreams and draws the conclusion.
 func (m *Monitor) round(ctx context.Context) {
 	listed := m.o.Upstreams()
 	targets := sample(listed, checksPerRound)
-	reached := m.check(ctx, targets)
+	reached := m.check(ctx, targets, len(targets))
 	if ctx.Err() != nil || len(targets) == 0 {
 		return
 	}
@@ -206,8 +207,9 @@
 	}
 }
 
-// check opens a connection to each of the targets at once, and returns how many accepted it.
-func (m *Monitor) check(ctx context.Context, targets []dialect.Upstream) int {
+// check opens a connection to each of the targets at once, and returns how many accepted it. It
+// stops at enough.
+func (m *Monitor) check(ctx context.Context, targets []dialect.Upstream, enough int) int {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	results := make(chan error, len(targets))
@@ -219,6 +221,9 @@
 		if <-results == nil {
 			reached++
 		}
+		if reached == enough {
+			break
+		}
 	}
 	return reached
 }
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -116,6 +116,7 @@
 		Dialect: d, Scheduler: g.scheduler, Budget: g.budget, Zone: s.Zone, RegionOf: s.regionOf, View: g.node.Snapshot, Log: log, Count: g.metrics.count,
 		StopDeadline: g.requestDeadline,
 		Register:     g.register, Trials: g.node, NotifyPeers: g.node.SpreadCrashes, AwaitInformed: g.node.AwaitInformed,
+		PathWorks:  g.reach.Confirm,
 		RateLimits: g.node,
 	})
 	d.OnNotice(g.observeNotice)
