gateway: the path to upstreams is judged by service

Reach, offers and the confirmation of refused connections are now kept by service: connection attempts are reported with the upstream that they are for, a peer is asked whether it reaches the service in question, and a connection to one service confirms nothing about another. If no peer accepts, the next round of asking comes later, up to 2 s.

--- a/adapter/roundtrip/client.go
+++ b/adapter/roundtrip/client.go
@@ -75,8 +75,6 @@
 	buffer int
 	// dial opens a TCP connection.
 	dial func(ctx context.Context, addr string) (net.Conn, error)
-	// onDial is called with the result of each attempt to open a connection, nil to call nothing.
-	onDial func(addr string, err error)
 }
 
 // New returns a client.
@@ -97,15 +95,20 @@
 	}
 }
 
-// OnDial sets the function that is called with the result of each attempt to open a
-// connection. It must be called before the first request.
-func (c *Client) OnDial(f func(addr string, err error)) { c.onDial = f }
+// dialObserverKey is the key of a context's dial observer.
+type dialObserverKey struct{}
 
-// open opens a connection and reports the result to onDial.
+// WithDialObserver returns a context for a request. If a connection is opened for the request, f
+// is called with the result.
+func WithDialObserver(ctx context.Context, f func(error)) context.Context {
+	return context.WithValue(ctx, dialObserverKey{}, f)
+}
+
+// open opens a connection and reports the result to the context's dial observer.
 func (c *Client) open(ctx context.Context, addr string) (net.Conn, error) {
 	conn, err := c.dial(ctx, addr)
-	if c.onDial != nil {
-		c.onDial(addr, dialResult(ctx, err))
+	if observe, ok := ctx.Value(dialObserverKey{}).(func(error)); ok {
+		observe(dialResult(ctx, err))
 	}
 	return conn, err
 }
--- a/gateway/carry/failover.go
+++ b/gateway/carry/failover.go
@@ -83,7 +83,7 @@
 // engine was found or the budget is exhausted.
 func (f *failover) find(ctx context.Context, heard func() bool) *placement {
 	s := f.s
-	for f.allowed && !heard() && !s.c.o.Relay.Needed() && clock.Until(s.j.Deadline) >= minAttemptTime {
+	for f.allowed && !heard() && !s.c.o.Relay.Needed(s.j.Service.Name) && clock.Until(s.j.Deadline) >= minAttemptTime {
 		if p := f.tryReserve(ctx); p != nil {
 			if s.c.mayResend(s.j.Service.Name, sendsFullRestart, true, s.log) {
 				return p
@@ -124,7 +124,7 @@
 		return true
 	}
 	s.c.recordFailure(u, ClassifyUnreachable(err), err, clock.Since(start), s.log)
-	if f.allowed && s.c.o.Relay.Needed() {
+	if f.allowed && s.c.o.Relay.Needed(s.j.Service.Name) {
 		// A peer can resume the stream.
 		return !heard()
 	}
--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -156,8 +156,8 @@
 	return nil
 }
 
-func (f *fakeDialect) OnNotice(func(dialect.Notice)) {}
-func (f *fakeDialect) OnDial(func(string, error))    {}
+func (f *fakeDialect) OnNotice(func(dialect.Notice))        {}
+func (f *fakeDialect) OnDial(func(dialect.Upstream, error)) {}
 
 func (f *fakeDialect) Read(*http.Request) (*dialect.Call, error)  { return nil, nil }
 func (f *fakeDialect) Order(context.Context, dialect.Order) error { return nil }
@@ -371,10 +371,10 @@
 }
 
 // Needed implements Relay.
-func (env *testEnv) Needed() bool { return env.disconnected }
+func (env *testEnv) Needed(string) bool { return env.disconnected }
 
 // Suspected implements Relay.
-func (env *testEnv) Suspected() bool { return env.suspected || env.disconnected }
+func (env *testEnv) Suspected(string) bool { return env.suspected || env.disconnected }
 
 // Send implements Relay.
 func (env *testEnv) Send(_ context.Context, q relay.Request, _ []byte, _ time.Time, _ routing.Regions) (*http.Response, error) {
--- a/gateway/carry/plain.go
+++ b/gateway/carry/plain.go
@@ -53,14 +53,14 @@
 		if ctx.Err() != nil {
 			return nil, p.contextError(ctx)
 		}
-		if p.c.o.Relay.Needed() {
+		if p.c.o.Relay.Needed(p.j.Service.Name) {
 			return p.relay(ctx)
 		}
 		if err := p.crashGuard.admit(ctx, p.outcomeUnserved()); err != nil {
 			return p.refuse(err)
 		}
 		t, ok := p.pickUpstream(ctx)
-		if !ok && p.c.o.Relay.Suspected() {
+		if !ok && p.c.o.Relay.Suspected(p.j.Service.Name) {
 			return p.relay(ctx)
 		}
 		if !ok {
@@ -82,7 +82,7 @@
 		if p.mayRetry(a) {
 			continue
 		}
-		if a.sentNothing() && p.c.o.Relay.Suspected() {
+		if a.sentNothing() && p.c.o.Relay.Suspected(p.j.Service.Name) {
 			return p.relay(ctx)
 		}
 		return p.finalResult(a.err)
--- a/gateway/carry/relay.go
+++ b/gateway/carry/relay.go
@@ -27,10 +27,10 @@
 
 // Relay sends requests to upstreams by way of a peer.
 type Relay interface {
-	// Needed reports whether this instance reaches no upstream. Suspected reports whether that is
-	// so or may be so, as several upstreams in a row could not be connected to.
-	Needed() bool
-	Suspected() bool
+	// Needed reports whether this instance reaches no upstream of a service. Suspected reports
+	// whether that is so or may be so, as several upstreams in a row could not be connected to.
+	Needed(service string) bool
+	Suspected(service string) bool
 	// Send sends a request to a peer. Its errors are those of relay.Client.
 	Send(ctx context.Context, q relay.Request, body []byte, deadline time.Time, regions routing.Regions) (*http.Response, error)
 }
@@ -44,7 +44,7 @@
 // sendToPeer sends a request to a peer, where a stream continues after the given event. runs is the
 // number of upstreams that may have run it. The error is an *Error.
 func (c *Forwarder) sendToPeer(ctx context.Context, j *Job, runs int, lastEvent string, receivedEvents int, log *slog.Logger) (*http.Response, error) {
-	q := relay.Request{Call: *j.Call, Version: j.Version, WaitedMS: clock.Since(j.Arrived).Milliseconds(), Runs: runs}
+	q := relay.Request{Call: *j.Call, Service: j.Service.Name, Version: j.Version, WaitedMS: clock.Since(j.Arrived).Milliseconds(), Runs: runs}
 	q.Call.Body = nil
 	q.Call.LastEvent, q.Call.ReceivedEvents = lastEvent, receivedEvents
 	start := clock.Now()
--- a/gateway/carry/reserve.go
+++ b/gateway/carry/reserve.go
@@ -98,7 +98,7 @@
 		if p != nil || err != nil {
 			return p, err
 		}
-		if s.c.o.Relay.Needed() {
+		if s.c.o.Relay.Needed(s.j.Service.Name) {
 			return nil, &relayNeededError{}
 		}
 		if s.wouldOutliveInstance() {
@@ -111,7 +111,7 @@
 			if wait, reason := s.heldOff(clock.Now()); reason != "" {
 				return nil, s.c.refuseHeldOff(s.j, dialect.StageDecode, wait, reason, s.outcomeUnserved(), s.log)
 			}
-			if s.c.o.Relay.Suspected() {
+			if s.c.o.Relay.Suspected(s.j.Service.Name) {
 				return nil, &relayNeededError{}
 			}
 			return nil, s.refuseNoRoom(q, clock.Since(queuedAt))
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -207,7 +207,7 @@
 
 // admitAndReserve reserves a decode engine if the content may be sent to one.
 func (s *stream) admitAndReserve(ctx context.Context) (*placement, error) {
-	if s.c.o.Relay.Needed() {
+	if s.c.o.Relay.Needed(s.j.Service.Name) {
 		return nil, &relayNeededError{}
 	}
 	if err := s.admit(ctx); err != nil {
--- a/gateway/dialect/dialect.go
+++ b/gateway/dialect/dialect.go
@@ -210,8 +210,8 @@
 	// before the response is returned. It is called before the first request.
 	OnNotice(func(Notice))
 	// OnDial sets the function that is called with the result of each attempt to open a connection
-	// to an upstream's address. It is called before the first request.
-	OnDial(func(address string, err error))
+	// to an upstream. It is called before the first request.
+	OnDial(func(u Upstream, err error))
 	// Prefill makes an engine compute the KV cache of a call, without running the call.
 	Prefill(ctx context.Context, c *Call, s Send) (Handle, error)
 	// ReleaseHandle releases a prefill result at the engine that keeps it.
--- a/gateway/fleetworld_test.go
+++ b/gateway/fleetworld_test.go
@@ -670,7 +670,7 @@
 	return nil, nil
 }
 func (w *simFleet) OnNotice(func(dialect.Notice))                   {}
-func (w *simFleet) OnDial(func(string, error))                      {}
+func (w *simFleet) OnDial(func(dialect.Upstream, error))            {}
 func (w *simFleet) Order(context.Context, dialect.Order) error      { return nil }
 func (w *simFleet) WriteResponseHeaders(http.Header, *dialect.Call) {}
 func (w *simFleet) NameWorkspace(*dialect.Call, string, int)        {}
@@ -682,7 +682,7 @@
 type instanceDialect struct {
 	*simFleet
 	instance *simInstance
-	onDial   func(address string, err error)
+	onDial   func(u dialect.Upstream, err error)
 }
 
 // setDisconnected disconnects the instance from all engines, or connects it again.
@@ -693,29 +693,29 @@
 }
 
 // dial connects to an engine.
-func (d *instanceDialect) dial(ctx context.Context, address string) error {
+func (d *instanceDialect) dial(ctx context.Context, u dialect.Upstream) error {
 	d.instance.mu.Lock()
 	disconnected := d.instance.disconnected
 	d.instance.mu.Unlock()
-	err := d.dialEngine(ctx, address)
+	err := d.dialEngine(ctx, u.Address)
 	if disconnected {
 		err = connectionRefused()
 	}
-	d.onDial(address, err)
+	d.onDial(u, err)
 	return err
 }
 
 // OnDial implements dialect.Dialect.
-func (d *instanceDialect) OnDial(f func(string, error)) { d.onDial = f }
+func (d *instanceDialect) OnDial(f func(dialect.Upstream, error)) { d.onDial = f }
 
 // CheckReachable implements dialect.Dialect.
 func (d *instanceDialect) CheckReachable(ctx context.Context, u dialect.Upstream) error {
-	return d.dial(ctx, u.Address)
+	return d.dial(ctx, u)
 }
 
 // Do implements dialect.Dialect.
 func (d *instanceDialect) Do(ctx context.Context, c *dialect.Call, s dialect.Send) (*http.Response, dialect.Verdict, error) {
-	if err := d.dial(ctx, s.To.Address); err != nil {
+	if err := d.dial(ctx, s.To); err != nil {
 		return nil, 0, err
 	}
 	return d.simFleet.Do(ctx, c, s)
@@ -723,7 +723,7 @@
 
 // Prefill implements dialect.Dialect.
 func (d *instanceDialect) Prefill(ctx context.Context, c *dialect.Call, s dialect.Send) (dialect.Handle, error) {
-	if err := d.dial(ctx, s.To.Address); err != nil {
+	if err := d.dial(ctx, s.To); err != nil {
 		return dialect.Handle{}, err
 	}
 	return d.simFleet.Prefill(ctx, c, s)
@@ -731,7 +731,7 @@
 
 // Reserve implements dialect.Dialect.
 func (d *instanceDialect) Reserve(ctx context.Context, u dialect.Upstream, tokens int, ttl time.Duration) (string, error) {
-	if err := d.dial(ctx, u.Address); err != nil {
+	if err := d.dial(ctx, u); err != nil {
 		return "", err
 	}
 	return d.simFleet.Reserve(ctx, u, tokens, ttl)
@@ -739,7 +739,7 @@
 
 // Report implements dialect.Dialect.
 func (d *instanceDialect) Report(ctx context.Context, u dialect.Upstream) (dialect.Report, error) {
-	if err := d.dial(ctx, u.Address); err != nil {
+	if err := d.dial(ctx, u); err != nil {
 		return dialect.Report{}, err
 	}
 	return d.simFleet.Report(ctx, u)
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -59,8 +59,6 @@
 	ConfigAge    func() time.Duration
 	MaxConfigAge time.Duration
 	Refresh      func()
-	// Disconnected reports whether this instance reaches no upstream.
-	Disconnected func() bool
 	// RequestArrived is called for each request that its workspace's limit allows.
 	RequestArrived func()
 	// Memory limits the memory held by request bodies and answers.
--- a/gateway/front/relayed.go
+++ b/gateway/front/relayed.go
@@ -19,12 +19,11 @@
 
 // The reasons for which an instance declines relayed requests.
 const (
-	declinedStopping    = "stopping"
-	declinedNotReady    = "not_ready"
-	declinedUnreachable = "upstreams_unreachable"
-	declinedOldConfig   = "old_configuration"
-	declinedNoMemory    = "no_memory"
-	declinedMalformed   = "malformed"
+	declinedStopping  = "stopping"
+	declinedNotReady  = "not_ready"
+	declinedOldConfig = "old_configuration"
+	declinedNoMemory  = "no_memory"
+	declinedMalformed = "malformed"
 )
 
 // AcceptsRelayed reports whether this instance serves requests that peers relay.
@@ -37,8 +36,6 @@
 		return declinedStopping
 	case !f.o.View().Ready():
 		return declinedNotReady
-	case f.o.Disconnected():
-		return declinedUnreachable
 	default:
 		return ""
 	}
@@ -122,6 +119,9 @@
 		f.o.Log.Info("relayed request not allowed", "request", q.Call.ID, "version", view.Version(), "peer_version", q.Version, "error", err)
 		return nil, declinedOldConfig
 	}
+	if service, ok := view.Table.Service(q.Service); ok && j.Route.Serves(q.Service) {
+		j.Service = service
+	}
 	now := clock.Now()
 	j.Arrived = now.Add(-time.Duration(q.WaitedMS) * time.Millisecond)
 	j.Deadline = now.Add(time.Duration(q.RemainingMS) * time.Millisecond)
--- a/gateway/reach/monitor.go
+++ b/gateway/reach/monitor.go
@@ -1,6 +1,7 @@
-// Package reach determines whether this instance reaches the upstreams at all. An instance that is
-// disconnected from all of them sees the same failures as one whose upstreams are all down, so
-// failed connections are evidence about the upstreams only while connections to others succeed.
+// Package reach determines whether this instance reaches the upstreams of a service at all. An
+// instance that is disconnected from all of them sees the same failures as one whose upstreams are
+// all down, so failed connections are evidence about the upstreams only while connections to others
+// succeed.
 package reach
 
 import (
@@ -33,87 +34,105 @@
 	// a row.
 	minRestored    = 2
 	restoredRounds = 2
+	// suspectedAfter is the number of upstreams to which connections must fail, with none
+	// succeeding, for the instance to be suspected of having lost all of them.
+	suspectedAfter = 2
+	// evidenceTTL is how long a successful connection shows that this instance reaches upstreams.
+	evidenceTTL = time.Second
 )
 
 // Options configure a Monitor.
 type Options struct {
-	// Upstreams returns the listed upstreams.
-	Upstreams func() []dialect.Upstream
+	// Upstreams returns the listed upstreams of a service, or of all services for "".
+	Upstreams func(service string) []dialect.Upstream
 	// Check opens a new connection to an upstream and closes it.
 	Check func(ctx context.Context, u dialect.Upstream) error
-	// Confirmed is called when a connection succeeds after others have failed: the failures
-	// before were not those of this instance's network path.
-	Confirmed func()
-	// Restored is called when the instance reaches upstreams again after it had lost all of them.
-	Restored func()
+	// Confirmed is called when a connection to an upstream of a service succeeds after others have
+	// failed: the failures before were not those of this instance's network path.
+	Confirmed func(service string)
+	// Restored is called when the instance reaches upstreams of a service again after it had lost
+	// all of them.
+	Restored func(service string)
 	Log      *slog.Logger
 	// Count increments the event counter with the given name.
 	Count func(name string)
 }
 
 // Monitor watches the connection attempts to upstreams and checks, when some fail, whether any
-// upstream can be connected to. It is safe for concurrent use.
+// upstream of the service can be connected to. It is safe for concurrent use.
 type Monitor struct {
 	o Options
-	// wake starts a round of checks.
+	// wake starts the checks.
 	wake chan struct{}
 
 	mu sync.Mutex
+	// services holds the state of the services to whose upstreams connections were attempted.
+	services map[string]*serviceState
+}
+
+// serviceState is what is known of the path to the upstreams of a service.
+type serviceState struct {
 	// failed holds the addresses to which a connection attempt failed since the last one that
 	// succeeded.
 	failed map[string]bool
-	// succeededAt is when a connection attempt last succeeded.
-	succeededAt  time.Time
-	disconnected bool
-	// disconnectedAt is when the instance lost all upstreams.
+	// succeededAt is when a connection attempt last succeeded, verifiedAt when Reaches last
+	// checked without success.
+	succeededAt, verifiedAt time.Time
+	// disconnected means that no upstream can be connected to, since disconnectedAt.
+	disconnected   bool
 	disconnectedAt time.Time
 	// restored is the number of rounds in a row in which an upstream accepted a connection while
-	// the instance counts as disconnected.
+	// disconnected is set.
 	restored int
 }
 
 // NewMonitor returns a monitor of an instance that counts as connected.
 func NewMonitor(o Options) *Monitor {
-	return &Monitor{o: o, wake: make(chan struct{}, 1), failed: map[string]bool{}}
+	return &Monitor{o: o, wake: make(chan struct{}, 1), services: map[string]*serviceState{}}
 }
 
-// Disconnected reports whether this instance reaches no upstream.
-func (m *Monitor) Disconnected() bool {
+// state returns the state of a service. The caller holds mu.
+func (m *Monitor) state(service string) *serviceState {
+	s := m.services[service]
+	if s == nil {
+		s = &serviceState{failed: map[string]bool{}}
+		m.services[service] = s
+	}
+	return s
+}
+
+// Disconnected reports whether this instance reaches no upstream of a service.
+func (m *Monitor) Disconnected(service string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.disconnected
+	return m.state(service).disconnected
 }
 
-// suspectedAfter is the number of upstreams to which connections must fail, with none succeeding, for
-// the instance to be suspected of having lost all of them.
-const suspectedAfter = 2
-
-// Suspected reports whether connections to several upstreams have failed since one succeeded.
-func (m *Monitor) Suspected() bool {
+// Suspected reports whether connections to several upstreams of a service have failed since one
+// succeeded.
+func (m *Monitor) Suspected(service string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.disconnected || len(m.failed) >= suspectedAfter
+	s := m.state(service)
+	return s.disconnected || len(s.failed) >= suspectedAfter
 }
 
-// RecordDial records the result of an attempt to open a connection to an upstream's address.
-func (m *Monitor) RecordDial(address string, err error) {
+// RecordDial records the result of an attempt to open a connection to an upstream.
+func (m *Monitor) RecordDial(u dialect.Upstream, err error) {
 	switch {
 	case errors.Is(err, context.Canceled):
 	case err != nil:
-		m.recordFailure(address)
+		m.recordFailure(u)
 	default:
-		m.recordSuccess()
+		m.recordSuccess(u)
 	}
 }
 
-// recordFailure records a failed connection attempt and starts a round of checks.
-func (m *Monitor) recordFailure(address string) {
+// recordFailure records a failed connection attempt and starts the checks.
+func (m *Monitor) recordFailure(u dialect.Upstream) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.failed[address] = true
-	if m.disconnected {
-		return
-	}
+	m.state(u.Service).failed[u.Address] = true
 	select {
 	case m.wake <- struct{}{}:
 	default:
@@ -122,24 +141,27 @@
 
 // recordSuccess records a connection. A disconnected instance counts as connected again only
 // after a round of checks, because an unreliable path lets some connections through.
-func (m *Monitor) recordSuccess() {
+func (m *Monitor) recordSuccess(u dialect.Upstream) {
 	m.mu.Lock()
-	m.succeededAt = clock.Now()
-	confirms := !m.disconnected && len(m.failed) > 0
+	s := m.state(u.Service)
+	s.succeededAt = clock.Now()
+	confirms := !s.disconnected && len(s.failed) > 0
 	if confirms {
-		clear(m.failed)
+		clear(s.failed)
 	}
 	m.mu.Unlock()
 	if confirms {
-		m.o.Confirmed()
+		m.o.Confirmed(u.Service)
 	}
 }
 
-// Run checks upstreams until ctx ends: when a connection attempt has failed, until one succeeds or
-// the instance counts as disconnected, and from then on until it is connected again.
+// Run checks upstreams until ctx ends: those of a service to which a connection attempt has failed,
+// until one succeeds or the service counts as disconnected, and from then on until it is connected
+// again.
 func (m *Monitor) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !m.doubtful() {
+		doubtful := m.doubtful()
+		if len(doubtful) == 0 {
 			select {
 			case <-ctx.Done():
 			case <-m.wake:
@@ -147,89 +169,112 @@
 			continue
 		}
 		started := clock.Now()
-		m.round(ctx)
+		var rounds sync.WaitGroup
+		for _, service := range doubtful {
+			rounds.Go(func() { m.round(ctx, service) })
+		}
+		rounds.Wait()
 		pause.For(ctx, checkInterval-clock.Since(started))
 	}
 }
 
-// doubtful reports whether connection attempts have failed since the last one that succeeded.
-func (m *Monitor) doubtful() bool {
+// doubtful returns the services to which connection attempts have failed since the last one that
+// succeeded.
+func (m *Monitor) doubtful() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.disconnected || len(m.failed) > 0
+	var out []string
+	for service, s := range m.services {
+		if s.disconnected || len(s.failed) > 0 {
+			out = append(out, service)
+		}
+	}
+	return out
 }
 
-// evidenceTTL is how long a successful connection shows that this instance reaches upstreams.
-const evidenceTTL = time.Second
-
-// Reaches reports whether this instance reaches upstreams. An idle instance has no recent evidence
-// and checks some of them, for checkTimeout at most.
-func (m *Monitor) Reaches(ctx context.Context) bool {
+// Reaches reports whether this instance reaches upstreams of a service. Without recent evidence it
+// checks some of them, for checkTimeout at most.
+func (m *Monitor) Reaches(ctx context.Context, service string) bool {
 	m.mu.Lock()
-	disconnected, recent := m.disconnected, len(m.failed) == 0 && clock.Since(m.succeededAt) < evidenceTTL
+	s, now := m.state(service), clock.Now()
+	recent := len(s.failed) == 0 && now.Sub(s.succeededAt) < evidenceTTL
+	known := recent || s.disconnected || now.Sub(s.verifiedAt) < checkInterval
 	m.mu.Unlock()
-	if disconnected || recent {
-		return recent && !disconnected
+	if known {
+		return recent
 	}
-	return m.check(ctx, sample(m.o.Upstreams(), checksPerRound), 1) > 0
+	if m.check(ctx, sample(m.o.Upstreams(service), checksPerRound), 1) > 0 {
+		return true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s.verifiedAt = clock.Now()
+	return false
 }
 
-// Confirm reports whether any upstream other than the given one accepts a connection, so that a
-// failure to connect to that one is not caused by this instance's network path. It takes up to
-// checkTimeout if none does.
-func (m *Monitor) Confirm(other dialect.Upstream) bool {
-	if m.Disconnected() {
+// Confirm reports whether any other upstream of the service accepts a connection, so that a failure
+// to connect to the given one is not caused by this instance's network path. Upstreams of other
+// services are checked if the service has no other one. It takes up to checkTimeout if none accepts.
+func (m *Monitor) Confirm(u dialect.Upstream) bool {
+	if m.Disconnected(u.Service) {
 		return false
 	}
-	list := slices.DeleteFunc(slices.Clone(m.o.Upstreams()), func(u dialect.Upstream) bool { return u.Address == other.Address })
+	list := without(m.o.Upstreams(u.Service), u.Address)
 	if len(list) == 0 {
-		return true
+		list = without(m.o.Upstreams(""), u.Address)
 	}
-	return m.check(context.Background(), sample(list, checksPerRound), 1) > 0
+	return len(list) == 0 || m.check(context.Background(), sample(list, checksPerRound), 1) > 0
+}
+
+// without returns the upstreams of a list that have another address.
+func without(list []dialect.Upstream, address string) []dialect.Upstream {
+	return slices.DeleteFunc(slices.Clone(list), func(u dialect.Upstream) bool { return u.Address == address })
 }
 
-// round checks some upstreams and draws the conclusion.
-func (m *Monitor) round(ctx context.Context) {
-	listed := m.o.Upstreams()
+// round checks some upstreams of a service and draws the conclusion.
+func (m *Monitor) round(ctx context.Context, service string) {
+	listed := m.o.Upstreams(service)
 	targets := sample(listed, checksPerRound)
 	reached := m.check(ctx, targets, len(targets))
-	if ctx.Err() != nil || len(targets) == 0 {
+	if ctx.Err() != nil {
 		return
 	}
 	m.mu.Lock()
-	before := m.disconnected
-	switch {
-	case before:
-		m.updateRestored(reached, len(targets))
-	case reached == 0 && len(m.failed) >= min(minFailed, len(listed)):
-		m.disconnected, m.disconnectedAt, m.restored = true, clock.Now(), 0
-	}
-	after, failed, lasted := m.disconnected, len(m.failed), clock.Since(m.disconnectedAt)
-	if before && !after {
-		clear(m.failed)
-	}
+	s := m.state(service)
+	before := s.disconnected
+	s.conclude(reached, len(targets), len(listed))
+	after, failed, lasted := s.disconnected, len(s.failed), clock.Since(s.disconnectedAt)
 	m.mu.Unlock()
+	log := m.o.Log.With("dependency", "upstreams", "service", service)
 	switch {
 	case after && !before:
 		m.o.Count("upstreams_lost")
-		m.o.Log.Warn("dependency lost", "dependency", "upstreams", "unreachable", failed, "listed", len(listed))
+		log.Warn("dependency lost", "unreachable", failed, "listed", len(listed))
 	case before && !after:
 		m.o.Count("upstreams_regained")
-		m.o.Log.Info("dependency regained", "dependency", "upstreams", "reached", reached, "checked", len(targets), "after_ms", lasted.Milliseconds())
-		m.o.Restored()
+		log.Info("dependency regained", "reached", reached, "checked", len(targets), "after_ms", lasted.Milliseconds())
+		m.o.Restored(service)
 	}
 }
 
-// updateRestored updates the state of a disconnected instance after a round in which reached of
-// checked upstreams accepted a connection. The caller holds mu.
-func (m *Monitor) updateRestored(reached, checked int) {
-	if reached == 0 {
-		m.restored = 0
-		return
+// conclude updates the state after a round in which reached of checked upstreams accepted a
+// connection. listed is the number of upstreams of the service. The caller holds mu.
+func (s *serviceState) conclude(reached, checked, listed int) {
+	switch {
+	case listed == 0:
+		// Nothing is left to be connected to.
+		s.disconnected = false
+	case reached > 0 && s.disconnected:
+		s.restored++
+		s.disconnected = reached < min(minRestored, checked) && s.restored < restoredRounds
+	case reached > 0:
+	case s.disconnected:
+		s.restored = 0
+	case len(s.failed) >= min(minFailed, listed):
+		s.disconnected, s.disconnectedAt, s.restored = true, clock.Now(), 0
 	}
-	m.restored++
-	if reached >= min(minRestored, checked) || m.restored >= restoredRounds {
-		m.disconnected = false
+	if !s.disconnected && (reached > 0 || listed == 0) {
+		clear(s.failed)
 	}
 }
 
--- a/gateway/reach/monitor_test.go
+++ b/gateway/reach/monitor_test.go
@@ -19,6 +19,9 @@
 	"github.com/wardspool/wardspool/internal/bubble"
 )
 
+// service is the service of all upstreams in these tests.
+const service = "s"
+
 // network is a set of upstreams of which some accept connections.
 type network struct {
 	*Monitor
@@ -35,12 +38,12 @@
 func newNetwork(t *testing.T, n int) *network {
 	w := &network{down: map[string]bool{}, silent: map[string]bool{}}
 	for i := range n {
-		w.upstreams = append(w.upstreams, dialect.Upstream{ID: ident.UpstreamID(fmt.Sprint(i)), Address: fmt.Sprint("u", i), Zone: ident.Zone(fmt.Sprint(i % 3))})
+		w.upstreams = append(w.upstreams, dialect.Upstream{Service: service, ID: ident.UpstreamID(fmt.Sprint(i)), Address: fmt.Sprint("u", i), Zone: ident.Zone(fmt.Sprint(i % 3))})
 	}
 	w.Monitor = NewMonitor(Options{
-		Upstreams: func() []dialect.Upstream { return w.upstreams },
-		Check:     func(ctx context.Context, u dialect.Upstream) error { return w.dial(ctx, u.Address) },
-		Confirmed: func() { w.confirmed.Add(1) }, Restored: func() { w.restored.Add(1) },
+		Upstreams: func(string) []dialect.Upstream { return w.upstreams },
+		Check:     func(ctx context.Context, u dialect.Upstream) error { return w.dial(ctx, u) },
+		Confirmed: func(string) { w.confirmed.Add(1) }, Restored: func(string) { w.restored.Add(1) },
 		Log: slog.New(slog.DiscardHandler), Count: func(string) {},
 	})
 	ctx, cancel := context.WithCancel(t.Context())
@@ -49,10 +52,10 @@
 	return w
 }
 
-// dial opens a connection to an address and records the result.
-func (w *network) dial(ctx context.Context, address string) error {
+// dial opens a connection to an upstream and records the result.
+func (w *network) dial(ctx context.Context, u dialect.Upstream) error {
 	w.mu.Lock()
-	down, silent := w.down[address], w.silent[address]
+	down, silent := w.down[u.Address], w.silent[u.Address]
 	w.checks++
 	w.mu.Unlock()
 	var err error
@@ -63,7 +66,7 @@
 	case down:
 		err = syscall.ECONNREFUSED
 	}
-	w.RecordDial(address, err)
+	w.RecordDial(u, err)
 	return err
 }
 
@@ -101,12 +104,12 @@
 					w.set(upstreams, state)
 					ctx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
 					defer cancel()
-					_ = w.dial(ctx, "u0")
+					_ = w.dial(ctx, w.upstreams[0])
 					time.Sleep(time.Second)
-					assert.Assert(t, w.Disconnected())
+					assert.Assert(t, w.Disconnected(service))
 					w.set(0, w.down)
 					time.Sleep(time.Second)
-					assert.Assert(t, !w.Disconnected())
+					assert.Assert(t, !w.Disconnected(service))
 					synctest.Wait()
 					assert.Equal(t, w.restored.Load(), int64(1))
 				})
@@ -122,9 +125,9 @@
 		w := newNetwork(t, 12)
 		w.set(4, w.down)
 		for i := range 20 {
-			_ = w.dial(t.Context(), fmt.Sprint("u", i%4))
+			_ = w.dial(t.Context(), w.upstreams[i%4])
 			time.Sleep(100 * time.Millisecond)
-			assert.Assert(t, !w.Disconnected())
+			assert.Assert(t, !w.Disconnected(service))
 		}
 		synctest.Wait()
 		assert.Assert(t, w.confirmed.Load() > 0)
@@ -137,18 +140,35 @@
 	})
 }
 
+// TestServicesAreIndependent checks that an instance that loses the upstreams of one service counts as
+// connected to those of another, and that a connection to these confirms nothing about the former.
+func TestServicesAreIndependent(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		w := newNetwork(t, 12)
+		w.set(12, w.down)
+		_ = w.dial(t.Context(), w.upstreams[0])
+		time.Sleep(time.Second)
+		w.RecordDial(dialect.Upstream{Service: "other", Address: "x"}, nil)
+		assert.Assert(t, w.Disconnected(service))
+		assert.Assert(t, !w.Disconnected("other"))
+		assert.Assert(t, !w.Reaches(t.Context(), service))
+		assert.Assert(t, w.Reaches(t.Context(), "other"))
+		assert.Equal(t, w.confirmed.Load(), int64(0))
+	})
+}
+
 // TestUnreliablePathDoesNotFlap checks that a path that lets one connection in ten through leaves
 // the state at disconnected.
 func TestUnreliablePathDoesNotFlap(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
 		w := newNetwork(t, 12)
 		w.set(12, w.down)
-		_ = w.dial(t.Context(), "u0")
+		_ = w.dial(t.Context(), w.upstreams[0])
 		time.Sleep(time.Second)
 		for range 30 {
-			w.RecordDial("u1", nil)
+			w.RecordDial(w.upstreams[1], nil)
 			time.Sleep(100 * time.Millisecond)
-			assert.Assert(t, w.Disconnected())
+			assert.Assert(t, w.Disconnected(service))
 		}
 		assert.Equal(t, w.restored.Load(), int64(0))
 	})
@@ -160,15 +180,15 @@
 	bubble.Test(t, func(t *testing.T) {
 		w := newNetwork(t, 3)
 		for i := range 3 {
-			w.RecordDial(fmt.Sprint("u", i), fmt.Errorf("dial: %w", context.Canceled))
+			w.RecordDial(w.upstreams[i], fmt.Errorf("dial: %w", context.Canceled))
 		}
 		time.Sleep(time.Second)
 		assert.Equal(t, w.checked(), 0)
-		assert.Assert(t, !w.Suspected())
-		w.RecordDial("u0", errors.New("x"))
-		assert.Assert(t, !w.Suspected())
-		w.RecordDial("u1", errors.New("x"))
-		assert.Assert(t, w.Suspected())
+		assert.Assert(t, !w.Suspected(service))
+		w.RecordDial(w.upstreams[0], errors.New("x"))
+		assert.Assert(t, !w.Suspected(service))
+		w.RecordDial(w.upstreams[1], errors.New("x"))
+		assert.Assert(t, w.Suspected(service))
 	})
 }
 
--- a/gateway/relay/client.go
+++ b/gateway/relay/client.go
@@ -34,8 +34,14 @@
 	maxBatches    = 8
 	// offerTimeout bounds the call that asks for an offer.
 	offerTimeout = 300 * time.Millisecond
-	// refreshInterval is the minimum time between two rounds of asking for offers.
-	refreshInterval = 500 * time.Millisecond
+	// refreshInterval is the minimum time between two rounds of asking for offers. It doubles with
+	// each round in which no peer accepts, up to maxRefreshInterval: while a service is down, each
+	// instance would ask all the others otherwise.
+	refreshInterval    = 500 * time.Millisecond
+	maxRefreshInterval = 2 * time.Second
+	// maxOfferWait is how long a request waits for offers. Peers that reach the upstreams accept
+	// within a few ms.
+	maxOfferWait = 400 * time.Millisecond
 	// dialTimeout bounds the opening of a connection to a peer.
 	dialTimeout = 400 * time.Millisecond
 	// idleTimeout is how long idle connections to peers are kept open, idlePerPeer how many.
@@ -51,7 +57,7 @@
 	// Peers returns the other instances that are alive and not stopping.
 	Peers func() []Peer
 	// AskOffer calls MethodOffer of a peer.
-	AskOffer func(ctx context.Context, p Peer) (Offer, error)
+	AskOffer func(ctx context.Context, p Peer, service string) (Offer, error)
 	// Dialer opens connections to peers; nil for the network's.
 	Dialer roundtrip.Dialer
 	Log    *slog.Logger
@@ -59,35 +65,43 @@
 
 // Client sends requests to peers. It is safe for concurrent use.
 type Client struct {
-	o         ClientOptions
-	http      *roundtrip.Client
-	directory *directory
+	o    ClientOptions
+	http *roundtrip.Client
 
 	mu sync.Mutex
-	// asked is when the last round of asking for offers began. answered is closed when a peer has
-	// accepted in that round, or when all have answered.
+	// services holds the offers of peers by service.
+	services map[string]*serviceOffers
+}
+
+// serviceOffers holds the offers of peers for one service.
+type serviceOffers struct {
+	*directory
+	// asked is when the last round of asking for offers began, interval the minimum time until the
+	// next one. answered is closed when a peer has accepted in that round, or when all have
+	// answered.
 	asked    time.Time
+	interval time.Duration
 	answered chan struct{}
 }
 
 // NewClient returns a client without offers.
 func NewClient(o ClientOptions) *Client {
 	return &Client{
-		o:         o,
-		http:      roundtrip.New(roundtrip.Options{Dialer: o.Dialer, DialTimeout: dialTimeout, IdleTimeout: idleTimeout, IdlePerUpstream: idlePerPeer}),
-		directory: newDirectory(o.Zone, o.RegionOf),
+		o: o, services: map[string]*serviceOffers{},
+		http: roundtrip.New(roundtrip.Options{Dialer: o.Dialer, DialTimeout: dialTimeout, IdleTimeout: idleTimeout, IdlePerUpstream: idlePerPeer}),
 	}
 }
 
 // Close closes idle connections.
 func (c *Client) Close() { c.http.Close() }
 
-// Send sends a request with the given deadline to a peer in one of the regions, and to another one
-// if that declines it. The caller must close the body of the response, which is an upstream's. The
+// Send sends a request with the given deadline to a peer in one of the regions, and to another one if
+// that declines it. The caller must close the body of the response, which is an upstream's. The
 // error is a *Failure, a *LostError or a *NoPeerError.
 func (c *Client) Send(ctx context.Context, q Request, body []byte, deadline time.Time, regions routing.Regions) (*http.Response, error) {
+	offers := c.offers(q.Service)
 	for tried := range maxPeersTried {
-		p, ok := c.choose(ctx, q.Version, regions)
+		p, ok := c.choose(ctx, q.Service, offers, q.Version, regions)
 		if !ok {
 			return nil, &NoPeerError{Asked: tried}
 		}
@@ -102,68 +116,91 @@
 			return nil, err
 		}
 		c.o.Log.Info("peer did not take a relayed request", "request", q.Call.ID, "peer", p.peer.ID, "error", logs.ErrorText(err))
-		c.directory.drop(p.peer.ID)
+		offers.drop(p.peer.ID)
 	}
 	return nil, &NoPeerError{Asked: maxPeersTried}
 }
 
 // choose returns a peer that offers to serve a request. It asks for offers if the last round was
 // some time ago, and waits for that round if no offer is left.
-func (c *Client) choose(ctx context.Context, version int64, regions routing.Regions) (offered, bool) {
-	answered := c.refresh()
-	if p, ok := c.directory.choose(clock.Now(), version, regions); ok {
+func (c *Client) choose(ctx context.Context, service string, offers *serviceOffers, version int64, regions routing.Regions) (offered, bool) {
+	answered := c.refresh(service, offers)
+	if p, ok := offers.choose(clock.Now(), version, regions); ok {
 		return p, true
 	}
+	wait := time.NewTimer(maxOfferWait)
+	defer wait.Stop()
 	select {
 	case <-answered:
+	case <-wait.C:
 	case <-ctx.Done():
 	}
-	return c.directory.choose(clock.Now(), version, regions)
+	return offers.choose(clock.Now(), version, regions)
 }
 
-// refresh asks peers for offers unless that was done within refreshInterval. The returned channel is
-// closed when a peer has accepted in the last round, or when all have answered.
-func (c *Client) refresh() <-chan struct{} {
+// offers returns the offers for a service.
+func (c *Client) offers(service string) *serviceOffers {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.services[service]
+	if s == nil {
+		s = &serviceOffers{directory: newDirectory(c.o.Zone, c.o.RegionOf), interval: refreshInterval}
+		c.services[service] = s
+	}
+	return s
+}
+
+// refresh asks peers for offers unless that was done recently. The returned channel is closed when a
+// peer has accepted in the last round, or when all have answered.
+func (c *Client) refresh(service string, s *serviceOffers) <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := clock.Now()
-	if c.answered != nil && now.Sub(c.asked) < refreshInterval {
-		return c.answered
+	if s.answered != nil && now.Sub(s.asked) < s.interval {
+		return s.answered
 	}
-	c.asked, c.answered = now, make(chan struct{})
-	go c.askAll(c.answered)
-	return c.answered
+	s.asked, s.answered = now, make(chan struct{})
+	go c.askAll(service, s, s.answered)
+	return s.answered
 }
 
 // askAll asks peers for offers, a batch after the other until one has accepted.
-func (c *Client) askAll(answered chan struct{}) {
+func (c *Client) askAll(service string, s *serviceOffers, answered chan struct{}) {
 	var once sync.Once
 	done := func() { once.Do(func() { close(answered) }) }
 	defer done()
 	near, far := c.shuffledPeers()
+	accepted := false
 	for range maxBatches {
 		var batch []Peer
-		batch, near, far = nextBatch(near, far)
-		if len(batch) == 0 || c.askBatch(batch, done) {
-			return
+		if batch, near, far = nextBatch(near, far); len(batch) == 0 {
+			break
+		}
+		if accepted = c.askBatch(service, s, batch, done); accepted {
+			break
 		}
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s.interval = min(2*s.interval, maxRefreshInterval); accepted {
+		s.interval = refreshInterval
+	}
 }
 
 // askBatch asks some peers for offers and calls accepted at the first one that accepts. It reports
 // whether any did.
-func (c *Client) askBatch(batch []Peer, accepted func()) bool {
+func (c *Client) askBatch(service string, s *serviceOffers, batch []Peer, accepted func()) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), offerTimeout)
 	defer cancel()
 	var asking sync.WaitGroup
 	var any atomic.Bool
 	for _, p := range batch {
 		asking.Go(func() {
-			offer, err := c.o.AskOffer(ctx, p)
+			offer, err := c.o.AskOffer(ctx, p, service)
 			if err != nil {
 				c.o.Log.Debug("peer did not answer whether it serves relayed requests", "peer", p.ID, "error", err)
 			}
-			c.directory.set(clock.Now(), p, offer)
+			s.set(clock.Now(), p, offer)
 			if offer.Accepts {
 				any.Store(true)
 				accepted()
--- a/gateway/relay/message.go
+++ b/gateway/relay/message.go
@@ -19,15 +19,17 @@
 	"github.com/wardspool/wardspool/ident"
 )
 
-// MethodOffer asks a peer whether it serves relayed requests.
+// MethodOffer asks a peer whether it serves relayed requests for a service.
 const MethodOffer = "gateway.relay-offer"
 
 // OfferRequest is the request of MethodOffer.
-type OfferRequest struct{}
+type OfferRequest struct {
+	Service string `json:"service"`
+}
 
-// Offer says whether an instance serves relayed requests.
+// Offer says whether an instance serves relayed requests for a service.
 type Offer struct {
-	// Accepts means that the instance is ready, not stopping, and reaches upstreams.
+	// Accepts means that the instance is ready, not stopping, and reaches upstreams of the service.
 	Accepts bool `json:"accepts"`
 	// Address is where it accepts relayed requests, "IP:port".
 	Address string `json:"address,omitempty"`
@@ -38,6 +40,8 @@
 // Request is a caller's request, without its body, as one instance relays it to another.
 type Request struct {
 	Call dialect.Call `json:"call"`
+	// Service is the service that was chosen for the request.
+	Service string `json:"service"`
 	// Version is the version of the configuration that admitted the request. A peer with an older
 	// one declines it.
 	Version int64 `json:"version"`
--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -39,7 +39,7 @@
 	c := NewClient(ClientOptions{
 		Zone: "a", RegionOf: func(z ident.Zone) ident.Region { return ident.Region("region of " + z) },
 		Peers: func() []Peer { return known },
-		AskOffer: func(_ context.Context, p Peer) (Offer, error) {
+		AskOffer: func(_ context.Context, p Peer, _ string) (Offer, error) {
 			return Offer{Accepts: true, Address: p.Address, Version: 5}, nil
 		},
 		Log: slog.New(slog.DiscardHandler),
--- a/gateway/relaying.go
+++ b/gateway/relaying.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/wardspool/wardspool/adapter/roundtrip"
+	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/reach"
 	"github.com/wardspool/wardspool/gateway/relay"
 	"github.com/wardspool/wardspool/peer"
@@ -17,17 +18,26 @@
 }
 
 // Needed implements carry.Relay.
-func (r relaying) Needed() bool { return r.reach.Disconnected() }
+func (r relaying) Needed(service string) bool { return r.reach.Disconnected(service) }
 
 // Suspected implements carry.Relay.
-func (r relaying) Suspected() bool { return r.reach.Suspected() }
+func (r relaying) Suspected(service string) bool { return r.reach.Suspected(service) }
+
+// listed returns the listed upstreams of a service, or of all services for "".
+func (g *Service) listed(service string) []dialect.Upstream {
+	s := g.node.Snapshot()
+	if service == "" {
+		return s.All()
+	}
+	return s.Upstreams[service]
+}
 
 // newRelayClient returns the client that relays requests to peers. A nil dialer means the network's.
 func (g *Service) newRelayClient(dialer roundtrip.Dialer) *relay.Client {
 	return relay.NewClient(relay.ClientOptions{
 		Zone: g.settings.Zone, RegionOf: g.settings.regionOf, Peers: g.relayPeers, Dialer: dialer, Log: g.log,
-		AskOffer: func(ctx context.Context, p relay.Peer) (relay.Offer, error) {
-			return peer.Call[relay.Offer](ctx, g.pool, p.Address, relay.MethodOffer, relay.OfferRequest{})
+		AskOffer: func(ctx context.Context, p relay.Peer, service string) (relay.Offer, error) {
+			return peer.Call[relay.Offer](ctx, g.pool, p.Address, relay.MethodOffer, relay.OfferRequest{Service: service})
 		},
 	})
 }
@@ -42,9 +52,9 @@
 }
 
 // onRelayOffer tells a peer whether this instance serves relayed requests.
-func (g *Service) onRelayOffer(ctx context.Context, _ peer.Identity, _ relay.OfferRequest) (relay.Offer, error) {
+func (g *Service) onRelayOffer(ctx context.Context, _ peer.Identity, q relay.OfferRequest) (relay.Offer, error) {
 	return relay.Offer{
-		Accepts: g.settings.Listen.Relay != "" && g.front.AcceptsRelayed() && g.reach.Reaches(ctx),
+		Accepts: g.settings.Listen.Relay != "" && g.front.AcceptsRelayed() && g.reach.Reaches(ctx, q.Service),
 		Address: g.settings.Listen.Relay, Version: g.node.Snapshot().Version(),
 	}, nil
 }
--- a/gateway/routing/table.go
+++ b/gateway/routing/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sort"
 	"strings"
 )
@@ -78,6 +79,11 @@
 	return s, ok
 }
 
+// Serves reports whether requests of the route may go to a service.
+func (r *Route) Serves(service string) bool {
+	return slices.ContainsFunc(r.Services, func(w WeightedService) bool { return w.Service == service && w.Weight > 0 })
+}
+
 // Choose returns the name of the service for one request of a route. It chooses at random, with
 // probabilities proportional to the weights, and returns "" if no service has a weight. intN
 // returns a random number in [0, n).
--- a/gateway/schedule/books_test.go
+++ b/gateway/schedule/books_test.go
@@ -312,7 +312,7 @@
 	b.RecordFailure(at(0), list[1], Unreachable)
 	b.RecordReplacement(list[2])
 	assert.Equal(t, len(b.OwnUnavailable(at(50)).Rejecting), 1, "an engine was reported although no upstream has accepted a connection")
-	b.ConfirmRefusals(at(60))
+	b.ConfirmRefusals(at(60), list[0].Service)
 	away := b.OwnUnavailable(at(100))
 	assert.Equal(t, len(away.Rejecting), 2)
 	peer.SetPeersUnavailable(at(100), away)
@@ -333,7 +333,7 @@
 	for i, u := range list {
 		b.RecordFailure(at(100*i), u, Closed)
 	}
-	b.ConfirmRefusals(at(2000))
+	b.ConfirmRefusals(at(2000), list[0].Service)
 	assert.Equal(t, len(b.OwnUnavailable(at(2000)).Rejecting), 0)
 }
 
--- a/gateway/schedule/health.go
+++ b/gateway/schedule/health.go
@@ -101,13 +101,13 @@
 // another upstream for the latter to show that the network path was not the cause.
 const refusalConfirmWindow = time.Second
 
-// ConfirmRefusals records that a connection to an upstream succeeded: connections that others
-// refused shortly before show that these do not serve now.
-func (b *Scheduler) ConfirmRefusals(now time.Time) {
+// ConfirmRefusals records that a connection to an upstream of a service succeeded: connections that
+// others refused shortly before show that these do not serve now.
+func (b *Scheduler) ConfirmRefusals(now time.Time, service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, rec := range b.records {
-		if !rec.refusedAt.IsZero() && now.Sub(rec.refusedAt) <= refusalConfirmWindow {
+		if rec.up.Service == service && !rec.refusedAt.IsZero() && now.Sub(rec.refusedAt) <= refusalConfirmWindow {
 			rec.downConfirmed = true
 		}
 	}
@@ -222,15 +222,15 @@
 	b.markSeen(now, rec)
 }
 
-// ReadmitAll records that this instance reaches upstreams again after it had lost all of them: its
-// failures say nothing about the upstreams. A single further failure ejects an
-// upstream again.
-func (b *Scheduler) ReadmitAll(now time.Time) {
+// ReadmitAll records that this instance reaches upstreams of a service again after it had lost all of
+// them: its failures say nothing about the upstreams. A single further failure ejects an upstream
+// again.
+func (b *Scheduler) ReadmitAll(now time.Time, service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	clear(b.suspicions)
 	for _, rec := range b.records {
-		if rec.replaced || rec.state(now) == stateHealthy {
+		if rec.up.Service != service || rec.replaced || rec.state(now) == stateHealthy {
 			continue
 		}
 		rec.readmitted, rec.ejectedUntil = true, time.Time{}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -109,10 +109,10 @@
 		Load: g.load, Changed: g.viewChanged, LoadChanged: g.loadChanged, Register: g.register,
 	})
 	g.reach = reach.NewMonitor(reach.Options{
-		Upstreams: func() []dialect.Upstream { return g.node.Snapshot().All() },
+		Upstreams: g.listed,
 		Check:     d.CheckReachable,
-		Confirmed: func() { g.scheduler.ConfirmRefusals(clock.Now()) },
-		Restored:  func() { g.scheduler.ReadmitAll(clock.Now()) },
+		Confirmed: func(service string) { g.scheduler.ConfirmRefusals(clock.Now(), service) },
+		Restored:  func(service string) { g.scheduler.ReadmitAll(clock.Now(), service) },
 		Log:       log, Count: g.metrics.count,
 	})
 	g.budget = schedule.NewBudget(clock.Now(), s.Retries.budget(), g.node.Alive)
@@ -130,7 +130,7 @@
 	d.OnDial(g.reach.RecordDial)
 	g.front = front.New(front.Options{
 		Dialect: d, Forwarder: g.forwarder, Budget: g.budget, Limits: g.node, View: g.node.Snapshot,
-		ConfigAge: g.node.ConfigAge, MaxConfigAge: s.Store.maxChangeDelay(), Refresh: g.node.RequestRead, Disconnected: g.reach.Disconnected, RequestArrived: g.node.RequestArrived, Memory: g.memory,
+		ConfigAge: g.node.ConfigAge, MaxConfigAge: s.Store.maxChangeDelay(), Refresh: g.node.RequestRead, RequestArrived: g.node.RequestArrived, Memory: g.memory,
 		Log: log, Count: g.metrics.count, ObserveRequest: g.metrics.observeRequest, CountLimitUnits: g.metrics.countLimitUnits,
 	})
 	return g
--- a/gateway/unreachable_test.go
+++ b/gateway/unreachable_test.go
@@ -79,7 +79,7 @@
 					time.Sleep(2 * time.Second)
 					assert.Equal(t, w.serveOnce(sample, "back"), len(sample))
 					for _, i := range sample {
-						assert.Check(t, !i.running().reach.Disconnected(), i.id)
+						assert.Check(t, !i.running().reach.Disconnected("llm"), i.id)
 					}
 				})
 			})
