membership: a refused connection is reported as the upstream's only after another upstream has answered

The same cause in entry and agent: an instance whose connections to all engines are refused on their way disseminates each as down, again after each newer report, and the fleet avoids the engines until the next report.

A refusal now counts once another upstream has answered this instance, within two seconds; with no other upstream listed, at once as before. Evidence: TestInstanceThatIsRefusedEverywhereReportsNothing fails on the code before (the engine is unusable at the other instances). Packages membership, agent and experiment pass, and e2e's tests of failures.

--- a/membership/absence_test.go
+++ b/membership/absence_test.go
@@ -65,6 +65,30 @@
 	t.Logf("kind %d: return known by all after %s", kind, took)
 }
 
+// TestInstanceThatIsRefusedEverywhereReportsNothing guards against an instance that lost its network
+// path by refused connections and makes the fleet avoid all engines. A refusal counts once another
+// engine has answered since.
+func TestInstanceThatIsRefusedEverywhereReportsNothing(t *testing.T) {
+	f := newEngineFleet(t, 8)
+	for _, n := range f.nodes {
+		n.machine.ApplyUpstreamList(f.now, f.now, 2, []ListedUpstream{
+			{ID: "dc-1", Zone: "hall-a", Incarnation: 5}, {ID: "dc-2", Zone: "hall-a", Incarnation: 5}})
+	}
+	f.run(time.Second)
+	for range 3 {
+		f.nodes[0].machine.UpstreamFailed(f.now, f.now, "dc-1", FailRefused)
+		f.nodes[0].machine.UpstreamFailed(f.now, f.now, "dc-2", FailRefused)
+		f.run(time.Second)
+	}
+	for _, n := range f.nodes[1:] {
+		assert.Assert(t, usable(n.machine.View(f.now).Upstreams[0].State), n.id)
+	}
+	f.nodes[0].machine.UpstreamFailed(f.now, f.now, "dc-1", FailRefused)
+	f.run(100 * time.Millisecond)
+	f.nodes[0].machine.UpstreamAnswered(f.now, f.now, "dc-2")
+	f.runUntil(time.Second, func() bool { return f.allNodes(unusable) })
+}
+
 // TestAnsweringEngineIsNotMissing has an engine answer one instance of its zone
 // and not another. The engine's newer reports show that the other instance is
 // at fault, so the rest of the fleet keeps using the engine.
--- a/membership/evidence.go
+++ b/membership/evidence.go
@@ -43,6 +43,7 @@
 	if u, ok := m.upstreams[id]; ok {
 		u.reachedAt = max(u.reachedAt, m.sinceEpoch(at))
 		u.missingBackoff, u.missingAllowedAt = 0, never
+		m.confirmRefusals(m.sinceEpoch(now), u)
 	}
 }
 
@@ -57,8 +58,8 @@
 	if u.failedAt <= u.lastLiveAt() {
 		return
 	}
-	if kind == FailRefused && u.down.merge(t, u.newestSequence()) {
-		m.disseminate(t, &u.urgentSends)
+	if kind == FailRefused {
+		m.reportRefusal(t, u)
 	}
 	if kind != FailRefused && m.mayReportMissing(t, u) && u.missing.merge(t, u.newestSequence()) {
 		u.backOffMissing(t)
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -31,9 +31,12 @@
 	sortedUpstreams []*upstream
 	upstreams       map[ident.UpstreamID]*upstream
 	upstreamsByKey  map[recordKey]*upstream
-	tombstones      map[ident.InstanceID]tombstone
-	lists           lists
-	partnership     partnership
+	// refusals holds the upstreams that refused a connection and are not reported
+	// as down yet.
+	refusals    []*upstream
+	tombstones  map[ident.InstanceID]tombstone
+	lists       lists
+	partnership partnership
 	// lastLiveByZone holds the time of the last evidence of liveness from each
 	// zone.
 	lastLiveByZone map[ident.Zone]time.Duration
