--- a/gateway/fleet/reader.go
+++ b/gateway/fleet/reader.go
@@ -411,11 +411,15 @@
 // the last one.
 func (n *Node) mergeList(started time.Time, revision int64, list []dialect.Upstream, origin Origin, from string) bool {
 	n.mu.Lock()
+	before := n.view.revision
 	changes, taken := n.view.MergeList(clock.Now(), started, revision, list, origin)
 	// A peer's list may differ from the store's. Applying only the store's changes to it would
 	// not give the store's list.
 	n.stored.merged = n.stored.merged && !(taken && origin == FromPeer)
 	n.mu.Unlock()
+	if !taken && origin != FromPeer && revision < before {
+		n.opts.Log.Warn("list of upstreams older than the view not taken", "from", from, "revision", revision, "revision_before", before)
+	}
 	if taken {
 		n.publish()
 	}
