store: what is read is ordered by the store's era first, then by its revision

Callers' requests reached upstreams 2,077 and 2,221 ms after the store had acknowledged that they leave. After a drill the store came back from a copy: its counter stood lower, each list was 'older' than the view and dropped until the counter had reached the former value (first list taken: the one at revision 42, the last number before). Where the counter had passed it, changes were read from a number that had been given out again, and what lay before was missing until the next full list, 10 s.

Cause: a counter of another system was taken for monotone. The store says when it is not: Store-Era rises with each restore. Changes of another era count as lost history. Pages of two eras are no list.

--- a/gateway/dialect/dialect.go
+++ b/gateway/dialect/dialect.go
@@ -292,12 +292,13 @@
 	// Directives returns the current directives. If there is no configuration, the error is an
 	// *KeyNotFoundError.
 	Directives(ctx context.Context) (Directives, error)
-	// Upstreams lists all upstreams and returns the store's revision that the list reflects. A
+	// Upstreams lists all upstreams and returns the revision of the store that the list reflects;
+	// see Revision. A
 	// long list takes several requests to the store. Before each one except the first, Upstreams
 	// calls further; if that returns false, it stops with a *ListAbandonedError.
 	Upstreams(ctx context.Context, further func() bool) (list []Upstream, revision int64, err error)
 	// Changes returns the changes after a revision. If the store no longer has the history since
-	// that revision, the error is a *HistoryLostError.
+	// that revision, or was restored from a copy meanwhile, the error is a *HistoryLostError.
 	Changes(ctx context.Context, after int64) (Changes, error)
 }
 
--- a/gateway/dialect/errors.go
+++ b/gateway/dialect/errors.go
@@ -93,6 +93,17 @@
 	return fmt.Sprintf("the list in the store has more than %d pages, which is the maximum", e.Pages)
 }
 
+// RestoredError reports that the store was restored from a copy while a list was read.
+type RestoredError struct {
+	// Before and Now are the eras of two parts of the list.
+	Before, Now int64
+}
+
+// Error implements error.
+func (e *RestoredError) Error() string {
+	return fmt.Sprintf("the store was restored from a copy during a read: era %d, then %d", e.Before, e.Now)
+}
+
 // HistoryLostError reports that the store no longer has all changes after a revision.
 type HistoryLostError struct{ After int64 }
 
--- a/gateway/fleet/reader.go
+++ b/gateway/fleet/reader.go
@@ -113,7 +113,7 @@
 	var lost *dialect.HistoryLostError
 	switch {
 	case errors.As(err, &lost):
-		n.opts.Log.Info("store history lost, listing upstreams", "after", after)
+		n.opts.Log.Info("store history lost, listing upstreams", "after", dialect.CounterOf(after), "era", dialect.EraOf(after))
 		n.mu.Lock()
 		n.stored.clear()
 		n.mu.Unlock()
@@ -391,7 +391,7 @@
 	if !changed {
 		return
 	}
-	n.opts.Log.Warn("evacuation in force", "zones", e.Zones, "before", before, "revision", e.Revision, "from", from)
+	n.opts.Log.Warn("evacuation in force", "zones", e.Zones, "before", before, "revision", dialect.CounterOf(e.Revision), "from", from)
 	for _, zone := range e.Zones {
 		if len(n.opts.Zones) > 0 && !slices.Contains(n.opts.Zones, zone) {
 			n.opts.Log.Warn("evacuation of an unknown zone", "zone", zone)
@@ -417,9 +417,7 @@
 	// not give the store's list.
 	n.stored.merged = n.stored.merged && !(taken && origin == FromPeer)
 	n.mu.Unlock()
-	if !taken && origin != FromPeer && revision < before {
-		n.opts.Log.Warn("list of upstreams older than the view not taken", "from", from, "revision", revision, "revision_before", before)
-	}
+	n.logOrder(before, revision, taken, origin, from)
 	if taken {
 		n.publish()
 	}
@@ -427,6 +425,19 @@
 	return taken
 }
 
+// logOrder logs the first list after a restore of the store, and a list of the store that is not
+// taken because its revision is lower than that of the view.
+func (n *Node) logOrder(before, revision int64, taken bool, origin Origin, from string) {
+	log := n.opts.Log.With("from", from, "era", dialect.EraOf(revision), "revision", dialect.CounterOf(revision),
+		"era_before", dialect.EraOf(before), "revision_before", dialect.CounterOf(before))
+	switch {
+	case taken && before > 0 && dialect.EraOf(revision) > dialect.EraOf(before):
+		log.Warn("store restored from a copy")
+	case !taken && origin != FromPeer && revision < before:
+		log.Warn("list of upstreams older than the view not taken")
+	}
+}
+
 // applyDifference applies the difference in a peer's answer to the view; base is the digest of the
 // list that the difference starts from. It returns false if the answer holds no difference, or
 // one that cannot be applied to the view's current list.
@@ -459,7 +470,7 @@
 // logChanges logs the changes of a list: one line for each, or a single line with their counts if
 // there are more than maxLoggedChanges, as with the first list.
 func (n *Node) logChanges(changes []Change, from string, revision int64, age time.Duration) {
-	log := n.opts.Log.With("from", from, "revision", revision, "age_ms", age.Milliseconds())
+	log := n.opts.Log.With("from", from, "revision", dialect.CounterOf(revision), "age_ms", age.Milliseconds())
 	if len(changes) > maxLoggedChanges {
 		counts := map[ChangeKind]int{}
 		for _, c := range changes {
