fleet: a store restored from a copy undoes no removal and no evacuation, and takes nothing away

Upstreams that had registered since the copy was made were removed at once, removed ones came back as alive, an evacuation that had been ordered or lifted since changed, until all was written again some two seconds later.

From the first list of a later era on, for the 2.5 s that an outage is given too: absent upstreams stay, removed ones stay removed (a newer incarnation counts at once), leaving stays final, and a different evacuation is read again until the time is over. Then the store is believed. An instance that learns of the era from a peer does the same.

--- a/gateway/fleet/reader.go
+++ b/gateway/fleet/reader.go
@@ -263,7 +263,7 @@
 	}
 	n.applyDirectives(d, started)
 	n.mu.Lock()
-	n.stored.directivesPending = false
+	n.stored.directivesPending = n.view.EvacuationPending()
 	n.mu.Unlock()
 	return true
 }
@@ -381,7 +381,7 @@
 func (n *Node) applyEvacuation(e routing.Evacuation, from string) {
 	n.mu.Lock()
 	before := n.view.evacuation.Zones
-	changed := n.view.SetEvacuation(e)
+	changed := n.view.SetEvacuation(clock.Now(), e)
 	for _, zone := range before {
 		if !e.Covers(zone) && changed {
 			n.reopened[zone] = clock.Now()
--- a/gateway/fleet/view.go
+++ b/gateway/fleet/view.go
@@ -65,6 +65,8 @@
 	// configAsOf is when the store was last known to have no configuration newer than the table.
 	configAsOf time.Time
 	evacuation routing.Evacuation
+	// evacuationPending is set while an evacuation read from a restored store is not in force.
+	evacuationPending bool
 	// revision and asOf belong to the newest list; asOf is when its read began. hasList is set
 	// once there is a list.
 	revision int64
@@ -88,8 +90,10 @@
 	// removals holds the upstreams removed from the list within removalRetention, oldest first.
 	removals []removal
 	// graceUntil is the end of the grace period after an outage, in which missing upstreams are
-	// kept.
-	graceUntil time.Time
+	// kept. restoredUntil is the end of the one after a restore of the store from a copy, in which
+	// the store may also lack removals and changes of the evacuation.
+	graceUntil    time.Time
+	restoredUntil time.Time
 	// mergedAsOf is the time of the last list that was merged.
 	mergedAsOf time.Time
 }
@@ -111,16 +115,36 @@
 }
 
 // SetEvacuation puts an evacuation in force and reports whether it changes the evacuated zones. An
-// evacuation whose revision is not higher than the current one's is ignored.
-func (v *View) SetEvacuation(e routing.Evacuation) bool {
+// evacuation whose revision is not higher than the current one's is ignored, and one that a restored
+// store may have copied is left for later; see EvacuationPending.
+func (v *View) SetEvacuation(now time.Time, e routing.Evacuation) bool {
+	v.evacuationPending = false
 	if e.Revision <= v.evacuation.Revision {
 		return false
 	}
+	if v.mayBeCopied(now, e) {
+		v.evacuationPending = true
+		return false
+	}
 	changed := !e.SameZones(v.evacuation)
 	v.evacuation = e
 	return changed
 }
 
+// mayBeCopied reports whether an evacuation may be an earlier one that the store has from the copy it
+// was restored from: what the operators have changed since is written again shortly after.
+func (v *View) mayBeCopied(now time.Time, e routing.Evacuation) bool {
+	era := dialect.EraOf(e.Revision)
+	if v.evacuation.Revision == 0 || era == dialect.EraOf(v.evacuation.Revision) || e.SameZones(v.evacuation) {
+		return false
+	}
+	return era > dialect.EraOf(v.revision) || now.Before(v.restoredUntil)
+}
+
+// EvacuationPending reports whether the last evacuation read was left for later, so that it must be
+// read again.
+func (v *View) EvacuationPending() bool { return v.evacuationPending }
+
 // Confirm records that a version of the configuration was the newest in the store at asOf.
 func (v *View) Confirm(version int64, asOf time.Time) {
 	if version == v.Version() && asOf.After(v.configAsOf) {
@@ -160,9 +184,9 @@
 	if from == FromStoreAfterFailure && v.hasList && started.Sub(v.asOf) > outageGap {
 		v.graceUntil = started.Add(returnGrace)
 	}
-	v.hasList, v.revision, v.asOf, v.mergedAsOf = true, revision, started, started
+	v.advance(started, revision)
 	v.listCount++
-	changes := v.merge(now, list)
+	changes := v.merge(now, started, list)
 	if from == FromPeer || !started.Before(v.graceUntil) {
 		changes = append(changes, v.removeAbsent(now, list)...)
 	}
@@ -196,11 +220,21 @@
 	return v.apply(now, started, revision, d), true
 }
 
+// advance sets the revision and the time of the list that is merged. The first list of a later era
+// begins a grace period: what was written to the store since its copy was made is written again.
+func (v *View) advance(started time.Time, revision int64) {
+	if v.hasList && dialect.EraOf(revision) > dialect.EraOf(v.revision) {
+		v.graceUntil = started.Add(returnGrace)
+		v.restoredUntil = v.graceUntil
+	}
+	v.hasList, v.revision, v.asOf, v.mergedAsOf = true, revision, started, started
+}
+
 // apply merges a difference and returns the changes.
 func (v *View) apply(now, started time.Time, revision int64, d Difference) []Change {
-	v.revision, v.asOf, v.mergedAsOf = revision, started, started
+	v.advance(started, revision)
 	v.listCount++
-	changes := v.merge(now, d.Changed)
+	changes := v.merge(now, started, d.Changed)
 	for _, id := range d.Removed {
 		if e := v.entries[id]; e != nil && !e.gone {
 			changes = append(changes, v.markGone(now, e))
@@ -229,10 +263,11 @@
 }
 
 // ConfirmUnchanged has the effect of MergeList with an unchanged list, without merging it. It
-// returns false if the list must be passed to MergeList: if there is none yet, or if none has been
-// merged since the grace period of an outage, after which absent upstreams are removed.
+// returns false if the list must be passed to MergeList: if there is none yet, if it is the first one
+// of a later era, or if none has been merged since the grace period of an outage, after which absent
+// upstreams are removed.
 func (v *View) ConfirmUnchanged(started time.Time, revision int64) bool {
-	if !v.hasList || v.mergedAsOf.Before(v.graceUntil) {
+	if !v.hasList || v.mergedAsOf.Before(v.graceUntil) || dialect.EraOf(revision) > dialect.EraOf(v.revision) {
 		return false
 	}
 	if revision >= v.revision && started.After(v.asOf) {
@@ -278,8 +313,8 @@
 	v.digest += e.hash
 }
 
-// merge merges the upstreams of a list and returns the changes.
-func (v *View) merge(now time.Time, list []dialect.Upstream) []Change {
+// merge merges the upstreams of a list whose read began at started, and returns the changes.
+func (v *View) merge(now, started time.Time, list []dialect.Upstream) []Change {
 	var changes []Change
 	for _, u := range list {
 		e := v.entries[u.ID]
@@ -297,6 +332,10 @@
 			e.upstream, e.gone = dialect.Upstream{}, false
 			changes = append(changes, Change{Upstream: u, Kind: Restarted})
 		}
+		if e.gone && started.Before(v.restoredUntil) {
+			// The store has the removed entry from its copy.
+			continue
+		}
 		if e.gone {
 			e.gone = false
 			changes = append(changes, Change{Upstream: u, Kind: Appeared})
--- a/gateway/fleet/view_test.go
+++ b/gateway/fleet/view_test.go
@@ -148,12 +148,12 @@
 // replacing a newer one.
 func TestNewestEvacuationWins(t *testing.T) {
 	v := NewView()
-	assert.Assert(t, v.SetEvacuation(routing.Evacuation{Revision: 5, Zones: []ident.Zone{"a"}}))
-	assert.Assert(t, !v.SetEvacuation(routing.Evacuation{Revision: 4}))
-	assert.Assert(t, !v.SetEvacuation(routing.Evacuation{Revision: 6, Zones: []ident.Zone{"a"}}), "the same zones")
+	assert.Assert(t, v.SetEvacuation(time.Now(), routing.Evacuation{Revision: 5, Zones: []ident.Zone{"a"}}))
+	assert.Assert(t, !v.SetEvacuation(time.Now(), routing.Evacuation{Revision: 4}))
+	assert.Assert(t, !v.SetEvacuation(time.Now(), routing.Evacuation{Revision: 6, Zones: []ident.Zone{"a"}}), "the same zones")
 	assert.Assert(t, v.Snapshot().Evacuation.Covers("a"))
-	assert.Assert(t, v.SetEvacuation(routing.Evacuation{Revision: 7}))
-	assert.Assert(t, !v.SetEvacuation(routing.Evacuation{Revision: 6, Zones: []ident.Zone{"a"}}))
+	assert.Assert(t, v.SetEvacuation(time.Now(), routing.Evacuation{Revision: 7}))
+	assert.Assert(t, !v.SetEvacuation(time.Now(), routing.Evacuation{Revision: 6, Zones: []ident.Zone{"a"}}))
 	assert.Assert(t, !v.Snapshot().Evacuation.Covers("a"))
 }
 
@@ -178,7 +178,7 @@
 	assert.Equal(t, eligible(nil), "abcd")
 	assert.Equal(t, eligible(routing.Regions{"east"}), "ab")
 	assert.Equal(t, eligible(routing.Regions{}), "")
-	v.SetEvacuation(routing.Evacuation{Revision: 2, Zones: []ident.Zone{"zone-a", "unknown"}})
+	v.SetEvacuation(time.Now(), routing.Evacuation{Revision: 2, Zones: []ident.Zone{"zone-a", "unknown"}})
 	assert.Equal(t, eligible(nil), "bcd")
 	assert.Equal(t, eligible(routing.Regions{"east", "west"}), "bc")
 }
