carry: a peer declines only what it has sent to no upstream

A relayed request that may be repeated could run at an upstream of the peer, whose path then broke; the peer declined it, and the next peer counted its attempts anew: one run more than the route allows. Found by reading the diff. A peer now declines only if none of its own upstreams may have run the request; otherwise the outcome is unknown, or the upstream's error.

TestRelayedRequestThatRanHereIsNotDeclined fails before. A body that could not be read is no longer declined for lack of memory.

--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -58,6 +58,8 @@
 	// incarnations are the incarnations that engines report.
 	incarnations map[ident.UpstreamID]ident.Incarnation
 
+	// onDo is called during each request of a caller.
+	onDo func()
 	// prefilled is called after each prefill, copying during each copy of a running stream.
 	prefilled func()
 	copying   func()
@@ -89,6 +91,9 @@
 	f.sends = append(f.sends, s)
 	r, ok := next(f.do, s.To.ID)
 	f.mu.Unlock()
+	if f.onDo != nil {
+		f.onDo()
+	}
 	if !ok {
 		r = reply{verdict: dialect.Success, status: 200, body: string(s.To.ID)}
 	}
--- a/gateway/carry/relay.go
+++ b/gateway/carry/relay.go
@@ -36,9 +36,10 @@
 }
 
 // declineRelayed returns the *Error for a request that a peer relayed to this instance, which reaches
-// no upstream either. runs is the number of upstreams that may have run it.
-func declineRelayed(runs int) *Error {
-	return &Error{Outcome: outcomeAfter(runs), Reason: reasonUnreachable, RetryAfter: unreachableRetryAfter, Declined: true}
+// no upstream either. runs is the number of upstreams that may have run it. Another peer may serve it
+// only if none of them was tried by this instance.
+func declineRelayed(j *Job, runs int) *Error {
+	return &Error{Outcome: outcomeAfter(runs), Reason: reasonUnreachable, RetryAfter: unreachableRetryAfter, Declined: runs == j.PriorRuns}
 }
 
 // sendToPeer sends a request to a peer, where a stream continues after the given event. runs is the
@@ -101,7 +102,7 @@
 // *AbandonedError.
 func (p *plainRequest) relay(ctx context.Context) (*Response, error) {
 	if p.j.Relayed {
-		return p.refuse(declineRelayed(p.runs))
+		return p.refuse(declineRelayed(p.j, p.runs))
 	}
 	p.crashGuard.endTrial()
 	ctx, cancel := context.WithTimeout(ctx, clock.Until(p.j.Deadline))
@@ -141,7 +142,7 @@
 // result reports whether the stream may be started again.
 func (s *stream) relay(ctx context.Context) (*Response, bool, error) {
 	if s.j.Relayed {
-		return nil, false, s.callerError(declineRelayed(s.runs))
+		return nil, false, s.callerError(declineRelayed(s.j, s.runs))
 	}
 	s.crashGuard.endTrial()
 	resp, err := s.c.sendToPeer(ctx, s.j, s.runs, s.lastEvent, s.j.Call.ReceivedEvents+int(s.events.Load()), s.log)
--- a/gateway/carry/relay_test.go
+++ b/gateway/carry/relay_test.go
@@ -61,6 +61,34 @@
 		_, err := env.Stream(t.Context(), j, &streamRecorder{})
 		assert.Equal(t, outcomeOf(t, err), NotRun)
 		assert.Equal(t, len(env.relayed), 0)
+		assert.Assert(t, declined(err))
+
+		j.PriorRuns = 1
+		_, err = env.Stream(t.Context(), j, &streamRecorder{})
+		assert.Equal(t, outcomeOf(t, err), Unknown)
+		assert.Assert(t, declined(err))
+	})
+}
+
+// declined reports whether an error tells the peer that another one may serve its request.
+func declined(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Declined
+}
+
+// TestRelayedRequestThatRanHereIsNotDeclined guards against a request that is sent to another peer after an
+// upstream of this instance may have run it.
+func TestRelayedRequestThatRanHereIsNotDeclined(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		env := newTestEnv(t, ampleBudget, plainUps("a", "b")...)
+		lost := reply{err: errInterrupted}
+		env.d.do["a"], env.d.do["b"] = []reply{lost}, []reply{lost}
+		env.d.onDo = func() { env.disconnected = true }
+		j := job(idempotent)
+		j.Relayed = true
+		_, err := env.Plain(t.Context(), j)
+		assert.Equal(t, outcomeOf(t, err), Unknown)
+		assert.Assert(t, !declined(err))
 	})
 }
 
--- a/gateway/front/relayed.go
+++ b/gateway/front/relayed.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/wardspool/wardspool/gateway/carry"
+	"github.com/wardspool/wardspool/gateway/memory"
 	"github.com/wardspool/wardspool/gateway/quarantine"
 	"github.com/wardspool/wardspool/gateway/relay"
 	"github.com/wardspool/wardspool/internal/clock"
@@ -65,7 +66,7 @@
 	defer j.Memory.Close()
 	if j.Call.Body, err = readRelayedBody(body, length, j.Memory.TryGrow); err != nil {
 		f.o.Log.Info("failed to read a relayed request", "request", j.Call.ID, "error", err)
-		f.decline(w, j.Call.ID, declinedNoMemory)
+		f.decline(w, j.Call.ID, declineReasonOf(err))
 		return
 	}
 	j.Content = quarantine.ContentOf(j.Call)
@@ -74,6 +75,15 @@
 	f.answerRelayed(r.Context(), w, j)
 }
 
+// declineReasonOf returns the reason to decline a request whose body could not be read.
+func declineReasonOf(err error) string {
+	var exceeded *memory.BudgetExceededError
+	if errors.As(err, &exceeded) {
+		return declinedNoMemory
+	}
+	return declinedMalformed
+}
+
 // readRelayedBody reads the body of a relayed request of the given length.
 func readRelayedBody(r io.Reader, length int64, grow func(int64) error) ([]byte, error) {
 	if length < 0 {
