--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -118,38 +118,57 @@
 // copyEvents copies complete events to the caller until the stream ends. It calls first when the
 // first event arrives.
 func (s *stream) copyEvents(wd *watchdog, p *placement, resp *http.Response, first func()) error {
-	var pending []byte
 	started := false
 	before := s.events.Load()
-	buf := make([]byte, readBytes)
-	for {
-		n, err := resp.Body.Read(buf)
+	heard := func(n int) {
 		wd.heard()
 		if n > 0 {
 			s.lastReadAt = clock.Now()
 		}
+	}
+	rest, err := readEvents(resp.Body, heard, func(events []byte) error {
+		if !started {
+			started = true
+			s.c.o.Scheduler.RecordPromptComputed(p.decode)
+			first()
+		}
+		s.recordPause(clock.Now())
+		s.c.o.Scheduler.RecordProgress(clock.Now(), p.decode, s.produced())
+		if err := s.deliver(resp, events); err != nil {
+			return err
+		}
+		s.crashGuard.recordProgress(int(s.events.Load() - before))
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	return s.finish(resp, rest)
+}
+
+// readEvents reads a stream until it ends and returns what follows the last complete event. It calls
+// heard with the number of bytes after each read, and deliver with complete events; an error of
+// deliver ends the stream with a *CallerWriteError.
+func readEvents(body io.Reader, heard func(n int), deliver func(events []byte) error) (rest []byte, err error) {
+	var pending []byte
+	buf := make([]byte, readBytes)
+	for {
+		n, err := body.Read(buf)
+		heard(n)
 		pending = append(pending, buf[:n]...)
 		if end := lastEventEnd(pending); end > 0 {
-			if !started {
-				started = true
-				s.c.o.Scheduler.RecordPromptComputed(p.decode)
-				first()
+			if err := deliver(pending[:end]); err != nil {
+				return nil, &CallerWriteError{Err: err}
 			}
-			s.recordPause(clock.Now())
-			s.c.o.Scheduler.RecordProgress(clock.Now(), p.decode, s.produced())
-			if werr := s.deliver(resp, pending[:end]); werr != nil {
-				return &CallerWriteError{Err: werr}
-			}
-			s.crashGuard.recordProgress(int(s.events.Load() - before))
 			pending = append(pending[:0], pending[end:]...)
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return s.finish(resp, pending)
+			return pending, nil
 		case err != nil:
-			return err
+			return nil, err
 		case len(pending) > maxEventBytes:
-			return &EventSizeError{}
+			return nil, &EventSizeError{}
 		}
 	}
 }
--- a/gateway/carry/relay.go
+++ b/gateway/carry/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"net/http"
 	"time"
@@ -179,25 +178,12 @@
 
 // copyRelayed copies complete events of a relayed stream to the caller until the stream ends.
 func (s *stream) copyRelayed(resp *http.Response) error {
-	var pending []byte
-	buf := make([]byte, readBytes)
-	for {
-		n, err := resp.Body.Read(buf)
-		pending = append(pending, buf[:n]...)
-		if end := lastEventEnd(pending); end > 0 {
-			s.recordPause(clock.Now())
-			if werr := s.deliver(resp, pending[:end]); werr != nil {
-				return &CallerWriteError{Err: werr}
-			}
-			pending = append(pending[:0], pending[end:]...)
-		}
-		switch {
-		case errors.Is(err, io.EOF):
-			return s.finish(resp, pending)
-		case err != nil:
-			return err
-		case len(pending) > maxEventBytes:
-			return &EventSizeError{}
-		}
+	rest, err := readEvents(resp.Body, func(int) {}, func(events []byte) error {
+		s.recordPause(clock.Now())
+		return s.deliver(resp, events)
+	})
+	if err != nil {
+		return err
 	}
+	return s.finish(resp, rest)
 }
