mutate: mutations of the new safeguards; a test that no longer guarded one

Thirteen new mutations, run one by one: twelve noticed; 'a refused connection proves a crash unconfirmed' survived, since TestDisconnectionIsNoEvidenceOfACrash sends nothing any more where the instance knows that it is cut off. The test now has a path that is broken before that is known, and notices.

--- a/gateway/carry/caution_test.go
+++ b/gateway/carry/caution_test.go
@@ -75,7 +75,7 @@
 func TestDisconnectionIsNoEvidenceOfACrash(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
 		env := newStreamEnv(t)
-		env.disconnected = true
+		env.pathBroken = true
 		env.crashUpstreams(reply{verdict: dialect.Success, status: 200, breaks: true}, "d1", "d2")
 		_, err := env.Stream(t.Context(), withContent(resumable), &streamRecorder{})
 		assert.Assert(t, err != nil)
--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -262,6 +262,8 @@
 	relayTo func(relay.Request) (*http.Response, error)
 	// disconnected means that no upstream can be connected to.
 	disconnected bool
+	// pathBroken means the same before the instance has noticed it.
+	pathBroken bool
 	// suspected means that several upstreams in a row could not be connected to.
 	suspected bool
 }
@@ -287,7 +289,7 @@
 		Register: quarantine.NewRegister(), Trials: localTrials{quarantine.NewTrials()}, NotifyPeers: func() {},
 		AwaitInformed: func(context.Context, bool) {},
 		Relay:         env,
-		PathWorks:     func(dialect.Upstream) bool { return !env.disconnected },
+		PathWorks:     func(dialect.Upstream) bool { return !env.disconnected && !env.pathBroken },
 		StopDeadline:  func() (time.Time, bool) { return env.stopDeadline, !env.stopDeadline.IsZero() },
 	})
 	t.Cleanup(env.Close)
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -74,8 +74,8 @@
 	// begins.
 	stopDeadline atomic.Pointer[time.Time]
 
-	// The listeners for callers, readiness checks, peers, relayed requests and metrics; relayListener and metricsListener
-	// are nil if no relayed requests or no metrics are served.
+	// The listeners for callers, readiness checks, peers, relayed requests and metrics; relayListener
+	// and metricsListener are nil if no relayed requests or no metrics are served.
 	callerListener, readyListener, peerListener, relayListener, metricsListener net.Listener
 }
 
