carry: logs tell how a response is framed and whether an incomplete event was left at its end

The record of the incident could not tell an unframed body that ended inside an event from one that ended between events, nor either from a framed one. The lines of an attempt and of a stream's end now have the framing (length, chunks, connection) and a stream's the number of bytes after its last complete event. No change of what is sent.

--- a/gateway/carry/carry.go
+++ b/gateway/carry/carry.go
@@ -264,7 +264,9 @@
 type attempt struct {
 	response *Response
 	verdict  dialect.Verdict
-	err      error
+	// framing is that of the response, "" if there is none.
+	framing framing
+	err     error
 	// cause is the *UnresponsiveError for which the attempt was canceled, otherwise it equals
 	// err.
 	cause error
@@ -305,9 +307,9 @@
 func readResponse(ctx context.Context, resp *http.Response, v dialect.Verdict, account *memory.Account) *attempt {
 	body, err := readResponseBody(ctx, resp, account)
 	if err != nil && (v == dialect.Success || v == dialect.Failure) {
-		return &attempt{err: err}
+		return &attempt{framing: framingOf(resp), err: err}
 	}
-	return &attempt{response: &Response{Status: resp.StatusCode, Header: roundtrip.EndToEnd(resp.Header), Body: body}, verdict: v}
+	return &attempt{framing: framingOf(resp), response: &Response{Status: resp.StatusCode, Header: roundtrip.EndToEnd(resp.Header), Body: body}, verdict: v}
 }
 
 // evidence returns whether the request can have run in an attempt that did not succeed.
--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -47,7 +47,8 @@
 	s.lastReadAt = clock.Now()
 	s.migration.recordStart()
 	s.c.addStream(p.decode, s)
-	err := wd.attemptError(s.copyEvents(wd, p, resp, func() { started = clock.Now() }))
+	rest, err := s.copyEvents(wd, p, resp, func() { started = clock.Now() })
+	err = wd.attemptError(err)
 	s.c.removeStream(p.decode)
 	cont, ambiguous := s.migrationResult(p)
 	if cont != nil && ctx.Err() == nil && !callerLeft(err) {
@@ -69,9 +70,11 @@
 		s.c.o.Scheduler.StreamDone(s.j.Service.Name, s.output(), s.produced())
 		s.log.Info("stream complete", "upstream", u.ID, "events", s.events.Load(), "took_ms", took.Milliseconds(),
 			"first_ms", s.firstAt.Sub(s.j.Arrived).Milliseconds(), "longest_pause_ms", s.longestPause.Milliseconds(),
+			"framing", string(framingOf(resp)), "rest_bytes", rest,
 			"prompt", s.j.Call.PromptTokens, "estimate", s.output(), "bound", s.j.Call.MaxOutputTokens)
 		return nil, false, nil
 	}
+	s.log.Info("stream ended early", "upstream", u.ID, "framing", string(framingOf(resp)), "rest_bytes", rest)
 	return nil, s.handleStreamEnd(ctx, p, err, eventCount, cutReason(ctx, err)), s.streamError(ctx, err)
 }
 
@@ -115,9 +118,9 @@
 	return s.callerError(err)
 }
 
-// copyEvents copies complete events to the caller until the stream ends. It calls first when the
-// first event arrives.
-func (s *stream) copyEvents(wd *watchdog, p *placement, resp *http.Response, first func()) error {
+// copyEvents copies complete events to the caller until the stream ends, and returns the number of
+// bytes after the last complete event. It calls first when the first event arrives.
+func (s *stream) copyEvents(wd *watchdog, p *placement, resp *http.Response, first func()) (rest int, err error) {
 	started := false
 	before := s.events.Load()
 	heard := func(n int) {
@@ -126,7 +129,7 @@
 			s.lastReadAt = clock.Now()
 		}
 	}
-	rest, err := readEvents(resp.Body, heard, func(events []byte) error {
+	tail, err := readEvents(resp.Body, heard, func(events []byte) error {
 		if !started {
 			started = true
 			s.c.o.Scheduler.RecordPromptComputed(p.decode)
@@ -141,9 +144,9 @@
 		return nil
 	})
 	if err != nil {
-		return err
+		return len(tail), err
 	}
-	return s.finish(resp, rest)
+	return len(tail), s.finish(resp, tail)
 }
 
 // readEvents reads a stream until it ends and returns what follows the last complete event. It calls
@@ -166,7 +169,7 @@
 		case errors.Is(err, io.EOF):
 			return pending, nil
 		case err != nil:
-			return nil, err
+			return pending, err
 		case len(pending) > maxEventBytes:
 			return nil, &EventSizeError{}
 		}
--- a/gateway/carry/migrate.go
+++ b/gateway/carry/migrate.go
@@ -368,15 +368,10 @@
 	}
 }
 
-// unframed reports whether the end of a body cannot be distinguished from a broken connection.
-func unframed(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
-
 // streamEndError returns the error with which a stream ended at its engine. An unframed response
 // of a stream that may have been stopped counts as incomplete.
 func streamEndError(resp *http.Response, err error, ambiguous bool) error {
-	if err == nil && ambiguous && unframed(resp) {
+	if err == nil && ambiguous && framingOf(resp) == framedByConnection {
 		return io.ErrUnexpectedEOF
 	}
 	return err
--- a/gateway/carry/plain.go
+++ b/gateway/carry/plain.go
@@ -133,7 +133,7 @@
 		a.cause = silent
 	}
 	p.c.recordAttempt(t.Upstream, a, took, p.log)
-	p.log.Info("attempt", "upstream", t.Upstream.ID, "number", len(p.tried), "verdict", a.verdict.String(),
+	p.log.Info("attempt", "upstream", t.Upstream.ID, "number", len(p.tried), "verdict", a.verdict.String(), "framing", string(a.framing),
 		"took_ms", took.Milliseconds(), "left_ms", clock.Until(p.j.Deadline).Milliseconds(), "error", logs.ErrorText(a.err))
 	return a
 }
