--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -33,7 +33,9 @@
 	stream io.ReadCloser
 	// breaks ends the body with an error instead of EOF.
 	breaks bool
-	err    error
+	// unframed means that the body has neither a length nor chunks and ends with its connection.
+	unframed bool
+	err      error
 	// hangs blocks until the context ends, then fails with err if that is set.
 	hangs bool
 }
@@ -112,12 +114,16 @@
 		body = io.MultiReader(body, brokenReader{})
 	}
 	h := http.Header{"X-From": {string(s.To.ID)}}
+	length := int64(0)
+	if r.unframed {
+		length = -1
+	}
 	if r.stream != nil {
 		// As on a real connection, canceling the attempt ends the read.
 		context.AfterFunc(ctx, func() { _ = r.stream.Close() })
-		return &http.Response{StatusCode: r.status, Header: h, Body: r.stream}, r.verdict, nil
+		return &http.Response{StatusCode: r.status, Header: h, ContentLength: length, Body: r.stream}, r.verdict, nil
 	}
-	return &http.Response{StatusCode: r.status, Header: h, Body: io.NopCloser(body)}, r.verdict, nil
+	return &http.Response{StatusCode: r.status, Header: h, ContentLength: length, Body: io.NopCloser(body)}, r.verdict, nil
 }
 
 type brokenReader struct{}
