carry: a stream that ends inside an event is broken off, not complete

Cause: the end of the body was taken for the end of the stream. Where a body has neither a length nor chunks, an engine that breaks off one run closes the connection like one that has finished. readEvents returned the part of an event without an error and finish delivered it. For a stream that was stopped for a move the part even preceded the events of the next engine, since it was delivered before the result of the move was known.

Now one place decides whether a stream that was read to its end is complete (bodyend.go: checkStreamEnd), for engines, resumed and moved streams and peers' answers. What follows the last event is delivered only if that place says so, and after the result of a move.

TestBusyPrefillEnginesAreRelieved used the fake engine's default answer, which is no event, as a stream: it is given events, and its checks are as they were.

--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -58,7 +58,9 @@
 		s.freeResult(&prefillResult{handle: cont.source, engine: u})
 		s.endPlacements(cont.engines)
 	}
-	err = streamEndError(resp, err, ambiguous)
+	if err == nil {
+		err = s.finish(resp, rest, ambiguous)
+	}
 	took := clock.Since(start)
 	eventCount := int(s.events.Load() - before)
 	if !started.IsZero() {
@@ -70,11 +72,11 @@
 		s.c.o.Scheduler.StreamDone(s.j.Service.Name, s.output(), s.produced())
 		s.log.Info("stream complete", "upstream", u.ID, "events", s.events.Load(), "took_ms", took.Milliseconds(),
 			"first_ms", s.firstAt.Sub(s.j.Arrived).Milliseconds(), "longest_pause_ms", s.longestPause.Milliseconds(),
-			"framing", string(framingOf(resp)), "rest_bytes", rest,
+			"framing", string(framingOf(resp)), "rest_bytes", len(rest),
 			"prompt", s.j.Call.PromptTokens, "estimate", s.output(), "bound", s.j.Call.MaxOutputTokens)
 		return nil, false, nil
 	}
-	s.log.Info("stream ended early", "upstream", u.ID, "framing", string(framingOf(resp)), "rest_bytes", rest)
+	s.log.Info("stream ended early", "upstream", u.ID, "framing", string(framingOf(resp)), "rest_bytes", len(rest))
 	return nil, s.handleStreamEnd(ctx, p, err, eventCount, cutReason(ctx, err)), s.streamError(ctx, err)
 }
 
@@ -118,9 +120,9 @@
 	return s.callerError(err)
 }
 
-// copyEvents copies complete events to the caller until the stream ends, and returns the number of
-// bytes after the last complete event. It calls first when the first event arrives.
-func (s *stream) copyEvents(wd *watchdog, p *placement, resp *http.Response, first func()) (rest int, err error) {
+// copyEvents copies complete events to the caller until the body ends, and returns what follows the
+// last one. It calls first when the first event arrives.
+func (s *stream) copyEvents(wd *watchdog, p *placement, resp *http.Response, first func()) (rest []byte, err error) {
 	started := false
 	before := s.events.Load()
 	heard := func(n int) {
@@ -129,7 +131,7 @@
 			s.lastReadAt = clock.Now()
 		}
 	}
-	tail, err := readEvents(resp.Body, heard, func(events []byte) error {
+	return readEvents(resp.Body, heard, func(events []byte) error {
 		if !started {
 			started = true
 			s.c.o.Scheduler.RecordPromptComputed(p.decode)
@@ -143,15 +145,11 @@
 		s.crashGuard.recordProgress(int(s.events.Load() - before))
 		return nil
 	})
-	if err != nil {
-		return len(tail), err
-	}
-	return len(tail), s.finish(resp, tail)
 }
 
-// readEvents reads a stream until it ends and returns what follows the last complete event. It calls
-// heard with the number of bytes after each read, and deliver with complete events; an error of
-// deliver ends the stream with a *CallerWriteError.
+// readEvents reads a body until it ends and returns what follows the last complete event. The end of
+// the body does not show that the stream is complete. readEvents calls heard with the number of bytes
+// after each read, and deliver with complete events; an error of deliver is a *CallerWriteError.
 func readEvents(body io.Reader, heard func(n int), deliver func(events []byte) error) (rest []byte, err error) {
 	var pending []byte
 	buf := make([]byte, readBytes)
@@ -187,8 +185,13 @@
 	s.lastAt = now
 }
 
-// finish sends the remaining bytes when a stream ended without error.
-func (s *stream) finish(resp *http.Response, rest []byte) error {
+// finish ends a stream whose body was read to its end: if it is complete, it sends what follows the
+// last event, otherwise it sends nothing and returns an error. stopped means that the engine may have
+// been told to stop the stream.
+func (s *stream) finish(resp *http.Response, rest []byte, stopped bool) error {
+	if err := checkStreamEnd(resp, rest, stopped); err != nil {
+		return err
+	}
 	if s.headSent && len(rest) == 0 {
 		return nil
 	}
--- a/gateway/carry/migrate.go
+++ b/gateway/carry/migrate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -367,12 +366,3 @@
 		s.c.o.Scheduler.Done(t)
 	}
 }
-
-// streamEndError returns the error with which a stream ended at its engine. An unframed response
-// of a stream that may have been stopped counts as incomplete.
-func streamEndError(resp *http.Response, err error, ambiguous bool) error {
-	if err == nil && ambiguous && framingOf(resp) == framedByConnection {
-		return io.ErrUnexpectedEOF
-	}
-	return err
-}
--- a/gateway/carry/migrate_test.go
+++ b/gateway/carry/migrate_test.go
@@ -153,9 +153,9 @@
 func TestEndOfAMoveThatIsUncertainIsNotWhole(t *testing.T) {
 	open := &http.Response{ContentLength: -1}
 	chunked := &http.Response{ContentLength: -1, TransferEncoding: []string{"chunked"}}
-	assert.Assert(t, streamEndError(open, nil, true) != nil)
-	assert.NilError(t, streamEndError(open, nil, false))
-	assert.NilError(t, streamEndError(chunked, nil, true))
+	assert.Assert(t, checkStreamEnd(open, nil, true) != nil)
+	assert.NilError(t, checkStreamEnd(open, nil, false))
+	assert.NilError(t, checkStreamEnd(chunked, nil, true))
 }
 
 // TestOldMoveDoesNotStopTheStreamElsewhere checks that a migration that began at one engine has
--- a/gateway/carry/relay.go
+++ b/gateway/carry/relay.go
@@ -185,5 +185,5 @@
 	if err != nil {
 		return err
 	}
-	return s.finish(resp, rest)
+	return s.finish(resp, rest, false)
 }
--- a/gateway/carry/stream_test.go
+++ b/gateway/carry/stream_test.go
@@ -254,6 +254,7 @@
 			_, ok := env.o.Scheduler.PlacePrefill(time.Now(), env.view.Upstreams["s"], 1<<20, "a", nil)
 			assert.Assert(t, ok)
 		}
+		env.serveStreams(reply{verdict: dialect.Success, status: 200, body: events(1, 2)})
 		env.o.Scheduler.SetOverflow(map[ident.UpstreamID]bool{"d1": assigned})
 		j := job(singleRun)
 		j.Route.Objective = time.Second
