carry: an unframed response is complete only if its sender still runs

Callers of an engine that died between two events of an unframed stream, and of a plain upstream that died inside an unframed body, received what had come so far as the whole answer: a process that dies closes its connections in an orderly way, like one that has finished.

Every way of reading a body now passes bodyEnd.check: decode, resumed and moved streams, plain responses and upstreams' own errors, and what peers relay. If it answers, the body is complete, since one run alone can end between events without a sign, and to call a whole answer broken off costs callers of routes that may run once their answer; otherwise the stream is broken off, and a plain request may have run. A stream without any event, from its beginning, is broken off. Peers frame what they send, so an unframed end there is one that was cut. A check that is rejected with a status shows that the process runs (it counted as no answer). Framed responses cost no check.

Evidence: with the two new conditions taken out, TestUnframedStreamOfADeadEngineIsBrokenOff (crashed, silent, restarted), TestUnframedStreamWithoutEventsIsNoAnswer, TestUnframedResponseOfADeadUpstreamIsNoAnswer and TestUnframedResponseOfAPeerIsNoAnswer fail; with them ./gateway/carry passes. TestEndOfAMoveThatIsUncertainIsNotWhole asks the new function the same three questions.

--- a/gateway/carry/bodyend.go
+++ b/gateway/carry/bodyend.go
@@ -3,8 +3,9 @@
 import (
 	"bytes"
 	"fmt"
-	"io"
 	"net/http"
+
+	"github.com/wardspool/wardspool/gateway/dialect"
 )
 
 // framing is how the end of a response body is marked.
@@ -42,14 +43,46 @@
 	return fmt.Sprintf("stream ended inside an event, after %d bytes of it", e.Bytes)
 }
 
-// checkStreamEnd returns an error if a stream whose body was read to its end is not complete. rest is
-// what follows the last complete event. stopped means that the engine may have been told to stop it.
-func checkStreamEnd(resp *http.Response, rest []byte, stopped bool) error {
+// UnconfirmedEndError reports a body that ended with its connection and that nothing shows to be
+// complete.
+type UnconfirmedEndError struct {
+	// Reason says what is missing.
+	Reason string
+}
+
+// Error implements the error interface.
+func (e *UnconfirmedEndError) Error() string {
+	return "response ended with its connection and may be incomplete: " + e.Reason
+}
+
+// bodyEnd describes the end of a response body that was read to its end without an error. Whether the
+// body is complete is decided here for all responses of upstreams and peers.
+type bodyEnd struct {
+	framing framing
+	// rest is what follows the last complete event of a stream.
+	rest []byte
+	// stopped means that the engine may have been told to stop the stream.
+	stopped bool
+	// noEvents means that the body is that of a stream from its beginning, and holds no event.
+	noEvents bool
+	// senderLives reports whether the process that sent the body still runs.
+	senderLives func() bool
+}
+
+// check returns an error if the body is not complete, or if its end is that of its connection and may
+// be due to the end of the process. An orderly end at a process that goes on counts as complete.
+func (e bodyEnd) check() error {
 	switch {
-	case insideEvent(rest):
-		return &IncompleteEventError{Bytes: len(rest)}
-	case stopped && framingOf(resp) == framedByConnection:
-		return io.ErrUnexpectedEOF
+	case insideEvent(e.rest):
+		return &IncompleteEventError{Bytes: len(e.rest)}
+	case e.framing != framedByConnection:
+		return nil
+	case e.stopped:
+		return &UnconfirmedEndError{Reason: "the stream may have been stopped"}
+	case e.noEvents:
+		return &UnconfirmedEndError{Reason: "no event was received"}
+	case !e.senderLives():
+		return &UnconfirmedEndError{Reason: "its sender does not answer"}
 	default:
 		return nil
 	}
@@ -68,3 +101,22 @@
 	}
 	return false
 }
+
+// maxLivenessChecks is the number of liveness checks after which an upstream whose body ended with its
+// connection counts as gone. One check may be lost on the way.
+const maxLivenessChecks = 3
+
+// lives reports whether an upstream still runs. Each call asks the upstream, because an answer from
+// before the end of the body shows nothing.
+func (c *Forwarder) lives(u dialect.Upstream) bool {
+	state := stateUnknown
+	for tries := 0; state == stateUnknown && tries < maxLivenessChecks; tries++ {
+		state = c.queryState(u)
+	}
+	c.o.Count("unframed_end_" + string(state))
+	return state == stateAlive
+}
+
+// peerLives is the senderLives of responses of peers. Peers frame their responses, so it counts as
+// incomplete if one ends with its connection.
+func peerLives() bool { return false }
--- a/gateway/carry/bodyend_test.go
+++ b/gateway/carry/bodyend_test.go
@@ -11,6 +11,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/relay"
+	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/bubble"
 )
 
@@ -114,3 +116,107 @@
 	assert.NilError(t, env.err)
 	assert.Equal(t, env.got.body.String(), events(1, 5))
 }
+
+// TestUnframedStreamOfADeadEngineIsBrokenOff guards against a stream that ends between events because
+// its engine died and reaches its caller as complete. A stream of an engine that goes on is complete.
+func TestUnframedStreamOfADeadEngineIsBrokenOff(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		end      func(env *testEnv)
+		unframed bool
+		complete bool
+	}{
+		{"runs", func(*testEnv) {}, true, true},
+		{"rejects the check", func(env *testEnv) { env.d.busy = true }, true, true},
+		{"crashed", func(env *testEnv) { env.d.crashed = bothDecode }, true, false},
+		{"silent", func(env *testEnv) { env.d.silent = bothDecode }, true, false},
+		{"restarted", func(env *testEnv) { env.d.incarnations = map[ident.UpstreamID]ident.Incarnation{"d1": 2, "d2": 2} }, true, false},
+		{"framed, crashed", func(env *testEnv) { env.d.crashed = bothDecode }, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				env := newStreamEnv(t)
+				for i := range env.view.Upstreams["s"] {
+					env.view.Upstreams["s"][i].Incarnation = 1
+				}
+				env.d.incarnations = map[ident.UpstreamID]ident.Incarnation{"d1": 1, "d2": 1}
+				env.serveStreams(reply{verdict: dialect.Success, status: http.StatusOK, body: events(1, 3), unframed: c.unframed})
+				env.d.onDo = func() { c.end(env) }
+				var got streamRecorder
+				_, err := env.Stream(t.Context(), job(singleRun), &got)
+				assert.Equal(t, err == nil, c.complete, "%v", err)
+				assert.Equal(t, got.body.String(), events(1, 3))
+				assert.Equal(t, env.d.countKind("do"), 1)
+			})
+		})
+	}
+}
+
+// bothDecode is the set of the decode engines of newStreamEnv.
+var bothDecode = map[ident.UpstreamID]bool{"d1": true, "d2": true}
+
+// TestUnframedStreamWithoutEventsIsNoAnswer guards against an engine that breaks off before the first event
+// and whose caller receives an empty stream as complete.
+func TestUnframedStreamWithoutEventsIsNoAnswer(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		env := newStreamEnv(t)
+		env.serveStreams(reply{verdict: dialect.Success, status: http.StatusOK, unframed: true})
+		var got streamRecorder
+		_, err := env.Stream(t.Context(), job(singleRun), &got)
+		assert.Equal(t, outcomeOf(t, err), Unknown)
+		assert.Equal(t, got.heads, 0)
+	})
+}
+
+// TestUnframedStreamResumedAfterItsLastEventIsComplete guards against a resumed stream that can never
+// end because nothing is left to send.
+func TestUnframedStreamResumedAfterItsLastEventIsComplete(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		env := newStreamEnv(t)
+		env.serveStreams(reply{verdict: dialect.Success, status: http.StatusOK, unframed: true})
+		j := job(resumable)
+		j.Call.LastEvent, j.Call.ReceivedEvents = "5", 5
+		var got streamRecorder
+		_, err := env.Stream(t.Context(), j, &got)
+		assert.NilError(t, err)
+		assert.Equal(t, got.heads, 1)
+	})
+}
+
+// TestUnframedResponseOfADeadUpstreamIsNoAnswer guards against a plain response that was cut short by
+// the end of its process and reaches the caller as complete.
+func TestUnframedResponseOfADeadUpstreamIsNoAnswer(t *testing.T) {
+	for _, dead := range []bool{true, false} {
+		bubble.Test(t, func(t *testing.T) {
+			env := newTestEnv(t, ampleBudget, plainUps("a")...)
+			env.d.do["a"] = []reply{{verdict: dialect.Success, status: http.StatusOK, body: "part", unframed: true}}
+			env.d.crashed = map[ident.UpstreamID]bool{"a": dead}
+			resp, err := env.Plain(t.Context(), job(atMostOnce))
+			if dead {
+				assert.Equal(t, outcomeOf(t, err), Unknown)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, string(resp.Body), "part")
+		})
+	}
+}
+
+// TestUnframedResponseOfAPeerIsNoAnswer guards against a peer's response that was cut short and counts
+// as complete although peers frame their responses.
+func TestUnframedResponseOfAPeerIsNoAnswer(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		env := newStreamEnv(t)
+		env.disconnected = true
+		env.relayTo = func(q relay.Request) (*http.Response, error) {
+			resp, err := answerFromPeer(events(1, 2), false)(q)
+			resp.ContentLength = -1
+			return resp, err
+		}
+		_, err := env.Plain(t.Context(), job(atMostOnce))
+		assert.Equal(t, outcomeOf(t, err), Unknown)
+		var broken *InterruptedError
+		_, err = env.Stream(t.Context(), job(singleRun), &streamRecorder{})
+		assert.Assert(t, errors.As(err, &broken), "%v", err)
+	})
+}
--- a/gateway/carry/carry.go
+++ b/gateway/carry/carry.go
@@ -284,8 +284,9 @@
 }
 
 // readResponseBody reads the whole body of a response. It blocks for memory if the account has
-// too little left. Its errors are those of reading, of the account, or a *ResponseTooLargeError.
-func readResponseBody(ctx context.Context, resp *http.Response, account *memory.Account) ([]byte, error) {
+// too little left. Its errors are those of reading, of the account, a *ResponseTooLargeError, or an
+// *UnconfirmedEndError. senderLives reports whether the sender still runs.
+func readResponseBody(ctx context.Context, resp *http.Response, account *memory.Account, senderLives func() bool) ([]byte, error) {
 	if resp.ContentLength > maxResponseBytes {
 		return nil, &ResponseTooLargeError{Bytes: resp.ContentLength}
 	}
@@ -298,14 +299,18 @@
 	if err == nil && len(body) > maxResponseBytes {
 		return nil, &ResponseTooLargeError{Bytes: int64(len(body))}
 	}
+	if err == nil {
+		err = bodyEnd{framing: framingOf(resp), senderLives: senderLives}.check()
+	}
 	return body, err
 }
 
 // readResponse reads a complete response. If the body cannot be read, a success or a failure
 // reported by the upstream becomes a failed attempt. The other verdicts do not depend on the
 // body; in particular, a refusal remains proof that the request did not run.
-func readResponse(ctx context.Context, resp *http.Response, v dialect.Verdict, account *memory.Account) *attempt {
-	body, err := readResponseBody(ctx, resp, account)
+func (c *Forwarder) readResponse(ctx context.Context, u dialect.Upstream, resp *http.Response, v dialect.Verdict, account *memory.Account) *attempt {
+	senderLives := func() bool { return v != dialect.Success && v != dialect.Failure || c.lives(u) }
+	body, err := readResponseBody(ctx, resp, account, senderLives)
 	if err != nil && (v == dialect.Success || v == dialect.Failure) {
 		return &attempt{framing: framingOf(resp), err: err}
 	}
--- a/gateway/carry/decode.go
+++ b/gateway/carry/decode.go
@@ -154,7 +154,7 @@
 // engines may be tried.
 func (s *stream) handleErrorResponse(ctx context.Context, p *placement, h *prefillResult, resp *http.Response, v dialect.Verdict) (*Response, bool, error) {
 	u := p.decode.Upstream
-	a := readResponse(ctx, resp, v, s.j.Memory)
+	a := s.c.readResponse(ctx, u, resp, v, s.j.Memory)
 	s.c.recordAttempt(u, a, 0, s.log)
 	s.excluded = append(s.excluded, u.ID)
 	s.log.Info("attempt", "upstream", u.ID, "number", s.starts, "verdict", v.String(), "status", resp.StatusCode)
--- a/gateway/carry/ending.go
+++ b/gateway/carry/ending.go
@@ -110,11 +110,15 @@
 // connection may be the fault of the network path, unless another upstream accepts one.
 func (c *Forwarder) stateFromError(u dialect.Upstream, err error) upstreamState {
 	var replaced *dialect.ReplacedError
+	var status *dialect.StatusError
 	switch {
 	case err == nil:
 		return stateAlive
 	case errors.As(err, &replaced), ClassifyUnreachable(err) == schedule.Closed && c.o.PathWorks(u):
 		return stateCrashed
+	case errors.As(err, &status):
+		// A process that rejects the check runs.
+		return stateAlive
 	default:
 		return stateUnknown
 	}
--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -55,6 +55,8 @@
 	cached map[ident.UpstreamID]map[string]int
 	// silent engines do not answer requests for a report.
 	silent map[ident.UpstreamID]bool
+	// busy engines reject requests for a report.
+	busy bool
 	// crashed upstreams refuse connections.
 	crashed map[ident.UpstreamID]bool
 	// incarnations are the incarnations that engines report.
@@ -182,6 +184,9 @@
 	if f.silent[u.ID] {
 		return dialect.Report{}, errNotSent
 	}
+	if f.busy {
+		return dialect.Report{}, &dialect.StatusError{Op: "report", Status: http.StatusServiceUnavailable}
+	}
 	return dialect.Report{Incarnation: f.incarnations[u.ID]}, nil
 }
 func (f *fakeDialect) CheckReachable(_ context.Context, u dialect.Upstream) error {
--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -59,7 +59,7 @@
 		s.endPlacements(cont.engines)
 	}
 	if err == nil {
-		err = s.finish(resp, rest, ambiguous)
+		err = s.finish(resp, bodyEnd{rest: rest, stopped: ambiguous, senderLives: func() bool { return s.c.lives(u) }})
 	}
 	took := clock.Since(start)
 	eventCount := int(s.events.Load() - before)
@@ -186,16 +186,17 @@
 }
 
 // finish ends a stream whose body was read to its end: if it is complete, it sends what follows the
-// last event, otherwise it sends nothing and returns an error. stopped means that the engine may have
-// been told to stop the stream.
-func (s *stream) finish(resp *http.Response, rest []byte, stopped bool) error {
-	if err := checkStreamEnd(resp, rest, stopped); err != nil {
+// last event, otherwise it sends nothing and returns an error.
+func (s *stream) finish(resp *http.Response, end bodyEnd) error {
+	end.framing = framingOf(resp)
+	end.noEvents = s.lastEvent == "" && s.events.Load() == 0
+	if err := end.check(); err != nil {
 		return err
 	}
-	if s.headSent && len(rest) == 0 {
+	if s.headSent && len(end.rest) == 0 {
 		return nil
 	}
-	if err := s.deliver(resp, rest); err != nil {
+	if err := s.deliver(resp, end.rest); err != nil {
 		return &CallerWriteError{Err: err}
 	}
 	return nil
--- a/gateway/carry/migrate_test.go
+++ b/gateway/carry/migrate_test.go
@@ -151,11 +151,12 @@
 // TestEndOfAMoveThatIsUncertainIsNotWhole checks that an unframed response counts as incomplete
 // if its stream may have been stopped.
 func TestEndOfAMoveThatIsUncertainIsNotWhole(t *testing.T) {
-	open := &http.Response{ContentLength: -1}
-	chunked := &http.Response{ContentLength: -1, TransferEncoding: []string{"chunked"}}
-	assert.Assert(t, checkStreamEnd(open, nil, true) != nil)
-	assert.NilError(t, checkStreamEnd(open, nil, false))
-	assert.NilError(t, checkStreamEnd(chunked, nil, true))
+	open := framingOf(&http.Response{ContentLength: -1})
+	chunked := framingOf(&http.Response{ContentLength: -1, TransferEncoding: []string{"chunked"}})
+	lives := func() bool { return true }
+	assert.Assert(t, bodyEnd{framing: open, stopped: true, senderLives: lives}.check() != nil)
+	assert.NilError(t, bodyEnd{framing: open, senderLives: lives}.check())
+	assert.NilError(t, bodyEnd{framing: chunked, stopped: true, senderLives: lives}.check())
 }
 
 // TestOldMoveDoesNotStopTheStreamElsewhere checks that a migration that began at one engine has
--- a/gateway/carry/plain.go
+++ b/gateway/carry/plain.go
@@ -156,7 +156,7 @@
 		return &attempt{err: err}
 	}
 	defer resp.Body.Close()
-	return readResponse(ctx, resp, verdict, p.j.Memory)
+	return p.c.readResponse(ctx, u, resp, verdict, p.j.Memory)
 }
 
 // countFailure counts an attempt that did not succeed.
--- a/gateway/carry/relay.go
+++ b/gateway/carry/relay.go
@@ -111,7 +111,7 @@
 		return p.relayResult(ctx, err)
 	}
 	defer resp.Body.Close()
-	body, err := readResponseBody(ctx, resp, p.j.Memory)
+	body, err := readResponseBody(ctx, resp, p.j.Memory, peerLives)
 	if err != nil {
 		return p.relayResult(ctx, &Error{Outcome: Unknown, Reason: "peer_lost", Err: err})
 	}
@@ -169,7 +169,7 @@
 // relayedError returns an upstream's own error response to a relayed stream.
 func (s *stream) relayedError(ctx context.Context, resp *http.Response) (*Response, bool, error) {
 	s.runs++
-	body, err := readResponseBody(ctx, resp, s.j.Memory)
+	body, err := readResponseBody(ctx, resp, s.j.Memory, peerLives)
 	if err != nil || s.headSent {
 		return nil, false, s.callerError(&Error{Outcome: Unknown, Reason: "engine_failed", Err: err})
 	}
@@ -185,5 +185,5 @@
 	if err != nil {
 		return err
 	}
-	return s.finish(resp, rest, false)
+	return s.finish(resp, bodyEnd{rest: rest, senderLives: peerLives})
 }
