front: a broken-off answer resets the connection of an HTTP/1.0 caller

A caller of HTTP/1.0 received a stream that had been broken off as complete: its answer has neither a length nor chunks, and an aborted handler closes the connection in an orderly way. Now the connection is reset. HTTP/1.1 answers lack their last chunk, as before.

Evidence: TestAbortedResponseDoesNotLookComplete failed for HTTP/1.0, with and without keep-alive, and passes; HTTP/1.1 passed before and after.

--- /dev/null
+++ b/gateway/front/abort.go
@@ -0,0 +1,28 @@
+package front
+
+import (
+	"net"
+	"net/http"
+)
+
+// abort ends a handler whose response must not look complete to its caller. It does not return. In
+// HTTP/1.1 the response lacks its last chunk or a part of its length. In HTTP/1.0 a response without a
+// length ends with its connection, so the connection is reset.
+func abort(r *http.Request, rc *http.ResponseController) {
+	if !r.ProtoAtLeast(1, 1) {
+		reset(rc)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reset resets a request's connection. If that is not possible, the connection is closed as usual.
+func reset(rc *http.ResponseController) {
+	conn, _, err := rc.Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -216,7 +216,9 @@
 	if err := rc.SetWriteDeadline(time.Now().Add(clock.Until(j.Deadline) + writeSlack)); err != nil {
 		f.o.Log.Debug("failed to set the write deadline", "error", err)
 	}
-	f.carry(r.Context(), w, rc, j, cost)
+	if !f.carry(r.Context(), w, rc, j, cost) {
+		abort(r, rc)
+	}
 }
 
 // requestTimeout returns how long a request may take: the route's timeout, or how long the caller
@@ -233,9 +235,9 @@
 }
 
 // carry has the Forwarder send a request to upstreams, and answers it. It returns the cost of the
-// request to the workspace's limit if the request did not run. If the answer broke off or the
-// caller has disconnected, it aborts the handler.
-func (f *Front) carry(ctx context.Context, w http.ResponseWriter, rc *http.ResponseController, j *carry.Job, cost float64) {
+// request to the workspace's limit if the request did not run. The result is false if the answer
+// broke off or the caller has disconnected, so that the answer must not look complete.
+func (f *Front) carry(ctx context.Context, w http.ResponseWriter, rc *http.ResponseController, j *carry.Job, cost float64) bool {
 	response, err := f.forward(ctx, j, &streamWriter{w: w, rc: rc})
 	if cost > 0 && didNotRun(err) {
 		f.o.Limits.ReturnTokens(j.Workspace, cost)
@@ -255,10 +257,7 @@
 	}
 	f.o.Log.Info("answered", "request", j.Call.ID, "content", j.Content.String(), "route", j.Route.Name, "workspace", j.WorkspaceName(), "outcome", outcome, "cut_by", string(cut), "status", status,
 		"took_ms", took.Milliseconds(), "version", j.Version, "error", logs.ErrorText(err))
-	if outcome == outcomeAbandoned || outcome == outcomeBroken {
-		// An answer that broke off must not look complete to the caller.
-		panic(http.ErrAbortHandler)
-	}
+	return outcome != outcomeAbandoned && outcome != outcomeBroken
 }
 
 // forward has the Forwarder send a request to upstreams.
