carry: events may end with CR LF or CR, and comments may follow the last one

An event was recognized by two LFs only. A stream whose lines end otherwise reached its caller in one piece at its end, and would now count as one that ends inside an event, although it is whole. A line of an event stream ends with LF, CR LF or CR, and a blank line ends an event; complete comments and blank lines after the last event are no part of one.

--- a/gateway/carry/bodyend.go
+++ b/gateway/carry/bodyend.go
@@ -1,7 +1,6 @@
 package carry
 
 import (
-	"bytes"
 	"fmt"
 	"net/http"
 
@@ -88,20 +87,6 @@
 	}
 }
 
-// insideEvent reports whether what follows the last complete event of a stream is a part of another
-// one, and not only blank lines and comments.
-func insideEvent(rest []byte) bool {
-	for len(rest) > 0 {
-		line, after, ended := bytes.Cut(rest, []byte("\n"))
-		line = bytes.TrimSuffix(line, []byte("\r"))
-		if !ended || len(line) > 0 && line[0] != ':' {
-			return true
-		}
-		rest = after
-	}
-	return false
-}
-
 // maxLivenessChecks is the number of liveness checks after which an upstream whose body ended with its
 // connection counts as gone. One check may be lost on the way.
 const maxLivenessChecks = 3
--- a/gateway/carry/bodyend_test.go
+++ b/gateway/carry/bodyend_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 
 	"gotest.tools/v3/assert"
 
@@ -220,3 +221,43 @@
 		assert.Assert(t, errors.As(err, &broken), "%v", err)
 	})
 }
+
+// TestStreamsWithAnyLineEndsAreWhole guards against streams whose lines end with CR LF or CR and of which
+// no event is recognized: they reach the caller in one piece at the end, or not at all.
+func TestStreamsWithAnyLineEndsAreWhole(t *testing.T) {
+	for _, end := range []string{"\n", "\r\n", "\r"} {
+		bubble.Test(t, func(t *testing.T) {
+			whole := strings.ReplaceAll(events(1, 3), "\n", end)
+			env := newStreamEnv(t)
+			body := newControlledBody()
+			env.serveStreams(reply{verdict: dialect.Success, status: http.StatusOK, stream: body, unframed: true})
+			var got streamRecorder
+			result := make(chan error, 1)
+			go func() {
+				_, err := env.Stream(t.Context(), job(singleRun), &got)
+				result <- err
+			}()
+			for n := range len(whole) {
+				_, err := io.WriteString(body.w, whole[n:n+1])
+				assert.NilError(t, err)
+			}
+			synctest.Wait()
+			// The LF after the CR that ended the last event may come later.
+			assert.Equal(t, strings.TrimSuffix(got.body.String(), "\n"), strings.TrimSuffix(whole, "\n"))
+			assert.NilError(t, body.w.Close())
+			assert.NilError(t, <-result)
+			assert.Equal(t, got.body.String(), whole)
+		})
+	}
+}
+
+// TestBytesAfterTheLastEvent checks which bytes after the last event of a stream are a part of another
+// one.
+func TestBytesAfterTheLastEvent(t *testing.T) {
+	for rest, want := range map[string]bool{
+		"": false, "\n": false, "\r\n": false, ": comment\n": false, ": a\r\n: b\r\n": false,
+		": comm": true, "id: 4\n": true, "i": true, ": comment\ndata: x\n": true, "data: x\r\n": true, " ": true,
+	} {
+		assert.Check(t, insideEvent([]byte(rest)) == want, "%q", rest)
+	}
+}
--- /dev/null
+++ b/gateway/carry/eventend.go
@@ -0,0 +1,45 @@
+package carry
+
+import "bytes"
+
+// isLineEnd reports whether r ends a line of an event stream: a line ends with CR, LF or both.
+func isLineEnd(r rune) bool { return r == '\n' || r == '\r' }
+
+// lineEndBefore returns the offset at which the line end that ends at offset end of b begins, or end
+// if there is none.
+func lineEndBefore(b []byte, end int) int {
+	switch {
+	case end == 0 || !isLineEnd(rune(b[end-1])):
+		return end
+	case end > 1 && b[end-1] == '\n' && b[end-2] == '\r':
+		return end - 2
+	default:
+		return end - 1
+	}
+}
+
+// lastEventEnd returns the offset after the last complete event in b, or 0 if there is none. A blank
+// line ends an event.
+func lastEventEnd(b []byte) int {
+	for end := len(b); end > 0; end-- {
+		blank := lineEndBefore(b, end)
+		if blank < end && lineEndBefore(b, blank) < blank {
+			return end
+		}
+	}
+	return 0
+}
+
+// insideEvent reports whether what follows the last complete event of a stream is a part of another
+// one, and not only blank lines and comments.
+func insideEvent(rest []byte) bool {
+	if len(rest) > 0 && !isLineEnd(rune(rest[len(rest)-1])) {
+		return true
+	}
+	for line := range bytes.FieldsFuncSeq(rest, isLineEnd) {
+		if line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -218,18 +218,10 @@
 
 // recordEvents counts the delivered events and stores the ID of the last one.
 func (s *stream) recordEvents(events []byte) {
-	for line := range bytes.SplitSeq(events, []byte("\n")) {
+	for line := range bytes.FieldsFuncSeq(events, isLineEnd) {
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			s.lastEvent = string(bytes.TrimSpace(id))
 			s.events.Add(1)
 		}
 	}
 }
-
-// lastEventEnd returns the offset after the last complete event in b, or 0 if there is none.
-func lastEventEnd(b []byte) int {
-	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
-		return i + 2
-	}
-	return 0
-}
