entry, agent: a value or answer that ends with its connection is not taken for whole

The entry took a plain service's response without a length and without chunks for whole at the end of its connection, and a reader of the configuration service (agent, entry) a value, whose index it then held for read: the rest would not have been read again until the next change. Our own protocols now ask for a length or chunks; anything else counts as cut short (the call may have run; the value is read again). Elsewhere the message has an end of its own and nothing changes: engines' streams end with [DONE] and a finish_reason, JSON responses (store, reports, KV handles, engines' errors, lists of peers) do not parse if cut, bundles have digests, jsonrpc2 messages a length.

Evidence: TestAnswerTooLargeOrCut's new case and TestGetTakesNoValueThatEndsWithItsConnection fail without the two conditions and pass with them.

--- a/configservice/client.go
+++ b/configservice/client.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wardspool/wardspool/adapter/roundtrip"
 	"github.com/wardspool/wardspool/ident"
 )
 
@@ -279,6 +280,8 @@
 	switch {
 	case err != nil:
 		return readResult{}, &UnavailableError{Key: key, Err: err}
+	case roundtrip.EndsWithConnection(resp):
+		return readResult{}, &UnavailableError{Key: key, Err: io.ErrUnexpectedEOF}
 	case len(body) > MaxValue:
 		return readResult{}, &TooLargeError{Key: key, Limit: MaxValue}
 	}
--- a/configservice/client_test.go
+++ b/configservice/client_test.go
@@ -110,6 +110,27 @@
 	assert.DeepEqual(t, hosts, []string{"a.test", "b.test", "b.test"})
 }
 
+// TestGetTakesNoValueThatEndsWithItsConnection guards against a value that was cut short and whose index
+// is never read again.
+func TestGetTakesNoValueThatEndsWithItsConnection(t *testing.T) {
+	unframed := true
+	c := newTestClient(t, func(*http.Request) (*http.Response, error) {
+		resp := newResponse(200, 7, "whole")
+		if unframed {
+			resp = newResponse(200, 7, "who")
+			resp.ContentLength = -1
+		}
+		return resp, nil
+	})
+	_, err := c.Get(context.Background(), "k")
+	var unavailable *UnavailableError
+	assert.Assert(t, errors.As(err, &unavailable), "%v", err)
+	unframed = false
+	v, err := c.Get(context.Background(), "k")
+	assert.NilError(t, err)
+	assert.Equal(t, string(v.Bytes), "whole")
+}
+
 func TestGetReportsOldValues(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
 		index := uint64(9)
--- a/gateway/carry/bodyend.go
+++ b/gateway/carry/bodyend.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 
+	"github.com/wardspool/wardspool/adapter/roundtrip"
 	"github.com/wardspool/wardspool/gateway/dialect"
 )
 
@@ -12,22 +13,20 @@
 
 // The kinds of framing, as they appear in logs.
 const (
-	framedByLength framing = "length"
-	framedByChunks framing = "chunks"
-	// framedByConnection means that the body ends with its connection. Its end cannot be told from
-	// that of a process that died.
+	framedByLength     framing = "length"
+	framedByChunks     framing = "chunks"
 	framedByConnection framing = "connection"
 )
 
 // framingOf returns the framing of a response's body.
 func framingOf(resp *http.Response) framing {
 	switch {
+	case roundtrip.EndsWithConnection(resp):
+		return framedByConnection
 	case resp.ContentLength >= 0:
 		return framedByLength
-	case len(resp.TransferEncoding) > 0:
-		return framedByChunks
 	default:
-		return framedByConnection
+		return framedByChunks
 	}
 }
 
--- a/plugins/service/http/call.go
+++ b/plugins/service/http/call.go
@@ -50,6 +50,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if roundtrip.EndsWithConnection(resp) {
+		return nil, &adapter.CallError{Evidence: kernel.Ambiguous, Code: kernel.FailureBroken, Err: io.ErrUnexpectedEOF}
+	}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		return nil, responseError(resp, body)
 	}
--- a/plugins/service/http/http_test.go
+++ b/plugins/service/http/http_test.go
@@ -134,6 +134,14 @@
 			_, _ = io.WriteString(w, "half")
 			panic(http.ErrAbortHandler)
 		},
+		"ends with its connection": func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nhalf")
+			_ = conn.Close()
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s, c := newCall(t, h)
