--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -76,7 +76,7 @@
 			"prompt", s.j.Call.PromptTokens, "estimate", s.output(), "bound", s.j.Call.MaxOutputTokens)
 		return nil, false, nil
 	}
-	s.log.Info("stream ended early", "upstream", u.ID, "framing", string(framingOf(resp)), "rest_bytes", len(rest))
+	s.framing, s.restBytes = framingOf(resp), len(rest)
 	return nil, s.handleStreamEnd(ctx, p, err, eventCount, cutReason(ctx, err)), s.streamError(ctx, err)
 }
 
@@ -93,6 +93,7 @@
 	s.runs++
 	s.cutReason = reason
 	s.log.Info("stream broke off", "upstream", u.ID, "by", string(reason), "events", s.events.Load(), "here", eventCount, "last_event", s.lastEvent,
+		"framing", string(s.framing), "rest_bytes", s.restBytes,
 		"quiet_ms", clock.Since(s.lastReadAt).Milliseconds(), "left_ms", clock.Until(s.j.Deadline).Milliseconds(), "error", logs.ErrorText(err))
 	if ctx.Err() != nil || callerLeft(err) {
 		if clock.Since(s.lastReadAt) >= unresponsiveAfter {
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -130,6 +130,10 @@
 	firstAt      time.Time
 	lastAt       time.Time
 	longestPause time.Duration
+	// framing is that of the last run's body, "" if it had none. restBytes is what followed its last
+	// complete event.
+	framing   framing
+	restBytes int
 	// lastReadAt is the time at which the engine last sent anything.
 	lastReadAt time.Time
 }
