gateway: knows the software version of each upstream, and logs it

It is now a field of the upstream, a part of the digest of the list, and reaches peers beside the encoded list (instances of earlier releases reject fields that they don't know; what they send leaves a known version as it is). No decision uses it yet.

TestSoftwareVersionsReachPeers plays lists of one, several and no version, and a peer that sends none.

--- a/gateway/carry/decode.go
+++ b/gateway/carry/decode.go
@@ -45,7 +45,7 @@
 		return s.handleErrorResponse(ctx, p, h, resp, verdict)
 	}
 	s.recordAccepted(u, h)
-	s.log.Info("stream accepted", "upstream", u.ID, "took_ms", clock.Since(start).Milliseconds(), "since_arrival_ms", clock.Since(s.j.Arrived).Milliseconds())
+	s.log.Info("stream accepted", "upstream", u.ID, "software_version", u.SoftwareVersion, "took_ms", clock.Since(start).Milliseconds(), "since_arrival_ms", clock.Since(s.j.Arrived).Milliseconds())
 	return s.forward(ctx, wd, p, resp, start)
 }
 
--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -92,7 +92,7 @@
 	u := p.decode.Upstream
 	s.runs++
 	s.cutReason = reason
-	s.log.Info("stream broke off", "upstream", u.ID, "by", string(reason), "events", s.events.Load(), "here", eventCount, "last_event", s.lastEvent,
+	s.log.Info("stream broke off", "upstream", u.ID, "software_version", u.SoftwareVersion, "by", string(reason), "events", s.events.Load(), "here", eventCount, "last_event", s.lastEvent,
 		"framing", string(s.framing), "rest_bytes", s.restBytes,
 		"quiet_ms", clock.Since(s.lastReadAt).Milliseconds(), "left_ms", clock.Until(s.j.Deadline).Milliseconds(), "error", logs.ErrorText(err))
 	if ctx.Err() != nil || callerLeft(err) {
--- a/gateway/carry/migrate.go
+++ b/gateway/carry/migrate.go
@@ -332,7 +332,7 @@
 	})
 	took := clock.Since(start).Milliseconds()
 	if err == nil && verdict == dialect.Success {
-		s.log.Info("stream goes on", "upstream", u.ID, "took_ms", took)
+		s.log.Info("stream goes on", "upstream", u.ID, "software_version", u.SoftwareVersion, "took_ms", took)
 		return resp, nil
 	}
 	if err == nil {
--- a/gateway/dialect/dialect.go
+++ b/gateway/dialect/dialect.go
@@ -76,6 +76,9 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Stage is empty for plain services.
 	Stage Stage `json:"stage,omitempty"`
+	// SoftwareVersion is the version of the upstream's software, "" if unknown. It has no order. What
+	// two versions write of one stream does not fit together.
+	SoftwareVersion string `json:"sv,omitempty"`
 	// Cold means that the upstream has started recently or been idle, and tolerates only a limited
 	// request rate.
 	Cold bool `json:"cold,omitempty"`
@@ -107,6 +110,9 @@
 	CallerTimeout time.Duration
 	// LastEvent is the number of the last event that a caller which resumes a stream has received.
 	LastEvent string
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream that it
+	// resumes, "" if it does not state it.
+	Resumes string
 	// ReceivedEvents is how many events a caller which resumes a stream has received, 0 if unknown.
 	ReceivedEvents int
 	// HasTokenCounts means that the caller states PromptTokens and MaxOutputTokens.
--- a/gateway/fleet/lists.go
+++ b/gateway/fleet/lists.go
@@ -30,7 +30,11 @@
 // upstreamHash returns a hash of all fields of an upstream.
 func upstreamHash(u *dialect.Upstream) uint64 {
 	var buffer [256]byte
-	return xxhash.Sum64(appendUpstream(buffer[:0], u))
+	encoded := appendUpstream(buffer[:0], u)
+	if u.SoftwareVersion != "" {
+		encoded = appendString(encoded, u.SoftwareVersion)
+	}
+	return xxhash.Sum64(encoded)
 }
 
 // listDigest returns the digest of a list: the sum of the hashes of its upstreams, which does not
@@ -91,6 +95,59 @@
 	return out, nil
 }
 
+// packVersions encodes the software versions of a list: the versions, and the number of the version of
+// each upstream unless all have the same. They are sent beside the list, since instances of earlier
+// releases reject a list with fields that they don't know.
+func packVersions(list []dialect.Upstream) []byte {
+	var versions []string
+	numbers := make([]int, len(list))
+	for i := range list {
+		numbers[i] = slices.Index(versions, list[i].SoftwareVersion)
+		if numbers[i] < 0 {
+			numbers[i] = len(versions)
+			versions = append(versions, list[i].SoftwareVersion)
+		}
+	}
+	dst := binary.AppendUvarint(nil, uint64(len(versions)))
+	for _, v := range versions {
+		dst = appendString(dst, v)
+	}
+	if len(versions) < 2 {
+		return dst
+	}
+	for _, n := range numbers {
+		dst = binary.AppendUvarint(dst, uint64(n))
+	}
+	return dst
+}
+
+// unpackVersions sets the software versions of a list to what packVersions encoded, which is empty if
+// the sender doesn't know them. The error is a *PackError.
+func unpackVersions(packed []byte, list []dialect.Upstream) error {
+	if len(packed) == 0 {
+		return nil
+	}
+	r := &unpacker{rest: packed}
+	var versions []string
+	for range r.length() {
+		versions = append(versions, r.str())
+	}
+	for i := range list {
+		number := uint64(0)
+		if len(versions) > 1 {
+			number = r.uvarint()
+		}
+		if number >= uint64(len(versions)) {
+			return &PackError{Bytes: len(packed)}
+		}
+		list[i].SoftwareVersion = versions[number]
+	}
+	if !r.done() {
+		return &PackError{Bytes: len(packed)}
+	}
+	return nil
+}
+
 // compress compresses an encoded list with gzip. Its addresses, services and zones are
 // repetitive.
 func compress(packed []byte) ([]byte, error) {
--- a/gateway/fleet/lists_test.go
+++ b/gateway/fleet/lists_test.go
@@ -242,3 +242,34 @@
 	n.mergeList(time.Now().Add(time.Second), 2, manyUpstreams(3002), FromStore, "test")
 	assert.Equal(t, strings.Count(text.String(), "\n"), 3)
 }
+
+// TestSoftwareVersionsReachPeers guards against an instance that learns upstreams from a peer and not
+// which software version they run, and one that forgets it because a peer does not send it.
+func TestSoftwareVersionsReachPeers(t *testing.T) {
+	versioned := func(id, version string) dialect.Upstream {
+		u := up(id)
+		u.SoftwareVersion = version
+		return u
+	}
+	for _, list := range [][]dialect.Upstream{
+		nil, {versioned("a", "v1")}, {versioned("a", "v1"), versioned("b", "v1")},
+		{versioned("a", "v1"), versioned("b", "v2"), versioned("c", "")}, {versioned("a", ""), versioned("b", "")},
+	} {
+		n := newTestNode(t, &fakeStore{})
+		n.mergeList(time.Now(), 3, list, FromStore, "test")
+		a, err := n.onView(t.Context(), peer.Identity{}, ViewRequest{Whole: true})
+		assert.NilError(t, err)
+		assert.DeepEqual(t, listOf(t, a, NewView().Snapshot()), n.Snapshot().All())
+		assert.DeepEqual(t, a.Digest, listDigest(n.Snapshot().All()))
+
+		a.SoftwareVersions = nil
+		n.mergeList(time.Now().Add(time.Millisecond), 4, listOf(t, a, n.Snapshot()), FromPeer, "test")
+		assert.Equal(t, len(n.Snapshot().All()), len(list))
+		for _, u := range list {
+			found, _ := n.Snapshot().Find(u.Service, u.ID)
+			assert.Equal(t, found.SoftwareVersion, u.SoftwareVersion)
+		}
+	}
+	assert.Assert(t, unpackVersions([]byte{9}, []dialect.Upstream{up("a")}) != nil)
+	assert.Assert(t, unpackVersions(packVersions([]dialect.Upstream{versioned("a", "v1"), versioned("b", "v2")}), []dialect.Upstream{up("a")}) != nil)
+}
--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -142,6 +142,7 @@
 	// packedList is the encoded list of upstreams with digest packedListDigest that is sent to
 	// peers. listSendLimit limits the rate at which it is sent.
 	packedList       []byte
+	packedVersions   []byte
 	packedListDigest uint64
 	listSendLimit    tokenbucket.Bucket
 	// requestArrived receives a value when a request arrives. lastRequest is the time of the
--- a/gateway/fleet/reader.go
+++ b/gateway/fleet/reader.go
@@ -445,7 +445,7 @@
 	if !answer.hasDifference() {
 		return false
 	}
-	changed, err := unpackUpstreams(answer.Changed)
+	changed, err := answer.unpack(answer.Changed)
 	if err != nil {
 		return false
 	}
@@ -481,6 +481,6 @@
 	}
 	for _, c := range changes {
 		log.Info("upstream "+string(c.Kind), "upstream", c.Upstream.ID, "service", c.Upstream.Service,
-			"address", c.Upstream.Address, "stage", c.Upstream.Stage)
+			"address", c.Upstream.Address, "stage", c.Upstream.Stage, "software_version", c.Upstream.SoftwareVersion)
 	}
 }
--- a/gateway/fleet/view.go
+++ b/gateway/fleet/view.go
@@ -340,6 +340,10 @@
 			e.gone = false
 			changes = append(changes, Change{Upstream: u, Kind: Appeared})
 		}
+		if u.SoftwareVersion == "" && u.Incarnation == e.upstream.Incarnation {
+			// Peers of earlier releases don't send the version.
+			u.SoftwareVersion = e.upstream.SoftwareVersion
+		}
 		// Leaving is final for an incarnation.
 		u.Leaving = u.Leaving || e.upstream.Leaving
 		if u.Leaving && !e.upstream.Leaving {
--- a/gateway/fleet/views.go
+++ b/gateway/fleet/views.go
@@ -52,6 +52,19 @@
 	Changed []byte             `json:"changed,omitempty"`
 	Removed []ident.UpstreamID `json:"gone,omitempty"`
 	Whole   []byte             `json:"whole,omitempty"`
+	// SoftwareVersions holds the software versions of the upstreams in Changed or Whole, encoded by
+	// packVersions.
+	SoftwareVersions []byte `json:"versions,omitempty"`
+}
+
+// unpack decodes the list in Changed or Whole, which packed holds decompressed. The error is a
+// *PackError.
+func (a *ViewAnswer) unpack(packed []byte) ([]dialect.Upstream, error) {
+	list, err := unpackUpstreams(packed)
+	if err != nil {
+		return nil, err
+	}
+	return list, unpackVersions(a.SoftwareVersions, list)
 }
 
 // onView answers a peer's request for this instance's view.
@@ -71,10 +84,11 @@
 	}
 	if d, ok := n.differenceFor(request); ok {
 		answer.Changed, answer.Removed = packUpstreams(d.Changed), d.Removed
+		answer.SoftwareVersions = packVersions(d.Changed)
 		return answer, nil
 	}
-	whole, err := n.wholeList(s)
-	answer.Whole = whole
+	var err error
+	answer.Whole, answer.SoftwareVersions, err = n.wholeList(s)
 	return answer, err
 }
 
@@ -89,25 +103,27 @@
 	return n.view.DifferenceFrom(request.Digest)
 }
 
-// wholeList returns the encoded list for a peer. Each version is encoded once. It returns nil if
-// so many peers have just received the list that the link is used up for the moment.
-func (n *Node) wholeList(s *Snapshot) ([]byte, error) {
+// wholeList returns the encoded list for a peer, and the encoded software versions. Each version of the
+// list is encoded once. It returns nil if so many peers have just received the list that the link is
+// used up for the moment.
+func (n *Node) wholeList(s *Snapshot) (list, softwareVersions []byte, err error) {
 	n.packMu.Lock()
 	defer n.packMu.Unlock()
 	if n.packedList == nil || n.packedListDigest != s.Digest() {
-		packed, err := compress(packUpstreams(s.All()))
+		all := s.All()
+		packed, err := compress(packUpstreams(all))
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
-		n.packedList, n.packedListDigest = packed, s.Digest()
+		n.packedList, n.packedVersions, n.packedListDigest = packed, packVersions(all), s.Digest()
 	}
 	rate := min(listLinkShare*n.opts.linkBytes(), maxListBytesPerSecond)
 	n.listSendLimit.Fill(clock.Now(), rate, rate, rate)
 	if n.listSendLimit.Tokens <= 0 {
-		return nil, nil
+		return nil, nil, nil
 	}
-	n.listSendLimit.Tokens -= float64(len(n.packedList))
-	return n.packedList, nil
+	n.listSendLimit.Tokens -= float64(len(n.packedList) + len(n.packedVersions))
+	return n.packedList, n.packedVersions, nil
 }
 
 // DigestMismatchError reports that a difference does not produce the list with the expected digest.
@@ -135,11 +151,11 @@
 		if err != nil {
 			return nil, err
 		}
-		return unpackUpstreams(packed)
+		return a.unpack(packed)
 	case !a.hasDifference():
 		return nil, nil
 	}
-	changed, err := unpackUpstreams(a.Changed)
+	changed, err := a.unpack(a.Changed)
 	if err != nil {
 		return nil, err
 	}
