--- a/gateway/carry/migrate_test.go
+++ b/gateway/carry/migrate_test.go
@@ -37,8 +37,15 @@
 
 // startStreamAtD1 starts a stream that runs at d1 and has delivered two events.
 func startStreamAtD1(t *testing.T, route routing.Route) *migrationEnv {
+	t.Helper()
+	return startVersionedStreamAtD1(t, route, "", "")
+}
+
+// startVersionedStreamAtD1 is like startStreamAtD1, with the software versions of d1 and d2.
+func startVersionedStreamAtD1(t *testing.T, route routing.Route, v1, v2 string) *migrationEnv {
 	t.Helper()
 	env := &migrationEnv{testEnv: newTestEnv(t, ampleBudget, engineUps([]string{"p1"}, []string{"d1", "d2"})...), body: newControlledBody(), ended: make(chan struct{})}
+	env.view.Upstreams["s"][1].SoftwareVersion, env.view.Upstreams["s"][2].SoftwareVersion = v1, v2
 	env.d.do["d1"] = []reply{{verdict: dialect.Success, status: http.StatusOK, stream: env.body}}
 	env.d.do["d2"] = []reply{{verdict: dialect.Success, status: http.StatusOK, body: events(3, 5)}}
 	env.d.stopped = func() { _ = env.body.w.CloseWithError(io.ErrUnexpectedEOF) }
