gateway: a stream goes on at the software version that began it

Cause: engines of one service and model counted as interchangeable. Nothing that looks for an engine for a stream that has begun knew the version: moves (three of the first five seconds), a restart after a crash, a standby, a relayed rest, and a caller's return at an instance that had not begun the stream.

Now a stream is bound to a version by its first event, and every search for an engine is made among stream.eligible; closedReason asks once more before the stream is sent. A relayed stream takes its version to the peer and back. A stream that its caller resumes is bound before anything else: an instance whose recent list has shown one version for 30 s needs nobody; otherwise its own record counts, then those of up to four peers. While more than one version can have begun a stream, its origin is sent to three instances, chosen by rendezvous hashing, within 100 ms; when a second version appears, those of the last 30 s as well. If nobody knows, or no engine of the version is left, the stream is refused at once, truthfully and without a send (software_version_unknown, software_version_gone), and one under way ends at once instead of waiting for its deadline.

TestRequestsStayInAllowedRegions failed once on the way: engines that state no version counted as unknown; the sole version may be empty.

--- a/gateway/carry/carry.go
+++ b/gateway/carry/carry.go
@@ -53,6 +53,8 @@
 	Relay Relay
 	// RateLimits enforces the rate limits that upstreams state.
 	RateLimits RateLimits
+	// Origins knows the software versions that began streams.
+	Origins Origins
 	// AwaitInformed blocks until this instance knows what its peers know, or until ctx ends.
 	// engines reports whether the request is for a service of engines.
 	AwaitInformed func(ctx context.Context, engines bool)
@@ -124,6 +126,9 @@
 	// the number of upstreams that may have run it before.
 	Relayed   bool
 	PriorRuns int
+	// SoftwareVersion is the version of the engine that began a stream that a peer relayed, nil if the
+	// stream has not begun or the peer does not know.
+	SoftwareVersion *string
 	// Memory accounts for the request body and the response. Nil disables accounting.
 	Memory *memory.Account
 }
--- a/gateway/carry/decode.go
+++ b/gateway/carry/decode.go
@@ -54,6 +54,8 @@
 	reasonEvacuated = "zone_evacuated"
 	reasonLeaving   = "leaving"
 	reasonResting   = string(schedule.Resting)
+	// reasonVersion means that the engine's software is not of the version that began the stream.
+	reasonVersion = "other_software_version"
 )
 
 // EngineClosedError reports an engine that gets no requests any more since it was reserved.
@@ -77,6 +79,8 @@
 		return reasonEvacuated
 	case found && listed.Leaving && listed.Incarnation == u.Incarnation:
 		return reasonLeaving
+	case !s.software.allows(u) || found && !s.software.allows(listed):
+		return reasonVersion
 	case s.c.o.Scheduler.Resting(clock.Now(), u):
 		return reasonResting
 	default:
--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -16,6 +16,7 @@
 	"github.com/wardspool/wardspool/adapter"
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/fleet"
+	"github.com/wardspool/wardspool/gateway/origin"
 	"github.com/wardspool/wardspool/gateway/quarantine"
 	"github.com/wardspool/wardspool/gateway/relay"
 	"github.com/wardspool/wardspool/gateway/routing"
@@ -275,6 +276,10 @@
 	disconnected bool
 	// pathBroken means the same before the instance has noticed it.
 	pathBroken bool
+	// origins holds the software versions that began streams, by attempt. soleVersion is set while only one
+	// version serves.
+	origins     map[string]string
+	soleVersion *string
 	// suspected means that several upstreams in a row could not be connected to.
 	suspected bool
 }
@@ -291,7 +296,7 @@
 	t.Helper()
 	d := &fakeDialect{do: map[ident.UpstreamID][]reply{}, prefill: map[ident.UpstreamID][]error{}, reserve: map[string][]error{}, migrate: map[string][]error{}}
 	view := &fleet.Snapshot{Upstreams: map[string][]dialect.Upstream{"s": ups}, AsOf: time.Now()}
-	env := &testEnv{d: d, view: view}
+	env := &testEnv{d: d, view: view, soleVersion: new(string)}
 	env.Forwarder = New(Options{
 		Dialect: d, Scheduler: schedule.NewScheduler("a", 1),
 		Budget: schedule.NewBudget(time.Now(), schedule.BudgetOptions{Window: time.Hour, Slack: slack}, func() int { return 1 }),
@@ -300,6 +305,7 @@
 		Register: quarantine.NewRegister(), Trials: localTrials{quarantine.NewTrials()}, NotifyPeers: func() {},
 		AwaitInformed: func(context.Context, bool) {},
 		Relay:         env,
+		Origins:       env,
 		PathWorks:     func(dialect.Upstream) bool { return !env.disconnected && !env.pathBroken },
 		StopDeadline:  func() (time.Time, bool) { return env.stopDeadline, !env.stopDeadline.IsZero() },
 	})
@@ -402,3 +408,26 @@
 	}
 	return env.relayTo(q)
 }
+
+// StreamBegan implements Origins.
+func (env *testEnv) StreamBegan(_ string, o origin.Origin) {
+	env.d.mu.Lock()
+	defer env.d.mu.Unlock()
+	if env.origins == nil {
+		env.origins = map[string]string{}
+	}
+	env.origins[o.Attempt] = o.Version
+}
+
+// StreamVersion implements Origins.
+func (env *testEnv) StreamVersion(_ context.Context, _, attempt string) (string, origin.Source) {
+	env.d.mu.Lock()
+	defer env.d.mu.Unlock()
+	if env.soleVersion != nil {
+		return *env.soleVersion, origin.SoleVersion
+	}
+	if version, ok := env.origins[attempt]; ok {
+		return version, origin.OwnRecord
+	}
+	return "", origin.Unknown
+}
--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -10,6 +10,7 @@
 
 	"github.com/wardspool/wardspool/adapter/roundtrip"
 	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/relay"
 	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/logs"
 )
@@ -135,6 +136,7 @@
 	return readEvents(resp.Body, heard, func(events []byte) error {
 		if !started {
 			started = true
+			s.began(p.decode.Upstream.SoftwareVersion)
 			s.c.o.Scheduler.RecordPromptComputed(p.decode)
 			first()
 		}
@@ -207,7 +209,11 @@
 // yet.
 func (s *stream) deliver(resp *http.Response, events []byte) error {
 	if !s.headSent {
-		s.w.Head(resp.StatusCode, roundtrip.EndToEnd(resp.Header))
+		header := roundtrip.EndToEnd(resp.Header)
+		if version, bound := s.software.get(); s.j.Relayed && bound {
+			relay.SetSoftwareVersion(header, version)
+		}
+		s.w.Head(resp.StatusCode, header)
 		s.headSent = true
 	}
 	if err := s.w.Write(events); err != nil {
--- a/gateway/carry/gate.go
+++ b/gateway/carry/gate.go
@@ -57,7 +57,7 @@
 // placeDecode places a stream on a decode engine.
 func (s *stream) placeDecode(ctx context.Context, size schedule.Size, exclude []ident.UpstreamID) (schedule.Ticket, bool) {
 	return s.c.place(ctx, s.log, func(now time.Time) (schedule.Ticket, bool) {
-		return s.c.o.Scheduler.PlaceDecode(now, s.c.eligible(s.j), s.j.Service.Engine, size, exclude)
+		return s.c.o.Scheduler.PlaceDecode(now, s.eligible(), s.j.Service.Engine, size, exclude)
 	})
 }
 
@@ -66,12 +66,12 @@
 func (s *stream) placePrefill(ctx context.Context, near ident.Zone, exclude []ident.UpstreamID) (schedule.Ticket, bool) {
 	for waited := time.Duration(0); ; {
 		t, ok := s.c.place(ctx, s.log, func(now time.Time) (schedule.Ticket, bool) {
-			return s.c.o.Scheduler.PlacePrefill(now, s.c.eligible(s.j), s.j.Call.PromptTokens, near, exclude)
+			return s.c.o.Scheduler.PlacePrefill(now, s.eligible(), s.j.Call.PromptTokens, near, exclude)
 		})
 		if ok {
 			return t, true
 		}
-		wait, reason := s.c.o.Scheduler.HeldOff(clock.Now(), s.c.eligible(s.j), dialect.StagePrefill, exclude)
+		wait, reason := s.c.o.Scheduler.HeldOff(clock.Now(), s.eligible(), dialect.StagePrefill, exclude)
 		if waited += wait; reason == "" || s.prefillBusy(waited) || !pause.For(ctx, wait) {
 			return t, false
 		}
--- a/gateway/carry/kept.go
+++ b/gateway/carry/kept.go
@@ -114,7 +114,7 @@
 
 // cacheHolderCandidates returns the decode engines to ask.
 func (s *stream) cacheHolderCandidates() []dialect.Upstream {
-	list := s.c.o.Scheduler.Reachable(clock.Now(), s.c.eligible(s.j), dialect.StageDecode)
+	list := s.c.o.Scheduler.Reachable(clock.Now(), s.eligible(), dialect.StageDecode)
 	if len(list) <= maxAskedAcrossZones {
 		return list
 	}
--- a/gateway/carry/migrate.go
+++ b/gateway/carry/migrate.go
@@ -234,6 +234,7 @@
 func (s *stream) reserveDestination(ctx context.Context, from dialect.Upstream) (schedule.Ticket, bool) {
 	size := s.size()
 	size.KVCopied = true
+	s.software.bind(from.SoftwareVersion)
 	to, ok := s.placeDecode(ctx, size, []ident.UpstreamID{from.ID})
 	if ok && !s.c.o.Budget.ExtraOptional(clock.Now(), s.j.Service.Name, sendsToMigrate) {
 		s.c.o.Scheduler.Done(to)
--- a/gateway/carry/relay.go
+++ b/gateway/carry/relay.go
@@ -41,21 +41,31 @@
 	return &Error{Outcome: outcomeAfter(runs), Reason: reasonUnreachable, RetryAfter: unreachableRetryAfter, Declined: runs == j.PriorRuns}
 }
 
-// sendToPeer sends a request to a peer, where a stream continues after the given event. runs is the
-// number of upstreams that may have run it. The error is an *Error.
-func (c *Forwarder) sendToPeer(ctx context.Context, j *Job, runs int, lastEvent string, receivedEvents int, log *slog.Logger) (*http.Response, error) {
-	q := relay.Request{Call: *j.Call, Service: j.Service.Name, Version: j.Version, WaitedMS: clock.Since(j.Arrived).Milliseconds(), Runs: runs}
+// progress is how far a request has got before a peer carries it out.
+type progress struct {
+	// runs is the number of upstreams that may have run it.
+	runs int
+	// lastEvent and receivedEvents are those of a stream that goes on, softwareVersion the version at
+	// which it does, nil for any.
+	lastEvent       string
+	receivedEvents  int
+	softwareVersion *string
+}
+
+// sendToPeer sends a request to a peer. The error is an *Error.
+func (c *Forwarder) sendToPeer(ctx context.Context, j *Job, p progress, log *slog.Logger) (*http.Response, error) {
+	q := relay.Request{Call: *j.Call, Service: j.Service.Name, Version: j.Version, WaitedMS: clock.Since(j.Arrived).Milliseconds(), Runs: p.runs, SoftwareVersion: p.softwareVersion}
 	q.Call.Body = nil
-	q.Call.LastEvent, q.Call.ReceivedEvents = lastEvent, receivedEvents
+	q.Call.LastEvent, q.Call.ReceivedEvents = p.lastEvent, p.receivedEvents
 	start := clock.Now()
 	resp, err := c.o.Relay.Send(ctx, q, j.Call.Body, j.Deadline, j.Regions)
 	if err != nil {
 		c.o.Count("relay_failed")
-		log.Info("relayed", "outcome", "failed", "runs", runs, "took_ms", clock.Since(start).Milliseconds(), "error", logs.ErrorText(err))
-		return nil, relayError(ctx, err, runs)
+		log.Info("relayed", "outcome", "failed", "runs", p.runs, "took_ms", clock.Since(start).Milliseconds(), "error", logs.ErrorText(err))
+		return nil, relayError(ctx, err, p.runs)
 	}
 	c.o.Count("relayed")
-	log.Info("relayed", "outcome", "answered", "status", resp.StatusCode, "runs", runs, "took_ms", clock.Since(start).Milliseconds(), "error", "")
+	log.Info("relayed", "outcome", "answered", "status", resp.StatusCode, "runs", p.runs, "took_ms", clock.Since(start).Milliseconds(), "error", "")
 	return resp, nil
 }
 
@@ -106,7 +116,7 @@
 	p.crashGuard.endTrial()
 	ctx, cancel := context.WithTimeout(ctx, clock.Until(p.j.Deadline))
 	defer cancel()
-	resp, err := p.c.sendToPeer(ctx, p.j, p.runs, p.j.Call.LastEvent, p.j.Call.ReceivedEvents, p.log)
+	resp, err := p.c.sendToPeer(ctx, p.j, progress{runs: p.runs, lastEvent: p.j.Call.LastEvent, receivedEvents: p.j.Call.ReceivedEvents}, p.log)
 	if err != nil {
 		return p.relayResult(ctx, err)
 	}
@@ -144,7 +154,9 @@
 		return nil, false, s.callerError(declineRelayed(s.j, s.runs))
 	}
 	s.crashGuard.endTrial()
-	resp, err := s.c.sendToPeer(ctx, s.j, s.runs, s.lastEvent, s.j.Call.ReceivedEvents+int(s.events.Load()), s.log)
+	resp, err := s.c.sendToPeer(ctx, s.j, progress{
+		runs: s.runs, lastEvent: s.lastEvent, receivedEvents: s.j.Call.ReceivedEvents + int(s.events.Load()), softwareVersion: s.software.version.Load(),
+	}, s.log)
 	if err != nil {
 		if ctx.Err() != nil {
 			err = s.contextError(ctx)
@@ -155,7 +167,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return s.relayedError(ctx, resp)
 	}
-	err = s.copyRelayed(resp)
+	err = s.copyRelayed(ctx, resp)
 	if err == nil {
 		return nil, false, nil
 	}
@@ -177,8 +189,10 @@
 }
 
 // copyRelayed copies complete events of a relayed stream to the caller until the stream ends.
-func (s *stream) copyRelayed(resp *http.Response) error {
+func (s *stream) copyRelayed(ctx context.Context, resp *http.Response) error {
+	version, known := relay.TakeSoftwareVersion(resp.Header)
 	rest, err := readEvents(resp.Body, func(int) {}, func(events []byte) error {
+		s.beganAtPeer(ctx, version, known)
 		s.recordPause(clock.Now())
 		return s.deliver(resp, events)
 	})
--- a/gateway/carry/reserve.go
+++ b/gateway/carry/reserve.go
@@ -33,7 +33,7 @@
 // prompt.
 func (s *stream) prefillWait() (wait time.Duration, self bool) {
 	now := clock.Now()
-	list := s.c.eligible(s.j)
+	list := s.eligible()
 	wait, open := s.c.o.Scheduler.PrefillWait(now, list, s.j.Call.PromptTokens)
 	return wait, !open && !s.c.o.Scheduler.PrefillReachable(now, list)
 }
@@ -63,7 +63,7 @@
 // heldOff returns the time until a decode engine may get a request, and why none gets one until
 // then.
 func (s *stream) heldOff(now time.Time) (time.Duration, schedule.HoldOff) {
-	return s.c.o.Scheduler.HeldOff(now, s.c.eligible(s.j), dialect.StageDecode, s.excluded)
+	return s.c.o.Scheduler.HeldOff(now, s.eligible(), dialect.StageDecode, s.excluded)
 }
 
 // resumed reports whether a part of the stream was delivered before.
@@ -107,6 +107,9 @@
 		if s.c.noOpenZone(s.j) {
 			return nil, s.c.refuseNoOpenZone(s.outcomeUnserved(), s.log)
 		}
+		if s.versionGone() {
+			return nil, s.refuseVersion(reasonVersionGone)
+		}
 		if s.tooLate(clock.Now(), queuedAt) {
 			if wait, reason := s.heldOff(clock.Now()); reason != "" {
 				return nil, s.c.refuseHeldOff(s.j, dialect.StageDecode, wait, reason, s.outcomeUnserved(), s.log)
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -83,6 +83,9 @@
 	if s.wouldOutliveInstance() {
 		return nil, s.refuseStopping()
 	}
+	if err := s.bindResumed(ctx); err != nil {
+		return nil, err
+	}
 	return s.run(ctx)
 }
 
@@ -122,6 +125,7 @@
 	// events counts the events delivered in this request. A migration reads it while the stream
 	// runs.
 	events     atomic.Int64
+	software   versionBinding
 	migration  migration
 	standby    standby
 	crashGuard crashGuard
--- a/gateway/carry/version_test.go
+++ b/gateway/carry/version_test.go
@@ -4,12 +4,15 @@
 	"errors"
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/relay"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/bubble"
+	"github.com/wardspool/wardspool/internal/clock"
 )
 
 // newVersionedEnv returns a test environment with one prefill engine, and decode engines that run the
@@ -18,6 +21,7 @@
 	t.Helper()
 	names := []string{"d1", "d2", "d3", "d4"}[:len(versions)]
 	env := newTestEnv(t, ampleBudget, engineUps([]string{"p1"}, names)...)
+	env.soleVersion = nil
 	for i, u := range env.view.Upstreams["s"][1:] {
 		env.view.Upstreams["s"][1+i].SoftwareVersion = versions[i]
 		if i > 0 {
@@ -102,3 +106,133 @@
 	assert.NilError(t, env.err)
 	assert.Equal(t, env.got.body.String(), events(1, 2))
 }
+
+// takenUpJob returns a job of a caller that resumes the stream of an earlier attempt after its third event.
+func takenUpJob(resumes string) *Job {
+	j := job(resumable)
+	j.Call.LastEvent, j.Call.ReceivedEvents, j.Call.Resumes = "3", 3, resumes
+	return j
+}
+
+// TestResumedStreamGoesOnAtItsSoftwareVersion guards against a stream that its caller resumes and that goes on
+// at another software version, also if a resumed stream breaks off and is resumed again.
+func TestResumedStreamGoesOnAtItsSoftwareVersion(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		env := newVersionedEnv(t, "v1", "v2", "v2")
+		env.d.do["d1"], env.d.do["d2"], env.d.do["d3"] = []reply{wholeFrom(4)}, []reply{wholeFrom(4)}, []reply{wholeFrom(4)}
+		env.origins = map[string]string{"first": "v2"}
+		for range 4 {
+			j := takenUpJob("first")
+			j.Call.ID = "again"
+			_, err := env.Stream(t.Context(), j, &streamRecorder{})
+			assert.NilError(t, err)
+		}
+		for _, id := range decodeSends(env) {
+			assert.Assert(t, id != "d1")
+		}
+		assert.DeepEqual(t, env.origins, map[string]string{"first": "v2"})
+	})
+}
+
+// TestOriginOfANewStreamIsRecorded guards against a stream whose origin is not known when its caller resumes
+// it. A stream that can't be resumed has none.
+func TestOriginOfANewStreamIsRecorded(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		env := newVersionedEnv(t, "v1")
+		env.d.do["d1"] = []reply{wholeFrom(1)}
+		_, err := env.Stream(t.Context(), job(resumable), &streamRecorder{})
+		assert.NilError(t, err)
+		once := job(singleRun)
+		once.Call.ID = "once"
+		_, err = env.Stream(t.Context(), once, &streamRecorder{})
+		assert.NilError(t, err)
+		assert.DeepEqual(t, env.origins, map[string]string{"q": "v1"})
+	})
+}
+
+// TestResumedStreamOfUnknownSoftwareVersionIsRefused guards against a stream that goes on at a guess, or whose
+// caller waits to learn that it can't go on.
+func TestResumedStreamOfUnknownSoftwareVersionIsRefused(t *testing.T) {
+	for _, c := range []struct {
+		name, resumes, reason string
+		origins               map[string]string
+	}{
+		{"unknown attempt", "first", reasonVersionUnknown, nil},
+		{"no attempt named", "", reasonVersionUnknown, map[string]string{"first": "v1"}},
+		{"version gone", "first", reasonVersionGone, map[string]string{"first": "v0"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				env := newVersionedEnv(t, "v1", "v2")
+				env.origins = c.origins
+				j := takenUpJob(c.resumes)
+				_, err := env.Stream(t.Context(), j, &streamRecorder{})
+				assert.Equal(t, outcomeOf(t, err), NotRun)
+				var refused *Error
+				assert.Assert(t, errors.As(err, &refused))
+				assert.Equal(t, refused.Reason, c.reason)
+				assert.Equal(t, len(env.d.sends), 0)
+				assert.Equal(t, clock.Since(j.Arrived), time.Duration(0))
+			})
+		})
+	}
+}
+
+// TestRelayedStreamStaysAtItsSoftwareVersion guards against a stream that a peer takes over, or that goes on
+// after a peer served it, at another software version.
+func TestRelayedStreamStaysAtItsSoftwareVersion(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		env := newVersionedEnv(t, "v1", "v2", "v2")
+		env.d.do["d1"] = []reply{brokenAfter(3)}
+		env.d.onDo = func() { env.disconnected = true }
+		env.relayTo = func(relay.Request) (*http.Response, error) {
+			env.disconnected = false
+			resp, err := answerFromPeer(events(4, 4), true)(relay.Request{})
+			relay.SetSoftwareVersion(resp.Header, "v1")
+			return resp, err
+		}
+		j := job(resumable)
+		j.Route.MaxAttempts = 3
+		var got streamRecorder
+		_, err := env.Stream(t.Context(), j, &got)
+		assert.Assert(t, err != nil)
+		assert.Equal(t, got.body.String(), events(1, 4))
+		assert.Equal(t, *env.relayed[0].SoftwareVersion, "v1")
+		for _, id := range decodeSends(env) {
+			assert.Equal(t, string(id), "d1")
+		}
+	})
+}
+
+// TestStreamThatAPeerBeganStaysAtItsSoftwareVersion guards against a stream that a peer began and that goes on
+// at any software version, in particular if the peer does not state its own.
+func TestStreamThatAPeerBeganStaysAtItsSoftwareVersion(t *testing.T) {
+	for _, states := range []bool{true, false} {
+		bubble.Test(t, func(t *testing.T) {
+			env := newVersionedEnv(t, "v1", "v2")
+			env.d.do["d1"], env.d.do["d2"] = []reply{wholeFrom(3)}, []reply{wholeFrom(3)}
+			env.d.reserve["d2"] = nil
+			env.disconnected = true
+			env.relayTo = func(relay.Request) (*http.Response, error) {
+				env.disconnected = false
+				resp, err := answerFromPeer(events(1, 2), true)(relay.Request{})
+				if states {
+					relay.SetSoftwareVersion(resp.Header, "v2")
+				}
+				return resp, err
+			}
+			var got streamRecorder
+			_, err := env.Stream(t.Context(), job(resumable), &got)
+			if !states {
+				var broken *InterruptedError
+				assert.Assert(t, errors.As(err, &broken), "%v", err)
+				assert.Equal(t, len(env.d.sends), 0)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, got.body.String(), events(1, 5))
+			assert.DeepEqual(t, decodeSends(env), []ident.UpstreamID{"d2"})
+			assert.DeepEqual(t, env.origins, map[string]string{"q": "v2"})
+		})
+	}
+}
--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/origin"
 	"github.com/wardspool/wardspool/gateway/quarantine"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/clock"
@@ -129,6 +130,11 @@
 	tokens        *tokens
 	rates         *rates
 
+	// origins remembers the software versions that began streams. originAdded receives a value when this
+	// instance has begun one.
+	origins     *origin.Register
+	originAdded chan struct{}
+
 	snapshot atomic.Pointer[Snapshot]
 	alive    atomic.Int64
 
@@ -158,6 +164,7 @@
 func NewNode(o Options) *Node {
 	n := &Node{opts: o, readSchedule: newReadSchedule(o.ChangeDeadline), reopened: map[ident.Zone]time.Time{}, view: NewView(), hub: NewHub(), peerLoad: NewLoad(), roster: NewRoster(o.Self, o.Seeds), requestArrived: make(chan struct{}, 1)}
 	n.createdAt = clock.Now()
+	n.origins, n.originAdded = origin.NewRegister(), make(chan struct{}, 1)
 	n.crashSpreader, n.trials, n.tokens, n.rates = newCrashSpreader(), quarantine.NewTrials(), newTokens(), newRates()
 	n.snapshot.Store(n.view.Snapshot())
 	n.alive.Store(1)
@@ -169,6 +176,8 @@
 	peer.Handle(o.Server, MethodTrial, n.onTrial)
 	peer.Handle(o.Server, MethodTokens, n.onTokens)
 	peer.Handle(o.Server, MethodRate, n.onRate)
+	peer.Handle(o.Server, MethodShareOrigins, n.onShareOrigins)
+	peer.Handle(o.Server, MethodFindOrigin, n.onFindOrigin)
 	return n
 }
 
--- a/gateway/fleet/trials.go
+++ b/gateway/fleet/trials.go
@@ -8,7 +8,6 @@
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/peer"
-	"github.com/wardspool/wardspool/rendezvous"
 )
 
 // MethodTrial asks a peer to allow a trial of suspect content, or reports that one is over. In a
@@ -91,16 +90,7 @@
 // TrialOwners returns the addresses of the instances that may allow trials of a content, starting
 // with the one that the duty is assigned to.
 func (r *Roster) TrialOwners(now time.Time, c quarantine.Content) []string {
-	r.refresh(now)
-	var out []string
-	for _, id := range rendezvous.Top(dutyTrial+c.String(), r.candidates[""], maxTrialOwners) {
-		address := r.self.Address
-		if p := r.peers[id]; p != nil {
-			address = p.member.Address
-		}
-		out = append(out, address)
-	}
-	return out
+	return r.holders(now, dutyTrial+c.String(), maxTrialOwners)
 }
 
 // askTrial sends a trial request to an instance, which may be this one.
--- a/gateway/fleet/view.go
+++ b/gateway/fleet/view.go
@@ -72,7 +72,9 @@
 	revision int64
 	asOf     time.Time
 	hasList  bool
-	entries  map[ident.UpstreamID]*entry
+	// listedSince is when the first list was applied.
+	listedSince time.Time
+	entries     map[ident.UpstreamID]*entry
 	// listCount is the number of lists applied so far, and digest the digest of the current list.
 	// versions holds the digests of the latest versions, at most maxListVersions.
 	listCount uint64
@@ -94,6 +96,10 @@
 	// the store may also lack removals and changes of the evacuation.
 	graceUntil    time.Time
 	restoredUntil time.Time
+	// versionCache holds the software versions by service; see softwareVersions. retired holds those that
+	// upstreams had before they restarted under their IDs.
+	versionCache versionCache
+	retired      []retiredVersion
 	// mergedAsOf is the time of the last list that was merged.
 	mergedAsOf time.Time
 }
@@ -227,6 +233,9 @@
 		v.graceUntil = started.Add(returnGrace)
 		v.restoredUntil = v.graceUntil
 	}
+	if !v.hasList {
+		v.listedSince = started
+	}
 	v.hasList, v.revision, v.asOf, v.mergedAsOf = true, revision, started, started
 }
 
@@ -344,6 +353,9 @@
 			// Peers of earlier releases don't send the version.
 			u.SoftwareVersion = e.upstream.SoftwareVersion
 		}
+		if before.ID != "" && before.SoftwareVersion != u.SoftwareVersion {
+			v.retireVersion(now, before)
+		}
 		// Leaving is final for an incarnation.
 		u.Leaving = u.Leaving || e.upstream.Leaving
 		if u.Leaving && !e.upstream.Leaving {
--- a/gateway/front/relayed.go
+++ b/gateway/front/relayed.go
@@ -135,7 +135,7 @@
 	now := clock.Now()
 	j.Arrived = now.Add(-time.Duration(q.WaitedMS) * time.Millisecond)
 	j.Deadline = now.Add(time.Duration(q.RemainingMS) * time.Millisecond)
-	j.Relayed, j.PriorRuns = true, q.Runs
+	j.Relayed, j.PriorRuns, j.SoftwareVersion = true, q.Runs, q.SoftwareVersion
 	return j, ""
 }
 
--- a/gateway/relay/message.go
+++ b/gateway/relay/message.go
@@ -51,6 +51,8 @@
 	WaitedMS    int64 `json:"waited_ms"`
 	// Runs is the number of upstreams that may have run the request.
 	Runs int `json:"runs,omitempty"`
+	// SoftwareVersion is the version of the engine that began a stream, nil if it has not begun.
+	SoftwareVersion *string `json:"software_version,omitempty"`
 }
 
 // Outcome says whether a request that got no answer has run.
@@ -117,6 +119,23 @@
 	resultFailure = "failure"
 )
 
+// headerSoftwareVersion is the software version of the engine that sent a stream.
+const headerSoftwareVersion = "Wardspool-Software-Version"
+
+// SetSoftwareVersion states the software version of the engine that sent a relayed stream.
+func SetSoftwareVersion(h http.Header, version string) { h.Set(headerSoftwareVersion, version) }
+
+// TakeSoftwareVersion returns the software version that a peer states, and removes it from the header. known
+// is false if the peer states none.
+func TakeSoftwareVersion(h http.Header) (version string, known bool) {
+	values := h.Values(headerSoftwareVersion)
+	h.Del(headerSoftwareVersion)
+	if len(values) == 0 {
+		return "", false
+	}
+	return values[0], true
+}
+
 // requestPath is the path of relayed requests.
 const requestPath = "/requests"
 
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -124,7 +124,7 @@
 		Register:     g.register, Trials: g.node, NotifyPeers: g.node.SpreadCrashes, AwaitInformed: g.node.AwaitInformed,
 		PathWorks:  g.reach.Confirm,
 		Relay:      relaying{g.relay, g.reach},
-		RateLimits: g.node,
+		RateLimits: g.node, Origins: g.node,
 	})
 	d.OnNotice(g.observeNotice)
 	d.OnDial(g.reach.RecordDial)
@@ -327,6 +327,7 @@
 	running.Go(func() { g.orderStages(ctx) })
 	running.Go(func() { g.pollReports(ctx) })
 	running.Go(func() { g.migrate(ctx) })
+	running.Go(func() { g.node.ShareOrigins(ctx) })
 	running.Wait()
 }
 
