carry: a request that was lost at a peer may have run, also if the deadline has passed

A caller of an instance without upstreams was told 503, not run, though a peer's engine had run its stream.

Cause, by reading: an error of a relayed request was replaced by that of the ended context, which counts only the upstreams of this instance: none had run it. So a lost answer of a peer became a promise where the deadline had passed (streams) or the instance stopped (streams and plain requests). An answer that was lost at a peer now stays unknown; only a request that no peer was sent, or whose caller left, is reported as before.

Evidence: TestRelayedRequestThatWasLostMayHaveRun fails in three of its four cases without the change and passes with it.

--- a/gateway/carry/relay.go
+++ b/gateway/carry/relay.go
@@ -130,12 +130,19 @@
 
 // relayResult returns the result of a relayed request without an answer.
 func (p *plainRequest) relayResult(ctx context.Context, err error) (*Response, error) {
-	if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) && !mayHaveRunAtPeer(ctx, err) {
 		return nil, p.contextError(ctx)
 	}
 	return p.refuse(err)
 }
 
+// mayHaveRunAtPeer reports whether a request whose context has ended was lost at a peer, which may have
+// run it, while its caller still waits for the answer.
+func mayHaveRunAtPeer(ctx context.Context, err error) bool {
+	var lost *relay.LostError
+	return errors.As(err, &lost) && (Stopped(ctx) || errors.Is(ctx.Err(), context.DeadlineExceeded))
+}
+
 // sentNothing reports whether no byte of an attempt was sent.
 func (a *attempt) sentNothing() bool {
 	return a.err != nil && adapter.AsCallError(a.err).Evidence == kernel.NotSent
@@ -158,7 +165,7 @@
 		runs: s.runs, lastEvent: s.lastEvent, receivedEvents: s.j.Call.ReceivedEvents + int(s.events.Load()), softwareVersion: s.software.version.Load(),
 	}, s.log)
 	if err != nil {
-		if ctx.Err() != nil {
+		if ctx.Err() != nil && !mayHaveRunAtPeer(ctx, err) {
 			err = s.contextError(ctx)
 		}
 		return nil, false, s.callerError(err)
--- a/gateway/carry/relay_test.go
+++ b/gateway/carry/relay_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -194,3 +196,32 @@
 		assert.Equal(t, string(resp.Body), "x")
 	})
 }
+
+// TestRelayedRequestThatWasLostMayHaveRun guards against a request that a peer may have run and whose caller is
+// told that it did not, because the deadline passed or this instance stopped meanwhile.
+func TestRelayedRequestThatWasLostMayHaveRun(t *testing.T) {
+	for _, c := range []struct{ stops, plain bool }{{true, true}, {true, false}, {false, true}, {false, false}} {
+		t.Run(fmt.Sprintf("stops %t, plain %t", c.stops, c.plain), func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				env := newStreamEnv(t)
+				ctx, stop := context.WithCancelCause(t.Context())
+				defer stop(nil)
+				env.disconnected = true
+				env.relayTo = func(relay.Request) (*http.Response, error) {
+					if c.stops {
+						stop(&StoppedError{})
+					}
+					time.Sleep(2 * time.Minute)
+					return nil, &relay.LostError{Peer: "b", Err: context.Canceled}
+				}
+				var err error
+				if c.plain {
+					_, err = env.Plain(ctx, job(idempotent))
+				} else {
+					_, err = env.Stream(ctx, job(resumable), &streamRecorder{})
+				}
+				assert.Check(t, outcomeOf(t, err) != NotRun, "%+v: %v", c, err)
+			})
+		})
+	}
+}
