--- a/gateway/carry/version_test.go
+++ b/gateway/carry/version_test.go
@@ -82,9 +82,9 @@
 	})
 }
 
-// TestStreamThatBeganNothingMayBeginAnywhere guards against a stream that is bound to a software version
+// TestStreamWithoutEventsMayRestartAtAnySoftwareVersion guards against a stream that is bound to a software version
 // before its first event.
-func TestStreamThatBeganNothingMayBeginAnywhere(t *testing.T) {
+func TestStreamWithoutEventsMayRestartAtAnySoftwareVersion(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
 		env := newVersionedEnv(t, "v1", "v2")
 		env.d.do["d1"], env.d.do["d2"] = []reply{brokenAfter(0)}, []reply{wholeFrom(1)}
@@ -107,8 +107,8 @@
 	assert.Equal(t, env.got.body.String(), events(1, 2))
 }
 
-// takenUpJob returns a job of a caller that resumes the stream of an earlier attempt after its third event.
-func takenUpJob(resumes string) *Job {
+// jobResuming returns a job of a caller that resumes the stream of an earlier attempt after its third event.
+func jobResuming(resumes string) *Job {
 	j := job(resumable)
 	j.Call.LastEvent, j.Call.ReceivedEvents, j.Call.Resumes = "3", 3, resumes
 	return j
@@ -122,7 +122,7 @@
 		env.d.do["d1"], env.d.do["d2"], env.d.do["d3"] = []reply{wholeFrom(4)}, []reply{wholeFrom(4)}, []reply{wholeFrom(4)}
 		env.origins = map[string]string{"first": "v2"}
 		for range 4 {
-			j := takenUpJob("first")
+			j := jobResuming("first")
 			j.Call.ID = "again"
 			_, err := env.Stream(t.Context(), j, &streamRecorder{})
 			assert.NilError(t, err)
@@ -165,7 +165,7 @@
 			bubble.Test(t, func(t *testing.T) {
 				env := newVersionedEnv(t, "v1", "v2")
 				env.origins = c.origins
-				j := takenUpJob(c.resumes)
+				j := jobResuming(c.resumes)
 				_, err := env.Stream(t.Context(), j, &streamRecorder{})
 				assert.Equal(t, outcomeOf(t, err), NotRun)
 				var refused *Error
