--- a/gateway/carry/kept.go
+++ b/gateway/carry/kept.go
@@ -104,7 +104,7 @@
 		})
 	}
 	asked.Wait()
-	s.log.Info("resumed by its caller", "resumes", s.j.Call.Resumes, "last_event", s.lastEvent, "kept_at", found.upstream.ID, "kept", found.tokens,
+	s.log.Info("resumed by its caller", "first_attempt", s.j.Call.Resumes, "last_event", s.lastEvent, "kept_at", found.upstream.ID, "kept", found.tokens,
 		"needed", s.j.Call.PromptTokens+s.produced())
 	if found.tokens == 0 {
 		return nil
--- a/gateway/carry/version.go
+++ b/gateway/carry/version.go
@@ -72,7 +72,7 @@
 	}
 	version, source := s.c.o.Origins.StreamVersion(ctx, s.j.Service.Name, s.j.Call.Resumes)
 	s.c.o.Count("resumed_" + string(source))
-	s.log.Info("stream origin", "resumes", s.j.Call.Resumes, "source", string(source), "software_version", version)
+	s.log.Info("stream origin", "first_attempt", s.j.Call.Resumes, "source", string(source), "software_version", version)
 	if source == origin.Unknown {
 		return s.refuseVersion(reasonVersionUnknown)
 	}
@@ -136,6 +136,6 @@
 func (s *stream) refuseVersion(reason string) error {
 	version, _ := s.software.get()
 	s.c.o.Count("refused_" + reason)
-	s.log.Info("refused", "reason", reason, "resumes", s.j.Call.Resumes, "last_event", s.lastEvent, "software_version", version)
+	s.log.Info("refused", "reason", reason, "first_attempt", s.j.Call.Resumes, "last_event", s.lastEvent, "software_version", version)
 	return &Error{Outcome: s.outcomeUnserved(), Reason: reason, RetryAfter: streamRetryAfter}
 }
--- a/gateway/fleet/origins.go
+++ b/gateway/fleet/origins.go
@@ -34,8 +34,8 @@
 	// waits; peers answer in a few milliseconds.
 	originShareTimeout = 500 * time.Millisecond
 	originFindTimeout  = 200 * time.Millisecond
-	// maxVersionsAge is the age of the list of upstreams up to which it shows all software versions that
-	// serve. A new upstream is in the lists of all instances within two seconds.
+	// maxVersionsAge is the age of the list of upstreams up to which it counts as showing all software
+	// versions that serve. An older one may lack new upstreams.
 	maxVersionsAge = 3 * time.Second
 )
 
