gateway: knows the parts of a prompt, and logs them with how long an attempt ran

A crash could not be told apart by what the requests at the engine had in common: the parts of a prompt were read for the last one only, and the line "attempt lost" had neither the parts nor how long the attempt had run at its upstream.

"attempt lost" has parts and ran_ms. What an interrupted attempt shows is passed on as one value, with the time at which it was sent.

--- a/gateway/carry/decode.go
+++ b/gateway/carry/decode.go
@@ -27,6 +27,7 @@
 		return nil, s.releaseClosed(p, h, reason), s.callerError(&EngineClosedError{Upstream: u.ID, Reason: reason})
 	}
 	start := clock.Now()
+	s.sentAt = start
 	var source *dialect.Handle
 	if h != nil {
 		source = &h.handle
@@ -114,7 +115,7 @@
 	s.log.Info("attempt", "upstream", u.ID, "number", s.starts, "error", logs.ErrorText(err))
 	if adapter.AsCallError(err).Evidence == kernel.Ambiguous {
 		s.runs++
-		s.recordInterruption(ctx, u, start, false, 0, err)
+		s.recordInterruption(ctx, interruption{upstream: u, sentAt: start, wasAlive: s.c.o.Scheduler.AnsweredSince(u, start), cause: err})
 		if !s.j.Route.Repeatable() || s.runs >= s.j.Route.MaxAttempts {
 			return false
 		}
--- a/gateway/carry/ending.go
+++ b/gateway/carry/ending.go
@@ -124,40 +124,52 @@
 	}
 }
 
-// handleInterruption handles an attempt that was sent at start and interrupted after the given
-// number of events, and checks whether the upstream crashed. headReceived means that the
-// upstream had sent a response head.
-func (g *crashGuard) handleInterruption(u dialect.Upstream, start time.Time, headReceived bool, eventCount int, cause error) {
-	if g.recordInterruption(u, headReceived || g.c.o.Scheduler.AnsweredSince(u, start), eventCount, cause) == stateCrashed && eventCount == 0 {
+// interruption is an attempt that was interrupted.
+type interruption struct {
+	upstream dialect.Upstream
+	// sentAt is when the attempt was sent.
+	sentAt time.Time
+	// wasAlive means that the upstream showed a sign of life after that. Without one, an upstream
+	// that does not answer may have been gone before the attempt, which is then not kept as a
+	// possible crash.
+	wasAlive bool
+	// eventCount is the number of events that arrived in the attempt.
+	eventCount int
+	cause      error
+}
+
+// handleInterruption checks whether the upstream of an interrupted attempt crashed.
+func (g *crashGuard) handleInterruption(i interruption) {
+	if g.recordInterruption(i) == stateCrashed && i.eventCount == 0 {
 		g.crashedEarly = true
 	}
 }
 
 // handleDisconnect checks an upstream that was sending nothing when the caller disconnected.
-func (g *crashGuard) handleDisconnect(u dialect.Upstream, eventCount int) {
+func (g *crashGuard) handleDisconnect(i interruption) {
 	// The check runs after the request has ended, so it uses a copy that the request does not
 	// modify.
 	copied := crashGuard{c: g.c, j: g.j, log: g.log}
-	g.c.cleanup.Go(func() { copied.recordInterruption(u, true, eventCount, &AbandonedError{}) })
+	g.c.cleanup.Go(func() { copied.recordInterruption(i) })
 }
 
 // recordInterruption determines the state of an upstream after an attempt there was interrupted,
-// logs it and records a crash in the register. wasAlive means that the upstream showed a sign of
-// life after the request was sent. Without one, an upstream that does not answer may have been
-// gone before the request, and the attempt is not kept as a possible crash.
-func (g *crashGuard) recordInterruption(u dialect.Upstream, wasAlive bool, eventCount int, cause error) upstreamState {
-	e := g.c.stateAfter(u, cause)
+// logs it and records a crash in the register.
+func (g *crashGuard) recordInterruption(i interruption) upstreamState {
+	u := i.upstream
+	ranFor := clock.Since(i.sentAt)
+	e := g.c.stateAfter(u, i.cause)
 	if e == stateCrashed && g.c.plannedShutdown(u) {
 		e = stateShutDown
 	}
 	g.c.o.Count("attempt_lost_" + string(e))
 	g.log.Warn("attempt lost", "upstream", u.ID, "incarnation", u.Incarnation, "address", u.Address, "content", g.j.Content.String(),
-		"made", eventCount, "lived", wasAlive, "ending", string(e), "error", logs.ErrorText(cause))
+		"parts", g.j.Call.SharedPromptParts, "made", i.eventCount, "ran_ms", ranFor.Milliseconds(), "lived", i.wasAlive, "ending", string(e), "error", logs.ErrorText(i.cause))
 	switch {
 	case e == stateCrashed:
-		g.c.recordCrash(g.j.Content, u, eventCount)
-	case e == stateUnknown && wasAlive:
-		g.c.undecided.add(clock.Now(), g.j.Content, u, eventCount)
+		g.c.recordCrash(g.j.Content, u, i.eventCount)
+	case e == stateUnknown && i.wasAlive:
+		g.c.undecided.add(clock.Now(), g.j.Content, u, i.eventCount)
 	}
 	return e
 }
--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -98,12 +98,12 @@
 		"quiet_ms", clock.Since(s.lastReadAt).Milliseconds(), "left_ms", clock.Until(s.j.Deadline).Milliseconds(), "error", logs.ErrorText(err))
 	if ctx.Err() != nil || callerLeft(err) {
 		if clock.Since(s.lastReadAt) >= unresponsiveAfter {
-			s.crashGuard.handleDisconnect(u, eventCount)
+			s.crashGuard.handleDisconnect(interruption{upstream: u, sentAt: s.sentAt, wasAlive: true, eventCount: eventCount, cause: &AbandonedError{}})
 		}
 		return false
 	}
 	s.c.recordAttempt(u, &attempt{err: err}, 0, s.log)
-	s.recordInterruption(ctx, u, s.lastReadAt, true, eventCount, err)
+	s.recordInterruption(ctx, interruption{upstream: u, sentAt: s.sentAt, wasAlive: true, eventCount: eventCount, cause: err})
 	s.excluded = append(s.excluded, u.ID)
 	if !s.j.Route.Repeatable() || s.runs >= s.j.Route.MaxAttempts {
 		return false
--- a/gateway/carry/migrate.go
+++ b/gateway/carry/migrate.go
@@ -302,6 +302,7 @@
 		p.decode = t
 		var resp *http.Response
 		start := clock.Now()
+		s.sentAt = start
 		wd := s.streamWatchdog(ctx, t.Upstream)
 		if resp, err = s.resumeAt(wd, t.Upstream, cont.source); err == nil {
 			defer wd.stop()
@@ -357,7 +358,7 @@
 	}
 	s.c.recordAttempt(t.Upstream, &attempt{err: err}, 0, s.log)
 	if adapter.AsCallError(err).Evidence == kernel.Ambiguous {
-		s.recordInterruption(ctx, t.Upstream, start, false, 0, err)
+		s.recordInterruption(ctx, interruption{upstream: t.Upstream, sentAt: start, wasAlive: s.c.o.Scheduler.AnsweredSince(t.Upstream, start), cause: err})
 	}
 }
 
--- a/gateway/carry/plain.go
+++ b/gateway/carry/plain.go
@@ -77,7 +77,7 @@
 			return nil, p.contextError(ctx)
 		}
 		if a.err != nil && a.evidence() == kernel.Ambiguous {
-			p.crashGuard.handleInterruption(t.Upstream, start, false, 0, a.cause)
+			p.crashGuard.handleInterruption(interruption{upstream: t.Upstream, sentAt: start, wasAlive: p.c.o.Scheduler.AnsweredSince(t.Upstream, start), cause: a.cause})
 		}
 		if p.mayRetry(a) {
 			continue
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/clock"
@@ -138,8 +137,9 @@
 	// complete event.
 	framing   framing
 	restBytes int
-	// lastReadAt is the time at which the engine last sent anything.
-	lastReadAt time.Time
+	// sentAt is the time at which the request was sent to the engine, lastReadAt that at which the
+	// engine last sent anything.
+	sentAt, lastReadAt time.Time
 }
 
 // output returns the expected length of the output, in tokens.
@@ -285,9 +285,9 @@
 
 // recordInterruption handles an attempt that was interrupted at an engine, unless the request's
 // context has ended.
-func (s *stream) recordInterruption(ctx context.Context, u dialect.Upstream, start time.Time, headReceived bool, eventCount int, err error) {
+func (s *stream) recordInterruption(ctx context.Context, i interruption) {
 	if ctx.Err() == nil {
-		s.crashGuard.handleInterruption(u, start, headReceived, eventCount, err)
+		s.crashGuard.handleInterruption(i)
 	}
 }
 
--- a/gateway/dialect/dialect.go
+++ b/gateway/dialect/dialect.go
@@ -119,6 +119,9 @@
 	HasTokenCounts bool
 	// PromptTokens is the length of the prompt, 0 if unknown.
 	PromptTokens int
+	// SharedPromptParts are the IDs of the parts of the prompt that other requests may share, in order;
+	// nil if unknown. They are not validated.
+	SharedPromptParts []string
 	// LastPromptPart is the ID of the last part of the prompt, which no other request's prompt has;
 	// "" if unknown.
 	LastPromptPart string
