--- a/gateway/fleetworld_test.go
+++ b/gateway/fleetworld_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -503,6 +504,7 @@
 		CallerTimeout: 14 * time.Second, LastEvent: r.Header.Get("Last-Event-Id"), PromptTokens: 2000, OutputEstimate: 64 * simStreamEvents, MaxOutputTokens: 64 * simStreamEvents,
 	}
 	c.ReceivedEvents, _ = strconv.Atoi(c.LastEvent)
+	c.SharedPromptParts = r.Header.Values(simPartHeader)
 	return c, nil
 }
 
@@ -533,7 +535,7 @@
 		last = c.LastEvent
 	}
 	r.sent, _ = strconv.Atoi(last)
-	if string(c.Body) == crashingPrompt {
+	if string(c.Body) == crashingPrompt || slices.Contains(c.SharedPromptParts, crashingPart) {
 		r.crashing = true
 		w.crashingSent = append(w.crashingSent, time.Now())
 		time.AfterFunc(simCrashDelay, func() { w.crash(e, r.id) })
@@ -568,7 +570,7 @@
 	case <-wait.C:
 	}
 	if r.crashing {
-		// The crashing request crashes its engine before the first event.
+		// A crashing request crashes its engine before the first event.
 		<-r.disconnected
 		return 0, io.ErrUnexpectedEOF
 	}
@@ -778,6 +780,14 @@
 // send sends a caller's request to an instance and returns the response, or nil if the instance is
 // down. If lastEvent is not empty, the caller resumes a stream after that event.
 func (w *simFleet) send(i *simInstance, body, lastEvent string) *response {
+	return w.sendPrompt(i, body, lastEvent, nil)
+}
+
+// simPartHeader holds the ID of one part of the prompt that other requests may share.
+const simPartHeader = "Prompt-Part"
+
+// sendPrompt is like send, for a request whose prompt has the given shared parts.
+func (w *simFleet) sendPrompt(i *simInstance, body, lastEvent string, parts []string) *response {
 	s := i.running()
 	if s == nil {
 		return nil
@@ -788,6 +798,7 @@
 	if lastEvent != "" {
 		r.Header.Set("Last-Event-Id", lastEvent)
 	}
+	r.Header[simPartHeader] = parts
 	g := &response{header: http.Header{}}
 	defer func() {
 		if p := recover(); p != nil && p != http.ErrAbortHandler {
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -26,8 +26,8 @@
 	restartDelay = 400 * time.Millisecond
 )
 
-// crashingEngine is a decode engine that crashes on the request with the body crashingPrompt, and
-// restarts at the same address with a new ID.
+// crashingEngine is a decode engine that crashes on the request with the body crashingPrompt and on
+// prompts with crashingPart, and restarts at the same address with a new ID.
 type crashingEngine struct {
 	t       *testing.T
 	name    string
@@ -136,7 +136,7 @@
 	case r.URL.Path == "/wardspool/report":
 		fmt.Fprint(w, `{"stage":"decode"}`)
 	case r.Method == http.MethodDelete:
-	case string(body) == crashingPrompt:
+	case string(body) == crashingPrompt, strings.Contains(r.Header.Get("Prompt-Prefix"), crashingPart+":"):
 		m.mu.Lock()
 		m.received++
 		m.mu.Unlock()
--- a/gateway/service_test.go
+++ b/gateway/service_test.go
@@ -199,12 +199,19 @@
 // post sends a caller's request to an instance and returns the status, the headers and the body of
 // the response.
 func (b *localFleet) post(t *testing.T, i *instance, path, body string) (int, http.Header, string) {
+	t.Helper()
+	return b.postPrompt(t, i, path, body, "")
+}
+
+// postPrompt is like post, for a request whose prompt has the given parts, each ID:TOKENS.
+func (b *localFleet) postPrompt(t *testing.T, i *instance, path, body, parts string) (int, http.Header, string) {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+i.settings.Listen.Callers+path, strings.NewReader(body))
 	assert.NilError(t, err)
 	req.Host = "h.example"
 	req.Header.Set("Request-Id", "q1")
 	req.Header.Set("Token-Usage", "100,100")
+	req.Header.Set("Prompt-Prefix", parts)
 	resp, err := b.http.Do(req)
 	assert.NilError(t, err)
 	defer resp.Body.Close()
