wardspoolctl, gateway: quarantine lists parts of prompts, and refusals name the part and its hash

What is kept from upstreams was listed by content only. The list of an instance's metrics address has rows for parts ("part": true), the table a column KIND; the lines "refused" and "trial" name the part by its ID and its hash, which is what peers know.

--- a/cmd/wardspoolctl/quarantine.go
+++ b/cmd/wardspoolctl/quarantine.go
@@ -21,17 +21,18 @@
 
 // Help returns the text that "quarantine --help" adds.
 func (quarantineCmd) Help() string {
-	return `Shows the requests, by their content, that are kept from upstreams because upstreams
-crashed under them, or are tried one at a time: how many crashed, under how many of them
-the request had produced nothing yet, which, how much longer it lasts, and how many of the
-instances asked know of it. Log lines name the same content.
+	return `Shows the requests, by their content or by a part of their prompts, that are kept from
+upstreams because upstreams crashed under them, or are tried one at a time: how many
+crashed, under how many of them the request had produced nothing yet, which, how much
+longer it lasts, and how many of the instances asked know of it. Log lines name the same
+content, and as part_hash the same part.
 
   wardspoolctl quarantine --instances 127.0.0.1:9401,127.0.0.1:9402
 
 Exit codes: 0, or 2 if an instance gave no answer.`
 }
 
-// quarantinedContent is the status of a content and the number of instances that reported it.
+// quarantinedContent is the status of a content or part and the number of instances that reported it.
 type quarantinedContent struct {
 	quarantine.ContentStatus
 	KnownBy int `json:"known_by"`
@@ -85,13 +86,17 @@
 // Write implements report.
 func (a *quarantineReport) Write(out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "CONTENT\tSTANDING\tCRASHES\tEARLY\tLEFT\tKNOWN BY\tUPSTREAMS")
+	fmt.Fprintln(w, "KIND\tHASH\tSTANDING\tCRASHES\tEARLY\tLEFT\tKNOWN BY\tUPSTREAMS")
 	for _, c := range a.Contents {
 		left := "-"
 		if c.RemainingSeconds > 0 {
 			left = time.Duration(c.RemainingSeconds * float64(time.Second)).Round(time.Second).String()
 		}
-		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\t%d of %d\t%s\n", c.Content, c.Standing, c.Crashes, c.Early, left, c.KnownBy, a.Asked, joinIDs(c.Upstreams))
+		kind := "content"
+		if c.Part {
+			kind = "part"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s\t%d of %d\t%s\n", kind, c.Content, c.Standing, c.Crashes, c.Early, left, c.KnownBy, a.Asked, joinIDs(c.Upstreams))
 	}
 	writeUnreachable(w, a.Unreachable)
 	return w.Flush()
--- a/cmd/wardspoolctl/quarantine_test.go
+++ b/cmd/wardspoolctl/quarantine_test.go
@@ -26,19 +26,21 @@
 	return strings.TrimPrefix(s.URL, "http://")
 }
 
-// TestQuarantineOfAFleet checks that a content is listed once, with the status of the instance that
+// TestQuarantineOfAFleet checks that a content or part is listed once, with the status of the instance that
 // counted most crashes.
 func TestQuarantineOfAFleet(t *testing.T) {
 	known := quarantine.ContentStatus{Content: "ab", Standing: "quarantined", Crashes: 2, Early: 2, RemainingSeconds: 90, Upstreams: []ident.UpstreamID{"i-1", "i-2"}}
 	less := quarantine.ContentStatus{Content: "ab", Standing: "suspect", Crashes: 1, Early: 1, Upstreams: []ident.UpstreamID{"i-1"}}
-	c := quarantineCmd{instanceFlags{Instances: []string{serveQuarantine(t, less), serveQuarantine(t, known), serveQuarantine(t)}, Timeout: time.Minute}}
-	a := &quarantineReport{Asked: 3, Contents: []quarantinedContent{{ContentStatus: known, KnownBy: 2}}, Unreachable: []string{"x: gone"}}
+	part := quarantine.ContentStatus{Content: "cd", Part: true, Standing: "quarantined", Crashes: 3, Early: 3, RemainingSeconds: 600, Upstreams: []ident.UpstreamID{"i-3"}}
+	c := quarantineCmd{instanceFlags{Instances: []string{serveQuarantine(t, less), serveQuarantine(t, known, part), serveQuarantine(t)}, Timeout: time.Minute}}
+	a := &quarantineReport{Asked: 3, Contents: []quarantinedContent{{ContentStatus: part, KnownBy: 1}, {ContentStatus: known, KnownBy: 2}}, Unreachable: []string{"x: gone"}}
 	got := c.collect(t.Context())
 	assert.DeepEqual(t, got.Contents, a.Contents)
 	var text bytes.Buffer
 	assert.NilError(t, a.Write(&text))
-	want := "CONTENT  STANDING     CRASHES  EARLY  LEFT   KNOWN BY  UPSTREAMS\n" +
-		"ab       quarantined  2        2      1m30s  2 of 3    i-1 i-2\n" +
+	want := "KIND     HASH  STANDING     CRASHES  EARLY  LEFT   KNOWN BY  UPSTREAMS\n" +
+		"part     cd    quarantined  3        3      10m0s  1 of 3    i-3\n" +
+		"content  ab    quarantined  2        2      1m30s  2 of 3    i-1 i-2\n" +
 		"no answer: x: gone\n"
 	assert.Equal(t, text.String(), want)
 }
--- a/gateway/carry/caution.go
+++ b/gateway/carry/caution.go
@@ -134,7 +134,7 @@
 	}
 	g.releaseTrial, g.trialSubject = end, subject
 	g.c.o.Count("trial")
-	g.log.Info("trial", "content", g.j.Content.String(), "part", g.partID(v), "crashes", v.Crashes, "early", v.Early, "upstreams", v.Upstreams)
+	g.log.Info("trial", "content", g.j.Content.String(), "part", g.partID(v), "part_hash", v.Part.String(), "crashes", v.Crashes, "early", v.Early, "upstreams", v.Upstreams)
 	return nil
 }
 
@@ -151,7 +151,7 @@
 // *Error.
 func (g *crashGuard) refuse(outcome Outcome, reason string, v quarantine.Verdict, retry time.Duration) error {
 	g.c.o.Count("refused_" + reason)
-	g.log.Info("refused", "reason", reason, "content", g.j.Content.String(), "part", g.partID(v), "crashes", v.Crashes, "early", v.Early,
+	g.log.Info("refused", "reason", reason, "content", g.j.Content.String(), "part", g.partID(v), "part_hash", v.Part.String(), "crashes", v.Crashes, "early", v.Early,
 		"upstreams", v.Upstreams, "left_ms", v.Remaining.Milliseconds())
 	return &Error{Outcome: outcome, Reason: reason, RetryAfter: retry}
 }
--- a/gateway/quarantine/blame_test.go
+++ b/gateway/quarantine/blame_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -55,6 +56,10 @@
 	assert.Equal(t, v.Remaining, initialQuarantine)
 	assert.Equal(t, len(v.Upstreams), 3)
 	assert.Equal(t, r.standing("a", "b", "c", "d"), Clear)
+	listed := slices.DeleteFunc(r.List(r.now), func(s ContentStatus) bool { return !s.Part })
+	assert.DeepEqual(t, listed, []ContentStatus{{
+		Content: PartOf("s", "bad").String(), Part: true, Standing: "quarantined", Crashes: 3, Early: 3, RemainingSeconds: initialQuarantine.Seconds(), Upstreams: v.Upstreams,
+	}})
 	assert.Equal(t, r.PartsVerdict(r.now, PartsOf("other service", []string{"bad"})).Standing, Clear)
 	assert.Equal(t, r.PartsVerdict(r.now, nil).Standing, Clear)
 }
--- a/gateway/quarantine/held.go
+++ b/gateway/quarantine/held.go
@@ -8,10 +8,12 @@
 	"github.com/wardspool/wardspool/ident"
 )
 
-// ContentStatus describes a content that is suspect or quarantined, for operators. See Verdict for
-// the fields.
+// ContentStatus describes a content or a part of prompts that is suspect or quarantined, for
+// operators. See Verdict for the fields.
 type ContentStatus struct {
-	Content  string `json:"content"`
+	Content string `json:"content"`
+	// Part means that Content is the hash of a part.
+	Part     bool   `json:"part,omitempty"`
 	Standing string `json:"standing"`
 	Crashes  int    `json:"crashes"`
 	Early    int    `json:"early"`
@@ -20,20 +22,27 @@
 	Upstreams        []ident.UpstreamID `json:"upstreams"`
 }
 
-// List returns the contents that are suspect or quarantined, those with the most crashes first.
+// List returns the contents and parts that are suspect or quarantined, those with the most crashes
+// first.
 func (r *Register) List(now time.Time) []ContentStatus {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out := []ContentStatus{}
+	add := func(name string, v Verdict) {
+		if v.Standing != Clear {
+			out = append(out, ContentStatus{
+				Content: name, Part: v.Part != 0, Standing: v.Standing.String(), Crashes: v.Crashes, Early: v.Early,
+				RemainingSeconds: v.Remaining.Seconds(), Upstreams: v.Upstreams,
+			})
+		}
+	}
 	for c, crashes := range r.contents {
-		v := verdictOf(now, crashes)
-		if v.Standing == Clear {
-			continue
+		add(c.String(), verdictOf(now, crashes))
+	}
+	for p, records := range r.byPart {
+		if records[0].Parts[0].Part != p {
+			add(p.String(), r.partVerdict(now, p))
 		}
-		out = append(out, ContentStatus{
-			Content: c.String(), Standing: v.Standing.String(), Crashes: v.Crashes, Early: v.Early,
-			RemainingSeconds: v.Remaining.Seconds(), Upstreams: v.Upstreams,
-		})
 	}
 	slices.SortFunc(out, func(a, b ContentStatus) int {
 		return cmp.Or(-cmp.Compare(a.Crashes, b.Crashes), cmp.Compare(a.Content, b.Content))
--- a/gateway/quarantine/part.go
+++ b/gateway/quarantine/part.go
@@ -12,8 +12,13 @@
 // service's name and the part's ID, the first 8 bytes of a SHA-256.
 type Part uint64
 
-// String returns the part in hexadecimal, as used in logs.
-func (p Part) String() string { return fmt.Sprintf("%016x", uint64(p)) }
+// String returns the part in hexadecimal, as used in logs, "" for 0.
+func (p Part) String() string {
+	if p == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%016x", uint64(p))
+}
 
 // PartsOf returns the parts with the given IDs of a prompt to a service, each once, preceded by
 // ServicePart. It returns nil if there are none.
