--- a/gateway/carry/gate_test.go
+++ b/gateway/carry/gate_test.go
@@ -29,9 +29,14 @@
 	grants  map[ident.UpstreamID]int
 	wait    time.Duration
 	charged []ident.UpstreamID
+	// asked is called for each request, if it is not nil.
+	asked func()
 }
 
 func (l *scriptedLimits) TakeRequest(_ context.Context, u dialect.Upstream, _ float64) (bool, time.Duration) {
+	if l.asked != nil {
+		l.asked()
+	}
 	if l.grants[u.ID] > 0 {
 		l.grants[u.ID]--
 		return true, 0
--- a/gateway/carry/parts_test.go
+++ b/gateway/carry/parts_test.go
@@ -55,6 +55,10 @@
 		"stream that runs once": {route: singleRun, when: (*testEnv).blame},
 		"plain":                 {route: idempotent, when: (*testEnv).blame},
 		"after the prefill":     {route: singleRun, when: func(env *testEnv) { env.d.prefilled = env.blame }, prefills: 1},
+		"plain, while it waits for an upstream": {route: idempotent, when: func(env *testEnv) {
+			env.o.RateLimits = &scriptedLimits{grants: map[ident.UpstreamID]int{"d1": 9, "d2": 9, "p1": 9}, asked: env.blame}
+			env.limitRates(1, "d1", "d2", "p1")
+		}},
 		"plain retry": {route: idempotent, when: func(env *testEnv) {
 			env.d.onDo = env.blame
 			for _, u := range env.view.Upstreams["s"] {
--- a/gateway/quarantine/blame_test.go
+++ b/gateway/quarantine/blame_test.go
@@ -92,6 +92,13 @@
 	assert.Equal(t, r.standing("first"), Clear)
 	assert.Equal(t, r.standing("first", "bad"), Quarantined)
 
+	// Several crashes follow one answer.
+	r.begin("other first", "sound")
+	for i := range partCrashThreshold {
+		r.crash("other first", fmt.Sprint("bad", i))
+	}
+	assert.Equal(t, r.standing("other first"), Clear)
+
 	// A part that no answer acquits any more is blamed.
 	r.now = r.now.Add(acquittalPeriod)
 	for range partCrashThreshold {
