quarantine: a part of prompts that is quarantined at a service is tried at another one

Cause, found by reading: records of parts were kept by service and ID. A route that moves to another service, or is split between two, would have ended three engines of each, beyond the three requests that may still be sent after the fifth crash. Parts are known by ID now, their acquittals by service: at a service that has begun no answer with it for 5 s, a part that is quarantined elsewhere is tried, one prompt at a time, and quarantined at the first crash.

--- a/gateway/carry/caution.go
+++ b/gateway/carry/caution.go
@@ -72,7 +72,7 @@
 // partID returns the ID of the prompt's part that a verdict is about, "" if it is about the content.
 func (g *crashGuard) partID(v quarantine.Verdict) string {
 	for _, id := range g.j.Call.SharedPromptParts {
-		if v.Part != 0 && quarantine.PartOf(g.j.Service.Name, id) == v.Part {
+		if v.Part != 0 && quarantine.PartOf(id) == v.Part {
 			return id
 		}
 	}
--- a/gateway/quarantine/blame.go
+++ b/gateway/quarantine/blame.go
@@ -27,7 +27,10 @@
 	defer r.mu.Unlock()
 	var worst Verdict
 	for _, p := range parts[min(1, len(parts)):] {
-		v := r.partVerdict(now, p)
+		v := r.partVerdict(now, servicePart{parts[0], p})
+		if v.Standing == Clear {
+			v = r.verdictElsewhere(now, servicePart{parts[0], p})
+		}
 		if v.Standing != Clear {
 			v = r.weigh(now, v, parts)
 		}
@@ -38,14 +41,42 @@
 	return worst
 }
 
-// partVerdict returns the verdict on a part from the crashes of which it is not acquitted. The
-// caller holds mu.
-func (r *Register) partVerdict(now time.Time, p Part) Verdict {
-	records := r.byPart[p]
+// recordsOf returns the records of the crashes of a service's upstreams of which a part is not
+// acquitted. The caller holds mu.
+func (r *Register) recordsOf(p servicePart) []*record {
+	return slices.DeleteFunc(slices.Clone(r.byPart[p.part]), func(k *record) bool { return k.service() != p.service })
+}
+
+// verdictElsewhere returns the verdict on a part that is quarantined at another service: it is tried,
+// one prompt at a time, and quarantined after the first crash. It is clear if the service has
+// recently begun an answer to a prompt with it. The caller holds mu.
+func (r *Register) verdictElsewhere(now time.Time, p servicePart) Verdict {
+	if len(r.byPart[p.part]) < partCrashThreshold || now.Sub(r.begun.last(p)) < acquittalPeriod {
+		return Verdict{}
+	}
+	var worst Verdict
+	for _, k := range r.byPart[p.part] {
+		if v := r.partVerdict(now, servicePart{k.service(), p.part}); v.Standing > worst.Standing {
+			worst = v
+		}
+	}
+	if worst.Standing == Quarantined && len(r.recordsOf(p)) == 0 {
+		worst.Standing, worst.Remaining = Suspect, 0
+	}
+	return worst
+}
+
+// partVerdict returns the verdict on a part of the prompts to a service from the crashes of which it
+// is not acquitted. The caller holds mu.
+func (r *Register) partVerdict(now time.Time, p servicePart) Verdict {
+	if len(r.byPart[p.part]) < partCrashThreshold {
+		return Verdict{}
+	}
+	records := r.recordsOf(p)
 	if len(records) < partCrashThreshold {
 		return Verdict{}
 	}
-	v := Verdict{Part: p}
+	v := Verdict{Part: p.part}
 	var last time.Time
 	counted := map[crashID]bool{}
 	for _, k := range records {
@@ -82,11 +113,10 @@
 	for _, k := range records {
 		from, to = earlier(from, k.sentAt()), later(to, k.brokenAt())
 	}
-	service := records[0].Parts[0].Part
 	var all []*record
 	for _, crashes := range r.contents {
 		for _, k := range crashes {
-			if len(k.Parts) > 0 && k.Parts[0].Part == service && !k.sentAt().Before(from) && !k.brokenAt().After(to) {
+			if len(k.Parts) > 0 && k.service() == records[0].service() && !k.sentAt().Before(from) && !k.brokenAt().After(to) {
 				all = append(all, k)
 			}
 		}
@@ -117,7 +147,7 @@
 		if slices.Contains(parts, p) {
 			continue
 		}
-		other := r.partVerdict(now, p)
+		other := r.partVerdict(now, servicePart{parts[0], p})
 		if other.Standing == Quarantined && other.Crashes > v.Crashes {
 			return Verdict{}
 		}
@@ -133,7 +163,7 @@
 	for p, records := range r.byPart {
 		for _, k := range records {
 			id := k.crashID()
-			if !slices.Contains(crashes, id) || k.Parts[0].Part == p {
+			if !slices.Contains(crashes, id) || k.service() == p {
 				continue
 			}
 			if present[p] == nil {
@@ -160,6 +190,9 @@
 // crashID returns the crash that a record is about.
 func (k *record) crashID() crashID { return crashID{k.Upstream, k.Incarnation} }
 
+// service returns the ServicePart of a record that has parts.
+func (k *record) service() Part { return k.Parts[0].Part }
+
 // brokenAt returns when the attempt broke off, sentAt when it was sent to the upstream.
 func (k *record) brokenAt() time.Time { return k.detectedAt.Add(-k.Unnoticed) }
 func (k *record) sentAt() time.Time   { return k.brokenAt().Add(-k.RanFor) }
--- a/gateway/quarantine/held.go
+++ b/gateway/quarantine/held.go
@@ -22,8 +22,8 @@
 	Upstreams        []ident.UpstreamID `json:"upstreams"`
 }
 
-// List returns the contents and parts that are suspect or quarantined, those with the most crashes
-// first.
+// List returns the contents and parts that are suspect or quarantined, a part once for each service,
+// those with the most crashes first.
 func (r *Register) List(now time.Time) []ContentStatus {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -40,8 +40,12 @@
 		add(c.String(), verdictOf(now, crashes))
 	}
 	for p, records := range r.byPart {
-		if records[0].Parts[0].Part != p {
-			add(p.String(), r.partVerdict(now, p))
+		var services []Part
+		for _, k := range records {
+			if k.service() != p && !slices.Contains(services, k.service()) {
+				services = append(services, k.service())
+				add(p.String(), r.partVerdict(now, servicePart{k.service(), p}))
+			}
 		}
 	}
 	slices.SortFunc(out, func(a, b ContentStatus) int {
--- a/gateway/quarantine/part.go
+++ b/gateway/quarantine/part.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// Part identifies a part of prompts that the requests to a service may share: a hash of the
-// service's name and the part's ID, the first 8 bytes of a SHA-256.
+// Part identifies a part of prompts that requests may share: a hash of the part's ID, the first 8
+// bytes of a SHA-256.
 type Part uint64
 
 // String returns the part in hexadecimal, as used in logs, "" for 0.
@@ -28,30 +28,36 @@
 	}
 	parts := []Part{ServicePart(service)}
 	for _, id := range ids {
-		if p := PartOf(service, id); !slices.Contains(parts, p) {
+		if p := PartOf(id); !slices.Contains(parts, p) {
 			parts = append(parts, p)
 		}
 	}
 	return parts
 }
 
-// PartOf returns the part with the given ID of prompts to a service.
-func PartOf(service, id string) Part {
+// PartOf returns the part with the given ID.
+func PartOf(id string) Part { return hashPart("part", id) }
+
+// ServicePart returns the part that all prompts to a service have. If even that is not acquitted of
+// a crash, the service answers no prompt at all.
+func ServicePart(service string) Part { return hashPart("service", service) }
+
+// hashPart returns the part with the given name among those of a kind.
+func hashPart(kind, name string) Part {
 	h := sha256.New()
-	writePart(h, service)
-	writePart(h, id)
+	writePart(h, kind)
+	writePart(h, name)
 	return Part(binary.BigEndian.Uint64(h.Sum(nil)))
 }
 
-// ServicePart returns the part that all prompts to a service have. If even that is not acquitted of
-// a crash, the service answers no prompt at all.
-func ServicePart(service string) Part { return PartOf(service, "") }
+// servicePart is a part of the prompts to a service.
+type servicePart struct{ service, part Part }
 
 // PartEvidence is a part of a prompt that was at an upstream when it crashed.
 type PartEvidence struct {
 	Part Part
-	// Acquitted means that an answer to a prompt with the part began shortly before the crash or
-	// after it.
+	// Acquitted means that the service began an answer to a prompt with the part shortly before the
+	// crash or after it.
 	Acquitted bool
 }
 
@@ -73,25 +79,25 @@
 	maxBegunParts = 8192
 )
 
-// begunParts remembers for at least acquittalPeriod when an answer to a prompt with a part last
-// began. The zero value is ready to use.
+// begunParts remembers for at least acquittalPeriod when a service last began an answer to a prompt
+// with a part. The zero value is ready to use.
 type begunParts struct {
-	current, previous map[Part]time.Time
+	current, previous map[servicePart]time.Time
 	since             time.Time
 }
 
-// add records that an answer to a prompt with a part has begun.
-func (b *begunParts) add(now time.Time, p Part) {
+// add records that an answer has begun.
+func (b *begunParts) add(now time.Time, p servicePart) {
 	if b.current == nil || now.Sub(b.since) >= acquittalPeriod {
-		b.previous, b.current, b.since = b.current, map[Part]time.Time{}, now
+		b.previous, b.current, b.since = b.current, map[servicePart]time.Time{}, now
 	}
 	if _, known := b.current[p]; known || len(b.current) < maxBegunParts/2 {
 		b.current[p] = now
 	}
 }
 
-// last returns when an answer to a prompt with a part last began, zero if that is not known.
-func (b *begunParts) last(p Part) time.Time {
+// last returns when an answer last began, zero if that is not known.
+func (b *begunParts) last(p servicePart) time.Time {
 	if at, ok := b.current[p]; ok {
 		return at
 	}
@@ -104,7 +110,7 @@
 	for i, e := range k.Parts {
 		switch {
 		case e.Acquitted:
-		case r.begun.last(e.Part).After(k.brokenAt().Add(-acquittalPeriod)):
+		case r.begun.last(servicePart{k.service(), e.Part}).After(k.brokenAt().Add(-acquittalPeriod)):
 			k.Parts[i].Acquitted, acquitted = true, true
 		default:
 			r.byPart[e.Part] = append(r.byPart[e.Part], k)
@@ -134,16 +140,16 @@
 	return true
 }
 
-// Begun records that an answer to a prompt with the given parts has begun, which acquits them of
-// the crashes so far. It reports whether the other instances must be told, by TakeUnsent.
+// Begun records that a service has begun an answer to a prompt with the given parts, those of PartsOf,
+// which acquits them of the service's crashes so far. It reports whether the other instances must be told, by TakeUnsent.
 func (r *Register) Begun(now time.Time, parts []Part) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	tell := false
 	for _, p := range parts {
-		r.begun.add(now, p)
+		r.begun.add(now, servicePart{parts[0], p})
 		for _, k := range slices.Clone(r.byPart[p]) {
-			if !k.brokenAt().After(now) && r.acquit(k, p) {
+			if k.service() == parts[0] && !k.brokenAt().After(now) && r.acquit(k, p) {
 				r.enqueue(k)
 				tell = true
 			}
--- a/gateway/quarantine/register.go
+++ b/gateway/quarantine/register.go
@@ -210,24 +210,25 @@
 // expire removes the records of a content if they have expired (see expiryOf) and no part is suspect
 // or quarantined because of them. The caller holds mu.
 func (r *Register) expire(now time.Time, c Content) {
-	if !now.Before(expiryOf(r.contents[c])) && r.worstPart(now, r.contents[c], map[Part]Standing{}) == Clear {
+	if !now.Before(expiryOf(r.contents[c])) && r.worstPart(now, r.contents[c], map[servicePart]Standing{}) == Clear {
 		r.remove(c)
 	}
 }
 
 // worstPart returns the worst standing of the parts of records, of those not acquitted. It keeps the
 // standings of parts in known. The caller holds mu.
-func (r *Register) worstPart(now time.Time, records []*record, known map[Part]Standing) Standing {
+func (r *Register) worstPart(now time.Time, records []*record, known map[servicePart]Standing) Standing {
 	worst := Clear
 	for _, k := range records {
 		for _, e := range k.Parts[min(1, len(k.Parts)):] {
 			if e.Acquitted {
 				continue
 			}
-			standing, ok := known[e.Part]
+			p := servicePart{k.service(), e.Part}
+			standing, ok := known[p]
 			if !ok {
-				standing = r.partVerdict(now, e.Part).Standing
-				known[e.Part] = standing
+				standing = r.partVerdict(now, p).Standing
+				known[p] = standing
 			}
 			worst = max(worst, standing)
 		}
@@ -259,7 +260,7 @@
 	if r.size <= maxRecords {
 		return
 	}
-	ranks, parts := map[Content]evictionRank{}, map[Part]Standing{}
+	ranks, parts := map[Content]evictionRank{}, map[servicePart]Standing{}
 	for c, crashes := range r.contents {
 		rank := evictionRankOf(now, crashes)
 		rank.standing = max(rank.standing, r.worstPart(now, crashes, parts))
--- a/gateway/quarantine/verdict.go
+++ b/gateway/quarantine/verdict.go
@@ -54,16 +54,6 @@
 // String returns the subject in hexadecimal, as used in logs.
 func (s Subject) String() string { return Content(s).String() }
 
-// SubjectVerdict returns whether requests with a subject may be sent.
-func (r *Register) SubjectVerdict(now time.Time, s Subject) Verdict {
-	if v := r.Verdict(now, Content(s)); v.Standing != Clear {
-		return v
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.partVerdict(now, Part(s))
-}
-
 // verdictOf returns the verdict on a content from its records.
 func verdictOf(now time.Time, crashes []*record) Verdict {
 	var v Verdict
