quarantine: answers to prompts without shared parts show that a service answers

Found by reading: the control that a service answers other prompts was taken from prompts with shared parts only, so that a part would never have been blamed at a service whose sound prompts have none. TestAnswersToPromptsWithoutPartsCount fails without the change (mutation, noticed).

A verdict on a part looks first at whether the service answered at all, and at each service once, so that the records of an outage cost a scan only.

--- a/gateway/carry/caution.go
+++ b/gateway/carry/caution.go
@@ -33,7 +33,8 @@
 	c   *Forwarder
 	j   *Job
 	log *slog.Logger
-	// parts identify the parts of the prompt that other requests may share.
+	// parts are the service's part and the parts of the prompt that other requests may share, nil for
+	// a request without a prompt.
 	parts []quarantine.Part
 	// releaseTrial ends the trial of trialSubject; nil if none is running. The trial expires at
 	// trialExpires.
@@ -47,7 +48,11 @@
 
 // newCrashGuard returns the guard of a request.
 func (c *Forwarder) newCrashGuard(j *Job, log *slog.Logger) crashGuard {
-	return crashGuard{c: c, j: j, log: log, parts: quarantine.PartsOf(j.Service.Name, j.Call.SharedPromptParts)}
+	g := crashGuard{c: c, j: j, log: log}
+	if j.Service.Engine != nil || len(j.Call.SharedPromptParts) > 0 {
+		g.parts = quarantine.PartsOf(j.Service.Name, j.Call.SharedPromptParts)
+	}
+	return g
 }
 
 // verdict returns whether the request may be sent: the worse of the verdicts on its content and on
--- a/gateway/carry/ending.go
+++ b/gateway/carry/ending.go
@@ -181,7 +181,7 @@
 		g.c.recordCrash(a)
 	case e == stateUnknown && i.wasAlive:
 		g.c.undecided.add(a)
-		if len(a.Parts) > 0 {
+		if len(a.Parts) > 1 {
 			a.Silent = true
 			g.c.recordCrash(a)
 		}
--- a/gateway/carry/parts_test.go
+++ b/gateway/carry/parts_test.go
@@ -145,3 +145,28 @@
 		})
 	}
 }
+
+// TestAnswersToPromptsWithoutPartsCount guards against a part that is never blamed because the sound
+// prompts of its service have no part that they share.
+func TestAnswersToPromptsWithoutPartsCount(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		env := newStreamEnv(t)
+		for i := range 3 {
+			env.d.do["d1"], env.d.do["d2"] = []reply{{verdict: dialect.Success, status: 200, body: events(1, 2)}}, []reply{{verdict: dialect.Success, status: 200, body: events(1, 2)}}
+			_, err := env.Stream(t.Context(), withParts(singleRun), &streamRecorder{})
+			assert.NilError(t, err)
+			env.crashUpstreams(reply{err: errInterrupted}, "d1", "d2")
+			for n, u := range env.view.Upstreams["s"] {
+				env.view.Upstreams["s"][n].Incarnation = u.Incarnation + 1
+			}
+			j := withParts(singleRun, crashingPart)
+			j.Content = quarantine.Content(i)
+			_, err = env.Stream(t.Context(), j, &streamRecorder{})
+			assert.Assert(t, err != nil)
+			env.d.crashed = nil
+			time.Sleep(time.Second)
+		}
+		v := env.o.Register.PartsVerdict(time.Now(), quarantine.PartsOf("s", []string{crashingPart}))
+		assert.Equal(t, v.Standing, quarantine.Quarantined)
+	})
+}
--- a/gateway/quarantine/blame.go
+++ b/gateway/quarantine/blame.go
@@ -55,8 +55,8 @@
 		return Verdict{}
 	}
 	var worst Verdict
-	for _, k := range r.byPart[p.part] {
-		if v := r.partVerdict(now, servicePart{k.service(), p.part}); v.Standing > worst.Standing {
+	for _, service := range r.servicesOf(p.part) {
+		if v := r.partVerdict(now, servicePart{service, p.part}); v.Standing > worst.Standing {
 			worst = v
 		}
 	}
@@ -66,6 +66,17 @@
 	return worst
 }
 
+// servicesOf returns the ServiceParts of the records of a part. The caller holds mu.
+func (r *Register) servicesOf(p Part) []Part {
+	var services []Part
+	for _, k := range r.byPart[p] {
+		if !slices.Contains(services, k.service()) {
+			services = append(services, k.service())
+		}
+	}
+	return services
+}
+
 // partVerdict returns the verdict on a part of the prompts to a service from the crashes of which it
 // is not acquitted. The caller holds mu.
 func (r *Register) partVerdict(now time.Time, p servicePart) Verdict {
@@ -73,7 +84,8 @@
 		return Verdict{}
 	}
 	records := r.recordsOf(p)
-	if len(records) < partCrashThreshold {
+	whileServing := slices.DeleteFunc(slices.Clone(records), func(k *record) bool { return !k.Parts[0].Acquitted })
+	if len(whileServing) < partCrashThreshold {
 		return Verdict{}
 	}
 	v := Verdict{Part: p.part}
@@ -89,7 +101,7 @@
 		last = later(last, k.detectedAt)
 	}
 	v.Crashes, v.Early = len(v.crashes), len(v.crashes)
-	successive := successiveCrashes(slices.DeleteFunc(slices.Clone(records), func(k *record) bool { return !k.Parts[0].Acquitted }))
+	successive := successiveCrashes(whileServing)
 	if successive < partCrashThreshold || float64(successive) < r.crashesNeeded(records, successive) {
 		return v
 	}
--- a/gateway/quarantine/blame_test.go
+++ b/gateway/quarantine/blame_test.go
@@ -60,6 +60,7 @@
 	assert.DeepEqual(t, listed, []ContentStatus{{
 		Content: PartOf("bad").String(), Part: true, Standing: "quarantined", Crashes: 3, Early: 3, RemainingSeconds: initialQuarantine.Seconds(), Upstreams: v.Upstreams,
 	}})
+	assert.Equal(t, r.standing(), Clear)
 	assert.Equal(t, r.PartsVerdict(r.now, nil).Standing, Clear)
 }
 
--- a/gateway/quarantine/held.go
+++ b/gateway/quarantine/held.go
@@ -39,12 +39,10 @@
 	for c, crashes := range r.contents {
 		add(c.String(), verdictOf(now, crashes))
 	}
-	for p, records := range r.byPart {
-		var services []Part
-		for _, k := range records {
-			if k.service() != p && !slices.Contains(services, k.service()) {
-				services = append(services, k.service())
-				add(p.String(), r.partVerdict(now, servicePart{k.service(), p}))
+	for p := range r.byPart {
+		for _, service := range r.servicesOf(p) {
+			if service != p {
+				add(p.String(), r.partVerdict(now, servicePart{service, p}))
 			}
 		}
 	}
--- a/gateway/quarantine/part.go
+++ b/gateway/quarantine/part.go
@@ -21,11 +21,8 @@
 }
 
 // PartsOf returns the parts with the given IDs of a prompt to a service, each once, preceded by
-// ServicePart. It returns nil if there are none.
+// ServicePart.
 func PartsOf(service string, ids []string) []Part {
-	if len(ids) == 0 {
-		return nil
-	}
 	parts := []Part{ServicePart(service)}
 	for _, id := range ids {
 		if p := PartOf(id); !slices.Contains(parts, p) {
