--- a/gateway/carry/caution.go
+++ b/gateway/carry/caution.go
@@ -102,9 +102,9 @@
 }
 
 // admit reports whether the request may be sent to an upstream now, and first obtains a trial if
-// its content or a part of its prompt is suspect. The error is an *Error; outcome is the outcome to report for a request
-// that is not sent. The deadline is checked here because it may have passed while this instance
-// was paused.
+// its content or a part of its prompt is suspect. The error is an *Error; outcome is the outcome to
+// report for a request that is not sent. The deadline is checked here because it may have passed
+// while this instance was paused.
 func (g *crashGuard) admit(ctx context.Context, outcome Outcome) error {
 	g.c.o.AwaitInformed(ctx, g.j.Service.Engine != nil)
 	if clock.Until(g.j.Deadline) <= 0 {
@@ -182,7 +182,7 @@
 
 // recordBegun records that an upstream has begun to answer the prompt, which acquits its parts.
 func (g *crashGuard) recordBegun() {
-	if g.c.o.Register.Begun(clock.Now(), g.parts) {
+	if g.c.o.Register.AnswerBegun(clock.Now(), g.parts) {
 		g.c.o.NotifyPeers()
 	}
 }
--- a/gateway/carry/parts_test.go
+++ b/gateway/carry/parts_test.go
@@ -30,7 +30,7 @@
 // blame records crashes in succession that quarantine crashingPart.
 func (env *testEnv) blame() {
 	now := time.Now()
-	env.o.Register.Begun(now, quarantine.PartsOf("s", []string{"sound"}))
+	env.o.Register.AnswerBegun(now, quarantine.PartsOf("s", []string{"sound"}))
 	for i := range 3 {
 		sent := now.Add(time.Duration(i-3) * time.Second)
 		env.o.Register.Crashed(now, quarantine.Attempt{
@@ -120,7 +120,7 @@
 			bubble.Test(t, func(t *testing.T) {
 				env := newStreamEnv(t)
 				for i := range 3 {
-					env.o.Register.Begun(time.Now(), quarantine.PartsOf("s", []string{"sound"}))
+					env.o.Register.AnswerBegun(time.Now(), quarantine.PartsOf("s", []string{"sound"}))
 					j := withParts(singleRun, crashingPart)
 					j.Content, j.Call.LastEvent = quarantine.Content(i), c.lastEvent
 					env.crashUpstreams(c.reply, "d1", "d2")
--- a/gateway/promptparts_test.go
+++ b/gateway/promptparts_test.go
@@ -74,8 +74,8 @@
 	return float64(begun) / float64(max(1, sent))
 }
 
-// keptOut returns the number of sound requests that were refused because of a part.
-func (l *promptLog) keptOut() int {
+// refusedForParts returns the number of sound requests that were refused because of a part.
+func (l *promptLog) refusedForParts() int {
 	n := 0
 	for _, p := range l.sent {
 		if !p.bad && (strings.Contains(p.reason, "quarantined") || strings.Contains(p.reason, "on_trial")) {
@@ -140,7 +140,7 @@
 	fifth := w.fifthCrash()
 	late := w.crashingSentAfter(fifth.Add(partDeadline))
 	before, after := l.begun(start, start.Add(quiet)), l.begun(fifth.Add(servedAfter), end)
-	t.Logf("sent %d times, %d engines crashed, sent %d times too late; sound prompts: %.3f began before, %.3f after, %d kept out", sent, ended, late, before, after, l.keptOut())
+	t.Logf("sent %d times, %d engines crashed, sent %d times too late; sound prompts: %.3f began before, %.3f after, %d refused for a part", sent, ended, late, before, after, l.refusedForParts())
 	assert.Check(t, late <= maxPartSentAfter, "sent %d times later than %v after the fifth crash", late, partDeadline)
 	assert.Check(t, after >= minPartServed*before, "of the sound prompts %.3f began, %.3f before the crashes", after, before)
 }
@@ -208,7 +208,7 @@
 		all.Wait()
 		_, ended := w.crashCounts()
 		t.Logf("%d engines crashed", ended)
-		assert.Equal(t, l.keptOut(), 0)
+		assert.Equal(t, l.refusedForParts(), 0)
 	})
 }
 
--- a/gateway/quarantine/blame.go
+++ b/gateway/quarantine/blame.go
@@ -51,7 +51,7 @@
 // one prompt at a time, and quarantined after the first crash. It is clear if the service has
 // recently begun an answer to a prompt with it. The caller holds mu.
 func (r *Register) verdictElsewhere(now time.Time, p servicePart) Verdict {
-	if len(r.byPart[p.part]) < partCrashThreshold || now.Sub(r.begun.last(p)) < acquittalPeriod {
+	if len(r.byPart[p.part]) < partCrashThreshold || now.Sub(r.answers.last(p)) < acquittalPeriod {
 		return Verdict{}
 	}
 	var worst Verdict
--- a/gateway/quarantine/blame_test.go
+++ b/gateway/quarantine/blame_test.go
@@ -25,7 +25,7 @@
 }
 
 // begin records that an answer to a prompt with the given parts begins now.
-func (r *partsRegister) begin(ids ...string) { r.Begun(r.now, PartsOf("s", ids)) }
+func (r *partsRegister) begin(ids ...string) { r.AnswerBegun(r.now, PartsOf("s", ids)) }
 
 // crash records that an upstream crashes 100 ms from now under a prompt with the given parts that is
 // sent now.
@@ -74,7 +74,7 @@
 	there := PartsOf("other", []string{"bad"})
 	assert.Equal(t, r.PartsVerdict(r.now, there).Standing, Suspect)
 	assert.Equal(t, r.PartsVerdict(r.now, PartsOf("other", []string{"sound"})).Standing, Clear)
-	r.Begun(r.now, there)
+	r.AnswerBegun(r.now, there)
 	assert.Equal(t, r.PartsVerdict(r.now, there).Standing, Clear)
 	assert.Equal(t, r.standing("bad"), Quarantined)
 
@@ -257,12 +257,12 @@
 			assert.Assert(t, !k.removed, "%v", p)
 		}
 	}
-	assert.Assert(t, len(r.begun.current) <= maxBegunParts/2)
+	assert.Assert(t, len(r.answers.current) <= maxRecentAnswers/2)
 }
 
-// TestPartsComeTogether checks that instances that exchange their records end up with the same
+// TestPartRecordsConverge checks that instances that exchange their records end up with the same
 // verdicts on parts and the same digests, whatever each of them saw of crashes and answers.
-func TestPartsComeTogether(t *testing.T) {
+func TestPartRecordsConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		registers := []*Register{NewRegister(), NewRegister(), NewRegister()}
 		now := start
@@ -279,7 +279,7 @@
 					Silent: rapid.Bool().Draw(t, "silent"), SentAt: now.Add(-time.Duration(rapid.IntRange(0, 500).Draw(t, "ran")) * time.Millisecond), BrokenAt: now,
 				})
 			case 2:
-				r.Begun(now, parts)
+				r.AnswerBegun(now, parts)
 			case 3:
 				r.TakeUnsent(now)
 				registers[rapid.IntRange(0, 2).Draw(t, "to")].Merge(now, r.SharedRecords(now))
--- a/gateway/quarantine/content.go
+++ b/gateway/quarantine/content.go
@@ -1,6 +1,7 @@
 // Package quarantine protects upstreams from queries of death: requests that crash each upstream
-// that runs them. It records which request contents were running at upstreams that crashed,
-// decides which contents may still be sent, and merges the records of other instances. It does no
+// that runs them, because of what they ask for as a whole or because of one part of their prompts. It
+// records which request contents, with which parts, were running at upstreams that crashed, decides
+// which contents and parts may still be sent, and merges the records of other instances. It does no
 // I/O and reads no clock.
 package quarantine
 
@@ -27,20 +28,20 @@
 func ContentOf(c *dialect.Call) Content {
 	h := sha256.New()
 	for _, part := range []string{c.Method, c.Host, c.Target} {
-		writePart(h, part)
+		writeString(h, part)
 	}
 	// Writing to a hash never fails.
 	_, _ = h.Write(c.Caller[:])
 	_, _ = h.Write(c.Body)
 	for _, id := range c.SharedPromptParts {
-		writePart(h, id)
+		writeString(h, id)
 	}
 	return Content(binary.BigEndian.Uint64(h.Sum(nil)))
 }
 
-// writePart hashes a string with its length, so that different lists of strings that have the same
+// writeString hashes a string with its length, so that different lists of strings that have the same
 // concatenation get different hashes.
-func writePart(h hash.Hash, part string) {
+func writeString(h hash.Hash, part string) {
 	_, _ = h.Write(binary.BigEndian.AppendUint32(nil, uint32(len(part))))
 	_, _ = io.WriteString(h, part)
 }
--- a/gateway/quarantine/register.go
+++ b/gateway/quarantine/register.go
@@ -96,7 +96,8 @@
 	contents map[Content][]*record
 	// byPart holds the records of each part that is not acquitted of the crash.
 	byPart map[Part][]*record
-	begun  begunParts
+	// answers holds when services last began answers.
+	answers recentAnswers
 	// size is the number of records.
 	size int
 	// digest is the sum of the hashes of all shared records. Instances compare it to detect that
@@ -161,10 +162,10 @@
 func (r *Register) merge(known *record, c Crash) bool {
 	changed := known.Silent && !c.Silent
 	if changed {
-		r.change(known, func() { known.Silent = false })
+		r.update(known, func() { known.Silent = false })
 	}
 	if len(known.Parts) == 0 && len(c.Parts) > 0 {
-		r.change(known, func() {
+		r.update(known, func() {
 			known.Parts, known.RanFor, known.Unnoticed = slices.Clone(c.Parts), c.RanFor, c.Unnoticed
 			if r.index(known) {
 				r.enqueue(known)
--- a/gateway/quarantine/share.go
+++ b/gateway/quarantine/share.go
@@ -17,8 +17,8 @@
 	}
 }
 
-// change changes a record and updates the digest. The caller holds mu.
-func (r *Register) change(k *record, change func()) {
+// update changes a record, and the digest with it. The caller holds mu.
+func (r *Register) update(k *record, change func()) {
 	if k.shared {
 		r.digest -= digestOf(k.Crash)
 	}
