--- a/gateway/quarantine/blame.go
+++ b/gateway/quarantine/blame.go
@@ -88,25 +88,13 @@
 	if len(whileServing) < partCrashThreshold {
 		return Verdict{}
 	}
-	v := Verdict{Part: p.part}
-	var last time.Time
-	counted := map[crashID]bool{}
-	for _, k := range records {
-		if counted[k.crashID()] {
-			continue
-		}
-		counted[k.crashID()] = true
-		v.crashes = append(v.crashes, k.crashID())
-		v.Upstreams = append(v.Upstreams, k.Upstream)
-		last = later(last, k.detectedAt)
-	}
-	v.Crashes, v.Early = len(v.crashes), len(v.crashes)
 	successive := successiveCrashes(whileServing)
 	if successive < partCrashThreshold || float64(successive) < r.crashesNeeded(records, successive) {
-		return v
+		return Verdict{}
 	}
+	v := crashesOf(p.part, records)
 	period := initialQuarantine << min(maxDoublings, successive-partCrashThreshold)
-	v.Remaining = last.Add(period).Sub(now)
+	v.Remaining = slices.MaxFunc(records, byDetection).detectedAt.Add(period).Sub(now)
 	switch {
 	case v.Remaining > 0:
 		v.Standing = Quarantined
@@ -118,13 +106,24 @@
 	return v
 }
 
+// crashesOf returns a verdict on a part with the crashes of the given records, each once.
+func crashesOf(p Part, records []*record) Verdict {
+	v := Verdict{Part: p}
+	for _, k := range records {
+		if !slices.Contains(v.crashes, k.crashID()) {
+			v.crashes = append(v.crashes, k.crashID())
+			v.Upstreams = append(v.Upstreams, k.Upstream)
+		}
+	}
+	v.Crashes, v.Early = len(v.crashes), len(v.crashes)
+	return v
+}
+
 // crashesNeeded returns how many successive crashes quarantine a part with the given records and
 // number of such crashes. The caller holds mu.
 func (r *Register) crashesNeeded(records []*record, successive int) float64 {
-	from, to := records[0].sentAt(), records[0].brokenAt()
-	for _, k := range records {
-		from, to = earlier(from, k.sentAt()), later(to, k.brokenAt())
-	}
+	from := slices.MinFunc(records, func(a, b *record) int { return a.sentAt().Compare(b.sentAt()) }).sentAt()
+	to := slices.MaxFunc(records, byEnd).brokenAt()
 	var all []*record
 	for _, crashes := range r.contents {
 		for _, k := range crashes {
@@ -136,21 +135,6 @@
 	return partCrashThreshold * partCrashShare * float64(successiveCrashes(all)) / float64(successive)
 }
 
-// earlier and later return the earlier and the later of two times.
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 // weigh returns the verdict on a prompt from that on one of its parts. Parts that the prompt does
 // not have may explain the same crashes: if one explains more, it is to blame instead; if one
 // explains as many, a trial of the prompt shows which of them is.
@@ -209,13 +193,17 @@
 func (k *record) brokenAt() time.Time { return k.detectedAt.Add(-k.Unnoticed) }
 func (k *record) sentAt() time.Time   { return k.brokenAt().Add(-k.RanFor) }
 
+// byDetection compares records by when the crash was detected, byEnd by when their attempts broke off.
+func byDetection(a, b *record) int { return a.detectedAt.Compare(b.detectedAt) }
+
+func byEnd(a, b *record) int { return a.brokenAt().Compare(b.brokenAt()) }
+
 // successiveCrashes returns the largest number of the records such that each attempt was sent after
 // the one before had broken off.
 func successiveCrashes(records []*record) int {
-	byEnd := slices.SortedFunc(slices.Values(records), func(a, b *record) int { return a.brokenAt().Compare(b.brokenAt()) })
 	n := 0
 	var last time.Time
-	for _, k := range byEnd {
+	for _, k := range slices.SortedFunc(slices.Values(records), byEnd) {
 		if n == 0 || !k.sentAt().Before(last) {
 			n++
 			last = k.brokenAt()
