relay: a declined request waits for the offers that are still on their way

What callers would see: a request at an instance that reaches no upstream is refused ("no peer reaches the upstreams"), though a peer would have served it. Cause: a round of asking for offers is signalled when the first peer accepts; if that one declines the request, the client looked once for another offer, found none yet and gave up, as the signal stays given. Now the round has two signals, and after the first the client waits for the second, within the time that it waited for the first. The class is a signal for the first of several events taken for all of them.

--- a/gateway/relay/client.go
+++ b/gateway/relay/client.go
@@ -77,13 +77,16 @@
 type serviceOffers struct {
 	*directory
 	// asked is when the last round of asking for offers began, interval the minimum time until the
-	// next one. answered is closed when a peer has accepted in that round, or when all have
-	// answered.
+	// next one. round is that round, nil before the first one.
 	asked    time.Time
 	interval time.Duration
-	answered chan struct{}
+	round    *offerRound
 }
 
+// offerRound is a round of asking peers for offers. accepted is closed when a peer has accepted, or
+// when the round is over; over is closed when it is over.
+type offerRound struct{ accepted, over chan struct{} }
+
 // NewClient returns a client without offers.
 func NewClient(o ClientOptions) *Client {
 	return &Client{
@@ -122,20 +125,24 @@
 }
 
 // choose returns a peer that offers to serve a request. It asks for offers if the last round was
-// some time ago, and waits for that round if no offer is left.
+// some time ago. If no offer is left, it waits for the first one of that round, then for the others.
 func (c *Client) choose(ctx context.Context, service string, offers *serviceOffers, version int64, regions routing.Regions) (offered, bool) {
-	answered := c.refresh(service, offers)
+	round := c.refresh(service, offers)
 	if p, ok := offers.choose(clock.Now(), version, regions); ok {
 		return p, true
 	}
-	wait := time.NewTimer(maxOfferWait)
-	defer wait.Stop()
-	select {
-	case <-answered:
-	case <-wait.C:
-	case <-ctx.Done():
+	ctx, cancel := context.WithTimeout(ctx, maxOfferWait)
+	defer cancel()
+	for _, offered := range []<-chan struct{}{round.accepted, round.over} {
+		select {
+		case <-offered:
+		case <-ctx.Done():
+		}
+		if p, ok := offers.choose(clock.Now(), version, regions); ok {
+			return p, true
+		}
 	}
-	return offers.choose(clock.Now(), version, regions)
+	return offered{}, false
 }
 
 // offers returns the offers for a service.
@@ -150,24 +157,24 @@
 	return s
 }
 
-// refresh asks peers for offers unless that was done recently. The returned channel is closed when a
-// peer has accepted in the last round, or when all have answered.
-func (c *Client) refresh(service string, s *serviceOffers) <-chan struct{} {
+// refresh asks peers for offers unless that was done recently, and returns the last round.
+func (c *Client) refresh(service string, s *serviceOffers) *offerRound {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := clock.Now()
-	if s.answered != nil && now.Sub(s.asked) < s.interval {
-		return s.answered
+	if s.round != nil && now.Sub(s.asked) < s.interval {
+		return s.round
 	}
-	s.asked, s.answered = now, make(chan struct{})
-	go c.askAll(service, s, s.answered)
-	return s.answered
+	s.asked, s.round = now, &offerRound{accepted: make(chan struct{}), over: make(chan struct{})}
+	go c.askAll(service, s, s.round)
+	return s.round
 }
 
 // askAll asks peers for offers, a batch after the other until one has accepted.
-func (c *Client) askAll(service string, s *serviceOffers, answered chan struct{}) {
+func (c *Client) askAll(service string, s *serviceOffers, round *offerRound) {
 	var once sync.Once
-	done := func() { once.Do(func() { close(answered) }) }
+	done := func() { once.Do(func() { close(round.accepted) }) }
+	defer close(round.over)
 	defer done()
 	near, far := c.shuffledPeers()
 	accepted := false
--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -122,6 +122,24 @@
 	t.Errorf("%d requests, none of them to the peer that fails", sent.Load())
 }
 
+// TestDeclinedRequestAwaitsFurtherOffers guards against giving up after the first peer that accepts has
+// declined the request, while other peers are still being asked.
+func TestDeclinedRequestAwaitsFurtherOffers(t *testing.T) {
+	serve := func(w http.ResponseWriter, _ *http.Request) { MarkAnswer(w.Header()) }
+	c, sent := startPeers(t, peers{"p": decline, "late": serve})
+	ask := c.o.AskOffer
+	c.o.AskOffer = func(ctx context.Context, p Peer, service string) (Offer, error) {
+		if p.ID == "late" {
+			time.Sleep(100 * time.Millisecond)
+		}
+		return ask(ctx, p, service)
+	}
+	resp, err := send(t, c, Request{}, "x", nil)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	assert.Equal(t, sent.Load(), int64(2))
+}
+
 // TestPeersThatMustNotServeGetNothing checks that a request is not sent to peers with an older
 // configuration or in regions where it is not allowed.
 func TestPeersThatMustNotServeGetNothing(t *testing.T) {
