admission: queues, wait forecast, return times and order, not used yet

Requests that find no room wait at each instance until the last moment, are refused then and return into the same burst. The package holds the decisions, without clock and I/O; nothing calls it yet.

--- /dev/null
+++ b/gateway/admission/admission.go
@@ -0,0 +1,295 @@
+// Package admission decides, while a service's engines have too little room, which requests wait,
+// which are refused, and when refused callers are to return. The decisions consider the requests
+// that wait at all instances, by sums that the instances exchange. The package does no I/O and
+// reads no clock.
+//
+// It answers overload of a service by bursts of a few seconds, and by lasting overload. A request
+// that cannot be on time is refused while its caller can still go on with something else, and
+// its caller returns when there is room.
+package admission
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// peersTTL is how long the sums of the other instances remain valid. They arrive every 300 to
+	// 600 ms; after three missing ones this instance is cut off or the hub is gone.
+	peersTTL = 2 * time.Second
+	// floorShare is one in how many less urgent requests ranks with the most urgent ones, so that a
+	// lasting overload by urgent requests does not starve the others.
+	floorShare = 10
+	// returnedShare is the share of the route's timeout that a caller's time has to be below for the
+	// caller to count as returned. It has spent the rest on an earlier attempt and is due sooner.
+	returnedShare = 0.95
+)
+
+// Controller holds the queues of one instance, by service, and decides on the requests in them. It
+// is safe for concurrent use.
+type Controller struct {
+	mu       sync.Mutex
+	random   *rand.Rand
+	services map[string]*service
+	// peersAt is when the sums of the other instances were made, on average; zero if there are none
+	// yet. newsAge is how old they were then. instances is the number of live instances.
+	peersAt   time.Time
+	newsAge   time.Duration
+	instances int
+}
+
+// service is the state of one service.
+type service struct {
+	queue queue
+	// peers are the requests that wait at other instances. peerReturns are the promises that they
+	// made.
+	peers       [Priorities]float64
+	peerReturns ledger
+	// returns are the promises of this instance.
+	returns    ledger
+	arrivals   arrivals
+	correction correction
+}
+
+// New returns a controller without any queues. seed seeds the random choice among return times.
+func New(seed uint64) *Controller {
+	return &Controller{random: rand.New(rand.NewPCG(seed, seed)), services: map[string]*service{}, instances: 1}
+}
+
+// service returns the state of a service and creates it if needed. The caller holds mu.
+func (c *Controller) service(name string) *service {
+	s := c.services[name]
+	if s == nil {
+		s = &service{returns: ledger{}, peerReturns: ledger{}}
+		c.services[name] = s
+	}
+	return s
+}
+
+// Request describes a request that needs an engine.
+type Request struct {
+	Service string
+	// ID identifies the attempt.
+	ID string
+	// Priority ranks the request; 0 is the most urgent.
+	Priority int
+	Arrived  time.Time
+	// Deadline is when the caller stops waiting. Timeout is the longest time that the route allows.
+	Deadline time.Time
+	Timeout  time.Duration
+	// Objective is the time from the arrival within which the first event is on time.
+	Objective time.Duration
+	// Late means that the request cannot be on time any more, such as a stream that its caller
+	// resumes. It ranks behind the others of its priority and is not refused by Decide.
+	Late bool
+}
+
+// returned reports whether the caller has been refused before. A new attempt has a new ID, so this
+// is known only from the time that the caller has left.
+func (r *Request) returned() bool {
+	return r.Timeout > 0 && r.Deadline.Sub(r.Arrived) < time.Duration(returnedShare*float64(r.Timeout))
+}
+
+// rank returns the priority by which the request is ordered. One in floorShare of the less urgent
+// requests ranks with the most urgent. All instances derive the same rank.
+func (r *Request) rank() int {
+	if xxhash.Sum64String(r.ID)%floorShare == 0 {
+		return 0
+	}
+	return min(max(r.Priority, 0), Priorities-1)
+}
+
+// Enter adds a request to its service's queue. The caller must call Leave once the request is placed
+// or given up.
+func (c *Controller) Enter(now time.Time, r Request) *Waiter {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.service(r.Service)
+	w := &Waiter{c: c, s: s, request: r, rank: r.rank(), returned: r.returned(), entered: now, wake: make(chan struct{}, 1)}
+	s.arrivals.add(now, w.rank)
+	s.queue.insert(w)
+	return w
+}
+
+// Waiter is a request in a queue. Its methods may be called by one goroutine at a time.
+type Waiter struct {
+	c        *Controller
+	s        *service
+	request  Request
+	rank     int
+	returned bool
+	entered  time.Time
+	// expected is the first expected wait, valid if asked.
+	expected time.Duration
+	asked    bool
+	wake     chan struct{}
+}
+
+// Woken receives a value when room may have become available for the request.
+func (w *Waiter) Woken() <-chan struct{} { return w.wake }
+
+// First reports whether the request is at the head of its queue.
+func (w *Waiter) First() bool {
+	w.c.mu.Lock()
+	defer w.c.mu.Unlock()
+	return w.s.queue.first(w)
+}
+
+// Stay is what Leave reports about the time that a request spent in its queue.
+type Stay struct {
+	// Expected is the wait that was expected when the request was first decided on, Waited the time
+	// that it took. Asked is false if the request was placed without a decision.
+	Expected, Waited time.Duration
+	Asked            bool
+	// Returned means that the caller had been refused before.
+	Returned bool
+}
+
+// Leave removes the request from its queue and wakes the next one. placed means that it got an
+// engine. Only the first call has an effect.
+func (w *Waiter) Leave(now time.Time, placed bool) Stay {
+	w.c.mu.Lock()
+	defer w.c.mu.Unlock()
+	stay := Stay{Expected: w.expected, Waited: now.Sub(w.entered), Asked: w.asked, Returned: w.returned}
+	if w.s.queue.remove(w) && placed && w.asked {
+		w.s.correction.observe(now, stay.Expected, stay.Waited)
+	}
+	return stay
+}
+
+// Freed wakes the head of a service's queue because an engine may have room again.
+func (c *Controller) Freed(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.service(name).queue.wakeFirst()
+}
+
+// Waiting returns the number of requests in this instance's queue of a service.
+func (c *Controller) Waiting(name string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.service(name).queue)
+}
+
+// Hold is the reason why a request is held back.
+type Hold struct {
+	// For is the most urgent priority for which requests wait at other instances, Waiting the number
+	// of requests there that are more urgent.
+	For     int
+	Waiting float64
+	// Age is the age of that information.
+	Age time.Duration
+}
+
+// Held reports whether the request is held back because the room that is left is needed for more
+// urgent requests that wait at other instances. supply is called only if there are any.
+func (w *Waiter) Held(now time.Time, supply func() Supply) (Hold, bool) {
+	w.c.mu.Lock()
+	urgent, first, age := 0.0, 0, w.c.age(now)
+	if w.c.informed(now) && !w.request.Late {
+		urgent, first = w.s.urgentElsewhere(w.rank)
+	}
+	arriving := w.s.arrivals.rateBelow(now, w.rank) * age.Seconds()
+	w.c.mu.Unlock()
+	if urgent == 0 {
+		return Hold{}, false
+	}
+	// Those that arrived since the sums were made wait as well.
+	return Hold{For: first, Waiting: urgent, Age: age}, supply().placesBy(0) < urgent+arriving+1
+}
+
+// urgentElsewhere returns the number of requests that wait at other instances and are more urgent
+// than a rank, and the most urgent rank among them.
+func (s *service) urgentElsewhere(rank int) (count float64, first int) {
+	for p := rank - 1; p >= 0; p-- {
+		if s.peers[p] > 0 {
+			count += s.peers[p]
+			first = p
+		}
+	}
+	return count, first
+}
+
+// Verdict is the decision on a request for which there is no room now.
+type Verdict struct {
+	// Refuse means that the request is not expected to be on time. RetryAfter is when its caller is
+	// to return; the promise is counted as load to come.
+	Refuse     bool
+	RetryAfter time.Duration
+	// Expected is the expected wait for an engine. It is maxWait if there is no end to be seen.
+	Expected time.Duration
+	// Ahead is the number of requests that go first, Places the room for requests now.
+	Ahead, Places float64
+	// Alone means that there are no recent sums of the other instances. Age is their age.
+	Alone bool
+	Age   time.Duration
+}
+
+// Decide decides whether a request for which no engine has room waits on. lead is the time from the
+// placement to the first event. It must be called only for requests that have not been answered in
+// part.
+func (w *Waiter) Decide(now time.Time, supply Supply, lead time.Duration) Verdict {
+	c := w.c
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	v := Verdict{Alone: !c.informed(now), Age: c.age(now)}
+	if v.Alone {
+		supply = supply.times(1 / float64(c.instances))
+	}
+	d := c.demandAhead(now, w, supply)
+	v.Ahead, v.Places = d.Ahead, supply.placesBy(0)
+	v.Expected = max(0, expectedWait(supply, d)+w.s.correction.at(now))
+	if !w.asked {
+		w.expected, w.asked = v.Expected, true
+	}
+	v.Refuse = !w.request.Late && now.Add(v.Expected+lead).After(w.request.Arrived.Add(w.request.Objective))
+	if v.Refuse {
+		v.RetryAfter = c.promiseReturn(now, w, supply, d)
+	}
+	return v
+}
+
+// PromiseReturn returns when the caller of a request that is refused for another reason than a
+// decision is to return.
+func (w *Waiter) PromiseReturn(now time.Time, supply Supply) time.Duration {
+	w.c.mu.Lock()
+	defer w.c.mu.Unlock()
+	return w.c.promiseReturn(now, w, supply, w.c.demandAhead(now, w, supply))
+}
+
+// demandAhead returns what goes before a request. The caller holds mu.
+func (c *Controller) demandAhead(now time.Time, w *Waiter, supply Supply) Demand {
+	s := w.s
+	d := Demand{Ahead: float64(s.queue.before(w)), Rate: s.arrivals.rateBelow(now, w.rank)}
+	if !w.returned {
+		d.addReturns(now, s.returns, w.rank)
+	}
+	if !c.informed(now) {
+		return d
+	}
+	for p := range w.rank + 1 {
+		d.Ahead += s.peers[p]
+	}
+	// Placements that the supply does not show yet.
+	d.Ahead += min(s.arrivals.peers, supply.Rate) * c.age(now).Seconds()
+	if !w.returned {
+		d.addReturns(now, s.peerReturns, w.rank)
+	}
+	return d
+}
+
+// informed reports whether the sums of the other instances are recent. The caller holds mu.
+func (c *Controller) informed(now time.Time) bool {
+	return !c.peersAt.IsZero() && c.age(now) < peersTTL
+}
+
+// age returns the age of the sums of the other instances, 0 if there are none. The caller holds mu.
+func (c *Controller) age(now time.Time) time.Duration {
+	if c.peersAt.IsZero() {
+		return 0
+	}
+	return now.Sub(c.peersAt)
+}
--- /dev/null
+++ b/gateway/admission/peers.go
@@ -0,0 +1,221 @@
+package admission
+
+import "time"
+
+// Priorities is the number of priorities that are told apart; less urgent ones count as the last.
+const Priorities = 10
+
+// maxCount bounds each number in a report of a peer. A larger one is an error of the peer.
+const maxCount = 100_000
+
+// Queue is what instances report about their queues of one service, and the sum of such reports.
+type Queue struct {
+	// Waiting is the number of waiting requests by priority.
+	Waiting []int `json:"w,omitempty"`
+	// Returns is the number of refused callers that were told to return, by priority and half second
+	// from the report.
+	Returns [][]int `json:"r,omitempty"`
+}
+
+// Valid reports whether all numbers of a report are possible.
+func (q Queue) Valid() bool {
+	if len(q.Waiting) > Priorities || len(q.Returns) > Priorities || !possible(q.Waiting) {
+		return false
+	}
+	for _, slots := range q.Returns {
+		if len(slots) > ReturnSlots || !possible(slots) {
+			return false
+		}
+	}
+	return true
+}
+
+// possible reports whether all numbers lie within bounds.
+func possible(numbers []int) bool {
+	for _, n := range numbers {
+		if n < 0 || n > maxCount {
+			return false
+		}
+	}
+	return true
+}
+
+// Empty reports whether there is nothing to report.
+func (q Queue) Empty() bool { return len(q.Waiting) == 0 && len(q.Returns) == 0 }
+
+// Plus returns the sum of two queues. Both are left unchanged.
+func (q Queue) Plus(o Queue) Queue {
+	sum := Queue{Waiting: combine(q.Waiting, o.Waiting, 1)}
+	for p := range max(len(q.Returns), len(o.Returns)) {
+		sum.Returns = append(sum.Returns, combine(at(q.Returns, p), at(o.Returns, p), 1))
+	}
+	return sum
+}
+
+// Minus returns the queue without another one. Numbers do not fall below 0, because the other one
+// may be newer than its part in the sum.
+func (q Queue) Minus(o Queue) Queue {
+	rest := Queue{Waiting: combine(q.Waiting, o.Waiting, -1)}
+	for p := range q.Returns {
+		rest.Returns = append(rest.Returns, combine(q.Returns[p], at(o.Returns, p), -1))
+	}
+	return rest
+}
+
+// at returns an element of a list, or nil beyond its end.
+func at(list [][]int, i int) []int {
+	if i >= len(list) {
+		return nil
+	}
+	return list[i]
+}
+
+// combine returns a plus sign times b, without negative numbers.
+func combine(a, b []int, sign int) []int {
+	if len(a) == 0 && len(b) == 0 {
+		return nil
+	}
+	out := make([]int, max(len(a), len(b)))
+	copy(out, a)
+	for i, n := range b {
+		out[i] = max(0, out[i]+sign*n)
+	}
+	return out
+}
+
+// Peers is the state of the other instances.
+type Peers struct {
+	// Instances is the number of live instances, including this one.
+	Instances int
+	// Age is how old the sums are on average.
+	Age time.Duration
+	// Queues is the sum of the other instances' queues, by service.
+	Queues map[string]Queue
+	// Rates is the rate of requests to the other instances, in requests per second by service.
+	Rates map[string]float64
+}
+
+// SetPeers records the state of the other instances. It replaces the former one.
+func (c *Controller) SetPeers(now time.Time, p Peers) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.instances, c.peersAt = max(1, p.Instances), now.Add(-p.Age)
+	for name, s := range c.services {
+		if _, ok := p.Queues[name]; !ok {
+			s.setPeers(c.peersAt, Queue{})
+		}
+	}
+	for name, q := range p.Queues {
+		c.service(name).setPeers(c.peersAt, q)
+	}
+	for name, rate := range p.Rates {
+		c.service(name).arrivals.setPeers(now, rate)
+	}
+}
+
+// setPeers records the queues of the other instances as of a time.
+func (s *service) setPeers(madeAt time.Time, q Queue) {
+	s.peers = [Priorities]float64{}
+	for p, n := range q.Waiting {
+		if p < Priorities {
+			s.peers[p] = float64(n)
+		}
+	}
+	s.peerReturns = ledger{}
+	first := slotOf(madeAt)
+	for p, slots := range q.Returns {
+		for i, n := range slots {
+			if p < Priorities && n > 0 {
+				s.peerReturns.add(first+i, p, float64(n))
+			}
+		}
+	}
+}
+
+// Report returns the queues of this instance to be told to peers, by service. Services without
+// waiting requests and promises are left out.
+func (c *Controller) Report(now time.Time) map[string]Queue {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out map[string]Queue
+	for name, s := range c.services {
+		q := s.report(now)
+		if q.Empty() {
+			continue
+		}
+		if out == nil {
+			out = map[string]Queue{}
+		}
+		out[name] = q
+	}
+	return out
+}
+
+// report returns this instance's queue of the service.
+func (s *service) report(now time.Time) Queue {
+	var q Queue
+	for p, n := range s.queue.waiting() {
+		q.Waiting = set(q.Waiting, p, n)
+	}
+	first := slotOf(now)
+	s.returns.prune(first)
+	for slot, counts := range s.returns {
+		if slot >= first+ReturnSlots {
+			continue
+		}
+		for p, n := range counts {
+			for n > 0 && len(q.Returns) <= p {
+				q.Returns = append(q.Returns, nil)
+			}
+			if n > 0 {
+				q.Returns[p] = set(q.Returns[p], slot-first, int(n))
+			}
+		}
+	}
+	return q
+}
+
+// set sets an element of a list, which it extends if the element is not 0.
+func set(list []int, i, n int) []int {
+	if n == 0 {
+		return list
+	}
+	for len(list) <= i {
+		list = append(list, 0)
+	}
+	list[i] = n
+	return list
+}
+
+// Status is the state of a service's queues, for operators.
+type Status struct {
+	Service string `json:"service"`
+	// Own is the queue of this instance, Peers the sum of the others' as of AgeMS milliseconds ago.
+	Own   Queue `json:"own"`
+	Peers Queue `json:"peers"`
+	AgeMS int64 `json:"age_ms"`
+	// Alone means that there is no recent sum.
+	Alone bool `json:"alone"`
+	// RequestRate is the rate of all instances, in requests per second. CorrectionMS is added to
+	// expected waits.
+	RequestRate  float64 `json:"request_rate"`
+	CorrectionMS int64   `json:"correction_ms"`
+}
+
+// Status returns the state of all services that have had requests, in no particular order.
+func (c *Controller) Status(now time.Time) []Status {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := []Status{}
+	for name, s := range c.services {
+		st := Status{
+			Service: name, Own: s.report(now), AgeMS: c.age(now).Milliseconds(), Alone: !c.informed(now),
+			RequestRate: s.arrivals.rate(now), CorrectionMS: s.correction.at(now).Milliseconds(),
+		}
+		for p, n := range s.peers {
+			st.Peers.Waiting = set(st.Peers.Waiting, p, int(n))
+		}
+		out = append(out, st)
+	}
+	return out
+}
--- /dev/null
+++ b/gateway/admission/returns.go
@@ -0,0 +1,115 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// returnSlot is the resolution of promised return times, and ReturnSlots the number of slots in a
+	// report. Callers have up to 14 s and honor a third of what is left.
+	returnSlot  = 500 * time.Millisecond
+	ReturnSlots = 10
+	// maxReturnShare is the share of the remaining time that callers honor as a Retry-After.
+	maxReturnShare = 1.0 / 3
+	// minReturn is the shortest time that a refused caller is told to wait. Room changes by a few
+	// requests within it.
+	minReturn = 200 * time.Millisecond
+	// lateShare is the last part of the possible return times, over which callers are spread that find
+	// no room within any of them.
+	lateShare = 1.0 / 3
+	// burstHalfLife is the half-life with which a rate of arrivals above its mean is expected to
+	// return to the mean. Bursts last 4 to 5 s.
+	burstHalfLife = 2 * time.Second
+)
+
+// ledger counts promised returns by slot of time and rank.
+type ledger map[int]*[Priorities]float64
+
+// slotOf returns the slot of a time.
+func slotOf(t time.Time) int { return int(t.UnixNano() / int64(returnSlot)) }
+
+// add counts promised returns.
+func (l ledger) add(slot, rank int, n float64) {
+	if l[slot] == nil {
+		l[slot] = &[Priorities]float64{}
+	}
+	l[slot][rank] += n
+}
+
+// prune removes the slots before one.
+func (l ledger) prune(first int) {
+	for slot := range l {
+		if slot < first {
+			delete(l, slot)
+		}
+	}
+}
+
+// promiseReturn chooses when the caller of a refused request is to return and counts the promise:
+// as soon as there is room that no one else is expected to need. The caller holds mu.
+func (c *Controller) promiseReturn(now time.Time, w *Waiter, supply Supply, d Demand) time.Duration {
+	longest := time.Duration(maxReturnShare * float64(w.request.Deadline.Sub(now)))
+	if longest <= minReturn {
+		return max(longest, 0)
+	}
+	free := c.freeBySlot(now, w, supply, d)
+	at := c.chooseReturn(free, c.contenders(now, w.s, supply), longest)
+	w.s.returns.prune(slotOf(now))
+	w.s.returns.add(slotOf(now.Add(at)), w.rank, 1)
+	return at
+}
+
+// freeBySlot returns the room in each slot from now that neither the waiting requests, nor callers
+// told to return, nor new requests are expected to take. The caller holds mu.
+func (c *Controller) freeBySlot(now time.Time, w *Waiter, supply Supply, d Demand) (free [ReturnSlots]float64) {
+	backlog := d.Ahead
+	if w.returned {
+		// Unlike on arrival, this caller goes behind those who were told before.
+		d.addReturns(now, w.s.returns, w.rank)
+		d.addReturns(now, w.s.peerReturns, w.rank)
+	}
+	before := 0.0
+	for i := range free {
+		until := supply.placesBy(time.Duration(i+1) * returnSlot)
+		middle := time.Duration(i)*returnSlot + returnSlot/2
+		room := until - before - d.Returns[i] - w.s.arrivals.expected(now, w.rank, middle)*returnSlot.Seconds()
+		before = until
+		used := math.Min(backlog, math.Max(0, room))
+		backlog -= used
+		free[i] = math.Max(0, room-used)
+	}
+	return free
+}
+
+// contenders returns how many callers, including the present one, are expected to be refused within
+// the age of the sums, so that their promises are not known here. The caller holds mu.
+func (c *Controller) contenders(now time.Time, s *service, supply Supply) float64 {
+	if !c.informed(now) {
+		return 1
+	}
+	return 1 + math.Max(0, s.arrivals.peers-supply.Rate)*c.age(now).Seconds()
+}
+
+// chooseReturn chooses a return time between minReturn and longest. Callers are distributed over the
+// earliest room for all contenders in proportion to the room, and those without room over the last
+// part of the time. The caller holds mu.
+func (c *Controller) chooseReturn(free [ReturnSlots]float64, contenders float64, longest time.Duration) time.Duration {
+	last := min(ReturnSlots-1, int((longest-1)/returnSlot))
+	remaining := c.random.Float64() * contenders
+	for i := range last + 1 {
+		if remaining -= free[i]; remaining < 0 {
+			return c.within(time.Duration(i)*returnSlot, min(time.Duration(i+1)*returnSlot, longest))
+		}
+	}
+	return c.within(time.Duration((1-lateShare)*float64(longest)), longest)
+}
+
+// within returns a random time between two, at least minReturn.
+func (c *Controller) within(from, to time.Duration) time.Duration {
+	from = max(from, minReturn)
+	if to <= from {
+		return from
+	}
+	return from + time.Duration(c.random.Int64N(int64(to-from)))
+}
