--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -215,10 +215,8 @@
 
 // Verdict is the decision on a request for which there is no room now.
 type Verdict struct {
-	// Refuse means that the request is not expected to be on time. RetryAfter is when its caller is
-	// to return; the promise is counted as load to come.
-	Refuse     bool
-	RetryAfter time.Duration
+	// Refuse means that the request is not expected to be on time.
+	Refuse bool
 	// Expected is the expected wait for an engine. It is maxWait if there is no end to be seen.
 	Expected time.Duration
 	// Ahead is the number of requests that go first, Places the room for requests now.
@@ -246,18 +244,19 @@
 		w.expected, w.asked = v.Expected, true
 	}
 	v.Refuse = !w.request.Late && now.Add(v.Expected+lead).After(w.request.Arrived.Add(w.request.Objective))
-	if v.Refuse {
-		v.RetryAfter = c.promiseReturn(now, w, supply, d)
-	}
 	return v
 }
 
-// PromiseReturn returns when the caller of a request that is refused for another reason than a
-// decision is to return.
+// PromiseReturn returns the time after which the caller of a refused request is to return, and counts
+// the promise as load to come.
 func (w *Waiter) PromiseReturn(now time.Time, supply Supply) time.Duration {
-	w.c.mu.Lock()
-	defer w.c.mu.Unlock()
-	return w.c.promiseReturn(now, w, supply, w.c.demandAhead(now, w, supply))
+	c := w.c
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.informed(now) {
+		supply = supply.times(1 / float64(c.instances))
+	}
+	return c.promiseReturn(now, w, supply, c.demandAhead(now, w, supply))
 }
 
 // demandAhead returns what goes before a request. The caller holds mu.
