carry: asks admission who waits and who is refused, and when refused callers return

A request without room waited until its first event could not be on time any more, and its caller was told to return after one second. It now waits only while the forecast of the engines' room lets it be on time, and is told when room is expected.

--- a/gateway/carry/carry.go
+++ b/gateway/carry/carry.go
@@ -16,6 +16,7 @@
 
 	"github.com/wardspool/wardspool/adapter"
 	"github.com/wardspool/wardspool/adapter/roundtrip"
+	"github.com/wardspool/wardspool/gateway/admission"
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/fleet"
 	"github.com/wardspool/wardspool/gateway/memory"
@@ -51,6 +52,8 @@
 	PathWorks func(other dialect.Upstream) bool
 	// Relay sends requests by way of a peer while this instance reaches no upstream.
 	Relay Relay
+	// Admission decides which requests wait for an engine, and when refused callers return.
+	Admission *admission.Controller
 	// RateLimits enforces the rate limits that upstreams state.
 	RateLimits RateLimits
 	// Origins knows the software versions that began streams.
@@ -63,14 +66,15 @@
 	StopDeadline func() (time.Time, bool)
 	// Count increments the event counter with the given name.
 	Count func(name string)
+	// ObserveStay records how long a request waited for an engine.
+	ObserveStay func(admission.Stay)
 }
 
 // Forwarder forwards requests to upstreams. It is safe for concurrent use.
 type Forwarder struct {
 	o Options
 
-	mu     sync.Mutex
-	queues map[string]*waitQueue
+	mu sync.Mutex
 	// cacheLists holds the engines' lists of cached prompts.
 	cacheLists cacheLists
 	// streams holds the running streams by the number of their placement.
@@ -86,7 +90,7 @@
 }
 
 func New(o Options) *Forwarder {
-	return &Forwarder{o: o, queues: map[string]*waitQueue{}, streams: map[uint64]*stream{}, streamStarted: make(chan struct{}, 1)}
+	return &Forwarder{o: o, streams: map[uint64]*stream{}, streamStarted: make(chan struct{}, 1)}
 }
 
 // Close waits until all pending releases have been sent or ctx ends. Reservations and results
--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/wardspool/wardspool/adapter"
+	"github.com/wardspool/wardspool/gateway/admission"
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/fleet"
 	"github.com/wardspool/wardspool/gateway/origin"
@@ -304,6 +305,8 @@
 		Log:    slog.New(slog.DiscardHandler), Count: func(string) {},
 		Register: quarantine.NewRegister(), Trials: localTrials{quarantine.NewTrials()}, NotifyPeers: func() {},
 		AwaitInformed: func(context.Context, bool) {},
+		Admission:     admission.New(1),
+		ObserveStay:   func(admission.Stay) {},
 		Relay:         env,
 		Origins:       env,
 		PathWorks:     func(dialect.Upstream) bool { return !env.disconnected && !env.pathBroken },
--- a/gateway/carry/line.go
+++ b/gateway/carry/line.go
@@ -2,130 +2,130 @@
 
 import (
 	"context"
-	"sync"
 	"time"
+
+	"github.com/wardspool/wardspool/gateway/admission"
+	"github.com/wardspool/wardspool/internal/clock"
 )
 
 const (
-	// queuePollInterval is how often the head of a queue checks for capacity. The streams of
-	// other instances end without a notification to this one.
-	queuePollInterval = 15 * time.Millisecond
+	// pollInterval is how often the first waiting request checks for capacity. The streams of other
+	// instances end without a notification to this one.
+	pollInterval = 15 * time.Millisecond
+	// decisionInterval is how often it is decided anew whether a request waits on. The inputs change
+	// with each stream that ends here and with each report of the peers.
+	decisionInterval = 50 * time.Millisecond
 )
 
-// waitQueue is the queue of requests that wait for capacity at the decode engines of a service.
-// It is ordered by priority, then requests that can still meet their objective before those that
-// cannot, then by arrival.
-type waitQueue struct {
-	mu      sync.Mutex
-	waiting []*waiter
+// line is the wait of a stream for a decode engine.
+type line struct {
+	s *stream
+	// waiter is the place in the service's queue, nil for a stream that is under way.
+	waiter    *admission.Waiter
+	enteredAt time.Time
+	decidedAt time.Time
+	verdict   admission.Verdict
+	lead      time.Duration
+	// held is set while the stream is held back for more urgent requests.
+	held   admission.Hold
+	isHeld bool
 }
 
-// waiter is a request that waits in a queue.
-type waiter struct {
-	priority int
-	// late means that the request cannot meet its objective any more: a stream that its caller
-	// resumes has already paused for longer than its pace objective.
-	late    bool
-	arrived time.Time
-	// wake receives a value when capacity may have become available.
-	wake chan struct{}
+// enterLine adds the stream to its service's queue. A stream that is under way searches for capacity
+// outside the queue: it cannot wait for its turn, and a large one must not block those behind it.
+func (s *stream) enterLine() *line {
+	l := &line{s: s, enteredAt: clock.Now()}
+	if s.headSent {
+		return l
+	}
+	l.waiter = s.c.o.Admission.Enter(l.enteredAt, admission.Request{
+		Service: s.j.Service.Name, ID: s.j.Call.ID, Priority: s.j.Priority, Arrived: s.j.Arrived, Deadline: s.j.Deadline,
+		Timeout: s.j.Route.Timeout, Objective: s.j.Route.Objective, Late: s.resumed(),
+	})
+	return l
 }
 
-// before reports whether w is ahead of o in the queue.
-func (w *waiter) before(o *waiter) bool {
-	if w.priority != o.priority {
-		return w.priority < o.priority
+// leave ends the wait. placed means that an engine was reserved.
+func (l *line) leave(placed bool) {
+	if l.waiter == nil {
+		return
 	}
-	if w.late != o.late {
-		return o.late
+	stay := l.waiter.Leave(clock.Now(), placed)
+	if placed {
+		l.s.c.o.ObserveStay(stay)
 	}
-	return w.arrived.Before(o.arrived)
-}
-
-// newWaiter returns a waiter that is in no queue.
-func newWaiter(priority int, late bool, arrived time.Time) *waiter {
-	return &waiter{priority: priority, late: late, arrived: arrived, wake: make(chan struct{}, 1)}
-}
-
-// insert inserts a request.
-func (q *waitQueue) insert(priority int, late bool, arrived time.Time) *waiter {
-	w := newWaiter(priority, late, arrived)
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	at := len(q.waiting)
-	for at > 0 && w.before(q.waiting[at-1]) {
-		at--
+	if stay.Returned && placed {
+		l.s.c.o.Count("returned_placed")
+	} else if stay.Returned {
+		l.s.c.o.Count("returned_not_placed")
 	}
-	q.waiting = append(q.waiting, nil)
-	copy(q.waiting[at+1:], q.waiting[at:])
-	q.waiting[at] = w
-	return w
 }
 
-// remove removes a request and wakes the new head of the queue.
-func (q *waitQueue) remove(w *waiter) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	for i, o := range q.waiting {
-		if o == w {
-			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
-			break
-		}
+// mayPlace reports whether it is the stream's turn to be placed.
+func (l *line) mayPlace(now time.Time) bool {
+	if l.waiter == nil {
+		return true
 	}
-	q.wakeHead()
-}
-
-// isHead reports whether the request is at the head of the queue.
-func (q *waitQueue) isHead(w *waiter) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return len(q.waiting) > 0 && q.waiting[0] == w
-}
-
-// length returns the number of waiting requests.
-func (q *waitQueue) length() int {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return len(q.waiting)
-}
-
-// capacityFreed wakes the head of the queue when capacity may have become available.
-func (q *waitQueue) capacityFreed() {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.wakeHead()
+	if !l.waiter.First() {
+		return false
+	}
+	held, isHeld := l.waiter.Held(now, func() admission.Supply { return l.s.supply(now) })
+	if isHeld && !l.isHeld {
+		l.s.c.o.Count("held_back")
+		l.s.log.Info("held back", "for_priority", held.For, "priority", l.s.j.Priority, "waiting_elsewhere", held.Waiting, "age_ms", held.Age.Milliseconds())
+	}
+	l.held, l.isHeld = held, isHeld
+	return !isHeld
 }
 
-// wakeHead wakes the head of the queue. The caller must hold mu.
-func (q *waitQueue) wakeHead() {
-	if len(q.waiting) == 0 {
-		return
+// hopeless reports whether the request is to be refused: its first event could not be on time, or a
+// resumed stream has waited too long. A stream that is under way is never refused: its caller is
+// still reading, and the only way to report a refusal would be to close the connection.
+func (l *line) hopeless(now time.Time) bool {
+	if l.s.headSent {
+		return false
 	}
-	select {
-	case q.waiting[0].wake <- struct{}{}:
-	default:
+	if l.s.resumed() {
+		patience := resumeWaitShare * float64(l.s.j.Deadline.Sub(l.enteredAt))
+		return now.After(l.enteredAt.Add(time.Duration(patience)))
 	}
+	if !l.decidedAt.IsZero() && now.Sub(l.decidedAt) < decisionInterval {
+		return false
+	}
+	l.decidedAt, l.lead = now, l.s.lead(now)
+	l.verdict = l.waiter.Decide(now, l.s.supply(now), l.lead)
+	return l.verdict.Refuse
 }
 
-// wait blocks until the waiter is woken, queuePollInterval has passed, or ctx ends.
-func (w *waiter) wait(ctx context.Context) {
-	timer := time.NewTimer(queuePollInterval)
+// wait blocks until the stream is woken, pollInterval has passed, or ctx ends.
+func (l *line) wait(ctx context.Context) {
+	timer := time.NewTimer(pollInterval)
 	defer timer.Stop()
+	var woken <-chan struct{}
+	if l.waiter != nil {
+		woken = l.waiter.Woken()
+	}
 	select {
-	case <-w.wake:
+	case <-woken:
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 }
 
-// queueOf returns the queue of a service.
-func (c *Forwarder) queueOf(service string) *waitQueue {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	q := c.queues[service]
-	if q == nil {
-		q = &waitQueue{}
-		c.queues[service] = q
+// explain returns the log attributes of the last decision.
+func (l *line) explain() []any {
+	v := l.verdict
+	out := []any{
+		"expected_ms", v.Expected.Milliseconds(), "lead_ms", l.lead.Milliseconds(), "ahead", v.Ahead, "places", v.Places,
+		"alone", v.Alone, "sums_age_ms", v.Age.Milliseconds(),
+	}
+	if l.isHeld {
+		out = append(out, "held_for_priority", l.held.For, "waiting_elsewhere", l.held.Waiting)
 	}
-	return q
+	return out
+}
+
+// supply returns the room that decode engines are expected to have for requests like this one.
+func (s *stream) supply(now time.Time) admission.Supply {
+	return s.c.o.Scheduler.DecodeSupply(now, s.eligible(), s.j.Service.Engine, s.size(), s.excluded)
 }
--- a/gateway/carry/reserve.go
+++ b/gateway/carry/reserve.go
@@ -22,10 +22,10 @@
 	selfPrefill bool
 }
 
-// leavePlacement ends a placement and wakes the head of the service's queue.
+// leavePlacement ends a placement and wakes the next waiting request of the service.
 func (s *stream) leavePlacement(p *placement) {
 	s.c.o.Scheduler.Done(p.decode)
-	s.c.queueOf(s.j.Service.Name).capacityFreed()
+	s.c.o.Admission.Freed(s.j.Service.Name)
 }
 
 // prefillWait returns the expected time until the prompt is computed, or 0 if no prefill engine
@@ -38,26 +38,15 @@
 	return wait, !open && !s.c.o.Scheduler.PrefillReachable(now, list)
 }
 
-// tooLate reports whether the first event could not be on time even if the request got its
-// placement now. For a resumed stream it reports whether the stream has waited too long since it
-// joined the queue at since. A stream that is under way is never refused: its caller is still
-// reading, and the only way to report a refusal would be to close the connection.
-func (s *stream) tooLate(now, since time.Time) bool {
-	if s.headSent {
-		return false
-	}
-	if s.resumed() {
-		patience := resumeWaitShare * float64(s.j.Deadline.Sub(since))
-		return now.After(since.Add(time.Duration(patience)))
-	}
+// lead returns the expected time from a placement to the first event.
+func (s *stream) lead(now time.Time) time.Duration {
 	service := s.j.Service.Name
 	prefill, _ := s.prefillWait()
 	if overflow, ok := s.c.o.Scheduler.OverflowTime(service, s.j.Call.PromptTokens); ok {
 		prefill = min(prefill, overflow)
 	}
 	held, _ := s.heldOff(now)
-	ready := now.Add(max(prefill, held) + s.c.o.Scheduler.FirstEvent(service))
-	return ready.After(s.j.Arrived.Add(s.j.Route.Objective))
+	return max(prefill, held) + s.c.o.Scheduler.FirstEvent(service)
 }
 
 // heldOff returns the time until a decode engine may get a request, and why none gets one until
@@ -76,13 +65,17 @@
 	return prefill.Seconds() > maxPrefillQueueShare*s.j.Route.Objective.Seconds()
 }
 
-// reserve finds a decode engine with capacity and reserves it. It waits in the queue as long as
-// the request can still be served in time.
+// reserve finds a decode engine with capacity and reserves it. It waits as long as the request can
+// still be served in time.
 func (s *stream) reserve(ctx context.Context) (*placement, error) {
-	q := s.c.queueOf(s.j.Service.Name)
-	w := s.joinQueue(q)
-	defer q.remove(w)
-	queuedAt := clock.Now()
+	w := s.enterLine()
+	p, err := s.awaitPlacement(ctx, w)
+	w.leave(p != nil)
+	return p, err
+}
+
+// awaitPlacement is reserve for a request that waits in w.
+func (s *stream) awaitPlacement(ctx context.Context, w *line) (*placement, error) {
 	var holder *cacheHolder
 	if s.lastEvent != "" && !s.headSent {
 		holder = s.findCacheHolder(ctx)
@@ -91,10 +84,10 @@
 		if ctx.Err() != nil {
 			return nil, s.contextError(ctx)
 		}
-		if clock.Since(queuedAt) > cacheHolderWait {
+		if clock.Since(w.enteredAt) > cacheHolderWait {
 			holder = nil
 		}
-		p, err := s.tryReserve(ctx, holder, s.headSent || q.isHead(w))
+		p, err := s.tryReserve(ctx, holder, w)
 		if p != nil || err != nil {
 			return p, err
 		}
@@ -110,37 +103,32 @@
 		if s.versionGone() {
 			return nil, s.refuseVersion(reasonVersionGone)
 		}
-		if s.tooLate(clock.Now(), queuedAt) {
-			if wait, reason := s.heldOff(clock.Now()); reason != "" {
-				return nil, s.c.refuseHeldOff(s.j, dialect.StageDecode, wait, reason, s.outcomeUnserved(), s.log)
-			}
-			if s.c.o.Relay.Suspected(s.j.Service.Name) {
-				return nil, &relayNeededError{}
-			}
-			return nil, s.refuseNoRoom(q, clock.Since(queuedAt))
+		if w.hopeless(clock.Now()) {
+			return nil, s.refuseHopeless(w)
 		}
 		w.wait(ctx)
 	}
 }
 
-// joinQueue adds the stream to the queue. A stream that is under way searches for capacity
-// outside the queue: it cannot wait for its turn, and a large one must not block those behind
-// it.
-func (s *stream) joinQueue(q *waitQueue) *waiter {
-	if s.headSent {
-		return newWaiter(s.j.Priority, true, s.j.Arrived)
+// refuseHopeless returns the error of a request that cannot be served in time.
+func (s *stream) refuseHopeless(w *line) error {
+	if wait, reason := s.heldOff(clock.Now()); reason != "" {
+		return s.c.refuseHeldOff(s.j, dialect.StageDecode, wait, reason, s.outcomeUnserved(), s.log)
+	}
+	if s.c.o.Relay.Suspected(s.j.Service.Name) {
+		return &relayNeededError{}
 	}
-	return q.insert(s.j.Priority, s.resumed(), s.j.Arrived)
+	return s.refuseNoRoom(w)
 }
 
 // tryReserve attempts a reservation: at the engine that holds the stream's KV cache if there is
-// one, otherwise at any engine, if the request is at the head of the queue. It returns nil and
-// no error if there is no capacity now.
-func (s *stream) tryReserve(ctx context.Context, holder *cacheHolder, first bool) (*placement, error) {
+// one, otherwise at any engine, if it is the request's turn. It returns nil and no error if there is
+// no capacity now.
+func (s *stream) tryReserve(ctx context.Context, holder *cacheHolder, w *line) (*placement, error) {
 	if holder != nil {
 		return s.reserveCacheHolder(ctx, holder)
 	}
-	if !first {
+	if !w.mayPlace(clock.Now()) {
 		return nil, nil
 	}
 	return s.reserveFor(ctx, s.sizeWithoutCache())
@@ -156,13 +144,18 @@
 	return size
 }
 
-// refuseNoRoom logs and counts the refusal of a request for which no engine has capacity, and
+// refuseNoRoom logs and counts the refusal of a request for which no engine has capacity in time, and
 // returns its *Error.
-func (s *stream) refuseNoRoom(q *waitQueue, waited time.Duration) error {
+func (s *stream) refuseNoRoom(w *line) error {
+	now := clock.Now()
+	retry := w.waiter.PromiseReturn(now, s.supply(now))
 	s.c.o.Count("stream_no_room")
-	s.log.Info("refused", "reason", "no_room", "need_tokens", s.need(), "waiting", q.length(),
-		"waited_ms", waited.Milliseconds(), "view_age_ms", clock.Since(s.c.o.View().AsOf).Milliseconds())
-	return &Error{Outcome: s.outcomeUnserved(), Reason: "no_room", RetryAfter: streamRetryAfter}
+	s.log.Info("refused", append([]any{
+		"reason", "no_room", "need_tokens", s.need(), "priority", s.j.Priority, "waiting", s.c.o.Admission.Waiting(s.j.Service.Name),
+		"waited_ms", now.Sub(w.enteredAt).Milliseconds(), "retry_ms", retry.Milliseconds(),
+		"view_age_ms", now.Sub(s.c.o.View().AsOf).Milliseconds(),
+	}, w.explain()...)...)
+	return &Error{Outcome: s.outcomeUnserved(), Reason: "no_room", RetryAfter: retry}
 }
 
 // reserveCacheHolder attempts a reservation at the engine that holds a resumed stream's KV cache
--- a/gateway/carry/sound_test.go
+++ b/gateway/carry/sound_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/wardspool/wardspool/gateway/admission"
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/gateway/schedule"
@@ -246,19 +247,18 @@
 	env.d.do["d1"] = []reply{{verdict: dialect.Success, status: 200, body: events(1, 3), breaks: true}}
 	env.d.do["d2"] = []reply{{verdict: dialect.Success, status: 200, body: events(4, 6)}}
 	env.d.reserve["d2"] = []error{&dialect.NoCapacityError{}, nil}
-	q := env.queueOf("s")
-	var other *waiter
+	var other *admission.Waiter
 	env.o.Count = func(name string) {
 		if name == "stream_restarted" {
-			other = q.insert(-1, false, time.Now())
+			other = env.o.Admission.Enter(time.Now(), admission.Request{Service: "s"})
 		}
 	}
 	got := &streamRecorder{}
 	_, err := env.Stream(t.Context(), job(resumable), got)
 	assert.NilError(t, err)
 	assert.Equal(t, got.body.String(), events(1, 6))
-	assert.Assert(t, q.isHead(other))
-	assert.Equal(t, q.length(), 1)
+	assert.Assert(t, other.First())
+	assert.Equal(t, env.o.Admission.Waiting("s"), 1)
 }
 
 // TestStreamUnderWayUsesWhatTheBudgetKeepsBack checks that a stream that is under way may use
--- a/gateway/carry/stream_test.go
+++ b/gateway/carry/stream_test.go
@@ -209,20 +209,6 @@
 	assert.Equal(t, env.d.count("do d1"), 1)
 }
 
-func TestLineKeepsOrder(t *testing.T) {
-	q := &waitQueue{}
-	now := time.Now()
-	resumed := q.insert(1, true, now.Add(-time.Second))
-	late := q.insert(1, false, now.Add(time.Second))
-	early := q.insert(1, false, now)
-	urgent := q.insert(0, false, now.Add(2*time.Second))
-	for _, w := range []*waiter{urgent, early, late, resumed} {
-		assert.Assert(t, q.isHead(w))
-		q.remove(w)
-	}
-	assert.Equal(t, q.length(), 0)
-}
-
 func TestLastEventEnd(t *testing.T) {
 	for text, want := range map[string]int{
 		"": 0, "id: 1\n": 0, "id: 1\n\n": 7, "a\n\nb": 3, "a\n\nb\n\nc": 6,
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -9,6 +9,7 @@
 	"github.com/gorilla/mux"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/wardspool/wardspool/gateway/admission"
 	"github.com/wardspool/wardspool/gateway/limit"
 	"github.com/wardspool/wardspool/gateway/quarantine"
 	"github.com/wardspool/wardspool/gateway/routing"
@@ -44,6 +45,18 @@
 	s.Histogram("request_seconds", latencyBuckets).RecordDuration(took)
 }
 
+// waitBuckets are the histogram buckets of waits for an engine. They range from 5 ms to about 5 s.
+var waitBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 11)
+
+// observeStay records how long a placed request waited for an engine, and how long it was expected to
+// wait if that was asked.
+func (c *counters) observeStay(s admission.Stay) {
+	c.scope.Histogram("queue_wait_seconds", waitBuckets).RecordDuration(s.Waited)
+	if s.Asked {
+		c.scope.Histogram("queue_wait_expected_seconds", waitBuckets).RecordDuration(s.Expected)
+	}
+}
+
 // handler serves the metrics, the quarantined request contents, and the state of the rate limits of
 // workspaces and of upstreams.
 func (c *counters) handler(held *quarantine.Register, limits func() []limit.Status, s *schedule.Scheduler) http.Handler {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -15,6 +15,7 @@
 	"github.com/samber/oops"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/wardspool/wardspool/gateway/admission"
 	"github.com/wardspool/wardspool/gateway/carry"
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/fleet"
@@ -64,6 +65,7 @@
 	register  *quarantine.Register
 	memory    *memory.Budget
 	forwarder *carry.Forwarder
+	admission *admission.Controller
 	reach     *reach.Monitor
 	relay     *relay.Client
 	front     *front.Front
@@ -90,6 +92,7 @@
 	log = log.With("instance", s.Instance)
 	g := &Service{settings: s, log: log, dialect: d, metrics: newCounters(), register: quarantine.NewRegister()}
 	g.scheduler = schedule.NewScheduler(s.Zone, rand.Uint64())
+	g.admission = admission.New(rand.Uint64())
 	g.memory = memory.NewBudget(int64(bufferMemoryShare * float64(s.MemoryMB<<20)))
 	incarnation := ident.NewIncarnation(time.Now())
 	config := peer.Config{
@@ -124,7 +127,7 @@
 		Register:     g.register, Trials: g.node, NotifyPeers: g.node.SpreadCrashes, AwaitInformed: g.node.AwaitInformed,
 		PathWorks:  g.reach.Confirm,
 		Relay:      relaying{g.relay, g.reach},
-		RateLimits: g.node, Origins: g.node,
+		RateLimits: g.node, Origins: g.node, Admission: g.admission, ObserveStay: g.metrics.observeStay,
 	})
 	d.OnNotice(g.observeNotice)
 	d.OnDial(g.reach.RecordDial)
