fleet: waiting requests and promised returns of all instances reach each instance

By service and priority, in a JSON field of its own that older releases ignore, left out while nothing waits. Numbers out of range are dropped, logged and counted.

--- a/gateway/admission/peers.go
+++ b/gateway/admission/peers.go
@@ -62,6 +62,20 @@
 	return rest
 }
 
+// After returns the queue as of a time after the report: promised returns whose time has passed no
+// longer count.
+func (q Queue) After(elapsed time.Duration) Queue {
+	passed := int(elapsed / returnSlot)
+	if passed <= 0 {
+		return q
+	}
+	later := Queue{Waiting: q.Waiting}
+	for _, slots := range q.Returns {
+		later.Returns = append(later.Returns, slots[min(passed, len(slots)):])
+	}
+	return later
+}
+
 // at returns an element of a list, or nil beyond its end.
 func at(list [][]int, i int) []int {
 	if i >= len(list) {
--- a/gateway/fleet/hub.go
+++ b/gateway/fleet/hub.go
@@ -1,9 +1,11 @@
 package fleet
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
+	"github.com/wardspool/wardspool/gateway/admission"
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/ident"
 )
@@ -47,6 +49,8 @@
 	// Limits and Leaving are as in Load.
 	Limits  map[ident.UpstreamID]RateLimit         `json:"l,omitempty"`
 	Leaving map[ident.UpstreamID]ident.Incarnation `json:"g,omitempty"`
+	// Queues is the sum of the other instances' queues, by service.
+	Queues map[string]admission.Queue `json:"y,omitempty"`
 	// ZoneLoad is set in the answer to the hub of another zone. It holds the load of the answering
 	// hub's zone.
 	ZoneLoad *LoadReport `json:"whole,omitempty"`
@@ -86,7 +90,8 @@
 	return &Hub{members: map[ident.InstanceID]receivedLoad{}, zones: map[ident.Zone]receivedLoad{}}
 }
 
-// Receive stores a load report. The error is a *PackError.
+// Receive stores a load report. The error is a *PackError, or a *QueueError if the report was stored
+// without a queue that is not possible.
 func (h *Hub) Receive(now time.Time, r LoadReport) error {
 	ttl := max(minLoadTTL, loadTTLReports*time.Duration(r.IntervalMS)*time.Millisecond)
 	received := receivedLoad{load: r.Load, sequence: r.Sequence, receivedAt: now, expiresAt: now.Add(ttl)}
@@ -96,13 +101,17 @@
 			return err
 		}
 		received.load.Unavailable, received.load.Switching = r.Load.Unavailable, r.Load.Switching
-		received.load.Limits, received.load.Leaving = r.Load.Limits, r.Load.Leaving
+		received.load.Limits, received.load.Leaving, received.load.Queues = r.Load.Limits, r.Load.Leaving, r.Load.Queues
 	}
+	invalid := received.load.dropInvalidQueues()
 	if r.WholeZone {
 		h.zones[r.Zone] = received
-		return nil
+	} else {
+		h.members[r.From] = received
+	}
+	if invalid != nil {
+		return invalid
 	}
-	h.members[r.From] = received
 	return nil
 }
 
@@ -145,7 +154,7 @@
 	}
 	return LoadAnswer{
 		Sum: h.sum, Included: h.included[to],
-		Unavailable: others.Unavailable, Switching: others.Switching, Limits: others.Limits, Leaving: others.Leaving,
+		Unavailable: others.Unavailable, Switching: others.Switching, Limits: others.Limits, Leaving: others.Leaving, Queues: others.Queues,
 	}
 }
 
@@ -197,7 +206,8 @@
 	}
 	sum.subtract(r.loads[a.Included])
 	sum.Unavailable, sum.Switching = a.Unavailable, a.Switching
-	sum.Limits, sum.Leaving = a.Limits, a.Leaving
+	sum.Limits, sum.Leaving, sum.Queues = a.Limits, a.Leaving, a.Queues
+	_ = sum.dropInvalidQueues()
 	return sum, nil
 }
 
@@ -207,6 +217,7 @@
 		InFlight: map[ident.UpstreamID]InFlight{}, Unavailable: map[ident.UpstreamID]int64{},
 		Switching: map[ident.UpstreamID]dialect.Stage{}, Demand: map[string]Demand{}, Retries: map[string]int{},
 		Limits: map[ident.UpstreamID]RateLimit{}, Leaving: map[ident.UpstreamID]ident.Incarnation{},
+		Queues: map[string]admission.Queue{},
 	}
 }
 
@@ -232,7 +243,7 @@
 }
 
 // addStated adds what upstreams stated according to another load, which was received the given time
-// ago. Of two statements of an upstream, the later one is kept.
+// ago, and the load's queues. Of two statements of an upstream, the later one is kept.
 func (l *Load) addStated(o *Load, ago time.Duration) {
 	for id, r := range o.Limits {
 		r.AgeMS += ago.Milliseconds()
@@ -243,6 +254,30 @@
 	for id, incarnation := range o.Leaving {
 		l.Leaving[id] = max(l.Leaving[id], incarnation)
 	}
+	for service, q := range o.Queues {
+		l.Queues[service] = l.Queues[service].Plus(q.After(ago))
+	}
+}
+
+// QueueError reports a peer's queue of a service whose numbers are not possible.
+type QueueError struct{ Service string }
+
+// Error implements error.
+func (e *QueueError) Error() string {
+	return fmt.Sprintf("queue of service %q in a peer's load has numbers out of range", e.Service)
+}
+
+// dropInvalidQueues removes the queues whose numbers are not possible, so that a faulty peer cannot
+// have all instances refuse their requests. It returns an error for one of them, nil if there is none.
+func (l *Load) dropInvalidQueues() *QueueError {
+	var dropped *QueueError
+	for service, q := range l.Queues {
+		if !q.Valid() {
+			delete(l.Queues, service)
+			dropped = &QueueError{Service: service}
+		}
+	}
+	return dropped
 }
 
 // addUnavailable adds the unavailable and switching engines of another load.
--- a/gateway/fleet/loads.go
+++ b/gateway/fleet/loads.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/internal/pause"
 	"github.com/wardspool/wardspool/peer"
@@ -28,6 +29,9 @@
 		n.mu.Lock()
 		sum := NewLoad()
 		for _, m := range n.roster.Members(clock.Now()) {
+			if err := m.Load.dropInvalidQueues(); err != nil {
+				n.loadDropped(m.ID, err)
+			}
 			sum.Add(m.Load)
 			sum.addStated(&m.Load, 0)
 		}
@@ -141,14 +145,22 @@
 	load := n.hub.ZoneLoad(now)
 	return LoadReport{
 		From: n.opts.Self.ID, Zone: n.opts.Self.Zone, WholeZone: true,
-		Packed: load.pack(), Load: Load{Unavailable: load.Unavailable, Switching: load.Switching, Limits: load.Limits, Leaving: load.Leaving},
+		Packed: load.pack(), Load: Load{Unavailable: load.Unavailable, Switching: load.Switching, Limits: load.Limits, Leaving: load.Leaving, Queues: load.Queues},
 	}
 }
 
 // receiveReport stores a report at this hub. The caller holds mu.
 func (n *Node) receiveReport(now time.Time, r LoadReport) {
 	if err := n.hub.Receive(now, r); err != nil {
-		n.opts.Log.Warn("decoding load report failed", "peer", r.From, "error", err)
+		n.loadDropped(r.From, err)
+	}
+}
+
+// loadDropped logs and counts a load of a peer that was dropped as a whole or in part.
+func (n *Node) loadDropped(from ident.InstanceID, err error) {
+	n.opts.Log.Warn("load of peer dropped", "peer", from, "error", err)
+	if n.opts.Count != nil {
+		n.opts.Count("peer_load_dropped")
 	}
 }
 
--- a/gateway/fleet/messages.go
+++ b/gateway/fleet/messages.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"github.com/wardspool/wardspool/gateway/admission"
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
@@ -31,6 +32,9 @@
 	// Leaving holds the upstreams that have said to the instance itself that they leave, with their
 	// incarnations.
 	Leaving map[ident.UpstreamID]ident.Incarnation `json:"g,omitempty"`
+	// Queues holds the instance's waiting requests and promised returns, by service. Instances of
+	// older releases do not know it.
+	Queues map[string]admission.Queue `json:"y,omitempty"`
 }
 
 // RateLimit is a rate limit that an upstream stated, or the end of one.
@@ -54,13 +58,13 @@
 
 // empty reports whether the load holds no information, as in a relayed heartbeat.
 func (l *Load) empty() bool {
-	return !l.Complete && l.InFlight == nil && l.Demand == nil && l.Unavailable == nil && l.Switching == nil && l.Limits == nil && l.Leaving == nil
+	return !l.Complete && l.InFlight == nil && l.Demand == nil && l.Unavailable == nil && l.Switching == nil && l.Limits == nil && l.Leaving == nil && l.Queues == nil
 }
 
-// idle reports whether the load has no requests in flight, no retries and no unavailable or
-// switching upstreams. Demand is ignored because it only decreases without requests.
+// idle reports whether the load has no requests in flight or waiting, no retries and no unavailable
+// or switching upstreams. Demand is ignored because it only decreases without requests.
 func (l *Load) idle() bool {
-	return len(l.InFlight) == 0 && len(l.Unavailable) == 0 && len(l.Switching) == 0 && len(l.Retries) == 0
+	return len(l.InFlight) == 0 && len(l.Unavailable) == 0 && len(l.Switching) == 0 && len(l.Retries) == 0 && len(l.Queues) == 0
 }
 
 // InFlight is the work that an instance has in flight at an upstream.
--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -86,6 +86,8 @@
 	// the peers' loads has been recomputed; age is the average age of that sum.
 	Changed     func(*Snapshot)
 	LoadChanged func(sum Load, age time.Duration)
+	// Count increments the event counter with the given name; nil counts nothing.
+	Count func(name string)
 	// Register holds the crash records of the request contents that upstreams crashed on.
 	Register *quarantine.Register
 }
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -109,7 +109,7 @@
 		Seeds: s.Seeds,
 		Zones: s.Zones, LinkMbps: s.LinkMbps,
 		Source: source, ChangeDeadline: s.Store.maxChangeDelay(), Pool: g.pool, Server: g.peers, Log: log,
-		Load: g.load, Changed: g.viewChanged, LoadChanged: g.loadChanged, Register: g.register,
+		Load: g.load, Changed: g.viewChanged, LoadChanged: g.loadChanged, Register: g.register, Count: g.metrics.count,
 	})
 	g.reach = reach.NewMonitor(reach.Options{
 		Upstreams: g.listed,
@@ -171,6 +171,7 @@
 		l.Limits[id] = fleet.RateLimit{Incarnation: r.Incarnation, Rate: r.Rate, Ended: r.Ended, AgeMS: r.Age.Milliseconds()}
 	}
 	l.Leaving = g.node.OwnAnnouncements(now)
+	l.Queues = g.admission.Report(now)
 	for _, name := range g.scheduler.DemandServices() {
 		n := g.scheduler.Demand(now, name)
 		l.Demand[name] = fleet.Demand{PrefillRate: n.Prefill, MemoryRate: n.Memory, StreamRate: n.Streams, RequestRate: n.Requests, Throughputs: n.Throughputs}
@@ -220,9 +221,12 @@
 		throughputs[service] = d.Throughputs
 	}
 	now := clock.Now()
+	rates := map[string]float64{}
 	for service, d := range l.Demand {
 		g.scheduler.SetOfferedRate(service, d.RequestRate)
+		rates[service] = d.RequestRate
 	}
+	g.admission.SetPeers(now, admission.Peers{Instances: g.node.Alive(), Age: age, Queues: l.Queues, Rates: rates})
 	g.scheduler.SetThroughputHistograms(throughputs)
 	g.scheduler.SetFleetSize(g.node.Alive(), age)
 	g.scheduler.SetPeers(now, peers)
