--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -20,8 +20,8 @@
 	// peersTTL is how long the sums of the other instances remain valid. They arrive every 300 to
 	// 600 ms; after three missing ones this instance is cut off or the hub is gone.
 	peersTTL = 2 * time.Second
-	// floorShare is one in how many less urgent requests ranks with the most urgent ones, so that a
-	// lasting overload by urgent requests does not starve the others.
+	// floorShare is one in how many less urgent requests ranks with the most urgent ones of its
+	// service, so that a lasting overload by urgent requests does not starve the others.
 	floorShare = 10
 	// returnedShare is the share of the route's timeout that a caller's time has to be below for the
 	// caller to count as returned. It has spent the rest on an earlier attempt and is due sooner.
@@ -74,9 +74,10 @@
 	Service string
 	// ID identifies the attempt.
 	ID string
-	// Priority ranks the request; 0 is the most urgent.
-	Priority int
-	Arrived  time.Time
+	// Priority ranks the request; 0 is the most urgent. MostUrgent is the most urgent priority that
+	// requests of the service can have.
+	Priority, MostUrgent int
+	Arrived              time.Time
 	// Deadline is when the caller stops waiting. Timeout is the longest time that the route allows.
 	Deadline time.Time
 	Timeout  time.Duration
@@ -96,10 +97,11 @@
 // rank returns the priority by which the request is ordered. One in floorShare of the less urgent
 // requests ranks with the most urgent. All instances derive the same rank.
 func (r *Request) rank() int {
+	rank := r.Priority
 	if xxhash.Sum64String(r.ID)%floorShare == 0 {
-		return 0
+		rank = min(rank, r.MostUrgent)
 	}
-	return min(max(r.Priority, 0), Priorities-1)
+	return min(max(rank, 0), Priorities-1)
 }
 
 // Enter adds a request to its service's queue. The caller must call Leave once the request is placed
--- a/gateway/carry/line.go
+++ b/gateway/carry/line.go
@@ -39,12 +39,22 @@
 		return l
 	}
 	l.waiter = s.c.o.Admission.Enter(l.enteredAt, admission.Request{
-		Service: s.j.Service.Name, ID: s.j.Call.ID, Priority: s.j.Priority, Arrived: s.j.Arrived, Deadline: s.j.Deadline,
+		Service: s.j.Service.Name, ID: s.j.Call.ID, Priority: s.j.Priority, MostUrgent: s.mostUrgent(), Arrived: s.j.Arrived, Deadline: s.j.Deadline,
 		Timeout: s.j.Route.Timeout, Objective: s.j.Route.Objective, Late: s.resumed(),
 	})
 	return l
 }
 
+// mostUrgent returns the most urgent priority that requests of the service can have.
+func (s *stream) mostUrgent() int {
+	if table := s.c.o.View().Table; table != nil {
+		if priority, ok := table.MostUrgent(s.j.Service.Name); ok {
+			return priority
+		}
+	}
+	return s.j.Priority
+}
+
 // leave ends the wait. placed means that an engine was reserved.
 func (l *line) leave(placed bool) {
 	if l.waiter == nil {
--- a/gateway/routing/table.go
+++ b/gateway/routing/table.go
@@ -14,11 +14,13 @@
 	// byHost holds the routes of each host, in lower case, the longest prefix first.
 	byHost map[string][]*Route
 	byKey  map[KeyDigest]*Workspace
+	// mostUrgent is the most urgent priority of each service's requests.
+	mostUrgent map[string]int
 }
 
 // NewTable returns the table of a configuration.
 func NewTable(c *Config) *Table {
-	t := &Table{config: c, byHost: map[string][]*Route{}, byKey: map[KeyDigest]*Workspace{}}
+	t := &Table{config: c, byHost: map[string][]*Route{}, byKey: map[KeyDigest]*Workspace{}, mostUrgent: map[string]int{}}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := strings.ToLower(r.Host)
@@ -35,9 +37,37 @@
 			t.byKey[key] = w
 		}
 	}
+	t.findMostUrgent()
 	return t
 }
 
+// findMostUrgent finds the most urgent priority of each service's requests: that of its routes and
+// of the workspaces, whose requests may be for any route.
+func (t *Table) findMostUrgent() {
+	for i := range t.config.Routes {
+		r := &t.config.Routes[i]
+		for _, w := range r.Services {
+			if most, ok := t.mostUrgent[w.Service]; !ok || r.Priority < most {
+				t.mostUrgent[w.Service] = r.Priority
+			}
+		}
+	}
+	for _, w := range t.config.Workspaces {
+		for service, most := range t.mostUrgent {
+			if w.Priority != nil && *w.Priority < most {
+				t.mostUrgent[service] = *w.Priority
+			}
+		}
+	}
+}
+
+// MostUrgent returns the most urgent priority that a service's requests can have, and false if no
+// route has the service.
+func (t *Table) MostUrgent(service string) (int, bool) {
+	priority, ok := t.mostUrgent[service]
+	return priority, ok
+}
+
 // WorkspaceByName returns the workspace with the given name, or nil if there is none.
 func (t *Table) WorkspaceByName(workspace string) *Workspace {
 	for i := range t.config.Workspaces {
--- a/gateway/routing/table_test.go
+++ b/gateway/routing/table_test.go
@@ -55,3 +55,24 @@
 		assert.Equal(t, c.route.Repeatable(), c.want, "%+v", c.route)
 	}
 }
+
+// TestMostUrgent guards against an order among requests of a service that all have one priority, and
+// against a workspace's own priority that is not considered.
+func TestMostUrgent(t *testing.T) {
+	urgent := 0
+	c := &Config{Routes: []Route{
+		{Name: "a", Priority: 2, Services: []WeightedService{{Service: "x", Weight: 1}}},
+		{Name: "b", Priority: 1, Services: []WeightedService{{Service: "x", Weight: 1}, {Service: "y", Weight: 1}}},
+		{Name: "c", Priority: 3, Services: []WeightedService{{Service: "y", Weight: 1}}},
+	}}
+	mostUrgent := func(service string) int {
+		p, ok := NewTable(c).MostUrgent(service)
+		assert.Equal(t, ok, service != "unknown")
+		return p
+	}
+	assert.Equal(t, mostUrgent("x"), 1)
+	assert.Equal(t, mostUrgent("y"), 1)
+	mostUrgent("unknown")
+	c.Workspaces = []Workspace{{Name: "w", Priority: &urgent}}
+	assert.Equal(t, mostUrgent("x"), 0)
+}
