admission: returned callers have a rank of their own; the supply is brought up to the present

What became free since was left out while what was placed since was counted, so that requests were refused while engines had room. Callers told to return and those waiting elsewhere after a return go before new ones at all instances, and promises count with the share that callers keep.

--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -44,12 +44,13 @@
 // service is the state of one service.
 type service struct {
 	queue queue
-	// peers are the requests that wait at other instances. peerReturns are the promises that they
-	// made.
-	peers       [Priorities]float64
+	// peers are the requests that wait at other instances, by rank. peerReturns are the promises that
+	// they made.
+	peers       [Ranks]float64
 	peerReturns ledger
-	// returns are the promises of this instance.
+	// returns are the promises of this instance, kept how many of them callers keep.
 	returns    ledger
+	kept       keptShare
 	arrivals   arrivals
 	correction correction
 }
@@ -94,14 +95,27 @@
 	return r.Timeout > 0 && r.Deadline.Sub(r.Arrived) < time.Duration(returnedShare*float64(r.Timeout))
 }
 
-// rank returns the priority by which the request is ordered. One in floorShare of the less urgent
-// requests ranks with the most urgent. All instances derive the same rank.
+// Ranks is the number of ranks: two for each priority that is told apart, the first of which is that
+// of returned callers. Less urgent priorities count as the last.
+const Ranks = 20
+
+// rankOf returns the rank of requests of a priority. Returned callers are due sooner than others.
+func rankOf(priority int, returned bool) int {
+	rank := 2 * min(max(priority, 0), Ranks/2-1)
+	if !returned {
+		rank++
+	}
+	return rank
+}
+
+// rank returns the rank of the request. One in floorShare of the less urgent requests ranks with the
+// most urgent. All instances derive the same rank.
 func (r *Request) rank() int {
-	rank := r.Priority
+	priority := r.Priority
 	if xxhash.Sum64String(r.ID)%floorShare == 0 {
-		rank = min(rank, r.MostUrgent)
+		priority = min(priority, r.MostUrgent)
 	}
-	return min(max(rank, 0), Priorities-1)
+	return rankOf(priority, r.returned())
 }
 
 // Enter adds a request to its service's queue. The caller must call Leave once the request is placed
@@ -112,6 +126,9 @@
 	s := c.service(r.Service)
 	w := &Waiter{c: c, s: s, request: r, rank: r.rank(), returned: r.returned(), entered: now, wake: make(chan struct{}, 1)}
 	s.arrivals.add(now, w.rank)
+	if w.returned {
+		s.kept.returned(now)
+	}
 	s.queue.insert(w)
 	return w
 }
@@ -178,33 +195,52 @@
 
 // Hold is the reason why a request is held back.
 type Hold struct {
-	// For is the most urgent priority for which requests wait at other instances, Waiting the number
-	// of requests there that are more urgent.
+	// For is the most urgent priority of the requests that wait at other instances and go first,
+	// Waiting their number.
 	For     int
 	Waiting float64
 	// Age is the age of that information.
 	Age time.Duration
 }
 
-// Held reports whether the request is held back because the room that is left is needed for more
-// urgent requests that wait at other instances. supply is called only if there are any.
+// Held reports whether the request is held back because the room that is left is needed for requests
+// that wait at other instances and are more urgent or due sooner. supply is called only if there are
+// any.
 func (w *Waiter) Held(now time.Time, supply func() Supply) (Hold, bool) {
 	w.c.mu.Lock()
 	urgent, first, age := 0.0, 0, w.c.age(now)
 	if w.c.informed(now) && !w.request.Late {
 		urgent, first = w.s.urgentElsewhere(w.rank)
 	}
-	arriving := w.s.arrivals.rateBelow(now, w.rank) * age.Seconds()
+	arriving := w.s.arrivals.rateBefore(now, w.rank) * age.Seconds()
 	w.c.mu.Unlock()
 	if urgent == 0 {
 		return Hold{}, false
 	}
 	// Those that arrived since the sums were made wait as well.
-	return Hold{For: first, Waiting: urgent, Age: age}, supply().placesBy(0) < urgent+arriving+1
+	room, unseen := w.c.current(now, w.s, supply())
+	return Hold{For: first / 2, Waiting: urgent, Age: age}, room.placesBy(0)-unseen < urgent+arriving+1
 }
 
-// urgentElsewhere returns the number of requests that wait at other instances and are more urgent
-// than a rank, and the most urgent rank among them.
+// current returns a supply as of now, and the number of placements by other instances that it does
+// not show yet. Without recent sums it is this instance's share.
+func (c *Controller) current(now time.Time, s *service, supply Supply) (Supply, float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.currentLocked(now, s, supply)
+}
+
+// currentLocked is current for a caller that holds mu.
+func (c *Controller) currentLocked(now time.Time, s *service, supply Supply) (Supply, float64) {
+	if !c.informed(now) {
+		return supply.times(1 / float64(c.instances)), 0
+	}
+	age := c.age(now)
+	return supply.after(age), min(s.arrivals.peers, supply.Rate) * age.Seconds()
+}
+
+// urgentElsewhere returns the number of requests that wait at other instances before a rank, and the
+// first rank among them.
 func (s *service) urgentElsewhere(rank int) (count float64, first int) {
 	for p := rank - 1; p >= 0; p-- {
 		if s.peers[p] > 0 {
@@ -236,10 +272,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	v := Verdict{Alone: !c.informed(now), Age: c.age(now)}
-	if v.Alone {
-		supply = supply.times(1 / float64(c.instances))
-	}
-	d := c.demandAhead(now, w, supply)
+	supply, unseen := c.currentLocked(now, w.s, supply)
+	d := c.demandAhead(now, w, unseen)
 	v.Ahead, v.Places = d.Ahead, supply.placesBy(0)
 	v.Expected = max(0, expectedWait(supply, d)+w.s.correction.at(now))
 	if !w.asked {
@@ -255,29 +289,22 @@
 	c := w.c
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.informed(now) {
-		supply = supply.times(1 / float64(c.instances))
-	}
-	return c.promiseReturn(now, w, supply, c.demandAhead(now, w, supply))
+	supply, unseen := c.currentLocked(now, w.s, supply)
+	return c.promiseReturn(now, w, supply, c.demandAhead(now, w, unseen))
 }
 
-// demandAhead returns what goes before a request. The caller holds mu.
-func (c *Controller) demandAhead(now time.Time, w *Waiter, supply Supply) Demand {
+// demandAhead returns what goes before a request, including the given number of placements. The
+// caller holds mu.
+func (c *Controller) demandAhead(now time.Time, w *Waiter, unseen float64) Demand {
 	s := w.s
-	d := Demand{Ahead: float64(s.queue.before(w)), Rate: s.arrivals.rateBelow(now, w.rank)}
-	if !w.returned {
-		d.addReturns(now, s.returns, w.rank)
-	}
-	if !c.informed(now) {
-		return d
-	}
-	for p := range w.rank + 1 {
-		d.Ahead += s.peers[p]
-	}
-	// Placements that the supply does not show yet.
-	d.Ahead += min(s.arrivals.peers, supply.Rate) * c.age(now).Seconds()
-	if !w.returned {
-		d.addReturns(now, s.peerReturns, w.rank)
+	d := Demand{Ahead: float64(s.queue.before(w)) + unseen, Rate: s.arrivals.rateBefore(now, w.rank)}
+	kept := s.kept.at(now)
+	d.addReturns(now, s.returns, w.rank, kept)
+	if c.informed(now) {
+		for rank := range w.rank + 1 {
+			d.Ahead += s.peers[rank]
+		}
+		d.addReturns(now, s.peerReturns, w.rank, kept)
 	}
 	return d
 }
--- a/gateway/admission/arrivals.go
+++ b/gateway/admission/arrivals.go
@@ -20,7 +20,7 @@
 type arrivals struct {
 	// mix counts this instance's requests by rank, own all of them with a shorter half-life, both as
 	// of updatedAt.
-	mix       [Priorities]float64
+	mix       [Ranks]float64
 	own       float64
 	updatedAt time.Time
 	// peers is the rate of the other instances, in requests per second. mean is the mean rate of all
@@ -69,13 +69,13 @@
 	return a.peers + a.own*math.Ln2/ownHalfLife.Seconds()
 }
 
-// share returns the share of requests that rank before the given rank, or with it if including is
-// set.
-func (a *arrivals) share(rank int, including bool) float64 {
+// share returns the share of new requests, not of returned callers, whose rank is below the given
+// one. Returned callers are counted by promises.
+func (a *arrivals) share(below int) float64 {
 	total, first := 0.0, 0.0
-	for p, n := range a.mix {
+	for rank, n := range a.mix {
 		total += n
-		if p < rank || including && p == rank {
+		if rank < below && rank%2 == 1 {
 			first += n
 		}
 	}
@@ -85,17 +85,17 @@
 	return first / total
 }
 
-// rateBelow returns the rate of requests that rank before the given rank, in requests per second.
-func (a *arrivals) rateBelow(now time.Time, rank int) float64 {
-	return a.rate(now) * a.share(rank, false)
+// rateBefore returns the rate of new requests that rank before the given rank, in requests per second.
+func (a *arrivals) rateBefore(now time.Time, rank int) float64 {
+	return a.rate(now) * a.share(rank)
 }
 
-// expected returns the rate of requests that do not rank behind the given rank, as expected at a
-// time from now. What exceeds the mean is expected to end as bursts do.
+// expected returns the rate of new requests of the priority of a rank or a more urgent one, as
+// expected at a time from now. What exceeds the mean is expected to end as bursts do.
 func (a *arrivals) expected(now time.Time, rank int, from time.Duration) float64 {
 	rate := a.rate(now)
 	if rate > a.mean {
 		rate = a.mean + (rate-a.mean)*math.Exp2(-from.Seconds()/burstHalfLife.Seconds())
 	}
-	return rate * a.share(rank, true)
+	return rate * a.share(rank|1+1)
 }
--- a/gateway/admission/forecast.go
+++ b/gateway/admission/forecast.go
@@ -42,6 +42,15 @@
 	return out
 }
 
+// after returns the supply as of a later time.
+func (s Supply) after(d time.Duration) Supply {
+	out := Supply{Step: s.Step, Rate: s.Rate, PrefillRate: s.PrefillRate, Places: make([]float64, len(s.Places))}
+	for i := range s.Places {
+		out.Places[i] = s.placesBy(d + time.Duration(i)*s.Step)
+	}
+	return out
+}
+
 // placesBy returns how many requests the engines could take within a time.
 func (s Supply) placesBy(t time.Duration) float64 {
 	if len(s.Places) == 0 {
@@ -82,16 +91,17 @@
 	return n
 }
 
-// addReturns adds the promises of a ledger to callers that do not rank behind the given one.
-func (d *Demand) addReturns(now time.Time, l ledger, rank int) {
+// addReturns adds the promises of a ledger to callers that rank before the given rank. share is the
+// share of the promises that callers keep.
+func (d *Demand) addReturns(now time.Time, l ledger, rank int, share float64) {
 	first := slotOf(now)
 	for slot, counts := range l {
 		i := slot - first
 		if i < 0 || i >= ReturnSlots {
 			continue
 		}
-		for p := range rank + 1 {
-			d.Returns[i] += counts[p]
+		for r := range rank {
+			d.Returns[i] += share * counts[r]
 		}
 	}
 }
--- a/gateway/admission/returns.go
+++ b/gateway/admission/returns.go
@@ -24,7 +24,7 @@
 )
 
 // ledger counts promised returns by slot of time and rank.
-type ledger map[int]*[Priorities]float64
+type ledger map[int]*[Ranks]float64
 
 // slotOf returns the slot of a time.
 func slotOf(t time.Time) int { return int(t.UnixNano() / int64(returnSlot)) }
@@ -32,18 +32,62 @@
 // add counts promised returns.
 func (l ledger) add(slot, rank int, n float64) {
 	if l[slot] == nil {
-		l[slot] = &[Priorities]float64{}
+		l[slot] = &[Ranks]float64{}
 	}
 	l[slot][rank] += n
 }
 
-// prune removes the slots before one.
-func (l ledger) prune(first int) {
-	for slot := range l {
+// prune removes the slots before one and returns how many promises they held.
+func (l ledger) prune(first int) (due float64) {
+	for slot, counts := range l {
 		if slot < first {
+			for _, n := range counts {
+				due += n
+			}
 			delete(l, slot)
 		}
 	}
+	return due
+}
+
+const (
+	// keptHalfLife is the half-life of what is known of promises. One instance among many refuses a
+	// few callers in a burst.
+	keptHalfLife = 30 * time.Second
+	// keptPrior is how many kept promises are assumed in addition to the known ones.
+	keptPrior = 3
+)
+
+// keptShare estimates the share of promised returns that callers keep. Some callers do not return,
+// in particular those that have returned before. Callers return to any instance, so returns to this
+// one are compared with promises of this one.
+type keptShare struct {
+	due, came float64
+	updatedAt time.Time
+}
+
+// decay reduces the counts by the time that has passed.
+func (k *keptShare) decay(now time.Time) {
+	f := math.Exp2(-max(0, now.Sub(k.updatedAt).Seconds()) / keptHalfLife.Seconds())
+	k.due, k.came, k.updatedAt = f*k.due, f*k.came, now
+}
+
+// returned records that a caller has returned.
+func (k *keptShare) returned(now time.Time) {
+	k.decay(now)
+	k.came++
+}
+
+// expired records promises whose time has passed.
+func (k *keptShare) expired(now time.Time, promises float64) {
+	k.decay(now)
+	k.due += promises
+}
+
+// at returns the share at a time.
+func (k *keptShare) at(now time.Time) float64 {
+	k.decay(now)
+	return math.Min(1, (k.came+keptPrior)/(k.due+keptPrior))
 }
 
 // promiseReturn chooses when the caller of a refused request is to return and counts the promise:
@@ -55,19 +99,27 @@
 	}
 	free := c.freeBySlot(now, w, supply, d)
 	at := c.chooseReturn(free, c.contenders(now, w.s, supply), longest)
-	w.s.returns.prune(slotOf(now))
-	w.s.returns.add(slotOf(now.Add(at)), w.rank, 1)
+	w.s.prunePromises(now)
+	w.s.returns.add(slotOf(now.Add(at)), w.rank&^1, 1)
 	return at
 }
 
+// prunePromises removes the promises whose time has passed.
+func (s *service) prunePromises(now time.Time) {
+	if due := s.returns.prune(slotOf(now)); due > 0 {
+		s.kept.expired(now, due)
+	}
+}
+
 // freeBySlot returns the room in each slot from now that neither the waiting requests, nor callers
 // told to return, nor new requests are expected to take. The caller holds mu.
 func (c *Controller) freeBySlot(now time.Time, w *Waiter, supply Supply, d Demand) (free [ReturnSlots]float64) {
 	backlog := d.Ahead
 	if w.returned {
-		// Unlike on arrival, this caller goes behind those who were told before.
-		d.addReturns(now, w.s.returns, w.rank)
-		d.addReturns(now, w.s.peerReturns, w.rank)
+		// Unlike now, this caller will go behind those who were told before.
+		d.Returns = [ReturnSlots]float64{}
+		d.addReturns(now, w.s.returns, w.rank+1, w.s.kept.at(now))
+		d.addReturns(now, w.s.peerReturns, w.rank+1, w.s.kept.at(now))
 	}
 	before := 0.0
 	for i := range free {
