--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -23,6 +23,9 @@
 	// floorShare is one in how many less urgent requests ranks with the most urgent ones of its
 	// service, so that a lasting overload by urgent requests does not starve the others.
 	floorShare = 10
+	// headStart is how long requests at other instances that go first have to take room before others
+	// do. The first request of each queue looks for room every 15 ms.
+	headStart = 45 * time.Millisecond
 	// returnedShare is the share of the route's timeout that a caller's time has to be below for the
 	// caller to count as returned. It has spent the rest on an earlier attempt and is due sooner.
 	returnedShare = 0.95
@@ -144,7 +147,9 @@
 	// expected is the first expected wait, valid if asked.
 	expected time.Duration
 	asked    bool
-	wake     chan struct{}
+	// roomSince is since when an engine has had room for the request while it was held back.
+	roomSince time.Time
+	wake      chan struct{}
 }
 
 // Woken receives a value when room may have become available for the request.
@@ -203,35 +208,39 @@
 	Age time.Duration
 }
 
-// Held reports whether the request is held back because the room that is left is needed for requests
-// that wait at other instances and are more urgent or due sooner. supply is called only if there are
-// any.
-func (w *Waiter) Held(now time.Time, supply func() Supply) (Hold, bool) {
-	w.c.mu.Lock()
-	urgent, first, age := 0.0, 0, w.c.age(now)
-	if w.c.informed(now) && !w.request.Late {
-		urgent, first = w.s.urgentElsewhere(w.rank)
-	}
-	arriving := w.s.arrivals.rateBefore(now, w.rank) * age.Seconds()
-	w.c.mu.Unlock()
-	if urgent == 0 {
+// Held reports whether the request is held back for requests that wait at other instances and are
+// more urgent or due sooner. hasRoom reports whether an engine has room for the request; it is
+// called only if there are any. Those others see the same room, so they have taken it within
+// headStart if they can use it, and no room is left unused for longer.
+func (w *Waiter) Held(now time.Time, hasRoom func() bool) (Hold, bool) {
+	hold := w.hold(now)
+	if hold.Waiting == 0 {
 		return Hold{}, false
 	}
-	// Those that arrived since the sums were made wait as well.
-	room, unseen := w.c.current(now, w.s, supply())
-	return Hold{For: first / 2, Waiting: urgent, Age: age}, room.placesBy(0)-unseen < urgent+arriving+1
+	if !hasRoom() {
+		w.roomSince = time.Time{}
+		return hold, true
+	}
+	if w.roomSince.IsZero() {
+		w.roomSince = now
+	}
+	return hold, now.Sub(w.roomSince) < headStart
 }
 
-// current returns a supply as of now, and the number of placements by other instances that it does
-// not show yet. Without recent sums it is this instance's share.
-func (c *Controller) current(now time.Time, s *service, supply Supply) (Supply, float64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.currentLocked(now, s, supply)
+// hold returns for whom the request would be held back.
+func (w *Waiter) hold(now time.Time) Hold {
+	w.c.mu.Lock()
+	defer w.c.mu.Unlock()
+	if !w.c.informed(now) || w.request.Late {
+		return Hold{}
+	}
+	urgent, first := w.s.urgentElsewhere(w.rank)
+	return Hold{For: first / 2, Waiting: urgent, Age: w.c.age(now)}
 }
 
-// currentLocked is current for a caller that holds mu.
-func (c *Controller) currentLocked(now time.Time, s *service, supply Supply) (Supply, float64) {
+// current returns a supply as of now, and the number of placements by other instances that it does
+// not show yet. Without recent sums it is this instance's share. The caller holds mu.
+func (c *Controller) current(now time.Time, s *service, supply Supply) (Supply, float64) {
 	if !c.informed(now) {
 		return supply.times(1 / float64(c.instances)), 0
 	}
@@ -272,7 +281,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	v := Verdict{Alone: !c.informed(now), Age: c.age(now)}
-	supply, unseen := c.currentLocked(now, w.s, supply)
+	supply, unseen := c.current(now, w.s, supply)
 	d := c.demandAhead(now, w, unseen)
 	v.Ahead, v.Places = d.Ahead, supply.placesBy(0)
 	v.Expected = max(0, expectedWait(supply, d)+w.s.correction.at(now))
@@ -289,7 +298,7 @@
 	c := w.c
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	supply, unseen := c.currentLocked(now, w.s, supply)
+	supply, unseen := c.current(now, w.s, supply)
 	return c.promiseReturn(now, w, supply, c.demandAhead(now, w, unseen))
 }
 
--- a/gateway/carry/line.go
+++ b/gateway/carry/line.go
@@ -79,7 +79,7 @@
 	if !l.waiter.First() {
 		return false
 	}
-	held, isHeld := l.waiter.Held(now, func() admission.Supply { return l.s.supply(now) })
+	held, isHeld := l.waiter.Held(now, func() bool { return l.s.hasRoom(now) })
 	if isHeld && !l.isHeld {
 		l.s.c.o.Count("held_back")
 		l.s.log.Info("held back", "for_priority", held.For, "priority", l.s.j.Priority, "waiting_elsewhere", held.Waiting, "age_ms", held.Age.Milliseconds())
@@ -135,6 +135,11 @@
 	return out
 }
 
+// hasRoom reports whether a decode engine has room for the stream now.
+func (s *stream) hasRoom(now time.Time) bool {
+	return s.c.o.Scheduler.HasRoom(now, s.eligible(), s.j.Service.Engine, s.sizeWithoutCache(), s.excluded)
+}
+
 // supply returns the room that decode engines are expected to have for requests like this one.
 func (s *stream) supply(now time.Time) admission.Supply {
 	return s.c.o.Scheduler.DecodeSupply(now, s.eligible(), s.j.Service.Engine, s.size(), s.excluded)
--- a/gateway/schedule/supply.go
+++ b/gateway/schedule/supply.go
@@ -35,6 +35,14 @@
 	return supply
 }
 
+// HasRoom reports whether PlaceDecode would find an engine for a request.
+func (b *Scheduler) HasRoom(now time.Time, list []dialect.Upstream, e *routing.Engine, size Size, exclude []ident.UpstreamID) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	run := runningStream{prompt: size.Prompt, estimate: size.Estimate, produced: size.Produced, reserved: size.TokensToReserve()}
+	return len(b.availableDecode(now, list, e, size, run, exclude, b.unseenPlacements(now, serviceOf(list)))) > 0
+}
+
 // minStreamSeconds is the lower bound of a stream's duration in a supply, for requests whose output
 // is expected to be empty.
 const minStreamSeconds = 0.05
