admission: returned callers wait as long as they can be on time, and take no room from new ones

Promises of return counted ahead of new requests, so that new ones were refused for callers that would find room after the burst. The supply no longer subtracts more placements than places became free.

--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -47,9 +47,9 @@
 // service is the state of one service.
 type service struct {
 	queue queue
-	// peers are the requests that wait at other instances, by rank. peerReturns are the promises that
-	// they made.
-	peers       [Ranks]float64
+	// peers are the requests that wait at other instances, by priority. peerReturns are the promises
+	// that they made.
+	peers       [Priorities]float64
 	peerReturns ledger
 	// returns are the promises of this instance, kept how many of them callers keep.
 	returns    ledger
@@ -98,27 +98,17 @@
 	return r.Timeout > 0 && r.Deadline.Sub(r.Arrived) < time.Duration(returnedShare*float64(r.Timeout))
 }
 
-// Ranks is the number of ranks: two for each priority that is told apart, the first of which is that
-// of returned callers. Less urgent priorities count as the last.
-const Ranks = 20
+// Priorities is the number of priorities that are told apart; less urgent ones count as the last.
+const Priorities = 10
 
-// rankOf returns the rank of requests of a priority. Returned callers are due sooner than others.
-func rankOf(priority int, returned bool) int {
-	rank := 2 * min(max(priority, 0), Ranks/2-1)
-	if !returned {
-		rank++
-	}
-	return rank
-}
-
-// rank returns the rank of the request. One in floorShare of the less urgent requests ranks with the
-// most urgent. All instances derive the same rank.
+// rank returns the priority by which the request is ordered. One in floorShare of the less urgent
+// requests ranks with the most urgent. All instances derive the same rank.
 func (r *Request) rank() int {
-	priority := r.Priority
+	rank := r.Priority
 	if xxhash.Sum64String(r.ID)%floorShare == 0 {
-		priority = min(priority, r.MostUrgent)
+		rank = min(rank, r.MostUrgent)
 	}
-	return rankOf(priority, r.returned())
+	return min(max(rank, 0), Priorities-1)
 }
 
 // Enter adds a request to its service's queue. The caller must call Leave once the request is placed
@@ -200,16 +190,16 @@
 
 // Hold is the reason why a request is held back.
 type Hold struct {
-	// For is the most urgent priority of the requests that wait at other instances and go first,
-	// Waiting their number.
+	// For is the most urgent priority of the requests that wait at other instances and are more
+	// urgent, Waiting their number.
 	For     int
 	Waiting float64
 	// Age is the age of that information.
 	Age time.Duration
 }
 
-// Held reports whether the request is held back for requests that wait at other instances and are
-// more urgent or due sooner. hasRoom reports whether an engine has room for the request; it is
+// Held reports whether the request is held back for more urgent requests that wait at other
+// instances. hasRoom reports whether an engine has room for the request; it is
 // called only if there are any. Those others see the same room, so they have taken it within
 // headStart if they can use it, and no room is left unused for longer.
 func (w *Waiter) Held(now time.Time, hasRoom func() bool) (Hold, bool) {
@@ -235,21 +225,20 @@
 		return Hold{}
 	}
 	urgent, first := w.s.urgentElsewhere(w.rank)
-	return Hold{For: first / 2, Waiting: urgent, Age: w.c.age(now)}
+	return Hold{For: first, Waiting: urgent, Age: w.c.age(now)}
 }
 
-// current returns a supply as of now, and the number of placements by other instances that it does
-// not show yet. Without recent sums it is this instance's share. The caller holds mu.
-func (c *Controller) current(now time.Time, s *service, supply Supply) (Supply, float64) {
+// current returns a supply as of now, less the placements of other instances that it does not show
+// yet. Without recent sums it is this instance's share. The caller holds mu.
+func (c *Controller) current(now time.Time, s *service, supply Supply) Supply {
 	if !c.informed(now) {
-		return supply.times(1 / float64(c.instances)), 0
+		return supply.times(1 / float64(c.instances))
 	}
-	age := c.age(now)
-	return supply.after(age), min(s.arrivals.peers, supply.Rate) * age.Seconds()
+	return supply.after(c.age(now), s.arrivals.peers)
 }
 
-// urgentElsewhere returns the number of requests that wait at other instances before a rank, and the
-// first rank among them.
+// urgentElsewhere returns the number of requests that wait at other instances and are more
+// urgent than a rank, and the most urgent rank among them.
 func (s *service) urgentElsewhere(rank int) (count float64, first int) {
 	for p := rank - 1; p >= 0; p-- {
 		if s.peers[p] > 0 {
@@ -281,14 +270,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	v := Verdict{Alone: !c.informed(now), Age: c.age(now)}
-	supply, unseen := c.current(now, w.s, supply)
-	d := c.demandAhead(now, w, unseen)
+	supply = c.current(now, w.s, supply)
+	d := c.demandAhead(now, w)
 	v.Ahead, v.Places = d.Ahead, supply.placesBy(0)
 	v.Expected = max(0, expectedWait(supply, d)+w.s.correction.at(now))
 	if !w.asked {
 		w.expected, w.asked = v.Expected, true
 	}
-	v.Refuse = !w.request.Late && now.Add(v.Expected+lead).After(w.request.Arrived.Add(w.request.Objective))
+	wait := v.Expected
+	if w.returned {
+		// Most callers return only once, so another refusal ends the request for good. It waits while it
+		// can be on time at all.
+		wait = 0
+	}
+	v.Refuse = !w.request.Late && now.Add(wait+lead).After(w.request.Arrived.Add(w.request.Objective))
 	return v
 }
 
@@ -298,26 +293,32 @@
 	c := w.c
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	supply, unseen := c.current(now, w.s, supply)
-	return c.promiseReturn(now, w, supply, c.demandAhead(now, w, unseen))
+	return c.promiseReturn(now, w, c.current(now, w.s, supply))
 }
 
-// demandAhead returns what goes before a request, including the given number of placements. The
-// caller holds mu.
-func (c *Controller) demandAhead(now time.Time, w *Waiter, unseen float64) Demand {
+// demandAhead returns what goes before a request. The caller holds mu.
+func (c *Controller) demandAhead(now time.Time, w *Waiter) Demand {
 	s := w.s
-	d := Demand{Ahead: float64(s.queue.before(w)) + unseen, Rate: s.arrivals.rateBefore(now, w.rank)}
-	kept := s.kept.at(now)
-	d.addReturns(now, s.returns, w.rank, kept)
+	d := Demand{Ahead: float64(s.queue.before(w)), Rate: s.arrivals.rateBefore(now, w.rank)}
 	if c.informed(now) {
 		for rank := range w.rank + 1 {
 			d.Ahead += s.peers[rank]
 		}
-		d.addReturns(now, s.peerReturns, w.rank, kept)
 	}
+	c.addReturns(now, &d, s, w.rank-1)
 	return d
 }
 
+// addReturns adds the callers of up to the given rank that are expected to return as promised. The
+// caller holds mu.
+func (c *Controller) addReturns(now time.Time, d *Demand, s *service, rank int) {
+	kept := s.kept.at(now)
+	d.addReturns(now, s.returns, rank, kept)
+	if c.informed(now) {
+		d.addReturns(now, s.peerReturns, rank, kept)
+	}
+}
+
 // informed reports whether the sums of the other instances are recent. The caller holds mu.
 func (c *Controller) informed(now time.Time) bool {
 	return !c.peersAt.IsZero() && c.age(now) < peersTTL
--- a/gateway/admission/arrivals.go
+++ b/gateway/admission/arrivals.go
@@ -20,7 +20,7 @@
 type arrivals struct {
 	// mix counts this instance's requests by rank, own all of them with a shorter half-life, both as
 	// of updatedAt.
-	mix       [Ranks]float64
+	mix       [Priorities]float64
 	own       float64
 	updatedAt time.Time
 	// peers is the rate of the other instances, in requests per second. mean is the mean rate of all
@@ -69,13 +69,12 @@
 	return a.peers + a.own*math.Ln2/ownHalfLife.Seconds()
 }
 
-// share returns the share of new requests, not of returned callers, whose rank is below the given
-// one. Returned callers are counted by promises.
+// share returns the share of requests whose rank is below the given one.
 func (a *arrivals) share(below int) float64 {
 	total, first := 0.0, 0.0
 	for rank, n := range a.mix {
 		total += n
-		if rank < below && rank%2 == 1 {
+		if rank < below {
 			first += n
 		}
 	}
@@ -85,17 +84,17 @@
 	return first / total
 }
 
-// rateBefore returns the rate of new requests that rank before the given rank, in requests per second.
+// rateBefore returns the rate of requests that are more urgent than a rank, in requests per second.
 func (a *arrivals) rateBefore(now time.Time, rank int) float64 {
 	return a.rate(now) * a.share(rank)
 }
 
-// expected returns the rate of new requests of the priority of a rank or a more urgent one, as
-// expected at a time from now. What exceeds the mean is expected to end as bursts do.
+// expected returns the rate of requests of a rank or more urgent ones, as expected at a time from
+// now. What exceeds the mean is expected to end as bursts do.
 func (a *arrivals) expected(now time.Time, rank int, from time.Duration) float64 {
 	rate := a.rate(now)
 	if rate > a.mean {
 		rate = a.mean + (rate-a.mean)*math.Exp2(-from.Seconds()/burstHalfLife.Seconds())
 	}
-	return rate * a.share(rank|1+1)
+	return rate * a.share(rank + 1)
 }
--- a/gateway/admission/forecast.go
+++ b/gateway/admission/forecast.go
@@ -42,11 +42,13 @@
 	return out
 }
 
-// after returns the supply as of a later time.
-func (s Supply) after(d time.Duration) Supply {
+// after returns the supply as of a later time, if requests are placed meanwhile at the given rate per
+// second as far as places become free.
+func (s Supply) after(d time.Duration, rate float64) Supply {
 	out := Supply{Step: s.Step, Rate: s.Rate, PrefillRate: s.PrefillRate, Places: make([]float64, len(s.Places))}
+	placed := math.Min(rate*d.Seconds(), s.placesBy(d)-s.placesBy(0))
 	for i := range s.Places {
-		out.Places[i] = s.placesBy(d + time.Duration(i)*s.Step)
+		out.Places[i] = s.placesBy(d+time.Duration(i)*s.Step) - placed
 	}
 	return out
 }
@@ -70,7 +72,7 @@
 
 // Demand is what goes before a request.
 type Demand struct {
-	// Ahead is the number of requests that wait or were placed without being seen yet.
+	// Ahead is the number of requests that wait.
 	Ahead float64
 	// Rate is how many more requests per second arrive that go first.
 	Rate float64
@@ -91,8 +93,8 @@
 	return n
 }
 
-// addReturns adds the promises of a ledger to callers that rank before the given rank. share is the
-// share of the promises that callers keep.
+// addReturns adds the promises of a ledger to callers of up to the given rank. share is the share of
+// the promises that callers keep.
 func (d *Demand) addReturns(now time.Time, l ledger, rank int, share float64) {
 	first := slotOf(now)
 	for slot, counts := range l {
@@ -100,7 +102,7 @@
 		if i < 0 || i >= ReturnSlots {
 			continue
 		}
-		for r := range rank {
+		for r := range rank + 1 {
 			d.Returns[i] += share * counts[r]
 		}
 	}
--- a/gateway/admission/returns.go
+++ b/gateway/admission/returns.go
@@ -24,7 +24,7 @@
 )
 
 // ledger counts promised returns by slot of time and rank.
-type ledger map[int]*[Ranks]float64
+type ledger map[int]*[Priorities]float64
 
 // slotOf returns the slot of a time.
 func slotOf(t time.Time) int { return int(t.UnixNano() / int64(returnSlot)) }
@@ -32,7 +32,7 @@
 // add counts promised returns.
 func (l ledger) add(slot, rank int, n float64) {
 	if l[slot] == nil {
-		l[slot] = &[Ranks]float64{}
+		l[slot] = &[Priorities]float64{}
 	}
 	l[slot][rank] += n
 }
@@ -92,15 +92,15 @@
 
 // promiseReturn chooses when the caller of a refused request is to return and counts the promise:
 // as soon as there is room that no one else is expected to need. The caller holds mu.
-func (c *Controller) promiseReturn(now time.Time, w *Waiter, supply Supply, d Demand) time.Duration {
+func (c *Controller) promiseReturn(now time.Time, w *Waiter, supply Supply) time.Duration {
 	longest := time.Duration(maxReturnShare * float64(w.request.Deadline.Sub(now)))
 	if longest <= minReturn {
 		return max(longest, 0)
 	}
-	free := c.freeBySlot(now, w, supply, d)
+	free := c.freeBySlot(now, w, supply)
 	at := c.chooseReturn(free, c.contenders(now, w.s, supply), longest)
 	w.s.prunePromises(now)
-	w.s.returns.add(slotOf(now.Add(at)), w.rank&^1, 1)
+	w.s.returns.add(slotOf(now.Add(at)), w.rank, 1)
 	return at
 }
 
@@ -113,14 +113,11 @@
 
 // freeBySlot returns the room in each slot from now that neither the waiting requests, nor callers
 // told to return, nor new requests are expected to take. The caller holds mu.
-func (c *Controller) freeBySlot(now time.Time, w *Waiter, supply Supply, d Demand) (free [ReturnSlots]float64) {
+func (c *Controller) freeBySlot(now time.Time, w *Waiter, supply Supply) (free [ReturnSlots]float64) {
+	d := c.demandAhead(now, w)
+	d.Returns = [ReturnSlots]float64{}
+	c.addReturns(now, &d, w.s, w.rank)
 	backlog := d.Ahead
-	if w.returned {
-		// Unlike now, this caller will go behind those who were told before.
-		d.Returns = [ReturnSlots]float64{}
-		d.addReturns(now, w.s.returns, w.rank+1, w.s.kept.at(now))
-		d.addReturns(now, w.s.peerReturns, w.rank+1, w.s.kept.at(now))
-	}
 	before := 0.0
 	for i := range free {
 		until := supply.placesBy(time.Duration(i+1) * returnSlot)
