--- a/gateway/admission/arrivals.go
+++ b/gateway/admission/arrivals.go
@@ -96,5 +96,5 @@
 	if rate > a.mean {
 		rate = a.mean + (rate-a.mean)*math.Exp2(-from.Seconds()/burstHalfLife.Seconds())
 	}
-	return rate * a.share(rank + 1)
+	return rate * a.share(rank+1)
 }
