admission: returned callers go behind new ones and wait longer; misses count in the correction

The supply counted room that placement keeps for placements that are not reported yet, so that requests waited for room that nobody could use.

--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -27,7 +27,7 @@
 	// do. The first request of each queue looks for room every 15 ms.
 	headStart = 45 * time.Millisecond
 	// returnedShare is the share of the route's timeout that a caller's time has to be below for the
-	// caller to count as returned. It has spent the rest on an earlier attempt and is due sooner.
+	// caller to count as returned. It has spent the rest on an earlier attempt.
 	returnedShare = 0.95
 )
 
@@ -47,9 +47,9 @@
 // service is the state of one service.
 type service struct {
 	queue queue
-	// peers are the requests that wait at other instances, by priority. peerReturns are the promises
-	// that they made.
-	peers       [Priorities]float64
+	// peers are the requests that wait at other instances, by rank. peerReturns are the promises that
+	// they made.
+	peers       [Ranks]float64
 	peerReturns ledger
 	// returns are the promises of this instance, kept how many of them callers keep.
 	returns    ledger
@@ -98,17 +98,28 @@
 	return r.Timeout > 0 && r.Deadline.Sub(r.Arrived) < time.Duration(returnedShare*float64(r.Timeout))
 }
 
-// Priorities is the number of priorities that are told apart; less urgent ones count as the last.
-const Priorities = 10
+// Ranks is the number of ranks: two for each priority that is told apart, the second of which is that
+// of returned callers. Less urgent priorities count as the last.
+const Ranks = 20
 
-// rank returns the priority by which the request is ordered. One in floorShare of the less urgent
-// requests ranks with the most urgent. All instances derive the same rank.
+// rankOf returns the rank of requests of a priority. Returned callers are late already, and go
+// behind those of their priority that can still be on time from the first attempt on.
+func rankOf(priority int, returned bool) int {
+	rank := 2 * min(max(priority, 0), Ranks/2-1)
+	if returned {
+		rank++
+	}
+	return rank
+}
+
+// rank returns the rank of the request. One in floorShare of the less urgent requests ranks with the
+// most urgent. All instances derive the same rank.
 func (r *Request) rank() int {
-	rank := r.Priority
+	priority := r.Priority
 	if xxhash.Sum64String(r.ID)%floorShare == 0 {
-		rank = min(rank, r.MostUrgent)
+		priority = min(priority, r.MostUrgent)
 	}
-	return min(max(rank, 0), Priorities-1)
+	return rankOf(priority, r.returned())
 }
 
 // Enter adds a request to its service's queue. The caller must call Leave once the request is placed
@@ -168,7 +179,8 @@
 	w.c.mu.Lock()
 	defer w.c.mu.Unlock()
 	stay := Stay{Expected: w.expected, Waited: now.Sub(w.entered), Asked: w.asked, Returned: w.returned}
-	if w.s.queue.remove(w) && placed && w.asked {
+	// A request that was not placed would have waited longer still.
+	if w.s.queue.remove(w) && w.asked && !w.returned && (placed || stay.Waited > stay.Expected) {
 		w.s.correction.observe(now, stay.Expected, stay.Waited)
 	}
 	return stay
@@ -190,16 +202,16 @@
 
 // Hold is the reason why a request is held back.
 type Hold struct {
-	// For is the most urgent priority of the requests that wait at other instances and are more
-	// urgent, Waiting their number.
+	// For is the most urgent priority of the requests that wait at other instances and go first,
+	// Waiting their number.
 	For     int
 	Waiting float64
 	// Age is the age of that information.
 	Age time.Duration
 }
 
-// Held reports whether the request is held back for more urgent requests that wait at other
-// instances. hasRoom reports whether an engine has room for the request; it is
+// Held reports whether the request is held back for requests that wait at other instances and go
+// first. hasRoom reports whether an engine has room for the request; it is
 // called only if there are any. Those others see the same room, so they have taken it within
 // headStart if they can use it, and no room is left unused for longer.
 func (w *Waiter) Held(now time.Time, hasRoom func() bool) (Hold, bool) {
@@ -225,7 +237,7 @@
 		return Hold{}
 	}
 	urgent, first := w.s.urgentElsewhere(w.rank)
-	return Hold{For: first, Waiting: urgent, Age: w.c.age(now)}
+	return Hold{For: first / 2, Waiting: urgent, Age: w.c.age(now)}
 }
 
 // current returns a supply as of now, less the placements of other instances that it does not show
@@ -237,8 +249,8 @@
 	return supply.after(c.age(now), s.arrivals.peers)
 }
 
-// urgentElsewhere returns the number of requests that wait at other instances and are more
-// urgent than a rank, and the most urgent rank among them.
+// urgentElsewhere returns the number of requests that wait at other instances before a
+// rank, and the first rank among them.
 func (s *service) urgentElsewhere(rank int) (count float64, first int) {
 	for p := rank - 1; p >= 0; p-- {
 		if s.peers[p] > 0 {
--- a/gateway/admission/arrivals.go
+++ b/gateway/admission/arrivals.go
@@ -20,7 +20,7 @@
 type arrivals struct {
 	// mix counts this instance's requests by rank, own all of them with a shorter half-life, both as
 	// of updatedAt.
-	mix       [Priorities]float64
+	mix       [Ranks]float64
 	own       float64
 	updatedAt time.Time
 	// peers is the rate of the other instances, in requests per second. mean is the mean rate of all
--- a/gateway/admission/forecast.go
+++ b/gateway/admission/forecast.go
@@ -13,12 +13,12 @@
 	waitStep = 25 * time.Millisecond
 	// maxCorrection bounds the correction of expected waits in either direction, so that errors in
 	// one overload neither refuse nor admit all requests of the next.
-	maxCorrection = 250 * time.Millisecond
+	maxCorrection = 500 * time.Millisecond
 	// correctionHalfLife is the half-life of the correction without new observations. Refused
 	// requests show nothing about the wait, so a correction that causes refusals has to fade.
 	correctionHalfLife = 3 * time.Second
 	// correctionWeight is the weight of one observed wait.
-	correctionWeight = 0.1
+	correctionWeight = 0.2
 )
 
 // Supply is the room for requests of one size that the engines of a service are expected to have.
--- a/gateway/admission/peers.go
+++ b/gateway/admission/peers.go
@@ -7,16 +7,17 @@
 
 // Queue is what instances report about their queues of one service, and the sum of such reports.
 type Queue struct {
-	// Waiting is the number of waiting requests by priority.
+	// Waiting is the number of waiting requests by rank: index 2p is for the requests of priority p,
+	// 2p+1 for its returned callers.
 	Waiting []int `json:"w,omitempty"`
-	// Returns is the number of refused callers that were told to return, by priority and half second
-	// from the report.
+	// Returns is the number of refused callers that were told to return, by rank and half second from
+	// the report.
 	Returns [][]int `json:"r,omitempty"`
 }
 
 // Valid reports whether all numbers of a report are possible.
 func (q Queue) Valid() bool {
-	if len(q.Waiting) > Priorities || len(q.Returns) > Priorities || !possible(q.Waiting) {
+	if len(q.Waiting) > Ranks || len(q.Returns) > Ranks || !possible(q.Waiting) {
 		return false
 	}
 	for _, slots := range q.Returns {
@@ -126,9 +127,9 @@
 
 // setPeers records the queues of the other instances as of a time.
 func (s *service) setPeers(madeAt time.Time, q Queue) {
-	s.peers = [Priorities]float64{}
+	s.peers = [Ranks]float64{}
 	for p, n := range q.Waiting {
-		if p < Priorities {
+		if p < Ranks {
 			s.peers[p] = float64(n)
 		}
 	}
@@ -136,7 +137,7 @@
 	first := slotOf(madeAt)
 	for p, slots := range q.Returns {
 		for i, n := range slots {
-			if p < Priorities && n > 0 {
+			if p < Ranks && n > 0 {
 				s.peerReturns.add(first+i, p, float64(n))
 			}
 		}
--- a/gateway/admission/queue.go
+++ b/gateway/admission/queue.go
@@ -1,7 +1,7 @@
 package admission
 
 // queue holds the waiting requests of a service at one instance, the first one first: by rank, then
-// requests that can be on time, then returned callers, which are due sooner, then by arrival.
+// requests that can be on time, then by arrival.
 type queue []*Waiter
 
 // goesBefore reports whether w is ahead of o in a queue.
@@ -11,8 +11,6 @@
 		return w.rank < o.rank
 	case w.request.Late != o.request.Late:
 		return o.request.Late
-	case w.returned != o.returned:
-		return w.returned
 	default:
 		return w.request.Arrived.Before(o.request.Arrived)
 	}
@@ -67,7 +65,7 @@
 }
 
 // waiting returns the number of requests by rank.
-func (q queue) waiting() (n [Priorities]int) {
+func (q queue) waiting() (n [Ranks]int) {
 	for _, w := range q {
 		n[w.rank]++
 	}
--- a/gateway/admission/returns.go
+++ b/gateway/admission/returns.go
@@ -20,11 +20,11 @@
 	lateShare = 1.0 / 3
 	// burstHalfLife is the half-life with which a rate of arrivals above its mean is expected to
 	// return to the mean. Bursts last 4 to 5 s.
-	burstHalfLife = 2 * time.Second
+	burstHalfLife = 3 * time.Second
 )
 
 // ledger counts promised returns by slot of time and rank.
-type ledger map[int]*[Priorities]float64
+type ledger map[int]*[Ranks]float64
 
 // slotOf returns the slot of a time.
 func slotOf(t time.Time) int { return int(t.UnixNano() / int64(returnSlot)) }
@@ -32,7 +32,7 @@
 // add counts promised returns.
 func (l ledger) add(slot, rank int, n float64) {
 	if l[slot] == nil {
-		l[slot] = &[Priorities]float64{}
+		l[slot] = &[Ranks]float64{}
 	}
 	l[slot][rank] += n
 }
@@ -100,7 +100,7 @@
 	free := c.freeBySlot(now, w, supply)
 	at := c.chooseReturn(free, c.contenders(now, w.s, supply), longest)
 	w.s.prunePromises(now)
-	w.s.returns.add(slotOf(now.Add(at)), w.rank, 1)
+	w.s.returns.add(slotOf(now.Add(at)), w.rank|1, 1)
 	return at
 }
 
@@ -116,7 +116,7 @@
 func (c *Controller) freeBySlot(now time.Time, w *Waiter, supply Supply) (free [ReturnSlots]float64) {
 	d := c.demandAhead(now, w)
 	d.Returns = [ReturnSlots]float64{}
-	c.addReturns(now, &d, w.s, w.rank)
+	c.addReturns(now, &d, w.s, w.rank|1)
 	backlog := d.Ahead
 	before := 0.0
 	for i := range free {
--- a/gateway/schedule/supply.go
+++ b/gateway/schedule/supply.go
@@ -32,6 +32,11 @@
 		duration := r.firstEvent + (output-float64(size.Produced))*b.tokenTimeOf(now, rec)
 		supply.Rate += math.Min(usableMemoryShare*float64(e.KVTokens)/need, float64(e.Slots)) / math.Max(duration, minStreamSeconds)
 	}
+	// PlaceDecode keeps room for placements that peers have not reported yet.
+	reserve := unseenMemoryShare * b.unseenPlacements(now, serviceOf(list))
+	for i := range supply.Places {
+		supply.Places[i] = math.Max(0, supply.Places[i]-reserve)
+	}
 	return supply
 }
 
