--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -20,6 +20,9 @@
 	// peersTTL is how long the sums of the other instances remain valid. They arrive every 300 to
 	// 600 ms; after three missing ones this instance is cut off or the hub is gone.
 	peersTTL = 2 * time.Second
+	// returnedPatience is the share of the expected wait that counts for returned callers. They go
+	// behind all others, so that their forecast is the least certain.
+	returnedPatience = 0.5
 	// floorShare is one in how many less urgent requests ranks with the most urgent ones of its
 	// service, so that a lasting overload by urgent requests does not starve the others.
 	floorShare = 10
@@ -56,6 +59,7 @@
 	kept       keptShare
 	arrivals   arrivals
 	correction correction
+	margin     leadMargin
 }
 
 // New returns a controller without any queues. seed seeds the random choice among return times.
@@ -291,14 +295,20 @@
 	}
 	wait := v.Expected
 	if w.returned {
-		// Most callers return only once, so another refusal ends the request for good. It waits while it
-		// can be on time at all.
-		wait = 0
+		// Most callers return only once, so another refusal ends the request for good.
+		wait = time.Duration(returnedPatience * float64(wait))
 	}
-	v.Refuse = !w.request.Late && now.Add(wait+lead).After(w.request.Arrived.Add(w.request.Objective))
+	v.Refuse = !w.request.Late && now.Add(wait+lead+w.s.margin.value()).After(w.request.Arrived.Add(w.request.Objective))
 	return v
 }
 
+// ObserveLead records the time from the placement to the first event of a request that had waited.
+func (c *Controller) ObserveLead(name string, expected, took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.service(name).margin.observe(took - expected)
+}
+
 // PromiseReturn returns the time after which the caller of a refused request is to return, and counts
 // the promise as load to come.
 func (w *Waiter) PromiseReturn(now time.Time, supply Supply) time.Duration {
--- a/gateway/admission/forecast.go
+++ b/gateway/admission/forecast.go
@@ -123,6 +123,37 @@
 	return maxWait
 }
 
+const (
+	// onTimeShare is the share of requests that are to be on time if they are placed as expected. A
+	// request that is placed and then late has taken the room of one that would have been on time.
+	onTimeShare = 0.75
+	// marginStep is how far one observation moves the margin, and initialMargin the margin before any.
+	marginStep    = 20 * time.Millisecond
+	initialMargin = 100 * time.Millisecond
+	// maxMargin bounds the margin, so that slow engines do not stop all waiting.
+	maxMargin = 300 * time.Millisecond
+)
+
+// leadMargin estimates by how much the time from the placement to the first event exceeds the
+// expected one in all but onTimeShare of the requests.
+type leadMargin struct {
+	// offset is the difference to initialMargin.
+	offset time.Duration
+}
+
+// value returns the margin.
+func (m *leadMargin) value() time.Duration { return initialMargin + m.offset }
+
+// observe records by how much the time exceeded the expected one.
+func (m *leadMargin) observe(excess time.Duration) {
+	step := -(1 - onTimeShare)
+	if excess > m.value() {
+		step = onTimeShare
+	}
+	m.offset += time.Duration(step * float64(marginStep))
+	m.offset = max(-initialMargin, min(maxMargin-initialMargin, m.offset))
+}
+
 // correction is the mean difference between observed and expected waits.
 type correction struct {
 	seconds   float64
--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -144,6 +144,7 @@
 			started = true
 			s.began(p.decode.Upstream.SoftwareVersion)
 			s.c.o.Scheduler.RecordPromptComputed(p.decode)
+			s.observeLead()
 			first()
 		}
 		s.recordPause(clock.Now())
@@ -157,6 +158,13 @@
 	})
 }
 
+// observeLead records how long a request that had waited took from its placement to the first event.
+func (s *stream) observeLead() {
+	if !s.placedAt.IsZero() && !s.headSent {
+		s.c.o.Admission.ObserveLead(s.j.Service.Name, s.expectedFirst, clock.Since(s.placedAt))
+	}
+}
+
 // readEvents reads a body until it ends and returns what follows the last complete event. The end of
 // the body does not show that the stream is complete. readEvents calls heard with the number of bytes
 // after each read, and deliver with complete events; an error of deliver is a *CallerWriteError.
--- a/gateway/carry/line.go
+++ b/gateway/carry/line.go
@@ -64,6 +64,9 @@
 	if placed {
 		l.s.c.o.ObserveStay(stay)
 	}
+	if placed && stay.Asked {
+		l.s.expectedFirst, l.s.placedAt = l.lead, clock.Now()
+	}
 	if stay.Returned && placed {
 		l.s.c.o.Count("returned_placed")
 	} else if stay.Returned {
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -137,6 +137,10 @@
 	// complete event.
 	framing   framing
 	restBytes int
+	// placedAt is when an engine was reserved for a request that had waited, and expectedFirst the
+	// time that was expected from then to the first event. placedAt is zero otherwise.
+	placedAt      time.Time
+	expectedFirst time.Duration
 	// sentAt is the time at which the request was sent to the engine, lastReadAt that at which the
 	// engine last sent anything.
 	sentAt, lastReadAt time.Time
