gateway: metrics listener serves /queues

Operators could not see the queues that decisions under load are based on. /queues beside /limits returns admission.Controller.Status as JSON, sorted by service.

--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"cmp"
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -57,17 +59,24 @@
 	}
 }
 
-// handler serves the metrics, the quarantined request contents, and the state of the rate limits of
-// workspaces and of upstreams.
-func (c *counters) handler(held *quarantine.Register, limits func() []limit.Status, s *schedule.Scheduler) http.Handler {
+// handler serves the metrics, the quarantined request contents, the state of the rate limits of
+// workspaces and of upstreams, and the queues of services.
+func (c *counters) handler(held *quarantine.Register, limits func() []limit.Status, s *schedule.Scheduler, queues *admission.Controller) http.Handler {
 	r := mux.NewRouter()
 	r.Path("/metrics").Handler(c.reporter)
 	r.Path("/quarantine").Handler(serveJSON(func() any { return held.List(clock.Now()) }))
 	r.Path("/limits").Handler(serveJSON(func() any { return limits() }))
 	r.Path("/upstream-limits").Handler(serveJSON(func() any { return s.RateLimits(clock.Now()) }))
+	r.Path("/queues").Handler(serveJSON(func() any { return sortedQueues(queues.Status(clock.Now())) }))
 	return r
 }
 
+// sortedQueues sorts the state of queues by service, so that two responses can be compared.
+func sortedQueues(list []admission.Status) []admission.Status {
+	slices.SortFunc(list, func(a, b admission.Status) int { return cmp.Compare(a.Service, b.Service) })
+	return list
+}
+
 // serveJSON serves the result of a function as JSON. It calls the function for each request.
 func serveJSON(value func() any) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -289,7 +289,7 @@
 	running.Go(func() { g.servePeers() })
 	ready := &http.Server{Handler: g.readyRoutes(), ReadHeaderTimeout: headerTimeout}
 	running.Go(func() { g.serve(ready, g.readyListener, "ready") })
-	metricsServer := &http.Server{Handler: g.metrics.handler(g.register, g.node.Limits, g.scheduler), ReadHeaderTimeout: headerTimeout}
+	metricsServer := &http.Server{Handler: g.metrics.handler(g.register, g.node.Limits, g.scheduler, g.admission), ReadHeaderTimeout: headerTimeout}
 	if g.metricsListener != nil {
 		running.Go(func() { g.serve(metricsServer, g.metricsListener, "metrics") })
 	}
