wardspoolctl: queues of services over the instances

/queues shows one instance. The command sums own queues and promised returns by service and priority, and shows the largest recent sum of others with its age, the request rate, the mean correction and how many instances decide alone. Sums of instances that receive no recent ones are left out, since they do not change any more.

--- a/cmd/wardspoolctl/groups.go
+++ b/cmd/wardspoolctl/groups.go
@@ -13,6 +13,7 @@
 	Watch      watchCmd      `cmd:"" help:"Show what each bundle version does, live."`
 	Explain    explainCmd    `cmd:"" help:"Show why a request went where it did."`
 	Limits     limitsCmd     `cmd:"" help:"Show the limits of workspaces, and what was granted and refused of them."`
+	Queues     queuesCmd     `cmd:"" help:"Show the requests that wait for an engine, and what each instance knows of the others."`
 	Quarantine quarantineCmd `cmd:"" help:"Show the requests that are kept from upstreams because they crash them."`
 }
 
