carry: refusals for lack of room are counted by cause

One counter did not tell requests that the forecast refused from those that waited until they were too late, and promised returns were not counted. Adds no_room_expected, no_room_late, no_room_resumed and return_promised, and cause to the refusal line. Verdict.Late says that a request that had waited cannot be on time even if it is placed at once.

--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -251,8 +251,9 @@
 
 // Verdict is the decision on a request for which there is no room now.
 type Verdict struct {
-	// Refuse means that the request is not expected to be on time.
-	Refuse bool
+	// Refuse means that the request is not expected to be on time. Late means that it was expected to
+	// be when it was first decided on, and is too late now even if it were placed at once.
+	Refuse, Late bool
 	// Expected is the expected wait for an engine. It is maxWait if there is no end to be seen.
 	Expected time.Duration
 	// Ahead is the number of requests that go first, Places the room for requests now.
@@ -274,7 +275,8 @@
 	d := c.demandAhead(now, w)
 	v.Ahead, v.Places = d.Ahead, supply.placesBy(0)
 	v.Expected = max(0, expectedWait(supply, d)+w.s.correction.at(now))
-	if !w.asked {
+	first := !w.asked
+	if first {
 		w.expected, w.asked = v.Expected, true
 	}
 	wait := v.Expected
@@ -283,7 +285,9 @@
 		// can be on time at all.
 		wait = 0
 	}
-	v.Refuse = !w.request.Late && now.Add(wait+lead).After(w.request.Arrived.Add(w.request.Objective))
+	due := w.request.Arrived.Add(w.request.Objective)
+	v.Refuse = !w.request.Late && now.Add(wait+lead).After(due)
+	v.Late = v.Refuse && !first && now.Add(lead).After(due)
 	return v
 }
 
--- a/gateway/carry/line.go
+++ b/gateway/carry/line.go
@@ -107,6 +107,19 @@
 	return l.verdict.Refuse
 }
 
+// refusalCause names why the request is refused, for counters and logs: its expected wait was too
+// long, it waited until it could not be on time any more, or it is resumed and waited its share.
+func (l *line) refusalCause() string {
+	switch {
+	case l.s.resumed():
+		return "resumed"
+	case l.verdict.Late:
+		return "late"
+	default:
+		return "expected"
+	}
+}
+
 // wait blocks until the stream is woken, pollInterval has passed, or ctx ends.
 func (l *line) wait(ctx context.Context) {
 	timer := time.NewTimer(pollInterval)
--- a/gateway/carry/reserve.go
+++ b/gateway/carry/reserve.go
@@ -149,9 +149,14 @@
 func (s *stream) refuseNoRoom(w *line) error {
 	now := clock.Now()
 	retry := w.waiter.PromiseReturn(now, s.supply(now))
+	cause := w.refusalCause()
 	s.c.o.Count("stream_no_room")
+	s.c.o.Count("no_room_" + cause)
+	if retry > 0 {
+		s.c.o.Count("return_promised")
+	}
 	s.log.Info("refused", append([]any{
-		"reason", "no_room", "need_tokens", s.need(), "priority", s.j.Priority, "waiting", s.c.o.Admission.Waiting(s.j.Service.Name),
+		"reason", "no_room", "cause", cause, "need_tokens", s.need(), "priority", s.j.Priority, "waiting", s.c.o.Admission.Waiting(s.j.Service.Name),
 		"waited_ms", now.Sub(w.enteredAt).Milliseconds(), "retry_ms", retry.Milliseconds(),
 		"view_age_ms", now.Sub(s.c.o.View().AsOf).Milliseconds(),
 	}, w.explain()...)...)
