admission: a request that is held back while there is room is not refused

Decide used a supply that is up to a second old for requests that the hold kept from a place that was free now. They are refused only if they can't be on time any more.

--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -205,6 +205,7 @@
 func (w *Waiter) Held(now time.Time, hasRoom func() bool) (Hold, bool) {
 	hold := w.hold(now)
 	if hold.Waiting == 0 {
+		w.roomSince = time.Time{}
 		return Hold{}, false
 	}
 	if !hasRoom() {
@@ -214,7 +215,12 @@
 	if w.roomSince.IsZero() {
 		w.roomSince = now
 	}
-	return hold, now.Sub(w.roomSince) < headStart
+	return hold, w.heldWithRoom(now)
+}
+
+// heldWithRoom reports whether the request is held back although an engine has room for it.
+func (w *Waiter) heldWithRoom(now time.Time) bool {
+	return !w.roomSince.IsZero() && now.Sub(w.roomSince) < headStart
 }
 
 // hold returns for whom the request would be held back.
@@ -283,6 +289,10 @@
 		// can be on time at all.
 		wait = 0
 	}
+	if w.heldWithRoom(now) {
+		// The supply may be older than the room. Without the hold the request would have been placed.
+		wait = 0
+	}
 	v.Refuse = !w.request.Late && now.Add(wait+lead).After(w.request.Arrived.Add(w.request.Objective))
 	return v
 }
