admission: without recent sums the rate of arrivals is this instance's own

The supply was this instance's share, but the more urgent requests of the whole fleet were expected to take it, at the rate of the last sums. An instance that was cut off refused whatever was not of the most urgent priority.

--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -243,6 +243,15 @@
 	return supply.after(c.age(now), s.arrivals.peers)
 }
 
+// arrivalRate returns the rate of the requests that the supply of current is for, and its mean: those
+// of all instances, or without recent sums this instance's. The caller holds mu.
+func (c *Controller) arrivalRate(now time.Time, s *service) (rate, mean float64) {
+	if !c.informed(now) {
+		return s.arrivals.ownRate(now), s.arrivals.mean / float64(c.instances)
+	}
+	return s.arrivals.rate(now), s.arrivals.mean
+}
+
 // urgentElsewhere returns the number of requests that wait at other instances and are more
 // urgent than a rank, and the most urgent rank among them.
 func (s *service) urgentElsewhere(rank int) (count float64, first int) {
@@ -309,7 +318,8 @@
 // demandAhead returns what goes before a request. The caller holds mu.
 func (c *Controller) demandAhead(now time.Time, w *Waiter) Demand {
 	s := w.s
-	d := Demand{Ahead: float64(s.queue.before(w)), Rate: s.arrivals.rateBefore(now, w.rank)}
+	rate, _ := c.arrivalRate(now, s)
+	d := Demand{Ahead: float64(s.queue.before(w)), Rate: rate * s.arrivals.share(w.rank)}
 	if c.informed(now) {
 		for rank := range w.rank + 1 {
 			d.Ahead += s.peers[rank]
--- a/gateway/admission/arrivals.go
+++ b/gateway/admission/arrivals.go
@@ -63,12 +63,15 @@
 	a.mean, a.meanAt = keep*a.mean+(1-keep)*rate, now
 }
 
-// rate returns the rate of all instances, in requests per second.
-func (a *arrivals) rate(now time.Time) float64 {
+// ownRate returns the rate of this instance, in requests per second.
+func (a *arrivals) ownRate(now time.Time) float64 {
 	a.decay(now)
-	return a.peers + a.own*math.Ln2/ownHalfLife.Seconds()
+	return a.own * math.Ln2 / ownHalfLife.Seconds()
 }
 
+// rate returns the rate of all instances, in requests per second.
+func (a *arrivals) rate(now time.Time) float64 { return a.peers + a.ownRate(now) }
+
 // share returns the share of requests whose rank is below the given one.
 func (a *arrivals) share(below int) float64 {
 	total, first := 0.0, 0.0
@@ -84,17 +87,11 @@
 	return first / total
 }
 
-// rateBefore returns the rate of requests that are more urgent than a rank, in requests per second.
-func (a *arrivals) rateBefore(now time.Time, rank int) float64 {
-	return a.rate(now) * a.share(rank)
-}
-
 // expected returns the rate of requests of a rank or more urgent ones, as expected at a time from
-// now. What exceeds the mean is expected to end as bursts do.
-func (a *arrivals) expected(now time.Time, rank int, from time.Duration) float64 {
-	rate := a.rate(now)
-	if rate > a.mean {
-		rate = a.mean + (rate-a.mean)*math.Exp2(-from.Seconds()/burstHalfLife.Seconds())
+// now, if the rate is the given one now. What exceeds the mean is expected to end as bursts do.
+func (a *arrivals) expected(rate, mean float64, rank int, from time.Duration) float64 {
+	if rate > mean {
+		rate = mean + (rate-mean)*math.Exp2(-from.Seconds()/burstHalfLife.Seconds())
 	}
 	return rate * a.share(rank+1)
 }
--- a/gateway/admission/returns.go
+++ b/gateway/admission/returns.go
@@ -118,11 +118,12 @@
 	d.Returns = [ReturnSlots]float64{}
 	c.addReturns(now, &d, w.s, w.rank)
 	backlog := d.Ahead
+	rate, mean := c.arrivalRate(now, w.s)
 	before := 0.0
 	for i := range free {
 		until := supply.placesBy(time.Duration(i+1) * returnSlot)
 		middle := time.Duration(i)*returnSlot + returnSlot/2
-		room := until - before - d.Returns[i] - w.s.arrivals.expected(now, w.rank, middle)*returnSlot.Seconds()
+		room := until - before - d.Returns[i] - w.s.arrivals.expected(rate, mean, w.rank, middle)*returnSlot.Seconds()
 		before = until
 		used := math.Min(backlog, math.Max(0, room))
 		backlog -= used
