admission: a service that no peer reports has no rate of peers

SetPeers replaced the queues of such a service but kept its last rate for good, so requests were refused for arrivals that had ended. TestInstanceThatIsGoneLeavesTheSums passes.

--- a/gateway/admission/peers.go
+++ b/gateway/admission/peers.go
@@ -115,6 +115,9 @@
 		if _, ok := p.Queues[name]; !ok {
 			s.setPeers(c.peersAt, Queue{})
 		}
+		if _, ok := p.Rates[name]; !ok {
+			s.arrivals.setPeers(now, 0)
+		}
 	}
 	for name, q := range p.Queues {
 		c.service(name).setPeers(c.peersAt, q)
