admission: a falling supply is not raised when it is brought up to the present

The number of placements was negative where the forecast has fewer places later, so the places lost were added again. TestSupplyIsBroughtUpToThePresent passes.

--- a/gateway/admission/forecast.go
+++ b/gateway/admission/forecast.go
@@ -46,7 +46,8 @@
 // second as far as places become free.
 func (s Supply) after(d time.Duration, rate float64) Supply {
 	out := Supply{Step: s.Step, Rate: s.Rate, PrefillRate: s.PrefillRate, Places: make([]float64, len(s.Places))}
-	placed := math.Min(rate*d.Seconds(), s.placesBy(d)-s.placesBy(0))
+	// Fewer places than now mean that running streams grow, not that placements end.
+	placed := math.Max(0, math.Min(rate*d.Seconds(), s.placesBy(d)-s.placesBy(0)))
 	for i := range s.Places {
 		out.Places[i] = s.placesBy(d+time.Duration(i)*s.Step) - placed
 	}
