--- a/gateway/admission/peers.go
+++ b/gateway/admission/peers.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // maxCount bounds each number in a report of a peer. A larger one is an error of the peer.
 const maxCount = 100_000
@@ -37,8 +40,12 @@
 	return true
 }
 
-// Empty reports whether there is nothing to report.
-func (q Queue) Empty() bool { return len(q.Waiting) == 0 && len(q.Returns) == 0 }
+// Empty reports whether there is nothing to report. After and Minus leave lists of zeros.
+func (q Queue) Empty() bool {
+	nonzero := func(n int) bool { return n != 0 }
+	return !slices.ContainsFunc(q.Waiting, nonzero) &&
+		!slices.ContainsFunc(q.Returns, func(slots []int) bool { return slices.ContainsFunc(slots, nonzero) })
+}
 
 // Plus returns the sum of two queues. Both are left unchanged.
 func (q Queue) Plus(o Queue) Queue {
