--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -38,9 +38,8 @@
 	random   *rand.Rand
 	services map[string]*service
 	// peersAt is when the sums of the other instances were made, on average; zero if there are none
-	// yet. newsAge is how old they were then. instances is the number of live instances.
+	// yet. instances is the number of live instances.
 	peersAt   time.Time
-	newsAge   time.Duration
 	instances int
 }
 
