--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -23,6 +23,9 @@
 	// returnedPatience is the share of the expected wait that counts for returned callers. They go
 	// behind all others, so that their forecast is the least certain.
 	returnedPatience = 0.5
+	// returnedPatienceTime is the share of the objective for which this applies. A refusal that comes
+	// later is of little use to its caller.
+	returnedPatienceTime = 0.2
 	// floorShare is one in how many less urgent requests ranks with the most urgent ones of its
 	// service, so that a lasting overload by urgent requests does not starve the others.
 	floorShare = 10
@@ -41,9 +44,8 @@
 	random   *rand.Rand
 	services map[string]*service
 	// peersAt is when the sums of the other instances were made, on average; zero if there are none
-	// yet. newsAge is how old they were then. instances is the number of live instances.
+	// yet. instances is the number of live instances.
 	peersAt   time.Time
-	newsAge   time.Duration
 	instances int
 }
 
@@ -55,9 +57,12 @@
 	peers       [Ranks]float64
 	peerReturns ledger
 	// returns are the promises of this instance, kept how many of them callers keep.
-	returns    ledger
-	kept       keptShare
-	arrivals   arrivals
+	returns  ledger
+	kept     keptShare
+	arrivals arrivals
+	// promised holds the times that callers were told by this instance, by the content of the request.
+	promised   map[uint64]time.Time
+	prunedSlot int
 	correction correction
 	margin     leadMargin
 }
@@ -71,7 +76,7 @@
 func (c *Controller) service(name string) *service {
 	s := c.services[name]
 	if s == nil {
-		s = &service{returns: ledger{}, peerReturns: ledger{}}
+		s = &service{returns: ledger{}, peerReturns: ledger{}, promised: map[uint64]time.Time{}}
 		c.services[name] = s
 	}
 	return s
@@ -80,8 +85,9 @@
 // Request describes a request that needs an engine.
 type Request struct {
 	Service string
-	// ID identifies the attempt.
-	ID string
+	// ID identifies the attempt. Content identifies what is asked for, in all attempts; 0 if unknown.
+	ID      string
+	Content uint64
 	// Priority ranks the request; 0 is the most urgent. MostUrgent is the most urgent priority that
 	// requests of the service can have.
 	Priority, MostUrgent int
@@ -221,6 +227,7 @@
 func (w *Waiter) Held(now time.Time, hasRoom func() bool) (Hold, bool) {
 	hold := w.hold(now)
 	if hold.Waiting == 0 {
+		w.roomSince = time.Time{}
 		return Hold{}, false
 	}
 	if !hasRoom() {
@@ -230,7 +237,12 @@
 	if w.roomSince.IsZero() {
 		w.roomSince = now
 	}
-	return hold, now.Sub(w.roomSince) < headStart
+	return hold, w.heldWithRoom(now)
+}
+
+// heldWithRoom reports whether the request is held back although an engine has room for it.
+func (w *Waiter) heldWithRoom(now time.Time) bool {
+	return !w.roomSince.IsZero() && now.Sub(w.roomSince) < headStart
 }
 
 // hold returns for whom the request would be held back.
@@ -253,6 +265,15 @@
 	return supply.after(c.age(now), s.arrivals.peers)
 }
 
+// arrivalRate returns the rate of the requests that the supply of current is for, and its mean: those
+// of all instances, or without recent sums this instance's. The caller holds mu.
+func (c *Controller) arrivalRate(now time.Time, s *service) (rate, mean float64) {
+	if !c.informed(now) {
+		return s.arrivals.ownRate(now), s.arrivals.mean / float64(c.instances)
+	}
+	return s.arrivals.rate(now), s.arrivals.mean
+}
+
 // urgentElsewhere returns the number of requests that wait at other instances before a
 // rank, and the first rank among them.
 func (s *service) urgentElsewhere(rank int) (count float64, first int) {
@@ -296,10 +317,14 @@
 		w.expected, w.asked = v.Expected, true
 	}
 	wait := v.Expected
-	if w.returned {
+	if w.returned && now.Sub(w.request.Arrived) < time.Duration(returnedPatienceTime*float64(w.request.Objective)) {
 		// Most callers return only once, so another refusal ends the request for good.
 		wait = time.Duration(returnedPatience * float64(wait))
 	}
+	if w.heldWithRoom(now) {
+		// The supply may be older than the room. Without the hold the request would have been placed.
+		wait = 0
+	}
 	due := w.request.Arrived.Add(w.request.Objective)
 	v.Refuse = !w.request.Late && now.Add(wait+lead+w.s.margin.value()).After(due)
 	v.Late = v.Refuse && !first && now.Add(lead).After(due)
@@ -325,7 +350,8 @@
 // demandAhead returns what goes before a request. The caller holds mu.
 func (c *Controller) demandAhead(now time.Time, w *Waiter) Demand {
 	s := w.s
-	d := Demand{Ahead: float64(s.queue.before(w)), Rate: s.arrivals.rateBefore(now, w.rank)}
+	rate, _ := c.arrivalRate(now, s)
+	d := Demand{Ahead: float64(s.queue.before(w)), Rate: rate * s.arrivals.share(w.rank)}
 	if c.informed(now) {
 		for rank := range w.rank + 1 {
 			d.Ahead += s.peers[rank]
--- a/gateway/admission/forecast.go
+++ b/gateway/admission/forecast.go
@@ -46,7 +46,8 @@
 // second as far as places become free.
 func (s Supply) after(d time.Duration, rate float64) Supply {
 	out := Supply{Step: s.Step, Rate: s.Rate, PrefillRate: s.PrefillRate, Places: make([]float64, len(s.Places))}
-	placed := math.Min(rate*d.Seconds(), s.placesBy(d)-s.placesBy(0))
+	// Fewer places than now mean that running streams grow, not that placements end.
+	placed := math.Max(0, math.Min(rate*d.Seconds(), s.placesBy(d)-s.placesBy(0)))
 	for i := range s.Places {
 		out.Places[i] = s.placesBy(d+time.Duration(i)*s.Step) - placed
 	}
@@ -162,7 +163,7 @@
 
 // at returns the correction at a time.
 func (k *correction) at(now time.Time) time.Duration {
-	faded := k.seconds * math.Exp2(-now.Sub(k.updatedAt).Seconds()/correctionHalfLife.Seconds())
+	faded := k.seconds * math.Exp2(-max(0, now.Sub(k.updatedAt).Seconds())/correctionHalfLife.Seconds())
 	return time.Duration(faded * float64(time.Second))
 }
 
@@ -170,8 +171,7 @@
 func (k *correction) observe(now time.Time, expected, waited time.Duration) {
 	faded := k.at(now).Seconds()
 	// The expected wait already includes the correction of its time.
-	observed := faded + (waited - expected).Seconds()
-	faded += correctionWeight * (observed - faded)
+	difference := max(-maxCorrection, min(maxCorrection, waited-expected))
 	bound := maxCorrection.Seconds()
-	k.seconds, k.updatedAt = math.Max(-bound, math.Min(bound, faded)), now
+	k.seconds, k.updatedAt = math.Max(-bound, math.Min(bound, faded+correctionWeight*difference.Seconds())), now
 }
--- a/gateway/admission/returns.go
+++ b/gateway/admission/returns.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -97,15 +98,29 @@
 	if longest <= minReturn {
 		return max(longest, 0)
 	}
+	w.s.prunePromises(now)
 	free := c.freeBySlot(now, w, supply)
 	at := c.chooseReturn(free, c.contenders(now, w.s, supply), longest)
-	w.s.prunePromises(now)
+	if told := w.s.promised[w.request.Content].Sub(now); told > minReturn && told < at {
+		// The caller came before its time, and is still counted there.
+		return told
+	}
 	w.s.returns.add(slotOf(now.Add(at)), w.rank|1, 1)
+	if w.request.Content != 0 && len(w.s.promised) < maxPromised {
+		w.s.promised[w.request.Content] = now.Add(at)
+	}
 	return at
 }
 
+// maxPromised bounds the number of contents whose promised time is remembered.
+const maxPromised = 4096
+
 // prunePromises removes the promises whose time has passed.
 func (s *service) prunePromises(now time.Time) {
+	if slot := slotOf(now); slot != s.prunedSlot {
+		s.prunedSlot = slot
+		maps.DeleteFunc(s.promised, func(_ uint64, at time.Time) bool { return at.Before(now) })
+	}
 	if due := s.returns.prune(slotOf(now)); due > 0 {
 		s.kept.expired(now, due)
 	}
@@ -118,11 +133,12 @@
 	d.Returns = [ReturnSlots]float64{}
 	c.addReturns(now, &d, w.s, w.rank|1)
 	backlog := d.Ahead
+	rate, mean := c.arrivalRate(now, w.s)
 	before := 0.0
 	for i := range free {
 		until := supply.placesBy(time.Duration(i+1) * returnSlot)
 		middle := time.Duration(i)*returnSlot + returnSlot/2
-		room := until - before - d.Returns[i] - w.s.arrivals.expected(now, w.rank, middle)*returnSlot.Seconds()
+		room := until - before - d.Returns[i] - w.s.arrivals.expected(rate, mean, w.rank, middle)*returnSlot.Seconds()
 		before = until
 		used := math.Min(backlog, math.Max(0, room))
 		backlog -= used
--- a/gateway/carry/line.go
+++ b/gateway/carry/line.go
@@ -39,7 +39,7 @@
 		return l
 	}
 	l.waiter = s.c.o.Admission.Enter(l.enteredAt, admission.Request{
-		Service: s.j.Service.Name, ID: s.j.Call.ID, Priority: s.j.Priority, MostUrgent: s.mostUrgent(), Arrived: s.j.Arrived, Deadline: s.j.Deadline,
+		Service: s.j.Service.Name, ID: s.j.Call.ID, Content: uint64(s.j.Content), Priority: s.j.Priority, MostUrgent: s.mostUrgent(), Arrived: s.j.Arrived, Deadline: s.j.Deadline,
 		Timeout: s.j.Route.Timeout, Objective: s.j.Route.Objective, Late: s.resumed(),
 	})
 	return l
--- a/gateway/schedule/supply.go
+++ b/gateway/schedule/supply.go
@@ -11,7 +11,9 @@
 )
 
 // DecodeSupply returns how many requests of a size the decode engines of a list are expected to
-// have room for, from the forecasts of the memory that all instances' streams take.
+// have room for: now by the forecasts of the memory that all instances' streams take, and later by the
+// rate at which the running streams end. The forecasts have each stream end at its expected length, so
+// that those of a burst would all end at the same time.
 func (b *Scheduler) DecodeSupply(now time.Time, list []dialect.Upstream, e *routing.Engine, size Size, exclude []ident.UpstreamID) admission.Supply {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -20,6 +22,8 @@
 	run := runningStream{prompt: size.Prompt, estimate: size.Estimate, produced: size.Produced, reserved: size.TokensToReserve()}
 	output := expectedOutput(float64(size.Estimate), float64(size.Produced), r.spread())
 	need := math.Max(1, math.Max(float64(run.reserved), float64(size.Prompt)+output))
+	// free is the number of free places, ending that of places that become free per second.
+	free, ending := 0.0, 0.0
 	for _, u := range list {
 		if u.Stage != dialect.StageDecode || !b.usable(now, u, exclude) {
 			continue
@@ -28,14 +32,16 @@
 		if !b.available(now, rec) {
 			continue
 		}
-		b.addPlaces(now, &supply, rec, e, need)
-		duration := r.firstEvent + (output-float64(size.Produced))*b.tokenTimeOf(now, rec)
-		supply.Rate += math.Min(usableMemoryShare*float64(e.KVTokens)/need, float64(e.Slots)) / math.Max(duration, minStreamSeconds)
+		places, busy := b.places(now, rec, e, need)
+		duration := math.Max(minStreamSeconds, r.firstEvent+(output-float64(size.Produced))*b.tokenTimeOf(now, rec))
+		free += places
+		ending += busy / duration
+		supply.Rate += math.Min(usableMemoryShare*float64(e.KVTokens)/need, float64(e.Slots)) / duration
 	}
 	// PlaceDecode keeps room for placements that peers have not reported yet.
-	reserve := unseenMemoryShare * b.unseenPlacements(now, serviceOf(list))
+	free = math.Max(0, free-unseenMemoryShare*b.unseenPlacements(now, serviceOf(list)))
 	for i := range supply.Places {
-		supply.Places[i] = math.Max(0, supply.Places[i]-reserve)
+		supply.Places[i] = free + ending*float64(i)*forecastStep.Seconds()
 	}
 	return supply
 }
@@ -52,23 +58,15 @@
 // is expected to be empty.
 const minStreamSeconds = 0.05
 
-// addPlaces adds the places of one engine for requests that need the given memory, in tokens. The
-// caller holds mu.
-func (b *Scheduler) addPlaces(now time.Time, supply *admission.Supply, rec *upstreamRecord, e *routing.Engine, need float64) {
+// places returns how many requests that need the given memory, in tokens, an engine has room for, and
+// how many such places its requests take. The caller holds mu.
+func (b *Scheduler) places(now time.Time, rec *upstreamRecord, e *routing.Engine, need float64) (free, busy float64) {
 	f := b.ownForecast(rec)
 	f.add(rec.peerForecast)
 	total := usableMemoryShare*float64(e.KVTokens) - float64(rec.unaccountedMemory(now))
-	requests := float64(rec.requests + rec.peerRequests)
-	// A place is free from a step on only if it stays free in all later steps.
-	peak := 0
-	for i := forecastSteps - 1; i >= 0; i-- {
-		peak = max(peak, f[i])
-		slots := float64(e.Slots) - requests
-		if f[0] > 0 && f[i] < f[0] {
-			slots = float64(e.Slots) - requests*float64(f[i])/float64(f[0])
-		}
-		supply.Places[i] += math.Max(0, math.Min(math.Floor((total-float64(peak))/need), math.Floor(slots)))
-	}
+	slots := float64(e.Slots - rec.requests - rec.peerRequests)
+	free = math.Max(0, math.Min(math.Floor((total-float64(f.peak()))/need), slots))
+	return free, math.Min(float64(f[0])/need, float64(e.Slots))
 }
 
 // prefillRate returns how many prompts of a length the available prefill engines of a list can
