admission: returned callers go first within their priority, and promises count for new ones

They were promised room and most of them return only once, while a new caller that is refused for them still has a return.

--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -108,15 +108,15 @@
 	return r.Timeout > 0 && r.Deadline.Sub(r.Arrived) < time.Duration(returnedShare*float64(r.Timeout))
 }
 
-// Ranks is the number of ranks: two for each priority that is told apart, the second of which is that
+// Ranks is the number of ranks: two for each priority that is told apart, the first of which is that
 // of returned callers. Less urgent priorities count as the last.
 const Ranks = 20
 
-// rankOf returns the rank of requests of a priority. Returned callers are late already, and go
-// behind those of their priority that can still be on time from the first attempt on.
+// rankOf returns the rank of requests of a priority. Returned callers were promised room, and most of
+// them return only once; a new caller that is refused for them still has a return.
 func rankOf(priority int, returned bool) int {
 	rank := 2 * min(max(priority, 0), Ranks/2-1)
-	if returned {
+	if !returned {
 		rank++
 	}
 	return rank
--- a/gateway/admission/peers.go
+++ b/gateway/admission/peers.go
@@ -10,8 +10,8 @@
 
 // Queue is what instances report about their queues of one service, and the sum of such reports.
 type Queue struct {
-	// Waiting is the number of waiting requests by rank: index 2p is for the requests of priority p,
-	// 2p+1 for its returned callers.
+	// Waiting is the number of waiting requests by rank: index 2p is for the returned callers of
+	// priority p, 2p+1 for its other requests.
 	Waiting []int `json:"w,omitempty"`
 	// Returns is the number of refused callers that were told to return, by rank and half second from
 	// the report.
--- a/gateway/admission/returns.go
+++ b/gateway/admission/returns.go
@@ -105,7 +105,7 @@
 		// The caller came before its time, and is still counted there.
 		return told
 	}
-	w.s.returns.add(slotOf(now.Add(at)), w.rank|1, 1)
+	w.s.returns.add(slotOf(now.Add(at)), w.rank&^1, 1)
 	if w.request.Content != 0 && len(w.s.promised) < maxPromised {
 		w.s.promised[w.request.Content] = now.Add(at)
 	}
@@ -131,7 +131,7 @@
 func (c *Controller) freeBySlot(now time.Time, w *Waiter, supply Supply) (free [ReturnSlots]float64) {
 	d := c.demandAhead(now, w)
 	d.Returns = [ReturnSlots]float64{}
-	c.addReturns(now, &d, w.s, w.rank|1)
+	c.addReturns(now, &d, w.s, w.rank&^1)
 	backlog := d.Ahead
 	rate, mean := c.arrivalRate(now, w.s)
 	before := 0.0
