schedule: stage plans compare capacity where engines differ

Cause: a slow decode engine counted as a full one, and any engine could be the one that changes.

Change: PlanStages adds up relative capacities: prefill relative to the mean of the prefill engines, so that PrefillRate keeps its meaning, and decode relative to the service's mean time per token.

TestManyEnginesChangeTogether passes the list to bestDivision instead of its length, with the same expected values.

--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -105,7 +105,9 @@
 func (g *Service) orderService(ctx context.Context, state *orderState, s *fleet.Snapshot, service routing.Service, need schedule.Need) {
 	now := clock.Now()
 	list := g.scheduler.WithPendingStages(now, s.Eligible(service.Name, nil, g.settings.regionOf))
+	// The capacities are relative to the mean of the prefill engines.
 	need.PrefillRate *= g.scheduler.MeanRelativeThroughput(now, list)
+	need.Capacities = g.scheduler.EngineCapacities(now, list)
 	o := state.service(service.Name)
 	if o.since.IsZero() {
 		o.since = now
--- a/gateway/schedule/stages_test.go
+++ b/gateway/schedule/stages_test.go
@@ -50,7 +50,7 @@
 	need := Need{Work: Work{Prefill: 430000, Memory: 1800000, Streams: 260}, PrefillRate: 55000}
 	small := &routing.Engine{Slots: 8, KVTokens: 64000}
 	s := PlanStages(list, small, need, idle)
-	best, _ := need.bestDivision(44, small)
+	best, _ := need.bestDivision(list, small)
 	assert.Equal(t, len(s), 15-best)
 	assert.Equal(t, len(s), 5)
 	zones := map[ident.Zone]int{}
