carry: pass the time to the deadline and the output bound to placement

Cause: placement did not know when a stream has to end.

Change: stream.size sets TimeLeft, from the first event to the deadline, and MaxOutput.

Result: go test ./gateway/carry passes.

--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -155,9 +155,21 @@
 	return estimate
 }
 
-// size returns the memory that the request is expected to take.
+// size returns the memory and the time that the request is expected to take.
 func (s *stream) size() schedule.Size {
-	return schedule.Size{Prompt: s.j.Call.PromptTokens, Estimate: s.output(), Produced: s.produced()}
+	return schedule.Size{
+		Prompt: s.j.Call.PromptTokens, Estimate: s.output(), Produced: s.produced(),
+		TimeLeft: s.timeLeft(), MaxOutput: s.j.Call.MaxOutputTokens,
+	}
+}
+
+// timeLeft returns the time from the first event of a stream that is placed now to the caller's
+// deadline, at least 1 ns. It is 0 if there is no deadline.
+func (s *stream) timeLeft() time.Duration {
+	if s.j.Deadline.IsZero() {
+		return 0
+	}
+	return max(1, clock.Until(s.j.Deadline)-s.c.o.Scheduler.FirstEvent(s.j.Service.Name))
 }
 
 // produced returns the length of the output so far, in tokens, including that of the caller's
