--- a/gateway/fleet/hub.go
+++ b/gateway/fleet/hub.go
@@ -51,6 +51,8 @@
 	Leaving map[ident.UpstreamID]ident.Incarnation `json:"g,omitempty"`
 	// Queues is the sum of the other instances' queues, by service.
 	Queues map[string]admission.Queue `json:"y,omitempty"`
+	// Paces holds what the other instances have measured, as in Load.
+	Paces map[ident.UpstreamID]Pace `json:"t,omitempty"`
 	// ZoneLoad is set in the answer to the hub of another zone. It holds the load of the answering
 	// hub's zone.
 	ZoneLoad *LoadReport `json:"whole,omitempty"`
@@ -102,6 +104,7 @@
 		}
 		received.load.Unavailable, received.load.Switching = r.Load.Unavailable, r.Load.Switching
 		received.load.Limits, received.load.Leaving, received.load.Queues = r.Load.Limits, r.Load.Leaving, r.Load.Queues
+		received.load.Paces = r.Load.Paces
 	}
 	invalid := received.load.dropInvalidQueues()
 	if r.WholeZone {
@@ -154,7 +157,7 @@
 	}
 	return LoadAnswer{
 		Sum: h.sum, Included: h.included[to],
-		Unavailable: others.Unavailable, Switching: others.Switching, Limits: others.Limits, Leaving: others.Leaving, Queues: others.Queues,
+		Unavailable: others.Unavailable, Switching: others.Switching, Limits: others.Limits, Leaving: others.Leaving, Queues: others.Queues, Paces: others.Paces,
 	}
 }
 
@@ -206,7 +209,7 @@
 	}
 	sum.subtract(r.loads[a.Included])
 	sum.Unavailable, sum.Switching = a.Unavailable, a.Switching
-	sum.Limits, sum.Leaving, sum.Queues = a.Limits, a.Leaving, a.Queues
+	sum.Limits, sum.Leaving, sum.Queues, sum.Paces = a.Limits, a.Leaving, a.Queues, a.Paces
 	_ = sum.dropInvalidQueues()
 	return sum, nil
 }
@@ -217,7 +220,7 @@
 		InFlight: map[ident.UpstreamID]InFlight{}, Unavailable: map[ident.UpstreamID]int64{},
 		Switching: map[ident.UpstreamID]dialect.Stage{}, Demand: map[string]Demand{}, Retries: map[string]int{},
 		Limits: map[ident.UpstreamID]RateLimit{}, Leaving: map[ident.UpstreamID]ident.Incarnation{},
-		Queues: map[string]admission.Queue{},
+		Queues: map[string]admission.Queue{}, Paces: map[ident.UpstreamID]Pace{},
 	}
 }
 
@@ -243,7 +246,8 @@
 }
 
 // addStated adds what upstreams stated according to another load, which was received the given time
-// ago, and the load's queues. Of two statements of an upstream, the later one is kept.
+// ago, and the load's queues and paces. Of two statements of an upstream, the later one is kept; of two
+// measurements of one incarnation, the slower one.
 func (l *Load) addStated(o *Load, ago time.Duration) {
 	for id, r := range o.Limits {
 		r.AgeMS += ago.Milliseconds()
@@ -257,6 +261,12 @@
 	for service, q := range o.Queues {
 		l.Queues[service] = l.Queues[service].Plus(q.After(ago))
 	}
+	for id, p := range o.Paces {
+		known, ok := l.Paces[id]
+		if !ok || p.Incarnation > known.Incarnation || p.Incarnation == known.Incarnation && p.Bucket > known.Bucket {
+			l.Paces[id] = p
+		}
+	}
 }
 
 // QueueError reports a peer's queue of a service whose numbers are not possible.
--- a/gateway/fleet/loads.go
+++ b/gateway/fleet/loads.go
@@ -145,7 +145,7 @@
 	load := n.hub.ZoneLoad(now)
 	return LoadReport{
 		From: n.opts.Self.ID, Zone: n.opts.Self.Zone, WholeZone: true,
-		Packed: load.pack(), Load: Load{Unavailable: load.Unavailable, Switching: load.Switching, Limits: load.Limits, Leaving: load.Leaving, Queues: load.Queues},
+		Packed: load.pack(), Load: Load{Unavailable: load.Unavailable, Switching: load.Switching, Limits: load.Limits, Leaving: load.Leaving, Queues: load.Queues, Paces: load.Paces},
 	}
 }
 
--- a/gateway/fleet/messages.go
+++ b/gateway/fleet/messages.go
@@ -35,6 +35,16 @@
 	// Queues holds the instance's waiting requests and promised returns, by service. Instances of
 	// older releases do not know it.
 	Queues map[string]admission.Queue `json:"y,omitempty"`
+	// Paces holds the times per token of engines that the instance has measured and that are news to
+	// its peers. Instances of older releases do not know it.
+	Paces map[ident.UpstreamID]Pace `json:"t,omitempty"`
+}
+
+// Pace is an engine's time per output token.
+type Pace struct {
+	// Bucket is the bucket of schedule.TokenTime.
+	Bucket      int               `json:"b"`
+	Incarnation ident.Incarnation `json:"i,omitempty"`
 }
 
 // RateLimit is a rate limit that an upstream stated, or the end of one.
@@ -58,7 +68,7 @@
 
 // empty reports whether the load holds no information, as in a relayed heartbeat.
 func (l *Load) empty() bool {
-	return !l.Complete && l.InFlight == nil && l.Demand == nil && l.Unavailable == nil && l.Switching == nil && l.Limits == nil && l.Leaving == nil && l.Queues == nil
+	return !l.Complete && l.InFlight == nil && l.Demand == nil && l.Unavailable == nil && l.Switching == nil && l.Limits == nil && l.Leaving == nil && l.Queues == nil && l.Paces == nil
 }
 
 // idle reports whether the load has no requests in flight or waiting, no retries and no unavailable
--- a/gateway/schedule/supply.go
+++ b/gateway/schedule/supply.go
@@ -61,7 +61,7 @@
 // places returns how many requests that need the given memory, in tokens, an engine has room for, and
 // how many such places its requests take. The caller holds mu.
 func (b *Scheduler) places(now time.Time, rec *upstreamRecord, e *routing.Engine, need float64) (free, busy float64) {
-	f := b.ownForecast(rec)
+	f := b.ownForecast(now, rec)
 	f.add(rec.peerForecast)
 	total := usableMemoryShare*float64(e.KVTokens) - float64(rec.unaccountedMemory(now))
 	slots := float64(e.Slots - rec.requests - rec.peerRequests)
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -172,6 +172,10 @@
 	}
 	l.Leaving = g.node.OwnAnnouncements(now)
 	l.Queues = g.admission.Report(now)
+	l.Paces = map[ident.UpstreamID]fleet.Pace{}
+	for id, t := range g.scheduler.OwnTokenTimes(now) {
+		l.Paces[id] = fleet.Pace{Bucket: t.Bucket, Incarnation: t.Incarnation}
+	}
 	for _, name := range g.scheduler.DemandServices() {
 		n := g.scheduler.Demand(now, name)
 		l.Demand[name] = fleet.Demand{PrefillRate: n.Prefill, MemoryRate: n.Memory, StreamRate: n.Streams, RequestRate: n.Requests, Throughputs: n.Throughputs}
@@ -227,6 +231,11 @@
 		rates[service] = d.RequestRate
 	}
 	g.admission.SetPeers(now, admission.Peers{Instances: g.node.Alive(), Age: age, Queues: l.Queues, Rates: rates})
+	paces := map[ident.UpstreamID]schedule.TokenTime{}
+	for id, p := range l.Paces {
+		paces[id] = schedule.TokenTime{Bucket: p.Bucket, Incarnation: p.Incarnation}
+	}
+	g.scheduler.SetPeerTokenTimes(now, paces)
 	g.scheduler.SetThroughputHistograms(throughputs)
 	g.scheduler.SetFleetSize(g.node.Alive(), age)
 	g.scheduler.SetPeers(now, peers)
