--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -25,7 +25,7 @@
 	returnedPatience = 0.5
 	// returnedPatienceTime is the share of the objective for which this applies. A refusal that comes
 	// later is of little use to its caller.
-	returnedPatienceTime = 0.2
+	returnedPatienceTime = 0.1
 	// floorShare is one in how many less urgent requests ranks with the most urgent ones of its
 	// service, so that a lasting overload by urgent requests does not starve the others.
 	floorShare = 10
@@ -110,12 +110,15 @@
 
 // Ranks is the number of ranks: two for each priority that is told apart, the first of which is that
 // of returned callers. Less urgent priorities count as the last.
-const Ranks = 20
+const Ranks = 2 * Priorities
+
+// Priorities is the number of priorities that are told apart.
+const Priorities = 10
 
 // rankOf returns the rank of requests of a priority. Returned callers were promised room, and most of
 // them return only once; a new caller that is refused for them still has a return.
 func rankOf(priority int, returned bool) int {
-	rank := 2 * min(max(priority, 0), Ranks/2-1)
+	rank := 2 * min(max(priority, 0), Priorities-1)
 	if !returned {
 		rank++
 	}
@@ -221,26 +224,25 @@
 }
 
 // Held reports whether the request is held back for requests that wait at other instances and go
-// first. hasRoom reports whether an engine has room for the request; it is
-// called only if there are any. Those others see the same room, so they have taken it within
-// headStart if they can use it, and no room is left unused for longer.
+// first. hasRoom reports whether an engine has room for the request; it is called only if there are
+// any. Those others see the same room, so they have taken it within headStart if they can use it, and
+// no room is left unused for longer.
 func (w *Waiter) Held(now time.Time, hasRoom func() bool) (Hold, bool) {
 	hold := w.hold(now)
-	if hold.Waiting == 0 {
-		w.roomSince = time.Time{}
-		return Hold{}, false
-	}
-	if !hasRoom() {
+	room := hold.Waiting > 0 && hasRoom()
+	w.c.mu.Lock()
+	defer w.c.mu.Unlock()
+	switch {
+	case !room:
 		w.roomSince = time.Time{}
-		return hold, true
-	}
-	if w.roomSince.IsZero() {
+	case w.roomSince.IsZero():
 		w.roomSince = now
 	}
-	return hold, w.heldWithRoom(now)
+	return hold, hold.Waiting > 0 && (!room || w.heldWithRoom(now))
 }
 
-// heldWithRoom reports whether the request is held back although an engine has room for it.
+// heldWithRoom reports whether the request is held back although an engine has room for it. The caller
+// holds mu.
 func (w *Waiter) heldWithRoom(now time.Time) bool {
 	return !w.roomSince.IsZero() && now.Sub(w.roomSince) < headStart
 }
@@ -253,6 +255,9 @@
 		return Hold{}
 	}
 	urgent, first := w.s.urgentElsewhere(w.rank)
+	if urgent == 0 {
+		return Hold{}
+	}
 	return Hold{For: first / 2, Waiting: urgent, Age: w.c.age(now)}
 }
 
@@ -321,12 +326,14 @@
 		// Most callers return only once, so another refusal ends the request for good.
 		wait = time.Duration(returnedPatience * float64(wait))
 	}
-	if w.heldWithRoom(now) {
-		// The supply may be older than the room. Without the hold the request would have been placed.
-		wait = 0
+	margin := w.s.margin.value()
+	if w.s.queue.heldWithRoom(now) {
+		// The supply may be older than the room. Without the hold the queue would have moved.
+		wait, margin = 0, 0
 	}
 	due := w.request.Arrived.Add(w.request.Objective)
-	v.Refuse = !w.request.Late && now.Add(wait+lead+w.s.margin.value()).After(due)
+	lead += margin
+	v.Refuse = !w.request.Late && now.Add(wait+lead).After(due)
 	v.Late = v.Refuse && !first && now.Add(lead).After(due)
 	return v
 }
--- a/gateway/admission/failure_test.go
+++ b/gateway/admission/failure_test.go
@@ -137,9 +137,17 @@
 	w := c.Enter(start, request(start, 0))
 	at := w.PromiseReturn(start, steady(0, 1))
 	w.Leave(start, false)
-	assert.Equal(t, len(c.Report(start)["s"].Returns), 1)
+	promised := func(at time.Time) (n int) {
+		for _, slots := range c.Report(at)["s"].Returns {
+			for _, count := range slots {
+				n += count
+			}
+		}
+		return n
+	}
+	assert.Equal(t, promised(start), 1)
 	due := start.Add(at)
-	assert.Equal(t, len(c.Report(due)["s"].Returns), 1)
+	assert.Equal(t, promised(due), 1)
 	ended := due.Add(returnSlot)
 	assert.Equal(t, len(c.Report(ended)), 0)
 	before := c.services["s"].kept.at(start)
--- a/gateway/admission/parts_test.go
+++ b/gateway/admission/parts_test.go
@@ -131,7 +131,7 @@
 	refused.Leave(start, false)
 	q := a.Report(start)["s"]
 	assert.Assert(t, q.Valid())
-	assert.DeepEqual(t, q.Waiting, []int{1, 0, 2})
+	assert.DeepEqual(t, q.Waiting, []int{0, 1, 0, 0, 0, 2})
 	now := start.Add(600 * time.Millisecond)
 	b.SetPeers(now, Peers{Instances: 2, Age: 600 * time.Millisecond, Queues: a.Report(start), Rates: map[string]float64{"s": 3}})
 	w := b.Enter(now, request(now, 2))
@@ -141,7 +141,7 @@
 	assert.Equal(t, w.Decide(now, steady(0, 1), playLead).Ahead, 3.0)
 	promised := b.services["s"].peerReturns[slotOf(start.Add(at))]
 	assert.Assert(t, promised != nil)
-	assert.Equal(t, promised[1], 1.0)
+	assert.Equal(t, promised[rankOf(1, true)], 1.0)
 	st := b.Status(now)
 	assert.Equal(t, len(st), 1)
 	assert.DeepEqual(t, st[0].Peers.Waiting, []int{1, 0, 2})
--- a/gateway/admission/peers.go
+++ b/gateway/admission/peers.go
@@ -102,6 +102,28 @@
 	return out
 }
 
+// byPriority returns the queue with the numbers of both ranks of each priority added.
+func (q Queue) byPriority() (out Queue) {
+	for rank, n := range q.Waiting {
+		out.Waiting = set(out.Waiting, rank/2, n+elementAt(out.Waiting, rank/2))
+	}
+	for rank, slots := range q.Returns {
+		for len(out.Returns) <= rank/2 {
+			out.Returns = append(out.Returns, nil)
+		}
+		out.Returns[rank/2] = combine(out.Returns[rank/2], slots, 1)
+	}
+	return out
+}
+
+// elementAt returns an element of a list, 0 beyond its end.
+func elementAt(list []int, i int) int {
+	if i >= len(list) {
+		return 0
+	}
+	return list[i]
+}
+
 // Peers is the state of the other instances.
 type Peers struct {
 	// Instances is the number of live instances, including this one.
@@ -114,6 +136,14 @@
 	Rates map[string]float64
 }
 
+// SetInstances sets the number of live instances, including this one, for the share of the room that
+// an instance without sums uses.
+func (c *Controller) SetInstances(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.instances = max(1, n)
+}
+
 // SetPeers records the state of the other instances. It replaces the former one.
 func (c *Controller) SetPeers(now time.Time, p Peers) {
 	c.mu.Lock()
@@ -209,7 +239,8 @@
 	return list
 }
 
-// Status is the state of a service's queues, for operators.
+// Status is the state of a service's queues, for operators. Unlike in reports, the queues are by
+// priority.
 type Status struct {
 	Service string `json:"service"`
 	// Own is the queue of this instance, Peers the sum of the others' as of AgeMS milliseconds ago.
@@ -231,12 +262,13 @@
 	out := []Status{}
 	for name, s := range c.services {
 		st := Status{
-			Service: name, Own: s.report(now), AgeMS: c.age(now).Milliseconds(), Alone: !c.informed(now),
+			Service: name, Own: s.report(now).byPriority(), AgeMS: c.age(now).Milliseconds(), Alone: !c.informed(now),
 			RequestRate: s.arrivals.rate(now), CorrectionMS: s.correction.at(now).Milliseconds(),
 		}
 		for p, n := range s.peers {
 			st.Peers.Waiting = set(st.Peers.Waiting, p, int(n))
 		}
+		st.Peers = st.Peers.byPriority()
 		out = append(out, st)
 	}
 	return out
--- a/gateway/admission/queue.go
+++ b/gateway/admission/queue.go
@@ -1,5 +1,7 @@
 package admission
 
+import "time"
+
 // queue holds the waiting requests of a service at one instance, the first one first: by rank, then
 // requests that can be on time, then by arrival.
 type queue []*Waiter
@@ -71,3 +73,6 @@
 	}
 	return n
 }
+
+// heldWithRoom reports whether the head is held back although an engine has room for it.
+func (q queue) heldWithRoom(now time.Time) bool { return len(q) > 0 && q[0].heldWithRoom(now) }
--- a/gateway/fleet/queues_test.go
+++ b/gateway/fleet/queues_test.go
@@ -63,14 +63,14 @@
 // TestImpossibleQueuesAreDropped guards against a faulty peer whose numbers make all instances refuse
 // their requests, and against the loss of the rest of its load.
 func TestImpossibleQueuesAreDropped(t *testing.T) {
-	eleven := make([]int, 11)
+	eleven, tooMany := make([]int, 11), make([]int, admission.Ranks+1)
 	for what, q := range map[string]admission.Queue{
 		"negative number waiting":    {Waiting: []int{1, -1}},
-		"too many priorities":        {Waiting: eleven},
+		"too many ranks":             {Waiting: tooMany},
 		"huge number waiting":        {Waiting: []int{100_001}},
 		"negative number of returns": {Returns: [][]int{{0, -1}}},
 		"returns too far ahead":      {Returns: [][]int{nil, eleven}},
-		"returns of too many ranks":  {Returns: make([][]int, 11)},
+		"returns of too many ranks":  {Returns: make([][]int, admission.Ranks+1)},
 		"huge number of returns":     {Returns: [][]int{{100_001}}},
 	} {
 		for _, wholeZone := range []bool{false, true} {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -187,6 +187,7 @@
 // upstreams and ends attempts at upstreams that have restarted.
 func (g *Service) viewChanged(s *fleet.Snapshot) {
 	g.updateColdQuotas()
+	g.admission.SetInstances(g.node.Alive())
 	if g.forwarder.HasPendingAttempts() {
 		g.forwarder.ObserveUpstreams(s.All())
 	}
