--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -20,12 +20,6 @@
 	// peersTTL is how long the sums of the other instances remain valid. They arrive every 300 to
 	// 600 ms; after three missing ones this instance is cut off or the hub is gone.
 	peersTTL = 2 * time.Second
-	// returnedPatience is the share of the expected wait that counts for returned callers. They go
-	// behind all others, so that their forecast is the least certain.
-	returnedPatience = 0.5
-	// returnedPatienceTime is the share of the objective for which this applies. A refusal that comes
-	// later is of little use to its caller.
-	returnedPatienceTime = 0.1
 	// floorShare is one in how many less urgent requests ranks with the most urgent ones of its
 	// service, so that a lasting overload by urgent requests does not starve the others.
 	floorShare = 10
@@ -322,10 +316,6 @@
 		w.expected, w.asked = v.Expected, true
 	}
 	wait := v.Expected
-	if w.returned && now.Sub(w.request.Arrived) < time.Duration(returnedPatienceTime*float64(w.request.Objective)) {
-		// Most callers return only once, so another refusal ends the request for good.
-		wait = time.Duration(returnedPatience * float64(wait))
-	}
 	margin := w.s.margin.value()
 	if w.s.queue.heldWithRoom(now) {
 		// The supply may be older than the room. Without the hold the queue would have moved.
--- a/gateway/admission/forecast.go
+++ b/gateway/admission/forecast.go
@@ -13,7 +13,7 @@
 	waitStep = 25 * time.Millisecond
 	// maxCorrection bounds the correction of expected waits in either direction, so that errors in
 	// one overload neither refuse nor admit all requests of the next.
-	maxCorrection = 500 * time.Millisecond
+	maxCorrection = 250 * time.Millisecond
 	// correctionHalfLife is the half-life of the correction without new observations. Refused
 	// requests show nothing about the wait, so a correction that causes refusals has to fade.
 	correctionHalfLife = 3 * time.Second
