--- a/gateway/admission/forecast.go
+++ b/gateway/admission/forecast.go
@@ -21,10 +21,8 @@
 	correctionWeight = 0.2
 )
 
-// Supply is the room for requests of mean size that the engines of a service are expected to have.
+// Supply is the room for requests of one size that the engines of a service are expected to have.
 type Supply struct {
-	// Size is the size of the asking request as a multiple of the mean; 0 means 1.
-	Size float64
 	// Places is how many requests the engines could take now and after each Step, if none were placed
 	// meanwhile.
 	Places []float64
@@ -37,7 +35,7 @@
 
 // times returns a share of the supply.
 func (s Supply) times(f float64) Supply {
-	out := Supply{Size: s.Size, Step: s.Step, Rate: f * s.Rate, PrefillRate: f * s.PrefillRate, Places: make([]float64, len(s.Places))}
+	out := Supply{Step: s.Step, Rate: f * s.Rate, PrefillRate: f * s.PrefillRate, Places: make([]float64, len(s.Places))}
 	for i, n := range s.Places {
 		out.Places[i] = f * n
 	}
@@ -47,7 +45,7 @@
 // after returns the supply as of a later time, if requests are placed meanwhile at the given rate per
 // second as far as places become free.
 func (s Supply) after(d time.Duration, rate float64) Supply {
-	out := Supply{Size: s.Size, Step: s.Step, Rate: s.Rate, PrefillRate: s.PrefillRate, Places: make([]float64, len(s.Places))}
+	out := Supply{Step: s.Step, Rate: s.Rate, PrefillRate: s.PrefillRate, Places: make([]float64, len(s.Places))}
 	// Fewer places than now mean that running streams grow, not that placements end.
 	placed := math.Max(0, math.Min(rate*d.Seconds(), s.placesBy(d)-s.placesBy(0)))
 	for i := range s.Places {
@@ -118,12 +116,8 @@
 	if s.PrefillRate > 0 {
 		prefill = time.Duration(math.Min(d.Ahead/s.PrefillRate, maxWait.Seconds()) * float64(time.Second))
 	}
-	size := s.Size
-	if size <= 0 {
-		size = 1
-	}
 	for t := time.Duration(0); t < maxWait; t += waitStep {
-		if s.placesBy(t)-d.by(t) >= size {
+		if s.placesBy(t)-d.by(t) >= 1 {
 			return max(t, prefill)
 		}
 	}
--- a/gateway/admission/returns.go
+++ b/gateway/admission/returns.go
@@ -105,10 +105,7 @@
 		// The caller came before its time, and is still counted there.
 		return told
 	}
-	if !w.returned {
-		// A caller that is refused again rarely returns once more.
-		w.s.returns.add(slotOf(now.Add(at)), w.rank&^1, 1)
-	}
+	w.s.returns.add(slotOf(now.Add(at)), w.rank&^1, 1)
 	if w.request.Content != 0 && len(w.s.promised) < maxPromised {
 		w.s.promised[w.request.Content] = now.Add(at)
 	}
--- a/gateway/schedule/demand.go
+++ b/gateway/schedule/demand.go
@@ -32,9 +32,6 @@
 	tokenMeasured bool
 	// firstEvent is the mean time until a stream's first event, in seconds.
 	firstEvent float64
-	// meanPrompt and meanOutput are the mean lengths of prompts and of estimated outputs, in tokens; 0
-	// before the first request.
-	meanPrompt, meanOutput float64
 	// lengthVariance is that of the logarithm of the ratio of output length to its estimate.
 	lengthVariance float64
 }
@@ -116,7 +113,6 @@
 		d = &demand{firstRequest: now, updatedAt: now}
 		b.demands[service] = d
 	}
-	b.performanceOf(service).observeSize(float64(prompt), float64(output))
 	d.decay(now)
 	d.work.Requests++
 	d.work.Prefill += float64(prompt)
@@ -124,19 +120,6 @@
 	d.work.Memory += (float64(prompt) + float64(output)/2) * float64(output)
 }
 
-// sizeWeight is the weight of one request in the mean size of requests.
-const sizeWeight = 0.05
-
-// observeSize records the lengths of a request, in tokens.
-func (r *enginePerformance) observeSize(prompt, output float64) {
-	if r.meanPrompt == 0 {
-		r.meanPrompt, r.meanOutput = prompt, output
-		return
-	}
-	r.meanPrompt += sizeWeight * (prompt - r.meanPrompt)
-	r.meanOutput += sizeWeight * (output - r.meanOutput)
-}
-
 // decay reduces the sums according to the time that has passed.
 func (d *demand) decay(now time.Time) {
 	elapsed := now.Sub(d.updatedAt)
--- a/gateway/schedule/supply.go
+++ b/gateway/schedule/supply.go
@@ -10,21 +10,18 @@
 	"github.com/wardspool/wardspool/ident"
 )
 
-// DecodeSupply returns how many requests of mean size the decode engines of a list are expected to
-// have room for, and the relative size of the given one: now by the forecasts of the memory that all instances' streams take, and later by the
+// DecodeSupply returns how many requests of a size the decode engines of a list are expected to
+// have room for: now by the forecasts of the memory that all instances' streams take, and later by the
 // rate at which the running streams end. The forecasts have each stream end at its expected length, so
 // that those of a burst would all end at the same time.
 func (b *Scheduler) DecodeSupply(now time.Time, list []dialect.Upstream, e *routing.Engine, size Size, exclude []ident.UpstreamID) admission.Supply {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	supply := admission.Supply{Step: forecastStep, Places: make([]float64, forecastSteps), PrefillRate: b.prefillRate(now, list, size.Prompt)}
 	r := b.performanceOf(serviceOf(list))
-	prompt, output := r.meanSize(size)
-	need := math.Max(1, prompt+output)
-	own := float64(size.Prompt) + expectedOutput(float64(size.Estimate), float64(size.Produced), r.spread())
-	supply := admission.Supply{
-		Size: math.Max(own, float64(size.TokensToReserve())) / need, Step: forecastStep, Places: make([]float64, forecastSteps),
-		PrefillRate: b.prefillRate(now, list, int(prompt)),
-	}
+	run := runningStream{prompt: size.Prompt, estimate: size.Estimate, produced: size.Produced, reserved: size.TokensToReserve()}
+	output := expectedOutput(float64(size.Estimate), float64(size.Produced), r.spread())
+	need := math.Max(1, math.Max(float64(run.reserved), float64(size.Prompt)+output))
 	// free is the number of free places, ending that of places that become free per second.
 	free, ending := 0.0, 0.0
 	for _, u := range list {
@@ -36,7 +33,7 @@
 			continue
 		}
 		places, busy := b.places(now, rec, e, need)
-		duration := math.Max(minStreamSeconds, r.firstEvent+output*b.tokenTimeOf(now, rec))
+		duration := math.Max(minStreamSeconds, r.firstEvent+(output-float64(size.Produced))*b.tokenTimeOf(now, rec))
 		free += places
 		ending += busy / duration
 		supply.Rate += math.Min(usableMemoryShare*float64(e.KVTokens)/need, float64(e.Slots)) / duration
@@ -57,15 +54,6 @@
 	return len(b.availableDecode(now, list, e, size, run, exclude, b.unseenPlacements(now, serviceOf(list)))) > 0
 }
 
-// meanSize returns the mean prompt and the mean expected output of the service's requests, in tokens:
-// those of the given request if there were none.
-func (r *enginePerformance) meanSize(size Size) (prompt, output float64) {
-	if r.meanPrompt == 0 {
-		return float64(size.Prompt), expectedOutput(float64(size.Estimate), 0, r.spread())
-	}
-	return r.meanPrompt, expectedOutput(r.meanOutput, 0, r.spread())
-}
-
 // minStreamSeconds is the lower bound of a stream's duration in a supply, for requests whose output
 // is expected to be empty.
 const minStreamSeconds = 0.05
