--- a/gateway/carry/line.go
+++ b/gateway/carry/queuewait.go
@@ -17,8 +17,8 @@
 	decisionInterval = 50 * time.Millisecond
 )
 
-// line is the wait of a stream for a decode engine.
-type line struct {
+// queueWait is the wait of a stream for a decode engine.
+type queueWait struct {
 	s *stream
 	// waiter is the place in the service's queue, nil for a stream that is under way.
 	waiter    *admission.Waiter
@@ -31,10 +31,10 @@
 	isHeld bool
 }
 
-// enterLine adds the stream to its service's queue. A stream that is under way searches for capacity
+// enterQueue adds the stream to its service's queue. A stream that is under way searches for capacity
 // outside the queue: it cannot wait for its turn, and a large one must not block those behind it.
-func (s *stream) enterLine() *line {
-	l := &line{s: s, enteredAt: clock.Now()}
+func (s *stream) enterQueue() *queueWait {
+	l := &queueWait{s: s, enteredAt: clock.Now()}
 	if s.headSent {
 		return l
 	}
@@ -56,7 +56,7 @@
 }
 
 // leave ends the wait. placed means that an engine was reserved.
-func (l *line) leave(placed bool) {
+func (l *queueWait) leave(placed bool) {
 	if l.waiter == nil {
 		return
 	}
@@ -75,7 +75,7 @@
 }
 
 // mayPlace reports whether it is the stream's turn to be placed.
-func (l *line) mayPlace(now time.Time) bool {
+func (l *queueWait) mayPlace(now time.Time) bool {
 	if l.waiter == nil {
 		return true
 	}
@@ -91,10 +91,10 @@
 	return !isHeld
 }
 
-// hopeless reports whether the request is to be refused: its first event could not be on time, or a
+// mustRefuse reports whether the request is to be refused: its first event could not be on time, or a
 // resumed stream has waited too long. A stream that is under way is never refused: its caller is
 // still reading, and the only way to report a refusal would be to close the connection.
-func (l *line) hopeless(now time.Time) bool {
+func (l *queueWait) mustRefuse(now time.Time) bool {
 	if l.s.headSent {
 		return false
 	}
@@ -112,7 +112,7 @@
 
 // refusalCause names why the request is refused, for counters and logs: its expected wait was too
 // long, it waited until it could not be on time any more, or it is resumed and waited its share.
-func (l *line) refusalCause() string {
+func (l *queueWait) refusalCause() string {
 	switch {
 	case l.s.resumed():
 		return "resumed"
@@ -124,7 +124,7 @@
 }
 
 // wait blocks until the stream is woken, pollInterval has passed, or ctx ends.
-func (l *line) wait(ctx context.Context) {
+func (l *queueWait) wait(ctx context.Context) {
 	timer := time.NewTimer(pollInterval)
 	defer timer.Stop()
 	var woken <-chan struct{}
@@ -139,7 +139,7 @@
 }
 
 // explain returns the log attributes of the last decision.
-func (l *line) explain() []any {
+func (l *queueWait) explain() []any {
 	v := l.verdict
 	out := []any{
 		"expected_ms", v.Expected.Milliseconds(), "lead_ms", l.lead.Milliseconds(), "ahead", v.Ahead, "places", v.Places,
--- a/gateway/carry/reserve.go
+++ b/gateway/carry/reserve.go
@@ -68,14 +68,14 @@
 // reserve finds a decode engine with capacity and reserves it. It waits as long as the request can
 // still be served in time.
 func (s *stream) reserve(ctx context.Context) (*placement, error) {
-	w := s.enterLine()
+	w := s.enterQueue()
 	p, err := s.awaitPlacement(ctx, w)
 	w.leave(p != nil)
 	return p, err
 }
 
 // awaitPlacement is reserve for a request that waits in w.
-func (s *stream) awaitPlacement(ctx context.Context, w *line) (*placement, error) {
+func (s *stream) awaitPlacement(ctx context.Context, w *queueWait) (*placement, error) {
 	var holder *cacheHolder
 	if s.lastEvent != "" && !s.headSent {
 		holder = s.findCacheHolder(ctx)
@@ -103,15 +103,15 @@
 		if s.versionGone() {
 			return nil, s.refuseVersion(reasonVersionGone)
 		}
-		if w.hopeless(clock.Now()) {
-			return nil, s.refuseHopeless(w)
+		if w.mustRefuse(clock.Now()) {
+			return nil, s.refuseWaiting(w)
 		}
 		w.wait(ctx)
 	}
 }
 
-// refuseHopeless returns the error of a request that cannot be served in time.
-func (s *stream) refuseHopeless(w *line) error {
+// refuseWaiting returns the error of a request that cannot be served in time.
+func (s *stream) refuseWaiting(w *queueWait) error {
 	if wait, reason := s.heldOff(clock.Now()); reason != "" {
 		return s.c.refuseHeldOff(s.j, dialect.StageDecode, wait, reason, s.outcomeUnserved(), s.log)
 	}
@@ -124,7 +124,7 @@
 // tryReserve attempts a reservation: at the engine that holds the stream's KV cache if there is
 // one, otherwise at any engine, if it is the request's turn. It returns nil and no error if there is
 // no capacity now.
-func (s *stream) tryReserve(ctx context.Context, holder *cacheHolder, w *line) (*placement, error) {
+func (s *stream) tryReserve(ctx context.Context, holder *cacheHolder, w *queueWait) (*placement, error) {
 	if holder != nil {
 		return s.reserveCacheHolder(ctx, holder)
 	}
@@ -146,7 +146,7 @@
 
 // refuseNoRoom logs and counts the refusal of a request for which no engine has capacity in time, and
 // returns its *Error.
-func (s *stream) refuseNoRoom(w *line) error {
+func (s *stream) refuseNoRoom(w *queueWait) error {
 	now := clock.Now()
 	retry := w.waiter.PromiseReturn(now, s.supply(now))
 	cause := w.refusalCause()
