admission: a stream that its caller resumes does not count as refused before

Its caller has less time left, so that it went before new requests of its priority that could be on time, and its return was taken for a kept promise. The order test has it with less time now.

--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -97,9 +97,10 @@
 }
 
 // returned reports whether the caller has been refused before. A new attempt has a new ID, so this
-// is known only from the time that the caller has left.
+// is known only from the time that the caller has left. A stream that its caller resumes was not
+// refused.
 func (r *Request) returned() bool {
-	return r.Timeout > 0 && r.Deadline.Sub(r.Arrived) < time.Duration(returnedShare*float64(r.Timeout))
+	return !r.Late && r.Timeout > 0 && r.Deadline.Sub(r.Arrived) < time.Duration(returnedShare*float64(r.Timeout))
 }
 
 // Ranks is the number of ranks: two for each priority that is told apart, the first of which is that
--- a/gateway/admission/forecast.go
+++ b/gateway/admission/forecast.go
@@ -21,7 +21,7 @@
 	correctionWeight = 0.2
 )
 
-// Supply is the room for requests of one size that the engines of a service are expected to have.
+// Supply is the room for requests like the asking one that the engines of a service are expected to have.
 type Supply struct {
 	// Places is how many requests the engines could take now and after each Step, if none were placed
 	// meanwhile.
