--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -318,9 +318,13 @@
 	}
 	wait := v.Expected
 	margin := w.s.margin.value()
-	if w.s.queue.heldWithRoom(now) {
+	switch {
+	case w.s.queue.heldWithRoom(now):
 		// The supply may be older than the room. Without the hold the queue would have moved.
 		wait, margin = 0, 0
+	case supply.Rate <= 0:
+		// No engine is available, so there is no forecast. One may be back in time.
+		wait = 0
 	}
 	due := w.request.Arrived.Add(w.request.Objective)
 	lead += margin
--- a/gateway/admission/failure_test.go
+++ b/gateway/admission/failure_test.go
@@ -208,3 +208,13 @@
 	}
 	assert.Check(t, later == 0, "%d of 100 callers were told a later time", later)
 }
+
+// TestNoEngineLeavesTheForecastOut guards against requests that are refused at once while all engines
+// are ejected or not listed for a moment.
+func TestNoEngineLeavesTheForecastOut(t *testing.T) {
+	c := New(1)
+	c.SetPeers(start, Peers{Instances: 2, Queues: map[string]Queue{"s": {Waiting: []int{0, 50}}}})
+	w := c.Enter(start, request(start, 0))
+	assert.Assert(t, !w.Decide(start, steady(0, 0), playLead).Refuse)
+	assert.Assert(t, w.Decide(start.Add(time.Second), steady(0, 0), playLead).Refuse)
+}
