front: the time left at the last word, panics of handlers, requests that end without an answer

Logs could not tell an answer that came after its caller's deadline from one in time, nor show a handler that panicked (debug level only) or whose caller left while a rate limit was asked. 'answered' has left_ms, answers after the deadline, panics and unread bodies are counted. TestPanicOfAHandlerIsReported fails without the report. No decision is changed.

--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -98,6 +98,7 @@
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.active.Add(1)
 	defer f.active.Add(-1)
+	defer f.reportPanic(r)
 	arrived := clock.Now()
 	if f.closing.Load() {
 		w.Header().Set("Connection", "close")
@@ -170,7 +171,8 @@
 		return false
 	}
 	if err != nil {
-		f.o.Log.Info("failed to read the request body", "error", err)
+		f.o.Count("request_body_unread")
+		f.o.Log.Info("failed to read the request body", "request", j.Call.ID, "route", j.Route.Name, "left_ms", clock.Until(j.Deadline).Milliseconds(), "version", j.Version, "error", err)
 		panic(http.ErrAbortHandler)
 	}
 	j.Call.Body = body
@@ -244,7 +246,10 @@
 		f.o.CountLimitUnits(j.Workspace.Name, "returned", cost)
 	}
 	outcome := f.answer(w, j, response, err)
-	took := clock.Since(j.Arrived)
+	took, left := clock.Since(j.Arrived), clock.Until(j.Deadline)
+	if left < 0 && outcome != outcomeAbandoned {
+		f.o.Count("answered_after_deadline")
+	}
 	f.o.ObserveRequest(j.Route, outcome, took)
 	status := 0
 	if response != nil {
@@ -256,7 +261,7 @@
 		cut = broken.Reason
 	}
 	f.o.Log.Info("answered", "request", j.Call.ID, "content", j.Content.String(), "route", j.Route.Name, "workspace", j.WorkspaceName(), "outcome", outcome, "cut_by", string(cut), "status", status,
-		"took_ms", took.Milliseconds(), "version", j.Version, "error", logs.ErrorText(err))
+		"took_ms", took.Milliseconds(), "left_ms", left.Milliseconds(), "version", j.Version, "error", logs.ErrorText(err))
 	return outcome != outcomeAbandoned && outcome != outcomeBroken
 }
 
--- a/gateway/front/limits.go
+++ b/gateway/front/limits.go
@@ -10,6 +10,7 @@
 	"github.com/wardspool/wardspool/gateway/fleet"
 	"github.com/wardspool/wardspool/gateway/limit"
 	"github.com/wardspool/wardspool/gateway/routing"
+	"github.com/wardspool/wardspool/internal/clock"
 )
 
 // Limits enforces the rate limits of workspaces across all instances.
@@ -39,6 +40,7 @@
 		return 0, false
 	}
 	if r.Context().Err() != nil {
+		f.o.Log.Info("caller disconnected while the rate limit was asked", "request", j.Call.ID, "route", j.Route.Name, "workspace", j.Workspace.Name, "left_ms", clock.Until(j.Deadline).Milliseconds())
 		panic(http.ErrAbortHandler)
 	}
 	status, reason := http.StatusTooManyRequests, "over_limit"
--- a/gateway/front/relayed.go
+++ b/gateway/front/relayed.go
@@ -47,6 +47,7 @@
 func (f *Front) ServeRelayed(w http.ResponseWriter, r *http.Request) {
 	f.active.Add(1)
 	defer f.active.Add(-1)
+	defer f.reportPanic(r)
 	if reason := f.declineReason(); reason != "" {
 		f.decline(w, "", reason)
 		return
