carry: tests of streams at engines that are silent for a second and go on, which fail

A run is ended on suspicion, and what then fails costs the caller the answer: 7 cases (prefill, decode, the engine, a peer), a stream before its first event and a prefill without a send of the retry budget, and an answer that comes 250 ms after its deadline.

--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -23,6 +23,7 @@
 	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/pause"
 	"github.com/wardspool/wardspool/kernel"
 )
 
@@ -40,6 +41,8 @@
 	err      error
 	// hangs blocks until the context ends, then fails with err if that is set.
 	hangs bool
+	// delay is the time until the head of the response is sent.
+	delay time.Duration
 }
 
 // fakeDialect answers requests according to its scripts and records all calls.
@@ -53,6 +56,8 @@
 	// migrate holds the errors of copying ("copy") and of stopping ("stop") in the same way.
 	// stopped is called when a stream was stopped.
 	migrate map[string][]error
+	// prefillTime is how long the prefills of an engine take, in order; the last one repeats.
+	prefillTime map[ident.UpstreamID][]time.Duration
 	// cached holds the cache lists of engines.
 	cached map[ident.UpstreamID]map[string]int
 	// silent engines do not answer requests for a report.
@@ -103,6 +108,9 @@
 	if !ok {
 		r = reply{verdict: dialect.Success, status: 200, body: string(s.To.ID)}
 	}
+	if r.delay > 0 && !pause.For(ctx, r.delay) {
+		return nil, 0, &adapter.CallError{Evidence: kernel.Ambiguous, Err: ctx.Err()}
+	}
 	if r.hangs {
 		<-ctx.Done()
 		if r.err != nil {
@@ -134,10 +142,16 @@
 
 func (brokenReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
 
-func (f *fakeDialect) Prefill(_ context.Context, _ *dialect.Call, s dialect.Send) (dialect.Handle, error) {
+func (f *fakeDialect) Prefill(ctx context.Context, _ *dialect.Call, s dialect.Send) (dialect.Handle, error) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.record("prefill %s", s.To.ID)
+	takes, _ := next(f.prefillTime, s.To.ID)
+	f.mu.Unlock()
+	if takes > 0 && !pause.For(ctx, takes) {
+		return dialect.Handle{}, &adapter.CallError{Evidence: kernel.Ambiguous, Err: ctx.Err()}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if f.prefilled != nil {
 		defer f.prefilled()
 	}
@@ -281,6 +295,8 @@
 	// version serves.
 	origins     map[string]string
 	soleVersion *string
+	// disconnectedFrom is the time from which no upstream can be connected to, if it is set.
+	disconnectedFrom time.Time
 	// suspected means that several upstreams in a row could not be connected to.
 	suspected bool
 }
@@ -398,10 +414,12 @@
 }
 
 // Needed implements Relay.
-func (env *testEnv) Needed(string) bool { return env.disconnected }
+func (env *testEnv) Needed(string) bool {
+	return env.disconnected || !env.disconnectedFrom.IsZero() && !time.Now().Before(env.disconnectedFrom)
+}
 
 // Suspected implements Relay.
-func (env *testEnv) Suspected(string) bool { return env.suspected || env.disconnected }
+func (env *testEnv) Suspected(string) bool { return env.suspected || env.Needed("") }
 
 // Send implements Relay.
 func (env *testEnv) Send(_ context.Context, q relay.Request, _ []byte, _ time.Time, _ routing.Regions) (*http.Response, error) {
--- /dev/null
+++ b/gateway/carry/silence_test.go
@@ -0,0 +1,170 @@
+package carry
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/relay"
+	"github.com/wardspool/wardspool/gateway/schedule"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/bubble"
+)
+
+// The tests in this file guard against answers that are lost while a sound upstream is silent for a
+// second or so.
+
+// budgetOf returns a retry budget for the given number of sends beyond the first.
+func budgetOf(sends float64) *schedule.Budget {
+	return schedule.NewBudget(time.Now(), schedule.BudgetOptions{Window: time.Hour, Slack: sends}, func() int { return 1 })
+}
+
+// TestSilentEngineKeepsItsStreamUntilAnotherEngineAnswers guards against a stream that is ended at a
+// silent engine in favor of an engine or a peer that then does not run it.
+func TestSilentEngineKeepsItsStreamUntilAnotherEngineAnswers(t *testing.T) {
+	for name, prepare := range map[string]func(env *testEnv){
+		"prefill fails":          func(env *testEnv) { env.d.prefill["p1"] = []error{nil, errInterrupted} },
+		"decode is refused":      func(env *testEnv) { env.d.do["d2"] = []reply{refusal} },
+		"decode is not answered": func(env *testEnv) { env.d.do["d2"] = []reply{{hangs: true}} },
+		"connection is refused":  func(env *testEnv) { env.d.do["d2"] = []reply{{err: errConnectionRefused}} },
+		"stream ends before an event": func(env *testEnv) {
+			env.d.do["d2"] = []reply{{verdict: dialect.Success, status: 200, breaks: true}}
+		},
+		"no peer takes it": func(env *testEnv) { env.disconnectedFrom = time.Now().Add(700 * time.Millisecond) },
+		"peer declines": func(env *testEnv) {
+			env.disconnectedFrom = time.Now().Add(700 * time.Millisecond)
+			env.relayTo = func(relay.Request) (*http.Response, error) { return nil, &relay.Failure{Outcome: relay.NotRun} }
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				_, got, took, err := runStalledStreamWith(t, resumable, func(env *testEnv) {
+					env.d.silent = map[ident.UpstreamID]bool{"d1": true}
+					env.o.Budget = budgetOf(3)
+					prepare(env)
+				})
+				assert.NilError(t, err)
+				assert.Equal(t, got.body.String(), events(1, 5))
+				assert.Equal(t, got.heads, 1)
+				assert.Assert(t, took >= 3*time.Second, "%v", took)
+			})
+		})
+	}
+}
+
+// TestStreamAtASilentEngineIsDeliveredOnce guards against events that are missing or come twice when a
+// silent engine goes on while another one takes its stream over.
+func TestStreamAtASilentEngineIsDeliveredOnce(t *testing.T) {
+	const last = 8
+	for _, silence := range []time.Duration{700, 820, 900, 950, 1000, 1050, 1200, 1500, 2500} {
+		for _, prefill := range []time.Duration{0, 100, 300} {
+			for _, decode := range []time.Duration{0, 50, 250, 600} {
+				t.Run(fmt.Sprintf("silent %d ms, prefill %d ms, decode %d ms", silence, prefill, decode), func(t *testing.T) {
+					bubble.Test(t, func(t *testing.T) {
+						env := newTestEnv(t, ampleBudget, engineUps([]string{"p1"}, []string{"d1", "d2"})...)
+						body := newControlledBody()
+						env.d.silent = map[ident.UpstreamID]bool{"d1": true}
+						env.d.do["d1"] = []reply{{verdict: dialect.Success, status: 200, stream: body}}
+						env.d.do["d2"] = []reply{{verdict: dialect.Success, status: 200, body: events(3, last), delay: decode * time.Millisecond}}
+						env.d.reserve["d2"] = []error{&dialect.NoCapacityError{}, nil}
+						env.d.prefillTime = map[ident.UpstreamID][]time.Duration{"p1": {0, prefill * time.Millisecond}}
+						var upstream sync.WaitGroup
+						defer upstream.Wait()
+						upstream.Go(func() {
+							_, err := io.WriteString(body.w, events(1, 2))
+							for event := 3; event <= last && err == nil; event++ {
+								pause := 20 * time.Millisecond
+								if event == 3 {
+									pause = silence * time.Millisecond
+								}
+								time.Sleep(pause)
+								_, err = io.WriteString(body.w, events(event, event))
+							}
+							if err == nil {
+								_ = body.w.Close()
+							}
+						})
+						r := resumable
+						r.PaceObjective = 300 * time.Millisecond
+						got := &streamRecorder{}
+						_, err := env.Stream(t.Context(), job(r), got)
+						assert.NilError(t, err)
+						assert.Equal(t, got.body.String(), events(1, last))
+						assert.Equal(t, got.heads, 1)
+						env.Close()
+						for _, id := range []ident.UpstreamID{"p1", "d1", "d2"} {
+							assert.Equal(t, env.o.Scheduler.RequestCount(id), 0, "%s", id)
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
+// TestSilentEngineKeepsAStreamThatHasNotBegun guards against a request that fails because its engine is
+// silent before the first event, while the retry budget is spent.
+func TestSilentEngineKeepsAStreamThatHasNotBegun(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		env := newTestEnv(t, 0, engineUps([]string{"p1"}, []string{"d1", "d2"})...)
+		env.d.silent = map[ident.UpstreamID]bool{"d1": true, "d2": true}
+		for _, id := range []ident.UpstreamID{"d1", "d2"} {
+			env.d.do[id] = []reply{{verdict: dialect.Success, status: 200, body: events(1, 5), delay: 1500 * time.Millisecond}}
+		}
+		r := resumable
+		r.PaceObjective = 300 * time.Millisecond
+		got := &streamRecorder{}
+		_, err := env.Stream(t.Context(), job(r), got)
+		assert.NilError(t, err)
+		assert.Equal(t, got.body.String(), events(1, 5))
+		assert.Equal(t, env.d.countKind("do"), 1)
+	})
+}
+
+// TestSilentPrefillEngineKeepsItsPrompt guards against a request that fails because its prefill engine
+// is silent for a second, while the retry budget does not allow another prefill.
+func TestSilentPrefillEngineKeepsItsPrompt(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		env := newTestEnv(t, 0, engineUps([]string{"p1", "p2"}, []string{"d1"})...)
+		env.d.silent = map[ident.UpstreamID]bool{"p1": true, "p2": true}
+		env.d.prefillTime = map[ident.UpstreamID][]time.Duration{"p1": {1200 * time.Millisecond}, "p2": {1200 * time.Millisecond}}
+		env.serveStreams(reply{verdict: dialect.Success, status: 200, body: events(1, 5)})
+		got := &streamRecorder{}
+		_, err := env.Stream(t.Context(), job(resumable), got)
+		assert.NilError(t, err)
+		assert.Equal(t, got.body.String(), events(1, 5))
+		assert.Equal(t, env.d.countKind("prefill"), 1)
+	})
+}
+
+// TestStreamWithoutAnEventIsAnsweredBeforeItsDeadline guards against a caller who is told nothing before
+// its deadline, because its engine is silent until then.
+func TestStreamWithoutAnEventIsAnsweredBeforeItsDeadline(t *testing.T) {
+	for name, hung := range map[string]reply{"no head": {hangs: true}, "no event": {verdict: dialect.Success, status: 200}} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				env := newTestEnv(t, ampleBudget, engineUps([]string{"p1"}, []string{"d1"})...)
+				if !hung.hangs {
+					body := newControlledBody()
+					defer body.w.Close()
+					hung.stream = body
+				}
+				env.d.do["d1"] = []reply{hung}
+				j := job(singleRun)
+				j.Deadline = j.Arrived.Add(3 * time.Second)
+				_, err := env.Stream(t.Context(), j, &streamRecorder{})
+				var failed *Error
+				assert.Assert(t, errors.As(err, &failed), "%v", err)
+				assert.Equal(t, failed.Outcome, TimedOut)
+				assert.Assert(t, time.Now().Before(j.Deadline), "answered %v after the deadline", time.Since(j.Deadline))
+			})
+		})
+	}
+}
