carry: a silent engine keeps its stream until another one has begun to answer

Callers' streams ended with their connection up to 12 s before their deadline, after their engine had been silent for 0.8 s, although it still ran them. Cause: the run was canceled as soon as another engine was reserved, or at once if a peer might take over; prefill, decode, the retry budget or the peer could still fail, and the run that would have gone on was gone. A silence was taken for proof of a failure.

The other run is started beside the first one, from the last delivered event, and the first one is canceled only when the other has an event to give (takeover.go). Until the stream is sent to the other engine, an event of the first one cancels the attempt. From then on both may run it, so that events of the first one are held back, at most 300 ms, until the other one has begun or failed: no event comes twice, and the first run does not go on beside the second. The same holds before the first event, and for a peer that takes over.

--- a/gateway/carry/carry.go
+++ b/gateway/carry/carry.go
@@ -227,6 +227,10 @@
 	// deadlineMargin is subtracted from the deadline that is passed to upstreams. It covers the
 	// return path: links between zones take up to a few ms, and timers fire late.
 	deadlineMargin = 10 * time.Millisecond
+	// answerMargin is the time before the deadline at which a request without a response is answered.
+	// The caller's clock started before this instance's, and an answer after its deadline reaches
+	// nobody.
+	answerMargin = 30 * time.Millisecond
 	// minAttemptTime is the minimum time left before the deadline for another attempt to be
 	// worthwhile.
 	minAttemptTime = 20 * time.Millisecond
--- a/gateway/carry/caution.go
+++ b/gateway/carry/caution.go
@@ -41,6 +41,8 @@
 	releaseTrial func()
 	trialSubject quarantine.Subject
 	trialExpires time.Time
+	// sharesTrial means that the trial belongs to another guard of the same request.
+	sharesTrial bool
 	// crashedEarly means that an upstream crashed while it ran this request and before it had
 	// produced an event.
 	crashedEarly bool
@@ -137,7 +139,7 @@
 	if !ok {
 		return g.refuse(outcome, reasonOf(v, reasonOnTrial, reasonPartOnTrial), v, trialRetryAfter)
 	}
-	g.releaseTrial, g.trialSubject = end, subject
+	g.releaseTrial, g.trialSubject, g.sharesTrial = end, subject, false
 	g.c.o.Count("trial")
 	g.log.Info("trial", "content", g.j.Content.String(), "part", g.partID(v), "part_hash", v.Part.String(), "crashes", v.Crashes, "early", v.Early, "upstreams", v.Upstreams)
 	return nil
@@ -194,10 +196,31 @@
 	g.recordBegun()
 }
 
+// share returns the guard of another run of the same request, which is covered by the trial of this
+// one.
+func (g *crashGuard) share() crashGuard {
+	other := *g
+	if other.releaseTrial != nil {
+		other.releaseTrial = func() {}
+		other.sharesTrial = true
+	}
+	return other
+}
+
+// adopt takes over the trial of a guard that share has returned, if that has one of its own.
+func (g *crashGuard) adopt(other *crashGuard) {
+	if other.releaseTrial == nil || other.sharesTrial {
+		return
+	}
+	g.endTrial()
+	g.releaseTrial, g.trialSubject, g.trialExpires = other.releaseTrial, other.trialSubject, other.trialExpires
+	other.releaseTrial = nil
+}
+
 // endTrial ends the trial if one is running.
 func (g *crashGuard) endTrial() {
 	if g.releaseTrial != nil {
 		g.releaseTrial()
-		g.releaseTrial = nil
+		g.releaseTrial, g.sharesTrial = nil, false
 	}
 }
--- a/gateway/carry/decode.go
+++ b/gateway/carry/decode.go
@@ -18,36 +18,77 @@
 // decode sends the request to the reserved decode engine and forwards its stream. The second
 // result reports whether another pair of engines may be tried.
 func (s *stream) decode(ctx context.Context, p *placement, h *prefillResult) (*Response, bool, error) {
+	u := p.decode.Upstream
+	if again, err := s.maySend(ctx, p, h); err != nil {
+		return nil, again, s.callerError(err)
+	}
+	r, verdict, err := s.send(ctx, p, h, s.newFailover(ctx, u))
+	defer r.close()
+	s.sentAt = r.sentAt
+	if err != nil || verdict != dialect.Success {
+		if next := s.takeover.result(ctx); next != nil {
+			s.recordNotSent(p, h, r, err)
+			return s.continueAt(ctx, next)
+		}
+		s.countFailedTakeovers()
+	}
+	if err != nil {
+		return nil, s.handleSendFailure(ctx, p, h, r.sentAt, err), s.sendError(ctx, err)
+	}
+	if verdict != dialect.Success {
+		return s.handleErrorResponse(ctx, p, h, r.resp, verdict)
+	}
+	s.recordAccepted(u, h)
+	s.log.Info("stream accepted", "upstream", u.ID, "software_version", u.SoftwareVersion, "took_ms", r.age().Milliseconds(), "since_arrival_ms", clock.Since(s.j.Arrived).Milliseconds())
+	return s.forward(ctx, r)
+}
+
+// maySend checks just before a send whether a reserved decode engine may get the request, and releases
+// it if not. again reports whether another pair of engines may be tried.
+func (s *stream) maySend(ctx context.Context, p *placement, h *prefillResult) (again bool, err error) {
 	u := p.decode.Upstream
 	if err := s.admit(ctx); err != nil {
 		s.releaseUnused(p, h)
-		return nil, false, s.callerError(err)
+		return false, err
 	}
 	if reason := s.closedReason(u); reason != "" {
-		return nil, s.releaseClosed(p, h, reason), s.callerError(&EngineClosedError{Upstream: u.ID, Reason: reason})
+		return s.releaseClosed(p, h, reason), &EngineClosedError{Upstream: u.ID, Reason: reason}
 	}
-	start := clock.Now()
-	s.sentAt = start
+	return false, nil
+}
+
+// send sends the request to a reserved decode engine for which maySend returned no error. silence handles an engine that does not answer;
+// if it is nil, the request is canceled. The run must be closed, also after an error; it has no
+// response then.
+func (s *stream) send(ctx context.Context, p *placement, h *prefillResult, silence silenceHandler) (*run, dialect.Verdict, error) {
+	u := p.decode.Upstream
+	r := &run{s: s, placement: p, sentAt: clock.Now(), watchdog: s.streamWatchdog(ctx, u, silence)}
 	var source *dialect.Handle
 	if h != nil {
 		source = &h.handle
 	}
-	wd := s.streamWatchdog(ctx, u)
-	defer wd.stop()
-	resp, verdict, err := s.c.o.Dialect.Do(wd.ctx, s.j.Call, dialect.Send{
+	var verdict dialect.Verdict
+	var err error
+	r.resp, verdict, err = s.c.o.Dialect.Do(r.watchdog.ctx, s.j.Call, dialect.Send{
 		To: u, Deadline: s.j.Deadline.Add(-deadlineMargin), Source: source, Reservation: p.reservation, LastEvent: s.lastEvent,
 	})
-	if err != nil {
-		err = wd.attemptError(err)
-		return nil, s.handleSendFailure(ctx, p, h, start, err), s.sendError(ctx, err)
+	return r, verdict, r.watchdog.attemptError(err)
+}
+
+// recordNotSent records an attempt that got no stream and from which another run has taken over.
+func (s *stream) recordNotSent(p *placement, h *prefillResult, r *run, err error) {
+	if err != nil && adapter.AsCallError(err).Evidence == kernel.Ambiguous {
+		s.recordSuperseded(p, err, 0)
+		return
 	}
-	defer resp.Body.Close()
-	if verdict != dialect.Success {
-		return s.handleErrorResponse(ctx, p, h, resp, verdict)
+	u := p.decode.Upstream
+	if err != nil {
+		s.c.recordAttempt(u, &attempt{err: err}, 0, s.log)
 	}
-	s.recordAccepted(u, h)
-	s.log.Info("stream accepted", "upstream", u.ID, "software_version", u.SoftwareVersion, "took_ms", clock.Since(start).Milliseconds(), "since_arrival_ms", clock.Since(s.j.Arrived).Milliseconds())
-	return s.forward(ctx, wd, p, resp, start)
+	s.countFailedTakeovers()
+	s.excluded = append(s.excluded, u.ID)
+	s.log.Info("attempt", "upstream", u.ID, "number", s.starts, "took_ms", r.age().Milliseconds(), "error", logs.ErrorText(err))
+	s.releaseUnused(p, h)
 }
 
 // The reasons why an engine gets no requests any more.
@@ -109,6 +150,12 @@
 // handleSendFailure handles an attempt that got no response, and reports whether another pair of
 // engines may be tried.
 func (s *stream) handleSendFailure(ctx context.Context, p *placement, h *prefillResult, start time.Time, err error) bool {
+	return s.recordSendFailure(ctx, p, h, start, err) && s.mayRestart(ctx, err, sendsFullRestart)
+}
+
+// recordSendFailure records an attempt that got no response, and reports whether the request may run
+// at another engine.
+func (s *stream) recordSendFailure(ctx context.Context, p *placement, h *prefillResult, start time.Time, err error) bool {
 	u := p.decode.Upstream
 	s.c.recordAttempt(u, &attempt{err: err}, 0, s.log)
 	s.excluded = append(s.excluded, u.ID)
@@ -122,7 +169,7 @@
 	} else {
 		s.releaseUnused(p, h)
 	}
-	return s.mayRestart(ctx, err, sendsFullRestart)
+	return true
 }
 
 // sendError returns the caller's error for an attempt that got no response.
--- a/gateway/carry/failover.go
+++ b/gateway/carry/failover.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -10,81 +12,226 @@
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/internal/pause"
+	"github.com/wardspool/wardspool/logs"
 )
 
 // searchInterval is the interval between two searches for an engine with capacity. Engines that
 // were full are asked again after the same interval.
 const searchInterval = 60 * time.Millisecond
 
-// standby holds a placement that was reserved for a stream while the stream still runs
-// elsewhere.
-type standby struct {
-	mu     sync.Mutex
-	place  *placement
-	closed bool
+// failover starts another run of a stream whose engine does not respond, at another engine or a peer.
+// The run at the silent engine goes on until the other one has begun; see takeover.
+type failover struct {
+	s *stream
+	// ctx is the context of the request.
+	ctx context.Context
+
+	mu sync.Mutex
+	// starts counts the runs that may still be started.
+	starts   int
+	excluded []ident.UpstreamID
+}
+
+// newFailover returns a failover away from an engine. ctx is the context of the request.
+func (s *stream) newFailover(ctx context.Context, from dialect.Upstream) *failover {
+	return &failover{s: s, ctx: ctx, starts: maxStarts - s.starts, excluded: append(slices.Clone(s.excluded), from.ID)}
+}
+
+// allowed reports whether another run may be started.
+func (f *failover) allowed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.s
+	failedRuns, crashedEarly := s.takeover.failures()
+	return f.starts > 0 && s.j.Route.Repeatable() && s.runs+1+failedRuns < s.j.Route.MaxAttempts && !crashedEarly &&
+		clock.Until(s.j.Deadline) >= answerMargin+minAttemptTime
 }
 
-// set stores a placement. It returns false if the stream has ended.
-func (b *standby) set(p *placement) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.closed {
-		return false
+// onUnresponsive implements silenceHandler. It starts another run and reports whether that run has
+// begun, so that the one at the silent engine is to be canceled.
+//
+// A missing answer does not prove a failure: an overloaded machine, a suspended one or a lost packet
+// look the same, and a canceled run cannot be recovered.
+func (f *failover) onUnresponsive(u dialect.Upstream, err error, start time.Time, heard func() bool) bool {
+	s := f.s
+	s.c.recordFailure(u, ClassifyUnreachable(err), err, clock.Since(start), s.log)
+	allowed := f.allowed()
+	failure := error(&NotStartedError{})
+	if allowed && !heard() {
+		if failure = f.startElsewhere(heard); failure == nil {
+			return true
+		}
 	}
-	b.place = p
-	return true
+	s.c.o.Count("silent_engine_kept")
+	s.log.Info("stream stays at a silent engine", "upstream", u.ID, "events", s.events.Load(), "may_start", allowed, "heard", heard(),
+		"left_ms", clock.Until(s.j.Deadline).Milliseconds(), "error", logs.ErrorText(failure))
+	return false
 }
 
-// isSet reports whether a placement is stored.
-func (b *standby) isSet() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.place != nil
+// startElsewhere starts another run. It returns nil once that run has begun and has become the
+// stream's.
+func (f *failover) startElsewhere(heard func() bool) error {
+	t := &f.s.takeover
+	ctx, cancel := context.WithCancel(f.ctx)
+	var other *stream
+	generation, ok := t.begin(cancel, func() { other = f.fork() })
+	if !ok {
+		cancel()
+		return &NotStartedError{}
+	}
+	before := other.runs
+	next, err := other.openElsewhere(ctx, heard, func() bool { return t.commit(generation) })
+	if err == nil {
+		next.cancel = cancel
+		if t.win(generation, next) {
+			return nil
+		}
+		next.close()
+		other.runs++
+		err = &NotStartedError{}
+	}
+	cancel()
+	other.crashGuard.endTrial()
+	t.fail(generation, other.runs-before, other.crashGuard.crashedEarly)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.starts--
+	f.excluded = other.excluded
+	return err
 }
 
-// take removes and returns the placement, or nil if there is none.
-func (b *standby) take() *placement {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	p := b.place
-	b.place = nil
-	return p
+// fork returns a stream that continues this one from its last event. It shares nothing with it that
+// changes. The caller holds the lock of the takeover.
+func (f *failover) fork() *stream {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.s
+	other := &stream{
+		c: s.c, j: s.j, log: s.log, excluded: slices.Clone(f.excluded),
+		// A failure is not answered by another start of the fork, but by another takeover.
+		starts: maxStarts,
+		runs:   s.runs + 1, headSent: s.headSent, lastEvent: s.lastEvent,
+		crashGuard: s.crashGuard.share(),
+	}
+	other.events.Store(s.events.Load())
+	if version, bound := s.software.get(); bound {
+		other.software.bind(version)
+	}
+	return other
 }
 
-// close returns the placement that was not used, or nil, and rejects all further ones.
-func (b *standby) close() *placement {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	p := b.place
-	b.place, b.closed = nil, true
-	return p
+// NotStartedError reports a stream that was not started at another engine.
+type NotStartedError struct{}
+
+// Error implements the error interface.
+func (*NotStartedError) Error() string { return "not started at another engine" }
+
+// openElsewhere opens a run at another engine, or at a peer if this instance reaches no engine, and
+// reads its first event. It calls commit just before it sends the stream, and sends it only if commit
+// returns true. heard reports whether the current engine responds again.
+func (s *stream) openElsewhere(ctx context.Context, heard, commit func() bool) (*run, error) {
+	if s.c.o.Relay.Needed(s.j.Service.Name) {
+		return s.openAtPeer(ctx, commit)
+	}
+	p := s.findEngine(ctx, heard)
+	if p == nil {
+		return nil, &NotStartedError{}
+	}
+	h, err := s.obtainPrefill(ctx, p)
+	if err != nil {
+		s.releasePlacement(p)
+		return nil, err
+	}
+	if !commit() {
+		if h != nil {
+			s.freeResult(h)
+		}
+		s.releasePlacement(p)
+		return nil, &NotStartedError{}
+	}
+	next, err := s.openAtEngine(ctx, p, h)
+	if err != nil {
+		s.leavePlacement(p)
+		return nil, err
+	}
+	return next, nil
 }
 
-// failover searches for another engine for a stream that is still running. It copies the
-// stream's state at the start of that run, because the stream continues concurrently.
-type failover struct {
-	s *stream
-	// allowed means that the stream may be started once more.
-	allowed  bool
-	isolate  bool
-	excluded []ident.UpstreamID
+// openAtEngine opens a run at a reserved engine and reads its first event.
+func (s *stream) openAtEngine(ctx context.Context, p *placement, h *prefillResult) (*run, error) {
+	u := p.decode.Upstream
+	if _, err := s.maySend(ctx, p, h); err != nil {
+		return nil, err
+	}
+	next, verdict, err := s.send(ctx, p, h, nil)
+	if err != nil {
+		s.recordSendFailure(ctx, p, h, next.sentAt, err)
+		return nil, err
+	}
+	if verdict != dialect.Success {
+		s.handleErrorResponse(ctx, p, h, next.resp, verdict)
+		next.close()
+		return nil, &dialect.StatusError{Op: "decode", Status: next.resp.StatusCode}
+	}
+	s.recordAccepted(u, h)
+	if err := next.receiveEvent(); err != nil {
+		next.close()
+		s.recordNoEvent(ctx, u, next.sentAt, err)
+		return nil, err
+	}
+	next.guard = &s.crashGuard
+	return next, nil
+}
+
+// recordNoEvent records a run that was accepted and ended before its first event.
+func (s *stream) recordNoEvent(ctx context.Context, u dialect.Upstream, sentAt time.Time, err error) {
+	s.runs++
+	s.excluded = append(s.excluded, u.ID)
+	if ctx.Err() != nil {
+		return
+	}
+	s.c.recordAttempt(u, &attempt{err: err}, 0, s.log)
+	s.recordInterruption(ctx, interruption{upstream: u, sentAt: sentAt, wasAlive: true, begunBefore: s.resumed(), cause: err})
 }
 
-// newFailover returns a failover away from an engine.
-func (s *stream) newFailover(from dialect.Upstream) *failover {
-	return &failover{
-		s: s, allowed: s.starts < maxStarts && s.j.Route.Repeatable() && s.runs+1 < s.j.Route.MaxAttempts,
-		isolate: s.crashGuard.onTrial(), excluded: append(slices.Clone(s.excluded), from.ID),
+// openAtPeer opens a run at a peer and reads its first event.
+func (s *stream) openAtPeer(ctx context.Context, commit func() bool) (*run, error) {
+	if s.j.Relayed {
+		return nil, declineRelayed(s.j, s.runs)
+	}
+	if !s.c.mayResend(s.j.Service.Name, sendsFullRestart, s.headSent, s.log) || !commit() {
+		return nil, &NotStartedError{}
+	}
+	next, err := s.sendRelayed(ctx)
+	if err != nil {
+		var reqErr *Error
+		if !errors.As(err, &reqErr) || reqErr.Outcome != NotRun {
+			s.runs++
+		}
+		return nil, err
 	}
+	if next.resp.StatusCode != http.StatusOK {
+		s.runs++
+		next.close()
+		return nil, &dialect.StatusError{Op: "relay", Status: next.resp.StatusCode}
+	}
+	if err := next.receiveEvent(); err != nil {
+		s.runs++
+		next.close()
+		return nil, err
+	}
+	next.guard = &s.crashGuard
+	return next, nil
 }
 
-// find searches for another engine until one is reserved, the current engine responds again, or
+// findEngine searches for another engine until one is reserved, the current engine responds again, or
 // ctx ends. It charges the sends to the new engine to the retry budget. It returns nil if no
 // engine was found or the budget is exhausted.
-func (f *failover) find(ctx context.Context, heard func() bool) *placement {
-	s := f.s
-	for f.allowed && !heard() && !s.c.o.Relay.Needed(s.j.Service.Name) && clock.Until(s.j.Deadline) >= minAttemptTime {
-		if p := f.tryReserve(ctx); p != nil {
+func (s *stream) findEngine(ctx context.Context, heard func() bool) *placement {
+	for !heard() && !s.c.o.Relay.Needed(s.j.Service.Name) && clock.Until(s.j.Deadline) >= answerMargin+minAttemptTime {
+		size := s.sizeWithoutCache()
+		size.Isolate = s.crashGuard.onTrial()
+		if p := s.reservePlacement(ctx, size, s.excluded); p != nil {
 			if s.c.mayResend(s.j.Service.Name, sendsFullRestart, true, s.log) {
 				return p
 			}
@@ -98,45 +245,69 @@
 	return nil
 }
 
-// tryReserve makes one attempt to reserve another engine. It returns nil if none has capacity
-// now.
-func (f *failover) tryReserve(ctx context.Context) *placement {
-	size := f.s.sizeWithoutCache()
-	size.Isolate = f.isolate
-	return f.s.reservePlacement(ctx, size, f.excluded)
-}
-
 // releasePlacement releases a placement that the stream does not use.
 func (s *stream) releasePlacement(p *placement) {
 	s.releaseUnused(p, nil)
 	s.leavePlacement(p)
 }
 
-// onUnresponsive searches for another engine when the stream's own did not answer a liveness
-// check, and reports whether to cancel the run there in favor of the other engine.
-//
-// A missing answer does not prove a failure: an overloaded machine or a lost packet looks the
-// same, and a canceled run cannot be recovered.
-func (f *failover) onUnresponsive(ctx context.Context, u dialect.Upstream, err error, start time.Time, heard func() bool) bool {
-	s := f.s
-	if s.events.Load() == 0 {
-		// No output would be lost: the request can be refused or started at another engine.
-		return true
+// nextRun returns the run that has taken the stream over from one that ended with err, or nil.
+func (s *stream) nextRun(ctx context.Context, err error) *run {
+	if s.takeover.won() || err != nil && ctx.Err() == nil && !callerLeft(err) {
+		return s.takeover.result(ctx)
 	}
-	s.c.recordFailure(u, ClassifyUnreachable(err), err, clock.Since(start), s.log)
-	if f.allowed && s.c.o.Relay.Needed(s.j.Service.Name) {
-		// A peer can resume the stream.
-		return !heard()
+	return nil
+}
+
+// countFailedTakeovers adds what takeovers that failed have done to the state of the stream.
+func (s *stream) countFailedTakeovers() {
+	runs, crashedEarly := s.takeover.takeFailures()
+	s.runs += runs
+	s.crashGuard.crashedEarly = s.crashGuard.crashedEarly || crashedEarly
+}
+
+// continueAt forwards the stream from the run that has taken it over. Its results are those of
+// forward.
+func (s *stream) continueAt(ctx context.Context, next *run) (*Response, bool, error) {
+	defer next.close()
+	s.starts++
+	s.sentAt = next.sentAt
+	s.crashGuard.adopt(next.guard)
+	s.c.o.Count("stream_taken_over")
+	if next.placement == nil {
+		s.log.Info("stream taken over", "by", "peer", "last_event", s.lastEvent, "left_ms", clock.Until(s.j.Deadline).Milliseconds())
+		return s.forwardRelayed(ctx, next)
 	}
-	p := f.find(ctx, heard)
-	if p == nil {
-		s.c.o.Count("silent_engine_kept")
-		s.log.Info("stream stays at a silent engine", "upstream", u.ID, "events", s.events.Load(), "may_start", f.allowed, "heard", heard())
-		return false
+	u := next.placement.decode.Upstream
+	s.log.Info("stream taken over", "by", u.ID, "last_event", s.lastEvent, "left_ms", clock.Until(s.j.Deadline).Milliseconds())
+	next.watchdog.handleSilence(s.newFailover(ctx, u))
+	return s.forward(ctx, next)
+}
+
+// SupersededError reports a run whose events are no longer delivered, because another one has taken
+// the stream over.
+type SupersededError struct{}
+
+// Error implements the error interface.
+func (*SupersededError) Error() string { return "another run has taken the stream over" }
+
+// recordSuperseded records the end of a run from which another one has taken the stream over.
+func (s *stream) recordSuperseded(p *placement, err error, eventCount int) {
+	u := p.decode.Upstream
+	s.runs++
+	s.countFailedTakeovers()
+	s.excluded = append(s.excluded, u.ID)
+	var superseded *SupersededError
+	var silent *UnresponsiveError
+	s.cutReason = CutByEngine
+	if errors.As(err, &superseded) || errors.As(err, &silent) {
+		s.cutReason = CutBySilence
 	}
-	if heard() || !s.standby.set(p) {
-		s.releasePlacement(p)
-		return false
+	s.logStreamEnd(u, err, eventCount)
+	if errors.As(err, &superseded) {
+		// The engine went on, too late.
+		return
 	}
-	return true
+	s.c.recordAttempt(u, &attempt{err: err}, 0, s.log)
+	s.crashGuard.handleDisconnect(interruption{upstream: u, sentAt: s.sentAt, wasAlive: true, eventCount: eventCount, begunBefore: s.begunBefore(eventCount), cause: err})
 }
--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -39,20 +39,21 @@
 func (e *CallerWriteError) Unwrap() error { return e.Err }
 
 // forward copies the stream from an engine to the caller, event by event, and continues it
-// elsewhere if it was migrated. The second result reports whether another pair of engines may be
-// tried.
-func (s *stream) forward(ctx context.Context, wd *watchdog, p *placement, resp *http.Response, start time.Time) (*Response, bool, error) {
+// elsewhere if it was migrated or another run has taken it over. The second result reports whether
+// another pair of engines may be tried.
+func (s *stream) forward(ctx context.Context, r *run) (*Response, bool, error) {
+	p, resp := r.placement, r.resp
 	u := p.decode.Upstream
 	before := s.events.Load()
 	started := time.Time{}
 	s.lastReadAt = clock.Now()
 	s.migration.recordStart()
 	s.c.addStream(p.decode, s)
-	rest, err := s.copyEvents(wd, p, resp, func() { started = clock.Now() })
-	err = wd.attemptError(err)
+	rest, err := s.copyEvents(r, func() { started = clock.Now() })
+	err = r.watchdog.attemptError(err)
 	s.c.removeStream(p.decode)
 	cont, ambiguous := s.migrationResult(p)
-	if cont != nil && ctx.Err() == nil && !callerLeft(err) {
+	if cont != nil && ctx.Err() == nil && !callerLeft(err) && !s.takeover.won() {
 		return s.continueStopped(ctx, p, cont)
 	}
 	if cont != nil {
@@ -62,10 +63,15 @@
 	if err == nil {
 		err = s.finish(resp, bodyEnd{rest: rest, stopped: ambiguous, senderLives: func() bool { return s.c.lives(u) }})
 	}
-	took := clock.Since(start)
+	took := r.age()
 	eventCount := int(s.events.Load() - before)
 	if !started.IsZero() {
-		s.c.o.Scheduler.StreamStarted(s.j.Service.Name, started.Sub(start))
+		s.c.o.Scheduler.StreamStarted(s.j.Service.Name, started.Sub(r.sentAt))
+	}
+	s.framing, s.restBytes = framingOf(resp), len(rest)
+	if next := s.nextRun(ctx, err); next != nil {
+		s.recordSuperseded(p, err, eventCount)
+		return s.continueAt(ctx, next)
 	}
 	if err == nil {
 		s.crashGuard.recordCompletion()
@@ -77,14 +83,15 @@
 			"prompt", s.j.Call.PromptTokens, "estimate", s.output(), "bound", s.j.Call.MaxOutputTokens)
 		return nil, false, nil
 	}
-	s.framing, s.restBytes = framingOf(resp), len(rest)
+	s.countFailedTakeovers()
 	return nil, s.handleStreamEnd(ctx, p, err, eventCount, cutReason(ctx, err)), s.streamError(ctx, err)
 }
 
 // callerLeft reports whether a stream ended because writing to its caller failed.
 func callerLeft(err error) bool {
 	var caller *CallerWriteError
-	return errors.As(err, &caller)
+	var superseded *SupersededError
+	return errors.As(err, &caller) && !errors.As(err, &superseded)
 }
 
 // handleStreamEnd handles a stream that ended early, and reports whether it may continue at
@@ -93,9 +100,7 @@
 	u := p.decode.Upstream
 	s.runs++
 	s.cutReason = reason
-	s.log.Info("stream broke off", "upstream", u.ID, "software_version", u.SoftwareVersion, "by", string(reason), "events", s.events.Load(), "here", eventCount, "last_event", s.lastEvent,
-		"framing", string(s.framing), "rest_bytes", s.restBytes,
-		"quiet_ms", clock.Since(s.lastReadAt).Milliseconds(), "left_ms", clock.Until(s.j.Deadline).Milliseconds(), "error", logs.ErrorText(err))
+	s.logStreamEnd(u, err, eventCount)
 	if ctx.Err() != nil || callerLeft(err) {
 		if clock.Since(s.lastReadAt) >= unresponsiveAfter {
 			s.crashGuard.handleDisconnect(interruption{upstream: u, sentAt: s.sentAt, wasAlive: true, eventCount: eventCount, begunBefore: s.begunBefore(eventCount), cause: &AbandonedError{}})
@@ -111,6 +116,13 @@
 	return s.mayRestart(ctx, err, sendsFullRestart)
 }
 
+// logStreamEnd logs a run that ended early.
+func (s *stream) logStreamEnd(u dialect.Upstream, err error, eventCount int) {
+	s.log.Info("stream broke off", "upstream", u.ID, "software_version", u.SoftwareVersion, "by", string(s.cutReason), "events", s.events.Load(), "here", eventCount, "last_event", s.lastEvent,
+		"framing", string(s.framing), "rest_bytes", s.restBytes,
+		"quiet_ms", clock.Since(s.lastReadAt).Milliseconds(), "left_ms", clock.Until(s.j.Deadline).Milliseconds(), "error", logs.ErrorText(err))
+}
+
 // begunBefore reports whether the stream had begun in an attempt before the last one, in which the
 // given number of events arrived.
 func (s *stream) begunBefore(eventCount int) bool {
@@ -130,16 +142,21 @@
 
 // copyEvents copies complete events to the caller until the body ends, and returns what follows the
 // last one. It calls first when the first event arrives.
-func (s *stream) copyEvents(wd *watchdog, p *placement, resp *http.Response, first func()) (rest []byte, err error) {
+func (s *stream) copyEvents(r *run, first func()) (rest []byte, err error) {
+	p := r.placement
 	started := false
 	before := s.events.Load()
 	heard := func(n int) {
-		wd.heard()
+		r.watchdog.heard()
 		if n > 0 {
 			s.lastReadAt = clock.Now()
 		}
 	}
-	return readEvents(resp.Body, heard, func(events []byte) error {
+	return readEvents(r.body(), heard, func(events []byte) error {
+		if !s.takeover.enterDelivery() {
+			return &SupersededError{}
+		}
+		defer s.takeover.exitDelivery()
 		if !started {
 			started = true
 			s.began(p.decode.Upstream.SoftwareVersion)
@@ -150,7 +167,7 @@
 		s.recordPause(clock.Now())
 		s.c.o.Scheduler.RecordProgress(clock.Now(), p.decode, s.produced())
 		delivered := s.events.Load() - before
-		if err := s.deliver(resp, events); err != nil {
+		if err := s.deliver(r.resp, events); err != nil {
 			return err
 		}
 		s.crashGuard.recordProgress(int(delivered), int(s.events.Load()-before))
--- a/gateway/carry/guard.go
+++ b/gateway/carry/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,31 +18,64 @@
 // timerNotStarted is the initial delay of a timer that has not been started yet.
 const timerNotStarted = time.Hour
 
+// silenceHandler decides what happens to a request whose engine does not answer a liveness check.
+type silenceHandler interface {
+	// onUnresponsive reports whether to cancel the request. err is the error of the check, start when
+	// it began. heard reports whether the engine has sent anything since.
+	onUnresponsive(u dialect.Upstream, err error, start time.Time, heard func() bool) bool
+}
+
 // watchdog monitors an engine to which a request was sent. It cancels the request's context when
 // a newer incarnation of the engine appears. If nothing arrives for a time, it checks whether
-// the engine is alive. If the engine does not answer, the context is canceled too, but that of a
-// stream that has delivered events only if another engine was reserved for it.
+// the engine is alive. If the engine does not answer, the handler decides whether the context is
+// canceled.
 type watchdog struct {
-	// ctx is the context of the request. cancel cancels it with an *UnresponsiveError.
-	ctx      context.Context
-	cancel   context.CancelCauseFunc
-	stop     func()
-	timer    *time.Timer
+	// ctx is the context of the request. cancel cancels it, usually with an *UnresponsiveError.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	stop   func()
+	timer  *time.Timer
+
 	interval time.Duration
 	// signsOfLife counts the calls of heard.
 	signsOfLife atomic.Uint64
+
+	mu sync.Mutex
+	// handler is nil if the request is canceled in any case.
+	handler silenceHandler
+	// checksOn means that an engine that has answered is checked again after the interval.
+	checksOn bool
+}
+
+// handleSilence sets the handler.
+func (wd *watchdog) handleSilence(h silenceHandler) {
+	wd.mu.Lock()
+	defer wd.mu.Unlock()
+	wd.handler = h
+}
+
+// silenceHandler returns the handler.
+func (wd *watchdog) silenceHandler() silenceHandler {
+	wd.mu.Lock()
+	defer wd.mu.Unlock()
+	return wd.handler
 }
 
 // newWatchdog returns a watchdog for a request to an engine. It checks the engine when nothing
-// has arrived for the given time. If the run continues after a check and f is not nil, it checks
-// again when nothing has arrived for as long again.
-func (s *stream) newWatchdog(ctx context.Context, u dialect.Upstream, after time.Duration, f *failover) *watchdog {
+// has arrived for the given time. h handles an engine that does not answer; it may be nil. Such an
+// engine is checked again after the same time, and with checksOn one that has answered too.
+func (s *stream) newWatchdog(ctx context.Context, u dialect.Upstream, after time.Duration, h silenceHandler, checksOn bool) *watchdog {
 	watched, cancel, end := s.c.inFlight.track(ctx, u)
-	wd := &watchdog{ctx: watched, cancel: cancel, interval: after}
+	wd := &watchdog{ctx: watched, cancel: cancel, interval: after, handler: h, checksOn: checksOn}
 	// The timer must be assigned before it can fire, so it is started by heard.
 	wd.timer = time.AfterFunc(timerNotStarted, func() {
-		if s.checkLiveness(u, wd, f) && f != nil {
+		switch s.checkLiveness(u, wd) {
+		case engineSilent:
 			wd.resetTimer()
+		case engineAnswered:
+			if wd.checksOn {
+				wd.resetTimer()
+			}
 		}
 	})
 	wd.stop = func() {
@@ -56,14 +90,14 @@
 // stream may continue elsewhere; a stream that may run at most once is canceled only if its
 // engine restarts. Without the check, a stream that crosses a network partition between zones
 // stalls until its caller disconnects, and the callers of all such streams retry at the same
-// moment.
-func (s *stream) streamWatchdog(ctx context.Context, u dialect.Upstream) *watchdog {
+// moment. h handles an engine that does not answer; if it is nil, the request is canceled.
+func (s *stream) streamWatchdog(ctx context.Context, u dialect.Upstream, h silenceHandler) *watchdog {
 	after := stallFactor * s.j.Route.PaceObjective
 	if !s.j.Route.Repeatable() || after <= 0 {
 		watched, cancel, end := s.c.inFlight.track(ctx, u)
 		return &watchdog{ctx: watched, cancel: cancel, stop: end}
 	}
-	return s.newWatchdog(ctx, u, after, s.newFailover(u))
+	return s.newWatchdog(ctx, u, after, h, true)
 }
 
 // heard records that the engine has sent something and restarts the timer.
--- a/gateway/carry/migrate.go
+++ b/gateway/carry/migrate.go
@@ -300,17 +300,16 @@
 			s.c.o.Count("stream_went_back")
 		}
 		p.decode = t
-		var resp *http.Response
 		start := clock.Now()
 		s.sentAt = start
-		wd := s.streamWatchdog(ctx, t.Upstream)
-		if resp, err = s.resumeAt(wd, t.Upstream, cont.source); err == nil {
-			defer wd.stop()
-			defer resp.Body.Close()
+		r := &run{s: s, placement: p, sentAt: start, watchdog: s.streamWatchdog(ctx, t.Upstream, nil)}
+		if r.resp, err = s.resumeAt(r.watchdog, t.Upstream, cont.source); err == nil {
+			defer r.close()
 			s.endPlacements(cont.engines[i+1:])
-			return s.forward(ctx, wd, p, resp, start)
+			r.watchdog.handleSilence(s.newFailover(ctx, t.Upstream))
+			return s.forward(ctx, r)
 		}
-		wd.stop()
+		r.close()
 		if ctx.Err() != nil {
 			s.endPlacements(cont.engines[i+1:])
 			reason = cutReason(ctx, err)
--- a/gateway/carry/prefill.go
+++ b/gateway/carry/prefill.go
@@ -93,7 +93,7 @@
 	start := clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, s.prefillTimeout(start, expected))
 	defer cancel()
-	wd := s.newWatchdog(ctx, u, max(minLivenessDelay, livenessDelayFactor*expected), nil)
+	wd := s.newWatchdog(ctx, u, max(minLivenessDelay, livenessDelayFactor*expected), nil, false)
 	defer wd.stop()
 	h, err := s.c.o.Dialect.Prefill(wd.ctx, s.j.Call, dialect.Send{To: u, Deadline: s.j.Deadline.Add(-deadlineMargin)})
 	took := clock.Since(start)
--- a/gateway/carry/relay.go
+++ b/gateway/carry/relay.go
@@ -161,20 +161,34 @@
 		return nil, false, s.callerError(declineRelayed(s.j, s.runs))
 	}
 	s.crashGuard.endTrial()
-	resp, err := s.c.sendToPeer(ctx, s.j, progress{
-		runs: s.runs, lastEvent: s.lastEvent, receivedEvents: s.j.Call.ReceivedEvents + int(s.events.Load()), softwareVersion: s.software.version.Load(),
-	}, s.log)
+	r, err := s.sendRelayed(ctx)
 	if err != nil {
 		if ctx.Err() != nil && !mayHaveRunAtPeer(ctx, err) {
 			err = s.contextError(ctx)
 		}
 		return nil, false, s.callerError(err)
 	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return s.relayedError(ctx, resp)
+	defer r.close()
+	return s.forwardRelayed(ctx, r)
+}
+
+// sendRelayed sends the stream, or the rest of it, to a peer. The error is an *Error.
+func (s *stream) sendRelayed(ctx context.Context) (*run, error) {
+	r := &run{s: s, sentAt: clock.Now()}
+	var err error
+	r.resp, err = s.c.sendToPeer(ctx, s.j, progress{
+		runs: s.runs, lastEvent: s.lastEvent, receivedEvents: s.j.Call.ReceivedEvents + int(s.events.Load()), softwareVersion: s.software.version.Load(),
+	}, s.log)
+	return r, err
+}
+
+// forwardRelayed copies a relayed stream to the caller. The second result reports whether the stream
+// may be started again.
+func (s *stream) forwardRelayed(ctx context.Context, r *run) (*Response, bool, error) {
+	if r.resp.StatusCode != http.StatusOK {
+		return s.relayedError(ctx, r.resp)
 	}
-	err = s.copyRelayed(ctx, resp)
+	err := s.copyRelayed(ctx, r)
 	if err == nil {
 		return nil, false, nil
 	}
@@ -196,9 +210,10 @@
 }
 
 // copyRelayed copies complete events of a relayed stream to the caller until the stream ends.
-func (s *stream) copyRelayed(ctx context.Context, resp *http.Response) error {
+func (s *stream) copyRelayed(ctx context.Context, r *run) error {
+	resp := r.resp
 	version, known := relay.TakeSoftwareVersion(resp.Header)
-	rest, err := readEvents(resp.Body, func(int) {}, func(events []byte) error {
+	rest, err := readEvents(r.body(), func(int) {}, func(events []byte) error {
 		s.beganAtPeer(ctx, version, known)
 		s.recordPause(clock.Now())
 		return s.deliver(resp, events)
--- /dev/null
+++ b/gateway/carry/run.go
@@ -0,0 +1,77 @@
+package carry
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/wardspool/wardspool/internal/clock"
+)
+
+// run is a run of a stream that an engine or a peer has accepted.
+type run struct {
+	s *stream
+	// placement is the engine, nil for a run at a peer. watchdog monitors the engine.
+	placement *placement
+	watchdog  *watchdog
+	resp      *http.Response
+	// sentAt is when the stream was sent.
+	sentAt time.Time
+	// received is the beginning of the body if it was read already.
+	received []byte
+	// guard is the crash guard of a run that was started by a takeover, nil otherwise. cancel ends such
+	// a run.
+	guard  *crashGuard
+	cancel context.CancelFunc
+}
+
+// close ends the run and releases what it holds.
+func (r *run) close() {
+	if r.watchdog != nil {
+		r.watchdog.stop()
+	}
+	if r.resp != nil {
+		_ = r.resp.Body.Close()
+	}
+	if r.cancel == nil {
+		return
+	}
+	r.cancel()
+	r.guard.endTrial()
+	if r.placement != nil {
+		r.s.leavePlacement(r.placement)
+	}
+}
+
+// body returns the whole body, including what was read already.
+func (r *run) body() io.Reader {
+	return io.MultiReader(bytes.NewReader(r.received), r.resp.Body)
+}
+
+// receiveEvent reads the body up to its first complete event, or to its end.
+func (r *run) receiveEvent() error {
+	buf := make([]byte, readBytes)
+	for lastEventEnd(r.received) == 0 {
+		n, err := r.resp.Body.Read(buf)
+		r.received = append(r.received, buf[:n]...)
+		if r.watchdog != nil {
+			r.watchdog.heard()
+			err = r.watchdog.attemptError(err)
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return err
+		case len(r.received) > maxEventBytes:
+			return &EventSizeError{}
+		}
+	}
+	return nil
+}
+
+// age returns the time since the run was sent.
+func (r *run) age() time.Duration { return clock.Since(r.sentAt) }
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -76,7 +76,7 @@
 	s := &stream{c: c, j: j, w: w, log: j.log(c.o.Log), lastEvent: j.Call.LastEvent, runs: j.PriorRuns}
 	s.crashGuard = c.newCrashGuard(j, s.log)
 	defer s.crashGuard.endTrial()
-	defer s.closeStandby()
+	defer s.takeover.close()
 	ctx, cancel := context.WithTimeout(ctx, clock.Until(j.Deadline.Add(deadlineGrace)))
 	defer cancel()
 	if s.wouldOutliveInstance() {
@@ -88,13 +88,6 @@
 	return s.run(ctx)
 }
 
-// closeStandby releases the standby placement if the stream did not use it.
-func (s *stream) closeStandby() {
-	if p := s.standby.close(); p != nil {
-		s.releasePlacement(p)
-	}
-}
-
 // deadlineGrace is how long after its deadline a stream is canceled. The engine ends it by
 // itself at the deadline, and events in transit are still delivered.
 const deadlineGrace = 250 * time.Millisecond
@@ -126,7 +119,7 @@
 	events     atomic.Int64
 	software   versionBinding
 	migration  migration
-	standby    standby
+	takeover   takeover
 	crashGuard crashGuard
 	// firstAt and lastAt are the times of the first and the last event. longestPause is the
 	// longest time between two consecutive events.
@@ -240,9 +233,6 @@
 	if s.starts == 1 {
 		s.c.o.Scheduler.RecordRequest(clock.Now(), s.j.Service.Name, s.j.Call.PromptTokens, s.output())
 	}
-	if p := s.standby.take(); p != nil {
-		return p, nil
-	}
 	return s.reserve(ctx)
 }
 
@@ -292,11 +282,10 @@
 	if errors.As(err, &reqErr) {
 		return false
 	}
-	if clock.Until(s.j.Deadline) < minAttemptTime {
+	if clock.Until(s.j.Deadline) < answerMargin+minAttemptTime {
 		return false
 	}
-	// The sends to a standby placement were charged to the retry budget when it was reserved.
-	return s.standby.isSet() || s.c.mayResend(s.j.Service.Name, sends, s.headSent, s.log)
+	return s.c.mayResend(s.j.Service.Name, sends, s.headSent, s.log)
 }
 
 // recordInterruption handles an attempt that was interrupted at an engine, unless the request's
--- /dev/null
+++ b/gateway/carry/takeover.go
@@ -0,0 +1,221 @@
+package carry
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// maxHold is how long the events of an engine that was silent are held back while another engine may
+// already be running the stream. Longer, and the pause would be noticed by the caller.
+const maxHold = 300 * time.Millisecond
+
+// takeoverPhase is the progress of a takeover.
+type takeoverPhase int
+
+const (
+	// takeoverIdle means that no other run is being started.
+	takeoverIdle takeoverPhase = iota
+	// takeoverPreparing means that another engine is being reserved or computes the prompt. An event
+	// of the current run cancels that.
+	takeoverPreparing
+	// takeoverSent means that the stream was sent to another engine. Both engines may run it, so
+	// events of the current run are held back until the other run has begun or failed.
+	takeoverSent
+	// takeoverWon means that the other run has begun. The current one is canceled, and no more of
+	// its events are delivered.
+	takeoverWon
+	// takeoverClosed means that the stream has ended.
+	takeoverClosed
+)
+
+// takeover decides which of two runs of a stream delivers its events: the current one, at an engine
+// that has fallen silent, or another one, which is started to continue it. The current run is kept
+// until the other one has begun, because silence does not prove a failure and the other run may fail
+// as well. It is safe for concurrent use.
+type takeover struct {
+	mu    sync.Mutex
+	phase takeoverPhase
+	// generation is incremented by each takeover. One that was abandoned must not affect the next.
+	generation int
+	// delivering means that events of the current run are being delivered.
+	delivering bool
+	// cancel cancels the start of the other run. settled is closed when that start has begun or
+	// failed. Both are set while the phase is preparing or sent.
+	cancel  context.CancelFunc
+	settled chan struct{}
+	// next is the other run once it has begun.
+	next *run
+	// failedRuns counts engines that may have run the stream in starts that failed. crashedEarly means
+	// that one of them crashed before the first event.
+	failedRuns   int
+	crashedEarly bool
+}
+
+// begin starts a takeover and calls snapshot, while no event is being delivered. ok is false if that
+// is not possible now. cancel is called if the takeover is abandoned.
+func (t *takeover) begin(cancel context.CancelFunc, snapshot func()) (generation int, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.phase != takeoverIdle || t.delivering {
+		return 0, false
+	}
+	t.generation++
+	t.phase, t.cancel, t.settled = takeoverPreparing, cancel, make(chan struct{})
+	snapshot()
+	return t.generation, true
+}
+
+// in reports whether a takeover is still in the given phase. The caller holds mu.
+func (t *takeover) in(generation int, phase takeoverPhase) bool {
+	return t.generation == generation && t.phase == phase
+}
+
+// pending reports whether another run is being started. The caller holds mu.
+func (t *takeover) pending() bool {
+	return t.phase == takeoverPreparing || t.phase == takeoverSent
+}
+
+// commit is called just before the stream is sent to the other engine. It returns false if the
+// takeover was abandoned.
+func (t *takeover) commit(generation int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.in(generation, takeoverPreparing) {
+		return false
+	}
+	t.phase = takeoverSent
+	return true
+}
+
+// win makes next the stream's run. It returns false if the takeover was abandoned.
+func (t *takeover) win(generation int, next *run) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.in(generation, takeoverSent) {
+		return false
+	}
+	t.phase, t.next = takeoverWon, next
+	close(t.settled)
+	return true
+}
+
+// fail ends a takeover that did not succeed. runs is the number of engines that may have run the
+// stream, crashedEarly whether one of them crashed before the first event.
+func (t *takeover) fail(generation, runs int, crashedEarly bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.failedRuns += runs
+	t.crashedEarly = t.crashedEarly || crashedEarly
+	if t.generation == generation && t.pending() {
+		t.phase = takeoverIdle
+		close(t.settled)
+	}
+}
+
+// abandon cancels a takeover that has not succeeded. The caller holds mu.
+func (t *takeover) abandon() {
+	if t.pending() {
+		t.phase = takeoverIdle
+		t.cancel()
+		close(t.settled)
+	}
+}
+
+// enterDelivery is called before events of the current run are delivered. It returns false if they
+// must not be delivered, because another run has taken over. Otherwise exitDelivery must be called
+// after the delivery.
+func (t *takeover) enterDelivery() bool {
+	t.awaitSent(maxHold)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.phase == takeoverWon {
+		return false
+	}
+	t.abandon()
+	t.delivering = true
+	return true
+}
+
+// exitDelivery is called after events of the current run were delivered.
+func (t *takeover) exitDelivery() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.delivering = false
+}
+
+// awaitSent waits for the outcome of a takeover that was sent to another engine, at most for the
+// given time.
+func (t *takeover) awaitSent(limit time.Duration) {
+	t.mu.Lock()
+	sent, settled := t.phase == takeoverSent, t.settled
+	t.mu.Unlock()
+	if !sent {
+		return
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-settled:
+	case <-timer.C:
+	}
+}
+
+// won reports whether another run has begun.
+func (t *takeover) won() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.phase == takeoverWon
+}
+
+// result is called when the current run has ended. It waits for a takeover that is under way and
+// returns the other run, or nil if there is none. The caller must close the run.
+func (t *takeover) result(ctx context.Context) *run {
+	t.mu.Lock()
+	pending, settled := t.pending(), t.settled
+	t.mu.Unlock()
+	if pending {
+		select {
+		case <-settled:
+		case <-ctx.Done():
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.abandon()
+	if t.phase != takeoverWon {
+		return nil
+	}
+	next := t.next
+	t.phase, t.next = takeoverIdle, nil
+	return next
+}
+
+// failures returns the number of engines that may have run the stream in starts that failed, and
+// whether one of them crashed before the first event.
+func (t *takeover) failures() (runs int, crashedEarly bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.failedRuns, t.crashedEarly
+}
+
+// takeFailures is like failures and resets the number of runs.
+func (t *takeover) takeFailures() (runs int, crashedEarly bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	runs = t.failedRuns
+	t.failedRuns = 0
+	return runs, t.crashedEarly
+}
+
+// close ends all takeovers of a stream that has ended.
+func (t *takeover) close() {
+	t.mu.Lock()
+	t.abandon()
+	next := t.next
+	t.phase, t.next = takeoverClosed, nil
+	t.mu.Unlock()
+	if next != nil {
+		next.close()
+	}
+}
--- a/gateway/carry/watch.go
+++ b/gateway/carry/watch.go
@@ -38,10 +38,22 @@
 // Unwrap returns the error of the liveness check.
 func (e *UnresponsiveError) Unwrap() error { return e.Err }
 
+// liveness is the result of a liveness check.
+type liveness int
+
+const (
+	// requestEnded means that the request has ended or was canceled.
+	requestEnded liveness = iota
+	// engineAnswered means that the engine answered, engineSilent that it did not and that the request
+	// goes on all the same.
+	engineAnswered
+	engineSilent
+)
+
 // checkLiveness checks whether an engine is alive. It cancels the context of the watchdog
-// with an *UnresponsiveError if the engine has crashed, or if it does not answer and the run is
-// canceled in favor of another engine. It reports whether the run continues.
-func (s *stream) checkLiveness(u dialect.Upstream, wd *watchdog, f *failover) bool {
+// with an *UnresponsiveError if the engine has crashed, or if it does not answer and the handler
+// decides so.
+func (s *stream) checkLiveness(u dialect.Upstream, wd *watchdog) liveness {
 	checkCtx, done := context.WithTimeout(wd.ctx, livenessTimeout)
 	defer done()
 	before := wd.signsOfLife.Load()
@@ -49,18 +61,18 @@
 	r, err := s.c.o.Dialect.Report(checkCtx, u)
 	switch {
 	case err == nil && !s.c.ObserveReport(u, r), err != nil && wd.ctx.Err() != nil:
-		return false
+		return requestEnded
 	case err == nil:
 		s.c.o.Scheduler.RecordContact(clock.Now(), u)
-		return true
+		return engineAnswered
 	}
 	s.log.Warn("upstream silent", "upstream", u.ID, "asked_ms", clock.Since(start).Milliseconds(), "error", logs.ErrorText(err))
 	heard := func() bool { return wd.signsOfLife.Load() != before }
-	if f != nil && s.c.stateFromError(u, err) != stateCrashed && !f.onUnresponsive(wd.ctx, u, err, start, heard) {
-		return true
+	if h := wd.silenceHandler(); h != nil && s.c.stateFromError(u, err) != stateCrashed && !h.onUnresponsive(u, err, start, heard) {
+		return engineSilent
 	}
 	wd.cancel(&UnresponsiveError{Upstream: u.ID, Err: err})
-	return false
+	return requestEnded
 }
 
 // unresponsiveCause returns the *UnresponsiveError for which a watched context was canceled, or
