carry: a silent prefill engine keeps its prompt while the budget allows no other prefill

Requests failed with 'engines_failed' 0.35 s after their prefill engine had fallen silent: the prefill was canceled, and only then was the retry budget asked for another one. The budget is asked first now; without it the prompt stays, and the engine is asked again. TestSilentPrefillEngineKeepsItsPrompt failed before.

--- a/gateway/carry/prefill.go
+++ b/gateway/carry/prefill.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/wardspool/wardspool/adapter"
@@ -70,7 +71,8 @@
 			s.c.o.Scheduler.Done(t)
 			return nil, err
 		}
-		h, err := s.prefillAt(ctx, t)
+		silence := &prefillSilence{s: s}
+		h, err := s.prefillAt(ctx, t, silence)
 		if err == nil {
 			return &prefillResult{handle: h, engine: t.Upstream, createdAt: clock.Now()}, nil
 		}
@@ -78,14 +80,35 @@
 			return nil, s.contextError(ctx)
 		}
 		tried = append(tried, t.Upstream.ID)
-		if !s.c.mayResend(s.j.Service.Name, sendsAfterPrefill, s.headSent, s.log) {
+		if !silence.charged.Load() && !s.c.mayResend(s.j.Service.Name, sendsAfterPrefill, s.headSent, s.log) {
 			return nil, err
 		}
 	}
 }
 
+// prefillSilence handles a prefill engine that does not respond. The prompt is left there while the
+// retry budget does not allow another prefill.
+type prefillSilence struct {
+	s *stream
+	// charged means that the next prefill was charged to the retry budget.
+	charged atomic.Bool
+}
+
+// onUnresponsive implements silenceHandler.
+func (p *prefillSilence) onUnresponsive(u dialect.Upstream, err error, start time.Time, heard func() bool) bool {
+	s := p.s
+	s.c.recordFailure(u, ClassifyUnreachable(err), err, clock.Since(start), s.log)
+	if !heard() && s.c.mayResend(s.j.Service.Name, sendsAfterPrefill, s.headSent, s.log) {
+		p.charged.Store(true)
+		return true
+	}
+	s.c.o.Count("silent_prefill_kept")
+	s.log.Info("prompt stays at a silent engine", "upstream", u.ID, "heard", heard(), "left_ms", clock.Until(s.j.Deadline).Milliseconds())
+	return false
+}
+
 // prefillAt has the prompt computed at one engine.
-func (s *stream) prefillAt(ctx context.Context, t schedule.Ticket) (dialect.Handle, error) {
+func (s *stream) prefillAt(ctx context.Context, t schedule.Ticket, silence silenceHandler) (dialect.Handle, error) {
 	defer s.c.o.Scheduler.Done(t)
 	s.prefills++
 	u := t.Upstream
@@ -93,7 +116,7 @@
 	start := clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, s.prefillTimeout(start, expected))
 	defer cancel()
-	wd := s.newWatchdog(ctx, u, max(minLivenessDelay, livenessDelayFactor*expected), nil, false)
+	wd := s.newWatchdog(ctx, u, max(minLivenessDelay, livenessDelayFactor*expected), silence, false)
 	defer wd.stop()
 	h, err := s.c.o.Dialect.Prefill(wd.ctx, s.j.Call, dialect.Send{To: u, Deadline: s.j.Deadline.Add(-deadlineMargin)})
 	took := clock.Since(start)
