carry: streams without an event are answered before their deadline

A caller whose engine stayed silent until the deadline was told so 250 ms after it, when it had gone: the time in which events that are under way may still be delivered was also waited for when there were none. A stream that has no event 30 ms before its deadline is answered then.

--- a/gateway/carry/decode.go
+++ b/gateway/carry/decode.go
@@ -63,6 +63,9 @@
 func (s *stream) send(ctx context.Context, p *placement, h *prefillResult, silence silenceHandler) (*run, dialect.Verdict, error) {
 	u := p.decode.Upstream
 	r := &run{s: s, placement: p, sentAt: clock.Now(), watchdog: s.streamWatchdog(ctx, u, silence)}
+	if !s.headSent {
+		r.watchdog.limitAnswer(s.j.Deadline)
+	}
 	var source *dialect.Handle
 	if h != nil {
 		source = &h.handle
--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -159,6 +159,7 @@
 		defer s.takeover.exitDelivery()
 		if !started {
 			started = true
+			r.watchdog.stopLimit()
 			s.began(p.decode.Upstream.SoftwareVersion)
 			s.c.o.Scheduler.RecordPromptComputed(p.decode)
 			s.observeLead()
--- a/gateway/carry/guard.go
+++ b/gateway/carry/guard.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/wardspool/wardspool/adapter"
 	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/kernel"
 )
 
@@ -35,8 +37,10 @@
 	cancel context.CancelCauseFunc
 	stop   func()
 	timer  *time.Timer
-
-	interval time.Duration
+	// answerTimer cancels a stream that has no answer shortly before its deadline; nil if there is
+	// none.
+	answerTimer *time.Timer
+	interval    time.Duration
 	// signsOfLife counts the calls of heard.
 	signsOfLife atomic.Uint64
 
@@ -100,6 +104,18 @@
 	return s.newWatchdog(ctx, u, after, h, true)
 }
 
+// limitAnswer cancels the request if stopLimit is not called until shortly before the deadline.
+func (wd *watchdog) limitAnswer(deadline time.Time) {
+	wd.answerTimer = time.AfterFunc(clock.Until(deadline)-answerMargin, func() { wd.cancel(context.DeadlineExceeded) })
+}
+
+// stopLimit ends the limit of limitAnswer.
+func (wd *watchdog) stopLimit() {
+	if wd.answerTimer != nil {
+		wd.answerTimer.Stop()
+	}
+}
+
 // heard records that the engine has sent something and restarts the timer.
 func (wd *watchdog) heard() {
 	wd.signsOfLife.Add(1)
@@ -113,12 +129,18 @@
 	}
 }
 
-// attemptError returns the *UnresponsiveError for which the attempt was canceled, otherwise err.
-// The result keeps the evidence of err on whether the request was sent, because the unanswered
-// liveness check was a separate call and is no evidence of that.
+// attemptError returns the *UnresponsiveError or the passed deadline for which the attempt was
+// canceled, otherwise err. The result keeps the evidence of err on whether the request was sent,
+// because the unanswered liveness check was a separate call and is no evidence of that.
 func (wd *watchdog) attemptError(err error) error {
+	if err == nil {
+		return nil
+	}
+	if errors.Is(context.Cause(wd.ctx), context.DeadlineExceeded) {
+		return &adapter.CallError{Evidence: adapter.AsCallError(err).Evidence, Code: kernel.FailureTimeout, Err: context.DeadlineExceeded}
+	}
 	silent := unresponsiveCause(wd.ctx)
-	if err == nil || silent == nil {
+	if silent == nil {
 		return err
 	}
 	return &adapter.CallError{Evidence: adapter.AsCallError(err).Evidence, Code: kernel.FailureBroken, Err: silent}
--- a/gateway/carry/prefill.go
+++ b/gateway/carry/prefill.go
@@ -80,6 +80,9 @@
 			return nil, s.contextError(ctx)
 		}
 		tried = append(tried, t.Upstream.ID)
+		if !s.headSent && clock.Until(s.j.Deadline) < answerMargin+minAttemptTime {
+			return nil, err
+		}
 		if !silence.charged.Load() && !s.c.mayResend(s.j.Service.Name, sendsAfterPrefill, s.headSent, s.log) {
 			return nil, err
 		}
--- a/gateway/carry/run.go
+++ b/gateway/carry/run.go
@@ -31,6 +31,7 @@
 // close ends the run and releases what it holds.
 func (r *run) close() {
 	if r.watchdog != nil {
+		r.watchdog.stopLimit()
 		r.watchdog.stop()
 	}
 	if r.resp != nil {
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -253,6 +253,8 @@
 		return &InterruptedError{Reason: s.cutReason, Err: err}
 	case errors.As(err, &reqErr):
 		return reqErr
+	case errors.Is(err, context.DeadlineExceeded) && clock.Until(s.j.Deadline) <= answerMargin:
+		return deadlineError(s.outcomeUnserved())
 	case s.runs == 0:
 		return &Error{Outcome: NotRun, Reason: "engines_failed", RetryAfter: streamRetryAfter, Err: err}
 	default:
