carry: a run ended for silence is reported as such; why a silent engine keeps its stream

54 of 60 streams that were taken over were logged as ended by their engine: the error of the unanswered check wraps a deadline, and was taken for the request's. TestSilenceIsNotTakenForTheDeadline failed before. 'stream stays at a silent engine' says whether budget, room or the engine itself was the reason.

--- a/gateway/carry/failover.go
+++ b/gateway/carry/failover.go
@@ -56,7 +56,7 @@
 	s := f.s
 	s.c.recordFailure(u, ClassifyUnreachable(err), err, clock.Since(start), s.log)
 	allowed := f.allowed()
-	failure := error(&NotStartedError{})
+	failure := error(&NotStartedError{Reason: notAllowed})
 	if allowed && !heard() {
 		if failure = f.startElsewhere(heard); failure == nil {
 			return true
@@ -77,7 +77,7 @@
 	generation, ok := t.begin(cancel, func() { other = f.fork() })
 	if !ok {
 		cancel()
-		return &NotStartedError{}
+		return &NotStartedError{Reason: engineWentOn}
 	}
 	before := other.runs
 	next, err := other.openElsewhere(ctx, heard, func() bool { return t.commit(generation) })
@@ -88,7 +88,9 @@
 		}
 		next.close()
 		other.runs++
-		err = &NotStartedError{}
+	}
+	if ctx.Err() != nil || err == nil {
+		err = &NotStartedError{Reason: engineWentOn}
 	}
 	cancel()
 	other.crashGuard.endTrial()
@@ -121,10 +123,18 @@
 }
 
 // NotStartedError reports a stream that was not started at another engine.
-type NotStartedError struct{}
+type NotStartedError struct{ Reason string }
 
 // Error implements the error interface.
-func (*NotStartedError) Error() string { return "not started at another engine" }
+func (e *NotStartedError) Error() string { return "not started at another engine: " + e.Reason }
+
+// The reasons for which a stream is not started at another engine, in logs.
+const (
+	notAllowed     = "not allowed"
+	engineWentOn   = "the engine went on or the stream ended"
+	noEngineFound  = "no engine found"
+	noBudgetToSend = "retry budget"
+)
 
 // openElsewhere opens a run at another engine, or at a peer if this instance reaches no engine, and
 // reads its first event. It calls commit just before it sends the stream, and sends it only if commit
@@ -133,9 +143,9 @@
 	if s.c.o.Relay.Needed(s.j.Service.Name) {
 		return s.openAtPeer(ctx, commit)
 	}
-	p := s.findEngine(ctx, heard)
-	if p == nil {
-		return nil, &NotStartedError{}
+	p, err := s.findEngine(ctx, heard)
+	if err != nil {
+		return nil, err
 	}
 	h, err := s.obtainPrefill(ctx, p)
 	if err != nil {
@@ -147,7 +157,7 @@
 			s.freeResult(h)
 		}
 		s.releasePlacement(p)
-		return nil, &NotStartedError{}
+		return nil, &NotStartedError{Reason: engineWentOn}
 	}
 	next, err := s.openAtEngine(ctx, p, h)
 	if err != nil {
@@ -199,8 +209,11 @@
 	if s.j.Relayed {
 		return nil, declineRelayed(s.j, s.runs)
 	}
-	if !s.c.mayResend(s.j.Service.Name, sendsFullRestart, s.headSent, s.log) || !commit() {
-		return nil, &NotStartedError{}
+	if !s.c.mayResend(s.j.Service.Name, sendsFullRestart, s.headSent, s.log) {
+		return nil, &NotStartedError{Reason: noBudgetToSend}
+	}
+	if !commit() {
+		return nil, &NotStartedError{Reason: engineWentOn}
 	}
 	next, err := s.sendRelayed(ctx)
 	if err != nil {
@@ -225,24 +238,24 @@
 }
 
 // findEngine searches for another engine until one is reserved, the current engine responds again, or
-// ctx ends. It charges the sends to the new engine to the retry budget. It returns nil if no
-// engine was found or the budget is exhausted.
-func (s *stream) findEngine(ctx context.Context, heard func() bool) *placement {
+// ctx ends. It charges the sends to the new engine to the retry budget. The error is a
+// *NotStartedError.
+func (s *stream) findEngine(ctx context.Context, heard func() bool) (*placement, error) {
 	for !heard() && !s.c.o.Relay.Needed(s.j.Service.Name) && clock.Until(s.j.Deadline) >= answerMargin+minAttemptTime {
 		size := s.sizeWithoutCache()
 		size.Isolate = s.crashGuard.onTrial()
 		if p := s.reservePlacement(ctx, size, s.excluded); p != nil {
 			if s.c.mayResend(s.j.Service.Name, sendsFullRestart, true, s.log) {
-				return p
+				return p, nil
 			}
 			s.releasePlacement(p)
-			return nil
+			return nil, &NotStartedError{Reason: noBudgetToSend}
 		}
 		if !pause.For(ctx, searchInterval) {
-			return nil
+			return nil, &NotStartedError{Reason: noEngineFound}
 		}
 	}
-	return nil
+	return nil, &NotStartedError{Reason: noEngineFound}
 }
 
 // releasePlacement releases a placement that the stream does not use.
--- a/gateway/carry/guard.go
+++ b/gateway/carry/guard.go
@@ -136,12 +136,13 @@
 	if err == nil {
 		return nil
 	}
-	if errors.Is(context.Cause(wd.ctx), context.DeadlineExceeded) {
-		return &adapter.CallError{Evidence: adapter.AsCallError(err).Evidence, Code: kernel.FailureTimeout, Err: context.DeadlineExceeded}
+	evidence := adapter.AsCallError(err).Evidence
+	// An *UnresponsiveError may wrap the deadline of a liveness check, so it comes first.
+	if silent := unresponsiveCause(wd.ctx); silent != nil {
+		return &adapter.CallError{Evidence: evidence, Code: kernel.FailureBroken, Err: silent}
 	}
-	silent := unresponsiveCause(wd.ctx)
-	if silent == nil {
-		return err
+	if errors.Is(context.Cause(wd.ctx), context.DeadlineExceeded) {
+		return &adapter.CallError{Evidence: evidence, Code: kernel.FailureTimeout, Err: context.DeadlineExceeded}
 	}
-	return &adapter.CallError{Evidence: adapter.AsCallError(err).Evidence, Code: kernel.FailureBroken, Err: silent}
+	return err
 }
--- a/gateway/carry/watch_test.go
+++ b/gateway/carry/watch_test.go
@@ -1,6 +1,8 @@
 package carry
 
 import (
+	"context"
+	"errors"
 	"io"
 	"sync"
 	"testing"
@@ -8,10 +10,12 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/wardspool/wardspool/adapter"
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/bubble"
+	"github.com/wardspool/wardspool/kernel"
 )
 
 // runStalledStream runs a stream at d1 that sends two events and then nothing for three seconds.
@@ -108,3 +112,19 @@
 		})
 	}
 }
+
+// TestSilenceIsNotTakenForTheDeadline guards against a run that ended for silence and is reported as one that
+// ended at its deadline, because the unanswered liveness check has a deadline of its own.
+func TestSilenceIsNotTakenForTheDeadline(t *testing.T) {
+	for _, c := range []struct {
+		cause  error
+		silent bool
+	}{{&UnresponsiveError{Upstream: "d1", Err: context.DeadlineExceeded}, true}, {context.DeadlineExceeded, false}} {
+		ctx, cancel := context.WithCancelCause(t.Context())
+		cancel(c.cause)
+		err := (&watchdog{ctx: ctx}).attemptError(errInterrupted)
+		var silent *UnresponsiveError
+		assert.Equal(t, errors.As(err, &silent), c.silent, "%v", err)
+		assert.Equal(t, adapter.AsCallError(err).Evidence, kernel.Ambiguous)
+	}
+}
