carry: callers are answered before their deadline, and no check holds their answer up

The last attempt lasted until the deadline, by this instance's clock, and then the upstream was asked for up to 200 ms whether it had crashed.

An attempt ends 30 ms before the deadline (a tenth of the time if that is less), and upstreams are told so. The check after an attempt is waited for no longer than that, and goes on without the request; a crash that shows at once is still recorded before the caller can repeat.

--- a/gateway/carry/carry.go
+++ b/gateway/carry/carry.go
@@ -157,6 +157,13 @@
 	return j.Workspace == nil || j.Route.Public || s.Table == nil || s.Table.WorkspaceByKey(*j.Call.Key) != nil
 }
 
+// answerBy returns the time by which a caller without a response must be answered, since an answer after
+// its deadline does not reach it.
+func (j *Job) answerBy() time.Time {
+	margin := min(answerMargin, j.Deadline.Sub(j.Arrived)/answerMarginDivisor)
+	return j.Deadline.Add(-margin)
+}
+
 // Response is an upstream's complete response.
 type Response struct {
 	Status int
@@ -227,10 +234,11 @@
 	// deadlineMargin is subtracted from the deadline that is passed to upstreams. It covers the
 	// return path: links between zones take up to a few ms, and timers fire late.
 	deadlineMargin = 10 * time.Millisecond
-	// answerMargin is the time before the deadline at which a request without a response is answered.
-	// The caller's clock started before this instance's, and an answer after its deadline reaches
-	// nobody.
-	answerMargin = 30 * time.Millisecond
+	// answerMargin is the time before the deadline at which a request without a response is answered,
+	// at most the part of its time that answerMarginDivisor tells. The caller's clock started before this
+	// instance's, and the answer takes a few ms.
+	answerMargin        = 30 * time.Millisecond
+	answerMarginDivisor = 10
 	// minAttemptTime is the minimum time left before the deadline for another attempt to be
 	// worthwhile.
 	minAttemptTime = 20 * time.Millisecond
--- a/gateway/carry/decode.go
+++ b/gateway/carry/decode.go
@@ -64,7 +64,7 @@
 	u := p.decode.Upstream
 	r := &run{s: s, placement: p, sentAt: clock.Now(), watchdog: s.streamWatchdog(ctx, u, silence)}
 	if !s.headSent {
-		r.watchdog.limitAnswer(s.j.Deadline)
+		r.watchdog.limitAnswer(s.j.answerBy())
 	}
 	var source *dialect.Handle
 	if h != nil {
--- a/gateway/carry/ending.go
+++ b/gateway/carry/ending.go
@@ -151,17 +151,33 @@
 
 // handleInterruption checks whether the upstream of an interrupted attempt crashed.
 func (g *crashGuard) handleInterruption(i interruption) {
-	if g.recordInterruption(i) == stateCrashed && i.eventCount == 0 {
+	if g.awaitCheck(i) == stateCrashed && i.eventCount == 0 {
 		g.crashedEarly = true
 	}
 }
 
-// handleDisconnect checks an upstream that was sending nothing when the caller disconnected.
-func (g *crashGuard) handleDisconnect(i interruption) {
-	// The check runs after the request has ended, so it uses a copy that the request does not
-	// modify.
+// awaitCheck checks an upstream after an attempt there was interrupted. It waits for the result, because
+// the record of a crash may forbid another attempt, but no longer than the caller can still be answered.
+// The check goes on then, and the result is stateUnknown.
+func (g *crashGuard) awaitCheck(i interruption) upstreamState {
+	timer := time.NewTimer(clock.Until(g.j.answerBy()))
+	defer timer.Stop()
+	select {
+	case state := <-g.startCheck(i):
+		return state
+	case <-timer.C:
+		return stateUnknown
+	}
+}
+
+// startCheck checks an upstream after an attempt there has ended and records the result. The returned
+// channel receives the state of the upstream.
+func (g *crashGuard) startCheck(i interruption) <-chan upstreamState {
+	// The check may outlast the request, so it uses a copy that the request does not modify.
 	copied := g.c.newCrashGuard(g.j, g.log)
-	g.c.cleanup.Go(func() { copied.recordInterruption(i) })
+	result := make(chan upstreamState, 1)
+	g.c.cleanup.Go(func() { result <- copied.recordInterruption(i) })
+	return result
 }
 
 // recordInterruption determines the state of an upstream after an attempt there was interrupted,
--- a/gateway/carry/failover.go
+++ b/gateway/carry/failover.go
@@ -44,7 +44,7 @@
 	s := f.s
 	failedRuns, crashedEarly := s.takeover.failures()
 	return f.starts > 0 && s.j.Route.Repeatable() && s.runs+1+failedRuns < s.j.Route.MaxAttempts && !crashedEarly &&
-		clock.Until(s.j.Deadline) >= answerMargin+minAttemptTime
+		clock.Until(s.j.answerBy()) >= minAttemptTime
 }
 
 // onUnresponsive implements silenceHandler. It starts another run and reports whether that run has
@@ -241,7 +241,7 @@
 // ctx ends. It charges the sends to the new engine to the retry budget. The error is a
 // *NotStartedError.
 func (s *stream) findEngine(ctx context.Context, heard func() bool) (*placement, error) {
-	for !heard() && !s.c.o.Relay.Needed(s.j.Service.Name) && clock.Until(s.j.Deadline) >= answerMargin+minAttemptTime {
+	for !heard() && !s.c.o.Relay.Needed(s.j.Service.Name) && clock.Until(s.j.answerBy()) >= minAttemptTime {
 		size := s.sizeWithoutCache()
 		size.Isolate = s.crashGuard.onTrial()
 		if p := s.reservePlacement(ctx, size, s.excluded); p != nil {
@@ -322,5 +322,5 @@
 		return
 	}
 	s.c.recordAttempt(u, &attempt{err: err}, 0, s.log)
-	s.crashGuard.handleDisconnect(interruption{upstream: u, sentAt: s.sentAt, wasAlive: true, eventCount: eventCount, begunBefore: s.begunBefore(eventCount), cause: err})
+	s.crashGuard.startCheck(interruption{upstream: u, sentAt: s.sentAt, wasAlive: true, eventCount: eventCount, begunBefore: s.begunBefore(eventCount), cause: err})
 }
--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -62,6 +62,8 @@
 	cached map[ident.UpstreamID]map[string]int
 	// silent engines do not answer requests for a report.
 	silent map[ident.UpstreamID]bool
+	// checkTime is how long a liveness check of a silent upstream takes.
+	checkTime time.Duration
 	// busy engines reject requests for a report.
 	busy bool
 	// crashed upstreams refuse connections.
@@ -205,10 +207,15 @@
 	}
 	return dialect.Report{Incarnation: f.incarnations[u.ID]}, nil
 }
-func (f *fakeDialect) CheckReachable(_ context.Context, u dialect.Upstream) error {
+func (f *fakeDialect) CheckReachable(ctx context.Context, u dialect.Upstream) error {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.record("reach %s", u.ID)
+	if f.silent[u.ID] && f.checkTime > 0 {
+		f.mu.Unlock()
+		pause.For(ctx, f.checkTime)
+		f.mu.Lock()
+	}
+	defer f.mu.Unlock()
 	if f.crashed[u.ID] {
 		return errConnectionRefused
 	}
--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -103,7 +103,7 @@
 	s.logStreamEnd(u, err, eventCount)
 	if ctx.Err() != nil || callerLeft(err) {
 		if clock.Since(s.lastReadAt) >= unresponsiveAfter {
-			s.crashGuard.handleDisconnect(interruption{upstream: u, sentAt: s.sentAt, wasAlive: true, eventCount: eventCount, begunBefore: s.begunBefore(eventCount), cause: &AbandonedError{}})
+			s.crashGuard.startCheck(interruption{upstream: u, sentAt: s.sentAt, wasAlive: true, eventCount: eventCount, begunBefore: s.begunBefore(eventCount), cause: &AbandonedError{}})
 		}
 		return false
 	}
--- a/gateway/carry/guard.go
+++ b/gateway/carry/guard.go
@@ -104,9 +104,9 @@
 	return s.newWatchdog(ctx, u, after, h, true)
 }
 
-// limitAnswer cancels the request if stopLimit is not called until shortly before the deadline.
-func (wd *watchdog) limitAnswer(deadline time.Time) {
-	wd.answerTimer = time.AfterFunc(clock.Until(deadline)-answerMargin, func() { wd.cancel(context.DeadlineExceeded) })
+// limitAnswer cancels the request at the given time if stopLimit was not called before.
+func (wd *watchdog) limitAnswer(at time.Time) {
+	wd.answerTimer = time.AfterFunc(clock.Until(at), func() { wd.cancel(context.DeadlineExceeded) })
 }
 
 // stopLimit ends the limit of limitAnswer.
--- a/gateway/carry/plain.go
+++ b/gateway/carry/plain.go
@@ -149,13 +149,13 @@
 	if p.j.Route.Repeatable() && p.runs+1 < p.j.Route.MaxAttempts {
 		return start.Add(time.Duration(attemptShare * float64(left)))
 	}
-	return p.j.Deadline
+	return p.j.answerBy()
 }
 
 // exchange sends the request and reads the complete response.
 func (p *plainRequest) exchange(ctx context.Context, u dialect.Upstream) *attempt {
 	resp, verdict, err := p.c.o.Dialect.Do(ctx, p.j.Call, dialect.Send{
-		To: u, Deadline: p.j.Deadline.Add(-deadlineMargin),
+		To: u, Deadline: p.j.answerBy().Add(-deadlineMargin),
 	})
 	if err != nil {
 		return &attempt{err: err}
@@ -178,7 +178,7 @@
 
 // mayRetry reports whether another attempt is allowed and worthwhile.
 func (p *plainRequest) mayRetry(a *attempt) bool {
-	if clock.Until(p.j.Deadline) < minAttemptTime {
+	if clock.Until(p.j.answerBy()) < minAttemptTime {
 		return false
 	}
 	if a.evidence() == kernel.Ambiguous && (!p.j.Route.Repeatable() || p.runs >= p.j.Route.MaxAttempts) {
--- a/gateway/carry/prefill.go
+++ b/gateway/carry/prefill.go
@@ -80,7 +80,7 @@
 			return nil, s.contextError(ctx)
 		}
 		tried = append(tried, t.Upstream.ID)
-		if !s.headSent && clock.Until(s.j.Deadline) < answerMargin+minAttemptTime {
+		if !s.headSent && clock.Until(s.j.answerBy()) < minAttemptTime {
 			return nil, err
 		}
 		if !silence.charged.Load() && !s.c.mayResend(s.j.Service.Name, sendsAfterPrefill, s.headSent, s.log) {
@@ -126,7 +126,7 @@
 	err = wd.attemptError(err)
 	s.recordPrefill(u, err, start, took)
 	if err != nil && adapter.AsCallError(err).Evidence == kernel.Ambiguous && adapter.AsCallError(err).Status == 0 && ctx.Err() == nil {
-		s.crashGuard.recordInterruption(interruption{upstream: u, sentAt: start, wasAlive: s.c.o.Scheduler.AnsweredSince(u, start), begunBefore: s.resumed(), cause: err})
+		s.crashGuard.awaitCheck(interruption{upstream: u, sentAt: start, wasAlive: s.c.o.Scheduler.AnsweredSince(u, start), begunBefore: s.resumed(), cause: err})
 	}
 	if err == nil {
 		s.c.o.Scheduler.PrefillDone(s.j.Service.Name, s.j.Call.PromptTokens, took)
--- a/gateway/carry/relay.go
+++ b/gateway/carry/relay.go
@@ -114,7 +114,7 @@
 		return p.refuse(declineRelayed(p.j, p.runs))
 	}
 	p.crashGuard.endTrial()
-	ctx, cancel := context.WithTimeout(ctx, clock.Until(p.j.Deadline))
+	ctx, cancel := context.WithTimeout(ctx, clock.Until(p.j.answerBy()))
 	defer cancel()
 	resp, err := p.c.sendToPeer(ctx, p.j, progress{runs: p.runs, lastEvent: p.j.Call.LastEvent, receivedEvents: p.j.Call.ReceivedEvents}, p.log)
 	if err != nil {
--- a/gateway/carry/silence_test.go
+++ b/gateway/carry/silence_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/relay"
+	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/bubble"
@@ -168,3 +169,35 @@
 		})
 	}
 }
+
+// plainJob returns a job of a route whose caller waits for a second.
+func plainJob(r routing.Route) *Job {
+	j := job(r)
+	j.Deadline = j.Arrived.Add(time.Second)
+	return j
+}
+
+// TestCallerIsAnsweredBeforeItsDeadline guards against a caller who is told nothing before its deadline: the
+// last attempt lasted until then, and then the upstream was asked whether it had crashed.
+func TestCallerIsAnsweredBeforeItsDeadline(t *testing.T) {
+	for name, r := range map[string]reply{
+		"silent":            {hangs: true},
+		"breaks off late":   {err: errInterrupted, delay: 940 * time.Millisecond},
+		"breaks off before": {err: errInterrupted, delay: 850 * time.Millisecond},
+	} {
+		for _, route := range []routing.Route{atMostOnce, idempotent} {
+			t.Run(fmt.Sprint(name, route.Kind), func(t *testing.T) {
+				bubble.Test(t, func(t *testing.T) {
+					env := newTestEnv(t, ampleBudget, plainUps("x", "y")...)
+					env.d.do["x"], env.d.do["y"] = []reply{r}, []reply{r}
+					env.d.silent = map[ident.UpstreamID]bool{"x": true, "y": true}
+					env.d.checkTime = stateCheckTimeout
+					j := plainJob(route)
+					_, err := env.Plain(t.Context(), j)
+					assert.Assert(t, outcomeOf(t, err) != NotRun)
+					assert.Assert(t, time.Since(j.Arrived) <= 980*time.Millisecond, "answered after %v", time.Since(j.Arrived))
+				})
+			})
+		}
+	}
+}
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -253,7 +253,7 @@
 		return &InterruptedError{Reason: s.cutReason, Err: err}
 	case errors.As(err, &reqErr):
 		return reqErr
-	case errors.Is(err, context.DeadlineExceeded) && clock.Until(s.j.Deadline) <= answerMargin:
+	case errors.Is(err, context.DeadlineExceeded) && clock.Until(s.j.answerBy()) <= 0:
 		return deadlineError(s.outcomeUnserved())
 	case s.runs == 0:
 		return &Error{Outcome: NotRun, Reason: "engines_failed", RetryAfter: streamRetryAfter, Err: err}
@@ -284,7 +284,7 @@
 	if errors.As(err, &reqErr) {
 		return false
 	}
-	if clock.Until(s.j.Deadline) < answerMargin+minAttemptTime {
+	if clock.Until(s.j.answerBy()) < minAttemptTime {
 		return false
 	}
 	return s.c.mayResend(s.j.Service.Name, sends, s.headSent, s.log)
