carry: a request stays at a silent upstream while another one is asked

A repeatable request was ended at its first upstream after 0.45 of its time. Without a send of the retry budget its caller was told 'upstream_silent' at 450 to 650 of 1,000 ms, and with one the second upstream could be silent as well, while the first one would have answered. The first attempt goes on now; another one is made beside it if budget and route allow that, or by way of a peer, and the first complete response counts. A request that is still at two upstreams when the instance stops is never reported as not run.

The accounts of memory can be forked for attempts that run at the same time.

--- a/gateway/carry/plain.go
+++ b/gateway/carry/plain.go
@@ -5,30 +5,26 @@
 	"errors"
 	"log/slog"
 	"net/http"
-	"time"
 
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/kernel"
-	"github.com/wardspool/wardspool/logs"
 )
 
 const (
 	// maxRejections is the number of rejections by upstreams after which a request may still be
 	// sent again. After one more, the caller is told that the service is full.
 	maxRejections = 2
-	// attemptShare is the share of the remaining time that a repeatable request waits for one
-	// upstream while another may still be tried.
-	attemptShare = 0.45
 )
 
 // Plain forwards a request of a plain service. The error is an *Error or an *AbandonedError.
 func (c *Forwarder) Plain(ctx context.Context, j *Job) (*Response, error) {
-	p := &plainRequest{c: c, j: j, log: j.log(c.o.Log), runs: j.PriorRuns}
+	p := &plainRequest{c: c, j: j, log: j.log(c.o.Log), runs: j.PriorRuns, attempts: newPlainAttempts(&c.cleanup)}
 	p.crashGuard = c.newCrashGuard(j, p.log)
 	defer p.crashGuard.endTrial()
+	defer p.attempts.close()
 	return p.run(ctx)
 }
 
@@ -45,6 +41,7 @@
 	// failure is an upstream's own error response, which is forwarded if no attempt succeeds.
 	failure    *Response
 	crashGuard crashGuard
+	attempts   *plainAttempts
 }
 
 // run sends the request until an attempt succeeds or no further attempt is allowed.
@@ -71,26 +68,28 @@
 			p.c.o.Scheduler.Done(t)
 			return p.refuse(err)
 		}
-		start := clock.Now()
-		a := p.send(ctx, t)
-		if a.err == nil && a.verdict == dialect.Success {
+		p.start(ctx, t)
+		a := p.await(ctx)
+		if a == nil {
+			return nil, p.contextError(ctx)
+		}
+		if a.succeeded() {
 			p.crashGuard.recordCompletion()
-			return a.response, nil
+			return a.result.response, nil
 		}
-		p.countFailure(a)
 		if ctx.Err() != nil {
 			return nil, p.contextError(ctx)
 		}
-		if a.err != nil && a.evidence() == kernel.Ambiguous {
-			p.crashGuard.handleInterruption(interruption{upstream: t.Upstream, sentAt: start, wasAlive: p.c.o.Scheduler.AnsweredSince(t.Upstream, start), cause: a.cause})
+		if a.relayed {
+			return p.relayResult(ctx, a.result.err)
 		}
-		if p.mayRetry(a) {
+		if p.mayRetry(a.result) {
 			continue
 		}
-		if a.sentNothing() && p.c.o.Relay.Suspected(p.j.Service.Name) {
+		if a.result.sentNothing() && p.c.o.Relay.Suspected(p.j.Service.Name) {
 			return p.relay(ctx)
 		}
-		return p.finalResult(a.err)
+		return p.finalResult(a.result.err)
 	}
 }
 
@@ -123,47 +122,6 @@
 	return p.finalResult(&NoUpstreamError{Service: p.j.Service.Name})
 }
 
-// send makes one attempt and records its result.
-func (p *plainRequest) send(ctx context.Context, t schedule.Ticket) *attempt {
-	defer p.c.o.Scheduler.Done(t)
-	start := clock.Now()
-	ctx, _, end := p.c.inFlight.track(ctx, t.Upstream)
-	defer end()
-	ctx, cancel := context.WithTimeout(ctx, clock.Until(p.attemptDeadline(start)))
-	defer cancel()
-	a := p.exchange(ctx, t.Upstream)
-	took := clock.Since(start)
-	a.cause = a.err
-	if silent := unresponsiveCause(ctx); silent != nil {
-		a.cause = silent
-	}
-	p.c.recordAttempt(t.Upstream, a, took, p.log)
-	p.log.Info("attempt", "upstream", t.Upstream.ID, "number", len(p.tried), "verdict", a.verdict.String(), "framing", string(a.framing),
-		"took_ms", took.Milliseconds(), "left_ms", clock.Until(p.j.Deadline).Milliseconds(), "error", logs.ErrorText(a.err))
-	return a
-}
-
-// attemptDeadline returns the time at which an attempt that starts at start is canceled.
-func (p *plainRequest) attemptDeadline(start time.Time) time.Time {
-	left := p.j.Deadline.Sub(start)
-	if p.j.Route.Repeatable() && p.runs+1 < p.j.Route.MaxAttempts {
-		return start.Add(time.Duration(attemptShare * float64(left)))
-	}
-	return p.j.answerBy()
-}
-
-// exchange sends the request and reads the complete response.
-func (p *plainRequest) exchange(ctx context.Context, u dialect.Upstream) *attempt {
-	resp, verdict, err := p.c.o.Dialect.Do(ctx, p.j.Call, dialect.Send{
-		To: u, Deadline: p.j.answerBy().Add(-deadlineMargin),
-	})
-	if err != nil {
-		return &attempt{err: err}
-	}
-	defer resp.Body.Close()
-	return p.c.readResponse(ctx, u, resp, verdict, p.j.Memory)
-}
-
 // countFailure counts an attempt that did not succeed.
 func (p *plainRequest) countFailure(a *attempt) {
 	if a.err == nil && a.verdict == dialect.Failure {
--- a/gateway/carry/relay.go
+++ b/gateway/carry/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/wardspool/wardspool/adapter"
 	"github.com/wardspool/wardspool/adapter/roundtrip"
+	"github.com/wardspool/wardspool/gateway/memory"
 	"github.com/wardspool/wardspool/gateway/relay"
 	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/internal/clock"
@@ -116,14 +117,24 @@
 	p.crashGuard.endTrial()
 	ctx, cancel := context.WithTimeout(ctx, clock.Until(p.j.answerBy()))
 	defer cancel()
-	resp, err := p.c.sendToPeer(ctx, p.j, progress{runs: p.runs, lastEvent: p.j.Call.LastEvent, receivedEvents: p.j.Call.ReceivedEvents}, p.log)
+	response, err := p.c.relayPlain(ctx, p.j, p.runs, p.j.Memory, p.log)
 	if err != nil {
 		return p.relayResult(ctx, err)
 	}
+	return response, nil
+}
+
+// relayPlain has a peer serve a plain request. runs is the number of upstreams that may have run it, and
+// account accounts for the response. The error is an *Error.
+func (c *Forwarder) relayPlain(ctx context.Context, j *Job, runs int, account *memory.Account, log *slog.Logger) (*Response, error) {
+	resp, err := c.sendToPeer(ctx, j, progress{runs: runs, lastEvent: j.Call.LastEvent, receivedEvents: j.Call.ReceivedEvents}, log)
+	if err != nil {
+		return nil, err
+	}
 	defer resp.Body.Close()
-	body, err := readResponseBody(ctx, resp, p.j.Memory, peerLives)
+	body, err := readResponseBody(ctx, resp, account, peerLives)
 	if err != nil {
-		return p.relayResult(ctx, &Error{Outcome: Unknown, Reason: "peer_lost", Err: err})
+		return nil, &Error{Outcome: Unknown, Reason: "peer_lost", Err: err}
 	}
 	return &Response{Status: resp.StatusCode, Header: roundtrip.EndToEnd(resp.Header), Body: body}, nil
 }
--- a/gateway/carry/silence_test.go
+++ b/gateway/carry/silence_test.go
@@ -1,12 +1,14 @@
 package carry
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -177,6 +179,69 @@
 	return j
 }
 
+// serveFirstAndSecond makes whichever of the upstreams x and y is asked first answer with first, and the
+// other one with second.
+func (env *testEnv) serveFirstAndSecond(first, second reply) {
+	env.d.do["x"], env.d.do["y"] = []reply{first}, []reply{first}
+	time.AfterFunc(100*time.Millisecond, func() {
+		env.d.mu.Lock()
+		defer env.d.mu.Unlock()
+		env.d.do["x"], env.d.do["y"] = []reply{second}, []reply{second}
+	})
+}
+
+// TestSlowUpstreamKeepsItsRequest guards against a request that is ended at a silent upstream although no
+// other one answers it: there is no send of the retry budget, or the other upstream is silent as well.
+func TestSlowUpstreamKeepsItsRequest(t *testing.T) {
+	slow := reply{verdict: dialect.Success, status: 200, body: "slow", delay: 800 * time.Millisecond}
+	for name, c := range map[string]struct {
+		budget float64
+		other  reply
+		sends  int
+	}{
+		"no budget":       {0, reply{verdict: dialect.Success, status: 200}, 1},
+		"other silent":    {ampleBudget, reply{hangs: true}, 2},
+		"other fails":     {ampleBudget, reply{verdict: dialect.Failure, status: 500}, 2},
+		"other refuses":   {ampleBudget, refusal, 2},
+		"other breaks":    {ampleBudget, reply{err: errInterrupted}, 2},
+		"other not there": {ampleBudget, reply{err: errNotSent}, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				env := newTestEnv(t, c.budget, plainUps("x", "y")...)
+				env.serveFirstAndSecond(slow, c.other)
+				a, err := env.Plain(t.Context(), plainJob(idempotent))
+				assert.NilError(t, err)
+				assert.Equal(t, string(a.Body), "slow")
+				env.Close()
+				assert.Equal(t, env.d.countKind("do"), c.sends)
+				for _, id := range []ident.UpstreamID{"x", "y"} {
+					assert.Equal(t, env.o.Scheduler.RequestCount(id), 0)
+				}
+			})
+		})
+	}
+}
+
+// TestSilentUpstreamIsLeftAsSoonAsAnotherAnswers checks that a request whose upstream is silent is answered
+// by another one as early as if the first one had been given up, and that the first one is canceled then.
+func TestSilentUpstreamIsLeftAsSoonAsAnotherAnswers(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		env := newTestEnv(t, ampleBudget, plainUps("x", "y")...)
+		env.serveFirstAndSecond(reply{hangs: true}, reply{verdict: dialect.Success, status: 200, body: "other"})
+		j := plainJob(idempotent)
+		a, err := env.Plain(t.Context(), j)
+		assert.NilError(t, err)
+		assert.Equal(t, string(a.Body), "other")
+		assert.Assert(t, time.Since(j.Arrived) <= 650*time.Millisecond, "%v", time.Since(j.Arrived))
+		env.Close()
+		synctest.Wait()
+		for _, id := range []ident.UpstreamID{"x", "y"} {
+			assert.Equal(t, env.o.Scheduler.RequestCount(id), 0)
+		}
+	})
+}
+
 // TestCallerIsAnsweredBeforeItsDeadline guards against a caller who is told nothing before its deadline: the
 // last attempt lasted until then, and then the upstream was asked whether it had crashed.
 func TestCallerIsAnsweredBeforeItsDeadline(t *testing.T) {
@@ -201,3 +266,18 @@
 		}
 	}
 }
+
+// TestStopDuringTwoAttemptsDoesNotSayNotRun checks that a request which two upstreams may be running when
+// the instance stops is not reported as not run.
+func TestStopDuringTwoAttemptsDoesNotSayNotRun(t *testing.T) {
+	for _, after := range []time.Duration{100 * time.Millisecond, 700 * time.Millisecond} {
+		bubble.Test(t, func(t *testing.T) {
+			env := newTestEnv(t, ampleBudget, plainUps("x", "y")...)
+			env.d.do["x"], env.d.do["y"] = []reply{{hangs: true}}, []reply{{hangs: true}}
+			ctx, stop := context.WithCancelCause(t.Context())
+			time.AfterFunc(after, func() { stop(&StoppedError{}) })
+			_, err := env.Plain(ctx, plainJob(idempotent))
+			assert.Equal(t, outcomeOf(t, err), Unknown)
+		})
+	}
+}
--- a/gateway/memory/memory.go
+++ b/gateway/memory/memory.go
@@ -59,7 +59,9 @@
 }
 
 // Open returns an account for one request of the given caller.
-func (b *Budget) Open(caller string) *Account { return &Account{budget: b, caller: caller} }
+func (b *Budget) Open(caller string) *Account {
+	return &Account{budget: b, caller: caller, exempt: exemptBytes}
+}
 
 // exceedsShare reports whether the bytes would put a caller over its share. A caller that holds
 // nothing is not limited by its share. b.mu must be held.
@@ -108,13 +110,32 @@
 type Account struct {
 	budget *Budget
 	caller string
-	// size is the number of bytes held, charged the number of those charged to the budget.
-	size, charged int64
+	// exempt is the number of bytes that are not charged. size is the number of bytes held, charged the
+	// number of those charged to the budget.
+	exempt, size, charged int64
+}
+
+// Fork returns an account for a part of the request that is carried out concurrently. It must be merged
+// into this one or closed.
+func (a *Account) Fork() *Account {
+	if a == nil {
+		return nil
+	}
+	return &Account{budget: a.budget, caller: a.caller, exempt: max(0, a.exempt-a.size)}
+}
+
+// Merge moves the bytes held by a fork to this account.
+func (a *Account) Merge(fork *Account) {
+	if a == nil {
+		return
+	}
+	a.size, a.charged = a.size+fork.size, a.charged+fork.charged
+	fork.size, fork.charged = 0, 0
 }
 
 // chargeFor returns how much of a reservation has to be charged to the budget.
 func (a *Account) chargeFor(bytes int64) int64 {
-	return max(0, a.size+bytes-exemptBytes) - a.charged
+	return max(0, a.size+bytes-a.exempt) - a.charged
 }
 
 // TryGrow reserves more bytes without waiting. If they are not available, the error is a
