roundtrip: a machine's silence of two seconds does not end a connection with a long request

TCP_USER_TIMEOUT was 3 s beside a first keep-alive probe after 3 s. With a user timeout the kernel does not count probes: a connection that has been quiet for 3 s is closed one second after its first unanswered probe, and one with bytes under way when its third retransmission is due, 3 s after the first, even if the peer is back since half a second. So streams that run once, which nothing else ends, could end with 'connection timed out' while their engine was silent for a second or two.

While a request that may last over 3 s uses a connection, its peer may now be silent for 3 s beyond the first probe and the time between probes. Idle connections keep the short timeout: closing them loses nothing. By reading the kernel's rules; a silent machine can't be brought about on loopback.

--- a/adapter/roundtrip/client.go
+++ b/adapter/roundtrip/client.go
@@ -82,7 +82,7 @@
 	o = o.withDefaults()
 	dialer := o.Dialer
 	if dialer == nil {
-		dialer = &net.Dialer{KeepAliveConfig: keepAlive, Control: setUserTimeout}
+		dialer = &net.Dialer{KeepAliveConfig: keepAlive, Control: controlSocket}
 	}
 	return &Client{
 		idle:   newIdlePool(o.IdlePerUpstream, o.IdleTimeout),
--- a/adapter/roundtrip/conn.go
+++ b/adapter/roundtrip/conn.go
@@ -18,6 +18,8 @@
 	addr      string
 	idle      *idlePool
 	idleSince time.Time
+	// busy means that the user timeout is that of a long request.
+	busy bool
 	// limited limits the number of bytes read for the response head.
 	limited io.LimitedReader
 	buf     *bufio.Reader
@@ -45,6 +47,10 @@
 func (c *conn) exchange(ctx context.Context, req *http.Request, m responseFilter) (*http.Response, error) {
 	c.writeDone = make(chan struct{})
 	c.sent, c.writeErr = false, nil
+	if isLong(ctx) {
+		c.busy = true
+		c.setUserTimeout(busyUserTimeout)
+	}
 	// Closing the connection unblocks pending reads and writes.
 	c.stop = context.AfterFunc(ctx, func() { _ = c.net.Close() })
 	go c.write(req)
@@ -204,6 +210,10 @@
 		c.abandon()
 		return
 	}
+	if c.busy {
+		c.busy = false
+		c.setUserTimeout(idleUserTimeout)
+	}
 	c.idle.put(c)
 }
 
