carry: a stream under way keeps its prefill without a budget; its first engine is free once another has taken over

A stream whose engine had crashed ended 0.5 s after the prefill for its next run began, if that took longer (an engine silent for 1.2 s) and the retry budget allowed no other prefill: the time limit now asks the budget first. And the engine from which a stream was taken over counted as busy with it until the stream's end. TestSilentPrefillEngineKeepsAStreamUnderWay and TestStreamThatMovedOnDoesNotCountAtItsFirstEngine failed before.

--- a/gateway/carry/decode.go
+++ b/gateway/carry/decode.go
@@ -28,6 +28,7 @@
 	if err != nil || verdict != dialect.Success {
 		if next := s.takeover.result(ctx); next != nil {
 			s.recordNotSent(p, h, r, err)
+			r.close()
 			return s.continueAt(ctx, next)
 		}
 		s.countFailedTakeovers()
@@ -57,9 +58,9 @@
 	return false, nil
 }
 
-// send sends the request to a reserved decode engine for which maySend returned no error. silence handles an engine that does not answer;
-// if it is nil, the request is canceled. The run must be closed, also after an error; it has no
-// response then.
+// send sends the request to a reserved decode engine for which maySend returned no error. silence
+// handles an engine that does not answer; if it is nil, the request is canceled then. The run must be
+// closed, also after an error; it has no response then.
 func (s *stream) send(ctx context.Context, p *placement, h *prefillResult, silence silenceHandler) (*run, dialect.Verdict, error) {
 	u := p.decode.Upstream
 	r := &run{s: s, placement: p, sentAt: clock.Now(), watchdog: s.streamWatchdog(ctx, u, silence)}
@@ -92,6 +93,7 @@
 	s.excluded = append(s.excluded, u.ID)
 	s.log.Info("attempt", "upstream", u.ID, "number", s.starts, "took_ms", r.age().Milliseconds(), "error", logs.ErrorText(err))
 	s.releaseUnused(p, h)
+	s.leavePlacement(p)
 }
 
 // The reasons why an engine gets no requests any more.
--- a/gateway/carry/failover.go
+++ b/gateway/carry/failover.go
@@ -309,6 +309,7 @@
 	u := p.decode.Upstream
 	s.runs++
 	s.countFailedTakeovers()
+	s.leavePlacement(p)
 	s.excluded = append(s.excluded, u.ID)
 	var superseded *SupersededError
 	var silent *UnresponsiveError
--- a/gateway/carry/prefill.go
+++ b/gateway/carry/prefill.go
@@ -101,8 +101,7 @@
 func (p *prefillSilence) onUnresponsive(u dialect.Upstream, err error, start time.Time, heard func() bool) bool {
 	s := p.s
 	s.c.recordFailure(u, ClassifyUnreachable(err), err, clock.Since(start), s.log)
-	if !heard() && s.c.mayResend(s.j.Service.Name, sendsAfterPrefill, s.headSent, s.log) {
-		p.charged.Store(true)
+	if !heard() && p.charge() {
 		return true
 	}
 	s.c.o.Count("silent_prefill_kept")
@@ -110,22 +109,39 @@
 	return false
 }
 
+// charge charges another prefill to the retry budget and reports whether that is allowed.
+func (p *prefillSilence) charge() bool {
+	if p.charged.Load() {
+		return true
+	}
+	s := p.s
+	allowed := s.c.mayResend(s.j.Service.Name, sendsAfterPrefill, s.headSent, s.log)
+	p.charged.Store(allowed)
+	return allowed
+}
+
 // prefillAt has the prompt computed at one engine.
-func (s *stream) prefillAt(ctx context.Context, t schedule.Ticket, silence silenceHandler) (dialect.Handle, error) {
+func (s *stream) prefillAt(ctx context.Context, t schedule.Ticket, silence *prefillSilence) (dialect.Handle, error) {
 	defer s.c.o.Scheduler.Done(t)
 	s.prefills++
 	u := t.Upstream
 	expected, _ := s.prefillWait()
 	start := clock.Now()
-	ctx, cancel := context.WithTimeout(ctx, s.prefillTimeout(start, expected))
-	defer cancel()
 	wd := s.newWatchdog(ctx, u, max(minLivenessDelay, livenessDelayFactor*expected), silence, false)
 	defer wd.stop()
+	limit := time.AfterFunc(s.prefillTimeout(start, expected), func() {
+		// A stream that is under way is late in any case: it gains nothing from an end without another
+		// prefill.
+		if !s.resumed() || silence.charge() {
+			wd.cancel(context.DeadlineExceeded)
+		}
+	})
+	defer limit.Stop()
 	h, err := s.c.o.Dialect.Prefill(wd.ctx, s.j.Call, dialect.Send{To: u, Deadline: s.j.Deadline.Add(-deadlineMargin)})
 	took := clock.Since(start)
 	err = wd.attemptError(err)
 	s.recordPrefill(u, err, start, took)
-	if err != nil && adapter.AsCallError(err).Evidence == kernel.Ambiguous && adapter.AsCallError(err).Status == 0 && ctx.Err() == nil {
+	if err != nil && adapter.AsCallError(err).Evidence == kernel.Ambiguous && adapter.AsCallError(err).Status == 0 && ctx.Err() == nil && context.Cause(wd.ctx) != context.DeadlineExceeded {
 		s.crashGuard.awaitCheck(interruption{upstream: u, sentAt: start, wasAlive: s.c.o.Scheduler.AnsweredSince(u, start), begunBefore: s.resumed(), cause: err})
 	}
 	if err == nil {
--- a/gateway/carry/silence_test.go
+++ b/gateway/carry/silence_test.go
@@ -147,6 +147,27 @@
 	})
 }
 
+// TestSilentPrefillEngineKeepsAStreamUnderWay guards against a stream whose engine has crashed and that ends
+// because the prefill for its next run takes longer than usual, while the retry budget does not allow another
+// one.
+func TestSilentPrefillEngineKeepsAStreamUnderWay(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		env := newTestEnv(t, ampleBudget, engineUps([]string{"p1"}, []string{"d1", "d2"})...)
+		env.o.Budget = budgetOf(3)
+		env.d.silent = map[ident.UpstreamID]bool{"p1": true}
+		env.d.prefillTime = map[ident.UpstreamID][]time.Duration{"p1": {0, 1300 * time.Millisecond}}
+		env.d.do["d1"] = []reply{{verdict: dialect.Success, status: 200, body: events(1, 2), breaks: true}}
+		env.d.do["d2"] = []reply{{verdict: dialect.Success, status: 200, body: events(3, 5)}}
+		env.d.reserve["d2"] = []error{&dialect.NoCapacityError{}, nil}
+		r := resumable
+		r.PaceObjective, r.Objective = 300*time.Millisecond, 500*time.Millisecond
+		got := &streamRecorder{}
+		_, err := env.Stream(t.Context(), job(r), got)
+		assert.NilError(t, err)
+		assert.Equal(t, got.body.String(), events(1, 5))
+	})
+}
+
 // TestStreamWithoutAnEventIsAnsweredBeforeItsDeadline guards against a caller who is told nothing before
 // its deadline, because its engine is silent until then.
 func TestStreamWithoutAnEventIsAnsweredBeforeItsDeadline(t *testing.T) {
@@ -281,3 +302,30 @@
 		})
 	}
 }
+
+// TestStreamThatMovedOnDoesNotCountAtItsFirstEngine guards against an engine that counts as busy with a
+// stream which another one has taken over.
+func TestStreamThatMovedOnDoesNotCountAtItsFirstEngine(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		second := newControlledBody()
+		time.AfterFunc(2*time.Second, func() {
+			if _, err := io.WriteString(second.w, events(4, 5)); err == nil {
+				_ = second.w.Close()
+			}
+		})
+		var upstream sync.WaitGroup
+		upstream.Go(func() { _, _ = io.WriteString(second.w, events(3, 3)) })
+		defer upstream.Wait()
+		counted := make(chan map[ident.UpstreamID]int, 1)
+		_, got, _, err := runStalledStreamWith(t, resumable, func(env *testEnv) {
+			env.d.silent = map[ident.UpstreamID]bool{"d1": true}
+			env.d.do["d2"] = []reply{{verdict: dialect.Success, status: 200, stream: second}}
+			time.AfterFunc(1500*time.Millisecond, func() {
+				counted <- map[ident.UpstreamID]int{"d1": env.o.Scheduler.RequestCount("d1"), "d2": env.o.Scheduler.RequestCount("d2")}
+			})
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, got.body.String(), events(1, 5))
+		assert.DeepEqual(t, <-counted, map[ident.UpstreamID]int{"d1": 0, "d2": 1})
+	})
+}
