carry: a peer that does not begin a stream within 2 s does not hold up another takeover

While a peer that was asked to continue a stream stayed silent, no engine could be tried in its place. The attempt at the peer now ends after 2 s. The case of a peer that does not answer at all is added to the test of silent engines.

--- a/gateway/carry/failover.go
+++ b/gateway/carry/failover.go
@@ -15,6 +15,10 @@
 	"github.com/wardspool/wardspool/logs"
 )
 
+// peerStartTimeout limits the time until a peer has begun to run a stream that it takes over. A peer
+// reserves an engine, has the prompt computed and gets the first event in less.
+const peerStartTimeout = 2 * time.Second
+
 // searchInterval is the interval between two searches for an engine with capacity. Engines that
 // were full are asked again after the same interval.
 const searchInterval = 60 * time.Millisecond
@@ -215,8 +219,12 @@
 	if !commit() {
 		return nil, &NotStartedError{Reason: engineWentOn}
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	limit := time.AfterFunc(peerStartTimeout, cancel)
+	defer limit.Stop()
 	next, err := s.sendRelayed(ctx)
 	if err != nil {
+		cancel()
 		var reqErr *Error
 		if !errors.As(err, &reqErr) || reqErr.Outcome != NotRun {
 			s.runs++
@@ -225,11 +233,13 @@
 	}
 	if next.resp.StatusCode != http.StatusOK {
 		s.runs++
+		cancel()
 		next.close()
 		return nil, &dialect.StatusError{Op: "relay", Status: next.resp.StatusCode}
 	}
 	if err := next.receiveEvent(); err != nil {
 		s.runs++
+		cancel()
 		next.close()
 		return nil, err
 	}
--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -294,6 +294,8 @@
 	// relayed holds the requests sent to peers, relayTo answers them. Without it there is no peer.
 	relayed []relay.Request
 	relayTo func(relay.Request) (*http.Response, error)
+	// peersHang means that peers take requests and do not answer.
+	peersHang bool
 	// disconnected means that no upstream can be connected to.
 	disconnected bool
 	// pathBroken means the same before the instance has noticed it.
@@ -429,8 +431,12 @@
 func (env *testEnv) Suspected(string) bool { return env.suspected || env.Needed("") }
 
 // Send implements Relay.
-func (env *testEnv) Send(_ context.Context, q relay.Request, _ []byte, _ time.Time, _ routing.Regions) (*http.Response, error) {
+func (env *testEnv) Send(ctx context.Context, q relay.Request, _ []byte, _ time.Time, _ routing.Regions) (*http.Response, error) {
 	env.relayed = append(env.relayed, q)
+	if env.peersHang {
+		<-ctx.Done()
+		return nil, &relay.LostError{Peer: "i", Err: ctx.Err()}
+	}
 	if env.relayTo == nil {
 		return nil, &relay.NoPeerError{}
 	}
--- a/gateway/carry/silence_test.go
+++ b/gateway/carry/silence_test.go
@@ -45,6 +45,10 @@
 			env.disconnectedFrom = time.Now().Add(500 * time.Millisecond)
 			env.relayTo = func(relay.Request) (*http.Response, error) { return nil, &relay.Failure{Outcome: relay.NotRun} }
 		},
+		"peer does not answer": func(env *testEnv) {
+			env.disconnectedFrom = time.Now().Add(500 * time.Millisecond)
+			env.peersHang = true
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			bubble.Test(t, func(t *testing.T) {
