--- a/gateway/carry/bodyend.go
+++ b/gateway/carry/bodyend.go
@@ -1,11 +1,14 @@
 package carry
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 
 	"github.com/wardspool/wardspool/adapter/roundtrip"
 	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/internal/clock"
+	"github.com/wardspool/wardspool/internal/pause"
 )
 
 // framing is how the end of a response body is marked.
@@ -90,12 +93,19 @@
 // connection counts as gone. One check may be lost on the way.
 const maxLivenessChecks = 3
 
-// lives reports whether an upstream still runs. Each call asks the upstream, because an answer from
-// before the end of the body shows nothing.
-func (c *Forwarder) lives(u dialect.Upstream) bool {
+// lives reports whether an upstream that has answered a request still runs. Each call asks the upstream,
+// because an answer from before the end of the body shows nothing. The response of a request that may run
+// once is lost if the upstream counts as gone, so that a silent one is asked as long as the caller waits.
+func (c *Forwarder) lives(j *Job, u dialect.Upstream) bool {
 	state := stateUnknown
-	for tries := 0; state == stateUnknown && tries < maxLivenessChecks; tries++ {
-		state = c.queryState(u)
+	for tries := 0; state == stateUnknown && (tries < maxLivenessChecks || !j.Route.Repeatable()); tries++ {
+		if clock.Until(j.answerBy()) < stateCheckTimeout {
+			break
+		}
+		asked := clock.Now()
+		if state = c.queryState(u); state == stateUnknown {
+			pause.For(context.Background(), min(stateCheckTimeout-clock.Since(asked), clock.Until(j.answerBy())))
+		}
 	}
 	c.o.Count("unframed_end_" + string(state))
 	return state == stateAlive
--- a/gateway/carry/decode.go
+++ b/gateway/carry/decode.go
@@ -25,18 +25,25 @@
 	r, verdict, err := s.send(ctx, p, h, s.newFailover(ctx, u))
 	defer r.close()
 	s.sentAt = r.sentAt
-	if err != nil || verdict != dialect.Success {
-		if next := s.takeover.result(ctx); next != nil {
-			s.recordNotSent(p, h, r, err)
-			r.close()
+	if err != nil {
+		r.close()
+		// The failure is recorded first: a takeover that is under way must know of a crash.
+		mayRunElsewhere := s.recordSendFailure(ctx, p, h, r.sentAt, err)
+		next := s.nextRun(ctx, err)
+		s.countFailedTakeovers()
+		if next != nil {
+			s.leavePlacement(p)
 			return s.continueAt(ctx, next)
 		}
-		s.countFailedTakeovers()
-	}
-	if err != nil {
-		return nil, s.handleSendFailure(ctx, p, h, r.sentAt, err), s.sendError(ctx, err)
+		return nil, mayRunElsewhere && s.mayRestart(ctx, err, sendsFullRestart), s.sendError(ctx, err)
 	}
 	if verdict != dialect.Success {
+		refused := &dialect.StatusError{Op: "decode", Status: r.resp.StatusCode}
+		if next := s.nextRun(ctx, refused); next != nil {
+			s.recordRefusal(ctx, p, h, r, verdict)
+			return s.continueAt(ctx, next)
+		}
+		s.countFailedTakeovers()
 		return s.handleErrorResponse(ctx, p, h, r.resp, verdict)
 	}
 	s.recordAccepted(u, h)
@@ -63,6 +70,7 @@
 // closed, also after an error; it has no response then.
 func (s *stream) send(ctx context.Context, p *placement, h *prefillResult, silence silenceHandler) (*run, dialect.Verdict, error) {
 	u := p.decode.Upstream
+	s.sends++
 	r := &run{s: s, placement: p, sentAt: clock.Now(), watchdog: s.streamWatchdog(ctx, u, silence)}
 	if !s.headSent {
 		r.watchdog.limitAnswer(s.j.answerBy())
@@ -79,20 +87,19 @@
 	return r, verdict, r.watchdog.attemptError(err)
 }
 
-// recordNotSent records an attempt that got no stream and from which another run has taken over.
-func (s *stream) recordNotSent(p *placement, h *prefillResult, r *run, err error) {
-	if err != nil && adapter.AsCallError(err).Evidence == kernel.Ambiguous {
-		s.recordSuperseded(p, err, 0)
-		return
-	}
-	u := p.decode.Upstream
-	if err != nil {
-		s.c.recordAttempt(u, &attempt{err: err}, 0, s.log)
-	}
+// recordRefusal records an error response of an engine from which another run has taken the stream over.
+func (s *stream) recordRefusal(ctx context.Context, p *placement, h *prefillResult, r *run, v dialect.Verdict) {
+	a := s.c.readResponse(ctx, s.j, p.decode.Upstream, r.resp, v, s.j.Memory)
+	r.close()
+	s.c.recordAttempt(p.decode.Upstream, a, 0, s.log)
 	s.countFailedTakeovers()
-	s.excluded = append(s.excluded, u.ID)
-	s.log.Info("attempt", "upstream", u.ID, "number", s.starts, "took_ms", r.age().Milliseconds(), "error", logs.ErrorText(err))
-	s.releaseUnused(p, h)
+	s.excluded = append(s.excluded, p.decode.Upstream.ID)
+	s.log.Info("attempt", "upstream", p.decode.Upstream.ID, "number", s.starts, "verdict", v.String(), "status", r.resp.StatusCode)
+	if a.evidence() == kernel.Ambiguous {
+		s.runs++
+	} else {
+		s.releaseUnused(p, h)
+	}
 	s.leavePlacement(p)
 }
 
@@ -152,12 +159,6 @@
 	return true
 }
 
-// handleSendFailure handles an attempt that got no response, and reports whether another pair of
-// engines may be tried.
-func (s *stream) handleSendFailure(ctx context.Context, p *placement, h *prefillResult, start time.Time, err error) bool {
-	return s.recordSendFailure(ctx, p, h, start, err) && s.mayRestart(ctx, err, sendsFullRestart)
-}
-
 // recordSendFailure records an attempt that got no response, and reports whether the request may run
 // at another engine.
 func (s *stream) recordSendFailure(ctx context.Context, p *placement, h *prefillResult, start time.Time, err error) bool {
@@ -211,7 +212,7 @@
 // engines may be tried.
 func (s *stream) handleErrorResponse(ctx context.Context, p *placement, h *prefillResult, resp *http.Response, v dialect.Verdict) (*Response, bool, error) {
 	u := p.decode.Upstream
-	a := s.c.readResponse(ctx, u, resp, v, s.j.Memory)
+	a := s.c.readResponse(ctx, s.j, u, resp, v, s.j.Memory)
 	s.c.recordAttempt(u, a, 0, s.log)
 	s.excluded = append(s.excluded, u.ID)
 	s.log.Info("attempt", "upstream", u.ID, "number", s.starts, "verdict", v.String(), "status", resp.StatusCode)
--- a/gateway/carry/failover.go
+++ b/gateway/carry/failover.go
@@ -30,15 +30,23 @@
 	// ctx is the context of the request.
 	ctx context.Context
 
+	// runNumber is that of the run at the silent engine, runs the number of engines that may have run
+	// the stream before it.
+	runNumber, runs int
+
 	mu sync.Mutex
 	// starts counts the runs that may still be started.
 	starts   int
 	excluded []ident.UpstreamID
 }
 
-// newFailover returns a failover away from an engine. ctx is the context of the request.
+// newFailover returns a failover away from an engine where a run of the stream begins. ctx is the context
+// of the request.
 func (s *stream) newFailover(ctx context.Context, from dialect.Upstream) *failover {
-	return &failover{s: s, ctx: ctx, starts: maxStarts - s.starts, excluded: append(slices.Clone(s.excluded), from.ID)}
+	return &failover{
+		s: s, ctx: ctx, runNumber: s.takeover.newRun(), runs: s.runs, starts: maxStarts - s.starts,
+		excluded: append(slices.Clone(s.excluded), from.ID),
+	}
 }
 
 // allowed reports whether another run may be started.
@@ -46,8 +54,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.s
-	failedRuns, crashedEarly := s.takeover.failures()
-	return f.starts > 0 && s.j.Route.Repeatable() && s.runs+1+failedRuns < s.j.Route.MaxAttempts && !crashedEarly &&
+	failed := s.takeover.failures()
+	return f.starts > 0 && s.j.Route.Repeatable() && f.runs+1+failed.runs < s.j.Route.MaxAttempts && !failed.crashedEarly &&
 		clock.Until(s.j.answerBy()) >= minAttemptTime
 }
 
@@ -61,10 +69,14 @@
 	s.c.recordFailure(u, ClassifyUnreachable(err), err, clock.Since(start), s.log)
 	allowed := f.allowed()
 	failure := error(&NotStartedError{Reason: notAllowed})
-	if allowed && !heard() {
+	for f.allowed() && !heard() {
 		if failure = f.startElsewhere(heard); failure == nil {
 			return true
 		}
+		var notStarted *NotStartedError
+		if errors.As(failure, &notStarted) {
+			break
+		}
 	}
 	s.c.o.Count("silent_engine_kept")
 	s.log.Info("stream stays at a silent engine", "upstream", u.ID, "events", s.events.Load(), "may_start", allowed, "heard", heard(),
@@ -78,11 +90,14 @@
 	t := &f.s.takeover
 	ctx, cancel := context.WithCancel(f.ctx)
 	var other *stream
-	generation, ok := t.begin(cancel, func() { other = f.fork() })
+	generation, ok := t.begin(f.runNumber, cancel, func() { other = f.fork() })
 	if !ok {
 		cancel()
 		return &NotStartedError{Reason: engineWentOn}
 	}
+	f.s.c.cleanup.Add(1)
+	defer f.s.c.cleanup.Done()
+	defer other.j.Memory.Close()
 	before := other.runs
 	next, err := other.openElsewhere(ctx, heard, func() bool { return t.commit(generation) })
 	if err == nil {
@@ -98,25 +113,37 @@
 	}
 	cancel()
 	other.crashGuard.endTrial()
-	t.fail(generation, other.runs-before, other.crashGuard.crashedEarly)
+	other.returnBudget()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	t.fail(generation, takeoverFailures{
+		runs: other.runs - before, engines: other.excluded[len(f.excluded):], crashedEarly: other.crashGuard.crashedEarly,
+	})
 	f.starts--
 	f.excluded = other.excluded
 	return err
 }
 
+// returnBudget returns what findEngine charged to the retry budget for sends that were not made.
+func (s *stream) returnBudget() {
+	if unused := s.charged - s.prefills - s.sends; unused > 0 {
+		s.c.o.Budget.Return(clock.Now(), s.j.Service.Name, unused)
+	}
+}
+
 // fork returns a stream that continues this one from its last event. It shares nothing with it that
 // changes. The caller holds the lock of the takeover.
 func (f *failover) fork() *stream {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.s
+	j := *s.j
+	j.Memory = s.j.Memory.Fork()
 	other := &stream{
-		c: s.c, j: s.j, log: s.log, excluded: slices.Clone(f.excluded),
+		c: s.c, j: &j, log: s.log, excluded: slices.Clone(f.excluded),
 		// A failure is not answered by another start of the fork, but by another takeover.
 		starts: maxStarts,
-		runs:   s.runs + 1, headSent: s.headSent, lastEvent: s.lastEvent,
+		runs:   f.runs + 1, headSent: s.headSent, lastEvent: s.lastEvent,
 		crashGuard: s.crashGuard.share(),
 	}
 	other.events.Store(s.events.Load())
@@ -179,6 +206,7 @@
 	}
 	next, verdict, err := s.send(ctx, p, h, nil)
 	if err != nil {
+		next.close()
 		s.recordSendFailure(ctx, p, h, next.sentAt, err)
 		return nil, err
 	}
@@ -256,6 +284,7 @@
 		size.Isolate = s.crashGuard.onTrial()
 		if p := s.reservePlacement(ctx, size, s.excluded); p != nil {
 			if s.c.mayResend(s.j.Service.Name, sendsFullRestart, true, s.log) {
+				s.charged = sendsFullRestart
 				return p, nil
 			}
 			s.releasePlacement(p)
@@ -274,19 +303,26 @@
 	s.leavePlacement(p)
 }
 
-// nextRun returns the run that has taken the stream over from one that ended with err, or nil.
+// nextRun returns the run that has taken the stream over from one that ended with err, or nil. It waits
+// for a takeover that is under way, as long as the caller can still be answered.
 func (s *stream) nextRun(ctx context.Context, err error) *run {
-	if s.takeover.won() || err != nil && ctx.Err() == nil && !callerLeft(err) {
-		return s.takeover.result(ctx)
+	if !s.takeover.won() && (err == nil || ctx.Err() != nil || callerLeft(err)) {
+		return nil
 	}
-	return nil
+	if !s.headSent {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, clock.Until(s.j.answerBy()))
+		defer cancel()
+	}
+	return s.takeover.result(ctx)
 }
 
 // countFailedTakeovers adds what takeovers that failed have done to the state of the stream.
 func (s *stream) countFailedTakeovers() {
-	runs, crashedEarly := s.takeover.takeFailures()
-	s.runs += runs
-	s.crashGuard.crashedEarly = s.crashGuard.crashedEarly || crashedEarly
+	failed := s.takeover.takeFailures()
+	s.runs += failed.runs
+	s.excluded = append(s.excluded, failed.engines...)
+	s.crashGuard.crashedEarly = s.crashGuard.crashedEarly || failed.crashedEarly
 }
 
 // continueAt forwards the stream from the run that has taken it over. Its results are those of
@@ -313,25 +349,3 @@
 
 // Error implements the error interface.
 func (*SupersededError) Error() string { return "another run has taken the stream over" }
-
-// recordSuperseded records the end of a run from which another one has taken the stream over.
-func (s *stream) recordSuperseded(p *placement, err error, eventCount int) {
-	u := p.decode.Upstream
-	s.runs++
-	s.countFailedTakeovers()
-	s.leavePlacement(p)
-	s.excluded = append(s.excluded, u.ID)
-	var superseded *SupersededError
-	var silent *UnresponsiveError
-	s.cutReason = CutByEngine
-	if errors.As(err, &superseded) || errors.As(err, &silent) {
-		s.cutReason = CutBySilence
-	}
-	s.logStreamEnd(u, err, eventCount)
-	if errors.As(err, &superseded) {
-		// The engine went on, too late.
-		return
-	}
-	s.c.recordAttempt(u, &attempt{err: err}, 0, s.log)
-	s.crashGuard.startCheck(interruption{upstream: u, sentAt: s.sentAt, wasAlive: true, eventCount: eventCount, begunBefore: s.begunBefore(eventCount), cause: err})
-}
--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -51,17 +51,23 @@
 	s.c.addStream(p.decode, s)
 	rest, err := s.copyEvents(r, func() { started = clock.Now() })
 	err = r.watchdog.attemptError(err)
+	r.watchdog.stop()
 	s.c.removeStream(p.decode)
-	cont, ambiguous := s.migrationResult(p)
-	if cont != nil && ctx.Err() == nil && !callerLeft(err) && !s.takeover.won() {
+	var cont *continuation
+	var ambiguous bool
+	if s.takeover.won() {
+		s.c.cleanup.Go(func() { s.discardMigration(p) })
+	} else {
+		cont, ambiguous = s.migrationResult(p)
+	}
+	if cont != nil && ctx.Err() == nil && !callerLeft(err) {
 		return s.continueStopped(ctx, p, cont)
 	}
 	if cont != nil {
-		s.freeResult(&prefillResult{handle: cont.source, engine: u})
-		s.endPlacements(cont.engines)
+		s.discard(cont, u)
 	}
 	if err == nil {
-		err = s.finish(resp, bodyEnd{rest: rest, stopped: ambiguous, senderLives: func() bool { return s.c.lives(u) }})
+		err = s.finish(resp, bodyEnd{rest: rest, stopped: ambiguous, senderLives: func() bool { return s.c.lives(s.j, u) }})
 	}
 	took := r.age()
 	eventCount := int(s.events.Load() - before)
@@ -69,9 +75,8 @@
 		s.c.o.Scheduler.StreamStarted(s.j.Service.Name, started.Sub(r.sentAt))
 	}
 	s.framing, s.restBytes = framingOf(resp), len(rest)
-	if next := s.nextRun(ctx, err); next != nil {
-		s.recordSuperseded(p, err, eventCount)
-		return s.continueAt(ctx, next)
+	if s.takeover.won() {
+		return s.continueAt(ctx, s.supersede(ctx, p, err, eventCount))
 	}
 	if err == nil {
 		s.crashGuard.recordCompletion()
@@ -83,8 +88,14 @@
 			"prompt", s.j.Call.PromptTokens, "estimate", s.output(), "bound", s.j.Call.MaxOutputTokens)
 		return nil, false, nil
 	}
+	mayRunElsewhere := s.recordStreamEnd(ctx, p, err, eventCount, cutReason(ctx, err))
+	next := s.nextRun(ctx, err)
 	s.countFailedTakeovers()
-	return nil, s.handleStreamEnd(ctx, p, err, eventCount, cutReason(ctx, err)), s.streamError(ctx, err)
+	if next != nil {
+		s.leavePlacement(p)
+		return s.continueAt(ctx, next)
+	}
+	return nil, mayRunElsewhere && s.mayRestart(ctx, err, sendsFullRestart), s.streamError(ctx, err)
 }
 
 // callerLeft reports whether a stream ended because writing to its caller failed.
@@ -97,6 +108,36 @@
 // handleStreamEnd handles a stream that ended early, and reports whether it may continue at
 // another engine.
 func (s *stream) handleStreamEnd(ctx context.Context, p *placement, err error, eventCount int, reason CutReason) bool {
+	return s.recordStreamEnd(ctx, p, err, eventCount, reason) && s.mayRestart(ctx, err, sendsFullRestart)
+}
+
+// supersede records the end of a run from which another one has taken the stream over, and returns that
+// one.
+func (s *stream) supersede(ctx context.Context, p *placement, err error, eventCount int) *run {
+	u := p.decode.Upstream
+	next := s.takeover.result(ctx)
+	s.runs++
+	s.countFailedTakeovers()
+	s.leavePlacement(p)
+	s.excluded = append(s.excluded, u.ID)
+	var superseded *SupersededError
+	var silent *UnresponsiveError
+	s.cutReason = CutByEngine
+	if errors.As(err, &superseded) || errors.As(err, &silent) {
+		s.cutReason = CutBySilence
+	}
+	s.logStreamEnd(u, err, eventCount)
+	if err == nil || errors.As(err, &superseded) {
+		// The engine went on, too late.
+		return next
+	}
+	s.c.recordAttempt(u, &attempt{err: err}, 0, s.log)
+	s.crashGuard.startCheck(interruption{upstream: u, sentAt: s.sentAt, wasAlive: true, eventCount: eventCount, begunBefore: s.begunBefore(eventCount), cause: err})
+	return next
+}
+
+// recordStreamEnd records a stream that ended early, and reports whether it may run at another engine.
+func (s *stream) recordStreamEnd(ctx context.Context, p *placement, err error, eventCount int, reason CutReason) bool {
 	u := p.decode.Upstream
 	s.runs++
 	s.cutReason = reason
@@ -110,10 +151,7 @@
 	s.c.recordAttempt(u, &attempt{err: err}, 0, s.log)
 	s.recordInterruption(ctx, interruption{upstream: u, sentAt: s.sentAt, wasAlive: true, eventCount: eventCount, begunBefore: s.begunBefore(eventCount), cause: err})
 	s.excluded = append(s.excluded, u.ID)
-	if !s.j.Route.Repeatable() || s.runs >= s.j.Route.MaxAttempts {
-		return false
-	}
-	return s.mayRestart(ctx, err, sendsFullRestart)
+	return s.j.Route.Repeatable() && s.runs < s.j.Route.MaxAttempts
 }
 
 // logStreamEnd logs a run that ended early.
--- a/gateway/carry/hedge.go
+++ b/gateway/carry/hedge.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -38,6 +39,8 @@
 	memory *memory.Account
 	// crashRecorded means that the upstream was found to have crashed while the attempt ran.
 	crashRecorded bool
+	// failureRecorded means that the upstream's silence was recorded as a failure.
+	failureRecorded bool
 }
 
 // plainAttempts are the running attempts of a request. An attempt is kept while another one is made,
@@ -107,10 +110,18 @@
 	runs := p.runs + len(p.attempts.running)
 	p.attempts.start(a, func() {
 		response, err := p.c.relayPlain(ctx, p.j, runs, a.memory, p.log)
-		a.result = &attempt{response: response, verdict: dialect.Success, err: err}
+		a.result = &attempt{response: response, verdict: relayedVerdict(response), err: err}
 	})
 }
 
+// relayedVerdict returns the verdict on the response of a peer, which may be an upstream's own failure.
+func relayedVerdict(r *Response) dialect.Verdict {
+	if r != nil && r.Status >= http.StatusInternalServerError {
+		return dialect.Failure
+	}
+	return dialect.Success
+}
+
 // runPlainAttempt makes an attempt and records its result.
 func (c *Forwarder) runPlainAttempt(ctx context.Context, j *Job, a *plainAttempt, log *slog.Logger) {
 	ctx, _, end := c.inFlight.track(ctx, a.upstream)
@@ -135,7 +146,7 @@
 		return &attempt{err: err}
 	}
 	defer resp.Body.Close()
-	return c.readResponse(ctx, a.upstream, resp, verdict, a.memory)
+	return c.readResponse(ctx, j, a.upstream, resp, verdict, a.memory)
 }
 
 // await waits for the running attempts. It returns the first one that succeeded, or the last one if none
@@ -151,6 +162,10 @@
 			if p.finished(a) {
 				return a
 			}
+			// Another upstream is still silent, and this one has failed.
+			checked = nil
+			p.tryElsewhere(ctx, stateUnknown)
+			patience.Reset(p.patience())
 		case <-patience.C:
 			checked = p.checkSilent()
 		case state := <-checked:
@@ -178,6 +193,12 @@
 	}
 	last := len(p.attempts.running) == 0
 	if a.relayed {
+		if a.result.err == nil {
+			p.failure = a.result.response
+		}
+		if a.result.err == nil || mayHaveRun(a.result.err) {
+			p.runs++
+		}
 		return last
 	}
 	p.countFailure(a.result)
@@ -227,8 +248,11 @@
 			if a.succeeded() {
 				return a
 			}
-			if !a.relayed || mayHaveRun(a.result.err) {
+			switch {
+			case !a.relayed:
 				p.countFailure(a.result)
+			case mayHaveRun(a.result.err):
+				p.runs++
 			}
 		case <-timer.C:
 			p.runs += len(p.attempts.running)
@@ -252,8 +276,10 @@
 	if last.relayed || !p.mayTryElsewhere() {
 		return nil
 	}
-	took := clock.Since(last.start)
-	p.c.recordFailure(last.upstream, schedule.Hard, context.DeadlineExceeded, took, p.log)
+	if !last.failureRecorded {
+		last.failureRecorded = true
+		p.c.recordFailure(last.upstream, schedule.Hard, context.DeadlineExceeded, clock.Since(last.start), p.log)
+	}
 	result := make(chan upstreamState, 1)
 	p.c.cleanup.Go(func() { result <- p.c.checkState(last.upstream) })
 	return result
@@ -261,7 +287,7 @@
 
 // mayTryElsewhere reports whether another attempt is allowed beside the running ones.
 func (p *plainRequest) mayTryElsewhere() bool {
-	return p.j.Route.Repeatable() && p.runs+len(p.attempts.running) < p.j.Route.MaxAttempts &&
+	return p.j.Route.Repeatable() && p.runs+len(p.attempts.running) < p.j.Route.MaxAttempts && p.rejections <= maxRejections &&
 		clock.Until(p.j.answerBy()) >= minAttemptTime
 }
 
--- a/gateway/carry/migrate.go
+++ b/gateway/carry/migrate.go
@@ -287,47 +287,151 @@
 // continueStopped continues a stopped stream from its KV cache. This counts as the same run.
 //
 // The instance itself ended a working run, so a single rejection must not end the response: the
-// engine where the stream was stopped is asked too, even if the destination's response was lost.
-// A handle can be used only once, so the stream cannot continue twice.
+// engine where the stream was stopped is asked too, even if the destination's response was lost. An
+// engine that does not answer is left its attempt while the other one is asked: it may have used the
+// handle and only be silent. A handle can be used only once, so the stream cannot continue twice.
 func (s *stream) continueStopped(ctx context.Context, p *placement, cont *continuation) (*Response, bool, error) {
-	var err error
 	stoppedAt := p.decode.Upstream
+	attempts := s.newResumeAttempts(ctx, p, cont)
+	r, err := attempts.first(ctx)
+	defer attempts.close(r)
+	if err == nil {
+		p.decode = r.ticket
+		s.sentAt = r.sentAt
+		attempts.cancelOthers(r)
+		s.endPlacements(attempts.others(r))
+		r.watchdog.handleSilence(s.newFailover(ctx, r.ticket.Upstream))
+		return s.forward(ctx, r.run)
+	}
 	reason := CutByMigration
-	for i, t := range cont.engines {
-		if i > 0 {
-			s.c.o.Budget.CountRequired(clock.Now(), s.j.Service.Name, sendsToReturn)
-			s.c.chargeRateLimit(t.Upstream)
-			s.c.o.Count("stream_went_back")
+	if ctx.Err() != nil {
+		reason = cutReason(ctx, err)
+	}
+	if attempts.lastFailed != nil {
+		p.decode = attempts.lastFailed.ticket
+	}
+	s.endPlacements(cont.engines)
+	s.freeResult(&prefillResult{handle: cont.source, engine: stoppedAt})
+	return nil, s.handleStreamEnd(ctx, p, err, 0, reason), s.streamError(ctx, err)
+}
+
+// resumeAttempt is an attempt to continue a stopped stream at an engine.
+type resumeAttempt struct {
+	*run
+	ticket schedule.Ticket
+	err    error
+}
+
+// resumeAttempts are the attempts to continue a stopped stream, of which the first that succeeds counts.
+type resumeAttempts struct {
+	s    *stream
+	cont *continuation
+	// started holds the attempts in the order in which they were started.
+	started []*resumeAttempt
+	ended   chan *resumeAttempt
+	// failed counts the attempts that failed, lastFailed is the last one of them.
+	failed     int
+	lastFailed *resumeAttempt
+}
+
+// newResumeAttempts returns the attempts at the engines of a continuation. p is the stream's placement.
+func (s *stream) newResumeAttempts(ctx context.Context, p *placement, cont *continuation) *resumeAttempts {
+	ra := &resumeAttempts{s: s, cont: cont, ended: make(chan *resumeAttempt, len(cont.engines))}
+	ra.start(ctx, p)
+	return ra
+}
+
+// start asks the next engine.
+func (ra *resumeAttempts) start(ctx context.Context, p *placement) {
+	s, t := ra.s, ra.cont.engines[len(ra.started)]
+	if len(ra.started) > 0 {
+		s.c.o.Budget.CountRequired(clock.Now(), s.j.Service.Name, sendsToReturn)
+		s.c.chargeRateLimit(t.Upstream)
+		s.c.o.Count("stream_went_back")
+	}
+	a := &resumeAttempt{ticket: t, run: &run{s: s, placement: p, sentAt: clock.Now(), watchdog: s.streamWatchdog(ctx, t.Upstream, keepRun{})}}
+	ra.started = append(ra.started, a)
+	s.c.cleanup.Go(func() {
+		a.resp, a.err = s.resumeAt(a.watchdog, t.Upstream, ra.cont.source)
+		ra.ended <- a
+	})
+}
+
+// first returns the first attempt that succeeds, or the error of the last one. It asks the next engine when
+// one has failed or has not answered within resumeTimeout.
+func (ra *resumeAttempts) first(ctx context.Context) (*resumeAttempt, error) {
+	timer := time.NewTimer(resumeTimeout)
+	defer timer.Stop()
+	for {
+		select {
+		case a := <-ra.ended:
+			if a.err == nil {
+				return a, nil
+			}
+			ra.failed++
+			ra.lastFailed = a
+			if ctx.Err() == nil && ra.failed < len(ra.cont.engines) {
+				ra.s.handleNotResumed(ctx, a.ticket, a.sentAt, a.err)
+			}
+		case <-timer.C:
+		case <-ctx.Done():
+			return nil, ctx.Err()
 		}
-		p.decode = t
-		start := clock.Now()
-		s.sentAt = start
-		r := &run{s: s, placement: p, sentAt: start, watchdog: s.streamWatchdog(ctx, t.Upstream, nil)}
-		if r.resp, err = s.resumeAt(r.watchdog, t.Upstream, cont.source); err == nil {
-			defer r.close()
-			s.endPlacements(cont.engines[i+1:])
-			r.watchdog.handleSilence(s.newFailover(ctx, t.Upstream))
-			return s.forward(ctx, r)
+		if len(ra.started) < len(ra.cont.engines) && ctx.Err() == nil {
+			ra.start(ctx, ra.started[0].placement)
+			timer.Reset(resumeTimeout)
+		} else if ra.failed == len(ra.started) {
+			return nil, ra.lastFailed.err
 		}
-		r.close()
-		if ctx.Err() != nil {
-			s.endPlacements(cont.engines[i+1:])
-			reason = cutReason(ctx, err)
-			break
+	}
+}
+
+// others returns the engines of the continuation at which an attempt does not go on.
+func (ra *resumeAttempts) others(r *resumeAttempt) []schedule.Ticket {
+	var out []schedule.Ticket
+	for _, t := range ra.cont.engines {
+		if t.Number() != r.ticket.Number() {
+			out = append(out, t)
 		}
-		if i+1 < len(cont.engines) {
-			s.handleNotResumed(ctx, t, start, err)
+	}
+	return out
+}
+
+// cancelOthers cancels the attempts that have not succeeded.
+func (ra *resumeAttempts) cancelOthers(succeeded *resumeAttempt) {
+	for _, a := range ra.started {
+		if a != succeeded {
+			a.watchdog.stop()
 		}
 	}
-	s.freeResult(&prefillResult{handle: cont.source, engine: stoppedAt})
-	return nil, s.handleStreamEnd(ctx, p, err, 0, reason), s.streamError(ctx, err)
 }
 
+// close cancels the attempts, also the one that succeeded, and closes their responses.
+func (ra *resumeAttempts) close(succeeded *resumeAttempt) {
+	running := len(ra.started) - ra.failed
+	for _, a := range ra.started {
+		a.watchdog.stop()
+	}
+	if succeeded != nil {
+		succeeded.run.close()
+		running--
+	}
+	ra.s.c.cleanup.Go(func() {
+		for range running {
+			(<-ra.ended).run.close()
+		}
+	})
+}
+
+// keepRun is a silenceHandler that leaves a request at its engine.
+type keepRun struct{}
+
+// onUnresponsive implements silenceHandler.
+func (keepRun) onUnresponsive(dialect.Upstream, error, time.Time, func() bool) bool { return false }
+
 // resumeAt asks an engine to continue a stopped stream.
 func (s *stream) resumeAt(wd *watchdog, u dialect.Upstream, source dialect.Handle) (*http.Response, error) {
 	start := clock.Now()
-	limit := time.AfterFunc(resumeTimeout, func() { wd.cancel(&UnresponsiveError{Upstream: u.ID, Err: context.DeadlineExceeded}) })
-	defer limit.Stop()
 	resp, verdict, err := s.c.o.Dialect.Do(wd.ctx, s.j.Call, dialect.Send{
 		To: u, Deadline: s.j.Deadline.Add(-deadlineMargin), Source: &source, LastEvent: s.lastEvent,
 	})
@@ -361,6 +465,20 @@
 	}
 }
 
+// discard releases a stopped stream's KV cache and the engines that could continue it. from is the engine
+// where the stream was stopped.
+func (s *stream) discard(cont *continuation, from dialect.Upstream) {
+	s.freeResult(&prefillResult{handle: cont.source, engine: from})
+	s.endPlacements(cont.engines)
+}
+
+// discardMigration waits for the result of a migration and releases what it holds.
+func (s *stream) discardMigration(p *placement) {
+	if cont, _ := s.migrationResult(p); cont != nil {
+		s.discard(cont, p.decode.Upstream)
+	}
+}
+
 // endPlacements ends placements that the stream does not use.
 func (s *stream) endPlacements(tickets []schedule.Ticket) {
 	for _, t := range tickets {
--- a/gateway/carry/plain.go
+++ b/gateway/carry/plain.go
@@ -80,6 +80,9 @@
 		if ctx.Err() != nil {
 			return nil, p.contextError(ctx)
 		}
+		if a.relayed && a.result.err == nil {
+			return a.result.response, nil
+		}
 		if a.relayed {
 			return p.relayResult(ctx, a.result.err)
 		}
--- a/gateway/carry/prefill.go
+++ b/gateway/carry/prefill.go
@@ -137,6 +137,10 @@
 		}
 	})
 	defer limit.Stop()
+	if !s.headSent {
+		wd.limitAnswer(s.j.answerBy())
+		defer wd.stopLimit()
+	}
 	h, err := s.c.o.Dialect.Prefill(wd.ctx, s.j.Call, dialect.Send{To: u, Deadline: s.j.Deadline.Add(-deadlineMargin)})
 	took := clock.Since(start)
 	err = wd.attemptError(err)
--- a/gateway/carry/relay.go
+++ b/gateway/carry/relay.go
@@ -172,7 +172,11 @@
 		return nil, false, s.callerError(declineRelayed(s.j, s.runs))
 	}
 	s.crashGuard.endTrial()
-	r, err := s.sendRelayed(ctx)
+	relayCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	limit := s.limitRelay(cancel)
+	defer limit.Stop()
+	r, err := s.sendRelayed(relayCtx)
 	if err != nil {
 		if ctx.Err() != nil && !mayHaveRunAtPeer(ctx, err) {
 			err = s.contextError(ctx)
@@ -180,9 +184,20 @@
 		return nil, false, s.callerError(err)
 	}
 	defer r.close()
+	r.answerTimer = limit
 	return s.forwardRelayed(ctx, r)
 }
 
+// limitRelay returns a timer that cancels a relayed stream without an event when the caller must be
+// answered. It is stopped already if the caller has events.
+func (s *stream) limitRelay(cancel context.CancelCauseFunc) *time.Timer {
+	limit := time.AfterFunc(clock.Until(s.j.answerBy()), func() { cancel(context.DeadlineExceeded) })
+	if s.headSent {
+		limit.Stop()
+	}
+	return limit
+}
+
 // sendRelayed sends the stream, or the rest of it, to a peer. The error is an *Error.
 func (s *stream) sendRelayed(ctx context.Context) (*run, error) {
 	r := &run{s: s, sentAt: clock.Now()}
@@ -225,6 +240,9 @@
 	resp := r.resp
 	version, known := relay.TakeSoftwareVersion(resp.Header)
 	rest, err := readEvents(r.body(), func(int) {}, func(events []byte) error {
+		if r.answerTimer != nil {
+			r.answerTimer.Stop()
+		}
 		s.beganAtPeer(ctx, version, known)
 		s.recordPause(clock.Now())
 		return s.deliver(resp, events)
--- a/gateway/carry/run.go
+++ b/gateway/carry/run.go
@@ -20,6 +20,8 @@
 	resp      *http.Response
 	// sentAt is when the stream was sent.
 	sentAt time.Time
+	// answerTimer ends a run at a peer that brings no event in time; nil if there is none.
+	answerTimer *time.Timer
 	// received is the beginning of the body if it was read already.
 	received []byte
 	// guard is the crash guard of a run that was started by a takeover, nil otherwise. cancel ends such
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -105,6 +105,10 @@
 	starts   int
 	runs     int
 	prefills int
+	// sends counts the requests sent to decode engines.
+	sends int
+	// charged is the number of sends that a takeover charged to the retry budget.
+	charged int
 	// retained is a prefill result that a decode engine rejected and that is offered to
 	// another one.
 	retained *prefillResult
--- a/gateway/carry/takeover.go
+++ b/gateway/carry/takeover.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/wardspool/wardspool/ident"
 )
 
 // maxHold is how long the events of an engine that was silent are held back while another engine may
@@ -29,6 +31,16 @@
 	takeoverClosed
 )
 
+// takeoverFailures are the effects of takeovers that failed.
+type takeoverFailures struct {
+	// runs is the number of engines that may have run the stream.
+	runs int
+	// engines are those that failed the stream.
+	engines []ident.UpstreamID
+	// crashedEarly means that an engine crashed before the first event.
+	crashedEarly bool
+}
+
 // takeover decides which of two runs of a stream delivers its events: the current one, at an engine
 // that has fallen silent, or another one, which is started to continue it. The current run is kept
 // until the other one has begun, because silence does not prove a failure and the other run may fail
@@ -46,18 +58,31 @@
 	settled chan struct{}
 	// next is the other run once it has begun.
 	next *run
-	// failedRuns counts engines that may have run the stream in starts that failed. crashedEarly means
-	// that one of them crashed before the first event.
-	failedRuns   int
-	crashedEarly bool
+	// runNumber is incremented by each run of the stream. ended means that the last one has ended, so
+	// that nothing is started in its place.
+	runNumber int
+	ended     bool
+	// failed adds up the starts that failed. abandonedSent is the number of the last takeover that was
+	// abandoned after the stream had been sent, 0 for none; it is counted already.
+	failed        takeoverFailures
+	abandonedSent int
+}
+
+// newRun records that a run of the stream begins, and returns its number.
+func (t *takeover) newRun() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.runNumber++
+	t.ended = false
+	return t.runNumber
 }
 
-// begin starts a takeover and calls snapshot, while no event is being delivered. ok is false if that
-// is not possible now. cancel is called if the takeover is abandoned.
-func (t *takeover) begin(cancel context.CancelFunc, snapshot func()) (generation int, ok bool) {
+// begin starts a takeover of the run with the given number and calls snapshot, while no event is being
+// delivered. ok is false if that is not possible now. cancel is called if the takeover is abandoned.
+func (t *takeover) begin(runNumber int, cancel context.CancelFunc, snapshot func()) (generation int, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.phase != takeoverIdle || t.delivering {
+	if t.phase != takeoverIdle || t.delivering || t.ended || t.runNumber != runNumber {
 		return 0, false
 	}
 	t.generation++
@@ -100,13 +125,16 @@
 	return true
 }
 
-// fail ends a takeover that did not succeed. runs is the number of engines that may have run the
-// stream, crashedEarly whether one of them crashed before the first event.
-func (t *takeover) fail(generation, runs int, crashedEarly bool) {
+// fail ends a takeover that did not succeed.
+func (t *takeover) fail(generation int, f takeoverFailures) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.failedRuns += runs
-	t.crashedEarly = t.crashedEarly || crashedEarly
+	if t.abandonedSent == generation {
+		f.runs = max(0, f.runs-1)
+	}
+	t.failed.runs += f.runs
+	t.failed.engines = append(t.failed.engines, f.engines...)
+	t.failed.crashedEarly = t.failed.crashedEarly || f.crashedEarly
 	if t.generation == generation && t.pending() {
 		t.phase = takeoverIdle
 		close(t.settled)
@@ -116,6 +144,11 @@
 // abandon cancels a takeover that has not succeeded. The caller holds mu.
 func (t *takeover) abandon() {
 	if t.pending() {
+		if t.phase == takeoverSent {
+			// The other engine may run the stream, whatever its attempt reports later.
+			t.failed.runs++
+			t.abandonedSent = t.generation
+		}
 		t.phase = takeoverIdle
 		t.cancel()
 		close(t.settled)
@@ -172,6 +205,7 @@
 // returns the other run, or nil if there is none. The caller must close the run.
 func (t *takeover) result(ctx context.Context) *run {
 	t.mu.Lock()
+	t.ended = true
 	pending, settled := t.pending(), t.settled
 	t.mu.Unlock()
 	if pending {
@@ -191,21 +225,20 @@
 	return next
 }
 
-// failures returns the number of engines that may have run the stream in starts that failed, and
-// whether one of them crashed before the first event.
-func (t *takeover) failures() (runs int, crashedEarly bool) {
+// failures returns what the takeovers that failed have done.
+func (t *takeover) failures() takeoverFailures {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.failedRuns, t.crashedEarly
+	return t.failed
 }
 
-// takeFailures is like failures and resets the number of runs.
-func (t *takeover) takeFailures() (runs int, crashedEarly bool) {
+// takeFailures is like failures and resets them.
+func (t *takeover) takeFailures() takeoverFailures {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	runs = t.failedRuns
-	t.failedRuns = 0
-	return runs, t.crashedEarly
+	f := t.failed
+	t.failed = takeoverFailures{}
+	return f
 }
 
 // close ends all takeovers of a stream that has ended.
--- a/gateway/schedule/budget.go
+++ b/gateway/schedule/budget.go
@@ -150,6 +150,18 @@
 	return b.trySpend(now, service, sends, startedStreamMargin, 1)
 }
 
+// Return takes back sends that were counted and not made.
+func (b *Budget) Return(now time.Time, service string, sends int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.spendingOf(now, service)
+	for i := range countedSteps {
+		returned := min(sends, s.extra[i])
+		s.extra[i] -= returned
+		sends -= returned
+	}
+}
+
 // ExtraOptional is like Extra for optional sends, such as those of a migration. They use at most
 // half of the budget, which leaves the rest to necessary ones.
 func (b *Budget) ExtraOptional(now time.Time, service string, sends int) bool {
