admission: a decision that is older than the peers' sums does not panic; a panic leaves the queue

Callers got a closed connection, neither an answer nor a refusal, and then the instance served no stream any more. A request decides with the time at which it began to decide. If the instance stands still before it takes the lock and the sums of the peers arrive meanwhile, their age is negative, and from one step of the forecast (300 ms) on an index into it is too: the handler panics and net/http closes the connection. The request stayed at the head of its service's queue, so that all later streams were refused. A new configuration on a small machine makes such a pause, which fits the users' report best.

The age of the sums is at least 0, and the queue is left whatever ends the wait. TestDecisionBeforeTheLastSumsOfPeers and TestPanicLeavesTheQueue failed before.

--- a/gateway/admission/admission.go
+++ b/gateway/admission/admission.go
@@ -383,5 +383,5 @@
 	if c.peersAt.IsZero() {
 		return 0
 	}
-	return now.Sub(c.peersAt)
+	return max(0, now.Sub(c.peersAt))
 }
--- a/gateway/admission/arrivals.go
+++ b/gateway/admission/arrivals.go
@@ -59,7 +59,7 @@
 		a.mean, a.meanAt = rate, now
 		return
 	}
-	keep := math.Exp2(-now.Sub(a.meanAt).Seconds() / meanHalfLife.Seconds())
+	keep := math.Exp2(-max(0, now.Sub(a.meanAt).Seconds()) / meanHalfLife.Seconds())
 	a.mean, a.meanAt = keep*a.mean+(1-keep)*rate, now
 }
 
--- a/gateway/carry/reserve.go
+++ b/gateway/carry/reserve.go
@@ -69,8 +69,10 @@
 // still be served in time.
 func (s *stream) reserve(ctx context.Context) (*placement, error) {
 	w := s.enterQueue()
-	p, err := s.awaitPlacement(ctx, w)
-	w.leave(p != nil)
+	var p *placement
+	defer func() { w.leave(p != nil) }()
+	var err error
+	p, err = s.awaitPlacement(ctx, w)
 	return p, err
 }
 
