entry: a silent engine keeps its stream until another one has output

A stream or a prompt whose engine was silent for longer than transfer_stall (300 ms in examples/, 5 s by default; a prefill at least 2 s) was ended by the driver's watchdog, and only then the kernel looked for attempts left, the retry budget and another engine. Callers got 'upstream_failed' or 'attempts_exhausted' after 0.3 to 1.1 s of silence, while the engine still computed their answer; requests that run once got 'not_repeatable' if the silence came before their first token, though nothing could take their place.

The watchdog reports a silence now and ends nothing. The kernel keeps the run and starts another one beside it if attempts and budget allow that; the first of the two with output for the caller ends the other one. A replacement that fails, is refused or finds no engine is dropped; one that is silent itself is replaced again. The driver accepts the first token of the replacement only while the first run has written none since, so that the caller never gets tokens of both. A request that runs once is left at its engine; of its two prefills only one is decoded.

--- a/entry/driver/actions.go
+++ b/entry/driver/actions.go
@@ -130,7 +130,7 @@
 	if a == nil {
 		return
 	}
-	a.exchange.delivery.setCurrent(a.id)
+	a.setWriter(s.ContinueFrom)
 	call := &adapter.DecodeCall{
 		Target:       a.target,
 		Model:        a.exchange.Model,
@@ -152,7 +152,7 @@
 		return
 	}
 	a.reattached = true
-	a.exchange.delivery.setCurrent(a.id)
+	a.setWriter(s.Offset)
 	call := &adapter.ReattachCall{
 		Target:   a.target,
 		Endpoint: a.exchange.Model.Endpoint,
@@ -170,6 +170,19 @@
 	})
 }
 
+// setWriter lets a decode attempt write to the caller from the given token on.
+// While another decode of the exchange is live, which is then silent, the attempt
+// takes its place with its first token.
+func (a *attempt) setWriter(from int) {
+	for other := range a.exchange.live {
+		if other != a && other.role == config.RoleDecode {
+			a.exchange.delivery.setCandidate(a.id, from, other.id)
+			return
+		}
+	}
+	a.exchange.delivery.setCurrent(a.id)
+}
+
 // checkComplete checks that the caller received every token of the output.
 func (a *attempt) checkComplete(got adapter.DecodeResult, err error) (kernel.Event, error) {
 	if err != nil {
--- a/entry/driver/attempt.go
+++ b/entry/driver/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"github.com/wardspool/wardspool/adapter"
 	"github.com/wardspool/wardspool/config"
@@ -54,13 +53,6 @@
 // Error implements error.
 func (*AbandonedError) Error() string { return "attempt abandoned: upstream is dead" }
 
-// StalledError is the cancellation cause of an attempt that made no progress
-// within its time limit.
-type StalledError struct{ After time.Duration }
-
-// Error implements error.
-func (e *StalledError) Error() string { return "no progress for " + e.After.String() }
-
 // begin creates an attempt for an exchange. If the exchange or the upstream is
 // no longer known, it queues an AttemptFailed event for the kernel and returns
 // nil.
@@ -160,31 +152,31 @@
 	}})
 }
 
-// code returns the failure code of an attempt. A local cancellation cause
-// (stall, dead upstream) takes precedence over the code of the call error.
+// code returns the failure code of an attempt. The death of its upstream takes
+// precedence over the code of the call error.
 func (a *attempt) code(e *adapter.CallError) kernel.FailureCode {
-	cause := context.Cause(a.ctx)
-	var stalled *StalledError
 	var abandoned *AbandonedError
-	switch {
-	case errors.As(cause, &stalled):
-		return kernel.FailureStalled
-	case errors.As(cause, &abandoned):
+	if errors.As(context.Cause(a.ctx), &abandoned) {
 		return kernel.FailureBroken
-	default:
-		return e.Code
 	}
+	return e.Code
 }
 
 // report handles an event from an attempt's goroutine.
 func (d *Driver) report(m message) {
 	a := m.attempt
-	if _, ok := m.event.(kernel.FirstOutput); ok {
+	switch m.event.(type) {
+	case kernel.FirstOutput:
 		if !a.detached {
 			a.exchange.prefillUsage.markOutput()
 			d.step(m.event)
 		}
 		return
+	case kernel.AttemptStalled, kernel.AttemptResumed:
+		if !a.detached {
+			d.step(m.event)
+		}
+		return
 	}
 	if a.detached {
 		if e, ok := m.event.(kernel.AttemptFailed); ok && e.Code == kernel.FailureDraining {
--- a/entry/driver/delivery.go
+++ b/entry/driver/delivery.go
@@ -9,12 +9,21 @@
 	"github.com/wardspool/wardspool/ident"
 )
 
+// writers are the attempts that may write an answer.
+type writers struct {
+	current ident.AttemptID
+	// candidate, if it is not zero, becomes the current attempt with its first
+	// token, unless current has written a token beyond offset from before.
+	candidate ident.AttemptID
+	from      int
+}
+
 // delivery writes the tokens of an answer to the caller in order: only the
 // current attempt may write, and only the next expected token is accepted. A
 // write to a slow caller holds the mutex, so the driver's goroutine may call
-// only setCurrent and close.
+// only setCurrent, setCandidate and close.
 type delivery struct {
-	current atomic.Pointer[ident.AttemptID]
+	writers atomic.Pointer[writers]
 	closed  atomic.Bool
 
 	// first and last are the times at which the first and the last token were
@@ -26,6 +35,8 @@
 	mu   sync.Mutex
 	out  Output
 	next int
+	// lastWriter is the attempt that wrote the last token.
+	lastWriter ident.AttemptID
 	// finish is the finish reason of the last token, empty until that token was
 	// sent.
 	finish string
@@ -67,13 +78,16 @@
 func (d *delivery) writeToken(from ident.AttemptID, c adapter.Chunk) (tokenStatus, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	current := d.current.Load()
-	if d.closed.Load() || current == nil || *current != from {
+	w := d.writers.Load()
+	if d.closed.Load() || w == nil || from != w.current && from != w.candidate {
 		return tokenDropped, &SupersededError{}
 	}
 	if c.Offset < d.next {
 		return tokenDropped, nil
 	}
+	if from != w.current && !d.promote(w) {
+		return tokenDropped, nil
+	}
 	if c.Offset > d.next {
 		return tokenDropped, &GapError{Want: d.next, Got: c.Offset}
 	}
@@ -81,6 +95,7 @@
 		return tokenDropped, &CallerError{Err: err}
 	}
 	d.next++
+	d.lastWriter = from
 	d.finish = c.FinishReason
 	d.recordSent(time.Now())
 	return tokenSent, nil
@@ -103,9 +118,24 @@
 	return time.Unix(0, d.first.Load()), time.Unix(0, d.last.Load()), count
 }
 
+// promote makes the candidate of w the current attempt. It returns false if the
+// current attempt has gone on, or if w is no longer in force.
+func (d *delivery) promote(w *writers) bool {
+	if d.next > w.from && d.lastWriter == w.current {
+		return false
+	}
+	return d.writers.CompareAndSwap(w, &writers{current: w.candidate})
+}
+
 // setCurrent makes an attempt the current one. It does not wait for a write in
 // progress.
-func (d *delivery) setCurrent(a ident.AttemptID) { d.current.Store(&a) }
+func (d *delivery) setCurrent(a ident.AttemptID) { d.writers.Store(&writers{current: a}) }
+
+// setCandidate lets an attempt, which begins at token from, become the current
+// one in place of the given attempt. It does not wait for a write in progress.
+func (d *delivery) setCandidate(a ident.AttemptID, from int, current ident.AttemptID) {
+	d.writers.Store(&writers{current: current, candidate: a, from: from})
+}
 
 // close prevents further writes. It does not wait for a write in progress.
 func (d *delivery) close() { d.closed.Store(true) }
--- a/entry/driver/sink.go
+++ b/entry/driver/sink.go
@@ -19,9 +19,12 @@
 	return &sink{d: d, a: a, watch: d.newWatch(a, p)}
 }
 
-// newWatch starts a watchdog that cancels the attempt when it stalls.
+// newWatch starts a watchdog that reports to the kernel when the attempt stalls.
 func (d *Driver) newWatch(a *attempt, p progressLimits) *watchdog {
-	stalled := func(after time.Duration) { a.cancel(&StalledError{After: after}) }
+	stalled := func(after time.Duration) {
+		d.opts.Log.Debug("attempt stalled", "attempt", a.id.String(), "upstream", a.target.Upstream, "after", after)
+		d.send(message{attempt: a, event: kernel.AttemptStalled{Attempt: a.id, Offset: a.exchange.delivery.offset()}})
+	}
 	return newWatchdog(p, d.opts.PauseAfter, stalled)
 }
 
@@ -29,14 +32,20 @@
 func (s *sink) Token(c adapter.Chunk) error {
 	s.watch.pause()
 	v, err := s.a.exchange.delivery.writeToken(s.a.id, c)
-	s.watch.progress()
+	resumed := s.watch.progress()
 	if v == tokenDropped {
 		s.d.opts.Observer.TokenDropped()
 	}
 	if err != nil {
 		return err
 	}
-	if !s.started && v == tokenSent {
+	if v != tokenSent {
+		return nil
+	}
+	if resumed {
+		s.d.send(message{event: kernel.AttemptResumed{Attempt: s.a.id}, attempt: s.a})
+	}
+	if !s.started {
 		s.started = true
 		s.d.send(message{event: kernel.FirstOutput{Attempt: s.a.id}, attempt: s.a})
 	}
--- a/entry/driver/watchdog.go
+++ b/entry/driver/watchdog.go
@@ -6,17 +6,19 @@
 )
 
 // watchdog calls stalled when an attempt makes no progress within its time
-// limit.
+// limit, and again after each further time limit.
 type watchdog struct {
 	limits     progressLimits
 	pauseAfter time.Duration
 	stalled    func(after time.Duration)
 
-	mu      sync.Mutex
-	timer   *time.Timer
-	due     time.Time
-	limit   time.Duration
-	stopped bool
+	mu    sync.Mutex
+	timer *time.Timer
+	due   time.Time
+	limit time.Duration
+	// reported is set from a call of stalled to the next token.
+	reported bool
+	stopped  bool
 }
 
 // newWatchdog starts a watchdog with the time limit for the first token.
@@ -35,25 +37,24 @@
 // again.
 func (w *watchdog) fire() {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	if w.stopped {
-		w.mu.Unlock()
 		return
 	}
 	now := time.Now()
 	if now.Before(w.due) {
 		w.timer.Reset(w.due.Sub(now))
-		w.mu.Unlock()
 		return
 	}
-	if now.Sub(w.due) >= w.pauseAfter {
-		w.due = now.Add(w.limit)
-		w.timer.Reset(w.limit)
-		w.mu.Unlock()
+	late := now.Sub(w.due)
+	w.due = now.Add(w.limit)
+	w.timer.Reset(w.limit)
+	if late >= w.pauseAfter {
 		return
 	}
-	limit := w.limit
-	w.mu.Unlock()
-	w.stalled(limit)
+	w.reported = true
+	// The lock keeps the order of this report and the one of the next token.
+	w.stalled(w.limit)
 }
 
 // pause suspends the time limit while a token is written to the caller.
@@ -67,13 +68,17 @@
 // only has to exceed the write's own time limit.
 const callerWriteAllowance = time.Hour
 
-// progress records a token and restarts the time limit. The timer itself is not
-// reset: if it fires early, fire resets it.
-func (w *watchdog) progress() {
+// progress records a token and restarts the time limit. It returns whether the
+// attempt was reported as stalled. The timer itself is not reset: if it fires
+// early, fire resets it.
+func (w *watchdog) progress() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.limit = w.limits.next
 	w.due = time.Now().Add(w.limit)
+	reported := w.reported
+	w.reported = false
+	return reported
 }
 
 // stop stops the watchdog.
--- a/kernel/call.go
+++ b/kernel/call.go
@@ -28,7 +28,10 @@
 // call is the state of a request that has no final answer yet.
 type call struct {
 	request *Request
-	state   callState
+	run
+	// kept is a silent run that goes on beside its replacement, which is then
+	// the call's current run.
+	kept *run
 	// waiting is set while the request is in the queue.
 	waiting *QueuedRequest
 	// admitted lists the admission checks that admitted the request. Their
@@ -44,14 +47,22 @@
 	// failedAttempts counts how often the request was to be queued again after
 	// a failure.
 	failedAttempts int
-	// reattachCount counts the reconnects to the stream of the current decode.
-	reattachCount int
 	// delivered is the number of output tokens that the caller has received.
 	delivered int
 	// avoid lists the upstreams on which this request failed, newest last.
 	avoid []ident.UpstreamID
+	// minFirstOutput is the minimum time to first output, estimated when the
+	// call was queued.
+	minFirstOutput time.Duration
+	// lastReason is the reason last logged for leaving the request in the queue.
+	// It prevents a log record for every scheduling pass.
+	lastReason Reason
+}
 
-	plan placement
+// run is one execution of a call: a prefill and a decode, or a service call.
+type run struct {
+	state callState
+	plan  placement
 	// slot is the decode slot reservation, granted or still requested.
 	slot reservation
 	// prefill and active are the attempts that hold resources on an upstream:
@@ -62,12 +73,8 @@
 	kv      KVHandle
 	// kvReadyAt is the time at which the prefill finished.
 	kvReadyAt time.Time
-	// minFirstOutput is the minimum time to first output, estimated when the
-	// call was queued.
-	minFirstOutput time.Duration
-	// lastReason is the reason last logged for leaving the request in the queue.
-	// It prevents a log record for every scheduling pass.
-	lastReason Reason
+	// reattachCount counts the reconnects to the stream of the decode.
+	reattachCount int
 }
 
 // reservation is a decode slot, granted or still requested, and the policy that
@@ -78,8 +85,19 @@
 }
 
 // started reports whether an attempt is in flight.
-func (c *call) started() bool {
-	return c.state == callPrefilling || c.state == callDecoding || c.state == callServing
+func (r *run) started() bool {
+	return r.state == callPrefilling || r.state == callDecoding || r.state == callServing
+}
+
+// includes reports whether an attempt belongs to the run.
+func (r *run) includes(a *attempt) bool { return r != nil && (r.prefill == a || r.active == a) }
+
+// runOf returns the run that an attempt of the call belongs to.
+func (c *call) runOf(a *attempt) *run {
+	if c.kept.includes(a) {
+		return c.kept
+	}
+	return &c.run
 }
 
 // avoids reports whether this request failed on the upstream before.
@@ -117,6 +135,8 @@
 	// stages.
 	pieces int
 	sentAt time.Time
+	// stalled is set while the attempt is reported to make no progress.
+	stalled bool
 	// abandoned is set once AbandonAttempt has been emitted for the attempt.
 	abandoned bool
 }
--- a/kernel/event.go
+++ b/kernel/event.go
@@ -96,6 +96,20 @@
 	RetryAfter time.Duration
 }
 
+// AttemptStalled reports that a prefill or a decode has made no progress within
+// its time limit. The attempt goes on; the event is repeated after each further
+// time limit.
+type AttemptStalled struct {
+	Attempt ident.AttemptID
+	// Offset is the number of output tokens written to the caller's stream, over
+	// all attempts of the request.
+	Offset int
+}
+
+// AttemptResumed reports the first output token that a stalled decode attempt has
+// written to the caller since AttemptStalled.
+type AttemptResumed struct{ Attempt ident.AttemptID }
+
 // CancelAcked reports that the upstream holds no more resources for the attempt.
 type CancelAcked struct{ Attempt ident.AttemptID }
 
@@ -161,6 +175,8 @@
 func (FirstOutput) event()     {}
 func (AttemptDone) event()     {}
 func (AttemptFailed) event()   {}
+func (AttemptStalled) event()  {}
+func (AttemptResumed) event()  {}
 func (CancelAcked) event()     {}
 func (CancelFailed) event()    {}
 func (ViewChanged) event()     {}
--- a/kernel/failure.go
+++ b/kernel/failure.go
@@ -25,6 +25,10 @@
 	c := a.call
 	c.delivered = max(c.delivered, e.Offset)
 	k.applyFailure(a, e)
+	if c.kept.includes(a) {
+		k.keptFailed(c, a, e)
+		return
+	}
 	if a.stage == stageDecode && k.tryReattach(c, a, e) {
 		return
 	}
@@ -70,24 +74,20 @@
 	if asksForRest(e.Code) {
 		k.recordRest(u, e.RetryAfter)
 	}
-	stalledTransfer := e.Code == FailureStalled && a.stage == stageDecode && a.call.prefill != nil
-	if stalledTransfer {
-		k.transferEnded(a.call, a, true)
-	} else if upstreamFault(e.Code) {
+	c := a.call
+	if e.Code == FailureStalled {
+		k.recordStalled(c, a, u)
+		return
+	}
+	if upstreamFault(e.Code) {
 		k.recordFailure(u)
 	}
-	if a.stage == stageDecode && e.Code == FailureCapacity && a.call.slot.policy != nil {
-		a.call.slot.policy.Refused(u.ID)
+	if slot := c.runOf(a).slot; a.stage == stageDecode && e.Code == FailureCapacity && slot.policy != nil {
+		slot.policy.Refused(u.ID)
 	}
 	if e.Code == FailureKVMissing {
 		return
 	}
-	c := a.call
-	if stalledTransfer {
-		// A single stall does not show which of the two engines is at fault, so
-		// both are avoided.
-		c.avoid = append(c.avoid, c.prefill.upstream)
-	}
 	c.avoid = append(c.avoid, a.upstream)
 }
 
@@ -201,12 +201,16 @@
 		k.fail(c, reason, api.ProblemDeadline, "no time is left for another attempt")
 		return
 	}
-	step := StepRetrying
+	k.log(c, Record{Step: retryStep(c), Reason: reason, Offset: c.delivered})
+	k.enqueue(c, at)
+}
+
+// retryStep returns the step that decision records give for a further attempt.
+func retryStep(c *call) Step {
 	if c.delivered > 0 {
-		step = StepResuming
+		return StepResuming
 	}
-	k.log(c, Record{Step: step, Reason: reason, Offset: c.delivered})
-	k.enqueue(c, at)
+	return StepRetrying
 }
 
 // failureReason returns the reason that decision records give for a failure.
--- a/kernel/finish.go
+++ b/kernel/finish.go
@@ -13,13 +13,23 @@
 		Record{Step: StepCompleted, Reason: ReasonWholeAnswer})
 }
 
-// refuseCall ends a call that has no attempt in flight.
+// refuseCall ends a call that has no attempt in flight. If only the replacement
+// of a silent run has none, it ends the replacement.
 func (k *Kernel) refuseCall(c *call, r *Refusal) {
+	if c.kept != nil {
+		k.restoreKept(c)
+		return
+	}
 	k.end(c, StepRefused, r)
 }
 
-// fail ends a call after failed attempts.
+// fail ends a call after failed attempts. If only the replacement of a silent run
+// failed, it ends the replacement.
 func (k *Kernel) fail(c *call, reason Reason, problem api.ProblemType, detail string) {
+	if c.kept != nil {
+		k.restoreKept(c)
+		return
+	}
 	k.end(c, StepFailed, &Refusal{
 		Reason:     reason,
 		Problem:    problem,
@@ -74,9 +84,8 @@
 // finish releases all resources of a call and emits its final answer.
 func (k *Kernel) finish(c *call, a Answer, rec Record) {
 	k.dequeue(c)
-	k.release(c.active)
-	k.release(c.prefill)
-	k.releaseSlot(c)
+	k.releaseRun(c)
+	k.dropKept(c)
 	delete(k.calls, c.request.ID)
 	for _, check := range c.admitted {
 		check.Finished(c.request, a.Outcome)
--- a/kernel/joint.go
+++ b/kernel/joint.go
@@ -130,8 +130,8 @@
 // If that engine cannot be used, the call is queued again.
 func (k *Kernel) placementGranted(reply policyReply) {
 	prefill := reply.placement.Prefill
-	c, ok := k.reserved[reply.id]
-	if !ok || c.state != callReserving || c.prefill != nil {
+	c := k.reservingCall(reply.id)
+	if c == nil || c.prefill != nil {
 		return
 	}
 	if !k.trusted() || !k.usable(prefill) {
@@ -175,8 +175,8 @@
 // decodeGranted starts the decode of a finished prefill on the engine that the
 // joint policy chose, or looks for another one if that cannot be used.
 func (k *Kernel) decodeGranted(reply policyReply) {
-	c, ok := k.reserved[reply.id]
-	if !ok || c.state != callReserving || c.prefill == nil {
+	c := k.reservingCall(reply.id)
+	if c == nil || c.prefill == nil {
 		return
 	}
 	c.plan.decode = reply.decode
@@ -192,8 +192,8 @@
 // placementRefused refuses a request that, according to the joint policy, cannot
 // meet its first-output target.
 func (k *Kernel) placementRefused(reply policyReply) {
-	c, ok := k.reserved[reply.id]
-	if !ok || c.state != callReserving {
+	c := k.reservingCall(reply.id)
+	if c == nil {
 		return
 	}
 	k.leaveReserving(c)
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -148,6 +148,10 @@
 		k.attemptDone(e)
 	case AttemptFailed:
 		k.attemptFailed(e)
+	case AttemptStalled:
+		k.attemptStalled(e)
+	case AttemptResumed:
+		k.attemptResumed(e)
 	case CancelAcked:
 		k.cancelAcked(e.Attempt)
 	case CancelFailed:
--- a/kernel/slots.go
+++ b/kernel/slots.go
@@ -51,11 +51,21 @@
 	}
 }
 
+// reservingCall returns the call that waits for the slot policy's answer to the
+// given reservation, nil if there is none.
+func (k *Kernel) reservingCall(id ident.AttemptID) *call {
+	c := k.reserved[id]
+	if c == nil || c.state != callReserving || c.slot.id != id {
+		return nil
+	}
+	return c
+}
+
 // kvExpired ends the wait for a slot when the call's KV cache can no longer be
 // imported. It does not depend on an answer from the slot policy.
 func (k *Kernel) kvExpired(reservation ident.AttemptID) {
-	c, ok := k.reserved[reservation]
-	if !ok || c.state != callReserving || c.prefill == nil || k.kvFresh(c) {
+	c := k.reservingCall(reservation)
+	if c == nil || c.prefill == nil || k.kvFresh(c) {
 		return
 	}
 	k.retryDecode(c, ReasonKVEvicted)
@@ -84,8 +94,8 @@
 // slotGranted continues a call whose pending reservation was granted: with the
 // decode if its prefill has finished, otherwise with the prefill.
 func (k *Kernel) slotGranted(id ident.AttemptID) {
-	c, ok := k.reserved[id]
-	if !ok || c.state != callReserving {
+	c := k.reservingCall(id)
+	if c == nil {
 		return
 	}
 	k.leaveReserving(c)
@@ -105,8 +115,8 @@
 // slotDenied queues a call again whose pending reservation was denied, or looks
 // for another decode engine if its prefill has finished.
 func (k *Kernel) slotDenied(id ident.AttemptID, retryAt time.Time) {
-	c, ok := k.reserved[id]
-	if !ok || c.state != callReserving {
+	c := k.reservingCall(id)
+	if c == nil {
 		return
 	}
 	k.leaveReserving(c)
--- a/kernel/stalls.go
+++ b/kernel/stalls.go
@@ -131,12 +131,12 @@
 	TransferEnded(reservation ident.AttemptID, stalled bool)
 }
 
-// transferEnded records the result of the KV transfer for a call's decode and
+// transferEnded records the result of the KV transfer for a run's decode and
 // reports it to the slot policy.
-func (k *Kernel) transferEnded(c *call, decode *attempt, stalled bool) {
-	k.recordTransfer(c.prefill.upstream, decode.upstream, decode.sentAt, stalled)
-	if o, ok := c.slot.policy.(TransferObserver); ok {
-		o.TransferEnded(c.slot.id, stalled)
+func (k *Kernel) transferEnded(r *run, stalled bool) {
+	k.recordTransfer(r.prefill.upstream, r.active.upstream, r.active.sentAt, stalled)
+	if o, ok := r.slot.policy.(TransferObserver); ok {
+		o.TransferEnded(r.slot.id, stalled)
 	}
 }
 
