kernel: engines get work again as soon as their silence ends

Three streams that stalled at one engine ejected it for 2 s and more, doubled with each time, although it went on after a second: if all engines of a model were silent, requests were refused with 'first_output_infeasible' after the silence. An ejection for silence ends with the next output of a silent attempt; one for stalled transfers or failures stays. TestEnginesGetWorkAgainWhenTheirSilenceEnds failed before.

--- a/kernel/health.go
+++ b/kernel/health.go
@@ -69,10 +69,39 @@
 	u.Health.Ejections++
 	u.Health.Failures = 0
 	u.Health.EjectedUntil = k.now.Add(length)
+	u.Health.EjectedForSilence = false
 	u.Health.AvailableSince = u.Health.EjectedUntil
 	k.scheduleAt(u.Health.EjectedUntil)
 }
 
+// recordSilence records that an attempt on u is silent, which counts as a failure
+// until the silence ends.
+func (k *Kernel) recordSilence(u *Upstream) {
+	ejected := k.ejected(u)
+	k.recordFailure(u)
+	u.Health.EjectedForSilence = u.Health.EjectedForSilence || !ejected && k.ejected(u)
+}
+
+// silenceEnded records progress of an attempt. If the attempt was silent, its
+// upstream is not ejected for silence any more.
+func (k *Kernel) silenceEnded(a *attempt) {
+	if !a.stalled {
+		return
+	}
+	a.stalled = false
+	u := k.fleet.upstream(a.upstream)
+	if u == nil || !sameIncarnation(u.Incarnation, a.incarnation) {
+		return
+	}
+	k.recordSuccess(u)
+	if !u.Health.EjectedForSilence || !k.ejected(u) {
+		return
+	}
+	u.Health.EjectedUntil = k.now
+	u.Health.AvailableSince = k.now
+	k.dirty = true
+}
+
 // recordRest excludes an upstream from new work for the time that it asked for
 // when it turned an attempt away, up to maxRetryAfter. A later response does not
 // shorten the rest.
--- a/kernel/model.go
+++ b/kernel/model.go
@@ -82,6 +82,7 @@
 	}
 	c := a.call
 	k.recordSuccess(k.fleet.upstream(a.upstream))
+	k.silenceEnded(a)
 	k.prefillComputed(a)
 	c.mayHaveRun = true
 	if c.kept.includes(a) && !k.resumePrefilled(c) {
@@ -172,7 +173,7 @@
 		return
 	}
 	c := a.call
-	a.stalled = false
+	k.silenceEnded(a)
 	k.settle(c, a)
 	if c.prefill != nil {
 		k.transferEnded(&c.run, false)
--- a/kernel/silent.go
+++ b/kernel/silent.go
@@ -45,7 +45,7 @@
 	if !ok {
 		return
 	}
-	a.stalled = false
+	k.silenceEnded(a)
 	k.settle(a.call, a)
 }
 
@@ -77,7 +77,7 @@
 		k.transferEnded(r, true)
 		c.avoid = append(c.avoid, r.prefill.upstream)
 	} else {
-		k.recordFailure(u)
+		k.recordSilence(u)
 	}
 	c.avoid = append(c.avoid, a.upstream)
 }
--- a/kernel/silent_test.go
+++ b/kernel/silent_test.go
@@ -87,3 +87,25 @@
 	}
 	t.Fatalf("request %s was not answered", id)
 }
+
+// TestEnginesGetWorkAgainWhenTheirSilenceEnds guards against leaving out engines
+// that were silent for a second until their ejection has run out.
+func TestEnginesGetWorkAgainWhenTheirSilenceEnds(t *testing.T) {
+	s := newSession(t)
+	s.setLiveness("d2", kernel.Dead)
+	var decodes []ident.AttemptID
+	for i := range 8 {
+		s.step(kernel.Arrive{Request: s.review(fmt.Sprintf("r%d", i))})
+		s.step(kernel.PrefillDone{Attempt: s.prefill, KV: kvFrom("p1")})
+		decodes = append(decodes, s.decode)
+		s.step(kernel.FirstOutput{Attempt: s.decode})
+	}
+	for _, id := range decodes {
+		s.step(kernel.AttemptStalled{Attempt: id, Offset: 1})
+	}
+	s.advance(time.Second)
+	for _, id := range decodes {
+		s.step(kernel.AttemptResumed{Attempt: id})
+	}
+	s.prefillOf(s.step(kernel.Arrive{Request: s.review("new")}))
+}
--- a/kernel/stalls_test.go
+++ b/kernel/stalls_test.go
@@ -90,3 +90,28 @@
 
 // engineInZone returns an engine whose zone is the first letter of its ID.
 func engineInZone(id ident.UpstreamID) *Upstream { return &Upstream{ID: id, Zone: ident.Zone(id[:1])} }
+
+// TestEndOfSilenceEndsOnlyItsEjection checks that an engine that goes on stays
+// ejected if its transfers were the reason.
+func TestEndOfSilenceEndsOnlyItsEjection(t *testing.T) {
+	k, err := New(Options{})
+	assert.NilError(t, err)
+	k.now = time.Unix(1000, 0)
+	k.fleet.replace(&View{Upstreams: []Upstream{{ID: "d"}}}, k.now)
+	u := k.fleet.upstream("d")
+	for _, silent := range []bool{true, false} {
+		u.Health = Health{}
+		a := &attempt{upstream: "d", stage: stageDecode, stalled: true}
+		if silent {
+			for range ejectAfter {
+				k.recordSilence(u)
+			}
+		} else {
+			k.eject(u)
+		}
+		assert.Assert(t, k.ejected(u))
+		k.silenceEnded(a)
+		assert.Equal(t, k.ejected(u), !silent)
+		assert.Assert(t, !a.stalled)
+	}
+}
--- a/kernel/view.go
+++ b/kernel/view.go
@@ -78,6 +78,8 @@
 	// EjectedUntil is the end of the last ejection, before which the upstream
 	// gets no new work; zero if it was never ejected.
 	EjectedUntil time.Time
+	// EjectedForSilence is set if a silent attempt caused the last ejection.
+	EjectedForSilence bool
 	// Ejections is the number of ejections since the last success. Each one
 	// lasts longer than the one before, up to a limit.
 	Ejections int
