kernel: an empty retry budget is not filled again

A bucket whose last token was taken counted as new and got its initial five tokens with the next request, so that retries could exceed their share while everything failed.

--- a/kernel/retry.go
+++ b/kernel/retry.go
@@ -7,6 +7,8 @@
 // share, each retry takes one token.
 type retryBudget struct {
 	tokens float64
+	// filled is set once the bucket has got its initial content.
+	filled bool
 }
 
 const (
@@ -25,11 +27,11 @@
 	maxBackoffDoublings = 6
 )
 
-// arrived adds the share for an arriving request. An empty bucket, which is the
-// state at the start, is first filled to retryTokensAtStart.
+// arrived adds the share for an arriving request, and before the first one the
+// initial content.
 func (b *retryBudget) arrived(share float64) {
-	if b.tokens == 0 {
-		b.tokens = retryTokensAtStart
+	if !b.filled {
+		b.tokens, b.filled = retryTokensAtStart, true
 	}
 	b.tokens = min(b.tokens+share, maxRetryTokens)
 }
