carry: an answer is not held up by the preparation of another attempt

A silent upstream's answer was delivered up to 150 ms late (test; by reading up to a second) while the second attempt asked for a rate limit, a trial or the crash check: the request's goroutine prepared it. It is prepared beside the running attempts now, and given back if an answer comes first. Records of attempts that are overtaken no longer read their result while it may be written (data race, seen by the race detector).

--- a/gateway/carry/hedge.go
+++ b/gateway/carry/hedge.go
@@ -12,6 +12,7 @@
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/memory"
 	"github.com/wardspool/wardspool/gateway/schedule"
+	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/kernel"
 	"github.com/wardspool/wardspool/logs"
@@ -155,7 +156,7 @@
 func (p *plainRequest) await(ctx context.Context) *plainAttempt {
 	patience := time.NewTimer(p.patience())
 	defer patience.Stop()
-	var checked <-chan upstreamState
+	var prepared <-chan secondAttempt
 	for {
 		select {
 		case a := <-p.attempts.ended:
@@ -163,14 +164,16 @@
 				return a
 			}
 			// Another upstream is still silent, and this one has failed.
-			checked = nil
-			p.tryElsewhere(ctx, stateUnknown)
-			patience.Reset(p.patience())
+			if prepared == nil {
+				prepared = p.prepareSecond(ctx, false)
+			}
 		case <-patience.C:
-			checked = p.checkSilent()
-		case state := <-checked:
-			checked = nil
-			p.tryElsewhere(ctx, state)
+			if prepared == nil {
+				prepared = p.prepareSecond(ctx, true)
+			}
+		case next := <-prepared:
+			prepared = nil
+			p.startSecond(ctx, next)
 			patience.Reset(p.patience())
 		case <-ctx.Done():
 			return p.awaitCanceled()
@@ -203,7 +206,9 @@
 	}
 	p.countFailure(a.result)
 	if a.result.err != nil && a.result.evidence() == kernel.Ambiguous && !a.crashRecorded {
-		if i := p.interruptionOf(a); last {
+		i := p.interruptionOf(a)
+		i.cause = a.result.cause
+		if last {
 			p.crashGuard.handleInterruption(i)
 		} else {
 			p.crashGuard.startCheck(i)
@@ -217,13 +222,9 @@
 	return a.result.err == nil && a.result.verdict == dialect.Success
 }
 
-// interruptionOf describes an attempt that ended without a response.
+// interruptionOf describes an attempt without a response, which may still be running.
 func (p *plainRequest) interruptionOf(a *plainAttempt) interruption {
-	i := interruption{upstream: a.upstream, sentAt: a.start, wasAlive: p.c.o.Scheduler.AnsweredSince(a.upstream, a.start)}
-	if a.result != nil {
-		i.cause = a.result.cause
-	}
-	return i
+	return interruption{upstream: a.upstream, sentAt: a.start, wasAlive: p.c.o.Scheduler.AnsweredSince(a.upstream, a.start)}
 }
 
 // recordOvertaken checks the upstreams of attempts that are still running when another one has succeeded.
@@ -268,58 +269,112 @@
 	return !errors.As(err, &failed) || failed.Outcome != NotRun
 }
 
-// checkSilent checks the upstream of the last attempt, which has not answered for a time. The result is nil
-// if no other attempt is allowed.
-func (p *plainRequest) checkSilent() <-chan upstreamState {
-	running := p.attempts.running
-	last := running[len(running)-1]
-	if last.relayed || !p.mayTryElsewhere() {
+// mayTryElsewhere reports whether another attempt is allowed beside the running ones.
+func (p *plainRequest) mayTryElsewhere() bool {
+	return len(p.attempts.running) > 0 && p.j.Route.Repeatable() && p.runs+len(p.attempts.running) < p.j.Route.MaxAttempts && p.rejections <= maxRejections &&
+		clock.Until(p.j.answerBy()) >= minAttemptTime
+}
+
+// secondAttempt is an attempt that is ready to be made beside the running ones.
+type secondAttempt struct {
+	// placed means that ticket is a placement at an upstream, relayed that a peer is asked. If neither is
+	// set, no attempt is made.
+	placed, relayed bool
+	ticket          schedule.Ticket
+	// guard holds the trial that was obtained for the attempt.
+	guard crashGuard
+	// crashed is the running attempt whose upstream was found to have crashed, nil if none was.
+	crashed *plainAttempt
+}
+
+// prepareSecond prepares another attempt beside the running ones, without holding up their results. With
+// check it first checks whether the upstream of the last one has crashed. It returns nil if no other
+// attempt is allowed.
+func (p *plainRequest) prepareSecond(ctx context.Context, check bool) <-chan secondAttempt {
+	if !p.mayTryElsewhere() {
+		return nil
+	}
+	last := p.attempts.running[len(p.attempts.running)-1]
+	if check && last.relayed {
 		return nil
 	}
-	if !last.failureRecorded {
+	if check && !last.failureRecorded {
 		last.failureRecorded = true
 		p.c.recordFailure(last.upstream, schedule.Hard, context.DeadlineExceeded, clock.Since(last.start), p.log)
 	}
-	result := make(chan upstreamState, 1)
-	p.c.cleanup.Go(func() { result <- p.c.checkState(last.upstream) })
-	return result
-}
-
-// mayTryElsewhere reports whether another attempt is allowed beside the running ones.
-func (p *plainRequest) mayTryElsewhere() bool {
-	return p.j.Route.Repeatable() && p.runs+len(p.attempts.running) < p.j.Route.MaxAttempts && p.rejections <= maxRejections &&
-		clock.Until(p.j.answerBy()) >= minAttemptTime
+	lost, tried, guard := p.interruptionOf(last), slices.Clone(p.tried), p.crashGuard.share()
+	prepared, done := make(chan secondAttempt), p.attempts.done
+	p.c.cleanup.Go(func() {
+		next := secondAttempt{guard: guard}
+		if check && p.c.checkState(last.upstream) == stateCrashed {
+			next.crashed = last
+			next.guard.recordInterruption(lost)
+		}
+		next.place(ctx, tried)
+		select {
+		case prepared <- next:
+		case <-done:
+			next.discard()
+		}
+	})
+	return prepared
 }
 
-// tryElsewhere makes another attempt beside the running ones. state is that of the upstream of the last
-// one, which has not answered.
-func (p *plainRequest) tryElsewhere(ctx context.Context, state upstreamState) {
-	running := p.attempts.running
-	if len(running) == 0 || !p.mayTryElsewhere() {
+// place asks for permission and for an upstream, or decides to ask a peer. tried are the upstreams that have
+// the request already.
+func (n *secondAttempt) place(ctx context.Context, tried []ident.UpstreamID) {
+	c, j, log := n.guard.c, n.guard.j, n.guard.log
+	if n.guard.admit(ctx, Unknown) != nil {
 		return
 	}
-	if last := running[len(running)-1]; state == stateCrashed && !last.crashRecorded {
-		last.crashRecorded = true
-		p.crashGuard.handleInterruption(p.interruptionOf(last))
-	}
-	if p.crashGuard.admit(ctx, Unknown) != nil {
+	if c.o.Relay.Needed(j.Service.Name) {
+		n.relayed = !j.Relayed && c.mayResend(j.Service.Name, 1, false, log)
 		return
 	}
-	if p.c.o.Relay.Needed(p.j.Service.Name) {
-		if !p.j.Relayed && p.c.mayResend(p.j.Service.Name, 1, false, p.log) {
-			p.startAtPeer(ctx)
-		}
+	t, ok := c.placePlain(ctx, j, tried, log)
+	if !ok {
 		return
 	}
-	t, ok := p.pickUpstream(ctx)
-	if !ok {
+	if !c.mayResend(j.Service.Name, 1, false, log) {
+		c.o.Scheduler.Done(t)
 		return
 	}
-	if !p.c.mayResend(p.j.Service.Name, 1, false, p.log) || p.crashGuard.admit(ctx, Unknown) != nil {
-		p.c.o.Scheduler.Done(t)
-		p.tried = p.tried[:len(p.tried)-1]
+	n.ticket, n.placed = t, true
+	// Crash records may have arrived while the request waited for its upstream.
+	if n.guard.admit(ctx, Unknown) != nil {
+		n.discard()
+	}
+}
+
+// discard gives back what was obtained for an attempt that is not made.
+func (n *secondAttempt) discard() {
+	c, j := n.guard.c, n.guard.j
+	if n.placed {
+		c.o.Scheduler.Done(n.ticket)
+	}
+	if n.placed || n.relayed {
+		c.o.Budget.Return(clock.Now(), j.Service.Name, 1)
+	}
+	n.guard.endTrial()
+	n.placed, n.relayed = false, false
+}
+
+// startSecond makes an attempt that was prepared, if it is still allowed.
+func (p *plainRequest) startSecond(ctx context.Context, next secondAttempt) {
+	if next.crashed != nil {
+		next.crashed.crashRecorded = true
+	}
+	if !p.mayTryElsewhere() {
+		next.discard()
 		return
 	}
-	p.c.o.Count("sent_beside_silent_upstream")
-	p.start(ctx, t)
+	p.crashGuard.adopt(&next.guard)
+	switch {
+	case next.relayed:
+		p.startAtPeer(ctx)
+	case next.placed:
+		p.c.o.Count("sent_beside_silent_upstream")
+		p.tried = append(p.tried, next.ticket.Upstream.ID)
+		p.start(ctx, next.ticket)
+	}
 }
