carry: a silence before an engine has begun is recorded while the run is kept

Cause: a silent engine was recorded as a possible crash when its run was given up, and runs are kept now. It is recorded when it does not answer the check, and the record lapses or is cleared if the engine goes on, as before.

--- a/gateway/carry/failover.go
+++ b/gateway/carry/failover.go
@@ -31,8 +31,12 @@
 	ctx context.Context
 
 	// runNumber is that of the run at the silent engine, runs the number of engines that may have run
-	// the stream before it.
+	// the stream before it. startedAt is when the run began, and events the number of events until then.
 	runNumber, runs int
+	startedAt       time.Time
+	events          int64
+	// suspect records that the engine may have crashed, once.
+	suspect sync.Once
 
 	mu sync.Mutex
 	// starts counts the runs that may still be started.
@@ -45,6 +49,7 @@
 func (s *stream) newFailover(ctx context.Context, from dialect.Upstream) *failover {
 	return &failover{
 		s: s, ctx: ctx, runNumber: s.takeover.newRun(), runs: s.runs, starts: maxStarts - s.starts,
+		startedAt: clock.Now(), events: s.events.Load(),
 		excluded: append(slices.Clone(s.excluded), from.ID),
 	}
 }
@@ -67,6 +72,7 @@
 func (f *failover) onUnresponsive(u dialect.Upstream, err error, start time.Time, heard func() bool) bool {
 	s := f.s
 	s.c.recordFailure(u, ClassifyUnreachable(err), err, clock.Since(start), s.log)
+	f.suspect.Do(func() { f.recordSuspicion(u, err) })
 	allowed := f.allowed()
 	failure := error(&NotStartedError{Reason: notAllowed})
 	for f.allowed() && !heard() {
@@ -84,6 +90,18 @@
 	return false
 }
 
+// recordSuspicion records an engine that fell silent before it had begun to answer the prompt: the prompt may
+// have crashed it. The run goes on, and clears the prompt once it has begun.
+func (f *failover) recordSuspicion(u dialect.Upstream, err error) {
+	s := f.s
+	if events := s.events.Load() - f.events; events < beginningEvents {
+		s.crashGuard.startCheck(interruption{
+			upstream: u, sentAt: f.startedAt, wasAlive: s.c.o.Scheduler.AnsweredSince(u, f.startedAt), eventCount: int(events),
+			begunBefore: s.j.Call.LastEvent != "" || f.events > 0, cause: &UnresponsiveError{Upstream: u.ID, Err: err},
+		})
+	}
+}
+
 // startElsewhere starts another run. It returns nil once that run has begun and has become the
 // stream's.
 func (f *failover) startElsewhere(heard func() bool) error {
--- a/gateway/carry/prefill.go
+++ b/gateway/carry/prefill.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -71,7 +72,7 @@
 			s.c.o.Scheduler.Done(t)
 			return nil, err
 		}
-		silence := &prefillSilence{s: s}
+		silence := &prefillSilence{s: s, startedAt: clock.Now()}
 		h, err := s.prefillAt(ctx, t, silence)
 		if err == nil {
 			return &prefillResult{handle: h, engine: t.Upstream, createdAt: clock.Now()}, nil
@@ -92,7 +93,10 @@
 // prefillSilence handles a prefill engine that does not respond. The prompt is left there while the
 // retry budget does not allow another prefill.
 type prefillSilence struct {
-	s *stream
+	s         *stream
+	startedAt time.Time
+	// suspect records that the engine may have crashed, once.
+	suspect sync.Once
 	// charged means that the next prefill was charged to the retry budget.
 	charged atomic.Bool
 }
@@ -104,6 +108,12 @@
 	if !heard() && p.charge() {
 		return true
 	}
+	p.suspect.Do(func() {
+		s.crashGuard.startCheck(interruption{
+			upstream: u, sentAt: p.startedAt, wasAlive: s.c.o.Scheduler.AnsweredSince(u, p.startedAt), begunBefore: s.resumed(),
+			cause: &UnresponsiveError{Upstream: u.ID, Err: err},
+		})
+	})
 	s.c.o.Count("silent_prefill_kept")
 	s.log.Info("prompt stays at a silent engine", "upstream", u.ID, "heard", heard(), "left_ms", clock.Until(s.j.Deadline).Milliseconds())
 	return false
