carry: an engine that accepted a stream and fell silent before its first event counts as suspect

An engine that has accepted the stream was alive after it, which the record of the suspicion left out.

--- a/gateway/carry/failover.go
+++ b/gateway/carry/failover.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/wardspool/wardspool/gateway/dialect"
@@ -35,6 +36,8 @@
 	runNumber, runs int
 	startedAt       time.Time
 	events          int64
+	// accepted means that the engine has accepted the stream.
+	accepted atomic.Bool
 	// suspect records that the engine may have crashed, once.
 	suspect sync.Once
 
@@ -96,7 +99,7 @@
 	s := f.s
 	if events := s.events.Load() - f.events; events < beginningEvents {
 		s.crashGuard.startCheck(interruption{
-			upstream: u, sentAt: f.startedAt, wasAlive: s.c.o.Scheduler.AnsweredSince(u, f.startedAt), eventCount: int(events),
+			upstream: u, sentAt: f.startedAt, wasAlive: f.accepted.Load() || s.c.o.Scheduler.AnsweredSince(u, f.startedAt), eventCount: int(events),
 			begunBefore: s.j.Call.LastEvent != "" || f.events > 0, cause: &UnresponsiveError{Upstream: u.ID, Err: err},
 		})
 	}
--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -47,6 +47,9 @@
 	before := s.events.Load()
 	started := time.Time{}
 	s.lastReadAt = clock.Now()
+	if f, ok := r.watchdog.silenceHandler().(*failover); ok {
+		f.accepted.Store(true)
+	}
 	s.migration.recordStart()
 	s.c.addStream(p.decode, s)
 	rest, err := s.copyEvents(r, func() { started = clock.Now() })
