--- a/gateway/carry/failover_test.go
+++ b/gateway/carry/failover_test.go
@@ -500,7 +500,13 @@
 		env.o.RateLimits = limits
 		env.limitRates(1, "x", "y")
 		env.serveFirstAndSecond(reply{verdict: dialect.Success, status: 200, body: "slow", delay: 700 * time.Millisecond}, reply{hangs: true})
-		time.AfterFunc(200*time.Millisecond, func() { limits.asked = func() { time.Sleep(200 * time.Millisecond) } })
+		start := time.Now()
+		// The second attempt is asked for later than that.
+		limits.asked = func() {
+			if time.Since(start) >= 200*time.Millisecond {
+				time.Sleep(200 * time.Millisecond)
+			}
+		}
 		env.d.silent = map[ident.UpstreamID]bool{"x": true, "y": true}
 		env.d.checkTime = stateCheckTimeout
 		j := plainJob(idempotent)
