kernel: a transfer that makes no progress for 20 s ends its attempt

A stalled attempt is kept until its replacement has output, and without a replacement (a request that runs once, attempts or budget spent) it was kept to the deadline, also behind a transfer that never completes. Such a transfer now ends after 20 s, far beyond a sound engine's silence.

--- a/kernel/call.go
+++ b/kernel/call.go
@@ -135,8 +135,10 @@
 	// stages.
 	pieces int
 	sentAt time.Time
-	// stalled is set while the attempt is reported to make no progress.
-	stalled bool
+	// stalled is set while the attempt is reported to make no progress, silentSince is the time of the
+	// first such report.
+	stalled     bool
+	silentSince time.Time
 	// abandoned is set once AbandonAttempt has been emitted for the attempt.
 	abandoned bool
 }
--- a/kernel/silent.go
+++ b/kernel/silent.go
@@ -1,5 +1,11 @@
 package kernel
 
+import "time"
+
+// maxTransferSilence is how long a transfer may make no progress before the first token, if there is no
+// replacement. It is much longer than a sound engine is silent, and ends transfers that never complete.
+const maxTransferSilence = 20 * time.Second
+
 // A silent attempt may still be running, since its engine or the network may only
 // pause. Its run is therefore kept while a replacement runs on other engines. The
 // first of the two that has output for the caller ends the other one. If the
@@ -22,6 +28,10 @@
 		return
 	}
 	if reason := k.takeReplacement(c, a); reason != "" {
+		if k.transferStuck(c, a) {
+			k.attemptFailed(AttemptFailed{Attempt: a.id, Upstream: a.upstream, Evidence: Ambiguous, Code: FailureStalled, Offset: e.Offset})
+			return
+		}
 		k.logWaiting(c, reason)
 		return
 	}
@@ -39,6 +49,12 @@
 	k.enqueue(c, k.now.Add(k.backoff(c.failedAttempts)))
 }
 
+// transferStuck reports whether an attempt waits for a transfer that has made no progress for
+// maxTransferSilence.
+func (k *Kernel) transferStuck(c *call, a *attempt) bool {
+	return a.stage == stageDecode && c.runOf(a).prefill != nil && c.delivered == 0 && k.now.Sub(a.silentSince) >= maxTransferSilence
+}
+
 // attemptResumed ends the replacement of a run that was silent and has gone on.
 func (k *Kernel) attemptResumed(e AttemptResumed) {
 	a, ok := k.attempts[e.Attempt]
@@ -71,6 +87,7 @@
 		return
 	}
 	a.stalled = true
+	a.silentSince = k.now
 	if r := c.runOf(a); a.stage == stageDecode && r.prefill != nil {
 		// A single stall does not show which of the two engines is at fault, so
 		// both are avoided.
