--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -30,6 +30,7 @@
 var cases = map[string]func(b *bed, trouble bool) (verdict, error){
 	"two-holders":   twoHolders,
 	"doubled-slash": doubledSlash,
+	"encoded-slash": encodedSlash,
 }
 
 func main() {
--- a/review/bed/runner.go
+++ b/review/bed/runner.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -31,6 +32,8 @@
 	next    int
 	orders  []order
 	runs    []ran
+	// losing means that the runner loses the answers to lostShare of the requests that it runs.
+	losing bool
 }
 
 // order is an order that reached a runner.
@@ -211,20 +214,47 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// lostShare is the share of the answers that a runner loses, in tenths.
+const lostShare = 4
+
 // plain runs a request of a plain service.
 func (r *runner) plain(w http.ResponseWriter, q *http.Request, body []byte) {
 	id := q.Header.Get("Request-Id")
 	r.mu.Lock()
 	r.runs = append(r.runs, ran{id, q.Method, q.RequestURI, q.Host, string(body)})
+	// The multiplier spreads the lost answers over each ten runs.
+	lost := r.losing && len(r.runs)*7%10 < lostShare
 	r.mu.Unlock()
 	r.rec.add("runner %s runs %s: %s %s, Host %s, path %s", r.id, id, q.Method, q.RequestURI, q.Host, q.URL.Path)
 	time.Sleep(60 * time.Millisecond)
+	if lost {
+		r.rec.add("runner %s has run %s and resets the connection: the answer is lost", r.id, id)
+		reset(w)
+		return
+	}
 	h := w.Header()
 	h.Set("Request-Id", id)
 	h.Set("Response-Signature", "sig-"+id)
 	fmt.Fprintf(w, "answer to %s", id)
 }
 
+// reset resets the connection of a request.
+func reset(w http.ResponseWriter) {
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
+// setLosing sets whether the runner loses answers.
+func (r *runner) setLosing(losing bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.losing = losing
+}
+
 // usage returns the prompt tokens of a request and its output tokens: what the client estimates.
 func usage(q *http.Request) (prompt, output int) {
 	fmt.Sscanf(q.Header.Get("Token-Usage"), "%d,%d", &prompt, &output)
