--- a/review/bed/client.go
+++ b/review/bed/client.go
@@ -42,6 +42,11 @@
 	if end, ok := ctx.Deadline(); ok {
 		_ = c.SetDeadline(end)
 	}
+	return exchange(c, q)
+}
+
+// exchange sends a request on a connection and reads the whole answer.
+func exchange(c net.Conn, q request) answer {
 	var head strings.Builder
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nContent-Length: %d\r\n", q.method, q.target, q.host, q.id, len(q.body))
 	for name := range q.header {
@@ -59,6 +64,16 @@
 	return answer{resp.StatusCode, resp.Header, string(body), err == nil}
 }
 
+// streamRequest returns a stream with the given numbers of prompt tokens and of output tokens: the most,
+// and the client's estimate.
+func streamRequest(path string, prompt, most, estimate int) request {
+	id := newID()
+	return request{id: id, method: http.MethodPost, host: hostName, target: path, body: "{}", header: http.Header{
+		"Model": {"m"}, "Token-Usage": {fmt.Sprintf("%d,%d", prompt, most)}, "Length-Hint": {fmt.Sprint(estimate)},
+		"Prompt-Prefix": {id[1:] + fmt.Sprintf(":%d", prompt)}, "Deadline-Ms": {"14000"},
+	}}
+}
+
 // offerStreams sends streams to a gateway at a steady rate until ctx ends.
 func (b *bed) offerStreams(ctx context.Context, to string, perSecond float64, path string, prompt, output int, count func(status int)) {
 	tick := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
@@ -70,13 +85,9 @@
 		case <-tick.C:
 		}
 		go func() {
-			id := newID()
 			limit, cancel := context.WithTimeout(ctx, 14*time.Second)
 			defer cancel()
-			a := b.send(limit, to, request{id: id, method: http.MethodPost, host: hostName, target: path, body: "{}", header: http.Header{
-				"Model": {"m"}, "Token-Usage": {fmt.Sprintf("%d,%d", prompt, output)}, "Length-Hint": {fmt.Sprint(output)},
-				"Prompt-Prefix": {id[1:] + fmt.Sprintf(":%d", prompt)}, "Deadline-Ms": {"14000"},
-			}})
+			a := b.send(limit, to, streamRequest(path, prompt, output, output))
 			count(a.status)
 		}()
 	}
--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -31,6 +31,7 @@
 	"two-holders":   twoHolders,
 	"doubled-slash": doubledSlash,
 	"encoded-slash": encodedSlash,
+	"silent-runner": silentRunner,
 }
 
 func main() {
--- a/review/bed/runner.go
+++ b/review/bed/runner.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -34,6 +35,12 @@
 	runs    []ran
 	// losing means that the runner loses the answers to lostShare of the requests that it runs.
 	losing bool
+	// silentUntil is when a silence of the runner ends: until then it sends nothing and does no work.
+	silentUntil time.Time
+	// keeps means that the runner doesn't drop a stream when its connection closes.
+	keeps bool
+	// work holds the time of each run's first and last token.
+	work []work
 }
 
 // order is an order that reached a runner.
@@ -49,6 +56,12 @@
 // ran is a request that a runner ran.
 type ran struct{ id, method, target, host, body string }
 
+// work is the time that a runner worked on the output of a stream.
+type work struct {
+	id         string
+	begin, end time.Time
+}
+
 // stride is the number of tokens in an event.
 const stride = 64
 
@@ -95,6 +108,7 @@
 	if err != nil {
 		return
 	}
+	r.awaitSound()
 	if want := q.Header.Get("Expect-Instance"); want != "" && want != r.id {
 		w.Header().Set("Instance-Id", r.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -324,16 +338,58 @@
 	h.Set("Request-Id", id)
 	h.Set("Response-Signature", "sig-"+id)
 	h.Set("Content-Type", "text/event-stream")
-	for i := range (output + stride - 1) / stride {
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", i+1, id, i+1); err != nil {
+	first := 0
+	if seen, err := strconv.Atoi(q.Header.Get("Last-Event-Id")); err == nil {
+		first = seen
+	}
+	done := work{id: id, begin: time.Now()}
+	defer func() {
+		done.end = time.Now()
+		r.rec.add("runner %s ends its work on %s", r.id, id)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.work = append(r.work, done)
+	}()
+	r.rec.add("runner %s begins to make the output of %s at event %d", r.id, id, first+1)
+	for i := first; i < (output+stride-1)/stride; i++ {
+		r.awaitSound()
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", i+1, id, i+1); err != nil && !r.keeps {
 			return
 		}
 		w.(http.Flusher).Flush()
 		select {
 		case <-time.After(stride * r.tokenTime):
-		case <-q.Context().Done():
+		case <-r.dropped(q):
+			return
+		}
+	}
+}
+
+// dropped returns a channel that is closed when the runner drops a stream because its connection closed.
+func (r *runner) dropped(q *http.Request) <-chan struct{} {
+	if r.keeps {
+		return nil
+	}
+	return q.Context().Done()
+}
+
+// fallSilent makes the runner silent for the given time, after which it goes on.
+func (r *runner) fallSilent(lasts time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silentUntil = time.Now().Add(lasts)
+}
+
+// awaitSound waits for the end of the runner's silence.
+func (r *runner) awaitSound() {
+	for {
+		r.mu.Lock()
+		left := time.Until(r.silentUntil)
+		r.mu.Unlock()
+		if left <= 0 {
 			return
 		}
+		time.Sleep(left)
 	}
 }
 
