--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -23,6 +23,7 @@
 	runners  []*runner
 	stop     chan struct{}
 	beats    sync.WaitGroup
+	closing  sync.Once
 }
 
 // newBed starts the store. The working directory is the repository's root.
@@ -121,8 +122,21 @@
 	return nil
 }
 
-// close ends all processes and stand-ins and removes the temporary folder.
-func (b *bed) close() {
+// startAll starts all machines and waits until they are ready.
+func (b *bed) startAll() error {
+	for _, g := range b.gateways {
+		if err := b.start(g); err != nil {
+			return err
+		}
+	}
+	return b.awaitReady(b.gateways, 10*time.Second)
+}
+
+// close ends all processes and stand-ins and removes the temporary folder. Only the first call has an effect.
+func (b *bed) close() { b.closing.Do(b.end) }
+
+// end implements close.
+func (b *bed) end() {
 	for _, g := range b.gateways {
 		b.kill(g)
 	}
--- a/review/bed/doubledslash.go
+++ b/review/bed/doubledslash.go
@@ -16,19 +16,12 @@
 	if err := b.addGateways(zones, map[string]int{"hall-a": 1, "hall-b": 1, "hall-c": 1}); err != nil {
 		return failed, err
 	}
-	for i := range 3 {
-		if err := b.addRunner(&runner{id: fmt.Sprintf("i-%04d", i), service: "preorder-api", zone: zones[i], slots: 6}); err != nil {
-			return failed, err
-		}
+	if err := b.addPlainRunners(zones); err != nil {
+		return failed, err
 	}
 	place := route("order-place", "/pule252/", "unsafe", "preorder-api", 1, 1500, 300)
 	b.store.put("op/config", configuration(3, place))
-	for _, g := range b.gateways {
-		if err := b.start(g); err != nil {
-			return failed, err
-		}
-	}
-	if err := b.awaitReady(b.gateways, 10*time.Second); err != nil {
+	if err := b.startAll(); err != nil {
 		return failed, err
 	}
 	time.Sleep(3 * time.Second)
--- a/review/bed/encodedslash.go
+++ b/review/bed/encodedslash.go
@@ -18,20 +18,13 @@
 	if err := b.addGateways(zones, map[string]int{"hall-a": 1, "hall-b": 1, "hall-c": 1}); err != nil {
 		return failed, err
 	}
-	for i := range 3 {
-		if err := b.addRunner(&runner{id: fmt.Sprintf("i-%04d", i), service: "preorder-api", zone: zones[i], slots: 6}); err != nil {
-			return failed, err
-		}
+	if err := b.addPlainRunners(zones); err != nil {
+		return failed, err
 	}
 	b.store.put("op/config", configuration(3,
 		route("order-place", "/pule252/", "unsafe", "preorder-api", 1, 1500, 300),
 		route("order-confirm", "/pule252/confirm/", "safe", "preorder-api", 2, 1500, 300)))
-	for _, g := range b.gateways {
-		if err := b.start(g); err != nil {
-			return failed, err
-		}
-	}
-	if err := b.awaitReady(b.gateways, 10*time.Second); err != nil {
+	if err := b.startAll(); err != nil {
 		return failed, err
 	}
 	time.Sleep(3 * time.Second)
--- a/review/bed/record.go
+++ b/review/bed/record.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// record is the log of what was sent, answered and run. Its lines are also printed.
+// record is the log of what was sent, answered and run.
 type record struct {
 	mu    sync.Mutex
 	file  *os.File
--- a/review/bed/runner.go
+++ b/review/bed/runner.go
@@ -90,6 +90,33 @@
 	return nil
 }
 
+// addModelRunners starts the nine model runners of the site, the first of them for prefill.
+func (b *bed) addModelRunners(zones []string, prefill int) error {
+	for i := range 9 {
+		r := &runner{
+			id: fmt.Sprintf("i-%04d", i), service: "manifest-llm", zone: zones[i%len(zones)], stage: "decode", slots: 64, kvTokens: 89659,
+			prefillPerMS: 55.6, tokenTime: 650 * time.Microsecond,
+		}
+		if i < prefill {
+			r.stage = "prefill"
+		}
+		if err := b.addRunner(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// addPlainRunners starts the three runners of the site's plain service.
+func (b *bed) addPlainRunners(zones []string) error {
+	for i, zone := range zones {
+		if err := b.addRunner(&runner{id: fmt.Sprintf("i-%04d", i), service: "preorder-api", zone: zone, slots: 6}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // entry returns what the runner writes to the store.
 func (r *runner) entry() map[string]any {
 	r.mu.Lock()
--- a/review/bed/silentrunner.go
+++ b/review/bed/silentrunner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"strings"
 	"sync"
 	"time"
@@ -22,24 +21,14 @@
 	if err := b.addGateways(zones, map[string]int{"hall-a": 1, "hall-b": 1, "hall-c": 1}); err != nil {
 		return failed, err
 	}
-	for i := range 9 {
-		r := &runner{id: fmt.Sprintf("i-%04d", i), service: "manifest-llm", zone: zones[i%3], stage: "decode", slots: 64, kvTokens: 89659, prefillPerMS: 55.6, tokenTime: 650 * time.Microsecond, keeps: i == 3 || i == 5}
-		if i < 3 {
-			r.stage = "prefill"
-		}
-		if err := b.addRunner(r); err != nil {
-			return failed, err
-		}
+	if err := b.addModelRunners(zones, 3); err != nil {
+		return failed, err
 	}
+	b.runners[3].keeps, b.runners[5].keeps = true, true
 	resumable := route("bond-reconcile", "/gono990/", "stream", "manifest-llm", 2, 14000, 900)
 	resumable["resumable"] = true
 	b.store.put("op/config", configuration(3, resumable))
-	for _, g := range b.gateways {
-		if err := b.start(g); err != nil {
-			return failed, err
-		}
-	}
-	if err := b.awaitReady(b.gateways, 10*time.Second); err != nil {
+	if err := b.startAll(); err != nil {
 		return failed, err
 	}
 	time.Sleep(3 * time.Second)
--- a/review/bed/twoholders.go
+++ b/review/bed/twoholders.go
@@ -13,29 +13,18 @@
 	stableWindow = 3 * time.Second
 )
 
-// twoHolders kills all machines and starts again only those that are not seeds. Both sides of the load are
-// the same in either case: streams with long answers, for which some prefill runners should decode.
+// twoHolders kills all machines and starts again only those that are not seeds. With and without that, the
+// load is the same: streams with long answers, for which some of the prefill runners should decode.
 func twoHolders(b *bed, trouble bool) (verdict, error) {
 	zones := []string{"hall-a", "hall-b", "hall-c"}
 	if err := b.addGateways(zones, map[string]int{"hall-a": 2, "hall-b": 2, "hall-c": 1}); err != nil {
 		return failed, err
 	}
-	for i := range 9 {
-		r := &runner{id: fmt.Sprintf("i-%04d", i), service: "manifest-llm", zone: zones[i%3], stage: "decode", slots: 64, kvTokens: 89659, prefillPerMS: 55.6, tokenTime: 650 * time.Microsecond}
-		if i < 5 {
-			r.stage = "prefill"
-		}
-		if err := b.addRunner(r); err != nil {
-			return failed, err
-		}
+	if err := b.addModelRunners(zones, 5); err != nil {
+		return failed, err
 	}
 	b.store.put("op/config", configuration(3, route("manifest-review", "/lohu930/", "stream", "manifest-llm", 1, 14000, 900)))
-	for _, g := range b.gateways {
-		if err := b.start(g); err != nil {
-			return failed, err
-		}
-	}
-	if err := b.awaitReady(b.gateways, 10*time.Second); err != nil {
+	if err := b.startAll(); err != nil {
 		return failed, err
 	}
 	// The machines that stay: the second ones of hall-a and hall-b.
