gateway: tests of streams whose instances have all died, failing

Cause: callers' streams go on at another software version, or are all refused, after the loss of all instances. In virtual time, with engines whose cache logs and running requests outlive the instances.

--- a/gateway/lostorigins_test.go
+++ b/gateway/lostorigins_test.go
@@ -2,9 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
 
 	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/origin"
+	"github.com/wardspool/wardspool/internal/bubble"
 )
 
 func (w *simFleet) CacheLog(_ context.Context, u dialect.Upstream, after int64) (dialect.CacheLog, error) {
@@ -31,3 +39,131 @@
 
 // simLogPage is the number of entries in a page of an engine's cache log.
 const simLogPage = 500
+
+// lostStream is a stream whose origin no instance remembers.
+type lostStream struct {
+	query   origin.Query
+	version string
+}
+
+// loseStreams has engines begin streams, and returns them. Of three streams one still runs, one has left its
+// output in the engine's cache, and one only its prompt. Prefill engines of all versions hold the prompts.
+func (w *simFleet) loseStreams(prefix string, count int) (lost []lostStream) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	addresses := slices.Sorted(maps.Keys(w.engines))
+	var decode, prefill []*simEngine
+	for _, a := range addresses {
+		if e := w.engines[a]; e.upstream.Stage == dialect.StageDecode {
+			decode = append(decode, e)
+		} else {
+			prefill = append(prefill, e)
+		}
+	}
+	const promptTokens = 5000
+	for n := range count {
+		e := decode[n%len(decode)]
+		s := lostStream{origin.Query{Attempt: fmt.Sprintf("%s-%d", prefix, n), Part: fmt.Sprintf("part-%s-%d", prefix, n), PartTokens: promptTokens}, e.upstream.SoftwareVersion}
+		prefill[n%len(prefill)].keep(s.query.Part, promptTokens)
+		e.keep(s.query.Part, promptTokens-6)
+		switch n % 3 {
+		case 0:
+			if e.requests == nil {
+				e.requests = map[string]int{}
+			}
+			e.requests[s.query.Attempt] = 12
+		case 1:
+			e.keep(s.query.Part, promptTokens+800)
+		}
+		e.keep(s.query.Part, 0)
+		lost = append(lost, s)
+	}
+	return lost
+}
+
+// keep adds an entry to the log of the engine's cache.
+func (e *simEngine) keep(part string, tokens int) {
+	e.log = append(e.log, dialect.CacheEntry{Position: int64(len(e.log) + 1), Part: part, Tokens: tokens})
+}
+
+// loseAll kills all instances at once and starts them after a time. It returns when all of them are ready.
+func (w *simFleet) loseAll(dark time.Duration, meanwhile func()) {
+	for _, i := range w.instances {
+		i.kill()
+	}
+	meanwhile()
+	time.Sleep(dark)
+	for _, i := range w.instances {
+		i.start()
+	}
+	w.await("ready again", func() bool {
+		return !slices.ContainsFunc(w.instances, func(i *simInstance) bool { return !i.running().node.Snapshot().Ready() })
+	})
+}
+
+// takeUp has callers take streams up, each at another instance, and returns how many origins were found. An
+// origin that is wrong fails the test.
+func (w *simFleet) takeUp(lost []lostStream) (found int) {
+	w.t.Helper()
+	for n, s := range lost {
+		version, source := w.instances[n%len(w.instances)].running().node.StreamVersion(w.t.Context(), "llm", s.query)
+		if source != origin.Unknown {
+			assert.Equal(w.t, version, s.version, "%s %+v", source, s.query)
+			found++
+		}
+	}
+	return found
+}
+
+// TestStreamsGoOnAtTheirVersionAfterTheLossOfAllInstances guards against origins that die with the instances.
+func TestStreamsGoOnAtTheirVersionAfterTheLossOfAllInstances(t *testing.T) {
+	for _, size := range []struct {
+		instances, decode int
+		dark              time.Duration
+	}{
+		{8, 9, 300 * time.Millisecond}, {8, 9, 2600 * time.Millisecond}, {8, 9, 10 * time.Second},
+		{60, 24, 300 * time.Millisecond}, {60, 24, 10 * time.Second}, {300, 90, 2600 * time.Millisecond},
+	} {
+		t.Run(fmt.Sprint(size.instances, "/", size.dark), func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				w := newSimFleet(t, size.instances, 3, size.decode/2, size.decode)
+				defer w.close()
+				w.setVersions("v1", "v2", "v3")
+				time.Sleep(5 * time.Second)
+				lost := w.loseStreams("lost", 12*size.decode)
+				w.loseAll(size.dark, func() {})
+				found := w.takeUp(lost)
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				t.Logf("%d of %d origins found, %.1f pages of logs a return", found, len(lost), float64(w.logReads)/float64(len(lost)))
+				assert.Equal(t, found, len(lost))
+			})
+		})
+	}
+}
+
+// TestStreamsOfAVersionThatHasLeftDoNotGoOnAtAnother guards against the only version that is listed after the
+// loss of all instances being taken for the origin.
+func TestStreamsOfAVersionThatHasLeftDoNotGoOnAtAnother(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		w := newSimFleet(t, 8, 3, 3, 9)
+		defer w.close()
+		w.setVersions("v1")
+		time.Sleep(5 * time.Second)
+		lost := w.loseStreams("before", 90)
+		var after []lostStream
+		w.loseAll(3*time.Second, func() {
+			w.mu.Lock()
+			for _, e := range w.engines {
+				w.history = append(w.history, e.upstream)
+			}
+			w.mu.Unlock()
+			w.replaceEngines("v2")
+			after = w.loseStreams("after", 90)
+		})
+		assert.Equal(t, w.takeUp(lost), 0)
+		found := w.takeUp(after)
+		t.Logf("%d of %d origins of the version that serves found", found, len(after))
+		assert.Assert(t, found >= len(after)/2)
+	})
+}
