origin: a stream that no instance remembers goes on at the version whose engines show it

Cause: the origin was kept in the memory of instances alone. One that had just started took the only version that it saw listed for the only one there was (only_listed), and knew nothing if two were listed. Class: one who has just started takes what it sees for all there is.

Change: the origin is taken from what outlives the instances. An engine that runs the attempt, or whose cache log shows the prompt (and output after it), began it; a prompt alone is no evidence at an engine that may have been a prefill engine. Engines of several versions: unknown. One version listed counts only if the store's history shows no other.

--- a/gateway/fleet/origins.go
+++ b/gateway/fleet/origins.go
@@ -89,8 +89,10 @@
 // forgottenOrigin returns the software version that began a stream which no instance remembers, as after
 // the loss of all of them.
 func (n *Node) forgottenOrigin(ctx context.Context, service string, q origin.Query) (string, origin.Source) {
-	sole := n.soleVersion(service)
 	known := n.readHistory(ctx)
+	if sole := n.soleVersion(service); sole.only && sole.fresh && (sole.settled || known) {
+		return sole.version, origin.OnlyListed
+	}
 	engines := n.originEngines(service)
 	for i := range engines {
 		engines[i].Restaged = engines[i].Restaged || !known
@@ -99,8 +101,8 @@
 	n.opts.Log.Info("origin searched at engines", "service", service, "first_attempt", q.Attempt, "rule", string(found.Rule), "software_version", found.Version,
 		"asked", found.Asked, "incomplete", found.Incomplete, "traces", found.Traces, "history", known, "took_ms", found.Took.Milliseconds())
 	n.count("origin_" + string(found.Rule))
-	if sole.only && sole.fresh {
-		return sole.version, origin.OnlyListed
+	if found.Known {
+		return found.Version, origin.EngineTrace
 	}
 	return "", origin.Unknown
 }
--- a/gateway/origin/register.go
+++ b/gateway/origin/register.go
@@ -37,9 +37,11 @@
 	// OwnRecord means that this instance began the stream or was told of it, PeerRecord that a peer did.
 	OwnRecord  Source = "own_record"
 	PeerRecord Source = "peer_record"
-	// OnlyListed means that there is no record, and that only one version is listed. Other versions may have
-	// served before this instance started.
+	// OnlyListed means that there is no record, that only one version is listed, and that the store's history
+	// shows no other.
 	OnlyListed Source = "only_listed"
+	// EngineTrace means that there is no record, and that engines show which version began the stream.
+	EngineTrace Source = "engine_trace"
 )
 
 // Register remembers the origins of streams for TTL. It is safe for concurrent use.
