carry: a stream that has not begun restarts at the version that may have read its prompt

Found by reading, not seen in a run: a stream whose first engine read the prompt and made no event may begin at an engine of another version. If that one then leaves, only the first engine keeps the prompt, and after the loss of all instances its version would be taken for the origin (ORDER).

Change: until it has begun, a resumable stream prefers engines of the version that may have read its prompt, at a restart and at a takeover, and takes others if no engine of that version is left. With one version nothing changes.

Evidence: TestRestartedStreamPrefersTheVersionThatReadItsPrompt went to the other version before (d4 instead of d2).

--- a/gateway/carry/decode.go
+++ b/gateway/carry/decode.go
@@ -167,6 +167,7 @@
 	s.excluded = append(s.excluded, u.ID)
 	s.log.Info("attempt", "upstream", u.ID, "number", s.starts, "error", logs.ErrorText(err))
 	if adapter.AsCallError(err).Evidence == kernel.Ambiguous {
+		s.readBy.bind(u.SoftwareVersion)
 		s.runs++
 		s.recordInterruption(ctx, interruption{upstream: u, sentAt: start, wasAlive: s.c.o.Scheduler.AnsweredSince(u, start), begunBefore: s.resumed(), cause: err})
 		if !s.j.Route.Repeatable() || s.runs >= s.j.Route.MaxAttempts {
@@ -189,6 +190,7 @@
 // recordAccepted records that an engine runs the stream. If another engine rejected the same
 // prefill result before, that engine is at fault and not the result.
 func (s *stream) recordAccepted(u dialect.Upstream, h *prefillResult) {
+	s.readBy.bind(u.SoftwareVersion)
 	s.c.o.Scheduler.RecordAcceptance(u)
 	if h == nil {
 		return
@@ -221,6 +223,7 @@
 		s.c.o.Count("decode_refused")
 		return nil, s.handleRejection(ctx, p, h, err), s.callerError(err)
 	}
+	s.readBy.bind(u.SoftwareVersion)
 	s.runs++
 	if v == dialect.Failure {
 		// An engine that fails every request runs nothing, so it would always look like the
--- a/gateway/carry/failover.go
+++ b/gateway/carry/failover.go
@@ -35,7 +35,9 @@
 	// the stream before it. startedAt is when the run began, and events the number of events until then.
 	runNumber, runs int
 	startedAt       time.Time
-	events          int64
+	// from is the silent engine.
+	from   dialect.Upstream
+	events int64
 	// accepted means that the engine has accepted the stream.
 	accepted atomic.Bool
 	// suspect records that the engine may have crashed, once.
@@ -52,7 +54,7 @@
 func (s *stream) newFailover(ctx context.Context, from dialect.Upstream) *failover {
 	return &failover{
 		s: s, ctx: ctx, runNumber: s.takeover.newRun(), runs: s.runs, starts: maxStarts - s.starts,
-		startedAt: clock.Now(), events: s.events.Load(),
+		startedAt: clock.Now(), events: s.events.Load(), from: from,
 		excluded: append(slices.Clone(s.excluded), from.ID),
 	}
 }
@@ -171,6 +173,10 @@
 	if version, bound := s.software.get(); bound {
 		other.software.bind(version)
 	}
+	if version, read := s.readBy.get(); read {
+		other.readBy.bind(version)
+	}
+	other.readBy.bind(f.from.SoftwareVersion)
 	return other
 }
 
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -120,8 +120,10 @@
 	lastEvent string
 	// events counts the events delivered in this request. A migration reads it while the stream
 	// runs.
-	events     atomic.Int64
-	software   versionBinding
+	events   atomic.Int64
+	software versionBinding
+	// readBy is the software version of the first decode engine that may have read the prompt.
+	readBy     versionBinding
 	migration  migration
 	takeover   takeover
 	crashGuard crashGuard
--- a/gateway/carry/version.go
+++ b/gateway/carry/version.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 
 	"github.com/wardspool/wardspool/gateway/dialect"
@@ -44,15 +45,30 @@
 }
 
 // eligible returns the upstreams to which the stream may be sent now: decode engines of its software
-// version, and prefill engines. Every search for an engine is made among them.
+// version, and prefill engines. Every search for an engine is made among them. A resumable stream that has
+// not begun yet prefers the version that may have read its prompt: if engines of two versions keep it, nobody
+// can tell later which of them began the stream.
 func (s *stream) eligible() []dialect.Upstream {
 	list := s.c.eligible(s.j)
-	if _, bound := s.software.get(); !bound {
+	if _, bound := s.software.get(); bound {
+		return s.software.filter(list)
+	}
+	if _, read := s.readBy.get(); !read || !s.j.Route.Resumable {
 		return list
 	}
-	var allowed []dialect.Upstream
+	preferred := s.readBy.filter(list)
+	if !slices.ContainsFunc(preferred, func(u dialect.Upstream) bool {
+		return u.Stage == dialect.StageDecode && !u.Leaving && !slices.Contains(s.excluded, u.ID)
+	}) {
+		return list
+	}
+	return preferred
+}
+
+// filter returns the upstreams of a list without the decode engines that the binding doesn't allow.
+func (b *versionBinding) filter(list []dialect.Upstream) (allowed []dialect.Upstream) {
 	for _, u := range list {
-		if u.Stage != dialect.StageDecode || s.software.allows(u) {
+		if u.Stage != dialect.StageDecode || b.allows(u) {
 			allowed = append(allowed, u)
 		}
 	}
--- a/gateway/carry/version_test.go
+++ b/gateway/carry/version_test.go
@@ -8,11 +8,13 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/wardspool/wardspool/adapter"
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/relay"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/bubble"
 	"github.com/wardspool/wardspool/internal/clock"
+	"github.com/wardspool/wardspool/kernel"
 )
 
 // newVersionedEnv returns a test environment with one prefill engine, and decode engines that run the
@@ -95,6 +97,26 @@
 	})
 }
 
+// TestRestartedStreamPrefersTheVersionThatReadItsPrompt guards against a prompt that engines of two software
+// versions keep, so that nobody can tell which of them began the stream.
+func TestRestartedStreamPrefersTheVersionThatReadItsPrompt(t *testing.T) {
+	for name, first := range map[string]reply{
+		"broken before its first event": brokenAfter(0),
+		"no answer":                     {err: &adapter.CallError{Evidence: kernel.Ambiguous, Err: errors.New("reset")}},
+		"an error":                      {verdict: dialect.Failure, status: http.StatusInternalServerError},
+	} {
+		bubble.Test(t, func(t *testing.T) {
+			env := newVersionedEnv(t, "v1", "v1", "v2", "v2")
+			env.d.do["d1"] = []reply{first}
+			env.d.do["d2"], env.d.do["d3"], env.d.do["d4"] = []reply{wholeFrom(1)}, []reply{wholeFrom(1)}, []reply{wholeFrom(1)}
+			var got streamRecorder
+			_, err := env.Stream(t.Context(), job(resumable), &got)
+			assert.NilError(t, err, name)
+			assert.DeepEqual(t, decodeSends(env), []ident.UpstreamID{"d1", "d2"})
+		})
+	}
+}
+
 // TestMovedStreamStaysAtItsSoftwareVersion guards against a stream that is moved to an engine of another
 // software version.
 func TestMovedStreamStaysAtItsSoftwareVersion(t *testing.T) {
