carry: a caller's second attempt prefers the version that read its prompt before all instances died

Change: an instance that has just started while several versions serve asks each engine once, and a new resumable stream prefers the version that keeps its prompt. Settled instances and services of one version ask nothing.

Measured: all of 108 prompts found in virtual time, 2 pages an engine at most.

--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -310,8 +310,10 @@
 	pathBroken bool
 	// origins holds the software versions that began streams, by attempt. soleVersion is set while only one
 	// version serves.
-	origins     map[string]string
-	soleVersion *string
+	origins map[string]string
+	// promptVersions holds the results of PromptVersion by prompt part.
+	promptVersions map[string]string
+	soleVersion    *string
 	// disconnectedFrom is the time from which no upstream can be connected to, if it is set.
 	disconnectedFrom time.Time
 	// suspected means that several upstreams in a row could not be connected to.
@@ -461,6 +463,14 @@
 	env.origins[o.Attempt] = o.Version
 }
 
+// PromptVersion implements Origins.
+func (env *testEnv) PromptVersion(_ context.Context, _ string, q origin.Query) (string, bool) {
+	env.d.mu.Lock()
+	defer env.d.mu.Unlock()
+	version, ok := env.promptVersions[q.Part]
+	return version, ok
+}
+
 // StreamVersion implements Origins.
 func (env *testEnv) StreamVersion(_ context.Context, _ string, q origin.Query) (string, origin.Source) {
 	env.d.mu.Lock()
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -82,7 +82,7 @@
 	if s.wouldOutliveInstance() {
 		return nil, s.refuseStopping()
 	}
-	if err := s.bindResumed(ctx); err != nil {
+	if err := s.bindVersion(ctx); err != nil {
 		return nil, err
 	}
 	return s.run(ctx)
--- a/gateway/carry/version.go
+++ b/gateway/carry/version.go
@@ -15,6 +15,9 @@
 	StreamBegan(service string, o origin.Origin)
 	// StreamVersion returns the software version that began a stream of a service.
 	StreamVersion(ctx context.Context, service string, q origin.Query) (version string, source origin.Source)
+	// PromptVersion returns the software version whose engines alone keep the prompt of a new stream, if
+	// its caller may have sent it before to an instance that died.
+	PromptVersion(ctx context.Context, service string, q origin.Query) (version string, ok bool)
 }
 
 // The reasons for which a resumed stream is refused.
@@ -75,19 +78,19 @@
 	return allowed
 }
 
-// bindResumed binds a stream that its caller resumes to the software version that began it. The error is
-// an *Error if nobody knows that version.
-func (s *stream) bindResumed(ctx context.Context) error {
+// bindVersion binds a stream that its caller resumes to the software version that began it, and has a new one
+// prefer the version that may have read its prompt. The error is an *Error if nobody knows the version of a
+// resumed stream.
+func (s *stream) bindVersion(ctx context.Context) error {
 	if s.lastEvent == "" {
+		s.preferPromptVersion(ctx)
 		return nil
 	}
 	if s.j.SoftwareVersion != nil {
 		s.software.bind(*s.j.SoftwareVersion)
 		return nil
 	}
-	version, source := s.c.o.Origins.StreamVersion(ctx, s.j.Service.Name, origin.Query{
-		Attempt: s.j.Call.Resumes, Part: s.j.Call.LastPromptPart, PartTokens: s.j.Call.LastPromptPartTokens,
-	})
+	version, source := s.c.o.Origins.StreamVersion(ctx, s.j.Service.Name, s.originQuery(s.j.Call.Resumes))
 	s.c.o.Count("resumed_" + string(source))
 	s.log.Info("stream origin", "first_attempt", s.j.Call.Resumes, "source", string(source), "software_version", version)
 	if source == origin.Unknown {
@@ -97,6 +100,21 @@
 	return nil
 }
 
+// originQuery returns the query for the origin of the stream that an attempt of its caller began.
+func (s *stream) originQuery(attempt string) origin.Query {
+	return origin.Query{Attempt: attempt, Part: s.j.Call.LastPromptPart, PartTokens: s.j.Call.LastPromptPartTokens}
+}
+
+// preferPromptVersion has a new stream prefer the software version that may have read its prompt.
+func (s *stream) preferPromptVersion(ctx context.Context) {
+	if !s.j.Route.Resumable {
+		return
+	}
+	if version, ok := s.c.o.Origins.PromptVersion(ctx, s.j.Service.Name, s.originQuery("")); ok {
+		s.readBy.bind(version)
+	}
+}
+
 // began binds the stream to the software version whose first event is about to be sent to the caller, and
 // records the origin of a stream that the caller may resume.
 func (s *stream) began(version string) {
--- a/gateway/carry/version_test.go
+++ b/gateway/carry/version_test.go
@@ -117,6 +117,24 @@
 	}
 }
 
+// TestRepeatedAttemptPrefersTheVersionThatReadItsPrompt guards against the same for a caller that sends its
+// prompt again, as a new stream, after its first instance died.
+func TestRepeatedAttemptPrefersTheVersionThatReadItsPrompt(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		env := newVersionedEnv(t, "v1", "v1", "v2", "v2")
+		env.promptVersions = map[string]string{"own": "v2"}
+		for _, id := range []ident.UpstreamID{"d1", "d2", "d3", "d4"} {
+			env.d.do[id] = []reply{wholeFrom(1)}
+		}
+		j := job(resumable)
+		j.Call.LastPromptPart = "own"
+		_, err := env.Stream(t.Context(), j, &streamRecorder{})
+		assert.NilError(t, err)
+		sent := decodeSends(env)
+		assert.Assert(t, len(sent) == 1 && (sent[0] == "d3" || sent[0] == "d4"), "%v", sent)
+	})
+}
+
 // TestMovedStreamStaysAtItsSoftwareVersion guards against a stream that is moved to an engine of another
 // software version.
 func TestMovedStreamStaysAtItsSoftwareVersion(t *testing.T) {
--- a/gateway/fleet/origins.go
+++ b/gateway/fleet/origins.go
@@ -93,11 +93,7 @@
 	if sole := n.soleVersion(service); sole.only && sole.fresh && (sole.settled || known) {
 		return sole.version, origin.OnlyListed
 	}
-	engines := n.originEngines(service)
-	for i := range engines {
-		engines[i].Restaged = engines[i].Restaged || !known
-	}
-	found := n.finder.Find(ctx, engines, q)
+	found := n.finder.Find(ctx, n.originEngines(service, known), q, origin.ReadTTL)
 	n.opts.Log.Info("origin searched at engines", "service", service, "first_attempt", q.Attempt, "rule", string(found.Rule), "software_version", found.Version,
 		"asked", found.Asked, "incomplete", found.Incomplete, "traces", found.Traces, "history", known, "took_ms", found.Took.Milliseconds())
 	n.count("origin_" + string(found.Rule))
@@ -107,12 +103,30 @@
 	return "", origin.Unknown
 }
 
+// PromptVersion implements carry.Origins. It asks each engine once after the start of the instance: an
+// instance that has run for longer than callers wait need not ask.
+func (n *Node) PromptVersion(ctx context.Context, service string, q origin.Query) (version string, ok bool) {
+	sole := n.soleVersion(service)
+	if sole.settled || sole.only || q.Part == "" {
+		return "", false
+	}
+	found := n.finder.Find(ctx, n.originEngines(service, n.readHistory(ctx)), q, origin.TTL)
+	if found.Known {
+		n.count("prompt_version_found")
+	}
+	return found.Version, found.Known
+}
+
 // originEngines returns the decode engines that are asked for the origin of a stream of a service. Of a large
-// service, only those of the instance's own zone are asked, where most of its streams run.
-func (n *Node) originEngines(service string) []origin.Engine {
+// service, only those of the instance's own zone are asked, where most of its streams run. historyKnown is
+// false if it is not known which of them were prefill engines before.
+func (n *Node) originEngines(service string, historyKnown bool) []origin.Engine {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	engines := n.view.decodeEngines(clock.Now(), service)
+	for i := range engines {
+		engines[i].Restaged = engines[i].Restaged || !historyKnown
+	}
 	if len(engines) > maxOriginEngines {
 		return slices.DeleteFunc(engines, func(e origin.Engine) bool { return e.Zone != n.opts.Self.Zone })
 	}
--- a/gateway/lostorigins_test.go
+++ b/gateway/lostorigins_test.go
@@ -167,3 +167,26 @@
 		assert.Assert(t, found >= len(after)/2)
 	})
 }
+
+// TestNewStreamsFindTheVersionThatReadTheirPrompt guards against a caller's second attempt that begins at another
+// version than the one where its first attempt ran when all instances died, and checks what that costs.
+func TestNewStreamsFindTheVersionThatReadTheirPrompt(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		w := newSimFleet(t, 8, 3, 3, 9)
+		defer w.close()
+		w.setVersions("v1", "v2", "v3")
+		time.Sleep(5 * time.Second)
+		lost := w.loseStreams("lost", 108)
+		w.loseAll(time.Second, func() {})
+		for n, s := range lost {
+			s.query.Attempt = ""
+			version, ok := w.instances[n%8].running().node.PromptVersion(t.Context(), "llm", s.query)
+			assert.Assert(t, ok && version == s.version, "%q %+v", version, s)
+		}
+		reads := w.logReads
+		_, ok := w.instances[0].running().node.PromptVersion(t.Context(), "llm", origin.Query{Part: "new", PartTokens: 5000})
+		assert.Assert(t, !ok)
+		assert.Equal(t, w.logReads, reads, "engines are read once")
+		assert.Assert(t, reads <= 8*9*2, "%d pages", reads)
+	})
+}
--- a/gateway/origin/finder.go
+++ b/gateway/origin/finder.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// readTTL is how long what an engine showed is reused, so that callers who return at once share a read.
-	readTTL = 200 * time.Millisecond
+	// ReadTTL is how long what an engine showed is reused for streams that callers take up, so that those who
+	// return at once share a read.
+	ReadTTL = 200 * time.Millisecond
 	// findTimeout bounds a search, for which a caller waits. Engines answer in some milliseconds.
 	findTimeout = 500 * time.Millisecond
 	// maxLogPages bounds the pages of a log that one read takes. A later read continues.
@@ -64,8 +65,9 @@
 	Restaged bool
 }
 
-// Find asks the decode engines of a service for the origin of a stream.
-func (f *Finder) Find(ctx context.Context, engines []Engine, q Query) Finding {
+// Find asks the decode engines of a service for the origin of a stream. What they have shown within maxAge is
+// reused.
+func (f *Finder) Find(ctx context.Context, engines []Engine, q Query, maxAge time.Duration) Finding {
 	start := clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
@@ -73,7 +75,7 @@
 	var asked sync.WaitGroup
 	complete := make([]bool, len(engines))
 	for i, e := range engines {
-		asked.Go(func() { shown[i], complete[i] = f.log(e.Upstream).evidence(ctx, f.reader, e, q) })
+		asked.Go(func() { shown[i], complete[i] = f.log(e.Upstream).evidence(ctx, f.reader, e, q, maxAge) })
 	}
 	asked.Wait()
 	found := Finding{Asked: len(engines), Took: clock.Since(start)}
@@ -125,8 +127,8 @@
 }
 
 // evidence returns what an engine shows of a stream, and whether its whole log is known. It reads the engine
-// if that is due.
-func (l *engineLog) evidence(ctx context.Context, reader EngineReader, from Engine, q Query) (e evidence, complete bool) {
+// if what is known is older than maxAge.
+func (l *engineLog) evidence(ctx context.Context, reader EngineReader, from Engine, q Query, maxAge time.Duration) (e evidence, complete bool) {
 	e = evidence{version: from.SoftwareVersion, restaged: from.Restaged}
 	select {
 	case l.lock <- struct{}{}:
@@ -134,7 +136,7 @@
 	case <-ctx.Done():
 		return e, false
 	}
-	if clock.Since(l.readAt) > readTTL {
+	if clock.Since(l.readAt) > maxAge {
 		l.read(ctx, reader, from.Upstream)
 	}
 	e.running = q.Attempt != "" && l.running[q.Attempt] > 0
--- a/gateway/origin/finder_test.go
+++ b/gateway/origin/finder_test.go
@@ -116,16 +116,16 @@
 		}
 		f.keep("e1", "p", 1064)
 		finder, engines := NewFinder(f), []Engine{engine("e1", "v1"), engine("e2", "v2")}
-		found := finder.Find(t.Context(), engines, testQuery)
+		found := finder.Find(t.Context(), engines, testQuery, ReadTTL)
 		assert.Equal(t, found.Version, "v1")
 		assert.Equal(t, found.Rule, RuleOutput)
 		assert.Equal(t, found.Incomplete, 0)
 		calls := f.calls
-		assert.Equal(t, finder.Find(t.Context(), engines, testQuery).Version, "v1")
+		assert.Equal(t, finder.Find(t.Context(), engines, testQuery, ReadTTL).Version, "v1")
 		assert.Equal(t, f.calls, calls, "a second caller reads nothing")
-		time.Sleep(2 * readTTL)
+		time.Sleep(2 * ReadTTL)
 		f.keep("e1", "q", 1064)
-		assert.Equal(t, finder.Find(t.Context(), engines, Query{Part: "q", PartTokens: 1000}).Version, "v1")
+		assert.Equal(t, finder.Find(t.Context(), engines, Query{Part: "q", PartTokens: 1000}, ReadTTL).Version, "v1")
 		assert.Assert(t, f.calls <= calls+3, "%d calls after %d", f.calls, calls)
 	})
 }
@@ -138,25 +138,25 @@
 		f.epoch["e1"] = "1"
 		f.keep("e1", "p", 1064)
 		finder, engines := NewFinder(f), []Engine{engine("e1", "v1")}
-		assert.Equal(t, finder.Find(t.Context(), engines, testQuery).Version, "v1")
+		assert.Equal(t, finder.Find(t.Context(), engines, testQuery, ReadTTL).Version, "v1")
 
-		time.Sleep(2 * readTTL)
+		time.Sleep(2 * ReadTTL)
 		f.epoch["e1"], f.logs["e1"] = "2", nil
 		f.keep("e1", "other", 10)
-		found := finder.Find(t.Context(), engines, testQuery)
+		found := finder.Find(t.Context(), engines, testQuery, ReadTTL)
 		assert.Assert(t, !found.Known)
 		assert.Equal(t, found.Incomplete, 0)
 
-		time.Sleep(2 * readTTL)
+		time.Sleep(2 * ReadTTL)
 		f.down = true
-		assert.Equal(t, finder.Find(t.Context(), engines, testQuery).Incomplete, 1)
+		assert.Equal(t, finder.Find(t.Context(), engines, testQuery, ReadTTL).Incomplete, 1)
 
 		f = newFakeEngines()
 		for n := range 4 {
 			f.keep("e1", fmt.Sprint(n), 10)
 		}
 		f.lost = 2
-		found = NewFinder(f).Find(t.Context(), engines, testQuery)
+		found = NewFinder(f).Find(t.Context(), engines, testQuery, ReadTTL)
 		assert.Equal(t, found.Incomplete, 1)
 	})
 }
