--- a/gateway/lostorigins_test.go
+++ b/gateway/lostorigins_test.go
@@ -190,3 +190,31 @@
 		assert.Assert(t, reads <= 8*9*2, "%d pages", reads)
 	})
 }
+
+// TestOneListedVersionIsNoOriginWithoutTheHistory guards against the only version that is listed being taken for the
+// origin while the store doesn't say which engines left before.
+func TestOneListedVersionIsNoOriginWithoutTheHistory(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		w := newSimFleet(t, 8, 3, 3, 9)
+		defer w.close()
+		w.setVersions("v1")
+		time.Sleep(5 * time.Second)
+		w.loseAll(3*time.Second, func() {})
+		instance := w.instances[0]
+		instance.setStoreDown(true)
+		_, source := instance.running().node.StreamVersion(t.Context(), "llm", origin.Query{Attempt: "x"})
+		assert.Equal(t, source, origin.Unknown)
+		instance.setStoreDown(false)
+		time.Sleep(2 * time.Second)
+		version, source := instance.running().node.StreamVersion(t.Context(), "llm", origin.Query{Attempt: "x"})
+		assert.Equal(t, source, origin.OnlyListed)
+		assert.Equal(t, version, "v1")
+	})
+}
+
+// setStoreDown makes the store reject the instance's requests, or serve them again.
+func (i *simInstance) setStoreDown(down bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.storeDown = down
+}
