--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -251,6 +251,14 @@
 	return f.cached[u.ID], nil
 }
 
+func (f *fakeDialect) CacheLog(context.Context, dialect.Upstream, int64) (dialect.CacheLog, error) {
+	return dialect.CacheLog{}, nil
+}
+
+func (f *fakeDialect) RunningRequests(context.Context, dialect.Upstream) (map[string]int, error) {
+	return nil, nil
+}
+
 func (f *fakeDialect) WriteResponseHeaders(http.Header, *dialect.Call) {}
 
 func (f *fakeDialect) NameWorkspace(*dialect.Call, string, int) {}
@@ -302,8 +310,10 @@
 	pathBroken bool
 	// origins holds the software versions that began streams, by attempt. soleVersion is set while only one
 	// version serves.
-	origins     map[string]string
-	soleVersion *string
+	origins map[string]string
+	// promptVersions holds the results of PromptVersion by prompt part.
+	promptVersions map[string]string
+	soleVersion    *string
 	// disconnectedFrom is the time from which no upstream can be connected to, if it is set.
 	disconnectedFrom time.Time
 	// suspected means that several upstreams in a row could not be connected to.
@@ -453,14 +463,22 @@
 	env.origins[o.Attempt] = o.Version
 }
 
+// PromptVersion implements Origins.
+func (env *testEnv) PromptVersion(_ context.Context, _ string, q origin.Query) (string, bool) {
+	env.d.mu.Lock()
+	defer env.d.mu.Unlock()
+	version, ok := env.promptVersions[q.Part]
+	return version, ok
+}
+
 // StreamVersion implements Origins.
-func (env *testEnv) StreamVersion(_ context.Context, _, attempt string) (string, origin.Source) {
+func (env *testEnv) StreamVersion(_ context.Context, _ string, q origin.Query) (string, origin.Source) {
 	env.d.mu.Lock()
 	defer env.d.mu.Unlock()
 	if env.soleVersion != nil {
 		return *env.soleVersion, origin.SoleVersion
 	}
-	if version, ok := env.origins[attempt]; ok {
+	if version, ok := env.origins[q.Attempt]; ok {
 		return version, origin.OwnRecord
 	}
 	return "", origin.Unknown
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -82,7 +82,7 @@
 	if s.wouldOutliveInstance() {
 		return nil, s.refuseStopping()
 	}
-	if err := s.bindResumed(ctx); err != nil {
+	if err := s.bindVersion(ctx); err != nil {
 		return nil, err
 	}
 	return s.run(ctx)
@@ -120,8 +120,10 @@
 	lastEvent string
 	// events counts the events delivered in this request. A migration reads it while the stream
 	// runs.
-	events     atomic.Int64
-	software   versionBinding
+	events   atomic.Int64
+	software versionBinding
+	// readBy is the software version of the first decode engine that may have read the prompt.
+	readBy     versionBinding
 	migration  migration
 	takeover   takeover
 	crashGuard crashGuard
--- a/gateway/carry/version.go
+++ b/gateway/carry/version.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 
 	"github.com/wardspool/wardspool/gateway/dialect"
@@ -12,9 +13,11 @@
 type Origins interface {
 	// StreamBegan records the origin of a stream of a service.
 	StreamBegan(service string, o origin.Origin)
-	// StreamVersion returns the software version that began a stream of a service. attempt is the ID of
-	// the caller's attempt that brought its first event, "" if unknown.
-	StreamVersion(ctx context.Context, service, attempt string) (version string, source origin.Source)
+	// StreamVersion returns the software version that began a stream of a service.
+	StreamVersion(ctx context.Context, service string, q origin.Query) (version string, source origin.Source)
+	// PromptVersion returns the software version whose engines alone keep the prompt of a new stream, if
+	// its caller may have sent it before to an instance that died.
+	PromptVersion(ctx context.Context, service string, q origin.Query) (version string, ok bool)
 }
 
 // The reasons for which a resumed stream is refused.
@@ -45,32 +48,49 @@
 }
 
 // eligible returns the upstreams to which the stream may be sent now: decode engines of its software
-// version, and prefill engines. Every search for an engine is made among them.
+// version, and prefill engines. Every search for an engine is made among them. A resumable stream that has
+// not begun yet prefers the version that may have read its prompt: if engines of two versions keep it, nobody
+// can tell later which of them began the stream.
 func (s *stream) eligible() []dialect.Upstream {
 	list := s.c.eligible(s.j)
-	if _, bound := s.software.get(); !bound {
+	if _, bound := s.software.get(); bound {
+		return s.software.filter(list)
+	}
+	if _, read := s.readBy.get(); !read || !s.j.Route.Resumable {
 		return list
 	}
-	var allowed []dialect.Upstream
+	preferred := s.readBy.filter(list)
+	if !slices.ContainsFunc(preferred, func(u dialect.Upstream) bool {
+		return u.Stage == dialect.StageDecode && !u.Leaving && !slices.Contains(s.excluded, u.ID)
+	}) {
+		return list
+	}
+	return preferred
+}
+
+// filter returns the upstreams of a list without the decode engines that the binding doesn't allow.
+func (b *versionBinding) filter(list []dialect.Upstream) (allowed []dialect.Upstream) {
 	for _, u := range list {
-		if u.Stage != dialect.StageDecode || s.software.allows(u) {
+		if u.Stage != dialect.StageDecode || b.allows(u) {
 			allowed = append(allowed, u)
 		}
 	}
 	return allowed
 }
 
-// bindResumed binds a stream that its caller resumes to the software version that began it. The error is
-// an *Error if nobody knows that version.
-func (s *stream) bindResumed(ctx context.Context) error {
+// bindVersion binds a stream that its caller resumes to the software version that began it, and has a new one
+// prefer the version that may have read its prompt. The error is an *Error if nobody knows the version of a
+// resumed stream.
+func (s *stream) bindVersion(ctx context.Context) error {
 	if s.lastEvent == "" {
+		s.preferPromptVersion(ctx)
 		return nil
 	}
 	if s.j.SoftwareVersion != nil {
 		s.software.bind(*s.j.SoftwareVersion)
 		return nil
 	}
-	version, source := s.c.o.Origins.StreamVersion(ctx, s.j.Service.Name, s.j.Call.Resumes)
+	version, source := s.c.o.Origins.StreamVersion(ctx, s.j.Service.Name, s.originQuery(s.j.Call.Resumes))
 	s.c.o.Count("resumed_" + string(source))
 	s.log.Info("stream origin", "first_attempt", s.j.Call.Resumes, "source", string(source), "software_version", version)
 	if source == origin.Unknown {
@@ -80,6 +100,21 @@
 	return nil
 }
 
+// originQuery returns the query for the origin of the stream that an attempt of its caller began.
+func (s *stream) originQuery(attempt string) origin.Query {
+	return origin.Query{Attempt: attempt, Part: s.j.Call.LastPromptPart, PartTokens: s.j.Call.LastPromptPartTokens}
+}
+
+// preferPromptVersion has a new stream prefer the software version that may have read its prompt.
+func (s *stream) preferPromptVersion(ctx context.Context) {
+	if !s.j.Route.Resumable {
+		return
+	}
+	if version, ok := s.c.o.Origins.PromptVersion(ctx, s.j.Service.Name, s.originQuery("")); ok {
+		s.readBy.bind(version)
+	}
+}
+
 // began binds the stream to the software version whose first event is about to be sent to the caller, and
 // records the origin of a stream that the caller may resume.
 func (s *stream) began(version string) {
@@ -97,7 +132,7 @@
 	}
 	if !known {
 		var source origin.Source
-		if version, source = s.c.o.Origins.StreamVersion(ctx, s.j.Service.Name, ""); source == origin.Unknown {
+		if version, source = s.c.o.Origins.StreamVersion(ctx, s.j.Service.Name, origin.Query{}); source == origin.Unknown {
 			version = noVersion
 		}
 	}
