Streams: deliver no event out of order

What callers saw: an engine that does not go on after the last event (it starts over, repeats or skips one, in its own run, after a move, a takeover or at a caller's Last-Event-Id) had its events forwarded as they came, and the response ended as complete.

Cause: only the end of a body was checked, never the number of an event; after Last-Event-Id the engine was trusted.

Every way to the caller passes deliver, which now stops before an event that is not the next one. The run counts as broken off: a resumable stream goes on elsewhere, any other one ends as incomplete. A takeover fails if its first event is not the next one, and the silent engine keeps the stream. IDs that are no numbers are forwarded as before.

--- /dev/null
+++ b/gateway/carry/eventorder_test.go
@@ -0,0 +1,146 @@
+package carry
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/bubble"
+)
+
+// disorders are the rests of a stream with two events that engines send at fault, and how much of each is
+// in order.
+var disorders = map[string]struct{ rest, ordered string }{
+	"from the start":     {events(1, 5), ""},
+	"from zero":          {events(0, 5), ""},
+	"last event twice":   {events(2, 5), ""},
+	"event skipped":      {events(4, 5), ""},
+	"event twice":        {events(3, 4) + events(4, 5), events(3, 4)},
+	"event missing":      {events(3, 3) + events(5, 5), events(3, 3)},
+	"started over":       {events(3, 4) + events(1, 5), events(3, 4)},
+	"two in wrong order": {events(3, 3) + events(5, 5) + events(4, 4), events(3, 3)},
+	"CR LF":              {"id: 3\r\ndata: x\r\n\r\nid: 3\r\ndata: x\r\n\r\n", "id: 3\r\ndata: x\r\n\r\n"},
+}
+
+// TestEventOutOfOrderIsNotDelivered guards against a caller who gets an event twice, or misses one, in a
+// response that looks complete, because an engine did not go on after the last event.
+func TestEventOutOfOrderIsNotDelivered(t *testing.T) {
+	for name, d := range disorders {
+		faulty := reply{verdict: dialect.Success, status: http.StatusOK, body: d.rest}
+		t.Run("resumed by the caller, "+name, func(t *testing.T) {
+			env := newStreamEnv(t)
+			env.serveStreams(faulty)
+			j := job(resumable)
+			j.Route.MaxAttempts = 1
+			j.Call.LastEvent = "2"
+			var got streamRecorder
+			_, err := env.Stream(t.Context(), j, &got)
+			var disorder *EventOrderError
+			assert.Assert(t, errors.As(err, &disorder), "%v", err)
+			assert.Equal(t, got.body.String(), d.ordered)
+			assert.Equal(t, got.heads > 0, d.ordered != "")
+		})
+		t.Run("in one run, "+name, func(t *testing.T) {
+			env := newStreamEnv(t)
+			env.serveStreams(reply{verdict: dialect.Success, status: http.StatusOK, body: events(1, 2) + d.rest})
+			var got streamRecorder
+			_, err := env.Stream(t.Context(), job(singleRun), &got)
+			var interrupted *InterruptedError
+			assert.Assert(t, errors.As(err, &interrupted), "%v", err)
+			assert.Equal(t, got.body.String(), events(1, 2)+d.ordered)
+		})
+		t.Run("moved, "+name, func(t *testing.T) {
+			env := startStreamAtD1(t, singleRun)
+			env.d.mu.Lock()
+			env.d.do["d2"] = []reply{faulty}
+			env.d.mu.Unlock()
+			env.migrate(t)
+			<-env.ended
+			var interrupted *InterruptedError
+			assert.Assert(t, errors.As(env.err, &interrupted), "%v", env.err)
+			assert.Equal(t, env.got.body.String(), events(1, 2)+d.ordered)
+		})
+	}
+}
+
+// TestStreamGoesOnAfterAnEventOutOfOrder guards against a resumable stream that ends because one engine sends
+// an event out of order while another one can go on.
+func TestStreamGoesOnAfterAnEventOutOfOrder(t *testing.T) {
+	env := newStreamEnv(t)
+	faulty := reply{verdict: dialect.Success, status: http.StatusOK, body: events(1, 3) + events(3, 5)}
+	rest := reply{verdict: dialect.Success, status: http.StatusOK, body: events(4, 5)}
+	env.serveStreams(faulty)
+	env.o.Count = func(name string) {
+		if name == "stream_restarted" {
+			env.d.mu.Lock()
+			defer env.d.mu.Unlock()
+			env.serveStreams(rest)
+		}
+	}
+	var got streamRecorder
+	_, err := env.Stream(t.Context(), job(resumable), &got)
+	assert.NilError(t, err)
+	assert.Equal(t, got.body.String(), events(1, 5))
+	assert.Assert(t, env.d.sends[0].To.ID != env.d.sends[1].To.ID)
+}
+
+// TestSilentEngineKeepsItsStreamFromAnEventOutOfOrder guards against a stream that is taken from a silent
+// engine by one that does not go on after the last event.
+func TestSilentEngineKeepsItsStreamFromAnEventOutOfOrder(t *testing.T) {
+	for _, rest := range []string{events(1, 5), events(2, 5), events(4, 5)} {
+		t.Run(fmt.Sprintf("%.5s", rest), func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				env := newTestEnv(t, ampleBudget, engineUps([]string{"p1"}, []string{"d1", "d2"})...)
+				body := newControlledBody()
+				env.d.silent = map[ident.UpstreamID]bool{"d1": true}
+				env.d.do["d1"] = []reply{{verdict: dialect.Success, status: http.StatusOK, stream: body}}
+				env.d.do["d2"] = []reply{{verdict: dialect.Success, status: http.StatusOK, body: rest}}
+				env.d.reserve["d2"] = []error{&dialect.NoCapacityError{}, nil}
+				go func() {
+					_, _ = body.w.Write([]byte(events(1, 2)))
+					time.Sleep(2 * time.Second)
+					_, _ = body.w.Write([]byte(events(3, 5)))
+					_ = body.w.Close()
+				}()
+				r := resumable
+				r.PaceObjective = 300 * time.Millisecond
+				got := &streamRecorder{}
+				_, err := env.Stream(t.Context(), job(r), got)
+				assert.NilError(t, err)
+				assert.Equal(t, got.body.String(), events(1, 5))
+				assert.Equal(t, env.d.count("do d2"), 1)
+			})
+		})
+	}
+}
+
+// TestCallerCannotHaveAnEnginePassedOver guards against callers who take engines out of service by a wrong
+// Last-Event-Id.
+func TestCallerCannotHaveAnEnginePassedOver(t *testing.T) {
+	env := newStreamEnv(t)
+	env.serveStreams(reply{verdict: dialect.Success, status: http.StatusOK, body: events(1, 5)})
+	env.o.Count = func(name string) { assert.Check(t, name != "engine_passed_over") }
+	j := job(resumable)
+	j.Call.LastEvent = "1000"
+	_, err := env.Stream(t.Context(), j, &streamRecorder{})
+	var disorder *EventOrderError
+	assert.Assert(t, errors.As(err, &disorder), "%v", err)
+}
+
+// TestOtherEventIDsAreForwarded checks that only IDs that are numbers are checked.
+func TestOtherEventIDsAreForwarded(t *testing.T) {
+	for _, text := range []string{
+		"id: a-7\ndata: x\n\nid: a-3\ndata: x\n\n", ": comment\n\nid: 7\ndata: x\n\ndata: without an ID\n\nid: 8\ndata: x\n\n",
+		"id: 3\rdata: x\r\rid: 4\rdata: x\r\r", "weight-versions: 5\nid: 2\ndata: id: 9\n\nid: 3\n\n",
+	} {
+		ordered, err := inOrder([]byte(text), "")
+		assert.NilError(t, err, "%q", text)
+		assert.Equal(t, string(ordered), text)
+	}
+}
--- a/gateway/carry/failover.go
+++ b/gateway/carry/failover.go
@@ -254,6 +254,7 @@
 		return
 	}
 	s.c.recordAttempt(u, &attempt{err: err}, 0, s.log)
+	s.recordDisorder(u, err)
 	s.recordInterruption(ctx, interruption{upstream: u, sentAt: sentAt, wasAlive: true, begunBefore: s.resumed(), cause: err})
 }
 
--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -104,8 +104,7 @@
 // callerLeft reports whether a stream ended because writing to its caller failed.
 func callerLeft(err error) bool {
 	var caller *CallerWriteError
-	var superseded *SupersededError
-	return errors.As(err, &caller) && !errors.As(err, &superseded)
+	return errors.As(err, &caller)
 }
 
 // handleStreamEnd handles a stream that ended early, and reports whether it may continue at
@@ -152,11 +151,21 @@
 		return false
 	}
 	s.c.recordAttempt(u, &attempt{err: err}, 0, s.log)
+	s.recordDisorder(u, err)
 	s.recordInterruption(ctx, interruption{upstream: u, sentAt: s.sentAt, wasAlive: true, eventCount: eventCount, begunBefore: s.begunBefore(eventCount), cause: err})
 	s.excluded = append(s.excluded, u.ID)
 	return s.j.Route.Repeatable() && s.runs < s.j.Route.MaxAttempts
 }
 
+// recordDisorder excludes an engine from scheduling for a time if it sent an event out of order. The number
+// of the last event that a caller states may be wrong, so it is no evidence.
+func (s *stream) recordDisorder(u dialect.Upstream, err error) {
+	var disorder *EventOrderError
+	if errors.As(err, &disorder) && s.events.Load() > 0 {
+		s.skipEngine(u, disorder.Error())
+	}
+}
+
 // logStreamEnd logs a run that ended early.
 func (s *stream) logStreamEnd(u dialect.Upstream, err error, eventCount int) {
 	s.log.Info("stream broke off", "upstream", u.ID, "software_version", u.SoftwareVersion, "by", string(s.cutReason), "events", s.events.Load(), "here", eventCount, "last_event", s.lastEvent,
@@ -226,7 +235,7 @@
 
 // readEvents reads a body until it ends and returns what follows the last complete event. The end of
 // the body does not show that the stream is complete. readEvents calls heard with the number of bytes
-// after each read, and deliver with complete events; an error of deliver is a *CallerWriteError.
+// after each read, and deliver with complete events. It returns an error of deliver.
 func readEvents(body io.Reader, heard func(n int), deliver func(events []byte) error) (rest []byte, err error) {
 	var pending []byte
 	buf := make([]byte, readBytes)
@@ -236,7 +245,7 @@
 		pending = append(pending, buf[:n]...)
 		if end := lastEventEnd(pending); end > 0 {
 			if err := deliver(pending[:end]); err != nil {
-				return nil, &CallerWriteError{Err: err}
+				return nil, err
 			}
 			pending = append(pending[:0], pending[end:]...)
 		}
@@ -273,15 +282,27 @@
 	if s.headSent && len(end.rest) == 0 {
 		return nil
 	}
-	if err := s.deliver(resp, end.rest); err != nil {
-		return &CallerWriteError{Err: err}
-	}
-	return nil
+	return s.deliver(resp, end.rest)
 }
 
 // deliver sends complete events to the caller, preceded by the response head if it was not sent
-// yet.
+// yet. It stops before an event that is out of order and returns an *EventOrderError. If the events
+// could not be sent, the error is a *CallerWriteError.
 func (s *stream) deliver(resp *http.Response, events []byte) error {
+	ordered, err := inOrder(events, s.lastEvent)
+	if err != nil {
+		s.c.o.Count("events_out_of_order")
+	}
+	if len(ordered) > 0 || err == nil {
+		if err := s.write(resp, ordered); err != nil {
+			return &CallerWriteError{Err: err}
+		}
+	}
+	return err
+}
+
+// write sends events to the caller, preceded by the response head if it was not sent yet.
+func (s *stream) write(resp *http.Response, events []byte) error {
 	if !s.headSent {
 		header := roundtrip.EndToEnd(resp.Header)
 		if version, bound := s.software.get(); s.j.Relayed && bound {
@@ -300,8 +321,8 @@
 // recordEvents counts the delivered events and stores the ID of the last one.
 func (s *stream) recordEvents(events []byte) {
 	for line := range bytes.FieldsFuncSeq(events, isLineEnd) {
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			s.lastEvent = string(bytes.TrimSpace(id))
+		if id, ok := eventID(line); ok {
+			s.lastEvent = id
 			s.events.Add(1)
 		}
 	}
--- a/gateway/carry/run.go
+++ b/gateway/carry/run.go
@@ -54,7 +54,8 @@
 	return io.MultiReader(bytes.NewReader(r.received), r.resp.Body)
 }
 
-// receiveEvent reads the body up to its first complete event, or to its end.
+// receiveEvent reads the body up to its first complete event, or to its end. The event must be the one
+// after the stream's last event.
 func (r *run) receiveEvent() error {
 	buf := make([]byte, readBytes)
 	for lastEventEnd(r.received) == 0 {
@@ -73,6 +74,9 @@
 			return &EventSizeError{}
 		}
 	}
+	if ordered, err := inOrder(r.received[:lastEventEnd(r.received)], r.s.lastEvent); len(ordered) == 0 {
+		return err
+	}
 	return nil
 }
 
