Streams: deliver the last CR LF of an event whole

What callers saw: with engines that end lines with CR LF, the end of an event came as "\r\n\r" when a read ended between CR and LF. If the engine crashed there, or another run took the stream over, the next run's events followed without the LF: for a caller that looks for "\r\n\r\n" two events, of two runs, are one, and a response that is complete lacks an event.

Cause: a CR alone is a line end too, so the event counted as complete one byte early.

TestEndOfAnEventIsDeliveredWhole fails before.

Why it works: a CR at the end of what was read, after a line that ended with LF, is kept back until the next byte or the end of the body, which arrives at once. Streams with CR alone are forwarded as before. If the body ends there by its framing, the event still counts as whole.

--- a/gateway/carry/bodyend_test.go
+++ b/gateway/carry/bodyend_test.go
@@ -257,6 +257,7 @@
 	for rest, want := range map[string]bool{
 		"": false, "\n": false, "\r\n": false, ": comment\n": false, ": a\r\n: b\r\n": false,
 		": comm": true, "id: 4\n": true, "i": true, ": comment\ndata: x\n": true, "data: x\r\n": true, " ": true,
+		"data: x\r\n\r": false, "data: x\r\n\rd": true, "data: x\r\n\r\n": false,
 	} {
 		assert.Check(t, insideEvent([]byte(rest)) == want, "%q", rest)
 	}
--- a/gateway/carry/eventend.go
+++ b/gateway/carry/eventend.go
@@ -18,21 +18,32 @@
 	}
 }
 
-// lastEventEnd returns the offset after the last complete event in b, or 0 if there is none. A blank
-// line ends an event.
+// lastEventEnd returns the offset after the last complete event in b, or 0 if there is none. An event
+// whose last line end may be received in part only is not complete.
 func lastEventEnd(b []byte) int {
 	for end := len(b); end > 0; end-- {
-		blank := lineEndBefore(b, end)
-		if blank < end && lineEndBefore(b, blank) < blank {
+		if eventEndsAt(b, end) && (end < len(b) || !mayLackLF(b)) {
 			return end
 		}
 	}
 	return 0
 }
 
+// eventEndsAt reports whether an event of b ends at the given offset. A blank line ends an event.
+func eventEndsAt(b []byte, end int) bool {
+	blank := lineEndBefore(b, end)
+	return blank < end && lineEndBefore(b, blank) < blank
+}
+
+// mayLackLF reports whether b ends with a CR after a line that ended with LF, so that an LF probably follows.
+func mayLackLF(b []byte) bool { return bytes.HasSuffix(b, []byte("\n\r")) }
+
 // insideEvent reports whether what follows the last complete event of a stream is a part of another
 // one, and not only blank lines and comments.
 func insideEvent(rest []byte) bool {
+	if eventEndsAt(rest, len(rest)) {
+		return false
+	}
 	if len(rest) > 0 && !isLineEnd(rune(rest[len(rest)-1])) {
 		return true
 	}
--- a/gateway/carry/eventorder_test.go
+++ b/gateway/carry/eventorder_test.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -144,3 +146,27 @@
 		assert.Equal(t, string(ordered), text)
 	}
 }
+
+// TestEndOfAnEventIsDeliveredWhole guards against two events that are joined because the first one was delivered
+// with only the CR of its last CR LF when its engine crashed.
+func TestEndOfAnEventIsDeliveredWhole(t *testing.T) {
+	crlf := func(text string) string { return strings.ReplaceAll(text, "\n", "\r\n") }
+	whole := crlf(events(1, 3))
+	for cut := 1; cut < len(whole); cut++ {
+		env := newStreamEnv(t)
+		body := io.MultiReader(strings.NewReader(whole[:cut]), brokenReader{})
+		env.serveStreams(reply{verdict: dialect.Success, status: http.StatusOK, stream: io.NopCloser(body)})
+		env.o.Count = func(name string) {
+			if name == "stream_restarted" {
+				env.d.mu.Lock()
+				defer env.d.mu.Unlock()
+				env.serveStreams(reply{verdict: dialect.Success, status: http.StatusOK, body: events(1+cut*3/len(whole), 3)})
+			}
+		}
+		var got streamRecorder
+		_, err := env.Stream(t.Context(), job(resumable), &got)
+		assert.NilError(t, err, "cut after %d bytes", cut)
+		delivered := cut * 3 / len(whole)
+		assert.Equal(t, got.body.String(), crlf(events(1, delivered))+events(1+delivered, 3), "cut after %d bytes", cut)
+	}
+}
