Streams: don't deliver a stream without its first event

What callers saw: if an engine omitted the first event, or began later without Last-Event-Id, the response ended as complete.

Cause: the first event of a new stream was not checked, as there is no last one to compare it with.

Why it works: events are numbered from 1 or from 0, so that any other first number means a missing event. No head has been sent then, and the attempt fails as broken off, with the outcome unknown.

--- a/gateway/carry/eventorder.go
+++ b/gateway/carry/eventorder.go
@@ -6,43 +6,59 @@
 	"strconv"
 )
 
-// EventOrderError reports an event that is not the one after the last event of its stream.
+// maxFirstEvent is the largest number of the first event of a stream. Engines number events from 1 or from 0.
+const maxFirstEvent = 1
+
+// EventOrderError reports an event that is not the one after the last event of its stream, or not the first
+// one of a new stream.
 type EventOrderError struct {
-	// Last and Event are the numbers of the last event and of the one that was received after it.
-	Last, Event int
+	// Last is the ID of the last event, "" if there is none, and Event the number of the one that was
+	// received after it.
+	Last  string
+	Event int
 }
 
 // Error implements the error interface.
 func (e *EventOrderError) Error() string {
-	return fmt.Sprintf("event %d received after event %d", e.Event, e.Last)
+	if e.Last == "" {
+		return fmt.Sprintf("event %d received as the first", e.Event)
+	}
+	return fmt.Sprintf("event %d received after event %s", e.Event, e.Last)
 }
 
 // inOrder returns the complete events at the beginning of events that continue a stream whose last event
 // has the ID last, and an *EventOrderError if another one comes after them. Only IDs that are numbers
 // are checked.
 func inOrder(events []byte, last string) ([]byte, error) {
-	previous, known := eventNumber(last)
 	begin := 0
 	for rest := events; len(rest) > 0; {
 		var line []byte
 		line, rest = cutLine(rest)
 		if len(line) == 0 {
 			begin = len(events) - len(rest)
-			continue
 		}
 		id, ok := eventID(line)
 		if !ok {
 			continue
 		}
-		number, numbered := eventNumber(id)
-		if known && numbered && number != previous+1 {
-			return events[:begin], &EventOrderError{Last: previous, Event: number}
+		if number, err := strconv.Atoi(id); err == nil && !mayFollow(number, last) {
+			return events[:begin], &EventOrderError{Last: last, Event: number}
 		}
-		previous, known = number, numbered
+		last = id
 	}
 	return events, nil
 }
 
+// mayFollow reports whether the event with the given number may be the one after the event with the ID last,
+// or the first one if last is "".
+func mayFollow(number int, last string) bool {
+	if last == "" {
+		return number <= maxFirstEvent
+	}
+	previous, err := strconv.Atoi(last)
+	return err != nil || number == previous+1
+}
+
 // cutLine returns the first line of b without its end, and what follows it.
 func cutLine(b []byte) (line, rest []byte) {
 	end := bytes.IndexFunc(b, isLineEnd)
@@ -61,9 +77,3 @@
 	text, ok := bytes.CutPrefix(line, []byte("id:"))
 	return string(bytes.TrimSpace(text)), ok
 }
-
-// eventNumber returns the number in an event ID. ok is false if it is not a number.
-func eventNumber(id string) (number int, ok bool) {
-	number, err := strconv.Atoi(id)
-	return number, err == nil
-}
--- a/gateway/carry/eventorder_test.go
+++ b/gateway/carry/eventorder_test.go
@@ -122,6 +122,16 @@
 	}
 }
 
+// TestFirstEventIsNotMissing guards against a stream whose first event is missing.
+func TestFirstEventIsNotMissing(t *testing.T) {
+	env := newStreamEnv(t)
+	env.serveStreams(reply{verdict: dialect.Success, status: http.StatusOK, body: events(2, 5)})
+	var got streamRecorder
+	_, err := env.Stream(t.Context(), job(singleRun), &got)
+	assert.Equal(t, outcomeOf(t, err), Unknown)
+	assert.Equal(t, got.heads, 0)
+}
+
 // TestCallerCannotHaveAnEnginePassedOver guards against callers who take engines out of service by a wrong
 // Last-Event-Id.
 func TestCallerCannotHaveAnEnginePassedOver(t *testing.T) {
@@ -138,8 +148,8 @@
 // TestOtherEventIDsAreForwarded checks that only IDs that are numbers are checked.
 func TestOtherEventIDsAreForwarded(t *testing.T) {
 	for _, text := range []string{
-		"id: a-7\ndata: x\n\nid: a-3\ndata: x\n\n", ": comment\n\nid: 7\ndata: x\n\ndata: without an ID\n\nid: 8\ndata: x\n\n",
-		"id: 3\rdata: x\r\rid: 4\rdata: x\r\r", "weight-versions: 5\nid: 2\ndata: id: 9\n\nid: 3\n\n",
+		"id: a-7\ndata: x\n\nid: a-3\ndata: x\n\n", ": comment\n\nid: 0\ndata: x\n\ndata: without an ID\n\nid: 1\ndata: x\n\n",
+		"id: 1\rdata: x\r\rid: 2\rdata: x\r\r", "weight-versions: 5\nid: 1\ndata: id: 9\n\nid: 2\n\n",
 	} {
 		ordered, err := inOrder([]byte(text), "")
 		assert.NilError(t, err, "%q", text)
