--- /dev/null
+++ b/gateway/carry/eventorder.go
@@ -0,0 +1,79 @@
+package carry
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+)
+
+// maxFirstEvent is the largest number of the first event of a stream. Engines number events from 1 or from 0.
+const maxFirstEvent = 1
+
+// EventOrderError reports an event that is not the one after the last event of its stream, or not the first
+// one of a new stream.
+type EventOrderError struct {
+	// Last is the ID of the last event, "" if there is none, and Event the number of the one that was
+	// received after it.
+	Last  string
+	Event int
+}
+
+// Error implements the error interface.
+func (e *EventOrderError) Error() string {
+	if e.Last == "" {
+		return fmt.Sprintf("event %d received as the first", e.Event)
+	}
+	return fmt.Sprintf("event %d received after event %s", e.Event, e.Last)
+}
+
+// inOrder returns the complete events at the beginning of events that continue a stream whose last event
+// has the ID last, and an *EventOrderError if another one comes after them. Only IDs that are numbers
+// are checked.
+func inOrder(events []byte, last string) ([]byte, error) {
+	begin := 0
+	for rest := events; len(rest) > 0; {
+		var line []byte
+		line, rest = cutLine(rest)
+		if len(line) == 0 {
+			begin = len(events) - len(rest)
+		}
+		id, ok := eventID(line)
+		if !ok {
+			continue
+		}
+		if number, err := strconv.Atoi(id); err == nil && !mayFollow(number, last) {
+			return events[:begin], &EventOrderError{Last: last, Event: number}
+		}
+		last = id
+	}
+	return events, nil
+}
+
+// mayFollow reports whether the event with the given number may be the one after the event with the ID last,
+// or the first one if last is "".
+func mayFollow(number int, last string) bool {
+	if last == "" {
+		return number <= maxFirstEvent
+	}
+	previous, err := strconv.Atoi(last)
+	return err != nil || number == previous+1
+}
+
+// cutLine returns the first line of b without its end, and what follows it.
+func cutLine(b []byte) (line, rest []byte) {
+	end := bytes.IndexFunc(b, isLineEnd)
+	switch {
+	case end < 0:
+		return b, nil
+	case bytes.HasPrefix(b[end:], []byte("\r\n")):
+		return b[:end], b[end+2:]
+	default:
+		return b[:end], b[end+1:]
+	}
+}
+
+// eventID returns the event ID in a line of an event. ok is false if the line holds none.
+func eventID(line []byte) (id string, ok bool) {
+	text, ok := bytes.CutPrefix(line, []byte("id:"))
+	return string(bytes.TrimSpace(text)), ok
+}
