roundtrip: a message is never taken as whole at its size limit

A response to an earlier request was skipped up to 1 MiB, and what followed in its body was read as the next response's head: a caller could get what stood inside it. After more than five interim responses the sixth was returned as final, and the connection was kept: the final response, when it came, was the answer to the next request, and the gateway's own requests have no ID to tell. Both now end the connection, and the request counts as sent with unknown outcome.

ReadBody and discard are the one way to read with a limit: what is longer is an error, never a short message.

Tests that failed before: TestResponseInsideAStrayOneIsNotTaken, TestInterimResponsesBeyondTheLimitEndTheConnection, the interim responses in TestEndlessResponseIsBroken and TestTricklingResponseEndsWithItsContext. The other 17 kinds of responses without end in these tests (heads, bodies, chunks, extensions, trailers, bytes before the status line) passed before: broken within 2 s when fast, at the request's timeout of 200 ms when a piece comes each 10 ms, connection closed, evidence ambiguous.

--- a/adapter/roundtrip/conn.go
+++ b/adapter/roundtrip/conn.go
@@ -154,7 +154,7 @@
 		if skipped >= m.maxSkipped || resp.Close {
 			return nil, &MismatchedResponseError{}
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes)); err != nil {
+		if err := discard(resp.Body, maxSkippedBytes); err != nil {
 			return nil, unexpectedEOF(err)
 		}
 	}
@@ -163,19 +163,26 @@
 // maxInterim is the maximum number of interim responses (status 1xx) to skip.
 const maxInterim = 5
 
+// InterimResponsesError reports an upstream that sent more than maxInterim interim responses.
+type InterimResponsesError struct{}
+
+// Error implements error.
+func (*InterimResponsesError) Error() string { return "too many interim responses" }
+
 // readHead reads the head of a final response and skips interim responses.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
 	c.limited.N = maxResponseHeaderBytes
 	defer func() { c.limited.N = math.MaxInt64 }()
-	for interim := 0; ; interim++ {
+	for range maxInterim + 1 {
 		resp, err := http.ReadResponse(c.buf, req)
 		if err != nil {
 			return nil, unexpectedEOF(err)
 		}
-		if !isInterim(resp.StatusCode) || interim == maxInterim {
+		if !isInterim(resp.StatusCode) {
 			return resp, nil
 		}
 	}
+	return nil, &InterimResponsesError{}
 }
 
 // isInterim reports whether a response with this status is followed by another
