--- a/adapter/roundtrip/conn.go
+++ b/adapter/roundtrip/conn.go
@@ -20,6 +20,8 @@
 	idleSince time.Time
 	// busy means that the user timeout is that of a long request.
 	busy bool
+	// hasDeadline means that a read deadline is set.
+	hasDeadline bool
 	// limited limits the number of bytes read for the response head.
 	limited io.LimitedReader
 	buf     *bufio.Reader
@@ -221,6 +223,11 @@
 		c.busy = false
 		c.setUserTimeout(idleUserTimeout)
 	}
+	if c.hasDeadline {
+		// An error means that the connection is closed, which its next use shows.
+		c.hasDeadline = false
+		_ = c.net.SetReadDeadline(time.Time{})
+	}
 	c.idle.put(c)
 }
 
--- a/adapter/roundtrip/endless_test.go
+++ b/adapter/roundtrip/endless_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -30,7 +32,7 @@
 		{"interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
 		{"stray response", "HTTP/1.1 200 OK\r\nX-Stray: 1\r\nContent-Length: 99999999\r\n\r\n", "x"},
 		{"stray response until close", "HTTP/1.1 200 OK\r\nX-Stray: 1\r\n\r\n", "x"},
-		{"stray response of chunks", "HTTP/1.1 200 OK\r\nX-Stray: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+		{"stray response of chunks", "HTTP/1.1 200 OK\r\nX-Stray: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "10\r\n0123456789abcdef\r\n"},
 		{"stray responses", "", "HTTP/1.1 200 OK\r\nX-Stray: 1\r\nContent-Length: 0\r\n\r\n"},
 	}
 	endlessBodies = []endless{
@@ -163,6 +165,60 @@
 	}
 }
 
+// TestEndlessHeadsTakeLittleMemory guards against heads that take much more memory than their bytes.
+func TestEndlessHeadsTakeLittleMemory(t *testing.T) {
+	const connections = 100
+	const limit = 32 << 20
+	for _, e := range []endless{
+		{"distinct headers", "HTTP/1.1 200 OK\r\n" + distinctHeaders(maxResponseHeaderBytes-100), ""},
+		{"header line", "HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", maxResponseHeaderBytes-100), ""},
+	} {
+		t.Run(e.name, func(t *testing.T) {
+			arrived, release := make(chan struct{}, connections), make(chan struct{})
+			s := serveConcurrently(t, func(c net.Conn) {
+				_, _ = io.WriteString(c, e.head)
+				arrived <- struct{}{}
+				<-release
+			})
+			c := New(Options{})
+			defer c.Close()
+			ctx, cancel := context.WithCancel(t.Context())
+			before := heapBytes()
+			var calls sync.WaitGroup
+			for range connections {
+				calls.Go(func() {
+					if err := receive(ctx, c, s); !errors.Is(err, context.Canceled) {
+						t.Errorf("%v", err)
+					}
+				})
+			}
+			for range connections {
+				<-arrived
+			}
+			time.Sleep(100 * time.Millisecond)
+			used := heapBytes() - before
+			cancel()
+			close(release)
+			calls.Wait()
+			t.Logf("%d KiB", used>>10)
+			assert.Assert(t, used < limit, "%d bytes", used)
+		})
+	}
+}
+
+// distinctHeaders returns short header lines with distinct names, of the given size in bytes.
+func distinctHeaders(size int) string {
+	var b strings.Builder
+	for i := 0; b.Len() < size; i++ {
+		name := ""
+		for n := i; n >= 0; n = n/26 - 1 {
+			name += string(rune('a' + n%26))
+		}
+		b.WriteString(name + ":\r\n")
+	}
+	return b.String()
+}
+
 // serveConcurrently serves each connection with answer once a request has arrived.
 func serveConcurrently(t *testing.T, answer func(c net.Conn)) (address string) {
 	t.Helper()
@@ -189,6 +245,13 @@
 	return l.Addr().String()
 }
 
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
 // TestResponseInsideAStrayOneIsNotTaken guards against a part of a stray response's body that is taken for the
 // response.
 func TestResponseInsideAStrayOneIsNotTaken(t *testing.T) {
@@ -218,6 +281,44 @@
 	assert.Equal(t, len(c.idle.conns), 0)
 }
 
+// TestDrainIsShort guards against a wait for the rest of a response that is of no use, and against connections that
+// are closed though the rest was short.
+func TestDrainIsShort(t *testing.T) {
+	const head = "HTTP/1.1 503 Busy\r\nContent-Length: 100000000\r\n\r\n"
+	for _, pause := range []time.Duration{0, 10 * time.Millisecond, time.Hour} {
+		t.Run(pause.String(), func(t *testing.T) {
+			arrived, release := make(chan struct{}), make(chan struct{})
+			address := serveConcurrently(t, func(c net.Conn) {
+				_, _ = io.WriteString(c, head)
+				if pause == time.Hour {
+					<-release
+					return
+				}
+				endless{piece: "x"}.send(c, pause)
+				close(arrived)
+			})
+			defer close(release)
+			c := New(Options{})
+			defer c.Close()
+			resp := respond(t, c, address)
+			start := time.Now()
+			Drain(resp)
+			assert.Assert(t, time.Since(start) < 2*maxDrainTime, "%v", time.Since(start))
+			assert.Equal(t, len(c.idle.conns), 0)
+			if pause != time.Hour {
+				awaitClosed(t, arrived)
+			}
+		})
+	}
+	s := serve(t, func(_ int64, c net.Conn) bool { return respondOK(c) })
+	c := New(Options{})
+	defer c.Close()
+	Drain(respond(t, c, s.address))
+	time.Sleep(2 * maxDrainTime)
+	assert.NilError(t, send(t, c, t.Context(), "POST", s.address, []byte("x")))
+	assert.Equal(t, s.conns.Load(), int64(1))
+}
+
 // respond sends a request and returns the response, whose body is not read yet.
 func respond(t *testing.T, c *Client, address string) *http.Response {
 	t.Helper()
