carry: bytes of a stream that complete no event are neither events nor progress

Comments, blank lines and unknown fields counted as events. An engine that sent only these without end had its stream begun: the caller got the head and the bytes, as fast as they came, until its deadline, and the limit of the time to the first event was off. Any byte counted as a sign of life, so that a stream at an engine that no longer answers, but sends a byte now and then, was never taken over. An event of 1 MiB was collected outside the memory budget: 100 streams without an event held 109 MiB, while a small instance has 112 MB, and cost 7.8 s of processor time.

eventBuffer is now the one place that collects a stream's bytes, for engines, peers and takeovers. What is no event waits for the next event, or for the end of the body, and is delivered with it, so that no byte is lost or moved; 1 MiB without an event ends the run with unknown outcome and closes the connection. The watchdog is restarted by events only; an engine that answers its checks keeps its stream as before.

Before: TestEndlessStreamWithoutEventsGoesOnElsewhere and TestEndlessRelayedStreamIsBrokenOff did not end, TestTricklingStreamWithoutEventsIsAnsweredInTime failed for comments, blank lines and unknown fields, TestBytesWithoutEventsAreNoProgress in all cases, TestEndlessStreamsTakeLittleMemory with 109 MiB (limit 24). Now: none, 4 MiB. TestEndlessPlainAnswerIsBrokenOff and TestCommentsArriveWithTheNextEvent passed before.

--- a/gateway/carry/bodyend.go
+++ b/gateway/carry/bodyend.go
@@ -73,9 +73,10 @@
 // check returns an error if the body is not complete, or if its end is that of its connection and may
 // be due to the end of the process. An orderly end at a process that goes on counts as complete.
 func (e bodyEnd) check() error {
+	incomplete := e.rest[lastEventEnd(e.rest):]
 	switch {
-	case insideEvent(e.rest):
-		return &IncompleteEventError{Bytes: len(e.rest)}
+	case insideEvent(incomplete):
+		return &IncompleteEventError{Bytes: len(incomplete)}
 	case e.framing != framedByConnection:
 		return nil
 	case e.stopped:
--- a/gateway/carry/eventend.go
+++ b/gateway/carry/eventend.go
@@ -43,3 +43,16 @@
 	}
 	return false
 }
+
+// holdsEvent reports whether complete blocks of a stream have a field that callers read. Comments and unknown fields
+// are no event.
+func holdsEvent(blocks []byte) bool {
+	for line := range bytes.FieldsFuncSeq(blocks, isLineEnd) {
+		name, _, _ := bytes.Cut(line, []byte{':'})
+		switch string(name) {
+		case "data", "event", "id", "retry":
+			return true
+		}
+	}
+	return false
+}
--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -10,25 +10,12 @@
 
 	"github.com/wardspool/wardspool/adapter/roundtrip"
 	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/memory"
 	"github.com/wardspool/wardspool/gateway/relay"
 	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/logs"
 )
 
-const (
-	// readBytes is the size of the buffer for reading a stream. One event takes a few hundred
-	// bytes.
-	readBytes = 4 << 10
-	// maxEventBytes limits the size of one event.
-	maxEventBytes = 1 << 20
-)
-
-// EventSizeError reports an event that exceeds maxEventBytes.
-type EventSizeError struct{}
-
-// Error implements the error interface.
-func (*EventSizeError) Error() string { return "stream event exceeds the size limit" }
-
 // CallerWriteError reports that the response could not be written to the caller.
 type CallerWriteError struct{ Err error }
 
@@ -187,13 +174,8 @@
 	p := r.placement
 	started := false
 	before := s.events.Load()
-	heard := func(n int) {
-		r.watchdog.heard()
-		if n > 0 {
-			s.lastReadAt = clock.Now()
-		}
-	}
-	return readEvents(r.body(), heard, func(events []byte) error {
+	return readEvents(r.body(), s.j.Memory, r.watchdog.heard, func(events []byte) error {
+		s.lastReadAt = clock.Now()
 		if !s.takeover.enterDelivery() {
 			return &SupersededError{}
 		}
@@ -225,28 +207,33 @@
 }
 
 // readEvents reads a body until it ends and returns what follows the last complete event. The end of
-// the body does not show that the stream is complete. readEvents calls heard with the number of bytes
-// after each read, and deliver with complete events; an error of deliver is a *CallerWriteError.
-func readEvents(body io.Reader, heard func(n int), deliver func(events []byte) error) (rest []byte, err error) {
-	var pending []byte
+// the body does not show that the stream is complete. readEvents calls heard when an event arrives and when the
+// body ends, but not for other bytes: they may come without end. It calls deliver with complete events; an error of
+// deliver is a *CallerWriteError. account accounts for events of unusual size.
+func readEvents(body io.Reader, account *memory.Account, heard func(), deliver func(events []byte) error) (rest []byte, err error) {
+	pending := eventBuffer{account: account}
 	buf := make([]byte, readBytes)
 	for {
 		n, err := body.Read(buf)
-		heard(n)
-		pending = append(pending, buf[:n]...)
-		if end := lastEventEnd(pending); end > 0 {
-			if err := deliver(pending[:end]); err != nil {
+		if addErr := pending.add(buf[:n]); addErr != nil {
+			heard()
+			return nil, addErr
+		}
+		if events := pending.complete(); len(events) > 0 {
+			heard()
+			if err := deliver(events); err != nil {
 				return nil, &CallerWriteError{Err: err}
 			}
-			pending = append(pending[:0], pending[end:]...)
+			pending.removeComplete()
+		}
+		if err != nil {
+			heard()
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return pending, nil
+			return pending.bytes, nil
 		case err != nil:
-			return pending, err
-		case len(pending) > maxEventBytes:
-			return nil, &EventSizeError{}
+			return pending.bytes, err
 		}
 	}
 }
--- a/gateway/carry/relay.go
+++ b/gateway/carry/relay.go
@@ -239,7 +239,7 @@
 func (s *stream) copyRelayed(ctx context.Context, r *run) error {
 	resp := r.resp
 	version, known := relay.TakeSoftwareVersion(resp.Header)
-	rest, err := readEvents(r.body(), func(int) {}, func(events []byte) error {
+	rest, err := readEvents(r.body(), s.j.Memory, func() {}, func(events []byte) error {
 		if r.answerTimer != nil {
 			r.answerTimer.Stop()
 		}
--- a/gateway/carry/run.go
+++ b/gateway/carry/run.go
@@ -56,12 +56,16 @@
 
 // receiveEvent reads the body up to its first complete event, or to its end.
 func (r *run) receiveEvent() error {
+	first := eventBuffer{account: r.s.j.Memory}
 	buf := make([]byte, readBytes)
-	for lastEventEnd(r.received) == 0 {
+	for len(first.complete()) == 0 {
 		n, err := r.resp.Body.Read(buf)
-		r.received = append(r.received, buf[:n]...)
+		addErr := first.add(buf[:n])
+		r.received = first.bytes
+		if addErr != nil {
+			return addErr
+		}
 		if r.watchdog != nil {
-			r.watchdog.heard()
 			err = r.watchdog.attemptError(err)
 		}
 		switch {
@@ -69,10 +73,11 @@
 			return nil
 		case err != nil:
 			return err
-		case len(r.received) > maxEventBytes:
-			return &EventSizeError{}
 		}
 	}
+	if r.watchdog != nil {
+		r.watchdog.heard()
+	}
 	return nil
 }
 
