carry: the rest of a refusal is not waited for

A request that an upstream had refused, attested by the head, waited for the whole body, although nothing of it is used: up to 16 MiB of the memory budget, or until the deadline if it trickled, so that a request that may run once was not sent to another upstream in time. The same held for answers without a signature.

--- a/gateway/carry/carry.go
+++ b/gateway/carry/carry.go
@@ -328,11 +328,14 @@
 
 // readResponse reads a complete response. If the body cannot be read, a success or a failure
 // reported by the upstream becomes a failed attempt. The other verdicts do not depend on the
-// body; in particular, a refusal remains proof that the request did not run.
+// body, which is not waited for; in particular, a refusal remains proof that the request did not run.
 func (c *Forwarder) readResponse(ctx context.Context, j *Job, u dialect.Upstream, resp *http.Response, v dialect.Verdict, account *memory.Account) *attempt {
-	senderLives := func() bool { return v != dialect.Success && v != dialect.Failure || c.lives(j, u) }
-	body, err := readResponseBody(ctx, resp, account, senderLives)
-	if err != nil && (v == dialect.Success || v == dialect.Failure) {
+	if v != dialect.Success && v != dialect.Failure {
+		roundtrip.Drain(resp)
+		return &attempt{framing: framingOf(resp), verdict: v}
+	}
+	body, err := readResponseBody(ctx, resp, account, func() bool { return c.lives(j, u) })
+	if err != nil {
 		return &attempt{framing: framingOf(resp), err: err}
 	}
 	return &attempt{framing: framingOf(resp), response: &Response{Status: resp.StatusCode, Header: roundtrip.EndToEnd(resp.Header), Body: body}, verdict: v}
--- a/gateway/carry/endless_test.go
+++ b/gateway/carry/endless_test.go
@@ -226,6 +226,31 @@
 	return int64(m.HeapAlloc)
 }
 
+// TestEndlessBodyOfARefusalIsNotWaitedFor guards against a refused request that waits for the rest of a body that
+// nobody needs, until it is too late for another upstream.
+func TestEndlessBodyOfARefusalIsNotWaitedFor(t *testing.T) {
+	for _, pause := range []time.Duration{0, 100 * time.Millisecond} {
+		for _, v := range []dialect.Verdict{dialect.Refused, dialect.WrongUpstream} {
+			bubble.Test(t, func(t *testing.T) {
+				env := newTestEnv(t, ampleBudget, plainUps("x", "y")...)
+				body := newEndlessBody("", "x", pause)
+				refused := reply{verdict: v, status: 503, stream: body}
+				answer := reply{verdict: dialect.Success, status: 200, body: "ok"}
+				env.d.do["x"], env.d.do["y"] = []reply{refused, answer}, []reply{answer}
+				env.d.reserve["x"] = nil
+				start := time.Now()
+				for !body.isClosed() {
+					a, err := env.Plain(t.Context(), job(atMostOnce))
+					assert.NilError(t, err)
+					assert.Equal(t, string(a.Body), "ok")
+				}
+				assert.Assert(t, time.Since(start) < time.Second, "%v", time.Since(start))
+				assert.Assert(t, body.sent < 1<<20, "%d bytes", body.sent)
+			})
+		}
+	}
+}
+
 // TestEndlessPlainAnswerIsBrokenOff guards against a plain answer without end that counts as whole or as not run, or
 // whose connection stays open.
 func TestEndlessPlainAnswerIsBrokenOff(t *testing.T) {
