agent: an engine's control answer without end is no answer

A body was cut at 4 MiB and counted as whole: an engine that sends bytes without end after its health answer was healthy. The head was limited to 10 MiB by net/http; one with short lines allocated 187 MB. Bodies are read by roundtrip.ReadBody now and fail as an invalid response, heads take at most 16 KiB.

TestEndlessResponseIsNoResponse failed before for the body, the body with a length and the headers; the body of an error passed.

--- a/agent/engines/client.go
+++ b/agent/engines/client.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"time"
 
+	"github.com/wardspool/wardspool/adapter"
+	"github.com/wardspool/wardspool/adapter/roundtrip"
 	"github.com/wardspool/wardspool/agent/meter"
 	"github.com/wardspool/wardspool/ident"
 )
@@ -30,6 +32,9 @@
 // headerLoad carries a load report on each response.
 const headerLoad = "endpoint-load-metrics"
 
+// maxHeaderBytes limits the headers of a response, in bytes.
+const maxHeaderBytes = 16 << 10
+
 // maxBody limits the body of a response, in bytes.
 const maxBody = 4 << 20
 
@@ -63,6 +68,8 @@
 			ReadBufferSize:      bufferBytes,
 			WriteBufferSize:     bufferBytes,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
@@ -169,7 +176,11 @@
 	}
 	// An error of Close is ignored: the body was read to its end or is discarded.
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	data, err := roundtrip.ReadBody(resp.Body, maxBody)
+	var tooLarge *adapter.TooLargeError
+	if errors.As(err, &tooLarge) {
+		return nil, &CallError{Address: address, Path: path, Kind: FailBody, Status: resp.StatusCode, Err: err}
+	}
 	if err != nil {
 		return nil, &CallError{Address: address, Path: path, Kind: FailTimeout, Err: err}
 	}
--- a/agent/engines/client_test.go
+++ b/agent/engines/client_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -144,3 +146,42 @@
 		})
 	}
 }
+
+// TestEndlessResponseIsNoResponse guards against a response without end that counts as whole, or that takes much
+// memory.
+func TestEndlessResponseIsNoResponse(t *testing.T) {
+	const limit = 48 << 20
+	for name, c := range map[string]struct{ head, piece string }{
+		"headers":            {"HTTP/1.1 200 OK\r\n", "a: b\r\n"},
+		"body":               {"HTTP/1.1 200 OK\r\n\r\n{}", " "},
+		"body of an error":   {"HTTP/1.1 503 Busy\r\n\r\n{}", " "},
+		"body with a length": {"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n{}", " "},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client, closed := newClient(t), make(chan struct{})
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer l.Close()
+			go func() {
+				defer close(closed)
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				_, _ = conn.Read(make([]byte, 4<<10))
+				_, err = io.WriteString(conn, c.head)
+				for piece := strings.Repeat(c.piece, 4<<10); err == nil; {
+					_, err = io.WriteString(conn, piece)
+				}
+			}()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			err = client.Health(t.Context(), l.Addr().String())
+			runtime.ReadMemStats(&after)
+			assert.Assert(t, err != nil)
+			assert.Assert(t, after.TotalAlloc-before.TotalAlloc < limit, "%d bytes", after.TotalAlloc-before.TotalAlloc)
+			<-closed
+		})
+	}
+}
