agent, configservice: heads of the config service take at most 16 KiB

All clients have the same limit now, roundtrip.MaxHeaderBytes. The agent's own transport for the same service has it too; that one is not tested by itself.

--- a/adapter/roundtrip/client.go
+++ b/adapter/roundtrip/client.go
@@ -49,9 +49,9 @@
 	DefaultBufferBytes     = 4 << 10
 )
 
-// maxResponseHeaderBytes limits the size of an upstream's response headers. Short headers with distinct names take
-// 15 times their bytes.
-const maxResponseHeaderBytes = 16 << 10
+// MaxHeaderBytes limits the size of a response's headers. Short headers with distinct names take 15 times their
+// bytes.
+const MaxHeaderBytes = 16 << 10
 
 // withDefaults returns a copy of o in which zero fields have their defaults.
 func (o Options) withDefaults() Options {
--- a/adapter/roundtrip/conn.go
+++ b/adapter/roundtrip/conn.go
@@ -173,7 +173,7 @@
 
 // readHead reads the head of a final response and skips interim responses.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
-	c.limited.N = maxResponseHeaderBytes
+	c.limited.N = MaxHeaderBytes
 	defer func() { c.limited.N = math.MaxInt64 }()
 	for range maxInterim + 1 {
 		resp, err := http.ReadResponse(c.buf, req)
--- a/adapter/roundtrip/conn_test.go
+++ b/adapter/roundtrip/conn_test.go
@@ -217,7 +217,7 @@
 
 func TestHeadIsBounded(t *testing.T) {
 	s := serve(t, func(_ int64, c net.Conn) bool {
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Long: "+strings.Repeat("x", maxResponseHeaderBytes)+"\r\n\r\n")
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Long: "+strings.Repeat("x", MaxHeaderBytes)+"\r\n\r\n")
 		return false
 	})
 	c := New(Options{})
--- a/adapter/roundtrip/endless_test.go
+++ b/adapter/roundtrip/endless_test.go
@@ -170,8 +170,8 @@
 	const connections = 100
 	const limit = 32 << 20
 	for _, e := range []endless{
-		{"distinct headers", "HTTP/1.1 200 OK\r\n" + distinctHeaders(maxResponseHeaderBytes-100), ""},
-		{"header line", "HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", maxResponseHeaderBytes-100), ""},
+		{"distinct headers", "HTTP/1.1 200 OK\r\n" + distinctHeaders(MaxHeaderBytes-100), ""},
+		{"header line", "HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", MaxHeaderBytes-100), ""},
 	} {
 		t.Run(e.name, func(t *testing.T) {
 			arrived, release := make(chan struct{}, connections), make(chan struct{})
--- a/agent/engines/client.go
+++ b/agent/engines/client.go
@@ -32,9 +32,6 @@
 // headerLoad carries a load report on each response.
 const headerLoad = "endpoint-load-metrics"
 
-// maxHeaderBytes limits the headers of a response, in bytes.
-const maxHeaderBytes = 16 << 10
-
 // maxBody limits the body of a response, in bytes.
 const maxBody = 4 << 20
 
@@ -69,7 +66,7 @@
 			WriteBufferSize:     bufferBytes,
 			DisableCompression:  true,
 
-			MaxResponseHeaderBytes: maxHeaderBytes,
+			MaxResponseHeaderBytes: roundtrip.MaxHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/agent/source.go
+++ b/agent/source.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/wardspool/wardspool/adapter/roundtrip"
 	"github.com/wardspool/wardspool/agent/meter"
 	"github.com/wardspool/wardspool/bundle"
 	"github.com/wardspool/wardspool/bundle/ledger"
@@ -64,6 +65,8 @@
 		ReadBufferSize:      transportBuffer,
 		WriteBufferSize:     transportBuffer,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: roundtrip.MaxHeaderBytes,
 	}
 }
 
--- a/configservice/client.go
+++ b/configservice/client.go
@@ -146,6 +146,8 @@
 		IdleConnTimeout:     time.Minute,
 		// MaxValue and Stats.Bytes apply to the size on the wire.
 		DisableCompression: true,
+
+		MaxResponseHeaderBytes: roundtrip.MaxHeaderBytes,
 	}
 }
 
