--- a/agent/engines/client.go
+++ b/agent/engines/client.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"time"
 
+	"github.com/wardspool/wardspool/adapter"
+	"github.com/wardspool/wardspool/adapter/roundtrip"
 	"github.com/wardspool/wardspool/agent/meter"
 	"github.com/wardspool/wardspool/ident"
 )
@@ -63,6 +65,8 @@
 			ReadBufferSize:      bufferBytes,
 			WriteBufferSize:     bufferBytes,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: roundtrip.MaxHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
@@ -169,7 +173,11 @@
 	}
 	// An error of Close is ignored: the body was read to its end or is discarded.
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	data, err := roundtrip.ReadBody(resp.Body, maxBody)
+	var tooLarge *adapter.TooLargeError
+	if errors.As(err, &tooLarge) {
+		return nil, &CallError{Address: address, Path: path, Kind: FailBody, Status: resp.StatusCode, Err: err}
+	}
 	if err != nil {
 		return nil, &CallError{Address: address, Path: path, Kind: FailTimeout, Err: err}
 	}
