--- a/gateway/carry/gate.go
+++ b/gateway/carry/gate.go
@@ -57,7 +57,12 @@
 // placeDecode places a stream on a decode engine.
 func (s *stream) placeDecode(ctx context.Context, size schedule.Size, exclude []ident.UpstreamID) (schedule.Ticket, bool) {
 	return s.c.place(ctx, s.log, func(now time.Time) (schedule.Ticket, bool) {
-		return s.c.o.Scheduler.PlaceDecode(now, s.eligible(), s.j.Service.Engine, size, exclude)
+		for _, list := range s.candidates() {
+			if t, ok := s.c.o.Scheduler.PlaceDecode(now, list, s.j.Service.Engine, size, exclude); ok {
+				return t, true
+			}
+		}
+		return schedule.Ticket{}, false
 	})
 }
 
--- a/gateway/carry/version.go
+++ b/gateway/carry/version.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync/atomic"
 
 	"github.com/wardspool/wardspool/gateway/dialect"
@@ -48,24 +47,26 @@
 }
 
 // eligible returns the upstreams to which the stream may be sent now: decode engines of its software
-// version, and prefill engines. Every search for an engine is made among them. A resumable stream that has
-// not begun yet prefers the version that may have read its prompt: if engines of two versions keep it, nobody
-// can tell later which of them began the stream.
+// version, and prefill engines. Every search for an engine is made among them.
 func (s *stream) eligible() []dialect.Upstream {
 	list := s.c.eligible(s.j)
 	if _, bound := s.software.get(); bound {
 		return s.software.filter(list)
 	}
-	if _, read := s.readBy.get(); !read || !s.j.Route.Resumable {
-		return list
-	}
-	preferred := s.readBy.filter(list)
-	if !slices.ContainsFunc(preferred, func(u dialect.Upstream) bool {
-		return u.Stage == dialect.StageDecode && !u.Leaving && !slices.Contains(s.excluded, u.ID)
-	}) {
-		return list
-	}
-	return preferred
+	return list
+}
+
+// candidates returns the lists of upstreams among which a decode engine is looked for, one after the other.
+// A resumable stream that has not begun prefers the version that may have read its prompt: if engines of two
+// versions keep it, nobody can tell later which of them began the stream.
+func (s *stream) candidates() [][]dialect.Upstream {
+	list := s.eligible()
+	_, bound := s.software.get()
+	_, read := s.readBy.get()
+	if bound || !read || !s.j.Route.Resumable {
+		return [][]dialect.Upstream{list}
+	}
+	return [][]dialect.Upstream{s.readBy.filter(list), list}
 }
 
 // filter returns the upstreams of a list without the decode engines that the binding doesn't allow.
--- a/gateway/carry/version_test.go
+++ b/gateway/carry/version_test.go
@@ -125,6 +125,7 @@
 		env.promptVersions = map[string]string{"own": "v2"}
 		for _, id := range []ident.UpstreamID{"d1", "d2", "d3", "d4"} {
 			env.d.do[id] = []reply{wholeFrom(1)}
+			delete(env.d.reserve, string(id))
 		}
 		j := job(resumable)
 		j.Call.LastPromptPart = "own"
@@ -135,6 +136,31 @@
 	})
 }
 
+// TestPreferredVersionWithoutRoomRefusesNobody guards against a stream that is refused because the version that
+// read its prompt has no room, while engines of another one do.
+func TestPreferredVersionWithoutRoomRefusesNobody(t *testing.T) {
+	for name, repeated := range map[string]bool{"restarted": false, "sent again by its caller": true} {
+		bubble.Test(t, func(t *testing.T) {
+			env := newVersionedEnv(t, "v1", "v1", "v2", "v2")
+			env.d.do["d1"] = []reply{brokenAfter(0)}
+			env.d.do["d2"], env.d.do["d3"], env.d.do["d4"] = []reply{wholeFrom(1)}, []reply{wholeFrom(1)}, []reply{wholeFrom(1)}
+			full := []error{&dialect.NoCapacityError{}}
+			env.d.reserve["d2"] = full
+			j := job(resumable)
+			if repeated {
+				env.promptVersions = map[string]string{"own": "v1"}
+				j.Call.LastPromptPart = "own"
+				env.d.reserve["d1"] = full
+			}
+			_, err := env.Stream(t.Context(), j, &streamRecorder{})
+			assert.NilError(t, err, name)
+			sent := decodeSends(env)
+			last := sent[len(sent)-1]
+			assert.Assert(t, last == "d3" || last == "d4", "%s: %v", name, sent)
+		})
+	}
+}
+
 // TestMovedStreamStaysAtItsSoftwareVersion guards against a stream that is moved to an engine of another
 // software version.
 func TestMovedStreamStaysAtItsSoftwareVersion(t *testing.T) {
