--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -10,25 +10,12 @@
 
 	"github.com/wardspool/wardspool/adapter/roundtrip"
 	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/memory"
 	"github.com/wardspool/wardspool/gateway/relay"
 	"github.com/wardspool/wardspool/internal/clock"
 	"github.com/wardspool/wardspool/logs"
 )
 
-const (
-	// readBytes is the size of the buffer for reading a stream. One event takes a few hundred
-	// bytes.
-	readBytes = 4 << 10
-	// maxEventBytes limits the size of one event.
-	maxEventBytes = 1 << 20
-)
-
-// EventSizeError reports an event that exceeds maxEventBytes.
-type EventSizeError struct{}
-
-// Error implements the error interface.
-func (*EventSizeError) Error() string { return "stream event exceeds the size limit" }
-
 // CallerWriteError reports that the response could not be written to the caller.
 type CallerWriteError struct{ Err error }
 
@@ -104,8 +91,7 @@
 // callerLeft reports whether a stream ended because writing to its caller failed.
 func callerLeft(err error) bool {
 	var caller *CallerWriteError
-	var superseded *SupersededError
-	return errors.As(err, &caller) && !errors.As(err, &superseded)
+	return errors.As(err, &caller)
 }
 
 // handleStreamEnd handles a stream that ended early, and reports whether it may continue at
@@ -152,11 +138,21 @@
 		return false
 	}
 	s.c.recordAttempt(u, &attempt{err: err}, 0, s.log)
+	s.recordDisorder(u, err)
 	s.recordInterruption(ctx, interruption{upstream: u, sentAt: s.sentAt, wasAlive: true, eventCount: eventCount, begunBefore: s.begunBefore(eventCount), cause: err})
 	s.excluded = append(s.excluded, u.ID)
 	return s.j.Route.Repeatable() && s.runs < s.j.Route.MaxAttempts
 }
 
+// recordDisorder excludes an engine from scheduling for a time if it sent an event out of order. The number
+// of the last event that a caller states may be wrong, so it is no evidence.
+func (s *stream) recordDisorder(u dialect.Upstream, err error) {
+	var disorder *EventOrderError
+	if errors.As(err, &disorder) && s.events.Load() > 0 {
+		s.skipEngine(u, disorder.Error())
+	}
+}
+
 // logStreamEnd logs a run that ended early.
 func (s *stream) logStreamEnd(u dialect.Upstream, err error, eventCount int) {
 	s.log.Info("stream broke off", "upstream", u.ID, "software_version", u.SoftwareVersion, "by", string(s.cutReason), "events", s.events.Load(), "here", eventCount, "last_event", s.lastEvent,
@@ -187,13 +183,8 @@
 	p := r.placement
 	started := false
 	before := s.events.Load()
-	heard := func(n int) {
-		r.watchdog.heard()
-		if n > 0 {
-			s.lastReadAt = clock.Now()
-		}
-	}
-	return readEvents(r.body(), heard, func(events []byte) error {
+	return readEvents(r.body(), s.j.Memory, r.watchdog.heard, func(events []byte) error {
+		s.lastReadAt = clock.Now()
 		if !s.takeover.enterDelivery() {
 			return &SupersededError{}
 		}
@@ -225,28 +216,33 @@
 }
 
 // readEvents reads a body until it ends and returns what follows the last complete event. The end of
-// the body does not show that the stream is complete. readEvents calls heard with the number of bytes
-// after each read, and deliver with complete events; an error of deliver is a *CallerWriteError.
-func readEvents(body io.Reader, heard func(n int), deliver func(events []byte) error) (rest []byte, err error) {
-	var pending []byte
+// the body does not show that the stream is complete. readEvents calls heard when an event arrives and when the
+// body ends, but not for other bytes: they may come without end. It calls deliver with complete events and returns its
+// error. account accounts for events of unusual size.
+func readEvents(body io.Reader, account *memory.Account, heard func(), deliver func(events []byte) error) (rest []byte, err error) {
+	pending := eventBuffer{account: account}
 	buf := make([]byte, readBytes)
 	for {
 		n, err := body.Read(buf)
-		heard(n)
-		pending = append(pending, buf[:n]...)
-		if end := lastEventEnd(pending); end > 0 {
-			if err := deliver(pending[:end]); err != nil {
-				return nil, &CallerWriteError{Err: err}
+		if addErr := pending.add(buf[:n]); addErr != nil {
+			heard()
+			return nil, addErr
+		}
+		if events := pending.complete(); len(events) > 0 {
+			heard()
+			if err := deliver(events); err != nil {
+				return nil, err
 			}
-			pending = append(pending[:0], pending[end:]...)
+			pending.removeComplete()
+		}
+		if err != nil {
+			heard()
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return pending, nil
+			return pending.bytes, nil
 		case err != nil:
-			return pending, err
-		case len(pending) > maxEventBytes:
-			return nil, &EventSizeError{}
+			return pending.bytes, err
 		}
 	}
 }
@@ -273,15 +269,27 @@
 	if s.headSent && len(end.rest) == 0 {
 		return nil
 	}
-	if err := s.deliver(resp, end.rest); err != nil {
-		return &CallerWriteError{Err: err}
-	}
-	return nil
+	return s.deliver(resp, end.rest)
 }
 
 // deliver sends complete events to the caller, preceded by the response head if it was not sent
-// yet.
+// yet. It stops before an event that is out of order and returns an *EventOrderError. If the events
+// could not be sent, the error is a *CallerWriteError.
 func (s *stream) deliver(resp *http.Response, events []byte) error {
+	ordered, err := inOrder(events, s.lastEvent)
+	if err != nil {
+		s.c.o.Count("events_out_of_order")
+	}
+	if len(ordered) > 0 || err == nil {
+		if err := s.write(resp, ordered); err != nil {
+			return &CallerWriteError{Err: err}
+		}
+	}
+	return err
+}
+
+// write sends events to the caller, preceded by the response head if it was not sent yet.
+func (s *stream) write(resp *http.Response, events []byte) error {
 	if !s.headSent {
 		header := roundtrip.EndToEnd(resp.Header)
 		if version, bound := s.software.get(); s.j.Relayed && bound {
@@ -300,8 +308,8 @@
 // recordEvents counts the delivered events and stores the ID of the last one.
 func (s *stream) recordEvents(events []byte) {
 	for line := range bytes.FieldsFuncSeq(events, isLineEnd) {
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			s.lastEvent = string(bytes.TrimSpace(id))
+		if id, ok := eventID(line); ok {
+			s.lastEvent = id
 			s.events.Add(1)
 		}
 	}
--- a/gateway/carry/run.go
+++ b/gateway/carry/run.go
@@ -54,14 +54,19 @@
 	return io.MultiReader(bytes.NewReader(r.received), r.resp.Body)
 }
 
-// receiveEvent reads the body up to its first complete event, or to its end.
+// receiveEvent reads the body up to its first complete event, or to its end. The event must be the one
+// after the stream's last event.
 func (r *run) receiveEvent() error {
+	first := eventBuffer{account: r.s.j.Memory}
 	buf := make([]byte, readBytes)
-	for lastEventEnd(r.received) == 0 {
+	for len(first.complete()) == 0 {
 		n, err := r.resp.Body.Read(buf)
-		r.received = append(r.received, buf[:n]...)
+		addErr := first.add(buf[:n])
+		r.received = first.bytes
+		if addErr != nil {
+			return addErr
+		}
 		if r.watchdog != nil {
-			r.watchdog.heard()
 			err = r.watchdog.attemptError(err)
 		}
 		switch {
@@ -69,10 +74,14 @@
 			return nil
 		case err != nil:
 			return err
-		case len(r.received) > maxEventBytes:
-			return &EventSizeError{}
 		}
 	}
+	if r.watchdog != nil {
+		r.watchdog.heard()
+	}
+	if ordered, err := inOrder(r.received[:lastEventEnd(r.received)], r.s.lastEvent); len(ordered) == 0 {
+		return err
+	}
 	return nil
 }
 
