origin: contradicting evidence decides nothing, and callers share reads of engines

Change: running, output and prompt are weighed together, and a prompt counts only if all engines asked have shown all they kept. What is read belongs to one incarnation and version; one read an engine is under way at a time, in its own context, and a failed one is repeated after 200 ms.

--- a/gateway/origin/evidence.go
+++ b/gateway/origin/evidence.go
@@ -21,11 +21,15 @@
 	// RuleOutput means that engines of one version alone have kept the prompt, and one also output that
 	// follows it.
 	RuleOutput Rule = "output_kept"
-	// RulePrompt means that engines of one version alone have kept the prompt.
+	// RulePrompt means that engines of one version alone have kept the prompt, and that all have shown what
+	// they kept.
 	RulePrompt Rule = "prompt_kept"
 	// RuleNone means that no engine shows the stream, RuleSeveral that engines of several versions do.
 	RuleNone    Rule = "no_trace"
 	RuleSeveral Rule = "several_versions"
+	// RuleIncomplete means that engines of one version alone have kept the prompt, and that others have not
+	// shown what they kept.
+	RuleIncomplete Rule = "incomplete"
 )
 
 // evidence is what one decode engine shows of a stream.
@@ -39,6 +43,8 @@
 	// restaged means that the engine may have been a prefill engine, which keeps prompts of streams that
 	// other engines begin, but no output.
 	restaged bool
+	// complete means that the engine has shown all that it kept.
+	complete bool
 }
 
 // blockTokens bounds by how much an engine may round down the length of a part that it keeps: caches are
@@ -47,32 +53,30 @@
 
 // decide returns the software version that began a stream. ok is false if no version is certain.
 func decide(q Query, engines []evidence) (version string, ok bool, rule Rule) {
-	running, traced := versionSet{}, versionSet{}
-	output := false
+	shown := versionSet{}
+	running, output, complete := false, false, true
 	for _, e := range engines {
-		if e.running {
-			running.add(e.version)
-		}
-		if q.PartTokens == 0 {
-			continue
-		}
-		began := e.kept > q.PartTokens
-		if began || !e.restaged && e.kept+blockTokens > q.PartTokens {
-			traced.add(e.version)
-			output = output || began
+		complete = complete && e.complete
+		kept := q.PartTokens > 0 && e.kept > q.PartTokens
+		read := q.PartTokens > 0 && !e.restaged && e.kept+blockTokens > q.PartTokens
+		if e.running || kept || read {
+			shown.add(e.version)
 		}
+		running, output = running || e.running, output || kept
 	}
 	switch {
-	case len(running) == 1:
-		return running[0], true, RuleRunning
-	case len(running) > 1 || len(traced) > 1:
-		return "", false, RuleSeveral
-	case len(traced) == 0:
+	case len(shown) == 0:
 		return "", false, RuleNone
+	case len(shown) > 1:
+		return "", false, RuleSeveral
+	case running:
+		return shown[0], true, RuleRunning
 	case output:
-		return traced[0], true, RuleOutput
+		return shown[0], true, RuleOutput
+	case complete:
+		return shown[0], true, RulePrompt
 	default:
-		return traced[0], true, RulePrompt
+		return "", false, RuleIncomplete
 	}
 }
 
--- a/gateway/origin/finder_test.go
+++ b/gateway/origin/finder_test.go
@@ -68,7 +68,8 @@
 		rule    Rule
 	}{
 		"no engine":             {nil, "", RuleNone},
-		"runs":                  {[]evidence{{version: "v1", running: true}, {version: "v2", kept: 1200}}, "v1", RuleRunning},
+		"runs":                  {[]evidence{{version: "v1", running: true}, {version: "v1", kept: 1000}, {version: "v2"}}, "v1", RuleRunning},
+		"runs on elsewhere":     {[]evidence{{version: "v1", running: true}, {version: "v2", kept: 1200}}, "", RuleSeveral},
 		"runs at two versions":  {[]evidence{{version: "v1", running: true}, {version: "v2", running: true}}, "", RuleSeveral},
 		"output":                {[]evidence{{version: "v1"}, {version: "v2", kept: 1064}}, "v2", RuleOutput},
 		"output at two":         {[]evidence{{version: "v1", kept: 1064}, {version: "v2", kept: 1064}}, "", RuleSeveral},
@@ -79,12 +80,19 @@
 		"once a prefill engine": {[]evidence{{version: "v1", kept: 1000, restaged: true}}, "", RuleNone},
 		"output of one such":    {[]evidence{{version: "v1", kept: 1064, restaged: true}, {version: "v2", kept: 1000, restaged: true}}, "v1", RuleOutput},
 	} {
+		for i := range test.shown {
+			test.shown[i].complete = true
+		}
 		version, ok, rule := decide(testQuery, test.shown)
 		assert.Equal(t, version, test.version, name)
 		assert.Equal(t, ok, test.version != "", name)
 		assert.Equal(t, rule, test.rule, name)
 	}
-	_, ok, _ := decide(Query{Attempt: "a", Part: "p"}, []evidence{{version: "v1", kept: 1000}})
+	_, ok, rule := decide(testQuery, []evidence{{version: "v1", kept: 1000, complete: true}, {version: "v2"}})
+	assert.Assert(t, !ok && rule == RuleIncomplete, "%s: the other engine may have begun the stream", rule)
+	version, _, _ := decide(testQuery, []evidence{{version: "v1", kept: 1064, complete: true}, {version: "v2"}})
+	assert.Equal(t, version, "v1")
+	_, ok, _ = decide(Query{Attempt: "a", Part: "p"}, []evidence{{version: "v1", kept: 1000, complete: true}})
 	assert.Assert(t, !ok, "the length of the prompt is unknown")
 }
 
@@ -96,7 +104,7 @@
 		var shown []evidence
 		for range rapid.IntRange(0, 5).Draw(t, "others") {
 			e := evidence{version: rapid.SampledFrom([]string{"v1", "v2", "v3"}).Draw(t, "version"), kept: rapid.SampledFrom([]int{0, 500, 1000, 1500}).Draw(t, "kept")}
-			e.restaged = rapid.Bool().Draw(t, "restaged")
+			e.restaged, e.running, e.complete = rapid.Bool().Draw(t, "restaged"), rapid.Bool().Draw(t, "runs"), rapid.Bool().Draw(t, "complete")
 			shown = append(shown, e)
 		}
 		began := evidence{version: truth, kept: rapid.SampledFrom([]int{1000, 1064}).Draw(t, "began"), running: rapid.Bool().Draw(t, "running")}
@@ -160,3 +168,73 @@
 		assert.Equal(t, found.Incomplete, 1)
 	})
 }
+
+// slowEngines implements EngineReader with engines that take some time to answer.
+type slowEngines struct{ *fakeEngines }
+
+func (s slowEngines) RunningRequests(ctx context.Context, u dialect.Upstream) (map[string]int, error) {
+	select {
+	case <-time.After(10 * time.Millisecond):
+		return s.fakeEngines.RunningRequests(ctx, u)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// TestCallerThatLeavesDoesNotEndTheReadOfOthers guards against origins that are not found because the caller whose
+// return started the read of an engine has left.
+func TestCallerThatLeavesDoesNotEndTheReadOfOthers(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		f := newFakeEngines()
+		f.keep("e1", "p", 1064)
+		finder := NewFinder(slowEngines{f})
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Millisecond)
+		defer cancel()
+		assert.Assert(t, !finder.Find(ctx, []Engine{engine("e1", "v1")}, testQuery, TTL).Known)
+		assert.Assert(t, finder.Find(t.Context(), []Engine{engine("e1", "v1")}, testQuery, TTL).Known)
+	})
+}
+
+// TestEngineThatDidNotAnswerIsAskedAgain guards against an engine that counts as read although it did not answer.
+func TestEngineThatDidNotAnswerIsAskedAgain(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		f := newFakeEngines()
+		f.keep("e1", "p", 1064)
+		f.down = true
+		finder := NewFinder(f)
+		assert.Assert(t, !finder.Find(t.Context(), []Engine{engine("e1", "v1")}, testQuery, TTL).Known)
+		f.down = false
+		time.Sleep(2 * ReadTTL)
+		assert.Assert(t, finder.Find(t.Context(), []Engine{engine("e1", "v1")}, testQuery, TTL).Known)
+	})
+}
+
+// TestLogOfAnotherVersionIsNotReused guards against what an engine showed before it restarted under its ID with
+// another version.
+func TestLogOfAnotherVersionIsNotReused(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		f := newFakeEngines()
+		f.keep("e1", "p", 1064)
+		finder := NewFinder(f)
+		assert.Assert(t, finder.Find(t.Context(), []Engine{engine("e1", "v1")}, testQuery, ReadTTL).Known)
+		f.down = true
+		assert.Assert(t, !finder.Find(t.Context(), []Engine{engine("e1", "v2")}, testQuery, ReadTTL).Known)
+	})
+}
+
+// TestPartsOfAnEngineAreBounded checks that the most recent parts are remembered, and what nobody uses is freed.
+func TestPartsOfAnEngineAreBounded(t *testing.T) {
+	l := newEngineLog(dialect.Upstream{})
+	for n := range 5 * maxRecentParts {
+		l.keep(dialect.CacheEntry{Part: fmt.Sprint(n), Tokens: 1})
+		assert.Assert(t, len(l.recent)+len(l.earlier) <= 2*maxRecentParts)
+	}
+	assert.Equal(t, l.evidence(t.Context(), Query{Part: fmt.Sprint(4 * maxRecentParts)}).kept, 1)
+	bubble.Test(t, func(t *testing.T) {
+		finder := NewFinder(newFakeEngines())
+		finder.Find(t.Context(), []Engine{engine("e1", "v1")}, testQuery, ReadTTL)
+		time.Sleep(idleTTL + time.Second)
+		finder.Expire(time.Now())
+		assert.Equal(t, len(finder.engines), 0)
+	})
+}
