origin: a store that keeps no history, and a gap between lists, show nothing

Cause: an empty history counted as one that shows no other version, and the time since the first list as time in which nothing was missed.

Change: the store says whether it keeps any history before the list; if not, only engines decide. An instance's own record goes before its list.

--- a/gateway/dialect/dialect.go
+++ b/gateway/dialect/dialect.go
@@ -349,6 +349,9 @@
 	States []Upstream
 	// Unidentified is the number of upstreams that were removed and of which no state is kept.
 	Unidentified int
+	// Kept means that the store keeps some history. If it keeps none, nothing is known: stores may discard it
+	// early.
+	Kept bool
 }
 
 // Changes describes the differences between two revisions of the store.
--- a/gateway/fleet/informed.go
+++ b/gateway/fleet/informed.go
@@ -160,6 +160,7 @@
 		n.tokens.accounts.RemoveIdle(now)
 		n.rates.owned.RemoveIdle(now)
 		n.opts.Register.Expire(now)
+		n.finder.Expire(now)
 		if n.opts.Register.HasUnsent() {
 			n.crashSpreader.requestSend()
 		}
--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -139,9 +139,9 @@
 	origins     *origin.Register
 	originAdded chan struct{}
 	finder      *origin.Finder
-	// historyRead is set once the store's history has been read. historyLock guards reading it and
-	// historyFailed, the time of the last failure, while it holds a value.
-	historyRead   bool
+	// historySince is the value of view.listedSince for which the store's history is known. historyLock
+	// guards reading it and historyFailed, the time of the last failure, while it holds a value.
+	historySince  time.Time
 	historyLock   chan struct{}
 	historyFailed time.Time
 
--- a/gateway/fleet/origins.go
+++ b/gateway/fleet/origins.go
@@ -74,11 +74,14 @@
 
 // StreamVersion implements carry.Origins. While one version serves, it asks nobody.
 func (n *Node) StreamVersion(ctx context.Context, service string, q origin.Query) (string, origin.Source) {
+	if version, ok := n.origins.Find(clock.Now(), q.Attempt); ok {
+		return version, origin.OwnRecord
+	}
 	if sole := n.soleVersion(service); sole.certain() {
 		return sole.version, origin.SoleVersion
 	}
-	if version, ok := n.origins.Find(clock.Now(), q.Attempt); ok {
-		return version, origin.OwnRecord
+	if q.Attempt == "" && q.Part == "" {
+		return "", origin.Unknown
 	}
 	if version, ok := n.askOrigin(ctx, q.Attempt); ok {
 		return version, origin.PeerRecord
@@ -90,10 +93,11 @@
 // the loss of all of them.
 func (n *Node) forgottenOrigin(ctx context.Context, service string, q origin.Query) (string, origin.Source) {
 	known := n.readHistory(ctx)
-	if sole := n.soleVersion(service); sole.only && sole.fresh && (sole.settled || known) {
+	sole := n.soleVersion(service)
+	if sole.only && sole.fresh && (sole.settled || known) {
 		return sole.version, origin.OnlyListed
 	}
-	found := n.finder.Find(ctx, n.originEngines(service, known), q, origin.ReadTTL)
+	found := n.finder.Find(ctx, n.originEngines(service, known || sole.only), q, origin.ReadTTL)
 	n.opts.Log.Info("origin searched at engines", "service", service, "first_attempt", q.Attempt, "rule", string(found.Rule), "software_version", found.Version,
 		"asked", found.Asked, "incomplete", found.Incomplete, "traces", found.Traces, "history", known, "took_ms", found.Took.Milliseconds())
 	n.count("origin_" + string(found.Rule))
@@ -118,23 +122,27 @@
 }
 
 // originEngines returns the decode engines that are asked for the origin of a stream of a service. Of a large
-// service, only those of the instance's own zone are asked, where most of its streams run. historyKnown is
-// false if it is not known which of them were prefill engines before.
-func (n *Node) originEngines(service string, historyKnown bool) []origin.Engine {
+// service, only some of the instance's own zone are asked, where most of its streams run. If stagesKnown is
+// false, each of them may have been a prefill engine before.
+func (n *Node) originEngines(service string, stagesKnown bool) []origin.Engine {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	engines := n.view.decodeEngines(clock.Now(), service)
-	for i := range engines {
-		engines[i].Restaged = engines[i].Restaged || !historyKnown
-	}
 	if len(engines) > maxOriginEngines {
-		return slices.DeleteFunc(engines, func(e origin.Engine) bool { return e.Zone != n.opts.Self.Zone })
+		engines = slices.DeleteFunc(engines, func(e origin.Engine) bool { return e.Zone != n.opts.Self.Zone })
+		engines = engines[:min(len(engines), maxOriginEngines)]
+		// An engine that is not asked may have begun the stream.
+		stagesKnown = false
+	}
+	for i := range engines {
+		engines[i].Restaged = engines[i].Restaged || !stagesKnown
 	}
 	return engines
 }
 
-// readHistory reads which upstreams the store listed before this instance read it first, and reports whether
-// that is known. An instance whose list is older than origin.TTL needs no history.
+// readHistory reads which upstreams the store listed before the first list of this instance, or the first one
+// after a gap, and reports whether that is known. An instance whose list is older than origin.TTL needs no
+// history.
 func (n *Node) readHistory(ctx context.Context) bool {
 	select {
 	case n.historyLock <- struct{}{}:
@@ -143,13 +151,15 @@
 		return false
 	}
 	n.mu.Lock()
-	known := n.historyRead || n.view.hasList && clock.Since(n.view.listedSince) >= origin.TTL
+	since := n.view.listedSince
+	known := n.view.hasList && (since.Equal(n.historySince) || clock.Since(since) >= origin.TTL)
 	listed, revision := n.view.hasList, n.view.revision
 	n.mu.Unlock()
 	if known || !listed || clock.Since(n.historyFailed) < historyRetryInterval {
 		return known
 	}
-	ctx, cancel := context.WithTimeout(ctx, historyTimeout)
+	// The caller may leave, but others wait for the history.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), historyTimeout)
 	defer cancel()
 	start := clock.Now()
 	h, err := n.opts.Source.History(ctx, revision)
@@ -161,9 +171,13 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	retired := n.view.retireHistory(clock.Now(), h)
-	n.historyRead = true
-	n.opts.Log.Info("store's history read", "states", len(h.States), "unidentified", h.Unidentified, "retired", retired, "took_ms", clock.Since(start).Milliseconds())
-	return true
+	if h.Kept {
+		n.historySince = since
+	} else {
+		n.historyFailed = clock.Now()
+	}
+	n.opts.Log.Info("store's history read", "kept", h.Kept, "states", len(h.States), "unidentified", h.Unidentified, "retired", retired, "took_ms", clock.Since(start).Milliseconds())
+	return h.Kept
 }
 
 // soleVersion is what the list of upstreams says about the software versions of a service's engines.
--- a/gateway/fleet/view.go
+++ b/gateway/fleet/view.go
@@ -74,7 +74,8 @@
 	revision int64
 	asOf     time.Time
 	hasList  bool
-	// listedSince is when the first list was applied.
+	// listedSince is when the first list was applied, or the first one after a gap in which upstreams may
+	// have come and gone unseen.
 	listedSince time.Time
 	entries     map[ident.UpstreamID]*entry
 	// listCount is the number of lists applied so far, and digest the digest of the current list.
@@ -235,10 +236,16 @@
 		v.graceUntil = started.Add(returnGrace)
 		v.restoredUntil = v.graceUntil
 	}
-	if !v.hasList {
+	v.recordGap(started)
+	v.hasList, v.revision, v.asOf, v.mergedAsOf = true, revision, started, started
+}
+
+// recordGap begins a new period of listedSince if no list was read for so long that upstreams may have come
+// and gone unseen. The caller is about to set asOf to started.
+func (v *View) recordGap(started time.Time) {
+	if !v.hasList || started.Sub(v.asOf) > maxVersionsAge {
 		v.listedSince = started
 	}
-	v.hasList, v.revision, v.asOf, v.mergedAsOf = true, revision, started, started
 }
 
 // apply merges a difference and returns the changes.
@@ -282,6 +289,7 @@
 		return false
 	}
 	if revision >= v.revision && started.After(v.asOf) {
+		v.recordGap(started)
 		v.revision, v.asOf = revision, started
 	}
 	return true
--- a/gateway/fleetworld_test.go
+++ b/gateway/fleetworld_test.go
@@ -71,6 +71,8 @@
 	reportRequests map[string]int
 	// history holds earlier states of engines, as the store keeps them.
 	history []dialect.Upstream
+	// historyLost means that the store keeps no history.
+	historyLost bool
 	// logReads counts the pages of cache logs that were read.
 	logReads int
 	// received holds the streams and prefills that reached engines.
@@ -460,7 +462,7 @@
 	}
 	i.fleet.mu.Lock()
 	defer i.fleet.mu.Unlock()
-	return dialect.History{States: slices.Clone(i.fleet.history)}, nil
+	return dialect.History{States: slices.Clone(i.fleet.history), Kept: !i.fleet.historyLost}, nil
 }
 
 // Directives returns the directives in the store.
--- a/gateway/lostorigins_test.go
+++ b/gateway/lostorigins_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/origin"
+	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/bubble"
 )
 
@@ -212,6 +213,67 @@
 	})
 }
 
+// TestDiscardedHistoryShowsNothing guards against the only version that is listed being taken for the origin
+// because the store, which has discarded its history, shows no other.
+func TestDiscardedHistoryShowsNothing(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		w := newSimFleet(t, 8, 3, 3, 9)
+		defer w.close()
+		w.setVersions("v1")
+		time.Sleep(5 * time.Second)
+		lost := w.loseStreams("before", 90)
+		w.historyLost = true
+		w.loseAll(3*time.Second, func() { w.replaceEngines("v2") })
+		assert.Equal(t, w.takeUp(lost), 0)
+	})
+}
+
+// TestVersionThatCameAndWentUnseenMayHaveBegunAStream guards against an instance that was cut off and takes the only
+// version of its lists before and after for the only one there was.
+func TestVersionThatCameAndWentUnseenMayHaveBegunAStream(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		w := newSimFleet(t, 8, 3, 3, 9)
+		defer w.close()
+		w.setVersions("v1")
+		time.Sleep(40 * time.Second)
+		cut := w.instances[0]
+		w.cutOff(cut.zone, true)
+		time.Sleep(2 * time.Second)
+		w.replaceEngines("v2")
+		time.Sleep(5 * time.Second)
+		for _, i := range w.instances {
+			if i.zone != cut.zone {
+				i.running().node.StreamBegan("llm", origin.Origin{Attempt: "at-v2", Version: "v2"})
+				break
+			}
+		}
+		time.Sleep(3 * time.Second)
+		w.replaceEngines("v1")
+		w.historyLost = true
+		time.Sleep(4 * time.Second)
+		w.cutOff(cut.zone, false)
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			version, source := cut.running().node.StreamVersion(t.Context(), "llm", origin.Query{Attempt: "at-v2"})
+			assert.Assert(t, version != "v1", "%s", source)
+		}
+	})
+}
+
+// cutOff cuts the instances of a zone off from the store and the other zones, or ends that.
+func (w *simFleet) cutOff(zone ident.Zone, off bool) {
+	partitioned := zone
+	if !off {
+		partitioned = ""
+	}
+	w.partitionZone(partitioned)
+	for _, i := range w.instances {
+		if i.zone == zone {
+			i.setStoreDown(off)
+		}
+	}
+}
+
 // setStoreDown makes the store reject the instance's requests, or serve them again.
 func (i *simInstance) setStoreDown(down bool) {
 	i.mu.Lock()
