plugins/engine/openai: an error without end does not attest a refusal

The body of an error was cut at 1 MiB and decoded: one with the code not_started followed by blanks without end counted as proof that the engine had not run the attempt, which may then run elsewhere. It is read by roundtrip.ReadBody now and is ambiguous beyond the limit. The rest of answers that are of no use is dropped by roundtrip.Drain.

--- a/plugins/engine/openai/engine.go
+++ b/plugins/engine/openai/engine.go
@@ -10,6 +10,7 @@
 	"strconv"
 
 	"github.com/wardspool/wardspool/adapter"
+	"github.com/wardspool/wardspool/adapter/roundtrip"
 	"github.com/wardspool/wardspool/kernel"
 )
 
@@ -68,7 +69,7 @@
 	if err != nil {
 		return adapter.PrefillResult{}, err
 	}
-	defer drain(resp.Body)
+	defer roundtrip.Drain(resp)
 	var a prefillResponse
 	if err := decodeJSON(resp.Body, &a); err != nil {
 		return adapter.PrefillResult{}, err
@@ -150,7 +151,7 @@
 	if err != nil {
 		return err
 	}
-	drain(resp.Body)
+	roundtrip.Drain(resp)
 	return nil
 }
 
@@ -188,7 +189,7 @@
 		t.Report(o)
 	}
 	if resp.StatusCode != http.StatusOK {
-		defer drain(resp.Body)
+		defer roundtrip.Drain(resp)
 		return nil, responseError(resp)
 	}
 	return resp, nil
@@ -197,22 +198,12 @@
 // decodeJSON reads a JSON response of at most maxResponseBytes into the value
 // that into points to.
 func decodeJSON(r io.Reader, into any) error {
-	data, err := io.ReadAll(io.LimitReader(r, maxResponseBytes+1))
+	data, err := roundtrip.ReadBody(r, maxResponseBytes)
 	if err != nil {
 		return brokenError(err)
 	}
-	if len(data) > maxResponseBytes {
-		return brokenError(&adapter.TooLargeError{Limit: maxResponseBytes})
-	}
 	if err := json.Unmarshal(data, into); err != nil {
 		return brokenError(&adapter.ProtocolError{Part: "body", Err: err})
 	}
 	return nil
 }
-
-// drain reads the rest of a small response, so that its connection can be reused,
-// and closes the body.
-func drain(body io.ReadCloser) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxResponseBytes))
-	_ = body.Close()
-}
--- a/plugins/engine/openai/errors.go
+++ b/plugins/engine/openai/errors.go
@@ -2,12 +2,12 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/wardspool/wardspool/adapter"
+	"github.com/wardspool/wardspool/adapter/roundtrip"
 	"github.com/wardspool/wardspool/kernel"
 )
 
@@ -57,7 +57,7 @@
 // responseError converts a response with an error status to a *adapter.CallError.
 // An unknown code gives the evidence kernel.Ambiguous.
 func responseError(resp *http.Response) *adapter.CallError {
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	data, err := roundtrip.ReadBody(resp.Body, maxResponseBytes)
 	var b errorBody
 	if err == nil {
 		// A body in another format leaves the code empty, and the evidence
