Moves: keep the stop of each run apart

What callers saw: if a silent engine was being told to stop a stream when another engine took the stream over, the stream could not be moved again, so that it broke off when its new engine left. If it was moved again before the first stop was answered (up to 2 s), the two stops shared their result: the second could go on from the first engine's KV cache, and the first one's destination was held for good.

Cause: the result of a stop and its channel were kept once for the stream. The end of the superseded run was recorded by a goroutine, mostly after the next run had begun, and so for that one.

Evidence: TestMoveAtASilentEngineDoesNotEndALaterOne on the code before, 20 runs: 18 times the second move is refused, 2 times goroutines wait for ever. With the fix 50 of 50 pass.

Why it works: each stop is an object of its own that the move and the end of its run share, and the end of a run is recorded before the next one begins.

--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -78,8 +78,10 @@
 	copying   func()
 
 	stopped func()
-	calls   []string
-	sends   []dialect.Send
+	// stopTime is how long stopping a stream at an engine takes.
+	stopTime map[ident.UpstreamID]time.Duration
+	calls    []string
+	sends    []dialect.Send
 }
 
 func (f *fakeDialect) record(format string, args ...any) {
@@ -224,7 +226,10 @@
 	}
 	return nil
 }
-func (f *fakeDialect) Migrate(_ context.Context, m dialect.Migration) (dialect.Handle, error) {
+func (f *fakeDialect) Migrate(ctx context.Context, m dialect.Migration) (dialect.Handle, error) {
+	if takes := f.stopTime[m.From.ID]; m.Stop && takes > 0 && !pause.For(ctx, takes) {
+		return dialect.Handle{}, &adapter.CallError{Evidence: kernel.Ambiguous, Err: ctx.Err()}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	kind := "copy"
--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -58,10 +58,10 @@
 	s.c.removeStream(p.decode)
 	var cont *continuation
 	var ambiguous bool
-	if s.takeover.won() {
-		s.c.cleanup.Go(func() { s.discardMigration(p) })
+	if stop := s.migration.recordEnd(); s.takeover.won() {
+		s.c.cleanup.Go(func() { s.discardMigration(p, stop) })
 	} else {
-		cont, ambiguous = s.migrationResult(p)
+		cont, ambiguous = s.migrationResult(p, stop)
 	}
 	if cont != nil && ctx.Err() == nil && !callerLeft(err) {
 		return s.continueStopped(ctx, p, cont)
--- a/gateway/carry/migrate.go
+++ b/gateway/carry/migrate.go
@@ -64,7 +64,13 @@
 	// generation is incremented whenever the stream starts at an engine. A migration that began
 	// at an earlier engine must not stop the stream at this one.
 	generation int
-	// to is the destination. handle and err are the result of stopping the stream.
+	// stop is the stop of the current run, set in phaseStopping.
+	stop *migrationStop
+}
+
+// migrationStop is the stop of a stream at one engine.
+type migrationStop struct {
+	// to is the destination. handle and err are the result.
 	to     schedule.Ticket
 	handle dialect.Handle
 	err    error
@@ -72,6 +78,12 @@
 	done chan struct{}
 }
 
+// finish sets the result.
+func (m *migrationStop) finish(handle dialect.Handle, err error) {
+	m.handle, m.err = handle, err
+	close(m.done)
+}
+
 // recordStart records that the stream runs at an engine, from which it may be migrated.
 func (m *migration) recordStart() {
 	m.mu.Lock()
@@ -101,28 +113,26 @@
 	}
 }
 
-// beginStop records that the stream is about to be stopped. It returns false if the stream has
-// ended or runs at another engine.
-func (m *migration) beginStop(generation int, to schedule.Ticket) bool {
+// beginStop records that the stream is about to be stopped. The caller must finish the result, which is nil
+// if the stream has ended or runs at another engine.
+func (m *migration) beginStop(generation int, to schedule.Ticket) *migrationStop {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.phase != phaseCopying || m.generation != generation {
-		return false
+		return nil
 	}
-	m.phase, m.to, m.done = phaseStopping, to, make(chan struct{})
-	return true
+	m.phase, m.stop = phaseStopping, &migrationStop{to: to, done: make(chan struct{})}
+	return m.stop
 }
 
-// recordEnd records that the stream ended at its engine. If a migration may have caused that, it
-// returns a channel that is closed when the result of the migration is known, otherwise nil.
-func (m *migration) recordEnd() chan struct{} {
+// recordEnd records that the stream ended at its engine. It returns the stop that may have caused that, or
+// nil.
+func (m *migration) recordEnd() *migrationStop {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.phase != phaseStopping {
-		m.phase = phaseEnded
-		return nil
-	}
-	return m.done
+	stop := m.stop
+	m.phase, m.stop = phaseEnded, nil
+	return stop
 }
 
 // Migrate starts the migration of all running streams that should continue at other engines.
@@ -205,7 +215,11 @@
 		err = &SlowCopyError{Took: took}
 		s.freeResult(&prefillResult{handle: copied, engine: from})
 	}
-	if err != nil || !s.migration.beginStop(generation, to) {
+	var stop *migrationStop
+	if err == nil {
+		stop = s.migration.beginStop(generation, to)
+	}
+	if stop == nil {
 		s.c.o.Scheduler.Done(to)
 		s.migration.cancel(generation)
 		if err == nil {
@@ -215,8 +229,7 @@
 		return
 	}
 	handle, err := s.copyCache(from, to.Upstream, true, stopTimeout)
-	s.migration.handle, s.migration.err = handle, err
-	close(s.migration.done)
+	stop.finish(handle, err)
 	s.c.o.Count("stream_migrated")
 	log.Info("stream moved", "to", to.Upstream.ID, "took_ms", clock.Since(start).Milliseconds(), "error", logs.ErrorText(err))
 }
@@ -260,16 +273,14 @@
 	engines []schedule.Ticket
 }
 
-// migrationResult waits for the result of a migration if that may be why the stream ended. It
-// returns how the stream continues, or nil if it was not stopped. ambiguous means that it is
+// migrationResult waits for the result of a stop, which may be why the stream ended; m is nil if there is
+// none. It returns how the stream continues, or nil if it was not stopped. ambiguous means that it is
 // unknown whether the stream was stopped.
-func (s *stream) migrationResult(p *placement) (cont *continuation, ambiguous bool) {
-	done := s.migration.recordEnd()
-	if done == nil {
+func (s *stream) migrationResult(p *placement, m *migrationStop) (cont *continuation, ambiguous bool) {
+	if m == nil {
 		return nil, false
 	}
-	<-done
-	m := &s.migration
+	<-m.done
 	var notRunning *dialect.NotRunningError
 	var notCopied *dialect.NotCopiedError
 	switch {
@@ -472,9 +483,9 @@
 	s.endPlacements(cont.engines)
 }
 
-// discardMigration waits for the result of a migration and releases what it holds.
-func (s *stream) discardMigration(p *placement) {
-	if cont, _ := s.migrationResult(p); cont != nil {
+// discardMigration waits for the result of a stop and releases what it holds.
+func (s *stream) discardMigration(p *placement, stop *migrationStop) {
+	if cont, _ := s.migrationResult(p, stop); cont != nil {
 		s.discard(cont, p.decode.Upstream)
 	}
 }
--- a/gateway/carry/migrate_test.go
+++ b/gateway/carry/migrate_test.go
@@ -11,6 +11,8 @@
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/gateway/schedule"
+	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/bubble"
 )
 
 // controlledBody is a response body that returns what is written to w, and ends with an error
@@ -77,6 +79,12 @@
 
 // migrate migrates the stream away from d1.
 func (env *migrationEnv) migrate(t *testing.T) {
+	t.Helper()
+	env.migrateFrom(t, "d1")
+}
+
+// migrateFrom migrates the stream away from an engine.
+func (env *migrationEnv) migrateFrom(t *testing.T, from ident.UpstreamID) {
 	t.Helper()
 	s := env.firstStream()
 	turn, ok := s.migration.begin()
@@ -84,7 +92,7 @@
 	var ticket schedule.Ticket
 	env.mu.Lock()
 	for _, u := range env.view.Upstreams["s"] {
-		if u.ID == "d1" {
+		if u.ID == from {
 			ticket.Upstream = u
 		}
 	}
@@ -166,6 +174,50 @@
 	assert.NilError(t, bodyEnd{framing: chunked, stopped: true, senderLives: lives}.check())
 }
 
+// TestMoveAtASilentEngineDoesNotEndALaterOne guards against an instance that crashes, or a stream that goes on from
+// the wrong KV cache, because a silent engine answers a stop after the stream was taken over and moved again.
+func TestMoveAtASilentEngineDoesNotEndALaterOne(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		env := &migrationEnv{testEnv: newTestEnv(t, ampleBudget, engineUps([]string{"p1"}, []string{"d1", "d2", "d3"})...), ended: make(chan struct{})}
+		first, second := newControlledBody(), newControlledBody()
+		full := &dialect.NoCapacityError{}
+		env.d.reserve["d2"], env.d.reserve["d3"] = []error{full}, []error{full}
+		env.d.do["d1"] = []reply{{verdict: dialect.Success, status: http.StatusOK, stream: first}}
+		env.d.do["d2"] = []reply{{verdict: dialect.Success, status: http.StatusOK, stream: second}}
+		env.d.do["d3"] = []reply{{verdict: dialect.Success, status: http.StatusOK, body: events(4, 6)}}
+		env.d.stopTime = map[ident.UpstreamID]time.Duration{"d1": stopTimeout + time.Second, "d2": 400 * time.Millisecond}
+		env.d.stopped = func() { _ = second.w.CloseWithError(io.ErrUnexpectedEOF) }
+		r := resumable
+		r.PaceObjective = 300 * time.Millisecond
+		j := job(r)
+		j.Service.Engine.SupportsMigration = true
+		go func() {
+			defer close(env.ended)
+			env.response, env.err = env.Stream(t.Context(), j, &env.got)
+		}()
+		_, err := io.WriteString(first.w, events(1, 2))
+		assert.NilError(t, err)
+		time.Sleep(100 * time.Millisecond)
+		env.d.mu.Lock()
+		env.d.silent = map[ident.UpstreamID]bool{"d1": true}
+		env.d.reserve["d2"] = nil
+		env.d.mu.Unlock()
+		go env.migrateFrom(t, "d1")
+		_, err = io.WriteString(second.w, events(3, 3))
+		assert.NilError(t, err)
+		// The second stop is under way when the first one fails.
+		time.Sleep(1900*time.Millisecond - time.Since(j.Arrived))
+		env.migrateFrom(t, "d2")
+		<-env.ended
+		assert.NilError(t, env.err)
+		assert.Equal(t, env.got.body.String(), events(1, 6))
+		env.Close()
+		for _, u := range env.view.Upstreams["s"] {
+			assert.Equal(t, env.o.Scheduler.RequestCount(u.ID), 0, "%s", u.ID)
+		}
+	})
+}
+
 // TestOldMoveDoesNotStopTheStreamElsewhere checks that a migration that began at one engine has
 // no effect once the stream runs at another.
 func TestOldMoveDoesNotStopTheStreamElsewhere(t *testing.T) {
@@ -177,8 +229,8 @@
 	m.recordStart()
 	again, ok := m.begin()
 	assert.Assert(t, ok)
-	assert.Assert(t, !m.beginStop(old, schedule.Ticket{}))
+	assert.Assert(t, m.beginStop(old, schedule.Ticket{}) == nil)
 	m.cancel(old)
-	assert.Assert(t, m.beginStop(again, schedule.Ticket{}))
+	assert.Assert(t, m.beginStop(again, schedule.Ticket{}) != nil)
 	assert.Assert(t, m.recordEnd() != nil)
 }
