Entry: a stream goes on only at the software version that began it

Callers saw: a stream that broke off at a model engine went on at an engine of another software version, with an answer that counted as complete. The parts do not fit together, and nothing in the answer showed it.

Cause: engines that serve the same model counted as interchangeable. The list of upstreams, the agent's view and the kernel knew no version of the engines' software at all, so every search for an engine for a stream that had begun (a restart after a failure, the replacement of a silent run, another decode engine for a finished prefill, the dispatcher's choice) could cross versions.

Fix: the platform's list may state software_version. It belongs to the incarnation that the list names and reaches the kernel with the view; it is optional at each step, so that lists, agents, entries and dispatchers of earlier releases work as before. The kernel binds a call to the version of the attempt that wrote the first token, which the driver reports, and one predicate decides at each search and once more before each decode is sent. A dispatcher of an earlier release, which does not know versions, can therefore cost work but not mix a stream. A stream whose version is gone while others serve ends at once, as unknown; one that waits delays no requests of other versions.

Golden files are unchanged.

--- a/agent/changes_test.go
+++ b/agent/changes_test.go
@@ -197,6 +197,7 @@
 		"other load":  {func(u *feed.Upstream) { u.LoadAgeMS += 1000; u.Load = &kernel.Load{Running: 3, PiecesTotal: 90} }, false},
 		"no load":     {func(u *feed.Upstream) { u.LoadAgeMS += 1000; u.Load = nil }, false},
 		"other place": {func(u *feed.Upstream) { u.LoadAgeMS += 1000; u.Address = "10.0.0.2:1" }, false},
+		"new version": {func(u *feed.Upstream) { u.LoadAgeMS += 1000; u.SoftwareVersion = "v2" }, false},
 		"leaving":     {func(u *feed.Upstream) { u.LoadAgeMS += 1000; u.Liveness = kernel.Leaving }, false},
 	} {
 		after := before
--- a/agent/lists.go
+++ b/agent/lists.go
@@ -136,6 +136,7 @@
 		listed[i] = membership.ListedUpstream{
 			ID: x.ID, Zone: x.Zone, Address: x.Address,
 			Incarnation: x.Incarnation, Leaving: x.State == configservice.StateLeaving,
+			SoftwareVersion: x.SoftwareVersion,
 		}
 	}
 	if !a.machine.ApplyUpstreamList(a.now, started, index, listed) {
--- a/agent/views.go
+++ b/agent/views.go
@@ -80,6 +80,7 @@
 		u := &v.Upstreams[i]
 		_, _ = h.WriteString(string(u.ID))
 		_, _ = h.WriteString(u.Address)
+		_, _ = h.WriteString(u.SoftwareVersion)
 		number(uint64(u.Incarnation))
 		number(uint64(max(u.State, membership.Suspect)))
 		flag(u.Leaving)
@@ -139,6 +140,7 @@
 	out := feed.Upstream{
 		ID: u.ID, Zone: u.Zone, Address: u.Address,
 		Incarnation: a.entryIncarnation(u), Liveness: upstreamLiveness(u),
+		SoftwareVersion: u.SoftwareVersion,
 	}
 	if u.HasReport {
 		out.Load = &kernel.Load{
@@ -211,6 +213,7 @@
 		out.Upstreams = append(out.Upstreams, kernel.Upstream{
 			Index: i, ID: u.ID, Zone: u.Zone, Address: u.Address,
 			Incarnation: u.Incarnation, Liveness: upstreamLiveness(u), Spec: a.spec(u.ID),
+			SoftwareVersion: u.SoftwareVersion,
 		})
 	}
 	return out
--- a/configservice/documents.go
+++ b/configservice/documents.go
@@ -74,4 +74,7 @@
 	// Incarnation distinguishes successive runs of the upstream, 0 if the
 	// platform does not know.
 	Incarnation ident.Incarnation `json:"incarnation,omitempty"`
+	// SoftwareVersion is the version of the software that the incarnation runs,
+	// "" if the platform does not state it.
+	SoftwareVersion string `json:"software_version,omitempty"`
 }
--- a/entry/console/meaning.go
+++ b/entry/console/meaning.go
@@ -39,6 +39,8 @@
 	kernel.ReasonNotRepeatable:    "it may have run and must not run twice",
 	kernel.ReasonRetryBudget:      "too many other requests were being retried",
 	kernel.ReasonAttempts:         "every attempt failed",
+	kernel.ReasonOtherVersion:     "the engine runs another software version than the one that began the stream",
+	kernel.ReasonVersionGone:      "no engine of the software version that began the stream is left",
 	kernel.ReasonWholeAnswer:      "the whole answer was returned",
 	driver.ReasonDuplicateID:      "another request with its ID was in flight",
 }
--- a/entry/driver/attempt.go
+++ b/entry/driver/attempt.go
@@ -142,12 +142,14 @@
 	seen.Code = code
 	d.opts.Observer.AttemptEnded(a.target.Upstream, &seen)
 	d.opts.Log.Debug("attempt failed", "attempt", a.id.String(), "upstream", a.target.Upstream, "error", err)
+	offset, origin := a.exchange.delivery.written()
 	d.send(message{attempt: a, event: kernel.AttemptFailed{
 		Attempt:    a.id,
 		Upstream:   a.target.Upstream,
 		Evidence:   e.Evidence,
 		Code:       code,
-		Offset:     a.exchange.delivery.offset(),
+		Offset:     offset,
+		Origin:     origin,
 		RetryAfter: e.RetryAfter,
 	}})
 }
--- a/entry/driver/delivery.go
+++ b/entry/driver/delivery.go
@@ -35,8 +35,9 @@
 	mu   sync.Mutex
 	out  Output
 	next int
-	// lastWriter is the attempt that wrote the last token.
-	lastWriter ident.AttemptID
+	// firstWriter and lastWriter are the attempts that wrote the first and the last
+	// token.
+	firstWriter, lastWriter ident.AttemptID
 	// finish is the finish reason of the last token, empty until that token was
 	// sent.
 	finish string
@@ -94,6 +95,9 @@
 	if err := d.out.Token(c); err != nil {
 		return tokenDropped, &CallerError{Err: err}
 	}
+	if d.next == 0 {
+		d.firstWriter = from
+	}
 	d.next++
 	d.lastWriter = from
 	d.finish = c.FinishReason
@@ -158,6 +162,14 @@
 	return adapter.DecodeResult{Tokens: d.next, FinishReason: d.finish}, d.finish != ""
 }
 
+// written returns the number of tokens sent to the caller and the attempt that wrote the
+// first of them.
+func (d *delivery) written() (int, ident.AttemptID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.next, d.firstWriter
+}
+
 // offset returns the number of tokens sent to the caller.
 func (d *delivery) offset() int {
 	d.mu.Lock()
--- a/entry/driver/driver_test.go
+++ b/entry/driver/driver_test.go
@@ -131,6 +131,7 @@
 				stalled := eventsOf[kernel.AttemptStalled](r.kernel)
 				assert.Equal(t, len(stalled), 2)
 				assert.Equal(t, stalled[0].Offset, tokens)
+				assert.Equal(t, stalled[0].Origin.IsZero(), tokens == 0)
 				last := time.Duration(max(tokens-1, 0)) * time.Second
 				assert.Equal(t, time.Since(begin), last+2*defaultStall)
 				assert.Equal(t, len(eventsOf[kernel.AttemptFailed](r.kernel)), 0)
--- a/entry/driver/sink.go
+++ b/entry/driver/sink.go
@@ -23,7 +23,8 @@
 func (d *Driver) newWatch(a *attempt, p progressLimits) *watchdog {
 	stalled := func(after time.Duration) {
 		d.opts.Log.Debug("attempt stalled", "attempt", a.id.String(), "upstream", a.target.Upstream, "after", after)
-		d.send(message{attempt: a, event: kernel.AttemptStalled{Attempt: a.id, Offset: a.exchange.delivery.offset()}})
+		offset, origin := a.exchange.delivery.written()
+		d.send(message{attempt: a, event: kernel.AttemptStalled{Attempt: a.id, Offset: offset, Origin: origin}})
 	}
 	return newWatchdog(p, d.opts.PauseAfter, stalled)
 }
--- a/entry/fed_test.go
+++ b/entry/fed_test.go
@@ -34,6 +34,8 @@
 	entries   []*entry.Entry
 	pools     []*peer.Pool
 	stopFuncs []func()
+	// versions are the software versions that the view states.
+	versions map[ident.UpstreamID]string
 }
 
 // fleetSettings is the settings file of one entry of a fleet.
@@ -119,7 +121,7 @@
 		})
 	}
 	for id, address := range f.addresses {
-		v.Upstreams = append(v.Upstreams, feed.Upstream{ID: id, Zone: "hall-a", Address: address, Incarnation: 1, Liveness: kernel.Live})
+		v.Upstreams = append(v.Upstreams, feed.Upstream{ID: id, Zone: "hall-a", Address: address, Incarnation: 1, Liveness: kernel.Live, SoftwareVersion: f.versions[id]})
 	}
 	return v
 }
--- a/entry/logline.go
+++ b/entry/logline.go
@@ -46,6 +46,9 @@
 	if r.Decode != "" {
 		attrs = append(attrs, slog.String("decode", string(r.Decode)))
 	}
+	if r.SoftwareVersion != "" {
+		attrs = append(attrs, slog.String("software_version", r.SoftwareVersion))
+	}
 	if r.Cost != 0 {
 		attrs = append(attrs, slog.Float64("cost", r.Cost))
 	}
--- a/entry/peering/feed.go
+++ b/entry/peering/feed.go
@@ -52,6 +52,7 @@
 		k := kernel.Upstream{
 			Index: n, ID: u.ID, Zone: u.Zone, Address: u.Address,
 			Incarnation: u.Incarnation, Liveness: u.Liveness,
+			SoftwareVersion: u.SoftwareVersion,
 		}
 		if u.Load != nil {
 			k.Load = *u.Load
--- a/entry/peering/peering_test.go
+++ b/entry/peering/peering_test.go
@@ -19,12 +19,14 @@
 		Version: 3, Trusted: true,
 		Instances: []feed.Instance{{ID: "e-1", Zone: "hall-a", Incarnation: 5, Liveness: kernel.Leaving, PeerAddress: "10.0.0.1:9"}},
 		Upstreams: []feed.Upstream{
-			{ID: "u-1", Zone: "hall-b", Address: "10.0.0.2:9", Incarnation: 6, Liveness: kernel.Live},
+			{ID: "u-1", Zone: "hall-b", Address: "10.0.0.2:9", Incarnation: 6, Liveness: kernel.Live, SoftwareVersion: "v1"},
 			{ID: "u-2", Load: &kernel.Load{Running: 4}, LoadAgeMS: 1500},
 		},
 	}, now)
 	assert.Equal(t, v.Instances[0], kernel.Instance{ID: "e-1", Zone: "hall-a", Incarnation: 5, Liveness: kernel.Leaving})
 	assert.Equal(t, v.Upstreams[0].Address, "10.0.0.2:9")
+	assert.Equal(t, v.Upstreams[0].SoftwareVersion, "v1")
+	assert.Equal(t, v.Upstreams[1].SoftwareVersion, "", "an agent of an earlier release states no version")
 	assert.Assert(t, v.Upstreams[0].Load.At.IsZero(), "an upstream without a load report must have no load time")
 	assert.Equal(t, v.Upstreams[1].Index, 1)
 	assert.Equal(t, v.Upstreams[1].Load.At, now.Add(-1500*time.Millisecond))
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -78,6 +78,9 @@
 	Address     string            `json:"address"`
 	Incarnation ident.Incarnation `json:"incarnation"`
 	Liveness    kernel.Liveness   `json:"life"`
+	// SoftwareVersion is the version of the incarnation's software, "" if it is
+	// not known or the agent is of a release that does not state it.
+	SoftwareVersion string `json:"software_version,omitempty"`
 	// Load is the latest load report, absent if none is known. LoadAgeMS is its
 	// age.
 	Load      *kernel.Load `json:"load,omitempty"`
--- a/kernel/call.go
+++ b/kernel/call.go
@@ -49,6 +49,8 @@
 	failedAttempts int
 	// delivered is the number of output tokens that the caller has received.
 	delivered int
+	// origin is the attempt that wrote the stream's first token, nil before it.
+	origin *attempt
 	// avoid lists the upstreams on which this request failed, newest last.
 	avoid []ident.UpstreamID
 	// minFirstOutput is the minimum time to first output, estimated when the
@@ -128,6 +130,8 @@
 	// incarnation is the upstream's incarnation when the attempt was sent, 0 if
 	// it was not known.
 	incarnation ident.Incarnation
+	// softwareVersion is the version that the upstream runs, "" if it is not known.
+	softwareVersion string
 	// tokens is the number of prompt tokens that a prefill must compute, 0 for
 	// other stages.
 	tokens int
@@ -164,6 +168,7 @@
 		return
 	}
 	a.incarnation = u.Incarnation
+	a.softwareVersion = u.SoftwareVersion
 	u.LocalLoad.Requests++
 	u.LocalLoad.Tokens += a.tokens
 	u.LocalLoad.Pieces += a.pieces
@@ -205,6 +210,12 @@
 	for _, c := range k.calls {
 		calls = append(calls, c)
 	}
+	sortCalls(calls)
+	return calls
+}
+
+// sortCalls sorts calls by arrival time and ID.
+func sortCalls(calls []*call) {
 	sort.Slice(calls, func(i, j int) bool {
 		a, b := calls[i].request, calls[j].request
 		if !a.Arrived.Equal(b.Arrived) {
@@ -212,5 +223,4 @@
 		}
 		return a.ID < b.ID
 	})
-	return calls
 }
--- a/kernel/event.go
+++ b/kernel/event.go
@@ -92,6 +92,9 @@
 	// Offset is the number of output tokens written to the caller's stream, over
 	// all attempts of the request.
 	Offset int
+	// Origin is the attempt that wrote the first of these tokens, zero if it is not
+	// known.
+	Origin ident.AttemptID
 	// RetryAfter is the retry-after hint of the upstream, 0 if it sent none.
 	RetryAfter time.Duration
 }
@@ -104,6 +107,9 @@
 	// Offset is the number of output tokens written to the caller's stream, over
 	// all attempts of the request.
 	Offset int
+	// Origin is the attempt that wrote the first of these tokens, zero if it is not
+	// known.
+	Origin ident.AttemptID
 }
 
 // AttemptResumed reports the first output token that a stalled decode attempt has
--- a/kernel/failure.go
+++ b/kernel/failure.go
@@ -24,6 +24,7 @@
 	}
 	c := a.call
 	c.delivered = max(c.delivered, e.Offset)
+	k.outputSeen(c, e.Origin, a)
 	k.applyFailure(a, e)
 	if c.kept.includes(a) {
 		k.keptFailed(c, a, e)
--- a/kernel/finish.go
+++ b/kernel/finish.go
@@ -108,6 +108,9 @@
 	rec.Waited = max(k.now.Sub(r.Arrived), 0)
 	rec.QueueLength = k.queueLength()
 	rec.BundleVersion = k.catalog.version
+	if c.origin != nil {
+		rec.SoftwareVersion = c.origin.softwareVersion
+	}
 	rec.ViewAge = min(rec.ViewAge, maxViewAge)
 	for _, o := range k.policy.observers {
 		o.Observe(r, rec)
--- a/kernel/fleet.go
+++ b/kernel/fleet.go
@@ -75,6 +75,7 @@
 		// The view lags: a newer incarnation has been seen already.
 		u.Incarnation = prev.Incarnation
 		u.Liveness = prev.Liveness
+		u.SoftwareVersion = prev.SoftwareVersion
 	}
 	if !sameIncarnation(u.Incarnation, prev.Incarnation) {
 		return
@@ -155,7 +156,9 @@
 		k.distrustUntil = time.Time{}
 	}
 	k.dirty = true
+	k.learnVersions()
 	k.dropLostWork()
+	k.endOrphans()
 }
 
 // dropLostWork abandons the attempts and drops the cancels on upstream
--- a/kernel/joint.go
+++ b/kernel/joint.go
@@ -18,6 +18,9 @@
 	Pieces int
 	// Avoid lists the upstreams on which this request failed before.
 	Avoid []ident.UpstreamID
+	// SoftwareVersion is the only version of the decode engine at which the stream
+	// may go on, nil if it has not begun.
+	SoftwareVersion *string
 	// KV is the prefill engine that holds the KV cache of the finished prefill.
 	// If it is set, only a decode engine is requested, and KVUntil is the time
 	// until which the cache can be imported.
@@ -118,6 +121,8 @@
 		Delivered:   c.delivered,
 		Pieces:      k.pieces(c.request),
 		Avoid:       c.avoid,
+
+		SoftwareVersion: c.softwareVersion(),
 	}
 	if c.prefill != nil {
 		ask.KV = c.kv.Engine
--- a/kernel/model.go
+++ b/kernel/model.go
@@ -125,8 +125,13 @@
 	return u != nil && u.Liveness <= Suspect
 }
 
-// startDecode sends the call to its decode engine.
+// startDecode sends the call to its decode engine. It looks for another one if the stream, which has
+// begun, may not go on there.
 func (k *Kernel) startDecode(c *call) {
+	if u := k.fleet.upstream(c.plan.decode); u != nil && !c.mayContinueAt(u) {
+		k.otherVersionGranted(c, u)
+		return
+	}
 	a := &attempt{
 		id:       c.slot.id,
 		call:     c,
@@ -161,6 +166,8 @@
 		Prefill: c.kv.Engine,
 		Decode:  a.upstream,
 		Offset:  c.delivered,
+
+		SoftwareVersion: a.softwareVersion,
 	})
 }
 
@@ -175,6 +182,7 @@
 	c := a.call
 	k.silenceEnded(a)
 	k.settle(c, a)
+	k.streamBegun(c, a)
 	if c.prefill != nil {
 		k.transferEnded(&c.run, false)
 	}
--- a/kernel/place.go
+++ b/kernel/place.go
@@ -68,9 +68,10 @@
 }
 
 // passesFilters reports whether the upstream may serve the call in the given
-// role: all filters accept it and the call has not failed on it before.
+// role: all filters accept it, the call has not failed on it before, and its stream may
+// go on there.
 func (k *Kernel) passesFilters(d *Decision, c *call, u *Upstream, role config.Role) bool {
-	if c.avoids(u.ID) {
+	if c.avoids(u.ID) || role == config.RoleDecode && !c.mayContinueAt(u) {
 		return false
 	}
 	for _, f := range k.policy.filters {
--- a/kernel/record.go
+++ b/kernel/record.go
@@ -62,6 +62,8 @@
 	ReasonNotRepeatable    Reason = "not_repeatable"
 	ReasonRetryBudget      Reason = "retry_budget"
 	ReasonAttempts         Reason = "attempts_exhausted"
+	ReasonOtherVersion     Reason = "other_software_version"
+	ReasonVersionGone      Reason = "software_version_gone"
 	ReasonWholeAnswer      Reason = "whole_answer"
 )
 
@@ -87,6 +89,9 @@
 	Prefill ident.UpstreamID `json:"prefill,omitempty"`
 	// Decode is the decode engine or, for a service call, the service upstream.
 	Decode ident.UpstreamID `json:"decode,omitempty"`
+	// SoftwareVersion is the version of the decode engine, or the one that began the
+	// stream, "" if it is not known.
+	SoftwareVersion string `json:"software_version,omitempty"`
 	// Cost is the cost of the chosen placement, in seconds.
 	Cost float64 `json:"cost,omitempty"`
 	// RunnersUp are the best of the placements that were not chosen, best first.
--- a/kernel/schedule.go
+++ b/kernel/schedule.go
@@ -26,12 +26,17 @@
 // pass.
 type blocked map[string]Reason
 
-// queueKey returns the key in blocked of the request's model or service.
-func queueKey(r *Request) string {
-	if r.Route == config.RouteService {
-		return "service/" + r.Service
+// queueKey returns the key in blocked of the call's model or service. Streams of
+// different software versions need different engines.
+func queueKey(c *call) string {
+	switch {
+	case c.request.Route == config.RouteService:
+		return "service/" + c.request.Service
+	case c.origin != nil:
+		return "stream/" + c.origin.softwareVersion + "/" + c.request.Model
+	default:
+		return "model/" + c.request.Model
 	}
-	return "model/" + r.Model
 }
 
 // schedule places as many waiting requests as it can, in queue order.
@@ -64,7 +69,7 @@
 		k.logWaiting(c, ReasonViewStale)
 		return
 	}
-	key := queueKey(c.request)
+	key := queueKey(c)
 	reason, isBlocked := blockedKeys[key]
 	if !isBlocked {
 		reason = k.place(c)
@@ -92,6 +97,10 @@
 // placeModel chooses the prefill and the decode engine together and reserves a
 // slot on the decode engine. Its result is that of place.
 func (k *Kernel) placeModel(c *call) Reason {
+	if k.versionGone(c) {
+		k.failOrphan(c)
+		return ""
+	}
 	if jp := k.jointPolicy(c.request.Model); jp != nil {
 		k.requestPlacement(c, jp)
 		return ""
--- a/kernel/silent.go
+++ b/kernel/silent.go
@@ -21,6 +21,10 @@
 	}
 	c := a.call
 	c.delivered = max(c.delivered, e.Offset)
+	k.outputSeen(c, e.Origin, a)
+	if k.attempts[a.id] != a {
+		return
+	}
 	if u := k.fleet.upstream(a.upstream); u != nil && sameIncarnation(u.Incarnation, a.incarnation) {
 		k.recordStalled(c, a, u)
 	}
--- a/kernel/view.go
+++ b/kernel/view.go
@@ -61,6 +61,10 @@
 	Address     string
 	Incarnation ident.Incarnation
 	Liveness    Liveness
+	// SoftwareVersion is the version of the software that the incarnation runs, ""
+	// if it is not known. What two versions write of one stream does not fit
+	// together.
+	SoftwareVersion string
 	// Spec is the upstream's declaration in the bundle.
 	Spec config.Upstream
 	// Load is the newest load report. It may be old; see Load.At.
--- a/kernel/world_test.go
+++ b/kernel/world_test.go
@@ -89,6 +89,8 @@
 	content *config.Content
 	view    *kernel.View
 	lines   []string
+	// observe, if it is set, is called with each action.
+	observe func(kernel.Action)
 	// prefill, decode and service are the newest attempts of each stage.
 	prefill, decode, service ident.AttemptID
 }
@@ -140,6 +142,9 @@
 	case kernel.CallService:
 		s.service = a.Attempt
 	}
+	if s.observe != nil {
+		s.observe(a)
+	}
 	at := s.now.Sub(epoch).Milliseconds()
 	s.lines = append(s.lines, fmt.Sprintf("%6d ms  %s", at, describe(a)))
 }
@@ -207,13 +212,20 @@
 
 // changeUpstream changes one upstream in a new view.
 func (s *session) changeUpstream(id ident.UpstreamID, change func(*kernel.Upstream)) {
+	s.changeUpstreams(func(u *kernel.Upstream) {
+		if u.ID == id {
+			change(u)
+		}
+	})
+}
+
+// changeUpstreams changes the upstreams in a new view.
+func (s *session) changeUpstreams(change func(*kernel.Upstream)) {
 	v := *s.view
 	v.Version++
 	v.Upstreams = append([]kernel.Upstream(nil), v.Upstreams...)
 	for i := range v.Upstreams {
-		if v.Upstreams[i].ID == id {
-			change(&v.Upstreams[i])
-		}
+		change(&v.Upstreams[i])
 	}
 	s.view = &v
 	s.step(kernel.ViewChanged{View: s.view})
--- a/membership/list.go
+++ b/membership/list.go
@@ -31,6 +31,8 @@
 	// Incarnation is 0 if the list does not name it.
 	Incarnation ident.Incarnation
 	Leaving     bool
+	// SoftwareVersion is "" if the list does not state it.
+	SoftwareVersion string
 }
 
 // lists holds the indexes of the newest platform lists and when one was last
@@ -178,6 +180,7 @@
 	}
 	u.listed, u.listedAt = true, now
 	u.zone, u.address = l.Zone, l.Address
+	u.software = software{version: l.SoftwareVersion, incarnation: l.Incarnation}
 	if l.Incarnation != 0 {
 		if u.advance(now, l.Incarnation) && u.markLeaving(l.Leaving) {
 			m.disseminate(now, &u.urgentSends)
--- a/membership/upstream.go
+++ b/membership/upstream.go
@@ -36,6 +36,21 @@
 	return r.Sequence > o.Sequence
 }
 
+// software is a software version as stated by the platform's list.
+type software struct {
+	version string
+	// incarnation is the incarnation that runs it, 0 if the list does not name it.
+	incarnation ident.Incarnation
+}
+
+// of returns the software version of an incarnation, "" if it is not known.
+func (s software) of(inc ident.Incarnation) string {
+	if s.incarnation != 0 && s.incarnation != inc {
+		return ""
+	}
+	return s.version
+}
+
 // upstream holds what is known about one upstream.
 type upstream struct {
 	id       ident.UpstreamID
@@ -48,6 +63,7 @@
 	// naming its incarnation.
 	listedLeaving bool
 
+	software    software
 	incarnation ident.Incarnation
 	// learnedAt is when the incarnation became known.
 	learnedAt time.Duration
--- a/membership/view.go
+++ b/membership/view.go
@@ -68,6 +68,8 @@
 	State       State
 	Leaving     bool
 	Listed      bool
+	// SoftwareVersion is the version of its software, "" if it is not known.
+	SoftwareVersion string
 	// Report is its newest load report, if HasReport; ReportAge is its age.
 	HasReport bool
 	Report    Report
@@ -141,6 +143,8 @@
 		Listed:      u.listed,
 		Age:         ageOf(now, u.lastLiveAt()),
 		ReportAge:   NoAge,
+
+		SoftwareVersion: u.software.of(u.incarnation),
 	}
 	if u.hasReport {
 		out.HasReport, out.Report, out.ReportAge = true, u.report, now-u.measuredAt
@@ -168,7 +172,7 @@
 	}
 	for i := range v.Upstreams {
 		u := &v.Upstreams[i]
-		writeStrings(h, string(u.ID), u.Address)
+		writeStrings(h, string(u.ID), u.Address, u.SoftwareVersion)
 		writeInts(h, uint64(u.Incarnation), uint64(u.State), uint64(u.Report.Sequence))
 		writeBools(h, u.Leaving, u.Listed, u.HasReport)
 	}
--- a/plugins/slots/dispatch/bed_test.go
+++ b/plugins/slots/dispatch/bed_test.go
@@ -298,6 +298,12 @@
 // place requests a placement whose first output is due in the given time. avoid
 // lists the engines that failed the request before.
 func (n *node) place(due time.Duration, avoid ...ident.UpstreamID) ident.AttemptID {
+	return n.placeVersion(due, nil, avoid...)
+}
+
+// placeVersion is place for a stream that goes on at the given software version, or
+// has not begun if that is nil.
+func (n *node) placeVersion(due time.Duration, version *string, avoid ...ident.UpstreamID) ident.AttemptID {
 	n.seq++
 	id := ident.AttemptID{Instance: n.self.Instance, Incarnation: n.self.Incarnation, Sequence: n.seq,
 		Deadline: n.testBed.now.Add(20 * time.Second)}
@@ -305,6 +311,8 @@
 		Reservation: id,
 		Pieces:      4,
 		Avoid:       avoid,
+
+		SoftwareVersion: version,
 		Request: &kernel.Request{ID: ident.RequestID(id.String()), Model: testModel, Workspace: "w",
 			PromptTokens: 4000, MaxOutputTokens: 100, FirstOutputBy: n.testBed.now.Add(due), Deadline: id.Deadline},
 	})
--- a/plugins/slots/dispatch/group.go
+++ b/plugins/slots/dispatch/group.go
@@ -82,6 +82,8 @@
 	grantScratch   []*grant
 	supplyScratch  slotSupply
 	orderScratch   []*kernel.QueuedRequest
+
+	candidateScratch []*decodeState
 }
 
 // pollInterval is the interval between scheduling passes while requests wait and
--- a/plugins/slots/dispatch/holder.go
+++ b/plugins/slots/dispatch/holder.go
@@ -145,6 +145,8 @@
 		DeadlineIn:  millis(r.Deadline.Sub(now)),
 		Avoid:       slices.Clone(a.Avoid),
 		KV:          a.KV,
+
+		SoftwareVersion: a.SoftwareVersion,
 	}
 	p.holder.placements[h.key] = h
 	p.sendAsk(h)
--- a/plugins/slots/dispatch/message.go
+++ b/plugins/slots/dispatch/message.go
@@ -56,6 +56,9 @@
 	DueIn      Milliseconds       `json:"t"`
 	DeadlineIn Milliseconds       `json:"e"`
 	Avoid      []ident.UpstreamID `json:"a,omitempty"`
+	// SoftwareVersion is the only version of the decode engine at which the stream
+	// may go on, nil if it has not begun or the holder does not know versions.
+	SoftwareVersion *string `json:"s,omitempty"`
 	// KV is the prefill engine that holds the finished prefill's KV cache. It is
 	// set when only a decode engine is requested. KVFor is how long the cache
 	// can still be imported.
@@ -63,6 +66,12 @@
 	KVFor Milliseconds     `json:"f,omitempty"`
 }
 
+// mayContinueAt reports whether the software version of a decode engine is one at which
+// the stream may go on.
+func (a *Ask) mayContinueAt(u *kernel.Upstream) bool {
+	return a.SoftwareVersion == nil || *a.SoftwareVersion == u.SoftwareVersion
+}
+
 // Queued answers an Ask that has to wait.
 type Queued struct {
 	Reservation slotkit.Reservation `json:"r"`
--- a/plugins/slots/dispatch/pass.go
+++ b/plugins/slots/dispatch/pass.go
@@ -110,11 +110,11 @@
 	if p := md.p.host.Upstream(gr.prefill); p != nil {
 		zone = p.Zone
 	}
-	avoid := enginesToExclude(gr.ask.Avoid, free, func(d *decodeState) ident.UpstreamID { return d.u.ID })
+	candidates := md.continuable(&gr.ask, free)
+	avoid := enginesToExclude(gr.ask.Avoid, candidates, func(d **decodeState) ident.UpstreamID { return (*d).u.ID })
 	var best *decodeState
 	bestCost := 0.0
-	for i := range free {
-		d := &free[i]
+	for _, d := range candidates {
 		if d.slots < 1 || !roomFor(d, gr.ask.Pieces) || slices.Contains(avoid, d.u.ID) {
 			continue
 		}
@@ -129,6 +129,19 @@
 	return best
 }
 
+// continuable lists the engines of a software version at which a request's stream may go on. The
+// list is valid until the next call.
+func (md *modelDispatcher) continuable(a *Ask, free []decodeState) []*decodeState {
+	list := md.candidateScratch[:0]
+	for i := range free {
+		if a.mayContinueAt(free[i].u) {
+			list = append(list, &free[i])
+		}
+	}
+	md.candidateScratch = list
+	return list
+}
+
 // roomFor reports whether an engine has KV memory for the given number of
 // pieces. It returns true if the engine's memory is not known.
 func roomFor(d *decodeState, pieces int) bool {
@@ -174,7 +187,7 @@
 // queue. alone is set if it is the only request in the queue.
 func (md *modelDispatcher) plan(w *waiting, engines []prefillState, s *slotSupply, alone bool) {
 	e, work := md.pickPrefill(w, engines)
-	if e == nil {
+	if e == nil || w.ask.SoftwareVersion != nil && len(md.continuable(&w.ask, s.engines)) == 0 {
 		return
 	}
 	now := md.now()
