Dispatch: start no prefill for a stream whose software version has no slot

A stream that may go on only at engines of one software version was given a prefill as soon as any decode engine had a slot. Its KV cache was lost unused when the free slots were of another version, and after max_attempts of these the stream ended. Found by reading.

The dispatcher expects a slot among the engines of the version, and promises nothing to a stream that has to wait for one, so that no other request waits for it.

--- a/plugins/slots/dispatch/pass.go
+++ b/plugins/slots/dispatch/pass.go
@@ -187,11 +187,15 @@
 // queue. alone is set if it is the only request in the queue.
 func (md *modelDispatcher) plan(w *waiting, engines []prefillState, s *slotSupply, alone bool) {
 	e, work := md.pickPrefill(w, engines)
-	if e == nil || w.ask.SoftwareVersion != nil && len(md.continuable(&w.ask, s.engines)) == 0 {
+	if e == nil {
 		return
 	}
 	now := md.now()
 	computed := e.readyAt.Add(work)
+	if w.ask.SoftwareVersion != nil && !md.slotInTime(s.slotAmong(md.continuable(&w.ask, s.engines)), computed) {
+		// Nothing is promised to it, so that requests that other engines may take do not wait for it.
+		return
+	}
 	slotAt, memory := s.next(w.ask.Pieces)
 	transfer := md.transfer(e.u, w.ask.Prompt)
 	first := slotkit.Later(slotkit.Later(computed, slotAt), e.linkAt).Add(transfer)
@@ -201,15 +205,20 @@
 		return
 	}
 	startable := e.readyAt.Sub(now) <= lookahead
-	slotInTime := slotAt.Sub(computed) <= md.p.kvUsable*kvWaitPercent/100
 	e.readyAt = computed
 	e.addTransfer(transfer)
 	s.promise(w.ask.Pieces, memory)
-	if startable && slotInTime {
+	if startable && md.slotInTime(slotAt, computed) {
 		md.place(w, e, memory, md.runnersUp(w, engines, e))
 	}
 }
 
+// slotInTime reports whether a decode slot that is expected at slotAt is early enough for a prefill that is done at
+// computed.
+func (md *modelDispatcher) slotInTime(slotAt, computed time.Time) bool {
+	return slotAt.Sub(computed) <= md.p.kvUsable*kvWaitPercent/100
+}
+
 // tooLate reports whether a predicted first output misses its target by more
 // than the allowed error. A request whose caller has already received output is
 // never too late, since refusing it would discard that output.
--- a/plugins/slots/dispatch/software_test.go
+++ b/plugins/slots/dispatch/software_test.go
@@ -47,6 +47,26 @@
 	}
 }
 
+// TestStreamTakesNoPrefillWhileItsSoftwareVersionIsFull guards against prefills whose KV cache is lost unused, since
+// only engines of another software version have free slots.
+func TestStreamTakesNoPrefillWhileItsSoftwareVersionIsFull(t *testing.T) {
+	b := settledTestBed(1, 3, 1, 200)
+	b.setVersions(map[ident.UpstreamID]string{"d1": "v1", "d2": "v2"})
+	h := b.holderNode()
+	first := h.place(5 * time.Second)
+	b.run(10 * time.Millisecond)
+	h.policy.Computed(first)
+	b.run(10 * time.Millisecond)
+	h.policy.Started(first)
+	version := h.Upstream(h.last(first).decode).SoftwareVersion
+	stream := h.placeVersion(time.Second, &version)
+	b.run(500 * time.Millisecond)
+	assert.Equal(t, h.last(stream), answer{})
+	h.policy.Release(first)
+	b.run(100 * time.Millisecond)
+	assert.Equal(t, h.last(stream).kind, "placed")
+}
+
 // TestStreamWithoutItsSoftwareVersionTakesNoPrefill guards against prefills for a stream that no decode engine may
 // take, and against requests that wait for it.
 func TestStreamWithoutItsSoftwareVersionTakesNoPrefill(t *testing.T) {
--- a/plugins/slots/dispatch/supply.go
+++ b/plugins/slots/dispatch/supply.go
@@ -99,6 +99,21 @@
 	}
 }
 
+// slotAmong returns when one of the given engines is expected to have a free slot.
+func (s *slotSupply) slotAmong(engines []*decodeState) time.Time {
+	for _, d := range engines {
+		if d.slots >= 1 {
+			return s.now
+		}
+	}
+	for _, r := range s.releases {
+		if slices.ContainsFunc(engines, func(d *decodeState) bool { return d.u.ID == r.decode }) {
+			return r.at
+		}
+	}
+	return s.now.Add(never)
+}
+
 // waveAt returns when the given number of units (slots, or pieces of memory)
 // beyond all known releases is expected to be free. total is the number of units
 // that exist. All of them are assumed to be released once per typical use
