Kernel: believe a restarted agent's view of upstreams

Callers saw: after the agent of a running entry had been replaced, the entry sent new work to upstreams that were leaving or dead, and none to upstreams that had come back, for as long as the process of that upstream lived.

Cause: an agent that has just started reports incarnation 0 for an upstream whose number the platform's list lacks, and keeps to it until that process ends. The kernel, which had the number from the agent before, took 0 for a number lower than its own, thus the view for a lagging one, and kept the old state. Class: one that has just started takes what it sees for all there is.

Evidence: with a real agent (engine restarted, then the agent, then the engine crashed) the entry is told incarnation, then 0, then 0 and unreachable. TestViewOfAStartedAgentIsBelieved, which gives the kernel such views, failed before for leaving and for dead upstreams and passes now.

Fix: 0 is not a lower number but an unknown one. The state in the view counts; what the entry has recorded of the upstream is carried over as for any incarnation that may be the same. A mark as leaving that only the agent before knew is lost until the upstream or the platform states it again: keeping it could hold a new process for leaving for good.

--- a/kernel/fleet.go
+++ b/kernel/fleet.go
@@ -71,8 +71,9 @@
 		return
 	}
 	prev := &old[i]
-	if u.Incarnation < prev.Incarnation {
-		// The view lags: a newer incarnation has been seen already.
+	if u.Incarnation != 0 && u.Incarnation < prev.Incarnation {
+		// The view lags: a newer incarnation has been seen already. An agent that
+		// has been restarted reports 0 for processes that are older than it.
 		u.Incarnation = prev.Incarnation
 		u.Liveness = prev.Liveness
 		u.SoftwareVersion = prev.SoftwareVersion
--- a/kernel/session_test.go
+++ b/kernel/session_test.go
@@ -267,3 +267,25 @@
 	s.step(kernel.AttemptDone{Attempt: s.service})
 	assert.Equal(t, s.k.InFlight(), 0)
 }
+
+// TestViewOfAStartedAgentIsBelieved guards against an upstream whose state stays as it was when its agent was
+// restarted. The new agent does not know the number of a process that has run for longer.
+func TestViewOfAStartedAgentIsBelieved(t *testing.T) {
+	for name, liveness := range map[string]kernel.Liveness{"leaving": kernel.Leaving, "dead": kernel.Dead} {
+		t.Run(name, func(t *testing.T) {
+			s := newSession(t)
+			s.setLiveness("s2", kernel.Dead)
+			s.restart("s1")
+			s.changeUpstream("s1", func(u *kernel.Upstream) { u.Incarnation = 0 })
+			s.setLiveness("s1", liveness)
+			s.step(kernel.Arrive{Request: s.confirm("during")})
+			assert.Assert(t, s.service.IsZero(), "a service that is %s was called:\n%s", name, s.transcript())
+			if liveness == kernel.Leaving {
+				return
+			}
+			s.setLiveness("s1", kernel.Live)
+			s.step(kernel.Arrive{Request: s.confirm("after")})
+			assert.Assert(t, !s.service.IsZero(), "a service that is back was not called:\n%s", s.transcript())
+		})
+	}
+}
