Limits: a new instance learns from its peers which zones have a share

Callers saw: while a zone was cut off and the platform no longer listed it, an instance that was restarted in another zone admitted more of a workspace's requests than its limit allows together with the zone that serves alone.

Cause: a zone keeps its share for 10 minutes after it has disappeared, but only at instances that have seen it. One that has just started took the zones of its own view for all there are; its peers' confirmation counts instances, not zones. Class: one that has just started takes what it sees for all there is.

Evidence: TestNewcomerLearnsOfZonesThatAreCutOff, one of two instances in one of three zones restarted: 26.667 requests a second usable in the zone before, 13.333 allowed; it passes now.

Fix: the reply to an instance that warms up names the zones among which the peer divides, and for how long each has been missing, so that it forgets them when its peers do. A peer of an earlier release names none. An instance that finds no peer still knows no more than its view.

--- a/plugins/admission/limits/members.go
+++ b/plugins/admission/limits/members.go
@@ -154,6 +154,31 @@
 	return !m.listed
 }
 
+// zoneShares returns the zones that have a share, sorted.
+func (m *members) zoneShares(now time.Time) []ZoneShare {
+	shares := make([]ZoneShare, 0, len(m.zoneNames))
+	for _, name := range m.zoneNames {
+		share := ZoneShare{Zone: ident.Zone(name)}
+		if since := m.zones[share.Zone]; !since.IsZero() {
+			share.MissingMS = now.Sub(since).Milliseconds()
+		}
+		shares = append(shares, share)
+	}
+	return shares
+}
+
+// learnZones adds zones that have a share at a peer and have never been in this
+// instance's view.
+func (m *members) learnZones(now time.Time, shares []ZoneShare) {
+	for _, share := range shares {
+		if _, known := m.zones[share.Zone]; !known && m.warmingUp {
+			missing := min(max(share.MissingMS, 0), zoneRetention.Milliseconds())
+			m.zones[share.Zone] = now.Add(-time.Duration(missing) * time.Millisecond)
+			m.recheckAt = time.Time{}
+		}
+	}
+}
+
 // confirm records that a peer includes this instance in its division. among is
 // the number of instances that the peer divides by; the confirmation is ignored
 // if it is greater than this instance's own number.
--- a/plugins/admission/limits/messages.go
+++ b/plugins/admission/limits/messages.go
@@ -84,6 +84,17 @@
 	// including the sender of the Demand. It is 0 while the sender of the Reply
 	// still uses capacity that now belongs to the sender of the Demand.
 	Members int `json:"members,omitempty"`
+	// Zones answers RequestConfirmation with the zones among which the sender of
+	// the Reply divides the limits. An instance of an earlier release names none.
+	Zones []ZoneShare `json:"zones,omitempty"`
+}
+
+// ZoneShare is a zone that has a share of the limits.
+type ZoneShare struct {
+	Zone ident.Zone `json:"zone"`
+	// MissingMS is the time for which the zone has been missing from the sender's
+	// view, in milliseconds.
+	MissingMS int64 `json:"missing_ms,omitempty"`
 }
 
 // Grant is the total amount lent of one workspace's limits.
--- a/plugins/admission/limits/newcomer_test.go
+++ b/plugins/admission/limits/newcomer_test.go
@@ -119,3 +119,27 @@
 	w.advance(time.Second, true)
 	assert.Assert(t, w.totalUsage().Rate > limitRate-negligibleRate)
 }
+
+// TestNewcomerLearnsOfZonesThatAreCutOff guards against a new instance that takes the share of a zone of which only
+// its peers know.
+func TestNewcomerLearnsOfZonesThatAreCutOff(t *testing.T) {
+	w := startWorld(2, "hall-b", "hall-c")
+	third := limitRate / 3
+	w.zones = nil
+	for _, n := range w.nodes {
+		n.refreshView()
+	}
+	w.nodes[1].kill()
+	w.nodes[1].start()
+	for _, n := range w.nodes {
+		n.refreshView()
+	}
+	for range 20 {
+		w.advance(time.Second, true)
+		rate := w.totalUsage().Rate
+		assert.Assert(t, rate < third+negligibleRate, "%.3f requests per second usable in a zone of three, %.3f allowed", rate, third)
+	}
+	w.now = w.now.Add(zoneRetention)
+	w.advance(time.Second, true)
+	assert.Assert(t, w.totalUsage().Rate > limitRate-negligibleRate)
+}
--- a/plugins/admission/limits/peers.go
+++ b/plugins/admission/limits/peers.go
@@ -89,8 +89,11 @@
 			answer.Grants = append(answer.Grants, Grant{Workspace: ask.Workspace, Amount: grant})
 		}
 	}
-	if d.RequestConfirmation && c.withinShare(from) {
-		answer.Members = len(c.members.instances)
+	if d.RequestConfirmation {
+		answer.Zones = c.members.zoneShares(c.host.Now())
+		if c.withinShare(from) {
+			answer.Members = len(c.members.instances)
+		}
 	}
 	c.host.Send(from, answer)
 }
@@ -123,6 +126,7 @@
 	if m.Incarnation != c.host.Self().Incarnation {
 		return
 	}
+	c.members.learnZones(c.host.Now(), m.Zones)
 	if m.Members > 0 {
 		c.members.confirm(from, m.Members)
 	}
