--- a/kernel/fleet.go
+++ b/kernel/fleet.go
@@ -71,10 +71,12 @@
 		return
 	}
 	prev := &old[i]
-	if u.Incarnation < prev.Incarnation {
-		// The view lags: a newer incarnation has been seen already.
+	if u.Incarnation != 0 && u.Incarnation < prev.Incarnation {
+		// The view lags: a newer incarnation has been seen already. An agent that
+		// has been restarted reports 0 for processes that are older than it.
 		u.Incarnation = prev.Incarnation
 		u.Liveness = prev.Liveness
+		u.SoftwareVersion = prev.SoftwareVersion
 	}
 	if !sameIncarnation(u.Incarnation, prev.Incarnation) {
 		return
@@ -155,7 +157,9 @@
 		k.distrustUntil = time.Time{}
 	}
 	k.dirty = true
+	k.learnVersions()
 	k.dropLostWork()
+	k.endOrphans()
 }
 
 // dropLostWork abandons the attempts and drops the cancels on upstream
--- a/plugins/slots/dispatch/pass.go
+++ b/plugins/slots/dispatch/pass.go
@@ -110,11 +110,11 @@
 	if p := md.p.host.Upstream(gr.prefill); p != nil {
 		zone = p.Zone
 	}
-	avoid := enginesToExclude(gr.ask.Avoid, free, func(d *decodeState) ident.UpstreamID { return d.u.ID })
+	candidates := md.continuable(&gr.ask, free)
+	avoid := enginesToExclude(gr.ask.Avoid, candidates, func(d **decodeState) ident.UpstreamID { return (*d).u.ID })
 	var best *decodeState
 	bestCost := 0.0
-	for i := range free {
-		d := &free[i]
+	for _, d := range candidates {
 		if d.slots < 1 || !roomFor(d, gr.ask.Pieces) || slices.Contains(avoid, d.u.ID) {
 			continue
 		}
@@ -129,6 +129,19 @@
 	return best
 }
 
+// continuable lists the engines of a software version at which a request's stream may go on. The
+// list is valid until the next call.
+func (md *modelDispatcher) continuable(a *Ask, free []decodeState) []*decodeState {
+	list := md.candidateScratch[:0]
+	for i := range free {
+		if a.mayContinueAt(free[i].u) {
+			list = append(list, &free[i])
+		}
+	}
+	md.candidateScratch = list
+	return list
+}
+
 // roomFor reports whether an engine has KV memory for the given number of
 // pieces. It returns true if the engine's memory is not known.
 func roomFor(d *decodeState, pieces int) bool {
@@ -179,6 +192,10 @@
 	}
 	now := md.now()
 	computed := e.readyAt.Add(work)
+	if w.ask.SoftwareVersion != nil && !md.slotInTime(s.slotAmong(md.continuable(&w.ask, s.engines)), computed) {
+		// Nothing is promised to it, so that requests that other engines may take do not wait for it.
+		return
+	}
 	slotAt, memory := s.next(w.ask.Pieces)
 	transfer := md.transfer(e.u, w.ask.Prompt)
 	first := slotkit.Later(slotkit.Later(computed, slotAt), e.linkAt).Add(transfer)
@@ -188,15 +205,20 @@
 		return
 	}
 	startable := e.readyAt.Sub(now) <= lookahead
-	slotInTime := slotAt.Sub(computed) <= md.p.kvUsable*kvWaitPercent/100
 	e.readyAt = computed
 	e.addTransfer(transfer)
 	s.promise(w.ask.Pieces, memory)
-	if startable && slotInTime {
+	if startable && md.slotInTime(slotAt, computed) {
 		md.place(w, e, memory, md.runnersUp(w, engines, e))
 	}
 }
 
+// slotInTime reports whether a decode slot that is expected at slotAt is early enough for a prefill that is done at
+// computed.
+func (md *modelDispatcher) slotInTime(slotAt, computed time.Time) bool {
+	return slotAt.Sub(computed) <= md.p.kvUsable*kvWaitPercent/100
+}
+
 // tooLate reports whether a predicted first output misses its target by more
 // than the allowed error. A request whose caller has already received output is
 // never too late, since refusing it would discard that output.
