--- a/gateway/lostorigins_test.go
+++ b/gateway/lostorigins_test.go
@@ -260,6 +260,52 @@
 	})
 }
 
+// TestPromptThatAnotherVersionReadIsNoOrigin guards against a version whose only engine read a prompt and made no
+// event, while an engine of another version, which has left, began the stream.
+func TestPromptThatAnotherVersionReadIsNoOrigin(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		w := newSimFleet(t, 8, 3, 3, 9)
+		defer w.close()
+		w.setVersions("v1")
+		time.Sleep(5 * time.Second)
+		w.loseAll(time.Second, func() {
+			w.mu.Lock()
+			for _, e := range w.engines {
+				w.history = append(w.history, e.upstream)
+			}
+			w.mu.Unlock()
+			w.replaceEngines("v2")
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			for _, e := range w.engines {
+				if e.upstream.Stage == dialect.StageDecode {
+					e.keep("p", 5000)
+					break
+				}
+			}
+		})
+		version, source := w.instances[0].running().node.StreamVersion(t.Context(), "llm", origin.Query{Attempt: "a", Part: "p", PartTokens: 5000})
+		assert.Equal(t, source, origin.Unknown, "%s", version)
+	})
+}
+
+// TestVersionThatAListDoesNotShowYetMayHaveBegunAStream guards against an instance that is cut off and takes the
+// only version of a list that is two seconds old for certain.
+func TestVersionThatAListDoesNotShowYetMayHaveBegunAStream(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		w := newSimFleet(t, 8, 3, 3, 9)
+		defer w.close()
+		w.setVersions("v1")
+		time.Sleep(40 * time.Second)
+		cut := w.instances[0]
+		w.cutOff(cut.zone, true)
+		w.setVersions("v1", "v2")
+		time.Sleep(2 * time.Second)
+		version, source := cut.running().node.StreamVersion(t.Context(), "llm", origin.Query{Attempt: "at-v2"})
+		assert.Assert(t, source != origin.SoleVersion, "%s", version)
+	})
+}
+
 // cutOff cuts the instances of a zone off from the store and the other zones, or ends that.
 func (w *simFleet) cutOff(zone ident.Zone, off bool) {
 	partitioned := zone
--- a/gateway/origin/finder_test.go
+++ b/gateway/origin/finder_test.go
@@ -96,6 +96,15 @@
 	assert.Assert(t, !ok, "the length of the prompt is unknown")
 }
 
+// TestEarlierTurnOfASessionIsNoOrigin guards against what an earlier request of the same session left at an engine.
+func TestEarlierTurnOfASessionIsNoOrigin(t *testing.T) {
+	for _, tokens := range []int{1000, 1200, 1230, 1260} {
+		q := Query{Attempt: "b", Part: "p", PartTokens: tokens}
+		version, ok, rule := decide(q, []evidence{{version: "v1", kept: 1200, complete: true}})
+		assert.Check(t, !ok, "turn of %d tokens: %s %s", tokens, version, rule)
+	}
+}
+
 // TestDecideNeverTakesAnotherVersion guards against an origin whose engine shows the stream and that is
 // decided for another version.
 func TestDecideNeverTakesAnotherVersion(t *testing.T) {
