Streams: gaps in the numbers of events show nothing where they are usual

The check of event order took any gap for a missing event. The users' pages only promise increasing numbers, so that a service whose engines don't number one by one would have had each stream broken off.

Change: a number that doesn't increase is out of order anywhere. A gap is, as long as gaps are rare among a service's events (fewer than three, or one in eight steps).

--- a/gateway/carry/carry.go
+++ b/gateway/carry/carry.go
@@ -77,6 +77,8 @@
 	mu sync.Mutex
 	// cacheLists holds the engines' lists of cached prompts.
 	cacheLists cacheLists
+	// numberings holds how the engines of each service number events.
+	numberings map[string]*numbering
 	// streams holds the running streams by the number of their placement.
 	streams map[uint64]*stream
 	// streamStarted wakes AwaitStreams when a stream starts.
@@ -90,7 +92,19 @@
 }
 
 func New(o Options) *Forwarder {
-	return &Forwarder{o: o, streams: map[uint64]*stream{}, streamStarted: make(chan struct{}, 1)}
+	return &Forwarder{o: o, numberings: map[string]*numbering{}, streams: map[uint64]*stream{}, streamStarted: make(chan struct{}, 1)}
+}
+
+// numbering returns how the engines of a service number events.
+func (c *Forwarder) numbering(service string) *numbering {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := c.numberings[service]
+	if n == nil {
+		n = &numbering{}
+		c.numberings[service] = n
+	}
+	return n
 }
 
 // Close waits until all pending releases have been sent or ctx ends. Reservations and results
--- a/gateway/carry/eventorder.go
+++ b/gateway/carry/eventorder.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"strconv"
+	"sync"
 )
 
 // maxFirstEvent is the largest number of the first event of a stream. Engines number events from 1 or from 0.
@@ -26,10 +27,43 @@
 	return fmt.Sprintf("event %d received after event %s", e.Event, e.Last)
 }
 
+// numbering is how the engines of a service number the events of streams. Numbers increase, mostly one by one,
+// so that a gap shows a missing event; where gaps are usual they show nothing. It is safe for concurrent use.
+type numbering struct {
+	mu sync.Mutex
+	// steps counts the events that followed one with the number before, gaps those that did not.
+	steps, gaps int
+}
+
+const (
+	// minUsualGaps is the smallest number of gaps that may be usual, and maxStepsPerGap the largest number of
+	// steps for each of them.
+	minUsualGaps   = 3
+	maxStepsPerGap = 8
+)
+
+// observe counts a step or a gap.
+func (n *numbering) observe(step bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if step {
+		n.steps++
+	} else {
+		n.gaps++
+	}
+}
+
+// consecutive reports whether a gap shows a missing event.
+func (n *numbering) consecutive() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.gaps < minUsualGaps || n.steps > maxStepsPerGap*n.gaps
+}
+
 // inOrder returns the complete events at the beginning of events that continue a stream whose last event
 // has the ID last, and an *EventOrderError if another one comes after them. Only IDs that are numbers
 // are checked.
-func inOrder(events []byte, last string) ([]byte, error) {
+func (n *numbering) inOrder(events []byte, last string) ([]byte, error) {
 	begin := 0
 	for rest := events; len(rest) > 0; {
 		var line []byte
@@ -41,7 +75,7 @@
 		if !ok {
 			continue
 		}
-		if number, err := strconv.Atoi(id); err == nil && !mayFollow(number, last) {
+		if number, err := strconv.Atoi(id); err == nil && !n.mayFollow(number, last) {
 			return events[:begin], &EventOrderError{Last: last, Event: number}
 		}
 		last = id
@@ -51,12 +85,22 @@
 
 // mayFollow reports whether the event with the given number may be the one after the event with the ID last,
 // or the first one if last is "".
-func mayFollow(number int, last string) bool {
-	if last == "" {
-		return number <= maxFirstEvent
-	}
+func (n *numbering) mayFollow(number int, last string) bool {
 	previous, err := strconv.Atoi(last)
-	return err != nil || number == previous+1
+	switch {
+	case last == "" && number <= maxFirstEvent:
+		return true
+	case last == "":
+	case err != nil:
+		return true
+	case number <= previous:
+		return false
+	case number == previous+1:
+		n.observe(true)
+		return true
+	}
+	n.observe(false)
+	return !n.consecutive()
 }
 
 // cutLine returns the first line of b without its end, and what follows it.
--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -276,7 +276,7 @@
 // yet. It stops before an event that is out of order and returns an *EventOrderError. If the events
 // could not be sent, the error is a *CallerWriteError.
 func (s *stream) deliver(resp *http.Response, events []byte) error {
-	ordered, err := inOrder(events, s.lastEvent)
+	ordered, err := s.c.numbering(s.j.Service.Name).inOrder(events, s.lastEvent)
 	if err != nil {
 		s.c.o.Count("events_out_of_order")
 	}
