origin: an absent history is read once

A store that keeps no history was asked again each second by each instance to which callers returned, up to eight calls each: with some hundred instances more than the reads that the store allows. It can't know more of the past later.

--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -139,9 +139,11 @@
 	origins     *origin.Register
 	originAdded chan struct{}
 	finder      *origin.Finder
-	// historySince is the value of view.listedSince for which the store's history is known. historyLock
-	// guards reading it and historyFailed, the time of the last failure, while it holds a value.
+	// historySince is the value of view.listedSince for which the store's history is known, historyAbsent
+	// that for which the store keeps none. historyLock guards reading the history, historyAbsent, and
+	// historyFailed, the time of the last failure, while it holds a value.
 	historySince  time.Time
+	historyAbsent time.Time
 	historyLock   chan struct{}
 	historyFailed time.Time
 
--- a/gateway/fleet/origins.go
+++ b/gateway/fleet/origins.go
@@ -155,7 +155,7 @@
 	known := n.view.hasList && (since.Equal(n.historySince) || clock.Since(since) >= origin.TTL)
 	listed, revision := n.view.hasList, n.view.revision
 	n.mu.Unlock()
-	if known || !listed || clock.Since(n.historyFailed) < historyRetryInterval {
+	if known || !listed || since.Equal(n.historyAbsent) || clock.Since(n.historyFailed) < historyRetryInterval {
 		return known
 	}
 	// The caller may leave, but others wait for the history.
@@ -174,7 +174,8 @@
 	if h.Kept {
 		n.historySince = since
 	} else {
-		n.historyFailed = clock.Now()
+		// The store will not know more of that time later.
+		n.historyAbsent = since
 	}
 	n.opts.Log.Info("store's history read", "kept", h.Kept, "states", len(h.States), "unidentified", h.Unidentified, "retired", retired, "took_ms", clock.Since(start).Milliseconds())
 	return h.Kept
--- a/gateway/fleetworld_test.go
+++ b/gateway/fleetworld_test.go
@@ -73,6 +73,8 @@
 	history []dialect.Upstream
 	// historyLost means that the store keeps no history.
 	historyLost bool
+	// historyReads counts the reads of the history.
+	historyReads int
 	// logReads counts the pages of cache logs that were read.
 	logReads int
 	// received holds the streams and prefills that reached engines.
@@ -462,6 +464,7 @@
 	}
 	i.fleet.mu.Lock()
 	defer i.fleet.mu.Unlock()
+	i.fleet.historyReads++
 	return dialect.History{States: slices.Clone(i.fleet.history), Kept: !i.fleet.historyLost}, nil
 }
 
--- a/gateway/lostorigins_test.go
+++ b/gateway/lostorigins_test.go
@@ -225,6 +225,11 @@
 		w.historyLost = true
 		w.loseAll(3*time.Second, func() { w.replaceEngines("v2") })
 		assert.Equal(t, w.takeUp(lost), 0)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, w.takeUp(lost), 0)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		assert.Equal(t, w.historyReads, len(w.instances), "each instance reads the history once")
 	})
 }
 
