origin: a resumed stream that names no first attempt goes on where one version serves

The way out for queries that name nothing stood before the question whether one version alone is listed; it stands before the engines now.

--- a/gateway/fleet/origins.go
+++ b/gateway/fleet/origins.go
@@ -80,9 +80,6 @@
 	if sole := n.soleVersion(service); sole.certain() {
 		return sole.version, origin.SoleVersion
 	}
-	if q.Attempt == "" && q.Part == "" {
-		return "", origin.Unknown
-	}
 	if version, ok := n.askOrigin(ctx, q.Attempt); ok {
 		return version, origin.PeerRecord
 	}
@@ -97,6 +94,9 @@
 	if sole.only && sole.fresh && (sole.settled || known) {
 		return sole.version, origin.OnlyListed
 	}
+	if q.Attempt == "" && q.Part == "" {
+		return "", origin.Unknown
+	}
 	found := n.finder.Find(ctx, n.originEngines(service, known || sole.only), q, origin.ReadTTL)
 	n.opts.Log.Info("origin searched at engines", "service", service, "first_attempt", q.Attempt, "rule", string(found.Rule), "software_version", found.Version,
 		"asked", found.Asked, "incomplete", found.Incomplete, "traces", found.Traces, "history", known, "took_ms", found.Took.Milliseconds())
