--- a/gateway/origin/finder_test.go
+++ b/gateway/origin/finder_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -21,6 +22,7 @@
 
 // fakeEngines implements EngineReader with engines whose logs have pages of testPage entries.
 type fakeEngines struct {
+	mu      sync.Mutex
 	logs    map[ident.UpstreamID][]dialect.CacheEntry
 	running map[ident.UpstreamID]map[string]int
 	epoch   map[ident.UpstreamID]string
@@ -38,6 +40,8 @@
 }
 
 func (f *fakeEngines) CacheLog(_ context.Context, u dialect.Upstream, after int64) (dialect.CacheLog, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.calls++
 	if f.down {
 		return dialect.CacheLog{}, errDown
