origin: a stream without a trace at an engine has no known origin

In virtual time, deterministic: TestHistoryDiscardedInPartIsNoOrigin failed before ("only_listed", v2 for a stream of v1).

A history of which a part is left looks like a whole one; revisions have no time, so that nothing proves how far it reaches.

Change: only_listed is gone. A stream that no instance remembers goes on where an engine shows it, also where one version is listed. The history still adds versions and stages, and its silence shows nothing.

TestOneListedVersionIsNoOriginWithoutTheHistory asked that the guess be made once the history is read. Its successor TestOneListedVersionIsNoOrigin asks that it is never made, and that streams with a trace are found with and without the store.

--- a/gateway/fleet/origins.go
+++ b/gateway/fleet/origins.go
@@ -87,17 +87,14 @@
 }
 
 // forgottenOrigin returns the software version that began a stream which no instance remembers, as after
-// the loss of all of them.
+// the loss of all of them. Only engines show it: what the store lists and keeps of its history may lack a
+// version that has left.
 func (n *Node) forgottenOrigin(ctx context.Context, service string, q origin.Query) (string, origin.Source) {
-	known := n.readHistory(ctx)
-	sole := n.soleVersion(service)
-	if sole.only && sole.fresh && (sole.settled || known) {
-		return sole.version, origin.OnlyListed
-	}
 	if q.Attempt == "" && q.Part == "" {
 		return "", origin.Unknown
 	}
-	found := n.finder.Find(ctx, n.originEngines(service, known || sole.only), q, origin.ReadTTL)
+	known := n.readHistory(ctx)
+	found := n.finder.Find(ctx, n.originEngines(service, known || n.soleVersion(service).only), q, origin.ReadTTL)
 	n.opts.Log.Info("origin searched at engines", "service", service, "first_attempt", q.Attempt, "rule", string(found.Rule), "software_version", found.Version,
 		"asked", found.Asked, "incomplete", found.Incomplete, "traces", found.Traces, "history", known, "took_ms", found.Took.Milliseconds())
 	n.count("origin_" + string(found.Rule))
--- a/gateway/origin/register.go
+++ b/gateway/origin/register.go
@@ -37,9 +37,6 @@
 	// OwnRecord means that this instance began the stream or was told of it, PeerRecord that a peer did.
 	OwnRecord  Source = "own_record"
 	PeerRecord Source = "peer_record"
-	// OnlyListed means that there is no record, that only one version is listed, and that the store's history
-	// shows no other.
-	OnlyListed Source = "only_listed"
 	// EngineTrace means that there is no record, and that engines show which version began the stream.
 	EngineTrace Source = "engine_trace"
 )
