fleet: a list that misses two reads no longer shows all software versions

Cause: the age up to which a list counts as showing all versions was a figure of its own, longer than that of a stale view. The same class: what isn't seen is taken for what isn't there.

Change: it is the age at which a view is stale, 1.2 s, which two lost reads take. An instance whose list is older asks the peers that keep origins, then engines, and shares the origins of its streams. The gap within which no upstream comes and goes unseen stays at 3 s and has its own name.

What remains: a list of up to 1.2 s.

--- a/gateway/fleet/origins.go
+++ b/gateway/fleet/origins.go
@@ -36,8 +36,10 @@
 	originShareTimeout = 500 * time.Millisecond
 	originFindTimeout  = 200 * time.Millisecond
 	// maxVersionsAge is the age of the list of upstreams up to which it counts as showing all software
-	// versions that serve. An older one may lack new upstreams.
-	maxVersionsAge = 3 * time.Second
+	// versions that serve. An older one may lack new upstreams. Lists are read twice in this time.
+	maxVersionsAge = staleAfter
+	// maxListGap is the time between two lists within which no upstream comes and goes unseen.
+	maxListGap = 3 * time.Second
 	// maxOriginEngines is the largest number of engines of a service for which all of them are asked for the
 	// origin of a stream.
 	maxOriginEngines = 128
--- a/gateway/fleet/view.go
+++ b/gateway/fleet/view.go
@@ -243,7 +243,7 @@
 // recordGap begins a new period of listedSince if no list was read for so long that upstreams may have come
 // and gone unseen. The caller is about to set asOf to started.
 func (v *View) recordGap(started time.Time) {
-	if !v.hasList || started.Sub(v.asOf) > maxVersionsAge {
+	if !v.hasList || started.Sub(v.asOf) > maxListGap {
 		v.listedSince = started
 	}
 }
