--- a/gateway/origin/finder_test.go
+++ b/gateway/origin/finder_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -208,6 +209,36 @@
 	})
 }
 
+// TestReturnsAtOnceShareTheReadsOfEngines guards against engines that are asked once for each of hundreds of callers
+// who return at the same time.
+func TestReturnsAtOnceShareTheReadsOfEngines(t *testing.T) {
+	const returns = 400
+	for _, count := range []int{9, 90, 512} {
+		bubble.Test(t, func(t *testing.T) {
+			f := newFakeEngines()
+			var engines []Engine
+			for n := range count {
+				id := ident.UpstreamID(fmt.Sprint("e", n))
+				f.keep(id, fmt.Sprint("p", n), 1064)
+				engines = append(engines, engine(id, "v1"))
+			}
+			finder := NewFinder(slowEngines{f})
+			var all sync.WaitGroup
+			took := make([]time.Duration, returns)
+			for n := range returns {
+				all.Go(func() {
+					found := finder.Find(t.Context(), engines, Query{Part: fmt.Sprint("p", n%count), PartTokens: 1000}, ReadTTL)
+					assert.Check(t, found.Known, "%d engines, return %d: %s", count, n, found.Rule)
+					took[n] = found.Took
+				})
+			}
+			all.Wait()
+			assert.Assert(t, f.calls <= 2*count, "%d pages of %d engines", f.calls, count)
+			assert.Assert(t, slices.Max(took) <= readTimeout, "%s", slices.Max(took))
+		})
+	}
+}
+
 // TestEngineThatDidNotAnswerIsAskedAgain guards against an engine that counts as read although it did not answer.
 func TestEngineThatDidNotAnswerIsAskedAgain(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
