origin: an engine of the same version that doesn't answer hides no other origin

Cause: a kept prompt counted only if every engine had shown what it keeps. While an engine is replaced it is listed and doesn't answer: 79 of 121 searches lacked one engine, and 46 of them had nothing but prompts.

Change: an engine that has not shown what it keeps leaves the origin open only if it is of another version than those that keep the prompt.

Measured: TestDecide has the case, which failed before.

--- a/gateway/origin/evidence.go
+++ b/gateway/origin/evidence.go
@@ -21,14 +21,14 @@
 	// RuleOutput means that engines of one version alone have kept the prompt, and one also output that
 	// follows it.
 	RuleOutput Rule = "output_kept"
-	// RulePrompt means that engines of one version alone have kept the prompt, and that all have shown what
-	// they kept.
+	// RulePrompt means that engines of one version alone have kept the prompt, and that all of other versions
+	// have shown what they kept.
 	RulePrompt Rule = "prompt_kept"
 	// RuleNone means that no engine shows the stream, RuleSeveral that engines of several versions do.
 	RuleNone    Rule = "no_trace"
 	RuleSeveral Rule = "several_versions"
-	// RuleIncomplete means that engines of one version alone have kept the prompt, and that others have not
-	// shown what they kept.
+	// RuleIncomplete means that engines of one version alone have kept the prompt, and that some of other
+	// versions have not shown what they kept.
 	RuleIncomplete Rule = "incomplete"
 )
 
@@ -53,10 +53,12 @@
 
 // decide returns the software version that began a stream. ok is false if no version is certain.
 func decide(q Query, engines []evidence) (version string, ok bool, rule Rule) {
-	shown := versionSet{}
-	running, output, complete := false, false, true
+	shown, incomplete := versionSet{}, versionSet{}
+	running, output := false, false
 	for _, e := range engines {
-		complete = complete && e.complete
+		if !e.complete {
+			incomplete.add(e.version)
+		}
 		kept := q.PartTokens > 0 && e.kept > q.PartTokens
 		read := q.PartTokens > 0 && !e.restaged && e.kept+blockTokens > q.PartTokens
 		if e.running || kept || read {
@@ -73,7 +75,7 @@
 		return shown[0], true, RuleRunning
 	case output:
 		return shown[0], true, RuleOutput
-	case complete:
+	case !incomplete.holdsOtherThan(shown[0]):
 		return shown[0], true, RulePrompt
 	default:
 		return "", false, RuleIncomplete
@@ -89,3 +91,8 @@
 		*s = append(*s, version)
 	}
 }
+
+// holdsOtherThan reports whether the set holds a version other than the given one.
+func (s versionSet) holdsOtherThan(version string) bool {
+	return slices.ContainsFunc(s, func(v string) bool { return v != version })
+}
