origin: an engine that has accepted no order needs no history of its stage

Cause: a kept prompt shows nothing at an engine that may have been a prefill engine, and only the store's history told. What an engine is was asked of somebody else.

Change: an engine's report, which is read anyway, counts the orders it has accepted since its start. Without any it has its first stage, and its kept prompts count. The history is needed for the others only.

Measured: TestEngineWithoutOrdersNeedsNoHistory fails without the change.

--- a/gateway/carry/fake_test.go
+++ b/gateway/carry/fake_test.go
@@ -260,8 +260,8 @@
 	return dialect.CacheLog{}, nil
 }
 
-func (f *fakeDialect) RunningRequests(context.Context, dialect.Upstream) (map[string]int, error) {
-	return nil, nil
+func (f *fakeDialect) Activity(context.Context, dialect.Upstream) (dialect.Activity, error) {
+	return dialect.Activity{}, nil
 }
 
 func (f *fakeDialect) WriteResponseHeaders(http.Header, *dialect.Call) {}
--- a/gateway/dialect/dialect.go
+++ b/gateway/dialect/dialect.go
@@ -250,9 +250,8 @@
 	// CacheLog returns a page of an engine's log of changes of its KV cache, from the entry after the
 	// given position on; 0 is the beginning. Engines answer without delay of their work.
 	CacheLog(ctx context.Context, u Upstream, after int64) (CacheLog, error)
-	// RunningRequests returns the number of events that each request which an engine runs has made, by the
-	// ID of the caller's attempt. It is some hundred milliseconds old.
-	RunningRequests(ctx context.Context, u Upstream) (map[string]int, error)
+	// Activity returns what an engine runs. It is some hundred milliseconds old.
+	Activity(ctx context.Context, u Upstream) (Activity, error)
 	// Order orders an engine to change its stage. If the engine has seen a higher fencing number,
 	// the error is a *FencedError.
 	Order(ctx context.Context, o Order) error
@@ -262,6 +261,16 @@
 	Close()
 }
 
+// Activity is what an engine reports of its work.
+type Activity struct {
+	// Running is the number of events that each request which the engine runs has made, by the ID of the
+	// caller's attempt.
+	Running map[string]int
+	// NeverOrdered means that the engine has accepted no order since its start: it has the stage with which it
+	// started.
+	NeverOrdered bool
+}
+
 // CacheLog is a page of an engine's log of changes of its KV cache. Changes appear in it with some delay.
 type CacheLog struct {
 	// Epoch identifies the log. It changes when the engine restarts, with which positions begin anew.
--- a/gateway/lostorigins_test.go
+++ b/gateway/lostorigins_test.go
@@ -28,14 +28,14 @@
 	return dialect.CacheLog{Epoch: string(u.ID), Next: after + int64(len(entries)), Entries: entries}, nil
 }
 
-func (w *simFleet) RunningRequests(_ context.Context, u dialect.Upstream) (map[string]int, error) {
+func (w *simFleet) Activity(_ context.Context, u dialect.Upstream) (dialect.Activity, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	e, ok := w.engineAt(u.Address)
 	if !ok || e.upstream.ID != u.ID {
-		return nil, connectionRefused()
+		return dialect.Activity{}, connectionRefused()
 	}
-	return maps.Clone(e.requests), nil
+	return dialect.Activity{Running: maps.Clone(e.requests)}, nil
 }
 
 // simLogPage is the number of entries in a page of an engine's cache log.
--- a/gateway/origin/enginelog.go
+++ b/gateway/origin/enginelog.go
@@ -32,9 +32,9 @@
 	pageSize int
 	// gap means that entries are missing, ended that the last read reached the end.
 	gap, ended bool
-	// recent and earlier hold the greatest length of each prompt part, running the requests that run.
+	// recent and earlier hold the greatest length of each prompt part, activity what the engine runs.
 	recent, earlier map[string]int
-	running         map[string]int
+	activity        dialect.Activity
 }
 
 // newEngineLog returns the log of an engine of which nothing has been read.
@@ -82,8 +82,8 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e := evidence{version: l.version, complete: finished && !l.failed && l.ended && !l.gap}
-	e.running = q.Attempt != "" && l.running[q.Attempt] > 0
+	e := evidence{version: l.version, neverOrdered: l.activity.NeverOrdered, complete: finished && !l.failed && l.ended && !l.gap}
+	e.running = q.Attempt != "" && l.activity.Running[q.Attempt] > 0
 	if q.Part != "" {
 		e.kept = max(l.recent[q.Part], l.earlier[q.Part])
 	}
@@ -93,12 +93,12 @@
 // read reads the requests that the engine runs and what its log has new. The requests are read first: one
 // that ends meanwhile appears in the log. The errors are the reader's.
 func (l *engineLog) read(ctx context.Context, reader EngineReader, u dialect.Upstream) error {
-	running, err := reader.RunningRequests(ctx, u)
+	activity, err := reader.Activity(ctx, u)
 	if err != nil {
 		return err
 	}
 	l.mu.Lock()
-	l.running, l.ended = running, false
+	l.activity, l.ended = activity, false
 	after := l.next
 	l.mu.Unlock()
 	for page, ended := 0, false; page < maxLogPages && !ended; page++ {
--- a/gateway/origin/evidence.go
+++ b/gateway/origin/evidence.go
@@ -43,6 +43,8 @@
 	// restaged means that the engine may have been a prefill engine, which keeps prompts of streams that
 	// other engines begin, but no output.
 	restaged bool
+	// neverOrdered means that the engine has had its stage since its start.
+	neverOrdered bool
 	// complete means that the engine has shown all that it kept.
 	complete bool
 }
--- a/gateway/origin/finder.go
+++ b/gateway/origin/finder.go
@@ -26,9 +26,9 @@
 
 // EngineReader reads what engines show of the streams that they run or ran.
 type EngineReader interface {
-	// CacheLog and RunningRequests are those of dialect.Dialect.
+	// CacheLog and Activity are those of dialect.Dialect.
 	CacheLog(ctx context.Context, u dialect.Upstream, after int64) (dialect.CacheLog, error)
-	RunningRequests(ctx context.Context, u dialect.Upstream) (map[string]int, error)
+	Activity(ctx context.Context, u dialect.Upstream) (dialect.Activity, error)
 }
 
 // Finder finds the origins of streams that no instance remembers by what engines show: the requests that
@@ -61,7 +61,8 @@
 // Engine is a decode engine that is asked.
 type Engine struct {
 	dialect.Upstream
-	// Restaged means that the engine may have been a prefill engine when the stream began.
+	// Restaged means that the engine may have been a prefill engine when the stream began, unless it has
+	// accepted no order.
 	Restaged bool
 }
 
@@ -80,7 +81,7 @@
 	found := Finding{Asked: len(engines)}
 	for i, e := range engines {
 		shown[i] = logs[i].evidence(ctx, q)
-		shown[i].restaged = e.Restaged
+		shown[i].restaged = e.Restaged && !shown[i].neverOrdered
 		if !shown[i].complete {
 			found.Incomplete++
 		}
--- a/gateway/origin/finder_test.go
+++ b/gateway/origin/finder_test.go
@@ -28,6 +28,7 @@
 	running map[ident.UpstreamID]map[string]int
 	epoch   map[ident.UpstreamID]string
 	lost    int64
+	ordered bool
 	down    bool
 	calls   int
 }
@@ -52,11 +53,11 @@
 	return dialect.CacheLog{Epoch: f.epoch[u.ID], Next: from + int64(len(page)), Lost: after < f.lost, Entries: page}, nil
 }
 
-func (f *fakeEngines) RunningRequests(_ context.Context, u dialect.Upstream) (map[string]int, error) {
+func (f *fakeEngines) Activity(_ context.Context, u dialect.Upstream) (dialect.Activity, error) {
 	if f.down {
-		return nil, errDown
+		return dialect.Activity{}, errDown
 	}
-	return f.running[u.ID], nil
+	return dialect.Activity{Running: f.running[u.ID], NeverOrdered: !f.ordered}, nil
 }
 
 func engine(id ident.UpstreamID, version string) Engine {
@@ -188,12 +189,12 @@
 // slowEngines implements EngineReader with engines that take some time to answer.
 type slowEngines struct{ *fakeEngines }
 
-func (s slowEngines) RunningRequests(ctx context.Context, u dialect.Upstream) (map[string]int, error) {
+func (s slowEngines) Activity(ctx context.Context, u dialect.Upstream) (dialect.Activity, error) {
 	select {
 	case <-time.After(10 * time.Millisecond):
-		return s.fakeEngines.RunningRequests(ctx, u)
+		return s.fakeEngines.Activity(ctx, u)
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return dialect.Activity{}, ctx.Err()
 	}
 }
 
@@ -211,6 +212,24 @@
 	})
 }
 
+// TestEngineWithoutOrdersNeedsNoHistory guards against streams that are refused because the store's history is
+// missing or late, though the engines that keep their prompts have been decode engines since their start.
+func TestEngineWithoutOrdersNeedsNoHistory(t *testing.T) {
+	for _, ordered := range []bool{false, true} {
+		bubble.Test(t, func(t *testing.T) {
+			f := newFakeEngines()
+			f.ordered = ordered
+			f.keep("e1", "p", 1000)
+			engines := []Engine{engine("e1", "v1"), engine("e2", "v2")}
+			for i := range engines {
+				engines[i].Restaged = true
+			}
+			found := NewFinder(f).Find(t.Context(), engines, testQuery, ReadTTL)
+			assert.Equal(t, found.Known, !ordered, "%s", found.Rule)
+		})
+	}
+}
+
 // TestReturnsAtOnceShareTheReadsOfEngines guards against engines that are asked once for each of hundreds of callers
 // who return at the same time.
 func TestReturnsAtOnceShareTheReadsOfEngines(t *testing.T) {
