Known failures: an instance that runs a stream for a peer records its origin

The origin is recorded with the first event of an engine, also by an instance that runs the stream for a peer. The peer may never deliver that event: its link is lost, or it has abandoned the takeover because its own engine goes on. It then delivers a run of another version and records that one; the instances that remember origins keep whichever they are told first.

Evidence: the test fails, map[q:v1] instead of nothing.

--- a/gateway/carry/version_test.go
+++ b/gateway/carry/version_test.go
@@ -302,3 +302,17 @@
 		})
 	}
 }
+
+// TestRelayedStreamHasNoOriginAtThePeerThatRunsIt guards against the origin of a run whose events never reached the
+// caller, because the instance that relayed the stream delivered another run.
+func TestRelayedStreamHasNoOriginAtThePeerThatRunsIt(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		env := newVersionedEnv(t, "v1")
+		env.d.do["d1"] = []reply{wholeFrom(1)}
+		j := job(resumable)
+		j.Relayed = true
+		_, err := env.Stream(t.Context(), j, &streamRecorder{})
+		assert.NilError(t, err)
+		assert.Equal(t, len(env.origins), 0, "%v", env.origins)
+	})
+}
