gateway: an instance that runs a stream for a peer leaves its origin to the peer

Callers would see: a stream that a peer began to run at one version, and that the caller's instance delivered from another, goes on at the wrong version when the caller resumes it elsewhere (ORDER). The instances need not be lost.

Cause: the origin was recorded with the engine's first event by the instance that runs the stream for a peer, too, whether or not the peer delivers it. Keepers of origins keep the first version that they are told.

Not seen on real processes.

--- a/gateway/carry/version.go
+++ b/gateway/carry/version.go
@@ -117,10 +117,11 @@
 }
 
 // began binds the stream to the software version whose first event is about to be sent to the caller, and
-// records the origin of a stream that the caller may resume.
+// records the origin of a stream that the caller may resume. That of a stream which is run for a peer is
+// recorded by the peer: it may deliver another run.
 func (s *stream) began(version string) {
 	s.software.bind(version)
-	if bound, _ := s.software.get(); s.j.Route.Resumable && bound == version {
+	if bound, _ := s.software.get(); s.j.Route.Resumable && !s.j.Relayed && bound == version {
 		s.c.o.Origins.StreamBegan(s.j.Service.Name, origin.Origin{Attempt: s.firstAttempt(), Version: version})
 	}
 }
