Known failures: what engines showed is kept after they have left

Logs of all engines are freed after a minute without any search. While callers return at least once a minute, those of engines that were replaced stay: 100 engines after 25 minutes in which a new one appears every 15 s, with up to 4,096 parts each.

--- a/gateway/origin/finder_test.go
+++ b/gateway/origin/finder_test.go
@@ -284,3 +284,17 @@
 		assert.Equal(t, len(finder.engines), 0)
 	})
 }
+
+// TestEnginesThatLeftAreForgotten guards against memory that grows with each engine that is replaced while callers
+// return.
+func TestEnginesThatLeftAreForgotten(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		finder := NewFinder(newFakeEngines())
+		for n := range 100 {
+			finder.Find(t.Context(), []Engine{engine(ident.UpstreamID(fmt.Sprint("e", n)), "v1")}, testQuery, ReadTTL)
+			time.Sleep(idleTTL / 4)
+			finder.Expire(time.Now())
+		}
+		assert.Assert(t, len(finder.engines) <= 5, "%d engines", len(finder.engines))
+	})
+}
