origin: what an engine showed is freed a minute after it was last asked for

Cause: the logs of all engines were freed together, after a minute without any search, so that those of engines that have left stayed as long as callers return more often: up to 4,096 parts an engine, without bound in a fleet whose engines are replaced.

Change: each log is freed by itself.

--- a/gateway/origin/enginelog.go
+++ b/gateway/origin/enginelog.go
@@ -18,6 +18,8 @@
 type engineLog struct {
 	version     string
 	incarnation ident.Incarnation
+	// usedAt is when a search asked for the log last. The finder's lock guards it.
+	usedAt time.Time
 
 	mu sync.Mutex
 	// reading is closed at the end of the read that is under way, nil if there is none. Callers share it.
--- a/gateway/origin/finder.go
+++ b/gateway/origin/finder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -20,7 +21,7 @@
 	readTimeout = 400 * time.Millisecond
 	// maxLogPages bounds the pages of a log that one read takes. A later read continues.
 	maxLogPages = 64
-	// idleTTL is how long what engines showed is kept when nobody searches. It is read again then.
+	// idleTTL is how long what an engine showed is kept when nobody asks for it. It is read again then.
 	idleTTL = time.Minute
 )
 
@@ -38,7 +39,6 @@
 
 	mu      sync.Mutex
 	engines map[ident.UpstreamID]*engineLog
-	usedAt  time.Time
 }
 
 // NewFinder returns a Finder that has read nothing.
@@ -93,24 +93,22 @@
 	return found
 }
 
-// Expire frees what engines showed if nobody has searched for idleTTL.
+// Expire frees what engines showed for which nobody has asked for idleTTL.
 func (f *Finder) Expire(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if now.Sub(f.usedAt) > idleTTL {
-		clear(f.engines)
-	}
+	maps.DeleteFunc(f.engines, func(_ ident.UpstreamID, l *engineLog) bool { return now.Sub(l.usedAt) > idleTTL })
 }
 
 // log returns what has been read of an engine in its present incarnation.
 func (f *Finder) log(u dialect.Upstream) *engineLog {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.usedAt = clock.Now()
 	l := f.engines[u.ID]
 	if l == nil || l.version != u.SoftwareVersion || l.incarnation != u.Incarnation {
 		l = newEngineLog(u)
 		f.engines[u.ID] = l
 	}
+	l.usedAt = clock.Now()
 	return l
 }
