kernel: a first token binds the stream to the attempt that wrote it, also if that was ended

Callers of the entry would see: a stream joined from two software versions, when a silent engine's replacement of another version stalls before its first token and writes it just before it is ended.

Change: a call remembers the decode attempts that it has ended before the stream began, at most one for each of its attempts. The driver's report of the first writer finds them.

Evidence: TestTokenOfAnEndedReplacementBindsToItsVersion failed before; ./kernel and ./entry/driver pass. Not seen on real processes.

What remains: a third attempt that starts before such a report may write the second token itself (TestTwoWriters).

--- a/kernel/call.go
+++ b/kernel/call.go
@@ -51,6 +51,9 @@
 	delivered int
 	// origin is the attempt that wrote the stream's first token, nil before it.
 	origin *attempt
+	// released lists the decode attempts that were ended before the stream had begun. One of
+	// them may have written the first token meanwhile.
+	released []*attempt
 	// avoid lists the upstreams on which this request failed, newest last.
 	avoid []ident.UpstreamID
 	// minFirstOutput is the minimum time to first output, estimated when the
--- a/kernel/cancel.go
+++ b/kernel/cancel.go
@@ -36,6 +36,9 @@
 		return
 	}
 	k.untrack(a)
+	if a.stage == stageDecode && a.call.origin == nil {
+		a.call.released = append(a.call.released, a)
+	}
 	if k.incarnationEnded(a.upstream, a.incarnation) {
 		return
 	}
--- a/kernel/software.go
+++ b/kernel/software.go
@@ -48,6 +48,12 @@
 		k.streamBegun(c, a)
 		return
 	}
+	for _, a := range c.released {
+		if a.id == first {
+			k.streamBegun(c, a)
+			return
+		}
+	}
 	k.streamBegun(c, reporter)
 }
 
