fleet: one listed version says nothing about an engine's earlier stage

Callers could see a stream go on at the only version listed because one of its engines, a prefill engine before, keeps the prompt, when the store has discarded its history.

Cause: where one version was listed, stages counted as known.

Change: stages are known by the engine, which has accepted no order, or by the history. The engines of the virtual fleet say whether they were ordered.

--- a/gateway/fleet/origins.go
+++ b/gateway/fleet/origins.go
@@ -96,7 +96,7 @@
 		return "", origin.Unknown
 	}
 	known := n.readHistory(ctx)
-	found := n.finder.Find(ctx, n.originEngines(service, known || n.soleVersion(service).only), q, origin.ReadTTL)
+	found := n.finder.Find(ctx, n.originEngines(service, known), q, origin.ReadTTL)
 	n.opts.Log.Info("origin searched at engines", "service", service, "first_attempt", q.Attempt, "rule", string(found.Rule), "software_version", found.Version,
 		"asked", found.Asked, "incomplete", found.Incomplete, "traces", found.Traces, "history", known, "took_ms", found.Took.Milliseconds())
 	n.count("origin_" + string(found.Rule))
--- a/gateway/fleetworld_test.go
+++ b/gateway/fleetworld_test.go
@@ -130,6 +130,8 @@
 	// log holds the changes of the engine's cache, requests the events of running requests by attempt.
 	log      []dialect.CacheEntry
 	requests map[string]int
+	// ordered means that the engine has accepted an order since its start.
+	ordered bool
 }
 
 // newSimFleet starts a fleet and waits until all instances are ready and know each other. prefill
--- a/gateway/lostorigins_test.go
+++ b/gateway/lostorigins_test.go
@@ -35,7 +35,7 @@
 	if !ok || e.upstream.ID != u.ID {
 		return dialect.Activity{}, connectionRefused()
 	}
-	return dialect.Activity{Running: maps.Clone(e.requests)}, nil
+	return dialect.Activity{Running: maps.Clone(e.requests), NeverOrdered: !e.ordered}, nil
 }
 
 // simLogPage is the number of entries in a page of an engine's cache log.
@@ -389,7 +389,7 @@
 			for _, e := range w.engines {
 				if e.upstream.Stage == dialect.StagePrefill {
 					e.keep("p", 5000)
-					e.upstream.Stage = dialect.StageDecode
+					e.upstream.Stage, e.ordered = dialect.StageDecode, true
 					break
 				}
 			}
