carry: comments before a first event out of order are not delivered

Callers who took a stream up again got status 200 with a comment and then a response that broke off, where an error was due: the part of a delivery that is in order was taken to begin with any complete block. For the same reason an engine whose first event followed a comment took the stream of a silent engine, though that event was out of order, and the stream broke off. Now the part in order must hold an event. TestNothingIsSentBeforeAFirstEventOutOfOrder and TestSilentEngineKeepsItsStreamFromCommentsBeforeDisorder failed before.

--- a/gateway/carry/eventorder.go
+++ b/gateway/carry/eventorder.go
@@ -61,8 +61,8 @@
 }
 
 // inOrder returns the complete events at the beginning of events that continue a stream whose last event
-// has the ID last, and an *EventOrderError if another one comes after them. Only IDs that are numbers
-// are checked.
+// has the ID last, and an *EventOrderError if another one comes after them. Comments without an event are not
+// returned then. Only IDs that are numbers are checked.
 func (n *numbering) inOrder(events []byte, last string) ([]byte, error) {
 	begin := 0
 	for rest := events; len(rest) > 0; {
@@ -76,7 +76,11 @@
 			continue
 		}
 		if number, err := strconv.Atoi(id); err == nil && !n.mayFollow(number, last) {
-			return events[:begin], &EventOrderError{Last: last, Event: number}
+			disorder := &EventOrderError{Last: last, Event: number}
+			if !holdsEvent(events[:begin]) {
+				return nil, disorder
+			}
+			return events[:begin], disorder
 		}
 		last = id
 	}
