carry: a first event that arrives with the end of its body must be in order too

A silent engine lost its stream to one whose first event was out of order if that event and the end of the body were read together, as bodies with a length and short chunked ones are; the stream then broke off. The end of the body returned before the check. TestSilentEngineKeepsItsStreamFromDisorderAtTheEnd failed before.

--- a/gateway/carry/run.go
+++ b/gateway/carry/run.go
@@ -69,10 +69,10 @@
 		if r.watchdog != nil {
 			err = r.watchdog.attemptError(err)
 		}
-		switch {
-		case errors.Is(err, io.EOF):
-			return nil
-		case err != nil:
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
 			return err
 		}
 	}
