--- a/gateway/carry/eventreader_test.go
+++ b/gateway/carry/eventreader_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -203,3 +204,57 @@
 		})
 	}
 }
+
+// restBody is the body of a sound engine that continues a stream: it goes on after the Last-Event-Id of the last
+// request sent.
+type restBody struct {
+	env    *testEnv
+	to     int
+	ends   []string
+	reader io.Reader
+}
+
+func (b *restBody) Read(p []byte) (int, error) {
+	if b.reader == nil {
+		b.env.d.mu.Lock()
+		last, err := strconv.Atoi(b.env.d.sends[len(b.env.d.sends)-1].LastEvent)
+		b.env.d.mu.Unlock()
+		if err != nil {
+			return 0, err
+		}
+		b.reader = strings.NewReader(numberedStream(last+1, b.to, b.ends))
+	}
+	return b.reader.Read(p)
+}
+
+// TestMoveThatCutsAnEventAnywhereIsContinued guards against a stream with an event missing, twice or joined with
+// another one, because its engine was stopped for a move at some byte while it still sent.
+func TestMoveThatCutsAnEventAnywhereIsContinued(t *testing.T) {
+	for name, ends := range lineEndings {
+		for _, orderly := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, ended in order %v", name, orderly), func(t *testing.T) {
+				sent := numberedStream(3, 4, ends)
+				for end := range len(sent) + 1 {
+					env := startStreamAtD1(t, singleRun)
+					env.d.mu.Lock()
+					env.d.do["d2"] = []reply{{verdict: dialect.Success, status: http.StatusOK, stream: io.NopCloser(&restBody{env: env.testEnv, to: 5, ends: ends})}}
+					env.d.stopped = func() {
+						_, _ = io.WriteString(env.body.w, sent[:end])
+						if orderly {
+							_ = env.body.w.Close()
+							return
+						}
+						_ = env.body.w.CloseWithError(io.ErrUnexpectedEOF)
+					}
+					env.d.mu.Unlock()
+					env.migrate(t)
+					<-env.ended
+					assert.NilError(t, env.err, "%q", sent[:end])
+					want, _ := parseEvents(events(1, 5))
+					got, open := parseEvents(env.got.body.String())
+					assert.Assert(t, !open && slices.Equal(got, want), "%q: %q", sent[:end], env.got.body.String())
+				}
+			})
+		}
+	}
+}
