Known failures: streams whose numbers have rare gaps are broken off

IDs only have to increase. Within one run of a sound engine a gap shows no missing event, but the stream is broken off and its engine passed over unless at least one of 9 events follows a gap. Not mended: existing tests ask that a gap within a run ends the stream.

--- a/gateway/carry/eventorder_test.go
+++ b/gateway/carry/eventorder_test.go
@@ -258,3 +258,39 @@
 		assert.Equal(t, env.d.count("do d2"), 1)
 	})
 }
+
+// TestRareGapsInTheNumbersOfEventsBreakNoStream guards against sound streams that are broken off because a few of
+// their numbers, which only have to increase, are not one by one.
+func TestRareGapsInTheNumbersOfEventsBreakNoStream(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		env := newStreamEnv(t)
+		passedOver := 0
+		env.o.Count = func(name string) {
+			if name == "engine_passed_over" {
+				passedOver++
+			}
+		}
+		body, number := "", 0
+		for i := range 60 {
+			number++
+			if i%20 == 19 {
+				number++
+			}
+			body += fmt.Sprintf("id: %d\ndata: x\n\n", number)
+		}
+		served := 0
+		for range 20 {
+			env.serveStreams(reply{verdict: dialect.Success, status: http.StatusOK, body: body})
+			j := job(singleRun)
+			j.Deadline = j.Arrived.Add(10 * time.Second)
+			var got streamRecorder
+			if _, err := env.Stream(t.Context(), j, &got); err == nil {
+				assert.Equal(t, got.body.String(), body)
+				served++
+			}
+			time.Sleep(time.Minute)
+		}
+		assert.Check(t, served >= 20-minUsualGaps, "%d of 20", served)
+		assert.Check(t, passedOver <= minUsualGaps, "engines were passed over %d times", passedOver)
+	})
+}
