carry: a byte order mark hides no event ID

Callers of a stream that begins with a byte order mark, which the HTML standard lets precede a stream, got its first event only: its ID was not seen, so that the second event counted as a first one out of order; in a stream that goes on elsewhere after its first event, that one would have come twice. In a run that continues a response the mark hid the ID of its first event from the caller. The mark is now skipped in front of a field, and omitted where a run continues a response; a first run is forwarded unchanged. TestByteOrderMarkHidesNoEvent failed before, at each of its cases. No engine is known to send the mark.

--- a/gateway/carry/eventend.go
+++ b/gateway/carry/eventend.go
@@ -2,6 +2,9 @@
 
 import "bytes"
 
+// byteOrderMark may precede the first line of a stream.
+var byteOrderMark = []byte("\ufeff")
+
 // isLineEnd reports whether r ends a line of an event stream: a line ends with CR, LF or both.
 func isLineEnd(r rune) bool { return r == '\n' || r == '\r' }
 
@@ -59,7 +62,7 @@
 // are no event.
 func holdsEvent(blocks []byte) bool {
 	for line := range bytes.FieldsFuncSeq(blocks, isLineEnd) {
-		name, _, _ := bytes.Cut(line, []byte{':'})
+		name, _, _ := bytes.Cut(bytes.TrimPrefix(line, byteOrderMark), []byte{':'})
 		switch string(name) {
 		case "data", "event", "id", "retry":
 			return true
--- a/gateway/carry/eventorder.go
+++ b/gateway/carry/eventorder.go
@@ -122,6 +122,6 @@
 
 // eventID returns the event ID in a line of an event. ok is false if the line holds none.
 func eventID(line []byte) (id string, ok bool) {
-	text, ok := bytes.CutPrefix(line, []byte("id:"))
+	text, ok := bytes.CutPrefix(bytes.TrimPrefix(line, byteOrderMark), []byte("id:"))
 	return string(bytes.TrimSpace(text)), ok
 }
--- a/gateway/carry/run.go
+++ b/gateway/carry/run.go
@@ -49,9 +49,45 @@
 	}
 }
 
-// body returns the whole body, including what was read already.
+// body returns the whole body, including what was read already. The byte order mark of a run that continues a
+// response is omitted, because callers ignore only one at the beginning.
 func (r *run) body() io.Reader {
-	return io.MultiReader(bytes.NewReader(r.received), r.resp.Body)
+	whole := io.MultiReader(bytes.NewReader(r.received), r.resp.Body)
+	if !r.s.headSent {
+		return whole
+	}
+	return &continuedBody{body: whole}
+}
+
+// continuedBody is a body without its byte order mark.
+type continuedBody struct {
+	body io.Reader
+	// begun means that the mark was looked for, and start is what was read for that.
+	begun bool
+	start []byte
+}
+
+// Read implements io.Reader.
+func (b *continuedBody) Read(p []byte) (int, error) {
+	for !b.begun {
+		n, err := b.body.Read(p[:min(len(p), len(byteOrderMark)-len(b.start))])
+		b.start = append(b.start, p[:n]...)
+		switch {
+		case bytes.Equal(b.start, byteOrderMark):
+			b.begun, b.start = true, nil
+		case err != nil || !bytes.HasPrefix(byteOrderMark, b.start):
+			b.begun = true
+		}
+		if err != nil {
+			return copy(p, b.start), err
+		}
+	}
+	if len(b.start) > 0 {
+		n := copy(p, b.start)
+		b.start = b.start[n:]
+		return n, nil
+	}
+	return b.body.Read(p)
 }
 
 // receiveEvent reads the body up to its first complete event, or to its end. The event must be the one
