driver: an attempt that misses tokens does not take an answer over

An answer whose attempt had stalled was taken from it by a replacement whose first token left a gap: the replacement became the current attempt before its offset was checked, so that both were refused, and the stalled one was superseded when it went on. The gap is now checked first; the stalled attempt keeps the answer. TestStalledAttemptKeepsItsAnswerFromOneWithAGap failed before. Callers never got tokens out of order.

--- a/entry/driver/delivery.go
+++ b/entry/driver/delivery.go
@@ -86,12 +86,15 @@
 	if c.Offset < d.next {
 		return tokenDropped, nil
 	}
-	if from != w.current && !d.promote(w) {
+	if from != w.current && d.wentOn(w) {
 		return tokenDropped, nil
 	}
 	if c.Offset > d.next {
 		return tokenDropped, &GapError{Want: d.next, Got: c.Offset}
 	}
+	if from != w.current && !d.promote(w) {
+		return tokenDropped, nil
+	}
 	if err := d.out.Token(c); err != nil {
 		return tokenDropped, &CallerError{Err: err}
 	}
@@ -122,12 +125,11 @@
 	return time.Unix(0, d.first.Load()), time.Unix(0, d.last.Load()), count
 }
 
-// promote makes the candidate of w the current attempt. It returns false if the
-// current attempt has gone on, or if w is no longer in force.
+// wentOn reports whether the current attempt of w has written a token since its candidate was set.
+func (d *delivery) wentOn(w *writers) bool { return d.next > w.from && d.lastWriter == w.current }
+
+// promote makes the candidate of w the current attempt. It returns false if w is no longer in force.
 func (d *delivery) promote(w *writers) bool {
-	if d.next > w.from && d.lastWriter == w.current {
-		return false
-	}
 	return d.writers.CompareAndSwap(w, &writers{current: w.candidate})
 }
 
