Known failures: engines without a trace of a short prompt count as its keepers

A part counts as kept if an engine has at most one block of 64 tokens less of it, also if it has nothing. If the last part of a prompt is shorter than that, every decode engine shows every such stream: the only listed version is taken for the origin, though the one that began the stream may have left, and while two serve none is found, even if one of them runs the stream.

--- a/gateway/origin/finder_test.go
+++ b/gateway/origin/finder_test.go
@@ -305,3 +305,17 @@
 	version, ok, rule := decide(testQuery, []evidence{{version: "v1", running: true, complete: true}, {version: "v2"}})
 	assert.Assert(t, !ok, "%s %s", version, rule)
 }
+
+// TestEngineWithoutATraceOfAShortPromptIsNoOrigin guards against engines that have not kept the prompt but count as if
+// they had, because its last part is shorter than a block of the cache.
+func TestEngineWithoutATraceOfAShortPromptIsNoOrigin(t *testing.T) {
+	for _, tokens := range []int{1, 50, blockTokens - 1, blockTokens, blockTokens + 1} {
+		q := Query{Attempt: "a", Part: "p", PartTokens: tokens}
+		version, ok, rule := decide(q, []evidence{{version: "v1", complete: true}})
+		assert.Check(t, !ok && rule == RuleNone, "%d tokens: %s %s", tokens, version, rule)
+		version, _, rule = decide(q, []evidence{{version: "v1", running: true, complete: true}, {version: "v2", complete: true}})
+		assert.Check(t, version == "v1", "%d tokens: %s", tokens, rule)
+		version, _, rule = decide(q, []evidence{{version: "v1", kept: tokens, complete: true}, {version: "v2", complete: true}})
+		assert.Check(t, version == "v1", "%d tokens: %s", tokens, rule)
+	}
+}
