origin: an engine that has nothing of a prompt is no keeper of it

Callers would see: after the loss of all instances a stream with a short last part of its prompt goes on at the only version that is listed, although another one began it (ORDER), or is refused although an engine still runs it (LOST).

Change: a part counts as kept only if the engine has something of it. One that the cache rounds down to nothing leaves no trace.

Evidence: TestEngineWithoutATraceOfAShortPromptIsNoOrigin failed before; ./gateway/origin passes but for the known failures. How often last parts are that short is not measured.

--- a/gateway/origin/evidence.go
+++ b/gateway/origin/evidence.go
@@ -60,7 +60,7 @@
 			incomplete.add(e.version)
 		}
 		kept := q.PartTokens > 0 && e.kept > q.PartTokens
-		read := q.PartTokens > 0 && !e.restaged && e.kept+blockTokens > q.PartTokens
+		read := q.PartTokens > 0 && !e.restaged && e.kept > 0 && e.kept+blockTokens > q.PartTokens
 		if e.running || kept || read {
 			shown.add(e.version)
 		}
