carry: a crash is recorded even if the liveness check meets a connection that the process is closing

Cause: as an attempt breaks off, its engine is asked whether it lives. The question is sent over another connection, at the moment at which the process closes all of them: "read: connection reset by peer", once "use of closed network connection". This is no refusal, so the state was "unknown", and with no sign of life from the engine since the request was sent the crash was dropped: neither counted nor told. How many engines end is three and as many as escape in this way, without a bound.

Change: a liveness check repeats a request whose connection breaks, every 20 ms within the same 200 ms. An engine that has ended refuses the next one. Time-outs and connections that can't be made are not repeated; an engine that answers the second request is alive as before. A check at an upstream of which each connection breaks takes 200 ms instead of one answer.

Measured: TestCrashDuringTheCheckIsEvidence failed before ("clear", not "suspect", "crashed").

--- a/gateway/carry/caution_test.go
+++ b/gateway/carry/caution_test.go
@@ -109,6 +109,66 @@
 	}
 }
 
+// endingUpstreams breaks the first liveness check of each upstream, and answers later ones like fakeDialect.
+type endingUpstreams struct {
+	*fakeDialect
+	checked map[ident.UpstreamID]bool
+}
+
+// breaks reports whether a liveness check is the first one of an upstream.
+func (d endingUpstreams) breaks(u dialect.Upstream) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	first := !d.checked[u.ID]
+	d.checked[u.ID] = true
+	return first
+}
+
+func (d endingUpstreams) Report(ctx context.Context, u dialect.Upstream) (dialect.Report, error) {
+	if d.breaks(u) {
+		return dialect.Report{}, errInterrupted
+	}
+	return d.fakeDialect.Report(ctx, u)
+}
+
+func (d endingUpstreams) CheckReachable(ctx context.Context, u dialect.Upstream) error {
+	if d.breaks(u) {
+		return errInterrupted
+	}
+	return d.fakeDialect.CheckReachable(ctx, u)
+}
+
+// TestCrashDuringTheCheckIsEvidence guards against a crash that is not recorded because the liveness check met a
+// connection that the ending process closed.
+func TestCrashDuringTheCheckIsEvidence(t *testing.T) {
+	for name, standing := range map[string]quarantine.Standing{"crashed": quarantine.Suspect, "runs": quarantine.Clear} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				for _, r := range []routing.Route{singleRun, atMostOnce} {
+					env := newStreamEnv(t)
+					env.o.Dialect = endingUpstreams{env.d, map[ident.UpstreamID]bool{}}
+					env.crashUpstreams(reply{err: errInterrupted}, "d1", "d2", "p1")
+					if standing == quarantine.Clear {
+						env.d.crashed = nil
+					}
+					start := time.Now()
+					var err error
+					if r.Kind == routing.Stream {
+						_, err = env.Stream(t.Context(), withContent(r), &streamRecorder{})
+					} else {
+						_, err = env.Plain(t.Context(), withContent(r))
+					}
+					assert.Equal(t, outcomeOf(t, err), Unknown)
+					env.Close()
+					assert.Equal(t, env.d.countKind("do"), 1)
+					assert.Equal(t, env.o.Register.Verdict(time.Now(), crashingContent).Standing, standing)
+					assert.Assert(t, time.Since(start) < stateCheckTimeout)
+				}
+			})
+		})
+	}
+}
+
 // TestResetIsNoEvidence checks that a connection reset by an engine that still answers, as the
 // same incarnation, does not count as a crash. The stream continues at another engine.
 func TestResetIsNoEvidence(t *testing.T) {
--- a/gateway/carry/ending.go
+++ b/gateway/carry/ending.go
@@ -3,14 +3,19 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/wardspool/wardspool/adapter"
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/quarantine"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/clock"
+	"github.com/wardspool/wardspool/internal/pause"
+	"github.com/wardspool/wardspool/kernel"
 	"github.com/wardspool/wardspool/logs"
 )
 
@@ -38,6 +43,9 @@
 	// stateCheckTimeout limits a liveness check. Upstreams answer one in a few ms, however busy
 	// they are.
 	stateCheckTimeout = 200 * time.Millisecond
+	// stateCheckInterval is the time between two requests of a liveness check. A process that is
+	// ending closes its connections and its listening socket within a few ms of each other.
+	stateCheckInterval = 20 * time.Millisecond
 	// stateCheckTTL is how long the result of a liveness check is reused for other attempts at
 	// the same upstream. A crash interrupts a dozen or more attempts at once.
 	stateCheckTTL = time.Second
@@ -92,18 +100,30 @@
 	return check.state
 }
 
-// queryState sends the liveness check to an upstream.
+// queryState sends the liveness check to an upstream. It repeats a request whose connection breaks, as
+// the connections to a process do while that is ending. Once it has ended it refuses new ones.
 func (c *Forwarder) queryState(u dialect.Upstream) upstreamState {
 	ctx, cancel := context.WithTimeout(context.Background(), stateCheckTimeout)
 	defer cancel()
+	for {
+		state, err := c.queryStateOnce(ctx, u)
+		if state != stateUnknown || !connectionBroke(err) || !pause.For(ctx, stateCheckInterval) {
+			return state
+		}
+	}
+}
+
+// queryStateOnce sends one request of a liveness check. It returns the error of that as well.
+func (c *Forwarder) queryStateOnce(ctx context.Context, u dialect.Upstream) (upstreamState, error) {
 	if u.Stage == "" {
-		return c.stateFromError(u, c.o.Dialect.CheckReachable(ctx, u))
+		err := c.o.Dialect.CheckReachable(ctx, u)
+		return c.stateFromError(u, err), err
 	}
 	r, err := c.o.Dialect.Report(ctx, u)
 	if err == nil && !c.ObserveReport(u, r) {
-		return stateCrashed
+		return stateCrashed, nil
 	}
-	return c.stateFromError(u, err)
+	return c.stateFromError(u, err), err
 }
 
 // stateFromError derives the state of an upstream from the error of a liveness check. A refused
@@ -124,6 +144,12 @@
 	}
 }
 
+// connectionBroke reports whether a request failed because its connection was reset or closed.
+func connectionBroke(err error) bool {
+	return adapter.AsCallError(err).Code == kernel.FailureBroken ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, net.ErrClosed)
+}
+
 // interruption is an attempt that was interrupted.
 type interruption struct {
 	upstream dialect.Upstream
