gateway: the test of crashing parts waits until it has sound prompts after the crashes

The share after the crashes is that of the prompts later than 6 s after the fifth crash, or after the last one if fewer engines crashed, until the bad prompts end, 14 s after the first. A last crash more than 8 s after the first bad prompt leaves no prompt in that period, and a share of none counts as 0.

Sound prompts go on now until the period has lasted 2 s. All bounds are the same, each run that had sound prompts in the period for 2 s is judged as before, and the share can't be that of nothing. The log says when the last crash was.

--- a/gateway/promptparts_test.go
+++ b/gateway/promptparts_test.go
@@ -26,9 +26,11 @@
 	partDeadline     = 3 * time.Second
 	maxPartSentAfter = 3
 	// minPartServed is the share of the first attempts of sound requests that must begin later than
-	// servedAfter after the fifth crash, relative to the share before the first.
+	// servedAfter after the fifth crash, relative to the share before the first. Those of servedFor
+	// at least count.
 	minPartServed = 0.9
 	servedAfter   = 2 * partDeadline
+	servedFor     = 2 * time.Second
 	// promptSubjects is the number of different second parts of prompts.
 	promptSubjects = 2000
 )
@@ -129,18 +131,21 @@
 	l := &promptLog{}
 	var all sync.WaitGroup
 	start := time.Now()
-	all.Go(func() {
-		w.sendPrompts(l, &all, false, time.Second/time.Duration(harmlessPerEngine*s.decode), quiet+bad)
-	})
+	soundPause := time.Second / time.Duration(harmlessPerEngine*s.decode)
+	all.Go(func() { w.sendPrompts(l, &all, false, soundPause, quiet+bad) })
 	time.Sleep(quiet)
 	w.sendPrompts(l, &all, true, pause, bad)
+	for time.Until(w.fifthCrash().Add(servedAfter+servedFor)) > 0 {
+		w.sendPrompts(l, &all, false, soundPause, soundPause)
+	}
 	end := time.Now()
 	all.Wait()
 	sent, ended := w.crashCounts()
 	fifth := w.fifthCrash()
 	late := w.crashingSentAfter(fifth.Add(partDeadline))
 	before, after := l.begun(start, start.Add(quiet)), l.begun(fifth.Add(servedAfter), end)
-	t.Logf("sent %d times, %d engines crashed, sent %d times too late; sound prompts: %.3f began before, %.3f after, %d refused for a part", sent, ended, late, before, after, l.refusedForParts())
+	t.Logf("sent %d times, %d engines crashed, the fifth or last one after %v, sent %d times too late; sound prompts: %.3f began before, %.3f after, %d refused for a part",
+		sent, ended, fifth.Sub(start), late, before, after, l.refusedForParts())
 	assert.Check(t, late <= maxPartSentAfter, "sent %d times later than %v after the fifth crash", late, partDeadline)
 	assert.Check(t, after >= minPartServed*before, "of the sound prompts %.3f began, %.3f before the crashes", after, before)
 }
