--- a/testbed/fleet.go
+++ b/testbed/fleet.go
@@ -24,6 +24,8 @@
 	Static bool
 	// EngineArgs are additional arguments of every stand-in engine.
 	EngineArgs []string
+	// SoftwareVersions holds the software versions of upstreams that the platform lists with one.
+	SoftwareVersions map[ident.UpstreamID]string
 	// LogLevel is the log level of the entries and agents; empty for the default.
 	LogLevel string
 	// Relays routes all traffic of the entries and agents through relays, which can
--- a/testbed/platform.go
+++ b/testbed/platform.go
@@ -87,6 +87,8 @@
 			Models:  u.Models,
 			Service: u.Service,
 			State:   stateOf(leaving[string(u.ID)]),
+
+			SoftwareVersion: f.options.SoftwareVersions[u.ID],
 		})
 	}
 	return list
