Known failures: missing events soon after the start of an instance

Cause: numbering.consecutive (gateway/carry/eventorder.go) takes gaps for usual after three of them, unless there are more than eight steps for each. An instance that has just started has no steps, so that the third stream with a missing event is delivered.

Evidence: TestMissingEventsSoonAfterTheStartAreNotDelivered fails at the third of its streams. Not mended: fewer gaps than steps must be told from a service whose numbers have gaps now and then, which is a decision on the design.

--- a/gateway/carry/eventorder_test.go
+++ b/gateway/carry/eventorder_test.go
@@ -181,6 +181,19 @@
 	}
 }
 
+// TestMissingEventsSoonAfterTheStartAreNotDelivered guards against an instance that takes gaps in the numbers of
+// events for usual because engines omitted events in the first streams that it saw.
+func TestMissingEventsSoonAfterTheStartAreNotDelivered(t *testing.T) {
+	env := newStreamEnv(t)
+	for n := range 10 {
+		env.serveStreams(reply{verdict: dialect.Success, status: http.StatusOK, body: events(1, 5) + events(7, 12)})
+		var got streamRecorder
+		_, err := env.Stream(t.Context(), job(singleRun), &got)
+		assert.Check(t, err != nil, "stream %d", n)
+		assert.Equal(t, got.body.String(), events(1, 5), "stream %d", n)
+	}
+}
+
 // TestEventsWithGapsInTheirNumbersAreServed guards against a service whose streams are all broken off because its
 // engines don't number events one by one, which only have to increase.
 func TestEventsWithGapsInTheirNumbersAreServed(t *testing.T) {
