--- a/gateway/lostorigins_test.go
+++ b/gateway/lostorigins_test.go
@@ -374,30 +374,35 @@
 }
 
 // TestPromptOfAFormerPrefillEngineIsNoOrigin guards against the prompt that a prefill engine of another version read
-// before it became a decode engine, when the store has discarded its history.
+// before it became a decode engine, whether the store's history shows that or was discarded.
 func TestPromptOfAFormerPrefillEngineIsNoOrigin(t *testing.T) {
-	bubble.Test(t, func(t *testing.T) {
-		w := newSimFleet(t, 8, 3, 3, 9)
-		defer w.close()
-		w.setVersions("v1")
-		time.Sleep(5 * time.Second)
-		w.historyLost = true
-		w.loseAll(3*time.Second, func() {
-			w.replaceEngines("v2")
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			for _, e := range w.engines {
-				if e.upstream.Stage == dialect.StagePrefill {
-					e.keep("p", 5000)
-					e.upstream.Stage, e.ordered = dialect.StageDecode, true
-					break
+	for _, discarded := range []bool{true, false} {
+		bubble.Test(t, func(t *testing.T) {
+			w := newSimFleet(t, 8, 3, 3, 9)
+			defer w.close()
+			w.setVersions("v1")
+			time.Sleep(5 * time.Second)
+			w.historyLost = discarded
+			w.loseAll(3*time.Second, func() {
+				w.replaceEngines("v2")
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				for _, e := range w.engines {
+					if e.upstream.Stage == dialect.StagePrefill {
+						if !discarded {
+							w.history = append(w.history, e.upstream)
+						}
+						e.keep("p", 5000)
+						e.upstream.Stage, e.ordered = dialect.StageDecode, true
+						break
+					}
 				}
-			}
-			w.revision++
+				w.revision++
+			})
+			version, source := w.instances[0].running().node.StreamVersion(t.Context(), "llm", origin.Query{Attempt: "a", Part: "p", PartTokens: 5000})
+			assert.Equal(t, source, origin.Unknown, "discarded %t: %s", discarded, version)
 		})
-		version, source := w.instances[0].running().node.StreamVersion(t.Context(), "llm", origin.Query{Attempt: "a", Part: "p", PartTokens: 5000})
-		assert.Equal(t, source, origin.Unknown, "%s", version)
-	})
+	}
 }
 
 // cutOff cuts the instances of a zone off from the store and the other zones, or ends that.
