gateway: the test of allowed regions knows its software version before it resumes streams

Cause: the test relied on the guess that one listed version began every stream, which is gone. Of such a stream nothing can be looked for.

Change: the test asks that the stream is refused right after the start, and goes on when the instances know for certain that one version serves. Its checks of regions are as before.

--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/origin"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/bubble"
 )
@@ -194,6 +195,10 @@
 	bubble.Test(t, func(t *testing.T) {
 		w := newSimFleet(t, 6, 3, 6, 12)
 		defer w.close()
+		// Streams are resumed here by callers who name neither the first attempt nor the prompt. Instances refuse
+		// them until they know for certain that one software version serves.
+		assert.Assert(t, !w.send(w.instances[0], "harmless", "3").complete())
+		time.Sleep(origin.TTL + time.Second)
 		restrict := func(regions ...ident.Region) {
 			w.mu.Lock()
 			next := *w.config
