carry: streams begin at a version that all recent lists show

Cause: an instance counts a list of up to 1.2 s as showing all versions, but another instance begins streams at a version as soon as its own list shows it.

Change: a resumable stream begins at a version only once the instance has listed it for 1.2 s, so that each list that still counts shows it. While that is the only version that gets requests, nothing is held back. The gate is in stream.eligible, among which every engine is looked for. Streams that can't be resumed, and prefill engines, are not concerned.

The new test of placements fails without the gate in two of its five cases (streams begin 0 and 1 s after the version was listed).

--- a/gateway/carry/version.go
+++ b/gateway/carry/version.go
@@ -6,6 +6,7 @@
 
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/origin"
+	"github.com/wardspool/wardspool/internal/clock"
 )
 
 // Origins knows the software versions that began streams, also at other instances.
@@ -47,12 +48,15 @@
 }
 
 // eligible returns the upstreams to which the stream may be sent now: decode engines of its software
-// version, and prefill engines. Every search for an engine is made among them.
+// version, or those at which it may begin, and prefill engines. Every search for an engine is made among them.
 func (s *stream) eligible() []dialect.Upstream {
 	list := s.c.eligible(s.j)
 	if _, bound := s.software.get(); bound {
 		return s.software.filter(list)
 	}
+	if s.j.Route.Resumable {
+		return s.c.o.View().MayBegin(clock.Now(), s.j.Service.Name, list)
+	}
 	return list
 }
 
--- a/gateway/carry/version_test.go
+++ b/gateway/carry/version_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/wardspool/wardspool/adapter"
 	"github.com/wardspool/wardspool/gateway/dialect"
+	"github.com/wardspool/wardspool/gateway/fleet"
 	"github.com/wardspool/wardspool/gateway/relay"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/internal/bubble"
@@ -316,3 +317,41 @@
 		assert.Equal(t, len(env.origins), 0, "%v", env.origins)
 	})
 }
+
+// TestStreamDoesNotBeginAtAVersionThatOthersMayNotList guards against a resumable stream that begins at a software
+// version which the lists of other instances may not show yet, so that they take the stream for one of another.
+func TestStreamDoesNotBeginAtAVersionThatOthersMayNotList(t *testing.T) {
+	for name, test := range map[string]struct {
+		resumable, leaving bool
+		listed             time.Duration
+		sent               ident.UpstreamID
+	}{
+		"just listed":         {resumable: true, sent: "d1"},
+		"listed for a second": {resumable: true, listed: time.Second, sent: "d1"},
+		"listed by all":       {resumable: true, listed: 1300 * time.Millisecond, sent: "d2"},
+		"other one leaves":    {resumable: true, leaving: true, sent: "d2"},
+		"never resumed":       {sent: "d2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				ups := engineUps([]string{"p1"}, []string{"d1", "d2"})
+				ups[1].SoftwareVersion, ups[2].SoftwareVersion = "v1", "v2"
+				env := newTestEnv(t, ampleBudget, ups...)
+				view := fleet.NewView()
+				view.MergeList(time.Now(), time.Now(), 1, ups[:2], fleet.FromStore)
+				time.Sleep(time.Minute)
+				ups[1].Leaving = test.leaving
+				view.MergeList(time.Now(), time.Now(), 2, ups, fleet.FromStore)
+				time.Sleep(test.listed)
+				env.view = view.Snapshot()
+				env.d.reserve["d1"] = []error{&dialect.NoCapacityError{}, nil}
+				env.d.do["d1"], env.d.do["d2"] = []reply{wholeFrom(1)}, []reply{wholeFrom(1)}
+				j := job(singleRun)
+				j.Route.Resumable = test.resumable
+				_, err := env.Stream(t.Context(), j, &streamRecorder{})
+				assert.NilError(t, err)
+				assert.DeepEqual(t, decodeSends(env), []ident.UpstreamID{test.sent})
+			})
+		})
+	}
+}
--- a/gateway/fleet/versions.go
+++ b/gateway/fleet/versions.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -70,6 +71,62 @@
 	return out
 }
 
+// versionListing says when the software versions of a service's engines were first listed. It is not modified.
+type versionListing struct {
+	// since is zero for versions that were in the first list of the service, which may have been listed for
+	// any time. latest is the latest of all.
+	since  map[string]time.Time
+	latest time.Time
+}
+
+// recordVersionListed records when the version of an upstream was first listed, unless it is among those that
+// served before.
+func (v *View) recordVersionListed(now time.Time, u dialect.Upstream, served map[string][]string) {
+	before := served[u.Service]
+	if u.Stage == "" || slices.Contains(before, u.SoftwareVersion) {
+		return
+	}
+	if len(before) == 0 {
+		now = time.Time{}
+	}
+	known := v.versionListings[u.Service]
+	listing := versionListing{since: map[string]time.Time{u.SoftwareVersion: now}, latest: now}
+	for version, since := range known.since {
+		if version != u.SoftwareVersion && (slices.Contains(before, version) || since.Equal(now)) {
+			listing.since[version] = since
+		}
+	}
+	listings := maps.Clone(v.versionListings)
+	if listings == nil {
+		listings = map[string]versionListing{}
+	}
+	listings[u.Service] = listing
+	v.versionListings = listings
+}
+
+// MayBegin returns the upstreams of a service's list at which a resumable stream may begin. An engine of a
+// software version that has just been listed is not among them while others can be used: an instance whose list
+// doesn't show the version yet would take the streams that began there for those of another one.
+func (s *Snapshot) MayBegin(now time.Time, service string, list []dialect.Upstream) []dialect.Upstream {
+	listing := s.versionListings[service]
+	if now.Sub(listing.latest) > maxVersionsAge {
+		return list
+	}
+	usable := false
+	settled := slices.DeleteFunc(slices.Clone(list), func(u dialect.Upstream) bool {
+		if u.Stage != dialect.StageDecode {
+			return false
+		}
+		unsettled := now.Sub(listing.since[u.SoftwareVersion]) <= maxVersionsAge
+		usable = usable || !unsettled && !u.Leaving
+		return unsettled
+	})
+	if !usable {
+		return list
+	}
+	return settled
+}
+
 // unidentifiedVersion stands for the software version of an engine of which nothing but its removal is known.
 const unidentifiedVersion = "\x00"
 
--- a/gateway/fleet/view.go
+++ b/gateway/fleet/view.go
@@ -15,6 +15,7 @@
 	"maps"
 	"slices"
 	"sort"
+	"sync"
 	"time"
 
 	"github.com/wardspool/wardspool/gateway/dialect"
@@ -103,6 +104,9 @@
 	// upstreams had before they restarted under their IDs.
 	versionCache versionCache
 	retired      []retiredVersion
+	// versionListings says when the software versions of each service were first listed. Snapshots share it;
+	// a change replaces it.
+	versionListings map[string]versionListing
 	// mergedAsOf is the time of the last list that was merged.
 	mergedAsOf time.Time
 }
@@ -335,6 +339,7 @@
 // merge merges the upstreams of a list whose read began at started, and returns the changes.
 func (v *View) merge(now, started time.Time, list []dialect.Upstream) []Change {
 	var changes []Change
+	served := sync.OnceValue(func() map[string][]string { return v.collectVersions(now) })
 	for _, u := range list {
 		e := v.entries[u.ID]
 		if e == nil {
@@ -356,7 +361,6 @@
 			continue
 		}
 		if e.gone {
-			e.gone = false
 			changes = append(changes, Change{Upstream: u, Kind: Appeared})
 		}
 		if u.SoftwareVersion == "" && u.Incarnation == e.upstream.Incarnation {
@@ -366,6 +370,9 @@
 		if before.ID != "" && before.SoftwareVersion != u.SoftwareVersion {
 			v.retireVersion(now, before)
 		}
+		if wasGone || before.SoftwareVersion != u.SoftwareVersion || before.Service != u.Service || before.Stage == "" {
+			v.recordVersionListed(now, u, served())
+		}
 		// Leaving is final for an incarnation.
 		u.Leaving = u.Leaving || e.upstream.Leaving
 		if u.Leaving && !e.upstream.Leaving {
@@ -375,7 +382,7 @@
 			changes = append(changes, Change{Upstream: u, Kind: StageChanged})
 			e.restagedAt = now
 		}
-		e.upstream, e.updatedAt = u, now
+		e.upstream, e.gone, e.updatedAt = u, false, now
 		if wasGone || u != before {
 			if before.ID != "" {
 				v.markDirty(before.Service, u.ID)
@@ -459,8 +466,9 @@
 	// Listed is false while no list is known.
 	Listed bool
 	// Evacuation lists the zones whose upstreams get no requests.
-	Evacuation routing.Evacuation
-	digest     uint64
+	Evacuation      routing.Evacuation
+	digest          uint64
+	versionListings map[string]versionListing
 }
 
 // Ready reports whether the snapshot holds a configuration and a list, so that requests can be
@@ -473,6 +481,7 @@
 	return &Snapshot{
 		Table: v.table, Revision: v.revision, AsOf: v.asOf, Listed: v.hasList,
 		Upstreams: v.withAnnounced(), listed: v.lists, Evacuation: v.evacuation, digest: v.digest,
+		versionListings: v.versionListings,
 	}
 }
 
--- a/gateway/fleet/view_test.go
+++ b/gateway/fleet/view_test.go
@@ -204,3 +204,49 @@
 	assert.Equal(t, names(v.Snapshot()), "a")
 	assert.Assert(t, v.ConfirmUnchanged(at(later+500), 3))
 }
+
+// TestStreamsBeginWhereAllInstancesListTheVersion guards against streams that begin at a software version before all
+// recent lists show it, and against engines that stay unused for longer than that.
+func TestStreamsBeginWhereAllInstancesListTheVersion(t *testing.T) {
+	engine := func(id, version string) dialect.Upstream {
+		u := up(id)
+		u.Stage, u.SoftwareVersion = dialect.StageDecode, version
+		return u
+	}
+	mayBegin := func(v *View, ms int) (out string) {
+		s := v.Snapshot()
+		for _, u := range s.MayBegin(at(ms), "s", s.Upstreams["s"]) {
+			out += string(u.ID)
+		}
+		return out
+	}
+	v := NewView()
+	mergeList(v, 0, 1, engine("a", "v1"), engine("b", "v2"))
+	assert.Equal(t, mayBegin(v, 10), "ab", "the first list may be of any age")
+	mergeList(v, 10_000, 2, engine("a", "v1"), engine("b", "v2"), engine("c", "v3"))
+	assert.Equal(t, mayBegin(v, 10_010), "ab")
+	mergeList(v, 10_500, 3, engine("a", "v1"), engine("b", "v2"), engine("c", "v3"), engine("d", "v3"))
+	assert.Equal(t, mayBegin(v, 11_200), "ab")
+	assert.Equal(t, mayBegin(v, 11_300), "abcd")
+
+	// An instance counts a version that has left within origin.TTL.
+	mergeList(v, 20_000, 4, engine("a", "v1"))
+	mergeList(v, 40_000, 5, engine("a", "v1"), engine("c", "v3"))
+	assert.Equal(t, mayBegin(v, 40_010), "ac")
+	mergeList(v, 60_000, 6, engine("a", "v1"), engine("b", "v2"), engine("c", "v3"))
+	assert.Equal(t, mayBegin(v, 60_010), "ac")
+
+	// Nothing else is left.
+	leaving := engine("a", "v1")
+	leaving.Leaving = true
+	mergeList(v, 100_000, 7, leaving)
+	mergeList(v, 100_500, 8, leaving, engine("c", "v3"))
+	assert.Equal(t, mayBegin(v, 100_510), "ac")
+
+	// Engines whose versions change under their IDs.
+	v = NewView()
+	mergeList(v, 0, 1, engine("a", "v1"), engine("b", "v1"))
+	mergeList(v, 10_000, 2, engine("a", "v1"), engine("b", "v2"))
+	assert.Equal(t, mayBegin(v, 10_010), "a")
+	assert.Equal(t, mayBegin(v, 11_300), "ab")
+}
