fleet: instances that have found few seeds give orders only where no other one does

Cause: the live instances are compared with the known ones, and one that has just started knows itself only.

Change: an instance joins the fleet when it finds most of the seeds, itself included, or a peer that has joined and that most known instances answer. Both sides of a cut can't find most of the seeds. One that has not joined gives orders only after the engines have reported no requests but known ones for 12 s and the lease: an instance without requests has no reason to order, and the requests of one that has some show. So a lone survivor whose seeds are gone for good orders as well, later.

--- a/gateway/fleet/beats.go
+++ b/gateway/fleet/beats.go
@@ -27,7 +27,7 @@
 func (r *Roster) NextHeartbeat(now time.Time, load Load) Heartbeat {
 	r.SetLoad(load)
 	if !r.isLarge() && !r.lastRelayed.IsZero() && now.Sub(r.lastRelayed) < relayInterval {
-		return Heartbeat{From: r.self}
+		return r.newHeartbeat()
 	}
 	r.lastRelayed = now
 	return r.Heartbeat(now)
@@ -39,6 +39,11 @@
 	r.self.Load = load
 }
 
+// newHeartbeat returns a heartbeat that describes this instance only.
+func (r *Roster) newHeartbeat() Heartbeat {
+	return Heartbeat{From: r.self, Joined: r.Joined() && r.hasMajority()}
+}
+
 // Answer returns the answer to a received heartbeat. In a small fleet it names the other
 // instances only to an instance that has just started: such an instance knows only some seeds and
 // would overestimate its share of the retry budget. In a large fleet it lists the live instances
@@ -50,7 +55,7 @@
 	}
 	p := r.peers[to.From.ID]
 	if p != nil && p.introducedTo == p.member.Incarnation {
-		return Heartbeat{From: r.self}
+		return r.newHeartbeat()
 	}
 	if p != nil {
 		p.introducedTo = p.member.Incarnation
@@ -61,7 +66,7 @@
 // answerLarge answers a heartbeat in a large fleet.
 func (r *Roster) answerLarge(now time.Time, to Heartbeat) Heartbeat {
 	r.refresh(now)
-	h := Heartbeat{From: r.self}
+	h := r.newHeartbeat()
 	named := map[ident.Zone]uint64{}
 	for _, z := range to.Zones {
 		named[z.Zone] = z.Fingerprint
@@ -81,7 +86,7 @@
 // resulting traffic.
 func (r *Roster) Heartbeat(now time.Time) Heartbeat {
 	r.refresh(now)
-	h := Heartbeat{From: r.self}
+	h := r.newHeartbeat()
 	if r.isLarge() {
 		for _, zone := range r.zones() {
 			h.Zones = append(h.Zones, r.zoneRecords(zone, false))
@@ -102,6 +107,7 @@
 // Receive processes a heartbeat received from a peer.
 func (r *Roster) Receive(now time.Time, h Heartbeat) {
 	r.receiveMember(now, h.From)
+	r.joined = r.joined || h.Joined
 	if p := r.peers[h.From.ID]; p != nil {
 		p.lastDirect = now
 	}
--- a/gateway/fleet/messages.go
+++ b/gateway/fleet/messages.go
@@ -145,6 +145,9 @@
 	// Informed is set once the sender has received the crash records that its peers had when it
 	// started or resumed; see Node.Informed.
 	Informed bool `json:"k,omitempty"`
+	// Joined is set if the sender has joined the fleet and most of the instances that it knows are alive; see
+	// Node.Joined. Instances of earlier releases don't know it.
+	Joined bool `json:"w,omitempty"`
 }
 
 // Relayed is a heartbeat that the sender received from or about another instance, with the time
--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -243,6 +243,13 @@
 	return n.roster.HeldFor(now, duty) >= settled && n.roster.IsHolder(now, duty, "") && n.roster.HasQuorum(now, recent)
 }
 
+// Joined reports whether this instance has joined the fleet since its start; see Roster.Joined.
+func (n *Node) Joined() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.roster.Joined()
+}
+
 // AssignedInZone returns the upstreams of a list that have the given stage and whose duty is
 // assigned to this instance. A duty is assigned within the upstream's zone, or among all
 // instances if none of that zone is alive. The name of an upstream's duty is prefix followed by
--- a/gateway/fleet/records.go
+++ b/gateway/fleet/records.go
@@ -127,7 +127,7 @@
 // those that the peer lacks. It returns false if nothing differs.
 func (r *Roster) Reconcile(now time.Time, answer Heartbeat) (Heartbeat, bool) {
 	r.refresh(now)
-	h := Heartbeat{From: r.self}
+	h := r.newHeartbeat()
 	for _, z := range answer.Zones {
 		own := r.zoneRecords(z.Zone, true)
 		if !z.Named || own.Fingerprint == z.Fingerprint {
--- a/gateway/fleet/roster.go
+++ b/gateway/fleet/roster.go
@@ -82,6 +82,8 @@
 	groups map[ident.Zone]*group
 	// heldSince holds the time since which this instance has held each of its duties.
 	heldSince map[string]time.Time
+	// joined is set once the instance has joined the fleet; see Joined.
+	joined bool
 	// lastRefresh is the time of the last refresh.
 	lastRefresh time.Time
 	// partners holds the addresses in the own zone that were called in the last round in a large
@@ -273,6 +275,31 @@
 	return 2*recent > called && r.hasMajority()
 }
 
+// Joined reports whether this instance has joined the fleet since its start: it has found most of the seeds,
+// itself included if it is one, or an instance that has joined. Until then, any number of instances that it
+// doesn't know may be running, so that those which it knows show no majority.
+func (r *Roster) Joined() bool {
+	if !r.joined {
+		r.joined = r.foundMostSeeds()
+	}
+	return r.joined
+}
+
+// foundMostSeeds reports whether most of the seeds are known instances or this one.
+func (r *Roster) foundMostSeeds() bool {
+	known := map[string]bool{r.self.Address: true}
+	for _, p := range r.peers {
+		known[p.member.Address] = true
+	}
+	found := 0
+	for _, s := range r.seeds {
+		if known[s] {
+			found++
+		}
+	}
+	return 2*found > len(r.seeds) || len(r.seeds) == 0
+}
+
 // hasMajority reports whether most of the known instances, including this one, are alive as of the
 // last refresh.
 func (r *Roster) hasMajority() bool { return 2*len(r.alive) > len(r.peers)+1 }
--- a/gateway/fleet/roster_test.go
+++ b/gateway/fleet/roster_test.go
@@ -446,3 +446,49 @@
 		assert.Equal(t, len(r.Members(at(100 * sequence))[0].Load.InFlight), 1-sequence)
 	}
 }
+
+// TestSidesOfACutHaveNotBothJoined guards against instances that start while some seeds don't answer, and take the
+// ones that they find for all there are.
+func TestSidesOfACutHaveNotBothJoined(t *testing.T) {
+	for seedCount := 1; seedCount <= 3; seedCount++ {
+		var seeds []string
+		for i := range seedCount {
+			seeds = append(seeds, member(i, "a").Address)
+		}
+		for side := range 1 << 5 {
+			joined := map[bool]bool{}
+			for i := range 5 {
+				here := side>>i&1 == 1
+				r := NewRoster(member(i, "a"), seeds)
+				for other := range 5 {
+					if other != i && side>>other&1 == 1 == here {
+						receiveFrom(r, 0, member(other, "a"))
+					}
+				}
+				joined[here] = joined[here] || r.Joined()
+			}
+			assert.Assert(t, !joined[true] || !joined[false], "%d seeds, sides %05b", seedCount, side)
+			assert.Assert(t, side != 0 || joined[false], "%d seeds, no cut", seedCount)
+		}
+	}
+}
+
+// TestInstanceJoinsThroughAPeer checks that an instance whose seeds are gone for good joins through a peer that has
+// joined, unless most of the instances that the peer knows are silent.
+func TestInstanceJoinsThroughAPeer(t *testing.T) {
+	seed := NewRoster(member(0, "a"), []string{member(0, "a").Address})
+	for i := 1; i < 4; i++ {
+		receiveFrom(seed, 0, member(i, "a"))
+	}
+	for _, silent := range []bool{false, true} {
+		now := at(100)
+		if silent {
+			now = at(10_000)
+		}
+		seed.refresh(now)
+		r := NewRoster(member(9, "a"), []string{"gone:1", "gone:2", "gone:3"})
+		assert.Assert(t, !r.Joined())
+		r.Receive(now, seed.Answer(now, Heartbeat{From: r.self}))
+		assert.Equal(t, r.Joined(), !silent)
+	}
+}
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -35,6 +35,9 @@
 	// leaseMargin is added to the lease. The former holder of the duty may believe for that
 	// much longer that it still holds it.
 	leaseMargin = 1500 * time.Millisecond
+	// unjoinedOrderWait is how long an instance that has not joined the fleet must have seen no requests of
+	// unknown instances at the engines before it gives orders. Each idle engine is polled once in this time.
+	unjoinedOrderWait = (idlePollRounds + 2) * reportInterval
 	// dutyStages is the name of the duty of assigning engines to stages.
 	dutyStages = "stages"
 )
@@ -44,6 +47,9 @@
 type orderState struct {
 	lastFence int64
 	services  map[string]*serviceOrders
+	// permit and allowed say whether instances that this one doesn't know may give orders.
+	permit  permit
+	allowed bool
 }
 
 // serviceOrders is the state of the stage orders of one service.
@@ -76,19 +82,52 @@
 		if !s.Ready() {
 			continue
 		}
-		holdsDuty := !g.stopping() && g.node.IsFresh(s) && g.node.Holds(dutyStages, lease, maxPeerResponseAge)
+		holdsDuty := g.mayOrder(state, lease) && !g.stopping() && g.node.IsFresh(s) && g.node.Holds(dutyStages, lease, maxPeerResponseAge)
 		for name, service := range s.Table.Config().Services {
 			if service.Engine == nil {
 				continue
 			}
-			need, known := g.observeDemand(state, name)
-			if known && holdsDuty {
+			need, offered := g.observeDemand(state, name)
+			if offered && holdsDuty {
 				g.orderService(ctx, state, s, service, need)
 			}
 		}
 	}
 }
 
+// permit says whether an instance that may not know all others gives orders.
+type permit struct {
+	// unknownSeen is when the instance first found that it had not joined the fleet, or later saw requests of
+	// instances that it doesn't know; zero if it has joined.
+	unknownSeen time.Time
+}
+
+// allows reports whether no instance that this one doesn't know gives orders: this one has joined the fleet, or the
+// engines have not run requests of others for wait. unknownAt is when they last did; an instance without requests
+// has no reason to give orders.
+func (p *permit) allows(now time.Time, joined bool, unknownAt time.Time, wait time.Duration) bool {
+	switch {
+	case joined:
+		p.unknownSeen = time.Time{}
+		return true
+	case p.unknownSeen.IsZero():
+		p.unknownSeen = now
+	case unknownAt.After(p.unknownSeen):
+		p.unknownSeen = unknownAt
+	}
+	return now.Sub(p.unknownSeen) > wait
+}
+
+// mayOrder reports whether the instance may give orders as far as other instances are concerned.
+func (g *Service) mayOrder(state *orderState, lease time.Duration) bool {
+	allowed := state.permit.allows(clock.Now(), g.node.Joined(), g.scheduler.UnknownRequestsAt(), unjoinedOrderWait+lease)
+	if allowed != state.allowed {
+		state.allowed = allowed
+		g.log.Info("permission to give orders", "allowed", allowed, "joined", g.node.Joined(), "unknown_requests_at", g.scheduler.UnknownRequestsAt())
+	}
+	return allowed
+}
+
 // observeDemand records the current demand of a service and returns the demand to plan for. It
 // returns false if there is no demand.
 func (g *Service) observeDemand(state *orderState, service string) (schedule.Need, bool) {
--- a/gateway/schedule/books.go
+++ b/gateway/schedule/books.go
@@ -62,10 +62,10 @@
 	peerForecast Forecast
 	// tokenTime is what is known of a decode engine's time per output token, nil if nothing is.
 	tokenTime *engineTokenTime
-	// memorySamples holds recent samples of the memory taken by all instances' known requests.
+	// loadSamples holds recent samples of all instances' known requests and of the memory that they take.
 	// unaccounted is the memory that the engine reported beyond that, at unaccountedAt.
 	// peerUnaccounted is the same as reported by peers.
-	memorySamples   []memorySample
+	loadSamples     []loadSample
 	unaccounted     int
 	unaccountedAt   time.Time
 	peerUnaccounted int
@@ -139,6 +139,8 @@
 	earlyTokenTimes map[ident.UpstreamID]earlyTokenTime
 	// firstPeerReport is when the first load report from peers arrived.
 	firstPeerReport time.Time
+	// unknownRequestsAt is when an engine last reported more requests than are known.
+	unknownRequestsAt time.Time
 	// overflow holds the decode engines on which this instance may have prompts computed while
 	// prefill engines are busy.
 	overflow map[ident.UpstreamID]bool
@@ -302,14 +304,14 @@
 		rec.peerRequests, rec.peerTokens, rec.peerForecast = f.Requests, f.Tokens, f.Memory
 		rec.peerUnaccounted = f.UnaccountedMemory
 		rec.peerThroughput.update(now, f.ThroughputBucket)
-		b.recordMemory(now, rec)
+		b.recordLoad(now, rec)
 	}
 }
 
 // idle reports whether an upstream has no known requests, no recent memory use that a report
 // may still include, and nothing to report to peers. The caller holds mu.
 func (rec *upstreamRecord) idle(now time.Time) bool {
-	return rec.requests == 0 && len(rec.memorySamples) == 0 && rec.peerRequests == 0 && rec.peerTokens == 0 &&
+	return rec.requests == 0 && len(rec.loadSamples) == 0 && rec.peerRequests == 0 && rec.peerTokens == 0 &&
 		rec.peerUnaccounted == 0 && rec.peerForecast == Forecast{} && rec.ownUnaccounted(now) == 0 && !rec.ownThroughput.fresh(now)
 }
 
--- a/gateway/schedule/engines_test.go
+++ b/gateway/schedule/engines_test.go
@@ -278,3 +278,20 @@
 	assert.Assert(t, at(second, half, 0) > at(second, of1000, 0))
 	assert.Assert(t, at(second/10, half, 0) < 0.5)
 }
+
+// TestRequestsOfUnknownInstancesAreNoticed guards against an instance that takes the requests of another one, which it
+// doesn't know, for its own or for those of a peer.
+func TestRequestsOfUnknownInstancesAreNoticed(t *testing.T) {
+	b := NewScheduler("a", 1)
+	list := engines(0, 1)
+	ticket, ok := b.PlaceDecode(at(0), list, engine, Size{Prompt: 4000, Estimate: 100}, nil)
+	assert.Assert(t, ok)
+	b.SetPeers(at(100), map[ident.UpstreamID]*InFlight{"a": {Requests: 2}})
+	b.RecordReport(at(200), list[0], dialect.Report{Running: 2, Waiting: 1})
+	b.Done(ticket)
+	b.SetPeers(at(900), map[ident.UpstreamID]*InFlight{"a": {Requests: 1}})
+	b.RecordReport(at(1000), list[0], dialect.Report{Running: 3})
+	assert.Assert(t, b.UnknownRequestsAt().IsZero(), "known at most 1.5 s ago")
+	b.RecordReport(at(3000), list[0], dialect.Report{Running: 2})
+	assert.Equal(t, b.UnknownRequestsAt(), at(3000))
+}
--- a/gateway/schedule/reported.go
+++ b/gateway/schedule/reported.go
@@ -17,28 +17,30 @@
 	stageChangeBackoff = 1200 * time.Millisecond
 )
 
-// memorySample is the memory that the known requests of all instances took at an engine at a
-// time, in tokens.
-type memorySample struct {
-	at     time.Time
-	tokens int
+// loadSample is the number of known requests of all instances at an engine at a time, and the memory that
+// they took, in tokens.
+type loadSample struct {
+	at       time.Time
+	requests int
+	tokens   int
 }
 
-// recordMemory records the currently known memory use and drops samples older than
+// recordLoad records the currently known requests and their memory use, and drops samples older than
 // maxReportAge. The caller holds mu.
-func (b *Scheduler) recordMemory(now time.Time, rec *upstreamRecord) {
+func (b *Scheduler) recordLoad(now time.Time, rec *upstreamRecord) {
 	if rec.up.Stage != dialect.StageDecode {
 		return
 	}
 	f := b.ownForecast(now, rec)
-	if tokens := f[0] + rec.peerForecast[0]; tokens != 0 {
-		rec.memorySamples = append(rec.memorySamples, memorySample{at: now, tokens: tokens})
+	s := loadSample{at: now, requests: rec.requests + rec.peerRequests, tokens: f[0] + rec.peerForecast[0]}
+	if s.requests != 0 || s.tokens != 0 {
+		rec.loadSamples = append(rec.loadSamples, s)
 	}
 	expired := 0
-	for expired < len(rec.memorySamples) && now.Sub(rec.memorySamples[expired].at) > maxReportAge {
+	for expired < len(rec.loadSamples) && now.Sub(rec.loadSamples[expired].at) > maxReportAge {
 		expired++
 	}
-	rec.memorySamples = append(rec.memorySamples[:0], rec.memorySamples[expired:]...)
+	rec.loadSamples = append(rec.loadSamples[:0], rec.loadSamples[expired:]...)
 }
 
 // RecordReport records an engine's report and returns how much memory it contains that no known
@@ -53,14 +55,21 @@
 	if r.Switching {
 		rec.rejectingUntil = now.Add(stageChangeBackoff)
 	}
-	b.recordMemory(now, rec)
+	b.recordLoad(now, rec)
+	known := 0
+	for _, s := range rec.loadSamples {
+		known = max(known, s.requests)
+	}
+	if r.Running+r.Waiting > known {
+		b.unknownRequestsAt = now
+	}
 	if b.firstPeerReport.IsZero() || now.Sub(b.firstPeerReport) < maxReportAge {
 		// An instance that has just started does not know the requests of its peers yet.
 		return 0
 	}
 	accounted := 0
-	for _, m := range rec.memorySamples {
-		accounted = max(accounted, m.tokens)
+	for _, s := range rec.loadSamples {
+		accounted = max(accounted, s.tokens)
 	}
 	rec.unaccounted, rec.unaccountedAt = max(0, r.UsedTokens-accounted), now
 	if rec.unaccounted > 0 {
@@ -69,6 +78,14 @@
 	return rec.unaccounted
 }
 
+// UnknownRequestsAt returns when an engine last reported more requests than those of this instance and of the
+// peers that it knows, zero if none has.
+func (b *Scheduler) UnknownRequestsAt() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.unknownRequestsAt
+}
+
 // ownUnaccounted returns the unaccounted memory by the newest report that this instance
 // received. The caller holds mu.
 func (rec *upstreamRecord) ownUnaccounted(now time.Time) int {
