origin: a trace counts only if all engines of other versions have answered

Cause: runs and output counted although an engine that had not answered may have begun the stream; for prompts alone this was asked already. Class: absence of evidence taken for evidence of absence.

Change: each kind of trace asks it. The other test, of output beside an engine that has not answered, asked for the version and asks for no version now.

--- a/gateway/origin/evidence.go
+++ b/gateway/origin/evidence.go
@@ -16,19 +16,18 @@
 
 // The rules, as they appear in logs.
 const (
-	// RuleRunning means that engines of one version alone run the attempt and have made events of it.
+	// RuleRunning means that engines of one version alone run the attempt and have made events of it, and that
+	// all of other versions have shown what they run and kept.
 	RuleRunning Rule = "running"
-	// RuleOutput means that engines of one version alone have kept the prompt, and one also output that
-	// follows it.
+	// RuleOutput is the same for engines that have kept the prompt, and one also output that follows it,
+	// RulePrompt for those that have kept the prompt only.
 	RuleOutput Rule = "output_kept"
-	// RulePrompt means that engines of one version alone have kept the prompt, and that all of other versions
-	// have shown what they kept.
 	RulePrompt Rule = "prompt_kept"
 	// RuleNone means that no engine shows the stream, RuleSeveral that engines of several versions do.
 	RuleNone    Rule = "no_trace"
 	RuleSeveral Rule = "several_versions"
-	// RuleIncomplete means that engines of one version alone have kept the prompt, and that some of other
-	// versions have not shown what they kept.
+	// RuleIncomplete means that engines of one version alone show the stream, and that some of other versions
+	// have not shown what they run and kept.
 	RuleIncomplete Rule = "incomplete"
 )
 
@@ -73,14 +72,14 @@
 		return "", false, RuleNone
 	case len(shown) > 1:
 		return "", false, RuleSeveral
+	case incomplete.holdsOtherThan(shown[0]):
+		return "", false, RuleIncomplete
 	case running:
 		return shown[0], true, RuleRunning
 	case output:
 		return shown[0], true, RuleOutput
-	case !incomplete.holdsOtherThan(shown[0]):
-		return shown[0], true, RulePrompt
 	default:
-		return "", false, RuleIncomplete
+		return shown[0], true, RulePrompt
 	}
 }
 
--- a/gateway/origin/finder_test.go
+++ b/gateway/origin/finder_test.go
@@ -98,8 +98,8 @@
 	assert.Assert(t, !ok && rule == RuleIncomplete, "%s: the other engine may have begun the stream", rule)
 	version, ok, rule := decide(testQuery, []evidence{{version: "v1", kept: 1000, complete: true}, {version: "v1"}, {version: "v2", complete: true}})
 	assert.Assert(t, ok && version == "v1" && rule == RulePrompt, "%s: an engine of the same version began the stream if the other one did", rule)
-	version, _, _ = decide(testQuery, []evidence{{version: "v1", kept: 1064, complete: true}, {version: "v2"}})
-	assert.Equal(t, version, "v1")
+	_, ok, rule = decide(testQuery, []evidence{{version: "v1", kept: 1064, complete: true}, {version: "v2"}})
+	assert.Assert(t, !ok && rule == RuleIncomplete, "%s: a silent engine may have made events that nobody got", rule)
 	_, ok, _ = decide(Query{Attempt: "a", Part: "p"}, []evidence{{version: "v1", kept: 1000, complete: true}})
 	assert.Assert(t, !ok, "the length of the prompt is unknown")
 }
