--- a/gateway/carry/eventorder_test.go
+++ b/gateway/carry/eventorder_test.go
@@ -331,3 +331,62 @@
 		}
 	}
 }
+
+// orderedUntil returns how many of the numbers of a stream's events are in order one after the other.
+func orderedUntil(n *numbering, numbers []int) int {
+	last := ""
+	for i, number := range numbers {
+		if !n.mayFollow(number, last) {
+			return i
+		}
+		last = strconv.Itoa(number)
+	}
+	return len(numbers)
+}
+
+// oneByOne returns the numbers 1 to length without the omitted one.
+func oneByOne(length, omitted int) (numbers []int) {
+	for number := 1; number <= length; number++ {
+		if number != omitted {
+			numbers = append(numbers, number)
+		}
+	}
+	return numbers
+}
+
+// TestGapThatFewStreamsReachExcusesNoOther guards against missing events that are delivered because the few streams
+// that were longer than the others lacked an event after the same number.
+func TestGapThatFewStreamsReachExcusesNoOther(t *testing.T) {
+	n := &numbering{}
+	for range 1000 {
+		assert.Equal(t, orderedUntil(n, oneByOne(20, 0)), 20)
+	}
+	for range minUsualGaps {
+		assert.Equal(t, orderedUntil(n, oneByOne(500, 300)), 299)
+	}
+	for omitted := 2; omitted < 20; omitted++ {
+		assert.Equal(t, orderedUntil(n, oneByOne(20, omitted)), omitted-1)
+	}
+}
+
+// TestIrregularNumbersOfEventsBreakNoStream guards against a service none of whose streams end because a third of
+// their numbers, which only have to increase, are not one by one.
+func TestIrregularNumbersOfEventsBreakNoStream(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	n := &numbering{}
+	served := 0
+	for range 1000 {
+		number, numbers := 0, []int{}
+		for range 100 {
+			number++
+			if random.IntN(3) == 0 {
+				number += 1 + random.IntN(3)
+			}
+			numbers = append(numbers, number)
+		}
+		if orderedUntil(n, numbers) == 100 {
+			served++
+		}
+	}
+	assert.Assert(t, served >= 900, "%d of 1000", served)
+}
