carry: a gap that only few streams reach excuses no other one

What callers see: streams with a missing event are delivered as complete for good once three streams, longer than all others, lacked an event after the same number.

Cause: a number counts as usually followed by a gap if it was in half of the streams that came so far, and one such number excuses all gaps of the service. Few streams reach high numbers, so that three decide for all, and as no other one gets there nothing corrects it.

Change: a gap excuses others only if half of all streams of the service have it; otherwise it excuses the same gap after the same number.

Measured: TestGapThatFewStreamsReachExcusesNoOther fails before (event 2 missing, 20-event stream in order) and passes now; TestRareGapsInTheNumbersOfEventsBreakNoStream and TestOmittedEventsAreNotTakenForTheNumbering pass.

--- a/gateway/carry/eventorder.go
+++ b/gateway/carry/eventorder.go
@@ -29,13 +29,15 @@
 
 // numbering is how the engines of a service number the events of streams. Numbers increase, mostly one by one,
 // so that a gap shows a missing event. It shows nothing once most numbers of the service are not one by one, or
-// most streams have the same gap. It is safe for concurrent use.
+// most streams have the same gap, and nothing where it usually follows the same number. It is safe for concurrent use.
 type numbering struct {
 	mu  sync.Mutex
 	all followers
-	// places holds what followed each number, usualGaps how many of them a gap usually follows.
+	// streams counts the streams from their first events on. places holds what followed each number, and
+	// commonGap is the one of them that a gap followed most often.
+	streams   int
 	places    map[int]*followers
-	usualGaps int
+	commonGap *followers
 }
 
 // followers counts what followed events.
@@ -63,7 +65,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	step := number == previous+1
-	usual := step || n.all.gapIsUsual() || n.usualGaps > 0
+	usual := step || n.all.gapIsUsual() || n.gapIsCommon() || n.gapIsUsualAt(previous, number)
 	if step {
 		n.all.others++
 	} else {
@@ -73,6 +75,18 @@
 	return usual
 }
 
+// gapIsCommon reports whether most streams have the same gap. One that only a few streams reach says nothing of the
+// others. The caller holds mu.
+func (n *numbering) gapIsCommon() bool {
+	return n.commonGap != nil && n.commonGap.gapIsUsual() && 2*n.commonGap.gaps >= n.streams
+}
+
+// gapIsUsualAt reports whether the same gap mostly followed a number. The caller holds mu.
+func (n *numbering) gapIsUsualAt(previous, number int) bool {
+	p := n.places[previous]
+	return p != nil && p.gap == number && p.gapIsUsual()
+}
+
 // observeAt records what followed a number. The caller holds mu.
 func (n *numbering) observeAt(previous, number int, step bool) {
 	p := n.places[previous]
@@ -86,7 +100,6 @@
 		p = &followers{}
 		n.places[previous] = p
 	}
-	wasUsual := p.gapIsUsual()
 	switch {
 	case step:
 		p.others++
@@ -95,14 +108,18 @@
 	default:
 		p.gaps++
 	}
-	switch usual := p.gapIsUsual(); {
-	case usual && !wasUsual:
-		n.usualGaps++
-	case wasUsual && !usual:
-		n.usualGaps--
+	if p.gapIsUsual() && (n.commonGap == nil || !n.commonGap.gapIsUsual() || p.gaps > n.commonGap.gaps) {
+		n.commonGap = p
 	}
 }
 
+// begin counts a stream.
+func (n *numbering) begin() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.streams++
+}
+
 // inOrder returns the complete events at the beginning of events that continue a stream whose last event
 // has the ID last, and an *EventOrderError if another one comes after them. Comments without an event are not
 // returned then. Only IDs that are numbers are checked.
@@ -134,6 +151,9 @@
 // or the first one if last is "".
 func (n *numbering) mayFollow(number int, last string) bool {
 	previous, err := strconv.Atoi(last)
+	if last == "" {
+		n.begin()
+	}
 	switch {
 	case last == "" && number <= maxFirstEvent:
 		return true
