carry: many gaps in event numbers, of any size, belong to the numbering

What callers see: a service whose engines leave gaps of various sizes after a third of the numbers, which only have to increase, has all of its streams broken off for good.

Cause: gaps count as usual where most events are followed by one, or where the same one follows the same number; those of irregular numbers do neither.

Change: one gap for at most eight steps, as before, is usual too, but only once 32 gaps show it, so that a few omitted events after a start don't.

--- a/gateway/carry/eventorder.go
+++ b/gateway/carry/eventorder.go
@@ -29,7 +29,8 @@
 
 // numbering is how the engines of a service number the events of streams. Numbers increase, mostly one by one,
 // so that a gap shows a missing event. It shows nothing once most numbers of the service are not one by one, or
-// most streams have the same gap, and nothing where it usually follows the same number. It is safe for concurrent use.
+// many of them at any place, or most streams have the same gap, and nothing where it usually follows the same
+// number. It is safe for concurrent use.
 type numbering struct {
 	mu  sync.Mutex
 	all followers
@@ -52,6 +53,10 @@
 	// minUsualGaps is the smallest number of gaps that are usual. As many streams are broken off where engines
 	// leave gaps.
 	minUsualGaps = 3
+	// minIrregularGaps is the smallest number of gaps of any size that are usual, and maxStepsPerGap the largest
+	// number of steps for each of them.
+	minIrregularGaps = 32
+	maxStepsPerGap   = 8
 	// maxPlaces bounds the numbers of a service for which it is remembered what followed them.
 	maxPlaces = 4096
 )
@@ -65,7 +70,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	step := number == previous+1
-	usual := step || n.all.gapIsUsual() || n.gapIsCommon() || n.gapIsUsualAt(previous, number)
+	usual := step || n.all.gapIsUsual() || n.gapsAreIrregular() || n.gapIsCommon() || n.gapIsUsualAt(previous, number)
 	if step {
 		n.all.others++
 	} else {
@@ -75,6 +80,12 @@
 	return usual
 }
 
+// gapsAreIrregular reports whether gaps are so many, after whatever numbers, that they belong to the numbering. The
+// caller holds mu.
+func (n *numbering) gapsAreIrregular() bool {
+	return n.all.gaps >= minIrregularGaps && n.all.others <= maxStepsPerGap*n.all.gaps
+}
+
 // gapIsCommon reports whether most streams have the same gap. One that only a few streams reach says nothing of the
 // others. The caller holds mu.
 func (n *numbering) gapIsCommon() bool {
