gateway: tests of the permission to give orders in fleets whose seeds are gone

A busy fleet never gives orders, since requests that peers have just begun count as unknown; and an instance gives them beside unknown ones whose engines its peers poll.

--- a/gateway/fleetworld_test.go
+++ b/gateway/fleetworld_test.go
@@ -79,6 +79,8 @@
 	logReads int
 	// received holds the streams and prefills that reached engines.
 	received []simRequest
+	// goneSeeds is the number of seeds at which no instance listens, for instances that start.
+	goneSeeds int
 }
 
 // simRequest is a stream or prefill that reached an engine.
@@ -205,7 +207,11 @@
 	s.Listen.Peers, s.Listen.Relay = i.address, relayAddress(i.address)
 	s.Retries.Slack = 1000
 	s.Regions = map[ident.Zone]ident.Region{"a": "east", "b": "east", "c": "west"}
-	for _, seed := range i.fleet.instances[:min(3, len(i.fleet.instances))] {
+	for n, seed := range i.fleet.instances[:min(3, len(i.fleet.instances))] {
+		if n < i.fleet.goneSeeds {
+			s.Seeds = append(s.Seeds, "gone."+seed.address)
+			continue
+		}
 		s.Seeds = append(s.Seeds, seed.address)
 	}
 	g := newService(s, &instanceDialect{i.fleet, i, nil}, i, slog.New(slog.DiscardHandler), i)
