gateway: an instance that gives orders without having joined asks all engines

What operators see: an instance whose seeds are gone gives orders beside others that it doesn't know, though these have requests at engines.

Cause: the permission rests on the reports that the instance itself gets, but engines are polled by the instances of their zone that they are assigned to. One that is assigned few engines, or none, sees no unknown requests at the others. The class of the incident: who sees a part takes it for all.

--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -120,7 +120,12 @@
 
 // mayOrder reports whether the instance may give orders as far as other instances are concerned.
 func (g *Service) mayOrder(state *orderState, lease time.Duration) bool {
-	allowed := state.permit.allows(clock.Now(), g.node.Joined(), g.scheduler.UnknownRequestsAt(), unjoinedOrderWait+lease)
+	unknownAt := g.scheduler.UnknownRequestsAt()
+	if !g.ordersUnjoined() {
+		// Only some of the engines are polled.
+		unknownAt = clock.Now()
+	}
+	allowed := state.permit.allows(clock.Now(), g.node.Joined(), unknownAt, unjoinedOrderWait+lease)
 	if allowed != state.allowed {
 		state.allowed = allowed
 		g.log.Info("permission to give orders", "allowed", allowed, "joined", g.node.Joined(), "unknown_requests_at", g.scheduler.UnknownRequestsAt())
@@ -128,6 +133,12 @@
 	return allowed
 }
 
+// ordersUnjoined reports whether the instance would give orders although it has not joined the fleet. It then polls
+// all decode engines for requests of instances that it doesn't know.
+func (g *Service) ordersUnjoined() bool {
+	return !g.node.Joined() && g.node.Holds(dutyStages, 0, maxPeerResponseAge)
+}
+
 // observeDemand records the current demand of a service and returns the demand to plan for. It
 // returns false if there is no demand.
 func (g *Service) observeDemand(state *orderState, service string) (schedule.Need, bool) {
--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -46,6 +46,7 @@
 			g.forgetUnlisted(s)
 		}
 		assigned := map[ident.UpstreamID]bool{}
+		pollsAll := g.ordersUnjoined()
 		for _, list := range s.Upstreams {
 			for _, u := range g.scheduler.ProbeCandidates(clock.Now(), list) {
 				if !g.scheduler.Resting(clock.Now(), u) {
@@ -54,8 +55,15 @@
 			}
 			for _, u := range g.node.AssignedInZone(dutyReport, dialect.StageDecode, list) {
 				assigned[u.ID] = true
-				idleTurn := (xxhash.Sum64String(string(u.ID))+round)%idlePollRounds == 0
-				if (g.scheduler.InUse(clock.Now(), u) || idleTurn) && !g.scheduler.Resting(clock.Now(), u) {
+				if (g.scheduler.InUse(clock.Now(), u) || isIdleTurn(u, round)) && !g.scheduler.Resting(clock.Now(), u) {
+					go g.requestReport(ctx, u)
+				}
+			}
+			if !pollsAll {
+				continue
+			}
+			for _, u := range list {
+				if u.Stage == dialect.StageDecode && !assigned[u.ID] && isIdleTurn(u, round) && !g.scheduler.Resting(clock.Now(), u) {
 					go g.requestReport(ctx, u)
 				}
 			}
@@ -65,6 +73,11 @@
 	}
 }
 
+// isIdleTurn reports whether an idle engine is polled in a round.
+func isIdleTurn(u dialect.Upstream, round uint64) bool {
+	return (xxhash.Sum64String(string(u.ID))+round)%idlePollRounds == 0
+}
+
 // probe requests the load report of an engine that failed recently, to find out whether it answers
 // again before a caller's request is sent to it.
 func (g *Service) probe(ctx context.Context, u dialect.Upstream) {
