fleet: the versions of a service are copied once a list, not once an engine

What operators see: an instance of a large fleet takes longer for its first list, and for one in which many engines have a new version.

Cause: records when a version was first listed for each engine of it, with a copy of the versions of all services.

Change: a version that was recorded for this list is not recorded again.

--- a/gateway/fleet/versions.go
+++ b/gateway/fleet/versions.go
@@ -90,6 +90,9 @@
 		now = time.Time{}
 	}
 	known := v.versionListings[u.Service]
+	if since, ok := known.since[u.SoftwareVersion]; ok && since.Equal(now) {
+		return
+	}
 	listing := versionListing{since: map[string]time.Time{u.SoftwareVersion: now}, latest: now}
 	for version, since := range known.since {
 		if version != u.SoftwareVersion && (slices.Contains(before, version) || since.Equal(now)) {
--- a/gateway/fleet/view_test.go
+++ b/gateway/fleet/view_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -250,3 +251,19 @@
 	assert.Equal(t, mayBegin(v, 10_010), "a")
 	assert.Equal(t, mayBegin(v, 11_300), "ab")
 }
+
+// TestFirstListCopiesNoVersionsForEachEngine guards against an instance that starts slowly in a large fleet since it
+// copies the software versions of all services for each engine.
+func TestFirstListCopiesNoVersionsForEachEngine(t *testing.T) {
+	allocations := func(stage dialect.Stage) float64 {
+		var list []dialect.Upstream
+		for i := range 5000 {
+			u := up(fmt.Sprint("e", i))
+			u.Service, u.Stage, u.SoftwareVersion = fmt.Sprint("s", i%100), stage, "v1"
+			list = append(list, u)
+		}
+		return testing.AllocsPerRun(3, func() { mergeList(NewView(), 0, 1, list...) })
+	}
+	plain, engines := allocations(""), allocations(dialect.StageDecode)
+	assert.Assert(t, engines <= plain+2000, "%.0f allocations for engines, %.0f for others", engines, plain)
+}
