--- a/gateway/fleet/roster_test.go
+++ b/gateway/fleet/roster_test.go
@@ -492,3 +492,24 @@
 		assert.Equal(t, r.Joined(), !silent)
 	}
 }
+
+// TestMinorityThatForgetsTheOthersHasNotJoined guards against the smaller side of a long cut that takes itself for the
+// whole fleet, and gives orders, once it has forgotten the other side.
+func TestMinorityThatForgetsTheOthersHasNotJoined(t *testing.T) {
+	r := NewRoster(member(3, "a"), []string{member(0, "a").Address, member(1, "a").Address})
+	for i := range 6 {
+		if i != 3 {
+			receiveFrom(r, 0, member(i, "a"))
+		}
+	}
+	assert.Assert(t, r.Joined())
+	cut := int(2 * peerRetention / time.Millisecond)
+	for ms := 0; ms < cut; ms += 500 {
+		receiveFrom(r, ms, member(4, "a"))
+		r.RecordAnswer(at(ms), member(4, "a").ID)
+		assert.Assert(t, ms < 10_000 || !r.HasQuorum(at(ms), time.Second) || !r.Joined(), "%d ms after the cut", ms)
+	}
+	receiveFrom(r, cut, member(0, "a"))
+	receiveFrom(r, cut, member(1, "a"))
+	assert.Assert(t, r.Joined(), "after the cut")
+}
