fleet: the smaller side of a long cut has to join again

What operators see: 90 s after a cut both sides give orders to the same engines.

Cause: silent instances are forgotten after 90 s. The smaller side then knows itself only, which is a majority, and had joined before the cut. The class of the incident: who sees a part takes it for all.

Change: an instance that forgets another one, which has not said that it stops, while most known ones are silent has no longer joined. It joins as after a start, or gives orders once the engines show no requests of unknown instances.

--- a/gateway/fleet/roster.go
+++ b/gateway/fleet/roster.go
@@ -207,12 +207,20 @@
 	return ids
 }
 
-// removeSilent removes the peers that have been silent for peerRetention.
+// removeSilent removes the peers that have been silent for peerRetention. If most instances are silent, they may be
+// the larger side of a network partition: without them, the rest shows no majority until it has joined again.
 func (r *Roster) removeSilent(now time.Time) {
+	alive, known := 1, len(r.peers)+1
+	for _, p := range r.peers {
+		if r.isAlive(now, p) {
+			alive++
+		}
+	}
 	for id, p := range r.peers {
 		if now.Sub(p.lastHeartbeat) < peerRetention {
 			continue
 		}
+		r.joined = r.joined && (p.member.Leaving || 2*alive > known)
 		delete(r.peers, id)
 		if r.byKey[p.key] == p {
 			delete(r.byKey, p.key)
@@ -275,8 +283,8 @@
 	return 2*recent > called && r.hasMajority()
 }
 
-// Joined reports whether this instance has joined the fleet since its start: it has found most of the seeds,
-// itself included if it is one, or an instance that has joined. Until then, any number of instances that it
+// Joined reports whether this instance has joined the fleet since its start, and since it last forgot most of the
+// others: it has found most of the seeds, itself included if it is one, or an instance that has joined. Until then, any number of instances that it
 // doesn't know may be running, so that those which it knows show no majority.
 func (r *Roster) Joined() bool {
 	if !r.joined {
