fleet: a version that has just come back counts as new a little earlier

What callers see: a stream that began at a version which had been away for almost 30 s goes on at another one.

Cause: an instance begins streams at once at a version that it has listed within the last 30 s, but another one may have seen it leave up to 1.2 s earlier, counts it for 30 s from then, and resumes streams with a list without it for up to 1.2 s more.

Change: a version that left 27.6 s ago or earlier is held back as a new one.

Measured: TestReturningVersionBeginsNoStreamThatOthersMistake, two views, fails before (back 28.1 s after it left) and passes now.

--- a/gateway/fleet/view.go
+++ b/gateway/fleet/view.go
@@ -339,7 +339,8 @@
 // merge merges the upstreams of a list whose read began at started, and returns the changes.
 func (v *View) merge(now, started time.Time, list []dialect.Upstream) []Change {
 	var changes []Change
-	served := sync.OnceValue(func() map[string][]string { return v.collectVersions(now) })
+	// Another instance may have seen a version leave a list's age earlier, and uses a list without it for as long.
+	served := sync.OnceValue(func() map[string][]string { return v.collectVersions(now.Add(2 * maxVersionsAge)) })
 	for _, u := range list {
 		e := v.entries[u.ID]
 		if e == nil {
--- a/gateway/fleet/view_test.go
+++ b/gateway/fleet/view_test.go
@@ -267,3 +267,29 @@
 	plain, engines := allocations(""), allocations(dialect.StageDecode)
 	assert.Assert(t, engines <= plain+2000, "%.0f allocations for engines, %.0f for others", engines, plain)
 }
+
+// TestReturningVersionBeginsNoStreamThatOthersMistake guards against streams that begin at a version which has just
+// come back, while an instance that saw it leave a moment earlier no longer counts it.
+func TestReturningVersionBeginsNoStreamThatOthersMistake(t *testing.T) {
+	engine := func(id, version string) dialect.Upstream {
+		u := up(id)
+		u.Stage, u.SoftwareVersion = dialect.StageDecode, version
+		return u
+	}
+	old, other := engine("a", "v1"), engine("b", "v2")
+	for returned := 45_000; returned < 55_000; returned += 100 {
+		begins, resumes := NewView(), NewView()
+		for _, v := range []*View{begins, resumes} {
+			mergeList(v, 0, 1, old, other)
+		}
+		mergeList(resumes, 20_000, 2, old)
+		mergeList(resumes, returned-100, 3, old)
+		mergeList(begins, 21_000, 2, old)
+		mergeList(begins, returned, 4, old, other)
+		for ms := returned; ms <= returned-100+int(maxVersionsAge.Milliseconds()); ms += 100 {
+			s := begins.Snapshot()
+			sole := len(resumes.softwareVersions(at(ms), "s")) == 1
+			assert.Assert(t, !sole || len(s.MayBegin(at(ms), "s", s.Upstreams["s"])) == 1, "back at %d ms, %d ms", returned, ms)
+		}
+	}
+}
