gateway, entry: failing tests of targets that are not sent as they were decided about

Callers see requests handled by the route of another path, paths that reach upstreams changed, and answers of net/http in place of a refusal.

--- a/entry/front/front_test.go
+++ b/entry/front/front_test.go
@@ -280,3 +280,38 @@
 		})
 	}
 }
+
+// TestServicePathIsForwardedAsSent guards against calls to services whose path is encoded anew.
+func TestServicePathIsForwardedAsSent(t *testing.T) {
+	r := newTestFront(t, nil)
+	var got string
+	r.submit.run = func(ctx context.Context, ex *driver.Exchange) driver.Result {
+		got = ex.Service.Path
+		return completeResult(ctx, ex)
+	}
+	for _, path := range []string{
+		"/x%2Fy", "//x", "/./x/../y", "/\xff{}", "/ä?ö", "/x?", "/x#y", "/x;a=b", "/x?%zz", "/" + strings.Repeat("x", 8<<10),
+	} {
+		resp, body := r.sendRaw(t, post("/services/desk"+path, "", "Wardspool-Kind: lookup"))
+		assert.Equal(t, resp.StatusCode, http.StatusTeapot, "%q: %s", path, body)
+		assert.Equal(t, got, path)
+		resp, body = r.sendRaw(t, post("http://h.example/services/desk"+path, "", "Wardspool-Kind: lookup"))
+		assert.Equal(t, resp.StatusCode, http.StatusTeapot, "%q: %s", path, body)
+		assert.Equal(t, got, path)
+	}
+}
+
+// TestTargetWithoutAPathIsRefused guards against answers of net/http itself and against targets that are
+// changed to be sent.
+func TestTargetWithoutAPathIsRefused(t *testing.T) {
+	r := newTestFront(t, nil)
+	for _, head := range []string{
+		"OPTIONS *", "GET *", "GET h.example:80", "CONNECT h.example:80", "GET http://h.example", "GET http://u:p@h.example/services/desk/x",
+		"GET http:/services/desk/x", "GET ftp://h.example/services/desk/x",
+	} {
+		resp, body := r.sendRaw(t, head+" HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+		assert.Equal(t, resp.StatusCode, 400, "%s: %s", head, body)
+		assertProblem(t, resp, body, api.ProblemMalformed, api.NotRun)
+	}
+	assert.Equal(t, r.submit.calls, 0)
+}
--- a/gateway/dialect/errors.go
+++ b/gateway/dialect/errors.go
@@ -111,3 +111,10 @@
 func (e *HistoryLostError) Error() string {
 	return fmt.Sprintf("the store no longer has all changes after revision %d", e.After)
 }
+
+// RepeatedHeaderError reports a header that a caller's request has more than once, of which upstreams may
+// read another one than the gateway.
+type RepeatedHeaderError struct{ Name string }
+
+// Error implements error.
+func (e *RepeatedHeaderError) Error() string { return "header " + e.Name + " is repeated" }
--- a/gateway/service_test.go
+++ b/gateway/service_test.go
@@ -75,7 +75,7 @@
 
 // startUpstream starts an upstream that serves prefills, streams of two events and plain requests.
 // A plain answer consists of the upstream's ID and the request's method, target and body.
-func startUpstream(t *testing.T, id string) dialect.Upstream {
+func startUpstream(t testing.TB, id string) dialect.Upstream {
 	t.Helper()
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
@@ -109,7 +109,7 @@
 
 // newLocalFleet returns a localFleet with a plain service "app" and a model service "llm", and a
 // route to each of them. It starts the upstreams but no instance.
-func newLocalFleet(t *testing.T) *localFleet {
+func newLocalFleet(t testing.TB) *localFleet {
 	t.Helper()
 	app, prefill, decode := startUpstream(t, "app"), startUpstream(t, "p"), startUpstream(t, "d")
 	app.Service, prefill.Service, decode.Service = "app", "llm", "llm"
@@ -134,7 +134,7 @@
 
 // freeAddress returns a loopback address at which nothing listens, with a port that the system does
 // not use for outgoing connections.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	var ports testbed.Ports
 	defer ports.Release()
@@ -152,22 +152,27 @@
 }
 
 // start runs an instance with a grace period of a second.
-func (b *localFleet) start(t *testing.T, name string, seeds ...string) *instance {
+func (b *localFleet) start(t testing.TB, name string, seeds ...string) *instance {
 	t.Helper()
 	return b.startWithGrace(t, name, 1, seeds...)
 }
 
 // startWithGrace runs an instance with the given grace period.
-func (b *localFleet) startWithGrace(t *testing.T, name string, graceSeconds float64, seeds ...string) *instance {
+func (b *localFleet) startWithGrace(t testing.TB, name string, graceSeconds float64, seeds ...string) *instance {
 	t.Helper()
 	s := &Settings{Instance: ident.InstanceID(name), Zone: "a", Seeds: seeds}
 	s.SetDefaults()
 	s.Stop.GraceSeconds = graceSeconds
 	s.Listen = Listen{Callers: freeAddress(t), Ready: freeAddress(t), Peers: freeAddress(t), Metrics: freeAddress(t)}
-	g := New(s, platform.New(dialect.Options{DialTimeout: time.Second}), b.source, b.log)
+	return b.startInstance(t, New(s, platform.New(dialect.Options{DialTimeout: time.Second}), b.source, b.log))
+}
+
+// startInstance runs a service until the end of the test.
+func (b *localFleet) startInstance(t testing.TB, g *Service) *instance {
+	t.Helper()
 	assert.NilError(t, g.Listen())
 	ctx, cancel := context.WithCancel(t.Context())
-	i := &instance{settings: s, service: g, stop: cancel, done: make(chan error, 1)}
+	i := &instance{settings: g.settings, service: g, stop: cancel, done: make(chan error, 1)}
 	go func() { i.done <- g.Serve(ctx) }()
 	t.Cleanup(func() {
 		cancel()
@@ -177,7 +182,7 @@
 }
 
 // readiness returns the status of an instance's readiness check, or 0 if it does not answer.
-func (b *localFleet) readiness(t *testing.T, i *instance) int {
+func (b *localFleet) readiness(t testing.TB, i *instance) int {
 	t.Helper()
 	resp, err := b.http.Get("http://" + i.settings.Listen.Ready + "/any")
 	if err != nil {
@@ -189,7 +194,7 @@
 
 // await waits until a condition holds. It fails the test only after at least 20 s, since the time
 // that the condition takes is not tested. what describes the condition.
-func await(t *testing.T, what string, holds func() bool) {
+func await(t testing.TB, what string, holds func() bool) {
 	t.Helper()
 	for range 2000 {
 		if holds() {
--- a/plugins/service/http/http_test.go
+++ b/plugins/service/http/http_test.go
@@ -1,8 +1,10 @@
 package http
 
 import (
+	"bufio"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -162,3 +164,31 @@
 	assert.Assert(t, errors.As(err, &e), "%v", err)
 	return e
 }
+
+// TestPathIsSentUnchanged guards against paths that are encoded anew or cut at a number sign.
+func TestPathIsSentUnchanged(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	lines := make(chan string, 1)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			line, _ := bufio.NewReaderSize(c, 16<<10).ReadString('\n')
+			lines <- line
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+			_ = c.Close()
+		}
+	}()
+	s, call := newCall(t, nil)
+	call.Address = l.Addr().String()
+	for _, path := range []string{"/x%2Fy", "//x/y", "/./x/../y", "/\xff{}", "/ä?ö", "/x?", "/x#y", "/x;a=b", "/%zz?%zz", "/" + strings.Repeat("x", 8<<10)} {
+		call.Path = path
+		_, err := s.Call(t.Context(), call)
+		assert.NilError(t, err, "%q", path)
+		assert.Equal(t, <-lines, "POST "+path+" HTTP/1.1\r\n")
+	}
+}
