gateway: the route of a request is that of its path as it was sent

Cause: the route was found by the decoded path of net/url, and the bytes of the request line were forwarded. A peer decoded the path of a relayed request in the same way.

Change: internal/target parses the target once, at the door, and decodes nothing. Routing, quarantine, logs, relaying and the request line use this value; routing.Table.Find takes it instead of a string.

--- a/gateway/dialect/dialect.go
+++ b/gateway/dialect/dialect.go
@@ -13,6 +13,7 @@
 	"github.com/wardspool/wardspool/adapter/roundtrip"
 	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/target"
 	"github.com/wardspool/wardspool/plugin"
 )
 
@@ -96,8 +97,8 @@
 	ID     string
 	Method string
 	Host   string
-	// Target is the request target as the caller sent it, path and query.
-	Target string
+	// Target is the request target, path and query, as the caller sent it.
+	Target target.Target
 	// Header holds the headers to forward.
 	Header http.Header
 	Body   []byte
--- a/gateway/fleetworld_test.go
+++ b/gateway/fleetworld_test.go
@@ -23,6 +23,7 @@
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/target"
 	"github.com/wardspool/wardspool/kernel"
 )
 
@@ -525,7 +526,7 @@
 // Read implements dialect.Dialect.
 func (w *simFleet) Read(r *http.Request) (*dialect.Call, error) {
 	c := &dialect.Call{
-		ID: r.Header.Get("Request-Id"), Method: r.Method, Host: r.Host, Target: r.URL.Path, Header: r.Header,
+		ID: r.Header.Get("Request-Id"), Method: r.Method, Host: r.Host, Target: target.Target(r.URL.RequestURI()), Header: r.Header,
 		CallerTimeout: 14 * time.Second, LastEvent: r.Header.Get("Last-Event-Id"), PromptTokens: 2000, OutputEstimate: 64 * simStreamEvents, MaxOutputTokens: 64 * simStreamEvents,
 	}
 	c.ReceivedEvents, _ = strconv.Atoi(c.LastEvent)
--- a/gateway/front/abort.go
+++ b/gateway/front/abort.go
@@ -15,7 +15,7 @@
 	}
 	if v != http.ErrAbortHandler {
 		f.o.Count("handler_panicked")
-		f.o.Log.Error("handler panicked, the request gets no answer", "host", r.Host, "path", r.URL.Path, "panic", v, "stack", string(debug.Stack()))
+		f.o.Log.Error("handler panicked, the request gets no answer", "host", r.Host, "target", r.RequestURI, "panic", v, "stack", string(debug.Stack()))
 	}
 	panic(v)
 }
--- a/gateway/front/access.go
+++ b/gateway/front/access.go
@@ -43,11 +43,11 @@
 // Error implements error.
 func (e *NoServiceError) Error() string { return "route " + e.Route + " has no configured service" }
 
-// admit finds the route, workspace and service of a request to a host and path before its body is
-// read, and returns the job to carry out. The error is a *NoRouteError, a *KeyError or a *NoServiceError.
-func (f *Front) admit(host, path string, call *dialect.Call, table *routing.Table) (*carry.Job, error) {
+// admit finds the route, workspace and service of a request before its body is read, and returns the job
+// to carry out. The error is a *NoRouteError, a *KeyError or a *NoServiceError.
+func (f *Front) admit(call *dialect.Call, table *routing.Table) (*carry.Job, error) {
 	j := &carry.Job{Call: call, Version: table.Config().Version}
-	if j.Route = table.Find(host, path); j.Route == nil {
+	if j.Route = table.Find(call.Host, call.Target); j.Route == nil {
 		return nil, &NoRouteError{}
 	}
 	if err := f.authorize(j, table); err != nil {
@@ -92,8 +92,8 @@
 }
 
 // reject answers a request for which admit returned err.
-func (f *Front) reject(w http.ResponseWriter, r *http.Request, call *dialect.Call, view *fleet.Snapshot, err error) {
-	log := f.o.Log.With("request", call.ID, "host", r.Host, "path", r.URL.Path, "version", view.Version(), "error", err)
+func (f *Front) reject(w http.ResponseWriter, call *dialect.Call, view *fleet.Snapshot, err error) {
+	log := f.o.Log.With("request", call.ID, "host", call.Host, "path", call.Target.Path(), "version", view.Version(), "error", err)
 	var noService *NoServiceError
 	if errors.As(err, &noService) {
 		log.Error("refused", "reason", "no_service")
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -115,9 +115,9 @@
 		f.problem(w, call, http.StatusServiceUnavailable, "not_ready", api.NotRun, retryNotReady)
 		return
 	}
-	j, err := f.admit(r.Host, r.URL.Path, call, view.Table)
+	j, err := f.admit(call, view.Table)
 	if err != nil {
-		f.reject(w, r, call, view, err)
+		f.reject(w, call, view, err)
 		return
 	}
 	j.Arrived, j.Deadline = arrived, arrived.Add(requestTimeout(call, j.Route))
--- a/gateway/front/relayed.go
+++ b/gateway/front/relayed.go
@@ -6,7 +6,6 @@
 	"io"
 	"maps"
 	"net/http"
-	"net/url"
 	"strconv"
 	"time"
 
@@ -15,6 +14,7 @@
 	"github.com/wardspool/wardspool/gateway/quarantine"
 	"github.com/wardspool/wardspool/gateway/relay"
 	"github.com/wardspool/wardspool/internal/clock"
+	"github.com/wardspool/wardspool/internal/target"
 	"github.com/wardspool/wardspool/logs"
 )
 
@@ -120,11 +120,10 @@
 		f.o.Refresh()
 		return nil, declinedOldConfig
 	}
-	target, err := url.ParseRequestURI(q.Call.Target)
-	if err != nil {
+	if _, authority, err := target.Parse(string(q.Call.Target)); err != nil || authority != "" {
 		return nil, declinedMalformed
 	}
-	j, err = f.admit(q.Call.Host, target.Path, &q.Call, view.Table)
+	j, err := f.admit(&q.Call, view.Table)
 	if err != nil {
 		// This instance has a newer configuration, in which the request is not allowed.
 		f.o.Log.Info("relayed request not allowed", "request", q.Call.ID, "version", view.Version(), "peer_version", q.Version, "error", err)
--- a/gateway/quarantine/content.go
+++ b/gateway/quarantine/content.go
@@ -27,7 +27,7 @@
 // of its prompt.
 func ContentOf(c *dialect.Call) Content {
 	h := sha256.New()
-	for _, part := range []string{c.Method, c.Host, c.Target} {
+	for _, part := range []string{c.Method, c.Host, string(c.Target)} {
 		writeString(h, part)
 	}
 	// Writing to a hash never fails.
--- a/gateway/routing/table.go
+++ b/gateway/routing/table.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sort"
 	"strings"
+
+	"github.com/wardspool/wardspool/internal/target"
 )
 
 // Table looks up the routes, services and workspaces of a configuration. It does not change after
@@ -84,9 +86,10 @@
 // Config returns the configuration that the table was built from.
 func (t *Table) Config() *Config { return t.config }
 
-// Find returns the route of a request: of the host's routes whose prefix matches the path, the one
-// with the longest prefix. It returns nil if there is none. host may include a port.
-func (t *Table) Find(host, path string) *Route {
+// Find returns the route of a request: of the host's routes whose prefix begins the path as it was sent,
+// the one with the longest prefix. It returns nil if there is none. host may include a port.
+func (t *Table) Find(host string, request target.Target) *Route {
+	path := request.Path()
 	for _, r := range t.byHost[canonicalHost(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
--- a/gateway/routing/table_test.go
+++ b/gateway/routing/table_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/internal/target"
 )
 
 // sampleTable returns a table with routes of two hosts, one of which is written in different cases.
@@ -22,12 +24,14 @@
 
 func TestFindTakesTheLongestPrefixOfTheHost(t *testing.T) {
 	table := sampleTable()
-	for path, want := range map[string]string{"/x/1": "all", "/x/y/1": "deep", "/x/y": "all", "/x/": "all"} {
-		assert.Equal(t, table.Find("a.example:80", path).Name, want, path)
+	for path, want := range map[string]string{"/x/1": "all", "/x/y/1": "deep", "/x/y": "all", "/x/": "all", "/x/y%2F1": "all", "/x/%79/1": "all", "/x/./y/": "all", "/x//y/": "all", "/x/y/../1": "deep", "/x/?/y/": "all"} {
+		assert.Equal(t, table.Find("a.example:80", target.Target(path)).Name, want, path)
 	}
 	assert.Equal(t, table.Find("B.EXAMPLE", "/x/y/1").Name, "other")
 	assert.Assert(t, table.Find("a.example", "/x") == nil)
 	assert.Assert(t, table.Find("c.example", "/x/1") == nil)
+	assert.Assert(t, table.Find("a.example", "/x%2Fy/1") == nil)
+	assert.Assert(t, table.Find("a.example", "//x/y/1") == nil)
 }
 
 func TestChooseFollowsTheWeights(t *testing.T) {
