roundtrip: the target and the host of a request are written unchanged

Cause: net/url's RequestURI, with which http.Request.Write makes the request line, puts the scheme before an opaque target that begins with two slashes. Write also empties hosts that it takes for invalid, converts them to Punycode and removes zones of IPv6 addresses.

Change: the client writes the head of a request itself. User-Agent is no longer added.

--- a/adapter/roundtrip/client.go
+++ b/adapter/roundtrip/client.go
@@ -2,11 +2,12 @@
 // request at most once, follows no redirect and uses no proxy, and its errors
 // say whether a byte of the request was written to a connection.
 //
-// It uses net/http to encode requests and parse responses, but not
+// It uses the types of net/http and its parser of responses, but not
 // http.Transport: Transport retries requests by itself when a keep-alive
 // connection turns out to be dead, and it keeps two goroutines and two buffers
 // for each open connection. Here the calling goroutine reads the response, so
-// that an open stream takes one goroutine and one buffer.
+// that an open stream takes one goroutine and one buffer. It also writes requests
+// itself, because http.Request.Write changes some targets and hosts.
 package roundtrip
 
 import (
@@ -127,7 +128,8 @@
 // their request.
 func (c *Client) Close() { c.idle.close() }
 
-// Do sends a request whose body is r, of length bytes. A failure before the
+// Do sends a request whose body is r, of length bytes. If the URL of the request has
+// an opaque part, that is the target, unchanged. A failure before the
 // response headers were read is returned as an *adapter.CallError, whose evidence
 // tells whether any byte was sent; after that, the request counts as sent. The
 // caller must close the response's body. When the request's context ends, reads
--- a/adapter/roundtrip/conn.go
+++ b/adapter/roundtrip/conn.go
@@ -85,7 +85,7 @@
 	defer close(c.writeDone)
 	w := writerPool.Get().(*bufio.Writer)
 	w.Reset(sendRecorder{c})
-	c.writeErr = req.Write(w)
+	c.writeErr = writeRequest(w, req)
 	if c.writeErr == nil {
 		c.writeErr = w.Flush()
 	}
