gateway: a target that cannot be forwarded as it was sent gets 400 and the reason

Callers saw OPTIONS * answered with 200 by net/http, as if an upstream had answered it, and targets in authority form or without a path answered with 404, which tells of a missing route.

Cause: net/http answers OPTIONS * before the handler, and what had no path was made one or routed without one.

Change: net/http leaves OPTIONS * to the handler, and a target that internal/target refuses gets 400 "bad_target", not-run, with the reason as the detail. Malformed headers get a detail too.

--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -24,6 +24,7 @@
 	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/gateway/schedule"
 	"github.com/wardspool/wardspool/internal/clock"
+	"github.com/wardspool/wardspool/internal/target"
 	"github.com/wardspool/wardspool/logs"
 )
 
@@ -105,8 +106,7 @@
 	}
 	call, err := f.o.Dialect.Read(r)
 	if err != nil {
-		f.o.Log.Info("malformed request refused", "error", err)
-		f.problem(w, nil, http.StatusBadRequest, "bad_request", api.NotRun, 0)
+		f.refuseMalformed(w, err)
 		return
 	}
 	view := f.o.View()
@@ -128,6 +128,18 @@
 	}
 }
 
+// refuseMalformed refuses a request that cannot be read or not be forwarded as it was sent.
+func (f *Front) refuseMalformed(w http.ResponseWriter, err error) {
+	f.o.Log.Info("malformed request refused", "error", err)
+	p := api.Problem{Title: "bad_request", Status: http.StatusBadRequest, Detail: err.Error(), Outcome: api.NotRun}
+	var unsupported *target.UnsupportedError
+	if errors.As(err, &unsupported) {
+		f.o.Count("refused_bad_target")
+		p.Title, p.Detail = "bad_target", string(unsupported.Reason)
+	}
+	f.writeProblem(w, nil, p, 0)
+}
+
 // memoryAccountKey returns the key under which a request's memory is accounted: its workspace,
 // or its remote address if it has none.
 func memoryAccountKey(r *http.Request, j *carry.Job) string {
@@ -335,10 +347,17 @@
 // the reason.
 const blankType api.ProblemType = "about:blank"
 
-// problem answers with a problem document. c may be nil if the request is malformed; retry is the
-// value of Retry-After, 0 to send none.
+// problem answers with a problem document that gives a reason. retry is the value of Retry-After, 0 to
+// send none.
 func (f *Front) problem(w http.ResponseWriter, c *dialect.Call, status int, reason string, outcome api.Outcome, retry time.Duration) {
-	body, err := json.Marshal(api.Problem{Type: blankType, Title: reason, Status: status, Outcome: outcome})
+	f.writeProblem(w, c, api.Problem{Title: reason, Status: status, Outcome: outcome}, retry)
+}
+
+// writeProblem answers with a problem document of blankType. c is nil if the request is malformed; retry
+// is the value of Retry-After, 0 to send none.
+func (f *Front) writeProblem(w http.ResponseWriter, c *dialect.Call, p api.Problem, retry time.Duration) {
+	p.Type = blankType
+	body, err := json.Marshal(p)
 	if err != nil {
 		f.o.Log.Error("failed to encode the problem document", "error", err)
 	}
@@ -351,7 +370,7 @@
 	if retry > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(retry.Seconds(), 'f', 2, 64))
 	}
-	w.WriteHeader(status)
+	w.WriteHeader(p.Status)
 	if _, err := w.Write(body); err != nil {
 		f.o.Log.Debug("failed to write the problem document", "error", err)
 	}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -308,7 +308,8 @@
 	callers := &http.Server{
 		BaseContext: func(net.Listener) context.Context { return serving },
 		Handler:     g.front, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
+		DisableGeneralOptionsHandler: true,
+		ErrorLog:                     slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
 	}
 	running.Go(func() { g.serve(callers, g.callerListener, "callers") })
 	relayed := &http.Server{
