relay: the bytes of a relayed call are kept

Callers saw bytes above 127 of a target or of a header that are not UTF-8 reach the upstream as U+FFFD if a peer served the request.

Cause: calls are sent to peers as JSON, which replaces such bytes.

Change: a call that JSON would change is sent in gob's encoding, and the JSON call is empty: instances of an older version decline it, as not run. A peer that sends no headers no longer makes the receiver panic.

--- a/gateway/relay/client.go
+++ b/gateway/relay/client.go
@@ -249,11 +249,10 @@
 // post sends a request to one peer. The error is a *Failure, a *LostError, or any other if no byte of
 // the request was sent.
 func (c *Client) post(ctx context.Context, p offered, q Request, body []byte) (*http.Response, error) {
-	head, err := json.Marshal(q)
+	head, err := encodeHead(q)
 	if err != nil {
 		return nil, err
 	}
-	head = append(head, '\n')
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.Address+requestPath, nil)
 	if err != nil {
 		return nil, err
--- a/gateway/relay/message.go
+++ b/gateway/relay/message.go
@@ -2,7 +2,7 @@
 // asks peers for offers, sends each request to one of them over HTTP, and passes the answer on to
 // its caller. A relayed request is not relayed again.
 //
-// A request is sent as one line of JSON, a Request, followed by the caller's body. The response is
+// A request is sent as one line of JSON, a message, followed by the caller's body. The response is
 // the upstream's, with headerResult set to resultAnswer, or a Failure as JSON.
 package relay
 
@@ -176,8 +176,8 @@
 			return nil, nil, 0, &InvalidRequestError{err}
 		}
 	}
-	q := &Request{}
-	if err := json.Unmarshal(head, q); err != nil {
+	q, err := decodeHead(head)
+	if err != nil {
 		return nil, nil, 0, &InvalidRequestError{err}
 	}
 	return q, in, r.ContentLength - int64(len(head)), nil
--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -17,6 +18,7 @@
 	"github.com/wardspool/wardspool/gateway/dialect"
 	"github.com/wardspool/wardspool/gateway/routing"
 	"github.com/wardspool/wardspool/ident"
+	"github.com/wardspool/wardspool/internal/target"
 )
 
 // peers are the instances of a test, by ID. Each one answers relayed requests with a handler.
@@ -82,6 +84,29 @@
 	}
 }
 
+// TestBytesOfACallAreKept guards against strings that JSON changes because they are not UTF-8.
+func TestBytesOfACallAreKept(t *testing.T) {
+	key := routing.DigestKey("k")
+	for _, text := range []string{"plain", "\u2028<&>ä", "\xff\x80"} {
+		q := Request{Call: dialect.Call{
+			ID: text, Method: "POST", Host: text, Target: target.Target("/" + text), Header: http.Header{"X": {text, "y"}}, Caller: key, Key: &key,
+			CallerTimeout: time.Second, LastEvent: text, Resumes: text, ReceivedEvents: 1, HasTokenCounts: true, PromptTokens: 2,
+			SharedPromptParts: []string{text}, LastPromptPart: text, LastPromptPartTokens: 3, MaxOutputTokens: 4, OutputEstimate: 5,
+		}, Service: "s", Version: 6, Runs: 7}
+		head, err := encodeHead(q)
+		assert.NilError(t, err)
+		assert.Equal(t, bytes.IndexByte(head, '\n'), len(head)-1)
+		got, err := decodeHead(head)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, *got, q)
+	}
+	got, err := decodeHead([]byte("{}"))
+	assert.NilError(t, err)
+	assert.Assert(t, got.Call.Header != nil)
+	_, err = decodeHead([]byte(`{"exact_call":"AAAA"}`))
+	assert.Assert(t, err != nil)
+}
+
 // TestDeclinedRequestGoesToAnotherPeer checks that a request is sent to the next peer after one that
 // declined it, and to no other peer after one that may have run it.
 func TestDeclinedRequestGoesToAnotherPeer(t *testing.T) {
