service/http: the path of a call is sent as it is

Callers of plain services saw bytes above 127 and braces in a path arrive encoded, and a path cut at a number sign.

Cause: the request was made from the text of a URL, which net/url parses and writes anew.

Change: the path is the opaque part of the URL, which roundtrip writes unchanged. A request that roundtrip cannot write counts as rejected, no longer as a failure of the connection.

--- a/adapter/adapter.go
+++ b/adapter/adapter.go
@@ -151,7 +151,8 @@
 type ServiceCall struct {
 	Target
 	Method string
-	// Path is the escaped request path, with leading slash and query.
+	// Path is the path with the query, as the caller sent it. It begins with a
+	// slash.
 	Path string
 	// Header holds the caller's end-to-end headers.
 	Header http.Header
--- a/adapter/roundtrip/client.go
+++ b/adapter/roundtrip/client.go
@@ -208,6 +208,10 @@
 		e.Evidence = kernel.NotSent
 		e.Code = kernel.FailureConnect
 	}
+	var unwritable *RequestLineError
+	if errors.As(err, &unwritable) {
+		e.Code = kernel.FailureRejected
+	}
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		e.Code = kernel.FailureTimeout
 	}
--- a/adapter/roundtrip/request_test.go
+++ b/adapter/roundtrip/request_test.go
@@ -4,12 +4,15 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"net"
 	"net/http"
 	"net/url"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/wardspool/wardspool/kernel"
 )
 
 // written returns the bytes of a request.
@@ -61,6 +64,18 @@
 	}
 }
 
+// TestUnwritableRequestIsNoFailureOfTheUpstream guards against upstreams that are taken for unreachable.
+func TestUnwritableRequestIsNoFailureOfTheUpstream(t *testing.T) {
+	s := serve(t, func(_ int64, c net.Conn) bool { return respondOK(c) })
+	c := New(Options{})
+	defer c.Close()
+	_, err := c.Do(&http.Request{Method: "GET", URL: &url.URL{Opaque: "/a b", Host: s.address}}, nil, 0)
+	failed := callError(t, err)
+	assert.Equal(t, failed.Code, kernel.FailureRejected)
+	assert.Equal(t, failed.Evidence, kernel.NotSent)
+	assert.Equal(t, s.requests.Load(), int64(0))
+}
+
 // TestBodyOfAnotherLengthIsAnError guards against bytes of a body that begin the next request.
 func TestBodyOfAnotherLengthIsAnError(t *testing.T) {
 	for _, body := range []string{"abc", "abcde"} {
--- a/plugins/service/http/call.go
+++ b/plugins/service/http/call.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -31,11 +32,7 @@
 		defer cancel()
 		ctx = bounded
 	}
-	req, err := request(ctx, c)
-	if err != nil {
-		return nil, &adapter.CallError{Evidence: kernel.NotSent, Code: kernel.FailureRejected, Err: err}
-	}
-	resp, err := s.client.Do(req, bytes.NewReader(c.Body), int64(len(c.Body)))
+	resp, err := s.client.Do(request(ctx, c), bytes.NewReader(c.Body), int64(len(c.Body)))
 	if err != nil {
 		return nil, err
 	}
@@ -64,19 +61,19 @@
 }
 
 // request returns the HTTP request for a call, without its body.
-func request(ctx context.Context, c *adapter.ServiceCall) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+c.Address+c.Path, nil)
-	if err != nil {
-		return nil, err
-	}
-	req.Header = roundtrip.EndToEnd(c.Header)
+func request(ctx context.Context, c *adapter.ServiceCall) *http.Request {
+	req := (&http.Request{
+		Method: c.Method,
+		URL:    &url.URL{Scheme: "http", Host: c.Address, Opaque: c.Path},
+		Header: roundtrip.EndToEnd(c.Header),
+	}).WithContext(ctx)
 	req.Header.Set(headerAttempt, c.Attempt.String())
 	req.Header.Set(headerCorrelation, string(c.Request))
 	req.Header.Del(api.HeaderIdempotencyKey)
 	if c.IdempotencyKey != "" {
 		req.Header.Set(api.HeaderIdempotencyKey, c.IdempotencyKey)
 	}
-	return req, nil
+	return req
 }
 
 // readAll reads a response body of at most limit bytes. The request has been sent
