entry: a call's path is what the caller sent, or it is refused

Callers of /services/ saw bytes above 127 arrive encoded and a lone "?" dropped; OPTIONS * was answered with 200 by net/http, and targets in other forms with 404.

Cause: the path was put together from net/url's parts.

Change: the path comes from internal/target; tickets and calls use it. What cannot be forwarded as it was sent gets 400 malformed-request, not-run, with the reason as the detail.

--- a/entry/front/call.go
+++ b/entry/front/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/wardspool/wardspool/config"
 	"github.com/wardspool/wardspool/entry/intake"
 	"github.com/wardspool/wardspool/ident"
+	requesttarget "github.com/wardspool/wardspool/internal/target"
 	"github.com/wardspool/wardspool/ticket"
 )
 
@@ -32,17 +34,16 @@
 	servicePrefix = "/services/"
 )
 
-// parseTarget parses an escaped path with its query. It returns false for paths
-// that no upstream serves.
-func parseTarget(path string) (target, bool) {
-	plain, _, _ := strings.Cut(path, "?")
-	switch plain {
+// parseTarget finds what a request's target addresses. It returns false for
+// paths that no upstream serves.
+func parseTarget(path requesttarget.Target) (target, bool) {
+	switch path.Path() {
 	case pathCompletions:
 		return target{endpoint: adapter.Completions}, true
 	case pathChat:
 		return target{endpoint: adapter.Chat}, true
 	}
-	after, ok := strings.CutPrefix(path, servicePrefix)
+	after, ok := strings.CutPrefix(string(path), servicePrefix)
 	if !ok {
 		return target{}, false
 	}
@@ -65,7 +66,8 @@
 type call struct {
 	arrived time.Time
 	method  string
-	path    string
+	// path is the path with the query, as sent; "" if it cannot be forwarded.
+	path    requesttarget.Target
 	target  target
 	headers intake.Headers
 	header  http.Header
@@ -84,16 +86,16 @@
 	c := &call{
 		arrived: time.Now(),
 		method:  r.Method,
-		path:    r.URL.EscapedPath(),
 		header:  r.Header,
 		unread:  r.ContentLength != 0,
 		catalog: f.opts.Catalog(),
 	}
-	if r.URL.RawQuery != "" {
-		c.path += "?" + r.URL.RawQuery
-	}
 	var problem *api.Problem
 	c.headers, problem = intake.ReadHeaders(r.Header)
+	var err error
+	if c.path, err = requesttarget.Read(r); err != nil {
+		problem = malformedTarget(err)
+	}
 	if c.headers.RequestID == "" {
 		c.headers.RequestID = newRequestID()
 	}
@@ -106,6 +108,17 @@
 	return c, problem
 }
 
+// malformedTarget returns the problem for a target that cannot be forwarded as it
+// was sent.
+func malformedTarget(err error) *api.Problem {
+	detail := err.Error()
+	var unsupported *requesttarget.UnsupportedError
+	if errors.As(err, &unsupported) {
+		detail = string(unsupported.Reason)
+	}
+	return api.NewProblem(api.ProblemMalformed, api.NotRun, detail)
+}
+
 // fail answers a call with a problem found at this instance. A call that
 // carries a ticket may have run at another instance; only its executor knows.
 func (f *Front) fail(w http.ResponseWriter, c *call, p *api.Problem) {
--- a/entry/front/server.go
+++ b/entry/front/server.go
@@ -41,6 +41,8 @@
 		IdleTimeout:       l.IdleTimeout,
 		MaxHeaderBytes:    l.HeaderBytes,
 		ErrorLog:          slog.NewLogLogger(f.opts.Log.Handler(), slog.LevelDebug),
+
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
@@ -82,8 +84,11 @@
 // problemHandler returns a handler for requests that match no route.
 func (f *Front) problemHandler(status int, detail string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c, _ := f.readCall(r)
-		f.fail(w, c, noRoute(status, detail))
+		c, problem := f.readCall(r)
+		if c.path != "" {
+			problem = noRoute(status, detail)
+		}
+		f.fail(w, c, problem)
 	})
 }
 
--- a/entry/front/ticket.go
+++ b/entry/front/ticket.go
@@ -11,6 +11,7 @@
 	"github.com/wardspool/wardspool/api"
 	"github.com/wardspool/wardspool/entry/tickets"
 	"github.com/wardspool/wardspool/ident"
+	requesttarget "github.com/wardspool/wardspool/internal/target"
 	"github.com/wardspool/wardspool/ticket"
 )
 
@@ -103,7 +104,7 @@
 	reply := f.opts.Tickets.Execute(ctx, &tickets.Call{
 		Ticket:         c.headers.Ticket,
 		Method:         c.method,
-		Path:           c.path,
+		Path:           string(c.path),
 		Workspace:      c.headers.Workspace,
 		Kind:           c.headers.Kind,
 		Request:        c.headers.RequestID,
@@ -151,7 +152,7 @@
 	c := &call{
 		arrived:  time.Now(),
 		method:   t.Method,
-		path:     t.Path,
+		path:     requesttarget.Target(t.Path),
 		header:   http.Header(t.Header),
 		body:     t.Body,
 		ticketed: true,
@@ -166,7 +167,7 @@
 	// journal maps it to this one.
 	c.headers.RequestID = t.Run
 	var ok bool
-	if c.target, ok = parseTarget(t.Path); !ok || c.catalog == nil {
+	if c.target, ok = parseTarget(c.path); !ok || c.catalog == nil {
 		f.fail(w, c, noRoute(http.StatusNotFound, "no such path"))
 		return w.result()
 	}
