gateway: instances that have not joined spend no part of the common retry budget

What operators see: instances that start while no seed answers each spend the slack of all: 4,800 extra sends of six instances at once, 1,000 allowed (TestRetryBudgetHoldsWhileNoSeedAnswers, failing until now). The same for the first moments after each start.

Cause: the slack is divided by the live instances, and one that has just started knows itself only.

Change: an instance that has not joined the fleet has its own part only, which follows from its own requests.

TestRetryBudgetHoldsOnBothSidesOfACut still fails: instances that had joined divide by those alive on their side.

--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -207,6 +207,18 @@
 // Alive returns the number of instances that count as alive, including this one.
 func (n *Node) Alive() int { return int(n.alive.Load()) }
 
+// unknownInstances is larger than any number of instances.
+const unknownInstances = 1 << 20
+
+// Sharers returns the number of instances among which what all of them may spend together is divided, including
+// this one. Until it has joined, any number of others may spend their shares.
+func (n *Node) Sharers() int {
+	if !n.Joined() {
+		return unknownInstances
+	}
+	return n.Alive()
+}
+
 // Peers returns the other instances that are alive and not stopping.
 func (n *Node) Peers() []Member {
 	n.mu.Lock()
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -118,7 +118,7 @@
 		Restored:  func(service string) { g.scheduler.ReadmitAll(clock.Now(), service) },
 		Log:       log, Count: g.metrics.count,
 	})
-	g.budget = schedule.NewBudget(clock.Now(), s.Retries.budget(), g.node.Alive)
+	g.budget = schedule.NewBudget(clock.Now(), s.Retries.budget(), g.node.Sharers)
 	g.relay = g.newRelayClient(dialer)
 	peer.Handle(g.peers, relay.MethodOffer, g.onRelayOffer)
 	g.forwarder = carry.New(carry.Options{
