--- a/gateway/targets_test.go
+++ b/gateway/targets_test.go
@@ -10,6 +10,8 @@
 	"net"
 	"net/http"
 	"net/textproto"
+	"net/url"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -229,3 +231,80 @@
 	assert.Equal(t, status, 200, body)
 	assert.Assert(t, strings.Contains(body, "\nModel: \xfc\n"), "%q", body)
 }
+
+// seedTargets are targets of all forms, with bytes that URL libraries change.
+var seedTargets = []string{
+	"/", "//", "///", "/orders/7", "/orders/confirm/7", "/orders/confirm%2F7", "/orders/confirm%2f7", "/orders%2Fconfirm/7", "/%6frders/7",
+	"/orders/a%2Fb/7", "/orders/a/b/7", "/orders/%2e%2e/confirm/7", "/orders/%2E/7", "/./orders/7", "/../orders/7", "/orders/./confirm/", "/orders/../orders/confirm/",
+	"//orders/7", "/orders//confirm/", "//h.example/orders/", "/orders/confirm", "/orders?/confirm/", "/orders/?x=/confirm/", "/orders/confirm/?", "/orders/?",
+	"?", "?x=1", "*", "", "http://h.example", "http://h.example/", "http://h.example/orders/confirm%2F7?", "http://h.example//orders/7", "http://H.EXAMPLE:80/orders/7",
+	"http://h.example?x=/orders/", "http://other/orders/", "http://u@h.example/orders/", "http:///orders/", "http:/orders/", "ftp://h.example/orders/", "h.example:80", "http://[::1]/",
+	"/%", "/%zz", "/orders/%2", "/orders/?%", "/\xff", "/orders/\x80?\xfe", "/ä/ö?ü", "/orders;a=b/c", "/orders/;?;", "/orders/#confirm", "/orders#/confirm/?x#y", "/orders/{}|^`\"<>\\",
+	"/orders/confirm\\7", "/orders/http://h.example/", "/orders/" + strings.Repeat("x", 8<<10), "/\x7f", "/\x01",
+}
+
+// originForm returns what an upstream of h.example has to get for a target, and false if the target
+// cannot be forwarded or is for another host.
+func originForm(target string) (string, bool) {
+	if strings.HasPrefix(target, "/") {
+		return target, true
+	}
+	parts := absoluteForm.FindStringSubmatch(target)
+	if parts == nil {
+		return "", false
+	}
+	return parts[1], true
+}
+
+// absoluteForm matches targets of h.example in absolute form.
+var absoluteForm = regexp.MustCompile(`(?s)^[hH][tT][tT][pP][sS]?://(?i:h\.example)(?::[0-9]*)?(/.*)$`)
+
+// isControl reports whether a character is an ASCII control character, which servers refuse.
+func isControl(r rune) bool { return r < ' ' || r == 0x7f }
+
+// checkTarget sends a request for a target and checks that the route is that of the target as it was sent,
+// and that the upstream got these bytes.
+func checkTarget(t testing.TB, i *instance, target string) {
+	t.Helper()
+	status, service, line := sendTarget(t, i, "GET", target)
+	want, forwarded := originForm(target)
+	path, _, _ := strings.Cut(want, "?")
+	_, escapes := url.PathUnescape(path)
+	switch {
+	case status == http.StatusOK:
+		assert.Assert(t, forwarded, "%q: %q", target, line)
+		assert.Equal(t, line, "GET "+want+" HTTP/1.1")
+		assert.Equal(t, service, serviceOf(path), "%q", target)
+	case forwarded && escapes == nil && !strings.ContainsFunc(want, isControl):
+		t.Fatalf("%q: %d %s", target, status, line)
+	case status == http.StatusNotFound:
+		// The host of another absolute form has no route.
+		assert.Assert(t, !forwarded, "%q", target)
+	default:
+		assert.Equal(t, status, http.StatusBadRequest, "%q: %s", target, line)
+	}
+}
+
+// TestTargetsReachTheUpstreamAsSent guards against requests that another route handles than that of their
+// target as it was sent, and against targets that upstreams get changed.
+func TestTargetsReachTheUpstreamAsSent(t *testing.T) {
+	i := newTargetFleet(t).startReady(t, "one")
+	for _, target := range seedTargets {
+		checkTarget(t, i, target)
+	}
+}
+
+// FuzzTarget checks the same for any target.
+func FuzzTarget(f *testing.F) {
+	i := newTargetFleet(f).startReady(f, "one")
+	for _, target := range seedTargets {
+		f.Add(target)
+	}
+	f.Fuzz(func(t *testing.T, target string) {
+		// A blank or the end of a line ends the target.
+		if strings.ContainsAny(target, " \r\n") || len(target) > 32<<10 {
+			t.Skip()
+		}
+		checkTarget(t, i, target)
+	})
+}
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -87,7 +87,7 @@
 	if !ok || strings.ContainsAny(scheme, "/?#") {
 		return "", "", ReasonForm
 	}
-	if !strings.EqualFold(scheme, "http") && !strings.EqualFold(scheme, "https") {
+	if scheme = strings.ToLower(scheme); scheme != "http" && scheme != "https" {
 		return "", "", ReasonScheme
 	}
 	end := strings.IndexAny(rest, "/?#")
--- a/internal/target/target_test.go
+++ b/internal/target/target_test.go
@@ -46,6 +46,7 @@
 		{raw: "http://%68/a", reason: ReasonAuthority},
 		{raw: "http://\xff/a", reason: ReasonAuthority},
 		{raw: "ftp://h/a", reason: ReasonScheme},
+		{raw: "http\u017f://h/a", reason: ReasonScheme},
 		{raw: "/a b", reason: ReasonBytes},
 		{raw: "/a\r\nb", reason: ReasonBytes},
 		{raw: "http://h/\x7f", reason: ReasonBytes},
