gateway: starting instances poll no engines that others poll

An instance that has not joined the fleet and takes itself for the holder of the duty of orders polls all decode engines, each once in ten rounds. Each instance does for its first moments, when it knows itself only: with 585 instances that start at once and 5,189 engines, by reckoning, 300,000 reports a second. It polls them only once it has had three seconds to find the seeds. TestRequestsAtEnginesThatPeersPollKeepOrdersBack passes.

--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -116,7 +116,7 @@
 	// peerLoad is the sum of the peers' loads.
 	peerLoad     Load
 	readSchedule readSchedule
-	// createdAt is when the node was created. discoveryWait is counted from it.
+	// createdAt is when the node was created. discoveryWait and joinTime are counted from it.
 	createdAt time.Time
 	// stored is the store's list of upstreams, if this instance reads the store. relisting is set
 	// while a full list is read again in the background.
@@ -207,6 +207,9 @@
 // Alive returns the number of instances that count as alive, including this one.
 func (n *Node) Alive() int { return int(n.alive.Load()) }
 
+// joinTime is how long an instance usually takes at most to find the seeds after its start.
+const joinTime = 3 * time.Second
+
 // unknownInstances is larger than any number of instances.
 const unknownInstances = 1 << 20
 
@@ -262,6 +265,9 @@
 	return n.roster.Joined()
 }
 
+// LacksSeeds reports whether this instance has not joined the fleet although it has had the time for it.
+func (n *Node) LacksSeeds() bool { return !n.Joined() && clock.Since(n.createdAt) >= joinTime }
+
 // AssignedInZone returns the upstreams of a list that have the given stage and whose duty is
 // assigned to this instance. A duty is assigned within the upstream's zone, or among all
 // instances if none of that zone is alive. The name of an upstream's duty is prefix followed by
--- a/gateway/orders.go
+++ b/gateway/orders.go
@@ -136,7 +136,7 @@
 // ordersUnjoined reports whether the instance would give orders although it has not joined the fleet. It then polls
 // all decode engines for requests of instances that it doesn't know.
 func (g *Service) ordersUnjoined() bool {
-	return !g.node.Joined() && g.node.Holds(dutyStages, 0, maxPeerResponseAge)
+	return g.node.LacksSeeds() && g.node.Holds(dutyStages, 0, maxPeerResponseAge)
 }
 
 // observeDemand records the current demand of a service and returns the demand to plan for. It
