agent: the test of a dead upstream gives evidence once entries know the upstream

TestDeadUpstreamComesBack failed now and then with "not within 5s: service dead". The fake entry shows its evidence of a refused connection in one reply only. If the agent reads that reply before the first list of upstreams, it knows no such upstream and drops the evidence. Two of the three instances poll the service and notice by themselves; the third one (hall-a-2 in all failed runs) learns of it only from its entry, as news of services without an incarnation is not relayed.

An entry sends requests only to upstreams of its view, so the test now waits until the service is in all views before the entries have evidence of it. All checks and times are as before.

--- a/agent/upstreams_test.go
+++ b/agent/upstreams_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -132,6 +133,10 @@
 			Role: config.RoleService, Service: "desk", State: configservice.StateLive})
 		f.list()
 		startAll(nodes)
+		// An entry sends requests only to upstreams of its view, so it has no evidence of others.
+		f.within(5*time.Second, "service in all views", func() bool {
+			return !slices.ContainsFunc(nodes, func(n *node) bool { return n.entry.upstream("desk-1") == nil })
+		})
 		for _, n := range nodes {
 			n.entry.set(func(r *feed.Reply) {
 				r.Evidence = []feed.Evidence{{Kind: feed.EvidenceRefused, Upstream: "desk-1"}}
