memory: a fork reads its account while the request reserves memory

Cause: a takeover excludes the delivery of events, not their reading. Change: the size of an account is atomic, and Fork, which reads nothing else that changes, may run beside the other methods.

TestForkBesideReservations fails before under the race detector.

--- a/gateway/memory/memory.go
+++ b/gateway/memory/memory.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 )
 
 const (
@@ -105,14 +106,15 @@
 	b.waiting = remaining
 }
 
-// Account tracks the memory held by one request. A nil account imposes no limit. An Account is
-// not safe for concurrent use.
+// Account tracks the memory held by one request. A nil account imposes no limit. Only Fork is safe for use
+// beside other methods.
 type Account struct {
 	budget *Budget
 	caller string
 	// exempt is the number of bytes that are not charged. size is the number of bytes held, charged the
 	// number of those charged to the budget.
-	exempt, size, charged int64
+	exempt, charged int64
+	size            atomic.Int64
 }
 
 // Fork returns an account for a part of the request that is carried out concurrently. It must be merged
@@ -121,7 +123,7 @@
 	if a == nil {
 		return nil
 	}
-	return &Account{budget: a.budget, caller: a.caller, exempt: max(0, a.exempt-a.size)}
+	return &Account{budget: a.budget, caller: a.caller, exempt: max(0, a.exempt-a.size.Load())}
 }
 
 // Merge moves the bytes held by a fork to this account.
@@ -129,13 +131,13 @@
 	if a == nil {
 		return
 	}
-	a.size, a.charged = a.size+fork.size, a.charged+fork.charged
-	fork.size, fork.charged = 0, 0
+	a.add(fork.size.Swap(0), fork.charged)
+	fork.charged = 0
 }
 
 // chargeFor returns how much of a reservation has to be charged to the budget.
 func (a *Account) chargeFor(bytes int64) int64 {
-	return max(0, a.size+bytes-a.exempt) - a.charged
+	return max(0, a.size.Load()+bytes-a.exempt) - a.charged
 }
 
 // TryGrow reserves more bytes without waiting. If they are not available, the error is a
@@ -158,7 +160,7 @@
 
 // add records a reservation.
 func (a *Account) add(bytes, charged int64) {
-	a.size += bytes
+	a.size.Add(bytes)
 	a.charged += charged
 }
 
@@ -209,6 +211,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.charge(a.caller, -a.charged)
-	a.size, a.charged = 0, 0
+	a.size.Store(0)
+	a.charged = 0
 	b.grant()
 }
--- a/gateway/memory/memory_test.go
+++ b/gateway/memory/memory_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -122,3 +123,20 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(body), 0)
 }
+
+// TestForkBesideReservations guards against a fork that reads an account while its request reserves memory. The race
+// detector finds it.
+func TestForkBesideReservations(t *testing.T) {
+	a := NewBudget(mb).Open("a")
+	defer a.Close()
+	var forks sync.WaitGroup
+	forks.Go(func() {
+		for range 1000 {
+			a.Fork().Close()
+		}
+	})
+	for range 1000 {
+		assert.NilError(t, a.TryGrow(1))
+	}
+	forks.Wait()
+}
