carry: the timer of a late prompt reads the stream while it goes on

What the race detector shows in the soak at load 50 to 80: the timer that ends a late prefill reads whether the head of the response was sent, while the stream writes it. The timer may charge the retry budget by the wrong margin.

Change: what the timer and the check of a silent engine need is taken when the prefill starts.

TestLatePrefillOfAResumedStream fails before under the race detector.

--- a/gateway/carry/failover_test.go
+++ b/gateway/carry/failover_test.go
@@ -573,3 +573,21 @@
 		assert.Assert(t, atSecond != 0, "sent to another engine without a trial")
 	})
 }
+
+// TestLatePrefillOfAResumedStream guards against a timer of a late prompt that reads the stream while it goes on. The race
+// detector finds it.
+func TestLatePrefillOfAResumedStream(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		env := newTestEnv(t, 0, engineUps([]string{"p1"}, []string{"d1"})...)
+		env.d.prefillTime = map[ident.UpstreamID][]time.Duration{"p1": {20 * time.Second}}
+		env.serveStreams(reply{verdict: dialect.Success, status: 200, body: events(3, 5)})
+		r := resumable
+		r.Objective = 300 * time.Millisecond
+		j := job(r)
+		j.Call.LastEvent = "2"
+		got := &streamRecorder{}
+		_, err := env.Stream(t.Context(), j, got)
+		assert.NilError(t, err)
+		assert.Equal(t, got.body.String(), events(3, 5))
+	})
+}
--- a/gateway/carry/prefill.go
+++ b/gateway/carry/prefill.go
@@ -72,7 +72,7 @@
 			s.c.o.Scheduler.Done(t)
 			return nil, err
 		}
-		silence := &prefillSilence{s: s, startedAt: clock.Now()}
+		silence := &prefillSilence{s: s, startedAt: clock.Now(), resumed: s.resumed(), headSent: s.headSent}
 		h, err := s.prefillAt(ctx, t, silence)
 		if err == nil {
 			return &prefillResult{handle: h, engine: t.Upstream, createdAt: clock.Now()}, nil
@@ -95,6 +95,9 @@
 type prefillSilence struct {
 	s         *stream
 	startedAt time.Time
+	// resumed and headSent are those of the stream at the start: a timer that fires late asks for them when
+	// the stream goes on already.
+	resumed, headSent bool
 	// suspect records that the engine may have crashed, once.
 	suspect sync.Once
 	// charged means that the next prefill was charged to the retry budget.
@@ -110,7 +113,7 @@
 	}
 	p.suspect.Do(func() {
 		s.crashGuard.startCheck(interruption{
-			upstream: u, sentAt: p.startedAt, wasAlive: s.c.o.Scheduler.AnsweredSince(u, p.startedAt), begunBefore: s.resumed(),
+			upstream: u, sentAt: p.startedAt, wasAlive: s.c.o.Scheduler.AnsweredSince(u, p.startedAt), begunBefore: p.resumed,
 			cause: &UnresponsiveError{Upstream: u.ID, Err: err},
 		})
 	})
@@ -125,7 +128,7 @@
 		return true
 	}
 	s := p.s
-	allowed := s.c.mayResend(s.j.Service.Name, sendsAfterPrefill, s.headSent, s.log)
+	allowed := s.c.mayResend(s.j.Service.Name, sendsAfterPrefill, p.headSent, s.log)
 	p.charged.Store(allowed)
 	return allowed
 }
@@ -142,7 +145,7 @@
 	limit := time.AfterFunc(s.prefillTimeout(start, expected), func() {
 		// A stream that is under way is late in any case: it gains nothing from an end without another
 		// prefill.
-		if !s.resumed() || silence.charge() {
+		if !silence.resumed || silence.charge() {
 			wd.cancel(context.DeadlineExceeded)
 		}
 	})
