tickets: the bytes of a call that another instance executes are kept

Callers saw bytes above 127 of a path or of a header that are not UTF-8 reach the service as U+FFFD if the ticket's executor was another instance.

Cause: calls are sent to executors as JSON, which replaces such bytes.

Change: a call that JSON would change is sent in gob's encoding; an executor of an older version refuses it for lack of a ticket, and the ticket is not used.

No run over the sockets of two entry instances.

--- a/entry/tickets/forward.go
+++ b/entry/tickets/forward.go
@@ -6,6 +6,7 @@
 	"github.com/wardspool/wardspool/entry/peering"
 	"github.com/wardspool/wardspool/ident"
 	"github.com/wardspool/wardspool/peer"
+	"github.com/wardspool/wardspool/ticket"
 )
 
 // MethodExecute is the JSON-RPC method that presents a call to the executor of
@@ -32,13 +33,17 @@
 }
 
 // Forward implements Forwarder. Errors are *peering.UnknownPeerError and
-// *peer.CallError.
+// *peer.CallError, unless the call cannot be encoded.
 func (p *Peers) Forward(ctx context.Context, to ident.InstanceID, c *Call) (*Reply, error) {
 	addr, err := p.addresses.Address(to)
 	if err != nil {
 		return nil, err
 	}
-	r, err := peer.Call[Reply](ctx, p.pool, addr, MethodExecute, c, peer.Expect(to, 0))
+	m, err := encode(c)
+	if err != nil {
+		return nil, err
+	}
+	r, err := peer.Call[Reply](ctx, p.pool, addr, MethodExecute, m, peer.Expect(to, 0))
 	if err != nil {
 		return nil, err
 	}
@@ -47,7 +52,11 @@
 
 // Handle registers the handler of forwarded calls at a server.
 func Handle(s *peer.Server, d *Dispatcher) {
-	peer.Handle(s, MethodExecute, func(ctx context.Context, _ peer.Identity, c Call) (Reply, error) {
-		return d.ExecuteHere(ctx, &c), nil
+	peer.Handle(s, MethodExecute, func(ctx context.Context, _ peer.Identity, m message) (Reply, error) {
+		c, err := m.decode()
+		if err != nil {
+			return Reply{Problem: ticket.InvalidProblem(err)}, nil
+		}
+		return d.ExecuteHere(ctx, c), nil
 	})
 }
