routing: an IPv6 host with a port has the routes of the host

Callers of a route whose host is an IPv6 address got 404 if they stated a port.

Cause: the port was cut together with the brackets of the request's host, and the route's host kept its brackets.

Change: both are brought into the same form; a port of a route's host is cut too, with which it matched nothing before.

Measured: TestHostOfARequest failed before and passes.

--- a/gateway/routing/table.go
+++ b/gateway/routing/table.go
@@ -13,7 +13,7 @@
 // NewTable and is safe for concurrent use.
 type Table struct {
 	config *Config
-	// byHost holds the routes of each host, in lower case, the longest prefix first.
+	// byHost holds the routes of each canonical host, the longest prefix first.
 	byHost map[string][]*Route
 	byKey  map[KeyDigest]*Workspace
 	// mostUrgent is the most urgent priority of each service's requests.
@@ -25,7 +25,7 @@
 	t := &Table{config: c, byHost: map[string][]*Route{}, byKey: map[KeyDigest]*Workspace{}, mostUrgent: map[string]int{}}
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		host := strings.ToLower(r.Host)
+		host := canonicalHost(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
 	}
 	for _, routes := range t.byHost {
@@ -98,10 +98,13 @@
 	return nil
 }
 
-// canonicalHost returns the value of a Host header in lower case and without the port.
+// canonicalHost returns the value of a Host header in lower case, without the port and the brackets of
+// an IPv6 address.
 func canonicalHost(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
+	} else if inside, ok := strings.CutPrefix(host, "["); ok {
+		host = strings.TrimSuffix(inside, "]")
 	}
 	return strings.ToLower(host)
 }
--- a/gateway/routing/table_test.go
+++ b/gateway/routing/table_test.go
@@ -34,6 +34,22 @@
 	assert.Assert(t, table.Find("a.example", "//x/y/1") == nil)
 }
 
+// TestHostOfARequest guards against a port or the brackets of an IPv6 address that hide a route. A final
+// dot belongs to the host.
+func TestHostOfARequest(t *testing.T) {
+	table := NewTable(&Config{Routes: []Route{{Name: "name", Host: "A.example", Prefix: "/"}, {Name: "v6", Host: "[FE80::1]", Prefix: "/"}}})
+	for host, want := range map[string]string{
+		"a.example": "name", "A.EXAMPLE:80": "name", "a.example:": "name", "[fe80::1]": "v6", "[FE80::1]:80": "v6",
+		"a.example.": "", "a.example.:80": "", "b.example": "", "": "", "[fe80::2]": "", "fe80::1:80": "",
+	} {
+		got := ""
+		if r := table.Find(host, "/x"); r != nil {
+			got = r.Name
+		}
+		assert.Equal(t, got, want, host)
+	}
+}
+
 func TestChooseFollowsTheWeights(t *testing.T) {
 	r := Route{Services: []WeightedService{{Service: "a", Weight: 9}, {Service: "b", Weight: 1}, {Service: "c"}}}
 	random := rand.New(rand.NewPCG(1, 2))
