carry: a stream at a silent engine begins at no other version

Suspected cause, by reading: a stream that has no event yet is taken over from a silent engine by one of another version when no engine of its own has room. The silent one runs on, as a loss of power shows it nothing, and counts as the origin once the version that began the stream has left. Two versions may have run it, and no trace tells which events were delivered.

Change: while a silent engine may go on with a resumable stream that has not begun, another run is started at its version only.

TestSilentEngineLosesNoStreamToAnotherVersionBeforeItsFirstEvent fails before.

--- a/gateway/carry/failover.go
+++ b/gateway/carry/failover.go
@@ -166,16 +166,13 @@
 		c: s.c, j: &j, log: s.log, excluded: slices.Clone(f.excluded),
 		// A failure is not answered by another start of the fork, but by another takeover.
 		starts: maxStarts,
-		runs:   f.runs + 1, headSent: s.headSent, lastEvent: s.lastEvent,
+		runs:   f.runs + 1, headSent: s.headSent, lastEvent: s.lastEvent, besideSilent: true,
 		crashGuard: s.crashGuard.share(),
 	}
 	other.events.Store(s.events.Load())
 	if version, bound := s.software.get(); bound {
 		other.software.bind(version)
 	}
-	if version, read := s.readBy.get(); read {
-		other.readBy.bind(version)
-	}
 	other.readBy.bind(f.from.SoftwareVersion)
 	return other
 }
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -123,10 +123,12 @@
 	events   atomic.Int64
 	software versionBinding
 	// readBy is the software version of the first decode engine that may have read the prompt.
-	readBy     versionBinding
-	migration  migration
-	takeover   takeover
-	crashGuard crashGuard
+	readBy versionBinding
+	// besideSilent means that the stream runs at a silent engine, of the version readBy, which may go on.
+	besideSilent bool
+	migration    migration
+	takeover     takeover
+	crashGuard   crashGuard
 	// firstAt and lastAt are the times of the first and the last event. longestPause is the
 	// longest time between two consecutive events.
 	firstAt      time.Time
--- a/gateway/carry/version.go
+++ b/gateway/carry/version.go
@@ -62,7 +62,8 @@
 
 // candidates returns the lists of upstreams among which a decode engine is looked for, one after the other.
 // A resumable stream that has not begun prefers the version that may have read its prompt: if engines of two
-// versions keep it, nobody can tell later which of them began the stream.
+// versions keep it, nobody can tell later which of them began the stream. While a silent engine may go on with it,
+// it is started at no other version.
 func (s *stream) candidates() [][]dialect.Upstream {
 	list := s.eligible()
 	_, bound := s.software.get()
@@ -70,7 +71,11 @@
 	if bound || !read || !s.j.Route.Resumable {
 		return [][]dialect.Upstream{list}
 	}
-	return [][]dialect.Upstream{s.readBy.filter(list), list}
+	own := s.readBy.filter(list)
+	if s.besideSilent {
+		return [][]dialect.Upstream{own}
+	}
+	return [][]dialect.Upstream{own, list}
 }
 
 // filter returns the upstreams of a list without the decode engines that the binding doesn't allow.
--- a/gateway/carry/version_test.go
+++ b/gateway/carry/version_test.go
@@ -355,3 +355,40 @@
 		})
 	}
 }
+
+// TestSilentEngineLosesNoStreamToAnotherVersionBeforeItsFirstEvent guards against a stream that one version begins while a
+// silent engine of another one runs it on: after the loss of all instances the run shows the wrong version.
+func TestSilentEngineLosesNoStreamToAnotherVersionBeforeItsFirstEvent(t *testing.T) {
+	for name, test := range map[string]struct {
+		versions []string
+		sent     []ident.UpstreamID
+	}{
+		"another version":  {[]string{"v1", "v2"}, []ident.UpstreamID{"d1"}},
+		"the same version": {[]string{"v1", "v1"}, []ident.UpstreamID{"d1", "d2"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				env := newVersionedEnv(t, test.versions...)
+				body := newControlledBody()
+				env.d.silent = map[ident.UpstreamID]bool{"d1": true}
+				env.d.do["d1"] = []reply{{verdict: dialect.Success, status: http.StatusOK, stream: body}}
+				env.d.do["d2"] = []reply{wholeFrom(1)}
+				written := make(chan struct{})
+				go func() {
+					defer close(written)
+					time.Sleep(5 * time.Second)
+					_, _ = body.w.Write([]byte(events(1, 5)))
+					_ = body.w.Close()
+				}()
+				got := &streamRecorder{}
+				r := resumable
+				r.PaceObjective = 300 * time.Millisecond
+				_, err := env.Stream(t.Context(), job(r), got)
+				<-written
+				assert.NilError(t, err)
+				assert.Equal(t, got.body.String(), events(1, 5))
+				assert.DeepEqual(t, decodeSends(env), test.sent)
+			})
+		})
+	}
+}
