fleet: hubs of large fleets call the seeds, so that started seeds hear of their peers

TestStartedInstancesAskFirst failed now and then at 295 instances: a restarted instance sent a quarantined content once.

The three instances that the test restarts are the fleet's seeds. Each finds only the two others, which know nothing either, and depends on being called. In a large fleet an instance is called twice a second, by chance, so sometimes none of the three is within the 500 ms after which a started instance counts as informed.

The hub of each zone now exchanges heartbeats with all seeds in each round, and each 100 ms with one that has stopped answering, as long as that instance is still among the known ones. Small fleets are as before: there all instances call each other. What instances hold back, and for how long, is unchanged.

--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -308,6 +308,7 @@
 		for _, address := range partners {
 			go n.heartbeatWith(ctx, address, h)
 		}
+		n.callSeeds(ctx, h)
 		waitOrWake(ctx, jitter(random, wait), wake)
 	}
 }
@@ -318,13 +319,13 @@
 }
 
 // heartbeatWith exchanges heartbeats with one peer. If the answer shows that the two know different
-// instances, a second exchange reconciles them.
-func (n *Node) heartbeatWith(ctx context.Context, address string, h Heartbeat) {
+// instances, a second exchange reconciles them. It reports whether the peer answered.
+func (n *Node) heartbeatWith(ctx context.Context, address string, h Heartbeat) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	answer, ok := n.exchange(ctx, address, h)
 	if !ok {
-		return
+		return false
 	}
 	n.mu.Lock()
 	more, differs := n.roster.Reconcile(clock.Now(), answer)
@@ -333,6 +334,7 @@
 		n.exchange(ctx, address, more)
 	}
 	n.logAliveChange()
+	return true
 }
 
 // exchange sends a heartbeat to a peer and processes the answer. It returns false if the call
--- a/gateway/fleetcrash_test.go
+++ b/gateway/fleetcrash_test.go
@@ -324,6 +324,33 @@
 	})
 }
 
+// TestStartedSeedsHearOfQuarantines guards against instances that count as informed before they know of
+// a quarantine, in the worst case: all seeds of a large fleet start at the same time, five times.
+func TestStartedSeedsHearOfQuarantines(t *testing.T) {
+	runFleetSizes(t, fleetSizes[1:2], func(t *testing.T, _ fleetSize, w *simFleet) {
+		w.sendCrashingRepeatedly(400*time.Millisecond, 3*time.Second)
+		seeds := w.instances[:3]
+		for round := range 5 {
+			for _, i := range seeds {
+				i.kill()
+			}
+			time.Sleep(500 * time.Millisecond)
+			for _, i := range seeds {
+				i.start()
+			}
+			for _, i := range seeds {
+				s := i.running()
+				for !s.node.Snapshot().Ready() || !s.node.Informed() {
+					time.Sleep(time.Millisecond)
+				}
+				standing := s.register.Verdict(clock.Now(), contentOf(w, crashingPrompt)).Standing
+				assert.Check(t, standing == quarantine.Quarantined, "round %d: %s counts as informed, content is %v", round, i.id, standing)
+			}
+			time.Sleep(4 * time.Second)
+		}
+	})
+}
+
 // TestLossOfAllInstancesForgets guards against a restart of all instances at the same time letting
 // a content crash more engines than the first time. The quarantine is lost then, because nothing is
 // stored on disk.
