--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -207,12 +207,6 @@
 // Alive returns the number of instances that count as alive, including this one.
 func (n *Node) Alive() int { return int(n.alive.Load()) }
 
-// joinTime is how long an instance usually takes at most to find the seeds after its start.
-const joinTime = 3 * time.Second
-
-// unknownInstances is larger than any number of instances.
-const unknownInstances = 1 << 20
-
 // Sharers returns the number of instances among which what all of them may spend together is divided, including
 // this one. Until it has joined, any number of others may spend their shares.
 func (n *Node) Sharers() int {
--- a/gateway/fleet/roster.go
+++ b/gateway/fleet/roster.go
@@ -37,6 +37,10 @@
 	// quorumSizeLarge is the number of instances, including this one, most of which must have
 	// answered recently for an instance of a large fleet to have a quorum.
 	quorumSizeLarge = 4
+	// joinTime is how long an instance usually takes at most to find the seeds after its start.
+	joinTime = 3 * time.Second
+	// unknownInstances is larger than any number of instances.
+	unknownInstances = 1 << 20
 	// maxDescribed is the largest number of instances of a zone that one message describes, at
 	// 110 bytes each. A link of 10 Mbit/s takes 6 ms to transfer them.
 	maxDescribed = 64
@@ -284,8 +288,8 @@
 }
 
 // Joined reports whether this instance has joined the fleet since its start, and since it last forgot most of the
-// others: it has found most of the seeds, itself included if it is one, or an instance that has joined. Until then, any number of instances that it
-// doesn't know may be running, so that those which it knows show no majority.
+// others: it has found most of the seeds, itself included if it is one, or an instance that has joined. Until then,
+// any number of instances that it doesn't know may be running, so that those which it knows show no majority.
 func (r *Roster) Joined() bool {
 	if !r.joined {
 		r.joined = r.foundMostSeeds()
