fleet: questions to peers don't wait for a read of the store

Cause: an instance with a stale list reads the store and asks its reader side by side, but the next question waits for the end of the read, which hangs on a silent connection for up to 3 s.

Change: a read of the store goes on beside the rounds of questions; there is one read at a time, as before.

--- a/gateway/fleet/reader.go
+++ b/gateway/fleet/reader.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/wardspool/wardspool/gateway/dialect"
@@ -27,10 +28,13 @@
 
 // maintainView keeps the view up to date until ctx ends. An instance reads the store if it is its
 // zone's reader, and otherwise asks the reader. When the view becomes stale, it does both and
-// also asks a peer chosen at random.
+// also asks a peer chosen at random. Questions to peers don't wait for a read: the store may not answer.
 func (n *Node) maintainView(ctx context.Context) {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	wake := n.informed.subscribeWake()
+	var reads sync.WaitGroup
+	defer reads.Wait()
+	var reading atomic.Bool
 	for ctx.Err() == nil {
 		n.mu.Lock()
 		now := clock.Now()
@@ -38,11 +42,15 @@
 		anyPeer := n.roster.AnyPeer(now, random)
 		s := n.Snapshot()
 		ready, age := s.Ready(), now.Sub(s.AsOf)
-		due := n.readSchedule.due(now, as, ready, age)
+		due := !reading.Load() && n.readSchedule.due(now, as, ready, age)
 		n.mu.Unlock()
 		var parallel sync.WaitGroup
 		if due {
-			parallel.Go(func() { n.readStore(ctx) })
+			reading.Store(true)
+			reads.Go(func() {
+				defer reading.Store(false)
+				n.readStore(ctx)
+			})
 		}
 		if as != reader && hub != "" {
 			parallel.Go(func() { n.askPeer(ctx, hub) })
--- a/gateway/fleetworld_test.go
+++ b/gateway/fleetworld_test.go
@@ -111,6 +111,8 @@
 	relayed *simListener
 	// storeDown makes the store reject the instance's requests.
 	storeDown bool
+	// storeSilent makes the instance's reads of the store that begin now end by their timeouts only.
+	storeSilent bool
 	// disconnected means that the instance cannot connect to any engine.
 	disconnected bool
 	// sent is the number of bytes that the instance has sent to other instances, loadReports the number
@@ -445,11 +447,26 @@
 	return nil
 }
 
+// storeSilence blocks until ctx ends if the store is silent.
+func (i *simInstance) storeSilence(ctx context.Context) error {
+	i.mu.Lock()
+	silent := i.storeSilent
+	i.mu.Unlock()
+	if !silent {
+		return nil
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
 // Directives implements dialect.Source.
 func (i *simInstance) Directives(ctx context.Context) (dialect.Directives, error) {
 	if err := i.storeError(); err != nil {
 		return dialect.Directives{}, err
 	}
+	if err := i.storeSilence(ctx); err != nil {
+		return dialect.Directives{}, err
+	}
 	return i.fleet.Directives(ctx)
 }
 
@@ -458,15 +475,21 @@
 	if err := i.storeError(); err != nil {
 		return nil, 0, err
 	}
+	if err := i.storeSilence(ctx); err != nil {
+		return nil, 0, err
+	}
 	return i.fleet.Upstreams(ctx, further)
 }
 
 // Changes implements dialect.Source. The store keeps no history, so each change requires a new
 // list.
-func (i *simInstance) Changes(_ context.Context, after int64) (dialect.Changes, error) {
+func (i *simInstance) Changes(ctx context.Context, after int64) (dialect.Changes, error) {
 	if err := i.storeError(); err != nil {
 		return dialect.Changes{}, err
 	}
+	if err := i.storeSilence(ctx); err != nil {
+		return dialect.Changes{}, err
+	}
 	i.fleet.mu.Lock()
 	defer i.fleet.mu.Unlock()
 	if i.fleet.revision != after {
