--- a/review/bed-2/gateway.go
+++ b/review/bed-2/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -22,12 +23,26 @@
 	exited              chan struct{}
 }
 
-// freeAddr returns a loopback address that was free a moment ago.
+// given holds the ports that freeAddr has returned.
+var given = map[int]bool{}
+
+// freeAddr returns a loopback address that was free a moment ago. Its port lies below those that the system gives to connections, so that
+// none of these takes it before the gateway listens.
 func freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must(err)
-	defer l.Close()
-	return l.Addr().String()
+	for {
+		port := 12000 + rand.IntN(20000)
+		if given[port] {
+			continue
+		}
+		given[port] = true
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		must(l.Close())
+		return addr
+	}
 }
 
 // bounds are the bounds of the small deployments.
@@ -100,7 +115,7 @@
 // Signal sends a signal to the process.
 func (g *Gateway) Signal(s syscall.Signal) { _ = g.cmd.Process.Signal(s) }
 
-// Kill ends the process and waits for its end.
+// Kill ends the process, if it runs, and waits for its end.
 func (g *Gateway) Kill() {
 	if g.cmd == nil {
 		return
--- a/review/bed-2/main.go
+++ b/review/bed-2/main.go
@@ -33,7 +33,8 @@
 }
 
 var scenarios = map[string]func(*Bed) Result{
-	"idgaps": idGaps,
+	"idgaps":     idGaps,
+	"loneowners": loneOwners,
 }
 
 // Exit codes of a case.
@@ -87,16 +88,22 @@
 // startGateways starts gateways in the given zones and waits until they are ready.
 func (b *Bed) startGateways(zones ...string) {
 	b.Gateways = NewGateways(b.root, b.dir, b.Store.Addr, zones...)
-	for _, g := range b.Gateways {
+	b.start(b.Gateways)
+	time.Sleep(2 * time.Second)
+}
+
+// start starts gateways and waits until they are ready.
+func (b *Bed) start(list []*Gateway) {
+	for _, g := range list {
 		g.Start()
+		b.Record.Add("started", "gateway", g.Name)
 	}
-	for _, g := range b.Gateways {
+	for _, g := range list {
 		if !g.AwaitReady(15 * time.Second) {
 			panic("the case cannot run: " + g.Name + " is not ready")
 		}
 	}
-	b.Record.Add("ready", "gateways", len(b.Gateways))
-	time.Sleep(2 * time.Second)
+	b.Record.Add("ready", "gateways", len(list))
 }
 
 // limits are those of the small deployments.
