carry: a gap between two events of a run is no missing event

Where only some events hold several tokens, streams were broken off for as long as it ran.

Cause: event numbers increase, and an event may hold several tokens. The check took a higher number for a missing event until it had seen three such gaps (32 at any place), and forgot that with the process. The same for a first event that is not numbered 0 or 1.

Change: within a run only a number that does not increase is out of order, since its events come in order on one connection. Where another run continues the stream, a gap is a missing event once 256 events of the service's runs, without a gap, show that it numbers events one by one.

TestStreamsStayInOrder, TestRelayedStreamsStayInOrder and TestStreamsOfFrozenInstancesStayInOrder pass.

--- a/gateway/carry/eventorder.go
+++ b/gateway/carry/eventorder.go
@@ -7,134 +7,55 @@
 	"sync"
 )
 
-// maxFirstEvent is the largest number of the first event of a stream. Engines number events from 1 or from 0.
-const maxFirstEvent = 1
-
-// EventOrderError reports an event that is not the one after the last event of its stream, or not the first
-// one of a new stream.
+// EventOrderError reports an event that is not the one after the last event of its stream.
 type EventOrderError struct {
-	// Last is the ID of the last event, "" if there is none, and Event the number of the one that was
-	// received after it.
+	// Last is the ID of the last event, and Event the number of the one that was received after it.
 	Last  string
 	Event int
 }
 
 // Error implements the error interface.
 func (e *EventOrderError) Error() string {
-	if e.Last == "" {
-		return fmt.Sprintf("event %d received as the first", e.Event)
-	}
 	return fmt.Sprintf("event %d received after event %s", e.Event, e.Last)
 }
 
-// numbering is how the engines of a service number the events of streams. Numbers increase, mostly one by one,
-// so that a gap shows a missing event. It shows nothing once most numbers of the service are not one by one, or
-// many of them at any place, or most streams have the same gap, and nothing where it usually follows the same
-// number. It is safe for concurrent use.
+// numbering is how the engines of a service number the events of streams. Numbers increase; an event with several
+// tokens may be numbered by the last of them, so that a gap alone is no missing event. Within a run it never is one:
+// the events of a run arrive on one connection. Where another run continues a stream, it is one if the service numbers
+// events one by one. It is safe for concurrent use.
 type numbering struct {
-	mu  sync.Mutex
-	all followers
-	// streams counts the streams from their first events on. places holds what followed each number, and
-	// commonGap is the one of them that a gap followed most often.
-	streams   int
-	places    map[int]*followers
-	commonGap *followers
-}
-
-// followers counts what followed events.
-type followers struct {
-	// gap is the number that followed the last time that it was not one higher.
-	gap int
-	// gaps counts the events with that number, others those with another one.
-	gaps, others int
+	mu sync.Mutex
+	// steps counts the events of runs that were numbered one higher than the event before, up to minSteps. gaps means
+	// that another one had a higher number.
+	steps int
+	gaps  bool
 }
 
-const (
-	// minUsualGaps is the smallest number of gaps that are usual. As many streams are broken off where engines
-	// leave gaps.
-	minUsualGaps = 3
-	// minIrregularGaps is the smallest number of gaps of any size that are usual, and maxStepsPerGap the largest
-	// number of steps for each of them.
-	minIrregularGaps = 32
-	maxStepsPerGap   = 8
-	// maxPlaces bounds the numbers of a service for which it is remembered what followed them.
-	maxPlaces = 4096
-)
-
-// gapIsUsual reports whether a gap mostly followed.
-func (f *followers) gapIsUsual() bool { return f.gaps >= minUsualGaps && f.gaps >= f.others }
+// minSteps is the number of events, in runs without a gap, that show that a service numbers events one by one.
+const minSteps = 256
 
-// observe records that the event number followed the event previous, and reports whether it may have been the
-// next one. What followed until then decides.
-func (n *numbering) observe(previous, number int) bool {
+// observe records that the event number followed the event previous in a run.
+func (n *numbering) observe(previous, number int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	step := number == previous+1
-	usual := step || n.all.gapIsUsual() || n.gapsAreIrregular() || n.gapIsCommon() || n.gapIsUsualAt(previous, number)
-	if step {
-		n.all.others++
-	} else {
-		n.all.gaps++
-	}
-	n.observeAt(previous, number, step)
-	return usual
-}
-
-// gapsAreIrregular reports whether gaps are so many, after whatever numbers, that they belong to the numbering. The
-// caller holds mu.
-func (n *numbering) gapsAreIrregular() bool {
-	return n.all.gaps >= minIrregularGaps && n.all.others <= maxStepsPerGap*n.all.gaps
-}
-
-// gapIsCommon reports whether most streams have the same gap. One that only a few streams reach says nothing of the
-// others. The caller holds mu.
-func (n *numbering) gapIsCommon() bool {
-	return n.commonGap != nil && n.commonGap.gapIsUsual() && 2*n.commonGap.gaps >= n.streams
-}
-
-// gapIsUsualAt reports whether the same gap mostly followed a number. The caller holds mu.
-func (n *numbering) gapIsUsualAt(previous, number int) bool {
-	p := n.places[previous]
-	return p != nil && p.gap == number && p.gapIsUsual()
-}
-
-// observeAt records what followed a number. The caller holds mu.
-func (n *numbering) observeAt(previous, number int, step bool) {
-	p := n.places[previous]
-	if p == nil {
-		if len(n.places) >= maxPlaces {
-			return
-		}
-		if n.places == nil {
-			n.places = map[int]*followers{}
-		}
-		p = &followers{}
-		n.places[previous] = p
-	}
-	switch {
-	case step:
-		p.others++
-	case p.gap != number:
-		p.gap, p.others, p.gaps = number, p.others+p.gaps, 1
-	default:
-		p.gaps++
-	}
-	if p.gapIsUsual() && (n.commonGap == nil || !n.commonGap.gapIsUsual() || p.gaps > n.commonGap.gaps) {
-		n.commonGap = p
+	if number != previous+1 {
+		n.gaps = true
+	} else if n.steps < minSteps {
+		n.steps++
 	}
 }
 
-// begin counts a stream.
-func (n *numbering) begin() {
+// oneByOne reports whether the service is known to number events one by one.
+func (n *numbering) oneByOne() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.streams++
+	return !n.gaps && n.steps >= minSteps
 }
 
 // inOrder returns the complete events at the beginning of events that continue a stream whose last event
-// has the ID last, and an *EventOrderError if another one comes after them. Comments without an event are not
-// returned then. Only IDs that are numbers are checked.
-func (n *numbering) inOrder(events []byte, last string) ([]byte, error) {
+// has the ID last, and an *EventOrderError if another one comes after them. newRun means that they are the first
+// events of a run. Comments without an event are not returned then. Only IDs that are numbers are checked.
+func (n *numbering) inOrder(events []byte, last string, newRun bool) ([]byte, error) {
 	begin := 0
 	for rest := events; len(rest) > 0; {
 		var line []byte
@@ -146,36 +67,32 @@
 		if !ok {
 			continue
 		}
-		if number, err := strconv.Atoi(id); err == nil && !n.mayFollow(number, last) {
+		if number, err := strconv.Atoi(id); err == nil && !n.mayFollow(number, last, newRun) {
 			disorder := &EventOrderError{Last: last, Event: number}
 			if !holdsEvent(events[:begin]) {
 				return nil, disorder
 			}
 			return events[:begin], disorder
 		}
-		last = id
+		last, newRun = id, false
 	}
 	return events, nil
 }
 
 // mayFollow reports whether the event with the given number may be the one after the event with the ID last,
-// or the first one if last is "".
-func (n *numbering) mayFollow(number int, last string) bool {
+// or the first one if last is "". newRun means that it is the first event of a run.
+func (n *numbering) mayFollow(number int, last string, newRun bool) bool {
 	previous, err := strconv.Atoi(last)
-	if last == "" {
-		n.begin()
-	}
 	switch {
-	case last == "" && number <= maxFirstEvent:
-		return true
-	case last == "":
-		return n.observe(0, number)
 	case err != nil:
 		return true
 	case number <= previous:
 		return false
+	case newRun:
+		return number == previous+1 || !n.oneByOne()
 	default:
-		return n.observe(previous, number)
+		n.observe(previous, number)
+		return true
 	}
 }
 
--- a/gateway/carry/forward.go
+++ b/gateway/carry/forward.go
@@ -31,7 +31,7 @@
 func (s *stream) forward(ctx context.Context, r *run) (*Response, bool, error) {
 	p, resp := r.placement, r.resp
 	u := p.decode.Upstream
-	before := s.events.Load()
+	s.eventsBefore = s.events.Load()
 	started := time.Time{}
 	s.lastReadAt = clock.Now()
 	if f, ok := r.watchdog.silenceHandler().(*failover); ok {
@@ -60,7 +60,7 @@
 		err = s.finish(resp, bodyEnd{rest: rest, stopped: ambiguous, senderLives: func() bool { return s.c.lives(s.j, u) }})
 	}
 	took := r.age()
-	eventCount := int(s.events.Load() - before)
+	eventCount := int(s.events.Load() - s.eventsBefore)
 	if !started.IsZero() {
 		s.c.o.Scheduler.StreamStarted(s.j.Service.Name, started.Sub(r.sentAt))
 	}
@@ -187,7 +187,6 @@
 func (s *stream) copyEvents(r *run, first func()) (rest []byte, err error) {
 	p := r.placement
 	started := false
-	before := s.events.Load()
 	return readEvents(r.body(), s.j.Memory, r.watchdog.heard, func(events []byte) error {
 		s.lastReadAt = clock.Now()
 		if !s.takeover.enterDelivery() {
@@ -204,11 +203,11 @@
 		}
 		s.recordPause(clock.Now())
 		s.c.o.Scheduler.RecordProgress(clock.Now(), p.decode, s.produced())
-		delivered := s.events.Load() - before
+		delivered := s.events.Load() - s.eventsBefore
 		if err := s.deliver(r.resp, events); err != nil {
 			return err
 		}
-		s.crashGuard.recordProgress(int(delivered), int(s.events.Load()-before))
+		s.crashGuard.recordProgress(int(delivered), int(s.events.Load()-s.eventsBefore))
 		return nil
 	})
 }
@@ -281,7 +280,7 @@
 // yet. It stops before an event that is out of order and returns an *EventOrderError. If the events
 // could not be sent, the error is a *CallerWriteError.
 func (s *stream) deliver(resp *http.Response, events []byte) error {
-	ordered, err := s.c.numbering(s.j.Service.Name).inOrder(events, s.lastEvent)
+	ordered, err := s.c.numbering(s.j.Service.Name).inOrder(events, s.lastEvent, s.events.Load() == s.eventsBefore)
 	if err != nil {
 		s.c.o.Count("events_out_of_order")
 	}
--- a/gateway/carry/relay.go
+++ b/gateway/carry/relay.go
@@ -240,6 +240,7 @@
 // copyRelayed copies complete events of a relayed stream to the caller until the stream ends.
 func (s *stream) copyRelayed(ctx context.Context, r *run) error {
 	resp := r.resp
+	s.eventsBefore = s.events.Load()
 	version, known := relay.TakeSoftwareVersion(resp.Header)
 	rest, err := readEvents(r.body(), s.j.Memory, func() {}, func(events []byte) error {
 		if r.answerTimer != nil {
--- a/gateway/carry/run.go
+++ b/gateway/carry/run.go
@@ -115,7 +115,7 @@
 	if r.watchdog != nil {
 		r.watchdog.heard()
 	}
-	if ordered, err := r.s.c.numbering(r.s.j.Service.Name).inOrder(r.received[:lastEventEnd(r.received)], r.s.lastEvent); len(ordered) == 0 {
+	if ordered, err := r.s.c.numbering(r.s.j.Service.Name).inOrder(r.received[:lastEventEnd(r.received)], r.s.lastEvent, true); len(ordered) == 0 {
 		return err
 	}
 	return nil
--- a/gateway/carry/stream.go
+++ b/gateway/carry/stream.go
@@ -120,8 +120,10 @@
 	lastEvent string
 	// events counts the events delivered in this request. A migration reads it while the stream
 	// runs.
-	events   atomic.Int64
-	software versionBinding
+	events atomic.Int64
+	// eventsBefore counts those of them that came before the current run.
+	eventsBefore int64
+	software     versionBinding
 	// readBy is the software version of the first decode engine that may have read the prompt.
 	readBy versionBinding
 	// besideSilent means that the stream runs at a silent engine, of the version readBy, which may go on.
