fleet: instances that may not know all others use a part of what all share

Cause: limits are divided by the known zones and instances, and an instance that has found nobody takes itself for the only one: it owns its zone's account. Nothing on the machine or in the store could tell it how many others there are.

The same cause at upstreams' rate limits (201 requests in 4 s, 65 accepted) and where a zone starts cut off (1,704,000 tokens, 1,245,000 accepted).

Change: Roster.Share, the part of what all share that the instances known to this one may use. Groups that don't know each other have found different seeds, so that the seeds found, among those that may be running, are a group's part; a refused connection shows that a seed doesn't run. Without any seed it is nothing, and requests with a limit are refused with 503 and a time to come back. One that has joined uses all, as before. It multiplies accounts, rate limits and the retry budget, and a log line tells its changes.

Packages gateway, gateway/fleet and gateway/limit pass.

--- a/gateway/fleet/informed.go
+++ b/gateway/fleet/informed.go
@@ -153,10 +153,11 @@
 // records until ctx ends. These tasks share a loop because each wakeup of an idle instance
 // costs processor time.
 func (n *Node) maintain(ctx context.Context) {
-	asleep := clock.Suspended()
+	asleep, share := clock.Suspended(), 0.0
 	for pause.For(ctx, maintenanceInterval) {
 		now := clock.Now()
 		n.informed.recordRunning(now)
+		share = n.logShareChange(share)
 		n.tokens.accounts.RemoveIdle(now)
 		n.rates.owned.RemoveIdle(now)
 		n.opts.Register.Expire(now)
--- a/gateway/fleet/keeper.go
+++ b/gateway/fleet/keeper.go
@@ -22,17 +22,23 @@
 func (n *Node) onTokens(ctx context.Context, _ peer.Identity, request TokenRequest) (TokenAnswer, error) {
 	accounts := n.tokens.accounts
 	result := TokenAnswer{Incarnation: n.opts.Self.Incarnation}
+	share := n.share()
+	if share <= 0 {
+		result.WaitMS = addJitter(noOwnerRetry).Milliseconds()
+		return result, nil
+	}
+	own := request.limitRequest(share)
 	if request.Lend {
-		result.Lent = accounts.Lend(clock.Now(), request.limitRequest(), request.Balance)
+		result.Lent = accounts.Lend(clock.Now(), own, request.Balance)
 		return result, nil
 	}
-	response := accounts.Take(clock.Now(), request.limitRequest())
+	response := accounts.Take(clock.Now(), own)
 	if request.Cost <= 0 {
 		// The request only returns tokens.
 		result.Granted, result.Balance = true, response.Balance
 		return result, nil
 	}
-	if response.Granted && response.Balance < request.Share.Burst/2 {
+	if response.Granted && response.Balance < own.Share.Burst/2 {
 		// Borrow in the background before the account is empty. Full accounts of other zones
 		// accumulate no further tokens, so what they could have gained in the meantime would be
 		// lost.
@@ -40,9 +46,8 @@
 	}
 	if !response.Granted {
 		n.borrow(ctx, request, response)
-		retry := request.limitRequest()
-		retry.Returned, retry.LastReport = 0, nil
-		response = accounts.Take(clock.Now(), retry)
+		own.Returned, own.LastReport = 0, nil
+		response = accounts.Take(clock.Now(), own)
 	}
 	result.Granted, result.Balance = response.Granted, response.Balance
 	if !response.Granted {
--- a/gateway/fleet/node.go
+++ b/gateway/fleet/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -208,12 +209,13 @@
 func (n *Node) Alive() int { return int(n.alive.Load()) }
 
 // Sharers returns the number of instances among which what all of them may spend together is divided, including
-// this one. Until it has joined, any number of others may spend their shares.
+// this one and those that it can't know; see Roster.Share.
 func (n *Node) Sharers() int {
-	if !n.Joined() {
+	share := n.share()
+	if share <= 0 {
 		return unknownInstances
 	}
-	return n.Alive()
+	return int(math.Ceil(float64(n.Alive()) / share))
 }
 
 // Peers returns the other instances that are alive and not stopping.
@@ -354,13 +356,14 @@
 // longer counts as alive.
 func (n *Node) exchange(ctx context.Context, address string, h Heartbeat) (Heartbeat, bool) {
 	answer, err := peer.Call[Heartbeat](ctx, n.opts.Pool, address, MethodHeartbeat, h)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := clock.Now()
+	n.roster.recordSeedCall(now, address, err)
 	if err != nil {
 		n.opts.Log.Debug("heartbeat not answered", "peer", address, "error", err)
 		return answer, false
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	now := clock.Now()
 	n.roster.Receive(now, answer)
 	n.roster.RecordAnswer(now, answer.From.ID)
 	n.compareCrashDigest(ctx, address, answer.Crashes, answer.Informed)
--- a/gateway/fleet/rates.go
+++ b/gateway/fleet/rates.go
@@ -121,12 +121,12 @@
 // onRate grants requests to an upstream. An instance that knows of another owner grants none, so
 // that an owner which has been replaced stops as soon as it learns of it. During a network partition
 // each side has an owner, which grants the share of the rate that its side's instances have among
-// all known ones.
+// all known ones. One that may not know all others grants the part that Roster.Share leaves it.
 func (n *Node) onRate(_ context.Context, _ peer.Identity, q RateRequest) (RateAnswer, error) {
 	n.mu.Lock()
 	now := clock.Now()
 	alive := n.roster.Alive(now)
-	rate := q.Rate * float64(alive) / float64(n.roster.expected())
+	rate := q.Rate * float64(alive) / float64(n.roster.expected()) * n.roster.Share(now)
 	owns := n.roster.IsHolder(now, dutyRate+string(q.Upstream), n.roster.dutyZone(now, q.Zone))
 	n.mu.Unlock()
 	if !owns || !(rate > 0) {
--- a/gateway/fleet/roster.go
+++ b/gateway/fleet/roster.go
@@ -86,8 +86,12 @@
 	groups map[ident.Zone]*group
 	// heldSince holds the time since which this instance has held each of its duties.
 	heldSince map[string]time.Time
-	// joined is set once the instance has joined the fleet; see Joined.
-	joined bool
+	// joined is set once the instance has joined the fleet; see Joined. formerZoneSize is the number of known
+	// instances of the own zone when it last forgot most of the others, 0 if it never did.
+	joined         bool
+	formerZoneSize int
+	// seedsDown holds when a connection to a seed was last refused, for seeds that have not answered since.
+	seedsDown map[string]time.Time
 	// lastRefresh is the time of the last refresh.
 	lastRefresh time.Time
 	// partners holds the addresses in the own zone that were called in the last round in a large
@@ -220,11 +224,14 @@
 			alive++
 		}
 	}
+	zoneSize := r.knownInZone(r.self.Zone)
 	for id, p := range r.peers {
 		if now.Sub(p.lastHeartbeat) < peerRetention {
 			continue
 		}
-		r.joined = r.joined && (p.member.Leaving || 2*alive > known)
+		if r.joined && !p.member.Leaving && 2*alive <= known {
+			r.joined, r.formerZoneSize = false, zoneSize
+		}
 		delete(r.peers, id)
 		if r.byKey[p.key] == p {
 			delete(r.byKey, p.key)
@@ -299,13 +306,9 @@
 
 // foundMostSeeds reports whether most of the seeds are known instances or this one.
 func (r *Roster) foundMostSeeds() bool {
-	known := map[string]bool{r.self.Address: true}
-	for _, p := range r.peers {
-		known[p.member.Address] = true
-	}
 	found := 0
 	for _, s := range r.seeds {
-		if known[s] {
+		if r.knowsAddress(s) {
 			found++
 		}
 	}
--- a/gateway/fleet/roster_test.go
+++ b/gateway/fleet/roster_test.go
@@ -1,11 +1,13 @@
 package fleet
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
+	"syscall"
 	"testing"
 	"time"
 
@@ -513,3 +515,84 @@
 	receiveFrom(r, cut, member(1, "a"))
 	assert.Assert(t, r.Joined(), "after the cut")
 }
+
+// TestSharesOfInstancesThatDoNotKnowEachOtherAddUp guards against groups of instances, each of which does not know the
+// others, that together use more than all instances share.
+func TestSharesOfInstancesThatDoNotKnowEachOtherAddUp(t *testing.T) {
+	const instances, groups = 6, 3
+	for seedCount := 1; seedCount <= 3; seedCount++ {
+		var seeds []string
+		for i := range seedCount {
+			seeds = append(seeds, member(i, "a").Address)
+		}
+		for assignment := range 729 {
+			var groupOf [instances]int
+			for i, rest := 0, assignment; i < instances; i, rest = i+1, rest/groups {
+				groupOf[i] = rest % groups
+			}
+			for down := range 1 << seedCount {
+				shares, majority := sharesOfGroups(seeds, groupOf[:], down)
+				sum := 0.0
+				for _, share := range shares {
+					sum += share
+				}
+				// A group that has found most of the seeds may use all of it.
+				assert.Assert(t, sum <= 1.001 || majority && sum <= 1.334, "groups %v, seeds down %b of %d: %v", groupOf, down, seedCount, shares)
+			}
+		}
+	}
+}
+
+// sharesOfGroups returns the share of each group of instances of which the first ones are seeds. The seeds in down don't
+// run, so that their machines refuse connections. majority reports whether a group has found most of the seeds.
+func sharesOfGroups(seeds []string, groupOf []int, down int) (shares map[int]float64, majority bool) {
+	shares = map[int]float64{}
+	for i, group := range groupOf {
+		if i < len(seeds) && down>>i&1 == 1 {
+			continue
+		}
+		r := NewRoster(member(i, "a"), seeds)
+		for other, otherGroup := range groupOf {
+			isDown := other < len(seeds) && down>>other&1 == 1
+			if isDown {
+				r.recordSeedCall(at(0), seeds[other], syscall.ECONNREFUSED)
+			} else if other != i && otherGroup == group {
+				receiveFrom(r, 0, member(other, "a"))
+			}
+		}
+		shares[group] = max(shares[group], r.Share(at(100)))
+		majority = majority || r.Joined()
+	}
+	return shares, majority
+}
+
+// TestSurvivorsKeepTheirShare guards against instances that lose their part of what all share once they have forgotten
+// the others, or use all of it.
+func TestSurvivorsKeepTheirShare(t *testing.T) {
+	r := NewRoster(member(8, "a"), []string{member(0, "a").Address, member(1, "a").Address})
+	for i := range 8 {
+		receiveFrom(r, 0, member(i, "a"))
+	}
+	assert.Equal(t, r.Share(at(0)), 1.0)
+	later := int(2 * peerRetention / time.Millisecond)
+	survivor := member(7, "a")
+	survivor.Sequence++
+	receiveFrom(r, later, survivor)
+	assert.Equal(t, r.Share(at(later)), 2.0/9)
+}
+
+// TestSeedThatDoesNotRunTakesNoShare guards against instances that can't use what they share because some seeds are
+// gone for good, and against taking a seed that can't be reached for one of them.
+func TestSeedThatDoesNotRunTakesNoShare(t *testing.T) {
+	r := NewRoster(member(8, "a"), []string{member(0, "a").Address, member(1, "a").Address, member(2, "a").Address})
+	assert.Equal(t, r.Share(at(0)), 0.0)
+	receiveFrom(r, 0, member(0, "a"))
+	assert.Equal(t, r.Share(at(100)), 1.0/3)
+	r.recordSeedCall(at(100), member(1, "a").Address, syscall.ECONNREFUSED)
+	assert.Equal(t, r.Share(at(200)), 1.0/2)
+	r.recordSeedCall(at(200), member(2, "a").Address, syscall.ECONNREFUSED)
+	assert.Equal(t, r.Share(at(300)), 1.0)
+	r.recordSeedCall(at(400), member(1, "a").Address, context.DeadlineExceeded)
+	assert.Equal(t, r.Share(at(500)), 1.0/2)
+	assert.Equal(t, r.Share(at(5000)), 1.0/3)
+}
--- a/gateway/fleet/seeds.go
+++ b/gateway/fleet/seeds.go
@@ -36,12 +36,7 @@
 func (n *Node) knows(address string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, p := range n.roster.peers {
-		if p.member.Address == address {
-			return true
-		}
-	}
-	return false
+	return n.roster.knowsAddress(address)
 }
 
 // seedsToCall returns the addresses of the other seeds if this instance is the hub of its zone in a
--- a/gateway/fleet/tokens.go
+++ b/gateway/fleet/tokens.go
@@ -68,9 +68,9 @@
 	Balance float64 `json:"ll,omitempty"`
 }
 
-// limitRequest converts the request to a limit.Request.
-func (r *TokenRequest) limitRequest() limit.Request {
-	q := limit.Request{Workspace: r.Workspace, Share: r.Share, Version: r.Version, Cost: r.Cost, Returned: r.Returned}
+// limitRequest converts the request to a limit.Request for an owner that may use the given part of its zone's share.
+func (r *TokenRequest) limitRequest(part float64) limit.Request {
+	q := limit.Request{Workspace: r.Workspace, Share: r.Share.Part(part), Version: r.Version, Cost: r.Cost, Returned: r.Returned}
 	if r.HasReport {
 		q.LastReport = &limit.BalanceReport{Balance: r.ReportedBalance, Age: time.Duration(r.ReportAgeMS) * time.Millisecond}
 	}
@@ -113,7 +113,7 @@
 type TokenDecision struct {
 	Granted bool
 	// NoOwner is set if the instance reaches no owner and its own share of the limit does not
-	// suffice.
+	// suffice, or if it has no share since it has found no seed.
 	NoOwner bool
 	// Wait is the time after which a refused caller may retry; 0 if its request exceeds what the
 	// limit can ever allow.
@@ -147,8 +147,8 @@
 			break
 		}
 	}
-	share := limit.ShareOf(w.Limit, n.zoneCount()*n.zoneSize())
-	if c.DecideLocally(clock.Now(), w.Name, cost, share) {
+	share := limit.ShareOf(w.Limit, n.zoneCount()*n.zoneSize()).Part(n.share())
+	if share.Rate > 0 && c.DecideLocally(clock.Now(), w.Name, cost, share) {
 		return TokenDecision{Granted: true}
 	}
 	return TokenDecision{NoOwner: true, Wait: addJitter(noOwnerRetry)}
@@ -246,12 +246,12 @@
 }
 
 // accountOwner returns the owner of a workspace's account in a zone. It returns false if this
-// instance has lost contact with all others, or if the zone has no live instance.
+// instance has lost contact with all others or has never found any, or if the zone has no live instance.
 func (n *Node) accountOwner(workspace string, zone ident.Zone) (dutyHolder, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := clock.Now()
-	if n.roster.Isolated(now) {
+	if n.roster.Isolated(now) || n.roster.Share(now) <= 0 {
 		return dutyHolder{}, false
 	}
 	return n.roster.DutyHolder(now, dutyLimit+workspace, zone)
--- a/gateway/limit/account.go
+++ b/gateway/limit/account.go
@@ -35,6 +35,9 @@
 	Burst float64 `json:"b"`
 }
 
+// Part returns a part, 0 to 1, of the share.
+func (s Share) Part(part float64) Share { return Share{Rate: s.Rate * part, Burst: s.Burst * part} }
+
 // BalanceReport is an account's balance as an owner last reported it to a client.
 type BalanceReport struct {
 	Balance float64
