roundtrip: a body that ends with its connection needs the whole request written

Cause: the kernel reports a reset once. The goroutine that writes the request gets the error, and the next read of the response looks like an orderly end.

Change: the end of the connection is the end of the body once the request was written without an error. Whoever gets the error of a reset, the body fails.

--- a/adapter/roundtrip/body.go
+++ b/adapter/roundtrip/body.go
@@ -30,7 +30,9 @@
 	reusable bool
 	// onUsed means that the connection had carried an earlier request.
 	onUsed bool
-	ended  bool
+	// endsWithConn means that the body ends with the connection.
+	endsWithConn bool
+	ended        bool
 }
 
 // Read implements io.Reader.
@@ -40,6 +42,9 @@
 	}
 	n, err := b.body.Read(p)
 	if errors.Is(err, io.EOF) {
+		if b.endsWithConn {
+			err = b.confirmEnd()
+		}
 		b.end(b.reusable)
 		return n, err
 	}
@@ -50,6 +55,36 @@
 	return n, err
 }
 
+// UnsentRequestError reports a response that ended with its connection before the whole request had been sent, so that
+// the connection may have been reset.
+type UnsentRequestError struct {
+	// Err is the error of sending the request.
+	Err error
+}
+
+// Error implements error.
+func (e *UnsentRequestError) Error() string {
+	return "response ended with its connection, which failed while the request was sent: " + e.Err.Error()
+}
+
+// Unwrap returns the error of sending the request.
+func (e *UnsentRequestError) Unwrap() error { return e.Err }
+
+// confirmEnd returns io.EOF if the end of the connection is the end of the body. The kernel reports a reset only once.
+// If the goroutine that writes the request gets that error, the next read looks like an orderly end, so that the end
+// counts once the whole request was written without an error.
+func (b *responseBody) confirmEnd() error {
+	select {
+	case <-b.conn.writeDone:
+	case <-b.ctx.Done():
+		return b.ctx.Err()
+	}
+	if b.conn.writeErr != nil {
+		return &UnsentRequestError{Err: b.conn.writeErr}
+	}
+	return io.EOF
+}
+
 // Close implements io.Closer. If the body was not read to its end, the
 // connection is closed, as the rest of the body would precede the next response.
 func (b *responseBody) Close() error {
--- a/adapter/roundtrip/conn.go
+++ b/adapter/roundtrip/conn.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp.Body = &responseBody{ctx: ctx, conn: c, body: resp.Body, reusable: !resp.Close && !a.alone(), onUsed: c.used}
+	resp.Body = &responseBody{ctx: ctx, conn: c, body: resp.Body, reusable: !resp.Close && !a.alone(), onUsed: c.used, endsWithConn: EndsWithConnection(resp)}
 	return resp, nil
 }
 
