roundtrip: a response whose head is none in HTTP/1.1 is no response

Cause: http.ReadResponse takes any version and three digits, keeps names with blanks, joins folded lines and ignores encodings of HTTP/1.0. Nothing else checked a head.

Evidence: TestFaultyHeadIsNoAnswer on, real processes: 22 answers of 10 kinds of heads reached callers on plain routes, 2 kinds also on streams. Statuses 000 and 099, control bytes in names and heads that stop in their middle were refused before.

Change: a reader under the parser checks each byte of a head. It serves upstreams, peers and plug-ins; the readers that use http.Transport (store, configuration service, the agent's engines) check the parsed head.

Measured: TestFaultyHeadIsNoAnswer, TestMalformedHeadIsNoResponse and the tests of each reader pass; 13 unusual heads that HTTP/1.1 allows are taken as before.

--- a/adapter/roundtrip/conn.go
+++ b/adapter/roundtrip/conn.go
@@ -25,8 +25,9 @@
 	busy bool
 	// hasDeadline means that a read deadline is set.
 	hasDeadline bool
-	// limited limits the number of bytes read for the response head.
+	// limited limits the number of bytes read for the response head, and head checks them.
 	limited io.LimitedReader
+	head    headCheck
 	buf     *bufio.Reader
 
 	// writeDone is closed when the goroutine that writes the request has finished.
@@ -42,7 +43,8 @@
 func newConn(raw net.Conn, addr string, idle *idlePool, buffer int) *conn {
 	c := &conn{net: raw, addr: addr, idle: idle}
 	c.limited.R = raw
-	c.buf = bufio.NewReaderSize(&c.limited, buffer)
+	c.head.r = &c.limited
+	c.buf = bufio.NewReaderSize(&c.head, buffer)
 	return c
 }
 
@@ -172,6 +174,9 @@
 	c.limited.N = MaxHeaderBytes
 	defer func() { c.limited.N = math.MaxInt64 }()
 	for range maxInterim + 1 {
+		if err := c.beginHead(); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(c.buf, req)
 		if err != nil {
 			return nil, unexpectedEOF(err)
@@ -183,6 +188,15 @@
 	return nil, &InterimResponsesError{}
 }
 
+// beginHead has the next head checked.
+func (c *conn) beginHead() error {
+	read, err := c.buf.Peek(c.buf.Buffered())
+	if err != nil {
+		return err
+	}
+	return c.head.begin(read)
+}
+
 // isInterim reports whether a response with this status is followed by another
 // one to the same request.
 func isInterim(status int) bool {
--- a/agent/engines/client.go
+++ b/agent/engines/client.go
@@ -58,7 +58,7 @@
 func New(d meter.Dialer, timeout time.Duration) *Client {
 	c := &Client{timeout: timeout}
 	c.http = &http.Client{
-		Transport: &http.Transport{
+		Transport: roundtrip.StrictTransport(&http.Transport{
 			DialContext:         c.meter.CountingDialer(d).DialContext,
 			MaxIdleConnsPerHost: idlePerUpstream,
 			IdleConnTimeout:     idleTimeout,
@@ -67,7 +67,7 @@
 			DisableCompression:  true,
 
 			MaxResponseHeaderBytes: roundtrip.MaxHeaderBytes,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	return c
--- a/agent/source.go
+++ b/agent/source.go
@@ -57,8 +57,8 @@
 
 // newTransport returns a transport for a few long-lived connections to the
 // platform.
-func newTransport(d meter.Dialer) *http.Transport {
-	return &http.Transport{
+func newTransport(d meter.Dialer) http.RoundTripper {
+	return roundtrip.StrictTransport(&http.Transport{
 		DialContext:         d.DialContext,
 		MaxIdleConnsPerHost: len(watchedKeys),
 		IdleConnTimeout:     time.Minute,
@@ -67,7 +67,7 @@
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: roundtrip.MaxHeaderBytes,
-	}
+	})
 }
 
 // transportBuffer is the size of a connection's read and write buffers, in bytes.
--- a/configservice/client.go
+++ b/configservice/client.go
@@ -70,7 +70,7 @@
 	Timeout time.Duration
 	// Wait is how long one poll of a watch waits for a newer value.
 	Wait time.Duration
-	// Transport carries the requests. Nil means a new *http.Transport.
+	// Transport carries the requests. Nil means a new one.
 	Transport http.RoundTripper
 }
 
@@ -137,9 +137,9 @@
 }
 
 // newTransport returns a transport for a small number of long-lived connections.
-func newTransport(timeout time.Duration) *http.Transport {
+func newTransport(timeout time.Duration) http.RoundTripper {
 	const idleConnections = 4
-	return &http.Transport{
+	return roundtrip.StrictTransport(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
 		TLSHandshakeTimeout: timeout,
 		MaxIdleConnsPerHost: idleConnections,
@@ -148,7 +148,7 @@
 		DisableCompression: true,
 
 		MaxResponseHeaderBytes: roundtrip.MaxHeaderBytes,
-	}
+	})
 }
 
 // noRedirect restricts the client to its configured addresses.
