Lists of upstreams: an odd entry costs only itself

What operators of other systems saw: one odd entry among those of the upstreams, deeply nested or with a number too large, and the machines that read the list ended, or stopped following it.

Cause: what many writers share was read as if one had written it. The agent decoded its list as a whole, so that one entry lost it the list. The gateway decoded entries one by one but took any length of text and any number of slots, which all instances keep, and logged the digits of a number.

--- a/agent/lists.go
+++ b/agent/lists.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"compress/gzip"
 	"context"
-	"encoding/json"
 	"io"
 	"time"
 
@@ -80,12 +79,22 @@
 	return false
 }
 
+// logLeftOut counts the entries of a list that could not be decoded, and logs the first one.
+func (a *Agent) logLeftOut(key string, index uint64, left []error) {
+	if len(left) == 0 {
+		return
+	}
+	a.counters.Refused++
+	a.log.Warn("entries of list left out", "key", key, "index", index, "entries", len(left), "error", left[0])
+}
+
 // applyInstances applies the list of instances.
 func (a *Agent) applyInstances(started time.Time, index uint64, doc []byte) bool {
-	var l configservice.Instances
-	if err := json.Unmarshal(doc, &l); err != nil {
+	l, left, err := configservice.DecodeInstances(doc)
+	if err != nil {
 		return a.rejectList(configservice.KeyInstances, index, err)
 	}
+	a.logLeftOut(configservice.KeyInstances, index, left)
 	listed := make([]membership.ListedInstance, len(l.Instances))
 	for i, x := range l.Instances {
 		listed[i] = membership.ListedInstance{
@@ -127,10 +136,11 @@
 
 // applyUpstreams applies the list of upstreams.
 func (a *Agent) applyUpstreams(started time.Time, index uint64, doc []byte) bool {
-	var l configservice.Upstreams
-	if err := json.Unmarshal(doc, &l); err != nil {
+	l, left, err := configservice.DecodeUpstreams(doc)
+	if err != nil {
 		return a.rejectList(configservice.KeyUpstreams, index, err)
 	}
+	a.logLeftOut(configservice.KeyUpstreams, index, left)
 	listed := make([]membership.ListedUpstream, len(l.Upstreams))
 	for i, x := range l.Upstreams {
 		listed[i] = membership.ListedUpstream{
--- a/plugins/engine/openai/stream.go
+++ b/plugins/engine/openai/stream.go
@@ -68,7 +68,7 @@
 // handleEvent handles one event before doneMark. Events without an ID carry no
 // token.
 func (s *stream) handleEvent(ev event) error {
-	if !gjson.ValidBytes(ev.data) {
+	if !validChunk(ev.data) {
 		return brokenError(&adapter.ProtocolError{Part: "chunk"})
 	}
 	if e := member(ev.data, "error"); e.Exists() {
@@ -83,6 +83,17 @@
 	return s.passToken(ev.id, member(ev.data, "choices"))
 }
 
+// maxRecursiveBytes bounds the chunks that gjson validates, as it takes stack for each level of nesting.
+const maxRecursiveBytes = 16 << 10
+
+// validChunk reports whether a chunk is valid JSON.
+func validChunk(data []byte) bool {
+	if len(data) > maxRecursiveBytes {
+		return json.Valid(data)
+	}
+	return gjson.ValidBytes(data)
+}
+
 // member returns a member of a chunk. Only the member's value is copied, whereas
 // parsing the whole chunk would copy all of it for each token. Most chunks do not
 // contain the member's name at all, which is cheap to check first.
