--- a/adapter/roundtrip/head_test.go
+++ b/adapter/roundtrip/head_test.go
@@ -13,8 +13,8 @@
 	"github.com/wardspool/wardspool/kernel"
 )
 
-// malformedHeads are responses of two bytes whose heads are none in HTTP/1.1. Those of foldedHeads are not seen by a
-// StrictTransport, because http.Transport parses them to something else.
+// malformedHeads are responses of two bytes whose heads are none in HTTP/1.1. Those of ambiguousHeads are not
+// seen by a StrictTransport, because http.Transport makes something else of them.
 var (
 	malformedHeads = map[string]string{
 		"status 000":                  "HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\nok",
@@ -58,7 +58,7 @@
 		"no head":                     "ok",
 		"empty line":                  "\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
 	}
-	foldedHeads = map[string]string{
+	ambiguousHeads = map[string]string{
 		"folded length":              "HTTP/1.1 200 OK\r\nX-Odd: 1\r\n Content-Length: 2\r\n\r\nok",
 		"line folded by a tab":       "HTTP/1.1 200 OK\r\nX-Odd: 1\r\n\tContent-Length: 2\r\n\r\nok",
 		"length and chunks":          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
@@ -121,7 +121,7 @@
 func TestMalformedHeadIsNoResponse(t *testing.T) {
 	c := New(Options{})
 	defer c.Close()
-	for _, heads := range []map[string]string{malformedHeads, foldedHeads} {
+	for _, heads := range []map[string]string{malformedHeads, ambiguousHeads} {
 		for name, text := range heads {
 			for _, piece := range []int{1, len(text)} {
 				body, err := read(t, respondWith(t, text, piece).address, withoutBody(c))
--- a/configservice/entries_test.go
+++ b/configservice/entries_test.go
@@ -1,6 +1,7 @@
 package configservice
 
 import (
+	"encoding/json"
 	"strings"
 	"testing"
 
@@ -54,15 +55,18 @@
 
 }
 
-// FuzzDecodeUpstreams checks that documents that package encoding/json accepts are decoded, and no others but for what is nested
-// too deeply.
-func FuzzDecodeUpstreams(f *testing.F) {
+// FuzzWithoutDeepNesting checks that a valid document stays valid, and that a part of it does not become valid.
+func FuzzWithoutDeepNesting(f *testing.F) {
 	f.Add([]byte(`{"upstreams":[{"id":"a"}]}`))
 	f.Add([]byte(`{"upstreams":["\\\"[",{}]}`))
+	f.Add([]byte(oddEntries["nested field"]))
 	f.Fuzz(func(t *testing.T, doc []byte) {
 		out := withoutDeepNesting(doc)
-		if len(out) > len(doc) {
-			t.Fatalf("%q", out)
+		if json.Valid(doc) && !json.Valid(out) {
+			t.Fatalf("%q became %q", doc, out)
+		}
+		if json.Valid(doc) && doc[0] == '{' && json.Valid(withoutDeepNesting(doc[:len(doc)-1])) && doc[len(doc)-1] == '}' {
+			t.Fatalf("%q is valid without its end", doc)
 		}
 	})
 }
--- a/gateway/limit/account.go
+++ b/gateway/limit/account.go
@@ -7,7 +7,8 @@
 // too few tokens borrows from the owners in other zones. Borrowed tokens are deducted from the
 // lender's bucket before they are added to the borrower's, so a lost message can lose tokens but
 // never create any. A zone behind a network partition continues with its own share. An
-// instance that reaches no owner uses an equal share of its zone's share.
+// instance that reaches no owner uses an equal share of its zone's share. Instances that may not know all others
+// use a part of each share, so that those which don't know each other stay within it together.
 package limit
 
 import (
