roundtrip: the wait for an unread request is bounded

Found by reading again: an upstream that ends an answer without a length and then never reads the upload held the answer until the request's deadline, and a refusal that is drained delayed the next attempt for as long.

A body that ends with its connection is not drained, as its connection can't be used again.

Measured: TestDrainDoesNotWaitForTheRequest fails without the change of Drain; TestUpstreamThatNeverReadsTheRequestIsNotWaitedFor; package adapter/roundtrip passes, with the race detector too.

--- a/adapter/roundtrip/body.go
+++ b/adapter/roundtrip/body.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 )
 
 // OnUsedConnection reports whether the connection of a Client's response has carried earlier requests, to which
@@ -70,14 +71,24 @@
 // Unwrap returns the error of sending the request.
 func (e *UnsentRequestError) Unwrap() error { return e.Err }
 
+// unsentRequestTimeout is how long an upstream that has ended its response may take to read the rest of the request.
+const unsentRequestTimeout = silenceTolerance
+
+// errRequestUnread is the error of an upstream that does not read a request.
+var errRequestUnread = errors.New("the upstream did not read the request")
+
 // confirmEnd returns io.EOF if the end of the connection is the end of the body. The kernel reports a reset only once.
 // If the goroutine that writes the request gets that error, the next read looks like an orderly end, so that the end
 // counts once the whole request was written without an error.
 func (b *responseBody) confirmEnd() error {
+	timer := time.NewTimer(unsentRequestTimeout)
+	defer timer.Stop()
 	select {
 	case <-b.conn.writeDone:
 	case <-b.ctx.Done():
 		return b.ctx.Err()
+	case <-timer.C:
+		return &UnsentRequestError{Err: errRequestUnread}
 	}
 	if b.conn.writeErr != nil {
 		return &UnsentRequestError{Err: b.conn.writeErr}
--- a/adapter/roundtrip/bounds.go
+++ b/adapter/roundtrip/bounds.go
@@ -40,7 +40,7 @@
 // Drain closes the body of a response that is of no use. It reads a short rest, so that the connection can be used
 // again. If more is sent, or if it takes long, the connection is closed.
 func Drain(resp *http.Response) {
-	if b, ok := resp.Body.(*responseBody); ok && !b.ended {
+	if b, ok := resp.Body.(*responseBody); ok && !b.ended && !b.endsWithConn {
 		// An error means that the connection is closed, which reading shows.
 		b.conn.hasDeadline = true
 		_ = b.conn.net.SetReadDeadline(time.Now().Add(maxDrainTime))
--- a/adapter/roundtrip/reset_test.go
+++ b/adapter/roundtrip/reset_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -39,6 +40,13 @@
 	_ = c.Close()
 }
 
+// endThenWait ends the response and neither reads the request nor closes the connection.
+func endThenWait(c *net.TCPConn) {
+	_ = c.CloseWrite()
+	time.Sleep(2 * unsentRequestTimeout)
+	_ = c.Close()
+}
+
 // uploadBytes is more than the kernel's buffers hold for a peer that does not read.
 const uploadBytes = 16 << 20
 
@@ -49,7 +57,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	done := make(chan struct{})
-	defer func() { <-done }()
+	t.Cleanup(func() { <-done })
 	defer l.Close()
 	go func() {
 		defer close(done)
@@ -105,3 +113,44 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(body), "whole")
 }
+
+// TestUpstreamThatNeverReadsTheRequestIsNotWaitedFor guards against a caller who waits until its deadline because an upstream
+// ends its response and does not read the request.
+func TestUpstreamThatNeverReadsTheRequestIsNotWaitedFor(t *testing.T) {
+	t.Parallel()
+	start := time.Now()
+	body, err := upload(t, earlyResponse{text: "HTTP/1.1 503 Busy\r\n\r\nbusy", then: endThenWait})
+	var unsent *UnsentRequestError
+	assert.Assert(t, errors.As(err, &unsent), "%q, %v", body, err)
+	assert.Assert(t, time.Since(start) < unsentRequestTimeout+time.Second)
+}
+
+// TestDrainDoesNotWaitForTheRequest guards against a refusal that delays the next attempt until its upstream has read the
+// request.
+func TestDrainDoesNotWaitForTheRequest(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	release := make(chan struct{})
+	defer close(release)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = io.ReadFull(c, make([]byte, 100))
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Busy\r\n\r\nbusy")
+		_ = c.(*net.TCPConn).CloseWrite()
+		<-release
+	}()
+	c := New(Options{})
+	defer c.Close()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+l.Addr().String()+"/", nil)
+	assert.NilError(t, err)
+	resp, err := c.Do(req, bytes.NewReader(make([]byte, uploadBytes)), uploadBytes)
+	assert.NilError(t, err)
+	start := time.Now()
+	Drain(resp)
+	assert.Assert(t, time.Since(start) < time.Second)
+}
