--- a/gateway/fleet/informed.go
+++ b/gateway/fleet/informed.go
@@ -153,7 +153,7 @@
 // records until ctx ends. These tasks share a loop because each wakeup of an idle instance
 // costs processor time.
 func (n *Node) maintain(ctx context.Context) {
-	asleep, share := clock.Suspended(), 0.0
+	asleep, share := clock.Suspended(), 1.0
 	for pause.For(ctx, maintenanceInterval) {
 		now := clock.Now()
 		n.informed.recordRunning(now)
